feat: workspace, base model, settings, questionnaire and platform client

Cause: an empty repository. Change: shared lints and versions, identifiers, the closed error list with its table, the configuration model, settings with positions, the questionnaire's checks and generation, and the platform client with an in-memory twin. Conclusion: the base for the thin path.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: keys and the rate limit of each workspace.
--- /dev/null
+++ b/crates/base/src/config.rs
@@ -0,0 +1,129 @@
+//! The configuration that operators' answers generate and every instance puts in force.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DomainId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId};
+
+/// Describes a whole deployment: what is served, for whom, and from where.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Failure domains by name.
+    pub domains: BTreeMap<DomainId, Domain>,
+    /// Delays and rates between regions.
+    pub links: Links,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    /// Keys in force, by their public name.
+    #[serde(default)]
+    pub keys: BTreeMap<KeyId, Key>,
+}
+
+/// Describes one failure domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// Region that the domain belongs to.
+    pub region: RegionId,
+}
+
+/// Gives the delays and the capacity between regions.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Links {
+    /// One-way delay between two regions, in milliseconds.
+    pub region_delay_ms: u32,
+    /// One-way delay between callers and their nearest region, in milliseconds.
+    pub client_delay_ms: u32,
+    /// Rate between two regions in each direction, in Mbit/s.
+    pub region_mbit_per_s: u32,
+    /// Largest share of a service's traffic that may move between regions in one minute, 0 to 1.
+    pub shift_cap_per_min: f64,
+}
+
+/// Describes one service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Requests that one target runs at the same time.
+    pub slots: u32,
+    /// Connections that one target accepts.
+    pub connections: u32,
+    /// Time after which an unanswered request is given up on, in milliseconds.
+    pub deadline_ms: u32,
+    /// Path prefixes below the service that need no key.
+    #[serde(default)]
+    pub open_routes: Vec<String>,
+    /// Targets by name.
+    pub targets: BTreeMap<TargetId, Target>,
+}
+
+/// Describes one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Failure domain in which it runs.
+    pub domain: DomainId,
+    /// IP number and port.
+    pub addr: std::net::SocketAddr,
+}
+
+/// Describes one workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Requests per second over all instances together.
+    pub rate: f64,
+    /// Requests that may come at once over all instances together.
+    pub burst: f64,
+    /// Share of contended targets relative to other workspaces.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+/// Describes one key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Workspace whose requests the key admits.
+    pub workspace: WorkspaceId,
+    /// Digest of the key.
+    pub digest: KeyDigest,
+}
+
+impl Config {
+    /// Returns the region of `domain`, or `None` where the domain is unknown.
+    pub fn region_of(&self, domain: &DomainId) -> Option<&RegionId> {
+        self.domains.get(domain).map(|found| &found.region)
+    }
+
+    /// Returns `true` where `path` below `service` needs no key.
+    pub fn is_open(&self, service: &ServiceId, path: &str) -> bool {
+        self.services.get(service).is_some_and(|svc| {
+            svc.open_routes.iter().any(|prefix| {
+                path.strip_prefix(prefix.as_str())
+                    .is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
+            })
+        })
+    }
+}
+
+/// Returns the text of a configuration that is stored and whose digest names it.
+pub fn canonical_json(config: &Config) -> String {
+    serde_json::to_string(config).unwrap_or_default()
+}
+
+/// Returns the content address of a configuration's text.
+pub fn config_digest(text: &str) -> String {
+    blake3::hash(text.as_bytes()).to_hex().to_string()
+}
+
+fn default_weight() -> u32 {
+    1
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,17 @@
+//! Identifiers, units, the configuration model and the closed list of error kinds.
+//!
+//! Every other crate depends on this one; it depends on none of them and does no input or output.
+
+mod config;
+mod error;
+mod id;
+mod time;
+
+pub use config::{
+    Config, Domain, Key, Links, Service, Target, Workspace, canonical_json, config_digest,
+};
+pub use error::{ANSWERS, Answer, ErrorKind, Ran, Refusal};
+pub use id::{
+    DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
+};
+pub use time::Time;
--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,1 @@
+//! State charts read from data files and interpreted.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of the operators.
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination through a shared table: leases, rosters, divided quotas and versioned state.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP listeners for callers and operators, and forwarding to targets.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,164 @@
+//! Client of the platform's table, object store and instance list.
+//!
+//! [`Platform`] is a handle on a task that owns the connection. [`http::connect`] talks to a real
+//! platform, [`memory::spawn`] keeps everything in the process; both take the same [`Call`]s.
+
+pub mod http;
+pub mod memory;
+mod model;
+mod store;
+
+use std::time::Duration;
+
+pub use model::{Call, Expect, Fault, Listed, ListedState, Reply, Row, Write};
+pub use store::Store;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+const CALL_QUEUE: usize = 1024;
+
+/// Sends calls to the platform's service and awaits their replies.
+///
+/// # Examples
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use platform::{Expect, Write, memory};
+///
+/// let platform = memory::spawn();
+/// let write = Write::new("leases", "planner").value("i1").expect(Expect::Absent);
+/// platform.write(vec![write]).await.unwrap();
+/// assert_eq!(platform.get("leases", "planner").await.unwrap().unwrap().value, "i1");
+/// # });
+/// ```
+#[derive(Debug, Clone)]
+pub struct Platform {
+    tx: mpsc::Sender<Request>,
+    timeout: Duration,
+}
+
+/// One call on its way to the task that owns the connection.
+#[derive(Debug)]
+pub(crate) struct Request {
+    call: Call,
+    reply: oneshot::Sender<Result<Reply, Fault>>,
+}
+
+impl Platform {
+    fn new(tx: mpsc::Sender<Request>) -> Self {
+        Self {
+            tx,
+            timeout: Duration::from_secs(2),
+        }
+    }
+
+    /// Sets how long a call may take before its outcome counts as unknown.
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Sends a call and awaits its reply.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Unavailable`] where no reply came in time: a write may have taken effect.
+    /// [`Fault::Conflict`] where a row was not as expected: nothing was written.
+    pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        let (reply, answer) = oneshot::channel();
+        let sent = async {
+            self.tx.send(Request { call, reply }).await.map_err(|_| ())?;
+            answer.await.map_err(|_| ())
+        };
+        match timeout(self.timeout, sent).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(())) | Err(_) => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Reads one row.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn get(&self, table: &str, row: &str) -> Result<Option<Row>, Fault> {
+        let call = Call::Get {
+            table: table.to_owned(),
+            row: row.to_owned(),
+        };
+        match self.call(call).await? {
+            Reply::Row(row) => Ok(row),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Reads all rows of a table whose name begins with `prefix`, in order.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn scan(&self, table: &str, prefix: &str) -> Result<Vec<(String, Row)>, Fault> {
+        let call = Call::Scan {
+            table: table.to_owned(),
+            prefix: prefix.to_owned(),
+        };
+        match self.call(call).await? {
+            Reply::Rows(rows) => Ok(rows),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Writes all rows or none, and returns the versions written.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn write(&self, writes: Vec<Write>) -> Result<Vec<u64>, Fault> {
+        match self.call(Call::Write { writes }).await? {
+            Reply::Written(versions) => Ok(versions),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Stores an object.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn put_object(&self, name: &str, text: &str) -> Result<(), Fault> {
+        let call = Call::PutObject {
+            name: name.to_owned(),
+            text: text.to_owned(),
+        };
+        self.call(call).await.map(|_| ())
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn get_object(&self, name: &str) -> Result<Option<String>, Fault> {
+        let call = Call::GetObject {
+            name: name.to_owned(),
+        };
+        match self.call(call).await? {
+            Reply::Object(text) => Ok(text),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Reads the lagging list of live and leaving instances and targets.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn list(&self) -> Result<Vec<Listed>, Fault> {
+        match self.call(Call::List).await? {
+            Reply::List(list) => Ok(list),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/model.rs
@@ -0,0 +1,168 @@
+//! Calls, replies and faults.
+
+use base::DomainId;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Asks one thing of the platform.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// Reads a row.
+    Get {
+        /// Table that holds the row.
+        table: String,
+        /// Name of the row.
+        row: String,
+    },
+    /// Reads the rows whose name begins with a prefix.
+    Scan {
+        /// Table that holds the rows.
+        table: String,
+        /// Beginning of the rows' names.
+        prefix: String,
+    },
+    /// Writes all rows or none.
+    Write {
+        /// Rows to write.
+        writes: Vec<Write>,
+    },
+    /// Stores an object.
+    PutObject {
+        /// Name of the object.
+        name: String,
+        /// Content of the object.
+        text: String,
+    },
+    /// Reads an object.
+    GetObject {
+        /// Name of the object.
+        name: String,
+    },
+    /// Reads the list of live and leaving machines.
+    List,
+    /// Puts a machine on the list; the platform itself does so when it starts or ends one.
+    Announce {
+        /// What the list shows.
+        listed: Listed,
+    },
+    /// Takes a machine off the list.
+    Forget {
+        /// Name of the machine.
+        id: String,
+    },
+}
+
+/// Answers a [`Call`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reply {
+    /// The row, where there is one.
+    Row(Option<Row>),
+    /// Rows by name.
+    Rows(Vec<(String, Row)>),
+    /// The versions written, in the order of the writes.
+    Written(Vec<u64>),
+    /// The object, where there is one.
+    Object(Option<String>),
+    /// The list.
+    List(Vec<Listed>),
+    /// The call was carried out.
+    Done,
+}
+
+/// Holds one row and its version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Number of times the row was written.
+    pub version: u64,
+    /// Content.
+    pub value: String,
+}
+
+/// Describes one row of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// Table that holds the row.
+    pub table: String,
+    /// Name of the row.
+    pub row: String,
+    /// State in which the row must be.
+    pub expect: Expect,
+    /// New content; `None` deletes the row.
+    pub value: Option<String>,
+}
+
+/// States in which a row must be for a write to take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Expect {
+    /// Any state.
+    Any,
+    /// The row does not exist.
+    Absent,
+    /// The row has this version.
+    Version(u64),
+}
+
+impl Write {
+    /// Returns a write that deletes a row, whatever its state.
+    pub fn new(table: &str, row: &str) -> Self {
+        Self {
+            table: table.to_owned(),
+            row: row.to_owned(),
+            expect: Expect::Any,
+            value: None,
+        }
+    }
+
+    /// Sets the content.
+    pub fn value(mut self, value: &str) -> Self {
+        self.value = Some(value.to_owned());
+        self
+    }
+
+    /// Sets the state in which the row must be.
+    pub fn expect(mut self, expect: Expect) -> Self {
+        self.expect = expect;
+        self
+    }
+}
+
+/// Describes one machine on the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name of the instance or target.
+    pub id: String,
+    /// Failure domain in which it runs.
+    pub domain: DomainId,
+    /// Whether it is live or leaving.
+    pub state: ListedState,
+}
+
+/// States of a listed machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    /// The machine runs.
+    Live,
+    /// The machine will end soon.
+    Leaving,
+}
+
+/// Lists the ways in which a call fails.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// No reply came: whether a write took effect is unknown.
+    #[display("the platform did not answer")]
+    Unavailable,
+    /// A row was not as expected; nothing was written.
+    #[display("row {row} is at version {version}")]
+    Conflict {
+        /// Name of the row.
+        row: String,
+        /// Version that the row has, zero where it does not exist.
+        version: u64,
+    },
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Steering: look-up answers, plans and contingencies.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated postcard frames between instances over UDP and TCP.
