feat: sans-IO cores of coordination and dispatch

Cause: the promises on rates, keys, configuration and at-most-once need decisions that can be driven without sockets. Change: coord (leases, roster, floors and granted units, versioned state, fan-out, window audit), dispatch (limits, fair queue, dispatcher, ledger, quarantine), chart (interpreter) with the charts as data files. Conclusion: the daemon can be built on them.

--- /dev/null
+++ b/crates/coord/src/quota.rs
@@ -0,0 +1,195 @@
+//! Rates with bursts, and how one is divided into floors and an owned part.
+
+use std::time::Duration;
+
+use base::Time;
+use serde::{Deserialize, Serialize};
+
+/// Allows `burst + rate * (t - s)` units in every window from s to t.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Units per second.
+    pub rate: f64,
+    /// Units that may be taken at once.
+    pub burst: f64,
+}
+
+/// Divides a quota into equal floors, one a slot, and a part for one owner.
+///
+/// The floors and the owned part always sum to the whole, however many slots are held.
+///
+/// # Examples
+///
+/// ```
+/// use coord::{Quota, Split};
+///
+/// let split = Split { floor_share: 0.2, slots: 10, ..Split::default() };
+/// let whole = Quota { rate: 100.0, burst: 50.0 };
+/// assert_eq!(split.floor(whole), Quota { rate: 2.0, burst: 1.0 });
+/// assert_eq!(split.owned(whole), Quota { rate: 80.0, burst: 40.0 });
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Split {
+    /// Share of the whole that is divided into floors, 0 to 1.
+    pub floor_share: f64,
+    /// Number of floors.
+    pub slots: u32,
+    /// How long granted units last.
+    pub grant_life: Duration,
+    /// Most by which two clocks' rates differ, as a fraction.
+    pub drift: f64,
+}
+
+impl Default for Split {
+    fn default() -> Self {
+        Self {
+            floor_share: 0.2,
+            slots: 12,
+            grant_life: Duration::from_secs(1),
+            drift: 0.02,
+        }
+    }
+}
+
+const NOTHING: Quota = Quota {
+    rate: 0.0,
+    burst: 0.0,
+};
+
+impl Split {
+    /// Returns the quota of one floor; nothing where not even one unit would fit in it.
+    pub fn floor(&self, whole: Quota) -> Quota {
+        let slots = f64::from(self.slots.max(1));
+        let floor = Quota {
+            rate: whole.rate * self.floor_share / slots,
+            burst: whole.burst * self.floor_share / slots,
+        };
+        if self.floor_share >= 1.0 || floor.burst >= 1.0 {
+            return floor;
+        }
+        let has_room = self.floor_share > 0.0 && whole.burst >= 2.0 * slots;
+        if has_room {
+            Quota {
+                burst: 1.0,
+                ..floor
+            }
+        } else {
+            NOTHING
+        }
+    }
+
+    /// Returns the quota that is left for the owner.
+    pub fn owned(&self, whole: Quota) -> Quota {
+        let floor = self.floor(whole);
+        let slots = f64::from(self.slots.max(1));
+        Quota {
+            rate: (whole.rate - slots * floor.rate).max(0.0),
+            burst: (whole.burst - slots * floor.burst).max(0.0),
+        }
+    }
+
+    /// Returns the grants' life as their holder counts it.
+    pub(crate) fn holder_life(&self) -> Duration {
+        self.grant_life.mul_f64(1.0 - self.drift)
+    }
+
+    /// Returns the grants' life as their owner counts it.
+    pub fn owner_life(&self) -> Duration {
+        self.grant_life.mul_f64(1.0 + self.drift)
+    }
+}
+
+/// Holds units that come in at a rate, up to a cap.
+///
+/// # Examples
+///
+/// ```
+/// use base::Time;
+/// use coord::{Bucket, Quota};
+///
+/// let mut bucket = Bucket::empty(Time::ZERO, Quota { rate: 10.0, burst: 5.0 });
+/// assert!(!bucket.take(Time::ZERO));
+/// assert!(bucket.take(Time::from_millis(100)));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    quota: Quota,
+    level: f64,
+    at: Time,
+}
+
+/// Allowance for rounding when a level is compared with a whole unit.
+const EPSILON: f64 = 1e-9;
+
+impl Bucket {
+    /// Returns a bucket with nothing in it.
+    pub fn empty(now: Time, quota: Quota) -> Self {
+        Self {
+            quota,
+            level: 0.0,
+            at: now,
+        }
+    }
+
+    /// Returns a bucket that is full.
+    pub fn full(now: Time, quota: Quota) -> Self {
+        Self {
+            level: quota.burst,
+            ..Self::empty(now, quota)
+        }
+    }
+
+    /// Sets the quota; a level over the new burst is lost.
+    pub fn set_quota(&mut self, now: Time, quota: Quota) {
+        self.refill(now, self.quota.burst);
+        self.quota = quota;
+        self.level = self.level.min(quota.burst);
+    }
+
+    /// Returns the quota.
+    pub fn quota(&self) -> Quota {
+        self.quota
+    }
+
+    /// Takes one unit and returns whether there was one.
+    pub fn take(&mut self, now: Time) -> bool {
+        self.refill(now, self.quota.burst);
+        self.remove(1) == 1
+    }
+
+    /// Returns the units now in the bucket.
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.refill(now, self.quota.burst);
+        self.level
+    }
+
+    /// Returns the time until one unit will be there, at least a millisecond.
+    pub fn wait_for_one(&self) -> Duration {
+        let missing = (1.0 - self.level).max(0.0);
+        if self.quota.rate <= 0.0 {
+            return Duration::from_secs(1);
+        }
+        Duration::from_secs_f64((missing / self.quota.rate).clamp(0.001, 3_600.0))
+    }
+
+    /// Adds what came in since the last call, up to `cap` units.
+    pub(crate) fn refill(&mut self, now: Time, cap: f64) {
+        let gained = self.quota.rate * (now - self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        // A cap below the level adds nothing and takes nothing away.
+        self.level = self.level.max((self.level + gained).min(cap));
+    }
+
+    /// Takes up to `most` whole units.
+    pub(crate) fn remove(&mut self, most: u32) -> u32 {
+        let there = (self.level + EPSILON).max(0.0) as u32;
+        let taken = there.min(most);
+        self.level = (self.level - f64::from(taken)).max(0.0);
+        taken
+    }
+
+    /// Puts units back.
+    pub(crate) fn restore(&mut self, units: u32) {
+        self.level += f64::from(units);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,625 @@
+//! The decision which request runs on which target, and what follows when it fails.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base::{Config, ErrorKind, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+use chart::{Chart, ChartError};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+pub use crate::pool::Route;
+use crate::{
+    Quarantine, Report, RetryBudget, TargetEvent, TargetState,
+    pool::Pool,
+};
+
+/// Names a request within one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// Tells whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Running it twice has the effect of running it once.
+    Idempotent,
+    /// It may run at most once.
+    Once,
+}
+
+/// Describes an admitted request.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Name of the request.
+    pub id: RequestId,
+    /// Workspace whose key came with it.
+    pub workspace: WorkspaceId,
+    /// Share of contended targets relative to other workspaces.
+    pub weight: u32,
+    /// Service that it is for.
+    pub service: ServiceId,
+    /// Time after which its caller no longer waits.
+    pub deadline: Time,
+    /// Whether it may run more than once.
+    pub kind: WorkKind,
+    /// Digest of what makes it the same request when its caller sends it again.
+    pub fingerprint: u64,
+}
+
+/// Tells to send one attempt of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Assignment {
+    /// Name of the request.
+    pub id: RequestId,
+    /// Number of the attempt, from one.
+    pub attempt: u32,
+    /// Service of the target.
+    pub service: ServiceId,
+    /// Target to send it to.
+    pub target: TargetId,
+    /// Whether only a new or just proven connection may be used.
+    pub needs_proven: bool,
+    /// Time without a first byte after which a hedge is worthwhile.
+    pub hedge_after: Duration,
+}
+
+/// Lists what the dispatcher tells its caller to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send an attempt.
+    Assign(Assignment),
+    /// Give the request its final answer at once.
+    Refuse(RequestId, Refusal),
+}
+
+/// Lists the ends of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer came after this time.
+    Answered(Duration),
+    /// The target refused it for lack of capacity, without running it.
+    Refused,
+    /// No connection came about; nothing was sent.
+    Unreachable,
+    /// The connection was lost after the request had been sent.
+    Lost,
+    /// No answer came within the deadline.
+    TimedOut,
+    /// The attempt is no longer needed: another one answered or the caller left.
+    Canceled,
+}
+
+/// Tells what became of the request after [`Dispatcher::finish`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// The request has ended.
+    Ended,
+    /// Another attempt follows or is under way.
+    Continues,
+}
+
+/// Holds the constants of dispatch.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    /// Retries and hedges earned per success.
+    pub retry_fraction: f64,
+    /// Most retries and hedges saved up.
+    pub retry_cap: f64,
+    /// Refusals by targets after which a request is refused.
+    pub most_refusals: u32,
+    /// Connection losses after which a request is barred.
+    pub most_losses: u32,
+    /// How long a request stays barred.
+    pub quarantine: Duration,
+    /// Shortest time without a first byte after which a hedge is sent.
+    pub hedge_floor: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            retry_fraction: 0.1,
+            retry_cap: 20.0,
+            most_refusals: 6,
+            most_losses: 2,
+            quarantine: Duration::from_secs(60),
+            hedge_floor: Duration::from_millis(200),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    work: Work,
+    attempts: Vec<Attempt>,
+    sent: u32,
+    refusals: u32,
+    losses: u32,
+    avoid: Option<usize>,
+    is_queued: bool,
+    is_answered: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    number: u32,
+    target: usize,
+}
+
+/// Assigns requests to targets.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Config, Time};
+/// use dispatch::{Dispatcher, Policy};
+///
+/// let mut dispatcher = Dispatcher::new("north".into(), 1, Policy::default()).unwrap();
+/// dispatcher.configure(Time::ZERO, &Config::default());
+/// assert!(dispatcher.tick(Time::from_secs(1)).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Dispatcher {
+    home: RegionId,
+    rng: Pcg32,
+    policy: Policy,
+    chart: Chart<TargetState, TargetEvent>,
+    pools: BTreeMap<ServiceId, Pool>,
+    entries: BTreeMap<RequestId, Entry>,
+    queued: BTreeSet<(Time, RequestId)>,
+    budget: RetryBudget,
+    quarantine: Quarantine,
+}
+
+const CHART: &str = include_str!("../charts/target.json");
+
+impl Dispatcher {
+    /// Returns a dispatcher of an instance in region `home`.
+    ///
+    /// # Errors
+    ///
+    /// [`ChartError`] where the target's chart can't be read.
+    pub fn new(home: RegionId, seed: u64, policy: Policy) -> Result<Self, ChartError> {
+        Ok(Self {
+            home,
+            rng: Pcg32::seed_from_u64(seed),
+            chart: Chart::read(CHART)?,
+            pools: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            queued: BTreeSet::new(),
+            budget: RetryBudget::new(policy.retry_fraction, policy.retry_cap),
+            quarantine: Quarantine::new(policy.most_losses, policy.quarantine),
+            policy,
+        })
+    }
+
+    /// Puts a configuration in force; targets that it no longer names take no new work.
+    pub fn configure(&mut self, now: Time, config: &Config) -> Vec<Action> {
+        for (id, service) in &config.services {
+            let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
+            pool.configure(now, service, |domain| config.region_of(domain).cloned());
+        }
+        for (id, pool) in &mut self.pools {
+            let service = config.services.get(id);
+            for target in &mut pool.targets {
+                let is_named = service.is_some_and(|svc| svc.targets.contains_key(&target.id));
+                let event = if is_named {
+                    TargetEvent::Returned
+                } else {
+                    TargetEvent::Leave
+                };
+                if !is_named || target.state() == TargetState::Leaving {
+                    target.fire(now, &self.chart, event);
+                }
+            }
+        }
+        self.assign_all(now)
+    }
+
+    /// Sets the shares of the regions for a service.
+    pub fn set_route(&mut self, service: &ServiceId, route: Route) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.route = route;
+        }
+    }
+
+    /// Takes in an admitted request.
+    pub fn submit(&mut self, now: Time, work: Work) -> Vec<Action> {
+        let id = work.id;
+        if let Some(refusal) = self.refusal(now, &work) {
+            return vec![Action::Refuse(id, refusal)];
+        }
+        let service = work.service.clone();
+        self.enqueue(work);
+        self.assign(now, &service)
+    }
+
+    /// Takes in the end of an attempt.
+    ///
+    /// An attempt that is not under way is ignored.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+    ) -> (Next, Vec<Action>) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return (Next::Ended, Vec::new());
+        };
+        let Some(pos) = entry.attempts.iter().position(|one| one.number == attempt) else {
+            return (Next::Ended, Vec::new());
+        };
+        let target = entry.attempts.swap_remove(pos).target;
+        let service = entry.work.service.clone();
+        self.settle_target(now, &service, target, outcome);
+        let (next, mut actions) = self.settle_request(now, id, target, outcome);
+        actions.extend(self.assign(now, &service));
+        (next, actions)
+    }
+
+    /// Returns a second attempt of an idempotent request that has got no first byte yet.
+    pub fn hedge(&mut self, now: Time, id: RequestId) -> Option<Assignment> {
+        let entry = self.entries.get(&id)?;
+        if entry.work.kind != WorkKind::Idempotent || entry.attempts.len() != 1 {
+            return None;
+        }
+        let avoid = Some(entry.attempts[0].target);
+        let pool = self.pools.get(&entry.work.service)?;
+        let idx = pool.choose(now, &mut self.rng, &self.home, avoid)?;
+        if !self.budget.spend() {
+            return None;
+        }
+        self.start(id, idx)
+    }
+
+    /// Drops a request whose caller has left; its attempts still end by [`Dispatcher::finish`].
+    pub fn cancel(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get(&id) else {
+            return;
+        };
+        if entry.is_queued {
+            self.unqueue(id);
+            self.entries.remove(&id);
+        }
+    }
+
+    /// Takes in what a target's health endpoint said; `None` where it was silent for long.
+    pub fn report(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        target: &TargetId,
+        report: Option<Report>,
+    ) -> Vec<Action> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        let Some(&idx) = pool.index.get(target) else {
+            return Vec::new();
+        };
+        let target = &mut pool.targets[idx];
+        match report {
+            Some(report) => {
+                target.reported(report);
+                let event = match (report.is_leaving, target.state()) {
+                    (true, _) => TargetEvent::Leave,
+                    (false, TargetState::Leaving) => TargetEvent::Returned,
+                    (false, _) => TargetEvent::Recovered,
+                };
+                target.fire(now, &self.chart, event);
+            }
+            None => {
+                target.fire(now, &self.chart, TargetEvent::Failed);
+            }
+        }
+        self.assign(now, service)
+    }
+
+    /// Stops new work for a target that the list says is leaving.
+    pub fn leave(&mut self, now: Time, service: &ServiceId, target: &TargetId) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        if let Some(&idx) = pool.index.get(target) {
+            pool.targets[idx].fire(now, &self.chart, TargetEvent::Leave);
+        }
+    }
+
+    /// Bars a request that another instance has found to end its targets.
+    pub fn bar(&mut self, now: Time, fingerprint: u64, wait: Duration) {
+        self.quarantine.bar(now, fingerprint, wait);
+    }
+
+    /// Returns the barred requests and how long each stays so.
+    pub fn barred(&self, now: Time) -> Vec<(u64, Duration)> {
+        self.quarantine.barred(now)
+    }
+
+    /// Refuses queued requests whose deadline has come and ends warm-ups.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(&(deadline, id)) = self.queued.first() {
+            if deadline > now {
+                break;
+            }
+            self.unqueue(id);
+            self.entries.remove(&id);
+            actions.push(Action::Refuse(id, Refusal::new(ErrorKind::Expired)));
+        }
+        for pool in self.pools.values_mut() {
+            for target in &mut pool.targets {
+                if target.is_warm(now) {
+                    target.fire(now, &self.chart, TargetEvent::Warmed);
+                }
+            }
+        }
+        actions.extend(self.assign_all(now));
+        actions
+    }
+
+    /// Returns the earliest deadline of a queued request.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.queued.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Returns the requests that are queued or under way.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is queued or under way.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns each target's state, requests under way and allowed requests.
+    pub fn targets(&self, now: Time) -> Vec<(TargetId, TargetState, u32, u32)> {
+        self.pools
+            .values()
+            .flat_map(|pool| &pool.targets)
+            .map(|target| {
+                (
+                    target.id.clone(),
+                    target.state(),
+                    target.in_flight,
+                    target.allowed(now),
+                )
+            })
+            .collect()
+    }
+}
+
+impl Dispatcher {
+    /// Returns why a request can't be taken in, or `None` where it can.
+    fn refusal(&self, now: Time, work: &Work) -> Option<Refusal> {
+        if let Some(wait) = self.quarantine.barred_for(now, work.fingerprint) {
+            return Some(Refusal::new(ErrorKind::Quarantined).retry_after(wait));
+        }
+        let Some(pool) = self.pools.get(&work.service) else {
+            return Some(Refusal::new(ErrorKind::UnknownService));
+        };
+        if !pool.is_served(now) {
+            return Some(Refusal::new(ErrorKind::NoTarget));
+        }
+        if work.deadline <= now {
+            return Some(Refusal::new(ErrorKind::Expired));
+        }
+        if pool.queue.is_empty() {
+            return None;
+        }
+        let wait = pool.predicted_wait(now, &work.workspace);
+        let is_late = now + wait + pool.latency.mean() > work.deadline;
+        is_late.then(|| Refusal::new(ErrorKind::Overloaded).retry_after(wait))
+    }
+
+    fn enqueue(&mut self, work: Work) {
+        let id = work.id;
+        if let Some(pool) = self.pools.get_mut(&work.service) {
+            pool.queue.push(&work.workspace, work.weight, id);
+        }
+        self.queued.insert((work.deadline, id));
+        let entry = Entry {
+            work,
+            attempts: Vec::new(),
+            sent: 0,
+            refusals: 0,
+            losses: 0,
+            avoid: None,
+            is_queued: true,
+            is_answered: false,
+        };
+        self.entries.insert(id, entry);
+    }
+
+    fn enqueue_again(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        entry.is_queued = true;
+        self.queued.insert((entry.work.deadline, id));
+        if let Some(pool) = self.pools.get_mut(&entry.work.service) {
+            pool.queue.push_front(&entry.work.workspace, id);
+        }
+    }
+
+    fn unqueue(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        entry.is_queued = false;
+        self.queued.remove(&(entry.work.deadline, id));
+        if let Some(pool) = self.pools.get_mut(&entry.work.service) {
+            pool.queue.remove_if(|queued| *queued == id);
+        }
+    }
+
+    fn assign_all(&mut self, now: Time) -> Vec<Action> {
+        let services: Vec<ServiceId> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect();
+        services
+            .iter()
+            .flat_map(|service| self.assign(now, service))
+            .collect()
+    }
+
+    /// Hands queued requests to free targets, in fair order.
+    fn assign(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((id, idx)) = self.next_pair(now, service) {
+            if let Some(assignment) = self.start(id, idx) {
+                actions.push(Action::Assign(assignment));
+            }
+        }
+        actions
+    }
+
+    fn next_pair(&mut self, now: Time, service: &ServiceId) -> Option<(RequestId, usize)> {
+        let pool = self.pools.get_mut(service)?;
+        if pool.queue.is_empty() {
+            return None;
+        }
+        pool.choose(now, &mut self.rng, &self.home, None)?;
+        let id = pool.queue.pop()?;
+        let entry = self.entries.get_mut(&id)?;
+        entry.is_queued = false;
+        self.queued.remove(&(entry.work.deadline, id));
+        let avoid = entry.avoid;
+        let idx = pool
+            .choose(now, &mut self.rng, &self.home, avoid)
+            .or_else(|| pool.choose(now, &mut self.rng, &self.home, None))?;
+        Some((id, idx))
+    }
+
+    fn start(&mut self, id: RequestId, idx: usize) -> Option<Assignment> {
+        let entry = self.entries.get_mut(&id)?;
+        let pool = self.pools.get_mut(&entry.work.service)?;
+        let target = &mut pool.targets[idx];
+        target.in_flight += 1;
+        entry.sent += 1;
+        entry.attempts.push(Attempt {
+            number: entry.sent,
+            target: idx,
+        });
+        Some(Assignment {
+            id,
+            attempt: entry.sent,
+            service: entry.work.service.clone(),
+            target: target.id.clone(),
+            needs_proven: entry.work.kind == WorkKind::Once || entry.sent > 1,
+            hedge_after: pool.latency.high().max(self.policy.hedge_floor),
+        })
+    }
+
+    fn settle_target(&mut self, now: Time, service: &ServiceId, idx: usize, outcome: Outcome) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        let target = &mut pool.targets[idx];
+        match outcome {
+            Outcome::Answered(latency) => {
+                target.answered();
+                pool.latency.record(latency);
+                self.budget.earn();
+            }
+            Outcome::Refused => target.refused(now),
+            Outcome::Unreachable | Outcome::Lost => {
+                if target.failed() {
+                    target.fire(now, &self.chart, TargetEvent::Failed);
+                }
+            }
+            Outcome::TimedOut | Outcome::Canceled => {}
+        }
+        let target = &mut pool.targets[idx];
+        target.in_flight = target.in_flight.saturating_sub(1);
+    }
+
+    fn settle_request(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        target: usize,
+        outcome: Outcome,
+    ) -> (Next, Vec<Action>) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return (Next::Ended, Vec::new());
+        };
+        entry.avoid = Some(target);
+        if entry.is_answered {
+            return self.conclude(now, id, Verdict::Drop);
+        }
+        let verdict = match outcome {
+            Outcome::Answered(_) => {
+                entry.is_answered = true;
+                Verdict::End
+            }
+            Outcome::Canceled => Verdict::Drop,
+            Outcome::TimedOut => Verdict::Refuse(ErrorKind::TargetTimeout),
+            Outcome::Refused | Outcome::Unreachable => {
+                entry.refusals += 1;
+                if entry.refusals >= self.policy.most_refusals {
+                    Verdict::Refuse(ErrorKind::TargetRefused)
+                } else {
+                    Verdict::Again
+                }
+            }
+            Outcome::Lost => {
+                entry.losses += 1;
+                let is_barred = self.quarantine.record(now, entry.work.fingerprint);
+                let is_retried = entry.work.kind == WorkKind::Idempotent
+                    && entry.losses == 1
+                    && !is_barred
+                    && self.budget.spend();
+                if is_retried {
+                    Verdict::Again
+                } else {
+                    Verdict::Refuse(ErrorKind::TargetLost)
+                }
+            }
+        };
+        self.conclude(now, id, verdict)
+    }
+
+    fn conclude(&mut self, now: Time, id: RequestId, verdict: Verdict) -> (Next, Vec<Action>) {
+        let Some(entry) = self.entries.get(&id) else {
+            return (Next::Ended, Vec::new());
+        };
+        let has_other = !entry.attempts.is_empty();
+        match verdict {
+            // The losing attempt of a hedged request reports its own end later.
+            Verdict::End | Verdict::Drop if has_other => (Next::Continues, Vec::new()),
+            Verdict::End | Verdict::Drop => {
+                self.entries.remove(&id);
+                (Next::Ended, Vec::new())
+            }
+            Verdict::Again | Verdict::Refuse(_) if has_other => (Next::Continues, Vec::new()),
+            Verdict::Again if entry.work.deadline <= now => {
+                self.entries.remove(&id);
+                let refusal = Refusal::new(ErrorKind::Expired);
+                (Next::Ended, vec![Action::Refuse(id, refusal)])
+            }
+            Verdict::Again => {
+                self.enqueue_again(id);
+                (Next::Continues, Vec::new())
+            }
+            Verdict::Refuse(kind) => {
+                self.entries.remove(&id);
+                (Next::Ended, vec![Action::Refuse(id, Refusal::new(kind))])
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Verdict {
+    End,
+    Drop,
+    Again,
+    Refuse(ErrorKind),
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,24 @@
 //! Dispatch of admitted requests: concurrency limits, fair queueing, retries and at-most-once execution.
+//!
+//! Everything here is sans-IO: calls take the event and `now`, and return typed actions.
+
+mod budget;
+mod dispatcher;
+mod latency;
+mod ledger;
+mod limit;
+mod pool;
+mod quarantine;
+mod queue;
+mod target;
+
+pub use budget::RetryBudget;
+pub use dispatcher::{
+    Action, Assignment, Dispatcher, Next, Outcome, Policy, RequestId, Route, Work, WorkKind,
+};
+pub use latency::LatencyEstimate;
+pub use ledger::{ActionEvent, ActionKey, ActionState, Claim, Claimer, Ledger, SavedAnswer};
+pub use limit::ConcurrencyLimit;
+pub use quarantine::Quarantine;
+pub use queue::FairQueue;
+pub use target::{Report, Target, TargetEvent, TargetState};
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,207 @@
+//! Start-time fair queueing among workspaces.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use base::WorkspaceId;
+
+/// Queues items per workspace and hands them out in proportion to the workspaces' weights.
+///
+/// Each item gets a start tag: the later of the queue's virtual time and the finish tag of the
+/// workspace's item before it. The item with the least start tag goes first (start-time fair
+/// queueing), so that a workspace with a long queue delays only itself.
+///
+/// # Examples
+///
+/// ```
+/// use dispatch::FairQueue;
+///
+/// let mut queue = FairQueue::default();
+/// for item in 0..3 {
+///     queue.push(&"large".into(), 1, item);
+/// }
+/// queue.push(&"small".into(), 1, 9);
+/// let order: Vec<i32> = std::iter::from_fn(|| queue.pop()).collect();
+/// assert_eq!(order, [0, 9, 1, 2]);
+/// ```
+#[derive(Debug, Clone)]
+pub struct FairQueue<T> {
+    flows: BTreeMap<WorkspaceId, Flow<T>>,
+    heads: BTreeMap<(u64, u64), WorkspaceId>,
+    virtual_time: u64,
+    pushed: u64,
+    len: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Flow<T> {
+    items: VecDeque<Item<T>>,
+    finish: u64,
+    weight: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Item<T> {
+    start: u64,
+    order: u64,
+    value: T,
+}
+
+const UNIT: u64 = 1 << 20;
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            heads: BTreeMap::new(),
+            virtual_time: 0,
+            pushed: 0,
+            len: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Adds an item at the end of its workspace's queue.
+    pub fn push(&mut self, workspace: &WorkspaceId, weight: u32, value: T) {
+        self.pushed += 1;
+        self.len += 1;
+        let order = self.pushed;
+        let virtual_time = self.virtual_time;
+        let flow = self.flow(workspace);
+        flow.weight = weight.max(1);
+        let start = flow.finish.max(virtual_time);
+        flow.finish = start + UNIT / u64::from(flow.weight);
+        flow.items.push_back(Item {
+            start,
+            order,
+            value,
+        });
+        if flow.items.len() == 1 {
+            self.heads.insert((start, order), workspace.clone());
+        }
+    }
+
+    /// Puts back an item whose turn had come, so that it goes before all others.
+    pub fn push_front(&mut self, workspace: &WorkspaceId, value: T) {
+        self.len += 1;
+        let flow = self.flow(workspace);
+        let old_head = flow.items.front().map(|head| (head.start, head.order));
+        flow.items.push_front(Item {
+            start: 0,
+            order: 0,
+            value,
+        });
+        if let Some(key) = old_head {
+            self.heads.remove(&key);
+        }
+        self.requeue_head(workspace);
+    }
+
+    fn flow(&mut self, workspace: &WorkspaceId) -> &mut Flow<T> {
+        let finish = self.virtual_time;
+        self.flows
+            .entry(workspace.clone())
+            .or_insert_with(|| Flow {
+                items: VecDeque::new(),
+                finish,
+                weight: 1,
+            })
+    }
+
+    /// Gives the front item of a flow a key of its own among the heads.
+    fn requeue_head(&mut self, workspace: &WorkspaceId) {
+        self.pushed += 1;
+        let order = self.pushed;
+        let Some(head) = self
+            .flows
+            .get_mut(workspace)
+            .and_then(|flow| flow.items.front_mut())
+        else {
+            return;
+        };
+        head.order = order;
+        self.heads.insert((head.start, order), workspace.clone());
+    }
+
+    /// Takes the item whose turn it is.
+    pub fn pop(&mut self) -> Option<T> {
+        let ((start, _), workspace) = self.heads.pop_first()?;
+        self.virtual_time = self.virtual_time.max(start);
+        self.len -= 1;
+        let flow = self.flows.get_mut(&workspace)?;
+        let item = flow.items.pop_front()?;
+        if let Some(head) = flow.items.front() {
+            self.heads.insert((head.start, head.order), workspace);
+        } else if flow.finish <= self.virtual_time || self.heads.is_empty() {
+            self.flows.remove(&workspace);
+        }
+        Some(item.value)
+    }
+
+    /// Takes out every item for which `is_removed` is true and returns them.
+    pub fn remove_if<F>(&mut self, mut is_removed: F) -> Vec<T>
+    where
+        F: FnMut(&T) -> bool,
+    {
+        let mut removed = Vec::new();
+        self.heads.clear();
+        for (workspace, flow) in &mut self.flows {
+            for item in std::mem::take(&mut flow.items) {
+                if is_removed(&item.value) {
+                    removed.push(item.value);
+                } else {
+                    flow.items.push_back(item);
+                }
+            }
+            if let Some(head) = flow.items.front() {
+                self.heads
+                    .insert((head.start, head.order), workspace.clone());
+            }
+        }
+        self.len -= removed.len();
+        self.flows
+            .retain(|_, flow| !flow.items.is_empty() || flow.finish > self.virtual_time);
+        removed
+    }
+
+    /// Returns the number of items that would go before a new one of this workspace.
+    pub fn ahead_of(&self, workspace: &WorkspaceId) -> usize {
+        let own = self.flows.get(workspace);
+        let start = own.map_or(self.virtual_time, |flow| {
+            flow.finish.max(self.virtual_time)
+        });
+        self.flows
+            .iter()
+            .map(|(name, flow)| {
+                if name == workspace {
+                    return flow.items.len();
+                }
+                let Some(head) = flow.items.front() else {
+                    return 0;
+                };
+                let span = UNIT / u64::from(flow.weight);
+                let turns = start.saturating_sub(head.start) / span.max(1) + 1;
+                flow.items.len().min(turns as usize)
+            })
+            .sum()
+    }
+
+    /// Returns the number of queued items.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the queued items of each workspace that has some.
+    pub fn lengths(&self) -> BTreeMap<WorkspaceId, usize> {
+        self.flows
+            .iter()
+            .filter(|(_, flow)| !flow.items.is_empty())
+            .map(|(name, flow)| (name.clone(), flow.items.len()))
+            .collect()
+    }
+}
