--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -1,10 +1,10 @@
 //! The configuration that operators' answers generate and every instance puts in force.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DomainId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId};
+use crate::{DomainId, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId};
 
 /// Describes a whole deployment: what is served, for whom, and from where.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -23,6 +23,27 @@
     /// Keys in force, by their public name.
     #[serde(default)]
     pub keys: BTreeMap<KeyId, Key>,
+    /// What operators have taken out of service.
+    #[serde(default)]
+    pub drains: Drains,
+}
+
+/// Names what takes no new work by an operator's word.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drains {
+    /// Targets.
+    #[serde(default)]
+    pub targets: BTreeSet<TargetId>,
+    /// Instances; callers are sent elsewhere.
+    #[serde(default)]
+    pub instances: BTreeSet<InstanceId>,
+    /// Failure domains with their targets and instances.
+    #[serde(default)]
+    pub domains: BTreeSet<DomainId>,
+    /// Regions with their targets and instances.
+    #[serde(default)]
+    pub regions: BTreeSet<RegionId>,
 }
 
 /// Describes one failure domain.
@@ -103,6 +124,24 @@
         self.domains.get(domain).map(|found| &found.region)
     }
 
+    /// Returns `true` where `domain` is drained, by itself or with its region.
+    pub fn is_domain_drained(&self, domain: &DomainId) -> bool {
+        self.drains.domains.contains(domain)
+            || self
+                .region_of(domain)
+                .is_some_and(|region| self.drains.regions.contains(region))
+    }
+
+    /// Returns `true` where the target `id` may be given new work.
+    pub fn is_target_in_service(&self, service: &ServiceId, id: &TargetId) -> bool {
+        self.services
+            .get(service)
+            .and_then(|svc| svc.targets.get(id))
+            .is_some_and(|target| {
+                !self.drains.targets.contains(id) && !self.is_domain_drained(&target.domain)
+            })
+    }
+
     /// Returns `true` where `path` below `service` needs no key.
     pub fn is_open(&self, service: &ServiceId, path: &str) -> bool {
         self.services.get(service).is_some_and(|svc| {
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,7 +8,7 @@
 mod time;
 
 pub use config::{
-    Config, Domain, Key, Links, Service, Target, Workspace, canonical_json, config_digest,
+    Config, Domain, Drains, Key, Links, Service, Target, Workspace, canonical_json, config_digest,
 };
 pub use error::{ANSWERS, Answer, ErrorKind, Ran, Refusal};
 pub use id::{
--- a/crates/coord/src/grant.rs
+++ b/crates/coord/src/grant.rs
@@ -158,7 +158,7 @@
         if !self.owner_known {
             return Verdict::Refuse(self.floor.wait_for_one());
         }
-        if now < self.empty_until {
+        if self.is_refused(now) {
             return Verdict::Refuse(self.empty_until - now);
         }
         Verdict::Wait
@@ -185,8 +185,7 @@
         if let Some(pending) = &mut self.pending {
             return pending.resend(now);
         }
-        let is_refused = now < self.empty_until;
-        if is_refused || now - self.asked_at < ASK_PAUSE {
+        if self.is_refused(now) || now - self.asked_at < ASK_PAUSE {
             return None;
         }
         let want = self.wanted(now, waiting)?;
@@ -227,6 +226,11 @@
         f64::from(granted) + floor
     }
 
+    /// Returns whether the owner has said that the quota is used up for now.
+    pub fn is_refused(&self, now: Time) -> bool {
+        now < self.empty_until
+    }
+
     /// Returns the time after which a refused request may come back.
     pub fn retry_after(&self, now: Time) -> Duration {
         let wait = self.empty_until - now;
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -1,6 +1,6 @@
 //! Leases on rows of a table that compares and swaps, with fencing epochs and no shared clock.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use base::{Incarnation, InstanceId, Time};
 use chart::{Chart, ChartError};
@@ -112,9 +112,10 @@
 ///
 /// ```
 /// use base::{Incarnation, Time};
-/// use coord::{Lease, Terms, Written};
+/// use coord::{Lease, Terms, Written, lease_chart};
 ///
-/// let mut lease = Lease::new("i1".into(), Incarnation(1), Terms::default()).unwrap();
+/// let chart = lease_chart().unwrap();
+/// let mut lease = Lease::new(chart, "i1".into(), Incarnation(1), Terms::default());
 /// lease.observed(Time::ZERO, None);
 /// let write = lease.next_write(Time::ZERO, true, false).unwrap();
 /// assert_eq!(write.expect, None);
@@ -123,7 +124,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Lease {
-    chart: Chart<LeaseState, LeaseEvent>,
+    chart: Arc<LeaseChart>,
     state: LeaseState,
     me: InstanceId,
     incarnation: Incarnation,
@@ -137,19 +138,27 @@
 
 const CHART: &str = include_str!("../charts/lease.json");
 
+/// Holds the transitions of a lease.
+pub type LeaseChart = Chart<LeaseState, LeaseEvent>;
+
+/// Reads the chart that all leases share.
+///
+/// # Errors
+///
+/// [`ChartError`] where the chart can't be read.
+pub fn lease_chart() -> Result<Arc<LeaseChart>, ChartError> {
+    Chart::read(CHART).map(Arc::new)
+}
+
 impl Lease {
     /// Returns a lease whose row has not been read.
-    ///
-    /// # Errors
-    ///
-    /// [`ChartError`] where the lease's chart can't be read.
     pub fn new(
+        chart: Arc<LeaseChart>,
         me: InstanceId,
         incarnation: Incarnation,
         terms: Terms,
-    ) -> Result<Self, ChartError> {
-        let chart: Chart<LeaseState, LeaseEvent> = Chart::read(CHART)?;
-        Ok(Self {
+    ) -> Self {
+        Self {
             state: *chart.initial(),
             chart,
             me,
@@ -160,7 +169,7 @@
             held_until: Time::ZERO,
             renewed_at: Time::ZERO,
             sent: None,
-        })
+        }
     }
 
     /// Returns the state.
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -15,7 +15,9 @@
 pub use audit::WindowAudit;
 pub use fanout::{FanOut, children};
 pub use grant::{Ask, Grant, Holder, Holding, Owner, Verdict};
-pub use lease::{Lease, LeaseEvent, LeaseRow, LeaseState, LeaseWrite, Terms, Written};
+pub use lease::{
+    Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseWrite, Terms, Written, lease_chart,
+};
 pub use quota::{Bucket, Quota, Split};
 pub use roster::{Heartbeat, ListEntry, Member, Presence, Roster, rank};
 pub use versioned::{Head, Offer, Standing, Versioned};
--- a/crates/coord/src/roster.rs
+++ b/crates/coord/src/roster.rs
@@ -115,20 +115,22 @@
         self.forget(now);
     }
 
-    /// Takes in a heartbeat.
-    pub fn heard(&mut self, now: Time, beat: &Heartbeat) {
+    /// Takes in a heartbeat that was sent no earlier than `dated`.
+    pub fn heard(&mut self, dated: Time, beat: &Heartbeat) {
+        self.noted(beat);
+        let member = self.member(&beat.id, &beat.domain);
+        member.heard_at = member.heard_at.max(Some(dated));
+        if matches!(member.presence, Presence::Absent(since) if dated > since) {
+            // It lives although the list lost it: the list was wrong.
+            member.presence = Presence::Listed;
+        }
+    }
+
+    /// Takes in a heartbeat that can't be dated; it does not show that the sender still lives.
+    pub fn noted(&mut self, beat: &Heartbeat) {
         let member = self.member(&beat.id, &beat.domain);
-        member.heard_at = Some(now);
         member.is_leaving = beat.is_leaving;
         member.heartbeat = Some(beat.clone());
-        if let Presence::Absent(since) = member.presence {
-            // A heartbeat after the list lost it shows that the list was wrong.
-            member.presence = if now > since {
-                Presence::Listed
-            } else {
-                member.presence
-            };
-        }
     }
 
     /// Returns whether the instance is proved to have ended.
@@ -140,7 +142,9 @@
 
     /// Returns whether a heartbeat of the instance came lately.
     pub fn is_heard(&self, now: Time, id: &InstanceId) -> bool {
-        self.members.get(id).is_some_and(|member| self.is_audible(now, member))
+        self.members
+            .get(id)
+            .is_some_and(|member| self.is_audible(now, member))
     }
 
     /// Returns the instances that callers may be sent to, in order.
--- a/crates/coord/src/versioned.rs
+++ b/crates/coord/src/versioned.rs
@@ -159,9 +159,7 @@
         if self.in_force.is_none() {
             return Standing::Empty;
         }
-        let is_fresh = self
-            .confirmed_ago(now)
-            .is_some_and(|ago| ago <= self.limit);
+        let is_fresh = self.confirmed_ago(now).is_some_and(|ago| ago <= self.limit);
         if is_fresh {
             Standing::Fresh
         } else if others_known > 0 && others_heard == 0 {
--- /dev/null
+++ b/crates/daemon/src/dev.rs
@@ -0,0 +1,152 @@
+//! One process with an in-memory platform and two echo targets, for a first try.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use base::{
+    Config, Domain, Drains, Key, KeyDigest, Links, Service, Target, Workspace, canonical_json,
+    config_digest,
+};
+use eyre::{Result, WrapErr};
+use platform::{Call, Expect, Listed, ListedKind, ListedState, Platform, Write, memory};
+use settings::{Alone, Daemon, Takeover};
+use standin::{
+    listen::listen,
+    target::{TargetOptions, TargetServer},
+};
+
+use crate::{
+    follower::{HEAD_ROW, HEAD_TABLE, object_name},
+    node::{self, Node, NodeOptions},
+};
+
+const ENTRY_PORT: u16 = 8470;
+const OPERATOR_PORT: u16 = 8471;
+const DOMAIN: &str = "dev";
+const KEY: &str = "dev-key";
+const TARGETS: usize = 2;
+
+/// Starts the development instance; `is_on_free_ports` is for tests.
+///
+/// # Errors
+///
+/// A report that names the listener whose address can't be had.
+pub async fn start(is_on_free_ports: bool) -> Result<Node> {
+    let port = |port| if is_on_free_ports { 0 } else { port };
+    let cfg = settings(port(ENTRY_PORT), port(OPERATOR_PORT));
+    let platform = memory::spawn();
+    let targets = start_targets().await.wrap_err("targets")?;
+    write_config(&platform, &config(targets))
+        .await
+        .wrap_err("configuration")?;
+    let options = NodeOptions {
+        trace_share: 1.0,
+        ..NodeOptions::default()
+    };
+    let node = node::start(&cfg, platform.clone(), options).await?;
+    let listed = Listed {
+        id: cfg.instance.clone(),
+        kind: ListedKind::Instance,
+        domain: DOMAIN.into(),
+        addr: node.peer,
+        state: ListedState::Live,
+    };
+    platform
+        .call(Call::Announce { listed })
+        .await
+        .wrap_err("list")?;
+    node.ready().await;
+    Ok(node)
+}
+
+fn settings(entry: u16, operator: u16) -> Daemon {
+    let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    Daemon {
+        instance: "dev".to_owned(),
+        domain: DOMAIN.to_owned(),
+        region: DOMAIN.to_owned(),
+        entry: local(entry),
+        operator: local(operator),
+        peer: local(0),
+        platform: local(0),
+        secret: "only for development".to_owned(),
+        slot_count: 1,
+        body_limit_bytes: 8 * 1024 * 1024,
+        body_timeout_ms: 10_000,
+        lookup_ttl_ms: 1_000,
+        confirm_limit_ms: 4_000,
+        alone: Alone::Refuse,
+        takeover: Takeover::Absence,
+    }
+}
+
+async fn start_targets() -> Result<Vec<SocketAddr>> {
+    let mut addrs = Vec::new();
+    for idx in 1..=TARGETS {
+        let options = TargetOptions {
+            name: format!("echo-{idx}"),
+            slots: 64,
+            ..TargetOptions::default()
+        };
+        let router = TargetServer::spawn(options).into_router();
+        let (addr, _) = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), router).await?;
+        addrs.push(addr);
+    }
+    Ok(addrs)
+}
+
+fn config(targets: Vec<SocketAddr>) -> Config {
+    let targets = targets
+        .into_iter()
+        .enumerate()
+        .map(|(idx, addr)| {
+            let target = Target {
+                domain: DOMAIN.into(),
+                addr,
+            };
+            (format!("echo-{}", idx + 1).into(), target)
+        })
+        .collect();
+    let service = Service {
+        slots: 64,
+        connections: 300,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets,
+    };
+    let workspace = Workspace {
+        rate: 100_000.0,
+        burst: 100_000.0,
+        weight: 1,
+    };
+    let key = Key {
+        workspace: "dev".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    let domain = Domain {
+        region: DOMAIN.into(),
+    };
+    Config {
+        deployment: "dev".to_owned(),
+        domains: BTreeMap::from([(DOMAIN.into(), domain)]),
+        links: Links::default(),
+        services: BTreeMap::from([("echo".into(), service)]),
+        workspaces: BTreeMap::from([("dev".into(), workspace)]),
+        keys: BTreeMap::from([("dev".into(), key)]),
+        drains: Drains::default(),
+    }
+}
+
+/// Writes a first configuration to an empty platform.
+async fn write_config(platform: &Platform, config: &Config) -> Result<()> {
+    let text = canonical_json(config);
+    let digest = config_digest(&text);
+    platform.put_object(&object_name(&digest), &text).await?;
+    let head = Write::new(HEAD_TABLE, HEAD_ROW)
+        .value(&digest)
+        .expect(Expect::Absent);
+    platform.write(vec![head]).await?;
+    Ok(())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,15 @@
 //! The daemon: tasks that own sockets and state and talk by messages.
+
+pub mod dev;
+pub mod fleet;
+pub mod follower;
+pub mod leases;
+pub mod ledger;
+pub mod lister;
+pub mod logs;
+pub mod message;
+pub mod node;
+pub mod operator;
+pub mod peers;
+pub mod probes;
+pub mod rpc;
--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,23 @@
+//! Logs as JSON lines on standard error.
+
+use tracing_subscriber::{EnvFilter, fmt, prelude::*};
+
+/// Sets up logging; `filter` is in the syntax of `tracing-subscriber`'s filters.
+///
+/// # Errors
+///
+/// A sentence where the filter can't be read or logging was set up before.
+pub fn start(filter: &str) -> Result<(), String> {
+    let filter = EnvFilter::try_new(filter).map_err(|err| err.to_string())?;
+    let lines = fmt::layer()
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_writer(std::io::stderr);
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(lines)
+        .try_init()
+        .map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/message.rs
@@ -0,0 +1,105 @@
+//! Messages between instances, and between the daemon's tasks.
+
+use std::net::SocketAddr;
+
+use base::{Incarnation, InstanceId, Time, WorkspaceId};
+use coord::{Ask, Grant, Head, Heartbeat, ListEntry};
+use serde::{Deserialize, Serialize};
+
+/// Goes between instances over UDP.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Tells that the sender lives and what it knows.
+    Beat(Beat),
+    /// Asks the owner of a workspace for units.
+    Ask(WorkspaceId, Ask),
+    /// Answers an ask.
+    Grant(WorkspaceId, Grant),
+}
+
+/// Tells that an instance lives and what it knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Life, version and freshness.
+    pub heartbeat: Heartbeat,
+    /// Number of this heartbeat within the sender's life.
+    pub number: u64,
+    /// Number of the receiver's last heartbeat that reached the sender, zero where none did.
+    ///
+    /// It lets the receiver date this heartbeat by its own clock, however long it waited in a
+    /// socket.
+    pub echo: u64,
+    /// Address of its listener for callers.
+    pub entry: SocketAddr,
+    /// Configuration that is in force on it.
+    pub head: Option<Head>,
+    /// Workspaces that it owns, with the epochs.
+    pub owns: Vec<(WorkspaceId, u64)>,
+    /// Requests that it bars, with milliseconds.
+    pub bars: Vec<(u64, u64)>,
+}
+
+/// Tells the peers' task what to do.
+#[derive(Debug)]
+pub enum PeerCommand {
+    /// Send a message.
+    Send(InstanceId, PeerMessage),
+    /// The platform's list was read.
+    List(Vec<ListedPeer>),
+    /// The configuration in force or its freshness changed.
+    Head {
+        /// Configuration in force.
+        head: Option<Head>,
+        /// Time at which it was known to be the latest.
+        confirmed_at: Option<Time>,
+    },
+    /// The workspaces that this instance owns, with the epochs.
+    Owns(Vec<(WorkspaceId, u64)>),
+    /// Requests that this instance bars, with milliseconds.
+    Bars(Vec<(u64, u64)>),
+    /// This instance is leaving.
+    Leave,
+}
+
+/// Holds one instance of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedPeer {
+    /// What the list says.
+    pub entry: ListEntry,
+    /// Address at which other instances reach it.
+    pub addr: SocketAddr,
+}
+
+/// Tells the leases' task what happened.
+#[derive(Debug)]
+pub enum LeaseMessage {
+    /// An instance asks for units.
+    Ask {
+        /// Instance that asks.
+        from: InstanceId,
+        /// Life of that instance.
+        life: Incarnation,
+        /// Workspace whose units it wants.
+        workspace: WorkspaceId,
+        /// The ask.
+        ask: Ask,
+    },
+    /// This instance is leaving: give everything up, then report.
+    Release(tokio::sync::oneshot::Sender<()>),
+}
+
+/// Tells the configuration's task what another instance knows.
+#[derive(Debug)]
+pub enum FollowerMessage {
+    /// A heartbeat came.
+    Beat {
+        /// Instance that sent it.
+        from: InstanceId,
+        /// Configuration that is in force on it.
+        head: Head,
+        /// Time at which it was known to be the latest.
+        confirmed_at: Option<Time>,
+    },
+    /// This instance is leaving.
+    Leave,
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,307 @@
+//! One instance: its tasks, wired together.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use base::{Incarnation, InstanceId};
+use coord::{Heartbeat, Roster, Split, Terms, lease_chart};
+use dispatch::{Ledger, Policy};
+use entry::{
+    callers::{CallerLimits, Callers},
+    engine::{Engine, EngineOptions},
+    message::Event,
+    metrics::Metrics,
+    serve::{Listener, listen},
+    view::{Clock, EntryPoint, View},
+};
+use eyre::{Result, WrapErr};
+use platform::Platform;
+use settings::{Alone, Daemon, Takeover};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, oneshot, watch},
+    time::sleep,
+};
+use wire::{Secret, Sessions};
+
+use crate::{
+    fleet::Fleet,
+    follower::{self, Follower, FollowerOptions},
+    leases::{Leases, LeasesOptions},
+    ledger::{Ledgers, LedgersOptions},
+    lister,
+    message::{FollowerMessage, LeaseMessage, PeerCommand},
+    operator::Operator,
+    peers::{self, Peers},
+    probes, rpc,
+};
+
+/// Time for which the list may lag, after which an absent instance has ended.
+const FENCE: Duration = Duration::from_secs(40);
+const SILENCE: Duration = Duration::from_secs(2);
+const ACTION_RETENTION: Duration = Duration::from_secs(3_600);
+const CLAIM_LIFE: Duration = Duration::from_secs(120);
+const LONGEST_STOP: Duration = Duration::from_secs(60);
+const CHANNEL: usize = 4_096;
+
+/// Holds what differs between a deployed instance and one for development.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeOptions {
+    /// Share of the requests without a trace of their own whose spans are logged.
+    pub trace_share: f64,
+    /// Durations of the leases.
+    pub terms: Terms,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            trace_share: 0.001,
+            terms: Terms::default(),
+        }
+    }
+}
+
+/// Holds a running instance.
+#[derive(Debug)]
+pub struct Node {
+    /// Address of the listener for callers.
+    pub entry: SocketAddr,
+    /// Address of the listener for operators.
+    pub operator: SocketAddr,
+    /// Address at which other instances reach it.
+    pub peer: SocketAddr,
+    /// Yields once when an operator wishes that the instance leave.
+    pub leave: mpsc::Receiver<()>,
+    callers: Listener,
+    operators: Listener,
+    lookup_ttl: Duration,
+    engine: mpsc::UnboundedSender<Event>,
+    peers: mpsc::Sender<PeerCommand>,
+    follower: mpsc::Sender<FollowerMessage>,
+    leases: mpsc::Sender<LeaseMessage>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+/// Starts an instance.
+///
+/// # Errors
+///
+/// A report that names the listener whose address can't be had.
+pub async fn start(cfg: &Daemon, platform: Platform, options: NodeOptions) -> Result<Node> {
+    let clock = Clock::start();
+    let me = InstanceId::from(cfg.instance.as_str());
+    let life = Incarnation(rand::random::<u64>().max(1));
+    let secret = Secret::derive(&cfg.secret);
+    let metrics = Metrics::new().wrap_err("metrics")?;
+    let (udp, tcp) = bind_peer(cfg.peer)
+        .await
+        .wrap_err_with(|| format!("peer: {}", cfg.peer))?;
+    let peer = udp.local_addr().wrap_err("peer")?;
+    let split = Split {
+        slots: cfg.slot_count,
+        ..Split::default()
+    };
+
+    let (engine_tx, engine_rx) = mpsc::unbounded_channel();
+    let (asks_tx, asks_rx) = mpsc::unbounded_channel();
+    let (peers_tx, peers_rx) = mpsc::channel(CHANNEL);
+    let (leases_tx, leases_rx) = mpsc::channel(CHANNEL);
+    let (follower_tx, follower_rx) = mpsc::channel(CHANNEL);
+    let (ledger_tx, ledger_rx) = mpsc::channel(CHANNEL);
+    let (incoming_tx, incoming_rx) = mpsc::channel(CHANNEL);
+    let (leave_tx, leave_rx) = mpsc::channel(1);
+    let (fleet_tx, fleet_rx) = watch::channel(Arc::new(Fleet::default()));
+    let (view_tx, view_rx) = watch::channel(Arc::new(View::default()));
+
+    let engine = Engine::new(
+        clock,
+        EngineOptions {
+            region: cfg.region.as_str().into(),
+            seed: life.0,
+            split,
+            policy: Policy::default(),
+            refuses_alone: cfg.alone == Alone::Refuse,
+        },
+        asks_tx,
+    )
+    .wrap_err("engine")?;
+    tokio::spawn(engine.run(engine_rx));
+
+    let callers = Callers {
+        clock,
+        events: engine_tx.clone(),
+        ledger: ledger_tx,
+        view: view_rx.clone(),
+        metrics: metrics.clone(),
+        ids: Arc::new(AtomicU64::new(1)),
+        limits: caller_limits(cfg, options),
+    };
+    let callers = listen(cfg.entry, callers.into_router())
+        .await
+        .wrap_err_with(|| format!("entry: {}", cfg.entry))?;
+    let own_entry = EntryPoint {
+        instance: me.clone(),
+        incarnation: life,
+        domain: cfg.domain.as_str().into(),
+        addr: callers.addr,
+    };
+
+    let heartbeat = Heartbeat {
+        id: me.clone(),
+        incarnation: life,
+        domain: cfg.domain.as_str().into(),
+        is_leaving: false,
+        version: 0,
+        confirmed_ago: None,
+    };
+    let peers = Peers::new(
+        clock,
+        udp,
+        Sessions::new(secret.clone(), me.clone(), life),
+        Roster::new(FENCE, SILENCE),
+        peers::first_beat(heartbeat, callers.addr),
+        peers::Outlets {
+            engine: engine_tx.clone(),
+            leases: leases_tx.clone(),
+            follower: follower_tx.clone(),
+            fleet: fleet_tx,
+        },
+    );
+    tokio::spawn(peers.run(peers_rx));
+    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx));
+    tokio::spawn(lister::run(
+        platform.clone(),
+        peers_tx.clone(),
+        engine_tx.clone(),
+    ));
+
+    let follower = Follower::new(
+        FollowerOptions {
+            clock,
+            platform: platform.clone(),
+            secret: secret.clone(),
+            metrics: metrics.clone(),
+            confirm_limit: Duration::from_millis(cfg.confirm_limit_ms),
+            own_entry,
+            fleet: fleet_rx.clone(),
+        },
+        follower::Outlets {
+            engine: engine_tx.clone(),
+            peers: peers_tx.clone(),
+            view: view_tx,
+        },
+    );
+    tokio::spawn(follower.run(follower_rx));
+
+    let (leases, inbox) = Leases::new(LeasesOptions {
+        clock,
+        chart: lease_chart().wrap_err("lease")?,
+        me: me.clone(),
+        life,
+        terms: options.terms,
+        split,
+        trusts_absence: cfg.takeover == Takeover::Absence,
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        view: view_rx.clone(),
+        fleet: fleet_rx.clone(),
+        engine: engine_tx.clone(),
+        peers: peers_tx.clone(),
+    });
+    tokio::spawn(leases.run(inbox, leases_rx, asks_rx));
+
+    let ledgers = Ledgers::new(LedgersOptions {
+        clock,
+        me: me.clone(),
+        life,
+        ledger: Ledger::new(ACTION_RETENTION, CLAIM_LIFE).wrap_err("ledger")?,
+        platform,
+        secret,
+        fleet: fleet_rx.clone(),
+        view: view_rx.clone(),
+    });
+    tokio::spawn(ledgers.run(ledger_rx, incoming_rx));
+    tokio::spawn(probes::run(view_rx.clone(), engine_tx.clone()));
+
+    let operator = Operator {
+        me,
+        metrics,
+        view: view_rx.clone(),
+        fleet: fleet_rx,
+        engine: engine_tx.clone(),
+        leave: leave_tx,
+    };
+    let operators = listen(cfg.operator, operator.into_router())
+        .await
+        .wrap_err_with(|| format!("operator: {}", cfg.operator))?;
+    Ok(Node {
+        entry: callers.addr,
+        operator: operators.addr,
+        peer,
+        leave: leave_rx,
+        callers,
+        operators,
+        lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
+        engine: engine_tx,
+        peers: peers_tx,
+        follower: follower_tx,
+        leases: leases_tx,
+        view: view_rx,
+    })
+}
+
+impl Node {
+    /// Waits until a configuration is in force.
+    pub fn ready(&self) -> impl Future<Output = ()> + Send + 'static {
+        let mut view = self.view.clone();
+        async move {
+            let _ = view.wait_for(|view| view.config.is_some()).await;
+        }
+    }
+
+    /// Leaves without cutting a request: look-ups stop naming the instance, cached answers run
+    /// out, requests under way end, and leases are given up.
+    pub async fn stop(self) {
+        tracing::info!(event = "leaving");
+        let _ = self.peers.send(PeerCommand::Leave).await;
+        let _ = self.follower.send(FollowerMessage::Leave).await;
+        let _ = self.engine.send(Event::Leave);
+        sleep(self.lookup_ttl).await;
+        self.callers.stop(LONGEST_STOP).await;
+        let (done, released) = oneshot::channel();
+        if self.leases.send(LeaseMessage::Release(done)).await.is_ok() {
+            let _ = released.await;
+        }
+        self.operators.stop(Duration::from_secs(1)).await;
+        tracing::info!(event = "left");
+    }
+}
+
+fn caller_limits(cfg: &Daemon, options: NodeOptions) -> CallerLimits {
+    CallerLimits {
+        body_bytes: cfg.body_limit_bytes,
+        body_timeout: Duration::from_millis(cfg.body_timeout_ms),
+        lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
+        trace_share: options.trace_share,
+    }
+}
+
+/// Binds the same port for UDP and TCP.
+async fn bind_peer(addr: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    const TRIES: u32 = 16;
+    for _ in 0..TRIES {
+        let tcp = TcpListener::bind(addr).await?;
+        match UdpSocket::bind(tcp.local_addr()?).await {
+            Ok(udp) => return Ok((udp, tcp)),
+            // Only a port chosen by the system may be chosen anew.
+            Err(err) if addr.port() != 0 => return Err(err),
+            Err(_) => {}
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,368 @@
+//! The listener for operators: metrics, status, explanations and leaving.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use base::{DomainId, InstanceId, ServiceId, WorkspaceId};
+use coord::Standing;
+use entry::{
+    answer,
+    message::{EngineStatus, Event},
+    metrics::Metrics,
+    view::View,
+};
+use salvo::{
+    Depot, FlowCtrl, Handler, Router,
+    http::{Request, ResBody, Response},
+};
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::fleet::Fleet;
+
+/// Holds what the operators' handlers share.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// This instance.
+    pub me: InstanceId,
+    /// Metrics of the instance.
+    pub metrics: Metrics,
+    /// What is in force.
+    pub view: watch::Receiver<Arc<View>>,
+    /// What is known of the other instances.
+    pub fleet: watch::Receiver<Arc<Fleet>>,
+    /// The engine.
+    pub engine: mpsc::UnboundedSender<Event>,
+    /// Where an operator's wish that the instance leave goes.
+    pub leave: mpsc::Sender<()>,
+}
+
+/// Shows an instance and what it knows.
+#[derive(Debug, Serialize)]
+pub struct Status {
+    /// What needs attention, worst first.
+    pub flags: Vec<String>,
+    /// This instance.
+    pub instance: InstanceId,
+    /// Version in force, zero where there is none.
+    pub version: u64,
+    /// How the instance stands towards the latest configuration.
+    pub standing: &'static str,
+    /// Whether it takes no new callers.
+    pub is_leaving: bool,
+    /// Requests queued or under way.
+    pub requests: usize,
+    /// The other instances.
+    pub instances: BTreeMap<InstanceId, InstanceStatus>,
+    /// Targets by name.
+    pub targets: BTreeMap<String, TargetStatus>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<WorkspaceId, WorkspaceStatus>,
+    /// Requests that are barred, with milliseconds.
+    pub barred: Vec<(u64, u64)>,
+}
+
+/// Shows another instance.
+#[derive(Debug, Serialize)]
+pub struct InstanceStatus {
+    /// Failure domain in which it runs.
+    pub domain: DomainId,
+    /// Version in force on it, zero where that is not known.
+    pub version: u64,
+    /// Whether a heartbeat came lately.
+    pub is_heard: bool,
+    /// Whether it takes no new callers.
+    pub is_leaving: bool,
+    /// Whether the platform's list has it.
+    pub is_listed: bool,
+    /// Whether it is proved to have ended.
+    pub is_gone: bool,
+}
+
+/// Shows a target as this instance sees it.
+#[derive(Debug, Serialize)]
+pub struct TargetStatus {
+    /// State.
+    pub state: String,
+    /// Requests that this instance runs on it.
+    pub in_flight: u32,
+    /// Requests that this instance may run on it.
+    pub allowed: u32,
+}
+
+/// Shows a workspace as this instance sees it.
+#[derive(Debug, Serialize)]
+pub struct WorkspaceStatus {
+    /// Instance that owns it, where one is heard.
+    pub owner: Option<InstanceId>,
+    /// Units that can be taken here without asking.
+    pub available: f64,
+}
+
+/// Tells what would become of a request.
+#[derive(Debug, Serialize)]
+struct Explanation {
+    verdict: String,
+    reasons: Vec<String>,
+}
+
+impl Operator {
+    /// Returns the router of the operators' listener.
+    pub fn into_router(self) -> Router {
+        Router::new()
+            .push(Router::with_path("metrics").get(MetricsHandler(self.clone())))
+            .push(Router::with_path("v1/status").get(StatusHandler(self.clone())))
+            .push(Router::with_path("v1/explain").get(ExplainHandler(self.clone())))
+            .push(Router::with_path("v1/leave").post(LeaveHandler(self)))
+    }
+
+    async fn engine_status(&self) -> Option<EngineStatus> {
+        let (reply, answer) = oneshot::channel();
+        self.engine.send(Event::Status(reply)).ok()?;
+        answer.await.ok()
+    }
+
+    async fn status(&self) -> Option<Status> {
+        let engine = self.engine_status().await?;
+        let view = self.view.borrow().clone();
+        let fleet = self.fleet.borrow().clone();
+        Some(Status {
+            flags: flags(&view, &fleet, &engine),
+            instance: self.me.clone(),
+            version: view.config.as_ref().map_or(0, |(version, _)| *version),
+            standing: standing_name(view.standing),
+            is_leaving: view.is_leaving,
+            requests: engine.requests,
+            instances: instances(&fleet),
+            targets: targets(&engine),
+            workspaces: self.workspaces(&fleet, &engine),
+            barred: engine
+                .barred
+                .iter()
+                .map(|(print, wait)| (*print, wait.as_millis() as u64))
+                .collect(),
+        })
+    }
+
+    fn workspaces(
+        &self,
+        fleet: &Fleet,
+        engine: &EngineStatus,
+    ) -> BTreeMap<WorkspaceId, WorkspaceStatus> {
+        engine
+            .available
+            .iter()
+            .map(|(workspace, available)| {
+                let shown = WorkspaceStatus {
+                    owner: fleet.owner(workspace).map(|(id, _)| id.clone()),
+                    available: (available * 10.0).round() / 10.0,
+                };
+                (workspace.clone(), shown)
+            })
+            .collect()
+    }
+
+    async fn explain(&self, req: &Request) -> Option<Explanation> {
+        let status = self.status().await?;
+        let view = self.view.borrow().clone();
+        let (_, config) = view.config.as_ref()?;
+        let service: ServiceId = req.query::<String>("service")?.into();
+        let workspace: WorkspaceId = req.query::<String>("workspace")?.into();
+        let mut reasons = vec![format!(
+            "instance {} has version {} in force, {}",
+            self.me, status.version, status.standing
+        )];
+        let Some(found) = config.services.get(&service) else {
+            reasons.push(format!("service {service} is not in the configuration"));
+            return Some(Explanation::refused("unknown_service", reasons));
+        };
+        let Some(limits) = config.workspaces.get(&workspace) else {
+            reasons.push(format!("workspace {workspace} is not in the configuration"));
+            return Some(Explanation::refused("unknown_key", reasons));
+        };
+        reasons.push(format!(
+            "workspace {workspace} may send {} requests/s with a burst of {}; {} units are here",
+            limits.rate, limits.burst, status.workspaces[&workspace].available
+        ));
+        let keys = config
+            .keys
+            .values()
+            .filter(|key| key.workspace == workspace)
+            .count();
+        reasons.push(format!("{keys} keys of the workspace are in force"));
+        let usable: Vec<String> = found
+            .targets
+            .keys()
+            .filter_map(|id| {
+                let target = status.targets.get(id.as_str())?;
+                (target.allowed > 0).then(|| {
+                    format!(
+                        "{id} ({}, {}/{})",
+                        target.state, target.in_flight, target.allowed
+                    )
+                })
+            })
+            .collect();
+        reasons.push(format!("targets that take work: {}", usable.join(", ")));
+        let verdict = if keys == 0 {
+            "refused: unknown_key"
+        } else if usable.is_empty() {
+            "refused: no_target"
+        } else if status.standing == "alone" {
+            "refused: isolated"
+        } else {
+            "served"
+        };
+        Some(Explanation {
+            verdict: verdict.to_owned(),
+            reasons,
+        })
+    }
+}
+
+impl Explanation {
+    fn refused(kind: &str, reasons: Vec<String>) -> Self {
+        Self {
+            verdict: format!("refused: {kind}"),
+            reasons,
+        }
+    }
+}
+
+fn flags(view: &View, fleet: &Fleet, engine: &EngineStatus) -> Vec<String> {
+    let mut flags = Vec::new();
+    match view.standing {
+        Standing::Empty => flags.push("no configuration is in force".to_owned()),
+        Standing::Alone => flags.push("cut off from the store and all instances".to_owned()),
+        Standing::Unconfirmed => flags.push("the store can't confirm the configuration".to_owned()),
+        Standing::Fresh => {}
+    }
+    for (id, member) in &fleet.members {
+        if member.is_listed && !member.is_heard && !member.is_gone {
+            flags.push(format!("instance {id} is listed but not heard"));
+        }
+    }
+    for (id, state, _, _) in &engine.targets {
+        if *state == dispatch::TargetState::Down {
+            flags.push(format!("target {id} is down"));
+        }
+    }
+    if !engine.barred.is_empty() {
+        flags.push(format!("{} requests are barred", engine.barred.len()));
+    }
+    flags
+}
+
+fn instances(fleet: &Fleet) -> BTreeMap<InstanceId, InstanceStatus> {
+    fleet
+        .members
+        .iter()
+        .map(|(id, member)| {
+            let shown = InstanceStatus {
+                domain: member.domain.clone(),
+                version: member.version,
+                is_heard: member.is_heard,
+                is_leaving: member.is_leaving,
+                is_listed: member.is_listed,
+                is_gone: member.is_gone,
+            };
+            (id.clone(), shown)
+        })
+        .collect()
+}
+
+fn targets(engine: &EngineStatus) -> BTreeMap<String, TargetStatus> {
+    engine
+        .targets
+        .iter()
+        .map(|(id, state, in_flight, allowed)| {
+            let shown = TargetStatus {
+                state: format!("{state:?}").to_lowercase(),
+                in_flight: *in_flight,
+                allowed: *allowed,
+            };
+            (id.to_string(), shown)
+        })
+        .collect()
+}
+
+fn standing_name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Empty => "empty",
+        Standing::Fresh => "fresh",
+        Standing::Unconfirmed => "unconfirmed",
+        Standing::Alone => "alone",
+    }
+}
+
+struct MetricsHandler(Operator);
+
+#[salvo::async_trait]
+impl Handler for MetricsHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
+        res.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        res.replace_body(ResBody::Once(self.0.metrics.text().into()));
+    }
+}
+
+struct StatusHandler(Operator);
+
+#[salvo::async_trait]
+impl Handler for StatusHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.0.status().await {
+            Some(status) => answer::json(res, 200, &status),
+            None => answer::json(res, 503, &"the instance is ending"),
+        }
+    }
+}
+
+struct ExplainHandler(Operator);
+
+#[salvo::async_trait]
+impl Handler for ExplainHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.0.explain(req).await {
+            Some(explanation) => answer::json(res, 200, &explanation),
+            None => answer::json(
+                res,
+                400,
+                &"service and workspace are needed, and a configuration",
+            ),
+        }
+    }
+}
+
+struct LeaveHandler(Operator);
+
+#[salvo::async_trait]
+impl Handler for LeaveHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let _ = self.0.leave.try_send(());
+        answer::json(res, 202, &"leaving");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/probes.rs
@@ -0,0 +1,96 @@
+//! The task that asks targets' health endpoints.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{Config, ServiceId, TargetId};
+use bytes::Bytes;
+use dispatch::Report;
+use entry::{message::Event, view::View};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::Deserialize;
+use tokio::{
+    sync::{mpsc, watch},
+    time::{MissedTickBehavior, interval, timeout},
+};
+
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
+const MOST_MISSES: u32 = 3;
+const HEALTH_LIMIT_BYTES: usize = 16 * 1024;
+
+type Probe = Client<HttpConnector, Empty<Bytes>>;
+type TargetKey = (ServiceId, TargetId);
+
+/// Holds what a health endpoint answers.
+#[derive(Debug, Deserialize)]
+struct Health {
+    in_flight: u32,
+    #[serde(default)]
+    is_leaving: bool,
+}
+
+/// Asks every target's health endpoint twice a second.
+pub async fn run(view: watch::Receiver<Arc<View>>, engine: mpsc::UnboundedSender<Event>) {
+    let mut tick = interval(PROBE_INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let client = Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(PROBE_INTERVAL * 4)
+        .build_http();
+    let (tx, mut rx) = mpsc::unbounded_channel::<(TargetKey, Option<Report>)>();
+    let mut misses: BTreeMap<TargetKey, u32> = BTreeMap::new();
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                let config = view.borrow().config.clone();
+                if let Some((_, config)) = config {
+                    probe_all(&client, &config, &tx);
+                }
+            }
+            Some((key, report)) = rx.recv() => {
+                let missed = misses.entry(key.clone()).or_default();
+                *missed = if report.is_some() { 0 } else { *missed + 1 };
+                if report.is_some() || *missed >= MOST_MISSES {
+                    let _ = engine.send(Event::Report(key.0, key.1, report));
+                }
+            }
+        }
+        if engine.is_closed() {
+            return;
+        }
+    }
+}
+
+fn probe_all(
+    client: &Probe,
+    config: &Config,
+    tx: &mpsc::UnboundedSender<(TargetKey, Option<Report>)>,
+) {
+    for (service, found) in &config.services {
+        for (target, place) in &found.targets {
+            let (client, addr, tx) = (client.clone(), place.addr, tx.clone());
+            let key = (service.clone(), target.clone());
+            tokio::spawn(async move {
+                let report = timeout(PROBE_TIMEOUT, probe(&client, addr)).await;
+                let _ = tx.send((key, report.ok().flatten()));
+            });
+        }
+    }
+}
+
+async fn probe(client: &Probe, addr: SocketAddr) -> Option<Report> {
+    let uri = format!("http://{addr}/health").parse().ok()?;
+    let res = client.get(uri).await.ok()?;
+    let body = Limited::new(res.into_body(), HEALTH_LIMIT_BYTES)
+        .collect()
+        .await
+        .ok()?;
+    let health: Health = serde_json::from_slice(&body.to_bytes()).ok()?;
+    Some(Report {
+        in_flight: health.in_flight,
+        is_leaving: health.is_leaving,
+    })
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,16 +5,13 @@
     time::Duration,
 };
 
-use base::{Config, ErrorKind, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+use base::{Config, ErrorKind, Ran, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
 use chart::{Chart, ChartError};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
 pub use crate::pool::Route;
-use crate::{
-    Quarantine, Report, RetryBudget, TargetEvent, TargetState,
-    pool::Pool,
-};
+use crate::{Quarantine, Report, RetryBudget, TargetEvent, TargetState, pool::Pool};
 
 /// Names a request within one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -140,6 +137,7 @@
     avoid: Option<usize>,
     is_queued: bool,
     is_answered: bool,
+    may_have_run: bool,
 }
 
 #[derive(Debug)]
@@ -202,17 +200,18 @@
             pool.configure(now, service, |domain| config.region_of(domain).cloned());
         }
         for (id, pool) in &mut self.pools {
-            let service = config.services.get(id);
             for target in &mut pool.targets {
-                let is_named = service.is_some_and(|svc| svc.targets.contains_key(&target.id));
-                let event = if is_named {
+                let is_in_service = config.is_target_in_service(id, &target.id);
+                if is_in_service == target.is_in_service {
+                    continue;
+                }
+                target.is_in_service = is_in_service;
+                let event = if is_in_service {
                     TargetEvent::Returned
                 } else {
                     TargetEvent::Leave
                 };
-                if !is_named || target.state() == TargetState::Leaving {
-                    target.fire(now, &self.chart, event);
-                }
+                target.fire(now, &self.chart, event);
             }
         }
         self.assign_all(now)
@@ -260,6 +259,14 @@
         (next, actions)
     }
 
+    /// Returns the target of an attempt that is under way.
+    pub fn target_of(&self, id: RequestId, attempt: u32) -> Option<&TargetId> {
+        let entry = self.entries.get(&id)?;
+        let found = entry.attempts.iter().find(|one| one.number == attempt)?;
+        let pool = self.pools.get(&entry.work.service)?;
+        Some(&pool.targets[found.target].id)
+    }
+
     /// Returns a second attempt of an idempotent request that has got no first byte yet.
     pub fn hedge(&mut self, now: Time, id: RequestId) -> Option<Assignment> {
         let entry = self.entries.get(&id)?;
@@ -306,7 +313,7 @@
                 target.reported(report);
                 let event = match (report.is_leaving, target.state()) {
                     (true, _) => TargetEvent::Leave,
-                    (false, TargetState::Leaving) => TargetEvent::Returned,
+                    (false, TargetState::Leaving) if target.is_in_service => TargetEvent::Returned,
                     (false, _) => TargetEvent::Recovered,
                 };
                 target.fire(now, &self.chart, event);
@@ -346,8 +353,7 @@
                 break;
             }
             self.unqueue(id);
-            self.entries.remove(&id);
-            actions.push(Action::Refuse(id, Refusal::new(ErrorKind::Expired)));
+            actions.extend(self.refuse(id, ErrorKind::Expired));
         }
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
@@ -430,6 +436,7 @@
             avoid: None,
             is_queued: true,
             is_answered: false,
+            may_have_run: false,
         };
         self.entries.insert(id, entry);
     }
@@ -551,6 +558,7 @@
             return (Next::Ended, Vec::new());
         };
         entry.avoid = Some(target);
+        entry.may_have_run |= matches!(outcome, Outcome::Lost | Outcome::TimedOut);
         if entry.is_answered {
             return self.conclude(now, id, Verdict::Drop);
         }
@@ -600,20 +608,29 @@
             }
             Verdict::Again | Verdict::Refuse(_) if has_other => (Next::Continues, Vec::new()),
             Verdict::Again if entry.work.deadline <= now => {
-                self.entries.remove(&id);
-                let refusal = Refusal::new(ErrorKind::Expired);
-                (Next::Ended, vec![Action::Refuse(id, refusal)])
+                (Next::Ended, self.refuse(id, ErrorKind::Expired))
             }
             Verdict::Again => {
                 self.enqueue_again(id);
                 (Next::Continues, Vec::new())
             }
-            Verdict::Refuse(kind) => {
-                self.entries.remove(&id);
-                (Next::Ended, vec![Action::Refuse(id, Refusal::new(kind))])
-            }
+            Verdict::Refuse(kind) => (Next::Ended, self.refuse(id, kind)),
         }
     }
+
+    /// Ends a request; "not run" is said only where no attempt can have run it.
+    fn refuse(&mut self, id: RequestId, kind: ErrorKind) -> Vec<Action> {
+        let Some(entry) = self.entries.remove(&id) else {
+            return Vec::new();
+        };
+        let is_untrue = entry.may_have_run && kind.answer().ran == Ran::No;
+        let kind = if is_untrue {
+            ErrorKind::TargetLost
+        } else {
+            kind
+        };
+        vec![Action::Refuse(id, Refusal::new(kind))]
+    }
 }
 
 #[derive(Clone, Copy)]
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -99,13 +99,11 @@
 
     fn flow(&mut self, workspace: &WorkspaceId) -> &mut Flow<T> {
         let finish = self.virtual_time;
-        self.flows
-            .entry(workspace.clone())
-            .or_insert_with(|| Flow {
-                items: VecDeque::new(),
-                finish,
-                weight: 1,
-            })
+        self.flows.entry(workspace.clone()).or_insert_with(|| Flow {
+            items: VecDeque::new(),
+            finish,
+            weight: 1,
+        })
     }
 
     /// Gives the front item of a flow a key of its own among the heads.
@@ -167,9 +165,7 @@
     /// Returns the number of items that would go before a new one of this workspace.
     pub fn ahead_of(&self, workspace: &WorkspaceId) -> usize {
         let own = self.flows.get(workspace);
-        let start = own.map_or(self.virtual_time, |flow| {
-            flow.finish.max(self.virtual_time)
-        });
+        let start = own.map_or(self.virtual_time, |flow| flow.finish.max(self.virtual_time));
         self.flows
             .iter()
             .map(|(name, flow)| {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -56,6 +56,8 @@
     pub region: RegionId,
     /// Requests that this instance runs on it now.
     pub in_flight: u32,
+    /// Whether the configuration lets it take new work.
+    pub is_in_service: bool,
     slots: u32,
     limit: ConcurrencyLimit,
     state: TargetState,
@@ -77,6 +79,7 @@
             id,
             region,
             in_flight: 0,
+            is_in_service: true,
             slots: slots.max(1),
             limit: ConcurrencyLimit::new(slots),
             state: TargetState::Cold,
--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,49 @@
+//! Final answers to callers, formatted in one place.
+
+use base::{ErrorKind, Ran, Refusal};
+use http::{HeaderValue, StatusCode, header};
+use salvo::http::{ResBody, Response};
+use serde::Serialize;
+
+/// Holds the body of a refusal.
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    kind: ErrorKind,
+    message: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Writes a refusal with its status, body and `Retry-After`.
+pub fn refuse(res: &mut Response, refusal: &Refusal) {
+    let answer = refusal.kind.answer();
+    let retry_after_ms = answer
+        .is_retryable
+        .then_some(refusal.retry_after.as_millis() as u64);
+    let body = Body {
+        kind: refusal.kind,
+        message: answer.message,
+        ran: answer.ran,
+        retry_after_ms,
+    };
+    if answer.is_retryable {
+        let secs = HeaderValue::from(refusal.retry_after_secs());
+        res.headers_mut().insert(header::RETRY_AFTER, secs);
+    }
+    json(res, answer.status, &body);
+}
+
+/// Writes a value as JSON.
+pub fn json<T>(res: &mut Response, status: u16, value: &T)
+where
+    T: Serialize,
+{
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    res.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    res.replace_body(ResBody::Once(text.into()));
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,578 @@
+//! The listener for callers: look-ups, and requests that are carried out.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base::{DomainId, ErrorKind, Ran, Refusal, RegionId, ServiceId, Time, WorkspaceId};
+use bytes::Bytes;
+use dispatch::{ActionEvent, ActionKey, Claim, RequestId, SavedAnswer, WorkKind};
+use http::{HeaderName, HeaderValue, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
+use salvo::{
+    Depot, FlowCtrl, Handler, Router,
+    http::{ReqBody, Request, ResBody, Response},
+};
+use serde::Serialize;
+use steer::{Candidate, Origin, order};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    answer,
+    forward::{self, AttemptEnd, Template, Whole},
+    head::{self, Head},
+    message::{Admitted, Arrival, Decision, Event, Go, LedgerCall},
+    metrics::Metrics,
+    trace::{Span, Trace},
+    view::{Clock, View},
+};
+
+/// Path at which callers ask which instances to use.
+pub const LOOKUP_PATH: &str = "/v1/lookup";
+
+/// Holds what all handlers of callers' requests share.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Where the engine's events go.
+    pub events: mpsc::UnboundedSender<Event>,
+    /// Where the ledger's calls go.
+    pub ledger: mpsc::Sender<LedgerCall>,
+    /// What is in force.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Metrics of the instance.
+    pub metrics: Metrics,
+    /// Source of request names.
+    pub ids: Arc<AtomicU64>,
+    /// Limits on requests.
+    pub limits: CallerLimits,
+}
+
+/// Holds the limits on callers' requests.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLimits {
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+    /// Time in which a body must arrive.
+    pub body_timeout: Duration,
+    /// How long look-up answers may be kept.
+    pub lookup_ttl: Duration,
+    /// Share of the requests without a trace of their own whose spans are logged.
+    pub trace_share: f64,
+}
+
+impl Callers {
+    /// Returns the router of the listener for callers.
+    pub fn into_router(self) -> Router {
+        Router::with_path("{**path}").goal(self)
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Callers {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if req.uri().path() == LOOKUP_PATH {
+            self.look_up(req, res);
+        } else {
+            self.serve(req, res).await;
+        }
+    }
+}
+
+/// Holds a look-up's answer.
+#[derive(Debug, Serialize)]
+struct LookupAnswer<'a> {
+    service: &'a str,
+    ttl_ms: u64,
+    entries: Vec<LookupEntry<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct LookupEntry<'a> {
+    instance: &'a str,
+    addr: std::net::SocketAddr,
+    domain: &'a str,
+    region: &'a str,
+    home: String,
+}
+
+impl Callers {
+    fn look_up(&self, req: &Request, res: &mut Response) {
+        let trace = Trace::accept(req.headers(), self.limits.trace_share);
+        let _span = trace.span("look-up", self.clock);
+        let view = self.view.borrow().clone();
+        let Some((_, config)) = &view.config else {
+            answer::refuse(res, &Refusal::new(ErrorKind::NotReady));
+            return;
+        };
+        let service = req.query::<String>("service").unwrap_or_default();
+        if !config.services.contains_key(service.as_str()) {
+            answer::refuse(res, &Refusal::new(ErrorKind::UnknownService));
+            return;
+        }
+        let origin = Origin {
+            domain: req.query::<String>("domain").map(DomainId::from),
+            region: req.query::<String>("region").map(RegionId::from),
+        };
+        let unknown = RegionId::from("");
+        let candidates: Vec<Candidate<'_>> = view
+            .entries
+            .iter()
+            .map(|entry| Candidate {
+                instance: &entry.instance,
+                domain: &entry.domain,
+                region: config.region_of(&entry.domain).unwrap_or(&unknown),
+            })
+            .collect();
+        let entries = order(&candidates, &origin, rand::random())
+            .into_iter()
+            .map(|idx| LookupEntry {
+                instance: candidates[idx].instance.as_str(),
+                addr: view.entries[idx].addr,
+                domain: candidates[idx].domain.as_str(),
+                region: candidates[idx].region.as_str(),
+                home: format!(
+                    "{}.{:x}.",
+                    view.entries[idx].instance, view.entries[idx].incarnation.0
+                ),
+            })
+            .collect();
+        let body = LookupAnswer {
+            service: &service,
+            ttl_ms: self.limits.lookup_ttl.as_millis() as u64,
+            entries,
+        };
+        answer::json(res, StatusCode::OK.as_u16(), &body);
+    }
+
+    async fn serve(&self, req: &mut Request, res: &mut Response) {
+        let started = self.clock.now();
+        let trace = Trace::accept(req.headers(), self.limits.trace_share);
+        let mut span = trace.span("request", self.clock);
+        let head = head::read(req.method(), req.uri(), req.headers());
+        let (service, result) = match head {
+            Ok(head) => (head.service.clone(), self.carry_out(req, head, &span).await),
+            Err(kind) => (ServiceId::from(""), Err(Refusal::new(kind))),
+        };
+        let end = match &result {
+            Ok(_) => "ok".to_owned(),
+            Err(refusal) => refusal.kind.to_string(),
+        };
+        span.note(&end);
+        self.count(&service, &end, started);
+        match result {
+            Ok(whole) => write(res, whole),
+            Err(refusal) => answer::refuse(res, &refusal),
+        }
+        if let Ok(id) = HeaderValue::from_str(&trace.id()) {
+            let name = HeaderName::from_static("trace-id");
+            res.headers_mut().insert(name, id);
+        }
+    }
+
+    fn count(&self, service: &ServiceId, end: &str, started: Time) {
+        let is_known = self
+            .view
+            .borrow()
+            .config
+            .as_ref()
+            .is_some_and(|(_, config)| config.services.contains_key(service));
+        // Unknown names come from callers and must not make new series.
+        let label = if is_known { service.as_str() } else { "" };
+        self.metrics.requests.with_label_values(&[label, end]).inc();
+        let passed = (self.clock.now() - started).as_secs_f64();
+        self.metrics
+            .latency
+            .with_label_values(&[label])
+            .observe(passed);
+    }
+
+    async fn carry_out(
+        &self,
+        req: &mut Request,
+        head: Head,
+        span: &Span,
+    ) -> Result<Whole, Refusal> {
+        let body = req.take_body();
+        let has_body = !matches!(body, ReqBody::None) && !body.is_end_stream();
+        let is_claimed = head.kind == WorkKind::Once && head.action.is_some();
+        let mut template = template(req, &head);
+        let admission = span.child("admission");
+        let mut caller = self.arrive(&head, &template, has_body || is_claimed);
+        if !(has_body || is_claimed) {
+            drop(admission);
+            return drive(self, caller, template, span).await;
+        }
+        let admitted = caller.admission().await?;
+        drop(admission);
+        if has_body {
+            template.body = self.read_body(body, admitted.deadline).await?;
+        }
+        let fingerprint = fingerprint(&template, head.action.as_deref());
+        let Some(key) = head.action.filter(|_| is_claimed) else {
+            caller.dispatch(fingerprint);
+            return drive(self, caller, template, span).await;
+        };
+        let key = ActionKey {
+            workspace: admitted.workspace,
+            key,
+        };
+        self.run_once(caller, key, fingerprint, template, span.child("action"))
+            .await
+    }
+
+    fn arrive(&self, head: &Head, template: &Template, is_held: bool) -> Caller {
+        let id = RequestId(self.ids.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = mpsc::unbounded_channel();
+        let arrival = Arrival {
+            id,
+            key: head.key.clone(),
+            service: head.service.clone(),
+            path: head.path.clone(),
+            kind: head.kind,
+            fingerprint: fingerprint(template, head.action.as_deref()),
+            timeout: head.timeout_ms.map(Duration::from_millis),
+            is_held,
+            tx,
+        };
+        let _ = self.events.send(Event::Arrive(arrival));
+        Caller {
+            id,
+            rx,
+            events: self.events.clone(),
+            is_ended: false,
+        }
+    }
+
+    async fn read_body(&self, body: ReqBody, deadline: Time) -> Result<Bytes, Refusal> {
+        let left = deadline - self.clock.now();
+        let longest = self.limits.body_timeout.min(left);
+        let read = Limited::new(body, self.limits.body_bytes).collect();
+        match timeout(longest, read).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+                Err(Refusal::new(ErrorKind::BodyTooLarge))
+            }
+            Ok(Err(_)) => Err(Refusal::new(ErrorKind::BadRequest)),
+            Err(_) => Err(Refusal::new(ErrorKind::SlowSender)),
+        }
+    }
+
+    /// Claims an action, runs it, and records its outcome even where the caller has left.
+    async fn run_once(
+        &self,
+        caller: Caller,
+        key: ActionKey,
+        fingerprint: u64,
+        template: Template,
+        span: Span,
+    ) -> Result<Whole, Refusal> {
+        match self.claim(&key, caller.id, fingerprint).await? {
+            Claim::Granted => {}
+            Claim::Done(answer) => return replay(answer),
+            other => return Err(Refusal::new(claim_kind(&other))),
+        }
+        caller.dispatch(fingerprint);
+        let shared = self.clone();
+        let run = async move {
+            let request = caller.id;
+            let result = drive(&shared, caller, template, &span).await;
+            let (event, answer) = settlement(&result);
+            let call = LedgerCall::Settle {
+                key,
+                request,
+                event,
+                answer,
+            };
+            let _ = shared.ledger.send(call).await;
+            result
+        };
+        tokio::spawn(run)
+            .await
+            .unwrap_or_else(|_| Err(Refusal::new(ErrorKind::Internal)))
+    }
+
+    async fn claim(
+        &self,
+        key: &ActionKey,
+        request: RequestId,
+        fingerprint: u64,
+    ) -> Result<Claim, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        let call = LedgerCall::Claim {
+            key: key.clone(),
+            request,
+            fingerprint,
+            reply,
+        };
+        let unavailable = || Refusal::new(ErrorKind::ClaimUnavailable);
+        self.ledger.send(call).await.map_err(|_| unavailable())?;
+        answer
+            .await
+            .map_err(|_| unavailable())?
+            .map_err(Refusal::new)
+    }
+}
+
+/// Holds a request's place in the engine and gives it up when dropped.
+#[derive(Debug)]
+struct Caller {
+    id: RequestId,
+    rx: mpsc::UnboundedReceiver<Decision>,
+    events: mpsc::UnboundedSender<Event>,
+    is_ended: bool,
+}
+
+impl Caller {
+    async fn next(&mut self) -> Result<Decision, Refusal> {
+        match self.rx.recv().await {
+            Some(Decision::Refuse(refusal)) => {
+                self.is_ended = true;
+                Err(refusal)
+            }
+            Some(decision) => Ok(decision),
+            None => {
+                self.is_ended = true;
+                Err(Refusal::new(ErrorKind::Internal))
+            }
+        }
+    }
+
+    async fn admission(&mut self) -> Result<Admitted, Refusal> {
+        match self.next().await? {
+            Decision::Admitted(admitted) => Ok(admitted),
+            Decision::Go(_) | Decision::Refuse(_) => Err(Refusal::new(ErrorKind::Internal)),
+        }
+    }
+
+    fn dispatch(&self, fingerprint: u64) {
+        let _ = self.events.send(Event::Dispatch {
+            id: self.id,
+            fingerprint,
+        });
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.rx.close();
+        while let Ok(decision) = self.rx.try_recv() {
+            if let Decision::Go(go) = decision {
+                let _ = self.events.send(Event::Finish {
+                    id: self.id,
+                    attempt: go.assignment.attempt,
+                    outcome: dispatch::Outcome::Canceled,
+                    connection: go.connection,
+                });
+            }
+        }
+        if !self.is_ended {
+            let _ = self.events.send(Event::Cancel(self.id));
+        }
+    }
+}
+
+/// Reports the end of an attempt, also where its task is dropped.
+#[derive(Debug)]
+struct AttemptGuard {
+    id: RequestId,
+    attempt: u32,
+    events: mpsc::UnboundedSender<Event>,
+    is_reported: bool,
+}
+
+impl AttemptGuard {
+    fn report(mut self, end: AttemptEnd) -> Option<Whole> {
+        self.is_reported = true;
+        let _ = self.events.send(Event::Finish {
+            id: self.id,
+            attempt: self.attempt,
+            outcome: end.outcome,
+            connection: end.connection,
+        });
+        end.answer
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if self.is_reported {
+            return;
+        }
+        let _ = self.events.send(Event::Finish {
+            id: self.id,
+            attempt: self.attempt,
+            outcome: dispatch::Outcome::Canceled,
+            connection: None,
+        });
+    }
+}
+
+/// Carries out the engine's decisions on one request until it has its final answer.
+async fn drive(
+    shared: &Callers,
+    mut caller: Caller,
+    template: Template,
+    span: &Span,
+) -> Result<Whole, Refusal> {
+    let template = Arc::new(template);
+    let mut attempts = JoinSet::new();
+    let mut hedge_at: Option<Time> = None;
+    let mut queue = Some(span.child("queue"));
+    loop {
+        let hedge = sleep_until(shared.clock.instant(hedge_at.unwrap_or(Time::ZERO)));
+        tokio::select! {
+            decision = caller.next() => {
+                drop(queue.take());
+                if let Decision::Go(go) = decision? {
+                    let is_first = go.assignment.attempt == 1;
+                    hedge_at = is_first.then(|| shared.clock.now() + go.assignment.hedge_after);
+                    let attempt = start(shared, caller.id, *go, template.clone(), span);
+                    attempts.spawn(attempt);
+                }
+            }
+            Some(end) = attempts.join_next() => {
+                // Reported here, so that the engine can't end the request before its answer is seen.
+                if let Ok((guard, end)) = end
+                    && let Some(whole) = guard.report(end)
+                {
+                    caller.is_ended = true;
+                    return Ok(whole);
+                }
+            }
+            () = hedge, if hedge_at.is_some() => {
+                hedge_at = None;
+                let _ = shared.events.send(Event::Hedge(caller.id));
+            }
+        }
+    }
+}
+
+/// Returns the future that sends one attempt.
+fn start(
+    shared: &Callers,
+    id: RequestId,
+    go: Go,
+    template: Arc<Template>,
+    span: &Span,
+) -> impl Future<Output = (AttemptGuard, AttemptEnd)> + Send + 'static {
+    let clock = shared.clock;
+    let guard = AttemptGuard {
+        id,
+        attempt: go.assignment.attempt,
+        events: shared.events.clone(),
+        is_reported: false,
+    };
+    let mut span = span.child("attempt");
+    span.note(go.assignment.target.as_str());
+    async move {
+        let mut template = Template::clone(&template);
+        add_hop_headers(&mut template, &span, &go.workspace);
+        let target = span.child("target");
+        let end = forward::attempt(clock, go.addr, go.connection, &template, go.deadline).await;
+        drop(target);
+        (guard, end)
+    }
+}
+
+fn add_hop_headers(template: &mut Template, span: &Span, workspace: &WorkspaceId) {
+    if let Some(value) = span.header() {
+        template.headers.insert(head::TRACEPARENT, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(workspace.as_str()) {
+        template.headers.insert(head::WORKSPACE, value);
+    }
+}
+
+fn template(req: &Request, head: &Head) -> Template {
+    let key = head.key.as_deref();
+    Template {
+        method: req.method().clone(),
+        path: head::forwarded_path(req.uri(), key),
+        headers: head::forwarded(req.headers(), key),
+        body: Bytes::new(),
+    }
+}
+
+/// Digests what makes it the same request when its caller sends it again.
+fn fingerprint(template: &Template, action: Option<&str>) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(template.method.as_str().as_bytes());
+    hasher.update(b"\n");
+    hasher.update(template.path.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(action.unwrap_or_default().as_bytes());
+    hasher.update(b"\n");
+    hasher.update(&template.body);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn claim_kind(claim: &Claim) -> ErrorKind {
+    match claim {
+        Claim::InProgress => ErrorKind::InProgress,
+        Claim::Reused => ErrorKind::KeyReused,
+        Claim::Stale => ErrorKind::ClaimUnavailable,
+        Claim::Unknown | Claim::Done(_) | Claim::Granted => ErrorKind::OutcomeUnknown,
+    }
+}
+
+fn settlement(result: &Result<Whole, Refusal>) -> (ActionEvent, Option<SavedAnswer>) {
+    match result {
+        Ok(whole) => {
+            let headers = whole
+                .headers
+                .iter()
+                .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+                .collect();
+            let answer = SavedAnswer {
+                status: whole.status.as_u16(),
+                headers,
+                body: whole.body.to_vec(),
+            };
+            (ActionEvent::Answered, Some(answer))
+        }
+        Err(refusal) if refusal.kind.answer().ran == Ran::No => (ActionEvent::NotRun, None),
+        Err(_) => (ActionEvent::Lost, None),
+    }
+}
+
+fn replay(answer: SavedAnswer) -> Result<Whole, Refusal> {
+    let status =
+        StatusCode::from_u16(answer.status).map_err(|_| Refusal::new(ErrorKind::OutcomeUnknown))?;
+    let headers = answer
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            Some((name.parse().ok()?, HeaderValue::from_bytes(value).ok()?))
+        })
+        .collect();
+    Ok(Whole {
+        status,
+        headers,
+        body: answer.body.into(),
+    })
+}
+
+fn write(res: &mut Response, whole: Whole) {
+    res.status_code(whole.status);
+    res.headers_mut().extend(whole.headers);
+    res.replace_body(ResBody::Once(whole.body));
+}
--- /dev/null
+++ b/crates/entry/src/engine.rs
@@ -0,0 +1,428 @@
+//! The task that owns admission, dispatch and the idle connections to targets.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use admit::{Action as AdmitAction, Admission, Keys};
+use base::{Config, ErrorKind, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+use chart::ChartError;
+use coord::{Split, Standing};
+use dispatch::{Action, Assignment, Dispatcher, Next, Outcome, Policy, RequestId, Work, WorkKind};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    forward::Connection,
+    message::{Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing},
+    view::Clock,
+};
+
+/// Workspace under which requests on open routes are queued.
+pub const OPEN_WORKSPACE: &str = "(open)";
+
+const TICK: Duration = Duration::from_millis(10);
+const IDLE_LIFE: Duration = Duration::from_secs(5);
+const PROVEN_LIFE: Duration = Duration::from_secs(1);
+const EVENTS_AT_ONCE: usize = 256;
+
+/// Holds the settings of the engine.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Region in which the instance runs.
+    pub region: RegionId,
+    /// Seed of the random choices among targets.
+    pub seed: u64,
+    /// How workspaces' rates are divided.
+    pub split: Split,
+    /// Constants of dispatch.
+    pub policy: Policy,
+    /// Whether requests that need a key are refused while the instance is cut off from all.
+    pub refuses_alone: bool,
+}
+
+/// Owns admission, dispatch and idle connections.
+#[derive(Debug)]
+pub struct Engine {
+    clock: Clock,
+    refuses_alone: bool,
+    config: Option<Arc<Config>>,
+    standing: Standing,
+    standing_until: Time,
+    keys: Keys,
+    admission: Admission,
+    dispatcher: Dispatcher,
+    callers: BTreeMap<RequestId, Caller>,
+    idle: BTreeMap<TargetId, VecDeque<Connection>>,
+    asks: mpsc::UnboundedSender<Outgoing>,
+}
+
+#[derive(Debug)]
+struct Caller {
+    tx: mpsc::UnboundedSender<Decision>,
+    workspace: WorkspaceId,
+    service: ServiceId,
+    weight: u32,
+    deadline: Time,
+    kind: WorkKind,
+    fingerprint: u64,
+    is_held: bool,
+}
+
+impl Engine {
+    /// Returns an engine with no configuration; asks to owners go to `asks`.
+    ///
+    /// # Errors
+    ///
+    /// [`ChartError`] where a state chart can't be read.
+    pub fn new(
+        clock: Clock,
+        options: EngineOptions,
+        asks: mpsc::UnboundedSender<Outgoing>,
+    ) -> Result<Self, ChartError> {
+        Ok(Self {
+            clock,
+            refuses_alone: options.refuses_alone,
+            config: None,
+            standing: Standing::Empty,
+            standing_until: Time::ZERO,
+            keys: Keys::default(),
+            admission: Admission::new(options.split),
+            dispatcher: Dispatcher::new(options.region, options.seed, options.policy)?,
+            callers: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            asks,
+        })
+    }
+
+    /// Handles events until all senders are gone.
+    ///
+    /// The channel is unbounded because ends of attempts must never be lost; the listener bounds
+    /// the number of requests.
+    pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut events = Vec::with_capacity(EVENTS_AT_ONCE);
+        loop {
+            tokio::select! {
+                count = rx.recv_many(&mut events, EVENTS_AT_ONCE) => {
+                    if count == 0 {
+                        return;
+                    }
+                    for event in events.drain(..) {
+                        self.handle(event);
+                    }
+                }
+                _ = tick.tick() => self.tick(),
+            }
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival),
+            Event::Dispatch { id, fingerprint } => self.dispatch(now, id, Some(fingerprint)),
+            Event::Finish {
+                id,
+                attempt,
+                outcome,
+                connection,
+            } => self.finish(now, id, attempt, outcome, connection),
+            Event::Hedge(id) => {
+                if let Some(assignment) = self.dispatcher.hedge(now, id) {
+                    self.go(now, assignment);
+                }
+            }
+            Event::Cancel(id) => {
+                self.admission.cancel(id.0);
+                self.dispatcher.cancel(id);
+                self.callers.remove(&id);
+            }
+            Event::Config(config) => self.configure(now, config),
+            Event::Standing { standing, until } => {
+                self.standing = standing;
+                self.standing_until = until;
+            }
+            Event::Floors { until, is_first } => {
+                self.admission.hold_floors(now, until, is_first);
+            }
+            Event::Owners(owned) => self.set_owners(&owned),
+            Event::Granted(workspace, grant) => {
+                let actions = self.admission.granted(now, &workspace, &grant);
+                self.apply_admission(now, actions);
+            }
+            Event::Report(service, target, report) => {
+                let actions = self.dispatcher.report(now, &service, &target, report);
+                self.apply(now, actions);
+            }
+            Event::TargetLeaves(target) => self.target_leaves(now, &target),
+            Event::Routes(routes) => {
+                for (service, route) in routes {
+                    self.dispatcher.set_route(&service, route);
+                }
+            }
+            Event::Bars(bars) => {
+                for (fingerprint, wait) in bars {
+                    self.dispatcher.bar(now, fingerprint, wait);
+                }
+            }
+            Event::Leave => {}
+            Event::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+        }
+    }
+}
+
+impl Engine {
+    fn arrive(&mut self, now: Time, arrival: Arrival) {
+        let (id, tx) = (arrival.id, arrival.tx.clone());
+        match self.accept(now, arrival) {
+            Ok((caller, is_open)) => {
+                let (workspace, deadline) = (caller.workspace.clone(), caller.deadline);
+                self.callers.insert(id, caller);
+                if is_open {
+                    self.admitted(now, id);
+                } else {
+                    let actions = self.admission.arrive(now, id.0, &workspace, deadline);
+                    self.apply_admission(now, actions);
+                }
+            }
+            Err(kind) => {
+                let _ = tx.send(Decision::Refuse(Refusal::new(kind)));
+            }
+        }
+    }
+
+    /// Finds out whose request it is; the flag tells whether its route is open to all.
+    fn accept(&self, now: Time, arrival: Arrival) -> Result<(Caller, bool), ErrorKind> {
+        let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
+        let service = config
+            .services
+            .get(&arrival.service)
+            .ok_or(ErrorKind::UnknownService)?;
+        let is_open = config.is_open(&arrival.service, &arrival.path);
+        let workspace = if is_open {
+            WorkspaceId::from(OPEN_WORKSPACE)
+        } else {
+            self.authenticate(now, arrival.key.as_deref())?.clone()
+        };
+        let weight = config
+            .workspaces
+            .get(&workspace)
+            .map_or(1, |found| found.weight);
+        let longest = Duration::from_millis(u64::from(service.deadline_ms));
+        let timeout = arrival.timeout.unwrap_or(longest).min(longest);
+        let caller = Caller {
+            tx: arrival.tx,
+            workspace,
+            service: arrival.service,
+            weight,
+            deadline: now + timeout,
+            kind: arrival.kind,
+            fingerprint: arrival.fingerprint,
+            is_held: arrival.is_held,
+        };
+        Ok((caller, is_open))
+    }
+
+    fn authenticate(&self, now: Time, key: Option<&str>) -> Result<&WorkspaceId, ErrorKind> {
+        // A process that was paused wakes to an outdated standing.
+        let is_alone = self.standing == Standing::Alone || now > self.standing_until;
+        if is_alone && self.refuses_alone {
+            return Err(ErrorKind::Isolated);
+        }
+        let key = key.ok_or(ErrorKind::MissingKey)?;
+        self.keys.workspace(key).ok_or(ErrorKind::UnknownKey)
+    }
+
+    fn admitted(&mut self, now: Time, id: RequestId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        if !caller.is_held {
+            self.dispatch(now, id, None);
+            return;
+        }
+        let admitted = Admitted {
+            workspace: caller.workspace.clone(),
+            deadline: caller.deadline,
+        };
+        let _ = caller.tx.send(Decision::Admitted(admitted));
+    }
+
+    fn dispatch(&mut self, now: Time, id: RequestId, fingerprint: Option<u64>) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let work = Work {
+            id,
+            workspace: caller.workspace.clone(),
+            weight: caller.weight,
+            service: caller.service.clone(),
+            deadline: caller.deadline,
+            kind: caller.kind,
+            fingerprint: fingerprint.unwrap_or(caller.fingerprint),
+        };
+        let actions = self.dispatcher.submit(now, work);
+        self.apply(now, actions);
+    }
+
+    fn finish(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        connection: Option<Connection>,
+    ) {
+        let target = self.dispatcher.target_of(id, attempt).cloned();
+        if let (Some(target), Some(connection)) = (target, connection) {
+            self.idle.entry(target).or_default().push_back(connection);
+        }
+        let (next, actions) = self.dispatcher.finish(now, id, attempt, outcome);
+        self.apply(now, actions);
+        if next == Next::Ended {
+            self.callers.remove(&id);
+        }
+    }
+
+    fn configure(&mut self, now: Time, config: Arc<Config>) {
+        self.keys = Keys::new(&config);
+        self.admission.configure(now, &config);
+        let actions = self.dispatcher.configure(now, &config);
+        self.config = Some(config);
+        self.apply(now, actions);
+    }
+
+    fn set_owners(&mut self, owned: &[WorkspaceId]) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        for workspace in config.workspaces.keys() {
+            let is_known = owned.contains(workspace);
+            self.admission.set_owner_known(workspace, is_known);
+        }
+    }
+
+    fn target_leaves(&mut self, now: Time, target: &TargetId) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        for (service, found) in &config.services {
+            if found.targets.contains_key(target) {
+                self.dispatcher.leave(now, service, target);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let actions = self.admission.tick(now);
+        self.apply_admission(now, actions);
+        let actions = self.dispatcher.tick(now);
+        self.apply(now, actions);
+        for connections in self.idle.values_mut() {
+            while connections
+                .front()
+                .is_some_and(|oldest| now - oldest.proven_at > IDLE_LIFE)
+            {
+                connections.pop_front();
+            }
+        }
+    }
+
+    fn apply_admission(&mut self, now: Time, actions: Vec<AdmitAction>) {
+        for action in actions {
+            match action {
+                AdmitAction::Admit(id) => self.admitted(now, RequestId(id)),
+                AdmitAction::Refuse(id, refusal) => self.refuse(RequestId(id), refusal),
+                AdmitAction::Ask(workspace, ask) => {
+                    let _ = self.asks.send(Outgoing { workspace, ask });
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Time, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Assign(assignment) => self.go(now, assignment),
+                Action::Refuse(id, refusal) => self.refuse(id, refusal),
+            }
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        if let Some(caller) = self.callers.remove(&id) {
+            let _ = caller.tx.send(Decision::Refuse(refusal));
+        }
+    }
+
+    /// Tells the handler to send an attempt; one that nobody awaits is given back.
+    fn go(&mut self, now: Time, assignment: Assignment) {
+        let (id, attempt) = (assignment.id, assignment.attempt);
+        let sent = self.callers.get(&id).and_then(|caller| {
+            let go = Go {
+                addr: self.addr(&assignment)?,
+                connection: None,
+                deadline: caller.deadline,
+                workspace: caller.workspace.clone(),
+                assignment,
+            };
+            Some((caller.tx.clone(), go))
+        });
+        let Some((tx, mut go)) = sent else {
+            self.give_back(now, id, attempt);
+            return;
+        };
+        go.connection = self.connection(now, &go.assignment);
+        if tx.send(Decision::Go(Box::new(go))).is_err() {
+            self.give_back(now, id, attempt);
+        }
+    }
+
+    fn give_back(&mut self, now: Time, id: RequestId, attempt: u32) {
+        let (_, actions) = self.dispatcher.finish(now, id, attempt, Outcome::Canceled);
+        self.callers.remove(&id);
+        self.apply(now, actions);
+    }
+
+    fn addr(&self, assignment: &Assignment) -> Option<SocketAddr> {
+        let service = self.config.as_ref()?.services.get(&assignment.service)?;
+        Some(service.targets.get(&assignment.target)?.addr)
+    }
+
+    /// Takes the connection that was used last; an older one only where a silent one does no harm.
+    fn connection(&mut self, now: Time, assignment: &Assignment) -> Option<Connection> {
+        let connections = self.idle.get_mut(&assignment.target)?;
+        while let Some(connection) = connections.pop_back() {
+            if !connection.is_open() {
+                continue;
+            }
+            let is_proven = now - connection.proven_at <= PROVEN_LIFE;
+            if is_proven || !assignment.needs_proven {
+                return Some(connection);
+            }
+            // All others have been idle for even longer.
+            connections.clear();
+        }
+        None
+    }
+
+    fn status(&mut self, now: Time) -> EngineStatus {
+        EngineStatus {
+            requests: self.callers.len(),
+            targets: self.dispatcher.targets(now),
+            available: self.admission.available(now),
+            barred: self.dispatcher.barred(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/head.rs
@@ -0,0 +1,199 @@
+//! Request heads: the caller's key, what is forwarded and what is not.
+
+use base::{ErrorKind, ServiceId};
+use dispatch::WorkKind;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+
+/// Header in which a caller names a non-idempotent action.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header in which a caller says how long it waits, in milliseconds.
+pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("request-timeout-ms");
+/// Header that tells a target how long the caller still waits, in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("request-deadline-ms");
+/// Header in which a target says that it did not run a refused request (`no`).
+pub const RAN: HeaderName = HeaderName::from_static("request-ran");
+/// Header that names the request's workspace to the target.
+pub const WORKSPACE: HeaderName = HeaderName::from_static("request-workspace");
+/// Header with the trace context.
+pub const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+/// Query parameter in which a caller may show its key.
+pub const KEY_PARAM: &str = "api_key";
+
+const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+const BEARER: &str = "Bearer ";
+const MOST_IDEMPOTENCY_KEY_BYTES: usize = 200;
+
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+const REPLACED: &[&str] = &[
+    "authorization",
+    "x-api-key",
+    "host",
+    "content-length",
+    "expect",
+    "request-timeout-ms",
+    "request-deadline-ms",
+    "request-workspace",
+    "traceparent",
+];
+
+/// Holds what a request's head says.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Service that the first path segment names.
+    pub service: ServiceId,
+    /// Path below the service, with its slash and without the query.
+    pub path: String,
+    /// Key that came with the request.
+    pub key: Option<String>,
+    /// Idempotency key.
+    pub action: Option<String>,
+    /// Whether the request may run more than once.
+    pub kind: WorkKind,
+    /// How long the caller waits, in milliseconds.
+    pub timeout_ms: Option<u64>,
+}
+
+/// Reads a request's head.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadRequest`] where a key, an idempotency key or a timeout can't be read.
+pub fn read(method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Head, ErrorKind> {
+    let path = uri.path();
+    let rest = path.strip_prefix('/').unwrap_or(path);
+    let (service, below) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
+    let timeout_ms = text(headers, &TIMEOUT_MS)?
+        .map(|text| text.parse().map_err(|_| ErrorKind::BadRequest))
+        .transpose()?;
+    Ok(Head {
+        service: ServiceId::from(service),
+        path: below.to_owned(),
+        key: key(uri, headers)?,
+        action: action(headers)?,
+        kind: kind(method),
+        timeout_ms,
+    })
+}
+
+/// Returns the headers to forward: none that shows the key or belongs to the connection.
+pub fn forwarded(headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
+    let named = connection_names(headers);
+    headers
+        .iter()
+        .filter(|(name, value)| {
+            !HOP_BY_HOP.contains(&name.as_str())
+                && !REPLACED.contains(&name.as_str())
+                && !named.contains(name)
+                && !shows(value.as_bytes(), key)
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Returns the path and query to forward, without a parameter that shows the key.
+pub fn forwarded_path(uri: &Uri, key: Option<&str>) -> String {
+    let path = uri.path();
+    let Some(query) = uri.query() else {
+        return path.to_owned();
+    };
+    let kept: Vec<&str> = query
+        .split('&')
+        .filter(|pair| {
+            let name = pair.split('=').next().unwrap_or_default();
+            name != KEY_PARAM && !shows(pair.as_bytes(), key)
+        })
+        .collect();
+    if kept.is_empty() {
+        return path.to_owned();
+    }
+    format!("{path}?{}", kept.join("&"))
+}
+
+/// Returns the headers of a target's answer that reach the caller.
+pub fn answered(headers: &HeaderMap) -> HeaderMap {
+    let named = connection_names(headers);
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            !HOP_BY_HOP.contains(&name.as_str())
+                && !named.contains(name)
+                && **name != header::CONTENT_LENGTH
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+fn shows(value: &[u8], key: Option<&str>) -> bool {
+    key.is_some_and(|key| {
+        !key.is_empty()
+            && value
+                .windows(key.len())
+                .any(|window| window == key.as_bytes())
+    })
+}
+
+fn connection_names(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
+fn key(uri: &Uri, headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+    if let Some(value) = text(headers, &header::AUTHORIZATION)? {
+        let key = value.strip_prefix(BEARER).ok_or(ErrorKind::BadRequest)?;
+        return Ok(Some(key.trim().to_owned()));
+    }
+    if let Some(value) = text(headers, &API_KEY)? {
+        return Ok(Some(value.trim().to_owned()));
+    }
+    let param = uri.query().and_then(|query| {
+        query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix(KEY_PARAM)?.strip_prefix('='))
+    });
+    Ok(param.map(str::to_owned))
+}
+
+fn action(headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+    let Some(value) = text(headers, &IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    let is_usable = !value.is_empty()
+        && value.len() <= MOST_IDEMPOTENCY_KEY_BYTES
+        && value.bytes().all(|byte| byte.is_ascii_graphic());
+    if is_usable {
+        Ok(Some(value.to_owned()))
+    } else {
+        Err(ErrorKind::BadRequest)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, ErrorKind> {
+    headers
+        .get(name)
+        .map(HeaderValue::to_str)
+        .transpose()
+        .map_err(|_| ErrorKind::BadRequest)
+}
+
+fn kind(method: &Method) -> WorkKind {
+    if method.is_idempotent() {
+        WorkKind::Idempotent
+    } else {
+        WorkKind::Once
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,15 @@
 //! HTTP listeners for callers and operators, and forwarding to targets.
+//!
+//! One task, the [`engine`], owns admission, dispatch and the idle connections to targets. The
+//! listeners' handlers talk to it by messages and carry the requests out.
+
+pub mod answer;
+pub mod callers;
+pub mod engine;
+pub mod forward;
+pub mod head;
+pub mod message;
+pub mod metrics;
+pub mod serve;
+pub mod trace;
+pub mod view;
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,50 @@
+//! Salvo listeners.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// Most bytes of a request's head.
+pub const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+const MOST_CONNECTIONS: usize = 8_192;
+
+/// Holds a running listener.
+#[derive(Debug)]
+pub struct Listener {
+    /// Address that it listens on.
+    pub addr: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+/// Starts serving `router` on `addr`.
+///
+/// # Errors
+///
+/// [`io::Error`] where the address is in use or not one of this machine.
+pub async fn listen(addr: SocketAddr, router: Router) -> io::Result<Listener> {
+    let socket = TcpListener::bind(addr).await?;
+    let addr = socket.local_addr()?;
+    let acceptor = TcpAcceptor::try_from(socket)?;
+    let mut fuse = FuseConfig::default();
+    fuse.http1_header_timeout = Some(HEADER_TIMEOUT);
+    fuse.connection_idle_timeout = Some(IDLE_TIMEOUT);
+    let mut server = Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(MOST_CONNECTIONS);
+    server.http1_mut().max_buf_size(HEAD_LIMIT_BYTES);
+    let handle = server.handle();
+    let task = tokio::spawn(server.serve(router));
+    Ok(Listener { addr, handle, task })
+}
+
+impl Listener {
+    /// Takes no new connections, lets requests under way end, and returns when none is left.
+    pub async fn stop(self, longest: Duration) {
+        self.handle.stop_graceful(longest);
+        let _ = self.task.await;
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-pub use model::{Call, Expect, Fault, Listed, ListedState, Reply, Row, Write};
+pub use model::{Call, Expect, Fault, Listed, ListedKind, ListedState, Reply, Row, Write};
 pub use store::Store;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -69,7 +69,10 @@
     pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
         let (reply, answer) = oneshot::channel();
         let sent = async {
-            self.tx.send(Request { call, reply }).await.map_err(|_| ())?;
+            self.tx
+                .send(Request { call, reply })
+                .await
+                .map_err(|_| ())?;
             answer.await.map_err(|_| ())
         };
         match timeout(self.timeout, sent).await {
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -134,12 +134,26 @@
 pub struct Listed {
     /// Name of the instance or target.
     pub id: String,
+    /// What the machine is for.
+    pub kind: ListedKind,
     /// Failure domain in which it runs.
     pub domain: DomainId,
+    /// Address at which other instances reach it over UDP, or callers a target over TCP.
+    pub addr: std::net::SocketAddr,
     /// Whether it is live or leaving.
     pub state: ListedState,
 }
 
+/// Lists what a listed machine is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedKind {
+    /// It runs the daemon.
+    Instance,
+    /// It serves requests of a service.
+    Target,
+}
+
 /// States of a listed machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -6,8 +6,7 @@
 use jsonc_parser::{
     ast::Value,
     common::Ranged,
-    parse_to_ast,
-    {CollectOptions, ParseOptions},
+    parse_to_ast, {CollectOptions, ParseOptions},
 };
 use serde::de::DeserializeOwned;
 
@@ -137,9 +136,7 @@
 
 fn step<'a, 'b>(node: &'b Value<'a>, part: &str) -> Option<(&'b Value<'a>, usize)> {
     match node {
-        Value::Object(object) => object
-            .get(part)
-            .map(|prop| (&prop.value, prop.range.start)),
+        Value::Object(object) => object.get(part).map(|prop| (&prop.value, prop.range.start)),
         Value::Array(array) => {
             let value = array.elements.get(part.parse::<usize>().ok()?)?;
             Some((value, value.range().start))
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -1,1 +1,5 @@
 //! Steering: look-up answers, plans and contingencies.
+
+mod lookup;
+
+pub use lookup::{Candidate, Origin, order};
--- /dev/null
+++ b/crates/steer/src/lookup.rs
@@ -0,0 +1,76 @@
+//! The order in which a caller tries entry instances.
+
+use base::{DomainId, InstanceId, RegionId};
+
+/// Tells where a caller is, as far as it is known.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Origin {
+    /// Nearest failure domain.
+    pub domain: Option<DomainId>,
+    /// Nearest region.
+    pub region: Option<RegionId>,
+}
+
+/// Describes an instance that can be answered with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Name of the instance.
+    pub instance: &'a InstanceId,
+    /// Failure domain in which it runs.
+    pub domain: &'a DomainId,
+    /// Region of that domain.
+    pub region: &'a RegionId,
+}
+
+/// Returns the indices of `candidates` in the order in which a caller at `origin` should try them.
+///
+/// Instances of the caller's failure domain come first, then those of its region, then the others;
+/// within each group `seed` decides, so that callers spread evenly.
+///
+/// # Examples
+///
+/// ```
+/// use steer::{Candidate, Origin, order};
+///
+/// let (a, b) = ("a".into(), "b".into());
+/// let (north, south) = ("north".into(), "south".into());
+/// let region = "r".into();
+/// let candidates = [
+///     Candidate { instance: &a, domain: &north, region: &region },
+///     Candidate { instance: &b, domain: &south, region: &region },
+/// ];
+/// let origin = Origin { domain: Some("south".into()), region: None };
+/// assert_eq!(order(&candidates, &origin, 7), [1, 0]);
+/// ```
+pub fn order(candidates: &[Candidate<'_>], origin: &Origin, seed: u64) -> Vec<usize> {
+    let region = origin.region.as_ref().or_else(|| {
+        candidates
+            .iter()
+            .find(|candidate| origin.domain.as_ref() == Some(candidate.domain))
+            .map(|candidate| candidate.region)
+    });
+    let mut keyed: Vec<(u8, u64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .map(|(idx, candidate)| {
+            let distance = if origin.domain.as_ref() == Some(candidate.domain) {
+                0
+            } else if region == Some(candidate.region) {
+                1
+            } else {
+                2
+            };
+            (distance, mix(seed, idx as u64), idx)
+        })
+        .collect();
+    keyed.sort_unstable();
+    keyed.into_iter().map(|(_, _, idx)| idx).collect()
+}
+
+/// Mixes two numbers into one whose order looks random (the finalizer of SplitMix64).
+fn mix(seed: u64, value: u64) -> u64 {
+    let mut mixed = seed ^ value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/survey/src/generate.rs
+++ b/crates/survey/src/generate.rs
@@ -1,6 +1,8 @@
 //! Generation of the configuration.
 
-use base::{Config, Domain, Links, Service, Target, Workspace};
+use std::collections::BTreeMap;
+
+use base::{Config, Domain, Drains, Links, Service, Target, Workspace};
 
 use crate::{Answers, ServiceAnswer};
 
@@ -41,7 +43,8 @@
                 (name.as_str().into(), workspace)
             })
             .collect(),
-        keys: Default::default(),
+        keys: BTreeMap::new(),
+        drains: Drains::default(),
     }
 }
 
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,53 @@
+//! Sealed frames over TCP, each behind its length.
+
+use std::io;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Largest frame over TCP, in bytes.
+pub const MOST_STREAM_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Writes one frame.
+///
+/// # Errors
+///
+/// [`io::Error`] where the frame is too large or the connection fails.
+pub async fn write<W>(writer: &mut W, frame: &[u8]) -> io::Result<()>
+where
+    W: AsyncWrite + Unpin,
+{
+    let len = u32::try_from(frame.len()).unwrap_or(u32::MAX);
+    if len > MOST_STREAM_BYTES {
+        return Err(io::ErrorKind::InvalidInput.into());
+    }
+    writer.write_u32(len).await?;
+    writer.write_all(frame).await?;
+    writer.flush().await
+}
+
+/// Reads one frame; `None` where the connection ended between frames.
+///
+/// # Errors
+///
+/// [`io::Error`] where the frame is too large or the connection fails within it.
+pub async fn read<R>(reader: &mut R) -> io::Result<Option<Vec<u8>>>
+where
+    R: AsyncRead + Unpin,
+{
+    let len = match reader.read_u32().await {
+        Ok(len) => len,
+        Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
+        Err(err) => return Err(err),
+    };
+    if len > MOST_STREAM_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut frame = Vec::new();
+    let mut limited = reader.take(u64::from(len));
+    limited.read_to_end(&mut frame).await?;
+    if frame.len() == len as usize {
+        Ok(Some(frame))
+    } else {
+        Err(io::ErrorKind::UnexpectedEof.into())
+    }
+}
