--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,229 @@
+//! The definition of the command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  a file can't be read or written
+  2  wrong usage
+  3  the answers have faults
+  4  conflict: another operator's change came first; nothing was written
+  5  the platform can't be reached
+  6  written, but not in force everywhere in time
+  7  the instance can't be reached
+  8  the request makes no sense for the present configuration";
+
+/// Returns the definition of the command line.
+pub fn command() -> Command {
+    Command::new("godwitgauge")
+        .about("Operates a godwitgauge deployment")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .global(true)
+                .value_name("FORM")
+                .help("How to print results")
+                .value_parser(["text", "json"])
+                .default_value("text"),
+        )
+        .arg(addr(
+            "platform",
+            "127.0.0.1:8480",
+            "Address of the platform's service",
+        ))
+        .arg(addr(
+            "operator",
+            "127.0.0.1:8471",
+            "Address of any instance's listener for operators",
+        ))
+        .arg(
+            Arg::new("by")
+                .long("by")
+                .global(true)
+                .value_name("NAME")
+                .help("Who makes the change, for the history")
+                .default_value("operator"),
+        )
+        .subcommand(init())
+        .subcommand(plan())
+        .subcommand(apply())
+        .subcommand(key())
+        .subcommand(drain())
+        .subcommand(Command::new("status").about("Show instances, targets and red flags"))
+        .subcommand(Command::new("history").about("List the configuration's versions"))
+        .subcommand(revert())
+        .subcommand(explain())
+        .subcommand(completions())
+        .subcommand(Command::new("man").about("Print the manual page"))
+}
+
+fn init() -> Command {
+    Command::new("init")
+        .about("Answer the questionnaire")
+        .arg(
+            Arg::new("from")
+                .long("from")
+                .value_name("FILE")
+                .help("Take the answers from a file in JSON with comments instead of asking")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_name("FILE")
+                .help("Where to write the answers")
+                .default_value("answers.json")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn plan() -> Command {
+    Command::new("plan")
+        .about("Show what an apply would change")
+        .arg(answers())
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Generate the configuration from answers and put it in force")
+        .arg(answers())
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .help("Fail with a conflict where this is not the latest version")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(wait())
+}
+
+fn key() -> Command {
+    let id = Arg::new("id")
+        .required(true)
+        .value_name("ID")
+        .help("Public name of the key");
+    Command::new("key")
+        .about("Issue, withdraw and list keys")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("issue")
+                .about("Issue a key and print it once")
+                .arg(id.clone())
+                .arg(
+                    Arg::new("workspace")
+                        .long("workspace")
+                        .required(true)
+                        .value_name("NAME")
+                        .help("Workspace that the key is for"),
+                )
+                .arg(wait()),
+        )
+        .subcommand(
+            Command::new("withdraw")
+                .about("Withdraw a key")
+                .arg(id)
+                .arg(wait()),
+        )
+        .subcommand(Command::new("list").about("List the keys' public names"))
+}
+
+fn drain() -> Command {
+    Command::new("drain")
+        .about("Take something out of service, or put it back")
+        .arg(
+            Arg::new("kind")
+                .required(true)
+                .value_parser(["target", "instance", "domain", "region"])
+                .help("What to drain"),
+        )
+        .arg(Arg::new("name").required(true).help("Its name"))
+        .arg(
+            Arg::new("undo")
+                .long("undo")
+                .action(ArgAction::SetTrue)
+                .help("Put it back into service"),
+        )
+        .arg(wait())
+}
+
+fn revert() -> Command {
+    Command::new("revert")
+        .about("Write a new version with the content of an old one")
+        .arg(
+            Arg::new("version")
+                .required(true)
+                .value_parser(value_parser!(u64))
+                .help("Version whose content to use"),
+        )
+        .arg(
+            Arg::new("with-keys")
+                .long("with-keys")
+                .action(ArgAction::SetTrue)
+                .help("Bring back the old version's keys too, also ones withdrawn since"),
+        )
+        .arg(wait())
+}
+
+fn explain() -> Command {
+    let name = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .required(true)
+            .value_name("NAME")
+            .help(help)
+    };
+    Command::new("explain")
+        .about("Tell why a request would be served or refused")
+        .arg(name("workspace", "Workspace of the request"))
+        .arg(name("service", "Service of the request"))
+        .arg(
+            Arg::new("origin")
+                .long("origin")
+                .value_name("DOMAIN")
+                .help("Failure domain that the caller is nearest to"),
+        )
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Print shell completions")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(clap_complete::Shell)),
+        )
+}
+
+fn answers() -> Arg {
+    Arg::new("answers")
+        .required(true)
+        .value_name("FILE")
+        .help("Answers in JSON with comments")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn wait() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .value_name("SECONDS")
+        .help("How long to wait until the version is in force; 0 does not wait")
+        .default_value("15")
+        .value_parser(value_parser!(u64))
+}
+
+fn addr(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .global(true)
+        .value_name("ADDR")
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(SocketAddr))
+}
--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,8 @@
+//! What the command line shows: help, faults and generated configurations.
+
+#[test]
+fn command_sessions() {
+    trycmd::TestCases::new()
+        .register_bin("godwitgauge", proof::process::program("godwitgauge"))
+        .case("tests/sessions/*.trycmd");
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,6 @@
+//! Starts whole deployments as separate processes for tests of sessions and failures.
+
+pub mod caller;
+pub mod deployment;
+pub mod process;
+pub mod transcript;
--- /dev/null
+++ b/crates/proof/tests/session.rs
@@ -0,0 +1,188 @@
+//! The whole path as one session of separate processes.
+
+use std::time::Duration;
+
+use proof::{
+    caller::{Answer, Ask, Caller},
+    deployment::{Deployment, Plan},
+    transcript::Transcript,
+};
+use tokio::time::{Instant, sleep};
+
+fn shown(answer: &Answer) -> String {
+    let mut body = answer.body.clone();
+    if let Some(headers) = body.get_mut("headers").and_then(|all| all.as_object_mut()) {
+        for name in ["host", "traceparent", "request-deadline-ms"] {
+            if headers.contains_key(name) {
+                headers.insert(name.to_owned(), "(varies)".into());
+            }
+        }
+    }
+    if body.get("target").is_some() {
+        body["target"] = "(any)".into();
+    }
+    format!("{} {body}", answer.status)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn session_whole_path() {
+    let mut deployment = Deployment::start(&Plan::default()).await;
+    let mut transcript = Transcript::default();
+    let answers = deployment.answers().to_string_lossy().into_owned();
+    deployment.settle_unconfigured().await;
+
+    transcript.step("plan and apply");
+    transcript.show(&first_line(&deployment.operate(&["plan", &answers]).0));
+    transcript.show(&without_waiting(
+        &deployment.operate(&["apply", &answers]).0,
+    ));
+    deployment.settle().await;
+
+    transcript.step("issue a key");
+    let args = [
+        "--output",
+        "json",
+        "key",
+        "issue",
+        "k1",
+        "--workspace",
+        "club",
+    ];
+    let (text, _) = deployment.operate(&args);
+    let issued: serde_json::Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
+    let key = issued["key"].as_str().unwrap().to_owned();
+    transcript.replace(&key, "(key)");
+    transcript.show(&without_waiting(&text));
+
+    transcript.step("look up");
+    let first = deployment.instances["i1"].entry;
+    let mut caller = Caller::connect(first).await;
+    let lookup = caller
+        .send(&Ask::get("/v1/lookup?service=logbook&domain=costa-norte"))
+        .await;
+    let order: Vec<&str> = lookup.body["entries"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|entry| entry["domain"].as_str().unwrap())
+        .collect();
+    transcript.show(&format!(
+        "{} ttl_ms {} first {} of {}",
+        lookup.status,
+        lookup.body["ttl_ms"],
+        order[0],
+        order.len()
+    ));
+
+    transcript.step("a request with its key, without one, with a wrong one");
+    let ask = Ask::get("/logbook/climbs?grade=7a").key(&key);
+    transcript.show(&shown(&caller.send(&ask).await));
+    transcript.show(&shown(&caller.send(&Ask::get("/logbook/climbs")).await));
+    transcript.show(&shown(
+        &caller.send(&Ask::get("/logbook/climbs").key("wrong")).await,
+    ));
+
+    transcript.step("an action and its repeat through another instance");
+    let home = lookup.body["entries"][0]["home"].as_str().unwrap();
+    let action = format!("{home}send-1");
+    let post = Ask::post("/logbook/ascents")
+        .key(&key)
+        .header("idempotency-key", &action)
+        .body("7a on-sight");
+    let one = caller.send(&post).await;
+    let mut other = Caller::connect(deployment.instances["i3"].entry).await;
+    let two = other.send(&post).await;
+    transcript.show(&format!(
+        "{} then {}, same answer: {}",
+        one.status,
+        two.status,
+        one.body == two.body
+    ));
+    assert_eq!(runs(&deployment, &action).await, 1);
+
+    transcript.step("withdraw the key while the connection stays open");
+    transcript.show(&without_waiting(
+        &deployment.operate(&["key", "withdraw", "k1"]).0,
+    ));
+    transcript.show(&shown(&caller.send(&ask).await));
+    transcript.show(&shown(&other.send(&ask).await));
+
+    transcript.step("a target leaves");
+    let (text, _) = deployment.operate(&[
+        "--output",
+        "json",
+        "key",
+        "issue",
+        "k2",
+        "--workspace",
+        "club",
+    ]);
+    let issued: serde_json::Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
+    let key = issued["key"].as_str().unwrap().to_owned();
+    let leaving = deployment.targets["logbook-sierra-norte-1"].addr;
+    Caller::connect(leaving)
+        .await
+        .send(&Ask::post("/admin/leave"))
+        .await;
+    sleep(Duration::from_secs(3)).await;
+    let ask = Ask::get("/logbook/climbs").key(&key);
+    let mut served_by_leaving = 0;
+    for _ in 0..50 {
+        let answer = caller.send(&ask).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        served_by_leaving += u32::from(answer.body["target"] == "logbook-sierra-norte-1");
+    }
+    transcript.show(&format!(
+        "new requests on it after 3 s: {served_by_leaving}"
+    ));
+
+    transcript.step("an instance stops and cuts nothing");
+    let entry = deployment.instances["i3"].entry;
+    let slow = Ask::get("/logbook/climbs")
+        .key(&key)
+        .header("work-ms", "1500");
+    let under_way = tokio::spawn(async move { other.send(&slow).await });
+    sleep(Duration::from_millis(200)).await;
+    deployment.instances["i3"].process.signal("TERM");
+    let until = Instant::now() + Duration::from_millis(400);
+    while Instant::now() < until {
+        let answer = Caller::connect(entry).await.send(&ask).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    transcript.show(&format!(
+        "request under way: {}",
+        under_way.await.unwrap().status
+    ));
+    let stopped = deployment.instances.get_mut("i3").unwrap();
+    transcript.show(&format!("ended well: {}", stopped.process.wait()));
+    let lookup = caller.send(&Ask::get("/v1/lookup?service=logbook")).await;
+    let count = lookup.body["entries"].as_array().unwrap().len();
+    transcript.show(&format!("instances in look-ups: {count}"));
+
+    transcript.step("history");
+    transcript.show(&deployment.operate(&["history"]).0);
+    insta::assert_snapshot!(transcript.into_text());
+}
+
+fn first_line(text: &str) -> String {
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+fn without_waiting(text: &str) -> String {
+    text.lines()
+        .filter(|line| !line.contains("waiting"))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+async fn runs(deployment: &Deployment, action: &str) -> u64 {
+    let mut total = 0;
+    for target in deployment.targets.values() {
+        let answer = Caller::connect(target.addr)
+            .await
+            .send(&Ask::get("/admin/runs"))
+            .await;
+        total += answer.body["by_key"][action].as_u64().unwrap_or(0);
+    }
+    total
+}
--- /dev/null
+++ b/crates/standin/tests/target.rs
@@ -0,0 +1,43 @@
+//! The contract of the stand-in target.
+
+use std::{net::SocketAddr, time::Duration};
+
+use proof::caller::{Ask, Caller};
+use standin::{
+    listen::listen,
+    target::{TargetOptions, TargetServer},
+};
+
+async fn target(slots: u32) -> (TargetServer, SocketAddr) {
+    let options = TargetOptions {
+        slots,
+        work: Duration::from_millis(100),
+        ..TargetOptions::default()
+    };
+    let server = TargetServer::spawn(options);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (addr, _) = listen(any, server.clone().into_router()).await.unwrap();
+    (server, addr)
+}
+
+#[tokio::test]
+async fn target_refuses_over_slots() {
+    let (server, addr) = target(1).await;
+    let mut one = Caller::connect(addr).await;
+    let mut two = Caller::connect(addr).await;
+    let ask = Ask::get("/s/x");
+    let (first, second) = tokio::join!(one.send(&ask), two.send(&ask));
+    let mut statuses = [first.status, second.status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 503]);
+    assert_eq!(server.runs().await.total, 1);
+}
+
+#[tokio::test]
+async fn target_health_shows_leaving() {
+    let (server, addr) = target(2).await;
+    server.set_leaving(true);
+    let health = Caller::connect(addr).await.send(&Ask::get("/health")).await;
+    assert_eq!(health.body["is_leaving"], true);
+    assert_eq!(health.body["slots"], 2);
+}
