fix(coord): keep the fleet's rate under clocks that are fast

Change: rates are divided after lowering them by the drift; lives that two clocks count apart by twice the drift. The daemon lends floors to acting owners (slots and owners in place of leases); an instance takes spare slots and gives them up to one that has none. Conclusion: the limit holds under drift at the cost of 1 % of each rate.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use base::{Config, ErrorKind, Refusal, Time, WorkspaceId};
+use base::{Config, ErrorKind, InstanceId, Refusal, Time, WorkspaceId};
 use coord::{Ask, Borrower, Grant, Holder, Loan, Quota, Split, Verdict};
 
 /// Lists what the admission tells its caller to do.
@@ -16,7 +16,7 @@
     /// Give the request its final answer at once.
     Refuse(u64, Refusal),
     /// Send the ask to the workspace's owner.
-    Ask(WorkspaceId, Ask),
+    Ask(WorkspaceId, Borrower, Ask),
     /// Tell the workspace's owner that floors of this instance are lent to it.
     Lend(WorkspaceId, Borrower, Vec<Loan>),
 }
@@ -164,7 +164,7 @@
             Verdict::Refuse(wait) => actions.push(refuse(id, wait)),
             Verdict::Wait => {}
         }
-        actions.extend(gate.ask(now).map(|ask| Action::Ask(workspace.clone(), ask)));
+        actions.extend(gate.ask_action(now, workspace));
         actions
     }
 
@@ -180,7 +180,7 @@
         if gate.holder.is_refused(now) {
             actions.extend(gate.refuse_counted(now));
         }
-        actions.extend(gate.ask(now).map(|ask| Action::Ask(workspace.clone(), ask)));
+        actions.extend(gate.ask_action(now, workspace));
         actions
     }
 
@@ -193,7 +193,7 @@
                 actions.extend(gate.refuse_late(now));
             }
             if !gate.waiting.is_empty() || gate.holder.wake_at().is_some_and(|at| at <= now) {
-                actions.extend(gate.ask(now).map(|ask| Action::Ask(workspace.clone(), ask)));
+                actions.extend(gate.ask_action(now, workspace));
             }
         }
         actions
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Returns the instance that can be asked for each workspace that has an owner.
+    pub fn owners(&self) -> BTreeMap<WorkspaceId, InstanceId> {
+        self.gates
+            .iter()
+            .filter_map(|(id, gate)| Some((id.clone(), gate.holder.owner()?.instance.clone())))
+            .collect()
+    }
+
     /// Returns the units that each workspace can take here now.
     pub fn available(&mut self, now: Time) -> BTreeMap<WorkspaceId, f64> {
         self.gates
@@ -233,6 +241,12 @@
         Verdict::Wait
     }
 
+    fn ask_action(&mut self, now: Time, workspace: &WorkspaceId) -> Option<Action> {
+        let owner = self.holder.owner()?.clone();
+        let ask = self.ask(now)?;
+        Some(Action::Ask(workspace.clone(), owner, ask))
+    }
+
     fn ask(&mut self, now: Time) -> Option<Ask> {
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         let ask = self.holder.ask(now, waiting)?;
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -16,14 +16,15 @@
 
 /// Divides a quota into equal floors, one a slot, and a part for one owner.
 ///
-/// The floors and the owned part always sum to the whole, however many slots are held.
+/// The floors and the owned part always sum to no more than the whole, however many slots are
+/// held. Rates are lower by the drift, so that a fast clock does not pass the whole's rate.
 ///
 /// # Examples
 ///
 /// ```
 /// use coord::{Quota, Split};
 ///
-/// let split = Split { floor_share: 0.2, slots: 10, ..Split::default() };
+/// let split = Split { floor_share: 0.2, slots: 10, drift: 0.0, ..Split::default() };
 /// let whole = Quota { rate: 100.0, burst: 50.0 };
 /// assert_eq!(split.floor(whole), Quota { rate: 2.0, burst: 1.0 });
 /// assert_eq!(split.owned(whole), Quota { rate: 80.0, burst: 40.0 });
@@ -38,7 +39,7 @@
     pub grant_life: Duration,
     /// How long a floor is lent to the owner.
     pub loan_life: Duration,
-    /// Most by which two clocks' rates differ, as a fraction.
+    /// Most by which a clock's rate is off, as a fraction.
     pub drift: f64,
 }
 
@@ -49,7 +50,7 @@
             slots: 10,
             grant_life: Duration::from_secs(1),
             loan_life: Duration::from_secs(3),
-            drift: 0.02,
+            drift: 0.01,
         }
     }
 }
@@ -64,7 +65,7 @@
     pub fn floor(&self, whole: Quota) -> Quota {
         let slots = f64::from(self.slots.max(1));
         let floor = Quota {
-            rate: whole.rate * self.floor_share / slots,
+            rate: self.slowed(whole.rate) * self.floor_share / slots,
             burst: whole.burst * self.floor_share / slots,
         };
         if self.floor_share >= 1.0 || floor.burst >= 1.0 {
@@ -86,7 +87,7 @@
         let floor = self.floor(whole);
         let slots = f64::from(self.slots.max(1));
         Quota {
-            rate: (whole.rate - slots * floor.rate).max(0.0),
+            rate: (self.slowed(whole.rate) - slots * floor.rate).max(0.0),
             burst: (whole.burst - slots * floor.burst).max(0.0),
         }
     }
@@ -94,23 +95,28 @@
     /// Returns how long a lender leaves its floor alone, counted from when it lent it: the loan, and
     /// the grants that the owner may have made from it.
     pub(crate) fn lender_pause(&self) -> Duration {
-        self.loan_life.mul_f64(1.0 + self.drift) + self.owner_life()
+        self.loan_life.mul_f64(1.0 + 2.0 * self.drift) + self.owner_life()
     }
 
     /// Returns how long the owner counts on a loan, from a time that is no later than when it was
     /// made.
     pub fn borrower_life(&self) -> Duration {
-        self.loan_life.mul_f64(1.0 - self.drift)
+        self.loan_life.mul_f64(1.0 - 2.0 * self.drift)
     }
 
     /// Returns the grants' life as their holder counts it.
     pub(crate) fn holder_life(&self) -> Duration {
-        self.grant_life.mul_f64(1.0 - self.drift)
+        self.grant_life.mul_f64(1.0 - 2.0 * self.drift)
     }
 
     /// Returns the grants' life as their owner counts it.
     pub fn owner_life(&self) -> Duration {
-        self.grant_life.mul_f64(1.0 + self.drift)
+        self.grant_life.mul_f64(1.0 + 2.0 * self.drift)
+    }
+
+    /// Returns a rate that a clock which is fast by the drift turns into `rate` at most.
+    fn slowed(&self, rate: f64) -> f64 {
+        rate * (1.0 - self.drift)
     }
 }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use base::{DomainId, Incarnation, InstanceId, WorkspaceId};
+use coord::rank;
 
 /// Shows all known instances but this one.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -34,8 +35,12 @@
     pub is_listed: bool,
     /// Whether it is proved to have ended.
     pub is_gone: bool,
-    /// Workspaces that it says it owns, with the epochs.
+    /// Workspaces that it acts as owner of, with the epochs.
     pub owns: Vec<(WorkspaceId, u64)>,
+    /// Number of floor slots that it holds; `None` before the first heartbeat.
+    pub slots: Option<u32>,
+    /// Number of its last heartbeat.
+    pub beat: u64,
 }
 
 impl Fleet {
@@ -52,20 +57,34 @@
         (known, heard.count())
     }
 
-    /// Returns the heard instance that owns a workspace in the latest epoch.
+    /// Returns the heard instances that act as owner of a workspace.
+    pub fn claimants(&self, workspace: &WorkspaceId) -> Vec<&InstanceId> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.is_heard && !member.is_leaving)
+            .filter(|(_, member)| member.owns.iter().any(|(owned, _)| owned == workspace))
+            .map(|(id, _)| id)
+            .collect()
+    }
+
+    /// Returns the heard instance that should be asked for a workspace's units, and its epoch.
     pub fn owner(&self, workspace: &WorkspaceId) -> Option<(&InstanceId, u64)> {
+        let claimants = self.claimants(workspace);
+        let first = claimants
+            .iter()
+            .copied()
+            .find(|id| rank(workspace.as_str(), claimants.iter().copied(), id) == Some(0))?;
+        let owns = &self.members.get(first)?.owns;
+        let (_, epoch) = owns.iter().find(|(owned, _)| owned == workspace)?;
+        Some((first, *epoch))
+    }
+
+    /// Returns the heard instances that hold no floor slot.
+    pub fn wanting(&self) -> impl Iterator<Item = &InstanceId> {
         self.members
             .iter()
-            .filter(|(_, member)| member.is_heard)
-            .flat_map(|(id, member)| {
-                member
-                    .owns
-                    .iter()
-                    .map(move |(name, epoch)| (name, id, epoch))
-            })
-            .filter(|(name, _, _)| *name == workspace)
-            .max_by_key(|(_, _, epoch)| **epoch)
-            .map(|(_, id, epoch)| (id, *epoch))
+            .filter(|(_, member)| member.is_heard && !member.is_leaving && member.slots == Some(0))
+            .map(|(id, _)| id)
     }
 
     /// Returns the instances that take part in the placement of leases, `me` among them.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,13 +3,14 @@
 pub mod dev;
 pub mod fleet;
 pub mod follower;
-pub mod leases;
 pub mod ledger;
 pub mod lister;
 pub mod logs;
 pub mod message;
 pub mod node;
 pub mod operator;
+pub mod owners;
 pub mod peers;
 pub mod probes;
 pub mod rpc;
+pub mod slots;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use base::{Incarnation, InstanceId, Time, WorkspaceId};
-use coord::{Ask, Grant, Head, Heartbeat, ListEntry};
+use base::{InstanceId, Time, WorkspaceId};
+use coord::{Ask, Grant, Head, Heartbeat, ListEntry, Loan};
 use serde::{Deserialize, Serialize};
 
 /// Goes between instances over UDP.
@@ -15,6 +15,19 @@
     Ask(WorkspaceId, Ask),
     /// Answers an ask.
     Grant(WorkspaceId, Grant),
+    /// Lends floors to the receiver.
+    Lend {
+        /// Workspace of the floors.
+        workspace: WorkspaceId,
+        /// Tenure that they are lent to.
+        epoch: u64,
+        /// The loans.
+        loans: Vec<Loan>,
+        /// Number of the receiver's heartbeat that the sender had heard before it lent them.
+        echo: u64,
+    },
+    /// The sender has stopped using what was lent to this tenure of its.
+    Return(WorkspaceId, u64),
 }
 
 /// Tells that an instance lives and what it knows.
@@ -33,8 +46,10 @@
     pub entry: SocketAddr,
     /// Configuration that is in force on it.
     pub head: Option<Head>,
-    /// Workspaces that it owns, with the epochs.
+    /// Workspaces that it acts as owner of, with the epochs.
     pub owns: Vec<(WorkspaceId, u64)>,
+    /// Number of floor slots that it holds.
+    pub slots: u32,
     /// Requests that it bars, with milliseconds.
     pub bars: Vec<(u64, u64)>,
 }
@@ -53,8 +68,10 @@
         /// Time at which it was known to be the latest.
         confirmed_at: Option<Time>,
     },
-    /// The workspaces that this instance owns, with the epochs.
+    /// The workspaces that this instance acts as owner of, with the epochs.
     Owns(Vec<(WorkspaceId, u64)>),
+    /// The number of floor slots that this instance holds.
+    Slots(u32),
     /// Requests that this instance bars, with milliseconds.
     Bars(Vec<(u64, u64)>),
     /// This instance is leaving.
@@ -70,24 +87,6 @@
     pub addr: SocketAddr,
 }
 
-/// Tells the leases' task what happened.
-#[derive(Debug)]
-pub enum LeaseMessage {
-    /// An instance asks for units.
-    Ask {
-        /// Instance that asks.
-        from: InstanceId,
-        /// Life of that instance.
-        life: Incarnation,
-        /// Workspace whose units it wants.
-        workspace: WorkspaceId,
-        /// The ask.
-        ask: Ask,
-    },
-    /// This instance is leaving: give everything up, then report.
-    Release(tokio::sync::oneshot::Sender<()>),
-}
-
 /// Tells the configuration's task what another instance knows.
 #[derive(Debug)]
 pub enum FollowerMessage {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -31,13 +31,14 @@
 use crate::{
     fleet::Fleet,
     follower::{self, Follower, FollowerOptions},
-    leases::{Leases, LeasesOptions},
     ledger::{Ledgers, LedgersOptions},
     lister,
-    message::{FollowerMessage, LeaseMessage, PeerCommand},
+    message::{FollowerMessage, PeerCommand},
     operator::Operator,
+    owners::{Owners, OwnersMessage, OwnersOptions},
     peers::{self, Peers},
     probes, rpc,
+    slots::{Slots, SlotsOptions},
 };
 
 /// Time for which the list may lag, after which an absent instance has ended.
@@ -83,7 +84,8 @@
     engine: mpsc::UnboundedSender<Event>,
     peers: mpsc::Sender<PeerCommand>,
     follower: mpsc::Sender<FollowerMessage>,
-    leases: mpsc::Sender<LeaseMessage>,
+    owners: mpsc::Sender<OwnersMessage>,
+    slots: mpsc::Sender<oneshot::Sender<()>>,
     view: watch::Receiver<Arc<View>>,
 }
 
@@ -103,14 +105,16 @@
         .wrap_err_with(|| format!("peer: {}", cfg.peer))?;
     let peer = udp.local_addr().wrap_err("peer")?;
     let split = Split {
+        floor_share: 1.0,
         slots: cfg.slot_count,
         ..Split::default()
     };
 
     let (engine_tx, engine_rx) = mpsc::unbounded_channel();
-    let (asks_tx, asks_rx) = mpsc::unbounded_channel();
+    let (outgoing_tx, outgoing_rx) = mpsc::unbounded_channel();
     let (peers_tx, peers_rx) = mpsc::channel(CHANNEL);
-    let (leases_tx, leases_rx) = mpsc::channel(CHANNEL);
+    let (owners_tx, owners_rx) = mpsc::channel(CHANNEL);
+    let (slots_tx, slots_rx) = mpsc::channel(1);
     let (follower_tx, follower_rx) = mpsc::channel(CHANNEL);
     let (ledger_tx, ledger_rx) = mpsc::channel(CHANNEL);
     let (incoming_tx, incoming_rx) = mpsc::channel(CHANNEL);
@@ -127,7 +131,7 @@
             policy: Policy::default(),
             refuses_alone: cfg.alone == Alone::Refuse,
         },
-        asks_tx,
+        outgoing_tx,
     )
     .wrap_err("engine")?;
     tokio::spawn(engine.run(engine_rx));
@@ -167,7 +171,7 @@
         peers::first_beat(heartbeat, callers.addr),
         peers::Outlets {
             engine: engine_tx.clone(),
-            leases: leases_tx.clone(),
+            owners: owners_tx.clone(),
             follower: follower_tx.clone(),
             fleet: fleet_tx,
         },
@@ -198,22 +202,33 @@
     );
     tokio::spawn(follower.run(follower_rx));
 
-    let (leases, inbox) = Leases::new(LeasesOptions {
+    let slots = Slots::new(SlotsOptions {
         clock,
         chart: lease_chart().wrap_err("lease")?,
         me: me.clone(),
         life,
         terms: options.terms,
-        split,
+        count: cfg.slot_count,
         trusts_absence: cfg.takeover == Takeover::Absence,
         platform: platform.clone(),
         metrics: metrics.clone(),
+        fleet: fleet_rx.clone(),
+        engine: engine_tx.clone(),
+        peers: peers_tx.clone(),
+    });
+    tokio::spawn(slots.run(slots_rx));
+
+    let owners = Owners::new(OwnersOptions {
+        clock,
+        me: me.clone(),
+        life,
+        split,
         view: view_rx.clone(),
         fleet: fleet_rx.clone(),
         engine: engine_tx.clone(),
         peers: peers_tx.clone(),
     });
-    tokio::spawn(leases.run(inbox, leases_rx, asks_rx));
+    tokio::spawn(owners.run(owners_rx, outgoing_rx));
 
     let ledgers = Ledgers::new(LedgersOptions {
         clock,
@@ -250,7 +265,8 @@
         engine: engine_tx,
         peers: peers_tx,
         follower: follower_tx,
-        leases: leases_tx,
+        owners: owners_tx,
+        slots: slots_tx,
         view: view_rx,
     })
 }
@@ -271,10 +287,14 @@
         let _ = self.peers.send(PeerCommand::Leave).await;
         let _ = self.follower.send(FollowerMessage::Leave).await;
         let _ = self.engine.send(Event::Leave);
+        let (done, released) = oneshot::channel();
+        if self.owners.send(OwnersMessage::Release(done)).await.is_ok() {
+            let _ = released.await;
+        }
         sleep(self.lookup_ttl).await;
         self.callers.stop(LONGEST_STOP).await;
         let (done, released) = oneshot::channel();
-        if self.leases.send(LeaseMessage::Release(done)).await.is_ok() {
+        if self.slots.send(done).await.is_ok() {
             let _ = released.await;
         }
         self.operators.stop(Duration::from_secs(1)).await;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -134,7 +134,7 @@
             requests: engine.requests,
             instances: instances(&fleet),
             targets: targets(&engine),
-            workspaces: self.workspaces(&fleet, &engine),
+            workspaces: workspaces(&engine),
             barred: engine
                 .barred
                 .iter()
@@ -143,24 +143,6 @@
         })
     }
 
-    fn workspaces(
-        &self,
-        fleet: &Fleet,
-        engine: &EngineStatus,
-    ) -> BTreeMap<WorkspaceId, WorkspaceStatus> {
-        engine
-            .available
-            .iter()
-            .map(|(workspace, available)| {
-                let shown = WorkspaceStatus {
-                    owner: fleet.owner(workspace).map(|(id, _)| id.clone()),
-                    available: (available * 10.0).round() / 10.0,
-                };
-                (workspace.clone(), shown)
-            })
-            .collect()
-    }
-
     async fn explain(&self, req: &Request) -> Option<Explanation> {
         let status = self.status().await?;
         let view = self.view.borrow().clone();
@@ -270,6 +252,20 @@
         .collect()
 }
 
+fn workspaces(engine: &EngineStatus) -> BTreeMap<WorkspaceId, WorkspaceStatus> {
+    engine
+        .available
+        .iter()
+        .map(|(workspace, available)| {
+            let shown = WorkspaceStatus {
+                owner: engine.owners.get(workspace).cloned(),
+                available: (available * 10.0).round() / 10.0,
+            };
+            (workspace.clone(), shown)
+        })
+        .collect()
+}
+
 fn targets(engine: &EngineStatus) -> BTreeMap<String, TargetStatus> {
     engine
         .targets
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,8 +7,8 @@
     time::Duration,
 };
 
-use base::{InstanceId, TargetId, Time, WorkspaceId};
-use coord::{Head, Heartbeat, ListEntry, Presence, Roster};
+use base::{InstanceId, TargetId, Time};
+use coord::{Borrower, Head, Heartbeat, ListEntry, Presence, Roster};
 use entry::{message::Event, view::Clock};
 use tokio::{
     net::UdpSocket,
@@ -19,7 +19,8 @@
 
 use crate::{
     fleet::{Fleet, FleetMember},
-    message::{Beat, FollowerMessage, LeaseMessage, PeerCommand, PeerMessage},
+    message::{Beat, FollowerMessage, PeerCommand, PeerMessage},
+    owners::OwnersMessage,
 };
 
 /// Time between heartbeats.
@@ -33,8 +34,8 @@
 pub struct Outlets {
     /// The engine.
     pub engine: mpsc::UnboundedSender<Event>,
-    /// The leases.
-    pub leases: mpsc::Sender<LeaseMessage>,
+    /// The owners.
+    pub owners: mpsc::Sender<OwnersMessage>,
     /// The configuration.
     pub follower: mpsc::Sender<FollowerMessage>,
     /// What is known of the other instances.
@@ -133,6 +134,7 @@
                 self.own.owns = owns;
                 self.beat().await;
             }
+            PeerCommand::Slots(slots) => self.own.slots = slots,
             PeerCommand::Bars(bars) => self.own.bars = bars,
             PeerCommand::Leave => {
                 self.own.heartbeat.is_leaving = true;
@@ -159,18 +161,44 @@
         match opened.message {
             PeerMessage::Beat(beat) => self.heard(&opened.from, beat).await,
             PeerMessage::Ask(workspace, ask) => {
-                let message = LeaseMessage::Ask {
+                let message = OwnersMessage::Ask {
                     from: opened.from,
                     life: opened.life,
                     workspace,
                     ask,
                 };
                 // A lost ask is repeated by its sender.
-                let _ = self.outlets.leases.try_send(message);
+                let _ = self.outlets.owners.try_send(message);
             }
             PeerMessage::Grant(workspace, grant) => {
                 let _ = self.outlets.engine.send(Event::Granted(workspace, grant));
             }
+            PeerMessage::Lend {
+                workspace,
+                epoch,
+                loans,
+                echo,
+            } => {
+                let Some(dated) = self.sent_at(echo) else {
+                    return;
+                };
+                let message = OwnersMessage::Lend {
+                    life: opened.life,
+                    workspace,
+                    epoch,
+                    loans,
+                    dated,
+                };
+                // A lost loan ends by itself and is followed by another one.
+                let _ = self.outlets.owners.try_send(message);
+            }
+            PeerMessage::Return(workspace, epoch) => {
+                let owner = Borrower {
+                    instance: opened.from,
+                    epoch,
+                };
+                let _ = self.outlets.engine.send(Event::Returned(workspace, owner));
+            }
         }
     }
 
@@ -189,13 +217,9 @@
                 .collect();
             let _ = self.outlets.engine.send(Event::Bars(bars));
         }
-        let is_news = self.last_beats.get(from).is_none_or(|old| {
-            old.owns != beat.owns || old.heartbeat.version != beat.heartbeat.version
-        });
+        // Published each time: loans are dated by the last heartbeat.
         self.last_beats.insert(from.clone(), beat);
-        if is_news {
-            self.publish();
-        }
+        self.publish();
     }
 
     /// Passes on what the sender knows of the configuration, as of `dated` at the latest.
@@ -285,8 +309,9 @@
                     is_leaving: member.is_leaving,
                     is_listed: member.presence == Presence::Listed,
                     is_gone: self.roster.is_gone(now, id),
-                    owns: beat
-                        .map_or_else(Vec::<(WorkspaceId, u64)>::new, |beat| beat.owns.clone()),
+                    owns: beat.map_or_else(Vec::new, |beat| beat.owns.clone()),
+                    slots: beat.map(|beat| beat.slots),
+                    beat: beat.map_or(0, |beat| beat.number),
                 };
                 (id.clone(), shown)
             })
@@ -318,6 +343,7 @@
         entry,
         head: None::<Head>,
         owns: Vec::new(),
+        slots: 0,
         bars: Vec::new(),
     }
 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     forward::Connection,
-    message::{Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing},
+    message::{Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk},
     view::Clock,
 };
 
@@ -27,6 +27,8 @@
 pub const OPEN_WORKSPACE: &str = "(open)";
 
 const TICK: Duration = Duration::from_millis(10);
+/// Time between loans; several of them can be lost before one has ended.
+const LEND_INTERVAL: Duration = Duration::from_millis(500);
 const IDLE_LIFE: Duration = Duration::from_secs(5);
 const PROVEN_LIFE: Duration = Duration::from_secs(1);
 const EVENTS_AT_ONCE: usize = 256;
@@ -59,7 +61,9 @@
     dispatcher: Dispatcher,
     callers: BTreeMap<RequestId, Caller>,
     idle: BTreeMap<TargetId, VecDeque<Connection>>,
-    asks: mpsc::UnboundedSender<Outgoing>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    echoes: BTreeMap<WorkspaceId, u64>,
+    lent_at: Time,
 }
 
 #[derive(Debug)]
@@ -75,7 +79,7 @@
 }
 
 impl Engine {
-    /// Returns an engine with no configuration; asks to owners go to `asks`.
+    /// Returns an engine with no configuration; what it has to say to owners goes to `outgoing`.
     ///
     /// # Errors
     ///
@@ -83,7 +87,7 @@
     pub fn new(
         clock: Clock,
         options: EngineOptions,
-        asks: mpsc::UnboundedSender<Outgoing>,
+        outgoing: mpsc::UnboundedSender<Outgoing>,
     ) -> Result<Self, ChartError> {
         Ok(Self {
             clock,
@@ -96,7 +100,9 @@
             dispatcher: Dispatcher::new(options.region, options.seed, options.policy)?,
             callers: BTreeMap::new(),
             idle: BTreeMap::new(),
-            asks,
+            outgoing,
+            echoes: BTreeMap::new(),
+            lent_at: Time::ZERO,
         })
     }
 
@@ -150,10 +156,17 @@
                 self.standing = standing;
                 self.standing_until = until;
             }
-            Event::Floors { until, is_first } => {
-                self.admission.hold_floors(now, until, is_first);
+            Event::HoldFloor {
+                slot,
+                until,
+                is_first,
+            } => self.admission.hold_floor(now, slot, until, is_first),
+            Event::DropFloor(slot, done) => {
+                self.admission.drop_floor(slot);
+                let _ = done.send(());
             }
-            Event::Owners(owned) => self.set_owners(&owned),
+            Event::Owners(owners) => self.set_owners(owners),
+            Event::Returned(workspace, owner) => self.admission.returned(now, &workspace, &owner),
             Event::Granted(workspace, grant) => {
                 let actions = self.admission.granted(now, &workspace, &grant);
                 self.apply_admission(now, actions);
@@ -302,13 +315,14 @@
         self.apply(now, actions);
     }
 
-    fn set_owners(&mut self, owned: &[WorkspaceId]) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        for workspace in config.workspaces.keys() {
-            let is_known = owned.contains(workspace);
-            self.admission.set_owner_known(workspace, is_known);
+    fn set_owners(&mut self, owners: Vec<(WorkspaceId, Option<OwnerToAsk>)>) {
+        self.echoes.clear();
+        for (workspace, found) in owners {
+            if let Some(found) = &found {
+                self.echoes.insert(workspace.clone(), found.echo);
+            }
+            let owner = found.map(|found| found.owner);
+            self.admission.set_owner(&workspace, owner);
         }
     }
 
@@ -327,6 +341,11 @@
         let now = self.clock.now();
         let actions = self.admission.tick(now);
         self.apply_admission(now, actions);
+        if now - self.lent_at >= LEND_INTERVAL {
+            self.lent_at = now;
+            let actions = self.admission.lend(now);
+            self.apply_admission(now, actions);
+        }
         let actions = self.dispatcher.tick(now);
         self.apply(now, actions);
         for connections in self.idle.values_mut() {
@@ -344,8 +363,22 @@
             match action {
                 AdmitAction::Admit(id) => self.admitted(now, RequestId(id)),
                 AdmitAction::Refuse(id, refusal) => self.refuse(RequestId(id), refusal),
-                AdmitAction::Ask(workspace, ask) => {
-                    let _ = self.asks.send(Outgoing { workspace, ask });
+                AdmitAction::Ask(workspace, owner, ask) => {
+                    let _ = self.outgoing.send(Outgoing::Ask {
+                        workspace,
+                        owner,
+                        ask,
+                    });
+                }
+                AdmitAction::Lend(workspace, owner, loans) => {
+                    let echo = self.echoes.get(&workspace).copied().unwrap_or(0);
+                    let _ = self.outgoing.send(Outgoing::Lend {
+                        workspace,
+                        owner,
+                        loans,
+                        at: now,
+                        echo,
+                    });
                 }
             }
         }
@@ -422,6 +455,7 @@
             requests: self.callers.len(),
             targets: self.dispatcher.targets(now),
             available: self.admission.available(now),
+            owners: self.admission.owners(),
             barred: self.dispatcher.barred(now),
         }
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, ErrorKind, Refusal, ServiceId, TargetId, Time, WorkspaceId};
-use coord::{Ask, Grant, Standing};
+use base::{Config, ErrorKind, InstanceId, Refusal, ServiceId, TargetId, Time, WorkspaceId};
+use coord::{Ask, Borrower, Grant, Loan, Standing};
 use dispatch::{
     ActionEvent, ActionKey, Assignment, Claim, Outcome, Report, RequestId, Route, SavedAnswer,
     TargetState, WorkKind,
@@ -48,15 +48,21 @@
         /// End of its validity; after that the instance counts as alone.
         until: Time,
     },
-    /// The instance's right to its floors.
-    Floors {
+    /// The instance holds a slot of the workspaces' floors.
+    HoldFloor {
+        /// Number of the slot.
+        slot: u32,
         /// End of the right.
         until: Time,
-        /// Whether nobody has held them before.
+        /// Whether nobody has held it before.
         is_first: bool,
     },
-    /// The workspaces that have an owner to ask.
-    Owners(Vec<WorkspaceId>),
+    /// The instance gives a slot up; the answer tells that its floors are no longer used.
+    DropFloor(u32, oneshot::Sender<()>),
+    /// The owners of all workspaces, where there is one to ask.
+    Owners(Vec<(WorkspaceId, Option<OwnerToAsk>)>),
+    /// An owner has stopped using the floors that were lent to it.
+    Returned(WorkspaceId, Borrower),
     /// An owner answered an ask.
     Granted(WorkspaceId, Grant),
     /// A target's health endpoint answered, or was silent for long.
@@ -131,13 +137,40 @@
     pub workspace: WorkspaceId,
 }
 
-/// Carries an ask from the engine to the task that reaches the owners.
+/// Names the owner of a workspace that can be asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnerToAsk {
+    /// Its tenure.
+    pub owner: Borrower,
+    /// Number of its last heartbeat, by which it dates loans.
+    pub echo: u64,
+}
+
+/// Carries what the engine has to say to owners.
 #[derive(Debug)]
-pub struct Outgoing {
-    /// Workspace whose owner is asked.
-    pub workspace: WorkspaceId,
-    /// The ask.
-    pub ask: Ask,
+pub enum Outgoing {
+    /// Asks for units.
+    Ask {
+        /// Workspace whose units are wanted.
+        workspace: WorkspaceId,
+        /// Owner to ask.
+        owner: Borrower,
+        /// The ask.
+        ask: Ask,
+    },
+    /// Lends floors.
+    Lend {
+        /// Workspace of the floors.
+        workspace: WorkspaceId,
+        /// Owner that they are lent to.
+        owner: Borrower,
+        /// The loans.
+        loans: Vec<Loan>,
+        /// Time at which they were made.
+        at: Time,
+        /// Number of the owner's heartbeat that had been heard before.
+        echo: u64,
+    },
 }
 
 /// Asks the ledger.
@@ -176,6 +209,8 @@
     pub targets: Vec<(TargetId, TargetState, u32, u32)>,
     /// Units of each workspace that can be taken here.
     pub available: BTreeMap<WorkspaceId, f64>,
+    /// Owner of each workspace that has one to ask.
+    pub owners: BTreeMap<WorkspaceId, InstanceId>,
     /// Requests that are barred and for how long.
     pub barred: Vec<(u64, Duration)>,
 }
--- a/crates/proof/src/limits.rs
+++ b/crates/proof/src/limits.rs
@@ -387,7 +387,7 @@
                         u64::from(refused.is_some_and(|(_, is_ideal)| is_ideal));
                 }
                 Action::Lend(..) => {}
-                Action::Ask(_, ask) => {
+                Action::Ask(_, _, ask) => {
                     let incarnation = self.nodes[idx].incarnation;
                     let at = now + self.delay(idx);
                     if !self.is_lost(now, idx) {
@@ -478,10 +478,10 @@
         let old = &self.nodes[idx];
         let incarnation = Incarnation(old.incarnation.0 + 1);
         let mut node = Node::new(self.scenario, old.clock_rate, incarnation);
+        node.started_at = now;
         let local = node.local(now);
         let slot = u32::try_from(idx).unwrap_or(0);
         node.admission.hold_floor(local, slot, Time::NEVER, false);
-        node.started_at = now;
         self.nodes[idx] = node;
     }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -25,7 +25,8 @@
     pub platform: SocketAddr,
     /// Secret that authenticates messages between instances; at least 16 characters.
     pub secret: String,
-    /// Position in the fleet-wide floors; each instance of a deployment has its own.
+    /// Number of slots that workspaces' rates are divided into, the same on all instances: the usual
+    /// number of instances.
     pub slot_count: u32,
     /// Largest body of a request, in bytes.
     #[serde(default = "default_body_limit")]
