--- /dev/null
+++ b/crates/proof/benches/service.rs
@@ -0,0 +1,138 @@
+//! Prints how the product and baselines serve the same seeded demand, at the brief's sizes.
+
+use std::time::Duration;
+
+use proof::service::{Choice, Decider, Incident, Measures, Scenario, run};
+
+fn main() {
+    let deciders = [
+        ("product", Decider::Product),
+        ("round robin, 1 try", baseline(Choice::RoundRobin, 1, false)),
+        (
+            "least reported, 3 tries",
+            baseline(Choice::LeastReported, 3, false),
+        ),
+        (
+            "nearest region, 3 tries",
+            baseline(Choice::Nearest, 3, false),
+        ),
+        (
+            "first come first served",
+            baseline(Choice::Nearest, 3, true),
+        ),
+    ];
+    println!(
+        "| deployment | case | decider | p50 ms | p99 ms | answered % | worst workspace % | answered/capacity % | run twice | untrue not-run | targets ended | drain s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (deployment, base) in deployments() {
+        for (case, left_out, incidents, load) in cases() {
+            for (name, decider) in deciders {
+                let scenario = Scenario {
+                    decider,
+                    incidents: incidents.clone(),
+                    load,
+                    ..base.clone()
+                };
+                print_row(deployment, case, name, left_out, &scenario, &run(&scenario));
+            }
+        }
+    }
+}
+
+fn print_row(
+    deployment: &str,
+    case: &str,
+    name: &str,
+    left_out: Option<usize>,
+    scenario: &Scenario,
+    measures: &Measures,
+) {
+    let others = measures.others_than(left_out);
+    println!(
+        "| {deployment} | {case} | {name} | {:.1} | {:.1} | {:.2} | {:.2} | {:.1} | {} | {} | {} | {:.2} |",
+        others.latency_ms(0.5),
+        others.latency_ms(0.99),
+        100.0 * others.answered_share(),
+        100.0 * measures.worst_share(left_out),
+        100.0 * measures.answered_per_s / scenario.capacity(),
+        measures.run_twice,
+        measures.untrue_refusals,
+        measures.targets_ended,
+        measures.drain_time.as_secs_f64(),
+    );
+}
+
+fn baseline(choice: Choice, attempts: u32, is_queueing: bool) -> Decider {
+    Decider::Baseline {
+        choice,
+        attempts,
+        is_queueing,
+    }
+}
+
+fn deployments() -> Vec<(&'static str, Scenario)> {
+    let presa = Scenario::default();
+    let cascade = Scenario {
+        slots: 4,
+        region_delay: Duration::from_millis(20),
+        client_delay: Duration::from_millis(8),
+        ..Scenario::default()
+    };
+    vec![("Presa Verde", presa), ("Cascade Loop", cascade)]
+}
+
+type Case = (&'static str, Option<usize>, Vec<Incident>, f64);
+
+fn cases() -> Vec<Case> {
+    let at = Duration::from_secs(10);
+    let secs = Duration::from_secs;
+    vec![
+        ("steady 70%", None, vec![], 0.7),
+        ("steady 90%", None, vec![], 0.9),
+        ("overload 200%", None, vec![], 2.0),
+        (
+            "one workspace at 5x",
+            Some(0),
+            vec![Incident::Flood(0, 5.0, at, secs(20))],
+            0.7,
+        ),
+        (
+            "domain lost",
+            None,
+            vec![Incident::DomainLost(0, 0, at)],
+            0.7,
+        ),
+        ("region lost", None, vec![Incident::RegionLost(0, at)], 0.6),
+        ("a target lies", None, vec![Incident::Liar(0, at)], 0.7),
+        ("reports stop", None, vec![Incident::ReportsStop(at)], 0.7),
+        ("drain at peak", None, vec![Incident::Drain(0, at)], 0.85),
+        (
+            "cold after a move",
+            None,
+            vec![Incident::Cold(at, secs(5), Duration::from_millis(60))],
+            0.5,
+        ),
+        (
+            "poison each 250 ms",
+            None,
+            vec![Incident::Poison(at, Duration::from_millis(250))],
+            0.5,
+        ),
+        (
+            "a third of connections silent",
+            None,
+            vec![Incident::Silent(0.33, at)],
+            0.7,
+        ),
+        (
+            "domain lost and 5x",
+            Some(0),
+            vec![
+                Incident::DomainLost(0, 0, at),
+                Incident::Flood(0, 5.0, at, secs(20)),
+            ],
+            0.7,
+        ),
+    ]
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod deployment;
 pub mod limits;
 pub mod process;
+pub mod service;
 pub mod transcript;
