perf(dispatch): limits per region, waits bounded by share, losses told to all

Cause: instances handed out more than the targets' slots, so refusals decided who was served; a request could also vanish when the choice made after taking it from the queue found no target (seen as answers missing with no refusal). Change: a learning limit per region, other regions only after a wait longer than the way, the target chosen before the request is taken, a measured rate of answers in place of a guessed one, refusal at once where the wait would take half of the deadline, losses in flight told to all instances.

--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -26,6 +26,8 @@
         /// Number of the receiver's heartbeat that the sender had heard before it lent them.
         echo: u64,
     },
+    /// A connection was lost while the request with this fingerprint was in flight.
+    Loss(u64),
     /// The sender has stopped using what was lent to this tenure of its.
     Return(WorkspaceId, u64),
 }
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -189,6 +189,7 @@
     async fn route(&mut self, outgoing: Outgoing) {
         let me = self.options.me.clone();
         match outgoing {
+            Outgoing::Loss(fingerprint) => self.tell_all(&PeerMessage::Loss(fingerprint)).await,
             Outgoing::Ask {
                 workspace,
                 owner,
@@ -235,6 +236,14 @@
         }
     }
 
+    async fn tell_all(&self, message: &PeerMessage) {
+        let fleet = self.options.fleet.borrow().clone();
+        for id in fleet.members.keys() {
+            let command = PeerCommand::Send(id.clone(), message.clone());
+            let _ = self.options.peers.send(command).await;
+        }
+    }
+
     /// Takes up workspaces that nobody acts for, and gives up those that another one should have.
     async fn review(&mut self) {
         self.follow_config();
@@ -335,11 +344,8 @@
             };
             let event = Event::Returned(workspace.clone(), borrower.clone());
             let _ = self.options.engine.send(event);
-            for id in fleet.members.keys() {
-                let message = PeerMessage::Return(workspace.clone(), borrower.epoch);
-                let command = PeerCommand::Send(id.clone(), message);
-                let _ = self.options.peers.send(command).await;
-            }
+            self.tell_all(&PeerMessage::Return(workspace, borrower.epoch))
+                .await;
         }
         let _ = done.send(());
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -192,6 +192,9 @@
                 // A lost loan ends by itself and is followed by another one.
                 let _ = self.outlets.owners.try_send(message);
             }
+            PeerMessage::Loss(fingerprint) => {
+                let _ = self.outlets.engine.send(Event::LostElsewhere(fingerprint));
+            }
             PeerMessage::Return(workspace, epoch) => {
                 let owner = Borrower {
                     instance: opened.from,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,7 +11,10 @@
 use rand_pcg::Pcg32;
 
 pub use crate::pool::Route;
-use crate::{Quarantine, Report, RetryBudget, TargetEvent, TargetState, pool::Pool};
+use crate::{
+    Quarantine, Report, RetryBudget, TargetEvent, TargetState,
+    pool::{Pool, Reach},
+};
 
 /// Names a request within one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,6 +72,8 @@
     Assign(Assignment),
     /// Give the request its final answer at once.
     Refuse(RequestId, Refusal),
+    /// Tell the other instances that a connection was lost while this request was in flight.
+    ReportLoss(u64),
 }
 
 /// Lists the ends of an attempt.
@@ -119,7 +124,7 @@
         Self {
             retry_fraction: 0.1,
             retry_cap: 20.0,
-            most_refusals: 6,
+            most_refusals: 40,
             most_losses: 2,
             quarantine: Duration::from_secs(60),
             hedge_floor: Duration::from_millis(200),
@@ -135,6 +140,7 @@
     refusals: u32,
     losses: u32,
     avoid: Option<usize>,
+    queued_at: Time,
     is_queued: bool,
     is_answered: bool,
     may_have_run: bool,
@@ -161,6 +167,7 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     home: RegionId,
+    round_trip: Duration,
     rng: Pcg32,
     policy: Policy,
     chart: Chart<TargetState, TargetEvent>,
@@ -171,6 +178,9 @@
     quarantine: Quarantine,
 }
 
+/// Share of a request's time that it may spend waiting for a target.
+const MOST_WAIT_SHARE: f64 = 0.5;
+
 const CHART: &str = include_str!("../charts/target.json");
 
 impl Dispatcher {
@@ -182,6 +192,7 @@
     pub fn new(home: RegionId, seed: u64, policy: Policy) -> Result<Self, ChartError> {
         Ok(Self {
             home,
+            round_trip: Duration::ZERO,
             rng: Pcg32::seed_from_u64(seed),
             chart: Chart::read(CHART)?,
             pools: BTreeMap::new(),
@@ -195,9 +206,11 @@
 
     /// Puts a configuration in force; targets that it no longer names take no new work.
     pub fn configure(&mut self, now: Time, config: &Config) -> Vec<Action> {
+        self.round_trip = Duration::from_millis(u64::from(config.links.region_delay_ms)) * 2;
         for (id, service) in &config.services {
             let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
             pool.configure(now, service, |domain| config.region_of(domain).cloned());
+            pool.size_limits(&self.home);
         }
         for (id, pool) in &mut self.pools {
             for target in &mut pool.targets {
@@ -231,7 +244,7 @@
             return vec![Action::Refuse(id, refusal)];
         }
         let service = work.service.clone();
-        self.enqueue(work);
+        self.enqueue(now, work);
         self.assign(now, &service)
     }
 
@@ -253,8 +266,12 @@
         };
         let target = entry.attempts.swap_remove(pos).target;
         let service = entry.work.service.clone();
+        let fingerprint = entry.work.fingerprint;
         self.settle_target(now, &service, target, outcome);
         let (next, mut actions) = self.settle_request(now, id, target, outcome);
+        if outcome == Outcome::Lost {
+            actions.push(Action::ReportLoss(fingerprint));
+        }
         actions.extend(self.assign(now, &service));
         (next, actions)
     }
@@ -275,7 +292,11 @@
         }
         let avoid = Some(entry.attempts[0].target);
         let pool = self.pools.get(&entry.work.service)?;
-        let idx = pool.choose(now, &mut self.rng, &self.home, avoid)?;
+        let reach = Reach {
+            home: &self.home,
+            is_far_worthwhile: true,
+        };
+        let idx = pool.choose(now, &mut self.rng, reach, avoid)?;
         if !self.budget.spend() {
             return None;
         }
@@ -340,21 +361,19 @@
         self.quarantine.bar(now, fingerprint, wait);
     }
 
+    /// Takes in that another instance lost a connection while this request was in flight.
+    pub fn lost_elsewhere(&mut self, now: Time, fingerprint: u64) {
+        self.quarantine.record(now, fingerprint);
+    }
+
     /// Returns the barred requests and how long each stays so.
     pub fn barred(&self, now: Time) -> Vec<(u64, Duration)> {
         self.quarantine.barred(now)
     }
 
-    /// Refuses queued requests whose deadline has come and ends warm-ups.
+    /// Refuses queued requests that can't be answered in time any more, and ends warm-ups.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while let Some(&(deadline, id)) = self.queued.first() {
-            if deadline > now {
-                break;
-            }
-            self.unqueue(id);
-            actions.extend(self.refuse(id, ErrorKind::Expired));
-        }
+        let mut actions = self.refuse_hopeless(now);
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
                 if target.is_warm(now) {
@@ -417,11 +436,13 @@
             return None;
         }
         let wait = pool.predicted_wait(now, &work.workspace);
-        let is_late = now + wait + pool.latency.mean() > work.deadline;
+        // A queue as long as the deadlines would serve each request too late.
+        let longest = (work.deadline - now).mul_f64(MOST_WAIT_SHARE);
+        let is_late = wait + pool.usual_time() > longest;
         is_late.then(|| Refusal::new(ErrorKind::Overloaded).retry_after(wait))
     }
 
-    fn enqueue(&mut self, work: Work) {
+    fn enqueue(&mut self, now: Time, work: Work) {
         let id = work.id;
         if let Some(pool) = self.pools.get_mut(&work.service) {
             pool.queue.push(&work.workspace, work.weight, id);
@@ -434,6 +455,7 @@
             refusals: 0,
             losses: 0,
             avoid: None,
+            queued_at: now,
             is_queued: true,
             is_answered: false,
             may_have_run: false,
@@ -489,26 +511,29 @@
 
     fn next_pair(&mut self, now: Time, service: &ServiceId) -> Option<(RequestId, usize)> {
         let pool = self.pools.get_mut(service)?;
-        if pool.queue.is_empty() {
-            return None;
-        }
-        pool.choose(now, &mut self.rng, &self.home, None)?;
+        let first = self.entries.get(pool.queue.peek()?)?;
+        let reach = Reach {
+            home: &self.home,
+            is_far_worthwhile: now - first.queued_at > self.round_trip,
+        };
+        // Chosen before the request is taken: one that is taken must go somewhere.
+        let any = pool.choose(now, &mut self.rng, reach, None)?;
         let id = pool.queue.pop()?;
         let entry = self.entries.get_mut(&id)?;
         entry.is_queued = false;
         self.queued.remove(&(entry.work.deadline, id));
-        let avoid = entry.avoid;
-        let idx = pool
-            .choose(now, &mut self.rng, &self.home, avoid)
-            .or_else(|| pool.choose(now, &mut self.rng, &self.home, None))?;
+        let idx = entry
+            .avoid
+            .and_then(|avoid| pool.choose(now, &mut self.rng, reach, Some(avoid)))
+            .unwrap_or(any);
         Some((id, idx))
     }
 
     fn start(&mut self, id: RequestId, idx: usize) -> Option<Assignment> {
         let entry = self.entries.get_mut(&id)?;
         let pool = self.pools.get_mut(&entry.work.service)?;
-        let target = &mut pool.targets[idx];
-        target.in_flight += 1;
+        pool.sent(idx);
+        let target = &pool.targets[idx];
         entry.sent += 1;
         entry.attempts.push(Attempt {
             number: entry.sent,
@@ -528,23 +553,21 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
-        let target = &mut pool.targets[idx];
         match outcome {
             Outcome::Answered(latency) => {
-                target.answered();
-                pool.latency.record(latency);
+                pool.answered(now, idx, latency);
                 self.budget.earn();
             }
-            Outcome::Refused => target.refused(now),
+            Outcome::Refused => pool.refused(now, idx),
             Outcome::Unreachable | Outcome::Lost => {
+                let target = &mut pool.targets[idx];
                 if target.failed() {
                     target.fire(now, &self.chart, TargetEvent::Failed);
                 }
             }
             Outcome::TimedOut | Outcome::Canceled => {}
         }
-        let target = &mut pool.targets[idx];
-        target.in_flight = target.in_flight.saturating_sub(1);
+        pool.ended(idx);
     }
 
     fn settle_request(
@@ -618,6 +641,32 @@
         }
     }
 
+    /// Refuses queued requests that have less time left than a request takes.
+    fn refuse_hopeless(&mut self, now: Time) -> Vec<Action> {
+        let longest = self.pools.values().map(Pool::usual_time).max();
+        let horizon = now + longest.unwrap_or(Duration::ZERO);
+        let hopeless: Vec<RequestId> = self
+            .queued
+            .iter()
+            .take_while(|(deadline, _)| *deadline <= horizon)
+            .filter(|(deadline, id)| self.is_hopeless(now, *deadline, *id))
+            .map(|(_, id)| *id)
+            .collect();
+        hopeless
+            .into_iter()
+            .flat_map(|id| {
+                self.unqueue(id);
+                self.refuse(id, ErrorKind::Overloaded)
+            })
+            .collect()
+    }
+
+    fn is_hopeless(&self, now: Time, deadline: Time, id: RequestId) -> bool {
+        let service = self.entries.get(&id).map(|entry| &entry.work.service);
+        let pool = service.and_then(|service| self.pools.get(service));
+        pool.is_none_or(|pool| deadline <= now + pool.usual_time())
+    }
+
     /// Ends a request; "not run" is said only where no attempt can have run it.
     fn refuse(&mut self, id: RequestId, kind: ErrorKind) -> Vec<Action> {
         let Some(entry) = self.entries.remove(&id) else {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod queue;
 mod target;
+mod throughput;
 
 pub use budget::RetryBudget;
 pub use dispatcher::{
@@ -18,7 +19,7 @@
 };
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, Claim, Claimer, Ledger, SavedAnswer};
-pub use limit::ConcurrencyLimit;
+pub use limit::{ConcurrencyLimit, Pace};
 pub use quarantine::Quarantine;
 pub use queue::FairQueue;
 pub use target::{Report, Target, TargetEvent, TargetState};
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -5,7 +5,10 @@
 use base::{RegionId, Service, TargetId, Time, WorkspaceId};
 use rand::{Rng, RngExt};
 
-use crate::{FairQueue, LatencyEstimate, RequestId, Target};
+use crate::{
+    ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, target::FIRST_LATENCY,
+    throughput::Throughput,
+};
 
 /// Shares of a service's traffic by region, as the plan sets them for this instance's region.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -18,13 +21,29 @@
 pub(crate) struct Pool {
     pub(crate) targets: Vec<Target>,
     pub(crate) index: BTreeMap<TargetId, usize>,
-    pub(crate) regions: BTreeMap<RegionId, Vec<usize>>,
+    pub(crate) regions: BTreeMap<RegionId, RegionPool>,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) latency: LatencyEstimate,
+    throughput: Throughput,
     pub(crate) route: Route,
 }
 
-const FIRST_LATENCY: Duration = Duration::from_millis(20);
+/// Holds the targets of one region and what this instance runs on them.
+#[derive(Debug, Clone)]
+pub(crate) struct RegionPool {
+    pub(crate) members: Vec<usize>,
+    pub(crate) in_flight: u32,
+    pub(crate) limit: ConcurrencyLimit,
+}
+
+/// Tells which regions a request may go to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reach<'a> {
+    /// Region of the instance.
+    pub(crate) home: &'a RegionId,
+    /// Whether the request has waited so long that another region is worth the way.
+    pub(crate) is_far_worthwhile: bool,
+}
 
 impl Pool {
     pub(crate) fn new() -> Self {
@@ -34,6 +53,7 @@
             regions: BTreeMap::new(),
             queue: FairQueue::default(),
             latency: LatencyEstimate::new(FIRST_LATENCY),
+            throughput: Throughput::default(),
             route: Route::default(),
         }
     }
@@ -53,7 +73,37 @@
             self.targets
                 .push(Target::new(now, id.clone(), region.clone(), service.slots));
             self.index.insert(id.clone(), idx);
-            self.regions.entry(region).or_default().push(idx);
+            self.region(region).members.push(idx);
+        }
+    }
+
+    fn region(&mut self, region: RegionId) -> &mut RegionPool {
+        self.regions.entry(region).or_insert_with(|| RegionPool {
+            members: Vec::new(),
+            in_flight: 0,
+            limit: ConcurrencyLimit::new(1),
+        })
+    }
+
+    /// Lets the regions' limits reach all slots of their targets.
+    pub(crate) fn size_limits(&mut self, home: &RegionId) {
+        for (region, pool) in &mut self.regions {
+            let slots = pool
+                .members
+                .iter()
+                .map(|idx| self.targets[*idx].slots())
+                .sum();
+            let is_new = pool.limit.current() == 1 && pool.in_flight == 0;
+            if is_new {
+                let pace = if region == home {
+                    Pace::NEAR
+                } else {
+                    Pace::FAR
+                };
+                pool.limit = ConcurrencyLimit::new(slots).pace(pace);
+            } else {
+                pool.limit.set_most(slots);
+            }
         }
     }
 
@@ -62,26 +112,49 @@
         &self,
         now: Time,
         rng: &mut R,
-        home: &RegionId,
+        reach: Reach<'_>,
         avoid: Option<usize>,
     ) -> Option<usize>
     where
         R: Rng,
     {
         let planned = self.planned_region(rng);
-        let first = planned.as_ref().unwrap_or(home);
-        let found = self
-            .regions
-            .get(first)
-            .and_then(|members| self.choose_among(now, rng, members, avoid));
-        found.or_else(|| {
-            self.regions
-                .iter()
-                .filter(|(region, _)| *region != first)
-                .find_map(|(_, members)| self.choose_among(now, rng, members, avoid))
+        let first = planned.as_ref().unwrap_or(reach.home);
+        let found = self.choose_in(now, rng, first, avoid);
+        if found.is_some() || !(reach.is_far_worthwhile || self.is_closed(now, first)) {
+            return found;
+        }
+        self.regions
+            .keys()
+            .filter(|region| *region != first)
+            .find_map(|region| self.choose_in(now, rng, region, avoid))
+    }
+
+    /// Returns whether no target of a region takes work.
+    fn is_closed(&self, now: Time, region: &RegionId) -> bool {
+        self.regions.get(region).is_none_or(|pool| {
+            let mut members = pool.members.iter();
+            members.all(|idx| self.targets[*idx].allowed(now) == 0)
         })
     }
 
+    fn choose_in<R>(
+        &self,
+        now: Time,
+        rng: &mut R,
+        region: &RegionId,
+        avoid: Option<usize>,
+    ) -> Option<usize>
+    where
+        R: Rng,
+    {
+        let pool = self.regions.get(region)?;
+        if !pool.limit.has_room(pool.in_flight) {
+            return None;
+        }
+        self.choose_among(now, rng, &pool.members, avoid)
+    }
+
     fn planned_region<R>(&self, rng: &mut R) -> Option<RegionId>
     where
         R: Rng,
@@ -100,7 +173,7 @@
         self.route.shares.keys().next_back().cloned()
     }
 
-    /// Takes the less loaded of two random targets, or any free one where neither is.
+    /// Takes the cheaper of two random targets, or any free one where neither is.
     fn choose_among<R>(
         &self,
         now: Time,
@@ -119,8 +192,8 @@
         let two = members[rng.random_range(0..members.len())];
         match (is_usable(one), is_usable(two)) {
             (true, true) => {
-                let is_one_less = self.targets[one].load(now) <= self.targets[two].load(now);
-                Some(if is_one_less { one } else { two })
+                let is_one_cheaper = self.targets[one].cost(now) <= self.targets[two].cost(now);
+                Some(if is_one_cheaper { one } else { two })
             }
             (true, false) => Some(one),
             (false, true) => Some(two),
@@ -133,10 +206,66 @@
         self.targets.iter().any(|target| target.allowed(now) > 0)
     }
 
+    /// Records that a request was sent to a target.
+    pub(crate) fn sent(&mut self, idx: usize) {
+        let target = &mut self.targets[idx];
+        target.in_flight += 1;
+        if let Some(pool) = self.regions.get_mut(&target.region) {
+            pool.in_flight += 1;
+        }
+    }
+
+    /// Records that a request has ended on a target.
+    pub(crate) fn ended(&mut self, idx: usize) {
+        let target = &mut self.targets[idx];
+        target.in_flight = target.in_flight.saturating_sub(1);
+        if let Some(pool) = self.regions.get_mut(&target.region) {
+            pool.in_flight = pool.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Records an answer.
+    pub(crate) fn answered(&mut self, now: Time, idx: usize, latency: Duration) {
+        self.latency.record(latency);
+        self.throughput.answered(now, !self.queue.is_empty());
+        let target = &mut self.targets[idx];
+        target.answered(latency);
+        if let Some(pool) = self.regions.get_mut(&target.region) {
+            pool.limit.succeeded(pool.in_flight);
+        }
+    }
+
+    /// Records a refusal for lack of capacity.
+    pub(crate) fn refused(&mut self, now: Time, idx: usize) {
+        let target = &mut self.targets[idx];
+        target.refused(now);
+        if let Some(pool) = self.regions.get_mut(&target.region) {
+            pool.limit.refused();
+        }
+    }
+
+    /// Returns the time that a request sent now takes as a rule; with less left it is hopeless.
+    pub(crate) fn usual_time(&self) -> Duration {
+        self.latency.mean() + self.latency.mean() / 2
+    }
+
     /// Predicts how long a new request of `workspace` would wait for a target.
     pub(crate) fn predicted_wait(&self, now: Time, workspace: &WorkspaceId) -> Duration {
-        let allowed: u32 = self.targets.iter().map(|target| target.allowed(now)).sum();
+        let at_once: u32 = self
+            .regions
+            .values()
+            .map(|pool| {
+                let allowed = pool
+                    .members
+                    .iter()
+                    .map(|idx| self.targets[*idx].allowed(now));
+                allowed.sum::<u32>().min(pool.limit.current())
+            })
+            .sum();
         let ahead = self.queue.ahead_of(workspace) + 1;
-        self.latency.mean().mul_f64(ahead as f64) / allowed.max(1)
+        if let Some(wait) = self.throughput.time_for(ahead) {
+            return wait;
+        }
+        self.latency.mean().mul_f64(ahead as f64) / at_once.max(1)
     }
 }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -136,6 +136,13 @@
         Some(item.value)
     }
 
+    /// Returns the item whose turn it is.
+    pub fn peek(&self) -> Option<&T> {
+        let (_, workspace) = self.heads.first_key_value()?;
+        let flow = self.flows.get(workspace)?;
+        flow.items.front().map(|item| &item.value)
+    }
+
     /// Takes out every item for which `is_removed` is true and returns them.
     pub fn remove_if<F>(&mut self, mut is_removed: F) -> Vec<T>
     where
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,7 +6,7 @@
 use chart::Chart;
 use serde::Deserialize;
 
-use crate::ConcurrencyLimit;
+use crate::{ConcurrencyLimit, LatencyEstimate};
 
 /// Lists the states of a target; `charts/target.json` holds the transitions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -65,10 +65,13 @@
     other_load: u32,
     distrusted_until: Time,
     failures: u32,
+    latency: LatencyEstimate,
 }
 
 /// Time over which a cold target's share of its slots grows to all of them.
 pub(crate) const WARM_UP: Duration = Duration::from_secs(5);
+/// Latency that is assumed before any answer.
+pub(crate) const FIRST_LATENCY: Duration = Duration::from_millis(20);
 const DISTRUST: Duration = Duration::from_secs(5);
 const MOST_FAILURES: u32 = 3;
 
@@ -87,6 +90,7 @@
             other_load: 0,
             distrusted_until: Time::ZERO,
             failures: 0,
+            latency: LatencyEstimate::new(FIRST_LATENCY),
         }
     }
 
@@ -162,9 +166,16 @@
         self.state == TargetState::Cold && now - self.cold_since >= WARM_UP
     }
 
-    /// Records an answer.
-    pub fn answered(&mut self) {
+    /// Returns what one more request would cost here: the load with it, times the latency.
+    pub fn cost(&self, now: Time) -> f64 {
+        let load = self.load(now) + 1.0 / f64::from(self.slots);
+        load * self.latency.mean().as_secs_f64()
+    }
+
+    /// Records an answer that took this long.
+    pub fn answered(&mut self, latency: Duration) {
         self.failures = 0;
+        self.latency.record(latency);
         self.limit.succeeded(self.in_flight);
     }
 
@@ -173,7 +184,7 @@
         if self.load(now) < 1.0 {
             self.distrusted_until = now + DISTRUST;
         }
-        self.limit.refused(now);
+        self.limit.refused();
     }
 
     /// Records a failed connection and returns whether the target counts as failed now.
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -181,6 +181,9 @@
                     self.dispatcher.set_route(&service, route);
                 }
             }
+            Event::LostElsewhere(fingerprint) => {
+                self.dispatcher.lost_elsewhere(now, fingerprint);
+            }
             Event::Bars(bars) => {
                 for (fingerprint, wait) in bars {
                     self.dispatcher.bar(now, fingerprint, wait);
@@ -389,6 +392,9 @@
             match action {
                 Action::Assign(assignment) => self.go(now, assignment),
                 Action::Refuse(id, refusal) => self.refuse(id, refusal),
+                Action::ReportLoss(fingerprint) => {
+                    let _ = self.outgoing.send(Outgoing::Loss(fingerprint));
+                }
             }
         }
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -71,6 +71,8 @@
     TargetLeaves(TargetId),
     /// The plan's shares for this instance's region.
     Routes(BTreeMap<ServiceId, Route>),
+    /// Another instance lost a connection while this request was in flight.
+    LostElsewhere(u64),
     /// Other instances have barred these requests.
     Bars(Vec<(u64, Duration)>),
     /// The instance is leaving.
@@ -146,7 +148,7 @@
     pub echo: u64,
 }
 
-/// Carries what the engine has to say to owners.
+/// Carries what the engine has to say to other instances.
 #[derive(Debug)]
 pub enum Outgoing {
     /// Asks for units.
@@ -158,6 +160,8 @@
         /// The ask.
         ask: Ask,
     },
+    /// A connection was lost while the request with this fingerprint was in flight.
+    Loss(u64),
     /// Lends floors.
     Lend {
         /// Workspace of the floors.
--- a/crates/proof/benches/service.rs
+++ b/crates/proof/benches/service.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// Prints refusals by kind, where `GODWITGAUGE_DETAILS` is set.
+fn print_details(measures: &Measures) {
+    if std::env::var_os("GODWITGAUGE_DETAILS").is_some() {
+        println!(
+            "  refusals {:?}, attempts refused {}",
+            measures.refusals, measures.attempts_refused
+        );
+    }
+}
+
 fn print_row(
     deployment: &str,
     case: &str,
@@ -61,6 +71,7 @@
         measures.targets_ended,
         measures.drain_time.as_secs_f64(),
     );
+    print_details(measures);
 }
 
 fn baseline(choice: Choice, attempts: u32, is_queueing: bool) -> Decider {
--- a/crates/proof/src/service/event.rs
+++ b/crates/proof/src/service/event.rs
@@ -27,6 +27,8 @@
     Poison(usize),
     /// A target that is leaving ends if it is idle.
     CheckIdle(usize),
+    /// The other instances learn of a loss that an instance saw.
+    LossReported(usize, u64),
 }
 
 /// Names an attempt.
--- a/crates/proof/src/service/measure.rs
+++ b/crates/proof/src/service/measure.rs
@@ -1,7 +1,8 @@
 //! What a run showed.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
+use base::ErrorKind;
 use hdrhistogram::Histogram;
 
 /// Holds what one workspace saw.
@@ -24,6 +25,10 @@
     pub workspaces: Vec<WorkspaceMeasures>,
     /// Requests that may run at most once and ran more often.
     pub run_twice: u64,
+    /// Refusals by kind, of all requests but poison ones.
+    pub refusals: BTreeMap<ErrorKind, u64>,
+    /// Attempts that targets refused for lack of a slot.
+    pub attempts_refused: u64,
     /// Answers "not run" to requests that ran.
     pub untrue_refusals: u64,
     /// Requests answered in time, for each second that was measured.
--- a/crates/proof/src/service/world.rs
+++ b/crates/proof/src/service/world.rs
@@ -114,6 +114,8 @@
             measures: Measures {
                 workspaces: vec![WorkspaceMeasures::new(); count],
                 run_twice: 0,
+                refusals: BTreeMap::new(),
+                attempts_refused: 0,
                 untrue_refusals: 0,
                 answered_per_s: 0.0,
                 targets_ended: 0,
@@ -215,13 +217,14 @@
             Event::Begin(idx) => self.begin(now, idx),
             Event::Poison(idx) => self.poison(now, idx),
             Event::CheckIdle(idx) => self.check_idle(now, idx),
+            Event::LossReported(from, fingerprint) => self.spread_loss(now, from, fingerprint),
         }
     }
 
     fn arrive(&mut self, now: Time, id: u64) {
         let mut request = self.requests[&id].clone();
         while !self.instances[request.instance].is_up {
-            request.instance = (request.instance + 1) % self.instances.len();
+            request.instance = self.rng.random_range(0..self.instances.len());
         }
         self.requests.insert(id, request.clone());
         if self.is_measured(&request) {
@@ -256,8 +259,13 @@
         for action in actions {
             match action {
                 Action::Assign(assignment) => self.assigned(now, instance, &assignment),
+                Action::ReportLoss(fingerprint) => {
+                    let at = now + self.scenario.region_delay;
+                    self.push(at, Event::LossReported(instance, fingerprint));
+                }
                 Action::Refuse(id, refusal) => {
                     let is_not_run = refusal.kind.answer().ran == Ran::No;
+                    *self.measures.refusals.entry(refusal.kind).or_default() += 1;
                     self.close_failed(id.0, is_not_run);
                 }
             }
@@ -343,6 +351,7 @@
             return;
         }
         if target.running.len() >= self.scenario.slots as usize {
+            self.measures.attempts_refused += 1;
             self.push(back, Event::End(id, End::Refused));
             return;
         }
@@ -566,6 +575,16 @@
         }
     }
 
+    fn spread_loss(&mut self, now: Time, from: usize, fingerprint: u64) {
+        for (idx, instance) in self.instances.iter_mut().enumerate() {
+            if let Deciding::Product(dispatcher) = &mut instance.decider
+                && idx != from
+            {
+                dispatcher.lost_elsewhere(now, fingerprint);
+            }
+        }
+    }
+
     fn begin(&mut self, now: Time, idx: usize) {
         match self.scenario.incidents[idx] {
             Incident::Flood(..) => {}
@@ -632,7 +651,8 @@
         };
         // Ended targets are started again after a while.
         for target in &mut self.targets {
-            target.is_up |= !target.is_leaving && now.as_micros() % RESTART.as_micros() as u64 == 0;
+            target.is_up |=
+                !target.is_leaving && now.as_micros().is_multiple_of(RESTART.as_micros() as u64);
         }
         self.schedule_request(0, now, true);
         if now + interval < self.end {
@@ -841,6 +861,7 @@
 
 fn config(scenario: &Scenario) -> Config {
     let mut config = Config::default();
+    config.links.region_delay_ms = scenario.region_delay.as_millis() as u32;
     let mut targets = BTreeMap::new();
     for region in 0..scenario.regions {
         let name = format!("d{region}");
