--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -141,6 +141,8 @@
     losses: u32,
     avoid: Option<usize>,
     queued_at: Time,
+    /// Whether another region has refused it: the way there is not worth a second try.
+    is_refused_far: bool,
     is_queued: bool,
     is_answered: bool,
     may_have_run: bool,
@@ -456,6 +458,7 @@
             losses: 0,
             avoid: None,
             queued_at: now,
+            is_refused_far: false,
             is_queued: true,
             is_answered: false,
             may_have_run: false,
@@ -500,7 +503,7 @@
 
     /// Hands queued requests to free targets, in fair order.
     fn assign(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.refuse_late_heads(now, service);
         while let Some((id, idx)) = self.next_pair(now, service) {
             if let Some(assignment) = self.start(id, idx) {
                 actions.push(Action::Assign(assignment));
@@ -514,7 +517,9 @@
         let first = self.entries.get(pool.queue.peek()?)?;
         let reach = Reach {
             home: &self.home,
-            is_far_worthwhile: now - first.queued_at > self.round_trip,
+            is_far_worthwhile: !first.is_refused_far
+                && now - first.queued_at > self.round_trip
+                && first.work.deadline - now > self.round_trip + pool.usual_time(),
         };
         // Chosen before the request is taken: one that is taken must go somewhere.
         let any = pool.choose(now, &mut self.rng, reach, None)?;
@@ -581,6 +586,11 @@
             return (Next::Ended, Vec::new());
         };
         entry.avoid = Some(target);
+        if outcome == Outcome::Refused {
+            let pool = self.pools.get(&entry.work.service);
+            entry.is_refused_far |=
+                pool.is_some_and(|pool| pool.targets[target].region != self.home);
+        }
         entry.may_have_run |= matches!(outcome, Outcome::Lost | Outcome::TimedOut);
         if entry.is_answered {
             return self.conclude(now, id, Verdict::Drop);
@@ -661,6 +671,22 @@
             .collect()
     }
 
+    /// Refuses requests whose turn has come too late; others behind them may still be in time.
+    fn refuse_late_heads(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(id) = self.late_head(now, service) {
+            self.unqueue(id);
+            actions.extend(self.refuse(id, ErrorKind::Overloaded));
+        }
+        actions
+    }
+
+    fn late_head(&self, now: Time, service: &ServiceId) -> Option<RequestId> {
+        let id = *self.pools.get(service)?.queue.peek()?;
+        let deadline = self.entries.get(&id)?.work.deadline;
+        self.is_hopeless(now, deadline, id).then_some(id)
+    }
+
     fn is_hopeless(&self, now: Time, deadline: Time, id: RequestId) -> bool {
         let service = self.entries.get(&id).map(|entry| &entry.work.service);
         let pool = service.and_then(|service| self.pools.get(service));
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -124,9 +124,15 @@
         if found.is_some() || !(reach.is_far_worthwhile || self.is_closed(now, first)) {
             return found;
         }
-        self.regions
+        let others: Vec<&RegionId> = self
+            .regions
             .keys()
             .filter(|region| *region != first)
+            .collect();
+        // Begins with any of them, so that the first by name is not favoured.
+        let start = rng.random_range(0..others.len().max(1));
+        (0..others.len())
+            .map(|step| others[(start + step) % others.len()])
             .find_map(|region| self.choose_in(now, rng, region, avoid))
     }
 
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -35,13 +35,30 @@
 #[derive(Debug, Clone)]
 struct Flow<T> {
     items: VecDeque<Item<T>>,
+    /// Finish tag of the last item that was taken.
+    served: u64,
+    /// Finish tag of the last item.
     finish: u64,
     weight: u32,
 }
 
+impl<T> Flow<T> {
+    /// Closes the gaps that removed items have left, so that the workspace does not pay for them.
+    fn retag(&mut self) {
+        let mut finish = self.served;
+        for item in &mut self.items {
+            item.start = finish.max(item.pushed_at);
+            finish = item.start + UNIT / u64::from(self.weight);
+        }
+        self.finish = finish;
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Item<T> {
     start: u64,
+    /// Virtual time at which the item was pushed.
+    pushed_at: u64,
     order: u64,
     value: T,
 }
@@ -73,6 +90,7 @@
         flow.finish = start + UNIT / u64::from(flow.weight);
         flow.items.push_back(Item {
             start,
+            pushed_at: virtual_time,
             order,
             value,
         });
@@ -84,10 +102,12 @@
     /// Puts back an item whose turn had come, so that it goes before all others.
     pub fn push_front(&mut self, workspace: &WorkspaceId, value: T) {
         self.len += 1;
+        let start = self.virtual_time;
         let flow = self.flow(workspace);
         let old_head = flow.items.front().map(|head| (head.start, head.order));
         flow.items.push_front(Item {
-            start: 0,
+            start,
+            pushed_at: start,
             order: 0,
             value,
         });
@@ -101,6 +121,7 @@
         let finish = self.virtual_time;
         self.flows.entry(workspace.clone()).or_insert_with(|| Flow {
             items: VecDeque::new(),
+            served: finish,
             finish,
             weight: 1,
         })
@@ -128,6 +149,7 @@
         self.len -= 1;
         let flow = self.flows.get_mut(&workspace)?;
         let item = flow.items.pop_front()?;
+        flow.served = flow.served.max(item.start + UNIT / u64::from(flow.weight));
         if let Some(head) = flow.items.front() {
             self.heads.insert((head.start, head.order), workspace);
         } else if flow.finish <= self.virtual_time || self.heads.is_empty() {
@@ -151,6 +173,7 @@
         let mut removed = Vec::new();
         self.heads.clear();
         for (workspace, flow) in &mut self.flows {
+            let before = flow.items.len();
             for item in std::mem::take(&mut flow.items) {
                 if is_removed(&item.value) {
                     removed.push(item.value);
@@ -158,6 +181,9 @@
                     flow.items.push_back(item);
                 }
             }
+            if flow.items.len() < before {
+                flow.retag();
+            }
             if let Some(head) = flow.items.front() {
                 self.heads
                     .insert((head.start, head.order), workspace.clone());
