fix(daemon): date what others said by the reader's clock

Cause: an instance that was paused for 6 s answered a request that had waited in its socket with a key withdrawn meanwhile (200): whether peers were heard had been decided before the pause, so the woken instance took itself for one of a fleet without a store. Ruled out: the engine's validity of the standing (1 s), which the follower's first message after the pause had renewed. Change: members carry until when their last heartbeat counts; each reader compares that with its own clock.

--- a/crates/coord/src/roster.rs
+++ b/crates/coord/src/roster.rs
@@ -140,6 +140,12 @@
         })
     }
 
+    /// Returns the end of the time for which the last heartbeat shows that the instance lives.
+    pub fn heard_until(&self, id: &InstanceId) -> Time {
+        let heard_at = self.members.get(id).and_then(|member| member.heard_at);
+        heard_at.map_or(Time::ZERO, |heard_at| heard_at + self.silence)
+    }
+
     /// Returns whether a heartbeat of the instance came lately.
     pub fn is_heard(&self, now: Time, id: &InstanceId) -> bool {
         self.members
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use base::{DomainId, Incarnation, InstanceId, WorkspaceId};
+use base::{DomainId, Incarnation, InstanceId, Time, WorkspaceId};
 use coord::rank;
 
 /// Shows all known instances but this one.
@@ -27,8 +27,8 @@
     pub life: Option<Incarnation>,
     /// Version in force on it, zero where that is not known.
     pub version: u64,
-    /// Whether a heartbeat came lately.
-    pub is_heard: bool,
+    /// End of the time for which its last heartbeat shows that it lives.
+    pub heard_until: Time,
     /// Whether it takes no new callers.
     pub is_leaving: bool,
     /// Whether the list has it.
@@ -43,6 +43,14 @@
     pub beat: u64,
 }
 
+impl FleetMember {
+    /// Returns whether a heartbeat came lately; the clock is read by the asker, who may have been
+    /// paused since this was published.
+    pub fn is_heard(&self, now: Time) -> bool {
+        now <= self.heard_until
+    }
+}
+
 impl Fleet {
     /// Returns whether the instance is proved to have ended.
     pub fn is_gone(&self, id: &InstanceId) -> bool {
@@ -50,26 +58,26 @@
     }
 
     /// Returns the numbers of other instances that are listed and that are heard.
-    pub fn counts(&self) -> (usize, usize) {
+    pub fn counts(&self, now: Time) -> (usize, usize) {
         let is_known = |member: &&FleetMember| member.is_listed && !member.is_gone;
         let known = self.members.values().filter(is_known).count();
-        let heard = self.members.values().filter(|member| member.is_heard);
+        let heard = self.members.values().filter(|member| member.is_heard(now));
         (known, heard.count())
     }
 
     /// Returns the heard instances that act as owner of a workspace.
-    pub fn claimants(&self, workspace: &WorkspaceId) -> Vec<&InstanceId> {
+    pub fn claimants(&self, now: Time, workspace: &WorkspaceId) -> Vec<&InstanceId> {
         self.members
             .iter()
-            .filter(|(_, member)| member.is_heard && !member.is_leaving)
+            .filter(move |(_, member)| member.is_heard(now) && !member.is_leaving)
             .filter(|(_, member)| member.owns.iter().any(|(owned, _)| owned == workspace))
             .map(|(id, _)| id)
             .collect()
     }
 
     /// Returns the heard instance that should be asked for a workspace's units, and its epoch.
-    pub fn owner(&self, workspace: &WorkspaceId) -> Option<(&InstanceId, u64)> {
-        let claimants = self.claimants(workspace);
+    pub fn owner(&self, now: Time, workspace: &WorkspaceId) -> Option<(&InstanceId, u64)> {
+        let claimants = self.claimants(now, workspace);
         let first = claimants
             .iter()
             .copied()
@@ -80,18 +88,20 @@
     }
 
     /// Returns the heard instances that hold no floor slot.
-    pub fn wanting(&self) -> impl Iterator<Item = &InstanceId> {
+    pub fn wanting(&self, now: Time) -> impl Iterator<Item = &InstanceId> {
         self.members
             .iter()
-            .filter(|(_, member)| member.is_heard && !member.is_leaving && member.slots == Some(0))
+            .filter(move |(_, member)| {
+                member.is_heard(now) && !member.is_leaving && member.slots == Some(0)
+            })
             .map(|(id, _)| id)
     }
 
     /// Returns the instances that take part in the placement of leases, `me` among them.
-    pub fn placeable<'a>(&'a self, me: &'a InstanceId) -> Vec<&'a InstanceId> {
+    pub fn placeable<'a>(&'a self, now: Time, me: &'a InstanceId) -> Vec<&'a InstanceId> {
         self.members
             .iter()
-            .filter(|(_, member)| member.is_heard && !member.is_leaving)
+            .filter(move |(_, member)| member.is_heard(now) && !member.is_leaving)
             .map(|(id, _)| id)
             .chain([me])
             .collect()
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -277,7 +277,7 @@
     async fn publish(&mut self) {
         let now = self.clock.now();
         let fleet = self.fleet.borrow().clone();
-        let (known, heard) = fleet.counts();
+        let (known, heard) = fleet.counts(now);
         let standing = self.state.standing(now, known, heard);
         let view = View {
             config: self
@@ -285,7 +285,7 @@
                 .clone()
                 .map(|config| (self.state.version(), config)),
             standing,
-            entries: self.entries(&fleet),
+            entries: self.entries(now, &fleet),
             is_leaving: self.is_leaving,
         };
         let is_changed = {
@@ -315,7 +315,7 @@
         let _ = self.outlets.peers.send(command).await;
     }
 
-    fn entries(&self, fleet: &Fleet) -> Vec<EntryPoint> {
+    fn entries(&self, now: Time, fleet: &Fleet) -> Vec<EntryPoint> {
         let is_drained = |entry: &EntryPoint| {
             self.config.as_ref().is_some_and(|config| {
                 config.drains.instances.contains(&entry.instance)
@@ -324,7 +324,7 @@
         };
         let own = (!self.is_leaving).then(|| self.own_entry.clone());
         let others = fleet.members.iter().filter_map(|(id, member)| {
-            let is_serving = member.is_heard && !member.is_leaving;
+            let is_serving = member.is_heard(now) && !member.is_leaving;
             is_serving.then_some(EntryPoint {
                 instance: id.clone(),
                 incarnation: member.life?,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -244,6 +244,7 @@
     tokio::spawn(probes::run(view_rx.clone(), engine_tx.clone()));
 
     let operator = Operator {
+        clock,
         me,
         metrics,
         view: view_rx.clone(),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use base::{DomainId, InstanceId, ServiceId, WorkspaceId};
+use base::{DomainId, InstanceId, ServiceId, Time, WorkspaceId};
 use coord::Standing;
 use entry::{
     answer,
     message::{EngineStatus, Event},
     metrics::Metrics,
-    view::View,
+    view::{Clock, View},
 };
 use salvo::{
     Depot, FlowCtrl, Handler, Router,
@@ -22,6 +22,8 @@
 /// Holds what the operators' handlers share.
 #[derive(Debug, Clone)]
 pub struct Operator {
+    /// Clock of the process.
+    pub clock: Clock,
     /// This instance.
     pub me: InstanceId,
     /// Metrics of the instance.
@@ -125,14 +127,15 @@
         let engine = self.engine_status().await?;
         let view = self.view.borrow().clone();
         let fleet = self.fleet.borrow().clone();
+        let now = self.clock.now();
         Some(Status {
-            flags: flags(&view, &fleet, &engine),
+            flags: flags(now, &view, &fleet, &engine),
             instance: self.me.clone(),
             version: view.config.as_ref().map_or(0, |(version, _)| *version),
             standing: standing_name(view.standing),
             is_leaving: view.is_leaving,
             requests: engine.requests,
-            instances: instances(&fleet),
+            instances: instances(now, &fleet),
             targets: targets(&engine),
             workspaces: workspaces(&engine),
             barred: engine
@@ -210,7 +213,7 @@
     }
 }
 
-fn flags(view: &View, fleet: &Fleet, engine: &EngineStatus) -> Vec<String> {
+fn flags(now: Time, view: &View, fleet: &Fleet, engine: &EngineStatus) -> Vec<String> {
     let mut flags = Vec::new();
     match view.standing {
         Standing::Empty => flags.push("no configuration is in force".to_owned()),
@@ -219,7 +222,7 @@
         Standing::Fresh => {}
     }
     for (id, member) in &fleet.members {
-        if member.is_listed && !member.is_heard && !member.is_gone {
+        if member.is_listed && !member.is_heard(now) && !member.is_gone {
             flags.push(format!("instance {id} is listed but not heard"));
         }
     }
@@ -234,7 +237,7 @@
     flags
 }
 
-fn instances(fleet: &Fleet) -> BTreeMap<InstanceId, InstanceStatus> {
+fn instances(now: Time, fleet: &Fleet) -> BTreeMap<InstanceId, InstanceStatus> {
     fleet
         .members
         .iter()
@@ -242,7 +245,7 @@
             let shown = InstanceStatus {
                 domain: member.domain.clone(),
                 version: member.version,
-                is_heard: member.is_heard,
+                is_heard: member.is_heard(now),
                 is_leaving: member.is_leaving,
                 is_listed: member.is_listed,
                 is_gone: member.is_gone,
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -251,12 +251,12 @@
         let fleet = self.options.fleet.borrow_and_update().clone();
         let me = self.options.me.clone();
         if !self.is_leaving && now >= Time::ZERO + LISTEN_FIRST {
-            let placeable = fleet.placeable(&me);
+            let placeable = fleet.placeable(now, &me);
             for (workspace, quota) in &self.workspaces {
                 let place = |among: &[&InstanceId]| {
                     rank(workspace.as_str(), among.iter().copied(), &me) == Some(0)
                 };
-                let claimants = fleet.claimants(workspace);
+                let claimants = fleet.claimants(now, workspace);
                 if self.owned.contains_key(workspace) {
                     let contest: Vec<&InstanceId> = claimants.into_iter().chain([&me]).collect();
                     if !place(&contest) {
@@ -320,7 +320,7 @@
                 echo: 0,
             });
         }
-        let (instance, epoch) = fleet.owner(workspace)?;
+        let (instance, epoch) = fleet.owner(self.options.clock.now(), workspace)?;
         Some(OwnerToAsk {
             owner: Borrower {
                 instance: instance.clone(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -308,7 +308,7 @@
                     entry: beat.map(|beat| beat.entry),
                     life: beat.map(|beat| beat.heartbeat.incarnation),
                     version: beat.map_or(0, |beat| beat.heartbeat.version),
-                    is_heard: self.roster.is_heard(now, id),
+                    heard_until: self.roster.heard_until(id),
                     is_leaving: member.is_leaving,
                     is_listed: member.presence == Presence::Listed,
                     is_gone: self.roster.is_gone(now, id),
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -161,7 +161,7 @@
         let wanted = if has_one {
             self.spare_slot(now, &fleet)
         } else {
-            self.first_slot(&fleet)
+            self.first_slot(now, &fleet)
         };
         let is_stuck = !has_one && wanted.is_none() && !self.is_writing();
         self.alarm("no_free_slot", is_stuck);
@@ -179,7 +179,7 @@
     }
 
     /// Chooses an earlier life's slot, a free one, or one whose holder has ended.
-    fn first_slot(&self, fleet: &Fleet) -> Option<u32> {
+    fn first_slot(&self, now: Time, fleet: &Fleet) -> Option<u32> {
         if self.is_writing() {
             return None;
         }
@@ -196,7 +196,7 @@
             .map(|(idx, _)| *idx)
             .collect();
         // Instances that start together try different slots.
-        let start = rank("slot", fleet.placeable(me), me).unwrap_or(0);
+        let start = rank("slot", fleet.placeable(now, me), me).unwrap_or(0);
         let first_free = (!free.is_empty()).then(|| free[start % free.len()]);
         let ended = || {
             self.slots
@@ -209,7 +209,7 @@
 
     /// Chooses a slot that nobody needs and that is this instance's to take.
     fn spare_slot(&self, now: Time, fleet: &Fleet) -> Option<u32> {
-        if fleet.wanting().next().is_some() {
+        if fleet.wanting(now).next().is_some() {
             return None;
         }
         let me = &self.options.me;
@@ -221,13 +221,13 @@
                     || (is_owner_gone(&self.options, fleet, &slot.lease))
             })
             .map(|(idx, _)| *idx)
-            .find(|idx| rank(&slot_name(*idx), fleet.placeable(me), me) == Some(0))
+            .find(|idx| rank(&slot_name(*idx), fleet.placeable(now, me), me) == Some(0))
     }
 
     /// Gives a second slot up where another instance has had none for a while.
     async fn give_spare(&mut self, now: Time) {
         let fleet = self.options.fleet.borrow().clone();
-        let wanting: Vec<InstanceId> = fleet.wanting().cloned().collect();
+        let wanting: Vec<InstanceId> = fleet.wanting(now).cloned().collect();
         self.wanting_since.retain(|id, _| wanting.contains(id));
         for id in wanting {
             self.wanting_since.entry(id).or_insert(now);
--- /dev/null
+++ b/crates/daemon/tests/fleet.rs
@@ -0,0 +1,44 @@
+//! What an instance knows of the others, read after a pause.
+
+use std::collections::BTreeMap;
+
+use base::Time;
+use daemon::fleet::{Fleet, FleetMember};
+
+fn member(heard_until: Time) -> FleetMember {
+    FleetMember {
+        domain: "d".into(),
+        addr: None,
+        entry: None,
+        life: None,
+        version: 1,
+        heard_until,
+        is_leaving: false,
+        is_listed: true,
+        is_gone: false,
+        owns: vec![("club".into(), 7)],
+        slots: Some(0),
+        beat: 1,
+    }
+}
+
+fn fleet() -> Fleet {
+    Fleet {
+        members: BTreeMap::from([("i1".into(), member(Time::from_secs(10)))]),
+        leaving_targets: Vec::new(),
+    }
+}
+
+#[test]
+fn fleet_counts_by_the_readers_clock() {
+    // Published before a pause: the reader must not take the others as heard after it.
+    assert_eq!(fleet().counts(Time::from_secs(9)), (1, 1));
+    assert_eq!(fleet().counts(Time::from_secs(60)), (1, 0));
+}
+
+#[test]
+fn fleet_owner_is_heard() {
+    let (club, owner) = ("club".into(), "i1".into());
+    assert_eq!(fleet().owner(Time::from_secs(9), &club), Some((&owner, 7)));
+    assert_eq!(fleet().owner(Time::from_secs(60), &club), None);
+}
--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -4,6 +4,7 @@
 
 use platform::{Call, Listed, ListedKind, ListedState, Platform};
 use serde_json::{Value, json};
+use standin::{platform_server::Faults, relay::Relay};
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
@@ -30,6 +31,15 @@
     pub peer: SocketAddr,
 }
 
+/// Holds relays between an instance and the rest.
+#[derive(Debug)]
+pub struct Relays {
+    /// Between the instance and the platform.
+    pub platform: Relay,
+    /// Between the other instances and the instance, over UDP.
+    pub peer: Relay,
+}
+
 /// Holds one target's process and address.
 #[derive(Debug)]
 pub struct TargetProcess {
@@ -54,9 +64,37 @@
     pub targets: BTreeMap<String, TargetProcess>,
     /// Instances by name.
     pub instances: BTreeMap<String, Instance>,
+    /// Relays of the instances that have some.
+    pub relays: BTreeMap<String, Relays>,
     _platform: Process,
 }
 
+/// Reaches a deployment as operators do.
+#[derive(Debug, Clone, Copy)]
+pub struct Operators {
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address of an instance for operators.
+    pub operator: SocketAddr,
+}
+
+impl Operators {
+    /// Runs the operators' program and returns its output and exit code.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program can't be started.
+    pub fn operate(&self, args: &[&str]) -> (String, i32) {
+        let (platform, operator) = (self.platform.to_string(), self.operator.to_string());
+        let mut all = vec!["--platform", &platform, "--operator", &operator];
+        all.extend(args);
+        let output = run("godwitgauge", &all);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        (text, output.status.code().unwrap_or(-1))
+    }
+}
+
 /// Describes a deployment to start.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -68,6 +106,8 @@
     pub rate: f64,
     /// Burst of the workspace `club`.
     pub burst: f64,
+    /// Instances that reach the rest, and are reached, through relays.
+    pub relayed: Vec<String>,
     /// Settings added to those of each instance.
     pub settings: BTreeMap<String, Value>,
 }
@@ -81,6 +121,7 @@
             slots: 4,
             rate: 1_000.0,
             burst: 1_000.0,
+            relayed: Vec::new(),
             settings: BTreeMap::from([("lookup_ttl_ms".to_owned(), json!(500))]),
         }
     }
@@ -101,6 +142,7 @@
             platform: platform::http::connect(platform_addr),
             targets: BTreeMap::new(),
             instances: BTreeMap::new(),
+            relays: BTreeMap::new(),
             _platform: platform_process,
         };
         for domain in &plan.domains {
@@ -139,7 +181,15 @@
     ///
     /// Panics where it does not start.
     pub async fn start_instance(&mut self, name: &str, domain: &str, plan: &Plan) {
-        let file = self.settings_file(name, domain, plan);
+        let mut platform_addr = self.platform_addr;
+        let platform_relay = if plan.relayed.contains(&name.to_owned()) {
+            let relay = Relay::tcp(platform_addr).await.expect("a relay");
+            platform_addr = relay.addr;
+            Some(relay)
+        } else {
+            None
+        };
+        let file = self.settings_file(name, domain, plan, platform_addr);
         let args = ["run", "--config", &file.to_string_lossy(), "--log", "warn"];
         let process = Process::start("godwitgauged", &args);
         let line = process.event("listening");
@@ -150,7 +200,14 @@
             operator: addr(&line, "operator"),
             peer: addr(&line, "peer"),
         };
-        self.list(name, domain, instance.peer).await;
+        let mut listed = instance.peer;
+        if let Some(platform) = platform_relay {
+            let peer = Relay::udp(instance.peer).await.expect("a relay");
+            listed = peer.addr;
+            let relays = Relays { platform, peer };
+            self.relays.insert(name.to_owned(), relays);
+        }
+        self.list(name, domain, listed).await;
         self.instances.insert(name.to_owned(), instance);
     }
 
@@ -171,6 +228,45 @@
         self.platform.call(call).await.expect("the list");
     }
 
+    /// Switches the platform's faults.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the platform does not answer.
+    pub async fn set_faults(&self, faults: Faults) {
+        let body = serde_json::to_string(&faults).expect("faults");
+        let ask = Ask::post("/admin/faults")
+            .header("content-type", "application/json")
+            .body(&body);
+        let answer = Caller::connect(self.platform_addr).await.send(&ask).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Takes an instance off the platform's list.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the platform does not answer.
+    pub async fn unlist(&self, name: &str) {
+        let id = name.to_owned();
+        self.platform
+            .call(Call::Forget { id })
+            .await
+            .expect("the list");
+    }
+
+    /// Returns how often an action ran on all targets together.
+    pub async fn runs(&self, action: &str) -> u64 {
+        let mut total = 0;
+        for target in self.targets.values() {
+            if let Some(mut caller) = Caller::try_connect(target.addr).await {
+                let answer = caller.send(&Ask::get("/admin/runs")).await;
+                total += answer.body["by_key"][action].as_u64().unwrap_or(0);
+            }
+        }
+        total
+    }
+
     /// Returns the path of the answers.
     pub fn answers(&self) -> PathBuf {
         self.folder.path().join("answers.jsonc")
@@ -182,15 +278,20 @@
     ///
     /// Panics where the program can't be started.
     pub fn operate(&self, args: &[&str]) -> (String, i32) {
-        let operator = self.instances.values().next().map(|first| first.operator);
-        let operator = operator.expect("an instance").to_string();
-        let platform = self.platform_addr.to_string();
-        let mut all = vec!["--platform", &platform, "--operator", &operator];
-        all.extend(args);
-        let output = run("godwitgauge", &all);
-        let text = String::from_utf8_lossy(&output.stdout).into_owned()
-            + &String::from_utf8_lossy(&output.stderr);
-        (text, output.status.code().unwrap_or(-1))
+        self.operators().operate(args)
+    }
+
+    /// Returns what operators need to reach the deployment.
+    ///
+    /// # Panics
+    ///
+    /// Panics where there is no instance.
+    pub fn operators(&self) -> Operators {
+        let first = self.instances.values().next().expect("an instance");
+        Operators {
+            platform: self.platform_addr,
+            operator: first.operator,
+        }
     }
 
     /// Applies the answers, issues a key for `club` and returns it.
@@ -300,7 +401,13 @@
         fs::write(self.answers(), text).expect("the answers");
     }
 
-    fn settings_file(&self, name: &str, domain: &str, plan: &Plan) -> PathBuf {
+    fn settings_file(
+        &self,
+        name: &str,
+        domain: &str,
+        plan: &Plan,
+        platform_addr: SocketAddr,
+    ) -> PathBuf {
         let mut settings = json!({
             "instance": name,
             "domain": domain,
@@ -308,7 +415,7 @@
             "entry": "127.0.0.1:0",
             "operator": "127.0.0.1:0",
             "peer": "127.0.0.1:0",
-            "platform": self.platform_addr,
+            "platform": platform_addr,
             "secret": SECRET,
             "slot_count": plan.domains.len() + 1,
         });
--- /dev/null
+++ b/crates/proof/tests/failures.rs
@@ -0,0 +1,448 @@
+//! What must always hold, under kills, pauses, cuts and platform outages, with separate processes.
+
+use std::time::Duration;
+
+use proof::{
+    caller::{Answer, Ask, Caller},
+    deployment::{Deployment, Plan},
+};
+use standin::{platform_server::Faults, relay::Flow};
+use tokio::time::{Instant, sleep};
+
+const WITHIN: Duration = Duration::from_secs(8);
+
+async fn ready(plan: &Plan) -> (Deployment, String) {
+    let deployment = Deployment::start(plan).await;
+    deployment.settle_unconfigured().await;
+    let key = deployment.set_up();
+    deployment.settle().await;
+    (deployment, key)
+}
+
+async fn get(deployment: &Deployment, instance: &str, key: &str) -> Answer {
+    let ask = Ask::get("/logbook/climbs").key(key);
+    send(deployment, instance, &ask).await
+}
+
+async fn send(deployment: &Deployment, instance: &str, ask: &Ask) -> Answer {
+    let entry = deployment.instances[instance].entry;
+    Caller::connect(entry).await.send(ask).await
+}
+
+/// Repeats a request until it gets this kind of answer, which must come in time.
+async fn until_kind(deployment: &Deployment, instance: &str, key: &str, kinds: &[&str]) {
+    let until = Instant::now() + WITHIN;
+    loop {
+        let answer = get(deployment, instance, key).await;
+        if kinds.contains(&answer.kind()) {
+            return;
+        }
+        assert!(Instant::now() < until, "{instance}: {answer:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_others_serve_and_lookups_forget() {
+    let (mut deployment, key) = ready(&Plan::default()).await;
+    deployment
+        .instances
+        .get_mut("i3")
+        .unwrap()
+        .process
+        .signal("KILL");
+    let until = Instant::now() + WITHIN;
+    loop {
+        assert_eq!(get(&deployment, "i1", &key).await.status, 200);
+        let lookup = send(&deployment, "i1", &Ask::get("/v1/lookup?service=logbook")).await;
+        if lookup.body["entries"].as_array().unwrap().len() == 2 {
+            break;
+        }
+        assert!(Instant::now() < until, "{lookup:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_home_makes_outcome_unknown_not_run_again() {
+    let (mut deployment, key) = ready(&Plan::default()).await;
+    let lookup = send(
+        &deployment,
+        "i1",
+        &Ask::get("/v1/lookup?service=logbook&domain=oriente-norte"),
+    )
+    .await;
+    let home = lookup.body["entries"][0]["home"].as_str().unwrap();
+    assert!(home.starts_with("i3."));
+    let action = format!("{home}pay-1");
+    let post = Ask::post("/logbook/pay")
+        .key(&key)
+        .header("idempotency-key", &action)
+        .body("day pass");
+    assert_eq!(send(&deployment, "i1", &post).await.status, 200);
+    deployment
+        .instances
+        .get_mut("i3")
+        .unwrap()
+        .process
+        .signal("KILL");
+    let repeat = send(&deployment, "i2", &post).await;
+    assert_eq!(repeat.kind(), "outcome_unknown", "{repeat:?}");
+    assert_eq!(repeat.body["ran"], "unknown");
+    assert_eq!(deployment.runs(&action).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pause_withdrawn_key_stays_out_on_wake() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let paused = &deployment.instances["i2"];
+    let mut open = Caller::connect(paused.entry).await;
+    let ask = Ask::get("/logbook/climbs").key(&key);
+    assert_eq!(open.send(&ask).await.status, 200);
+    paused.process.signal("STOP");
+    // This request waits in the paused instance's socket.
+    let waiting = tokio::spawn(async move { open.send(&ask).await });
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1", "--wait", "0"]);
+    assert_eq!(code, 0, "{text}");
+    sleep(Duration::from_secs(6)).await;
+    paused.process.signal("CONT");
+    let answer = waiting.await.unwrap();
+    assert!(
+        ["unknown_key", "isolated"].contains(&answer.kind()),
+        "{answer:?}"
+    );
+    until_kind(&deployment, "i2", &key, &["unknown_key"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down_serves_and_accepts_no_change() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let down = Faults {
+        is_down: true,
+        ..Faults::default()
+    };
+    deployment.set_faults(down).await;
+    let until = Instant::now() + Duration::from_secs(7);
+    while Instant::now() < until {
+        for instance in ["i1", "i2", "i3"] {
+            assert_eq!(get(&deployment, instance, &key).await.status, 200);
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1"]);
+    assert_eq!(code, 5, "{text}");
+    let plain = Ask::post("/logbook/pay")
+        .key(&key)
+        .header("idempotency-key", "no-home")
+        .body("x");
+    let answer = send(&deployment, "i1", &plain).await;
+    assert_eq!(
+        (answer.kind(), &answer.body["ran"]),
+        ("claim_unavailable", &"no".into())
+    );
+    assert_eq!(deployment.runs("no-home").await, 0);
+    deployment.set_faults(Faults::default()).await;
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1"]);
+    assert_eq!(code, 0, "{text}");
+    for instance in ["i1", "i2", "i3"] {
+        assert_eq!(get(&deployment, instance, &key).await.kind(), "unknown_key");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_from_all_refuses_withdrawn_key() {
+    let plan = Plan {
+        relayed: vec!["i2".to_owned()],
+        ..Plan::default()
+    };
+    let (deployment, key) = ready(&plan).await;
+    assert_eq!(get(&deployment, "i2", &key).await.status, 200);
+    deployment.relays["i2"].platform.set(Flow::Silent);
+    deployment.relays["i2"].peer.set(Flow::Silent);
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1", "--wait", "0"]);
+    assert_eq!(code, 0, "{text}");
+    until_kind(&deployment, "i2", &key, &["isolated"]).await;
+    // Once it can hear again, it knows.
+    deployment.relays["i2"].platform.set(Flow::Open);
+    deployment.relays["i2"].peer.set(Flow::Open);
+    until_kind(&deployment, "i2", &key, &["unknown_key"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_from_store_learns_from_peers() {
+    let plan = Plan {
+        relayed: vec!["i2".to_owned()],
+        ..Plan::default()
+    };
+    let (deployment, key) = ready(&plan).await;
+    deployment.relays["i2"].platform.set(Flow::Silent);
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1"]);
+    assert_eq!(code, 0, "{text}");
+    assert_eq!(get(&deployment, "i2", &key).await.kind(), "unknown_key");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_write_is_settled_by_reading() {
+    let (deployment, _) = ready(&Plan::default()).await;
+    let faults = Faults {
+        loses_answers: true,
+        ..Faults::default()
+    };
+    deployment.set_faults(faults).await;
+    let (text, _) = deployment.operate(&["key", "withdraw", "k1", "--wait", "0"]);
+    deployment.set_faults(Faults::default()).await;
+    let (history, _) = deployment.operate(&["history"]);
+    let withdrawals = history.matches("withdraw key k1").count();
+    // Storing the object fails first, so that nothing is written; a change is never written twice.
+    assert!(withdrawals <= 1, "{text}\n{history}");
+    assert_eq!(
+        text.contains("written: version"),
+        withdrawals == 1,
+        "{text}\n{history}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_nothing() {
+    let (deployment, _) = ready(&Plan::default()).await;
+    let answers = std::fs::read_to_string(deployment.answers()).unwrap();
+    let rates = [101, 102, 103, 104, 105];
+    let outcomes: Vec<(String, i32)> = std::thread::scope(|scope| {
+        let handles: Vec<_> = rates
+            .iter()
+            .map(|rate| {
+                let file = deployment.folder.path().join(format!("{rate}.jsonc"));
+                let changed = answers.replace("\"rate\": 1000.0", &format!("\"rate\": {rate}.0"));
+                std::fs::write(&file, changed).unwrap();
+                let operators = deployment.operators();
+                scope.spawn(move || {
+                    let file = file.to_string_lossy().into_owned();
+                    operators.operate(&["apply", &file, "--base", "2", "--wait", "0"])
+                })
+            })
+            .collect();
+        handles
+            .into_iter()
+            .map(|handle| handle.join().unwrap())
+            .collect()
+    });
+    let won = outcomes.iter().filter(|(_, code)| *code == 0).count();
+    let lost = outcomes.iter().filter(|(_, code)| *code == 4).count();
+    assert_eq!((won, lost), (1, 4), "{outcomes:?}");
+    let conflicts: Vec<&String> = outcomes
+        .iter()
+        .filter(|(_, code)| *code == 4)
+        .map(|(text, _)| text)
+        .collect();
+    assert!(
+        conflicts
+            .iter()
+            .all(|text| text.contains("version 2") && text.contains("version 3")),
+        "{conflicts:?}"
+    );
+    let (keys, _) = deployment.operate(&["key", "list"]);
+    assert!(keys.contains("k1"), "{keys}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_configuration_is_kept_out() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let text = "{ not a configuration";
+    let digest = base::config_digest(text);
+    deployment
+        .platform
+        .put_object(&format!("config/{digest}"), text)
+        .await
+        .unwrap();
+    let head = platform::Write::new("config", "head").value(&digest);
+    deployment.platform.write(vec![head]).await.unwrap();
+    let until = Instant::now() + WITHIN;
+    let operator = deployment.instances["i1"].operator;
+    loop {
+        let metrics = Caller::connect(operator)
+            .await
+            .send(&Ask::get("/metrics"))
+            .await;
+        let text = metrics.body.as_str().unwrap_or_default().to_owned();
+        if text.contains("godwitgauge_fact{name=\"config_unreadable\"} 1") {
+            break;
+        }
+        assert!(Instant::now() < until, "{text}");
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(get(&deployment, "i1", &key).await.status, 200);
+    assert_eq!(deployment.status("i1").await["version"], 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn missing_object_keeps_old_version() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let digest = base::config_digest("never stored");
+    let head = platform::Write::new("config", "head").value(&digest);
+    deployment.platform.write(vec![head]).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(get(&deployment, "i1", &key).await.status, 200);
+    assert_eq!(deployment.status("i1").await["version"], 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_with_empty_state_serves_again() {
+    let plan = Plan::default();
+    let (mut deployment, key) = ready(&plan).await;
+    deployment.instances.remove("i2");
+    deployment.start_instance("i2", "costa-norte", &plan).await;
+    deployment.settle().await;
+    let until = Instant::now() + WITHIN;
+    loop {
+        let answer = get(&deployment, "i2", &key).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(Instant::now() < until, "{answer:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_target_leaves_action_unknown_and_run_once() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let post = Ask::post("/logbook/pay")
+        .key(&key)
+        .header("idempotency-key", "pay-7")
+        .header("crash", "1")
+        .body("day pass");
+    let first = send(&deployment, "i1", &post).await;
+    assert_eq!(
+        (first.kind(), &first.body["ran"]),
+        ("target_lost", &"unknown".into())
+    );
+    for instance in ["i1", "i2", "i3"] {
+        let repeat = send(&deployment, instance, &post).await;
+        assert_eq!(repeat.kind(), "outcome_unknown", "{repeat:?}");
+    }
+    assert_eq!(alive(deployment), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_ends_two_targets_at_most() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let poison = Ask::get("/logbook/climbs?wall=9")
+        .key(&key)
+        .header("crash", "1");
+    let first = send(&deployment, "i1", &poison).await;
+    assert_eq!(first.kind(), "target_lost", "{first:?}");
+    sleep(Duration::from_millis(200)).await;
+    for instance in ["i1", "i2", "i3", "i2", "i3"] {
+        let again = send(&deployment, instance, &poison).await;
+        assert_eq!(again.kind(), "quarantined", "{instance}: {again:?}");
+        assert!(again.retry_after.is_some());
+    }
+    assert!(alive(deployment) >= 1);
+}
+
+fn alive(mut deployment: Deployment) -> usize {
+    deployment
+        .targets
+        .values_mut()
+        .filter_map(|target| target.process.is_running().then_some(()))
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rate_over_the_fleet_is_kept_while_an_instance_is_killed() {
+    let plan = Plan {
+        rate: 60.0,
+        burst: 30.0,
+        slots: 16,
+        ..Plan::default()
+    };
+    let (mut deployment, key) = ready(&plan).await;
+    sleep(Duration::from_secs(2)).await;
+    let entries: Vec<_> = deployment.instances.values().map(|one| one.entry).collect();
+    let started = Instant::now();
+    let length = Duration::from_secs(8);
+    let mut tasks = tokio::task::JoinSet::new();
+    for entry in entries.iter().chain(&entries) {
+        let (entry, key) = (*entry, key.clone());
+        tasks.spawn(async move {
+            let mut admitted = 0u32;
+            let mut caller = Caller::connect(entry).await;
+            while started.elapsed() < length {
+                let ask = Ask::get("/logbook/climbs").key(&key);
+                let answer = caller.send(&ask).await;
+                match answer.status {
+                    200 => admitted += 1,
+                    0 => return admitted,
+                    _ => sleep(Duration::from_millis(5)).await,
+                }
+            }
+            admitted
+        });
+    }
+    sleep(Duration::from_secs(3)).await;
+    deployment
+        .instances
+        .get_mut("i3")
+        .unwrap()
+        .process
+        .signal("KILL");
+    let mut admitted = 0;
+    while let Some(count) = tasks.join_next().await {
+        admitted += count.unwrap();
+    }
+    let allowed = 30.0 + 60.0 * started.elapsed().as_secs_f64();
+    assert!(f64::from(admitted) <= allowed, "{admitted} of {allowed}");
+    assert!(
+        f64::from(admitted) >= 0.4 * allowed,
+        "{admitted} of {allowed}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_store_changes_still_take_hold() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let faults = Faults {
+        delay_ms: 700,
+        ..Faults::default()
+    };
+    deployment.set_faults(faults).await;
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1"]);
+    assert_eq!(code, 0, "{text}");
+    for instance in ["i1", "i2", "i3"] {
+        assert_eq!(get(&deployment, instance, &key).await.kind(), "unknown_key");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_store_waits_then_serves() {
+    let plan = Plan::default();
+    let (mut deployment, key) = ready(&plan).await;
+    let down = Faults {
+        is_down: true,
+        ..Faults::default()
+    };
+    deployment.instances.remove("i3");
+    deployment.set_faults(down).await;
+    let file = deployment.folder.path().join("i3.jsonc");
+    let args = ["run", "--config", file.to_str().unwrap(), "--log", "warn"];
+    let process = proof::process::Process::start("godwitgauged", &args);
+    let line = process.event("listening");
+    let entry = proof::process::addr(&line, "entry");
+    let ask = Ask::get("/logbook/climbs").key(&key);
+    let waiting = Caller::connect(entry).await.send(&ask).await;
+    assert_eq!(
+        (waiting.kind(), &waiting.body["ran"]),
+        ("not_ready", &"no".into())
+    );
+    deployment.set_faults(Faults::default()).await;
+    deployment
+        .list("i3", "oriente-norte", proof::process::addr(&line, "peer"))
+        .await;
+    process.event("ready");
+    let until = Instant::now() + WITHIN;
+    while Caller::connect(entry).await.send(&ask).await.status != 200 {
+        assert!(Instant::now() < until);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/crates/proof/tests/session.rs
+++ b/crates/proof/tests/session.rs
@@ -98,7 +98,7 @@
         two.status,
         one.body == two.body
     ));
-    assert_eq!(runs(&deployment, &action).await, 1);
+    assert_eq!(deployment.runs(&action).await, 1);
 
     transcript.step("withdraw the key while the connection stays open");
     transcript.show(&without_waiting(
@@ -174,15 +174,3 @@
         .collect::<Vec<_>>()
         .join("\n")
 }
-
-async fn runs(deployment: &Deployment, action: &str) -> u64 {
-    let mut total = 0;
-    for target in deployment.targets.values() {
-        let answer = Caller::connect(target.addr)
-            .await
-            .send(&Ask::get("/admin/runs"))
-            .await;
-        total += answer.body["by_key"][action].as_u64().unwrap_or(0);
-    }
-    total
-}
