perf(coord): expire grants from a queue; capacity benchmark, plans, block table

Change: grants expire from a queue in the order they were made. Conclusion: the owner's cost no longer grows with its outstanding grants.

--- a/crates/coord/src/grant.rs
+++ b/crates/coord/src/grant.rs
@@ -523,6 +523,8 @@
     loans: BTreeMap<u32, Borrowed>,
     floor: Quota,
     outstanding: u32,
+    /// Grants by expiry: all live equally long, so the oldest is in front.
+    expiries: VecDeque<(Time, InstanceId, (Incarnation, u64))>,
 }
 
 /// Holds the loan of one slot's floor.
@@ -547,7 +549,6 @@
 struct Outstanding {
     tokens: u32,
     left: u32,
-    expires_at: Time,
 }
 
 /// Ended lives of one holder whose late asks are still told apart.
@@ -580,6 +581,7 @@
             loans: BTreeMap::new(),
             floor: split.floor(whole),
             outstanding: 0,
+            expiries: VecDeque::new(),
         }
     }
 
@@ -751,9 +753,9 @@
             let out = Outstanding {
                 tokens,
                 left: tokens,
-                expires_at,
             };
             account.grants.insert(key, out);
+            self.expiries.push_back((expires_at, from.clone(), key));
         }
         grant
     }
@@ -784,14 +786,15 @@
     fn expire(&mut self, now: Time) {
         // The bucket fills up to the old cap before expired units make room.
         self.settle(now);
-        for account in self.accounts.values_mut() {
-            account.grants.retain(|_, out| {
-                if out.expires_at > now {
-                    return true;
-                }
-                self.outstanding -= out.left;
-                false
-            });
+        while self.expiries.front().is_some_and(|(at, _, _)| *at <= now) {
+            let Some((_, holder, key)) = self.expiries.pop_front() else {
+                return;
+            };
+            let ended = self
+                .accounts
+                .get_mut(&holder)
+                .and_then(|account| account.grants.remove(&key));
+            self.outstanding -= ended.map_or(0, |out| out.left);
         }
     }
 }
--- /dev/null
+++ b/crates/proof/benches/capacity.rs
@@ -0,0 +1,458 @@
+//! Prints the rows of the capacity page: slopes of state, messages, processor time and memory.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    hint::black_box,
+    time::Duration,
+};
+
+use base::{
+    Config, Domain, Incarnation, InstanceId, Key, KeyDigest, RegionId, Service, Target, Time,
+    Workspace, canonical_json,
+};
+use coord::{Ask, FanOut, Head, Heartbeat, Loan, Owner, Quota, Roster, Split};
+use daemon::message::{Beat, PeerMessage};
+use dispatch::{Dispatcher, Outcome, Policy, RequestId, Work, WorkKind};
+use proof::rollout::{Rollout, roll_out};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use steer::{BlockTable, Candidate, Measurements, Origin, PlanPolicy, order, plan};
+use tokio::time::Instant;
+use wire::{Secret, Sessions};
+
+fn main() {
+    println!("| row | size | value | unit |");
+    println!("|---|---|---|---|");
+    blocks();
+    lookups();
+    configuration();
+    heartbeats();
+    rosters();
+    limits();
+    planner();
+    decisions();
+    rollouts();
+}
+
+fn row(name: &str, size: usize, value: f64, unit: &str) {
+    println!("| {name} | {size} | {value:.3} | {unit} |");
+}
+
+/// Returns the mean time of one call in nanoseconds.
+fn nanos<F>(times: u32, mut call: F) -> f64
+where
+    F: FnMut(u32),
+{
+    let start = Instant::now();
+    for idx in 0..times {
+        call(idx);
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(times)
+}
+
+fn blocks() {
+    let mut rng = Pcg32::seed_from_u64(1);
+    for size in [250_000usize, 1_000_000, 4_000_000] {
+        let pairs: Vec<(u32, u16)> = (0..size)
+            .map(|_| (rng.random::<u32>() & !0xff, rng.random_range(0..280)))
+            .collect();
+        let start = Instant::now();
+        let table = BlockTable::new(pairs.clone());
+        row(
+            "block table build",
+            table.len(),
+            start.elapsed().as_secs_f64() * 1e3,
+            "ms",
+        );
+        row(
+            "block table memory",
+            table.len(),
+            table.bytes() as f64 / table.len() as f64,
+            "bytes/block",
+        );
+        let clients: Vec<u32> = (0..1 << 16).map(|_| rng.random()).collect();
+        let look_up = nanos(1_000_000, |idx| {
+            black_box(table.site(clients[idx as usize & 0xffff].into()));
+        });
+        row("block table look-up", table.len(), look_up, "ns");
+        let start = Instant::now();
+        let map: BTreeMap<u32, u16> = pairs.into_iter().collect();
+        row(
+            "ordered map build",
+            map.len(),
+            start.elapsed().as_secs_f64() * 1e3,
+            "ms",
+        );
+        let look_up = nanos(1_000_000, |idx| {
+            let client = clients[idx as usize & 0xffff];
+            black_box(map.range(..=client).next_back());
+        });
+        row("ordered map look-up", map.len(), look_up, "ns");
+    }
+}
+
+fn lookups() {
+    for size in [10usize, 80, 280] {
+        let instances: Vec<InstanceId> = (0..size).map(|idx| format!("i{idx}").into()).collect();
+        let domains: Vec<base::DomainId> = (0..21).map(|idx| format!("d{idx}").into()).collect();
+        let regions: Vec<RegionId> = (0..8).map(|idx| format!("r{idx}").into()).collect();
+        let candidates: Vec<Candidate<'_>> = instances
+            .iter()
+            .enumerate()
+            .map(|(idx, instance)| Candidate {
+                instance,
+                domain: &domains[idx % 21],
+                region: &regions[idx % 21 % 8],
+            })
+            .collect();
+        let origin = Origin {
+            domain: Some("d3".into()),
+            region: None,
+        };
+        let cost = nanos(20_000, |idx| {
+            black_box(order(&candidates, &origin, u64::from(idx)));
+        });
+        row("look-up order", size, cost, "ns");
+    }
+}
+
+fn sized_config(workspaces: usize, keys: usize, services: usize) -> Config {
+    let mut config = Config::default();
+    for idx in 0..6 {
+        let domain = Domain {
+            region: format!("region-{}", idx / 2).into(),
+        };
+        config
+            .domains
+            .insert(format!("domain-{idx}").into(), domain);
+    }
+    for idx in 0..workspaces {
+        let workspace = Workspace {
+            rate: 100.0,
+            burst: 200.0,
+            weight: 1,
+        };
+        config
+            .workspaces
+            .insert(format!("workspace-{idx}").into(), workspace);
+    }
+    for idx in 0..keys {
+        let key = Key {
+            workspace: format!("workspace-{}", idx % workspaces).into(),
+            digest: KeyDigest::of(&idx.to_string()),
+        };
+        config.keys.insert(format!("key-{idx}").into(), key);
+    }
+    for idx in 0..services {
+        let targets = (0..12)
+            .map(|target| {
+                let found = Target {
+                    domain: format!("domain-{}", target % 6).into(),
+                    addr: ([10, 0, 0, 1], 9000).into(),
+                };
+                (format!("service-{idx}-{target}").into(), found)
+            })
+            .collect();
+        let service = Service {
+            slots: 5,
+            connections: 350,
+            deadline_ms: 1_000,
+            open_routes: Vec::new(),
+            targets,
+        };
+        config
+            .services
+            .insert(format!("service-{idx}").into(), service);
+    }
+    config
+}
+
+fn configuration() {
+    let empty = canonical_json(&sized_config(1, 0, 0)).len();
+    let per = |config: &Config, count: usize| {
+        (canonical_json(config).len() - empty) as f64 / count as f64
+    };
+    row(
+        "configuration, a workspace",
+        1_001,
+        per(&sized_config(1_001, 0, 0), 1_000),
+        "bytes",
+    );
+    row(
+        "configuration, a key",
+        1_000,
+        per(&sized_config(1, 1_000, 0), 1_000),
+        "bytes",
+    );
+    row(
+        "configuration, a service of 12 targets",
+        100,
+        per(&sized_config(1, 0, 100), 100),
+        "bytes",
+    );
+    for keys in [100usize, 1_000, 10_000] {
+        let text = canonical_json(&sized_config(keys / 2, keys, 3));
+        let cost = nanos(20, |_| {
+            black_box(serde_json::from_str::<Config>(&text).is_ok());
+        });
+        row("configuration, read", keys, cost / 1e3, "us");
+    }
+}
+
+fn beat(owned: usize) -> Beat {
+    Beat {
+        heartbeat: Heartbeat {
+            id: "instance-0001".into(),
+            incarnation: Incarnation(u64::MAX),
+            domain: "sierra-norte".into(),
+            is_leaving: false,
+            version: 3_400,
+            confirmed_ago: Some(Duration::from_millis(300)),
+        },
+        number: 100_000,
+        echo: 100_000,
+        entry: ([10, 0, 0, 1], 8470).into(),
+        head: Some(Head {
+            version: 3_400,
+            digest: "0".repeat(64),
+        }),
+        owns: (0..owned)
+            .map(|idx| (format!("workspace-{idx}").into(), u64::MAX))
+            .collect(),
+        slots: 1,
+        bars: Vec::new(),
+    }
+}
+
+fn heartbeats() {
+    let secret = Secret::derive("a secret for benchmarks");
+    let mut one = Sessions::new(secret.clone(), "instance-0001".into(), Incarnation(1));
+    let mut two = Sessions::new(secret, "instance-0002".into(), Incarnation(2));
+    for owned in [0usize, 1, 8] {
+        let message = PeerMessage::Beat(beat(owned));
+        let frame = one
+            .seal(&"instance-0002".into(), &message)
+            .expect("a frame");
+        row(
+            "heartbeat, sealed",
+            owned,
+            frame.len() as f64,
+            "bytes by owned workspaces",
+        );
+        let cost = nanos(50_000, |_| {
+            let frame = one.seal(&"instance-0002".into(), &message);
+            black_box(two.open::<PeerMessage>(&frame.expect("a frame")).is_ok());
+        });
+        row(
+            "heartbeat, seal and open",
+            owned,
+            cost,
+            "ns by owned workspaces",
+        );
+    }
+}
+
+fn rosters() {
+    for size in [10usize, 100, 1_700] {
+        let mut roster = Roster::new(Duration::from_secs(40), Duration::from_secs(2));
+        let beats: Vec<Heartbeat> = (0..size)
+            .map(|idx| Heartbeat {
+                id: format!("instance-{idx:04}").into(),
+                ..beat(0).heartbeat
+            })
+            .collect();
+        let cost = nanos(20_000, |idx| {
+            roster.heard(
+                Time::from_millis(u64::from(idx)),
+                &beats[idx as usize % size],
+            );
+        });
+        row("roster, a heartbeat", size, cost, "ns");
+        let cost = nanos(200, |_| {
+            black_box(roster.serving(Time::from_secs(1)).len());
+        });
+        row("roster, list", size, cost / 1e3, "us");
+    }
+}
+
+fn limits() {
+    let quota = Quota {
+        rate: 1e9,
+        burst: 1e9,
+    };
+    for holders in [3usize, 10, 100, 300] {
+        let split = Split {
+            floor_share: 1.0,
+            slots: holders as u32,
+            ..Split::default()
+        };
+        let mut owner = Owner::acting(Time::ZERO, quota, split, 1);
+        owner.set_right(Time::NEVER);
+        let names: Vec<InstanceId> = (0..holders).map(|idx| format!("i{idx}").into()).collect();
+        let mut serial = VecDeque::from(vec![0u64; holders]);
+        let mut now = Time::ZERO;
+        let cost = nanos(30_000, |idx| {
+            let holder = idx as usize % holders;
+            now = now + Duration::from_micros(200);
+            serial[holder] += 1;
+            if idx % 16 == 0 {
+                let loan = Loan {
+                    slot: holder as u32,
+                    serial: serial[holder],
+                    tokens: 0,
+                };
+                owner.lent(now, Incarnation(1), &loan, now);
+            }
+            let ask = Ask {
+                serial: serial[holder],
+                need: 2,
+                want: 4,
+                holdings: Vec::new(),
+            };
+            black_box(owner.ask(now, &names[holder], Incarnation(1), &ask));
+        });
+        row("owner, a grant", holders, cost, "ns by holders");
+    }
+}
+
+fn planner() {
+    for regions in [3usize, 8, 21] {
+        let mut seen = Measurements::default();
+        for idx in 0..regions {
+            let region: RegionId = format!("r{idx}").into();
+            seen.demand.insert(region.clone(), 100.0 * idx as f64);
+            seen.capacity
+                .insert(region.clone(), 120.0 * (regions - idx) as f64);
+            seen.link.insert(region, 1e6);
+        }
+        let cost = nanos(500, |_| {
+            black_box(plan(&seen, PlanPolicy::default()));
+        });
+        row(
+            "plan of a service with contingencies",
+            regions,
+            cost / 1e3,
+            "us by regions",
+        );
+    }
+}
+
+fn decisions() {
+    for (targets, workspaces) in [
+        (12usize, 8usize),
+        (120, 8),
+        (1_200, 8),
+        (12, 100),
+        (12, 1_000),
+    ] {
+        let cost = decision_cost(targets, workspaces);
+        let name = format!("decision, {workspaces} workspaces");
+        row(&name, targets, cost, "ns a request by targets");
+    }
+}
+
+fn decision_cost(targets: usize, workspaces: usize) -> f64 {
+    let mut config = sized_config(1, 0, 1);
+    let service = config.services.values_mut().next().expect("a service");
+    service.slots = 64;
+    service.targets = (0..targets)
+        .map(|idx| {
+            let target = Target {
+                domain: format!("domain-{}", idx % 6).into(),
+                addr: ([10, 0, 0, 1], 9000).into(),
+            };
+            (format!("t{idx}").into(), target)
+        })
+        .collect();
+    let mut dispatcher = Dispatcher::new("region-0".into(), 1, Policy::default()).expect("a chart");
+    dispatcher.configure(Time::ZERO, &config);
+    let names: Vec<base::WorkspaceId> = (0..workspaces)
+        .map(|idx| format!("w{idx}").into())
+        .collect();
+    let mut under_way = VecDeque::new();
+    let mut now = Time::from_secs(60);
+    dispatcher.tick(now);
+    nanos(100_000, |idx| {
+        now = now + Duration::from_micros(50);
+        let id = RequestId(u64::from(idx) + 1);
+        let work = Work {
+            id,
+            workspace: names[idx as usize % workspaces].clone(),
+            weight: 1,
+            service: "service-0".into(),
+            deadline: now + Duration::from_secs(1),
+            kind: WorkKind::Idempotent,
+            fingerprint: u64::from(idx),
+        };
+        black_box(dispatcher.submit(now, work));
+        under_way.push_back(id);
+        if under_way.len() > 32
+            && let Some(done) = under_way.pop_front()
+        {
+            let answered = Outcome::Answered(Duration::from_millis(2));
+            black_box(dispatcher.finish(now, done, 1, answered));
+        }
+    })
+}
+
+fn rollouts() {
+    let base = Rollout {
+        per_domain: 81,
+        domains: 21,
+        tree: FanOut { degree: 4 },
+        loss: 0.01,
+        dead: 1,
+        poll: Duration::from_millis(500),
+        heartbeat: Duration::from_millis(1_000),
+        hop: Duration::from_millis(60),
+        seed: 1,
+    };
+    for degree in [2usize, 4, 8] {
+        let outcome = roll_out(&Rollout {
+            tree: FanOut { degree },
+            ..base.clone()
+        });
+        row(
+            "roll-out, 1 % loss, a dead relay a domain, p50",
+            degree,
+            outcome.p50.as_secs_f64(),
+            "s by degree",
+        );
+        row(
+            "roll-out, p99",
+            degree,
+            outcome.p99.as_secs_f64(),
+            "s by degree",
+        );
+        row(
+            "roll-out, all",
+            degree,
+            outcome.all.as_secs_f64(),
+            "s by degree",
+        );
+        row(
+            "roll-out, messages",
+            degree,
+            outcome.messages as f64,
+            "by degree",
+        );
+    }
+    let worst = (0..50)
+        .map(|seed| {
+            roll_out(&Rollout {
+                seed,
+                loss: 0.1,
+                dead: 8,
+                ..base.clone()
+            })
+            .all
+        })
+        .max()
+        .unwrap_or_default();
+    row(
+        "roll-out, 10 % loss, 8 dead a domain, worst of 50",
+        4,
+        worst.as_secs_f64(),
+        "s",
+    );
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod deployment;
 pub mod limits;
 pub mod process;
+pub mod rollout;
 pub mod service;
 pub mod transcript;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -1,5 +1,11 @@
 //! Steering: look-up answers, plans and contingencies.
 
+mod blocks;
 mod lookup;
+mod plan;
 
+pub use blocks::BlockTable;
 pub use lookup::{Candidate, Origin, order};
+pub use plan::{
+    Measurements, Plan, PlanPolicy, Ramp, Shares, moved_share, plan, target_shares, without,
+};
--- /dev/null
+++ b/crates/steer/src/plan.rs
@@ -0,0 +1,218 @@
+//! Shares of each region's traffic by region, and what to do when a region or domain is lost.
+
+use std::collections::BTreeMap;
+
+use base::RegionId;
+
+/// Shares of one region's traffic by the region that serves it; they sum to one.
+pub type Shares = BTreeMap<RegionId, f64>;
+
+/// Holds what is known of one service.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Measurements {
+    /// Requests per second that callers of each region send.
+    pub demand: BTreeMap<RegionId, f64>,
+    /// Requests per second that each region's targets can serve.
+    pub capacity: BTreeMap<RegionId, f64>,
+    /// Requests per second that the link out of each region can carry.
+    pub link: BTreeMap<RegionId, f64>,
+}
+
+/// Holds the constants of planning.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlanPolicy {
+    /// Share of a region's capacity that is planned for.
+    pub headroom: f64,
+    /// Largest share of a region's traffic that may move in one minute.
+    pub shift_cap_per_min: f64,
+}
+
+impl Default for PlanPolicy {
+    fn default() -> Self {
+        Self {
+            headroom: 0.85,
+            shift_cap_per_min: 0.1,
+        }
+    }
+}
+
+/// Holds the shares of all regions, and the ones to apply when a region is lost.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Plan {
+    /// Shares of each region's traffic.
+    pub shares: BTreeMap<RegionId, Shares>,
+    /// For each region that can be lost, the shares of the others' traffic.
+    pub contingencies: BTreeMap<RegionId, BTreeMap<RegionId, Shares>>,
+}
+
+/// Returns the shares that serve each region's demand as near as capacity allows.
+///
+/// Demand stays at home as far as the home region has room; the rest goes to the regions with the
+/// most room, as far as the link out of its region carries it. What fits nowhere stays at home,
+/// where it is refused.
+///
+/// # Examples
+///
+/// ```
+/// use steer::{Measurements, PlanPolicy, target_shares};
+///
+/// let mut seen = Measurements::default();
+/// seen.demand.insert("a".into(), 100.0);
+/// seen.capacity.insert("a".into(), 50.0);
+/// seen.capacity.insert("b".into(), 100.0);
+/// seen.link.insert("a".into(), 1_000.0);
+/// let policy = PlanPolicy { headroom: 1.0, ..PlanPolicy::default() };
+/// let shares = target_shares(&seen, policy);
+/// assert_eq!(shares["a"]["b"], 0.5);
+/// ```
+pub fn target_shares(seen: &Measurements, policy: PlanPolicy) -> BTreeMap<RegionId, Shares> {
+    let mut room: Shares = seen
+        .capacity
+        .iter()
+        .map(|(region, capacity)| (region.clone(), capacity * policy.headroom))
+        .collect();
+    let mut excess = BTreeMap::new();
+    let mut served: BTreeMap<RegionId, Shares> = BTreeMap::new();
+    for (origin, demand) in &seen.demand {
+        let home = room.get_mut(origin).map_or(0.0, |room| {
+            let taken = demand.min(*room);
+            *room -= taken;
+            taken
+        });
+        served
+            .entry(origin.clone())
+            .or_default()
+            .insert(origin.clone(), home);
+        excess.insert(origin.clone(), demand - home);
+    }
+    spread_excess(seen, &mut room, &excess, &mut served);
+    served
+        .into_iter()
+        .map(|(origin, served)| {
+            let demand = seen.demand.get(&origin).copied().unwrap_or(0.0);
+            let shares = to_shares(&origin, served, demand);
+            (origin, shares)
+        })
+        .collect()
+}
+
+/// Sends what has no room at home elsewhere, all origins in proportion.
+fn spread_excess(
+    seen: &Measurements,
+    room: &mut Shares,
+    excess: &BTreeMap<RegionId, f64>,
+    served: &mut BTreeMap<RegionId, Shares>,
+) {
+    let wanted: BTreeMap<&RegionId, f64> = excess
+        .iter()
+        .map(|(origin, excess)| {
+            let link = seen.link.get(origin).copied().unwrap_or(0.0);
+            (origin, excess.min(link))
+        })
+        .collect();
+    let all_wanted: f64 = wanted.values().sum();
+    let all_room: f64 = room.values().sum();
+    if all_wanted <= 0.0 || all_room <= 0.0 {
+        return;
+    }
+    let filled = (all_wanted / all_room).min(1.0);
+    for (origin, wanted) in wanted {
+        let part = wanted / all_wanted;
+        for (region, room) in &*room {
+            let moved = room * filled * part;
+            if moved > 0.0 {
+                let to = served.entry(origin.clone()).or_default();
+                *to.entry(region.clone()).or_insert(0.0) += moved;
+            }
+        }
+    }
+}
+
+fn to_shares(origin: &RegionId, served: Shares, demand: f64) -> Shares {
+    if demand <= 0.0 {
+        return Shares::from([(origin.clone(), 1.0)]);
+    }
+    let mut shares: Shares = served
+        .into_iter()
+        .map(|(region, served)| (region, served / demand))
+        .collect();
+    let sum: f64 = shares.values().sum();
+    *shares.entry(origin.clone()).or_insert(0.0) += 1.0 - sum;
+    shares.retain(|_, share| *share > 1e-9);
+    shares
+}
+
+/// Returns the share of traffic that differs between two divisions.
+pub fn moved_share(old: &Shares, new: &Shares) -> f64 {
+    new.iter()
+        .map(|(region, share)| (share - old.get(region).copied().unwrap_or(0.0)).max(0.0))
+        .sum()
+}
+
+/// Moves shares towards new ones as far as the shift cap allows.
+///
+/// It remembers what has moved within the last minute, by the seconds since any fixed point, so
+/// that many small steps keep to the cap, too.
+#[derive(Debug, Clone, Default)]
+pub struct Ramp {
+    moves: Vec<(f64, f64)>,
+}
+
+const WINDOW_S: f64 = 60.0;
+
+impl Ramp {
+    /// Returns the shares to apply at `now_s` on the way from `old` to `new`.
+    pub fn step(&mut self, now_s: f64, old: &Shares, new: &Shares, cap: f64) -> Shares {
+        self.moves.retain(|(at, _)| now_s - at < WINDOW_S);
+        let spent: f64 = self.moves.iter().map(|(_, moved)| moved).sum();
+        let wanted = moved_share(old, new);
+        let allowed = (cap - spent).max(0.0);
+        if wanted <= 1e-9 || allowed <= 1e-9 {
+            return old.clone();
+        }
+        let part = (allowed / wanted).min(1.0);
+        self.moves.push((now_s, wanted * part));
+        blend(old, new, part)
+    }
+}
+
+fn blend(old: &Shares, new: &Shares, part: f64) -> Shares {
+    let mut blended: Shares = old
+        .iter()
+        .map(|(region, share)| (region.clone(), share * (1.0 - part)))
+        .collect();
+    for (region, share) in new {
+        *blended.entry(region.clone()).or_insert(0.0) += share * part;
+    }
+    blended.retain(|_, share| *share > 1e-9);
+    blended
+}
+
+/// Returns the plan for the present measurements, with a contingency for each region.
+///
+/// A contingency moves the lost region's callers evenly to the others, since they come back
+/// through the others' instances.
+pub fn plan(seen: &Measurements, policy: PlanPolicy) -> Plan {
+    let contingencies = seen
+        .capacity
+        .keys()
+        .map(|lost| (lost.clone(), target_shares(&without(seen, lost), policy)))
+        .collect();
+    Plan {
+        shares: target_shares(seen, policy),
+        contingencies,
+    }
+}
+
+/// Returns the measurements as they would be without a region.
+pub fn without(seen: &Measurements, lost: &RegionId) -> Measurements {
+    let mut left = seen.clone();
+    left.capacity.remove(lost);
+    left.link.remove(lost);
+    let moved = left.demand.remove(lost).unwrap_or(0.0);
+    let others = left.demand.len().max(1) as f64;
+    for demand in left.demand.values_mut() {
+        *demand += moved / others;
+    }
+    left
+}
--- /dev/null
+++ b/crates/steer/tests/plan.rs
@@ -0,0 +1,130 @@
+//! Plans keep regions under their headroom and moves under the shift cap.
+
+use std::collections::BTreeMap;
+
+use base::RegionId;
+use proptest::{collection::vec, prelude::*};
+use steer::{
+    BlockTable, Measurements, PlanPolicy, Ramp, Shares, moved_share, plan, target_shares, without,
+};
+
+fn region(idx: usize) -> RegionId {
+    format!("r{idx}").into()
+}
+
+fn seen(demand: &[f64], capacity: &[f64]) -> Measurements {
+    let map = |values: &[f64]| {
+        values
+            .iter()
+            .enumerate()
+            .map(|(idx, value)| (region(idx), *value))
+            .collect()
+    };
+    Measurements {
+        demand: map(demand),
+        capacity: map(capacity),
+        link: map(&vec![1e9; demand.len()]),
+    }
+}
+
+/// Returns the load of each region under these shares.
+fn loads(seen: &Measurements, shares: &BTreeMap<RegionId, Shares>) -> BTreeMap<RegionId, f64> {
+    let mut loads = BTreeMap::new();
+    for (origin, shares) in shares {
+        for (to, share) in shares {
+            *loads.entry(to.clone()).or_insert(0.0) += share * seen.demand[origin];
+        }
+    }
+    loads
+}
+
+fn assert_no_overload(seen: &Measurements, policy: PlanPolicy) -> Result<(), TestCaseError> {
+    let shares = target_shares(seen, policy);
+    let room: f64 = seen.capacity.values().sum::<f64>() * policy.headroom;
+    let wanted: f64 = seen.demand.values().sum();
+    for (region, load) in loads(seen, &shares) {
+        let cap = seen.capacity[&region] * policy.headroom;
+        if wanted <= room {
+            prop_assert!(load <= cap + 1e-6, "{region}: {load} of {cap}");
+        } else {
+            // What fits nowhere stays where it came from, and is refused there.
+            let own = seen.demand.get(&region).copied().unwrap_or(0.0);
+            prop_assert!(
+                load <= cap.max(own) + 1e-6,
+                "{region}: {load} of {cap}, own {own}"
+            );
+        }
+    }
+    for shares in shares.values() {
+        prop_assert!((shares.values().sum::<f64>() - 1.0).abs() < 1e-6);
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn plan_overloads_no_region(
+        demand in vec(0.0..1000.0f64, 3..8),
+        capacity in vec(1.0..1000.0f64, 8),
+    ) {
+        let seen = seen(&demand, &capacity[..demand.len()]);
+        assert_no_overload(&seen, PlanPolicy::default())?;
+    }
+
+    #[test]
+    fn plan_contingencies_overload_no_region(
+        demand in vec(0.0..1000.0f64, 3..8),
+        capacity in vec(1.0..1000.0f64, 8),
+        lost in 0usize..3,
+    ) {
+        let seen = seen(&demand, &capacity[..demand.len()]);
+        let left = without(&seen, &region(lost));
+        assert_no_overload(&left, PlanPolicy::default())?;
+        let planned = plan(&seen, PlanPolicy::default());
+        let contingency = &planned.contingencies[&region(lost)];
+        prop_assert!(contingency.values().all(|shares| !shares.contains_key(&region(lost))));
+    }
+
+    #[test]
+    fn ramp_keeps_to_the_cap_in_every_minute(
+        targets in vec(0.0..1.0f64, 5..40),
+        step_s in 0.5..20.0f64,
+        cap in 0.01..0.5f64,
+    ) {
+        let mut ramp = Ramp::default();
+        let mut shares = Shares::from([(region(0), 1.0)]);
+        let mut moves: Vec<(f64, f64)> = Vec::new();
+        for (idx, target) in targets.iter().enumerate() {
+            let now_s = idx as f64 * step_s;
+            let new = Shares::from([(region(0), 1.0 - target), (region(1), *target)]);
+            let next = ramp.step(now_s, &shares, &new, cap);
+            moves.push((now_s, moved_share(&shares, &next)));
+            shares = next;
+            let in_minute: f64 = moves
+                .iter()
+                .filter(|(at, _)| now_s - at < 60.0)
+                .map(|(_, moved)| moved)
+                .sum();
+            prop_assert!(in_minute <= cap + 1e-6, "{in_minute} of {cap}");
+        }
+    }
+
+    #[test]
+    fn blocks_agree_with_an_ordered_map(
+        blocks in vec((any::<u32>(), any::<u16>()), 0..200),
+        clients in vec(any::<u32>(), 50),
+    ) {
+        let mut map = BTreeMap::new();
+        for (start, site) in &blocks {
+            map.entry(*start).or_insert(*site);
+        }
+        let unique: Vec<(u32, u16)> = map.iter().map(|(start, site)| (*start, *site)).collect();
+        let table = BlockTable::new(unique);
+        for client in clients {
+            let expected = map.range(..=client).next_back().map(|(_, site)| *site);
+            prop_assert_eq!(table.site(client.into()), expected);
+        }
+    }
+}
