--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -73,6 +73,11 @@
         Self { child, lines }
     }
 
+    /// Returns the process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for the line with this event.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/proof/tests/capacity.rs
@@ -0,0 +1,100 @@
+//! The capacity page's arithmetic follows from its slopes.
+
+use std::{collections::BTreeMap, fs, path::Path};
+
+const TOLERANCE: f64 = 0.006;
+
+fn page() -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/CAPACITY.md");
+    fs::read_to_string(file).unwrap()
+}
+
+/// Returns the cells of the rows of the table below a heading.
+fn table(page: &str, heading: &str) -> Vec<Vec<String>> {
+    let after = page.split(heading).nth(1).unwrap();
+    after
+        .lines()
+        .skip_while(|line| !line.starts_with('|'))
+        .take_while(|line| line.starts_with('|'))
+        .skip(2)
+        .map(|line| {
+            let line = line.trim_matches('|');
+            line.split('|').map(|cell| cell.trim().to_owned()).collect()
+        })
+        .collect()
+}
+
+/// Evaluates sums of products and quotients of numbers and names.
+fn evaluate(text: &str, names: &BTreeMap<String, f64>) -> f64 {
+    text.split(" + ")
+        .map(|term| evaluate_term(term, names))
+        .sum()
+}
+
+fn evaluate_term(term: &str, names: &BTreeMap<String, f64>) -> f64 {
+    let mut value = 1.0;
+    let mut is_divided = false;
+    for word in term.split_whitespace() {
+        match word {
+            "*" => is_divided = false,
+            "/" => is_divided = true,
+            word => {
+                let operand = word.parse().unwrap_or_else(|_| {
+                    *names
+                        .get(word)
+                        .unwrap_or_else(|| panic!("no value for {word}"))
+                });
+                value = if is_divided {
+                    value / operand
+                } else {
+                    value * operand
+                };
+            }
+        }
+    }
+    value
+}
+
+#[test]
+fn capacity_arithmetic_follows_from_slopes() {
+    let page = page();
+    let mut names = BTreeMap::new();
+    for heading in ["## Sizes", "## Slopes"] {
+        for row in table(&page, heading) {
+            names.insert(row[0].clone(), row[1].parse::<f64>().unwrap());
+        }
+    }
+    let rows = table(&page, "## Arithmetic");
+    assert!(rows.len() >= 12, "{} rows", rows.len());
+    for row in rows {
+        let shown: f64 = row[2].parse().unwrap();
+        let worked_out = evaluate(&row[1], &names);
+        let difference = (worked_out - shown).abs() / worked_out.abs().max(1e-9);
+        assert!(
+            difference < TOLERANCE,
+            "{}: {worked_out}, the page says {shown}",
+            row[0]
+        );
+        names.insert(row[0].clone(), shown);
+    }
+}
+
+#[test]
+fn capacity_verdicts_agree_with_limits() {
+    let page = page();
+    let mut names: BTreeMap<String, f64> = BTreeMap::new();
+    for (heading, cell) in [("## Slopes", 1), ("## Arithmetic", 2)] {
+        for row in table(&page, heading) {
+            names.insert(row[0].clone(), row[cell].parse().unwrap());
+        }
+    }
+    for row in table(&page, "## Verdicts") {
+        let (figure, limit) = (names[&row[1]], row[2].parse::<f64>().unwrap());
+        let expected = if figure <= limit {
+            "fits"
+        } else {
+            "does not fit"
+        };
+        assert_eq!(row[3], expected, "{}: {figure} against {limit}", row[0]);
+    }
+}
