--- /dev/null
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -0,0 +1,302 @@
+//! Dispatch: every request gets an end, no slot leaks, and "not run" is true.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base::{Config, Domain, ErrorKind, Ran, Service, Target, Time};
+use dispatch::{
+    Action, Dispatcher, FairQueue, Outcome, Policy, Report, RequestId, TargetState, Work, WorkKind,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+
+fn config(targets: usize) -> Config {
+    let mut config = Config::default();
+    for idx in 0..2 {
+        let region = format!("r{idx}");
+        let domain = Domain {
+            region: region.as_str().into(),
+        };
+        config.domains.insert(format!("d{idx}").into(), domain);
+    }
+    let targets = (0..targets)
+        .map(|idx| {
+            let target = Target {
+                domain: format!("d{}", idx % 2).into(),
+                addr: ([127, 0, 0, 1], 1).into(),
+            };
+            (format!("t{idx}").into(), target)
+        })
+        .collect();
+    let service = Service {
+        slots: 2,
+        connections: 10,
+        deadline_ms: 1_000,
+        open_routes: Vec::new(),
+        targets,
+    };
+    config.services.insert("s".into(), service);
+    config
+}
+
+fn dispatcher(targets: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, Policy::default()).unwrap();
+    dispatcher.configure(Time::ZERO, &config(targets));
+    dispatcher.tick(Time::from_secs(10));
+    dispatcher
+}
+
+fn work(id: u64, kind: WorkKind, deadline: Time) -> Work {
+    Work {
+        id: RequestId(id),
+        workspace: format!("w{}", id % 3).into(),
+        weight: 1,
+        service: "s".into(),
+        deadline,
+        kind,
+        fingerprint: id,
+    }
+}
+
+/// Follows what a dispatcher says of drawn requests whose attempts end in drawn ways.
+struct Watch {
+    under_way: BTreeMap<(RequestId, u32), WorkKind>,
+    runs: BTreeMap<RequestId, u32>,
+    open: BTreeSet<RequestId>,
+    kinds: BTreeMap<RequestId, WorkKind>,
+}
+
+impl Watch {
+    fn take(&mut self, actions: Vec<Action>, seed: u64) {
+        for action in actions {
+            match action {
+                Action::Assign(assignment) => {
+                    let kind = self.kinds[&assignment.id];
+                    self.under_way
+                        .insert((assignment.id, assignment.attempt), kind);
+                    assert!(kind == WorkKind::Idempotent || assignment.needs_proven);
+                }
+                Action::Refuse(id, refusal) => {
+                    assert!(self.open.remove(&id), "seed {seed}: two ends of {id:?}");
+                    let runs = self.runs.get(&id).copied().unwrap_or(0);
+                    let is_untrue = refusal.kind.answer().ran == Ran::No && runs > 0;
+                    assert!(!is_untrue, "seed {seed}: {refusal:?} after {runs} runs");
+                }
+                Action::ReportLoss(_) => {}
+            }
+        }
+    }
+}
+
+fn drawn_run(seed: u64) {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let mut dispatcher = dispatcher(4);
+    let mut watch = Watch {
+        under_way: BTreeMap::new(),
+        runs: BTreeMap::new(),
+        open: BTreeSet::new(),
+        kinds: BTreeMap::new(),
+    };
+    let mut now = Time::from_secs(10);
+    for id in 0..400 {
+        now = now + Duration::from_millis(rng.random_range(0..30));
+        let kind = if rng.random::<bool>() {
+            WorkKind::Once
+        } else {
+            WorkKind::Idempotent
+        };
+        watch.open.insert(RequestId(id));
+        watch.kinds.insert(RequestId(id), kind);
+        let actions = dispatcher.submit(now, work(id, kind, now + Duration::from_secs(1)));
+        watch.take(actions, seed);
+        end_some(&mut dispatcher, &mut watch, now, &mut rng, 0.5, seed);
+        let actions = dispatcher.tick(now);
+        watch.take(actions, seed);
+    }
+    for _ in 0..2_000 {
+        now = now + Duration::from_millis(10);
+        end_some(&mut dispatcher, &mut watch, now, &mut rng, 1.0, seed);
+        let actions = dispatcher.tick(now);
+        watch.take(actions, seed);
+    }
+    assert!(
+        watch.open.is_empty(),
+        "seed {seed}: no end of {:?}",
+        watch.open
+    );
+    assert!(dispatcher.is_empty(), "seed {seed}");
+    let leaked: u32 = dispatcher
+        .targets(now)
+        .iter()
+        .map(|(_, _, in_flight, _)| in_flight)
+        .sum();
+    assert_eq!(leaked, 0, "seed {seed}");
+    for (id, runs) in watch.runs {
+        assert!(
+            runs <= 1 || watch.kinds[&id] == WorkKind::Idempotent,
+            "seed {seed}: {id:?}"
+        );
+    }
+}
+
+fn end_some(
+    dispatcher: &mut Dispatcher,
+    watch: &mut Watch,
+    now: Time,
+    rng: &mut Pcg32,
+    share: f64,
+    seed: u64,
+) {
+    let chosen: Vec<(RequestId, u32)> = watch
+        .under_way
+        .keys()
+        .filter(|_| rng.random::<f64>() < share)
+        .copied()
+        .collect();
+    for (id, attempt) in chosen {
+        watch.under_way.remove(&(id, attempt));
+        let outcome = match rng.random_range(0..10) {
+            0 => Outcome::Lost,
+            1 => Outcome::Unreachable,
+            2 | 3 => Outcome::Refused,
+            4 => Outcome::TimedOut,
+            _ => Outcome::Answered(Duration::from_millis(20)),
+        };
+        if matches!(
+            outcome,
+            Outcome::Lost | Outcome::TimedOut | Outcome::Answered(_)
+        ) {
+            *watch.runs.entry(id).or_default() += 1;
+        }
+        if matches!(outcome, Outcome::Answered(_)) {
+            watch.open.remove(&id);
+        }
+        let (_, actions) = dispatcher.finish(now, id, attempt, outcome);
+        watch.take(actions, seed);
+        // Targets that failed come back, so that the run goes on.
+        let report = Report {
+            in_flight: 0,
+            is_leaving: false,
+        };
+        for target in 0..4 {
+            let name = format!("t{target}").into();
+            let actions = dispatcher.report(now, &"s".into(), &name, Some(report));
+            watch.take(actions, seed);
+        }
+    }
+}
+
+#[test]
+fn dispatcher_ends_every_request_in_drawn_schedules() {
+    for seed in 0..300 {
+        drawn_run(seed);
+    }
+}
+
+#[rstest]
+#[case::refused(Outcome::Refused, true)]
+#[case::unreachable(Outcome::Unreachable, true)]
+#[case::lost(Outcome::Lost, false)]
+#[case::timed_out(Outcome::TimedOut, false)]
+fn dispatcher_tries_once_work_again_only_when_not_run(
+    #[case] outcome: Outcome,
+    #[case] is_tried_again: bool,
+) {
+    let mut dispatcher = dispatcher(4);
+    let now = Time::from_secs(11);
+    let submitted = dispatcher.submit(now, work(1, WorkKind::Once, now + Duration::from_secs(1)));
+    assert!(matches!(submitted[0], Action::Assign(_)));
+    let (_, actions) = dispatcher.finish(now, RequestId(1), 1, outcome);
+    let again = actions
+        .iter()
+        .any(|action| matches!(action, Action::Assign(_)));
+    assert_eq!(again, is_tried_again, "{actions:?}");
+}
+
+#[test]
+fn dispatcher_gives_leaving_target_no_work() {
+    let mut dispatcher = dispatcher(1);
+    let now = Time::from_secs(11);
+    let leaving = Report {
+        in_flight: 0,
+        is_leaving: true,
+    };
+    dispatcher.report(now, &"s".into(), &"t0".into(), Some(leaving));
+    let actions = dispatcher.submit(now, work(1, WorkKind::Once, now + Duration::from_secs(1)));
+    assert!(
+        matches!(&actions[..], [Action::Refuse(_, refusal)] if refusal.kind == ErrorKind::NoTarget)
+    );
+}
+
+#[test]
+fn dispatcher_drained_target_takes_no_work_until_undrained() {
+    let mut dispatcher = dispatcher(1);
+    let now = Time::from_secs(11);
+    let mut drained = config(1);
+    drained.drains.targets.insert("t0".into());
+    dispatcher.configure(now, &drained);
+    let report = Report {
+        in_flight: 0,
+        is_leaving: false,
+    };
+    dispatcher.report(now, &"s".into(), &"t0".into(), Some(report));
+    assert_eq!(dispatcher.targets(now)[0].1, TargetState::Leaving);
+    dispatcher.configure(now, &config(1));
+    assert_eq!(dispatcher.targets(now)[0].1, TargetState::Cold);
+}
+
+#[test]
+fn dispatcher_cold_target_starts_slowly() {
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, Policy::default()).unwrap();
+    dispatcher.configure(Time::ZERO, &config(1));
+    assert_eq!(dispatcher.targets(Time::from_millis(1))[0].3, 1);
+    assert_eq!(dispatcher.targets(Time::from_secs(5))[0].3, 2);
+}
+
+#[test]
+fn fair_queue_serves_in_proportion_to_weights() {
+    let mut queue = FairQueue::default();
+    for item in 0..100 {
+        queue.push(&"heavy".into(), 3, ("heavy", item));
+        queue.push(&"light".into(), 1, ("light", item));
+    }
+    let first: Vec<&str> = std::iter::from_fn(|| queue.pop())
+        .take(40)
+        .map(|(name, _)| name)
+        .collect();
+    let heavy = first.iter().filter(|name| **name == "heavy").count();
+    assert!((28..=32).contains(&heavy), "{heavy}");
+}
+
+#[test]
+fn fair_queue_removed_items_cost_their_workspace_nothing() {
+    let mut queue = FairQueue::default();
+    queue.push(&"b".into(), 1, 1_000);
+    for item in 0..100 {
+        queue.push(&"a".into(), 1, item);
+    }
+    queue.remove_if(|item| *item < 100);
+    queue.push(&"a".into(), 1, 2_000);
+    queue.push(&"b".into(), 1, 1_001);
+    let order: Vec<i32> = std::iter::from_fn(|| queue.pop()).collect();
+    assert_eq!(order, [1_000, 2_000, 1_001]);
+}
+
+#[test]
+fn fair_queue_item_put_back_goes_first_and_gives_no_advantage() {
+    let mut queue = FairQueue::default();
+    for item in 0..3 {
+        queue.push(&"a".into(), 1, item);
+        queue.push(&"b".into(), 1, item + 10);
+    }
+    let first = queue.pop().unwrap();
+    queue.push_front(&"a".into(), first);
+    queue.remove_if(|_| false);
+    let order: Vec<i32> = std::iter::from_fn(|| queue.pop()).collect();
+    assert_eq!(order.len(), 6);
+    let of_a = order[..4].iter().filter(|item| **item < 10).count();
+    assert_eq!(of_a, 2, "{order:?}");
+}
--- /dev/null
+++ b/crates/wire/tests/session.rs
@@ -0,0 +1,102 @@
+//! Frames between instances: broken, foreign, replayed and misdirected ones are dropped.
+
+use base::Incarnation;
+use rstest::rstest;
+use wire::{Secret, Sessions, WireError, stream};
+
+fn pair() -> (Sessions, Sessions) {
+    let secret = Secret::derive("a secret for tests only");
+    let mut one = Sessions::new(secret.clone(), "a".into(), Incarnation(1));
+    let mut two = Sessions::new(secret, "b".into(), Incarnation(2));
+    for _ in 0..2 {
+        let frame = one.seal(&"b".into(), &0u32).unwrap();
+        two.open::<u32>(&frame).unwrap();
+        let frame = two.seal(&"a".into(), &0u32).unwrap();
+        one.open::<u32>(&frame).unwrap();
+    }
+    (one, two)
+}
+
+#[test]
+fn session_frames_are_proven_after_a_round_trip() {
+    let (mut one, mut two) = pair();
+    let frame = one.seal(&"b".into(), &9u32).unwrap();
+    let opened = two.open::<u32>(&frame).unwrap();
+    assert!(opened.is_proven);
+    assert_eq!(opened.message, 9);
+}
+
+#[rstest]
+#[case::cut_short(|frame: &mut Vec<u8>| frame.truncate(5), WireError::Broken)]
+#[case::cut_by_one(|frame: &mut Vec<u8>| { frame.pop(); }, WireError::Foreign)]
+#[case::flipped(|frame: &mut Vec<u8>| frame[3] ^= 1, WireError::Foreign)]
+#[case::longer(|frame: &mut Vec<u8>| frame.push(0), WireError::Foreign)]
+#[case::empty(|frame: &mut Vec<u8>| frame.clear(), WireError::Broken)]
+fn session_drops_damaged<F>(#[case] damage: F, #[case] expected: WireError)
+where
+    F: Fn(&mut Vec<u8>),
+{
+    let (mut one, mut two) = pair();
+    let mut frame = one.seal(&"b".into(), &9u32).unwrap();
+    damage(&mut frame);
+    assert_eq!(two.open::<u32>(&frame), Err(expected));
+}
+
+#[test]
+fn session_drops_replay() {
+    let (mut one, mut two) = pair();
+    let frame = one.seal(&"b".into(), &9u32).unwrap();
+    two.open::<u32>(&frame).unwrap();
+    assert_eq!(two.open::<u32>(&frame), Err(WireError::Replayed));
+}
+
+#[test]
+fn session_recorded_frame_proves_nothing_to_a_later_life() {
+    let (mut one, _) = pair();
+    let recorded = one.seal(&"b".into(), &9u32).unwrap();
+    let secret = Secret::derive("a secret for tests only");
+    let mut restarted = Sessions::new(secret, "b".into(), Incarnation(3));
+    assert!(!restarted.open::<u32>(&recorded).unwrap().is_proven);
+}
+
+#[test]
+fn session_drops_foreign_secret() {
+    let (_, mut two) = pair();
+    let other = Secret::derive("another secret entirely");
+    let mut foreign = Sessions::new(other, "a".into(), Incarnation(1));
+    let frame = foreign.seal(&"b".into(), &9u32).unwrap();
+    assert_eq!(two.open::<u32>(&frame), Err(WireError::Foreign));
+}
+
+#[test]
+fn session_drops_misdirected() {
+    let (mut one, mut two) = pair();
+    let frame = one.seal(&"c".into(), &9u32).unwrap();
+    assert_eq!(two.open::<u32>(&frame), Err(WireError::Misdirected));
+}
+
+#[test]
+fn bound_frame_opens_only_with_its_nonce() {
+    let secret = Secret::derive("a secret for tests only");
+    let frame = secret.seal_bound(&[1; 16], &5u32).unwrap();
+    assert_eq!(secret.open_bound::<u32>(&[1; 16], &frame), Ok(5));
+    assert_eq!(
+        secret.open_bound::<u32>(&[2; 16], &frame),
+        Err(WireError::Foreign)
+    );
+}
+
+#[rstest]
+#[case::over_limit(&[0xff, 0xff, 0xff, 0xff])]
+#[case::half_closed(&[0, 0, 0, 9, 1, 2])]
+#[tokio::test]
+async fn stream_refuses(#[case] bytes: &[u8]) {
+    let mut input = bytes;
+    assert!(stream::read(&mut input).await.is_err());
+}
+
+#[tokio::test]
+async fn stream_ends_between_frames() {
+    let mut input: &[u8] = &[];
+    assert_eq!(stream::read(&mut input).await.unwrap(), None);
+}
