test: bad input at every listener, heads without keys, the error page

Cause: the listeners' contract and the closed error list had no tests. Conclusion: an over-long head is answered 431 by the HTTP library, without our body.

--- /dev/null
+++ b/crates/base/tests/errors.rs
@@ -0,0 +1,57 @@
+//! The table from kind to answer, and its page.
+
+use std::{fs, path::Path, time::Duration};
+
+use base::{ANSWERS, Answer, ErrorKind, Refusal};
+
+fn row(answer: &Answer) -> String {
+    let retry = if answer.is_retryable { "yes" } else { "no" };
+    format!(
+        "| `{}` | {} | {} | {retry} | {} |",
+        answer.kind, answer.status, answer.ran, answer.message
+    )
+}
+
+#[test]
+fn errors_page_agrees_with_the_table() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/ERRORS.md");
+    let page = fs::read_to_string(file).unwrap();
+    let shown: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let expected: Vec<String> = ANSWERS.iter().map(row).collect();
+    assert_eq!(shown, expected);
+}
+
+#[test]
+fn errors_table_is_in_the_order_of_kinds() {
+    for answer in ANSWERS {
+        assert_eq!(answer.kind.answer(), answer);
+    }
+}
+
+#[test]
+fn errors_kinds_have_the_same_name_in_bodies_and_pages() {
+    for answer in ANSWERS {
+        let body = serde_json::to_string(&answer.kind).unwrap();
+        assert_eq!(body, format!("\"{}\"", answer.kind));
+    }
+}
+
+#[test]
+fn errors_retry_after_is_rounded_up() {
+    let refusal = Refusal::new(ErrorKind::RateLimited);
+    assert_eq!(
+        refusal
+            .retry_after(Duration::from_millis(1))
+            .retry_after_secs(),
+        1
+    );
+    assert_eq!(
+        refusal
+            .retry_after(Duration::from_millis(1_001))
+            .retry_after_secs(),
+        2
+    );
+}
--- /dev/null
+++ b/crates/entry/tests/head.rs
@@ -0,0 +1,66 @@
+//! Heads: what is read of them, and that no key goes on to a target.
+
+use base::ErrorKind;
+use dispatch::WorkKind;
+use entry::head;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use rstest::rstest;
+
+const KEY: &str = "gw_secret";
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    pairs
+        .iter()
+        .map(|(name, value)| {
+            let name: HeaderName = name.parse().unwrap();
+            (name, HeaderValue::from_str(value).unwrap())
+        })
+        .collect()
+}
+
+#[rstest]
+#[case::bearer("/s/x", &[("authorization", "Bearer gw_secret")])]
+#[case::header("/s/x", &[("x-api-key", "gw_secret")])]
+#[case::query("/s/x?api_key=gw_secret&a=1", &[])]
+#[case::also_elsewhere("/s/x?note=gw_secret&a=1", &[("authorization", "Bearer gw_secret"), ("cookie", "k=gw_secret"), ("baggage", "key=gw_secret"), ("tracestate", "v=gw_secret")])]
+#[case::named_by_connection("/s/x", &[("authorization", "Bearer gw_secret"), ("connection", "x-hop"), ("x-hop", "1")])]
+fn head_forwards_no_key(#[case] uri: &str, #[case] pairs: &[(&str, &str)]) {
+    let (uri, headers): (Uri, HeaderMap) = (uri.parse().unwrap(), headers(pairs));
+    let read = head::read(&Method::GET, &uri, &headers).unwrap();
+    assert_eq!(read.key.as_deref(), Some(KEY));
+    let path = head::forwarded_path(&uri, read.key.as_deref());
+    assert!(!path.contains(KEY), "{path}");
+    let forwarded = head::forwarded(&headers, read.key.as_deref());
+    assert!(forwarded.is_empty(), "{forwarded:?}");
+}
+
+#[rstest]
+#[case::basic_auth(&[("authorization", "Basic abc")])]
+#[case::empty_idempotency_key(&[("idempotency-key", "")])]
+#[case::spaced_idempotency_key(&[("idempotency-key", "a b")])]
+#[case::bad_timeout(&[("request-timeout-ms", "soon")])]
+fn head_refuses_malformed(#[case] pairs: &[(&str, &str)]) {
+    let read = head::read(&Method::POST, &"/s/x".parse().unwrap(), &headers(pairs));
+    assert_eq!(read.unwrap_err(), ErrorKind::BadRequest);
+}
+
+#[rstest]
+#[case::get(Method::GET, WorkKind::Idempotent)]
+#[case::put(Method::PUT, WorkKind::Idempotent)]
+#[case::delete(Method::DELETE, WorkKind::Idempotent)]
+#[case::post(Method::POST, WorkKind::Once)]
+#[case::patch(Method::PATCH, WorkKind::Once)]
+fn head_tells_kind_by_method(#[case] method: Method, #[case] kind: WorkKind) {
+    let read = head::read(&method, &"/s/x".parse().unwrap(), &HeaderMap::new()).unwrap();
+    assert_eq!(read.kind, kind);
+}
+
+#[rstest]
+#[case::plain("/logbook/a/b", "logbook", "/a/b")]
+#[case::bare("/logbook", "logbook", "/")]
+#[case::root("/", "", "/")]
+#[case::double_slash("//x", "", "/x")]
+fn head_splits_path(#[case] uri: &str, #[case] service: &str, #[case] path: &str) {
+    let read = head::read(&Method::GET, &uri.parse().unwrap(), &HeaderMap::new()).unwrap();
+    assert_eq!((read.service.as_str(), read.path.as_str()), (service, path));
+}
--- /dev/null
+++ b/crates/proof/tests/inputs.rs
@@ -0,0 +1,149 @@
+//! Bad input at the listeners: each gets an answer or an end, and the instance serves on.
+
+use std::{net::SocketAddr, time::Duration};
+
+use proof::{
+    caller::{Ask, Caller},
+    deployment::{Deployment, Plan},
+};
+use rstest::rstest;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, UdpSocket},
+    time::timeout,
+};
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+async fn one() -> (Deployment, String) {
+    let mut plan = Plan {
+        domains: vec!["sierra-norte".to_owned()],
+        ..Plan::default()
+    };
+    plan.settings
+        .insert("body_limit_bytes".to_owned(), json!(1_000));
+    plan.settings
+        .insert("body_timeout_ms".to_owned(), json!(500));
+    let deployment = Deployment::start(&plan).await;
+    deployment.settle_unconfigured().await;
+    let key = deployment.set_up();
+    deployment.settle().await;
+    (deployment, key)
+}
+
+/// Sends raw bytes and returns the first line of the answer; empty where the connection ended.
+async fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut buf = vec![0; 4_096];
+    let read = timeout(PATIENCE, stream.read(&mut buf)).await;
+    let len = read.expect("an answer or an end").unwrap_or(0);
+    let text = String::from_utf8_lossy(&buf[..len]).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+fn post(key: &str, rest: &str) -> String {
+    format!("POST /logbook/x HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n{rest}")
+}
+
+#[rstest]
+#[case::no_http("\u{0}\u{1}\u{2}\r\n\r\n".to_owned(), "HTTP/1.1 400 Bad Request")]
+#[case::over_long_head(format!("GET /logbook/x HTTP/1.1\r\nhost: h\r\nx: {}\r\n\r\n", "a".repeat(100_000)), "HTTP/1.1 431 Request Header Fields Too Large")]
+#[tokio::test(flavor = "multi_thread")]
+async fn inputs_bad_head(#[case] bytes: String, #[case] first_line: &str) {
+    let (deployment, key) = one().await;
+    let entry = deployment.instances["i1"].entry;
+    let line = raw(entry, bytes.as_bytes()).await;
+    assert!(line.is_empty() || line == first_line, "{line}");
+    let ask = Ask::get("/logbook/x").key(&key);
+    assert_eq!(Caller::connect(entry).await.send(&ask).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inputs_bad_body() {
+    let (deployment, key) = one().await;
+    let entry = deployment.instances["i1"].entry;
+    let large = Ask::post("/logbook/x").key(&key).body(&"a".repeat(1_001));
+    let answer = Caller::connect(entry).await.send(&large).await;
+    assert_eq!((answer.status, answer.kind()), (413, "body_too_large"));
+    // A slow sender, one that closes half of the connection, and a body that is cut short.
+    let slow = raw(
+        entry,
+        post(&key, "content-length: 10\r\n\r\nabc").as_bytes(),
+    )
+    .await;
+    assert_eq!(slow, "HTTP/1.1 408 Request Timeout");
+    let chunked = raw(
+        entry,
+        post(&key, "transfer-encoding: chunked\r\n\r\nzz\r\n").as_bytes(),
+    )
+    .await;
+    assert!(
+        chunked.is_empty() || chunked.starts_with("HTTP/1.1 400"),
+        "{chunked}"
+    );
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    stream
+        .write_all(post(&key, "content-length: 10\r\n\r\nabc").as_bytes())
+        .await
+        .unwrap();
+    stream.shutdown().await.unwrap();
+    let mut buf = Vec::new();
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut buf))
+        .await
+        .expect("an end");
+    let ask = Ask::get("/logbook/x").key(&key);
+    assert_eq!(Caller::connect(entry).await.send(&ask).await.status, 200);
+    let runs = Caller::connect(deployment.targets["logbook-sierra-norte-1"].addr)
+        .await
+        .send(&Ask::get("/admin/runs"))
+        .await;
+    assert_eq!(runs.body["total"], 1, "only the good request has run");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inputs_bad_frames_between_instances() {
+    let (deployment, key) = one().await;
+    let instance = &deployment.instances["i1"];
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for frame in [&b""[..], b"x", &[0xff; 60_000], &[0; 64]] {
+        let _ = socket.send_to(frame, instance.peer).await;
+    }
+    let mut stream = TcpStream::connect(instance.peer).await.unwrap();
+    let mut nonce = [0; 16];
+    stream.read_exact(&mut nonce).await.unwrap();
+    stream.write_all(&[0, 0, 0, 4, 1, 2, 3, 4]).await.unwrap();
+    let mut buf = Vec::new();
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut buf))
+        .await
+        .expect("an end");
+    assert!(buf.is_empty(), "a foreign frame gets no answer");
+    let ask = Ask::get("/logbook/x").key(&key);
+    assert_eq!(
+        Caller::connect(instance.entry)
+            .await
+            .send(&ask)
+            .await
+            .status,
+        200
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inputs_port_in_use_is_named() {
+    let taken = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = taken.local_addr().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("i.jsonc");
+    let settings = json!({
+        "instance": "i1", "domain": "d", "region": "r", "entry": addr, "operator": "127.0.0.1:0",
+        "peer": "127.0.0.1:0", "platform": "127.0.0.1:1", "secret": "sixteen characters and more",
+        "slot_count": 1,
+    });
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let output = proof::process::run("godwitgauged", &["run", "--config", file.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert!(text.contains(&format!("entry: {addr}")), "{text}");
+}
