--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use base::{DomainId, Incarnation, InstanceId, Time, WorkspaceId};
+use base::{DomainId, Incarnation, InstanceId, ServiceId, Time, WorkspaceId};
 use coord::rank;
 
 /// Shows all known instances but this one.
@@ -41,6 +41,8 @@
     pub slots: Option<u32>,
     /// Number of its last heartbeat.
     pub beat: u64,
+    /// Requests per second of each service that callers send to it.
+    pub demand: Vec<(ServiceId, f64)>,
 }
 
 impl FleetMember {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod operator;
 pub mod owners;
 pub mod peers;
+pub mod planner;
 pub mod probes;
 pub mod rpc;
 pub mod slots;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{InstanceId, Time, WorkspaceId};
+use base::{InstanceId, ServiceId, Time, WorkspaceId};
 use coord::{Ask, Grant, Head, Heartbeat, ListEntry, Loan};
 use serde::{Deserialize, Serialize};
 
@@ -52,8 +52,8 @@
     pub owns: Vec<(WorkspaceId, u64)>,
     /// Number of floor slots that it holds.
     pub slots: u32,
-    /// Requests that it bars, with milliseconds.
-    pub bars: Vec<(u64, u64)>,
+    /// Requests per second of each service that callers sent to it.
+    pub demand: Vec<(ServiceId, f64)>,
 }
 
 /// Tells the peers' task what to do.
@@ -74,8 +74,8 @@
     Owns(Vec<(WorkspaceId, u64)>),
     /// The number of floor slots that this instance holds.
     Slots(u32),
-    /// Requests that this instance bars, with milliseconds.
-    Bars(Vec<(u64, u64)>),
+    /// Requests per second of each service that callers send to this instance.
+    Demand(Vec<(ServiceId, f64)>),
     /// This instance is leaving.
     Leave,
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
     operator::Operator,
     owners::{Owners, OwnersMessage, OwnersOptions},
     peers::{self, Peers},
+    planner::{Planner, PlannerOptions},
     probes, rpc,
     slots::{Slots, SlotsOptions},
 };
@@ -230,6 +231,17 @@
     });
     tokio::spawn(owners.run(owners_rx, outgoing_rx));
 
+    let planner = Planner::new(PlannerOptions {
+        clock,
+        me: me.clone(),
+        region: cfg.region.as_str().into(),
+        view: view_rx.clone(),
+        fleet: fleet_rx.clone(),
+        engine: engine_tx.clone(),
+        peers: peers_tx.clone(),
+    });
+    tokio::spawn(planner.run());
+
     let ledgers = Ledgers::new(LedgersOptions {
         clock,
         me: me.clone(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -135,7 +135,7 @@
                 self.beat().await;
             }
             PeerCommand::Slots(slots) => self.own.slots = slots,
-            PeerCommand::Bars(bars) => self.own.bars = bars,
+            PeerCommand::Demand(demand) => self.own.demand = demand,
             PeerCommand::Leave => {
                 self.own.heartbeat.is_leaving = true;
                 self.beat().await;
@@ -212,14 +212,6 @@
         } else {
             self.roster.noted(&beat.heartbeat);
         }
-        if !beat.bars.is_empty() {
-            let bars = beat
-                .bars
-                .iter()
-                .map(|&(print, millis)| (print, Duration::from_millis(millis)))
-                .collect();
-            let _ = self.outlets.engine.send(Event::Bars(bars));
-        }
         // Published each time: loans are dated by the last heartbeat.
         self.last_beats.insert(from.clone(), beat);
         self.publish();
@@ -315,6 +307,7 @@
                     owns: beat.map_or_else(Vec::new, |beat| beat.owns.clone()),
                     slots: beat.map(|beat| beat.slots),
                     beat: beat.map_or(0, |beat| beat.number),
+                    demand: beat.map_or_else(Vec::new, |beat| beat.demand.clone()),
                 };
                 (id.clone(), shown)
             })
@@ -347,6 +340,6 @@
         head: None::<Head>,
         owns: Vec::new(),
         slots: 0,
-        bars: Vec::new(),
+        demand: Vec::new(),
     }
 }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -19,6 +19,7 @@
         owns: vec![("club".into(), 7)],
         slots: Some(0),
         beat: 1,
+        demand: Vec::new(),
     }
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -102,6 +102,17 @@
     Continues,
 }
 
+/// Shows one service's latency and targets.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolLoad {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Mean time that a request takes on a target.
+    pub latency: Duration,
+    /// Each target's state and slots.
+    pub targets: Vec<(TargetId, TargetState, u32)>,
+}
+
 /// Holds the constants of dispatch.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -358,11 +369,6 @@
         }
     }
 
-    /// Bars a request that another instance has found to end its targets.
-    pub fn bar(&mut self, now: Time, fingerprint: u64, wait: Duration) {
-        self.quarantine.bar(now, fingerprint, wait);
-    }
-
     /// Takes in that another instance lost a connection while this request was in flight.
     pub fn lost_elsewhere(&mut self, now: Time, fingerprint: u64) {
         self.quarantine.record(now, fingerprint);
@@ -387,6 +393,25 @@
         actions
     }
 
+    /// Returns each service's mean latency and its targets' states and slots.
+    pub fn loads(&self) -> Vec<PoolLoad> {
+        self.pools
+            .iter()
+            .map(|(service, pool)| {
+                let targets = pool
+                    .targets
+                    .iter()
+                    .map(|target| (target.id.clone(), target.state(), target.slots()))
+                    .collect();
+                PoolLoad {
+                    service: service.clone(),
+                    latency: pool.latency.mean(),
+                    targets,
+                }
+            })
+            .collect()
+    }
+
     /// Returns the earliest deadline of a queued request.
     pub fn next_deadline(&self) -> Option<Time> {
         self.queued.first().map(|(deadline, _)| *deadline)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,7 +15,8 @@
 
 pub use budget::RetryBudget;
 pub use dispatcher::{
-    Action, Assignment, Dispatcher, Next, Outcome, Policy, RequestId, Route, Work, WorkKind,
+    Action, Assignment, Dispatcher, Next, Outcome, Policy, PoolLoad, RequestId, Route, Work,
+    WorkKind,
 };
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, Claim, Claimer, Ledger, SavedAnswer};
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -37,7 +37,7 @@
     /// For targets so near that a refusal costs next to nothing.
     pub const NEAR: Self = Self {
         increase: 1.0,
-        decrease: 0.01,
+        decrease: 0.004,
     };
     /// For targets in other regions.
     pub const FAR: Self = Self {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -120,7 +120,10 @@
     {
         let planned = self.planned_region(rng);
         let first = planned.as_ref().unwrap_or(reach.home);
-        let found = self.choose_in(now, rng, first, avoid);
+        let mut found = self.choose_in(now, rng, first, avoid);
+        if found.is_none() && first != reach.home {
+            found = self.choose_in(now, rng, reach.home, avoid);
+        }
         if found.is_some() || !(reach.is_far_worthwhile || self.is_closed(now, first)) {
             return found;
         }
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -57,17 +57,6 @@
         entry.losses >= self.most_losses
     }
 
-    /// Bars a request that another instance has barred for `wait` more.
-    pub fn bar(&mut self, now: Time, fingerprint: u64, wait: Duration) {
-        let most_losses = self.most_losses;
-        let entry = self.entries.entry(fingerprint).or_insert(Entry {
-            losses: most_losses,
-            until: now,
-        });
-        entry.losses = entry.losses.max(most_losses);
-        entry.until = entry.until.max(now + wait.min(self.period));
-    }
-
     /// Returns how long the request stays barred, or `None` where it is not.
     pub fn barred_for(&self, now: Time, fingerprint: u64) -> Option<Duration> {
         let entry = self.entries.get(&fingerprint)?;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -378,6 +378,7 @@
                     id: self.id,
                     attempt: go.assignment.attempt,
                     outcome: dispatch::Outcome::Canceled,
+                    answer_bytes: None,
                     connection: go.connection,
                 });
             }
@@ -404,6 +405,7 @@
             id: self.id,
             attempt: self.attempt,
             outcome: end.outcome,
+            answer_bytes: end.answer.as_ref().map(|answer| answer.body.len()),
             connection: end.connection,
         });
         end.answer
@@ -419,6 +421,7 @@
             id: self.id,
             attempt: self.attempt,
             outcome: dispatch::Outcome::Canceled,
+            answer_bytes: None,
             connection: None,
         });
     }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -19,7 +19,9 @@
 
 use crate::{
     forward::Connection,
-    message::{Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk},
+    message::{
+        Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk, ServiceLoad,
+    },
     view::Clock,
 };
 
@@ -64,6 +66,16 @@
     outgoing: mpsc::UnboundedSender<Outgoing>,
     echoes: BTreeMap<WorkspaceId, u64>,
     lent_at: Time,
+    counts: BTreeMap<ServiceId, Count>,
+    counted_from: Time,
+}
+
+/// Counts what one service has done since the planner last asked.
+#[derive(Debug, Default)]
+struct Count {
+    requests: u64,
+    answers: u64,
+    bytes: u64,
 }
 
 #[derive(Debug)]
@@ -103,6 +115,8 @@
             outgoing,
             echoes: BTreeMap::new(),
             lent_at: Time::ZERO,
+            counts: BTreeMap::new(),
+            counted_from: Time::ZERO,
         })
     }
 
@@ -139,8 +153,12 @@
                 id,
                 attempt,
                 outcome,
+                answer_bytes,
                 connection,
-            } => self.finish(now, id, attempt, outcome, connection),
+            } => {
+                self.count_answer(id, answer_bytes);
+                self.finish(now, id, attempt, outcome, connection);
+            }
             Event::Hedge(id) => {
                 if let Some(assignment) = self.dispatcher.hedge(now, id) {
                     self.go(now, assignment);
@@ -184,10 +202,8 @@
             Event::LostElsewhere(fingerprint) => {
                 self.dispatcher.lost_elsewhere(now, fingerprint);
             }
-            Event::Bars(bars) => {
-                for (fingerprint, wait) in bars {
-                    self.dispatcher.bar(now, fingerprint, wait);
-                }
+            Event::Loads(reply) => {
+                let _ = reply.send(self.loads(now));
             }
             Event::Leave => {}
             Event::Status(reply) => {
@@ -287,6 +303,10 @@
             kind: caller.kind,
             fingerprint: fingerprint.unwrap_or(caller.fingerprint),
         };
+        self.counts
+            .entry(work.service.clone())
+            .or_default()
+            .requests += 1;
         let actions = self.dispatcher.submit(now, work);
         self.apply(now, actions);
     }
@@ -456,6 +476,36 @@
         None
     }
 
+    fn count_answer(&mut self, id: RequestId, answer_bytes: Option<usize>) {
+        let service = self.callers.get(&id).map(|caller| &caller.service);
+        if let (Some(service), Some(bytes)) = (service, answer_bytes) {
+            let count = self.counts.entry(service.clone()).or_default();
+            count.answers += 1;
+            count.bytes += bytes as u64;
+        }
+    }
+
+    fn loads(&mut self, now: Time) -> BTreeMap<ServiceId, ServiceLoad> {
+        let secs = (now - self.counted_from).as_secs_f64().max(1e-3);
+        self.counted_from = now;
+        let counts = std::mem::take(&mut self.counts);
+        self.dispatcher
+            .loads()
+            .into_iter()
+            .map(|pool| {
+                let count = counts.get(&pool.service);
+                let answered = count.filter(|count| count.answers > 0);
+                let load = ServiceLoad {
+                    requests_per_s: count.map_or(0.0, |count| count.requests as f64 / secs),
+                    answer_bytes: answered.map(|count| count.bytes as f64 / count.answers as f64),
+                    latency: pool.latency,
+                    targets: pool.targets,
+                };
+                (pool.service, load)
+            })
+            .collect()
+    }
+
     fn status(&mut self, now: Time) -> EngineStatus {
         EngineStatus {
             requests: self.callers.len(),
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -32,6 +32,8 @@
         attempt: u32,
         /// How it ended.
         outcome: Outcome,
+        /// Bytes of the answer, where one came.
+        answer_bytes: Option<usize>,
         /// Connection that can be used again.
         connection: Option<Connection>,
     },
@@ -73,10 +75,10 @@
     Routes(BTreeMap<ServiceId, Route>),
     /// Another instance lost a connection while this request was in flight.
     LostElsewhere(u64),
-    /// Other instances have barred these requests.
-    Bars(Vec<(u64, Duration)>),
     /// The instance is leaving.
     Leave,
+    /// The planner asks for the load of each service since it last asked.
+    Loads(oneshot::Sender<BTreeMap<ServiceId, ServiceLoad>>),
     /// Somebody asks how things are.
     Status(oneshot::Sender<EngineStatus>),
 }
@@ -204,6 +206,19 @@
     },
 }
 
+/// Shows the load of one service on this instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceLoad {
+    /// Requests per second that were dispatched.
+    pub requests_per_s: f64,
+    /// Mean bytes of an answer; `None` before the first.
+    pub answer_bytes: Option<f64>,
+    /// Mean time that a request takes on a target.
+    pub latency: Duration,
+    /// Each target's state and slots.
+    pub targets: Vec<(TargetId, TargetState, u32)>,
+}
+
 /// Shows how the engine's parts are.
 #[derive(Debug, Clone)]
 pub struct EngineStatus {
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -220,7 +220,7 @@
             .map(|idx| (format!("workspace-{idx}").into(), u64::MAX))
             .collect(),
         slots: 1,
-        bars: Vec::new(),
+        demand: Vec::new(),
     }
 }
 
--- a/crates/proof/src/service/world.rs
+++ b/crates/proof/src/service/world.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
-use base::{Config, Domain, Ran, Service, Target, Time};
+use base::{Config, Domain, Ran, RegionId, Service, Target, Time};
 use dispatch::{
-    Action, Assignment, Dispatcher, Outcome, Policy, Report, RequestId, Work, WorkKind,
+    Action, Assignment, Dispatcher, Outcome, Policy, Report, RequestId, Route, Work, WorkKind,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use steer::{Measurements, PlanPolicy, Steering};
 
 use super::{
     Decider, Incident, Measures, Scenario, WorkspaceMeasures,
@@ -20,6 +21,7 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECT: Duration = Duration::from_millis(1);
 const LOCAL_DELAY: Duration = Duration::from_millis(1);
 const IDLE_LIFE: Duration = Duration::from_secs(5);
@@ -61,6 +63,9 @@
     region: usize,
     is_up: bool,
     decider: Deciding,
+    steering: Steering,
+    /// Requests that came since the last plan.
+    arrived: u64,
     /// Idle connections by target: when they were used last, and whether they are silent.
     idle: BTreeMap<usize, VecDeque<(Time, bool)>>,
 }
@@ -97,6 +102,11 @@
                 region: idx / scenario.instances_per_region,
                 is_up: true,
                 decider: deciding(scenario, idx, &config),
+                steering: Steering::new(
+                    region_name(idx / scenario.instances_per_region),
+                    PlanPolicy::default(),
+                ),
+                arrived: 0,
                 idle: BTreeMap::new(),
             })
             .collect();
@@ -233,6 +243,7 @@
         let deadline = request.sent_at + self.scenario.deadline;
         self.push(deadline, Event::Deadline(id));
         let instance = &mut self.instances[request.instance];
+        instance.arrived += 1;
         match &mut instance.decider {
             Deciding::Product(dispatcher) => {
                 let work = Work {
@@ -543,6 +554,13 @@
         if !self.has_reports {
             return;
         }
+        if now
+            .as_micros()
+            .is_multiple_of(PLAN_INTERVAL.as_micros() as u64)
+            && now > Time::ZERO
+        {
+            self.plan(now);
+        }
         for idx in 0..self.targets.len() {
             let target = &self.targets[idx];
             let in_flight = if self.liar == Some(idx) {
@@ -560,6 +578,33 @@
         }
     }
 
+    /// Lets each instance work its routes out anew, from what all of them have measured.
+    fn plan(&mut self, now: Time) {
+        let mut seen = Measurements::default();
+        for instance in &mut self.instances {
+            let rate = instance.arrived as f64 / PLAN_INTERVAL.as_secs_f64();
+            instance.arrived = 0;
+            *seen.demand.entry(region_name(instance.region)).or_default() += rate;
+            seen.link
+                .insert(region_name(instance.region), f64::INFINITY);
+        }
+        let rate = f64::from(self.scenario.slots) / self.scenario.work.as_secs_f64();
+        for target in &self.targets {
+            let usable = if target.is_up && !target.is_leaving {
+                rate
+            } else {
+                0.0
+            };
+            *seen.capacity.entry(region_name(target.region)).or_default() += usable;
+        }
+        for instance in &mut self.instances {
+            if let Deciding::Product(dispatcher) = &mut instance.decider {
+                let shares = instance.steering.update(now.as_secs_f64(), &seen).clone();
+                dispatcher.set_route(&SERVICE.into(), Route { shares });
+            }
+        }
+    }
+
     fn tell(&mut self, now: Time, instance: usize, target: usize, report: Option<Report>) {
         match &mut self.instances[instance].decider {
             Deciding::Product(dispatcher) => {
@@ -822,6 +867,10 @@
     }
 }
 
+fn region_name(idx: usize) -> RegionId {
+    format!("r{idx}").into()
+}
+
 fn target_name(idx: usize) -> String {
     format!("t{idx}")
 }
@@ -831,7 +880,7 @@
     match scenario.decider {
         Decider::Product => {
             let seed = scenario.seed * 1_000 + idx as u64;
-            let home = format!("r{region}").into();
+            let home = region_name(region);
             let mut dispatcher = Dispatcher::new(home, seed, Policy::default())
                 .unwrap_or_else(|err| panic!("the chart: {err}"));
             dispatcher.configure(Time::ZERO, config);
@@ -866,7 +915,7 @@
     for region in 0..scenario.regions {
         let name = format!("d{region}");
         let domain = Domain {
-            region: format!("r{region}").into(),
+            region: region_name(region),
         };
         config.domains.insert(name.as_str().into(), domain);
         for idx in 0..scenario.targets_per_region {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -3,9 +3,11 @@
 mod blocks;
 mod lookup;
 mod plan;
+mod steering;
 
 pub use blocks::BlockTable;
 pub use lookup::{Candidate, Origin, order};
 pub use plan::{
     Measurements, Plan, PlanPolicy, Ramp, Shares, moved_share, plan, target_shares, without,
 };
+pub use steering::Steering;
