test: silent connections, drained domain, revert against apply, two at once

Change: a relay whose open connections go silent for good while new ones work; tests for it, for a drained domain, a revert racing an apply, and a key withdrawn with an instance killed and the store slow.

--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -64,6 +64,8 @@
     pub targets: BTreeMap<String, TargetProcess>,
     /// Instances by name.
     pub instances: BTreeMap<String, Instance>,
+    /// Relays of the targets, where the plan wants some.
+    pub target_relays: BTreeMap<String, Relay>,
     /// Relays of the instances that have some.
     pub relays: BTreeMap<String, Relays>,
     _platform: Process,
@@ -108,6 +110,8 @@
     pub burst: f64,
     /// Instances that reach the rest, and are reached, through relays.
     pub relayed: Vec<String>,
+    /// Whether instances reach targets through relays.
+    pub has_target_relays: bool,
     /// Settings added to those of each instance.
     pub settings: BTreeMap<String, Value>,
 }
@@ -122,6 +126,7 @@
             rate: 1_000.0,
             burst: 1_000.0,
             relayed: Vec::new(),
+            has_target_relays: false,
             settings: BTreeMap::from([("lookup_ttl_ms".to_owned(), json!(500))]),
         }
     }
@@ -142,11 +147,15 @@
             platform: platform::http::connect(platform_addr),
             targets: BTreeMap::new(),
             instances: BTreeMap::new(),
+            target_relays: BTreeMap::new(),
             relays: BTreeMap::new(),
             _platform: platform_process,
         };
         for domain in &plan.domains {
             deployment.start_target(domain, plan.slots);
+            if plan.has_target_relays {
+                deployment.relay_target(domain).await;
+            }
         }
         for (idx, domain) in plan.domains.iter().enumerate() {
             let name = format!("i{}", idx + 1);
@@ -175,6 +184,15 @@
         self.targets.insert(name, target);
     }
 
+    /// Puts a relay before a target; the answers name the relay in the target's place.
+    async fn relay_target(&mut self, domain: &str) {
+        let name = format!("logbook-{domain}-1");
+        if let Some(target) = self.targets.get(&name) {
+            let relay = Relay::tcp(target.addr).await.expect("a relay");
+            self.target_relays.insert(name, relay);
+        }
+    }
+
     /// Starts an instance and has the platform list it.
     ///
     /// # Panics
@@ -379,8 +397,12 @@
             .collect();
         let targets: BTreeMap<&str, Vec<SocketAddr>> = self
             .targets
-            .values()
-            .map(|target| (target.domain.as_str(), vec![target.addr]))
+            .iter()
+            .map(|(name, target)| {
+                let relay = self.target_relays.get(name).map(|relay| relay.addr);
+                let addr = relay.unwrap_or(target.addr);
+                (target.domain.as_str(), vec![addr])
+            })
             .collect();
         let answers = json!({
             "deployment": "trial",
--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -446,3 +446,131 @@
         sleep(Duration::from_millis(100)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_cost_no_answer() {
+    let plan = Plan {
+        has_target_relays: true,
+        ..Plan::default()
+    };
+    let (deployment, key) = ready(&plan).await;
+    let ask = Ask::get("/logbook/climbs")
+        .key(&key)
+        .header("work-ms", "50");
+    let entry = deployment.instances["i1"].entry;
+    let mut callers = Vec::new();
+    for _ in 0..6 {
+        callers.push(Caller::connect(entry).await);
+    }
+    let mut tasks = tokio::task::JoinSet::new();
+    for mut caller in callers {
+        let ask = ask.clone();
+        tasks.spawn(async move { (caller.send(&ask).await.status, caller) });
+    }
+    let mut callers = Vec::new();
+    while let Some(done) = tasks.join_next().await {
+        let (status, caller) = done.unwrap();
+        assert_eq!(status, 200);
+        callers.push(caller);
+    }
+    for relay in deployment.target_relays.values() {
+        relay.silence_open();
+    }
+    // A non-idempotent request goes out only on a new or just proven connection.
+    sleep(Duration::from_millis(1_200)).await;
+    let post = Ask::post("/logbook/pay")
+        .key(&key)
+        .header("idempotency-key", "silent-1")
+        .body("x");
+    assert_eq!(callers[0].send(&post).await.status, 200);
+    assert_eq!(deployment.runs("silent-1").await, 1);
+    for caller in &mut callers {
+        let started = Instant::now();
+        assert_eq!(caller.send(&ask).await.status, 200);
+        assert!(
+            started.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            started.elapsed()
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_domain_gets_no_callers_and_no_work() {
+    let (deployment, key) = ready(&Plan::default()).await;
+    let (text, code) = deployment.operate(&["drain", "domain", "costa-norte"]);
+    assert_eq!(code, 0, "{text}");
+    sleep(Duration::from_secs(1)).await;
+    for _ in 0..30 {
+        let answer = get(&deployment, "i1", &key).await;
+        assert_eq!(answer.status, 200);
+        assert_ne!(answer.body["target"], "logbook-costa-norte-1");
+    }
+    let lookup = send(
+        &deployment,
+        "i1",
+        &Ask::get("/v1/lookup?service=logbook&domain=costa-norte"),
+    )
+    .await;
+    let entries = lookup.body["entries"].as_array().unwrap();
+    assert!(
+        entries.iter().all(|entry| entry["domain"] != "costa-norte"),
+        "{entries:?}"
+    );
+    let (text, code) = deployment.operate(&["drain", "domain", "costa-norte", "--undo"]);
+    assert_eq!(code, 0, "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn revert_racing_apply_loses_nothing() {
+    let (deployment, _) = ready(&Plan::default()).await;
+    let operators = deployment.operators();
+    let answers = std::fs::read_to_string(deployment.answers()).unwrap();
+    let file = deployment.folder.path().join("changed.jsonc");
+    std::fs::write(&file, answers.replace("\"rate\": 1000.0", "\"rate\": 77.0")).unwrap();
+    let (revert, apply) = std::thread::scope(|scope| {
+        let revert = scope.spawn(|| operators.operate(&["revert", "1", "--wait", "0"]));
+        let path = file.to_string_lossy().into_owned();
+        let apply = scope.spawn(move || operators.operate(&["apply", &path, "--wait", "0"]));
+        (revert.join().unwrap(), apply.join().unwrap())
+    });
+    // Each is written whole, or told of the other.
+    for (text, code) in [&revert, &apply] {
+        assert!([0, 4].contains(code), "{text}");
+    }
+    let (history, _) = deployment.operate(&["history"]);
+    let written = [&revert, &apply]
+        .iter()
+        .filter(|(text, _)| text.contains("written: version"))
+        .count();
+    assert_eq!(history.lines().count(), 2 + written, "{history}");
+    let (keys, _) = deployment.operate(&["key", "list"]);
+    assert!(
+        keys.contains("k1"),
+        "a revert keeps the keys of today: {keys}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_withdrawn_while_an_instance_is_killed_and_the_store_is_slow() {
+    let (mut deployment, key) = ready(&Plan::default()).await;
+    let slow = Faults {
+        delay_ms: 400,
+        ..Faults::default()
+    };
+    deployment.set_faults(slow).await;
+    deployment
+        .instances
+        .get_mut("i3")
+        .unwrap()
+        .process
+        .signal("KILL");
+    let (text, code) = deployment.operate(&["key", "withdraw", "k1", "--wait", "3"]);
+    // The killed instance is still on the list: it is waited for by name.
+    assert_eq!(code, 6, "{text}");
+    assert!(text.contains("i3"), "{text}");
+    for instance in ["i1", "i2"] {
+        assert_eq!(get(&deployment, instance, &key).await.kind(), "unknown_key");
+    }
+    deployment.unlist("i3").await;
+}
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -22,9 +22,25 @@
 pub struct Relay {
     /// Address that it listens on.
     pub addr: SocketAddr,
-    tx: watch::Sender<Flow>,
+    tx: watch::Sender<State>,
 }
 
+/// What all connections of a relay follow.
+#[derive(Debug, Clone, Copy)]
+struct State {
+    flow: Flow,
+    /// Number of the last connection.
+    last: u64,
+    /// Connections with a lower number have gone silent for good.
+    first_live: u64,
+}
+
+const OPEN: State = State {
+    flow: Flow::Open,
+    last: 0,
+    first_live: 0,
+};
+
 impl Relay {
     /// Starts a TCP relay to `to` on a free port.
     ///
@@ -34,8 +50,8 @@
     pub async fn tcp(to: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
-        let (tx, rx) = watch::channel(Flow::Open);
-        tokio::spawn(accept(listener, to, rx));
+        let (tx, _) = watch::channel(OPEN);
+        tokio::spawn(accept(listener, to, tx.clone()));
         Ok(Self { addr, tx })
     }
 
@@ -47,36 +63,55 @@
     pub async fn udp(to: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind("127.0.0.1:0").await?;
         let addr = socket.local_addr()?;
-        let (tx, rx) = watch::channel(Flow::Open);
+        let (tx, rx) = watch::channel(OPEN);
         tokio::spawn(pass_datagrams(socket, to, rx));
         Ok(Self { addr, tx })
     }
 
     /// Sets what the relay does with traffic.
     pub fn set(&self, flow: Flow) {
-        self.tx.send_replace(flow);
+        self.tx.send_modify(|state| state.flow = flow);
+    }
+
+    /// Makes the connections that are open now silent for good; new ones work.
+    pub fn silence_open(&self) {
+        self.tx
+            .send_modify(|state| state.first_live = state.last + 1);
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, rx: watch::Receiver<Flow>) {
+async fn accept(listener: TcpListener, to: SocketAddr, tx: watch::Sender<State>) {
+    let mut number = 0;
     while let Ok((near, _)) = listener.accept().await {
+        number += 1;
+        tx.send_modify(|state| state.last = number);
+        let rx = tx.subscribe();
         let Ok(far) = TcpStream::connect(to).await else {
             continue;
         };
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
-        tokio::spawn(pass(near_read, far_write, rx.clone()));
-        tokio::spawn(pass(far_read, near_write, rx.clone()));
+        tokio::spawn(pass(number, near_read, far_write, rx.clone()));
+        tokio::spawn(pass(number, far_read, near_write, rx.clone()));
     }
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut rx: watch::Receiver<Flow>) {
+async fn pass(
+    number: u64,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut rx: watch::Receiver<State>,
+) {
     let mut buf = vec![0; 16 * 1024];
     loop {
         let Ok(len) = from.read(&mut buf).await else {
             return;
         };
-        if rx.wait_for(|flow| *flow == Flow::Open).await.is_err() {
+        if rx
+            .wait_for(|state| state.flow == Flow::Open && number >= state.first_live)
+            .await
+            .is_err()
+        {
             return;
         }
         if len == 0 || to.write_all(&buf[..len]).await.is_err() {
@@ -85,10 +120,10 @@
     }
 }
 
-async fn pass_datagrams(socket: UdpSocket, to: SocketAddr, rx: watch::Receiver<Flow>) {
+async fn pass_datagrams(socket: UdpSocket, to: SocketAddr, rx: watch::Receiver<State>) {
     let mut buf = vec![0; 64 * 1024];
     while let Ok(len) = socket.recv(&mut buf).await {
-        if *rx.borrow() == Flow::Open {
+        if rx.borrow().flow == Flow::Open {
             let _ = socket.send_to(&buf[..len], to).await;
         }
     }
