refactor: split the largest files of coord and dispatch

Change: messages, holder, demand and owner apart; what goes in and out of a dispatcher apart from it. No behaviour changes. Measured: the crates' tests pass unchanged.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,19 +5,24 @@
 //! that the parts can be embedded in any program with a table that compares and swaps.
 
 mod audit;
+mod demand;
 mod fanout;
 mod grant;
+mod holder;
 mod lease;
+mod owner;
 mod quota;
 mod roster;
 mod versioned;
 
 pub use audit::WindowAudit;
 pub use fanout::{FanOut, children};
-pub use grant::{Ask, Borrower, Grant, Holder, Holding, Loan, Owner, Verdict};
+pub use grant::{Ask, Borrower, Grant, Holding, Loan, Verdict};
+pub use holder::Holder;
 pub use lease::{
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseWrite, Terms, Written, lease_chart,
 };
+pub use owner::Owner;
 pub use quota::{Bucket, Quota, Split};
 pub use roster::{Heartbeat, ListEntry, Member, Presence, Roster, rank};
 pub use versioned::{Head, Offer, Standing, Versioned};
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,15 +12,15 @@
 mod queue;
 mod target;
 mod throughput;
+mod work;
 
 pub use budget::RetryBudget;
-pub use dispatcher::{
-    Action, Assignment, Dispatcher, Next, Outcome, Policy, PoolLoad, RequestId, Route, Work,
-    WorkKind,
-};
+pub use dispatcher::Dispatcher;
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, Claim, Claimer, Ledger, SavedAnswer};
 pub use limit::{ConcurrencyLimit, Pace};
+pub use pool::Route;
 pub use quarantine::Quarantine;
 pub use queue::FairQueue;
 pub use target::{Report, Target, TargetEvent, TargetState};
+pub use work::{Action, Assignment, Next, Outcome, Policy, PoolLoad, RequestId, Work, WorkKind};
