refactor: one handler a listener, smaller modules, no dead messages

Change: pages as an enum behind one handler, drive.rs, incidents, baselines and set-up apart, platform::layout, the unused kinds and message gone; explain tells where callers near an origin are sent, as its option promised. Conclusion: behaviour is unchanged but for explain.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -63,8 +63,6 @@
     UnknownService = "unknown_service", 404, No, false, "no such service";
     /// The request can't be read: a malformed head, key or idempotency key.
     BadRequest = "bad_request", 400, No, false, "the request is malformed";
-    /// The request's head is over the limit.
-    HeadTooLarge = "head_too_large", 431, No, false, "the request head is too large";
     /// The request's body is over the limit.
     BodyTooLarge = "body_too_large", 413, No, false, "the request body is too large";
     /// The request's body did not arrive in time.
@@ -97,8 +95,6 @@
     NotReady = "not_ready", 503, No, true, "the instance has no configuration yet";
     /// The instance is cut off and can't tell whether keys are still in force.
     Isolated = "isolated", 503, No, true, "the instance is cut off; use another one";
-    /// The instance is leaving and takes no new work.
-    Leaving = "leaving", 503, No, true, "the instance is leaving; use another one";
     /// An internal fault that may have come after the request was sent.
     Internal = "internal", 500, Unknown, false, "internal error";
 }
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -1,14 +1,14 @@
 //! The configuration's versions in the platform's table and object store.
 
 use base::{Config, canonical_json, config_digest};
-use platform::{Expect, Fault, Platform, Write};
+use platform::{
+    Expect, Fault, Platform, Write,
+    layout::{CONFIG_TABLE, HEAD_ROW, VERSION_PREFIX, object_name, version_row},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::fault::CliFault;
 
-const TABLE: &str = "config";
-const HEAD_ROW: &str = "head";
-const VERSION_PREFIX: &str = "version/";
 const SETTLE_TRIES: u32 = 3;
 
 /// Holds the latest version and its content.
@@ -42,7 +42,7 @@
 /// [`CliFault::Platform`] where the platform does not answer or its object is unusable.
 pub async fn latest(platform: &Platform) -> Result<Latest, CliFault> {
     let head = platform
-        .get(TABLE, HEAD_ROW)
+        .get(CONFIG_TABLE, HEAD_ROW)
         .await
         .map_err(|_| CliFault::Platform("nothing was written"))?;
     let Some(head) = head else {
@@ -107,9 +107,11 @@
     } else {
         Expect::Version(base)
     };
-    let head = Write::new(TABLE, HEAD_ROW).value(&digest).expect(expect);
+    let head = Write::new(CONFIG_TABLE, HEAD_ROW)
+        .value(&digest)
+        .expect(expect);
     let row = serde_json::to_string(&record).unwrap_or_default();
-    let history = Write::new(TABLE, &version_row(base + 1))
+    let history = Write::new(CONFIG_TABLE, &version_row(base + 1))
         .value(&row)
         .expect(Expect::Absent);
     match platform.write(vec![head, history]).await {
@@ -126,7 +128,7 @@
 /// [`CliFault::Platform`] where the platform does not answer.
 pub async fn history(platform: &Platform) -> Result<Vec<Record>, CliFault> {
     let rows = platform
-        .scan(TABLE, VERSION_PREFIX)
+        .scan(CONFIG_TABLE, VERSION_PREFIX)
         .await
         .map_err(|_| CliFault::Platform("try again"))?;
     Ok(rows
@@ -138,7 +140,9 @@
 /// Finds out whether a write whose answer was lost took effect.
 async fn settle(platform: &Platform, record: &Record) -> Result<u64, CliFault> {
     for _ in 0..SETTLE_TRIES {
-        let row = platform.get(TABLE, &version_row(record.version)).await;
+        let row = platform
+            .get(CONFIG_TABLE, &version_row(record.version))
+            .await;
         if let Ok(Some(row)) = row {
             let found: Option<Record> = serde_json::from_str(&row.value).ok();
             if found.is_some_and(|found| found.nonce == record.nonce) {
@@ -153,15 +157,7 @@
 }
 
 async fn conflict(platform: &Platform, base: u64) -> CliFault {
-    let head = platform.get(TABLE, HEAD_ROW).await;
+    let head = platform.get(CONFIG_TABLE, HEAD_ROW).await;
     let current = head.ok().flatten().map_or(0, |row| row.version);
     CliFault::Conflict { base, current }
 }
-
-fn object_name(digest: &str) -> String {
-    format!("config/{digest}")
-}
-
-fn version_row(version: u64) -> String {
-    format!("{VERSION_PREFIX}{version:010}")
-}
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -10,17 +10,18 @@
     config_digest,
 };
 use eyre::{Result, WrapErr};
-use platform::{Call, Expect, Listed, ListedKind, ListedState, Platform, Write, memory};
+use platform::{
+    Call, Expect, Listed, ListedKind, ListedState, Platform, Write,
+    layout::{CONFIG_TABLE, HEAD_ROW, object_name},
+    memory,
+};
 use settings::{Alone, Daemon, Takeover};
 use standin::{
     listen::listen,
     target::{TargetOptions, TargetServer},
 };
 
-use crate::{
-    follower::{HEAD_ROW, HEAD_TABLE, object_name},
-    node::{self, Node, NodeOptions},
-};
+use crate::node::{self, Node, NodeOptions};
 
 const ENTRY_PORT: u16 = 8470;
 const OPERATOR_PORT: u16 = 8471;
@@ -90,7 +91,7 @@
             slots: 64,
             ..TargetOptions::default()
         };
-        let router = TargetServer::spawn(options).into_router();
+        let router = TargetServer::spawn(options).to_router();
         let (addr, _) = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), router).await?;
         addrs.push(addr);
     }
@@ -144,7 +145,7 @@
     let text = canonical_json(config);
     let digest = config_digest(&text);
     platform.put_object(&object_name(&digest), &text).await?;
-    let head = Write::new(HEAD_TABLE, HEAD_ROW)
+    let head = Write::new(CONFIG_TABLE, HEAD_ROW)
         .value(&digest)
         .expect(Expect::Absent);
     platform.write(vec![head]).await?;
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -9,7 +9,10 @@
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
-use platform::{Fault, Platform, Row};
+use platform::{
+    Fault, Platform, Row,
+    layout::{CONFIG_TABLE, HEAD_ROW, object_name},
+};
 use tokio::{
     sync::{mpsc, watch},
     time::{MissedTickBehavior, interval},
@@ -22,20 +25,10 @@
     rpc,
 };
 
-/// Table and row that name the latest configuration.
-pub const HEAD_TABLE: &str = "config";
-/// Row of [`HEAD_TABLE`]; its version is the configuration's, its value the object's digest.
-pub const HEAD_ROW: &str = "head";
-
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 const STANDING_INTERVAL: Duration = Duration::from_millis(200);
 const STANDING_LIFE: Duration = Duration::from_secs(1);
 
-/// Returns the name of the object that holds the configuration with this digest.
-pub fn object_name(digest: &str) -> String {
-    format!("config/{digest}")
-}
-
 /// Holds the channels to the tasks that the configuration is for.
 #[derive(Debug)]
 pub struct Outlets {
@@ -348,7 +341,7 @@
 
 async fn read(clock: Clock, platform: Platform, tx: mpsc::Sender<Read>) {
     let sent_at = clock.now();
-    let result = platform.get(HEAD_TABLE, HEAD_ROW).await;
+    let result = platform.get(CONFIG_TABLE, HEAD_ROW).await;
     let _ = tx.send(Read { sent_at, result }).await;
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,6 @@
 use entry::{
     callers::{CallerLimits, Callers},
     engine::{Engine, EngineOptions},
-    message::Event,
     metrics::Metrics,
     serve::{Listener, listen},
     view::{Clock, EntryPoint, View},
@@ -82,7 +81,6 @@
     callers: Listener,
     operators: Listener,
     lookup_ttl: Duration,
-    engine: mpsc::UnboundedSender<Event>,
     peers: mpsc::Sender<PeerCommand>,
     follower: mpsc::Sender<FollowerMessage>,
     owners: mpsc::Sender<OwnersMessage>,
@@ -264,7 +262,7 @@
         engine: engine_tx.clone(),
         leave: leave_tx,
     };
-    let operators = listen(cfg.operator, operator.into_router())
+    let operators = listen(cfg.operator, operator.to_router())
         .await
         .wrap_err_with(|| format!("operator: {}", cfg.operator))?;
     Ok(Node {
@@ -275,7 +273,6 @@
         callers,
         operators,
         lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
-        engine: engine_tx,
         peers: peers_tx,
         follower: follower_tx,
         owners: owners_tx,
@@ -299,7 +296,6 @@
         tracing::info!(event = "leaving");
         let _ = self.peers.send(PeerCommand::Leave).await;
         let _ = self.follower.send(FollowerMessage::Leave).await;
-        let _ = self.engine.send(Event::Leave);
         let (done, released) = oneshot::channel();
         if self.owners.send(OwnersMessage::Release(done)).await.is_ok() {
             let _ = released.await;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use base::{DomainId, InstanceId, ServiceId, Time, WorkspaceId};
+use base::{Config, DomainId, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::Standing;
 use entry::{
     answer,
@@ -15,6 +15,7 @@
     http::{Request, ResBody, Response},
 };
 use serde::Serialize;
+use steer::{Candidate, Origin, order};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::fleet::Fleet;
@@ -109,12 +110,19 @@
 
 impl Operator {
     /// Returns the router of the operators' listener.
-    pub fn into_router(self) -> Router {
+    pub fn to_router(&self) -> Router {
+        let page = |page| PageHandler(page, self.clone());
         Router::new()
-            .push(Router::with_path("metrics").get(MetricsHandler(self.clone())))
-            .push(Router::with_path("v1/status").get(StatusHandler(self.clone())))
-            .push(Router::with_path("v1/explain").get(ExplainHandler(self.clone())))
-            .push(Router::with_path("v1/leave").post(LeaveHandler(self)))
+            .push(Router::with_path("metrics").get(page(Page::Metrics)))
+            .push(Router::with_path("v1/status").get(page(Page::Status)))
+            .push(Router::with_path("v1/explain").get(page(Page::Explain)))
+            .push(Router::with_path("v1/leave").post(page(Page::Leave)))
+    }
+
+    fn show_metrics(&self, res: &mut Response) {
+        let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
+        res.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        res.replace_body(ResBody::Once(self.metrics.text().into()));
     }
 
     async fn engine_status(&self) -> Option<EngineStatus> {
@@ -188,6 +196,7 @@
             })
             .collect();
         reasons.push(format!("targets that take work: {}", usable.join(", ")));
+        reasons.extend(self.explain_origin(&view, config, req));
         let verdict = if keys == 0 {
             "refused: unknown_key"
         } else if usable.is_empty() {
@@ -202,6 +211,33 @@
             reasons,
         })
     }
+
+    /// Tells which instances callers near an origin are sent to, where one is asked about.
+    fn explain_origin(&self, view: &View, config: &Config, req: &Request) -> Option<String> {
+        let domain = DomainId::from(req.query::<String>("origin")?);
+        let unknown = RegionId::from("");
+        let candidates: Vec<Candidate<'_>> = view
+            .entries
+            .iter()
+            .map(|entry| Candidate {
+                instance: &entry.instance,
+                domain: &entry.domain,
+                region: config.region_of(&entry.domain).unwrap_or(&unknown),
+            })
+            .collect();
+        let origin = Origin {
+            region: config.region_of(&domain).cloned(),
+            domain: Some(domain.clone()),
+        };
+        let names: Vec<&str> = order(&candidates, &origin, 0)
+            .into_iter()
+            .map(|idx| candidates[idx].instance.as_str())
+            .collect();
+        Some(format!(
+            "callers near {domain} try, in order: {}",
+            names.join(", ")
+        ))
+    }
 }
 
 impl Explanation {
@@ -293,45 +329,20 @@
     }
 }
 
-struct MetricsHandler(Operator);
-
-#[salvo::async_trait]
-impl Handler for MetricsHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
-        res.headers_mut().insert(http::header::CONTENT_TYPE, kind);
-        res.replace_body(ResBody::Once(self.0.metrics.text().into()));
-    }
+/// Lists the pages of the operators' listener.
+#[derive(Debug, Clone, Copy)]
+enum Page {
+    Metrics,
+    Status,
+    Explain,
+    Leave,
 }
 
-struct StatusHandler(Operator);
+/// Answers one page.
+struct PageHandler(Page, Operator);
 
 #[salvo::async_trait]
-impl Handler for StatusHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        match self.0.status().await {
-            Some(status) => answer::json(res, 200, &status),
-            None => answer::json(res, 503, &"the instance is ending"),
-        }
-    }
-}
-
-struct ExplainHandler(Operator);
-
-#[salvo::async_trait]
-impl Handler for ExplainHandler {
+impl Handler for PageHandler {
     async fn handle(
         &self,
         req: &mut Request,
@@ -339,29 +350,23 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        match self.0.explain(req).await {
-            Some(explanation) => answer::json(res, 200, &explanation),
-            None => answer::json(
-                res,
-                400,
-                &"service and workspace are needed, and a configuration",
-            ),
+        let Self(page, operator) = self;
+        match page {
+            Page::Metrics => operator.show_metrics(res),
+            Page::Status => match operator.status().await {
+                Some(status) => answer::json(res, 200, &status),
+                None => answer::json(res, 503, &"the instance is ending"),
+            },
+            Page::Explain => match operator.explain(req).await {
+                Some(explanation) => answer::json(res, 200, &explanation),
+                None => answer::json(res, 400, &EXPLAIN_NEEDS),
+            },
+            Page::Leave => {
+                let _ = operator.leave.try_send(());
+                answer::json(res, 202, &"leaving");
+            }
         }
     }
 }
 
-struct LeaveHandler(Operator);
-
-#[salvo::async_trait]
-impl Handler for LeaveHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let _ = self.0.leave.try_send(());
-        answer::json(res, 202, &"leaving");
-    }
-}
+const EXPLAIN_NEEDS: &str = "service and workspace are needed, and a configuration in force";
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -205,7 +205,6 @@
             Event::Loads(reply) => {
                 let _ = reply.send(self.loads(now));
             }
-            Event::Leave => {}
             Event::Status(reply) => {
                 let _ = reply.send(self.status(now));
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod callers;
+mod drive;
 pub mod engine;
 pub mod forward;
 pub mod head;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -75,8 +75,6 @@
     Routes(BTreeMap<ServiceId, Route>),
     /// Another instance lost a connection while this request was in flight.
     LostElsewhere(u64),
-    /// The instance is leaving.
-    Leave,
     /// The planner asks for the load of each service since it last asked.
     Loads(oneshot::Sender<BTreeMap<ServiceId, ServiceLoad>>),
     /// Somebody asks how things are.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform, [`memory::spawn`] keeps everything in the process; both take the same [`Call`]s.
 
 pub mod http;
+pub mod layout;
 pub mod memory;
 mod model;
 mod store;
--- a/crates/proof/src/service.rs
+++ b/crates/proof/src/service.rs
@@ -5,7 +5,9 @@
 
 mod baseline;
 mod event;
+mod incident;
 mod measure;
+mod setup;
 mod world;
 
 pub use baseline::Choice;
--- a/crates/proof/src/service/baseline.rs
+++ b/crates/proof/src/service/baseline.rs
@@ -2,9 +2,15 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use base::Time;
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
+use super::{
+    event::{AttemptId, End},
+    world::{Deciding, TargetSim, World},
+};
+
 /// Lists how a baseline chooses a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -62,3 +68,82 @@
         }
     }
 }
+
+impl World<'_> {
+    pub(super) fn baseline_send(&mut self, now: Time, id: u64) {
+        let instance = self.requests[&id].instance;
+        let is_silent_on_leaving = |target: &TargetSim| !target.is_leaving;
+        let targets: Vec<(usize, usize)> = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(_, target)| is_silent_on_leaving(target))
+            .map(|(idx, target)| (idx, target.region))
+            .collect();
+        let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
+            return;
+        };
+        let Some(target) = baseline.choose(&mut self.rng, &targets) else {
+            baseline.queue.push_back(id);
+            return;
+        };
+        baseline.in_flight[target] += 1;
+        let tries = baseline.tries.entry(id).or_insert(0);
+        *tries += 1;
+        let attempt = AttemptId {
+            request: id,
+            number: *tries,
+        };
+        self.send(now, instance, attempt, target, false);
+    }
+
+    pub(super) fn baseline_ended(
+        &mut self,
+        now: Time,
+        instance: usize,
+        id: AttemptId,
+        target: usize,
+        end: End,
+    ) {
+        let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
+            return;
+        };
+        baseline.in_flight[target] -= 1;
+        let is_tried_again = end != End::Answered && id.number < baseline.attempts;
+        if end == End::Answered || !is_tried_again {
+            baseline.tries.remove(&id.request);
+        }
+        if is_tried_again {
+            self.baseline_send(now, id.request);
+        } else if end != End::Answered {
+            self.close_failed(id.request, false);
+        }
+        self.baseline_drain(now, instance);
+    }
+
+    pub(super) fn baseline_drain(&mut self, now: Time, instance: usize) {
+        loop {
+            let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
+                return;
+            };
+            let before = baseline.queue.len();
+            let Some(id) = baseline.queue.pop_front() else {
+                return;
+            };
+            if self.requests[&id].is_closed {
+                continue;
+            }
+            self.baseline_send(now, id);
+            let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
+                return;
+            };
+            if baseline.queue.len() >= before {
+                // Still no slot: it keeps its place at the front.
+                if let Some(id) = baseline.queue.pop_back() {
+                    baseline.queue.push_front(id);
+                }
+                return;
+            }
+        }
+    }
+}
--- a/crates/proof/src/service/world.rs
+++ b/crates/proof/src/service/world.rs
@@ -5,30 +5,28 @@
     time::Duration,
 };
 
-use base::{Config, Domain, Ran, RegionId, Service, Target, Time};
-use dispatch::{
-    Action, Assignment, Dispatcher, Outcome, Policy, Report, RequestId, Route, Work, WorkKind,
-};
+use base::{Ran, RegionId, Time};
+use dispatch::{Action, Assignment, Dispatcher, Outcome, Report, RequestId, Route, Work, WorkKind};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use steer::{Measurements, PlanPolicy, Steering};
 
 use super::{
-    Decider, Incident, Measures, Scenario, WorkspaceMeasures,
+    Incident, Measures, Scenario, WorkspaceMeasures,
     baseline::Baseline,
     event::{Attempt, AttemptId, End, Event, Request},
+    setup::{config, deciding},
 };
 
-const TICK: Duration = Duration::from_millis(10);
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+pub(super) const TICK: Duration = Duration::from_millis(10);
+pub(super) const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECT: Duration = Duration::from_millis(1);
 const LOCAL_DELAY: Duration = Duration::from_millis(1);
 const IDLE_LIFE: Duration = Duration::from_secs(5);
 const PROVEN_LIFE: Duration = Duration::from_secs(1);
-const SERVICE: &str = "s";
+pub(super) const SERVICE: &str = "s";
 const POISON: u64 = 0xdead;
-const RESTART: Duration = Duration::from_secs(2);
 
 /// Carries out a run.
 pub fn run(scenario: &Scenario) -> Measures {
@@ -41,48 +39,48 @@
 }
 
 #[derive(Debug)]
-struct World<'a> {
-    scenario: &'a Scenario,
-    rng: Pcg32,
-    queue: BTreeMap<(Time, u64), Event>,
-    queued: u64,
-    end: Time,
-    instances: Vec<Instance>,
-    targets: Vec<TargetSim>,
-    requests: BTreeMap<u64, Request>,
-    attempts: BTreeMap<AttemptId, Attempt>,
-    measures: Measures,
-    has_reports: bool,
-    liar: Option<usize>,
-    cold: Option<(Time, Duration)>,
-    left_at: Option<(usize, Time)>,
+pub(super) struct World<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) rng: Pcg32,
+    pub(super) queue: BTreeMap<(Time, u64), Event>,
+    pub(super) queued: u64,
+    pub(super) end: Time,
+    pub(super) instances: Vec<Instance>,
+    pub(super) targets: Vec<TargetSim>,
+    pub(super) requests: BTreeMap<u64, Request>,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) measures: Measures,
+    pub(super) has_reports: bool,
+    pub(super) liar: Option<usize>,
+    pub(super) cold: Option<(Time, Duration)>,
+    pub(super) left_at: Option<(usize, Time)>,
 }
 
 #[derive(Debug)]
-struct Instance {
-    region: usize,
-    is_up: bool,
-    decider: Deciding,
-    steering: Steering,
+pub(super) struct Instance {
+    pub(super) region: usize,
+    pub(super) is_up: bool,
+    pub(super) decider: Deciding,
+    pub(super) steering: Steering,
     /// Requests that came since the last plan.
-    arrived: u64,
+    pub(super) arrived: u64,
     /// Idle connections by target: when they were used last, and whether they are silent.
-    idle: BTreeMap<usize, VecDeque<(Time, bool)>>,
+    pub(super) idle: BTreeMap<usize, VecDeque<(Time, bool)>>,
 }
 
 #[derive(Debug)]
-enum Deciding {
+pub(super) enum Deciding {
     Product(Box<Dispatcher>),
     Baseline(Baseline),
 }
 
 #[derive(Debug)]
-struct TargetSim {
-    region: usize,
-    domain: usize,
-    is_up: bool,
-    is_leaving: bool,
-    running: Vec<AttemptId>,
+pub(super) struct TargetSim {
+    pub(super) region: usize,
+    pub(super) domain: usize,
+    pub(super) is_up: bool,
+    pub(super) is_leaving: bool,
+    pub(super) running: Vec<AttemptId>,
 }
 
 impl<'a> World<'a> {
@@ -140,7 +138,7 @@
         }
     }
 
-    fn push(&mut self, at: Time, event: Event) {
+    pub(super) fn push(&mut self, at: Time, event: Event) {
         self.queued += 1;
         self.queue.insert((at, self.queued), event);
     }
@@ -197,7 +195,7 @@
             .unwrap_or(1.0)
     }
 
-    fn schedule_request(&mut self, workspace: usize, at: Time, is_poison: bool) {
+    pub(super) fn schedule_request(&mut self, workspace: usize, at: Time, is_poison: bool) {
         let id = self.requests.len() as u64 + 1;
         let is_once = !is_poison && self.rng.random::<f64>() < self.scenario.once_share;
         let request = Request {
@@ -295,7 +293,14 @@
         }
     }
 
-    fn send(&mut self, now: Time, instance: usize, id: AttemptId, target: usize, proven: bool) {
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        instance: usize,
+        id: AttemptId,
+        target: usize,
+        proven: bool,
+    ) {
         let (is_new, is_silent) = self.take_connection(now, instance, target, proven);
         let attempt = Attempt {
             target,
@@ -417,7 +422,7 @@
     }
 
     /// Ends a target's process: what runs on it is lost.
-    fn end_target(&mut self, now: Time, idx: usize) {
+    pub(super) fn end_target(&mut self, now: Time, idx: usize) {
         let running = std::mem::take(&mut self.targets[idx].running);
         for id in running {
             let instance = self.requests[&id.request].instance;
@@ -630,92 +635,6 @@
         }
     }
 
-    fn begin(&mut self, now: Time, idx: usize) {
-        match self.scenario.incidents[idx] {
-            Incident::Flood(..) => {}
-            Incident::DomainLost(region, domain, _) => {
-                let lost: Vec<usize> =
-                    self.targets_where(|target| target.region == region && target.domain == domain);
-                lost.into_iter().for_each(|idx| self.end_target(now, idx));
-            }
-            Incident::RegionLost(region, _) => {
-                let lost = self.targets_where(|target| target.region == region);
-                lost.into_iter().for_each(|idx| self.end_target(now, idx));
-                for instance in &mut self.instances {
-                    instance.is_up &= instance.region != region;
-                }
-                self.drop_requests_of_lost();
-            }
-            Incident::Liar(target, _) => self.liar = Some(target),
-            Incident::ReportsStop(_) => self.has_reports = false,
-            Incident::Drain(target, _) => {
-                self.targets[target].is_leaving = true;
-                self.left_at = Some((target, now));
-                self.push(now + REPORT_INTERVAL * 2, Event::CheckIdle(target));
-            }
-            Incident::Cold(_, length, extra) => self.cold = Some((now + length, extra)),
-            Incident::Poison(..) => self.push(now, Event::Poison(idx)),
-            Incident::Silent(share, _) => self.silence(share),
-        }
-    }
-
-    fn targets_where<F>(&self, is_wanted: F) -> Vec<usize>
-    where
-        F: Fn(&TargetSim) -> bool,
-    {
-        (0..self.targets.len())
-            .filter(|idx| is_wanted(&self.targets[*idx]))
-            .collect()
-    }
-
-    /// Requests on a lost instance are not the decider's to save: they count neither way.
-    fn drop_requests_of_lost(&mut self) {
-        for request in self.requests.values_mut() {
-            let is_open = !request.is_closed && request.arrived_at < self.end;
-            if is_open && !self.instances[request.instance].is_up {
-                let is_under_way =
-                    request.arrived_at < self.queue.keys().next().map_or(self.end, |(at, _)| *at);
-                request.is_closed = is_under_way;
-            }
-        }
-    }
-
-    fn silence(&mut self, share: f64) {
-        for instance in &mut self.instances {
-            for connections in instance.idle.values_mut() {
-                for (_, is_silent) in connections {
-                    *is_silent |= self.rng.random::<f64>() < share;
-                }
-            }
-        }
-    }
-
-    fn poison(&mut self, now: Time, idx: usize) {
-        let Incident::Poison(_, interval) = self.scenario.incidents[idx] else {
-            return;
-        };
-        // Ended targets are started again after a while.
-        for target in &mut self.targets {
-            target.is_up |=
-                !target.is_leaving && now.as_micros().is_multiple_of(RESTART.as_micros() as u64);
-        }
-        self.schedule_request(0, now, true);
-        if now + interval < self.end {
-            self.push(now + interval, Event::Poison(idx));
-        }
-    }
-
-    /// Ends a target that is leaving once nothing has run on it.
-    fn check_idle(&mut self, now: Time, idx: usize) {
-        if !self.targets[idx].running.is_empty() {
-            self.push(now + TICK, Event::CheckIdle(idx));
-            return;
-        }
-        let left_at = self.left_at.map_or(now, |(_, at)| at);
-        self.measures.drain_time = now - left_at;
-        self.targets[idx].is_up = false;
-    }
-
     fn delay(&self, instance: usize, target: usize) -> Duration {
         delay(
             self.scenario,
@@ -752,7 +671,7 @@
         }
     }
 
-    fn close_failed(&mut self, id: u64, is_not_run: bool) {
+    pub(super) fn close_failed(&mut self, id: u64, is_not_run: bool) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -780,85 +699,6 @@
     }
 }
 
-impl World<'_> {
-    fn baseline_send(&mut self, now: Time, id: u64) {
-        let instance = self.requests[&id].instance;
-        let is_silent_on_leaving = |target: &TargetSim| !target.is_leaving;
-        let targets: Vec<(usize, usize)> = self
-            .targets
-            .iter()
-            .enumerate()
-            .filter(|(_, target)| is_silent_on_leaving(target))
-            .map(|(idx, target)| (idx, target.region))
-            .collect();
-        let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
-            return;
-        };
-        let Some(target) = baseline.choose(&mut self.rng, &targets) else {
-            baseline.queue.push_back(id);
-            return;
-        };
-        baseline.in_flight[target] += 1;
-        let tries = baseline.tries.entry(id).or_insert(0);
-        *tries += 1;
-        let attempt = AttemptId {
-            request: id,
-            number: *tries,
-        };
-        self.send(now, instance, attempt, target, false);
-    }
-
-    fn baseline_ended(
-        &mut self,
-        now: Time,
-        instance: usize,
-        id: AttemptId,
-        target: usize,
-        end: End,
-    ) {
-        let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
-            return;
-        };
-        baseline.in_flight[target] -= 1;
-        let is_tried_again = end != End::Answered && id.number < baseline.attempts;
-        if end == End::Answered || !is_tried_again {
-            baseline.tries.remove(&id.request);
-        }
-        if is_tried_again {
-            self.baseline_send(now, id.request);
-        } else if end != End::Answered {
-            self.close_failed(id.request, false);
-        }
-        self.baseline_drain(now, instance);
-    }
-
-    fn baseline_drain(&mut self, now: Time, instance: usize) {
-        loop {
-            let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
-                return;
-            };
-            let before = baseline.queue.len();
-            let Some(id) = baseline.queue.pop_front() else {
-                return;
-            };
-            if self.requests[&id].is_closed {
-                continue;
-            }
-            self.baseline_send(now, id);
-            let Deciding::Baseline(baseline) = &mut self.instances[instance].decider else {
-                return;
-            };
-            if baseline.queue.len() >= before {
-                // Still no slot: it keeps its place at the front.
-                if let Some(id) = baseline.queue.pop_back() {
-                    baseline.queue.push_front(id);
-                }
-                return;
-            }
-        }
-    }
-}
-
 fn delay(scenario: &Scenario, from: usize, to: usize) -> Duration {
     if from == to {
         LOCAL_DELAY
@@ -867,73 +707,10 @@
     }
 }
 
-fn region_name(idx: usize) -> RegionId {
+pub(super) fn region_name(idx: usize) -> RegionId {
     format!("r{idx}").into()
 }
 
-fn target_name(idx: usize) -> String {
+pub(super) fn target_name(idx: usize) -> String {
     format!("t{idx}")
 }
-
-fn deciding(scenario: &Scenario, idx: usize, config: &Config) -> Deciding {
-    let region = idx / scenario.instances_per_region;
-    match scenario.decider {
-        Decider::Product => {
-            let seed = scenario.seed * 1_000 + idx as u64;
-            let home = region_name(region);
-            let mut dispatcher = Dispatcher::new(home, seed, Policy::default())
-                .unwrap_or_else(|err| panic!("the chart: {err}"));
-            dispatcher.configure(Time::ZERO, config);
-            Deciding::Product(Box::new(dispatcher))
-        }
-        Decider::Baseline {
-            choice,
-            attempts,
-            is_queueing,
-        } => {
-            let count = scenario.regions * scenario.targets_per_region;
-            Deciding::Baseline(Baseline {
-                choice,
-                attempts,
-                is_queueing,
-                region,
-                slots: scenario.slots,
-                reported: vec![Some(0); count],
-                in_flight: vec![0; count],
-                queue: VecDeque::new(),
-                tries: BTreeMap::new(),
-                turn: idx,
-            })
-        }
-    }
-}
-
-fn config(scenario: &Scenario) -> Config {
-    let mut config = Config::default();
-    config.links.region_delay_ms = scenario.region_delay.as_millis() as u32;
-    let mut targets = BTreeMap::new();
-    for region in 0..scenario.regions {
-        let name = format!("d{region}");
-        let domain = Domain {
-            region: region_name(region),
-        };
-        config.domains.insert(name.as_str().into(), domain);
-        for idx in 0..scenario.targets_per_region {
-            let target = Target {
-                domain: name.as_str().into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-            };
-            let idx = region * scenario.targets_per_region + idx;
-            targets.insert(target_name(idx).into(), target);
-        }
-    }
-    let service = Service {
-        slots: scenario.slots,
-        connections: 350,
-        deadline_ms: scenario.deadline.as_millis() as u32,
-        open_routes: Vec::new(),
-        targets,
-    };
-    config.services.insert(SERVICE.into(), service);
-    config
-}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -50,7 +50,7 @@
     let (name, args) = matches.subcommand().ok_or_else(|| eyre!("no subcommand"))?;
     let router = match name {
         "platform" => PlatformServer::spawn(Store::default()).into_router(),
-        _ => TargetServer::spawn(target_options(args)).into_router(),
+        _ => TargetServer::spawn(target_options(args)).to_router(),
     };
     let addr = *args
         .get_one::<SocketAddr>("listen")
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -97,12 +97,13 @@
     }
 
     /// Returns the router: `/health`, `/admin/leave`, `/admin/runs`, and an echo for all else.
-    pub fn into_router(self) -> Router {
+    pub fn to_router(&self) -> Router {
+        let page = |page| PageHandler(page, self.clone());
         Router::new()
-            .push(Router::with_path("health").get(HealthHandler(self.clone())))
-            .push(Router::with_path("admin/leave").post(LeaveHandler(self.clone())))
-            .push(Router::with_path("admin/runs").get(RunsHandler(self.clone())))
-            .push(Router::with_path("{**path}").goal(EchoHandler(self)))
+            .push(Router::with_path("health").get(page(Page::Health)))
+            .push(Router::with_path("admin/leave").post(page(Page::Leave)))
+            .push(Router::with_path("admin/runs").get(page(Page::Runs)))
+            .push(Router::with_path("{**path}").goal(page(Page::Echo)))
     }
 }
 
@@ -156,15 +157,25 @@
     }
 }
 
-struct EchoHandler(TargetServer);
-
 /// Header that sets how long a request takes, in milliseconds.
 const WORK_MS: &str = "work-ms";
 /// Header that makes the target end its process without an answer.
 const CRASH: &str = "crash";
 
+/// Lists the pages of a target.
+#[derive(Debug, Clone, Copy)]
+enum Page {
+    Health,
+    Leave,
+    Runs,
+    Echo,
+}
+
+/// Answers one page.
+struct PageHandler(Page, TargetServer);
+
 #[salvo::async_trait]
-impl Handler for EchoHandler {
+impl Handler for PageHandler {
     async fn handle(
         &self,
         req: &mut Request,
@@ -172,20 +183,44 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        let Self(page, server) = self;
+        match page {
+            Page::Health => {
+                if let Some(health) = server.health().await {
+                    res.render(Json(health));
+                }
+            }
+            Page::Leave => {
+                server.set_leaving(true);
+                res.status_code(StatusCode::NO_CONTENT);
+            }
+            Page::Runs => res.render(Json(server.runs().await)),
+            Page::Echo => server.serve(req, res).await,
+        }
+    }
+}
+
+impl TargetServer {
+    async fn health(&self) -> Option<Health> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::Health(reply));
+        answer.await.ok()
+    }
+
+    async fn serve(&self, req: &mut Request, res: &mut Response) {
         if req.headers().contains_key(CRASH) {
             std::process::abort();
         }
         let (reply, answer) = oneshot::channel();
-        let _ = self.0.tx.send(Message::Begin(reply));
+        let _ = self.tx.send(Message::Begin(reply));
         let Ok(Some(work)) = answer.await else {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             let ran = HeaderValue::from_static("no");
             res.headers_mut().insert("request-ran", ran);
             return;
         };
-        let _slot = Slot(self.0.tx.clone());
-        let key = text(req, "idempotency-key");
-        let _ = self.0.tx.send(Message::Ran(key));
+        let _slot = Slot(self.tx.clone());
+        let _ = self.tx.send(Message::Ran(text(req, "idempotency-key")));
         let work = text(req, WORK_MS)
             .and_then(|text| text.parse().ok())
             .map_or(work, Duration::from_millis);
@@ -193,7 +228,7 @@
             sleep(work).await;
         }
         let body = req.payload().await.map_or(0, bytes::Bytes::len);
-        res.render(Json(echo(&self.0.name, req, body)));
+        res.render(Json(echo(&self.name, req, body)));
     }
 }
 
@@ -223,53 +258,3 @@
     let value = req.headers().get(name)?;
     Some(value.to_str().ok()?.to_owned())
 }
-
-struct HealthHandler(TargetServer);
-
-#[salvo::async_trait]
-impl Handler for HealthHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.0.tx.send(Message::Health(reply));
-        if let Ok(health) = answer.await {
-            res.render(Json(health));
-        }
-    }
-}
-
-struct RunsHandler(TargetServer);
-
-#[salvo::async_trait]
-impl Handler for RunsHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        res.render(Json(self.0.runs().await));
-    }
-}
-
-struct LeaveHandler(TargetServer);
-
-#[salvo::async_trait]
-impl Handler for LeaveHandler {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        self.0.set_leaving(true);
-        res.status_code(StatusCode::NO_CONTENT);
-    }
-}
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -16,7 +16,7 @@
     };
     let server = TargetServer::spawn(options);
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let (addr, _) = listen(any, server.clone().into_router()).await.unwrap();
+    let (addr, _) = listen(any, server.to_router()).await.unwrap();
     (server, addr)
 }
 
