--- a/crates/coord/src/grant.rs
+++ b/crates/coord/src/grant.rs
@@ -73,7 +73,7 @@
     pub epoch: u64,
 }
 
-/// Lends the floor of one slot to a borrower for [`Split::loan_life`].
+/// Lends the floor of one slot to a borrower for [`Split::loan_life`](crate::Split::loan_life).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loan {
     /// Number of the slot.
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -83,7 +83,7 @@
     Canceled,
 }
 
-/// Tells what became of the request after [`Dispatcher::finish`].
+/// Tells what became of the request after [`Dispatcher::finish`](crate::Dispatcher::finish).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
     /// The request has ended.
