--- a/crates/proof/src/service.rs
+++ b/crates/proof/src/service.rs
@@ -1,6 +1,6 @@
 //! One service's targets behind several instances, driven by seeded demand in virtual time.
 //!
-//! Instances decide by the product's [`Dispatcher`] or by a baseline; targets are slots that
+//! Instances decide by the product's [`Dispatcher`](dispatch::Dispatcher) or by a baseline; targets are slots that
 //! refuse what is over them. Delays, reports and connections are small fakes in one event queue.
 
 mod baseline;
