test: answers of two workspaces never cross over shared connections

Cause: no test sent two workspaces' keys over one connection or crossed answers. Change: 24 callers send requests of two workspaces in turn, some waiting less than the work takes; each answer must be the request's own.

--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -574,3 +574,52 @@
     }
     deployment.unlist("i3").await;
 }
+
+/// Sends requests of two workspaces in turn over one connection, and checks each answer.
+async fn send_in_turn(entry: std::net::SocketAddr, keys: [(String, &'static str); 2], caller: u32) {
+    let mut connection = Caller::connect(entry).await;
+    for round in 0..20 {
+        let (key, workspace) = &keys[(round + caller as usize) % 2];
+        let path = format!("/logbook/own/{caller}/{round}");
+        // Some callers wait less than the work takes, so that answers come late.
+        let timeout = if round % 5 == 4 { "20" } else { "5000" };
+        let ask = Ask::get(&path)
+            .key(key)
+            .header("work-ms", "30")
+            .header("request-timeout-ms", timeout);
+        let answer = connection.send(&ask).await;
+        if answer.status != 200 {
+            assert_ne!(answer.status, 0, "{answer:?}");
+            continue;
+        }
+        assert_eq!(answer.body["path"], path.as_str());
+        assert_eq!(answer.body["headers"]["request-workspace"], *workspace);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_never_cross_between_callers_and_workspaces() {
+    let (deployment, club) = ready(&Plan::default()).await;
+    let args = [
+        "--output",
+        "json",
+        "key",
+        "issue",
+        "k2",
+        "--workspace",
+        "gym",
+    ];
+    let (text, code) = deployment.operate(&args);
+    assert_eq!(code, 0, "{text}");
+    let issued: serde_json::Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
+    let gym = issued["key"].as_str().unwrap().to_owned();
+    let entries: Vec<_> = deployment.instances.values().map(|one| one.entry).collect();
+    let mut tasks = tokio::task::JoinSet::new();
+    for caller in 0..24 {
+        let keys = [(club.clone(), "club"), (gym.clone(), "gym")];
+        tasks.spawn(send_in_turn(entries[caller as usize % 3], keys, caller));
+    }
+    while let Some(done) = tasks.join_next().await {
+        done.unwrap();
+    }
+}
