refactor: one list of candidates for look-ups, one way to issue a key in tests

Cause: look-ups and explain built the same list, three tests parsed an issued key. Change: View::candidates and Deployment::issue_key serve all of them. Conclusion: no behaviour changes.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use base::{Config, DomainId, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
+use base::{Config, DomainId, InstanceId, ServiceId, Time, WorkspaceId};
 use coord::Standing;
 use entry::{
     answer,
@@ -15,7 +15,7 @@
     http::{Request, ResBody, Response},
 };
 use serde::Serialize;
-use steer::{Candidate, Origin, order};
+use steer::{Origin, order};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::fleet::Fleet;
@@ -215,16 +215,7 @@
     /// Tells which instances callers near an origin are sent to, where one is asked about.
     fn explain_origin(&self, view: &View, config: &Config, req: &Request) -> Option<String> {
         let domain = DomainId::from(req.query::<String>("origin")?);
-        let unknown = RegionId::from("");
-        let candidates: Vec<Candidate<'_>> = view
-            .entries
-            .iter()
-            .map(|entry| Candidate {
-                instance: &entry.instance,
-                domain: &entry.domain,
-                region: config.region_of(&entry.domain).unwrap_or(&unknown),
-            })
-            .collect();
+        let candidates = view.candidates(config);
         let origin = Origin {
             region: config.region_of(&domain).cloned(),
             domain: Some(domain.clone()),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -19,7 +19,7 @@
     http::{ReqBody, Request, ResBody, Response},
 };
 use serde::Serialize;
-use steer::{Candidate, Origin, order};
+use steer::{Origin, order};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::timeout,
@@ -130,16 +130,7 @@
             domain: req.query::<String>("domain").map(DomainId::from),
             region: req.query::<String>("region").map(RegionId::from),
         };
-        let unknown = RegionId::from("");
-        let candidates: Vec<Candidate<'_>> = view
-            .entries
-            .iter()
-            .map(|entry| Candidate {
-                instance: &entry.instance,
-                domain: &entry.domain,
-                region: config.region_of(&entry.domain).unwrap_or(&unknown),
-            })
-            .collect();
+        let candidates = view.candidates(config);
         let entries = order(&candidates, &origin, rand::random())
             .into_iter()
             .map(|idx| LookupEntry {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -1,11 +1,18 @@
 //! What the handlers see of the deployment, and the clock.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, LazyLock},
+};
 
-use base::{Config, DomainId, Incarnation, InstanceId, Time};
+use base::{Config, DomainId, Incarnation, InstanceId, RegionId, Time};
 use coord::Standing;
+use steer::Candidate;
 use tokio::time::Instant;
 
+/// Region of an instance whose failure domain the configuration does not name.
+static NO_REGION: LazyLock<RegionId> = LazyLock::new(|| RegionId::from(""));
+
 /// Reads the runtime's clock as [`Time`] since an origin.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -57,6 +64,20 @@
     pub is_leaving: bool,
 }
 
+impl View {
+    /// Returns the instances that callers may be sent to, as look-ups order them.
+    pub fn candidates<'a>(&'a self, config: &'a Config) -> Vec<Candidate<'a>> {
+        self.entries
+            .iter()
+            .map(|entry| Candidate {
+                instance: &entry.instance,
+                domain: &entry.domain,
+                region: config.region_of(&entry.domain).unwrap_or(&NO_REGION),
+            })
+            .collect()
+    }
+}
+
 impl Default for View {
     fn default() -> Self {
         Self {
--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -320,14 +320,23 @@
     pub fn set_up(&self) -> String {
         let (text, code) = self.operate(&["apply", &self.answers().to_string_lossy()]);
         assert_eq!(code, 0, "{text}");
+        self.issue_key("k1", "club")
+    }
+
+    /// Issues a key and returns it.
+    ///
+    /// # Panics
+    ///
+    /// Panics where that fails.
+    pub fn issue_key(&self, id: &str, workspace: &str) -> String {
         let args = [
             "--output",
             "json",
             "key",
             "issue",
-            "k1",
+            id,
             "--workspace",
-            "club",
+            workspace,
         ];
         let (text, code) = self.operate(&args);
         assert_eq!(code, 0, "{text}");
--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -600,19 +600,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_never_cross_between_callers_and_workspaces() {
     let (deployment, club) = ready(&Plan::default()).await;
-    let args = [
-        "--output",
-        "json",
-        "key",
-        "issue",
-        "k2",
-        "--workspace",
-        "gym",
-    ];
-    let (text, code) = deployment.operate(&args);
-    assert_eq!(code, 0, "{text}");
-    let issued: serde_json::Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
-    let gym = issued["key"].as_str().unwrap().to_owned();
+    let gym = deployment.issue_key("k2", "gym");
     let entries: Vec<_> = deployment.instances.values().map(|one| one.entry).collect();
     let mut tasks = tokio::task::JoinSet::new();
     for caller in 0..24 {
--- a/crates/proof/tests/session.rs
+++ b/crates/proof/tests/session.rs
@@ -108,17 +108,7 @@
     transcript.show(&shown(&other.send(&ask).await));
 
     transcript.step("a target leaves");
-    let (text, _) = deployment.operate(&[
-        "--output",
-        "json",
-        "key",
-        "issue",
-        "k2",
-        "--workspace",
-        "club",
-    ]);
-    let issued: serde_json::Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
-    let key = issued["key"].as_str().unwrap().to_owned();
+    let key = deployment.issue_key("k2", "club");
     let leaving = deployment.targets["logbook-sierra-norte-1"].addr;
     Caller::connect(leaving)
         .await
