docs: the state charts drawn, compared with the code by a test

Cause: the charts of targets, actions and leases were drawn nowhere. Change: docs/CHARTS.md from the interpreter's own drawing; a test compares page and code and checks that each state can be reached. Measured: the tests of the charts and the docs build pass. Conclusion: a connection has no chart yet.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -14,6 +14,7 @@
     Action, Assignment, Next, Outcome, Policy, PoolLoad, Quarantine, Report, RequestId,
     RetryBudget, Route, TargetEvent, TargetState, Work, WorkKind,
     pool::{Pool, Reach},
+    target_chart,
 };
 
 #[derive(Debug)]
@@ -67,8 +68,6 @@
 /// Share of a request's time that it may spend waiting for a target.
 const MOST_WAIT_SHARE: f64 = 0.5;
 
-const CHART: &str = include_str!("../charts/target.json");
-
 impl Dispatcher {
     /// Returns a dispatcher of an instance in region `home`.
     ///
@@ -80,7 +79,7 @@
             home,
             round_trip: Duration::ZERO,
             rng: Pcg32::seed_from_u64(seed),
-            chart: Chart::read(CHART)?,
+            chart: target_chart()?,
             pools: BTreeMap::new(),
             entries: BTreeMap::new(),
             queued: BTreeSet::new(),
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -9,6 +9,8 @@
 use chart::{Chart, ChartError};
 use serde::{Deserialize, Serialize};
 
+use crate::action_chart;
+
 /// Names an action: a workspace and the idempotency key that its caller chose.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ActionKey {
@@ -123,8 +125,6 @@
     claim_life: Duration,
 }
 
-const CHART: &str = include_str!("../charts/action.json");
-
 impl Ledger {
     /// Returns an empty ledger that keeps ended actions for `retention` and counts a claim whose
     /// claimer has been silent for `claim_life` as unknown.
@@ -134,7 +134,7 @@
     /// [`ChartError`] where the action's chart can't be read.
     pub fn new(retention: Duration, claim_life: Duration) -> Result<Self, ChartError> {
         Ok(Self {
-            chart: Chart::read(CHART)?,
+            chart: action_chart()?,
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
             retention,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,8 @@
 mod throughput;
 mod work;
 
+use chart::{Chart, ChartError};
+
 pub use budget::RetryBudget;
 pub use dispatcher::Dispatcher;
 pub use latency::LatencyEstimate;
@@ -24,3 +26,21 @@
 pub use queue::FairQueue;
 pub use target::{Report, Target, TargetEvent, TargetState};
 pub use work::{Action, Assignment, Next, Outcome, Policy, PoolLoad, RequestId, Work, WorkKind};
+
+/// Reads the chart of a target.
+///
+/// # Errors
+///
+/// [`ChartError`] where the chart can't be read.
+pub fn target_chart() -> Result<Chart<TargetState, TargetEvent>, ChartError> {
+    Chart::read(include_str!("../charts/target.json"))
+}
+
+/// Reads the chart of a non-idempotent action.
+///
+/// # Errors
+///
+/// [`ChartError`] where the chart can't be read.
+pub fn action_chart() -> Result<Chart<ActionState, ActionEvent>, ChartError> {
+    Chart::read(include_str!("../charts/action.json"))
+}
--- /dev/null
+++ b/crates/proof/tests/charts.rs
@@ -0,0 +1,36 @@
+//! The charts drawn in docs are the ones that the code interprets, and each state can be reached.
+
+use std::{fmt::Debug, fs, path::Path};
+
+use chart::Chart;
+use serde::de::DeserializeOwned;
+
+fn assert_drawn<S, E>(name: &str, chart: &Chart<S, E>, states: usize)
+where
+    S: Clone + Ord + Debug + DeserializeOwned,
+    E: Clone + Ord + Debug + DeserializeOwned,
+{
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/CHARTS.md");
+    let page = fs::read_to_string(file).unwrap_or_default();
+    let drawn = chart.to_mermaid();
+    assert!(
+        page.contains(&drawn),
+        "{name} in docs/CHARTS.md should be:\n{drawn}"
+    );
+    assert_eq!(chart.reachable().len(), states, "{name}");
+}
+
+#[test]
+fn charts_target_is_drawn() {
+    assert_drawn("target", &dispatch::target_chart().unwrap(), 4);
+}
+
+#[test]
+fn charts_action_is_drawn() {
+    assert_drawn("action", &dispatch::action_chart().unwrap(), 5);
+}
+
+#[test]
+fn charts_lease_is_drawn() {
+    assert_drawn("lease", &coord::lease_chart().unwrap(), 5);
+}
