--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use entry::{
     callers::{CallerLimits, Callers},
     engine::{Engine, EngineOptions},
+    message::Event,
     metrics::Metrics,
     serve::{Listener, listen},
     view::{Clock, EntryPoint, View},
@@ -47,6 +48,7 @@
 const ACTION_RETENTION: Duration = Duration::from_secs(3_600);
 const CLAIM_LIFE: Duration = Duration::from_secs(120);
 const LONGEST_STOP: Duration = Duration::from_secs(60);
+const READY_POLL: Duration = Duration::from_millis(10);
 const CHANNEL: usize = 4_096;
 
 /// Holds what differs between a deployed instance and one for development.
@@ -81,6 +83,7 @@
     callers: Listener,
     operators: Listener,
     lookup_ttl: Duration,
+    engine: mpsc::UnboundedSender<Event>,
     peers: mpsc::Sender<PeerCommand>,
     follower: mpsc::Sender<FollowerMessage>,
     owners: mpsc::Sender<OwnersMessage>,
@@ -273,6 +276,7 @@
         callers,
         operators,
         lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
+        engine: engine_tx,
         peers: peers_tx,
         follower: follower_tx,
         owners: owners_tx,
@@ -282,11 +286,16 @@
 }
 
 impl Node {
-    /// Waits until a configuration is in force.
+    /// Waits until a configuration is in force and requests can be admitted: from a floor, or by an
+    /// owner.
     pub fn ready(&self) -> impl Future<Output = ()> + Send + 'static {
         let mut view = self.view.clone();
+        let engine = self.engine.clone();
         async move {
             let _ = view.wait_for(|view| view.config.is_some()).await;
+            while !can_admit(&engine).await {
+                sleep(READY_POLL).await;
+            }
         }
     }
 
@@ -311,6 +320,18 @@
     }
 }
 
+/// Returns whether some workspace's requests can be admitted, or there is no workspace; an engine
+/// that has ended is not waited for.
+async fn can_admit(engine: &mpsc::UnboundedSender<Event>) -> bool {
+    let (reply, answer) = oneshot::channel();
+    let _ = engine.send(Event::Status(reply));
+    let Ok(status) = answer.await else {
+        return true;
+    };
+    let has_units = status.available.values().any(|units| *units >= 1.0);
+    status.available.is_empty() || has_units || !status.owners.is_empty()
+}
+
 fn caller_limits(cfg: &Daemon, options: NodeOptions) -> CallerLimits {
     CallerLimits {
         body_bytes: cfg.body_limit_bytes,
