refactor: remove state and methods that nothing uses

Cause: an always empty list of leaving targets, an owner's record of demand that cost an exponential for each grant, and two methods had no reader. Change: they are gone; no behaviour changes. Conclusion: less work for each grant.

--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -54,8 +54,6 @@
     last: Option<Grant>,
     ended: VecDeque<Incarnation>,
     grants: BTreeMap<(Incarnation, u64), Outstanding>,
-    asked: f64,
-    asked_at: Time,
 }
 
 #[derive(Debug, Clone)]
@@ -194,14 +192,6 @@
         Some(self.record(now, from, ask, tokens))
     }
 
-    /// Returns the units that each holder asked for over the last seconds.
-    pub fn demand(&self, now: Time) -> BTreeMap<InstanceId, f64> {
-        self.accounts
-            .iter()
-            .map(|(id, account)| (id.clone(), account.demand(now)))
-            .collect()
-    }
-
     /// Returns the account's last grant; `None` where the ask comes from an ended life.
     fn open_account(
         &mut self,
@@ -260,7 +250,6 @@
         self.outstanding += tokens;
         let expires_at = now + self.split.owner_life();
         if let Some(account) = self.accounts.get_mut(from) {
-            account.note_demand(now, ask.want);
             account.last = Some(grant);
             let key = (account.incarnation, ask.serial);
             let out = Outstanding {
@@ -319,8 +308,6 @@
             last: None,
             ended: VecDeque::new(),
             grants: BTreeMap::new(),
-            asked: 0.0,
-            asked_at: Time::ZERO,
         }
     }
 
@@ -333,14 +320,4 @@
         self.incarnation = incarnation;
         self.last = None;
     }
-
-    fn note_demand(&mut self, now: Time, want: u32) {
-        self.asked = self.demand(now) + f64::from(want);
-        self.asked_at = now;
-    }
-
-    fn demand(&self, now: Time) -> f64 {
-        const WINDOW_S: f64 = 10.0;
-        self.asked * (-(now - self.asked_at).as_secs_f64() / WINDOW_S).exp()
-    }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,8 +10,6 @@
 pub struct Fleet {
     /// Instances by name.
     pub members: BTreeMap<InstanceId, FleetMember>,
-    /// Targets that the list says are leaving.
-    pub leaving_targets: Vec<base::TargetId>,
 }
 
 /// Shows one other instance.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use base::{InstanceId, TargetId, Time};
+use base::{InstanceId, Time};
 use coord::{Borrower, Head, Heartbeat, ListEntry, Presence, Roster};
 use entry::{message::Event, view::Clock};
 use tokio::{
@@ -54,7 +54,6 @@
     own: Beat,
     beats_sent: VecDeque<(u64, Time)>,
     confirmed_at: Option<Time>,
-    leaving_targets: Vec<TargetId>,
     outlets: Outlets,
 }
 
@@ -78,7 +77,6 @@
             own,
             beats_sent: VecDeque::new(),
             confirmed_at: None,
-            leaving_targets: Vec::new(),
             outlets,
         }
     }
@@ -312,10 +310,7 @@
                 (id.clone(), shown)
             })
             .collect();
-        let fleet = Fleet {
-            members,
-            leaving_targets: self.leaving_targets.clone(),
-        };
+        let fleet = Fleet { members };
         self.outlets.fleet.send_if_modified(|current| {
             let is_changed = **current != fleet;
             if is_changed {
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -26,7 +26,6 @@
 fn fleet() -> Fleet {
     Fleet {
         members: BTreeMap::from([("i1".into(), member(Time::from_secs(10)))]),
-        leaving_targets: Vec::new(),
     }
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -284,11 +284,6 @@
             .collect()
     }
 
-    /// Returns the earliest deadline of a queued request.
-    pub fn next_deadline(&self) -> Option<Time> {
-        self.queued.first().map(|(deadline, _)| *deadline)
-    }
-
     /// Returns the requests that are queued or under way.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -118,13 +118,6 @@
             message: frame.message,
         })
     }
-
-    /// Returns whether frames to this instance will be proven ones.
-    pub fn is_established(&self, with: &InstanceId) -> bool {
-        self.sessions
-            .get(with)
-            .is_some_and(|session| session.life.is_some())
-    }
 }
 
 impl Session {
