--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -31,7 +31,7 @@
 /// use coord::Split;
 ///
 /// let mut config = Config::default();
-/// let workspace = Workspace { rate: 1.0, burst: 1.0, weight: 1 };
+/// let workspace = Workspace { rate: 1.0, burst: 1.0, ..Workspace::default() };
 /// config.workspaces.insert("w".into(), workspace);
 /// let mut admission = Admission::new(Split { floor_share: 1.0, slots: 1, ..Split::default() });
 /// admission.configure(Time::ZERO, &config);
@@ -199,6 +199,11 @@
         actions
     }
 
+    /// Returns whether a request waits for a unit.
+    pub fn has_waiting(&self) -> bool {
+        self.gates.values().any(|gate| !gate.waiting.is_empty())
+    }
+
     /// Drops a waiting request whose caller has left.
     pub fn cancel(&mut self, id: u64) {
         for gate in self.gates.values_mut() {
--- a/crates/admit/src/keys.rs
+++ b/crates/admit/src/keys.rs
@@ -13,7 +13,7 @@
 /// use base::{Config, Key, KeyDigest, Workspace};
 ///
 /// let mut config = Config::default();
-/// let workspace = Workspace { rate: 1.0, burst: 1.0, weight: 1 };
+/// let workspace = Workspace { rate: 1.0, burst: 1.0, ..Workspace::default() };
 /// config.workspaces.insert("w".into(), workspace);
 /// let key = Key { workspace: "w".into(), digest: KeyDigest::of("secret") };
 /// config.keys.insert("k1".into(), key);
--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -26,6 +26,80 @@
     /// What operators have taken out of service.
     #[serde(default)]
     pub drains: Drains,
+    /// Routes; without any, the first segment of a path names the service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<Route>,
+    /// Bounds on what callers may send.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
+}
+
+/// Bounds what a caller may send and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Most bytes of a request's head.
+    pub head_bytes: u32,
+    /// Most bytes of a request's body.
+    pub body_bytes: u64,
+    /// Time in which a head must arrive, in milliseconds.
+    pub head_timeout_ms: u32,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u32,
+}
+
+/// Tells whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteKind {
+    /// Running it twice has the effect of running it once.
+    Idempotent,
+    /// It may run at most once.
+    Once,
+}
+
+/// Sends the requests of one host below one path prefix to services.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Host that requests name.
+    pub host: String,
+    /// Beginning of the path, with a slash at both ends.
+    pub prefix: String,
+    /// Whether a request may run more than once.
+    pub kind: RouteKind,
+    /// Services that serve it, in proportion to their weights.
+    pub services: Vec<WeightedService>,
+    /// Longest time that a request is kept waiting, in milliseconds.
+    pub timeout_ms: u32,
+    /// Latency objective, in milliseconds.
+    pub objective_ms: u32,
+    /// Most targets that one request may be sent to.
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u32,
+    /// Whether it needs no key.
+    #[serde(default)]
+    pub is_open: bool,
+    /// Whether a target that has lately handled an object is faster with it.
+    #[serde(default)]
+    pub is_sticky: bool,
+    /// Regions in which it may be served; empty for all.
+    #[serde(default)]
+    pub homes: BTreeSet<RegionId>,
+}
+
+/// Gives one service's part of a route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedService {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Part relative to the others.
+    pub weight: u32,
 }
 
 /// Names what takes no new work by an operator's word.
@@ -44,6 +118,9 @@
     /// Regions with their targets and instances.
     #[serde(default)]
     pub regions: BTreeSet<RegionId>,
+    /// Failure domains whose targets get nothing, while their instances go on.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub targets_of: BTreeSet<DomainId>,
 }
 
 /// Describes one failure domain.
@@ -83,6 +160,19 @@
     pub open_routes: Vec<String>,
     /// Targets by name.
     pub targets: BTreeMap<TargetId, Target>,
+    /// What a cold target bears; `None` where it bears all that a warm one does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStart>,
+}
+
+/// Tells what a target bears while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Requests per second from all instances together.
+    pub per_s: f64,
+    /// How long a target is cold after its start, in milliseconds.
+    pub ms: u32,
 }
 
 /// Describes one target.
@@ -93,6 +183,23 @@
     pub domain: DomainId,
     /// IP number and port.
     pub addr: std::net::SocketAddr,
+    /// What it registered, where targets come and go by registration.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub registered: Option<Registration>,
+}
+
+/// Holds what a target says of itself when it registers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Registration {
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is about to end.
+    pub is_leaving: bool,
+    /// How much longer it is cold, in milliseconds from when it said so.
+    pub cold_ms: u32,
+    /// Life of the target: a restarted one knows nothing of before.
+    pub life: u64,
 }
 
 /// Describes one workspace.
@@ -106,6 +213,24 @@
     /// Share of contended targets relative to other workspaces.
     #[serde(default = "default_weight")]
     pub weight: u32,
+    /// Rank, which goes before that of routes; 0 is the most urgent.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub priority: u32,
+    /// Regions in which its requests may be served; empty for all.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<RegionId>,
+}
+
+impl Default for Workspace {
+    fn default() -> Self {
+        Self {
+            rate: 0.0,
+            burst: 0.0,
+            weight: default_weight(),
+            priority: 0,
+            homes: BTreeSet::new(),
+        }
+    }
 }
 
 /// Describes one key.
@@ -138,7 +263,10 @@
             .get(service)
             .and_then(|svc| svc.targets.get(id))
             .is_some_and(|target| {
-                !self.drains.targets.contains(id) && !self.is_domain_drained(&target.domain)
+                !self.drains.targets.contains(id)
+                    && !self.drains.targets_of.contains(&target.domain)
+                    && !self.is_domain_drained(&target.domain)
+                    && !target.registered.is_some_and(|told| told.is_leaving)
             })
     }
 
@@ -166,3 +294,7 @@
 fn default_weight() -> u32 {
     1
 }
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,13 +5,16 @@
 mod config;
 mod error;
 mod id;
+mod route;
 mod time;
 
 pub use config::{
-    Config, Domain, Drains, Key, Links, Service, Target, Workspace, canonical_json, config_digest,
+    CallerLimits, ColdStart, Config, Domain, Drains, Key, Links, Registration, Route, RouteKind,
+    Service, Target, WeightedService, Workspace, canonical_json, config_digest,
 };
 pub use error::{ANSWERS, Answer, ErrorKind, Ran, Refusal};
 pub use id::{
     DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
 };
+pub use route::RouteTable;
 pub use time::Time;
--- /dev/null
+++ b/crates/base/src/route.rs
@@ -0,0 +1,56 @@
+//! Finds the route of a request.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{Config, Route};
+
+/// Finds routes by host and longest path prefix.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Config, RouteTable};
+///
+/// let table = RouteTable::new(&Config::default());
+/// assert!(table.find("a.example", "/x/").is_none());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    hosts: BTreeMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Returns the table of a configuration's routes.
+    pub fn new(config: &Config) -> Self {
+        let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        for route in &config.routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            // The longest prefix is found first.
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// Returns the route of the longest prefix that begins `path`, or `None` where there is none.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = self
+            .hosts
+            .get(name)
+            .or_else(|| self.hosts.get(&name.to_ascii_lowercase()))?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns whether a route of `host` exists.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.hosts.contains_key(host)
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -117,7 +117,7 @@
     match platform.write(vec![head, history]).await {
         Ok(_) => Ok(base + 1),
         Err(Fault::Conflict { .. }) => Err(conflict(platform, base).await),
-        Err(Fault::Unavailable) => settle(platform, &record).await,
+        Err(Fault::Unavailable | Fault::HistoryGone) => settle(platform, &record).await,
     }
 }
 
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod owner;
 mod quota;
+mod replica;
 mod roster;
 mod versioned;
 
@@ -24,5 +25,6 @@
 };
 pub use owner::Owner;
 pub use quota::{Bucket, Quota, Split};
+pub use replica::{Replica, ReplicaRow, RowChange, TableImage};
 pub use roster::{Heartbeat, ListEntry, Member, Presence, Roster, rank};
 pub use versioned::{Head, Offer, Standing, Versioned};
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -41,6 +41,12 @@
     pub loan_life: Duration,
     /// Most by which a clock's rate is off, as a fraction.
     pub drift: f64,
+    /// Part by which rate and burst may be passed.
+    pub overage: f64,
+    /// Units by which the burst may be passed beyond that.
+    pub slack: f64,
+    /// Whether a holder lends only what it does not need itself.
+    pub is_thrifty: bool,
 }
 
 impl Default for Split {
@@ -51,6 +57,9 @@
             grant_life: Duration::from_secs(1),
             loan_life: Duration::from_secs(3),
             drift: 0.01,
+            overage: 0.0,
+            slack: 0.0,
+            is_thrifty: false,
         }
     }
 }
@@ -63,6 +72,7 @@
 impl Split {
     /// Returns the quota of one floor; nothing where not even one unit would fit in it.
     pub fn floor(&self, whole: Quota) -> Quota {
+        let whole = self.tolerated(whole);
         let slots = f64::from(self.slots.max(1));
         let floor = Quota {
             rate: self.slowed(whole.rate) * self.floor_share / slots,
@@ -85,6 +95,7 @@
     /// Returns the quota that is left for the owner.
     pub fn owned(&self, whole: Quota) -> Quota {
         let floor = self.floor(whole);
+        let whole = self.tolerated(whole);
         let slots = f64::from(self.slots.max(1));
         Quota {
             rate: (self.slowed(whole.rate) - slots * floor.rate).max(0.0),
@@ -92,6 +103,14 @@
         }
     }
 
+    /// Returns the whole with the tolerance added.
+    fn tolerated(&self, whole: Quota) -> Quota {
+        Quota {
+            rate: whole.rate * (1.0 + self.overage),
+            burst: whole.burst * (1.0 + self.overage) + self.slack,
+        }
+    }
+
     /// Returns how long a lender leaves its floor alone, counted from when it lent it: the loan, and
     /// the grants that the owner may have made from it.
     pub(crate) fn lender_pause(&self) -> Duration {
--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -15,7 +15,7 @@
     layout::{CONFIG_TABLE, HEAD_ROW, object_name},
     memory,
 };
-use settings::{Alone, Daemon, Takeover};
+use settings::{Alone, Bounds, Daemon, Takeover};
 use standin::{
     listen::listen,
     target::{TargetOptions, TargetServer},
@@ -74,6 +74,11 @@
         platform: local(0),
         secret: "only for development".to_owned(),
         slot_count: 1,
+        agrees_on_facts: false,
+        regions: BTreeMap::new(),
+        ready: None,
+        directory: None,
+        bounds: Bounds::default(),
         body_limit_bytes: 8 * 1024 * 1024,
         body_timeout_ms: 10_000,
         lookup_ttl_ms: 1_000,
@@ -106,6 +111,7 @@
             let target = Target {
                 domain: DOMAIN.into(),
                 addr,
+                registered: None,
             };
             (format!("echo-{}", idx + 1).into(), target)
         })
@@ -116,11 +122,13 @@
         deadline_ms: 10_000,
         open_routes: Vec::new(),
         targets,
+        cold: None,
     };
     let workspace = Workspace {
         rate: 100_000.0,
         burst: 100_000.0,
         weight: 1,
+        ..Workspace::default()
     };
     let key = Key {
         workspace: "dev".into(),
@@ -137,6 +145,7 @@
         workspaces: BTreeMap::from([("dev".into(), workspace)]),
         keys: BTreeMap::from([("dev".into(), key)]),
         drains: Drains::default(),
+        ..Config::default()
     }
 }
 
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -181,6 +181,7 @@
                 self.is_leaving = true;
                 None
             }
+            FollowerMessage::Positions { .. } => None,
             FollowerMessage::Beat {
                 from,
                 head,
@@ -278,7 +279,12 @@
                 .clone()
                 .map(|config| (self.state.version(), config)),
             standing,
-            entries: self.entries(now, &fleet),
+            entries: entries(
+                now,
+                &fleet,
+                self.config.as_deref(),
+                (!self.is_leaving).then_some(&self.own_entry),
+            ),
             is_leaving: self.is_leaving,
         };
         let is_changed = {
@@ -308,29 +314,6 @@
         let _ = self.outlets.peers.send(command).await;
     }
 
-    fn entries(&self, now: Time, fleet: &Fleet) -> Vec<EntryPoint> {
-        let is_drained = |entry: &EntryPoint| {
-            self.config.as_ref().is_some_and(|config| {
-                config.drains.instances.contains(&entry.instance)
-                    || config.is_domain_drained(&entry.domain)
-            })
-        };
-        let own = (!self.is_leaving).then(|| self.own_entry.clone());
-        let others = fleet.members.iter().filter_map(|(id, member)| {
-            let is_serving = member.is_heard(now) && !member.is_leaving;
-            is_serving.then_some(EntryPoint {
-                instance: id.clone(),
-                incarnation: member.life?,
-                domain: member.domain.clone(),
-                addr: member.entry?,
-            })
-        });
-        others
-            .chain(own)
-            .filter(|entry| !is_drained(entry))
-            .collect()
-    }
-
     fn alarm(&self, name: &str, is_on: bool) {
         self.metrics
             .facts
@@ -339,6 +322,34 @@
     }
 }
 
+/// Returns the instances that callers may be sent to, `own` among them.
+pub(crate) fn entries(
+    now: Time,
+    fleet: &Fleet,
+    config: Option<&Config>,
+    own: Option<&EntryPoint>,
+) -> Vec<EntryPoint> {
+    let is_drained = |entry: &EntryPoint| {
+        config.is_some_and(|config| {
+            config.drains.instances.contains(&entry.instance)
+                || config.is_domain_drained(&entry.domain)
+        })
+    };
+    let others = fleet.members.iter().filter_map(|(id, member)| {
+        let is_serving = member.is_heard(now) && !member.is_leaving;
+        is_serving.then_some(EntryPoint {
+            instance: id.clone(),
+            incarnation: member.life?,
+            domain: member.domain.clone(),
+            addr: member.entry?,
+        })
+    });
+    others
+        .chain(own.cloned())
+        .filter(|entry| !is_drained(entry))
+        .collect()
+}
+
 async fn read(clock: Clock, platform: Platform, tx: mpsc::Sender<Read>) {
     let sent_at = clock.now();
     let result = platform.get(CONFIG_TABLE, HEAD_ROW).await;
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -6,6 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{ErrorKind, Incarnation, InstanceId};
+use coord::TableImage;
 use dispatch::{ActionEvent, ActionKey, Claim, Claimer, Ledger, RequestId, SavedAnswer};
 use entry::{
     message::LedgerCall,
@@ -34,6 +35,7 @@
     ledger: Ledger,
     remote: Remote,
     view: watch::Receiver<Arc<View>>,
+    images: watch::Receiver<Arc<Vec<TableImage>>>,
 }
 
 /// Reaches other homes and the table.
@@ -63,6 +65,8 @@
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// What is in force.
     pub view: watch::Receiver<Arc<View>>,
+    /// Followed tables that other instances may fetch.
+    pub images: watch::Receiver<Arc<Vec<TableImage>>>,
 }
 
 /// Where an action is remembered.
@@ -106,6 +110,7 @@
                 fleet: options.fleet,
             },
             view: options.view,
+            images: options.images,
         }
     }
 
@@ -233,6 +238,10 @@
                 Reply::Settled
             }
             Call::Object(digest) => Reply::Object(self.object(&digest)),
+            Call::Table(number) => {
+                let images = self.images.borrow();
+                Reply::Table(images.get(number as usize).cloned())
+            }
         };
         let _ = incoming.reply.send(reply);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: tasks that own sockets and state and talk by messages.
 
 pub mod dev;
+pub mod facts;
 pub mod fleet;
 pub mod follower;
 pub mod ledger;
@@ -13,5 +14,6 @@
 pub mod peers;
 pub mod planner;
 pub mod probes;
+pub mod registry;
 pub mod rpc;
 pub mod slots;
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -5,15 +5,46 @@
 use base::TargetId;
 use coord::ListEntry;
 use entry::message::Event;
-use platform::{Listed, ListedKind, ListedState, Platform};
+use platform::{Call, Listed, ListedKind, ListedState, Platform};
 use tokio::{
     sync::mpsc,
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::message::{ListedPeer, PeerCommand};
 
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time between two reads of a list that instances keep themselves.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(8);
+const FIRST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Keeps this instance on a list that instances write themselves, and reads it until a receiver
+/// is gone; the less it changes the less often it is read.
+pub async fn run_announced(platform: Platform, own: Listed, peers: mpsc::Sender<PeerCommand>) {
+    let mut pause = FIRST_INTERVAL;
+    let mut before = Vec::new();
+    loop {
+        if let Ok(list) = platform.list().await {
+            let is_listed = list.contains(&own);
+            pause = if is_listed && list == before {
+                (pause * 2).min(LONGEST_INTERVAL)
+            } else {
+                FIRST_INTERVAL
+            };
+            if !is_listed {
+                let listed = own.clone();
+                // Another read shows whether it is there.
+                let _ = platform.call(Call::Announce { listed }).await;
+            }
+            before.clone_from(&list);
+            let listed = list.into_iter().filter_map(instance).collect();
+            if peers.send(PeerCommand::List(listed)).await.is_err() {
+                return;
+            }
+        }
+        sleep(pause).await;
+    }
+}
 
 /// Reads the list once a second and passes it on until a receiver is gone.
 pub async fn run(
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -2,6 +2,25 @@
 
 use tracing_subscriber::{EnvFilter, fmt, prelude::*};
 
+/// Sets up logging on standard output.
+///
+/// # Errors
+///
+/// As for [`start`].
+pub fn start_stdout(filter: &str) -> Result<(), String> {
+    let filter = EnvFilter::try_new(filter).map_err(|err| err.to_string())?;
+    let lines = fmt::layer()
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false);
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(lines)
+        .try_init()
+        .map_err(|err| err.to_string())
+}
+
 /// Sets up logging; `filter` is in the syntax of `tracing-subscriber`'s filters.
 ///
 /// # Errors
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -54,6 +54,8 @@
     pub slots: u32,
     /// Requests per second of each service that callers sent to it.
     pub demand: Vec<(ServiceId, f64)>,
+    /// Positions up to which it knows the followed tables, in their order.
+    pub positions: Vec<u64>,
 }
 
 /// Tells the peers' task what to do.
@@ -70,6 +72,13 @@
         /// Time at which it was known to be the latest.
         confirmed_at: Option<Time>,
     },
+    /// The positions up to which the followed tables are known.
+    Positions {
+        /// Positions in the tables' order.
+        positions: Vec<u64>,
+        /// Time at which nothing later was known to the tables' keeper.
+        confirmed_at: Option<Time>,
+    },
     /// The workspaces that this instance acts as owner of, with the epochs.
     Owns(Vec<(WorkspaceId, u64)>),
     /// The number of floor slots that this instance holds.
@@ -101,6 +110,15 @@
         /// Time at which it was known to be the latest.
         confirmed_at: Option<Time>,
     },
+    /// A heartbeat told how far another instance knows the followed tables.
+    Positions {
+        /// Instance that sent it.
+        from: InstanceId,
+        /// Positions in the tables' order.
+        positions: Vec<u64>,
+        /// Time at which nothing later was known to the tables' keeper.
+        confirmed_at: Option<Time>,
+    },
     /// This instance is leaving.
     Leave,
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,9 +9,10 @@
 
 use base::{Incarnation, InstanceId};
 use coord::{Heartbeat, Roster, Split, Terms, lease_chart};
-use dispatch::{Ledger, Policy};
+use dispatch::{Ledger, Placement, Policy};
 use entry::{
     callers::{CallerLimits, Callers},
+    dialect::Dialect,
     engine::{Engine, EngineOptions},
     message::Event,
     metrics::Metrics,
@@ -19,12 +20,12 @@
     view::{Clock, EntryPoint, View},
 };
 use eyre::{Result, WrapErr};
-use platform::Platform;
+use platform::{Listed, ListedKind, ListedState, Platform};
 use settings::{Alone, Daemon, Takeover};
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, oneshot, watch},
-    time::sleep,
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 use wire::{Secret, Sessions};
 
@@ -38,7 +39,9 @@
     owners::{Owners, OwnersMessage, OwnersOptions},
     peers::{self, Peers},
     planner::{Planner, PlannerOptions},
-    probes, rpc,
+    probes,
+    registry::{Composed, Followed, Registry, RegistryOptions},
+    rpc,
     slots::{Slots, SlotsOptions},
 };
 
@@ -49,15 +52,32 @@
 const CLAIM_LIFE: Duration = Duration::from_secs(120);
 const LONGEST_STOP: Duration = Duration::from_secs(60);
 const READY_POLL: Duration = Duration::from_millis(10);
+/// Part of what may be sent again that is used.
+const BUDGET_USE: f64 = 0.6;
+/// Part of a rate's tolerance that is used; the rest covers the way to the targets.
+const RATE_USE: f64 = 0.7;
+/// Horizon of a slot's lease where only its end proves that its holder has ended.
+const HORIZON: Duration = Duration::from_secs(120);
+/// Part of the time to stop for which new requests are taken.
+const STOP_TAKES: f64 = 0.6;
+/// Part of the time to stop after which requests under way are no longer waited for.
+const STOP_ENDS: f64 = 0.9;
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 const CHANNEL: usize = 4_096;
 
 /// Holds what differs between a deployed instance and one for development.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct NodeOptions {
     /// Share of the requests without a trace of their own whose spans are logged.
     pub trace_share: f64,
     /// Durations of the leases.
     pub terms: Terms,
+    /// Constants of dispatch.
+    pub policy: Policy,
+    /// Names that heads carry.
+    pub dialect: Dialect,
+    /// How workspaces' rates are divided; the number of slots comes from the settings.
+    pub split: Split,
 }
 
 impl Default for NodeOptions {
@@ -65,6 +85,12 @@
         Self {
             trace_share: 0.001,
             terms: Terms::default(),
+            policy: Policy::default(),
+            dialect: Dialect::default(),
+            split: Split {
+                floor_share: 1.0,
+                ..Split::default()
+            },
         }
     }
 }
@@ -91,12 +117,92 @@
     view: watch::Receiver<Arc<View>>,
 }
 
+impl NodeOptions {
+    /// Returns options that keep to the deployment's bounds.
+    pub fn bounded(cfg: &Daemon) -> Self {
+        let bounds = &cfg.bounds;
+        let sharers = f64::from(cfg.slot_count.max(1));
+        let policy = Policy {
+            placement: Placement::ByObject,
+            sharers: cfg.slot_count.max(1),
+            retry_fraction: bounds.retry_fraction * BUDGET_USE,
+            retry_cap: (bounds.retry_slack * BUDGET_USE / sharers).max(1.0),
+            most_refusals: 4,
+            ..Policy::default()
+        };
+        let terms = Terms {
+            horizon: HORIZON,
+            renew_every: HORIZON / 8,
+            ..Terms::default()
+        };
+        let split = Split {
+            floor_share: 1.0,
+            overage: bounds.rate_overage * RATE_USE,
+            slack: bounds.rate_slack * RATE_USE,
+            ..Split::default()
+        };
+        Self {
+            trace_share: 0.0,
+            terms,
+            policy,
+            split,
+            ..Self::default()
+        }
+    }
+}
+
+/// Tells of a reload what has changed and needs a restart.
+pub fn log_reload(old: &Daemon, new: &Daemon) {
+    let json = |cfg: &Daemon| serde_json::to_value(cfg).unwrap_or_default();
+    let (old, new) = (json(old), json(new));
+    let changed: Vec<&str> = new
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(name, value)| {
+            let is_agreed = matches!(name.as_str(), "secret" | "slot_count");
+            !is_agreed && old.get(name.as_str()) != Some(*value)
+        })
+        .map(|(name, _)| name.as_str())
+        .collect();
+    tracing::info!(event = "reload", needs_restart = ?changed);
+}
+
+/// Tells where the configuration comes from.
+#[derive(Debug)]
+pub enum Source<F> {
+    /// The product's own head row and objects, with a list that the platform keeps.
+    Head,
+    /// Tables that are followed, with a list that the instances keep.
+    Tables(Followed<F>),
+}
+
+/// Turns followed tables into a configuration, where nothing has to be remembered for that.
+pub type Compose = fn(&[&coord::Replica]) -> Option<Composed>;
+
 /// Starts an instance.
 ///
 /// # Errors
 ///
 /// A report that names the listener whose address can't be had.
 pub async fn start(cfg: &Daemon, platform: Platform, options: NodeOptions) -> Result<Node> {
+    start_from(cfg, platform, options, Source::<Compose>::Head).await
+}
+
+/// Starts an instance whose configuration comes from `source`.
+///
+/// # Errors
+///
+/// As for [`start`].
+pub async fn start_from<F>(
+    cfg: &Daemon,
+    platform: Platform,
+    options: NodeOptions,
+    source: Source<F>,
+) -> Result<Node>
+where
+    F: FnMut(&[&coord::Replica]) -> Option<Composed> + Send + 'static,
+{
     let clock = Clock::start();
     let me = InstanceId::from(cfg.instance.as_str());
     let life = Incarnation(rand::random::<u64>().max(1));
@@ -107,9 +213,8 @@
         .wrap_err_with(|| format!("peer: {}", cfg.peer))?;
     let peer = udp.local_addr().wrap_err("peer")?;
     let split = Split {
-        floor_share: 1.0,
         slots: cfg.slot_count,
-        ..Split::default()
+        ..options.split
     };
 
     let (engine_tx, engine_rx) = mpsc::unbounded_channel();
@@ -130,7 +235,7 @@
             region: cfg.region.as_str().into(),
             seed: life.0,
             split,
-            policy: Policy::default(),
+            policy: options.policy.clone(),
             refuses_alone: cfg.alone == Alone::Refuse,
         },
         outgoing_tx,
@@ -145,7 +250,8 @@
         view: view_rx.clone(),
         metrics: metrics.clone(),
         ids: Arc::new(AtomicU64::new(1)),
-        limits: caller_limits(cfg, options),
+        limits: caller_limits(cfg, &options),
+        dialect: Arc::new(options.dialect.clone()),
     };
     let callers = listen(cfg.entry, callers.into_router())
         .await
@@ -180,30 +286,52 @@
     );
     tokio::spawn(peers.run(peers_rx));
     tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx));
-    tokio::spawn(lister::run(
-        platform.clone(),
-        peers_tx.clone(),
-        engine_tx.clone(),
-    ));
-
-    let follower = Follower::new(
-        FollowerOptions {
-            clock,
-            platform: platform.clone(),
-            secret: secret.clone(),
-            metrics: metrics.clone(),
-            confirm_limit: Duration::from_millis(cfg.confirm_limit_ms),
-            own_entry,
-            fleet: fleet_rx.clone(),
-        },
-        follower::Outlets {
-            engine: engine_tx.clone(),
-            peers: peers_tx.clone(),
-            view: view_tx,
-        },
-    );
-    tokio::spawn(follower.run(follower_rx));
-
+    let (images_tx, images_rx) = watch::channel(Arc::new(Vec::new()));
+    let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms);
+    let is_probing = matches!(source, Source::Head);
+    match source {
+        Source::Head => {
+            let lister = lister::run(platform.clone(), peers_tx.clone(), engine_tx.clone());
+            tokio::spawn(lister);
+            let follower = Follower::new(
+                FollowerOptions {
+                    clock,
+                    platform: platform.clone(),
+                    secret: secret.clone(),
+                    metrics: metrics.clone(),
+                    confirm_limit,
+                    own_entry,
+                    fleet: fleet_rx.clone(),
+                },
+                follower::Outlets {
+                    engine: engine_tx.clone(),
+                    peers: peers_tx.clone(),
+                    view: view_tx,
+                },
+            );
+            tokio::spawn(follower.run(follower_rx));
+        }
+        Source::Tables(followed) => {
+            let own = listed(cfg, peer);
+            let lister = lister::run_announced(platform.clone(), own, peers_tx.clone());
+            tokio::spawn(lister);
+            let registry = Registry::new(RegistryOptions {
+                clock,
+                platform: platform.clone(),
+                secret: secret.clone(),
+                metrics: metrics.clone(),
+                confirm_limit,
+                own_entry,
+                fleet: fleet_rx.clone(),
+                followed,
+                engine: engine_tx.clone(),
+                peers: peers_tx.clone(),
+                view: view_tx,
+                images: images_tx,
+            });
+            tokio::spawn(registry.run(follower_rx));
+        }
+    }
     let slots = Slots::new(SlotsOptions {
         clock,
         chart: lease_chart().wrap_err("lease")?,
@@ -252,9 +380,12 @@
         secret,
         fleet: fleet_rx.clone(),
         view: view_rx.clone(),
+        images: images_rx,
     });
     tokio::spawn(ledgers.run(ledger_rx, incoming_rx));
-    tokio::spawn(probes::run(view_rx.clone(), engine_tx.clone()));
+    if is_probing {
+        tokio::spawn(probes::run(view_rx.clone(), engine_tx.clone()));
+    }
 
     let operator = Operator {
         clock,
@@ -285,7 +416,23 @@
     })
 }
 
+/// Returns how the instance shows itself on a list that instances keep.
+pub fn listed(cfg: &Daemon, peer: SocketAddr) -> Listed {
+    Listed {
+        id: cfg.instance.clone(),
+        kind: ListedKind::Instance,
+        domain: cfg.domain.as_str().into(),
+        addr: peer,
+        state: ListedState::Live,
+    }
+}
+
 impl Node {
+    /// Returns what is in force, as it changes.
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
     /// Waits until a configuration is in force and requests can be admitted: from a floor, or by an
     /// owner.
     pub fn ready(&self) -> impl Future<Output = ()> + Send + 'static {
@@ -299,6 +446,27 @@
         }
     }
 
+    /// Leaves as [`Node::stop`] does, but within `longest`.
+    pub async fn stop_within(self, longest: Duration) {
+        tracing::info!(event = "leaving");
+        let started = Instant::now();
+        let _ = self.peers.send(PeerCommand::Leave).await;
+        let _ = self.follower.send(FollowerMessage::Leave).await;
+        let (done, released) = oneshot::channel();
+        if self.owners.send(OwnersMessage::Release(done)).await.is_ok() {
+            let _ = timeout(RELEASE_TIMEOUT, released).await;
+        }
+        sleep_until(started + longest.mul_f64(STOP_TAKES)).await;
+        let ends = started + longest.mul_f64(STOP_ENDS);
+        let stopped = self.callers.stop(ends - Instant::now());
+        let _ = timeout_at(ends, stopped).await;
+        let (done, released) = oneshot::channel();
+        if self.slots.send(done).await.is_ok() {
+            let _ = timeout(RELEASE_TIMEOUT, released).await;
+        }
+        tracing::info!(event = "left");
+    }
+
     /// Leaves without cutting a request: look-ups stop naming the instance, cached answers run
     /// out, requests under way end, and leases are given up.
     pub async fn stop(self) {
@@ -332,7 +500,7 @@
     status.available.is_empty() || has_units || !status.owners.is_empty()
 }
 
-fn caller_limits(cfg: &Daemon, options: NodeOptions) -> CallerLimits {
+fn caller_limits(cfg: &Daemon, options: &NodeOptions) -> CallerLimits {
     CallerLimits {
         body_bytes: cfg.body_limit_bytes,
         body_timeout: Duration::from_millis(cfg.body_timeout_ms),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -128,6 +128,17 @@
                     self.beat().await;
                 }
             }
+            PeerCommand::Positions {
+                positions,
+                confirmed_at,
+            } => {
+                let is_news = positions != self.own.positions;
+                self.own.positions = positions;
+                self.confirmed_at = confirmed_at;
+                if is_news {
+                    self.beat().await;
+                }
+            }
             PeerCommand::Owns(owns) => {
                 self.own.owns = owns;
                 self.beat().await;
@@ -217,10 +228,18 @@
 
     /// Passes on what the sender knows of the configuration, as of `dated` at the latest.
     fn tell_follower(&self, from: &InstanceId, beat: &Beat, dated: Time) {
+        let confirmed_at = beat.heartbeat.confirmed_ago.map(|ago| earlier(dated, ago));
+        if !beat.positions.is_empty() {
+            let message = FollowerMessage::Positions {
+                from: from.clone(),
+                positions: beat.positions.clone(),
+                confirmed_at,
+            };
+            let _ = self.outlets.follower.try_send(message);
+        }
         let Some(head) = beat.head.clone() else {
             return;
         };
-        let confirmed_at = beat.heartbeat.confirmed_ago.map(|ago| earlier(dated, ago));
         let message = FollowerMessage::Beat {
             from: from.clone(),
             head,
@@ -336,5 +355,6 @@
         owns: Vec::new(),
         slots: 0,
         demand: Vec::new(),
+        positions: Vec::new(),
     }
 }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use base::Incarnation;
+use coord::TableImage;
 use dispatch::{ActionEvent, ActionKey, Claim, Claimer, SavedAnswer};
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -40,6 +41,8 @@
     },
     /// Asks for the configuration with this digest.
     Object(String),
+    /// Asks for the followed table with this number.
+    Table(u32),
 }
 
 /// Answers a [`Call`].
@@ -51,6 +54,8 @@
     Settled,
     /// The object's text, where the instance has it.
     Object(Option<String>),
+    /// The table, where the instance has read it.
+    Table(Option<TableImage>),
 }
 
 /// Carries a call to the task that answers it.
@@ -87,7 +92,15 @@
 pub async fn fetch_object(secret: &Secret, addr: SocketAddr, digest: &str) -> Option<String> {
     match call(secret, addr, &Call::Object(digest.to_owned())).await? {
         Reply::Object(text) => text,
-        Reply::Claim(_) | Reply::Settled => None,
+        Reply::Claim(_) | Reply::Settled | Reply::Table(_) => None,
+    }
+}
+
+/// Fetches the followed table with this number from the instance at `addr`.
+pub async fn fetch_table(secret: &Secret, addr: SocketAddr, number: u32) -> Option<TableImage> {
+    match call(secret, addr, &Call::Table(number)).await? {
+        Reply::Table(image) => image,
+        Reply::Claim(_) | Reply::Settled | Reply::Object(_) => None,
     }
 }
 
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -270,7 +270,7 @@
         let written = match result {
             Ok(version) => Written::Yes(*version),
             Err(Fault::Conflict { .. }) => Written::Conflict,
-            Err(Fault::Unavailable) => Written::Unanswered,
+            Err(Fault::Unavailable | Fault::HistoryGone) => Written::Unanswered,
         };
         if let Some(slot) = self.slots.get_mut(&idx) {
             slot.lease.written(now, written);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,9 +11,10 @@
 use rand_pcg::Pcg32;
 
 use crate::{
-    Action, Assignment, Next, Outcome, Policy, PoolLoad, Quarantine, Report, RequestId,
-    RetryBudget, Route, TargetEvent, TargetState, Work, WorkKind,
-    pool::{Pool, Reach},
+    Action, Assignment, Choice, Next, Outcome, Placement, Policy, PoolLoad, Quarantine, Report,
+    RequestId, RetryBudget, Route, TargetEvent, TargetState, Work, WorkKind,
+    place::Placing,
+    pool::{Pool, Reach, TargetRules},
     target_chart,
 };
 
@@ -23,6 +24,10 @@
     attempts: Vec<Attempt>,
     sent: u32,
     refusals: u32,
+    /// Targets that it may have reached.
+    reached: Vec<usize>,
+    /// Time at which it is no longer worth waiting for a target.
+    give_up: Time,
     losses: u32,
     avoid: Option<usize>,
     queued_at: Time,
@@ -67,6 +72,12 @@
 
 /// Share of a request's time that it may spend waiting for a target.
 const MOST_WAIT_SHARE: f64 = 0.5;
+/// Share of the latency objective that a request waits for a target that has room in time.
+const PATIENCE: f64 = 0.125;
+/// Time that a request waits for another target after one has refused it.
+const SECOND_PATIENCE: Duration = Duration::from_millis(20);
+/// Queued requests without room that may be passed over by later ones.
+const MOST_PASSED: usize = 8;
 
 impl Dispatcher {
     /// Returns a dispatcher of an instance in region `home`.
@@ -94,7 +105,12 @@
         self.round_trip = Duration::from_millis(u64::from(config.links.region_delay_ms)) * 2;
         for (id, service) in &config.services {
             let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
-            pool.configure(now, service, |domain| config.region_of(domain).cloned());
+            let rules = TargetRules {
+                chart: &self.chart,
+                sharers: self.policy.sharers,
+            };
+            let region_of = |domain: &base::DomainId| config.region_of(domain).cloned();
+            pool.configure(now, service, &rules, region_of);
             pool.size_limits(&self.home);
         }
         for (id, pool) in &mut self.pools {
@@ -110,6 +126,15 @@
                     TargetEvent::Leave
                 };
                 target.fire(now, &self.chart, event);
+                let service = config.services.get(id);
+                if let Some(cold) = service.and_then(|service| service.cold)
+                    && is_in_service
+                    && target.is_registered()
+                {
+                    // What came back from a drain may have been restarted meanwhile.
+                    let left = Duration::from_millis(u64::from(cold.ms));
+                    target.chill(now, &self.chart, left);
+                }
             }
         }
         self.assign_all(now)
@@ -177,6 +202,23 @@
         }
         let avoid = Some(entry.attempts[0].target);
         let pool = self.pools.get(&entry.work.service)?;
+        if self.policy.placement == Placement::ByObject {
+            if entry.reached.len() + 1 >= entry.work.attempts as usize {
+                return None;
+            }
+            let tried = [entry.attempts[0].target];
+            let placing = Placing {
+                work: &entry.work,
+                home: &self.home,
+                round_trip: self.round_trip,
+                tried: &tried,
+            };
+            let (idx, reason) = pool.place(now, &mut self.rng, placing)?;
+            if !self.budget.spend() {
+                return None;
+            }
+            return self.start(now, id, idx, reason);
+        }
         let reach = Reach {
             home: &self.home,
             is_far_worthwhile: true,
@@ -185,7 +227,7 @@
         if !self.budget.spend() {
             return None;
         }
-        self.start(id, idx)
+        self.start(now, id, idx, Choice::Cheaper)
     }
 
     /// Drops a request whose caller has left; its attempts still end by [`Dispatcher::finish`].
@@ -231,6 +273,25 @@
         self.assign(now, service)
     }
 
+    /// Takes in the load that came with a target's answer.
+    pub fn told_load(&mut self, now: Time, service: &ServiceId, target: &TargetId, total: u32) {
+        if let Some(pool) = self.pools.get_mut(service)
+            && let Some(&idx) = pool.index.get(target)
+        {
+            pool.targets[idx].told_load(now, total);
+        }
+    }
+
+    /// Sets the number of instances that share what the targets bear.
+    pub fn set_sharers(&mut self, sharers: u32) {
+        self.policy.sharers = sharers.max(1);
+    }
+
+    /// Returns whether a request waits for a target.
+    pub fn has_queued(&self) -> bool {
+        !self.queued.is_empty()
+    }
+
     /// Stops new work for a target that the list says is leaving.
     pub fn leave(&mut self, now: Time, service: &ServiceId, target: &TargetId) {
         let Some(pool) = self.pools.get_mut(service) else {
@@ -326,7 +387,7 @@
         if work.deadline <= now {
             return Some(Refusal::new(ErrorKind::Expired));
         }
-        if pool.queue.is_empty() {
+        if pool.queue.is_empty() || self.policy.placement == Placement::ByObject {
             return None;
         }
         let wait = pool.predicted_wait(now, &work.workspace);
@@ -341,8 +402,11 @@
         if let Some(pool) = self.pools.get_mut(&work.service) {
             pool.queue.push(&work.workspace, work.weight, id);
         }
-        self.queued.insert((work.deadline, id));
+        let give_up = self.give_up(now, &work);
+        self.queued.insert((give_up, id));
         let entry = Entry {
+            reached: Vec::new(),
+            give_up,
             work,
             attempts: Vec::new(),
             sent: 0,
@@ -358,12 +422,22 @@
         self.entries.insert(id, entry);
     }
 
+    /// Returns when a request that finds no target is refused.
+    fn give_up(&self, now: Time, work: &Work) -> Time {
+        match self.policy.placement {
+            Placement::TwoChoices => work.deadline,
+            Placement::ByObject => work
+                .deadline
+                .min(now + (work.objective - now).mul_f64(PATIENCE)),
+        }
+    }
+
     fn enqueue_again(&mut self, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
         entry.is_queued = true;
-        self.queued.insert((entry.work.deadline, id));
+        self.queued.insert((entry.give_up, id));
         if let Some(pool) = self.pools.get_mut(&entry.work.service) {
             pool.queue.push_front(&entry.work.workspace, id);
         }
@@ -374,7 +448,7 @@
             return;
         };
         entry.is_queued = false;
-        self.queued.remove(&(entry.work.deadline, id));
+        self.queued.remove(&(entry.give_up, id));
         if let Some(pool) = self.pools.get_mut(&entry.work.service) {
             pool.queue.remove_if(|queued| *queued == id);
         }
@@ -395,15 +469,69 @@
 
     /// Hands queued requests to free targets, in fair order.
     fn assign(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
+        if self.policy.placement == Placement::ByObject {
+            return self.place_heads(now, service);
+        }
         let mut actions = self.refuse_late_heads(now, service);
         while let Some((id, idx)) = self.next_pair(now, service) {
-            if let Some(assignment) = self.start(id, idx) {
+            if let Some(assignment) = self.start(now, id, idx, Choice::Cheaper) {
                 actions.push(Action::Assign(assignment));
             }
         }
         actions
     }
 
+    /// Places the requests whose turn it is; one that has no room does not hold up the next ones.
+    fn place_heads(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut passed = Vec::new();
+        while passed.len() < MOST_PASSED {
+            let Some(id) = self
+                .pools
+                .get_mut(service)
+                .and_then(|pool| pool.queue.pop())
+            else {
+                break;
+            };
+            match self.place(now, id) {
+                Some(assignment) => actions.push(Action::Assign(assignment)),
+                None => passed.push(id),
+            }
+        }
+        for id in passed.into_iter().rev() {
+            self.requeue(id);
+        }
+        actions
+    }
+
+    fn place(&mut self, now: Time, id: RequestId) -> Option<Assignment> {
+        let entry = self.entries.get(&id)?;
+        let pool = self.pools.get(&entry.work.service)?;
+        let placing = Placing {
+            work: &entry.work,
+            home: &self.home,
+            round_trip: self.round_trip,
+            tried: &entry.reached,
+        };
+        let (idx, reason) = pool.place(now, &mut self.rng, placing)?;
+        let give_up = entry.give_up;
+        self.queued.remove(&(give_up, id));
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.is_queued = false;
+        }
+        self.start(now, id, idx, reason)
+    }
+
+    /// Puts a request back whose turn had come.
+    fn requeue(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get(&id) else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&entry.work.service) {
+            pool.queue.push_front(&entry.work.workspace, id);
+        }
+    }
+
     fn next_pair(&mut self, now: Time, service: &ServiceId) -> Option<(RequestId, usize)> {
         let pool = self.pools.get_mut(service)?;
         let first = self.entries.get(pool.queue.peek()?)?;
@@ -418,7 +546,7 @@
         let id = pool.queue.pop()?;
         let entry = self.entries.get_mut(&id)?;
         entry.is_queued = false;
-        self.queued.remove(&(entry.work.deadline, id));
+        self.queued.remove(&(entry.give_up, id));
         let idx = entry
             .avoid
             .and_then(|avoid| pool.choose(now, &mut self.rng, reach, Some(avoid)))
@@ -426,10 +554,17 @@
         Some((id, idx))
     }
 
-    fn start(&mut self, id: RequestId, idx: usize) -> Option<Assignment> {
+    fn start(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        idx: usize,
+        reason: Choice,
+    ) -> Option<Assignment> {
         let entry = self.entries.get_mut(&id)?;
         let pool = self.pools.get_mut(&entry.work.service)?;
-        pool.sent(idx);
+        let load = pool.targets[idx].expected_load(now).round() as u32;
+        pool.sent(now, idx);
         let target = &pool.targets[idx];
         entry.sent += 1;
         entry.attempts.push(Attempt {
@@ -443,6 +578,8 @@
             target: target.id.clone(),
             needs_proven: entry.work.kind == WorkKind::Once || entry.sent > 1,
             hedge_after: pool.latency.high().max(self.policy.hedge_floor),
+            reason,
+            load,
         })
     }
 
@@ -494,6 +631,24 @@
             }
             Outcome::Canceled => Verdict::Drop,
             Outcome::TimedOut => Verdict::Refuse(ErrorKind::TargetTimeout),
+            Outcome::Refused | Outcome::Unreachable
+                if self.policy.placement == Placement::ByObject =>
+            {
+                entry.refusals += 1;
+                if outcome == Outcome::Refused {
+                    entry.reached.push(target);
+                }
+                let has_left = entry.reached.len() < entry.work.attempts as usize
+                    && entry.refusals < self.policy.most_refusals;
+                // What never reached a target costs no target anything.
+                let is_paid = outcome == Outcome::Unreachable || self.budget.spend();
+                if has_left && is_paid {
+                    entry.give_up = entry.give_up.max(now + SECOND_PATIENCE);
+                    Verdict::Again
+                } else {
+                    Verdict::Refuse(ErrorKind::TargetRefused)
+                }
+            }
             Outcome::Refused | Outcome::Unreachable => {
                 entry.refusals += 1;
                 if entry.refusals >= self.policy.most_refusals {
@@ -504,9 +659,11 @@
             }
             Outcome::Lost => {
                 entry.losses += 1;
+                entry.reached.push(target);
                 let is_barred = self.quarantine.record(now, entry.work.fingerprint);
                 let is_retried = entry.work.kind == WorkKind::Idempotent
                     && entry.losses == 1
+                    && entry.reached.len() < entry.work.attempts as usize
                     && !is_barred
                     && self.budget.spend();
                 if is_retried {
@@ -545,6 +702,9 @@
 
     /// Refuses queued requests that have less time left than a request takes.
     fn refuse_hopeless(&mut self, now: Time) -> Vec<Action> {
+        if self.policy.placement == Placement::ByObject {
+            return self.refuse_impatient(now);
+        }
         let longest = self.pools.values().map(Pool::usual_time).max();
         let horizon = now + longest.unwrap_or(Duration::ZERO);
         let hopeless: Vec<RequestId> = self
@@ -563,6 +723,19 @@
             .collect()
     }
 
+    /// Refuses requests that have waited as long as is worthwhile.
+    fn refuse_impatient(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(&(give_up, id)) = self.queued.first() {
+            if give_up > now {
+                break;
+            }
+            self.unqueue(id);
+            actions.extend(self.refuse(id, ErrorKind::Overloaded));
+        }
+        actions
+    }
+
     /// Refuses requests whose turn has come too late; others behind them may still be in time.
     fn refuse_late_heads(&mut self, now: Time, service: &ServiceId) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod latency;
 mod ledger;
 mod limit;
+mod place;
 mod pool;
 mod quarantine;
 mod queue;
@@ -25,7 +26,10 @@
 pub use quarantine::Quarantine;
 pub use queue::FairQueue;
 pub use target::{Report, Target, TargetEvent, TargetState};
-pub use work::{Action, Assignment, Next, Outcome, Policy, PoolLoad, RequestId, Work, WorkKind};
+pub use work::{
+    Action, Assignment, Choice, Next, Outcome, Placement, Policy, PoolLoad, RequestId, Work,
+    WorkKind,
+};
 
 /// Reads the chart of a target.
 ///
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{RegionId, Service, TargetId, Time, WorkspaceId};
+use chart::Chart;
 use rand::{Rng, RngExt};
 
 use crate::{
-    ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, target::FIRST_LATENCY,
-    throughput::Throughput,
+    ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, TargetEvent,
+    TargetState, target::FIRST_LATENCY, throughput::Throughput,
 };
 
 /// Shares of a service's traffic by region, as the plan sets them for this instance's region.
@@ -24,7 +25,7 @@
     pub(crate) regions: BTreeMap<RegionId, RegionPool>,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) latency: LatencyEstimate,
-    throughput: Throughput,
+    pub(crate) throughput: Throughput,
     pub(crate) route: Route,
 }
 
@@ -36,6 +37,15 @@
     pub(crate) limit: ConcurrencyLimit,
 }
 
+/// Holds what all targets have in common.
+#[derive(Debug)]
+pub(crate) struct TargetRules<'a> {
+    /// Transitions of a target's state.
+    pub(crate) chart: &'a Chart<TargetState, TargetEvent>,
+    /// Number of instances that share what the targets bear.
+    pub(crate) sharers: u32,
+}
+
 /// Tells which regions a request may go to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reach<'a> {
@@ -59,13 +69,19 @@
     }
 
     /// Adds new targets; ones that are gone keep their place until their requests have ended.
-    pub(crate) fn configure<F>(&mut self, now: Time, service: &Service, region_of: F)
-    where
+    pub(crate) fn configure<F>(
+        &mut self,
+        now: Time,
+        service: &Service,
+        rules: &TargetRules<'_>,
+        region_of: F,
+    ) where
         F: Fn(&base::DomainId) -> Option<RegionId>,
     {
         for (id, target) in &service.targets {
             if let Some(&idx) = self.index.get(id) {
                 self.targets[idx].set_slots(service.slots);
+                self.register(now, idx, service, target, rules);
                 continue;
             }
             let region = region_of(&target.domain).unwrap_or_else(|| RegionId::from(""));
@@ -74,9 +90,27 @@
                 .push(Target::new(now, id.clone(), region.clone(), service.slots));
             self.index.insert(id.clone(), idx);
             self.region(region).members.push(idx);
+            self.register(now, idx, service, target, rules);
         }
     }
 
+    fn register(
+        &mut self,
+        now: Time,
+        idx: usize,
+        service: &Service,
+        target: &base::Target,
+        rules: &TargetRules<'_>,
+    ) {
+        let Some(told) = target.registered else {
+            return;
+        };
+        let pause = service.cold.map_or(Duration::ZERO, |cold| {
+            Duration::from_secs_f64(f64::from(rules.sharers) / cold.per_s.max(1e-3))
+        });
+        self.targets[idx].registered(now, rules.chart, told, pause);
+    }
+
     fn region(&mut self, region: RegionId) -> &mut RegionPool {
         self.regions.entry(region).or_insert_with(|| RegionPool {
             members: Vec::new(),
@@ -216,9 +250,9 @@
     }
 
     /// Records that a request was sent to a target.
-    pub(crate) fn sent(&mut self, idx: usize) {
+    pub(crate) fn sent(&mut self, now: Time, idx: usize) {
         let target = &mut self.targets[idx];
-        target.in_flight += 1;
+        target.sent(now);
         if let Some(pool) = self.regions.get_mut(&target.region) {
             pool.in_flight += 1;
         }
@@ -239,6 +273,7 @@
         self.throughput.answered(now, !self.queue.is_empty());
         let target = &mut self.targets[idx];
         target.answered(latency);
+        target.judged(false);
         if let Some(pool) = self.regions.get_mut(&target.region) {
             pool.limit.succeeded(pool.in_flight);
         }
@@ -248,6 +283,7 @@
     pub(crate) fn refused(&mut self, now: Time, idx: usize) {
         let target = &mut self.targets[idx];
         target.refused(now);
+        target.judged(true);
         if let Some(pool) = self.regions.get_mut(&target.region) {
             pool.limit.refused();
         }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{RegionId, TargetId, Time};
+use base::{RegionId, Registration, TargetId, Time};
 use chart::Chart;
 use serde::Deserialize;
 
@@ -36,6 +36,8 @@
     Recovered,
     /// The target takes work again after having been leaving.
     Returned,
+    /// The target says that it is cold again.
+    Chilled,
 }
 
 /// Holds what a target's health endpoint said.
@@ -66,8 +68,31 @@
     distrusted_until: Time,
     failures: u32,
     latency: LatencyEstimate,
+    told: Option<Registration>,
+    cold_until: Time,
+    cold_pause: Duration,
+    cold_next: Time,
+    tried_at: Time,
+    down_for: Duration,
+    reported: Option<LoadReport>,
+    errors: f64,
 }
 
+/// Holds the load that a target told with an answer.
+#[derive(Debug, Clone, Copy)]
+struct LoadReport {
+    at: Time,
+    /// Requests of other instances that it ran or queued.
+    others: u32,
+}
+
+/// Time after which a told load says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_secs(1);
+/// Time for which a target that can't be reached is left alone at first.
+const FIRST_DOWN: Duration = Duration::from_millis(500);
+const LONGEST_DOWN: Duration = Duration::from_secs(4);
+const ERROR_GAIN: f64 = 0.1;
+
 /// Time over which a cold target's share of its slots grows to all of them.
 pub(crate) const WARM_UP: Duration = Duration::from_secs(5);
 /// Latency that is assumed before any answer.
@@ -91,6 +116,99 @@
             distrusted_until: Time::ZERO,
             failures: 0,
             latency: LatencyEstimate::new(FIRST_LATENCY),
+            told: None,
+            cold_until: Time::ZERO,
+            cold_pause: Duration::ZERO,
+            cold_next: Time::ZERO,
+            tried_at: Time::ZERO,
+            down_for: FIRST_DOWN,
+            reported: None,
+            errors: 0.0,
+        }
+    }
+
+    /// Takes in what the target registered; a new life begins anew.
+    ///
+    /// `cold_pause` is the time to leave between two requests of this instance while it is cold.
+    pub fn registered(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+        told: Registration,
+        cold_pause: Duration,
+    ) {
+        let old = self.told.replace(told);
+        self.cold_pause = cold_pause;
+        self.set_slots(told.slots);
+        let is_new = old.is_none_or(|old| old.life != told.life);
+        if is_new {
+            self.reported = None;
+            self.failures = 0;
+            self.errors = 0.0;
+            self.down_for = FIRST_DOWN;
+            self.fire(now, chart, TargetEvent::Returned);
+            self.fire(now, chart, TargetEvent::Recovered);
+        }
+        let has_chilled = old.is_none_or(|old| told.cold_ms > old.cold_ms) || is_new;
+        if told.cold_ms > 0 && has_chilled {
+            self.chill(now, chart, Duration::from_millis(u64::from(told.cold_ms)));
+        }
+    }
+
+    /// Returns whether it told its slots and state itself.
+    pub fn is_registered(&self) -> bool {
+        self.told.is_some()
+    }
+
+    /// Takes in that the target is cold for a while.
+    pub fn chill(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>, left: Duration) {
+        self.cold_until = self.cold_until.max(now + left);
+        self.fire(now, chart, TargetEvent::Chilled);
+    }
+
+    /// Takes in the load that an answer told: requests that the target runs and that wait there.
+    pub fn told_load(&mut self, now: Time, total: u32) {
+        let others = total.saturating_sub(self.in_flight);
+        self.reported = Some(LoadReport { at: now, others });
+    }
+
+    /// Returns the requests that the target is thought to run and to queue.
+    pub fn expected_load(&self, now: Time) -> f64 {
+        let others = self.reported.map_or(0.0, |report| {
+            let age = (now - report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+            f64::from(report.others) * (1.0 - age).max(0.0)
+        });
+        f64::from(self.in_flight) + others
+    }
+
+    /// Returns whether one more request may be sent now, as far as state and cold time go.
+    pub fn is_open(&self, now: Time) -> bool {
+        match self.state {
+            TargetState::Ready => self.is_free(now),
+            TargetState::Cold => now >= self.cold_next && self.is_free(now),
+            // One request finds out whether it is back.
+            TargetState::Down => self.in_flight == 0 && now - self.tried_at >= self.down_for,
+            TargetState::Leaving => false,
+        }
+    }
+
+    /// Returns the share of late requests that failed on it.
+    pub fn errors(&self) -> f64 {
+        self.errors
+    }
+
+    /// Records that a request failed on it, or did not.
+    pub fn judged(&mut self, is_failure: bool) {
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        self.errors += ERROR_GAIN * (sample - self.errors);
+    }
+
+    /// Records that a request goes out to it.
+    pub fn sent(&mut self, now: Time) {
+        self.in_flight += 1;
+        self.tried_at = now;
+        if self.state == TargetState::Cold {
+            self.cold_next = now + self.cold_pause;
         }
     }
 
@@ -114,6 +232,7 @@
     pub fn allowed(&self, now: Time) -> u32 {
         match self.state {
             TargetState::Ready => self.limit.current(),
+            TargetState::Cold if self.told.is_some() => self.limit.current(),
             TargetState::Cold => {
                 let warmth = (now - self.cold_since).as_secs_f64() / WARM_UP.as_secs_f64();
                 let share = 1 + (f64::from(self.slots) * warmth.min(1.0)) as u32;
@@ -163,7 +282,12 @@
 
     /// Returns whether the warm-up time of a cold target is over.
     pub fn is_warm(&self, now: Time) -> bool {
-        self.state == TargetState::Cold && now - self.cold_since >= WARM_UP
+        let is_over = if self.told.is_some() {
+            now >= self.cold_until
+        } else {
+            now - self.cold_since >= WARM_UP
+        };
+        self.state == TargetState::Cold && is_over
     }
 
     /// Returns what one more request would cost here: the load with it, times the latency.
@@ -175,6 +299,7 @@
     /// Records an answer that took this long.
     pub fn answered(&mut self, latency: Duration) {
         self.failures = 0;
+        self.down_for = FIRST_DOWN;
         self.latency.record(latency);
         self.limit.succeeded(self.in_flight);
     }
@@ -190,6 +315,9 @@
     /// Records a failed connection and returns whether the target counts as failed now.
     pub fn failed(&mut self) -> bool {
         self.failures += 1;
+        if self.state == TargetState::Down {
+            self.down_for = (self.down_for * 2).min(LONGEST_DOWN);
+        }
         self.failures >= MOST_FAILURES
     }
 }
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -1,8 +1,10 @@
 //! What goes into a dispatcher and what comes out.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use base::{Refusal, ServiceId, TargetId, Time, WorkspaceId};
+use base::{Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+
+use derive_more::Display;
 
 use crate::TargetState;
 
@@ -36,6 +38,47 @@
     pub kind: WorkKind,
     /// Digest of what makes it the same request when its caller sends it again.
     pub fingerprint: u64,
+    /// Time until which an answer meets the latency objective.
+    pub objective: Time,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most targets that it may be sent to.
+    pub attempts: u32,
+    /// Digest of the object that it is about.
+    pub affinity: Option<u64>,
+    /// Regions in which it may run; empty for all.
+    pub homes: Arc<BTreeSet<RegionId>>,
+}
+
+impl Work {
+    /// Returns work of weight one whose objective is its deadline.
+    pub fn new(id: RequestId, workspace: WorkspaceId, service: ServiceId, deadline: Time) -> Self {
+        Self {
+            id,
+            workspace,
+            weight: 1,
+            service,
+            deadline,
+            kind: WorkKind::Idempotent,
+            fingerprint: id.0,
+            objective: deadline,
+            priority: 0,
+            attempts: u32::MAX,
+            affinity: None,
+            homes: Arc::default(),
+        }
+    }
+
+    /// Sets whether it may run more than once.
+    pub fn kind(mut self, kind: WorkKind) -> Self {
+        self.kind = kind;
+        self
+    }
+
+    /// Returns whether it may run in `region`.
+    pub fn may_run_in(&self, region: &RegionId) -> bool {
+        self.homes.is_empty() || self.homes.contains(region)
+    }
 }
 
 /// Tells to send one attempt of a request.
@@ -53,6 +96,30 @@
     pub needs_proven: bool,
     /// Time without a first byte after which a hedge is worthwhile.
     pub hedge_after: Duration,
+    /// Why this target was chosen.
+    pub reason: Choice,
+    /// Requests that the target was thought to run and to queue, from all instances.
+    pub load: u32,
+}
+
+/// Tells why a target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Choice {
+    /// It was the cheaper of two.
+    #[display("cheaper")]
+    Cheaper,
+    /// It is the object's first choice.
+    #[display("first")]
+    First,
+    /// The object's first choices had no room.
+    #[display("next")]
+    Next,
+    /// Nothing had a free slot, and its queue is short enough.
+    #[display("short_queue")]
+    ShortQueue,
+    /// The planned region had no room.
+    #[display("other_region")]
+    OtherRegion,
 }
 
 /// Lists what the dispatcher tells its caller to do.
@@ -118,6 +185,20 @@
     pub quarantine: Duration,
     /// Shortest time without a first byte after which a hedge is sent.
     pub hedge_floor: Duration,
+    /// How targets are chosen and how long requests wait for one.
+    pub placement: Placement,
+    /// Number of instances that share what the targets bear.
+    pub sharers: u32,
+}
+
+/// Chooses how targets are chosen and how long requests wait for one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// The cheaper of two random targets; a request waits as long as its deadline allows.
+    TwoChoices,
+    /// By the object that a request is about, by reported load and by latency objective; sending
+    /// again always draws on the retry budget.
+    ByObject,
 }
 
 impl Default for Policy {
@@ -129,6 +210,8 @@
             most_losses: 2,
             quarantine: Duration::from_secs(60),
             hedge_floor: Duration::from_millis(200),
+            placement: Placement::TwoChoices,
+            sharers: 1,
         }
     }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -27,6 +27,7 @@
             let target = Target {
                 domain: format!("d{}", idx % 2).into(),
                 addr: ([127, 0, 0, 1], 1).into(),
+                registered: None,
             };
             (format!("t{idx}").into(), target)
         })
@@ -37,6 +38,7 @@
         deadline_ms: 1_000,
         open_routes: Vec::new(),
         targets,
+        cold: None,
     };
     config.services.insert("s".into(), service);
     config
@@ -50,15 +52,8 @@
 }
 
 fn work(id: u64, kind: WorkKind, deadline: Time) -> Work {
-    Work {
-        id: RequestId(id),
-        workspace: format!("w{}", id % 3).into(),
-        weight: 1,
-        service: "s".into(),
-        deadline,
-        kind,
-        fingerprint: id,
-    }
+    let workspace = format!("w{}", id % 3).into();
+    Work::new(RequestId(id), workspace, "s".into(), deadline).kind(kind)
 }
 
 /// Follows what a dispatcher says of drawn requests whose attempts end in drawn ways.
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -5,6 +5,8 @@
 use salvo::http::{ResBody, Response};
 use serde::Serialize;
 
+use crate::dialect::Dialect;
+
 /// Holds the body of a refusal.
 #[derive(Debug, Serialize)]
 struct Body<'a> {
@@ -16,7 +18,7 @@
 }
 
 /// Writes a refusal with its status, body and `Retry-After`.
-pub fn refuse(res: &mut Response, refusal: &Refusal) {
+pub fn refuse(dialect: &Dialect, res: &mut Response, refusal: &Refusal) {
     let answer = refusal.kind.answer();
     let retry_after_ms = answer
         .is_retryable
@@ -28,10 +30,15 @@
         retry_after_ms,
     };
     if answer.is_retryable {
-        let secs = HeaderValue::from(refusal.retry_after_secs());
+        let secs = if dialect.has_fractions {
+            let text = format!("{:.3}", refusal.retry_after.as_secs_f64());
+            HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+        } else {
+            HeaderValue::from(refusal.retry_after_secs())
+        };
         res.headers_mut().insert(header::RETRY_AFTER, secs);
     }
-    json(res, answer.status, &body);
+    json(res, dialect.status(refusal.kind), &body);
 }
 
 /// Writes a value as JSON.
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -11,7 +11,7 @@
 use base::{DomainId, ErrorKind, Ran, Refusal, RegionId, ServiceId, Time};
 use bytes::Bytes;
 use dispatch::{ActionEvent, ActionKey, Claim, RequestId, SavedAnswer, WorkKind};
-use http::{HeaderName, HeaderValue, StatusCode};
+use http::{HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use salvo::{
@@ -27,6 +27,7 @@
 
 use crate::{
     answer,
+    dialect::Dialect,
     drive::{Caller, drive},
     forward::{Template, Whole},
     head::{self, Head},
@@ -56,6 +57,8 @@
     pub ids: Arc<AtomicU64>,
     /// Limits on requests.
     pub limits: CallerLimits,
+    /// Names that heads carry.
+    pub dialect: Arc<Dialect>,
 }
 
 /// Holds the limits on callers' requests.
@@ -87,7 +90,7 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        if req.uri().path() == LOOKUP_PATH {
+        if self.dialect.passes_traces && req.uri().path() == LOOKUP_PATH {
             self.look_up(req, res);
         } else {
             self.serve(req, res).await;
@@ -118,12 +121,12 @@
         let _span = trace.span("look-up", self.clock);
         let view = self.view.borrow().clone();
         let Some((_, config)) = &view.config else {
-            answer::refuse(res, &Refusal::new(ErrorKind::NotReady));
+            answer::refuse(&self.dialect, res, &Refusal::new(ErrorKind::NotReady));
             return;
         };
         let service = req.query::<String>("service").unwrap_or_default();
         if !config.services.contains_key(service.as_str()) {
-            answer::refuse(res, &Refusal::new(ErrorKind::UnknownService));
+            answer::refuse(&self.dialect, res, &Refusal::new(ErrorKind::UnknownService));
             return;
         }
         let origin = Origin {
@@ -156,7 +159,7 @@
         let started = self.clock.now();
         let trace = Trace::accept(req.headers(), self.limits.trace_share);
         let mut span = trace.span("request", self.clock);
-        let head = head::read(req.method(), req.uri(), req.headers());
+        let head = head::read(&self.dialect, req.method(), req.uri(), req.headers());
         let (service, result) = match head {
             Ok(head) => (head.service.clone(), self.carry_out(req, head, &span).await),
             Err(kind) => (ServiceId::from(""), Err(Refusal::new(kind))),
@@ -169,7 +172,14 @@
         self.count(&service, &end, started);
         match result {
             Ok(whole) => write(res, whole),
-            Err(refusal) => answer::refuse(res, &refusal),
+            Err(refusal) => answer::refuse(&self.dialect, res, &refusal),
+        }
+        if self.view.borrow().is_leaving {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(header::CONNECTION, close);
+        }
+        if !self.dialect.passes_traces {
+            return;
         }
         if let Ok(id) = HeaderValue::from_str(&trace.id()) {
             let name = HeaderName::from_static("trace-id");
@@ -203,7 +213,7 @@
         let body = req.take_body();
         let has_body = !matches!(body, ReqBody::None) && !body.is_end_stream();
         let is_claimed = head.kind == WorkKind::Once && head.action.is_some();
-        let mut template = template(req, &head);
+        let mut template = self.template(req, &head);
         let admission = span.child("admission");
         let mut caller = self.arrive(&head, &template, has_body || is_claimed);
         if !(has_body || is_claimed) {
@@ -236,6 +246,9 @@
             key: head.key.clone(),
             service: head.service.clone(),
             path: head.path.clone(),
+            host: head.host.clone(),
+            whole_path: head.whole_path.clone(),
+            affinity: head.affinity,
             kind: head.kind,
             fingerprint: fingerprint(template, head.action.as_deref()),
             timeout: head.timeout_ms.map(Duration::from_millis),
@@ -246,6 +259,18 @@
         Caller::new(id, rx, self.events.clone())
     }
 
+    fn template(&self, req: &Request, head: &Head) -> Template {
+        let key = head.key.as_deref();
+        Template {
+            method: req.method().clone(),
+            path: head::forwarded_path(&self.dialect, req.uri(), key),
+            headers: head::forwarded(&self.dialect, req.headers(), key),
+            body: Bytes::new(),
+            dialect: self.dialect.clone(),
+            tag: head.tag.clone(),
+        }
+    }
+
     async fn read_body(&self, body: ReqBody, deadline: Time) -> Result<Bytes, Refusal> {
         let left = deadline - self.clock.now();
         let longest = self.limits.body_timeout.min(left);
@@ -316,16 +341,6 @@
     }
 }
 
-fn template(req: &Request, head: &Head) -> Template {
-    let key = head.key.as_deref();
-    Template {
-        method: req.method().clone(),
-        path: head::forwarded_path(req.uri(), key),
-        headers: head::forwarded(req.headers(), key),
-        body: Bytes::new(),
-    }
-}
-
 /// Digests what makes it the same request when its caller sends it again.
 fn fingerprint(template: &Template, action: Option<&str>) -> u64 {
     let mut hasher = blake3::Hasher::new();
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{ErrorKind, Refusal, Time, WorkspaceId};
+use base::{ErrorKind, Refusal, Time};
 use dispatch::{Outcome, RequestId};
 use http::HeaderValue;
 use tokio::{sync::mpsc, task::JoinSet, time::sleep_until};
@@ -11,7 +11,7 @@
     callers::Callers,
     forward::{self, AttemptEnd, Template, Whole},
     head,
-    message::{Admitted, Decision, Event, Go},
+    message::{Admitted, Decision, Event, Go, Told},
     trace::Span,
 };
 
@@ -79,6 +79,7 @@
                     outcome: Outcome::Canceled,
                     answer_bytes: None,
                     connection: go.connection,
+                    told: Told::default(),
                 });
             }
         }
@@ -106,6 +107,7 @@
             outcome: end.outcome,
             answer_bytes: end.answer.as_ref().map(|answer| answer.body.len()),
             connection: end.connection,
+            told: end.told,
         });
         end.answer
     }
@@ -122,6 +124,7 @@
             outcome: Outcome::Canceled,
             answer_bytes: None,
             connection: None,
+            told: Told::default(),
         });
     }
 }
@@ -185,7 +188,7 @@
     span.note(go.assignment.target.as_str());
     async move {
         let mut template = Template::clone(&template);
-        add_hop_headers(&mut template, &span, &go.workspace);
+        add_hop_headers(&mut template, &span, &go);
         let target = span.child("target");
         let end = forward::attempt(clock, go.addr, go.connection, &template, go.deadline).await;
         drop(target);
@@ -193,11 +196,21 @@
     }
 }
 
-fn add_hop_headers(template: &mut Template, span: &Span, workspace: &WorkspaceId) {
-    if let Some(value) = span.header() {
+fn add_hop_headers(template: &mut Template, span: &Span, go: &Go) {
+    let dialect = template.dialect.clone();
+    if dialect.passes_traces
+        && let Some(value) = span.header()
+    {
         template.headers.insert(head::TRACEPARENT, value);
     }
-    if let Ok(value) = HeaderValue::from_str(workspace.as_str()) {
-        template.headers.insert(head::WORKSPACE, value);
+    // Nobody has shown a key on an open route.
+    let has_workspace = !go.is_open || dialect.passes_traces;
+    if has_workspace && let Ok(value) = HeaderValue::from_str(go.workspace.as_str()) {
+        template.headers.insert(dialect.workspace.clone(), value);
+    }
+    if let Some(name) = &dialect.target
+        && let Ok(value) = HeaderValue::from_str(go.assignment.target.as_str())
+    {
+        template.headers.insert(name.clone(), value);
     }
 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -1,26 +1,30 @@
 //! The task that owns admission, dispatch and the idle connections to targets.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use admit::{Action as AdmitAction, Admission, Keys};
-use base::{Config, ErrorKind, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+use base::{
+    Config, ErrorKind, Refusal, RegionId, Route, RouteKind, RouteTable, ServiceId, TargetId, Time,
+    Workspace, WorkspaceId,
+};
 use chart::ChartError;
 use coord::{Split, Standing};
 use dispatch::{Action, Assignment, Dispatcher, Next, Outcome, Policy, RequestId, Work, WorkKind};
 use tokio::{
     sync::mpsc,
-    time::{MissedTickBehavior, interval},
+    time::{Instant, sleep_until},
 };
 
 use crate::{
     forward::Connection,
     message::{
         Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk, ServiceLoad,
+        Told,
     },
     view::Clock,
 };
@@ -28,11 +32,14 @@
 /// Workspace under which requests on open routes are queued.
 pub const OPEN_WORKSPACE: &str = "(open)";
 
+/// Time between looks at what waits.
 const TICK: Duration = Duration::from_millis(10);
+/// The same while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time between loans; several of them can be lost before one has ended.
 const LEND_INTERVAL: Duration = Duration::from_millis(500);
-const IDLE_LIFE: Duration = Duration::from_secs(5);
-const PROVEN_LIFE: Duration = Duration::from_secs(1);
+/// Routes' ranks below each rank of workspaces.
+const PRIORITY_SPAN: u32 = 1_000;
 const EVENTS_AT_ONCE: usize = 256;
 
 /// Holds the settings of the engine.
@@ -56,6 +63,9 @@
     clock: Clock,
     refuses_alone: bool,
     config: Option<Arc<Config>>,
+    routes: RouteTable,
+    /// What each service of a split route is owed, by the route's name.
+    splits: BTreeMap<String, Vec<f64>>,
     standing: Standing,
     standing_until: Time,
     keys: Keys,
@@ -88,6 +98,12 @@
     kind: WorkKind,
     fingerprint: u64,
     is_held: bool,
+    is_open: bool,
+    objective: Time,
+    priority: u32,
+    attempts: u32,
+    affinity: Option<u64>,
+    homes: Arc<BTreeSet<RegionId>>,
 }
 
 impl Engine {
@@ -105,6 +121,8 @@
             clock,
             refuses_alone: options.refuses_alone,
             config: None,
+            routes: RouteTable::default(),
+            splits: BTreeMap::new(),
             standing: Standing::Empty,
             standing_until: Time::ZERO,
             keys: Keys::default(),
@@ -125,10 +143,11 @@
     /// The channel is unbounded because ends of attempts must never be lost; the listener bounds
     /// the number of requests.
     pub async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Event>) {
-        let mut tick = interval(TICK);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked_at = Instant::now();
         let mut events = Vec::with_capacity(EVENTS_AT_ONCE);
         loop {
+            let is_busy = self.dispatcher.has_queued() || self.admission.has_waiting();
+            let pause = if is_busy { TICK } else { IDLE_TICK };
             tokio::select! {
                 count = rx.recv_many(&mut events, EVENTS_AT_ONCE) => {
                     if count == 0 {
@@ -138,7 +157,10 @@
                         self.handle(event);
                     }
                 }
-                _ = tick.tick() => self.tick(),
+                () = sleep_until(ticked_at + pause) => {
+                    ticked_at = Instant::now();
+                    self.tick();
+                }
             }
         }
     }
@@ -155,8 +177,10 @@
                 outcome,
                 answer_bytes,
                 connection,
+                told,
             } => {
                 self.count_answer(id, answer_bytes);
+                self.take_told(now, id, attempt, told);
                 self.finish(now, id, attempt, outcome, connection);
             }
             Event::Hedge(id) => {
@@ -233,7 +257,10 @@
     }
 
     /// Finds out whose request it is; the flag tells whether its route is open to all.
-    fn accept(&self, now: Time, arrival: Arrival) -> Result<(Caller, bool), ErrorKind> {
+    fn accept(&mut self, now: Time, arrival: Arrival) -> Result<(Caller, bool), ErrorKind> {
+        if !self.routes.is_empty() {
+            return self.accept_routed(now, arrival);
+        }
         let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
         let service = config
             .services
@@ -260,10 +287,83 @@
             kind: arrival.kind,
             fingerprint: arrival.fingerprint,
             is_held: arrival.is_held,
+            is_open,
+            objective: now + timeout,
+            priority: 0,
+            attempts: u32::MAX,
+            affinity: arrival.affinity,
+            homes: Arc::default(),
         };
         Ok((caller, is_open))
     }
 
+    /// Finds the route of a request by host and path, and whose request it is.
+    fn accept_routed(&mut self, now: Time, arrival: Arrival) -> Result<(Caller, bool), ErrorKind> {
+        let config = self.config.clone().ok_or(ErrorKind::NotReady)?;
+        let found = self.routes.find(&arrival.host, &arrival.whole_path);
+        let Some(route) = found.cloned() else {
+            return Err(self.unless_outdated(now, ErrorKind::UnknownService));
+        };
+        let workspace = if route.is_open {
+            WorkspaceId::from(OPEN_WORKSPACE)
+        } else {
+            match self.authenticate(now, arrival.key.as_deref()) {
+                Ok(workspace) => workspace.clone(),
+                Err(kind) => return Err(self.unless_outdated(now, kind)),
+            }
+        };
+        let owner = config.workspaces.get(&workspace);
+        let longest = Duration::from_millis(u64::from(route.timeout_ms));
+        let timeout = arrival.timeout.unwrap_or(longest).min(longest);
+        let caller = Caller {
+            tx: arrival.tx,
+            service: self.pick_service(&route),
+            weight: owner.map_or(1, |found| found.weight),
+            deadline: now + timeout,
+            kind: match route.kind {
+                RouteKind::Idempotent => WorkKind::Idempotent,
+                RouteKind::Once => WorkKind::Once,
+            },
+            fingerprint: arrival.fingerprint,
+            is_held: arrival.is_held,
+            is_open: route.is_open,
+            objective: now + Duration::from_millis(u64::from(route.objective_ms)).min(timeout),
+            priority: owner.map_or(0, |found| found.priority) * PRIORITY_SPAN + route.priority,
+            attempts: route.attempts.max(1),
+            affinity: arrival.affinity.filter(|_| route.is_sticky),
+            homes: joint_homes(&route, owner),
+            workspace,
+        };
+        Ok((caller, route.is_open))
+    }
+
+    /// Returns the kind of a refusal, or one that says nothing final where a later configuration
+    /// may allow the request.
+    fn unless_outdated(&self, now: Time, kind: ErrorKind) -> ErrorKind {
+        let is_latest = self.standing == Standing::Fresh && now <= self.standing_until;
+        if is_latest { kind } else { ErrorKind::Isolated }
+    }
+
+    /// Picks the service of a route that is owed most by the weights.
+    fn pick_service(&mut self, route: &Route) -> ServiceId {
+        let [first, _, ..] = &route.services[..] else {
+            let only = route.services.first();
+            return only.map_or_else(|| ServiceId::from(""), |found| found.service.clone());
+        };
+        let total: u32 = route.services.iter().map(|found| found.weight).sum();
+        let owed = self.splits.entry(route.name.clone()).or_default();
+        owed.resize(route.services.len(), 0.0);
+        for (owed, found) in owed.iter_mut().zip(&route.services) {
+            *owed += f64::from(found.weight) / f64::from(total.max(1));
+        }
+        let most = (0..owed.len()).max_by(|a, b| owed[*a].total_cmp(&owed[*b]));
+        let Some(idx) = most else {
+            return first.service.clone();
+        };
+        owed[idx] -= 1.0;
+        route.services[idx].service.clone()
+    }
+
     fn authenticate(&self, now: Time, key: Option<&str>) -> Result<&WorkspaceId, ErrorKind> {
         // A process that was paused wakes to an outdated standing.
         let is_alone = self.standing == Standing::Alone || now > self.standing_until;
@@ -301,6 +401,11 @@
             deadline: caller.deadline,
             kind: caller.kind,
             fingerprint: fingerprint.unwrap_or(caller.fingerprint),
+            objective: caller.objective,
+            priority: caller.priority,
+            attempts: caller.attempts,
+            affinity: caller.affinity,
+            homes: caller.homes.clone(),
         };
         self.counts
             .entry(work.service.clone())
@@ -331,6 +436,9 @@
 
     fn configure(&mut self, now: Time, config: Arc<Config>) {
         self.keys = Keys::new(&config);
+        self.routes = RouteTable::new(&config);
+        self.splits
+            .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
         self.admission.configure(now, &config);
         let actions = self.dispatcher.configure(now, &config);
         self.config = Some(config);
@@ -348,6 +456,16 @@
         }
     }
 
+    fn take_told(&mut self, now: Time, id: RequestId, attempt: u32, told: Told) {
+        let Some(service) = self.callers.get(&id).map(|caller| caller.service.clone()) else {
+            return;
+        };
+        let target = self.dispatcher.target_of(id, attempt).cloned();
+        if let (Some(target), Some(load)) = (target, told.load) {
+            self.dispatcher.told_load(now, &service, &target, load);
+        }
+    }
+
     fn target_leaves(&mut self, now: Time, target: &TargetId) {
         let Some(config) = &self.config else {
             return;
@@ -373,7 +491,7 @@
         for connections in self.idle.values_mut() {
             while connections
                 .front()
-                .is_some_and(|oldest| now - oldest.proven_at > IDLE_LIFE)
+                .is_some_and(|oldest| now - oldest.proven_at > oldest.idle_life)
             {
                 connections.pop_front();
             }
@@ -433,6 +551,7 @@
                 connection: None,
                 deadline: caller.deadline,
                 workspace: caller.workspace.clone(),
+                is_open: caller.is_open,
                 assignment,
             };
             Some((caller.tx.clone(), go))
@@ -441,7 +560,7 @@
             self.give_back(now, id, attempt);
             return;
         };
-        go.connection = self.connection(now, &go.assignment);
+        go.connection = self.connection(now, &go.assignment, go.addr);
         if tx.send(Decision::Go(Box::new(go))).is_err() {
             self.give_back(now, id, attempt);
         }
@@ -459,13 +578,18 @@
     }
 
     /// Takes the connection that was used last; an older one only where a silent one does no harm.
-    fn connection(&mut self, now: Time, assignment: &Assignment) -> Option<Connection> {
+    fn connection(
+        &mut self,
+        now: Time,
+        assignment: &Assignment,
+        addr: SocketAddr,
+    ) -> Option<Connection> {
         let connections = self.idle.get_mut(&assignment.target)?;
         while let Some(connection) = connections.pop_back() {
-            if !connection.is_open() {
+            if !connection.is_open() || connection.addr != addr {
                 continue;
             }
-            let is_proven = now - connection.proven_at <= PROVEN_LIFE;
+            let is_proven = now - connection.proven_at <= connection.proven_life;
             if is_proven || !assignment.needs_proven {
                 return Some(connection);
             }
@@ -515,3 +639,20 @@
         }
     }
 }
+
+/// Returns the regions in which both the route and the workspace allow a request; empty for all.
+fn joint_homes(route: &Route, owner: Option<&Workspace>) -> Arc<BTreeSet<RegionId>> {
+    let of_owner = owner.map(|found| &found.homes);
+    match of_owner.filter(|homes| !homes.is_empty()) {
+        Some(homes) if route.homes.is_empty() => Arc::new(homes.clone()),
+        Some(homes) => {
+            let mut both: BTreeSet<RegionId> = homes.intersection(&route.homes).cloned().collect();
+            if both.is_empty() {
+                // No region bears this name: the request may run nowhere.
+                both.insert(RegionId::from(""));
+            }
+            Arc::new(both)
+        }
+        None => Arc::new(route.homes.clone()),
+    }
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,11 +1,11 @@
 //! Attempts: one request sent to one target over one connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::Time;
 use bytes::Bytes;
 use dispatch::Outcome;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -14,9 +14,18 @@
     time::{timeout, timeout_at},
 };
 
-use crate::{head, view::Clock};
+use crate::{dialect::Dialect, head, message::Told, view::Clock};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which an idle connection is kept where the target does not say how long it keeps it.
+const IDLE_LIFE: Duration = Duration::from_secs(5);
+/// Time after an answer for which a connection counts as proven where the target does not say how
+/// long it keeps it.
+const PROVEN_LIFE: Duration = Duration::from_secs(1);
+/// Part of the time for which a target keeps an idle connection after which it is not used again.
+const IDLE_PART: f64 = 0.7;
+/// The same for requests that must not be sent twice.
+const PROVEN_PART: f64 = 0.4;
 /// Longest answer that is held whole before it goes to the caller.
 const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
@@ -24,8 +33,14 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Address of the target.
+    pub addr: SocketAddr,
     /// Time at which the last answer came over it.
     pub proven_at: Time,
+    /// How long it may be used after the last answer.
+    pub idle_life: Duration,
+    /// How long it may be used for what must not be sent twice.
+    pub proven_life: Duration,
 }
 
 /// Holds a request that can be sent several times.
@@ -39,6 +54,10 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Names that heads carry.
+    pub dialect: Arc<Dialect>,
+    /// Name of the caller's attempt, which an answer must repeat.
+    pub tag: Option<HeaderValue>,
 }
 
 /// Holds a target's whole answer.
@@ -61,6 +80,10 @@
     pub answer: Option<Whole>,
     /// The connection, where it can be used again.
     pub connection: Option<Connection>,
+    /// What the answer told of the target.
+    pub told: Told,
+    /// Whether a new connection was opened.
+    pub is_new: bool,
 }
 
 impl AttemptEnd {
@@ -69,8 +92,15 @@
             outcome,
             answer: None,
             connection: None,
+            told: Told::default(),
+            is_new: false,
         }
     }
+
+    fn on_new(mut self, is_new: bool) -> Self {
+        self.is_new = is_new;
+        self
+    }
 }
 
 impl Connection {
@@ -103,17 +133,38 @@
     deadline: Time,
 ) -> AttemptEnd {
     let started = clock.now();
-    let sender = match connection {
-        Some(connection) if connection.is_open() => Some(connection.sender),
-        _ => connect(addr).await,
+    let kept = connection.filter(Connection::is_open);
+    let is_new = kept.is_none();
+    let sender = match kept {
+        Some(connection) => Some(connection.sender),
+        None => connect(addr).await,
     };
-    let Some(mut sender) = sender else {
-        return AttemptEnd::failed(Outcome::Unreachable);
+    let Some(sender) = sender else {
+        return AttemptEnd::failed(Outcome::Unreachable).on_new(true);
     };
     let Some(req) = build(template, addr, deadline - clock.now()) else {
         return AttemptEnd::failed(Outcome::Unreachable);
     };
-    let res = match sender.try_send_request(req).await {
+    let connection = Connection {
+        sender,
+        addr,
+        proven_at: started,
+        idle_life: IDLE_LIFE,
+        proven_life: PROVEN_LIFE,
+    };
+    send(clock, started, connection, template, req)
+        .await
+        .on_new(is_new)
+}
+
+async fn send(
+    clock: Clock,
+    started: Time,
+    mut connection: Connection,
+    template: &Template,
+    req: Request<Full<Bytes>>,
+) -> AttemptEnd {
+    let res = match connection.sender.try_send_request(req).await {
         Ok(res) => res,
         Err(mut err) => {
             // The request comes back only where nothing of it was sent.
@@ -126,26 +177,68 @@
             return AttemptEnd::failed(outcome);
         }
     };
-    let is_refused = is_not_run(&res);
+    if !is_for(template, &res) {
+        return AttemptEnd::failed(Outcome::Lost);
+    }
+    let is_refused = is_not_run(&template.dialect, &res);
+    let told = told(&template.dialect, &res);
+    set_lives(&mut connection, res.headers());
     let Some(answer) = collect(res).await else {
         return AttemptEnd::failed(Outcome::Lost);
     };
     let now = clock.now();
-    let connection = Some(Connection {
-        sender,
-        proven_at: now,
+    connection.proven_at = now;
+    let (outcome, answer) = if is_refused {
+        (Outcome::Refused, None)
+    } else {
+        (Outcome::Answered(now - started), Some(answer))
+    };
+    AttemptEnd {
+        outcome,
+        answer,
+        connection: Some(connection),
+        told,
+        is_new: false,
+    }
+}
+
+/// Returns whether an answer belongs to the request: it repeats its name, and a success is proved.
+fn is_for(template: &Template, res: &Response<Incoming>) -> bool {
+    let dialect = &template.dialect;
+    let is_named = match (&dialect.tag, &template.tag) {
+        (Some(name), Some(tag)) => res.headers().get(name) == Some(tag),
+        _ => true,
+    };
+    let proof = dialect.proof.as_ref();
+    let is_proved = proof.is_none_or(|name| res.headers().contains_key(name));
+    is_named && (is_proved || !res.status().is_success())
+}
+
+fn told(dialect: &Dialect, res: &Response<Incoming>) -> Told {
+    let load = dialect.load.as_ref().and_then(|name| {
+        let text = res.headers().get(name)?.to_str().ok()?;
+        let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
+        let running = parts.next()?.ok()?;
+        Some(running.saturating_add(parts.next()?.ok()?))
     });
-    if is_refused {
-        return AttemptEnd {
-            outcome: Outcome::Refused,
-            answer: None,
-            connection,
-        };
+    Told {
+        load,
+        is_failure: res.status().is_server_error(),
     }
-    AttemptEnd {
-        outcome: Outcome::Answered(now - started),
-        answer: Some(answer),
-        connection,
+}
+
+/// Takes over how long the target keeps an idle connection.
+fn set_lives(connection: &mut Connection, headers: &HeaderMap) {
+    let kept = headers.get("keep-alive").and_then(|value| {
+        let text = value.to_str().ok()?;
+        text.split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="))?
+            .parse::<u64>()
+            .ok()
+    });
+    if let Some(kept) = kept.map(Duration::from_secs) {
+        connection.idle_life = kept.mul_f64(IDLE_PART);
+        connection.proven_life = kept.mul_f64(PROVEN_PART);
     }
 }
 
@@ -168,19 +261,28 @@
         .body(Full::new(template.body.clone()))
         .ok()?;
     *req.headers_mut() = template.headers.clone();
-    let host = addr.to_string().parse().ok()?;
-    req.headers_mut().insert(header::HOST, host);
+    if !req.headers().contains_key(header::HOST) {
+        let host = addr.to_string().parse().ok()?;
+        req.headers_mut().insert(header::HOST, host);
+    }
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    req.headers_mut().insert(head::DEADLINE_MS, left_ms.into());
+    let name = template.dialect.left_ms.clone();
+    req.headers_mut().insert(name, left_ms.into());
     Some(req)
 }
 
-fn is_not_run(res: &Response<Incoming>) -> bool {
-    let is_refusal = matches!(
-        res.status(),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    );
-    is_refusal && res.headers().get(head::RAN).is_some_and(|ran| ran == "no")
+fn is_not_run(dialect: &Dialect, res: &Response<Incoming>) -> bool {
+    let (name, value) = &dialect.not_run;
+    let is_told = res
+        .headers()
+        .get(name)
+        .is_some_and(|found| value.as_ref().is_none_or(|value| found == value));
+    let is_refusal = value.is_none()
+        || matches!(
+            res.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+    (is_told && is_refusal) || dialect.not_run_statuses.contains(&res.status().as_u16())
 }
 
 async fn collect(res: Response<Incoming>) -> Option<Whole> {
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -4,16 +4,10 @@
 use dispatch::WorkKind;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
 
+use crate::dialect::{Dialect, KeyPlace};
+
 /// Header in which a caller names a non-idempotent action.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Header in which a caller says how long it waits, in milliseconds.
-pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("request-timeout-ms");
-/// Header that tells a target how long the caller still waits, in milliseconds.
-pub const DEADLINE_MS: HeaderName = HeaderName::from_static("request-deadline-ms");
-/// Header in which a target says that it did not run a refused request (`no`).
-pub const RAN: HeaderName = HeaderName::from_static("request-ran");
-/// Header that names the request's workspace to the target.
-pub const WORKSPACE: HeaderName = HeaderName::from_static("request-workspace");
 /// Header with the trace context.
 pub const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 /// Query parameter in which a caller may show its key.
@@ -37,12 +31,8 @@
 const REPLACED: &[&str] = &[
     "authorization",
     "x-api-key",
-    "host",
     "content-length",
     "expect",
-    "request-timeout-ms",
-    "request-deadline-ms",
-    "request-workspace",
     "traceparent",
 ];
 
@@ -53,6 +43,14 @@
     pub service: ServiceId,
     /// Path below the service, with its slash and without the query.
     pub path: String,
+    /// Host that the caller named.
+    pub host: String,
+    /// Whole path, without the query.
+    pub whole_path: String,
+    /// Name of the caller's attempt.
+    pub tag: Option<HeaderValue>,
+    /// Digest of the name of the object that the request is about.
+    pub affinity: Option<u64>,
     /// Key that came with the request.
     pub key: Option<String>,
     /// Idempotency key.
@@ -68,17 +66,30 @@
 /// # Errors
 ///
 /// [`ErrorKind::BadRequest`] where a key, an idempotency key or a timeout can't be read.
-pub fn read(method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Head, ErrorKind> {
+pub fn read(
+    dialect: &Dialect,
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Result<Head, ErrorKind> {
+    check_single(dialect, headers)?;
     let path = uri.path();
     let rest = path.strip_prefix('/').unwrap_or(path);
     let (service, below) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
-    let timeout_ms = text(headers, &TIMEOUT_MS)?
+    let timeout_ms = text(headers, &dialect.timeout_ms)?
         .map(|text| text.parse().map_err(|_| ErrorKind::BadRequest))
         .transpose()?;
     Ok(Head {
         service: ServiceId::from(service),
         path: below.to_owned(),
-        key: key(uri, headers)?,
+        host: host(uri, headers).to_owned(),
+        whole_path: path.to_owned(),
+        tag: dialect
+            .tag
+            .as_ref()
+            .and_then(|name| headers.get(name).cloned()),
+        affinity: affinity(dialect, headers),
+        key: key(dialect, uri, headers)?,
         action: action(headers)?,
         kind: kind(method),
         timeout_ms,
@@ -86,13 +97,15 @@
 }
 
 /// Returns the headers to forward: none that shows the key or belongs to the connection.
-pub fn forwarded(headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
+pub fn forwarded(dialect: &Dialect, headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
     let named = connection_names(headers);
     headers
         .iter()
         .filter(|(name, value)| {
             !HOP_BY_HOP.contains(&name.as_str())
                 && !REPLACED.contains(&name.as_str())
+                && !dialect.is_replaced(name)
+                && (dialect.keeps_host || **name != header::HOST)
                 && !named.contains(name)
                 && !shows(value.as_bytes(), key)
         })
@@ -101,8 +114,14 @@
 }
 
 /// Returns the path and query to forward, without a parameter that shows the key.
-pub fn forwarded_path(uri: &Uri, key: Option<&str>) -> String {
+pub fn forwarded_path(dialect: &Dialect, uri: &Uri, key: Option<&str>) -> String {
     let path = uri.path();
+    if dialect.key != KeyPlace::Usual {
+        return uri
+            .path_and_query()
+            .map_or(path, |whole| whole.as_str())
+            .to_owned();
+    }
     let Some(query) = uri.query() else {
         return path.to_owned();
     };
@@ -152,7 +171,51 @@
         .collect()
 }
 
-fn key(uri: &Uri, headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let named = headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
+    named.or_else(|| uri.host()).unwrap_or_default()
+}
+
+/// Refuses heads in which what decides stands twice.
+fn check_single(dialect: &Dialect, headers: &HeaderMap) -> Result<(), ErrorKind> {
+    let key = match &dialect.key {
+        KeyPlace::Usual => &header::AUTHORIZATION,
+        KeyPlace::Header(name) => name,
+    };
+    let names = [
+        Some(key),
+        Some(&dialect.timeout_ms),
+        Some(&header::HOST),
+        dialect.tag.as_ref(),
+    ];
+    let is_twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
+    let is_framed_twice = headers.contains_key(header::CONTENT_LENGTH)
+        && headers.contains_key(header::TRANSFER_ENCODING);
+    if is_framed_twice || names.into_iter().flatten().any(is_twice) {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(())
+}
+
+fn affinity(dialect: &Dialect, headers: &HeaderMap) -> Option<u64> {
+    let name = dialect.affinity_cookie.as_deref()?;
+    let value = headers
+        .get_all(header::COOKIE)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(';'))
+        .find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='))?;
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(value.as_bytes()).as_bytes()[..8]);
+    Some(u64::from_le_bytes(first))
+}
+
+fn key(dialect: &Dialect, uri: &Uri, headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+    if let KeyPlace::Header(name) = &dialect.key {
+        return Ok(text(headers, name)?.map(str::to_owned));
+    }
     if let Some(value) = text(headers, &header::AUTHORIZATION)? {
         let key = value.strip_prefix(BEARER).ok_or(ErrorKind::BadRequest)?;
         return Ok(Some(key.trim().to_owned()));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod dialect;
 mod drive;
 pub mod engine;
 pub mod forward;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -36,6 +36,8 @@
         answer_bytes: Option<usize>,
         /// Connection that can be used again.
         connection: Option<Connection>,
+        /// What the answer told of the target.
+        told: Told,
     },
     /// No first byte has come in time.
     Hedge(RequestId),
@@ -81,6 +83,15 @@
     Status(oneshot::Sender<EngineStatus>),
 }
 
+/// Holds what an answer told of the target that gave it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Requests that it runs and queues.
+    pub load: Option<u32>,
+    /// Whether the target itself had failed.
+    pub is_failure: bool,
+}
+
 /// Describes a request as it comes in.
 #[derive(Debug)]
 pub struct Arrival {
@@ -92,6 +103,12 @@
     pub service: ServiceId,
     /// Path below the service.
     pub path: String,
+    /// Host that the caller named.
+    pub host: String,
+    /// Whole path, without the query.
+    pub whole_path: String,
+    /// Digest of the name of the object that it is about.
+    pub affinity: Option<u64>,
     /// Whether it may run more than once.
     pub kind: WorkKind,
     /// Digest of what makes it the same request when it is sent again.
@@ -137,6 +154,8 @@
     pub deadline: Time,
     /// Workspace of the request.
     pub workspace: WorkspaceId,
+    /// Whether no key was needed.
+    pub is_open: bool,
 }
 
 /// Names the owner of a workspace that can be asked.
--- a/crates/entry/tests/head.rs
+++ b/crates/entry/tests/head.rs
@@ -2,7 +2,7 @@
 
 use base::ErrorKind;
 use dispatch::WorkKind;
-use entry::head;
+use entry::{dialect::Dialect, head};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use rstest::rstest;
 
@@ -26,11 +26,11 @@
 #[case::named_by_connection("/s/x", &[("authorization", "Bearer gw_secret"), ("connection", "x-hop"), ("x-hop", "1")])]
 fn head_forwards_no_key(#[case] uri: &str, #[case] pairs: &[(&str, &str)]) {
     let (uri, headers): (Uri, HeaderMap) = (uri.parse().unwrap(), headers(pairs));
-    let read = head::read(&Method::GET, &uri, &headers).unwrap();
+    let read = head::read(&Dialect::default(), &Method::GET, &uri, &headers).unwrap();
     assert_eq!(read.key.as_deref(), Some(KEY));
-    let path = head::forwarded_path(&uri, read.key.as_deref());
+    let path = head::forwarded_path(&Dialect::default(), &uri, read.key.as_deref());
     assert!(!path.contains(KEY), "{path}");
-    let forwarded = head::forwarded(&headers, read.key.as_deref());
+    let forwarded = head::forwarded(&Dialect::default(), &headers, read.key.as_deref());
     assert!(forwarded.is_empty(), "{forwarded:?}");
 }
 
@@ -40,7 +40,12 @@
 #[case::spaced_idempotency_key(&[("idempotency-key", "a b")])]
 #[case::bad_timeout(&[("request-timeout-ms", "soon")])]
 fn head_refuses_malformed(#[case] pairs: &[(&str, &str)]) {
-    let read = head::read(&Method::POST, &"/s/x".parse().unwrap(), &headers(pairs));
+    let read = head::read(
+        &Dialect::default(),
+        &Method::POST,
+        &"/s/x".parse().unwrap(),
+        &headers(pairs),
+    );
     assert_eq!(read.unwrap_err(), ErrorKind::BadRequest);
 }
 
@@ -51,7 +56,13 @@
 #[case::post(Method::POST, WorkKind::Once)]
 #[case::patch(Method::PATCH, WorkKind::Once)]
 fn head_tells_kind_by_method(#[case] method: Method, #[case] kind: WorkKind) {
-    let read = head::read(&method, &"/s/x".parse().unwrap(), &HeaderMap::new()).unwrap();
+    let read = head::read(
+        &Dialect::default(),
+        &method,
+        &"/s/x".parse().unwrap(),
+        &HeaderMap::new(),
+    )
+    .unwrap();
     assert_eq!(read.kind, kind);
 }
 
@@ -61,6 +72,12 @@
 #[case::root("/", "", "/")]
 #[case::double_slash("//x", "", "/x")]
 fn head_splits_path(#[case] uri: &str, #[case] service: &str, #[case] path: &str) {
-    let read = head::read(&Method::GET, &uri.parse().unwrap(), &HeaderMap::new()).unwrap();
+    let read = head::read(
+        &Dialect::default(),
+        &Method::GET,
+        &uri.parse().unwrap(),
+        &HeaderMap::new(),
+    )
+    .unwrap();
     assert_eq!((read.service.as_str(), read.path.as_str()), (service, path));
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-pub use model::{Call, Expect, Fault, Listed, ListedKind, ListedState, Reply, Row, Write};
+pub use model::{Call, Change, Expect, Fault, Listed, ListedKind, ListedState, Reply, Row, Write};
 pub use store::Store;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -55,6 +55,29 @@
         }
     }
 
+    /// Returns a handle whose calls `serve` answers, each in a task of its own.
+    ///
+    /// A call that its caller no longer awaits is dropped.
+    pub fn spawn<F, R>(serve: F) -> Self
+    where
+        F: Fn(Call) -> R + Send + 'static,
+        R: Future<Output = Result<Reply, Fault>> + Send + 'static,
+    {
+        let (tx, mut rx) = mpsc::channel::<Request>(CALL_QUEUE);
+        tokio::spawn(async move {
+            while let Some(Request { call, mut reply }) = rx.recv().await {
+                let answer = serve(call);
+                tokio::spawn(async move {
+                    tokio::select! {
+                        result = answer => { let _ = reply.send(result); }
+                        () = reply.closed() => {}
+                    }
+                });
+            }
+        });
+        Self::new(tx)
+    }
+
     /// Sets how long a call may take before its outcome counts as unknown.
     pub fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -154,6 +177,43 @@
         }
     }
 
+    /// Reads a whole table, and the position as of which it was read.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn snapshot(&self, table: &str) -> Result<(Vec<Change>, u64), Fault> {
+        let call = Call::Snapshot {
+            table: table.to_owned(),
+        };
+        match self.call(call).await? {
+            Reply::Changes(rows, position) => Ok((rows, position)),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
+    /// Reads what has changed in a table since `after`, waiting up to `wait` for a change.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`], and [`Fault::HistoryGone`] where the table has to be read anew.
+    pub async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<(Vec<Change>, u64), Fault> {
+        let call = Call::Changes {
+            table: table.to_owned(),
+            after,
+            wait_ms: wait.as_millis() as u64,
+        };
+        match self.call(call).await? {
+            Reply::Changes(rows, position) => Ok((rows, position)),
+            _ => Err(Fault::Unavailable),
+        }
+    }
+
     /// Reads the lagging list of live and leaving instances and targets.
     ///
     /// # Errors
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -39,6 +39,20 @@
         /// Name of the object.
         name: String,
     },
+    /// Reads a whole table as of one moment.
+    Snapshot {
+        /// Table to read.
+        table: String,
+    },
+    /// Reads what has changed in a table since a position, as soon as something has.
+    Changes {
+        /// Table to follow.
+        table: String,
+        /// Position up to which the changes are known.
+        after: u64,
+        /// How long to wait for a change, in milliseconds.
+        wait_ms: u64,
+    },
     /// Reads the list of live and leaving machines.
     List,
     /// Puts a machine on the list; the platform itself does so when it starts or ends one.
@@ -65,6 +79,8 @@
     Written(Vec<u64>),
     /// The object, where there is one.
     Object(Option<String>),
+    /// Changes in order, and the position up to which they are complete.
+    Changes(Vec<Change>, u64),
     /// The list.
     List(Vec<Listed>),
     /// The call was carried out.
@@ -80,6 +96,17 @@
     pub value: String,
 }
 
+/// Describes one changed row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name of the row.
+    pub row: String,
+    /// Content; `None` where the row was deleted.
+    pub value: Option<String>,
+    /// Position of the change.
+    pub at: u64,
+}
+
 /// Describes one row of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
@@ -171,6 +198,9 @@
     /// No reply came: whether a write took effect is unknown.
     #[display("the platform did not answer")]
     Unavailable,
+    /// The changes since the wanted position are no longer kept: the table has to be read anew.
+    #[display("the history is gone")]
+    HistoryGone,
     /// A row was not as expected; nothing was written.
     #[display("row {row} is at version {version}")]
     Conflict {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Call, Expect, Fault, Listed, Reply, Row, Write};
+use crate::{Call, Change, Expect, Fault, Listed, Reply, Row, Write};
 
 /// Holds tables, objects and the list, and applies calls to them.
 ///
@@ -18,6 +18,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Store {
     rows: BTreeMap<(String, String), Row>,
+    /// Position of each row's last change, deletions included.
+    changed: BTreeMap<(String, String), u64>,
+    position: u64,
     objects: BTreeMap<String, String>,
     list: BTreeMap<String, Listed>,
 }
@@ -38,6 +41,9 @@
                 Ok(Reply::Done)
             }
             Call::GetObject { name } => Ok(Reply::Object(self.objects.get(&name).cloned())),
+            Call::Snapshot { table } => Ok(self.changes(&table, 0, false)),
+            // It never waits: a follower asks again after a while.
+            Call::Changes { table, after, .. } => Ok(self.changes(&table, after, true)),
             Call::List => Ok(Reply::List(self.list.values().cloned().collect())),
             Call::Announce { listed } => {
                 self.list.insert(listed.id.clone(), listed);
@@ -59,6 +65,22 @@
             .collect()
     }
 
+    fn changes(&self, table: &str, after: u64, with_deleted: bool) -> Reply {
+        let mut changes: Vec<Change> = self
+            .changed
+            .iter()
+            .filter(|((tab, _), at)| tab == table && **at > after)
+            .map(|(key, at)| Change {
+                row: key.1.clone(),
+                value: self.rows.get(key).map(|row| row.value.clone()),
+                at: *at,
+            })
+            .filter(|change| with_deleted || change.value.is_some())
+            .collect();
+        changes.sort_by_key(|change| change.at);
+        Reply::Changes(changes, self.position)
+    }
+
     fn write(&mut self, writes: &[Write]) -> Result<Reply, Fault> {
         for write in writes {
             self.check(write)?;
@@ -87,6 +109,8 @@
 
     fn put(&mut self, write: &Write) -> u64 {
         let key = (write.table.clone(), write.row.clone());
+        self.position += 1;
+        self.changed.insert(key.clone(), self.position);
         let Some(value) = write.value.clone() else {
             self.rows.remove(&key);
             return 0;
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -12,7 +12,7 @@
 };
 use coord::{Ask, FanOut, Head, Heartbeat, Loan, Owner, Quota, Roster, Split};
 use daemon::message::{Beat, PeerMessage};
-use dispatch::{Dispatcher, Outcome, Policy, RequestId, Work, WorkKind};
+use dispatch::{Dispatcher, Outcome, Policy, RequestId, Work};
 use proof::rollout::{Rollout, roll_out};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -131,6 +131,7 @@
             rate: 100.0,
             burst: 200.0,
             weight: 1,
+            ..Workspace::default()
         };
         config
             .workspaces
@@ -149,6 +150,7 @@
                 let found = Target {
                     domain: format!("domain-{}", target % 6).into(),
                     addr: ([10, 0, 0, 1], 9000).into(),
+                    registered: None,
                 };
                 (format!("service-{idx}-{target}").into(), found)
             })
@@ -159,6 +161,7 @@
             deadline_ms: 1_000,
             open_routes: Vec::new(),
             targets,
+            cold: None,
         };
         config
             .services
@@ -221,6 +224,7 @@
             .collect(),
         slots: 1,
         demand: Vec::new(),
+        positions: Vec::new(),
     }
 }
 
@@ -360,6 +364,7 @@
             let target = Target {
                 domain: format!("domain-{}", idx % 6).into(),
                 addr: ([10, 0, 0, 1], 9000).into(),
+                registered: None,
             };
             (format!("t{idx}").into(), target)
         })
@@ -375,15 +380,12 @@
     nanos(100_000, |idx| {
         now = now + Duration::from_micros(50);
         let id = RequestId(u64::from(idx) + 1);
-        let work = Work {
+        let work = Work::new(
             id,
-            workspace: names[idx as usize % workspaces].clone(),
-            weight: 1,
-            service: "service-0".into(),
-            deadline: now + Duration::from_secs(1),
-            kind: WorkKind::Idempotent,
-            fingerprint: u64::from(idx),
-        };
+            names[idx as usize % workspaces].clone(),
+            "service-0".into(),
+            now + Duration::from_secs(1),
+        );
         black_box(dispatcher.submit(now, work));
         under_way.push_back(id);
         if under_way.len() > 32
--- a/crates/proof/src/limits.rs
+++ b/crates/proof/src/limits.rs
@@ -529,6 +529,7 @@
             rate: scenario.quota.rate,
             burst: scenario.quota.burst,
             weight: 1,
+            ..Workspace::default()
         };
         config.workspaces.insert(WORKSPACE.into(), workspace);
         let mut admission = Admission::new(scenario.split);
--- a/crates/proof/src/service/setup.rs
+++ b/crates/proof/src/service/setup.rs
@@ -58,6 +58,7 @@
             let target = Target {
                 domain: name.as_str().into(),
                 addr: ([127, 0, 0, 1], 1).into(),
+                registered: None,
             };
             let idx = region * scenario.targets_per_region + idx;
             targets.insert(target_name(idx).into(), target);
@@ -69,6 +70,7 @@
         deadline_ms: scenario.deadline.as_millis() as u32,
         open_routes: Vec::new(),
         targets,
+        cold: None,
     };
     config.services.insert(SERVICE.into(), service);
     config
--- a/crates/proof/src/service/world.rs
+++ b/crates/proof/src/service/world.rs
@@ -245,17 +245,18 @@
         match &mut instance.decider {
             Deciding::Product(dispatcher) => {
                 let work = Work {
-                    id: RequestId(id),
-                    workspace: format!("w{}", request.workspace).into(),
-                    weight: 1,
-                    service: SERVICE.into(),
-                    deadline,
                     kind: if request.is_once {
                         WorkKind::Once
                     } else {
                         WorkKind::Idempotent
                     },
                     fingerprint: if request.is_poison { POISON } else { id },
+                    ..Work::new(
+                        RequestId(id),
+                        format!("w{}", request.workspace).into(),
+                        SERVICE.into(),
+                        deadline,
+                    )
                 };
                 let actions = dispatcher.submit(now, work);
                 self.apply(now, request.instance, actions);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,4 +7,4 @@
 mod model;
 
 pub use document::{Document, Finding, Findings, read};
-pub use model::{Alone, Daemon, Takeover, check_daemon};
+pub use model::{Alone, Bounds, Daemon, Takeover, check_daemon};
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -1,6 +1,8 @@
 //! The order in which a caller tries entry instances.
 
-use base::{DomainId, InstanceId, RegionId};
+use std::collections::BTreeSet;
+
+use base::{Config, DomainId, InstanceId, RegionId};
 
 /// Tells where a caller is, as far as it is known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -67,6 +69,35 @@
     keyed.into_iter().map(|(_, _, idx)| idx).collect()
 }
 
+/// Returns the indices of the candidates that a caller at `origin` should use for `host`.
+///
+/// They are the ones of the caller's region, or all where it has none. Where routes of the host
+/// have home regions, only instances in a home or in the caller's region are named.
+pub fn entries_for(
+    config: &Config,
+    candidates: &[Candidate<'_>],
+    origin: &Origin,
+    host: &str,
+) -> Vec<usize> {
+    let of_domain = || config.region_of(origin.domain.as_ref()?);
+    let region = origin.region.as_ref().or_else(of_domain);
+    let homes: BTreeSet<&RegionId> = config
+        .routes
+        .iter()
+        .filter(|route| route.host == host)
+        .flat_map(|route| &route.homes)
+        .collect();
+    let is_near = |idx: &usize| region == Some(candidates[*idx].region);
+    let is_allowed =
+        |idx: &usize| homes.is_empty() || is_near(idx) || homes.contains(candidates[*idx].region);
+    let allowed: Vec<usize> = order(candidates, origin, 0)
+        .into_iter()
+        .filter(is_allowed)
+        .collect();
+    let near: Vec<usize> = allowed.iter().copied().filter(is_near).collect();
+    if near.is_empty() { allowed } else { near }
+}
+
 /// Mixes two numbers into one whose order looks random (the finalizer of SplitMix64).
 fn mix(seed: u64, value: u64) -> u64 {
     let mut mixed = seed ^ value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/survey/src/generate.rs
+++ b/crates/survey/src/generate.rs
@@ -39,12 +39,14 @@
                     rate: workspace.rate,
                     burst: workspace.burst,
                     weight: workspace.weight,
+                    ..Workspace::default()
                 };
                 (name.as_str().into(), workspace)
             })
             .collect(),
         keys: BTreeMap::new(),
         drains: Drains::default(),
+        ..Config::default()
     }
 }
 
@@ -54,6 +56,7 @@
             let target = Target {
                 domain: domain.as_str().into(),
                 addr: *addr,
+                registered: None,
             };
             (format!("{name}-{domain}-{}", idx + 1).into(), target)
         })
@@ -64,5 +67,6 @@
         deadline_ms: service.deadline_ms,
         open_routes: service.open_routes.clone(),
         targets: targets.collect(),
+        cold: None,
     }
 }
