--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -95,6 +95,8 @@
     NotReady = "not_ready", 503, No, true, "the instance has no configuration yet";
     /// The instance is cut off and can't tell whether keys are still in force.
     Isolated = "isolated", 503, No, true, "the instance is cut off; use another one";
+    /// The instance is about to stop and could not see the request through.
+    Leaving = "leaving", 503, No, true, "the instance is about to stop; use another one";
     /// An internal fault that may have come after the request was sent.
     Internal = "internal", 500, Unknown, false, "internal error";
 }
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -54,6 +54,9 @@
 const ROUND_TRIP_GAIN: f64 = 0.2;
 const LOOK_AHEAD: Duration = Duration::from_millis(100);
 
+/// Part of its demand that a holder keeps for itself, so that what comes unevenly finds units.
+const DEMAND_MARGIN: f64 = 1.25;
+
 impl Holder {
     /// Returns a holder with no floor, no grants and no owner.
     pub fn new(whole: Quota, split: Split) -> Self {
@@ -85,7 +88,13 @@
     /// A floor that nobody has held before begins full. Another one begins empty, once what an
     /// earlier holder may have lent is over.
     pub fn hold_floor(&mut self, now: Time, slot: u32, until: Time, is_first: bool) {
-        if let Some(floor) = self.floors.get_mut(&slot) {
+        for number in self.split.floors_of(slot) {
+            self.hold_part(now, number, until, is_first);
+        }
+    }
+
+    fn hold_part(&mut self, now: Time, number: u32, until: Time, is_first: bool) {
+        if let Some(floor) = self.floors.get_mut(&number) {
             floor.until = until;
             return;
         }
@@ -106,12 +115,14 @@
             lent_to: None,
             loans: 0,
         };
-        self.floors.insert(slot, floor);
+        self.floors.insert(number, floor);
     }
 
     /// Gives a slot's floor up.
     pub fn drop_floor(&mut self, slot: u32) {
-        self.floors.remove(&slot);
+        for number in self.split.floors_of(slot) {
+            self.floors.remove(&number);
+        }
     }
 
     /// Lends the floors to the owner and returns the loans.
@@ -124,12 +135,23 @@
             return Vec::new();
         };
         let pause = self.split.lender_pause();
+        let kept = self.kept_floors(now);
         self.floors
             .iter_mut()
-            .filter_map(|(slot, floor)| floor.lend(now, *slot, &owner, pause))
+            .skip(kept)
+            .filter_map(|(number, floor)| floor.lend(now, *number, &owner, pause))
             .collect()
     }
 
+    /// Returns the number of floors that this holder's own demand needs, the first ones.
+    fn kept_floors(&mut self, now: Time) -> usize {
+        if !self.split.is_thrifty {
+            return 0;
+        }
+        let needed = self.demand.per_second(now) * DEMAND_MARGIN / self.quota.rate.max(1e-9);
+        (needed.ceil() as usize).max(1)
+    }
+
     /// Takes in that an owner has stopped using what was lent to it.
     pub fn returned(&mut self, now: Time, owner: &Borrower) {
         let from = now + self.split.owner_life();
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -122,7 +122,7 @@
 
     /// Takes in a loan that a life of an instance made no earlier than `dated`.
     pub fn lent(&mut self, now: Time, life: Incarnation, loan: &Loan, dated: Time) {
-        if now < self.opens_at || loan.slot >= self.split.slots {
+        if now < self.opens_at || loan.slot >= self.split.floors() {
             return;
         }
         self.settle(now);
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -45,7 +45,9 @@
     pub overage: f64,
     /// Units by which the burst may be passed beyond that.
     pub slack: f64,
-    /// Whether a holder lends only what it does not need itself.
+    /// Floors that each slot is divided into.
+    pub parts: u32,
+    /// Whether a holder lends only the floors that it does not need itself.
     pub is_thrifty: bool,
 }
 
@@ -59,6 +61,7 @@
             drift: 0.01,
             overage: 0.0,
             slack: 0.0,
+            parts: 1,
             is_thrifty: false,
         }
     }
@@ -73,7 +76,7 @@
     /// Returns the quota of one floor; nothing where not even one unit would fit in it.
     pub fn floor(&self, whole: Quota) -> Quota {
         let whole = self.tolerated(whole);
-        let slots = f64::from(self.slots.max(1));
+        let slots = f64::from(self.floors());
         let floor = Quota {
             rate: self.slowed(whole.rate) * self.floor_share / slots,
             burst: whole.burst * self.floor_share / slots,
@@ -96,13 +99,24 @@
     pub fn owned(&self, whole: Quota) -> Quota {
         let floor = self.floor(whole);
         let whole = self.tolerated(whole);
-        let slots = f64::from(self.slots.max(1));
+        let slots = f64::from(self.floors());
         Quota {
             rate: (self.slowed(whole.rate) - slots * floor.rate).max(0.0),
             burst: (whole.burst - slots * floor.burst).max(0.0),
         }
     }
 
+    /// Returns the number of floors.
+    pub fn floors(&self) -> u32 {
+        self.slots.max(1) * self.parts.max(1)
+    }
+
+    /// Returns the numbers of the floors that belong to a slot.
+    pub(crate) fn floors_of(&self, slot: u32) -> std::ops::Range<u32> {
+        let parts = self.parts.max(1);
+        slot * parts..(slot + 1) * parts
+    }
+
     /// Returns the whole with the tolerance added.
     fn tolerated(&self, whole: Quota) -> Quota {
         Quota {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,12 +16,15 @@
     engine::{Engine, EngineOptions},
     message::Event,
     metrics::Metrics,
+    recorder::Recorder,
     serve::{Listener, listen},
     view::{Clock, EntryPoint, View},
 };
 use eyre::{Result, WrapErr};
 use platform::{Listed, ListedKind, ListedState, Platform};
+use record::Sink;
 use settings::{Alone, Daemon, Takeover};
+use steer::PlanPolicy;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, oneshot, watch},
@@ -54,15 +57,27 @@
 const READY_POLL: Duration = Duration::from_millis(10);
 /// Part of what may be sent again that is used.
 const BUDGET_USE: f64 = 0.6;
+/// Part of a region's capacity up to which its callers' requests stay there.
+const HEADROOM: f64 = 0.6;
+/// Part of the allowed shift between regions that is planned.
+const SHIFT_USE: f64 = 0.5;
+/// Time over which the shift between regions is bounded, in seconds.
+const SHIFT_WINDOW_S: f64 = 2.0;
 /// Part of a rate's tolerance that is used; the rest covers the way to the targets.
 const RATE_USE: f64 = 0.7;
+/// Floors of each slot, so that an instance can lend some and keep others.
+const SLOT_PARTS: u32 = 3;
+/// Time for which a floor is lent: short, since its lender misses it for so long.
+const LOAN_LIFE: Duration = Duration::from_millis(1_600);
 /// Horizon of a slot's lease where only its end proves that its holder has ended.
 const HORIZON: Duration = Duration::from_secs(120);
 /// Part of the time to stop for which new requests are taken.
-const STOP_TAKES: f64 = 0.6;
+const STOP_TAKES: f64 = 0.45;
+/// Part of the time to stop for which new requests are told to go elsewhere.
+const STOP_LISTENS: f64 = 0.8;
 /// Part of the time to stop after which requests under way are no longer waited for.
-const STOP_ENDS: f64 = 0.9;
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+const STOP_ENDS: f64 = 0.93;
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(150);
 const CHANNEL: usize = 4_096;
 
 /// Holds what differs between a deployed instance and one for development.
@@ -74,8 +89,12 @@
     pub terms: Terms,
     /// Constants of dispatch.
     pub policy: Policy,
+    /// Constants of planning; `None` for those of the configuration.
+    pub plan: Option<PlanPolicy>,
     /// Names that heads carry.
     pub dialect: Dialect,
+    /// Where lines about requests go.
+    pub sink: Option<Sink>,
     /// How workspaces' rates are divided; the number of slots comes from the settings.
     pub split: Split,
 }
@@ -86,7 +105,9 @@
             trace_share: 0.001,
             terms: Terms::default(),
             policy: Policy::default(),
+            plan: None,
             dialect: Dialect::default(),
+            sink: None,
             split: Split {
                 floor_share: 1.0,
                 ..Split::default()
@@ -139,12 +160,23 @@
             floor_share: 1.0,
             overage: bounds.rate_overage * RATE_USE,
             slack: bounds.rate_slack * RATE_USE,
+            parts: SLOT_PARTS,
+            is_thrifty: true,
+            loan_life: LOAN_LIFE,
             ..Split::default()
         };
         Self {
             trace_share: 0.0,
             terms,
             policy,
+            plan: Some(PlanPolicy {
+                headroom: HEADROOM,
+                shift_cap: bounds.region_shift * SHIFT_USE,
+                window_s: SHIFT_WINDOW_S,
+                // A loss of room is planned for at the pace of any other change; what has no open
+                // target left goes elsewhere at once.
+                sudden_loss: 1.0,
+            }),
             split,
             ..Self::default()
         }
@@ -252,6 +284,10 @@
         ids: Arc::new(AtomicU64::new(1)),
         limits: caller_limits(cfg, &options),
         dialect: Arc::new(options.dialect.clone()),
+        recorder: options
+            .sink
+            .clone()
+            .map_or_else(Recorder::default, |sink| Recorder::new(sink, me.clone())),
     };
     let callers = listen(cfg.entry, callers.into_router())
         .await
@@ -366,6 +402,7 @@
         region: cfg.region.as_str().into(),
         view: view_rx.clone(),
         fleet: fleet_rx.clone(),
+        policy: options.plan,
         engine: engine_tx.clone(),
         peers: peers_tx.clone(),
     });
@@ -457,6 +494,8 @@
             let _ = timeout(RELEASE_TIMEOUT, released).await;
         }
         sleep_until(started + longest.mul_f64(STOP_TAKES)).await;
+        let _ = self.engine.send(Event::Close);
+        sleep_until(started + longest.mul_f64(STOP_LISTENS)).await;
         let ends = started + longest.mul_f64(STOP_ENDS);
         let stopped = self.callers.stop(ends - Instant::now());
         let _ = timeout_at(ends, stopped).await;
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -1,6 +1,10 @@
 //! The task that works out where this region's requests go.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Config, InstanceId, RegionId, ServiceId};
 use dispatch::{Route, TargetState};
@@ -16,6 +20,10 @@
 
 use crate::{fleet::Fleet, message::PeerCommand};
 
+/// Demand below which nothing is concluded from it.
+const LEAST_DEMAND_PER_S: f64 = 1.0;
+/// Part of the capacity that is assumed to be wanted before any request has been seen.
+const ASSUMED_FILL: f64 = 0.8;
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of an answer that is assumed before any has been measured, in bytes.
 const FIRST_ANSWER_BYTES: f64 = 16_384.0;
@@ -33,6 +41,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// What is known of the other instances.
     pub fleet: watch::Receiver<Arc<Fleet>>,
+    /// Constants of planning; `None` for those of the configuration.
+    pub policy: Option<PlanPolicy>,
     /// The engine.
     pub engine: mpsc::UnboundedSender<Event>,
     /// The peers.
@@ -44,6 +54,8 @@
 pub struct Planner {
     options: PlannerOptions,
     steering: BTreeMap<ServiceId, Steering>,
+    /// Services whose demand and service time have been measured.
+    has_begun: BTreeSet<ServiceId>,
 }
 
 impl Planner {
@@ -52,6 +64,7 @@
         Self {
             options,
             steering: BTreeMap::new(),
+            has_begun: BTreeSet::new(),
         }
     }
 
@@ -89,22 +102,65 @@
                 // A silent instance's demand is not known: nothing moves.
                 continue;
             };
-            let policy = PlanPolicy {
-                shift_cap_per_min: config.links.shift_cap_per_min,
+            let policy = self.options.policy.unwrap_or(PlanPolicy {
+                shift_cap: config.links.shift_cap_per_min,
                 ..PlanPolicy::default()
-            };
+            });
             let home = self.options.region.clone();
+            let assumed = self.assumed(&config, &fleet, &seen);
             let steering = self
                 .steering
                 .entry(service.clone())
                 .or_insert_with(|| Steering::new(home, policy));
             steering.set_policy(policy);
-            let shares = steering.update(now.as_secs_f64(), &seen).clone();
+            let demand: f64 = seen.demand.values().sum();
+            let is_known = !load.service_time.is_zero() && demand >= LEAST_DEMAND_PER_S;
+            let shares = if is_known || self.options.policy.is_none() {
+                steering.update(now.as_secs_f64(), &seen).clone()
+            } else {
+                if !self.has_begun.contains(service) {
+                    steering.begin(&assumed);
+                }
+                steering.shares().clone()
+            };
+            if is_known {
+                self.has_begun.insert(service.clone());
+            }
             routes.insert(service.clone(), Route { shares });
         }
         let _ = self.options.engine.send(Event::Routes(routes));
     }
 
+    /// Returns the measurements with a demand that follows the instances: they stand where callers
+    /// are.
+    fn assumed(&self, config: &Config, fleet: &Fleet, seen: &Measurements) -> Measurements {
+        let now = self.options.clock.now();
+        let others = fleet
+            .members
+            .values()
+            .filter(|member| member.is_heard(now))
+            .filter_map(|member| config.region_of(&member.domain));
+        let mut instances: BTreeMap<RegionId, f64> = BTreeMap::new();
+        for region in others.chain([&self.options.region]) {
+            *instances.entry(region.clone()).or_default() += 1.0;
+        }
+        let count: f64 = instances.values().sum();
+        let capacity: f64 = seen.capacity.values().sum();
+        let demand = instances
+            .into_iter()
+            .map(|(region, own)| (region, own / count * capacity * ASSUMED_FILL))
+            .collect();
+        let link = seen
+            .capacity
+            .keys()
+            .map(|region| (region.clone(), capacity));
+        Measurements {
+            demand,
+            link: link.collect(),
+            ..seen.clone()
+        }
+    }
+
     /// Joins the measurements of all instances; `None` where a listed one is silent.
     fn measurements(
         &self,
@@ -137,11 +193,21 @@
                 continue;
             };
             let is_usable = matches!(state, TargetState::Cold | TargetState::Ready);
-            let rate = f64::from(*slots) / load.latency.as_secs_f64().max(1e-4);
+            let time = if self.options.policy.is_some() {
+                load.service_time
+            } else {
+                load.latency
+            };
+            let rate = f64::from(*slots) / time.as_secs_f64().max(1e-4);
             *seen.capacity.entry(region.clone()).or_default() += if is_usable { rate } else { 0.0 };
         }
         let answer_bytes = load.answer_bytes.unwrap_or(FIRST_ANSWER_BYTES).max(1.0);
-        let link = f64::from(config.links.region_mbit_per_s) * 1e6 / 8.0 / answer_bytes;
+        let mbit_per_s = match config.links.region_mbit_per_s {
+            // Not known: no bound is planned for.
+            0 => f64::from(u32::MAX),
+            known => f64::from(known),
+        };
+        let link = mbit_per_s * 1e6 / 8.0 / answer_bytes;
         for region in seen.demand.keys() {
             seen.link.insert(region.clone(), link);
         }
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -307,6 +307,7 @@
             drained = ?composed.config.drains.targets_of,
         );
         self.version = composed.version;
+        log_rates(self.composed.as_deref(), &composed.config);
         let config = Arc::new(composed.config);
         self.composed = Some(config.clone());
         let _ = self.options.engine.send(Event::Config(config));
@@ -387,6 +388,19 @@
     }
 }
 
+/// Tells which workspaces' rates have changed.
+fn log_rates(old: Option<&Config>, new: &Config) {
+    for (workspace, now) in &new.workspaces {
+        let before = old.and_then(|old| old.workspaces.get(workspace));
+        let is_same = before.is_some_and(|old| old.rate == now.rate && old.burst == now.burst);
+        if !is_same {
+            let (rate, burst) = (now.rate, now.burst);
+            let before = before.map_or(0.0, |old| old.rate);
+            tracing::info!(event = "rate", %workspace, rate, burst, before);
+        }
+    }
+}
+
 fn row_change(change: Change) -> RowChange {
     RowChange {
         row: change.row,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -60,6 +60,8 @@
 pub struct Dispatcher {
     home: RegionId,
     round_trip: Duration,
+    /// Measured time to each region and back.
+    ways: BTreeMap<RegionId, Duration>,
     rng: Pcg32,
     policy: Policy,
     chart: Chart<TargetState, TargetEvent>,
@@ -89,6 +91,7 @@
         Ok(Self {
             home,
             round_trip: Duration::ZERO,
+            ways: BTreeMap::new(),
             rng: Pcg32::seed_from_u64(seed),
             chart: target_chart()?,
             pools: BTreeMap::new(),
@@ -111,6 +114,13 @@
             };
             let region_of = |domain: &base::DomainId| config.region_of(domain).cloned();
             pool.configure(now, service, &rules, region_of);
+            pool.most_urgent = config
+                .routes
+                .iter()
+                .filter(|route| route.services.iter().any(|part| part.service == *id))
+                .map(|route| route.priority)
+                .min()
+                .unwrap_or(0);
             pool.size_limits(&self.home);
         }
         for (id, pool) in &mut self.pools {
@@ -210,7 +220,7 @@
             let placing = Placing {
                 work: &entry.work,
                 home: &self.home,
-                round_trip: self.round_trip,
+                ways: &self.ways,
                 tried: &tried,
             };
             let (idx, reason) = pool.place(now, &mut self.rng, placing)?;
@@ -282,6 +292,20 @@
         }
     }
 
+    /// Takes in how long it took to open a connection to a target.
+    pub fn told_way(&mut self, service: &ServiceId, target: &TargetId, took: Duration) {
+        let pool = self.pools.get(service);
+        let Some(region) = pool
+            .and_then(|pool| pool.targets.get(*pool.index.get(target)?))
+            .map(|target| target.region.clone())
+        else {
+            return;
+        };
+        let way = self.ways.entry(region).or_insert(took);
+        // A single slow connection says little; a fast one shows what is possible.
+        *way = took.min(*way + (took.saturating_sub(*way)) / 16);
+    }
+
     /// Sets the number of instances that share what the targets bear.
     pub fn set_sharers(&mut self, sharers: u32) {
         self.policy.sharers = sharers.max(1);
@@ -339,6 +363,7 @@
                 PoolLoad {
                     service: service.clone(),
                     latency: pool.latency.mean(),
+                    service_time: pool.service_time(),
                     targets,
                 }
             })
@@ -510,11 +535,17 @@
         let placing = Placing {
             work: &entry.work,
             home: &self.home,
-            round_trip: self.round_trip,
+            ways: &self.ways,
             tried: &entry.reached,
         };
         let (idx, reason) = pool.place(now, &mut self.rng, placing)?;
         let give_up = entry.give_up;
+        if let Some(pool) = self.pools.get_mut(&entry.work.service) {
+            match reason {
+                Choice::OtherRegion => pool.spill.spend(),
+                _ => pool.spill.earn(),
+            }
+        }
         self.queued.remove(&(give_up, id));
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.is_queued = false;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -1,6 +1,6 @@
 //! Placement by object: the same target for the same object, on all instances alike.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{RegionId, Time};
 use rand::{Rng, RngExt};
@@ -9,6 +9,15 @@
 
 /// Share of the requests on a target that may fail before others are preferred.
 const MOST_ERRORS: f64 = 0.3;
+/// Part of a target's slots that only the most urgent requests may take.
+const URGENT_PART: f64 = 0.2;
+/// Part of the time left until the objective that less urgent requests may wait in a target's queue.
+const PATIENT_PART: f64 = 0.3;
+/// Part of the requests that may leave their planned region because it has no room.
+const SPILL_PART: f64 = 0.05;
+const MOST_SPILLS: f64 = 3.0;
+/// Part of a target's slots up to which it takes what has no room in its planned region.
+const SPILL_FILL: f64 = 0.6;
 
 /// Describes the request that is placed.
 #[derive(Debug, Clone, Copy)]
@@ -17,14 +26,41 @@
     pub(crate) work: &'a Work,
     /// Region of the instance.
     pub(crate) home: &'a RegionId,
-    /// Time that a request takes to another region and back.
-    pub(crate) round_trip: Duration,
+    /// Time that a request takes to each region and back.
+    pub(crate) ways: &'a BTreeMap<RegionId, Duration>,
     /// Targets that have had it already.
     pub(crate) tried: &'a [usize],
 }
 
+/// Bounds the requests that leave their planned region because it has no room.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Spill {
+    level: f64,
+}
+
+impl Spill {
+    /// Records a request that found room where it was planned.
+    pub(crate) fn earn(&mut self) {
+        self.level = (self.level + SPILL_PART).min(MOST_SPILLS);
+    }
+
+    fn is_allowed(&self) -> bool {
+        self.level >= 1.0
+    }
+
+    /// Records a request that has left its planned region.
+    pub(crate) fn spend(&mut self) {
+        self.level -= 1.0;
+    }
+}
+
 impl Pool {
     /// Chooses a target, or none where no allowed one has room in time.
+    ///
+    /// An object's requests go to the region that the plan gives it, and there to the same target
+    /// on all instances, which is warm for it. Elsewhere it is cold, and cold requests would take
+    /// the slots of several warm ones: so only few leave their region for lack of room. A region
+    /// without any open target is left at once.
     pub(crate) fn place<R>(
         &self,
         now: Time,
@@ -34,35 +70,81 @@
     where
         R: Rng,
     {
-        let affinity = placing.work.affinity;
-        let point = affinity.unwrap_or_else(|| rng.random());
-        let planned = self.region_at(point, placing.home);
-        let in_planned = self.place_in(now, point, &planned, placing);
-        if in_planned.is_some() {
-            return in_planned;
+        let point = placing.work.affinity.unwrap_or_else(|| rng.random());
+        let planned = self.region_at(point, placing);
+        if let Some(planned) = planned {
+            let found = self.place_in(now, point, planned, placing);
+            if found.is_some() {
+                return found;
+            }
+        }
+        let is_closed = planned.is_none_or(|region| !self.has_open(region, placing));
+        if !is_closed && !self.spill.is_allowed() {
+            return None;
         }
-        self.regions
+        let others = self
+            .regions
             .keys()
-            .filter(|region| **region != planned)
-            .find_map(|region| self.place_in(now, point, region, placing))
-            .map(|(idx, _)| (idx, Choice::OtherRegion))
+            .filter(|region| Some(*region) != planned);
+        others
+            .filter(|region| self.reaches_in_time(now, region, placing))
+            .filter_map(|region| {
+                let (idx, _) = self.place_in(now, point, region, placing)?;
+                let target = &self.targets[idx];
+                let fill = target.expected_load(now) / f64::from(target.slots());
+                (is_closed || fill < SPILL_FILL).then_some((fill, idx))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, idx)| (idx, Choice::OtherRegion))
     }
 
     /// Returns the region that the plan gives a point of the requests: all instances of a region
-    /// send the same objects elsewhere.
-    fn region_at(&self, point: u64, home: &RegionId) -> RegionId {
-        let total: f64 = self.route.shares.values().sum();
+    /// send the same objects elsewhere. `None` where nothing there may take the request.
+    fn region_at<'a>(&'a self, point: u64, placing: Placing<'a>) -> Option<&'a RegionId> {
+        let work = placing.work;
+        let allowed = |region: &&RegionId| work.may_run_in(region);
+        let total: f64 = self
+            .route
+            .shares
+            .iter()
+            .filter(|(region, _)| allowed(region))
+            .map(|(_, share)| share)
+            .sum();
         if total <= 0.0 {
-            return home.clone();
+            return Some(placing.home).filter(allowed);
         }
-        let mut left = (mix(point, home.as_str()) as f64 / u64::MAX as f64) * total;
-        for (region, share) in &self.route.shares {
+        let mut left = (mix(point, placing.home.as_str()) as f64 / u64::MAX as f64) * total;
+        let shares = self
+            .route
+            .shares
+            .iter()
+            .filter(|(region, _)| allowed(region));
+        // What stays at home comes first, so that a change of the shares moves few objects.
+        let (home, away): (Vec<_>, Vec<_>) =
+            shares.partition(|(region, _)| *region == placing.home);
+        for (region, share) in home.into_iter().chain(away) {
             left -= share;
-            if left < 0.0 {
-                return region.clone();
+            if left <= 0.0 {
+                return Some(region);
             }
         }
-        home.clone()
+        Some(placing.home).filter(allowed)
+    }
+
+    fn has_open(&self, region: &RegionId, placing: Placing<'_>) -> bool {
+        self.regions.get(region).is_some_and(|pool| {
+            let mut members = pool.members.iter();
+            members.any(|idx| {
+                !placing.tried.contains(idx)
+                    && self.targets[*idx].state() != TargetState::Down
+                    && self.targets[*idx].state() != TargetState::Leaving
+            })
+        })
+    }
+
+    fn reaches_in_time(&self, now: Time, region: &RegionId, placing: Placing<'_>) -> bool {
+        let way = placing.ways.get(region).copied().unwrap_or_default();
+        now + way + self.service_time() < placing.work.deadline
     }
 
     fn place_in(
@@ -73,15 +155,8 @@
         placing: Placing<'_>,
     ) -> Option<(usize, Choice)> {
         let pool = self.regions.get(region)?;
-        if !placing.work.may_run_in(region) {
-            return None;
-        }
-        let way = if region == placing.home {
-            Duration::ZERO
-        } else {
-            placing.round_trip
-        };
-        if region != placing.home && now + way + self.latency.mean() > placing.work.deadline {
+        let work = placing.work;
+        if !work.may_run_in(region) {
             return None;
         }
         let mut order: Vec<(u64, usize)> = pool
@@ -91,9 +166,12 @@
             .map(|idx| (mix(point, self.targets[*idx].id.as_str()), *idx))
             .collect();
         order.sort_unstable();
+        let is_urgent = work.priority <= self.most_urgent;
+        let kept = if is_urgent { 0.0 } else { URGENT_PART };
         let has_slot = |idx: usize| {
             let target = &self.targets[idx];
-            target.expected_load(now) < f64::from(target.slots()) && target.errors() < MOST_ERRORS
+            let room = f64::from(target.slots()) * (1.0 - kept);
+            target.expected_load(now) < room && target.errors() < MOST_ERRORS
         };
         if let Some(rank) = order.iter().position(|(_, idx)| has_slot(*idx)) {
             let choice = if rank == 0 {
@@ -103,11 +181,17 @@
             };
             return Some((order[rank].1, choice));
         }
-        let left = placing.work.objective - (now + way);
+        let way = placing.ways.get(region).copied().unwrap_or_default();
+        let left = (work.objective - (now + way)).saturating_sub(self.service_time());
+        let most = if is_urgent {
+            left
+        } else {
+            left.mul_f64(PATIENT_PART)
+        };
         order
             .iter()
             .map(|(_, idx)| (self.queue_time(now, *idx), *idx))
-            .filter(|(wait, _)| *wait + self.latency.mean() <= left)
+            .filter(|(wait, _)| *wait <= most)
             .min()
             .map(|(_, idx)| (idx, Choice::ShortQueue))
     }
@@ -120,7 +204,7 @@
         }
         let slots = f64::from(target.slots());
         let ahead = (target.expected_load(now) + 1.0 - slots).max(0.0);
-        self.latency.mean().mul_f64(ahead / slots)
+        self.service_time().mul_f64(ahead / slots)
     }
 }
 
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, TargetEvent,
-    TargetState, target::FIRST_LATENCY, throughput::Throughput,
+    TargetState, place::Spill, target::FIRST_LATENCY, throughput::Throughput,
 };
 
 /// Shares of a service's traffic by region, as the plan sets them for this instance's region.
@@ -25,6 +25,11 @@
     pub(crate) regions: BTreeMap<RegionId, RegionPool>,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) latency: LatencyEstimate,
+    /// Latency on targets that had a free slot.
+    service: Option<LatencyEstimate>,
+    /// Rank of the most urgent requests that come here.
+    pub(crate) most_urgent: u32,
+    pub(crate) spill: Spill,
     pub(crate) throughput: Throughput,
     pub(crate) route: Route,
 }
@@ -63,6 +68,9 @@
             regions: BTreeMap::new(),
             queue: FairQueue::default(),
             latency: LatencyEstimate::new(FIRST_LATENCY),
+            service: None,
+            most_urgent: 0,
+            spill: Spill::default(),
             throughput: Throughput::default(),
             route: Route::default(),
         }
@@ -272,6 +280,11 @@
         self.latency.record(latency);
         self.throughput.answered(now, !self.queue.is_empty());
         let target = &mut self.targets[idx];
+        if target.expected_load(now) <= f64::from(target.slots()) {
+            self.service
+                .get_or_insert_with(|| LatencyEstimate::new(latency))
+                .record(latency);
+        }
         target.answered(latency);
         target.judged(false);
         if let Some(pool) = self.regions.get_mut(&target.region) {
@@ -289,6 +302,13 @@
         }
     }
 
+    /// Returns the mean time that a request takes where a slot is free.
+    pub(crate) fn service_time(&self) -> Duration {
+        self.service
+            .as_ref()
+            .map_or(Duration::ZERO, LatencyEstimate::mean)
+    }
+
     /// Returns the time that a request sent now takes as a rule; with less left it is hopeless.
     pub(crate) fn usual_time(&self) -> Duration {
         self.latency.mean() + self.latency.mean() / 2
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -87,7 +87,7 @@
 }
 
 /// Time after which a told load says nothing any more.
-const REPORT_LIFE: Duration = Duration::from_secs(1);
+const REPORT_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that can't be reached is left alone at first.
 const FIRST_DOWN: Duration = Duration::from_millis(500);
 const LONGEST_DOWN: Duration = Duration::from_secs(4);
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -166,6 +166,8 @@
     pub service: ServiceId,
     /// Mean time that a request takes on a target.
     pub latency: Duration,
+    /// The same for targets that had a free slot.
+    pub service_time: Duration,
     /// Each target's state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -33,6 +33,8 @@
     head::{self, Head},
     message::{Arrival, Event, LedgerCall},
     metrics::Metrics,
+    recorder::{Recorder, Unfinished},
+    story::Story,
     trace::{Span, Trace},
     view::{Clock, View},
 };
@@ -59,6 +61,8 @@
     pub limits: CallerLimits,
     /// Names that heads carry.
     pub dialect: Arc<Dialect>,
+    /// Where lines about requests go.
+    pub recorder: Recorder,
 }
 
 /// Holds the limits on callers' requests.
@@ -159,9 +163,15 @@
         let started = self.clock.now();
         let trace = Trace::accept(req.headers(), self.limits.trace_share);
         let mut span = trace.span("request", self.clock);
+        let story = Story::new(started);
+        // Written also where the caller leaves and this future is dropped.
+        let mut unfinished = Unfinished::new(self, req, story.clone());
         let head = head::read(&self.dialect, req.method(), req.uri(), req.headers());
         let (service, result) = match head {
-            Ok(head) => (head.service.clone(), self.carry_out(req, head, &span).await),
+            Ok(head) => (
+                head.service.clone(),
+                self.carry_out(req, head, &span, story).await,
+            ),
             Err(kind) => (ServiceId::from(""), Err(Refusal::new(kind))),
         };
         let end = match &result {
@@ -170,6 +180,7 @@
         };
         span.note(&end);
         self.count(&service, &end, started);
+        unfinished.end(&end, &result);
         match result {
             Ok(whole) => write(res, whole),
             Err(refusal) => answer::refuse(&self.dialect, res, &refusal),
@@ -209,13 +220,14 @@
         req: &mut Request,
         head: Head,
         span: &Span,
+        story: Story,
     ) -> Result<Whole, Refusal> {
         let body = req.take_body();
         let has_body = !matches!(body, ReqBody::None) && !body.is_end_stream();
         let is_claimed = head.kind == WorkKind::Once && head.action.is_some();
         let mut template = self.template(req, &head);
         let admission = span.child("admission");
-        let mut caller = self.arrive(&head, &template, has_body || is_claimed);
+        let mut caller = self.arrive(&head, &template, has_body || is_claimed, story);
         if !(has_body || is_claimed) {
             drop(admission);
             return drive(self, caller, template, span).await;
@@ -238,7 +250,7 @@
             .await
     }
 
-    fn arrive(&self, head: &Head, template: &Template, is_held: bool) -> Caller {
+    fn arrive(&self, head: &Head, template: &Template, is_held: bool, story: Story) -> Caller {
         let id = RequestId(self.ids.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = mpsc::unbounded_channel();
         let arrival = Arrival {
@@ -256,7 +268,7 @@
             tx,
         };
         let _ = self.events.send(Event::Arrive(arrival));
-        Caller::new(id, rx, self.events.clone())
+        Caller::new(id, rx, self.events.clone(), story)
     }
 
     fn template(&self, req: &Request, head: &Head) -> Template {
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -12,6 +12,7 @@
     forward::{self, AttemptEnd, Template, Whole},
     head,
     message::{Admitted, Decision, Event, Go, Told},
+    story::Story,
     trace::Span,
 };
 
@@ -22,6 +23,8 @@
     rx: mpsc::UnboundedReceiver<Decision>,
     events: mpsc::UnboundedSender<Event>,
     is_ended: bool,
+    /// Where the story of the request is kept.
+    pub(crate) story: Story,
 }
 
 impl Caller {
@@ -30,8 +33,10 @@
         id: RequestId,
         rx: mpsc::UnboundedReceiver<Decision>,
         events: mpsc::UnboundedSender<Event>,
+        story: Story,
     ) -> Self {
         Self {
+            story,
             id,
             rx,
             events,
@@ -40,6 +45,15 @@
     }
 
     async fn next(&mut self) -> Result<Decision, Refusal> {
+        loop {
+            match self.next_told().await? {
+                Decision::Accepted(about) => self.story.accepted(about),
+                decision => return Ok(decision),
+            }
+        }
+    }
+
+    async fn next_told(&mut self) -> Result<Decision, Refusal> {
         match self.rx.recv().await {
             Some(Decision::Refuse(refusal)) => {
                 self.is_ended = true;
@@ -56,7 +70,9 @@
     pub(crate) async fn admission(&mut self) -> Result<Admitted, Refusal> {
         match self.next().await? {
             Decision::Admitted(admitted) => Ok(admitted),
-            Decision::Go(_) | Decision::Refuse(_) => Err(Refusal::new(ErrorKind::Internal)),
+            Decision::Go(_) | Decision::Refuse(_) | Decision::Accepted(_) => {
+                Err(Refusal::new(ErrorKind::Internal))
+            }
         }
     }
 
@@ -146,6 +162,7 @@
             decision = caller.next() => {
                 drop(queue.take());
                 if let Decision::Go(go) = decision? {
+                    caller.story.begin(shared.clock.now(), &go.assignment);
                     let is_first = go.assignment.attempt == 1;
                     hedge_at = is_first.then(|| shared.clock.now() + go.assignment.hedge_after);
                     let attempt = start(shared, caller.id, *go, template.clone(), span);
@@ -154,6 +171,9 @@
             }
             Some(end) = attempts.join_next() => {
                 // Reported here, so that the engine can't end the request before its answer is seen.
+                if let Ok((guard, end)) = &end {
+                    caller.story.end(shared.clock.now(), guard.attempt, end);
+                }
                 if let Ok((guard, end)) = end
                     && let Some(whole) = guard.report(end)
                 {
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -23,8 +23,8 @@
 use crate::{
     forward::Connection,
     message::{
-        Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk, ServiceLoad,
-        Told,
+        About, Admitted, Arrival, Decision, EngineStatus, Event, Go, Outgoing, OwnerToAsk,
+        ServiceLoad, Told,
     },
     view::Clock,
 };
@@ -63,6 +63,8 @@
     clock: Clock,
     refuses_alone: bool,
     config: Option<Arc<Config>>,
+    revision: u64,
+    is_closed: bool,
     routes: RouteTable,
     /// What each service of a split route is owed, by the route's name.
     splits: BTreeMap<String, Vec<f64>>,
@@ -99,6 +101,7 @@
     fingerprint: u64,
     is_held: bool,
     is_open: bool,
+    route: Arc<str>,
     objective: Time,
     priority: u32,
     attempts: u32,
@@ -121,6 +124,8 @@
             clock,
             refuses_alone: options.refuses_alone,
             config: None,
+            revision: 0,
+            is_closed: false,
             routes: RouteTable::default(),
             splits: BTreeMap::new(),
             standing: Standing::Empty,
@@ -193,6 +198,7 @@
                 self.dispatcher.cancel(id);
                 self.callers.remove(&id);
             }
+            Event::Close => self.is_closed = true,
             Event::Config(config) => self.configure(now, config),
             Event::Standing { standing, until } => {
                 self.standing = standing;
@@ -242,6 +248,14 @@
         match self.accept(now, arrival) {
             Ok((caller, is_open)) => {
                 let (workspace, deadline) = (caller.workspace.clone(), caller.deadline);
+                let about = About {
+                    route: caller.route.clone(),
+                    service: caller.service.clone(),
+                    workspace: workspace.clone(),
+                    deadline,
+                    revision: self.revision,
+                };
+                let _ = tx.send(Decision::Accepted(about));
                 self.callers.insert(id, caller);
                 if is_open {
                     self.admitted(now, id);
@@ -251,13 +265,22 @@
                 }
             }
             Err(kind) => {
-                let _ = tx.send(Decision::Refuse(Refusal::new(kind)));
+                let wait = match kind {
+                    // Another instance can be asked at once.
+                    ErrorKind::Leaving => Duration::from_millis(10),
+                    _ => Duration::from_secs(1),
+                };
+                let refusal = Refusal::new(kind).retry_after(wait);
+                let _ = tx.send(Decision::Refuse(refusal));
             }
         }
     }
 
     /// Finds out whose request it is; the flag tells whether its route is open to all.
     fn accept(&mut self, now: Time, arrival: Arrival) -> Result<(Caller, bool), ErrorKind> {
+        if self.is_closed {
+            return Err(ErrorKind::Leaving);
+        }
         if !self.routes.is_empty() {
             return self.accept_routed(now, arrival);
         }
@@ -288,6 +311,7 @@
             fingerprint: arrival.fingerprint,
             is_held: arrival.is_held,
             is_open,
+            route: Arc::from(""),
             objective: now + timeout,
             priority: 0,
             attempts: u32::MAX,
@@ -327,6 +351,7 @@
             fingerprint: arrival.fingerprint,
             is_held: arrival.is_held,
             is_open: route.is_open,
+            route: Arc::from(route.name.as_str()),
             objective: now + Duration::from_millis(u64::from(route.objective_ms)).min(timeout),
             priority: owner.map_or(0, |found| found.priority) * PRIORITY_SPAN + route.priority,
             attempts: route.attempts.max(1),
@@ -435,6 +460,7 @@
     }
 
     fn configure(&mut self, now: Time, config: Arc<Config>) {
+        self.revision += 1;
         self.keys = Keys::new(&config);
         self.routes = RouteTable::new(&config);
         self.splits
@@ -461,9 +487,15 @@
             return;
         };
         let target = self.dispatcher.target_of(id, attempt).cloned();
-        if let (Some(target), Some(load)) = (target, told.load) {
+        let Some(target) = target else {
+            return;
+        };
+        if let Some(load) = told.load {
             self.dispatcher.told_load(now, &service, &target, load);
         }
+        if let Some(took) = told.connect {
+            self.dispatcher.told_way(&service, &target, took);
+        }
     }
 
     fn target_leaves(&mut self, now: Time, target: &TargetId) {
@@ -622,6 +654,7 @@
                     requests_per_s: count.map_or(0.0, |count| count.requests as f64 / secs),
                     answer_bytes: answered.map(|count| count.bytes as f64 / count.answers as f64),
                     latency: pool.latency,
+                    service_time: pool.service_time,
                     targets: pool.targets,
                 };
                 (pool.service, load)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -152,9 +152,12 @@
         idle_life: IDLE_LIFE,
         proven_life: PROVEN_LIFE,
     };
-    send(clock, started, connection, template, req)
+    let connected = is_new.then(|| clock.now() - started);
+    let mut end = send(clock, started, connection, template, req)
         .await
-        .on_new(is_new)
+        .on_new(is_new);
+    end.told.connect = connected;
+    end
 }
 
 async fn send(
@@ -224,6 +227,7 @@
     Told {
         load,
         is_failure: res.status().is_server_error(),
+        connect: None,
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod head;
 pub mod message;
 pub mod metrics;
+pub mod recorder;
 pub mod serve;
+mod story;
 pub mod trace;
 pub mod view;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -43,6 +43,8 @@
     Hedge(RequestId),
     /// The caller has left.
     Cancel(RequestId),
+    /// The instance is about to stop: new requests are refused.
+    Close,
     /// A configuration is in force.
     Config(Arc<Config>),
     /// How the instance stands towards the latest configuration.
@@ -90,6 +92,8 @@
     pub load: Option<u32>,
     /// Whether the target itself had failed.
     pub is_failure: bool,
+    /// How long it took to open the connection, where a new one was opened.
+    pub connect: Option<Duration>,
 }
 
 /// Describes a request as it comes in.
@@ -124,6 +128,8 @@
 /// Tells a handler what to do next.
 #[derive(Debug)]
 pub enum Decision {
+    /// The request may be served: these are its route and workspace.
+    Accepted(About),
     /// The request is admitted and held back.
     Admitted(Admitted),
     /// Send an attempt.
@@ -132,6 +138,21 @@
     Refuse(Refusal),
 }
 
+/// Tells what was found out about a request.
+#[derive(Debug, Clone)]
+pub struct About {
+    /// Name of its route, empty where paths name the services.
+    pub route: Arc<str>,
+    /// Service that was chosen.
+    pub service: ServiceId,
+    /// Workspace whose key came with it.
+    pub workspace: WorkspaceId,
+    /// Time after which its caller no longer waits.
+    pub deadline: Time,
+    /// Number of the configuration that decided, counted by this process.
+    pub revision: u64,
+}
+
 /// Describes an admitted request.
 #[derive(Debug, Clone)]
 pub struct Admitted {
@@ -232,6 +253,8 @@
     pub answer_bytes: Option<f64>,
     /// Mean time that a request takes on a target.
     pub latency: Duration,
+    /// The same for targets that had a free slot.
+    pub service_time: Duration,
     /// Each target's state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- /dev/null
+++ b/crates/record/src/sink.rs
@@ -0,0 +1,160 @@
+//! The bounded way from tasks to the thread that writes.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    time::Duration,
+};
+
+use serde::Serialize;
+use tokio::{sync::mpsc, time::sleep};
+
+/// Lines that wait for the next batch at most.
+const MOST_LINES: usize = 4_096;
+/// Batches that wait for the writing thread at most.
+const MOST_BATCHES: usize = 4;
+/// Time over which lines are collected into a batch.
+const BATCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Takes lines; a clone feeds the same writer.
+#[derive(Debug, Clone)]
+pub struct Sink {
+    tx: mpsc::Sender<Vec<u8>>,
+    counts: Arc<SinkCounts>,
+}
+
+/// Counts what became of lines.
+#[derive(Debug, Default)]
+pub struct SinkCounts {
+    /// Lines taken.
+    pub taken: AtomicU64,
+    /// Lines lost because the reader or the writer was too slow.
+    pub dropped: AtomicU64,
+}
+
+impl Sink {
+    /// Starts a task and a thread that write lines to `output`.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] where the thread can't be started.
+    pub fn start<W>(output: W) -> io::Result<Self>
+    where
+        W: Write + Send + 'static,
+    {
+        let (tx, rx) = mpsc::channel(MOST_LINES);
+        let (batches, to_write) = sync_channel(MOST_BATCHES);
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_all(output, &to_write))?;
+        let counts = Arc::new(SinkCounts::default());
+        tokio::spawn(collect(rx, batches, counts.clone()));
+        Ok(Self { tx, counts })
+    }
+
+    /// Takes one value as a JSON line.
+    pub fn line<T>(&self, value: &T)
+    where
+        T: Serialize,
+    {
+        if let Ok(mut line) = serde_json::to_vec(value) {
+            line.push(b'\n');
+            self.bytes(line);
+        }
+    }
+
+    /// Takes whole lines, with their ends.
+    pub fn bytes(&self, lines: Vec<u8>) {
+        self.counts.taken.fetch_add(1, Ordering::Relaxed);
+        if self.tx.try_send(lines).is_err() {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the counts.
+    pub fn counts(&self) -> &SinkCounts {
+        &self.counts
+    }
+
+    /// Returns a writer whose every write is one line, for formatters.
+    pub fn writer(&self) -> SinkWriter {
+        SinkWriter(self.clone())
+    }
+
+    /// Waits until what was taken before has been handed to the writing thread.
+    pub async fn flush(&self) {
+        sleep(BATCH_INTERVAL * 2).await;
+    }
+}
+
+/// Takes each write as one line.
+#[derive(Debug)]
+pub struct SinkWriter(Sink);
+
+impl Write for SinkWriter {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.bytes(buf.to_vec());
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct Dropped {
+    event: &'static str,
+    lines: u64,
+}
+
+/// Joins lines into batches; a batch for which the thread has no room is counted as dropped.
+async fn collect(
+    mut rx: mpsc::Receiver<Vec<u8>>,
+    batches: SyncSender<Vec<u8>>,
+    counts: Arc<SinkCounts>,
+) {
+    let mut told = 0;
+    while let Some(first) = rx.recv().await {
+        sleep(BATCH_INTERVAL).await;
+        let mut batch = first;
+        let mut lines = 1;
+        while let Ok(line) = rx.try_recv() {
+            batch.extend_from_slice(&line);
+            lines += 1;
+        }
+        let dropped = counts.dropped.load(Ordering::Relaxed);
+        if dropped > told {
+            let line = Dropped {
+                event: "lines_dropped",
+                lines: dropped - told,
+            };
+            batch.extend(serde_json::to_vec(&line).unwrap_or_default());
+            batch.push(b'\n');
+        }
+        if batches.try_send(batch).is_ok() {
+            told = dropped;
+        } else {
+            counts.dropped.fetch_add(lines, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_all<W>(mut output: W, batches: &Receiver<Vec<u8>>)
+where
+    W: Write,
+{
+    while let Ok(batch) = batches.recv() {
+        if output
+            .write_all(&batch)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -23,15 +23,21 @@
 pub struct PlanPolicy {
     /// Share of a region's capacity that is planned for while the whole has room.
     pub headroom: f64,
-    /// Largest share of a region's traffic that may move in one minute.
-    pub shift_cap_per_min: f64,
+    /// Largest share of a region's traffic that may move in one window.
+    pub shift_cap: f64,
+    /// Length of that window, in seconds.
+    pub window_s: f64,
+    /// Loss of a region's capacity, as a share of it, that is answered at once.
+    pub sudden_loss: f64,
 }
 
 impl Default for PlanPolicy {
     fn default() -> Self {
         Self {
             headroom: 0.85,
-            shift_cap_per_min: 0.1,
+            shift_cap: 0.1,
+            window_s: 60.0,
+            sudden_loss: 0.1,
         }
     }
 }
@@ -164,19 +170,18 @@
 
 /// Moves shares towards new ones as far as the shift cap allows.
 ///
-/// It remembers what has moved within the last minute, by the seconds since any fixed point, so
+/// It remembers what has moved within the last window, by the seconds since any fixed point, so
 /// that many small steps keep to the cap, too.
 #[derive(Debug, Clone, Default)]
 pub struct Ramp {
     moves: Vec<(f64, f64)>,
 }
 
-const WINDOW_S: f64 = 60.0;
-
 impl Ramp {
     /// Returns the shares to apply at `now_s` on the way from `old` to `new`.
-    pub fn step(&mut self, now_s: f64, old: &Shares, new: &Shares, cap: f64) -> Shares {
-        self.moves.retain(|(at, _)| now_s - at < WINDOW_S);
+    pub fn step(&mut self, now_s: f64, old: &Shares, new: &Shares, policy: PlanPolicy) -> Shares {
+        let cap = policy.shift_cap;
+        self.moves.retain(|(at, _)| now_s - at < policy.window_s);
         let spent: f64 = self.moves.iter().map(|(_, moved)| moved).sum();
         let wanted = moved_share(old, new);
         let allowed = (cap - spent).max(0.0);
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -32,9 +32,6 @@
     capacity: Shares,
 }
 
-/// Loss of a region's capacity, as a share of it, that is answered at once.
-const SUDDEN_LOSS: f64 = 0.1;
-
 impl Steering {
     /// Returns a steering that serves everything at home.
     pub fn new(home: RegionId, policy: PlanPolicy) -> Self {
@@ -64,12 +61,18 @@
         self.shares = if is_sudden {
             target.clone()
         } else {
-            let cap = self.policy.shift_cap_per_min;
-            self.ramp.step(now_s, &self.shares, target, cap)
+            self.ramp.step(now_s, &self.shares, target, self.policy)
         };
         &self.shares
     }
 
+    /// Applies the shares for these measurements at once, where no request has been seen yet.
+    pub fn begin(&mut self, seen: &Measurements) {
+        if let Some(target) = target_shares(seen, self.policy).remove(&self.home) {
+            self.shares = target;
+        }
+    }
+
     /// Returns the shares that were applied last.
     pub fn shares(&self) -> &Shares {
         &self.shares
@@ -78,7 +81,7 @@
     fn has_lost_capacity(&self, seen: &Measurements) -> bool {
         self.capacity.iter().any(|(region, old)| {
             let new = seen.capacity.get(region).copied().unwrap_or(0.0);
-            new < old * (1.0 - SUDDEN_LOSS)
+            new < old * (1.0 - self.policy.sudden_loss)
         })
     }
 }
--- a/crates/steer/tests/plan.rs
+++ b/crates/steer/tests/plan.rs
@@ -101,7 +101,8 @@
         for (idx, target) in targets.iter().enumerate() {
             let now_s = idx as f64 * step_s;
             let new = Shares::from([(region(0), 1.0 - target), (region(1), *target)]);
-            let next = ramp.step(now_s, &shares, &new, cap);
+            let policy = PlanPolicy { shift_cap: cap, ..PlanPolicy::default() };
+            let next = ramp.step(now_s, &shares, &new, policy);
             moves.push((now_s, moved_share(&shares, &next)));
             shares = next;
             let in_minute: f64 = moves
