perf(dispatch): weigh a cold run against a queue; refuse sooner; start with the kept floors

Cause: request lines show second choices run cold (p75 236 ms against 72 ms) while the first choice's queue was short; refusals came after an eighth of the objective; after a restart of all every floor waited for loans that nobody had. Change: cost of a target = its queue + twice the cold run; patience 6 % of the objective; the first floor of each slot is never lent and begins at once; polls of the store further apart.

--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -98,7 +98,8 @@
             floor.until = until;
             return;
         }
-        let from = if is_first {
+        // What is never lent has nothing outstanding.
+        let from = if is_first || self.split.is_kept(number, self.quota) {
             now
         } else {
             now + self.split.lender_pause()
@@ -136,16 +137,18 @@
         };
         let pause = self.split.lender_pause();
         let kept = self.kept_floors(now);
+        let (split, quota) = (self.split, self.quota);
         self.floors
             .iter_mut()
             .skip(kept)
+            .filter(|(number, _)| !split.is_kept(**number, quota))
             .filter_map(|(number, floor)| floor.lend(now, *number, &owner, pause))
             .collect()
     }
 
     /// Returns the number of floors that this holder's own demand needs, the first ones.
     fn kept_floors(&mut self, now: Time) -> usize {
-        if !self.split.is_thrifty {
+        if !self.split.is_thrifty || self.quota.burst < 1.0 {
             return 0;
         }
         let needed = self.demand.per_second(now) * DEMAND_MARGIN / self.quota.rate.max(1e-9);
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -117,6 +117,13 @@
         slot * parts..(slot + 1) * parts
     }
 
+    /// Returns whether a floor of this quota is never lent: the first one of each slot, where holders
+    /// are thrifty and a unit fits in it.
+    pub(crate) fn is_kept(&self, number: u32, floor: Quota) -> bool {
+        let is_first = number.is_multiple_of(self.parts.max(1));
+        self.is_thrifty && is_first && floor.burst >= 1.0
+    }
+
     /// Returns the whole with the tolerance added.
     fn tolerated(&self, whole: Quota) -> Quota {
         Quota {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -66,9 +66,11 @@
 /// Part of a rate's tolerance that is used; the rest covers the way to the targets.
 const RATE_USE: f64 = 0.7;
 /// Floors of each slot, so that an instance can lend some and keep others.
-const SLOT_PARTS: u32 = 3;
+const SLOT_PARTS: u32 = 2;
 /// Time for which a floor is lent: short, since its lender misses it for so long.
-const LOAN_LIFE: Duration = Duration::from_millis(1_600);
+const LOAN_LIFE: Duration = Duration::from_millis(1_200);
+/// Polls of the slots' table of which an instance that holds a slot makes one, where calls cost.
+const SETTLED_POLLS: u32 = 6;
 /// Horizon of a slot's lease where only its end proves that its holder has ended.
 const HORIZON: Duration = Duration::from_secs(120);
 /// Part of the time to stop for which new requests are taken.
@@ -95,6 +97,8 @@
     pub dialect: Dialect,
     /// Where lines about requests go.
     pub sink: Option<Sink>,
+    /// Polls of the slots' table of which an instance that holds a slot makes one.
+    pub settled_polls: u32,
     /// How workspaces' rates are divided; the number of slots comes from the settings.
     pub split: Split,
 }
@@ -108,6 +112,7 @@
             plan: None,
             dialect: Dialect::default(),
             sink: None,
+            settled_polls: 1,
             split: Split {
                 floor_share: 1.0,
                 ..Split::default()
@@ -169,6 +174,7 @@
             trace_share: 0.0,
             terms,
             policy,
+            settled_polls: SETTLED_POLLS,
             plan: Some(PlanPolicy {
                 headroom: HEADROOM,
                 shift_cap: bounds.region_shift * SHIFT_USE,
@@ -375,6 +381,7 @@
         life,
         terms: options.terms,
         count: cfg.slot_count,
+        settled_polls: options.settled_polls,
         trusts_absence: cfg.takeover == Takeover::Absence,
         platform: platform.clone(),
         metrics: metrics.clone(),
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -27,9 +27,11 @@
 };
 
 /// Time for which a poll waits for a change.
-const POLL_WAIT: Duration = Duration::from_millis(1_500);
+const POLL_WAIT: Duration = Duration::from_secs(3);
 /// Time beyond the wait after which a poll counts as unanswered.
 const POLL_SLACK: Duration = Duration::from_millis(500);
+/// Time between two polls, so that changes that come together cost one poll.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Time for which the platform is given the chance to tell what another instance knows already.
@@ -458,6 +460,8 @@
         if is_failed {
             sleep(pause).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
+        } else {
+            sleep(POLL_PAUSE).await;
         }
     }
 }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -37,6 +37,8 @@
     pub terms: Terms,
     /// Number of slots.
     pub count: u32,
+    /// Polls of which an instance that holds a slot makes one.
+    pub settled_polls: u32,
     /// Whether absence from the platform's list proves that an instance has ended.
     pub trusts_absence: bool,
     /// Platform that keeps the rows.
@@ -104,6 +106,7 @@
         let mut poll = interval(POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut is_reading = false;
+        let mut skipped = 0;
         loop {
             tokio::select! {
                 done = release.recv() => match done {
@@ -115,6 +118,12 @@
                     self.take(found).await;
                 }
                 _ = poll.tick(), if !is_reading => {
+                    skipped += 1;
+                    let is_settled = self.held(self.options.clock.now()) > 0 && !self.is_writing();
+                    if is_settled && skipped < self.options.settled_polls {
+                        continue;
+                    }
+                    skipped = 0;
                     is_reading = true;
                     let options = &self.options;
                     tokio::spawn(read(options.clock, options.platform.clone(), self.tx.clone()));
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -42,6 +42,7 @@
 struct Attempt {
     number: u32,
     target: usize,
+    reason: Choice,
 }
 
 /// Assigns requests to targets.
@@ -75,7 +76,7 @@
 /// Share of a request's time that it may spend waiting for a target.
 const MOST_WAIT_SHARE: f64 = 0.5;
 /// Share of the latency objective that a request waits for a target that has room in time.
-const PATIENCE: f64 = 0.125;
+const PATIENCE: f64 = 0.06;
 /// Time that a request waits for another target after one has refused it.
 const SECOND_PATIENCE: Duration = Duration::from_millis(20);
 /// Queued requests without room that may be passed over by later ones.
@@ -184,10 +185,10 @@
         let Some(pos) = entry.attempts.iter().position(|one| one.number == attempt) else {
             return (Next::Ended, Vec::new());
         };
-        let target = entry.attempts.swap_remove(pos).target;
+        let Attempt { target, reason, .. } = entry.attempts.swap_remove(pos);
         let service = entry.work.service.clone();
         let fingerprint = entry.work.fingerprint;
-        self.settle_target(now, &service, target, outcome);
+        self.settle_target(now, &service, (target, reason), outcome);
         let (next, mut actions) = self.settle_request(now, id, target, outcome);
         if outcome == Outcome::Lost {
             actions.push(Action::ReportLoss(fingerprint));
@@ -311,6 +312,11 @@
         self.policy.sharers = sharers.max(1);
     }
 
+    /// Returns when the first queued request is given up on.
+    pub fn next_give_up(&self) -> Option<Time> {
+        self.queued.first().map(|(at, _)| *at)
+    }
+
     /// Returns whether a request waits for a target.
     pub fn has_queued(&self) -> bool {
         !self.queued.is_empty()
@@ -601,6 +607,7 @@
         entry.attempts.push(Attempt {
             number: entry.sent,
             target: idx,
+            reason,
         });
         Some(Assignment {
             id,
@@ -614,13 +621,19 @@
         })
     }
 
-    fn settle_target(&mut self, now: Time, service: &ServiceId, idx: usize, outcome: Outcome) {
+    fn settle_target(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        (idx, reason): (usize, Choice),
+        outcome: Outcome,
+    ) {
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
         match outcome {
             Outcome::Answered(latency) => {
-                pool.answered(now, idx, latency);
+                pool.answered(now, idx, reason, latency);
                 self.budget.earn();
             }
             Outcome::Refused => pool.refused(now, idx),
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -9,6 +9,8 @@
 
 /// Share of the requests on a target that may fail before others are preferred.
 const MOST_ERRORS: f64 = 0.3;
+/// Times a cold run that a target counts as slower by where all requests fail on it.
+const FAILING_COST: f64 = 4.0;
 /// Part of a target's slots that only the most urgent requests may take.
 const URGENT_PART: f64 = 0.2;
 /// Part of the time left until the objective that less urgent requests may wait in a target's queue.
@@ -166,23 +168,9 @@
             .map(|idx| (mix(point, self.targets[*idx].id.as_str()), *idx))
             .collect();
         order.sort_unstable();
-        let is_urgent = work.priority <= self.most_urgent;
-        let kept = if is_urgent { 0.0 } else { URGENT_PART };
-        let has_slot = |idx: usize| {
-            let target = &self.targets[idx];
-            let room = f64::from(target.slots()) * (1.0 - kept);
-            target.expected_load(now) < room && target.errors() < MOST_ERRORS
-        };
-        if let Some(rank) = order.iter().position(|(_, idx)| has_slot(*idx)) {
-            let choice = if rank == 0 {
-                Choice::First
-            } else {
-                Choice::Next
-            };
-            return Some((order[rank].1, choice));
-        }
         let way = placing.ways.get(region).copied().unwrap_or_default();
         let left = (work.objective - (now + way)).saturating_sub(self.service_time());
+        let is_urgent = work.route_priority <= self.most_urgent;
         let most = if is_urgent {
             left
         } else {
@@ -190,22 +178,61 @@
         };
         order
             .iter()
-            .map(|(_, idx)| (self.queue_time(now, *idx), *idx))
-            .filter(|(wait, _)| *wait <= most)
-            .min()
-            .map(|(_, idx)| (idx, Choice::ShortQueue))
+            .enumerate()
+            .map(|(rank, (_, idx))| (rank, *idx, self.queue_time(now, *idx, is_urgent)))
+            .filter(|(_, _, wait)| *wait <= most)
+            .min_by_key(|(rank, idx, wait)| *wait + self.detour(*rank, *idx))
+            .map(|(rank, idx, wait)| {
+                let choice = match rank {
+                    _ if !wait.is_zero() => Choice::ShortQueue,
+                    0 => Choice::First,
+                    _ => Choice::Next,
+                };
+                (idx, choice)
+            })
     }
 
     /// Returns how long a request would wait in the target's own queue.
-    fn queue_time(&self, now: Time, idx: usize) -> Duration {
+    ///
+    /// For less urgent ones the queue begins before the last slots.
+    fn queue_time(&self, now: Time, idx: usize, is_urgent: bool) -> Duration {
         let target = &self.targets[idx];
         if target.state() == TargetState::Down {
             return Duration::MAX / 4;
         }
         let slots = f64::from(target.slots());
-        let ahead = (target.expected_load(now) + 1.0 - slots).max(0.0);
+        let load = target.expected_load(now);
+        let room = if is_urgent {
+            slots
+        } else {
+            slots * (1.0 - URGENT_PART)
+        };
+        if load < room {
+            return Duration::ZERO;
+        }
+        let ahead = (load + 1.0 - room).max(0.0);
         self.service_time().mul_f64(ahead / slots)
     }
+
+    /// Returns what it costs to run a request on a target that is not its object's first choice.
+    ///
+    /// A cold run takes its slot from other requests, too, and so counts twice; a second choice is
+    /// often warm.
+    fn detour(&self, rank: usize, idx: usize) -> Duration {
+        let extra = self.cold_time().saturating_sub(self.service_time());
+        let cold = match rank {
+            0 => Duration::ZERO,
+            1 => extra,
+            _ => extra * 2,
+        };
+        let errors = self.targets[idx].errors();
+        let failing = if errors < MOST_ERRORS {
+            Duration::ZERO
+        } else {
+            self.cold_time().mul_f64(errors * FAILING_COST)
+        };
+        cold + failing
+    }
 }
 
 /// Mixes a number and a name into a number whose order looks random.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, RngExt};
 
 use crate::{
-    ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, TargetEvent,
+    Choice, ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, TargetEvent,
     TargetState, place::Spill, target::FIRST_LATENCY, throughput::Throughput,
 };
 
@@ -25,8 +25,10 @@
     pub(crate) regions: BTreeMap<RegionId, RegionPool>,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) latency: LatencyEstimate,
-    /// Latency on targets that had a free slot.
+    /// Latency on objects' first choices that had a free slot.
     service: Option<LatencyEstimate>,
+    /// Latency on other targets that had a free slot.
+    cold: Option<LatencyEstimate>,
     /// Rank of the most urgent requests that come here.
     pub(crate) most_urgent: u32,
     pub(crate) spill: Spill,
@@ -69,6 +71,7 @@
             queue: FairQueue::default(),
             latency: LatencyEstimate::new(FIRST_LATENCY),
             service: None,
+            cold: None,
             most_urgent: 0,
             spill: Spill::default(),
             throughput: Throughput::default(),
@@ -276,12 +279,17 @@
     }
 
     /// Records an answer.
-    pub(crate) fn answered(&mut self, now: Time, idx: usize, latency: Duration) {
+    pub(crate) fn answered(&mut self, now: Time, idx: usize, reason: Choice, latency: Duration) {
         self.latency.record(latency);
         self.throughput.answered(now, !self.queue.is_empty());
         let target = &mut self.targets[idx];
-        if target.expected_load(now) <= f64::from(target.slots()) {
-            self.service
+        let estimate = match reason {
+            Choice::First | Choice::Cheaper => Some(&mut self.service),
+            Choice::Next | Choice::OtherRegion => Some(&mut self.cold),
+            Choice::ShortQueue => None,
+        };
+        if let Some(estimate) = estimate {
+            estimate
                 .get_or_insert_with(|| LatencyEstimate::new(latency))
                 .record(latency);
         }
@@ -309,6 +317,12 @@
             .map_or(Duration::ZERO, LatencyEstimate::mean)
     }
 
+    /// Returns the mean time that a request takes on a target that is cold for its object.
+    pub(crate) fn cold_time(&self) -> Duration {
+        let cold = self.cold.as_ref().map(LatencyEstimate::mean);
+        cold.unwrap_or_default().max(self.service_time() * 2)
+    }
+
     /// Returns the time that a request sent now takes as a rule; with less left it is hopeless.
     pub(crate) fn usual_time(&self) -> Duration {
         self.latency.mean() + self.latency.mean() / 2
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -42,6 +42,8 @@
     pub objective: Time,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
+    /// Rank of its route alone.
+    pub route_priority: u32,
     /// Most targets that it may be sent to.
     pub attempts: u32,
     /// Digest of the object that it is about.
@@ -63,6 +65,7 @@
             fingerprint: id.0,
             objective: deadline,
             priority: 0,
+            route_priority: 0,
             attempts: u32::MAX,
             affinity: None,
             homes: Arc::default(),
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -162,7 +162,7 @@
                         self.handle(event);
                     }
                 }
-                () = sleep_until(ticked_at + pause) => {
+                () = sleep_until(self.next_tick(ticked_at + pause)) => {
                     ticked_at = Instant::now();
                     self.tick();
                 }
@@ -428,6 +428,7 @@
             fingerprint: fingerprint.unwrap_or(caller.fingerprint),
             objective: caller.objective,
             priority: caller.priority,
+            route_priority: caller.priority % PRIORITY_SPAN,
             attempts: caller.attempts,
             affinity: caller.affinity,
             homes: caller.homes.clone(),
@@ -509,6 +510,12 @@
         }
     }
 
+    /// Returns the earlier of `usual` and the time at which a queued request is given up on.
+    fn next_tick(&self, usual: Instant) -> Instant {
+        let give_up = self.dispatcher.next_give_up();
+        give_up.map_or(usual, |at| usual.min(self.clock.instant(at)))
+    }
+
     fn tick(&mut self) {
         let now = self.clock.now();
         let actions = self.admission.tick(now);
