--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -60,10 +60,29 @@
         .subcommand(Command::new("history").about("List the configuration's versions"))
         .subcommand(revert())
         .subcommand(explain())
+        .subcommand(why())
         .subcommand(completions())
         .subcommand(Command::new("man").about("Print the manual page"))
 }
 
+fn why() -> Command {
+    Command::new("why")
+        .about("Tell the story of one request from instances' log lines")
+        .arg(
+            Arg::new("id")
+                .required(true)
+                .value_name("ID")
+                .help("Name of the request, as its log lines have it"),
+        )
+        .arg(
+            Arg::new("files")
+                .num_args(0..)
+                .value_name("FILE")
+                .help("Files of log lines; standard input where there is none")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn init() -> Command {
     Command::new("init")
         .about("Answer the questionnaire")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod questionnaire;
 pub mod run;
 pub mod versions;
+pub mod why;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -21,7 +21,7 @@
     command::command,
     fault::CliFault,
     instance::{self, Status},
-    questionnaire, versions,
+    questionnaire, versions, why,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -57,6 +57,7 @@
         "history" => session.history().await,
         "revert" => session.revert().await,
         "explain" => session.explain().await,
+        "why" => why::run(args),
         "completions" => completions(args),
         _ => man(),
     }
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -169,7 +169,8 @@
             let clock = self.options.clock;
             tokio::select! {
                 message = rx.recv() => match message {
-                    Some(message) => self.heard(message),
+                    // What a heartbeat confirms is told with the next review.
+                    Some(message) => if !self.heard(message) { continue },
                     None => return,
                 },
                 Some((idx, read)) = reads.recv() => self.take(idx, read),
@@ -187,11 +188,12 @@
 where
     F: FnMut(&[&Replica]) -> Option<Composed>,
 {
-    fn heard(&mut self, message: FollowerMessage) {
+    /// Takes in a message and returns whether others should be told at once.
+    fn heard(&mut self, message: FollowerMessage) -> bool {
         let now = self.options.clock.now();
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
-            FollowerMessage::Beat { .. } => {}
+            FollowerMessage::Beat { .. } => return false,
             FollowerMessage::Positions {
                 from,
                 positions,
@@ -208,8 +210,10 @@
                 if knows_no_more {
                     self.relayed_at = self.relayed_at.max(confirmed_at);
                 }
+                return false;
             }
         }
+        true
     }
 
     fn take(&mut self, idx: usize, read: Read) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -79,6 +79,8 @@
 const PATIENCE: f64 = 0.06;
 /// Time that a request waits for another target after one has refused it.
 const SECOND_PATIENCE: Duration = Duration::from_millis(20);
+/// Shortest time after which a refused caller is asked to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(20);
 /// Queued requests without room that may be passed over by later ones.
 const MOST_PASSED: usize = 8;
 
@@ -813,7 +815,15 @@
         } else {
             kind
         };
-        vec![Action::Refuse(id, Refusal::new(kind))]
+        let mut refusal = Refusal::new(kind);
+        let is_crowded = matches!(kind, ErrorKind::Overloaded | ErrorKind::TargetRefused);
+        if is_crowded && self.policy.placement == Placement::ByObject {
+            let pool = self.pools.get(&entry.work.service);
+            let service_time = pool.map_or(Duration::ZERO, Pool::service_time);
+            // By then slots have become free, and the objective can still be met.
+            refusal = refusal.retry_after((service_time / 2).max(SHORTEST_RETRY));
+        }
+        vec![Action::Refuse(id, refusal)]
     }
 }
 
