--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -132,8 +132,14 @@
             .followed
             .tables
             .iter()
-            .map(|_| Table {
-                replica: Replica::new(VANISHED_GRACE),
+            .enumerate()
+            .map(|(idx, _)| Table {
+                // Operators' rows vanish for good; targets' may be written anew.
+                replica: Replica::new(if idx == 0 {
+                    Duration::ZERO
+                } else {
+                    VANISHED_GRACE
+                }),
                 confirmed_at: None,
                 ahead: None,
                 is_fetching: false,
