--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -21,7 +21,10 @@
     target::{TargetOptions, TargetServer},
 };
 
-use crate::node::{self, Node, NodeOptions};
+use crate::{
+    node::{self, Node},
+    options::NodeOptions,
+};
 
 const ENTRY_PORT: u16 = 8470;
 const OPERATOR_PORT: u16 = 8471;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod node;
 pub mod operator;
+pub mod options;
 pub mod owners;
 pub mod peers;
 pub mod planner;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,8 @@
 use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command, value_parser};
 use daemon::{
     dev, logs,
-    node::{self, Node, NodeOptions},
+    node::{self, Node},
+    options::NodeOptions,
 };
 use eyre::{Result, WrapErr, eyre};
 use settings::{Daemon, check_daemon};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,11 +8,10 @@
 };
 
 use base::{Incarnation, InstanceId};
-use coord::{Heartbeat, Roster, Split, Terms, lease_chart};
-use dispatch::{Ledger, Placement, Policy};
+use coord::{Heartbeat, Roster, Split, lease_chart};
+use dispatch::Ledger;
 use entry::{
     callers::{CallerLimits, Callers},
-    dialect::Dialect,
     engine::{Engine, EngineOptions},
     message::Event,
     metrics::Metrics,
@@ -22,9 +21,7 @@
 };
 use eyre::{Result, WrapErr};
 use platform::{Listed, ListedKind, ListedState, Platform};
-use record::Sink;
 use settings::{Alone, Daemon, Takeover};
-use steer::PlanPolicy;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, oneshot, watch},
@@ -39,6 +36,7 @@
     lister,
     message::{FollowerMessage, PeerCommand},
     operator::Operator,
+    options::NodeOptions,
     owners::{Owners, OwnersMessage, OwnersOptions},
     peers::{self, Peers},
     planner::{Planner, PlannerOptions},
@@ -55,24 +53,6 @@
 const CLAIM_LIFE: Duration = Duration::from_secs(120);
 const LONGEST_STOP: Duration = Duration::from_secs(60);
 const READY_POLL: Duration = Duration::from_millis(10);
-/// Part of what may be sent again that is used.
-const BUDGET_USE: f64 = 0.6;
-/// Part of a region's capacity up to which its callers' requests stay there.
-const HEADROOM: f64 = 0.6;
-/// Part of the allowed shift between regions that is planned.
-const SHIFT_USE: f64 = 0.5;
-/// Time over which the shift between regions is bounded, in seconds.
-const SHIFT_WINDOW_S: f64 = 2.0;
-/// Part of a rate's tolerance that is used; the rest covers the way to the targets.
-const RATE_USE: f64 = 0.7;
-/// Floors of each slot, so that an instance can lend some and keep others.
-const SLOT_PARTS: u32 = 2;
-/// Time for which a floor is lent: short, since its lender misses it for so long.
-const LOAN_LIFE: Duration = Duration::from_millis(1_200);
-/// Polls of the slots' table of which an instance that holds a slot makes one, where calls cost.
-const SETTLED_POLLS: u32 = 6;
-/// Horizon of a slot's lease where only its end proves that its holder has ended.
-const HORIZON: Duration = Duration::from_secs(120);
 /// Part of the time to stop for which new requests are taken.
 const STOP_TAKES: f64 = 0.45;
 /// Part of the time to stop for which new requests are told to go elsewhere.
@@ -82,45 +62,6 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(150);
 const CHANNEL: usize = 4_096;
 
-/// Holds what differs between a deployed instance and one for development.
-#[derive(Debug, Clone)]
-pub struct NodeOptions {
-    /// Share of the requests without a trace of their own whose spans are logged.
-    pub trace_share: f64,
-    /// Durations of the leases.
-    pub terms: Terms,
-    /// Constants of dispatch.
-    pub policy: Policy,
-    /// Constants of planning; `None` for those of the configuration.
-    pub plan: Option<PlanPolicy>,
-    /// Names that heads carry.
-    pub dialect: Dialect,
-    /// Where lines about requests go.
-    pub sink: Option<Sink>,
-    /// Polls of the slots' table of which an instance that holds a slot makes one.
-    pub settled_polls: u32,
-    /// How workspaces' rates are divided; the number of slots comes from the settings.
-    pub split: Split,
-}
-
-impl Default for NodeOptions {
-    fn default() -> Self {
-        Self {
-            trace_share: 0.001,
-            terms: Terms::default(),
-            policy: Policy::default(),
-            plan: None,
-            dialect: Dialect::default(),
-            sink: None,
-            settled_polls: 1,
-            split: Split {
-                floor_share: 1.0,
-                ..Split::default()
-            },
-        }
-    }
-}
-
 /// Holds a running instance.
 #[derive(Debug)]
 pub struct Node {
@@ -143,71 +84,6 @@
     view: watch::Receiver<Arc<View>>,
 }
 
-impl NodeOptions {
-    /// Returns options that keep to the deployment's bounds.
-    pub fn bounded(cfg: &Daemon) -> Self {
-        let bounds = &cfg.bounds;
-        let sharers = f64::from(cfg.slot_count.max(1));
-        let policy = Policy {
-            placement: Placement::ByObject,
-            sharers: cfg.slot_count.max(1),
-            me: rand::random(),
-            retry_fraction: bounds.retry_fraction * BUDGET_USE,
-            retry_cap: (bounds.retry_slack * BUDGET_USE / sharers).max(1.0),
-            most_refusals: 4,
-            most_losses: 3,
-            ..Policy::default()
-        };
-        let terms = Terms {
-            horizon: HORIZON,
-            renew_every: HORIZON / 8,
-            ..Terms::default()
-        };
-        let split = Split {
-            floor_share: 1.0,
-            overage: bounds.rate_overage * RATE_USE,
-            slack: bounds.rate_slack * RATE_USE,
-            parts: SLOT_PARTS,
-            is_thrifty: true,
-            loan_life: LOAN_LIFE,
-            ..Split::default()
-        };
-        Self {
-            trace_share: 0.0,
-            terms,
-            policy,
-            settled_polls: SETTLED_POLLS,
-            plan: Some(PlanPolicy {
-                headroom: HEADROOM,
-                shift_cap: bounds.region_shift * SHIFT_USE,
-                window_s: SHIFT_WINDOW_S,
-                // A loss of room is planned for at the pace of any other change; what has no open
-                // target left goes elsewhere at once.
-                sudden_loss: 1.0,
-            }),
-            split,
-            ..Self::default()
-        }
-    }
-}
-
-/// Tells of a reload what has changed and needs a restart.
-pub fn log_reload(old: &Daemon, new: &Daemon) {
-    let json = |cfg: &Daemon| serde_json::to_value(cfg).unwrap_or_default();
-    let (old, new) = (json(old), json(new));
-    let changed: Vec<&str> = new
-        .as_object()
-        .into_iter()
-        .flatten()
-        .filter(|(name, value)| {
-            let is_agreed = matches!(name.as_str(), "secret" | "slot_count");
-            !is_agreed && old.get(name.as_str()) != Some(*value)
-        })
-        .map(|(name, _)| name.as_str())
-        .collect();
-    tracing::info!(event = "reload", needs_restart = ?changed);
-}
-
 /// Tells where the configuration comes from.
 #[derive(Debug)]
 pub enum Source<F> {
@@ -494,30 +370,31 @@
 
     /// Leaves as [`Node::stop`] does, but within `longest`.
     pub async fn stop_within(self, longest: Duration) {
-        tracing::info!(event = "leaving");
         let started = Instant::now();
-        let _ = self.peers.send(PeerCommand::Leave).await;
-        let _ = self.follower.send(FollowerMessage::Leave).await;
-        let (done, released) = oneshot::channel();
-        if self.owners.send(OwnersMessage::Release(done)).await.is_ok() {
-            let _ = timeout(RELEASE_TIMEOUT, released).await;
-        }
+        let _ = timeout(RELEASE_TIMEOUT, self.begin_leaving()).await;
         sleep_until(started + longest.mul_f64(STOP_TAKES)).await;
         let _ = self.engine.send(Event::Close);
         sleep_until(started + longest.mul_f64(STOP_LISTENS)).await;
         let ends = started + longest.mul_f64(STOP_ENDS);
         let stopped = self.callers.stop(ends - Instant::now());
         let _ = timeout_at(ends, stopped).await;
-        let (done, released) = oneshot::channel();
-        if self.slots.send(done).await.is_ok() {
-            let _ = timeout(RELEASE_TIMEOUT, released).await;
-        }
+        let _ = timeout(RELEASE_TIMEOUT, release_slots(&self.slots)).await;
         tracing::info!(event = "left");
     }
 
     /// Leaves without cutting a request: look-ups stop naming the instance, cached answers run
     /// out, requests under way end, and leases are given up.
     pub async fn stop(self) {
+        self.begin_leaving().await;
+        sleep(self.lookup_ttl).await;
+        self.callers.stop(LONGEST_STOP).await;
+        release_slots(&self.slots).await;
+        self.operators.stop(Duration::from_secs(1)).await;
+        tracing::info!(event = "left");
+    }
+
+    /// Tells all tasks, and through them the other instances, and stops granting.
+    async fn begin_leaving(&self) {
         tracing::info!(event = "leaving");
         let _ = self.peers.send(PeerCommand::Leave).await;
         let _ = self.follower.send(FollowerMessage::Leave).await;
@@ -525,14 +402,6 @@
         if self.owners.send(OwnersMessage::Release(done)).await.is_ok() {
             let _ = released.await;
         }
-        sleep(self.lookup_ttl).await;
-        self.callers.stop(LONGEST_STOP).await;
-        let (done, released) = oneshot::channel();
-        if self.slots.send(done).await.is_ok() {
-            let _ = released.await;
-        }
-        self.operators.stop(Duration::from_secs(1)).await;
-        tracing::info!(event = "left");
     }
 }
 
@@ -571,3 +440,11 @@
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
+
+/// Gives the slots of the workspaces' floors back.
+async fn release_slots(slots: &mpsc::Sender<oneshot::Sender<()>>) {
+    let (done, released) = oneshot::channel();
+    if slots.send(done).await.is_ok() {
+        let _ = released.await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,133 @@
+//! What differs between deployments, as tasks take it.
+
+use std::time::Duration;
+
+use coord::{Split, Terms};
+use dispatch::{Placement, Policy};
+use entry::dialect::Dialect;
+use record::Sink;
+use settings::Daemon;
+use steer::PlanPolicy;
+
+/// Floors of each slot, so that an instance can lend some and keep others.
+const SLOT_PARTS: u32 = 2;
+/// Time for which a floor is lent: short, since its lender misses it for so long.
+const LOAN_LIFE: Duration = Duration::from_millis(1_200);
+/// Polls of the slots' table of which an instance that holds a slot makes one, where calls cost.
+const SETTLED_POLLS: u32 = 6;
+/// Horizon of a slot's lease where only its end proves that its holder has ended.
+const HORIZON: Duration = Duration::from_secs(120);
+/// Part of a region's capacity up to which its callers' requests stay there.
+const HEADROOM: f64 = 0.6;
+/// Part of the allowed shift between regions that is planned.
+const SHIFT_USE: f64 = 0.5;
+/// Time over which the shift between regions is bounded, in seconds.
+const SHIFT_WINDOW_S: f64 = 2.0;
+/// Part of what may be sent again that is used.
+const BUDGET_USE: f64 = 0.6;
+/// Part of a rate's tolerance that is used; the rest covers the way to the targets.
+const RATE_USE: f64 = 0.7;
+
+/// Holds what differs between a deployed instance and one for development.
+#[derive(Debug, Clone)]
+pub struct NodeOptions {
+    /// Share of the requests without a trace of their own whose spans are logged.
+    pub trace_share: f64,
+    /// Durations of the leases.
+    pub terms: Terms,
+    /// Constants of dispatch.
+    pub policy: Policy,
+    /// Constants of planning; `None` for those of the configuration.
+    pub plan: Option<PlanPolicy>,
+    /// Names that heads carry.
+    pub dialect: Dialect,
+    /// Where lines about requests go.
+    pub sink: Option<Sink>,
+    /// Polls of the slots' table of which an instance that holds a slot makes one.
+    pub settled_polls: u32,
+    /// How workspaces' rates are divided; the number of slots comes from the settings.
+    pub split: Split,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            trace_share: 0.001,
+            terms: Terms::default(),
+            policy: Policy::default(),
+            plan: None,
+            dialect: Dialect::default(),
+            sink: None,
+            settled_polls: 1,
+            split: Split {
+                floor_share: 1.0,
+                ..Split::default()
+            },
+        }
+    }
+}
+
+impl NodeOptions {
+    /// Returns options that keep to the deployment's bounds.
+    pub fn bounded(cfg: &Daemon) -> Self {
+        let bounds = &cfg.bounds;
+        let sharers = f64::from(cfg.slot_count.max(1));
+        let policy = Policy {
+            placement: Placement::ByObject,
+            sharers: cfg.slot_count.max(1),
+            me: rand::random(),
+            retry_fraction: bounds.retry_fraction * BUDGET_USE,
+            retry_cap: (bounds.retry_slack * BUDGET_USE / sharers).max(1.0),
+            most_refusals: 4,
+            most_losses: 3,
+            ..Policy::default()
+        };
+        let terms = Terms {
+            horizon: HORIZON,
+            renew_every: HORIZON / 8,
+            ..Terms::default()
+        };
+        let split = Split {
+            floor_share: 1.0,
+            overage: bounds.rate_overage * RATE_USE,
+            slack: bounds.rate_slack * RATE_USE,
+            parts: SLOT_PARTS,
+            is_thrifty: true,
+            loan_life: LOAN_LIFE,
+            ..Split::default()
+        };
+        Self {
+            trace_share: 0.0,
+            terms,
+            policy,
+            settled_polls: SETTLED_POLLS,
+            plan: Some(PlanPolicy {
+                headroom: HEADROOM,
+                shift_cap: bounds.region_shift * SHIFT_USE,
+                window_s: SHIFT_WINDOW_S,
+                // A loss of room is planned for at the pace of any other change; what has no open
+                // target left goes elsewhere at once.
+                sudden_loss: 1.0,
+            }),
+            split,
+            ..Self::default()
+        }
+    }
+}
+
+/// Tells of a reload what has changed and needs a restart.
+pub fn log_reload(old: &Daemon, new: &Daemon) {
+    let json = |cfg: &Daemon| serde_json::to_value(cfg).unwrap_or_default();
+    let (old, new) = (json(old), json(new));
+    let changed: Vec<&str> = new
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(name, value)| {
+            let is_agreed = matches!(name.as_str(), "secret" | "slot_count");
+            !is_agreed && old.get(name.as_str()) != Some(*value)
+        })
+        .map(|(name, _)| name.as_str())
+        .collect();
+    tracing::info!(event = "reload", needs_restart = ?changed);
+}
