fix(steer): plan around requests that are bound to one region

Ruled out: closed regions (all targets of the planned region were open). Change: bound demand is told with heartbeats and takes its region's room first; the new test of the plan does not compile without it.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use base::{DomainId, Incarnation, InstanceId, ServiceId, Time, WorkspaceId};
+use base::{DomainId, Incarnation, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::rank;
 
 /// Shows all known instances but this one.
@@ -41,6 +41,8 @@
     pub beat: u64,
     /// Requests per second of each service that callers send to it.
     pub demand: Vec<(ServiceId, f64)>,
+    /// The same that may run in one region alone.
+    pub bound: Vec<(ServiceId, RegionId, f64)>,
 }
 
 impl FleetMember {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{InstanceId, ServiceId, Time, WorkspaceId};
+use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{Ask, Grant, Head, Heartbeat, ListEntry, Loan};
 use serde::{Deserialize, Serialize};
 
@@ -52,8 +52,11 @@
     pub owns: Vec<(WorkspaceId, u64)>,
     /// Number of floor slots that it holds.
     pub slots: u32,
-    /// Requests per second of each service that callers sent to it.
+    /// Requests per second of each service that callers sent to it and that may run in several
+    /// regions.
     pub demand: Vec<(ServiceId, f64)>,
+    /// The same that may run in one region alone.
+    pub bound: Vec<(ServiceId, RegionId, f64)>,
     /// Positions up to which it knows the followed tables, in their order.
     pub positions: Vec<u64>,
 }
@@ -83,8 +86,9 @@
     Owns(Vec<(WorkspaceId, u64)>),
     /// The number of floor slots that this instance holds.
     Slots(u32),
-    /// Requests per second of each service that callers send to this instance.
-    Demand(Vec<(ServiceId, f64)>),
+    /// Requests per second of each service that callers send to this instance: those that may run in
+    /// several regions, and those that may run in one alone.
+    Demand(Vec<(ServiceId, f64)>, Vec<(ServiceId, RegionId, f64)>),
     /// This instance is leaving.
     Leave,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -144,7 +144,10 @@
                 self.beat().await;
             }
             PeerCommand::Slots(slots) => self.own.slots = slots,
-            PeerCommand::Demand(demand) => self.own.demand = demand,
+            PeerCommand::Demand(demand, bound) => {
+                self.own.demand = demand;
+                self.own.bound = bound;
+            }
             PeerCommand::Leave => {
                 self.own.heartbeat.is_leaving = true;
                 self.beat().await;
@@ -325,6 +328,7 @@
                     slots: beat.map(|beat| beat.slots),
                     beat: beat.map_or(0, |beat| beat.number),
                     demand: beat.map_or_else(Vec::new, |beat| beat.demand.clone()),
+                    bound: beat.map_or_else(Vec::new, |beat| beat.bound.clone()),
                 };
                 (id.clone(), shown)
             })
@@ -355,6 +359,7 @@
         owns: Vec::new(),
         slots: 0,
         demand: Vec::new(),
+        bound: Vec::new(),
         positions: Vec::new(),
     }
 }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -89,7 +89,14 @@
             .iter()
             .map(|(service, load)| (service.clone(), load.requests_per_s))
             .collect();
-        let command = PeerCommand::Demand(demand);
+        let bound = loads
+            .iter()
+            .flat_map(|(service, load)| {
+                let bound = load.bound_per_s.iter();
+                bound.map(|(region, rate)| (service.clone(), region.clone(), *rate))
+            })
+            .collect();
+        let command = PeerCommand::Demand(demand, bound);
         let _ = self.options.peers.send(command).await;
         let Some((_, config)) = self.options.view.borrow().config.clone() else {
             return;
@@ -173,6 +180,9 @@
         let mut seen = Measurements::default();
         let own = seen.demand.entry(self.options.region.clone()).or_default();
         *own += load.requests_per_s;
+        for (region, rate) in &load.bound_per_s {
+            *seen.bound.entry(region.clone()).or_default() += rate;
+        }
         for member in fleet.members.values().filter(|member| !member.is_gone) {
             if !member.is_heard(now) {
                 if member.is_listed && self.has_live_region(config, member, load) {
@@ -183,6 +193,9 @@
             let Some(region) = config.region_of(&member.domain) else {
                 continue;
             };
+            for (_, region, rate) in member.bound.iter().filter(|(name, ..)| name == service) {
+                *seen.bound.entry(region.clone()).or_default() += rate;
+            }
             let demand = member.demand.iter().find(|(name, _)| name == service);
             *seen.demand.entry(region.clone()).or_default() +=
                 demand.map_or(0.0, |(_, rate)| *rate);
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -20,6 +20,7 @@
         slots: Some(0),
         beat: 1,
         demand: Vec::new(),
+        bound: Vec::new(),
     }
 }
 
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -86,6 +86,8 @@
 #[derive(Debug, Default)]
 struct Count {
     requests: u64,
+    /// Requests that may run in one region alone.
+    bound: BTreeMap<RegionId, u64>,
     answers: u64,
     bytes: u64,
 }
@@ -433,10 +435,12 @@
             affinity: caller.affinity,
             homes: caller.homes.clone(),
         };
-        self.counts
-            .entry(work.service.clone())
-            .or_default()
-            .requests += 1;
+        let count = self.counts.entry(work.service.clone()).or_default();
+        let mut homes = work.homes.iter();
+        match (homes.next(), homes.next()) {
+            (Some(only), None) => *count.bound.entry(only.clone()).or_default() += 1,
+            _ => count.requests += 1,
+        }
         let actions = self.dispatcher.submit(now, work);
         self.apply(now, actions);
     }
@@ -657,7 +661,11 @@
             .map(|pool| {
                 let count = counts.get(&pool.service);
                 let answered = count.filter(|count| count.answers > 0);
+                let bound = count.into_iter().flat_map(|count| &count.bound);
                 let load = ServiceLoad {
+                    bound_per_s: bound
+                        .map(|(region, requests)| (region.clone(), *requests as f64 / secs))
+                        .collect(),
                     requests_per_s: count.map_or(0.0, |count| count.requests as f64 / secs),
                     answer_bytes: answered.map(|count| count.bytes as f64 / count.answers as f64),
                     latency: pool.latency,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, ErrorKind, InstanceId, Refusal, ServiceId, TargetId, Time, WorkspaceId};
+use base::{
+    Config, ErrorKind, InstanceId, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId,
+};
 use coord::{Ask, Borrower, Grant, Loan, Standing};
 use dispatch::{
     ActionEvent, ActionKey, Assignment, Claim, Outcome, Report, RequestId, Route, SavedAnswer,
@@ -247,8 +249,10 @@
 /// Shows the load of one service on this instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceLoad {
-    /// Requests per second that were dispatched.
+    /// Requests per second that were dispatched and may run in several regions.
     pub requests_per_s: f64,
+    /// Requests per second that may run in one region alone.
+    pub bound_per_s: Vec<(RegionId, f64)>,
     /// Mean bytes of an answer; `None` before the first.
     pub answer_bytes: Option<f64>,
     /// Mean time that a request takes on a target.
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -224,6 +224,7 @@
             .collect(),
         slots: 1,
         demand: Vec::new(),
+        bound: Vec::new(),
         positions: Vec::new(),
     }
 }
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -16,6 +16,20 @@
     pub capacity: BTreeMap<RegionId, f64>,
     /// Requests per second that the link out of each region can carry.
     pub link: BTreeMap<RegionId, f64>,
+    /// Requests per second that may run in this region alone, from callers of all regions; they are
+    /// no part of the demand.
+    pub bound: BTreeMap<RegionId, f64>,
+}
+
+impl Measurements {
+    /// Returns the capacity that is left beside what may run in one region alone.
+    fn free_capacity(&self) -> BTreeMap<RegionId, f64> {
+        let left = |(region, capacity): (&RegionId, &f64)| {
+            let bound = self.bound.get(region).copied().unwrap_or(0.0);
+            (region.clone(), (capacity - bound).max(0.0))
+        };
+        self.capacity.iter().map(left).collect()
+    }
 }
 
 /// Holds the constants of planning.
@@ -75,7 +89,7 @@
 pub fn target_shares(seen: &Measurements, policy: PlanPolicy) -> BTreeMap<RegionId, Shares> {
     let filled = planned_fill(seen, policy);
     let mut room: Shares = seen
-        .capacity
+        .free_capacity()
         .iter()
         .map(|(region, capacity)| (region.clone(), capacity * filled))
         .collect();
@@ -108,7 +122,7 @@
 /// the whole demand needs it, at most all.
 pub fn planned_fill(seen: &Measurements, policy: PlanPolicy) -> f64 {
     let demand: f64 = seen.demand.values().sum();
-    let capacity: f64 = seen.capacity.values().sum();
+    let capacity: f64 = seen.free_capacity().values().sum();
     if capacity <= 0.0 {
         return policy.headroom;
     }
--- a/crates/steer/tests/plan.rs
+++ b/crates/steer/tests/plan.rs
@@ -24,6 +24,7 @@
         demand: map(demand),
         capacity: map(capacity),
         link: map(&vec![1e9; demand.len()]),
+        ..Measurements::default()
     }
 }
 
@@ -131,3 +132,26 @@
         }
     }
 }
+
+/// What may run in one region alone takes its room there: others' requests go elsewhere.
+#[test]
+fn plan_makes_room_for_what_is_bound_to_a_region() {
+    let regions = ["a", "b"];
+    let mut seen = Measurements::default();
+    for region in regions {
+        seen.demand.insert(region.into(), 50.0);
+        seen.capacity.insert(region.into(), 100.0);
+        seen.link.insert(region.into(), 1_000.0);
+    }
+    let policy = PlanPolicy {
+        headroom: 0.6,
+        ..PlanPolicy::default()
+    };
+    let free = target_shares(&seen, policy);
+    assert_eq!(free["a"].len(), 1);
+    seen.bound.insert("a".into(), 80.0);
+    let shares = target_shares(&seen, policy);
+    let at_home = shares["a"].get("a").copied().unwrap_or(0.0);
+    assert!(at_home * 50.0 <= 20.0, "{shares:?}");
+    assert!(shares["a"]["b"] >= 0.6, "{shares:?}");
+}
