--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Tells that the sender lives and what it knows.
-    Beat(Beat),
+    Beat(Box<Beat>),
     /// Asks the owner of a workspace for units.
     Ask(WorkspaceId, Ask),
     /// Answers an ask.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -167,11 +167,12 @@
         if !opened.is_proven {
             // Answering lets the sender prove its next frame.
             let beat = self.beat_for(&opened.from);
-            self.send(&opened.from, &PeerMessage::Beat(beat)).await;
+            self.send(&opened.from, &PeerMessage::Beat(Box::new(beat)))
+                .await;
             return;
         }
         match opened.message {
-            PeerMessage::Beat(beat) => self.heard(&opened.from, beat).await,
+            PeerMessage::Beat(beat) => self.heard(&opened.from, *beat).await,
             PeerMessage::Ask(workspace, ask) => {
                 let message = OwnersMessage::Ask {
                     from: opened.from,
@@ -277,7 +278,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in to {
-            let beat = PeerMessage::Beat(self.beat_for(&id));
+            let beat = PeerMessage::Beat(Box::new(self.beat_for(&id)));
             self.send(&id, &beat).await;
         }
     }
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -234,7 +234,7 @@
     let mut one = Sessions::new(secret.clone(), "instance-0001".into(), Incarnation(1));
     let mut two = Sessions::new(secret, "instance-0002".into(), Incarnation(2));
     for owned in [0usize, 1, 8] {
-        let message = PeerMessage::Beat(beat(owned));
+        let message = PeerMessage::Beat(Box::new(beat(owned)));
         let frame = one
             .seal(&"instance-0002".into(), &message)
             .expect("a frame");
