refactor: remove what nothing reads; a refused request's line tells the status that was sent

Cause: a read of the whole change found two methods and a field that nothing reads, and request lines that told the table's status where the deployment answers another (quarantined: 422 told, 503 sent). Change: they are removed; the line asks the same function as the answer does. No decision changes.

--- a/crates/base/src/route.rs
+++ b/crates/base/src/route.rs
@@ -44,11 +44,6 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns whether a route of `host` exists.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host)
-    }
-
     /// Returns whether there is no route.
     pub fn is_empty(&self) -> bool {
         self.hosts.is_empty()
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -310,11 +310,6 @@
         *way = took.min(*way + (took.saturating_sub(*way)) / 16);
     }
 
-    /// Sets the number of instances that share what the targets bear.
-    pub fn set_sharers(&mut self, sharers: u32) {
-        self.policy.sharers = sharers.max(1);
-    }
-
     /// Returns when the first queued request is given up on.
     pub fn next_give_up(&self) -> Option<Time> {
         self.queued.first().map(|(at, _)| *at)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -226,7 +226,6 @@
     });
     Told {
         load,
-        is_failure: res.status().is_server_error(),
         connect: None,
     }
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -92,8 +92,6 @@
 pub struct Told {
     /// Requests that it runs and queues.
     pub load: Option<u32>,
-    /// Whether the target itself had failed.
-    pub is_failure: bool,
     /// How long it took to open the connection, where a new one was opened.
     pub connect: Option<Duration>,
 }
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -6,7 +6,7 @@
 use record::{Sink, Volume, lines::RequestLine};
 use salvo::http::Request;
 
-use crate::{callers::Callers, forward::Whole, story::Story, view::Clock};
+use crate::{callers::Callers, dialect::Dialect, forward::Whole, story::Story, view::Clock};
 
 /// Lines about requests that are written in one second at most.
 pub const LINES_PER_S: f64 = 400.0;
@@ -55,6 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Unfinished {
     recorder: Recorder,
+    dialect: Arc<Dialect>,
     clock: Clock,
     id: String,
     story: Story,
@@ -67,6 +68,7 @@
         let id = tag.and_then(|name| req.headers().get(name)?.to_str().ok());
         Self {
             recorder: shared.recorder.clone(),
+            dialect: shared.dialect.clone(),
             clock: shared.clock,
             id: id.unwrap_or_default().to_owned(),
             story,
@@ -78,7 +80,7 @@
         self.is_written = true;
         let (status, retry) = match result {
             Ok(whole) => (whole.status.as_u16(), None),
-            Err(refusal) => (refusal.kind.answer().status, Some(refusal.retry_after)),
+            Err(refusal) => (self.dialect.status(refusal.kind), Some(refusal.retry_after)),
         };
         let retry_after_ms = retry.map(|wait| wait.as_millis() as u64);
         self.write(end, status, retry_after_ms);
