fix(dispatch): a workspace with a backlog leaves room for those without

Ruled out: the order of the queue (they are first there) and the time on the target (75 ms, as without the flood).

Conclusion: what is given up is throughput of the flooding workspace alone.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -191,6 +191,9 @@
         let Attempt { target, reason, .. } = entry.attempts.swap_remove(pos);
         let service = entry.work.service.clone();
         let fingerprint = entry.work.fingerprint;
+        if let Some(pool) = self.pools.get_mut(&service) {
+            pool.active.ended(now, &entry.work.workspace);
+        }
         self.settle_target(now, &service, (target, reason), outcome);
         let (next, mut actions) = self.settle_request(now, id, target, outcome);
         if outcome == Outcome::Lost {
@@ -235,6 +238,7 @@
         }
         let reach = Reach {
             home: &self.home,
+            spared: 0,
             is_far_worthwhile: true,
         };
         let idx = pool.choose(now, &mut self.rng, reach, avoid)?;
@@ -430,6 +434,8 @@
         let id = work.id;
         if let Some(pool) = self.pools.get_mut(&work.service) {
             pool.queue.push(&work.workspace, work.weight, id);
+            let queued = pool.queue.len_of(&work.workspace);
+            pool.active.came(now, &work.workspace, queued);
         }
         let give_up = self.give_up(now, &work);
         self.queued.insert((give_up, id));
@@ -572,6 +578,7 @@
         let first = self.entries.get(pool.queue.peek()?)?;
         let reach = Reach {
             home: &self.home,
+            spared: pool.active.room_beside(now, pool.queue.waiting()),
             is_far_worthwhile: !first.is_refused_far
                 && now - first.queued_at > self.round_trip
                 && first.work.deadline - now > self.round_trip + pool.usual_time(),
@@ -600,6 +607,7 @@
         let pool = self.pools.get_mut(&entry.work.service)?;
         let load = pool.targets[idx].expected_load(now).round() as u32;
         pool.sent(now, idx);
+        pool.active.sent(now, &entry.work.workspace);
         let target = &pool.targets[idx];
         entry.sent += 1;
         entry.attempts.push(Attempt {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here is sans-IO: calls take the event and `now`, and return typed actions.
 
+mod active;
 mod budget;
 mod dispatcher;
 mod latency;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::{
     Choice, ConcurrencyLimit, FairQueue, LatencyEstimate, Pace, RequestId, Target, TargetEvent,
     TargetState,
+    active::Active,
     place::{Spill, mix},
     target::FIRST_LATENCY,
     throughput::Throughput,
@@ -27,6 +28,7 @@
     pub(crate) index: BTreeMap<TargetId, usize>,
     pub(crate) regions: BTreeMap<RegionId, RegionPool>,
     pub(crate) queue: FairQueue<RequestId>,
+    pub(crate) active: Active,
     pub(crate) latency: LatencyEstimate,
     /// Latency on objects' first choices that had a free slot.
     service: Option<LatencyEstimate>,
@@ -65,6 +67,8 @@
     pub(crate) home: &'a RegionId,
     /// Whether the request has waited so long that another region is worth the way.
     pub(crate) is_far_worthwhile: bool,
+    /// Requests that must still have room beside it.
+    pub(crate) spared: u32,
 }
 
 impl Pool {
@@ -74,6 +78,7 @@
             index: BTreeMap::new(),
             regions: BTreeMap::new(),
             queue: FairQueue::default(),
+            active: Active::default(),
             latency: LatencyEstimate::new(FIRST_LATENCY),
             service: None,
             cold: None,
@@ -170,9 +175,9 @@
     {
         let planned = self.planned_region(rng);
         let first = planned.as_ref().unwrap_or(reach.home);
-        let mut found = self.choose_in(now, rng, first, avoid);
+        let mut found = self.choose_in(now, rng, reach, first, avoid);
         if found.is_none() && first != reach.home {
-            found = self.choose_in(now, rng, reach.home, avoid);
+            found = self.choose_in(now, rng, reach, reach.home, avoid);
         }
         if found.is_some() || !(reach.is_far_worthwhile || self.is_closed(now, first)) {
             return found;
@@ -186,7 +191,7 @@
         let start = rng.random_range(0..others.len().max(1));
         (0..others.len())
             .map(|step| others[(start + step) % others.len()])
-            .find_map(|region| self.choose_in(now, rng, region, avoid))
+            .find_map(|region| self.choose_in(now, rng, reach, region, avoid))
     }
 
     /// Returns whether no target of a region takes work.
@@ -201,6 +206,7 @@
         &self,
         now: Time,
         rng: &mut R,
+        reach: Reach<'_>,
         region: &RegionId,
         avoid: Option<usize>,
     ) -> Option<usize>
@@ -211,6 +217,9 @@
         if !pool.limit.has_room(pool.in_flight) {
             return None;
         }
+        if !pool.limit.has_room(pool.in_flight + reach.spared) {
+            return None;
+        }
         self.choose_among(now, rng, &pool.members, avoid)
     }
 
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -215,6 +215,16 @@
             .sum()
     }
 
+    /// Returns the workspaces that have queued items.
+    pub fn waiting(&self) -> impl Iterator<Item = &WorkspaceId> {
+        self.heads.values()
+    }
+
+    /// Returns the number of queued items of one workspace.
+    pub fn len_of(&self, workspace: &WorkspaceId) -> usize {
+        self.flows.get(workspace).map_or(0, |flow| flow.items.len())
+    }
+
     /// Returns the number of queued items.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/proof/tests/service.rs
+++ b/crates/proof/tests/service.rs
@@ -67,9 +67,12 @@
 }
 
 #[rstest]
-#[case::presa(presa())]
-#[case::cascade(cascade())]
-fn service_flood_p99_within_1_2x(#[case] base: Scenario) {
+#[case::presa(presa(), 1)]
+#[case::presa_again(presa(), 3)]
+#[case::cascade(cascade(), 1)]
+#[case::cascade_again(cascade(), 3)]
+fn service_flood_p99_within_1_2x(#[case] base: Scenario, #[case] seed: u64) {
+    let base = Scenario { seed, ..base };
     let calm = run(&with(base.clone(), 0.7, &[])).others_than(Some(0));
     let flood = [Incident::Flood(0, 5.0, AT, LENGTH)];
     let flooded = run(&with(base, 0.7, &flood)).others_than(Some(0));
