feat(steer,dispatch): objects span regions; a cold detour must be worth its slot

Three reasons: shares between regions chased demand that swings within seconds, and each move makes objects cold; a first choice that was full was left out of the order, so that its objects counted as another's first; detours with a free slot were taken though a cold run was late anyway, and drove out what their target was warm for (25 to 31 objects seen by each target, about twelve of its own).

Change: where routes keep objects together and the way to any region takes at most 0.3 of their objective, each object has one region for all callers, by weighted rendezvous; ranks stay while a target is full; a second choice is taken if in time or under 60 % full, later ones under 30 %; the first plan of a process is the assumed one, not 'all at home'. New line 'plan' for moved shares.

--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -103,6 +103,7 @@
             settled_polls: SETTLED_POLLS,
             plan: Some(PlanPolicy {
                 headroom: HEADROOM,
+                spans_regions: false,
                 shift_cap: bounds.region_shift * SHIFT_USE,
                 window_s: SHIFT_WINDOW_S,
                 // A loss of room is planned for at the pace of any other change; what has no open
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -12,7 +12,7 @@
     message::{Event, ServiceLoad},
     view::{Clock, View},
 };
-use steer::{Measurements, PlanPolicy, Steering};
+use steer::{Measurements, PlanPolicy, Shares, Steering, moved_share};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval},
@@ -24,6 +24,8 @@
 const LEAST_DEMAND_PER_S: f64 = 1.0;
 /// Part of the capacity that is assumed to be wanted before any request has been seen.
 const ASSUMED_FILL: f64 = 0.8;
+/// Part of the requests that must move before a line tells of it.
+const LEAST_TOLD: f64 = 0.02;
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of an answer that is assumed before any has been measured, in bytes.
 const FIRST_ANSWER_BYTES: f64 = 16_384.0;
@@ -54,6 +56,8 @@
 pub struct Planner {
     options: PlannerOptions,
     steering: BTreeMap<ServiceId, Steering>,
+    /// Shares that a line told last.
+    told: BTreeMap<ServiceId, Shares>,
     /// Services whose demand and service time have been measured.
     has_begun: BTreeSet<ServiceId>,
 }
@@ -64,6 +68,7 @@
         Self {
             options,
             steering: BTreeMap::new(),
+            told: BTreeMap::new(),
             has_begun: BTreeSet::new(),
         }
     }
@@ -109,10 +114,16 @@
                 // A silent instance's demand is not known: nothing moves.
                 continue;
             };
-            let policy = self.options.policy.unwrap_or(PlanPolicy {
-                shift_cap: config.links.shift_cap_per_min,
-                ..PlanPolicy::default()
-            });
+            let policy = match self.options.policy {
+                Some(policy) => PlanPolicy {
+                    spans_regions: load.spans_regions,
+                    ..policy
+                },
+                None => PlanPolicy {
+                    shift_cap: config.links.shift_cap_per_min,
+                    ..PlanPolicy::default()
+                },
+            };
             let home = self.options.region.clone();
             let assumed = self.assumed(&config, &fleet, &seen);
             let steering = self
@@ -122,22 +133,41 @@
             steering.set_policy(policy);
             let demand: f64 = seen.demand.values().sum();
             let is_known = !load.service_time.is_zero() && demand >= LEAST_DEMAND_PER_S;
+            if self.options.policy.is_some() && !self.has_begun.contains(service) {
+                // The first seconds' demand says little.
+                steering.begin(&assumed);
+            }
             let shares = if is_known || self.options.policy.is_none() {
                 steering.update(now.as_secs_f64(), &seen).clone()
             } else {
-                if !self.has_begun.contains(service) {
-                    steering.begin(&assumed);
-                }
                 steering.shares().clone()
             };
             if is_known {
                 self.has_begun.insert(service.clone());
             }
+            self.record(service, &shares, &seen);
             routes.insert(service.clone(), Route { shares });
         }
         let _ = self.options.engine.send(Event::Routes(routes));
     }
 
+    /// Tells of shares that differ from those told last.
+    fn record(&mut self, service: &ServiceId, shares: &Shares, seen: &Measurements) {
+        let before = self.told.get(service);
+        if before.is_some_and(|before| moved_share(before, shares) < LEAST_TOLD) {
+            return;
+        }
+        tracing::info!(
+            event = "plan",
+            %service,
+            shares = ?shares,
+            demand = ?seen.demand,
+            capacity = ?seen.capacity,
+            bound = ?seen.bound,
+        );
+        self.told.insert(service.clone(), shares.clone());
+    }
+
     /// Returns the measurements with a demand that follows the instances: they stand where callers
     /// are.
     fn assumed(&self, config: &Config, fleet: &Fleet, seen: &Measurements) -> Measurements {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -118,13 +118,17 @@
             };
             let region_of = |domain: &base::DomainId| config.region_of(domain).cloned();
             pool.configure(now, service, &rules, region_of);
-            pool.most_urgent = config
-                .routes
-                .iter()
-                .filter(|route| route.services.iter().any(|part| part.service == *id))
-                .map(|route| route.priority)
-                .min()
-                .unwrap_or(0);
+            let routes = || {
+                let leads_here =
+                    |route: &&base::Route| route.services.iter().any(|part| part.service == *id);
+                config.routes.iter().filter(leads_here)
+            };
+            let priorities = routes().map(|route| route.priority);
+            pool.most_urgent = priorities.min().unwrap_or(0);
+            pool.objective = routes()
+                .filter(|route| route.is_sticky)
+                .map(|route| Duration::from_millis(u64::from(route.objective_ms)))
+                .min();
             pool.size_limits(&self.home);
         }
         for (id, pool) in &mut self.pools {
@@ -372,6 +376,7 @@
                     service: service.clone(),
                     latency: pool.latency.mean(),
                     service_time: pool.service_time(),
+                    spans_regions: pool.spans_regions(&self.ways),
                     targets,
                 }
             })
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -20,6 +20,10 @@
 const MOST_SPILLS: f64 = 3.0;
 /// Part of a target's slots up to which it takes what has no room in its planned region.
 const SPILL_FILL: f64 = 0.6;
+/// Part of a target's slots up to which it takes objects whose second choice it is.
+const NEXT_FILL: f64 = 0.6;
+/// Part of a target's slots up to which it takes any object.
+const LATER_FILL: f64 = 0.3;
 
 /// Describes the request that is placed.
 #[derive(Debug, Clone, Copy)]
@@ -100,8 +104,9 @@
             .map(|(_, idx)| (idx, Choice::OtherRegion))
     }
 
-    /// Returns the region that the plan gives a point of the requests: all instances of a region
-    /// send the same objects elsewhere. `None` where nothing there may take the request.
+    /// Returns the region that the plan gives a point of the requests, by weighted rendezvous: all
+    /// instances with the same shares agree, and a change of the shares moves only what it must.
+    /// `None` where nothing there may take the request.
     fn region_at<'a>(&'a self, point: u64, placing: Placing<'a>) -> Option<&'a RegionId> {
         let work = placing.work;
         let allowed = |region: &&RegionId| work.may_run_in(region);
@@ -115,22 +120,16 @@
         if total <= 0.0 {
             return Some(placing.home).filter(allowed);
         }
-        let mut left = (mix(point, placing.home.as_str()) as f64 / u64::MAX as f64) * total;
-        let shares = self
-            .route
+        self.route
             .shares
             .iter()
-            .filter(|(region, _)| allowed(region));
-        // What stays at home comes first, so that a change of the shares moves few objects.
-        let (home, away): (Vec<_>, Vec<_>) =
-            shares.partition(|(region, _)| *region == placing.home);
-        for (region, share) in home.into_iter().chain(away) {
-            left -= share;
-            if left <= 0.0 {
-                return Some(region);
-            }
-        }
-        Some(placing.home).filter(allowed)
+            .filter(|(region, share)| allowed(region) && **share > 0.0)
+            .map(|(region, share)| {
+                let draw = (mix(point, region.as_str()) as f64 + 1.0) / u64::MAX as f64;
+                (-draw.ln() / share, region)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, region)| region)
     }
 
     fn has_open(&self, region: &RegionId, placing: Placing<'_>) -> bool {
@@ -164,7 +163,7 @@
         let mut order: Vec<(u64, usize)> = pool
             .members
             .iter()
-            .filter(|idx| !placing.tried.contains(idx) && self.targets[**idx].is_open(now))
+            .filter(|idx| !placing.tried.contains(idx) && self.targets[**idx].is_ranked(now))
             .map(|idx| (mix(point, self.targets[*idx].id.as_str()), *idx))
             .collect();
         order.sort_unstable();
@@ -179,8 +178,9 @@
         order
             .iter()
             .enumerate()
+            .filter(|(_, (_, idx))| self.targets[*idx].is_open(now))
             .map(|(rank, (_, idx))| (rank, *idx, self.queue_time(now, *idx, is_urgent)))
-            .filter(|(_, _, wait)| *wait <= most)
+            .filter(|(rank, idx, wait)| self.is_worthwhile(now, *rank, *idx, *wait, most))
             .min_by_key(|(rank, idx, wait)| *wait + self.detour(*rank, *idx))
             .map(|(rank, idx, wait)| {
                 let choice = match rank {
@@ -192,6 +192,28 @@
             })
     }
 
+    /// Returns whether a target may take a request that waits there for `wait`, of at most `most`.
+    ///
+    /// A run on a later choice is often cold: it takes the time of several warm ones and drives out
+    /// what the target is warm for. So it must be in time all the same, or find much room.
+    fn is_worthwhile(
+        &self,
+        now: Time,
+        rank: usize,
+        idx: usize,
+        wait: Duration,
+        most: Duration,
+    ) -> bool {
+        let target = &self.targets[idx];
+        let fill = target.expected_load(now) / f64::from(target.slots());
+        let extra = self.cold_time().saturating_sub(self.service_time());
+        match rank {
+            0 => wait <= most,
+            1 => fill < NEXT_FILL || wait + extra <= most,
+            _ => fill < LATER_FILL,
+        }
+    }
+
     /// Returns how long a request would wait in the target's own queue.
     ///
     /// For less urgent ones the queue begins before the last slots.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -36,6 +36,8 @@
     cold: Option<LatencyEstimate>,
     /// Rank of the most urgent requests that come here.
     pub(crate) most_urgent: u32,
+    /// Shortest latency objective of routes that keep objects together here; `None` without any.
+    pub(crate) objective: Option<Duration>,
     pub(crate) spill: Spill,
     pub(crate) throughput: Throughput,
     pub(crate) route: Route,
@@ -83,6 +85,7 @@
             service: None,
             cold: None,
             most_urgent: 0,
+            objective: None,
             spill: Spill::default(),
             throughput: Throughput::default(),
             route: Route::default(),
@@ -324,6 +327,18 @@
         }
     }
 
+    /// Returns whether objects may have one region for all callers, where the ways take this long.
+    pub(crate) fn spans_regions(&self, ways: &BTreeMap<RegionId, Duration>) -> bool {
+        let Some(objective) = self.objective else {
+            return false;
+        };
+        let reached = ways
+            .iter()
+            .filter(|(region, _)| self.regions.contains_key(*region));
+        let longest = reached.map(|(_, way)| *way).max().unwrap_or_default();
+        longest <= objective.mul_f64(MOST_WAY)
+    }
+
     /// Returns the mean time that a request takes where a slot is free.
     pub(crate) fn service_time(&self) -> Duration {
         self.service
@@ -382,6 +397,8 @@
     }
 }
 
+/// Part of a latency objective that the way to another region and back may take.
+const MOST_WAY: f64 = 0.3;
 /// Instances that may send to a cold target, as a multiple of the requests it bears in a second.
 const COLD_SENDERS: f64 = 1.5;
 /// Longer than any target is cold.
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Returns whether objects keep their place on it, though it may be full now.
+    pub fn is_ranked(&self, now: Time) -> bool {
+        self.state == TargetState::Ready || self.is_open(now)
+    }
+
     /// Returns the share of late requests that failed on it.
     pub fn errors(&self) -> f64 {
         self.errors
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -171,6 +171,9 @@
     pub latency: Duration,
     /// The same for targets that had a free slot.
     pub service_time: Duration,
+    /// Whether its objects may have one region for the callers of all regions: its routes keep
+    /// objects together, and the way to any region is short beside their latency objectives.
+    pub spans_regions: bool,
     /// Each target's state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/dispatch/tests/place.rs
+++ b/crates/dispatch/tests/place.rs
@@ -7,7 +7,8 @@
     Time, WeightedService,
 };
 use dispatch::{
-    Action, Assignment, Dispatcher, Outcome, Placement, Policy, RequestId, Route, Work, WorkKind,
+    Action, Assignment, Choice, Dispatcher, Outcome, Placement, Policy, RequestId, Route, Work,
+    WorkKind,
 };
 use rstest::rstest;
 
@@ -357,3 +358,60 @@
     assert!(assigned(&actions).is_empty());
     assert_eq!(refusals(&actions), [ErrorKind::TargetLost]);
 }
+
+/// Objects keep their order of targets while the first is full: none becomes another's first choice.
+#[test]
+fn place_full_first_choice_keeps_its_rank() {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let reasons: Vec<Choice> = (0..5)
+        .flat_map(|id| dispatcher.submit(now, work(now, id, 77)))
+        .filter_map(|action| match action {
+            Action::Assign(assignment) => Some(assignment.reason),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(reasons[..4], [Choice::First; 4]);
+    assert!(!reasons[4..].contains(&Choice::First), "{reasons:?}");
+}
+
+/// A run that would be cold and late takes no slot that warm runs may need.
+#[test]
+fn place_late_detours_need_room() {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    for object in 0..50 {
+        run(&mut dispatcher, now, object, object * 7_919);
+    }
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for id in 100..200 {
+        let late = Work {
+            // A warm run takes 50 ms, a cold one counts as 100 ms.
+            objective: now + Duration::from_millis(60),
+            ..work(now, id, 77)
+        };
+        for assignment in assigned(&dispatcher.submit(now, late)) {
+            *counts.entry(assignment.target.to_string()).or_default() += 1;
+        }
+    }
+    let at_home = counts
+        .iter()
+        .filter(|(target, _)| target[1..].parse::<u32>().unwrap() % 2 == 0);
+    let mut taken: Vec<u32> = at_home.map(|(_, count)| *count).collect();
+    taken.sort_unstable();
+    // All four slots of the first choice, up to 60 % of the second's, up to 30 % of the others'.
+    assert_eq!(taken, [2, 2, 2, 2, 3, 4]);
+}
+
+#[rstest]
+#[case::short(110, true)]
+#[case::long(200, false)]
+fn place_objects_span_regions_whose_way_is_short(#[case] way_ms: u64, #[case] expected: bool) {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    // Beside an objective of 500 ms.
+    dispatcher.told_way(&"s".into(), &"t1".into(), Duration::from_millis(way_ms));
+    assert_eq!(dispatcher.loads()[0].spans_regions, expected);
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -256,6 +256,7 @@
                     workspace: workspace.clone(),
                     deadline,
                     revision: self.revision,
+                    object: caller.affinity,
                 };
                 let _ = tx.send(Decision::Accepted(about));
                 self.callers.insert(id, caller);
@@ -670,6 +671,7 @@
                     answer_bytes: answered.map(|count| count.bytes as f64 / count.answers as f64),
                     latency: pool.latency,
                     service_time: pool.service_time,
+                    spans_regions: pool.spans_regions,
                     targets: pool.targets,
                 };
                 (pool.service, load)
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -151,6 +151,8 @@
     pub deadline: Time,
     /// Number of the configuration that decided, counted by this process.
     pub revision: u64,
+    /// Digest of the object that it is about, where its route keeps objects together.
+    pub object: Option<u64>,
 }
 
 /// Describes an admitted request.
@@ -257,6 +259,8 @@
     pub latency: Duration,
     /// The same for targets that had a free slot.
     pub service_time: Duration,
+    /// Whether its objects may have one region for the callers of all regions.
+    pub spans_regions: bool,
     /// Each target's state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -101,6 +101,7 @@
                 service: about.map_or("", |about| about.service.as_str()),
                 workspace: about.map_or("", |about| about.workspace.as_str()),
                 revision: about.map_or(0, |about| about.revision),
+                object: about.and_then(|about| about.object),
                 deadline_ms: about.map_or(0, |about| {
                     (about.deadline - told.started).as_millis() as u64
                 }),
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -21,6 +21,9 @@
     pub workspace: &'a str,
     /// Revision of the configuration that decided.
     pub revision: u64,
+    /// Digest of the object that it is about, where its route keeps objects together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub object: Option<u64>,
     /// Milliseconds that the caller was ready to wait.
     pub deadline_ms: u64,
     /// Attempts, in order.
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -37,6 +37,11 @@
 pub struct PlanPolicy {
     /// Share of a region's capacity that is planned for while the whole has room.
     pub headroom: f64,
+    /// Whether objects have one region for the callers of all regions.
+    ///
+    /// Then each region gets its part of the free capacity from everywhere, and nothing moves when
+    /// callers do.
+    pub spans_regions: bool,
     /// Largest share of a region's traffic that may move in one window.
     pub shift_cap: f64,
     /// Length of that window, in seconds.
@@ -49,6 +54,7 @@
     fn default() -> Self {
         Self {
             headroom: 0.85,
+            spans_regions: false,
             shift_cap: 0.1,
             window_s: 60.0,
             sudden_loss: 0.1,
@@ -70,7 +76,8 @@
 /// Demand stays at home as far as the home region has room; the rest goes to the regions with the
 /// most room, as far as the link out of its region carries it. Where all demand together leaves
 /// less room than the headroom, all regions are filled alike, none over its capacity. What fits
-/// nowhere stays at home, where it is refused.
+/// nowhere stays at home, where it is refused. Where objects span regions, all regions' callers have
+/// the same shares.
 ///
 /// # Examples
 ///
@@ -87,6 +94,9 @@
 /// assert_eq!(shares["a"]["b"], 0.5);
 /// ```
 pub fn target_shares(seen: &Measurements, policy: PlanPolicy) -> BTreeMap<RegionId, Shares> {
+    if policy.spans_regions {
+        return common_shares(seen);
+    }
     let filled = planned_fill(seen, policy);
     let mut room: Shares = seen
         .free_capacity()
@@ -118,6 +128,23 @@
         .collect()
 }
 
+/// Returns the same shares for all regions' callers: each region's part of the free capacity.
+fn common_shares(seen: &Measurements) -> BTreeMap<RegionId, Shares> {
+    let free = seen.free_capacity();
+    let total: f64 = free.values().sum();
+    if total <= 0.0 {
+        let home = |origin: &RegionId| (origin.clone(), Shares::from([(origin.clone(), 1.0)]));
+        return seen.demand.keys().map(home).collect();
+    }
+    let shares: Shares = free
+        .into_iter()
+        .filter(|(_, capacity)| *capacity > 0.0)
+        .map(|(region, capacity)| (region, capacity / total))
+        .collect();
+    let common = |origin: &RegionId| (origin.clone(), shares.clone());
+    seen.demand.keys().map(common).collect()
+}
+
 /// Returns the share of each region's capacity that is planned for: the headroom, or more where
 /// the whole demand needs it, at most all.
 pub fn planned_fill(seen: &Measurements, policy: PlanPolicy) -> f64 {
--- a/crates/steer/tests/plan.rs
+++ b/crates/steer/tests/plan.rs
@@ -155,3 +155,19 @@
     assert!(at_home * 50.0 <= 20.0, "{shares:?}");
     assert!(shares["a"]["b"] >= 0.6, "{shares:?}");
 }
+
+/// Objects that have one region for all callers stay there when callers move.
+#[test]
+fn plan_objects_that_span_regions_do_not_follow_callers() {
+    let policy = PlanPolicy {
+        spans_regions: true,
+        ..PlanPolicy::default()
+    };
+    let before = target_shares(&seen(&[50.0, 5.0, 0.0], &[100.0, 200.0, 300.0]), policy);
+    let after = target_shares(&seen(&[1.0, 90.0, 400.0], &[100.0, 200.0, 300.0]), policy);
+    assert_eq!(before, after);
+    for shares in before.values() {
+        assert!((shares[&region(0)] - 1.0 / 6.0).abs() < 1e-9, "{shares:?}");
+        assert!((shares[&region(2)] - 0.5).abs() < 1e-9, "{shares:?}");
+    }
+}
