--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -12,8 +12,10 @@
 
 use crate::fault::CliFault;
 
-/// Lines that tell what an instance came to believe, kept for each instance.
-const BELIEFS_KEPT: usize = 6;
+/// Fields that name what a belief is about; of each such thing only the last belief is kept.
+const SUBJECTS: [&str; 4] = ["workspace", "service", "table", "version"];
+/// Configurations whose coming into force is kept for each instance.
+const CONFIGS_KEPT: usize = 2;
 
 /// Prints the story of the request that `args` name.
 ///
@@ -60,7 +62,7 @@
 struct Story<'a> {
     id: &'a str,
     source: String,
-    beliefs: BTreeMap<String, Vec<String>>,
+    beliefs: BTreeMap<String, Vec<Belief>>,
     told: Vec<String>,
 }
 
@@ -95,10 +97,7 @@
             Some("request") | None => {}
             Some(event) => {
                 let beliefs = self.beliefs.entry(self.source.clone()).or_default();
-                beliefs.push(belief(event, line));
-                if beliefs.len() > BELIEFS_KEPT {
-                    beliefs.remove(0);
-                }
+                keep(beliefs, Belief::new(event, line));
             }
         }
     }
@@ -134,8 +133,11 @@
             number("status")
         ));
         self.told.push(format!("  {}", meaning(&text("end"))));
-        for belief in self.beliefs.get(&self.source).into_iter().flatten() {
-            self.told.push(format!("  before that here: {belief}"));
+        let names = [text("workspace"), text("service")];
+        let beliefs = self.beliefs.get(&self.source).into_iter().flatten();
+        for belief in beliefs.filter(|belief| belief.concerns(&names)) {
+            self.told
+                .push(format!("  before that here: {}", belief.text));
         }
     }
 }
@@ -158,13 +160,57 @@
     )
 }
 
-fn belief(event: &str, line: &Value) -> String {
-    let fields = line.as_object().into_iter().flatten();
-    let shown: Vec<String> = fields
-        .filter(|(name, _)| !matches!(name.as_str(), "event" | "level" | "timestamp"))
-        .map(|(name, value)| format!("{name} {value}"))
-        .collect();
-    format!("{event} {}", shown.join(", "))
+/// Holds what an instance came to believe.
+#[derive(Debug)]
+struct Belief {
+    event: String,
+    /// Field that names what it is about, and the name.
+    subject: Option<(&'static str, String)>,
+    text: String,
+}
+
+impl Belief {
+    fn new(event: &str, line: &Value) -> Self {
+        let fields = line.as_object().into_iter().flatten();
+        let shown: Vec<String> = fields
+            .filter(|(name, _)| !matches!(name.as_str(), "event" | "level" | "timestamp"))
+            .map(|(name, value)| format!("{name} {value}"))
+            .collect();
+        let subject = SUBJECTS.into_iter().find_map(|field| {
+            let name = line.get(field)?;
+            let name = name
+                .as_str()
+                .map_or_else(|| name.to_string(), str::to_owned);
+            Some((field, name))
+        });
+        Self {
+            event: event.to_owned(),
+            subject,
+            text: format!("{event} {}", shown.join(", ")),
+        }
+    }
+
+    /// Returns whether it may have to do with a request of this workspace and service.
+    fn concerns(&self, names: &[String; 2]) -> bool {
+        match &self.subject {
+            Some(("workspace" | "service", name)) => names.contains(name),
+            _ => true,
+        }
+    }
+}
+
+/// Adds a belief in place of an earlier one about the same thing.
+fn keep(beliefs: &mut Vec<Belief>, belief: Belief) {
+    beliefs.retain(|old| old.event != belief.event || old.subject != belief.subject);
+    let is_config = |one: &Belief| one.event == "config_in_force";
+    let configs = beliefs.iter().filter(|one| is_config(one)).count();
+    if is_config(&belief)
+        && configs >= CONFIGS_KEPT
+        && let Some(first) = beliefs.iter().position(is_config)
+    {
+        beliefs.remove(first);
+    }
+    beliefs.push(belief);
 }
 
 /// Tells what an end means and where to look next.
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -4,6 +4,7 @@
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{Ask, Grant, Head, Heartbeat, ListEntry, Loan};
+use dispatch::Loss;
 use serde::{Deserialize, Serialize};
 
 /// Goes between instances over UDP.
@@ -26,8 +27,8 @@
         /// Number of the receiver's heartbeat that the sender had heard before it lent them.
         echo: u64,
     },
-    /// A connection was lost while the request with this fingerprint was in flight.
-    Loss(u64),
+    /// A connection was lost while a request was in flight on it.
+    Loss(Loss),
     /// The sender has stopped using what was lent to this tenure of its.
     Return(WorkspaceId, u64),
 }
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -189,7 +189,7 @@
     async fn route(&mut self, outgoing: Outgoing) {
         let me = self.options.me.clone();
         match outgoing {
-            Outgoing::Loss(fingerprint) => self.tell_all(&PeerMessage::Loss(fingerprint)).await,
+            Outgoing::Loss(loss) => self.tell_all(&PeerMessage::Loss(loss)).await,
             Outgoing::Ask {
                 workspace,
                 owner,
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -205,8 +205,8 @@
                 // A lost loan ends by itself and is followed by another one.
                 let _ = self.outlets.owners.try_send(message);
             }
-            PeerMessage::Loss(fingerprint) => {
-                let _ = self.outlets.engine.send(Event::LostElsewhere(fingerprint));
+            PeerMessage::Loss(loss) => {
+                let _ = self.outlets.engine.send(Event::LostElsewhere(loss));
             }
             PeerMessage::Return(workspace, epoch) => {
                 let owner = Borrower {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,12 +7,12 @@
 
 use base::{Config, ErrorKind, Ran, Refusal, RegionId, ServiceId, TargetId, Time};
 use chart::{Chart, ChartError};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::{
-    Action, Assignment, Choice, Next, Outcome, Placement, Policy, PoolLoad, Quarantine, Report,
-    RequestId, RetryBudget, Route, TargetEvent, TargetState, Work, WorkKind,
+    Action, Assignment, Choice, Loss, Next, Outcome, Placement, Policy, PoolLoad, Quarantine,
+    Report, RequestId, RetryBudget, Route, TargetEvent, TargetState, Work, WorkKind,
     place::Placing,
     pool::{Pool, Reach, TargetRules},
     target_chart,
@@ -199,9 +199,13 @@
             pool.active.ended(now, &entry.work.workspace);
         }
         self.settle_target(now, &service, (target, reason), outcome);
-        let (next, mut actions) = self.settle_request(now, id, target, outcome);
+        let loss = Loss {
+            fingerprint,
+            place: self.place_of(&service, target),
+        };
+        let (next, mut actions) = self.settle_request(now, id, target, outcome, loss);
         if outcome == Outcome::Lost {
-            actions.push(Action::ReportLoss(fingerprint));
+            actions.push(Action::ReportLoss(loss));
         }
         actions.extend(self.assign(now, &service));
         (next, actions)
@@ -349,8 +353,8 @@
     }
 
     /// Takes in that another instance lost a connection while this request was in flight.
-    pub fn lost_elsewhere(&mut self, now: Time, fingerprint: u64) {
-        self.quarantine.record(now, fingerprint);
+    pub fn lost_elsewhere(&mut self, now: Time, loss: Loss) {
+        self.quarantine.record(now, loss);
     }
 
     /// Returns the barred requests and how long each stays so.
@@ -675,6 +679,7 @@
         id: RequestId,
         target: usize,
         outcome: Outcome,
+        loss: Loss,
     ) -> (Next, Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return (Next::Ended, Vec::new());
@@ -725,7 +730,7 @@
             Outcome::Lost => {
                 entry.losses += 1;
                 entry.reached.push(target);
-                let is_barred = self.quarantine.record(now, entry.work.fingerprint);
+                let is_barred = self.quarantine.record(now, loss);
                 let is_retried = entry.work.kind == WorkKind::Idempotent
                     && entry.losses == 1
                     && entry.reached.len() < entry.work.attempts as usize
@@ -741,6 +746,13 @@
         self.conclude(now, id, verdict)
     }
 
+    /// Returns the digest of a target's life; where lives aren't told, each loss has its own.
+    fn place_of(&mut self, service: &ServiceId, target: usize) -> u64 {
+        let pool = self.pools.get(service);
+        let told = pool.and_then(|pool| pool.targets[target].place());
+        told.unwrap_or_else(|| self.rng.random())
+    }
+
     fn conclude(&mut self, now: Time, id: RequestId, verdict: Verdict) -> (Next, Vec<Action>) {
         let Some(entry) = self.entries.get(&id) else {
             return (Next::Ended, Vec::new());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 pub use ledger::{ActionEvent, ActionKey, ActionState, Claim, Claimer, Ledger, SavedAnswer};
 pub use limit::{ConcurrencyLimit, Pace};
 pub use pool::Route;
-pub use quarantine::Quarantine;
+pub use quarantine::{Loss, Quarantine};
 pub use queue::FairQueue;
 pub use target::{Report, Target, TargetEvent, TargetState};
 pub use work::{
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -3,19 +3,32 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
+use serde::{Deserialize, Serialize};
 
-/// Counts connection losses per request and bars a request after the second one.
+/// Tells of one connection that was lost while it carried a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// Digest of what makes it the same request when its caller sends it again.
+    pub fingerprint: u64,
+    /// Digest of the target and its life: what one life of a target loses counts once, since it may
+    /// be the target's fault.
+    pub place: u64,
+}
+
+/// Counts the targets that were lost with a request and bars a request after the second one.
 ///
 /// # Examples
 ///
 /// ```
 /// use base::Time;
-/// use dispatch::Quarantine;
+/// use dispatch::{Loss, Quarantine};
 /// use std::time::Duration;
 ///
 /// let mut quarantine = Quarantine::new(2, Duration::from_secs(60));
-/// assert!(!quarantine.record(Time::ZERO, 7));
-/// assert!(quarantine.record(Time::ZERO, 7));
+/// let loss = |place| Loss { fingerprint: 7, place };
+/// assert!(!quarantine.record(Time::ZERO, loss(1)));
+/// assert!(!quarantine.record(Time::ZERO, loss(1)));
+/// assert!(quarantine.record(Time::ZERO, loss(2)));
 /// assert!(quarantine.barred_for(Time::ZERO, 7).is_some());
 /// ```
 #[derive(Debug, Clone)]
@@ -27,14 +40,15 @@
 
 #[derive(Debug, Clone)]
 struct Entry {
-    losses: u32,
+    /// Places of the losses, each once, as many as bar a request at most.
+    places: Vec<u64>,
     until: Time,
 }
 
 const MOST_ENTRIES: usize = 4096;
 
 impl Quarantine {
-    /// Returns a quarantine that bars a request after `most_losses` losses for `period`.
+    /// Returns a quarantine that bars a request after losses at `most_losses` places for `period`.
     pub fn new(most_losses: u32, period: Duration) -> Self {
         Self {
             most_losses,
@@ -43,24 +57,28 @@
         }
     }
 
-    /// Records that the request with this fingerprint lost its connection in flight.
-    ///
-    /// Returns whether the request is now barred.
-    pub fn record(&mut self, now: Time, fingerprint: u64) -> bool {
+    /// Records a loss and returns whether the request is now barred.
+    pub fn record(&mut self, now: Time, loss: Loss) -> bool {
         self.prune(now);
-        let entry = self.entries.entry(fingerprint).or_insert(Entry {
-            losses: 0,
+        let most = self.most_losses as usize;
+        let entry = self.entries.entry(loss.fingerprint).or_insert(Entry {
+            places: Vec::new(),
             until: now,
         });
-        entry.losses += 1;
+        if entry.until <= now {
+            entry.places.clear();
+        }
+        if entry.places.len() < most && !entry.places.contains(&loss.place) {
+            entry.places.push(loss.place);
+        }
         entry.until = now + self.period;
-        entry.losses >= self.most_losses
+        entry.places.len() >= most
     }
 
     /// Returns how long the request stays barred, or `None` where it is not.
     pub fn barred_for(&self, now: Time, fingerprint: u64) -> Option<Duration> {
         let entry = self.entries.get(&fingerprint)?;
-        let is_barred = entry.losses >= self.most_losses && entry.until > now;
+        let is_barred = entry.places.len() >= self.most_losses as usize && entry.until > now;
         is_barred.then(|| entry.until - now)
     }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,7 +6,7 @@
 use chart::Chart;
 use serde::Deserialize;
 
-use crate::{ConcurrencyLimit, LatencyEstimate};
+use crate::{ConcurrencyLimit, LatencyEstimate, place::mix};
 
 /// Lists the states of a target; `charts/target.json` holds the transitions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -162,6 +162,12 @@
         }
     }
 
+    /// Returns a digest of the target and its life; `None` where it doesn't tell its lives.
+    pub fn place(&self) -> Option<u64> {
+        let told = self.told?;
+        Some(mix(told.life, self.id.as_str()))
+    }
+
     /// Returns whether it told its slots and state itself.
     pub fn is_registered(&self) -> bool {
         self.told.is_some()
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Display;
 
-use crate::TargetState;
+use crate::{Loss, TargetState};
 
 /// Names a request within one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -133,7 +133,7 @@
     /// Give the request its final answer at once.
     Refuse(RequestId, Refusal),
     /// Tell the other instances that a connection was lost while this request was in flight.
-    ReportLoss(u64),
+    ReportLoss(Loss),
 }
 
 /// Lists the ends of an attempt.
--- a/crates/dispatch/tests/place.rs
+++ b/crates/dispatch/tests/place.rs
@@ -415,3 +415,30 @@
     dispatcher.told_way(&"s".into(), &"t1".into(), Duration::from_millis(way_ms));
     assert_eq!(dispatcher.loads()[0].spans_regions, expected);
 }
+
+/// What one life of a target loses may be its own fault and bars no request; a request that is lost
+/// with two lives is barred.
+#[rstest]
+#[case::same_life(1, false)]
+#[case::next_life(2, true)]
+fn place_losses_bar_a_request_by_lives(#[case] life: u64, #[case] expected: bool) {
+    let mut config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let once = |id| Work {
+        fingerprint: 7,
+        ..work(now, id, 1).kind(WorkKind::Once)
+    };
+    let actions: Vec<Action> = (0..2)
+        .flat_map(|id| dispatcher.submit(now, once(id)))
+        .collect();
+    let sent: Vec<Assignment> = assigned(&actions).into_iter().cloned().collect();
+    dispatcher.finish(now, sent[0].id, 1, Outcome::Lost);
+    let target = sent[1].target.clone();
+    let service = config.services.get_mut("s").unwrap();
+    let told = service.targets.get_mut(&target).unwrap();
+    told.registered.as_mut().unwrap().life = life;
+    dispatcher.configure(now, &config);
+    dispatcher.finish(now, sent[1].id, 1, Outcome::Lost);
+    assert_eq!(!dispatcher.barred(now).is_empty(), expected);
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -231,8 +231,8 @@
                     self.dispatcher.set_route(&service, route);
                 }
             }
-            Event::LostElsewhere(fingerprint) => {
-                self.dispatcher.lost_elsewhere(now, fingerprint);
+            Event::LostElsewhere(loss) => {
+                self.dispatcher.lost_elsewhere(now, loss);
             }
             Event::Loads(reply) => {
                 let _ = reply.send(self.loads(now));
@@ -573,8 +573,8 @@
             match action {
                 Action::Assign(assignment) => self.go(now, assignment),
                 Action::Refuse(id, refusal) => self.refuse(id, refusal),
-                Action::ReportLoss(fingerprint) => {
-                    let _ = self.outgoing.send(Outgoing::Loss(fingerprint));
+                Action::ReportLoss(loss) => {
+                    let _ = self.outgoing.send(Outgoing::Loss(loss));
                 }
             }
         }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -7,8 +7,8 @@
 };
 use coord::{Ask, Borrower, Grant, Loan, Standing};
 use dispatch::{
-    ActionEvent, ActionKey, Assignment, Claim, Outcome, Report, RequestId, Route, SavedAnswer,
-    TargetState, WorkKind,
+    ActionEvent, ActionKey, Assignment, Claim, Loss, Outcome, Report, RequestId, Route,
+    SavedAnswer, TargetState, WorkKind,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -80,7 +80,7 @@
     /// The plan's shares for this instance's region.
     Routes(BTreeMap<ServiceId, Route>),
     /// Another instance lost a connection while this request was in flight.
-    LostElsewhere(u64),
+    LostElsewhere(Loss),
     /// The planner asks for the load of each service since it last asked.
     Loads(oneshot::Sender<BTreeMap<ServiceId, ServiceLoad>>),
     /// Somebody asks how things are.
@@ -203,7 +203,7 @@
         ask: Ask,
     },
     /// A connection was lost while the request with this fingerprint was in flight.
-    Loss(u64),
+    Loss(Loss),
     /// Lends floors.
     Lend {
         /// Workspace of the floors.
--- a/crates/proof/src/service/world.rs
+++ b/crates/proof/src/service/world.rs
@@ -6,7 +6,9 @@
 };
 
 use base::{Ran, RegionId, Time};
-use dispatch::{Action, Assignment, Dispatcher, Outcome, Report, RequestId, Route, Work, WorkKind};
+use dispatch::{
+    Action, Assignment, Dispatcher, Loss, Outcome, Report, RequestId, Route, Work, WorkKind,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use steer::{Measurements, PlanPolicy, Steering};
@@ -225,7 +227,7 @@
             Event::Begin(idx) => self.begin(now, idx),
             Event::Poison(idx) => self.poison(now, idx),
             Event::CheckIdle(idx) => self.check_idle(now, idx),
-            Event::LossReported(from, fingerprint) => self.spread_loss(now, from, fingerprint),
+            Event::LossReported(from, loss) => self.spread_loss(now, from, loss),
         }
     }
 
@@ -269,9 +271,9 @@
         for action in actions {
             match action {
                 Action::Assign(assignment) => self.assigned(now, instance, &assignment),
-                Action::ReportLoss(fingerprint) => {
+                Action::ReportLoss(loss) => {
                     let at = now + self.scenario.region_delay;
-                    self.push(at, Event::LossReported(instance, fingerprint));
+                    self.push(at, Event::LossReported(instance, loss));
                 }
                 Action::Refuse(id, refusal) => {
                     let is_not_run = refusal.kind.answer().ran == Ran::No;
@@ -626,12 +628,12 @@
         }
     }
 
-    fn spread_loss(&mut self, now: Time, from: usize, fingerprint: u64) {
+    fn spread_loss(&mut self, now: Time, from: usize, loss: Loss) {
         for (idx, instance) in self.instances.iter_mut().enumerate() {
             if let Deciding::Product(dispatcher) = &mut instance.decider
                 && idx != from
             {
-                dispatcher.lost_elsewhere(now, fingerprint);
+                dispatcher.lost_elsewhere(now, loss);
             }
         }
     }
