--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -63,6 +63,8 @@
     UnknownService = "unknown_service", 404, No, false, "no such service";
     /// The request can't be read: a malformed head, key or idempotency key.
     BadRequest = "bad_request", 400, No, false, "the request is malformed";
+    /// The request's head is over the limit.
+    HeadTooLarge = "head_too_large", 431, No, false, "the request head is too large";
     /// The request's body is over the limit.
     BodyTooLarge = "body_too_large", 413, No, false, "the request body is too large";
     /// The request's body did not arrive in time.
--- a/crates/cli/src/questionnaire.rs
+++ b/crates/cli/src/questionnaire.rs
@@ -40,6 +40,8 @@
         shift_cap_per_min,
         services,
         workspaces,
+        routes: BTreeMap::new(),
+        limits: None,
     })
 }
 
@@ -112,6 +114,9 @@
                     .map(str::to_owned)
                     .collect(),
                 targets: self.targets(domains)?,
+                is_registering: false,
+                cold_ms: 0,
+                cold_per_s: 0.0,
             };
             services.insert(name, service);
         }
@@ -155,6 +160,8 @@
                 rate: self.value("  Requests per second over all instances")?,
                 burst: self.value("  Requests at once over all instances")?,
                 weight: self.value("  Weight among workspaces")?,
+                priority: 0,
+                homes: Vec::new(),
             };
             workspaces.insert(name, workspace);
         }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -15,7 +15,7 @@
 use steer::{Measurements, PlanPolicy, Shares, Steering, moved_share};
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{fleet::Fleet, message::PeerCommand};
@@ -26,6 +26,8 @@
 const ASSUMED_FILL: f64 = 0.8;
 /// Part of the requests that must move before a line tells of it.
 const LEAST_TOLD: f64 = 0.02;
+/// Time from the first configuration to the first plan.
+const FIRST_PLAN_DELAY: Duration = Duration::from_millis(20);
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of an answer that is assumed before any has been measured, in bytes.
 const FIRST_ANSWER_BYTES: f64 = 16_384.0;
@@ -77,8 +79,19 @@
     pub async fn run(mut self) {
         let mut tick = interval(PLAN_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut view = self.options.view.clone();
         loop {
-            tick.tick().await;
+            // The first plan waits for nothing but a configuration.
+            let has_config = view.borrow_and_update().config.is_some();
+            if has_config {
+                tick.tick().await;
+            } else {
+                tokio::select! {
+                    _ = tick.tick() => {}
+                    // The engine gets it at the same time, and must have taken it in.
+                    _ = view.changed() => sleep(FIRST_PLAN_DELAY).await,
+                }
+            }
             let (reply, answer) = oneshot::channel();
             if self.options.engine.send(Event::Loads(reply)).is_err() {
                 return;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -35,6 +35,7 @@
     message::{Arrival, Event, LedgerCall},
     metrics::Metrics,
     recorder::{Recorder, Unfinished},
+    serve::HEAD_LIMIT_BYTES,
     story::Story,
     trace::{Span, Trace},
     view::{Clock, View},
@@ -168,7 +169,9 @@
         // Written also where the caller leaves and this future is dropped.
         let told = story.clone();
         let mut unfinished = Unfinished::new(self, req, story.clone());
-        let head = head::read(&self.dialect, req.method(), req.uri(), req.headers());
+        let head = self
+            .check_size(req)
+            .and_then(|()| head::read(&self.dialect, req.method(), req.uri(), req.headers()));
         let (service, result) = match head {
             Ok(head) => (
                 head.service.clone(),
@@ -292,10 +295,33 @@
         }
     }
 
+    /// Returns the limits of the configuration in force, where it has some.
+    fn told_limits(&self) -> Option<base::CallerLimits> {
+        let view = self.view.borrow();
+        let (_, config) = view.config.as_ref()?;
+        config.caller_limits
+    }
+
+    /// Checks the size of a request's head.
+    fn check_size(&self, req: &Request) -> Result<(), ErrorKind> {
+        let most = self.told_limits().map(|limits| limits.head_bytes as usize);
+        let headers = req.headers().iter();
+        // Each line has a colon, a space and its end beside name and value.
+        let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+        let target = req.uri().path_and_query();
+        let first = target.map_or(0, |target| target.as_str().len());
+        if first + lines.sum::<usize>() > most.unwrap_or(HEAD_LIMIT_BYTES) {
+            return Err(ErrorKind::HeadTooLarge);
+        }
+        Ok(())
+    }
+
     async fn read_body(&self, body: ReqBody, deadline: Time) -> Result<Bytes, Refusal> {
         let left = deadline - self.clock.now();
         let longest = self.limits.body_timeout.min(left);
-        let read = Limited::new(body, self.limits.body_bytes).collect();
+        let told = self.told_limits().map(|limits| limits.body_bytes as usize);
+        let most = told.unwrap_or(self.limits.body_bytes);
+        let read = Limited::new(body, most).collect();
         match timeout(longest, read).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,8 +5,8 @@
 use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
 use tokio::{net::TcpListener, task::JoinHandle};
 
-/// Most bytes of a request's head.
-pub const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+/// Most bytes of a request's head that are ever read; configurations may set a lower limit.
+pub const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 const MOST_CONNECTIONS: usize = 8_192;
--- a/crates/survey/src/answers.rs
+++ b/crates/survey/src/answers.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, path::Path};
 
+use base::{CallerLimits, RouteKind};
 use serde::{Deserialize, Serialize};
 use settings::{Document, Finding, Findings, read};
 
@@ -25,6 +26,45 @@
     pub services: BTreeMap<String, ServiceAnswer>,
     /// Workspaces by name.
     pub workspaces: BTreeMap<String, WorkspaceAnswer>,
+    /// Routes by name, where hosts and paths choose the service; without any, the first segment of
+    /// a path names it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<String, RouteAnswer>,
+    /// What callers may send; without it the instances' own limits hold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<CallerLimits>,
+}
+
+/// Describes a route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RouteAnswer {
+    /// Host that its requests name.
+    pub host: String,
+    /// Beginning of their paths; the longest that fits is taken.
+    pub prefix: String,
+    /// Whether its requests may run more than once.
+    pub kind: RouteKind,
+    /// Services that it leads to, each with its weight.
+    pub services: BTreeMap<String, u32>,
+    /// Longest time that a request is kept waiting, in milliseconds.
+    pub timeout_ms: u32,
+    /// Time within which an answer meets the latency objective, in milliseconds.
+    pub objective_ms: u32,
+    /// Most targets that a request is sent to.
+    #[serde(default = "default_attempts")]
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u32,
+    /// Whether its requests need no key.
+    #[serde(default)]
+    pub is_open: bool,
+    /// Whether requests about the same object are kept on the same target.
+    #[serde(default)]
+    pub is_sticky: bool,
+    /// Regions in which its requests may run; empty for all.
+    #[serde(default)]
+    pub homes: Vec<String>,
 }
 
 /// Names a failure domain and its region.
@@ -50,8 +90,17 @@
     /// Path prefixes below the service that need no key.
     #[serde(default)]
     pub open_routes: Vec<String>,
-    /// Addresses of the targets in each failure domain.
+    /// Addresses of the targets in each failure domain; empty where targets register themselves.
     pub targets: BTreeMap<String, Vec<SocketAddr>>,
+    /// Whether targets register themselves.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_registering: bool,
+    /// Time for which a target is cold after its start, in milliseconds; 0 for none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
+    /// Requests per second that a cold target bears.
+    #[serde(default, skip_serializing_if = "is_none_per_s")]
+    pub cold_per_s: f64,
 }
 
 /// Describes a workspace.
@@ -64,6 +113,12 @@
     /// Share of contended targets relative to other workspaces.
     #[serde(default = "default_weight")]
     pub weight: u32,
+    /// Rank; 0 is the most urgent. It goes before the rank of a route.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub priority: u32,
+    /// Regions in which its requests may run; empty for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<String>,
 }
 
 /// Reads and checks an answers file.
@@ -99,10 +154,73 @@
         if workspace.weight == 0 {
             found.push(doc.finding(&field("weight"), "must be at least 1"));
         }
+        for home in unknown_regions(answers, &workspace.homes) {
+            found.push(doc.finding(&field("homes"), &format!("no such region: {home}")));
+        }
+    }
+    for (name, route) in &answers.routes {
+        found.extend(route_findings(doc, answers, name, route));
     }
     found
 }
 
+fn unknown_regions<'a>(answers: &Answers, homes: &'a [String]) -> Vec<&'a String> {
+    let is_known = |home: &str| answers.domains.iter().any(|domain| domain.region == home);
+    homes.iter().filter(|home| !is_known(home)).collect()
+}
+
+fn route_findings(
+    doc: &Document<'_>,
+    answers: &Answers,
+    name: &str,
+    route: &RouteAnswer,
+) -> Vec<Finding> {
+    let mut found = Vec::new();
+    let mut expect = |is_met: bool, part: &str, reason: &str| {
+        if !is_met {
+            found.push(doc.finding(&format!("routes.{name}.{part}"), reason));
+        }
+    };
+    expect(!route.host.is_empty(), "host", "must not be empty");
+    expect(
+        route.prefix.starts_with('/') && route.prefix.ends_with('/'),
+        "prefix",
+        "must begin and end with a slash",
+    );
+    let is_same_place = |(other, one): (&String, &RouteAnswer)| {
+        other.as_str() != name && one.host == route.host && one.prefix == route.prefix
+    };
+    expect(
+        !answers.routes.iter().any(is_same_place),
+        "prefix",
+        "another route has this host and prefix",
+    );
+    let mut services = route.services.keys();
+    expect(
+        !route.services.is_empty() && services.all(|one| answers.services.contains_key(one)),
+        "services",
+        "must be services of these answers, at least one",
+    );
+    expect(
+        route.services.values().all(|weight| *weight > 0),
+        "services",
+        "weights must be at least 1",
+    );
+    expect(route.timeout_ms > 0, "timeout_ms", "must be at least 1");
+    expect(
+        (1..=route.timeout_ms.max(1)).contains(&route.objective_ms),
+        "objective_ms",
+        "must be at least 1 and at most timeout_ms",
+    );
+    expect(route.attempts > 0, "attempts", "must be at least 1");
+    expect(
+        unknown_regions(answers, &route.homes).is_empty(),
+        "homes",
+        "must be regions of these answers",
+    );
+    found
+}
+
 fn service_findings(
     doc: &Document<'_>,
     answers: &Answers,
@@ -128,7 +246,13 @@
             found.push(doc.finding(&field(&format!("targets.{domain}")), "no such domain"));
         }
     }
-    if service.targets.values().all(Vec::is_empty) {
+    if (service.cold_ms > 0) != (service.cold_per_s > 0.0) {
+        found.push(doc.finding(
+            &field("cold_ms"),
+            "needs cold_per_s, and the other way round",
+        ));
+    }
+    if service.targets.values().all(Vec::is_empty) && !service.is_registering {
         found.push(doc.finding(&field("targets"), "at least one target is needed"));
     }
     found
@@ -146,6 +270,22 @@
     10_000
 }
 
+fn default_attempts() -> u32 {
+    2
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+fn is_none_per_s(value: &f64) -> bool {
+    *value <= 0.0
+}
+
 fn default_weight() -> u32 {
     1
 }
--- a/crates/survey/src/generate.rs
+++ b/crates/survey/src/generate.rs
@@ -1,10 +1,13 @@
 //! Generation of the configuration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use base::{Config, Domain, Drains, Links, Service, Target, Workspace};
+use base::{
+    ColdStart, Config, Domain, Drains, Links, RegionId, Route, Service, Target, WeightedService,
+    Workspace,
+};
 
-use crate::{Answers, ServiceAnswer};
+use crate::{Answers, RouteAnswer, ServiceAnswer};
 
 /// Returns the configuration that `answers` describe, without keys.
 ///
@@ -39,17 +42,48 @@
                     rate: workspace.rate,
                     burst: workspace.burst,
                     weight: workspace.weight,
-                    ..Workspace::default()
+                    priority: workspace.priority,
+                    homes: regions(&workspace.homes),
                 };
                 (name.as_str().into(), workspace)
             })
             .collect(),
         keys: BTreeMap::new(),
         drains: Drains::default(),
-        ..Config::default()
+        routes: answers
+            .routes
+            .iter()
+            .map(|(name, route)| generate_route(name, route))
+            .collect(),
+        caller_limits: answers.limits,
     }
 }
 
+fn generate_route(name: &str, route: &RouteAnswer) -> Route {
+    let service = |(service, weight): (&String, &u32)| WeightedService {
+        service: service.as_str().into(),
+        weight: *weight,
+    };
+    Route {
+        name: name.to_owned(),
+        host: route.host.clone(),
+        prefix: route.prefix.clone(),
+        kind: route.kind,
+        services: route.services.iter().map(service).collect(),
+        timeout_ms: route.timeout_ms,
+        objective_ms: route.objective_ms,
+        attempts: route.attempts,
+        priority: route.priority,
+        is_open: route.is_open,
+        is_sticky: route.is_sticky,
+        homes: regions(&route.homes),
+    }
+}
+
+fn regions(names: &[String]) -> BTreeSet<RegionId> {
+    names.iter().map(|name| name.as_str().into()).collect()
+}
+
 fn generate_service(name: &str, service: &ServiceAnswer) -> Service {
     let targets = service.targets.iter().flat_map(|(domain, addrs)| {
         addrs.iter().enumerate().map(move |(idx, addr)| {
@@ -67,6 +101,9 @@
         deadline_ms: service.deadline_ms,
         open_routes: service.open_routes.clone(),
         targets: targets.collect(),
-        cold: None,
+        cold: (service.cold_ms > 0).then_some(ColdStart {
+            per_s: service.cold_per_s,
+            ms: service.cold_ms,
+        }),
     }
 }
--- a/crates/survey/src/lib.rs
+++ b/crates/survey/src/lib.rs
@@ -3,5 +3,5 @@
 mod answers;
 mod generate;
 
-pub use answers::{Answers, DomainAnswer, ServiceAnswer, WorkspaceAnswer, check};
+pub use answers::{Answers, DomainAnswer, RouteAnswer, ServiceAnswer, WorkspaceAnswer, check};
 pub use generate::generate;
