fix(coord,daemon): floors of an own earlier life begin at this life's start

Nobody can have spent a slot between the end of the earlier life of its holder and the start of this one. Change: such floors begin empty at the start of the process, lent parts one lender's pause after it; other slots as before, and a workspace that comes again begins from now.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Config, ErrorKind, InstanceId, Refusal, Time, WorkspaceId};
-use coord::{Ask, Borrower, Grant, Holder, Loan, Quota, Split, Verdict};
+use coord::{Ask, Before, Borrower, Grant, Holder, Loan, Quota, Split, Verdict};
 
 /// Lists what the admission tells its caller to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,14 +28,14 @@
 /// ```
 /// use admit::{Action, Admission};
 /// use base::{Config, Time, Workspace};
-/// use coord::Split;
+/// use coord::{Before, Split};
 ///
 /// let mut config = Config::default();
 /// let workspace = Workspace { rate: 1.0, burst: 1.0, ..Workspace::default() };
 /// config.workspaces.insert("w".into(), workspace);
 /// let mut admission = Admission::new(Split { floor_share: 1.0, slots: 1, ..Split::default() });
 /// admission.configure(Time::ZERO, &config);
-/// admission.hold_floor(Time::ZERO, 0, Time::from_secs(60), true);
+/// admission.hold_floor(Time::ZERO, 0, Time::from_secs(60), Before::Nobody);
 /// let actions = admission.arrive(Time::ZERO, 1, &"w".into(), Time::from_secs(1));
 /// assert_eq!(actions, [Action::Admit(1)]);
 /// ```
@@ -44,13 +44,15 @@
     split: Split,
     gates: BTreeMap<WorkspaceId, Gate>,
     slots: BTreeMap<u32, Right>,
+    /// Whether a configuration has been in force.
+    is_configured: bool,
 }
 
 /// Holds the right to a slot.
 #[derive(Debug, Clone, Copy)]
 struct Right {
     until: Time,
-    is_first: bool,
+    before: Before,
 }
 
 #[derive(Debug, Clone)]
@@ -77,6 +79,7 @@
             split,
             gates: BTreeMap::new(),
             slots: BTreeMap::new(),
+            is_configured: false,
         }
     }
 
@@ -95,21 +98,27 @@
             }
             let mut holder = Holder::new(quota, self.split);
             for (slot, right) in &self.slots {
-                holder.hold_floor(now, *slot, right.until, right.is_first);
+                let before = match right.before {
+                    // A workspace that comes again may have been spent from here until it went.
+                    Before::EndedBy(_) if self.is_configured => Before::EndedBy(now),
+                    told => told,
+                };
+                holder.hold_floor(now, *slot, right.until, before);
             }
             let waiting = VecDeque::new();
             self.gates.insert(id.clone(), Gate { holder, waiting });
         }
+        self.is_configured = true;
     }
 
     /// Takes up or renews the right to a slot of every workspace's floors, until a time.
     ///
-    /// `is_first` tells that nobody has held the slot before, so that its floors begin full.
-    pub fn hold_floor(&mut self, now: Time, slot: u32, until: Time, is_first: bool) {
-        let right = self.slots.entry(slot).or_insert(Right { until, is_first });
+    /// `before` tells what may have been spent of its floors.
+    pub fn hold_floor(&mut self, now: Time, slot: u32, until: Time, before: Before) {
+        let right = self.slots.entry(slot).or_insert(Right { until, before });
         right.until = until;
         for gate in self.gates.values_mut() {
-            gate.holder.hold_floor(now, slot, until, is_first);
+            gate.holder.hold_floor(now, slot, until, before);
         }
     }
 
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -15,11 +15,11 @@
 ///
 /// ```
 /// use base::Time;
-/// use coord::{Holder, Quota, Split, Verdict};
+/// use coord::{Before, Holder, Quota, Split, Verdict};
 ///
 /// let split = Split { floor_share: 1.0, slots: 1, ..Split::default() };
 /// let mut holder = Holder::new(Quota { rate: 1.0, burst: 1.0 }, split);
-/// holder.hold_floor(Time::ZERO, 0, Time::from_secs(60), true);
+/// holder.hold_floor(Time::ZERO, 0, Time::from_secs(60), Before::Nobody);
 /// assert_eq!(holder.admit(Time::ZERO), Verdict::Admit);
 /// ```
 #[derive(Debug, Clone)]
@@ -37,6 +37,15 @@
     demand: Demand,
 }
 
+/// Tells who has held a slot before, and so what may have been spent of its floors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Before {
+    /// Nobody: its floors begin full.
+    Nobody,
+    /// Somebody who had ended by this time: its floors begin empty then.
+    EndedBy(Time),
+}
+
 /// Holds the floor of one slot.
 #[derive(Debug, Clone)]
 struct Floor {
@@ -85,29 +94,28 @@
 
     /// Takes up or renews the right to a slot's floor, until a time.
     ///
-    /// A floor that nobody has held before begins full. Another one begins empty, once what an
-    /// earlier holder may have lent is over.
-    pub fn hold_floor(&mut self, now: Time, slot: u32, until: Time, is_first: bool) {
+    /// A floor that nobody has held before begins full. Another one begins empty, once its earlier
+    /// holder had ended and what that may have lent is over.
+    pub fn hold_floor(&mut self, now: Time, slot: u32, until: Time, before: Before) {
         for number in self.split.floors_of(slot) {
-            self.hold_part(now, number, until, is_first);
+            self.hold_part(now, number, until, before);
         }
     }
 
-    fn hold_part(&mut self, now: Time, number: u32, until: Time, is_first: bool) {
+    fn hold_part(&mut self, now: Time, number: u32, until: Time, before: Before) {
         if let Some(floor) = self.floors.get_mut(&number) {
             floor.until = until;
             return;
         }
         // What is never lent has nothing outstanding.
-        let from = if is_first || self.split.is_kept(number, self.quota) {
-            now
-        } else {
-            now + self.split.lender_pause()
-        };
-        let bucket = if is_first {
-            Bucket::full(now, self.quota)
-        } else {
-            Bucket::empty(from, self.quota)
+        let (from, bucket) = match before {
+            Before::Nobody => (now, Bucket::full(now, self.quota)),
+            Before::EndedBy(at) => {
+                let is_kept = self.split.is_kept(number, self.quota);
+                let pause = self.split.lender_pause();
+                let from = if is_kept { at } else { at + pause };
+                (from, Bucket::empty(from, self.quota))
+            }
         };
         let floor = Floor {
             bucket,
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -19,7 +19,7 @@
 pub use audit::WindowAudit;
 pub use fanout::{FanOut, children};
 pub use grant::{Ask, Borrower, Grant, Holding, Loan, Verdict};
-pub use holder::Holder;
+pub use holder::{Before, Holder};
 pub use lease::{
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseWrite, Terms, Written, lease_chart,
 };
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Lease, LeaseChart, LeaseRow, LeaseState, LeaseWrite, Terms, Written, rank};
+use coord::{Before, Lease, LeaseChart, LeaseRow, LeaseState, LeaseWrite, Terms, Written, rank};
 use entry::{message::Event, metrics::Metrics, view::Clock};
 use platform::{Expect, Fault, Platform, Row, Write};
 use tokio::{
@@ -71,6 +71,8 @@
     lease: Lease,
     settled_at: Time,
     was_held: bool,
+    /// Whether an earlier life of this instance held it last.
+    is_own: bool,
     free_since: Option<Time>,
 }
 
@@ -172,6 +174,12 @@
         } else {
             self.first_slot(now, &fleet)
         };
+        if let Some(idx) = wanted {
+            let is_own = self.is_of_earlier_life(idx);
+            if let Some(slot) = self.slots.get_mut(&idx) {
+                slot.is_own = is_own;
+            }
+        }
         let is_stuck = !has_one && wanted.is_none() && !self.is_writing();
         self.alarm("no_free_slot", is_stuck);
         let options = &self.options;
@@ -216,6 +224,12 @@
         own.or(first_free).or_else(ended)
     }
 
+    /// Returns whether an earlier life of this instance holds the slot.
+    fn is_of_earlier_life(&self, idx: u32) -> bool {
+        let owner = self.slots.get(&idx).and_then(|slot| slot.lease.owner());
+        owner.is_some_and(|(owner, life)| *owner == self.options.me && life != self.options.life)
+    }
+
     /// Chooses a slot that nobody needs and that is this instance's to take.
     fn spare_slot(&self, now: Time, fleet: &Fleet) -> Option<u32> {
         if fleet.wanting(now).next().is_some() {
@@ -291,17 +305,24 @@
     async fn publish(&mut self, now: Time) {
         for (idx, slot) in &mut self.slots {
             let is_held = slot.lease.is_held(now);
-            let is_first = is_held && !slot.was_held && slot.lease.epoch() == 1;
             if is_held {
+                let is_first = !slot.was_held && slot.lease.epoch() == 1;
+                let before = match slot.is_own {
+                    _ if is_first => Before::Nobody,
+                    // This process could not begin before its earlier life had ended.
+                    true => Before::EndedBy(Time::ZERO),
+                    false => Before::EndedBy(now),
+                };
                 let _ = self.options.engine.send(Event::HoldFloor {
                     slot: *idx,
                     until: slot.lease.held_until(),
-                    is_first,
+                    before,
                 });
             } else if slot.was_held {
                 let (done, _) = oneshot::channel();
                 let _ = self.options.engine.send(Event::DropFloor(*idx, done));
             }
+            slot.is_own &= is_held || !slot.was_held;
             slot.was_held = is_held;
         }
         let held = self.held(now);
@@ -371,6 +392,7 @@
             ),
             settled_at: Time::ZERO,
             was_held: false,
+            is_own: false,
             free_since: None,
         }
     }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -209,8 +209,8 @@
             Event::HoldFloor {
                 slot,
                 until,
-                is_first,
-            } => self.admission.hold_floor(now, slot, until, is_first),
+                before,
+            } => self.admission.hold_floor(now, slot, until, before),
             Event::DropFloor(slot, done) => {
                 self.admission.drop_floor(slot);
                 let _ = done.send(());
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -5,7 +5,7 @@
 use base::{
     Config, ErrorKind, InstanceId, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId,
 };
-use coord::{Ask, Borrower, Grant, Loan, Standing};
+use coord::{Ask, Before, Borrower, Grant, Loan, Standing};
 use dispatch::{
     ActionEvent, ActionKey, Assignment, Claim, Loss, Outcome, Report, RequestId, Route,
     SavedAnswer, TargetState, WorkKind,
@@ -62,8 +62,8 @@
         slot: u32,
         /// End of the right.
         until: Time,
-        /// Whether nobody has held it before.
-        is_first: bool,
+        /// Who has held it before.
+        before: Before,
     },
     /// The instance gives a slot up; the answer tells that its floors are no longer used.
     DropFloor(u32, oneshot::Sender<()>),
--- a/crates/proof/src/limits.rs
+++ b/crates/proof/src/limits.rs
@@ -8,7 +8,7 @@
 
 use admit::{Action, Admission};
 use base::{Config, Incarnation, InstanceId, Time, Workspace, WorkspaceId};
-use coord::{Ask, Borrower, Bucket, Grant, Loan, Owner, Quota, Split, WindowAudit};
+use coord::{Ask, Before, Borrower, Bucket, Grant, Loan, Owner, Quota, Split, WindowAudit};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -212,7 +212,7 @@
         };
         for (idx, node) in (0..).zip(&mut run.nodes) {
             node.admission
-                .hold_floor(Time::ZERO, idx, Time::NEVER, true);
+                .hold_floor(Time::ZERO, idx, Time::NEVER, Before::Nobody);
         }
         if scenario.has_owner {
             let mut owner = Owner::first(Time::ZERO, scenario.quota, scenario.split);
@@ -481,7 +481,8 @@
         node.started_at = now;
         let local = node.local(now);
         let slot = u32::try_from(idx).unwrap_or(0);
-        node.admission.hold_floor(local, slot, Time::NEVER, false);
+        node.admission
+            .hold_floor(local, slot, Time::NEVER, Before::EndedBy(local));
         self.nodes[idx] = node;
     }
 
