--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -33,7 +33,7 @@
     fleet::Fleet,
     follower::{self, Follower, FollowerOptions},
     ledger::{Ledgers, LedgersOptions},
-    lister,
+    lister::{self, Hearing},
     message::{FollowerMessage, PeerCommand},
     operator::Operator,
     options::NodeOptions,
@@ -233,7 +233,11 @@
         }
         Source::Tables(followed) => {
             let own = listed(cfg, peer);
-            let lister = lister::run_announced(platform.clone(), own, peers_tx.clone());
+            let hearing = Hearing {
+                clock,
+                fleet: fleet_rx.clone(),
+            };
+            let lister = lister::run_announced(platform.clone(), own, hearing, peers_tx.clone());
             tokio::spawn(lister);
             let registry = Registry::new(RegistryOptions {
                 clock,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -38,6 +38,17 @@
     may_have_run: bool,
 }
 
+impl Entry {
+    /// Takes in that targets have new places; those that ran anything have kept one.
+    fn move_targets(&mut self, places: &[Option<usize>]) {
+        for attempt in &mut self.attempts {
+            attempt.target = places[attempt.target].unwrap_or(attempt.target);
+        }
+        self.reached = self.reached.iter().filter_map(|idx| places[*idx]).collect();
+        self.avoid = self.avoid.and_then(|idx| places[idx]);
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     number: u32,
@@ -129,6 +140,12 @@
                 .filter(|route| route.is_sticky)
                 .map(|route| Duration::from_millis(u64::from(route.objective_ms)))
                 .min();
+            if let Some(places) = pool.forget(service) {
+                let entries = self.entries.values_mut();
+                for entry in entries.filter(|entry| entry.work.service == *id) {
+                    entry.move_targets(&places);
+                }
+            }
             pool.size_limits(&self.home);
         }
         for (id, pool) in &mut self.pools {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -135,6 +135,45 @@
         self.targets[idx].registered(now, rules.chart, told, pause);
     }
 
+    /// Forgets targets that a service no longer names and that run nothing, once they are as many
+    /// as the others.
+    ///
+    /// Returns the new place of each target, where places have changed.
+    pub(crate) fn forget(&mut self, service: &Service) -> Option<Vec<Option<usize>>> {
+        let is_kept =
+            |target: &Target| target.in_flight > 0 || service.targets.contains_key(&target.id);
+        let kept = self.targets.iter().filter(|target| is_kept(target)).count();
+        if self.targets.len() - kept <= kept.max(FEWEST_FORGOTTEN) {
+            return None;
+        }
+        let mut next = 0;
+        let places: Vec<Option<usize>> = self
+            .targets
+            .iter()
+            .map(|target| {
+                let place = is_kept(target).then_some(next);
+                next += usize::from(place.is_some());
+                place
+            })
+            .collect();
+        self.targets.retain(is_kept);
+        self.index.retain(|_, idx| match places[*idx] {
+            Some(place) => {
+                *idx = place;
+                true
+            }
+            None => false,
+        });
+        for region in self.regions.values_mut() {
+            region.members = region
+                .members
+                .iter()
+                .filter_map(|idx| places[*idx])
+                .collect();
+        }
+        Some(places)
+    }
+
     fn region(&mut self, region: RegionId) -> &mut RegionPool {
         self.regions.entry(region).or_insert_with(|| RegionPool {
             members: Vec::new(),
@@ -397,6 +436,8 @@
     }
 }
 
+/// Targets without a use that are kept all the same.
+const FEWEST_FORGOTTEN: usize = 16;
 /// Part of a latency objective that the way to another region and back may take.
 const MOST_WAY: f64 = 0.3;
 /// Instances that may send to a cold target, as a multiple of the requests it bears in a second.
--- a/crates/dispatch/tests/place.rs
+++ b/crates/dispatch/tests/place.rs
@@ -442,3 +442,32 @@
     dispatcher.finish(now, sent[1].id, 1, Outcome::Lost);
     assert_eq!(!dispatcher.barred(now).is_empty(), expected);
 }
+
+/// Two years of replaced targets take no more room than a day's, and requests keep theirs.
+#[test]
+fn place_replaced_targets_are_forgotten() {
+    let mut config = config(6);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let actions = dispatcher.submit(now, work(now, 9_999, 1));
+    let running = assigned(&actions)[0].clone();
+    for round in 0..10_000 {
+        let service = config.services.get_mut("s").unwrap();
+        let (_, old) = service.targets.pop_first().unwrap();
+        service.targets.insert(format!("u{round:05}").into(), old);
+        dispatcher.configure(now, &config);
+    }
+    assert!(dispatcher.targets(now).len() <= 6 + 1 + 17);
+    assert_eq!(
+        dispatcher.target_of(running.id, running.attempt),
+        Some(&running.target)
+    );
+    assert!(run(&mut dispatcher, now, 1, 1).is_some());
+    let took = Outcome::Answered(Duration::from_millis(5));
+    dispatcher.finish(now, running.id, running.attempt, took);
+    let busy = dispatcher
+        .targets(now)
+        .into_iter()
+        .map(|(_, _, in_flight, _)| in_flight);
+    assert_eq!(busy.sum::<u32>(), 0);
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -473,6 +473,10 @@
             .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
         self.admission.configure(now, &config);
         let actions = self.dispatcher.configure(now, &config);
+        self.idle.retain(|target, _| {
+            let mut services = config.services.values();
+            services.any(|service| service.targets.contains_key(target))
+        });
         self.config = Some(config);
         self.apply(now, actions);
     }
