--- a/crates/cli/src/questionnaire.rs
+++ b/crates/cli/src/questionnaire.rs
@@ -7,7 +7,8 @@
     str::FromStr,
 };
 
-use survey::{Answers, DomainAnswer, ServiceAnswer, WorkspaceAnswer};
+use base::RouteKind;
+use survey::{Answers, DomainAnswer, RouteAnswer, ServiceAnswer, WorkspaceAnswer};
 
 /// Asks all questions on `out` and reads the answers from `input`.
 ///
@@ -31,6 +32,7 @@
         form.value("Largest share of traffic to move in one minute (0 to 1)")?;
     let services = form.services(&domains)?;
     let workspaces = form.workspaces()?;
+    let routes = form.routes()?;
     Ok(Answers {
         deployment,
         domains,
@@ -40,7 +42,7 @@
         shift_cap_per_min,
         services,
         workspaces,
-        routes: BTreeMap::new(),
+        routes,
         limits: None,
     })
 }
@@ -104,24 +106,51 @@
             if name.is_empty() {
                 return Ok(services);
             }
-            let service = ServiceAnswer {
+            let mut service = ServiceAnswer {
                 slots: self.value("  Slots of each target")?,
                 connections: self.value("  Connections of each target")?,
                 deadline_ms: self.value("  Deadline in ms")?,
-                open_routes: self
-                    .text("  Path prefixes open to all (empty for none)")?
-                    .split_whitespace()
-                    .map(str::to_owned)
-                    .collect(),
+                open_routes: self.words("  Path prefixes open to all (empty for none)")?,
                 targets: self.targets(domains)?,
                 is_registering: false,
                 cold_ms: 0,
                 cold_per_s: 0.0,
             };
+            if service.targets.is_empty() {
+                self.registering(&mut service)?;
+            }
             services.insert(name, service);
         }
     }
 
+    /// Asks what is to be known of targets that register themselves.
+    fn registering(&mut self, service: &mut ServiceAnswer) -> io::Result<()> {
+        service.is_registering = self.yes("  Do its targets register themselves (yes or no)")?;
+        if service.is_registering {
+            service.cold_ms =
+                self.value("  Time for which a new one is cold in ms (0 for none)")?;
+        }
+        if service.cold_ms > 0 {
+            service.cold_per_s = self.value("  Requests per second that a cold one bears")?;
+        }
+        Ok(())
+    }
+
+    fn words(&mut self, question: &str) -> io::Result<Vec<String>> {
+        let line = self.text(question)?;
+        Ok(line.split_whitespace().map(str::to_owned).collect())
+    }
+
+    fn yes(&mut self, question: &str) -> io::Result<bool> {
+        loop {
+            match self.text(question)?.as_str() {
+                "yes" => return Ok(true),
+                "no" => return Ok(false),
+                _ => writeln!(self.out, "  yes or no; please answer again")?,
+            }
+        }
+    }
+
     fn targets(
         &mut self,
         domains: &[DomainAnswer],
@@ -160,10 +189,52 @@
                 rate: self.value("  Requests per second over all instances")?,
                 burst: self.value("  Requests at once over all instances")?,
                 weight: self.value("  Weight among workspaces")?,
-                priority: 0,
-                homes: Vec::new(),
+                priority: self.value("  Rank (0 is the most urgent)")?,
+                homes: self.words("  Regions in which its requests may run (empty for all)")?,
             };
             workspaces.insert(name, workspace);
         }
     }
+
+    fn routes(&mut self) -> io::Result<BTreeMap<String, RouteAnswer>> {
+        let mut routes = BTreeMap::new();
+        loop {
+            let name = self.text("Route by host and path (empty to end)")?;
+            if name.is_empty() {
+                return Ok(routes);
+            }
+            let route = RouteAnswer {
+                host: self.text("  Host")?,
+                prefix: self.text("  Beginning of the path")?,
+                kind: if self.yes("  May its requests run more than once (yes or no)")? {
+                    RouteKind::Idempotent
+                } else {
+                    RouteKind::Once
+                },
+                services: self.weights()?,
+                timeout_ms: self.value("  Longest time in ms")?,
+                objective_ms: self.value("  Latency objective in ms")?,
+                attempts: self.value("  Most targets that a request is sent to")?,
+                priority: self.value("  Rank (0 is the most urgent)")?,
+                is_open: self.yes("  Is it open to all (yes or no)")?,
+                is_sticky: self.yes("  Are objects kept on the same target (yes or no)")?,
+                homes: self.words("  Regions in which its requests may run (empty for all)")?,
+            };
+            routes.insert(name, route);
+        }
+    }
+
+    fn weights(&mut self) -> io::Result<BTreeMap<String, u32>> {
+        loop {
+            let words = self.words("  Services, each with its weight (name=weight ...)")?;
+            let pairs = words.iter().map(|word| {
+                let (name, weight) = word.split_once('=')?;
+                Some((name.to_owned(), weight.parse().ok()?))
+            });
+            match pairs.collect::<Option<BTreeMap<String, u32>>>() {
+                Some(weights) if !weights.is_empty() => return Ok(weights),
+                _ => writeln!(self.out, "  name=weight is needed; please answer again")?,
+            }
+        }
+    }
 }
--- a/crates/dispatch/tests/place.rs
+++ b/crates/dispatch/tests/place.rs
@@ -457,7 +457,11 @@
         service.targets.insert(format!("u{round:05}").into(), old);
         dispatcher.configure(now, &config);
     }
-    assert!(dispatcher.targets(now).len() <= 6 + 1 + 17);
+    assert!(
+        dispatcher.targets(now).len() <= 6 + 1 + 17,
+        "{}",
+        dispatcher.targets(now).len()
+    );
     assert_eq!(
         dispatcher.target_of(running.id, running.attempt),
         Some(&running.target)
