--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -138,7 +138,8 @@
                 },
             };
             let home = self.options.region.clone();
-            let assumed = self.assumed(&config, &fleet, &seen);
+            let is_beginning = self.options.policy.is_some() && !self.has_begun.contains(service);
+            let assumed = is_beginning.then(|| self.assumed(&config, &fleet, &seen));
             let steering = self
                 .steering
                 .entry(service.clone())
@@ -146,9 +147,9 @@
             steering.set_policy(policy);
             let demand: f64 = seen.demand.values().sum();
             let is_known = !load.service_time.is_zero() && demand >= LEAST_DEMAND_PER_S;
-            if self.options.policy.is_some() && !self.has_begun.contains(service) {
+            if let Some(assumed) = &assumed {
                 // The first seconds' demand says little.
-                steering.begin(&assumed);
+                steering.begin(assumed);
             }
             let shares = if is_known || self.options.policy.is_none() {
                 steering.update(now.as_secs_f64(), &seen).clone()
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -212,18 +212,17 @@
         let Attempt { target, reason, .. } = entry.attempts.swap_remove(pos);
         let service = entry.work.service.clone();
         let fingerprint = entry.work.fingerprint;
+        let workspace = entry.work.workspace.clone();
+        self.settle_target(now, &service, (target, reason), outcome);
         if let Some(pool) = self.pools.get_mut(&service) {
-            pool.active.ended(now, &entry.work.workspace);
+            pool.ended(now, target, &workspace);
         }
-        self.settle_target(now, &service, (target, reason), outcome);
-        let loss = Loss {
+        let loss = (outcome == Outcome::Lost).then(|| Loss {
             fingerprint,
             place: self.place_of(&service, target),
-        };
+        });
         let (next, mut actions) = self.settle_request(now, id, target, outcome, loss);
-        if outcome == Outcome::Lost {
-            actions.push(Action::ReportLoss(loss));
-        }
+        actions.extend(loss.map(Action::ReportLoss));
         actions.extend(self.assign(now, &service));
         (next, actions)
     }
@@ -642,8 +641,7 @@
         let entry = self.entries.get_mut(&id)?;
         let pool = self.pools.get_mut(&entry.work.service)?;
         let load = pool.targets[idx].expected_load(now).round() as u32;
-        pool.sent(now, idx);
-        pool.active.sent(now, &entry.work.workspace);
+        pool.sent(now, idx, &entry.work.workspace);
         let target = &pool.targets[idx];
         entry.sent += 1;
         entry.attempts.push(Attempt {
@@ -687,7 +685,6 @@
             }
             Outcome::TimedOut | Outcome::Canceled => {}
         }
-        pool.ended(idx);
     }
 
     fn settle_request(
@@ -696,7 +693,7 @@
         id: RequestId,
         target: usize,
         outcome: Outcome,
-        loss: Loss,
+        loss: Option<Loss>,
     ) -> (Next, Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return (Next::Ended, Vec::new());
@@ -747,7 +744,7 @@
             Outcome::Lost => {
                 entry.losses += 1;
                 entry.reached.push(target);
-                let is_barred = self.quarantine.record(now, loss);
+                let is_barred = loss.is_some_and(|loss| self.quarantine.record(now, loss));
                 let is_retried = entry.work.kind == WorkKind::Idempotent
                     && entry.losses == 1
                     && entry.reached.len() < entry.work.attempts as usize
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -256,9 +256,6 @@
         R: Rng,
     {
         let pool = self.regions.get(region)?;
-        if !pool.limit.has_room(pool.in_flight) {
-            return None;
-        }
         if !pool.limit.has_room(pool.in_flight + reach.spared) {
             return None;
         }
@@ -317,7 +314,8 @@
     }
 
     /// Records that a request was sent to a target.
-    pub(crate) fn sent(&mut self, now: Time, idx: usize) {
+    pub(crate) fn sent(&mut self, now: Time, idx: usize, workspace: &WorkspaceId) {
+        self.active.sent(now, workspace);
         let target = &mut self.targets[idx];
         target.sent(now);
         if let Some(pool) = self.regions.get_mut(&target.region) {
@@ -326,7 +324,8 @@
     }
 
     /// Records that a request has ended on a target.
-    pub(crate) fn ended(&mut self, idx: usize) {
+    pub(crate) fn ended(&mut self, now: Time, idx: usize, workspace: &WorkspaceId) {
+        self.active.ended(now, workspace);
         let target = &mut self.targets[idx];
         target.in_flight = target.in_flight.saturating_sub(1);
         if let Some(pool) = self.regions.get_mut(&target.region) {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod rollout;
 pub mod service;
 pub mod transcript;
+pub mod writer;
--- a/crates/record/tests/sink.rs
+++ b/crates/record/tests/sink.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use proof::writer::{Passed, Stopped};
 use record::{Sink, Volume};
 use rstest::rstest;
 
@@ -23,20 +24,6 @@
     }
 }
 
-/// Blocks until its partner is dropped, as a pipe does whose reader has stopped.
-struct Stopped(mpsc::Receiver<()>);
-
-impl Write for Stopped {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let _ = self.0.recv();
-        Ok(buf.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 #[tokio::test]
 async fn sink_writes_whole_lines_in_order() {
     let kept = Kept::default();
@@ -127,17 +114,3 @@
     );
     assert_eq!(sink.counts().left_out(), 70);
 }
-
-/// Passes on what is written, batch by batch.
-struct Passed(mpsc::Sender<String>);
-
-impl Write for Passed {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let _ = self.0.send(String::from_utf8_lossy(buf).into_owned());
-        Ok(buf.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
--- a/crates/survey/src/answers.rs
+++ b/crates/survey/src/answers.rs
@@ -93,13 +93,13 @@
     /// Addresses of the targets in each failure domain; empty where targets register themselves.
     pub targets: BTreeMap<String, Vec<SocketAddr>>,
     /// Whether targets register themselves.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub is_registering: bool,
     /// Time for which a target is cold after its start, in milliseconds; 0 for none.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cold_ms: u32,
     /// Requests per second that a cold target bears.
-    #[serde(default, skip_serializing_if = "is_none_per_s")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cold_per_s: f64,
 }
 
@@ -114,7 +114,7 @@
     #[serde(default = "default_weight")]
     pub weight: u32,
     /// Rank; 0 is the most urgent. It goes before the rank of a route.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub priority: u32,
     /// Regions in which its requests may run; empty for all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -274,16 +274,11 @@
     2
 }
 
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
-fn is_none_per_s(value: &f64) -> bool {
-    *value <= 0.0
+fn is_default<T>(value: &T) -> bool
+where
+    T: Default + PartialEq,
+{
+    *value == T::default()
 }
 
 fn default_weight() -> u32 {
