fix(coord): a failed read on one instance is no outage; slow sources do not hold up the news

A server's row went at 15.03 s while the store was stable; instances that the store had turned away until 11.5 s still kept removed rows for 2.2 s from the deletion, for 4.4 s after any failed read of their own, and so sent it requests until 17.15 s (bound 17.03 s). The guess of a reader that is slow but alive was looked at, too: a fetch from it could hold up the news for 1.5 s. Change: an outage is a time in which nobody reads the table; it ends with the first read of any instance, and removed rows are kept until 1.8 s after that end, to the millisecond. While a fetch of later rows is unanswered for 0.3 s, the next instance that reported them is asked (CatchUp). Ruled out: the long polls themselves (the other instances heard of it in time), the slowed machines' news. Tests: two of the new ones in coord/tests/replica.rs fail on the old replica (with an empty on_contact), catch_up.rs is new.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,6 +5,7 @@
 //! can be embedded in any program that has a table with compare-and-swap.
 
 mod audit;
+mod catch_up;
 mod demand;
 mod fanout;
 mod grant;
@@ -17,6 +18,7 @@
 mod version_tracker;
 
 pub use audit::QuotaAudit;
+pub use catch_up::CatchUp;
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -36,8 +36,10 @@
 
 /// Replicates one table; its position never decreases.
 ///
-/// Rows that are deleted shortly after the table could not be read are retained for a while, since
-/// their writers may have lost contact with the table too and will write them again.
+/// While nobody can read the table, rows may expire whose writers are alive but can't reach it
+/// either; those writers write them again once it is back. Rows that are found deleted are therefore
+/// retained until a while after the table's return. A read that fails on this instance alone is no
+/// outage, since the writers were not affected.
 ///
 /// # Examples
 ///
@@ -59,19 +61,34 @@
     /// Deleted rows that are retained until a time.
     retained: BTreeMap<String, (ReplicaRow, Time)>,
     grace_period: Duration,
-    last_failure_at: Option<Time>,
+    /// Time at or after which the table was last read, by this instance or another.
+    last_contact_at: Option<Time>,
+    outage: Option<Outage>,
 }
 
+/// Describes the last time during which no instance could read the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outage {
+    /// It has lasted since this time.
+    Ongoing(Time),
+    /// It ended at this time.
+    Over(Time),
+}
+
+/// Time after a successful read, by any instance, during which a failed one is no sign of an outage.
+const CONTACT_VALIDITY: Duration = Duration::from_millis(1_500);
+
 impl Replica {
-    /// Returns an empty replica that retains rows for `grace_period` if they are deleted after an
-    /// outage.
+    /// Returns an empty replica that retains rows which an outage may have removed until
+    /// `grace_period` after its end.
     pub fn new(grace_period: Duration) -> Self {
         Self {
             snapshot: TableSnapshot::default(),
             is_initialized: false,
             retained: BTreeMap::new(),
             grace_period,
-            last_failure_at: None,
+            last_contact_at: None,
+            outage: None,
         }
     }
 
@@ -97,9 +114,22 @@
         &self.snapshot
     }
 
-    /// Records that the table could not be read.
+    /// Records that this instance could not read the table.
     pub fn on_read_failure(&mut self, now: Time) {
-        self.last_failure_at = Some(now);
+        let is_reachable = self
+            .last_contact_at
+            .is_some_and(|at| now - at <= CONTACT_VALIDITY);
+        if !is_reachable && !matches!(self.outage, Some(Outage::Ongoing(_))) {
+            self.outage = Some(Outage::Ongoing(now));
+        }
+    }
+
+    /// Records that some instance read the table at `at` or later.
+    pub fn on_contact(&mut self, at: Time) {
+        self.last_contact_at = self.last_contact_at.max(Some(at));
+        if matches!(self.outage, Some(Outage::Ongoing(since)) if at > since) {
+            self.outage = Some(Outage::Over(at));
+        }
     }
 
     /// Applies the changes up to `position` and returns whether the rows have changed.
@@ -178,11 +208,12 @@
         let Some(row) = self.snapshot.rows.remove(name) else {
             return false;
         };
-        let had_outage = self
-            .last_failure_at
-            .is_some_and(|at| now - at < self.grace_period * 2);
-        if had_outage {
-            let until = now + self.grace_period;
+        let until = match self.outage {
+            Some(Outage::Ongoing(_)) => now + self.grace_period,
+            Some(Outage::Over(at)) => at + self.grace_period,
+            None => now,
+        };
+        if now < until {
             self.retained.insert(name.to_owned(), (row, until));
         }
         true
--- /dev/null
+++ b/crates/coord/tests/catch_up.rs
@@ -0,0 +1,61 @@
+//! Fetching later state from other instances: a slow source does not hold up the news.
+
+use std::time::Duration;
+
+use base::Time;
+use coord::CatchUp;
+
+const DELAY: Duration = Duration::from_millis(100);
+const RETRY: Duration = Duration::from_millis(300);
+/// Half of the shortest time within which a target that has left may get no more requests.
+const HALF_OF_DRAIN_BOUND: Duration = Duration::from_secs(1);
+
+/// The first instance with the news is slow but alive, and its answer never comes.
+#[test]
+fn catch_up_asks_the_next_source_while_the_first_is_silent() {
+    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    catch_up.on_report(Time::ZERO, "slow".into(), 5);
+    catch_up.on_report(Time::from_millis(20), "other".into(), 5);
+    let mut asked = Vec::new();
+    for ms in (0..1_000).step_by(10) {
+        let now = Time::from_millis(ms);
+        if let Some(source) = catch_up.next_source(now) {
+            asked.push((source.to_string(), now));
+        }
+    }
+    let second = asked.iter().find(|(source, _)| source == "other");
+    let (_, at) = second.expect("the second source is asked");
+    assert!(*at - Time::ZERO < HALF_OF_DRAIN_BOUND);
+    assert_eq!(asked[0], ("slow".to_owned(), Time::ZERO + DELAY));
+}
+
+#[test]
+fn catch_up_asks_nobody_once_it_is_up_to_date() {
+    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5);
+    catch_up.on_position(Time::from_millis(50), 5);
+    assert_eq!(catch_up.next_source(Time::from_secs(1)), None);
+    catch_up.on_report(Time::from_secs(1), "i1".into(), 4);
+    assert_eq!(catch_up.next_source(Time::from_secs(2)), None);
+}
+
+/// While own reads make progress, others are always a little ahead, and nothing is fetched.
+#[test]
+fn catch_up_asks_nobody_while_own_reads_make_progress() {
+    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    for step in 0..100 {
+        let now = Time::from_millis(step * 50);
+        catch_up.on_report(now, "i1".into(), step + 2);
+        catch_up.on_position(now, step + 1);
+        assert_eq!(catch_up.next_source(now), None);
+    }
+}
+
+#[test]
+fn catch_up_skips_a_source_that_is_removed() {
+    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5);
+    catch_up.on_report(Time::ZERO, "i2".into(), 5);
+    catch_up.remove_source(&"i1".into());
+    assert_eq!(catch_up.next_source(Time::ZERO + DELAY), Some("i2".into()));
+}
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -75,6 +75,7 @@
     let mut replica = Replica::new(GRACE);
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1), ("b", "1", 2)], 2));
     replica.on_read_failure(Time::from_secs(10));
+    replica.on_contact(Time::from_secs(11));
     replica.replace(Time::from_secs(11), snapshot(&[], 3));
     assert_eq!(names(&replica), ["a", "b"]);
     let restored = change("a", Some("1"), 4);
@@ -83,11 +84,52 @@
     assert_eq!(names(&replica), ["a"]);
 }
 
+/// Rows that are deleted after the outage are retained only until the same time: two seconds after
+/// the table's return, not two seconds after the deletion.
+#[test]
+fn replica_retains_rows_until_a_time_after_the_outage_not_after_the_deletion() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1), ("b", "1", 2)], 2));
+    replica.on_read_failure(Time::from_millis(10_000));
+    replica.on_contact(Time::from_millis(11_000));
+    replica.apply_changes(Time::from_millis(12_500), vec![change("a", None, 3)], 3);
+    assert_eq!(names(&replica), ["b", "a"]);
+    assert_eq!(replica.expires_at(), Some(Time::from_millis(13_000)));
+    assert!(replica.apply_changes(Time::from_millis(13_001), vec![change("b", None, 4)], 4));
+    assert!(replica.expire(Time::from_millis(13_001)));
+    assert!(names(&replica).is_empty());
+}
+
+/// A target that leaves 3.5 s after the store has turned this instance away, while it served
+/// others, is gone at once.
+#[test]
+fn replica_drops_rows_at_once_after_failures_of_this_instance_alone() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    for tenths in 25..115 {
+        let now = Time::from_millis(tenths * 100);
+        replica.on_contact(Time::from_millis(tenths * 100 - 400));
+        replica.on_read_failure(now);
+    }
+    assert!(replica.apply_changes(Time::from_millis(15_030), vec![change("a", None, 3)], 3));
+    assert!(names(&replica).is_empty());
+}
+
+#[test]
+fn replica_retains_rows_found_deleted_while_the_outage_lasts() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_read_failure(Time::from_secs(10));
+    replica.replace(Time::from_secs(12), snapshot(&[], 3));
+    assert_eq!(names(&replica), ["a"]);
+}
+
 #[test]
 fn replica_drops_rows_at_once_without_an_outage() {
     let mut replica = Replica::new(GRACE);
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
     replica.on_read_failure(Time::from_secs(1));
+    replica.on_contact(Time::from_secs(2));
     let later = Time::from_secs(60);
     assert!(replica.apply_changes(later, vec![change("a", None, 3)], 3));
     assert!(names(&replica).is_empty());
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -5,8 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, InstanceId, Time};
-use coord::{Freshness, Replica, RowChange, TableSnapshot};
+use base::{Config, Time};
+use coord::{CatchUp, Freshness, Replica, RowChange, TableSnapshot};
 use entry::{
     message::Event,
     metrics::Metrics,
@@ -37,8 +37,10 @@
 /// Time to wait for the platform's own response before newer rows are fetched from another
 /// instance.
 const PEER_FETCH_DELAY: Duration = Duration::from_millis(100);
-/// Time for which a row that was removed during an outage of the platform is kept.
-const REMOVED_ROW_GRACE: Duration = Duration::from_millis(2_200);
+/// Time after which a fetch that has not been answered is repeated from another instance.
+const PEER_FETCH_RETRY: Duration = Duration::from_millis(300);
+/// Time after the end of an outage of the platform for which rows that it removed are kept.
+const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which a reported freshness is valid; after it, the engine treats the instance as
 /// isolated.
@@ -109,9 +111,7 @@
 struct Table {
     replica: Replica,
     confirmed_at: Option<Time>,
-    /// Instance that reported a later position, and when it first did.
-    newer_peer: Option<(InstanceId, Time)>,
-    is_fetching: bool,
+    catch_up: CatchUp,
     is_reachable: bool,
 }
 
@@ -144,8 +144,7 @@
                     REMOVED_ROW_GRACE
                 }),
                 confirmed_at: None,
-                newer_peer: None,
-                is_fetching: false,
+                catch_up: CatchUp::new(PEER_FETCH_DELAY, PEER_FETCH_RETRY),
                 is_reachable: false,
             })
             .collect();
@@ -183,7 +182,7 @@
                     None => return,
                 },
                 Some((idx, read)) = reads.recv() => self.apply_read(idx, read),
-                () = sleep_until(clock.instant(refreshed_at + REFRESH_INTERVAL)) => {
+                () = sleep_until(clock.instant(self.next_refresh(refreshed_at))) => {
                     refreshed_at = clock.now();
                     self.refresh(&tx);
                 }
@@ -212,8 +211,9 @@
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     let is_ahead = position > table.replica.position();
                     is_up_to_date &= !is_ahead;
-                    if is_ahead && table.newer_peer.is_none() {
-                        table.newer_peer = Some((from.clone(), now));
+                    table.catch_up.on_report(now, from.clone(), position);
+                    if let Some(at) = confirmed_at {
+                        table.replica.on_contact(at);
                     }
                 }
                 if is_up_to_date {
@@ -236,22 +236,23 @@
                 false
             }
             TableRead::Fetched(snapshot) => {
-                table.is_fetching = false;
-                table.newer_peer = None;
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(rows, position) => {
                 table.is_reachable = true;
                 table.confirmed_at = Some(now);
+                table.replica.on_contact(now);
                 table.replica.replace(now, to_snapshot(rows, position))
             }
             TableRead::Changes(changes, position) => {
                 table.is_reachable = true;
                 table.confirmed_at = Some(now);
+                table.replica.on_contact(now);
                 let changes = changes.into_iter().map(to_row_change).collect();
                 table.replica.apply_changes(now, changes, position)
             }
         };
+        table.catch_up.on_position(now, table.replica.position());
         if was_reachable != table.is_reachable {
             let name = self.options.followed.tables[idx].as_str();
             let is_reachable = table.is_reachable;
@@ -263,7 +264,7 @@
         }
     }
 
-    /// Fetches tables of which another instance has reported a later position for
+    /// Fetches tables of which other instances have reported a later position for
     /// [`PEER_FETCH_DELAY`], and removes rows whose grace period is over.
     fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
         let now = self.options.clock.now();
@@ -271,17 +272,13 @@
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
-            let Some((from, since)) = table.newer_peer.clone() else {
+            let Some(from) = table.catch_up.next_source(now) else {
                 continue;
             };
-            if now - since < PEER_FETCH_DELAY || table.is_fetching {
-                continue;
-            }
             let Some(addr) = fleet.members.get(&from).and_then(|member| member.addr) else {
-                table.newer_peer = None;
+                table.catch_up.remove_source(&from);
                 continue;
             };
-            table.is_fetching = true;
             let (secret, tx) = (self.options.secret.clone(), tx.clone());
             tokio::spawn(async move {
                 let snapshot = rpc::fetch_table(&secret, addr, idx as u32).await;
@@ -293,6 +290,16 @@
         }
     }
 
+    /// Returns when [`Self::refresh`] is due after a last one at `refreshed_at`.
+    fn next_refresh(&self, refreshed_at: Time) -> Time {
+        let due = self.tables.iter().flat_map(|table| {
+            let expiry = table.replica.expires_at();
+            expiry.into_iter().chain(table.catch_up.next_at())
+        });
+        let usual = refreshed_at + REFRESH_INTERVAL;
+        due.fold(usual, Time::min).max(refreshed_at)
+    }
+
     fn compose(&mut self) {
         if self
             .tables
