feat(daemon): look-ups may be cached as long as the deployment's bounds allow

Cause: callers paid a round trip, and often a connection, each time an answer of 1.5 s had run out; on objectives of 120 to 200 ms that round trip is the difference between in time and late. Ruled out: the maximum alone; it may be longer than a planned stop.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -341,7 +341,7 @@
         leave_requests: leave_rx,
         callers,
         operators,
-        lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
+        lookup_ttl: lookup_ttl(cfg),
         engine: engine_tx,
         peers: peers_tx,
         follower: follower_tx,
@@ -418,6 +418,18 @@
     }
 }
 
+/// Returns how long callers may cache the response to a look-up.
+///
+/// Each look-up costs its caller a round trip, so the time is as long as the deployment allows. It
+/// ends before an instance that leaves closes its listener, so that callers who respect it never
+/// find the listener closed.
+pub fn lookup_ttl(cfg: &DaemonSettings) -> Duration {
+    let Some(limit_s) = cfg.bounds.lookup_ttl_s else {
+        return Duration::from_millis(cfg.lookup_ttl_ms);
+    };
+    Duration::from_secs_f64(limit_s.min(cfg.bounds.stop_s * STOP_CLOSE_AT))
+}
+
 /// Returns whether requests of at least one workspace can be admitted, or there is no workspace.
 ///
 /// Returns `true` if the engine has ended, so that callers don't wait for it forever.
@@ -435,7 +447,7 @@
     HandlerOptions {
         max_body_bytes: cfg.body_limit_bytes,
         body_timeout: Duration::from_millis(cfg.body_timeout_ms),
-        lookup_ttl: Duration::from_millis(cfg.lookup_ttl_ms),
+        lookup_ttl: lookup_ttl(cfg),
         trace_sample_ratio: options.trace_sample_ratio,
     }
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -86,6 +86,9 @@
     pub region_shift: f64,
     /// Time between the stop signal and the kill of the process by the platform, in seconds.
     pub stop_s: f64,
+    /// Maximum time for which callers cache the response to a look-up, in seconds; replaces
+    /// `lookup_ttl_ms`, as far as the time to stop allows.
+    pub lookup_ttl_s: Option<f64>,
 }
 
 impl Default for Bounds {
@@ -98,6 +101,7 @@
             rate_slack: 0.0,
             region_shift: 0.1,
             stop_s: 60.0,
+            lookup_ttl_s: None,
         }
     }
 }
@@ -182,6 +186,11 @@
         "bounds.retry_fraction",
         "must not be negative",
     );
+    require(
+        cfg.bounds.lookup_ttl_s.is_none_or(|ttl| ttl > 0.0),
+        "bounds.lookup_ttl_s",
+        "must be more than 0",
+    );
     require(
         cfg.bounds.stop_s > 0.0,
         "bounds.stop_s",
