--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -25,8 +25,9 @@
 /// Utilization below which a target takes requests for objects for which it ranks second, however
 /// long they would wait.
 const SECOND_MAX_UTILIZATION: f64 = 0.6;
-/// Utilization below which a target takes requests for objects for which it ranks third or later.
-const LATER_MAX_UTILIZATION: f64 = 0.3;
+/// Number of targets of a region among which an object's requests are divided, so that it is warm on
+/// them and leaves the others' memory to their own objects.
+const TARGETS_PER_OBJECT: usize = 2;
 
 /// Describes a request to be placed and what placement needs to know beside the pool.
 #[derive(Debug, Clone, Copy)]
@@ -185,6 +186,7 @@
             })
             .collect();
         ranked.sort_unstable();
+        ranked.truncate(TARGETS_PER_OBJECT);
         let round_trip = query.round_trips.get(region).copied().unwrap_or_default();
         let slack = (request.objective_deadline - (now + round_trip))
             .saturating_sub(self.median_service_time());
@@ -232,8 +234,7 @@
             .saturating_sub(self.median_service_time());
         match rank {
             0 => wait <= max_wait,
-            1 => utilization < SECOND_MAX_UTILIZATION || wait + cold_extra <= max_wait,
-            _ => utilization < LATER_MAX_UTILIZATION,
+            _ => utilization < SECOND_MAX_UTILIZATION || wait + cold_extra <= max_wait,
         }
     }
 
@@ -262,14 +263,11 @@
     /// Returns the penalty, as time, for a target that does not rank first or that refuses many
     /// requests.
     ///
-    /// The extra time of a cold request counts twice, because the slot is also taken from other
-    /// requests; for the second-ranked target it counts once, because that one is often warm.
+    /// A request on a target that does not rank first is often cold there.
     fn placement_penalty(&self, rank: usize, idx: usize) -> Duration {
-        let cold_extra = self.cold_service_time().saturating_sub(self.service_time());
         let cold = match rank {
             0 => Duration::ZERO,
-            1 => cold_extra,
-            _ => cold_extra * 2,
+            _ => self.cold_service_time().saturating_sub(self.service_time()),
         };
         let refusal_rate = self.targets[idx].refusal_rate();
         let refusal_cost = if refusal_rate < REFUSAL_RATE_THRESHOLD {
