feat(steer): objects stay in their callers' region while it has room

Cause: an object is asked for by the callers of one region alone (share 1.00 of its requests, 0.91 and more where a service has several routes), yet ran there a third of the time: shares were planned for the fleet, whatever the origin. Each other run costs a round trip and bytes between regions. Change: each region's shares are planned for its own callers; has_global_affinity and what it needed are gone.

--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -107,7 +107,6 @@
             holder_poll_divisor: HOLDER_POLL_DIVISOR,
             plan_policy: Some(PlanPolicy {
                 target_utilization: LOCAL_UTILIZATION_LIMIT,
-                has_global_affinity: false,
                 shift_cap: bounds.region_shift * SHIFT_LIMIT_USE,
                 window_s: SHIFT_WINDOW_S,
                 // Lost capacity shifts no faster than any other change; requests without a usable
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -134,10 +134,7 @@
                 continue;
             };
             let policy = match self.options.policy {
-                Some(policy) => PlanPolicy {
-                    has_global_affinity: load.has_global_affinity,
-                    ..policy
-                },
+                Some(policy) => policy,
                 None => PlanPolicy {
                     shift_cap: config.links.shift_cap_per_min,
                     ..PlanPolicy::default()
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -151,10 +151,6 @@
             };
             let priorities = routes().map(|route| route.priority);
             pool.top_priority = priorities.min().unwrap_or(0);
-            pool.min_objective = routes()
-                .filter(|route| route.is_sticky)
-                .map(|route| Duration::from_millis(u64::from(route.objective_ms)))
-                .min();
             if let Some(new_indices) = pool.remove_unused(service) {
                 let entries = self.entries.values_mut();
                 for entry in entries.filter(|entry| entry.request.service == *id) {
@@ -432,7 +428,6 @@
                     service: service.clone(),
                     latency: pool.latency.mean(),
                     service_time: pool.service_time(),
-                    has_global_affinity: pool.has_global_affinity(&self.round_trips),
                     targets,
                 }
             })
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -38,8 +38,6 @@
     cold_latency: Option<LatencyEstimate>,
     /// Most urgent priority among the service's routes.
     pub(crate) top_priority: u32,
-    /// Shortest latency objective among the service's sticky routes; `None` without any.
-    pub(crate) min_objective: Option<Duration>,
     pub(crate) spill_budget: SpillBudget,
     pub(crate) throughput: Throughput,
     pub(crate) region_shares: RegionShares,
@@ -89,7 +87,6 @@
             warm_latency: None,
             cold_latency: None,
             top_priority: 0,
-            min_objective: None,
             spill_budget: SpillBudget::default(),
             throughput: Throughput::default(),
             region_shares: RegionShares::default(),
@@ -388,22 +385,6 @@
         }
     }
 
-    /// Returns whether each object may have one region for callers of all regions: routes use
-    /// affinity, and the round trips are short compared with their latency objectives.
-    pub(crate) fn has_global_affinity(&self, round_trips: &BTreeMap<RegionId, Duration>) -> bool {
-        let Some(objective) = self.min_objective else {
-            return false;
-        };
-        let served = round_trips
-            .iter()
-            .filter(|(region, _)| self.regions.contains_key(*region));
-        let longest = served
-            .map(|(_, round_trip)| *round_trip)
-            .max()
-            .unwrap_or_default();
-        longest <= objective.mul_f64(MAX_ROUND_TRIP_FRACTION)
-    }
-
     /// Returns the mean latency of a request on a warm target with a free slot.
     pub(crate) fn service_time(&self) -> Duration {
         self.warm_latency
@@ -475,8 +456,6 @@
 
 /// Number of unused targets up to which none is removed.
 const MIN_UNUSED_TARGETS: usize = 16;
-/// Fraction of a latency objective that the round trip to another region may take.
-const MAX_ROUND_TRIP_FRACTION: f64 = 0.3;
 /// Instances that may send to a cold target, as a multiple of its rate in requests per second.
 const COLD_SENDERS_PER_RATE: f64 = 1.5;
 /// Interval for an instance that sends nothing to a cold target; longer than any target stays cold.
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -173,10 +173,6 @@
     pub latency: Duration,
     /// Mean latency of a request on a warm target with a free slot; zero before the first one.
     pub service_time: Duration,
-    /// Whether each object may have one region for the callers of all regions: the service's
-    /// routes use affinity, and the round trip to any region is short compared with their latency
-    /// objectives.
-    pub has_global_affinity: bool,
     /// Each target with its state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -722,7 +722,6 @@
                         .map(|counter| counter.response_bytes as f64 / counter.responses as f64),
                     latency: pool.latency,
                     service_time: pool.service_time,
-                    has_global_affinity: pool.has_global_affinity,
                     targets: pool.targets,
                 };
                 (pool.service, load)
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -264,9 +264,6 @@
     pub latency: Duration,
     /// Mean latency of attempts on targets that had a free slot.
     pub service_time: Duration,
-    /// Whether requests with the same affinity key may be served by the same region for the
-    /// callers of all regions.
-    pub has_global_affinity: bool,
     /// State and slots of each target.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -39,11 +39,6 @@
     /// Fraction of each region's capacity up to which it is planned to be used, while the total
     /// demand allows it.
     pub target_utilization: f64,
-    /// Whether each object has one region for the callers of all regions.
-    ///
-    /// If so, each region gets traffic from everywhere in proportion to its free capacity, and no
-    /// traffic moves when callers do.
-    pub has_global_affinity: bool,
     /// Maximum share of a region's traffic that may move within one window.
     pub shift_cap: f64,
     /// Length of the shift window, in seconds.
@@ -56,7 +51,6 @@
     fn default() -> Self {
         Self {
             target_utilization: 0.85,
-            has_global_affinity: false,
             shift_cap: 0.1,
             window_s: 60.0,
             capacity_loss_threshold: 0.1,
@@ -79,7 +73,7 @@
 /// other regions in proportion to their available capacity, as far as the link out of its region
 /// carries it. Where the total demand exceeds the target utilization, all regions are filled to the
 /// same utilization, none over its capacity. Demand that fits nowhere stays in its own region,
-/// where it is refused. With global affinity, the callers of all regions have the same shares.
+/// where it is refused.
 ///
 /// # Examples
 ///
@@ -99,9 +93,6 @@
     measurements: &Measurements,
     policy: PlanPolicy,
 ) -> BTreeMap<RegionId, Shares> {
-    if policy.has_global_affinity {
-        return global_shares(measurements);
-    }
     let utilization = planned_utilization(measurements, policy);
     let mut available: BTreeMap<RegionId, f64> = measurements
         .free_capacity()
@@ -133,23 +124,6 @@
         .collect()
 }
 
-/// Returns the same shares for the callers of all regions, in proportion to free capacity.
-fn global_shares(measurements: &Measurements) -> BTreeMap<RegionId, Shares> {
-    let free = measurements.free_capacity();
-    let total: f64 = free.values().sum();
-    if total <= 0.0 {
-        let local = |origin: &RegionId| (origin.clone(), Shares::from([(origin.clone(), 1.0)]));
-        return measurements.demand.keys().map(local).collect();
-    }
-    let shares: Shares = free
-        .into_iter()
-        .filter(|(_, capacity)| *capacity > 0.0)
-        .map(|(region, capacity)| (region, capacity / total))
-        .collect();
-    let common = |origin: &RegionId| (origin.clone(), shares.clone());
-    measurements.demand.keys().map(common).collect()
-}
-
 /// Returns the planned utilization of each region: the target utilization, or more where the total
 /// demand needs it, at most one.
 pub fn planned_utilization(measurements: &Measurements, policy: PlanPolicy) -> f64 {
--- a/crates/steer/tests/plan.rs
+++ b/crates/steer/tests/plan.rs
@@ -162,26 +162,3 @@
     assert!(local_share * 50.0 <= 20.0, "{shares:?}");
     assert!(shares["a"]["b"] >= 0.6, "{shares:?}");
 }
-
-/// With global affinity, shares depend on capacity alone, so objects keep their region when callers
-/// move.
-#[test]
-fn plan_global_affinity_ignores_where_callers_are() {
-    let policy = PlanPolicy {
-        has_global_affinity: true,
-        ..PlanPolicy::default()
-    };
-    let before = desired_shares(
-        &measurements(&[50.0, 5.0, 0.0], &[100.0, 200.0, 300.0]),
-        policy,
-    );
-    let after = desired_shares(
-        &measurements(&[1.0, 90.0, 400.0], &[100.0, 200.0, 300.0]),
-        policy,
-    );
-    assert_eq!(before, after);
-    for shares in before.values() {
-        assert!((shares[&region(0)] - 1.0 / 6.0).abs() < 1e-9, "{shares:?}");
-        assert!((shares[&region(2)] - 0.5).abs() < 1e-9, "{shares:?}");
-    }
-}
