feat(cli): report shows where callers' time goes, from the instances' lines

Change: request lines also tell the instance's region, the objective, each target's region and the time to connect; godwitgauge report FILE... sums them up, writes a plot (SVG, plotters), names unreadable lines with file and line and exits with 9 then.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -14,7 +14,8 @@
   5  the platform can't be reached
   6  written, but not in force everywhere in time
   7  the instance can't be reached
-  8  the request makes no sense for the present configuration";
+  8  the request makes no sense for the present configuration
+  9  some log lines could not be read; the others were reported";
 
 /// Returns the definition of the command line.
 pub fn command() -> Command {
@@ -61,6 +62,7 @@
         .subcommand(revert())
         .subcommand(explain())
         .subcommand(why())
+        .subcommand(report())
         .subcommand(completions())
         .subcommand(Command::new("man").about("Print the manual page"))
 }
@@ -83,6 +85,25 @@
         )
 }
 
+fn report() -> Command {
+    Command::new("report")
+        .about("Show where callers' time goes, from the log lines of instances")
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Where to write a plot over time, as SVG")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("files")
+                .num_args(0..)
+                .value_name("FILE")
+                .help("Files of log lines; standard input where there is none")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn init() -> Command {
     Command::new("init")
         .about("Answer the questionnaire")
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -47,6 +47,10 @@
     #[display("the instance at {_0} can't be reached")]
     #[from(skip)]
     InstanceUnreachable(#[error(not(source))] String),
+    /// Some log lines could not be read; the others were reported.
+    #[display("{_0} log lines could not be read")]
+    #[from(skip)]
+    UnreadableLines(#[error(not(source))] usize),
     /// The command does not apply to the current configuration, or its subject does not exist.
     #[display("{_0}")]
     #[from(skip)]
@@ -64,6 +68,7 @@
             Self::NotActive { .. } => 6,
             Self::InstanceUnreachable(_) => 7,
             Self::InvalidRequest(_) => 8,
+            Self::UnreadableLines(_) => 9,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod instance;
 pub mod questionnaire;
+pub mod report;
 pub mod run;
 pub mod versions;
 pub mod why;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -21,7 +21,7 @@
     command::command,
     error::CliError,
     instance::{self, Status},
-    questionnaire, versions, why,
+    questionnaire, report, versions, why,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -58,6 +58,7 @@
         "revert" => context.revert().await,
         "explain" => context.explain().await,
         "why" => why::run(args),
+        "report" => report::run(args),
         "completions" => completions(args),
         _ => man(),
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -176,7 +176,7 @@
         options: handler_options(cfg, &options),
         dialect: Arc::new(options.dialect.clone()),
         recorder: options.sink.clone().map_or_else(Recorder::default, |sink| {
-            Recorder::new(sink, own_id.clone())
+            Recorder::new(sink, own_id.clone(), cfg.region.as_str().into())
         }),
     };
     let callers = listen(cfg.entry, callers.into_router())
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -681,6 +681,7 @@
             attempt: entry.attempts_sent,
             service: entry.request.service.clone(),
             target: target.id.clone(),
+            region: target.region.clone(),
             needs_fresh_connection: entry.request.kind == RequestKind::Once
                 || entry.attempts_sent > 1,
             hedge_delay: pool.latency.upper_bound().max(self.policy.min_hedge_delay),
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -96,6 +96,8 @@
     pub service: ServiceId,
     /// Target to send the attempt to.
     pub target: TargetId,
+    /// Region of that target.
+    pub region: RegionId,
     /// Whether the attempt requires a new or recently verified connection.
     pub needs_fresh_connection: bool,
     /// Time without a first byte after which a hedge is worthwhile.
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -271,6 +271,7 @@
                     service: request.service.clone(),
                     workspace: workspace.clone(),
                     deadline,
+                    objective_deadline: request.objective_deadline,
                     revision: self.revision,
                     affinity: request.affinity,
                 };
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -152,6 +152,8 @@
     pub workspace: WorkspaceId,
     /// Deadline of the request.
     pub deadline: Time,
+    /// Time until which an answer counts as in time.
+    pub objective_deadline: Time,
     /// Number of the configuration used, counted by this process.
     pub revision: u64,
     /// Digest of the affinity key; `None` on routes that are not sticky.
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use base::{InstanceId, Refusal, Time};
+use base::{InstanceId, Refusal, RegionId, Time};
 use record::{LineLimiter, Sink, lines::RequestLine};
 use salvo::http::Request;
 
@@ -24,17 +24,19 @@
 struct Output {
     sink: Sink,
     instance: InstanceId,
+    region: RegionId,
     limiter: Arc<Mutex<LineLimiter>>,
 }
 
 impl Recorder {
     /// Returns a recorder that writes to `sink`.
-    pub fn new(sink: Sink, instance: InstanceId) -> Self {
+    pub fn new(sink: Sink, instance: InstanceId, region: RegionId) -> Self {
         let limiter = Arc::new(Mutex::new(LineLimiter::new(MAX_LINES_PER_S)));
         Self {
             output: Some(Output {
                 sink,
                 instance,
+                region,
                 limiter,
             }),
         }
@@ -49,6 +51,7 @@
         };
         if limiter.admit(now - Time::ZERO, line.end != "ok") {
             line.instance = output.instance.as_str();
+            line.region = output.region.as_str();
             output.sink.write_json(&line);
         } else {
             output.sink.count_suppressed(limiter.take_suppressed());
@@ -109,6 +112,9 @@
                 object: info.and_then(|info| info.affinity),
                 deadline_ms: info
                     .map_or(0, |info| (info.deadline - state.started).as_millis() as u64),
+                objective_ms: info.map_or(0, |info| {
+                    (info.objective_deadline - state.started).as_millis() as u64
+                }),
                 attempts: &state.attempts,
                 end,
                 status,
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -40,6 +40,7 @@
         self.with(|state| {
             let line = AttemptLine {
                 target: assignment.target.to_string(),
+                region: assignment.region.to_string(),
                 reason: assignment.reason.to_string(),
                 load: assignment.load,
                 start_ms: (now - state.started).as_millis() as u64,
@@ -58,6 +59,10 @@
             };
             line.took_ms = ended_ms.saturating_sub(line.start_ms);
             line.is_new = result.is_new_connection;
+            line.connect_ms = result
+                .feedback
+                .connect_time
+                .map(|time| time.as_millis() as u64);
             line.told_load = result.feedback.load;
             line.end = match result.outcome {
                 Outcome::Answered(_) => "answered",
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -13,6 +13,8 @@
     pub id: &'a str,
     /// Instance that received the request.
     pub instance: &'a str,
+    /// Region of that instance.
+    pub region: &'a str,
     /// Route that the request matched.
     pub route: &'a str,
     /// Service that the request was routed to.
@@ -26,6 +28,8 @@
     pub object: Option<u64>,
     /// Timeout of the request in milliseconds.
     pub deadline_ms: u64,
+    /// Time from the request's arrival within which its answer counts as in time, in milliseconds.
+    pub objective_ms: u64,
     /// Attempts in order of their start.
     pub attempts: &'a [AttemptLine],
     /// `ok`, `caller_left`, or the kind of error.
@@ -44,6 +48,8 @@
 pub struct AttemptLine {
     /// Target that the attempt was sent to.
     pub target: String,
+    /// Region of that target.
+    pub region: String,
     /// Reason for the choice of target.
     pub reason: String,
     /// Estimate of the target's running and queued requests.
@@ -54,6 +60,9 @@
     pub took_ms: u64,
     /// Whether the attempt opened a new connection.
     pub is_new: bool,
+    /// Milliseconds that opening the connection took.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connect_ms: Option<u64>,
     /// Result: `answered`, `refused`, `unreachable`, `lost`, `timed_out`, `canceled`, or `open` if
     /// the request ended first.
     pub end: &'static str,
