refactor(entry): no ring of imports between handlers, execution, recorder and messages

Cause: callers, execute and recorder imported each other, forward and message too. Change: execution takes the clock and the request's handle, the recorder's guard what it needs; what an attempt revealed stands beside the attempt. Behaviour unchanged. Ruled out: a shared context type, which all three would import again.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -169,7 +169,13 @@
         let log = RequestLog::new(started);
         let log_for_metrics = log.clone();
         // Writes the log line even if the caller disconnects and this future is dropped.
-        let mut line_guard = RequestLineGuard::new(self, req, log.clone());
+        let mut line_guard = RequestLineGuard::new(
+            self.recorder.clone(),
+            self.dialect.clone(),
+            self.clock,
+            req,
+            log.clone(),
+        );
         let head = self
             .check_head_size(req)
             .and_then(|()| head::read(&self.dialect, req.method(), req.uri(), req.headers()));
@@ -243,7 +249,7 @@
         let mut request = self.submit(&head, &template, has_body || needs_claim, log);
         if !(has_body || needs_claim) {
             drop(admission_span);
-            return execute(self, request, template, span).await;
+            return execute(self.clock, request, template, span).await;
         }
         let admitted = request.admission().await?;
         drop(admission_span);
@@ -257,7 +263,7 @@
         );
         let Some(key) = head.idempotency_key.filter(|_| needs_claim) else {
             request.dispatch(fingerprint);
-            return execute(self, request, template, span).await;
+            return execute(self.clock, request, template, span).await;
         };
         let key = ActionKey {
             workspace: admitted.workspace,
@@ -370,7 +376,7 @@
         let handler = self.clone();
         let run = async move {
             let request_id = request.id;
-            let result = execute(&handler, request, template, &span).await;
+            let result = execute(handler.clock, request, template, &span).await;
             let (event, answer) = outcome_of(&result);
             let call = LedgerCall::Settle {
                 key,
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -24,10 +24,10 @@
 };
 
 use crate::{
-    forward::Connection,
+    forward::{Connection, TargetFeedback},
     message::{
         Admitted, Arrival, AttemptPlan, Decision, EngineStatus, Event, OutgoingMessage,
-        ReachableOwner, RequestInfo, ServiceLoad, TargetFeedback,
+        ReachableOwner, RequestInfo, ServiceLoad,
     },
     view::Clock,
 };
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -8,12 +8,12 @@
 use tokio::{sync::mpsc, task::JoinSet, time::sleep_until};
 
 use crate::{
-    callers::CallerHandler,
-    forward::{self, AttemptResult, RequestTemplate, TargetResponse},
+    forward::{self, AttemptResult, RequestTemplate, TargetFeedback, TargetResponse},
     head,
-    message::{Admitted, AttemptPlan, Decision, Event, TargetFeedback},
+    message::{Admitted, AttemptPlan, Decision, Event},
     request_log::RequestLog,
     trace::Span,
+    view::Clock,
 };
 
 /// Represents a request submitted to the engine; cancels it on drop unless it has ended.
@@ -147,7 +147,7 @@
 
 /// Sends the attempts that the engine decides on until the request has a final response.
 pub(crate) async fn execute(
-    handler: &CallerHandler,
+    clock: Clock,
     mut request: RequestHandle,
     template: RequestTemplate,
     span: &Span,
@@ -157,15 +157,15 @@
     let mut hedge_at: Option<Time> = None;
     let mut queue_span = Some(span.child("queue"));
     loop {
-        let hedge = sleep_until(handler.clock.instant(hedge_at.unwrap_or(Time::ZERO)));
+        let hedge = sleep_until(clock.instant(hedge_at.unwrap_or(Time::ZERO)));
         tokio::select! {
             decision = request.decision() => {
                 drop(queue_span.take());
                 if let Decision::SendAttempt(plan) = decision? {
-                    request.log.attempt_started(handler.clock.now(), &plan.assignment);
+                    request.log.attempt_started(clock.now(), &plan.assignment);
                     let is_first = plan.assignment.attempt == 1;
-                    hedge_at = is_first.then(|| handler.clock.now() + plan.assignment.hedge_delay);
-                    let attempt = prepare_attempt(handler, request.id, *plan, template.clone(), span);
+                    hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
+                    let attempt = prepare_attempt(clock, &request, *plan, template.clone(), span);
                     attempts.spawn(attempt);
                 }
             }
@@ -173,7 +173,7 @@
                 // Reported by this task and not by the attempt's, so that the engine can't end the
                 // request before this loop has seen the response.
                 if let Ok((guard, result)) = &joined {
-                    request.log.attempt_ended(handler.clock.now(), guard.attempt, result);
+                    request.log.attempt_ended(clock.now(), guard.attempt, result);
                 }
                 if let Ok((guard, result)) = joined
                     && let Some(response) = guard.report(result)
@@ -184,7 +184,7 @@
             }
             () = hedge, if hedge_at.is_some() => {
                 hedge_at = None;
-                let _ = handler.events.send(Event::HedgeDelayElapsed(request.id));
+                let _ = request.events.send(Event::HedgeDelayElapsed(request.id));
             }
         }
     }
@@ -192,17 +192,16 @@
 
 /// Returns the future that sends one attempt.
 fn prepare_attempt(
-    handler: &CallerHandler,
-    id: RequestId,
+    clock: Clock,
+    request: &RequestHandle,
     plan: AttemptPlan,
     template: Arc<RequestTemplate>,
     span: &Span,
 ) -> impl Future<Output = (AttemptGuard, AttemptResult)> + Send + 'static {
-    let clock = handler.clock;
     let guard = AttemptGuard {
-        id,
+        id: request.id,
         attempt: plan.assignment.attempt,
-        events: handler.events.clone(),
+        events: request.events.clone(),
         is_reported: false,
     };
     let mut span = span.child("attempt");
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -14,7 +14,7 @@
     time::{timeout, timeout_at},
 };
 
-use crate::{dialect::Dialect, head, message::TargetFeedback, view::Clock};
+use crate::{dialect::Dialect, head, view::Clock};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle timeout of connections to targets that send no `Keep-Alive` timeout.
@@ -90,6 +90,15 @@
     pub is_new_connection: bool,
 }
 
+/// Reports what an attempt revealed about its target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetFeedback {
+    /// Running plus queued requests, as reported by the target.
+    pub load: Option<u32>,
+    /// Time to open the connection; `None` where an idle one was reused.
+    pub connect_time: Option<Duration>,
+}
+
 impl AttemptResult {
     fn failed(outcome: Outcome) -> Self {
         Self {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -12,7 +12,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::forward::Connection;
+use crate::forward::{Connection, TargetFeedback};
 
 /// Carries an event or a query to the engine's task.
 #[derive(Debug)]
@@ -90,15 +90,6 @@
     Status(oneshot::Sender<EngineStatus>),
 }
 
-/// Reports what an attempt revealed about its target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TargetFeedback {
-    /// Running plus queued requests, as reported by the target.
-    pub load: Option<u32>,
-    /// Time to open the connection; `None` where an idle one was reused.
-    pub connect_time: Option<Duration>,
-}
-
 /// Describes a caller's request as the handler passes it to the engine.
 #[derive(Debug)]
 pub struct Arrival {
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -6,10 +6,7 @@
 use record::{LineLimiter, Sink, lines::RequestLine};
 use salvo::http::Request;
 
-use crate::{
-    callers::CallerHandler, dialect::Dialect, forward::TargetResponse, request_log::RequestLog,
-    view::Clock,
-};
+use crate::{dialect::Dialect, forward::TargetResponse, request_log::RequestLog, view::Clock};
 
 /// Maximum number of request log lines per second.
 pub const MAX_LINES_PER_S: f64 = 400.0;
@@ -71,14 +68,21 @@
 }
 
 impl RequestLineGuard {
-    pub(crate) fn new(handler: &CallerHandler, req: &Request, log: RequestLog) -> Self {
-        let header = handler.dialect.attempt_id.as_ref();
+    pub(crate) fn new(
+        recorder: Recorder,
+        dialect: Arc<Dialect>,
+        clock: Clock,
+        req: &Request,
+        log: RequestLog,
+    ) -> Self {
+        let header = dialect.attempt_id.as_ref();
         let id = header.and_then(|name| req.headers().get(name)?.to_str().ok());
+        let id = id.unwrap_or_default().to_owned();
         Self {
-            recorder: handler.recorder.clone(),
-            dialect: handler.dialect.clone(),
-            clock: handler.clock,
-            id: id.unwrap_or_default().to_owned(),
+            recorder,
+            dialect,
+            clock,
+            id,
             log,
             is_written: false,
         }
