test(proof): a drained target that never gets idle is seen, and so are requests that its end interrupts

Cause: interrupted_by_drain was never raised and drain_time stayed zero for a target that never got idle, so both checks could not fail. Change: a drained target ends after 3 s whether or not it is idle, what ran then counts as interrupted, and the time is none where it never was idle; a new test leaves the instances untold and sees both.

--- a/crates/proof/benches/service.rs
+++ b/crates/proof/benches/service.rs
@@ -73,7 +73,7 @@
         measures.run_twice,
         measures.false_not_run,
         measures.targets_crashed,
-        measures.drain_time.as_secs_f64(),
+        measures.drain_time.unwrap_or_default().as_secs_f64(),
     );
     print_details(measures);
 }
--- a/crates/proof/src/service/incident.rs
+++ b/crates/proof/src/service/incident.rs
@@ -14,6 +14,9 @@
 /// Targets that are down restart when a poison request is due at a multiple of this time.
 const RESTART_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time from the start of a target's drain to its end, whether or not it is idle then.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
 impl Simulation<'_> {
     /// Applies the incident with this index.
     pub(super) fn begin_incident(&mut self, now: Time, idx: usize) {
@@ -98,12 +101,16 @@
 
     /// Ends a leaving target if nothing runs on it, or checks it again after a tick.
     pub(super) fn check_idle(&mut self, now: Time, idx: usize) {
-        if !self.targets[idx].running.is_empty() {
+        let started_at = self.drain_started.map_or(now, |(_, at)| at);
+        let running = self.targets[idx].running.len();
+        if running == 0 {
+            self.measures.drain_time = Some(now - started_at);
+            self.targets[idx].is_up = false;
+        } else if now - started_at >= DRAIN_LIMIT {
+            self.measures.interrupted_by_drain += running as u64;
+            self.crash_target(now, idx);
+        } else {
             self.push(now + TICK_INTERVAL, Event::CheckIdle(idx));
-            return;
         }
-        let started_at = self.drain_started.map_or(now, |(_, at)| at);
-        self.measures.drain_time = now - started_at;
-        self.targets[idx].is_up = false;
     }
 }
--- a/crates/proof/src/service/measures.rs
+++ b/crates/proof/src/service/measures.rs
@@ -39,8 +39,8 @@
     pub interrupted_by_drain: u64,
     /// Time from the start of a target's drain until it last began to execute a request.
     pub last_execution_after_drain: Duration,
-    /// Time from the start of a target's drain until it ended.
-    pub drain_time: Duration,
+    /// Time from the start of a target's drain until it was idle; `None` if it never was.
+    pub drain_time: Option<Duration>,
 }
 
 /// Latencies above this make the histogram grow.
--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -143,7 +143,7 @@
                 targets_crashed: 0,
                 interrupted_by_drain: 0,
                 last_execution_after_drain: Duration::ZERO,
-                drain_time: Duration::ZERO,
+                drain_time: None,
             },
             has_reports: true,
             underreporting_target: None,
--- a/crates/proof/tests/service.rs
+++ b/crates/proof/tests/service.rs
@@ -174,9 +174,17 @@
     let measures = run(&with(presa(), 0.85, &[Incident::Drain(0, AT)]));
     assert!(measures.last_execution_after_drain <= Duration::from_secs(3));
     // The longest request of the run plus one report interval.
-    assert!(
-        measures.drain_time <= Duration::from_millis(1_500),
-        "{:?}",
-        measures.drain_time
-    );
+    let drain_time = measures.drain_time.expect("the target gets idle");
+    assert!(drain_time <= Duration::from_millis(1_500), "{drain_time:?}");
+    assert_eq!(measures.interrupted_by_drain, 0);
+}
+
+/// The checks above can fail: a target whose leaving nobody hears of never gets idle, and its end
+/// interrupts requests.
+#[test]
+fn service_target_that_leaves_unheard_is_interrupted() {
+    let incidents = [Incident::ReportsStop(AT), Incident::Drain(0, AT)];
+    let measures = run(&with(presa(), 0.85, &incidents));
+    assert_eq!(measures.drain_time, None);
+    assert!(measures.interrupted_by_drain > 0);
 }
