refactor(cli): errors about files are made in one place

Cause: why and report each had a function of their own for it. Change: CliError::for_file serves both; texts and exit codes as before. Ruled out: a conversion from io::Error, which has no name of the file.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of the commands and their exit codes.
 
+use std::io;
+
 use derive_more::{Display, Error, From};
 use settings::Findings;
 
@@ -58,6 +60,15 @@
 }
 
 impl CliError {
+    /// Returns a function that names the file in an error of reading or writing it.
+    pub(crate) fn for_file(file: &str) -> impl Fn(io::Error) -> Self + use<> {
+        let file = file.to_owned();
+        move |err| Self::File {
+            file: file.clone(),
+            reason: err.to_string(),
+        }
+    }
+
     /// Returns the exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -69,7 +69,7 @@
     }
     for path in files {
         let name = path.display().to_string();
-        let file = File::open(path).map_err(|err| file_error(&name, &err.to_string()))?;
+        let file = File::open(path).map_err(CliError::for_file(&name))?;
         log.read(&name, BufReader::new(file))?;
     }
     for fault in log.faults.iter().take(MAX_NAMED_LINES) {
@@ -106,7 +106,7 @@
         R: BufRead,
     {
         for (idx, line) in input.split(b'\n').enumerate() {
-            let line = line.map_err(|err| file_error(source, &err.to_string()))?;
+            let line = line.map_err(CliError::for_file(source))?;
             let text = String::from_utf8_lossy(&line);
             // A log collector may have added a prefix; other programs' lines have no object.
             let Some(start) = text.find('{') else {
@@ -186,13 +186,9 @@
 
 fn write_plot(path: &Path, tally: &Tally) -> Result<(), CliError> {
     let name = path.display().to_string();
-    let svg = plot::seconds_as_svg(&tally.seconds).map_err(|err| file_error(&name, &err))?;
-    std::fs::write(path, svg).map_err(|err| file_error(&name, &err.to_string()))
-}
-
-fn file_error(file: &str, reason: &str) -> CliError {
-    CliError::File {
-        file: file.to_owned(),
-        reason: reason.to_owned(),
-    }
+    let svg = plot::seconds_as_svg(&tally.seconds).map_err(|reason| CliError::File {
+        file: name.clone(),
+        reason,
+    })?;
+    std::fs::write(path, svg).map_err(CliError::for_file(&name))
 }
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -31,15 +31,15 @@
     if files.is_empty() {
         report
             .read(io::stdin().lock())
-            .map_err(file_error("stdin"))?;
+            .map_err(CliError::for_file("stdin"))?;
     }
     for path in files {
         let name = path.display().to_string();
-        let file = File::open(path).map_err(file_error(&name))?;
+        let file = File::open(path).map_err(CliError::for_file(&name))?;
         report.source = name.clone();
         report
             .read(BufReader::new(file))
-            .map_err(file_error(&name))?;
+            .map_err(CliError::for_file(&name))?;
     }
     if report.lines.is_empty() {
         let reason = format!(
@@ -54,14 +54,6 @@
     Ok(())
 }
 
-fn file_error(file: &str) -> impl Fn(io::Error) -> CliError + use<> {
-    let file = file.to_owned();
-    move |err| CliError::File {
-        file: file.clone(),
-        reason: err.to_string(),
-    }
-}
-
 /// Collects the report on one request from log lines.
 #[derive(Debug)]
 struct RequestReport<'a> {
