--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -76,13 +76,7 @@
                 .value_name("ID")
                 .help("Name of the request, as its log lines have it"),
         )
-        .arg(
-            Arg::new("files")
-                .num_args(0..)
-                .value_name("FILE")
-                .help("Files of log lines; standard input where there is none")
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(log_files_arg())
 }
 
 fn report() -> Command {
@@ -95,13 +89,7 @@
                 .help("Where to write a plot over time, as SVG")
                 .value_parser(value_parser!(PathBuf)),
         )
-        .arg(
-            Arg::new("files")
-                .num_args(0..)
-                .value_name("FILE")
-                .help("Files of log lines; standard input where there is none")
-                .value_parser(value_parser!(PathBuf)),
-        )
+        .arg(log_files_arg())
 }
 
 fn init() -> Command {
@@ -241,6 +229,14 @@
         )
 }
 
+fn log_files_arg() -> Arg {
+    Arg::new("files")
+        .num_args(0..)
+        .value_name("FILE")
+        .help("Files of log lines; standard input where there is none")
+        .value_parser(value_parser!(PathBuf))
+}
+
 fn answers_arg() -> Arg {
     Arg::new("answers")
         .required(true)
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod error;
 pub mod instance;
+mod log_files;
 pub mod questionnaire;
 pub mod report;
 pub mod run;
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -4,15 +4,14 @@
 mod tally;
 
 use std::{
-    fs::File,
-    io::{self, BufRead, BufReader, Write},
+    io::{self, BufRead, Write},
     path::{Path, PathBuf},
 };
 
 use clap::ArgMatches;
 use serde::Deserialize;
 
-use crate::error::CliError;
+use crate::{error::CliError, log_files};
 use tally::{Cause, Tally};
 
 /// Maximum number of unreadable lines that are named.
@@ -63,15 +62,7 @@
 /// no JSON, is cut off or lacks a field, [`CliError::InvalidRequest`] if there is no request at all.
 pub fn run(args: &ArgMatches) -> Result<(), CliError> {
     let mut log = RequestLog::default();
-    let files: Vec<&PathBuf> = args.get_many("files").into_iter().flatten().collect();
-    if files.is_empty() {
-        log.read("stdin", io::stdin().lock())?;
-    }
-    for path in files {
-        let name = path.display().to_string();
-        let file = File::open(path).map_err(CliError::for_file(&name))?;
-        log.read(&name, BufReader::new(file))?;
-    }
+    log_files::read_each(args, |name, input| log.read(name, input))?;
     for fault in log.faults.iter().take(MAX_NAMED_LINES) {
         eprintln!("{fault}");
     }
@@ -101,12 +92,12 @@
 }
 
 impl RequestLog {
-    fn read<R>(&mut self, source: &str, input: R) -> Result<(), CliError>
+    fn read<R>(&mut self, source: &str, input: R) -> io::Result<()>
     where
         R: BufRead,
     {
         for (idx, line) in input.split(b'\n').enumerate() {
-            let line = line.map_err(CliError::for_file(source))?;
+            let line = line?;
             let text = String::from_utf8_lossy(&line);
             // A log collector may have added a prefix; other programs' lines have no object.
             let Some(start) = text.find('{') else {
--- a/crates/cli/src/report/plot.rs
+++ b/crates/cli/src/report/plot.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use plotters::prelude::{
-    BLACK, ChartBuilder, Color, IntoDrawingArea, LineSeries, RGBColor, SVGBackend, WHITE,
+    BLACK, ChartBuilder, Color, IntoDrawingArea, LineSeries, PathElement, RGBColor, SVGBackend,
+    WHITE,
 };
 
 use super::tally::Row;
@@ -59,9 +60,7 @@
         chart
             .draw_series(LineSeries::new(points, color.stroke_width(2)))?
             .label(label)
-            .legend(move |(x, y)| {
-                plotters::prelude::PathElement::new([(x, y), (x + 16, y)], color)
-            });
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
     }
     chart
         .configure_series_labels()
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -2,15 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    fs::File,
-    io::{self, BufRead, BufReader, Write},
-    path::PathBuf,
+    io::{self, BufRead, Write},
 };
 
 use clap::ArgMatches;
 use serde_json::Value;
 
-use crate::error::CliError;
+use crate::{error::CliError, log_files};
 
 /// Fields that name the subject of a state event; only the last event of each kind and subject is
 /// kept.
@@ -26,21 +24,11 @@
 /// of the request.
 pub fn run(args: &ArgMatches) -> Result<(), CliError> {
     let id = args.get_one::<String>("id").map_or("", String::as_str);
-    let files: Vec<&PathBuf> = args.get_many("files").into_iter().flatten().collect();
     let mut report = RequestReport::new(id);
-    if files.is_empty() {
-        report
-            .read(io::stdin().lock())
-            .map_err(CliError::for_file("stdin"))?;
-    }
-    for path in files {
-        let name = path.display().to_string();
-        let file = File::open(path).map_err(CliError::for_file(&name))?;
-        report.source = name.clone();
-        report
-            .read(BufReader::new(file))
-            .map_err(CliError::for_file(&name))?;
-    }
+    log_files::read_each(args, |name, input| {
+        name.clone_into(&mut report.source);
+        report.read(input)
+    })?;
     if report.lines.is_empty() {
         let reason = format!(
             "no log line of request {id}: it reached no instance whose log lines are given, or its line was left out in a burst (see lines_left_out)"
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -209,8 +209,7 @@
             } => {
                 let mut is_up_to_date = true;
                 for (table, position) in self.tables.iter_mut().zip(positions) {
-                    let is_ahead = position > table.replica.position();
-                    is_up_to_date &= !is_ahead;
+                    is_up_to_date &= position <= table.replica.position();
                     table.catch_up.on_report(now, from.clone(), position);
                     if let Some(at) = confirmed_at {
                         table.replica.on_contact(at);
