feat(entry,record): lines show the rate that a target names

Cause: the users report a target that got several times the rate that it had named.

Change: the header's name is part of the dialect; each attempt's line has `told_limit`, and `why` prints it. Nothing is decided by it yet.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -141,8 +141,13 @@
     } else {
         "a kept connection"
     };
+    let limit = attempt["told_limit"]
+        .as_f64()
+        .map_or_else(String::new, |per_s| {
+            format!("; the target takes {per_s} requests a second")
+        });
     format!(
-        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {} after {} ms",
+        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {} after {} ms{limit}",
         number("start_ms"),
         attempt["target"].as_str().unwrap_or("?"),
         attempt["reason"].as_str().unwrap_or("?"),
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -46,6 +46,9 @@
     /// Response header with a target's load: running requests, queued requests and slots,
     /// separated by commas.
     pub load: Option<HeaderName>,
+    /// Response header with the rate, in requests per second, that a target takes from all instances
+    /// together.
+    pub rate_limit: Option<HeaderName>,
     /// Response header without which a successful status is not trusted.
     pub required_on_success: Option<HeaderName>,
     /// Cookie with the affinity key: requests with equal values prefer the same target.
@@ -73,6 +76,7 @@
             attempt_id: None,
             target: None,
             load: None,
+            rate_limit: Some(name("target-rate-limit")),
             required_on_success: None,
             affinity_cookie: None,
             preserves_host: false,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -91,10 +91,12 @@
 }
 
 /// Reports what an attempt revealed about its target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetFeedback {
     /// Running plus queued requests, as reported by the target.
     pub load: Option<u32>,
+    /// Requests per second that the target takes from all instances together, as it says itself.
+    pub rate_limit: Option<f64>,
     /// Time to open the connection; `None` where an idle one was reused.
     pub connect_time: Option<Duration>,
 }
@@ -240,10 +242,18 @@
     });
     TargetFeedback {
         load,
+        rate_limit: read_rate_limit(dialect, res.headers()),
         connect_time: None,
     }
 }
 
+/// Returns the rate that a target names; a text that is no rate counts as none.
+fn read_rate_limit(dialect: &Dialect, headers: &HeaderMap) -> Option<f64> {
+    let text = headers.get(dialect.rate_limit.as_ref()?)?.to_str().ok()?;
+    let per_s = text.trim().parse::<f64>().ok()?;
+    (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
+}
+
 /// Sets the timeouts of a connection from the target's `Keep-Alive` header.
 fn apply_keep_alive(connection: &mut Connection, headers: &HeaderMap) {
     let keep_alive = headers.get("keep-alive").and_then(|value| {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -64,6 +64,7 @@
                 .connect_time
                 .map(|time| time.as_millis() as u64);
             line.told_load = result.feedback.load;
+            line.told_limit = result.feedback.rate_limit;
             line.end = match result.outcome {
                 Outcome::Answered(_) => "answered",
                 Outcome::Refused => "refused",
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -69,4 +69,7 @@
     /// Running and queued requests that the target reported in its response.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub told_load: Option<u32>,
+    /// Requests per second that the target takes from all instances, as it said in its response.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub told_limit: Option<f64>,
 }
