fix(dispatch): instances share the rate that a target names

Cause: nothing read the rate. The class of fault: a capacity that belongs to the target, and so to all instances together, was judged by each instance alone.

Change: the live instances are ranked for each target, those of its region first; the first of them, one for each request a second, share the rate equally (dispatch/shared_rate.rs). What an answer says is told to all others at once and twice a second. The rate ends with an answer without one to a request sent after it was last named. A request that all targets' rates keep out for longer than it may wait is refused at once, with the time at which one has room. An instance that has fallen silent keeps its part for 8 s.

Ruled out: a limit kept by each instance on its own (no step in what was sent at the moment of naming) and second attempts past the limit (each request on these targets had one attempt).

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,10 +1,13 @@
 //! A snapshot of the state of the other instances, shared between the daemon's tasks.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use base::{DomainId, Incarnation, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::rendezvous_rank;
 
+/// Time for which an instance that has fallen silent keeps its shares.
+const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
+
 /// Holds the last known state of all instances except this one.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Fleet {
@@ -56,6 +59,19 @@
     }
 }
 
+impl FleetMember {
+    /// Returns whether the instance may be sending to targets, although it may not be heard: shares
+    /// of what targets take from all instances are kept for it.
+    ///
+    /// One that has fallen silent may be cut off from this instance alone. One that is listed and has
+    /// not been heard yet, because this instance has just started, counts as well: it was last heard
+    /// at the origin of the clock.
+    pub fn may_send(&self, now: Time) -> bool {
+        let is_held = self.is_listed && now <= self.alive_until + SHARE_HOLD_TIME;
+        !self.is_leaving && !self.is_gone && (self.is_alive(now) || is_held)
+    }
+}
+
 impl Fleet {
     /// Returns whether the instance is known for certain to have ended.
     pub fn is_gone(&self, id: &InstanceId) -> bool {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -4,7 +4,7 @@
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan};
-use dispatch::ConnectionLoss;
+use dispatch::{ConnectionLoss, RateReport};
 use serde::{Deserialize, Serialize};
 
 /// Carries a message from one instance to another over UDP.
@@ -28,6 +28,14 @@
         /// made; the receiver derives from it the earliest time at which they can have begun.
         ack: u64,
     },
+    /// Reports the rates that targets have named to the sender.
+    Rates {
+        /// The reports.
+        reports: Vec<RateReport>,
+        /// Sequence number of the receiver's last heartbeat that had arrived before; the receiver
+        /// derives from it the earliest time at which the reports can have been sent.
+        ack: u64,
+    },
     /// Reports that a connection was lost while a request was in flight on it.
     ConnectionLoss(ConnectionLoss),
     /// Reports that the sender no longer uses the reservations that were lent to it in this epoch.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -283,6 +283,7 @@
     let owners = Owners::new(OwnersOptions {
         clock,
         own_id: own_id.clone(),
+        domain: cfg.domain.as_str().into(),
         incarnation,
         split,
         view: view_rx.clone(),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -158,6 +158,7 @@
         set("requests_under_way", engine.requests);
         set("requests_queued", engine.queued);
         set("retries_left", engine.retries_left as usize);
+        set("targets_with_rate", engine.named_rates.len());
         set("barred", engine.quarantined.len());
         let owned = engine
             .owners
@@ -320,6 +321,11 @@
             flags.push(format!("target {id} is down"));
         }
     }
+    for (id, per_s) in &engine.named_rates {
+        flags.push(format!(
+            "target {id} takes only {per_s} requests per second"
+        ));
+    }
     if !engine.quarantined.is_empty() {
         flags.push(format!("{} requests are barred", engine.quarantined.len()));
     }
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -7,8 +7,9 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::{Config, Incarnation, InstanceId, Time, WorkspaceId};
+use base::{Config, DomainId, Incarnation, InstanceId, RegionId, Time, WorkspaceId};
 use coord::{GrantRequest, Loan, OwnerId, Quota, QuotaOwner, QuotaSplit, rendezvous_rank};
+use dispatch::RateReport;
 use entry::{
     message::{Event, OutgoingMessage, ReachableOwner},
     view::{Clock, View},
@@ -66,6 +67,8 @@
     pub clock: Clock,
     /// ID of this instance.
     pub own_id: InstanceId,
+    /// Failure domain of this instance.
+    pub domain: DomainId,
     /// Incarnation of this instance.
     pub incarnation: Incarnation,
     /// How workspaces' rates are divided into reservations.
@@ -88,6 +91,7 @@
     workspaces: BTreeMap<WorkspaceId, Quota>,
     version: u64,
     published: Vec<(WorkspaceId, u64)>,
+    live_instances: Vec<(InstanceId, RegionId)>,
     is_leaving: bool,
 }
 
@@ -100,6 +104,7 @@
             workspaces: BTreeMap::new(),
             version: 0,
             published: Vec::new(),
+            live_instances: Vec::new(),
             is_leaving: false,
         }
     }
@@ -199,6 +204,7 @@
             OutgoingMessage::ConnectionLoss(loss) => {
                 self.broadcast(&PeerMessage::ConnectionLoss(loss)).await;
             }
+            OutgoingMessage::Rates(reports) => self.broadcast_rates(&reports).await,
             OutgoingMessage::GrantRequest {
                 workspace,
                 owner,
@@ -254,6 +260,18 @@
         }
     }
 
+    async fn broadcast_rates(&self, reports: &[RateReport]) {
+        let fleet = self.options.fleet.borrow().clone();
+        for (id, member) in &fleet.members {
+            let message = PeerMessage::Rates {
+                reports: reports.to_vec(),
+                ack: member.heartbeat_sequence,
+            };
+            let command = PeerCommand::Send(id.clone(), message);
+            let _ = self.options.peers.send(command).await;
+        }
+    }
+
     /// Takes ownership of workspaces without an owner, and releases those for which another owner
     /// ranks higher.
     async fn update_ownership(&mut self) {
@@ -318,6 +336,7 @@
                 .send(PeerCommand::SetOwnedWorkspaces(owned))
                 .await;
         }
+        self.publish_live_instances(fleet);
         let owners = self
             .workspaces
             .keys()
@@ -326,6 +345,32 @@
         let _ = self.options.engine.send(Event::QuotaOwners(owners));
     }
 
+    /// Sends the live instances to the engine if they have changed.
+    fn publish_live_instances(&mut self, fleet: &Fleet) {
+        let Some((_, config)) = self.options.view.borrow().config.clone() else {
+            return;
+        };
+        let now = self.options.clock.now();
+        let others = fleet
+            .members
+            .iter()
+            .filter(|(_, member)| member.may_send(now));
+        let own = (&self.options.own_id, &self.options.domain);
+        let instances: Vec<(InstanceId, RegionId)> = others
+            .map(|(id, member)| (id, &member.domain))
+            .chain((!self.is_leaving).then_some(own))
+            .filter_map(|(id, domain)| Some((id.clone(), config.region_of(domain)?.clone())))
+            .collect();
+        if instances != self.live_instances {
+            self.live_instances.clone_from(&instances);
+            let own_id = self.options.own_id.clone();
+            let _ = self
+                .options
+                .engine
+                .send(Event::LiveInstances { own_id, instances });
+        }
+    }
+
     fn reachable_owner(&self, fleet: &Fleet, workspace: &WorkspaceId) -> Option<ReachableOwner> {
         if let Some(owner) = self.owned.get(workspace) {
             return Some(ReachableOwner {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -214,6 +214,13 @@
                 // follows.
                 let _ = self.outputs.owners.try_send(message);
             }
+            PeerMessage::Rates { reports, ack } => {
+                let not_before = self.sent_at(ack);
+                let _ = self.outputs.engine.send(Event::RatesReported {
+                    not_before,
+                    reports,
+                });
+            }
             PeerMessage::ConnectionLoss(loss) => {
                 let _ = self.outputs.engine.send(Event::RemoteLoss(loss));
             }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use base::Time;
 use daemon::fleet::{Fleet, FleetMember};
+use rstest::rstest;
 
 fn member(alive_until: Time) -> FleetMember {
     FleetMember {
@@ -43,3 +44,25 @@
     assert_eq!(fleet().owner(Time::from_secs(9), &club), Some((&owner, 7)));
     assert_eq!(fleet().owner(Time::from_secs(60), &club), None);
 }
+
+/// A silent instance may be cut off from this one alone and go on sending, so its shares are kept for
+/// a while, as are those of one that this instance has not heard yet after its own start.
+#[rstest]
+#[case::alive(10, true, 9, true)]
+#[case::silent(10, true, 17, true)]
+#[case::silent_for_long(10, true, 19, false)]
+#[case::silent_and_not_listed(10, false, 17, false)]
+#[case::not_heard_yet(0, true, 5, true)]
+#[case::never_heard(0, true, 9, false)]
+fn fleet_keeps_shares(
+    #[case] alive_until_s: u64,
+    #[case] is_listed: bool,
+    #[case] now_s: u64,
+    #[case] is_kept: bool,
+) {
+    let member = FleetMember {
+        is_listed,
+        ..member(Time::from_secs(alive_until_s))
+    };
+    assert_eq!(member.may_send(Time::from_secs(now_s)), is_kept);
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod outcomes;
 mod queueing;
+mod rates;
 mod sending;
 mod statistics;
 
@@ -10,7 +11,7 @@
     time::Duration,
 };
 
-use base::{Config, RegionId, ServiceId, TargetId, Time};
+use base::{Config, InstanceId, RegionId, ServiceId, TargetId, Time};
 use chart::{Chart, ChartError};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -70,6 +71,7 @@
     number: u32,
     target: usize,
     reason: SelectionReason,
+    started_at: Time,
 }
 
 /// Assigns admitted requests to targets and decides what follows when an attempt fails.
@@ -100,6 +102,9 @@
     queued: BTreeSet<(Time, RequestId)>,
     budget: RetryBudget,
     quarantine: Quarantine,
+    own_id: InstanceId,
+    /// Live instances, among which the rates that targets name are shared.
+    instances: Vec<(InstanceId, RegionId)>,
 }
 
 impl Dispatcher {
@@ -121,6 +126,8 @@
             budget: RetryBudget::new(policy.retry_fraction, policy.retry_cap),
             quarantine: Quarantine::new(policy.max_losses, policy.quarantine_period),
             policy,
+            own_id: InstanceId::from(""),
+            instances: Vec::new(),
         })
     }
 
@@ -194,7 +201,9 @@
         }
         let service = request.service.clone();
         self.enqueue(now, request);
-        self.assign(now, &service)
+        let mut actions = self.assign(now, &service);
+        actions.extend(self.refuse_beyond_rates(now, id));
+        actions
     }
 
     /// Records the end of an attempt and decides whether its request is retried.
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -126,6 +126,7 @@
             number: entry.attempts_sent,
             target: idx,
             reason,
+            started_at: now,
         });
         Some(Assignment {
             id,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod queue;
 mod request;
+mod shared_rate;
 mod target;
 mod throughput;
 
@@ -33,6 +34,7 @@
     Action, AdmittedRequest, Assignment, Outcome, Placement, Policy, PoolStats, RequestId,
     RequestKind, RequestProgress, SelectionReason,
 };
+pub use shared_rate::{RateReport, RateSeat, SharedRate};
 pub use target::{HealthReport, Target, TargetEvent, TargetState};
 
 /// Parses the state chart of a target.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 use base::{RegionId, Time};
 use rand::{Rng, RngExt};
 
-use crate::{AdmittedRequest, SelectionReason, TargetState, hash::seeded_hash, pool::Pool};
+use crate::{AdmittedRequest, SelectionReason, Target, TargetState, hash::seeded_hash, pool::Pool};
 
 /// Refusal rate at and above which a target gets a penalty, so that others are preferred.
 const REFUSAL_RATE_THRESHOLD: f64 = 0.3;
@@ -22,6 +22,8 @@
 /// Number of targets of a region among which an object's requests are divided, so that it is warm on
 /// them and leaves the others' memory to their own objects.
 const TARGETS_PER_OBJECT: usize = 2;
+/// Time after which a caller may retry where it is not this instance's turn to send to any target.
+const MAX_RATE_WAIT: Duration = Duration::from_secs(1);
 
 /// Describes a request to be placed and what placement needs to know beside the pool.
 #[derive(Debug, Clone, Copy)]
@@ -61,7 +63,7 @@
                 return found;
             }
         }
-        if planned.is_some_and(|region| self.has_usable_target(region, query)) {
+        if planned.is_some_and(|region| self.has_usable_target(now, region, query)) {
             return None;
         }
         let others = self
@@ -116,15 +118,39 @@
             .map(|(_, region)| region)
     }
 
-    fn has_usable_target(&self, region: &RegionId, query: PlacementQuery<'_>) -> bool {
-        self.regions.get(region).is_some_and(|pool| {
-            let mut members = pool.members.iter();
-            members.any(|idx| {
-                !query.tried.contains(idx)
-                    && self.targets[*idx].state() != TargetState::Down
-                    && self.targets[*idx].state() != TargetState::Leaving
-            })
-        })
+    fn has_usable_target(&self, now: Time, region: &RegionId, query: PlacementQuery<'_>) -> bool {
+        self.usable_targets(region, query)
+            .any(|target| target.is_within_rate(now))
+    }
+
+    /// Returns the region's targets that a request may be sent to, apart from their load.
+    fn usable_targets(
+        &self,
+        region: &RegionId,
+        query: PlacementQuery<'_>,
+    ) -> impl Iterator<Item = &Target> {
+        let members = self.regions.get(region).map(|pool| &pool.members[..]);
+        members
+            .unwrap_or_default()
+            .iter()
+            .filter(move |idx| !query.tried.contains(idx))
+            .map(|idx| &self.targets[*idx])
+            .filter(|target| !matches!(target.state(), TargetState::Down | TargetState::Leaving))
+    }
+
+    /// Returns how long the rates that targets name keep a request from all of them, or `None` if
+    /// one could take it, or if there is none.
+    pub(crate) fn wait_for_rates(&self, now: Time, query: PlacementQuery<'_>) -> Option<Duration> {
+        let regions = self.regions.keys();
+        let waits: Vec<Option<Duration>> = regions
+            .filter(|region| query.request.may_run_in(region))
+            .flat_map(|region| self.usable_targets(region, query))
+            .map(|target| target.rate_wait(now))
+            .collect();
+        let is_blocked =
+            !waits.is_empty() && waits.iter().all(|wait| *wait != Some(Duration::ZERO));
+        let shortest = waits.into_iter().flatten().min();
+        is_blocked.then(|| shortest.unwrap_or(MAX_RATE_WAIT))
     }
 
     fn can_meet_deadline(&self, now: Time, region: &RegionId, query: PlacementQuery<'_>) -> bool {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,7 +6,9 @@
 use chart::Chart;
 use serde::Deserialize;
 
-use crate::{ConcurrencyLimit, LatencyEstimate, hash::seeded_hash};
+use crate::{
+    ConcurrencyLimit, LatencyEstimate, RateReport, RateSeat, SharedRate, hash::seeded_hash,
+};
 
 /// Lists the states of a target; `charts/target.json` holds the transitions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -85,6 +87,10 @@
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
+    /// Rate that the target takes from all instances.
+    rate: SharedRate,
+    /// Position of this instance among those that share the rate.
+    rate_seat: RateSeat,
 }
 
 /// Holds the load that a target reported with a response.
@@ -141,6 +147,8 @@
             probe_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
+            rate: SharedRate::default(),
+            rate_seat: RateSeat::default(),
         }
     }
 
@@ -165,6 +173,7 @@
             self.load_report = None;
             self.failures = 0;
             self.refusal_rate = 0.0;
+            self.rate = SharedRate::default();
             self.probe_backoff = MIN_PROBE_BACKOFF;
             self.apply_event(now, chart, TargetEvent::Returned);
             self.apply_event(now, chart, TargetEvent::Recovered);
@@ -186,6 +195,49 @@
         Some(seeded_hash(registration.incarnation, self.id.as_str()))
     }
 
+    /// Returns a digest of the target and, where it is known, of its incarnation.
+    pub fn digest(&self) -> u64 {
+        self.incarnation_digest()
+            .unwrap_or_else(|| seeded_hash(0, self.id.as_str()))
+    }
+
+    /// Returns the rate that the target names, in requests per second.
+    pub fn named_rate(&self) -> Option<f64> {
+        self.rate.per_s()
+    }
+
+    /// Returns how long the named rate makes this instance wait before its next request; `None` if
+    /// it is not this instance's turn.
+    pub fn rate_wait(&self, now: Time) -> Option<Duration> {
+        self.rate.wait(now, self.rate_seat, self.in_flight > 0)
+    }
+
+    /// Records an answer to a request sent at `sent_at` that names this rate, and returns whether
+    /// the rate changed.
+    pub fn record_named_rate(&mut self, now: Time, sent_at: Time, per_s: Option<f64>) -> bool {
+        self.rate.observe(now, sent_at, per_s)
+    }
+
+    /// Merges what another instance has learned of the rate and returns whether it changed.
+    pub fn merge_rate_report(
+        &mut self,
+        now: Time,
+        not_before: Option<Time>,
+        report: &RateReport,
+    ) -> bool {
+        self.rate.merge(now, not_before, report)
+    }
+
+    /// Returns what this instance has learned of the rate recently.
+    pub fn rate_report(&self, now: Time) -> Option<RateReport> {
+        self.rate.report(now, self.digest())
+    }
+
+    /// Sets the position of this instance among those that share the rate.
+    pub fn set_rate_seat(&mut self, seat: RateSeat) {
+        self.rate_seat = seat;
+    }
+
     /// Returns whether the target has registered its own slots and state.
     pub fn is_registered(&self) -> bool {
         self.registration.is_some()
@@ -228,7 +280,9 @@
             }
             // A single request probes whether the target is back.
             TargetState::Down => {
-                self.in_flight == 0 && now - self.last_sent_at >= self.probe_backoff
+                self.in_flight == 0
+                    && now - self.last_sent_at >= self.probe_backoff
+                    && self.is_within_rate(now)
             }
             TargetState::Leaving => false,
         }
@@ -237,7 +291,12 @@
     /// Returns whether the target takes part in the ranking of targets for an object, even if it
     /// has no free slot now.
     pub fn is_ranked(&self, now: Time) -> bool {
-        self.state == TargetState::Ready || self.accepts_request(now)
+        (self.state == TargetState::Ready && self.is_within_rate(now)) || self.accepts_request(now)
+    }
+
+    /// Returns whether the rate that the target names, if any, lets this instance send a request.
+    pub fn is_within_rate(&self, now: Time) -> bool {
+        self.rate_wait(now) == Some(Duration::ZERO)
     }
 
     /// Returns the share of recent requests that the target refused.
@@ -255,6 +314,7 @@
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
         self.last_sent_at = now;
+        self.rate.record_send(now, self.rate_seat);
         if self.state == TargetState::Cold {
             self.next_cold_send_at = now + self.cold_interval;
         }
@@ -292,7 +352,7 @@
 
     /// Returns whether this instance may run one more request on the target.
     pub fn has_capacity(&self, now: Time) -> bool {
-        self.in_flight < self.concurrency_limit(now)
+        self.in_flight < self.concurrency_limit(now) && self.is_within_rate(now)
     }
 
     /// Returns the requests per slot: this instance's own plus those that others are reported to
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -41,6 +41,8 @@
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between loans; short enough that several may be lost before an earlier one expires.
 const LEND_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between reports of the rates that targets name.
+const RATE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
 const MAX_EVENTS_PER_BATCH: usize = 256;
@@ -82,6 +84,7 @@
     outgoing: mpsc::UnboundedSender<OutgoingMessage>,
     owner_heartbeats: BTreeMap<WorkspaceId, u64>,
     last_lent_at: Time,
+    rates_reported_at: Time,
     counters: BTreeMap<ServiceId, ServiceCounter>,
     counting_since: Time,
 }
@@ -145,6 +148,7 @@
             outgoing,
             owner_heartbeats: BTreeMap::new(),
             last_lent_at: Time::ZERO,
+            rates_reported_at: Time::ZERO,
             counters: BTreeMap::new(),
             counting_since: Time::ZERO,
         })
@@ -197,6 +201,9 @@
             } => {
                 self.count_response(id, response_bytes);
                 self.record_feedback(now, id, attempt, feedback);
+                if matches!(outcome, Outcome::Answered(_) | Outcome::Refused) {
+                    self.record_named_rate(now, id, attempt, feedback.rate_limit);
+                }
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
             Event::HedgeDelayElapsed(id) => {
@@ -247,6 +254,18 @@
                     self.dispatcher.set_region_shares(&service, shares);
                 }
             }
+            Event::LiveInstances { own_id, instances } => {
+                self.dispatcher.set_instances(&own_id, instances);
+            }
+            Event::RatesReported {
+                not_before,
+                reports,
+            } => {
+                let changed = self
+                    .dispatcher
+                    .merge_rate_reports(now, not_before, &reports);
+                self.log_named_rates(&changed, "instance");
+            }
             Event::RemoteLoss(loss) => {
                 self.dispatcher.record_remote_loss(now, loss);
             }
@@ -551,6 +570,35 @@
         }
     }
 
+    fn record_named_rate(&mut self, now: Time, id: RequestId, attempt: u32, per_s: Option<f64>) {
+        let changed = self.dispatcher.record_named_rate(now, id, attempt, per_s);
+        if let Some(target) = changed {
+            self.log_named_rates(&[target], "answer");
+            self.report_rates(now);
+        }
+    }
+
+    fn log_named_rates(&self, changed: &[TargetId], source: &str) {
+        if changed.is_empty() {
+            return;
+        }
+        let named = self.dispatcher.named_rates();
+        for target in changed {
+            let found = named.iter().find(|(id, _)| id == target);
+            let per_s = found.map(|(_, per_s)| *per_s);
+            tracing::info!(event = "target_rate", %target, per_s, source);
+        }
+    }
+
+    /// Tells the other instances what targets have said of their rates.
+    fn report_rates(&mut self, now: Time) {
+        self.rates_reported_at = now;
+        let reports = self.dispatcher.rate_reports(now);
+        if !reports.is_empty() {
+            let _ = self.outgoing.send(OutgoingMessage::Rates(reports));
+        }
+    }
+
     fn mark_target_leaving(&mut self, now: Time, target: &TargetId) {
         let Some(config) = &self.config else {
             return;
@@ -577,6 +625,9 @@
             let actions = self.admission.lend(now);
             self.apply_admission(now, actions);
         }
+        if now - self.rates_reported_at >= RATE_REPORT_INTERVAL {
+            self.report_rates(now);
+        }
         let actions = self.dispatcher.tick(now);
         self.apply_dispatch(now, actions);
         for connections in self.idle_connections.values_mut() {
@@ -738,6 +789,7 @@
             targets: self.dispatcher.targets(now),
             available: self.admission.available(now),
             owners: self.admission.owners(),
+            named_rates: self.dispatcher.named_rates(),
             quarantined: self.dispatcher.quarantined(now),
         }
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -8,7 +8,7 @@
 use coord::{Freshness, Grant, GrantRequest, Loan, OwnerId, SlotHistory};
 use dispatch::{
     ActionEvent, ActionKey, Assignment, ClaimOutcome, ConnectionLoss, HealthReport, Outcome,
-    RegionShares, RequestId, RequestKind, SavedAnswer, TargetState,
+    RateReport, RegionShares, RequestId, RequestKind, SavedAnswer, TargetState,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -82,6 +82,20 @@
     /// How the requests that arrive in this instance's region are divided among the regions, by
     /// service.
     RegionShares(BTreeMap<ServiceId, RegionShares>),
+    /// The live instances with their regions, among which the rates that targets name are shared.
+    LiveInstances {
+        /// ID of this instance.
+        own_id: InstanceId,
+        /// Live instances that accept callers, including this one unless it is leaving.
+        instances: Vec<(InstanceId, RegionId)>,
+    },
+    /// Another instance reports the rates that targets have named to it.
+    RatesReported {
+        /// Earliest time at which the reports can have been sent, if it is known.
+        not_before: Option<Time>,
+        /// The reports.
+        reports: Vec<RateReport>,
+    },
     /// Another instance lost a connection while the request with this fingerprint was in flight.
     RemoteLoss(ConnectionLoss),
     /// Returns the load of each service and resets the counters behind it, for the planner.
@@ -201,6 +215,8 @@
     },
     /// A connection was lost while the request with this fingerprint was in flight.
     ConnectionLoss(ConnectionLoss),
+    /// Reports the rates that targets have named to this instance.
+    Rates(Vec<RateReport>),
     /// Lends the quota of this instance's slots.
     Lend {
         /// Workspace whose quota is lent.
@@ -276,6 +292,8 @@
     pub available: BTreeMap<WorkspaceId, f64>,
     /// Owner of each workspace whose owner can be reached.
     pub owners: BTreeMap<WorkspaceId, InstanceId>,
+    /// Targets that name a rate, in requests per second.
+    pub named_rates: Vec<(TargetId, f64)>,
     /// Fingerprints of quarantined requests and the time until their release.
     pub quarantined: Vec<(u64, Duration)>,
 }
