--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -146,8 +146,11 @@
         .map_or_else(String::new, |per_s| {
             format!("; the target takes {per_s} requests a second")
         });
+    let cause = attempt["connect_error"]
+        .as_str()
+        .map_or_else(String::new, |cause| format!(" ({cause})"));
     format!(
-        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {} after {} ms{limit}",
+        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}",
         number("start_ms"),
         attempt["target"].as_str().unwrap_or("?"),
         attempt["reason"].as_str().unwrap_or("?"),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,9 +1,10 @@
 //! Attempts: a request sent to one target over one HTTP/1.1 connection.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::Time;
 use bytes::Bytes;
+use derive_more::Display;
 use dispatch::Outcome;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -88,6 +89,22 @@
     pub feedback: TargetFeedback,
     /// Whether the attempt opened a new connection.
     pub is_new_connection: bool,
+    /// Why no connection could be opened, if that is how the attempt ended.
+    pub connect_error: Option<ConnectError>,
+}
+
+/// Lists the reasons for which a connection to a target can't be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum ConnectError {
+    /// Nothing listens at the address, or something on the way refuses.
+    #[display("refused")]
+    Refused,
+    /// There was no answer in time.
+    #[display("timed_out")]
+    TimedOut,
+    /// The connection failed otherwise.
+    #[display("failed")]
+    Failed,
 }
 
 /// Reports what an attempt revealed about its target.
@@ -109,6 +126,7 @@
             connection: None,
             feedback: TargetFeedback::default(),
             is_new_connection: false,
+            connect_error: None,
         }
     }
 
@@ -151,11 +169,16 @@
     let reusable = connection.filter(Connection::is_open);
     let is_new_connection = reusable.is_none();
     let sender = match reusable {
-        Some(connection) => Some(connection.sender),
+        Some(connection) => Ok(connection.sender),
         None => connect(addr).await,
     };
-    let Some(sender) = sender else {
-        return AttemptResult::failed(Outcome::Unreachable).with_new_connection(true);
+    let sender = match sender {
+        Ok(sender) => sender,
+        Err(err) => {
+            let mut result = AttemptResult::failed(Outcome::Unreachable).with_new_connection(true);
+            result.connect_error = Some(err);
+            return result;
+        }
     };
     let Some(req) = build_request(template, addr, deadline - clock.now()) else {
         return AttemptResult::failed(Outcome::Unreachable);
@@ -217,6 +240,7 @@
         connection: Some(connection),
         feedback,
         is_new_connection: false,
+        connect_error: None,
     }
 }
 
@@ -270,15 +294,19 @@
 }
 
 /// Opens a connection to a target and spawns the task that drives it, which ends with it.
-async fn connect(addr: SocketAddr) -> Option<http1::SendRequest<Full<Bytes>>> {
+async fn connect(addr: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>, ConnectError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
-        .ok()?
-        .ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        .map_err(|_| ConnectError::TimedOut)?
+        .map_err(|err| match err.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectError::Refused,
+            _ => ConnectError::Failed,
+        })?;
+    let _ = stream.set_nodelay(true);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| ConnectError::Failed)?;
     tokio::spawn(connection);
-    Some(sender)
+    Ok(sender)
 }
 
 fn build_request(
