fix(dispatch): targets that were down are found again

Cause: three failed connections in a row mark a target as down. Only two things brought it back: an answer of its health endpoint, which is not asked on the users' platform, or a new incarnation. The request that was to probe it counted as waiting for ever in placement, so that it was never sent while another target was to be had; and an answer to it would not have changed the state. So each instance lost a target for the rest of its life to three failed connections, whatever had failed. The class: a state that is left only by an event which nobody brings about.

Change: a registered target that is down gets a connection of its own, with no request, after 0.5 s, then 1, 2 and 4 s, until one opens; it is then used again, and the connection with it. The pause shrinks only when a request is answered, so that a target which accepts connections and loses requests is not tried ever faster.

Ruled out: requests as probes, since the one that meets a silent address waits for half a second.

Seen: the test fails before (the first request after the pause goes to the other region's target, and the target stays down).

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -162,6 +162,7 @@
             refuses_when_isolated: cfg.isolation == IsolationPolicy::Refuse,
         },
         outgoing_tx,
+        engine_tx.downgrade(),
     )
     .wrap_err("cannot create the engine")?;
     tokio::spawn(engine.run(engine_rx));
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Assignment of requests to targets, with retries, hedges and refusals.
 
 mod outcomes;
+mod probes;
 mod queueing;
 mod rates;
 mod sending;
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -36,7 +36,7 @@
             Outcome::Refused => pool.record_refusal(now, idx),
             Outcome::Unreachable | Outcome::Lost => {
                 let target = &mut pool.targets[idx];
-                if target.record_failure() {
+                if target.record_failure(now) {
                     target.apply_event(now, &self.chart, TargetEvent::Failed);
                 }
             }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -239,9 +239,6 @@
     /// Requests that are not urgent count as queued once only the reserved slots are free.
     fn queue_time(&self, now: Time, idx: usize, is_urgent: bool) -> Duration {
         let target = &self.targets[idx];
-        if target.state() == TargetState::Down {
-            return Duration::MAX / 4;
-        }
         let slots = f64::from(target.slots());
         let load = target.estimated_load(now);
         let usable_slots = if is_urgent {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -20,7 +20,7 @@
     Ready,
     /// Gets no new work because it is about to stop.
     Leaving,
-    /// Gets no new work, apart from single probes, because it can't be reached.
+    /// Gets no new work because it can't be reached; connections are tried until one opens.
     Down,
 }
 
@@ -81,8 +81,8 @@
     /// Whether this instance sends nothing to the target while it is cold.
     skips_while_cold: bool,
     next_cold_send_at: Time,
-    last_sent_at: Time,
-    /// Minimum time between two requests that probe whether the target is back.
+    last_probed_at: Time,
+    /// Minimum time between two connections that probe whether the target is back.
     probe_backoff: Duration,
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
@@ -143,7 +143,7 @@
             cold_interval: Duration::ZERO,
             skips_while_cold: false,
             next_cold_send_at: Time::ZERO,
-            last_sent_at: Time::ZERO,
+            last_probed_at: Time::ZERO,
             probe_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
@@ -278,13 +278,7 @@
             TargetState::Cold => {
                 !self.skips_while_cold && now >= self.next_cold_send_at && self.has_capacity(now)
             }
-            // A single request probes whether the target is back.
-            TargetState::Down => {
-                self.in_flight == 0
-                    && now - self.last_sent_at >= self.probe_backoff
-                    && self.is_within_rate(now)
-            }
-            TargetState::Leaving => false,
+            TargetState::Leaving | TargetState::Down => false,
         }
     }
 
@@ -313,7 +307,6 @@
     /// Records that a request is sent to the target.
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
-        self.last_sent_at = now;
         self.rate.record_send(now, self.rate_seat);
         if self.state == TargetState::Cold {
             self.next_cold_send_at = now + self.cold_interval;
@@ -423,12 +416,32 @@
         self.limit.record_refusal();
     }
 
-    /// Records a failed connection and returns whether the target counts as down now.
-    pub fn record_failure(&mut self) -> bool {
+    /// Records a failed connection at `now` and returns whether the target counts as down now.
+    pub fn record_failure(&mut self, now: Time) -> bool {
         self.failures += 1;
-        if self.state == TargetState::Down {
+        if self.failures < FAILURES_UNTIL_DOWN {
+            return false;
+        }
+        if self.state != TargetState::Down {
+            self.last_probed_at = now;
+        }
+        true
+    }
+
+    /// Returns whether a connection is to be tried now to see whether the target is back, and if so,
+    /// counts it as tried.
+    ///
+    /// The time between two of them grows until a request is answered, so that a target that only
+    /// accepts connections is not taken for a sound one again and again.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        let is_due = self.state == TargetState::Down
+            && self.is_in_service
+            && self.is_registered()
+            && now - self.last_probed_at >= self.probe_backoff;
+        if is_due {
+            self.last_probed_at = now;
             self.probe_backoff = (self.probe_backoff * 2).min(MAX_PROBE_BACKOFF);
         }
-        self.failures >= FAILURES_UNTIL_DOWN
+        is_due
     }
 }
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -9,7 +9,7 @@
 };
 use dispatch::{
     Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Placement, Policy, RegionShares,
-    RequestId, RequestKind, SelectionReason,
+    RequestId, RequestKind, SelectionReason, TargetState,
 };
 use rstest::rstest;
 
@@ -496,3 +496,39 @@
     let chosen: Vec<SelectionReason> = assignments(&actions).iter().map(|one| one.reason).collect();
     assert_eq!(chosen, [SelectionReason::ShortQueue]);
 }
+
+/// Guards against targets that stayed down for the rest of their lives after three connections had
+/// failed, although they could be reached again.
+#[test]
+fn target_that_answers_again_takes_all_its_slots() {
+    let config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let state = |dispatcher: &Dispatcher, now| dispatcher.targets(now)[0].1;
+    let now = Time::from_secs(10);
+    let mut actions = dispatcher.submit(now, request(now, 1, 7));
+    while let Some(assignment) = assignments(&actions).first().copied().cloned() {
+        let is_first_target = assignment.target.as_str() == "t0";
+        let outcome = if is_first_target {
+            Outcome::Unreachable
+        } else {
+            Outcome::Answered(Duration::from_millis(50))
+        };
+        actions = dispatcher
+            .finish(now, assignment.id, assignment.attempt, outcome)
+            .1;
+    }
+    assert_eq!(state(&dispatcher, now), TargetState::Down);
+
+    assert!(dispatcher.due_probes(now).is_empty());
+    let now = now + Duration::from_millis(500);
+    assert_eq!(dispatcher.due_probes(now), ["t0".into()]);
+    dispatcher.record_reachable(now, &"t0".into());
+    dispatcher.tick(now);
+    assert_eq!(state(&dispatcher, now), TargetState::Ready);
+    let taken = (3..7).filter(|id| {
+        let actions = dispatcher.submit(now, request(now, *id, 7));
+        let mut assigned = assignments(&actions).into_iter();
+        assigned.any(|one| one.target.as_str() == "t0")
+    });
+    assert_eq!(taken.count(), 4);
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    forward::{Connection, TargetFeedback},
+    forward::{self, Connection, TargetFeedback},
     message::{
         Admitted, Arrival, AttemptPlan, Decision, EngineStatus, Event, OutgoingMessage,
         ReachableOwner, RequestInfo, ServiceLoad,
@@ -82,6 +82,8 @@
     requests: BTreeMap<RequestId, PendingRequest>,
     idle_connections: BTreeMap<TargetId, VecDeque<Connection>>,
     outgoing: mpsc::UnboundedSender<OutgoingMessage>,
+    /// Channel to this engine; weak, so that the engine ends with the other senders.
+    events: mpsc::WeakUnboundedSender<Event>,
     owner_heartbeats: BTreeMap<WorkspaceId, u64>,
     last_lent_at: Time,
     rates_reported_at: Time,
@@ -119,8 +121,8 @@
 }
 
 impl Engine {
-    /// Returns an engine that has no configuration yet and sends its messages to other instances
-    /// through `outgoing`.
+    /// Returns an engine that has no configuration yet, sends its messages to other instances through
+    /// `outgoing`, and receives the results of its own connections through `events`.
     ///
     /// # Errors
     ///
@@ -129,6 +131,7 @@
         clock: Clock,
         options: EngineOptions,
         outgoing: mpsc::UnboundedSender<OutgoingMessage>,
+        events: mpsc::WeakUnboundedSender<Event>,
     ) -> Result<Self, ChartError> {
         Ok(Self {
             clock,
@@ -146,6 +149,7 @@
             requests: BTreeMap::new(),
             idle_connections: BTreeMap::new(),
             outgoing,
+            events,
             owner_heartbeats: BTreeMap::new(),
             last_lent_at: Time::ZERO,
             rates_reported_at: Time::ZERO,
@@ -206,6 +210,12 @@
                 }
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
+            Event::ProbeEnded { target, connection } => {
+                if let Some(connection) = connection {
+                    self.dispatcher.record_reachable(now, &target);
+                    self.return_connection(target, connection);
+                }
+            }
             Event::HedgeDelayElapsed(id) => {
                 if let Some(assignment) = self.dispatcher.hedge(now, id) {
                     self.send_attempt(now, assignment);
@@ -503,10 +513,7 @@
     ) {
         let target = self.dispatcher.target_of(id, attempt).cloned();
         if let (Some(target), Some(connection)) = (target, connection) {
-            self.idle_connections
-                .entry(target)
-                .or_default()
-                .push_back(connection);
+            self.return_connection(target, connection);
         }
         let (progress, actions) = self.dispatcher.finish(now, id, attempt, outcome);
         self.apply_dispatch(now, actions);
@@ -515,6 +522,33 @@
         }
     }
 
+    fn return_connection(&mut self, target: TargetId, connection: Connection) {
+        let idle = self.idle_connections.entry(target).or_default();
+        idle.push_back(connection);
+    }
+
+    /// Tries connections to targets that are down.
+    fn probe_targets(&mut self, now: Time) {
+        let Some(events) = self.events.upgrade() else {
+            return;
+        };
+        for target in self.dispatcher.due_probes(now) {
+            let Some(addr) = self.addr_of(&target) else {
+                continue;
+            };
+            let (clock, events) = (self.clock, events.clone());
+            tokio::spawn(async move {
+                let connection = forward::probe(clock, addr).await;
+                let _ = events.send(Event::ProbeEnded { target, connection });
+            });
+        }
+    }
+
+    fn addr_of(&self, target: &TargetId) -> Option<SocketAddr> {
+        let mut services = self.config.as_ref()?.services.values();
+        services.find_map(|service| Some(service.targets.get(target)?.addr))
+    }
+
     fn configure(&mut self, now: Time, config: Arc<Config>) {
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
@@ -625,6 +659,7 @@
             let actions = self.admission.lend(now);
             self.apply_admission(now, actions);
         }
+        self.probe_targets(now);
         if now - self.rates_reported_at >= RATE_REPORT_INTERVAL {
             self.report_rates(now);
         }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -137,12 +137,28 @@
 }
 
 impl Connection {
+    fn new(now: Time, sender: http1::SendRequest<Full<Bytes>>, addr: SocketAddr) -> Self {
+        Self {
+            sender,
+            addr,
+            last_response_at: now,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            fresh_timeout: DEFAULT_FRESH_TIMEOUT,
+        }
+    }
+
     /// Returns whether the connection is open and idle.
     pub fn is_open(&self) -> bool {
         self.sender.is_ready()
     }
 }
 
+/// Opens a connection to the target at `addr` that no request waits for.
+pub async fn probe(clock: Clock, addr: SocketAddr) -> Option<Connection> {
+    let sender = connect(addr).await.ok()?;
+    Some(Connection::new(clock.now(), sender, addr))
+}
+
 /// Sends a request to the target at `addr` and awaits its complete response until `deadline`.
 pub async fn send_attempt(
     clock: Clock,
@@ -183,13 +199,7 @@
     let Some(req) = build_request(template, addr, deadline - clock.now()) else {
         return AttemptResult::failed(Outcome::Unreachable);
     };
-    let connection = Connection {
-        sender,
-        addr,
-        last_response_at: started,
-        idle_timeout: DEFAULT_IDLE_TIMEOUT,
-        fresh_timeout: DEFAULT_FRESH_TIMEOUT,
-    };
+    let connection = Connection::new(started, sender, addr);
     let connect_time = is_new_connection.then(|| clock.now() - started);
     let mut result = send_request(clock, started, connection, template, req)
         .await
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -42,6 +42,13 @@
         /// What the attempt revealed about the target.
         feedback: TargetFeedback,
     },
+    /// A connection that no request waits for could be opened, or not.
+    ProbeEnded {
+        /// Target of the connection.
+        target: TargetId,
+        /// The connection; `None` if it could not be opened.
+        connection: Option<Connection>,
+    },
     /// The first attempt has run for its hedge delay without a result.
     HedgeDelayElapsed(RequestId),
     /// The caller has disconnected or no longer needs a response.
