--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,10 +9,21 @@
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
 
 /// Holds the last known state of all instances except this one.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
     /// Other instances by ID.
     pub members: BTreeMap<InstanceId, FleetMember>,
+    /// Whether this instance reaches the targets itself, not through other instances.
+    pub has_target_path: bool,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            members: BTreeMap::new(),
+            has_target_path: true,
+        }
+    }
 }
 
 /// Describes the last known state of another instance.
@@ -42,6 +53,8 @@
     pub held_slots: Option<u32>,
     /// Sequence number of its last heartbeat.
     pub heartbeat_sequence: u64,
+    /// Whether it reaches the targets itself, not through other instances.
+    pub has_target_path: bool,
     /// Requests per second for each service that callers send to it and that may be served in
     /// several regions.
     pub demand: Vec<(ServiceId, f64)>,
@@ -78,6 +91,12 @@
         self.members.get(id).is_some_and(|member| member.is_gone)
     }
 
+    /// Returns whether an instance, this one if it is no other, reaches the targets itself.
+    pub fn has_target_path(&self, id: &InstanceId) -> bool {
+        let member = self.members.get(id);
+        member.map_or(self.has_target_path, |member| member.has_target_path)
+    }
+
     /// Returns how many other instances are listed without being known to have ended, and how many
     /// are alive.
     pub fn count_listed_and_alive(&self, now: Time) -> (usize, usize) {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -1,6 +1,6 @@
 //! The task that follows the head row of the configuration and activates the object that it names.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time, config_digest};
 use coord::{Freshness, Head, OfferOutcome, VersionTracker};
@@ -327,6 +327,8 @@
 
 /// Returns the entry points that look-ups may return, including `own`: instances that are alive,
 /// not leaving and not drained.
+///
+/// Instances without a path to the targets are left out if others in their region have one.
 pub(crate) fn entry_points(
     now: Time,
     fleet: &Fleet,
@@ -348,9 +350,23 @@
             addr: member.entry?,
         })
     });
-    others
+    let entries: Vec<EntryPoint> = others
         .chain(own.cloned())
         .filter(|entry| !is_drained(entry))
+        .collect();
+    let region_of = |entry: &EntryPoint| config.and_then(|config| config.region_of(&entry.domain));
+    let connected_regions: BTreeSet<_> = entries
+        .iter()
+        .filter(|entry| fleet.has_target_path(&entry.instance))
+        .map(region_of)
+        .collect();
+    let is_of_use = |entry: &EntryPoint| {
+        fleet.has_target_path(&entry.instance) || !connected_regions.contains(&region_of(entry))
+    };
+    entries
+        .iter()
+        .filter(|entry| is_of_use(entry))
+        .cloned()
         .collect()
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod planner;
 pub mod probes;
 pub mod registry;
+pub mod relay;
 pub mod rpc;
 pub mod slots;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -69,6 +69,8 @@
     pub pinned_demand: Vec<(ServiceId, RegionId, f64)>,
     /// Positions up to which the sender has read the followed tables, in the tables' order.
     pub table_positions: Vec<u64>,
+    /// Whether the sender reaches the targets itself, not through other instances.
+    pub has_target_path: bool,
 }
 
 /// Commands the task that exchanges messages with the other instances.
@@ -96,6 +98,8 @@
     SetOwnedWorkspaces(Vec<(WorkspaceId, u64)>),
     /// Sets the number of quota slots that this instance holds.
     SetHeldSlots(u32),
+    /// Sets whether this instance reaches the targets itself, not through other instances.
+    SetTargetPath(bool),
     /// Sets the requests per second of each service that callers send to this instance: first those
     /// that may be served in several regions, then those that may be served in only one.
     SetDemand(Vec<(ServiceId, f64)>, Vec<(ServiceId, RegionId, f64)>),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,6 +12,7 @@
 use dispatch::Ledger;
 use entry::{
     callers::{CallerHandler, HandlerOptions},
+    dial::Dialer,
     engine::{Engine, EngineOptions},
     message::Event,
     metrics::Metrics,
@@ -42,6 +43,7 @@
     planner::{Planner, PlannerOptions},
     probes,
     registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
+    relay::{self, Carrier},
     rpc,
     slots::{Slots, SlotsOptions},
 };
@@ -149,6 +151,7 @@
     let (ledger_tx, ledger_rx) = mpsc::channel(CHANNEL_CAPACITY);
     let (incoming_tx, incoming_rx) = mpsc::channel(CHANNEL_CAPACITY);
     let (leave_tx, leave_rx) = mpsc::channel(1);
+    let (relays_tx, relays_rx) = mpsc::unbounded_channel();
     let (fleet_tx, fleet_rx) = watch::channel(Arc::new(Fleet::default()));
     let (view_tx, view_rx) = watch::channel(Arc::new(View::default()));
 
@@ -179,6 +182,7 @@
         recorder: options.sink.clone().map_or_else(Recorder::default, |sink| {
             Recorder::new(sink, own_id.clone(), cfg.region.as_str().into())
         }),
+        dialer: Dialer::new(clock, relays_tx),
     };
     let callers = listen(cfg.entry, callers.into_router())
         .await
@@ -212,7 +216,9 @@
         },
     );
     tokio::spawn(peers.run(peers_rx));
-    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx));
+    let carrier = Carrier::new(view_rx.clone());
+    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, carrier));
+    tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms);
     let probes_targets = matches!(source, ConfigSource::HeadRow);
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -5,7 +5,7 @@
 
 use base::{Config, DomainId, InstanceId, ServiceId, Time, WorkspaceId};
 use coord::Freshness;
-use dispatch::TargetState;
+use dispatch::{PathState, TargetState};
 use entry::{
     message::{EngineStatus, Event},
     metrics::Metrics,
@@ -158,6 +158,10 @@
         set("requests_under_way", engine.requests);
         set("requests_queued", engine.queued);
         set("retries_left", engine.retries_left as usize);
+        set(
+            "target_path_lost",
+            usize::from(engine.path == PathState::Relayed),
+        );
         set("targets_with_rate", engine.named_rates.len());
         set("barred", engine.quarantined.len());
         let owned = engine
@@ -321,6 +325,9 @@
             flags.push(format!("target {id} is down"));
         }
     }
+    if engine.path == PathState::Relayed {
+        flags.push("targets are reached only through other instances".to_owned());
+    }
     for (id, per_s) in &engine.named_rates {
         flags.push(format!(
             "target {id} takes only {per_s} requests per second"
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -7,11 +7,11 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::{Config, DomainId, Incarnation, InstanceId, RegionId, Time, WorkspaceId};
+use base::{Config, DomainId, Incarnation, InstanceId, Time, WorkspaceId};
 use coord::{GrantRequest, Loan, OwnerId, Quota, QuotaOwner, QuotaSplit, rendezvous_rank};
 use dispatch::RateReport;
 use entry::{
-    message::{Event, OutgoingMessage, ReachableOwner},
+    message::{Event, LiveInstance, OutgoingMessage, ReachableOwner},
     view::{Clock, View},
 };
 use tokio::{
@@ -91,7 +91,7 @@
     workspaces: BTreeMap<WorkspaceId, Quota>,
     version: u64,
     published: Vec<(WorkspaceId, u64)>,
-    live_instances: Vec<(InstanceId, RegionId)>,
+    live_instances: Vec<LiveInstance>,
     is_leaving: bool,
 }
 
@@ -204,6 +204,10 @@
             OutgoingMessage::ConnectionLoss(loss) => {
                 self.broadcast(&PeerMessage::ConnectionLoss(loss)).await;
             }
+            OutgoingMessage::TargetPath { is_direct } => {
+                let command = PeerCommand::SetTargetPath(is_direct);
+                let _ = self.options.peers.send(command).await;
+            }
             OutgoingMessage::Rates(reports) => self.broadcast_rates(&reports).await,
             OutgoingMessage::GrantRequest {
                 workspace,
@@ -354,13 +358,24 @@
         let others = fleet
             .members
             .iter()
-            .filter(|(_, member)| member.may_send(now));
-        let own = (&self.options.own_id, &self.options.domain);
-        let instances: Vec<(InstanceId, RegionId)> = others
-            .map(|(id, member)| (id, &member.domain))
-            .chain((!self.is_leaving).then_some(own))
-            .filter_map(|(id, domain)| Some((id.clone(), config.region_of(domain)?.clone())))
-            .collect();
+            .filter(|(_, member)| member.may_send(now))
+            .filter_map(|(id, member)| {
+                let may_relay = member.is_alive(now) && member.has_target_path;
+                Some(LiveInstance {
+                    id: id.clone(),
+                    region: config.region_of(&member.domain)?.clone(),
+                    relay_addr: member.addr.filter(|_| may_relay),
+                })
+            });
+        let own = config
+            .region_of(&self.options.domain)
+            .filter(|_| !self.is_leaving)
+            .map(|region| LiveInstance {
+                id: self.options.own_id.clone(),
+                region: region.clone(),
+                relay_addr: None,
+            });
+        let instances: Vec<LiveInstance> = others.chain(own).collect();
         if instances != self.live_instances {
             self.live_instances.clone_from(&instances);
             let own_id = self.options.own_id.clone();
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -146,6 +146,11 @@
                 self.send_heartbeats().await;
             }
             PeerCommand::SetHeldSlots(slots) => self.own_heartbeat.held_slots = slots,
+            PeerCommand::SetTargetPath(is_direct) => {
+                self.own_heartbeat.has_target_path = is_direct;
+                self.send_heartbeats().await;
+                self.publish();
+            }
             PeerCommand::SetDemand(demand, pinned_demand) => {
                 self.own_heartbeat.demand = demand;
                 self.own_heartbeat.pinned_demand = pinned_demand;
@@ -355,6 +360,7 @@
                         .map_or_else(Vec::new, |heartbeat| heartbeat.owned_workspaces.clone()),
                     held_slots: heartbeat.map(|heartbeat| heartbeat.held_slots),
                     heartbeat_sequence: heartbeat.map_or(0, |heartbeat| heartbeat.sequence),
+                    has_target_path: heartbeat.is_none_or(|heartbeat| heartbeat.has_target_path),
                     demand: heartbeat.map_or_else(Vec::new, |heartbeat| heartbeat.demand.clone()),
                     pinned_demand: heartbeat
                         .map_or_else(Vec::new, |heartbeat| heartbeat.pinned_demand.clone()),
@@ -362,7 +368,10 @@
                 (id.clone(), state)
             })
             .collect();
-        let fleet = Fleet { members };
+        let fleet = Fleet {
+            members,
+            has_target_path: self.own_heartbeat.has_target_path,
+        };
         self.outputs.fleet.send_if_modified(|current| {
             let is_changed = **current != fleet;
             if is_changed {
@@ -390,5 +399,6 @@
         demand: Vec::new(),
         pinned_demand: Vec::new(),
         table_positions: Vec::new(),
+        has_target_path: true,
     }
 }
--- /dev/null
+++ b/crates/daemon/src/relay.rs
@@ -0,0 +1,157 @@
+//! Connections to targets that one instance opens and another one carries.
+//!
+//! An instance that has lost its path to the targets asks another one for a connection. It decides
+//! everything about its requests itself; the other instance only passes bytes on.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{Config, TargetId};
+use entry::{
+    dial::{RelayError, RelayRequest},
+    view::View,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
+    time::timeout,
+};
+use wire::Secret;
+
+use crate::rpc::{self, Opening};
+
+/// Maximum number of connections that an instance carries for others.
+const MAX_CARRIED: usize = 512;
+/// Time within which the other instance must have opened a connection.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time within which the carrying instance must reach the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time without any byte after which a carried connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const BUF_BYTES: usize = 16 * 1024;
+
+/// Carries connections of other instances to the targets of the active configuration.
+#[derive(Debug, Clone)]
+pub struct Carrier {
+    view: watch::Receiver<Arc<View>>,
+    permits: Arc<Semaphore>,
+}
+
+impl Carrier {
+    /// Returns a carrier to the targets that `view` shows.
+    pub fn new(view: watch::Receiver<Arc<View>>) -> Self {
+        Self {
+            view,
+            permits: Arc::new(Semaphore::new(MAX_CARRIED)),
+        }
+    }
+
+    /// Connects to a target for another instance; returns `None` if too many connections are carried
+    /// already.
+    pub(crate) async fn open(&self, target: &TargetId) -> Option<Carried> {
+        let permit = self.permits.clone().try_acquire_owned().ok()?;
+        Some(Carried {
+            target_stream: self.connect(target).await,
+            _permit: permit,
+        })
+    }
+
+    async fn connect(&self, target: &TargetId) -> Option<TcpStream> {
+        let config = self.view.borrow().config.clone()?.1;
+        let addr = addr_in_service(&config, target)?;
+        let connect = TcpStream::connect(addr);
+        let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(stream)
+    }
+}
+
+/// Holds the connection to a target that is carried for another instance, if it could be opened.
+#[derive(Debug)]
+pub(crate) struct Carried {
+    target_stream: Option<TcpStream>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Carried {
+    pub(crate) fn is_open(&self) -> bool {
+        self.target_stream.is_some()
+    }
+
+    /// Carries the connection until one of its ends closes it.
+    pub(crate) async fn carry(self, stream: TcpStream) {
+        if let Some(target_stream) = self.target_stream {
+            exchange_bytes(stream, target_stream).await;
+        }
+    }
+}
+
+/// Returns the address of a target that takes new work.
+fn addr_in_service(config: &Config, target: &TargetId) -> Option<SocketAddr> {
+    let mut services = config.services.iter();
+    let (service, found) =
+        services.find_map(|(id, service)| Some((id, service.targets.get(target)?)))?;
+    config
+        .is_target_in_service(service, target)
+        .then_some(found.addr)
+}
+
+/// Answers requests for connections through other instances until all senders are dropped.
+pub async fn run(secret: Secret, mut rx: mpsc::UnboundedReceiver<RelayRequest>) {
+    while let Some(request) = rx.recv().await {
+        let secret = secret.clone();
+        tokio::spawn(async move {
+            let opened = open(&secret, request.relay, request.target).await;
+            let _ = request.reply.send(opened);
+        });
+    }
+}
+
+/// Asks the instance at `relay` for a connection to a target.
+async fn open(
+    secret: &Secret,
+    relay: SocketAddr,
+    target: TargetId,
+) -> Result<TcpStream, RelayError> {
+    let opening = Opening::Relay(target);
+    let exchange = rpc::exchange(secret, relay, &opening);
+    match timeout(OPEN_TIMEOUT, exchange).await {
+        Ok(Ok((true, stream))) => Ok(stream),
+        Ok(Ok((false, _))) => Err(RelayError::TargetUnreachable),
+        Ok(Err(_)) | Err(_) => Err(RelayError::RelayUnavailable),
+    }
+}
+
+/// Passes bytes on in both directions until an end closes its connection or no byte has come for
+/// [`IDLE_TIMEOUT`].
+///
+/// An end that fails resets the other one, so that an answer which was cut off doesn't look complete.
+async fn exchange_bytes(mut near: TcpStream, mut far: TcpStream) {
+    let is_clean = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        tokio::select! {
+            result = copy(near_read, far_write) => result.is_ok(),
+            result = copy(far_read, near_write) => result.is_ok(),
+        }
+    };
+    if !is_clean {
+        let _ = near.set_zero_linger();
+        let _ = far.set_zero_linger();
+    }
+}
+
+/// Copies one direction until it is closed.
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<()> {
+    let mut buf = vec![0; BUF_BYTES];
+    loop {
+        let len = timeout(IDLE_TIMEOUT, from.read(&mut buf)).await??;
+        if len == 0 {
+            return Ok(());
+        }
+        to.write_all(&buf[..len]).await?;
+    }
+}
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -3,10 +3,10 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use base::Incarnation;
+use base::{Incarnation, TargetId};
 use coord::TableSnapshot;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -15,6 +15,8 @@
 };
 use wire::{Secret, stream};
 
+use crate::relay::Carrier;
+
 /// Requests something from another instance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Call {
@@ -59,6 +61,16 @@
     Table(Option<TableSnapshot>),
 }
 
+/// Opens a connection between two instances.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Opening {
+    /// Calls the other instance, which answers with a [`Reply`] and closes the connection.
+    Call(Call),
+    /// Asks for a connection to this target. The other instance answers whether it reached the target;
+    /// if so, the connection carries the target's bytes from then on.
+    Relay(TargetId),
+}
+
 /// Carries a received call to the task that answers it.
 #[derive(Debug)]
 pub struct IncomingCall {
@@ -71,13 +83,23 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const NONCE_BYTES: usize = 16;
 
-/// Accepts calls until the receiver of `tx` is dropped.
-pub async fn serve(listener: TcpListener, secret: Secret, tx: mpsc::Sender<IncomingCall>) {
+type Nonce = [u8; NONCE_BYTES];
+
+/// Accepts calls until the receiver of `tx` is dropped; `carrier` answers those for connections to
+/// targets.
+pub async fn serve(
+    listener: TcpListener,
+    secret: Secret,
+    tx: mpsc::Sender<IncomingCall>,
+    carrier: Carrier,
+) {
     while !tx.is_closed() {
         if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(timeout(
-                CALL_TIMEOUT,
-                handle_connection(stream, secret.clone(), tx.clone()),
+            tokio::spawn(handle_connection(
+                stream,
+                secret.clone(),
+                tx.clone(),
+                carrier.clone(),
             ));
         }
     }
@@ -85,8 +107,10 @@
 
 /// Calls the instance at `addr`; returns `None` if no authentic reply arrives before the timeout.
 pub async fn call(secret: &Secret, addr: SocketAddr, call: &Call) -> Option<Reply> {
-    let exchange = exchange(secret, addr, call);
-    timeout(CALL_TIMEOUT, exchange).await.ok()?.ok()
+    let opening = Opening::Call(call.clone());
+    let exchange = exchange(secret, addr, &opening);
+    let (reply, _) = timeout(CALL_TIMEOUT, exchange).await.ok()?.ok()?;
+    Some(reply)
 }
 
 /// Fetches the configuration with this digest from the instance at `addr`.
@@ -107,43 +131,98 @@
     }
 }
 
-async fn exchange(secret: &Secret, addr: SocketAddr, call: &Call) -> io::Result<Reply> {
+/// Opens a connection to the instance at `addr` and returns its authentic reply with the stream that
+/// it came on.
+pub(crate) async fn exchange<T>(
+    secret: &Secret,
+    addr: SocketAddr,
+    opening: &Opening,
+) -> io::Result<(T, TcpStream)>
+where
+    T: DeserializeOwned,
+{
     let mut stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let mut peer_nonce = [0; NONCE_BYTES];
     stream.read_exact(&mut peer_nonce).await?;
-    let own_nonce: [u8; NONCE_BYTES] = rand::random();
+    let own_nonce: Nonce = rand::random();
     let frame = secret
-        .seal_with_nonce(&peer_nonce, &(own_nonce, call))
+        .seal_with_nonce(&peer_nonce, &(own_nonce, opening))
         .map_err(io::Error::other)?;
     stream::write(&mut stream, &frame).await?;
     let frame = stream::read(&mut stream)
         .await?
         .ok_or(io::ErrorKind::UnexpectedEof)?;
-    secret
+    let reply = secret
         .open_with_nonce(&own_nonce, &frame)
-        .map_err(io::Error::other)
+        .map_err(io::Error::other)?;
+    Ok((reply, stream))
 }
 
 async fn handle_connection(
     mut stream: TcpStream,
     secret: Secret,
     tx: mpsc::Sender<IncomingCall>,
+    carrier: Carrier,
 ) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let own_nonce: [u8; NONCE_BYTES] = rand::random();
-    stream.write_all(&own_nonce).await?;
-    let Some(frame) = stream::read(&mut stream).await? else {
+    let Some((peer_nonce, opening)) =
+        timeout(CALL_TIMEOUT, receive(&mut stream, &secret)).await??
+    else {
         return Ok(());
     };
-    let (peer_nonce, call): ([u8; NONCE_BYTES], Call) = secret
-        .open_with_nonce(&own_nonce, &frame)
-        .map_err(io::Error::other)?;
+    match opening {
+        Opening::Call(call) => {
+            let answered = answer_call(&mut stream, &secret, &peer_nonce, call, &tx);
+            timeout(CALL_TIMEOUT, answered).await?
+        }
+        Opening::Relay(target) => {
+            let Some(carried) = carrier.open(&target).await else {
+                return Ok(());
+            };
+            let is_open = carried.is_open();
+            write_reply(&mut stream, &secret, &peer_nonce, &is_open).await?;
+            carried.carry(stream).await;
+            Ok(())
+        }
+    }
+}
+
+async fn answer_call(
+    stream: &mut TcpStream,
+    secret: &Secret,
+    peer_nonce: &Nonce,
+    call: Call,
+    tx: &mpsc::Sender<IncomingCall>,
+) -> io::Result<()> {
     let (reply, answer) = oneshot::channel();
     let _ = tx.send(IncomingCall { call, reply }).await;
     let reply = answer.await.map_err(io::Error::other)?;
+    write_reply(stream, secret, peer_nonce, &reply).await
+}
+
+async fn write_reply<T>(
+    stream: &mut TcpStream,
+    secret: &Secret,
+    peer_nonce: &Nonce,
+    reply: &T,
+) -> io::Result<()>
+where
+    T: Serialize,
+{
     let frame = secret
-        .seal_with_nonce(&peer_nonce, &reply)
+        .seal_with_nonce(peer_nonce, reply)
         .map_err(io::Error::other)?;
-    stream::write(&mut stream, &frame).await
+    stream::write(stream, &frame).await
+}
+
+/// Reads what a connection is opened for, and the nonce with which the reply is to be sealed.
+async fn receive(stream: &mut TcpStream, secret: &Secret) -> io::Result<Option<(Nonce, Opening)>> {
+    stream.set_nodelay(true)?;
+    let own_nonce: Nonce = rand::random();
+    stream.write_all(&own_nonce).await?;
+    let Some(frame) = stream::read(stream).await? else {
+        return Ok(None);
+    };
+    let opened = secret.open_with_nonce(&own_nonce, &frame);
+    opened.map(Some).map_err(io::Error::other)
 }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -20,6 +20,7 @@
         owned_workspaces: vec![("club".into(), 7)],
         held_slots: Some(0),
         heartbeat_sequence: 1,
+        has_target_path: true,
         demand: Vec::new(),
         pinned_demand: Vec::new(),
     }
@@ -28,6 +29,7 @@
 fn fleet() -> Fleet {
     Fleet {
         members: BTreeMap::from([("i1".into(), member(Time::from_secs(10)))]),
+        ..Fleet::default()
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/relay.rs
@@ -0,0 +1,140 @@
+//! Connections to targets that one instance opens through another one.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{Config, Domain, Service, Target};
+use daemon::{
+    relay::{self, Carrier},
+    rpc,
+};
+use entry::{
+    dial::{RelayError, RelayRequest},
+    view::View,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot, watch},
+};
+use wire::Secret;
+
+/// Serves connections for others to a target `t` at this address, and returns the channel on which they
+/// are asked for with the address of the serving instance.
+async fn start(
+    target: SocketAddr,
+    is_drained: bool,
+) -> (mpsc::UnboundedSender<RelayRequest>, SocketAddr) {
+    let mut config = Config::default();
+    let domain = Domain { region: "r".into() };
+    config.domains.insert("d".into(), domain);
+    let target = Target {
+        domain: "d".into(),
+        addr: target,
+        registered: None,
+    };
+    let service = Service {
+        slots: 1,
+        connections: 10,
+        deadline_ms: 1_000,
+        open_routes: Vec::new(),
+        targets: [("t".into(), target)].into(),
+        cold: None,
+    };
+    config.services.insert("s".into(), service);
+    if is_drained {
+        config.drains.targets_in_domains.insert("d".into());
+    }
+    let view = View {
+        config: Some((1, Arc::new(config))),
+        ..View::default()
+    };
+    let (_, view) = watch::channel(Arc::new(view));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let secret = Secret::derive("a secret for tests only");
+    let (calls, calls_rx) = mpsc::channel(1);
+    let carrier = Carrier::new(view);
+    tokio::spawn(async move {
+        let _calls = calls_rx;
+        rpc::serve(listener, secret, calls, carrier).await;
+    });
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(relay::run(Secret::derive("a secret for tests only"), rx));
+    (tx, addr)
+}
+
+async fn open(
+    tx: &mpsc::UnboundedSender<RelayRequest>,
+    relay: SocketAddr,
+    target: &str,
+) -> Result<TcpStream, RelayError> {
+    let (reply, answer) = oneshot::channel();
+    let request = RelayRequest {
+        relay,
+        target: target.into(),
+        reply,
+    };
+    tx.send(request).unwrap();
+    answer.await.unwrap()
+}
+
+/// Bytes pass in both directions, and an end that closes closes the other one.
+#[tokio::test]
+async fn relay_carries_bytes_and_close() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tx, relay) = start(target.local_addr().unwrap(), false).await;
+    let mut near = open(&tx, relay, "t").await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    near.write_all(b"question").await.unwrap();
+    let mut buf = [0; 8];
+    far.read_exact(&mut buf).await.unwrap();
+    assert_eq!(&buf, b"question");
+    far.write_all(b"answer").await.unwrap();
+    drop(far);
+    let mut answer = Vec::new();
+    near.read_to_end(&mut answer).await.unwrap();
+    assert_eq!(answer, b"answer");
+
+    let near = open(&tx, relay, "t").await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    drop(near);
+    assert_eq!(far.read(&mut buf).await.unwrap(), 0);
+}
+
+/// Guards against an answer that is cut off looking complete: a reset is passed on as a reset.
+#[tokio::test]
+async fn relay_passes_reset_on() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tx, relay) = start(target.local_addr().unwrap(), false).await;
+    let mut near = open(&tx, relay, "t").await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    far.write_all(b"half an").await.unwrap();
+    let mut buf = [0; 7];
+    near.read_exact(&mut buf).await.unwrap();
+    far.set_zero_linger().unwrap();
+    drop(far);
+    assert!(near.read(&mut buf).await.is_err());
+}
+
+/// What the other instance can't reach, or may not send to, is told from an instance that can't help.
+#[rstest]
+#[case::unknown_target("other", false)]
+#[case::drained_target("t", true)]
+#[tokio::test]
+async fn relay_refuses(#[case] name: &str, #[case] is_drained: bool) {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tx, relay) = start(target.local_addr().unwrap(), is_drained).await;
+    let refused = open(&tx, relay, name).await;
+    assert_eq!(refused.unwrap_err(), RelayError::TargetUnreachable);
+}
+
+#[tokio::test]
+async fn relay_is_unavailable() {
+    let unused = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = unused.local_addr().unwrap();
+    drop(unused);
+    let (tx, _) = start(nobody, false).await;
+    let refused = open(&tx, nobody, "t").await;
+    assert_eq!(refused.unwrap_err(), RelayError::RelayUnavailable);
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Assignment of requests to targets, with retries, hedges and refusals.
 
 mod outcomes;
+mod paths;
 mod probes;
 mod queueing;
 mod rates;
@@ -18,9 +19,9 @@
 use rand_pcg::Pcg32;
 
 use crate::{
-    Action, AdmittedRequest, Assignment, ConnectionLoss, Outcome, Placement, Policy, Quarantine,
-    RegionShares, RequestId, RequestKind, RequestProgress, RetryBudget, SelectionReason,
-    TargetEvent, TargetState,
+    Action, AdmittedRequest, Assignment, ConnectionLoss, Outcome, PathMonitor, Placement, Policy,
+    Quarantine, RegionShares, RequestId, RequestKind, RequestProgress, RetryBudget,
+    SelectionReason, TargetEvent, TargetState, path_chart,
     placement::PlacementQuery,
     pool::{Pool, RegionConstraints, TargetContext},
     target_chart,
@@ -103,6 +104,7 @@
     queued: BTreeSet<(Time, RequestId)>,
     budget: RetryBudget,
     quarantine: Quarantine,
+    path: PathMonitor,
     own_id: InstanceId,
     /// Live instances, among which the rates that targets name are shared.
     instances: Vec<(InstanceId, RegionId)>,
@@ -127,6 +129,7 @@
             budget: RetryBudget::new(policy.retry_fraction, policy.retry_cap),
             quarantine: Quarantine::new(policy.max_losses, policy.quarantine_period),
             policy,
+            path: PathMonitor::new(path_chart()?),
             own_id: InstanceId::from(""),
             instances: Vec::new(),
         })
@@ -227,6 +230,9 @@
         let service = entry.request.service.clone();
         let fingerprint = entry.request.fingerprint;
         let workspace = entry.request.workspace.clone();
+        if matches!(outcome, Outcome::Answered(_) | Outcome::Refused) {
+            self.path.record_response(now);
+        }
         self.update_target(now, &service, (target, reason), outcome);
         if let Some(pool) = self.pools.get_mut(&service) {
             pool.record_end(now, target, &workspace);
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -1,5 +1,7 @@
 //! Choice of a target for queued requests, and the start of attempts.
 
+use std::time::Duration;
+
 use base::{ServiceId, Time};
 
 use super::{Attempt, Dispatcher};
@@ -11,6 +13,11 @@
 /// Maximum number of queued requests without a target that later ones may overtake at a time.
 const MAX_SKIPPED: usize = 8;
 
+/// Minimum time after which a new connection is tried through another instance as well.
+const MIN_RELAY_DELAY: Duration = Duration::from_millis(100);
+/// The same as a number of round trips to the target's region.
+const RELAY_DELAY_ROUND_TRIPS: u32 = 3;
+
 impl Dispatcher {
     pub(super) fn assign_all(&mut self, now: Time) -> Vec<Action> {
         let services: Vec<ServiceId> = self
@@ -136,6 +143,13 @@
             region: target.region.clone(),
             needs_fresh_connection: entry.request.kind == RequestKind::Once
                 || entry.attempts_sent > 1,
+            prefers_relay: self.path.prefers_relay(now, &target.id),
+            relay_delay: self
+                .round_trips
+                .get(&target.region)
+                .map_or(MIN_RELAY_DELAY, |round_trip| {
+                    (*round_trip * RELAY_DELAY_ROUND_TRIPS).max(MIN_RELAY_DELAY)
+                }),
             hedge_delay: pool.latency.upper_bound().max(self.policy.min_hedge_delay),
             reason,
             load,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod latency;
 mod ledger;
 mod limit;
+mod path;
 mod placement;
 mod pool;
 mod quarantine;
@@ -27,6 +28,7 @@
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, ClaimOutcome, Claimer, Ledger, SavedAnswer};
 pub use limit::{AimdParams, ConcurrencyLimit};
+pub use path::{Dial, PathEvent, PathMonitor, PathState};
 pub use pool::RegionShares;
 pub use quarantine::{ConnectionLoss, Quarantine};
 pub use queue::FairQueue;
@@ -46,6 +48,15 @@
     Chart::parse(include_str!("../charts/target.json"))
 }
 
+/// Parses the state chart of the path to the targets.
+///
+/// # Errors
+///
+/// Returns a [`ChartError`] if the chart can't be parsed.
+pub fn path_chart() -> Result<Chart<PathState, PathEvent>, ChartError> {
+    Chart::parse(include_str!("../charts/path.json"))
+}
+
 /// Parses the state chart of a non-idempotent action.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/dispatch/src/path.rs
@@ -0,0 +1,205 @@
+//! Decides whether this instance has lost its path to the targets, as opposed to the targets having
+//! failed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{TargetId, Time};
+use chart::Chart;
+use serde::Deserialize;
+
+/// Lists the states of the path to the targets; `charts/path.json` holds the transitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PathState {
+    /// Connections are opened from this instance.
+    Direct,
+    /// Connections are opened through other instances.
+    Relayed,
+}
+
+/// Lists the events that change the state of the path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PathEvent {
+    /// Several targets that other instances reach can't be reached, or nothing answers any more.
+    Lost,
+    /// Connections from this instance can be opened again.
+    Restored,
+}
+
+/// Reports how a connection to a target was opened.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Dial {
+    /// Whether this instance could open it; `None` if it did not try.
+    pub direct: Option<bool>,
+    /// Whether another instance could open it; `None` if none was asked, or none answered.
+    pub relayed: Option<bool>,
+}
+
+impl Dial {
+    /// Returns the report of a connection that was tried directly alone.
+    pub fn direct(is_open: bool) -> Self {
+        Self {
+            direct: Some(is_open),
+            relayed: None,
+        }
+    }
+
+    /// Adds whether another instance could open it.
+    pub fn relayed(mut self, is_open: bool) -> Self {
+        self.relayed = Some(is_open);
+        self
+    }
+}
+
+/// Watches the connections to targets and decides when to open them through other instances.
+///
+/// A target that neither this instance nor another one can reach says nothing of the path; one that only
+/// the other one reaches does.
+///
+/// # Examples
+///
+/// ```
+/// use base::Time;
+/// use dispatch::{Dial, PathMonitor, PathState, path_chart};
+///
+/// let mut path = PathMonitor::new(path_chart().unwrap());
+/// let only_relayed = Dial::direct(false).relayed(true);
+/// let now = Time::from_secs(1);
+/// path.record_dial(now, &"a".into(), only_relayed);
+/// assert_eq!(path.state(), PathState::Direct);
+/// path.record_dial(now, &"b".into(), only_relayed);
+/// assert_eq!(path.state(), PathState::Relayed);
+/// ```
+#[derive(Debug)]
+pub struct PathMonitor {
+    chart: Chart<PathState, PathEvent>,
+    state: PathState,
+    /// Targets that only other instances could reach, and when this instance last failed to.
+    suspects: BTreeMap<TargetId, Time>,
+    /// Time of the first failure that made the path count as lost.
+    lost_since: Time,
+    /// Time of the last answer while connections are direct.
+    last_response_at: Time,
+    /// Probes in a row that could open a connection.
+    open_probes: u32,
+    last_probe_at: Time,
+}
+
+/// Targets that only others can reach, or that leave requests unanswered, until the path is lost.
+const MIN_SUSPECTS: usize = 2;
+/// Targets that leave requests unanswered, with no answer from any target, until the path is lost.
+const MIN_SILENT_TARGETS: usize = 3;
+/// Time for which connections to a target that only others could reach go through others first.
+const SUSPICION_TTL: Duration = Duration::from_secs(2);
+/// Time between two connections that probe whether the path is back.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Probes in a row that must succeed before the path counts as restored.
+const MIN_OPEN_PROBES: u32 = 2;
+
+impl PathMonitor {
+    /// Returns a monitor of a path that works.
+    pub fn new(chart: Chart<PathState, PathEvent>) -> Self {
+        Self {
+            state: *chart.initial(),
+            chart,
+            suspects: BTreeMap::new(),
+            lost_since: Time::ZERO,
+            last_response_at: Time::ZERO,
+            open_probes: 0,
+            last_probe_at: Time::ZERO,
+        }
+    }
+
+    /// Returns the state of the path.
+    pub fn state(&self) -> PathState {
+        self.state
+    }
+
+    /// Returns the time from which the path counts as lost. Direct connections that have answered
+    /// since then are sound; others may be silent.
+    pub fn lost_since(&self) -> Time {
+        self.lost_since
+    }
+
+    /// Returns whether a connection to this target is to be opened through another instance first.
+    pub fn prefers_relay(&self, now: Time, target: &TargetId) -> bool {
+        let suspected_at = self.suspects.get(target);
+        self.state == PathState::Relayed
+            || suspected_at.is_some_and(|at| now - *at <= SUSPICION_TTL)
+    }
+
+    /// Records how a connection was opened and returns whether the state changed.
+    pub fn record_dial(&mut self, now: Time, target: &TargetId, dial: Dial) -> bool {
+        if dial.direct == Some(true) && self.state == PathState::Direct {
+            self.suspects.clear();
+        }
+        if dial.direct != Some(false) || dial.relayed != Some(true) {
+            return false;
+        }
+        self.suspects.retain(|_, at| now - *at <= SUSPICION_TTL);
+        self.suspects.insert(target.clone(), now);
+        let first = self.suspects.values().min().copied().unwrap_or(now);
+        self.suspects.len() >= MIN_SUSPECTS && self.lose(first)
+    }
+
+    /// Records an answer of a target.
+    pub fn record_response(&mut self, now: Time) {
+        self.last_response_at = self.last_response_at.max(now);
+    }
+
+    /// Returns whether connections are direct and no target has answered for this long.
+    pub fn is_silent(&self, now: Time, time: Duration) -> bool {
+        self.state == PathState::Direct && now - self.last_response_at >= time
+    }
+
+    /// Records the targets of requests that have waited for longer than they usually do, with the time at
+    /// which each was sent, and returns whether the state changed.
+    ///
+    /// Slow targets leave some requests waiting while others are answered; a lost path leaves
+    /// all of them.
+    pub fn record_overdue(&mut self, overdue: &[(&TargetId, Time)]) -> bool {
+        let mut silent: Vec<&TargetId> = overdue
+            .iter()
+            .filter(|(_, sent_at)| *sent_at > self.last_response_at)
+            .map(|(target, _)| *target)
+            .collect();
+        silent.sort();
+        silent.dedup();
+        silent.len() >= MIN_SILENT_TARGETS && self.lose(self.last_response_at)
+    }
+
+    /// Returns whether a connection that probes the path is to be opened now, and if so, counts it.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        let is_due = self.state == PathState::Relayed && now - self.last_probe_at >= PROBE_INTERVAL;
+        if is_due {
+            self.last_probe_at = now;
+        }
+        is_due
+    }
+
+    /// Records whether a probe could open a connection, and returns whether the state changed.
+    pub fn record_probe(&mut self, now: Time, is_open: bool) -> bool {
+        self.open_probes = if is_open { self.open_probes + 1 } else { 0 };
+        if self.open_probes < MIN_OPEN_PROBES || !self.apply(PathEvent::Restored) {
+            return false;
+        }
+        self.suspects.clear();
+        self.last_response_at = now;
+        true
+    }
+
+    fn lose(&mut self, since: Time) -> bool {
+        if !self.apply(PathEvent::Lost) {
+            return false;
+        }
+        self.lost_since = since;
+        self.open_probes = 0;
+        true
+    }
+
+    fn apply(&mut self, event: PathEvent) -> bool {
+        let next = self.chart.next(&self.state, &event);
+        next.is_some_and(|next| std::mem::replace(&mut self.state, *next) != *next)
+    }
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -100,6 +100,10 @@
     pub region: RegionId,
     /// Whether the attempt requires a new or recently verified connection.
     pub needs_fresh_connection: bool,
+    /// Whether a new connection is to be opened through another instance first.
+    pub prefers_relay: bool,
+    /// Time after which a new connection is tried through another instance as well.
+    pub relay_delay: Duration,
     /// Time without a first byte after which a hedge is worthwhile.
     pub hedge_delay: Duration,
     /// Why this target was selected.
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -522,7 +522,7 @@
     assert!(dispatcher.due_probes(now).is_empty());
     let now = now + Duration::from_millis(500);
     assert_eq!(dispatcher.due_probes(now), ["t0".into()]);
-    dispatcher.record_reachable(now, &"t0".into());
+    dispatcher.record_probe(now, &"t0".into(), true);
     dispatcher.tick(now);
     assert_eq!(state(&dispatcher, now), TargetState::Ready);
     let taken = (3..7).filter(|id| {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    dial::Dialer,
     dialect::Dialect,
     execute::{RequestHandle, execute},
     fingerprint::fingerprint,
@@ -65,6 +66,8 @@
     pub dialect: Arc<Dialect>,
     /// Writer of request log lines.
     pub recorder: Recorder,
+    /// Opens connections to targets.
+    pub dialer: Dialer,
 }
 
 /// Configures a [`CallerHandler`].
@@ -249,7 +252,7 @@
         let mut request = self.submit(&head, &template, has_body || needs_claim, log);
         if !(has_body || needs_claim) {
             drop(admission_span);
-            return execute(self.clock, request, template, span).await;
+            return execute(&self.dialer, request, template, span).await;
         }
         let admitted = request.admission().await?;
         drop(admission_span);
@@ -263,7 +266,7 @@
         );
         let Some(key) = head.idempotency_key.filter(|_| needs_claim) else {
             request.dispatch(fingerprint);
-            return execute(self.clock, request, template, span).await;
+            return execute(&self.dialer, request, template, span).await;
         };
         let key = ActionKey {
             workspace: admitted.workspace,
@@ -376,7 +379,7 @@
         let handler = self.clone();
         let run = async move {
             let request_id = request.id;
-            let result = execute(handler.clock, request, template, &span).await;
+            let result = execute(&handler.dialer, request, template, &span).await;
             let (event, answer) = outcome_of(&result);
             let call = LedgerCall::Settle {
                 key,
--- /dev/null
+++ b/crates/entry/src/dial.rs
@@ -0,0 +1,253 @@
+//! Connections to targets, opened directly or through other instances.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use base::{InstanceId, TargetId};
+use derive_more::Display;
+use dispatch::Dial;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::{sleep, timeout},
+};
+
+use crate::{forward::Connection, view::Clock};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Lists the reasons for which a connection to a target can't be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum ConnectError {
+    /// Nothing listens at the address, or something on the way refuses.
+    #[display("refused")]
+    Refused,
+    /// There was no answer in time.
+    #[display("timed_out")]
+    TimedOut,
+    /// The connection failed otherwise.
+    #[display("failed")]
+    Failed,
+}
+
+/// Names another instance that can carry a connection to a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// ID of the instance.
+    pub instance: InstanceId,
+    /// Address at which other instances reach it.
+    pub addr: SocketAddr,
+}
+
+/// Asks the task that reaches other instances for a connection to a target.
+#[derive(Debug)]
+pub struct RelayRequest {
+    /// Address of the instance that is to carry the connection.
+    pub relay: SocketAddr,
+    /// Target to connect to.
+    pub target: TargetId,
+    /// Channel for the connection.
+    pub reply: oneshot::Sender<Result<TcpStream, RelayError>>,
+}
+
+/// Lists the reasons for which another instance can't carry a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayError {
+    /// The instance did not answer, or carries too many connections.
+    RelayUnavailable,
+    /// The instance can't reach the target either.
+    TargetUnreachable,
+}
+
+/// Describes how a connection to a target may be opened.
+#[derive(Debug, Clone)]
+pub struct DialPlan {
+    /// The target.
+    pub target: TargetId,
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// Instances that may carry the connection, in order of preference.
+    pub relays: Vec<Relay>,
+    /// Whether to open it through another instance first.
+    pub prefers_relay: bool,
+    /// Time after which it is tried through another instance as well.
+    pub relay_delay: Duration,
+}
+
+/// Holds a new connection, or why there is none, and what it shows of the path to the target.
+#[derive(Debug)]
+pub(crate) struct Dialed {
+    pub(crate) connection: Result<Connection, ConnectError>,
+    pub(crate) dial: Dial,
+}
+
+/// Opens connections to targets.
+#[derive(Debug, Clone)]
+pub struct Dialer {
+    clock: Clock,
+    relays: mpsc::UnboundedSender<RelayRequest>,
+}
+
+impl Dialed {
+    pub(crate) fn reused(connection: Connection) -> Self {
+        Self {
+            connection: Ok(connection),
+            dial: Dial::default(),
+        }
+    }
+}
+
+impl Dialer {
+    /// Returns a dialer that asks for connections through other instances on `relays`.
+    pub fn new(clock: Clock, relays: mpsc::UnboundedSender<RelayRequest>) -> Self {
+        Self { clock, relays }
+    }
+
+    /// Returns the clock of the process.
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Opens a connection as planned: directly, and through another instance if that fails or takes
+    /// long, or the other way round.
+    pub(crate) async fn open(&self, plan: &DialPlan) -> Dialed {
+        let (opened, dial) = if plan.relays.is_empty() {
+            open_direct(plan).await
+        } else if plan.prefers_relay {
+            self.open_relayed_first(plan).await
+        } else {
+            self.open_direct_first(plan).await
+        };
+        let connection = match opened {
+            Ok(opened) => start_http(self.clock, plan.addr, opened).await,
+            Err(err) => Err(err),
+        };
+        Dialed { connection, dial }
+    }
+
+    async fn open_relayed_first(&self, plan: &DialPlan) -> (Result<Opened, ConnectError>, Dial) {
+        let relayed = |relayed| Dial {
+            direct: None,
+            relayed: Some(relayed),
+        };
+        match self.open_relayed(plan).await {
+            Ok(opened) => (Ok(opened), relayed(true)),
+            // The other instance's word that the target is out of reach is final.
+            Err(RelayError::TargetUnreachable) => (Err(ConnectError::Failed), relayed(false)),
+            Err(RelayError::RelayUnavailable) => open_direct(plan).await,
+        }
+    }
+
+    async fn open_direct_first(&self, plan: &DialPlan) -> (Result<Opened, ConnectError>, Dial) {
+        let direct = connect(plan.addr);
+        tokio::pin!(direct);
+        let early = tokio::select! {
+            result = &mut direct => Some(result),
+            () = sleep(plan.relay_delay) => None,
+        };
+        let mut direct_error = match early {
+            Some(Ok(stream)) => return (Ok(Opened::direct(stream)), Dial::direct(true)),
+            Some(Err(err)) => Some(err),
+            None => None,
+        };
+        let relayed = self.open_relayed(plan);
+        tokio::pin!(relayed);
+        let mut relay_error = None;
+        loop {
+            tokio::select! {
+                result = &mut direct, if direct_error.is_none() => match result {
+                    Ok(stream) => return (Ok(Opened::direct(stream)), Dial::direct(true)),
+                    Err(err) => direct_error = Some(err),
+                },
+                result = &mut relayed, if relay_error.is_none() => match result {
+                    Ok(opened) => return (Ok(opened), Dial::direct(false).relayed(true)),
+                    Err(err) => relay_error = Some(err),
+                },
+            }
+            if let (Some(err), Some(relay_error)) = (direct_error, relay_error) {
+                let dial = match relay_error {
+                    RelayError::TargetUnreachable => Dial::direct(false).relayed(false),
+                    RelayError::RelayUnavailable => Dial::direct(false),
+                };
+                return (Err(err), dial);
+            }
+        }
+    }
+
+    /// Opens a connection through the first instance that answers.
+    async fn open_relayed(&self, plan: &DialPlan) -> Result<Opened, RelayError> {
+        for relay in &plan.relays {
+            let (reply, answer) = oneshot::channel();
+            let request = RelayRequest {
+                relay: relay.addr,
+                target: plan.target.clone(),
+                reply,
+            };
+            let _ = self.relays.send(request);
+            match answer.await {
+                Ok(Ok(stream)) => {
+                    return Ok(Opened {
+                        stream,
+                        relay: Some(relay.instance.clone()),
+                    });
+                }
+                Ok(Err(RelayError::TargetUnreachable)) => {
+                    return Err(RelayError::TargetUnreachable);
+                }
+                Ok(Err(RelayError::RelayUnavailable)) | Err(_) => {}
+            }
+        }
+        Err(RelayError::RelayUnavailable)
+    }
+}
+
+/// Holds an open stream and the instance that carries it, if any.
+struct Opened {
+    stream: TcpStream,
+    relay: Option<InstanceId>,
+}
+
+impl Opened {
+    fn direct(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            relay: None,
+        }
+    }
+}
+
+/// Opens a connection to the target at `addr` that no request waits for.
+pub(crate) async fn probe(clock: Clock, addr: SocketAddr) -> Option<Connection> {
+    let stream = connect(addr).await.ok()?;
+    start_http(clock, addr, Opened::direct(stream)).await.ok()
+}
+
+async fn open_direct(plan: &DialPlan) -> (Result<Opened, ConnectError>, Dial) {
+    let opened = connect(plan.addr).await.map(Opened::direct);
+    let dial = Dial::direct(opened.is_ok());
+    (opened, dial)
+}
+
+/// Starts HTTP on a stream and spawns the task that drives the connection, which ends with it.
+async fn start_http(
+    clock: Clock,
+    addr: SocketAddr,
+    opened: Opened,
+) -> Result<Connection, ConnectError> {
+    let _ = opened.stream.set_nodelay(true);
+    let handshake = http1::handshake(TokioIo::new(opened.stream)).await;
+    let (sender, driver) = handshake.map_err(|_| ConnectError::Failed)?;
+    tokio::spawn(driver);
+    Ok(Connection::new(clock.now(), sender, addr, opened.relay))
+}
+
+async fn connect(addr: SocketAddr) -> Result<TcpStream, ConnectError> {
+    timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+        .await
+        .map_err(|_| ConnectError::TimedOut)?
+        .map_err(|err| match err.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectError::Refused,
+            _ => ConnectError::Failed,
+        })
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -9,14 +9,14 @@
 
 use admit::{Action as AdmitAction, AdmissionController, KeyIndex};
 use base::{
-    Config, ErrorKind, Refusal, RegionId, Route, RouteKind, RouteTable, ServiceId, TargetId, Time,
-    Workspace, WorkspaceId,
+    Config, ErrorKind, InstanceId, Refusal, RegionId, Route, RouteKind, RouteTable, ServiceId,
+    TargetId, Time, Workspace, WorkspaceId,
 };
 use chart::ChartError;
 use coord::{Freshness, QuotaSplit};
 use dispatch::{
-    Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Policy, RequestId, RequestKind,
-    RequestProgress,
+    Action, AdmittedRequest, Assignment, Dispatcher, Outcome, PathState, Policy, RequestId,
+    RequestKind, RequestProgress,
 };
 use tokio::{
     sync::mpsc,
@@ -24,10 +24,11 @@
 };
 
 use crate::{
-    forward::{self, Connection, TargetFeedback},
+    dial::{self, Relay},
+    forward::{Connection, TargetFeedback},
     message::{
-        Admitted, Arrival, AttemptPlan, Decision, EngineStatus, Event, OutgoingMessage,
-        ReachableOwner, RequestInfo, ServiceLoad,
+        Admitted, Arrival, AttemptPlan, Decision, EngineStatus, Event, LiveInstance,
+        OutgoingMessage, ReachableOwner, RequestInfo, ServiceLoad,
     },
     view::Clock,
 };
@@ -43,6 +44,10 @@
 const LEND_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between reports of the rates that targets name.
 const RATE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two ticks that shows that the process was paused.
+const PAUSE_TIME: Duration = Duration::from_millis(400);
+/// Maximum number of instances that are asked to carry a connection, one after the other.
+const MAX_RELAYS_TRIED: usize = 2;
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
 const MAX_EVENTS_PER_BATCH: usize = 256;
@@ -82,6 +87,9 @@
     requests: BTreeMap<RequestId, PendingRequest>,
     idle_connections: BTreeMap<TargetId, VecDeque<Connection>>,
     outgoing: mpsc::UnboundedSender<OutgoingMessage>,
+    /// Other instances that can carry connections to targets, with their regions.
+    relays: Vec<(RegionId, Relay)>,
+    ticked_at: Time,
     /// Channel to this engine; weak, so that the engine ends with the other senders.
     events: mpsc::WeakUnboundedSender<Event>,
     owner_heartbeats: BTreeMap<WorkspaceId, u64>,
@@ -149,6 +157,8 @@
             requests: BTreeMap::new(),
             idle_connections: BTreeMap::new(),
             outgoing,
+            relays: Vec::new(),
+            ticked_at: Time::ZERO,
             events,
             owner_heartbeats: BTreeMap::new(),
             last_lent_at: Time::ZERO,
@@ -211,8 +221,11 @@
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
             Event::ProbeEnded { target, connection } => {
+                let is_open = connection.is_some();
+                if self.dispatcher.record_probe(now, &target, is_open) {
+                    self.change_path();
+                }
                 if let Some(connection) = connection {
-                    self.dispatcher.record_reachable(now, &target);
                     self.return_connection(target, connection);
                 }
             }
@@ -264,9 +277,7 @@
                     self.dispatcher.set_region_shares(&service, shares);
                 }
             }
-            Event::LiveInstances { own_id, instances } => {
-                self.dispatcher.set_instances(&own_id, instances);
-            }
+            Event::LiveInstances { own_id, instances } => self.set_instances(&own_id, instances),
             Event::RatesReported {
                 not_before,
                 reports,
@@ -527,7 +538,69 @@
         idle.push_back(connection);
     }
 
-    /// Tries connections to targets that are down.
+    fn set_instances(&mut self, own_id: &InstanceId, instances: Vec<LiveInstance>) {
+        let sharing = instances
+            .iter()
+            .map(|instance| (instance.id.clone(), instance.region.clone()));
+        self.dispatcher.set_instances(own_id, sharing.collect());
+        self.relays = instances
+            .into_iter()
+            .filter(|instance| instance.id != *own_id)
+            .filter_map(|instance| {
+                let relay = Relay {
+                    instance: instance.id,
+                    addr: instance.relay_addr?,
+                };
+                Some((instance.region, relay))
+            })
+            .collect();
+    }
+
+    /// Returns the instances that may carry a request to a target in `region`: some in that region,
+    /// and if there are none, others.
+    ///
+    /// A request with home regions passes no instance outside of them.
+    fn relays_to(&self, region: &RegionId, request: &PendingRequest) -> Vec<Relay> {
+        let allowed = &request.allowed_regions;
+        let is_allowed = |found: &RegionId| allowed.is_empty() || allowed.contains(found);
+        let in_region = |wants_same: bool| {
+            let found = self
+                .relays
+                .iter()
+                .filter(move |(found, _)| (found == region) == wants_same && is_allowed(found));
+            found.map(|(_, relay)| relay.clone()).collect::<Vec<_>>()
+        };
+        let mut relays = in_region(true);
+        if relays.is_empty() {
+            relays = in_region(false);
+        }
+        // The fingerprint spreads requests over the instances.
+        let start = request.fingerprint as usize % relays.len().max(1);
+        relays.rotate_left(start);
+        relays.truncate(MAX_RELAYS_TRIED);
+        relays
+    }
+
+    /// Acts on a change of the path to the targets: drops idle connections that are of no use on the
+    /// new one, and tells the other instances.
+    fn change_path(&mut self) {
+        let state = self.dispatcher.path_state();
+        let is_direct = state == PathState::Direct;
+        let lost_since = self.dispatcher.path_lost_since();
+        tracing::info!(event = "target_path", is_direct);
+        for connections in self.idle_connections.values_mut() {
+            connections.retain(|connection| match (&connection.relay, is_direct) {
+                (relay, true) => relay.is_none(),
+                (Some(_), false) => true,
+                (None, false) => connection.last_response_at > lost_since,
+            });
+        }
+        let _ = self
+            .outgoing
+            .send(OutgoingMessage::TargetPath { is_direct });
+    }
+
+    /// Tries connections to targets that are down, or that show whether the path is back.
     fn probe_targets(&mut self, now: Time) {
         let Some(events) = self.events.upgrade() else {
             return;
@@ -538,7 +611,7 @@
             };
             let (clock, events) = (self.clock, events.clone());
             tokio::spawn(async move {
-                let connection = forward::probe(clock, addr).await;
+                let connection = dial::probe(clock, addr).await;
                 let _ = events.send(Event::ProbeEnded { target, connection });
             });
         }
@@ -591,6 +664,9 @@
         else {
             return;
         };
+        if self.dispatcher.record_dial(now, id, attempt, feedback.dial) {
+            self.change_path();
+        }
         let target = self.dispatcher.target_of(id, attempt).cloned();
         let Some(target) = target else {
             return;
@@ -652,6 +728,11 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        let was_paused = now - self.ticked_at >= PAUSE_TIME;
+        self.ticked_at = now;
+        if self.dispatcher.check_path(now, was_paused) {
+            self.change_path();
+        }
         let actions = self.admission.tick(now);
         self.apply_admission(now, actions);
         if now - self.last_lent_at >= LEND_INTERVAL {
@@ -727,6 +808,7 @@
             let plan = AttemptPlan {
                 addr: self.target_addr(&assignment)?,
                 connection: None,
+                relays: self.relays_to(&assignment.region, request),
                 deadline: request.deadline,
                 workspace: request.workspace.clone(),
                 is_open: request.is_open,
@@ -824,6 +906,7 @@
             targets: self.dispatcher.targets(now),
             available: self.admission.available(now),
             owners: self.admission.owners(),
+            path: self.dispatcher.path_state(),
             named_rates: self.dispatcher.named_rates(),
             quarantined: self.dispatcher.quarantined(now),
         }
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -8,12 +8,12 @@
 use tokio::{sync::mpsc, task::JoinSet, time::sleep_until};
 
 use crate::{
+    dial::{DialPlan, Dialer},
     forward::{self, AttemptResult, RequestTemplate, TargetFeedback, TargetResponse},
     head,
     message::{Admitted, AttemptPlan, Decision, Event},
     request_log::RequestLog,
     trace::Span,
-    view::Clock,
 };
 
 /// Represents a request submitted to the engine; cancels it on drop unless it has ended.
@@ -147,11 +147,12 @@
 
 /// Sends the attempts that the engine decides on until the request has a final response.
 pub(crate) async fn execute(
-    clock: Clock,
+    dialer: &Dialer,
     mut request: RequestHandle,
     template: RequestTemplate,
     span: &Span,
 ) -> Result<TargetResponse, Refusal> {
+    let clock = dialer.clock();
     let template = Arc::new(template);
     let mut attempts = JoinSet::new();
     let mut hedge_at: Option<Time> = None;
@@ -165,7 +166,7 @@
                     request.log.attempt_started(clock.now(), &plan.assignment);
                     let is_first = plan.assignment.attempt == 1;
                     hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
-                    let attempt = prepare_attempt(clock, &request, *plan, template.clone(), span);
+                    let attempt = prepare_attempt(dialer, &request, *plan, template.clone(), span);
                     attempts.spawn(attempt);
                 }
             }
@@ -192,7 +193,7 @@
 
 /// Returns the future that sends one attempt.
 fn prepare_attempt(
-    clock: Clock,
+    dialer: &Dialer,
     request: &RequestHandle,
     plan: AttemptPlan,
     template: Arc<RequestTemplate>,
@@ -206,13 +207,20 @@
     };
     let mut span = span.child("attempt");
     span.note(plan.assignment.target.as_str());
+    let dialer = dialer.clone();
     async move {
         let mut template = RequestTemplate::clone(&template);
         add_attempt_headers(&mut template, &span, &plan);
+        let dial = DialPlan {
+            target: plan.assignment.target.clone(),
+            addr: plan.addr,
+            relays: plan.relays,
+            prefers_relay: plan.assignment.prefers_relay,
+            relay_delay: plan.assignment.relay_delay,
+        };
         let target_span = span.child("target");
         let result =
-            forward::send_attempt(clock, plan.addr, plan.connection, &template, plan.deadline)
-                .await;
+            forward::send_attempt(&dialer, &dial, plan.connection, &template, plan.deadline).await;
         drop(target_span);
         (guard, result)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,23 +1,22 @@
 //! Attempts: a request sent to one target over one HTTP/1.1 connection.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::Time;
+use base::{InstanceId, Time};
 use bytes::Bytes;
-use derive_more::Display;
-use dispatch::Outcome;
+use dispatch::{Dial, Outcome};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
-use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    time::{timeout, timeout_at},
-};
+use tokio::time::timeout_at;
 
-use crate::{dialect::Dialect, head, view::Clock};
+use crate::{
+    dial::{ConnectError, DialPlan, Dialed, Dialer},
+    dialect::Dialect,
+    head,
+    view::Clock,
+};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle timeout of connections to targets that send no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after a response during which a connection counts as fresh, for targets that send no
@@ -39,6 +38,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Address of the target.
     pub addr: SocketAddr,
+    /// Instance that carries the connection, if any.
+    pub relay: Option<InstanceId>,
     /// Time of the last response on this connection.
     pub last_response_at: Time,
     /// Time after the last response during which requests may reuse the connection.
@@ -91,20 +92,8 @@
     pub is_new_connection: bool,
     /// Why no connection could be opened, if that is how the attempt ended.
     pub connect_error: Option<ConnectError>,
-}
-
-/// Lists the reasons for which a connection to a target can't be opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum ConnectError {
-    /// Nothing listens at the address, or something on the way refuses.
-    #[display("refused")]
-    Refused,
-    /// There was no answer in time.
-    #[display("timed_out")]
-    TimedOut,
-    /// The connection failed otherwise.
-    #[display("failed")]
-    Failed,
+    /// Instance that carried the connection, if any.
+    pub relay: Option<InstanceId>,
 }
 
 /// Reports what an attempt revealed about its target.
@@ -114,8 +103,10 @@
     pub load: Option<u32>,
     /// Requests per second that the target takes from all instances together, as it says itself.
     pub rate_limit: Option<f64>,
-    /// Time to open the connection; `None` where an idle one was reused.
+    /// Time to open a direct connection; `None` where an idle or a relayed one was used.
     pub connect_time: Option<Duration>,
+    /// How a new connection was opened.
+    pub dial: Dial,
 }
 
 impl AttemptResult {
@@ -127,6 +118,7 @@
             feedback: TargetFeedback::default(),
             is_new_connection: false,
             connect_error: None,
+            relay: None,
         }
     }
 
@@ -137,10 +129,17 @@
 }
 
 impl Connection {
-    fn new(now: Time, sender: http1::SendRequest<Full<Bytes>>, addr: SocketAddr) -> Self {
+    /// Returns a connection that was opened at `now`; `relay` is the instance that carries it.
+    pub(crate) fn new(
+        now: Time,
+        sender: http1::SendRequest<Full<Bytes>>,
+        addr: SocketAddr,
+        relay: Option<InstanceId>,
+    ) -> Self {
         Self {
             sender,
             addr,
+            relay,
             last_response_at: now,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             fresh_timeout: DEFAULT_FRESH_TIMEOUT,
@@ -153,58 +152,60 @@
     }
 }
 
-/// Opens a connection to the target at `addr` that no request waits for.
-pub async fn probe(clock: Clock, addr: SocketAddr) -> Option<Connection> {
-    let sender = connect(addr).await.ok()?;
-    Some(Connection::new(clock.now(), sender, addr))
-}
-
-/// Sends a request to the target at `addr` and awaits its complete response until `deadline`.
+/// Sends a request to a target and awaits its complete response until `deadline`.
+///
+/// The request goes over `connection` if it is still open, and else over a new one.
 pub async fn send_attempt(
-    clock: Clock,
-    addr: SocketAddr,
+    dialer: &Dialer,
+    plan: &DialPlan,
     connection: Option<Connection>,
     template: &RequestTemplate,
     deadline: Time,
 ) -> AttemptResult {
-    let exchange = exchange(clock, addr, connection, template, deadline);
-    match timeout_at(clock.instant(deadline), exchange).await {
+    let exchange = exchange(dialer, plan, connection, template, deadline);
+    match timeout_at(dialer.clock().instant(deadline), exchange).await {
         Ok(result) => result,
         Err(_) => AttemptResult::failed(Outcome::TimedOut),
     }
 }
 
 async fn exchange(
-    clock: Clock,
-    addr: SocketAddr,
+    dialer: &Dialer,
+    plan: &DialPlan,
     connection: Option<Connection>,
     template: &RequestTemplate,
     deadline: Time,
 ) -> AttemptResult {
+    let clock = dialer.clock();
     let started = clock.now();
     let reusable = connection.filter(Connection::is_open);
     let is_new_connection = reusable.is_none();
-    let sender = match reusable {
-        Some(connection) => Ok(connection.sender),
-        None => connect(addr).await,
+    let dialed = match reusable {
+        Some(connection) => Dialed::reused(connection),
+        None => dialer.open(plan).await,
     };
-    let sender = match sender {
-        Ok(sender) => sender,
+    let mut connection = match dialed.connection {
+        Ok(connection) => connection,
         Err(err) => {
             let mut result = AttemptResult::failed(Outcome::Unreachable).with_new_connection(true);
             result.connect_error = Some(err);
+            result.feedback.dial = dialed.dial;
             return result;
         }
     };
-    let Some(req) = build_request(template, addr, deadline - clock.now()) else {
+    let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
         return AttemptResult::failed(Outcome::Unreachable);
     };
-    let connection = Connection::new(started, sender, addr);
-    let connect_time = is_new_connection.then(|| clock.now() - started);
+    connection.last_response_at = started;
+    let relay = connection.relay.clone();
+    let is_direct_and_new = is_new_connection && relay.is_none();
+    let connect_time = is_direct_and_new.then(|| clock.now() - started);
     let mut result = send_request(clock, started, connection, template, req)
         .await
         .with_new_connection(is_new_connection);
+    result.relay = relay;
     result.feedback.connect_time = connect_time;
+    result.feedback.dial = dialed.dial;
     result
 }
 
@@ -251,6 +252,7 @@
         feedback,
         is_new_connection: false,
         connect_error: None,
+        relay: None,
     }
 }
 
@@ -278,6 +280,7 @@
         load,
         rate_limit: read_rate_limit(dialect, res.headers()),
         connect_time: None,
+        dial: Dial::default(),
     }
 }
 
@@ -303,22 +306,6 @@
     }
 }
 
-/// Opens a connection to a target and spawns the task that drives it, which ends with it.
-async fn connect(addr: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>, ConnectError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
-        .await
-        .map_err(|_| ConnectError::TimedOut)?
-        .map_err(|err| match err.kind() {
-            io::ErrorKind::ConnectionRefused => ConnectError::Refused,
-            _ => ConnectError::Failed,
-        })?;
-    let _ = stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|_| ConnectError::Failed)?;
-    tokio::spawn(connection);
-    Ok(sender)
-}
-
 fn build_request(
     template: &RequestTemplate,
     addr: SocketAddr,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -8,11 +8,14 @@
 use coord::{Freshness, Grant, GrantRequest, Loan, OwnerId, SlotHistory};
 use dispatch::{
     ActionEvent, ActionKey, Assignment, ClaimOutcome, ConnectionLoss, HealthReport, Outcome,
-    RateReport, RegionShares, RequestId, RequestKind, SavedAnswer, TargetState,
+    PathState, RateReport, RegionShares, RequestId, RequestKind, SavedAnswer, TargetState,
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::forward::{Connection, TargetFeedback};
+use crate::{
+    dial::Relay,
+    forward::{Connection, TargetFeedback},
+};
 
 /// Carries an event or a query to the engine's task.
 #[derive(Debug)]
@@ -94,7 +97,7 @@
         /// ID of this instance.
         own_id: InstanceId,
         /// Live instances that accept callers, including this one unless it is leaving.
-        instances: Vec<(InstanceId, RegionId)>,
+        instances: Vec<LiveInstance>,
     },
     /// Another instance reports the rates that targets have named to it.
     RatesReported {
@@ -190,6 +193,8 @@
     pub addr: SocketAddr,
     /// Idle connection to reuse; `None` to open a new one.
     pub connection: Option<Connection>,
+    /// Instances that may carry a new connection, in order of preference.
+    pub relays: Vec<Relay>,
     /// Deadline of the request.
     pub deadline: Time,
     /// Workspace of the request.
@@ -198,6 +203,17 @@
     pub is_open: bool,
 }
 
+/// Describes an instance that may be sending requests to targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveInstance {
+    /// ID of the instance.
+    pub id: InstanceId,
+    /// Region in which it runs.
+    pub region: RegionId,
+    /// Address at which it carries connections of others to targets; `None` if it can't.
+    pub relay_addr: Option<SocketAddr>,
+}
+
 /// Identifies a workspace's quota owner that this instance can reach.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReachableOwner {
@@ -224,6 +240,11 @@
     ConnectionLoss(ConnectionLoss),
     /// Reports the rates that targets have named to this instance.
     Rates(Vec<RateReport>),
+    /// Reports whether this instance has a direct path to the targets.
+    TargetPath {
+        /// Whether it opens connections itself, not through other instances.
+        is_direct: bool,
+    },
     /// Lends the quota of this instance's slots.
     Lend {
         /// Workspace whose quota is lent.
@@ -299,6 +320,8 @@
     pub available: BTreeMap<WorkspaceId, f64>,
     /// Owner of each workspace whose owner can be reached.
     pub owners: BTreeMap<WorkspaceId, InstanceId>,
+    /// Whether connections to targets are opened directly or through other instances.
+    pub path: PathState,
     /// Targets that name a rate, in requests per second.
     pub named_rates: Vec<(TargetId, f64)>,
     /// Fingerprints of quarantined requests and the time until their release.
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -63,6 +63,7 @@
                 .feedback
                 .connect_time
                 .map(|time| time.as_millis() as u64);
+            line.relay = result.relay.as_ref().map(ToString::to_string);
             line.connect_error = result.connect_error.map(|err| err.to_string());
             line.told_load = result.feedback.load;
             line.told_limit = result.feedback.rate_limit;
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -232,6 +232,7 @@
         held_slots: 1,
         demand: Vec::new(),
         pinned_demand: Vec::new(),
+        has_target_path: true,
         table_positions: Vec::new(),
     }
 }
--- a/crates/proof/tests/charts.rs
+++ b/crates/proof/tests/charts.rs
@@ -34,3 +34,8 @@
 fn charts_lease_is_drawn() {
     assert_drawn("lease", &coord::lease_chart().unwrap(), 5);
 }
+
+#[test]
+fn charts_path_is_drawn() {
+    assert_drawn("path", &dispatch::path_chart().unwrap(), 2);
+}
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -60,6 +60,9 @@
     pub took_ms: u64,
     /// Whether the attempt opened a new connection.
     pub is_new: bool,
+    /// Instance that carried the connection to the target.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub relay: Option<String>,
     /// Why no connection could be opened: `refused`, `timed_out` or `failed`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub connect_error: Option<String>,
