fix(entry): answers and bodies without end are held in part only

What the users report of targets in trouble: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: each answer was bounded alone, by 64 MiB, so that five of them fill the memory of an instance (260 MB); interim heads were read until the deadline. Bodies of callers had the same fault: 8 MiB each, any number of them.

Change: all answers together hold 64 MiB, all callers' bodies 32 MiB. A body may grow while it holds no more than what is left, so that one without end leaves half of the room to the others (entry/held.rs). Until an answer's head is complete, 128 KiB are read (entry/metered.rs). What goes over ends as a lost connection, which gives the target's slot back at once; a caller whose body finds no room is refused as not run.

Ruled out: a lower bound for each body alone, since any number of them may come at once.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,9 +11,11 @@
 use coord::{Heartbeat, Membership, QuotaSplit, lease_chart};
 use dispatch::Ledger;
 use entry::{
-    callers::{CallerHandler, HandlerOptions},
+    callers::{self, CallerHandler, HandlerOptions},
     dial::Dialer,
     engine::{Engine, EngineOptions},
+    forward::Forwarder,
+    held::HeldBytes,
     message::Event,
     metrics::Metrics,
     recorder::Recorder,
@@ -170,7 +172,7 @@
     .wrap_err("cannot create the engine")?;
     tokio::spawn(engine.run(engine_rx));
 
-    let callers = CallerHandler {
+    let handler = CallerHandler {
         clock,
         events: engine_tx.clone(),
         ledger: ledger_tx,
@@ -182,9 +184,10 @@
         recorder: options.sink.clone().map_or_else(Recorder::default, |sink| {
             Recorder::new(sink, own_id.clone(), cfg.region.as_str().into())
         }),
-        dialer: Dialer::new(clock, relays_tx),
+        forwarder: Forwarder::new(Dialer::new(clock, relays_tx)),
+        held: HeldBytes::new(callers::MAX_HELD_BYTES),
     };
-    let callers = listen(cfg.entry, callers.into_router())
+    let callers = listen(cfg.entry, handler.into_router())
         .await
         .wrap_err_with(|| format!("entry: {}", cfg.entry))?;
     let own_entry = EntryPoint {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, RequestId, RequestKind, SavedAnswer};
 use http::{HeaderName, HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use salvo::{
     Depot, FlowCtrl, Handler, Router,
@@ -26,12 +25,12 @@
 };
 
 use crate::{
-    dial::Dialer,
     dialect::Dialect,
     execute::{RequestHandle, execute},
     fingerprint::fingerprint,
-    forward::{RequestTemplate, TargetResponse},
+    forward::{Forwarder, RequestTemplate, TargetResponse},
     head::{self, Head},
+    held::{BodyError, HeldBytes},
     message::{Arrival, Event, LedgerCall},
     metrics::Metrics,
     recorder::{Recorder, RequestLineGuard},
@@ -42,6 +41,8 @@
     view::{Clock, View},
 };
 
+/// Bytes of request bodies that are received at the same time.
+pub const MAX_HELD_BYTES: usize = 32 * 1024 * 1024;
 /// Path of the look-up, which returns the instances that a caller may use.
 pub const LOOKUP_PATH: &str = "/v1/lookup";
 
@@ -66,8 +67,10 @@
     pub dialect: Arc<Dialect>,
     /// Writer of request log lines.
     pub recorder: Recorder,
-    /// Opens connections to targets.
-    pub dialer: Dialer,
+    /// Sends requests to targets.
+    pub forwarder: Forwarder,
+    /// Bound on the request bodies that are received at the same time.
+    pub held: HeldBytes,
 }
 
 /// Configures a [`CallerHandler`].
@@ -252,7 +255,7 @@
         let mut request = self.submit(&head, &template, has_body || needs_claim, log);
         if !(has_body || needs_claim) {
             drop(admission_span);
-            return execute(&self.dialer, request, template, span).await;
+            return execute(&self.forwarder, request, template, span).await;
         }
         let admitted = request.admission().await?;
         drop(admission_span);
@@ -266,7 +269,7 @@
         );
         let Some(key) = head.idempotency_key.filter(|_| needs_claim) else {
             request.dispatch(fingerprint);
-            return execute(&self.dialer, request, template, span).await;
+            return execute(&self.forwarder, request, template, span).await;
         };
         let key = ActionKey {
             workspace: admitted.workspace,
@@ -349,15 +352,15 @@
             .configured_limits()
             .map(|limits| limits.body_bytes as usize);
         let limit = configured.unwrap_or(self.options.max_body_bytes);
-        let read = Limited::new(body, limit).collect();
-        match timeout(body_timeout, read).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-                Err(Refusal::new(ErrorKind::BodyTooLarge))
-            }
-            Ok(Err(_)) => Err(Refusal::new(ErrorKind::BadRequest)),
-            Err(_) => Err(Refusal::new(ErrorKind::SlowSender)),
-        }
+        let read = self.held.collect(body, limit);
+        let kind = match timeout(body_timeout, read).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyError::TooLarge)) => ErrorKind::BodyTooLarge,
+            Ok(Err(BodyError::NoRoom)) => ErrorKind::Overloaded,
+            Ok(Err(BodyError::Failed)) => ErrorKind::BadRequest,
+            Err(_) => ErrorKind::SlowSender,
+        };
+        Err(Refusal::new(kind))
     }
 
     /// Runs a request with an idempotency key at most once: claims the key, executes the request
@@ -379,7 +382,7 @@
         let handler = self.clone();
         let run = async move {
             let request_id = request.id;
-            let result = execute(&handler.dialer, request, template, &span).await;
+            let result = execute(&handler.forwarder, request, template, &span).await;
             let (event, answer) = outcome_of(&result);
             let call = LedgerCall::Settle {
                 key,
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -13,8 +13,10 @@
     time::{sleep, timeout},
 };
 
-use crate::{forward::Connection, view::Clock};
+use crate::{forward::Connection, metered::MeteredStream, view::Clock};
 
+/// Maximum size of what is read from a target at a time, and so of the head of an answer.
+pub(crate) const MAX_READ_BYTES: usize = 64 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Lists the reasons for which a connection to a target can't be opened.
@@ -236,10 +238,15 @@
     opened: Opened,
 ) -> Result<Connection, ConnectError> {
     let _ = opened.stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(opened.stream)).await;
+    let (stream, allowance) = MeteredStream::new(opened.stream);
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Failed)?;
     tokio::spawn(driver);
-    Ok(Connection::new(clock.now(), sender, addr, opened.relay))
+    let http = (sender, allowance);
+    Ok(Connection::new(clock.now(), http, addr, opened.relay))
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, ConnectError> {
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -8,8 +8,8 @@
 use tokio::{sync::mpsc, task::JoinSet, time::sleep_until};
 
 use crate::{
-    dial::{DialPlan, Dialer},
-    forward::{self, AttemptResult, RequestTemplate, TargetFeedback, TargetResponse},
+    dial::DialPlan,
+    forward::{AttemptResult, Forwarder, RequestTemplate, TargetFeedback, TargetResponse},
     head,
     message::{Admitted, AttemptPlan, Decision, Event},
     request_log::RequestLog,
@@ -147,12 +147,12 @@
 
 /// Sends the attempts that the engine decides on until the request has a final response.
 pub(crate) async fn execute(
-    dialer: &Dialer,
+    forwarder: &Forwarder,
     mut request: RequestHandle,
     template: RequestTemplate,
     span: &Span,
 ) -> Result<TargetResponse, Refusal> {
-    let clock = dialer.clock();
+    let clock = forwarder.clock();
     let template = Arc::new(template);
     let mut attempts = JoinSet::new();
     let mut hedge_at: Option<Time> = None;
@@ -166,7 +166,7 @@
                     request.log.attempt_started(clock.now(), &plan.assignment);
                     let is_first = plan.assignment.attempt == 1;
                     hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
-                    let attempt = prepare_attempt(dialer, &request, *plan, template.clone(), span);
+                    let attempt = prepare_attempt(forwarder, &request, *plan, template.clone(), span);
                     attempts.spawn(attempt);
                 }
             }
@@ -193,7 +193,7 @@
 
 /// Returns the future that sends one attempt.
 fn prepare_attempt(
-    dialer: &Dialer,
+    forwarder: &Forwarder,
     request: &RequestHandle,
     plan: AttemptPlan,
     template: Arc<RequestTemplate>,
@@ -207,7 +207,7 @@
     };
     let mut span = span.child("attempt");
     span.note(plan.assignment.target.as_str());
-    let dialer = dialer.clone();
+    let forwarder = forwarder.clone();
     async move {
         let mut template = RequestTemplate::clone(&template);
         add_attempt_headers(&mut template, &span, &plan);
@@ -219,8 +219,9 @@
             relay_delay: plan.assignment.relay_delay,
         };
         let target_span = span.child("target");
-        let result =
-            forward::send_attempt(&dialer, &dial, plan.connection, &template, plan.deadline).await;
+        let result = forwarder
+            .send_attempt(&dial, plan.connection, &template, plan.deadline)
+            .await;
         drop(target_span);
         (guard, result)
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -6,14 +6,16 @@
 use bytes::Bytes;
 use dispatch::{Dial, Outcome};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use tokio::time::timeout_at;
 
 use crate::{
-    dial::{ConnectError, DialPlan, Dialed, Dialer},
+    dial::{ConnectError, DialPlan, Dialed, Dialer, MAX_READ_BYTES},
     dialect::Dialect,
     head,
+    held::HeldBytes,
+    metered::Allowance,
     view::Clock,
 };
 
@@ -29,13 +31,17 @@
 /// than [`IDLE_TIMEOUT_FRACTION`], since a request that must not be sent twice can't be retried if
 /// the target closes the connection.
 const FRESH_TIMEOUT_FRACTION: f64 = 0.4;
-/// Maximum size of a response body, which is buffered before it is sent to the caller.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes of response bodies that are held at the same time, since each is received whole before it is
+/// sent to the caller.
+const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes that are read until the head of a response is complete; interim responses come before it.
+const MAX_HEAD_BYTES: usize = 2 * MAX_READ_BYTES;
 
 /// Holds an open HTTP/1.1 connection to a target.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     /// Address of the target.
     pub addr: SocketAddr,
     /// Instance that carries the connection, if any.
@@ -132,12 +138,13 @@
     /// Returns a connection that was opened at `now`; `relay` is the instance that carries it.
     pub(crate) fn new(
         now: Time,
-        sender: http1::SendRequest<Full<Bytes>>,
+        (sender, allowance): (http1::SendRequest<Full<Bytes>>, Allowance),
         addr: SocketAddr,
         relay: Option<InstanceId>,
     ) -> Self {
         Self {
             sender,
+            allowance,
             addr,
             relay,
             last_response_at: now,
@@ -152,107 +159,136 @@
     }
 }
 
-/// Sends a request to a target and awaits its complete response until `deadline`.
-///
-/// The request goes over `connection` if it is still open, and else over a new one.
-pub async fn send_attempt(
-    dialer: &Dialer,
-    plan: &DialPlan,
-    connection: Option<Connection>,
-    template: &RequestTemplate,
-    deadline: Time,
-) -> AttemptResult {
-    let exchange = exchange(dialer, plan, connection, template, deadline);
-    match timeout_at(dialer.clock().instant(deadline), exchange).await {
-        Ok(result) => result,
-        Err(_) => AttemptResult::failed(Outcome::TimedOut),
-    }
+/// Sends requests to targets and receives their responses.
+#[derive(Debug, Clone)]
+pub struct Forwarder {
+    dialer: Dialer,
+    held: HeldBytes,
 }
 
-async fn exchange(
-    dialer: &Dialer,
-    plan: &DialPlan,
-    connection: Option<Connection>,
-    template: &RequestTemplate,
-    deadline: Time,
-) -> AttemptResult {
-    let clock = dialer.clock();
-    let started = clock.now();
-    let reusable = connection.filter(Connection::is_open);
-    let is_new_connection = reusable.is_none();
-    let dialed = match reusable {
-        Some(connection) => Dialed::reused(connection),
-        None => dialer.open(plan).await,
-    };
-    let mut connection = match dialed.connection {
-        Ok(connection) => connection,
-        Err(err) => {
-            let mut result = AttemptResult::failed(Outcome::Unreachable).with_new_connection(true);
-            result.connect_error = Some(err);
-            result.feedback.dial = dialed.dial;
-            return result;
+impl Forwarder {
+    /// Returns a forwarder that opens connections by `dialer`.
+    pub fn new(dialer: Dialer) -> Self {
+        Self {
+            dialer,
+            held: HeldBytes::new(MAX_HELD_BYTES),
         }
-    };
-    let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
-        return AttemptResult::failed(Outcome::Unreachable);
-    };
-    connection.last_response_at = started;
-    let relay = connection.relay.clone();
-    let is_direct_and_new = is_new_connection && relay.is_none();
-    let connect_time = is_direct_and_new.then(|| clock.now() - started);
-    let mut result = send_request(clock, started, connection, template, req)
-        .await
-        .with_new_connection(is_new_connection);
-    result.relay = relay;
-    result.feedback.connect_time = connect_time;
-    result.feedback.dial = dialed.dial;
-    result
-}
+    }
 
-async fn send_request(
-    clock: Clock,
-    started: Time,
-    mut connection: Connection,
-    template: &RequestTemplate,
-    req: Request<Full<Bytes>>,
-) -> AttemptResult {
-    let res = match connection.sender.try_send_request(req).await {
-        Ok(res) => res,
-        Err(mut err) => {
-            // `hyper` returns the request only if it has sent nothing of it.
-            let is_unsent = err.take_message().is_some();
-            let outcome = if is_unsent {
-                Outcome::Unreachable
-            } else {
-                Outcome::Lost
-            };
-            return AttemptResult::failed(outcome);
+    /// Returns the clock of the process.
+    pub(crate) fn clock(&self) -> Clock {
+        self.dialer.clock()
+    }
+
+    /// Sends a request to a target and awaits its complete response until `deadline`.
+    ///
+    /// The request goes over `connection` if it is still open, and else over a new one.
+    pub async fn send_attempt(
+        &self,
+        plan: &DialPlan,
+        connection: Option<Connection>,
+        template: &RequestTemplate,
+        deadline: Time,
+    ) -> AttemptResult {
+        let exchange = self.exchange(plan, connection, template, deadline);
+        match timeout_at(self.clock().instant(deadline), exchange).await {
+            Ok(result) => result,
+            Err(_) => AttemptResult::failed(Outcome::TimedOut),
         }
-    };
-    if !matches_request(template, &res) {
-        return AttemptResult::failed(Outcome::Lost);
     }
-    let is_refused = was_not_run(&template.dialect, &res);
-    let feedback = read_feedback(&template.dialect, &res);
-    apply_keep_alive(&mut connection, res.headers());
-    let Some(response) = collect_response(res).await else {
-        return AttemptResult::failed(Outcome::Lost);
-    };
-    let now = clock.now();
-    connection.last_response_at = now;
-    let (outcome, response) = if is_refused {
-        (Outcome::Refused, None)
-    } else {
-        (Outcome::Answered(now - started), Some(response))
-    };
-    AttemptResult {
-        outcome,
-        response,
-        connection: Some(connection),
-        feedback,
-        is_new_connection: false,
-        connect_error: None,
-        relay: None,
+
+    async fn exchange(
+        &self,
+        plan: &DialPlan,
+        connection: Option<Connection>,
+        template: &RequestTemplate,
+        deadline: Time,
+    ) -> AttemptResult {
+        let clock = self.clock();
+        let started = clock.now();
+        let reusable = connection.filter(Connection::is_open);
+        let is_new_connection = reusable.is_none();
+        let dialed = match reusable {
+            Some(connection) => Dialed::reused(connection),
+            None => self.dialer.open(plan).await,
+        };
+        let mut connection = match dialed.connection {
+            Ok(connection) => connection,
+            Err(err) => {
+                let result = AttemptResult::failed(Outcome::Unreachable);
+                let mut result = result.with_new_connection(true);
+                result.connect_error = Some(err);
+                result.feedback.dial = dialed.dial;
+                return result;
+            }
+        };
+        let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
+            return AttemptResult::failed(Outcome::Unreachable);
+        };
+        connection.last_response_at = started;
+        let relay = connection.relay.clone();
+        let is_direct_and_new = is_new_connection && relay.is_none();
+        let connect_time = is_direct_and_new.then(|| clock.now() - started);
+        let mut result = self
+            .send_request(started, connection, template, req)
+            .await
+            .with_new_connection(is_new_connection);
+        result.relay = relay;
+        result.feedback.connect_time = connect_time;
+        result.feedback.dial = dialed.dial;
+        result
+    }
+
+    async fn send_request(
+        &self,
+        started: Time,
+        mut connection: Connection,
+        template: &RequestTemplate,
+        req: Request<Full<Bytes>>,
+    ) -> AttemptResult {
+        connection.allowance.set(MAX_HEAD_BYTES);
+        let res = match connection.sender.try_send_request(req).await {
+            Ok(res) => res,
+            Err(mut err) => {
+                // `hyper` returns the request only if it has sent nothing of it.
+                let is_unsent = err.take_message().is_some();
+                let outcome = if is_unsent {
+                    Outcome::Unreachable
+                } else {
+                    Outcome::Lost
+                };
+                return AttemptResult::failed(outcome);
+            }
+        };
+        connection.allowance.lift();
+        if !matches_request(template, &res) {
+            return AttemptResult::failed(Outcome::Lost);
+        }
+        let is_refused = was_not_run(&template.dialect, &res);
+        let feedback = read_feedback(&template.dialect, &res);
+        apply_keep_alive(&mut connection, res.headers());
+        let (parts, body) = res.into_parts();
+        let Ok(body) = self.held.collect(body, MAX_HELD_BYTES).await else {
+            return AttemptResult::failed(Outcome::Lost);
+        };
+        let response = TargetResponse {
+            status: parts.status,
+            headers: head::response_headers(&parts.headers),
+            body,
+        };
+        let now = self.clock().now();
+        connection.last_response_at = now;
+        let (outcome, response) = if is_refused {
+            (Outcome::Refused, None)
+        } else {
+            (Outcome::Answered(now - started), Some(response))
+        };
+        AttemptResult {
+            response,
+            connection: Some(connection),
+            feedback,
+            ..AttemptResult::failed(outcome)
+        }
     }
 }
 
@@ -340,16 +376,3 @@
         );
     (has_header && is_refusal_status) || dialect.not_run_statuses.contains(&res.status().as_u16())
 }
-
-async fn collect_response(res: Response<Incoming>) -> Option<TargetResponse> {
-    let (parts, body) = res.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    Some(TargetResponse {
-        status: parts.status,
-        headers: head::response_headers(&parts.headers),
-        body: body.to_bytes(),
-    })
-}
--- /dev/null
+++ b/crates/entry/src/held.rs
@@ -0,0 +1,99 @@
+//! A bound on the bytes of bodies that an instance holds at the same time.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+/// Bounds the bytes of the bodies that are being received; all clones share the bound.
+///
+/// A body may grow as long as it holds no more than what is left for all. One that never ends gets half,
+/// and leaves the other half to the rest; several of them leave each other equal parts.
+#[derive(Debug, Clone)]
+pub struct HeldBytes {
+    max: usize,
+    used: Arc<AtomicUsize>,
+}
+
+/// Lists the reasons for which a body is not received to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// There is no room for it beside the others.
+    NoRoom,
+    /// Its connection failed.
+    Failed,
+}
+
+/// Counts the bytes of one body until it is dropped.
+#[derive(Debug)]
+struct Reservation {
+    held: HeldBytes,
+    len: usize,
+}
+
+impl HeldBytes {
+    /// Returns a bound of `max` bytes.
+    pub fn new(max: usize) -> Self {
+        Self {
+            max,
+            used: Arc::default(),
+        }
+    }
+
+    /// Receives a body of at most `limit` bytes.
+    pub(crate) async fn collect<B>(&self, mut body: B, limit: usize) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut reservation = Reservation {
+            held: self.clone(),
+            len: 0,
+        };
+        let mut parts: Vec<Bytes> = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| BodyError::Failed)?.into_data() else {
+                continue;
+            };
+            if reservation.len + data.len() > limit {
+                return Err(BodyError::TooLarge);
+            }
+            if !reservation.grow(data.len()) {
+                return Err(BodyError::NoRoom);
+            }
+            parts.push(data);
+        }
+        Ok(join(parts))
+    }
+}
+
+impl Reservation {
+    /// Adds bytes to the body and returns whether there is room for them.
+    fn grow(&mut self, len: usize) -> bool {
+        let used = self.held.used.fetch_add(len, Ordering::Relaxed) + len;
+        self.len += len;
+        self.len <= self.held.max.saturating_sub(used)
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.held.used.fetch_sub(self.len, Ordering::Relaxed);
+    }
+}
+
+fn join(mut parts: Vec<Bytes>) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop().unwrap_or_default();
+    }
+    let mut joined = BytesMut::with_capacity(parts.iter().map(Bytes::len).sum());
+    for part in &parts {
+        joined.extend_from_slice(part);
+    }
+    joined.freeze()
+}
--- /dev/null
+++ b/crates/entry/tests/endless.rs
@@ -0,0 +1,154 @@
+//! Targets whose answers never end: an instance holds a bounded part of them and closes the connection.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::Time;
+use bytes::Bytes;
+use dispatch::Outcome;
+use entry::{
+    dial::{DialPlan, Dialer},
+    dialect::Dialect,
+    forward::{AttemptResult, Forwarder, RequestTemplate},
+    view::Clock,
+};
+use http::{HeaderMap, Method};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::mpsc,
+    task::JoinSet,
+    time::Instant,
+};
+
+const MIB: usize = 1024 * 1024;
+/// Bytes that all answers together may occupy.
+const MAX_HELD_BYTES: usize = 64 * MIB;
+/// Bytes of a connection that the kernel may hold beside the instance.
+const KERNEL_BYTES: usize = 8 * MIB;
+/// Bytes after which a target gives up; well over any bound.
+const GIVE_UP_BYTES: usize = 256 * MIB;
+
+/// Starts a target that answers each request with `head` and then repeats `part` until the connection is
+/// closed, and returns how many bytes it could send on each.
+async fn start_endless(
+    head: &'static str,
+    part: Vec<u8>,
+) -> (SocketAddr, mpsc::UnboundedReceiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, rx) = mpsc::unbounded_channel();
+    let part = Arc::new(part);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (tx, part) = (tx.clone(), part.clone());
+            tokio::spawn(async move {
+                let _ = stream.read(&mut [0; 4_096]).await;
+                let mut sent = 0;
+                if stream.write_all(head.as_bytes()).await.is_ok() {
+                    while sent < GIVE_UP_BYTES && stream.write_all(&part).await.is_ok() {
+                        sent += part.len();
+                    }
+                }
+                let _ = tx.send(sent);
+            });
+        }
+    });
+    (addr, rx)
+}
+
+fn forwarder(clock: Clock) -> Forwarder {
+    let (tx, _) = mpsc::unbounded_channel();
+    Forwarder::new(Dialer::new(clock, tx))
+}
+
+async fn send(forwarder: Forwarder, clock: Clock, addr: SocketAddr) -> AttemptResult {
+    let plan = DialPlan {
+        target: "t".into(),
+        addr,
+        relays: Vec::new(),
+        prefers_relay: false,
+        relay_delay: Duration::from_secs(1),
+    };
+    let template = RequestTemplate {
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        dialect: Arc::new(Dialect::default()),
+        attempt_id: None,
+    };
+    let deadline: Time = clock.now() + Duration::from_secs(20);
+    forwarder
+        .send_attempt(&plan, None, &template, deadline)
+        .await
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\n\r\n";
+
+fn chunk() -> Vec<u8> {
+    let mut chunk = b"10000\r\n".to_vec();
+    chunk.extend_from_slice(&[b'x'; 0x1_0000]);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
+/// Guards against answers that fill the memory: with several endless ones at once, all together get no more
+/// than the bound, the connections are closed well before the deadline, and none is taken for an answer.
+#[rstest]
+#[case::chunks(CHUNKED, chunk())]
+#[case::no_length(UNFRAMED, vec![b'x'; 0x1_0000])]
+#[case::head("HTTP/1.1 200 OK\r\n", b"x-more: and more\r\n".repeat(64))]
+#[case::interim_heads("", b"HTTP/1.1 100 Continue\r\n\r\n".repeat(64))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_answer_is_bounded(#[case] head: &'static str, #[case] part: Vec<u8>) {
+    const REQUESTS: usize = 6;
+    let clock = Clock::start();
+    let forwarder = forwarder(clock);
+    let (addr, mut sent) = start_endless(head, part).await;
+    let started = Instant::now();
+    let mut attempts = JoinSet::new();
+    for _ in 0..REQUESTS {
+        attempts.spawn(send(forwarder.clone(), clock, addr));
+    }
+    while let Some(result) = attempts.join_next().await {
+        assert_eq!(result.unwrap().outcome, Outcome::Lost);
+    }
+    assert!(started.elapsed() < Duration::from_secs(10));
+    let mut total = 0;
+    for _ in 0..REQUESTS {
+        total += sent.recv().await.unwrap();
+    }
+    // An answer is dropped when it holds as much as is left; the next one then gets a larger part.
+    let parts = (1..=REQUESTS).map(|count| MAX_HELD_BYTES / (count + 1) + KERNEL_BYTES);
+    let max: usize = parts.sum();
+    assert!(total <= max, "{} MiB of {} MiB", total / MIB, max / MIB);
+}
+
+/// An answer of usual size comes through while others never end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_passes_beside_endless_ones() {
+    let clock = Clock::start();
+    let forwarder = forwarder(clock);
+    let (endless, _sent) = start_endless(CHUNKED, chunk()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4_096]).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {MIB}\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes()).await;
+            let _ = stream.write_all(&vec![b'x'; MIB]).await;
+        }
+    });
+    let mut attempts = JoinSet::new();
+    for _ in 0..12 {
+        attempts.spawn(send(forwarder.clone(), clock, endless));
+    }
+    for _ in 0..10 {
+        let result = send(forwarder.clone(), clock, addr).await;
+        assert!(matches!(result.outcome, Outcome::Answered(_)), "{result:?}");
+        assert_eq!(result.response.unwrap().body.len(), MIB);
+    }
+}
