--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -157,8 +157,9 @@
     let (fleet_tx, fleet_rx) = watch::channel(Arc::new(Fleet::default()));
     let (view_tx, view_rx) = watch::channel(Arc::new(View::default()));
 
+    let dialer = Dialer::new(clock, relays_tx);
     let engine = Engine::new(
-        clock,
+        dialer.clone(),
         EngineOptions {
             region: cfg.region.as_str().into(),
             seed: incarnation.0,
@@ -184,7 +185,7 @@
         recorder: options.sink.clone().map_or_else(Recorder::default, |sink| {
             Recorder::new(sink, own_id.clone(), cfg.region.as_str().into())
         }),
-        forwarder: Forwarder::new(Dialer::new(clock, relays_tx)),
+        forwarder: Forwarder::new(dialer),
         held: HeldBytes::new(callers::MAX_HELD_BYTES),
     };
     let callers = listen(cfg.entry, handler.into_router())
@@ -219,7 +220,7 @@
         },
     );
     tokio::spawn(peers.run(peers_rx));
-    let carrier = Carrier::new(view_rx.clone());
+    let carrier = Carrier::new(view_rx.clone(), engine_tx.clone());
     tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, carrier));
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -8,6 +8,7 @@
 use base::{Config, TargetId};
 use entry::{
     dial::{RelayError, RelayRequest},
+    message::Event,
     view::View,
 };
 use tokio::{
@@ -37,14 +38,17 @@
 #[derive(Debug, Clone)]
 pub struct Carrier {
     view: watch::Receiver<Arc<View>>,
+    engine: mpsc::UnboundedSender<Event>,
     permits: Arc<Semaphore>,
 }
 
 impl Carrier {
-    /// Returns a carrier to the targets that `view` shows.
-    pub fn new(view: watch::Receiver<Arc<View>>) -> Self {
+    /// Returns a carrier to the targets that `view` shows, which tells the engine when it can't reach
+    /// one.
+    pub fn new(view: watch::Receiver<Arc<View>>, engine: mpsc::UnboundedSender<Event>) -> Self {
         Self {
             view,
+            engine,
             permits: Arc::new(Semaphore::new(MAX_CARRIED)),
         }
     }
@@ -63,7 +67,10 @@
         let config = self.view.borrow().config.clone()?.1;
         let addr = addr_in_service(&config, target)?;
         let connect = TcpStream::connect(addr);
-        let stream = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect).await else {
+            let _ = self.engine.send(Event::CarryFailed(target.clone()));
+            return None;
+        };
         let _ = stream.set_nodelay(true);
         Some(stream)
     }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -54,7 +54,8 @@
     let addr = listener.local_addr().unwrap();
     let secret = Secret::derive("a secret for tests only");
     let (calls, calls_rx) = mpsc::channel(1);
-    let carrier = Carrier::new(view);
+    let (engine, _) = mpsc::unbounded_channel();
+    let carrier = Carrier::new(view, engine);
     tokio::spawn(async move {
         let _calls = calls_rx;
         rpc::serve(listener, secret, calls, carrier).await;
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -6,6 +6,9 @@
 use super::Dispatcher;
 use crate::{Dial, PathState, RequestId, TargetEvent, TargetState};
 
+/// Number of targets by which the path is checked.
+const CHECKED_TARGETS: usize = 3;
+
 impl Dispatcher {
     /// Returns whether connections to targets are opened directly or through other instances.
     pub fn path_state(&self) -> PathState {
@@ -20,10 +23,14 @@
     /// Records how the connection of an attempt was opened and returns whether the state of the path
     /// changed.
     pub fn record_dial(&mut self, now: Time, id: RequestId, attempt: u32, dial: Dial) -> bool {
-        let Some(target) = self.target_of(id, attempt).cloned() else {
-            return false;
-        };
-        let is_changed = self.path.record_dial(now, &target, dial);
+        let target = self.target_of(id, attempt).cloned();
+        target.is_some_and(|target| self.record_dial_to(now, &target, dial))
+    }
+
+    /// Records how a connection to a target was opened and returns whether the state of the path
+    /// changed.
+    pub(super) fn record_dial_to(&mut self, now: Time, target: &TargetId, dial: Dial) -> bool {
+        let is_changed = self.path.record_dial(now, target, dial);
         if is_changed {
             self.revive_targets(now);
         }
@@ -38,7 +45,10 @@
         if was_paused {
             self.path.record_response(now);
         }
-        if !self.path.is_silent(now, self.policy.min_hedge_delay) {
+        let Some(oldest) = self.oldest_attempt() else {
+            return false;
+        };
+        if !self.path.is_silent(now, oldest) {
             return false;
         }
         let mut overdue: Vec<(&TargetId, Time)> = Vec::new();
@@ -61,6 +71,39 @@
         is_changed
     }
 
+    /// Returns the targets to which connections are to be opened now, directly and through other
+    /// instances, because nothing answers any more.
+    pub fn due_path_checks(&mut self, now: Time) -> Vec<TargetId> {
+        let oldest = self.oldest_attempt();
+        if !oldest.is_some_and(|oldest| self.path.take_check(now, oldest)) {
+            return Vec::new();
+        }
+        let mut waiting: Vec<&TargetId> = self
+            .entries
+            .values()
+            .filter_map(|entry| Some((entry, self.pools.get(&entry.request.service)?)))
+            .flat_map(|(entry, pool)| {
+                let attempts = entry.attempts.iter();
+                attempts.map(|attempt| &pool.targets[attempt.target].id)
+            })
+            .collect();
+        waiting.sort();
+        waiting.dedup();
+        waiting.into_iter().take(CHECKED_TARGETS).cloned().collect()
+    }
+
+    /// Returns whether a connection that checks the path is to be opened because one that another
+    /// instance had asked for failed.
+    pub fn take_path_check(&mut self, now: Time) -> bool {
+        self.path.take_asked_check(now)
+    }
+
+    /// Returns the time at which the oldest attempt in flight was sent.
+    fn oldest_attempt(&self) -> Option<Time> {
+        let attempts = self.entries.values().flat_map(|entry| &entry.attempts);
+        attempts.map(|attempt| attempt.started_at).min()
+    }
+
     /// Returns a target to which a connection is to be tried now, to see whether the path is back.
     pub(super) fn due_path_probe(&mut self, now: Time) -> Option<TargetId> {
         if !self.path.take_probe(now) {
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -3,7 +3,7 @@
 use base::{TargetId, Time};
 
 use super::Dispatcher;
-use crate::TargetEvent;
+use crate::{Dial, PathState, TargetEvent};
 
 impl Dispatcher {
     /// Returns the targets to which a connection is to be tried now.
@@ -16,13 +16,16 @@
             .collect()
     }
 
-    /// Records whether a connection to a target could be opened, and returns whether the state of the
-    /// path to the targets changed.
-    pub fn record_probe(&mut self, now: Time, id: &TargetId, is_open: bool) -> bool {
-        if is_open {
+    /// Records how a connection that no request waited for was opened, and returns whether the state of
+    /// the path to the targets changed.
+    pub fn record_probe(&mut self, now: Time, id: &TargetId, dial: Dial) -> bool {
+        if dial.direct == Some(true) || dial.relayed == Some(true) {
             self.record_reachable(now, id);
         }
-        self.path.record_probe(now, is_open)
+        match self.path.state() {
+            PathState::Direct => self.record_dial_to(now, id, dial),
+            PathState::Relayed => self.path.record_probe(now, dial.direct == Some(true)),
+        }
     }
 
     fn record_reachable(&mut self, now: Time, id: &TargetId) {
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -15,6 +15,8 @@
 
 /// Minimum time after which a new connection is tried through another instance as well.
 const MIN_RELAY_DELAY: Duration = Duration::from_millis(100);
+/// The same to another region whose round-trip time is not known yet.
+const REMOTE_RELAY_DELAY: Duration = Duration::from_millis(400);
 /// The same as a number of round trips to the target's region.
 const RELAY_DELAY_ROUND_TRIPS: u32 = 3;
 
@@ -144,15 +146,25 @@
             needs_fresh_connection: entry.request.kind == RequestKind::Once
                 || entry.attempts_sent > 1,
             prefers_relay: self.path.prefers_relay(now, &target.id),
-            relay_delay: self
-                .round_trips
-                .get(&target.region)
-                .map_or(MIN_RELAY_DELAY, |round_trip| {
-                    (*round_trip * RELAY_DELAY_ROUND_TRIPS).max(MIN_RELAY_DELAY)
-                }),
+            relay_delay: relay_delay(
+                self.round_trips.get(&target.region),
+                target.region == self.local_region,
+            ),
             hedge_delay: pool.latency.upper_bound().max(self.policy.min_hedge_delay),
             reason,
             load,
         })
     }
 }
+
+/// Returns the time after which a connection is tried through another instance as well; `round_trip` is
+/// that to the target's region, if it has been measured.
+fn relay_delay(round_trip: Option<&Duration>, is_local: bool) -> Duration {
+    let unmeasured = if is_local {
+        MIN_RELAY_DELAY
+    } else {
+        REMOTE_RELAY_DELAY
+    };
+    let usual = round_trip.map(|round_trip| *round_trip * RELAY_DELAY_ROUND_TRIPS);
+    usual.unwrap_or(unmeasured).max(MIN_RELAY_DELAY)
+}
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -81,6 +81,9 @@
     lost_since: Time,
     /// Time of the last answer while connections are direct.
     last_response_at: Time,
+    /// Exponentially weighted mean of the time between two answers.
+    response_gap_s: f64,
+    last_check_at: Time,
     /// Probes in a row that could open a connection.
     open_probes: u32,
     last_probe_at: Time,
@@ -92,6 +95,18 @@
 const MIN_SILENT_TARGETS: usize = 3;
 /// Time for which connections to a target that only others could reach go through others first.
 const SUSPICION_TTL: Duration = Duration::from_secs(2);
+/// Time without any answer after which the path may be lost, at least.
+const MIN_SILENCE: Duration = Duration::from_millis(200);
+/// The same as a multiple of the usual time between two answers.
+const SILENT_GAPS: f64 = 8.0;
+/// Weight of each sample in the mean time between two answers.
+const RESPONSE_GAP_GAIN: f64 = 0.1;
+/// Maximum sample of the time between two answers; longer ones are times without requests.
+const MAX_RESPONSE_GAP: Duration = Duration::from_millis(250);
+/// Minimum time between two checks of the path.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between a check of the path and one that another instance's request gives rise to.
+const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two connections that probe whether the path is back.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Probes in a row that must succeed before the path counts as restored.
@@ -106,6 +121,8 @@
             suspects: BTreeMap::new(),
             lost_since: Time::ZERO,
             last_response_at: Time::ZERO,
+            response_gap_s: 0.0,
+            last_check_at: Time::ZERO,
             open_probes: 0,
             last_probe_at: Time::ZERO,
         }
@@ -145,12 +162,46 @@
 
     /// Records an answer of a target.
     pub fn record_response(&mut self, now: Time) {
+        let gap_s = (now - self.last_response_at)
+            .min(MAX_RESPONSE_GAP)
+            .as_secs_f64();
+        self.response_gap_s += RESPONSE_GAP_GAIN * (gap_s - self.response_gap_s);
         self.last_response_at = self.last_response_at.max(now);
     }
 
-    /// Returns whether connections are direct and no target has answered for this long.
-    pub fn is_silent(&self, now: Time, time: Duration) -> bool {
-        self.state == PathState::Direct && now - self.last_response_at >= time
+    /// Returns whether connections are direct and no target has answered for long, compared with how
+    /// often they do, although a request sent at `oldest_sent_at` waits.
+    pub fn is_silent(&self, now: Time, oldest_sent_at: Time) -> bool {
+        let usual = Duration::from_secs_f64(self.response_gap_s * SILENT_GAPS);
+        let min_silence = usual.max(MIN_SILENCE);
+        self.state == PathState::Direct
+            && now - self.last_response_at >= min_silence
+            && now - oldest_sent_at >= MIN_SILENCE
+    }
+
+    /// Returns whether connections that check the path are to be opened now, as no target answers any
+    /// more, and if so, counts them.
+    ///
+    /// How long a run takes doesn't matter to a connection, so a lost path shows long before requests
+    /// are overdue.
+    pub fn take_check(&mut self, now: Time, oldest_sent_at: Time) -> bool {
+        let is_due =
+            self.is_silent(now, oldest_sent_at) && now - self.last_check_at >= CHECK_INTERVAL;
+        if is_due {
+            self.last_check_at = now;
+        }
+        is_due
+    }
+
+    /// Returns whether a connection that checks the path is to be opened although this instance has
+    /// seen nothing itself, and if so, counts it.
+    pub fn take_asked_check(&mut self, now: Time) -> bool {
+        let is_due =
+            self.state == PathState::Direct && now - self.last_check_at >= ASKED_CHECK_INTERVAL;
+        if is_due {
+            self.last_check_at = now;
+        }
+        is_due
     }
 
     /// Records the targets of requests that have waited for longer than they usually do, with the time at
--- a/crates/dispatch/tests/path.rs
+++ b/crates/dispatch/tests/path.rs
@@ -1,5 +1,7 @@
 //! A lost path to the targets is told from lost targets.
 
+use std::time::Duration;
+
 use base::{TargetId, Time};
 use dispatch::{Dial, PathMonitor, PathState, path_chart};
 use rand::{RngExt, SeedableRng};
@@ -90,6 +92,25 @@
     }
 }
 
+/// When answers stop, the path is checked after eight times the usual gap between them, at least 200 ms, and
+/// once a second, as long as a request waits.
+#[rstest]
+#[case::many_answers(10, 200)]
+#[case::few_answers(100, 800)]
+fn path_is_checked_when_answers_stop(#[case] gap_ms: u64, #[case] due_ms: u64) {
+    let mut path = monitor();
+    for count in 0..200 {
+        path.record_response(at(count * gap_ms));
+    }
+    let last = at(199 * gap_ms);
+    assert!(!path.take_check(last + Duration::from_millis(due_ms - 5), last));
+    let due = last + Duration::from_millis(due_ms + 5);
+    assert!(!path.take_check(due, due), "no request waits");
+    assert!(path.take_check(due, last));
+    assert!(!path.take_check(due + Duration::from_millis(990), last));
+    assert!(path.take_check(due + Duration::from_millis(1_010), last));
+}
+
 /// The path is used again after two probes in a row could open a connection.
 #[test]
 fn path_is_restored_by_probes() {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -8,8 +8,8 @@
     WeightedService,
 };
 use dispatch::{
-    Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Placement, Policy, RegionShares,
-    RequestId, RequestKind, SelectionReason, TargetState,
+    Action, AdmittedRequest, Assignment, Dial, Dispatcher, Outcome, Placement, Policy,
+    RegionShares, RequestId, RequestKind, SelectionReason, TargetState,
 };
 use rstest::rstest;
 
@@ -522,7 +522,7 @@
     assert!(dispatcher.due_probes(now).is_empty());
     let now = now + Duration::from_millis(500);
     assert_eq!(dispatcher.due_probes(now), ["t0".into()]);
-    dispatcher.record_probe(now, &"t0".into(), true);
+    dispatcher.record_probe(now, &"t0".into(), Dial::direct(true));
     dispatcher.tick(now);
     assert_eq!(state(&dispatcher, now), TargetState::Ready);
     let taken = (3..7).filter(|id| {
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -85,6 +85,8 @@
 }
 
 /// Opens connections to targets.
+///
+/// All clones ask for connections through other instances on the same channel.
 #[derive(Debug, Clone)]
 pub struct Dialer {
     clock: Clock,
@@ -135,7 +137,6 @@
         };
         match self.open_relayed(plan).await {
             Ok(opened) => (Ok(opened), relayed(true)),
-            // The other instance's word that the target is out of reach is final.
             Err(RelayError::TargetUnreachable) => (Err(ConnectError::Failed), relayed(false)),
             Err(RelayError::RelayUnavailable) => open_direct(plan).await,
         }
@@ -177,8 +178,11 @@
         }
     }
 
-    /// Opens a connection through the first instance that answers.
+    /// Opens a connection through the first instance that can.
+    ///
+    /// One that can't reach the target may have lost its own path, so the next one is asked as well.
     async fn open_relayed(&self, plan: &DialPlan) -> Result<Opened, RelayError> {
+        let mut error = RelayError::RelayUnavailable;
         for relay in &plan.relays {
             let (reply, answer) = oneshot::channel();
             let request = RelayRequest {
@@ -194,13 +198,11 @@
                         relay: Some(relay.instance.clone()),
                     });
                 }
-                Ok(Err(RelayError::TargetUnreachable)) => {
-                    return Err(RelayError::TargetUnreachable);
-                }
+                Ok(Err(RelayError::TargetUnreachable)) => error = RelayError::TargetUnreachable,
                 Ok(Err(RelayError::RelayUnavailable)) | Err(_) => {}
             }
         }
-        Err(RelayError::RelayUnavailable)
+        Err(error)
     }
 }
 
@@ -219,12 +221,6 @@
     }
 }
 
-/// Opens a connection to the target at `addr` that no request waits for.
-pub(crate) async fn probe(clock: Clock, addr: SocketAddr) -> Option<Connection> {
-    let stream = connect(addr).await.ok()?;
-    start_http(clock, addr, Opened::direct(stream)).await.ok()
-}
-
 async fn open_direct(plan: &DialPlan) -> (Result<Opened, ConnectError>, Dial) {
     let opened = connect(plan.addr).await.map(Opened::direct);
     let dial = Dial::direct(opened.is_ok());
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    dial::{self, Relay},
+    dial::{DialPlan, Dialer, Relay},
     forward::{Connection, TargetFeedback},
     message::{
         Admitted, Arrival, AttemptPlan, Decision, EngineStatus, Event, LiveInstance,
@@ -46,8 +46,10 @@
 const RATE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two ticks that shows that the process was paused.
 const PAUSE_TIME: Duration = Duration::from_millis(400);
+/// Time after which a connection that checks the path is tried through another instance as well.
+const CHECK_RELAY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum number of instances that are asked to carry a connection, one after the other.
-const MAX_RELAYS_TRIED: usize = 2;
+const MAX_RELAYS_TRIED: usize = 3;
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
 const MAX_EVENTS_PER_BATCH: usize = 256;
@@ -90,6 +92,7 @@
     /// Other instances that can carry connections to targets, with their regions.
     relays: Vec<(RegionId, Relay)>,
     ticked_at: Time,
+    dialer: Dialer,
     /// Channel to this engine; weak, so that the engine ends with the other senders.
     events: mpsc::WeakUnboundedSender<Event>,
     owner_heartbeats: BTreeMap<WorkspaceId, u64>,
@@ -130,19 +133,21 @@
 
 impl Engine {
     /// Returns an engine that has no configuration yet, sends its messages to other instances through
-    /// `outgoing`, and receives the results of its own connections through `events`.
+    /// `outgoing`, and opens connections of its own
+    /// by `dialer`, whose results it receives through `events`.
     ///
     /// # Errors
     ///
     /// [`ChartError`] if a state chart can't be parsed.
     pub fn new(
-        clock: Clock,
+        dialer: Dialer,
         options: EngineOptions,
         outgoing: mpsc::UnboundedSender<OutgoingMessage>,
         events: mpsc::WeakUnboundedSender<Event>,
     ) -> Result<Self, ChartError> {
         Ok(Self {
-            clock,
+            clock: dialer.clock(),
+            dialer,
             refuses_when_isolated: options.refuses_when_isolated,
             config: None,
             revision: 0,
@@ -220,9 +225,17 @@
                 }
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
-            Event::ProbeEnded { target, connection } => {
-                let is_open = connection.is_some();
-                if self.dispatcher.record_probe(now, &target, is_open) {
+            Event::CarryFailed(target) => {
+                if self.dispatcher.take_path_check(now) {
+                    self.probe(target, self.any_relays(now));
+                }
+            }
+            Event::ProbeEnded {
+                target,
+                connection,
+                dial,
+            } => {
+                if self.dispatcher.record_probe(now, &target, dial) {
                     self.change_path();
                 }
                 if let Some(connection) = connection {
@@ -556,29 +569,31 @@
             .collect();
     }
 
-    /// Returns the instances that may carry a request to a target in `region`: some in that region,
-    /// and if there are none, others.
+    /// Returns the instances that may carry a request to a target in `region`: some in that region, and
+    /// one in another, in case the region's instances have all lost their path.
     ///
     /// A request with home regions passes no instance outside of them.
     fn relays_to(&self, region: &RegionId, request: &PendingRequest) -> Vec<Relay> {
         let allowed = &request.allowed_regions;
         let is_allowed = |found: &RegionId| allowed.is_empty() || allowed.contains(found);
-        let in_region = |wants_same: bool| {
-            let found = self
-                .relays
-                .iter()
-                .filter(move |(found, _)| (found == region) == wants_same && is_allowed(found));
-            found.map(|(_, relay)| relay.clone()).collect::<Vec<_>>()
-        };
-        let mut relays = in_region(true);
-        if relays.is_empty() {
-            relays = in_region(false);
+        let (mut same, mut other) = (Vec::new(), Vec::new());
+        for (found, relay) in self.relays.iter().filter(|(found, _)| is_allowed(found)) {
+            let group = if found == region {
+                &mut same
+            } else {
+                &mut other
+            };
+            group.push(relay.clone());
         }
         // The fingerprint spreads requests over the instances.
-        let start = request.fingerprint as usize % relays.len().max(1);
-        relays.rotate_left(start);
-        relays.truncate(MAX_RELAYS_TRIED);
-        relays
+        let start = request.fingerprint as usize;
+        for group in [&mut same, &mut other] {
+            let len = group.len().max(1);
+            group.rotate_left(start % len);
+        }
+        same.truncate(MAX_RELAYS_TRIED - 1);
+        other.truncate(MAX_RELAYS_TRIED - same.len());
+        same.into_iter().chain(other).collect()
     }
 
     /// Acts on a change of the path to the targets: drops idle connections that are of no use on the
@@ -600,21 +615,47 @@
             .send(OutgoingMessage::TargetPath { is_direct });
     }
 
-    /// Tries connections to targets that are down, or that show whether the path is back.
+    /// Opens connections that no request waits for: to targets that are down, and such as show whether
+    /// the path to the targets is lost or back.
     fn probe_targets(&mut self, now: Time) {
-        let Some(events) = self.events.upgrade() else {
+        for target in self.dispatcher.due_probes(now) {
+            self.probe(target, Vec::new());
+        }
+        for target in self.dispatcher.due_path_checks(now) {
+            self.probe(target, self.any_relays(now));
+        }
+    }
+
+    /// Returns some instances that can open a connection without a request, in a changing order.
+    fn any_relays(&self, now: Time) -> Vec<Relay> {
+        let relays = self.relays.iter().map(|(_, relay)| relay.clone());
+        let mut relays: Vec<Relay> = relays.collect();
+        let start = now.as_micros() as usize % relays.len().max(1);
+        relays.rotate_left(start);
+        relays.truncate(MAX_RELAYS_TRIED);
+        relays
+    }
+
+    fn probe(&self, target: TargetId, relays: Vec<Relay>) {
+        let (Some(events), Some(addr)) = (self.events.upgrade(), self.addr_of(&target)) else {
             return;
         };
-        for target in self.dispatcher.due_probes(now) {
-            let Some(addr) = self.addr_of(&target) else {
-                continue;
+        let dialer = self.dialer.clone();
+        tokio::spawn(async move {
+            let plan = DialPlan {
+                target: target.clone(),
+                addr,
+                relays,
+                prefers_relay: false,
+                relay_delay: CHECK_RELAY_DELAY,
             };
-            let (clock, events) = (self.clock, events.clone());
-            tokio::spawn(async move {
-                let connection = dial::probe(clock, addr).await;
-                let _ = events.send(Event::ProbeEnded { target, connection });
+            let dialed = dialer.open(&plan).await;
+            let _ = events.send(Event::ProbeEnded {
+                target,
+                connection: dialed.connection.ok(),
+                dial: dialed.dial,
             });
-        }
+        });
     }
 
     fn addr_of(&self, target: &TargetId) -> Option<SocketAddr> {
@@ -849,7 +890,8 @@
     ) -> Option<Connection> {
         let connections = self.idle_connections.get_mut(&assignment.target)?;
         while let Some(connection) = connections.pop_back() {
-            if !connection.is_open() || connection.addr != addr {
+            let is_usable = connection.is_open() && connection.addr == addr;
+            if !is_usable {
                 continue;
             }
             let is_fresh = now - connection.last_response_at <= connection.fresh_timeout;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -7,7 +7,7 @@
 };
 use coord::{Freshness, Grant, GrantRequest, Loan, OwnerId, SlotHistory};
 use dispatch::{
-    ActionEvent, ActionKey, Assignment, ClaimOutcome, ConnectionLoss, HealthReport, Outcome,
+    ActionEvent, ActionKey, Assignment, ClaimOutcome, ConnectionLoss, Dial, HealthReport, Outcome,
     PathState, RateReport, RegionShares, RequestId, RequestKind, SavedAnswer, TargetState,
 };
 use tokio::sync::{mpsc, oneshot};
@@ -45,12 +45,16 @@
         /// What the attempt revealed about the target.
         feedback: TargetFeedback,
     },
+    /// This instance could not connect to the target for another one that asked it to.
+    CarryFailed(TargetId),
     /// A connection that no request waits for could be opened, or not.
     ProbeEnded {
         /// Target of the connection.
         target: TargetId,
         /// The connection; `None` if it could not be opened.
         connection: Option<Connection>,
+        /// How it was opened.
+        dial: Dial,
     },
     /// The first attempt has run for its hedge delay without a result.
     HedgeDelayElapsed(RequestId),
