fix(entry): a request with homes uses no kept connection through another region

Cause: an instance of the homes is chosen when a connection is opened through another one, but kept connections were taken by target alone. A connection that a request without homes had opened through another region was used again for one with homes. The class: a condition checked when a thing is made, not when it is used.

Change: a kept connection through another instance is used only if that instance's region is allowed for the request.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -861,7 +861,12 @@
             self.abandon_attempt(now, id, attempt);
             return;
         };
-        plan.connection = self.take_connection(now, &plan.assignment, plan.addr);
+        let allowed = self
+            .requests
+            .get(&id)
+            .map(|request| request.allowed_regions.clone());
+        let allowed = allowed.unwrap_or_default();
+        plan.connection = self.take_connection(now, &plan.assignment, plan.addr, &allowed);
         if tx.send(Decision::SendAttempt(Box::new(plan))).is_err() {
             self.abandon_attempt(now, id, attempt);
         }
@@ -880,18 +885,30 @@
 
     /// Takes the most recently used idle connection to the target.
     ///
-    /// Where the assignment needs a fresh connection, one that has been idle for too long is not
-    /// used: the target may have closed it, and a request lost on it can't be sent again.
+    /// A connection that another instance carries is used only if that instance is in one of the
+    /// `allowed` regions. Where the assignment needs a fresh connection, one that has been idle for
+    /// too long is not used: the target may have closed it, and a request lost on it can't be sent
+    /// again.
     fn take_connection(
         &mut self,
         now: Time,
         assignment: &Assignment,
         addr: SocketAddr,
+        allowed: &BTreeSet<RegionId>,
     ) -> Option<Connection> {
+        let relays = &self.relays;
+        let may_carry = |connection: &Connection| {
+            connection.relay.as_ref().is_none_or(|instance| {
+                let mut known = relays.iter();
+                known.any(|(region, relay)| {
+                    relay.instance == *instance && (allowed.is_empty() || allowed.contains(region))
+                })
+            })
+        };
         let connections = self.idle_connections.get_mut(&assignment.target)?;
         while let Some(connection) = connections.pop_back() {
             let is_usable = connection.is_open() && connection.addr == addr;
-            if !is_usable {
+            if !is_usable || !may_carry(&connection) {
                 continue;
             }
             let is_fresh = now - connection.last_response_at <= connection.fresh_timeout;
