fix(dispatch): connections lost to many targets at once bar no request

Cause: each connection that was lost with a request on it counted against the request, and three targets were enough. Links that are reset lose the connections to all targets at the same moment, and with a page that many ask for three of them carry the same request.

Change: a loss is judged after 100 ms, and counts only if no other target lost a connection to this instance within that time (dispatch/quarantine.rs, LossCollector). A request that crashes its target costs connections to that target alone.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -19,9 +19,9 @@
 use rand_pcg::Pcg32;
 
 use crate::{
-    Action, AdmittedRequest, Assignment, ConnectionLoss, Outcome, PathMonitor, Placement, Policy,
-    Quarantine, RegionShares, RequestId, RequestKind, RequestProgress, RetryBudget,
-    SelectionReason, TargetEvent, TargetState, path_chart,
+    Action, AdmittedRequest, Assignment, ConnectionLoss, LossCollector, Outcome, PathMonitor,
+    Placement, Policy, Quarantine, RegionShares, RequestId, RequestKind, RequestProgress,
+    RetryBudget, SelectionReason, TargetEvent, TargetState, path_chart,
     placement::PlacementQuery,
     pool::{Pool, RegionConstraints, TargetContext},
     target_chart,
@@ -104,6 +104,7 @@
     queued: BTreeSet<(Time, RequestId)>,
     budget: RetryBudget,
     quarantine: Quarantine,
+    losses: LossCollector,
     path: PathMonitor,
     own_id: InstanceId,
     /// Live instances, among which the rates that targets name are shared.
@@ -129,6 +130,7 @@
             budget: RetryBudget::new(policy.retry_fraction, policy.retry_cap),
             quarantine: Quarantine::new(policy.max_losses, policy.quarantine_period),
             policy,
+            losses: LossCollector::default(),
             path: PathMonitor::new(path_chart()?),
             own_id: InstanceId::from(""),
             instances: Vec::new(),
@@ -237,12 +239,15 @@
         if let Some(pool) = self.pools.get_mut(&service) {
             pool.record_end(now, target, &workspace);
         }
-        let loss = (outcome == Outcome::Lost).then(|| ConnectionLoss {
-            fingerprint,
-            target_digest: self.target_digest(&service, target),
-        });
-        let (progress, mut actions) = self.update_request(now, id, target, outcome, loss);
-        actions.extend(loss.map(Action::ReportLoss));
+        if outcome == Outcome::Lost {
+            let target_digest = self.target_digest(&service, target);
+            let loss = ConnectionLoss {
+                fingerprint,
+                target_digest,
+            };
+            self.losses.add(now, loss);
+        }
+        let (progress, mut actions) = self.update_request(now, id, target, outcome);
         actions.extend(self.assign(now, &service));
         (progress, actions)
     }
@@ -310,6 +315,10 @@
     /// and assigns queued requests to free targets.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
+        for loss in self.losses.take_due(now) {
+            self.quarantine.record(now, loss);
+            actions.push(Action::ReportLoss(loss));
+        }
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
                 if target.is_warm_up_over(now) {
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -7,8 +7,8 @@
 
 use super::Dispatcher;
 use crate::{
-    Action, ConnectionLoss, Outcome, Placement, RequestId, RequestKind, RequestProgress,
-    SelectionReason, TargetEvent, pool::Pool,
+    Action, Outcome, Placement, RequestId, RequestKind, RequestProgress, SelectionReason,
+    TargetEvent, pool::Pool,
 };
 
 /// Minimum time that a request waits for another target after one has refused it.
@@ -51,7 +51,6 @@
         id: RequestId,
         target: usize,
         outcome: Outcome,
-        loss: Option<ConnectionLoss>,
     ) -> (RequestProgress, Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return (RequestProgress::Ended, Vec::new());
@@ -102,7 +101,8 @@
             Outcome::Lost => {
                 entry.losses += 1;
                 entry.reached.push(target);
-                let is_quarantined = loss.is_some_and(|loss| self.quarantine.record(now, loss));
+                let fingerprint = entry.request.fingerprint;
+                let is_quarantined = self.quarantine.remaining(now, fingerprint).is_some();
                 let is_retried = entry.request.kind == RequestKind::Idempotent
                     && entry.losses == 1
                     && entry.reached.len() < entry.request.max_attempts as usize
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,7 +30,7 @@
 pub use limit::{AimdParams, ConcurrencyLimit};
 pub use path::{Dial, PathEvent, PathMonitor, PathState};
 pub use pool::RegionShares;
-pub use quarantine::{ConnectionLoss, Quarantine};
+pub use quarantine::{ConnectionLoss, LossCollector, Quarantine};
 pub use queue::FairQueue;
 pub use request::{
     Action, AdmittedRequest, Assignment, Outcome, Placement, Policy, PoolStats, RequestId,
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -46,6 +46,61 @@
     until: Time,
 }
 
+/// Collects lost connections until it is clear whether a target or the path to the targets failed.
+///
+/// A request that crashes its target costs the connections to that target. Connections to several targets
+/// that are lost together show that the way to them failed, and speak against no request.
+///
+/// # Examples
+///
+/// ```
+/// use base::Time;
+/// use dispatch::{ConnectionLoss, LossCollector};
+///
+/// let mut losses = LossCollector::default();
+/// let loss = |target_digest| ConnectionLoss { fingerprint: 7, target_digest };
+/// losses.add(Time::from_millis(0), loss(1));
+/// assert_eq!(losses.take_due(Time::from_millis(100)), [loss(1)]);
+///
+/// losses.add(Time::from_millis(500), loss(1));
+/// losses.add(Time::from_millis(550), loss(2));
+/// assert!(losses.take_due(Time::from_millis(650)).is_empty());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct LossCollector {
+    /// Losses with their times, and whether another target lost a connection close to them.
+    pending: Vec<(Time, ConnectionLoss, bool)>,
+}
+
+/// Time between two losses within which they count as one event.
+const LOSS_WINDOW: Duration = Duration::from_millis(100);
+
+impl LossCollector {
+    /// Adds a loss.
+    pub fn add(&mut self, now: Time, loss: ConnectionLoss) {
+        let mut is_shared = false;
+        for (_, other, other_is_shared) in &mut self.pending {
+            if other.target_digest != loss.target_digest {
+                *other_is_shared = true;
+                is_shared = true;
+            }
+        }
+        self.pending.push((now, loss, is_shared));
+    }
+
+    /// Returns the losses that are old enough to be judged and speak against their requests.
+    pub fn take_due(&mut self, now: Time) -> Vec<ConnectionLoss> {
+        let is_due = |at: Time| now - at >= LOSS_WINDOW;
+        let due = self
+            .pending
+            .iter()
+            .filter(|(at, _, is_shared)| is_due(*at) && !is_shared);
+        let due = due.map(|(_, loss, _)| *loss).collect();
+        self.pending.retain(|(at, ..)| !is_due(*at));
+        due
+    }
+}
+
 /// Maximum number of requests whose losses are tracked.
 const MAX_ENTRIES: usize = 4096;
 
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -431,12 +431,17 @@
         .collect();
     let sent: Vec<Assignment> = assignments(&actions).into_iter().cloned().collect();
     dispatcher.finish(now, sent[0].id, 1, Outcome::Lost);
+    // Losses are judged once it is clear that no other target is concerned.
+    let now = now + Duration::from_millis(100);
+    dispatcher.tick(now);
     let target = sent[1].target.clone();
     let service = config.services.get_mut("s").unwrap();
     let target_config = service.targets.get_mut(&target).unwrap();
     target_config.registered.as_mut().unwrap().incarnation = incarnation;
     dispatcher.configure(now, &config);
     dispatcher.finish(now, sent[1].id, 1, Outcome::Lost);
+    let now = now + Duration::from_millis(100);
+    dispatcher.tick(now);
     assert_eq!(!dispatcher.quarantined(now).is_empty(), expected);
 }
 
@@ -532,3 +537,30 @@
     });
     assert_eq!(taken.count(), 4);
 }
+
+/// Guards against a cut of an instance's links barring everybody's requests for the same page for a minute: the
+/// resets on several targets were counted against the request that happened to be on them.
+#[test]
+fn losses_on_many_targets_at_once_quarantine_nothing() {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(10);
+    let mut sent = Vec::new();
+    for object in 0..12 {
+        let same_page = AdmittedRequest {
+            fingerprint: 7,
+            kind: RequestKind::Once,
+            ..request(now, object, object * 7_919)
+        };
+        let actions = dispatcher.submit(now, same_page);
+        sent.extend(assignments(&actions).into_iter().cloned());
+    }
+    assert!(sent.len() >= 6, "{sent:?}");
+    for assignment in &sent {
+        dispatcher.finish(now, assignment.id, assignment.attempt, Outcome::Lost);
+    }
+    let now = now + Duration::from_millis(200);
+    let actions = dispatcher.tick(now);
+    assert_eq!(actions, []);
+    assert_eq!(dispatcher.quarantined(now), []);
+}
