--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,6 +1,7 @@
 //! Child processes of tests.
 
 use std::{
+    ffi::OsStr,
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
@@ -53,8 +54,18 @@
     ///
     /// Panics if the program can't be started.
     pub fn start(name: &str, args: &[&str]) -> Self {
+        Self::start_with(name, args, &[])
+    }
+
+    /// Starts a program as [`Process::start`] does, with these variables in its environment.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program can't be started.
+    pub fn start_with(name: &str, args: &[&str], variables: &[(&str, &OsStr)]) -> Self {
         let mut child = Command::new(program_path(name))
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
