refactor(dispatch,daemon): plain words for ranks and relays; comments within the width

A newcomer's reading: a position in a ranking was called a seat, and a relay a carrier. Names only; doc lines over 100 columns are wrapped.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -76,9 +76,9 @@
     /// Returns whether the instance may be sending to targets, although it may not be heard: shares
     /// of what targets take from all instances are kept for it.
     ///
-    /// One that has fallen silent may be cut off from this instance alone. One that is listed and has
-    /// not been heard yet, because this instance has just started, counts as well: it was last heard
-    /// at the origin of the clock.
+    /// One that has fallen silent may be cut off from this instance alone. One that is listed and
+    /// has not been heard yet, because this instance has just started, counts as well: it was last
+    /// heard at the origin of the clock.
     pub fn may_send(&self, now: Time) -> bool {
         let is_held = self.is_listed && now <= self.alive_until + SHARE_HOLD_TIME;
         !self.is_leaving && !self.is_gone && (self.is_alive(now) || is_held)
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -45,7 +45,7 @@
     planner::{Planner, PlannerOptions},
     probes,
     registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
-    relay::{self, Carrier},
+    relay::{self, RelayServer},
     rpc,
     slots::{Slots, SlotsOptions},
 };
@@ -220,8 +220,8 @@
         },
     );
     tokio::spawn(peers.run(peers_rx));
-    let carrier = Carrier::new(view_rx.clone(), engine_tx.clone());
-    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, carrier));
+    let relays = RelayServer::new(view_rx.clone(), engine_tx.clone());
+    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, relays));
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms);
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -25,39 +25,39 @@
 use crate::rpc::{self, Opening};
 
 /// Maximum number of connections that an instance carries for others.
-const MAX_CARRIED: usize = 512;
+const MAX_RELAYED: usize = 512;
 /// Time within which the other instance must have opened a connection.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time within which the carrying instance must reach the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time without any byte after which a carried connection is closed.
+/// Time without any byte after which a relayed connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const BUF_BYTES: usize = 16 * 1024;
 
 /// Carries connections of other instances to the targets of the active configuration.
 #[derive(Debug, Clone)]
-pub struct Carrier {
+pub struct RelayServer {
     view: watch::Receiver<Arc<View>>,
     engine: mpsc::UnboundedSender<Event>,
     permits: Arc<Semaphore>,
 }
 
-impl Carrier {
-    /// Returns a carrier to the targets that `view` shows, which tells the engine when it can't reach
-    /// one.
+impl RelayServer {
+    /// Returns a server for the targets that `view` shows, which tells the engine when it can't
+    /// reach one.
     pub fn new(view: watch::Receiver<Arc<View>>, engine: mpsc::UnboundedSender<Event>) -> Self {
         Self {
             view,
             engine,
-            permits: Arc::new(Semaphore::new(MAX_CARRIED)),
+            permits: Arc::new(Semaphore::new(MAX_RELAYED)),
         }
     }
 
-    /// Connects to a target for another instance; returns `None` if too many connections are carried
-    /// already.
-    pub(crate) async fn open(&self, target: &TargetId) -> Option<Carried> {
+    /// Connects to a target for another instance; returns `None` if too many connections are
+    /// relayed already.
+    pub(crate) async fn open(&self, target: &TargetId) -> Option<RelayedTarget> {
         let permit = self.permits.clone().try_acquire_owned().ok()?;
-        Some(Carried {
+        Some(RelayedTarget {
             target_stream: self.connect(target).await,
             _permit: permit,
         })
@@ -68,7 +68,7 @@
         let addr = addr_in_service(&config, target)?;
         let connect = TcpStream::connect(addr);
         let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect).await else {
-            let _ = self.engine.send(Event::CarryFailed(target.clone()));
+            let _ = self.engine.send(Event::RelayFailed(target.clone()));
             return None;
         };
         let _ = stream.set_nodelay(true);
@@ -76,14 +76,14 @@
     }
 }
 
-/// Holds the connection to a target that is carried for another instance, if it could be opened.
+/// Holds the connection to a target that is relayed for another instance, if it could be opened.
 #[derive(Debug)]
-pub(crate) struct Carried {
+pub(crate) struct RelayedTarget {
     target_stream: Option<TcpStream>,
     _permit: OwnedSemaphorePermit,
 }
 
-impl Carried {
+impl RelayedTarget {
     pub(crate) fn is_open(&self) -> bool {
         self.target_stream.is_some()
     }
@@ -135,7 +135,8 @@
 /// Passes bytes on in both directions until an end closes its connection or no byte has come for
 /// [`IDLE_TIMEOUT`].
 ///
-/// An end that fails resets the other one, so that an answer which was cut off doesn't look complete.
+/// An end that fails resets the other one, so that an answer which was cut off doesn't look
+/// complete.
 async fn exchange_bytes(mut near: TcpStream, mut far: TcpStream) {
     let is_clean = {
         let (near_read, near_write) = near.split();
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -15,7 +15,7 @@
 };
 use wire::{Secret, stream};
 
-use crate::relay::Carrier;
+use crate::relay::RelayServer;
 
 /// Requests something from another instance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -66,8 +66,8 @@
 pub(crate) enum Opening {
     /// Calls the other instance, which answers with a [`Reply`] and closes the connection.
     Call(Call),
-    /// Asks for a connection to this target. The other instance answers whether it reached the target;
-    /// if so, the connection carries the target's bytes from then on.
+    /// Asks for a connection to this target. The other instance answers whether it reached the
+    /// target; if so, the connection carries the target's bytes from then on.
     Relay(TargetId),
 }
 
@@ -85,13 +85,13 @@
 
 type Nonce = [u8; NONCE_BYTES];
 
-/// Accepts calls until the receiver of `tx` is dropped; `carrier` answers those for connections to
+/// Accepts calls until the receiver of `tx` is dropped; `relays` answers those for connections to
 /// targets.
 pub async fn serve(
     listener: TcpListener,
     secret: Secret,
     tx: mpsc::Sender<IncomingCall>,
-    carrier: Carrier,
+    relays: RelayServer,
 ) {
     while !tx.is_closed() {
         if let Ok((stream, _)) = listener.accept().await {
@@ -99,7 +99,7 @@
                 stream,
                 secret.clone(),
                 tx.clone(),
-                carrier.clone(),
+                relays.clone(),
             ));
         }
     }
@@ -131,8 +131,8 @@
     }
 }
 
-/// Opens a connection to the instance at `addr` and returns its authentic reply with the stream that
-/// it came on.
+/// Opens a connection to the instance at `addr` and returns its authentic reply with the stream
+/// that it came on.
 pub(crate) async fn exchange<T>(
     secret: &Secret,
     addr: SocketAddr,
@@ -163,7 +163,7 @@
     mut stream: TcpStream,
     secret: Secret,
     tx: mpsc::Sender<IncomingCall>,
-    carrier: Carrier,
+    relays: RelayServer,
 ) -> io::Result<()> {
     let Some((peer_nonce, opening)) =
         timeout(CALL_TIMEOUT, receive(&mut stream, &secret)).await??
@@ -176,12 +176,12 @@
             timeout(CALL_TIMEOUT, answered).await?
         }
         Opening::Relay(target) => {
-            let Some(carried) = carrier.open(&target).await else {
+            let Some(relayed) = relays.open(&target).await else {
                 return Ok(());
             };
-            let is_open = carried.is_open();
+            let is_open = relayed.is_open();
             write_reply(&mut stream, &secret, &peer_nonce, &is_open).await?;
-            carried.carry(stream).await;
+            relayed.carry(stream).await;
             Ok(())
         }
     }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -47,8 +47,8 @@
     assert_eq!(fleet().owner(Time::from_secs(60), &club), None);
 }
 
-/// A silent instance may be cut off from this one alone and go on sending, so its shares are kept for
-/// a while, as are those of one that this instance has not heard yet after its own start.
+/// A silent instance may be cut off from this one alone and go on sending, so its shares are kept
+/// for a while, as are those of one that this instance has not heard yet after its own start.
 #[rstest]
 #[case::alive(10, true, 9, true)]
 #[case::silent(10, true, 17, true)]
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -4,7 +4,7 @@
 
 use base::{Config, Domain, Service, Target};
 use daemon::{
-    relay::{self, Carrier},
+    relay::{self, RelayServer},
     rpc,
 };
 use entry::{
@@ -19,8 +19,8 @@
 };
 use wire::Secret;
 
-/// Serves connections for others to a target `t` at this address, and returns the channel on which they
-/// are asked for with the address of the serving instance.
+/// Serves connections for others to a target `t` at this address, and returns the channel on which
+/// they are asked for with the address of the serving instance.
 async fn start(
     target: SocketAddr,
     is_drained: bool,
@@ -55,10 +55,10 @@
     let secret = Secret::derive("a secret for tests only");
     let (calls, calls_rx) = mpsc::channel(1);
     let (engine, _) = mpsc::unbounded_channel();
-    let carrier = Carrier::new(view, engine);
+    let relays = RelayServer::new(view, engine);
     tokio::spawn(async move {
         let _calls = calls_rx;
-        rpc::serve(listener, secret, calls, carrier).await;
+        rpc::serve(listener, secret, calls, relays).await;
     });
     let (tx, rx) = mpsc::unbounded_channel();
     tokio::spawn(relay::run(Secret::derive("a secret for tests only"), rx));
@@ -118,7 +118,8 @@
     assert!(near.read(&mut buf).await.is_err());
 }
 
-/// What the other instance can't reach, or may not send to, is told from an instance that can't help.
+/// What the other instance can't reach, or may not send to, is told from an instance that can't
+/// help.
 #[rstest]
 #[case::unknown_target("other", false)]
 #[case::drained_target("t", true)]
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -20,8 +20,8 @@
         self.path.lost_since()
     }
 
-    /// Records how the connection of an attempt was opened and returns whether the state of the path
-    /// changed.
+    /// Records how the connection of an attempt was opened and returns whether the state of the
+    /// path changed.
     pub fn record_dial(&mut self, now: Time, id: RequestId, attempt: u32, dial: Dial) -> bool {
         let target = self.target_of(id, attempt).cloned();
         target.is_some_and(|target| self.record_dial_to(now, &target, dial))
@@ -37,8 +37,8 @@
         is_changed
     }
 
-    /// Finds out whether requests are left without any answer, and returns whether the state of the path
-    /// changed.
+    /// Finds out whether requests are left without any answer, and returns whether the state of the
+    /// path changed.
     ///
     /// After a pause of the process, `was_paused`, answers may wait in the sockets unread.
     pub fn check_path(&mut self, now: Time, was_paused: bool) -> bool {
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -16,8 +16,8 @@
             .collect()
     }
 
-    /// Records how a connection that no request waited for was opened, and returns whether the state of
-    /// the path to the targets changed.
+    /// Records how a connection that no request waited for was opened, and returns whether the
+    /// state of the path to the targets changed.
     pub fn record_probe(&mut self, now: Time, id: &TargetId, dial: Dial) -> bool {
         if dial.direct == Some(true) || dial.relayed == Some(true) {
             self.record_reachable(now, id);
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -6,7 +6,7 @@
 
 use super::Dispatcher;
 use crate::{
-    Action, RateReport, RateSeat, RequestId, Target, hash::seeded_hash, placement::PlacementQuery,
+    Action, RateRank, RateReport, RequestId, Target, hash::seeded_hash, placement::PlacementQuery,
 };
 
 impl Dispatcher {
@@ -16,7 +16,7 @@
         self.instances = instances;
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
-                target.set_rate_seat(rate_seat(&self.own_id, &self.instances, target));
+                target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
             }
         }
     }
@@ -38,12 +38,12 @@
         if !target.record_named_rate(now, found.started_at, per_s) {
             return None;
         }
-        target.set_rate_seat(rate_seat(&self.own_id, &self.instances, target));
+        target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
         Some(target.id.clone())
     }
 
-    /// Merges what another instance has learned of targets' rates and returns the targets whose rate
-    /// changed.
+    /// Merges what another instance has learned of targets' rates and returns the targets whose
+    /// rate changed.
     ///
     /// `not_before` is the earliest time at which the reports can have been sent, if it is known.
     pub fn merge_rate_reports(
@@ -57,7 +57,7 @@
             let digest = target.digest();
             for report in reports.iter().filter(|one| one.target_digest == digest) {
                 if target.merge_rate_report(now, not_before, report) {
-                    target.set_rate_seat(rate_seat(&self.own_id, &self.instances, target));
+                    target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
                     changed.push(target.id.clone());
                 }
             }
@@ -120,11 +120,11 @@
 /// Ranks the live instances for a target, those in its region first.
 ///
 /// An instance that is not among them, because it is leaving, comes last.
-fn rate_seat(
+fn rate_rank(
     own_id: &InstanceId,
     instances: &[(InstanceId, RegionId)],
     target: &Target,
-) -> RateSeat {
+) -> RateRank {
     let digest = target.digest();
     let key = |(id, region): &(InstanceId, RegionId)| {
         let is_remote = *region != target.region;
@@ -138,12 +138,12 @@
         count => count,
     };
     let own = instances.iter().find(|(id, _)| id == own_id).map(key);
-    let rank = match own {
+    let position = match own {
         Some(own) => instances.iter().filter(|other| key(other) < own).count(),
         None => instances.len(),
     };
-    RateSeat {
-        rank: rank as u32,
+    RateRank {
+        position: position as u32,
         local_count: local_count as u32,
     }
 }
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -157,8 +157,8 @@
     }
 }
 
-/// Returns the time after which a connection is tried through another instance as well; `round_trip` is
-/// that to the target's region, if it has been measured.
+/// Returns the time after which a connection is tried through another instance as well;
+/// `round_trip` is that to the target's region, if it has been measured.
 fn relay_delay(round_trip: Option<&Duration>, is_local: bool) -> Duration {
     let unmeasured = if is_local {
         MIN_RELAY_DELAY
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,7 +36,7 @@
     Action, AdmittedRequest, Assignment, Outcome, Placement, Policy, PoolStats, RequestId,
     RequestKind, RequestProgress, SelectionReason,
 };
-pub use shared_rate::{RateReport, RateSeat, SharedRate};
+pub use shared_rate::{RateRank, RateReport, SharedRate};
 pub use target::{HealthReport, Target, TargetEvent, TargetState};
 
 /// Parses the state chart of a target.
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -54,8 +54,8 @@
 
 /// Watches the connections to targets and decides when to open them through other instances.
 ///
-/// A target that neither this instance nor another one can reach says nothing of the path; one that only
-/// the other one reaches does.
+/// A target that neither this instance nor another one can reach says nothing of the path; one that
+/// only the other one reaches does.
 ///
 /// # Examples
 ///
@@ -169,8 +169,8 @@
         self.last_response_at = self.last_response_at.max(now);
     }
 
-    /// Returns whether connections are direct and no target has answered for long, compared with how
-    /// often they do, although a request sent at `oldest_sent_at` waits.
+    /// Returns whether connections are direct and no target has answered for long, compared with
+    /// how often they do, although a request sent at `oldest_sent_at` waits.
     pub fn is_silent(&self, now: Time, oldest_sent_at: Time) -> bool {
         let usual = Duration::from_secs_f64(self.response_gap_s * SILENT_GAPS);
         let min_silence = usual.max(MIN_SILENCE);
@@ -179,11 +179,11 @@
             && now - oldest_sent_at >= MIN_SILENCE
     }
 
-    /// Returns whether connections that check the path are to be opened now, as no target answers any
-    /// more, and if so, counts them.
+    /// Returns whether connections that check the path are to be opened now, as no target answers
+    /// any more, and if so, counts them.
     ///
-    /// How long a run takes doesn't matter to a connection, so a lost path shows long before requests
-    /// are overdue.
+    /// How long a run takes doesn't matter to a connection, so a lost path shows long before
+    /// requests are overdue.
     pub fn take_check(&mut self, now: Time, oldest_sent_at: Time) -> bool {
         let is_due =
             self.is_silent(now, oldest_sent_at) && now - self.last_check_at >= CHECK_INTERVAL;
@@ -204,8 +204,8 @@
         is_due
     }
 
-    /// Records the targets of requests that have waited for longer than they usually do, with the time at
-    /// which each was sent, and returns whether the state changed.
+    /// Records the targets of requests that have waited for longer than they usually do, with the
+    /// time at which each was sent, and returns whether the state changed.
     ///
     /// Slow targets leave some requests waiting while others are answered; a lost path leaves
     /// all of them.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -19,8 +19,8 @@
 /// Utilization below which a target takes requests for objects for which it ranks second, however
 /// long they would wait.
 const SECOND_MAX_UTILIZATION: f64 = 0.6;
-/// Number of targets of a region among which an object's requests are divided, so that it is warm on
-/// them and leaves the others' memory to their own objects.
+/// Number of targets of a region among which an object's requests are divided, so that it is warm
+/// on them and leaves the others' memory to their own objects.
 const TARGETS_PER_OBJECT: usize = 2;
 /// Time after which a caller may retry where it is not this instance's turn to send to any target.
 const MAX_RATE_WAIT: Duration = Duration::from_secs(1);
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -48,8 +48,8 @@
 
 /// Collects lost connections until it is clear whether a target or the path to the targets failed.
 ///
-/// A request that crashes its target costs the connections to that target. Connections to several targets
-/// that are lost together show that the way to them failed, and speak against no request.
+/// A request that crashes its target costs the connections to that target. Connections to several
+/// targets that are lost together show that the way to them failed, and speak against no request.
 ///
 /// # Examples
 ///
--- a/crates/dispatch/src/shared_rate.rs
+++ b/crates/dispatch/src/shared_rate.rs
@@ -24,20 +24,20 @@
 /// # Examples
 ///
 /// ```
-/// use dispatch::RateSeat;
+/// use dispatch::RateRank;
 ///
-/// let seat = RateSeat { rank: 2, local_count: 3 };
-/// assert_eq!((seat.senders(6.5), seat.senders(1.2)), (3, 1));
+/// let rank = RateRank { position: 2, local_count: 3 };
+/// assert_eq!((rank.senders(6.5), rank.senders(1.2)), (3, 1));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct RateSeat {
+pub struct RateRank {
     /// Position of this instance, starting at zero.
-    pub rank: u32,
+    pub position: u32,
     /// Number of live instances in the target's region, or of all of them where it has none.
     pub local_count: u32,
 }
 
-impl RateSeat {
+impl RateRank {
     /// Returns the number of instances that share a rate. A lower rate has fewer senders, so that
     /// each may send a request every second.
     pub fn senders(&self, per_s: f64) -> u32 {
@@ -54,15 +54,15 @@
 ///
 /// ```
 /// use base::Time;
-/// use dispatch::{RateSeat, SharedRate};
+/// use dispatch::{RateRank, SharedRate};
 /// use std::time::Duration;
 ///
 /// let mut rate = SharedRate::default();
 /// let now = Time::from_secs(1);
 /// rate.observe(now, Time::ZERO, Some(4.0));
-/// let seat = RateSeat { rank: 0, local_count: 2 };
+/// let rank = RateRank { position: 0, local_count: 2 };
 /// // Two instances share four requests a second, so this one sends two a second.
-/// assert_eq!(rate.wait(now, seat, false), Some(Duration::from_millis(500)));
+/// assert_eq!(rate.wait(now, rank, false), Some(Duration::from_millis(500)));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SharedRate {
@@ -136,28 +136,28 @@
     /// turn before other instances have been silent for longer.
     ///
     /// `has_request` tells whether a request of this instance is on the target.
-    pub fn wait(&self, now: Time, seat: RateSeat, has_request: bool) -> Option<Duration> {
+    pub fn wait(&self, now: Time, rank: RateRank, has_request: bool) -> Option<Duration> {
         let Some(per_s) = self.per_s.map(|per_s| per_s.max(MIN_RATE_PER_S)) else {
             return Some(Duration::ZERO);
         };
-        let senders = seat.senders(per_s);
-        if seat.rank < senders {
+        let senders = rank.senders(per_s);
+        if rank.position < senders {
             let missing = 1.0 - self.tokens(now, per_s, senders);
             let share = per_s / f64::from(senders);
             return Some(Duration::from_secs_f64((missing / share).max(0.0)));
         }
         // The next instance may send once all before it have had the time for a request.
-        let turns = f64::from(seat.rank - senders + 1);
+        let turns = f64::from(rank.position - senders + 1);
         let turn_at = self.named_at + SILENCE_GRACE + Duration::from_secs_f64(turns / per_s);
         (turn_at <= now && !has_request).then_some(Duration::ZERO)
     }
 
     /// Records that this instance sends a request.
-    pub fn record_send(&mut self, now: Time, seat: RateSeat) {
+    pub fn record_send(&mut self, now: Time, rank: RateRank) {
         let Some(per_s) = self.per_s.map(|per_s| per_s.max(MIN_RATE_PER_S)) else {
             return;
         };
-        self.tokens = (self.tokens(now, per_s, seat.senders(per_s)) - 1.0).max(0.0);
+        self.tokens = (self.tokens(now, per_s, rank.senders(per_s)) - 1.0).max(0.0);
         self.refilled_at = now;
     }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::{
-    ConcurrencyLimit, LatencyEstimate, RateReport, RateSeat, SharedRate, hash::seeded_hash,
+    ConcurrencyLimit, LatencyEstimate, RateRank, RateReport, SharedRate, hash::seeded_hash,
 };
 
 /// Lists the states of a target; `charts/target.json` holds the transitions.
@@ -90,7 +90,7 @@
     /// Rate that the target takes from all instances.
     rate: SharedRate,
     /// Position of this instance among those that share the rate.
-    rate_seat: RateSeat,
+    rate_rank: RateRank,
 }
 
 /// Holds the load that a target reported with a response.
@@ -148,7 +148,7 @@
             load_report: None,
             refusal_rate: 0.0,
             rate: SharedRate::default(),
-            rate_seat: RateSeat::default(),
+            rate_rank: RateRank::default(),
         }
     }
 
@@ -209,7 +209,7 @@
     /// Returns how long the named rate makes this instance wait before its next request; `None` if
     /// it is not this instance's turn.
     pub fn rate_wait(&self, now: Time) -> Option<Duration> {
-        self.rate.wait(now, self.rate_seat, self.in_flight > 0)
+        self.rate.wait(now, self.rate_rank, self.in_flight > 0)
     }
 
     /// Records an answer to a request sent at `sent_at` that names this rate, and returns whether
@@ -234,8 +234,8 @@
     }
 
     /// Sets the position of this instance among those that share the rate.
-    pub fn set_rate_seat(&mut self, seat: RateSeat) {
-        self.rate_seat = seat;
+    pub fn set_rate_rank(&mut self, rank: RateRank) {
+        self.rate_rank = rank;
     }
 
     /// Returns whether the target has registered its own slots and state.
@@ -307,7 +307,7 @@
     /// Records that a request is sent to the target.
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
-        self.rate.record_send(now, self.rate_seat);
+        self.rate.record_send(now, self.rate_rank);
         if self.state == TargetState::Cold {
             self.next_cold_send_at = now + self.cold_interval;
         }
@@ -428,8 +428,8 @@
         true
     }
 
-    /// Returns whether a connection is to be tried now to see whether the target is back, and if so,
-    /// counts it as tried.
+    /// Returns whether a connection is to be tried now to see whether the target is back, and if
+    /// so, counts it as tried.
     ///
     /// The time between two of them grows until a request is answered, so that a target that only
     /// accepts connections is not taken for a sound one again and again.
--- a/crates/dispatch/tests/path.rs
+++ b/crates/dispatch/tests/path.rs
@@ -20,8 +20,8 @@
     Time::from_millis(10_000 + ms)
 }
 
-/// What opening connections to two targets shows: only what another instance reaches, and this one does
-/// not, speaks against the path.
+/// What opening connections to two targets shows: only what another instance reaches, and this one
+/// does not, speaks against the path.
 #[rstest]
 #[case::only_others_reach_them(Dial::direct(false).relayed(true), PathState::Relayed)]
 #[case::nobody_reaches_them(Dial::direct(false).relayed(false), PathState::Direct)]
@@ -49,8 +49,8 @@
     assert!(!path.prefers_relay(at(8_000), &target(0)));
 }
 
-/// Two targets that fail long after one another don't make the path count as lost, and neither do they if
-/// a third one is reached directly in between.
+/// Two targets that fail long after one another don't make the path count as lost, and neither do
+/// they if a third one is reached directly in between.
 #[rstest]
 #[case::long_after(2_500, false)]
 #[case::with_success_between(500, true)]
@@ -64,8 +64,8 @@
     assert_eq!(path.state(), PathState::Direct);
 }
 
-/// Requests that are left waiting make the path count as lost only if several targets have them, and none
-/// has answered since they were sent.
+/// Requests that are left waiting make the path count as lost only if several targets have them,
+/// and none has answered since they were sent.
 #[rstest]
 #[case::all_silent(&[(0, 100), (1, 110), (2, 120)], 50, PathState::Relayed)]
 #[case::two_targets_alone(&[(0, 100), (1, 110), (1, 120)], 50, PathState::Direct)]
@@ -92,8 +92,8 @@
     }
 }
 
-/// When answers stop, the path is checked after eight times the usual gap between them, at least 200 ms, and
-/// once a second, as long as a request waits.
+/// When answers stop, the path is checked after eight times the usual gap between them, at least
+/// 200 ms, and once a second, as long as a request waits.
 #[rstest]
 #[case::many_answers(10, 200)]
 #[case::few_answers(100, 800)]
@@ -128,9 +128,9 @@
     assert!(!path.prefers_relay(at(1_500), &target(0)));
 }
 
-/// Over drawn patterns of targets that have ended and paths that are cut, an instance whose path works goes
-/// on connecting directly, and one whose path is cut connects through others within half a second and
-/// directly again within two seconds of the end of the cut.
+/// Over drawn patterns of targets that have ended and paths that are cut, an instance whose path
+/// works goes on connecting directly, and one whose path is cut connects through others within half
+/// a second and directly again within two seconds of the end of the cut.
 #[test]
 fn path_state_follows_drawn_cuts() {
     const TARGETS: usize = 12;
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -538,8 +538,9 @@
     assert_eq!(taken.count(), 4);
 }
 
-/// Guards against a cut of an instance's links barring everybody's requests for the same page for a minute: the
-/// resets on several targets were counted against the request that happened to be on them.
+/// Guards against a cut of an instance's links barring everybody's requests for the same page for a
+/// minute: the resets on several targets were counted against the request that happened to be on
+/// them.
 #[test]
 fn losses_on_many_targets_at_once_quarantine_nothing() {
     let config = config(12);
--- a/crates/dispatch/tests/shared_rate.rs
+++ b/crates/dispatch/tests/shared_rate.rs
@@ -6,7 +6,7 @@
     Config, Domain, ErrorKind, InstanceId, RegionId, Registration, Service, Target, TargetId, Time,
 };
 use dispatch::{
-    Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RateReport, RateSeat,
+    Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RateRank, RateReport,
     RequestId, SharedRate,
 };
 use rand::{RngExt, SeedableRng};
@@ -375,8 +375,8 @@
     changes: true,
 };
 
-/// Over drawn schedules a target never gets more than the users allow, gets at least half of its rate
-/// while there is demand, and gets all again within seconds of naming none.
+/// Over drawn schedules a target never gets more than the users allow, gets at least half of its
+/// rate while there is demand, and gets all again within seconds of naming none.
 #[rstest]
 #[case::no_faults(NO_FAULTS, 9, 100)]
 #[case::lost_reports(Faults { loss: 0.5, ..NO_FAULTS }, 9, 100)]
@@ -415,16 +415,16 @@
 /// gone, is found without a rate by the others.
 #[test]
 fn silent_target_is_tried_by_others() {
-    let seat = |rank| RateSeat {
-        rank,
+    let rank = |position| RateRank {
+        position,
         local_count: 1,
     };
     let mut rate = SharedRate::default();
     let named_at = Time::from_secs(10);
     rate.observe(named_at, Time::ZERO, Some(2.0));
-    let is_turn = |rank, after_ms| {
+    let is_turn = |position, after_ms| {
         let now = named_at + Duration::from_millis(after_ms);
-        rate.wait(now, seat(rank), false) == Some(Duration::ZERO)
+        rate.wait(now, rank(position), false) == Some(Duration::ZERO)
     };
     assert!(is_turn(0, 600) && !is_turn(1, 600));
     assert!(!is_turn(1, 1_900) && is_turn(1, 2_000));
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -180,7 +180,8 @@
 
     /// Opens a connection through the first instance that can.
     ///
-    /// One that can't reach the target may have lost its own path, so the next one is asked as well.
+    /// One that can't reach the target may have lost its own path, so the next one is asked as
+    /// well.
     async fn open_relayed(&self, plan: &DialPlan) -> Result<Opened, RelayError> {
         let mut error = RelayError::RelayUnavailable;
         for relay in &plan.relays {
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -46,8 +46,8 @@
     /// Response header with a target's load: running requests, queued requests and slots,
     /// separated by commas.
     pub load: Option<HeaderName>,
-    /// Response header with the rate, in requests per second, that a target takes from all instances
-    /// together.
+    /// Response header with the rate, in requests per second, that a target takes from all
+    /// instances together.
     pub rate_limit: Option<HeaderName>,
     /// Response header without which a successful status is not trusted.
     pub required_on_success: Option<HeaderName>,
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -122,9 +122,9 @@
 }
 
 impl Engine {
-    /// Returns an engine that has no configuration yet, sends its messages to other instances through
-    /// `outgoing`, and opens connections of its own
-    /// by `dialer`, whose results it receives through `events`.
+    /// Returns an engine that has no configuration yet, sends its messages to other instances
+    /// through `outgoing`, and opens connections of its own by `dialer`, whose results it receives
+    /// through `events`.
     ///
     /// # Errors
     ///
@@ -215,7 +215,7 @@
                 }
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
-            Event::CarryFailed(target) => {
+            Event::RelayFailed(target) => {
                 if self.dispatcher.take_path_check(now) {
                     self.probe(target, self.any_relays(now));
                 }
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -35,8 +35,8 @@
             .collect();
     }
 
-    /// Returns the instances that may carry a request to a target in `region`: some in that region, and
-    /// one in another, in case the region's instances have all lost their path.
+    /// Returns the instances that may carry a request to a target in `region`: some in that region,
+    /// and one in another, in case the region's instances have all lost their path.
     ///
     /// A request with home regions passes no instance outside of them.
     pub(super) fn relays_to(&self, region: &RegionId, request: &PendingRequest) -> Vec<Relay> {
@@ -62,8 +62,8 @@
         same.into_iter().chain(other).collect()
     }
 
-    /// Acts on a change of the path to the targets: drops idle connections that are of no use on the
-    /// new one, and tells the other instances.
+    /// Acts on a change of the path to the targets: drops idle connections that are of no use on
+    /// the new one, and tells the other instances.
     pub(super) fn change_path(&mut self) {
         let state = self.dispatcher.path_state();
         let is_direct = state == PathState::Direct;
@@ -81,8 +81,8 @@
             .send(OutgoingMessage::TargetPath { is_direct });
     }
 
-    /// Opens connections that no request waits for: to targets that are down, and such as show whether
-    /// the path to the targets is lost or back.
+    /// Opens connections that no request waits for: to targets that are down, and such as show
+    /// whether the path to the targets is lost or back.
     pub(super) fn probe_targets(&mut self, now: Time) {
         for target in self.dispatcher.due_probes(now) {
             self.probe(target, Vec::new());
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -31,8 +31,8 @@
 /// than [`IDLE_TIMEOUT_FRACTION`], since a request that must not be sent twice can't be retried if
 /// the target closes the connection.
 const FRESH_TIMEOUT_FRACTION: f64 = 0.4;
-/// Bytes of response bodies that are held at the same time, since each is received whole before it is
-/// sent to the caller.
+/// Bytes of response bodies that are held at the same time, since each is received whole before it
+/// is sent to the caller.
 const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
 /// Bytes that are read until the head of a response is complete; interim responses come before it.
 const MAX_HEAD_BYTES: usize = 2 * MAX_READ_BYTES;
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -11,8 +11,8 @@
 
 /// Bounds the bytes of the bodies that are being received; all clones share the bound.
 ///
-/// A body may grow as long as it holds no more than what is left for all. One that never ends gets half,
-/// and leaves the other half to the rest; several of them leave each other equal parts.
+/// A body may grow as long as it holds no more than what is left for all. One that never ends gets
+/// half, and leaves the other half to the rest; several of them leave each other equal parts.
 #[derive(Debug, Clone)]
 pub struct HeldBytes {
     max: usize,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -46,7 +46,7 @@
         feedback: TargetFeedback,
     },
     /// This instance could not connect to the target for another one that asked it to.
-    CarryFailed(TargetId),
+    RelayFailed(TargetId),
     /// A connection that no request waits for could be opened, or not.
     ProbeEnded {
         /// Target of the connection.
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -1,4 +1,5 @@
-//! Targets whose answers never end: an instance holds a bounded part of them and closes the connection.
+//! Targets whose answers never end: an instance holds a bounded part of them and closes the
+//! connection.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -29,8 +30,8 @@
 /// Bytes after which a target gives up; well over any bound.
 const GIVE_UP_BYTES: usize = 256 * MIB;
 
-/// Starts a target that answers each request with `head` and then repeats `part` until the connection is
-/// closed, and returns how many bytes it could send on each.
+/// Starts a target that answers each request with `head` and then repeats `part` until the
+/// connection is closed, and returns how many bytes it could send on each.
 async fn start_endless(
     head: &'static str,
     part: Vec<u8>,
@@ -94,8 +95,9 @@
     chunk
 }
 
-/// Guards against answers that fill the memory: with several endless ones at once, all together get no more
-/// than the bound, the connections are closed well before the deadline, and none is taken for an answer.
+/// Guards against answers that fill the memory: with several endless ones at once, all together get
+/// no more than the bound, the connections are closed well before the deadline, and none is taken
+/// for an answer.
 #[rstest]
 #[case::chunks(CHUNKED, chunk())]
 #[case::no_length(UNFRAMED, vec![b'x'; 0x1_0000])]
