fix(dispatch): a request that crashes two targets in a row counts against itself

What callers would see: a request that crashes each target that runs it was not barred any more: its retry crashes the second target within milliseconds of the first, and took connections lost to two targets within 100 ms for a failure of the path.

Change: only connections lost to three targets or more within 100 ms show a failure of the path; one attempt of a caller loses two at most.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,6 +1,9 @@
 //! Quarantine of requests that crash the targets that run them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::Time;
 use serde::{Deserialize, Serialize};
@@ -48,8 +51,9 @@
 
 /// Collects lost connections until it is clear whether a target or the path to the targets failed.
 ///
-/// A request that crashes its target costs the connections to that target. Connections to several
-/// targets that are lost together show that the way to them failed, and speak against no request.
+/// A request that crashes its target, and with its retry another one, costs the connections to these
+/// two. Connections to more targets that are lost together show that the way to them failed, and
+/// speak against no request.
 ///
 /// # Examples
 ///
@@ -60,41 +64,46 @@
 /// let mut losses = LossCollector::default();
 /// let loss = |target_digest| ConnectionLoss { fingerprint: 7, target_digest };
 /// losses.add(Time::from_millis(0), loss(1));
-/// assert_eq!(losses.take_due(Time::from_millis(100)), [loss(1)]);
+/// losses.add(Time::from_millis(5), loss(2));
+/// assert_eq!(losses.take_due(Time::from_millis(200)), [loss(1), loss(2)]);
 ///
-/// losses.add(Time::from_millis(500), loss(1));
-/// losses.add(Time::from_millis(550), loss(2));
-/// assert!(losses.take_due(Time::from_millis(650)).is_empty());
+/// for target in 1..=3 {
+///     losses.add(Time::from_millis(500), loss(target));
+/// }
+/// assert!(losses.take_due(Time::from_millis(700)).is_empty());
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct LossCollector {
-    /// Losses with their times, and whether another target lost a connection close to them.
+    /// Losses with their times, and whether they belong to a failure of the path.
     pending: Vec<(Time, ConnectionLoss, bool)>,
 }
 
 /// Time between two losses within which they count as one event.
 const LOSS_WINDOW: Duration = Duration::from_millis(100);
+/// Targets that must lose connections in one event for it to count as a failure of the path.
+const MIN_PATH_TARGETS: usize = 3;
 
 impl LossCollector {
     /// Adds a loss.
     pub fn add(&mut self, now: Time, loss: ConnectionLoss) {
-        let mut is_shared = false;
-        for (_, other, other_is_shared) in &mut self.pending {
-            if other.target_digest != loss.target_digest {
-                *other_is_shared = true;
-                is_shared = true;
+        self.pending.push((now, loss, false));
+        let recent = self
+            .pending
+            .iter()
+            .filter(|(at, ..)| now - *at <= LOSS_WINDOW);
+        let targets: BTreeSet<u64> = recent.map(|(_, loss, _)| loss.target_digest).collect();
+        if targets.len() >= MIN_PATH_TARGETS {
+            for (at, _, is_path) in &mut self.pending {
+                *is_path |= now - *at <= LOSS_WINDOW;
             }
         }
-        self.pending.push((now, loss, is_shared));
     }
 
     /// Returns the losses that are old enough to be judged and speak against their requests.
     pub fn take_due(&mut self, now: Time) -> Vec<ConnectionLoss> {
         let is_due = |at: Time| now - at >= LOSS_WINDOW;
-        let due = self
-            .pending
-            .iter()
-            .filter(|(at, _, is_shared)| is_due(*at) && !is_shared);
+        let due = self.pending.iter();
+        let due = due.filter(|(at, _, is_path)| is_due(*at) && !is_path);
         let due = due.map(|(_, loss, _)| *loss).collect();
         self.pending.retain(|(at, ..)| !is_due(*at));
         due
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -565,3 +565,31 @@
     assert_eq!(actions, []);
     assert_eq!(dispatcher.quarantined(now), []);
 }
+
+/// Guards against a request that crashes its targets going free: its retry crashes the second one a
+/// moment after the first, which must not be taken for a failure of the path.
+#[test]
+fn request_that_crashes_two_targets_in_a_row_is_quarantined() {
+    let config = config(12);
+    let policy = Policy {
+        placement: Placement::ObjectAffinity,
+        ..Policy::default()
+    };
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, policy).unwrap();
+    dispatcher.configure(Time::ZERO, &config);
+    dispatcher.tick(Time::from_millis(1));
+    let now = Time::from_secs(10);
+    let mut actions = dispatcher.submit(now, request(now, 1, 7));
+    let mut crashed = Vec::new();
+    while let Some(assignment) = assignments(&actions).first().copied().cloned() {
+        crashed.push(assignment.target.clone());
+        actions = dispatcher
+            .finish(now, assignment.id, assignment.attempt, Outcome::Lost)
+            .1;
+    }
+    assert_eq!(crashed.len(), 2, "{crashed:?}");
+    let now = now + Duration::from_millis(100);
+    dispatcher.tick(now);
+    let again = dispatcher.submit(now, request(now, 1, 7));
+    assert_eq!(refusals(&again), [ErrorKind::Quarantined]);
+}
