fix(dispatch): losses on one target are one target's, registered or not

Cause: a target that does not register has no known incarnation, so the digest of each of its losses is random, that each may count in the quarantine.

Change: the collector gets the target's own digest, which does not change.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -245,7 +245,9 @@
                 fingerprint,
                 target_digest,
             };
-            self.losses.add(now, loss);
+            let pool = self.pools.get(&service);
+            let lost = pool.map_or(0, |pool| pool.targets[target].digest());
+            self.losses.add(now, lost, loss);
         }
         let (progress, mut actions) = self.update_request(now, id, target, outcome);
         actions.extend(self.assign(now, &service));
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -63,19 +63,27 @@
 ///
 /// let mut losses = LossCollector::default();
 /// let loss = |target_digest| ConnectionLoss { fingerprint: 7, target_digest };
-/// losses.add(Time::from_millis(0), loss(1));
-/// losses.add(Time::from_millis(5), loss(2));
+/// losses.add(Time::from_millis(0), 1, loss(1));
+/// losses.add(Time::from_millis(5), 2, loss(2));
 /// assert_eq!(losses.take_due(Time::from_millis(200)), [loss(1), loss(2)]);
 ///
 /// for target in 1..=3 {
-///     losses.add(Time::from_millis(500), loss(target));
+///     losses.add(Time::from_millis(500), target, loss(target));
 /// }
 /// assert!(losses.take_due(Time::from_millis(700)).is_empty());
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct LossCollector {
-    /// Losses with their times, and whether they belong to a failure of the path.
-    pending: Vec<(Time, ConnectionLoss, bool)>,
+    pending: Vec<PendingLoss>,
+}
+
+#[derive(Debug, Clone)]
+struct PendingLoss {
+    at: Time,
+    target: u64,
+    loss: ConnectionLoss,
+    /// Whether it belongs to a failure of the path.
+    is_path: bool,
 }
 
 /// Time between two losses within which they count as one event.
@@ -84,28 +92,31 @@
 const MIN_PATH_TARGETS: usize = 3;
 
 impl LossCollector {
-    /// Adds a loss.
-    pub fn add(&mut self, now: Time, loss: ConnectionLoss) {
-        self.pending.push((now, loss, false));
-        let recent = self
-            .pending
-            .iter()
-            .filter(|(at, ..)| now - *at <= LOSS_WINDOW);
-        let targets: BTreeSet<u64> = recent.map(|(_, loss, _)| loss.target_digest).collect();
+    /// Adds the loss of a connection to a target, which `target` identifies.
+    pub fn add(&mut self, now: Time, target: u64, loss: ConnectionLoss) {
+        self.pending.push(PendingLoss {
+            at: now,
+            target,
+            loss,
+            is_path: false,
+        });
+        let is_recent = |one: &PendingLoss| now - one.at <= LOSS_WINDOW;
+        let recent = self.pending.iter().filter(|one| is_recent(one));
+        let targets: BTreeSet<u64> = recent.map(|one| one.target).collect();
         if targets.len() >= MIN_PATH_TARGETS {
-            for (at, _, is_path) in &mut self.pending {
-                *is_path |= now - *at <= LOSS_WINDOW;
+            for one in self.pending.iter_mut().filter(|one| is_recent(one)) {
+                one.is_path = true;
             }
         }
     }
 
     /// Returns the losses that are old enough to be judged and speak against their requests.
     pub fn take_due(&mut self, now: Time) -> Vec<ConnectionLoss> {
-        let is_due = |at: Time| now - at >= LOSS_WINDOW;
+        let is_due = |one: &PendingLoss| now - one.at >= LOSS_WINDOW;
         let due = self.pending.iter();
-        let due = due.filter(|(at, _, is_path)| is_due(*at) && !is_path);
-        let due = due.map(|(_, loss, _)| *loss).collect();
-        self.pending.retain(|(at, ..)| !is_due(*at));
+        let due = due.filter(|one| is_due(one) && !one.is_path);
+        let due = due.map(|one| one.loss).collect();
+        self.pending.retain(|one| !is_due(one));
         due
     }
 }
