--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, Time};
+use base::{Config, InstanceId, Time};
 use coord::{CatchUp, Freshness, Replica, RowChange, TableSnapshot};
 use entry::{
     message::Event,
@@ -121,7 +121,15 @@
     Changes(Vec<Change>, u64),
     Snapshot(Vec<Change>, u64),
     Failed,
-    Fetched(Option<TableSnapshot>),
+    Fetched(Fetch),
+}
+
+/// Carries what another instance answered when it was asked for a table.
+#[derive(Debug)]
+struct Fetch {
+    from: InstanceId,
+    asked_at: Time,
+    snapshot: Option<TableSnapshot>,
 }
 
 impl<F> TableFollower<F>
@@ -234,7 +242,10 @@
                 table.is_reachable = false;
                 false
             }
-            TableRead::Fetched(snapshot) => {
+            TableRead::Fetched(fetch) => {
+                let name = self.options.followed.tables[idx].as_str();
+                log_fetch(now, name, table.replica.position(), &fetch);
+                let snapshot = fetch.snapshot;
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(rows, position) => {
@@ -281,7 +292,12 @@
             let (secret, tx) = (self.options.secret.clone(), tx.clone());
             tokio::spawn(async move {
                 let snapshot = rpc::fetch_table(&secret, addr, idx as u32).await;
-                let _ = tx.send((idx, TableRead::Fetched(snapshot))).await;
+                let fetch = Fetch {
+                    from,
+                    asked_at: now,
+                    snapshot,
+                };
+                let _ = tx.send((idx, TableRead::Fetched(fetch))).await;
             });
         }
         if is_changed {
@@ -417,6 +433,22 @@
     }
 }
 
+/// Logs that another instance was asked for a table, and what it had.
+fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
+    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
+    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
+    let took_ms = (now - fetch.asked_at).as_millis() as u64;
+    tracing::info!(
+        event = "table_fetched",
+        table,
+        from = %fetch.from,
+        before,
+        position,
+        rows,
+        took_ms,
+    );
+}
+
 /// Logs each workspace whose rate or burst has changed.
 fn log_rates(old: Option<&Config>, new: &Config) {
     for (workspace, now) in &new.workspaces {
