fix(entry): every instance begins the round of a split route at a random point

Callers saw: on a route that is divided among services, a part got its requests late or the other part's. Cause: each instance divides a route's requests by its own round robin, and all began with the same credits, so the first request of each of 67 instances went to the same service. The class of fault: what holds for the sum of all instances is judged by each alone, and their errors add up. Change: a split (engine/split.rs) begins at a random point of its round, drawn by the engine's seed; errors of instances cancel out. Ruled out: a shared counter (needs a message for each request), a random choice for each request (errors grow with the square root of all requests, not of the instances). Before: 67 instances with one to three requests each gave the first part 0.00 of 0.50, 0.00 of 0.30, 0.50 of 0.70, 1.00 of 0.85 (entry/tests/split.rs, four cases failed); now all four are within 0.1.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -5,6 +5,7 @@
 mod paths;
 mod rates;
 mod routing;
+mod split;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -17,6 +18,8 @@
 use chart::ChartError;
 use coord::{Freshness, QuotaSplit};
 use dispatch::{Dispatcher, Outcome, Policy, RequestId, RequestKind};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep_until},
@@ -28,6 +31,7 @@
     message::{Decision, Event, OutgoingMessage, ReachableOwner},
     view::Clock,
 };
+use split::WeightedSplit;
 
 /// Workspace under which requests on open routes are queued.
 pub const OPEN_WORKSPACE: &str = "(open)";
@@ -49,7 +53,7 @@
 pub struct EngineOptions {
     /// Region in which the instance runs.
     pub region: RegionId,
-    /// Seed of the random choice among targets.
+    /// Seed of the random choice among targets and among the services of a route.
     pub seed: u64,
     /// How the rates of workspaces are divided among instances.
     pub split: QuotaSplit,
@@ -69,8 +73,9 @@
     revision: u64,
     is_draining: bool,
     routes: RouteTable,
-    /// Round-robin credits of the services of each route that has several, by route name.
-    route_credits: BTreeMap<String, Vec<f64>>,
+    /// How the requests of each route with several services are divided, by route name.
+    splits: BTreeMap<String, WeightedSplit>,
+    rng: Pcg32,
     freshness: Freshness,
     freshness_valid_until: Time,
     keys: KeyIndex,
@@ -143,7 +148,8 @@
             revision: 0,
             is_draining: false,
             routes: RouteTable::default(),
-            route_credits: BTreeMap::new(),
+            splits: BTreeMap::new(),
+            rng: Pcg32::seed_from_u64(options.seed),
             freshness: Freshness::Empty,
             freshness_valid_until: Time::ZERO,
             keys: KeyIndex::default(),
@@ -308,7 +314,7 @@
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
         self.routes = RouteTable::new(&config);
-        self.route_credits
+        self.splits
             .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
         self.admission.configure(now, &config);
         let actions = self.dispatcher.configure(now, &config);
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -8,7 +8,7 @@
 use coord::Freshness;
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
 
-use super::{Engine, OPEN_WORKSPACE, PendingRequest};
+use super::{Engine, OPEN_WORKSPACE, PendingRequest, split::WeightedSplit};
 use crate::message::{Admitted, Arrival, Decision, RequestInfo};
 
 /// Number of route priorities within each workspace priority.
@@ -153,25 +153,20 @@
         if is_latest { kind } else { ErrorKind::Isolated }
     }
 
-    /// Picks a service of a route by smooth weighted round robin: each pick credits every service
-    /// with its share of the weights and takes one credit from the service with the most.
+    /// Picks a service of a route in proportion to the weights.
     pub(super) fn pick_service(&mut self, route: &Route) -> ServiceId {
         let [first, _, ..] = &route.services[..] else {
             let only = route.services.first();
             return only.map_or_else(|| ServiceId::from(""), |weighted| weighted.service.clone());
         };
-        let total: u32 = route.services.iter().map(|weighted| weighted.weight).sum();
-        let credits = self.route_credits.entry(route.name.clone()).or_default();
-        credits.resize(route.services.len(), 0.0);
-        for (credit, weighted) in credits.iter_mut().zip(&route.services) {
-            *credit += f64::from(weighted.weight) / f64::from(total.max(1));
-        }
-        let largest = (0..credits.len()).max_by(|a, b| credits[*a].total_cmp(&credits[*b]));
-        let Some(idx) = largest else {
-            return first.service.clone();
-        };
-        credits[idx] -= 1.0;
-        route.services[idx].service.clone()
+        let rng = &mut self.rng;
+        let split = self
+            .splits
+            .entry(route.name.clone())
+            .or_insert_with(|| WeightedSplit::new(rng, &route.services));
+        let idx = split.pick(&route.services);
+        let picked = idx.and_then(|idx| route.services.get(idx));
+        picked.unwrap_or(first).service.clone()
     }
 
     pub(super) fn authenticate(
--- /dev/null
+++ b/crates/entry/tests/split.rs
@@ -0,0 +1,116 @@
+//! Routes whose requests are divided among services, over many instances with few requests each.
+
+use std::sync::Arc;
+
+use base::{Config, Route, RouteKind, ServiceId, Time, WeightedService};
+use coord::{Freshness, QuotaSplit};
+use dispatch::{Policy, RequestId, RequestKind};
+use entry::{
+    dial::Dialer,
+    engine::{Engine, EngineOptions},
+    message::{Arrival, Decision, Event},
+    view::Clock,
+};
+use rstest::rstest;
+use tokio::sync::mpsc;
+
+const INSTANCES: u64 = 67;
+/// Difference from its weight's share that the users allow a part.
+const ALLOWED_DIFFERENCE: f64 = 0.1;
+
+fn config(weights: [u32; 2]) -> Config {
+    let services = ["first", "second"].into_iter().zip(weights);
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/p/".to_owned(),
+        kind: RouteKind::Idempotent,
+        services: services
+            .map(|(service, weight)| WeightedService {
+                service: service.into(),
+                weight,
+            })
+            .collect(),
+        timeout_ms: 1_000,
+        objective_ms: 500,
+        attempts: 1,
+        priority: 0,
+        is_open: true,
+        is_sticky: false,
+        homes: Default::default(),
+    };
+    Config {
+        routes: vec![route],
+        ..Config::default()
+    }
+}
+
+fn engine(seed: u64, config: &Config) -> Engine {
+    let (relays, _) = mpsc::unbounded_channel();
+    let (outgoing, _) = mpsc::unbounded_channel();
+    let (events, _) = mpsc::unbounded_channel::<Event>();
+    let options = EngineOptions {
+        region: "r".into(),
+        seed,
+        split: QuotaSplit::default(),
+        policy: Policy::default(),
+        refuses_when_isolated: false,
+    };
+    let dialer = Dialer::new(Clock::start(), relays);
+    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
+    engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+    engine.handle(Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::NEVER,
+    });
+    engine
+}
+
+/// Returns the service that a request is resolved to.
+fn resolve(engine: &mut Engine, id: u64) -> ServiceId {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    engine.handle(Event::RequestArrived(Arrival {
+        id: RequestId(id),
+        api_key: None,
+        service: "".into(),
+        path: "/p/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: "/p/x".to_owned(),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: false,
+        tx,
+    }));
+    match rx.try_recv() {
+        Ok(Decision::Resolved(info)) => info.service,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against CONFIG: every instance began its round robin with the same service, so that of
+/// few requests to each instance nearly all went there.
+#[rstest]
+#[case::even([50, 50], 1)]
+#[case::most_to_the_second([30, 70], 1)]
+#[case::most_to_the_first([70, 30], 2)]
+#[case::three_each([85, 15], 3)]
+#[tokio::test]
+async fn split_holds_with_few_requests_an_instance(#[case] weights: [u32; 2], #[case] each: u64) {
+    let config = config(weights);
+    let mut first = 0.0;
+    for seed in 1..=INSTANCES {
+        let mut engine = engine(seed, &config);
+        let resolved = (0..each).map(|id| resolve(&mut engine, id));
+        first += resolved
+            .filter(|service| service.as_str() == "first")
+            .count() as f64;
+    }
+    let share = first / (INSTANCES * each) as f64;
+    let wanted = f64::from(weights[0]) / f64::from(weights[0] + weights[1]);
+    assert!(
+        (share - wanted).abs() <= ALLOWED_DIFFERENCE,
+        "{share:.2} instead of {wanted:.2}"
+    );
+}
