fix(daemon): what an instance spends on the others doesn't grow with their square

Callers saw: a confirmed change late on the smallest machines (0.1 of a core) of a fleet of 67. The class of fault: control work of an instance in proportion to the square of the fleet, so that it takes the processor from everything else as the fleet grows, changes of the operator included. Change: the state of the others is published ten times a second at most, at once only for what callers or requests depend on (new incarnation, leaving, path to the targets); owners of workspaces are collected once for all workspaces; news of positions go to six instances, drawn anew each time. The others hear of it within milliseconds all the same, since the regular heartbeats of so many carry it. Ruled out: a longer interval between heartbeats (loans and liveness depend on it).

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -85,6 +85,35 @@
     }
 }
 
+/// Lists the live instances that report owning a workspace, collected once for all workspaces.
+#[derive(Debug, Clone, Default)]
+pub struct ActingOwners<'a> {
+    by_workspace: BTreeMap<&'a WorkspaceId, Vec<(&'a InstanceId, u64)>>,
+}
+
+impl<'a> ActingOwners<'a> {
+    /// Returns the instances that report owning a workspace.
+    pub fn of(&self, workspace: &WorkspaceId) -> impl Iterator<Item = &'a InstanceId> {
+        let owners = self.by_workspace.get(workspace).map(Vec::as_slice);
+        owners.unwrap_or_default().iter().map(|(id, _)| *id)
+    }
+
+    /// Returns the owner from which to request a workspace's tokens, with the epoch of its
+    /// ownership.
+    ///
+    /// If several instances report owning the workspace, all callers choose the same one by rank.
+    pub fn first(&self, workspace: &WorkspaceId) -> Option<(&'a InstanceId, u64)> {
+        let owners = self.by_workspace.get(workspace)?;
+        let is_first = |id: &InstanceId| {
+            rendezvous_rank(workspace.as_str(), self.of(workspace), id) == Some(0)
+        };
+        match &owners[..] {
+            [only] => Some(*only),
+            _ => owners.iter().copied().find(|(id, _)| is_first(id)),
+        }
+    }
+}
+
 impl Fleet {
     /// Returns whether the instance is known for certain to have ended.
     pub fn is_gone(&self, id: &InstanceId) -> bool {
@@ -106,33 +135,19 @@
         (listed, alive.count())
     }
 
-    /// Returns the live instances that report owning a workspace and are not leaving.
-    pub fn acting_owners(&self, now: Time, workspace: &WorkspaceId) -> Vec<&InstanceId> {
-        self.members
-            .iter()
-            .filter(move |(_, member)| member.is_alive(now) && !member.is_leaving)
-            .filter(|(_, member)| {
-                member
-                    .owned_workspaces
-                    .iter()
-                    .any(|(owned, _)| owned == workspace)
-            })
-            .map(|(id, _)| id)
-            .collect()
-    }
-
-    /// Returns the live owner from which to request a workspace's tokens, with the epoch of its
-    /// ownership.
-    ///
-    /// If several instances report owning the workspace, all callers choose the same one by rank.
-    pub fn owner(&self, now: Time, workspace: &WorkspaceId) -> Option<(&InstanceId, u64)> {
-        let acting_owners = self.acting_owners(now, workspace);
-        let first = acting_owners.iter().copied().find(|id| {
-            rendezvous_rank(workspace.as_str(), acting_owners.iter().copied(), id) == Some(0)
-        })?;
-        let owned = &self.members.get(first)?.owned_workspaces;
-        let (_, epoch) = owned.iter().find(|(owned, _)| owned == workspace)?;
-        Some((first, *epoch))
+    /// Returns the live instances that own workspaces and are not leaving.
+    pub fn acting_owners(&self, now: Time) -> ActingOwners<'_> {
+        let mut by_workspace: BTreeMap<&WorkspaceId, Vec<(&InstanceId, u64)>> = BTreeMap::new();
+        let live = self.members.iter();
+        for (id, member) in live.filter(|(_, member)| member.is_alive(now) && !member.is_leaving) {
+            for (workspace, epoch) in &member.owned_workspaces {
+                by_workspace
+                    .entry(workspace)
+                    .or_default()
+                    .push((id, *epoch));
+            }
+        }
+        ActingOwners { by_workspace }
     }
 
     /// Returns the live instances that hold no quota slot.
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    fleet::Fleet,
+    fleet::{ActingOwners, Fleet},
     message::{PeerCommand, PeerMessage},
 };
 
@@ -285,18 +285,18 @@
         let own_id = self.options.own_id.clone();
         if !self.is_leaving && now >= Time::ZERO + STARTUP_LISTEN_TIME {
             let candidates = fleet.lease_candidates(now, &own_id);
+            let acting_owners = fleet.acting_owners(now);
             for (workspace, quota) in &self.workspaces {
                 let is_first = |among: &[&InstanceId]| {
                     rendezvous_rank(workspace.as_str(), among.iter().copied(), &own_id) == Some(0)
                 };
-                let acting_owners = fleet.acting_owners(now, workspace);
                 if self.owned.contains_key(workspace) {
                     let contenders: Vec<&InstanceId> =
-                        acting_owners.into_iter().chain([&own_id]).collect();
+                        acting_owners.of(workspace).chain([&own_id]).collect();
                     if !is_first(&contenders) {
                         self.owned.remove(workspace);
                     }
-                } else if acting_owners.is_empty() && is_first(&candidates) {
+                } else if acting_owners.first(workspace).is_none() && is_first(&candidates) {
                     let owner = new_owner(now, *quota, self.options.split);
                     self.owned.insert(workspace.clone(), owner);
                 }
@@ -341,10 +341,14 @@
                 .await;
         }
         self.publish_live_instances(fleet);
+        let acting_owners = fleet.acting_owners(self.options.clock.now());
         let owners = self
             .workspaces
             .keys()
-            .map(|workspace| (workspace.clone(), self.reachable_owner(fleet, workspace)))
+            .map(|workspace| {
+                let reachable = self.reachable_owner(fleet, &acting_owners, workspace);
+                (workspace.clone(), reachable)
+            })
             .collect();
         let _ = self.options.engine.send(Event::QuotaOwners(owners));
     }
@@ -386,7 +390,12 @@
         }
     }
 
-    fn reachable_owner(&self, fleet: &Fleet, workspace: &WorkspaceId) -> Option<ReachableOwner> {
+    fn reachable_owner(
+        &self,
+        fleet: &Fleet,
+        acting_owners: &ActingOwners<'_>,
+        workspace: &WorkspaceId,
+    ) -> Option<ReachableOwner> {
         if let Some(owner) = self.owned.get(workspace) {
             return Some(ReachableOwner {
                 owner: OwnerId {
@@ -396,7 +405,7 @@
                 last_heartbeat: 0,
             });
         }
-        let (instance, epoch) = fleet.owner(self.options.clock.now(), workspace)?;
+        let (instance, epoch) = acting_owners.first(workspace)?;
         Some(ReachableOwner {
             owner: OwnerId {
                 instance: instance.clone(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,10 +11,11 @@
 use base::{InstanceId, Time};
 use coord::{Head, Heartbeat, ListEntry, Membership, OwnerId, Presence};
 use entry::{message::Event, view::Clock};
+use rand::seq::IndexedRandom;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep_until},
 };
 use wire::{OpenedFrame, Sessions};
 
@@ -27,6 +28,14 @@
 /// Time between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of instances that are told at once of a table's new position; the others hear of it with
+/// the next heartbeats, and most of them read the table themselves.
+const NEWS_RECEIVERS: usize = 6;
+
+/// Minimum time between two publications of the other instances' state, except for news that can't
+/// wait. Each one costs in proportion to the number of instances, as do its receivers' reactions.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of own heartbeats whose send times are kept, to determine the age of messages that
 /// acknowledge them.
 const MAX_SENT_HEARTBEATS: usize = 64;
@@ -56,6 +65,9 @@
     own_heartbeat: PeerHeartbeat,
     sent_heartbeats: VecDeque<(u64, Time)>,
     confirmed_at: Option<Time>,
+    published_at: Time,
+    /// Whether anything has changed since the last publication.
+    is_unpublished: bool,
     outputs: Outputs,
 }
 
@@ -79,6 +91,8 @@
             own_heartbeat,
             sent_heartbeats: VecDeque::new(),
             confirmed_at: None,
+            published_at: Time::ZERO,
+            is_unpublished: false,
             outputs,
         }
     }
@@ -89,6 +103,7 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
         loop {
+            let publish_at = self.clock.instant(self.published_at + PUBLISH_INTERVAL);
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
                     if let Ok((len, _)) = received {
@@ -103,6 +118,7 @@
                     self.send_heartbeats().await;
                     self.publish();
                 }
+                () = sleep_until(publish_at), if self.is_unpublished => self.publish(),
             }
         }
     }
@@ -138,7 +154,7 @@
                 self.own_heartbeat.table_positions = positions;
                 self.confirmed_at = confirmed_at;
                 if is_changed {
-                    self.send_heartbeats().await;
+                    self.send_news().await;
                 }
             }
             PeerCommand::SetOwnedWorkspaces(owned) => {
@@ -249,9 +265,13 @@
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
-        // Published on every heartbeat because loans carry the sequence number of the last one.
+        let before = self.last_heartbeats.get(from);
+        let is_urgent = before.is_none_or(|before| is_urgent_change(before, &heartbeat));
         self.last_heartbeats.insert(from.clone(), heartbeat);
-        self.publish();
+        self.is_unpublished = true;
+        if is_urgent {
+            self.publish();
+        }
     }
 
     /// Forwards the sender's head and table positions, which it sent no earlier than `not_before`.
@@ -288,15 +308,25 @@
             .map(|(_, at)| *at)
     }
 
+    /// Sends a heartbeat to all other instances.
     async fn send_heartbeats(&mut self) {
-        self.own_heartbeat.sequence += 1;
-        self.sent_heartbeats
-            .push_back((self.own_heartbeat.sequence, self.clock.now()));
-        if self.sent_heartbeats.len() > MAX_SENT_HEARTBEATS {
-            self.sent_heartbeats.pop_front();
-        }
-        let to: Vec<InstanceId> = self
-            .membership
+        let to = self.receivers();
+        self.send_heartbeat_to(&to).await;
+    }
+
+    /// Sends a heartbeat to a few other instances, drawn anew each time.
+    async fn send_news(&mut self) {
+        let all = self.receivers();
+        let to: Vec<InstanceId> = all
+            .sample(&mut rand::rng(), NEWS_RECEIVERS)
+            .cloned()
+            .collect();
+        self.send_heartbeat_to(&to).await;
+    }
+
+    /// Returns the other instances that may be running.
+    fn receivers(&self) -> Vec<InstanceId> {
+        self.membership
             .members()
             .iter()
             .filter(|(id, member)| {
@@ -304,10 +334,19 @@
                     && !matches!(member.presence, Presence::Absent(_))
             })
             .map(|(id, _)| id.clone())
-            .collect();
+            .collect()
+    }
+
+    async fn send_heartbeat_to(&mut self, to: &[InstanceId]) {
+        self.own_heartbeat.sequence += 1;
+        self.sent_heartbeats
+            .push_back((self.own_heartbeat.sequence, self.clock.now()));
+        if self.sent_heartbeats.len() > MAX_SENT_HEARTBEATS {
+            self.sent_heartbeats.pop_front();
+        }
         for id in to {
-            let heartbeat = PeerMessage::Heartbeat(Box::new(self.heartbeat_for(&id)));
-            self.send(&id, &heartbeat).await;
+            let heartbeat = PeerMessage::Heartbeat(Box::new(self.heartbeat_for(id)));
+            self.send(id, &heartbeat).await;
         }
     }
 
@@ -339,6 +378,8 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
+        self.published_at = now;
+        self.is_unpublished = false;
         let members = self
             .membership
             .members()
@@ -382,6 +423,14 @@
     }
 }
 
+/// Returns whether callers or requests would go wrong if the change were published later.
+fn is_urgent_change(before: &PeerHeartbeat, now: &PeerHeartbeat) -> bool {
+    before.status.incarnation != now.status.incarnation
+        || before.status.is_leaving != now.status.is_leaving
+        || before.has_target_path != now.has_target_path
+        || before.entry != now.entry
+}
+
 fn subtract(now: Time, age: Duration) -> Time {
     Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64))
 }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -43,8 +43,10 @@
 #[test]
 fn fleet_owner_is_alive() {
     let (club, owner) = ("club".into(), "i1".into());
-    assert_eq!(fleet().owner(Time::from_secs(9), &club), Some((&owner, 7)));
-    assert_eq!(fleet().owner(Time::from_secs(60), &club), None);
+    let fleet = fleet();
+    let owner_at = |secs: u64| fleet.acting_owners(Time::from_secs(secs)).first(&club);
+    assert_eq!(owner_at(9), Some((&owner, 7)));
+    assert_eq!(owner_at(60), None);
 }
 
 /// A silent instance may be cut off from this one alone and go on sending, so its shares are kept
