fix(coord): a table is not fetched from others while the own read of it is on the way

Cause: an instance that heard of a later position fetched the whole table after 100 ms. In a region 55 ms from the store its own read comes after 210 ms (100 ms between polls and the way there and back), so every change of one target's row made it fetch all rows. The class of fault: a delay fitted to one distance. Change: a fetch waits for twice the time by which own reads have lagged behind others' reports, 0.1 s at least and 0.4 s at most; after a failed read, 0.1 s. A read that is never answered costs 0.4 s, still within half of the shortest bound. Ruled out: fetching only rows changed since a position (needs deleted rows to be kept, and a message that the build before doesn't know; left).

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -4,11 +4,26 @@
 
 use base::{InstanceId, Time};
 
+/// Sets how long a [`CatchUp`] waits before it fetches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FetchDelays {
+    /// Minimum time from the first report of a later state to the first fetch.
+    pub min: Duration,
+    /// Maximum of that time, however far own reads have lagged.
+    pub max: Duration,
+    /// Time from one fetch to the next while the state has not come.
+    pub retry: Duration,
+}
+
 /// Maximum number of instances that are remembered as sources of one state.
 const MAX_SOURCES: usize = 8;
 
 /// Decides from which instance to fetch a state that others have and this instance lacks.
 ///
+/// Own reads often bring the same state a little later than others report it, the farther away the
+/// platform is the later. So a fetch waits for twice the time by which own reads have lagged, but
+/// not for longer than a limit: the own read may be one that is never answered.
+///
 /// A source that is slow or cut off must not hold up the news: while its answer is outstanding, the
 /// next source is asked.
 ///
@@ -16,10 +31,11 @@
 ///
 /// ```
 /// use base::Time;
-/// use coord::CatchUp;
+/// use coord::{CatchUp, FetchDelays};
 /// use std::time::Duration;
 ///
-/// let mut catch_up = CatchUp::new(Duration::ZERO, Duration::from_millis(300));
+/// let retry = Duration::from_millis(300);
+/// let mut catch_up = CatchUp::new(FetchDelays { min: Duration::ZERO, max: retry, retry });
 /// catch_up.on_report(Time::ZERO, "i1".into(), 7);
 /// catch_up.on_report(Time::ZERO, "i2".into(), 7);
 /// assert_eq!(catch_up.next_source(Time::ZERO), Some("i1".into()));
@@ -30,8 +46,11 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct CatchUp {
-    delay: Duration,
-    retry_interval: Duration,
+    delays: FetchDelays,
+    /// Time by which own reads lag behind the reports of others, as last measured; it decays.
+    read_lag: Duration,
+    /// Time at which a state later than the own one was first reported.
+    behind_since: Time,
     /// Instances that reported a later state and its position, in the order in which they are to be
     /// asked.
     sources: VecDeque<(InstanceId, u64)>,
@@ -43,13 +62,11 @@
 
 impl CatchUp {
     /// Returns a state that is up to date.
-    ///
-    /// The first fetch waits for `delay` after the first report, since the own read may be about to
-    /// succeed; each further one follows after `retry_interval`.
-    pub fn new(delay: Duration, retry_interval: Duration) -> Self {
+    pub fn new(delays: FetchDelays) -> Self {
         Self {
-            delay,
-            retry_interval,
+            delays,
+            read_lag: Duration::ZERO,
+            behind_since: Time::ZERO,
             sources: VecDeque::new(),
             position: 0,
             next_at: Time::ZERO,
@@ -62,7 +79,8 @@
             return;
         }
         if self.sources.is_empty() {
-            self.next_at = now + self.delay;
+            self.behind_since = now;
+            self.next_at = now + self.delay();
         }
         let is_full = self.sources.len() >= MAX_SOURCES;
         match self.sources.iter_mut().find(|(id, _)| *id == from) {
@@ -72,6 +90,21 @@
         }
     }
 
+    /// Records the position that an own read has brought.
+    pub fn on_read(&mut self, now: Time, position: u64) {
+        let has_caught_up = self.sources.iter().any(|(_, at)| *at <= position);
+        if has_caught_up {
+            let decayed = self.read_lag.mul_f64(READ_LAG_DECAY);
+            self.read_lag = decayed.max(now - self.behind_since);
+        }
+        self.on_position(now, position);
+    }
+
+    /// Records that an own read has failed: there is nothing to wait for.
+    pub fn on_read_failure(&mut self) {
+        self.read_lag = Duration::ZERO;
+    }
+
     /// Records the position of the own state; while it rises, the next fetch waits for the delay
     /// again.
     pub fn on_position(&mut self, now: Time, position: u64) {
@@ -80,7 +113,8 @@
         }
         self.position = position;
         self.sources.retain(|(_, reported)| *reported > position);
-        self.next_at = self.next_at.max(now + self.delay);
+        self.behind_since = now;
+        self.next_at = self.next_at.max(now + self.delay());
     }
 
     /// Returns the instance to fetch from now, if a fetch is due; the other sources come before it
@@ -89,7 +123,7 @@
         if self.sources.is_empty() || now < self.next_at {
             return None;
         }
-        self.next_at = now + self.retry_interval;
+        self.next_at = now + self.delays.retry;
         self.sources.rotate_left(1);
         self.sources.back().map(|(id, _)| id.clone())
     }
@@ -103,4 +137,14 @@
     pub fn next_at(&self) -> Option<Time> {
         (!self.sources.is_empty()).then_some(self.next_at)
     }
+
+    fn delay(&self) -> Duration {
+        let expected = self.read_lag * LAG_MARGIN;
+        expected.min(self.delays.max).max(self.delays.min)
+    }
 }
+
+/// Factor by which an earlier lag of own reads counts less with each read.
+const READ_LAG_DECAY: f64 = 0.9;
+/// Number of usual lags after which an own read is not waited for any longer.
+const LAG_MARGIN: u32 = 2;
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -18,7 +18,7 @@
 mod version_tracker;
 
 pub use audit::QuotaAudit;
-pub use catch_up::CatchUp;
+pub use catch_up::{CatchUp, FetchDelays};
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -3,17 +3,22 @@
 use std::time::Duration;
 
 use base::Time;
-use coord::CatchUp;
+use coord::{CatchUp, FetchDelays};
+use rstest::rstest;
 
 const DELAY: Duration = Duration::from_millis(100);
-const RETRY: Duration = Duration::from_millis(300);
+const DELAYS: FetchDelays = FetchDelays {
+    min: DELAY,
+    max: Duration::from_millis(400),
+    retry: Duration::from_millis(300),
+};
 /// Half of the shortest time within which a target that has left may get no more requests.
 const HALF_OF_DRAIN_BOUND: Duration = Duration::from_secs(1);
 
 /// The first instance with the news is slow but alive, and its answer never comes.
 #[test]
 fn catch_up_asks_the_next_source_while_the_first_is_silent() {
-    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    let mut catch_up = CatchUp::new(DELAYS);
     catch_up.on_report(Time::ZERO, "slow".into(), 5);
     catch_up.on_report(Time::from_millis(20), "other".into(), 5);
     let mut asked = Vec::new();
@@ -31,7 +36,7 @@
 
 #[test]
 fn catch_up_asks_nobody_once_it_is_up_to_date() {
-    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    let mut catch_up = CatchUp::new(DELAYS);
     catch_up.on_report(Time::ZERO, "i1".into(), 5);
     catch_up.on_position(Time::from_millis(50), 5);
     assert_eq!(catch_up.next_source(Time::from_secs(1)), None);
@@ -42,7 +47,7 @@
 /// While own reads make progress, others are always a little ahead, and nothing is fetched.
 #[test]
 fn catch_up_asks_nobody_while_own_reads_make_progress() {
-    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    let mut catch_up = CatchUp::new(DELAYS);
     for step in 0..100 {
         let now = Time::from_millis(step * 50);
         catch_up.on_report(now, "i1".into(), step + 2);
@@ -53,9 +58,54 @@
 
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
-    let mut catch_up = CatchUp::new(DELAY, RETRY);
+    let mut catch_up = CatchUp::new(DELAYS);
     catch_up.on_report(Time::ZERO, "i1".into(), 5);
     catch_up.on_report(Time::ZERO, "i2".into(), 5);
     catch_up.remove_source(&"i1".into());
     assert_eq!(catch_up.next_source(Time::ZERO + DELAY), Some("i2".into()));
 }
+
+/// Guards against CONFIG: in a region far from the platform, each change of a table made every
+/// instance fetch it whole from another one, while its own read was on the way.
+#[test]
+fn catch_up_waits_for_reads_that_lag() {
+    const CHANGE_INTERVAL_MS: u64 = 500;
+    const OTHERS_REPORT_AFTER_MS: u64 = 60;
+    const OWN_READ_AFTER_MS: u64 = 210;
+    const CHANGES: u64 = 20;
+    const MAX_FETCHES: usize = 2;
+    let mut catch_up = CatchUp::new(DELAYS);
+    let mut fetches = 0;
+    for ms in (0..CHANGES * CHANGE_INTERVAL_MS).step_by(10) {
+        let now = Time::from_millis(ms);
+        let position = ms / CHANGE_INTERVAL_MS + 1;
+        match ms % CHANGE_INTERVAL_MS {
+            OTHERS_REPORT_AFTER_MS => catch_up.on_report(now, "i1".into(), position),
+            OWN_READ_AFTER_MS => catch_up.on_read(now, position),
+            _ => {}
+        }
+        fetches += usize::from(catch_up.next_source(now).is_some());
+    }
+    assert!(fetches <= MAX_FETCHES, "{fetches} fetches");
+}
+
+/// Own reads lagged, and then the platform stops answering this instance, with or without a word.
+#[rstest]
+#[case::silent(false)]
+#[case::refused(true)]
+fn catch_up_does_not_wait_for_reads_that_never_come(#[case] is_failing: bool) {
+    let mut catch_up = CatchUp::new(DELAYS);
+    catch_up.on_report(Time::ZERO, "i1".into(), 1);
+    catch_up.on_read(Time::from_secs(3), 1);
+    if is_failing {
+        catch_up.on_read_failure();
+    }
+    let reported_at = Time::from_secs(4);
+    catch_up.on_report(reported_at, "i1".into(), 2);
+    let limit = if is_failing {
+        DELAY
+    } else {
+        HALF_OF_DRAIN_BOUND / 2
+    };
+    assert_eq!(catch_up.next_source(reported_at + limit), Some("i1".into()));
+}
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{CatchUp, Freshness, Replica, RowChange, TableSnapshot};
+use coord::{CatchUp, FetchDelays, Freshness, Replica, RowChange, TableSnapshot};
 use entry::{
     message::Event,
     metrics::Metrics,
@@ -36,9 +36,11 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Time to wait for the platform's own response before newer rows are fetched from another
 /// instance.
-const PEER_FETCH_DELAY: Duration = Duration::from_millis(100);
-/// Time after which a fetch that has not been answered is repeated from another instance.
-const PEER_FETCH_RETRY: Duration = Duration::from_millis(300);
+const PEER_FETCH_DELAYS: FetchDelays = FetchDelays {
+    min: Duration::from_millis(100),
+    max: Duration::from_millis(400),
+    retry: Duration::from_millis(300),
+};
 /// Time after the end of an outage of the platform for which rows that it removed are kept.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
@@ -152,7 +154,7 @@
                     REMOVED_ROW_GRACE
                 }),
                 confirmed_at: None,
-                catch_up: CatchUp::new(PEER_FETCH_DELAY, PEER_FETCH_RETRY),
+                catch_up: CatchUp::new(PEER_FETCH_DELAYS),
                 is_reachable: false,
             })
             .collect();
@@ -236,9 +238,11 @@
         let now = self.options.clock.now();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
+        let is_own_read = !matches!(read, TableRead::Fetched(_));
         let is_changed = match read {
             TableRead::Failed => {
                 table.replica.on_read_failure(now);
+                table.catch_up.on_read_failure();
                 table.is_reachable = false;
                 false
             }
@@ -262,7 +266,12 @@
                 table.replica.apply_changes(now, changes, position)
             }
         };
-        table.catch_up.on_position(now, table.replica.position());
+        let position = table.replica.position();
+        if is_own_read {
+            table.catch_up.on_read(now, position);
+        } else {
+            table.catch_up.on_position(now, position);
+        }
         if was_reachable != table.is_reachable {
             let name = self.options.followed.tables[idx].as_str();
             let is_reachable = table.is_reachable;
@@ -275,7 +284,7 @@
     }
 
     /// Fetches tables of which other instances have reported a later position for
-    /// [`PEER_FETCH_DELAY`], and removes rows whose grace period is over.
+    /// [`PEER_FETCH_DELAYS`], and removes rows whose grace period is over.
     fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
         let now = self.options.clock.now();
         let fleet = self.options.fleet.borrow().clone();
