fix(coord,daemon): fetches of tables are spread over the instances that have them

Cause: every instance that had missed a change asked the one whose report came first, the same for nearly all. Change: a reader asks instances of its own region first (a fetch takes three round trips), each reader in its own order by rendezvous hashing; one that was asked comes last the next time. Ruled out: more attempts at a time (more load on the same links). Tests: coord/tests/catch_up.rs catch_up_spreads_fetches_over_sources, where sources in the order of their reports give all 40 fetches to one (by construction; the call had no rank before).

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -1,9 +1,21 @@
 //! Choice of the instances from which to fetch a later state than the own one.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use base::{InstanceId, Time};
 
+/// Describes an instance that reported a later state.
+#[derive(Debug, Clone)]
+struct Source {
+    id: InstanceId,
+    /// Position of its state.
+    position: u64,
+    /// Number that orders the sources; the lowest is asked first.
+    rank: u64,
+    /// Number of fetches from it since the own state last rose.
+    fetches: u32,
+}
+
 /// Sets how long a [`CatchUp`] waits before it fetches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FetchDelays {
@@ -36,8 +48,8 @@
 ///
 /// let retry = Duration::from_millis(300);
 /// let mut catch_up = CatchUp::new(FetchDelays { min: Duration::ZERO, max: retry, retry });
-/// catch_up.on_report(Time::ZERO, "i1".into(), 7);
-/// catch_up.on_report(Time::ZERO, "i2".into(), 7);
+/// catch_up.on_report(Time::ZERO, "i1".into(), 7, 1);
+/// catch_up.on_report(Time::ZERO, "i2".into(), 7, 2);
 /// assert_eq!(catch_up.next_source(Time::ZERO), Some("i1".into()));
 /// assert_eq!(catch_up.next_source(Time::from_millis(299)), None);
 /// assert_eq!(catch_up.next_source(Time::from_millis(300)), Some("i2".into()));
@@ -51,9 +63,8 @@
     read_lag: Duration,
     /// Time at which a state later than the own one was first reported.
     behind_since: Time,
-    /// Instances that reported a later state and its position, in the order in which they are to be
-    /// asked.
-    sources: VecDeque<(InstanceId, u64)>,
+    /// Instances that reported a later state.
+    sources: Vec<Source>,
     /// Position of the own state.
     position: u64,
     /// Time from which on the next source may be asked.
@@ -67,14 +78,17 @@
             delays,
             read_lag: Duration::ZERO,
             behind_since: Time::ZERO,
-            sources: VecDeque::new(),
+            sources: Vec::new(),
             position: 0,
             next_at: Time::ZERO,
         }
     }
 
     /// Records that an instance has the state at `position`.
-    pub fn on_report(&mut self, now: Time, from: InstanceId, position: u64) {
+    ///
+    /// Of several instances the one with the lowest `rank` is asked first. Ranks that differ between
+    /// the instances that ask spread the fetches over those that can answer.
+    pub fn on_report(&mut self, now: Time, from: InstanceId, position: u64, rank: u64) {
         if position <= self.position {
             return;
         }
@@ -82,17 +96,31 @@
             self.behind_since = now;
             self.next_at = now + self.delay();
         }
-        let is_full = self.sources.len() >= MAX_SOURCES;
-        match self.sources.iter_mut().find(|(id, _)| *id == from) {
-            Some((_, known)) => *known = position.max(*known),
-            None if is_full => {}
-            None => self.sources.push_back((from, position)),
+        if let Some(known) = self.sources.iter_mut().find(|source| source.id == from) {
+            known.position = position.max(known.position);
+            return;
+        }
+        if self.sources.len() >= MAX_SOURCES {
+            let worst = (0..MAX_SOURCES).max_by_key(|idx| self.sources[*idx].rank);
+            match worst.filter(|idx| rank < self.sources[*idx].rank) {
+                Some(idx) => self.sources.swap_remove(idx),
+                None => return,
+            };
         }
+        self.sources.push(Source {
+            id: from,
+            position,
+            rank,
+            fetches: 0,
+        });
     }
 
     /// Records the position that an own read has brought.
     pub fn on_read(&mut self, now: Time, position: u64) {
-        let has_caught_up = self.sources.iter().any(|(_, at)| *at <= position);
+        let has_caught_up = self
+            .sources
+            .iter()
+            .any(|source| source.position <= position);
         if has_caught_up {
             let decayed = self.read_lag.mul_f64(READ_LAG_DECAY);
             self.read_lag = decayed.max(now - self.behind_since);
@@ -112,25 +140,30 @@
             return;
         }
         self.position = position;
-        self.sources.retain(|(_, reported)| *reported > position);
+        self.sources.retain(|source| source.position > position);
+        for source in &mut self.sources {
+            source.fetches = 0;
+        }
         self.behind_since = now;
         self.next_at = self.next_at.max(now + self.delay());
     }
 
-    /// Returns the instance to fetch from now, if a fetch is due; the other sources come before it
-    /// the next time.
+    /// Returns the instance to fetch from now, if a fetch is due; the others come before it the next
+    /// time.
     pub fn next_source(&mut self, now: Time) -> Option<InstanceId> {
-        if self.sources.is_empty() || now < self.next_at {
+        if now < self.next_at {
             return None;
         }
+        let sources = self.sources.iter_mut();
+        let next = sources.min_by_key(|source| (source.fetches, source.rank))?;
+        next.fetches += 1;
         self.next_at = now + self.delays.retry;
-        self.sources.rotate_left(1);
-        self.sources.back().map(|(id, _)| id.clone())
+        Some(next.id.clone())
     }
 
     /// Forgets a source that can't be reached.
     pub fn remove_source(&mut self, id: &InstanceId) {
-        self.sources.retain(|(source, _)| source != id);
+        self.sources.retain(|source| source.id != *id);
     }
 
     /// Returns the time of the next fetch, or `None` if none is due.
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -26,7 +26,9 @@
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
     lease_chart,
 };
-pub use membership::{Heartbeat, ListEntry, Member, Membership, Presence, rendezvous_rank};
+pub use membership::{
+    Heartbeat, ListEntry, Member, Membership, Presence, rendezvous_draw, rendezvous_rank,
+};
 pub use owner::QuotaOwner;
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -213,6 +213,14 @@
     scores.iter().position(|(_, id)| *id == me)
 }
 
+/// Returns the number by which an instance ranks for `name` in rendezvous hashing.
+pub fn rendezvous_draw(name: &str, id: &InstanceId) -> u64 {
+    let score = score(name, id);
+    score[..8]
+        .iter()
+        .fold(0, |draw, byte| (draw << 8) | u64::from(*byte))
+}
+
 fn score(name: &str, id: &InstanceId) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(name.as_bytes());
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -1,8 +1,8 @@
 //! Fetching later state from other instances: a slow source does not hold up the news.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use base::Time;
+use base::{InstanceId, Time};
 use coord::{CatchUp, FetchDelays};
 use rstest::rstest;
 
@@ -19,8 +19,8 @@
 #[test]
 fn catch_up_asks_the_next_source_while_the_first_is_silent() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "slow".into(), 5);
-    catch_up.on_report(Time::from_millis(20), "other".into(), 5);
+    catch_up.on_report(Time::ZERO, "slow".into(), 5, 1);
+    catch_up.on_report(Time::from_millis(20), "other".into(), 5, 2);
     let mut asked = Vec::new();
     for ms in (0..1_000).step_by(10) {
         let now = Time::from_millis(ms);
@@ -37,10 +37,10 @@
 #[test]
 fn catch_up_asks_nobody_once_it_is_up_to_date() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
     catch_up.on_position(Time::from_millis(50), 5);
     assert_eq!(catch_up.next_source(Time::from_secs(1)), None);
-    catch_up.on_report(Time::from_secs(1), "i1".into(), 4);
+    catch_up.on_report(Time::from_secs(1), "i1".into(), 4, 1);
     assert_eq!(catch_up.next_source(Time::from_secs(2)), None);
 }
 
@@ -50,7 +50,7 @@
     let mut catch_up = CatchUp::new(DELAYS);
     for step in 0..100 {
         let now = Time::from_millis(step * 50);
-        catch_up.on_report(now, "i1".into(), step + 2);
+        catch_up.on_report(now, "i1".into(), step + 2, 1);
         catch_up.on_position(now, step + 1);
         assert_eq!(catch_up.next_source(now), None);
     }
@@ -59,8 +59,8 @@
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5);
-    catch_up.on_report(Time::ZERO, "i2".into(), 5);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
+    catch_up.on_report(Time::ZERO, "i2".into(), 5, 2);
     catch_up.remove_source(&"i1".into());
     assert_eq!(catch_up.next_source(Time::ZERO + DELAY), Some("i2".into()));
 }
@@ -80,7 +80,7 @@
         let now = Time::from_millis(ms);
         let position = ms / CHANGE_INTERVAL_MS + 1;
         match ms % CHANGE_INTERVAL_MS {
-            OTHERS_REPORT_AFTER_MS => catch_up.on_report(now, "i1".into(), position),
+            OTHERS_REPORT_AFTER_MS => catch_up.on_report(now, "i1".into(), position, 1),
             OWN_READ_AFTER_MS => catch_up.on_read(now, position),
             _ => {}
         }
@@ -95,13 +95,13 @@
 #[case::refused(true)]
 fn catch_up_does_not_wait_for_reads_that_never_come(#[case] is_failing: bool) {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 1);
+    catch_up.on_report(Time::ZERO, "i1".into(), 1, 1);
     catch_up.on_read(Time::from_secs(3), 1);
     if is_failing {
         catch_up.on_read_failure();
     }
     let reported_at = Time::from_secs(4);
-    catch_up.on_report(reported_at, "i1".into(), 2);
+    catch_up.on_report(reported_at, "i1".into(), 2, 1);
     let limit = if is_failing {
         DELAY
     } else {
@@ -109,3 +109,41 @@
     };
     assert_eq!(catch_up.next_source(reported_at + limit), Some("i1".into()));
 }
+
+/// Guards against CONFIG: all instances that had missed a change asked the one that reported it
+/// first, which answered none of them in time.
+#[test]
+fn catch_up_spreads_fetches_over_sources() {
+    const READERS: u64 = 40;
+    const SOURCES: u64 = 8;
+    const MAX_AT_ONE: usize = 15;
+    let mut asked = BTreeMap::<InstanceId, usize>::new();
+    for reader in 0..READERS {
+        let mut catch_up = CatchUp::new(DELAYS);
+        for source in 0..SOURCES {
+            // All readers hear of the sources in the same order.
+            let id = InstanceId::from(format!("i{source}").as_str());
+            let rank = (reader * 31 + source * 17) % 37;
+            catch_up.on_report(Time::from_millis(source), id, 5, rank);
+        }
+        let first = catch_up.next_source(Time::from_secs(1)).unwrap();
+        *asked.entry(first).or_default() += 1;
+    }
+    let most = asked.values().max().copied().unwrap_or(0);
+    assert!(most <= MAX_AT_ONE, "{asked:?}");
+}
+
+#[test]
+fn catch_up_prefers_low_ranks_among_many() {
+    let mut catch_up = CatchUp::new(DELAYS);
+    for idx in (0..20).rev() {
+        let id = InstanceId::from(format!("i{idx}").as_str());
+        catch_up.on_report(Time::ZERO, id, 5, idx);
+    }
+    let later = Time::from_secs(1);
+    assert_eq!(catch_up.next_source(later), Some("i0".into()));
+    assert_eq!(
+        catch_up.next_source(later + DELAYS.retry),
+        Some("i1".into())
+    );
+}
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{CatchUp, FetchDelays, Freshness, Replica, RowChange, TableSnapshot};
+use coord::{CatchUp, FetchDelays, Freshness, Replica, RowChange, TableSnapshot, rendezvous_draw};
 use entry::{
     message::Event,
     metrics::Metrics,
@@ -217,10 +217,11 @@
                 positions,
                 confirmed_at,
             } => {
+                let rank = self.fetch_rank(&from);
                 let mut is_up_to_date = true;
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     is_up_to_date &= position <= table.replica.position();
-                    table.catch_up.on_report(now, from.clone(), position);
+                    table.catch_up.on_report(now, from.clone(), position, rank);
                     if let Some(at) = confirmed_at {
                         table.replica.on_contact(at);
                     }
@@ -234,6 +235,20 @@
         true
     }
 
+    /// Returns in which order an instance is asked for tables among others: those in this instance's
+    /// region come first, each reader with its own order of them.
+    fn fetch_rank(&self, from: &InstanceId) -> u64 {
+        const REMOTE: u64 = 1 << 63;
+        let own = &self.options.own_entry;
+        let region_of = |domain| self.composed.as_ref()?.region_of(domain);
+        let fleet = self.options.fleet.borrow();
+        let member = fleet.members.get(from);
+        let region = member.and_then(|member| region_of(&member.domain));
+        let is_local = region.is_some() && region == region_of(&own.domain);
+        let draw = rendezvous_draw(own.instance.as_str(), from) & !REMOTE;
+        if is_local { draw } else { draw | REMOTE }
+    }
+
     fn apply_read(&mut self, idx: usize, read: TableRead) {
         let now = self.options.clock.now();
         let table = &mut self.tables[idx];
