feat(entry,record,cli): lines show the rest that a target asks for

The answers of targets are read for Retry-After with status 503 (seconds, with fractions; a date or another text counts as none); request lines carry it as told_rest_ms and why tells it. Nothing is decided by it yet.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -146,11 +146,16 @@
         .map_or_else(String::new, |per_s| {
             format!("; the target takes {per_s} requests a second")
         });
+    let rest = attempt["told_rest_ms"]
+        .as_u64()
+        .map_or_else(String::new, |ms| {
+            format!("; the target wants nothing from this instance for {ms} ms")
+        });
     let cause = attempt["connect_error"]
         .as_str()
         .map_or_else(String::new, |cause| format!(" ({cause})"));
     format!(
-        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}",
+        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}{rest}",
         number("start_ms"),
         attempt["target"].as_str().unwrap_or("?"),
         attempt["reason"].as_str().unwrap_or("?"),
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,6 +49,9 @@
     /// Response header with the rate, in requests per second, that a target takes from all
     /// instances together.
     pub rate_limit: Option<HeaderName>,
+    /// Response header in which a target that refuses a request with status 503 says for how many
+    /// seconds it wants nothing more from this instance.
+    pub rest: Option<HeaderName>,
     /// Response header without which a successful status is not trusted.
     pub required_on_success: Option<HeaderName>,
     /// Cookie with the affinity key: requests with equal values prefer the same target.
@@ -77,6 +80,7 @@
             target: None,
             load: None,
             rate_limit: Some(name("target-rate-limit")),
+            rest: Some(http::header::RETRY_AFTER),
             required_on_success: None,
             affinity_cookie: None,
             preserves_host: false,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -109,6 +109,9 @@
     pub load: Option<u32>,
     /// Requests per second that the target takes from all instances together, as it says itself.
     pub rate_limit: Option<f64>,
+    /// Time for which the target wants nothing more from this instance, as it says itself when it
+    /// refuses a request.
+    pub rest: Option<Duration>,
     /// Time to open a direct connection; `None` where an idle or a relayed one was used.
     pub connect_time: Option<Duration>,
     /// How a new connection was opened.
@@ -315,6 +318,7 @@
     TargetFeedback {
         load,
         rate_limit: read_rate_limit(dialect, res.headers()),
+        rest: read_rest(dialect, res),
         connect_time: None,
         dial: Dial::default(),
     }
@@ -327,6 +331,16 @@
     (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
 }
 
+/// Returns the rest that a target asks for; a text that is no number of seconds counts as none.
+fn read_rest(dialect: &Dialect, res: &Response<Incoming>) -> Option<Duration> {
+    if res.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = res.headers().get(dialect.rest.as_ref()?)?.to_str().ok()?;
+    let secs = text.trim().parse::<f64>().ok()?;
+    Duration::try_from_secs_f64(secs).ok()
+}
+
 /// Sets the timeouts of a connection from the target's `Keep-Alive` header.
 fn apply_keep_alive(connection: &mut Connection, headers: &HeaderMap) {
     let keep_alive = headers.get("keep-alive").and_then(|value| {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -67,6 +67,7 @@
             line.connect_error = result.connect_error.map(|err| err.to_string());
             line.told_load = result.feedback.load;
             line.told_limit = result.feedback.rate_limit;
+            line.told_rest_ms = result.feedback.rest.map(|rest| rest.as_millis() as u64);
             line.end = match result.outcome {
                 Outcome::Answered(_) => "answered",
                 Outcome::Refused => "refused",
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -78,4 +78,7 @@
     /// Requests per second that the target takes from all instances, as it said in its response.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub told_limit: Option<f64>,
+    /// Time for which the target wants nothing more from this instance, as it said in its response.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub told_rest_ms: Option<u64>,
 }
