fix(dispatch,entry): a target that asks for rest gets nothing until it is over

Cause: the Retry-After of a target's 503 was read nowhere; a target that turns all away reports no load, so placement preferred it. Change: dispatch::SendGate keeps the time before which a target wants nothing beside the rate that it names, and is the one place that placement, hedges, retries and waiting requests ask. The target's part goes to others. A request that none may take before its wait is over is refused at once, told when the first rest ends, also after a refusal by the last one. After a rest one request at a time is sent until one is answered. A new line, target_rest, on the first of a row of rests. Ruled out: marking the target as down (probes and recoveries would end the rest); telling the other instances (the target asked this one alone).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -208,7 +208,7 @@
         let service = request.service.clone();
         self.enqueue(now, request);
         let mut actions = self.assign(now, &service);
-        actions.extend(self.refuse_beyond_rates(now, id));
+        actions.extend(self.refuse_beyond_gates(now, id));
         actions
     }
 
@@ -251,6 +251,8 @@
         }
         let (progress, mut actions) = self.update_request(now, id, target, outcome);
         actions.extend(self.assign(now, &service));
+        // The answer may have closed the last target that the request could wait for.
+        actions.extend(self.refuse_beyond_gates(now, id));
         (progress, actions)
     }
 
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -8,7 +8,7 @@
 use super::Dispatcher;
 use crate::{
     Action, Outcome, Placement, RequestId, RequestKind, RequestProgress, SelectionReason,
-    TargetEvent, pool::Pool,
+    TargetEvent, placement::PlacementQuery,
 };
 
 /// Minimum time that a request waits for another target after one has refused it.
@@ -148,20 +148,21 @@
             Disposition::Retry | Disposition::Refuse(_) if has_other => {
                 (RequestProgress::Continues, Vec::new())
             }
-            Disposition::Retry if entry.request.deadline <= now => {
-                (RequestProgress::Ended, self.refuse(id, ErrorKind::Expired))
-            }
+            Disposition::Retry if entry.request.deadline <= now => (
+                RequestProgress::Ended,
+                self.refuse(now, id, ErrorKind::Expired),
+            ),
             Disposition::Retry => {
                 self.requeue_for_retry(id);
                 (RequestProgress::Continues, Vec::new())
             }
-            Disposition::Refuse(kind) => (RequestProgress::Ended, self.refuse(id, kind)),
+            Disposition::Refuse(kind) => (RequestProgress::Ended, self.refuse(now, id, kind)),
         }
     }
 
     /// Ends a request with a refusal. One that says that the request did not run is replaced where
     /// an attempt may have run it.
-    pub(super) fn refuse(&mut self, id: RequestId, kind: ErrorKind) -> Vec<Action> {
+    pub(super) fn refuse(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
         let Some(entry) = self.entries.remove(&id) else {
             return Vec::new();
         };
@@ -173,11 +174,22 @@
         };
         let mut refusal = Refusal::new(kind);
         let is_overloaded = matches!(kind, ErrorKind::Overloaded | ErrorKind::TargetRefused);
-        if is_overloaded && self.policy.placement == Placement::ObjectAffinity {
-            let pool = self.pools.get(&entry.request.service);
-            let service_time = pool.map_or(Duration::ZERO, Pool::service_time);
-            // After half a service time slots have become free, and the objective can still be met.
-            refusal = refusal.retry_after((service_time / 2).max(MIN_RETRY_AFTER));
+        let pool = self.pools.get(&entry.request.service);
+        if let Some(pool) = pool.filter(|_| is_overloaded) {
+            let mut wait = refusal.retry_after;
+            if self.policy.placement == Placement::ObjectAffinity {
+                // After half a service time slots have become free, and the objective can still be
+                // met.
+                wait = (pool.service_time() / 2).max(MIN_RETRY_AFTER);
+            }
+            let query = PlacementQuery {
+                request: &entry.request,
+                local_region: &self.local_region,
+                round_trips: &self.round_trips,
+                tried: &[],
+            };
+            let gates = pool.wait_for_gates(now, query).unwrap_or_default();
+            refusal = refusal.retry_after(wait.max(gates));
         }
         vec![Action::Refuse(id, refusal)]
     }
--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -125,7 +125,7 @@
         late.into_iter()
             .flat_map(|id| {
                 self.remove_from_queue(id);
-                self.refuse(id, ErrorKind::Overloaded)
+                self.refuse(now, id, ErrorKind::Overloaded)
             })
             .collect()
     }
@@ -138,7 +138,7 @@
                 break;
             }
             self.remove_from_queue(id);
-            actions.extend(self.refuse(id, ErrorKind::Overloaded));
+            actions.extend(self.refuse(now, id, ErrorKind::Overloaded));
         }
         actions
     }
@@ -149,7 +149,7 @@
         let mut actions = Vec::new();
         while let Some(id) = self.late_head(now, service) {
             self.remove_from_queue(id);
-            actions.extend(self.refuse(id, ErrorKind::Overloaded));
+            actions.extend(self.refuse(now, id, ErrorKind::Overloaded));
         }
         actions
     }
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -1,8 +1,8 @@
-//! Rates that targets name and that all instances share.
+//! What targets say of the requests that they want: rates that all instances share, and rests.
 
 use std::time::Duration;
 
-use base::{InstanceId, Refusal, RegionId, TargetId, Time};
+use base::{InstanceId, RegionId, TargetId, Time};
 
 use super::Dispatcher;
 use crate::{
@@ -16,7 +16,8 @@
         self.instances = instances;
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
-                target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
+                let rank = rate_rank(&self.own_id, &self.instances, target);
+                target.gate_mut().set_rate_rank(rank);
             }
         }
     }
@@ -35,10 +36,14 @@
         let found = entry.attempts.iter().find(|one| one.number == attempt)?;
         let pool = self.pools.get_mut(&entry.request.service)?;
         let target = &mut pool.targets[found.target];
-        if !target.record_named_rate(now, found.started_at, per_s) {
+        if !target
+            .gate_mut()
+            .record_named_rate(now, found.started_at, per_s)
+        {
             return None;
         }
-        target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
+        let rank = rate_rank(&self.own_id, &self.instances, target);
+        target.gate_mut().set_rate_rank(rank);
         Some(target.id.clone())
     }
 
@@ -56,8 +61,9 @@
         for target in self.pools.values_mut().flat_map(|pool| &mut pool.targets) {
             let digest = target.digest();
             for report in reports.iter().filter(|one| one.target_digest == digest) {
-                if target.merge_rate_report(now, not_before, report) {
-                    target.set_rate_rank(rate_rank(&self.own_id, &self.instances, target));
+                if target.gate_mut().merge_rate_report(now, not_before, report) {
+                    let rank = rate_rank(&self.own_id, &self.instances, target);
+                    target.gate_mut().set_rate_rank(rank);
                     changed.push(target.id.clone());
                 }
             }
@@ -69,7 +75,7 @@
     pub fn rate_reports(&self, now: Time) -> Vec<RateReport> {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         targets
-            .filter_map(|target| target.rate_report(now))
+            .filter_map(|target| target.gate().rate_report(now, target.digest()))
             .collect()
     }
 
@@ -77,46 +83,55 @@
     pub fn named_rates(&self) -> Vec<(TargetId, f64)> {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         targets
-            .filter_map(|target| Some((target.id.clone(), target.named_rate()?)))
+            .filter_map(|target| Some((target.id.clone(), target.gate().named_rate()?)))
             .collect()
     }
 
-    /// Refuses a queued request at once if the rates that targets name keep it from all of them for
-    /// longer than it may wait.
-    pub(super) fn refuse_beyond_rates(&mut self, now: Time, id: RequestId) -> Vec<Action> {
-        let Some(wait) = self.wait_beyond_deadline(now, id) else {
+    /// Records that the target of an attempt wants nothing from this instance for a time, and returns
+    /// the target if it did not rest before.
+    pub fn record_rest(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: u32,
+        rest: Duration,
+    ) -> Option<TargetId> {
+        let entry = self.entries.get(&id)?;
+        let found = entry.attempts.iter().find(|one| one.number == attempt)?;
+        let pool = self.pools.get_mut(&entry.request.service)?;
+        let target = &mut pool.targets[found.target];
+        let is_new = target.gate_mut().rest(now, rest);
+        is_new.then(|| target.id.clone())
+    }
+
+    /// Refuses a queued request at once if the targets' own word keeps it from all of them for longer
+    /// than it may wait.
+    pub(super) fn refuse_beyond_gates(&mut self, now: Time, id: RequestId) -> Vec<Action> {
+        if !self.is_beyond_deadline(now, id) {
             return Vec::new();
-        };
+        }
         self.remove_from_queue(id);
-        let refused = self.refuse(id, base::ErrorKind::Overloaded);
-        refused
-            .into_iter()
-            .map(|action| match action {
-                Action::Refuse(id, refusal) => Action::Refuse(id, come_back_in(refusal, wait)),
-                other => other,
-            })
-            .collect()
+        self.refuse(now, id, base::ErrorKind::Overloaded)
     }
 
-    fn wait_beyond_deadline(&self, now: Time, id: RequestId) -> Option<Duration> {
-        let entry = self.entries.get(&id).filter(|entry| entry.is_queued)?;
-        let pool = self.pools.get(&entry.request.service)?;
+    fn is_beyond_deadline(&self, now: Time, id: RequestId) -> bool {
+        let Some(entry) = self.entries.get(&id).filter(|entry| entry.is_queued) else {
+            return false;
+        };
+        let Some(pool) = self.pools.get(&entry.request.service) else {
+            return false;
+        };
         let query = PlacementQuery {
             request: &entry.request,
             local_region: &self.local_region,
             round_trips: &self.round_trips,
             tried: &entry.reached,
         };
-        let wait = pool.wait_for_rates(now, query)?;
-        (now + wait > entry.wait_deadline).then_some(wait)
+        let wait = pool.wait_for_gates(now, query);
+        wait.is_some_and(|wait| now + wait > entry.wait_deadline)
     }
 }
 
-fn come_back_in(refusal: Refusal, wait: Duration) -> Refusal {
-    let earliest = refusal.retry_after.max(wait);
-    refusal.retry_after(earliest)
-}
-
 /// Ranks the live instances for a target, those in its region first.
 ///
 /// An instance that is not among them, because it is leaving, comes last.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod budget;
 mod dispatcher;
+mod gate;
 mod hash;
 mod latency;
 mod ledger;
@@ -25,6 +26,7 @@
 
 pub use budget::RetryBudget;
 pub use dispatcher::Dispatcher;
+pub use gate::SendGate;
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, ClaimOutcome, Claimer, Ledger, SavedAnswer};
 pub use limit::{AimdParams, ConcurrencyLimit};
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -23,7 +23,7 @@
 /// on them and leaves the others' memory to their own objects.
 const TARGETS_PER_OBJECT: usize = 2;
 /// Time after which a caller may retry where it is not this instance's turn to send to any target.
-const MAX_RATE_WAIT: Duration = Duration::from_secs(1);
+const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
 
 /// Describes a request to be placed and what placement needs to know beside the pool.
 #[derive(Debug, Clone, Copy)]
@@ -120,7 +120,7 @@
 
     fn has_usable_target(&self, now: Time, region: &RegionId, query: PlacementQuery<'_>) -> bool {
         self.usable_targets(region, query)
-            .any(|target| target.is_within_rate(now))
+            .any(|target| target.may_send(now))
     }
 
     /// Returns the region's targets that a request may be sent to, apart from their load.
@@ -138,19 +138,19 @@
             .filter(|target| !matches!(target.state(), TargetState::Down | TargetState::Leaving))
     }
 
-    /// Returns how long the rates that targets name keep a request from all of them, or `None` if
-    /// one could take it, or if there is none.
-    pub(crate) fn wait_for_rates(&self, now: Time, query: PlacementQuery<'_>) -> Option<Duration> {
+    /// Returns how long the targets' own word keeps a request from all of them, or `None` if one could
+    /// take it, or if there is none.
+    pub(crate) fn wait_for_gates(&self, now: Time, query: PlacementQuery<'_>) -> Option<Duration> {
         let regions = self.regions.keys();
         let waits: Vec<Option<Duration>> = regions
             .filter(|region| query.request.may_run_in(region))
             .flat_map(|region| self.usable_targets(region, query))
-            .map(|target| target.rate_wait(now))
+            .map(|target| target.send_wait(now))
             .collect();
         let is_blocked =
             !waits.is_empty() && waits.iter().all(|wait| *wait != Some(Duration::ZERO));
         let shortest = waits.into_iter().flatten().min();
-        is_blocked.then(|| shortest.unwrap_or(MAX_RATE_WAIT))
+        is_blocked.then(|| shortest.unwrap_or(MAX_TURN_WAIT))
     }
 
     fn can_meet_deadline(&self, now: Time, region: &RegionId, query: PlacementQuery<'_>) -> bool {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,9 +6,7 @@
 use chart::Chart;
 use serde::Deserialize;
 
-use crate::{
-    ConcurrencyLimit, LatencyEstimate, RateRank, RateReport, SharedRate, hash::seeded_hash,
-};
+use crate::{ConcurrencyLimit, LatencyEstimate, SendGate, hash::seeded_hash};
 
 /// Lists the states of a target; `charts/target.json` holds the transitions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -87,10 +85,8 @@
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
-    /// Rate that the target takes from all instances.
-    rate: SharedRate,
-    /// Position of this instance among those that share the rate.
-    rate_rank: RateRank,
+    /// When the target takes the next request of this instance, by its own word.
+    gate: SendGate,
 }
 
 /// Holds the load that a target reported with a response.
@@ -147,8 +143,7 @@
             probe_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
-            rate: SharedRate::default(),
-            rate_rank: RateRank::default(),
+            gate: SendGate::default(),
         }
     }
 
@@ -173,7 +168,9 @@
             self.load_report = None;
             self.failures = 0;
             self.refusal_rate = 0.0;
-            self.rate = SharedRate::default();
+            let rank = self.gate.rate_rank();
+            self.gate = SendGate::default();
+            self.gate.set_rate_rank(rank);
             self.probe_backoff = MIN_PROBE_BACKOFF;
             self.apply_event(now, chart, TargetEvent::Returned);
             self.apply_event(now, chart, TargetEvent::Recovered);
@@ -201,41 +198,20 @@
             .unwrap_or_else(|| seeded_hash(0, self.id.as_str()))
     }
 
-    /// Returns the rate that the target names, in requests per second.
-    pub fn named_rate(&self) -> Option<f64> {
-        self.rate.per_s()
+    /// Returns when the target takes the next request of this instance, by its own word.
+    pub fn gate(&self) -> &SendGate {
+        &self.gate
     }
 
-    /// Returns how long the named rate makes this instance wait before its next request; `None` if
-    /// it is not this instance's turn.
-    pub fn rate_wait(&self, now: Time) -> Option<Duration> {
-        self.rate.wait(now, self.rate_rank, self.in_flight > 0)
+    /// Returns the same, to record what the target says.
+    pub fn gate_mut(&mut self) -> &mut SendGate {
+        &mut self.gate
     }
 
-    /// Records an answer to a request sent at `sent_at` that names this rate, and returns whether
-    /// the rate changed.
-    pub fn record_named_rate(&mut self, now: Time, sent_at: Time, per_s: Option<f64>) -> bool {
-        self.rate.observe(now, sent_at, per_s)
-    }
-
-    /// Merges what another instance has learned of the rate and returns whether it changed.
-    pub fn merge_rate_report(
-        &mut self,
-        now: Time,
-        not_before: Option<Time>,
-        report: &RateReport,
-    ) -> bool {
-        self.rate.merge(now, not_before, report)
-    }
-
-    /// Returns what this instance has learned of the rate recently.
-    pub fn rate_report(&self, now: Time) -> Option<RateReport> {
-        self.rate.report(now, self.digest())
-    }
-
-    /// Sets the position of this instance among those that share the rate.
-    pub fn set_rate_rank(&mut self, rank: RateRank) {
-        self.rate_rank = rank;
+    /// Returns how long the target's word makes this instance wait before its next request; `None`
+    /// if it is not this instance's turn.
+    pub fn send_wait(&self, now: Time) -> Option<Duration> {
+        self.gate.wait(now, self.in_flight > 0)
     }
 
     /// Returns whether the target has registered its own slots and state.
@@ -285,12 +261,12 @@
     /// Returns whether the target takes part in the ranking of targets for an object, even if it
     /// has no free slot now.
     pub fn is_ranked(&self, now: Time) -> bool {
-        (self.state == TargetState::Ready && self.is_within_rate(now)) || self.accepts_request(now)
+        (self.state == TargetState::Ready && self.may_send(now)) || self.accepts_request(now)
     }
 
-    /// Returns whether the rate that the target names, if any, lets this instance send a request.
-    pub fn is_within_rate(&self, now: Time) -> bool {
-        self.rate_wait(now) == Some(Duration::ZERO)
+    /// Returns whether the target's own word lets this instance send a request now.
+    pub fn may_send(&self, now: Time) -> bool {
+        self.send_wait(now) == Some(Duration::ZERO)
     }
 
     /// Returns the share of recent requests that the target refused.
@@ -307,7 +283,7 @@
     /// Records that a request is sent to the target.
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
-        self.rate.record_send(now, self.rate_rank);
+        self.gate.record_send(now);
         if self.state == TargetState::Cold {
             self.next_cold_send_at = now + self.cold_interval;
         }
@@ -332,6 +308,7 @@
     /// Returns the number of requests that this instance may run on the target at the same time.
     pub fn concurrency_limit(&self, now: Time) -> u32 {
         match self.state {
+            TargetState::Ready | TargetState::Cold if self.gate.is_on_trial() => 1,
             TargetState::Ready => self.limit.current(),
             TargetState::Cold if self.registration.is_some() => self.limit.current(),
             TargetState::Cold => {
@@ -345,7 +322,7 @@
 
     /// Returns whether this instance may run one more request on the target.
     pub fn has_capacity(&self, now: Time) -> bool {
-        self.in_flight < self.concurrency_limit(now) && self.is_within_rate(now)
+        self.in_flight < self.concurrency_limit(now) && self.may_send(now)
     }
 
     /// Returns the requests per slot: this instance's own plus those that others are reported to
@@ -403,6 +380,7 @@
     pub fn record_success(&mut self, latency: Duration) {
         self.failures = 0;
         self.probe_backoff = MIN_PROBE_BACKOFF;
+        self.gate.record_run();
         self.latency.record(latency);
         self.limit.record_success(self.in_flight);
     }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -219,6 +219,9 @@
                 if matches!(outcome, Outcome::Answered(_) | Outcome::Refused) {
                     self.record_named_rate(now, id, attempt, feedback.rate_limit);
                 }
+                if let Some(rest) = feedback.rest {
+                    self.record_rest(now, id, attempt, rest);
+                }
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
             Event::RelayFailed(target) => {
--- a/crates/entry/src/engine/rates.rs
+++ b/crates/entry/src/engine/rates.rs
@@ -1,4 +1,6 @@
-//! Rates that targets name.
+//! What targets say of the requests that they want: rates and rests.
+
+use std::time::Duration;
 
 use base::{TargetId, Time};
 use dispatch::RequestId;
@@ -21,6 +23,13 @@
         }
     }
 
+    pub(super) fn record_rest(&mut self, now: Time, id: RequestId, attempt: u32, rest: Duration) {
+        if let Some(target) = self.dispatcher.record_rest(now, id, attempt, rest) {
+            let rest_ms = rest.as_millis() as u64;
+            tracing::info!(event = "target_rest", %target, rest_ms);
+        }
+    }
+
     pub(super) fn log_named_rates(&self, changed: &[TargetId], source: &str) {
         if changed.is_empty() {
             return;
