fix(dispatch,entry): a target that says that it is leaving is believed

Cause: the header was read nowhere, and the end of any drain or evacuation put a target back into service, whoever had said that it leaves. Change: the target's word is kept for its incarnation beside what the operator says of it. It ends with a new incarnation, with an entry that turns from leaving to ready, or with the health endpoint's word; not with an entry that has said ready all along, nor with the end of an evacuation (docs/DESIGN.md, Targets that leave). A new line, target_leaving. Ruled out: taking it for the entry's state (the next unchanged entry would end it).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -172,12 +172,11 @@
                     continue;
                 }
                 target.is_in_service = is_in_service;
-                let event = if is_in_service {
-                    TargetEvent::Returned
+                if is_in_service {
+                    target.return_to_service(now, &self.chart);
                 } else {
-                    TargetEvent::Leave
-                };
-                target.apply_event(now, &self.chart, event);
+                    target.apply_event(now, &self.chart, TargetEvent::Leave);
+                }
                 let service = config.services.get(id);
                 if let Some(cold) = service.and_then(|service| service.cold)
                     && is_in_service
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -5,7 +5,7 @@
 use base::{ServiceId, TargetId, Time};
 
 use super::Dispatcher;
-use crate::{Action, ConnectionLoss, HealthReport, PoolStats, TargetEvent, TargetState};
+use crate::{Action, ConnectionLoss, HealthReport, PoolStats, RequestId, TargetEvent, TargetState};
 
 impl Dispatcher {
     /// Records a response of a target's health endpoint, or `None` if it has not responded for too
@@ -27,12 +27,7 @@
         match report {
             Some(report) => {
                 target.record_health(report);
-                let event = match (report.is_leaving, target.state()) {
-                    (true, _) => TargetEvent::Leave,
-                    (false, TargetState::Leaving) if target.is_in_service => TargetEvent::Returned,
-                    (false, _) => TargetEvent::Recovered,
-                };
-                target.apply_event(now, &self.chart, event);
+                target.apply_health(now, &self.chart, report.is_leaving);
             }
             None => {
                 target.apply_event(now, &self.chart, TargetEvent::Failed);
@@ -116,6 +111,17 @@
         }
     }
 
+    /// Records that the target of an attempt says in its answer that it is leaving, and returns the
+    /// target if that is news.
+    pub fn record_leaving(&mut self, now: Time, id: RequestId, attempt: u32) -> Option<TargetId> {
+        let entry = self.entries.get(&id)?;
+        let found = entry.attempts.iter().find(|one| one.number == attempt)?;
+        let pool = self.pools.get_mut(&entry.request.service)?;
+        let target = &mut pool.targets[found.target];
+        let is_news = target.say_leaving(now, &self.chart);
+        is_news.then(|| target.id.clone())
+    }
+
     /// Records a connection loss that another instance has reported.
     pub fn record_remote_loss(&mut self, now: Time, loss: ConnectionLoss) {
         self.quarantine.record(now, loss);
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -85,6 +85,8 @@
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
+    /// Whether the target itself has said that it is leaving, and nothing later says otherwise.
+    has_said_leaving: bool,
     /// When the target takes the next request of this instance, by its own word.
     gate: SendGate,
 }
@@ -143,6 +145,7 @@
             probe_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
+            has_said_leaving: false,
             gate: SendGate::default(),
         }
     }
@@ -163,6 +166,10 @@
         self.skips_while_cold = cold_interval >= MAX_COLD_INTERVAL;
         self.set_slots(registration.slots);
         let is_new = old.is_none_or(|old| old.incarnation != registration.incarnation);
+        let has_returned = old.is_some_and(|old| old.is_leaving && !registration.is_leaving);
+        if is_new || has_returned {
+            self.has_said_leaving = false;
+        }
         if is_new {
             self.limit = ConcurrencyLimit::new(self.slots);
             self.load_report = None;
@@ -185,6 +192,44 @@
         }
     }
 
+    /// Records that the target itself says that it is leaving, and returns whether that is news.
+    ///
+    /// It holds until a new incarnation registers, or until the same one registers as ready after it
+    /// had registered as leaving, or until its health endpoint says otherwise. An entry that never
+    /// said that the target is leaving may be older than the target's word.
+    pub fn say_leaving(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) -> bool {
+        let is_news = !std::mem::replace(&mut self.has_said_leaving, true);
+        self.apply_event(now, chart, TargetEvent::Leave);
+        is_news
+    }
+
+    /// Puts the target back into service, unless it has said itself that it is leaving.
+    pub fn return_to_service(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) {
+        if !self.has_said_leaving {
+            self.apply_event(now, chart, TargetEvent::Returned);
+        }
+    }
+
+    /// Applies what the health endpoint says: it is the target's own and latest word.
+    pub fn apply_health(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+        is_leaving: bool,
+    ) {
+        if is_leaving {
+            self.say_leaving(now, chart);
+            return;
+        }
+        self.has_said_leaving = false;
+        let event = if self.state == TargetState::Leaving && self.is_in_service {
+            TargetEvent::Returned
+        } else {
+            TargetEvent::Recovered
+        };
+        self.apply_event(now, chart, event);
+    }
+
     /// Returns a digest of the target and its incarnation, or `None` for an unregistered target,
     /// whose incarnation is not known.
     pub fn incarnation_digest(&self) -> Option<u64> {
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,6 +49,8 @@
     /// Response header with the rate, in requests per second, that a target takes from all
     /// instances together.
     pub rate_limit: Option<HeaderName>,
+    /// Response header, with the value 1, by which a target says that it is leaving.
+    pub leaving: Option<HeaderName>,
     /// Response header in which a target that refuses a request with status 503 says for how many
     /// seconds it wants nothing more from this instance.
     pub rest: Option<HeaderName>,
@@ -80,6 +82,7 @@
             target: None,
             load: None,
             rate_limit: Some(name("target-rate-limit")),
+            leaving: Some(name("target-leaving")),
             rest: Some(http::header::RETRY_AFTER),
             required_on_success: None,
             affinity_cookie: None,
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -219,6 +219,9 @@
                 if matches!(outcome, Outcome::Answered(_) | Outcome::Refused) {
                     self.record_named_rate(now, id, attempt, feedback.rate_limit);
                 }
+                if feedback.is_leaving {
+                    self.record_leaving(now, id, attempt);
+                }
                 if let Some(rest) = feedback.rest {
                     self.record_rest(now, id, attempt, rest);
                 }
--- a/crates/entry/src/engine/rates.rs
+++ b/crates/entry/src/engine/rates.rs
@@ -1,4 +1,4 @@
-//! What targets say of the requests that they want: rates and rests.
+//! What targets say in their answers: rates, rests and that they are leaving.
 
 use std::time::Duration;
 
@@ -23,6 +23,12 @@
         }
     }
 
+    pub(super) fn record_leaving(&mut self, now: Time, id: RequestId, attempt: u32) {
+        if let Some(target) = self.dispatcher.record_leaving(now, id, attempt) {
+            tracing::info!(event = "target_leaving", %target);
+        }
+    }
+
     pub(super) fn record_rest(&mut self, now: Time, id: RequestId, attempt: u32, rest: Duration) {
         if let Some(target) = self.dispatcher.record_rest(now, id, attempt, rest) {
             let rest_ms = rest.as_millis() as u64;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -109,6 +109,8 @@
     pub load: Option<u32>,
     /// Requests per second that the target takes from all instances together, as it says itself.
     pub rate_limit: Option<f64>,
+    /// Whether the target says that it is leaving.
+    pub is_leaving: bool,
     /// Time for which the target wants nothing more from this instance, as it says itself when it
     /// refuses a request.
     pub rest: Option<Duration>,
@@ -318,6 +320,7 @@
     TargetFeedback {
         load,
         rate_limit: read_rate_limit(dialect, res.headers()),
+        is_leaving: says_leaving(dialect, res.headers()),
         rest: read_rest(dialect, res),
         connect_time: None,
         dial: Dial::default(),
@@ -331,6 +334,11 @@
     (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
 }
 
+fn says_leaving(dialect: &Dialect, headers: &HeaderMap) -> bool {
+    let value = dialect.leaving.as_ref().and_then(|name| headers.get(name));
+    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Returns the rest that a target asks for; a text that is no number of seconds counts as none.
 fn read_rest(dialect: &Dialect, res: &Response<Incoming>) -> Option<Duration> {
     if res.status() != StatusCode::SERVICE_UNAVAILABLE {
