refactor(daemon,dispatch): reads of tables, entry points and placement queries each have one place

The query for a placement was built in four places; it is made by Surroundings, which knows the regions and their distances. Tests of dispatch, daemon and entry pass as before.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -3,9 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use base::{DomainId, Incarnation, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
-use coord::rendezvous_rank;
+use coord::{Member, Presence, rendezvous_rank};
 
-use crate::format::FORMAT_WITHOUT_RATES;
+use crate::{format::FORMAT_WITHOUT_RATES, message::PeerHeartbeat};
 
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
@@ -124,6 +124,44 @@
 }
 
 impl FleetMember {
+    /// Returns what the list and the last heartbeat tell of an instance; when it was heard and where
+    /// it is reached is not among that.
+    pub fn new(member: &Member, heartbeat: Option<&PeerHeartbeat>) -> Self {
+        let mut state = Self {
+            domain: member.domain.clone(),
+            addr: None,
+            entry: None,
+            incarnation: None,
+            version: 0,
+            alive_until: Time::ZERO,
+            is_leaving: member.is_leaving,
+            is_listed: member.presence == Presence::Listed,
+            is_gone: false,
+            owned_workspaces: Vec::new(),
+            held_slots: None,
+            heartbeat_sequence: 0,
+            has_target_path: true,
+            format: 0,
+            build: String::new(),
+            demand: Vec::new(),
+            pinned_demand: Vec::new(),
+        };
+        if let Some(heartbeat) = heartbeat {
+            state.entry = Some(heartbeat.entry);
+            state.incarnation = Some(heartbeat.status.incarnation);
+            state.version = heartbeat.status.version;
+            state.owned_workspaces = heartbeat.owned_workspaces.clone();
+            state.held_slots = Some(heartbeat.held_slots);
+            state.heartbeat_sequence = heartbeat.sequence;
+            state.has_target_path = heartbeat.has_target_path;
+            state.format = heartbeat.format;
+            state.build = heartbeat.build.clone();
+            state.demand = heartbeat.demand.clone();
+            state.pinned_demand = heartbeat.pinned_demand.clone();
+        }
+        state
+    }
+
     /// Returns whether the instance answers calls over TCP as this build makes them.
     pub fn takes_calls(&self) -> bool {
         self.format != FORMAT_WITHOUT_RATES
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -1,6 +1,6 @@
 //! The task that follows the head row of the configuration and activates the object that it names.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time, config_digest};
 use coord::{Freshness, Head, OfferOutcome, VersionTracker};
@@ -20,6 +20,7 @@
 use wire::Secret;
 
 use crate::{
+    entry_points::entry_points,
     fleet::Fleet,
     message::{FollowerMessage, PeerCommand},
     rpc,
@@ -325,51 +326,6 @@
     }
 }
 
-/// Returns the entry points that look-ups may return, including `own`: instances that are alive,
-/// not leaving and not drained.
-///
-/// Instances without a path to the targets are left out if others in their region have one.
-pub(crate) fn entry_points(
-    now: Time,
-    fleet: &Fleet,
-    config: Option<&Config>,
-    own: Option<&EntryPoint>,
-) -> Vec<EntryPoint> {
-    let is_drained = |entry: &EntryPoint| {
-        config.is_some_and(|config| {
-            config.drains.instances.contains(&entry.instance)
-                || config.is_domain_drained(&entry.domain)
-        })
-    };
-    let others = fleet.members.iter().filter_map(|(id, member)| {
-        let is_available = member.is_alive(now) && !member.is_leaving;
-        is_available.then_some(EntryPoint {
-            instance: id.clone(),
-            incarnation: member.incarnation?,
-            domain: member.domain.clone(),
-            addr: member.entry?,
-        })
-    });
-    let entries: Vec<EntryPoint> = others
-        .chain(own.cloned())
-        .filter(|entry| !is_drained(entry))
-        .collect();
-    let region_of = |entry: &EntryPoint| config.and_then(|config| config.region_of(&entry.domain));
-    let connected_regions: BTreeSet<_> = entries
-        .iter()
-        .filter(|entry| fleet.has_target_path(&entry.instance))
-        .map(region_of)
-        .collect();
-    let is_of_use = |entry: &EntryPoint| {
-        fleet.has_target_path(&entry.instance) || !connected_regions.contains(&region_of(entry))
-    };
-    entries
-        .iter()
-        .filter(|entry| is_of_use(entry))
-        .cloned()
-        .collect()
-}
-
 async fn read_head_row(clock: Clock, platform: Platform, tx: mpsc::Sender<HeadRead>) {
     let sent_at = clock.now();
     let result = platform.get(CONFIG_TABLE, HEAD_ROW).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon of an instance: tasks that own sockets and state and communicate by messages.
 
 pub mod dev;
+mod entry_points;
 pub mod facts;
 pub mod fleet;
 pub mod follower;
@@ -20,3 +21,4 @@
 pub mod relay;
 pub mod rpc;
 pub mod slots;
+mod table_reads;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -433,27 +433,12 @@
             .iter()
             .filter(|(id, _)| **id != self.own_heartbeat.status.id)
             .map(|(id, member)| {
-                let heartbeat = self.last_heartbeats.get(id);
+                let heard = self.last_heartbeats.get(id);
                 let state = FleetMember {
-                    domain: member.domain.clone(),
                     addr: self.addrs.get(id).copied(),
-                    entry: heartbeat.map(|heartbeat| heartbeat.entry),
-                    incarnation: heartbeat.map(|heartbeat| heartbeat.status.incarnation),
-                    version: heartbeat.map_or(0, |heartbeat| heartbeat.status.version),
                     alive_until: self.membership.alive_until(id),
-                    is_leaving: member.is_leaving,
-                    is_listed: member.presence == Presence::Listed,
                     is_gone: self.membership.is_gone(now, id),
-                    owned_workspaces: heartbeat
-                        .map_or_else(Vec::new, |heartbeat| heartbeat.owned_workspaces.clone()),
-                    held_slots: heartbeat.map(|heartbeat| heartbeat.held_slots),
-                    heartbeat_sequence: heartbeat.map_or(0, |heartbeat| heartbeat.sequence),
-                    has_target_path: heartbeat.is_none_or(|heartbeat| heartbeat.has_target_path),
-                    format: heartbeat.map_or(0, |heartbeat| heartbeat.format),
-                    build: heartbeat.map_or_else(String::new, |heartbeat| heartbeat.build.clone()),
-                    demand: heartbeat.map_or_else(Vec::new, |heartbeat| heartbeat.demand.clone()),
-                    pinned_demand: heartbeat
-                        .map_or_else(Vec::new, |heartbeat| heartbeat.pinned_demand.clone()),
+                    ..FleetMember::new(member, heard)
                 };
                 (id.clone(), state)
             })
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -6,34 +6,27 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{CatchUp, FetchDelays, Freshness, Replica, RowChange, TableSnapshot, rendezvous_draw};
+use coord::{CatchUp, FetchDelays, Freshness, Replica, TableSnapshot, rendezvous_draw};
 use entry::{
     message::Event,
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
-use platform::{Change, Platform, PlatformError};
+use platform::Platform;
 use tokio::{
     sync::{mpsc, watch},
-    time::{sleep, sleep_until},
+    time::sleep_until,
 };
 use wire::Secret;
 
 use crate::{
+    entry_points::entry_points,
     fleet::Fleet,
-    follower::entry_points,
     message::{FollowerMessage, PeerCommand},
     rpc,
+    table_reads::{Fetch, TableRead, log_fetch, poll_table, to_row_change, to_snapshot},
 };
 
-/// Time for which the platform holds a poll open while nothing changes.
-const POLL_WAIT: Duration = Duration::from_secs(3);
-/// Time beyond [`POLL_WAIT`] after which a poll counts as failed.
-const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
-/// Delay between two polls, so that changes in quick succession cost one poll.
-const POLL_DELAY: Duration = Duration::from_millis(100);
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Time to wait for the platform's own response before newer rows are fetched from another
 /// instance.
 const PEER_FETCH_DELAYS: FetchDelays = FetchDelays {
@@ -117,23 +110,6 @@
     is_reachable: bool,
 }
 
-/// Carries the result of one read of a table.
-#[derive(Debug)]
-enum TableRead {
-    Changes(Vec<Change>, u64),
-    Snapshot(Vec<Change>, u64),
-    Failed,
-    Fetched(Fetch),
-}
-
-/// Carries what another instance answered when it was asked for a table.
-#[derive(Debug)]
-struct Fetch {
-    from: InstanceId,
-    asked_at: Time,
-    snapshot: Option<TableSnapshot>,
-}
-
 impl<F> TableFollower<F>
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
@@ -458,22 +434,6 @@
     }
 }
 
-/// Logs that another instance was asked for a table, and what it had.
-fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
-    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
-    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
-    let took_ms = (now - fetch.asked_at).as_millis() as u64;
-    tracing::info!(
-        event = "table_fetched",
-        table,
-        from = %fetch.from,
-        before,
-        position,
-        rows,
-        took_ms,
-    );
-}
-
 /// Logs each workspace whose rate or burst has changed.
 fn log_rates(old: Option<&Config>, new: &Config) {
     for (workspace, now) in &new.workspaces {
@@ -486,71 +446,3 @@
         }
     }
 }
-
-fn to_row_change(change: Change) -> RowChange {
-    RowChange {
-        name: change.row,
-        value: change.value,
-        position: change.at,
-    }
-}
-
-fn to_snapshot(rows: Vec<Change>, position: u64) -> TableSnapshot {
-    let rows = rows
-        .into_iter()
-        .filter_map(|change| {
-            let row = coord::ReplicaRow {
-                value: change.value?,
-                position: change.at,
-            };
-            Some((change.row, row))
-        })
-        .collect();
-    TableSnapshot { rows, position }
-}
-
-/// Polls one table and sends what it reads to `tx`, until the receiver is dropped.
-async fn poll_table(
-    platform: Platform,
-    table: String,
-    idx: usize,
-    tx: mpsc::Sender<(usize, TableRead)>,
-) {
-    let platform = platform.timeout(POLL_WAIT + POLL_TIMEOUT_MARGIN);
-    let mut position = None;
-    let mut retry_delay = MIN_RETRY_DELAY;
-    loop {
-        let read = match position {
-            None => platform
-                .snapshot(&table)
-                .await
-                .map(|(rows, at)| (TableRead::Snapshot(rows, at), at)),
-            Some(after) => platform
-                .changes(&table, after, POLL_WAIT)
-                .await
-                .map(|(rows, at)| (TableRead::Changes(rows, at), at)),
-        };
-        let read = match read {
-            Ok((read, at)) => {
-                position = Some(at);
-                retry_delay = MIN_RETRY_DELAY;
-                read
-            }
-            Err(PlatformError::HistoryGone) => {
-                position = None;
-                continue;
-            }
-            Err(_) => TableRead::Failed,
-        };
-        let is_failed = matches!(read, TableRead::Failed);
-        if tx.send((idx, read)).await.is_err() {
-            return;
-        }
-        if is_failed {
-            sleep(retry_delay).await;
-            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
-        } else {
-            sleep(POLL_DELAY).await;
-        }
-    }
-}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -22,7 +22,7 @@
     Action, AdmittedRequest, Assignment, ConnectionLoss, LossCollector, Outcome, PathMonitor,
     Placement, Policy, Quarantine, RegionShares, RequestId, RequestKind, RequestProgress,
     RetryBudget, SelectionReason, TargetEvent, TargetState, path_chart,
-    placement::PlacementQuery,
+    placement::Surroundings,
     pool::{Pool, RegionConstraints, TargetContext},
     target_chart,
 };
@@ -90,11 +90,9 @@
 /// ```
 #[derive(Debug)]
 pub struct Dispatcher {
-    local_region: RegionId,
+    surroundings: Surroundings,
     /// Round-trip time between two regions by the configuration.
     configured_round_trip: Duration,
-    /// Round-trip time to each region as measured when connections were opened.
-    round_trips: BTreeMap<RegionId, Duration>,
     rng: Pcg32,
     policy: Policy,
     chart: Chart<TargetState, TargetEvent>,
@@ -119,9 +117,11 @@
     /// Returns a [`ChartError`] if the target's state chart can't be parsed.
     pub fn new(local_region: RegionId, seed: u64, policy: Policy) -> Result<Self, ChartError> {
         Ok(Self {
-            local_region,
+            surroundings: Surroundings {
+                local_region,
+                round_trips: BTreeMap::new(),
+            },
             configured_round_trip: Duration::ZERO,
-            round_trips: BTreeMap::new(),
             rng: Pcg32::seed_from_u64(seed),
             chart: target_chart()?,
             pools: BTreeMap::new(),
@@ -163,7 +163,7 @@
                     entry.remap_targets(&new_indices);
                 }
             }
-            pool.resize_limits(&self.local_region);
+            pool.resize_limits(&self.surroundings.local_region);
         }
         for (id, pool) in &mut self.pools {
             for target in &mut pool.targets {
@@ -278,12 +278,7 @@
                 return None;
             }
             let tried = [entry.attempts[0].target];
-            let query = PlacementQuery {
-                request: &entry.request,
-                local_region: &self.local_region,
-                round_trips: &self.round_trips,
-                tried: &tried,
-            };
+            let query = self.surroundings.query(&entry.request, &tried);
             let (idx, reason) = pool.place(now, &mut self.rng, query)?;
             if !self.budget.try_withdraw() {
                 return None;
@@ -291,7 +286,7 @@
             return self.start_attempt(now, id, idx, reason);
         }
         let constraints = RegionConstraints {
-            local_region: &self.local_region,
+            local_region: &self.surroundings.local_region,
             reserved_slots: 0,
             allows_other_regions: true,
         };
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -8,7 +8,7 @@
 use super::Dispatcher;
 use crate::{
     Action, Outcome, Placement, RequestId, RequestKind, RequestProgress, SelectionReason,
-    TargetEvent, placement::PlacementQuery,
+    TargetEvent,
 };
 
 /// Minimum time that a request waits for another target after one has refused it.
@@ -58,8 +58,8 @@
         entry.avoid = Some(target);
         if outcome == Outcome::Refused {
             let pool = self.pools.get(&entry.request.service);
-            entry.was_refused_remotely |=
-                pool.is_some_and(|pool| pool.targets[target].region != self.local_region);
+            entry.was_refused_remotely |= pool
+                .is_some_and(|pool| pool.targets[target].region != self.surroundings.local_region);
         }
         entry.may_have_run |= matches!(outcome, Outcome::Lost | Outcome::TimedOut);
         if entry.is_answered {
@@ -182,12 +182,7 @@
                 // met.
                 wait = (pool.service_time() / 2).max(MIN_RETRY_AFTER);
             }
-            let query = PlacementQuery {
-                request: &entry.request,
-                local_region: &self.local_region,
-                round_trips: &self.round_trips,
-                tried: &[],
-            };
+            let query = self.surroundings.query(&entry.request, &[]);
             let gates = pool.wait_for_gates(now, query).unwrap_or_default();
             refusal = refusal.retry_after(wait.max(gates));
         }
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -5,9 +5,7 @@
 use base::{InstanceId, RegionId, TargetId, Time};
 
 use super::Dispatcher;
-use crate::{
-    Action, RateRank, RateReport, RequestId, Target, hash::seeded_hash, placement::PlacementQuery,
-};
+use crate::{Action, RateRank, RateReport, RequestId, Target, hash::seeded_hash};
 
 impl Dispatcher {
     /// Sets the live instances and their regions; `own_id` identifies this one.
@@ -121,12 +119,7 @@
         let Some(pool) = self.pools.get(&entry.request.service) else {
             return false;
         };
-        let query = PlacementQuery {
-            request: &entry.request,
-            local_region: &self.local_region,
-            round_trips: &self.round_trips,
-            tried: &entry.reached,
-        };
+        let query = self.surroundings.query(&entry.request, &entry.reached);
         let wait = pool.wait_for_gates(now, query);
         wait.is_some_and(|wait| now + wait > entry.wait_deadline)
     }
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -6,8 +6,7 @@
 
 use super::{Attempt, Dispatcher};
 use crate::{
-    Action, Assignment, Placement, RequestId, RequestKind, SelectionReason,
-    placement::PlacementQuery, pool::RegionConstraints,
+    Action, Assignment, Placement, RequestId, RequestKind, SelectionReason, pool::RegionConstraints,
 };
 
 /// Maximum number of queued requests without a target that later ones may overtake at a time.
@@ -75,12 +74,7 @@
     fn place_request(&mut self, now: Time, id: RequestId) -> Option<Assignment> {
         let entry = self.entries.get(&id)?;
         let pool = self.pools.get(&entry.request.service)?;
-        let query = PlacementQuery {
-            request: &entry.request,
-            local_region: &self.local_region,
-            round_trips: &self.round_trips,
-            tried: &entry.reached,
-        };
+        let query = self.surroundings.query(&entry.request, &entry.reached);
         let (idx, reason) = pool.place(now, &mut self.rng, query)?;
         let wait_deadline = entry.wait_deadline;
         self.queued.remove(&(wait_deadline, id));
@@ -95,7 +89,7 @@
         let pool = self.pools.get_mut(service)?;
         let first = self.entries.get(pool.queue.peek()?)?;
         let constraints = RegionConstraints {
-            local_region: &self.local_region,
+            local_region: &self.surroundings.local_region,
             reserved_slots: pool
                 .backlog
                 .reserved_slots(now, pool.queue.queued_workspaces()),
@@ -147,8 +141,8 @@
                 || entry.attempts_sent > 1,
             prefers_relay: self.path.prefers_relay(now, &target.id),
             relay_delay: relay_delay(
-                self.round_trips.get(&target.region),
-                target.region == self.local_region,
+                self.surroundings.round_trips.get(&target.region),
+                target.region == self.surroundings.local_region,
             ),
             hedge_delay: pool.latency.upper_bound().max(self.policy.min_hedge_delay),
             reason,
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -59,7 +59,11 @@
         else {
             return;
         };
-        let estimate = self.round_trips.entry(region).or_insert(connect_time);
+        let estimate = self
+            .surroundings
+            .round_trips
+            .entry(region)
+            .or_insert(connect_time);
         // A single slow connection may be an outlier; a fast one shows what the network can do. So
         // a lower sample applies at once, a higher one by a sixteenth.
         *estimate = connect_time.min(*estimate + (connect_time.saturating_sub(*estimate)) / 16);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -25,6 +25,30 @@
 /// Time after which a caller may retry where it is not this instance's turn to send to any target.
 const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
 
+/// Knows where this instance is and how far the regions are from it.
+#[derive(Debug)]
+pub(crate) struct Surroundings {
+    pub(crate) local_region: RegionId,
+    /// Round-trip time to each region as measured when connections were opened.
+    pub(crate) round_trips: BTreeMap<RegionId, Duration>,
+}
+
+impl Surroundings {
+    /// Returns the query that places a request on a target that it has not been sent to.
+    pub(crate) fn query<'a>(
+        &'a self,
+        request: &'a AdmittedRequest,
+        tried: &'a [usize],
+    ) -> PlacementQuery<'a> {
+        PlacementQuery {
+            request,
+            local_region: &self.local_region,
+            round_trips: &self.round_trips,
+            tried,
+        }
+    }
+}
+
 /// Describes a request to be placed and what placement needs to know beside the pool.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlacementQuery<'a> {
