fix(entry): a kept connection through another instance is used only while the target can't be reached directly

To the target it is the other instance that sends, so its word about rests reaches the wrong one. The class of fault: an emergency way that outlives the emergency. Change: such a connection is taken only while the path is lost or the target was lately reached through others alone.

--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -4,7 +4,7 @@
 
 use admit::Action as AdmitAction;
 use base::{Refusal, RegionId, TargetId, Time};
-use dispatch::{Action, Assignment, Outcome, RequestId, RequestProgress};
+use dispatch::{Action, Assignment, Outcome, PathState, RequestId, RequestProgress};
 
 use super::Engine;
 use crate::{
@@ -105,8 +105,9 @@
 
     /// Takes the most recently used idle connection to the target.
     ///
-    /// A connection that another instance carries is used only if that instance is in one of the
-    /// `allowed` regions. Where the assignment needs a fresh connection, one that has been idle for
+    /// A connection that another instance carries is used only while the target can't be reached
+    /// directly, since to the target it is that instance which sends; and only if that one is in one of
+    /// the `allowed` regions. Where the assignment needs a fresh connection, one that has been idle for
     /// too long is not used: the target may have closed it, and a request lost on it can't be sent
     /// again.
     pub(super) fn take_connection(
@@ -117,12 +118,16 @@
         allowed: &BTreeSet<RegionId>,
     ) -> Option<Connection> {
         let relays = &self.relays;
+        let is_relay_needed =
+            assignment.prefers_relay || self.dispatcher.path_state() == PathState::Relayed;
         let may_carry = |connection: &Connection| {
             connection.relay.as_ref().is_none_or(|instance| {
                 let mut known = relays.iter();
-                known.any(|(region, relay)| {
-                    relay.instance == *instance && (allowed.is_empty() || allowed.contains(region))
-                })
+                is_relay_needed
+                    && known.any(|(region, relay)| {
+                        relay.instance == *instance
+                            && (allowed.is_empty() || allowed.contains(region))
+                    })
             })
         };
         let connections = self.idle_connections.get_mut(&assignment.target)?;
