refactor(daemon): the rank of a source of tables is worked out only for heartbeats that bring news

The doc of a heartbeat's format no longer names the module that reads it, which made a ring of imports of the two.

--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -71,7 +71,7 @@
     pub table_positions: Vec<u64>,
     /// Whether the sender reaches the targets itself, not through other instances.
     pub has_target_path: bool,
-    /// Format of the sender's messages ([`crate::format`]).
+    /// Format of the sender's messages.
     pub format: u32,
     /// Version of the sender's build, for operators.
     pub build: String,
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -193,11 +193,14 @@
                 positions,
                 confirmed_at,
             } => {
-                let rank = self.fetch_rank(&from);
-                let mut is_up_to_date = true;
+                let mut reported = self.tables.iter().zip(&positions);
+                let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
+                // Most heartbeats bring no news, so the rank is worked out only for those that do.
+                let rank = (!is_up_to_date).then(|| self.fetch_rank(&from));
                 for (table, position) in self.tables.iter_mut().zip(positions) {
-                    is_up_to_date &= position <= table.replica.position();
-                    table.catch_up.on_report(now, from.clone(), position, rank);
+                    if let Some(rank) = rank {
+                        table.catch_up.on_report(now, from.clone(), position, rank);
+                    }
                     if let Some(at) = confirmed_at {
                         table.replica.on_contact(at);
                     }
