--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -27,6 +27,7 @@
         "pipelined-leave" => cases::pipelined_leave(&folder, has_trouble),
         "silent-connections" => cases::silent_connections(&folder, has_trouble),
         "deadly-request" => cases::deadly_request(&folder, has_trouble),
+        "large-bodies" => cases::large_bodies(&folder, has_trouble),
         _ => None,
     };
     exit(match outcome {
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -154,6 +154,22 @@
         wire.write(request).is_ok() && wire.read().is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// The memory that the process holds, without the pages of its program.
+    pub fn memory_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1024
+    }
+
+    /// Ends the process as the platform does when it holds too much memory.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -55,6 +55,8 @@
     pub is_cold: bool,
     /// Whether the request crashes the server that begins to run it.
     pub is_deadly: bool,
+    /// Whether the server was slow.
+    pub is_slow: bool,
 }
 
 struct Slots {
@@ -70,6 +72,8 @@
     /// Number of the current life; connections of earlier ones are closed.
     life: AtomicU64,
     is_up: AtomicBool,
+    /// Factor by which work takes longer than usual.
+    slowness: AtomicU64,
     cold_until: Mutex<Instant>,
     slots: Mutex<Slots>,
     freed: Condvar,
@@ -92,6 +96,7 @@
             record,
             life: AtomicU64::new(0),
             is_up: AtomicBool::new(false),
+            slowness: AtomicU64::new(1),
             cold_until: Mutex::new(Instant::now()),
             slots: Mutex::new(Slots {
                 running: 0,
@@ -119,6 +124,13 @@
             .note(&format!("server {} is down", self.options.id));
     }
 
+    /// Lets all work that begins from now on take `factor` times as long.
+    pub fn slow_down(&self, factor: u64) {
+        self.slowness.store(factor, Ordering::SeqCst);
+        self.record
+            .note(&format!("server {} turns slow", self.options.id));
+    }
+
     /// Starts it again at the same address under the same id: a new life that is cold. Its first
     /// entry is written `entry_after` the start.
     pub fn restart(self: Arc<Self>, entry_after: Duration) {
@@ -259,6 +271,7 @@
                 is_cut: false,
                 is_cold,
                 is_deadly: path.contains(DEADLY),
+                is_slow: self.slowness.load(Ordering::SeqCst) > 1,
             });
             runs.len() - 1
         };
@@ -297,6 +310,7 @@
             .split_once("w=")
             .and_then(|(_, text)| text.split('&').next()?.parse().ok())
             .unwrap_or(20);
+        let work = work * self.slowness.load(Ordering::SeqCst);
         let until = began + Duration::from_millis(work);
         let is_cut = loop {
             let now = Instant::now();
