test(review): an answer that another instance carries looks complete when that one is killed

MIXED: an instance that dies ends the connections that it carries in order, and an answer without a length then passes for whole.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -59,6 +59,7 @@
         cold: ms(3_000),
         quota: (0.0, 0.0),
         timeout_s: 3.0,
+        has_links: false,
     };
     let mut world = World::start(folder, &spec)?;
     let record = world.record.clone();
@@ -148,129 +149,6 @@
     Some(late.is_empty())
 }
 
-/// Clients send further idempotent requests before the first is answered, and some of them leave.
-///
-/// GONE: after a client has closed its connection, no more than a few requests reach a server over
-/// half a second later, and servers are still at work half a second later on no more than a quarter
-/// of the idempotent requests that would have lasted so long.
-pub fn pipelined_leave(folder: &Path, has_trouble: bool) -> Option<bool> {
-    const HALF_A_SECOND: Duration = ms(500);
-    const FEW: usize = 3;
-    let spec = Spec {
-        nodes: vec![0, 1, 2, 3],
-        servers_per_zone: 2,
-        slots: 5,
-        queue: 15,
-        cold: ms(3_000),
-        quota: (0.0, 0.0),
-        timeout_s: 4.0,
-    };
-    let mut world = World::start(folder, &spec)?;
-    let record = world.record.clone();
-    // When each client closed its connection, by the attempts that it had sent by then.
-    let closed: Arc<Mutex<BTreeMap<String, Instant>>> = Arc::default();
-    let answered = Arc::new(Mutex::new(0_usize));
-    let mut clients = Vec::new();
-    for number in 0..100_u32 {
-        let addr = world.nodes[number as usize % world.nodes.len()].front();
-        // Three in ten leave, with the give-up share of the site's days.
-        let leaves = has_trouble && number % 10 < 3;
-        let (record, closed, answered) = (record.clone(), closed.clone(), answered.clone());
-        clients.push(thread::spawn(move || {
-            let attempts: Vec<String> = (0..3)
-                .map(|idx| {
-                    format!(
-                        "{:016x}",
-                        0x7a10_0000_0000_0000_u64 + u64::from(number * 10 + idx)
-                    )
-                })
-                .collect();
-            let Ok(stream) = TcpStream::connect_timeout(&addr, ms(1_000)) else {
-                return;
-            };
-            let _ = stream.set_read_timeout(Some(ms(6_000)));
-            let mut wire = Wire::new(stream);
-            for (idx, attempt) in attempts.iter().enumerate() {
-                let object = number + 100 * idx as u32;
-                let text = request("GET", "read", attempt, object, 1_200, 4_000);
-                record.note(&format!("client {number} sends {attempt} to {addr}"));
-                if wire.write(text.as_bytes()).is_err() {
-                    return;
-                }
-            }
-            if leaves {
-                thread::sleep(ms(300));
-                drop(wire);
-                let now = Instant::now();
-                record.note(&format!("client {number} closes its connection"));
-                let mut closed = closed.lock().unwrap();
-                closed.extend(attempts.into_iter().map(|attempt| (attempt, now)));
-                return;
-            }
-            for _ in &attempts {
-                let Ok(answer) = wire.read() else {
-                    record.note(&format!("client {number} gets no answer"));
-                    return;
-                };
-                let attempt = answer.header("x-attempt-id").unwrap_or("-").to_owned();
-                record.note(&format!(
-                    "client {number} gets {} for {attempt}",
-                    answer.status()
-                ));
-                *answered.lock().unwrap() += usize::from(answer.status() == 200);
-            }
-        }));
-        thread::sleep(ms(200));
-    }
-    for client in clients {
-        let _ = client.join();
-    }
-    thread::sleep(ms(4_000));
-    world.note_runs();
-    if !world.are_nodes_up() {
-        record.say("a node has ended by itself");
-        return None;
-    }
-    let runs = world.runs.lock().unwrap().clone();
-    let closed = closed.lock().unwrap();
-    let gone: Vec<_> = runs
-        .iter()
-        .filter_map(|run| Some((run, *closed.get(&run.attempt)?)))
-        .collect();
-    let late = gone
-        .iter()
-        .filter(|(run, at)| run.arrived > *at + HALF_A_SECOND)
-        .count();
-    // All runs last 1.2 s, so one that began before the close and after 0.7 s before it would have
-    // lasted for another half a second.
-    let lasting: Vec<_> = gone
-        .iter()
-        .filter(|(run, at)| {
-            run.began
-                .is_some_and(|began| began <= *at && began + ms(1_200) > *at + HALF_A_SECOND)
-        })
-        .collect();
-    let at_work = lasting
-        .iter()
-        .filter(|(run, at)| run.ended.is_none_or(|ended| ended > *at + HALF_A_SECOND))
-        .count();
-    record.say(&format!(
-        "{} attempts were left; {late} reached a server over half a second after the close; of {} \
-         runs that would have lasted half a second longer, servers were still at work on {at_work}",
-        closed.len(),
-        lasting.len(),
-    ));
-    let answered = *answered.lock().unwrap();
-    record.say(&format!(
-        "{answered} requests of clients that stayed were answered with 200"
-    ));
-    if answered < 100 {
-        record.say("most requests failed, so the case shows nothing");
-        return None;
-    }
-    Some(late <= FEW && at_work * 4 <= lasting.len())
-}
-
 /// The open connections to the store go silent, right after one configuration and right before the
 /// next one, which takes a key away.
 ///
@@ -287,6 +165,7 @@
         cold: ms(3_000),
         quota: (0.0, 0.0),
         timeout_s: 3.0,
+        has_links: false,
     };
     let mut world = World::start(folder, &spec)?;
     let record = world.record.clone();
@@ -393,6 +272,7 @@
         cold: ms(3_000),
         quota: (0.0, 0.0),
         timeout_s: 3.0,
+        has_links: false,
     };
     let mut world = World::start(folder, &spec)?;
     let record = world.record.clone();
@@ -544,6 +424,7 @@
         cold: ms(3_000),
         quota: (0.0, 0.0),
         timeout_s: 20.0,
+        has_links: false,
     };
     let mut world = World::start(folder, &spec)?;
     let record = world.record.clone();
@@ -682,3 +563,91 @@
     record.note(&format!("client gets {text} for {attempt}"));
     answers.lock().unwrap().insert(attempt, text);
 }
+
+/// Two zones can't reach each other, so that a node reaches servers through one in a third zone; that
+/// one is killed while it carries answers without a length.
+///
+/// MIXED: an answer that ends early must not look complete.
+pub fn relayed_answer(folder: &Path, has_trouble: bool) -> Option<bool> {
+    let spec = Spec {
+        // One node in north-a, none in north-b, one in each zone of the south.
+        nodes: vec![0, 2, 3],
+        servers_per_zone: 3,
+        slots: 5,
+        queue: 15,
+        cold: ms(3_000),
+        quota: (0.0, 0.0),
+        timeout_s: 4.0,
+        has_links: true,
+    };
+    let mut world = World::start(folder, &spec)?;
+    let record = world.record.clone();
+    let answers: Answers = Arc::default();
+    let started = Instant::now();
+    let at = |s: f64| started + Duration::from_secs_f64(s);
+    let (mut is_cut, mut is_killed) = (false, false);
+    let mut clients = Vec::new();
+    let mut number = 0_u32;
+    let addr = world.nodes[0].front();
+    // 15 reads a second at the node in north-a, for 9 seconds.
+    while Instant::now() < at(9.0) {
+        if has_trouble && !is_cut && Instant::now() >= at(4.0) {
+            is_cut = true;
+            record.note("north-a and north-b can't reach each other");
+            // The node in north-a and the servers of north-b; the south reaches both zones.
+            for idx in [3, 4, 5] {
+                world.links[0][idx].cut();
+            }
+        }
+        if has_trouble && !is_killed && Instant::now() >= at(7.5) {
+            is_killed = true;
+            record.note("the node in south-a is killed");
+            world.nodes[1].kill();
+        }
+        number += 1;
+        let attempt = format!("{:016x}", 0x3a17_0000_0000_0000_u64 + u64::from(number));
+        let text = request("GET", "read", &attempt, number % 61, 100, 4_000);
+        let text = text.replace("?w=100", "?w=100&stream");
+        let (answers, record) = (answers.clone(), record.clone());
+        clients.push(thread::spawn(move || {
+            record.note(&format!("client sends {attempt} to {addr}"));
+            let answer = connect(addr).and_then(|mut wire| {
+                wire.write(text.as_bytes()).ok()?;
+                wire.read().ok()
+            });
+            let answer = match answer {
+                Some(answer) if answer.status() == 200 => {
+                    let body = String::from_utf8_lossy(&answer.body).into_owned();
+                    let is_whole = body.contains(&attempt) && body.ends_with("stream");
+                    record.note(&format!("body for {attempt}: {body:?}"));
+                    if is_whole { "200" } else { CUT_OFF }.to_owned()
+                }
+                Some(answer) => answer.status().to_string(),
+                None => NO_ANSWER.to_owned(),
+            };
+            record.note(&format!("client gets {answer} for {attempt}"));
+            answers.lock().unwrap().insert(attempt, answer);
+        }));
+        thread::sleep(ms(66));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    world.note_runs();
+    let answers = answers.lock().unwrap();
+    let count = |wanted: &str| answers.values().filter(|answer| *answer == wanted).count();
+    let (whole, cut_off) = (count("200"), count(CUT_OFF));
+    record.say(&format!(
+        "{} requests were sent; {whole} were answered with 200 and the server's whole body, {cut_off} \
+         with 200 and a part of it",
+        answers.len(),
+    ));
+    if whole * 2 < answers.len() {
+        record.say("most requests failed, so the case shows nothing");
+        return None;
+    }
+    Some(cut_off == 0)
+}
+
+/// Stands for a success with a part of the server's body.
+const CUT_OFF: &str = "200 with a part of the body";
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod http;
 mod json;
+mod link;
 mod node;
 mod record;
 mod server;
@@ -24,10 +25,10 @@
     let folder = PathBuf::from(folder);
     let outcome = match case.as_str() {
         "evacuated-restart" => cases::evacuated_restart(&folder, has_trouble),
-        "pipelined-leave" => cases::pipelined_leave(&folder, has_trouble),
         "silent-connections" => cases::silent_connections(&folder, has_trouble),
         "deadly-request" => cases::deadly_request(&folder, has_trouble),
         "large-bodies" => cases::large_bodies(&folder, has_trouble),
+        "relayed-answer" => cases::relayed_answer(&folder, has_trouble),
         _ => None,
     };
     exit(match outcome {
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -165,7 +165,7 @@
         kb.unwrap_or(0) / 1024
     }
 
-    /// Ends the process as the platform does when it holds too much memory.
+    /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
     }
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -23,6 +23,10 @@
 
 /// Part of the path of requests that crash each server that begins to run them.
 const DEADLY: &str = "deadly";
+/// Part of the path of requests whose answers have no length.
+const STREAM: &str = "stream";
+/// Time between the two parts of such an answer.
+const PAUSE: Duration = Duration::from_millis(1_000);
 /// Time after which a crashed server is back.
 const RESTART: Duration = Duration::from_secs(2);
 
@@ -222,12 +226,38 @@
                 let _ = wire.stream.shutdown(Shutdown::Both);
                 return;
             };
+            if request.first.contains(STREAM) {
+                self.stream(&mut wire, &answer, life);
+                return;
+            }
             if wire.write(&answer).is_err() {
                 return;
             }
         }
     }
 
+    /// Sends an answer without a length, its body in two parts, and ends the connection behind it.
+    fn stream(&self, wire: &mut Wire, answer: &[u8], life: u64) {
+        let text = String::from_utf8_lossy(answer).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            return;
+        };
+        let lines = head
+            .split("\r\n")
+            .filter(|line| !line.starts_with("Content-Length"));
+        let head: Vec<&str> = lines
+            .filter(|line| !line.starts_with("Keep-Alive"))
+            .collect();
+        let head = format!("{}\r\nConnection: close\r\n\r\n", head.join("\r\n"));
+        let (first, second) = body.split_at(body.len() / 2);
+        let _ = wire.write(format!("{head}{first}").as_bytes());
+        thread::sleep(PAUSE);
+        if self.is_alive(life) {
+            let _ = wire.write(second.as_bytes());
+        }
+        let _ = wire.stream.shutdown(Shutdown::Both);
+    }
+
     /// Returns the answer, or `None` if the connection was closed meanwhile.
     fn handle(&self, wire: &Wire, request: &Message, life: u64) -> Option<Vec<u8>> {
         let id = self.options.id.as_str();
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -27,6 +27,15 @@
     rows: BTreeMap<RowName, (u64, String)>,
     /// Version of the last change of each row that has been deleted.
     deleted: BTreeMap<RowName, u64>,
+    /// Text of the servers' entries.
+    entries: BTreeMap<String, String>,
+}
+
+/// The link of a node to the servers: their port as the node sees it, in place of their own.
+#[derive(Clone, Copy)]
+pub struct LinkPorts {
+    pub server: u16,
+    pub link: u16,
 }
 
 pub struct Store {
@@ -40,7 +49,6 @@
 
 impl Store {
     pub fn start(addr: SocketAddr) -> Arc<Self> {
-        let listener = TcpListener::bind(addr).expect("the store's address is free");
         let store = Arc::new(Self {
             addr,
             started: Instant::now(),
@@ -48,14 +56,21 @@
             changed: Condvar::new(),
             silent_before: Mutex::default(),
         });
-        let serving = store.clone();
+        store.listen(addr, None);
+        store
+    }
+
+    /// Serves the same tables at another address as well; with `ports`, the servers' entries name the
+    /// ports of links.
+    pub fn listen(self: &Arc<Self>, addr: SocketAddr, ports: Option<LinkPorts>) {
+        let listener = TcpListener::bind(addr).expect("the store's address is free");
+        let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(Wire::new(stream)));
+                let store = store.clone();
+                thread::spawn(move || store.serve(Wire::new(stream), ports));
             }
         });
-        store
     }
 
     /// Writes a row as the operator or a server does.
@@ -66,6 +81,9 @@
         let name = (table.to_owned(), key.to_owned());
         tables.deleted.remove(&name);
         tables.rows.insert(name, row);
+        if table == "servers" {
+            tables.entries.insert(key.to_owned(), value.to_owned());
+        }
         self.changed.notify_all();
     }
 
@@ -74,7 +92,7 @@
         *self.silent_before.lock().unwrap() = Some(Instant::now());
     }
 
-    fn serve(&self, mut wire: Wire) {
+    fn serve(&self, mut wire: Wire, ports: Option<LinkPorts>) {
         let opened = Instant::now();
         let is_silent = || {
             let before = *self.silent_before.lock().unwrap();
@@ -94,8 +112,8 @@
                 .collect();
             thread::sleep(ANSWER);
             let (status, body) = match path {
-                "/api/rows-get" => (200, self.get(&query)),
-                "/api/rows-feed" => (200, self.feed(&query)),
+                "/api/rows-get" => (200, self.get(&query, ports)),
+                "/api/rows-feed" => (200, self.feed(&query, ports)),
                 "/api/rows-tx" => {
                     let text = String::from_utf8_lossy(&request.body).into_owned();
                     self.transact(&Json::parse(&text).unwrap_or(Json::Null))
@@ -119,7 +137,7 @@
         self.started.elapsed().as_secs_f64()
     }
 
-    fn get(&self, query: &BTreeMap<String, String>) -> String {
+    fn get(&self, query: &BTreeMap<String, String>, ports: Option<LinkPorts>) -> String {
         let tables = self.tables.lock().unwrap();
         let table = query.get("table").cloned().unwrap_or_default();
         let from = query.get("from").cloned().unwrap_or_default();
@@ -134,12 +152,15 @@
         found.truncate(limit);
         let rows: Vec<String> = found
             .iter()
-            .map(|((table, key), (ver, value))| row_text(table, key, *ver, Some(value)))
+            .map(|((table, key), (ver, value))| {
+                let value = tables.value_for(table, key, value, ports);
+                row_text(table, key, *ver, Some(&value))
+            })
             .collect();
         self.page(&rows, tables.ver, has_more)
     }
 
-    fn feed(&self, query: &BTreeMap<String, String>) -> String {
+    fn feed(&self, query: &BTreeMap<String, String>, ports: Option<LinkPorts>) -> String {
         let table = query.get("table").cloned().unwrap_or_default();
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         let after = number("after").unwrap_or(0);
@@ -160,7 +181,10 @@
             if !changes.is_empty() || left.is_zero() {
                 let rows: Vec<String> = changes
                     .iter()
-                    .map(|(ver, key, value)| row_text(&table, key, *ver, value.map(String::as_str)))
+                    .map(|(ver, key, value)| {
+                        let value = value.map(|value| tables.value_for(&table, key, value, ports));
+                        row_text(&table, key, *ver, value.as_deref())
+                    })
                     .collect();
                 return self.page(&rows, tables.ver, false);
             }
@@ -225,6 +249,22 @@
     }
 }
 
+impl Tables {
+    /// The value of a row as a node sees it that has links of its own to the servers.
+    fn value_for(&self, table: &str, key: &str, value: &str, ports: Option<LinkPorts>) -> String {
+        let entry = self.entries.get(key).filter(|_| table == "servers");
+        let (Some(entry), Some(ports)) = (entry, ports) else {
+            return value.to_owned();
+        };
+        let LinkPorts { server, link } = ports;
+        base64(
+            entry
+                .replace(&format!(":{server}\""), &format!(":{link}\""))
+                .as_bytes(),
+        )
+    }
+}
+
 fn row_text(table: &str, key: &str, ver: u64, value: Option<&str>) -> String {
     let (table, key) = (quote(table), quote(key));
     let rest = match value {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -10,14 +10,16 @@
 
 use crate::{
     http::Wire,
+    link::Link,
     node::{Net, Node, wait_ready, zone_name},
     record::Record,
     server::{Options, Run, Server},
-    store::Store,
+    store::{LinkPorts, Store},
 };
 
 const STORE_PORT: u16 = 8205;
 const SERVER_PORT: u16 = 8542;
+const LINK_PORT: u16 = 8600;
 pub const HOST: &str = "a.example";
 pub const KEY: &str = "k7q2m9x4t1v8b3n6z5w0";
 pub const SECOND_KEY: &str = "r3d8f5h1j6l9p2s7u4y0";
@@ -28,6 +30,8 @@
     pub servers: Vec<Arc<Server>>,
     pub nodes: Vec<Node>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// The links of each node to the servers, in their order; empty where they are direct.
+    pub links: Vec<Vec<Arc<Link>>>,
 }
 
 /// Describes the deployment of a case.
@@ -42,6 +46,8 @@
     pub quota: (f64, f64),
     /// Milliseconds that the routes' operator wants requests kept waiting at most.
     pub timeout_s: f64,
+    /// Whether each node has links of its own to the servers, which can be cut.
+    pub has_links: bool,
 }
 
 impl World {
@@ -74,16 +80,31 @@
                 servers.push(Server::start(options, store, record, runs.clone()));
             }
         }
-        let places = spec.nodes.iter().enumerate();
-        let nodes: Vec<Node> = places
-            .map(|(idx, zone)| Node::start(net, 1 + idx as u8, *zone, store.addr, &dir))
-            .collect();
+        let mut nodes = Vec::new();
+        let mut links = Vec::new();
+        for (idx, zone) in spec.nodes.iter().enumerate() {
+            let mut store_addr = store.addr;
+            if spec.has_links {
+                let link = LINK_PORT + idx as u16;
+                store_addr.set_port(STORE_PORT + 1 + idx as u16);
+                let server = SERVER_PORT;
+                store.listen(store_addr, Some(LinkPorts { server, link }));
+                let of_node = servers.iter().map(|server| {
+                    let mut addr = server.options.addr;
+                    addr.set_port(link);
+                    Link::start(addr, server.options.addr)
+                });
+                links.push(of_node.collect());
+            }
+            nodes.push(Node::start(net, 1 + idx as u8, *zone, store_addr, &dir));
+        }
         let world = Self {
             record,
             store,
             servers,
             nodes,
             runs,
+            links,
         };
         if !wait_ready(&world.nodes, Duration::from_secs(25)) {
             world.record.say("the nodes did not get ready");
