fix(review): a closed standard output doesn't end a case

Seen when the output of a script went to a reader that ended early: the stand-in panicked and the script exited with 2.

--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -29,6 +29,6 @@
     /// Writes a line to the record and to standard output.
     pub fn say(&self, text: &str) {
         self.note(text);
-        println!("{text}");
+        let _ = writeln!(std::io::stdout(), "{text}");
     }
 }
