feat(daemon): lines tell how old the configuration was and why a read failed

Request lines carry config_age_ms, the time since their revision was last known to be the latest, also those of refused requests, which had no revision before. table_unread says of each failed read whether no answer came or the platform refused, how long it waited and how long the table has had no answer. config_in_force names where the news came from and how long the instance had had none. table_older tells a store that answers from before. Gauges config_age_ms, operator_rows_age_ms, target_rows_age_ms. 'why' prints the age.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -111,6 +111,12 @@
                 number("deadline_ms")
             ));
         }
+        if let Some(age) = line["config_age_ms"].as_u64() {
+            self.lines.push(format!(
+                "  revision {} had last been known to be the latest {age} ms before",
+                number("revision")
+            ));
+        }
         for attempt in line["attempts"].as_array().into_iter().flatten() {
             self.lines.push(format!("  {}", describe_attempt(attempt)));
         }
--- a/crates/coord/src/version_tracker.rs
+++ b/crates/coord/src/version_tracker.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Returns the time at which it was last confirmed that no newer usable version existed.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
+    }
+
     /// Returns the time since the last confirmation that no newer usable version existed.
     pub fn confirmation_age(&self, now: Time) -> Option<Duration> {
         self.confirmed_at.map(|at| now - at)
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -300,9 +300,11 @@
                     != view.config.as_ref().map(|(version, _)| *version)
         };
         let valid_until = now + FRESHNESS_VALIDITY;
+        let confirmed_at = self.versions.confirmed_at();
         let _ = self.outputs.engine.send(Event::ConfigFreshness {
             freshness,
             valid_until,
+            confirmed_at,
         });
         if is_changed {
             self.set_alarm("alone", freshness == Freshness::Isolated);
@@ -310,10 +312,7 @@
         }
         let command = PeerCommand::SetHead {
             head: self.versions.active().cloned(),
-            confirmed_at: self
-                .versions
-                .confirmation_age(now)
-                .map(|age| Time::from_micros(now.as_micros() - age.as_micros() as u64)),
+            confirmed_at,
         };
         let _ = self.outputs.peers.send(command).await;
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod relay;
 pub mod rpc;
 pub mod slots;
+mod table_logs;
 mod table_reads;
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -24,7 +24,8 @@
     fleet::Fleet,
     message::{FollowerMessage, PeerCommand},
     rpc,
-    table_reads::{Fetch, TableRead, log_fetch, poll_table, to_row_change, to_snapshot},
+    table_logs::{NewsSource, age_ms, log_fetch, log_older, log_rates, log_read_failure},
+    table_reads::{Fetch, TableRead, poll_table, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -41,6 +42,9 @@
 /// isolated.
 const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
 
+/// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
+const TABLE_AGE_GAUGES: [&str; 2] = ["operator_rows_age_ms", "target_rows_age_ms"];
+
 /// Holds a configuration composed from the followed tables.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ComposedConfig {
@@ -151,6 +155,7 @@
         let (tx, mut reads) = mpsc::channel(16);
         for (idx, table) in self.options.followed.tables.iter().enumerate() {
             let poll = poll_table(
+                self.options.clock,
                 self.options.platform.clone(),
                 table.clone(),
                 idx,
@@ -230,29 +235,39 @@
 
     fn apply_read(&mut self, idx: usize, read: TableRead) {
         let now = self.options.clock.now();
+        let known_at = self.confirmed_at();
+        let name = self.options.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
-        let is_own_read = !matches!(read, TableRead::Fetched(_));
+        let before = table.replica.position();
+        let mut source = NewsSource::Platform;
         let is_changed = match read {
-            TableRead::Failed => {
+            TableRead::Failed(failure) => {
+                log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.replica.on_read_failure(now);
                 table.catch_up.on_read_failure();
                 table.is_reachable = false;
                 false
             }
             TableRead::Fetched(fetch) => {
-                let name = self.options.followed.tables[idx].as_str();
-                log_fetch(now, name, table.replica.position(), &fetch);
+                log_fetch(now, name, before, &fetch);
+                source = NewsSource::Instance(fetch.from);
                 let snapshot = fetch.snapshot;
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(rows, position) => {
+                if position < before {
+                    log_older(name, before, position);
+                }
                 table.is_reachable = true;
                 table.confirmed_at = Some(now);
                 table.replica.on_contact(now);
                 table.replica.replace(now, to_snapshot(rows, position))
             }
             TableRead::Changes(changes, position) => {
+                if position < before {
+                    log_older(name, before, position);
+                }
                 table.is_reachable = true;
                 table.confirmed_at = Some(now);
                 table.replica.on_contact(now);
@@ -261,19 +276,18 @@
             }
         };
         let position = table.replica.position();
-        if is_own_read {
+        if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
         } else {
             table.catch_up.on_position(now, position);
         }
         if was_reachable != table.is_reachable {
-            let name = self.options.followed.tables[idx].as_str();
             let is_reachable = table.is_reachable;
             tracing::info!(event = "store", table = name, is_reachable);
             self.set_alarm("store_unreachable", !is_reachable);
         }
         if is_changed {
-            self.compose();
+            self.compose(now, known_at, &source);
         }
     }
 
@@ -281,6 +295,7 @@
     /// [`PEER_FETCH_DELAYS`], and removes rows whose grace period is over.
     fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
         let now = self.options.clock.now();
+        let known_at = self.confirmed_at();
         let fleet = self.options.fleet.borrow().clone();
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
@@ -305,7 +320,7 @@
             });
         }
         if is_changed {
-            self.compose();
+            self.compose(now, known_at, &NewsSource::GracePeriod);
         }
     }
 
@@ -319,7 +334,9 @@
         due.fold(usual, Time::min).max(refreshed_at)
     }
 
-    fn compose(&mut self) {
+    /// Composes the configuration for news that came from `source` to an instance whose tables were
+    /// last confirmed at `known_at`.
+    fn compose(&mut self, now: Time, known_at: Option<Time>, source: &NewsSource) {
         if self
             .tables
             .iter()
@@ -351,6 +368,8 @@
             routes = composed.config.routes.len(),
             targets,
             drained = ?composed.config.drains.targets_in_domains,
+            %source,
+            blind_ms = age_ms(now, known_at),
         );
         self.version = composed.version;
         log_rates(self.composed.as_deref(), &composed.config);
@@ -380,8 +399,10 @@
         let event = Event::ConfigFreshness {
             freshness,
             valid_until,
+            confirmed_at,
         };
         let _ = self.options.engine.send(event);
+        self.publish_age(now, confirmed_at);
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.composed.clone();
         let view = View {
@@ -431,21 +452,22 @@
         }
     }
 
-    fn set_alarm(&self, name: &str, is_on: bool) {
+    /// Sets the gauges of the time since the last answer for each table, and since the configuration
+    /// was last known to be the latest.
+    fn publish_age(&self, now: Time, confirmed_at: Option<Time>) {
         let gauges = &self.options.metrics.gauges;
-        gauges.with_label_values(&[name]).set(i64::from(is_on));
+        let set = |name: &str, at| {
+            let age = age_ms(now, at).and_then(|age| i64::try_from(age).ok());
+            gauges.with_label_values(&[name]).set(age.unwrap_or(-1));
+        };
+        set("config_age_ms", confirmed_at);
+        for (table, gauge) in self.tables.iter().zip(TABLE_AGE_GAUGES) {
+            set(gauge, table.confirmed_at);
+        }
     }
-}
 
-/// Logs each workspace whose rate or burst has changed.
-fn log_rates(old: Option<&Config>, new: &Config) {
-    for (workspace, now) in &new.workspaces {
-        let before = old.and_then(|old| old.workspaces.get(workspace));
-        let is_same = before.is_some_and(|old| old.rate == now.rate && old.burst == now.burst);
-        if !is_same {
-            let (rate, burst) = (now.rate, now.burst);
-            let before = before.map_or(0.0, |old| old.rate);
-            tracing::info!(event = "rate", %workspace, rate, burst, before);
-        }
+    fn set_alarm(&self, name: &str, is_on: bool) {
+        let gauges = &self.options.metrics.gauges;
+        gauges.with_label_values(&[name]).set(i64::from(is_on));
     }
 }
--- /dev/null
+++ b/crates/daemon/src/table_logs.rs
@@ -0,0 +1,84 @@
+//! Log lines about reads of the followed tables and what they put in force.
+
+use base::{Config, InstanceId, Time};
+use derive_more::Display;
+
+use crate::table_reads::{Fetch, ReadFailure};
+
+/// Where the news came from that a configuration was composed for.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) enum NewsSource {
+    /// An own read of the platform.
+    #[display("platform")]
+    Platform,
+    /// Another instance's copy of the table.
+    #[display("{_0}")]
+    Instance(InstanceId),
+    /// The end of the time for which a removed row is kept.
+    #[display("grace period")]
+    GracePeriod,
+}
+
+/// Logs that a table could not be read; `blind_ms` is the time since its last answer.
+pub(crate) fn log_read_failure(
+    now: Time,
+    table: &str,
+    position: u64,
+    answered_at: Option<Time>,
+    failure: &ReadFailure,
+) {
+    let reason = if failure.is_unanswered {
+        "no answer"
+    } else {
+        "unavailable"
+    };
+    let waited_ms = failure.waited.as_millis() as u64;
+    let blind_ms = age_ms(now, answered_at);
+    tracing::info!(
+        event = "table_unread",
+        table,
+        reason,
+        waited_ms,
+        blind_ms,
+        position,
+    );
+}
+
+/// Logs that the platform answered a read from before the position that it had reached.
+pub(crate) fn log_older(table: &str, own_position: u64, position: u64) {
+    tracing::warn!(event = "table_older", table, own_position, position);
+}
+
+/// Logs that another instance was asked for a table, and what it had.
+pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
+    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
+    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
+    let took_ms = (now - fetch.asked_at).as_millis() as u64;
+    tracing::info!(
+        event = "table_fetched",
+        table,
+        from = %fetch.from,
+        before,
+        position,
+        rows,
+        took_ms,
+    );
+}
+
+/// Logs each workspace whose rate or burst has changed.
+pub(crate) fn log_rates(old: Option<&Config>, new: &Config) {
+    for (workspace, now) in &new.workspaces {
+        let before = old.and_then(|old| old.workspaces.get(workspace));
+        let is_same = before.is_some_and(|old| old.rate == now.rate && old.burst == now.burst);
+        if !is_same {
+            let (rate, burst) = (now.rate, now.burst);
+            let before = before.map_or(0.0, |old| old.rate);
+            tracing::info!(event = "rate", %workspace, rate, burst, before);
+        }
+    }
+}
+
+/// Returns the time since `at`, in milliseconds.
+pub(crate) fn age_ms(now: Time, at: Option<Time>) -> Option<u64> {
+    at.map(|at| (now - at).as_millis() as u64)
+}
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -4,6 +4,7 @@
 
 use base::{InstanceId, Time};
 use coord::{RowChange, TableSnapshot};
+use entry::view::Clock;
 use platform::{Change, Platform, PlatformError};
 use tokio::{sync::mpsc, time::sleep};
 
@@ -21,10 +22,19 @@
 pub(crate) enum TableRead {
     Changes(Vec<Change>, u64),
     Snapshot(Vec<Change>, u64),
-    Failed,
+    Failed(ReadFailure),
     Fetched(Fetch),
 }
 
+/// Describes a read of the platform that brought nothing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadFailure {
+    /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
+    pub(crate) is_unanswered: bool,
+    /// Time from the call to its failure.
+    pub(crate) waited: Duration,
+}
+
 /// Carries what another instance answered when it was asked for a table.
 #[derive(Debug)]
 pub(crate) struct Fetch {
@@ -35,15 +45,18 @@
 
 /// Polls one table and sends what it reads to `tx`, until the receiver is dropped.
 pub(crate) async fn poll_table(
+    clock: Clock,
     platform: Platform,
     table: String,
     idx: usize,
     tx: mpsc::Sender<(usize, TableRead)>,
 ) {
-    let platform = platform.timeout(POLL_WAIT + POLL_TIMEOUT_MARGIN);
+    let timeout = POLL_WAIT + POLL_TIMEOUT_MARGIN;
+    let platform = platform.timeout(timeout);
     let mut position = None;
     let mut retry_delay = MIN_RETRY_DELAY;
     loop {
+        let sent_at = clock.now();
         let read = match position {
             None => platform
                 .snapshot(&table)
@@ -64,9 +77,15 @@
                 position = None;
                 continue;
             }
-            Err(_) => TableRead::Failed,
+            Err(_) => {
+                let waited = clock.now() - sent_at;
+                TableRead::Failed(ReadFailure {
+                    is_unanswered: waited >= timeout,
+                    waited,
+                })
+            }
         };
-        let is_failed = matches!(read, TableRead::Failed);
+        let is_failed = matches!(read, TableRead::Failed(_));
         if tx.send((idx, read)).await.is_err() {
             return;
         }
@@ -79,22 +98,6 @@
     }
 }
 
-/// Logs that another instance was asked for a table, and what it had.
-pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
-    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
-    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
-    let took_ms = (now - fetch.asked_at).as_millis() as u64;
-    tracing::info!(
-        event = "table_fetched",
-        table,
-        from = %fetch.from,
-        before,
-        position,
-        rows,
-        took_ms,
-    );
-}
-
 pub(crate) fn to_row_change(change: Change) -> RowChange {
     RowChange {
         name: change.row,
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -78,6 +78,7 @@
     rng: Pcg32,
     freshness: Freshness,
     freshness_valid_until: Time,
+    confirmed_at: Option<Time>,
     keys: KeyIndex,
     admission: AdmissionController,
     dispatcher: Dispatcher,
@@ -152,6 +153,7 @@
             rng: Pcg32::seed_from_u64(options.seed),
             freshness: Freshness::Empty,
             freshness_valid_until: Time::ZERO,
+            confirmed_at: None,
             keys: KeyIndex::default(),
             admission: AdmissionController::new(options.split),
             dispatcher: Dispatcher::new(options.region, options.seed, options.policy)?,
@@ -259,9 +261,11 @@
             Event::ConfigFreshness {
                 freshness,
                 valid_until,
+                confirmed_at,
             } => {
                 self.freshness = freshness;
                 self.freshness_valid_until = valid_until;
+                self.confirmed_at = confirmed_at;
             }
             Event::HoldQuotaSlot {
                 slot,
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -9,7 +9,7 @@
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
 
 use super::{Engine, OPEN_WORKSPACE, PendingRequest, split::WeightedSplit};
-use crate::message::{Admitted, Arrival, Decision, RequestInfo};
+use crate::message::{Admitted, Arrival, Decision, RequestInfo, UsedConfig};
 
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
@@ -17,6 +17,10 @@
 impl Engine {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let (id, tx) = (arrival.id, arrival.tx.clone());
+        let config = UsedConfig {
+            revision: self.revision,
+            confirmed_at: self.confirmed_at,
+        };
         match self.resolve(now, arrival) {
             Ok((request, is_open)) => {
                 let (workspace, deadline) = (request.workspace.clone(), request.deadline);
@@ -26,7 +30,7 @@
                     workspace: workspace.clone(),
                     deadline,
                     objective_deadline: request.objective_deadline,
-                    revision: self.revision,
+                    config,
                     affinity: request.affinity,
                 };
                 let _ = tx.send(Decision::Resolved(info));
@@ -45,6 +49,7 @@
                     _ => Duration::from_secs(1),
                 };
                 let refusal = Refusal::new(kind).retry_after(wait);
+                let _ = tx.send(Decision::Consulted(config));
                 let _ = tx.send(Decision::Refuse(refusal));
             }
         }
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -48,6 +48,7 @@
         loop {
             match self.receive().await? {
                 Decision::Resolved(info) => self.log.set_info(info),
+                Decision::Consulted(config) => self.log.set_config(config),
                 decision => return Ok(decision),
             }
         }
@@ -70,9 +71,10 @@
     pub(crate) async fn admission(&mut self) -> Result<Admitted, Refusal> {
         match self.decision().await? {
             Decision::Admitted(admitted) => Ok(admitted),
-            Decision::SendAttempt(_) | Decision::Refuse(_) | Decision::Resolved(_) => {
-                Err(Refusal::new(ErrorKind::Internal))
-            }
+            Decision::SendAttempt(_)
+            | Decision::Refuse(_)
+            | Decision::Resolved(_)
+            | Decision::Consulted(_) => Err(Refusal::new(ErrorKind::Internal)),
         }
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -71,6 +71,8 @@
         freshness: Freshness,
         /// End of validity; from then on the instance counts as isolated.
         valid_until: Time,
+        /// Time at which the configuration was last known to be the latest.
+        confirmed_at: Option<Time>,
     },
     /// The instance holds a slot, whose reservations of every workspace's rate it may use or lend.
     HoldQuotaSlot {
@@ -152,6 +154,8 @@
 pub enum Decision {
     /// The request is routed and authenticated, but not yet admitted.
     Resolved(RequestInfo),
+    /// The request is about to be refused by this configuration.
+    Consulted(UsedConfig),
     /// The request is within its workspace's rate and waits for [`Event::Dispatch`].
     Admitted(Admitted),
     /// Send an attempt to a target.
@@ -173,12 +177,21 @@
     pub deadline: Time,
     /// Time until which an answer counts as in time.
     pub objective_deadline: Time,
-    /// Number of the configuration used, counted by this process.
-    pub revision: u64,
+    /// Configuration used.
+    pub config: UsedConfig,
     /// Digest of the affinity key; `None` on routes that are not sticky.
     pub affinity: Option<u64>,
 }
 
+/// Identifies the configuration by which a request was decided, and how old it may have been.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UsedConfig {
+    /// Number of the configuration, counted by this process.
+    pub revision: u64,
+    /// Time at which it was last known to be the latest.
+    pub confirmed_at: Option<Time>,
+}
+
 /// Describes a request that was admitted.
 #[derive(Debug, Clone)]
 pub struct Admitted {
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -105,6 +105,7 @@
         let now = self.clock.now();
         self.log.with(|state| {
             let info = state.info.as_ref();
+            let confirmed_at = state.config.and_then(|config| config.confirmed_at);
             let line = RequestLine {
                 event: "request",
                 at_ms: now.as_micros() / 1_000,
@@ -112,7 +113,8 @@
                 route: info.map_or("", |info| &info.route),
                 service: info.map_or("", |info| info.service.as_str()),
                 workspace: info.map_or("", |info| info.workspace.as_str()),
-                revision: info.map_or(0, |info| info.revision),
+                revision: state.config.map_or(0, |config| config.revision),
+                config_age_ms: confirmed_at.map(|at| (state.started - at).as_millis() as u64),
                 object: info.and_then(|info| info.affinity),
                 deadline_ms: info
                     .map_or(0, |info| (info.deadline - state.started).as_millis() as u64),
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -6,7 +6,10 @@
 use dispatch::{Assignment, Outcome};
 use record::lines::AttemptLine;
 
-use crate::{forward::AttemptResult, message::RequestInfo};
+use crate::{
+    forward::AttemptResult,
+    message::{RequestInfo, UsedConfig},
+};
 
 /// Collects the history of one request; all clones share it.
 ///
@@ -19,6 +22,7 @@
 pub(crate) struct RequestLogState {
     pub(crate) started: Time,
     pub(crate) info: Option<RequestInfo>,
+    pub(crate) config: Option<UsedConfig>,
     pub(crate) attempts: Vec<AttemptLine>,
 }
 
@@ -27,13 +31,21 @@
         let state = RequestLogState {
             started,
             info: None,
+            config: None,
             attempts: Vec::new(),
         };
         Self(Arc::new(Mutex::new(state)))
     }
 
     pub(crate) fn set_info(&self, info: RequestInfo) {
-        self.with(|state| state.info = Some(info));
+        self.with(|state| {
+            state.config = Some(info.config);
+            state.info = Some(info);
+        });
+    }
+
+    pub(crate) fn set_config(&self, config: UsedConfig) {
+        self.with(|state| state.config = Some(config));
     }
 
     pub(crate) fn attempt_started(&self, now: Time, assignment: &Assignment) {
--- a/crates/entry/tests/split.rs
+++ b/crates/entry/tests/split.rs
@@ -62,6 +62,7 @@
     engine.handle(Event::ConfigFreshness {
         freshness: Freshness::Fresh,
         valid_until: Time::NEVER,
+        confirmed_at: None,
     });
     engine
 }
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -23,6 +23,10 @@
     pub workspace: &'a str,
     /// Revision of the configuration used.
     pub revision: u64,
+    /// Time from the last confirmation that it was the latest one to the request's arrival, in
+    /// milliseconds; omitted if it never was confirmed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub config_age_ms: Option<u64>,
     /// Digest of the affinity key; omitted if there is none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub object: Option<u64>,
