--- /dev/null
+++ b/crates/daemon/tests/blindness.rs
@@ -0,0 +1,298 @@
+//! How long an instance may be without news of the followed tables, over a modelled network with drawn
+//! silences.
+
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Config, Incarnation};
+use daemon::{
+    fleet::Fleet,
+    registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
+};
+use entry::{
+    metrics::Metrics,
+    view::{Clock, EntryPoint, View},
+};
+use platform::{Call, Change, Platform, PlatformError, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until},
+};
+use wire::Secret;
+
+const SEEDS: std::ops::Range<u64> = 0..300;
+const RUN_TIME: Duration = Duration::from_secs(25);
+const OPERATOR_TABLE: &str = "op";
+const ROW: &str = "config";
+
+/// Describes a deployment's bounds and what happens to its store.
+#[derive(Debug, Clone)]
+struct Scenario {
+    /// Time without disruption after which an instance counts as in touch.
+    contact: Duration,
+    /// Time after its acknowledgement in which a version is in force on instances in touch.
+    apply: Duration,
+    /// One-way time to the store.
+    way: Duration,
+    /// Times in which connections go silent for good: those open at the start, and those that are
+    /// opened before the end.
+    silences: Vec<(Duration, Duration)>,
+    /// Times at which versions are acknowledged.
+    changes: Vec<Duration>,
+}
+
+impl Scenario {
+    fn draw(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ms = |range: std::ops::Range<u64>| Duration::from_millis(rng.random_range(range));
+        let contact = ms(2_000..6_000);
+        let apply = ms(2_000..4_000);
+        let way = ms(1..56);
+        let silences = (0..ms(1..4).as_millis())
+            .map(|_| {
+                let start = ms(1_000..14_000);
+                let is_of_open_ones = ms(0..2).is_zero();
+                let duration = if is_of_open_ones {
+                    Duration::ZERO
+                } else {
+                    ms(1..7_000)
+                };
+                (start, start + duration)
+            })
+            .collect();
+        let mut changes: Vec<Duration> =
+            (0..ms(2..9).as_millis()).map(|_| ms(500..18_000)).collect();
+        changes.sort();
+        Self {
+            contact,
+            apply,
+            way,
+            silences,
+            changes,
+        }
+    }
+
+    /// Returns whether no silence touches the time of `contact` before `at`.
+    fn is_in_touch(&self, at: Duration) -> bool {
+        self.silences
+            .iter()
+            .all(|(start, end)| at < *start || at > *end + self.contact)
+    }
+
+    /// Returns the version whose effect a request sent at `at` must show.
+    fn required_version(&self, at: Duration) -> usize {
+        let is_due = |change: &&Duration| at > **change + self.apply;
+        self.changes.iter().filter(is_due).count()
+    }
+}
+
+/// A store and the connections to it.
+#[derive(Debug)]
+struct Network {
+    started: Instant,
+    scenario: Scenario,
+}
+
+/// Times at which the idle connections of one pool were opened.
+type IdleConnections = Arc<Mutex<Vec<Instant>>>;
+
+impl Network {
+    /// Executes a call over a kept connection, if there is one.
+    async fn execute(
+        self: Arc<Self>,
+        idle: IdleConnections,
+        call: Call,
+    ) -> Result<Reply, PlatformError> {
+        let kept = idle.lock().unwrap().pop();
+        let opened = kept.unwrap_or_else(Instant::now);
+        if kept.is_none() {
+            sleep(self.scenario.way * 2).await;
+        }
+        self.cross(opened).await;
+        let reply = match &call {
+            Call::Snapshot { table } => Reply::Changes(self.rows(table, 0), self.position()),
+            Call::Changes {
+                table,
+                after,
+                wait_ms,
+            } => {
+                self.wait_for_change(table, *after, Duration::from_millis(*wait_ms))
+                    .await;
+                Reply::Changes(self.rows(table, *after), self.position())
+            }
+            _ => return Err(PlatformError::Unavailable),
+        };
+        self.cross(opened).await;
+        idle.lock().unwrap().push(opened);
+        Ok(reply)
+    }
+
+    /// Takes the time of one way; what crosses a silent connection never arrives.
+    async fn cross(&self, opened: Instant) {
+        sleep(self.scenario.way).await;
+        let (opened, now) = (opened - self.started, self.started.elapsed());
+        let mut silences = self.scenario.silences.iter();
+        if silences.any(|(start, end)| now >= *start && (opened < *start || opened < *end)) {
+            pending::<()>().await;
+        }
+    }
+
+    async fn wait_for_change(&self, table: &str, after: u64, wait: Duration) {
+        let deadline = Instant::now() + wait;
+        let changes = self.scenario.changes.get(after as usize);
+        let next = changes.filter(|_| table == OPERATOR_TABLE);
+        let next = next.map_or(deadline, |at| self.started + *at);
+        sleep_until(next.min(deadline)).await;
+    }
+
+    fn position(&self) -> u64 {
+        let now = self.started.elapsed();
+        let is_acknowledged = |change: &&Duration| **change <= now;
+        self.scenario.changes.iter().filter(is_acknowledged).count() as u64
+    }
+
+    fn rows(&self, table: &str, after: u64) -> Vec<Change> {
+        let position = self.position();
+        let is_new = table == OPERATOR_TABLE && position > after;
+        let row = is_new.then(|| Change {
+            row: ROW.to_owned(),
+            value: Some(position.to_string()),
+            at: position,
+        });
+        row.into_iter().collect()
+    }
+}
+
+/// Times at which versions came into force.
+type History = Arc<Mutex<Vec<(Duration, usize)>>>;
+
+async fn play(scenario: Scenario) -> Vec<(Duration, usize)> {
+    let network = Arc::new(Network {
+        started: Instant::now(),
+        scenario,
+    });
+    let history = History::default();
+    let follower = follow(&network, &history);
+    let _ = tokio::time::timeout(RUN_TIME, follower).await;
+    history.lock().unwrap().clone()
+}
+
+async fn follow(network: &Arc<Network>, history: &History) {
+    let idle = IdleConnections::default();
+    let served = network.clone();
+    let platform = Platform::spawn(move |call| served.clone().execute(idle.clone(), call));
+    let (started, history) = (network.started, history.clone());
+    let compose = move |replicas: &[&coord::Replica]| {
+        let version = replicas[0]
+            .rows()
+            .find_map(|(_, row)| row.value.parse().ok());
+        let version = version.unwrap_or(0);
+        history.lock().unwrap().push((started.elapsed(), version));
+        Some(ComposedConfig {
+            version: version as u64,
+            config: Config::default(),
+        })
+    };
+    let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let (engine, mut engine_rx) = mpsc::unbounded_channel();
+    let (peers, mut peers_rx) = mpsc::channel(64);
+    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let (_tx, rx) = mpsc::channel(1);
+    let follower = TableFollower::new(TableFollowerOptions {
+        clock: Clock::start(),
+        platform,
+        secret: Secret::derive("a secret for tests only"),
+        metrics: Metrics::new().unwrap(),
+        confirm_limit: Duration::from_secs(5),
+        own_entry: EntryPoint {
+            instance: "own".into(),
+            incarnation: Incarnation(1),
+            domain: "d".into(),
+            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        },
+        fleet,
+        followed: FollowedTables {
+            tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+            compose,
+        },
+        engine,
+        peers,
+        view,
+        snapshots,
+    });
+    tokio::spawn(async move { while engine_rx.recv().await.is_some() {} });
+    tokio::spawn(async move { while peers_rx.recv().await.is_some() {} });
+    follower.run(rx).await;
+}
+
+/// Returns when an instance in touch decided by a version that was too old, and for how long.
+fn late(scenario: &Scenario, history: &[(Duration, usize)]) -> Option<(Duration, Duration)> {
+    const STEP: Duration = Duration::from_millis(10);
+    let steps = (RUN_TIME.as_millis() / STEP.as_millis()) as u32;
+    let mut late = (1..steps).map(|idx| STEP * idx).filter(|at| {
+        let in_force = history.iter().rev().find(|(since, _)| since <= at);
+        let version = in_force.map_or(0, |(_, version)| *version);
+        scenario.is_in_touch(*at) && version < scenario.required_version(*at)
+    });
+    let first = late.next()?;
+    let last = late.next_back().unwrap_or(first);
+    Some((first, last - first + STEP))
+}
+
+fn run(scenario: &Scenario) -> Option<(Duration, Duration)> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    let history = runtime.block_on(play(scenario.clone()));
+    late(scenario, &history)
+}
+
+/// CONFIG: a version was not in force `configApplyS` after its acknowledgement on an instance that had
+/// been in touch with a store whose connections had gone silent before.
+#[test]
+fn change_drawn_silences_in_force_in_time() {
+    let late: BTreeMap<u64, _> = SEEDS
+        .filter_map(|seed| {
+            let scenario = Scenario::draw(seed);
+            run(&scenario).map(|late| (seed, (scenario, late)))
+        })
+        .collect();
+    let first = late.iter().next();
+    assert!(late.is_empty(), "{} seeds, first {first:#?}", late.len());
+}
+
+/// As above, for a silence that begins right after a poll, by its length: the next connection may fall
+/// silent as well.
+#[rstest]
+#[case::cascade_loop(3_000, 2_500)]
+#[case::sangh_clearance(3_000, 2_000)]
+#[case::presa_verde(4_000, 2_500)]
+fn change_any_length_of_silence_in_force_in_time(#[case] contact_ms: u64, #[case] apply_ms: u64) {
+    let late: BTreeMap<u64, _> = (0..9_000)
+        .step_by(100)
+        .filter_map(|length_ms| {
+            let start = Duration::from_millis(5_200);
+            let scenario = Scenario {
+                contact: Duration::from_millis(contact_ms),
+                apply: Duration::from_millis(apply_ms),
+                way: Duration::from_millis(2),
+                silences: vec![(start, start + Duration::from_millis(length_ms))],
+                changes: vec![Duration::from_millis(5_000), Duration::from_millis(5_300)],
+            };
+            run(&scenario).map(|late| (length_ms, late))
+        })
+        .collect();
+    assert!(late.is_empty(), "by length in ms: {late:?}");
+}
