fix(daemon): a silent connection to the store is replaced within the site's contact time

Callers saw requests with withdrawn keys run, by instances in touch. Cause: an open poll on a connection that went silent was noticed after constants (3 s, 0.5 s, 0.1 s) that no bound of a site enters; with contactS 3 an instance was blind for 0.6 s longer than it may, and for 3.6 s more with each further connection that fell silent. With contactS 4 the same constants fit, so one site never showed it.

Now contactS comes from the settings and sets the times of reads: a poll counts as unanswered after 0.6 of it, and is overtaken by one on a new connection, which asks for an answer at once. An answer that comes after all is still used. The platform's client gives up all kept connections when a call has no answer in time, so no other task takes one that is as silent; the head row's follower takes its time-out from the same bound.

The review's stand-in fills in the new field of the template.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -24,9 +24,12 @@
     fleet::Fleet,
     message::{FollowerMessage, PeerCommand},
     rpc,
+    table_reads::ReadTiming,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum time to wait for the head row, however long the instance may be without news.
+const MAX_READ_TIMEOUT: Duration = Duration::from_secs(2);
 const FRESHNESS_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a reported freshness is valid; after it, the engine treats the instance as
 /// isolated.
@@ -48,6 +51,7 @@
 pub struct HeadFollower {
     clock: Clock,
     platform: Platform,
+    read_timeout: Duration,
     secret: Secret,
     metrics: Metrics,
     versions: VersionTracker,
@@ -103,6 +107,8 @@
     pub metrics: Metrics,
     /// Time after which a confirmation that the configuration is the latest expires.
     pub confirm_limit: Duration,
+    /// Times of the reads of the head row.
+    pub read_timing: ReadTiming,
     /// Entry point of this instance, as look-ups return it.
     pub own_entry: EntryPoint,
     /// Last known state of the other instances.
@@ -115,6 +121,11 @@
         Self {
             clock: options.clock,
             platform: options.platform,
+            read_timeout: options
+                .read_timing
+                .max_silence()
+                .saturating_sub(POLL_INTERVAL)
+                .min(MAX_READ_TIMEOUT),
             secret: options.secret,
             metrics: options.metrics,
             versions: VersionTracker::new(options.confirm_limit),
@@ -144,7 +155,8 @@
                 },
                 _ = poll_tick.tick(), if !is_reading => {
                     is_reading = true;
-                    tokio::spawn(read_head_row(self.clock, self.platform.clone(), read_tx.clone()));
+                    let platform = self.platform.clone().timeout(self.read_timeout);
+                    tokio::spawn(read_head_row(self.clock, platform, read_tx.clone()));
                     None
                 }
                 Some(read) = reads.recv() => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,4 +22,4 @@
 pub mod rpc;
 pub mod slots;
 mod table_logs;
-mod table_reads;
+pub mod table_reads;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -48,6 +48,7 @@
     relay::{self, RelayServer},
     rpc,
     slots::{Slots, SlotsOptions},
+    table_reads::ReadTiming,
 };
 
 /// Maximum lag of the platform's list; an instance absent from the list for longer has ended.
@@ -225,6 +226,7 @@
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms);
+    let read_timing = ReadTiming::within(Duration::from_secs_f64(cfg.bounds.contact_s));
     let probes_targets = matches!(source, ConfigSource::HeadRow);
     match source {
         ConfigSource::HeadRow => {
@@ -237,6 +239,7 @@
                     secret: secret.clone(),
                     metrics: metrics.clone(),
                     confirm_limit,
+                    read_timing,
                     own_entry,
                     fleet: fleet_rx.clone(),
                 },
@@ -263,6 +266,7 @@
                 secret: secret.clone(),
                 metrics: metrics.clone(),
                 confirm_limit,
+                read_timing,
                 own_entry,
                 fleet: fleet_rx.clone(),
                 followed,
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -25,7 +25,9 @@
     message::{FollowerMessage, PeerCommand},
     rpc,
     table_logs::{NewsSource, age_ms, log_fetch, log_older, log_rates, log_read_failure},
-    table_reads::{Fetch, TableRead, poll_table, to_row_change, to_snapshot},
+    table_reads::{
+        Fetch, ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
+    },
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -76,6 +78,8 @@
     pub metrics: Metrics,
     /// Time after which a confirmation that the configuration is the latest expires.
     pub confirm_limit: Duration,
+    /// Times of the reads of the tables.
+    pub read_timing: ReadTiming,
     /// Entry point of this instance, as look-ups return it.
     pub own_entry: EntryPoint,
     /// Last known state of the other instances.
@@ -154,14 +158,13 @@
     pub async fn run(mut self, mut rx: mpsc::Receiver<FollowerMessage>) {
         let (tx, mut reads) = mpsc::channel(16);
         for (idx, table) in self.options.followed.tables.iter().enumerate() {
-            let poll = poll_table(
-                self.options.clock,
-                self.options.platform.clone(),
-                table.clone(),
-                idx,
-                tx.clone(),
-            );
-            tokio::spawn(poll);
+            let reader = TableReader::new(ReaderOptions {
+                clock: self.options.clock,
+                platform: self.options.platform.clone(),
+                table: table.clone(),
+                timing: self.options.read_timing,
+            });
+            tokio::spawn(reader.run(idx, tx.clone()));
         }
         let mut refreshed_at = self.options.clock.now();
         loop {
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,21 +1,75 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use base::{InstanceId, Time};
 use coord::{RowChange, TableSnapshot};
 use entry::view::Clock;
 use platform::{Change, Platform, PlatformError};
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::mpsc,
+    task::{AbortHandle, JoinSet},
+    time::{Instant, sleep_until},
+};
 
-/// Time for which the platform holds a poll open while nothing changes.
-const POLL_WAIT: Duration = Duration::from_secs(3);
-/// Time beyond [`POLL_WAIT`] after which a poll counts as failed.
-const POLL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// Delay between two polls, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Maximum time for which the platform holds a poll open while nothing changes.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(3);
+/// Maximum time that the platform's answer may take beyond the wait for a change.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Fraction of the time to regain contact after which a poll counts as unanswered; the rest is for
+/// the read on a new connection.
+const SILENCE_FRACTION: f64 = 0.6;
+/// Maximum number of polls without an answer, of which the oldest is given up.
+const MAX_OPEN_POLLS: usize = 4;
+/// Time after which an answer is no longer waited for.
+const GIVE_UP_TIME: Duration = Duration::from_secs(20);
+
+/// Sets how long reads of the platform take.
+///
+/// # Examples
+///
+/// ```
+/// use daemon::table_reads::ReadTiming;
+/// use std::time::Duration;
+///
+/// let contact = Duration::from_secs(3);
+/// assert!(ReadTiming::within(contact).max_silence() < contact);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTiming {
+    poll_wait: Duration,
+    answer_time: Duration,
+    max_retry_delay: Duration,
+}
+
+impl ReadTiming {
+    /// Returns times by which a table has been read over a new connection well within `contact`
+    /// after its open connection went silent.
+    pub fn within(contact: Duration) -> Self {
+        let silence = contact.mul_f64(SILENCE_FRACTION);
+        let answer_time = (silence / 3).min(MAX_ANSWER_TIME);
+        Self {
+            poll_wait: (silence - answer_time).min(MAX_POLL_WAIT),
+            answer_time,
+            max_retry_delay: (silence / 2).min(MAX_RETRY_DELAY),
+        }
+    }
+
+    /// Returns the time after which a poll that waits for changes counts as unanswered.
+    pub fn max_silence(&self) -> Duration {
+        self.poll_wait + self.answer_time
+    }
+
+    /// Returns the time after which a call on a new connection that waits for nothing counts as
+    /// unanswered.
+    fn first_answer_time(&self) -> Duration {
+        self.answer_time * 2
+    }
+}
 
 /// Carries the result of one read of a table.
 #[derive(Debug)]
@@ -26,7 +80,7 @@
     Fetched(Fetch),
 }
 
-/// Describes a read of the platform that brought nothing.
+/// Describes a read of the platform that has brought nothing so far.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadFailure {
     /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
@@ -43,57 +97,208 @@
     pub(crate) snapshot: Option<TableSnapshot>,
 }
 
-/// Polls one table and sends what it reads to `tx`, until the receiver is dropped.
-pub(crate) async fn poll_table(
-    clock: Clock,
-    platform: Platform,
-    table: String,
-    idx: usize,
-    tx: mpsc::Sender<(usize, TableRead)>,
-) {
-    let timeout = POLL_WAIT + POLL_TIMEOUT_MARGIN;
-    let platform = platform.timeout(timeout);
-    let mut position = None;
-    let mut retry_delay = MIN_RETRY_DELAY;
-    loop {
-        let sent_at = clock.now();
-        let read = match position {
-            None => platform
-                .snapshot(&table)
-                .await
-                .map(|(rows, at)| (TableRead::Snapshot(rows, at), at)),
-            Some(after) => platform
-                .changes(&table, after, POLL_WAIT)
-                .await
-                .map(|(rows, at)| (TableRead::Changes(rows, at), at)),
+/// Holds the dependencies and settings of a [`TableReader`].
+#[derive(Debug)]
+pub(crate) struct ReaderOptions {
+    pub(crate) clock: Clock,
+    pub(crate) platform: Platform,
+    pub(crate) table: String,
+    pub(crate) timing: ReadTiming,
+}
+
+/// Follows one table by long polls.
+///
+/// A poll without an answer in time is overtaken by one on a new connection, since its own may have
+/// gone silent for good; if its answer comes after all, it is used.
+#[derive(Debug)]
+pub(crate) struct TableReader {
+    options: ReaderOptions,
+    /// Position from which the next poll continues; `None` before the first read.
+    position: Option<u64>,
+    polls: JoinSet<PollResult>,
+    /// Polls without an answer, the newest last.
+    open: VecDeque<OpenPoll>,
+    next_number: u64,
+    /// Whether the next poll opens a new connection, so that it must be answered at once.
+    is_reconnecting: bool,
+    retry_delay: Duration,
+}
+
+#[derive(Debug)]
+struct OpenPoll {
+    number: u64,
+    sent_at: Time,
+    /// Whether the connection had been used before.
+    is_on_kept_connection: bool,
+    task: AbortHandle,
+}
+
+type PollResult = (u64, Result<TableRead, PlatformError>);
+
+/// What the reader does next unless an answer comes before.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Sends a poll at a time.
+    Poll(Instant),
+    /// Counts the newest poll as unanswered at a time.
+    Overtake(Instant),
+}
+
+impl TableReader {
+    pub(crate) fn new(options: ReaderOptions) -> Self {
+        let platform = options.platform.timeout(GIVE_UP_TIME);
+        Self {
+            options: ReaderOptions {
+                platform,
+                ..options
+            },
+            position: None,
+            polls: JoinSet::new(),
+            open: VecDeque::new(),
+            next_number: 0,
+            is_reconnecting: true,
+            retry_delay: MIN_RETRY_DELAY,
+        }
+    }
+
+    /// Polls the table and sends what it reads to `tx`, with `idx`, until the receiver is dropped.
+    pub(crate) async fn run(mut self, idx: usize, tx: mpsc::Sender<(usize, TableRead)>) {
+        let mut step = Step::Poll(Instant::now());
+        loop {
+            let (Step::Poll(at) | Step::Overtake(at)) = step;
+            let read = tokio::select! {
+                Some(ended) = self.polls.join_next() => match ended {
+                    Ok(result) => self.handle_result(result, &mut step).await,
+                    // The poll has been given up.
+                    Err(_) => None,
+                },
+                () = sleep_until(at) => match step {
+                    Step::Poll(_) => {
+                        step = Step::Overtake(Instant::now() + self.send_poll());
+                        None
+                    }
+                    Step::Overtake(_) => Some(self.overtake(&mut step).await),
+                },
+            };
+            if let Some(read) = read
+                && tx.send((idx, read)).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    /// Sends a poll and returns the time within which it must be answered.
+    fn send_poll(&mut self) -> Duration {
+        let timing = self.options.timing;
+        let (platform, table) = (self.options.platform.clone(), self.options.table.clone());
+        let (number, position) = (self.next_number, self.position);
+        let is_on_kept_connection = !self.is_reconnecting;
+        let wait = if is_on_kept_connection {
+            timing.poll_wait
+        } else {
+            Duration::ZERO
         };
-        let read = match read {
-            Ok((read, at)) => {
-                position = Some(at);
-                retry_delay = MIN_RETRY_DELAY;
-                read
+        let task = self.polls.spawn(async move {
+            let read = match position {
+                None => platform
+                    .snapshot(&table)
+                    .await
+                    .map(|(rows, at)| TableRead::Snapshot(rows, at)),
+                Some(after) => platform
+                    .changes(&table, after, wait)
+                    .await
+                    .map(|(rows, at)| TableRead::Changes(rows, at)),
+            };
+            (number, read)
+        });
+        self.next_number += 1;
+        self.open.push_back(OpenPoll {
+            number,
+            sent_at: self.options.clock.now(),
+            is_on_kept_connection,
+            task,
+        });
+        match position {
+            None => timing.max_silence(),
+            Some(_) if is_on_kept_connection => timing.max_silence(),
+            Some(_) => timing.first_answer_time(),
+        }
+    }
+
+    async fn handle_result(
+        &mut self,
+        (number, result): PollResult,
+        step: &mut Step,
+    ) -> Option<TableRead> {
+        let idx = self.open.iter().position(|poll| poll.number == number)?;
+        match result {
+            Ok(read) => {
+                if let TableRead::Changes(_, at) | TableRead::Snapshot(_, at) = &read {
+                    self.position = Some(*at);
+                }
+                // Answers to earlier polls can't bring anything newer.
+                self.give_up(idx + 1);
+                self.is_reconnecting = false;
+                self.retry_delay = MIN_RETRY_DELAY;
+                if self.open.is_empty() {
+                    *step = Step::Poll(Instant::now() + POLL_DELAY);
+                }
+                Some(read)
             }
             Err(PlatformError::HistoryGone) => {
-                position = None;
-                continue;
+                self.position = None;
+                self.give_up(self.open.len());
+                *step = Step::Poll(Instant::now());
+                None
             }
             Err(_) => {
-                let waited = clock.now() - sent_at;
-                TableRead::Failed(ReadFailure {
-                    is_unanswered: waited >= timeout,
-                    waited,
-                })
+                let is_newest = idx + 1 == self.open.len();
+                let failed = self.open.remove(idx)?;
+                // An earlier one has been reported already.
+                if !is_newest || matches!(step, Step::Poll(_)) {
+                    return None;
+                }
+                Some(self.fail(&failed, false, step).await)
             }
-        };
-        let is_failed = matches!(read, TableRead::Failed(_));
-        if tx.send((idx, read)).await.is_err() {
-            return;
         }
-        if is_failed {
-            sleep(retry_delay).await;
-            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+    }
+
+    /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
+    async fn overtake(&mut self, step: &mut Step) -> TableRead {
+        if self.open.len() >= MAX_OPEN_POLLS {
+            self.give_up(1);
+        }
+        let Some(newest) = self.open.pop_back() else {
+            unreachable!("only an open poll can be overtaken");
+        };
+        let read = self.fail(&newest, true, step).await;
+        self.open.push_back(newest);
+        read
+    }
+
+    /// Reports a failed poll; the next one follows at once if the cause may be its old connection.
+    async fn fail(&mut self, poll: &OpenPoll, is_unanswered: bool, step: &mut Step) -> TableRead {
+        self.options.platform.reconnect().await;
+        self.is_reconnecting = true;
+        let delay = if poll.is_on_kept_connection {
+            Duration::ZERO
         } else {
-            sleep(POLL_DELAY).await;
+            let delay = self.retry_delay;
+            self.retry_delay = (delay * 2).min(self.options.timing.max_retry_delay);
+            delay
+        };
+        *step = Step::Poll(Instant::now() + delay);
+        TableRead::Failed(ReadFailure {
+            is_unanswered,
+            waited: self.options.clock.now() - poll.sent_at,
+        })
+    }
+
+    /// Cancels the oldest open polls.
+    fn give_up(&mut self, count: usize) {
+        for poll in self.open.drain(..count) {
+            poll.task.abort();
         }
     }
 }
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -13,6 +13,7 @@
 use daemon::{
     fleet::Fleet,
     registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
+    table_reads::ReadTiming,
 };
 use entry::{
     metrics::Metrics,
@@ -187,9 +188,11 @@
 }
 
 async fn follow(network: &Arc<Network>, history: &History) {
-    let idle = IdleConnections::default();
     let served = network.clone();
-    let platform = Platform::spawn(move |call| served.clone().execute(idle.clone(), call));
+    let platform = Platform::spawn(move || {
+        let (served, idle) = (served.clone(), IdleConnections::default());
+        move |call| served.clone().execute(idle.clone(), call)
+    });
     let (started, history) = (network.started, history.clone());
     let compose = move |replicas: &[&coord::Replica]| {
         let version = replicas[0]
@@ -214,6 +217,7 @@
         secret: Secret::derive("a secret for tests only"),
         metrics: Metrics::new().unwrap(),
         confirm_limit: Duration::from_secs(5),
+        read_timing: ReadTiming::within(network.scenario.contact),
         own_entry: EntryPoint {
             instance: "own".into(),
             incarnation: Incarnation(1),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,9 +9,8 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use tokio::sync::mpsc;
 
-use crate::{CALL_QUEUE_CAPACITY, Call, Platform, PlatformError, Reply, Request};
+use crate::{Call, Platform, PlatformError, Reply};
 
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -19,32 +18,18 @@
 
 /// Starts a task that sends calls to the platform at `addr`, and returns a handle to it.
 pub fn connect(addr: SocketAddr) -> Platform {
-    let (tx, mut rx) = mpsc::channel::<Request>(CALL_QUEUE_CAPACITY);
-    tokio::spawn(async move {
+    Platform::spawn(move || {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        while let Some(req) = rx.recv().await {
-            tokio::spawn(handle(client.clone(), addr, req));
-        }
-    });
-    Platform::new(tx)
-}
-
-/// Sends one call and returns its reply; cancels the exchange if the requester stops waiting.
-async fn handle(client: HttpClient, addr: SocketAddr, req: Request) {
-    let Request { call, mut reply } = req;
-    let result = tokio::select! {
-        result = exchange(&client, addr, &call) => result,
-        () = reply.closed() => return,
-    };
-    let _ = reply.send(result);
+        move |call| exchange(client.clone(), addr, call)
+    })
 }
 
 async fn exchange(
-    client: &HttpClient,
+    client: HttpClient,
     addr: SocketAddr,
-    call: &Call,
+    call: Call,
 ) -> Result<Reply, PlatformError> {
-    let body = serde_json::to_vec(call).map_err(|_| PlatformError::Unavailable)?;
+    let body = serde_json::to_vec(&call).map_err(|_| PlatformError::Unavailable)?;
     let req = HttpRequest::post(format!("http://{addr}/v1/call"))
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,9 @@
 //! [`Platform`] is a handle to a task that executes [`Call`]s. [`http::connect`] sends them to the
 //! platform's service, [`memory::spawn`] executes them in the process, and [`Platform::spawn`] takes
 //! any other implementation.
+//!
+//! An open connection may go silent for good while new ones work. So once a call has no answer in
+//! time, all kept connections are given up and later calls open new ones.
 
 pub mod http;
 pub mod layout;
@@ -43,36 +46,46 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct Platform {
-    tx: mpsc::Sender<Request>,
+    tx: mpsc::Sender<Message>,
     timeout: Duration,
 }
 
-/// A call and the channel for its reply, as the executing task receives them.
+/// Message to the task that executes calls.
 #[derive(Debug)]
-pub(crate) struct Request {
-    call: Call,
-    reply: oneshot::Sender<Result<Reply, PlatformError>>,
+pub(crate) enum Message {
+    /// Executes a call and sends its reply.
+    Call(Call, oneshot::Sender<Result<Reply, PlatformError>>),
+    /// Gives up all kept connections, except for calls that are in progress on them.
+    Reconnect,
 }
 
 impl Platform {
-    fn new(tx: mpsc::Sender<Request>) -> Self {
+    fn new(tx: mpsc::Sender<Message>) -> Self {
         Self {
             tx,
             timeout: Duration::from_secs(2),
         }
     }
 
-    /// Returns a handle whose calls `serve` executes, each in a task of its own.
+    /// Returns a handle whose calls are executed by what `connect` returns, each in a task of its own.
     ///
-    /// A call is cancelled as soon as its caller stops waiting for the reply.
-    pub fn spawn<F, R>(serve: F) -> Self
+    /// `connect` is called again for each [`Platform::reconnect`]: calls from then on must not use
+    /// connections that were opened before. A call is cancelled as soon as its caller stops waiting
+    /// for the reply.
+    pub fn spawn<C, F, R>(connect: C) -> Self
     where
+        C: Fn() -> F + Send + 'static,
         F: Fn(Call) -> R + Send + 'static,
         R: Future<Output = Result<Reply, PlatformError>> + Send + 'static,
     {
-        let (tx, mut rx) = mpsc::channel::<Request>(CALL_QUEUE_CAPACITY);
+        let (tx, mut rx) = mpsc::channel(CALL_QUEUE_CAPACITY);
         tokio::spawn(async move {
-            while let Some(Request { call, mut reply }) = rx.recv().await {
+            let mut serve = connect();
+            while let Some(message) = rx.recv().await {
+                let Message::Call(call, mut reply) = message else {
+                    serve = connect();
+                    continue;
+                };
                 let execution = serve(call);
                 tokio::spawn(async move {
                     tokio::select! {
@@ -91,7 +104,12 @@
         self
     }
 
-    /// Sends a call and awaits its reply.
+    /// Gives up all kept connections: calls from now on open new ones.
+    pub async fn reconnect(&self) {
+        let _ = self.tx.send(Message::Reconnect).await;
+    }
+
+    /// Sends a call and awaits its reply; reconnects if none comes in time.
     ///
     /// # Errors
     ///
@@ -100,18 +118,17 @@
     pub async fn call(&self, call: Call) -> Result<Reply, PlatformError> {
         let (reply_tx, reply_rx) = oneshot::channel();
         let exchange = async {
-            self.tx
-                .send(Request {
-                    call,
-                    reply: reply_tx,
-                })
-                .await
-                .map_err(|_| ())?;
+            let message = Message::Call(call, reply_tx);
+            self.tx.send(message).await.map_err(|_| ())?;
             reply_rx.await.map_err(|_| ())
         };
         match timeout(self.timeout, exchange).await {
             Ok(Ok(result)) => result,
-            Ok(Err(())) | Err(_) => Err(PlatformError::Unavailable),
+            Ok(Err(())) => Err(PlatformError::Unavailable),
+            Err(_) => {
+                self.reconnect().await;
+                Err(PlatformError::Unavailable)
+            }
         }
     }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -86,6 +86,9 @@
     pub region_shift: f64,
     /// Time between the stop signal and the kill of the process by the platform, in seconds.
     pub stop_s: f64,
+    /// Time after a disturbance of its connections within which an instance must know all changes
+    /// again, in seconds.
+    pub contact_s: f64,
     /// Maximum time for which callers cache the response to a look-up, in seconds; replaces
     /// `lookup_ttl_ms`, as far as the time to stop allows.
     pub lookup_ttl_s: Option<f64>,
@@ -101,6 +104,7 @@
             rate_slack: 0.0,
             region_shift: 0.1,
             stop_s: 60.0,
+            contact_s: 6.0,
             lookup_ttl_s: None,
         }
     }
@@ -139,6 +143,7 @@
 }
 
 const MIN_SECRET_CHARS: usize = 16;
+const MIN_CONTACT_S: f64 = 0.5;
 
 fn validate(doc: &Document<'_>, cfg: &DaemonSettings) -> Vec<Finding> {
     let mut findings = Vec::new();
@@ -196,6 +201,11 @@
         "bounds.stop_s",
         "must be more than 0",
     );
+    require(
+        cfg.bounds.contact_s >= MIN_CONTACT_S,
+        "bounds.contact_s",
+        "must be at least 0.5",
+    );
     findings
 }
 
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -26,7 +26,7 @@
 ];
 
 /// The bounds of the pages that the template or a check uses.
-pub const BOUNDS: [(&str, &str); 8] = [
+pub const BOUNDS: [(&str, &str); 9] = [
     ("retryBudgetRatio", "0.2"),
     ("retryBudgetSlack", "62"),
     ("budgetWindowS", "10"),
@@ -34,6 +34,7 @@
     ("quotaSlack", "20"),
     ("maxRegionShift", "0.15"),
     ("graceS", "6"),
+    ("contactS", "3"),
     ("ttl_max_s", "5"),
 ];
 
