fix(daemon): a silent connection isn't taken for an outage of the store

Callers' requests reached a target that had left, later than drainS after the acknowledgement and contactS after open connections had gone silent. A poll on a kept connection proves nothing about the store; now only a read over a new connection that fails does.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -114,7 +114,7 @@
         &self.snapshot
     }
 
-    /// Records that this instance could not read the table.
+    /// Records that this instance could not read the table over a new connection.
     pub fn on_read_failure(&mut self, now: Time) {
         let is_reachable = self
             .last_contact_at
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -247,9 +247,11 @@
         let is_changed = match read {
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
-                table.replica.on_read_failure(now);
                 table.catch_up.on_read_failure();
-                table.is_reachable = false;
+                if !failure.is_on_kept_connection {
+                    table.replica.on_read_failure(now);
+                    table.is_reachable = false;
+                }
                 false
             }
             TableRead::Fetched(fetch) => {
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -38,6 +38,7 @@
         event = "table_unread",
         table,
         reason,
+        is_on_kept_connection = failure.is_on_kept_connection,
         waited_ms,
         blind_ms,
         position,
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -85,6 +85,8 @@
 pub(crate) struct ReadFailure {
     /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
     pub(crate) is_unanswered: bool,
+    /// Whether the connection had been used before, so that it alone may have failed.
+    pub(crate) is_on_kept_connection: bool,
     /// Time from the call to its failure.
     pub(crate) waited: Duration,
 }
@@ -291,6 +293,7 @@
         *step = Step::Poll(Instant::now() + delay);
         TableRead::Failed(ReadFailure {
             is_unanswered,
+            is_on_kept_connection: poll.is_on_kept_connection,
             waited: self.options.clock.now() - poll.sent_at,
         })
     }
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -33,6 +33,7 @@
 const SEEDS: std::ops::Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(25);
 const OPERATOR_TABLE: &str = "op";
+const TARGET_TABLE: &str = "servers";
 const ROW: &str = "config";
 
 /// Describes a deployment's bounds and what happens to its store.
@@ -49,6 +50,8 @@
     silences: Vec<(Duration, Duration)>,
     /// Times at which versions are acknowledged.
     changes: Vec<Duration>,
+    /// Time at which the only target leaves its table.
+    removal: Option<Duration>,
 }
 
 impl Scenario {
@@ -79,6 +82,7 @@
             way,
             silences,
             changes,
+            removal: None,
         }
     }
 
@@ -149,34 +153,65 @@
 
     async fn wait_for_change(&self, table: &str, after: u64, wait: Duration) {
         let deadline = Instant::now() + wait;
-        let changes = self.scenario.changes.get(after as usize);
-        let next = changes.filter(|_| table == OPERATOR_TABLE);
-        let next = next.map_or(deadline, |at| self.started + *at);
+        let times = self.change_times(table).into_iter();
+        let next = times.map(position_at).find(|position| *position > after);
+        let next = next.map_or(deadline, |position| {
+            self.started + Duration::from_micros(position)
+        });
         sleep_until(next.min(deadline)).await;
     }
 
+    /// Returns when the rows of a table change.
+    fn change_times(&self, table: &str) -> Vec<Duration> {
+        match table {
+            OPERATOR_TABLE => self.scenario.changes.clone(),
+            _ => self.scenario.removal.into_iter().collect(),
+        }
+    }
+
     fn position(&self) -> u64 {
-        let now = self.started.elapsed();
-        let is_acknowledged = |change: &&Duration| **change <= now;
-        self.scenario.changes.iter().filter(is_acknowledged).count() as u64
+        position_at(self.started.elapsed())
     }
 
     fn rows(&self, table: &str, after: u64) -> Vec<Change> {
-        let position = self.position();
-        let is_new = table == OPERATOR_TABLE && position > after;
-        let row = is_new.then(|| Change {
-            row: ROW.to_owned(),
-            value: Some(position.to_string()),
-            at: position,
-        });
-        row.into_iter().collect()
+        let now = self.started.elapsed();
+        let times = self.change_times(table);
+        let last = times.iter().rev().find(|at| **at <= now);
+        let at = last.map_or(1, |at| position_at(*at));
+        let version = times.iter().filter(|at| **at <= now).count();
+        let change = match table {
+            OPERATOR_TABLE => Change {
+                row: ROW.to_owned(),
+                value: Some(version.to_string()),
+                at,
+            },
+            _ => Change {
+                row: "t1".to_owned(),
+                value: last.is_none().then(|| "up".to_owned()),
+                at,
+            },
+        };
+        let is_known = change.at <= after || (after == 0 && change.value.is_none());
+        (!is_known).then_some(change).into_iter().collect()
     }
 }
 
-/// Times at which versions came into force.
-type History = Arc<Mutex<Vec<(Duration, usize)>>>;
+/// Returns the store's position at a time; it rises steadily, since others write as well.
+fn position_at(at: Duration) -> u64 {
+    at.as_micros() as u64 + 1
+}
+
+/// Describes what came into force.
+#[derive(Debug, Clone, Copy)]
+struct InForce {
+    at: Duration,
+    version: usize,
+    has_target: bool,
+}
+
+type History = Arc<Mutex<Vec<InForce>>>;
 
-async fn play(scenario: Scenario) -> Vec<(Duration, usize)> {
+async fn play(scenario: Scenario) -> Vec<InForce> {
     let network = Arc::new(Network {
         started: Instant::now(),
         scenario,
@@ -199,7 +234,11 @@
             .rows()
             .find_map(|(_, row)| row.value.parse().ok());
         let version = version.unwrap_or(0);
-        history.lock().unwrap().push((started.elapsed(), version));
+        history.lock().unwrap().push(InForce {
+            at: started.elapsed(),
+            version,
+            has_target: replicas[1].rows().next().is_some(),
+        });
         Some(ComposedConfig {
             version: version as u64,
             config: Config::default(),
@@ -226,7 +265,7 @@
         },
         fleet,
         followed: FollowedTables {
-            tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+            tables: vec![OPERATOR_TABLE.to_owned(), TARGET_TABLE.to_owned()],
             compose,
         },
         engine,
@@ -240,12 +279,12 @@
 }
 
 /// Returns when an instance in touch decided by a version that was too old, and for how long.
-fn late(scenario: &Scenario, history: &[(Duration, usize)]) -> Option<(Duration, Duration)> {
+fn late(scenario: &Scenario, history: &[InForce]) -> Option<(Duration, Duration)> {
     const STEP: Duration = Duration::from_millis(10);
     let steps = (RUN_TIME.as_millis() / STEP.as_millis()) as u32;
     let mut late = (1..steps).map(|idx| STEP * idx).filter(|at| {
-        let in_force = history.iter().rev().find(|(since, _)| since <= at);
-        let version = in_force.map_or(0, |(_, version)| *version);
+        let in_force = history.iter().rev().find(|in_force| in_force.at <= *at);
+        let version = in_force.map_or(0, |in_force| in_force.version);
         scenario.is_in_touch(*at) && version < scenario.required_version(*at)
     });
     let first = late.next()?;
@@ -253,14 +292,13 @@
     Some((first, last - first + STEP))
 }
 
-fn run(scenario: &Scenario) -> Option<(Duration, Duration)> {
+fn run(scenario: &Scenario) -> Vec<InForce> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .unwrap();
-    let history = runtime.block_on(play(scenario.clone()));
-    late(scenario, &history)
+    runtime.block_on(play(scenario.clone()))
 }
 
 /// CONFIG: a version was not in force `configApplyS` after its acknowledgement on an instance that had
@@ -270,7 +308,7 @@
     let late: BTreeMap<u64, _> = SEEDS
         .filter_map(|seed| {
             let scenario = Scenario::draw(seed);
-            run(&scenario).map(|late| (seed, (scenario, late)))
+            late(&scenario, &run(&scenario)).map(|late| (seed, (scenario, late)))
         })
         .collect();
     let first = late.iter().next();
@@ -294,9 +332,43 @@
                 way: Duration::from_millis(2),
                 silences: vec![(start, start + Duration::from_millis(length_ms))],
                 changes: vec![Duration::from_millis(5_000), Duration::from_millis(5_300)],
+                removal: None,
             };
-            run(&scenario).map(|late| (length_ms, late))
+            late(&scenario, &run(&scenario)).map(|late| (length_ms, late))
         })
         .collect();
     assert!(late.is_empty(), "by length in ms: {late:?}");
 }
+
+/// DRAIN: a target that left while open connections were silent was kept beyond `drainS` and
+/// `contactS`, as if the store had been down and the target might register again.
+#[rstest]
+#[case::cascade_loop(3_000, 2_500)]
+#[case::sangh_clearance(3_000, 2_000)]
+#[case::presa_verde(4_000, 2_500)]
+fn removed_target_goes_in_time_after_silence(#[case] contact_ms: u64, #[case] drain_ms: u64) {
+    let late: BTreeMap<u64, _> = (4_000..8_000)
+        .step_by(50)
+        .filter_map(|silence_ms| {
+            let silence = Duration::from_millis(silence_ms);
+            let removal = Duration::from_millis(5_300);
+            let contact = Duration::from_millis(contact_ms);
+            let scenario = Scenario {
+                contact,
+                apply: contact,
+                way: Duration::from_millis(2),
+                silences: vec![(silence, silence)],
+                changes: vec![Duration::from_millis(500)],
+                removal: Some(removal),
+            };
+            let history = run(&scenario);
+            let gone = history
+                .iter()
+                .find(|in_force| in_force.at > removal && !in_force.has_target);
+            let gone_at = gone.map_or(RUN_TIME, |in_force| in_force.at);
+            let bound = (removal + Duration::from_millis(drain_ms)).max(silence + contact);
+            (gone_at > bound).then(|| (silence_ms, gone_at - bound))
+        })
+        .collect();
+    assert!(late.is_empty(), "by start of the silence in ms: {late:?}");
+}
