fix(coord): a late read brings no deleted row back

A read of a table that came after a later one, say of a copy fetched from another instance, brought rows back that had been deleted in between, until the next read: a withdrawn evacuation or a target that had left. Cause: only the row's own last change was compared, which a deletion takes away. The content at the own position reflects every change up to it, so earlier ones are ignored.

replica_reads_in_any_order_give_the_latest_content (500 drawn histories with overlapping reads) and replica_late_read_brings_no_deleted_row_back failed before.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -136,7 +136,12 @@
     pub fn apply_changes(&mut self, now: Time, changes: Vec<RowChange>, position: u64) -> bool {
         let mut is_changed = !self.is_initialized;
         self.is_initialized = true;
-        for change in changes {
+        let own_position = self.snapshot.position;
+        // A late read: the content at the own position reflects what it brings.
+        for change in changes
+            .into_iter()
+            .filter(|change| change.position > own_position)
+        {
             is_changed |= self.apply_change(now, change);
         }
         self.snapshot.position = self.snapshot.position.max(position);
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -1,10 +1,11 @@
 //! Replicas of tables: positions never decrease, and rows deleted after an outage are retained for
 //! a while.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
 use coord::{Replica, ReplicaRow, RowChange, TableSnapshot};
+use proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed};
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -134,3 +135,84 @@
     assert!(replica.apply_changes(later, vec![change("a", None, 3)], 3));
     assert!(names(&replica).is_empty());
 }
+
+/// A read that comes late, after a later one has brought a row's deletion, brought the row back.
+#[test]
+fn replica_late_read_brings_no_deleted_row_back() {
+    let mut replica = Replica::new(Duration::ZERO);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 1)], 4);
+    replica.replace(Time::ZERO, snapshot(&[], 9));
+    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("2"), 5)], 6));
+    assert!(names(&replica).is_empty());
+    assert_eq!(replica.position(), 9);
+}
+
+/// One write to a row of a table's history; `None` deletes it.
+type HistoryEntry = (u8, Option<u8>);
+
+fn state_at(history: &[HistoryEntry], position: usize) -> BTreeMap<String, ReplicaRow> {
+    let mut rows = BTreeMap::new();
+    for (idx, (row, value)) in history[..position].iter().enumerate() {
+        let name = row.to_string();
+        match value {
+            Some(value) => {
+                let value = value.to_string();
+                let position = idx as u64 + 1;
+                rows.insert(name, ReplicaRow { value, position });
+            }
+            None => {
+                rows.remove(&name);
+            }
+        }
+    }
+    rows
+}
+
+/// Returns the last change of each row after a position, as the platform's feed does.
+fn changes_between(history: &[HistoryEntry], after: usize, to: usize) -> Vec<RowChange> {
+    let mut last = BTreeMap::new();
+    for (idx, (row, value)) in history[..to].iter().enumerate().skip(after) {
+        let value = value.map(|value| value.to_string());
+        last.insert(row.to_string(), (idx as u64 + 1, value));
+    }
+    let changes = last.into_iter().map(|(name, (position, value))| RowChange {
+        name,
+        value,
+        position,
+    });
+    changes.collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Reads of a table that overlap and come in any order, its own and those of other instances' copies,
+    /// leave the replica with the table's content at the latest position that any of them had.
+    #[test]
+    fn replica_reads_in_any_order_give_the_latest_content(
+        history in vec((0..4_u8, option::of(0..3_u8)), 1..20),
+        reads in vec((any::<Index>(), any::<Index>(), any::<bool>()), 1..12),
+    ) {
+        let mut replica = Replica::new(Duration::ZERO);
+        let mut latest = 0;
+        for (from, to, is_snapshot) in reads {
+            let to = to.index(history.len() + 1);
+            if is_snapshot || !replica.is_initialized() {
+                let rows = state_at(&history, to);
+                replica.replace(Time::ZERO, TableSnapshot { rows, position: to as u64 });
+            } else {
+                // A poll continues from a position that the replica had when it was sent.
+                let after = from.index(latest + 1).min(to);
+                let changes = changes_between(&history, after, to);
+                replica.apply_changes(Time::ZERO, changes, to as u64);
+            }
+            latest = latest.max(to);
+            prop_assert_eq!(&replica.snapshot().rows, &state_at(&history, latest));
+        }
+    }
+}
