fix(daemon): an instance counts its configuration as outdated after the site's contact time

An instance that the store had not answered for contactS refused unknown keys and routes for good (401, 404) until 5 s after the last confirmation, though they may have been added meanwhile. Cause: the limit was a constant of the template, longer than contactS on every site; it had to be, while polls lasted 3.5 s.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -225,8 +225,9 @@
     tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, relays));
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
-    let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms);
-    let read_timing = ReadTiming::within(Duration::from_secs_f64(cfg.bounds.contact_s));
+    let contact = Duration::from_secs_f64(cfg.bounds.contact_s);
+    let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms).min(contact);
+    let read_timing = ReadTiming::within(contact);
     let probes_targets = matches!(source, ConfigSource::HeadRow);
     match source {
         ConfigSource::HeadRow => {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -57,7 +57,7 @@
     #[serde(default = "default_lookup_ttl")]
     pub lookup_ttl_ms: u64,
     /// Time after which a configuration that has not been confirmed as the latest counts as possibly
-    /// outdated, in milliseconds.
+    /// outdated, in milliseconds; no longer than `bounds.contact_s` in any case.
     #[serde(default = "default_confirm_limit")]
     pub confirm_limit_ms: u64,
     /// Policy while the instance reaches neither the platform nor any other instance.
