fix(dispatch): whether a target is in service follows from a set of reasons

A target that started again under its id in an evacuated failure domain got requests for as long as the evacuation lasted. Cause: one state held all reasons for getting nothing, and its event for a new incarnation ended whichever it was; the evacuation, which had not changed, wasn't looked at again.

Now the reasons are a set (entry, drain, own word, platform's list), each entered and left by its own source; in service means that there is none, in one place, and the chart tells only how a target does. A return to service is the removal of the last reason.

--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -271,17 +271,30 @@
 
     /// Returns `true` if the target `id` may get new requests.
     pub fn is_target_in_service(&self, service: &ServiceId, id: &TargetId) -> bool {
-        self.services
-            .get(service)
-            .and_then(|svc| svc.targets.get(id))
-            .is_some_and(|target| {
-                !self.drains.targets.contains(id)
-                    && !self.drains.targets_in_domains.contains(&target.domain)
-                    && !self.is_domain_drained(&target.domain)
-                    && !target
-                        .registered
-                        .is_some_and(|registration| registration.is_leaving)
-            })
+        self.is_target_available(service, id) && !self.is_target_drained(service, id)
+    }
+
+    /// Returns `true` if the target `id` has an entry, and one that doesn't say that it is leaving.
+    pub fn is_target_available(&self, service: &ServiceId, id: &TargetId) -> bool {
+        self.target(service, id).is_some_and(|target| {
+            !target
+                .registered
+                .is_some_and(|registration| registration.is_leaving)
+        })
+    }
+
+    /// Returns `true` if operators have taken the target `id` out of service, by itself, with its
+    /// domain or with its region.
+    pub fn is_target_drained(&self, service: &ServiceId, id: &TargetId) -> bool {
+        let is_drained_with = |target: &Target| {
+            self.drains.targets_in_domains.contains(&target.domain)
+                || self.is_domain_drained(&target.domain)
+        };
+        self.drains.targets.contains(id) || self.target(service, id).is_some_and(is_drained_with)
+    }
+
+    fn target(&self, service: &ServiceId, id: &TargetId) -> Option<&Target> {
+        self.services.get(service)?.targets.get(id)
     }
 
     /// Returns `true` if an open route of `service` covers `path`, so that it needs no API key.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -167,19 +167,12 @@
         }
         for (id, pool) in &mut self.pools {
             for target in &mut pool.targets {
-                let is_in_service = config.is_target_in_service(id, &target.id);
-                if is_in_service == target.is_in_service {
-                    continue;
-                }
-                target.is_in_service = is_in_service;
-                if is_in_service {
-                    target.return_to_service(now, &self.chart);
-                } else {
-                    target.apply_event(now, &self.chart, TargetEvent::Leave);
-                }
+                let is_available = config.is_target_available(id, &target.id);
+                let is_drained = config.is_target_drained(id, &target.id);
+                let is_back = target.apply_config(now, &self.chart, is_available, is_drained);
                 let service = config.services.get(id);
                 if let Some(cold) = service.and_then(|service| service.cold)
-                    && is_in_service
+                    && is_back
                     && target.is_registered()
                 {
                     // A target may have been restarted while it was drained.
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -5,7 +5,10 @@
 use base::{ServiceId, TargetId, Time};
 
 use super::Dispatcher;
-use crate::{Action, ConnectionLoss, HealthReport, PoolStats, RequestId, TargetEvent, TargetState};
+use crate::{
+    Action, ConnectionLoss, ExclusionReason, HealthReport, PoolStats, RequestId, TargetEvent,
+    TargetState,
+};
 
 impl Dispatcher {
     /// Records a response of a target's health endpoint, or `None` if it has not responded for too
@@ -111,7 +114,7 @@
             return;
         };
         if let Some(&idx) = pool.index.get(target) {
-            pool.targets[idx].apply_event(now, &self.chart, TargetEvent::Leave);
+            pool.targets[idx].exclude(now, &self.chart, ExclusionReason::Listed, true);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod budget;
 mod dispatcher;
+mod exclusion;
 mod gate;
 mod hash;
 mod latency;
@@ -26,6 +27,7 @@
 
 pub use budget::RetryBudget;
 pub use dispatcher::Dispatcher;
+pub use exclusion::{ExclusionReason, Exclusions};
 pub use gate::SendGate;
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, ClaimOutcome, Claimer, Ledger, SavedAnswer};
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -6,9 +6,12 @@
 use chart::Chart;
 use serde::Deserialize;
 
-use crate::{ConcurrencyLimit, LatencyEstimate, SendGate, hash::seeded_hash};
+use crate::{
+    ConcurrencyLimit, ExclusionReason, Exclusions, LatencyEstimate, SendGate, hash::seeded_hash,
+};
 
-/// Lists the states of a target; `charts/target.json` holds the transitions.
+/// Lists the states of a target; `charts/target.json` holds the transitions of those that tell how it
+/// does. Whether it is leaving follows from the reasons for which it is out of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
@@ -16,7 +19,7 @@
     Cold,
     /// Gets work for all its slots.
     Ready,
-    /// Gets no new work because it is about to stop.
+    /// Gets no new work because it is out of service.
     Leaving,
     /// Gets no new work because it can't be reached; connections are tried until one opens.
     Down,
@@ -30,11 +33,9 @@
     Warmed,
     /// Several connections in a row failed, or the health endpoint does not respond.
     Failed,
-    /// The target list or the health endpoint reports that the target is leaving.
-    Leave,
     /// The health endpoint responds again, or a new incarnation has registered.
     Recovered,
-    /// The target takes work again after it was leaving.
+    /// The target is back in service.
     Returned,
     /// The target reports that it is cold again, or may have been restarted while it was drained.
     Chilled,
@@ -58,11 +59,11 @@
     pub region: RegionId,
     /// Requests of this instance that are in flight on the target.
     pub in_flight: u32,
-    /// Whether the configuration lets the target take new work.
-    pub is_in_service: bool,
+    exclusions: Exclusions,
     slots: u32,
     limit: ConcurrencyLimit,
-    state: TargetState,
+    /// How the target does, in service or not.
+    condition: TargetState,
     cold_since: Time,
     /// Requests of other instances, by the last health report.
     others_in_flight: u32,
@@ -85,8 +86,6 @@
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
-    /// Whether the target itself has said that it is leaving, and nothing later says otherwise.
-    has_said_leaving: bool,
     /// When the target takes the next request of this instance, by its own word.
     gate: SendGate,
 }
@@ -127,10 +126,10 @@
             id,
             region,
             in_flight: 0,
-            is_in_service: true,
+            exclusions: Exclusions::default(),
             slots: slots.max(1),
             limit: ConcurrencyLimit::new(slots),
-            state: TargetState::Cold,
+            condition: TargetState::Cold,
             cold_since: now,
             others_in_flight: 0,
             report_distrusted_until: Time::ZERO,
@@ -145,7 +144,6 @@
             probe_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
-            has_said_leaving: false,
             gate: SendGate::default(),
         }
     }
@@ -168,7 +166,8 @@
         let is_new = old.is_none_or(|old| old.incarnation != registration.incarnation);
         let has_returned = old.is_some_and(|old| old.is_leaving && !registration.is_leaving);
         if is_new || has_returned {
-            self.has_said_leaving = false;
+            self.exclude(now, chart, ExclusionReason::OwnWord, false);
+            self.exclude(now, chart, ExclusionReason::Listed, false);
         }
         if is_new {
             self.limit = ConcurrencyLimit::new(self.slots);
@@ -179,7 +178,6 @@
             self.gate = SendGate::default();
             self.gate.set_rate_rank(rank);
             self.probe_backoff = MIN_PROBE_BACKOFF;
-            self.apply_event(now, chart, TargetEvent::Returned);
             self.apply_event(now, chart, TargetEvent::Recovered);
         }
         let has_turned_cold = old.is_none_or(|old| registration.cold_ms > old.cold_ms) || is_new;
@@ -198,18 +196,54 @@
     /// had registered as leaving, or until its health endpoint says otherwise. An entry that never
     /// said that the target is leaving may be older than the target's word.
     pub fn say_leaving(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) -> bool {
-        let is_news = !std::mem::replace(&mut self.has_said_leaving, true);
-        self.apply_event(now, chart, TargetEvent::Leave);
+        let is_news = !self.exclusions.contains(ExclusionReason::OwnWord);
+        self.exclude(now, chart, ExclusionReason::OwnWord, true);
         is_news
     }
 
-    /// Puts the target back into service, unless it has said itself that it is leaving.
-    pub fn return_to_service(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) {
-        if !self.has_said_leaving {
+    /// Adds or removes a reason for which the target gets nothing; without any left it returns to
+    /// service.
+    pub fn exclude(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+        reason: ExclusionReason,
+        holds: bool,
+    ) {
+        if self.exclusions.set(reason, holds) {
             self.apply_event(now, chart, TargetEvent::Returned);
         }
     }
 
+    /// Applies what the configuration says of the target, and returns whether it has ended a reason for
+    /// which the target got nothing.
+    pub fn apply_config(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+        is_available: bool,
+        is_drained: bool,
+    ) -> bool {
+        let mut reasons = [
+            (ExclusionReason::Entry, !is_available),
+            (ExclusionReason::Drained, is_drained),
+        ];
+        let was_excluded = reasons
+            .iter()
+            .any(|(reason, _)| self.exclusions.contains(*reason));
+        // New reasons come first, so that a change of reasons is no return to service.
+        reasons.sort_by_key(|(_, holds)| !holds);
+        for (reason, holds) in reasons {
+            self.exclude(now, chart, reason, holds);
+        }
+        was_excluded && is_available && !is_drained
+    }
+
+    /// Returns whether there is no reason for which the target gets nothing.
+    pub fn is_in_service(&self) -> bool {
+        self.exclusions.is_empty()
+    }
+
     /// Applies what the health endpoint says: it is the target's own and latest word.
     pub fn apply_health(
         &mut self,
@@ -221,13 +255,9 @@
             self.say_leaving(now, chart);
             return;
         }
-        self.has_said_leaving = false;
-        let event = if self.state == TargetState::Leaving && self.is_in_service {
-            TargetEvent::Returned
-        } else {
-            TargetEvent::Recovered
-        };
-        self.apply_event(now, chart, event);
+        self.exclude(now, chart, ExclusionReason::OwnWord, false);
+        self.exclude(now, chart, ExclusionReason::Listed, false);
+        self.apply_event(now, chart, TargetEvent::Recovered);
     }
 
     /// Returns a digest of the target and its incarnation, or `None` for an unregistered target,
@@ -294,7 +324,7 @@
     /// Returns whether one more request may be sent now: the target has a free slot, and a cold or
     /// unreachable target is due for its next request.
     pub fn accepts_request(&self, now: Time) -> bool {
-        match self.state {
+        match self.state() {
             TargetState::Ready => self.has_capacity(now),
             TargetState::Cold => {
                 !self.skips_while_cold && now >= self.next_cold_send_at && self.has_capacity(now)
@@ -306,7 +336,7 @@
     /// Returns whether the target takes part in the ranking of targets for an object, even if it
     /// has no free slot now.
     pub fn is_ranked(&self, now: Time) -> bool {
-        (self.state == TargetState::Ready && self.may_send(now)) || self.accepts_request(now)
+        (self.state() == TargetState::Ready && self.may_send(now)) || self.accepts_request(now)
     }
 
     /// Returns whether the target's own word lets this instance send a request now.
@@ -329,14 +359,18 @@
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
         self.gate.record_send(now);
-        if self.state == TargetState::Cold {
+        if self.condition == TargetState::Cold {
             self.next_cold_send_at = now + self.cold_interval;
         }
     }
 
     /// Returns the target's state.
     pub fn state(&self) -> TargetState {
-        self.state
+        if self.is_in_service() {
+            self.condition
+        } else {
+            TargetState::Leaving
+        }
     }
 
     /// Returns the number of requests that the target can run at the same time.
@@ -352,7 +386,7 @@
 
     /// Returns the number of requests that this instance may run on the target at the same time.
     pub fn concurrency_limit(&self, now: Time) -> u32 {
-        match self.state {
+        match self.state() {
             TargetState::Ready | TargetState::Cold if self.gate.is_on_trial() => 1,
             TargetState::Ready => self.limit.current(),
             TargetState::Cold if self.registration.is_some() => self.limit.current(),
@@ -389,10 +423,10 @@
         chart: &Chart<TargetState, TargetEvent>,
         event: TargetEvent,
     ) -> bool {
-        let Some(&next) = chart.next(&self.state, &event) else {
+        let Some(&next) = chart.next(&self.condition, &event) else {
             return false;
         };
-        self.state = next;
+        self.condition = next;
         if next == TargetState::Cold {
             self.cold_since = now;
             self.failures = 0;
@@ -412,7 +446,7 @@
         } else {
             now - self.cold_since >= WARM_UP_TIME
         };
-        self.state == TargetState::Cold && is_over
+        self.condition == TargetState::Cold && is_over
     }
 
     /// Returns the cost of one more request: the utilization with it, times the mean latency.
@@ -445,7 +479,7 @@
         if self.failures < FAILURES_UNTIL_DOWN {
             return false;
         }
-        if self.state != TargetState::Down {
+        if self.condition != TargetState::Down {
             self.last_probed_at = now;
         }
         true
@@ -457,8 +491,7 @@
     /// The time between two of them grows until a request is answered, so that a target that only
     /// accepts connections is not taken for a sound one again and again.
     pub fn take_probe(&mut self, now: Time) -> bool {
-        let is_due = self.state == TargetState::Down
-            && self.is_in_service
+        let is_due = self.state() == TargetState::Down
             && self.is_registered()
             && now - self.last_probed_at >= self.probe_backoff;
         if is_due {
