fix(wire): the end of a carried connection is said, not read off its close

Callers got a 200 with a part of the body: an answer that ends with its connection, carried by another instance that was killed. Cause: the kernel of an ended process closes its connections in order, and that looked like the target's own end.

Over the own hop a target's bytes now come in chunks and their end is marked; a connection that ends without the mark has failed. Instances of earlier builds still get plain bytes when they ask for them; this build asks only for marked ones, and an earlier one that can't carry those isn't used.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -20,7 +20,10 @@
     sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
     time::timeout,
 };
-use wire::Secret;
+use wire::{
+    Secret,
+    marked::{self, MarkedStream},
+};
 
 use crate::rpc::{self, Opening};
 
@@ -89,13 +92,22 @@
     }
 
     /// Carries the connection until one of its ends closes it.
-    pub(crate) async fn carry(self, stream: TcpStream) {
+    pub(crate) async fn carry(self, stream: TcpStream, encoding: Encoding) {
         if let Some(target_stream) = self.target_stream {
-            exchange_bytes(stream, target_stream).await;
+            exchange_bytes(stream, target_stream, encoding).await;
         }
     }
 }
 
+/// How a target's bytes are passed on to the instance that asked for the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Encoding {
+    /// As they are.
+    Plain,
+    /// In chunks, with a mark of their end.
+    Marked,
+}
+
 /// Returns the address of a target that takes new work.
 fn addr_in_service(config: &Config, target: &TargetId) -> Option<SocketAddr> {
     let mut services = config.services.iter();
@@ -122,11 +134,11 @@
     secret: &Secret,
     relay: SocketAddr,
     target: TargetId,
-) -> Result<TcpStream, RelayError> {
-    let opening = Opening::Relay(target);
+) -> Result<MarkedStream<TcpStream>, RelayError> {
+    let opening = Opening::MarkedRelay(target);
     let exchange = rpc::exchange(secret, relay, &opening);
     match timeout(OPEN_TIMEOUT, exchange).await {
-        Ok(Ok((true, stream))) => Ok(stream),
+        Ok(Ok((true, stream))) => Ok(MarkedStream::new(stream)),
         Ok(Ok((false, _))) => Err(RelayError::TargetUnreachable),
         Ok(Err(_)) | Err(_) => Err(RelayError::RelayUnavailable),
     }
@@ -137,13 +149,13 @@
 ///
 /// An end that fails resets the other one, so that an answer which was cut off doesn't look
 /// complete.
-async fn exchange_bytes(mut near: TcpStream, mut far: TcpStream) {
+async fn exchange_bytes(mut near: TcpStream, mut far: TcpStream, encoding: Encoding) {
     let is_clean = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
         tokio::select! {
-            result = copy(near_read, far_write) => result.is_ok(),
-            result = copy(far_read, near_write) => result.is_ok(),
+            result = copy(near_read, far_write, Encoding::Plain) => result.is_ok(),
+            result = copy(far_read, near_write, encoding) => result.is_ok(),
         }
     };
     if !is_clean {
@@ -153,13 +165,15 @@
 }
 
 /// Copies one direction until it is closed.
-async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<()> {
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, encoding: Encoding) -> io::Result<()> {
     let mut buf = vec![0; BUF_BYTES];
     loop {
         let len = timeout(IDLE_TIMEOUT, from.read(&mut buf)).await??;
-        if len == 0 {
-            return Ok(());
+        match encoding {
+            Encoding::Marked if len == 0 => return marked::write_end(&mut to).await,
+            Encoding::Marked => marked::write_chunk(&mut to, &buf[..len]).await?,
+            Encoding::Plain if len == 0 => return Ok(()),
+            Encoding::Plain => to.write_all(&buf[..len]).await?,
         }
-        to.write_all(&buf[..len]).await?;
     }
 }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -15,7 +15,7 @@
 };
 use wire::{Secret, stream};
 
-use crate::relay::RelayServer;
+use crate::relay::{Encoding, RelayServer, RelayedTarget};
 
 /// Requests something from another instance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -67,8 +67,11 @@
     /// Calls the other instance, which answers with a [`Reply`] and closes the connection.
     Call(Call),
     /// Asks for a connection to this target. The other instance answers whether it reached the
-    /// target; if so, the connection carries the target's bytes from then on.
+    /// target; if so, the connection carries the target's bytes from then on. Only builds before
+    /// [`Opening::MarkedRelay`] ask for it.
     Relay(TargetId),
+    /// Asks as [`Opening::Relay`] does; the target's bytes come in chunks and their end is marked.
+    MarkedRelay(TargetId),
 }
 
 /// Carries a received call to the task that answers it.
@@ -176,17 +179,34 @@
             timeout(CALL_TIMEOUT, answered).await?
         }
         Opening::Relay(target) => {
-            let Some(relayed) = relays.open(&target).await else {
-                return Ok(());
-            };
-            let is_open = relayed.is_open();
-            write_reply(&mut stream, &secret, &peer_nonce, &is_open).await?;
-            relayed.carry(stream).await;
+            let relayed = open_relay(&mut stream, &secret, &peer_nonce, &relays, &target).await?;
+            relayed.carry(stream, Encoding::Plain).await;
+            Ok(())
+        }
+        Opening::MarkedRelay(target) => {
+            let relayed = open_relay(&mut stream, &secret, &peer_nonce, &relays, &target).await?;
+            relayed.carry(stream, Encoding::Marked).await;
             Ok(())
         }
     }
 }
 
+/// Connects to a target for another instance, and answers whether that was possible.
+async fn open_relay(
+    stream: &mut TcpStream,
+    secret: &Secret,
+    peer_nonce: &Nonce,
+    relays: &RelayServer,
+    target: &TargetId,
+) -> io::Result<RelayedTarget> {
+    let relayed = relays
+        .open(target)
+        .await
+        .ok_or(io::ErrorKind::QuotaExceeded)?;
+    write_reply(stream, secret, peer_nonce, &relayed.is_open()).await?;
+    Ok(relayed)
+}
+
 async fn answer_call(
     stream: &mut TcpStream,
     secret: &Secret,
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -15,9 +15,10 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    runtime::Builder,
     sync::{mpsc, oneshot, watch},
 };
-use wire::Secret;
+use wire::{Secret, marked::MarkedStream};
 
 /// Serves connections for others to a target `t` at this address, and returns the channel on which
 /// they are asked for with the address of the serving instance.
@@ -25,6 +26,13 @@
     target: SocketAddr,
     is_drained: bool,
 ) -> (mpsc::UnboundedSender<RelayRequest>, SocketAddr) {
+    let addr = serve(target, is_drained).await;
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(relay::run(Secret::derive("a secret for tests only"), rx));
+    (tx, addr)
+}
+
+async fn serve(target: SocketAddr, is_drained: bool) -> SocketAddr {
     let mut config = Config::default();
     let domain = Domain { region: "r".into() };
     config.domains.insert("d".into(), domain);
@@ -60,16 +68,14 @@
         let _calls = calls_rx;
         rpc::serve(listener, secret, calls, relays).await;
     });
-    let (tx, rx) = mpsc::unbounded_channel();
-    tokio::spawn(relay::run(Secret::derive("a secret for tests only"), rx));
-    (tx, addr)
+    addr
 }
 
 async fn open(
     tx: &mpsc::UnboundedSender<RelayRequest>,
     relay: SocketAddr,
     target: &str,
-) -> Result<TcpStream, RelayError> {
+) -> Result<MarkedStream<TcpStream>, RelayError> {
     let (reply, answer) = oneshot::channel();
     let request = RelayRequest {
         relay,
@@ -118,6 +124,30 @@
     assert!(near.read(&mut buf).await.is_err());
 }
 
+/// MIXED: an answer that another instance carried looked complete when that one's process ended, as
+/// its kernel closes its connections in order.
+#[tokio::test]
+async fn relay_that_ends_breaks_the_answer() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = target.local_addr().unwrap();
+    let carrier = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let relay = carrier.spawn(serve(addr, false)).await.unwrap();
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(relay::run(Secret::derive("a secret for tests only"), rx));
+    let mut near = open(&tx, relay, "t").await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    far.write_all(b"half an").await.unwrap();
+    let mut buf = [0; 7];
+    near.read_exact(&mut buf).await.unwrap();
+    carrier.shutdown_background();
+    let mut rest = Vec::new();
+    assert!(near.read_to_end(&mut rest).await.is_err(), "{rest:?}");
+}
+
 /// What the other instance can't reach, or may not send to, is told from an instance that can't
 /// help.
 #[rstest]
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -13,7 +13,13 @@
     time::{sleep, timeout},
 };
 
-use crate::{forward::Connection, metered::MeteredStream, view::Clock};
+use wire::marked::MarkedStream;
+
+use crate::{
+    forward::Connection,
+    metered::{MeteredStream, TargetStream},
+    view::Clock,
+};
 
 /// Maximum size of what is read from a target at a time, and so of the head of an answer.
 pub(crate) const MAX_READ_BYTES: usize = 64 * 1024;
@@ -50,7 +56,7 @@
     /// Target to connect to.
     pub target: TargetId,
     /// Channel for the connection.
-    pub reply: oneshot::Sender<Result<TcpStream, RelayError>>,
+    pub reply: oneshot::Sender<Result<MarkedStream<TcpStream>, RelayError>>,
 }
 
 /// Lists the reasons for which another instance can't carry a connection.
@@ -195,7 +201,7 @@
             match answer.await {
                 Ok(Ok(stream)) => {
                     return Ok(Opened {
-                        stream,
+                        stream: TargetStream::Relayed(stream),
                         relay: Some(relay.instance.clone()),
                     });
                 }
@@ -209,14 +215,14 @@
 
 /// Holds an open stream and the instance that carries it, if any.
 struct Opened {
-    stream: TcpStream,
+    stream: TargetStream,
     relay: Option<InstanceId>,
 }
 
 impl Opened {
     fn direct(stream: TcpStream) -> Self {
         Self {
-            stream,
+            stream: TargetStream::Direct(stream),
             relay: None,
         }
     }
@@ -234,7 +240,6 @@
     addr: SocketAddr,
     opened: Opened,
 ) -> Result<Connection, ConnectError> {
-    let _ = opened.stream.set_nodelay(true);
     let (stream, allowance) = MeteredStream::new(opened.stream);
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
@@ -247,11 +252,13 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, ConnectError> {
-    timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .map_err(|err| match err.kind() {
             io::ErrorKind::ConnectionRefused => ConnectError::Refused,
             _ => ConnectError::Failed,
-        })
+        })?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
 }
--- a/crates/entry/src/metered.rs
+++ b/crates/entry/src/metered.rs
@@ -1,4 +1,4 @@
-//! A stream whose reader is cut off after a number of bytes.
+//! Streams to targets, whose reader is cut off after a number of bytes.
 
 use std::{
     io,
@@ -14,15 +14,25 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
+use wire::marked::MarkedStream;
 
 /// Sets how many bytes may still be read from a [`MeteredStream`].
 #[derive(Debug, Clone)]
 pub(crate) struct Allowance(Arc<AtomicUsize>);
 
+/// Bytes to and from a target.
+#[derive(Debug)]
+pub(crate) enum TargetStream {
+    /// Over an own connection.
+    Direct(TcpStream),
+    /// Over a connection that another instance carries.
+    Relayed(MarkedStream<TcpStream>),
+}
+
 /// Reads from a stream until its allowance is used up, and fails then.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
-    inner: TcpStream,
+    inner: TargetStream,
     allowance: Allowance,
 }
 
@@ -49,7 +59,7 @@
 
 impl MeteredStream {
     /// Returns a stream without a bound, and the allowance that sets one.
-    pub(crate) fn new(inner: TcpStream) -> (Self, Allowance) {
+    pub(crate) fn new(inner: TargetStream) -> (Self, Allowance) {
         let allowance = Allowance(Arc::new(AtomicUsize::new(usize::MAX)));
         let stream = Self {
             inner,
@@ -66,7 +76,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        ready!(match &mut self.inner {
+            TargetStream::Direct(stream) => Pin::new(stream).poll_read(cx, buf),
+            TargetStream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
+        })?;
         if self.allowance.take(buf.filled().len() - before) {
             Poll::Ready(Ok(()))
         } else {
@@ -81,15 +94,24 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        match &mut self.inner {
+            TargetStream::Direct(stream) => Pin::new(stream).poll_write(cx, buf),
+            TargetStream::Relayed(stream) => Pin::new(stream).poll_write(cx, buf),
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        match &mut self.inner {
+            TargetStream::Direct(stream) => Pin::new(stream).poll_flush(cx),
+            TargetStream::Relayed(stream) => Pin::new(stream).poll_flush(cx),
+        }
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        match &mut self.inner {
+            TargetStream::Direct(stream) => Pin::new(stream).poll_shutdown(cx),
+            TargetStream::Relayed(stream) => Pin::new(stream).poll_shutdown(cx),
+        }
     }
 
     fn poll_write_vectored(
@@ -97,10 +119,16 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        match &mut self.inner {
+            TargetStream::Direct(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+            TargetStream::Relayed(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        match &self.inner {
+            TargetStream::Direct(stream) => stream.is_write_vectored(),
+            TargetStream::Relayed(stream) => stream.is_write_vectored(),
+        }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,10 @@
 //! Authenticated postcard frames between instances over UDP and TCP.
 //!
 //! [`Sessions`] seals and opens frames without any I/O. [`stream`] transfers sealed frames over
-//! TCP, for messages that don't fit into a datagram.
+//! TCP, for messages that don't fit into a datagram. [`marked`] carries bytes of others.
 
 mod frame;
+pub mod marked;
 mod session;
 pub mod stream;
 mod window;
