fix(entry): an answer that ends with its connection counts if its target can still be reached

Callers got a 200 with a part of the body when a link to the targets ended an instance's connections in order. Cause: an answer without a length ends with its connection, and a link's end was taken for the target's. Now such an answer is whole only if a new connection, opened the same way right after, stays open; else the attempt counts as lost. Answers with a length or in chunks are as before, and so are refusals.

Price: one connection and 20 ms for each answer without a length.

--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::{
+    io::{AsyncRead, AsyncReadExt},
     net::TcpStream,
     sync::{mpsc, oneshot},
     time::{sleep, timeout},
@@ -16,14 +17,15 @@
 use wire::marked::MarkedStream;
 
 use crate::{
-    forward::Connection,
-    metered::{MeteredStream, TargetStream},
-    view::Clock,
+    forward::Connection, metered::MeteredStream, target_stream::TargetStream, view::Clock,
 };
 
 /// Maximum size of what is read from a target at a time, and so of the head of an answer.
 pub(crate) const MAX_READ_BYTES: usize = 64 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a new connection must stay open to show that its target can be reached: the kernel
+/// of an end that has just stopped listening may still accept it, and closes it then.
+const MIN_OPEN_TIME: Duration = Duration::from_millis(20);
 
 /// Lists the reasons for which a connection to a target can't be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -136,6 +138,26 @@
         Dialed { connection, dial }
     }
 
+    /// Returns whether a new connection to a target can be opened, and stays open, in the same way as
+    /// one that `relay` carries, or else directly.
+    pub(crate) async fn is_reachable(&self, plan: &DialPlan, relay: Option<&InstanceId>) -> bool {
+        let is_same = |found: &&Relay| Some(&found.instance) == relay;
+        let Some(same) = plan.relays.iter().find(is_same) else {
+            return match connect(plan.addr).await {
+                Ok(stream) => stays_open(stream).await,
+                Err(_) => false,
+            };
+        };
+        let same_way = DialPlan {
+            relays: vec![same.clone()],
+            ..plan.clone()
+        };
+        match self.open_relayed(&same_way).await {
+            Ok(opened) => stays_open(opened.stream).await,
+            Err(_) => false,
+        }
+    }
+
     async fn open_relayed_first(&self, plan: &DialPlan) -> (Result<Opened, ConnectError>, Dial) {
         let relayed = |relayed| Dial {
             direct: None,
@@ -251,6 +273,14 @@
     Ok(Connection::new(clock.now(), http, addr, opened.relay))
 }
 
+/// Returns whether a new connection, on which nothing was asked, isn't closed at once.
+async fn stays_open<S>(mut stream: S) -> bool
+where
+    S: AsyncRead + Unpin,
+{
+    timeout(MIN_OPEN_TIME, stream.read(&mut [0])).await.is_err()
+}
+
 async fn connect(addr: SocketAddr) -> Result<TcpStream, ConnectError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -5,7 +5,9 @@
 use base::{InstanceId, Time};
 use bytes::Bytes;
 use dispatch::{Dial, Outcome};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, response::Parts,
+};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use tokio::time::timeout_at;
@@ -235,7 +237,7 @@
         let is_direct_and_new = is_new_connection && relay.is_none();
         let connect_time = is_direct_and_new.then(|| clock.now() - started);
         let mut result = self
-            .send_request(started, connection, template, req)
+            .send_request(started, connection, template, req, plan)
             .await
             .with_new_connection(is_new_connection);
         result.relay = relay;
@@ -250,6 +252,7 @@
         mut connection: Connection,
         template: &RequestTemplate,
         req: Request<Full<Bytes>>,
+        plan: &DialPlan,
     ) -> AttemptResult {
         connection.allowance.set(MAX_HEAD_BYTES);
         let res = match connection.sender.try_send_request(req).await {
@@ -276,6 +279,15 @@
         let Ok(body) = self.held.collect(body, MAX_HELD_BYTES).await else {
             return AttemptResult::failed(Outcome::Lost);
         };
+        let is_whole = is_refused
+            || !ends_with_connection(&parts)
+            || self
+                .dialer
+                .is_reachable(plan, connection.relay.as_ref())
+                .await;
+        if !is_whole {
+            return AttemptResult::failed(Outcome::Lost);
+        }
         let response = TargetResponse {
             status: parts.status,
             headers: head::response_headers(&parts.headers),
@@ -297,6 +309,18 @@
     }
 }
 
+/// Returns whether only the end of its connection ends a response, which a link that is cut on the way
+/// gives as well.
+fn ends_with_connection(parts: &Parts) -> bool {
+    let has_body = !matches!(
+        parts.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    has_body
+        && !parts.headers.contains_key(header::CONTENT_LENGTH)
+        && !parts.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether a response belongs to the request: it must repeat the attempt's ID and, if
 /// successful, carry the required header.
 fn matches_request(template: &RequestTemplate, res: &Response<Incoming>) -> bool {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,5 +19,6 @@
 mod request_log;
 pub mod response;
 pub mod serve;
+mod target_stream;
 pub mod trace;
 pub mod view;
--- a/crates/entry/src/metered.rs
+++ b/crates/entry/src/metered.rs
@@ -1,4 +1,4 @@
-//! Streams to targets, whose reader is cut off after a number of bytes.
+//! A stream whose reader is cut off after a number of bytes.
 
 use std::{
     io,
@@ -10,25 +10,14 @@
     task::{Context, Poll, ready},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
-use wire::marked::MarkedStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::target_stream::TargetStream;
 
 /// Sets how many bytes may still be read from a [`MeteredStream`].
 #[derive(Debug, Clone)]
 pub(crate) struct Allowance(Arc<AtomicUsize>);
 
-/// Bytes to and from a target.
-#[derive(Debug)]
-pub(crate) enum TargetStream {
-    /// Over an own connection.
-    Direct(TcpStream),
-    /// Over a connection that another instance carries.
-    Relayed(MarkedStream<TcpStream>),
-}
-
 /// Reads from a stream until its allowance is used up, and fails then.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
@@ -76,10 +65,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(match &mut self.inner {
-            TargetStream::Direct(stream) => Pin::new(stream).poll_read(cx, buf),
-            TargetStream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
-        })?;
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
         if self.allowance.take(buf.filled().len() - before) {
             Poll::Ready(Ok(()))
         } else {
@@ -94,24 +80,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match &mut self.inner {
-            TargetStream::Direct(stream) => Pin::new(stream).poll_write(cx, buf),
-            TargetStream::Relayed(stream) => Pin::new(stream).poll_write(cx, buf),
-        }
+        Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match &mut self.inner {
-            TargetStream::Direct(stream) => Pin::new(stream).poll_flush(cx),
-            TargetStream::Relayed(stream) => Pin::new(stream).poll_flush(cx),
-        }
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match &mut self.inner {
-            TargetStream::Direct(stream) => Pin::new(stream).poll_shutdown(cx),
-            TargetStream::Relayed(stream) => Pin::new(stream).poll_shutdown(cx),
-        }
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -119,16 +96,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        match &mut self.inner {
-            TargetStream::Direct(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
-            TargetStream::Relayed(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
-        }
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        match &self.inner {
-            TargetStream::Direct(stream) => stream.is_write_vectored(),
-            TargetStream::Relayed(stream) => stream.is_write_vectored(),
-        }
+        self.inner.is_write_vectored()
     }
 }
