--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,11 +11,10 @@
 use coord::{Heartbeat, Membership, QuotaSplit, lease_chart};
 use dispatch::Ledger;
 use entry::{
-    callers::{self, CallerHandler, HandlerOptions},
+    callers::{CallerHandler, HandlerOptions},
     dial::Dialer,
     engine::{Engine, EngineOptions},
     forward::Forwarder,
-    held::HeldBytes,
     message::Event,
     metrics::Metrics,
     recorder::Recorder,
@@ -39,7 +38,7 @@
     lister::{self, Liveness},
     message::{FollowerMessage, PeerCommand},
     operator::Operator,
-    options::NodeOptions,
+    options::{self, NodeOptions},
     owners::{Owners, OwnersMessage, OwnersOptions},
     peers::{self, Peers},
     planner::{Planner, PlannerOptions},
@@ -68,10 +67,6 @@
 const STOP_CLOSE_AT: f64 = 0.8;
 /// Fraction of the stop time at which requests in flight are abandoned.
 const STOP_ABANDON_AT: f64 = 0.93;
-const BYTES_PER_MB: usize = 1_000_000;
-/// Divisor of the memory that gives the part for bodies; the rest is for what the kernel holds of them
-/// beside the instance, and for all else.
-const BODY_MEMORY_DIVISOR: usize = 2;
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(150);
 const CHANNEL_CAPACITY: usize = 4_096;
 
@@ -178,7 +173,7 @@
     .wrap_err("cannot create the engine")?;
     tokio::spawn(engine.run(engine_rx));
 
-    let (forwarder, held) = hold_bodies(cfg, Forwarder::new(dialer));
+    let (forwarder, held) = options::hold_bodies(cfg, Forwarder::new(dialer));
     let handler = CallerHandler {
         clock,
         events: engine_tx.clone(),
@@ -465,18 +460,6 @@
     status.available.is_empty() || has_tokens || !status.owners.is_empty()
 }
 
-/// Returns the forwarder and the bound on callers' bodies, which share a part of the instance's memory
-/// if that is known.
-fn hold_bodies(cfg: &DaemonSettings, forwarder: Forwarder) -> (Forwarder, HeldBytes) {
-    let Some(megabytes) = cfg.memory_mb else {
-        return (forwarder, HeldBytes::new(callers::MAX_HELD_BYTES));
-    };
-    let memory = usize::try_from(megabytes).unwrap_or(usize::MAX);
-    let bytes = memory.saturating_mul(BYTES_PER_MB) / BODY_MEMORY_DIVISOR;
-    let held = HeldBytes::new(bytes);
-    (forwarder.held(held.clone()), held)
-}
-
 fn handler_options(cfg: &DaemonSettings, options: &NodeOptions) -> HandlerOptions {
     HandlerOptions {
         max_body_bytes: cfg.body_limit_bytes,
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -4,7 +4,7 @@
 
 use coord::{LeaseTiming, QuotaSplit};
 use dispatch::{Placement, Policy};
-use entry::dialect::Dialect;
+use entry::{callers, dialect::Dialect, forward::Forwarder, held::HeldBytes};
 use record::Sink;
 use settings::DaemonSettings;
 use steer::PlanPolicy;
@@ -30,6 +30,10 @@
 /// Fraction of the permitted rate overage that is used; the rest covers variation on the way to the
 /// targets.
 const OVERAGE_USE: f64 = 0.7;
+const BYTES_PER_MB: usize = 1_000_000;
+/// Divisor of the memory that gives the part for bodies; the rest is for what the kernel holds of them
+/// beside the instance, and for all else.
+const BODY_MEMORY_DIVISOR: usize = 2;
 
 /// Holds the options in which a deployed instance and a development instance differ.
 #[derive(Debug, Clone)]
@@ -119,6 +123,18 @@
     }
 }
 
+/// Returns the forwarder and the bound on the bytes of callers' bodies; both share a part of the
+/// instance's memory if that is known.
+pub(crate) fn hold_bodies(cfg: &DaemonSettings, forwarder: Forwarder) -> (Forwarder, HeldBytes) {
+    let Some(megabytes) = cfg.memory_mb else {
+        return (forwarder, HeldBytes::new(callers::MAX_HELD_BYTES));
+    };
+    let memory = usize::try_from(megabytes).unwrap_or(usize::MAX);
+    let bytes = memory.saturating_mul(BYTES_PER_MB) / BODY_MEMORY_DIVISOR;
+    let held = HeldBytes::new(bytes);
+    (forwarder.held(held.clone()), held)
+}
+
 /// Logs which settings have changed in a reload and take effect only after a restart.
 pub fn log_reload(old: &DaemonSettings, new: &DaemonSettings) {
     let json = |cfg: &DaemonSettings| serde_json::to_value(cfg).unwrap_or_default();
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -1,6 +1,8 @@
 //! Targets whose answers never end: an instance holds a bounded part of them and closes the
 //! connection.
 
+mod support;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -10,25 +12,18 @@
     time::Duration,
 };
 
-use base::Time;
-use bytes::Bytes;
 use dispatch::Outcome;
-use entry::{
-    dial::{DialPlan, Dialer},
-    dialect::Dialect,
-    forward::{AttemptResult, Forwarder, RequestTemplate},
-    view::Clock,
-};
-use http::{HeaderMap, Method};
+use entry::view::Clock;
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::mpsc,
     task::JoinSet,
     time::{Instant, sleep},
 };
 
+use crate::support::{forwarder, send};
+
 const MIB: usize = 1024 * 1024;
 /// Bytes that all answers together may occupy.
 const MAX_HELD_BYTES: usize = 64 * MIB;
@@ -85,33 +80,6 @@
     (addr, counts)
 }
 
-fn forwarder(clock: Clock) -> Forwarder {
-    let (tx, _) = mpsc::unbounded_channel();
-    Forwarder::new(Dialer::new(clock, tx))
-}
-
-async fn send(forwarder: Forwarder, clock: Clock, addr: SocketAddr) -> AttemptResult {
-    let plan = DialPlan {
-        target: "t".into(),
-        addr,
-        relays: Vec::new(),
-        prefers_relay: false,
-        relay_delay: Duration::from_secs(1),
-    };
-    let template = RequestTemplate {
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        dialect: Arc::new(Dialect::default()),
-        attempt_id: None,
-    };
-    let deadline: Time = clock.now() + Duration::from_secs(20);
-    forwarder
-        .send_attempt(&plan, None, &template, deadline)
-        .await
-}
-
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\n\r\n";
 
@@ -139,7 +107,8 @@
     let started = Instant::now();
     let mut attempts = JoinSet::new();
     for _ in 0..REQUESTS {
-        attempts.spawn(send(forwarder.clone(), clock, addr));
+        let forwarder = forwarder.clone();
+        attempts.spawn(async move { send(&forwarder, clock, addr).await });
     }
     while let Some(result) = attempts.join_next().await {
         assert_eq!(result.unwrap().outcome, Outcome::Lost);
@@ -174,10 +143,11 @@
     });
     let mut attempts = JoinSet::new();
     for _ in 0..12 {
-        attempts.spawn(send(forwarder.clone(), clock, endless));
+        let forwarder = forwarder.clone();
+        attempts.spawn(async move { send(&forwarder, clock, endless).await });
     }
     for _ in 0..10 {
-        let result = send(forwarder.clone(), clock, addr).await;
+        let result = send(&forwarder, clock, addr).await;
         assert!(matches!(result.outcome, Outcome::Answered(_)), "{result:?}");
         assert_eq!(result.response.unwrap().body.len(), MIB);
     }
--- a/crates/entry/tests/held.rs
+++ b/crates/entry/tests/held.rs
@@ -1,24 +1,19 @@
 //! The bytes of bodies count for as long as these live.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+mod support;
+
+use std::net::SocketAddr;
 
-use bytes::Bytes;
 use dispatch::Outcome;
-use entry::{
-    dial::{DialPlan, Dialer},
-    dialect::Dialect,
-    forward::{AttemptResult, Forwarder, RequestTemplate},
-    held::HeldBytes,
-    view::Clock,
-};
-use http::{HeaderMap, Method};
+use entry::{held::HeldBytes, view::Clock};
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::mpsc,
 };
 
+use crate::support::{forwarder, send};
+
 const MIB: usize = 1024 * 1024;
 
 /// Starts a target that answers each request with a body of 10 MiB.
@@ -47,28 +42,6 @@
     addr
 }
 
-async fn send(forwarder: &Forwarder, clock: Clock, addr: SocketAddr) -> AttemptResult {
-    let plan = DialPlan {
-        target: "t".into(),
-        addr,
-        relays: Vec::new(),
-        prefers_relay: false,
-        relay_delay: Duration::from_secs(1),
-    };
-    let template = RequestTemplate {
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        dialect: Arc::new(Dialect::default()),
-        attempt_id: None,
-    };
-    let deadline = clock.now() + Duration::from_secs(5);
-    forwarder
-        .send_attempt(&plan, None, &template, deadline)
-        .await
-}
-
 /// LOST: an instance ended by its memory, since bodies counted only while they were received.
 #[rstest]
 #[case::known_length(false)]
@@ -76,8 +49,7 @@
 #[tokio::test]
 async fn held_answers_leave_room_once_dropped(#[case] is_chunked: bool) {
     let clock = Clock::start();
-    let (tx, _) = mpsc::unbounded_channel();
-    let forwarder = Forwarder::new(Dialer::new(clock, tx)).held(HeldBytes::new(40 * MIB));
+    let forwarder = forwarder(clock).held(HeldBytes::new(40 * MIB));
     let addr = start_target(is_chunked).await;
     let mut held = Vec::new();
     for _ in 0..3 {
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,45 @@
+//! Sends requests to targets without an engine.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use entry::{
+    dial::{DialPlan, Dialer},
+    dialect::Dialect,
+    forward::{AttemptResult, Forwarder, RequestTemplate},
+    view::Clock,
+};
+use http::{HeaderMap, Method};
+use tokio::sync::mpsc;
+
+/// Time that a target has for its answer; well over any bound that a test checks.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Returns a forwarder that opens all connections itself.
+pub(crate) fn forwarder(clock: Clock) -> Forwarder {
+    let (tx, _) = mpsc::unbounded_channel();
+    Forwarder::new(Dialer::new(clock, tx))
+}
+
+/// Sends one request to the target at `addr`.
+pub(crate) async fn send(forwarder: &Forwarder, clock: Clock, addr: SocketAddr) -> AttemptResult {
+    let plan = DialPlan {
+        target: "t".into(),
+        addr,
+        relays: Vec::new(),
+        prefers_relay: false,
+        relay_delay: Duration::from_secs(1),
+    };
+    let template = RequestTemplate {
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        dialect: Arc::new(Dialect::default()),
+        attempt_id: None,
+    };
+    let deadline = clock.now() + TIMEOUT;
+    forwarder
+        .send_attempt(&plan, None, &template, deadline)
+        .await
+}
--- a/crates/entry/tests/unframed.rs
+++ b/crates/entry/tests/unframed.rs
@@ -1,23 +1,19 @@
 //! Answers without a length, which end with their connection.
 
-use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
+mod support;
+
+use std::{future::pending, net::SocketAddr};
 
-use bytes::Bytes;
 use dispatch::Outcome;
-use entry::{
-    dial::{DialPlan, Dialer},
-    dialect::Dialect,
-    forward::{AttemptResult, Forwarder, RequestTemplate},
-    view::Clock,
-};
-use http::{HeaderMap, Method};
+use entry::view::Clock;
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::mpsc,
 };
 
+use crate::support::{forwarder, send};
+
 const LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanswer";
 const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n";
@@ -42,31 +38,6 @@
     addr
 }
 
-async fn send(addr: SocketAddr) -> AttemptResult {
-    let clock = Clock::start();
-    let (tx, _) = mpsc::unbounded_channel();
-    let forwarder = Forwarder::new(Dialer::new(clock, tx));
-    let plan = DialPlan {
-        target: "t".into(),
-        addr,
-        relays: Vec::new(),
-        prefers_relay: false,
-        relay_delay: Duration::from_secs(1),
-    };
-    let template = RequestTemplate {
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        dialect: Arc::new(Dialect::default()),
-        attempt_id: None,
-    };
-    let deadline = clock.now() + Duration::from_secs(5);
-    forwarder
-        .send_attempt(&plan, None, &template, deadline)
-        .await
-}
-
 /// MIXED: an answer without a length looked whole when a link in between had ended its connection.
 #[rstest]
 #[case::length(LENGTH, false, true)]
@@ -80,7 +51,9 @@
     #[case] is_cut: bool,
     #[case] is_answered: bool,
 ) {
-    let result = send(start_target(answer, is_cut).await).await;
+    let clock = Clock::start();
+    let addr = start_target(answer, is_cut).await;
+    let result = send(&forwarder(clock), clock, addr).await;
     assert_eq!(
         matches!(result.outcome, Outcome::Answered(_)),
         is_answered,
