fix(daemon): only an answer asked for after the own position was known counts as an older store

table_older was also written when a late answer came after another instance's newer copy had been fetched. Reads carry when they were sent; what two branches of the registry did alike stands in one place, and overtaking a poll that isn't there is no panic.

--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -26,7 +26,8 @@
     rpc,
     table_logs::{NewsSource, age_ms, log_fetch, log_older, log_rates, log_read_failure},
     table_reads::{
-        Fetch, ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
+        Fetch, PlatformRead, ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change,
+        to_snapshot,
     },
 };
 
@@ -116,6 +117,22 @@
     confirmed_at: Option<Time>,
     catch_up: CatchUp,
     is_reachable: bool,
+    /// Time at which its position rose last.
+    advanced_at: Time,
+}
+
+impl Table {
+    /// Records that the platform has answered. An answer from before the own position is told, unless
+    /// it was asked for before that position was known.
+    fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
+        let own_position = self.replica.position();
+        if read.position < own_position && read.sent_at > self.advanced_at {
+            log_older(name, own_position, read.position);
+        }
+        self.is_reachable = true;
+        self.confirmed_at = Some(now);
+        self.replica.on_contact(now);
+    }
 }
 
 impl<F> TableFollower<F>
@@ -140,6 +157,7 @@
                 confirmed_at: None,
                 catch_up: CatchUp::new(PEER_FETCH_DELAYS),
                 is_reachable: false,
+                advanced_at: Time::ZERO,
             })
             .collect();
         Self {
@@ -260,26 +278,21 @@
                 let snapshot = fetch.snapshot;
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
-            TableRead::Snapshot(rows, position) => {
-                if position < before {
-                    log_older(name, before, position);
-                }
-                table.is_reachable = true;
-                table.confirmed_at = Some(now);
-                table.replica.on_contact(now);
-                table.replica.replace(now, to_snapshot(rows, position))
+            TableRead::Snapshot(read) => {
+                table.record_answer(now, name, &read);
+                table
+                    .replica
+                    .replace(now, to_snapshot(read.rows, read.position))
             }
-            TableRead::Changes(changes, position) => {
-                if position < before {
-                    log_older(name, before, position);
-                }
-                table.is_reachable = true;
-                table.confirmed_at = Some(now);
-                table.replica.on_contact(now);
-                let changes = changes.into_iter().map(to_row_change).collect();
-                table.replica.apply_changes(now, changes, position)
+            TableRead::Changes(read) => {
+                table.record_answer(now, name, &read);
+                let changes = read.rows.into_iter().map(to_row_change).collect();
+                table.replica.apply_changes(now, changes, read.position)
             }
         };
+        if table.replica.position() > before {
+            table.advanced_at = now;
+        }
         let position = table.replica.position();
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -74,12 +74,21 @@
 /// Carries the result of one read of a table.
 #[derive(Debug)]
 pub(crate) enum TableRead {
-    Changes(Vec<Change>, u64),
-    Snapshot(Vec<Change>, u64),
+    Changes(PlatformRead),
+    Snapshot(PlatformRead),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
 
+/// Carries what the platform answered.
+#[derive(Debug)]
+pub(crate) struct PlatformRead {
+    pub(crate) sent_at: Time,
+    pub(crate) rows: Vec<Change>,
+    /// Position up to which the rows are complete.
+    pub(crate) position: u64,
+}
+
 /// Describes a read of the platform that has brought nothing so far.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadFailure {
@@ -179,7 +188,7 @@
                         step = Step::Overtake(Instant::now() + self.send_poll());
                         None
                     }
-                    Step::Overtake(_) => Some(self.overtake(&mut step).await),
+                    Step::Overtake(_) => self.overtake(&mut step).await,
                 },
             };
             if let Some(read) = read
@@ -201,23 +210,29 @@
         } else {
             Duration::ZERO
         };
+        let sent_at = self.options.clock.now();
+        let to_read = move |(rows, position)| PlatformRead {
+            sent_at,
+            rows,
+            position,
+        };
         let task = self.polls.spawn(async move {
             let read = match position {
-                None => platform
-                    .snapshot(&table)
-                    .await
-                    .map(|(rows, at)| TableRead::Snapshot(rows, at)),
-                Some(after) => platform
-                    .changes(&table, after, wait)
-                    .await
-                    .map(|(rows, at)| TableRead::Changes(rows, at)),
+                None => {
+                    let answer = platform.snapshot(&table).await;
+                    answer.map(|answer| TableRead::Snapshot(to_read(answer)))
+                }
+                Some(after) => {
+                    let answer = platform.changes(&table, after, wait).await;
+                    answer.map(|answer| TableRead::Changes(to_read(answer)))
+                }
             };
             (number, read)
         });
         self.next_number += 1;
         self.open.push_back(OpenPoll {
             number,
-            sent_at: self.options.clock.now(),
+            sent_at,
             is_on_kept_connection,
             task,
         });
@@ -236,8 +251,8 @@
         let idx = self.open.iter().position(|poll| poll.number == number)?;
         match result {
             Ok(read) => {
-                if let TableRead::Changes(_, at) | TableRead::Snapshot(_, at) = &read {
-                    self.position = Some(*at);
+                if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
+                    self.position = Some(read.position);
                 }
                 // Answers to earlier polls can't bring anything newer.
                 self.give_up(idx + 1);
@@ -267,16 +282,15 @@
     }
 
     /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
-    async fn overtake(&mut self, step: &mut Step) -> TableRead {
+    async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
+        *step = Step::Poll(Instant::now());
         if self.open.len() >= MAX_OPEN_POLLS {
             self.give_up(1);
         }
-        let Some(newest) = self.open.pop_back() else {
-            unreachable!("only an open poll can be overtaken");
-        };
+        let newest = self.open.pop_back()?;
         let read = self.fail(&newest, true, step).await;
         self.open.push_back(newest);
-        read
+        Some(read)
     }
 
     /// Reports a failed poll; the next one follows at once if the cause may be its old connection.
