--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -13,7 +13,6 @@
     sync::{mpsc, oneshot},
     time::{sleep, timeout},
 };
-
 use wire::marked::MarkedStream;
 
 use crate::{
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -106,7 +106,7 @@
     Ok(received.freeze())
 }
 
-/// Receives a body of unknown length, with room for both its parts and the whole that is made of them.
+/// Receives a body of unknown length, which takes room as it grows.
 async fn receive_unsized<B>(
     mut body: B,
     limit: usize,
