refactor: one path for both kinds of carried connections, and one check whether a target is reachable

The two ways to see whether a target is reachable ended in the same check, written twice; a position was read twice.

--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -290,10 +290,10 @@
                 table.replica.apply_changes(now, changes, read.position)
             }
         };
-        if table.replica.position() > before {
+        let position = table.replica.position();
+        if position > before {
             table.advanced_at = now;
         }
-        let position = table.replica.position();
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
         } else {
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -179,32 +179,31 @@
             timeout(CALL_TIMEOUT, answered).await?
         }
         Opening::Relay(target) => {
-            let relayed = open_relay(&mut stream, &secret, &peer_nonce, &relays, &target).await?;
-            relayed.carry(stream, Encoding::Plain).await;
-            Ok(())
+            let opened = relays.open(&target).await;
+            relay(stream, &secret, &peer_nonce, opened, Encoding::Plain).await
         }
         Opening::MarkedRelay(target) => {
-            let relayed = open_relay(&mut stream, &secret, &peer_nonce, &relays, &target).await?;
-            relayed.carry(stream, Encoding::Marked).await;
-            Ok(())
+            let opened = relays.open(&target).await;
+            relay(stream, &secret, &peer_nonce, opened, Encoding::Marked).await
         }
     }
 }
 
-/// Connects to a target for another instance, and answers whether that was possible.
-async fn open_relay(
-    stream: &mut TcpStream,
+/// Answers whether a target could be reached for another instance, and carries the connection if so;
+/// closes it without an answer if too many are carried already.
+async fn relay(
+    mut stream: TcpStream,
     secret: &Secret,
     peer_nonce: &Nonce,
-    relays: &RelayServer,
-    target: &TargetId,
-) -> io::Result<RelayedTarget> {
-    let relayed = relays
-        .open(target)
-        .await
-        .ok_or(io::ErrorKind::QuotaExceeded)?;
-    write_reply(stream, secret, peer_nonce, &relayed.is_open()).await?;
-    Ok(relayed)
+    opened: Option<RelayedTarget>,
+    encoding: Encoding,
+) -> io::Result<()> {
+    let Some(relayed) = opened else {
+        return Ok(());
+    };
+    write_reply(&mut stream, secret, peer_nonce, &relayed.is_open()).await?;
+    relayed.carry(stream, encoding).await;
+    Ok(())
 }
 
 async fn answer_call(
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -108,7 +108,7 @@
     pub(crate) snapshot: Option<TableSnapshot>,
 }
 
-/// Holds the dependencies and settings of a [`TableReader`].
+/// Tells a [`TableReader`] what to read, and how.
 #[derive(Debug)]
 pub(crate) struct ReaderOptions {
     pub(crate) clock: Clock,
--- a/crates/dispatch/src/exclusion.rs
+++ b/crates/dispatch/src/exclusion.rs
@@ -16,7 +16,7 @@
     Listed,
 }
 
-/// Holds the reasons for which a target gets no new work: it is in service while there is none.
+/// Decides whether a target is in service: it is while there is no reason against it.
 ///
 /// # Examples
 ///
--- a/crates/dispatch/tests/losses.rs
+++ b/crates/dispatch/tests/losses.rs
@@ -77,7 +77,10 @@
     }
 
     /// Loses the connections to some targets; innocent requests that may be repeated are.
-    fn lose(&mut self, now_ms: u64, is_lost: impl Fn(&InFlight) -> bool) {
+    fn lose<F>(&mut self, now_ms: u64, is_lost: F)
+    where
+        F: Fn(&InFlight) -> bool,
+    {
         let (lost, kept): (Vec<_>, Vec<_>) = self.in_flight.iter().partition(|one| is_lost(one));
         self.in_flight = kept;
         for one in lost {
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -8,7 +8,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncRead, AsyncReadExt},
+    io::AsyncReadExt,
     net::TcpStream,
     sync::{mpsc, oneshot},
     time::{sleep, timeout},
@@ -141,19 +141,19 @@
     /// one that `relay` carries, or else directly.
     pub(crate) async fn is_reachable(&self, plan: &DialPlan, relay: Option<&InstanceId>) -> bool {
         let is_same = |found: &&Relay| Some(&found.instance) == relay;
-        let Some(same) = plan.relays.iter().find(is_same) else {
-            return match connect(plan.addr).await {
-                Ok(stream) => stays_open(stream).await,
-                Err(_) => false,
-            };
-        };
-        let same_way = DialPlan {
-            relays: vec![same.clone()],
-            ..plan.clone()
+        let opened = match plan.relays.iter().find(is_same) {
+            Some(same) => {
+                let same_way = DialPlan {
+                    relays: vec![same.clone()],
+                    ..plan.clone()
+                };
+                self.open_relayed(&same_way).await.ok()
+            }
+            None => connect(plan.addr).await.ok().map(Opened::direct),
         };
-        match self.open_relayed(&same_way).await {
-            Ok(opened) => stays_open(opened.stream).await,
-            Err(_) => false,
+        match opened {
+            Some(opened) => stays_open(opened.stream).await,
+            None => false,
         }
     }
 
@@ -273,10 +273,7 @@
 }
 
 /// Returns whether a new connection, on which nothing was asked, isn't closed at once.
-async fn stays_open<S>(mut stream: S) -> bool
-where
-    S: AsyncRead + Unpin,
-{
+async fn stays_open(mut stream: TargetStream) -> bool {
     timeout(MIN_OPEN_TIME, stream.read(&mut [0])).await.is_err()
 }
 
