fix(settings): a platform that fills in only the first release's fields starts this build

The template names only what the first release named; later settings are variables of the role, which stay empty where the platform doesn't know them. Kin: an unknown field kept an instance from starting, now it is passed over with a line (check still names it); a bound on contact that nobody gave was 6 s, longer than any deployment asks for, now 2 s.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,10 +6,10 @@
 use daemon::{
     dev, logs,
     node::{self, Node},
-    options::NodeOptions,
+    options::{self, NodeOptions},
 };
 use eyre::{Result, WrapErr, eyre};
-use settings::{DaemonSettings, parse_daemon_settings};
+use settings::{DaemonSettings, load_daemon_settings, parse_daemon_settings};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn command() -> Command {
@@ -79,10 +79,11 @@
         None
     } else {
         let file = config_file(args)?;
-        Some(
-            parse_daemon_settings(file, &read_settings(file)?)
-                .map_err(|findings| eyre!("{findings}"))?,
-        )
+        let variable = |name: &str| std::env::var(name).ok();
+        let parsed = load_daemon_settings(file, &read_settings(file)?, variable)
+            .map_err(|findings| eyre!("{findings}"))?;
+        options::log_unknown(&parsed.unknown);
+        Some(parsed.value)
     };
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -6,7 +6,7 @@
 use dispatch::{Placement, Policy};
 use entry::{callers, dialect::Dialect, forward::Forwarder, held::HeldBytes};
 use record::Sink;
-use settings::DaemonSettings;
+use settings::{DaemonSettings, Finding};
 use steer::PlanPolicy;
 
 /// Number of reservations in each slot; with more than one, an instance can lend some and keep
@@ -135,6 +135,17 @@
     (forwarder.held(held.clone()), held)
 }
 
+/// Logs the fields of the settings that this build doesn't know and passes over.
+pub fn log_unknown(unknown: &[Finding]) {
+    for finding in unknown {
+        tracing::warn!(
+            event = "setting_ignored",
+            field = finding.field,
+            line = finding.line
+        );
+    }
+}
+
 /// Logs which settings have changed in a reload and take effect only after a restart.
 pub fn log_reload(old: &DaemonSettings, new: &DaemonSettings) {
     let json = |cfg: &DaemonSettings| serde_json::to_value(cfg).unwrap_or_default();
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -36,6 +36,15 @@
     text: &'a str,
 }
 
+/// A value read from a settings file, and the fields of the file that the value doesn't know.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parsed<T> {
+    /// Value read.
+    pub value: T,
+    /// Unknown fields, which were passed over.
+    pub unknown: Vec<Finding>,
+}
+
 /// Deserializes the text of `file` and validates the value with `check`.
 ///
 /// # Examples
@@ -57,9 +66,36 @@
 where
     T: DeserializeOwned,
     F: FnOnce(&Document<'_>, &T) -> Vec<Finding>,
+{
+    let parsed = parse_known(file, text, |_, _| Ok(()), check)?;
+    if parsed.unknown.is_empty() {
+        Ok(parsed.value)
+    } else {
+        Err(Findings(parsed.unknown))
+    }
+}
+
+/// Deserializes the text of `file` after `complete` has added to it, passes over unknown fields and
+/// validates the value with `check`.
+///
+/// # Errors
+///
+/// [`Findings`] if the text can't be parsed, a field is of the wrong type, or `complete` or `check`
+/// returns findings; unknown fields are among them.
+pub(crate) fn parse_known<T, C, F>(
+    file: &Path,
+    text: &str,
+    complete: C,
+    check: F,
+) -> Result<Parsed<T>, Findings>
+where
+    T: DeserializeOwned,
+    C: FnOnce(&Document<'_>, &mut serde_json::Value) -> Result<(), Findings>,
+    F: FnOnce(&Document<'_>, &T) -> Vec<Finding>,
 {
     let doc = Document { file, text };
-    let json = doc.parse()?;
+    let mut json = doc.parse()?;
+    complete(&doc, &mut json)?;
     let mut findings = Vec::new();
     let mut track = serde_path_to_error::Track::new();
     let result = {
@@ -70,10 +106,12 @@
     };
     match result {
         Ok(value) => {
-            findings.extend(check(&doc, &value));
-            if findings.is_empty() {
-                return Ok(value);
+            let faults = check(&doc, &value);
+            if faults.is_empty() {
+                let unknown = findings;
+                return Ok(Parsed { value, unknown });
             }
+            findings.extend(faults);
         }
         Err(err) => findings.push(doc.finding(&track.path().to_string(), &err.to_string())),
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,10 @@
 
 mod document;
 mod model;
+mod variables;
 
-pub use document::{Document, Finding, Findings, parse};
-pub use model::{Bounds, DaemonSettings, IsolationPolicy, TakeoverPolicy, parse_daemon_settings};
+pub use document::{Document, Finding, Findings, Parsed, parse};
+pub use model::{
+    Bounds, DaemonSettings, IsolationPolicy, TakeoverPolicy, load_daemon_settings,
+    parse_daemon_settings,
+};
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Document, Finding, Findings, parse};
+use crate::{
+    Document, Finding, Findings, Parsed,
+    document::{parse, parse_known},
+    variables::complete,
+};
 
 /// Holds the settings of one instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -108,7 +112,7 @@
             rate_slack: 0.0,
             region_shift: 0.1,
             stop_s: 60.0,
-            contact_s: 6.0,
+            contact_s: DEFAULT_CONTACT_S,
             lookup_ttl_s: None,
         }
     }
@@ -137,7 +141,45 @@
     Horizon,
 }
 
-/// Parses and validates the settings of one instance.
+/// Returns the settings with which an instance starts.
+///
+/// What the file leaves out may come from an environment variable: `MEMORY_MB` for `memory_mb` and
+/// `CONTACT_S` for `bounds.contact_s`. Unknown fields are passed over, since the platform that fills in
+/// the file, or the build for which it was written, may be newer.
+///
+/// # Examples
+///
+/// ```
+/// use settings::load_daemon_settings;
+/// use std::path::Path;
+///
+/// let text = r#"{
+///     "instance": "i1", "domain": "d", "region": "r", "secret": "sixteen characters and more",
+///     "entry": "127.0.0.1:0", "operator": "127.0.0.1:0", "peer": "127.0.0.1:0",
+///     "platform": "127.0.0.1:1", "slot_count": 2, "colour": "blue"
+/// }"#;
+/// let variable = |name: &str| (name == "CONTACT_S").then(|| "3".to_owned());
+/// let parsed = load_daemon_settings(Path::new("i1.jsonc"), text, variable).unwrap();
+/// assert_eq!(parsed.value.bounds.contact_s, 3.0);
+/// assert_eq!(parsed.unknown[0].field, "colour");
+/// ```
+///
+/// # Errors
+///
+/// [`Findings`] with file, line, field and reason of each error.
+pub fn load_daemon_settings<F>(
+    file: &Path,
+    text: &str,
+    variable: F,
+) -> Result<Parsed<DaemonSettings>, Findings>
+where
+    F: Fn(&str) -> Option<String>,
+{
+    let complete = |doc: &Document<'_>, json: &mut _| complete(doc, json, variable);
+    parse_known(file, text, complete, validate)
+}
+
+/// Parses and validates the settings of one instance; unknown fields are errors.
 ///
 /// # Errors
 ///
@@ -148,6 +190,9 @@
 
 const MIN_SECRET_CHARS: usize = 16;
 const MIN_CONTACT_S: f64 = 0.5;
+/// Time within which an instance knows all changes where no settings say so; a longer one would break
+/// the bounds of a platform that asks for less.
+const DEFAULT_CONTACT_S: f64 = 2.0;
 const MIN_MEMORY_MB: u64 = 32;
 
 fn validate(doc: &Document<'_>, cfg: &DaemonSettings) -> Vec<Finding> {
