fix(dispatch): a report of another instance doesn't end a trial

Two runs of a deadly request came 0.7 s apart after its quarantine, where one trial is meant. Cause: a report of the same quarantine by an instance whose clock was a moment behind replaced the half-open breaker and forgot the trial under way.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -333,6 +333,8 @@
         let until = now + hold.remaining;
         match self.entry(now, hold.fingerprint).breaker {
             Some(own) if own.period > hold.period => {}
+            // A trial may be under way, which the other instance doesn't know.
+            Some(own) if own.period == hold.period && own.until <= now => {}
             Some(own) if own.period == hold.period && own.until >= until => {}
             _ => self.hold(hold.fingerprint, until, hold.period),
         }
--- /dev/null
+++ b/crates/dispatch/tests/quarantine.rs
@@ -0,0 +1,61 @@
+//! The quarantine of a request: its trials, and what other instances report of it.
+
+use std::time::Duration;
+
+use base::Time;
+use dispatch::{Admission, ConnectionLoss, Hold, Quarantine};
+use rstest::rstest;
+
+const FINGERPRINT: u64 = 7;
+const PERIOD: Duration = Duration::from_secs(60);
+
+fn quarantined() -> Quarantine {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    let losses: Vec<ConnectionLoss> = (1..=3)
+        .map(|target_digest| ConnectionLoss {
+            fingerprint: FINGERPRINT,
+            target_digest,
+        })
+        .collect();
+    assert_eq!(quarantine.record(Time::ZERO, &losses), [FINGERPRINT]);
+    quarantine
+}
+
+/// Guards against BUDGET: a report of an instance whose quarantine ended a moment later ended the trial
+/// as well, and a second one began beside it.
+#[rstest]
+#[case::is_over(Duration::ZERO)]
+#[case::ends_later(Duration::from_millis(20))]
+fn trial_is_not_ended_by_reports(#[case] remaining: Duration) {
+    let mut quarantine = quarantined();
+    let now = Time::ZERO + PERIOD;
+    let deadline = now + Duration::from_secs(3);
+    let admission = quarantine.admit(now, FINGERPRINT, deadline, true);
+    assert_eq!(admission, Admission::Trial);
+    let hold = Hold {
+        fingerprint: FINGERPRINT,
+        remaining,
+        period: PERIOD,
+    };
+    let now = now + Duration::from_millis(500);
+    assert!(quarantine.merge(now, &hold));
+    let now = now + Duration::from_millis(100);
+    let admission = quarantine.admit(now, FINGERPRINT, deadline, true);
+    assert_eq!(admission, Admission::Refused(deadline - now));
+}
+
+/// One instance tries a request after its quarantine; the others do once that one has let as much time
+/// pass again.
+#[test]
+fn trial_is_one_instances() {
+    let mut quarantine = quarantined();
+    let deadline = Time::from_secs(500);
+    let admit = |quarantine: &mut Quarantine, at_s, may_try| {
+        quarantine.admit(Time::from_secs(at_s), FINGERPRINT, deadline, may_try)
+    };
+    let refused = |admission| matches!(admission, Admission::Refused(_));
+    assert!(refused(admit(&mut quarantine, 59, true)));
+    assert!(refused(admit(&mut quarantine, 61, false)));
+    assert_eq!(admit(&mut quarantine.clone(), 61, true), Admission::Trial);
+    assert_eq!(admit(&mut quarantine, 121, false), Admission::Trial);
+}
