--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -16,6 +16,15 @@
             .collect()
     }
 
+    /// Returns whether no target of this one's service can be used. Then requests no longer show whether
+    /// the path to the targets is lost, and only other instances can tell.
+    pub fn is_service_down(&self, now: Time, id: &TargetId) -> bool {
+        let pools = self.pools.values();
+        pools
+            .filter(|pool| pool.index.contains_key(id))
+            .all(|pool| !pool.has_available_target(now))
+    }
+
     /// Records how a connection that no request waited for was opened, and returns whether the
     /// state of the path to the targets changed.
     pub fn record_probe(&mut self, now: Time, id: &TargetId, dial: Dial) -> bool {
