fix(dispatch): losses are told twice, a second apart

A deadly request went free at its second visit in 3 of 9,000 drawn fleets with 20 to 40 % of the messages between instances lost: a loss was told once, in a datagram. Ruled out: acknowledgements (a message more for each of all instances).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -107,6 +107,8 @@
     quarantine: Quarantine,
     losses: LossCollector,
     holds_reported_at: Time,
+    /// Losses that the others have been told of once.
+    told_once: Vec<ConnectionLoss>,
     /// Number of attempts of all requests so far.
     attempts_sent: u64,
     path: PathMonitor,
@@ -138,6 +140,7 @@
             policy,
             losses: LossCollector::default(),
             holds_reported_at: Time::ZERO,
+            told_once: Vec::new(),
             attempts_sent: 0,
             path: PathMonitor::new(path_chart()?),
             own_id: InstanceId::from(""),
@@ -341,7 +344,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
         actions.extend(self.judge_losses(now));
-        actions.extend(self.due_hold_report(now));
+        actions.extend(self.due_repeats(now));
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
                 if target.is_warm_up_over(now) {
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/suspects.rs
@@ -82,6 +82,8 @@
         against.extend(self.quarantine.take_cleared(now, MIN_PATH_TARGETS));
         let reports = against.iter().copied().map(Action::ReportLoss);
         let mut actions: Vec<Action> = reports.collect();
+        let room = MAX_REPORTED.saturating_sub(self.told_once.len());
+        self.told_once.extend(against.iter().take(room));
         actions.extend(self.record_losses(now, &against));
         let begun = self.quarantine.begin_due(now);
         actions.extend(self.begin_quarantines(now, &begun));
@@ -117,12 +119,22 @@
             .collect()
     }
 
-    /// Returns a report of the requests whose quarantine this instance is to repeat, when it is due.
-    pub(super) fn due_hold_report(&mut self, now: Time) -> Option<Action> {
+    /// Returns what this instance is to repeat for the others, when it is due: its last losses, once, and
+    /// the requests that are quarantined, as long as they are.
+    pub(super) fn due_repeats(&mut self, now: Time) -> Vec<Action> {
         if now - self.holds_reported_at < REPORT_INTERVAL {
-            return None;
+            return Vec::new();
         }
         self.holds_reported_at = now;
+        let told = std::mem::take(&mut self.told_once).into_iter();
+        let is_open = |loss: &ConnectionLoss| self.quarantine.is_suspected(loss.fingerprint);
+        let losses = told.filter(is_open).map(Action::ReportLoss);
+        let mut actions: Vec<Action> = losses.collect();
+        actions.extend(self.hold_report(now));
+        actions
+    }
+
+    fn hold_report(&self, now: Time) -> Option<Action> {
         let holds: Vec<Hold> = self
             .quarantine
             .holds(now)
--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -39,7 +39,7 @@
 /// Guards against BUDGET: a request that crashed its targets was never turned away.
 #[rstest]
 #[case::alone(|plan| plan)]
-#[case::reports_are_lost(|plan| Plan { report_loss: 0.4, ..plan })]
+#[case::reports_are_lost(reports_are_lost)]
 #[case::instances_start_again(|plan: Plan| Plan {
     instances: plan.instances.max(4),
     restart_gap_s: Some(4.0),
@@ -49,16 +49,8 @@
 #[case::targets_crash_by_themselves(|plan| Plan { crash_gap_s: Some(2.0), ..plan })]
 #[case::two_of_them(|plan| Plan { deadly: 2, ..plan })]
 #[case::not_repeatable(|plan| Plan { is_once: true, ..plan })]
-#[case::late_in_the_run(|plan| Plan { fuse_ms: 1_500, ..plan })]
-#[case::all_together(|plan: Plan| Plan {
-    instances: plan.instances.max(4),
-    report_loss: 0.2,
-    restart_gap_s: Some(9.0),
-    cut_gap_s: Some(9.0),
-    crash_gap_s: Some(9.0),
-    deadly: 2,
-    ..plan
-})]
+#[case::late_in_the_run(late_in_the_run)]
+#[case::all_together(all_together)]
 fn deadly_request_is_turned_away_in_drawn_fleets(#[case] vary: fn(Plan) -> Plan) {
     let (broken, crashes) = broken(vary);
     assert!(
@@ -70,6 +62,47 @@
     assert!(crashes >= 3 * SEEDS as usize, "only {crashes} crashes");
 }
 
+/// Fleets that let a deadly request go once, found among 1,000 of each kind.
+#[rstest]
+#[case::loss_was_told_once(552, reports_are_lost)]
+#[case::losses_were_told_once(441, all_together)]
+#[case::losses_were_told_once_to_a_page(905, all_together)]
+#[case::trial_was_forgotten(769, late_in_the_run)]
+fn deadly_request_is_turned_away_in_found_fleets(
+    #[case] seed: u64,
+    #[case] vary: fn(Plan) -> Plan,
+) {
+    let outcome = play(seed, &vary(Plan::drawn(seed)), CONTACT);
+    assert!(outcome.late_runs <= MAX_LATE_RUNS, "{outcome:?}");
+    assert!(outcome.wronged_for <= MAX_WRONG, "{outcome:?}");
+}
+
+fn reports_are_lost(plan: Plan) -> Plan {
+    Plan {
+        report_loss: 0.4,
+        ..plan
+    }
+}
+
+fn late_in_the_run(plan: Plan) -> Plan {
+    Plan {
+        fuse_ms: 1_500,
+        ..plan
+    }
+}
+
+fn all_together(plan: Plan) -> Plan {
+    Plan {
+        instances: plan.instances.max(4),
+        report_loss: 0.2,
+        restart_gap_s: Some(9.0),
+        cut_gap_s: Some(9.0),
+        crash_gap_s: Some(9.0),
+        deadly: 2,
+        ..plan
+    }
+}
+
 /// Guards against workspaces that are refused for a minute: a page that many ask for was taken for a
 /// deadly request after crashes and cuts that had nothing to do with it.
 #[rstest]
