--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -25,7 +25,7 @@
 const PAGES: u64 = 4;
 
 /// What happens to a fleet.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Plan {
     pub(crate) instances: usize,
     pub(crate) targets: usize,
