fix(settings): a strict bound on contact belongs to the template, not to the product's default

Cause: made 2 s the default of contact_s for the product's own deployments too, and polls are given up after 0.6 of it, before such an answer comes.

The default is 6 s again. The template of the users' platform has 2 s, and the variable CONTACT_S goes before the file, as the environment usually does; so what instances run with there is unchanged: what the platform says, or 2 s. Ruled out: longer waits for the same bound, which break it when a connection falls silent.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -112,7 +112,7 @@
             rate_slack: 0.0,
             region_shift: 0.1,
             stop_s: 60.0,
-            contact_s: DEFAULT_CONTACT_S,
+            contact_s: 6.0,
             lookup_ttl_s: None,
         }
     }
@@ -143,8 +143,8 @@
 
 /// Returns the settings with which an instance starts.
 ///
-/// What the file leaves out may come from an environment variable: `MEMORY_MB` for `memory_mb` and
-/// `CONTACT_S` for `bounds.contact_s`. Unknown fields are passed over, since the platform that fills in
+/// Environment variables go before the file: `MEMORY_MB` for `memory_mb` and `CONTACT_S` for
+/// `bounds.contact_s`. Unknown fields are passed over, since the platform that fills in
 /// the file, or the build for which it was written, may be newer.
 ///
 /// # Examples
@@ -190,9 +190,6 @@
 
 const MIN_SECRET_CHARS: usize = 16;
 const MIN_CONTACT_S: f64 = 0.5;
-/// Time within which an instance knows all changes where no settings say so; a longer one would break
-/// the bounds of a platform that asks for less.
-const DEFAULT_CONTACT_S: f64 = 2.0;
 const MIN_MEMORY_MB: u64 = 32;
 
 fn validate(doc: &Document<'_>, cfg: &DaemonSettings) -> Vec<Finding> {
--- a/crates/settings/src/variables.rs
+++ b/crates/settings/src/variables.rs
@@ -1,4 +1,4 @@
-//! Environment variables that give settings that a file leaves out.
+//! Environment variables that go before the settings in a file.
 //!
 //! A platform may fill in a settings file for an earlier build, and knows nothing of the fields that
 //! came later. Those are given by variables, which another build ignores.
@@ -13,8 +13,7 @@
     ("CONTACT_S", &["bounds", "contact_s"]),
 ];
 
-/// Adds to the settings in `json` those that it leaves out and `variable` gives; an empty variable
-/// gives nothing.
+/// Sets in `json` what `variable` gives; an empty variable gives nothing.
 pub(crate) fn complete<F>(doc: &Document<'_>, json: &mut Value, variable: F) -> Result<(), Findings>
 where
     F: Fn(&str) -> Option<String>,
@@ -25,7 +24,7 @@
             continue;
         };
         match text.parse::<serde_json::Number>() {
-            Ok(number) => insert_missing(json, path, Value::Number(number)),
+            Ok(number) => insert(json, path, Value::Number(number)),
             Err(_) => findings.push(doc.finding(&path.join("."), &format!("{name} is no number"))),
         }
     }
@@ -36,8 +35,8 @@
     }
 }
 
-/// Sets the field at `path` unless it has a value.
-fn insert_missing(json: &mut Value, path: &[&str], value: Value) {
+/// Sets the field at `path`.
+fn insert(json: &mut Value, path: &[&str], value: Value) {
     let Some((name, folders)) = path.split_last() else {
         return;
     };
@@ -50,11 +49,7 @@
             .entry(*folder)
             .or_insert_with(|| Value::Object(Map::new()));
     }
-    let Some(fields) = object.as_object_mut() else {
-        return;
-    };
-    let field = fields.entry(*name).or_insert(Value::Null);
-    if field.is_null() {
-        *field = value;
+    if let Some(fields) = object.as_object_mut() {
+        fields.insert((*name).to_owned(), value);
     }
 }
