fix(base): a request that may run nowhere is bound to no region at all

What callers would see: where a route and a workspace have no home in common, a request ran at any target whose failure domain the configuration doesn't know. The platform's adapter leaves such targets out; the product's own deployments don't.

Cause: "nowhere" was the region with the empty name, and an unknown domain has that same name. Change: AllowedRegions is a type of its own (all, or these only, nowhere if there are none), derived in one place, and an unknown region is none of those that a request is bound to. Evidence: place_nowhere_is_no_unknown_domain sends the request to such a target when "nowhere" is the empty name again (run so), and not now.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -73,6 +73,18 @@
     KeyId
 );
 
+impl RegionId {
+    /// Returns the region of what runs in a failure domain that the configuration doesn't know.
+    pub fn unknown() -> Self {
+        Self::from("")
+    }
+
+    /// Returns whether this is a region of the configuration.
+    pub fn is_known(&self) -> bool {
+        !self.as_str().is_empty()
+    }
+}
+
 /// Identifies one run of the process on an instance; a restarted process draws a new random value.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, From, Serialize, Deserialize,
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 mod config;
 mod error;
 mod id;
+mod regions;
 mod route;
 mod time;
 
@@ -16,5 +17,6 @@
 pub use id::{
     DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
 };
+pub use regions::AllowedRegions;
 pub use route::RouteTable;
 pub use time::Time;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -105,7 +105,7 @@
                 self.apply_registration(now, idx, service, target, context);
                 continue;
             }
-            let region = region_of(&target.domain).unwrap_or_else(|| RegionId::from(""));
+            let region = region_of(&target.domain).unwrap_or_else(RegionId::unknown);
             let idx = self.targets.len();
             self.targets
                 .push(Target::new(now, id.clone(), region.clone(), service.slots));
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,8 +1,8 @@
 //! The inputs and outputs of a dispatcher, and its policy.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use base::{Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
+use base::{AllowedRegions, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
 use derive_more::Display;
 
 use crate::{ConnectionLoss, Hold, QuarantineReport, TargetState};
@@ -48,8 +48,8 @@
     pub max_attempts: u32,
     /// Digest of the object that the request is about, for affinity.
     pub affinity: Option<u64>,
-    /// Regions in which the request may run; empty for all.
-    pub allowed_regions: Arc<BTreeSet<RegionId>>,
+    /// Regions in which the request may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl AdmittedRequest {
@@ -69,7 +69,7 @@
             route_priority: 0,
             max_attempts: u32::MAX,
             affinity: None,
-            allowed_regions: Arc::default(),
+            allowed_regions: AllowedRegions::All,
         }
     }
 
@@ -81,7 +81,7 @@
 
     /// Returns whether the request may run in `region`.
     pub fn may_run_in(&self, region: &RegionId) -> bool {
-        self.allowed_regions.is_empty() || self.allowed_regions.contains(region)
+        self.allowed_regions.contains(region)
     }
 }
 
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -1,143 +1,19 @@
 //! Placement by object affinity: all instances select the same target for an object, cold targets
 //! get limited rates, and few requests leave their preferred target or region.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+mod homes;
+mod support;
 
-use base::{
-    ColdStart, Config, Domain, ErrorKind, Registration, Route, RouteKind, Service, Target, Time,
-    WeightedService,
-};
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{ErrorKind, Time};
 use dispatch::{
     Action, AdmittedRequest, Assignment, Dial, Dispatcher, Outcome, Placement, Policy,
-    RegionShares, RequestId, RequestKind, SelectionReason, TargetState,
+    RegionShares, RequestKind, SelectionReason, TargetState,
 };
 use rstest::rstest;
 
-const REGIONS: [&str; 2] = ["r0", "r1"];
-
-fn config(targets: u32) -> Config {
-    let mut config = Config::default();
-    for region in REGIONS {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-    }
-    let targets = (0..targets)
-        .map(|idx| {
-            let target = Target {
-                domain: REGIONS[idx as usize % 2].into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-                registered: Some(Registration {
-                    slots: 4,
-                    is_leaving: false,
-                    cold_ms: 0,
-                    incarnation: 1,
-                }),
-            };
-            (format!("t{idx}").into(), target)
-        })
-        .collect();
-    let service = Service {
-        slots: 1,
-        connections: 100,
-        deadline_ms: 10_000,
-        open_routes: Vec::new(),
-        targets,
-        cold: Some(ColdStart {
-            max_per_s: 4.0,
-            duration_ms: 3_000,
-        }),
-    };
-    config.services.insert("s".into(), service);
-    for (name, priority) in [("urgent", 0), ("patient", 2)] {
-        config.routes.push(Route {
-            name: name.to_owned(),
-            host: "h".to_owned(),
-            prefix: format!("/{name}/"),
-            kind: RouteKind::Idempotent,
-            services: vec![WeightedService {
-                service: "s".into(),
-                weight: 1,
-            }],
-            timeout_ms: 2_000,
-            objective_ms: 500,
-            attempts: 2,
-            priority,
-            is_open: false,
-            is_sticky: true,
-            homes: Default::default(),
-        });
-    }
-    config
-}
-
-fn dispatcher(config: &Config, seed: u64) -> Dispatcher {
-    dispatcher_among(config, seed, 6)
-}
-
-fn dispatcher_among(config: &Config, seed: u64, instance_count: u32) -> Dispatcher {
-    let policy = Policy {
-        placement: Placement::ObjectAffinity,
-        instance_count,
-        instance_seed: seed,
-        retry_cap: 5.0,
-        max_refusals: 4,
-        ..Policy::default()
-    };
-    let mut dispatcher = Dispatcher::new("r0".into(), seed, policy).unwrap();
-    dispatcher.configure(Time::ZERO, config);
-    dispatcher.tick(Time::from_millis(1));
-    dispatcher
-}
-
-fn request(now: Time, id: u64, object: u64) -> AdmittedRequest {
-    AdmittedRequest {
-        objective_deadline: now + Duration::from_millis(500),
-        max_attempts: 2,
-        affinity: Some(object),
-        ..AdmittedRequest::new(
-            RequestId(id),
-            "w".into(),
-            "s".into(),
-            now + Duration::from_secs(2),
-        )
-    }
-}
-
-fn assignments(actions: &[Action]) -> Vec<&Assignment> {
-    actions
-        .iter()
-        .filter_map(|action| match action {
-            Action::Assign(assignment) => Some(assignment),
-            _ => None,
-        })
-        .collect()
-}
-
-fn refusals(actions: &[Action]) -> Vec<ErrorKind> {
-    actions
-        .iter()
-        .filter_map(|action| match action {
-            Action::Refuse(_, refusal) => Some(refusal.kind),
-            _ => None,
-        })
-        .collect()
-}
-
-/// Sends one request for an object, answers it after 50 ms and returns its target.
-fn run(dispatcher: &mut Dispatcher, now: Time, id: u64, object: u64) -> Option<String> {
-    let actions = dispatcher.submit(now, request(now, id, object));
-    let assignment = assignments(&actions).first().copied().cloned()?;
-    let took = Duration::from_millis(50);
-    dispatcher.finish(
-        now,
-        assignment.id,
-        assignment.attempt,
-        Outcome::Answered(took),
-    );
-    Some(assignment.target.to_string())
-}
+use crate::support::{assignments, config, dispatcher, dispatcher_among, refusals, request, run};
 
 #[test]
 fn place_same_object_same_target_on_all_instances() {
@@ -224,19 +100,6 @@
     assert!(target == "t1" || target == "t3");
 }
 
-#[test]
-fn place_allowed_regions_bind_even_without_capacity() {
-    let mut config = config(4);
-    config.drains.targets_in_domains.insert("r0".into());
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    let mut pinned = request(now, 1, 1);
-    pinned.allowed_regions = Arc::new(["r0".into()].into());
-    assert!(assignments(&dispatcher.submit(now, pinned)).is_empty());
-    let late = dispatcher.tick(now + Duration::from_millis(100));
-    assert_eq!(refusals(&late), [ErrorKind::Overloaded]);
-}
-
 #[test]
 fn place_refuses_within_an_eighth_of_the_objective() {
     let config = config(2);
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -8,13 +8,13 @@
 mod split;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use admit::{AdmissionController, KeyIndex};
-use base::{Config, RegionId, RouteTable, ServiceId, TargetId, Time, WorkspaceId};
+use base::{AllowedRegions, Config, RegionId, RouteTable, ServiceId, TargetId, Time, WorkspaceId};
 use chart::ChartError;
 use coord::{Freshness, QuotaSplit};
 use dispatch::{Dispatcher, Outcome, Policy, RequestId, RequestKind};
@@ -124,7 +124,7 @@
     priority: u32,
     max_attempts: u32,
     affinity: Option<u64>,
-    allowed_regions: Arc<BTreeSet<RegionId>>,
+    allowed_regions: AllowedRegions,
 }
 
 impl Engine {
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -1,9 +1,9 @@
 //! Attempts of requests, and the idle connections that they use.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::net::SocketAddr;
 
 use admit::Action as AdmitAction;
-use base::{Refusal, RegionId, TargetId, Time};
+use base::{AllowedRegions, Refusal, TargetId, Time};
 use dispatch::{
     Action, Assignment, Outcome, PathState, QuarantineReport, RequestId, RequestProgress,
 };
@@ -117,7 +117,7 @@
         now: Time,
         assignment: &Assignment,
         addr: SocketAddr,
-        allowed: &BTreeSet<RegionId>,
+        allowed: &AllowedRegions,
     ) -> Option<Connection> {
         let relays = &self.relays;
         let is_relay_needed =
@@ -127,8 +127,7 @@
                 let mut known = relays.iter();
                 is_relay_needed
                     && known.any(|(region, relay)| {
-                        relay.instance == *instance
-                            && (allowed.is_empty() || allowed.contains(region))
+                        relay.instance == *instance && allowed.contains(region)
                     })
             })
         };
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -43,9 +43,12 @@
     /// A request with home regions passes no instance outside of them.
     pub(super) fn relays_to(&self, region: &RegionId, request: &PendingRequest) -> Vec<Relay> {
         let allowed = &request.allowed_regions;
-        let is_allowed = |found: &RegionId| allowed.is_empty() || allowed.contains(found);
         let (mut same, mut other) = (Vec::new(), Vec::new());
-        for (found, relay) in self.relays.iter().filter(|(found, _)| is_allowed(found)) {
+        for (found, relay) in self
+            .relays
+            .iter()
+            .filter(|(found, _)| allowed.contains(found))
+        {
             let group = if found == region {
                 &mut same
             } else {
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -1,10 +1,8 @@
 //! Routes, keys and admission of arriving requests.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use base::{
-    ErrorKind, Refusal, RegionId, Route, RouteKind, ServiceId, Time, Workspace, WorkspaceId,
-};
+use base::{AllowedRegions, ErrorKind, Refusal, Route, RouteKind, ServiceId, Time, WorkspaceId};
 use coord::Freshness;
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
 
@@ -99,7 +97,7 @@
             priority: 0,
             max_attempts: u32::MAX,
             affinity: arrival.affinity,
-            allowed_regions: Arc::default(),
+            allowed_regions: AllowedRegions::All,
         };
         Ok((request, is_open))
     }
@@ -145,7 +143,7 @@
                 + route.priority,
             max_attempts: route.attempts.max(1),
             affinity: arrival.affinity.filter(|_| route.is_sticky),
-            allowed_regions: allowed_regions(&route, settings),
+            allowed_regions: AllowedRegions::of(Some(&route), settings),
             workspace,
         };
         Ok((request, route.is_open))
@@ -223,30 +221,11 @@
             allowed_regions: request.allowed_regions.clone(),
         };
         let counter = self.counters.entry(admitted.service.clone()).or_default();
-        let mut regions = admitted.allowed_regions.iter();
-        match (regions.next(), regions.next()) {
-            (Some(only), None) => *counter.pinned.entry(only.clone()).or_default() += 1,
-            _ => counter.requests += 1,
+        match admitted.allowed_regions.single() {
+            Some(only) => *counter.pinned.entry(only.clone()).or_default() += 1,
+            None => counter.requests += 1,
         }
         let actions = self.dispatcher.submit(now, admitted);
         self.apply_dispatch(now, actions);
     }
 }
-
-/// Returns the regions that both the route and the workspace allow; empty if all are allowed.
-fn allowed_regions(route: &Route, workspace: Option<&Workspace>) -> Arc<BTreeSet<RegionId>> {
-    let workspace_regions = workspace.map(|workspace| &workspace.homes);
-    match workspace_regions.filter(|regions| !regions.is_empty()) {
-        Some(regions) if route.homes.is_empty() => Arc::new(regions.clone()),
-        Some(regions) => {
-            let mut common: BTreeSet<RegionId> =
-                regions.intersection(&route.homes).cloned().collect();
-            if common.is_empty() {
-                // No region has an empty name, so the request may run nowhere.
-                common.insert(RegionId::from(""));
-            }
-            Arc::new(common)
-        }
-        None => Arc::new(route.homes.clone()),
-    }
-}
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 /// Region of an instance whose failure domain is not in the configuration.
-static UNKNOWN_REGION: LazyLock<RegionId> = LazyLock::new(|| RegionId::from(""));
+static UNKNOWN_REGION: LazyLock<RegionId> = LazyLock::new(RegionId::unknown);
 
 /// Measures [`Time`] since its start, including time for which the machine was suspended.
 ///
