feat(entry,cli): lines tell which regions bound a request, and by which revision each attempt was sent

A request that ran outside of its homes could not be traced: the line had the revision of its arrival and the region that the instance believed the target to be in, not the regions that bound it, at its arrival or when it was sent. So two hypotheses about HOME (known late; bound once, sent later) read the same.

The case of why fails without the change.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -117,6 +117,10 @@
                 number("revision")
             ));
         }
+        if let Some(homes) = line["homes"].as_str() {
+            self.lines
+                .push(format!("  by that revision it might run in {homes} only"));
+        }
         for attempt in line["attempts"].as_array().into_iter().flatten() {
             self.lines.push(format!("  {}", describe_attempt(attempt)));
         }
@@ -157,11 +161,22 @@
         .map_or_else(String::new, |ms| {
             format!("; the target wants nothing from this instance for {ms} ms")
         });
+    let revision = attempt["revision"]
+        .as_u64()
+        .map_or_else(String::new, |revision| format!(" by revision {revision}"));
+    let bound = match attempt["homes"].as_str() {
+        Some(homes) => format!(
+            "; sent to region {}, bound to {homes}{revision}",
+            attempt["region"].as_str().unwrap_or("?")
+        ),
+        None if revision.is_empty() => String::new(),
+        None => format!("; sent{revision}"),
+    };
     let cause = attempt["connect_error"]
         .as_str()
         .map_or_else(String::new, |cause| format!(" ({cause})"));
     format!(
-        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}{rest}",
+        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}{rest}{bound}",
         number("start_ms"),
         attempt["target"].as_str().unwrap_or("?"),
         attempt["reason"].as_str().unwrap_or("?"),
--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -8,12 +8,14 @@
   21.5 front-1 {"event":"request","at_ms":9,"id":"aa","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"deadline_ms":2500,"attempts":[],"end":"rate_limited","status":429,"took_ms":2,"retry_after_ms":66}
 {"event":"request","at_ms":10,"id":"bb","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"deadline_ms":2500,"attempts":[{"target":"t1","reason":"first","load":3,"start_ms":0,"took_ms":40,"is_new":false,"end":"lost"}],"end":"target_lost","status":502,"took_ms":41}
 {"event":"request","at_ms":11,"id":"cc","instance":"i1","route":"","service":"","workspace":"","revision":3,"config_age_ms":412,"deadline_ms":0,"attempts":[],"end":"unknown_key","status":401,"took_ms":0}
+{"event":"request","at_ms":12,"id":"dd","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"homes":"north","deadline_ms":2500,"attempts":[{"target":"t1","region":"south","revision":4,"homes":"south,west","reason":"first","load":3,"start_ms":900,"took_ms":40,"is_new":false,"end":"answered"}],"end":"ok","status":200,"took_ms":941}
 not a line
 "#;
 
 #[rstest]
 #[case::refused_within_rate("aa", &["workspace gym", "rate_limited, status 429, come back after 66 ms", "the workspace's rate was used up", "config_in_force"])]
 #[case::lost_target("bb", &["to t1 (first, estimated load 3 requests) over a kept connection: lost after 40 ms", "it may have run"])]
+#[case::homes_that_moved("dd", &["it might run in north only", "answered after 40 ms; sent to region south, bound to south,west by revision 4"])]
 #[case::revoked_key("cc", &["before a route or a workspace was found", "the key is not in the revision", "revision 3 had last been known to be the latest 412 ms before", "version 7"])]
 fn why_tells_the_cause(#[case] id: &str, #[case] expected: &[&str]) {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -72,6 +72,8 @@
                 addr: self.target_addr(&assignment)?,
                 connection: None,
                 relays: self.relays_to(&assignment.region, request),
+                allowed_regions: request.allowed_regions.clone(),
+                revision: self.revision,
                 deadline: request.deadline,
                 workspace: request.workspace.clone(),
                 is_open: request.is_open,
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -30,6 +30,7 @@
                     objective_deadline: request.objective_deadline,
                     config,
                     affinity: request.affinity,
+                    allowed_regions: request.allowed_regions.clone(),
                 };
                 let _ = tx.send(Decision::Resolved(info));
                 self.requests.insert(id, request);
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -165,7 +165,7 @@
             decision = request.decision() => {
                 drop(queue_span.take());
                 if let Decision::SendAttempt(plan) = decision? {
-                    request.log.attempt_started(clock.now(), &plan.assignment);
+                    request.log.attempt_started(clock.now(), &plan);
                     let is_first = plan.assignment.attempt == 1;
                     hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
                     let attempt = prepare_attempt(forwarder, &request, *plan, template.clone(), span);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{
-    Config, ErrorKind, InstanceId, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId,
+    AllowedRegions, Config, ErrorKind, InstanceId, Refusal, RegionId, ServiceId, TargetId, Time,
+    WorkspaceId,
 };
 use coord::{Freshness, Grant, GrantRequest, Loan, OwnerId, SlotHistory};
 use dispatch::{
@@ -184,6 +185,8 @@
     pub config: UsedConfig,
     /// Digest of the affinity key; `None` on routes that are not sticky.
     pub affinity: Option<u64>,
+    /// Regions in which the request may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Identifies the configuration by which a request was decided, and how old it may have been.
@@ -215,6 +218,10 @@
     pub connection: Option<Connection>,
     /// Instances that may carry a new connection, in order of preference.
     pub relays: Vec<Relay>,
+    /// Regions in which the request may run by the active configuration.
+    pub allowed_regions: AllowedRegions,
+    /// Number of that configuration.
+    pub revision: u64,
     /// Deadline of the request.
     pub deadline: Time,
     /// Workspace of the request.
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -6,7 +6,12 @@
 use record::{LineLimiter, Sink, lines::RequestLine};
 use salvo::http::Request;
 
-use crate::{dialect::Dialect, forward::TargetResponse, request_log::RequestLog, view::Clock};
+use crate::{
+    dialect::Dialect,
+    forward::TargetResponse,
+    request_log::{RequestLog, homes},
+    view::Clock,
+};
 
 /// Maximum number of request log lines per second.
 pub const MAX_LINES_PER_S: f64 = 400.0;
@@ -115,6 +120,7 @@
                 workspace: info.map_or("", |info| info.workspace.as_str()),
                 revision: state.config.map_or(0, |config| config.revision),
                 config_age_ms: confirmed_at.map(|at| (state.started - at).as_millis() as u64),
+                homes: info.and_then(|info| homes(&info.allowed_regions)),
                 object: info.and_then(|info| info.affinity),
                 deadline_ms: info
                     .map_or(0, |info| (info.deadline - state.started).as_millis() as u64),
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -2,13 +2,13 @@
 
 use std::sync::{Arc, Mutex};
 
-use base::Time;
-use dispatch::{Assignment, Outcome};
+use base::{AllowedRegions, Time};
+use dispatch::Outcome;
 use record::lines::AttemptLine;
 
 use crate::{
     forward::AttemptResult,
-    message::{RequestInfo, UsedConfig},
+    message::{AttemptPlan, RequestInfo, UsedConfig},
 };
 
 /// Collects the history of one request; all clones share it.
@@ -48,11 +48,15 @@
         self.with(|state| state.config = Some(config));
     }
 
-    pub(crate) fn attempt_started(&self, now: Time, assignment: &Assignment) {
+    pub(crate) fn attempt_started(&self, now: Time, plan: &AttemptPlan) {
+        let assignment = &plan.assignment;
         self.with(|state| {
+            let used = state.config.map(|config| config.revision);
             let line = AttemptLine {
                 target: assignment.target.to_string(),
                 region: assignment.region.to_string(),
+                revision: (used != Some(plan.revision)).then_some(plan.revision),
+                homes: homes(&plan.allowed_regions),
                 reason: assignment.reason.to_string(),
                 load: assignment.load,
                 start_ms: (now - state.started).as_millis() as u64,
@@ -98,3 +102,8 @@
         self.0.lock().ok().map(|mut state| access(&mut state))
     }
 }
+
+/// Returns the regions to which a request is bound, for its line; `None` if it may run in all.
+pub(crate) fn homes(allowed: &AllowedRegions) -> Option<String> {
+    (!allowed.is_all()).then(|| allowed.to_string())
+}
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -27,6 +27,10 @@
     /// milliseconds; omitted if it never was confirmed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub config_age_ms: Option<u64>,
+    /// Regions in which the request might run by that revision, separated by commas, or `none`; omitted
+    /// if all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub homes: Option<String>,
     /// Digest of the affinity key; omitted if there is none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub object: Option<u64>,
@@ -54,6 +58,13 @@
     pub target: String,
     /// Region of that target.
     pub region: String,
+    /// Revision of the configuration by which the attempt was sent, if it is another one than the
+    /// request's.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// Regions in which the request might run by then, as in [`RequestLine::homes`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub homes: Option<String>,
     /// Reason for the choice of target.
     pub reason: String,
     /// Estimate of the target's running and queued requests.
