fix(dispatch): a target's region is the one where it is now, not where it was first seen

What callers would see: a target that comes back in another failure domain under its id, or whose entry names another one, got the requests that are bound to the region where it had been, and none of those bound to where it is (HOME).

Cause: the pool read the region of a target when it first saw the id, and never again; address and registration did follow. Change: each configuration moves a target that is elsewhere now, with what is in flight on it, and instances are ranked anew for the rates that it names. Evacuations and the regions' plan read the configuration itself and were right before.

Evidence: place_follows_a_target_that_moves, with the same incarnation and a new one, fails without the change (the bound request is sent); all tests of dispatch pass. Not mended: an attempt whose connection is being opened while its target moves goes on to the old address, where its name tells it from another target.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -152,6 +152,7 @@
     pub fn configure(&mut self, now: Time, config: &Config) -> Vec<Action> {
         self.configured_round_trip =
             Duration::from_millis(u64::from(config.links.region_delay_ms)) * 2;
+        let mut has_moved = false;
         for (id, service) in &config.services {
             let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
             let context = TargetContext {
@@ -160,7 +161,7 @@
                 instance_seed: self.policy.instance_seed,
             };
             let region_of = |domain: &base::DomainId| config.region_of(domain).cloned();
-            pool.configure(now, service, &context, region_of);
+            has_moved |= pool.configure(now, service, &context, region_of);
             let routes = || {
                 let uses_service =
                     |route: &&base::Route| route.services.iter().any(|part| part.service == *id);
@@ -176,6 +177,9 @@
             }
             pool.resize_limits(&self.surroundings.local_region);
         }
+        if has_moved {
+            self.rank_rates();
+        }
         for (id, pool) in &mut self.pools {
             for target in &mut pool.targets {
                 let is_available = config.is_target_available(id, &target.id);
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -12,6 +12,11 @@
     pub fn set_instances(&mut self, own_id: &InstanceId, instances: Vec<(InstanceId, RegionId)>) {
         self.own_id = own_id.clone();
         self.instances = instances;
+        self.rank_rates();
+    }
+
+    /// Ranks this instance among those that share each target's rate.
+    pub(super) fn rank_rates(&mut self) {
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
                 let rank = rate_rank(&self.own_id, &self.instances, target);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -47,6 +47,8 @@
     /// Requests of this instance that are in flight in the region.
     pub(crate) in_flight: u32,
     pub(crate) limit: ConcurrencyLimit,
+    /// Whether the slots of its targets are not known yet.
+    is_new: bool,
 }
 
 /// Holds the parameters that are the same for all targets.
@@ -90,22 +92,27 @@
 
     /// Adds new targets and updates known ones; targets that are no longer configured stay until
     /// [`Pool::remove_unused`].
+    ///
+    /// Returns whether a known target is in another region now.
     pub(crate) fn configure<F>(
         &mut self,
         now: Time,
         service: &Service,
         context: &TargetContext<'_>,
         region_of: F,
-    ) where
+    ) -> bool
+    where
         F: Fn(&base::DomainId) -> Option<RegionId>,
     {
+        let mut has_moved = false;
         for (id, target) in &service.targets {
+            let region = region_of(&target.domain).unwrap_or_else(RegionId::unknown);
             if let Some(&idx) = self.index.get(id) {
+                has_moved |= self.move_target(idx, region);
                 self.targets[idx].set_slots(service.slots);
                 self.apply_registration(now, idx, service, target, context);
                 continue;
             }
-            let region = region_of(&target.domain).unwrap_or_else(RegionId::unknown);
             let idx = self.targets.len();
             self.targets
                 .push(Target::new(now, id.clone(), region.clone(), service.slots));
@@ -113,6 +120,7 @@
             self.region_entry(region).members.push(idx);
             self.apply_registration(now, idx, service, target, context);
         }
+        has_moved
     }
 
     fn apply_registration(
@@ -171,11 +179,31 @@
         Some(new_indices)
     }
 
+    /// Moves a target that is in another region now, with what is in flight on it, and returns whether
+    /// it is.
+    fn move_target(&mut self, idx: usize, region: RegionId) -> bool {
+        let target = &mut self.targets[idx];
+        if target.region == region {
+            return false;
+        }
+        let in_flight = target.in_flight;
+        let left = std::mem::replace(&mut target.region, region.clone());
+        if let Some(pool) = self.regions.get_mut(&left) {
+            pool.members.retain(|member| *member != idx);
+            pool.in_flight = pool.in_flight.saturating_sub(in_flight);
+        }
+        let pool = self.region_entry(region);
+        pool.members.push(idx);
+        pool.in_flight += in_flight;
+        true
+    }
+
     fn region_entry(&mut self, region: RegionId) -> &mut RegionPool {
         self.regions.entry(region).or_insert_with(|| RegionPool {
             members: Vec::new(),
             in_flight: 0,
             limit: ConcurrencyLimit::new(1),
+            is_new: true,
         })
     }
 
@@ -187,7 +215,8 @@
                 .iter()
                 .map(|idx| self.targets[*idx].slots())
                 .sum();
-            let is_new = pool.limit.current() == 1 && pool.in_flight == 0;
+            let is_new = std::mem::take(&mut pool.is_new)
+                || (pool.limit.current() == 1 && pool.in_flight == 0);
             if is_new {
                 let params = if region == local_region {
                     AimdParams::SAME_REGION
