fix(dispatch): the choice between two targets keeps to a request's regions; what no allowed target can take is refused at once

What callers would see, in the product's own deployments: requests of routes or workspaces with homes ran in any region (HOME).

Cause: TwoChoices, the older of the two placements, was written before there were homes, and took the target before it looked at the request. Whether any target is available was asked of the service, not of the regions that the request may run in. Change: regions are constraints of the choice, as in the other placement; a few requests whose homes are full are overtaken by those behind them, as there. Found while looking for HOME; ruled out as its cause.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -321,6 +321,7 @@
         }
         let constraints = RegionConstraints {
             local_region: &self.surroundings.local_region,
+            allowed: &entry.request.allowed_regions,
             reserved_slots: 0,
             allows_other_regions: true,
         };
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -1,6 +1,6 @@
 //! Connections that show whether targets which are down can be reached again.
 
-use base::{TargetId, Time};
+use base::{AllowedRegions, TargetId, Time};
 
 use super::Dispatcher;
 use crate::{Dial, PathState, TargetEvent};
@@ -22,7 +22,7 @@
         let pools = self.pools.values();
         pools
             .filter(|pool| pool.index.contains_key(id))
-            .all(|pool| !pool.has_available_target(now))
+            .all(|pool| !pool.has_available_target(now, &AllowedRegions::All))
     }
 
     /// Records how a connection that no request waited for was opened, and returns whether the
--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -19,7 +19,7 @@
         let Some(pool) = self.pools.get(&request.service) else {
             return Some(Refusal::new(ErrorKind::UnknownService));
         };
-        if !pool.has_available_target(now) {
+        if !pool.has_available_target(now, &request.allowed_regions) {
             return Some(Refusal::new(ErrorKind::NoTarget));
         }
         if request.deadline <= now {
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -84,31 +84,63 @@
         self.start_attempt(now, id, idx, reason)
     }
 
-    /// Takes the next request from the queue if there is a free target for it.
+    /// Takes the next request from the queue for which there is a free target.
+    ///
+    /// Later ones overtake a few that are bound to regions without one.
     fn next_match(&mut self, now: Time, service: &ServiceId) -> Option<(RequestId, usize)> {
+        let mut skipped = Vec::new();
+        let found = loop {
+            let Some(id) = self.pools.get(service).and_then(|pool| pool.queue.peek()) else {
+                break None;
+            };
+            let id = *id;
+            let found = self.match_head(now, service, id);
+            let is_bound = self
+                .entries
+                .get(&id)
+                .is_some_and(|entry| !entry.request.allowed_regions.is_all());
+            let is_skipped = found.is_none() && is_bound && skipped.len() < MAX_SKIPPED;
+            if found.is_none() && !is_skipped {
+                break None;
+            }
+            if let Some(pool) = self.pools.get_mut(service) {
+                pool.queue.pop();
+            }
+            match found {
+                Some(idx) => break Some((id, idx)),
+                None => skipped.push(id),
+            }
+        };
+        for id in skipped.into_iter().rev() {
+            self.return_to_queue(id);
+        }
+        let (id, _) = found?;
+        let entry = self.entries.get_mut(&id)?;
+        entry.is_queued = false;
+        self.queued.remove(&(entry.wait_deadline, id));
+        found
+    }
+
+    /// Returns a free target for the request `id`, which is the first of its queue.
+    fn match_head(&mut self, now: Time, service: &ServiceId, id: RequestId) -> Option<usize> {
         let pool = self.pools.get_mut(service)?;
-        let first = self.entries.get(pool.queue.peek()?)?;
+        let entry = self.entries.get(&id)?;
         let constraints = RegionConstraints {
             local_region: &self.surroundings.local_region,
+            allowed: &entry.request.allowed_regions,
             reserved_slots: pool
                 .backlog
                 .reserved_slots(now, pool.queue.queued_workspaces()),
-            allows_other_regions: !first.was_refused_remotely
-                && now - first.queued_at > self.configured_round_trip
-                && first.request.deadline - now
+            allows_other_regions: !entry.was_refused_remotely
+                && now - entry.queued_at > self.configured_round_trip
+                && entry.request.deadline - now
                     > self.configured_round_trip + pool.expected_latency(),
         };
-        // Selected before the request is popped, since a popped request needs a target.
         let fallback = pool.choose_target(now, &mut self.rng, constraints, None)?;
-        let id = pool.queue.pop()?;
-        let entry = self.entries.get_mut(&id)?;
-        entry.is_queued = false;
-        self.queued.remove(&(entry.wait_deadline, id));
-        let idx = entry
+        let other = entry
             .avoid
-            .and_then(|avoid| pool.choose_target(now, &mut self.rng, constraints, Some(avoid)))
-            .unwrap_or(fallback);
-        Some((id, idx))
+            .and_then(|avoid| pool.choose_target(now, &mut self.rng, constraints, Some(avoid)));
+        Some(other.unwrap_or(fallback))
     }
 
     /// Records a new attempt on the target at `idx` and returns its assignment.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{RegionId, Service, TargetId, Time, WorkspaceId};
+use base::{AllowedRegions, RegionId, Service, TargetId, Time, WorkspaceId};
 use chart::Chart;
 use rand::{Rng, RngExt};
 
@@ -67,6 +67,8 @@
 pub(crate) struct RegionConstraints<'a> {
     /// Region of the instance.
     pub(crate) local_region: &'a RegionId,
+    /// Regions in which the request may run.
+    pub(crate) allowed: &'a AllowedRegions,
     /// Whether the request has waited long enough to be worth a round trip to another region.
     pub(crate) allows_other_regions: bool,
     /// Slots of the region that the request must leave free.
@@ -243,14 +245,17 @@
     where
         R: Rng,
     {
-        let planned = self.pick_planned_region(rng);
+        let allowed = constraints.allowed;
+        let planned = self.pick_planned_region(rng, allowed);
         let first = planned.as_ref().unwrap_or(constraints.local_region);
         let mut found = self.choose_in_region(now, rng, constraints, first, avoid);
         if found.is_none() && first != constraints.local_region {
             found = self.choose_in_region(now, rng, constraints, constraints.local_region, avoid);
         }
         if found.is_some()
-            || !(constraints.allows_other_regions || self.is_region_unavailable(now, first))
+            || !(constraints.allows_other_regions
+                || !allowed.contains(first)
+                || self.is_region_unavailable(now, first))
         {
             return found;
         }
@@ -286,6 +291,9 @@
         R: Rng,
     {
         let pool = self.regions.get(region)?;
+        if !constraints.allowed.contains(region) {
+            return None;
+        }
         if !pool
             .limit
             .has_capacity(pool.in_flight + constraints.reserved_slots)
@@ -295,23 +303,27 @@
         self.choose_among(now, rng, &pool.members, avoid)
     }
 
-    /// Draws a region in proportion to the planned shares, or `None` without any.
-    fn pick_planned_region<R>(&self, rng: &mut R) -> Option<RegionId>
+    /// Draws one of the allowed regions in proportion to the planned shares, or `None` without any.
+    fn pick_planned_region<R>(&self, rng: &mut R, allowed: &AllowedRegions) -> Option<RegionId>
     where
         R: Rng,
     {
-        let total: f64 = self.region_shares.shares.values().sum();
+        let shares = self.region_shares.shares.iter();
+        let shares: Vec<_> = shares
+            .filter(|(region, _)| allowed.contains(region))
+            .collect();
+        let total: f64 = shares.iter().map(|(_, share)| **share).sum();
         if total <= 0.0 {
             return None;
         }
         let mut point = rng.random::<f64>() * total;
-        for (region, share) in &self.region_shares.shares {
-            point -= share;
+        for (region, share) in &shares {
+            point -= **share;
             if point < 0.0 {
-                return Some(region.clone());
+                return Some((*region).clone());
             }
         }
-        self.region_shares.shares.keys().next_back().cloned()
+        shares.last().map(|(region, _)| (*region).clone())
     }
 
     /// Returns the cheaper of two random targets, or any free one where neither of the two is.
@@ -343,11 +355,11 @@
         }
     }
 
-    /// Returns whether any target takes requests at all, even if it is full now.
-    pub(crate) fn has_available_target(&self, now: Time) -> bool {
+    /// Returns whether any target of these regions takes requests at all, even if it is full now.
+    pub(crate) fn has_available_target(&self, now: Time, allowed: &AllowedRegions) -> bool {
         self.targets
             .iter()
-            .any(|target| target.concurrency_limit(now) > 0)
+            .any(|target| allowed.contains(&target.region) && target.concurrency_limit(now) > 0)
     }
 
     /// Records that a request is sent to a target.
