fix(entry,dispatch): a waiting request follows each new configuration, up to the moment in which it is sent

What callers saw: a request whose body was still arriving, that was tried again or hedged, or whose connection to a target took long to open, ran where its homes had been when its head arrived, however long ago they had moved (HOME). One whose key or route had been taken away meanwhile still ran.

Cause: the regions, the key, the route and the number of attempts were derived once, at the arrival, and kept through admission, the queue, retries, hedges and connections through other instances (a dial alone may take 2.9 s). The class: a decision that a configuration gave, kept past that configuration.

Change: each new configuration decides again about all requests without a final answer, before anything is sent by it (engine/revision.rs): the regions and the number of attempts are the new ones; a request that isn't allowed any more is refused, unless it is running, and then it is tried no more. An attempt whose connection opens late asks once more (permit.rs) and is withheld if the target's region, or that of the instance which carries the connection, is none of them: nothing was sent, which is neither the target's fault nor a retry. Homes of workspaces bind requests without routes, too. Service, deadline and priority stay those of the arrival.

Why it works: between the engine's taking over a configuration and the first byte on a connection there is no other place in which the regions are kept.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use base::{Config, InstanceId, RegionId, ServiceId, TargetId, Time};
+use base::{AllowedRegions, Config, ErrorKind, InstanceId, RegionId, ServiceId, TargetId, Time};
 use chart::{Chart, ChartError};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -52,6 +52,8 @@
     is_queued: bool,
     is_answered: bool,
     may_have_run: bool,
+    /// Why the request is not sent again, since a new configuration doesn't allow it.
+    withdrawn: Option<ErrorKind>,
 }
 
 impl Entry {
@@ -206,6 +208,36 @@
         }
     }
 
+    /// Replaces what an earlier configuration said of a request that has no final answer yet.
+    ///
+    /// It applies to what is sent from now on; call it before [`Dispatcher::configure`], which sends
+    /// what waits.
+    pub fn revise(&mut self, id: RequestId, allowed_regions: &AllowedRegions, max_attempts: u32) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.request.allowed_regions = allowed_regions.clone();
+            entry.request.max_attempts = max_attempts;
+        }
+    }
+
+    /// Refuses a request that a new configuration doesn't allow: at once if it waits, and otherwise
+    /// where another attempt would follow.
+    pub fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return Vec::new();
+        };
+        if !entry.is_queued {
+            entry.withdrawn = Some(kind);
+            return Vec::new();
+        }
+        self.remove_from_queue(id);
+        self.refuse(now, id, kind)
+    }
+
+    /// Returns whether a request has been submitted and has not ended.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.entries.contains_key(&id)
+    }
+
     /// Queues an admitted request and assigns queued requests to free targets.
     pub fn submit(&mut self, now: Time, request: AdmittedRequest) -> Vec<Action> {
         let id = request.id;
@@ -301,6 +333,7 @@
         let is_suspected = self.quarantine.is_suspected(entry.request.fingerprint);
         if entry.request.kind != RequestKind::Idempotent
             || entry.attempts.len() != 1
+            || entry.withdrawn.is_some()
             || is_suspected
         {
             return None;
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -40,7 +40,7 @@
                     target.apply_event(now, &self.chart, TargetEvent::Failed);
                 }
             }
-            Outcome::TimedOut | Outcome::Canceled => {}
+            Outcome::TimedOut | Outcome::Canceled | Outcome::Withheld => {}
         }
     }
 
@@ -71,6 +71,10 @@
                 Disposition::Complete
             }
             Outcome::Canceled => Disposition::Drop,
+            Outcome::Withheld => {
+                entry.wait_deadline = entry.wait_deadline.max(now + RETRY_WAIT);
+                Disposition::Retry
+            }
             Outcome::TimedOut => Disposition::Refuse(ErrorKind::TargetTimeout),
             Outcome::Refused | Outcome::Unreachable
                 if self.policy.placement == Placement::ObjectAffinity =>
@@ -115,6 +119,11 @@
                 }
             }
         };
+        let withdrawn = entry.withdrawn.map(Disposition::Refuse);
+        let disposition = match (disposition, withdrawn) {
+            (Disposition::Retry, Some(refused)) => refused,
+            (disposition, _) => disposition,
+        };
         self.apply_disposition(now, id, disposition)
     }
 
--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -58,6 +58,7 @@
             is_queued: true,
             is_answered: false,
             may_have_run: false,
+            withdrawn: None,
         };
         self.entries.insert(id, entry);
     }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -163,6 +163,8 @@
     TimedOut,
     /// The attempt is no longer needed: another one was answered, or the caller has left.
     Canceled,
+    /// Nothing was sent, since by a new configuration the request may not run there any more.
+    Withheld,
 }
 
 /// Indicates whether a request continues after [`Dispatcher::finish`](crate::Dispatcher::finish).
--- a/crates/dispatch/tests/placement/homes.rs
+++ b/crates/dispatch/tests/placement/homes.rs
@@ -1,7 +1,12 @@
 //! Requests that may run in some regions only.
 
+use std::time::Duration;
+
 use base::{AllowedRegions, Config, ErrorKind, Time};
-use dispatch::{Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RegionShares};
+use dispatch::{
+    Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RegionShares, RequestId,
+    RequestKind, RequestProgress, TargetState,
+};
 use rstest::rstest;
 
 use crate::support::{assignments, config, dispatcher, refusals, request};
@@ -113,3 +118,108 @@
     assert_eq!(assignments(&other)[0].region.as_str(), "r0");
     assert_eq!(dispatcher.queue_len(), 2);
 }
+
+/// Guards against HOME: a request was tried again, after its connection was lost, where its homes had
+/// been before they moved.
+#[rstest]
+#[case::two_choices(Placement::TwoChoices)]
+#[case::object_affinity(Placement::ObjectAffinity)]
+fn retry_follows_moved_homes(#[case] placement: Placement) {
+    let mut dispatcher = dispatcher_by(placement, &config(8));
+    let now = Time::from_secs(1);
+    let first = dispatcher.submit(now, bound(now, 1, &["r0"]));
+    let first = assignments(&first)[0].clone();
+    assert_eq!(first.region.as_str(), "r0");
+    dispatcher.revise(first.id, &AllowedRegions::only(&["r1".into()].into()), 3);
+    let (_, actions) = dispatcher.finish(now, first.id, first.attempt, Outcome::Lost);
+    assert_eq!(assignments(&actions)[0].region.as_str(), "r1");
+}
+
+/// Guards against HOME: the second attempt of a request that was slow went where its homes had been.
+#[rstest]
+#[case::two_choices(Placement::TwoChoices)]
+#[case::object_affinity(Placement::ObjectAffinity)]
+fn hedge_follows_moved_homes(#[case] placement: Placement) {
+    let mut dispatcher = dispatcher_by(placement, &config(8));
+    let now = Time::from_secs(1);
+    let request = AdmittedRequest {
+        max_attempts: 3,
+        ..bound(now, 1, &["r0"])
+    };
+    dispatcher.submit(now, request);
+    dispatcher.revise(
+        RequestId(1),
+        &AllowedRegions::only(&["r1".into()].into()),
+        3,
+    );
+    let hedge = dispatcher.hedge(now, RequestId(1)).unwrap();
+    assert_eq!(hedge.region.as_str(), "r1");
+}
+
+/// An attempt that was withheld is no fault of its target's, costs no retry and is followed by one
+/// where the request may run.
+#[rstest]
+#[case::two_choices(Placement::TwoChoices)]
+#[case::object_affinity(Placement::ObjectAffinity)]
+fn withheld_attempt_is_followed_by_another(#[case] placement: Placement) {
+    let mut dispatcher = dispatcher_by(placement, &config(8));
+    let now = Time::from_secs(1);
+    let before = dispatcher.retries_left();
+    for id in 0..8 {
+        let first = dispatcher.submit(now, bound(now, id, &["r0"]).kind(RequestKind::Once));
+        let first = assignments(&first)[0].clone();
+        dispatcher.revise(first.id, &AllowedRegions::only(&["r1".into()].into()), 1);
+        let (_, actions) = dispatcher.finish(now, first.id, first.attempt, Outcome::Withheld);
+        let second = assignments(&actions)[0].clone();
+        assert_eq!(second.region.as_str(), "r1");
+        let took = Duration::from_millis(10);
+        dispatcher.finish(now, second.id, second.attempt, Outcome::Answered(took));
+    }
+    assert!(dispatcher.is_empty());
+    assert!(dispatcher.retries_left() >= before);
+    let states = dispatcher.targets(now);
+    assert!(
+        states
+            .iter()
+            .all(|(_, state, ..)| *state != TargetState::Down)
+    );
+}
+
+/// Guards against a withdrawn key: a request that waited over its withdrawal ran.
+#[rstest]
+#[case::two_choices(Placement::TwoChoices)]
+#[case::object_affinity(Placement::ObjectAffinity)]
+fn withdrawn_request_is_sent_no_more(#[case] placement: Placement) {
+    let mut dispatcher = dispatcher_by(placement, &config(2));
+    let now = Time::from_secs(1);
+    let actions: Vec<Action> = (0..9)
+        .flat_map(|id| dispatcher.submit(now, request(now, id, id)))
+        .collect();
+    let running = assignments(&actions)[0].clone();
+    assert!(dispatcher.queue_len() > 0);
+    let queued = RequestId(8);
+    let refused = dispatcher.withdraw(now, queued, ErrorKind::UnknownKey);
+    assert_eq!(refusals(&refused), [ErrorKind::UnknownKey]);
+
+    assert!(
+        dispatcher
+            .withdraw(now, running.id, ErrorKind::UnknownKey)
+            .is_empty()
+    );
+    assert!(dispatcher.hedge(now, running.id).is_none());
+    let (progress, actions) = dispatcher.finish(now, running.id, running.attempt, Outcome::Refused);
+    assert_eq!(progress, RequestProgress::Ended);
+    assert_eq!(refusals(&actions), [ErrorKind::UnknownKey]);
+}
+
+/// What says that a request didn't run is not said of one that may have run.
+#[test]
+fn withdrawn_request_that_may_have_run_is_lost() {
+    let mut dispatcher = dispatcher_by(Placement::ObjectAffinity, &config(4));
+    let now = Time::from_secs(1);
+    let actions = dispatcher.submit(now, request(now, 1, 1));
+    let running = assignments(&actions)[0].clone();
+    dispatcher.withdraw(now, running.id, ErrorKind::UnknownKey);
+    let (_, actions) = dispatcher.finish(now, running.id, running.attempt, Outcome::Lost);
+    assert_eq!(refusals(&actions), [ErrorKind::TargetLost]);
+}
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use base::{InstanceId, TargetId};
+use base::{InstanceId, RegionId, TargetId};
 use derive_more::Display;
 use dispatch::Dial;
 use hyper::client::conn::http1;
@@ -45,6 +45,8 @@
 pub struct Relay {
     /// ID of the instance.
     pub instance: InstanceId,
+    /// Region in which it runs.
+    pub region: RegionId,
     /// Address at which other instances reach it.
     pub addr: SocketAddr,
 }
@@ -139,12 +141,11 @@
 
     /// Returns whether a new connection to a target can be opened, and stays open, in the same way as
     /// one that `relay` carries, or else directly.
-    pub(crate) async fn is_reachable(&self, plan: &DialPlan, relay: Option<&InstanceId>) -> bool {
-        let is_same = |found: &&Relay| Some(&found.instance) == relay;
-        let opened = match plan.relays.iter().find(is_same) {
-            Some(same) => {
+    pub(crate) async fn is_reachable(&self, plan: &DialPlan, relay: Option<&Relay>) -> bool {
+        let opened = match relay {
+            Some(relay) => {
                 let same_way = DialPlan {
-                    relays: vec![same.clone()],
+                    relays: vec![relay.clone()],
                     ..plan.clone()
                 };
                 self.open_relayed(&same_way).await.ok()
@@ -223,7 +224,7 @@
                 Ok(Ok(stream)) => {
                     return Ok(Opened {
                         stream: TargetStream::Relayed(stream),
-                        relay: Some(relay.instance.clone()),
+                        relay: Some(relay.clone()),
                     });
                 }
                 Ok(Err(RelayError::TargetUnreachable)) => error = RelayError::TargetUnreachable,
@@ -237,7 +238,7 @@
 /// Holds an open stream and the instance that carries it, if any.
 struct Opened {
     stream: TargetStream,
-    relay: Option<InstanceId>,
+    relay: Option<Relay>,
 }
 
 impl Opened {
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -4,6 +4,7 @@
 mod loads;
 mod paths;
 mod rates;
+mod revision;
 mod routing;
 mod split;
 
@@ -21,7 +22,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, sleep_until},
 };
 
@@ -85,8 +86,8 @@
     requests: BTreeMap<RequestId, PendingRequest>,
     idle_connections: BTreeMap<TargetId, VecDeque<Connection>>,
     outgoing: mpsc::UnboundedSender<OutgoingMessage>,
-    /// Other instances that can carry connections to targets, with their regions.
-    relays: Vec<(RegionId, Relay)>,
+    /// Other instances that can carry connections to targets.
+    relays: Vec<Relay>,
     ticked_at: Time,
     dialer: Dialer,
     /// Channel to this engine; weak, so that the engine ends with the other senders.
@@ -98,6 +99,18 @@
     counting_since: Time,
 }
 
+/// What a caller sent that decides by whom and where its request may be run.
+#[derive(Debug)]
+struct Origin {
+    host: String,
+    full_path: String,
+    /// Service named by the first path segment, where there are no routes.
+    service: ServiceId,
+    /// Path below that service.
+    path: String,
+    api_key: Option<String>,
+}
+
 /// Counts the traffic of one service since the planner last collected it.
 #[derive(Debug, Default)]
 struct ServiceCounter {
@@ -124,7 +137,10 @@
     priority: u32,
     max_attempts: u32,
     affinity: Option<u64>,
-    allowed_regions: AllowedRegions,
+    /// Regions in which the request may run; its attempts are told of changes.
+    allowed_regions: watch::Sender<AllowedRegions>,
+    /// What its caller sent.
+    origin: Origin,
 }
 
 impl Engine {
@@ -326,18 +342,19 @@
 
 impl Engine {
     fn configure(&mut self, now: Time, config: Arc<Config>) {
+        let config = self.config.insert(config).clone();
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
         self.routes = RouteTable::new(&config);
         self.splits
             .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+        let mut actions = self.revise_requests(now);
         self.admission.configure(now, &config);
-        let actions = self.dispatcher.configure(now, &config);
+        actions.extend(self.dispatcher.configure(now, &config));
         self.idle_connections.retain(|target, _| {
             let mut services = config.services.values();
             services.any(|service| service.targets.contains_key(target))
         });
-        self.config = Some(config);
         self.apply_dispatch(now, actions);
     }
 
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -72,7 +72,7 @@
                 addr: self.target_addr(&assignment)?,
                 connection: None,
                 relays: self.relays_to(&assignment.region, request),
-                allowed_regions: request.allowed_regions.clone(),
+                allowed_regions: request.allowed_regions.subscribe(),
                 revision: self.revision,
                 deadline: request.deadline,
                 workspace: request.workspace.clone(),
@@ -88,7 +88,7 @@
         let allowed = self
             .requests
             .get(&id)
-            .map(|request| request.allowed_regions.clone());
+            .map(|request| request.allowed_regions.borrow().clone());
         let allowed = allowed.unwrap_or_default();
         plan.connection = self.take_connection(now, &plan.assignment, plan.addr, &allowed);
         if tx.send(Decision::SendAttempt(Box::new(plan))).is_err() {
@@ -125,11 +125,11 @@
         let is_relay_needed =
             assignment.prefers_relay || self.dispatcher.path_state() == PathState::Relayed;
         let may_carry = |connection: &Connection| {
-            connection.relay.as_ref().is_none_or(|instance| {
+            connection.relay.as_ref().is_none_or(|carrier| {
                 let mut known = relays.iter();
                 is_relay_needed
-                    && known.any(|(region, relay)| {
-                        relay.instance == *instance && allowed.contains(region)
+                    && known.any(|relay| {
+                        relay.instance == carrier.instance && allowed.contains(&relay.region)
                     })
             })
         };
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -28,11 +28,11 @@
             .into_iter()
             .filter(|instance| instance.id != *own_id)
             .filter_map(|instance| {
-                let relay = Relay {
-                    instance: instance.id,
+                Some(Relay {
                     addr: instance.relay_addr?,
-                };
-                Some((instance.region, relay))
+                    instance: instance.id,
+                    region: instance.region,
+                })
             })
             .collect();
     }
@@ -42,20 +42,11 @@
     ///
     /// A request with home regions passes no instance outside of them.
     pub(super) fn relays_to(&self, region: &RegionId, request: &PendingRequest) -> Vec<Relay> {
-        let allowed = &request.allowed_regions;
-        let (mut same, mut other) = (Vec::new(), Vec::new());
-        for (found, relay) in self
-            .relays
-            .iter()
-            .filter(|(found, _)| allowed.contains(found))
-        {
-            let group = if found == region {
-                &mut same
-            } else {
-                &mut other
-            };
-            group.push(relay.clone());
-        }
+        let allowed = request.allowed_regions.borrow();
+        let relays = self.relays.iter().cloned();
+        let (mut same, mut other): (Vec<Relay>, Vec<Relay>) = relays
+            .filter(|relay| allowed.contains(&relay.region))
+            .partition(|relay| relay.region == *region);
         // The fingerprint spreads requests over the instances.
         let start = request.fingerprint as usize;
         for group in [&mut same, &mut other] {
@@ -108,8 +99,7 @@
 
     /// Returns some instances that can open a connection without a request, in a changing order.
     pub(super) fn any_relays(&self, now: Time) -> Vec<Relay> {
-        let relays = self.relays.iter().map(|(_, relay)| relay.clone());
-        let mut relays: Vec<Relay> = relays.collect();
+        let mut relays = self.relays.clone();
         let start = now.as_micros() as usize % relays.len().max(1);
         relays.rotate_left(start);
         relays.truncate(MAX_RELAYS_TRIED);
--- /dev/null
+++ b/crates/entry/src/engine/revision.rs
@@ -0,0 +1,80 @@
+//! What a new configuration says of the requests that have no final answer yet.
+
+use base::{AllowedRegions, ErrorKind, Refusal, Time};
+use dispatch::{Action, RequestId};
+
+use super::{Engine, PendingRequest};
+
+/// What the active configuration says of a request.
+struct Terms {
+    allowed_regions: AllowedRegions,
+    max_attempts: u32,
+}
+
+impl Engine {
+    /// Decides again about all requests without a final answer: those that are not allowed any more are
+    /// refused unless they are running, and the others go where they may run now.
+    ///
+    /// Service, deadline and priority stay as they were at the arrival.
+    pub(super) fn revise_requests(&mut self, now: Time) -> Vec<Action> {
+        let requests = self.requests.iter();
+        let revised: Vec<(RequestId, Result<Terms, ErrorKind>)> = requests
+            .map(|(id, request)| (*id, self.terms(request)))
+            .collect();
+        let mut actions = Vec::new();
+        for (id, terms) in revised {
+            match terms {
+                Ok(terms) => self.revise(id, terms),
+                Err(kind) => {
+                    let kind = self.verdict(now, kind);
+                    actions.extend(self.withdraw(now, id, kind));
+                }
+            }
+        }
+        actions
+    }
+
+    fn terms(&self, request: &PendingRequest) -> Result<Terms, ErrorKind> {
+        let identity = self.identify(&request.origin)?;
+        if identity.workspace != request.workspace {
+            // Its quota was drawn from the other workspace; its caller may ask again.
+            return Err(ErrorKind::NotReady);
+        }
+        let route = identity.route.as_deref();
+        let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
+        let workspace = config.workspaces.get(&identity.workspace);
+        Ok(Terms {
+            allowed_regions: AllowedRegions::of(route, workspace),
+            max_attempts: route.map_or(request.max_attempts, |route| route.attempts.max(1)),
+        })
+    }
+
+    fn revise(&mut self, id: RequestId, terms: Terms) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.max_attempts = terms.max_attempts;
+        self.dispatcher
+            .revise(id, &terms.allowed_regions, terms.max_attempts);
+        let current = &request.allowed_regions;
+        current.send_if_modified(|allowed| {
+            let is_changed = *allowed != terms.allowed_regions;
+            *allowed = terms.allowed_regions;
+            is_changed
+        });
+    }
+
+    /// Ends a request that is not allowed any more, unless it is running.
+    fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
+        let Some(request) = self.requests.get(&id) else {
+            return Vec::new();
+        };
+        let nowhere = AllowedRegions::only(&[].into());
+        request.allowed_regions.send_replace(nowhere);
+        if self.dispatcher.contains(id) {
+            return self.dispatcher.withdraw(now, id, kind);
+        }
+        self.admission.cancel(id.0);
+        vec![Action::Refuse(id, Refusal::new(kind))]
+    }
+}
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -6,12 +6,23 @@
 use coord::Freshness;
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
 
-use super::{Engine, OPEN_WORKSPACE, PendingRequest, split::WeightedSplit};
+use tokio::sync::watch;
+
+use super::{Engine, OPEN_WORKSPACE, Origin, PendingRequest, split::WeightedSplit};
 use crate::message::{Admitted, Arrival, Decision, RequestInfo, UsedConfig};
 
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
 
+/// Whose request it is, and by which route it came.
+pub(super) struct Identity {
+    /// `None` where the path names the service.
+    pub(super) route: Option<Arc<Route>>,
+    pub(super) workspace: WorkspaceId,
+    /// Whether the request needs no API key.
+    pub(super) is_open: bool,
+}
+
 impl Engine {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let (id, tx) = (arrival.id, arrival.tx.clone());
@@ -30,7 +41,7 @@
                     objective_deadline: request.objective_deadline,
                     config,
                     affinity: request.affinity,
-                    allowed_regions: request.allowed_regions.clone(),
+                    allowed_regions: request.allowed_regions.borrow().clone(),
                 };
                 let _ = tx.send(Decision::Resolved(info));
                 self.requests.insert(id, request);
@@ -63,98 +74,114 @@
         if self.is_draining {
             return Err(ErrorKind::Leaving);
         }
-        if !self.routes.is_empty() {
-            return self.resolve_by_route(now, arrival);
-        }
-        let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
-        let service = config
-            .services
-            .get(&arrival.service)
-            .ok_or(ErrorKind::UnknownService)?;
-        let is_open = config.is_open(&arrival.service, &arrival.path);
-        let workspace = if is_open {
-            WorkspaceId::from(OPEN_WORKSPACE)
-        } else {
-            self.authenticate(now, arrival.api_key.as_deref())?.clone()
+        let origin = Origin {
+            host: arrival.host,
+            full_path: arrival.full_path,
+            service: arrival.service,
+            path: arrival.path,
+            api_key: arrival.api_key,
+        };
+        let identity = match self.identify(&origin) {
+            Ok(identity) if !identity.is_open && self.is_isolated(now) => {
+                return Err(ErrorKind::Isolated);
+            }
+            Ok(identity) => identity,
+            Err(kind) => return Err(self.verdict(now, kind)),
+        };
+        let config = self.config.clone().ok_or(ErrorKind::NotReady)?;
+        let settings = config.workspaces.get(&identity.workspace);
+        let route = identity.route.as_deref();
+        let limit_ms = match route {
+            Some(route) => route.timeout_ms,
+            None => config.services[&origin.service].deadline_ms,
         };
-        let weight = config
-            .workspaces
-            .get(&workspace)
-            .map_or(1, |settings| settings.weight);
-        let limit = Duration::from_millis(u64::from(service.deadline_ms));
+        let limit = Duration::from_millis(u64::from(limit_ms));
         let timeout = arrival.timeout.unwrap_or(limit).min(limit);
+        let objective = route.map_or(timeout, |route| {
+            Duration::from_millis(u64::from(route.objective_ms)).min(timeout)
+        });
+        let kind = route.map_or(arrival.kind, |route| match route.kind {
+            RouteKind::Idempotent => RequestKind::Idempotent,
+            RouteKind::Once => RequestKind::Once,
+        });
+        let priority = route.map_or(0, |route| {
+            settings.map_or(0, |settings| settings.priority) * ROUTE_PRIORITY_LIMIT + route.priority
+        });
         let request = PendingRequest {
             tx: arrival.tx,
-            workspace,
-            service: arrival.service,
-            weight,
+            service: match route {
+                Some(route) => self.pick_service(route),
+                None => origin.service.clone(),
+            },
+            weight: settings.map_or(1, |settings| settings.weight),
             deadline: now + timeout,
-            kind: arrival.kind,
+            kind,
             fingerprint: arrival.fingerprint,
             awaits_dispatch: arrival.awaits_dispatch,
-            is_open,
-            route: Arc::from(""),
-            objective_deadline: now + timeout,
-            priority: 0,
-            max_attempts: u32::MAX,
-            affinity: arrival.affinity,
-            allowed_regions: AllowedRegions::All,
+            is_open: identity.is_open,
+            route: Arc::from(route.map_or("", |route| &route.name)),
+            objective_deadline: now + objective,
+            priority,
+            max_attempts: route.map_or(u32::MAX, |route| route.attempts.max(1)),
+            affinity: arrival
+                .affinity
+                .filter(|_| route.is_none_or(|route| route.is_sticky)),
+            allowed_regions: watch::Sender::new(AllowedRegions::of(route, settings)),
+            workspace: identity.workspace,
+            origin,
         };
-        Ok((request, is_open))
+        Ok((request, identity.is_open))
     }
 
-    /// Resolves the route of a request by host and path, and its workspace by API key.
-    pub(super) fn resolve_by_route(
-        &mut self,
-        now: Time,
-        arrival: Arrival,
-    ) -> Result<(PendingRequest, bool), ErrorKind> {
-        let config = self.config.clone().ok_or(ErrorKind::NotReady)?;
-        let found = self.routes.find(&arrival.host, &arrival.full_path);
-        let Some(route) = found.cloned() else {
-            return Err(self.isolated_if_outdated(now, ErrorKind::UnknownService));
+    /// Finds by the active configuration the route of a request, if there are routes, and its workspace.
+    pub(super) fn identify(&self, origin: &Origin) -> Result<Identity, ErrorKind> {
+        let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
+        let route = if !self.routes.is_empty() {
+            let found = self.routes.find(&origin.host, &origin.full_path);
+            Some(found.cloned().ok_or(ErrorKind::UnknownService)?)
+        } else if config.services.contains_key(&origin.service) {
+            None
+        } else {
+            return Err(ErrorKind::UnknownService);
         };
-        let workspace = if route.is_open {
+        let is_open = match &route {
+            Some(route) => route.is_open,
+            None => config.is_open(&origin.service, &origin.path),
+        };
+        let workspace = if is_open {
             WorkspaceId::from(OPEN_WORKSPACE)
         } else {
-            match self.authenticate(now, arrival.api_key.as_deref()) {
-                Ok(workspace) => workspace.clone(),
-                Err(kind) => return Err(self.isolated_if_outdated(now, kind)),
-            }
+            let key = origin.api_key.as_deref().ok_or(ErrorKind::MissingKey)?;
+            self.keys
+                .workspace(key)
+                .ok_or(ErrorKind::UnknownKey)?
+                .clone()
         };
-        let settings = config.workspaces.get(&workspace);
-        let limit = Duration::from_millis(u64::from(route.timeout_ms));
-        let timeout = arrival.timeout.unwrap_or(limit).min(limit);
-        let request = PendingRequest {
-            tx: arrival.tx,
-            service: self.pick_service(&route),
-            weight: settings.map_or(1, |settings| settings.weight),
-            deadline: now + timeout,
-            kind: match route.kind {
-                RouteKind::Idempotent => RequestKind::Idempotent,
-                RouteKind::Once => RequestKind::Once,
-            },
-            fingerprint: arrival.fingerprint,
-            awaits_dispatch: arrival.awaits_dispatch,
-            is_open: route.is_open,
-            route: Arc::from(route.name.as_str()),
-            objective_deadline: now
-                + Duration::from_millis(u64::from(route.objective_ms)).min(timeout),
-            priority: settings.map_or(0, |settings| settings.priority) * ROUTE_PRIORITY_LIMIT
-                + route.priority,
-            max_attempts: route.attempts.max(1),
-            affinity: arrival.affinity.filter(|_| route.is_sticky),
-            allowed_regions: AllowedRegions::of(Some(&route), settings),
+        Ok(Identity {
+            route,
             workspace,
-        };
-        Ok((request, route.is_open))
+            is_open,
+        })
     }
 
-    /// Returns `kind` where the active configuration is known to be the latest, and otherwise
-    /// [`ErrorKind::Isolated`], since a later configuration may allow the request.
-    pub(super) fn isolated_if_outdated(&self, now: Time, kind: ErrorKind) -> ErrorKind {
+    /// Returns whether keys can't be told from withdrawn ones, since nothing is heard of changes.
+    fn is_isolated(&self, now: Time) -> bool {
+        // After a pause of the process, the last freshness received may no longer be valid.
+        let is_isolated = self.freshness == Freshness::Isolated || now > self.freshness_valid_until;
+        is_isolated && self.refuses_when_isolated
+    }
+
+    /// Returns the refusal of a request that the active configuration doesn't allow, which is
+    /// [`ErrorKind::Isolated`] where a later one may allow it.
+    pub(super) fn verdict(&self, now: Time, kind: ErrorKind) -> ErrorKind {
         let is_latest = self.freshness == Freshness::Fresh && now <= self.freshness_valid_until;
-        if is_latest { kind } else { ErrorKind::Isolated }
+        let needs_key = matches!(kind, ErrorKind::MissingKey | ErrorKind::UnknownKey);
+        let is_outdated = !self.routes.is_empty() && !is_latest;
+        if is_outdated || (needs_key && self.is_isolated(now)) {
+            ErrorKind::Isolated
+        } else {
+            kind
+        }
     }
 
     /// Picks a service of a route in proportion to the weights.
@@ -173,20 +200,6 @@
         picked.unwrap_or(first).service.clone()
     }
 
-    pub(super) fn authenticate(
-        &self,
-        now: Time,
-        key: Option<&str>,
-    ) -> Result<&WorkspaceId, ErrorKind> {
-        // After a pause of the process, the last freshness received may no longer be valid.
-        let is_isolated = self.freshness == Freshness::Isolated || now > self.freshness_valid_until;
-        if is_isolated && self.refuses_when_isolated {
-            return Err(ErrorKind::Isolated);
-        }
-        let key = key.ok_or(ErrorKind::MissingKey)?;
-        self.keys.workspace(key).ok_or(ErrorKind::UnknownKey)
-    }
-
     pub(super) fn handle_admitted(&mut self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -219,7 +232,7 @@
             route_priority: request.priority % ROUTE_PRIORITY_LIMIT,
             max_attempts: request.max_attempts,
             affinity: request.affinity,
-            allowed_regions: request.allowed_regions.clone(),
+            allowed_regions: request.allowed_regions.borrow().clone(),
         };
         let counter = self.counters.entry(admitted.service.clone()).or_default();
         match admitted.allowed_regions.single() {
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -12,6 +12,7 @@
     forward::{AttemptResult, Forwarder, RequestTemplate, TargetFeedback, TargetResponse},
     head,
     message::{Admitted, AttemptPlan, Decision, Event},
+    permit::SendPermit,
     request_log::RequestLog,
     trace::Span,
 };
@@ -220,9 +221,10 @@
             prefers_relay: plan.assignment.prefers_relay,
             relay_delay: plan.assignment.relay_delay,
         };
+        let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
         let target_span = span.child("target");
         let result = forwarder
-            .send_attempt(&dial, plan.connection, &template, plan.deadline)
+            .send_attempt(&dial, plan.connection, &template, &permit, plan.deadline)
             .await;
         drop(target_span);
         (guard, result)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -13,11 +13,12 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    dial::{ConnectError, DialPlan, Dialed, Dialer, MAX_READ_BYTES},
+    dial::{ConnectError, DialPlan, Dialed, Dialer, MAX_READ_BYTES, Relay},
     dialect::Dialect,
     head,
     held::HeldBytes,
     metered::Allowance,
+    permit::SendPermit,
     view::Clock,
 };
 
@@ -47,7 +48,7 @@
     /// Address of the target.
     pub addr: SocketAddr,
     /// Instance that carries the connection, if any.
-    pub relay: Option<InstanceId>,
+    pub relay: Option<Relay>,
     /// Time of the last response on this connection.
     pub last_response_at: Time,
     /// Time after the last response during which requests may reuse the connection.
@@ -147,7 +148,7 @@
         now: Time,
         (sender, allowance): (http1::SendRequest<Full<Bytes>>, Allowance),
         addr: SocketAddr,
-        relay: Option<InstanceId>,
+        relay: Option<Relay>,
     ) -> Self {
         Self {
             sender,
@@ -195,15 +196,17 @@
 
     /// Sends a request to a target and awaits its complete response until `deadline`.
     ///
-    /// The request goes over `connection` if it is still open, and else over a new one.
+    /// The request goes over `connection` if it is still open, and else over a new one. It isn't sent if
+    /// `permit` has ended by the time the connection is there.
     pub async fn send_attempt(
         &self,
         plan: &DialPlan,
         connection: Option<Connection>,
         template: &RequestTemplate,
+        permit: &SendPermit,
         deadline: Time,
     ) -> AttemptResult {
-        let exchange = self.exchange(plan, connection, template, deadline);
+        let exchange = self.exchange(plan, connection, template, permit, deadline);
         match timeout_at(self.clock().instant(deadline), exchange).await {
             Ok(result) => result,
             Err(_) => AttemptResult::failed(Outcome::TimedOut),
@@ -215,6 +218,7 @@
         plan: &DialPlan,
         connection: Option<Connection>,
         template: &RequestTemplate,
+        permit: &SendPermit,
         deadline: Time,
     ) -> AttemptResult {
         let clock = self.clock();
@@ -235,6 +239,12 @@
                 return result;
             }
         };
+        if !permit.covers(connection.relay.as_ref()) {
+            let mut result = AttemptResult::failed(Outcome::Withheld);
+            result.feedback.dial = dialed.dial;
+            result.connection = Some(connection);
+            return result.with_new_connection(is_new_connection);
+        }
         let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
             return AttemptResult::failed(Outcome::Unreachable);
         };
@@ -246,7 +256,7 @@
             .send_request(started, connection, template, req, plan)
             .await
             .with_new_connection(is_new_connection);
-        result.relay = relay;
+        result.relay = relay.map(|relay| relay.instance);
         result.feedback.connect_time = connect_time;
         result.feedback.dial = dialed.dial;
         result
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod message;
 mod metered;
 pub mod metrics;
+pub mod permit;
 pub mod recorder;
 mod request_log;
 pub mod response;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -12,7 +12,7 @@
     PathState, QuarantineReport, RateReport, RegionShares, RequestId, RequestKind, SavedAnswer,
     TargetState,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     dial::Relay,
@@ -218,9 +218,10 @@
     pub connection: Option<Connection>,
     /// Instances that may carry a new connection, in order of preference.
     pub relays: Vec<Relay>,
-    /// Regions in which the request may run by the active configuration.
-    pub allowed_regions: AllowedRegions,
-    /// Number of that configuration.
+    /// Regions in which the request may run, by the active configuration; none if it isn't allowed any
+    /// more.
+    pub allowed_regions: watch::Receiver<AllowedRegions>,
+    /// Number of the configuration by which the attempt was planned.
     pub revision: u64,
     /// Deadline of the request.
     pub deadline: Time,
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -56,7 +56,7 @@
                 target: assignment.target.to_string(),
                 region: assignment.region.to_string(),
                 revision: (used != Some(plan.revision)).then_some(plan.revision),
-                homes: homes(&plan.allowed_regions),
+                homes: homes(&plan.allowed_regions.borrow()),
                 reason: assignment.reason.to_string(),
                 load: assignment.load,
                 start_ms: (now - state.started).as_millis() as u64,
@@ -91,6 +91,7 @@
                 Outcome::Lost => "lost",
                 Outcome::TimedOut => "timed_out",
                 Outcome::Canceled => "canceled",
+                Outcome::Withheld => "withheld",
             };
         });
     }
--- /dev/null
+++ b/crates/entry/tests/homes.rs
@@ -0,0 +1,323 @@
+//! Requests and connections that wait while a configuration moves the regions in which they may run.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{
+    AllowedRegions, Config, Domain, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
+    Target, Time, WeightedService, Workspace,
+};
+use bytes::Bytes;
+use coord::{Freshness, QuotaSplit, SlotHistory};
+use dispatch::{Outcome, Placement, Policy, RequestId, RequestKind};
+use entry::{
+    dial::{DialPlan, Dialer, Relay},
+    dialect::Dialect,
+    engine::{Engine, EngineOptions},
+    forward::{Forwarder, RequestTemplate},
+    message::{Arrival, Decision, Event},
+    permit::SendPermit,
+    view::Clock,
+};
+use http::{HeaderMap, Method};
+use rstest::rstest;
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+    time::timeout,
+};
+use wire::marked::MarkedStream;
+
+const KEY: &str = "key";
+
+/// Returns a configuration with a target in each of two regions, and two workspaces, one of
+/// them with a key.
+fn config() -> Config {
+    let mut config = Config::default();
+    let mut targets = BTreeMap::new();
+    for region in ["north", "south"] {
+        let domain = Domain {
+            region: region.into(),
+        };
+        config.domains.insert(region.into(), domain);
+        let target = Target {
+            domain: region.into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            registered: None,
+        };
+        targets.insert(region.into(), target);
+    }
+    let service = Service {
+        slots: 4,
+        connections: 10,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets,
+        cold: None,
+    };
+    config.services.insert("board".into(), service);
+    let workspace = Workspace {
+        rate: 1_000.0,
+        burst: 1_000.0,
+        ..Workspace::default()
+    };
+    config.workspaces.insert("other".into(), workspace.clone());
+    config.workspaces.insert("gym".into(), workspace);
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    config.keys.insert("k".into(), key);
+    config
+}
+
+fn with_route(mut config: Config, attempts: u32) -> Config {
+    config.routes = vec![Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/board/".to_owned(),
+        kind: RouteKind::Idempotent,
+        services: vec![WeightedService {
+            service: "board".into(),
+            weight: 1,
+        }],
+        timeout_ms: 10_000,
+        objective_ms: 500,
+        attempts,
+        priority: 0,
+        is_open: false,
+        is_sticky: false,
+        homes: Default::default(),
+    }];
+    config
+}
+
+fn homes(regions: &[&str]) -> BTreeSet<RegionId> {
+    regions.iter().map(|region| (*region).into()).collect()
+}
+
+fn engine() -> Engine {
+    let (relays, _) = mpsc::unbounded_channel();
+    let (outgoing, _) = mpsc::unbounded_channel();
+    let (events, _) = mpsc::unbounded_channel::<Event>();
+    let policy = Policy {
+        placement: Placement::ObjectAffinity,
+        ..Policy::default()
+    };
+    let options = EngineOptions {
+        region: "north".into(),
+        seed: 1,
+        split: QuotaSplit::default(),
+        policy,
+        refuses_when_isolated: false,
+    };
+    let dialer = Dialer::new(Clock::start(), relays);
+    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
+    engine.handle(Event::HoldQuotaSlot {
+        slot: 0,
+        until: Time::NEVER,
+        previous_holder: SlotHistory::NeverHeld,
+    });
+    engine
+}
+
+fn activate(engine: &mut Engine, config: &Config) {
+    engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+    engine.handle(Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::NEVER,
+        confirmed_at: None,
+    });
+}
+
+/// Submits a request whose body hasn't arrived yet, and returns the channel of its decisions.
+fn submit(engine: &mut Engine, id: u64) -> mpsc::UnboundedReceiver<Decision> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    engine.handle(Event::RequestArrived(Arrival {
+        id: RequestId(id),
+        api_key: Some(KEY.to_owned()),
+        service: "board".into(),
+        path: "/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: "/board/x".to_owned(),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: true,
+        tx,
+    }));
+    rx
+}
+
+/// Releases a request after its body has arrived.
+fn dispatch(engine: &mut Engine, id: u64) {
+    engine.handle(Event::Dispatch {
+        id: RequestId(id),
+        fingerprint: id,
+    });
+}
+
+/// Returns the region to which a request was sent, or why it was refused.
+fn outcome(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Result<String, ErrorKind> {
+    loop {
+        match rx.try_recv() {
+            Ok(Decision::SendAttempt(plan)) => return Ok(plan.assignment.region.to_string()),
+            Ok(Decision::Refuse(refusal)) => return Err(refusal.kind),
+            Ok(_) => {}
+            Err(err) => panic!("{err}"),
+        }
+    }
+}
+
+/// Guards against HOME: a request whose body was still arriving when its homes moved was sent to where
+/// they had been.
+#[rstest]
+#[case::route(true, homes(&["south"]), homes(&[]), Ok("south".to_owned()))]
+#[case::workspace(true, homes(&[]), homes(&["south"]), Ok("south".to_owned()))]
+#[case::nowhere(true, homes(&["north"]), homes(&["south"]), Err(ErrorKind::NoTarget))]
+#[case::by_service(false, homes(&[]), homes(&["south"]), Ok("south".to_owned()))]
+#[tokio::test]
+async fn waiting_request_follows_its_homes(
+    #[case] has_routes: bool,
+    #[case] route_homes: BTreeSet<RegionId>,
+    #[case] workspace_homes: BTreeSet<RegionId>,
+    #[case] expected: Result<String, ErrorKind>,
+) {
+    let first = if has_routes {
+        with_route(config(), 2)
+    } else {
+        config()
+    };
+    let mut second = first.clone();
+    if let Some(route) = second.routes.first_mut() {
+        route.homes = route_homes;
+    }
+    let workspace = second.workspaces.get_mut("gym").unwrap();
+    workspace.homes = workspace_homes;
+    let mut engine = engine();
+    activate(&mut engine, &first);
+    let mut rx = submit(&mut engine, 1);
+    activate(&mut engine, &second);
+    dispatch(&mut engine, 1);
+    assert_eq!(outcome(&mut rx), expected);
+}
+
+/// Guards against HOME: homes of workspaces bound nothing where the path names the service.
+#[tokio::test]
+async fn workspace_homes_bind_without_routes() {
+    let mut config = config();
+    config.workspaces.get_mut("gym").unwrap().homes = homes(&["south"]);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    assert_eq!(outcome(&mut rx), Ok("south".to_owned()));
+}
+
+/// Guards against a withdrawn key, or a route that was taken away, that still lets a waiting request run.
+#[rstest]
+#[case::key(|config: &mut Config| config.keys.clear(), ErrorKind::UnknownKey)]
+#[case::route(|config: &mut Config| config.routes[0].prefix = "/other/".to_owned(), ErrorKind::UnknownService)]
+#[case::key_of_another_workspace(
+    |config: &mut Config| config.keys.get_mut("k").unwrap().workspace = "other".into(),
+    ErrorKind::NotReady
+)]
+#[tokio::test]
+async fn waiting_request_is_refused_once_it_is_not_allowed(
+    #[case] change: fn(&mut Config),
+    #[case] expected: ErrorKind,
+) {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    change(&mut config);
+    activate(&mut engine, &config);
+    dispatch(&mut engine, 1);
+    assert_eq!(outcome(&mut rx), Err(expected));
+}
+
+/// Guards against a lowered number of attempts that a request which is under way didn't heed.
+#[tokio::test]
+async fn attempts_are_those_of_the_latest_configuration() {
+    let mut engine = engine();
+    activate(&mut engine, &with_route(config(), 2));
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    outcome(&mut rx).unwrap();
+    activate(&mut engine, &with_route(config(), 1));
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Refused,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    assert_eq!(outcome(&mut rx), Err(ErrorKind::TargetRefused));
+}
+
+/// Guards against HOME: a connection that took long to open, through another instance, carried its
+/// request to where the homes had been meanwhile, or past an instance outside of them.
+#[rstest]
+#[case::homes_stay(&["north", "south"], false)]
+#[case::target_is_outside(&["south"], true)]
+#[case::carrier_is_outside(&["north"], true)]
+#[case::not_allowed_any_more(&[], true)]
+#[tokio::test]
+async fn request_is_withheld_if_its_homes_moved_while_it_was_dialed(
+    #[case] moved_to: &[&str],
+    #[case] is_withheld: bool,
+) {
+    let clock = Clock::start();
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let forwarder = Forwarder::new(Dialer::new(clock, tx));
+    let allowed = watch::Sender::new(AllowedRegions::All);
+    let permit = SendPermit::new("north".into(), allowed.subscribe());
+    let plan = DialPlan {
+        target: "t".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        relays: vec![Relay {
+            instance: "i2".into(),
+            region: "south".into(),
+            addr: ([127, 0, 0, 1], 2).into(),
+        }],
+        prefers_relay: true,
+        relay_delay: Duration::from_secs(1),
+    };
+    let template = RequestTemplate {
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        dialect: Arc::new(Dialect::default()),
+        attempt_id: None,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let (mut far, _) = listener.accept().await.unwrap();
+    let carry = async {
+        let request = rx.recv().await.unwrap();
+        let moved = AllowedRegions::only(&homes(moved_to));
+        allowed.send_replace(moved);
+        let carried = MarkedStream::new(stream.unwrap());
+        request.reply.send(Ok(carried)).unwrap();
+        let read = timeout(Duration::from_millis(200), far.read_u8()).await;
+        read.is_ok()
+    };
+    let deadline = clock.now() + Duration::from_millis(400);
+    let send = forwarder.send_attempt(&plan, None, &template, &permit, deadline);
+    let (result, is_sent) = tokio::join!(send, carry);
+    assert_eq!(
+        result.outcome == Outcome::Withheld,
+        is_withheld,
+        "{result:?}"
+    );
+    assert_eq!(is_sent, !is_withheld);
+    assert_eq!(result.connection.is_some(), is_withheld);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,15 +2,17 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use base::AllowedRegions;
 use bytes::Bytes;
 use entry::{
     dial::{DialPlan, Dialer},
     dialect::Dialect,
     forward::{AttemptResult, Forwarder, RequestTemplate},
+    permit::SendPermit,
     view::Clock,
 };
 use http::{HeaderMap, Method};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Time that a target has for its answer; well over any bound that a test checks.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -38,8 +40,10 @@
         dialect: Arc::new(Dialect::default()),
         attempt_id: None,
     };
+    let allowed = watch::Sender::new(AllowedRegions::All);
+    let permit = SendPermit::new("r".into(), allowed.subscribe());
     let deadline = clock.now() + TIMEOUT;
     forwarder
-        .send_attempt(&plan, None, &template, deadline)
+        .send_attempt(&plan, None, &template, &permit, deadline)
         .await
 }
