refactor(entry): connections in a module of their own, so that none import each other

Cause: `dial` took `Connection` from `forward` to return it, and `forward` takes the dialer from `dial`: a ring.

`Connection`, its constructor and the two timeouts of targets that name none stand in `connection` now; both use it. A pure move: what `forward` needs of a connection (its sender and allowance) is visible in the crate. How a target's `Keep-Alive` sets the timeouts stays in `forward`, since it reads an answer's headers.

--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use base::{InstanceId, RegionId, TargetId};
+use base::TargetId;
 use derive_more::Display;
 use dispatch::Dial;
 use hyper::client::conn::http1;
@@ -16,7 +16,10 @@
 use wire::marked::MarkedStream;
 
 use crate::{
-    forward::Connection, metered::MeteredStream, target_stream::TargetStream, view::Clock,
+    connection::{Connection, Relay},
+    metered::MeteredStream,
+    target_stream::TargetStream,
+    view::Clock,
 };
 
 /// Maximum size of what is read from a target at a time, and so of the head of an answer.
@@ -40,17 +43,6 @@
     Failed,
 }
 
-/// Names another instance that can carry a connection to a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Relay {
-    /// ID of the instance.
-    pub instance: InstanceId,
-    /// Region in which it runs.
-    pub region: RegionId,
-    /// Address at which other instances reach it.
-    pub addr: SocketAddr,
-}
-
 /// Asks the task that reaches other instances for a connection to a target.
 #[derive(Debug)]
 pub struct RelayRequest {
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -27,8 +27,8 @@
 };
 
 use crate::{
-    dial::{Dialer, Relay},
-    forward::Connection,
+    connection::{Connection, Relay},
+    dial::Dialer,
     message::{Decision, Event, OutgoingMessage, ReachableOwner},
     view::Clock,
 };
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -10,7 +10,8 @@
 
 use super::Engine;
 use crate::{
-    forward::{Connection, TargetFeedback},
+    connection::Connection,
+    forward::TargetFeedback,
     message::{AttemptPlan, Decision, OutgoingMessage},
 };
 
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -7,7 +7,8 @@
 
 use super::{Engine, PendingRequest};
 use crate::{
-    dial::{DialPlan, Relay},
+    connection::Relay,
+    dial::DialPlan,
     message::{Event, LiveInstance, OutgoingMessage},
 };
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -9,24 +9,19 @@
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, response::Parts,
 };
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use crate::{
-    dial::{ConnectError, DialPlan, Dialed, Dialer, MAX_READ_BYTES, Relay},
+    connection::Connection,
+    dial::{ConnectError, DialPlan, Dialed, Dialer, MAX_READ_BYTES},
     dialect::Dialect,
     head,
     held::HeldBytes,
-    metered::Allowance,
     permit::SendPermit,
     view::Clock,
 };
 
-/// Idle timeout of connections to targets that send no `Keep-Alive` timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after a response during which a connection counts as fresh, for targets that send no
-/// `Keep-Alive` timeout.
-const DEFAULT_FRESH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Fraction of a target's `Keep-Alive` timeout after which an idle connection is closed, so that
 /// no request is sent on a connection that the target is closing.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
@@ -40,24 +35,6 @@
 /// Bytes that are read until the head of a response is complete; interim responses come before it.
 const MAX_HEAD_BYTES: usize = 2 * MAX_READ_BYTES;
 
-/// Holds an open HTTP/1.1 connection to a target.
-#[derive(Debug)]
-pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    allowance: Allowance,
-    /// Address of the target.
-    pub addr: SocketAddr,
-    /// Instance that carries the connection, if any.
-    pub relay: Option<Relay>,
-    /// Time of the last response on this connection.
-    pub last_response_at: Time,
-    /// Time after the last response during which requests may reuse the connection.
-    pub idle_timeout: Duration,
-    /// Time after the last response during which requests that must not be sent twice may reuse
-    /// the connection.
-    pub fresh_timeout: Duration,
-}
-
 /// Describes a request as forwarded to targets; it can be sent several times.
 #[derive(Debug, Clone)]
 pub struct RequestTemplate {
@@ -142,31 +119,6 @@
     }
 }
 
-impl Connection {
-    /// Returns a connection that was opened at `now`; `relay` is the instance that carries it.
-    pub(crate) fn new(
-        now: Time,
-        (sender, allowance): (http1::SendRequest<Full<Bytes>>, Allowance),
-        addr: SocketAddr,
-        relay: Option<Relay>,
-    ) -> Self {
-        Self {
-            sender,
-            allowance,
-            addr,
-            relay,
-            last_response_at: now,
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            fresh_timeout: DEFAULT_FRESH_TIMEOUT,
-        }
-    }
-
-    /// Returns whether the connection is open and idle.
-    pub fn is_open(&self) -> bool {
-        self.sender.is_ready()
-    }
-}
-
 /// Sends requests to targets and receives their responses.
 #[derive(Debug, Clone)]
 pub struct Forwarder {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! listeners' handlers exchange messages with it and send the requests to targets.
 
 pub mod callers;
+pub mod connection;
 pub mod dial;
 pub mod dialect;
 pub mod engine;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
-    dial::Relay,
-    forward::{Connection, TargetFeedback},
+    connection::{Connection, Relay},
+    forward::TargetFeedback,
 };
 
 /// Carries an event or a query to the engine's task.
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -3,7 +3,7 @@
 use base::{AllowedRegions, RegionId};
 use tokio::sync::watch;
 
-use crate::dial::Relay;
+use crate::connection::Relay;
 
 /// Permits an attempt to be sent for as long as its request may run in the target's region.
 ///
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -14,7 +14,8 @@
 use coord::{Freshness, QuotaSplit, SlotHistory};
 use dispatch::{Outcome, Placement, Policy, RequestId, RequestKind};
 use entry::{
-    dial::{DialPlan, Dialer, Relay},
+    connection::Relay,
+    dial::{DialPlan, Dialer},
     dialect::Dialect,
     engine::{Engine, EngineOptions},
     forward::{Forwarder, RequestTemplate},
