refactor(daemon): the listener for other instances stands apart from the calls to them

Cause: `rpc` took the carrier of connections from `relay`, to answer whoever opens one, and `relay` opens its own by `rpc`: a ring.

The listener's side (`serve`, and what answers a connection) is `peer_server` now, which uses both; `rpc` keeps the calls, their messages and the caller's side. A pure move; the messages are as they were, and `tests/relay.rs` only names the other module.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod operator;
 pub mod options;
 pub mod owners;
+pub mod peer_server;
 pub mod peers;
 pub mod planner;
 pub mod probes;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -40,12 +40,12 @@
     operator::Operator,
     options::{self, NodeOptions},
     owners::{Owners, OwnersMessage, OwnersOptions},
+    peer_server,
     peers::{self, Peers},
     planner::{Planner, PlannerOptions},
     probes,
     registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
     relay::{self, RelayServer},
-    rpc,
     slots::{Slots, SlotsOptions},
     table_reads::ReadTiming,
 };
@@ -222,7 +222,7 @@
     );
     tokio::spawn(peers.run(peers_rx));
     let relays = RelayServer::new(view_rx.clone(), engine_tx.clone());
-    tokio::spawn(rpc::serve(tcp, secret.clone(), incoming_tx, relays));
+    tokio::spawn(peer_server::serve(tcp, secret.clone(), incoming_tx, relays));
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let contact = Duration::from_secs_f64(cfg.bounds.contact_s);
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -4,8 +4,8 @@
 
 use base::{Config, Domain, Service, Target};
 use daemon::{
+    peer_server,
     relay::{self, RelayServer},
-    rpc,
 };
 use entry::{
     dial::{RelayError, RelayRequest},
@@ -66,7 +66,7 @@
     let relays = RelayServer::new(view, engine);
     tokio::spawn(async move {
         let _calls = calls_rx;
-        rpc::serve(listener, secret, calls, relays).await;
+        peer_server::serve(listener, secret, calls, relays).await;
     });
     addr
 }
