refactor(proof): the service simulation's state apart from what its events do

Cause: `simulation` took the baseline dispatcher and the builders from `baseline`, `setup` and the parent, and these took the simulation's types back: a ring of four modules, which a check of the crate's top level can't see.

`scenario` has what a run is given, `state` what it consists of, `setup` the state at its start; `simulation` and its parts (attempts, baseline, incident, reports) say what each event does, and `baseline` only how a simple proxy selects a target.

--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -1,40 +1,27 @@
-//! The simulation: its event queue, instances, targets and connections.
+//! What happens at each event of the simulation, in the order of their times.
 
 mod attempts;
+mod baseline;
+mod incident;
 mod reports;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::time::Duration;
 
-use base::{Executed, RegionId, Time};
-use dispatch::{
-    Action, AdmittedRequest, Dispatcher, Outcome, QuarantineReport, RequestId, RequestKind,
-};
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg32;
-use steer::{PlanPolicy, Steering};
+use base::{Executed, Time};
+use dispatch::{Action, AdmittedRequest, Outcome, QuarantineReport, RequestId, RequestKind};
+use rand::RngExt;
 
 use super::{
-    Incident, Measures, Scenario, WorkspaceMeasures,
-    baseline::BaselineDispatcher,
-    event::{Attempt, AttemptId, Event, Request},
-    setup::{build_config, build_dispatcher},
+    event::{AttemptId, Event, Request},
+    measures::Measures,
+    scenario::{Incident, Scenario},
+    state::{InstanceDispatcher, SERVICE, Simulation},
 };
 
-pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(10);
-pub(super) const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which instances update their region shares.
 const STEERING_INTERVAL: Duration = Duration::from_secs(1);
-/// Time to open a connection, in addition to a one-way delay.
-const CONNECT_TIME: Duration = Duration::from_millis(1);
-/// One-way delay within a region.
-const LOCAL_DELAY: Duration = Duration::from_millis(1);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum idle time of a connection that counts as fresh.
-const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
-pub(super) const SERVICE: &str = "s";
 /// Fingerprint of all poison requests; that of any other request is its id.
 const POISON_FINGERPRINT: u64 = 0xdead;
 
@@ -48,117 +35,7 @@
     simulation.finish()
 }
 
-#[derive(Debug)]
-pub(super) struct Simulation<'a> {
-    pub(super) scenario: &'a Scenario,
-    pub(super) rng: Pcg32,
-    pub(super) queue: BTreeMap<(Time, u64), Event>,
-    /// Number of events queued so far; orders events of the same time.
-    pub(super) event_count: u64,
-    /// Time after which no requests are sent.
-    pub(super) end: Time,
-    pub(super) instances: Vec<SimulatedInstance>,
-    pub(super) targets: Vec<SimulatedTarget>,
-    pub(super) requests: BTreeMap<u64, Request>,
-    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
-    pub(super) measures: Measures,
-    /// Whether targets report their load.
-    pub(super) has_reports: bool,
-    pub(super) underreporting_target: Option<usize>,
-    /// End of a cold start, and the additional work time until then.
-    pub(super) cold_start: Option<(Time, Duration)>,
-    /// Target that is drained, and when that started.
-    pub(super) drain_started: Option<(usize, Time)>,
-}
-
-#[derive(Debug)]
-pub(super) struct SimulatedInstance {
-    pub(super) region: usize,
-    pub(super) is_up: bool,
-    pub(super) dispatcher: InstanceDispatcher,
-    pub(super) steering: Steering,
-    /// Number of requests that arrived since the last update of the region shares.
-    pub(super) arrived: u64,
-    /// Idle connections by target: when they were last used, and whether they are silent.
-    pub(super) idle: BTreeMap<usize, VecDeque<(Time, bool)>>,
-}
-
-#[derive(Debug)]
-pub(super) enum InstanceDispatcher {
-    Product(Box<Dispatcher>),
-    Baseline(BaselineDispatcher),
-}
-
-#[derive(Debug)]
-pub(super) struct SimulatedTarget {
-    pub(super) region: usize,
-    /// Index of its failure domain within the region.
-    pub(super) domain: usize,
-    pub(super) is_up: bool,
-    pub(super) is_leaving: bool,
-    pub(super) running: Vec<AttemptId>,
-}
-
-impl<'a> Simulation<'a> {
-    fn new(scenario: &'a Scenario) -> Self {
-        let targets = (0..scenario.regions * scenario.targets_per_region)
-            .map(|idx| SimulatedTarget {
-                region: idx / scenario.targets_per_region,
-                domain: idx % 2,
-                is_up: true,
-                is_leaving: false,
-                running: Vec::new(),
-            })
-            .collect();
-        let config = build_config(scenario);
-        let instances = (0..scenario.regions * scenario.instances_per_region)
-            .map(|idx| SimulatedInstance {
-                region: idx / scenario.instances_per_region,
-                is_up: true,
-                dispatcher: build_dispatcher(scenario, idx, &config),
-                steering: Steering::new(
-                    region_name(idx / scenario.instances_per_region),
-                    PlanPolicy::default(),
-                ),
-                arrived: 0,
-                idle: BTreeMap::new(),
-            })
-            .collect();
-        let count = scenario.workspaces.len();
-        Self {
-            scenario,
-            rng: Pcg32::seed_from_u64(scenario.seed),
-            queue: BTreeMap::new(),
-            event_count: 0,
-            end: Time::ZERO + scenario.length,
-            instances,
-            targets,
-            requests: BTreeMap::new(),
-            attempts: BTreeMap::new(),
-            measures: Measures {
-                workspaces: vec![WorkspaceMeasures::new(); count],
-                run_twice: 0,
-                refusals: BTreeMap::new(),
-                attempts_refused: 0,
-                false_not_run: 0,
-                answered_per_s: 0.0,
-                targets_crashed: 0,
-                interrupted_by_drain: 0,
-                last_execution_after_drain: Duration::ZERO,
-                drain_time: None,
-            },
-            has_reports: true,
-            underreporting_target: None,
-            cold_start: None,
-            drain_started: None,
-        }
-    }
-
-    pub(super) fn push(&mut self, at: Time, event: Event) {
-        self.event_count += 1;
-        self.queue.insert((at, self.event_count), event);
-    }
-
+impl Simulation<'_> {
     fn schedule(&mut self) {
         for workspace in 0..self.scenario.workspaces.len() {
             self.schedule_workspace(workspace);
@@ -213,7 +90,7 @@
             .unwrap_or(1.0)
     }
 
-    pub(super) fn schedule_request(&mut self, workspace: usize, at: Time, is_poison: bool) {
+    fn schedule_request(&mut self, workspace: usize, at: Time, is_poison: bool) {
         let id = self.requests.len() as u64 + 1;
         let is_non_idempotent =
             !is_poison && self.rng.random::<f64>() < self.scenario.non_idempotent_share;
@@ -396,14 +273,6 @@
         }
     }
 
-    fn delay(&self, instance: usize, target: usize) -> Duration {
-        delay(
-            self.scenario,
-            self.instances[instance].region,
-            self.targets[target].region,
-        )
-    }
-
     /// Returns whether a request counts in the measurements.
     fn is_measured(&self, request: &Request) -> bool {
         let from = Time::ZERO + self.scenario.measured_from;
@@ -435,7 +304,7 @@
     }
 
     /// Completes a request that failed; `is_not_run` says that it was refused as not executed.
-    pub(super) fn complete_failed(&mut self, id: u64, is_not_run: bool) {
+    fn complete_failed(&mut self, id: u64, is_not_run: bool) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -462,20 +331,3 @@
         self.measures
     }
 }
-
-/// Returns the one-way delay between two regions.
-fn delay(scenario: &Scenario, from: usize, to: usize) -> Duration {
-    if from == to {
-        LOCAL_DELAY
-    } else {
-        scenario.region_delay
-    }
-}
-
-pub(super) fn region_name(idx: usize) -> RegionId {
-    format!("r{idx}").into()
-}
-
-pub(super) fn target_name(idx: usize) -> String {
-    format!("t{idx}")
-}
--- a/crates/proof/src/service/simulation/attempts.rs
+++ b/crates/proof/src/service/simulation/attempts.rs
@@ -6,8 +6,16 @@
 use dispatch::{Assignment, Outcome, RequestId};
 use rand::RngExt;
 
-use super::{CONNECT_TIME, IDLE_TIMEOUT, InstanceDispatcher, MAX_FRESH_IDLE, Simulation, delay};
-use crate::service::event::{Attempt, AttemptId, AttemptOutcome, Event};
+use crate::service::{
+    event::{Attempt, AttemptId, AttemptOutcome, Event},
+    state::{InstanceDispatcher, Simulation, delay},
+};
+
+/// Time to open a connection, in addition to a one-way delay.
+const CONNECT_TIME: Duration = Duration::from_millis(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum idle time of a connection that counts as fresh.
+const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
 
 impl Simulation<'_> {
     pub(super) fn send_assignment(&mut self, now: Time, instance: usize, assignment: &Assignment) {
@@ -22,7 +30,7 @@
         }
     }
 
-    pub(in crate::service) fn send(
+    pub(super) fn send(
         &mut self,
         now: Time,
         instance: usize,
@@ -158,7 +166,7 @@
     }
 
     /// Ends a target at once; the attempts that run on it are lost.
-    pub(in crate::service) fn crash_target(&mut self, now: Time, idx: usize) {
+    pub(super) fn crash_target(&mut self, now: Time, idx: usize) {
         let running = std::mem::take(&mut self.targets[idx].running);
         for id in running {
             let instance = self.requests[&id.request].instance;
--- a/crates/proof/src/service/incident.rs
+++ b/crates/proof/src/service/simulation/incident.rs
@@ -5,10 +5,11 @@
 use base::Time;
 use rand::RngExt;
 
-use super::{
-    Incident,
+use super::{REPORT_INTERVAL, TICK_INTERVAL};
+use crate::service::{
     event::Event,
-    simulation::{REPORT_INTERVAL, SimulatedTarget, Simulation, TICK_INTERVAL},
+    scenario::Incident,
+    state::{SimulatedTarget, Simulation},
 };
 
 /// Targets that are down restart when a poison request is due at a multiple of this time.
--- a/crates/proof/src/service/simulation/reports.rs
+++ b/crates/proof/src/service/simulation/reports.rs
@@ -4,11 +4,11 @@
 use dispatch::{Action, Dispatcher, HealthReport, RegionShares};
 use steer::Measurements;
 
-use super::{
-    InstanceDispatcher, REPORT_INTERVAL, SERVICE, STEERING_INTERVAL, Simulation, TICK_INTERVAL,
-    region_name, target_name,
+use super::{REPORT_INTERVAL, STEERING_INTERVAL, TICK_INTERVAL};
+use crate::service::{
+    event::Event,
+    state::{InstanceDispatcher, SERVICE, Simulation, region_name, target_name},
 };
-use crate::service::event::Event;
 
 impl Simulation<'_> {
     pub(super) fn handle_tick(&mut self, now: Time) {
