refactor(cli): the report's log lines in a module of their own

`report/record` has what is read of a request and its attempts. Moves only; what only `report` uses is visible there alone.

A search for rings among all modules of each crate finds none any more.

--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports where callers' time goes, from the log lines of the instances.
 
 mod plot;
+mod record;
 mod tally;
 
 use std::{
@@ -12,39 +13,12 @@
 use serde::Deserialize;
 
 use crate::{error::CliError, log_files};
+use record::RequestRecord;
 use tally::{Cause, Tally};
 
 /// Maximum number of unreadable lines that are named.
 const MAX_NAMED_LINES: usize = 20;
 
-/// Holds the fields of a request's log line that the report uses.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct RequestRecord {
-    at_ms: u64,
-    #[serde(default)]
-    region: String,
-    route: String,
-    service: String,
-    #[serde(default)]
-    objective_ms: u64,
-    attempts: Vec<AttemptRecord>,
-    end: String,
-    took_ms: u64,
-}
-
-/// Holds the fields of an attempt that the report uses.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct AttemptRecord {
-    #[serde(default)]
-    region: String,
-    reason: String,
-    start_ms: u64,
-    took_ms: u64,
-    #[serde(default)]
-    connect_ms: Option<u64>,
-    end: String,
-}
-
 /// Tells which kind of event a log line describes.
 #[derive(Debug, Deserialize)]
 struct EventKind {
--- a/crates/cli/src/report/plot.rs
+++ b/crates/cli/src/report/plot.rs
@@ -17,7 +17,7 @@
 /// # Errors
 ///
 /// Returns a message if the plot can't be drawn.
-pub(crate) fn seconds_as_svg(seconds: &BTreeMap<u64, Row>) -> Result<String, String> {
+pub(super) fn seconds_as_svg(seconds: &BTreeMap<u64, Row>) -> Result<String, String> {
     let mut svg = String::new();
     draw(&mut svg, seconds).map_err(|err| err.to_string())?;
     Ok(svg)
--- a/crates/cli/src/report/tally.rs
+++ b/crates/cli/src/report/tally.rs
@@ -5,7 +5,7 @@
 use base::{ERROR_RESPONSES, ErrorResponse, Executed};
 use derive_more::Display;
 
-use super::{AttemptRecord, RequestRecord};
+use super::record::{AttemptRecord, RequestRecord};
 
 /// Fraction of an objective from which on waiting or connecting counts as the cause of lateness.
 const MIN_CAUSE_FRACTION: f64 = 0.1;
@@ -16,7 +16,7 @@
 ///
 /// The caller's way to the instance, and its look-ups, are not seen there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub(crate) enum Cause {
+pub(super) enum Cause {
     /// An earlier attempt failed or was refused.
     #[display("retry")]
     Retry,
@@ -39,7 +39,7 @@
 
 impl Cause {
     /// All causes, in the order in which they are reported.
-    pub(crate) const ALL: [Self; 6] = [
+    pub(super) const ALL: [Self; 6] = [
         Self::Retry,
         Self::Wait,
         Self::ColdRun,
@@ -51,33 +51,33 @@
 
 /// Counts the requests of one route and region, or of one second.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Row {
-    pub(crate) requests: u64,
-    pub(crate) in_time: u64,
-    pub(crate) late: u64,
-    pub(crate) refused: u64,
-    pub(crate) failed: u64,
+pub(super) struct Row {
+    pub(super) requests: u64,
+    pub(super) in_time: u64,
+    pub(super) late: u64,
+    pub(super) refused: u64,
+    pub(super) failed: u64,
     /// Attempts that were answered.
-    pub(crate) runs: u64,
+    pub(super) runs: u64,
     /// Those of them in the instance's own region.
-    pub(crate) local_runs: u64,
+    pub(super) local_runs: u64,
 }
 
-/// Holds the sums over all requests.
+/// Sums up all requests in the ways in which the report shows them.
 #[derive(Debug, Default)]
-pub(crate) struct Tally {
+pub(super) struct Tally {
     /// By route and region of the instance.
-    pub(crate) rows: BTreeMap<(String, String), Row>,
+    pub(super) rows: BTreeMap<(String, String), Row>,
     /// By second of the processes' lives.
-    pub(crate) seconds: BTreeMap<u64, Row>,
-    pub(crate) late_by_cause: BTreeMap<Cause, u64>,
-    pub(crate) runs_by_reason: BTreeMap<String, u64>,
-    pub(crate) requests_by_end: BTreeMap<String, u64>,
+    pub(super) seconds: BTreeMap<u64, Row>,
+    pub(super) late_by_cause: BTreeMap<Cause, u64>,
+    pub(super) runs_by_reason: BTreeMap<String, u64>,
+    pub(super) requests_by_end: BTreeMap<String, u64>,
 }
 
 impl Tally {
     /// Returns the sums over `records`.
-    pub(crate) fn new(records: &[RequestRecord]) -> Self {
+    pub(super) fn new(records: &[RequestRecord]) -> Self {
         let warm_ms = median_warm_run(records);
         let mut tally = Self::default();
         for record in records {
@@ -127,7 +127,7 @@
 }
 
 /// Returns whether a request can end in this way.
-pub(crate) fn is_known_end(end: &str) -> bool {
+pub(super) fn is_known_end(end: &str) -> bool {
     matches!(end, "ok" | "caller_left") || error_response(end).is_some()
 }
 
