fix(cli): a command's help lists only the global arguments that it uses

Cause: the four global arguments were propagated to every command, so that `why` and `report` offered a platform's address, an instance's, an author and a form of output, none of which they read; `status` offered an author, and so on.

Each command names those that it uses; the others are accepted as before, since scripts give them once before the command's name, but its help doesn't list them. Ruled out: refusing them, which breaks such scripts.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -4,6 +4,9 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
+/// Arguments that may stand before the name of each command.
+const GLOBAL_ARGS: [&str; 4] = ["output", "platform", "operator", "by"];
+
 const EXIT_CODES: &str = "\
 Exit codes:
   0  done
@@ -25,50 +28,72 @@
         .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .arg(
-            Arg::new("output")
-                .long("output")
-                .global(true)
-                .value_name("FORM")
-                .help("How to print results")
-                .value_parser(["text", "json"])
-                .default_value("text"),
-        )
-        .arg(addr_arg(
-            "platform",
-            "127.0.0.1:8480",
-            "Address of the platform's service",
-        ))
-        .arg(addr_arg(
-            "operator",
-            "127.0.0.1:8471",
-            "Address of any instance's listener for operators",
-        ))
-        .arg(
-            Arg::new("by")
-                .long("by")
-                .global(true)
-                .value_name("NAME")
-                .help("Who makes the change, for the history")
-                .default_value("operator"),
-        )
+        .args(GLOBAL_ARGS.map(global_arg))
         .subcommand(init())
         .subcommand(plan())
         .subcommand(apply())
         .subcommand(key())
         .subcommand(drain())
-        .subcommand(Command::new("status").about("Show instances, targets and red flags"))
-        .subcommand(Command::new("history").about("List the configuration's versions"))
+        .subcommand(status())
+        .subcommand(history())
         .subcommand(revert())
         .subcommand(explain())
         .subcommand(why())
         .subcommand(report())
         .subcommand(completions())
-        .subcommand(Command::new("man").about("Print the manual page"))
+        .subcommand(man())
+}
+
+/// Returns the definition of an argument that is the same before and after a command's name.
+fn global_arg(name: &'static str) -> Arg {
+    let arg = Arg::new(name).long(name).global(true);
+    match name {
+        "output" => arg
+            .value_name("FORM")
+            .help("How to print results")
+            .value_parser(["text", "json"])
+            .default_value("text"),
+        "platform" => arg
+            .value_name("ADDR")
+            .help("Address of the platform's service")
+            .value_parser(value_parser!(SocketAddr))
+            .default_value("127.0.0.1:8480"),
+        "operator" => arg
+            .value_name("ADDR")
+            .help("Address of any instance's listener for operators")
+            .value_parser(value_parser!(SocketAddr))
+            .default_value("127.0.0.1:8471"),
+        _ => arg
+            .value_name("NAME")
+            .help("Who makes the change, for the history")
+            .default_value("operator"),
+    }
+}
+
+/// Returns the command without those of the global arguments in its help that it does not use.
+///
+/// They are still accepted, so that they can be given once for several commands.
+fn uses_only(command: Command, used: &[&str]) -> Command {
+    let unused = GLOBAL_ARGS.into_iter().filter(|name| !used.contains(name));
+    command.args(unused.map(|name| global_arg(name).hide(true)))
+}
+
+fn status() -> Command {
+    let command = Command::new("status").about("Show instances, targets and red flags");
+    uses_only(command, &["output", "operator"])
+}
+
+fn history() -> Command {
+    let command = Command::new("history").about("List the configuration's versions");
+    uses_only(command, &["output", "platform"])
+}
+
+fn man() -> Command {
+    uses_only(Command::new("man").about("Print the manual page"), &[])
 }
 
 fn why() -> Command {
-    Command::new("why")
+    let command = Command::new("why")
         .about("Explain one request from the log lines of instances")
         .arg(
             Arg::new("id")
@@ -76,11 +101,12 @@
                 .value_name("ID")
                 .help("Name of the request, as its log lines have it"),
         )
-        .arg(log_files_arg())
+        .arg(log_files_arg());
+    uses_only(command, &[])
 }
 
 fn report() -> Command {
-    Command::new("report")
+    let command = Command::new("report")
         .about("Show where callers' time goes, from the log lines of instances")
         .arg(
             Arg::new("plot")
@@ -89,11 +115,12 @@
                 .help("Where to write a plot over time, as SVG")
                 .value_parser(value_parser!(PathBuf)),
         )
-        .arg(log_files_arg())
+        .arg(log_files_arg());
+    uses_only(command, &[])
 }
 
 fn init() -> Command {
-    Command::new("init")
+    let command = Command::new("init")
         .about("Answer the questionnaire")
         .arg(
             Arg::new("from")
@@ -109,13 +136,15 @@
                 .help("Where to write the answers")
                 .default_value("answers.json")
                 .value_parser(value_parser!(PathBuf)),
-        )
+        );
+    uses_only(command, &[])
 }
 
 fn plan() -> Command {
-    Command::new("plan")
+    let command = Command::new("plan")
         .about("Show what an apply would change")
-        .arg(answers_arg())
+        .arg(answers_arg());
+    uses_only(command, &["output", "platform"])
 }
 
 fn apply() -> Command {
@@ -159,7 +188,10 @@
                 .arg(id)
                 .arg(wait_arg()),
         )
-        .subcommand(Command::new("list").about("List the keys' public names"))
+        .subcommand(uses_only(
+            Command::new("list").about("List the keys' public names"),
+            &["output", "platform"],
+        ))
 }
 
 fn drain() -> Command {
@@ -207,7 +239,7 @@
             .value_name("NAME")
             .help(help)
     };
-    Command::new("explain")
+    let command = Command::new("explain")
         .about("Tell why a request would be served or refused")
         .arg(required_name_arg("workspace", "Workspace of the request"))
         .arg(required_name_arg("service", "Service of the request"))
@@ -216,17 +248,19 @@
                 .long("origin")
                 .value_name("DOMAIN")
                 .help("Failure domain that the caller is nearest to"),
-        )
+        );
+    uses_only(command, &["output", "operator"])
 }
 
 fn completions() -> Command {
-    Command::new("completions")
+    let command = Command::new("completions")
         .about("Print shell completions")
         .arg(
             Arg::new("shell")
                 .required(true)
                 .value_parser(value_parser!(clap_complete::Shell)),
-        )
+        );
+    uses_only(command, &[])
 }
 
 fn log_files_arg() -> Arg {
@@ -253,13 +287,3 @@
         .default_value("15")
         .value_parser(value_parser!(u64))
 }
-
-fn addr_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .global(true)
-        .value_name("ADDR")
-        .help(help)
-        .default_value(default)
-        .value_parser(value_parser!(SocketAddr))
-}
