fix(cli): the report's plot draws each process where it ran, with its legend beside it

Cause: a request's line has the time since its process started, and the plot drew all of them from zero: what came before and after a restart, and from an instance that started later, lay over each other as one average. The legend lay over the latest seconds.

The lines `start` tell when a process began; where there is none, a process follows the one before it as soon as its times fall by a second. The axis counts from the first start. The legend has a part of the picture for itself. Ruled out: placing processes by the order of files alone, which can't tell how long an instance was away or when another one started.

`report_plot_draws_processes_where_they_ran` (3 cases) and `report_plot_names_its_lines_beside_it` fail on the code before: 3 points where 6 are wanted, and "in time" at 895 of a plot that ends at 947. The 20 tests of the crate pass.

--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -2,6 +2,7 @@
 
 mod plot;
 mod record;
+mod starts;
 mod tally;
 
 use std::{
@@ -14,6 +15,7 @@
 
 use crate::{error::CliError, log_files};
 use record::RequestRecord;
+use starts::Starts;
 use tally::{Cause, Tally};
 
 /// Maximum number of unreadable lines that are named.
@@ -24,6 +26,10 @@
 struct EventKind {
     #[serde(default)]
     event: Option<String>,
+    #[serde(default)]
+    instance: Option<String>,
+    #[serde(default)]
+    timestamp: Option<String>,
 }
 
 /// Prints the report on all requests in the log files that `args` hold, and writes its plot.
@@ -62,6 +68,7 @@
 #[derive(Debug, Default)]
 struct RequestLog {
     records: Vec<RequestRecord>,
+    starts: Starts,
     faults: Vec<String>,
 }
 
@@ -86,13 +93,20 @@
 
     fn read_line(&mut self, text: &str) -> Result<(), String> {
         let kind: EventKind = serde_json::from_str(text).map_err(|err| err.to_string())?;
-        if kind.event.as_deref() != Some("request") {
-            return Ok(());
+        match (kind.event.as_deref(), kind.instance, kind.timestamp) {
+            (Some("start"), Some(instance), Some(timestamp)) => {
+                self.starts.begin(&instance, &timestamp);
+                return Ok(());
+            }
+            (Some("request"), ..) => {}
+            _ => return Ok(()),
         }
-        let record: RequestRecord = serde_json::from_str(text).map_err(|err| err.to_string())?;
+        let mut record: RequestRecord =
+            serde_json::from_str(text).map_err(|err| err.to_string())?;
         if !tally::is_known_end(&record.end) {
             return Err(format!("unknown end of a request: {}", record.end));
         }
+        self.starts.place(&mut record);
         self.records.push(record);
         Ok(())
     }
--- a/crates/cli/src/report/record.rs
+++ b/crates/cli/src/report/record.rs
@@ -5,7 +5,13 @@
 /// Reads of a request's log line what the report counts.
 #[derive(Debug, Clone, Deserialize)]
 pub(super) struct RequestRecord {
+    /// Time since the start of the process, or of an earlier one that it is drawn after.
     pub(super) at_ms: u64,
+    /// When that process started, in milliseconds since 1970, if its lines tell.
+    #[serde(skip)]
+    pub(super) started_at_ms: Option<u64>,
+    #[serde(default)]
+    pub(super) instance: String,
     #[serde(default)]
     pub(super) region: String,
     pub(super) route: String,
--- a/crates/cli/src/report/tally.rs
+++ b/crates/cli/src/report/tally.rs
@@ -68,7 +68,7 @@
 pub(super) struct Tally {
     /// By route and region of the instance.
     pub(super) rows: BTreeMap<(String, String), Row>,
-    /// By second of the processes' lives.
+    /// By second since the first start of a process.
     pub(super) seconds: BTreeMap<u64, Row>,
     pub(super) late_by_cause: BTreeMap<Cause, u64>,
     pub(super) runs_by_reason: BTreeMap<String, u64>,
@@ -79,18 +79,23 @@
     /// Returns the sums over `records`.
     pub(super) fn new(records: &[RequestRecord]) -> Self {
         let warm_ms = median_warm_run(records);
+        let first_start = records.iter().filter_map(|record| record.started_at_ms);
+        let first_start_ms = first_start.min().unwrap_or(0);
         let mut tally = Self::default();
         for record in records {
             let warm_ms = warm_ms.get(record.service.as_str()).copied();
-            tally.count(record, warm_ms.unwrap_or(u64::MAX));
+            let started_at_ms = record.started_at_ms.unwrap_or(first_start_ms);
+            let started_after_ms = started_at_ms.saturating_sub(first_start_ms);
+            tally.count(record, started_after_ms, warm_ms.unwrap_or(u64::MAX));
         }
         tally
     }
 
-    fn count(&mut self, record: &RequestRecord, warm_ms: u64) {
+    fn count(&mut self, record: &RequestRecord, started_after_ms: u64, warm_ms: u64) {
         let has_objective = record.objective_ms > 0;
         let is_late = record.end == "ok" && has_objective && record.took_ms > record.objective_ms;
-        let arrived_at_s = record.at_ms.saturating_sub(record.took_ms) / 1_000;
+        let ended_at_ms = started_after_ms + record.at_ms;
+        let arrived_at_s = ended_at_ms.saturating_sub(record.took_ms) / 1_000;
         let key = (record.route.clone(), record.region.clone());
         for row in [
             self.rows.entry(key).or_default(),
--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -46,6 +46,72 @@
     assert!(svg.contains("in time"));
 }
 
+fn plot(text: &str) -> String {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("plot.svg");
+    let output = report(text, &["--plot", file.to_str().unwrap()]);
+    assert!(output.status.success());
+    fs::read_to_string(file).unwrap()
+}
+
+/// Returns the numbers in an attribute of an element.
+fn numbers_of(element: &str, attribute: &str) -> Vec<f64> {
+    let (_, rest) = element.split_once(&format!(" {attribute}=\"")).unwrap();
+    let value = rest.split('"').next().unwrap();
+    let numbers = value.split([',', ' ']).filter(|number| !number.is_empty());
+    numbers.map(|number| number.parse().unwrap()).collect()
+}
+
+/// Returns where the plot's line of requests in time has its points, in pixels from the left.
+fn points_x(svg: &str) -> Vec<f64> {
+    let in_time = svg
+        .split('<')
+        .find(|element| element.starts_with("polyline") && element.contains("stroke=\"#008000\""));
+    let points = numbers_of(in_time.unwrap(), "points");
+    points.into_iter().step_by(2).collect()
+}
+
+const START: &str = r#"{"timestamp":"2026-05-01T10:00:00.5Z","event":"start","instance":"i1"}"#;
+const RESTART: &str = r#"{"timestamp":"2026-05-01T10:00:40.5Z","event":"start","instance":"i1"}"#;
+const OTHER_START: &str =
+    r#"{"timestamp":"2026-05-01T10:00:40.5Z","event":"start","instance":"i2"}"#;
+
+/// Each process counts its time from its own start; what came before and after a restart, or from
+/// another instance that started later, was drawn over each other.
+#[rstest]
+#[case::restart(&format!("{START}\n{LINES}{RESTART}\n{LINES}"), 42.0)]
+#[case::restart_without_its_line(&format!("{LINES}{LINES}"), 5.0)]
+#[case::another_instance(
+    &format!("{START}\n{LINES}{OTHER_START}\n{}", LINES.replace("\"i1\"", "\"i2\"")),
+    42.0
+)]
+fn report_plot_draws_processes_where_they_ran(#[case] text: &str, #[case] length_s: f64) {
+    let svg = plot(text);
+    let points = points_x(&svg);
+    // The requests of a process arrive in its seconds 1, 2 and 3.
+    assert_eq!(points.len(), 6, "{points:?}");
+    let length = points[5] - points[0];
+    let second_at = (points[3] - points[0]) * length_s / length;
+    let wanted = length_s - 2.0;
+    assert!(
+        (second_at - wanted).abs() < 0.2,
+        "{points:?}: {second_at} s, {wanted} wanted"
+    );
+}
+
+/// The legend hid the right end of the plot, where the latest seconds are.
+#[test]
+fn report_plot_names_its_lines_beside_it() {
+    let svg = plot(LINES);
+    let right_end = points_x(&svg).into_iter().fold(0.0, f64::max);
+    for name in ["in time", "late", "refused", "failed"] {
+        let (before, _) = svg.split_once(&format!("\n{name}\n")).unwrap();
+        let text = &before[before.rfind("<text").unwrap()..];
+        let x = numbers_of(text, "x")[0];
+        assert!(x > right_end, "{name} at {x}, the plot ends at {right_end}");
+    }
+}
+
 /// Each bad line is named, and the others are reported all the same.
 #[rstest]
 #[case::no_json("{not json\n", "i1.log:1: key must be a string")]
