fix(proof): the comparison of strategies shows a drain that never ended as none

Cause: a leaving target that never got idle was printed as a drain of 0.00 s, the best of all.

The column has "-" then, as where nothing was drained.

--- a/crates/proof/benches/service.rs
+++ b/crates/proof/benches/service.rs
@@ -63,8 +63,12 @@
     measures: &Measures,
 ) {
     let others = measures.merged_except(excluded);
+    let drain_s = measures.drain_time.map_or_else(
+        || "-".to_owned(),
+        |time| format!("{:.2}", time.as_secs_f64()),
+    );
     println!(
-        "| {deployment} | {case} | {name} | {:.1} | {:.1} | {:.2} | {:.2} | {:.1} | {} | {} | {} | {:.2} |",
+        "| {deployment} | {case} | {name} | {:.1} | {:.1} | {:.2} | {:.2} | {:.1} | {} | {} | {} | {drain_s} |",
         others.latency_ms(0.5),
         others.latency_ms(0.99),
         100.0 * others.answered_share(),
@@ -73,7 +77,6 @@
         measures.run_twice,
         measures.false_not_run,
         measures.targets_crashed,
-        measures.drain_time.unwrap_or_default().as_secs_f64(),
     );
     print_details(measures);
 }
