refactor(settings): a window of the retry budget that nothing reads is no setting any more

Cause: `bounds.retry_window_s` was read by nothing: the budget gains by successes and is capped by the slack, so that it holds in a window of any length. A wrong value could not be noticed.

What the template was filled in with at the first release is left as it was in the tests.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -82,10 +82,8 @@
 pub struct Bounds {
     /// Retry budget: maximum number of retries as a fraction of a service's requests.
     pub retry_fraction: f64,
-    /// Number of retries allowed in each window beyond that fraction.
+    /// Number of retries allowed beyond that fraction, in a window of any length.
     pub retry_slack: f64,
-    /// Length of the window to which `retry_slack` refers, in seconds; the daemon doesn't use it.
-    pub retry_window_s: f64,
     /// Fraction by which a workspace's rate and burst may be exceeded.
     pub rate_overage: f64,
     /// Number of requests by which a workspace's rate may be exceeded beyond that fraction.
@@ -107,7 +105,6 @@
         Self {
             retry_fraction: 0.1,
             retry_slack: 0.0,
-            retry_window_s: 10.0,
             rate_overage: 0.0,
             rate_slack: 0.0,
             region_shift: 0.1,
