--- a/crates/proof/src/deployment/spec.rs
+++ b/crates/proof/src/deployment/spec.rs
@@ -15,7 +15,7 @@
     pub rate: f64,
     /// Burst of the workspace `club`, in requests.
     pub burst: f64,
-    /// Names of the instances that get [`Relays`].
+    /// Names of the instances that get [`Relays`](super::Relays).
     pub relayed_instances: Vec<String>,
     /// Whether instances connect to targets through relays.
     pub has_target_relays: bool,
