docs: what types are for, instead of what they hold

Cause: doc lines like "Holds the dependencies and settings of ..." repeat the fields below them and leave a reader to guess why there is a type.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -14,7 +14,7 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Holds the part of an instance's status that the command line reads.
+/// Reads from an instance's status what `status` shows and what waiting for a version needs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Status {
     /// Conditions that need an operator's attention.
@@ -34,7 +34,7 @@
     pub workspaces: BTreeMap<String, Value>,
 }
 
-/// Holds what an instance knows about another one.
+/// Tells how far an instance has heard of another one, and which version that one has.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Failure domain in which it runs.
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -11,7 +11,7 @@
 
 const MAX_RESOLVE_ATTEMPTS: u32 = 3;
 
-/// Holds the latest version of the configuration.
+/// Gives a change the version that it starts from.
 #[derive(Debug, Clone)]
 pub struct LatestVersion {
     /// Version number; 0 if none has been written yet.
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -186,7 +186,7 @@
     )
 }
 
-/// Holds a log line about the state of an instance rather than a request.
+/// Tells of a change of an instance's state that may explain what became of later requests.
 #[derive(Debug)]
 struct StateEvent {
     event: String,
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -49,7 +49,8 @@
     EndedBy(Time),
 }
 
-/// Holds one reservation of a slot.
+/// Tracks whether the holder of a slot may spend its reservation itself, or has lent it to an
+/// owner.
 #[derive(Debug, Clone)]
 struct Reservation {
     bucket: TokenBucket,
@@ -436,7 +437,7 @@
     }
 }
 
-/// Holds a grant until the owner no longer needs reports of its use.
+/// Tracks how much of a grant is spent, until the owner no longer needs reports of it.
 #[derive(Debug, Clone)]
 struct HeldGrant {
     usage: GrantUsage,
@@ -444,7 +445,7 @@
     forget_at: Time,
 }
 
-/// Holds a token request that the owner has not answered yet.
+/// Repeats a token request until the owner answers it.
 #[derive(Debug, Clone)]
 struct PendingRequest {
     request: GrantRequest,
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -27,7 +27,8 @@
     }
 }
 
-/// Holds the content of a lease's row in the table.
+/// Tells all instances who owns a lease, how long it lasts and whether it was released, as a row of
+/// the table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Instance that holds the lease.
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -44,7 +44,7 @@
     Absent(Time),
 }
 
-/// Holds what is known about one instance.
+/// Combines what the platform's list and its heartbeats tell about one instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// Failure domain in which it runs.
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -40,7 +40,7 @@
     expiries: VecDeque<(Time, InstanceId, (Incarnation, u64))>,
 }
 
-/// Holds the latest loan of one reservation.
+/// Tracks until when a reservation is lent to the owner, and which of its loans have been added.
 #[derive(Debug, Clone)]
 struct BorrowedReservation {
     until: Time,
@@ -48,7 +48,8 @@
     last_loan: (Incarnation, u64),
 }
 
-/// Holds the grants to one holder.
+/// Accounts for the tokens granted to one holder, so that what it gives back unused can be granted
+/// again.
 #[derive(Debug, Clone)]
 struct Account {
     incarnation: Incarnation,
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -174,7 +174,7 @@
     }
 }
 
-/// Holds tokens that accrue at the quota's rate, up to its burst.
+/// Admits requests against tokens that accrue at the quota's rate, up to its burst.
 ///
 /// # Examples
 ///
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -5,7 +5,7 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
-/// Holds one row of a replicated table.
+/// Pairs a row with the position of its last change, so that older reads of it can't replace it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRow {
     /// Content of the row.
@@ -25,7 +25,8 @@
     pub position: u64,
 }
 
-/// Holds the whole content of a table at one position.
+/// Carries a whole table from one instance to another, with the position up to which it is
+/// complete.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct TableSnapshot {
     /// Rows by name.
--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -20,7 +20,7 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 const MIN_SLOTS: usize = 2;
 
-/// Holds the parameters that all instances of a deployment share.
+/// Gives all instances of a deployment the parameters on which they must agree.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeploymentParameters {
     /// Secret that authenticates messages between instances.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,7 +10,7 @@
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
 
-/// Holds the last known state of all instances except this one.
+/// Shows all tasks what is known of the other instances, as of the last change.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
     /// Other instances by ID.
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -35,7 +35,7 @@
 /// isolated.
 const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
 
-/// Holds the channels to the tasks that use the configuration.
+/// Connects a follower to the tasks that use the configuration.
 #[derive(Debug)]
 pub struct Outputs {
     /// Channel to the engine.
@@ -94,7 +94,7 @@
     }
 }
 
-/// Holds the dependencies and settings of a [`HeadFollower`].
+/// Tells a [`HeadFollower`] where to read the head, how often, and for how long a read confirms it.
 #[derive(Debug)]
 pub struct HeadFollowerOptions {
     /// Monotonic clock of the process.
@@ -343,7 +343,7 @@
     let _ = tx.send(HeadRead { sent_at, result }).await;
 }
 
-/// Holds the sources of a configuration object: the platform, then the instance that reported it.
+/// Names where to fetch a configuration object: the platform, then the instance that reported it.
 struct FetchSource {
     platform: Platform,
     secret: Secret,
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -49,7 +49,8 @@
     fleet: watch::Receiver<Arc<Fleet>>,
 }
 
-/// Holds the dependencies and settings of a [`LedgerTask`].
+/// Gives a [`LedgerTask`] its own records and the ways to those of other instances and of the
+/// table.
 #[derive(Debug)]
 pub struct LedgerTaskOptions {
     /// Monotonic clock of the process.
@@ -82,7 +83,7 @@
     Table,
 }
 
-/// Holds the content of a claim row.
+/// Records in the table the claim of an action whose key names no instance that stores it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct ClaimRow {
     claimer: Claimer,
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Holds the clock and the state by which the list's task determines which instances are alive.
+/// Lets the list's task tell instances that are alive from entries of those that have ended.
 #[derive(Debug)]
 pub struct Liveness {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -23,7 +23,7 @@
 
 use crate::fleet::Fleet;
 
-/// Holds the state that the operators' handlers share.
+/// Answers operators from the state of all tasks; each handler gets a copy.
 #[derive(Debug, Clone)]
 pub struct Operator {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -35,7 +35,7 @@
 /// beside the instance, and for all else.
 const BODY_MEMORY_DIVISOR: usize = 2;
 
-/// Holds the options in which a deployed instance and a development instance differ.
+/// Sets what differs between a deployed instance and a development instance.
 #[derive(Debug, Clone)]
 pub struct NodeOptions {
     /// Fraction of the requests without a trace context whose spans are logged.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -44,7 +44,7 @@
 /// acknowledge them.
 const MAX_SENT_HEARTBEATS: usize = 64;
 
-/// Holds the channels to the tasks that handle messages from other instances.
+/// Leads each message from another instance to the task that handles it.
 #[derive(Debug, Clone)]
 pub struct Outputs {
     /// Channel to the engine.
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -48,7 +48,7 @@
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
 const TABLE_AGE_GAUGES: [&str; 2] = ["operator_rows_age_ms", "target_rows_age_ms"];
 
-/// Holds a configuration composed from the followed tables.
+/// Gives the other tasks one configuration for all followed tables.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ComposedConfig {
     /// Version of the operators' part of the configuration.
@@ -66,7 +66,7 @@
     pub compose: F,
 }
 
-/// Holds the dependencies and settings of a [`TableFollower`].
+/// Tells a [`TableFollower`] what to follow, how often to read it, and who uses the result.
 #[derive(Debug)]
 pub struct TableFollowerOptions<F> {
     /// Monotonic clock of the process.
@@ -110,7 +110,7 @@
     peer_confirmed_at: Option<Time>,
 }
 
-/// Holds the local copy of one table.
+/// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
 #[derive(Debug)]
 struct Table {
     replica: Replica,
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -79,7 +79,8 @@
     }
 }
 
-/// Holds the connection to a target that is relayed for another instance, if it could be opened.
+/// Carries a connection to a target for another instance, and counts against the limit until it is
+/// dropped.
 #[derive(Debug)]
 pub(crate) struct RelayedTarget {
     target_stream: Option<TcpStream>,
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -28,7 +28,7 @@
 /// Time for which another instance must have no slot before this one releases a spare.
 const SPARE_RELEASE_DELAY: Duration = Duration::from_secs(3);
 
-/// Holds the dependencies and settings of [`Slots`].
+/// Tells [`Slots`] how many slots there are, how long leases last, and who is told of them.
 #[derive(Debug)]
 pub struct SlotsOptions {
     /// Monotonic clock of the process.
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Holds slots until all senders of `release` are dropped. On each message, releases all slots
-    /// and reports on the received channel when that is done.
+    /// Acquires and renews slots until all senders of `release` are dropped. On each message,
+    /// releases all slots and reports on the received channel when that is done.
     pub async fn run(mut self, mut release: mpsc::Receiver<oneshot::Sender<()>>) {
         let Some(mut answers) = self.rx.take() else {
             return;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -26,7 +26,7 @@
     pub addr: SocketAddr,
 }
 
-/// An open HTTP/1.1 connection to a target, which is reused until its timeouts pass.
+/// Carries requests to a target over HTTP/1.1, one at a time, until its timeouts pass.
 #[derive(Debug)]
 pub struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -87,7 +87,7 @@
     Done,
 }
 
-/// Holds the content of a row and its version.
+/// Pairs a row's content with the version that a conditional write must name.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Version of the row, which rises with each write while the row exists.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -4,7 +4,7 @@
 
 use crate::{Call, Change, ListedMachine, PlatformError, Precondition, Reply, Row, Write};
 
-/// Holds tables, objects and the list of machines, and applies calls to them.
+/// Applies calls to tables, objects and the list of machines, as the platform does, in memory.
 ///
 /// # Examples
 ///
--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -18,7 +18,7 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
-/// Holds a complete response, or the reason why there is none.
+/// Shows a test what a caller got: a complete response, or that there is none.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Response {
     /// HTTP status; zero if the connection failed or timed out.
--- a/crates/proof/src/rollout.rs
+++ b/crates/proof/src/rollout.rs
@@ -11,7 +11,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-/// Holds the parameters of a roll-out.
+/// Describes a roll-out: how many instances there are, how they pass a version on, and what is
+/// lost.
 #[derive(Debug, Clone)]
 pub struct Rollout {
     /// Number of instances in each failure domain.
@@ -34,7 +35,7 @@
     pub seed: u64,
 }
 
-/// Holds the results of a roll-out; times count from the write to the store.
+/// Tells how long a roll-out took and what it cost; times count from the write to the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutOutcome {
     /// Time until 50 % of the live instances have the version.
--- a/crates/proof/src/service/event.rs
+++ b/crates/proof/src/service/event.rs
@@ -50,7 +50,7 @@
     Lost,
 }
 
-/// Holds the state of a request.
+/// Tracks a request from its caller until it is completed, and how often targets ran it.
 #[derive(Debug, Clone)]
 pub(super) struct Request {
     pub(super) workspace: usize,
@@ -65,7 +65,7 @@
     pub(super) is_completed: bool,
 }
 
-/// Holds the state of an open attempt.
+/// Tracks an attempt from its start until its outcome arrives.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Attempt {
     pub(super) target: usize,
--- a/crates/proof/src/service/measures.rs
+++ b/crates/proof/src/service/measures.rs
@@ -5,7 +5,7 @@
 use base::ErrorKind;
 use hdrhistogram::Histogram;
 
-/// Holds the measurements of one workspace's requests.
+/// Counts what became of one workspace's requests.
 #[derive(Debug, Clone)]
 pub struct WorkspaceMeasures {
     /// Number of requests sent.
@@ -18,7 +18,7 @@
     pub latency_us: Histogram<u64>,
 }
 
-/// Holds the measurements of a run.
+/// Tells what became of all requests of a run, and which promises were broken.
 #[derive(Debug, Clone)]
 pub struct Measures {
     /// Measurements of each workspace, by index.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -29,7 +29,7 @@
 #[display("{}", _0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct Findings(#[error(not(source))] pub Vec<Finding>);
 
-/// Holds a file's name and text, to locate fields in findings.
+/// Locates fields in a file, so that findings name their lines.
 #[derive(Debug, Clone, Copy)]
 pub struct Document<'a> {
     file: &'a Path,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -10,7 +10,7 @@
     variables::complete,
 };
 
-/// Holds the settings of one instance.
+/// Defines how one instance runs: where it listens, what it belongs to and which bounds it keeps.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DaemonSettings {
     /// Name of the instance, unique in the deployment.
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -8,7 +8,7 @@
 /// Shares of one region's traffic by the region that serves it; they add up to one.
 pub type Shares = BTreeMap<RegionId, f64>;
 
-/// Holds the demand for one service and the capacity to serve it, in requests per second.
+/// Weighs the demand for one service against the capacity to serve it, in requests per second.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Measurements {
     /// Requests per second that the callers of each region send.
@@ -33,7 +33,7 @@
     }
 }
 
-/// Holds the parameters of planning.
+/// Limits how full regions are planned to be and how fast traffic moves between them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanPolicy {
     /// Fraction of each region's capacity up to which it is planned to be used, while the total
@@ -58,7 +58,7 @@
     }
 }
 
-/// Holds the shares of all regions, and those to apply when a region is lost.
+/// Divides each region's traffic among all regions, now and for the loss of any one of them.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Plan {
     /// Shares of each region's traffic.
--- a/crates/survey/src/answers.rs
+++ b/crates/survey/src/answers.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use settings::{Document, Finding, Findings, parse};
 
-/// Holds an operator's answers, from which a configuration is generated.
+/// Describes a deployment in an operator's words; a configuration is generated from it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Answers {
     /// Deployment name.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -34,7 +34,7 @@
     Misdirected,
 }
 
-/// Holds what comes before the message in the authenticated content of a frame.
+/// Binds a message to its sender, its receiver and its place in their sequence.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct FrameHead {
     pub(crate) from: InstanceId,
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -46,7 +46,7 @@
     ended: VecDeque<Incarnation>,
 }
 
-/// Holds the content of a verified frame.
+/// Carries the message of a verified frame, and who sent it in which incarnation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenedFrame<T> {
     /// Instance that sent it.
