test(proof): twins in two files joined

Cause: two tests withdraw a key and ask all instances for it in the same ten lines, two others judge drawn schedules in the same seven.

`assert_withdrawn_everywhere` and `assert_no_window_exceeds_the_quota` have them, as strict as before: the same instances and kinds of error, the same bound, and the message names the scenario's seed, which is the drawn one.

--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -31,6 +31,18 @@
     Caller::connect(entry).await.send(request).await
 }
 
+/// Withdraws the key `k1` and asserts that all three instances refuse it once the command has ended.
+async fn assert_withdrawn_everywhere(deployment: &Deployment, key: &str) {
+    let (text, code) = deployment.run_cli(&["key", "withdraw", "k1"]);
+    assert_eq!(code, 0, "{text}");
+    for instance in ["i1", "i2", "i3"] {
+        assert_eq!(
+            get(deployment, instance, key).await.error_kind(),
+            "unknown_key"
+        );
+    }
+}
+
 /// Repeats a request until its response has one of these error kinds, or fails after a timeout.
 async fn wait_for_error_kind(deployment: &Deployment, instance: &str, key: &str, kinds: &[&str]) {
     let deadline = Instant::now() + RETRY_TIMEOUT;
@@ -149,14 +161,7 @@
     );
     assert_eq!(deployment.execution_count("no-home").await, 0);
     deployment.set_faults(Faults::default()).await;
-    let (text, code) = deployment.run_cli(&["key", "withdraw", "k1"]);
-    assert_eq!(code, 0, "{text}");
-    for instance in ["i1", "i2", "i3"] {
-        assert_eq!(
-            get(&deployment, instance, &key).await.error_kind(),
-            "unknown_key"
-        );
-    }
+    assert_withdrawn_everywhere(&deployment, &key).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -435,14 +440,7 @@
         ..Faults::default()
     };
     deployment.set_faults(faults).await;
-    let (text, code) = deployment.run_cli(&["key", "withdraw", "k1"]);
-    assert_eq!(code, 0, "{text}");
-    for instance in ["i1", "i2", "i3"] {
-        assert_eq!(
-            get(&deployment, instance, &key).await.error_kind(),
-            "unknown_key"
-        );
-    }
+    assert_withdrawn_everywhere(&deployment, &key).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/proof/tests/limits.rs
+++ b/crates/proof/tests/limits.rs
@@ -62,18 +62,23 @@
     }
 }
 
+fn assert_no_window_exceeds_the_quota(scenario: &Scenario) {
+    let outcome = run(scenario);
+    assert!(
+        outcome.min_remaining >= -1e-6,
+        "seed {}: the worst window exceeds the quota by {} tokens: {scenario:?}",
+        scenario.seed,
+        -outcome.min_remaining
+    );
+}
+
 #[rstest]
 #[case::acting_owner(1.0)]
 #[case::leased_owner(0.2)]
 fn limits_hold_in_drawn_schedules(#[case] reserved_share: f64) {
     for seed in 0..SEED_COUNT {
         let scenario = draw_scenario(seed, reserved_share);
-        let outcome = run(&scenario);
-        assert!(
-            outcome.min_remaining >= -1e-6,
-            "seed {seed}: the worst window exceeds the quota by {} tokens: {scenario:?}",
-            -outcome.min_remaining
-        );
+        assert_no_window_exceeds_the_quota(&scenario);
     }
 }
 
@@ -87,12 +92,7 @@
         scenario.split.reservations_per_slot = reservations;
         scenario.split.lends_only_surplus = true;
         scenario.split.loan_ttl = Duration::from_millis(loan_ms);
-        let outcome = run(&scenario);
-        assert!(
-            outcome.min_remaining >= -1e-6,
-            "seed {seed}: the worst window exceeds the quota by {} tokens: {scenario:?}",
-            -outcome.min_remaining
-        );
+        assert_no_window_exceeds_the_quota(&scenario);
     }
 }
 
