test(dispatch): drawn moves of homes and targets against requests under way

Cause: revisions, withdrawals and moving targets were tested one at a time, each with a chosen outcome.

Versions move the homes of a group of requests or withdraw it, and move, remove and add targets, also into a failure domain that is not known and back under the same name, while requests wait, run, are retried, hedged and withheld. The draw knows homes and targets itself: each attempt must go to a configured target of a region where its request may run by the version in force, none after a withdrawal or an end, none twice for what may run once. Each request ends once; nothing is in flight at the end, and each region takes a request again (two choices only).

Ruled out: a vacuous draw.

Seen to fail, each break undone: `revise` keeps the regions (both placements), `move_target` not called (both), `move_target` leaves the old region's count (two choices), a withdrawn request is hedged (both), or tried again (both).

--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -2,6 +2,7 @@
 //! get limited rates, and few requests leave their preferred target or region.
 
 mod homes;
+mod moves;
 mod support;
 
 use std::{collections::BTreeMap, time::Duration};
