test(dispatch): what waits for a full home goes out once a target has moved there

Cause: moves of targets were tested against what arrives after them only.

Change: nine requests wait for a full home under placement by object; both targets of the other region move there, and the configuration that tells so sends some of them.

Ruled out: the same with two choices. There the region's own limit, which grows by answers, holds them back, as it does for new targets.

Measured: passes; fails where `move_target` isn't called (undone).

--- a/crates/dispatch/tests/placement/homes.rs
+++ b/crates/dispatch/tests/placement/homes.rs
@@ -223,3 +223,23 @@
     let (_, actions) = dispatcher.finish(now, running.id, running.attempt, Outcome::Lost);
     assert_eq!(refusals(&actions), [ErrorKind::TargetLost]);
 }
+
+/// What waits for a full region goes out as soon as a target has moved there.
+#[test]
+fn waiting_request_goes_to_a_target_that_moved_to_its_home() {
+    let mut config = config(4);
+    let mut dispatcher = dispatcher_by(Placement::ObjectAffinity, &config);
+    let now = Time::from_secs(1);
+    for id in 0..9 {
+        dispatcher.submit(now, bound(now, id, &["r0"]));
+    }
+    assert!(dispatcher.queue_len() > 0);
+    let service = config.services.get_mut("s").unwrap();
+    for target in service.targets.values_mut() {
+        target.domain = "r0".into();
+    }
+    let actions = dispatcher.configure(now, &config);
+    let sent = assignments(&actions);
+    assert!(!sent.is_empty());
+    assert!(sent.iter().all(|one| one.region.as_str() == "r0"));
+}
