--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -69,6 +69,8 @@
     pub requests: usize,
     /// The other instances.
     pub instances: BTreeMap<InstanceId, InstanceStatus>,
+    /// Instances through which connections to targets can be opened.
+    pub relays: Vec<InstanceId>,
     /// Targets by ID.
     pub targets: BTreeMap<String, TargetStatus>,
     /// Workspaces by ID.
@@ -210,6 +212,7 @@
             requests: engine.requests,
             instances: instances(now, &fleet),
             targets: targets(&engine),
+            relays: engine.relays.clone(),
             workspaces: workspaces(&engine),
             barred: engine
                 .quarantined
--- a/crates/entry/src/engine/loads.rs
+++ b/crates/entry/src/engine/loads.rs
@@ -54,6 +54,7 @@
             available: self.admission.available(now),
             owners: self.admission.owners(),
             path: self.dispatcher.path_state(),
+            relays: self.relay_ids(),
             named_rates: self.dispatcher.named_rates(),
             quarantined: self.dispatcher.quarantined(now),
         }
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -107,6 +107,12 @@
         relays
     }
 
+    /// Returns the instances through which connections to targets can be opened.
+    pub(super) fn relay_ids(&self) -> Vec<InstanceId> {
+        let relays = self.relays.iter();
+        relays.map(|(_, relay)| relay.instance.clone()).collect()
+    }
+
     pub(super) fn probe(&self, target: TargetId, relays: Vec<Relay>) {
         let (Some(events), Some(addr)) = (self.events.upgrade(), self.addr_of(&target)) else {
             return;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -352,6 +352,8 @@
     pub owners: BTreeMap<WorkspaceId, InstanceId>,
     /// Whether connections to targets are opened directly or through other instances.
     pub path: PathState,
+    /// Instances through which connections to targets can be opened.
+    pub relays: Vec<InstanceId>,
     /// Targets that name a rate, in requests per second.
     pub named_rates: Vec<(TargetId, f64)>,
     /// Fingerprints of quarantined requests and the time until their release.
