fix(entry): an answer waits until it is recorded for repeats of its request

Cause: run_once gave the outcome to the ledger and answered at once. Where the record is kept elsewhere, at another instance or in a row of the table, it was still on its way; a repeat through another instance in that time got 409 in_progress although its caller had the answer.

Settle reports when the outcome is recorded, and a response waits for that, at most 1 s and never past the request's deadline. Records kept by this instance itself are there at once, so actions with their home here wait for nothing; with a home elsewhere or none the answer is later by one call or two. Refusals don't wait: they go out at once as before. If the home or the table doesn't answer in 1 s the answer goes out without its record; a repeat then still gets 409 or outcome_unknown, never another run.

Ruled out as a test: a home that is paused while the record is sent; record and repeat then reach it in either order.

--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -149,7 +149,8 @@
                 request,
                 event,
                 answer,
-            } => self.settle(key, request, event, answer),
+                recorded,
+            } => self.settle(key, request, (event, answer), recorded),
         }
     }
 
@@ -196,14 +197,15 @@
         &mut self,
         key: ActionKey,
         request: RequestId,
-        event: ActionEvent,
-        answer: Option<SavedAnswer>,
+        (event, answer): (ActionEvent, Option<SavedAnswer>),
+        recorded: oneshot::Sender<()>,
     ) {
         let claimer = self.claimer(request);
         match self.home(&key.key) {
             Home::Local => {
                 let now = self.clock.now();
                 self.ledger.apply_event(now, &key, &claimer, event, answer);
+                let _ = recorded.send(());
             }
             Home::LocalPrevious => {}
             Home::Remote(home, _) => {
@@ -214,11 +216,19 @@
                     answer,
                 };
                 let remote = self.remote.clone();
-                tokio::spawn(async move { remote.settle_at_home(&home, &call).await });
+                tokio::spawn(async move {
+                    if remote.settle_at_home(&home, &call).await {
+                        let _ = recorded.send(());
+                    }
+                });
             }
             Home::Table => {
                 let remote = self.remote.clone();
-                tokio::spawn(async move { remote.settle_row(&key, &claimer, event, answer).await });
+                tokio::spawn(async move {
+                    if remote.settle_row(&key, &claimer, event, answer).await {
+                        let _ = recorded.send(());
+                    }
+                });
             }
         }
     }
@@ -315,7 +325,8 @@
         }
     }
 
-    async fn settle_at_home(&self, home: &InstanceId, call: &Call) {
+    /// Records an outcome at the action's home, and returns whether the home confirmed it.
+    async fn settle_at_home(&self, home: &InstanceId, call: &Call) -> bool {
         for _ in 0..MAX_SETTLE_ATTEMPTS {
             let addr = self
                 .fleet
@@ -324,13 +335,14 @@
                 .get(home)
                 .and_then(|member| member.addr);
             let Some(addr) = addr else {
-                return;
+                return false;
             };
             if rpc::call(&self.secret, addr, call).await.is_some() {
-                return;
+                return true;
             }
             tokio::time::sleep(SETTLE_RETRY_DELAY).await;
         }
+        false
     }
 
     /// Claims an action by inserting a row; if the insert fails or is not answered, the row that is
@@ -391,13 +403,14 @@
         }
     }
 
+    /// Records an outcome in the action's row, and returns whether that succeeded.
     async fn settle_row(
         &self,
         key: &ActionKey,
         claimer: &Claimer,
         event: ActionEvent,
         answer: Option<SavedAnswer>,
-    ) {
+    ) -> bool {
         let state = match (event, answer) {
             (ActionEvent::Answered, Some(answer)) => RowState::Done(answer),
             (ActionEvent::NotRun, _) => RowState::Released,
@@ -406,10 +419,11 @@
         let name = row_name(key);
         for _ in 0..MAX_SETTLE_ATTEMPTS {
             if self.try_settle_row(&name, claimer, &state).await.is_ok() {
-                return;
+                return true;
             }
             tokio::time::sleep(SETTLE_RETRY_DELAY).await;
         }
+        false
     }
 
     async fn try_settle_row(
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -43,6 +43,8 @@
 
 /// Bytes of request bodies that are received at the same time.
 pub const MAX_HELD_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum time for which an answer waits until it is recorded for repeats of the request.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Path of the look-up, which returns the instances that a caller may use.
 pub const LOOKUP_PATH: &str = "/v1/lookup";
 
@@ -275,7 +277,8 @@
             workspace: admitted.workspace,
             key,
         };
-        self.run_once(request, key, fingerprint, template, span.child("action"))
+        let action = (admitted.deadline, span.child("action"));
+        self.run_once(request, key, fingerprint, template, action)
             .await
     }
 
@@ -371,7 +374,7 @@
         key: ActionKey,
         fingerprint: u64,
         template: RequestTemplate,
-        span: Span,
+        (deadline, span): (Time, Span),
     ) -> Result<TargetResponse, Refusal> {
         match self.claim(&key, request.id, fingerprint).await? {
             ClaimOutcome::Granted => {}
@@ -384,13 +387,19 @@
             let request_id = request.id;
             let result = execute(&handler.forwarder, request, template, &span).await;
             let (event, answer) = outcome_of(&result);
+            let (recorded, record) = oneshot::channel();
             let call = LedgerCall::Settle {
                 key,
                 request: request_id,
                 event,
                 answer,
+                recorded,
             };
             let _ = handler.ledger.send(call).await;
+            if result.is_ok() {
+                // A repeat after the answer, through any instance, gets the same one.
+                let _ = timeout(RECORD_TIMEOUT.min(deadline - handler.clock.now()), record).await;
+            }
             result
         };
         tokio::spawn(run)
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -315,6 +315,8 @@
         event: ActionEvent,
         /// Response to replay to repeats of the request; `None` if none was received.
         answer: Option<SavedAnswer>,
+        /// Channel that reports that the outcome is recorded; dropped if it can't be.
+        recorded: oneshot::Sender<()>,
     },
 }
 
--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -8,9 +8,13 @@
     deployment::{Deployment, DeploymentSpec},
 };
 use standin::{platform_server::Faults, relay::RelayMode};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const RETRY_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for which an action runs on its target.
+const WORK: Duration = Duration::from_millis(400);
+/// Time after its run for which the outcome of an action can't be recorded.
+const RECORD_DELAY: Duration = Duration::from_millis(150);
 
 /// Starts a deployment with a confirmed configuration and returns it with an API key for `club`.
 async fn start_configured(spec: &DeploymentSpec) -> (Deployment, String) {
@@ -111,6 +115,42 @@
     assert_eq!(deployment.execution_count(&action).await, 1);
 }
 
+/// Guards against an answer that was out before its record was: a repeat of the request through another instance was told that
+/// the action was in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down_answer_waits_for_its_record() {
+    let (deployment, key) = start_configured(&DeploymentSpec::default()).await;
+    let post = Request::post("/logbook/pay")
+        .key(&key)
+        .header("idempotency-key", "pay-8")
+        .header("work-ms", &WORK.as_millis().to_string())
+        .body("day pass");
+    let hold_record = async {
+        while deployment.execution_count("pay-8").await == 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        let down = Faults {
+            is_down: true,
+            ..Faults::default()
+        };
+        deployment.set_faults(down).await;
+        sleep(WORK + RECORD_DELAY).await;
+        deployment.set_faults(Faults::default()).await;
+    };
+    let (first, held) = tokio::join!(
+        send(&deployment, "i1", &post),
+        timeout(RETRY_TIMEOUT, hold_record)
+    );
+    assert_eq!((first.status, held.is_ok()), (200, true), "{first:?}");
+    let repeat = send(&deployment, "i2", &post).await;
+    assert_eq!(
+        (repeat.status, &repeat.body),
+        (first.status, &first.body),
+        "{repeat:?}"
+    );
+    assert_eq!(deployment.execution_count("pay-8").await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pause_withdrawn_key_stays_out_on_wake() {
     let (deployment, key) = start_configured(&DeploymentSpec::default()).await;
