test(proof): the paused instance stands still before the request is sent

pause_withdrawn_key_stays_out_on_wake was flaky: 504 "expired" (not run) on waking. Cause: the test counts on the request waiting unread in the paused instance's socket, but `kill -STOP` returns before the threads stand still; the instance read the request, was stopped, and on waking its deadline of 5 s had passed. That answer is right: it came before the key was withdrawn, and didn't run.

Process::pause sends the signal and returns when all threads are stopped; the test uses it.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     ffi::OsStr,
+    fs::{read_dir, read_to_string},
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
@@ -11,8 +12,10 @@
 };
 
 use serde_json::Value;
+use tokio::time::{Instant, sleep};
 
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Runs a program as a child process, reads its output as JSON lines and kills it on drop.
 #[derive(Debug)]
@@ -122,6 +125,34 @@
         assert!(status.success(), "kill -{name}");
     }
 
+    /// Stops the process by SIGSTOP and returns when none of its threads runs any more, which may be some
+    /// milliseconds after the signal is sent.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the signal can't be sent or the threads don't stop.
+    pub async fn pause(&self) {
+        self.signal("STOP");
+        let deadline = Instant::now() + EVENT_TIMEOUT;
+        while !self.is_paused() {
+            assert!(Instant::now() < deadline, "the process should stop");
+            sleep(PAUSE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether all threads of the process are stopped by a signal.
+    fn is_paused(&self) -> bool {
+        let threads = read_dir(format!("/proc/{}/task", self.child.id()))
+            .expect("the threads of the process should be listed");
+        threads.flatten().all(|thread| {
+            // The state comes after the program's name, which stands in parentheses.
+            let stat = read_to_string(thread.path().join("stat")).unwrap_or_default();
+            stat.rsplit(") ")
+                .next()
+                .is_some_and(|rest| rest.starts_with('T'))
+        })
+    }
+
     /// Waits for the process to exit and returns whether its exit status is zero.
     ///
     /// # Panics
--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -158,7 +158,7 @@
     let mut open = Caller::connect(paused.entry).await;
     let request = Request::get("/logbook/climbs").key(&key);
     assert_eq!(open.send(&request).await.status, 200);
-    paused.process.signal("STOP");
+    paused.process.pause().await;
     // The request waits in the socket buffer of the paused instance.
     let waiting = tokio::spawn(async move { open.send(&request).await });
     let (text, code) = deployment.run_cli(&["key", "withdraw", "k1", "--wait", "0"]);
