--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -110,7 +110,7 @@
     /// Returns the instances through which connections to targets can be opened.
     pub(super) fn relay_ids(&self) -> Vec<InstanceId> {
         let relays = self.relays.iter();
-        relays.map(|(_, relay)| relay.instance.clone()).collect()
+        relays.map(|relay| relay.instance.clone()).collect()
     }
 
     pub(super) fn probe(&self, target: TargetId, relays: Vec<Relay>) {
