fix(dispatch): a withheld attempt lets a request go no further than its earlier attempts did

What callers and targets would see: a request whose first attempt had been lost or refused while a second was being dialed was sent again when that one was withheld: to a third target after two losses, or beyond its number of attempts, without the retry budget.

Cause: withheld always meant another attempt, as nothing had been sent. Change: it does so for free only where nothing ended before; else what ended before counts as if it had ended now.

--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -72,8 +72,21 @@
             }
             Outcome::Canceled => Disposition::Drop,
             Outcome::Withheld => {
-                entry.wait_deadline = entry.wait_deadline.max(now + RETRY_WAIT);
-                Disposition::Retry
+                // What ended before, beside this attempt, counts as if it had ended now.
+                let is_follow_up = !entry.reached.is_empty();
+                let may_follow = entry.reached.len() < entry.request.max_attempts as usize
+                    && (entry.losses == 0
+                        || entry.losses == 1
+                            && entry.request.kind == RequestKind::Idempotent
+                            && !self.quarantine.is_held(entry.request.fingerprint));
+                if !is_follow_up || (may_follow && self.budget.try_withdraw()) {
+                    entry.wait_deadline = entry.wait_deadline.max(now + RETRY_WAIT);
+                    Disposition::Retry
+                } else if entry.losses > 0 {
+                    Disposition::Refuse(ErrorKind::TargetLost)
+                } else {
+                    Disposition::Refuse(ErrorKind::TargetRefused)
+                }
             }
             Outcome::TimedOut => Disposition::Refuse(ErrorKind::TargetTimeout),
             Outcome::Refused | Outcome::Unreachable
