--- a/crates/base/src/regions.rs
+++ b/crates/base/src/regions.rs
@@ -52,6 +52,11 @@
         Self::Only(Arc::new(regions.clone()))
     }
 
+    /// Returns no region at all.
+    pub fn nowhere() -> Self {
+        Self::Only(Arc::default())
+    }
+
     /// Returns whether the request may run in `region`; a region that is not known is none of those
     /// that a request is bound to.
     pub fn contains(&self, region: &RegionId) -> bool {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -198,7 +198,9 @@
                 }
             }
         }
-        self.assign_all(now)
+        let mut actions = self.refuse_unplaceable(now);
+        actions.extend(self.assign_all(now));
+        actions
     }
 
     /// Sets the planned shares of a service's traffic by region.
@@ -216,9 +218,32 @@
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.request.allowed_regions = allowed_regions.clone();
             entry.request.max_attempts = max_attempts;
+            entry.withdrawn = None;
         }
     }
 
+    /// Records that a request may run at most once from now on.
+    pub fn forbid_repeats(&mut self, id: RequestId) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.request.kind = RequestKind::Once;
+        }
+    }
+
+    /// Returns the requests with an attempt in flight at one of these targets.
+    pub fn requests_on(&self, targets: &BTreeSet<TargetId>) -> Vec<RequestId> {
+        let is_meant = |entry: &Entry, pool: &Pool| {
+            let mut attempts = entry.attempts.iter();
+            attempts.any(|attempt| targets.contains(&pool.targets[attempt.target].id))
+        };
+        let entries = self.entries.iter();
+        entries
+            .filter_map(|(id, entry)| {
+                let pool = self.pools.get(&entry.request.service)?;
+                is_meant(entry, pool).then_some(*id)
+            })
+            .collect()
+    }
+
     /// Refuses a request that a new configuration doesn't allow: at once if it waits, and otherwise
     /// where another attempt would follow.
     pub fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -128,6 +128,29 @@
             .collect()
     }
 
+    /// Refuses queued requests that are bound to regions without any target that takes requests.
+    pub(super) fn refuse_unplaceable(&mut self, now: Time) -> Vec<Action> {
+        let queued = self.queued.iter().map(|(_, id)| *id);
+        let unplaceable: Vec<RequestId> =
+            queued.filter(|id| self.is_unplaceable(now, *id)).collect();
+        unplaceable
+            .into_iter()
+            .flat_map(|id| {
+                self.remove_from_queue(id);
+                self.refuse(now, id, ErrorKind::NoTarget)
+            })
+            .collect()
+    }
+
+    fn is_unplaceable(&self, now: Time, id: RequestId) -> bool {
+        let Some(request) = self.entries.get(&id).map(|entry| &entry.request) else {
+            return false;
+        };
+        let allowed = &request.allowed_regions;
+        let pool = self.pools.get(&request.service);
+        !allowed.is_all() && pool.is_some_and(|pool| !pool.has_available_target(now, allowed))
+    }
+
     /// Refuses queued requests whose wait deadline has passed.
     fn refuse_wait_expired(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of queued requests without a target that later ones may overtake at a time.
 const MAX_SKIPPED: usize = 8;
+/// The same of requests that are bound to regions, where targets are chosen without regard to objects:
+/// those may wait until their deadline.
+const MAX_BOUND_SKIPPED: usize = 256;
 
 /// Minimum time after which a new connection is tried through another instance as well.
 const MIN_RELAY_DELAY: Duration = Duration::from_millis(100);
@@ -99,7 +102,7 @@
                 .entries
                 .get(&id)
                 .is_some_and(|entry| !entry.request.allowed_regions.is_all());
-            let is_skipped = found.is_none() && is_bound && skipped.len() < MAX_SKIPPED;
+            let is_skipped = found.is_none() && is_bound && skipped.len() < MAX_BOUND_SKIPPED;
             if found.is_none() && !is_skipped {
                 break None;
             }
--- a/crates/dispatch/tests/placement/homes.rs
+++ b/crates/dispatch/tests/placement/homes.rs
@@ -243,3 +243,76 @@
     assert!(!sent.is_empty());
     assert!(sent.iter().all(|one| one.region.as_str() == "r0"));
 }
+
+/// Guards against a queue that is held up by many requests whose homes are full.
+#[test]
+fn many_bound_requests_hold_up_no_other() {
+    let mut dispatcher = dispatcher_by(Placement::TwoChoices, &config(2));
+    let now = Time::from_secs(1);
+    // Four run, and more wait than may be overtaken at a time.
+    for id in 0..20 {
+        dispatcher.submit(now, bound(now, id, &["r1"]));
+    }
+    let other = dispatcher.submit(now, request(now, 20, 20));
+    assert_eq!(assignments(&other).len(), 1);
+}
+
+/// Guards against a caller that waits in vain: a queued request whose homes moved to where no target is
+/// waited until its deadline, while a new one is refused at once.
+#[test]
+fn queued_request_that_no_target_can_take_any_more_is_refused() {
+    let config = config(2);
+    let mut dispatcher = dispatcher_by(Placement::TwoChoices, &config);
+    let now = Time::from_secs(1);
+    for id in 0..5 {
+        dispatcher.submit(now, bound(now, id, &["r0"]));
+    }
+    assert_eq!(dispatcher.queue_len(), 1);
+    let elsewhere = AllowedRegions::only(&["r2".into()].into());
+    dispatcher.revise(RequestId(4), &elsewhere, 2);
+    let mut actions = dispatcher.configure(now, &config);
+    actions.extend(dispatcher.tick(now + Duration::from_millis(100)));
+    assert_eq!(refusals(&actions), [ErrorKind::NoTarget]);
+}
+
+/// Guards against a request that crashes its targets: after two of them were lost, a withheld hedge let
+/// it be sent to a third.
+#[rstest]
+#[case::two_choices(Placement::TwoChoices)]
+#[case::object_affinity(Placement::ObjectAffinity)]
+fn withheld_hedge_of_a_request_lost_twice_is_not_followed(#[case] placement: Placement) {
+    let mut dispatcher = dispatcher_by(placement, &config(8));
+    let now = Time::from_secs(1);
+    let request = AdmittedRequest {
+        max_attempts: 4,
+        ..request(now, 1, 1)
+    };
+    let id = RequestId(1);
+    dispatcher.submit(now, request);
+    let (_, actions) = dispatcher.finish(now, id, 1, Outcome::Lost);
+    assert_eq!(assignments(&actions).len(), 1);
+    let hedge = dispatcher.hedge(now, id).unwrap();
+    dispatcher.finish(now, id, 2, Outcome::Lost);
+    let (_, actions) = dispatcher.finish(now, id, hedge.attempt, Outcome::Withheld);
+    assert!(assignments(&actions).is_empty());
+    assert_eq!(refusals(&actions), [ErrorKind::TargetLost]);
+}
+
+/// Guards against BUDGET: a withheld hedge let a request be sent to more targets than its route allows.
+#[test]
+fn withheld_hedge_adds_no_attempt() {
+    let mut dispatcher = dispatcher_by(Placement::ObjectAffinity, &config(8));
+    let now = Time::from_secs(1);
+    let request = AdmittedRequest {
+        max_attempts: 3,
+        ..request(now, 1, 1)
+    };
+    let id = RequestId(1);
+    dispatcher.submit(now, request);
+    let hedge = dispatcher.hedge(now, id).unwrap();
+    dispatcher.revise(id, &AllowedRegions::All, 1);
+    dispatcher.finish(now, id, 1, Outcome::Refused);
+    let (_, actions) = dispatcher.finish(now, id, hedge.attempt, Outcome::Withheld);
+    assert!(assignments(&actions).is_empty());
+    assert_eq!(refusals(&actions), [ErrorKind::TargetRefused]);
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -342,6 +342,7 @@
 
 impl Engine {
     fn configure(&mut self, now: Time, config: Arc<Config>) {
+        let old = self.config.take();
         let config = self.config.insert(config).clone();
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
@@ -350,6 +351,9 @@
             .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
         let mut actions = self.revise_requests(now);
         self.admission.configure(now, &config);
+        if let Some(old) = &old {
+            self.recall_attempts(old, &config);
+        }
         actions.extend(self.dispatcher.configure(now, &config));
         self.idle_connections.retain(|target, _| {
             let mut services = config.services.values();
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -1,7 +1,10 @@
 //! What a new configuration says of the requests that have no final answer yet.
 
-use base::{AllowedRegions, ErrorKind, Refusal, Time};
-use dispatch::{Action, RequestId};
+use std::collections::BTreeSet;
+
+use base::{AllowedRegions, Config, ErrorKind, Refusal, RouteKind, TargetId, Time};
+use dispatch::{Action, RequestId, RequestKind};
+use tokio::sync::watch;
 
 use super::{Engine, PendingRequest};
 
@@ -9,6 +12,8 @@
 struct Terms {
     allowed_regions: AllowedRegions,
     max_attempts: u32,
+    /// Whether the request may run at most once.
+    is_once: bool,
 }
 
 impl Engine {
@@ -36,14 +41,16 @@
 
     fn terms(&self, request: &PendingRequest) -> Result<Terms, ErrorKind> {
         let identity = self.identify(&request.origin)?;
-        if identity.workspace != request.workspace {
+        if !identity.is_open && identity.workspace != request.workspace {
             // Its quota was drawn from the other workspace; its caller may ask again.
             return Err(ErrorKind::NotReady);
         }
         let route = identity.route.as_deref();
         let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
         let workspace = config.workspaces.get(&identity.workspace);
+        let is_once = route.is_some_and(|route| route.kind == RouteKind::Once);
         Ok(Terms {
+            is_once,
             allowed_regions: AllowedRegions::of(route, workspace),
             max_attempts: route.map_or(request.max_attempts, |route| route.attempts.max(1)),
         })
@@ -54,6 +61,10 @@
             return;
         };
         request.max_attempts = terms.max_attempts;
+        if terms.is_once {
+            request.kind = RequestKind::Once;
+            self.dispatcher.forbid_repeats(id);
+        }
         self.dispatcher
             .revise(id, &terms.allowed_regions, terms.max_attempts);
         let current = &request.allowed_regions;
@@ -64,13 +75,32 @@
         });
     }
 
+    /// Withholds the attempts whose target is in another region by the new configuration, unless they are
+    /// sent already; others follow them.
+    pub(super) fn recall_attempts(&mut self, old: &Config, new: &Config) {
+        let moved = moved_targets(old, new);
+        if moved.is_empty() {
+            return;
+        }
+        for id in self.dispatcher.requests_on(&moved) {
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            let current = request.allowed_regions.borrow().clone();
+            let later = watch::Sender::new(current);
+            let earlier = std::mem::replace(&mut request.allowed_regions, later);
+            earlier.send_replace(AllowedRegions::nowhere());
+        }
+    }
+
     /// Ends a request that is not allowed any more, unless it is running.
     fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
-        let nowhere = AllowedRegions::only(&[].into());
-        request.allowed_regions.send_replace(nowhere);
+        request
+            .allowed_regions
+            .send_replace(AllowedRegions::nowhere());
         if self.dispatcher.contains(id) {
             return self.dispatcher.withdraw(now, id, kind);
         }
@@ -78,3 +108,21 @@
         vec![Action::Refuse(id, Refusal::new(kind))]
     }
 }
+
+/// Returns the targets that two configurations have in different regions.
+fn moved_targets(old: &Config, new: &Config) -> BTreeSet<TargetId> {
+    let services = new
+        .services
+        .iter()
+        .filter_map(|(name, service)| Some((service, old.services.get(name)?)));
+    services
+        .flat_map(|(service, before)| {
+            let targets = service.targets.iter();
+            targets.filter_map(|(id, target)| Some((id, target, before.targets.get(id)?)))
+        })
+        .filter(|(_, target, before)| {
+            new.region_of(&target.domain) != old.region_of(&before.domain)
+        })
+        .map(|(id, ..)| id.clone())
+        .collect()
+}
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -322,3 +322,87 @@
     assert_eq!(is_sent, !is_withheld);
     assert_eq!(result.connection.is_some(), is_withheld);
 }
+
+/// Guards against HOME: a target moved to another region while its connection was opened, and got the
+/// request that is bound to the region where it had been.
+#[tokio::test]
+async fn request_is_withheld_if_its_target_moved_while_it_was_dialed() {
+    let mut config = with_route(config(), 2);
+    config.routes[0].homes = homes(&["north"]);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    let plan = loop {
+        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
+            break plan;
+        }
+    };
+    let service = config.services.get_mut("board").unwrap();
+    let target = service.targets.get_mut(&plan.assignment.target).unwrap();
+    target.domain = "south".into();
+    activate(&mut engine, &config);
+    let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+    assert!(!permit.covers(None));
+}
+
+/// Guards against TWICE: a request whose route may run it once by now was tried again after a loss.
+#[tokio::test]
+async fn lost_request_of_a_route_that_became_once_is_not_tried_again() {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    outcome(&mut rx).unwrap();
+    config.routes[0].kind = RouteKind::Once;
+    activate(&mut engine, &config);
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Lost,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    assert_eq!(outcome(&mut rx), Err(ErrorKind::TargetLost));
+}
+
+/// Guards against needless refusals: a request that waited while its route was opened to everybody was
+/// refused.
+#[tokio::test]
+async fn waiting_request_outlives_the_opening_of_its_route() {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    config.routes[0].is_open = true;
+    activate(&mut engine, &config);
+    dispatch(&mut engine, 1);
+    assert!(outcome(&mut rx).is_ok());
+}
+
+/// Guards against needless refusals: a key that was withdrawn and given back left its running requests
+/// without a second attempt.
+#[tokio::test]
+async fn request_is_tried_again_once_its_key_is_back() {
+    let config = with_route(config(), 2);
+    let mut without_key = config.clone();
+    without_key.keys.clear();
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    outcome(&mut rx).unwrap();
+    activate(&mut engine, &without_key);
+    activate(&mut engine, &config);
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Refused,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    assert!(outcome(&mut rx).is_ok());
+}
