--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -163,6 +163,18 @@
     });
 }
 
+/// Ends the first attempt of the first request.
+fn end_attempt(engine: &mut Engine, outcome: Outcome) {
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+}
+
 /// Returns the region to which a request was sent, or why it was refused.
 fn outcome(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Result<String, ErrorKind> {
     loop {
@@ -252,14 +264,7 @@
     dispatch(&mut engine, 1);
     outcome(&mut rx).unwrap();
     activate(&mut engine, &with_route(config(), 1));
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Refused,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Refused);
     assert_eq!(outcome(&mut rx), Err(ErrorKind::TargetRefused));
 }
 
@@ -357,14 +362,7 @@
     outcome(&mut rx).unwrap();
     config.routes[0].kind = RouteKind::Once;
     activate(&mut engine, &config);
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Lost,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Lost);
     assert_eq!(outcome(&mut rx), Err(ErrorKind::TargetLost));
 }
 
@@ -396,13 +394,6 @@
     outcome(&mut rx).unwrap();
     activate(&mut engine, &without_key);
     activate(&mut engine, &config);
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Refused,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Refused);
     assert!(outcome(&mut rx).is_ok());
 }
