--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -5,7 +5,6 @@
 use base::{AllowedRegions, ErrorKind, Refusal, Route, RouteKind, ServiceId, Time, WorkspaceId};
 use coord::Freshness;
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
-
 use tokio::sync::watch;
 
 use super::{Engine, OPEN_WORKSPACE, Origin, PendingRequest, split::WeightedSplit};
