fix(dispatch): a configuration leaves a target the slots that it has registered

Cause: `Pool::configure` set each target's slots to those of its service and only then to what the target has registered. A limit is lowered with its maximum and never raised with it, so every configuration left one request in flight to each target (the users' platform gives a service no slots, so the adapter says 1). A configuration comes with each entry that a target writes, so limits never recovered for long.

Change: `Service::slots_of` says what a target has, in one place. target_keeps_its_registered_slots_when_configured_again fails before (2 of 4 sent with two in flight) and passes now.

--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -174,6 +174,16 @@
     pub cold: Option<ColdStart>,
 }
 
+impl Service {
+    /// Returns the number of requests that a target of the service runs concurrently: what it has
+    /// registered, or else what the service says.
+    pub fn slots_of(&self, target: &Target) -> u32 {
+        target
+            .registered
+            .map_or(self.slots, |registration| registration.slots)
+    }
+}
+
 /// Limits the load on a target during its warm-up.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -111,13 +111,14 @@
             let region = region_of(&target.domain).unwrap_or_else(RegionId::unknown);
             if let Some(&idx) = self.index.get(id) {
                 has_moved |= self.move_target(idx, region);
-                self.targets[idx].set_slots(service.slots);
+                self.targets[idx].set_slots(service.slots_of(target));
                 self.apply_registration(now, idx, service, target, context);
                 continue;
             }
             let idx = self.targets.len();
+            let slots = service.slots_of(target);
             self.targets
-                .push(Target::new(now, id.clone(), region.clone(), service.slots));
+                .push(Target::new(now, id.clone(), region.clone(), slots));
             self.index.insert(id.clone(), idx);
             self.region_entry(region).members.push(idx);
             self.apply_registration(now, idx, service, target, context);
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -402,6 +402,27 @@
     assert_eq!(taken.count(), 4);
 }
 
+/// Guards against limits that each configuration lowered to the service's number of slots, so that
+/// requests were refused beside free slots which the targets had registered.
+#[rstest]
+#[case::nothing_in_flight(0)]
+#[case::requests_in_flight(2)]
+fn target_keeps_its_registered_slots_when_configured_again(#[case] in_flight: u64) {
+    let config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let sent = |dispatcher: &mut Dispatcher, ids: std::ops::Range<u64>| {
+        ids.map(|id| assignments(&dispatcher.submit(now, request(now, id, 7))).len())
+            .sum::<usize>()
+    };
+    let before = sent(&mut dispatcher, 0..in_flight);
+    for _ in 0..3 {
+        dispatcher.configure(now, &config);
+    }
+    let after = sent(&mut dispatcher, in_flight..4);
+    assert_eq!(before + after, 4);
+}
+
 /// Guards against a cut of an instance's links barring everybody's requests for the same page for a
 /// minute: the resets on several targets were counted against the request that happened to be on
 /// them.
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the lines that the process has written and that nothing has read yet.
+    pub fn take_lines(&self) -> Vec<Value> {
+        self.lines.try_iter().collect()
+    }
+
     /// Sends a signal by name, for example `TERM`, `STOP`, `CONT` or `KILL`.
     ///
     /// # Panics
