feat(entry): the line of a request refused for lack of room names its targets

Now the line and `why` tell for each of the object's targets: requests of this instance in flight and allowed, load, wait. Only for such refusals, two targets at most.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -124,6 +124,10 @@
         for attempt in line["attempts"].as_array().into_iter().flatten() {
             self.lines.push(format!("  {}", describe_attempt(attempt)));
         }
+        for candidate in line["candidates"].as_array().into_iter().flatten() {
+            self.lines
+                .push(format!("  {}", describe_candidate(candidate)));
+        }
         let retry = line["retry_after_ms"]
             .as_u64()
             .map_or_else(String::new, |ms| format!(", come back after {ms} ms"));
@@ -144,6 +148,18 @@
     }
 }
 
+fn describe_candidate(candidate: &Value) -> String {
+    let number = |name: &str| candidate[name].as_u64().unwrap_or(0);
+    format!(
+        "{} had no room: {} of {} requests of this instance in flight, estimated load {} requests, a wait of {} ms",
+        candidate["target"].as_str().unwrap_or(""),
+        number("in_flight"),
+        number("limit"),
+        number("load"),
+        number("wait_ms")
+    )
+}
+
 fn describe_attempt(attempt: &Value) -> String {
     let number = |name: &str| attempt[name].as_u64().unwrap_or(0);
     let connection = if attempt["is_new"] == true {
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -6,7 +6,8 @@
 
 use super::Dispatcher;
 use crate::{
-    Action, ExclusionReason, HealthReport, PoolStats, RequestId, TargetEvent, TargetState,
+    Action, AdmittedRequest, Candidate, ExclusionReason, HealthReport, PoolStats, RequestId,
+    TargetEvent, TargetState,
 };
 
 impl Dispatcher {
@@ -38,6 +39,14 @@
         self.assign(now, service)
     }
 
+    /// Returns the targets that a request competes for now, to explain why it was refused; none where
+    /// targets are chosen without regard to objects.
+    pub fn candidates(&self, now: Time, request: &AdmittedRequest) -> Vec<Candidate> {
+        let pool = self.pools.get(&request.service);
+        let query = self.surroundings.query(request, &[]);
+        pool.map_or_else(Vec::new, |pool| pool.candidates(now, query))
+    }
+
     /// Records the load that came with a target's response.
     pub fn record_load(&mut self, now: Time, service: &ServiceId, target: &TargetId, total: u32) {
         if let Some(pool) = self.pools.get_mut(service)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,8 +39,8 @@
 pub use quarantine::{Admission, ConnectionLoss, Hold, Quarantine, QuarantineReport};
 pub use queue::FairQueue;
 pub use request::{
-    Action, AdmittedRequest, Assignment, Outcome, Placement, Policy, PoolStats, RequestId,
-    RequestKind, RequestProgress, SelectionReason,
+    Action, AdmittedRequest, Assignment, Candidate, Outcome, Placement, Policy, PoolStats,
+    RequestId, RequestKind, RequestProgress, SelectionReason,
 };
 pub use shared_rate::{RateRank, RateReport, SharedRate};
 pub use target::{HealthReport, Target, TargetEvent, TargetState};
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,9 @@
 use base::{RegionId, Time};
 use rand::{Rng, RngExt};
 
-use crate::{AdmittedRequest, SelectionReason, Target, TargetState, hash::seeded_hash, pool::Pool};
+use crate::{
+    AdmittedRequest, Candidate, SelectionReason, Target, TargetState, hash::seeded_hash, pool::Pool,
+};
 
 /// Refusal rate at and above which a target gets a penalty, so that others are preferred.
 const REFUSAL_RATE_THRESHOLD: f64 = 0.3;
@@ -194,23 +196,11 @@
         if !request.may_run_in(region) {
             return None;
         }
-        let mut ranked: Vec<(u64, usize)> = pool
-            .members
-            .iter()
-            .filter(|idx| !query.tried.contains(idx) && self.targets[**idx].is_ranked(now))
-            .map(|idx| {
-                (
-                    seeded_hash(object_hash, self.targets[*idx].id.as_str()),
-                    *idx,
-                )
-            })
-            .collect();
-        ranked.sort_unstable();
-        ranked.truncate(TARGETS_PER_OBJECT);
+        let ranked = self.ranked_targets(now, object_hash, &pool.members, query.tried);
         let round_trip = query.round_trips.get(region).copied().unwrap_or_default();
         let slack = (request.objective_deadline - (now + round_trip))
             .saturating_sub(self.median_service_time());
-        let is_urgent = request.route_priority <= self.top_priority;
+        let is_urgent = self.is_urgent(request);
         let max_wait = if is_urgent {
             slack
         } else {
@@ -219,8 +209,8 @@
         ranked
             .iter()
             .enumerate()
-            .filter(|(_, (_, idx))| self.targets[*idx].accepts_request(now))
-            .map(|(rank, (_, idx))| (rank, *idx, self.queue_time(now, *idx, is_urgent)))
+            .filter(|(_, idx)| self.targets[**idx].accepts_request(now))
+            .map(|(rank, idx)| (rank, *idx, self.queue_time(now, *idx, is_urgent)))
             .filter(|(rank, idx, wait)| self.is_acceptable(now, *rank, *idx, *wait, max_wait))
             .min_by_key(|(rank, idx, wait)| *wait + self.placement_penalty(*rank, *idx))
             .map(|(rank, idx, wait)| {
@@ -233,6 +223,58 @@
             })
     }
 
+    /// Returns the targets among which an object's requests are divided, the first choice first.
+    fn ranked_targets(
+        &self,
+        now: Time,
+        object_hash: u64,
+        members: &[usize],
+        tried: &[usize],
+    ) -> Vec<usize> {
+        let mut ranked: Vec<(u64, usize)> = members
+            .iter()
+            .filter(|idx| !tried.contains(idx) && self.targets[**idx].is_ranked(now))
+            .map(|idx| {
+                let id = self.targets[*idx].id.as_str();
+                (seeded_hash(object_hash, id), *idx)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let first = ranked.into_iter().take(TARGETS_PER_OBJECT);
+        first.map(|(_, idx)| idx).collect()
+    }
+
+    /// Returns the targets that a request for an object competes for, as they are now: those that rank
+    /// first for it in its planned region. Empty where it may not run there.
+    pub(crate) fn candidates(&self, now: Time, query: PlacementQuery<'_>) -> Vec<Candidate> {
+        let Some(object_hash) = query.request.affinity else {
+            return Vec::new();
+        };
+        let region = self.planned_region(object_hash, query);
+        let Some(pool) = region.and_then(|region| self.regions.get(region)) else {
+            return Vec::new();
+        };
+        let is_urgent = self.is_urgent(query.request);
+        let ranked = self.ranked_targets(now, object_hash, &pool.members, query.tried);
+        ranked
+            .into_iter()
+            .map(|idx| {
+                let target = &self.targets[idx];
+                Candidate {
+                    target: target.id.clone(),
+                    in_flight: target.in_flight,
+                    limit: target.concurrency_limit(now),
+                    load: target.estimated_load(now).round() as u32,
+                    wait: self.queue_time(now, idx, is_urgent),
+                }
+            })
+            .collect()
+    }
+
+    fn is_urgent(&self, request: &AdmittedRequest) -> bool {
+        request.route_priority <= self.top_priority
+    }
+
     /// Returns whether a target of this rank may take a request that would wait there for `wait`;
     /// `max_wait` is the maximum wait with which a warm request meets the objective.
     ///
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -112,6 +112,21 @@
     pub load: u32,
 }
 
+/// Describes a target that a refused request competed for, to explain the refusal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identifier of the target.
+    pub target: TargetId,
+    /// Requests of this instance that are in flight on it.
+    pub in_flight: u32,
+    /// Number of these that this instance allows itself.
+    pub limit: u32,
+    /// Estimated number of requests from all instances that run or wait on it.
+    pub load: u32,
+    /// Time that the request would have waited in the target's own queue.
+    pub wait: Duration,
+}
+
 /// Indicates why a target was selected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum SelectionReason {
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -423,6 +423,38 @@
     assert_eq!(before + after, 4);
 }
 
+/// Guards against refusals whose lines don't tell what kept the request from its targets.
+#[test]
+fn candidates_of_a_refused_request_are_its_two_targets() {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let mut refused = Vec::new();
+    let sent: Vec<String> = (0..20)
+        .flat_map(|id| dispatcher.submit(now, request(now, id, 77)))
+        .filter_map(|action| match action {
+            Action::Assign(assignment) => Some(assignment.target.to_string()),
+            _ => None,
+        })
+        .collect();
+    let later = now + Duration::from_millis(30);
+    refused.extend(refusals(&dispatcher.tick(later)));
+    assert!(refused.contains(&ErrorKind::Overloaded));
+
+    let candidates = dispatcher.candidates(later, &request(later, 30, 77));
+    let found: Vec<(&str, u32, u32)> = candidates
+        .iter()
+        .map(|one| (one.target.as_str(), one.in_flight, one.limit))
+        .collect();
+    let in_flight = |target: &str| sent.iter().filter(|one| *one == target).count() as u32;
+    let expected: Vec<(&str, u32, u32)> = found
+        .iter()
+        .map(|(target, ..)| (*target, in_flight(target), 4))
+        .collect();
+    assert_eq!(found, expected);
+    assert_eq!((found.len(), found[0].1), (2, 4));
+}
+
 /// Guards against a cut of an instance's links barring everybody's requests for the same page for a
 /// minute: the resets on several targets were counted against the request that happened to be on
 /// them.
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use admit::Action as AdmitAction;
-use base::{AllowedRegions, Refusal, TargetId, Time};
+use base::{AllowedRegions, ErrorKind, Refusal, TargetId, Time};
 use dispatch::{
     Action, Assignment, Outcome, PathState, QuarantineReport, RequestId, RequestProgress,
 };
@@ -161,11 +161,27 @@
         }
     }
 
+    /// Tells the handler of a request that is refused for lack of room which targets had none.
+    fn explain_overload(&self, now: Time, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let candidates = self.dispatcher.candidates(now, &request.to_admitted(id));
+        if !candidates.is_empty() {
+            let _ = request.tx.send(Decision::NoRoom(candidates));
+        }
+    }
+
     pub(super) fn apply_dispatch(&mut self, now: Time, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Assign(assignment) => self.send_attempt(now, assignment),
-                Action::Refuse(id, refusal) => self.refuse(id, refusal),
+                Action::Refuse(id, refusal) => {
+                    if refusal.kind == ErrorKind::Overloaded {
+                        self.explain_overload(now, id);
+                    }
+                    self.refuse(id, refusal);
+                }
                 Action::ReportLoss(loss) => {
                     let _ = self.outgoing.send(OutgoingMessage::ConnectionLoss(loss));
                 }
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -218,21 +218,10 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let admitted = AdmittedRequest {
-            id,
-            workspace: request.workspace.clone(),
-            weight: request.weight,
-            service: request.service.clone(),
-            deadline: request.deadline,
-            kind: request.kind,
-            fingerprint: fingerprint.unwrap_or(request.fingerprint),
-            objective_deadline: request.objective_deadline,
-            priority: request.priority,
-            route_priority: request.priority % ROUTE_PRIORITY_LIMIT,
-            max_attempts: request.max_attempts,
-            affinity: request.affinity,
-            allowed_regions: request.allowed_regions.borrow().clone(),
-        };
+        let mut admitted = request.to_admitted(id);
+        if let Some(fingerprint) = fingerprint {
+            admitted.fingerprint = fingerprint;
+        }
         let counter = self.counters.entry(admitted.service.clone()).or_default();
         match admitted.allowed_regions.single() {
             Some(only) => *counter.pinned.entry(only.clone()).or_default() += 1,
@@ -242,3 +231,24 @@
         self.apply_dispatch(now, actions);
     }
 }
+
+impl PendingRequest {
+    /// Returns the request as it is dispatched once it has passed admission.
+    pub(super) fn to_admitted(&self, id: RequestId) -> AdmittedRequest {
+        AdmittedRequest {
+            id,
+            workspace: self.workspace.clone(),
+            weight: self.weight,
+            service: self.service.clone(),
+            deadline: self.deadline,
+            kind: self.kind,
+            fingerprint: self.fingerprint,
+            objective_deadline: self.objective_deadline,
+            priority: self.priority,
+            route_priority: self.priority % ROUTE_PRIORITY_LIMIT,
+            max_attempts: self.max_attempts,
+            affinity: self.affinity,
+            allowed_regions: self.allowed_regions.borrow().clone(),
+        }
+    }
+}
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -50,6 +50,7 @@
             match self.receive().await? {
                 Decision::Resolved(info) => self.log.set_info(info),
                 Decision::Consulted(config) => self.log.set_config(config),
+                Decision::NoRoom(candidates) => self.log.set_candidates(&candidates),
                 decision => return Ok(decision),
             }
         }
@@ -75,7 +76,8 @@
             Decision::SendAttempt(_)
             | Decision::Refuse(_)
             | Decision::Resolved(_)
-            | Decision::Consulted(_) => Err(Refusal::new(ErrorKind::Internal)),
+            | Decision::Consulted(_)
+            | Decision::NoRoom(_) => Err(Refusal::new(ErrorKind::Internal)),
         }
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -8,9 +8,9 @@
 };
 use coord::{Freshness, Grant, GrantRequest, Loan, OwnerId, SlotHistory};
 use dispatch::{
-    ActionEvent, ActionKey, Assignment, ClaimOutcome, ConnectionLoss, Dial, HealthReport, Outcome,
-    PathState, QuarantineReport, RateReport, RegionShares, RequestId, RequestKind, SavedAnswer,
-    TargetState,
+    ActionEvent, ActionKey, Assignment, Candidate, ClaimOutcome, ConnectionLoss, Dial,
+    HealthReport, Outcome, PathState, QuarantineReport, RateReport, RegionShares, RequestId,
+    RequestKind, SavedAnswer, TargetState,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -160,6 +160,8 @@
     Resolved(RequestInfo),
     /// The request is about to be refused by this configuration.
     Consulted(UsedConfig),
+    /// The request is about to be refused because none of these targets has room for it.
+    NoRoom(Vec<Candidate>),
     /// The request is within its workspace's rate and waits for [`Event::Dispatch`].
     Admitted(Admitted),
     /// Send an attempt to a target.
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -128,6 +128,7 @@
                     (info.objective_deadline - state.started).as_millis() as u64
                 }),
                 attempts: &state.attempts,
+                candidates: &state.candidates,
                 end,
                 status,
                 took_ms: (now - state.started).as_millis() as u64,
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex};
 
 use base::{AllowedRegions, Time};
-use dispatch::Outcome;
-use record::lines::AttemptLine;
+use dispatch::{Candidate, Outcome};
+use record::lines::{AttemptLine, CandidateLine};
 
 use crate::{
     forward::AttemptResult,
@@ -24,6 +24,7 @@
     pub(crate) info: Option<RequestInfo>,
     pub(crate) config: Option<UsedConfig>,
     pub(crate) attempts: Vec<AttemptLine>,
+    pub(crate) candidates: Vec<CandidateLine>,
 }
 
 impl RequestLog {
@@ -33,6 +34,7 @@
             info: None,
             config: None,
             attempts: Vec::new(),
+            candidates: Vec::new(),
         };
         Self(Arc::new(Mutex::new(state)))
     }
@@ -48,6 +50,17 @@
         self.with(|state| state.config = Some(config));
     }
 
+    pub(crate) fn set_candidates(&self, candidates: &[Candidate]) {
+        let lines = candidates.iter().map(|candidate| CandidateLine {
+            target: candidate.target.to_string(),
+            in_flight: candidate.in_flight,
+            limit: candidate.limit,
+            load: candidate.load,
+            wait_ms: candidate.wait.as_millis() as u64,
+        });
+        self.with(|state| state.candidates = lines.collect());
+    }
+
     pub(crate) fn attempt_started(&self, now: Time, plan: &AttemptPlan) {
         let assignment = &plan.assignment;
         self.with(|state| {
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -40,6 +40,10 @@
     pub objective_ms: u64,
     /// Attempts in order of their start.
     pub attempts: &'a [AttemptLine],
+    /// Targets that had no room for a request refused as `overloaded`, as they were then; omitted if
+    /// there is none.
+    #[serde(skip_serializing_if = "<[CandidateLine]>::is_empty")]
+    pub candidates: &'a [CandidateLine],
     /// `ok`, `caller_left`, or the kind of error.
     pub end: &'a str,
     /// HTTP status returned to the caller; zero if the caller disconnected.
@@ -51,6 +55,21 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// Describes a target that had no room for a refused request, within a [`RequestLine`].
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct CandidateLine {
+    /// Target that the request competed for.
+    pub target: String,
+    /// Requests of this instance that were in flight on it.
+    pub in_flight: u32,
+    /// Number of these that this instance allowed itself.
+    pub limit: u32,
+    /// Estimate of the target's running and queued requests.
+    pub load: u32,
+    /// Milliseconds that the request would have waited in the target's queue.
+    pub wait_ms: u64,
+}
+
 /// Describes one attempt within a [`RequestLine`].
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct AttemptLine {
