fix(admit): a workspace that a configuration gives back has spent what it had spent

What callers would see: QUOTA. A workspace that one configuration removed and a later one gave back had its whole burst again, and lent reservations could be spent here while the owner still used the loan. The other way round, a workspace that is new to a configuration was refused for as long as a loan lasts, at an instance whose slots had an earlier holder, however long ago.

Cause: when a workspace was removed wasn't known. A slot that nobody had held before it counted as unspent, and any other one as spent until now.

A workspace that was never removed has the history of the slots alone, which covers what earlier holders may have spent.

Evidence: quota_of_a_workspace_that_comes_back_is_spent fails before (5 of 5 admitted, 0 wanted), as does quota_of_a_new_workspace_is_full for a slot that was held long ago (0 of 5 admitted); both pass now. Ruled out by the drawn schedules of proof/tests/limits.rs (10 of 10 pass): more than the quota.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -51,8 +51,8 @@
     split: QuotaSplit,
     limiters: BTreeMap<WorkspaceId, WorkspaceLimiter>,
     slots: BTreeMap<u32, HeldSlot>,
-    /// Whether a configuration has been applied.
-    is_configured: bool,
+    /// When configurations removed workspaces, which may have spent tokens here until then.
+    removed: BTreeMap<WorkspaceId, Time>,
 }
 
 /// Describes a slot that this instance holds.
@@ -77,6 +77,8 @@
     is_reported: bool,
 }
 
+/// Time for which it is known when a workspace was removed; longer than a quota takes to refill.
+const REMOVED_MEMORY: Duration = Duration::from_secs(24 * 3_600);
 /// Maximum number of queued requests of one workspace.
 const MAX_QUEUE_LEN: usize = 4096;
 /// Maximum time that a request waits for a grant.
@@ -89,14 +91,13 @@
             split,
             limiters: BTreeMap::new(),
             slots: BTreeMap::new(),
-            is_configured: false,
+            removed: BTreeMap::new(),
         }
     }
 
     /// Applies a configuration's workspaces and their quotas.
     pub fn configure(&mut self, now: Time, config: &Config) {
-        self.limiters
-            .retain(|id, limiter| config.workspaces.contains_key(id) || !limiter.queue.is_empty());
+        self.remove_unused(now, config);
         for (id, workspace) in &config.workspaces {
             let quota = Quota {
                 rate: workspace.rate,
@@ -107,20 +108,28 @@
                 continue;
             }
             let mut holder = QuotaHolder::new(quota, self.split);
+            let removed_at = self.removed.remove(id);
             for (slot, held) in &self.slots {
-                let history = match held.history {
-                    // A workspace that was removed and added again may have spent tokens here until
-                    // it was removed.
-                    SlotHistory::EndedBy(_) if self.is_configured => SlotHistory::EndedBy(now),
-                    history => history,
-                };
+                let history = held.history.not_before(removed_at);
                 holder.hold_slot(now, *slot, held.until, history);
             }
             let queue = VecDeque::new();
             self.limiters
                 .insert(id.clone(), WorkspaceLimiter { holder, queue });
         }
-        self.is_configured = true;
+    }
+
+    /// Removes the workspaces that a configuration lacks, unless requests of theirs wait.
+    fn remove_unused(&mut self, now: Time, config: &Config) {
+        let removed = &mut self.removed;
+        removed.retain(|_, at| now - *at < REMOVED_MEMORY);
+        self.limiters.retain(|id, limiter| {
+            let is_kept = config.workspaces.contains_key(id) || !limiter.queue.is_empty();
+            if !is_kept {
+                removed.insert(id.clone(), now);
+            }
+            is_kept
+        });
     }
 
     /// Acquires or renews a slot, and so its reservations of every workspace's quota, until a time.
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -49,6 +49,17 @@
     EndedBy(Time),
 }
 
+impl SlotHistory {
+    /// Returns the history of a slot whose tokens may have been spent until `at`, if that is later.
+    pub fn not_before(self, at: Option<Time>) -> Self {
+        match (self, at) {
+            (history, None) => history,
+            (Self::NeverHeld, Some(at)) => Self::EndedBy(at),
+            (Self::EndedBy(ended), Some(at)) => Self::EndedBy(ended.max(at)),
+        }
+    }
+}
+
 /// Tracks whether the holder of a slot may spend its reservation itself, or has lent it to an
 /// owner.
 #[derive(Debug, Clone)]
