fix(coord): a raised quota ends the refusals of the lower one

What callers would see: 429 by a limit that operators have raised, for as long as the lower one would have taken for its next token, up to an hour.

Cause: a holder that got fewer tokens than it had asked for refused until the time that the owner had named, whatever a configuration said of the quota meanwhile; and an owner that learns of the new quota after the holder names such a time by the old one.

Change: another quota ends what the owner said of the last one, and the owner is asked again after a second at most. Callers are still told the time that the owner named.

--- a/crates/admit/tests/configured.rs
+++ b/crates/admit/tests/configured.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use admit::{Action, AdmissionController};
-use base::{Config, Time, Workspace};
-use coord::{QuotaSplit, SlotHistory};
+use base::{Config, Time, Workspace, WorkspaceId};
+use coord::{Grant, GrantRequest, OwnerId, QuotaSplit, SlotHistory};
 use rstest::rstest;
 
 fn config(rate: f64, burst: f64) -> Config {
@@ -47,6 +47,33 @@
         .count()
 }
 
+fn requested(actions: &[Action]) -> Option<GrantRequest> {
+    actions.iter().find_map(|action| match action {
+        Action::RequestGrant(_, _, request) => Some(request.clone()),
+        _ => None,
+    })
+}
+
+fn ask(admission: &mut AdmissionController, now: Time, id: u64) -> Vec<Action> {
+    admission.on_request(now, id, &"w".into(), now + Duration::from_secs(10))
+}
+
+fn refuse_all(request: &GrantRequest, retry_after: Duration) -> Grant {
+    Grant {
+        epoch: 1,
+        serial: request.serial,
+        tokens: 0,
+        retry_after,
+    }
+}
+
+fn owner() -> OwnerId {
+    OwnerId {
+        instance: "owner".into(),
+        epoch: 1,
+    }
+}
+
 /// Guards against QUOTA: a workspace that a configuration removed and a later one gave back had all of
 /// its burst again, though it had just spent it.
 #[test]
@@ -69,3 +96,40 @@
     admission.configure(now, &config(0.01, 5.0));
     assert_eq!(admitted(&mut admission, now), 5);
 }
+
+/// Returns a controller whose only request the owner refused, for 100 s.
+fn exhausted(admission: &mut AdmissionController, now: Time) -> Vec<Action> {
+    let workspace = WorkspaceId::from("w");
+    admission.release_slot(0);
+    admission.set_owner(&workspace, Some(owner()));
+    let request = requested(&ask(admission, now, 1)).unwrap();
+    let grant = refuse_all(&request, Duration::from_secs(100));
+    admission.on_grant(now, &workspace, &grant)
+}
+
+/// Guards against refusals by a quota that a later configuration has raised: they went on for as long as
+/// the earlier one would have taken for the next token, up to an hour.
+#[test]
+fn raised_quota_ends_the_refusals_of_the_lower_one() {
+    let mut admission = controller(&config(0.01, 1.0));
+    let now = Time::from_millis(1_000);
+    exhausted(&mut admission, now);
+    assert_eq!(requested(&ask(&mut admission, now, 2)), None);
+    let now = Time::from_millis(1_200);
+    admission.configure(now, &config(0.01, 1.0));
+    assert_eq!(requested(&ask(&mut admission, now, 3)), None);
+    admission.configure(now, &config(1_000.0, 1_000.0));
+    assert!(requested(&ask(&mut admission, now, 4)).is_some());
+}
+
+/// Guards against the same where the owner gets to know the raised quota later than the one that asks.
+#[test]
+fn raised_quota_ends_the_refusals_of_a_late_owner() {
+    let mut admission = controller(&config(1_000.0, 1_000.0));
+    let refused = exhausted(&mut admission, Time::from_secs(1));
+    let [Action::Refuse(1, refusal)] = &refused[..] else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(refusal.retry_after, Duration::from_secs(100));
+    assert!(requested(&ask(&mut admission, Time::from_secs(3), 2)).is_some());
+}
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -28,13 +28,17 @@
 #[derive(Debug, Clone)]
 pub struct QuotaHolder {
     split: QuotaSplit,
+    whole: Quota,
     reservation_quota: Quota,
     reservations: BTreeMap<u32, Reservation>,
     grants: VecDeque<HeldGrant>,
     pending: Option<PendingRequest>,
     serial: u64,
     requested_at: Time,
+    /// Time until which the owner is not asked again after it has granted too little.
     exhausted_until: Time,
+    /// Time at which the owner expects a token by its last answer.
+    token_expected_at: Time,
     owner: Option<OwnerId>,
     round_trip: Duration,
     demand: DemandEstimate,
@@ -83,6 +87,10 @@
 /// Time beyond a round trip for which expected demand is requested ahead.
 const PREFETCH_MARGIN: Duration = Duration::from_millis(100);
 
+/// Maximum time for which an owner that granted too little is not asked again: it may get to know of a
+/// higher quota later than the holder.
+const MAX_EXHAUSTED_TIME: Duration = Duration::from_secs(1);
+
 /// Multiple of its demand that a holder does not lend, so that uneven arrivals find tokens.
 const DEMAND_MARGIN: f64 = 1.25;
 
@@ -91,6 +99,7 @@
     pub fn new(whole: Quota, split: QuotaSplit) -> Self {
         Self {
             split,
+            whole,
             reservation_quota: split.reservation(whole),
             reservations: BTreeMap::new(),
             grants: VecDeque::new(),
@@ -98,14 +107,20 @@
             serial: 0,
             requested_at: Time::ZERO,
             exhausted_until: Time::ZERO,
+            token_expected_at: Time::ZERO,
             owner: None,
             round_trip: INITIAL_ROUND_TRIP,
             demand: DemandEstimate::default(),
         }
     }
 
-    /// Sets the whole quota, of which this holder has a part.
+    /// Sets the whole quota, of which this holder has a part. What the owner said of another one counts
+    /// no more.
     pub fn set_quota(&mut self, now: Time, whole: Quota) {
+        if std::mem::replace(&mut self.whole, whole) != whole {
+            self.exhausted_until = Time::ZERO;
+            self.token_expected_at = Time::ZERO;
+        }
         self.reservation_quota = self.split.reservation(whole);
         for reservation in self.reservations.values_mut() {
             reservation.bucket.set_quota(now, self.reservation_quota);
@@ -219,7 +234,7 @@
             return AdmissionDecision::Refuse(self.time_until_reserved_token(now));
         }
         if self.is_exhausted(now) {
-            return AdmissionDecision::Refuse(self.exhausted_until - now);
+            return AdmissionDecision::Refuse(self.retry_after(now));
         }
         AdmissionDecision::Wait
     }
@@ -257,7 +272,7 @@
     /// Applies the owner's answer and returns whether it belongs to the pending request.
     ///
     /// If fewer tokens were granted than callers' requests waited for, the quota counts as
-    /// exhausted until the grant's retry delay is over.
+    /// exhausted until the grant's retry delay is over, for a second at most.
     pub fn on_grant(&mut self, now: Time, grant: &Grant) -> bool {
         let is_pending = self
             .pending
@@ -273,7 +288,8 @@
         let old = self.round_trip.as_secs_f64();
         self.round_trip = Duration::from_secs_f64(old + ROUND_TRIP_GAIN * (sample - old));
         if grant.tokens < pending.request.waiting {
-            self.exhausted_until = now + grant.retry_after;
+            self.exhausted_until = now + grant.retry_after.min(MAX_EXHAUSTED_TIME);
+            self.token_expected_at = now + grant.retry_after;
         }
         self.add_grant(grant, pending.sent_at);
         true
@@ -292,14 +308,14 @@
         f64::from(granted) + reserved
     }
 
-    /// Returns whether the owner granted too little and its retry delay is not over yet.
+    /// Returns whether the owner has granted too little and is not asked again yet.
     pub fn is_exhausted(&self, now: Time) -> bool {
         now < self.exhausted_until
     }
 
     /// Returns the delay after which a refused request may be retried.
     pub fn retry_after(&self, now: Time) -> Duration {
-        let wait = self.exhausted_until - now;
+        let wait = self.token_expected_at - now;
         wait.max(Duration::from_millis(10))
     }
 
