fix(dispatch): a limit rises with its maximum

What callers would see: refusals beside free slots after a configuration has added targets to a region, or after a target has registered more slots than before.

Cause: limits start at their maximum and are learned from refusals; a maximum that rises left them where the smaller one had been, and only successes at the limit raise them, by less the higher it is.

Change: a limit rises in proportion with its maximum, so that what refusals have shown is kept, and what they can't have shown is free. The limits of regions count for two choices alone, those of targets for both placements.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -64,10 +64,12 @@
         self
     }
 
-    /// Sets the upper bound of the limit and lowers the limit to it.
+    /// Sets the upper bound of the limit. The limit is lowered to a lower one, and rises in proportion
+    /// with a higher one, since refusals have shown nothing of the room that is added.
     pub fn set_max(&mut self, max: u32) {
-        self.max = f64::from(max.max(1));
-        self.limit = self.limit.min(self.max);
+        let max = f64::from(max.max(1));
+        self.limit = (self.limit * (max / self.max).max(1.0)).min(max);
+        self.max = max;
     }
 
     /// Returns the number of requests that may run at the same time, at least one.
--- /dev/null
+++ b/crates/dispatch/tests/placement/configured.rs
@@ -0,0 +1,48 @@
+//! What a later configuration leaves of what is known of targets and regions.
+
+use base::Time;
+use dispatch::{ConcurrencyLimit, Dispatcher, Placement, Policy};
+use rstest::rstest;
+
+use crate::support::{assignments, config, request};
+
+/// Guards against a region that kept the limit of its first targets when a configuration added others.
+#[test]
+fn added_targets_raise_the_limit_of_their_region() {
+    let policy = Policy {
+        placement: Placement::TwoChoices,
+        ..Policy::default()
+    };
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, policy).unwrap();
+    dispatcher.configure(Time::ZERO, &config(2));
+    dispatcher.configure(Time::from_secs(1), &config(20));
+    let now = Time::from_secs(2);
+    dispatcher.tick(now);
+    let sent: usize = (0..30)
+        .map(|id| assignments(&dispatcher.submit(now, request(now, id, id))).len())
+        .sum();
+    assert_eq!(sent, 30);
+}
+
+/// Guards against a learned limit that a configuration raised though it brought no room.
+#[rstest]
+#[case::same(10, 10)]
+#[case::twice(20, 20)]
+#[case::half(5, 5)]
+fn learned_limit_keeps_its_part_of_the_maximum(#[case] max: u32, #[case] top: u32) {
+    let mut limit = ConcurrencyLimit::new(10);
+    while limit.current() > 6 {
+        limit.record_refusal();
+    }
+    let learned = limit.current();
+    limit.set_max(max);
+    let expected = match max {
+        20 => learned * 2..=learned * 2 + 1,
+        _ => learned.min(max)..=learned.min(max),
+    };
+    assert!(expected.contains(&limit.current()), "{}", limit.current());
+    for _ in 0..1_000 {
+        limit.record_success(limit.current());
+    }
+    assert_eq!(limit.current(), top);
+}
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Placement by object affinity: all instances select the same target for an object, cold targets
 //! get limited rates, and few requests leave their preferred target or region.
 
+mod configured;
 mod homes;
 mod moves;
 mod support;
