fix(dispatch): a target whose entry is gone for a moment is remembered

What targets would see: a rest that they have asked for is broken, and their own word that they leave, their named rate and the learned limits are forgotten, when the entries of most targets of a service expire while the store is down and come back with it.

Cause: targets without an entry are removed once they outnumber the others and sixteen; one that comes back is then new, though its incarnation is the same.

Change: a target that has said something itself in the last 60 s, by an answer, a refusal or its health endpoint, is kept. Targets that are replaced go as before, and at the latest that long after their last word.

Evidence: rest_outlives_entries_that_are_gone_for_a_moment fails before (the request goes to the target at rest) and passes now; place_replaced_targets_are_removed passes as before. All tests of the crate pass.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -171,7 +171,7 @@
             };
             let priorities = routes().map(|route| route.priority);
             pool.top_priority = priorities.min().unwrap_or(0);
-            if let Some(new_indices) = pool.remove_unused(service) {
+            if let Some(new_indices) = pool.remove_unused(now, service) {
                 let entries = self.entries.values_mut();
                 for entry in entries.filter(|entry| entry.request.service == *id) {
                     entry.remap_targets(&new_indices);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -143,13 +143,20 @@
         self.targets[idx].update_registration(now, context.chart, registration, cold_interval);
     }
 
-    /// Removes targets that are no longer configured and have no request in flight, once they
-    /// outnumber the others.
+    /// Removes targets that are no longer configured, have no request in flight and have said nothing
+    /// lately, once they outnumber the others.
     ///
     /// Returns the new position of each target, or `None` where nothing was removed.
-    pub(crate) fn remove_unused(&mut self, service: &Service) -> Option<Vec<Option<usize>>> {
-        let is_kept =
-            |target: &Target| target.in_flight > 0 || service.targets.contains_key(&target.id);
+    pub(crate) fn remove_unused(
+        &mut self,
+        now: Time,
+        service: &Service,
+    ) -> Option<Vec<Option<usize>>> {
+        let is_kept = |target: &Target| {
+            target.in_flight > 0
+                || service.targets.contains_key(&target.id)
+                || target.is_remembered(now)
+        };
         let kept = self.targets.iter().filter(|target| is_kept(target)).count();
         if self.targets.len() - kept <= kept.max(MIN_UNUSED_TARGETS) {
             return None;
@@ -395,6 +402,7 @@
         self.latency.record(latency);
         self.throughput.record_response(now, !self.queue.is_empty());
         let target = &mut self.targets[idx];
+        target.record_word(now);
         let estimate = match reason {
             SelectionReason::First | SelectionReason::Cheaper => Some(&mut self.warm_latency),
             SelectionReason::Next | SelectionReason::OtherRegion => Some(&mut self.cold_latency),
@@ -415,6 +423,7 @@
     /// Records a refusal for lack of capacity.
     pub(crate) fn record_refusal(&mut self, now: Time, idx: usize) {
         let target = &mut self.targets[idx];
+        target.record_word(now);
         target.record_refusal(now);
         target.record_result(true);
         if let Some(pool) = self.regions.get_mut(&target.region) {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -90,6 +90,8 @@
     refusal_rate: f64,
     /// When the target takes the next request of this instance, by its own word.
     gate: SendGate,
+    /// Time of the target's last own word; [`Time::ZERO`] if there was none.
+    heard_at: Time,
 }
 
 /// Holds the load that a target reported with a response.
@@ -118,6 +120,9 @@
 /// Time for which health reports are distrusted after one showed a free slot and the target
 /// refused a request.
 const REPORT_DISTRUST: Duration = Duration::from_secs(5);
+/// Time for which a target that is no longer configured is remembered after its last own word: longer
+/// than entries are gone because the store was down, and than most rests.
+const MEMORY: Duration = Duration::from_secs(60);
 /// Consecutive failed connections after which a target counts as down.
 const FAILURES_UNTIL_DOWN: u32 = 3;
 
@@ -147,6 +152,7 @@
             load_report: None,
             refusal_rate: 0.0,
             gate: SendGate::default(),
+            heard_at: Time::ZERO,
         }
     }
 
@@ -287,6 +293,16 @@
         self.refusal_rate += REFUSAL_RATE_GAIN * (sample - self.refusal_rate);
     }
 
+    /// Records that the target has said something itself.
+    pub(crate) fn record_word(&mut self, now: Time) {
+        self.heard_at = now;
+    }
+
+    /// Returns whether what is known of the target still counts if its entry comes back.
+    pub(crate) fn is_remembered(&self, now: Time) -> bool {
+        self.heard_at != Time::ZERO && now - self.heard_at < MEMORY
+    }
+
     /// Records that a request is sent to the target.
     pub fn record_send(&mut self, now: Time) {
         self.in_flight += 1;
--- a/crates/dispatch/src/target/service.rs
+++ b/crates/dispatch/src/target/service.rs
@@ -13,6 +13,7 @@
     /// had registered as leaving, or until its health endpoint says otherwise. An entry that never
     /// said that the target is leaving may be older than the target's word.
     pub fn say_leaving(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) -> bool {
+        self.record_word(now);
         let is_news = !self.exclusions.contains(ExclusionReason::OwnWord);
         self.exclude(now, chart, ExclusionReason::OwnWord, true);
         is_news
--- a/crates/dispatch/tests/placement/configured.rs
+++ b/crates/dispatch/tests/placement/configured.rs
@@ -1,10 +1,34 @@
 //! What a later configuration leaves of what is known of targets and regions.
 
+use std::time::Duration;
+
 use base::Time;
-use dispatch::{ConcurrencyLimit, Dispatcher, Placement, Policy};
+use dispatch::{ConcurrencyLimit, Dispatcher, Outcome, Placement, Policy};
 use rstest::rstest;
 
-use crate::support::{assignments, config, request};
+use crate::support::{assignments, config, dispatcher, request, run};
+
+/// Guards against a rest that was forgotten when the entries of all targets were gone for a moment, as
+/// after an outage of the store.
+#[test]
+fn rest_outlives_entries_that_are_gone_for_a_moment() {
+    let config = config(40);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let sent = assignments(&dispatcher.submit(now, request(now, 1, 7)))[0].clone();
+    let rest = Duration::from_secs(20);
+    assert!(dispatcher.record_rest(now, sent.id, 1, rest).is_some());
+    dispatcher.finish(now, sent.id, 1, Outcome::Refused);
+
+    let mut without = config.clone();
+    without.services.get_mut("s").unwrap().targets.clear();
+    dispatcher.configure(now + Duration::from_secs(1), &without);
+    dispatcher.configure(now + Duration::from_secs(2), &config);
+    let now = now + Duration::from_secs(10);
+    dispatcher.tick(now);
+    let target = run(&mut dispatcher, now, 2, 7).unwrap();
+    assert_ne!(target, sent.target.as_str());
+}
 
 /// Guards against a region that kept the limit of its first targets when a configuration added others.
 #[test]
