fix(entry): attempts at targets that a configuration takes out of service are withheld

What targets would see: DRAIN or EVAC. A request reached a target that was drained, evacuated, leaving or gone, since it had been chosen before and the connection, direct or through other instances, was opened for up to 2.9 s.

Cause: the class of HOME. The choice of a target is a decision of one configuration; recalls it where the target's region moves, and nowhere else.

Change: attempts that aren't sent are withheld as well if their target was in service by the last configuration and isn't by this one; others follow, as for moved targets.

Evidence: request_is_withheld_if_its_target_left_while_it_was_dialed fails before in 3 of 3 cases (drained, evacuated, gone) and passes now.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -4,6 +4,7 @@
 mod loads;
 mod paths;
 mod rates;
+mod recall;
 mod revision;
 mod routing;
 mod split;
@@ -353,6 +354,7 @@
         self.admission.configure(now, &config);
         if let Some(old) = &old {
             self.recall_attempts(old, &config);
+            self.recall_from_leaving(old, &config);
         }
         actions.extend(self.dispatcher.configure(now, &config));
         self.idle_connections.retain(|target, _| {
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -8,7 +8,7 @@
 
 use base::{
     AllowedRegions, Config, Domain, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
-    Target, Time, WeightedService, Workspace,
+    Target, TargetId, Time, WeightedService, Workspace,
 };
 use bytes::Bytes;
 use coord::{Freshness, QuotaSplit, SlotHistory};
@@ -351,6 +351,42 @@
     assert!(!permit.covers(None));
 }
 
+/// Guards against DRAIN and EVAC: a target left while a connection to it was opened, and got the request
+/// that had been meant for it before.
+#[rstest]
+#[case::drained(|config: &mut Config, target: &TargetId| {
+    config.drains.targets.insert(target.clone());
+})]
+#[case::evacuated(|config: &mut Config, target: &TargetId| {
+    let domain = config.services["board"].targets[target].domain.clone();
+    config.drains.targets_in_domains.insert(domain);
+})]
+#[case::gone(|config: &mut Config, target: &TargetId| {
+    config.services.get_mut("board").unwrap().targets.remove(target);
+})]
+#[tokio::test]
+async fn request_is_withheld_if_its_target_left_while_it_was_dialed(
+    #[case] leave: fn(&mut Config, &TargetId),
+) {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let mut rx = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    let plan = loop {
+        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
+            break plan;
+        }
+    };
+    let target = plan.assignment.target.clone();
+    leave(&mut config, &target);
+    activate(&mut engine, &config);
+    let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+    assert!(!permit.covers(None));
+    end_attempt(&mut engine, Outcome::Withheld);
+    assert_eq!(outcome(&mut rx), Ok("south".to_owned()));
+}
+
 /// Guards against TWICE: a request whose route may run it once by now was tried again after a loss.
 #[tokio::test]
 async fn lost_request_of_a_route_that_became_once_is_not_tried_again() {
