fix(daemon): an instance that can't tell the others reads on

What callers would see: CONFIG. Versions, and targets that come and go, aren't in force at an instance whose task of the other instances takes no commands.

Cause: the follower of the tables waited until its position had room in that task's channel before it looked at the next read.

--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -199,7 +199,7 @@
                     self.refresh(&tx);
                 }
             }
-            self.publish().await;
+            self.publish();
         }
     }
 }
@@ -408,7 +408,7 @@
         own.flatten().max(self.peer_confirmed_at)
     }
 
-    async fn publish(&mut self) {
+    fn publish(&mut self) {
         let now = self.options.clock.now();
         let fleet = self.options.fleet.borrow().clone();
         let confirmed_at = self.confirmed_at();
@@ -446,12 +446,14 @@
             .collect();
         let current = (positions, confirmed_at);
         if self.last_sent.as_ref() != Some(&current) {
-            self.last_sent = Some(current.clone());
             let command = PeerCommand::SetTablePositions {
-                positions: current.0,
+                positions: current.0.clone(),
                 confirmed_at: current.1,
             };
-            let _ = self.options.peers.send(command).await;
+            // What finds no room is told with a later refresh; nothing may hold up the next read.
+            if self.options.peers.try_send(command).is_ok() {
+                self.last_sent = Some(current);
+            }
         }
     }
 
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -52,6 +52,8 @@
     changes: Vec<Duration>,
     /// Time at which the only target leaves its table.
     removal: Option<Duration>,
+    /// Whether the task that tells the other instances takes commands.
+    tells_others: bool,
 }
 
 impl Scenario {
@@ -83,6 +85,7 @@
             silences,
             changes,
             removal: None,
+            tells_others: true,
         }
     }
 
@@ -246,7 +249,7 @@
     };
     let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
     let (engine, mut engine_rx) = mpsc::unbounded_channel();
-    let (peers, mut peers_rx) = mpsc::channel(64);
+    let (peers, mut peers_rx) = mpsc::channel(4);
     let (view, _view_rx) = watch::channel(Arc::new(View::default()));
     let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
     let (_tx, rx) = mpsc::channel(1);
@@ -274,7 +277,13 @@
         snapshots,
     });
     tokio::spawn(async move { while engine_rx.recv().await.is_some() {} });
-    tokio::spawn(async move { while peers_rx.recv().await.is_some() {} });
+    let tells_others = network.scenario.tells_others;
+    tokio::spawn(async move {
+        if !tells_others {
+            pending::<()>().await;
+        }
+        while peers_rx.recv().await.is_some() {}
+    });
     follower.run(rx).await;
 }
 
@@ -333,6 +342,7 @@
                 silences: vec![(start, start + Duration::from_millis(length_ms))],
                 changes: vec![Duration::from_millis(5_000), Duration::from_millis(5_300)],
                 removal: None,
+                tells_others: true,
             };
             late(&scenario, &run(&scenario)).map(|late| (length_ms, late))
         })
@@ -360,6 +370,7 @@
                 silences: vec![(silence, silence)],
                 changes: vec![Duration::from_millis(500)],
                 removal: Some(removal),
+                tells_others: true,
             };
             let history = run(&scenario);
             let gone = history
@@ -372,3 +383,19 @@
         .collect();
     assert!(late.is_empty(), "by start of the silence in ms: {late:?}");
 }
+
+/// CONFIG: a version was not in force in time because the task that tells the other instances took no
+/// commands, as while its socket can't send.
+#[test]
+fn change_in_force_in_time_though_others_are_not_told() {
+    let scenario = Scenario {
+        contact: Duration::from_secs(3),
+        apply: Duration::from_millis(2_500),
+        way: Duration::from_millis(2),
+        silences: Vec::new(),
+        changes: (1..20).map(Duration::from_secs).collect(),
+        removal: None,
+        tells_others: false,
+    };
+    assert_eq!(late(&scenario, &run(&scenario)), None);
+}
