fix(entry,steer): a look-up with a key names no instance outside of the homes of its workspace

A look-up of the product's own interface named instances of all regions, and a caller whose own region has none sent the body of a request to one that is neither in a home of its workspace nor in its own region.

Cause: look-ups knew no workspace.

Change: a look-up may carry the key, as requests do; instances outside of the workspace's homes and the caller's region are left out. Without a valid key it is answered as before. Homes of routes aren't known to these look-ups, which name a service and no host; those of the platform know them.

Evidence: lookup_names_the_homes_of_the_workspace fails before in the four of six cases that carry the key (all three regions are named), and passes now.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use base::{DomainId, ErrorKind, Executed, Refusal, RegionId, ServiceId, Time};
+use base::{
+    AllowedRegions, Config, DomainId, ErrorKind, Executed, KeyDigest, Refusal, RegionId, ServiceId,
+    Time,
+};
 use bytes::Bytes;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, RequestId, RequestKind, SavedAnswer};
 use http::{HeaderName, HeaderValue, StatusCode, header};
@@ -18,7 +21,7 @@
     http::{ReqBody, Request, ResBody, Response},
 };
 use serde::Serialize;
-use steer::{CallerLocation, rank_candidates};
+use steer::{CallerLocation, rank_allowed_candidates};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::timeout,
@@ -149,7 +152,8 @@
             region: req.query::<String>("region").map(RegionId::from),
         };
         let candidates = view.candidates(config);
-        let entries = rank_candidates(&candidates, &origin, rand::random())
+        let allowed = self.allowed_regions(req, config);
+        let entries = rank_allowed_candidates(&candidates, &origin, &allowed, rand::random())
             .into_iter()
             .map(|idx| LookupEntry {
                 instance: candidates[idx].instance.as_str(),
@@ -170,6 +174,19 @@
         response::write_json(res, StatusCode::OK.as_u16(), &body);
     }
 
+    /// Returns where the requests of the workspace whose key a look-up carries may run; everywhere
+    /// without a valid key.
+    fn allowed_regions(&self, req: &Request, config: &Config) -> AllowedRegions {
+        let key = head::api_key(&self.dialect, req.uri(), req.headers());
+        let Some(digest) = key.ok().flatten().map(|key| KeyDigest::of(&key)) else {
+            return AllowedRegions::All;
+        };
+        let mut keys = config.keys.values();
+        let found = keys.find(|key| key.digest == digest);
+        let workspace = found.and_then(|key| config.workspaces.get(&key.workspace));
+        AllowedRegions::of(None, workspace)
+    }
+
     async fn serve_request(&self, req: &mut Request, res: &mut Response) {
         let started = self.clock.now();
         let trace = Trace::accept(req.headers(), self.options.trace_sample_ratio);
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -217,7 +217,16 @@
     Some(u64::from_le_bytes(prefix))
 }
 
-fn api_key(dialect: &Dialect, uri: &Uri, headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+/// Returns the API key that a request carries, if any.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadRequest`] if the header can't be read as a key.
+pub(crate) fn api_key(
+    dialect: &Dialect,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Result<Option<String>, ErrorKind> {
     if let KeyLocation::Header(name) = &dialect.key {
         return Ok(header_text(headers, name)?.map(str::to_owned));
     }
--- /dev/null
+++ b/crates/entry/tests/lookup.rs
@@ -0,0 +1,138 @@
+//! Look-ups of callers over the product's own interface.
+
+use std::{
+    collections::BTreeSet,
+    io,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use base::{Config, Domain, Incarnation, Key, KeyDigest, Service, Workspace};
+use entry::{
+    callers::{CallerHandler, HandlerOptions, MAX_HELD_BYTES},
+    dial::Dialer,
+    dialect::Dialect,
+    forward::Forwarder,
+    held::HeldBytes,
+    metrics::Metrics,
+    recorder::Recorder,
+    serve::listen,
+    view::{Clock, EntryPoint, View},
+};
+use record::Sink;
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::{mpsc, watch},
+};
+
+const REGIONS: [&str; 3] = ["east", "north", "south"];
+
+/// Returns a configuration with a workspace whose home is `north`.
+fn config() -> Config {
+    let mut config = Config::default();
+    for region in REGIONS {
+        let domain = Domain {
+            region: region.into(),
+        };
+        config.domains.insert(region.into(), domain);
+    }
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 1_000,
+        open_routes: Vec::new(),
+        targets: Default::default(),
+        cold: None,
+    };
+    config.services.insert("board".into(), service);
+    let workspace = Workspace {
+        homes: ["north".into()].into(),
+        ..Workspace::default()
+    };
+    config.workspaces.insert("gym".into(), workspace);
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of("key"),
+    };
+    config.keys.insert("k".into(), key);
+    config
+}
+
+/// Returns a view with an instance in each region.
+fn view() -> View {
+    let entries = REGIONS.iter().map(|region| EntryPoint {
+        instance: (*region).into(),
+        incarnation: Incarnation(1),
+        domain: (*region).into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+    });
+    View {
+        config: Some((1, Arc::new(config()))),
+        entries: entries.collect(),
+        ..View::default()
+    }
+}
+
+fn handler() -> CallerHandler {
+    let clock = Clock::start();
+    let (relays, _) = mpsc::unbounded_channel();
+    let (events, _) = mpsc::unbounded_channel();
+    let (ledger, _) = mpsc::channel(1);
+    let (_, view) = watch::channel(Arc::new(view()));
+    CallerHandler {
+        clock,
+        events,
+        ledger,
+        view,
+        metrics: Metrics::new().unwrap(),
+        ids: Arc::new(AtomicU64::new(1)),
+        options: HandlerOptions {
+            max_body_bytes: 1_024,
+            body_timeout: Duration::from_secs(1),
+            lookup_ttl: Duration::from_secs(1),
+            trace_sample_ratio: 0.0,
+        },
+        dialect: Arc::new(Dialect::default()),
+        recorder: Recorder::new(Sink::start(io::sink()).unwrap(), "i".into(), "north".into()),
+        forwarder: Forwarder::new(Dialer::new(clock, relays)),
+        held: HeldBytes::new(MAX_HELD_BYTES),
+    }
+}
+
+/// Returns the regions of the instances that a look-up names.
+async fn look_up(query: &str, header: &str) -> BTreeSet<String> {
+    let listener = listen(([127, 0, 0, 1], 0).into(), handler().into_router()).await;
+    let mut stream = TcpStream::connect(listener.unwrap().addr).await.unwrap();
+    let head = format!(
+        "GET /v1/lookup?service=board{query} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{header}\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    let named = REGIONS.iter().filter(|region| {
+        let entry = format!("\"region\":\"{region}\"");
+        answer.contains(&entry)
+    });
+    named.map(|region| (*region).to_owned()).collect()
+}
+
+/// Guards against HOME: a look-up named instances outside of the homes of the caller's workspace, which
+/// then got the bodies of its requests.
+#[rstest]
+#[case::without_key("&region=south", "", &["east", "north", "south"])]
+#[case::unknown_key("&region=south", "x-api-key: other\r\n", &["east", "north", "south"])]
+#[case::from_its_home("&region=north", "x-api-key: key\r\n", &["north"])]
+#[case::from_elsewhere("&region=south", "x-api-key: key\r\n", &["north", "south"])]
+#[case::by_domain("&domain=south", "x-api-key: key\r\n", &["north", "south"])]
+#[case::from_nowhere("", "authorization: Bearer key\r\n", &["north"])]
+#[tokio::test]
+async fn lookup_names_the_homes_of_the_workspace(
+    #[case] query: &str,
+    #[case] header: &str,
+    #[case] expected: &[&str],
+) {
+    let expected: BTreeSet<String> = expected.iter().map(|one| (*one).to_owned()).collect();
+    assert_eq!(look_up(query, header).await, expected);
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,7 +6,9 @@
 mod steering;
 
 pub use blocks::BlockTable;
-pub use lookup::{CallerLocation, Candidate, candidates_for_host, rank_candidates};
+pub use lookup::{
+    CallerLocation, Candidate, candidates_for_host, rank_allowed_candidates, rank_candidates,
+};
 pub use plan::{
     Measurements, Plan, PlanPolicy, Shares, ShiftLimiter, desired_shares, moved_share, plan,
     planned_utilization, without_region,
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use base::{Config, DomainId, InstanceId, RegionId};
+use base::{AllowedRegions, Config, DomainId, InstanceId, RegionId};
 
 /// Locates a caller, as far as its location is known.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -13,6 +13,18 @@
     pub region: Option<RegionId>,
 }
 
+impl CallerLocation {
+    /// Returns the caller's region, which may be known from the candidates in its failure domain.
+    fn region_among<'a>(&'a self, candidates: &[Candidate<'a>]) -> Option<&'a RegionId> {
+        self.region.as_ref().or_else(|| {
+            candidates
+                .iter()
+                .find(|candidate| self.domain.as_ref() == Some(candidate.domain))
+                .map(|candidate| candidate.region)
+        })
+    }
+}
+
 /// Describes an instance that a look-up can return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate<'a> {
@@ -50,12 +62,7 @@
     location: &CallerLocation,
     seed: u64,
 ) -> Vec<usize> {
-    let region = location.region.as_ref().or_else(|| {
-        candidates
-            .iter()
-            .find(|candidate| location.domain.as_ref() == Some(candidate.domain))
-            .map(|candidate| candidate.region)
-    });
+    let region = location.region_among(candidates);
     let mut ranked: Vec<(u8, u64, usize)> = candidates
         .iter()
         .enumerate()
@@ -74,6 +81,23 @@
     ranked.into_iter().map(|(_, _, idx)| idx).collect()
 }
 
+/// Returns the same without the candidates that are neither in one of the `allowed` regions nor in the
+/// caller's: a caller sends the body of its request to the instance that it chooses.
+pub fn rank_allowed_candidates(
+    candidates: &[Candidate<'_>],
+    location: &CallerLocation,
+    allowed: &AllowedRegions,
+    seed: u64,
+) -> Vec<usize> {
+    let own = location.region_among(candidates);
+    let mut ranked = rank_candidates(candidates, location, seed);
+    ranked.retain(|idx| {
+        let region = candidates[*idx].region;
+        allowed.contains(region) || own == Some(region)
+    });
+    ranked
+}
+
 /// Returns the indices of the candidates that a caller at `location` should use for `host`.
 ///
 /// These are the candidates in the caller's region, or all of them where that region has none or is
