fix(dispatch): a target whose entry comes back is as warm as the entry says

What callers would see: refusals for `coldStartS` once the store is back. Entries that expired while it was down return within some two seconds, and each of their targets counted as cold from then on, at its cold rate over all instances, though the entry names the same start and no cold time.

Cause: whatever had kept a target out of service, its end marked the target as cold for the whole time that the service names. That is meant for drains, after which a target may have become cold without a new entry (PLATFORM.md, FAILBACK).

Change: the end of a drain marks the target, as before, also where its entry is missing at that moment; an entry that comes back marks it for the time that the entry names, also if that is no more than it named before.

Evidence: target_whose_entry_comes_back_is_as_warm_as_it_says fails before for a warm target and passes now; its cold case and target_that_is_taken_back_counts_as_cold hold before and after.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -192,7 +192,7 @@
                     && is_back
                     && target.is_registered()
                 {
-                    // A target may have been restarted while it was drained.
+                    // A target may have become cold while it was drained, without a new entry.
                     let left = Duration::from_millis(u64::from(cold.duration_ms));
                     target.mark_cold(now, &self.chart, left);
                 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -188,7 +188,9 @@
             self.probe_backoff = MIN_PROBE_BACKOFF;
             self.apply_event(now, chart, TargetEvent::Recovered);
         }
-        let has_turned_cold = old.is_none_or(|old| registration.cold_ms > old.cold_ms) || is_new;
+        let is_back = self.exclusions.contains(ExclusionReason::Entry) && !registration.is_leaving;
+        let has_turned_cold =
+            old.is_none_or(|old| registration.cold_ms > old.cold_ms) || is_new || is_back;
         if registration.cold_ms > 0 && has_turned_cold {
             self.mark_cold(
                 now,
--- a/crates/dispatch/src/target/service.rs
+++ b/crates/dispatch/src/target/service.rs
@@ -33,8 +33,8 @@
         }
     }
 
-    /// Applies what the configuration says of the target, and returns whether it has ended a reason for
-    /// which the target got nothing.
+    /// Applies what the configuration says of the target, and returns whether operators have taken it
+    /// back into service.
     pub fn apply_config(
         &mut self,
         now: Time,
@@ -46,15 +46,13 @@
             (ExclusionReason::Entry, !is_available),
             (ExclusionReason::Drained, is_drained),
         ];
-        let was_excluded = reasons
-            .iter()
-            .any(|(reason, _)| self.exclusions.contains(*reason));
+        let was_drained = self.exclusions.contains(ExclusionReason::Drained);
         // New reasons come first, so that a change of reasons is no return to service.
         reasons.sort_by_key(|(_, holds)| !holds);
         for (reason, holds) in reasons {
             self.exclude(now, chart, reason, holds);
         }
-        was_excluded && is_available && !is_drained
+        was_drained && !is_drained
     }
 
     /// Returns whether there is no reason for which the target gets nothing.
--- a/crates/dispatch/tests/placement/configured.rs
+++ b/crates/dispatch/tests/placement/configured.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Time;
-use dispatch::{ConcurrencyLimit, Dispatcher, Outcome, Placement, Policy};
+use dispatch::{ConcurrencyLimit, Dispatcher, Outcome, Placement, Policy, TargetState};
 use rstest::rstest;
 
 use crate::support::{assignments, config, dispatcher, request, run};
@@ -70,3 +70,45 @@
     }
     assert_eq!(limit.current(), top);
 }
+
+/// Guards against a service whose targets all counted as cold once their entries, gone while the store
+/// was down, came back and said that they are warm; and against one that has turned cold meanwhile.
+#[rstest]
+#[case::warm(0, TargetState::Ready)]
+#[case::cold(2_000, TargetState::Cold)]
+fn target_whose_entry_comes_back_is_as_warm_as_it_says(
+    #[case] cold_ms: u32,
+    #[case] expected: TargetState,
+) {
+    let mut config = config(2);
+    for target in config.services.get_mut("s").unwrap().targets.values_mut() {
+        target.registered.as_mut().unwrap().cold_ms = cold_ms;
+    }
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(10);
+    dispatcher.tick(now);
+    assert_eq!(dispatcher.targets(now)[0].1, TargetState::Ready);
+
+    let mut without = config.clone();
+    without.services.get_mut("s").unwrap().targets.clear();
+    dispatcher.configure(now + Duration::from_secs(1), &without);
+    let now = now + Duration::from_secs(2);
+    dispatcher.configure(now, &config);
+    dispatcher.tick(now);
+    assert_eq!(dispatcher.targets(now)[0].1, expected);
+}
+
+/// Guards against a target that counts as warm after operators have taken it back into service, though it
+/// may have become cold meanwhile without a new entry.
+#[test]
+fn target_that_is_taken_back_counts_as_cold() {
+    let config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let mut drained = config.clone();
+    drained.drains.targets_in_domains.insert("r0".into());
+    dispatcher.configure(Time::from_secs(10), &drained);
+    let now = Time::from_secs(11);
+    dispatcher.configure(now, &config);
+    dispatcher.tick(now);
+    assert_eq!(dispatcher.targets(now)[0].1, TargetState::Cold);
+}
