fix(dispatch): a region's learned limit of one outlives a configuration

What targets would see: with two choices, a region that had shown by refusals that it takes one request of this instance at a time got as many as it has slots after the next configuration, which comes with each entry that a target writes.

Cause: a limit of one without requests in flight was taken for a region whose slots weren't known yet.

Evidence: learned_limit_of_one_outlives_the_same_configuration fails before (2 sent, 1 wanted) and passes now.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -225,9 +225,7 @@
                 .iter()
                 .map(|idx| self.targets[*idx].slots())
                 .sum();
-            let is_new = std::mem::take(&mut pool.is_new)
-                || (pool.limit.current() == 1 && pool.in_flight == 0);
-            if is_new {
+            if std::mem::take(&mut pool.is_new) {
                 let params = if region == local_region {
                     AimdParams::SAME_REGION
                 } else {
--- a/crates/dispatch/tests/placement/configured.rs
+++ b/crates/dispatch/tests/placement/configured.rs
@@ -112,3 +112,28 @@
     dispatcher.tick(now);
     assert_eq!(dispatcher.targets(now)[0].1, TargetState::Cold);
 }
+
+/// Guards against a region's learned limit of one that each configuration reset to all of its slots.
+#[test]
+fn learned_limit_of_one_outlives_the_same_configuration() {
+    let policy = Policy {
+        placement: Placement::TwoChoices,
+        max_refusals: 1,
+        ..Policy::default()
+    };
+    let config = config(4);
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, policy).unwrap();
+    dispatcher.configure(Time::ZERO, &config);
+    let now = Time::from_secs(1);
+    dispatcher.tick(now);
+    for id in 0..1_000 {
+        let actions = dispatcher.submit(now, request(now, id, id));
+        let sent = assignments(&actions)[0].clone();
+        dispatcher.finish(now, sent.id, sent.attempt, Outcome::Refused);
+    }
+    dispatcher.configure(now, &config);
+    let sent: usize = (1_000..1_004)
+        .map(|id| assignments(&dispatcher.submit(now, request(now, id, id))).len())
+        .sum();
+    assert_eq!(sent, 1);
+}
