fix(entry): a route's split begins anew with other services or weights

After a configuration had taken a service's part of a route away by a weight of zero, each instance sent that service one more request.

The credits of a split are decisions of one configuration, and were kept by the route's name and the position of the part.

Change: a split is kept while the route has the same services and weights.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -348,8 +348,10 @@
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
         self.routes = RouteTable::new(&config);
-        self.splits
-            .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+        self.splits.retain(|name, split| {
+            let mut routes = config.routes.iter();
+            routes.any(|route| route.name == *name && split.is_among(&route.services))
+        });
         let mut actions = self.revise_requests(now);
         self.admission.configure(now, &config);
         if let Some(old) = &old {
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -194,7 +194,7 @@
             .splits
             .entry(route.name.clone())
             .or_insert_with(|| WeightedSplit::new(rng, &route.services));
-        let idx = split.pick(&route.services);
+        let idx = split.pick();
         let picked = idx.and_then(|idx| route.services.get(idx));
         picked.unwrap_or(first).service.clone()
     }
--- a/crates/entry/src/engine/split.rs
+++ b/crates/entry/src/engine/split.rs
@@ -10,6 +10,7 @@
 /// requests of every instance would go to the same service.
 #[derive(Debug)]
 pub(super) struct WeightedSplit {
+    services: Vec<WeightedService>,
     /// Credits of the services, in the route's order.
     credits: Vec<f64>,
 }
@@ -24,20 +25,26 @@
         R: Rng,
     {
         let mut split = Self {
+            services: services.to_vec(),
             credits: vec![0.0; services.len()],
         };
         let round = total_weight(services).clamp(1, MAX_START);
         for _ in 0..rng.random_range(0..round) {
-            split.pick(services);
+            split.pick();
         }
         split
     }
 
+    /// Returns whether the split is among these services, with these weights; the credits of others say
+    /// nothing of them.
+    pub(super) fn is_among(&self, services: &[WeightedService]) -> bool {
+        self.services == services
+    }
+
     /// Returns the position of the next request's service, or `None` without any services.
-    pub(super) fn pick(&mut self, services: &[WeightedService]) -> Option<usize> {
-        let total = f64::from(total_weight(services).max(1));
-        self.credits.resize(services.len(), 0.0);
-        for (credit, weighted) in self.credits.iter_mut().zip(services) {
+    pub(super) fn pick(&mut self) -> Option<usize> {
+        let total = f64::from(total_weight(&self.services).max(1));
+        for (credit, weighted) in self.credits.iter_mut().zip(&self.services) {
             *credit += f64::from(weighted.weight) / total;
         }
         let positions = 0..self.credits.len();
--- a/crates/entry/tests/split.rs
+++ b/crates/entry/tests/split.rs
@@ -18,8 +18,8 @@
 /// Difference from its weight's share that the users allow a part.
 const ALLOWED_DIFFERENCE: f64 = 0.1;
 
-fn config(weights: [u32; 2]) -> Config {
-    let services = ["first", "second"].into_iter().zip(weights);
+fn config<const PARTS: usize>(weights: [u32; PARTS]) -> Config {
+    let services = ["first", "second", "third"].into_iter().zip(weights);
     let route = Route {
         name: "r".to_owned(),
         host: "h".to_owned(),
@@ -115,3 +115,40 @@
         "{share:.2} instead of {wanted:.2}"
     );
 }
+
+/// Guards against CONFIG: a service whose part of a route a configuration had taken away got one more
+/// request of each instance, from the credit that its former weight had left.
+#[rstest]
+#[case::first([1, 1, 1], [0, 1, 1], "first")]
+#[case::second([1, 2, 3], [1, 0, 3], "second")]
+#[case::third([40, 30, 30], [40, 60, 0], "third")]
+#[tokio::test]
+async fn split_sends_nothing_to_a_part_that_is_taken_away(
+    #[case] before: [u32; 3],
+    #[case] after: [u32; 3],
+    #[case] taken: &str,
+) {
+    for seed in 1..=INSTANCES {
+        let mut engine = engine(seed, &config(before));
+        for id in 0..seed % 10 {
+            resolve(&mut engine, id);
+        }
+        engine.handle(Event::ConfigActivated(Arc::new(config(after))));
+        let sent = (10..20).filter(|id| resolve(&mut engine, *id).as_str() == taken);
+        assert_eq!(sent.count(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against splits that begin their round again with each configuration, so that a service with a
+/// small weight gets more or less than its part.
+#[tokio::test]
+async fn split_goes_on_with_the_same_weights() {
+    let config = config([1, 3]);
+    let mut engine = engine(1, &config);
+    let mut first = 0;
+    for id in 0..400 {
+        first += u32::from(resolve(&mut engine, id).as_str() == "first");
+        engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+    }
+    assert_eq!(first, 100);
+}
