fix(dispatch): what is on a moved target is recalled by the dispatcher alone

Cause: targets that a configuration moves to another region were found twice, by the pool, which compares with where it knows the target, and by the engine, which compared the last two configurations. The engine's answer was wrong for a target that one configuration took away and a later one brought back elsewhere: its attempts that were not sent yet kept their permit for the region where it had been.

`Pool::configure` names the targets that it moves, and `Dispatcher::configure` returns `Action::Recall` for each request with an attempt on one of them, before all that it sends or refuses; the engine withholds the attempts as before. `moved_targets` and `Dispatcher::requests_on` are gone.

`request_is_withheld_if_its_target_moved_while_it_was_dialed` has the second case now, which fails on the code before (17 of 18 passed in `--test homes`) and passes here; `configure_recalls_what_is_on_a_moved_target` checks the action.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -57,6 +57,12 @@
 }
 
 impl Entry {
+    /// Returns whether an attempt is in flight at one of these targets.
+    fn is_on(&self, targets: &[usize]) -> bool {
+        let mut attempts = self.attempts.iter();
+        attempts.any(|attempt| targets.contains(&attempt.target))
+    }
+
     /// Updates target positions after a removal; targets with requests in flight are never removed.
     fn remap_targets(&mut self, new_indices: &[Option<usize>]) {
         for attempt in &mut self.attempts {
@@ -150,10 +156,13 @@
         })
     }
 
-    /// Applies a configuration; targets that it does not contain get no new requests.
+    /// Applies a configuration; targets that it does not contain get no new requests, and the requests
+    /// on targets that it moves to another region or takes out of service are recalled before anything
+    /// is sent.
     pub fn configure(&mut self, now: Time, config: &Config) -> Vec<Action> {
         self.configured_round_trip =
             Duration::from_millis(u64::from(config.links.region_delay_ms)) * 2;
+        let mut recalled = Vec::new();
         let mut has_moved = false;
         for (id, service) in &config.services {
             let pool = self.pools.entry(id.clone()).or_insert_with(Pool::new);
@@ -163,7 +172,9 @@
                 instance_seed: self.policy.instance_seed,
             };
             let region_of = |domain: &base::DomainId| config.region_of(domain).cloned();
-            has_moved |= pool.configure(now, service, &context, region_of);
+            let moved = pool.configure(now, service, &context, region_of);
+            has_moved |= !moved.is_empty();
+            recalled.extend(recalls(&self.entries, id, &moved));
             let routes = || {
                 let uses_service =
                     |route: &&base::Route| route.services.iter().any(|part| part.service == *id);
@@ -182,13 +193,30 @@
         if has_moved {
             self.rank_rates();
         }
+        recalled.extend(self.configure_service_states(now, config));
+        let mut actions = recalled;
+        actions.extend(self.refuse_unplaceable(now));
+        actions.extend(self.assign_all(now));
+        actions
+    }
+
+    /// Takes targets in and out of service as a configuration says, and recalls what is on those that it
+    /// takes out.
+    fn configure_service_states(&mut self, now: Time, config: &Config) -> Vec<Action> {
+        let mut recalled = Vec::new();
         for (id, pool) in &mut self.pools {
-            for target in &mut pool.targets {
+            let service = config.services.get(id);
+            let cold = service.and_then(|service| service.cold);
+            let mut left = Vec::new();
+            for (idx, target) in pool.targets.iter_mut().enumerate() {
                 let is_available = config.is_target_available(id, &target.id);
                 let is_drained = config.is_target_drained(id, &target.id);
+                let was_in_service = target.is_configured_in_service();
                 let is_back = target.apply_config(now, &self.chart, is_available, is_drained);
-                let service = config.services.get(id);
-                if let Some(cold) = service.and_then(|service| service.cold)
+                if was_in_service && !target.is_configured_in_service() {
+                    left.push(idx);
+                }
+                if let Some(cold) = cold
                     && is_back
                     && target.is_registered()
                 {
@@ -197,10 +225,9 @@
                     target.mark_cold(now, &self.chart, left);
                 }
             }
+            recalled.extend(recalls(&self.entries, id, &left));
         }
-        let mut actions = self.refuse_unplaceable(now);
-        actions.extend(self.assign_all(now));
-        actions
+        recalled
     }
 
     /// Sets the planned shares of a service's traffic by region.
@@ -229,21 +256,6 @@
         }
     }
 
-    /// Returns the requests with an attempt in flight at one of these targets.
-    pub fn requests_on(&self, targets: &BTreeSet<TargetId>) -> Vec<RequestId> {
-        let is_meant = |entry: &Entry, pool: &Pool| {
-            let mut attempts = entry.attempts.iter();
-            attempts.any(|attempt| targets.contains(&pool.targets[attempt.target].id))
-        };
-        let entries = self.entries.iter();
-        entries
-            .filter_map(|(id, entry)| {
-                let pool = self.pools.get(&entry.request.service)?;
-                is_meant(entry, pool).then_some(*id)
-            })
-            .collect()
-    }
-
     /// Refuses a request that a new configuration doesn't allow: at once if it waits, and otherwise
     /// where another attempt would follow.
     pub fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
@@ -419,3 +431,16 @@
         actions
     }
 }
+
+/// Returns the recall of each request with an attempt in flight at one of these targets of a service.
+fn recalls(
+    entries: &BTreeMap<RequestId, Entry>,
+    service: &ServiceId,
+    targets: &[usize],
+) -> Vec<Action> {
+    entries
+        .iter()
+        .filter(|(_, entry)| entry.request.service == *service && entry.is_on(targets))
+        .map(|(id, _)| Action::Recall(*id))
+        .collect()
+}
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -95,22 +95,24 @@
     /// Adds new targets and updates known ones; targets that are no longer configured stay until
     /// [`Pool::remove_unused`].
     ///
-    /// Returns whether a known target is in another region now.
+    /// Returns the positions of the known targets that are in another region now.
     pub(crate) fn configure<F>(
         &mut self,
         now: Time,
         service: &Service,
         context: &TargetContext<'_>,
         region_of: F,
-    ) -> bool
+    ) -> Vec<usize>
     where
         F: Fn(&base::DomainId) -> Option<RegionId>,
     {
-        let mut has_moved = false;
+        let mut moved = Vec::new();
         for (id, target) in &service.targets {
             let region = region_of(&target.domain).unwrap_or_else(RegionId::unknown);
             if let Some(&idx) = self.index.get(id) {
-                has_moved |= self.move_target(idx, region);
+                if self.move_target(idx, region) {
+                    moved.push(idx);
+                }
                 self.targets[idx].set_slots(service.slots_of(target));
                 self.apply_registration(now, idx, service, target, context);
                 continue;
@@ -123,7 +125,7 @@
             self.region_entry(region).members.push(idx);
             self.apply_registration(now, idx, service, target, context);
         }
-        has_moved
+        moved
     }
 
     fn apply_registration(
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -153,6 +153,10 @@
 pub enum Action {
     /// Send an attempt.
     Assign(Assignment),
+    /// Withhold the attempts of this request that are not sent yet, since the target of one is in
+    /// another region now or out of service; each ends as [`Outcome::Withheld`], and others follow
+    /// them.
+    Recall(RequestId),
     /// Send the caller this refusal; the request has ended.
     Refuse(RequestId, Refusal),
     /// Tell the other instances that a connection was lost while it carried this request.
--- a/crates/dispatch/src/target/service.rs
+++ b/crates/dispatch/src/target/service.rs
@@ -55,6 +55,12 @@
         was_drained && !is_drained
     }
 
+    /// Returns whether neither the target's entry nor an operator takes it out of service.
+    pub(crate) fn is_configured_in_service(&self) -> bool {
+        !self.exclusions.contains(ExclusionReason::Entry)
+            && !self.exclusions.contains(ExclusionReason::Drained)
+    }
+
     /// Returns whether there is no reason for which the target gets nothing.
     pub fn is_in_service(&self) -> bool {
         self.exclusions.is_empty()
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -504,6 +504,7 @@
             match action {
                 Action::Assign(assignment) => self.send(instance, &assignment),
                 Action::Refuse(id, refusal) => self.refused(instance, id.0, refusal.kind),
+                Action::Recall(_) => {}
                 Action::ReportLoss(loss) => self.broadcast(instance, &Report::Loss(loss)),
                 Action::BeginQuarantine(hold) => {
                     let report = QuarantineReport::Held(vec![hold]);
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -86,7 +86,8 @@
                         "seed {seed}: {refusal:?} after {runs} runs"
                     );
                 }
-                Action::ReportLoss(_)
+                Action::Recall(_)
+                | Action::ReportLoss(_)
                 | Action::BeginQuarantine(_)
                 | Action::ReportQuarantine(_) => {}
             }
--- a/crates/dispatch/tests/placement/homes.rs
+++ b/crates/dispatch/tests/placement/homes.rs
@@ -68,6 +68,30 @@
     assert_eq!(assignments(&here)[0].region.as_str(), "r1");
 }
 
+/// Guards against HOME: an attempt that wasn't sent yet followed its target to another region, as did one
+/// whose target had been taken away in between.
+#[rstest]
+#[case::at_once(false)]
+#[case::taken_away_in_between(true)]
+fn configure_recalls_what_is_on_a_moved_target(#[case] is_taken_away: bool) {
+    let mut config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    dispatcher.submit(now, bound(now, 1, &["r0"]));
+    dispatcher.submit(now, bound(now, 2, &["r1"]));
+    assert!(dispatcher.configure(now, &config).is_empty());
+    if is_taken_away {
+        let mut without = config.clone();
+        without.services.get_mut("s").unwrap().targets.remove("t0");
+        assert!(dispatcher.configure(now, &without).is_empty());
+    }
+    let service = config.services.get_mut("s").unwrap();
+    service.targets.get_mut("t0").unwrap().domain = "r1".into();
+    let actions = dispatcher.configure(now, &config);
+    assert_eq!(actions, [Action::Recall(RequestId(1))]);
+    assert!(dispatcher.configure(now, &config).is_empty());
+}
+
 /// Returns a dispatcher of either placement for an instance in `r0`.
 fn dispatcher_by(placement: Placement, config: &Config) -> Dispatcher {
     let policy = Policy {
--- a/crates/dispatch/tests/placement/moves.rs
+++ b/crates/dispatch/tests/placement/moves.rs
@@ -362,7 +362,8 @@
                     assert!(is_true, "seed {seed}: {id:?} {refusal:?}, {truth:?}");
                     truth.ends += 1;
                 }
-                Action::ReportLoss(_)
+                Action::Recall(_)
+                | Action::ReportLoss(_)
                 | Action::BeginQuarantine(_)
                 | Action::ReportQuarantine(_) => {}
             }
--- a/crates/dispatch/tests/rests.rs
+++ b/crates/dispatch/tests/rests.rs
@@ -248,7 +248,8 @@
                     self.arriving.insert(key, sent);
                 }
                 Action::Refuse(..) => self.refused += 1,
-                Action::ReportLoss(_)
+                Action::Recall(_)
+                | Action::ReportLoss(_)
                 | Action::BeginQuarantine(_)
                 | Action::ReportQuarantine(_) => {}
             }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -4,7 +4,6 @@
 mod loads;
 mod paths;
 mod rates;
-mod recall;
 mod revision;
 mod routing;
 mod split;
@@ -343,7 +342,6 @@
 
 impl Engine {
     fn configure(&mut self, now: Time, config: Arc<Config>) {
-        let old = self.config.take();
         let config = self.config.insert(config).clone();
         self.revision += 1;
         self.keys = KeyIndex::new(&config);
@@ -354,10 +352,6 @@
         });
         let mut actions = self.revise_requests(now);
         self.admission.configure(now, &config);
-        if let Some(old) = &old {
-            self.recall_attempts(old, &config);
-            self.recall_from_leaving(old, &config);
-        }
         actions.extend(self.dispatcher.configure(now, &config));
         self.idle_connections.retain(|target, _| {
             let mut services = config.services.values();
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -176,6 +176,7 @@
         for action in actions {
             match action {
                 Action::Assign(assignment) => self.send_attempt(now, assignment),
+                Action::Recall(id) => self.recall(id),
                 Action::Refuse(id, refusal) => {
                     if refusal.kind == ErrorKind::Overloaded {
                         self.explain_overload(now, id);
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -1,8 +1,6 @@
 //! What a new configuration says of the requests that have no final answer yet.
 
-use std::collections::BTreeSet;
-
-use base::{AllowedRegions, Config, ErrorKind, Refusal, RouteKind, TargetId, Time};
+use base::{AllowedRegions, ErrorKind, Refusal, RouteKind, Time};
 use dispatch::{Action, RequestId, RequestKind};
 use tokio::sync::watch;
 
@@ -75,22 +73,15 @@
         });
     }
 
-    /// Withholds the attempts whose target is in another region by the new configuration, unless they are
-    /// sent already; others follow them.
-    pub(super) fn recall_attempts(&mut self, old: &Config, new: &Config) {
-        let moved = moved_targets(old, new);
-        if moved.is_empty() {
+    /// Withholds the attempts of a request that are not sent yet; others follow them.
+    pub(super) fn recall(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
-        }
-        for id in self.dispatcher.requests_on(&moved) {
-            let Some(request) = self.requests.get_mut(&id) else {
-                continue;
-            };
-            let current = request.allowed_regions.borrow().clone();
-            let later = watch::Sender::new(current);
-            let earlier = std::mem::replace(&mut request.allowed_regions, later);
-            earlier.send_replace(AllowedRegions::nowhere());
-        }
+        };
+        let current = request.allowed_regions.borrow().clone();
+        let later = watch::Sender::new(current);
+        let earlier = std::mem::replace(&mut request.allowed_regions, later);
+        earlier.send_replace(AllowedRegions::nowhere());
     }
 
     /// Ends a request that is not allowed any more, unless it is running.
@@ -108,21 +99,3 @@
         vec![Action::Refuse(id, Refusal::new(kind))]
     }
 }
-
-/// Returns the targets that two configurations have in different regions.
-fn moved_targets(old: &Config, new: &Config) -> BTreeSet<TargetId> {
-    let services = new
-        .services
-        .iter()
-        .filter_map(|(name, service)| Some((service, old.services.get(name)?)));
-    services
-        .flat_map(|(service, before)| {
-            let targets = service.targets.iter();
-            targets.filter_map(|(id, target)| Some((id, target, before.targets.get(id)?)))
-        })
-        .filter(|(_, target, before)| {
-            new.region_of(&target.domain) != old.region_of(&before.domain)
-        })
-        .map(|(id, ..)| id.clone())
-        .collect()
-}
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -329,9 +329,12 @@
 }
 
 /// Guards against HOME: a target moved to another region while its connection was opened, and got the
-/// request that is bound to the region where it had been.
+/// request that is bound to the region where it had been; also if it was taken away in between.
+#[rstest]
+#[case::at_once(false)]
+#[case::taken_away_in_between(true)]
 #[tokio::test]
-async fn request_is_withheld_if_its_target_moved_while_it_was_dialed() {
+async fn request_is_withheld_if_its_target_moved_while_it_was_dialed(#[case] is_taken_away: bool) {
     let mut config = with_route(config(), 2);
     config.routes[0].homes = homes(&["north"]);
     let mut engine = engine();
@@ -343,6 +346,12 @@
             break plan;
         }
     };
+    if is_taken_away {
+        let mut without = config.clone();
+        let service = without.services.get_mut("board").unwrap();
+        service.targets.remove(&plan.assignment.target);
+        activate(&mut engine, &without);
+    }
     let service = config.services.get_mut("board").unwrap();
     let target = service.targets.get_mut(&plan.assignment.target).unwrap();
     target.domain = "south".into();
--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -191,6 +191,7 @@
                     let at = now + self.scenario.region_delay;
                     self.push(at, Event::QuarantineReported(instance, report));
                 }
+                Action::Recall(_) => {}
                 Action::Refuse(id, refusal) => {
                     let is_not_run = refusal.kind.response().executed == Executed::No;
                     *self.measures.refusals.entry(refusal.kind).or_default() += 1;
