refactor(dispatch): what may follow a loss stands in one place

Cause: the condition for another attempt after a loss stood under `Outcome::Lost` and, for a withheld hedge, under `Outcome::Withheld`. `Entry::may_follow` has it for both; after a loss at least one is counted, so that its other branch is never taken there.

--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -5,10 +5,10 @@
 use base::{ErrorKind, Executed, Refusal, ServiceId, Time};
 use rand::RngExt;
 
-use super::Dispatcher;
+use super::{Dispatcher, Entry};
 use crate::{
-    Action, Outcome, Placement, RequestId, RequestKind, RequestProgress, SelectionReason,
-    TargetEvent,
+    Action, Outcome, Placement, Quarantine, RequestId, RequestKind, RequestProgress,
+    SelectionReason, TargetEvent,
 };
 
 /// Minimum time that a request waits for another target after one has refused it.
@@ -74,11 +74,7 @@
             Outcome::Withheld => {
                 // What ended before, beside this attempt, counts as if it had ended now.
                 let is_follow_up = !entry.reached.is_empty();
-                let may_follow = entry.reached.len() < entry.request.max_attempts as usize
-                    && (entry.losses == 0
-                        || entry.losses == 1
-                            && entry.request.kind == RequestKind::Idempotent
-                            && !self.quarantine.is_held(entry.request.fingerprint));
+                let may_follow = entry.may_follow(&self.quarantine);
                 if !is_follow_up || (may_follow && self.budget.try_withdraw()) {
                     entry.wait_deadline = entry.wait_deadline.max(now + RETRY_WAIT);
                     Disposition::Retry
@@ -118,14 +114,7 @@
             Outcome::Lost => {
                 entry.losses += 1;
                 entry.reached.push(target);
-                let fingerprint = entry.request.fingerprint;
-                let is_quarantined = self.quarantine.is_held(fingerprint);
-                let is_retried = entry.request.kind == RequestKind::Idempotent
-                    && entry.losses == 1
-                    && entry.reached.len() < entry.request.max_attempts as usize
-                    && !is_quarantined
-                    && self.budget.try_withdraw();
-                if is_retried {
+                if entry.may_follow(&self.quarantine) && self.budget.try_withdraw() {
                     Disposition::Retry
                 } else {
                     Disposition::Refuse(ErrorKind::TargetLost)
@@ -212,6 +201,17 @@
     }
 }
 
+impl Entry {
+    /// Returns whether another attempt may follow those that have reached a target: after a loss only
+    /// one, and only of an idempotent request that is not quarantined.
+    fn may_follow(&self, quarantine: &Quarantine) -> bool {
+        let has_attempts_left = self.reached.len() < self.request.max_attempts as usize;
+        let is_repeatable = self.request.kind == RequestKind::Idempotent
+            && !quarantine.is_held(self.request.fingerprint);
+        has_attempts_left && (self.losses == 0 || (self.losses == 1 && is_repeatable))
+    }
+}
+
 /// Lists what can follow for a request after an attempt has ended.
 #[derive(Clone, Copy)]
 enum Disposition {
