refactor(tests): the request that entry's tests send is made in one place

Cause: `homes` repeated the request template of the other tests' support. It has a file of its own, so that a test that sends in another way needs nothing else of the support. The tests of entry pass with the same assertions.

--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -1,5 +1,8 @@
 //! Requests and connections that wait while a configuration moves the regions in which they may run.
 
+#[path = "support/template.rs"]
+mod template;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -10,21 +13,19 @@
     AllowedRegions, Config, Domain, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
     Target, TargetId, Time, WeightedService, Workspace,
 };
-use bytes::Bytes;
 use coord::{Freshness, QuotaSplit, SlotHistory};
 use dispatch::{Outcome, Placement, Policy, RequestId, RequestKind};
 use entry::{
     connection::Relay,
     dial::{DialPlan, Dialer},
-    dialect::Dialect,
     engine::{Engine, EngineOptions},
-    forward::{Forwarder, RequestTemplate},
+    forward::Forwarder,
     message::{Arrival, Decision, Event},
     permit::SendPermit,
     view::Clock,
 };
-use http::{HeaderMap, Method};
 use rstest::rstest;
+use template::template;
 use tokio::{
     io::AsyncReadExt,
     net::{TcpListener, TcpStream},
@@ -296,14 +297,6 @@
         prefers_relay: true,
         relay_delay: Duration::from_secs(1),
     };
-    let template = RequestTemplate {
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        dialect: Arc::new(Dialect::default()),
-        attempt_id: None,
-    };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
     let (mut far, _) = listener.accept().await.unwrap();
@@ -317,6 +310,7 @@
         read.is_ok()
     };
     let deadline = clock.now() + Duration::from_millis(400);
+    let template = template();
     let send = forwarder.send_attempt(&plan, None, &template, &permit, deadline);
     let (result, is_sent) = tokio::join!(send, carry);
     assert_eq!(
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,17 +1,17 @@
 //! Sends requests to targets without an engine.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+mod template;
+
+use std::{net::SocketAddr, time::Duration};
 
 use base::AllowedRegions;
-use bytes::Bytes;
 use entry::{
     dial::{DialPlan, Dialer},
-    dialect::Dialect,
-    forward::{AttemptResult, Forwarder, RequestTemplate},
+    forward::{AttemptResult, Forwarder},
     permit::SendPermit,
     view::Clock,
 };
-use http::{HeaderMap, Method};
+use template::template;
 use tokio::sync::{mpsc, watch};
 
 /// Time that a target has for its answer; well over any bound that a test checks.
@@ -32,18 +32,10 @@
         prefers_relay: false,
         relay_delay: Duration::from_secs(1),
     };
-    let template = RequestTemplate {
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        dialect: Arc::new(Dialect::default()),
-        attempt_id: None,
-    };
     let allowed = watch::Sender::new(AllowedRegions::All);
     let permit = SendPermit::new("r".into(), allowed.subscribe());
     let deadline = clock.now() + TIMEOUT;
     forwarder
-        .send_attempt(&plan, None, &template, &permit, deadline)
+        .send_attempt(&plan, None, &template(), &permit, deadline)
         .await
 }
