refactor(entry): the engine resolves a request in steps

Cause: `Engine::resolve` identified the caller, computed timeouts and priorities and built the request in one function of 65 lines. `identify_caller`, `Timeouts`, `kind_of` and `priority_of` have one job each. The order of the refusals and of the draws of a service is the same: a request that isn't identified gets its verdict, one that is and needs a key is then refused while the instance is isolated.

--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{AllowedRegions, ErrorKind, Refusal, Route, RouteKind, ServiceId, Time, WorkspaceId};
+use base::{
+    AllowedRegions, ErrorKind, Refusal, Route, RouteKind, ServiceId, Time, Workspace, WorkspaceId,
+};
 use coord::Freshness;
 use dispatch::{AdmittedRequest, RequestId, RequestKind};
 use tokio::sync::watch;
@@ -22,6 +24,23 @@
     pub(super) is_open: bool,
 }
 
+/// Limits how long a request may take, from its arrival.
+struct Timeouts {
+    /// Time after which it has failed.
+    total: Duration,
+    /// Time within which it meets the latency objective.
+    objective: Duration,
+}
+
+impl Timeouts {
+    fn new(asked: Option<Duration>, limit_ms: u32, route: Option<&Route>) -> Self {
+        let limit = millis(limit_ms);
+        let total = asked.unwrap_or(limit).min(limit);
+        let objective = route.map_or(total, |route| millis(route.objective_ms).min(total));
+        Self { total, objective }
+    }
+}
+
 impl Engine {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let (id, tx) = (arrival.id, arrival.tx.clone());
@@ -80,13 +99,7 @@
             path: arrival.path,
             api_key: arrival.api_key,
         };
-        let identity = match self.identify(&origin) {
-            Ok(identity) if !identity.is_open && self.is_isolated(now) => {
-                return Err(ErrorKind::Isolated);
-            }
-            Ok(identity) => identity,
-            Err(kind) => return Err(self.verdict(now, kind)),
-        };
+        let identity = self.identify_caller(now, &origin)?;
         let config = self.config.clone().ok_or(ErrorKind::NotReady)?;
         let settings = config.workspaces.get(&identity.workspace);
         let route = identity.route.as_deref();
@@ -94,18 +107,7 @@
             Some(route) => route.timeout_ms,
             None => config.services[&origin.service].deadline_ms,
         };
-        let limit = Duration::from_millis(u64::from(limit_ms));
-        let timeout = arrival.timeout.unwrap_or(limit).min(limit);
-        let objective = route.map_or(timeout, |route| {
-            Duration::from_millis(u64::from(route.objective_ms)).min(timeout)
-        });
-        let kind = route.map_or(arrival.kind, |route| match route.kind {
-            RouteKind::Idempotent => RequestKind::Idempotent,
-            RouteKind::Once => RequestKind::Once,
-        });
-        let priority = route.map_or(0, |route| {
-            settings.map_or(0, |settings| settings.priority) * ROUTE_PRIORITY_LIMIT + route.priority
-        });
+        let timeouts = Timeouts::new(arrival.timeout, limit_ms, route);
         let request = PendingRequest {
             tx: arrival.tx,
             service: match route {
@@ -113,14 +115,14 @@
                 None => origin.service.clone(),
             },
             weight: settings.map_or(1, |settings| settings.weight),
-            deadline: now + timeout,
-            kind,
+            deadline: now + timeouts.total,
+            kind: route.map_or(arrival.kind, kind_of),
             fingerprint: arrival.fingerprint,
             awaits_dispatch: arrival.awaits_dispatch,
             is_open: identity.is_open,
             route: Arc::from(route.map_or("", |route| &route.name)),
-            objective_deadline: now + objective,
-            priority,
+            objective_deadline: now + timeouts.objective,
+            priority: route.map_or(0, |route| priority_of(route, settings)),
             max_attempts: route.map_or(u32::MAX, |route| route.attempts.max(1)),
             affinity: arrival
                 .affinity
@@ -132,6 +134,17 @@
         Ok((request, identity.is_open))
     }
 
+    /// Identifies an arriving request, or returns why it is refused by now.
+    fn identify_caller(&self, now: Time, origin: &Origin) -> Result<Identity, ErrorKind> {
+        let identity = self
+            .identify(origin)
+            .map_err(|kind| self.verdict(now, kind))?;
+        if !identity.is_open && self.is_isolated(now) {
+            return Err(ErrorKind::Isolated);
+        }
+        Ok(identity)
+    }
+
     /// Finds by the active configuration the route of a request, if there are routes, and its workspace.
     pub(super) fn identify(&self, origin: &Origin) -> Result<Identity, ErrorKind> {
         let config = self.config.as_ref().ok_or(ErrorKind::NotReady)?;
@@ -252,3 +265,21 @@
         }
     }
 }
+
+/// Returns whether the requests of a route may run more than once.
+fn kind_of(route: &Route) -> RequestKind {
+    match route.kind {
+        RouteKind::Idempotent => RequestKind::Idempotent,
+        RouteKind::Once => RequestKind::Once,
+    }
+}
+
+/// Returns the priority of a route's requests, after that of their workspace.
+fn priority_of(route: &Route, workspace: Option<&Workspace>) -> u32 {
+    let first = workspace.map_or(0, |workspace| workspace.priority);
+    first * ROUTE_PRIORITY_LIMIT + route.priority
+}
+
+fn millis(count: u32) -> Duration {
+    Duration::from_millis(u64::from(count))
+}
