docs(base,dispatch,entry): types say what they are for, not that they hold something

Cause: 20 doc comments began with "Holds ..." and named the fields below them. Each says now what its type is for; none is left in crates, platform and deploy (`git grep -nE "^\s*/// Holds "`). Comments only: formatter and linter pass, as do the doc tests of dispatch and entry.

--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -209,7 +209,7 @@
     pub registered: Option<Registration>,
 }
 
-/// Holds what a target reports about itself when it registers.
+/// Describes a target as it registers itself.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Registration {
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -92,7 +92,7 @@
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
-/// Holds the BLAKE3 digest of an API key; the key itself is never stored.
+/// Identifies an API key by its BLAKE3 digest; the key itself is never stored.
 ///
 /// # Examples
 ///
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -63,7 +63,7 @@
     Lost,
 }
 
-/// Holds the response to an action, to be replayed to repeated requests.
+/// Keeps the response to an action, so that repeated requests get the same one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SavedAnswer {
     /// HTTP status code.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -12,14 +12,14 @@
     throughput::Throughput,
 };
 
-/// Holds the shares of a service's traffic by target region, as planned for the instance's region.
+/// Divides a service's traffic among the regions of its targets, as planned for the instance's region.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RegionShares {
     /// Share of each region; a region without one gets only what the others can't take.
     pub shares: BTreeMap<RegionId, f64>,
 }
 
-/// Holds the targets of one service, its queued requests and what is measured of it.
+/// Queues the requests of one service, selects targets for them and measures how they are answered.
 #[derive(Debug, Clone)]
 pub(crate) struct Pool {
     pub(crate) targets: Vec<Target>,
@@ -39,7 +39,7 @@
     pub(crate) region_shares: RegionShares,
 }
 
-/// Holds the targets of one region and the limit of what this instance runs on them together.
+/// Limits what this instance runs on the targets of one region together.
 #[derive(Debug, Clone)]
 pub(crate) struct RegionPool {
     /// Positions of the region's targets in [`Pool::targets`].
@@ -51,7 +51,7 @@
     is_new: bool,
 }
 
-/// Holds the parameters that are the same for all targets.
+/// Passes what is the same for all targets to the functions that update them.
 #[derive(Debug)]
 pub(crate) struct TargetContext<'a> {
     /// State chart of a target.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -34,7 +34,7 @@
     len: usize,
 }
 
-/// Holds the queued items of one workspace, in the order in which they are popped.
+/// Queues the items of one workspace, in the order in which they are popped.
 #[derive(Debug, Clone)]
 struct Flow<T> {
     items: VecDeque<Item<T>>,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -195,7 +195,7 @@
     Continues,
 }
 
-/// Holds the latency of one service and the states of its targets.
+/// Reports the latency of one service and the states of its targets.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolStats {
     /// Identifier of the service.
@@ -208,7 +208,7 @@
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
 
-/// Holds the parameters of dispatch.
+/// Configures a [`Dispatcher`](crate::Dispatcher).
 #[derive(Debug, Clone)]
 pub struct Policy {
     /// Retries and hedges that each success adds to the retry budget.
--- a/crates/dispatch/src/shared_rate.rs
+++ b/crates/dispatch/src/shared_rate.rs
@@ -16,7 +16,7 @@
     pub age: Duration,
 }
 
-/// Holds the position of an instance among those that may send to a target with a named rate.
+/// Determines an instance's part of the rate that a target names, by its position among the others.
 ///
 /// The live instances are ranked for each target, those of its region first. The first ones share
 /// its rate equally; the others send only if all of those are silent.
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -43,7 +43,7 @@
     Chilled,
 }
 
-/// Holds one response of a target's health endpoint.
+/// Describes a target by one response of its health endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HealthReport {
     /// Requests that run on the target, from all instances.
@@ -94,7 +94,7 @@
     heard_at: Time,
 }
 
-/// Holds the load that a target reported with a response.
+/// Records the load that a target reported with a response, to estimate its load until the next one.
 #[derive(Debug, Clone, Copy)]
 struct LoadReport {
     at: Time,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -115,7 +115,7 @@
     }
 }
 
-/// Holds the response body of a look-up.
+/// Serializes the response body of a look-up.
 #[derive(Debug, Serialize)]
 struct LookupResponse<'a> {
     service: &'a str,
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -78,7 +78,7 @@
     pub relay_delay: Duration,
 }
 
-/// Holds a new connection, or why there is none, and what it shows of the path to the target.
+/// Reports a new connection, or why there is none, and what it shows of the path to the target.
 #[derive(Debug)]
 pub(crate) struct Dialed {
     pub(crate) connection: Result<Connection, ConnectError>,
@@ -227,7 +227,7 @@
     }
 }
 
-/// Holds an open stream and the instance that carries it, if any.
+/// Passes an open stream on, with the instance that carries it, if any.
 struct Opened {
     stream: TargetStream,
     relay: Option<Relay>,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -52,7 +52,7 @@
     pub attempt_id: Option<HeaderValue>,
 }
 
-/// Holds the complete response of a target.
+/// Passes the complete response of a target on to the caller.
 #[derive(Debug, Clone)]
 pub struct TargetResponse {
     /// HTTP status.
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -37,7 +37,7 @@
     "traceparent",
 ];
 
-/// Holds the parsed head of a caller's request.
+/// Describes a caller's request as its head is parsed.
 #[derive(Debug, Clone)]
 pub struct Head {
     /// Service that the first path segment names.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -8,7 +8,7 @@
 
 const MS_PER_S: f64 = 1_000.0;
 
-/// Holds the metrics of one instance and the registry that exports them.
+/// Counts and times the requests of one instance and exports the metrics.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -7,7 +7,7 @@
 
 use crate::dialect::Dialect;
 
-/// Holds the JSON body of an error response.
+/// Serializes the JSON body of an error response.
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
     kind: ErrorKind,
