fix(daemon): a position that brings no change is not reported as news

Callers saw: nothing by itself; the instances spent processor time and links on it, most in quiet times, and took long to confirm their configuration.

Cause: heartbeats reported the position up to which an instance had read a table. That rises with every write to the store, also to other tables, and each instance learns of it with the end of its own poll. The others took it for news, waited 0.4 s at most and fetched the whole table. What they got was the copy that was published with the last change, whose position was an earlier one: the fetch never brought what it was made for, and was repeated each 0.3 s until the own poll ended.

Change: a replica tells the position from which on no row has changed, and heartbeats report that. Tables that are handed out are published anew when they are older than what is reported (a row that was written with the same content). A whole read counts as changed at its position: rows that came and went in between leave no trace there. A report says no less than before: who has read up to the last change has all that the sender has.

Ruled out: another field in the messages (the formats of the builds in use stay as they are), and a longer wait before a fetch (an instance whose store calls are never answered would get its news later).

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -58,6 +58,8 @@
 #[derive(Debug, Clone)]
 pub struct Replica {
     snapshot: TableSnapshot,
+    /// Position up to which rows may have changed; from there to the own position, none has.
+    changed_at: u64,
     is_initialized: bool,
     /// Deleted rows that are retained until a time.
     retained: BTreeMap<String, (ReplicaRow, Time)>,
@@ -85,6 +87,7 @@
     pub fn new(grace_period: Duration) -> Self {
         Self {
             snapshot: TableSnapshot::default(),
+            changed_at: 0,
             is_initialized: false,
             retained: BTreeMap::new(),
             grace_period,
@@ -103,6 +106,14 @@
         self.snapshot.position
     }
 
+    /// Returns the position from which on no row has changed: a replica that is complete up to it has
+    /// all that this one has.
+    ///
+    /// The own position rises with all writes to the platform, also to other tables.
+    pub fn changed_at(&self) -> u64 {
+        self.changed_at
+    }
+
     /// Returns the rows with their names, retained rows included.
     pub fn rows(&self) -> impl Iterator<Item = (&str, &ReplicaRow)> {
         let retained = self.retained.iter().map(|(name, (row, _))| (name, row));
@@ -143,6 +154,7 @@
             .into_iter()
             .filter(|change| change.position > own_position)
         {
+            self.changed_at = self.changed_at.max(change.position);
             is_changed |= self.apply_change(now, change);
         }
         self.snapshot.position = self.snapshot.position.max(position);
@@ -177,6 +189,8 @@
             is_changed |= self.apply_change(now, change);
         }
         self.snapshot.position = snapshot.position;
+        // A row that came and went in between has left no trace.
+        self.changed_at = snapshot.position;
         is_changed
     }
 
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -147,6 +147,19 @@
     assert_eq!(replica.position(), 9);
 }
 
+/// Guards against CONFIG: writes to other tables passed for news of this one.
+#[test]
+fn replica_changed_at_rises_with_changes_alone() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 3)], 7));
+    replica.apply_changes(Time::ZERO, Vec::new(), 50);
+    assert_eq!((replica.changed_at(), replica.position()), (7, 50));
+    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], 60);
+    assert_eq!((replica.changed_at(), replica.position()), (55, 60));
+    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], 58);
+    assert_eq!((replica.changed_at(), replica.position()), (55, 60));
+}
+
 /// One write to a row of a table's history; `None` deletes it.
 type HistoryEntry = (u8, Option<u8>);
 
@@ -213,6 +226,8 @@
             }
             latest = latest.max(to);
             prop_assert_eq!(&replica.snapshot().rows, &state_at(&history, latest));
+            // Each position of this history is a change.
+            prop_assert_eq!(replica.changed_at(), latest as u64);
         }
     }
 }
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -442,8 +442,9 @@
         let positions: Vec<u64> = self
             .tables
             .iter()
-            .map(|table| table.replica.position())
+            .map(|table| table.replica.changed_at())
             .collect();
+        self.hand_out_tables(&positions);
         let current = (positions, confirmed_at);
         if self.last_sent.as_ref() != Some(&current) {
             let command = PeerCommand::SetTablePositions {
@@ -457,6 +458,22 @@
         }
     }
 
+    /// Publishes the tables for other instances, if they were told of later positions than those of the
+    /// published ones.
+    fn hand_out_tables(&self, reported: &[u64]) {
+        let is_older = {
+            let published = self.options.snapshots.borrow();
+            let mut pairs = published.iter().zip(reported);
+            pairs.any(|(table, reported)| table.position < *reported)
+        };
+        if is_older {
+            let tables = self.tables.iter();
+            let snapshots = tables.map(|table| table.replica.snapshot().clone());
+            let snapshots = Arc::new(snapshots.collect());
+            self.options.snapshots.send_replace(snapshots);
+        }
+    }
+
     fn freshness(&self, now: Time, fleet: &Fleet, confirmed_at: Option<Time>) -> Freshness {
         if self.composed.is_none() {
             return Freshness::Empty;
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -10,8 +10,10 @@
 };
 
 use base::{Config, Incarnation};
+use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
+    message::PeerCommand,
     registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
     table_reads::ReadTiming,
 };
@@ -214,18 +216,30 @@
 
 type History = Arc<Mutex<Vec<InForce>>>;
 
+/// Describes what other instances were told.
+#[derive(Debug, Clone)]
+struct Told {
+    at: Duration,
+    /// Positions that heartbeats report, in the tables' order.
+    reported: Vec<u64>,
+    /// Positions of the tables that were handed out at that time.
+    handed_out: Vec<u64>,
+}
+
+type Reports = Arc<Mutex<Vec<Told>>>;
+
 async fn play(scenario: Scenario) -> Vec<InForce> {
     let network = Arc::new(Network {
         started: Instant::now(),
         scenario,
     });
-    let history = History::default();
-    let follower = follow(&network, &history);
+    let (history, reports) = (History::default(), Reports::default());
+    let follower = follow(&network, &history, &reports);
     let _ = tokio::time::timeout(RUN_TIME, follower).await;
     history.lock().unwrap().clone()
 }
 
-async fn follow(network: &Arc<Network>, history: &History) {
+async fn follow(network: &Arc<Network>, history: &History, reports: &Reports) {
     let served = network.clone();
     let platform = Platform::spawn(move || {
         let (served, idle) = (served.clone(), IdleConnections::default());
@@ -251,7 +265,7 @@
     let (engine, mut engine_rx) = mpsc::unbounded_channel();
     let (peers, mut peers_rx) = mpsc::channel(4);
     let (view, _view_rx) = watch::channel(Arc::new(View::default()));
-    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let (snapshots, snapshots_rx) = watch::channel(Arc::<Vec<TableSnapshot>>::default());
     let (_tx, rx) = mpsc::channel(1);
     let follower = TableFollower::new(TableFollowerOptions {
         clock: Clock::start(),
@@ -278,11 +292,22 @@
     });
     tokio::spawn(async move { while engine_rx.recv().await.is_some() {} });
     let tells_others = network.scenario.tells_others;
+    let reports = reports.clone();
     tokio::spawn(async move {
         if !tells_others {
             pending::<()>().await;
         }
-        while peers_rx.recv().await.is_some() {}
+        while let Some(command) = peers_rx.recv().await {
+            let PeerCommand::SetTablePositions { positions, .. } = command else {
+                continue;
+            };
+            let handed_out = snapshots_rx.borrow();
+            reports.lock().unwrap().push(Told {
+                at: started.elapsed(),
+                reported: positions,
+                handed_out: handed_out.iter().map(|table| table.position).collect(),
+            });
+        }
     });
     follower.run(rx).await;
 }
@@ -301,6 +326,25 @@
     Some((first, last - first + STEP))
 }
 
+/// Returns what other instances are told.
+fn run_reports(scenario: &Scenario) -> Vec<Told> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let network = Arc::new(Network {
+            started: Instant::now(),
+            scenario: scenario.clone(),
+        });
+        let (history, reports) = (History::default(), Reports::default());
+        let follower = follow(&network, &history, &reports);
+        let _ = tokio::time::timeout(RUN_TIME, follower).await;
+        reports.lock().unwrap().clone()
+    })
+}
+
 fn run(scenario: &Scenario) -> Vec<InForce> {
     let runtime = Builder::new_current_thread()
         .enable_all()
@@ -399,3 +443,42 @@
     };
     assert_eq!(late(&scenario, &run(&scenario)), None);
 }
+
+/// Guards against CONFIG: the position of a table rose with the writes to other tables, and each rise was
+/// told as news, so that the others fetched a table in which nothing had changed.
+#[test]
+fn reported_positions_rise_with_changes_alone() {
+    let change = Duration::from_millis(9_500);
+    let scenario = Scenario {
+        contact: Duration::from_secs(4),
+        apply: Duration::from_secs(4),
+        way: Duration::from_millis(20),
+        silences: Vec::new(),
+        changes: vec![change],
+        removal: None,
+        tells_others: true,
+    };
+    let reports = run_reports(&scenario);
+    let mut complete = reports.iter().filter(|told| !told.reported.contains(&0));
+    let first = complete.clone().next().unwrap().reported.clone();
+    let later: Vec<_> = complete.clone().filter(|told| told.at < change).collect();
+    assert!(later.len() > 3, "{} reports", later.len());
+    for told in later {
+        assert_eq!(told.reported, first, "at {:?}", told.at);
+    }
+    let last = complete.next_back().unwrap();
+    assert_eq!(last.reported, [position_at(change), first[1]]);
+}
+
+/// Guards against CONFIG: an instance reported later positions than those of the tables that it handed
+/// out, so that a fetch from it never brought what it was made for.
+#[test]
+fn reported_positions_are_handed_out() {
+    for seed in SEEDS {
+        for told in run_reports(&Scenario::draw(seed)) {
+            let mut pairs = told.reported.iter().zip(&told.handed_out);
+            let is_handed_out = pairs.all(|(reported, handed_out)| reported <= handed_out);
+            assert!(is_handed_out, "seed {seed}: {told:?}");
+        }
+    }
+}
