feat(survey): the delay between callers and their region may be left out

This is the first step: answers and configurations without it are read, files that name it start as before, and it is still written. The field can go when no build that requires it is left.

`client_delay_may_be_left_out` fails without either of the two defaults (seen for answers, then for configurations) and passes now.

--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -144,7 +144,9 @@
 pub struct Links {
     /// One-way delay between two regions, in milliseconds.
     pub region_delay_ms: u32,
-    /// One-way delay between callers and their nearest region, in milliseconds.
+    /// One-way delay between callers and their nearest region, in milliseconds; nothing reads it, and it
+    /// is written for builds that refuse a configuration without it.
+    #[serde(default)]
     pub client_delay_ms: u32,
     /// Bandwidth between two regions in each direction, in Mbit/s; 0 if it is unknown, which sets no
     /// limit.
--- a/crates/survey/src/answers.rs
+++ b/crates/survey/src/answers.rs
@@ -15,7 +15,8 @@
     pub domains: Vec<DomainAnswer>,
     /// One-way delay between two regions, in milliseconds.
     pub region_delay_ms: u32,
-    /// One-way delay between callers and their nearest region, in milliseconds.
+    /// One-way delay between callers and their nearest region, in milliseconds; nothing reads it.
+    #[serde(default)]
     pub client_delay_ms: u32,
     /// Bandwidth between two regions in each direction, in Mbit/s.
     pub region_mbit_per_s: u32,
--- a/crates/survey/tests/examples.rs
+++ b/crates/survey/tests/examples.rs
@@ -24,6 +24,21 @@
     insta::assert_snapshot!(name, shown);
 }
 
+/// Guards against builds that can't leave out a setting which nothing reads, since those before refuse
+/// answers and configurations without it.
+#[test]
+fn client_delay_may_be_left_out() {
+    let (file, text) = read_answers("tour");
+    let line = "  \"client_delay_ms\": 1,\n";
+    assert!(text.contains(line));
+    let answers = survey::parse_answers(&file, &text.replace(line, "")).unwrap();
+    let mut written = serde_json::to_value(survey::generate_config(&answers)).unwrap();
+    let links = written["links"].as_object_mut().unwrap();
+    links.remove("client_delay_ms").unwrap();
+    let read: base::Config = serde_json::from_value(written).unwrap();
+    assert_eq!(read.links, survey::generate_config(&answers).links);
+}
+
 #[rstest]
 #[case::presa_verde("presa-verde")]
 #[case::cascade_loop("cascade-loop")]
