--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -207,14 +207,14 @@
         for (id, pool) in &mut self.pools {
             let service = config.services.get(id);
             let cold = service.and_then(|service| service.cold);
-            let mut left = Vec::new();
+            let mut taken_out = Vec::new();
             for (idx, target) in pool.targets.iter_mut().enumerate() {
                 let is_available = config.is_target_available(id, &target.id);
                 let is_drained = config.is_target_drained(id, &target.id);
                 let was_in_service = target.is_configured_in_service();
                 let is_back = target.apply_config(now, &self.chart, is_available, is_drained);
                 if was_in_service && !target.is_configured_in_service() {
-                    left.push(idx);
+                    taken_out.push(idx);
                 }
                 if let Some(cold) = cold
                     && is_back
@@ -225,7 +225,7 @@
                     target.mark_cold(now, &self.chart, left);
                 }
             }
-            recalled.extend(recalls(&self.entries, id, &left));
+            recalled.extend(recalls(&self.entries, id, &taken_out));
         }
         recalled
     }
