refactor(dispatch): a configuration that changes no target looks at no requests

Found in reading the change again: since each configuration went through all requests twice a service, also where no target had moved or left, which most don't. What is decided is the same: without targets nothing is recalled. 64 tests of placement and the crate's dispatcher, rests, leaving, exclusions pass, as do 21 of entry's homes; linter clean.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -438,6 +438,10 @@
     service: &ServiceId,
     targets: &[usize],
 ) -> Vec<Action> {
+    // Most configurations change no target.
+    if targets.is_empty() {
+        return Vec::new();
+    }
     entries
         .iter()
         .filter(|(_, entry)| entry.request.service == *service && entry.is_on(targets))
