fix(dispatch): an instance without targets asks others twice a second, not each four seconds

Callers of an instance that was cut from all targets got 503 no_target for up to four seconds after another instance could have served them, and longer if the one time at which it asked fell into a bad moment. The users allow three seconds (contactS).

Cause: others were asked with the probes of targets that are down, and the time between those doubles up to 4 s, so that a target which only accepts connections isn't taken for a sound one. That says nothing of the path.

Besides, after the first target that others had reached, the service wasn't down any more, so the rest of its targets were probed directly alone, and one target alone never shows that the path is lost.

Change: every 500 ms one drawn target of the services that have none left is probed, directly and through others; as long as a target that others have just reached is suspected, any target that is down. Other probes are direct alone. At most two such probes a second an instance, where there were three for each wave and service.

--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -1,9 +1,10 @@
 //! Connections that show whether targets which are down can be reached again.
 
 use base::{AllowedRegions, TargetId, Time};
+use rand::RngExt;
 
 use super::Dispatcher;
-use crate::{Dial, PathState, TargetEvent};
+use crate::{Dial, PathState, TargetEvent, TargetState};
 
 impl Dispatcher {
     /// Returns the targets to which a connection is to be tried now.
@@ -16,13 +17,24 @@
             .collect()
     }
 
-    /// Returns whether no target of this one's service can be used. Then requests no longer show whether
-    /// the path to the targets is lost, and only other instances can tell.
-    pub fn is_service_down(&self, now: Time, id: &TargetId) -> bool {
+    /// Returns a target that is down and to which a connection is to be tried now, by other instances as
+    /// well: no target of its service can be used, or they have just reached one that this instance can't.
+    ///
+    /// Without a target no request shows any more whether the path to the targets is lost.
+    pub fn due_shared_probe(&mut self, now: Time) -> Option<TargetId> {
+        if !self.path.take_shared_probe(now) {
+            return None;
+        }
+        let is_suspected = self.path.is_suspected(now);
         let pools = self.pools.values();
-        pools
-            .filter(|pool| pool.index.contains_key(id))
-            .all(|pool| !pool.has_available_target(now, &AllowedRegions::All))
+        let down: Vec<&TargetId> = pools
+            .filter(|pool| is_suspected || !pool.has_available_target(now, &AllowedRegions::All))
+            .flat_map(|pool| &pool.targets)
+            .filter(|target| target.state() == TargetState::Down)
+            .map(|target| &target.id)
+            .collect();
+        let idx = self.rng.random_range(0..down.len().max(1));
+        down.get(idx).map(|id| (*id).clone())
     }
 
     /// Records how a connection that no request waited for was opened, and returns whether the
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -87,6 +87,7 @@
     /// Probes in a row that could open a connection.
     open_probes: u32,
     last_probe_at: Time,
+    last_shared_probe_at: Time,
 }
 
 /// Targets that only others can reach, or that leave requests unanswered, until the path is lost.
@@ -107,7 +108,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum time between a check of the path and one that another instance's request gives rise to.
 const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two connections that probe whether the path is back.
+/// Time between two connections that probe the path, or a target that is down with others' help.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Probes in a row that must succeed before the path counts as restored.
 const MIN_OPEN_PROBES: u32 = 2;
@@ -125,6 +126,7 @@
             last_check_at: Time::ZERO,
             open_probes: 0,
             last_probe_at: Time::ZERO,
+            last_shared_probe_at: Time::ZERO,
         }
     }
 
@@ -220,6 +222,22 @@
         silent.len() >= MIN_SILENT_TARGETS && self.lose(self.last_response_at)
     }
 
+    /// Returns whether others have just reached a target that this instance can't.
+    pub fn is_suspected(&self, now: Time) -> bool {
+        let mut suspected_at = self.suspects.values();
+        suspected_at.any(|at| now - *at <= SUSPICION_TTL)
+    }
+
+    /// Returns whether a connection to a target that is down may be tried now, by other instances as well,
+    /// and if so, counts it.
+    pub fn take_shared_probe(&mut self, now: Time) -> bool {
+        let is_due = now - self.last_shared_probe_at >= PROBE_INTERVAL;
+        if is_due {
+            self.last_shared_probe_at = now;
+        }
+        is_due
+    }
+
     /// Returns whether a connection that probes the path is to be opened now, and if so, counts it.
     pub fn take_probe(&mut self, now: Time) -> bool {
         let is_due = self.state == PathState::Relayed && now - self.last_probe_at >= PROBE_INTERVAL;
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod configured;
 mod homes;
 mod moves;
+mod probes;
 mod support;
 
 use std::{collections::BTreeMap, time::Duration};
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -14,8 +14,6 @@
 
 /// Time after which a connection that checks the path is tried through another instance as well.
 const CHECK_RELAY_DELAY: Duration = Duration::from_millis(300);
-/// Maximum number of probes at a time for which other instances are asked; more show nothing else.
-const MAX_PROBES_ASKED: usize = 3;
 /// Maximum number of instances that are asked to carry a connection, one after the other.
 const MAX_RELAYS_TRIED: usize = 3;
 
@@ -81,19 +79,12 @@
     /// Opens connections that no request waits for: to targets that are down, and such as show
     /// whether the path to the targets is lost or back.
     pub(super) fn probe_targets(&mut self, now: Time) {
-        let mut asked = 0;
         for target in self.dispatcher.due_probes(now) {
-            let asks_others =
-                asked < MAX_PROBES_ASKED && self.dispatcher.is_service_down(now, &target);
-            asked += usize::from(asks_others);
-            let relays = if asks_others {
-                self.any_relays(now)
-            } else {
-                Vec::new()
-            };
-            self.probe(target, relays);
+            self.probe(target, Vec::new());
         }
-        for target in self.dispatcher.due_path_checks(now) {
+        let shared = self.dispatcher.due_shared_probe(now);
+        let checks = self.dispatcher.due_path_checks(now);
+        for target in checks.into_iter().chain(shared) {
             self.probe(target, self.any_relays(now));
         }
     }
