refactor(dispatch): a pool's choice and its statistics are modules of their own

Cause: pool.rs held 508 lines of three jobs: the targets as configured, the choice of a region and of a target in it, and what is in flight with the estimates drawn from the answers.

Change: pool/choice.rs and pool/statistics.rs hold the last two; pool.rs, 257 lines, keeps the state and its configuration. The users of RegionConstraints import it from where it is, so that no module imports another one in a ring. Functions are moved, not changed.

Ruled out: a type of its own for the statistics. They are updated together with the regions' counts and limits, so the split of the fields would only add arguments.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,7 +24,7 @@
     PathMonitor, Placement, Policy, Quarantine, RegionShares, RequestId, RequestKind,
     RequestProgress, RetryBudget, SelectionReason, TargetEvent, TargetState, path_chart,
     placement::Surroundings,
-    pool::{Pool, RegionConstraints, TargetContext},
+    pool::{Pool, TargetContext, choice::RegionConstraints},
     target_chart,
 };
 
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -6,7 +6,8 @@
 
 use super::{Attempt, Dispatcher};
 use crate::{
-    Action, Assignment, Placement, RequestId, RequestKind, SelectionReason, pool::RegionConstraints,
+    Action, Assignment, Placement, RequestId, RequestKind, SelectionReason,
+    pool::choice::RegionConstraints,
 };
 
 /// Maximum number of queued requests without a target that later ones may overtake at a time.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,14 +1,16 @@
 //! The targets, the queue and the statistics of one service.
 
+pub(crate) mod choice;
+mod statistics;
+
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{AllowedRegions, RegionId, Service, TargetId, Time, WorkspaceId};
+use base::{RegionId, Service, TargetId, Time};
 use chart::Chart;
-use rand::{Rng, RngExt};
 
 use crate::{
-    AimdParams, ConcurrencyLimit, FairQueue, LatencyEstimate, RequestId, SelectionReason, Target,
-    TargetEvent, TargetState, backlog::BacklogTracker, hash::seeded_hash, target::INITIAL_LATENCY,
+    AimdParams, ConcurrencyLimit, FairQueue, LatencyEstimate, RequestId, Target, TargetEvent,
+    TargetState, backlog::BacklogTracker, hash::seeded_hash, target::INITIAL_LATENCY,
     throughput::Throughput,
 };
 
@@ -62,19 +64,6 @@
     pub(crate) instance_seed: u64,
 }
 
-/// Constrains the regions that a request may be sent to.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RegionConstraints<'a> {
-    /// Region of the instance.
-    pub(crate) local_region: &'a RegionId,
-    /// Regions in which the request may run.
-    pub(crate) allowed: &'a AllowedRegions,
-    /// Whether the request has waited long enough to be worth a round trip to another region.
-    pub(crate) allows_other_regions: bool,
-    /// Slots of the region that the request must leave free.
-    pub(crate) reserved_slots: u32,
-}
-
 impl Pool {
     pub(crate) fn new() -> Self {
         Self {
@@ -239,245 +228,6 @@
             }
         }
     }
-
-    /// Selects a free target other than the one at `avoid`: in the planned region, then in the
-    /// local one, then in the others, if the constraints allow them or no target of the first of
-    /// these regions takes requests.
-    pub(crate) fn choose_target<R>(
-        &self,
-        now: Time,
-        rng: &mut R,
-        constraints: RegionConstraints<'_>,
-        avoid: Option<usize>,
-    ) -> Option<usize>
-    where
-        R: Rng,
-    {
-        let allowed = constraints.allowed;
-        let planned = self.pick_planned_region(rng, allowed);
-        let first = planned.as_ref().unwrap_or(constraints.local_region);
-        let mut found = self.choose_in_region(now, rng, constraints, first, avoid);
-        if found.is_none() && first != constraints.local_region {
-            found = self.choose_in_region(now, rng, constraints, constraints.local_region, avoid);
-        }
-        if found.is_some()
-            || !(constraints.allows_other_regions
-                || !allowed.contains(first)
-                || self.is_region_unavailable(now, first))
-        {
-            return found;
-        }
-        let others: Vec<&RegionId> = self
-            .regions
-            .keys()
-            .filter(|region| *region != first)
-            .collect();
-        // Starts at a random region, so that the first by name gets no preference.
-        let start = rng.random_range(0..others.len().max(1));
-        (0..others.len())
-            .map(|step| others[(start + step) % others.len()])
-            .find_map(|region| self.choose_in_region(now, rng, constraints, region, avoid))
-    }
-
-    /// Returns whether no target of a region takes requests.
-    fn is_region_unavailable(&self, now: Time, region: &RegionId) -> bool {
-        self.regions.get(region).is_none_or(|pool| {
-            let mut members = pool.members.iter();
-            members.all(|idx| self.targets[*idx].concurrency_limit(now) == 0)
-        })
-    }
-
-    fn choose_in_region<R>(
-        &self,
-        now: Time,
-        rng: &mut R,
-        constraints: RegionConstraints<'_>,
-        region: &RegionId,
-        avoid: Option<usize>,
-    ) -> Option<usize>
-    where
-        R: Rng,
-    {
-        let pool = self.regions.get(region)?;
-        if !constraints.allowed.contains(region) {
-            return None;
-        }
-        if !pool
-            .limit
-            .has_capacity(pool.in_flight + constraints.reserved_slots)
-        {
-            return None;
-        }
-        self.choose_among(now, rng, &pool.members, avoid)
-    }
-
-    /// Draws one of the allowed regions in proportion to the planned shares, or `None` without any.
-    fn pick_planned_region<R>(&self, rng: &mut R, allowed: &AllowedRegions) -> Option<RegionId>
-    where
-        R: Rng,
-    {
-        let shares = self.region_shares.shares.iter();
-        let shares: Vec<_> = shares
-            .filter(|(region, _)| allowed.contains(region))
-            .collect();
-        let total: f64 = shares.iter().map(|(_, share)| **share).sum();
-        if total <= 0.0 {
-            return None;
-        }
-        let mut point = rng.random::<f64>() * total;
-        for (region, share) in &shares {
-            point -= **share;
-            if point < 0.0 {
-                return Some((*region).clone());
-            }
-        }
-        shares.last().map(|(region, _)| (*region).clone())
-    }
-
-    /// Returns the cheaper of two random targets, or any free one where neither of the two is.
-    fn choose_among<R>(
-        &self,
-        now: Time,
-        rng: &mut R,
-        members: &[usize],
-        avoid: Option<usize>,
-    ) -> Option<usize>
-    where
-        R: Rng,
-    {
-        if members.is_empty() {
-            return None;
-        }
-        let is_usable = |idx: usize| Some(idx) != avoid && self.targets[idx].has_capacity(now);
-        let first = members[rng.random_range(0..members.len())];
-        let second = members[rng.random_range(0..members.len())];
-        match (is_usable(first), is_usable(second)) {
-            (true, true) => {
-                let is_first_cheaper =
-                    self.targets[first].cost(now) <= self.targets[second].cost(now);
-                Some(if is_first_cheaper { first } else { second })
-            }
-            (true, false) => Some(first),
-            (false, true) => Some(second),
-            (false, false) => members.iter().copied().find(|&idx| is_usable(idx)),
-        }
-    }
-
-    /// Returns whether any target of these regions takes requests at all, even if it is full now.
-    pub(crate) fn has_available_target(&self, now: Time, allowed: &AllowedRegions) -> bool {
-        self.targets
-            .iter()
-            .any(|target| allowed.contains(&target.region) && target.concurrency_limit(now) > 0)
-    }
-
-    /// Records that a request is sent to a target.
-    pub(crate) fn record_start(&mut self, now: Time, idx: usize, workspace: &WorkspaceId) {
-        self.backlog.record_start(now, workspace);
-        let target = &mut self.targets[idx];
-        target.record_send(now);
-        if let Some(pool) = self.regions.get_mut(&target.region) {
-            pool.in_flight += 1;
-        }
-    }
-
-    /// Records that a request has ended on a target.
-    pub(crate) fn record_end(&mut self, now: Time, idx: usize, workspace: &WorkspaceId) {
-        self.backlog.record_end(now, workspace);
-        let target = &mut self.targets[idx];
-        target.in_flight = target.in_flight.saturating_sub(1);
-        if let Some(pool) = self.regions.get_mut(&target.region) {
-            pool.in_flight = pool.in_flight.saturating_sub(1);
-        }
-    }
-
-    /// Records a response; `reason` tells whether its latency is a sample for warm targets, for
-    /// cold ones or for neither.
-    pub(crate) fn record_response(
-        &mut self,
-        now: Time,
-        idx: usize,
-        reason: SelectionReason,
-        latency: Duration,
-    ) {
-        self.latency.record(latency);
-        self.throughput.record_response(now, !self.queue.is_empty());
-        let target = &mut self.targets[idx];
-        target.record_word(now);
-        let estimate = match reason {
-            SelectionReason::First | SelectionReason::Cheaper => Some(&mut self.warm_latency),
-            SelectionReason::Next | SelectionReason::OtherRegion => Some(&mut self.cold_latency),
-            SelectionReason::ShortQueue => None,
-        };
-        if let Some(estimate) = estimate {
-            estimate
-                .get_or_insert_with(|| LatencyEstimate::new(latency))
-                .record(latency);
-        }
-        target.record_success(latency);
-        target.record_result(false);
-        if let Some(pool) = self.regions.get_mut(&target.region) {
-            pool.limit.record_success(pool.in_flight);
-        }
-    }
-
-    /// Records a refusal for lack of capacity.
-    pub(crate) fn record_refusal(&mut self, now: Time, idx: usize) {
-        let target = &mut self.targets[idx];
-        target.record_word(now);
-        target.record_refusal(now);
-        target.record_result(true);
-        if let Some(pool) = self.regions.get_mut(&target.region) {
-            pool.limit.record_refusal();
-        }
-    }
-
-    /// Returns the mean latency of a request on a warm target with a free slot.
-    pub(crate) fn service_time(&self) -> Duration {
-        self.warm_latency
-            .as_ref()
-            .map_or(Duration::ZERO, LatencyEstimate::mean)
-    }
-
-    /// Returns the median latency of a request on a warm target with a free slot. Unlike the mean,
-    /// it is not raised by the occasional cold request.
-    pub(crate) fn median_service_time(&self) -> Duration {
-        self.warm_latency
-            .as_ref()
-            .map_or(Duration::ZERO, LatencyEstimate::median)
-    }
-
-    /// Returns the mean latency on a target that is cold for the object, at least twice the warm
-    /// one.
-    pub(crate) fn cold_service_time(&self) -> Duration {
-        let cold = self.cold_latency.as_ref().map(LatencyEstimate::mean);
-        cold.unwrap_or_default().max(self.service_time() * 2)
-    }
-
-    /// Returns the time that a request sent now is expected to take, with a margin of half the
-    /// mean; a request with less time left is refused.
-    pub(crate) fn expected_latency(&self) -> Duration {
-        self.latency.mean() + self.latency.mean() / 2
-    }
-
-    /// Predicts how long a new request of `workspace` would wait for a target.
-    pub(crate) fn predicted_wait(&self, now: Time, workspace: &WorkspaceId) -> Duration {
-        let concurrency: u32 = self
-            .regions
-            .values()
-            .map(|pool| {
-                let allowed = pool
-                    .members
-                    .iter()
-                    .map(|idx| self.targets[*idx].concurrency_limit(now));
-                allowed.sum::<u32>().min(pool.limit.current())
-            })
-            .sum();
-        let ahead = self.queue.ahead_of(workspace) + 1;
-        if let Some(wait) = self.throughput.time_for(ahead) {
-            return wait;
-        }
-        self.latency.mean().mul_f64(ahead as f64) / concurrency.max(1)
-    }
 }
 
 /// Returns the minimum time between two requests of this instance to a cold target.
