refactor(entry): look-ups and actions with a key are modules of their own

Cause: callers.rs held 503 lines of three jobs: the way of a request from its head to its answer, the look-up of instances, and requests with an idempotency key, which run at most once.

Change: callers/lookup.rs and callers/actions.rs hold the last two; callers.rs has 319 lines. The methods stay methods of the handler, so neither is imported by the other. Functions are moved, not changed.

Ruled out: handlers of their own for the two. The look-up would need the clock, the view, the options and the dialect of the other again, the actions its clock, ledger and forwarder.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,5 +1,8 @@
 //! HTTP handler of the listener for callers: look-ups of instances, and requests to targets.
 
+mod actions;
+mod lookup;
+
 use std::{
     sync::{
         Arc,
@@ -8,22 +11,17 @@
     time::Duration,
 };
 
-use base::{
-    AllowedRegions, Config, DomainId, ErrorKind, Executed, KeyDigest, Refusal, RegionId, ServiceId,
-    Time,
-};
+use base::{ErrorKind, Refusal, ServiceId, Time};
 use bytes::Bytes;
-use dispatch::{ActionEvent, ActionKey, ClaimOutcome, RequestId, RequestKind, SavedAnswer};
-use http::{HeaderName, HeaderValue, StatusCode, header};
+use dispatch::{ActionKey, RequestId, RequestKind};
+use http::{HeaderName, HeaderValue, header};
 use hyper::body::Body;
 use salvo::{
     Depot, FlowCtrl, Handler, Router,
     http::{ReqBody, Request, ResBody, Response},
 };
-use serde::Serialize;
-use steer::{CallerLocation, rank_allowed_candidates};
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     time::timeout,
 };
 
@@ -46,8 +44,6 @@
 
 /// Bytes of request bodies that are received at the same time.
 pub const MAX_HELD_BYTES: usize = 32 * 1024 * 1024;
-/// Maximum time for which an answer waits until it is recorded for repeats of the request.
-const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Path of the look-up, which returns the instances that a caller may use.
 pub const LOOKUP_PATH: &str = "/v1/lookup";
 
@@ -115,78 +111,7 @@
     }
 }
 
-/// Serializes the response body of a look-up.
-#[derive(Debug, Serialize)]
-struct LookupResponse<'a> {
-    service: &'a str,
-    ttl_ms: u64,
-    entries: Vec<LookupEntry<'a>>,
-}
-
-#[derive(Debug, Serialize)]
-struct LookupEntry<'a> {
-    instance: &'a str,
-    addr: std::net::SocketAddr,
-    domain: &'a str,
-    region: &'a str,
-    /// Prefix for idempotency keys whose records the instance is to store.
-    home: String,
-}
-
 impl CallerHandler {
-    fn look_up(&self, req: &Request, res: &mut Response) {
-        let trace = Trace::accept(req.headers(), self.options.trace_sample_ratio);
-        let _span = trace.span("look-up", self.clock);
-        let view = self.view.borrow().clone();
-        let Some((_, config)) = &view.config else {
-            response::write_error(&self.dialect, res, &Refusal::new(ErrorKind::NotReady));
-            return;
-        };
-        let service = req.query::<String>("service").unwrap_or_default();
-        if !config.services.contains_key(service.as_str()) {
-            response::write_error(&self.dialect, res, &Refusal::new(ErrorKind::UnknownService));
-            return;
-        }
-        let origin = CallerLocation {
-            domain: req.query::<String>("domain").map(DomainId::from),
-            region: req.query::<String>("region").map(RegionId::from),
-        };
-        let candidates = view.candidates(config);
-        let allowed = self.allowed_regions(req, config);
-        let entries = rank_allowed_candidates(&candidates, &origin, &allowed, rand::random())
-            .into_iter()
-            .map(|idx| LookupEntry {
-                instance: candidates[idx].instance.as_str(),
-                addr: view.entries[idx].addr,
-                domain: candidates[idx].domain.as_str(),
-                region: candidates[idx].region.as_str(),
-                home: format!(
-                    "{}.{:x}.",
-                    view.entries[idx].instance, view.entries[idx].incarnation.0
-                ),
-            })
-            .collect();
-        let body = LookupResponse {
-            service: &service,
-            ttl_ms: self.options.lookup_ttl.as_millis() as u64,
-            entries,
-        };
-        response::write_json(res, StatusCode::OK.as_u16(), &body);
-    }
-
-    /// Returns where the requests of the workspace whose key a look-up carries may run; everywhere
-    /// without a valid key.
-    fn allowed_regions(&self, req: &Request, config: &Config) -> AllowedRegions {
-        let key = head::api_key(&self.dialect, req.uri(), req.headers());
-        let Some(digest) = key.ok().flatten().map(|key| KeyDigest::of(&key)) else {
-            return AllowedRegions::All;
-        };
-        let mut keys = config.keys.values();
-        let found = keys.find(|key| key.digest == digest);
-        let workspace = found.and_then(|key| config.workspaces.get(&key.workspace));
-        AllowedRegions::of(None, workspace)
-    }
-
     async fn serve_request(&self, req: &mut Request, res: &mut Response) {
         let started = self.clock.now();
         let trace = Trace::accept(req.headers(), self.options.trace_sample_ratio);
@@ -382,118 +307,6 @@
         };
         Err(Refusal::new(kind))
     }
-
-    /// Runs a request with an idempotency key at most once: claims the key, executes the request
-    /// and records the outcome, even if the caller disconnects meanwhile.
-    async fn run_once(
-        &self,
-        request: RequestHandle,
-        key: ActionKey,
-        fingerprint: u64,
-        template: RequestTemplate,
-        (deadline, span): (Time, Span),
-    ) -> Result<TargetResponse, Refusal> {
-        match self.claim(&key, request.id, fingerprint).await? {
-            ClaimOutcome::Granted => {}
-            ClaimOutcome::Done(answer) => return replay(answer),
-            other => return Err(Refusal::new(claim_error(&other))),
-        }
-        request.dispatch(fingerprint);
-        let handler = self.clone();
-        let run = async move {
-            let request_id = request.id;
-            let result = execute(&handler.forwarder, request, template, &span).await;
-            let (event, answer) = outcome_of(&result);
-            let (recorded, record) = oneshot::channel();
-            let call = LedgerCall::Settle {
-                key,
-                request: request_id,
-                event,
-                answer,
-                recorded,
-            };
-            let _ = handler.ledger.send(call).await;
-            if result.is_ok() {
-                // A repeat after the answer, through any instance, gets the same one.
-                let _ = timeout(RECORD_TIMEOUT.min(deadline - handler.clock.now()), record).await;
-            }
-            result
-        };
-        tokio::spawn(run)
-            .await
-            .unwrap_or_else(|_| Err(Refusal::new(ErrorKind::Internal)))
-    }
-
-    async fn claim(
-        &self,
-        key: &ActionKey,
-        request: RequestId,
-        fingerprint: u64,
-    ) -> Result<ClaimOutcome, Refusal> {
-        let (reply, answer) = oneshot::channel();
-        let call = LedgerCall::Claim {
-            key: key.clone(),
-            request,
-            fingerprint,
-            reply,
-        };
-        let unavailable = || Refusal::new(ErrorKind::ClaimUnavailable);
-        self.ledger.send(call).await.map_err(|_| unavailable())?;
-        answer
-            .await
-            .map_err(|_| unavailable())?
-            .map_err(Refusal::new)
-    }
-}
-
-fn claim_error(claim: &ClaimOutcome) -> ErrorKind {
-    match claim {
-        ClaimOutcome::InProgress => ErrorKind::InProgress,
-        ClaimOutcome::Reused => ErrorKind::KeyReused,
-        ClaimOutcome::Stale => ErrorKind::ClaimUnavailable,
-        ClaimOutcome::Unknown | ClaimOutcome::Done(_) | ClaimOutcome::Granted => {
-            ErrorKind::OutcomeUnknown
-        }
-    }
-}
-
-fn outcome_of(result: &Result<TargetResponse, Refusal>) -> (ActionEvent, Option<SavedAnswer>) {
-    match result {
-        Ok(response) => {
-            let headers = response
-                .headers
-                .iter()
-                .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
-                .collect();
-            let answer = SavedAnswer {
-                status: response.status.as_u16(),
-                headers,
-                body: response.body.to_vec(),
-            };
-            (ActionEvent::Answered, Some(answer))
-        }
-        Err(refusal) if refusal.kind.response().executed == Executed::No => {
-            (ActionEvent::NotRun, None)
-        }
-        Err(_) => (ActionEvent::Lost, None),
-    }
-}
-
-fn replay(answer: SavedAnswer) -> Result<TargetResponse, Refusal> {
-    let status =
-        StatusCode::from_u16(answer.status).map_err(|_| Refusal::new(ErrorKind::OutcomeUnknown))?;
-    let headers = answer
-        .headers
-        .iter()
-        .filter_map(|(name, value)| {
-            Some((name.parse().ok()?, HeaderValue::from_bytes(value).ok()?))
-        })
-        .collect();
-    Ok(TargetResponse {
-        status,
-        headers,
-        body: answer.body.into(),
-    })
 }
 
 fn write_response(res: &mut Response, response: TargetResponse) {
