--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -3,10 +3,12 @@
 //! Each table is followed by long polling. Heartbeats carry the positions up to which an instance
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
+mod publication;
+
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{CatchUp, FetchDelays, Freshness, Replica, TableSnapshot, rendezvous_draw};
+use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
 use entry::{
     message::Event,
     metrics::Metrics,
@@ -20,11 +22,10 @@
 use wire::Secret;
 
 use crate::{
-    entry_points::entry_points,
     fleet::Fleet,
     message::{FollowerMessage, PeerCommand},
     rpc,
-    table_logs::{NewsSource, age_ms, log_fetch, log_older, log_rates, log_read_failure},
+    table_logs::{NewsSource, log_fetch, log_older, log_read_failure},
     table_reads::{
         Fetch, PlatformRead, ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change,
         to_snapshot,
@@ -41,12 +42,6 @@
 /// Time after the end of an outage of the platform for which rows that it removed are kept.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which a reported freshness is valid; after it, the engine treats the instance as
-/// isolated.
-const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
-
-/// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
-const TABLE_AGE_GAUGES: [&str; 2] = ["operator_rows_age_ms", "target_rows_age_ms"];
 
 /// Gives the other tasks one configuration for all followed tables.
 #[derive(Debug, Clone, PartialEq)]
@@ -352,157 +347,6 @@
         due.fold(usual, Time::min).max(refreshed_at)
     }
 
-    /// Composes the configuration for news that came from `source` to an instance whose tables were
-    /// last confirmed at `known_at`.
-    fn compose(&mut self, now: Time, known_at: Option<Time>, source: &NewsSource) {
-        if self
-            .tables
-            .iter()
-            .any(|table| !table.replica.is_initialized())
-        {
-            return;
-        }
-        let replicas: Vec<&Replica> = self.tables.iter().map(|table| &table.replica).collect();
-        let Some(composed) = (self.options.followed.compose)(&replicas) else {
-            tracing::error!(event = "config_unusable");
-            return;
-        };
-        if composed.version < self.version {
-            tracing::error!(event = "config_older", version = composed.version);
-            return;
-        }
-        self.revision += 1;
-        let targets: usize = composed
-            .config
-            .services
-            .values()
-            .map(|service| service.targets.len())
-            .sum();
-        tracing::info!(
-            event = "config_in_force",
-            version = composed.version,
-            before = self.version,
-            revision = self.revision,
-            routes = composed.config.routes.len(),
-            targets,
-            drained = ?composed.config.drains.targets_in_domains,
-            %source,
-            blind_ms = age_ms(now, known_at),
-        );
-        self.version = composed.version;
-        log_rates(self.composed.as_deref(), &composed.config);
-        let config = Arc::new(composed.config);
-        self.composed = Some(config.clone());
-        let _ = self.options.engine.send(Event::ConfigActivated(config));
-        let snapshots = self
-            .tables
-            .iter()
-            .map(|table| table.replica.snapshot().clone())
-            .collect();
-        self.options.snapshots.send_replace(Arc::new(snapshots));
-    }
-
-    /// Returns when the tables were last known to be the latest, by own reads or by a heartbeat.
-    fn confirmed_at(&self) -> Option<Time> {
-        let own = self.tables.iter().map(|table| table.confirmed_at).min();
-        own.flatten().max(self.peer_confirmed_at)
-    }
-
-    fn publish(&mut self) {
-        let now = self.options.clock.now();
-        let fleet = self.options.fleet.borrow().clone();
-        let confirmed_at = self.confirmed_at();
-        let freshness = self.freshness(now, &fleet, confirmed_at);
-        let valid_until = now + FRESHNESS_VALIDITY;
-        let event = Event::ConfigFreshness {
-            freshness,
-            valid_until,
-            confirmed_at,
-        };
-        let _ = self.options.engine.send(event);
-        self.publish_age(now, confirmed_at);
-        let own = (!self.is_leaving).then_some(&self.options.own_entry);
-        let config = self.composed.clone();
-        let view = View {
-            entries: entry_points(now, &fleet, config.as_deref(), own),
-            config: config.map(|config| (self.revision, config)),
-            freshness,
-            is_leaving: self.is_leaving,
-        };
-        let is_changed = {
-            let old = self.options.view.borrow();
-            old.freshness != freshness
-                || old.entries != view.entries
-                || old.is_leaving != view.is_leaving
-                || old.config.as_ref().map(|(revision, _)| *revision) != Some(self.revision)
-        };
-        if is_changed {
-            self.options.view.send_replace(Arc::new(view));
-        }
-        let positions: Vec<u64> = self
-            .tables
-            .iter()
-            .map(|table| table.replica.changed_at())
-            .collect();
-        self.hand_out_tables(&positions);
-        let current = (positions, confirmed_at);
-        if self.last_sent.as_ref() != Some(&current) {
-            let command = PeerCommand::SetTablePositions {
-                positions: current.0.clone(),
-                confirmed_at: current.1,
-            };
-            // What finds no room is told with a later refresh; nothing may hold up the next read.
-            if self.options.peers.try_send(command).is_ok() {
-                self.last_sent = Some(current);
-            }
-        }
-    }
-
-    /// Publishes the tables for other instances, if they were told of later positions than those of the
-    /// published ones.
-    fn hand_out_tables(&self, reported: &[u64]) {
-        let is_older = {
-            let published = self.options.snapshots.borrow();
-            let mut pairs = published.iter().zip(reported);
-            pairs.any(|(table, reported)| table.position < *reported)
-        };
-        if is_older {
-            let tables = self.tables.iter();
-            let snapshots = tables.map(|table| table.replica.snapshot().clone());
-            let snapshots = Arc::new(snapshots.collect());
-            self.options.snapshots.send_replace(snapshots);
-        }
-    }
-
-    fn freshness(&self, now: Time, fleet: &Fleet, confirmed_at: Option<Time>) -> Freshness {
-        if self.composed.is_none() {
-            return Freshness::Empty;
-        }
-        if confirmed_at.is_some_and(|at| now - at <= self.options.confirm_limit) {
-            return Freshness::Fresh;
-        }
-        let (listed, alive) = fleet.count_listed_and_alive(now);
-        if listed > 0 && alive == 0 {
-            Freshness::Isolated
-        } else {
-            Freshness::Unconfirmed
-        }
-    }
-
-    /// Sets the gauges of the time since the last answer for each table, and since the configuration
-    /// was last known to be the latest.
-    fn publish_age(&self, now: Time, confirmed_at: Option<Time>) {
-        let gauges = &self.options.metrics.gauges;
-        let set = |name: &str, at| {
-            let age = age_ms(now, at).and_then(|age| i64::try_from(age).ok());
-            gauges.with_label_values(&[name]).set(age.unwrap_or(-1));
-        };
-        set("config_age_ms", confirmed_at);
-        for (table, gauge) in self.tables.iter().zip(TABLE_AGE_GAUGES) {
-            set(gauge, table.confirmed_at);
-        }
-    }
-
     fn set_alarm(&self, name: &str, is_on: bool) {
         let gauges = &self.options.metrics.gauges;
         gauges.with_label_values(&[name]).set(i64::from(is_on));
