test(proof): look-ups and kills are asked for in one place each

Change: look_up beside get and send; the kill is one line, since a signal needs no exclusive access. All cases and assertions are as they were.

Ruled out: a function for the start of a deployment with a key, which start_configured is already.

--- a/crates/proof/tests/failures.rs
+++ b/crates/proof/tests/failures.rs
@@ -35,6 +35,12 @@
     Caller::connect(entry).await.send(request).await
 }
 
+/// Asks `i1` for the instances that serve `logbook`; `place` continues the query.
+async fn look_up(deployment: &Deployment, place: &str) -> Response {
+    let request = Request::get(&format!("/v1/lookup?service=logbook{place}"));
+    send(deployment, "i1", &request).await
+}
+
 /// Withdraws the key `k1` and asserts that all three instances refuse it once the command has ended.
 async fn assert_withdrawn_everywhere(deployment: &Deployment, key: &str) {
     let (text, code) = deployment.run_cli(&["key", "withdraw", "k1"]);
@@ -62,22 +68,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn kill_others_serve_and_lookups_forget() {
-    let (mut deployment, key) = start_configured(&DeploymentSpec::default()).await;
-    deployment
-        .instances
-        .get_mut("i3")
-        .unwrap()
-        .process
-        .signal("KILL");
+    let (deployment, key) = start_configured(&DeploymentSpec::default()).await;
+    deployment.instances["i3"].process.signal("KILL");
     let deadline = Instant::now() + RETRY_TIMEOUT;
     loop {
         assert_eq!(get(&deployment, "i1", &key).await.status, 200);
-        let lookup = send(
-            &deployment,
-            "i1",
-            &Request::get("/v1/lookup?service=logbook"),
-        )
-        .await;
+        let lookup = look_up(&deployment, "").await;
         if lookup.body["entries"].as_array().unwrap().len() == 2 {
             break;
         }
@@ -88,13 +84,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn kill_home_makes_outcome_unknown_not_run_again() {
-    let (mut deployment, key) = start_configured(&DeploymentSpec::default()).await;
-    let lookup = send(
-        &deployment,
-        "i1",
-        &Request::get("/v1/lookup?service=logbook&domain=oriente-norte"),
-    )
-    .await;
+    let (deployment, key) = start_configured(&DeploymentSpec::default()).await;
+    let lookup = look_up(&deployment, "&domain=oriente-norte").await;
     let home = lookup.body["entries"][0]["home"].as_str().unwrap();
     assert!(home.starts_with("i3."));
     let action = format!("{home}pay-1");
@@ -103,12 +94,7 @@
         .header("idempotency-key", &action)
         .body("day pass");
     assert_eq!(send(&deployment, "i1", &post).await.status, 200);
-    deployment
-        .instances
-        .get_mut("i3")
-        .unwrap()
-        .process
-        .signal("KILL");
+    deployment.instances["i3"].process.signal("KILL");
     let repeat = send(&deployment, "i2", &post).await;
     assert_eq!(repeat.error_kind(), "outcome_unknown", "{repeat:?}");
     assert_eq!(repeat.body["ran"], "unknown");
@@ -423,7 +409,7 @@
         slots: 16,
         ..DeploymentSpec::default()
     };
-    let (mut deployment, key) = start_configured(&spec).await;
+    let (deployment, key) = start_configured(&spec).await;
     sleep(Duration::from_secs(2)).await;
     let entries: Vec<_> = deployment
         .instances
@@ -451,12 +437,7 @@
         });
     }
     sleep(Duration::from_secs(3)).await;
-    deployment
-        .instances
-        .get_mut("i3")
-        .unwrap()
-        .process
-        .signal("KILL");
+    deployment.instances["i3"].process.signal("KILL");
     let mut admitted = 0;
     while let Some(count) = tasks.join_next().await {
         admitted += count.unwrap();
@@ -579,12 +560,7 @@
         assert_eq!(response.status, 200);
         assert_ne!(response.body["target"], "logbook-costa-norte-1");
     }
-    let lookup = send(
-        &deployment,
-        "i1",
-        &Request::get("/v1/lookup?service=logbook&domain=costa-norte"),
-    )
-    .await;
+    let lookup = look_up(&deployment, "&domain=costa-norte").await;
     let entries = lookup.body["entries"].as_array().unwrap();
     assert!(
         entries.iter().all(|entry| entry["domain"] != "costa-norte"),
@@ -626,18 +602,13 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn key_withdrawn_while_an_instance_is_killed_and_the_store_is_slow() {
-    let (mut deployment, key) = start_configured(&DeploymentSpec::default()).await;
+    let (deployment, key) = start_configured(&DeploymentSpec::default()).await;
     let slow = Faults {
         delay_ms: 400,
         ..Faults::default()
     };
     deployment.set_faults(slow).await;
-    deployment
-        .instances
-        .get_mut("i3")
-        .unwrap()
-        .process
-        .signal("KILL");
+    deployment.instances["i3"].process.signal("KILL");
     let (text, code) = deployment.run_cli(&["key", "withdraw", "k1", "--wait", "3"]);
     // The killed instance is still on the platform's list: the command waits for it and names it.
     assert_eq!(code, 6, "{text}");
