fix(dispatch): what is queued is refused when its service has lost its last target

Callers waited until their deadline although nothing could serve them, while new requests were refused at once as no_target. Cause: after a configuration, only queued requests with homes were looked at, and a target found down changed nothing for the queue. It concerns the placement by two choices, where requests wait up to their deadline; by object affinity they wait for a fraction of their objective.

Change: a queue without any target that takes requests is emptied with the next tick, and a configuration refuses whatever none of its targets can take.

--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{ErrorKind, Refusal, ServiceId, Time};
+use base::{AllowedRegions, ErrorKind, Refusal, ServiceId, Time};
 
 use super::{Dispatcher, Entry};
 use crate::{Action, AdmittedRequest, Placement, RequestId, pool::Pool};
@@ -128,7 +128,20 @@
             .collect()
     }
 
-    /// Refuses queued requests that are bound to regions without any target that takes requests.
+    /// Refuses what is queued for services of which no target takes requests any more.
+    pub(super) fn refuse_stranded(&mut self, now: Time) -> Vec<Action> {
+        let mut pools = self.pools.values();
+        let is_stranded = pools.any(|pool| {
+            !pool.queue.is_empty() && !pool.has_available_target(now, &AllowedRegions::All)
+        });
+        if is_stranded {
+            self.refuse_unplaceable(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Refuses queued requests of which no target that they may use takes requests.
     pub(super) fn refuse_unplaceable(&mut self, now: Time) -> Vec<Action> {
         let queued = self.queued.iter().map(|(_, id)| *id);
         let unplaceable: Vec<RequestId> =
@@ -146,9 +159,8 @@
         let Some(request) = self.entries.get(&id).map(|entry| &entry.request) else {
             return false;
         };
-        let allowed = &request.allowed_regions;
         let pool = self.pools.get(&request.service);
-        !allowed.is_all() && pool.is_some_and(|pool| !pool.has_available_target(now, allowed))
+        pool.is_some_and(|pool| !pool.has_available_target(now, &request.allowed_regions))
     }
 
     /// Refuses queued requests whose wait deadline has passed.
--- a/crates/dispatch/tests/placement/probes.rs
+++ b/crates/dispatch/tests/placement/probes.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use base::{TargetId, Time};
-use dispatch::{Dial, Dispatcher, Outcome, PathState, TargetState};
+use base::{ErrorKind, TargetId, Time};
+use dispatch::{Dial, Dispatcher, Outcome, PathState, Placement, Policy, TargetState};
+use rstest::rstest;
 
-use crate::support::{assignments, config, dispatcher, request};
+use crate::support::{assignments, config, dispatcher, refusals, request};
 
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two shared probes, and one tick.
@@ -89,3 +90,43 @@
         assert_eq!(dispatcher.due_shared_probe(now), None);
     }
 }
+
+/// Guards against callers that wait in vain: what was queued when a service lost its last target waited
+/// until its deadline, while new requests were refused at once.
+#[rstest]
+#[case::down(false)]
+#[case::taken_away(true)]
+fn queued_requests_are_refused_when_no_target_is_left(#[case] is_taken_away: bool) {
+    let mut config = config(2);
+    let policy = Policy {
+        placement: Placement::TwoChoices,
+        ..Policy::default()
+    };
+    let mut dispatcher = Dispatcher::new("r0".into(), 1, policy).unwrap();
+    dispatcher.configure(Time::ZERO, &config);
+    let now = Time::from_secs(1);
+    let mut sent = Vec::new();
+    for id in 0..20 {
+        let actions = dispatcher.submit(now, request(now, id, id));
+        sent.extend(assignments(&actions).into_iter().cloned());
+    }
+    let queued = dispatcher.queue_len();
+    assert!(queued > 0, "{}", sent.len());
+    let mut actions = if is_taken_away {
+        config.services.get_mut("s").unwrap().targets.clear();
+        dispatcher.configure(now, &config)
+    } else {
+        let mut actions = Vec::new();
+        while let Some(one) = sent.pop() {
+            let ended = dispatcher.finish(now, one.id, one.attempt, Outcome::Unreachable);
+            sent.extend(assignments(&ended.1).into_iter().cloned());
+            actions.extend(ended.1);
+        }
+        actions
+    };
+    actions.extend(dispatcher.tick(now + TICK));
+    assert_eq!(dispatcher.queue_len(), 0);
+    let refused = refusals(&actions);
+    let without_target = refused.iter().filter(|kind| **kind == ErrorKind::NoTarget);
+    assert!(without_target.count() >= queued, "{queued} {refused:?}");
+}
