--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the first line with this `event` that has arrived; those before it are dropped.
+    pub fn next_event(&self, event: &str) -> Option<Value> {
+        self.lines.try_iter().find(|line| line["event"] == event)
+    }
+
     /// Returns the lines that the process has written and that nothing has read yet.
     pub fn take_lines(&self) -> Vec<Value> {
         self.lines.try_iter().collect()
