--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -49,6 +49,13 @@
     pub is_listed: bool,
     /// Whether it is known for certain to have stopped.
     pub is_gone: bool,
+    /// Format of its messages, zero if unknown or if the reporting instance is of a build that
+    /// doesn't tell.
+    #[serde(default)]
+    pub format: u32,
+    /// Version of its build, empty if unknown.
+    #[serde(default)]
+    pub build: String,
 }
 
 impl Status {
--- a/crates/cli/src/run/inspect.rs
+++ b/crates/cli/src/run/inspect.rs
@@ -5,7 +5,7 @@
 use super::context::{CommandContext, text_arg};
 use crate::{
     error::CliError,
-    instance::{self, Status},
+    instance::{self, PeerStatus, Status},
 };
 
 impl CommandContext<'_> {
@@ -47,7 +47,8 @@
         if peer.is_gone {
             state.push_str(", gone");
         }
-        lines.push(format!("{id}\tversion {}\t{state}", peer.version));
+        let build = format_build(peer);
+        lines.push(format!("{id}\tversion {}\t{build}\t{state}", peer.version));
     }
     for (id, target) in &status.targets {
         let state = target["state"].as_str().unwrap_or_default();
@@ -66,6 +67,14 @@
     lines.join("\n")
 }
 
+fn format_build(peer: &PeerStatus) -> String {
+    match (peer.build.as_str(), peer.format) {
+        (_, 0) => "build unknown".to_owned(),
+        ("", format) => format!("build unknown, format {format}"),
+        (build, format) => format!("build {build}, format {format}"),
+    }
+}
+
 fn format_explanation(value: &Value) -> String {
     let verdict = value["verdict"].as_str().unwrap_or_default();
     let reasons = value["reasons"].as_array().cloned().unwrap_or_default();
