fix(daemon): instances that can't carry marked connections are not asked for any

Three instances at most are asked, so older ones took the place of those that can help. Change: only instances from format 4 on count as carriers; the others stay members with loans, grants, slots and shares. Builds of format 3 differ in this, and their heartbeats don't tell them apart. An own test file, as the engine's event is what counts.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -5,7 +5,10 @@
 use base::{DomainId, Incarnation, InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{Member, Presence, rendezvous_rank};
 
-use crate::{format::FORMAT_WITHOUT_RATES, message::PeerHeartbeat};
+use crate::{
+    format::{FORMAT_WITHOUT_QUARANTINE, FORMAT_WITHOUT_RATES},
+    message::PeerHeartbeat,
+};
 
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
@@ -166,6 +169,11 @@
     pub fn takes_calls(&self) -> bool {
         self.format != FORMAT_WITHOUT_RATES
     }
+
+    /// Returns whether the instance carries connections to targets as this build asks for them.
+    pub fn carries_connections(&self) -> bool {
+        self.format > FORMAT_WITHOUT_QUARANTINE
+    }
 }
 
 impl Fleet {
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -16,8 +16,9 @@
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
 /// Format in which heartbeats don't carry the format yet.
 const FORMAT_WITHOUT_NUMBER: u32 = 2;
-/// Format in which quarantines aren't reported.
-const FORMAT_WITHOUT_QUARANTINE: u32 = 3;
+/// Format in which quarantines aren't reported. Some of its builds, and all earlier ones, don't mark the
+/// end of connections that they carry.
+pub(crate) const FORMAT_WITHOUT_QUARANTINE: u32 = 3;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -368,7 +368,7 @@
             .filter(|(_, member)| member.may_send(now))
             .filter_map(|(id, member)| {
                 let may_relay =
-                    member.is_alive(now) && member.has_target_path && member.takes_calls();
+                    member.is_alive(now) && member.has_target_path && member.carries_connections();
                 Some(LiveInstance {
                     id: id.clone(),
                     region: config.region_of(&member.domain)?.clone(),
--- /dev/null
+++ b/crates/daemon/tests/owners.rs
@@ -0,0 +1,105 @@
+//! What the engine is told of the other instances in a fleet of different builds.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{Config, Domain, Incarnation, Time};
+use coord::QuotaSplit;
+use daemon::{
+    fleet::{Fleet, FleetMember},
+    owners::{Owners, OwnersOptions},
+};
+use entry::{
+    message::{Event, LiveInstance},
+    view::{Clock, View},
+};
+use rstest::rstest;
+use tokio::{
+    sync::{mpsc, watch},
+    time::timeout,
+};
+
+const TOLD_WITHIN: Duration = Duration::from_secs(5);
+
+fn addr() -> SocketAddr {
+    ([10, 1, 0, 8], 8_206).into()
+}
+
+/// Returns a live instance that reaches the targets and speaks this format.
+fn member(format: u32) -> FleetMember {
+    FleetMember {
+        domain: "d".into(),
+        addr: Some(addr()),
+        entry: None,
+        incarnation: Some(Incarnation(1)),
+        version: 1,
+        alive_until: Time::from_secs(600),
+        is_leaving: false,
+        is_listed: true,
+        is_gone: false,
+        owned_workspaces: Vec::new(),
+        held_slots: Some(1),
+        heartbeat_sequence: 1,
+        has_target_path: true,
+        format,
+        build: String::new(),
+        demand: Vec::new(),
+        pinned_demand: Vec::new(),
+    }
+}
+
+/// Returns what the engine is told of another instance that speaks this format.
+async fn told_of(format: u32) -> LiveInstance {
+    let mut config = Config::default();
+    let domain = Domain { region: "r".into() };
+    config.domains.insert("d".into(), domain);
+    let view = View {
+        config: Some((1, Arc::new(config))),
+        ..View::default()
+    };
+    let fleet = Fleet {
+        members: BTreeMap::from([("i2".into(), member(format))]),
+        ..Fleet::default()
+    };
+    let (_view, view) = watch::channel(Arc::new(view));
+    let (_fleet, fleet) = watch::channel(Arc::new(fleet));
+    let (engine, mut events) = mpsc::unbounded_channel();
+    let (peers, _commands) = mpsc::channel(64);
+    let owners = Owners::new(OwnersOptions {
+        clock: Clock::start(),
+        own_id: "i1".into(),
+        domain: "d".into(),
+        incarnation: Incarnation(1),
+        split: QuotaSplit::default(),
+        view,
+        fleet,
+        engine,
+        peers,
+    });
+    let (_messages, messages) = mpsc::channel(1);
+    let (_outgoing, outgoing) = mpsc::unbounded_channel();
+    tokio::spawn(owners.run(messages, outgoing));
+    let told = async {
+        loop {
+            if let Some(Event::LiveInstances { instances, .. }) = events.recv().await {
+                let other = instances.into_iter().find(|one| one.id == "i2".into());
+                return other.unwrap();
+            }
+        }
+    };
+    timeout(TOLD_WITHIN, told).await.unwrap()
+}
+
+/// Guards against a lost path in an upgrade: instances of a build that can't carry marked connections
+/// were asked before those that can, and only three are asked. They stay members.
+#[rstest]
+#[case::without_rates(1, false)]
+#[case::without_number(2, false)]
+#[case::without_quarantine(3, false)]
+#[case::own(4, true)]
+#[case::later(5, true)]
+#[tokio::test]
+async fn older_instance_is_asked_for_no_connection(#[case] format: u32, #[case] is_asked: bool) {
+    let told = told_of(format).await;
+    assert_eq!(told.relay_addr, is_asked.then(addr));
+    assert_eq!(told.region, "r".into());
+}
