fix(daemon): a heartbeat that is cut off within its last fields is not read as an earlier one

A heartbeat of format 3 or 4 that lacks two or three bytes of its build's name was read as one of format 2 or 1, with a name that ends in zeros, since only the number of missing bytes was looked at. Change: those of earlier formats lack number and name altogether.

--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -90,10 +90,12 @@
     extended.resize(fields.len() + MAX_LACKING_BYTES, 0);
     let (mut heartbeat, rest) = postcard::take_from_bytes::<PeerHeartbeat>(&extended).ok()?;
     let lacking = MAX_LACKING_BYTES.saturating_sub(rest.len());
+    // Fields of which a part is there were cut off; no format lacks them.
+    let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
     match lacking {
         0 => {}
-        NUMBER_AND_BUILD_BYTES => heartbeat.format = FORMAT_WITHOUT_NUMBER,
-        _ if lacking == NUMBER_AND_BUILD_BYTES + 1 => {
+        NUMBER_AND_BUILD_BYTES if lacks_number => heartbeat.format = FORMAT_WITHOUT_NUMBER,
+        _ if lacks_number && lacking == NUMBER_AND_BUILD_BYTES + 1 => {
             heartbeat.format = FORMAT_WITHOUT_RATES;
             // Zero stands for a lost path, of which that format knows nothing.
             heartbeat.has_target_path = true;
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -120,6 +120,43 @@
     }
 }
 
+/// Guards against an older instance that counts as silent: its heartbeats lack fields.
+#[rstest]
+#[case::without_rates(1)]
+#[case::without_number(2)]
+fn older_heartbeat_is_read(#[case] format: u32) {
+    let read = decode(&sample(format, "heartbeat"), None);
+    let Ok(PeerMessage::Heartbeat(heartbeat)) = read else {
+        panic!("{read:?}");
+    };
+    assert_eq!((heartbeat.format, heartbeat.held_slots), (format, 2));
+}
+
+/// Guards against a heartbeat that older instances read otherwise: new fields are behind theirs.
+#[rstest]
+#[case::without_rates(1)]
+#[case::without_number(2)]
+fn heartbeat_is_read_by_older(#[case] format: u32) {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.format = format;
+    let sent = encode(&PeerMessage::Heartbeat(Box::new(heartbeat)), format).unwrap();
+    assert!(sent.starts_with(&sample(format, "heartbeat")));
+}
+
+/// Guards against QUOTA and BUDGET: returned loans of an older instance were read as a lost connection.
+#[test]
+fn older_returned_loans_are_no_other_message() {
+    let returned = PeerMessage::LoansReturned("gym".into(), 5);
+    assert_eq!(decode(&sample(1, "loans-returned"), Some(1)), Ok(returned));
+}
+
+/// Guards against loans that an older instance takes for lent: their return was refused.
+#[test]
+fn returned_loans_are_read_by_older() {
+    let returned = PeerMessage::LoansReturned("gym".into(), 5);
+    assert_eq!(encode(&returned, 1), Some(sample(1, "loans-returned")));
+}
+
 /// What this build sends is what an earlier one can read, or nothing.
 #[rstest]
 #[case::without_rates(1)]
@@ -223,8 +260,23 @@
             }
         }
     }
-    let whole = sample(1, "heartbeat");
-    for len in 0..whole.len() {
-        assert!(decode(&whole[..len], None).is_err(), "cut at {len}");
+}
+
+/// Guards against a heartbeat that is cut off within its last fields: it was taken for one of an
+/// earlier format. Where all fields of a later format are cut off, it is one of an earlier.
+#[rstest]
+#[case::without_rates(1, &[])]
+#[case::without_number(2, &[1])]
+#[case::without_quarantine(3, &[7, 8])]
+#[case::own(OWN_FORMAT, &[7, 8])]
+fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
+    let whole = sample(format, "heartbeat");
+    for lacking in 1..=whole.len() {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert_eq!(
+            read.is_ok(),
+            whole_without.contains(&lacking),
+            "{lacking}: {read:?}"
+        );
     }
 }
