test(daemon): 4,000 drawn malformed frames change nothing at a running instance

decode alone was fed malformed messages; what the task does with them was not seen. Now frames of unknown kinds from a newer format, of format zero, cut off, with lengths beyond their end, damaged after sealing and made up are sent to it over its socket: those that are authentic are counted, each once, no other task is told anything, the members stay as they were, and the next heartbeat is read.

--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -1,4 +1,5 @@
-//! What the exchange of heartbeats costs an instance among many.
+//! What the exchange of heartbeats costs an instance among many, and what it does with frames that it
+//! can't read.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -6,15 +7,19 @@
 use coord::{Heartbeat, ListEntry, Membership};
 use daemon::{
     fleet::Fleet,
-    message::{ListedPeer, PeerCommand, PeerMessage},
+    format::OWN_FORMAT,
+    message::{ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage},
+    owners::OwnersMessage,
     peers::{HEARTBEAT_INTERVAL, Outputs, Peers, initial_heartbeat},
 };
-use entry::view::Clock;
+use entry::{message::Event, view::Clock};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use rstest::rstest;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use wire::{Secret, Sessions};
 
@@ -29,6 +34,10 @@
     socket: UdpSocket,
     sessions: BTreeMap<InstanceId, Sessions>,
     sequence: u64,
+    /// Format that the others' heartbeats name.
+    format: u32,
+    engine: mpsc::UnboundedReceiver<Event>,
+    owners: mpsc::Receiver<OwnersMessage>,
 }
 
 fn secret() -> Secret {
@@ -51,8 +60,8 @@
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let own_socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let addr = own_socket.local_addr().unwrap();
-        let (engine, _) = mpsc::unbounded_channel();
-        let (owners, _) = mpsc::channel(1);
+        let (engine, engine_rx) = mpsc::unbounded_channel();
+        let (owners, owners_rx) = mpsc::channel(1);
         let (follower, _) = mpsc::channel(1);
         let (fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
         let own_id = InstanceId::from(OWN_ID);
@@ -92,6 +101,9 @@
             sessions: sessions.collect(),
             socket,
             sequence: 0,
+            format: OWN_FORMAT,
+            engine: engine_rx,
+            owners: owners_rx,
         }
     }
 
@@ -116,6 +128,7 @@
             status.is_leaving = is_leaving;
             let mut message = initial_heartbeat(status, self.addr);
             message.sequence = self.sequence;
+            message.format = self.format;
             let message = PeerMessage::Heartbeat(Box::new(message));
             let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
             self.socket.send_to(&frame, self.addr).await.unwrap();
@@ -169,9 +182,7 @@
     fleet.mark_unchanged();
     let counted = tokio::spawn(async move {
         let mut published = 0;
-        while let Ok(Ok(())) =
-            tokio::time::timeout(Duration::from_millis(400), fleet.changed()).await
-        {
+        while let Ok(Ok(())) = timeout(Duration::from_millis(400), fleet.changed()).await {
             published += 1;
         }
         published
@@ -220,3 +231,122 @@
         "published after {delays:?}"
     );
 }
+
+/// Time within which the instance must have dealt with a batch of frames.
+const READ_WITHIN: Duration = Duration::from_secs(20);
+
+/// Ways in which a message of a later build can't be read.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    UnknownKind,
+    ZeroFormat,
+    CutOff,
+    LengthBeyondEnd,
+}
+
+/// Draws a message that can't be read.
+fn draw_unreadable(rng: &mut Pcg32) -> Vec<u8> {
+    /// Kinds that this build lacks; at most 64 kinds of an instance are counted.
+    const UNKNOWN_KINDS: std::ops::Range<u8> = 20..50;
+    let faults = [
+        Fault::UnknownKind,
+        Fault::ZeroFormat,
+        Fault::CutOff,
+        Fault::LengthBeyondEnd,
+    ];
+    let status = heartbeat(&"i0".into(), Incarnation(1));
+    let mut heartbeat = initial_heartbeat(status, ([127, 0, 0, 1], 1).into());
+    heartbeat.demand = vec![("board".into(), 12.5)];
+    heartbeat.format = OWN_FORMAT + 1;
+    match faults[rng.random_range(0..faults.len())] {
+        Fault::UnknownKind => {
+            let kind = rng.random_range(UNKNOWN_KINDS);
+            let fields = (0..rng.random_range(0..200)).map(|_| rng.random());
+            [kind].into_iter().chain(fields).collect()
+        }
+        Fault::ZeroFormat => {
+            heartbeat.format = 0;
+            encode(&heartbeat)
+        }
+        Fault::CutOff => {
+            // Without build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 2;
+            let whole = encode(&heartbeat);
+            loop {
+                let cut = rng.random_range(1..whole.len());
+                if ![lacking, lacking + 1].contains(&cut) {
+                    return whole[..whole.len() - cut].to_vec();
+                }
+            }
+        }
+        Fault::LengthBeyondEnd => {
+            // A kind that begins with a workspace's name, and a name longer than the rest.
+            let (len, beyond) = (rng.random_range(1..60), rng.random_range(1..60));
+            let name = (0..len).map(|_| b'g');
+            let head = [rng.random_range(1..4), len + beyond];
+            head.into_iter().chain(name).collect()
+        }
+    }
+}
+
+fn encode(heartbeat: &PeerHeartbeat) -> Vec<u8> {
+    let message = PeerMessage::Heartbeat(Box::new(heartbeat.clone()));
+    postcard::to_stdvec(&message).unwrap()
+}
+
+/// Frames of a newer format, of format zero, cut off, with lengths beyond their end, damaged or made up:
+/// those of another instance are counted, all are dropped, and nothing else changes.
+#[tokio::test]
+async fn malformed_frames_change_nothing() {
+    const BATCHES: usize = 40;
+    const BATCH: usize = 100;
+    let mut rng = Pcg32::seed_from_u64(28);
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    neighbourhood.format = OWN_FORMAT + 1;
+    neighbourhood
+        .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
+        .await;
+    neighbourhood.send_heartbeats(false).await;
+    let mut fleet = neighbourhood.fleet.clone();
+    let is_known = |fleet: &Fleet| fleet.members.values().any(|one| one.format > OWN_FORMAT);
+    let known = fleet
+        .wait_for(|fleet| is_known(fleet))
+        .await
+        .unwrap()
+        .clone();
+    let id = InstanceId::from("i0");
+    let mut unreadable = 0;
+    for _ in 0..BATCHES {
+        for _ in 0..BATCH {
+            let content = draw_unreadable(&mut rng);
+            let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+            let mut frame = sessions.seal_encoded(&OWN_ID.into(), &content).unwrap();
+            match rng.random_range(0..8) {
+                0 => frame.truncate(rng.random_range(0..frame.len())),
+                1 => {
+                    let idx = rng.random_range(0..frame.len());
+                    frame[idx] ^= 1 << rng.random_range(0..8);
+                }
+                2 => {
+                    let len = rng.random_range(0..300);
+                    frame = (0..len).map(|_| rng.random()).collect();
+                }
+                _ => unreadable += 1,
+            }
+            let addr = neighbourhood.addr;
+            neighbourhood.socket.send_to(&frame, addr).await.unwrap();
+        }
+        let counted = fleet.wait_for(|fleet| fleet.unread_messages >= unreadable);
+        timeout(READ_WITHIN, counted).await.unwrap().unwrap();
+    }
+    assert!(unreadable > 2_000, "{unreadable}");
+    let after = fleet.borrow().clone();
+    assert_eq!(after.unread_messages, unreadable);
+    assert_eq!(after.members, known.members);
+    assert!(neighbourhood.engine.try_recv().is_err());
+    assert!(neighbourhood.owners.try_recv().is_err());
+    // The instance is a member as before, and its next heartbeat is read.
+    neighbourhood.send_heartbeats(true).await;
+    let left = fleet.wait_for(|fleet| fleet.members[&id].is_leaving);
+    timeout(READ_WITHIN, left).await.unwrap().unwrap();
+}
