refactor(entry): a stream that passes what it reads through a filter

Cause: the stream that fails once a target has sent more than it may was one type with its limit, and everything in it but one line was handing on reads and writes.

Change: FilteredStream hands on, and a ReadFilter examines what is read. Allowance is one, in a module named after it. Behaviour is unchanged.

Ruled out: to join MarkedStream of the crate wire, which duplicates lists beside it, as well. It takes its lengths out of the bytes, so that its reads are of another kind, and only the five functions that hand on writes are alike.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 
-use crate::metered::Allowance;
+use crate::allowance::Allowance;
 
 /// Idle timeout of connections to targets that send no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -16,8 +16,9 @@
 use wire::marked::MarkedStream;
 
 use crate::{
+    allowance::Allowance,
     connection::{Connection, Relay},
-    metered::MeteredStream,
+    filtered::FilteredStream,
     target_stream::TargetStream,
     view::Clock,
 };
@@ -254,7 +255,8 @@
     addr: SocketAddr,
     opened: Opened,
 ) -> Result<Connection, ConnectError> {
-    let (stream, allowance) = MeteredStream::new(opened.stream);
+    let allowance = Allowance::unlimited();
+    let stream = FilteredStream::new(opened.stream, allowance.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,18 +3,19 @@
 //! One task, the [`engine`], owns admission, dispatch and the idle connections to targets. The
 //! listeners' handlers exchange messages with it and send the requests to targets.
 
+mod allowance;
 pub mod callers;
 pub mod connection;
 pub mod dial;
 pub mod dialect;
 pub mod engine;
 mod execute;
+mod filtered;
 pub mod fingerprint;
 pub mod forward;
 pub mod head;
 pub mod held;
 pub mod message;
-mod metered;
 pub mod metrics;
 pub mod permit;
 pub mod recorder;
