refactor(daemon): both followers get the same options and outputs

Cause: the follower of the head row and the one of tables repeated eight fields of options, three of outputs and one constant, and node.rs filled them in twice. The names of the two modules, follower and registry, did not tell them apart.

Change: daemon::follower holds FollowerOptions and Outputs, and below it head and tables hold the two followers. What only the tables need, their names and where they are published, is an argument of its own. node.rs makes one set.

Ruled out: one follower for both sources. They read, confirm and fetch differently.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -1,102 +1,28 @@
-//! The task that follows the head row of the configuration and activates the object that it names.
+//! The tasks that follow what the platform stores and activate the configuration from it.
+
+pub mod head;
+pub mod tables;
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, InstanceId, Time, config_digest};
-use coord::{Freshness, Head, OfferOutcome, VersionTracker};
 use entry::{
     message::Event,
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
-use platform::{
-    Platform, PlatformError, Row,
-    layout::{CONFIG_TABLE, HEAD_ROW, object_name},
-};
-use tokio::{
-    sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval},
-};
+use platform::Platform;
+use tokio::sync::{mpsc, watch};
 use wire::Secret;
 
-use crate::{
-    entry_points::entry_points,
-    fleet::Fleet,
-    message::{FollowerMessage, PeerCommand},
-    rpc,
-    table_reads::ReadTiming,
-};
+use crate::{fleet::Fleet, message::PeerCommand, table_reads::ReadTiming};
 
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum time to wait for the head row, however long the instance may be without news.
-const MAX_READ_TIMEOUT: Duration = Duration::from_secs(2);
-const FRESHNESS_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a reported freshness is valid; after it, the engine treats the instance as
 /// isolated.
 const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
 
-/// Connects a follower to the tasks that use the configuration.
-#[derive(Debug)]
-pub struct Outputs {
-    /// Channel to the engine.
-    pub engine: mpsc::UnboundedSender<Event>,
-    /// Channel to the task that exchanges messages with the other instances.
-    pub peers: mpsc::Sender<PeerCommand>,
-    /// Publishes the configuration and its freshness to the request handlers.
-    pub view: watch::Sender<Arc<View>>,
-}
-
-/// Polls the head row, fetches new configurations and activates them.
-#[derive(Debug)]
-pub struct HeadFollower {
-    clock: Clock,
-    platform: Platform,
-    read_timeout: Duration,
-    secret: Secret,
-    metrics: Metrics,
-    versions: VersionTracker,
-    config: Option<Arc<Config>>,
-    own_entry: EntryPoint,
-    fleet: watch::Receiver<Arc<Fleet>>,
-    is_leaving: bool,
-    outputs: Outputs,
-}
-
-/// Carries the result of reading the head row.
-#[derive(Debug)]
-struct HeadRead {
-    sent_at: Time,
-    result: Result<Option<Row>, PlatformError>,
-}
-
-/// Carries the result of fetching a configuration object.
-#[derive(Debug)]
-struct Fetched {
-    head: Head,
-    confirmed_at: Option<Time>,
-    text: Result<String, FetchError>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FetchError {
-    Unavailable,
-    Missing,
-    WrongDigest,
-}
-
-impl FetchError {
-    fn reason(self) -> &'static str {
-        match self {
-            Self::Unavailable => "unavailable",
-            Self::Missing => "missing",
-            Self::WrongDigest => "wrong digest",
-        }
-    }
-}
-
-/// Tells a [`HeadFollower`] where to read the head, how often, and for how long a read confirms it.
+/// Tells a follower what to read, how often, and for how long a read confirms the configuration.
 #[derive(Debug)]
-pub struct HeadFollowerOptions {
+pub struct FollowerOptions {
     /// Monotonic clock of the process.
     pub clock: Clock,
     /// Platform that stores the configuration.
@@ -107,7 +33,7 @@
     pub metrics: Metrics,
     /// Time after which a confirmation that the configuration is the latest expires.
     pub confirm_limit: Duration,
-    /// Times of the reads of the head row.
+    /// Times of the reads.
     pub read_timing: ReadTiming,
     /// Entry point of this instance, as look-ups return it.
     pub own_entry: EntryPoint,
@@ -115,272 +41,13 @@
     pub fleet: watch::Receiver<Arc<Fleet>>,
 }
 
-impl HeadFollower {
-    /// Creates a follower without a configuration.
-    pub fn new(options: HeadFollowerOptions, outputs: Outputs) -> Self {
-        Self {
-            clock: options.clock,
-            platform: options.platform,
-            read_timeout: options
-                .read_timing
-                .max_silence()
-                .saturating_sub(POLL_INTERVAL)
-                .min(MAX_READ_TIMEOUT),
-            secret: options.secret,
-            metrics: options.metrics,
-            versions: VersionTracker::new(options.confirm_limit),
-            config: None,
-            own_entry: options.own_entry,
-            fleet: options.fleet,
-            is_leaving: false,
-            outputs,
-        }
-    }
-
-    /// Follows the configuration until all message senders are dropped.
-    pub async fn run(mut self, mut rx: mpsc::Receiver<FollowerMessage>) {
-        let mut poll_tick = interval(POLL_INTERVAL);
-        poll_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut freshness_tick = interval(FRESHNESS_REFRESH_INTERVAL);
-        freshness_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let (read_tx, mut reads) = mpsc::channel(4);
-        let (fetch_tx, mut fetches) = mpsc::channel(4);
-        let mut is_reading = false;
-        let mut fetching: Option<Head> = None;
-        loop {
-            let request = tokio::select! {
-                message = rx.recv() => match message {
-                    Some(message) => self.handle_message(message),
-                    None => return,
-                },
-                _ = poll_tick.tick(), if !is_reading => {
-                    is_reading = true;
-                    let platform = self.platform.clone().timeout(self.read_timeout);
-                    tokio::spawn(read_head_row(self.clock, platform, read_tx.clone()));
-                    None
-                }
-                Some(read) = reads.recv() => {
-                    is_reading = false;
-                    self.handle_read(read)
-                }
-                Some(fetched) = fetches.recv() => {
-                    fetching = None;
-                    self.handle_fetched(fetched);
-                    None
-                }
-                _ = freshness_tick.tick() => None,
-                Ok(()) = self.fleet.changed() => None,
-            };
-            if let Some((head, confirmed_at, from)) = request
-                && fetching.as_ref() != Some(&head)
-            {
-                fetching = Some(head.clone());
-                let source = FetchSource {
-                    platform: self.platform.clone(),
-                    secret: self.secret.clone(),
-                    peer: from.and_then(|id| self.fleet.borrow().members.get(&id)?.addr),
-                };
-                tokio::spawn(fetch(source, head, confirmed_at, fetch_tx.clone()));
-            }
-            self.publish().await;
-        }
-    }
-}
-
-/// Names the head to fetch, when it was known to be the latest, and the instance that reported it.
-type FetchRequest = Option<(Head, Option<Time>, Option<InstanceId>)>;
-
-impl HeadFollower {
-    fn handle_message(&mut self, message: FollowerMessage) -> FetchRequest {
-        match message {
-            FollowerMessage::Leave => {
-                self.is_leaving = true;
-                None
-            }
-            FollowerMessage::PeerPositions { .. } => None,
-            FollowerMessage::PeerHead {
-                from,
-                head,
-                confirmed_at,
-            } => match self.versions.classify_offer(&head) {
-                OfferOutcome::Fetch => Some((head, confirmed_at, Some(from))),
-                OfferOutcome::Active => {
-                    if let Some(at) = confirmed_at {
-                        self.versions.on_confirmation(at, head.version);
-                    }
-                    None
-                }
-                OfferOutcome::Forked => {
-                    self.set_alarm("config_forked", true);
-                    None
-                }
-                OfferOutcome::Older | OfferOutcome::Rejected => None,
-            },
-        }
-    }
-
-    fn handle_read(&mut self, read: HeadRead) -> FetchRequest {
-        self.set_alarm("store_unreachable", read.result.is_err());
-        let row = read.result.ok()??;
-        let head = Head {
-            version: row.version,
-            digest: row.value,
-        };
-        match self.versions.classify_offer(&head) {
-            OfferOutcome::Fetch => Some((head, Some(read.sent_at), None)),
-            OfferOutcome::Active | OfferOutcome::Rejected => {
-                self.versions.on_confirmation(read.sent_at, head.version);
-                None
-            }
-            OfferOutcome::Older => {
-                self.set_alarm("config_store_older", true);
-                None
-            }
-            OfferOutcome::Forked => {
-                self.set_alarm("config_forked", true);
-                None
-            }
-        }
-    }
-
-    fn handle_fetched(&mut self, fetched: Fetched) {
-        let Fetched {
-            head,
-            confirmed_at,
-            text,
-        } = fetched;
-        let text = match text {
-            Ok(text) => text,
-            Err(err) => {
-                self.set_alarm("config_object_unusable", err != FetchError::Unavailable);
-                tracing::warn!(
-                    event = "config_not_fetched",
-                    version = head.version,
-                    reason = err.reason()
-                );
-                return;
-            }
-        };
-        self.set_alarm("config_object_unusable", false);
-        match serde_json::from_str::<Config>(&text) {
-            Ok(config) => self.activate(head, confirmed_at, config),
-            Err(err) => {
-                tracing::error!(event = "config_unreadable", version = head.version, reason = %err);
-                self.versions.reject(head);
-            }
-        }
-        self.set_alarm("config_unreadable", self.versions.rejected().is_some());
-    }
-
-    fn activate(&mut self, head: Head, confirmed_at: Option<Time>, config: Config) {
-        let version = head.version;
-        let at = confirmed_at.unwrap_or(Time::ZERO);
-        if !self.versions.activate(at, head) {
-            return;
-        }
-        let config = Arc::new(config);
-        self.config = Some(config.clone());
-        let _ = self.outputs.engine.send(Event::ConfigActivated(config));
-        tracing::info!(event = "config_in_force", version);
-    }
-
-    async fn publish(&mut self) {
-        let now = self.clock.now();
-        let fleet = self.fleet.borrow().clone();
-        let (listed, alive) = fleet.count_listed_and_alive(now);
-        let freshness = self.versions.freshness(now, listed, alive);
-        let view = View {
-            config: self
-                .config
-                .clone()
-                .map(|config| (self.versions.version(), config)),
-            freshness,
-            entries: entry_points(
-                now,
-                &fleet,
-                self.config.as_deref(),
-                (!self.is_leaving).then_some(&self.own_entry),
-            ),
-            is_leaving: self.is_leaving,
-        };
-        let is_changed = {
-            let old = self.outputs.view.borrow();
-            old.freshness != freshness
-                || old.entries != view.entries
-                || old.is_leaving != view.is_leaving
-                || old.config.as_ref().map(|(version, _)| *version)
-                    != view.config.as_ref().map(|(version, _)| *version)
-        };
-        let valid_until = now + FRESHNESS_VALIDITY;
-        let confirmed_at = self.versions.confirmed_at();
-        let _ = self.outputs.engine.send(Event::ConfigFreshness {
-            freshness,
-            valid_until,
-            confirmed_at,
-        });
-        if is_changed {
-            self.set_alarm("alone", freshness == Freshness::Isolated);
-            self.outputs.view.send_replace(Arc::new(view));
-        }
-        let command = PeerCommand::SetHead {
-            head: self.versions.active().cloned(),
-            confirmed_at,
-        };
-        let _ = self.outputs.peers.send(command).await;
-    }
-
-    fn set_alarm(&self, name: &str, is_on: bool) {
-        self.metrics
-            .gauges
-            .with_label_values(&[name])
-            .set(i64::from(is_on));
-    }
-}
-
-async fn read_head_row(clock: Clock, platform: Platform, tx: mpsc::Sender<HeadRead>) {
-    let sent_at = clock.now();
-    let result = platform.get(CONFIG_TABLE, HEAD_ROW).await;
-    let _ = tx.send(HeadRead { sent_at, result }).await;
-}
-
-/// Names where to fetch a configuration object: the platform, then the instance that reported it.
-struct FetchSource {
-    platform: Platform,
-    secret: Secret,
-    peer: Option<std::net::SocketAddr>,
-}
-
-async fn fetch(
-    source: FetchSource,
-    head: Head,
-    confirmed_at: Option<Time>,
-    tx: mpsc::Sender<Fetched>,
-) {
-    let mut text = fetch_from_platform(&source.platform, &head).await;
-    if text.is_err()
-        && let Some(peer) = source.peer
-        && let Some(object) = rpc::fetch_object(&source.secret, peer, &head.digest).await
-        && config_digest(&object) == head.digest
-    {
-        text = Ok(object);
-    }
-    let fetched = Fetched {
-        head,
-        confirmed_at,
-        text,
-    };
-    let _ = tx.send(fetched).await;
-}
-
-async fn fetch_from_platform(platform: &Platform, head: &Head) -> Result<String, FetchError> {
-    let text = platform
-        .get_object(&object_name(&head.digest))
-        .await
-        .map_err(|_| FetchError::Unavailable)?
-        .ok_or(FetchError::Missing)?;
-    if config_digest(&text) == head.digest {
-        Ok(text)
-    } else {
-        Err(FetchError::WrongDigest)
-    }
+/// Connects a follower to the tasks that use the configuration.
+#[derive(Debug)]
+pub struct Outputs {
+    /// Channel to the engine.
+    pub engine: mpsc::UnboundedSender<Event>,
+    /// Channel to the task that exchanges messages with the other instances.
+    pub peers: mpsc::Sender<PeerCommand>,
+    /// Publishes the configuration and its freshness to the request handlers.
+    pub view: watch::Sender<Arc<View>>,
 }
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -9,26 +9,18 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
-use entry::{
-    message::Event,
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
-};
-use platform::Platform;
 use tokio::{
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use wire::Secret;
 
+use super::{FollowerOptions, Outputs};
 use crate::{
-    fleet::Fleet,
-    message::{FollowerMessage, PeerCommand},
+    message::FollowerMessage,
     rpc,
     table_logs::{NewsSource, log_fetch, log_older, log_read_failure},
     table_reads::{
-        Fetch, PlatformRead, ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change,
-        to_snapshot,
+        Fetch, PlatformRead, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
     },
 };
 
@@ -61,41 +53,14 @@
     pub compose: F,
 }
 
-/// Tells a [`TableFollower`] what to follow, how often to read it, and who uses the result.
-#[derive(Debug)]
-pub struct TableFollowerOptions<F> {
-    /// Monotonic clock of the process.
-    pub clock: Clock,
-    /// Platform that stores the tables.
-    pub platform: Platform,
-    /// Secret that authenticates calls between instances.
-    pub secret: Secret,
-    /// Metrics of the instance.
-    pub metrics: Metrics,
-    /// Time after which a confirmation that the configuration is the latest expires.
-    pub confirm_limit: Duration,
-    /// Times of the reads of the tables.
-    pub read_timing: ReadTiming,
-    /// Entry point of this instance, as look-ups return it.
-    pub own_entry: EntryPoint,
-    /// Last known state of the other instances.
-    pub fleet: watch::Receiver<Arc<Fleet>>,
-    /// Tables to follow.
-    pub followed: FollowedTables<F>,
-    /// Channel to the engine.
-    pub engine: mpsc::UnboundedSender<Event>,
-    /// Channel to the task that exchanges messages with the other instances.
-    pub peers: mpsc::Sender<PeerCommand>,
-    /// Publishes the configuration and its freshness to the request handlers.
-    pub view: watch::Sender<Arc<View>>,
-    /// Publishes the tables that other instances may fetch.
-    pub snapshots: watch::Sender<Arc<Vec<TableSnapshot>>>,
-}
-
 /// Follows tables of the platform and composes the configuration from them.
 #[derive(Debug)]
 pub struct TableFollower<F> {
-    options: TableFollowerOptions<F>,
+    options: FollowerOptions,
+    outputs: Outputs,
+    followed: FollowedTables<F>,
+    /// Publishes the tables that other instances may fetch.
+    snapshots: watch::Sender<Arc<Vec<TableSnapshot>>>,
     tables: Vec<Table>,
     composed: Option<Arc<Config>>,
     version: u64,
@@ -134,10 +99,15 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
-    /// Creates a follower that has read nothing yet.
-    pub fn new(options: TableFollowerOptions<F>) -> Self {
-        let tables = options
-            .followed
+    /// Creates a follower that has read nothing yet; `snapshots` publishes the tables that other
+    /// instances may fetch.
+    pub fn new(
+        options: FollowerOptions,
+        outputs: Outputs,
+        followed: FollowedTables<F>,
+        snapshots: watch::Sender<Arc<Vec<TableSnapshot>>>,
+    ) -> Self {
+        let tables = followed
             .tables
             .iter()
             .enumerate()
@@ -157,6 +127,9 @@
             .collect();
         Self {
             options,
+            outputs,
+            followed,
+            snapshots,
             tables,
             composed: None,
             version: 0,
@@ -170,7 +143,7 @@
     /// Follows the tables until all message senders are dropped.
     pub async fn run(mut self, mut rx: mpsc::Receiver<FollowerMessage>) {
         let (tx, mut reads) = mpsc::channel(16);
-        for (idx, table) in self.options.followed.tables.iter().enumerate() {
+        for (idx, table) in self.followed.tables.iter().enumerate() {
             let reader = TableReader::new(ReaderOptions {
                 clock: self.options.clock,
                 platform: self.options.platform.clone(),
@@ -252,7 +225,7 @@
     fn apply_read(&mut self, idx: usize, read: TableRead) {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
-        let name = self.options.followed.tables[idx].as_str();
+        let name = self.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
         let before = table.replica.position();
--- a/crates/daemon/src/registry/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -1,7 +1,7 @@
 //! What the follower makes of its tables for the other tasks: the configuration, how recent it is, and
 //! the tables' positions.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use base::Time;
 use coord::{Freshness, Replica};
@@ -11,13 +11,11 @@
 use crate::{
     entry_points::entry_points,
     fleet::Fleet,
+    follower::FRESHNESS_VALIDITY,
     message::PeerCommand,
     table_logs::{NewsSource, age_ms, log_rates},
 };
 
-/// Time for which a reported freshness is valid; after it, the engine treats the instance as
-/// isolated.
-const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
 const TABLE_AGE_GAUGES: [&str; 2] = ["operator_rows_age_ms", "target_rows_age_ms"];
 
@@ -36,7 +34,7 @@
             return;
         }
         let replicas: Vec<&Replica> = self.tables.iter().map(|table| &table.replica).collect();
-        let Some(composed) = (self.options.followed.compose)(&replicas) else {
+        let Some(composed) = (self.followed.compose)(&replicas) else {
             tracing::error!(event = "config_unusable");
             return;
         };
@@ -66,13 +64,13 @@
         log_rates(self.composed.as_deref(), &composed.config);
         let config = Arc::new(composed.config);
         self.composed = Some(config.clone());
-        let _ = self.options.engine.send(Event::ConfigActivated(config));
+        let _ = self.outputs.engine.send(Event::ConfigActivated(config));
         let snapshots = self
             .tables
             .iter()
             .map(|table| table.replica.snapshot().clone())
             .collect();
-        self.options.snapshots.send_replace(Arc::new(snapshots));
+        self.snapshots.send_replace(Arc::new(snapshots));
     }
 
     /// Returns when the tables were last known to be the latest, by own reads or by a heartbeat.
@@ -92,7 +90,7 @@
             valid_until,
             confirmed_at,
         };
-        let _ = self.options.engine.send(event);
+        let _ = self.outputs.engine.send(event);
         self.publish_age(now, confirmed_at);
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.composed.clone();
@@ -103,14 +101,14 @@
             is_leaving: self.is_leaving,
         };
         let is_changed = {
-            let old = self.options.view.borrow();
+            let old = self.outputs.view.borrow();
             old.freshness != freshness
                 || old.entries != view.entries
                 || old.is_leaving != view.is_leaving
                 || old.config.as_ref().map(|(revision, _)| *revision) != Some(self.revision)
         };
         if is_changed {
-            self.options.view.send_replace(Arc::new(view));
+            self.outputs.view.send_replace(Arc::new(view));
         }
         let positions: Vec<u64> = self
             .tables
@@ -125,7 +123,7 @@
                 confirmed_at: current.1,
             };
             // What finds no room is told with a later refresh; nothing may hold up the next read.
-            if self.options.peers.try_send(command).is_ok() {
+            if self.outputs.peers.try_send(command).is_ok() {
                 self.last_sent = Some(current);
             }
         }
@@ -135,7 +133,7 @@
     /// published ones.
     fn hand_out_tables(&self, reported: &[u64]) {
         let is_older = {
-            let published = self.options.snapshots.borrow();
+            let published = self.snapshots.borrow();
             let mut pairs = published.iter().zip(reported);
             pairs.any(|(table, reported)| table.position < *reported)
         };
@@ -143,7 +141,7 @@
             let tables = self.tables.iter();
             let snapshots = tables.map(|table| table.replica.snapshot().clone());
             let snapshots = Arc::new(snapshots.collect());
-            self.options.snapshots.send_replace(snapshots);
+            self.snapshots.send_replace(snapshots);
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod peers;
 pub mod planner;
 pub mod probes;
-pub mod registry;
 pub mod relay;
 pub mod rpc;
 pub mod slots;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -33,7 +33,11 @@
 
 use crate::{
     fleet::Fleet,
-    follower::{self, HeadFollower, HeadFollowerOptions},
+    follower::{
+        self, FollowerOptions,
+        head::HeadFollower,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
     ledger::{LedgerTask, LedgerTaskOptions},
     lister::{self, Liveness},
     message::{FollowerMessage, PeerCommand},
@@ -44,7 +48,6 @@
     peers::{self, Peers},
     planner::{Planner, PlannerOptions},
     probes,
-    registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
     relay::{self, RelayServer},
     slots::{Slots, SlotsOptions},
     table_reads::ReadTiming,
@@ -227,29 +230,27 @@
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let contact = Duration::from_secs_f64(cfg.bounds.contact_s);
     let confirm_limit = Duration::from_millis(cfg.confirm_limit_ms).min(contact);
-    let read_timing = ReadTiming::within(contact);
     let probes_targets = matches!(source, ConfigSource::HeadRow);
+    let follower_options = FollowerOptions {
+        clock,
+        platform: platform.clone(),
+        secret: secret.clone(),
+        metrics: metrics.clone(),
+        confirm_limit,
+        read_timing: ReadTiming::within(contact),
+        own_entry,
+        fleet: fleet_rx.clone(),
+    };
+    let follower_outputs = follower::Outputs {
+        engine: engine_tx.clone(),
+        peers: peers_tx.clone(),
+        view: view_tx,
+    };
     match source {
         ConfigSource::HeadRow => {
             let lister = lister::poll(platform.clone(), peers_tx.clone(), engine_tx.clone());
             tokio::spawn(lister);
-            let follower = HeadFollower::new(
-                HeadFollowerOptions {
-                    clock,
-                    platform: platform.clone(),
-                    secret: secret.clone(),
-                    metrics: metrics.clone(),
-                    confirm_limit,
-                    read_timing,
-                    own_entry,
-                    fleet: fleet_rx.clone(),
-                },
-                follower::Outputs {
-                    engine: engine_tx.clone(),
-                    peers: peers_tx.clone(),
-                    view: view_tx,
-                },
-            );
+            let follower = HeadFollower::new(follower_options, follower_outputs);
             tokio::spawn(follower.run(follower_rx));
         }
         ConfigSource::Tables(followed) => {
@@ -261,21 +262,8 @@
             let lister =
                 lister::announce_and_poll(platform.clone(), own, liveness, peers_tx.clone());
             tokio::spawn(lister);
-            let follower = TableFollower::new(TableFollowerOptions {
-                clock,
-                platform: platform.clone(),
-                secret: secret.clone(),
-                metrics: metrics.clone(),
-                confirm_limit,
-                read_timing,
-                own_entry,
-                fleet: fleet_rx.clone(),
-                followed,
-                engine: engine_tx.clone(),
-                peers: peers_tx.clone(),
-                view: view_tx,
-                snapshots: snapshots_tx,
-            });
+            let follower =
+                TableFollower::new(follower_options, follower_outputs, followed, snapshots_tx);
             tokio::spawn(follower.run(follower_rx));
         }
     }
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -13,8 +13,11 @@
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
     message::PeerCommand,
-    registry::{ComposedConfig, FollowedTables, TableFollower, TableFollowerOptions},
     table_reads::ReadTiming,
 };
 use entry::{
@@ -267,29 +270,33 @@
     let (view, _view_rx) = watch::channel(Arc::new(View::default()));
     let (snapshots, snapshots_rx) = watch::channel(Arc::<Vec<TableSnapshot>>::default());
     let (_tx, rx) = mpsc::channel(1);
-    let follower = TableFollower::new(TableFollowerOptions {
-        clock: Clock::start(),
-        platform,
-        secret: Secret::derive("a secret for tests only"),
-        metrics: Metrics::new().unwrap(),
-        confirm_limit: Duration::from_secs(5),
-        read_timing: ReadTiming::within(network.scenario.contact),
-        own_entry: EntryPoint {
-            instance: "own".into(),
-            incarnation: Incarnation(1),
-            domain: "d".into(),
-            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+    let follower = TableFollower::new(
+        FollowerOptions {
+            clock: Clock::start(),
+            platform,
+            secret: Secret::derive("a secret for tests only"),
+            metrics: Metrics::new().unwrap(),
+            confirm_limit: Duration::from_secs(5),
+            read_timing: ReadTiming::within(network.scenario.contact),
+            own_entry: EntryPoint {
+                instance: "own".into(),
+                incarnation: Incarnation(1),
+                domain: "d".into(),
+                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            },
+            fleet,
+        },
+        Outputs {
+            engine,
+            peers,
+            view,
         },
-        fleet,
-        followed: FollowedTables {
+        FollowedTables {
             tables: vec![OPERATOR_TABLE.to_owned(), TARGET_TABLE.to_owned()],
             compose,
         },
-        engine,
-        peers,
-        view,
         snapshots,
-    });
+    );
     tokio::spawn(async move { while engine_rx.recv().await.is_some() {} });
     let tells_others = network.scenario.tells_others;
     let reports = reports.clone();
