--- /dev/null
+++ b/crates/daemon/src/peers/receiving.rs
@@ -0,0 +1,203 @@
+//! What other instances send: each message goes to the task that handles it.
+
+use std::time::Duration;
+
+use base::{Incarnation, InstanceId, Time};
+use coord::OwnerId;
+use entry::message::Event;
+
+use super::Peers;
+use crate::{
+    format::{self, OWN_FORMAT, UnreadMessage},
+    message::{FollowerMessage, PeerHeartbeat, PeerMessage},
+    owners::OwnersMessage,
+};
+
+/// Maximum number of instances and kinds of messages for which unread messages are counted.
+const MAX_UNREAD_KINDS: usize = 64;
+
+impl Peers {
+    pub(super) async fn receive(&mut self, buf: &[u8]) {
+        let opened = match self.sessions.open_encoded(buf) {
+            Ok(opened) => opened,
+            Err(err) => {
+                tracing::debug!(event = "frame_dropped", reason = %err);
+                return;
+            }
+        };
+        if !opened.is_fresh {
+            // The frame may be a replay from before this instance restarted. The heartbeat carries
+            // this instance's incarnation, which proves the sender's next frame to be recent.
+            let heartbeat = self.heartbeat_for(&opened.from);
+            self.send(&opened.from, &PeerMessage::Heartbeat(Box::new(heartbeat)))
+                .await;
+            return;
+        }
+        let format = self.format_of(&opened.from, Some(opened.incarnation));
+        let message = match format::decode(opened.message, format) {
+            Ok(message) => message,
+            Err(unread) => {
+                self.count_unread(opened.from, unread);
+                return;
+            }
+        };
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.handle_heartbeat(&opened.from, *heartbeat).await;
+            }
+            PeerMessage::GrantRequest(workspace, request) => {
+                let message = OwnersMessage::GrantRequest {
+                    from: opened.from,
+                    incarnation: opened.incarnation,
+                    workspace,
+                    request,
+                };
+                // If the queue is full, the message is dropped; the sender repeats its request.
+                let _ = self.outputs.owners.try_send(message);
+            }
+            PeerMessage::Grant(workspace, grant) => {
+                let _ = self
+                    .outputs
+                    .engine
+                    .send(Event::GrantReceived(workspace, grant));
+            }
+            PeerMessage::Lend {
+                workspace,
+                epoch,
+                loans,
+                ack,
+            } => {
+                let Some(not_before) = self.sent_at(ack) else {
+                    return;
+                };
+                let message = OwnersMessage::Lend {
+                    incarnation: opened.incarnation,
+                    workspace,
+                    epoch,
+                    loans,
+                    not_before,
+                };
+                // If the queue is full, the message is dropped; the loan expires and another
+                // follows.
+                let _ = self.outputs.owners.try_send(message);
+            }
+            PeerMessage::Rates { reports, ack } => {
+                let not_before = self.sent_at(ack);
+                let _ = self.outputs.engine.send(Event::RatesReported {
+                    not_before,
+                    reports,
+                });
+            }
+            PeerMessage::ConnectionLoss(loss) => {
+                let _ = self.outputs.engine.send(Event::RemoteLoss(loss));
+            }
+            PeerMessage::Quarantine(report) => {
+                let _ = self.outputs.engine.send(Event::RemoteQuarantine(report));
+            }
+            PeerMessage::LoansReturned(workspace, epoch) => {
+                let owner = OwnerId {
+                    instance: opened.from,
+                    epoch,
+                };
+                let _ = self
+                    .outputs
+                    .engine
+                    .send(Event::LoanReturned(workspace, owner));
+            }
+        }
+    }
+
+    /// Returns the format of an instance's messages by its last heartbeat; with an incarnation, only
+    /// if that one sent it.
+    pub(super) fn format_of(
+        &self,
+        id: &InstanceId,
+        incarnation: Option<Incarnation>,
+    ) -> Option<u32> {
+        let heartbeat = self.last_heartbeats.get(id)?;
+        let is_same = incarnation.is_none_or(|one| one == heartbeat.status.incarnation);
+        is_same.then_some(heartbeat.format)
+    }
+
+    /// Counts a message that can't be read; each kind of message of an instance is logged once.
+    fn count_unread(&mut self, from: InstanceId, unread: UnreadMessage) {
+        let key = (from, unread.kind);
+        let is_known = self.unread.contains_key(&key);
+        if !is_known && self.unread.len() >= MAX_UNREAD_KINDS {
+            return;
+        }
+        if !is_known {
+            tracing::warn!(
+                event = "message_unread",
+                from = %key.0,
+                kind = unread.kind,
+                format = unread.format,
+                own_format = OWN_FORMAT,
+            );
+        }
+        *self.unread.entry(key).or_default() += 1;
+        self.is_unpublished = true;
+    }
+
+    async fn handle_heartbeat(&mut self, from: &InstanceId, heartbeat: PeerHeartbeat) {
+        if let Some(not_before) = self.sent_at(heartbeat.ack) {
+            self.membership.on_heartbeat(not_before, &heartbeat.status);
+            self.forward_to_follower(from, &heartbeat, not_before);
+        } else {
+            self.membership.on_undated_heartbeat(&heartbeat.status);
+        }
+        let before = self.last_heartbeats.get(from);
+        let is_urgent = before.is_none_or(|before| is_urgent_change(before, &heartbeat));
+        self.last_heartbeats.insert(from.clone(), heartbeat);
+        self.is_unpublished = true;
+        if is_urgent {
+            self.publish();
+        }
+    }
+
+    /// Forwards the sender's head and table positions, which it sent no earlier than `not_before`.
+    fn forward_to_follower(&self, from: &InstanceId, heartbeat: &PeerHeartbeat, not_before: Time) {
+        let confirmed_at = heartbeat
+            .status
+            .confirmation_age
+            .map(|age| subtract(not_before, age));
+        if !heartbeat.table_positions.is_empty() {
+            let message = FollowerMessage::PeerPositions {
+                from: from.clone(),
+                positions: heartbeat.table_positions.clone(),
+                confirmed_at,
+            };
+            let _ = self.outputs.follower.try_send(message);
+        }
+        let Some(head) = heartbeat.head.clone() else {
+            return;
+        };
+        let message = FollowerMessage::PeerHead {
+            from: from.clone(),
+            head,
+            confirmed_at,
+        };
+        let _ = self.outputs.follower.try_send(message);
+    }
+
+    /// Returns the time at which this instance sent the heartbeat with this sequence number.
+    fn sent_at(&self, number: u64) -> Option<Time> {
+        self.sent_heartbeats
+            .iter()
+            .rev()
+            .find(|(sent, _)| *sent == number)
+            .map(|(_, at)| *at)
+    }
+}
+
+/// Returns whether callers or requests would go wrong if the change were published later.
+fn is_urgent_change(before: &PeerHeartbeat, now: &PeerHeartbeat) -> bool {
+    before.status.incarnation != now.status.incarnation
+        || before.status.is_leaving != now.status.is_leaving
+        || before.has_target_path != now.has_target_path
+        || before.entry != now.entry
+}
+
+fn subtract(now: Time, age: Duration) -> Time {
+    Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64))
+}
--- /dev/null
+++ b/crates/daemon/src/peers/sending.rs
@@ -0,0 +1,93 @@
+//! What this instance sends to the others: heartbeats, and the messages of its other tasks.
+
+use base::InstanceId;
+use coord::{Heartbeat, Presence};
+use rand::seq::IndexedRandom;
+
+use super::Peers;
+use crate::{
+    format::{self, OWN_FORMAT},
+    message::{PeerHeartbeat, PeerMessage},
+};
+
+/// Number of instances that are told at once of a table's new position; the others hear of it with
+/// the next heartbeats, and most of them read the table themselves.
+const NEWS_RECEIVERS: usize = 6;
+
+/// Number of own heartbeats whose send times are kept, to determine the age of messages that
+/// acknowledge them.
+const MAX_SENT_HEARTBEATS: usize = 64;
+
+impl Peers {
+    /// Sends a heartbeat to all other instances.
+    pub(super) async fn send_heartbeats(&mut self) {
+        let to = self.receivers();
+        self.send_heartbeat_to(&to).await;
+    }
+
+    /// Sends a heartbeat to a few other instances, drawn anew each time.
+    pub(super) async fn send_news(&mut self) {
+        let all = self.receivers();
+        let to: Vec<InstanceId> = all
+            .sample(&mut rand::rng(), NEWS_RECEIVERS)
+            .cloned()
+            .collect();
+        self.send_heartbeat_to(&to).await;
+    }
+
+    /// Returns the other instances that may be running.
+    fn receivers(&self) -> Vec<InstanceId> {
+        self.membership
+            .members()
+            .iter()
+            .filter(|(id, member)| {
+                **id != self.own_heartbeat.status.id
+                    && !matches!(member.presence, Presence::Absent(_))
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    async fn send_heartbeat_to(&mut self, to: &[InstanceId]) {
+        self.own_heartbeat.sequence += 1;
+        self.sent_heartbeats
+            .push_back((self.own_heartbeat.sequence, self.clock.now()));
+        if self.sent_heartbeats.len() > MAX_SENT_HEARTBEATS {
+            self.sent_heartbeats.pop_front();
+        }
+        for id in to {
+            let heartbeat = PeerMessage::Heartbeat(Box::new(self.heartbeat_for(id)));
+            self.send(id, &heartbeat).await;
+        }
+    }
+
+    pub(super) fn heartbeat_for(&self, to: &InstanceId) -> PeerHeartbeat {
+        let now = self.clock.now();
+        let status = Heartbeat {
+            confirmation_age: self.confirmed_at.map(|at| now - at),
+            ..self.own_heartbeat.status.clone()
+        };
+        PeerHeartbeat {
+            status,
+            ack: self
+                .last_heartbeats
+                .get(to)
+                .map_or(0, |heartbeat| heartbeat.sequence),
+            ..self.own_heartbeat.clone()
+        }
+    }
+
+    pub(super) async fn send(&mut self, to: &InstanceId, message: &PeerMessage) {
+        let Some(&addr) = self.addrs.get(to) else {
+            return;
+        };
+        let format = self.format_of(to, None).unwrap_or(OWN_FORMAT);
+        let Some(content) = format::encode(message, format) else {
+            return;
+        };
+        if let Ok(frame) = self.sessions.seal_encoded(to, &content) {
+            // Datagrams may be lost anyway, so senders repeat the messages that matter.
+            let _ = self.socket.send_to(&frame, addr).await;
+        }
+    }
+}
