test: services, targets and registrations by hand come from one place

Cause: eleven files of tests in dispatch, entry and daemon spelt out each field of a configuration's domains, services, targets and registrations, most of them with the same values.

Change: standin::config has one function for each; a test names what it is about and takes the rest. No test that reads the number of connections got another one. Cases and assertions are as they were.

Ruled out: defaults in the crate base, where a service without slots would be a configuration that a user could be given; a module beside the tests of one crate, which three crates could not share; documents as the survey makes them, which fix what these worlds draw.

--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -1,8 +1,9 @@
 //! The plan of a region's traffic, with the other tasks replaced by channels.
 
+use standin::config::{service, target};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::{Config, Domain, RegionId, Service, ServiceId, Target, TargetId};
+use base::{Config, RegionId, Service, ServiceId, TargetId};
 use coord::Freshness;
 use daemon::{
     fleet::Fleet,
@@ -25,28 +26,16 @@
 }
 
 fn config() -> Config {
-    let mut config = Config::default();
-    for region in REGIONS {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-    }
+    let mut config = standin::config::config(REGIONS.map(|region| (region, region)));
     let targets = (0..REGIONS.len() * TARGETS_PER_REGION).map(|idx| {
-        let target = Target {
-            domain: REGIONS[idx / TARGETS_PER_REGION].into(),
-            addr: ([127, 0, 0, 1], 1).into(),
-            registered: None,
-        };
-        (target_id(idx), target)
+        (
+            target_id(idx),
+            target(REGIONS[idx / TARGETS_PER_REGION], None),
+        )
     });
     let service = Service {
-        slots: SLOTS,
-        connections: 100,
-        deadline_ms: 10_000,
-        open_routes: Vec::new(),
         targets: targets.collect(),
-        cold: None,
+        ..service(SLOTS, 10_000)
     };
     config.services.insert("s".into(), service);
     config
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -1,8 +1,9 @@
 //! Connections to targets that one instance opens through another one.
 
+use standin::config::service;
 use std::{net::SocketAddr, sync::Arc};
 
-use base::{Config, Domain, Service, Target};
+use base::{Service, Target};
 use daemon::{
     peer_server,
     relay::{self, RelayServer},
@@ -33,21 +34,14 @@
 }
 
 async fn serve(target: SocketAddr, is_drained: bool) -> SocketAddr {
-    let mut config = Config::default();
-    let domain = Domain { region: "r".into() };
-    config.domains.insert("d".into(), domain);
+    let mut config = standin::config::config([("d", "r")]);
     let target = Target {
-        domain: "d".into(),
         addr: target,
-        registered: None,
+        ..standin::config::target("d", None)
     };
     let service = Service {
-        slots: 1,
-        connections: 10,
-        deadline_ms: 1_000,
-        open_routes: Vec::new(),
         targets: [("t".into(), target)].into(),
-        cold: None,
+        ..service(1, 1_000)
     };
     config.services.insert("s".into(), service);
     if is_drained {
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -1,13 +1,12 @@
 //! A fleet of instances, targets and callers in virtual time, which knows what crashed each target.
 
+use standin::config::{registration, service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use base::{
-    Config, Domain, ErrorKind, InstanceId, RegionId, Registration, Service, Target, TargetId, Time,
-};
+use base::{Config, ErrorKind, InstanceId, RegionId, Service, TargetId, Time};
 use dispatch::{
     Action, AdmittedRequest, Assignment, ConnectionLoss, Dispatcher, Placement, Policy,
     QuarantineReport, RequestId, RequestKind,
@@ -437,30 +436,15 @@
     }
 
     fn config(&self) -> Config {
-        let mut config = Config::default();
-        config
-            .domains
-            .insert("d".into(), Domain { region: "r".into() });
+        let mut config = standin::config::config([("d", "r")]);
         let targets = self.targets.iter().enumerate().map(|(idx, state)| {
-            let target = Target {
-                domain: "d".into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-                registered: Some(Registration {
-                    slots: 5,
-                    is_leaving: false,
-                    cold_ms: 0,
-                    incarnation: state.incarnation,
-                }),
-            };
+            let target = target("d", Some(registration(5, state.incarnation)));
             (target_id(idx), target)
         });
         let service = Service {
-            slots: 5,
             connections: 300,
-            deadline_ms: 3_000,
-            open_routes: Vec::new(),
             targets: targets.collect(),
-            cold: None,
+            ..service(5, 3_000)
         };
         config.services.insert(SERVICE.into(), service);
         config
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,12 +1,13 @@
 //! Dispatcher: every request ends exactly once, no slot leaks, and refusals that say "not run" are
 //! true; fair queueing by weight.
 
+use standin::config::{service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use base::{Config, Domain, ErrorKind, Executed, Service, Target, Time};
+use base::{Config, ErrorKind, Executed, Service, Time};
 use dispatch::{
     Action, AdmittedRequest, Dispatcher, FairQueue, HealthReport, Outcome, Policy, RequestId,
     RequestKind, TargetState,
@@ -16,31 +17,15 @@
 use rstest::rstest;
 
 fn config(targets: usize) -> Config {
-    let mut config = Config::default();
-    for idx in 0..2 {
-        let region = format!("r{idx}");
-        let domain = Domain {
-            region: region.as_str().into(),
-        };
-        config.domains.insert(format!("d{idx}").into(), domain);
-    }
-    let targets = (0..targets)
-        .map(|idx| {
-            let target = Target {
-                domain: format!("d{}", idx % 2).into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-                registered: None,
-            };
-            (format!("t{idx}").into(), target)
-        })
-        .collect();
+    let mut config = standin::config::config([("d0", "r0"), ("d1", "r1")]);
+    let targets = (0..targets).map(|idx| {
+        let target = target(&format!("d{}", idx % 2), None);
+        (format!("t{idx}").into(), target)
+    });
     let service = Service {
-        slots: 2,
         connections: 10,
-        deadline_ms: 1_000,
-        open_routes: Vec::new(),
-        targets,
-        cold: None,
+        targets: targets.collect(),
+        ..service(2, 1_000)
     };
     config.services.insert("s".into(), service);
     config
--- a/crates/dispatch/tests/exclusions.rs
+++ b/crates/dispatch/tests/exclusions.rs
@@ -1,13 +1,12 @@
 //! A target gets nothing while there is any reason for it, whatever becomes of the other reasons.
 
+use standin::config::{config, registration, service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use base::{
-    Config, Domain, DomainId, RegionId, Registration, Service, Target, TargetId, Time, WorkspaceId,
-};
+use base::{Config, DomainId, RegionId, Registration, Service, TargetId, Time, WorkspaceId};
 use dispatch::{
     Action, AdmittedRequest, Dispatcher, HealthReport, Outcome, Placement, Policy, RequestId,
 };
@@ -92,36 +91,26 @@
     }
 
     fn config(&self) -> Config {
-        let mut config = Config::default();
-        for domain in 0..DOMAINS {
-            let domain = domain_of(domain);
-            config.domains.insert(domain, Domain { region: "r".into() });
-        }
+        let domains: Vec<DomainId> = (0..DOMAINS).map(domain_of).collect();
+        let mut config = config(domains.iter().map(|domain| (domain.as_str(), "r")));
         let registered = self.targets.iter().enumerate();
         let registered = registered.filter(|(_, truth)| truth.has_entry);
         let targets = registered.map(|(idx, truth)| {
-            let target = Target {
-                domain: domain_of(idx),
-                addr: ([127, 0, 0, 1], 1).into(),
-                registered: Some(Registration {
-                    slots: 4,
-                    is_leaving: truth.is_leaving,
-                    cold_ms: if self.has_cold_time { COLD_TIME_MS } else { 0 },
-                    incarnation: truth.incarnation,
-                }),
+            let registration = Registration {
+                is_leaving: truth.is_leaving,
+                cold_ms: if self.has_cold_time { COLD_TIME_MS } else { 0 },
+                ..registration(4, truth.incarnation)
             };
+            let target = target(domain_of(idx).as_str(), Some(registration));
             (id_of(idx), target)
         });
         let service = Service {
-            slots: 4,
-            connections: 100,
-            deadline_ms: 2_000,
-            open_routes: Vec::new(),
             targets: targets.collect(),
             cold: self.has_cold_time.then_some(base::ColdStart {
                 max_per_s: 40.0,
                 duration_ms: COLD_TIME_MS,
             }),
+            ..service(4, 2_000)
         };
         config.services.insert("s".into(), service);
         for domain in &self.evacuated {
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -1,8 +1,9 @@
 //! A target that has said that it is leaving gets nothing more, until something later says otherwise.
 
+use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{Config, Domain, RegionId, Registration, Service, Target, TargetId, Time, WorkspaceId};
+use base::{Config, RegionId, Registration, Service, TargetId, Time, WorkspaceId};
 use dispatch::{Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RequestId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -24,29 +25,17 @@
 }
 
 fn config(said: &[Said], is_evacuated: bool) -> Config {
-    let mut config = Config::default();
-    let domain = Domain { region: "r".into() };
-    config.domains.insert("d".into(), domain);
+    let mut config = standin::config::config([("d", "r")]);
     let targets = said.iter().enumerate().map(|(idx, said)| {
-        let target = Target {
-            domain: "d".into(),
-            addr: ([127, 0, 0, 1], 1).into(),
-            registered: Some(Registration {
-                slots: 4,
-                is_leaving: said.is_leaving,
-                cold_ms: 0,
-                incarnation: said.incarnation,
-            }),
+        let registration = Registration {
+            is_leaving: said.is_leaving,
+            ..registration(4, said.incarnation)
         };
-        (id_of(idx), target)
+        (id_of(idx), target("d", Some(registration)))
     });
     let service = Service {
-        slots: 4,
-        connections: 100,
-        deadline_ms: 2_000,
-        open_routes: Vec::new(),
         targets: targets.collect(),
-        cold: None,
+        ..service(4, 2_000)
     };
     config.services.insert("s".into(), service);
     if is_evacuated {
--- a/crates/dispatch/tests/placement/support.rs
+++ b/crates/dispatch/tests/placement/support.rs
@@ -1,11 +1,9 @@
 //! A service over two regions, and requests for it.
 
+use standin::config::{registration, service, target};
 use std::time::Duration;
 
-use base::{
-    ColdStart, Config, Domain, ErrorKind, Registration, Route, RouteKind, Service, Target, Time,
-    WeightedService,
-};
+use base::{ColdStart, Config, ErrorKind, Route, RouteKind, Service, Time, WeightedService};
 use dispatch::{
     Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Placement, Policy, RequestId,
 };
@@ -13,38 +11,18 @@
 const REGIONS: [&str; 2] = ["r0", "r1"];
 
 pub(crate) fn config(targets: u32) -> Config {
-    let mut config = Config::default();
-    for region in REGIONS {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-    }
-    let targets = (0..targets)
-        .map(|idx| {
-            let target = Target {
-                domain: REGIONS[idx as usize % 2].into(),
-                addr: ([127, 0, 0, 1], 1).into(),
-                registered: Some(Registration {
-                    slots: 4,
-                    is_leaving: false,
-                    cold_ms: 0,
-                    incarnation: 1,
-                }),
-            };
-            (format!("t{idx}").into(), target)
-        })
-        .collect();
+    let mut config = standin::config::config(REGIONS.map(|region| (region, region)));
+    let targets = (0..targets).map(|idx| {
+        let target = target(REGIONS[idx as usize % 2], Some(registration(4, 1)));
+        (format!("t{idx}").into(), target)
+    });
     let service = Service {
-        slots: 1,
-        connections: 100,
-        deadline_ms: 10_000,
-        open_routes: Vec::new(),
-        targets,
+        targets: targets.collect(),
         cold: Some(ColdStart {
             max_per_s: 4.0,
             duration_ms: 3_000,
         }),
+        ..service(1, 10_000)
     };
     config.services.insert("s".into(), service);
     for (name, priority) in [("urgent", 0), ("patient", 2)] {
--- a/crates/dispatch/tests/rests.rs
+++ b/crates/dispatch/tests/rests.rs
@@ -1,11 +1,10 @@
 //! A target that asks an instance for rest gets nothing more from it for so long, whatever else goes
 //! wrong.
 
+use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{
-    Config, Domain, ErrorKind, RegionId, Registration, Service, Target, TargetId, Time, WorkspaceId,
-};
+use base::{Config, ErrorKind, RegionId, Service, TargetId, Time, WorkspaceId};
 use dispatch::{
     Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RequestId, SendGate,
 };
@@ -93,29 +92,14 @@
 }
 
 fn config() -> Config {
-    let mut config = Config::default();
-    let domain = Domain { region: "r".into() };
-    config.domains.insert("d".into(), domain);
+    let mut config = standin::config::config([("d", "r")]);
     let targets = (0..TARGETS).map(|idx| {
-        let target = Target {
-            domain: "d".into(),
-            addr: ([127, 0, 0, 1], 1).into(),
-            registered: Some(Registration {
-                slots: 5,
-                is_leaving: false,
-                cold_ms: 0,
-                incarnation: 1,
-            }),
-        };
+        let target = target("d", Some(registration(5, 1)));
         (TargetId::from(format!("t{idx}").as_str()), target)
     });
     let service = Service {
-        slots: 5,
-        connections: 100,
-        deadline_ms: 2_000,
-        open_routes: Vec::new(),
         targets: targets.collect(),
-        cold: None,
+        ..service(5, 2_000)
     };
     config.services.insert("s".into(), service);
     config
--- a/crates/dispatch/tests/shared_rate.rs
+++ b/crates/dispatch/tests/shared_rate.rs
@@ -1,10 +1,9 @@
 //! A rate that a target names holds over all instances, whatever is lost or late between them.
 
+use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{
-    Config, Domain, ErrorKind, InstanceId, RegionId, Registration, Service, Target, TargetId, Time,
-};
+use base::{Config, ErrorKind, InstanceId, RegionId, Service, TargetId, Time};
 use dispatch::{
     Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RateRank, RateReport,
     RequestId, SharedRate,
@@ -87,30 +86,11 @@
 }
 
 fn config() -> Config {
-    let mut config = Config::default();
-    for region in REGIONS {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-    }
-    let target = Target {
-        domain: "r0".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        registered: Some(Registration {
-            slots: 40,
-            is_leaving: false,
-            cold_ms: 0,
-            incarnation: 1,
-        }),
-    };
+    let mut config = standin::config::config(REGIONS.map(|region| (region, region)));
+    let target = target("r0", Some(registration(40, 1)));
     let service = Service {
-        slots: 1,
-        connections: 100,
-        deadline_ms: 10_000,
-        open_routes: Vec::new(),
         targets: BTreeMap::from([("t".into(), target)]),
-        cold: None,
+        ..service(1, 10_000)
     };
     config.services.insert("s".into(), service);
     config
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -3,15 +3,12 @@
 #[path = "support/template.rs"]
 mod template;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use standin::config::{service, target};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use base::{
-    AllowedRegions, Config, Domain, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
-    Target, TargetId, Time, WeightedService, Workspace,
+    AllowedRegions, Config, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
+    TargetId, Time, WeightedService, Workspace,
 };
 use coord::{Freshness, QuotaSplit, SlotHistory};
 use dispatch::{Outcome, Placement, Policy, RequestId, RequestKind};
@@ -39,27 +36,12 @@
 /// Returns a configuration with a target in each of two regions, and two workspaces, one of
 /// them with a key.
 fn config() -> Config {
-    let mut config = Config::default();
-    let mut targets = BTreeMap::new();
-    for region in ["north", "south"] {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-        let target = Target {
-            domain: region.into(),
-            addr: ([127, 0, 0, 1], 1).into(),
-            registered: None,
-        };
-        targets.insert(region.into(), target);
-    }
+    let regions = ["north", "south"];
+    let mut config = standin::config::config(regions.map(|region| (region, region)));
+    let targets = regions.map(|region| (region.into(), target(region, None)));
     let service = Service {
-        slots: 4,
-        connections: 10,
-        deadline_ms: 10_000,
-        open_routes: Vec::new(),
-        targets,
-        cold: None,
+        targets: targets.into(),
+        ..service(4, 10_000)
     };
     config.services.insert("board".into(), service);
     let workspace = Workspace {
--- a/crates/entry/tests/lookup.rs
+++ b/crates/entry/tests/lookup.rs
@@ -1,5 +1,6 @@
 //! Look-ups of callers over the product's own interface.
 
+use standin::config::service;
 use std::{
     collections::BTreeSet,
     io,
@@ -7,7 +8,7 @@
     time::Duration,
 };
 
-use base::{Config, Domain, Incarnation, Key, KeyDigest, Service, Workspace};
+use base::{Config, Incarnation, Key, KeyDigest, Workspace};
 use entry::{
     callers::{CallerHandler, HandlerOptions, MAX_HELD_BYTES},
     dial::Dialer,
@@ -31,22 +32,8 @@
 
 /// Returns a configuration with a workspace whose home is `north`.
 fn config() -> Config {
-    let mut config = Config::default();
-    for region in REGIONS {
-        let domain = Domain {
-            region: region.into(),
-        };
-        config.domains.insert(region.into(), domain);
-    }
-    let service = Service {
-        slots: 1,
-        connections: 1,
-        deadline_ms: 1_000,
-        open_routes: Vec::new(),
-        targets: Default::default(),
-        cold: None,
-    };
-    config.services.insert("board".into(), service);
+    let mut config = standin::config::config(REGIONS.map(|region| (region, region)));
+    config.services.insert("board".into(), service(1, 1_000));
     let workspace = Workspace {
         homes: ["north".into()].into(),
         ..Workspace::default()
