test(entry): the plan of a request's attempt is asked for in one place

Cause: two tests of homes submitted a request, dispatched it and searched its decisions for the plan in the same seven lines.

Change: plan_attempt does so and returns the plan with the channel, which stays open as before.

--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -17,7 +17,7 @@
     dial::{DialPlan, Dialer},
     engine::{Engine, EngineOptions},
     forward::Forwarder,
-    message::{Arrival, Decision, Event},
+    message::{Arrival, AttemptPlan, Decision, Event},
     permit::SendPermit,
     view::Clock,
 };
@@ -146,6 +146,18 @@
     });
 }
 
+/// Submits and dispatches a request, and returns the plan of its attempt and the channel of its later
+/// decisions.
+fn plan_attempt(engine: &mut Engine) -> (Box<AttemptPlan>, mpsc::UnboundedReceiver<Decision>) {
+    let mut rx = submit(engine, 1);
+    dispatch(engine, 1);
+    loop {
+        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
+            return (plan, rx);
+        }
+    }
+}
+
 /// Ends the first attempt of the first request.
 fn end_attempt(engine: &mut Engine, outcome: Outcome) {
     engine.handle(Event::AttemptEnded {
@@ -315,13 +327,7 @@
     config.routes[0].homes = homes(&["north"]);
     let mut engine = engine();
     activate(&mut engine, &config);
-    let mut rx = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    let plan = loop {
-        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
-            break plan;
-        }
-    };
+    let (plan, _decisions) = plan_attempt(&mut engine);
     if is_taken_away {
         let mut without = config.clone();
         let service = without.services.get_mut("board").unwrap();
@@ -356,13 +362,7 @@
     let mut config = with_route(config(), 2);
     let mut engine = engine();
     activate(&mut engine, &config);
-    let mut rx = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    let plan = loop {
-        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
-            break plan;
-        }
-    };
+    let (plan, mut rx) = plan_attempt(&mut engine);
     let target = plan.assignment.target.clone();
     leave(&mut config, &target);
     activate(&mut engine, &config);
