fix(dispatch): targets that are down are found again by what can be known of them, not by a growing wait

- While the path is lost, targets found down because of the instances that helped (these are cut as well, or full) stayed so until it was back, but for one, since direct probes fail by definition.
Now any target that is down is tried through others while the path is lost.
- A region that has lost all its targets was not asked about while another one had some: requests with homes there got no_target although others could reach them.
Each region of a service counts for itself; queues are judged by regions as well.
- After a long cut each target waited up to four seconds for its next probe, one alone came back.
A target that is found back now lets the next one be tried at once, as long as they are found.
- The three instances that are asked were neighbours by name, often of one region; they are spread.

Ruled out: to use all targets again when one is back, which costs three failures for each that is gone.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -418,7 +418,7 @@
     /// and assigns queued requests to free targets.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
-        actions.extend(self.refuse_stranded(now));
+        actions.extend(self.refuse_unplaceable(now));
         actions.extend(self.judge_losses(now));
         actions.extend(self.due_repeats(now));
         for pool in self.pools.values_mut() {
--- a/crates/dispatch/src/dispatcher/queueing.rs
+++ b/crates/dispatch/src/dispatcher/queueing.rs
@@ -1,8 +1,8 @@
 //! Queueing of admitted requests, and refusals of those that would wait too long.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use base::{AllowedRegions, ErrorKind, Refusal, ServiceId, Time};
+use base::{ErrorKind, Refusal, RegionId, ServiceId, Time};
 
 use super::{Dispatcher, Entry};
 use crate::{Action, AdmittedRequest, Placement, RequestId, pool::Pool};
@@ -128,24 +128,19 @@
             .collect()
     }
 
-    /// Refuses what is queued for services of which no target takes requests any more.
-    pub(super) fn refuse_stranded(&mut self, now: Time) -> Vec<Action> {
-        let mut pools = self.pools.values();
-        let is_stranded = pools.any(|pool| {
-            !pool.queue.is_empty() && !pool.has_available_target(now, &AllowedRegions::All)
-        });
-        if is_stranded {
-            self.refuse_unplaceable(now)
-        } else {
-            Vec::new()
-        }
-    }
-
     /// Refuses queued requests of which no target that they may use takes requests.
     pub(super) fn refuse_unplaceable(&mut self, now: Time) -> Vec<Action> {
-        let queued = self.queued.iter().map(|(_, id)| *id);
-        let unplaceable: Vec<RequestId> =
-            queued.filter(|id| self.is_unplaceable(now, *id)).collect();
+        let mut unplaceable: Vec<RequestId> = Vec::new();
+        for (service, pool) in self.pools.iter().filter(|(_, pool)| !pool.queue.is_empty()) {
+            let available = pool.available_regions(now);
+            let queued = self.queued.iter().map(|(_, id)| *id);
+            unplaceable.extend(queued.filter(|id| {
+                let request = self.entries.get(id).map(|entry| &entry.request);
+                request.is_some_and(|request| {
+                    request.service == *service && !can_run_in(request, &available)
+                })
+            }));
+        }
         unplaceable
             .into_iter()
             .flat_map(|id| {
@@ -155,14 +150,6 @@
             .collect()
     }
 
-    fn is_unplaceable(&self, now: Time, id: RequestId) -> bool {
-        let Some(request) = self.entries.get(&id).map(|entry| &entry.request) else {
-            return false;
-        };
-        let pool = self.pools.get(&request.service);
-        pool.is_some_and(|pool| !pool.has_available_target(now, &request.allowed_regions))
-    }
-
     /// Refuses queued requests whose wait deadline has passed.
     fn refuse_wait_expired(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -199,3 +186,8 @@
         pool.is_none_or(|pool| deadline <= now + pool.expected_latency())
     }
 }
+
+fn can_run_in(request: &AdmittedRequest, available: &BTreeSet<&RegionId>) -> bool {
+    let mut regions = available.iter();
+    regions.any(|region| request.allowed_regions.contains(region))
+}
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -88,6 +88,8 @@
     open_probes: u32,
     last_probe_at: Time,
     last_shared_probe_at: Time,
+    /// Time at which a target that was down was last found to be back.
+    last_find_at: Option<Time>,
 }
 
 /// Targets that only others can reach, or that leave requests unanswered, until the path is lost.
@@ -127,6 +129,7 @@
             open_probes: 0,
             last_probe_at: Time::ZERO,
             last_shared_probe_at: Time::ZERO,
+            last_find_at: None,
         }
     }
 
@@ -222,10 +225,19 @@
         silent.len() >= MIN_SILENT_TARGETS && self.lose(self.last_response_at)
     }
 
-    /// Returns whether others have just reached a target that this instance can't.
-    pub fn is_suspected(&self, now: Time) -> bool {
-        let mut suspected_at = self.suspects.values();
-        suspected_at.any(|at| now - *at <= SUSPICION_TTL)
+    /// Returns whether any target that is down may be back: one just was, or the path is lost and targets
+    /// may have been found down because of the instances that helped.
+    pub fn may_find_any(&self, now: Time) -> bool {
+        let has_found = self
+            .last_find_at
+            .is_some_and(|at| now - at <= SUSPICION_TTL);
+        has_found || self.state == PathState::Relayed
+    }
+
+    /// Records that a target which was down is back; the next one may be tried at once.
+    pub fn record_find(&mut self, now: Time) {
+        self.last_find_at = Some(now);
+        self.last_shared_probe_at = Time::ZERO;
     }
 
     /// Returns whether a connection to a target that is down may be tried now, by other instances as well,
--- a/crates/dispatch/src/pool/choice.rs
+++ b/crates/dispatch/src/pool/choice.rs
@@ -1,5 +1,7 @@
 //! The choice of a region and of a target in it.
 
+use std::collections::BTreeSet;
+
 use base::{AllowedRegions, RegionId, Time};
 use rand::{Rng, RngExt};
 
@@ -148,4 +150,11 @@
             .iter()
             .any(|target| allowed.contains(&target.region) && target.concurrency_limit(now) > 0)
     }
+
+    /// Returns the regions in which any target takes requests at all, even if it is full now.
+    pub(crate) fn available_regions(&self, now: Time) -> BTreeSet<&RegionId> {
+        let targets = self.targets.iter();
+        let available = targets.filter(|target| target.concurrency_limit(now) > 0);
+        available.map(|target| &target.region).collect()
+    }
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -85,6 +85,10 @@
     last_probed_at: Time,
     /// Minimum time between two connections that probe whether the target is back.
     probe_backoff: Duration,
+    /// When a connection last showed that the target is back.
+    found_at: Time,
+    /// Minimum time from then until another such connection counts, while no request is answered.
+    find_backoff: Duration,
     load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
@@ -149,6 +153,8 @@
             next_cold_send_at: Time::ZERO,
             last_probed_at: Time::ZERO,
             probe_backoff: MIN_PROBE_BACKOFF,
+            found_at: Time::ZERO,
+            find_backoff: MIN_PROBE_BACKOFF,
             load_report: None,
             refusal_rate: 0.0,
             gate: SendGate::default(),
@@ -185,7 +191,7 @@
             let rank = self.gate.rate_rank();
             self.gate = SendGate::default();
             self.gate.set_rate_rank(rank);
-            self.probe_backoff = MIN_PROBE_BACKOFF;
+            self.reset_backoffs();
             self.apply_event(now, chart, TargetEvent::Recovered);
         }
         let is_back = self.exclusions.contains(ExclusionReason::Entry) && !registration.is_leaving;
@@ -408,7 +414,7 @@
     /// Records a response that arrived after `latency`.
     pub fn record_success(&mut self, latency: Duration) {
         self.failures = 0;
-        self.probe_backoff = MIN_PROBE_BACKOFF;
+        self.reset_backoffs();
         self.gate.record_run();
         self.latency.record(latency);
         self.limit.record_success(self.in_flight);
@@ -450,4 +456,30 @@
         }
         is_due
     }
+
+    /// Returns whether a connection to the target, which is down, may show now that it is back.
+    ///
+    /// A target that accepts connections and answers nothing is found less and less often.
+    pub(crate) fn may_be_found(&self, now: Time) -> bool {
+        self.state() == TargetState::Down && now - self.found_at >= self.find_backoff
+    }
+
+    /// Records that a connection could be opened, and returns whether the target was down.
+    pub(crate) fn record_find(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+    ) -> bool {
+        let is_found = self.apply_event(now, chart, TargetEvent::Recovered);
+        if is_found {
+            self.found_at = now;
+            self.find_backoff = (self.find_backoff * 2).min(MAX_PROBE_BACKOFF);
+        }
+        is_found
+    }
+
+    fn reset_backoffs(&mut self) {
+        self.probe_backoff = MIN_PROBE_BACKOFF;
+        self.find_backoff = MIN_PROBE_BACKOFF;
+    }
 }
--- a/crates/dispatch/tests/placement/probes.rs
+++ b/crates/dispatch/tests/placement/probes.rs
@@ -16,7 +16,14 @@
     let config = config(4);
     let mut dispatcher = dispatcher(&config, 1);
     let now = Time::from_secs(10);
-    for id in 0..20 {
+    lose_targets(&mut dispatcher, now, 0);
+    assert_eq!(down(&dispatcher, now), 4);
+    (dispatcher, now)
+}
+
+/// Sends requests, numbered from `first`, none of which finds its target.
+fn lose_targets(dispatcher: &mut Dispatcher, now: Time, first: u64) {
+    for id in first..first + 20 {
         let mut actions = dispatcher.submit(now, request(now, id, id));
         while let Some(sent) = assignments(&actions).first().copied().cloned() {
             actions = dispatcher
@@ -24,8 +31,35 @@
                 .1;
         }
     }
-    assert_eq!(down(&dispatcher, now), 4);
-    (dispatcher, now)
+}
+
+/// Lets the health endpoint of a target be silent.
+fn lose_target(dispatcher: &mut Dispatcher, now: Time, id: &str) {
+    dispatcher.report_health(now, &"s".into(), &id.into(), None);
+}
+
+/// Opens the connections that are due for some time, as `dial` says for each target, and returns its
+/// end.
+fn play<F>(dispatcher: &mut Dispatcher, start: Time, duration: Duration, dial: F) -> Time
+where
+    F: Fn(&TargetId) -> Dial,
+{
+    let mut now = start;
+    while now - start < duration {
+        now = now + TICK;
+        dispatcher.tick(now);
+        for target in dispatcher.due_probes(now) {
+            let direct = Dial {
+                relayed: None,
+                ..dial(&target)
+            };
+            dispatcher.record_probe(now, &target, direct);
+        }
+        if let Some(target) = dispatcher.due_shared_probe(now) {
+            dispatcher.record_probe(now, &target, dial(&target));
+        }
+    }
+    now
 }
 
 fn down(dispatcher: &Dispatcher, now: Time) -> usize {
@@ -66,28 +100,117 @@
 #[test]
 fn target_that_others_reach_brings_back_all() {
     let (mut dispatcher, start) = without_targets();
-    let mut now = start;
-    let mut reached: Vec<TargetId> = Vec::new();
-    while dispatcher.path_state() == PathState::Direct && now - start < Duration::from_secs(2) {
-        now = now + TICK;
+    let only_relayed = |_: &TargetId| Dial::direct(false).relayed(true);
+    let now = play(&mut dispatcher, start, Duration::from_secs(1), only_relayed);
+    assert_eq!(dispatcher.path_state(), PathState::Relayed);
+    assert_eq!(down(&dispatcher, now), 0);
+}
+
+/// Guards against RECOVER: targets found down while the path was lost, because of the instances that
+/// helped, stayed so until it was back, but for one.
+#[test]
+fn targets_lost_with_a_helper_come_back_while_the_path_is_lost() {
+    let (mut dispatcher, start) = without_targets();
+    let only_relayed = |_: &TargetId| Dial::direct(false).relayed(true);
+    let now = play(&mut dispatcher, start, Duration::from_secs(1), only_relayed);
+    lose_targets(&mut dispatcher, now, 1_000);
+    assert_eq!(down(&dispatcher, now), 4);
+    let now = play(&mut dispatcher, now, Duration::from_secs(2), only_relayed);
+    assert_eq!(down(&dispatcher, now), 0);
+    assert_eq!(dispatcher.path_state(), PathState::Relayed);
+}
+
+/// The same for one target beside others that are sound.
+#[test]
+fn target_lost_with_a_helper_comes_back_while_the_path_is_lost() {
+    let (mut dispatcher, start) = without_targets();
+    let only_relayed = |_: &TargetId| Dial::direct(false).relayed(true);
+    let now = play(&mut dispatcher, start, Duration::from_secs(8), only_relayed);
+    lose_target(&mut dispatcher, now, "t2");
+    assert_eq!(down(&dispatcher, now), 1);
+    let now = play(&mut dispatcher, now, Duration::from_secs(2), only_relayed);
+    assert_eq!(down(&dispatcher, now), 0);
+}
+
+/// Guards against targets that were used again only up to four seconds after a cut had ended, as each
+/// waited for its next probe.
+#[test]
+fn targets_come_back_soon_after_a_long_cut() {
+    let (mut dispatcher, start) = without_targets();
+    let nobody = |_: &TargetId| Dial::direct(false).relayed(false);
+    let now = play(&mut dispatcher, start, Duration::from_secs(12), nobody);
+    assert_eq!(down(&dispatcher, now), 4);
+    let now = play(&mut dispatcher, now, Duration::from_secs(1), |_| {
+        Dial::direct(true)
+    });
+    assert_eq!(down(&dispatcher, now), 0);
+}
+
+/// Guards against RECOVER for requests with homes: as long as another region had targets, others were
+/// asked for none of the region that was lost.
+#[test]
+fn targets_of_a_lost_region_are_probed_by_others() {
+    let (mut dispatcher, start) = without_targets();
+    let is_local = |target: &TargetId| target.as_str() == "t0" || target.as_str() == "t2";
+    let local_alone = |target: &TargetId| Dial::direct(is_local(target)).relayed(false);
+    let now = play(&mut dispatcher, start, Duration::from_secs(5), local_alone);
+    assert_eq!(down(&dispatcher, now), 2);
+    let mut probed = 0;
+    for step in 1..200 {
+        let probe = dispatcher.due_shared_probe(now + TICK * step);
+        probed += usize::from(probe.is_some_and(|target| !is_local(&target)));
+    }
+    assert!(probed >= 18, "{probed}");
+}
+
+/// Guards against a path that stayed lost as long as a service had lost its targets: the probes of
+/// these spoke against the path.
+#[test]
+fn path_is_restored_beside_targets_that_nobody_reaches() {
+    let (mut dispatcher, start) = without_targets();
+    let is_gone = |target: &TargetId| target.as_str() == "t1" || target.as_str() == "t3";
+    let relayed = |target: &TargetId| Dial::direct(false).relayed(!is_gone(target));
+    let now = play(&mut dispatcher, start, Duration::from_secs(3), relayed);
+    assert_eq!(dispatcher.path_state(), PathState::Relayed);
+    for id in ["t1", "t3"] {
+        lose_target(&mut dispatcher, now, id);
+    }
+    let direct = |target: &TargetId| Dial::direct(!is_gone(target)).relayed(false);
+    let now = play(&mut dispatcher, now, Duration::from_secs(2), direct);
+    assert_eq!(dispatcher.path_state(), PathState::Direct);
+    assert_eq!(down(&dispatcher, now), 2);
+}
+
+/// Guards against targets that accept connections and answer nothing: they were taken for sound twice a
+/// second.
+#[test]
+fn targets_that_only_accept_are_found_less_and_less_often() {
+    let (mut dispatcher, start) = without_targets();
+    let mut found = 0;
+    for step in 1..600 {
+        let now = start + TICK * step;
         dispatcher.tick(now);
+        dispatcher.due_probes(now);
         if let Some(target) = dispatcher.due_shared_probe(now) {
-            dispatcher.record_probe(now, &target, Dial::direct(false).relayed(true));
-            reached.push(target);
+            dispatcher.record_probe(now, &target, Dial::direct(true));
+            found += 1;
+            lose_target(&mut dispatcher, now, target.as_str());
         }
     }
-    assert_eq!(dispatcher.path_state(), PathState::Relayed);
-    assert_eq!((reached.len(), down(&dispatcher, now)), (2, 0));
+    // Four targets, each found at most at 0, 1, 3 and 7 s and then each 4 s.
+    assert!((4..=40).contains(&found), "{found}");
 }
 
 /// While a service has targets, those of it that are down are probed directly alone.
 #[test]
 fn target_beside_others_is_not_probed_by_others() {
     let (mut dispatcher, start) = without_targets();
-    dispatcher.record_probe(start, &"t0".into(), Dial::direct(true));
+    let is_up = |target: &TargetId| target.as_str() != "t3";
+    let one_gone = |target: &TargetId| Dial::direct(is_up(target)).relayed(false);
+    let now = play(&mut dispatcher, start, Duration::from_secs(8), one_gone);
+    assert_eq!(down(&dispatcher, now), 1);
     for step in 1..100 {
-        let now = start + TICK * step;
-        assert_eq!(dispatcher.due_shared_probe(now), None);
+        assert_eq!(dispatcher.due_shared_probe(now + TICK * step), None);
     }
 }
 
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -89,13 +89,15 @@
         }
     }
 
-    /// Returns some instances that can open a connection without a request, in a changing order.
+    /// Returns some instances that can open a connection without a request, far apart in the order of
+    /// their names, which often tell their regions, and others at other times.
     pub(super) fn any_relays(&self, now: Time) -> Vec<Relay> {
-        let mut relays = self.relays.clone();
-        let start = now.as_micros() as usize % relays.len().max(1);
-        relays.rotate_left(start);
-        relays.truncate(MAX_RELAYS_TRIED);
-        relays
+        let count = self.relays.len().min(MAX_RELAYS_TRIED);
+        let start = now.as_micros() as usize;
+        let spread = |nth| (start + nth * self.relays.len() / count) % self.relays.len();
+        (0..count)
+            .map(|nth| self.relays[spread(nth)].clone())
+            .collect()
     }
 
     /// Returns the instances through which connections to targets can be opened.
