fix(dispatch): a target that can't be reached for others makes nobody else try it

An instance that can't open a connection that another one asked for checks its own path. It tried the same target through three others, which, if the target answers nobody, did the same: up to ten checks a second an instance for as long as its entry stood, by reading. And these checks put off those that an instance makes when its own requests get no answer (1 s between two), so a silent cut was found later.

Change: the check goes to another target in use. If that can be reached directly, the path is sound and nobody is asked. The two kinds of checks keep times of their own.

asked_check_tries_another_target and asked_checks_put_off_no_own_check fail with each part taken out alone (one run each). The growth over a fleet was not measured.

--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -92,10 +92,16 @@
         waiting.into_iter().take(CHECKED_TARGETS).cloned().collect()
     }
 
-    /// Returns whether a connection that checks the path is to be opened because one that another
-    /// instance had asked for failed.
-    pub fn take_path_check(&mut self, now: Time) -> bool {
-        self.path.take_asked_check(now)
+    /// Returns the target to which a connection is to be opened now to check the path, because one to
+    /// `failed` that another instance had asked for could not be opened.
+    ///
+    /// If another target can be reached directly, the path is sound, and nobody needs to be asked.
+    pub fn due_asked_check(&mut self, now: Time, failed: &TargetId) -> Option<TargetId> {
+        if !self.path.take_asked_check(now) {
+            return None;
+        }
+        let other = self.any_usable_target(|id| id != failed);
+        Some(other.unwrap_or_else(|| failed.clone()))
     }
 
     /// Returns the time at which the oldest attempt in flight was sent.
@@ -109,10 +115,19 @@
         if !self.path.take_probe(now) {
             return None;
         }
+        self.any_usable_target(|_| true)
+    }
+
+    /// Returns a drawn target of those that are in use and that `is_meant` selects.
+    fn any_usable_target<F>(&mut self, is_meant: F) -> Option<TargetId>
+    where
+        F: Fn(&TargetId) -> bool,
+    {
         let targets = self.pools.values().flat_map(|pool| &pool.targets);
         let usable: Vec<&TargetId> = targets
             .filter(|target| matches!(target.state(), TargetState::Cold | TargetState::Ready))
             .map(|target| &target.id)
+            .filter(|id| is_meant(id))
             .collect();
         let idx = self.rng.random_range(0..usable.len().max(1));
         usable.get(idx).map(|id| (*id).clone())
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -84,6 +84,7 @@
     /// Exponentially weighted mean of the time between two answers.
     response_gap_s: f64,
     last_check_at: Time,
+    last_asked_check_at: Time,
     /// Probes in a row that could open a connection.
     open_probes: u32,
     last_probe_at: Time,
@@ -108,7 +109,7 @@
 const MAX_RESPONSE_GAP: Duration = Duration::from_millis(250);
 /// Minimum time between two checks of the path.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum time between a check of the path and one that another instance's request gives rise to.
+/// Minimum time between two checks of the path that other instances' requests give rise to.
 const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two connections that probe the path, or a target that is down with others' help.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -126,6 +127,7 @@
             last_response_at: Time::ZERO,
             response_gap_s: 0.0,
             last_check_at: Time::ZERO,
+            last_asked_check_at: Time::ZERO,
             open_probes: 0,
             last_probe_at: Time::ZERO,
             last_shared_probe_at: Time::ZERO,
@@ -201,10 +203,10 @@
     /// Returns whether a connection that checks the path is to be opened although this instance has
     /// seen nothing itself, and if so, counts it.
     pub fn take_asked_check(&mut self, now: Time) -> bool {
-        let is_due =
-            self.state == PathState::Direct && now - self.last_check_at >= ASKED_CHECK_INTERVAL;
+        let is_due = self.state == PathState::Direct
+            && now - self.last_asked_check_at >= ASKED_CHECK_INTERVAL;
         if is_due {
-            self.last_check_at = now;
+            self.last_asked_check_at = now;
         }
         is_due
     }
--- a/crates/dispatch/tests/placement/probes.rs
+++ b/crates/dispatch/tests/placement/probes.rs
@@ -214,6 +214,39 @@
     }
 }
 
+/// Guards against a cut that is found late: checks that others' requests give rise to put off those by
+/// this instance's own.
+#[test]
+fn asked_checks_put_off_no_own_check() {
+    let (mut dispatcher, start) = without_targets();
+    play(&mut dispatcher, start, Duration::from_secs(1), |_| {
+        Dial::direct(true)
+    });
+    let now = start + Duration::from_secs(2);
+    dispatcher.submit(now, request(now, 2_000, 1));
+    let checked = (1..40).any(|step| {
+        let now = now + TICK * step;
+        dispatcher.due_asked_check(now, &"t1".into());
+        !dispatcher.due_path_checks(now).is_empty()
+    });
+    assert!(checked);
+}
+
+/// Guards against checks that each give rise to more at other instances: a target that nobody reaches
+/// was tried through others, which then tried it through others.
+#[test]
+fn asked_check_tries_another_target() {
+    let (mut dispatcher, start) = without_targets();
+    let now = play(&mut dispatcher, start, Duration::from_secs(1), |_| {
+        Dial::direct(true)
+    });
+    for step in 1..100 {
+        let now = now + Duration::from_millis(100) * step;
+        let tried = dispatcher.due_asked_check(now, &"t1".into()).unwrap();
+        assert_ne!(tried, "t1".into());
+    }
+}
+
 /// Guards against callers that wait in vain: what was queued when a service lost its last target waited
 /// until its deadline, while new requests were refused at once.
 #[rstest]
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -246,8 +246,8 @@
                 self.finish_attempt(now, id, attempt, outcome, connection);
             }
             Event::RelayFailed(target) => {
-                if self.dispatcher.take_path_check(now) {
-                    self.probe(target, self.any_relays(now));
+                if let Some(checked) = self.dispatcher.due_asked_check(now, &target) {
+                    self.probe(checked, self.any_relays(now));
                 }
             }
             Event::ProbeEnded {
