refactor(daemon): both followers publish the view in one place

Cause: each follower sent the freshness to the engine and compared the view field by field with the published one, in 15 lines that were the same but for the version's name.

Change: Outputs::publish does both and returns whether the view has changed. One comparison becomes stricter: before its first configuration, the follower of tables published an unchanged view with each refresh, since it compared no version with version 0; now it publishes it once.

Ruled out: equality of views as a whole, which would compare configurations.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base::Time;
 use entry::{
     message::Event,
     metrics::Metrics,
@@ -51,3 +52,27 @@
     /// Publishes the configuration and its freshness to the request handlers.
     pub view: watch::Sender<Arc<View>>,
 }
+
+impl Outputs {
+    /// Publishes the freshness of the configuration, and the view if it has changed; returns whether it
+    /// has.
+    fn publish(&self, now: Time, view: View, confirmed_at: Option<Time>) -> bool {
+        let freshness = view.freshness;
+        let _ = self.engine.send(Event::ConfigFreshness {
+            freshness,
+            valid_until: now + FRESHNESS_VALIDITY,
+            confirmed_at,
+        });
+        self.view.send_if_modified(|current| {
+            let version_of = |view: &View| view.config.as_ref().map(|(version, _)| *version);
+            let is_changed = current.freshness != freshness
+                || current.entries != view.entries
+                || current.is_leaving != view.is_leaving
+                || version_of(current) != version_of(&view);
+            if is_changed {
+                *current = Arc::new(view);
+            }
+            is_changed
+        })
+    }
+}
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -19,7 +19,7 @@
 };
 use wire::Secret;
 
-use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs};
+use super::{FollowerOptions, Outputs};
 use crate::{
     entry_points::entry_points,
     fleet::Fleet,
@@ -268,24 +268,9 @@
             ),
             is_leaving: self.is_leaving,
         };
-        let is_changed = {
-            let old = self.outputs.view.borrow();
-            old.freshness != freshness
-                || old.entries != view.entries
-                || old.is_leaving != view.is_leaving
-                || old.config.as_ref().map(|(version, _)| *version)
-                    != view.config.as_ref().map(|(version, _)| *version)
-        };
-        let valid_until = now + FRESHNESS_VALIDITY;
         let confirmed_at = self.versions.confirmed_at();
-        let _ = self.outputs.engine.send(Event::ConfigFreshness {
-            freshness,
-            valid_until,
-            confirmed_at,
-        });
-        if is_changed {
+        if self.outputs.publish(now, view, confirmed_at) {
             self.set_alarm("alone", freshness == Freshness::Isolated);
-            self.outputs.view.send_replace(Arc::new(view));
         }
         let command = PeerCommand::SetHead {
             head: self.versions.active().cloned(),
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -11,7 +11,6 @@
 use crate::{
     entry_points::entry_points,
     fleet::Fleet,
-    follower::FRESHNESS_VALIDITY,
     message::PeerCommand,
     table_logs::{NewsSource, age_ms, log_rates},
 };
@@ -84,13 +83,6 @@
         let fleet = self.options.fleet.borrow().clone();
         let confirmed_at = self.confirmed_at();
         let freshness = self.freshness(now, &fleet, confirmed_at);
-        let valid_until = now + FRESHNESS_VALIDITY;
-        let event = Event::ConfigFreshness {
-            freshness,
-            valid_until,
-            confirmed_at,
-        };
-        let _ = self.outputs.engine.send(event);
         self.publish_age(now, confirmed_at);
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.composed.clone();
@@ -100,16 +92,7 @@
             freshness,
             is_leaving: self.is_leaving,
         };
-        let is_changed = {
-            let old = self.outputs.view.borrow();
-            old.freshness != freshness
-                || old.entries != view.entries
-                || old.is_leaving != view.is_leaving
-                || old.config.as_ref().map(|(revision, _)| *revision) != Some(self.revision)
-        };
-        if is_changed {
-            self.outputs.view.send_replace(Arc::new(view));
-        }
+        self.outputs.publish(now, view, confirmed_at);
         let positions: Vec<u64> = self
             .tables
             .iter()
