fix(dispatch): health that can't be asked says nothing of targets while the path is lost

On platforms whose health endpoint is asked, an instance that had lost its path went on asking directly, so targets that it used through others were taken for down every half second. None of the users' platforms asks: seen by reading.

--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -6,8 +6,8 @@
 
 use super::Dispatcher;
 use crate::{
-    Action, AdmittedRequest, Candidate, ExclusionReason, HealthReport, PoolStats, RequestId,
-    TargetEvent, TargetState,
+    Action, AdmittedRequest, Candidate, ExclusionReason, HealthReport, PathState, PoolStats,
+    RequestId, TargetEvent, TargetState,
 };
 
 impl Dispatcher {
@@ -32,6 +32,8 @@
                 target.record_health(report);
                 target.apply_health(now, &self.chart, report.is_leaving);
             }
+            // Health is asked directly, which tells nothing while the path is lost.
+            None if self.path.state() == PathState::Relayed => {}
             None => {
                 target.apply_event(now, &self.chart, TargetEvent::Failed);
             }
