fix(daemon,dispatch): a full region does not take the others for as slow

Cause: an instance took the time of a request, mostly on its own region's targets, for that of all regions. A region that is too full measures its own queues, takes the others to be as slow, finds no room there and keeps what it can't serve, so that it stays full.

Now the time is measured for each region, without the way there. A region that gets nothing from here isn't measured any more, so it counts with the own region's time at most: a value from when it was slow can't keep it empty.

planner_full_region_does_not_take_the_others_for_as_slow fails with the planner's line as it was, 1 of 1 runs (0.60 of the requests stay, 0.12 fit). planner_region_once_slow_is_used_again passes with that line, and fails, 1 of 1, where the measured time alone counts.

Ruled out as causes by the lines: shares that return faster than the cap, and requests that leave a region without usable targets. Considered and not done: times that travel with heartbeats, which need a new format of messages; a region that is never sent to still counts as fast as the own.

--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -278,7 +278,7 @@
             };
             let is_usable = matches!(state, TargetState::Cold | TargetState::Ready);
             let time = if self.options.policy.is_some() {
-                load.service_time
+                self.service_time_in(region, load)
             } else {
                 load.latency
             };
@@ -304,6 +304,17 @@
         Some(measurements)
     }
 
+    /// Returns the time that a request takes on a free target of a region: in another one as it was
+    /// measured, at most that of the own.
+    ///
+    /// A region that gets nothing from here is no longer measured, so a high value would stay.
+    fn service_time_in(&self, region: &RegionId, load: &ServiceLoad) -> Duration {
+        let times = &load.region_service_times;
+        let own = times.get(&self.options.region);
+        let own = own.copied().unwrap_or(load.service_time);
+        times.get(region).map_or(own, |time| own.min(*time))
+    }
+
     /// Returns whether the region of a silent instance still has usable targets. Then only the
     /// instance or the connection to it is lost, and the demand of its callers is unknown.
     fn region_has_usable_targets(
--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -49,6 +49,7 @@
         mean_response_bytes: None,
         latency: Duration::from_millis(100),
         service_time: Duration::from_millis(100),
+        region_service_times: BTreeMap::new(),
         targets: targets
             .map(|idx| (target_id(idx), TargetState::Ready, SLOTS))
             .collect(),
@@ -57,6 +58,11 @@
 
 /// Returns the shares of region `a` after `rounds` plans under a constant load.
 async fn shares_after(rounds: usize, requests_per_s: f64) -> Shares {
+    shares_under(rounds, load(requests_per_s)).await
+}
+
+/// Returns the shares of region `a` after `rounds` plans in which its load is `load`.
+async fn shares_under(rounds: usize, load: ServiceLoad) -> Shares {
     let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, _commands) = mpsc::channel(64);
     let view = View {
@@ -89,7 +95,7 @@
     while plans < rounds {
         match events.recv().await.expect("the planner runs") {
             Event::CollectLoads(reply) => {
-                let loads = BTreeMap::from([(service.clone(), load(requests_per_s))]);
+                let loads = BTreeMap::from([(service.clone(), load.clone())]);
                 reply.send(loads).expect("the planner waits");
             }
             Event::RegionShares(mut by_service) => {
@@ -121,3 +127,38 @@
     assert!((share("a") - 0.6).abs() < 0.01, "{shares:?}");
     assert!((share("b") - 0.2).abs() < 0.01, "{shares:?}");
 }
+
+/// Guards against a region that keeps twice what it can serve beside free ones, because it takes its
+/// own targets' times for theirs: requests that may run nowhere else then wait behind those that could.
+///
+/// Requests take five times as long in `a`, as its targets are full; it can serve 32 of 160 a second,
+/// and each of the others 160.
+#[tokio::test(start_paused = true)]
+async fn planner_full_region_does_not_take_the_others_for_as_slow() {
+    let slow = Duration::from_millis(500);
+    let times = [("a", 500), ("b", 100), ("c", 100)];
+    let times = times.map(|(region, ms)| (region.into(), Duration::from_millis(ms)));
+    let load = ServiceLoad {
+        service_time: slow,
+        region_service_times: times.into(),
+        ..load(160.0)
+    };
+    let shares = shares_under(40, load).await;
+    let local = shares.get(&RegionId::from("a")).copied().unwrap_or(0.0);
+    assert!((local - 0.12).abs() < 0.01, "{shares:?}");
+}
+
+/// A region that gets nothing more is not measured, so a time from when it was slow must not keep it
+/// empty.
+#[tokio::test(start_paused = true)]
+async fn planner_region_once_slow_is_used_again() {
+    let times = [("a", 100), ("b", 5_000), ("c", 5_000)];
+    let times = times.map(|(region, ms)| (region.into(), Duration::from_millis(ms)));
+    let load = ServiceLoad {
+        region_service_times: times.into(),
+        ..load(160.0)
+    };
+    let shares = shares_under(40, load).await;
+    let local = shares.get(&RegionId::from("a")).copied().unwrap_or(0.0);
+    assert!((local - 0.6).abs() < 0.01, "{shares:?}");
+}
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -1,13 +1,13 @@
 //! What the dispatcher reports, and what it is told about targets.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use base::{ServiceId, TargetId, Time};
+use base::{RegionId, ServiceId, TargetId, Time};
 
 use super::Dispatcher;
 use crate::{
     Action, AdmittedRequest, Candidate, ExclusionReason, HealthReport, PathState, PoolStats,
-    RequestId, TargetEvent, TargetState,
+    RequestId, TargetEvent, TargetState, pool::Pool,
 };
 
 impl Dispatcher {
@@ -96,12 +96,25 @@
                     service: service.clone(),
                     latency: pool.latency.mean(),
                     service_time: pool.service_time(),
+                    region_service_times: self.region_service_times(pool),
                     targets,
                 }
             })
             .collect()
     }
 
+    /// Returns the mean time of a request on a warm target with a free slot, without the way there, of
+    /// each region where that was measured.
+    fn region_service_times(&self, pool: &Pool) -> BTreeMap<RegionId, Duration> {
+        let measured = pool.regions.iter().filter_map(|(region, members)| {
+            let latency = members.warm_latency.as_ref()?.mean();
+            let way = self.surroundings.round_trips.get(region);
+            let time = latency.saturating_sub(way.copied().unwrap_or_default());
+            Some((region.clone(), time))
+        });
+        measured.collect()
+    }
+
     /// Returns each target's state, its requests in flight and the limit of those.
     pub fn targets(&self, now: Time) -> Vec<(TargetId, TargetState, u32, u32)> {
         self.pools
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -49,6 +49,8 @@
     /// Requests of this instance that are in flight in the region.
     pub(crate) in_flight: u32,
     pub(crate) limit: ConcurrencyLimit,
+    /// Latency on free targets of the region that ranked first; `None` before the first sample.
+    pub(crate) warm_latency: Option<LatencyEstimate>,
     /// Whether the slots of its targets are not known yet.
     is_new: bool,
 }
@@ -204,6 +206,7 @@
             members: Vec::new(),
             in_flight: 0,
             limit: ConcurrencyLimit::new(1),
+            warm_latency: None,
             is_new: true,
         })
     }
--- a/crates/dispatch/src/pool/statistics.rs
+++ b/crates/dispatch/src/pool/statistics.rs
@@ -55,6 +55,12 @@
         target.record_result(false);
         if let Some(pool) = self.regions.get_mut(&target.region) {
             pool.limit.record_success(pool.in_flight);
+            if matches!(reason, SelectionReason::First | SelectionReason::Cheaper) {
+                let estimate = &mut pool.warm_latency;
+                estimate
+                    .get_or_insert_with(|| LatencyEstimate::new(latency))
+                    .record(latency);
+            }
         }
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,6 +1,6 @@
 //! The inputs and outputs of a dispatcher, and its policy.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{AllowedRegions, Refusal, RegionId, ServiceId, TargetId, Time, WorkspaceId};
 use derive_more::Display;
@@ -204,6 +204,8 @@
     pub latency: Duration,
     /// Mean latency of a request on a warm target with a free slot; zero before the first one.
     pub service_time: Duration,
+    /// The same of each region where it was measured, without the way there.
+    pub region_service_times: BTreeMap<RegionId, Duration>,
     /// Each target with its state and slots.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -6,6 +6,7 @@
 mod moves;
 mod probes;
 mod support;
+mod times;
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/entry/src/engine/loads.rs
+++ b/crates/entry/src/engine/loads.rs
@@ -38,6 +38,7 @@
                         .map(|counter| counter.response_bytes as f64 / counter.responses as f64),
                     latency: pool.latency,
                     service_time: pool.service_time,
+                    region_service_times: pool.region_service_times,
                     targets: pool.targets,
                 };
                 (pool.service, load)
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -335,6 +335,8 @@
     pub latency: Duration,
     /// Mean latency of attempts on targets that had a free slot.
     pub service_time: Duration,
+    /// The same of each region that requests were sent to, without the way there.
+    pub region_service_times: BTreeMap<RegionId, Duration>,
     /// State and slots of each target.
     pub targets: Vec<(TargetId, TargetState, u32)>,
 }
