feat(daemon): calls that can't be read are counted, as messages are

A call over TCP of a build that this one doesn't understand was dropped without a trace; only datagrams were counted. Change: authentic openings that can't be decoded raise the fact calls_unread, the first one is logged (call_unread, with its address; callers aren't known by name), and the connection is closed as before. WireError tells them from frames without the secret. unread_calls_are_counted_and_change_nothing sends 600 drawn ones; it can't be compiled against the code before.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -225,7 +225,8 @@
     );
     tokio::spawn(peers.run(peers_rx));
     let relays = RelayServer::new(view_rx.clone(), engine_tx.clone());
-    tokio::spawn(peer_server::serve(tcp, secret.clone(), incoming_tx, relays));
+    let calls = peer_server::serve(tcp, secret.clone(), incoming_tx, relays, metrics.clone());
+    tokio::spawn(calls);
     tokio::spawn(relay::run(secret.clone(), relays_rx));
     let (snapshots_tx, snapshots_rx) = watch::channel(Arc::new(Vec::new()));
     let contact = Duration::from_secs_f64(cfg.bounds.contact_s);
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use entry::metrics::Metrics;
 use serde::Serialize;
 use tokio::{
     io::AsyncWriteExt,
@@ -9,20 +10,25 @@
     sync::{mpsc, oneshot},
     time::timeout,
 };
-use wire::{Secret, stream};
+use wire::{Secret, WireError, stream};
 
 use crate::{
+    format::OWN_FORMAT,
     relay::{Encoding, RelayServer, RelayedTarget},
     rpc::{CALL_TIMEOUT, Call, IncomingCall, Nonce, Opening},
 };
 
+/// Fact that counts calls of other builds which can't be read.
+const UNREAD_GAUGE: &str = "calls_unread";
+
 /// Accepts calls until the receiver of `tx` is dropped; `relays` answers those for connections to
-/// targets.
+/// targets. Calls that can't be read are counted and not answered.
 pub async fn serve(
     listener: TcpListener,
     secret: Secret,
     tx: mpsc::Sender<IncomingCall>,
     relays: RelayServer,
+    metrics: Metrics,
 ) {
     while !tx.is_closed() {
         if let Ok((stream, _)) = listener.accept().await {
@@ -31,6 +37,7 @@
                 secret.clone(),
                 tx.clone(),
                 relays.clone(),
+                metrics.clone(),
             ));
         }
     }
@@ -41,12 +48,19 @@
     secret: Secret,
     tx: mpsc::Sender<IncomingCall>,
     relays: RelayServer,
+    metrics: Metrics,
 ) -> io::Result<()> {
-    let Some((peer_nonce, opening)) =
-        timeout(CALL_TIMEOUT, receive(&mut stream, &secret)).await??
-    else {
+    let Some(received) = timeout(CALL_TIMEOUT, receive(&mut stream, &secret)).await?? else {
         return Ok(());
     };
+    let (peer_nonce, opening) = match received {
+        Ok(received) => received,
+        Err(WireError::Unread) => {
+            count_unread(&metrics, &stream);
+            return Ok(());
+        }
+        Err(err) => return Err(io::Error::other(err)),
+    };
     match opening {
         Opening::Call(call) => {
             let answered = answer_call(&mut stream, &secret, &peer_nonce, call, &tx);
@@ -109,13 +123,25 @@
 }
 
 /// Reads what a connection is opened for, and the nonce with which the reply is to be sealed.
-async fn receive(stream: &mut TcpStream, secret: &Secret) -> io::Result<Option<(Nonce, Opening)>> {
+async fn receive(
+    stream: &mut TcpStream,
+    secret: &Secret,
+) -> io::Result<Option<Result<(Nonce, Opening), WireError>>> {
     stream.set_nodelay(true)?;
     let own_nonce: Nonce = rand::random();
     stream.write_all(&own_nonce).await?;
     let Some(frame) = stream::read(stream).await? else {
         return Ok(None);
     };
-    let opened = secret.open_with_nonce(&own_nonce, &frame);
-    opened.map(Some).map_err(io::Error::other)
+    Ok(Some(secret.open_with_nonce(&own_nonce, &frame)))
+}
+
+/// Counts a call that can't be read; only the first one is logged, since callers are not known by name.
+fn count_unread(metrics: &Metrics, stream: &TcpStream) {
+    let count = metrics.gauges.with_label_values(&[UNREAD_GAUGE]);
+    count.inc();
+    if count.get() == 1 {
+        let from = stream.peer_addr().ok().map(|addr| addr.ip().to_string());
+        tracing::warn!(event = "call_unread", from, own_format = OWN_FORMAT);
+    }
 }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -1,6 +1,5 @@
-//! Connections to targets that one instance opens through another one.
+//! Connections to targets that one instance opens through another one, and those that it can't read.
 
-use standin::config::service;
 use std::{net::SocketAddr, sync::Arc};
 
 use base::{Service, Target};
@@ -10,16 +9,20 @@
 };
 use entry::{
     dial::{RelayError, RelayRequest},
+    metrics::Metrics,
     view::View,
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use rstest::rstest;
+use standin::config::service;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     runtime::Builder,
     sync::{mpsc, oneshot, watch},
 };
-use wire::{Secret, marked::MarkedStream};
+use wire::{Secret, marked::MarkedStream, stream};
 
 /// Serves connections for others to a target `t` at this address, and returns the channel on which
 /// they are asked for with the address of the serving instance.
@@ -34,6 +37,10 @@
 }
 
 async fn serve(target: SocketAddr, is_drained: bool) -> SocketAddr {
+    serve_counting(target, is_drained, Metrics::new().unwrap()).await
+}
+
+async fn serve_counting(target: SocketAddr, is_drained: bool, metrics: Metrics) -> SocketAddr {
     let mut config = standin::config::config([("d", "r")]);
     let target = Target {
         addr: target,
@@ -60,7 +67,7 @@
     let relays = RelayServer::new(view, engine);
     tokio::spawn(async move {
         let _calls = calls_rx;
-        peer_server::serve(listener, secret, calls, relays).await;
+        peer_server::serve(listener, secret, calls, relays, metrics).await;
     });
     addr
 }
@@ -164,3 +171,52 @@
     let refused = open(&tx, nobody, "t").await;
     assert_eq!(refused.unwrap_err(), RelayError::RelayUnavailable);
 }
+
+/// Calls of a later build, cut off, with lengths beyond their end or made up: the authentic ones are
+/// counted, none is answered, and the next connection is carried.
+#[tokio::test]
+async fn unread_calls_are_counted_and_change_nothing() {
+    const CALLS: u64 = 600;
+    /// Kinds of openings that no landed format has.
+    const UNKNOWN_KINDS: std::ops::Range<u8> = 20..100;
+    let mut rng = Pcg32::seed_from_u64(28);
+    let secret = Secret::derive("a secret for tests only");
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let metrics = Metrics::new().unwrap();
+    let addr = serve_counting(target.local_addr().unwrap(), false, metrics.clone()).await;
+    let mut authentic = 0;
+    for _ in 0..CALLS {
+        let mut near = TcpStream::connect(addr).await.unwrap();
+        let mut nonce = [0; 16];
+        near.read_exact(&mut nonce).await.unwrap();
+        let own_nonce: [u8; 16] = rng.random();
+        let mut frame = match rng.random_range(0..3) {
+            0 => {
+                let kind: u8 = rng.random_range(UNKNOWN_KINDS);
+                let fields: [u8; 8] = rng.random();
+                secret.seal_with_nonce(&nonce, &(own_nonce, kind, fields))
+            }
+            1 => secret.seal_with_nonce(&nonce, &own_nonce),
+            // A connection to a target whose name is longer than the rest.
+            _ => secret.seal_with_nonce(&nonce, &(own_nonce, 2u8, 40u8, *b"t")),
+        }
+        .unwrap();
+        if rng.random_bool(0.25) {
+            let idx = rng.random_range(0..frame.len());
+            frame[idx] ^= 1 << rng.random_range(0..8);
+        } else {
+            authentic += 1;
+        }
+        stream::write(&mut near, &frame).await.unwrap();
+        let mut answer = Vec::new();
+        // A connection that is reset is not answered either.
+        let _ = near.read_to_end(&mut answer).await;
+        assert_eq!(answer, b"");
+    }
+    let counted = metrics.gauges.with_label_values(&["calls_unread"]).get();
+    assert_eq!(counted, authentic);
+    assert!(counted > 300, "{counted}");
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(relay::run(secret, rx));
+    assert!(open(&tx, addr, "t").await.is_ok());
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -20,6 +20,9 @@
     /// It is shorter than its authentication tag or can't be encoded or decoded.
     #[display("the frame is malformed")]
     Malformed,
+    /// It is authentic, but its message can't be decoded: its sender may be of another build.
+    #[display("the frame's message can't be read")]
+    Unread,
     /// Its authentication tag does not match, so its sender does not have the same secret.
     #[display("the frame's authentication tag is invalid")]
     Unauthenticated,
@@ -79,7 +82,7 @@
     ///
     /// # Errors
     ///
-    /// [`WireError`] if the message must be dropped.
+    /// [`WireError`] if the message must be dropped; [`WireError::Unread`] if it is authentic.
     pub fn open_with_nonce<T>(&self, nonce: &[u8; 16], buf: &[u8]) -> Result<T, WireError>
     where
         T: DeserializeOwned,
@@ -92,7 +95,7 @@
         if !is_equal(&self.nonce_tag(nonce, content), tag) {
             return Err(WireError::Unauthenticated);
         }
-        postcard::from_bytes(content).map_err(|_| WireError::Malformed)
+        postcard::from_bytes(content).map_err(|_| WireError::Unread)
     }
 
     fn nonce_tag(&self, nonce: &[u8; 16], content: &[u8]) -> [u8; TAG_BYTES] {
