test(daemon): samples of rows, openings and frames of the landed formats

Rows of slots, facts, listed instances, claims and heads stood on the soak alone, and what opens a connection had no sample. ClaimRow and Opening become public for it.

--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -85,18 +85,26 @@
 
 /// Records in the table the claim of an action whose key names no instance that stores it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct ClaimRow {
-    claimer: Claimer,
-    fingerprint: u64,
-    state: RowState,
+pub struct ClaimRow {
+    /// Request that claims the action.
+    pub claimer: Claimer,
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// What is known of the action's run.
+    pub state: RowState,
 }
 
+/// Lists what a claim's row tells of the action's run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum RowState {
+pub enum RowState {
+    /// It may be running.
     Open,
+    /// It did not run, and may be claimed anew.
     Released,
+    /// It may have run.
     Unknown,
+    /// It ran with this response.
     Done(SavedAnswer),
 }
 
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -56,7 +56,7 @@
 
 /// Opens a connection between two instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) enum Opening {
+pub enum Opening {
     /// Calls the other instance, which answers with a [`Reply`] and closes the connection.
     Call(Call),
     /// Asks for a connection to this target. The other instance answers whether it reached the
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -3,6 +3,7 @@
 //! `UPDATE_FORMATS=1 cargo test -p godwitgauge-daemon --test formats` writes the samples of the
 //! newest format; those of earlier ones never change.
 
+mod rows;
 mod samples;
 
 use std::{fs, path::PathBuf, time::Duration};
@@ -11,7 +12,7 @@
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
     message::{PeerHeartbeat, PeerMessage},
-    rpc::{Call, Reply},
+    rpc::{Call, Opening, Reply},
 };
 use dispatch::{Hold, QuarantineReport, RateReport};
 use rand::{RngExt, SeedableRng};
@@ -66,12 +67,25 @@
     }
 }
 
+const FRAME_CONTENT: [u8; 2] = [4, 1];
+
+fn secret() -> Secret {
+    Secret::derive("sixteen characters")
+}
+
+/// Returns the first frame of an instance.
+fn frame() -> Vec<u8> {
+    let mut sender = Sessions::new(secret(), "a".into(), Incarnation(1));
+    sender.seal_encoded(&"b".into(), &FRAME_CONTENT).unwrap()
+}
+
 /// A format may only be changed together with its number and a new file of samples.
 #[test]
 fn format_has_samples() {
     let mut lines = samples::encoded();
-    for (name, message) in quarantines().into_iter().chain([("rates", rates())]) {
-        let bytes = postcard::to_stdvec(&message).unwrap();
+    let others = quarantines().into_iter().chain([("rates", rates())]);
+    let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
+    for (name, bytes) in others.chain([("frame", frame())]) {
         let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
         lines.push(format!("{name} {hex}"));
     }
@@ -196,6 +210,35 @@
     }
 }
 
+/// What opens a connection is read from every format that has it: earlier builds ask for connections
+/// whose end is not marked.
+#[rstest]
+#[case::without_number(2, 2)]
+#[case::without_quarantine(3, 2)]
+#[case::own(OWN_FORMAT, 3)]
+fn openings_are_read(#[case] format: u32, #[case] known: usize) {
+    for (name, opening) in samples::openings().into_iter().take(known) {
+        let read: Opening = postcard::from_bytes(&sample(format, name)).unwrap();
+        assert_eq!(format!("{read:?}"), format!("{opening:?}"), "{name}");
+    }
+}
+
+/// A frame's head and tag are the same in all formats.
+#[rstest]
+#[case::without_number(2)]
+#[case::without_quarantine(3)]
+#[case::own(OWN_FORMAT)]
+fn frame_is_read(#[case] format: u32) {
+    let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
+    let frame = sample(format, "frame");
+    let opened = receiver.open_encoded(&frame).unwrap();
+    assert_eq!(
+        (opened.from, opened.incarnation),
+        ("a".into(), Incarnation(1))
+    );
+    assert_eq!(opened.message, FRAME_CONTENT);
+}
+
 /// A message of a sender whose format is not known yet is not guessed at; its heartbeat is read.
 #[test]
 fn unknown_sender_is_not_guessed_at() {
@@ -230,11 +273,7 @@
 #[test]
 fn malformed_messages_are_harmless() {
     let mut rng = Pcg32::seed_from_u64(28);
-    let mut sessions = Sessions::new(
-        Secret::derive("sixteen characters"),
-        "a".into(),
-        Incarnation(1),
-    );
+    let mut sessions = Sessions::new(secret(), "a".into(), Incarnation(1));
     let names = samples::messages().into_iter().map(|(name, _)| name);
     for name in names {
         for format in 1..=OWN_FORMAT {
--- a/crates/daemon/tests/formats/samples.rs
+++ b/crates/daemon/tests/formats/samples.rs
@@ -7,7 +7,7 @@
 use daemon::{
     message::{PeerHeartbeat, PeerMessage},
     peers::initial_heartbeat,
-    rpc::{Call, Reply},
+    rpc::{Call, Opening, Reply},
 };
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, ConnectionLoss, SavedAnswer};
 
@@ -149,6 +149,15 @@
     ]
 }
 
+/// Returns what opens a connection between instances, by name.
+pub(crate) fn openings() -> Vec<(&'static str, Opening)> {
+    vec![
+        ("opening-call", Opening::Call(Call::Table(1))),
+        ("opening-relay", Opening::Relay("t1".into())),
+        ("opening-marked-relay", Opening::MarkedRelay("t1".into())),
+    ]
+}
+
 /// Returns all samples encoded, one line each.
 pub(crate) fn encoded() -> Vec<String> {
     fn line<T>(name: &str, value: &T) -> String
@@ -162,5 +171,7 @@
     let messages = messages().into_iter().map(|(name, one)| line(name, &one));
     let calls = calls().into_iter().map(|(name, one)| line(name, &one));
     let replies = replies().into_iter().map(|(name, one)| line(name, &one));
-    messages.chain(calls).chain(replies).collect()
+    let openings = openings().into_iter().map(|(name, one)| line(name, &one));
+    let all = messages.chain(calls).chain(replies).chain(openings);
+    all.collect()
 }
