--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -1,6 +1,5 @@
 //! The plan of a region's traffic, with the other tasks replaced by channels.
 
-use standin::config::{service, target};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Config, RegionId, Service, ServiceId, TargetId};
@@ -14,6 +13,7 @@
     message::{Event, ServiceLoad},
     view::{Clock, View},
 };
+use standin::config::{service, target};
 use steer::{PlanPolicy, Shares};
 use tokio::sync::{mpsc, watch};
 
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -1,6 +1,5 @@
 //! A fleet of instances, targets and callers in virtual time, which knows what crashed each target.
 
-use standin::config::{registration, service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -13,6 +12,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use standin::config::{registration, service, target};
 
 const RUN_MS: u64 = 200_000;
 const TICK_MS: u64 = 50;
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,7 +1,6 @@
 //! Dispatcher: every request ends exactly once, no slot leaks, and refusals that say "not run" are
 //! true; fair queueing by weight.
 
-use standin::config::{service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -15,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
+use standin::config::{service, target};
 
 fn config(targets: usize) -> Config {
     let mut config = standin::config::config([("d0", "r0"), ("d1", "r1")]);
--- a/crates/dispatch/tests/exclusions.rs
+++ b/crates/dispatch/tests/exclusions.rs
@@ -1,6 +1,5 @@
 //! A target gets nothing while there is any reason for it, whatever becomes of the other reasons.
 
-use standin::config::{config, registration, service, target};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -13,6 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
+use standin::config::{config, registration, service, target};
 
 const TARGETS: usize = 6;
 const DOMAINS: usize = 2;
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -1,12 +1,12 @@
 //! A target that has said that it is leaving gets nothing more, until something later says otherwise.
 
-use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{Config, RegionId, Registration, Service, TargetId, Time, WorkspaceId};
 use dispatch::{Action, AdmittedRequest, Dispatcher, Outcome, Placement, Policy, RequestId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use standin::config::{registration, service, target};
 
 const TARGETS: usize = 4;
 const STEPS: u64 = 400;
--- a/crates/dispatch/tests/placement/support.rs
+++ b/crates/dispatch/tests/placement/support.rs
@@ -1,12 +1,12 @@
 //! A service over two regions, and requests for it.
 
-use standin::config::{registration, service, target};
 use std::time::Duration;
 
 use base::{ColdStart, Config, ErrorKind, Route, RouteKind, Service, Time, WeightedService};
 use dispatch::{
     Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Placement, Policy, RequestId,
 };
+use standin::config::{registration, service, target};
 
 const REGIONS: [&str; 2] = ["r0", "r1"];
 
--- a/crates/dispatch/tests/rests.rs
+++ b/crates/dispatch/tests/rests.rs
@@ -1,7 +1,6 @@
 //! A target that asks an instance for rest gets nothing more from it for so long, whatever else goes
 //! wrong.
 
-use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{Config, ErrorKind, RegionId, Service, TargetId, Time, WorkspaceId};
@@ -11,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
+use standin::config::{registration, service, target};
 
 const STEP: Duration = Duration::from_millis(10);
 const END: Time = Time::from_secs(20);
--- a/crates/dispatch/tests/shared_rate.rs
+++ b/crates/dispatch/tests/shared_rate.rs
@@ -1,6 +1,5 @@
 //! A rate that a target names holds over all instances, whatever is lost or late between them.
 
-use standin::config::{registration, service, target};
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{Config, ErrorKind, InstanceId, RegionId, Service, TargetId, Time};
@@ -11,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
+use standin::config::{registration, service, target};
 
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -3,7 +3,6 @@
 #[path = "support/template.rs"]
 mod template;
 
-use standin::config::{service, target};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use base::{
@@ -22,6 +21,7 @@
     view::Clock,
 };
 use rstest::rstest;
+use standin::config::{service, target};
 use template::template;
 use tokio::{
     io::AsyncReadExt,
--- a/crates/entry/tests/lookup.rs
+++ b/crates/entry/tests/lookup.rs
@@ -1,6 +1,5 @@
 //! Look-ups of callers over the product's own interface.
 
-use standin::config::service;
 use std::{
     collections::BTreeSet,
     io,
@@ -22,6 +21,7 @@
 };
 use record::Sink;
 use rstest::rstest;
+use standin::config::service;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
