--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -51,6 +51,7 @@
 #[case::not_repeatable(|plan| Plan { is_once: true, ..plan })]
 #[case::late_in_the_run(late_in_the_run)]
 #[case::all_together(all_together)]
+#[case::half_of_an_older_build(half_of_an_older_build)]
 fn deadly_request_is_turned_away_in_drawn_fleets(#[case] vary: fn(Plan) -> Plan) {
     let (broken, crashes) = broken(vary);
     assert!(
@@ -84,6 +85,16 @@
     }
 }
 
+/// Those of the newer build turn the request away as if the others weren't there.
+fn half_of_an_older_build(plan: Plan) -> Plan {
+    let instances = plan.instances.max(2);
+    Plan {
+        instances,
+        older: instances / 2,
+        ..plan
+    }
+}
+
 fn late_in_the_run(plan: Plan) -> Plan {
     Plan {
         fuse_ms: 1_500,
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -48,6 +48,9 @@
     pub(crate) cut_gap_s: Option<f64>,
     /// Mean time between two crashes of targets that no request causes.
     pub(crate) crash_gap_s: Option<f64>,
+    /// Number of instances, the first ones, of a build that turns no request away for what it did, and
+    /// neither reports nor reads that others do; they are not judged.
+    pub(crate) older: usize,
 }
 
 impl Plan {
@@ -66,6 +69,7 @@
             restart_gap_s: None,
             cut_gap_s: None,
             crash_gap_s: None,
+            older: 0,
         }
     }
 }
@@ -214,13 +218,13 @@
     format!("i{idx}").as_str().into()
 }
 
-fn dispatcher(instances: usize, seed: u64) -> Dispatcher {
+fn dispatcher(instances: usize, seed: u64, is_older: bool) -> Dispatcher {
     let policy = Policy {
         placement: Placement::ObjectAffinity,
         retry_fraction: 0.12,
         retry_cap: 36.0 / instances as f64,
         max_refusals: 4,
-        max_losses: 3,
+        max_losses: if is_older { u32::MAX } else { 3 },
         instance_count: instances as u32,
         instance_seed: seed,
         ..Policy::default()
@@ -235,7 +239,7 @@
             is_up: true,
         };
         let instances = (0..plan.instances).map(|idx| Instance {
-            dispatcher: dispatcher(plan.instances, seed * 100 + idx as u64),
+            dispatcher: dispatcher(plan.instances, seed * 100 + idx as u64, idx < plan.older),
             life: 0,
             is_up: true,
             disturbed_ms: None,
@@ -503,7 +507,8 @@
 
     fn broadcast(&mut self, from: usize, report: &Report) {
         for to in 0..self.instances.len() {
-            if to != from && self.rng.random::<f64>() >= self.plan.report_loss {
+            let is_known = matches!(report, Report::Loss(_)) || from.min(to) >= self.plan.older;
+            if to != from && self.rng.random::<f64>() >= self.plan.report_loss && is_known {
                 let delay = self.rng.random_range(1..60);
                 let report = report.clone();
                 self.push(delay, Event::Deliver { to, report });
@@ -664,7 +669,7 @@
         let instance = &mut self.instances[idx];
         instance.life += 1;
         instance.requests.clear();
-        instance.dispatcher = dispatcher(count, seed);
+        instance.dispatcher = dispatcher(count, seed, idx < self.plan.older);
         instance.disturbed_ms = Some(self.now_ms + RESTART_MS);
         self.running.retain(|one| one.instance != idx);
         self.push(RESTART_MS, Event::Register);
@@ -678,6 +683,7 @@
             };
             let late: Vec<(u64, usize)> = runs
                 .iter()
+                .filter(|(_, instance, _)| *instance >= self.plan.older)
                 .filter(|(at, _, is_in_touch)| *at > third + self.contact_ms && *is_in_touch)
                 .map(|(at, instance, _)| (*at, *instance))
                 .collect();
