fix(daemon): a heartbeat goes before the first message to each incarnation and address

A rolling stop in a fleet of one build logged message_unread (kind 4, format 0) and raised messages_unread, which OPERATIONS.md calls a reason to go back. Causes, both seen: an instance that has just started knows another one's incarnation before its address, so that its answer to that one's frame can't be sent; and the answer to an instance that starts again goes to its old address. Rates that were told next couldn't be read, for up to half a second, since their sender's format was not known. Change: a message to an incarnation, or at an address, that no heartbeat has been sent to is preceded by one.

--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -79,6 +79,17 @@
     pub build: String,
 }
 
+impl PeerHeartbeat {
+    /// Returns whether callers or requests would go wrong if the change since the heartbeat `before` were
+    /// published later.
+    pub(crate) fn is_urgent_after(&self, before: &Self) -> bool {
+        before.status.incarnation != self.status.incarnation
+            || before.status.is_leaving != self.status.is_leaving
+            || before.has_target_path != self.has_target_path
+            || before.entry != self.entry
+    }
+}
+
 /// Commands the task that exchanges messages with the other instances.
 #[derive(Debug)]
 pub enum PeerCommand {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use base::{InstanceId, Time};
+use base::{Incarnation, InstanceId, Time};
 use coord::{Head, Heartbeat, ListEntry, Membership};
 use entry::{message::Event, view::Clock};
 use tokio::{
@@ -59,6 +59,8 @@
     last_heartbeats: BTreeMap<InstanceId, PeerHeartbeat>,
     own_heartbeat: PeerHeartbeat,
     sent_heartbeats: VecDeque<(u64, Time)>,
+    /// Incarnations of others to which heartbeats have been sent.
+    introduced: BTreeMap<InstanceId, Incarnation>,
     confirmed_at: Option<Time>,
     /// Messages that could not be read, by sender and kind.
     unread: BTreeMap<(InstanceId, u32), u64>,
@@ -87,6 +89,7 @@
             last_heartbeats: BTreeMap::new(),
             own_heartbeat,
             sent_heartbeats: VecDeque::new(),
+            introduced: BTreeMap::new(),
             confirmed_at: None,
             unread: BTreeMap::new(),
             published_at: Time::ZERO,
@@ -129,7 +132,10 @@
             PeerCommand::SetList(list) => {
                 let now = self.clock.now();
                 for peer in &list {
-                    self.addrs.insert(peer.entry.id.clone(), peer.addr);
+                    let before = self.addrs.insert(peer.entry.id.clone(), peer.addr);
+                    if before != Some(peer.addr) {
+                        self.introduced.remove(&peer.entry.id);
+                    }
                 }
                 let entries: Vec<ListEntry> = list.into_iter().map(|peer| peer.entry).collect();
                 self.membership.on_list(now, &entries);
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -29,8 +29,7 @@
             // The frame may be a replay from before this instance restarted. The heartbeat carries
             // this instance's incarnation, which proves the sender's next frame to be recent.
             let heartbeat = self.heartbeat_for(&opened.from);
-            self.send(&opened.from, &PeerMessage::Heartbeat(Box::new(heartbeat)))
-                .await;
+            self.send(&opened.from, &heartbeat).await;
             return;
         }
         let format = self.format_of(&opened.from, Some(opened.incarnation));
@@ -147,7 +146,7 @@
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
         let before = self.last_heartbeats.get(from);
-        let is_urgent = before.is_none_or(|before| is_urgent_change(before, &heartbeat));
+        let is_urgent = before.is_none_or(|before| heartbeat.is_urgent_after(before));
         self.last_heartbeats.insert(from.clone(), heartbeat);
         self.is_unpublished = true;
         if is_urgent {
@@ -190,14 +189,6 @@
     }
 }
 
-/// Returns whether callers or requests would go wrong if the change were published later.
-fn is_urgent_change(before: &PeerHeartbeat, now: &PeerHeartbeat) -> bool {
-    before.status.incarnation != now.status.incarnation
-        || before.status.is_leaving != now.status.is_leaving
-        || before.has_target_path != now.has_target_path
-        || before.entry != now.entry
-}
-
 fn subtract(now: Time, age: Duration) -> Time {
     Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64))
 }
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -56,28 +56,43 @@
             self.sent_heartbeats.pop_front();
         }
         for id in to {
-            let heartbeat = PeerMessage::Heartbeat(Box::new(self.heartbeat_for(id)));
+            let heartbeat = self.heartbeat_for(id);
             self.send(id, &heartbeat).await;
         }
     }
 
-    pub(super) fn heartbeat_for(&self, to: &InstanceId) -> PeerHeartbeat {
+    pub(super) fn heartbeat_for(&self, to: &InstanceId) -> PeerMessage {
         let now = self.clock.now();
         let status = Heartbeat {
             confirmation_age: self.confirmed_at.map(|at| now - at),
             ..self.own_heartbeat.status.clone()
         };
-        PeerHeartbeat {
+        PeerMessage::Heartbeat(Box::new(PeerHeartbeat {
             status,
             ack: self
                 .last_heartbeats
                 .get(to)
                 .map_or(0, |heartbeat| heartbeat.sequence),
             ..self.own_heartbeat.clone()
-        }
+        }))
     }
 
+    /// Sends a message; a heartbeat goes before the first one to each incarnation, which can't read it
+    /// without knowing the format.
     pub(super) async fn send(&mut self, to: &InstanceId, message: &PeerMessage) {
+        let incarnation = self.sessions.receiver_incarnation(to);
+        if self.introduced.get(to) != incarnation.as_ref() && self.addrs.contains_key(to) {
+            self.introduced
+                .extend(incarnation.map(|one| (to.clone(), one)));
+            if !matches!(message, PeerMessage::Heartbeat(_)) {
+                let heartbeat = self.heartbeat_for(to);
+                self.send_frame(to, &heartbeat).await;
+            }
+        }
+        self.send_frame(to, message).await;
+    }
+
+    async fn send_frame(&mut self, to: &InstanceId, message: &PeerMessage) {
         let Some(&addr) = self.addrs.get(to) else {
             return;
         };
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -81,20 +81,11 @@
         let (tx, rx) = mpsc::channel(64);
         tokio::spawn(peers.run(rx));
         let ids: Vec<InstanceId> = (0..others).map(|idx| format!("i{idx}").into()).collect();
-        let list = ids.iter().map(|id| ListedPeer {
-            entry: ListEntry {
-                id: id.clone(),
-                domain: "d".into(),
-                is_leaving: false,
-            },
-            addr: socket.local_addr().unwrap(),
-        });
-        tx.send(PeerCommand::SetList(list.collect())).await.unwrap();
         let sessions = ids.into_iter().map(|id| {
             let sessions = Sessions::new(secret(), id.clone(), Incarnation(1));
             (id, sessions)
         });
-        Self {
+        let neighbourhood = Self {
             peers: tx,
             fleet,
             addr,
@@ -104,7 +95,27 @@
             format: OWN_FORMAT,
             engine: engine_rx,
             owners: owners_rx,
-        }
+        };
+        let list = neighbourhood.listed(neighbourhood.sessions.keys().cloned());
+        let command = PeerCommand::SetList(list);
+        neighbourhood.peers.send(command).await.unwrap();
+        neighbourhood
+    }
+
+    /// Returns the platform's list with these instances.
+    fn listed<I>(&self, ids: I) -> Vec<ListedPeer>
+    where
+        I: IntoIterator<Item = InstanceId>,
+    {
+        let listed = ids.into_iter().map(|id| ListedPeer {
+            entry: ListEntry {
+                id,
+                domain: "d".into(),
+                is_leaving: false,
+            },
+            addr: self.socket.local_addr().unwrap(),
+        });
+        listed.collect()
     }
 
     /// Returns how many frames arrive until `until`, and makes the others know the instance.
@@ -350,3 +361,41 @@
     let left = fleet.wait_for(|fleet| fleet.members[&id].is_leaving);
     timeout(READ_WITHIN, left).await.unwrap().unwrap();
 }
+/// Guards against unread messages in a fleet of one build: an instance that had just started knew another
+/// one's incarnation before its address, and told it rates before a heartbeat.
+#[tokio::test]
+async fn first_message_follows_a_heartbeat() {
+    const TRIALS: usize = 5;
+    let id = InstanceId::from("i0");
+    for _ in 0..TRIALS {
+        let neighbourhood = Neighbourhood::start(0).await;
+        let mut sessions = Sessions::new(secret(), id.clone(), Incarnation(1));
+        let frame = sessions.seal(&OWN_ID.into(), &0u8).unwrap();
+        let (addr, socket) = (neighbourhood.addr, &neighbourhood.socket);
+        socket.send_to(&frame, addr).await.unwrap();
+        sleep(HEARTBEAT_INTERVAL / 10).await;
+        let report = PeerMessage::LoansReturned("gym".into(), 5);
+        let moved = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        // The instance is listed, and then at another address.
+        for socket in [socket, &moved] {
+            let mut list = neighbourhood.listed([id.clone()]);
+            list[0].addr = socket.local_addr().unwrap();
+            for command in [
+                PeerCommand::SetList(list),
+                PeerCommand::Send(id.clone(), report.clone()),
+            ] {
+                neighbourhood.peers.send(command).await.unwrap();
+            }
+            let mut messages = Vec::new();
+            let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+            while !messages.contains(&report) {
+                let (len, _) = socket.recv_from(&mut buf).await.unwrap();
+                messages.push(sessions.open(&buf[..len]).unwrap().message);
+            }
+            assert!(
+                matches!(messages[0], PeerMessage::Heartbeat(_)),
+                "{messages:?}"
+            );
+        }
+    }
+}
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -94,11 +94,7 @@
     /// [`WireError::Malformed`] if the frame can't be encoded.
     pub fn seal_encoded(&mut self, to: &InstanceId, message: &[u8]) -> Result<Vec<u8>, WireError> {
         self.sequence += 1;
-        let to_incarnation = self
-            .sessions
-            .get(to)
-            .and_then(|session| session.candidate.or(session.incarnation))
-            .unwrap_or(Incarnation(0));
+        let to_incarnation = self.receiver_incarnation(to).unwrap_or(Incarnation(0));
         let head = FrameHead {
             from: self.me.clone(),
             from_incarnation: self.incarnation,
@@ -109,6 +105,12 @@
         self.secret.seal(&head, message)
     }
 
+    /// Returns the incarnation that frames for the instance `to` name, if one has been heard.
+    pub fn receiver_incarnation(&self, to: &InstanceId) -> Option<Incarnation> {
+        let session = self.sessions.get(to)?;
+        session.candidate.or(session.incarnation)
+    }
+
     /// Verifies and decodes a frame.
     ///
     /// # Errors
