feat(daemon): lines of failed reads tell what had arrived of the answer

Change: a call of the platform and a fetch report the bytes of the answer as they arrive (platform::Progress); the lines carry received_bytes and quiet_ms. No decision changes. Ruled out: the platform's own monitoring tells bytes of a machine, not of a call.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -9,6 +9,7 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
+use platform::Progress;
 use tokio::{
     sync::{mpsc, watch},
     time::sleep_until,
@@ -296,10 +297,13 @@
             };
             let (secret, tx) = (self.options.secret.clone(), tx.clone());
             tokio::spawn(async move {
-                let snapshot = rpc::fetch_table(&secret, addr, idx as u32).await;
+                let progress = Progress::start();
+                let snapshot = rpc::fetch_table(&secret, addr, idx as u32, &progress).await;
+                let received = *progress.received().borrow();
                 let fetch = Fetch {
                     from,
                     asked_at: now,
+                    received,
                     snapshot,
                 };
                 let _ = tx.send((idx, TableRead::Fetched(fetch))).await;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -11,6 +11,7 @@
     message::Event,
     view::View,
 };
+use platform::Progress;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -137,7 +138,8 @@
     target: TargetId,
 ) -> Result<MarkedStream<TcpStream>, RelayError> {
     let opening = Opening::MarkedRelay(target);
-    let exchange = rpc::exchange(secret, relay, &opening);
+    let progress = Progress::start();
+    let exchange = rpc::exchange(secret, relay, &opening, &progress);
     match timeout(OPEN_TIMEOUT, exchange).await {
         Ok(Ok((true, stream))) => Ok(MarkedStream::new(stream)),
         Ok(Ok((false, _))) => Err(RelayError::TargetUnreachable),
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -6,6 +6,7 @@
 use base::{Incarnation, TargetId};
 use coord::TableSnapshot;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
+use platform::Progress;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::oneshot, time::timeout};
 use wire::{Secret, stream};
@@ -85,8 +86,18 @@
 
 /// Calls the instance at `addr`; returns `None` if no authentic reply arrives before the timeout.
 pub async fn call(secret: &Secret, addr: SocketAddr, call: &Call) -> Option<Reply> {
+    call_reporting(secret, addr, call, &Progress::start()).await
+}
+
+/// Calls as [`call`] does, and reports to `progress` what has arrived of the reply.
+async fn call_reporting(
+    secret: &Secret,
+    addr: SocketAddr,
+    call: &Call,
+    progress: &Progress,
+) -> Option<Reply> {
     let opening = Opening::Call(call.clone());
-    let exchange = exchange(secret, addr, &opening);
+    let exchange = exchange(secret, addr, &opening, progress);
     let (reply, _) = timeout(CALL_TIMEOUT, exchange).await.ok()?.ok()?;
     Some(reply)
 }
@@ -101,9 +112,15 @@
     }
 }
 
-/// Fetches the followed table with this index from the instance at `addr`.
-pub async fn fetch_table(secret: &Secret, addr: SocketAddr, index: u32) -> Option<TableSnapshot> {
-    match call(secret, addr, &Call::Table(index)).await? {
+/// Fetches the followed table with this index from the instance at `addr`, and reports to `progress`
+/// what has arrived of it.
+pub async fn fetch_table(
+    secret: &Secret,
+    addr: SocketAddr,
+    index: u32,
+    progress: &Progress,
+) -> Option<TableSnapshot> {
+    match call_reporting(secret, addr, &Call::Table(index), progress).await? {
         Reply::Table(snapshot) => snapshot,
         Reply::Claim(_) | Reply::Settled | Reply::Object(_) => None,
     }
@@ -115,6 +132,7 @@
     secret: &Secret,
     addr: SocketAddr,
     opening: &Opening,
+    progress: &Progress,
 ) -> io::Result<(T, TcpStream)>
 where
     T: DeserializeOwned,
@@ -128,7 +146,7 @@
         .seal_with_nonce(&peer_nonce, &(own_nonce, opening))
         .map_err(io::Error::other)?;
     stream::write(&mut stream, &frame).await?;
-    let frame = stream::read(&mut stream)
+    let frame = stream::read_reporting(&mut stream, |bytes| progress.add(bytes))
         .await?
         .ok_or(io::ErrorKind::UnexpectedEof)?;
     let reply = secret
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -34,12 +34,16 @@
     };
     let waited_ms = failure.waited.as_millis() as u64;
     let blind_ms = age_ms(now, answered_at);
+    let received_bytes = failure.received.bytes;
+    let quiet_ms = failure.received.quiet_time().as_millis() as u64;
     tracing::info!(
         event = "table_unread",
         table,
         reason,
         is_on_kept_connection = failure.is_on_kept_connection,
         waited_ms,
+        received_bytes,
+        quiet_ms,
         blind_ms,
         position,
     );
@@ -55,6 +59,7 @@
     let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
     let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
     let took_ms = (now - fetch.asked_at).as_millis() as u64;
+    let received_bytes = fetch.received.bytes;
     tracing::info!(
         event = "table_fetched",
         table,
@@ -62,6 +67,7 @@
         before,
         position,
         rows,
+        received_bytes,
         took_ms,
     );
 }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -5,9 +5,9 @@
 use base::{InstanceId, Time};
 use coord::{RowChange, TableSnapshot};
 use entry::view::Clock;
-use platform::{Change, Platform, PlatformError};
+use platform::{Change, Platform, PlatformError, Progress, Received};
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     task::{AbortHandle, JoinSet},
     time::{Instant, sleep_until},
 };
@@ -98,6 +98,8 @@
     pub(crate) is_on_kept_connection: bool,
     /// Time from the call to its failure.
     pub(crate) waited: Duration,
+    /// What had arrived of an answer.
+    pub(crate) received: Received,
 }
 
 /// Carries what another instance answered when it was asked for a table.
@@ -105,6 +107,8 @@
 pub(crate) struct Fetch {
     pub(crate) from: InstanceId,
     pub(crate) asked_at: Time,
+    /// What has arrived of the answer.
+    pub(crate) received: Received,
     pub(crate) snapshot: Option<TableSnapshot>,
 }
 
@@ -141,6 +145,7 @@
     sent_at: Time,
     /// Whether the connection had been used before.
     is_on_kept_connection: bool,
+    received: watch::Receiver<Received>,
     task: AbortHandle,
 }
 
@@ -202,7 +207,10 @@
     /// Sends a poll and returns the time within which it must be answered.
     fn send_poll(&mut self) -> Duration {
         let timing = self.options.timing;
-        let (platform, table) = (self.options.platform.clone(), self.options.table.clone());
+        let progress = Progress::start();
+        let received = progress.received();
+        let platform = self.options.platform.clone().progress(progress);
+        let table = self.options.table.clone();
         let (number, position) = (self.next_number, self.position);
         let is_on_kept_connection = !self.is_reconnecting;
         let wait = if is_on_kept_connection {
@@ -234,6 +242,7 @@
             number,
             sent_at,
             is_on_kept_connection,
+            received,
             task,
         });
         match position {
@@ -309,6 +318,7 @@
             is_unanswered,
             is_on_kept_connection: poll.is_on_kept_connection,
             waited: self.options.clock.now() - poll.sent_at,
+            received: *poll.received.borrow(),
         })
     }
 
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -246,7 +246,7 @@
     let served = network.clone();
     let platform = Platform::spawn(move || {
         let (served, idle) = (served.clone(), IdleConnections::default());
-        move |call| served.clone().execute(idle.clone(), call)
+        move |call, _| served.clone().execute(idle.clone(), call)
     });
     let (started, history) = (network.started, history.clone());
     let compose = move |replicas: &[&coord::Replica]| {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,13 +4,13 @@
 
 use bytes::Bytes;
 use http::{Request as HttpRequest, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 
-use crate::{Call, Platform, PlatformError, Reply};
+use crate::{Call, Platform, PlatformError, Progress, Reply, receive_body};
 
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -20,7 +20,7 @@
 pub fn connect(addr: SocketAddr) -> Platform {
     Platform::spawn(move || {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        move |call| exchange(client.clone(), addr, call)
+        move |call, progress| exchange(client.clone(), addr, call, progress)
     })
 }
 
@@ -28,6 +28,7 @@
     client: HttpClient,
     addr: SocketAddr,
     call: Call,
+    progress: Progress,
 ) -> Result<Reply, PlatformError> {
     let body = serde_json::to_vec(&call).map_err(|_| PlatformError::Unavailable)?;
     let req = HttpRequest::post(format!("http://{addr}/v1/call"))
@@ -39,11 +40,7 @@
         .await
         .map_err(|_| PlatformError::Unavailable)?;
     let is_success = res.status().is_success();
-    let body = Limited::new(res.into_body(), MAX_REPLY_BYTES)
-        .collect()
-        .await
-        .map_err(|_| PlatformError::Unavailable)?
-        .to_bytes();
+    let body = receive_body(res.into_body(), MAX_REPLY_BYTES, &progress).await?;
     if !is_success {
         return Err(PlatformError::Unavailable);
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod layout;
 pub mod memory;
 mod model;
+mod progress;
 mod store;
 
 use std::time::Duration;
@@ -22,6 +23,7 @@
     Call, Change, ListedMachine, MachineKind, MachineState, PlatformError, Precondition, Reply,
     Row, Write,
 };
+pub use progress::{Progress, Received, receive_body};
 pub use store::Store;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -48,13 +50,18 @@
 pub struct Platform {
     tx: mpsc::Sender<Message>,
     timeout: Duration,
+    progress: Option<Progress>,
 }
 
 /// Message to the task that executes calls.
 #[derive(Debug)]
 pub(crate) enum Message {
-    /// Executes a call and sends its reply.
-    Call(Call, oneshot::Sender<Result<Reply, PlatformError>>),
+    /// Executes a call and sends its reply; tells how far the answer has come.
+    Call(
+        Call,
+        Progress,
+        oneshot::Sender<Result<Reply, PlatformError>>,
+    ),
     /// Gives up all kept connections, except for calls that are in progress on them.
     Reconnect,
 }
@@ -64,6 +71,7 @@
         Self {
             tx,
             timeout: Duration::from_secs(2),
+            progress: None,
         }
     }
 
@@ -71,22 +79,22 @@
     ///
     /// `connect` is called again for each [`Platform::reconnect`]: calls from then on must not use
     /// connections that were opened before. A call is cancelled as soon as its caller stops waiting
-    /// for the reply.
+    /// for the reply. What it reports to the [`Progress`] shows that an answer is arriving.
     pub fn spawn<C, F, R>(connect: C) -> Self
     where
         C: Fn() -> F + Send + 'static,
-        F: Fn(Call) -> R + Send + 'static,
+        F: Fn(Call, Progress) -> R + Send + 'static,
         R: Future<Output = Result<Reply, PlatformError>> + Send + 'static,
     {
         let (tx, mut rx) = mpsc::channel(CALL_QUEUE_CAPACITY);
         tokio::spawn(async move {
             let mut serve = connect();
             while let Some(message) = rx.recv().await {
-                let Message::Call(call, mut reply) = message else {
+                let Message::Call(call, progress, mut reply) = message else {
                     serve = connect();
                     continue;
                 };
-                let execution = serve(call);
+                let execution = serve(call, progress);
                 tokio::spawn(async move {
                     tokio::select! {
                         result = execution => { let _ = reply.send(result); }
@@ -104,6 +112,12 @@
         self
     }
 
+    /// Sets to what is reported how far the answer of a call has come; for a handle of one call.
+    pub fn progress(mut self, progress: Progress) -> Self {
+        self.progress = Some(progress);
+        self
+    }
+
     /// Gives up all kept connections: calls from now on open new ones.
     pub async fn reconnect(&self) {
         let _ = self.tx.send(Message::Reconnect).await;
@@ -116,9 +130,10 @@
     /// [`PlatformError::Unavailable`] if no reply came in time: a write may have taken effect.
     /// [`PlatformError::Conflict`] if a row did not meet its precondition: nothing was written.
     pub async fn call(&self, call: Call) -> Result<Reply, PlatformError> {
+        let progress = self.progress.clone().unwrap_or_else(Progress::start);
         let (reply_tx, reply_rx) = oneshot::channel();
         let exchange = async {
-            let message = Message::Call(call, reply_tx);
+            let message = Message::Call(call, progress, reply_tx);
             self.tx.send(message).await.map_err(|_| ())?;
             reply_rx.await.map_err(|_| ())
         };
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -10,7 +10,7 @@
     tokio::spawn(async move {
         let mut store = Store::default();
         while let Some(message) = rx.recv().await {
-            if let Message::Call(call, reply) = message {
+            if let Message::Call(call, _, reply) = message {
                 let _ = reply.send(store.apply(call));
             }
         }
--- /dev/null
+++ b/crates/platform/src/progress.rs
@@ -0,0 +1,93 @@
+//! How far the answer to a call has come.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::{sync::watch, time::Instant};
+
+use crate::PlatformError;
+
+/// Reports the bytes of an answer as they arrive.
+///
+/// # Examples
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use platform::Progress;
+///
+/// let progress = Progress::start();
+/// let received = progress.received();
+/// progress.add(1_460);
+/// assert_eq!(received.borrow().bytes, 1_460);
+/// # });
+/// ```
+#[derive(Debug, Clone)]
+pub struct Progress {
+    tx: watch::Sender<Received>,
+}
+
+/// Describes what has arrived of an answer so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Received {
+    /// Bytes of its body.
+    pub bytes: u64,
+    /// Time of the last ones, or of the call if none have arrived.
+    pub at: Instant,
+}
+
+impl Received {
+    /// Returns the time since the last byte, or since the call if none has arrived.
+    pub fn quiet_time(&self) -> Duration {
+        self.at.elapsed()
+    }
+}
+
+impl Progress {
+    /// Starts a call of which nothing has arrived.
+    pub fn start() -> Self {
+        let (bytes, at) = (0, Instant::now());
+        Self {
+            tx: watch::Sender::new(Received { bytes, at }),
+        }
+    }
+
+    /// Records that `bytes` more have arrived.
+    pub fn add(&self, bytes: usize) {
+        self.tx.send_modify(|received| {
+            received.bytes += bytes as u64;
+            received.at = Instant::now();
+        });
+    }
+
+    /// Returns a receiver of what has arrived.
+    pub fn received(&self) -> watch::Receiver<Received> {
+        self.tx.subscribe()
+    }
+}
+
+/// Receives the body of an answer and reports to `progress` what has arrived.
+///
+/// # Errors
+///
+/// [`PlatformError::Unavailable`] if the body ends early or has more than `max_bytes`.
+pub async fn receive_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    progress: &Progress,
+) -> Result<Bytes, PlatformError> {
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| PlatformError::Unavailable)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        progress.add(data.len());
+        if received.len() + data.len() > max_bytes {
+            return Err(PlatformError::Unavailable);
+        }
+        received.extend_from_slice(&data);
+    }
+    Ok(received.freeze())
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -33,6 +33,19 @@
 pub async fn read<R>(reader: &mut R) -> io::Result<Option<Vec<u8>>>
 where
     R: AsyncRead + Unpin,
+{
+    read_reporting(reader, |_| {}).await
+}
+
+/// Reads one frame as [`read`] does, and calls `report` with each number of bytes of it that has arrived.
+///
+/// # Errors
+///
+/// As for [`read`].
+pub async fn read_reporting<R, F>(reader: &mut R, mut report: F) -> io::Result<Option<Vec<u8>>>
+where
+    R: AsyncRead + Unpin,
+    F: FnMut(usize),
 {
     let len = match reader.read_u32().await {
         Ok(len) => len,
@@ -44,7 +57,13 @@
     }
     let mut frame = Vec::new();
     let mut limited = reader.take(u64::from(len));
-    limited.read_to_end(&mut frame).await?;
+    loop {
+        let count = limited.read_buf(&mut frame).await?;
+        if count == 0 {
+            break;
+        }
+        report(count);
+    }
     if frame.len() == len as usize {
         Ok(Some(frame))
     } else {
