--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -24,7 +24,7 @@
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
-use platform::{Call, Change, Platform, PlatformError, Reply};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
@@ -59,6 +59,8 @@
     removal: Option<Duration>,
     /// Whether the task that tells the other instances takes commands.
     tells_others: bool,
+    /// Time that the operators' rows take over the instance's link if nothing else uses it.
+    transfer: Duration,
 }
 
 impl Scenario {
@@ -91,6 +93,7 @@
             changes,
             removal: None,
             tells_others: true,
+            transfer: Duration::ZERO,
         }
     }
 
@@ -113,6 +116,8 @@
 struct Network {
     started: Instant,
     scenario: Scenario,
+    /// The instance's link: each transfer over it holds a clone.
+    link: Arc<()>,
 }
 
 /// Times at which the idle connections of one pool were opened.
@@ -124,6 +129,7 @@
         self: Arc<Self>,
         idle: IdleConnections,
         call: Call,
+        progress: Progress,
     ) -> Result<Reply, PlatformError> {
         let kept = idle.lock().unwrap().pop();
         let opened = kept.unwrap_or_else(Instant::now);
@@ -145,10 +151,28 @@
             _ => return Err(PlatformError::Unavailable),
         };
         self.cross(opened).await;
+        if let Reply::Changes(rows, _) = &reply
+            && rows.iter().any(|change| change.row == ROW)
+        {
+            self.transfer(&progress).await;
+        }
         idle.lock().unwrap().push(opened);
         Ok(reply)
     }
 
+    /// Takes the time of a transfer of the operators' rows; all transfers share the link.
+    async fn transfer(&self, progress: &Progress) {
+        const STEP: Duration = Duration::from_millis(10);
+        let share = self.link.clone();
+        let mut left = self.scenario.transfer;
+        while !left.is_zero() {
+            sleep(STEP).await;
+            progress.add(1);
+            let transfers = Arc::strong_count(&share) - 1;
+            left = left.saturating_sub(STEP / transfers as u32);
+        }
+    }
+
     /// Takes the time of one way; what crosses a silent connection never arrives.
     async fn cross(&self, opened: Instant) {
         sleep(self.scenario.way).await;
@@ -235,6 +259,7 @@
     let network = Arc::new(Network {
         started: Instant::now(),
         scenario,
+        link: Arc::default(),
     });
     let (history, reports) = (History::default(), Reports::default());
     let follower = follow(&network, &history, &reports);
@@ -246,7 +271,7 @@
     let served = network.clone();
     let platform = Platform::spawn(move || {
         let (served, idle) = (served.clone(), IdleConnections::default());
-        move |call, _| served.clone().execute(idle.clone(), call)
+        move |call, progress| served.clone().execute(idle.clone(), call, progress)
     });
     let (started, history) = (network.started, history.clone());
     let compose = move |replicas: &[&coord::Replica]| {
@@ -344,6 +369,7 @@
         let network = Arc::new(Network {
             started: Instant::now(),
             scenario: scenario.clone(),
+            link: Arc::default(),
         });
         let (history, reports) = (History::default(), Reports::default());
         let follower = follow(&network, &history, &reports);
@@ -394,6 +420,7 @@
                 changes: vec![Duration::from_millis(5_000), Duration::from_millis(5_300)],
                 removal: None,
                 tells_others: true,
+                transfer: Duration::ZERO,
             };
             late(&scenario, &run(&scenario)).map(|late| (length_ms, late))
         })
@@ -422,6 +449,7 @@
                 changes: vec![Duration::from_millis(500)],
                 removal: Some(removal),
                 tells_others: true,
+                transfer: Duration::ZERO,
             };
             let history = run(&scenario);
             let gone = history
@@ -447,6 +475,7 @@
         changes: (1..20).map(Duration::from_secs).collect(),
         removal: None,
         tells_others: false,
+        transfer: Duration::ZERO,
     };
     assert_eq!(late(&scenario, &run(&scenario)), None);
 }
@@ -464,6 +493,7 @@
         changes: vec![change],
         removal: None,
         tells_others: true,
+        transfer: Duration::ZERO,
     };
     let reports = run_reports(&scenario);
     let mut complete = reports.iter().filter(|told| !told.reported.contains(&0));
@@ -489,3 +519,59 @@
         }
     }
 }
+
+/// Guards against CONFIG: rows that took longer over the instance's link than a read may be silent were asked
+/// for again and again beside themselves, so that none of the answers was ever complete.
+#[rstest]
+#[case::cascade_loop(3_000, 2_500)]
+#[case::sangh_clearance(3_000, 2_000)]
+#[case::presa_verde(4_000, 2_500)]
+#[case::grown_sangh_clearance(4_000, 3_000)]
+fn change_any_length_of_transfer_in_force_in_time(#[case] contact_ms: u64, #[case] apply_ms: u64) {
+    /// Pause between two reads, the ways, and the wait for a change that a read may have missed.
+    const REST_MS: u64 = 300;
+    let late: BTreeMap<u64, _> = (100..apply_ms - REST_MS)
+        .step_by(100)
+        .filter_map(|transfer_ms| {
+            let scenario = Scenario {
+                contact: Duration::from_millis(contact_ms),
+                apply: Duration::from_millis(apply_ms),
+                way: Duration::from_millis(12),
+                silences: Vec::new(),
+                changes: [8_000, 12_300, 16_900].map(Duration::from_millis).to_vec(),
+                removal: None,
+                tells_others: true,
+                transfer: Duration::from_millis(transfer_ms),
+            };
+            late(&scenario, &run(&scenario)).map(|late| (transfer_ms, late))
+        })
+        .collect();
+    assert!(late.is_empty(), "by length of the transfer in ms: {late:?}");
+}
+
+/// As above, for a version that follows another one at once, as weights follow new routes.
+#[rstest]
+#[case::cascade_loop(3_000, 2_500)]
+#[case::grown_sangh_clearance(4_000, 3_000)]
+fn change_right_after_another_in_force_in_time(#[case] contact_ms: u64, #[case] apply_ms: u64) {
+    const REST_MS: u64 = 300;
+    let late: BTreeMap<u64, _> = (100..(apply_ms - REST_MS) / 2)
+        .step_by(50)
+        .filter_map(|transfer_ms| {
+            let scenario = Scenario {
+                contact: Duration::from_millis(contact_ms),
+                apply: Duration::from_millis(apply_ms),
+                way: Duration::from_millis(12),
+                silences: Vec::new(),
+                changes: [8_000, 8_200, 14_100, 14_700]
+                    .map(Duration::from_millis)
+                    .to_vec(),
+                removal: None,
+                tells_others: true,
+                transfer: Duration::from_millis(transfer_ms),
+            };
+            late(&scenario, &run(&scenario)).map(|late| (transfer_ms, late))
+        })
+        .collect();
+    assert!(late.is_empty(), "by length of the transfer in ms: {late:?}");
+}
