fix(daemon): an answer that is arriving is not asked for again

Cause: reads of the followed tables, fetches from other instances and the replies to them had to be complete within 1.0, 1.5 and 1.5 s whatever their size. Change: a call ends once nothing of its answer has arrived for its time-out, not a time after it was made; a poll is overtaken and a table fetched only while nothing of it is arriving; an instance that answers waits as long as its answer is being taken; fetches end when there is nothing left to catch up with. Why it works: one transfer at a time has the whole link, and silence is noticed as soon as before. Ruled out: longer time-outs, which find silent connections late and fit one size of document.

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -128,6 +128,12 @@
         self.on_position(now, position);
     }
 
+    /// Records that a part of the state is arriving, by an own read or a fetch: another fetch would only
+    /// share the link with it.
+    pub fn on_arrival(&mut self, now: Time) {
+        self.next_at = self.next_at.max(now + self.delays.max);
+    }
+
     /// Records that an own read has failed: there is nothing to wait for.
     pub fn on_read_failure(&mut self) {
         self.read_lag = Duration::ZERO;
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -56,6 +56,30 @@
     }
 }
 
+/// Guards against CONFIG: while a large table was arriving over a narrow link, it was fetched from one
+/// instance after the other, which shared the link until none of it was ever complete.
+#[rstest]
+#[case::arriving(100, 2_000, None)]
+#[case::cut_off(100, 700, Some(1_100))]
+fn catch_up_asks_nobody_while_the_state_is_arriving(
+    #[case] report_interval_ms: u64,
+    #[case] arriving_until_ms: u64,
+    #[case] first_fetch_ms: Option<u64>,
+) {
+    let mut catch_up = CatchUp::new(DELAYS);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
+    let mut asked_at = None;
+    for ms in (0..2_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        if ms <= arriving_until_ms && ms % report_interval_ms == 0 {
+            catch_up.on_arrival(now);
+        }
+        let asks = catch_up.next_source(now).is_some();
+        asked_at = asked_at.or(asks.then_some(ms));
+    }
+    assert_eq!(asked_at, first_fetch_ms);
+}
+
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
     let mut catch_up = CatchUp::new(DELAYS);
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -9,9 +9,10 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
-use platform::Progress;
+use platform::{Progress, Received};
 use tokio::{
     sync::{mpsc, watch},
+    task::AbortHandle,
     time::sleep_until,
 };
 
@@ -77,12 +78,37 @@
     replica: Replica,
     confirmed_at: Option<Time>,
     catch_up: CatchUp,
+    fetches: Vec<OpenFetch>,
     is_reachable: bool,
     /// Time at which its position rose last.
     advanced_at: Time,
 }
 
+/// A fetch from another instance that has not ended.
+#[derive(Debug)]
+struct OpenFetch {
+    received: watch::Receiver<Received>,
+    task: AbortHandle,
+}
+
 impl Table {
+    /// Returns whether a part of a fetched table has arrived lately.
+    fn is_fetch_arriving(&self) -> bool {
+        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
+        let mut begun = received.filter(|received| received.bytes > 0);
+        begun.any(|received| received.quiet_time() < PEER_FETCH_DELAYS.max)
+    }
+
+    /// Forgets fetches that have ended, and ends all if there is nothing to catch up with.
+    fn tidy_fetches(&mut self) {
+        if self.catch_up.next_at().is_none() {
+            for fetch in &self.fetches {
+                fetch.task.abort();
+            }
+        }
+        self.fetches.retain(|fetch| !fetch.task.is_finished());
+    }
+
     /// Records that the platform has answered. An answer from before the own position is told, unless
     /// it was asked for before that position was known.
     fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
@@ -122,6 +148,7 @@
                 }),
                 confirmed_at: None,
                 catch_up: CatchUp::new(PEER_FETCH_DELAYS),
+                fetches: Vec::new(),
                 is_reachable: false,
                 advanced_at: Time::ZERO,
             })
@@ -232,6 +259,10 @@
         let before = table.replica.position();
         let mut source = NewsSource::Platform;
         let is_changed = match read {
+            TableRead::Arriving => {
+                table.catch_up.on_arrival(now);
+                return;
+            }
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
@@ -279,7 +310,7 @@
     }
 
     /// Fetches tables of which other instances have reported a later position for
-    /// [`PEER_FETCH_DELAYS`], and removes rows whose grace period is over.
+    /// [`PEER_FETCH_DELAYS`] and of which nothing is arriving, and removes rows whose grace period is over.
     fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
@@ -287,6 +318,10 @@
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
+            table.tidy_fetches();
+            if table.is_fetch_arriving() {
+                table.catch_up.on_arrival(now);
+            }
             let Some(from) = table.catch_up.next_source(now) else {
                 continue;
             };
@@ -296,8 +331,9 @@
                 continue;
             };
             let (secret, tx) = (self.options.secret.clone(), tx.clone());
-            tokio::spawn(async move {
-                let progress = Progress::start();
+            let progress = Progress::start();
+            let received = progress.received();
+            let fetch = tokio::spawn(async move {
                 let snapshot = rpc::fetch_table(&secret, addr, idx as u32, &progress).await;
                 let received = *progress.received().borrow();
                 let fetch = Fetch {
@@ -308,6 +344,8 @@
                 };
                 let _ = tx.send((idx, TableRead::Fetched(fetch))).await;
             });
+            let task = fetch.abort_handle();
+            table.fetches.push(OpenFetch { received, task });
         }
         if is_changed {
             self.compose(now, known_at, &NewsSource::GracePeriod);
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -15,7 +15,7 @@
 use crate::{
     format::OWN_FORMAT,
     relay::{Encoding, RelayServer, RelayedTarget},
-    rpc::{CALL_TIMEOUT, Call, IncomingCall, Nonce, Opening},
+    rpc::{CALL_TIMEOUT, Call, IncomingCall, Nonce, Opening, Reply},
 };
 
 /// Fact that counts calls of other builds which can't be read.
@@ -63,8 +63,8 @@
     };
     match opening {
         Opening::Call(call) => {
-            let answered = answer_call(&mut stream, &secret, &peer_nonce, call, &tx);
-            timeout(CALL_TIMEOUT, answered).await?
+            let reply = timeout(CALL_TIMEOUT, answer_call(call, &tx)).await??;
+            write_reply(&mut stream, &secret, &peer_nonce, &reply).await
         }
         Opening::Relay(target) => {
             let opened = relays.open(&target).await;
@@ -94,17 +94,10 @@
     Ok(())
 }
 
-async fn answer_call(
-    stream: &mut TcpStream,
-    secret: &Secret,
-    peer_nonce: &Nonce,
-    call: Call,
-    tx: &mpsc::Sender<IncomingCall>,
-) -> io::Result<()> {
+async fn answer_call(call: Call, tx: &mpsc::Sender<IncomingCall>) -> io::Result<Reply> {
     let (reply, answer) = oneshot::channel();
     let _ = tx.send(IncomingCall { call, reply }).await;
-    let reply = answer.await.map_err(io::Error::other)?;
-    write_reply(stream, secret, peer_nonce, &reply).await
+    answer.await.map_err(io::Error::other)
 }
 
 async fn write_reply<T>(
@@ -119,7 +112,7 @@
     let frame = secret
         .seal_with_nonce(peer_nonce, reply)
         .map_err(io::Error::other)?;
-    stream::write(stream, &frame).await
+    stream::write_unless_stuck(stream, &frame, CALL_TIMEOUT).await
 }
 
 /// Reads what a connection is opened for, and the nonce with which the reply is to be sealed.
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -8,7 +8,7 @@
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
 use platform::Progress;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::{io::AsyncReadExt, net::TcpStream, sync::oneshot, time::timeout};
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::oneshot};
 use wire::{Secret, stream};
 
 /// Requests something from another instance.
@@ -77,14 +77,15 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
-/// Time within which a call must be answered.
+/// Time without a byte in which a call counts as unanswered.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const NONCE_BYTES: usize = 16;
 
 /// Number that each end draws for a connection, with which the other one seals its frame.
 pub(crate) type Nonce = [u8; NONCE_BYTES];
 
-/// Calls the instance at `addr`; returns `None` if no authentic reply arrives before the timeout.
+/// Calls the instance at `addr`; returns `None` if no authentic reply arrives, or nothing of it for
+/// [`CALL_TIMEOUT`].
 pub async fn call(secret: &Secret, addr: SocketAddr, call: &Call) -> Option<Reply> {
     call_reporting(secret, addr, call, &Progress::start()).await
 }
@@ -98,7 +99,7 @@
 ) -> Option<Reply> {
     let opening = Opening::Call(call.clone());
     let exchange = exchange(secret, addr, &opening, progress);
-    let (reply, _) = timeout(CALL_TIMEOUT, exchange).await.ok()?.ok()?;
+    let (reply, _) = progress.unless_quiet(CALL_TIMEOUT, exchange).await?.ok()?;
     Some(reply)
 }
 
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,6 +1,6 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, future::pending, time::Duration};
 
 use base::{InstanceId, Time};
 use coord::{RowChange, TableSnapshot};
@@ -23,9 +23,11 @@
 /// Fraction of the time to regain contact after which a poll counts as unanswered; the rest is for
 /// the read on a new connection.
 const SILENCE_FRACTION: f64 = 0.6;
+/// Minimum time between two reports that an answer is arriving.
+const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer, of which the oldest is given up.
 const MAX_OPEN_POLLS: usize = 4;
-/// Time after which an answer is no longer waited for.
+/// Time without a byte after which an answer is no longer waited for.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
 
 /// Sets how long reads of the platform take.
@@ -64,8 +66,8 @@
         self.poll_wait + self.answer_time
     }
 
-    /// Returns the time after which a call on a new connection that waits for nothing counts as
-    /// unanswered.
+    /// Returns the time without a byte after which a call on a new connection that waits for nothing
+    /// counts as unanswered, and an answer that has begun as cut off.
     fn first_answer_time(&self) -> Duration {
         self.answer_time * 2
     }
@@ -76,6 +78,8 @@
 pub(crate) enum TableRead {
     Changes(PlatformRead),
     Snapshot(PlatformRead),
+    /// A part of the platform's answer has arrived.
+    Arriving,
     Failed(ReadFailure),
     Fetched(Fetch),
 }
@@ -123,8 +127,9 @@
 
 /// Follows one table by long polls.
 ///
-/// A poll without an answer in time is overtaken by one on a new connection, since its own may have
-/// gone silent for good; if its answer comes after all, it is used.
+/// A poll of whose answer nothing arrives in time is overtaken by one on a new connection, since its own
+/// may have gone silent for good; if its answer comes after all, it is used. One whose answer is arriving
+/// is waited for, however long that takes.
 #[derive(Debug)]
 pub(crate) struct TableReader {
     options: ReaderOptions,
@@ -137,6 +142,8 @@
     /// Whether the next poll opens a new connection, so that it must be answered at once.
     is_reconnecting: bool,
     retry_delay: Duration,
+    /// Time of the last report that an answer is arriving.
+    arrival_reported_at: Instant,
 }
 
 #[derive(Debug)]
@@ -174,6 +181,7 @@
             next_number: 0,
             is_reconnecting: true,
             retry_delay: MIN_RETRY_DELAY,
+            arrival_reported_at: Instant::now(),
         }
     }
 
@@ -188,6 +196,10 @@
                     // The poll has been given up.
                     Err(_) => None,
                 },
+                () = arrival(&mut self.open, self.arrival_reported_at) => {
+                    self.arrival_reported_at = Instant::now();
+                    Some(TableRead::Arriving)
+                }
                 () = sleep_until(at) => match step {
                     Step::Poll(_) => {
                         step = Step::Overtake(Instant::now() + self.send_poll());
@@ -290,8 +302,22 @@
         }
     }
 
-    /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
+    /// Returns when an answer that is arriving counts as cut off unless more of it comes.
+    fn arriving_until(&self) -> Option<Instant> {
+        let received = self.open.iter().map(|poll| *poll.received.borrow());
+        let begun = received.filter(|received| received.bytes > 0);
+        let last_byte = begun.map(|received| received.at).max()?;
+        let until = last_byte + self.options.timing.first_answer_time();
+        (until > Instant::now()).then_some(until)
+    }
+
+    /// Counts the newest poll as unanswered, and lets another one follow on a new connection; waits on
+    /// while an answer is arriving.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
+        if let Some(at) = self.arriving_until() {
+            *step = Step::Overtake(at);
+            return None;
+        }
         *step = Step::Poll(Instant::now());
         if self.open.len() >= MAX_OPEN_POLLS {
             self.give_up(1);
@@ -330,6 +356,19 @@
     }
 }
 
+/// Waits until a part of the newest poll's answer has arrived, and for [`ARRIVAL_REPORT_INTERVAL`] after
+/// the last report.
+async fn arrival(open: &mut VecDeque<OpenPoll>, reported_at: Instant) {
+    let is_over = match open.back_mut() {
+        Some(newest) => newest.received.changed().await.is_err(),
+        None => true,
+    };
+    if is_over {
+        pending::<()>().await;
+    }
+    sleep_until(reported_at + ARRIVAL_REPORT_INTERVAL).await;
+}
+
 pub(crate) fn to_row_change(change: Change) -> RowChange {
     RowChange {
         name: change.row,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,8 +7,8 @@
 //! platform's service, [`memory::spawn`] executes them in the process, and [`Platform::spawn`] takes
 //! any other implementation.
 //!
-//! An open connection may go silent for good while new ones work. So once a call has no answer in
-//! time, all kept connections are given up and later calls open new ones.
+//! An open connection may go silent for good while new ones work. So once nothing of a call's answer
+//! has arrived for its timeout, all kept connections are given up and later calls open new ones.
 
 pub mod http;
 pub mod layout;
@@ -25,10 +25,7 @@
 };
 pub use progress::{Progress, Received, receive_body};
 pub use store::Store;
-use tokio::{
-    sync::{mpsc, oneshot},
-    time::timeout,
-};
+use tokio::sync::{mpsc, oneshot};
 
 const CALL_QUEUE_CAPACITY: usize = 1024;
 
@@ -106,7 +103,8 @@
         Self::new(tx)
     }
 
-    /// Sets the timeout of a call, after which its outcome is unknown; two seconds by default.
+    /// Sets the time without a byte of the answer after which a call's outcome is unknown; two seconds
+    /// by default.
     pub fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
         self
@@ -133,14 +131,14 @@
         let progress = self.progress.clone().unwrap_or_else(Progress::start);
         let (reply_tx, reply_rx) = oneshot::channel();
         let exchange = async {
-            let message = Message::Call(call, progress, reply_tx);
+            let message = Message::Call(call, progress.clone(), reply_tx);
             self.tx.send(message).await.map_err(|_| ())?;
             reply_rx.await.map_err(|_| ())
         };
-        match timeout(self.timeout, exchange).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(())) => Err(PlatformError::Unavailable),
-            Err(_) => {
+        match progress.unless_quiet(self.timeout, exchange).await {
+            Some(Ok(result)) => result,
+            Some(Err(())) => Err(PlatformError::Unavailable),
+            None => {
                 self.reconnect().await;
                 Err(PlatformError::Unavailable)
             }
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -1,11 +1,14 @@
 //! How far the answer to a call has come.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 
 use crate::PlatformError;
 
@@ -61,6 +64,29 @@
         });
     }
 
+    /// Awaits an answer, and returns `None` once nothing has arrived of it for `max_quiet`.
+    ///
+    /// A transfer that goes on is not given up however long it takes: asked for again, it would
+    /// begin anew and share the link with what is still under way.
+    pub async fn unless_quiet<F>(&self, max_quiet: Duration, answer: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
+        let received = self.received();
+        let mut answer = pin!(answer);
+        loop {
+            let quiet_at = received.borrow().at + max_quiet;
+            tokio::select! {
+                output = &mut answer => return Some(output),
+                () = sleep_until(quiet_at) => {
+                    if received.borrow().quiet_time() >= max_quiet {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
     /// Returns a receiver of what has arrived.
     pub fn received(&self) -> watch::Receiver<Received> {
         self.tx.subscribe()
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,8 +1,11 @@
 //! Sealed frames over TCP, each preceded by its length.
 
-use std::io;
+use std::{io, time::Duration};
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    time::timeout,
+};
 
 /// Maximum size of a frame that is sent over TCP, in bytes.
 pub const MAX_STREAM_FRAME_BYTES: u32 = 16 * 1024 * 1024;
@@ -16,13 +19,43 @@
 where
     W: AsyncWrite + Unpin,
 {
+    writer.write_u32(frame_len(frame)?).await?;
+    writer.write_all(frame).await?;
+    writer.flush().await
+}
+
+/// Writes one frame as [`write`] does, however long it takes as long as the receiver goes on taking it.
+///
+/// # Errors
+///
+/// [`io::ErrorKind::TimedOut`] if the receiver has taken nothing for `max_pause`; else as for [`write`].
+pub async fn write_unless_stuck<W>(
+    writer: &mut W,
+    frame: &[u8],
+    max_pause: Duration,
+) -> io::Result<()>
+where
+    W: AsyncWrite + Unpin,
+{
+    timeout(max_pause, writer.write_u32(frame_len(frame)?)).await??;
+    let mut left = frame;
+    while !left.is_empty() {
+        let count = timeout(max_pause, writer.write(left)).await??;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        left = &left[count..];
+    }
+    timeout(max_pause, writer.flush()).await?
+}
+
+/// Returns the length that goes before a frame.
+fn frame_len(frame: &[u8]) -> io::Result<u32> {
     let len = u32::try_from(frame.len()).unwrap_or(u32::MAX);
     if len > MAX_STREAM_FRAME_BYTES {
         return Err(io::ErrorKind::InvalidInput.into());
     }
-    writer.write_u32(len).await?;
-    writer.write_all(frame).await?;
-    writer.flush().await
+    Ok(len)
 }
 
 /// Reads one frame, or `None` if the connection was closed between frames.
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -1,7 +1,13 @@
 //! Frames between instances: malformed, unauthenticated, replayed and misdirected ones are dropped.
 
+use std::time::Duration;
+
 use base::Incarnation;
 use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, duplex},
+    time::sleep,
+};
 use wire::{Secret, Sessions, WireError, stream};
 
 fn pair() -> (Sessions, Sessions) {
@@ -100,3 +106,32 @@
     let mut input: &[u8] = &[];
     assert_eq!(stream::read(&mut input).await.unwrap(), None);
 }
+
+/// Guards against CONFIG: an instance gave up a large table that another one was still receiving.
+#[rstest]
+#[case::slow(100, true)]
+#[case::stuck(2_000, false)]
+#[tokio::test(start_paused = true)]
+async fn frame_is_written_as_long_as_the_receiver_takes_it(
+    #[case] pause_ms: u64,
+    #[case] is_written: bool,
+) {
+    const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+    let frame = vec![7; 100_000];
+    let (mut near, mut far) = duplex(1_000);
+    let taken = tokio::spawn(async move {
+        let (mut taken, mut buf) = (Vec::new(), [0; 1_000]);
+        loop {
+            sleep(Duration::from_millis(pause_ms)).await;
+            match far.read(&mut buf).await {
+                Ok(0) | Err(_) => return taken,
+                Ok(count) => taken.extend_from_slice(&buf[..count]),
+            }
+        }
+    });
+    let written = stream::write_unless_stuck(&mut near, &frame, MAX_PAUSE).await;
+    assert_eq!(written.is_ok(), is_written);
+    drop(near);
+    let taken = taken.await.unwrap();
+    assert_eq!(taken.ends_with(&frame), is_written);
+}
