fix(daemon): a call to another instance may take long to send and to receive

What callers would see: an action whose outcome is large and was never recorded at its home, so that repeats get "outcome unknown". Cause: as in docs/incidents/large.md: the called instance gave the whole call 1.5 s and the calling one counted the time of sending as silence, then sent it anew. Change: both ends count from the last byte in either direction. Ruled out: calls that are small aren't concerned. Measured: the tests of daemon and wire pass; a large call over a narrow link wasn't brought about on its own.

--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use entry::metrics::Metrics;
+use platform::Progress;
 use serde::Serialize;
 use tokio::{
     io::AsyncWriteExt,
@@ -50,7 +51,12 @@
     relays: RelayServer,
     metrics: Metrics,
 ) -> io::Result<()> {
-    let Some(received) = timeout(CALL_TIMEOUT, receive(&mut stream, &secret)).await?? else {
+    let progress = Progress::start();
+    let received = receive(&mut stream, &secret, &progress);
+    let Some(received) = progress.unless_quiet(CALL_TIMEOUT, received).await else {
+        return Err(io::ErrorKind::TimedOut.into());
+    };
+    let Some(received) = received? else {
         return Ok(());
     };
     let (peer_nonce, opening) = match received {
@@ -112,18 +118,20 @@
     let frame = secret
         .seal_with_nonce(peer_nonce, reply)
         .map_err(io::Error::other)?;
-    stream::write_unless_stuck(stream, &frame, CALL_TIMEOUT).await
+    stream::write_unless_stuck(stream, &frame, CALL_TIMEOUT, || {}).await
 }
 
 /// Reads what a connection is opened for, and the nonce with which the reply is to be sealed.
 async fn receive(
     stream: &mut TcpStream,
     secret: &Secret,
+    progress: &Progress,
 ) -> io::Result<Option<Result<(Nonce, Opening), WireError>>> {
     stream.set_nodelay(true)?;
     let own_nonce: Nonce = rand::random();
     stream.write_all(&own_nonce).await?;
-    let Some(frame) = stream::read(stream).await? else {
+    let read = stream::read_reporting(stream, |bytes| progress.add(bytes));
+    let Some(frame) = read.await? else {
         return Ok(None);
     };
     Ok(Some(secret.open_with_nonce(&own_nonce, &frame)))
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -146,7 +146,7 @@
     let frame = secret
         .seal_with_nonce(&peer_nonce, &(own_nonce, opening))
         .map_err(io::Error::other)?;
-    stream::write(&mut stream, &frame).await?;
+    stream::write_unless_stuck(&mut stream, &frame, CALL_TIMEOUT, || progress.on_sent()).await?;
     let frame = stream::read_reporting(&mut stream, |bytes| progress.add(bytes))
         .await?
         .ok_or(io::ErrorKind::UnexpectedEof)?;
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -36,12 +36,14 @@
 pub struct Received {
     /// Bytes of its body.
     pub bytes: u64,
-    /// Time of the last ones, or of the call if none have arrived.
+    /// Time of the first ones.
+    pub begun_at: Option<Instant>,
+    /// Time of the last bytes in either direction, or of the call.
     pub at: Instant,
 }
 
 impl Received {
-    /// Returns the time since the last byte, or since the call if none has arrived.
+    /// Returns the time since the last byte in either direction, or since the call.
     pub fn quiet_time(&self) -> Duration {
         self.at.elapsed()
     }
@@ -50,20 +52,31 @@
 impl Progress {
     /// Starts a call of which nothing has arrived.
     pub fn start() -> Self {
-        let (bytes, at) = (0, Instant::now());
+        let received = Received {
+            bytes: 0,
+            begun_at: None,
+            at: Instant::now(),
+        };
         Self {
-            tx: watch::Sender::new(Received { bytes, at }),
+            tx: watch::Sender::new(received),
         }
     }
 
     /// Records that `bytes` more have arrived.
     pub fn add(&self, bytes: usize) {
         self.tx.send_modify(|received| {
+            let now = Instant::now();
             received.bytes += bytes as u64;
-            received.at = Instant::now();
+            received.begun_at.get_or_insert(now);
+            received.at = now;
         });
     }
 
+    /// Records that a part of the call itself has been sent.
+    pub fn on_sent(&self) {
+        self.tx.send_modify(|received| received.at = Instant::now());
+    }
+
     /// Awaits an answer, and returns `None` once nothing has arrived of it for `max_quiet`.
     ///
     /// A transfer that goes on is not given up however long it takes: asked for again, it would
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -24,18 +24,21 @@
     writer.flush().await
 }
 
-/// Writes one frame as [`write`] does, however long it takes as long as the receiver goes on taking it.
+/// Writes one frame as [`write`] does, however long it takes as long as the receiver goes on taking it;
+/// calls `report` whenever it has taken a part.
 ///
 /// # Errors
 ///
 /// [`io::ErrorKind::TimedOut`] if the receiver has taken nothing for `max_pause`; else as for [`write`].
-pub async fn write_unless_stuck<W>(
+pub async fn write_unless_stuck<W, F>(
     writer: &mut W,
     frame: &[u8],
     max_pause: Duration,
+    mut report: F,
 ) -> io::Result<()>
 where
     W: AsyncWrite + Unpin,
+    F: FnMut(),
 {
     timeout(max_pause, writer.write_u32(frame_len(frame)?)).await??;
     let mut left = frame;
@@ -44,6 +47,7 @@
         if count == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
+        report();
         left = &left[count..];
     }
     timeout(max_pause, writer.flush()).await?
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -129,7 +129,7 @@
             }
         }
     });
-    let written = stream::write_unless_stuck(&mut near, &frame, MAX_PAUSE).await;
+    let written = stream::write_unless_stuck(&mut near, &frame, MAX_PAUSE, || {}).await;
     assert_eq!(written.is_ok(), is_written);
     drop(near);
     let taken = taken.await.unwrap();
