fix(daemon): rows are transferred once at a time, and fetched by few calls

Cause: a poll followed another whose answer began late, and both took the link; when the older was complete, the newer read the same rows again; fetches whose bytes came in drops had no bound, and one slow instance held up all others. Change: the poll whose answer is arriving is the one that goes on; the others end, also when one is complete; a table is fetched by three calls at most, a second one after 1.5 s of a slow first; an answer that arrives is no reason to publish; fetches end when they have nothing left to bring, not when their source leaves the list. Ruled out: a minimum rate, which would fit one link.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -33,6 +33,10 @@
     max: Duration::from_millis(400),
     retry: Duration::from_millis(300),
 };
+/// Time after which a table that is still arriving from one instance is fetched from another as well.
+const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
+/// Maximum number of fetches of one table at the same time.
+const MAX_FETCHES: usize = 3;
 /// Time after the end of an outage of the platform for which rows that it removed are kept.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
@@ -92,21 +96,19 @@
 }
 
 impl Table {
-    /// Returns whether a part of a fetched table has arrived lately.
+    /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't slow.
     fn is_fetch_arriving(&self) -> bool {
         let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let mut begun = received.filter(|received| received.bytes > 0);
-        begun.any(|received| received.quiet_time() < PEER_FETCH_DELAYS.max)
+        let begun = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
+        let mut begun_at = begun.filter_map(|received| received.begun_at);
+        begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
     }
 
-    /// Forgets fetches that have ended, and ends all if there is nothing to catch up with.
-    fn tidy_fetches(&mut self) {
-        if self.catch_up.next_at().is_none() {
-            for fetch in &self.fetches {
-                fetch.task.abort();
-            }
+    /// Ends all fetches.
+    fn end_fetches(&mut self) {
+        for fetch in self.fetches.drain(..) {
+            fetch.task.abort();
         }
-        self.fetches.retain(|fetch| !fetch.task.is_finished());
     }
 
     /// Records that the platform has answered. An answer from before the own position is told, unless
@@ -189,7 +191,7 @@
                     Some(message) => if !self.handle_message(message) { continue },
                     None => return,
                 },
-                Some((idx, read)) = reads.recv() => self.apply_read(idx, read),
+                Some((idx, read)) = reads.recv() => if !self.apply_read(idx, read) { continue },
                 () = sleep_until(clock.instant(self.next_refresh(refreshed_at))) => {
                     refreshed_at = clock.now();
                     self.refresh(&tx);
@@ -250,7 +252,8 @@
         if is_local { draw } else { draw | REMOTE }
     }
 
-    fn apply_read(&mut self, idx: usize, read: TableRead) {
+    /// Applies a read and returns whether to publish the result at once.
+    fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
         let name = self.followed.tables[idx].as_str();
@@ -261,7 +264,7 @@
         let is_changed = match read {
             TableRead::Arriving => {
                 table.catch_up.on_arrival(now);
-                return;
+                return false;
             }
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
@@ -299,6 +302,9 @@
         } else {
             table.catch_up.on_position(now, position);
         }
+        if position > before && table.catch_up.next_at().is_none() {
+            table.end_fetches();
+        }
         if was_reachable != table.is_reachable {
             let is_reachable = table.is_reachable;
             tracing::info!(event = "store", table = name, is_reachable);
@@ -307,6 +313,7 @@
         if is_changed {
             self.compose(now, known_at, &source);
         }
+        true
     }
 
     /// Fetches tables of which other instances have reported a later position for
@@ -318,10 +325,13 @@
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
-            table.tidy_fetches();
+            table.fetches.retain(|fetch| !fetch.task.is_finished());
             if table.is_fetch_arriving() {
                 table.catch_up.on_arrival(now);
             }
+            if table.fetches.len() >= MAX_FETCHES {
+                continue;
+            }
             let Some(from) = table.catch_up.next_source(now) else {
                 continue;
             };
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,6 +1,6 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
-use std::{collections::VecDeque, future::pending, time::Duration};
+use std::{collections::VecDeque, pin::pin, time::Duration};
 
 use base::{InstanceId, Time};
 use coord::{RowChange, TableSnapshot};
@@ -9,7 +9,7 @@
 use tokio::{
     sync::{mpsc, watch},
     task::{AbortHandle, JoinSet},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 
 /// Delay between two polls, so that changes in quick succession cost one poll.
@@ -142,8 +142,9 @@
     /// Whether the next poll opens a new connection, so that it must be answered at once.
     is_reconnecting: bool,
     retry_delay: Duration,
-    /// Time of the last report that an answer is arriving.
-    arrival_reported_at: Instant,
+    /// Numbers of the polls whose answers are arriving, and where the polls send them.
+    arrivals: mpsc::Receiver<u64>,
+    arrivals_tx: mpsc::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -170,6 +171,7 @@
 impl TableReader {
     pub(crate) fn new(options: ReaderOptions) -> Self {
         let platform = options.platform.timeout(GIVE_UP_TIME);
+        let (arrivals_tx, arrivals) = mpsc::channel(MAX_OPEN_POLLS);
         Self {
             options: ReaderOptions {
                 platform,
@@ -181,7 +183,8 @@
             next_number: 0,
             is_reconnecting: true,
             retry_delay: MIN_RETRY_DELAY,
-            arrival_reported_at: Instant::now(),
+            arrivals,
+            arrivals_tx,
         }
     }
 
@@ -196,16 +199,20 @@
                     // The poll has been given up.
                     Err(_) => None,
                 },
-                () = arrival(&mut self.open, self.arrival_reported_at) => {
-                    self.arrival_reported_at = Instant::now();
+                Some(number) = self.arrivals.recv() => {
+                    self.prefer(number);
                     Some(TableRead::Arriving)
                 }
-                () = sleep_until(at) => match step {
-                    Step::Poll(_) => {
+                () = sleep_until(at) => match (step, self.arriving_until()) {
+                    (_, Some(until)) => {
+                        step = Step::Overtake(until);
+                        None
+                    }
+                    (Step::Poll(_), None) => {
                         step = Step::Overtake(Instant::now() + self.send_poll());
                         None
                     }
-                    Step::Overtake(_) => self.overtake(&mut step).await,
+                    (Step::Overtake(_), None) => self.overtake(&mut step).await,
                 },
             };
             if let Some(read) = read
@@ -236,8 +243,9 @@
             rows,
             position,
         };
-        let task = self.polls.spawn(async move {
-            let read = match position {
+        let reports = report_arrivals(number, received.clone(), self.arrivals_tx.clone());
+        let answer = async move {
+            match position {
                 None => {
                     let answer = platform.snapshot(&table).await;
                     answer.map(|answer| TableRead::Snapshot(to_read(answer)))
@@ -246,8 +254,14 @@
                     let answer = platform.changes(&table, after, wait).await;
                     answer.map(|answer| TableRead::Changes(to_read(answer)))
                 }
-            };
-            (number, read)
+            }
+        };
+        let task = self.polls.spawn(async move {
+            let mut answer = pin!(answer);
+            tokio::select! {
+                read = &mut answer => (number, read),
+                () = reports => (number, answer.await),
+            }
         });
         self.next_number += 1;
         self.open.push_back(OpenPoll {
@@ -275,13 +289,12 @@
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
                     self.position = Some(read.position);
                 }
-                // Answers to earlier polls can't bring anything newer.
-                self.give_up(idx + 1);
-                self.is_reconnecting = false;
+                // The others can't bring anything newer: they ask for what has come, or for less. Those after
+                // it go on new connections, which are closed with them.
+                self.is_reconnecting = idx + 1 < self.open.len();
+                self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
-                if self.open.is_empty() {
-                    *step = Step::Poll(Instant::now() + POLL_DELAY);
-                }
+                *step = Step::Poll(Instant::now() + POLL_DELAY);
                 Some(read)
             }
             Err(PlatformError::HistoryGone) => {
@@ -302,6 +315,16 @@
         }
     }
 
+    /// Gives up the polls that overtook one whose answer is arriving after all: theirs can hardly bring
+    /// more, and would share the link with it.
+    fn prefer(&mut self, number: u64) {
+        if let Some(idx) = self.open.iter().position(|poll| poll.number == number) {
+            for poll in self.open.drain(idx + 1..) {
+                poll.task.abort();
+            }
+        }
+    }
+
     /// Returns when an answer that is arriving counts as cut off unless more of it comes.
     fn arriving_until(&self) -> Option<Instant> {
         let received = self.open.iter().map(|poll| *poll.received.borrow());
@@ -311,13 +334,8 @@
         (until > Instant::now()).then_some(until)
     }
 
-    /// Counts the newest poll as unanswered, and lets another one follow on a new connection; waits on
-    /// while an answer is arriving.
+    /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
-        if let Some(at) = self.arriving_until() {
-            *step = Step::Overtake(at);
-            return None;
-        }
         *step = Step::Poll(Instant::now());
         if self.open.len() >= MAX_OPEN_POLLS {
             self.give_up(1);
@@ -356,17 +374,16 @@
     }
 }
 
-/// Waits until a part of the newest poll's answer has arrived, and for [`ARRIVAL_REPORT_INTERVAL`] after
-/// the last report.
-async fn arrival(open: &mut VecDeque<OpenPoll>, reported_at: Instant) {
-    let is_over = match open.back_mut() {
-        Some(newest) => newest.received.changed().await.is_err(),
-        None => true,
-    };
-    if is_over {
-        pending::<()>().await;
+/// Sends a poll's number, at most once an [`ARRIVAL_REPORT_INTERVAL`], when parts of its answer have
+/// arrived.
+async fn report_arrivals(
+    number: u64,
+    mut received: watch::Receiver<Received>,
+    tx: mpsc::Sender<u64>,
+) {
+    while received.changed().await.is_ok() && tx.send(number).await.is_ok() {
+        sleep(ARRIVAL_REPORT_INTERVAL).await;
     }
-    sleep_until(reported_at + ARRIVAL_REPORT_INTERVAL).await;
 }
 
 pub(crate) fn to_row_change(change: Change) -> RowChange {
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -5,11 +5,14 @@
     collections::BTreeMap,
     future::pending,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use base::{Config, Incarnation};
+use base::{Config, Incarnation, Time};
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
@@ -21,6 +24,7 @@
     table_reads::ReadTiming,
 };
 use entry::{
+    message::Event,
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
@@ -118,6 +122,19 @@
     scenario: Scenario,
     /// The instance's link: each transfer over it holds a clone.
     link: Arc<()>,
+    /// Maximum number of transfers at the same time.
+    most_transfers: AtomicUsize,
+}
+
+impl Network {
+    fn new(scenario: &Scenario) -> Arc<Self> {
+        Arc::new(Self {
+            started: Instant::now(),
+            scenario: scenario.clone(),
+            link: Arc::default(),
+            most_transfers: AtomicUsize::new(0),
+        })
+    }
 }
 
 /// Times at which the idle connections of one pool were opened.
@@ -169,6 +186,7 @@
             sleep(STEP).await;
             progress.add(1);
             let transfers = Arc::strong_count(&share) - 1;
+            self.most_transfers.fetch_max(transfers, Ordering::Relaxed);
             left = left.saturating_sub(STEP / transfers as u32);
         }
     }
@@ -255,25 +273,36 @@
 
 type Reports = Arc<Mutex<Vec<Told>>>;
 
+/// Collects what a run shows.
+#[derive(Debug, Clone, Default)]
+struct Observed {
+    history: History,
+    reports: Reports,
+    /// Times at which the engine was told something, with the time at which the version in force was last
+    /// known to be the latest.
+    confirmations: Arc<Mutex<Vec<(Duration, Duration)>>>,
+}
+
 async fn play(scenario: Scenario) -> Vec<InForce> {
-    let network = Arc::new(Network {
-        started: Instant::now(),
-        scenario,
-        link: Arc::default(),
-    });
-    let (history, reports) = (History::default(), Reports::default());
-    let follower = follow(&network, &history, &reports);
-    let _ = tokio::time::timeout(RUN_TIME, follower).await;
-    history.lock().unwrap().clone()
+    let network = Network::new(&scenario);
+    let observed = observe(&network).await;
+    observed.history.lock().unwrap().clone()
 }
 
-async fn follow(network: &Arc<Network>, history: &History, reports: &Reports) {
+/// Lets an instance follow the tables over `network` for [`RUN_TIME`].
+async fn observe(network: &Arc<Network>) -> Observed {
+    let observed = Observed::default();
+    let _ = tokio::time::timeout(RUN_TIME, follow(network, &observed)).await;
+    observed
+}
+
+async fn follow(network: &Arc<Network>, observed: &Observed) {
     let served = network.clone();
     let platform = Platform::spawn(move || {
         let (served, idle) = (served.clone(), IdleConnections::default());
         move |call, progress| served.clone().execute(idle.clone(), call, progress)
     });
-    let (started, history) = (network.started, history.clone());
+    let (started, history) = (network.started, observed.history.clone());
     let compose = move |replicas: &[&coord::Replica]| {
         let version = replicas[0]
             .rows()
@@ -322,9 +351,21 @@
         },
         snapshots,
     );
-    tokio::spawn(async move { while engine_rx.recv().await.is_some() {} });
+    let confirmations = observed.confirmations.clone();
+    tokio::spawn(async move {
+        while let Some(event) = engine_rx.recv().await {
+            if let Event::ConfigFreshness {
+                confirmed_at: Some(at),
+                ..
+            } = event
+            {
+                let confirmation = (started.elapsed(), at - Time::ZERO);
+                confirmations.lock().unwrap().push(confirmation);
+            }
+        }
+    });
     let tells_others = network.scenario.tells_others;
-    let reports = reports.clone();
+    let reports = observed.reports.clone();
     tokio::spawn(async move {
         if !tells_others {
             pending::<()>().await;
@@ -360,31 +401,27 @@
 
 /// Returns what other instances are told.
 fn run_reports(scenario: &Scenario) -> Vec<Told> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(async {
-        let network = Arc::new(Network {
-            started: Instant::now(),
-            scenario: scenario.clone(),
-            link: Arc::default(),
-        });
-        let (history, reports) = (History::default(), Reports::default());
-        let follower = follow(&network, &history, &reports);
-        let _ = tokio::time::timeout(RUN_TIME, follower).await;
-        reports.lock().unwrap().clone()
+    block_on(async {
+        let network = Network::new(scenario);
+        let observed = observe(&network).await;
+        observed.reports.lock().unwrap().clone()
     })
 }
 
 fn run(scenario: &Scenario) -> Vec<InForce> {
+    block_on(play(scenario.clone()))
+}
+
+fn block_on<F>(run: F) -> F::Output
+where
+    F: Future,
+{
     let runtime = Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .unwrap();
-    runtime.block_on(play(scenario.clone()))
+    runtime.block_on(run)
 }
 
 /// CONFIG: a version was not in force `configApplyS` after its acknowledgement on an instance that had
@@ -575,3 +612,30 @@
         .collect();
     assert!(late.is_empty(), "by length of the transfer in ms: {late:?}");
 }
+
+/// Guards against CONFIG: while the answer to one read was arriving late, another one was sent, and both
+/// answers shared the link.
+#[rstest]
+#[case::near(12)]
+#[case::far(300)]
+#[case::late_first_byte(600)]
+fn rows_are_transferred_once_at_a_time(#[case] way_ms: u64) {
+    for transfer_ms in (400..2_400).step_by(400) {
+        let scenario = Scenario {
+            contact: Duration::from_secs(4),
+            apply: Duration::from_secs(4),
+            way: Duration::from_millis(way_ms),
+            silences: Vec::new(),
+            changes: [8_000, 12_300, 16_900].map(Duration::from_millis).to_vec(),
+            removal: None,
+            tells_others: true,
+            transfer: Duration::from_millis(transfer_ms),
+        };
+        let most = block_on(async {
+            let network = Network::new(&scenario);
+            observe(&network).await;
+            network.most_transfers.load(Ordering::Relaxed)
+        });
+        assert_eq!(most, 1, "{transfer_ms} ms");
+    }
+}
