fix(daemon): a version counts as the latest when the answer was made

What callers would see: 404 for a route that had been added and confirmed, from an instance that takes its version for the latest. Cause: an answer of the store dated the confirmation at the time at which it was complete and handled; with 1.1 MB over 10 Mbit/s that is a second or more after it was made, and longer since slow transfers are waited for. Change: the first byte dates it. Ruled out: the time of the call, up to 1.9 s too early for a poll that was held open. Measured: with version_counts_as_latest_when_the_answer_was_made fails (version 1 confirmed after version 2 was made), now passes. Whether the users' DENIED came from it isn't known.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -20,6 +20,7 @@
 /// let start = Time::from_millis(20);
 /// assert_eq!(start + Duration::from_millis(5), Time::from_millis(25));
 /// assert_eq!(start - Time::from_millis(30), Duration::ZERO);
+/// assert_eq!(start.before(Duration::from_millis(5)), Time::from_millis(15));
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Time(u64);
@@ -50,6 +51,12 @@
         self.0
     }
 
+    /// Returns the point `age` before this one, or the origin if that is later.
+    pub fn before(self, age: Duration) -> Self {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Returns the seconds since the origin.
     pub fn as_secs_f64(self) -> f64 {
         self.0 as f64 / 1e6
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -113,14 +113,14 @@
 
     /// Records that the platform has answered. An answer from before the own position is told, unless
     /// it was asked for before that position was known.
-    fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
+    fn record_answer(&mut self, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
         if read.position < own_position && read.sent_at > self.advanced_at {
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
-        self.confirmed_at = Some(now);
-        self.replica.on_contact(now);
+        self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
+        self.replica.on_contact(read.answered_at);
     }
 }
 
@@ -282,13 +282,13 @@
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(read) => {
-                table.record_answer(now, name, &read);
+                table.record_answer(name, &read);
                 table
                     .replica
                     .replace(now, to_snapshot(read.rows, read.position))
             }
             TableRead::Changes(read) => {
-                table.record_answer(now, name, &read);
+                table.record_answer(name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
                 table.replica.apply_changes(now, changes, read.position)
             }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -1,7 +1,5 @@
 //! What other instances send: each message goes to the task that handles it.
 
-use std::time::Duration;
-
 use base::{Incarnation, InstanceId, Time};
 use coord::OwnerId;
 use entry::message::Event;
@@ -159,7 +157,7 @@
         let confirmed_at = heartbeat
             .status
             .confirmation_age
-            .map(|age| subtract(not_before, age));
+            .map(|age| not_before.before(age));
         if !heartbeat.table_positions.is_empty() {
             let message = FollowerMessage::PeerPositions {
                 from: from.clone(),
@@ -188,7 +186,3 @@
             .map(|(_, at)| *at)
     }
 }
-
-fn subtract(now: Time, age: Duration) -> Time {
-    Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64))
-}
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -639,3 +639,35 @@
         assert_eq!(most, 1, "{transfer_ms} ms");
     }
 }
+
+/// Guards against DENIED: a version counted as the latest at the time at which its rows were complete,
+/// although the answer had been made before another version.
+#[test]
+fn version_counts_as_latest_when_the_answer_was_made() {
+    /// Ways and the model's step, for the first byte.
+    const FIRST_BYTE_TIME: Duration = Duration::from_millis(50);
+    let scenario = Scenario {
+        contact: Duration::from_secs(4),
+        apply: Duration::from_secs(4),
+        way: Duration::from_millis(12),
+        silences: Vec::new(),
+        changes: [8_000, 9_000, 15_000, 15_700]
+            .map(Duration::from_millis)
+            .to_vec(),
+        removal: None,
+        tells_others: true,
+        transfer: Duration::from_millis(1_500),
+    };
+    let observed = block_on(async { observe(&Network::new(&scenario)).await });
+    let history = observed.history.lock().unwrap();
+    for (at, confirmed_at) in observed.confirmations.lock().unwrap().iter() {
+        let in_force = history.iter().rev().find(|in_force| in_force.at <= *at);
+        let known = in_force.map_or(0, |in_force| in_force.version);
+        let is_older = |change: &&Duration| **change + FIRST_BYTE_TIME < *confirmed_at;
+        let made = scenario.changes.iter().filter(is_older).count();
+        assert!(
+            known >= made,
+            "at {at:?}: version {known}, confirmed {confirmed_at:?}"
+        );
+    }
+}
