fix(daemon): an instance sends a whole table to two others at a time

Cause: it wrote 12 MB in two seconds of which its link carries 1.25 a second: about as many whole tables as neighbours asked for one, each sent at once; all else it sent waited behind them, calls of the store included. Change: two at a time; others are told at once that there is none, and ask the next instance. Ruled out: its processor (as the others'). Found by a reader of the trace; that the bytes were tables is worked out from their number, no line of that time is left.

--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! Listener for other instances, which call this one or have it carry connections to targets.
 
-use std::io;
+use std::{io, sync::Arc};
 
 use entry::metrics::Metrics;
 use platform::Progress;
@@ -8,7 +8,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
     time::timeout,
 };
 use wire::{Secret, WireError, stream};
@@ -22,6 +22,9 @@
 /// Fact that counts calls of other builds which can't be read.
 const UNREAD_GAUGE: &str = "calls_unread";
 
+/// Maximum number of whole tables that are sent to other instances at the same time.
+const MAX_TABLES_SENT: usize = 2;
+
 /// Accepts calls until the receiver of `tx` is dropped; `relays` answers those for connections to
 /// targets. Calls that can't be read are counted and not answered.
 pub async fn serve(
@@ -31,6 +34,7 @@
     relays: RelayServer,
     metrics: Metrics,
 ) {
+    let tables = Arc::new(Semaphore::new(MAX_TABLES_SENT));
     while !tx.is_closed() {
         if let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(handle_connection(
@@ -39,6 +43,7 @@
                 tx.clone(),
                 relays.clone(),
                 metrics.clone(),
+                tables.clone(),
             ));
         }
     }
@@ -50,6 +55,7 @@
     tx: mpsc::Sender<IncomingCall>,
     relays: RelayServer,
     metrics: Metrics,
+    tables: Arc<Semaphore>,
 ) -> io::Result<()> {
     let progress = Progress::start();
     let received = receive(&mut stream, &secret, &progress);
@@ -69,6 +75,9 @@
     };
     match opening {
         Opening::Call(call) => {
+            let Some(_handed_out) = hand_out(&call, &tables) else {
+                return write_reply(&mut stream, &secret, &peer_nonce, &Reply::Table(None)).await;
+            };
             let reply = timeout(CALL_TIMEOUT, answer_call(call, &tx)).await??;
             write_reply(&mut stream, &secret, &peer_nonce, &reply).await
         }
@@ -100,6 +109,15 @@
     Ok(())
 }
 
+/// Returns what is held while a call is answered; `None` for a table while as many are being sent as the
+/// link is to be shared by. Who asked can ask another instance at once.
+fn hand_out(call: &Call, tables: &Arc<Semaphore>) -> Option<Option<OwnedSemaphorePermit>> {
+    match call {
+        Call::Table(_) => tables.clone().try_acquire_owned().ok().map(Some),
+        Call::Claim { .. } | Call::Settle { .. } | Call::Object(_) => Some(None),
+    }
+}
+
 async fn answer_call(call: Call, tx: &mpsc::Sender<IncomingCall>) -> io::Result<Reply> {
     let (reply, answer) = oneshot::channel();
     let _ = tx.send(IncomingCall { call, reply }).await;
