feat(daemon): godwitgauged run writes request lines on standard output

Cause: only the platform's program had a sink for lines about requests, and godwitgauged wrote its other lines to standard error, although docs/OPERATIONS.md says that every instance writes both on standard output: `godwitgauge why` found nothing in its output. Its callers send no ids of attempts either, so a line would have had no name. Change: all lines of `run`, with `listening` and `ready`, go through the sink to standard output, lines about requests whatever `--log` says. Where the dialect has no attempt ID and returns traces, a line's `id` is the trace ID that the answer carries; the platform's lines are unchanged. Ruled out: println for `listening` and `ready` beside the sink, which would block the signals behind a reader that stalls; state lines left on standard error, which `why` needs in the same file.

--- a/crates/daemon/src/dev.rs
+++ b/crates/daemon/src/dev.rs
@@ -15,6 +15,7 @@
     layout::{CONFIG_TABLE, HEAD_ROW, object_name},
     memory,
 };
+use record::Sink;
 use settings::{Bounds, DaemonSettings, IsolationPolicy, TakeoverPolicy};
 use standin::{
     listen::listen,
@@ -32,12 +33,13 @@
 const API_KEY: &str = "dev-key";
 const TARGET_COUNT: usize = 2;
 
-/// Starts the development instance, on the default ports or, for tests, on free ones.
+/// Starts the development instance, on the default ports or, for tests, on free ones; without a sink, no
+/// log lines about requests are written.
 ///
 /// # Errors
 ///
 /// Returns a report that names the listener whose address could not be bound.
-pub async fn start(use_free_ports: bool) -> Result<Node> {
+pub async fn start(use_free_ports: bool, sink: Option<Sink>) -> Result<Node> {
     let port = |port| if use_free_ports { 0 } else { port };
     let cfg = settings(port(ENTRY_PORT), port(OPERATOR_PORT));
     let platform = memory::spawn();
@@ -47,6 +49,7 @@
         .wrap_err("configuration")?;
     let options = NodeOptions {
         trace_sample_ratio: 1.0,
+        sink,
         ..NodeOptions::default()
     };
     let node = node::start(&cfg, platform.clone(), options).await?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,7 +9,8 @@
     options::{self, NodeOptions},
 };
 use eyre::{Result, WrapErr, eyre};
-use settings::{DaemonSettings, load_daemon_settings, parse_daemon_settings};
+use record::Sink;
+use settings::{load_daemon_settings, parse_daemon_settings};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn command() -> Command {
@@ -25,7 +26,7 @@
     let log = Arg::new("log")
         .long("log")
         .value_name("FILTER")
-        .help("What to log, for example `info` or `info,span=off`")
+        .help("What to log besides requests, for example `info` or `info,span=off`")
         .default_value("info");
     Command::new("godwitgauged")
         .about("Steers traffic across regions")
@@ -72,35 +73,36 @@
 }
 
 fn run(args: &ArgMatches) -> Result<()> {
-    if let Some(filter) = args.get_one::<String>("log") {
-        logs::start(filter).map_err(|err| eyre!("--log: {err}"))?;
-    }
-    let cfg = if args.get_flag("dev") {
-        None
-    } else {
-        let file = config_file(args)?;
-        let variable = |name: &str| std::env::var(name).ok();
-        let parsed = load_daemon_settings(file, &read_settings(file)?, variable)
-            .map_err(|findings| eyre!("{findings}"))?;
-        options::log_unknown(&parsed.unknown);
-        Some(parsed.value)
-    };
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
         .wrap_err("cannot start the runtime")?
-        .block_on(serve(cfg))
+        .block_on(async {
+            let filter = args.get_one::<String>("log").map_or("", String::as_str);
+            let sink = logs::start_stdout(filter).map_err(|err| eyre!("--log: {err}"))?;
+            let served = serve(args, &sink).await;
+            sink.flush().await;
+            served
+        })
 }
 
-async fn serve(cfg: Option<DaemonSettings>) -> Result<()> {
-    let mut node = match &cfg {
-        None => dev::start(false).await?,
-        Some(cfg) => {
-            let platform = platform::http::connect(cfg.platform);
-            node::start(cfg, platform, NodeOptions::default()).await?
-        }
+async fn serve(args: &ArgMatches, sink: &Sink) -> Result<()> {
+    let mut node = if args.get_flag("dev") {
+        dev::start(false, Some(sink.clone())).await?
+    } else {
+        let file = config_file(args)?;
+        let variable = |name: &str| std::env::var(name).ok();
+        let parsed = load_daemon_settings(file, &read_settings(file)?, variable)
+            .map_err(|findings| eyre!("{findings}"))?;
+        options::log_unknown(&parsed.unknown);
+        let options = NodeOptions {
+            sink: Some(sink.clone()),
+            ..NodeOptions::default()
+        };
+        let platform = platform::http::connect(parsed.value.platform);
+        node::start(&parsed.value, platform, options).await?
     };
-    print_event("listening", &node);
+    write_event(sink, "listening", &node);
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT")?;
     let ready = node.ready();
@@ -110,7 +112,7 @@
         tokio::select! {
             () = &mut ready, if !is_ready => {
                 is_ready = true;
-                print_event("ready", &node);
+                write_event(sink, "ready", &node);
             }
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
@@ -121,15 +123,14 @@
     Ok(())
 }
 
-/// Prints an event as one JSON line on standard output, for the process that started this one.
-fn print_event(event: &str, node: &Node) {
-    let line = serde_json::json!({
+/// Writes an event with the listeners' addresses, for the process that started this one.
+fn write_event(sink: &Sink, event: &str, node: &Node) {
+    sink.write_json(&serde_json::json!({
         "event": event,
         "entry": node.entry,
         "operator": node.operator,
         "peer": node.peer,
-    });
-    println!("{line}");
+    }));
 }
 
 fn config_file(args: &ArgMatches) -> Result<&Path> {
--- a/crates/daemon/tests/dev.rs
+++ b/crates/daemon/tests/dev.rs
@@ -11,7 +11,7 @@
 #[case::lookup(Request::get("/v1/lookup?service=echo"), 200)]
 #[tokio::test]
 async fn dev_answers(#[case] request: Request, #[case] status: u16) {
-    let node = daemon::dev::start(true).await.unwrap();
+    let node = daemon::dev::start(true, None).await.unwrap();
     let response = Caller::connect(node.entry).await.send(&request).await;
     assert_eq!(response.status, status, "{response:?}");
     assert!(
@@ -22,7 +22,7 @@
 
 #[tokio::test]
 async fn dev_shows_metrics_and_status() {
-    let node = daemon::dev::start(true).await.unwrap();
+    let node = daemon::dev::start(true, None).await.unwrap();
     let mut caller = Caller::connect(node.entry).await;
     assert_eq!(
         caller
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -34,7 +34,7 @@
     held::{BodyError, HeldBytes},
     message::{Arrival, Event, LedgerCall},
     metrics::Metrics,
-    recorder::{Recorder, RequestLineGuard},
+    recorder::{self, Recorder, RequestLineGuard},
     request_log::RequestLog,
     response,
     serve::HEAD_LIMIT_BYTES,
@@ -123,7 +123,7 @@
             self.recorder.clone(),
             self.dialect.clone(),
             self.clock,
-            req,
+            recorder::request_id(&self.dialect, req.headers(), &trace),
             log.clone(),
         );
         let head = self
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -3,13 +3,14 @@
 use std::sync::{Arc, Mutex};
 
 use base::{InstanceId, Refusal, RegionId, Time};
+use http::HeaderMap;
 use record::{LineLimiter, Sink, lines::RequestLine};
-use salvo::http::Request;
 
 use crate::{
     dialect::Dialect,
     forward::TargetResponse,
     request_log::{RequestLog, homes},
+    trace::Trace,
     view::Clock,
 };
 
@@ -77,12 +78,9 @@
         recorder: Recorder,
         dialect: Arc<Dialect>,
         clock: Clock,
-        req: &Request,
+        id: String,
         log: RequestLog,
     ) -> Self {
-        let header = dialect.attempt_id.as_ref();
-        let id = header.and_then(|name| req.headers().get(name)?.to_str().ok());
-        let id = id.unwrap_or_default().to_owned();
         Self {
             recorder,
             dialect,
@@ -140,6 +138,19 @@
     }
 }
 
+/// Returns the ID by which a caller names its request: that of its attempt or, if the dialect has none
+/// and returns traces, that of the trace.
+pub(crate) fn request_id(dialect: &Dialect, headers: &HeaderMap, trace: &Trace) -> String {
+    match &dialect.attempt_id {
+        Some(name) => {
+            let value = headers.get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        }
+        None if dialect.propagates_traces => trace.id(),
+        None => String::new(),
+    }
+}
+
 impl Drop for RequestLineGuard {
     fn drop(&mut self) {
         if !self.is_written {
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -9,7 +9,8 @@
     pub event: &'static str,
     /// Milliseconds since the process started.
     pub at_ms: u64,
-    /// ID of the caller's attempt; empty if there is none.
+    /// ID of the caller's attempt, or of the request's trace where callers send no attempt IDs; empty if
+    /// there is none.
     pub id: &'a str,
     /// Instance that received the request.
     pub instance: &'a str,
