refactor(record): the rate limit of log lines needs no lock

Cause: all connections shared a Mutex<LineLimiter>, held while a line was turned into JSON, against the house style (no shared locks). Change: the bucket is one atomic word, the time at which it will be full, so admit takes &self and its sharers need no lock; burst, rate and the reserve for failures are the same. Ruled out: a task that owns the limiter; lines would have to be owned or turned into JSON before they are admitted, for suppressed ones too, which costs each request more. The lock in RequestLog stays: the task that runs an action outlives its caller, whose line is written meanwhile, and a channel for it costs each request an allocation more.

--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -1,6 +1,6 @@
 //! Rate-limited log lines about requests.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use base::{InstanceId, Refusal, RegionId, Time};
 use http::HeaderMap;
@@ -28,13 +28,13 @@
     sink: Sink,
     instance: InstanceId,
     region: RegionId,
-    limiter: Arc<Mutex<LineLimiter>>,
+    limiter: Arc<LineLimiter>,
 }
 
 impl Recorder {
     /// Returns a recorder that writes to `sink`.
     pub fn new(sink: Sink, instance: InstanceId, region: RegionId) -> Self {
-        let limiter = Arc::new(Mutex::new(LineLimiter::new(MAX_LINES_PER_S)));
+        let limiter = Arc::new(LineLimiter::new(MAX_LINES_PER_S));
         Self {
             output: Some(Output {
                 sink,
@@ -49,15 +49,13 @@
         let Some(output) = &self.output else {
             return;
         };
-        let Ok(mut limiter) = output.limiter.lock() else {
-            return;
-        };
-        if limiter.admit(now - Time::ZERO, line.end != "ok") {
+        if output.limiter.admit(now - Time::ZERO, line.end != "ok") {
             line.instance = output.instance.as_str();
             line.region = output.region.as_str();
             output.sink.write_json(&line);
         } else {
-            output.sink.count_suppressed(limiter.take_suppressed());
+            let suppressed = output.limiter.take_suppressed();
+            output.sink.count_suppressed(suppressed);
         }
     }
 }
