docs(daemon): doc comments use the field's terms

Cause: doc comments spoke of what is told, heard or led where instances notify, receive and route. Ruled out: renaming NewsSource and NEWS_RECEIVERS, which others edit.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -85,12 +85,12 @@
 }
 
 impl FleetMember {
-    /// Returns whether the instance may be sending to targets, although it may not be heard: shares
-    /// of what targets take from all instances are kept for it.
+    /// Returns whether the instance may be sending to targets, although its heartbeats may not arrive:
+    /// shares of the targets' rates are reserved for it.
     ///
-    /// One that has fallen silent may be cut off from this instance alone. One that is listed and
-    /// has not been heard yet, because this instance has just started, counts as well: it was last
-    /// heard at the origin of the clock.
+    /// One whose heartbeats have stopped may be partitioned from this instance alone. One that is
+    /// listed and has sent no heartbeat yet, because this instance has just started, counts as well:
+    /// its last heartbeat is dated at the origin of the clock.
     pub fn may_send(&self, now: Time) -> bool {
         let is_held = self.is_listed && now <= self.alive_until + SHARE_HOLD_TIME;
         !self.is_leaving && !self.is_gone && (self.is_alive(now) || is_held)
@@ -127,8 +127,8 @@
 }
 
 impl FleetMember {
-    /// Returns what the list and the last heartbeat tell of an instance; when it was heard and where
-    /// it is reached is not among that.
+    /// Returns the state of an instance by the list and its last heartbeat, without the heartbeat's time
+    /// and the instance's address.
     pub fn new(member: &Member, heartbeat: Option<&PeerHeartbeat>) -> Self {
         let mut state = Self {
             domain: member.domain.clone(),
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -29,7 +29,7 @@
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_NUMBER`] lacks: the format and an empty text.
 const NUMBER_AND_BUILD_BYTES: usize = 2;
 
-/// Says which message of another instance can't be read.
+/// Identifies a message of another instance that can't be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("a message of kind {kind} in format {format} can't be read by format {OWN_FORMAT}")]
 pub struct UnreadMessage {
@@ -39,8 +39,7 @@
     pub format: u32,
 }
 
-/// Decodes a message; `sender_format` is the one that the sender's heartbeats tell, if any has
-/// arrived.
+/// Decodes a message; `sender_format` is the one in the sender's heartbeats, if any has arrived.
 ///
 /// Only a heartbeat can be read from a sender whose format is not known.
 ///
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -94,7 +94,7 @@
     pub state: RowState,
 }
 
-/// Lists what a claim's row tells of the action's run.
+/// Lists the states of an action that a claim's row records.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowState {
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Lets the list's task tell instances that are alive from entries of those that have ended.
+/// Lets the list's task distinguish live instances from entries of those that have ended.
 #[derive(Debug)]
 pub struct Liveness {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -31,8 +31,8 @@
 /// targets.
 const OVERAGE_USE: f64 = 0.7;
 const BYTES_PER_MB: usize = 1_000_000;
-/// Divisor of the memory that gives the part for bodies; the rest is for what the kernel holds of them
-/// beside the instance, and for all else.
+/// Divisor of the memory that gives the part for bodies; the rest is for the kernel's buffers of
+/// them and for everything else.
 const BODY_MEMORY_DIVISOR: usize = 2;
 
 /// Sets what differs between a deployed instance and a development instance.
@@ -135,7 +135,7 @@
     (forwarder.held(held.clone()), held)
 }
 
-/// Logs the fields of the settings that this build doesn't know and passes over.
+/// Logs the unknown fields of the settings, which this build ignores.
 pub fn log_unknown(unknown: &[Finding]) {
     for finding in unknown {
         tracing::warn!(
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -60,7 +60,7 @@
     Release(oneshot::Sender<()>),
 }
 
-/// Tells [`Owners`] how rates are divided, and connects them to the engine and to other instances.
+/// Configures how [`Owners`] divide rates, and connects them to the engine and to other instances.
 #[derive(Debug)]
 pub struct OwnersOptions {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -31,11 +31,11 @@
 /// Time between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Minimum time between two publications of the other instances' state, except for news that can't
-/// wait. Each one costs in proportion to the number of instances, as do its receivers' reactions.
+/// Minimum time between two publications of the other instances' state, except for urgent
+/// ones. Each one costs in proportion to the number of instances, as do its receivers' reactions.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Leads each message from another instance to the task that handles it.
+/// Routes each message from another instance to the task that handles it.
 #[derive(Debug, Clone)]
 pub struct Outputs {
     /// Channel to the engine.
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -10,7 +10,7 @@
     message::{PeerHeartbeat, PeerMessage},
 };
 
-/// Number of instances that are told at once of a table's new position; the others hear of it with
+/// Number of instances that are notified at once of a table's new position; the others receive it with
 /// the next heartbeats, and most of them read the table themselves.
 const NEWS_RECEIVERS: usize = 6;
 
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -32,7 +32,7 @@
 /// Response size that is assumed before the first response, in bytes.
 const DEFAULT_RESPONSE_BYTES: f64 = 16_384.0;
 
-/// Tells the [`Planner`] where it is, what it plans by, and who takes its plans.
+/// Configures the [`Planner`]: its region, the input of its plans, and the tasks that receive them.
 #[derive(Debug)]
 pub struct PlannerOptions {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -47,8 +47,8 @@
 }
 
 impl RelayServer {
-    /// Returns a server for the targets that `view` shows, which tells the engine when it can't
-    /// reach one.
+    /// Returns a server for the targets in `view`, which reports to the engine when it can't reach
+    /// one.
     pub fn new(view: watch::Receiver<Arc<View>>, engine: mpsc::UnboundedSender<Event>) -> Self {
         Self {
             view,
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -28,7 +28,7 @@
 /// Time for which another instance must have no slot before this one releases a spare.
 const SPARE_RELEASE_DELAY: Duration = Duration::from_secs(3);
 
-/// Tells [`Slots`] how many slots there are, how long leases last, and who is told of them.
+/// Configures [`Slots`]: the number of slots, the duration of leases, and the tasks that are notified.
 #[derive(Debug)]
 pub struct SlotsOptions {
     /// Monotonic clock of the process.
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -5,7 +5,7 @@
 
 use crate::table_reads::{Fetch, ReadFailure};
 
-/// Where the news came from that a configuration was composed for.
+/// Lists the sources of a table's changes for which a configuration was composed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(crate) enum NewsSource {
     /// An own read of the platform.
