--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -1,15 +1,16 @@
 //! Rate-limited log lines about requests.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use base::{InstanceId, Refusal, RegionId, Time};
+use http::HeaderMap;
 use record::{LineLimiter, Sink, lines::RequestLine};
-use salvo::http::Request;
 
 use crate::{
     dialect::Dialect,
     forward::TargetResponse,
     request_log::{RequestLog, homes},
+    trace::Trace,
     view::Clock,
 };
 
@@ -27,13 +28,13 @@
     sink: Sink,
     instance: InstanceId,
     region: RegionId,
-    limiter: Arc<Mutex<LineLimiter>>,
+    limiter: Arc<LineLimiter>,
 }
 
 impl Recorder {
     /// Returns a recorder that writes to `sink`.
     pub fn new(sink: Sink, instance: InstanceId, region: RegionId) -> Self {
-        let limiter = Arc::new(Mutex::new(LineLimiter::new(MAX_LINES_PER_S)));
+        let limiter = Arc::new(LineLimiter::new(MAX_LINES_PER_S));
         Self {
             output: Some(Output {
                 sink,
@@ -48,15 +49,13 @@
         let Some(output) = &self.output else {
             return;
         };
-        let Ok(mut limiter) = output.limiter.lock() else {
-            return;
-        };
-        if limiter.admit(now - Time::ZERO, line.end != "ok") {
+        if output.limiter.admit(now - Time::ZERO, line.end != "ok") {
             line.instance = output.instance.as_str();
             line.region = output.region.as_str();
             output.sink.write_json(&line);
         } else {
-            output.sink.count_suppressed(limiter.take_suppressed());
+            let suppressed = output.limiter.take_suppressed();
+            output.sink.count_suppressed(suppressed);
         }
     }
 }
@@ -77,12 +76,9 @@
         recorder: Recorder,
         dialect: Arc<Dialect>,
         clock: Clock,
-        req: &Request,
+        id: String,
         log: RequestLog,
     ) -> Self {
-        let header = dialect.attempt_id.as_ref();
-        let id = header.and_then(|name| req.headers().get(name)?.to_str().ok());
-        let id = id.unwrap_or_default().to_owned();
         Self {
             recorder,
             dialect,
@@ -140,6 +136,19 @@
     }
 }
 
+/// Returns the ID by which a caller names its request: that of its attempt or, if the dialect has none
+/// and returns traces, that of the trace.
+pub(crate) fn request_id(dialect: &Dialect, headers: &HeaderMap, trace: &Trace) -> String {
+    match &dialect.attempt_id {
+        Some(name) => {
+            let value = headers.get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        }
+        None if dialect.propagates_traces => trace.id(),
+        None => String::new(),
+    }
+}
+
 impl Drop for RequestLineGuard {
     fn drop(&mut self) {
         if !self.is_written {
