perf(coord): copies of a table share the content of its rows

Cause: each change of a target's row copies both tables for the other instances, the operator's document of up to 1.1 MB with them, and a table that came from another instance was copied again. Change: a row's content is Arc<str>; a table that replaces another hands its rows over. The encoding is the same (daemon/tests/formats). Ruled out: an Arc around the table, which each change would copy as long as another task reads it. Measured: snapshot_copies_share_the_content_of_rows failed, now passes.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -1,6 +1,6 @@
 //! A replica of a table, updated from the table itself or from other replicas.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::Time;
 use serde::{Deserialize, Serialize};
@@ -8,8 +8,8 @@
 /// Pairs a row with the position of its last change, so that older reads of it can't replace it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRow {
-    /// Content of the row.
-    pub value: String,
+    /// Content of the row, which copies share.
+    pub value: Arc<str>,
     /// Position of its last change in the table's history.
     pub position: u64,
 }
@@ -155,7 +155,8 @@
             .filter(|change| change.position > own_position)
         {
             self.changed_at = self.changed_at.max(change.position);
-            is_changed |= self.apply_change(now, change);
+            let value = change.value.map(Arc::from);
+            is_changed |= self.apply_change(now, change.name, value, change.position);
         }
         self.snapshot.position = self.snapshot.position.max(position);
         is_changed
@@ -181,12 +182,7 @@
             self.remove(now, &name);
         }
         for (name, found) in snapshot.rows {
-            let change = RowChange {
-                name,
-                value: Some(found.value),
-                position: found.position,
-            };
-            is_changed |= self.apply_change(now, change);
+            is_changed |= self.apply_change(now, name, Some(found.value), found.position);
         }
         self.snapshot.position = snapshot.position;
         // A row that came and went in between has left no trace.
@@ -206,21 +202,24 @@
         self.retained.values().map(|(_, until)| *until).min()
     }
 
-    fn apply_change(&mut self, now: Time, change: RowChange) -> bool {
-        let known = self.snapshot.rows.get(&change.name);
-        if known.is_some_and(|row| row.position >= change.position) {
+    fn apply_change(
+        &mut self,
+        now: Time,
+        name: String,
+        value: Option<Arc<str>>,
+        position: u64,
+    ) -> bool {
+        let known = self.snapshot.rows.get(&name);
+        if known.is_some_and(|row| row.position >= position) {
             return false;
         }
-        let Some(value) = change.value else {
-            return self.remove(now, &change.name);
+        let Some(value) = value else {
+            return self.remove(now, &name);
         };
-        self.retained.remove(&change.name);
+        self.retained.remove(&name);
         let is_same = known.is_some_and(|row| row.value == value);
-        let row = ReplicaRow {
-            value,
-            position: change.position,
-        };
-        self.snapshot.rows.insert(change.name, row);
+        let row = ReplicaRow { value, position };
+        self.snapshot.rows.insert(name, row);
         !is_same
     }
 
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -21,7 +21,7 @@
     let rows = rows
         .iter()
         .map(|(name, value, row_position)| {
-            let value = (*value).to_owned();
+            let value = (*value).into();
             (
                 (*name).to_owned(),
                 ReplicaRow {
@@ -45,7 +45,7 @@
     assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("old"), 5)], 6));
     assert!(!replica.apply_changes(Time::ZERO, vec![change("a", None, 8)], 8));
     assert_eq!(replica.position(), 9);
-    assert_eq!(replica.rows().next().unwrap().1.value, "new");
+    assert_eq!(&*replica.rows().next().unwrap().1.value, "new");
 }
 
 #[test]
@@ -169,7 +169,7 @@
         let name = row.to_string();
         match value {
             Some(value) => {
-                let value = value.to_string();
+                let value = value.to_string().into();
                 let position = idx as u64 + 1;
                 rows.insert(name, ReplicaRow { value, position });
             }
@@ -231,3 +231,19 @@
         }
     }
 }
+
+/// Guards against copies of a table that cost as much as its rows are long.
+#[test]
+fn snapshot_copies_share_the_content_of_rows() {
+    let mut replica = Replica::new(Duration::ZERO);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("long"), 1)], 1);
+    let [first, second] = [replica.snapshot().clone(), replica.snapshot().clone()];
+    assert_eq!(
+        first.rows["a"].value.as_ptr(),
+        second.rows["a"].value.as_ptr()
+    );
+    let mut other = Replica::new(Duration::ZERO);
+    other.replace(Time::ZERO, first.clone());
+    let copied = &other.snapshot().rows["a"].value;
+    assert_eq!(copied.as_ptr(), first.rows["a"].value.as_ptr());
+}
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -382,7 +382,7 @@
         .into_iter()
         .filter_map(|change| {
             let row = coord::ReplicaRow {
-                value: change.value?,
+                value: change.value?.into(),
                 position: change.at,
             };
             Some((change.row, row))
--- a/crates/daemon/tests/formats/samples.rs
+++ b/crates/daemon/tests/formats/samples.rs
@@ -134,7 +134,7 @@
 /// Returns the replies to calls, by name.
 pub(crate) fn replies() -> Vec<(&'static str, Reply)> {
     let row = ReplicaRow {
-        value: "{}".to_owned(),
+        value: "{}".into(),
         position: 69,
     };
     let snapshot = TableSnapshot {
