--- a/crates/daemon/tests/hand_out.rs
+++ b/crates/daemon/tests/hand_out.rs
@@ -69,7 +69,7 @@
 
 fn table() -> TableSnapshot {
     let row = ReplicaRow {
-        value: "x".repeat(1_000_000),
+        value: "x".repeat(1_000_000).into(),
         position: 3,
     };
     TableSnapshot {
