fix(dispatch,entry): a path without answers is restored by an answer, not by connections that open

Cause: an instance whose bytes to and from the targets are late or lost finds its path lost, as nothing is answered, and goes through other instances. Two probes that opened a connection restored the path 1 to 1.6 s later, although no byte came back, and since late answers count as answers, it then stayed direct. Connections that probes had opened, and those with late answers, were used while the path was lost as well.

Change: a path that was lost although connections could be opened takes an answer to come back. After two probes that opened, one idempotent request that another attempt may follow goes over a new direct connection, and is hedged after the time that nearly all requests of its service took before the loss; an answer within it restores the path. One at a time, no probe beside those there were. Where no request may try, 12 connections in a row restore it. While the path is lost, only direct connections with an answer in that time are kept. A path that was lost as no connection opened comes back as before.

Ruled out: requests as probes of their own, which are priced; the running estimate of latencies as the bound, which late answers would raise; late answers as a sign of loss, since slow targets give them too. With only requests that may run once, an instance whose answers stay lost still goes back every 6 s, to lose its path again.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -85,6 +85,8 @@
     target: usize,
     reason: SelectionReason,
     started_at: Time,
+    /// Whether it shows if the lost path to the targets answers again.
+    is_trial: bool,
 }
 
 /// Assigns admitted requests to targets and decides what follows when an attempt fails.
@@ -120,6 +122,8 @@
     /// Number of attempts of all requests so far.
     attempts_sent: u64,
     path: PathMonitor,
+    /// Time within which nearly all requests of each service were answered before the path was lost.
+    usual_latencies: BTreeMap<ServiceId, Duration>,
     own_id: InstanceId,
     /// Live instances, among which the rates that targets name are shared.
     instances: Vec<(InstanceId, RegionId)>,
@@ -151,6 +155,7 @@
             told_once: Vec::new(),
             attempts_sent: 0,
             path: PathMonitor::new(path_chart()?),
+            usual_latencies: BTreeMap::new(),
             own_id: InstanceId::from(""),
             instances: Vec::new(),
         })
@@ -312,6 +317,7 @@
             target,
             reason,
             overall_number,
+            is_trial,
             ..
         } = entry.attempts.swap_remove(pos);
         let service = entry.request.service.clone();
@@ -320,6 +326,9 @@
         if matches!(outcome, Outcome::Answered(_) | Outcome::Refused) {
             self.path.record_response(now);
         }
+        if is_trial {
+            self.end_trial(now, &service, outcome);
+        }
         let mut reports = Vec::new();
         if matches!(outcome, Outcome::Answered(_)) {
             reports = self.record_request_answer(now, fingerprint);
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -1,10 +1,14 @@
 //! The path from this instance to the targets, directly or through other instances.
 
-use base::{TargetId, Time};
+use std::time::Duration;
+
+use base::{ServiceId, TargetId, Time};
 use rand::RngExt;
 
 use super::Dispatcher;
-use crate::{Dial, PathState, RequestId, TargetEvent, TargetState};
+use crate::{
+    Dial, Outcome, PathState, RequestId, RequestKind, TargetEvent, TargetState, pool::Pool,
+};
 
 /// Number of targets by which the path is checked.
 const CHECKED_TARGETS: usize = 3;
@@ -23,16 +27,71 @@
     /// Records how the connection of an attempt was opened and returns whether the state of the
     /// path changed.
     pub fn record_dial(&mut self, now: Time, id: RequestId, attempt: u32, dial: Dial) -> bool {
+        if dial.direct == Some(false) || dial.relayed == Some(true) {
+            self.fail_trial(now, id, attempt);
+        }
         let target = self.target_of(id, attempt).cloned();
         target.is_some_and(|target| self.record_dial_to(now, &target, dial))
     }
 
+    /// Returns whether a direct connection on which a request was just answered may be used again while the
+    /// path is lost: the answer came in time.
+    pub fn is_in_time(&self, id: RequestId, outcome: Outcome) -> bool {
+        let entry = self.entries.get(&id);
+        entry.is_some_and(|entry| self.is_usual(&entry.request.service, outcome))
+    }
+
+    /// Returns whether the first attempt of a request is the trial of the lost path, and if so, counts it.
+    ///
+    /// Only a request that another attempt may follow, if no answer comes, is one.
+    pub(super) fn take_trial(&mut self, now: Time, id: RequestId) -> bool {
+        let may_try = self.entries.get(&id).is_some_and(|entry| {
+            entry.request.kind == RequestKind::Idempotent
+                && entry.request.max_attempts > 1
+                && entry.attempts_sent == 0
+                && !self.quarantine.is_suspected(entry.request.fingerprint)
+        });
+        may_try && self.budget.available() >= 1.0 && self.path.take_trial(now)
+    }
+
+    /// Records the end of the trial of the lost path.
+    pub(super) fn end_trial(&mut self, now: Time, service: &ServiceId, outcome: Outcome) {
+        let is_in_time = self.is_usual(service, outcome);
+        self.path.record_trial(now, is_in_time);
+    }
+
+    /// Ends the trial without a result if it could open no direct connection.
+    fn fail_trial(&mut self, now: Time, id: RequestId, attempt: u32) {
+        let entry = self.entries.get_mut(&id);
+        let mut attempts = entry.into_iter().flat_map(|entry| &mut entry.attempts);
+        let trial = attempts.find(|one| one.number == attempt && one.is_trial);
+        if let Some(trial) = trial {
+            trial.is_trial = false;
+            self.path.record_trial(now, false);
+        }
+    }
+
+    /// Returns the time within which nearly all requests of a service are answered; while the path is
+    /// lost, as it was before.
+    pub(super) fn usual_latency(&self, service: &ServiceId) -> Duration {
+        let before = self.usual_latencies.get(service).copied();
+        let now = || {
+            let pool = self.pools.get(service);
+            pool.map_or(Duration::ZERO, upper_latency)
+        };
+        before.unwrap_or_else(now).max(self.policy.min_hedge_delay)
+    }
+
+    fn is_usual(&self, service: &ServiceId, outcome: Outcome) -> bool {
+        matches!(outcome, Outcome::Answered(latency) if latency <= self.usual_latency(service))
+    }
+
     /// Records how a connection to a target was opened and returns whether the state of the path
     /// changed.
     pub(super) fn record_dial_to(&mut self, now: Time, target: &TargetId, dial: Dial) -> bool {
         let is_changed = self.path.record_dial(now, target, dial);
         if is_changed {
-            self.revive_targets(now);
+            self.adapt_to_lost_path(now);
         }
         is_changed
     }
@@ -66,7 +125,7 @@
         }
         let is_changed = self.path.record_overdue(&overdue);
         if is_changed {
-            self.revive_targets(now);
+            self.adapt_to_lost_path(now);
         }
         is_changed
     }
@@ -133,10 +192,20 @@
         usable.get(idx).map(|id| (*id).clone())
     }
 
-    /// Uses targets again that were found down: the path may have failed, not they.
-    fn revive_targets(&mut self, now: Time) {
+    /// Uses targets again that were found down, as the path may have failed, not they, and notes how long
+    /// requests took: late answers of the lost path would raise it.
+    fn adapt_to_lost_path(&mut self, now: Time) {
+        let latencies = self
+            .pools
+            .iter()
+            .map(|(id, pool)| (id.clone(), upper_latency(pool)));
+        self.usual_latencies = latencies.collect();
         for target in self.pools.values_mut().flat_map(|pool| &mut pool.targets) {
             target.apply_event(now, &self.chart, TargetEvent::Recovered);
         }
     }
 }
+
+fn upper_latency(pool: &Pool) -> Duration {
+    pool.latency.upper_bound()
+}
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -155,6 +155,13 @@
         idx: usize,
         reason: SelectionReason,
     ) -> Option<Assignment> {
+        let is_trial = self.take_trial(now, id);
+        let service = &self.entries.get(&id)?.request.service;
+        let max_hedge_delay = if is_trial {
+            self.usual_latency(service)
+        } else {
+            Duration::MAX
+        };
         let entry = self.entries.get_mut(&id)?;
         let pool = self.pools.get_mut(&entry.request.service)?;
         let load = pool.targets[idx].estimated_load(now).round() as u32;
@@ -168,7 +175,9 @@
             target: idx,
             reason,
             started_at: now,
+            is_trial,
         });
+        let hedge_delay = pool.latency.upper_bound().max(self.policy.min_hedge_delay);
         Some(Assignment {
             id,
             attempt: entry.attempts_sent,
@@ -177,12 +186,13 @@
             region: target.region.clone(),
             needs_fresh_connection: entry.request.kind == RequestKind::Once
                 || entry.attempts_sent > 1,
-            prefers_relay: self.path.prefers_relay(now, &target.id),
+            prefers_relay: !is_trial && self.path.prefers_relay(now, &target.id),
+            is_trial,
             relay_delay: relay_delay(
                 self.surroundings.round_trips.get(&target.region),
                 target.region == self.surroundings.local_region,
             ),
-            hedge_delay: pool.latency.upper_bound().max(self.policy.min_hedge_delay),
+            hedge_delay: hedge_delay.min(max_hedge_delay),
             reason,
             load,
         })
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -23,7 +23,7 @@
 pub enum PathEvent {
     /// Several targets that other instances reach can't be reached, or nothing answers any more.
     Lost,
-    /// Connections from this instance can be opened again.
+    /// Connections from this instance can be opened again, or requests on them are answered again.
     Restored,
 }
 
@@ -85,8 +85,12 @@
     response_gap_s: f64,
     last_check_at: Time,
     last_asked_check_at: Time,
-    /// Probes in a row that could open a connection.
+    /// Whether the path was lost although connections could be opened.
+    needs_answer: bool,
+    /// Probes in a row that could open a connection since the last trial.
     open_probes: u32,
+    /// Start of the trial that hasn't ended.
+    trial_since: Option<Time>,
     last_probe_at: Time,
     last_shared_probe_at: Time,
     /// Time at which a target that was down was last found to be back.
@@ -113,8 +117,12 @@
 const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two connections that probe the path, or a target that is down with others' help.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Probes in a row that must succeed before the path counts as restored.
+/// Probes in a row that must succeed before the path counts as restored, or a request tries it.
 const MIN_OPEN_PROBES: u32 = 2;
+/// The same where an answer is needed and there was no request that could try the path: 6 s of probes.
+const MAX_OPEN_PROBES: u32 = 12;
+/// Time after which a trial without a result counts as failed.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(2);
 
 impl PathMonitor {
     /// Returns a monitor of a path that works.
@@ -128,7 +136,9 @@
             response_gap_s: 0.0,
             last_check_at: Time::ZERO,
             last_asked_check_at: Time::ZERO,
+            needs_answer: false,
             open_probes: 0,
+            trial_since: None,
             last_probe_at: Time::ZERO,
             last_shared_probe_at: Time::ZERO,
             last_find_at: None,
@@ -164,7 +174,7 @@
         self.suspects.retain(|_, at| now - *at <= SUSPICION_TTL);
         self.suspects.insert(target.clone(), now);
         let first = self.suspects.values().min().copied().unwrap_or(now);
-        self.suspects.len() >= MIN_SUSPECTS && self.lose(first)
+        self.suspects.len() >= MIN_SUSPECTS && self.lose(first, false)
     }
 
     /// Records an answer of a target.
@@ -224,7 +234,7 @@
             .collect();
         silent.sort();
         silent.dedup();
-        silent.len() >= MIN_SILENT_TARGETS && self.lose(self.last_response_at)
+        silent.len() >= MIN_SILENT_TARGETS && self.lose(self.last_response_at, true)
     }
 
     /// Returns whether any target that is down may be back: one just was, or the path is lost and targets
@@ -262,9 +272,45 @@
     }
 
     /// Records whether a probe could open a connection, and returns whether the state changed.
+    ///
+    /// A path that was lost although connections could be opened isn't restored by more of them: that
+    /// takes a trial, unless no request could be one for long.
     pub fn record_probe(&mut self, now: Time, is_open: bool) -> bool {
         self.open_probes = if is_open { self.open_probes + 1 } else { 0 };
-        if self.open_probes < MIN_OPEN_PROBES || !self.apply(PathEvent::Restored) {
+        let needed = if self.needs_answer {
+            MAX_OPEN_PROBES
+        } else {
+            MIN_OPEN_PROBES
+        };
+        self.open_probes >= needed && self.restore(now)
+    }
+
+    /// Returns whether a request is to be sent directly now, to see whether it is answered in time, and
+    /// if so, counts it as the trial.
+    pub fn take_trial(&mut self, now: Time) -> bool {
+        let is_due = self.state == PathState::Relayed
+            && self.needs_answer
+            && self.open_probes >= MIN_OPEN_PROBES
+            && self
+                .trial_since
+                .is_none_or(|since| now - since >= MAX_TRIAL_TIME);
+        if is_due {
+            self.trial_since = Some(now);
+            self.open_probes = 0;
+        }
+        is_due
+    }
+
+    /// Records whether the trial was answered in time on a direct connection, and returns whether the
+    /// state changed.
+    pub fn record_trial(&mut self, now: Time, is_in_time: bool) -> bool {
+        self.trial_since = None;
+        self.open_probes = 0;
+        is_in_time && self.restore(now)
+    }
+
+    fn restore(&mut self, now: Time) -> bool {
+        if !self.apply(PathEvent::Restored) {
             return false;
         }
         self.suspects.clear();
@@ -272,12 +318,14 @@
         true
     }
 
-    fn lose(&mut self, since: Time) -> bool {
+    fn lose(&mut self, since: Time, needs_answer: bool) -> bool {
         if !self.apply(PathEvent::Lost) {
             return false;
         }
         self.lost_since = since;
+        self.needs_answer = needs_answer;
         self.open_probes = 0;
+        self.trial_since = None;
         true
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -102,6 +102,8 @@
     pub needs_fresh_connection: bool,
     /// Whether a new connection is to be opened through another instance first.
     pub prefers_relay: bool,
+    /// Whether to send it on a new direct connection, to see whether the lost path answers again.
+    pub is_trial: bool,
     /// Time after which a new connection is tried through another instance as well.
     pub relay_delay: Duration,
     /// Time without a first byte after which a hedge is worthwhile.
--- a/crates/dispatch/tests/path.rs
+++ b/crates/dispatch/tests/path.rs
@@ -128,6 +128,85 @@
     assert!(!path.prefers_relay(at(1_500), &target(0)));
 }
 
+/// Returns a monitor of a path that was lost because three targets left requests unanswered.
+fn silent_monitor() -> PathMonitor {
+    let mut path = monitor();
+    path.record_response(at(0));
+    let targets: Vec<TargetId> = (0..3).map(target).collect();
+    let overdue: Vec<(&TargetId, Time)> = targets.iter().map(|id| (id, at(10))).collect();
+    assert!(path.record_overdue(&overdue));
+    path
+}
+
+/// Guards against RECOVER: a path on which connections opened and no bytes came back was used again after
+/// two probes, lost again and so on.
+#[test]
+fn path_without_answers_is_not_restored_by_connections() {
+    let mut path = silent_monitor();
+    for step in 0..80 {
+        let now = at(500 + step * 50);
+        if path.take_probe(now) {
+            path.record_probe(now, true);
+        }
+        assert_eq!(path.state(), PathState::Relayed, "step {step}");
+    }
+}
+
+/// A request tries the path after two probes that opened, one at a time and each after two more; an answer
+/// in time restores the path.
+#[test]
+fn path_without_answers_is_restored_by_one() {
+    let mut path = silent_monitor();
+    let mut tried_at = Vec::new();
+    for step in 0..120 {
+        let ms = 500 + step * 50;
+        if path.take_probe(at(ms)) {
+            path.record_probe(at(ms), true);
+        }
+        if path.take_trial(at(ms)) {
+            assert!(!path.take_trial(at(ms)));
+            tried_at.push(ms);
+        }
+        if tried_at.last().is_some_and(|tried| tried + 300 == ms) {
+            assert!(!path.record_trial(at(ms), false));
+        }
+    }
+    assert_eq!(path.state(), PathState::Relayed);
+    let gaps = tried_at.windows(2).map(|pair| pair[1] - pair[0]);
+    let gaps: Vec<u64> = gaps.collect();
+    assert!(
+        gaps.iter().all(|gap| (1_000..=1_600).contains(gap)),
+        "{gaps:?}"
+    );
+    assert!(path.record_trial(at(7_000), true));
+    assert_eq!(path.state(), PathState::Direct);
+}
+
+/// Where no request can try it, the path is used again after connections have opened for 6 s.
+#[test]
+fn path_without_answers_is_restored_where_nothing_can_try_it() {
+    let mut path = silent_monitor();
+    for step in 0..12 {
+        assert_eq!(path.state(), PathState::Relayed);
+        assert!(path.take_probe(at(500 + step * 500)));
+        path.record_probe(at(500 + step * 500), true);
+    }
+    assert_eq!(path.state(), PathState::Direct);
+}
+
+/// A path that was lost as no connection could be opened takes no trial.
+#[test]
+fn path_without_connections_takes_no_trial() {
+    let mut path = monitor();
+    for idx in 0..2 {
+        path.record_dial(at(0), &target(idx), Dial::direct(false).relayed(true));
+    }
+    assert!(!path.take_trial(at(0)));
+    path.record_probe(at(500), true);
+    assert!(path.record_probe(at(1_000), true));
+    assert!(!path.take_trial(at(1_000)));
+}
+
 /// Over drawn patterns of targets that have ended and paths that are cut, an instance whose path
 /// works goes on connecting directly, and one whose path is cut connects through others within half
 /// a second and directly again within two seconds of the end of the cut.
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -7,6 +7,7 @@
 mod probes;
 mod support;
 mod times;
+mod trials;
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -18,7 +18,7 @@
 use base::{AllowedRegions, Config, RegionId, RouteTable, ServiceId, TargetId, Time, WorkspaceId};
 use chart::ChartError;
 use coord::{Freshness, QuotaSplit};
-use dispatch::{Dispatcher, Outcome, Policy, RequestId, RequestKind};
+use dispatch::{Dispatcher, Outcome, PathState, Policy, RequestId, RequestKind};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use tokio::{
@@ -258,7 +258,10 @@
                 if self.dispatcher.record_probe(now, &target, dial) {
                     self.change_path();
                 }
-                if let Some(connection) = connection {
+                let is_direct = self.dispatcher.path_state() == PathState::Direct;
+                // While the path is lost, a connection that opened may still bring no answer.
+                let sound = connection.filter(|one| is_direct || one.relay.is_some());
+                if let Some(connection) = sound {
                     self.return_connection(target, connection);
                 }
             }
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -25,10 +25,20 @@
         connection: Option<Connection>,
     ) {
         let target = self.dispatcher.target_of(id, attempt).cloned();
+        let path_state = self.dispatcher.path_state();
+        let is_sound = |connection: &Connection| {
+            path_state == PathState::Direct
+                || connection.relay.is_some()
+                || self.dispatcher.is_in_time(id, outcome)
+        };
+        let connection = connection.filter(is_sound);
         if let (Some(target), Some(connection)) = (target, connection) {
             self.return_connection(target, connection);
         }
         let (progress, actions) = self.dispatcher.finish(now, id, attempt, outcome);
+        if self.dispatcher.path_state() != path_state {
+            self.change_path();
+        }
         self.apply_dispatch(now, actions);
         if progress == RequestProgress::Ended {
             self.requests.remove(&id);
@@ -91,7 +101,9 @@
             .get(&id)
             .map(|request| request.allowed_regions.borrow().clone());
         let allowed = allowed.unwrap_or_default();
-        plan.connection = self.take_connection(now, &plan.assignment, plan.addr, &allowed);
+        if !plan.assignment.is_trial {
+            plan.connection = self.take_connection(now, &plan.assignment, plan.addr, &allowed);
+        }
         if tx.send(Decision::SendAttempt(Box::new(plan))).is_err() {
             self.abandon_attempt(now, id, attempt);
         }
