fix(coord): the first report of an arriving state doesn't bring a fetch of it

Cause: while a state arrives, the next fetch is put off by 400 ms with each part of it, but the first report that another instance has that state set the time of the next fetch anew, to 100 ms from then. Parts are told every 100 ms, so a fetch sometimes began beside the own read and took half of a narrow link. Evidence: with a document that takes 1.5 s of one instance's link, lines of both showed a fetch begun within 1 ms before the next part was told; it ended 2.5 s later, the own read after 3.0 s. Change: a report doesn't make the next fetch earlier than it was put off to. Ruled out: telling parts more often, which leaves the race; ending a fetch once the own read arrives, which throws away what has come. Measured: the new test fails without the change and passes with it.

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -94,7 +94,7 @@
         }
         if self.sources.is_empty() {
             self.behind_since = now;
-            self.next_at = now + self.delay();
+            self.next_at = self.next_at.max(now + self.delay());
         }
         if let Some(known) = self.sources.iter_mut().find(|source| source.id == from) {
             known.position = position.max(known.position);
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -80,6 +80,19 @@
     assert_eq!(asked_at, first_fetch_ms);
 }
 
+/// Guards against CONFIG: the first report of a state that was arriving already made it be fetched beside.
+#[test]
+fn catch_up_asks_nobody_for_what_is_reported_while_it_arrives() {
+    let mut catch_up = CatchUp::new(DELAYS);
+    catch_up.on_arrival(Time::ZERO);
+    catch_up.on_report(Time::from_millis(10), "i1".into(), 5, 1);
+    assert_eq!(catch_up.next_source(Time::from_millis(399)), None);
+    assert_eq!(
+        catch_up.next_source(Time::from_millis(400)),
+        Some("i1".into())
+    );
+}
+
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
     let mut catch_up = CatchUp::new(DELAYS);
