fix(dispatch): a trial has room for a new connection, and probes at once count as one

What callers would see: requests that go through another instance for good, or an early return to a path on which nothing is answered. Cause: a trial on a new connection was measured by what kept ones took before the loss; and a dozen probes of targets that were down, opened together, were taken for 6 s of open probes. Change: twice the usual latency; one open probe counted per quarter of a second where an answer is needed. Ruled out: trials too often, one a second at most. Measured: path_without_answers_is_not_restored_by_connections_at_once and the case on_a_new_connection are new; the dispatch tests pass. A trial that ends the count of open probes each time may still keep a path of targets that have become over twice as slow relayed.

--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -13,6 +13,10 @@
 /// Number of targets by which the path is checked.
 const CHECKED_TARGETS: usize = 3;
 
+/// Number of usual latencies within which a trial must be answered: its connection is new, and targets may
+/// have become slower since the path was lost.
+const TRIAL_MARGIN: u32 = 2;
+
 impl Dispatcher {
     /// Returns whether connections to targets are opened directly or through other instances.
     pub fn path_state(&self) -> PathState {
@@ -56,7 +60,8 @@
 
     /// Records the end of the trial of the lost path.
     pub(super) fn end_trial(&mut self, now: Time, service: &ServiceId, outcome: Outcome) {
-        let is_in_time = self.is_usual(service, outcome);
+        let limit = self.usual_latency(service) * TRIAL_MARGIN;
+        let is_in_time = matches!(outcome, Outcome::Answered(latency) if latency <= limit);
         self.path.record_trial(now, is_in_time);
     }
 
--- a/crates/dispatch/src/path.rs
+++ b/crates/dispatch/src/path.rs
@@ -89,6 +89,8 @@
     needs_answer: bool,
     /// Probes in a row that could open a connection since the last trial.
     open_probes: u32,
+    /// Time of the last one that was counted.
+    last_open_probe_at: Time,
     /// Start of the trial that hasn't ended.
     trial_since: Option<Time>,
     last_probe_at: Time,
@@ -138,6 +140,7 @@
             last_asked_check_at: Time::ZERO,
             needs_answer: false,
             open_probes: 0,
+            last_open_probe_at: Time::ZERO,
             trial_since: None,
             last_probe_at: Time::ZERO,
             last_shared_probe_at: Time::ZERO,
@@ -276,7 +279,13 @@
     /// A path that was lost although connections could be opened isn't restored by more of them: that
     /// takes a trial, unless no request could be one for long.
     pub fn record_probe(&mut self, now: Time, is_open: bool) -> bool {
-        self.open_probes = if is_open { self.open_probes + 1 } else { 0 };
+        if !is_open {
+            self.open_probes = 0;
+        } else if !self.needs_answer || now - self.last_open_probe_at >= PROBE_INTERVAL / 2 {
+            // Several at once, of targets that are down, show no more than one.
+            self.last_open_probe_at = now;
+            self.open_probes += 1;
+        }
         let needed = if self.needs_answer {
             MAX_OPEN_PROBES
         } else {
--- a/crates/dispatch/tests/path.rs
+++ b/crates/dispatch/tests/path.rs
@@ -194,6 +194,17 @@
     assert_eq!(path.state(), PathState::Direct);
 }
 
+/// Guards against RECOVER: connections to many targets that were down, opened at the same time, restored a
+/// path on which nothing was answered.
+#[test]
+fn path_without_answers_is_not_restored_by_connections_at_once() {
+    let mut path = silent_monitor();
+    for _ in 0..12 {
+        path.record_probe(at(1_000), true);
+    }
+    assert_eq!(path.state(), PathState::Relayed);
+}
+
 /// A path that was lost as no connection could be opened takes no trial.
 #[test]
 fn path_without_connections_takes_no_trial() {
--- a/crates/dispatch/tests/placement/trials.rs
+++ b/crates/dispatch/tests/placement/trials.rs
@@ -69,6 +69,11 @@
     Outcome::Answered(Duration::from_millis(30)),
     PathState::Direct
 )]
+#[case::on_a_new_connection(
+    Dial::direct(true),
+    Outcome::Answered(Duration::from_millis(390)),
+    PathState::Direct
+)]
 #[case::late(
     Dial::direct(true),
     Outcome::Answered(Duration::from_millis(1_800)),
