fix(daemon): open fetches put the next one off

What operators would see: an instance that uses its whole processor while others don't answer its fetches. Cause: with as many fetches open as may be, the next one stayed due and the follower looked at it again without pause. Change: it is put off as for a state that is arriving. Beside it, names and comments that a reader stumbled over, and an answer that is handled ends an outage at that time, not when it began. Ruled out: a lower limit.

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -128,9 +128,9 @@
         self.on_position(now, position);
     }
 
-    /// Records that a part of the state is arriving, by an own read or a fetch: another fetch would only
-    /// share the link with it.
-    pub fn on_arrival(&mut self, now: Time) {
+    /// Puts off the next fetch, since a part of the state is arriving by an own read or a fetch, or enough
+    /// fetches are under way: another one would only share the link with them.
+    pub fn postpone(&mut self, now: Time) {
         self.next_at = self.next_at.max(now + self.delays.max);
     }
 
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -72,7 +72,7 @@
     for ms in (0..2_000).step_by(50) {
         let now = Time::from_millis(ms);
         if ms <= arriving_until_ms && ms % report_interval_ms == 0 {
-            catch_up.on_arrival(now);
+            catch_up.postpone(now);
         }
         let asks = catch_up.next_source(now).is_some();
         asked_at = asked_at.or(asks.then_some(ms));
@@ -84,7 +84,7 @@
 #[test]
 fn catch_up_asks_nobody_for_what_is_reported_while_it_arrives() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_arrival(Time::ZERO);
+    catch_up.postpone(Time::ZERO);
     catch_up.on_report(Time::from_millis(10), "i1".into(), 5, 1);
     assert_eq!(catch_up.next_source(Time::from_millis(399)), None);
     assert_eq!(
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -99,8 +99,8 @@
     /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't slow.
     fn is_fetch_arriving(&self) -> bool {
         let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let begun = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
-        let mut begun_at = begun.filter_map(|received| received.begun_at);
+        let active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
+        let mut begun_at = active.filter_map(|received| received.begun_at);
         begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
     }
 
@@ -111,16 +111,16 @@
         }
     }
 
-    /// Records that the platform has answered. An answer from before the own position is told, unless
+    /// Records that the platform has answered. An answer from before the own position is logged, unless
     /// it was asked for before that position was known.
-    fn record_answer(&mut self, name: &str, read: &PlatformRead) {
+    fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
         if read.position < own_position && read.sent_at > self.advanced_at {
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
         self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
-        self.replica.on_contact(read.answered_at);
+        self.replica.on_contact(now);
     }
 }
 
@@ -263,7 +263,7 @@
         let mut source = NewsSource::Platform;
         let is_changed = match read {
             TableRead::Arriving => {
-                table.catch_up.on_arrival(now);
+                table.catch_up.postpone(now);
                 return false;
             }
             TableRead::Failed(failure) => {
@@ -282,13 +282,13 @@
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(read) => {
-                table.record_answer(name, &read);
+                table.record_answer(now, name, &read);
                 table
                     .replica
                     .replace(now, to_snapshot(read.rows, read.position))
             }
             TableRead::Changes(read) => {
-                table.record_answer(name, &read);
+                table.record_answer(now, name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
                 table.replica.apply_changes(now, changes, read.position)
             }
@@ -326,11 +326,8 @@
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
-            if table.is_fetch_arriving() {
-                table.catch_up.on_arrival(now);
-            }
-            if table.fetches.len() >= MAX_FETCHES {
-                continue;
+            if table.is_fetch_arriving() || table.fetches.len() >= MAX_FETCHES {
+                table.catch_up.postpone(now);
             }
             let Some(from) = table.catch_up.next_source(now) else {
                 continue;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -75,7 +75,7 @@
     };
     match opening {
         Opening::Call(call) => {
-            let Some(_handed_out) = hand_out(&call, &tables) else {
+            let Some(_reservation) = reserve_transfer(&call, &tables) else {
                 return write_reply(&mut stream, &secret, &peer_nonce, &Reply::Table(None)).await;
             };
             let reply = timeout(CALL_TIMEOUT, answer_call(call, &tx)).await??;
@@ -109,15 +109,24 @@
     Ok(())
 }
 
-/// Returns what is held while a call is answered; `None` for a table while as many are being sent as the
-/// link is to be shared by. Who asked can ask another instance at once.
-fn hand_out(call: &Call, tables: &Arc<Semaphore>) -> Option<Option<OwnedSemaphorePermit>> {
+/// Holds one of the places of tables that are being sent while a call for a table is answered; `None` if all
+/// are taken: the caller asks another instance after its retry delay.
+fn reserve_transfer(call: &Call, tables: &Arc<Semaphore>) -> Option<Reservation> {
     match call {
-        Call::Table(_) => tables.clone().try_acquire_owned().ok().map(Some),
-        Call::Claim { .. } | Call::Settle { .. } | Call::Object(_) => Some(None),
+        Call::Table(_) => {
+            let permit = tables.clone().try_acquire_owned().ok()?;
+            Some(Reservation::Table { _permit: permit })
+        }
+        Call::Claim { .. } | Call::Settle { .. } | Call::Object(_) => Some(Reservation::NotNeeded),
     }
 }
 
+/// What a call needs to be answered, until it is dropped.
+enum Reservation {
+    NotNeeded,
+    Table { _permit: OwnedSemaphorePermit },
+}
+
 async fn answer_call(call: Call, tx: &mpsc::Sender<IncomingCall>) -> io::Result<Reply> {
     let (reply, answer) = oneshot::channel();
     let _ = tx.send(IncomingCall { call, reply }).await;
--- /dev/null
+++ b/crates/daemon/tests/fetches.rs
@@ -0,0 +1,132 @@
+//! Fetches of tables from other instances that accept and say nothing.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{Config, Incarnation, Time};
+use coord::{Heartbeat, ListEntry, Membership, Replica};
+use daemon::{
+    fleet::{Fleet, FleetMember},
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::FollowerMessage,
+    table_reads::ReadTiming,
+};
+use entry::{
+    metrics::Metrics,
+    view::{Clock, EntryPoint, View},
+};
+use platform::{Platform, PlatformError};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    time::{sleep, timeout},
+};
+use wire::Secret;
+
+const SOURCES: usize = 4;
+const WATCH_TIME: Duration = Duration::from_millis(1_300);
+/// Publications in that time, with a wide margin over one for each refresh and read.
+const MAX_PUBLICATIONS: usize = 200;
+
+/// Guards against an instance that did nothing but try: as many fetches as may be under way were open, and
+/// the next one stayed due.
+#[tokio::test]
+async fn fetches_of_silent_sources_cost_no_time() {
+    let mut listeners = Vec::new();
+    let mut fleet = Fleet::default();
+    for idx in 0..SOURCES {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let id = format!("i{idx}");
+        fleet.members.insert(
+            id.as_str().into(),
+            member(&id, listener.local_addr().unwrap()),
+        );
+        listeners.push(listener);
+    }
+    let (_fleet_tx, fleet) = watch::channel(Arc::new(fleet));
+    let (engine, mut engine_rx) = mpsc::unbounded_channel();
+    let (peers, _peers_rx) = mpsc::channel(64);
+    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let follower = TableFollower::new(
+        FollowerOptions {
+            clock: Clock::start(),
+            platform: Platform::spawn(|| |_, _| async { Err(PlatformError::Unavailable) }),
+            secret: Secret::derive("a secret for tests only"),
+            metrics: Metrics::new().unwrap(),
+            confirm_limit: Duration::from_secs(4),
+            read_timing: ReadTiming::within(Duration::from_secs(4)),
+            own_entry: EntryPoint {
+                instance: "own".into(),
+                incarnation: Incarnation(1),
+                domain: "d".into(),
+                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            },
+            fleet,
+        },
+        Outputs {
+            engine,
+            peers,
+            view,
+        },
+        FollowedTables {
+            tables: vec!["op".to_owned(), "servers".to_owned()],
+            compose: |_: &[&Replica]| {
+                Some(ComposedConfig {
+                    version: 1,
+                    config: Config::default(),
+                })
+            },
+        },
+        snapshots,
+    );
+    let (tx, rx) = mpsc::channel(64);
+    let running = tokio::spawn(follower.run(rx));
+    for idx in 0..SOURCES {
+        let report = FollowerMessage::PeerPositions {
+            from: format!("i{idx}").as_str().into(),
+            positions: vec![5, 5],
+            confirmed_at: None,
+        };
+        tx.send(report).await.unwrap();
+    }
+    // Three fetches of each table are open from 0.7 s to 1.6 s.
+    sleep(WATCH_TIME).await;
+    let mut publications = 0;
+    while let Ok(Some(_)) = timeout(Duration::ZERO, engine_rx.recv()).await {
+        publications += 1;
+    }
+    running.abort();
+    assert!(
+        (1..MAX_PUBLICATIONS).contains(&publications),
+        "{publications} publications"
+    );
+}
+
+/// Returns an instance that is listed and alive at this address.
+fn member(id: &str, addr: SocketAddr) -> FleetMember {
+    let mut membership = Membership::new(Duration::from_secs(40), Duration::from_secs(60));
+    let entry = ListEntry {
+        id: id.into(),
+        domain: "d".into(),
+        is_leaving: false,
+    };
+    membership.on_list(Time::ZERO, &[entry]);
+    membership.on_heartbeat(
+        Time::ZERO,
+        &Heartbeat {
+            id: id.into(),
+            incarnation: Incarnation(1),
+            domain: "d".into(),
+            is_leaving: false,
+            version: 0,
+            confirmation_age: None,
+        },
+    );
+    FleetMember {
+        addr: Some(addr),
+        ..FleetMember::new(&membership.members()[id], None)
+    }
+}
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -77,7 +77,7 @@
         self.tx.send_modify(|received| received.at = Instant::now());
     }
 
-    /// Awaits an answer, and returns `None` once nothing has arrived of it for `max_quiet`.
+    /// Awaits an answer, and returns `None` once no byte has been sent or received for `max_quiet`.
     ///
     /// A transfer that goes on is not given up however long it takes: asked for again, it would
     /// begin anew and share the link with what is still under way.
