fix(daemon): a read that follows an overtaken one goes on a new connection's terms

Cause: once the answer of an overtaken poll was preferred, the polls after it were gone and the next one was taken for one on a kept connection, although its pool had been given up: a silent new connection would be noticed after 2.4 s in place of 1.0. Change: it counts as new if any poll was sent after the one that was answered. Names: what ends overtaking polls and what holds the last byte's time say so. Ruled out: no test shows it; read.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -202,7 +202,7 @@
                     Err(_) => None,
                 },
                 Some(number) = self.arrivals.recv() => {
-                    self.prefer(number);
+                    self.give_up_overtakers(number);
                     Some(TableRead::Arriving)
                 }
                 () = sleep_until(at) => match (step, self.arriving_until()) {
@@ -293,9 +293,9 @@
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
                     self.position = Some(read.position);
                 }
-                // The others can't bring anything newer: they ask for what has come, or for less. Those after
-                // it go on new connections, which are closed with them.
-                self.is_reconnecting = idx + 1 < self.open.len();
+                // The others can't bring anything newer: they ask for what has come, or for less. Where any
+                // was sent after it, its own connection is no longer kept.
+                self.is_reconnecting = number + 1 < self.next_number;
                 self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
                 *step = Step::Poll(Instant::now() + POLL_DELAY);
@@ -321,7 +321,7 @@
 
     /// Gives up the polls that overtook one whose answer is arriving after all: theirs can hardly bring
     /// more, and would share the link with it.
-    fn prefer(&mut self, number: u64) {
+    fn give_up_overtakers(&mut self, number: u64) {
         if let Some(idx) = self.open.iter().position(|poll| poll.number == number) {
             for poll in self.open.drain(idx + 1..) {
                 poll.task.abort();
@@ -333,7 +333,7 @@
     fn arriving_until(&self) -> Option<Instant> {
         let received = self.open.iter().map(|poll| *poll.received.borrow());
         let begun = received.filter(|received| received.bytes > 0);
-        let last_byte = begun.map(|received| received.at).max()?;
+        let last_byte = begun.map(|received| received.last_byte_at).max()?;
         let until = last_byte + self.options.timing.first_answer_time();
         (until > Instant::now()).then_some(until)
     }
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -39,13 +39,13 @@
     /// Time of the first ones.
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
-    pub at: Instant,
+    pub last_byte_at: Instant,
 }
 
 impl Received {
     /// Returns the time since the last byte in either direction, or since the call.
     pub fn quiet_time(&self) -> Duration {
-        self.at.elapsed()
+        self.last_byte_at.elapsed()
     }
 }
 
@@ -55,7 +55,7 @@
         let received = Received {
             bytes: 0,
             begun_at: None,
-            at: Instant::now(),
+            last_byte_at: Instant::now(),
         };
         Self {
             tx: watch::Sender::new(received),
@@ -68,13 +68,14 @@
             let now = Instant::now();
             received.bytes += bytes as u64;
             received.begun_at.get_or_insert(now);
-            received.at = now;
+            received.last_byte_at = now;
         });
     }
 
     /// Records that a part of the call itself has been sent.
     pub fn on_sent(&self) {
-        self.tx.send_modify(|received| received.at = Instant::now());
+        self.tx
+            .send_modify(|received| received.last_byte_at = Instant::now());
     }
 
     /// Awaits an answer, and returns `None` once no byte has been sent or received for `max_quiet`.
@@ -88,7 +89,7 @@
         let received = self.received();
         let mut answer = pin!(answer);
         loop {
-            let quiet_at = received.borrow().at + max_quiet;
+            let quiet_at = received.borrow().last_byte_at + max_quiet;
             tokio::select! {
                 output = &mut answer => return Some(output),
                 () = sleep_until(quiet_at) => {
