--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -24,12 +24,12 @@
     writer.flush().await
 }
 
-/// Writes one frame as [`write`] does, however long it takes as long as the receiver goes on taking it;
+/// Writes one frame as [`write()`] does, however long it takes as long as the receiver goes on taking it;
 /// calls `report` whenever it has taken a part.
 ///
 /// # Errors
 ///
-/// [`io::ErrorKind::TimedOut`] if the receiver has taken nothing for `max_pause`; else as for [`write`].
+/// [`io::ErrorKind::TimedOut`] if the receiver has taken nothing for `max_pause`; else as for [`write()`].
 pub async fn write_unless_stuck<W, F>(
     writer: &mut W,
     frame: &[u8],
