--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -84,8 +84,8 @@
 /// Number that each end draws for a connection, with which the other one seals its frame.
 pub(crate) type Nonce = [u8; NONCE_BYTES];
 
-/// Calls the instance at `addr`; returns `None` if no authentic reply arrives, or nothing of it for
-/// [`CALL_TIMEOUT`].
+/// Calls the instance at `addr`; returns `None` if no authentic reply arrives, or none of its
+/// bytes for 1.5 seconds.
 pub async fn call(secret: &Secret, addr: SocketAddr, call: &Call) -> Option<Reply> {
     call_reporting(secret, addr, call, &Progress::start()).await
 }
