feat(daemon): lines and a gauge tell that an instance knows of a later version

Change: coord::Lag keeps since when a later position than the own one has been known, from reports of others and from an own read whose answer has begun to arrive. A series of versions doesn't restart the time, memory is bounded, and a read that was sent after a report and brings less ends it, since the store has gone back. It counts only while a live instance has the later position or the own read is arriving. config_behind is logged once when it has lasted for two thirds of the time within which a change must be in force, and config_caught_up at its end; config_behind_ms is the gauge. The time is a setting, bounds.apply_s, given by the variable APPLY_S of the role, 2 s if nobody gives it. Nothing is decided by it yet.

Ruled out: the age of the last answer (config_age_ms) doesn't tell it, since an instance whose other answers come knows a later version by others' words.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,6 +10,7 @@
 mod fanout;
 mod grant;
 mod holder;
+mod lag;
 mod lease;
 mod membership;
 mod owner;
@@ -22,6 +23,7 @@
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
+pub use lag::{Lag, PositionTimes};
 pub use lease::{
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
     lease_chart,
--- /dev/null
+++ b/crates/coord/tests/lag.rs
@@ -0,0 +1,110 @@
+//! Since when a later state has been known, over drawn reports and reads.
+
+use std::time::Duration;
+
+use base::Time;
+use coord::{Lag, PositionTimes};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+const SEEDS: std::ops::Range<u64> = 0..300;
+/// Time within which positions that become known count as known with the first.
+const RESOLUTION: Duration = Duration::from_millis(100);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// Guards against CONFIG: each version of a series began the time anew at which an instance knew that it
+/// was behind.
+#[test]
+fn series_of_versions_counts_from_the_first() {
+    for step_ms in [1, 50, 100, 300, 1_000] {
+        let mut lag = Lag::default();
+        for number in 1..1_000 {
+            lag.on_report(at(number * step_ms), number);
+        }
+        assert_eq!(lag.behind_since(true), Some(at(step_ms)), "{step_ms} ms");
+    }
+}
+
+/// A version that comes late leaves the time of the next one that is missing.
+#[test]
+fn drawn_positions_count_from_the_first_that_is_missing() {
+    for seed in SEEDS {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut lag = Lag::default();
+        let mut known: Vec<(u64, Time)> = Vec::new();
+        let (mut now, mut own) = (0, 0);
+        for _ in 0..24 {
+            now += rng.random_range(0..400);
+            if rng.random_range(0..3) == 0 {
+                own = rng.random_range(own..own + 30);
+                lag.on_position(own);
+            } else {
+                let position = rng.random_range(0..100);
+                lag.on_report(at(now), position);
+                if position > own {
+                    known.push((position, at(now)));
+                }
+            }
+            let missing = known.iter().filter(|(position, _)| *position > own);
+            let exact = missing.map(|(_, at)| *at).min();
+            let since = lag.behind_since(true);
+            assert_eq!(since.is_some(), exact.is_some(), "seed {seed}");
+            if let (Some(since), Some(exact)) = (since, exact) {
+                assert!(since <= exact, "seed {seed}: {since:?} for {exact:?}");
+                assert!(exact - since < RESOLUTION, "seed {seed}: {since:?}");
+            }
+        }
+    }
+}
+
+/// Guards against refusals without end: after a store has gone back, others go on reporting what is lost.
+#[test]
+fn what_a_later_read_lacks_is_not_waited_for() {
+    let mut lag = Lag::default();
+    lag.on_position(50);
+    lag.on_report(at(1_000), 100);
+    lag.on_read(at(900), 60);
+    assert_eq!(lag.behind_since(true), Some(at(1_000)));
+    lag.on_read(at(1_100), 61);
+    lag.on_report(at(1_500), 100);
+    assert_eq!(lag.behind_since(true), None);
+    lag.on_report(at(2_000), 101);
+    assert_eq!(lag.behind_since(true), Some(at(2_000)));
+}
+
+#[test]
+fn report_counts_while_the_state_can_be_had() {
+    let mut lag = Lag::default();
+    lag.on_report(at(1_000), 7);
+    assert_eq!(lag.behind_since(false), None);
+    lag.on_arriving(at(1_400));
+    assert_eq!(lag.behind_since(false), Some(at(1_000)));
+    lag.on_read_failure();
+    assert_eq!(lag.behind_since(false), None);
+    assert_eq!(lag.behind_since(true), Some(at(1_000)));
+}
+
+/// An answer that is still arriving tells of a later state before others do.
+#[test]
+fn arriving_answer_counts_from_its_begin() {
+    let mut lag = Lag::default();
+    lag.on_arriving(at(1_000));
+    lag.on_arriving(at(1_300));
+    assert_eq!(lag.behind_since(false), Some(at(1_000)));
+    lag.on_read(at(500), 7);
+    assert_eq!(lag.behind_since(true), None);
+}
+
+/// Positions that are forgotten keep the time of the first.
+#[test]
+fn many_positions_take_bounded_memory() {
+    let mut known = PositionTimes::default();
+    for number in 1..100_000 {
+        known.record(at(number * 200), number);
+    }
+    assert_eq!(known.first_after(0), Some(at(200)));
+    assert!(known.first_after(99_990) >= Some(at(99_990 * 200)));
+}
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -34,6 +34,8 @@
     pub metrics: Metrics,
     /// Time after which a confirmation that the configuration is the latest expires.
     pub confirm_limit: Duration,
+    /// Time within which a change must be in force.
+    pub apply: Duration,
     /// Times of the reads.
     pub read_timing: ReadTiming,
     /// Entry point of this instance, as look-ups return it.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -3,6 +3,7 @@
 //! Each table is followed by long polling. Heartbeats carry the positions up to which an instance
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
+mod lateness;
 mod publication;
 
 use std::{sync::Arc, time::Duration};
@@ -16,6 +17,7 @@
     time::sleep_until,
 };
 
+use self::lateness::Lateness;
 use super::{FollowerOptions, Outputs};
 use crate::{
     message::FollowerMessage,
@@ -68,6 +70,8 @@
     /// Publishes the tables that other instances may fetch.
     snapshots: watch::Sender<Arc<Vec<TableSnapshot>>>,
     tables: Vec<Table>,
+    /// Whether the first of the tables is behind.
+    lateness: Lateness,
     composed: Option<Arc<Config>>,
     version: u64,
     revision: u64,
@@ -156,6 +160,7 @@
             })
             .collect();
         Self {
+            lateness: Lateness::within(options.apply),
             options,
             outputs,
             followed,
@@ -221,6 +226,9 @@
                 let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
                 // Most heartbeats bring no news, so the rank is worked out only for those that do.
                 let rank = (!is_up_to_date).then(|| self.fetch_rank(&from));
+                if let Some(position) = positions.first() {
+                    self.lateness.on_report(now, &from, *position);
+                }
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
@@ -261,14 +269,21 @@
         let was_reachable = table.is_reachable;
         let before = table.replica.position();
         let mut source = NewsSource::Platform;
+        let mut read_at = None;
         let is_changed = match read {
-            TableRead::Arriving => {
+            TableRead::Arriving(begun_at) => {
+                if idx == 0 {
+                    self.lateness.on_arriving(begun_at);
+                }
                 table.catch_up.postpone(now);
                 return false;
             }
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
+                if idx == 0 {
+                    self.lateness.on_read_failure();
+                }
                 if !failure.is_on_kept_connection {
                     table.replica.on_read_failure(now);
                     table.is_reachable = false;
@@ -282,12 +297,14 @@
                 snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
             }
             TableRead::Snapshot(read) => {
+                read_at = Some((read.sent_at, read.position));
                 table.record_answer(now, name, &read);
                 table
                     .replica
                     .replace(now, to_snapshot(read.rows, read.position))
             }
             TableRead::Changes(read) => {
+                read_at = Some((read.sent_at, read.position));
                 table.record_answer(now, name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
                 table.replica.apply_changes(now, changes, read.position)
@@ -297,6 +314,12 @@
         if position > before {
             table.advanced_at = now;
         }
+        if idx == 0 {
+            if let Some((sent_at, position)) = read_at {
+                self.lateness.on_read(sent_at, position);
+            }
+            self.lateness.on_position(position);
+        }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
         } else {
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -84,6 +84,8 @@
         let confirmed_at = self.confirmed_at();
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
+        let behind_since = self.lateness.assess(now, &fleet);
+        self.set_gauge("config_behind_ms", age_ms(now, behind_since).unwrap_or(0));
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.composed.clone();
         let view = View {
@@ -143,6 +145,12 @@
         }
     }
 
+    fn set_gauge(&self, name: &str, value: u64) {
+        let gauges = &self.options.metrics.gauges;
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        gauges.with_label_values(&[name]).set(value);
+    }
+
     /// Sets the gauges of the time since the last answer for each table, and since the configuration
     /// was last known to be the latest.
     fn publish_age(&self, now: Time, confirmed_at: Option<Time>) {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -238,6 +238,7 @@
         secret: secret.clone(),
         metrics: metrics.clone(),
         confirm_limit,
+        apply: Duration::from_secs_f64(cfg.bounds.apply_s),
         read_timing: ReadTiming::within(contact),
         own_entry,
         fleet: fleet_rx.clone(),
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -54,6 +54,40 @@
     tracing::warn!(event = "table_older", table, own_position, position);
 }
 
+/// Describes what is known of a later version of the operators' rows.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Behind {
+    /// Latest position that others have reported.
+    pub(crate) known_position: Option<u64>,
+    pub(crate) own_position: u64,
+    /// Number of live instances that have a later position than the own one.
+    pub(crate) holders: usize,
+    /// Whether the answer to an own read is arriving.
+    pub(crate) is_arriving: bool,
+}
+
+/// Logs that a later version of the operators' rows has been known for longer than an instance may go on
+/// deciding by the own one.
+pub(crate) fn log_behind(now: Time, since: Option<Time>, behind: &Behind) {
+    tracing::warn!(
+        event = "config_behind",
+        known_position = behind.known_position,
+        own_position = behind.own_position,
+        since_ms = age_ms(now, since),
+        holders = behind.holders,
+        is_arriving = behind.is_arriving,
+    );
+}
+
+/// Logs that the operators' rows are no longer behind, or that nobody has later ones any more.
+pub(crate) fn log_caught_up(behind: &Behind) {
+    tracing::info!(
+        event = "config_caught_up",
+        own_position = behind.own_position,
+        holders = behind.holders,
+    );
+}
+
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
     let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -78,8 +78,9 @@
 pub(crate) enum TableRead {
     Changes(PlatformRead),
     Snapshot(PlatformRead),
-    /// A part of the platform's answer has arrived.
-    Arriving,
+    /// A part of the platform's answer has arrived, which began at this time; `None` if it may bring nothing
+    /// new, as a first read.
+    Arriving(Option<Time>),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
@@ -203,7 +204,7 @@
                 },
                 Some(number) = self.arrivals.recv() => {
                     self.give_up_overtakers(number);
-                    Some(TableRead::Arriving)
+                    Some(TableRead::Arriving(self.arriving_since(number)))
                 }
                 () = sleep_until(at) => match (step, self.arriving_until()) {
                     (_, Some(until)) => {
@@ -329,6 +330,14 @@
         }
     }
 
+    /// Returns when the answer to a poll for changes began to arrive.
+    fn arriving_since(&self, number: u64) -> Option<Time> {
+        self.position?;
+        let poll = self.open.iter().find(|poll| poll.number == number)?;
+        poll.received.borrow().begun_at?;
+        Some(begun_at(self.options.clock, &poll.received))
+    }
+
     /// Returns when an answer that is arriving counts as cut off unless more of it comes.
     fn arriving_until(&self) -> Option<Instant> {
         let received = self.open.iter().map(|poll| *poll.received.borrow());
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -331,6 +331,7 @@
             secret: Secret::derive("a secret for tests only"),
             metrics: Metrics::new().unwrap(),
             confirm_limit: Duration::from_secs(5),
+            apply: network.scenario.apply,
             read_timing: ReadTiming::within(network.scenario.contact),
             own_entry: EntryPoint {
                 instance: "own".into(),
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -57,6 +57,7 @@
             secret: Secret::derive("a secret for tests only"),
             metrics: Metrics::new().unwrap(),
             confirm_limit: Duration::from_secs(4),
+            apply: Duration::from_secs(2),
             read_timing: ReadTiming::within(Duration::from_secs(4)),
             own_entry: EntryPoint {
                 instance: "own".into(),
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -95,6 +95,8 @@
     /// Time after a disturbance of its connections within which an instance must know all changes
     /// again, in seconds.
     pub contact_s: f64,
+    /// Time after its acknowledgement within which a change must be in force on every instance, in seconds.
+    pub apply_s: f64,
     /// Maximum time for which callers cache the response to a look-up, in seconds; replaces
     /// `lookup_ttl_ms`, as far as the time to stop allows.
     pub lookup_ttl_s: Option<f64>,
@@ -110,6 +112,7 @@
             region_shift: 0.1,
             stop_s: 60.0,
             contact_s: 6.0,
+            apply_s: 2.0,
             lookup_ttl_s: None,
         }
     }
@@ -140,8 +143,8 @@
 
 /// Returns the settings with which an instance starts.
 ///
-/// Environment variables go before the file: `MEMORY_MB` for `memory_mb` and `CONTACT_S` for
-/// `bounds.contact_s`. Unknown fields are passed over, since the platform that fills in
+/// Environment variables go before the file: `MEMORY_MB` for `memory_mb`, `CONTACT_S` for
+/// `bounds.contact_s` and `APPLY_S` for `bounds.apply_s`. Unknown fields are passed over, since the platform that fills in
 /// the file, or the build for which it was written, may be newer.
 ///
 /// # Examples
@@ -187,6 +190,7 @@
 
 const MIN_SECRET_CHARS: usize = 16;
 const MIN_CONTACT_S: f64 = 0.5;
+const MIN_APPLY_S: f64 = 0.5;
 const MIN_MEMORY_MB: u64 = 32;
 
 fn validate(doc: &Document<'_>, cfg: &DaemonSettings) -> Vec<Finding> {
@@ -256,6 +260,11 @@
         "bounds.contact_s",
         "must be at least 0.5",
     );
+    require(
+        cfg.bounds.apply_s >= MIN_APPLY_S,
+        "bounds.apply_s",
+        "must be at least 0.5",
+    );
     findings
 }
 
--- a/crates/settings/src/variables.rs
+++ b/crates/settings/src/variables.rs
@@ -8,9 +8,10 @@
 use crate::{Document, Findings};
 
 /// Variables, each with the path of its setting.
-const VARIABLES: [(&str, &[&str]); 2] = [
+const VARIABLES: [(&str, &[&str]); 3] = [
     ("MEMORY_MB", &["memory_mb"]),
     ("CONTACT_S", &["bounds", "contact_s"]),
+    ("APPLY_S", &["bounds", "apply_s"]),
 ];
 
 /// Sets in `json` what `variable` gives; an empty variable gives nothing.
