--- /dev/null
+++ b/crates/daemon/tests/behind.rs
@@ -0,0 +1,464 @@
+//! How long an instance decides by a version although it knows of a later one, over drawn versions,
+//! transfers and heartbeats.
+
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Config, Incarnation, InstanceId, Key, KeyDigest, Service, Time, Workspace};
+use coord::{Heartbeat, ListEntry, Membership, QuotaSplit, Replica};
+use daemon::{
+    fleet::{Fleet, FleetMember},
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::FollowerMessage,
+    table_reads::ReadTiming,
+};
+use dispatch::{Policy, RequestId, RequestKind};
+use entry::{
+    dial::Dialer,
+    engine::{Engine, EngineOptions},
+    message::{Arrival, Decision, Event},
+    metrics::Metrics,
+    view::{Clock, EntryPoint, View},
+};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+use wire::Secret;
+
+const SEEDS: Range<u64> = 0..300;
+const RUN_TIME: Duration = Duration::from_secs(25);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
+const OPERATOR_TABLE: &str = "op";
+const KEY: &str = "key";
+
+/// What becomes of the answer to a read that brings a version.
+#[derive(Debug, Clone, Copy)]
+enum Transfer {
+    /// It is complete after this time.
+    Takes(Duration),
+    /// It breaks off after this time.
+    BreaksOff(Duration),
+    /// It never begins.
+    Lost,
+}
+
+/// Another instance, which reports positions and hands nothing out.
+#[derive(Debug, Clone, Copy)]
+struct Reporter {
+    /// Time of its first heartbeat.
+    phase: Duration,
+    /// Time after an acknowledgement at which it has the version.
+    reads_after: Duration,
+    /// Share of its heartbeats that are lost.
+    loss: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Scenario {
+    seed: u64,
+    contact: Duration,
+    apply: Duration,
+    /// Times at which versions are acknowledged.
+    changes: Vec<Duration>,
+    transfers: Vec<Transfer>,
+    reporters: Vec<Reporter>,
+    /// Position that the others report whatever the store has.
+    lost_position: Option<u64>,
+}
+
+impl Scenario {
+    fn draw(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
+        let apply = ms(2_000..4_000);
+        let contact = apply + ms(0..2_000);
+        let is_series = ms(0..2).is_zero();
+        let mut at = ms(3_000..6_000);
+        let mut changes = Vec::new();
+        for _ in 0..ms(1..12).as_millis() {
+            changes.push(at);
+            at += if is_series {
+                ms(100..900)
+            } else {
+                ms(500..6_000)
+            };
+        }
+        let transfers = (0..40).map(|_| match ms(0..5).as_millis() {
+            0 => Transfer::Takes(ms(10..400)),
+            1 | 2 => Transfer::Takes(ms(400..8_000)),
+            3 => Transfer::BreaksOff(ms(200..3_000)),
+            _ => Transfer::Lost,
+        });
+        let transfers = transfers.collect();
+        let count = ms(1..8).as_millis();
+        let reporters = (0..count).map(|idx| Reporter {
+            phase: ms(0..500),
+            reads_after: ms(1..150),
+            loss: if idx == 0 { 0.0 } else { 0.2 },
+        });
+        Self {
+            seed,
+            contact,
+            apply,
+            changes,
+            transfers,
+            reporters: reporters.collect(),
+            lost_position: None,
+        }
+    }
+
+    fn version_at(&self, at: Duration) -> usize {
+        self.changes.iter().filter(|change| **change <= at).count()
+    }
+
+    /// Returns the version whose effect a request that arrives at `at` must show.
+    fn required_version(&self, at: Duration) -> usize {
+        at.checked_sub(self.apply)
+            .map_or(0, |at| self.version_at(at))
+    }
+}
+
+/// Returns the store's position of a version.
+fn position_of(version: usize) -> u64 {
+    10 + version as u64 * 10
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+struct Decided {
+    at: Duration,
+    /// Version that allowed it, or why it was refused.
+    outcome: Result<usize, String>,
+    /// Version that was in force.
+    in_force: usize,
+}
+
+/// Answers reads of the tables.
+async fn answer(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    transfers: Arc<Mutex<Vec<Transfer>>>,
+    call: Call,
+    progress: Progress,
+) -> Result<Reply, PlatformError> {
+    let (table, after, wait) = match call {
+        Call::Snapshot { table } => (table, 0, Duration::ZERO),
+        Call::Changes {
+            table,
+            after,
+            wait_ms,
+        } => (table, after, Duration::from_millis(wait_ms)),
+        _ => return Err(PlatformError::Unavailable),
+    };
+    let is_operators = table == OPERATOR_TABLE;
+    let deadline = Instant::now() + wait;
+    let mut next = scenario.changes.iter().enumerate();
+    let next = next.find(|(idx, _)| is_operators && position_of(idx + 1) > after && after > 0);
+    let next = next.map_or(deadline, |(_, at)| started + *at);
+    sleep_until(next.min(deadline)).await;
+    let version = if is_operators {
+        scenario.version_at(started.elapsed())
+    } else {
+        0
+    };
+    let position = position_of(version);
+    if position <= after {
+        progress.add(1);
+        return Ok(Reply::Changes(Vec::new(), position));
+    }
+    if after > 0 {
+        let transfer = transfers.lock().unwrap().pop();
+        transmit(transfer, &progress).await?;
+    }
+    let row = Change {
+        row: "config".to_owned(),
+        value: Some(version.to_string()),
+        at: position,
+    };
+    Ok(Reply::Changes(vec![row], position))
+}
+
+async fn transmit(transfer: Option<Transfer>, progress: &Progress) -> Result<(), PlatformError> {
+    const STEP: Duration = Duration::from_millis(10);
+    let (time, result) = match transfer {
+        Some(Transfer::Takes(time)) => (time, Ok(())),
+        Some(Transfer::BreaksOff(time)) => (time, Err(PlatformError::Unavailable)),
+        Some(Transfer::Lost) | None => pending().await,
+    };
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        sleep(STEP).await;
+        progress.add(1);
+    }
+    result
+}
+
+fn config() -> Config {
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets: BTreeMap::new(),
+        cold: None,
+    };
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    Config {
+        services: BTreeMap::from([("board".into(), service)]),
+        workspaces: BTreeMap::from([("gym".into(), Workspace::default())]).into(),
+        keys: BTreeMap::from([("k".into(), key)]).into(),
+        ..Config::default()
+    }
+}
+
+/// Returns an instance that is alive to the end, at no address.
+fn member(id: &InstanceId) -> FleetMember {
+    let mut membership = Membership::new(RUN_TIME, RUN_TIME);
+    let entry = ListEntry {
+        id: id.clone(),
+        domain: "d".into(),
+        is_leaving: false,
+    };
+    membership.on_list(Time::ZERO, &[entry]);
+    membership.on_heartbeat(
+        Time::ZERO,
+        &Heartbeat {
+            id: id.clone(),
+            incarnation: Incarnation(1),
+            domain: "d".into(),
+            is_leaving: false,
+            version: 0,
+            confirmation_age: None,
+        },
+    );
+    FleetMember {
+        alive_until: Time::ZERO + RUN_TIME * 2,
+        ..FleetMember::new(&membership.members()[id], None)
+    }
+}
+
+fn reporter_id(idx: usize) -> InstanceId {
+    format!("i{idx}").as_str().into()
+}
+
+/// Sends an instance's heartbeats.
+async fn report(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    idx: usize,
+    follower: mpsc::Sender<FollowerMessage>,
+) {
+    let reporter = scenario.reporters[idx];
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ idx as u64);
+    let mut next = started + reporter.phase;
+    loop {
+        sleep_until(next).await;
+        next += HEARTBEAT_INTERVAL;
+        let had = started.elapsed().checked_sub(reporter.reads_after);
+        let version = had.map_or(0, |at| scenario.version_at(at));
+        let position = scenario.lost_position.unwrap_or(position_of(version));
+        let message = FollowerMessage::PeerPositions {
+            from: reporter_id(idx),
+            positions: vec![position, 1],
+            confirmed_at: None,
+        };
+        if rng.random_range(0.0..1.0) >= reporter.loss && follower.send(message).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn run(scenario: &Scenario) -> Vec<Decided> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(play(Arc::new(scenario.clone())))
+}
+
+async fn play(scenario: Arc<Scenario>) -> Vec<Decided> {
+    let started = Instant::now();
+    let clock = Clock::start();
+    let mut transfers = scenario.transfers.clone();
+    transfers.reverse();
+    let transfers = Arc::new(Mutex::new(transfers));
+    let served = scenario.clone();
+    let platform = Platform::spawn(move || {
+        let (served, transfers) = (served.clone(), transfers.clone());
+        move |call, progress| answer(started, served.clone(), transfers.clone(), call, progress)
+    });
+    let versions = Arc::new(Mutex::new(Vec::new()));
+    let composed = versions.clone();
+    let compose = move |replicas: &[&Replica]| {
+        let mut rows = replicas[0].rows();
+        let version = rows.find_map(|(_, row)| row.value.parse().ok())?;
+        composed.lock().unwrap().push(version);
+        Some(ComposedConfig {
+            version: version as u64,
+            config: config(),
+        })
+    };
+    let ids = (0..scenario.reporters.len()).map(reporter_id);
+    let fleet = Fleet {
+        members: ids.map(|id| (id.clone(), member(&id))).collect(),
+        ..Fleet::default()
+    };
+    let (_fleet_tx, fleet) = watch::channel(Arc::new(fleet));
+    let (engine, engine_rx) = mpsc::unbounded_channel();
+    let (peers, _peers_rx) = mpsc::channel(64);
+    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let (tx, rx) = mpsc::channel(64);
+    let follower = TableFollower::new(
+        FollowerOptions {
+            clock,
+            platform,
+            secret: Secret::derive("a secret for tests only"),
+            metrics: Metrics::new().unwrap(),
+            confirm_limit: Duration::from_secs(4),
+            apply: scenario.apply,
+            read_timing: ReadTiming::within(scenario.contact),
+            own_entry: EntryPoint {
+                instance: "own".into(),
+                incarnation: Incarnation(1),
+                domain: "d".into(),
+                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            },
+            fleet,
+        },
+        Outputs {
+            engine: engine.clone(),
+            peers,
+            view,
+        },
+        FollowedTables {
+            tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+            compose,
+        },
+        snapshots,
+    );
+    tokio::spawn(start_engine(clock, &engine).run(engine_rx));
+    tokio::spawn(follower.run(rx));
+    for idx in 0..scenario.reporters.len() {
+        tokio::spawn(report(started, scenario.clone(), idx, tx.clone()));
+    }
+    let mut decided = Vec::new();
+    while started.elapsed() < RUN_TIME {
+        sleep(ARRIVAL_INTERVAL).await;
+        let at = started.elapsed();
+        let outcome = arrive(&engine, decided.len() as u64).await;
+        let versions = versions.lock().unwrap();
+        decided.push(Decided {
+            at,
+            outcome: outcome.map(|revision| versions[revision as usize - 1]),
+            in_force: versions.last().copied().unwrap_or(0),
+        });
+    }
+    decided
+}
+
+fn start_engine(clock: Clock, events: &mpsc::UnboundedSender<Event>) -> Engine {
+    let (relays, _) = mpsc::unbounded_channel();
+    let (outgoing, _) = mpsc::unbounded_channel();
+    let options = EngineOptions {
+        region: "north".into(),
+        seed: 1,
+        split: QuotaSplit::default(),
+        policy: Policy::default(),
+        refuses_when_isolated: false,
+    };
+    Engine::new(
+        Dialer::new(clock, relays),
+        options,
+        outgoing,
+        events.downgrade(),
+    )
+    .unwrap()
+}
+
+/// Sends a request, and returns the revision that allows it, or why it is refused.
+async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64) -> Result<u64, String> {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let arrival = Arrival {
+        id: RequestId(id),
+        api_key: Some(KEY.to_owned()),
+        service: "board".into(),
+        path: "/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: "/board/x".to_owned(),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: true,
+        tx,
+    };
+    engine.send(Event::RequestArrived(arrival)).unwrap();
+    let outcome = loop {
+        match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
+            Decision::Resolved(info) => break Ok(info.config.revision),
+            Decision::Refuse(refusal) => break Err(refusal.kind.to_string()),
+            _ => {}
+        }
+    };
+    engine.send(Event::Cancel(RequestId(id))).unwrap();
+    outcome
+}
+
+/// Guards against HOME and CONFIG: an instance that heard of a later version from others and couldn't get it
+/// went on deciding by the old one later than `configApplyS` after the acknowledgement.
+#[test]
+fn no_request_is_decided_late_by_an_instance_that_knows_of_a_later_version() {
+    let late = SEEDS.filter_map(|seed| {
+        let scenario = Scenario::draw(seed);
+        let decided = run(&scenario);
+        let mut late = decided.iter().filter(|decided| {
+            let required = scenario.required_version(decided.at);
+            decided.outcome.as_ref().is_ok_and(|used| *used < required)
+        });
+        let first = late.next()?.clone();
+        Some((seed, (first, late.count() + 1, scenario)))
+    });
+    let late: BTreeMap<u64, _> = late.collect();
+    let first = late.iter().next();
+    assert!(late.is_empty(), "{} seeds, first {first:#?}", late.len());
+}
+
+/// Guards against refusals for nothing: an instance refuses only while a version that it lacks has been
+/// acknowledged for half of `configApplyS`.
+#[test]
+fn requests_are_refused_only_by_an_instance_that_is_behind() {
+    for seed in SEEDS {
+        let scenario = Scenario::draw(seed);
+        for decided in run(&scenario) {
+            let known = decided.at.saturating_sub(scenario.apply / 2);
+            let is_behind = decided.in_force < scenario.version_at(known);
+            match &decided.outcome {
+                Err(kind) if kind == "outdated" => {
+                    assert!(is_behind, "seed {seed}: {decided:?}, {scenario:#?}");
+                }
+                Err(kind) => assert!(kind == "not_ready", "seed {seed}: {decided:?}"),
+                Ok(_) => {}
+            }
+        }
+    }
+}
