fix(daemon): an instance that knows of a later version doesn't decide by the old one

What callers saw: requests ran with a withdrawn key, or outside of their homes, later than the time within which a change must be in force.

Cause: an instance that couldn't get a version of which it knew, whatever the reason, went on deciding by what it had; only refusals of the old version were withheld.

Change: two thirds of that time after it has known of a later version that can be had, an instance refuses arriving requests (outdated, 503, not executed) and those that it hasn't sent; what runs goes on and is tried no more. Retry-After is 10 ms where at least half of the live others have the later version, else what is left of its last wait, 0.1 to 1 s. It leaves itself out of look-ups, and others do so by the positions in its heartbeats, unless all of the region are behind. If nobody who is alive has the later version and no own read is arriving, it serves on; after a store has gone back, until a read tells so.

Evidence and why it works: the time counts from the first later position, so a series of versions doesn't restart it, and it doesn't matter why the rows don't come. A third of the time is left for the first reader and a heartbeat.

Ruled out: a number in the list of errors between others would change their order, so the kind is the last one; no message between instances changes.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -102,6 +102,8 @@
     Leaving = "leaving", 503, No, true, "the instance is about to stop; use another one";
     /// An internal error, possibly after the request was sent.
     Internal = "internal", 500, Unknown, false, "internal error";
+    /// The instance knows that its configuration isn't the latest, and doesn't have the later one in time.
+    Outdated = "outdated", 503, No, true, "the instance lacks the latest configuration; use another one";
 }
 
 /// Describes the response to a request that is refused or fails.
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -285,6 +285,9 @@
         "isolated" | "not_ready" => {
             "the instance could not tell whether it knew the latest configuration: see `store` lines"
         }
+        "outdated" => {
+            "the instance knew of a later configuration that it couldn't get in time: see `config_behind` lines"
+        }
         "leaving" => "the instance was about to stop: see its `leaving` line",
         "caller_left" => "the caller closed its connection first",
         _ => "see docs/ERRORS.md",
--- a/crates/daemon/src/entry_points.rs
+++ b/crates/daemon/src/entry_points.rs
@@ -36,18 +36,23 @@
         .chain(own.cloned())
         .filter(|entry| !is_drained(entry))
         .collect();
+    preferred(entries, config, |entry| {
+        fleet.has_target_path(&entry.instance)
+    })
+}
+
+/// Returns the entry points that `is_of_use` accepts, and those of regions in which it accepts none.
+pub(crate) fn preferred<P>(
+    mut entries: Vec<EntryPoint>,
+    config: Option<&Config>,
+    is_of_use: P,
+) -> Vec<EntryPoint>
+where
+    P: Fn(&EntryPoint) -> bool,
+{
     let region_of = |entry: &EntryPoint| config.and_then(|config| config.region_of(&entry.domain));
-    let connected_regions: BTreeSet<_> = entries
-        .iter()
-        .filter(|entry| fleet.has_target_path(&entry.instance))
-        .map(region_of)
-        .collect();
-    let is_of_use = |entry: &EntryPoint| {
-        fleet.has_target_path(&entry.instance) || !connected_regions.contains(&region_of(entry))
-    };
+    let useful = entries.iter().filter(|entry| is_of_use(entry));
+    let regions: BTreeSet<_> = useful.map(region_of).collect();
+    entries.retain(|entry| is_of_use(entry) || !regions.contains(&region_of(entry)));
     entries
-        .iter()
-        .filter(|entry| is_of_use(entry))
-        .cloned()
-        .collect()
 }
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -10,6 +10,7 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
+use entry::message::ConfigLag;
 use platform::{Progress, Received};
 use tokio::{
     sync::{mpsc, watch},
@@ -72,6 +73,7 @@
     tables: Vec<Table>,
     /// Whether the first of the tables is behind.
     lateness: Lateness,
+    last_lag: Option<ConfigLag>,
     composed: Option<Arc<Config>>,
     version: u64,
     revision: u64,
@@ -161,6 +163,7 @@
             .collect();
         Self {
             lateness: Lateness::within(options.apply),
+            last_lag: None,
             options,
             outputs,
             followed,
@@ -318,7 +321,8 @@
             if let Some((sent_at, position)) = read_at {
                 self.lateness.on_read(sent_at, position);
             }
-            self.lateness.on_position(position);
+            let changed_at = table.replica.changed_at();
+            self.lateness.on_position(now, position, changed_at);
         }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{InstanceId, Time};
-use coord::Lag;
+use coord::{Lag, PositionTimes};
+use entry::message::ConfigLag;
 
 use crate::{
     fleet::Fleet,
@@ -13,6 +14,10 @@
 /// Fraction of the time within which a change must be in force for which an instance that knows of a
 /// later version decides by its own; the rest is for the way of that knowledge.
 const KNOWN_FRACTION: f64 = 2.0 / 3.0;
+/// Delay after which callers may come back where another instance is likely to serve them at once.
+const ELSEWHERE_DELAY: Duration = Duration::from_millis(10);
+/// Minimum and maximum delay after which callers may come back where most instances are behind.
+const WAIT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 
 /// Follows since when the operators' table has been behind what others have.
 #[derive(Debug)]
@@ -21,6 +26,16 @@
     limit: Duration,
     lag: Lag,
     own_position: u64,
+    /// Time at which the own position rose last.
+    advanced_at: Time,
+    /// Times of the own changes.
+    own_changes: PositionTimes,
+    /// Whether the store has answered from before the own position.
+    is_store_older: bool,
+    /// Since when a later version has been known.
+    behind_since: Option<Time>,
+    /// Time from the last report of a later version to its arrival.
+    last_wait: Duration,
     /// Last positions that the others have reported.
     reported: BTreeMap<InstanceId, u64>,
     /// Whether the present time beyond the limit has been logged.
@@ -34,6 +49,11 @@
             limit: apply.mul_f64(KNOWN_FRACTION),
             lag: Lag::default(),
             own_position: 0,
+            advanced_at: Time::ZERO,
+            own_changes: PositionTimes::default(),
+            is_store_older: false,
+            behind_since: None,
+            last_wait: Duration::ZERO,
             reported: BTreeMap::new(),
             is_logged: false,
         }
@@ -60,18 +80,27 @@
 
     /// Records that a read that was sent at `sent_at` has brought `position`.
     pub(super) fn on_read(&mut self, sent_at: Time, position: u64) {
+        if position >= self.own_position {
+            self.is_store_older = false;
+        } else if sent_at > self.advanced_at {
+            self.is_store_older = true;
+        }
         self.lag.on_read(sent_at, position);
     }
 
-    /// Records the position of the own copy.
-    pub(super) fn on_position(&mut self, position: u64) {
-        self.own_position = position;
+    /// Records the position of the own copy, and from which on no row of it has changed.
+    pub(super) fn on_position(&mut self, now: Time, position: u64, changed_at: u64) {
+        if position > self.own_position {
+            self.own_position = position;
+            self.advanced_at = now;
+        }
+        self.own_changes.record(now, changed_at);
         self.lag.on_position(position);
     }
 
-    /// Returns since when a later version has been known that can be had, and logs the begin and the end of
-    /// the time beyond the limit.
-    pub(super) fn assess(&mut self, now: Time, fleet: &Fleet) -> Option<Time> {
+    /// Works out since when a later version has been known that can be had, and returns until when the own one
+    /// may decide. The begin and the end of the time after that are logged.
+    pub(super) fn assess(&mut self, now: Time, fleet: &Fleet) -> ConfigLag {
         self.reported.retain(|id, _| fleet.members.contains_key(id));
         let holders = self.holders(now, fleet);
         let since = self.lag.behind_since(holders > 0);
@@ -88,7 +117,46 @@
             log_caught_up(&behind);
         }
         self.is_logged = is_over;
-        since
+        if let (Some(before), None) = (self.behind_since, since) {
+            self.last_wait = now - before;
+        }
+        self.behind_since = since;
+        ConfigLag {
+            outdated_from: since.map(|since| since + self.limit),
+            retry_after: self.retry_after(now, fleet, holders),
+        }
+    }
+
+    /// Returns since when a later version has been known that can be had.
+    pub(super) fn behind_since(&self) -> Option<Time> {
+        self.behind_since
+    }
+
+    /// Returns whether this instance has known of a later version for longer than it may decide by its own.
+    pub(super) fn is_outdated(&self, now: Time) -> bool {
+        let since = self.behind_since;
+        since.is_some_and(|since| now - since >= self.limit)
+    }
+
+    /// Returns whether another instance has reported an older version than this one for as long.
+    pub(super) fn is_other_outdated(&self, now: Time, id: &InstanceId) -> bool {
+        let reported = self.reported.get(id).filter(|position| **position > 0);
+        let later_at = reported.and_then(|position| self.own_changes.first_after(*position));
+        !self.is_store_older && later_at.is_some_and(|at| now - at >= self.limit)
+    }
+
+    /// Returns when callers may come back: at once where most instances have a later version, else when it is
+    /// expected here.
+    fn retry_after(&self, now: Time, fleet: &Fleet, holders: usize) -> Duration {
+        let (_, alive) = fleet.count_listed_and_alive(now);
+        if holders * 2 >= alive && holders > 0 {
+            return ELSEWHERE_DELAY;
+        }
+        let [min, max] = WAIT_DELAYS;
+        let waited = self
+            .behind_since
+            .map_or(Duration::ZERO, |since| now - since);
+        self.last_wait.saturating_sub(waited).clamp(min, max)
     }
 
     /// Returns the number of live instances that have reported a later position than the own one.
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -3,13 +3,13 @@
 
 use std::sync::Arc;
 
-use base::Time;
+use base::{InstanceId, Time};
 use coord::{Freshness, Replica};
 use entry::{message::Event, view::View};
 
 use super::{ComposedConfig, TableFollower};
 use crate::{
-    entry_points::entry_points,
+    entry_points::{entry_points, preferred},
     fleet::Fleet,
     message::PeerCommand,
     table_logs::{NewsSource, age_ms, log_rates},
@@ -84,12 +84,14 @@
         let confirmed_at = self.confirmed_at();
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
-        let behind_since = self.lateness.assess(now, &fleet);
-        self.set_gauge("config_behind_ms", age_ms(now, behind_since).unwrap_or(0));
+        self.publish_lag(now, &fleet);
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.composed.clone();
+        let entries = entry_points(now, &fleet, config.as_deref(), own);
         let view = View {
-            entries: entry_points(now, &fleet, config.as_deref(), own),
+            entries: preferred(entries, config.as_deref(), |entry| {
+                self.is_current(now, &entry.instance)
+            }),
             config: config.map(|config| (self.revision, config)),
             freshness,
             is_leaving: self.is_leaving,
@@ -145,6 +147,29 @@
         }
     }
 
+    /// Tells the engine, if that has changed, until when it may decide by the configuration.
+    fn publish_lag(&mut self, now: Time, fleet: &Fleet) {
+        let lag = self.lateness.assess(now, fleet);
+        let behind_ms = age_ms(now, self.lateness.behind_since());
+        self.set_gauge("config_behind_ms", behind_ms.unwrap_or(0));
+        let is_known = self.last_lag.is_some_and(|last| {
+            last == lag || (last.outdated_from.is_none() && lag.outdated_from.is_none())
+        });
+        if !is_known {
+            self.last_lag = Some(lag);
+            let _ = self.outputs.engine.send(Event::ConfigBehind(lag));
+        }
+    }
+
+    /// Returns whether an instance may still decide by its version, as far as this one knows.
+    fn is_current(&self, now: Time, id: &InstanceId) -> bool {
+        if *id == self.options.own_entry.instance {
+            !self.lateness.is_outdated(now)
+        } else {
+            !self.lateness.is_other_outdated(now, id)
+        }
+    }
+
     fn set_gauge(&self, name: &str, value: u64) {
         let gauges = &self.options.metrics.gauges;
         let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -79,6 +79,10 @@
     reporters: Vec<Reporter>,
     /// Position that the others report whatever the store has.
     lost_position: Option<u64>,
+    /// Time from which on the store gives no answer.
+    outage: Option<Duration>,
+    /// Time at which the others end.
+    others_end: Option<Duration>,
 }
 
 impl Scenario {
@@ -119,6 +123,28 @@
             transfers,
             reporters: reporters.collect(),
             lost_position: None,
+            outage: None,
+            others_end: None,
+        }
+    }
+
+    /// Returns a deployment of some instances in which nothing happens.
+    fn calm() -> Self {
+        let reporters = [100, 300].map(|phase_ms| Reporter {
+            phase: Duration::from_millis(phase_ms),
+            reads_after: Duration::from_millis(20),
+            loss: 0.0,
+        });
+        Self {
+            seed: 1,
+            contact: Duration::from_secs(4),
+            apply: Duration::from_millis(2_500),
+            changes: Vec::new(),
+            transfers: Vec::new(),
+            reporters: reporters.into(),
+            lost_position: None,
+            outage: None,
+            others_end: None,
         }
     }
 
@@ -144,8 +170,10 @@
     at: Duration,
     /// Version that allowed it, or why it was refused.
     outcome: Result<usize, String>,
-    /// Version that was in force.
+    /// Version that was in force at its arrival.
     in_force: usize,
+    /// Whether look-ups named the instance.
+    is_named: bool,
 }
 
 /// Answers reads of the tables.
@@ -171,6 +199,12 @@
     let next = next.find(|(idx, _)| is_operators && position_of(idx + 1) > after && after > 0);
     let next = next.map_or(deadline, |(_, at)| started + *at);
     sleep_until(next.min(deadline)).await;
+    if scenario
+        .outage
+        .is_some_and(|from| started.elapsed() >= from)
+    {
+        pending::<()>().await;
+    }
     let version = if is_operators {
         scenario.version_at(started.elapsed())
     } else {
@@ -229,8 +263,8 @@
     }
 }
 
-/// Returns an instance that is alive to the end, at no address.
-fn member(id: &InstanceId) -> FleetMember {
+/// Returns an instance that is alive until `end`, at no address for other instances.
+fn member(id: &InstanceId, end: Duration) -> FleetMember {
     let mut membership = Membership::new(RUN_TIME, RUN_TIME);
     let entry = ListEntry {
         id: id.clone(),
@@ -250,7 +284,9 @@
         },
     );
     FleetMember {
-        alive_until: Time::ZERO + RUN_TIME * 2,
+        alive_until: Time::ZERO + end,
+        entry: Some(SocketAddr::from(([127, 0, 0, 1], 2))),
+        incarnation: Some(Incarnation(1)),
         ..FleetMember::new(&membership.members()[id], None)
     }
 }
@@ -272,6 +308,12 @@
     loop {
         sleep_until(next).await;
         next += HEARTBEAT_INTERVAL;
+        if scenario
+            .others_end
+            .is_some_and(|end| started.elapsed() >= end)
+        {
+            return;
+        }
         let had = started.elapsed().checked_sub(reporter.reads_after);
         let version = had.map_or(0, |at| scenario.version_at(at));
         let position = scenario.lost_position.unwrap_or(position_of(version));
@@ -317,15 +359,16 @@
             config: config(),
         })
     };
+    let end = scenario.others_end.unwrap_or(RUN_TIME);
     let ids = (0..scenario.reporters.len()).map(reporter_id);
     let fleet = Fleet {
-        members: ids.map(|id| (id.clone(), member(&id))).collect(),
+        members: ids.map(|id| (id.clone(), member(&id, end))).collect(),
         ..Fleet::default()
     };
     let (_fleet_tx, fleet) = watch::channel(Arc::new(fleet));
     let (engine, engine_rx) = mpsc::unbounded_channel();
     let (peers, _peers_rx) = mpsc::channel(64);
-    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+    let (view, view_rx) = watch::channel(Arc::new(View::default()));
     let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
     let (tx, rx) = mpsc::channel(64);
     let follower = TableFollower::new(
@@ -365,12 +408,16 @@
     while started.elapsed() < RUN_TIME {
         sleep(ARRIVAL_INTERVAL).await;
         let at = started.elapsed();
+        let in_force = versions.lock().unwrap().last().copied();
+        let mut named = view_rx.borrow().entries.clone().into_iter();
+        let is_named = named.any(|entry| entry.instance == "own".into());
         let outcome = arrive(&engine, decided.len() as u64).await;
         let versions = versions.lock().unwrap();
         decided.push(Decided {
             at,
             outcome: outcome.map(|revision| versions[revision as usize - 1]),
-            in_force: versions.last().copied().unwrap_or(0),
+            in_force: in_force.unwrap_or(0),
+            is_named,
         });
     }
     decided
@@ -462,3 +509,74 @@
         }
     }
 }
+
+fn is_refused(decided: &Decided) -> bool {
+    decided
+        .outcome
+        .as_ref()
+        .is_err_and(|kind| kind == "outdated")
+}
+
+/// An instance that refuses is left out of its own look-ups' answers.
+#[test]
+fn outdated_instance_names_others_alone() {
+    let scenario = Scenario {
+        changes: vec![Duration::from_secs(5)],
+        transfers: vec![Transfer::Takes(Duration::from_secs(6))],
+        ..Scenario::calm()
+    };
+    let decided = run(&scenario);
+    let refused = decided.iter().filter(|one| is_refused(one)).count();
+    assert!((100..230).contains(&refused), "{refused} refused");
+    // The view may come a moment after the engine's word.
+    let differs =
+        |one: &&Decided| one.at > Duration::from_secs(1) && one.is_named == is_refused(one);
+    let differing: Vec<_> = decided.iter().filter(differs).collect();
+    assert!(differing.len() < 15, "{differing:?}");
+}
+
+/// Guards against refusals without an instance that could serve: with a store that is away for all, every
+/// instance goes on by what it has.
+#[test]
+fn outage_of_the_store_makes_nobody_refuse() {
+    let scenario = Scenario {
+        changes: vec![Duration::from_secs(9)],
+        outage: Some(Duration::from_secs(5)),
+        // Nobody has read the version.
+        lost_position: Some(position_of(0)),
+        ..Scenario::calm()
+    };
+    let refused = run(&scenario).into_iter().filter(is_refused).count();
+    assert_eq!(refused, 0);
+}
+
+/// As above, where those who had the later version have ended.
+#[test]
+fn version_that_nobody_has_any_more_is_not_waited_for() {
+    let end = Duration::from_secs(12);
+    let scenario = Scenario {
+        changes: vec![Duration::from_secs(5)],
+        others_end: Some(end),
+        ..Scenario::calm()
+    };
+    let decided = run(&scenario);
+    let refused: Vec<_> = decided.iter().filter(|one| is_refused(one)).collect();
+    assert!(refused.len() > 200, "{} refused", refused.len());
+    let last = refused.last().unwrap().at;
+    assert!(last < end + Duration::from_millis(400), "{last:?}");
+}
+
+/// Guards against refusals without end: after a store has gone back, others go on reporting the position that
+/// is lost.
+#[test]
+fn store_that_went_back_is_not_waited_for() {
+    let scenario = Scenario {
+        lost_position: Some(1_000),
+        ..Scenario::calm()
+    };
+    let decided = run(&scenario);
+    let refused = decided.iter().filter(|one| is_refused(one));
+    let last = refused.map(|one| one.at).max().unwrap_or_default();
+    // The read that was under way at the first report, and the next one.
+    assert!(last < scenario.contact * 3 / 2, "{last:?}");
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -1,6 +1,7 @@
 //! The task that owns admission, dispatch and the idle connections to targets.
 
 mod attempts;
+mod lag;
 mod loads;
 mod paths;
 mod rates;
@@ -34,6 +35,7 @@
     message::{Decision, Event, OutgoingMessage, ReachableOwner},
     view::Clock,
 };
+use lag::Outdated;
 use split::WeightedSplit;
 
 /// Workspace under which requests on open routes are queued.
@@ -82,6 +84,7 @@
     freshness: Freshness,
     freshness_valid_until: Time,
     confirmed_at: Option<Time>,
+    outdated: Outdated,
     keys: KeyIndex,
     admission: AdmissionController,
     dispatcher: Dispatcher,
@@ -172,6 +175,7 @@
             freshness: Freshness::Empty,
             freshness_valid_until: Time::ZERO,
             confirmed_at: None,
+            outdated: Outdated::default(),
             keys: KeyIndex::default(),
             admission: AdmissionController::new(options.split),
             dispatcher: Dispatcher::new(options.region, options.seed, options.policy)?,
@@ -223,6 +227,7 @@
     /// Handles one event.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
+        self.check_outdated(now);
         match event {
             Event::RequestArrived(arrival) => self.arrive(now, arrival),
             Event::Dispatch { id, fingerprint } => self.dispatch(now, id, Some(fingerprint)),
@@ -288,6 +293,7 @@
                 self.freshness_valid_until = valid_until;
                 self.confirmed_at = confirmed_at;
             }
+            Event::ConfigBehind(lag) => self.set_lag(now, lag),
             Event::HoldQuotaSlot {
                 slot,
                 until,
@@ -411,6 +417,7 @@
         let now = self.clock.now();
         let was_paused = now - self.ticked_at >= PAUSE_TIME;
         self.ticked_at = now;
+        self.check_outdated(now);
         if self.dispatcher.check_path(now, was_paused) {
             self.change_path();
         }
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -85,7 +85,7 @@
     }
 
     /// Ends a request that is not allowed any more, unless it is running.
-    fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
+    pub(super) fn withdraw(&mut self, now: Time, id: RequestId, kind: ErrorKind) -> Vec<Action> {
         let Some(request) = self.requests.get(&id) else {
             return Vec::new();
         };
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -74,6 +74,7 @@
                 let wait = match kind {
                     // The caller can retry on another instance at once.
                     ErrorKind::Leaving => Duration::from_millis(10),
+                    ErrorKind::Outdated => self.outdated.retry_after(),
                     _ => Duration::from_secs(1),
                 };
                 let refusal = Refusal::new(kind).retry_after(wait);
@@ -92,6 +93,9 @@
         if self.is_draining {
             return Err(ErrorKind::Leaving);
         }
+        if self.outdated.is_reached() {
+            return Err(ErrorKind::Outdated);
+        }
         let origin = Origin {
             host: arrival.host,
             full_path: arrival.full_path,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -76,6 +76,8 @@
         /// Time at which the configuration was last known to be the latest.
         confirmed_at: Option<Time>,
     },
+    /// The instance knows of a later configuration than the active one, or no longer does.
+    ConfigBehind(ConfigLag),
     /// The instance holds a slot, whose reservations of every workspace's rate it may use or lend.
     HoldQuotaSlot {
         /// Number of the slot.
@@ -124,6 +126,15 @@
     Status(oneshot::Sender<EngineStatus>),
 }
 
+/// Tells until when requests may be decided by the active configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigLag {
+    /// Time from which on they may not; `None` if no later configuration is known.
+    pub outdated_from: Option<Time>,
+    /// Delay after which a caller may be served, here or by another instance.
+    pub retry_after: Duration,
+}
+
 /// Describes a caller's request as the handler passes it to the engine.
 #[derive(Debug)]
 pub struct Arrival {
--- /dev/null
+++ b/crates/entry/tests/outdated.rs
@@ -0,0 +1,186 @@
+//! What an engine does from the time on from which its configuration may decide no more.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Config, ErrorKind, Key, KeyDigest, Refusal, Time, Workspace};
+use coord::{Freshness, QuotaSplit, SlotHistory};
+use dispatch::{Outcome, Policy, RequestId, RequestKind};
+use entry::{
+    dial::Dialer,
+    engine::{Engine, EngineOptions},
+    message::{Arrival, AttemptPlan, ConfigLag, Decision, Event},
+    view::Clock,
+};
+use rstest::rstest;
+use standin::config::{service, target};
+use tokio::{sync::mpsc, time::sleep};
+
+const KEY: &str = "key";
+const RETRY_AFTER: Duration = Duration::from_millis(40);
+
+/// Returns a configuration with a target for one request at a time, and a workspace that may run in the
+/// north alone.
+fn config() -> Config {
+    let mut config = standin::config::config([("north", "north")]);
+    let mut board = service(1, 10_000);
+    board.targets = [("north".into(), target("north", None))].into();
+    config.services.insert("board".into(), board);
+    let workspace = Workspace {
+        rate: 1_000.0,
+        burst: 1_000.0,
+        homes: ["north".into()].into(),
+        ..Workspace::default()
+    };
+    config.workspaces.insert("gym".into(), workspace);
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    config.keys.insert("k".into(), key);
+    config
+}
+
+fn engine() -> Engine {
+    let (relays, _) = mpsc::unbounded_channel();
+    let (outgoing, _) = mpsc::unbounded_channel();
+    let (events, _) = mpsc::unbounded_channel::<Event>();
+    let options = EngineOptions {
+        region: "north".into(),
+        seed: 1,
+        split: QuotaSplit::default(),
+        policy: Policy::default(),
+        refuses_when_isolated: false,
+    };
+    let dialer = Dialer::new(Clock::start(), relays);
+    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
+    engine.handle(Event::HoldQuotaSlot {
+        slot: 0,
+        until: Time::NEVER,
+        previous_holder: SlotHistory::NeverHeld,
+    });
+    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    engine.handle(Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::NEVER,
+        confirmed_at: None,
+    });
+    engine
+}
+
+fn fall_behind(engine: &mut Engine, outdated_from: Option<Time>) {
+    engine.handle(Event::ConfigBehind(ConfigLag {
+        outdated_from,
+        retry_after: RETRY_AFTER,
+    }));
+}
+
+fn submit(engine: &mut Engine, id: u64) -> mpsc::UnboundedReceiver<Decision> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    engine.handle(Event::RequestArrived(Arrival {
+        id: RequestId(id),
+        api_key: Some(KEY.to_owned()),
+        service: "board".into(),
+        path: "/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: "/board/x".to_owned(),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: true,
+        tx,
+    }));
+    rx
+}
+
+fn dispatch(engine: &mut Engine, id: u64) {
+    engine.handle(Event::Dispatch {
+        id: RequestId(id),
+        fingerprint: id,
+    });
+}
+
+/// Returns the plan of an attempt that a request was given, if it was.
+fn plan_of(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Option<Box<AttemptPlan>> {
+    while let Ok(decision) = rx.try_recv() {
+        if let Decision::SendAttempt(plan) = decision {
+            return Some(plan);
+        }
+    }
+    None
+}
+
+fn refusal(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Option<Refusal> {
+    while let Ok(decision) = rx.try_recv() {
+        if let Decision::Refuse(refusal) = decision {
+            return Some(refusal);
+        }
+    }
+    None
+}
+
+fn expected() -> Option<Refusal> {
+    Some(Refusal::new(ErrorKind::Outdated).retry_after(RETRY_AFTER))
+}
+
+/// Guards against HOME and CONFIG: arriving requests were decided by a configuration of which it was known
+/// that it isn't the latest.
+#[rstest]
+#[case::in_force(None, None)]
+#[case::behind_for_a_moment(Some(Time::NEVER), None)]
+#[case::outdated(Some(Time::ZERO), expected())]
+#[tokio::test]
+async fn arriving_request_is_refused_while_outdated(
+    #[case] outdated_from: Option<Time>,
+    #[case] expected: Option<Refusal>,
+) {
+    let mut engine = engine();
+    fall_behind(&mut engine, outdated_from);
+    assert_eq!(refusal(&mut submit(&mut engine, 1)), expected);
+    fall_behind(&mut engine, None);
+    let mut rx = submit(&mut engine, 2);
+    dispatch(&mut engine, 2);
+    assert!(plan_of(&mut rx).is_some());
+}
+
+/// Guards against HOME and CONFIG: requests whose bodies were still arriving, or that waited for a target, were
+/// sent by a configuration of which it was known that it isn't the latest.
+#[tokio::test]
+async fn waiting_requests_are_refused_once_outdated() {
+    let mut engine = engine();
+    let mut running = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    assert!(plan_of(&mut running).is_some());
+    let mut queued = submit(&mut engine, 2);
+    dispatch(&mut engine, 2);
+    let mut arriving = submit(&mut engine, 3);
+    fall_behind(&mut engine, Some(Time::ZERO));
+    dispatch(&mut engine, 3);
+    assert_eq!(refusal(&mut queued), expected());
+    assert_eq!(refusal(&mut arriving), expected());
+    assert_eq!(refusal(&mut running), None);
+    // What runs goes on, and isn't tried again.
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Refused,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    let kind = refusal(&mut running).map(|refusal| refusal.kind);
+    assert_eq!(kind, Some(ErrorKind::Outdated));
+}
+
+/// The time comes without another word of the follower.
+#[tokio::test]
+async fn waiting_request_is_refused_when_the_time_comes() {
+    let outdated_from = Duration::from_millis(300);
+    let mut engine = engine();
+    fall_behind(&mut engine, Some(Time::ZERO + outdated_from));
+    let mut waiting = submit(&mut engine, 1);
+    assert_eq!(refusal(&mut waiting), None);
+    sleep(outdated_from).await;
+    dispatch(&mut engine, 1);
+    assert_eq!(refusal(&mut waiting), expected());
+}
