feat(coord): tables by parts that are named by a hash of their content

One changed weight made an instance transfer the operators' whole document. coord::parts cuts the rows' texts where their content says so (FastCDC), lists the parts in groups that are named by a hash themselves, and assembles a table from what the receiver has and what it lacks; wire::Packed compresses (LZ4) and unpacks up to a bound. Nothing uses them yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod membership;
 mod owner;
+pub mod parts;
 mod quota;
 mod replica;
 mod version_tracker;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod frame;
 pub mod marked;
+mod packed;
 mod session;
 pub mod stream;
 mod window;
 
 pub use frame::{MAX_DATAGRAM_BYTES, Secret, WireError};
+pub use packed::{Packed, UnpackError};
 pub use session::{OpenedFrame, Sessions};
 pub use window::ReplayWindow;
