feat(daemon): tables are fetched by parts, or compressed

Now the caller tells the groups of parts that it knows, gets the list of the others, and asks for the parts that it lacks. Calls and replies are added behind the last ones; format 5 is the first one with them, earlier ones are asked for whole tables as before. Whole tables between instances of format 5 are compressed. A task of its own cuts and compresses a version once, when it is first asked for; the ledger passes calls for tables on to it. Parts are fetched while an own read is arriving, whole tables still aren't. A source that lies or ends is followed by another, and two failures by the whole table; bad answers are counted (table_parts_refused) and logged (table_fetched: parts, parts_fetched, fault).

Samples of format 5 in tests/formats; cases of format 4 are added to the tests that had the own format as the last one, and the expected text of an unread message names formats 6 and 5 instead of 5 and 4.

Ruled out: one list without groups, which would be 29 KB for 1,605 parts of 18 bytes.

--- a/crates/coord/src/parts/assembly.rs
+++ b/crates/coord/src/parts/assembly.rs
@@ -26,8 +26,8 @@
     missing: BTreeMap<PartId, u32>,
     /// Parts that have arrived.
     taken: BTreeMap<PartId, Box<[u8]>>,
-    asked: usize,
     listed: usize,
+    listed_bytes: usize,
 }
 
 /// Describes one row to be assembled.
@@ -63,7 +63,7 @@
         }
         Ok(Self {
             listed: rows.iter().flat_map(Row::parts).count(),
-            asked: wanted.len(),
+            listed_bytes: rows.iter().flat_map(Row::parts).map(size).sum(),
             rows,
             position: list.position,
             own: own.clone(),
@@ -83,9 +83,9 @@
         self.listed
     }
 
-    /// Returns the number of parts that the own table lacked.
-    pub fn asked(&self) -> usize {
-        self.asked
+    /// Returns the size of the texts that the list names, in bytes.
+    pub fn listed_bytes(&self) -> usize {
+        self.listed_bytes
     }
 
     /// Takes a part that has arrived.
@@ -154,7 +154,7 @@
     }
 
     fn text(&self, row: &Row, known: &BTreeMap<PartId, &[u8]>) -> Result<Arc<str>, PartsError> {
-        let mut text = Vec::with_capacity(row.parts().map(|part| part.len as usize).sum());
+        let mut text = Vec::with_capacity(row.parts().map(size).sum());
         for part in row.parts() {
             let taken = self.taken.get(&part.id).map(Box::as_ref);
             let content = taken.or(known.get(&part.id).copied());
@@ -181,6 +181,10 @@
     }
 }
 
+fn size(part: Part) -> usize {
+    part.len as usize
+}
+
 /// Returns the rows of a list with all their parts.
 fn read_list(own: &TableCut, list: &TableList) -> Result<Vec<Row>, PartsError> {
     let listed = list.groups.iter().map(|parts| Group::new(parts));
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -6,7 +6,7 @@
 use coord::{Member, Presence, rendezvous_rank};
 
 use crate::{
-    format::{FORMAT_WITHOUT_QUARANTINE, FORMAT_WITHOUT_RATES},
+    format::{FORMAT_WITHOUT_PARTS, FORMAT_WITHOUT_QUARANTINE, FORMAT_WITHOUT_RATES},
     message::PeerHeartbeat,
 };
 
@@ -170,6 +170,11 @@
         self.format != FORMAT_WITHOUT_RATES
     }
 
+    /// Returns whether the instance answers calls for parts of tables and for compressed ones.
+    pub fn takes_parts(&self) -> bool {
+        self.format > FORMAT_WITHOUT_PARTS
+    }
+
     /// Returns whether the instance carries connections to targets as this build asks for them.
     pub fn carries_connections(&self) -> bool {
         self.format > FORMAT_WITHOUT_QUARANTINE
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -3,26 +3,29 @@
 //! Each table is followed by long polling. Heartbeats carry the positions up to which an instance
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
+mod fetching;
 mod publication;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
-use platform::{Progress, Received};
+use platform::Received;
 use tokio::{
     sync::{mpsc, watch},
     task::AbortHandle,
     time::sleep_until,
 };
 
+use self::fetching::{PartsState, count_fault};
 use super::{FollowerOptions, Outputs};
 use crate::{
+    fleet::FleetMember,
     message::FollowerMessage,
-    rpc,
+    table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_older, log_read_failure},
     table_reads::{
-        Fetch, PlatformRead, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
+        PlatformRead, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
     },
 };
 
@@ -83,6 +86,8 @@
     confirmed_at: Option<Time>,
     catch_up: CatchUp,
     fetches: Vec<OpenFetch>,
+    /// What is known of the replica's parts, and of fetches by them.
+    parts: PartsState,
     is_reachable: bool,
     /// Time at which its position rose last.
     advanced_at: Time,
@@ -151,6 +156,7 @@
                 confirmed_at: None,
                 catch_up: CatchUp::new(PEER_FETCH_DELAYS),
                 fetches: Vec::new(),
+                parts: PartsState::default(),
                 is_reachable: false,
                 advanced_at: Time::ZERO,
             })
@@ -263,7 +269,7 @@
         let mut source = NewsSource::Platform;
         let is_changed = match read {
             TableRead::Arriving => {
-                table.catch_up.postpone(now);
+                table.parts.read_until = now + PEER_FETCH_DELAYS.max;
                 return false;
             }
             TableRead::Failed(failure) => {
@@ -278,8 +284,10 @@
             TableRead::Fetched(fetch) => {
                 log_fetch(now, name, before, &fetch);
                 source = NewsSource::Instance(fetch.from);
-                let snapshot = fetch.snapshot;
-                snapshot.is_some_and(|snapshot| table.replica.replace(now, snapshot))
+                table.parts.on_fetched(&fetch.received, &fetch.fetched);
+                count_fault(&self.options.metrics, &fetch.fetched);
+                let found = fetch.fetched.table;
+                found.is_some_and(|found| table.replica.replace(now, found))
             }
             TableRead::Snapshot(read) => {
                 table.record_answer(now, name, &read);
@@ -296,6 +304,7 @@
         let position = table.replica.position();
         if position > before {
             table.advanced_at = now;
+            table.parts.failures = 0;
         }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
@@ -317,7 +326,8 @@
     }
 
     /// Fetches tables of which other instances have reported a later position for
-    /// [`PEER_FETCH_DELAYS`] and of which nothing is arriving, and removes rows whose grace period is over.
+    /// [`PEER_FETCH_DELAYS`] and of which nothing is arriving from others, and removes rows whose grace period
+    /// is over. While an own read is arriving, only parts are fetched.
     fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
@@ -337,22 +347,18 @@
                 table.catch_up.remove_source(&from);
                 continue;
             };
-            let (secret, tx) = (self.options.secret.clone(), tx.clone());
-            let progress = Progress::start();
-            let received = progress.received();
-            let fetch = tokio::spawn(async move {
-                let snapshot = rpc::fetch_table(&secret, addr, idx as u32, &progress).await;
-                let received = *progress.received().borrow();
-                let fetch = Fetch {
-                    from,
-                    asked_at: now,
-                    received,
-                    snapshot,
-                };
-                let _ = tx.send((idx, TableRead::Fetched(fetch))).await;
-            });
-            let task = fetch.abort_handle();
-            table.fetches.push(OpenFetch { received, task });
+            let takes_parts = member.is_some_and(FleetMember::takes_parts);
+            let Some(way) = table.fetch_way(now, takes_parts) else {
+                table.catch_up.postpone(now);
+                continue;
+            };
+            let source = Source {
+                secret: self.options.secret.clone(),
+                addr,
+                index: idx as u32,
+                way,
+            };
+            table.start_fetch(now, from, source, tx.clone());
         }
         if is_changed {
             self.compose(now, known_at, &NewsSource::GracePeriod);
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -10,7 +10,7 @@
 use crate::message::{PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
-pub const OWN_FORMAT: u32 = 4;
+pub const OWN_FORMAT: u32 = 5;
 /// Format in which heartbeats end with the positions of tables, and reports of rates don't exist. Its
 /// calls over TCP have another opening, so none are made to instances that speak it.
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
@@ -19,6 +19,8 @@
 /// Format in which quarantines aren't reported. Some of its builds, and all earlier ones, don't mark the
 /// end of connections that they carry.
 pub(crate) const FORMAT_WITHOUT_QUARANTINE: u32 = 3;
+/// Format without calls for parts of tables and for compressed ones.
+pub(crate) const FORMAT_WITHOUT_PARTS: u32 = 4;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -7,7 +7,6 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{ErrorKind, Incarnation, InstanceId};
-use coord::TableSnapshot;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, Ledger, RequestId, SavedAnswer};
 use entry::{
     message::LedgerCall,
@@ -38,7 +37,7 @@
     ledger: Ledger,
     remote: RemoteClaims,
     view: watch::Receiver<Arc<View>>,
-    snapshots: watch::Receiver<Arc<Vec<TableSnapshot>>>,
+    tables: mpsc::Sender<IncomingCall>,
 }
 
 /// Claims and settles actions at other instances and in the platform's table.
@@ -69,8 +68,8 @@
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// Active configuration and its freshness.
     pub view: watch::Receiver<Arc<View>>,
-    /// Followed tables that other instances may fetch.
-    pub snapshots: watch::Receiver<Arc<Vec<TableSnapshot>>>,
+    /// Channel to the task that answers calls for followed tables.
+    pub tables: mpsc::Sender<IncomingCall>,
 }
 
 /// Locates the record of an action.
@@ -122,7 +121,7 @@
                 fleet: options.fleet,
             },
             view: options.view,
-            snapshots: options.snapshots,
+            tables: options.tables,
         }
     }
 
@@ -263,9 +262,10 @@
                 Reply::Settled
             }
             Call::Object(digest) => Reply::Object(self.config_object(&digest)),
-            Call::Table(index) => {
-                let snapshots = self.snapshots.borrow();
-                Reply::Table(snapshots.get(index as usize).cloned())
+            Call::Table(_) | Call::PackedTable(_) | Call::TableList { .. } | Call::Parts { .. } => {
+                // Too many at the same time stay unanswered; their callers ask another instance.
+                let _ = self.tables.try_send(incoming);
+                return;
             }
         };
         let _ = incoming.reply.send(reply);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,5 +21,7 @@
 pub mod relay;
 pub mod rpc;
 pub mod slots;
+pub mod table_fetch;
 mod table_logs;
 pub mod table_reads;
+pub mod table_server;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -51,6 +51,7 @@
     relay::{self, RelayServer},
     slots::{Slots, SlotsOptions},
     table_reads::ReadTiming,
+    table_server::TableServer,
 };
 
 /// Maximum lag of the platform's list; an instance absent from the list for longer has ended.
@@ -310,6 +311,7 @@
     });
     tokio::spawn(planner.run());
 
+    let (tables_tx, tables_rx) = mpsc::channel(CHANNEL_CAPACITY);
     let ledger = LedgerTask::new(LedgerTaskOptions {
         clock,
         own_id: own_id.clone(),
@@ -320,9 +322,10 @@
         secret,
         fleet: fleet_rx.clone(),
         view: view_rx.clone(),
-        snapshots: snapshots_rx,
+        tables: tables_tx,
     });
     tokio::spawn(ledger.run(ledger_rx, incoming_rx));
+    tokio::spawn(TableServer::new(snapshots_rx).run(tables_rx));
     if probes_targets {
         tokio::spawn(probes::run(view_rx.clone(), engine_tx.clone()));
     }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -22,8 +22,11 @@
 /// Fact that counts calls of other builds which can't be read.
 const UNREAD_GAUGE: &str = "calls_unread";
 
-/// Maximum number of whole tables that are sent to other instances at the same time.
+/// Maximum number of whole tables, or large numbers of their parts, that are sent to other instances at
+/// the same time.
 const MAX_TABLES_SENT: usize = 2;
+/// Number of parts that are sent whatever else is being sent.
+const FEW_PARTS: usize = 64;
 
 /// Accepts calls until the receiver of `tx` is dropped; `relays` answers those for connections to
 /// targets. Calls that can't be read are counted and not answered.
@@ -76,7 +79,7 @@
     match opening {
         Opening::Call(call) => {
             let Some(_reservation) = reserve_transfer(&call, &tables) else {
-                return write_reply(&mut stream, &secret, &peer_nonce, &Reply::Table(None)).await;
+                return write_reply(&mut stream, &secret, &peer_nonce, &refusal(&call)).await;
             };
             let reply = timeout(CALL_TIMEOUT, answer_call(call, &tx)).await??;
             write_reply(&mut stream, &secret, &peer_nonce, &reply).await
@@ -113,11 +116,23 @@
 /// are taken: the caller asks another instance after its retry delay.
 fn reserve_transfer(call: &Call, tables: &Arc<Semaphore>) -> Option<Reservation> {
     match call {
-        Call::Table(_) => {
+        Call::Parts { ids, .. } if ids.len() <= FEW_PARTS => Some(Reservation::NotNeeded),
+        Call::Table(_) | Call::PackedTable(_) | Call::Parts { .. } => {
             let permit = tables.clone().try_acquire_owned().ok()?;
             Some(Reservation::Table { _permit: permit })
         }
-        Call::Claim { .. } | Call::Settle { .. } | Call::Object(_) => Some(Reservation::NotNeeded),
+        Call::Claim { .. } | Call::Settle { .. } | Call::Object(_) | Call::TableList { .. } => {
+            Some(Reservation::NotNeeded)
+        }
+    }
+}
+
+/// Returns the reply to a call for which there is no place.
+fn refusal(call: &Call) -> Reply {
+    match call {
+        Call::Parts { .. } => Reply::Parts(None),
+        Call::PackedTable(_) => Reply::PackedTable(None),
+        _ => Reply::Table(None),
     }
 }
 
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -4,12 +4,12 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use base::{Incarnation, TargetId};
-use coord::TableSnapshot;
+use coord::{TableSnapshot, parts::PartId};
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
 use platform::Progress;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::oneshot};
-use wire::{Secret, stream};
+use wire::{Packed, Secret, stream};
 
 /// Requests something from another instance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -40,6 +40,22 @@
     Object(String),
     /// Fetches the followed table with this index.
     Table(u32),
+    /// Fetches the list of the parts of a followed table.
+    TableList {
+        /// Index of the table.
+        index: u32,
+        /// Groups of parts that the caller knows.
+        known: Vec<PartId>,
+    },
+    /// Fetches parts of a followed table.
+    Parts {
+        /// Index of the table.
+        index: u32,
+        /// The parts.
+        ids: Vec<PartId>,
+    },
+    /// Fetches the followed table with this index compressed.
+    PackedTable(u32),
 }
 
 /// Answers a [`Call`].
@@ -53,6 +69,12 @@
     Object(Option<String>),
     /// Carries the table, or `None` if the instance hasn't read it.
     Table(Option<TableSnapshot>),
+    /// Carries a [`TableList`](coord::parts::TableList), or `None` if the instance hasn't read the table.
+    TableList(Option<Packed>),
+    /// Carries the parts with their contents, or `None` if the instance doesn't have all of them.
+    Parts(Option<Packed>),
+    /// Carries the table as [`Reply::Table`] does.
+    PackedTable(Option<Packed>),
 }
 
 /// Opens a connection between two instances.
@@ -77,6 +99,8 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// Maximum size of the parts that one reply carries, in bytes.
+pub(crate) const MAX_BATCH_BYTES: usize = 1024 * 1024;
 /// Time without a byte in which a call counts as unanswered.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const NONCE_BYTES: usize = 16;
@@ -91,7 +115,7 @@
 }
 
 /// Calls as [`call`] does, and reports to `progress` what has arrived of the reply.
-async fn call_reporting(
+pub(crate) async fn call_reporting(
     secret: &Secret,
     addr: SocketAddr,
     call: &Call,
@@ -109,7 +133,7 @@
 pub async fn fetch_object(secret: &Secret, addr: SocketAddr, digest: &str) -> Option<String> {
     match call(secret, addr, &Call::Object(digest.to_owned())).await? {
         Reply::Object(text) => text,
-        Reply::Claim(_) | Reply::Settled | Reply::Table(_) => None,
+        _ => None,
     }
 }
 
@@ -123,7 +147,7 @@
 ) -> Option<TableSnapshot> {
     match call_reporting(secret, addr, &Call::Table(index), progress).await? {
         Reply::Table(snapshot) => snapshot,
-        Reply::Claim(_) | Reply::Settled | Reply::Object(_) => None,
+        _ => None,
     }
 }
 
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -56,8 +56,12 @@
 
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
-    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
-    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
+    let fetched = &fetch.fetched;
+    let position = fetched.table.as_ref().map(|table| table.position);
+    let rows = fetched.table.as_ref().map(|table| table.rows.len());
+    let parts = fetched.parts.map(|parts| parts.listed);
+    let parts_fetched = fetched.parts.map(|parts| parts.fetched);
+    let fault = fetched.fault.map(|fault| fault.to_string());
     let took_ms = (now - fetch.asked_at).as_millis() as u64;
     let received_bytes = fetch.received.bytes;
     tracing::info!(
@@ -67,8 +71,11 @@
         before,
         position,
         rows,
+        parts,
+        parts_fetched,
         received_bytes,
         took_ms,
+        fault,
     );
 }
 
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -12,6 +12,8 @@
     time::{Instant, sleep, sleep_until},
 };
 
+use crate::table_fetch::Fetched;
+
 /// Delay between two polls, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -115,7 +117,7 @@
     pub(crate) asked_at: Time,
     /// What has arrived of the answer.
     pub(crate) received: Received,
-    pub(crate) snapshot: Option<TableSnapshot>,
+    pub(crate) fetched: Fetched,
 }
 
 /// Tells a [`TableReader`] what to read, and how.
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -40,6 +40,10 @@
 
 /// First format whose heartbeats name the build.
 const FORMAT_WITH_BUILD: u32 = 3;
+/// First format in which quarantines are reported.
+const FORMAT_WITH_QUARANTINE: u32 = 4;
+/// First format with calls for parts of tables.
+const FORMAT_WITH_PARTS: u32 = 5;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -103,6 +107,7 @@
 #[case::without_rates(1)]
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
+#[case::without_parts(4)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -127,7 +132,7 @@
     if format > 1 {
         assert_eq!(decode(&sample(format, "rates"), Some(format)), Ok(rates()));
     }
-    if format == OWN_FORMAT {
+    if format >= FORMAT_WITH_QUARANTINE {
         for (name, message) in quarantines() {
             assert_eq!(decode(&sample(format, name), Some(format)), Ok(message));
         }
@@ -176,6 +181,7 @@
 #[case::without_rates(1)]
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
+#[case::without_parts(4)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -189,7 +195,8 @@
     }
     assert_eq!(encode(&rates(), format).is_some(), format > 1);
     for (name, message) in quarantines() {
-        assert_eq!(encode(&message, format), None, "{name}");
+        let known = (format >= FORMAT_WITH_QUARANTINE).then(|| sample(format, name));
+        assert_eq!(encode(&message, format), known, "{name}");
     }
 }
 
@@ -198,6 +205,7 @@
 #[case::without_rates(1)]
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
+#[case::without_parts(4)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -210,11 +218,58 @@
     }
 }
 
+/// Calls for parts of tables and what they bring are read in every format that has them.
+#[rstest]
+#[case::own(OWN_FORMAT)]
+fn calls_for_parts_are_read(#[case] format: u32) {
+    assert!(format >= FORMAT_WITH_PARTS);
+    for (name, call) in samples::part_calls() {
+        let read: Call = postcard::from_bytes(&sample(format, name)).unwrap();
+        assert_eq!(format!("{read:?}"), format!("{call:?}"), "{name}");
+    }
+    for ((name, _), (packed, content)) in samples::part_replies().iter().zip(samples::packed()) {
+        assert_eq!(sample(format, packed), content, "{packed}");
+        // Compressed bytes may differ between builds; what they hold may not.
+        let read: Reply = postcard::from_bytes(&sample(format, name)).unwrap();
+        let (Reply::TableList(Some(held))
+        | Reply::Parts(Some(held))
+        | Reply::PackedTable(Some(held))) = read
+        else {
+            panic!("{name}: {read:?}");
+        };
+        assert_eq!(held.unpack(content.len()), Ok(content), "{name}");
+    }
+    let list = postcard::from_bytes(&sample(format, "packed-list"));
+    assert_eq!(list, Ok(samples::table_list()));
+    let parts = postcard::from_bytes(&sample(format, "packed-parts"));
+    assert_eq!(parts, Ok(samples::parts()));
+    let table = postcard::from_bytes(&sample(format, "packed-table"));
+    assert_eq!(table, Ok(samples::table()));
+}
+
+/// Guards against an earlier build that is asked for what it can't read: its calls end before these.
+#[rstest]
+#[case::without_rates(1)]
+#[case::without_number(2)]
+#[case::without_quarantine(3)]
+#[case::without_parts(4)]
+fn earlier_formats_have_no_calls_for_parts(#[case] format: u32) {
+    let last = sample(format, "call-table")[0];
+    for (name, call) in samples::part_calls() {
+        assert!(postcard::to_stdvec(&call).unwrap()[0] > last, "{name}");
+    }
+    let last = sample(format, "reply-table")[0];
+    for (name, reply) in samples::part_replies() {
+        assert!(postcard::to_stdvec(&reply).unwrap()[0] > last, "{name}");
+    }
+}
+
 /// What opens a connection is read from every format that has it: earlier builds ask for connections
 /// whose end is not marked.
 #[rstest]
 #[case::without_number(2, 2)]
 #[case::without_quarantine(3, 2)]
+#[case::without_parts(4, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -227,6 +282,7 @@
 #[rstest]
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
+#[case::without_parts(4)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -264,7 +320,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 5 can't be read by format 4"
+        "a message of kind 77 in format 6 can't be read by format 5"
     );
 }
 
@@ -307,6 +363,7 @@
 #[case::without_rates(1, &[])]
 #[case::without_number(2, &[1])]
 #[case::without_quarantine(3, &[7, 8])]
+#[case::without_parts(4, &[7, 8])]
 #[case::own(OWN_FORMAT, &[7, 8])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
--- a/crates/daemon/tests/formats/samples.rs
+++ b/crates/daemon/tests/formats/samples.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use base::Incarnation;
-use coord::{Grant, GrantRequest, GrantUsage, Head, Heartbeat, Loan, ReplicaRow, TableSnapshot};
+use coord::{
+    Grant, GrantRequest, GrantUsage, Head, Heartbeat, Loan, ReplicaRow, TableSnapshot,
+    parts::{Part, PartId, RowContent, RowList, TableList},
+};
 use daemon::{
     message::{PeerHeartbeat, PeerMessage},
     peers::initial_heartbeat,
     rpc::{Call, Opening, Reply},
 };
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, ConnectionLoss, SavedAnswer};
+use wire::Packed;
 
 /// Returns a heartbeat with all fields that every format has.
 pub(crate) fn heartbeat() -> PeerHeartbeat {
@@ -133,22 +137,85 @@
 
 /// Returns the replies to calls, by name.
 pub(crate) fn replies() -> Vec<(&'static str, Reply)> {
+    vec![
+        ("reply-claim", Reply::Claim(ClaimOutcome::InProgress)),
+        ("reply-settled", Reply::Settled),
+        ("reply-object", Reply::Object(Some("{}".to_owned()))),
+        ("reply-table", Reply::Table(Some(table()))),
+    ]
+}
+
+/// Returns a table with one row.
+pub(crate) fn table() -> TableSnapshot {
     let row = ReplicaRow {
         value: "{}".into(),
         position: 69,
     };
-    let snapshot = TableSnapshot {
+    TableSnapshot {
         rows: [("t1".to_owned(), row)].into(),
         position: 70,
-    };
+    }
+}
+
+/// Returns the calls for parts of tables and for compressed ones, by name.
+pub(crate) fn part_calls() -> Vec<(&'static str, Call)> {
+    let (index, id) = (1, PartId::of(b"a part"));
+    let known = vec![id];
+    let ids = vec![id, PartId::of(b"another part")];
     vec![
-        ("reply-claim", Reply::Claim(ClaimOutcome::InProgress)),
-        ("reply-settled", Reply::Settled),
-        ("reply-object", Reply::Object(Some("{}".to_owned()))),
-        ("reply-table", Reply::Table(Some(snapshot))),
+        ("call-table-list", Call::TableList { index, known }),
+        ("call-parts", Call::Parts { index, ids }),
+        ("call-packed-table", Call::PackedTable(index)),
+    ]
+}
+
+/// Returns the replies to [`part_calls`], by name. Their contents are what [`packed`] returns.
+pub(crate) fn part_replies() -> Vec<(&'static str, Reply)> {
+    let [list, parts, table] = packed().map(|(_, content)| Some(Packed::new(&content)));
+    vec![
+        ("reply-table-list", Reply::TableList(list)),
+        ("reply-parts", Reply::Parts(parts)),
+        ("reply-packed-table", Reply::PackedTable(table)),
+    ]
+}
+
+/// Returns the contents that are sent compressed, by name.
+pub(crate) fn packed() -> [(&'static str, Vec<u8>); 3] {
+    let (list, parts, table) = (table_list(), parts(), table());
+    [
+        ("packed-list", postcard::to_stdvec(&list).unwrap()),
+        ("packed-parts", postcard::to_stdvec(&parts).unwrap()),
+        ("packed-table", postcard::to_stdvec(&table).unwrap()),
     ]
 }
 
+/// Returns a list with a short row and a long one.
+pub(crate) fn table_list() -> TableList {
+    let part = Part {
+        id: PartId::of(b"a part"),
+        len: 6,
+    };
+    let rows = [
+        ("t1", RowContent::Parts(vec![part])),
+        ("t2", RowContent::Groups(vec![PartId::of(b"a group")])),
+    ];
+    let rows = rows.map(|(name, content)| RowList {
+        name: name.to_owned(),
+        position: 69,
+        content,
+    });
+    TableList {
+        position: 70,
+        rows: rows.into(),
+        groups: vec![vec![part, part]],
+    }
+}
+
+/// Returns parts with their contents.
+pub(crate) fn parts() -> Vec<(PartId, Vec<u8>)> {
+    vec![(PartId::of(b"a part"), b"a part".to_vec())]
+}
+
 /// Returns what opens a connection between instances, by name.
 pub(crate) fn openings() -> Vec<(&'static str, Opening)> {
     vec![
@@ -173,5 +240,14 @@
     let replies = replies().into_iter().map(|(name, one)| line(name, &one));
     let openings = openings().into_iter().map(|(name, one)| line(name, &one));
     let all = messages.chain(calls).chain(replies).chain(openings);
-    all.collect()
+    let mut all: Vec<String> = all.collect();
+    let calls = part_calls().into_iter();
+    all.extend(calls.map(|(name, one)| line(name, &one)));
+    let replies = part_replies().into_iter();
+    all.extend(replies.map(|(name, one)| line(name, &one)));
+    for (name, content) in packed() {
+        let hex: String = content.iter().map(|byte| format!("{byte:02x}")).collect();
+        all.push(format!("{name} {hex}"));
+    }
+    all
 }
