merge: tables between instances by parts

Joined with what an instance knows of later versions: both look at answers that are arriving. An own answer that began to arrive before the rows came from another instance by parts tells of nothing later, so it doesn't count as being behind (coord::Lag, lateness.rs); otherwise an instance that had the version by parts would be outdated until its own transfer ended.

--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -149,8 +149,12 @@
         }
     }
 
-    /// Records the position of the own copy.
+    /// Records the position of the own copy. If it has risen, an answer that was arriving meanwhile tells of
+    /// nothing later.
     pub fn on_position(&mut self, position: u64) {
+        if position > self.position {
+            self.arriving_since = None;
+        }
         self.position = self.position.max(position);
         self.later.forget_to(self.position);
     }
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -14,6 +14,7 @@
 mod lease;
 mod membership;
 mod owner;
+pub mod parts;
 mod quota;
 mod replica;
 mod version_tracker;
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -65,9 +65,10 @@
         self.reported.insert(from.clone(), position);
     }
 
-    /// Records that an answer is arriving; one that began at no known time tells of nothing later.
+    /// Records that an answer is arriving; one that began at no known time, or before the own position rose by a
+    /// fetch, tells of nothing later.
     pub(super) fn on_arriving(&mut self, begun_at: Option<Time>) {
-        match begun_at {
+        match begun_at.filter(|at| *at > self.advanced_at) {
             Some(at) => self.lag.on_arriving(at),
             None => self.lag.on_read_failure(),
         }
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -90,8 +90,12 @@
 
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
-    let position = fetch.snapshot.as_ref().map(|snapshot| snapshot.position);
-    let rows = fetch.snapshot.as_ref().map(|snapshot| snapshot.rows.len());
+    let fetched = &fetch.fetched;
+    let position = fetched.table.as_ref().map(|table| table.position);
+    let rows = fetched.table.as_ref().map(|table| table.rows.len());
+    let parts = fetched.parts.map(|parts| parts.listed);
+    let parts_fetched = fetched.parts.map(|parts| parts.fetched);
+    let fault = fetched.fault.map(|fault| fault.to_string());
     let took_ms = (now - fetch.asked_at).as_millis() as u64;
     let received_bytes = fetch.received.bytes;
     tracing::info!(
@@ -101,8 +105,11 @@
         before,
         position,
         rows,
+        parts,
+        parts_fetched,
         received_bytes,
         took_ms,
+        fault,
     );
 }
 
