fix(coord): setting a quota keeps the tokens that are lent to an owner

Cause: QuotaOwner::set_quota set the quota of its bucket by the bucket's own limit, the burst of the owner's part. With all of a quota in reservations (reserved_share 1, as owners run) that part is nothing, so each call discarded all tokens that others had lent. Owners called it for each owned workspace with every activation, also with those that changed nothing of a workspace: a row of a target was enough.

Change: the owner's bucket takes the new quota without regard to its own burst, and the refill that follows applies the whole limit: the owner's part and the lent reservations by the new quota, less what is outstanding. Owners set quotas only when the configured workspaces have changed.

Ruled out: holders. Admission already passes over activations that leave the workspaces as they are, and a reservation's bucket keeps what its own burst allows.

--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -115,11 +115,13 @@
         self.valid_until = until;
     }
 
-    /// Sets the whole quota, of which this owner has a part.
+    /// Sets the whole quota, of which this owner has a part; discards tokens above what the new one and the
+    /// reservations that are lent to this owner may hold.
     pub fn set_quota(&mut self, now: Time, whole: Quota) {
         self.refill(now);
-        self.bucket.set_quota(now, self.split.owner_quota(whole));
+        self.bucket.replace_quota(self.split.owner_quota(whole));
         self.reservation_quota = self.split.reservation(whole);
+        self.refill(now);
     }
 
     /// Adds or renews a loan that was made no earlier than `not_before` on this owner's clock.
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -221,6 +221,11 @@
         self.level = self.level.min(quota.burst);
     }
 
+    /// Replaces the quota of a refilled bucket without regard to the burst; the next refill applies the cap.
+    pub(crate) fn replace_quota(&mut self, quota: Quota) {
+        self.quota = quota;
+    }
+
     /// Returns the quota by which the bucket is refilled.
     pub fn quota(&self) -> Quota {
         self.quota
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -320,13 +320,14 @@
             return;
         }
         self.version = version;
-        let now = self.options.clock.now();
-        if self.configured != config.workspaces {
-            self.configured = config.workspaces.clone();
-            self.workspaces = quotas(&config);
-            self.owned
-                .retain(|workspace, _| config.workspaces.contains_key(workspace));
+        if self.configured == config.workspaces {
+            return;
         }
+        let now = self.options.clock.now();
+        self.configured = config.workspaces.clone();
+        self.workspaces = quotas(&config);
+        self.owned
+            .retain(|workspace, _| config.workspaces.contains_key(workspace));
         for (workspace, owner) in &mut self.owned {
             if let Some(quota) = self.workspaces.get(workspace) {
                 owner.set_quota(now, *quota);
