fix(daemon): the pause between two polls counts from when the first was answered

Cause: the next poll of a table was sent 100 ms after the last answer was complete, so that changes in quick succession cost one poll. After an answer that took two seconds over the instance's link, what changed meanwhile had waited long enough, and waited 100 ms more.

Change: the pause counts from the first byte of the answer. After a short answer nothing changes: the same pause, the same number of polls.

Ruled out: counting from the sending of the poll. A poll that waited for a change would be followed at once, and changes in quick succession would cost one poll more.

The new test changes_in_quick_succession_are_read_together and all others of the file pass.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -12,7 +12,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-/// Delay between two polls, so that changes in quick succession cost one poll.
+/// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
@@ -290,15 +290,18 @@
         let idx = self.open.iter().position(|poll| poll.number == number)?;
         match result {
             Ok(read) => {
+                let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
                     self.position = Some(read.position);
+                    answered_at = self.options.clock.instant(read.answered_at);
                 }
                 // The others can't bring anything newer: they ask for what has come, or for less. Where any
                 // was sent after it, its own connection is no longer kept.
                 self.is_reconnecting = number + 1 < self.next_number;
                 self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
-                *step = Step::Poll(Instant::now() + POLL_DELAY);
+                // What changed while a long answer arrived has waited long enough.
+                *step = Step::Poll(answered_at + POLL_DELAY);
                 Some(read)
             }
             Err(PlatformError::HistoryGone) => {
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -613,6 +613,48 @@
     assert!(late.is_empty(), "by length of the transfer in ms: {late:?}");
 }
 
+/// Guards against CONFIG: after an answer that took long to arrive, an instance waited before it read what
+/// had changed meanwhile, as it does after a short one so that more may come together.
+#[rstest]
+#[case::short(200)]
+#[case::long(2_200)]
+fn change_during_a_transfer_is_read_right_after_it(#[case] transfer_ms: u64) {
+    /// The ways of a read, and the model's steps.
+    const WAYS: Duration = Duration::from_millis(50);
+    let transfer = Duration::from_millis(transfer_ms);
+    let history = run(&burst(transfer, &[8_000, 8_100]));
+    let in_force_at = |version| {
+        let first = history.iter().find(|one| one.version == version);
+        first.unwrap().at
+    };
+    let took = in_force_at(2) - in_force_at(1);
+    assert!(took <= transfer + WAYS, "{took:?}");
+}
+
+/// Guards against a read for each of several changes in quick succession.
+#[test]
+fn changes_in_quick_succession_are_read_together() {
+    let history = run(&burst(Duration::ZERO, &[8_000, 8_020, 8_040, 8_060, 8_080]));
+    let mut versions: Vec<usize> = history.iter().map(|one| one.version).collect();
+    versions.dedup();
+    assert_eq!(versions, [0, 1, 5]);
+}
+
+/// Returns a store that is never disturbed and whose rows change at these times.
+fn burst(transfer: Duration, changes_ms: &[u64]) -> Scenario {
+    let changes = changes_ms.iter().copied().map(Duration::from_millis);
+    Scenario {
+        contact: Duration::from_secs(4),
+        apply: Duration::from_secs(4),
+        way: Duration::from_millis(12),
+        silences: Vec::new(),
+        changes: changes.collect(),
+        removal: None,
+        tells_others: true,
+        transfer,
+    }
+}
+
 /// Guards against CONFIG: while the answer to one read was arriving late, another one was sent, and both
 /// answers shared the link.
 #[rstest]
