fix(daemon): a table that trickles in is fetched from others beside it

Cause: a transfer had no lowest rate. A store that sent a byte every 300 ms put off all fetches from other instances for as long as it did so, since nothing is fetched while an own read is arriving; three instances that did so held all places of fetches, and one that could have sent the whole table was never asked.

Change: Progress knows when a transfer has fallen behind a lowest rate of 8 KiB/s by 1.5 s (Received::is_slow). An own read below it no longer puts off fetches. Of three fetches, one below it gives its place to another source, but never the one that has come farthest, so that one is complete in the end if all are slow. Once the rows have come from another instance, an own read below the rate ends, and the next poll opens a new connection.

Ruled out: a second own read beside a slow one (it would share the link with the first, and blindness.rs allows one at a time); replacing SLOW_FETCH_TIME by the rate (a source far above the rate can still be too slow for a version to be in force in time). Narrow links get no more transfers than before: at most three fetches.

Not covered: a trickling store if no other instance has the rows, calls other than fetches, and receivers that take a table byte by byte.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -5,7 +5,7 @@
 
 mod publication;
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
 use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
@@ -86,6 +86,8 @@
     is_reachable: bool,
     /// Time at which its position rose last.
     advanced_at: Time,
+    /// Tells the own reads that rows have come from another instance.
+    advanced: watch::Sender<()>,
 }
 
 /// A fetch from another instance that has not ended.
@@ -104,6 +106,25 @@
         begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
     }
 
+    /// Ends one of the fetches that go on below the lowest rate of a transfer if there is no room for
+    /// another one, but never the one that has come farthest, so that one is complete in the end even if
+    /// all of them are slow.
+    fn make_room(&mut self) {
+        if self.fetches.len() < MAX_FETCHES || self.catch_up.next_at().is_none() {
+            return;
+        }
+        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
+        let mut received: Vec<(usize, Received)> = received.enumerate().collect();
+        received.sort_by_key(|(idx, received)| (Reverse(received.bytes), *idx));
+        let slow = received
+            .iter()
+            .skip(1)
+            .rfind(|(_, received)| received.is_slow());
+        if let Some((idx, _)) = slow {
+            self.fetches.remove(*idx).task.abort();
+        }
+    }
+
     /// Ends all fetches.
     fn end_fetches(&mut self) {
         for fetch in self.fetches.drain(..) {
@@ -153,6 +174,7 @@
                 fetches: Vec::new(),
                 is_reachable: false,
                 advanced_at: Time::ZERO,
+                advanced: watch::Sender::new(()),
             })
             .collect();
         Self {
@@ -179,6 +201,7 @@
                 platform: self.options.platform.clone(),
                 table: table.clone(),
                 timing: self.options.read_timing,
+                advanced: self.tables[idx].advanced.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
@@ -301,6 +324,9 @@
             table.catch_up.on_read(now, position);
         } else {
             table.catch_up.on_position(now, position);
+            if position > before {
+                table.advanced.send_replace(());
+            }
         }
         if position > before && table.catch_up.next_at().is_none() {
             table.end_fetches();
@@ -326,6 +352,7 @@
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
+            table.make_room();
             if table.is_fetch_arriving() || table.fetches.len() >= MAX_FETCHES {
                 table.catch_up.postpone(now);
             }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -125,6 +125,8 @@
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
+    /// Changes when rows have come from another source.
+    pub(crate) advanced: watch::Receiver<()>,
 }
 
 /// Follows one table by long polls.
@@ -203,7 +205,11 @@
                 },
                 Some(number) = self.arrivals.recv() => {
                     self.give_up_overtakers(number);
-                    Some(TableRead::Arriving)
+                    (!self.is_slow()).then_some(TableRead::Arriving)
+                }
+                Ok(()) = self.options.advanced.changed() => {
+                    self.end_outdated(&mut step).await;
+                    None
                 }
                 () = sleep_until(at) => match (step, self.arriving_until()) {
                     (_, Some(until)) => {
@@ -341,6 +347,23 @@
         (until > Instant::now()).then_some(until)
     }
 
+    /// Returns whether an answer is arriving below the lowest rate of a transfer.
+    fn is_slow(&self) -> bool {
+        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
+        received.any(|received| received.is_slow())
+    }
+
+    /// Ends the polls if an answer is arriving below the lowest rate, since what it brings has come from
+    /// another source; the next poll opens a new connection.
+    async fn end_outdated(&mut self, step: &mut Step) {
+        if self.is_slow() {
+            self.give_up(self.open.len());
+            self.options.platform.reconnect().await;
+            self.is_reconnecting = true;
+            *step = Step::Poll(Instant::now() + POLL_DELAY);
+        }
+    }
+
     /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
         *step = Step::Poll(Instant::now());
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -12,6 +12,11 @@
 
 use crate::PlatformError;
 
+/// Lowest rate of a transfer: one that goes on more slowly is as good as silent for whoever waits for its end.
+const MIN_BYTES_PER_S: u32 = 8 * 1024;
+/// Time for which a transfer may fall behind the lowest rate.
+const MAX_BEHIND: Duration = Duration::from_millis(1_500);
+
 /// Reports the bytes of an answer as they arrive.
 ///
 /// # Examples
@@ -40,9 +45,17 @@
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
     pub last_byte_at: Instant,
+    /// Time from which on the transfer is below the lowest rate unless more arrives; `None` before the first
+    /// byte.
+    slow_at: Option<Instant>,
 }
 
 impl Received {
+    /// Returns whether the answer has begun to arrive, and goes on below the lowest rate of a transfer.
+    pub fn is_slow(&self) -> bool {
+        self.slow_at.is_some_and(|at| at <= Instant::now())
+    }
+
     /// Returns the time since the last byte in either direction, or since the call.
     pub fn quiet_time(&self) -> Duration {
         self.last_byte_at.elapsed()
@@ -56,6 +69,7 @@
             bytes: 0,
             begun_at: None,
             last_byte_at: Instant::now(),
+            slow_at: None,
         };
         Self {
             tx: watch::Sender::new(received),
@@ -69,6 +83,10 @@
             received.bytes += bytes as u64;
             received.begun_at.get_or_insert(now);
             received.last_byte_at = now;
+            let gained = Duration::from_secs(bytes as u64) / MIN_BYTES_PER_S;
+            let limit = now + MAX_BEHIND;
+            let slow_at = received.slow_at.map_or(limit, |at| at + gained);
+            received.slow_at = Some(slow_at.min(limit));
         });
     }
 
