fix(daemon): a newer configuration object waits for one that is arriving

Cause: the head's follower fetched each newer object beside those that were still arriving, and forgot which it was fetching as soon as any fetch ended. With changes faster than an object crosses the link, up to all of them shared it. The followed tables have no such fault; platforms with a head row have.

Change: an object is asked for if no other one is arriving or was asked for just now; else the latest head is kept and fetched next. One of which nothing comes for 500 ms, or that is below the lowest rate of a transfer, holds up nothing. Fetches report their progress, from the platform and from other instances (one more argument of rpc::fetch_object).

Ruled out: ending the older fetch. With changes faster than a transfer none would ever be complete. A limit on the whole of a transfer: there is none left here, time-outs of the platform's calls count from the last byte.

--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -10,7 +10,7 @@
     view::{Clock, EntryPoint, View},
 };
 use platform::{
-    Platform, PlatformError, Row,
+    Platform, PlatformError, Progress, Received, Row,
     layout::{CONFIG_TABLE, HEAD_ROW, object_name},
 };
 use tokio::{
@@ -30,6 +30,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum time to wait for the head row, however long the instance may be without news.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a byte after which a newer object is fetched beside one that was asked for before.
+const MAX_FETCH_QUIET: Duration = Duration::from_millis(500);
 const FRESHNESS_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Polls the head row, fetches new configurations and activates them.
@@ -109,9 +111,10 @@
         let mut freshness_tick = interval(FRESHNESS_REFRESH_INTERVAL);
         freshness_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (read_tx, mut reads) = mpsc::channel(4);
-        let (fetch_tx, mut fetches) = mpsc::channel(4);
+        let (fetch_tx, mut fetches) = mpsc::channel::<Fetched>(4);
         let mut is_reading = false;
-        let mut fetching: Option<Head> = None;
+        let mut fetching: Option<OpenFetch> = None;
+        let mut next: FetchRequest = None;
         loop {
             let request = tokio::select! {
                 message = rx.recv() => match message {
@@ -129,23 +132,20 @@
                     self.handle_read(read)
                 }
                 Some(fetched) = fetches.recv() => {
-                    fetching = None;
+                    fetching = fetching.filter(|open| open.head != fetched.head);
                     self.handle_fetched(fetched);
-                    None
+                    let is_wanted = |head: &Head| self.versions.classify_offer(head) == OfferOutcome::Fetch;
+                    next.take().filter(|(head, ..)| is_wanted(head))
                 }
                 _ = freshness_tick.tick() => None,
                 Ok(()) = self.fleet.changed() => None,
             };
-            if let Some((head, confirmed_at, from)) = request
-                && fetching.as_ref() != Some(&head)
-            {
-                fetching = Some(head.clone());
-                let source = FetchSource {
-                    platform: self.platform.clone(),
-                    secret: self.secret.clone(),
-                    peer: from.and_then(|id| self.fleet.borrow().members.get(&id)?.addr),
-                };
-                tokio::spawn(fetch(source, head, confirmed_at, fetch_tx.clone()));
+            if let Some(request) = request {
+                match &fetching {
+                    Some(open) if open.head == request.0 => {}
+                    Some(open) if open.is_arriving() => next = Some(newer(next, request)),
+                    _ => fetching = Some(self.start_fetch(request, &fetch_tx)),
+                }
             }
             self.publish().await;
         }
@@ -153,9 +153,46 @@
 }
 
 /// Names the head to fetch, when it was known to be the latest, and the instance that reported it.
-type FetchRequest = Option<(Head, Option<Time>, Option<InstanceId>)>;
+type Wanted = (Head, Option<Time>, Option<InstanceId>);
+type FetchRequest = Option<Wanted>;
+
+/// A fetch of a configuration object that has not ended.
+#[derive(Debug)]
+struct OpenFetch {
+    head: Head,
+    received: watch::Receiver<Received>,
+}
+
+impl OpenFetch {
+    /// Returns whether the object is arriving, or was asked for just now: a newer one that was fetched beside
+    /// it would share the link with it, and neither be there sooner.
+    fn is_arriving(&self) -> bool {
+        let received = *self.received.borrow();
+        received.quiet_time() < MAX_FETCH_QUIET && !received.is_slow()
+    }
+}
+
+/// Returns the request for the later version.
+fn newer(known: FetchRequest, request: Wanted) -> Wanted {
+    known
+        .filter(|known| known.0.version > request.0.version)
+        .unwrap_or(request)
+}
 
 impl HeadFollower {
+    fn start_fetch(&self, (head, at, from): Wanted, tx: &mpsc::Sender<Fetched>) -> OpenFetch {
+        let progress = Progress::start();
+        let received = progress.received();
+        let source = FetchSource {
+            platform: self.platform.clone().progress(progress.clone()),
+            secret: self.secret.clone(),
+            peer: from.and_then(|id| self.fleet.borrow().members.get(&id)?.addr),
+            progress,
+        };
+        tokio::spawn(fetch(source, head.clone(), at, tx.clone()));
+        OpenFetch { head, received }
+    }
+
     fn handle_message(&mut self, message: FollowerMessage) -> FetchRequest {
         match message {
             FollowerMessage::Leave => {
@@ -298,6 +335,7 @@
     platform: Platform,
     secret: Secret,
     peer: Option<std::net::SocketAddr>,
+    progress: Progress,
 }
 
 async fn fetch(
@@ -309,10 +347,13 @@
     let mut text = fetch_from_platform(&source.platform, &head).await;
     if text.is_err()
         && let Some(peer) = source.peer
-        && let Some(object) = rpc::fetch_object(&source.secret, peer, &head.digest).await
-        && config_digest(&object) == head.digest
     {
-        text = Ok(object);
+        let (secret, progress) = (&source.secret, &source.progress);
+        progress.on_sent();
+        let object = rpc::fetch_object(secret, peer, &head.digest, progress).await;
+        if let Some(object) = object.filter(|object| config_digest(object) == head.digest) {
+            text = Ok(object);
+        }
     }
     let fetched = Fetched {
         head,
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -103,11 +103,17 @@
     Some(reply)
 }
 
-/// Fetches the configuration with this digest from the instance at `addr`.
+/// Fetches the configuration with this digest from the instance at `addr`, and reports to `progress`
+/// what has arrived of it.
 ///
 /// The text is not checked against the digest.
-pub async fn fetch_object(secret: &Secret, addr: SocketAddr, digest: &str) -> Option<String> {
-    match call(secret, addr, &Call::Object(digest.to_owned())).await? {
+pub async fn fetch_object(
+    secret: &Secret,
+    addr: SocketAddr,
+    digest: &str,
+    progress: &Progress,
+) -> Option<String> {
+    match call_reporting(secret, addr, &Call::Object(digest.to_owned()), progress).await? {
         Reply::Object(text) => text,
         Reply::Claim(_) | Reply::Settled | Reply::Table(_) => None,
     }
