fix(cli): an instance's answer is waited for while it arrives

Cause: a command gave an instance 3 s for its whole answer, so a status page never came over a slow link.

Change: the 3 s count from the last byte.

Ruled out: waiting without end; an answer that stops is given up 3 s later, and one has 16 MiB at most. One that sends a byte now and then is waited for: whoever runs the command sees that and can end it.

The test status passes.

--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -3,14 +3,15 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use platform::{Progress, receive_body};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tokio::time::timeout;
 
 use crate::error::CliError;
 
+/// Time without a byte in which a request counts as unanswered.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -89,19 +90,17 @@
 ///
 /// [`CliError::InstanceUnreachable`] if it does not answer in time or not with JSON.
 pub async fn get_json(addr: SocketAddr, path: &str) -> Result<Value, CliError> {
-    match timeout(REQUEST_TIMEOUT, try_get_json(addr, path)).await {
-        Ok(Some(value)) => Ok(value),
-        Ok(None) | Err(_) => Err(CliError::InstanceUnreachable(addr.to_string())),
-    }
+    let progress = Progress::start();
+    let answer = try_get_json(addr, path, &progress);
+    let answer = progress.unless_quiet(REQUEST_TIMEOUT, answer).await;
+    let value = answer.flatten();
+    value.ok_or_else(|| CliError::InstanceUnreachable(addr.to_string()))
 }
 
-async fn try_get_json(addr: SocketAddr, path: &str) -> Option<Value> {
+async fn try_get_json(addr: SocketAddr, path: &str, progress: &Progress) -> Option<Value> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
     let uri = format!("http://{addr}{path}").parse().ok()?;
     let res = client.get(uri).await.ok()?;
-    let body = Limited::new(res.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
+    let body = receive_body(res.into_body(), MAX_BODY_BYTES, progress).await;
+    serde_json::from_slice(&body.ok()?).ok()
 }
