fix(daemon): a suspension of the machine doesn't date a confirmation later

Cause: the time at which a poll was answered was worked out back from its end by the runtime's clock, which stops while the machine is suspended. A machine suspended between the first and the last byte dated the answer later by that time, and took an old version for the latest as much longer.

Change: it is counted from the sending of the poll, whose time the clock with suspensions gave. A suspension after the sending now counts as after the answer, so the date is never too late and at most too early by the suspension.

Ruled out: reading the clock at the first byte in the task that reports arrivals: a suspension before that task runs would date the answer too late again.

Not shown by a test that fails first: entry::view::Clock reads suspensions from the kernel and can't be given one.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -88,7 +88,8 @@
 #[derive(Debug)]
 pub(crate) struct PlatformRead {
     pub(crate) sent_at: Time,
-    /// Time at which the answer began to arrive: it tells of no later moment.
+    /// Time at which the answer began to arrive: it tells of no later moment. A suspension of the machine
+    /// since the call was sent counts as after it.
     pub(crate) answered_at: Time,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
@@ -246,10 +247,13 @@
             Duration::ZERO
         };
         let sent_at = self.options.clock.now();
-        let (clock, begun) = (self.options.clock, received.clone());
+        let (sent, clock, begun) = (Instant::now(), self.options.clock, received.clone());
         let to_read = move |(rows, position)| PlatformRead {
             sent_at,
-            answered_at: begun_at(clock, &begun),
+            answered_at: match begun.borrow().begun_at {
+                Some(at) => sent_at + (at - sent),
+                None => clock.now(),
+            },
             rows,
             position,
         };
@@ -404,12 +408,6 @@
     }
 }
 
-/// Returns when an answer began to arrive, now if that isn't known.
-fn begun_at(clock: Clock, received: &watch::Receiver<Received>) -> Time {
-    let since = received.borrow().begun_at.map(|at| at.elapsed());
-    clock.now().before(since.unwrap_or_default())
-}
-
 /// Sends a poll's number, at most once an [`ARRIVAL_REPORT_INTERVAL`], when parts of its answer have
 /// arrived.
 async fn report_arrivals(
