--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -14,7 +14,7 @@
 
 use crate::table_fetch::Fetched;
 
-/// Delay between two polls, so that changes in quick succession cost one poll.
+/// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
@@ -80,18 +80,27 @@
 pub(crate) enum TableRead {
     Changes(PlatformRead),
     Snapshot(PlatformRead),
-    /// A part of the platform's answer has arrived, which began at this time; `None` if it may bring nothing
-    /// new, as a first read.
-    Arriving(Option<Time>),
+    /// A part of the platform's answer has arrived.
+    Arriving(Arrival),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
 
+/// Describes an answer of the platform that is arriving.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Arrival {
+    /// Time at which it began; `None` if it may bring nothing new, as a first read.
+    pub(crate) since: Option<Time>,
+    /// Whether it arrives below the lowest rate of a transfer.
+    pub(crate) is_slow: bool,
+}
+
 /// Carries what the platform answered.
 #[derive(Debug)]
 pub(crate) struct PlatformRead {
     pub(crate) sent_at: Time,
-    /// Time at which the answer began to arrive: it tells of no later moment.
+    /// Time at which the answer began to arrive: it tells of no later moment. A suspension of the machine
+    /// since the call was sent counts as after it.
     pub(crate) answered_at: Time,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
@@ -128,6 +137,8 @@
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
+    /// Changes when rows have come from another source.
+    pub(crate) advanced: watch::Receiver<()>,
 }
 
 /// Follows one table by long polls.
@@ -156,6 +167,8 @@
 struct OpenPoll {
     number: u64,
     sent_at: Time,
+    /// The same by the runtime's clock.
+    sent: Instant,
     /// Whether the connection had been used before.
     is_on_kept_connection: bool,
     received: watch::Receiver<Received>,
@@ -206,7 +219,14 @@
                 },
                 Some(number) = self.arrivals.recv() => {
                     self.give_up_overtakers(number);
-                    Some(TableRead::Arriving(self.arriving_since(number)))
+                    Some(TableRead::Arriving(Arrival {
+                        since: self.arriving_since(number),
+                        is_slow: self.is_slow(),
+                    }))
+                }
+                Ok(()) = self.options.advanced.changed() => {
+                    self.end_outdated(&mut step).await;
+                    None
                 }
                 () = sleep_until(at) => match (step, self.arriving_until()) {
                     (_, Some(until)) => {
@@ -243,10 +263,13 @@
             Duration::ZERO
         };
         let sent_at = self.options.clock.now();
-        let (clock, begun) = (self.options.clock, received.clone());
+        let (sent, clock, begun) = (Instant::now(), self.options.clock, received.clone());
         let to_read = move |(rows, position)| PlatformRead {
             sent_at,
-            answered_at: begun_at(clock, &begun),
+            answered_at: match begun.borrow().begun_at {
+                Some(at) => sent_at + (at - sent),
+                None => clock.now(),
+            },
             rows,
             position,
         };
@@ -274,6 +297,7 @@
         self.open.push_back(OpenPoll {
             number,
             sent_at,
+            sent,
             is_on_kept_connection,
             received,
             task,
@@ -293,15 +317,18 @@
         let idx = self.open.iter().position(|poll| poll.number == number)?;
         match result {
             Ok(read) => {
+                let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
                     self.position = Some(read.position);
+                    answered_at = self.options.clock.instant(read.answered_at);
                 }
                 // The others can't bring anything newer: they ask for what has come, or for less. Where any
                 // was sent after it, its own connection is no longer kept.
                 self.is_reconnecting = number + 1 < self.next_number;
                 self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
-                *step = Step::Poll(Instant::now() + POLL_DELAY);
+                // What changed while a long answer arrived has waited long enough.
+                *step = Step::Poll(answered_at + POLL_DELAY);
                 Some(read)
             }
             Err(PlatformError::HistoryGone) => {
@@ -336,8 +363,8 @@
     fn arriving_since(&self, number: u64) -> Option<Time> {
         self.position?;
         let poll = self.open.iter().find(|poll| poll.number == number)?;
-        poll.received.borrow().begun_at?;
-        Some(begun_at(self.options.clock, &poll.received))
+        let begun = poll.received.borrow().begun_at?;
+        Some(poll.sent_at + (begun - poll.sent))
     }
 
     /// Returns when an answer that is arriving counts as cut off unless more of it comes.
@@ -349,6 +376,23 @@
         (until > Instant::now()).then_some(until)
     }
 
+    /// Returns whether an answer is arriving below the lowest rate of a transfer.
+    fn is_slow(&self) -> bool {
+        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
+        received.any(|received| received.is_slow())
+    }
+
+    /// Ends the polls if an answer is arriving below the lowest rate, since what it brings has come from
+    /// another source; the next poll opens a new connection.
+    async fn end_outdated(&mut self, step: &mut Step) {
+        if self.is_slow() {
+            self.give_up(self.open.len());
+            self.options.platform.reconnect().await;
+            self.is_reconnecting = true;
+            *step = Step::Poll(Instant::now() + POLL_DELAY);
+        }
+    }
+
     /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
         *step = Step::Poll(Instant::now());
@@ -389,12 +433,6 @@
     }
 }
 
-/// Returns when an answer began to arrive, now if that isn't known.
-fn begun_at(clock: Clock, received: &watch::Receiver<Received>) -> Time {
-    let since = received.borrow().begun_at.map(|at| at.elapsed());
-    clock.now().before(since.unwrap_or_default())
-}
-
 /// Sends a poll's number, at most once an [`ARRIVAL_REPORT_INTERVAL`], when parts of its answer have
 /// arrived.
 async fn report_arrivals(
