refactor(dispatch): attribution of losses apart from the quarantine

The first stands in `quarantine::attribution`, with the recent answers in `quarantine::answers`; `Quarantine` has the circuit breakers and how long a request is remembered, and tracks in the attribution exactly the requests that it remembers. An attribution with a memory of its own was ruled out: losses and breaker of a request are forgotten together.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,5 +1,8 @@
 //! Quarantine of requests that crash the targets that run them.
 
+mod answers;
+mod attribution;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -8,15 +11,9 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
-/// Reports one connection that was lost while it carried a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConnectionLoss {
-    /// Digest that is the same when the caller sends the same request again.
-    pub fingerprint: u64,
-    /// Digest of the target and its incarnation. All losses of one incarnation count once, since
-    /// they may be the target's own fault.
-    pub target_digest: u64,
-}
+pub use attribution::ConnectionLoss;
+
+use attribution::Attribution;
 
 /// Reports that a request is quarantined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,21 +77,14 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct Quarantine {
-    max_losses: u32,
     period: Duration,
+    /// Requests with losses or a quarantine; exactly these are tracked in `attribution`.
     entries: BTreeMap<u64, Entry>,
-    /// Losses of one event that were taken for a failed path, and when.
-    unclear: Vec<(Time, Vec<ConnectionLoss>)>,
-    /// Requests with enough losses that aren't quarantined, as their cause isn't clear, and when the
-    /// last loss became known.
-    doubtful: BTreeMap<u64, Time>,
-    answers: RecentAnswers,
+    attribution: Attribution,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 struct Entry {
-    /// Distinct target digests of the losses.
-    target_digests: BTreeSet<u64>,
     forgotten_at: Time,
     breaker: Option<Breaker>,
 }
@@ -110,12 +100,6 @@
 
 /// Maximum number of requests whose losses are tracked.
 const MAX_ENTRIES: usize = 4096;
-/// Maximum number of target digests that are kept for a request.
-const MAX_DIGESTS: usize = 32;
-/// Time within which losses that were taken for a failed path may turn out to be something else.
-const UNCLEAR_TTL: Duration = Duration::from_secs(3);
-/// Maximum number of events whose losses are kept for that.
-const MAX_UNCLEAR: usize = 8;
 /// Time after which losses are forgotten, and quarantined requests that nobody has tried again, as a
 /// number of quarantine periods.
 const MEMORY_PERIODS: u32 = 10;
@@ -130,12 +114,9 @@
     /// target incarnations.
     pub fn new(max_losses: u32, period: Duration) -> Self {
         Self {
-            max_losses,
             period,
             entries: BTreeMap::new(),
-            unclear: Vec::new(),
-            doubtful: BTreeMap::new(),
-            answers: RecentAnswers::default(),
+            attribution: Attribution::new(max_losses),
         }
     }
 
@@ -159,12 +140,10 @@
         self.prune(now);
         let forgotten_at = now + self.period * MEMORY_PERIODS;
         let entry = self.entry(now, loss.fingerprint);
-        if entry.target_digests.len() < MAX_DIGESTS {
-            entry.target_digests.insert(loss.target_digest);
-        }
         if entry.breaker.is_none() {
             entry.forgotten_at = forgotten_at;
         }
+        self.attribution.add(loss);
     }
 
     /// Begins the quarantine of a request that has just lost a connection, if it is due, or the next
@@ -179,11 +158,7 @@
                 return false;
             }
             Some(breaker) => (breaker.period * 2).min(MAX_PERIOD),
-            None if self.count(fingerprint) < self.max_losses as usize => return false,
-            None if self.is_doubtful(now, fingerprint) => {
-                self.doubtful.insert(fingerprint, now);
-                return false;
-            }
+            None if !self.attribution.is_cause(now, fingerprint) => return false,
             None => self.period,
         };
         self.hold(fingerprint, now + period, period);
@@ -192,66 +167,31 @@
 
     /// Returns the requests whose quarantine begins now, since nothing speaks for them any more.
     pub fn begin_due(&mut self, now: Time) -> Vec<u64> {
-        self.doubtful.retain(|_, at| now - *at < UNCLEAR_TTL);
-        let doubtful: Vec<u64> = self.doubtful.keys().copied().collect();
-        let is_due =
-            |fingerprint: &u64| !self.is_doubtful(now, *fingerprint) && !self.is_held(*fingerprint);
-        let due: Vec<u64> = doubtful.into_iter().filter(is_due).collect();
+        let entries = &self.entries;
+        let is_held = |fingerprint| is_held(entries, fingerprint);
+        let due = self.attribution.take_clear(now, is_held);
         for fingerprint in &due {
-            self.doubtful.remove(fingerprint);
             self.hold(*fingerprint, now + self.period, self.period);
         }
         due
     }
 
-    /// Returns whether something speaks for a request with enough losses: an answer of late, or other
-    /// requests that explain its losses.
-    fn is_doubtful(&self, now: Time, fingerprint: u64) -> bool {
-        self.answers.contains(now, fingerprint)
-            || self.unexplained(now, fingerprint) < self.max_losses as usize
-    }
-
-    fn count(&self, fingerprint: u64) -> usize {
-        let entry = self.entries.get(&fingerprint);
-        entry.map_or(0, |entry| entry.target_digests.len())
-    }
-
     /// Keeps losses that were taken for a failed path, in case another instance explains some of them.
     pub fn suspend(&mut self, now: Time, losses: Vec<ConnectionLoss>) {
-        self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
-        if self.unclear.len() < MAX_UNCLEAR && !losses.is_empty() {
-            self.unclear.push((now, losses));
-        }
+        self.attribution.suspend(now, losses);
     }
 
     /// Returns losses that were taken for a failed path but can't be: with what other requests
     /// explain, they concern fewer targets than `min_path_targets`.
     pub fn take_cleared(&mut self, now: Time, min_path_targets: usize) -> Vec<ConnectionLoss> {
-        self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
-        let mut cleared = Vec::new();
-        let unclear = std::mem::take(&mut self.unclear);
-        for (at, losses) in unclear {
-            let left: Vec<ConnectionLoss> = losses
-                .iter()
-                .filter(|loss| !self.is_explained(now, loss))
-                .copied()
-                .collect();
-            let targets: BTreeSet<u64> = left.iter().map(|loss| loss.target_digest).collect();
-            if targets.len() < min_path_targets {
-                cleared.extend(left);
-            } else {
-                self.unclear.push((at, losses));
-            }
-        }
-        cleared
+        self.attribution.take_cleared(now, min_path_targets)
     }
 
     /// Records that a target has answered the request: it doesn't crash those that run it, so earlier
     /// losses had other causes. Returns whether there were any.
     pub fn record_answer(&mut self, now: Time, fingerprint: u64) -> bool {
-        self.answers.insert(now, fingerprint);
-        self.doubtful.remove(&fingerprint);
-        !self.entries.is_empty() && self.entries.remove(&fingerprint).is_some()
+        self.attribution.record_answer(now, fingerprint);
+        self.entries.remove(&fingerprint).is_some()
     }
 
     /// Decides whether a request may be sent, which ends at `deadline`. After the quarantine only an
@@ -292,8 +232,7 @@
 
     /// Returns whether the request is quarantined or on trial.
     pub fn is_held(&self, fingerprint: u64) -> bool {
-        let entry = self.entries.get(&fingerprint);
-        entry.is_some_and(|entry| entry.breaker.is_some())
+        is_held(&self.entries, fingerprint)
     }
 
     /// Returns the fingerprints of the quarantined requests and how much longer each is.
@@ -323,10 +262,10 @@
     /// Merges what another instance knows of a request. Returns `false` if this one knows better: the
     /// request has been answered since.
     pub fn merge(&mut self, now: Time, hold: &Hold) -> bool {
-        if self.answers.contains(now, hold.fingerprint) {
+        if self.attribution.is_answered(now, hold.fingerprint) {
             return false;
         }
-        if self.is_cleared(now, hold.fingerprint) {
+        if self.attribution.is_cleared(now, hold.fingerprint) {
             return true;
         }
         self.prune(now);
@@ -341,46 +280,15 @@
         true
     }
 
-    /// Returns how many incarnations crashed by this request, as far as no other one explains them.
-    fn unexplained(&self, now: Time, fingerprint: u64) -> usize {
-        let Some(entry) = self.entries.get(&fingerprint) else {
-            return 0;
-        };
-        let losses = entry.target_digests.iter().map(|digest| ConnectionLoss {
-            fingerprint,
-            target_digest: *digest,
-        });
-        losses.filter(|loss| !self.is_explained(now, loss)).count()
-    }
-
-    /// Returns whether another request that lost more incarnations was on this one too, and has no
-    /// answer of late.
-    fn is_explained(&self, now: Time, loss: &ConnectionLoss) -> bool {
-        let count_of = |entry: &Entry| entry.target_digests.len();
-        let own = self.entries.get(&loss.fingerprint).map_or(1, count_of);
-        self.entries.iter().any(|(fingerprint, entry)| {
-            *fingerprint != loss.fingerprint
-                && count_of(entry) > own
-                && entry.target_digests.contains(&loss.target_digest)
-                && !self.answers.contains(now, *fingerprint)
-        })
-    }
-
-    /// Returns whether there are losses enough for a quarantine, but other requests explain them.
-    fn is_cleared(&self, now: Time, fingerprint: u64) -> bool {
-        let max = self.max_losses as usize;
-        self.count(fingerprint) >= max && self.unexplained(now, fingerprint) < max
-    }
-
     /// Ends quarantines that began with the loss of this incarnation if another request explains it now.
     fn end_explained(&mut self, now: Time, target_digest: u64) {
         let explained: Vec<u64> = self
             .entries
             .iter()
             .filter(|(_, entry)| entry.breaker.is_some())
-            .filter(|(_, entry)| entry.target_digests.contains(&target_digest))
             .map(|(fingerprint, _)| *fingerprint)
-            .filter(|fingerprint| self.is_cleared(now, *fingerprint))
+            .filter(|fingerprint| self.attribution.has_lost(*fingerprint, target_digest))
+            .filter(|fingerprint| self.attribution.is_cleared(now, *fingerprint))
             .collect();
         for fingerprint in explained {
             if let Some(entry) = self.entries.get_mut(&fingerprint) {
@@ -396,15 +304,15 @@
     /// Returns the entry of a request, a new one if what is known of it is too old.
     fn entry(&mut self, now: Time, fingerprint: u64) -> &mut Entry {
         let new = Entry {
-            target_digests: BTreeSet::new(),
             forgotten_at: now + self.period * MEMORY_PERIODS,
             breaker: None,
         };
-        let entry = self.entries.entry(fingerprint).or_insert(new.clone());
-        if entry.forgotten_at <= now {
-            *entry = new;
+        let known = self.entries.get(&fingerprint);
+        if known.is_none_or(|entry| entry.forgotten_at <= now) {
+            self.entries.insert(fingerprint, new);
+            self.attribution.track(fingerprint);
         }
-        entry
+        self.entries.entry(fingerprint).or_insert(new)
     }
 
     fn hold(&mut self, fingerprint: u64, until: Time, period: Duration) {
@@ -426,6 +334,8 @@
             return;
         }
         self.entries.retain(|_, entry| entry.forgotten_at > now);
+        self.attribution
+            .retain(|fingerprint| self.entries.contains_key(&fingerprint));
         if self.entries.len() < MAX_ENTRIES {
             return;
         }
@@ -436,34 +346,12 @@
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(oldest) = oldest {
             self.entries.remove(&oldest);
+            self.attribution.forget(oldest);
         }
     }
 }
 
-/// Requests that targets have answered of late; one of them may hide another.
-#[derive(Debug, Clone, Default)]
-struct RecentAnswers {
-    slots: Vec<(u64, Time)>,
-}
-
-/// Number of requests that are remembered at most.
-const ANSWER_SLOTS: usize = 1024;
-/// Time for which an answer speaks for a request. Shorter than any time in which a request that begins
-/// to crash its targets must be known.
-const ANSWER_TTL: Duration = Duration::from_secs(2);
-
-impl RecentAnswers {
-    fn insert(&mut self, now: Time, fingerprint: u64) {
-        self.slots.resize(ANSWER_SLOTS, (0, Time::ZERO));
-        self.slots[slot_of(fingerprint)] = (fingerprint, now);
-    }
-
-    fn contains(&self, now: Time, fingerprint: u64) -> bool {
-        let slot = self.slots.get(slot_of(fingerprint));
-        slot.is_some_and(|(found, at)| *found == fingerprint && now - *at < ANSWER_TTL)
-    }
-}
-
-fn slot_of(fingerprint: u64) -> usize {
-    (fingerprint % ANSWER_SLOTS as u64) as usize
+fn is_held(entries: &BTreeMap<u64, Entry>, fingerprint: u64) -> bool {
+    let entry = entries.get(&fingerprint);
+    entry.is_some_and(|entry| entry.breaker.is_some())
 }
--- /dev/null
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -0,0 +1,202 @@
+//! Attribution of lost connections to the requests that caused them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base::Time;
+use serde::{Deserialize, Serialize};
+
+use super::answers::RecentAnswers;
+
+/// Reports one connection that was lost while it carried a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConnectionLoss {
+    /// Digest that is the same when the caller sends the same request again.
+    pub fingerprint: u64,
+    /// Digest of the target and its incarnation. All losses of one incarnation count once, since
+    /// they may be the target's own fault.
+    pub target_digest: u64,
+}
+
+/// Decides which requests crashed target incarnations, where several requests were lost with one.
+#[derive(Debug, Clone)]
+pub(super) struct Attribution {
+    max_losses: usize,
+    /// Distinct target digests of the losses of each tracked request.
+    losses: BTreeMap<u64, BTreeSet<u64>>,
+    /// Losses of one event that were taken for a failed path, and when.
+    unclear: Vec<(Time, Vec<ConnectionLoss>)>,
+    /// Requests with enough losses that aren't quarantined, as their cause isn't clear, and when the
+    /// last loss became known.
+    doubtful: BTreeMap<u64, Time>,
+    answers: RecentAnswers,
+}
+
+/// Maximum number of target digests that are kept for a request.
+const MAX_DIGESTS: usize = 32;
+/// Time within which losses that were taken for a failed path may turn out to be something else.
+const UNCLEAR_TTL: Duration = Duration::from_secs(3);
+/// Maximum number of events whose losses are kept for that.
+const MAX_UNCLEAR: usize = 8;
+
+impl Attribution {
+    /// Returns an attribution that takes a request for a cause after losses on `max_losses` target
+    /// incarnations.
+    pub(super) fn new(max_losses: u32) -> Self {
+        Self {
+            max_losses: max_losses as usize,
+            losses: BTreeMap::new(),
+            unclear: Vec::new(),
+            doubtful: BTreeMap::new(),
+            answers: RecentAnswers::default(),
+        }
+    }
+
+    /// Tracks a request, without what is known of its losses.
+    pub(super) fn track(&mut self, fingerprint: u64) {
+        self.losses.insert(fingerprint, BTreeSet::new());
+    }
+
+    /// Tracks a request no longer.
+    pub(super) fn forget(&mut self, fingerprint: u64) {
+        self.losses.remove(&fingerprint);
+    }
+
+    /// Tracks no request any longer but those that `is_kept` selects.
+    pub(super) fn retain<F>(&mut self, is_kept: F)
+    where
+        F: Fn(u64) -> bool,
+    {
+        self.losses.retain(|fingerprint, _| is_kept(*fingerprint));
+    }
+
+    /// Adds a loss of a tracked request.
+    pub(super) fn add(&mut self, loss: ConnectionLoss) {
+        let digests = self.losses.entry(loss.fingerprint).or_default();
+        if digests.len() < MAX_DIGESTS {
+            digests.insert(loss.target_digest);
+        }
+    }
+
+    /// Returns whether a request has enough losses and nothing speaks for it; where something does, it may be
+    /// due later, see [`Attribution::take_clear`].
+    pub(super) fn is_cause(&mut self, now: Time, fingerprint: u64) -> bool {
+        if self.count(fingerprint) < self.max_losses {
+            return false;
+        }
+        let is_doubtful = self.is_doubtful(now, fingerprint);
+        if is_doubtful {
+            self.doubtful.insert(fingerprint, now);
+        }
+        !is_doubtful
+    }
+
+    /// Returns the requests with enough losses for which nothing speaks any more, but for those that are held
+    /// already.
+    pub(super) fn take_clear<F>(&mut self, now: Time, is_held: F) -> Vec<u64>
+    where
+        F: Fn(u64) -> bool,
+    {
+        self.doubtful.retain(|_, at| now - *at < UNCLEAR_TTL);
+        let doubtful: Vec<u64> = self.doubtful.keys().copied().collect();
+        let is_clear =
+            |fingerprint: &u64| !self.is_doubtful(now, *fingerprint) && !is_held(*fingerprint);
+        let clear: Vec<u64> = doubtful.into_iter().filter(is_clear).collect();
+        for fingerprint in &clear {
+            self.doubtful.remove(fingerprint);
+        }
+        clear
+    }
+
+    /// Keeps losses that were taken for a failed path, in case another instance explains some of them.
+    pub(super) fn suspend(&mut self, now: Time, losses: Vec<ConnectionLoss>) {
+        self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
+        if self.unclear.len() < MAX_UNCLEAR && !losses.is_empty() {
+            self.unclear.push((now, losses));
+        }
+    }
+
+    /// Returns losses that were taken for a failed path but can't be: with what other requests
+    /// explain, they concern fewer targets than `min_path_targets`.
+    pub(super) fn take_cleared(
+        &mut self,
+        now: Time,
+        min_path_targets: usize,
+    ) -> Vec<ConnectionLoss> {
+        self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
+        let mut cleared = Vec::new();
+        let unclear = std::mem::take(&mut self.unclear);
+        for (at, losses) in unclear {
+            let left: Vec<ConnectionLoss> = losses
+                .iter()
+                .filter(|loss| !self.is_explained(now, loss))
+                .copied()
+                .collect();
+            let targets: BTreeSet<u64> = left.iter().map(|loss| loss.target_digest).collect();
+            if targets.len() < min_path_targets {
+                cleared.extend(left);
+            } else {
+                self.unclear.push((at, losses));
+            }
+        }
+        cleared
+    }
+
+    /// Records that a target has answered a request, which is tracked no longer.
+    pub(super) fn record_answer(&mut self, now: Time, fingerprint: u64) {
+        self.answers.insert(now, fingerprint);
+        self.doubtful.remove(&fingerprint);
+        self.forget(fingerprint);
+    }
+
+    /// Returns whether a target has answered the request recently.
+    pub(super) fn is_answered(&self, now: Time, fingerprint: u64) -> bool {
+        self.answers.contains(now, fingerprint)
+    }
+
+    /// Returns whether a request was lost with this incarnation.
+    pub(super) fn has_lost(&self, fingerprint: u64, target_digest: u64) -> bool {
+        let digests = self.losses.get(&fingerprint);
+        digests.is_some_and(|digests| digests.contains(&target_digest))
+    }
+
+    /// Returns whether there are losses enough for a quarantine, but other requests explain them.
+    pub(super) fn is_cleared(&self, now: Time, fingerprint: u64) -> bool {
+        self.count(fingerprint) >= self.max_losses
+            && self.unexplained(now, fingerprint) < self.max_losses
+    }
+
+    /// Returns whether something speaks for a request with enough losses: a recent answer, or other
+    /// requests that explain its losses.
+    fn is_doubtful(&self, now: Time, fingerprint: u64) -> bool {
+        self.is_answered(now, fingerprint) || self.unexplained(now, fingerprint) < self.max_losses
+    }
+
+    fn count(&self, fingerprint: u64) -> usize {
+        self.losses.get(&fingerprint).map_or(0, BTreeSet::len)
+    }
+
+    /// Returns how many incarnations crashed by this request, unless another one explains them.
+    fn unexplained(&self, now: Time, fingerprint: u64) -> usize {
+        let digests = self.losses.get(&fingerprint).into_iter().flatten();
+        let losses = digests.map(|digest| ConnectionLoss {
+            fingerprint,
+            target_digest: *digest,
+        });
+        losses.filter(|loss| !self.is_explained(now, loss)).count()
+    }
+
+    /// Returns whether another request that lost more incarnations was on this one too, and has no
+    /// recent answer.
+    fn is_explained(&self, now: Time, loss: &ConnectionLoss) -> bool {
+        let own = self.losses.get(&loss.fingerprint).map_or(1, BTreeSet::len);
+        self.losses.iter().any(|(fingerprint, digests)| {
+            *fingerprint != loss.fingerprint
+                && digests.len() > own
+                && digests.contains(&loss.target_digest)
+                && !self.is_answered(now, *fingerprint)
+        })
+    }
+}
