test(dispatch): priorities are those of the last configuration

Nothing tested that `configure` computes the most urgent priority of each service anew when the routes change. Three cases: the same routes, the most urgent one removed, one added; the last of a target's ten slots is reserved for the most urgent route, and a request that isn't urgent counts as queued there.

Seen failing: with `configure` broken on purpose, so that only the first routes count, the two cases with a change failed (`First` for `ShortQueue` and the other way round) and the one without passed; broken line taken back, 91 passed in `placement`.

--- a/crates/dispatch/tests/placement/configured.rs
+++ b/crates/dispatch/tests/placement/configured.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use base::Time;
-use dispatch::{ConcurrencyLimit, Dispatcher, Outcome, Placement, Policy, TargetState};
+use dispatch::{
+    AdmittedRequest, ConcurrencyLimit, Dispatcher, Outcome, Placement, Policy, SelectionReason,
+    TargetState,
+};
 use rstest::rstest;
 
 use crate::support::{assignments, config, dispatcher, request, run};
@@ -137,3 +140,44 @@
         .sum();
     assert_eq!(sent, 1);
 }
+
+/// Guards against a service that kept the priorities of an earlier configuration, so that requests of its
+/// most urgent route left a part of each target to a route that was gone, or to none that had come.
+#[rstest]
+#[case::same(&["urgent", "patient"], &["urgent", "patient"], SelectionReason::ShortQueue)]
+#[case::urgent_removed(&["urgent", "patient"], &["patient"], SelectionReason::First)]
+#[case::urgent_added(&["patient"], &["urgent", "patient"], SelectionReason::ShortQueue)]
+fn priorities_are_those_of_the_last_configuration(
+    #[case] before: &[&str],
+    #[case] after: &[&str],
+    #[case] expected: SelectionReason,
+) {
+    let with_routes = |names: &[&str]| {
+        let mut config = config(1);
+        config
+            .routes
+            .retain(|route| names.contains(&route.name.as_str()));
+        let mut targets = config.services.get_mut("s").unwrap().targets.values_mut();
+        let registered = targets.next().unwrap().registered.as_mut();
+        registered.unwrap().slots = 10;
+        config
+    };
+    let mut dispatcher = dispatcher(&with_routes(before), 1);
+    let now = Time::from_secs(10);
+    // Without a response no request is expected to wait.
+    run(&mut dispatcher, now, 10, 7).unwrap();
+    dispatcher.configure(now, &with_routes(after));
+    dispatcher.tick(now);
+    let reasons: Vec<SelectionReason> = (0..10)
+        .map(|id| {
+            let patient = AdmittedRequest {
+                route_priority: 2,
+                ..request(now, id, 7)
+            };
+            assignments(&dispatcher.submit(now, patient))[0].reason
+        })
+        .collect();
+    // The last of the target's ten slots is reserved for the most urgent route.
+    assert_eq!(reasons[..9], [SelectionReason::First; 9]);
+    assert_eq!(reasons[9], expected);
+}
