refactor(dispatch): a target answers whether it takes requests at all

Three places of the choice of a target compared its concurrency limit with zero. `Target::takes_requests` says what they mean.

--- a/crates/dispatch/src/pool/choice.rs
+++ b/crates/dispatch/src/pool/choice.rs
@@ -64,7 +64,7 @@
     fn is_region_unavailable(&self, now: Time, region: &RegionId) -> bool {
         self.regions.get(region).is_none_or(|pool| {
             let mut members = pool.members.iter();
-            members.all(|idx| self.targets[*idx].concurrency_limit(now) == 0)
+            !members.any(|idx| self.targets[*idx].takes_requests(now))
         })
     }
 
@@ -148,13 +148,13 @@
     pub(crate) fn has_available_target(&self, now: Time, allowed: &AllowedRegions) -> bool {
         self.targets
             .iter()
-            .any(|target| allowed.contains(&target.region) && target.concurrency_limit(now) > 0)
+            .any(|target| allowed.contains(&target.region) && target.takes_requests(now))
     }
 
     /// Returns the regions in which any target takes requests at all, even if it is full now.
     pub(crate) fn available_regions(&self, now: Time) -> BTreeSet<&RegionId> {
         let targets = self.targets.iter();
-        let available = targets.filter(|target| target.concurrency_limit(now) > 0);
+        let available = targets.filter(|target| target.takes_requests(now));
         available.map(|target| &target.region).collect()
     }
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -355,6 +355,11 @@
         }
     }
 
+    /// Returns whether the target takes requests of this instance at all, even if it is full now.
+    pub(crate) fn takes_requests(&self, now: Time) -> bool {
+        self.concurrency_limit(now) > 0
+    }
+
     /// Returns whether this instance may run one more request on the target.
     pub fn has_capacity(&self, now: Time) -> bool {
         self.in_flight < self.concurrency_limit(now) && self.may_send(now)
