refactor(dispatch): one draw of a target, one bound of a service's latency

The shared probe and the check of the path drew a target in the same two lines, and three places took the upper bound of a service's latency, or the least time before a second attempt if that is longer. `draw` and `Pool::latency_bound` have these once. The bounds noted while the path is lost contain the least time already; reading them took the maximum with it before, so the values are the same, as the policy doesn't change.

--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -3,12 +3,10 @@
 use std::time::Duration;
 
 use base::{ServiceId, TargetId, Time};
-use rand::RngExt;
+use rand::{Rng, RngExt};
 
 use super::Dispatcher;
-use crate::{
-    Dial, Outcome, PathState, RequestId, RequestKind, TargetEvent, TargetState, pool::Pool,
-};
+use crate::{Dial, Outcome, PathState, RequestId, RequestKind, TargetEvent, TargetState};
 
 /// Number of targets by which the path is checked.
 const CHECKED_TARGETS: usize = 3;
@@ -79,12 +77,10 @@
     /// Returns the time within which nearly all requests of a service are answered; while the path is
     /// lost, as it was before.
     pub(super) fn usual_latency(&self, service: &ServiceId) -> Duration {
+        let least = self.policy.min_hedge_delay;
         let before = self.usual_latencies.get(service).copied();
-        let now = || {
-            let pool = self.pools.get(service);
-            pool.map_or(Duration::ZERO, upper_latency)
-        };
-        before.unwrap_or_else(now).max(self.policy.min_hedge_delay)
+        let pool = || Some(self.pools.get(service)?.latency_bound(least));
+        before.or_else(pool).unwrap_or(least)
     }
 
     fn is_usual(&self, service: &ServiceId, outcome: Outcome) -> bool {
@@ -120,7 +116,7 @@
             let Some(pool) = self.pools.get(&entry.request.service) else {
                 continue;
             };
-            let usual = pool.latency.upper_bound().max(self.policy.min_hedge_delay);
+            let usual = pool.latency_bound(self.policy.min_hedge_delay);
             let late = entry
                 .attempts
                 .iter()
@@ -193,17 +189,17 @@
             .map(|target| &target.id)
             .filter(|id| is_meant(id))
             .collect();
-        let idx = self.rng.random_range(0..usable.len().max(1));
-        usable.get(idx).map(|id| (*id).clone())
+        draw(&mut self.rng, &usable)
     }
 
     /// Uses targets again that were found down, as the path may have failed, not they, and notes how long
     /// requests took: late answers of the lost path would raise it.
     fn adapt_to_lost_path(&mut self, now: Time) {
+        let least = self.policy.min_hedge_delay;
         let latencies = self
             .pools
             .iter()
-            .map(|(id, pool)| (id.clone(), upper_latency(pool)));
+            .map(|(id, pool)| (id.clone(), pool.latency_bound(least)));
         self.usual_latencies = latencies.collect();
         for target in self.pools.values_mut().flat_map(|pool| &mut pool.targets) {
             target.apply_event(now, &self.chart, TargetEvent::Recovered);
@@ -211,6 +207,11 @@
     }
 }
 
-fn upper_latency(pool: &Pool) -> Duration {
-    pool.latency.upper_bound()
+/// Draws one of the targets.
+pub(super) fn draw<R>(rng: &mut R, targets: &[&TargetId]) -> Option<TargetId>
+where
+    R: Rng,
+{
+    let idx = rng.random_range(0..targets.len().max(1));
+    targets.get(idx).map(|id| (*id).clone())
 }
--- a/crates/dispatch/src/dispatcher/probes.rs
+++ b/crates/dispatch/src/dispatcher/probes.rs
@@ -1,9 +1,8 @@
 //! Connections that show whether targets which are down can be reached again.
 
 use base::{TargetId, Time};
-use rand::RngExt;
 
-use super::Dispatcher;
+use super::{Dispatcher, paths::draw};
 use crate::{Dial, PathState, TargetState};
 
 impl Dispatcher {
@@ -35,8 +34,7 @@
             });
             down.extend(tried.map(|target| &target.id));
         }
-        let idx = self.rng.random_range(0..down.len().max(1));
-        down.get(idx).map(|id| (*id).clone())
+        draw(&mut self.rng, &down)
     }
 
     /// Records how a connection that no request waited for was opened, and returns whether the
--- a/crates/dispatch/src/dispatcher/sending.rs
+++ b/crates/dispatch/src/dispatcher/sending.rs
@@ -177,7 +177,7 @@
             started_at: now,
             is_trial,
         });
-        let hedge_delay = pool.latency.upper_bound().max(self.policy.min_hedge_delay);
+        let hedge_delay = pool.latency_bound(self.policy.min_hedge_delay);
         Some(Assignment {
             id,
             attempt: entry.attempts_sent,
--- a/crates/dispatch/src/pool/statistics.rs
+++ b/crates/dispatch/src/pool/statistics.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns the time within which nearly all requests are answered, `least` or more.
+    pub(crate) fn latency_bound(&self, least: Duration) -> Duration {
+        self.latency.upper_bound().max(least)
+    }
+
     /// Returns the mean latency of a request on a warm target with a free slot.
     pub(crate) fn service_time(&self) -> Duration {
         self.warm_latency
