test(daemon): others leave an outdated instance out of their look-ups

Change: one instance of a modelled deployment has a version 8 s later than the others; it isn't named from before configApplyS after the acknowledgement until it has reported the version, and the others are named all the time. The check of what is named keeps all names now instead of one flag; as strict as before.

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -34,7 +34,7 @@
     is_store_older: bool,
     /// Since when a later version has been known.
     behind_since: Option<Time>,
-    /// Time from the last report of a later version to its arrival.
+    /// Time for which a later version was known when one was known last.
     last_wait: Duration,
     /// Last positions that the others have reported.
     reported: BTreeMap<InstanceId, u64>,
--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -172,8 +172,8 @@
     outcome: Result<usize, String>,
     /// Version that was in force at its arrival.
     in_force: usize,
-    /// Whether look-ups named the instance.
-    is_named: bool,
+    /// Instances that look-ups named.
+    named: Vec<InstanceId>,
 }
 
 /// Answers reads of the tables.
@@ -409,15 +409,15 @@
         sleep(ARRIVAL_INTERVAL).await;
         let at = started.elapsed();
         let in_force = versions.lock().unwrap().last().copied();
-        let mut named = view_rx.borrow().entries.clone().into_iter();
-        let is_named = named.any(|entry| entry.instance == "own".into());
+        let named = view_rx.borrow().entries.clone().into_iter();
+        let named = named.map(|entry| entry.instance).collect();
         let outcome = arrive(&engine, decided.len() as u64).await;
         let versions = versions.lock().unwrap();
         decided.push(Decided {
             at,
             outcome: outcome.map(|revision| versions[revision as usize - 1]),
             in_force: in_force.unwrap_or(0),
-            is_named,
+            named,
         });
     }
     decided
@@ -529,12 +529,42 @@
     let refused = decided.iter().filter(|one| is_refused(one)).count();
     assert!((100..230).contains(&refused), "{refused} refused");
     // The view may come a moment after the engine's word.
-    let differs =
-        |one: &&Decided| one.at > Duration::from_secs(1) && one.is_named == is_refused(one);
+    let own = InstanceId::from("own");
+    let differs = |one: &&Decided| {
+        one.at > Duration::from_secs(1) && one.named.contains(&own) == is_refused(one)
+    };
     let differing: Vec<_> = decided.iter().filter(differs).collect();
     assert!(differing.len() < 15, "{differing:?}");
 }
 
+/// An instance that has had an older version for too long is left out of the others' look-ups.
+#[test]
+fn outdated_instance_is_not_named_by_others() {
+    let change = Duration::from_secs(5);
+    let mut scenario = Scenario {
+        changes: vec![change],
+        transfers: vec![Transfer::Takes(Duration::from_millis(50))],
+        ..Scenario::calm()
+    };
+    scenario.reporters[1].reads_after = Duration::from_secs(8);
+    let decided = run(&scenario);
+    let late = reporter_id(1);
+    let first = Duration::from_secs(1);
+    let left_out = decided
+        .iter()
+        .filter(|one| one.at > first && !one.named.contains(&late));
+    let times: Vec<Duration> = left_out.map(|one| one.at).collect();
+    let (from, to) = (times[0], times[times.len() - 1]);
+    assert!(
+        from > change + scenario.apply / 2 && from < change + scenario.apply,
+        "{from:?}"
+    );
+    let back = change + Duration::from_secs(8);
+    assert!(to > back && to < back + Duration::from_secs(1), "{to:?}");
+    let names_others = |one: &Decided| one.at <= first || one.named.contains(&reporter_id(0));
+    assert!(decided.iter().all(names_others));
+}
+
 /// Guards against refusals without an instance that could serve: with a store that is away for all, every
 /// instance goes on by what it has.
 #[test]
