test(entry): another configuration lets running requests be tried again while outdated

Cause: each activation decides again about requests without an answer and takes back their withdrawal; a change of a target's row is such an activation, and the time since which a later version has been known goes on.

--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -184,3 +184,25 @@
     dispatch(&mut engine, 1);
     assert_eq!(refusal(&mut waiting), expected());
 }
+
+/// Guards against HOME and CONFIG: a change of a target's row, or a version that isn't the latest either, let
+/// running requests be tried again by a configuration of which it was known that it isn't the latest.
+#[tokio::test]
+async fn running_request_is_not_tried_again_after_another_configuration_that_is_outdated() {
+    let mut engine = engine();
+    let mut running = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    assert!(plan_of(&mut running).is_some());
+    fall_behind(&mut engine, Some(Time::ZERO));
+    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Refused,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    let kind = refusal(&mut running).map(|refusal| refusal.kind);
+    assert_eq!(kind, Some(ErrorKind::Outdated));
+}
