test(daemon): refusals for nothing at a start, and knowledge that comes late

Cause: an instance's first read of the operators' rows sets the position that it reports to the store's counter, which rows of other tables raise; the others lack nothing and count as behind until their poll ends (1.9 s at a contact time of 4 s, limit 1.67 s). A single lost heartbeat uses up the third of the time that is left for the way of knowledge.

--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -83,6 +83,9 @@
     outage: Option<Duration>,
     /// Time at which the others end.
     others_end: Option<Duration>,
+    /// Time at which rows of other tables have changed and another instance starts, whose first read has the
+    /// store's latest position.
+    others_start: Option<Duration>,
 }
 
 impl Scenario {
@@ -125,6 +128,7 @@
             lost_position: None,
             outage: None,
             others_end: None,
+            others_start: None,
         }
     }
 
@@ -145,9 +149,15 @@
             lost_position: None,
             outage: None,
             others_end: None,
+            others_start: None,
         }
     }
 
+    /// Returns by how much the store's position has risen by rows of other tables.
+    fn rise_at(&self, at: Duration) -> u64 {
+        u64::from(self.others_start.is_some_and(|start| start <= at))
+    }
+
     fn version_at(&self, at: Duration) -> usize {
         self.changes.iter().filter(|change| **change <= at).count()
     }
@@ -213,7 +223,8 @@
     let position = position_of(version);
     if position <= after {
         progress.add(1);
-        return Ok(Reply::Changes(Vec::new(), position));
+        let latest = position + scenario.rise_at(started.elapsed());
+        return Ok(Reply::Changes(Vec::new(), latest));
     }
     if after > 0 {
         let transfer = transfers.lock().unwrap().pop();
@@ -317,6 +328,7 @@
         let had = started.elapsed().checked_sub(reporter.reads_after);
         let version = had.map_or(0, |at| scenario.version_at(at));
         let position = scenario.lost_position.unwrap_or(position_of(version));
+        let position = position + scenario.rise_at(started.elapsed());
         let message = FollowerMessage::PeerPositions {
             from: reporter_id(idx),
             positions: vec![position, 1],
@@ -580,3 +592,48 @@
     // The read that was under way at the first report, and the next one.
     assert!(last < scenario.contact * 3 / 2, "{last:?}");
 }
+
+/// Guards against refusals for nothing: an instance that starts reports the position of its first read, which
+/// rows of other tables have raised; the others haven't polled again, and lack nothing.
+#[test]
+fn start_of_another_instance_makes_nobody_refuse() {
+    const STEP: Duration = Duration::from_millis(100);
+    let refused = (0..24).map(|step| {
+        let scenario = Scenario {
+            others_start: Some(Duration::from_secs(8) + STEP * step),
+            ..Scenario::calm()
+        };
+        let refused = run(&scenario).into_iter().filter(is_refused).count();
+        (step, refused)
+    });
+    let refused: Vec<_> = refused.filter(|(_, count)| *count > 0).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// Guards against CONFIG: a report that is lost leaves no time for the next one.
+#[test]
+fn knowledge_comes_in_time_though_a_heartbeat_is_lost() {
+    let bound = Scenario::calm().apply;
+    let late = (0..40).filter_map(|seed| {
+        let scenario = Scenario {
+            seed,
+            changes: vec![Duration::from_millis(5_000 + 25 * seed)],
+            transfers: vec![Transfer::Lost, Transfer::Lost, Transfer::Lost],
+            reporters: vec![Reporter {
+                phase: Duration::from_millis(100),
+                reads_after: Duration::from_millis(20),
+                loss: 0.2,
+            }],
+            ..Scenario::calm()
+        };
+        let decided = run(&scenario);
+        let late = decided.iter().filter(|one| {
+            let required = scenario.required_version(one.at);
+            one.outcome.as_ref().is_ok_and(|used| *used < required)
+        });
+        let last = late.last()?.at - scenario.changes[0] - bound;
+        Some((seed, last))
+    });
+    let late: Vec<_> = late.collect();
+    assert!(late.is_empty(), "{} of 40: {late:?}", late.len());
+}
