fix(entry): another configuration doesn't take back what is withdrawn while outdated

Cause: each activation, a change of a target's row as well, decided again about running requests and took back their withdrawal, though a still later configuration was known; they were tried again, and attempts that weren't sent yet were allowed again, by the old one.

Change: while the time is reached nothing is decided again; it is when the time is over.

Ruled out: withdrawing again after each activation lets the dispatcher send in between.

--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -44,8 +44,10 @@
     pub(super) fn set_lag(&mut self, now: Time, lag: ConfigLag) {
         self.outdated.from = lag.outdated_from.unwrap_or(Time::NEVER);
         self.outdated.retry_after = lag.retry_after;
-        if now < self.outdated.from {
+        if now < self.outdated.from && self.outdated.is_reached {
             self.outdated.is_reached = false;
+            let actions = self.revise_requests(now);
+            self.apply_dispatch(now, actions);
         }
         self.check_outdated(now);
     }
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -18,8 +18,12 @@
     /// Decides again about all requests without a final answer: those that are not allowed any more are
     /// refused unless they are running, and the others go where they may run now.
     ///
-    /// Service, deadline and priority stay as they were at the arrival.
+    /// Service, deadline and priority stay as they were at the arrival. While a later configuration is known
+    /// that should be in force, those that are left stay withdrawn.
     pub(super) fn revise_requests(&mut self, now: Time) -> Vec<Action> {
+        if self.outdated.is_reached() {
+            return Vec::new();
+        }
         let requests = self.requests.iter();
         let revised: Vec<(RequestId, Result<Terms, ErrorKind>)> = requests
             .map(|(id, request)| (*id, self.terms(request)))
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -206,3 +206,24 @@
     let kind = refusal(&mut running).map(|refusal| refusal.kind);
     assert_eq!(kind, Some(ErrorKind::Outdated));
 }
+
+/// What runs may be tried again once the latest configuration is there.
+#[tokio::test]
+async fn running_request_is_tried_again_once_caught_up() {
+    let mut engine = engine();
+    let mut running = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    assert!(plan_of(&mut running).is_some());
+    fall_behind(&mut engine, Some(Time::ZERO));
+    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    fall_behind(&mut engine, None);
+    engine.handle(Event::AttemptEnded {
+        id: RequestId(1),
+        attempt: 1,
+        outcome: Outcome::Refused,
+        response_bytes: None,
+        connection: None,
+        feedback: Default::default(),
+    });
+    assert_eq!(refusal(&mut running), None);
+}
