test(daemon): an instance whose heartbeats are lost isn't named any more

Cause: the last position that another instance has reported counts however old the report is, so one that has a version and of which nothing is heard counts as behind.

--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -184,6 +184,8 @@
     in_force: usize,
     /// Whether look-ups named the instance.
     is_named: bool,
+    /// Number of instances that look-ups named.
+    named: usize,
 }
 
 /// Answers reads of the tables.
@@ -422,6 +424,7 @@
         let at = started.elapsed();
         let in_force = versions.lock().unwrap().last().copied();
         let mut named = view_rx.borrow().entries.clone().into_iter();
+        let named_count = named.len();
         let is_named = named.any(|entry| entry.instance == "own".into());
         let outcome = arrive(&engine, decided.len() as u64).await;
         let versions = versions.lock().unwrap();
@@ -430,6 +433,7 @@
             outcome: outcome.map(|revision| versions[revision as usize - 1]),
             in_force: in_force.unwrap_or(0),
             is_named,
+            named: named_count,
         });
     }
     decided
@@ -637,3 +641,21 @@
     let late: Vec<_> = late.collect();
     assert!(late.is_empty(), "{} of 40: {late:?}", late.len());
 }
+
+/// Guards against refusals for nothing: an instance of which nothing is heard for a moment isn't behind.
+#[test]
+fn instance_whose_heartbeats_are_lost_stays_named() {
+    let mut scenario = Scenario {
+        changes: (0..8).map(|n| Duration::from_secs(3 + 2 * n)).collect(),
+        transfers: vec![Transfer::Takes(Duration::from_millis(50)); 40],
+        ..Scenario::calm()
+    };
+    // Both have each version after 20 ms.
+    scenario.reporters[1].loss = 0.6;
+    let decided = run(&scenario);
+    let missing = decided
+        .iter()
+        .filter(|one| one.at > Duration::from_secs(1) && one.named < 3);
+    let missing: Vec<_> = missing.map(|one| one.at).collect();
+    assert!(missing.is_empty(), "{} {missing:?}", missing.len());
+}
