fix(daemon): an instance of which nothing is heard isn't counted as behind

Cause: the last position that another instance had reported counted as present, so one whose heartbeats were lost for two thirds of the time was left out of look-ups though it had the version.

Change: a report tells that an instance is behind if it came that long after the own change.

Ruled out: ending the report with its age alone, which would name one that is behind again.

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -19,6 +19,13 @@
 /// Minimum and maximum delay after which callers may come back where most instances are behind.
 const WAIT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 
+/// The last position that another instance has reported.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    position: u64,
+    received_at: Time,
+}
+
 /// Follows since when the operators' table has been behind what others have.
 #[derive(Debug)]
 pub(super) struct Lateness {
@@ -37,7 +44,7 @@
     /// Time from the last report of a later version to its arrival.
     last_wait: Duration,
     /// Last positions that the others have reported.
-    reported: BTreeMap<InstanceId, u64>,
+    reported: BTreeMap<InstanceId, Report>,
     /// Whether the present time beyond the limit has been logged.
     is_logged: bool,
 }
@@ -62,7 +69,11 @@
     /// Records the position that another instance reports.
     pub(super) fn on_report(&mut self, now: Time, from: &InstanceId, position: u64) {
         self.lag.on_report(now, position);
-        self.reported.insert(from.clone(), position);
+        let report = Report {
+            position,
+            received_at: now,
+        };
+        self.reported.insert(from.clone(), report);
     }
 
     /// Records that an answer is arriving; one that began at no known time tells of nothing later.
@@ -138,11 +149,15 @@
         since.is_some_and(|since| now - since >= self.limit)
     }
 
-    /// Returns whether another instance has reported an older version than this one for as long.
-    pub(super) fn is_other_outdated(&self, now: Time, id: &InstanceId) -> bool {
-        let reported = self.reported.get(id).filter(|position| **position > 0);
-        let later_at = reported.and_then(|position| self.own_changes.first_after(*position));
-        !self.is_store_older && later_at.is_some_and(|at| now - at >= self.limit)
+    /// Returns whether another instance has reported an older version than this one after it could have had
+    /// the later one for as long.
+    pub(super) fn is_other_outdated(&self, id: &InstanceId) -> bool {
+        let known = self.reported.get(id).filter(|report| report.position > 0);
+        let is_late = known.is_some_and(|report| {
+            let later_at = self.own_changes.first_after(report.position);
+            later_at.is_some_and(|at| report.received_at - at >= self.limit)
+        });
+        is_late && !self.is_store_older
     }
 
     /// Returns when callers may come back: at once where most instances have a later version, else when it is
@@ -162,7 +177,7 @@
     /// Returns the number of live instances that have reported a later position than the own one.
     fn holders(&self, now: Time, fleet: &Fleet) -> usize {
         let later = self.reported.iter();
-        let later = later.filter(|(_, position)| **position > self.own_position);
+        let later = later.filter(|(_, report)| report.position > self.own_position);
         let is_alive = |id: &InstanceId| fleet.members.get(id).is_some_and(|one| one.is_alive(now));
         later.filter(|(id, _)| is_alive(id)).count()
     }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -166,7 +166,7 @@
         if *id == self.options.own_entry.instance {
             !self.lateness.is_outdated(now)
         } else {
-            !self.lateness.is_other_outdated(now, id)
+            !self.lateness.is_other_outdated(id)
         }
     }
 
