--- a/crates/daemon/tests/head.rs
+++ b/crates/daemon/tests/head.rs
@@ -126,6 +126,7 @@
             secret: Secret::derive("a secret for tests only"),
             metrics: Metrics::new().unwrap(),
             confirm_limit: Duration::from_secs(4),
+            apply: Duration::from_secs(2),
             read_timing: ReadTiming::within(Duration::from_secs(4)),
             own_entry: EntryPoint {
                 instance: "own".into(),
