--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -631,11 +631,11 @@
             ..Scenario::calm()
         };
         let decided = run(&scenario);
-        let late = decided.iter().filter(|one| {
+        let mut late = decided.iter().filter(|one| {
             let required = scenario.required_version(one.at);
             one.outcome.as_ref().is_ok_and(|used| *used < required)
         });
-        let last = late.last()?.at - scenario.changes[0] - bound;
+        let last = late.next_back()?.at - scenario.changes[0] - bound;
         Some((seed, last))
     });
     let late: Vec<_> = late.collect();
