docs: the last three "Holds ..." say what the type is for

`git grep -n '/// Holds' -- '*.rs'`: 3 before, 0 after (`Shared`, the place of a table being sent, a target's health).

--- a/crates/base/src/shared.rs
+++ b/crates/base/src/shared.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Holds a value that clones share until one of them is changed, which then gets its own.
+/// Shares a value among clones until one of them is changed, which then gets its own.
 ///
 /// A clone costs the same whatever the size of the value, and so does the comparison with a clone. It is
 /// serialized as the value alone.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -109,7 +109,7 @@
     Ok(())
 }
 
-/// Holds one of the places of tables that are being sent while a call for a table is answered; `None` if all
+/// Reserves one of the places of tables that are being sent while a call for a table is answered; `None` if all
 /// are taken: the caller asks another instance after its retry delay.
 fn reserve_transfer(call: &Call, tables: &Arc<Semaphore>) -> Option<Reservation> {
     match call {
--- a/crates/daemon/src/probes.rs
+++ b/crates/daemon/src/probes.rs
@@ -26,7 +26,7 @@
 type ProbeClient = Client<HttpConnector, Empty<Bytes>>;
 type TargetKey = (ServiceId, TargetId);
 
-/// Holds the load that a target's health endpoint reports, and whether the target is leaving.
+/// Reports the load of a target by its health endpoint, and whether the target is leaving.
 #[derive(Debug, Deserialize)]
 struct Health {
     in_flight: u32,
