docs: comments in ordinary words, not in the project's slang

Comments used "tell", "live", "beside", "far", "judged" and "heard" for reporting, running, at the same time, up to, checked and received. Two private names that needed the slang are `reported_once` and `last_word_at`. Names in the wire format, in log lines and in the text of findings are as they were, since those leave the process or tests read them.

No behaviour changed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -123,15 +123,15 @@
     quarantine: Quarantine,
     losses: LossCollector,
     holds_reported_at: Time,
-    /// Losses that the others have been told of once.
-    told_once: Vec<ConnectionLoss>,
-    /// Number of attempts of all requests so far.
+    /// Losses that have been reported to the other instances once.
+    reported_once: Vec<ConnectionLoss>,
+    /// Number of attempts of all requests.
     attempts_sent: u64,
     path: PathMonitor,
     /// Time within which nearly all requests of each service were answered before the path was lost.
     usual_latencies: BTreeMap<ServiceId, Duration>,
     own_id: InstanceId,
-    /// Live instances, among which the rates that targets name are shared.
+    /// Running instances, among which the rates that targets name are shared.
     instances: Vec<(InstanceId, RegionId)>,
 }
 
@@ -160,7 +160,7 @@
             policy,
             losses: LossCollector::default(),
             holds_reported_at: Time::ZERO,
-            told_once: Vec::new(),
+            reported_once: Vec::new(),
             attempts_sent: 0,
             path: PathMonitor::new(path_chart()?),
             usual_latencies: BTreeMap::new(),
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -72,7 +72,7 @@
             }
             Outcome::Canceled => Disposition::Drop,
             Outcome::Withheld => {
-                // What ended before, beside this attempt, counts as if it had ended now.
+                // Attempts that ended while this one was in flight count as if it had ended now.
                 let is_follow_up = !entry.reached.is_empty();
                 let may_follow = entry.may_follow(&self.quarantine);
                 if !is_follow_up || (may_follow && self.budget.try_withdraw()) {
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -8,7 +8,7 @@
 use crate::{Action, RateRank, RateReport, RequestId, Target, hash::seeded_hash};
 
 impl Dispatcher {
-    /// Sets the live instances and their regions; `own_id` identifies this one.
+    /// Sets the running instances and their regions; `own_id` identifies this one.
     pub fn set_instances(&mut self, own_id: &InstanceId, instances: Vec<(InstanceId, RegionId)>) {
         self.own_id = own_id.clone();
         self.instances = instances;
@@ -130,7 +130,7 @@
     }
 }
 
-/// Ranks the live instances for a target, those in its region first.
+/// Ranks the running instances for a target, those in its region first.
 ///
 /// An instance that is not among them, because it is leaving, comes last.
 fn rate_rank(
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -1,4 +1,4 @@
-//! What the dispatcher reports, and what it is told about targets.
+//! Statistics that the dispatcher reports, and reports about targets that it receives.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -32,7 +32,7 @@
                 target.record_health(report);
                 target.apply_health(now, &self.chart, report.is_leaving);
             }
-            // Health is asked directly, which tells nothing while the path is lost.
+            // Health checks use the direct path, so their results mean nothing while that is lost.
             None if self.path.state() == PathState::Relayed => {}
             None => {
                 target.apply_event(now, &self.chart, TargetEvent::Failed);
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that crash targets: what this instance records of them, and what it tells the others.
+//! Requests that crash targets: what this instance records of them and reports to the others.
 
 use std::time::Duration;
 
@@ -82,16 +82,16 @@
         against.extend(self.quarantine.take_cleared(now, MIN_PATH_TARGETS));
         let reports = against.iter().copied().map(Action::ReportLoss);
         let mut actions: Vec<Action> = reports.collect();
-        let room = MAX_REPORTED.saturating_sub(self.told_once.len());
-        self.told_once.extend(against.iter().take(room));
+        let room = MAX_REPORTED.saturating_sub(self.reported_once.len());
+        self.reported_once.extend(against.iter().take(room));
         actions.extend(self.record_losses(now, &against));
         let begun = self.quarantine.begin_due(now);
         actions.extend(self.begin_quarantines(now, &begun));
         actions
     }
 
-    /// Records losses that speak against their requests; if a quarantine begins with them, the others
-    /// are told at once and those that wait are refused.
+    /// Records losses that speak against their requests; if a quarantine begins with them, it is
+    /// reported to the others at once and waiting requests are refused.
     pub(super) fn record_losses(&mut self, now: Time, losses: &[ConnectionLoss]) -> Vec<Action> {
         let begun = self.quarantine.record(now, losses);
         self.begin_quarantines(now, &begun)
@@ -110,7 +110,7 @@
         actions
     }
 
-    /// Records the answer to a request; the others are told if it had been suspected.
+    /// Records the answer to a request; it is reported to the others if the request had been suspected.
     pub(super) fn record_request_answer(&mut self, now: Time, fingerprint: u64) -> Vec<Action> {
         let was_suspected = self.quarantine.record_answer(now, fingerprint);
         was_suspected
@@ -126,9 +126,9 @@
             return Vec::new();
         }
         self.holds_reported_at = now;
-        let told = std::mem::take(&mut self.told_once).into_iter();
+        let reported = std::mem::take(&mut self.reported_once).into_iter();
         let is_open = |loss: &ConnectionLoss| self.quarantine.is_suspected(loss.fingerprint);
-        let losses = told.filter(is_open).map(Action::ReportLoss);
+        let losses = reported.filter(is_open).map(Action::ReportLoss);
         let mut actions: Vec<Action> = losses.collect();
         actions.extend(self.hold_report(now));
         actions
@@ -165,12 +165,12 @@
             .collect()
     }
 
-    /// Returns this instance's rank among the live ones for a request; one that is not among them, as
+    /// Returns this instance's rank among the running ones for a request; one that is not among them, as
     /// it is leaving, comes last.
     fn reporter_rank(&self, fingerprint: u64) -> usize {
         let key = |id: &base::InstanceId| (seeded_hash(fingerprint, id.as_str()), id.clone());
-        let is_live = self.instances.iter().any(|(id, _)| *id == self.own_id);
-        if !is_live && !self.instances.is_empty() {
+        let is_running = self.instances.iter().any(|(id, _)| *id == self.own_id);
+        if !is_running && !self.instances.is_empty() {
             return usize::MAX;
         }
         let own = key(&self.own_id);
--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -36,7 +36,7 @@
     /// Returns how long this instance must wait before it sends a request; `None` if it is not its
     /// turn before other instances have been silent for longer.
     ///
-    /// `has_request` tells whether a request of this instance is on the target.
+    /// `has_request` says whether a request of this instance is on the target.
     pub fn wait(&self, now: Time, has_request: bool) -> Option<Duration> {
         let by_rate = self.rate.wait(now, self.rank, has_request)?;
         Some(by_rate.max(self.rest_until - now))
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -77,7 +77,7 @@
         (self.limit as u32).max(1)
     }
 
-    /// Returns whether one more request may run beside `in_flight` others.
+    /// Returns whether one more request may run at the same time as `in_flight` others.
     pub fn has_capacity(&self, in_flight: u32) -> bool {
         in_flight < self.current()
     }
--- a/crates/dispatch/src/losses.rs
+++ b/crates/dispatch/src/losses.rs
@@ -76,13 +76,13 @@
 pub struct Judgement {
     /// Losses that speak against their requests.
     pub against: Vec<ConnectionLoss>,
-    /// Losses that speak against the path to the targets, as far as this instance can tell.
+    /// Losses that speak against the path to the targets, by what this instance knows.
     pub path: Vec<ConnectionLoss>,
 }
 
 /// Time between two losses within which they belong to one event.
 const EVENT_GAP: Duration = Duration::from_millis(100);
-/// Maximum time of an event, after which it is judged.
+/// Maximum time of an event, after which its losses are attributed.
 const MAX_EVENT_TIME: Duration = Duration::from_millis(300);
 /// Targets that must lose connections in one event, with nothing else to explain it, for it to count
 /// as a failure of the path.
@@ -93,7 +93,7 @@
 const MAX_EXPLAINING_REQUESTS: usize = 2;
 
 impl LossCollector {
-    /// Adds the loss of a connection; this instance has sent `sent` attempts so far.
+    /// Adds the loss of a connection; this instance had sent `sent` attempts by then.
     pub fn add(&mut self, now: Time, sent: u64, lost: LostAttempt) {
         let event = self.event.get_or_insert_with(|| LossEvent {
             began_at: now,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -27,7 +27,7 @@
 /// Time after which a caller may retry where it is not this instance's turn to send to any target.
 const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
 
-/// Knows where this instance is and how far the regions are from it.
+/// Describes the region of this instance and the round-trip times to the others.
 #[derive(Debug)]
 pub(crate) struct Surroundings {
     pub(crate) local_region: RegionId,
@@ -51,7 +51,7 @@
     }
 }
 
-/// Describes a request to be placed and what placement needs to know beside the pool.
+/// Describes a request to be placed and what placement needs to know besides the pool.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlacementQuery<'a> {
     /// Request to place.
--- a/crates/dispatch/src/pool/statistics.rs
+++ b/crates/dispatch/src/pool/statistics.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Records a response; `reason` tells whether its latency is a sample for warm targets, for
+    /// Records a response; `reason` decides whether its latency is a sample for warm targets, for
     /// cold ones or for neither.
     pub(crate) fn record_response(
         &mut self,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -161,11 +161,11 @@
     Recall(RequestId),
     /// Send the caller this refusal; the request has ended.
     Refuse(RequestId, Refusal),
-    /// Tell the other instances that a connection was lost while it carried this request.
+    /// Report to the other instances that a connection was lost while it carried this request.
     ReportLoss(ConnectionLoss),
-    /// Tell the other instances that a quarantine of a request begins.
+    /// Report to the other instances that a quarantine of a request begins.
     BeginQuarantine(Hold),
-    /// Tell the other instances what is known of requests that crash targets.
+    /// Report to the other instances what is known of requests that crash targets.
     ReportQuarantine(QuarantineReport),
 }
 
--- a/crates/dispatch/src/shared_rate.rs
+++ b/crates/dispatch/src/shared_rate.rs
@@ -18,7 +18,7 @@
 
 /// Determines an instance's part of the rate that a target names, by its position among the others.
 ///
-/// The live instances are ranked for each target, those of its region first. The first ones share
+/// The running instances are ranked for each target, those of its region first. The first ones share
 /// its rate equally; the others send only if all of those are silent.
 ///
 /// # Examples
@@ -33,7 +33,7 @@
 pub struct RateRank {
     /// Position of this instance, starting at zero.
     pub position: u32,
-    /// Number of live instances in the target's region, or of all of them where it has none.
+    /// Number of running instances in the target's region, or of all of them where it has none.
     pub local_count: u32,
 }
 
@@ -135,7 +135,7 @@
     /// Returns how long this instance must wait before it sends a request; `None` if it is not its
     /// turn before other instances have been silent for longer.
     ///
-    /// `has_request` tells whether a request of this instance is on the target.
+    /// `has_request` says whether a request of this instance is on the target.
     pub fn wait(&self, now: Time, rank: RateRank, has_request: bool) -> Option<Duration> {
         let Some(per_s) = self.per_s.map(|per_s| per_s.max(MIN_RATE_PER_S)) else {
             return Some(Duration::ZERO);
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -12,8 +12,8 @@
     ConcurrencyLimit, ExclusionReason, Exclusions, LatencyEstimate, SendGate, hash::seeded_hash,
 };
 
-/// Lists the states of a target; `charts/target.json` holds the transitions of those that tell how it
-/// does. Whether it is leaving follows from the reasons for which it is out of service.
+/// Lists the states of a target; `charts/target.json` holds the transitions of those that describe
+/// its health. Whether it is leaving follows from the reasons for which it is out of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
@@ -64,7 +64,7 @@
     exclusions: Exclusions,
     slots: u32,
     limit: ConcurrencyLimit,
-    /// How the target does, in service or not.
+    /// Health of the target, in service or not.
     condition: TargetState,
     cold_since: Time,
     /// Requests of other instances, by the last health report.
@@ -94,8 +94,8 @@
     refusal_rate: f64,
     /// When the target takes the next request of this instance, by its own word.
     gate: SendGate,
-    /// Time of the target's last own word; [`Time::ZERO`] if there was none.
-    heard_at: Time,
+    /// Time of the last response or report of the target itself; [`Time::ZERO`] if there was none.
+    last_word_at: Time,
 }
 
 /// Records the load that a target reported with a response, to estimate its load until the next one.
@@ -158,7 +158,7 @@
             load_report: None,
             refusal_rate: 0.0,
             gate: SendGate::default(),
-            heard_at: Time::ZERO,
+            last_word_at: Time::ZERO,
         }
     }
 
@@ -301,14 +301,14 @@
         self.refusal_rate += REFUSAL_RATE_GAIN * (sample - self.refusal_rate);
     }
 
-    /// Records that the target has said something itself.
+    /// Records a response or report of the target itself.
     pub(crate) fn record_word(&mut self, now: Time) {
-        self.heard_at = now;
+        self.last_word_at = now;
     }
 
     /// Returns whether what is known of the target still counts if its entry comes back.
     pub(crate) fn is_remembered(&self, now: Time) -> bool {
-        self.heard_at != Time::ZERO && now - self.heard_at < MEMORY
+        self.last_word_at != Time::ZERO && now - self.last_word_at < MEMORY
     }
 
     /// Records that a request is sent to the target.
--- a/crates/dispatch/src/throughput.rs
+++ b/crates/dispatch/src/throughput.rs
@@ -23,7 +23,7 @@
 const GAIN: f64 = 0.3;
 
 impl Throughput {
-    /// Records a response; `has_queued` tells whether requests are queued.
+    /// Records a response; `has_queued` says whether requests are queued.
     pub(crate) fn record_response(&mut self, now: Time, has_queued: bool) {
         if !has_queued {
             self.window = None;
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-/// Bounds the bytes of bodies for as long as these live; all clones share the bound.
+/// Bounds the bytes of bodies for as long as these are in memory; all clones share the bound.
 ///
 /// A body may grow as long as it holds no more than what is left for all. One that never ends gets
 /// half, and leaves the other half to the rest; several of them leave each other equal parts. One
@@ -25,7 +25,7 @@
 pub(crate) enum BodyError {
     /// It is larger than allowed.
     TooLarge,
-    /// There is no room for it beside the others.
+    /// The bodies in memory leave no room for it.
     NoRoom,
     /// Its connection failed.
     Failed,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -100,11 +100,11 @@
     /// How the requests that arrive in this instance's region are divided among the regions, by
     /// service.
     RegionShares(BTreeMap<ServiceId, RegionShares>),
-    /// The live instances with their regions, among which the rates that targets name are shared.
+    /// The running instances with their regions, among which the rates that targets name are shared.
     LiveInstances {
         /// ID of this instance.
         own_id: InstanceId,
-        /// Live instances that accept callers, including this one unless it is leaving.
+        /// Running instances that accept callers, including this one unless it is leaving.
         instances: Vec<LiveInstance>,
     },
     /// Another instance reports the rates that targets have named to it.
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -4,7 +4,7 @@
 
 use base::{AllowedRegions, Config, DomainId, InstanceId, RegionId};
 
-/// Locates a caller, as far as its location is known.
+/// Locates a caller by what is known of its location.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerLocation {
     /// Nearest failure domain.
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -69,9 +69,9 @@
 
 /// Returns the shares that serve each region's demand as close to its callers as capacity allows.
 ///
-/// Demand stays in its own region as far as that region has capacity. The rest is spread over the
-/// other regions in proportion to their available capacity, as far as the link out of its region
-/// carries it. Where the total demand exceeds the target utilization, all regions are filled to the
+/// Demand stays in its own region up to the capacity of that region. The rest is spread over the
+/// other regions in proportion to their available capacity, up to what the link out of its region
+/// carries. Where the total demand exceeds the target utilization, all regions are filled to the
 /// same utilization, none over its capacity. Demand that fits nowhere stays in its own region,
 /// where it is refused.
 ///
@@ -194,7 +194,7 @@
         .sum()
 }
 
-/// Moves shares towards new ones as far as the shift cap allows.
+/// Moves shares towards new ones within the shift cap.
 ///
 /// All shifts within the last window count towards the cap, so that many small steps can't exceed
 /// it.
--- a/crates/wire/src/marked.rs
+++ b/crates/wire/src/marked.rs
@@ -1,7 +1,7 @@
 //! Bytes over TCP whose end is marked, so that it differs from a connection that broke off.
 //!
 //! The kernel closes the connections of a process that ends as if the process had closed them. So
-//! the end of the connection doesn't tell whether all bytes have come. Each chunk is preceded by
+//! the end of the connection doesn't show whether all bytes have come. Each chunk is preceded by
 //! its length; a length of zero marks the end.
 
 use std::{
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -105,7 +105,7 @@
         self.secret.seal(&head, message)
     }
 
-    /// Returns the incarnation that frames for the instance `to` name, if one has been heard.
+    /// Returns the incarnation that frames for the instance `to` name, if a frame of it has been received.
     pub fn receiver_incarnation(&self, to: &InstanceId) -> Option<Incarnation> {
         let session = self.sessions.get(to)?;
         session.candidate.or(session.incarnation)
