feat(coord): who reads a table for others

Every instance polls the store to hear that nothing has changed. Readers decides, without sockets or clocks, whether one polls for itself, for its region, or only what others report: the first by rendezvous rank poll for all, and whoever has no young report polls itself, whatever the reason. A lease was ruled out (docs/DESIGN.md). Nothing uses it in this commit.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod owner;
 mod quota;
+mod readers;
 mod replica;
 mod version_tracker;
 
@@ -31,5 +32,6 @@
 };
 pub use owner::QuotaOwner;
 pub use quota::{Quota, QuotaSplit, TokenBucket};
+pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
