--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -16,6 +16,7 @@
 mod owner;
 pub mod parts;
 mod quota;
+mod readers;
 mod replica;
 mod version_tracker;
 
@@ -34,5 +35,6 @@
 };
 pub use owner::QuotaOwner;
 pub use quota::{Quota, QuotaSplit, TokenBucket};
+pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
