feat(entry): ages of the configurations that refuse requests for good

Callers saw 401 or 404 for what the configuration allowed; which of many refusals were by an old configuration told only the lines of single requests, which are cut down to 400 a second.

Change: godwitgauge_refusal_config_age_seconds{end}, for 3xx and 4xx but 408, 421 and 429: time from when the deciding configuration was last known to be the latest to the request's arrival. Refusals for which no configuration was asked (a head that can't be read, or is too large) have no age and are in requests_total alone. The line of a refused request tells the kind (end) and config_age_ms already, with one gap: a request withdrawn by a later configuration while it waited told the revision of its arrival. It now tells the one that refused it. One withdrawn while an attempt ran, which is refused when that ends, still tells its arrival's.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -142,6 +142,11 @@
         };
         span.note(&end);
         self.record_metrics(&service, &end, started, &log_for_metrics);
+        if let Err(refusal) = &result {
+            let status = self.dialect.status(refusal.kind);
+            let age = log_for_metrics.with(|state| state.config_age()).flatten();
+            self.metrics.record_refusal(&end, status, age);
+        }
         line_guard.finish(&end, &result);
         match result {
             Ok(response) => write_response(res, response),
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 
 use super::{Engine, PendingRequest};
+use crate::message::Decision;
 
 /// What the active configuration says of a request.
 struct Terms {
@@ -96,10 +97,18 @@
         request
             .allowed_regions
             .send_replace(AllowedRegions::nowhere());
-        if self.dispatcher.contains(id) {
-            return self.dispatcher.withdraw(now, id, kind);
+        let tx = request.tx.clone();
+        let actions = if self.dispatcher.contains(id) {
+            self.dispatcher.withdraw(now, id, kind)
+        } else {
+            self.admission.cancel(id.0);
+            vec![Action::Refuse(id, Refusal::new(kind))]
+        };
+        let is_refused =
+            |action: &Action| matches!(action, Action::Refuse(refused, _) if *refused == id);
+        if actions.iter().any(is_refused) {
+            let _ = tx.send(Decision::Consulted(self.used_config()));
         }
-        self.admission.cancel(id.0);
-        vec![Action::Refuse(id, Refusal::new(kind))]
+        actions
     }
 }
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -44,10 +44,7 @@
 impl Engine {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let (id, tx) = (arrival.id, arrival.tx.clone());
-        let config = UsedConfig {
-            revision: self.revision,
-            confirmed_at: self.confirmed_at,
-        };
+        let config = self.used_config();
         match self.resolve(now, arrival) {
             Ok((request, is_open)) => {
                 let (workspace, deadline) = (request.workspace.clone(), request.deadline);
@@ -84,6 +81,14 @@
         }
     }
 
+    /// Returns which configuration decides by now, and how old it may be.
+    pub(super) fn used_config(&self) -> UsedConfig {
+        UsedConfig {
+            revision: self.revision,
+            confirmed_at: self.confirmed_at,
+        }
+    }
+
     /// Resolves the service and workspace of a request; the flag is set if it needs no API key.
     pub(super) fn resolve(
         &mut self,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics of an instance.
 
+use std::time::Duration;
+
 use prometheus::{
     Encoder, Error, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -7,6 +9,10 @@
 use record::lines::AttemptLine;
 
 const MS_PER_S: f64 = 1_000.0;
+/// Upper bounds, in seconds, of the ages of configurations that refuse requests.
+const REFUSAL_AGE_BUCKETS: [f64; 10] = [0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0];
+/// Client errors that promise that the request hasn't run, so that its caller may send it again.
+const REPEATABLE_STATUSES: [u16; 3] = [408, 421, 429];
 
 /// Counts and times the requests of one instance and exports the metrics.
 #[derive(Debug, Clone)]
@@ -21,6 +27,9 @@
     /// Seconds that answered attempts took, by service and reason for the choice of target, since
     /// an object's preferred target is usually warm and others are usually cold.
     pub attempt_seconds: HistogramVec,
+    /// Seconds since the configuration that decided was last known to be the latest, by the kind of error,
+    /// of requests that callers don't send again.
+    pub refusal_config_age: HistogramVec,
     /// Gauges of the instance's state, by name; alarms are based on them.
     pub gauges: IntGaugeVec,
 }
@@ -63,6 +72,14 @@
             .buckets(prometheus::exponential_buckets(0.001, 2.0, 14)?),
             &["service", "reason"],
         )?;
+        let refusal_config_age = HistogramVec::new(
+            HistogramOpts::new(
+                "godwitgauge_refusal_config_age_seconds",
+                "Seconds since the configuration that refused a request for good was last known to be the latest.",
+            )
+            .buckets(REFUSAL_AGE_BUCKETS.to_vec()),
+            &["end"],
+        )?;
         let gauges = IntGaugeVec::new(
             Opts::new("godwitgauge_fact", "Facts that alarms are built on."),
             &["name"],
@@ -71,6 +88,7 @@
         registry.register(Box::new(request_seconds.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(attempt_seconds.clone()))?;
+        registry.register(Box::new(refusal_config_age.clone()))?;
         registry.register(Box::new(gauges.clone()))?;
         Ok(Self {
             registry,
@@ -78,6 +96,7 @@
             request_seconds,
             attempts,
             attempt_seconds,
+            refusal_config_age,
             gauges,
         })
     }
@@ -93,6 +112,17 @@
         }
     }
 
+    /// Records a refusal by a configuration that was last known to be the latest `age` ago, if its status is a
+    /// redirection or a client error after which callers don't try again.
+    pub fn record_refusal(&self, end: &str, status: u16, age: Option<Duration>) {
+        let is_final = (300..500).contains(&status) && !REPEATABLE_STATUSES.contains(&status);
+        if let Some(age) = age.filter(|_| is_final) {
+            self.refusal_config_age
+                .with_label_values(&[end])
+                .observe(age.as_secs_f64());
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -106,7 +106,6 @@
         let now = self.clock.now();
         self.log.with(|state| {
             let info = state.info.as_ref();
-            let confirmed_at = state.config.and_then(|config| config.confirmed_at);
             let line = RequestLine {
                 event: "request",
                 at_ms: now.as_micros() / 1_000,
@@ -115,7 +114,7 @@
                 service: info.map_or("", |info| info.service.as_str()),
                 workspace: info.map_or("", |info| info.workspace.as_str()),
                 revision: state.config.map_or(0, |config| config.revision),
-                config_age_ms: confirmed_at.map(|at| (state.started - at).as_millis() as u64),
+                config_age_ms: state.config_age().map(|age| age.as_millis() as u64),
                 homes: info.and_then(|info| homes(&info.allowed_regions)),
                 object: info.and_then(|info| info.affinity),
                 deadline_ms: info
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -1,6 +1,9 @@
 //! Collects the history of one request for its log line.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use base::{AllowedRegions, Time};
 use dispatch::{Candidate, Outcome};
@@ -27,6 +30,15 @@
     pub(crate) candidates: Vec<CandidateLine>,
 }
 
+impl RequestLogState {
+    /// Returns how long before the request's arrival the configuration that decided was last known to be the
+    /// latest.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        let confirmed_at = self.config?.confirmed_at?;
+        Some(self.started - confirmed_at)
+    }
+}
+
 impl RequestLog {
     pub(crate) fn new(started: Time) -> Self {
         let state = RequestLogState {
