feat(platform): an answer tells the reading of the store's clock when it was made

Callers saw nothing of this yet: an answer of the store confirms the configuration as of its arrival, and what is held up on the way is dated too late. The store's answers about rows carry nowS, a steady clock.

Nothing decides by it yet. Ruled out: a field of Reply::Changes, which other platforms of the crate speak over HTTP and which has no clock there.

--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -45,6 +45,8 @@
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
     pub last_byte_at: Instant,
+    /// Reading of the platform's steady clock when the answer was made, if it tells one.
+    pub made_at: Option<Duration>,
     /// Time from which on the transfer is below the lowest rate unless more arrives; `None` before the first
     /// byte.
     slow_at: Option<Instant>,
@@ -69,6 +71,7 @@
             bytes: 0,
             begun_at: None,
             last_byte_at: Instant::now(),
+            made_at: None,
             slow_at: None,
         };
         Self {
@@ -90,6 +93,14 @@
         });
     }
 
+    /// Records the reading of the platform's steady clock when the answer was made; of an answer of several
+    /// parts, the first part's counts.
+    pub fn on_clock(&self, reading: Duration) {
+        self.tx.send_modify(|received| {
+            received.made_at.get_or_insert(reading);
+        });
+    }
+
     /// Records that a part of the call itself has been sent.
     pub fn on_sent(&self) {
         self.tx
