test(daemon): requests refused for good by a configuration that may no longer decide

Callers saw 401 and 404 for what every version that may be in force allows (DENIED, CONFIG). Suspected from reading: a confirmation counts for contactS while a change binds after configApplyS; an answer from before the own position confirms; an answer confirms as of its arrival.

tests/refusals.rs plays follower and engine in virtual time: 300 drawn schedules of versions that add and remove routes and keys, beside another instance that reports in half of them, with heartbeats lost and held up; the store's answers are lost, from before the reader's position for 0.5 to 6 s, held up for 0.3 to 3.5 s, the first ones held up, or all of it. Bound: nothing is refused as unknown that all versions from the last one acknowledged configApplyS before the request to the newest allow. A second test holds the other way: while the store answers, what no version allows is refused for good and not put off.

--- /dev/null
+++ b/crates/daemon/tests/refusals.rs
@@ -0,0 +1,565 @@
+//! Requests that are refused for good by a configuration that may no longer decide, over drawn versions,
+//! answers of the store and reports of another instance.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    future::pending,
+    net::{Ipv4Addr, SocketAddr},
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{
+    Config, Incarnation, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService,
+    Workspace,
+};
+use coord::{QuotaSplit, Replica};
+use daemon::{
+    fleet::Fleet,
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::FollowerMessage,
+    table_reads::ReadTiming,
+};
+use dispatch::{Policy, RequestId, RequestKind};
+use entry::{
+    dial::Dialer,
+    engine::{Engine, EngineOptions},
+    message::{Arrival, Decision, Event},
+    metrics::Metrics,
+    view::{Clock, EntryPoint, View},
+};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+use wire::Secret;
+
+const SEEDS: Range<u64> = 0..300;
+const RUN_TIME: Duration = Duration::from_secs(25);
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(50);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time from which on answers are disturbed.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// Reading of the store's clock at the start.
+const STORE_CLOCK: Duration = Duration::from_secs(86_400);
+const OPERATOR_TABLE: &str = "op";
+/// Routes and keys, of which the first ones are there all the time and the last ones never.
+const NAMES: usize = 5;
+
+/// How often each kind of disturbance hits an answer of the store.
+#[derive(Debug, Clone, Copy, Default)]
+struct Disturbances {
+    lost: f64,
+    held_up: f64,
+    /// Whether the store answers from before the reader's position now and then.
+    is_stale: bool,
+    /// Whether the answers to the first reads are held up.
+    at_start: bool,
+}
+
+/// What operators have put in force.
+#[derive(Debug, Clone)]
+struct Version {
+    /// Time of its acknowledgement.
+    at: Duration,
+    routes: BTreeSet<usize>,
+    keys: BTreeSet<usize>,
+}
+
+impl Version {
+    fn allows(&self, asked: Asked) -> bool {
+        self.routes.contains(&asked.route) && self.keys.contains(&asked.key)
+    }
+}
+
+/// Another instance, which reports.
+#[derive(Debug, Clone, Copy)]
+struct Reporter {
+    /// Share of its heartbeats that are lost.
+    loss: f64,
+    /// Maximum time for which one is held up.
+    delay: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Scenario {
+    seed: u64,
+    contact: Duration,
+    apply: Duration,
+    /// One-way time to the store.
+    way: Duration,
+    versions: Vec<Version>,
+    reporter: Option<Reporter>,
+    /// Times in which the store answers from before the reader's position.
+    stale: Vec<Range<Duration>>,
+    disturbances: Disturbances,
+}
+
+impl Scenario {
+    fn draw(seed: u64, disturbances: Disturbances) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
+        let apply = ms(2_000..3_000);
+        let mut version = Version {
+            at: Duration::ZERO,
+            routes: [0, 1].into(),
+            keys: [0, 1].into(),
+        };
+        let mut versions = vec![version.clone()];
+        while version.at < RUN_TIME {
+            version.at += ms(300..4_000);
+            let name = ms(1..NAMES as u64 - 1).as_millis() as usize;
+            let names = match ms(0..2).is_zero() {
+                true => &mut version.routes,
+                false => &mut version.keys,
+            };
+            if !names.remove(&name) {
+                names.insert(name);
+            }
+            versions.push(version.clone());
+        }
+        let reporter = Reporter {
+            loss: ms(0..700).as_secs_f64(),
+            delay: ms(1..2_000),
+        };
+        // By then the reader has had a version after the first one.
+        let stale = [5_000, 15_000].map(|from| {
+            let start = ms(from..from + 5_000);
+            start..start + ms(500..6_000)
+        });
+        Self {
+            stale: if disturbances.is_stale {
+                stale.into()
+            } else {
+                Vec::new()
+            },
+            seed,
+            contact: apply + ms(500..1_600),
+            apply,
+            way: ms(1..56),
+            versions,
+            reporter: ms(0..2).is_zero().then_some(reporter),
+            disturbances,
+        }
+    }
+
+    fn version_at(&self, at: Duration) -> usize {
+        let is_later = |version: &&Version| version.at <= at;
+        self.versions.iter().filter(is_later).count() - 1
+    }
+
+    /// Returns the versions by which a request sent at `at` may be handled.
+    fn in_force(&self, at: Duration) -> &[Version] {
+        let oldest = self.version_at(at.saturating_sub(self.apply));
+        &self.versions[oldest..=self.version_at(at)]
+    }
+}
+
+/// Returns the store's position of a version.
+fn position_of(version: usize) -> u64 {
+    10 + version as u64 * 10
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    route: usize,
+    key: usize,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+struct Decided {
+    at: Duration,
+    asked: Asked,
+    /// Why it was refused, if it was.
+    refusal: Option<String>,
+}
+
+impl Decided {
+    /// Returns whether the caller was told not to come back.
+    fn is_refused_for_good(&self) -> bool {
+        let kind = self.refusal.as_deref();
+        kind.is_some_and(|kind| ["unknown_service", "missing_key", "unknown_key"].contains(&kind))
+    }
+}
+
+/// What becomes of an answer once it is made.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Prompt,
+    HeldUp(Duration),
+    Lost,
+}
+
+/// A store whose answers are disturbed.
+#[derive(Debug)]
+struct Store {
+    started: Instant,
+    scenario: Scenario,
+    rng: Mutex<Pcg32>,
+}
+
+impl Store {
+    fn fate(&self) -> Fate {
+        let mut rng = self.rng.lock().unwrap();
+        let drawn = rng.random_range(0.0..1.0);
+        let held_up = Fate::HeldUp(Duration::from_millis(rng.random_range(300..3_500)));
+        let disturbances = self.scenario.disturbances;
+        if self.started.elapsed() < CALM_TIME {
+            return if disturbances.at_start {
+                held_up
+            } else {
+                Fate::Prompt
+            };
+        }
+        match drawn {
+            _ if drawn < disturbances.lost => Fate::Lost,
+            _ if drawn < disturbances.lost + disturbances.held_up => held_up,
+            _ => Fate::Prompt,
+        }
+    }
+
+    fn is_stale(&self, at: Duration) -> bool {
+        self.scenario.stale.iter().any(|time| time.contains(&at))
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        call: Call,
+        progress: Progress,
+    ) -> Result<Reply, PlatformError> {
+        let (table, after, wait) = match call {
+            Call::Snapshot { table } => (table, 0, Duration::ZERO),
+            Call::Changes {
+                table,
+                after,
+                wait_ms,
+            } => (table, after, Duration::from_millis(wait_ms)),
+            _ => return Err(PlatformError::Unavailable),
+        };
+        let is_operators = table == OPERATOR_TABLE;
+        let fate = if is_operators {
+            self.fate()
+        } else {
+            Fate::Prompt
+        };
+        sleep(self.scenario.way).await;
+        let deadline = Instant::now() + wait;
+        let mut versions = self.scenario.versions.iter().enumerate();
+        let next = versions.find(|(idx, _)| is_operators && position_of(*idx) > after);
+        let next = next.map_or(deadline, |(_, version)| self.started + version.at);
+        sleep_until(next.min(deadline)).await;
+        let made_at = self.started.elapsed();
+        let mut version = match is_operators {
+            true => self.scenario.version_at(made_at),
+            false => 0,
+        };
+        if is_operators && self.is_stale(made_at) {
+            version = (after.saturating_sub(position_of(1)) / 10) as usize;
+        }
+        let position = position_of(version);
+        let row = Change {
+            row: "config".to_owned(),
+            value: Some(version.to_string()),
+            at: position,
+        };
+        let rows = (position > after).then_some(row).into_iter().collect();
+        match fate {
+            Fate::Lost => pending().await,
+            Fate::HeldUp(time) => sleep(time).await,
+            Fate::Prompt => {}
+        }
+        sleep(self.scenario.way).await;
+        progress.on_clock(STORE_CLOCK + made_at);
+        progress.add(1);
+        Ok(Reply::Changes(rows, position))
+    }
+}
+
+fn route_prefix(name: usize) -> String {
+    format!("/r{name}/")
+}
+
+fn key(name: usize) -> String {
+    format!("key {name}")
+}
+
+fn config(version: &Version) -> Config {
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets: BTreeMap::new(),
+        cold: None,
+    };
+    let routes = version.routes.iter().map(|name| Route {
+        name: name.to_string(),
+        host: "h".to_owned(),
+        prefix: route_prefix(*name),
+        kind: RouteKind::Idempotent,
+        services: vec![WeightedService {
+            service: "board".into(),
+            weight: 1,
+        }],
+        timeout_ms: 10_000,
+        objective_ms: 10_000,
+        attempts: 1,
+        priority: 0,
+        is_open: false,
+        is_sticky: false,
+        homes: BTreeSet::new(),
+    });
+    let keys = version.keys.iter().map(|name| {
+        let key = Key {
+            workspace: "gym".into(),
+            digest: KeyDigest::of(&key(*name)),
+        };
+        (name.to_string(), key)
+    });
+    Config {
+        services: BTreeMap::from([("board".into(), service)]),
+        workspaces: BTreeMap::from([("gym".into(), Workspace::default())]).into(),
+        routes: routes.collect::<Vec<_>>().into(),
+        keys: keys
+            .map(|(name, key)| (name.as_str().into(), key))
+            .collect(),
+        ..Config::default()
+    }
+}
+
+/// Sends heartbeats of an instance that polls the store undisturbed.
+async fn report(
+    started: Instant,
+    scenario: Scenario,
+    reporter: Reporter,
+    follower: mpsc::Sender<FollowerMessage>,
+) {
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ 0x4e97);
+    loop {
+        sleep(HEARTBEAT_INTERVAL).await;
+        let age = Duration::from_millis(rng.random_range(20..1_400));
+        let confirmed_at = started.elapsed().saturating_sub(age);
+        let version = scenario.version_at(confirmed_at);
+        let message = FollowerMessage::PeerPositions {
+            from: "other".into(),
+            positions: vec![position_of(version), position_of(0)],
+            confirmed_at: Some(Time::ZERO + confirmed_at),
+        };
+        let delay = rng.random_range(0..reporter.delay.as_millis() as u64 + 1);
+        if rng.random_range(0.0..1.0) < reporter.loss {
+            continue;
+        }
+        let follower = follower.clone();
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(delay)).await;
+            let _ = follower.send(message).await;
+        });
+    }
+}
+
+fn run(scenario: &Scenario) -> Vec<Decided> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(play(scenario.clone()))
+}
+
+async fn play(scenario: Scenario) -> Vec<Decided> {
+    let started = Instant::now();
+    let clock = Clock::start();
+    let store = Arc::new(Store {
+        started,
+        scenario: scenario.clone(),
+        rng: Mutex::new(Pcg32::seed_from_u64(scenario.seed ^ 0x570e)),
+    });
+    let platform = Platform::spawn(move || {
+        let store = store.clone();
+        move |call, progress| store.clone().answer(call, progress)
+    });
+    let versions = scenario.versions.clone();
+    let compose = move |replicas: &[&Replica]| {
+        let mut rows = replicas[0].rows();
+        let version: usize = rows.find_map(|(_, row)| row.value.parse().ok())?;
+        Some(ComposedConfig {
+            version: version as u64,
+            config: config(&versions[version]),
+        })
+    };
+    let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let (engine, engine_rx) = mpsc::unbounded_channel();
+    let (peers, _peers_rx) = mpsc::channel(64);
+    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let (tx, rx) = mpsc::channel(64);
+    let follower = TableFollower::new(
+        FollowerOptions {
+            clock,
+            platform,
+            secret: Secret::derive("a secret for tests only"),
+            metrics: Metrics::new().unwrap(),
+            confirm_limit: scenario.contact,
+            apply: scenario.apply,
+            read_timing: ReadTiming::within(scenario.contact),
+            own_entry: EntryPoint {
+                instance: "own".into(),
+                incarnation: Incarnation(1),
+                domain: "d".into(),
+                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            },
+            fleet,
+        },
+        Outputs {
+            engine: engine.clone(),
+            peers,
+            view,
+        },
+        FollowedTables {
+            tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+            compose,
+        },
+        snapshots,
+    );
+    tokio::spawn(start_engine(clock, &engine).run(engine_rx));
+    tokio::spawn(follower.run(rx));
+    if let Some(reporter) = scenario.reporter {
+        tokio::spawn(report(started, scenario.clone(), reporter, tx.clone()));
+    }
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ 0xa5c);
+    let mut decided = Vec::new();
+    while started.elapsed() < RUN_TIME {
+        sleep(ARRIVAL_INTERVAL).await;
+        let at = started.elapsed();
+        let asked = Asked {
+            route: rng.random_range(0..NAMES),
+            key: rng.random_range(0..NAMES),
+        };
+        decided.push(Decided {
+            at,
+            asked,
+            refusal: arrive(&engine, decided.len() as u64, asked).await,
+        });
+    }
+    decided
+}
+
+fn start_engine(clock: Clock, events: &mpsc::UnboundedSender<Event>) -> Engine {
+    let (relays, _) = mpsc::unbounded_channel();
+    let (outgoing, _) = mpsc::unbounded_channel();
+    let options = EngineOptions {
+        region: "north".into(),
+        seed: 1,
+        split: QuotaSplit::default(),
+        policy: Policy::default(),
+        refuses_when_isolated: false,
+    };
+    let dialer = Dialer::new(clock, relays);
+    Engine::new(dialer, options, outgoing, events.downgrade()).unwrap()
+}
+
+/// Sends a request, and returns why it is refused, if it is.
+async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64, asked: Asked) -> Option<String> {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let arrival = Arrival {
+        id: RequestId(id),
+        api_key: Some(key(asked.key)),
+        service: "".into(),
+        path: "/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: format!("{}x", route_prefix(asked.route)),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: true,
+        tx,
+    };
+    engine.send(Event::RequestArrived(arrival)).unwrap();
+    let refusal = loop {
+        match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
+            Decision::Resolved(_) => break None,
+            Decision::Refuse(refusal) => break Some(refusal.kind.to_string()),
+            _ => {}
+        }
+    };
+    engine.send(Event::Cancel(RequestId(id))).unwrap();
+    refusal
+}
+
+/// The requests of a run that were refused for good although all versions that may be in force allow them.
+fn denied(scenario: &Scenario) -> Vec<Decided> {
+    let is_denied = |decided: &Decided| {
+        let mut in_force = scenario.in_force(decided.at).iter();
+        decided.is_refused_for_good() && in_force.all(|version| version.allows(decided.asked))
+    };
+    run(scenario).into_iter().filter(is_denied).collect()
+}
+
+/// Guards against DENIED and CONFIG: an instance that took its configuration for the latest refused keys and
+/// routes later than `configApplyS` after they had been added.
+#[rstest]
+#[case::answers_are_lost(Disturbances { lost: 0.4, ..Disturbances::default() })]
+#[case::answers_are_stale(Disturbances { is_stale: true, ..Disturbances::default() })]
+#[case::answers_are_held_up(Disturbances { held_up: 0.3, ..Disturbances::default() })]
+#[case::first_answers_are_held_up(Disturbances { at_start: true, ..Disturbances::default() })]
+#[case::all_together(Disturbances { lost: 0.2, held_up: 0.2, is_stale: true, at_start: false })]
+fn nothing_allowed_is_refused_for_good(#[case] disturbances: Disturbances) {
+    let denied = SEEDS.filter_map(|seed| {
+        let scenario = Scenario::draw(seed, disturbances);
+        let denied = denied(&scenario);
+        (!denied.is_empty()).then_some((scenario, denied))
+    });
+    let denied: Vec<_> = denied.collect();
+    let requests: usize = denied.iter().map(|(_, denied)| denied.len()).sum();
+    assert!(
+        denied.is_empty(),
+        "{} seeds, {requests} requests, first {:?}",
+        denied.len(),
+        denied
+            .first()
+            .map(|(scenario, denied)| (scenario.seed, &denied[0], scenario))
+    );
+}
+
+/// Guards against refusals for nothing: while the store answers, an instance knows that its configuration is
+/// the latest, so what no version allows is refused for good, not put off.
+#[rstest]
+#[case::cascade_loop(3_000, 2_500)]
+#[case::sangh_clearance(3_000, 2_000)]
+#[case::presa_verde(4_000, 2_500)]
+#[case::grown_sangh_clearance(4_000, 3_000)]
+fn what_no_version_allows_is_refused_for_good(#[case] contact_ms: u64, #[case] apply_ms: u64) {
+    let put_off = (0..40).filter_map(|seed| {
+        let scenario = Scenario {
+            contact: Duration::from_millis(contact_ms),
+            apply: Duration::from_millis(apply_ms),
+            reporter: None,
+            ..Scenario::draw(seed, Disturbances::default())
+        };
+        let is_put_off = |decided: &Decided| {
+            decided.at > Duration::from_secs(1)
+                && (decided.asked.route == NAMES - 1 || decided.asked.key == NAMES - 1)
+                && !decided.is_refused_for_good()
+        };
+        let mut put_off = run(&scenario).into_iter().filter(is_put_off);
+        Some((seed, put_off.next()?, put_off.count() + 1))
+    });
+    let put_off: Vec<_> = put_off.collect();
+    assert!(
+        put_off.is_empty(),
+        "{} of 40: {:?}",
+        put_off.len(),
+        put_off[0]
+    );
+}
