fix(daemon): no refusal for good by a confirmation older than a change may take

Callers saw 401 and 404 for routes and keys that had been added more than configApplyS before. Cause: a refusal for good needed a confirmation no older than contactS (and up to 1 s more while the follower stood still), but a change binds configApplyS after its acknowledgement, which is less.

Change: a refusal needs the operators' table confirmed within 0.95 of bounds.apply_s, the rest is for the ways; Event::ConfigFreshness carries until when. Only that table holds routes and keys, so a silent poll of the targets' rows puts nothing off. Freshness, its flags and isolation stay as they are. So that a poll's answer confirms until the next one, polls of tables wait for 0.76 of apply at most; on the four sites they waited for less already or just so long (contactS 3 and 4), by the settings' defaults (contact 6 s, apply 2 s) they waited for 3 s. Ruled out: a shorter confirm_limit, on which freshness and flags depend.

What no version allows is refused for good, not put off, in 40 seeds each for five pairs of bounds, the defaults among them.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -20,6 +20,9 @@
 /// Time for which a reported freshness is valid; after it, the engine treats the instance as
 /// isolated.
 const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
+/// Fraction of the time within which a change must be in force for which a confirmation allows refusals for
+/// good; the rest is for what it may be dated too late.
+const REFUSAL_FRACTION: f64 = 0.95;
 
 /// Tells a follower what to read, how often, and for how long a read confirms the configuration.
 #[derive(Debug)]
@@ -44,6 +47,14 @@
     pub fleet: watch::Receiver<Arc<Fleet>>,
 }
 
+impl FollowerOptions {
+    /// Returns how long after a configuration was last known to be the latest it may refuse for good what it
+    /// doesn't know: no change since then has to be in force before.
+    fn refusal_time(&self) -> Duration {
+        self.apply.mul_f64(REFUSAL_FRACTION).min(self.confirm_limit)
+    }
+}
+
 /// Connects a follower to the tasks that use the configuration.
 #[derive(Debug)]
 pub struct Outputs {
@@ -58,12 +69,19 @@
 impl Outputs {
     /// Publishes the freshness of the configuration, and the view if it has changed; returns whether it
     /// has.
-    fn publish(&self, now: Time, view: View, confirmed_at: Option<Time>) -> bool {
+    fn publish(
+        &self,
+        now: Time,
+        view: View,
+        confirmed_at: Option<Time>,
+        refuse_until: Time,
+    ) -> bool {
         let freshness = view.freshness;
         let _ = self.engine.send(Event::ConfigFreshness {
             freshness,
             valid_until: now + FRESHNESS_VALIDITY,
             confirmed_at,
+            refuse_until,
         });
         self.view.send_if_modified(|current| {
             let version_of = |view: &View| view.config.as_ref().map(|(version, _)| *version);
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -40,6 +40,7 @@
     clock: Clock,
     platform: Platform,
     read_timeout: Duration,
+    refusal_time: Duration,
     secret: Secret,
     metrics: Metrics,
     versions: VersionTracker,
@@ -86,6 +87,7 @@
     /// Creates a follower without a configuration.
     pub fn new(options: FollowerOptions, outputs: Outputs) -> Self {
         Self {
+            refusal_time: options.refusal_time(),
             clock: options.clock,
             platform: options.platform,
             read_timeout: options
@@ -306,7 +308,8 @@
             is_leaving: self.is_leaving,
         };
         let confirmed_at = self.versions.confirmed_at();
-        if self.outputs.publish(now, view, confirmed_at) {
+        let refuse_until = confirmed_at.map_or(Time::ZERO, |at| at + self.refusal_time);
+        if self.outputs.publish(now, view, confirmed_at, refuse_until) {
             self.set_alarm("alone", freshness == Freshness::Isolated);
         }
         let command = PeerCommand::SetHead {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -216,7 +216,10 @@
                 clock: self.options.clock,
                 platform: self.options.platform.clone(),
                 table: table.clone(),
-                timing: self.options.read_timing,
+                timing: self
+                    .options
+                    .read_timing
+                    .confirming_within(self.options.apply),
                 advanced: self.tables[idx].advanced.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -96,7 +96,12 @@
             freshness,
             is_leaving: self.is_leaving,
         };
-        self.outputs.publish(now, view, confirmed_at);
+        // Routes and keys are in the operators' table alone.
+        let own = self.tables.first().and_then(|table| table.confirmed_at);
+        let known_at = own.max(self.peer_confirmed_at);
+        let refuse_until = known_at.map(|at| at + self.options.refusal_time());
+        self.outputs
+            .publish(now, view, confirmed_at, refuse_until.unwrap_or(Time::ZERO));
         let positions: Vec<u64> = self
             .tables
             .iter()
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -25,6 +25,9 @@
 /// Fraction of the time to regain contact after which a poll counts as unanswered; the rest is for
 /// the read on a new connection.
 const SILENCE_FRACTION: f64 = 0.6;
+/// Fraction of the time within which a change must be in force for which a poll waits at most; the rest is
+/// for the way of its answer and for the next poll.
+const CONFIRMING_FRACTION: f64 = 0.76;
 /// Minimum time between two reports that an answer is arriving.
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer, of which the oldest is given up.
@@ -63,6 +66,15 @@
         }
     }
 
+    /// Returns these times with polls answered so often that each answer confirms the configuration until the
+    /// next one, where a change must be in force within `apply`.
+    pub fn confirming_within(self, apply: Duration) -> Self {
+        Self {
+            poll_wait: self.poll_wait.min(apply.mul_f64(CONFIRMING_FRACTION)),
+            ..self
+        }
+    }
+
     /// Returns the time after which a poll that waits for changes counts as unanswered.
     pub fn max_silence(&self) -> Duration {
         self.poll_wait + self.answer_time
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -539,6 +539,7 @@
 #[case::sangh_clearance(3_000, 2_000)]
 #[case::presa_verde(4_000, 2_500)]
 #[case::grown_sangh_clearance(4_000, 3_000)]
+#[case::as_by_default(6_000, 2_000)]
 fn what_no_version_allows_is_refused_for_good(#[case] contact_ms: u64, #[case] apply_ms: u64) {
     let put_off = (0..40).filter_map(|seed| {
         let scenario = Scenario {
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -84,6 +84,8 @@
     freshness: Freshness,
     freshness_valid_until: Time,
     confirmed_at: Option<Time>,
+    /// Time until which no later configuration has to be in force.
+    refuse_until: Time,
     outdated: Outdated,
     keys: KeyIndex,
     admission: AdmissionController,
@@ -175,6 +177,7 @@
             freshness: Freshness::Empty,
             freshness_valid_until: Time::ZERO,
             confirmed_at: None,
+            refuse_until: Time::ZERO,
             outdated: Outdated::default(),
             keys: KeyIndex::default(),
             admission: AdmissionController::new(options.split),
@@ -288,10 +291,12 @@
                 freshness,
                 valid_until,
                 confirmed_at,
+                refuse_until,
             } => {
                 self.freshness = freshness;
                 self.freshness_valid_until = valid_until;
                 self.confirmed_at = confirmed_at;
+                self.refuse_until = refuse_until;
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
             Event::HoldQuotaSlot {
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -193,9 +193,9 @@
     }
 
     /// Returns the refusal of a request that the active configuration doesn't allow, which is
-    /// [`ErrorKind::Isolated`] where a later one may allow it.
+    /// [`ErrorKind::Isolated`] where a later one that has to be in force may allow it.
     pub(super) fn verdict(&self, now: Time, kind: ErrorKind) -> ErrorKind {
-        let is_latest = self.freshness == Freshness::Fresh && now <= self.freshness_valid_until;
+        let is_latest = now <= self.refuse_until;
         let needs_key = matches!(kind, ErrorKind::MissingKey | ErrorKind::UnknownKey);
         let is_outdated = !self.routes.is_empty() && !is_latest;
         if is_outdated || (needs_key && self.is_isolated(now)) {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -75,6 +75,9 @@
         valid_until: Time,
         /// Time at which the configuration was last known to be the latest.
         confirmed_at: Option<Time>,
+        /// Time until which requests for unknown routes and keys are refused for good: no later
+        /// configuration has to be in force before.
+        refuse_until: Time,
     },
     /// The instance knows of a later configuration than the active one, or no longer does.
     ConfigBehind(ConfigLag),
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -116,6 +116,7 @@
         freshness: Freshness::Fresh,
         valid_until: Time::NEVER,
         confirmed_at: None,
+        refuse_until: Time::NEVER,
     });
 }
 
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -75,6 +75,7 @@
         freshness: Freshness::Fresh,
         valid_until: Time::NEVER,
         confirmed_at: Some(at),
+        refuse_until: Time::NEVER,
     });
 }
 
@@ -129,6 +130,25 @@
     assert_eq!(refusal(&mut rx), Some(("unknown_service".to_owned(), used)));
 }
 
+/// Guards against DENIED and CONFIG: what a later configuration that has to be in force may allow was refused
+/// for good.
+#[rstest]
+#[case::known_to_be_the_latest(Time::NEVER, "unknown_service")]
+#[case::not_known(Time::ZERO, "isolated")]
+#[tokio::test]
+async fn unknown_route_by_what_is_known(#[case] refuse_until: Time, #[case] expected: &str) {
+    let mut engine = engine();
+    engine.handle(Event::ConfigActivated(Arc::new(config(&["/a/"]))));
+    engine.handle(Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::NEVER,
+        confirmed_at: None,
+        refuse_until,
+    });
+    let mut rx = submit(&mut engine, 1, "/b/x");
+    assert_eq!(refusal(&mut rx).unwrap().0, expected);
+}
+
 /// Guards against wrong refusals that only lines of single requests show.
 #[rstest]
 #[case::unknown_key("unknown_key", 401, Some(2_900), Some(1))]
--- a/crates/entry/tests/split.rs
+++ b/crates/entry/tests/split.rs
@@ -63,6 +63,7 @@
         freshness: Freshness::Fresh,
         valid_until: Time::NEVER,
         confirmed_at: None,
+        refuse_until: Time::NEVER,
     });
     engine
 }
