fix(daemon): an answer from before the own position confirms nothing

Callers saw 401 and 404 for what had been added long before, at an instance whose reads were answered by an older copy of the store. Cause: any answer set the time of the last confirmation, one that doesn't reach the own position too.

Change: only an answer that reaches the own position does. That the store answers, and that it is reachable, is recorded as before. A store that went back for good confirms nothing until it has passed the own position; then refusals for good are put off, which is right, since nothing is known of what it holds. Ruled out as seen in a sound store: there such an answer is only late, and the next read corrects it; an old copy that stands at the own position can't be told from the latest.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -145,15 +145,17 @@
         }
     }
 
-    /// Records that the platform has answered. An answer from before the own position is logged, unless
-    /// it was asked for before that position was known.
+    /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
+    /// logged unless it was asked for before that position was known.
     fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
         if read.position < own_position && read.sent_at > self.advanced_at {
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
-        self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
+        if read.position >= own_position {
+            self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
+        }
         self.replica.on_contact(now);
     }
 }
