fix(daemon): an answer of the store confirms as of when it was made

Callers saw 401 and 404 for what had been added long before, at an instance whose answers had been held up on their way. Cause: an answer confirmed as of the arrival of its first byte, and that confirmation was passed on by heartbeats.

Change: coord::AnswerDates dates an answer by the store's steady clock. The least time by which arrivals were behind readings in the last minute is the offset of the clocks and the shortest way; what an answer takes beyond is its hold-up. Never before the call, and by the call where there is no reading, no offset yet, or the clock doesn't fit (a store that has started again: the offsets begin anew). A first read that took over 0.25 s dates no others. A suspension of the machine counts as after the arrival or makes an offset larger, which the next answer corrects. Ruled out: the call's time alone, which makes each confirmation by a long poll up to 2 s older than it is; the first and the last way apart, since a long poll bounds its own answer's making from below by seconds only. Known: a store's clock that goes back by less than a poll waits makes confirmations as much too old for a minute, never too young; a link that holds up every single answer for a minute is taken for a long way.

What no version allows is refused for good as before.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,6 +4,7 @@
 //! what to write or send. Nothing here opens a socket, starts a task or reads a clock, so the types
 //! can be embedded in any program that has a table with compare-and-swap.
 
+mod answer_dates;
 mod audit;
 mod catch_up;
 mod demand;
@@ -20,6 +21,7 @@
 mod replica;
 mod version_tracker;
 
+pub use answer_dates::{Answer, AnswerDates};
 pub use audit::QuotaAudit;
 pub use catch_up::{CatchUp, FetchDelays};
 pub use fanout::{FanOut, children};
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -149,12 +149,12 @@
     /// logged unless it was asked for before that position was known.
     fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
-        if read.position < own_position && read.sent_at > self.advanced_at {
+        if read.position < own_position && read.sent_at() > self.advanced_at {
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
         if read.position >= own_position {
-            self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
+            self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
         }
         self.replica.on_contact(now);
     }
@@ -340,14 +340,14 @@
                 found.is_some_and(|found| table.replica.replace(now, found))
             }
             TableRead::Snapshot(read) => {
-                read_at = Some((read.sent_at, read.position));
+                read_at = Some((read.sent_at(), read.position));
                 table.record_answer(now, name, &read);
                 table
                     .replica
                     .replace(now, to_snapshot(read.rows, read.position))
             }
             TableRead::Changes(read) => {
-                read_at = Some((read.sent_at, read.position));
+                read_at = Some((read.sent_at(), read.position));
                 table.record_answer(now, name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
                 table.replica.apply_changes(now, changes, read.position)
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, pin::pin, time::Duration};
 
 use base::{InstanceId, Time};
-use coord::{RowChange, TableSnapshot};
+use coord::{Answer, AnswerDates, RowChange, TableSnapshot};
 use entry::view::Clock;
 use platform::{Change, Platform, PlatformError, Progress, Received};
 use tokio::{
@@ -110,15 +110,20 @@
 /// Carries what the platform answered.
 #[derive(Debug)]
 pub(crate) struct PlatformRead {
-    pub(crate) sent_at: Time,
-    /// Time at which the answer began to arrive: it tells of no later moment. A suspension of the machine
-    /// since the call was sent counts as after it.
-    pub(crate) answered_at: Time,
+    pub(crate) answer: Answer,
+    /// Time at which the answer was made: it tells of no later moment.
+    pub(crate) made_at: Time,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
     pub(crate) position: u64,
 }
 
+impl PlatformRead {
+    pub(crate) fn sent_at(&self) -> Time {
+        self.answer.sent_at
+    }
+}
+
 /// Describes a read of the platform that has brought nothing so far.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadFailure {
@@ -164,6 +169,8 @@
     /// Position from which the next poll continues; `None` before the first read.
     position: Option<u64>,
     polls: JoinSet<PollResult>,
+    /// What is known of the platform's clock.
+    dates: AnswerDates,
     /// Polls without an answer, the newest last.
     open: VecDeque<OpenPoll>,
     next_number: u64,
@@ -209,6 +216,7 @@
             },
             position: None,
             polls: JoinSet::new(),
+            dates: AnswerDates::default(),
             open: VecDeque::new(),
             next_number: 0,
             is_reconnecting: true,
@@ -276,14 +284,22 @@
         };
         let sent_at = self.options.clock.now();
         let (sent, clock, begun) = (Instant::now(), self.options.clock, received.clone());
-        let to_read = move |(rows, position)| PlatformRead {
-            sent_at,
-            answered_at: match begun.borrow().begun_at {
-                Some(at) => sent_at + (at - sent),
-                None => clock.now(),
-            },
-            rows,
-            position,
+        let has_waited = position.is_some() && !wait.is_zero();
+        let to_read = move |(rows, position)| {
+            let begun = *begun.borrow();
+            let since = begun.begun_at.map_or(Duration::ZERO, |at| at.elapsed());
+            let answer = Answer {
+                sent_at,
+                arrived_at: clock.now().before(since),
+                reading: begun.made_at,
+                has_waited,
+            };
+            PlatformRead {
+                answer,
+                made_at: sent_at,
+                rows,
+                position,
+            }
         };
         let reports = report_arrivals(number, received.clone(), self.arrivals_tx.clone());
         let answer = async move {
@@ -328,11 +344,12 @@
     ) -> Option<TableRead> {
         let idx = self.open.iter().position(|poll| poll.number == number)?;
         match result {
-            Ok(read) => {
+            Ok(mut read) => {
                 let mut answered_at = Instant::now();
-                if let TableRead::Changes(read) | TableRead::Snapshot(read) = &read {
+                if let TableRead::Changes(read) | TableRead::Snapshot(read) = &mut read {
                     self.position = Some(read.position);
-                    answered_at = self.options.clock.instant(read.answered_at);
+                    read.made_at = self.dates.date(read.answer);
+                    answered_at = self.options.clock.instant(read.answer.arrived_at);
                 }
                 // The others can't bring anything newer: they ask for what has come, or for less. Where any
                 // was sent after it, its own connection is no longer kept.
