--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -44,10 +44,7 @@
 impl Engine {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let (id, tx) = (arrival.id, arrival.tx.clone());
-        let config = UsedConfig {
-            revision: self.revision,
-            confirmed_at: self.confirmed_at,
-        };
+        let config = self.used_config();
         match self.resolve(now, arrival) {
             Ok((request, is_open)) => {
                 let (workspace, deadline) = (request.workspace.clone(), request.deadline);
@@ -84,6 +81,14 @@
         }
     }
 
+    /// Returns which configuration decides by now, and how old it may be.
+    pub(super) fn used_config(&self) -> UsedConfig {
+        UsedConfig {
+            revision: self.revision,
+            confirmed_at: self.confirmed_at,
+        }
+    }
+
     /// Resolves the service and workspace of a request; the flag is set if it needs no API key.
     pub(super) fn resolve(
         &mut self,
@@ -188,9 +193,9 @@
     }
 
     /// Returns the refusal of a request that the active configuration doesn't allow, which is
-    /// [`ErrorKind::Isolated`] where a later one may allow it.
+    /// [`ErrorKind::Isolated`] where a later one that has to be in force may allow it.
     pub(super) fn verdict(&self, now: Time, kind: ErrorKind) -> ErrorKind {
-        let is_latest = self.freshness == Freshness::Fresh && now <= self.freshness_valid_until;
+        let is_latest = now <= self.refuse_until;
         let needs_key = matches!(kind, ErrorKind::MissingKey | ErrorKind::UnknownKey);
         let is_outdated = !self.routes.is_empty() && !is_latest;
         if is_outdated || (needs_key && self.is_isolated(now)) {
