--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -36,7 +36,7 @@
 const BEFORE: usize = 100;
 const AFTER: usize = 90;
 /// Position of the version that the sources have.
-const POSITION: u64 = 6;
+pub(crate) const POSITION: u64 = 6;
 
 /// Time in which the read after the first one has begun.
 const OWN_READ_TIME: Duration = Duration::from_millis(300);
@@ -52,7 +52,7 @@
 
 /// What another instance does.
 #[derive(Debug, Clone, Copy)]
-enum Peer {
+pub(crate) enum Peer {
     Honest,
     /// It changes parts that it sends.
     Lies,
@@ -87,7 +87,7 @@
     }
     let metrics = Metrics::new().unwrap();
     let (in_force, mut in_force_rx) = mpsc::unbounded_channel();
-    let (tx, running) = start_follower(own, fleet, metrics.clone(), in_force);
+    let (tx, running) = start_follower(platform(own), fleet, metrics.clone(), in_force);
     in_force_rx.recv().await.unwrap();
     // The next own read is under way, and arriving if any is.
     sleep(OWN_READ_TIME).await;
@@ -110,8 +110,8 @@
 }
 
 /// Starts a follower that sends each text that comes into force to `in_force`.
-fn start_follower(
-    own: OwnRead,
+pub(crate) fn start_follower(
+    platform: Platform,
     fleet: Fleet,
     metrics: Metrics,
     in_force: mpsc::UnboundedSender<String>,
@@ -124,7 +124,7 @@
     let follower = TableFollower::new(
         FollowerOptions {
             clock: Clock::start(),
-            platform: platform(own),
+            platform,
             secret: secret(),
             metrics,
             confirm_limit: Duration::from_secs(4),
@@ -214,7 +214,7 @@
 }
 
 /// Returns an instance that is listed and alive at this address.
-fn member(id: &str, addr: SocketAddr, peer: Peer) -> FleetMember {
+pub(crate) fn member(id: &str, addr: SocketAddr, peer: Peer) -> FleetMember {
     let mut membership = Membership::new(Duration::from_secs(40), Duration::from_secs(60));
     let entry = ListEntry {
         id: id.into(),
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -1,8 +1,9 @@
-//! Tables that are fetched by parts from other instances, over loopback: what a change costs, and sources that die,
-//! lie or are older.
+//! Tables that are fetched by parts from other instances, over loopback: what a change costs, sources that die,
+//! lie or are older, and own reads that begin beside them.
 
 mod fetches;
 mod follower;
+mod own_reads;
 
 use std::{
     net::SocketAddr,
