fix(daemon): the whole table follows a list that shows that too much is lacking

Callers were refused at an instance that knew of a later version and was sent nothing: it had asked two others for the changed parts while its own read was arriving, both lists showed that too much is lacking, and after each the next instance was asked for its list. Whether the whole might follow was settled when a list was asked for, not when it came, so a read that fell silent or failed meanwhile made no difference, and each list cost its bytes again.

Now such a list is remembered until the position rises. As soon as no byte of an own read has come for 0.4 s, or a read has failed, the instance that has listed is asked for the whole, compressed; if it fails, the others are, without a list. While the own read arrives nothing more is asked. A fetch that has ended no longer counts as arriving.

Ruled out: letting the fetch wait within its task, which keeps one of three places and fetches the whole though an own read has brought it.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -106,6 +106,8 @@
 /// A fetch from another instance that has not ended.
 #[derive(Debug)]
 struct OpenFetch {
+    /// Time of its start, which no other one of the table shares.
+    asked_at: Time,
     received: watch::Receiver<Received>,
     task: AbortHandle,
 }
@@ -309,14 +311,13 @@
                 if idx == 0 {
                     self.lateness.on_arriving(arrival.since);
                 }
-                if !arrival.is_slow {
-                    table.parts.read_until = now + PEER_FETCH_DELAYS.max;
-                }
+                table.parts.on_arriving(now, &arrival);
                 return false;
             }
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
+                table.parts.on_read_failure(now);
                 if idx == 0 {
                     self.lateness.on_read_failure();
                 }
@@ -328,9 +329,10 @@
             }
             TableRead::Fetched(fetch) => {
                 log_fetch(now, name, before, &fetch);
-                source = NewsSource::Instance(fetch.from);
-                table.parts.on_fetched(&fetch.received, &fetch.fetched);
+                table.fetches.retain(|open| open.asked_at != fetch.asked_at);
+                table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
+                source = NewsSource::Instance(fetch.from);
                 let found = fetch.fetched.table;
                 found.is_some_and(|found| table.replica.replace(now, found))
             }
@@ -351,7 +353,7 @@
         let position = table.replica.position();
         if position > before {
             table.advanced_at = now;
-            table.parts.failures = 0;
+            table.parts.on_position();
         }
         if idx == 0 {
             if let Some((sent_at, position)) = read_at {
@@ -394,10 +396,7 @@
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.make_room();
-            if table.is_fetch_arriving() || table.fetches.len() >= MAX_FETCHES {
-                table.catch_up.postpone(now);
-            }
-            let Some(from) = table.catch_up.next_source(now) else {
+            let Some(from) = table.next_source(now) else {
                 continue;
             };
             let member = fleet.members.get(&from).filter(|one| one.takes_calls());
@@ -427,7 +426,10 @@
     fn next_refresh(&self, refreshed_at: Time) -> Time {
         let due = self.tables.iter().flat_map(|table| {
             let expiry = table.replica.expires_at();
-            expiry.into_iter().chain(table.catch_up.next_at())
+            // One that is due already waits for other fetches, which is looked after as usual.
+            let whole = table.parts.whole_at().filter(|at| *at > refreshed_at);
+            let fetch = table.catch_up.next_at();
+            expiry.into_iter().chain(whole).chain(fetch)
         });
         let usual = refreshed_at + REFRESH_INTERVAL;
         due.fold(usual, Time::min).max(refreshed_at)
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -5,13 +5,13 @@
 use base::{InstanceId, Time};
 use coord::parts::TableCut;
 use entry::metrics::Metrics;
-use platform::{Progress, Received};
+use platform::Progress;
 use tokio::sync::mpsc;
 
-use super::{OpenFetch, Table};
+use super::{MAX_FETCHES, OpenFetch, PEER_FETCH_DELAYS, Table};
 use crate::{
     table_fetch::{FetchFault, FetchWay, Fetched, OwnTable, Source, fetch},
-    table_reads::{Fetch, TableRead},
+    table_reads::{Arrival, Fetch, TableRead},
 };
 
 /// Fact that counts answers of other instances that were not what had been asked for.
@@ -25,32 +25,90 @@
     /// Last known cut of the replica.
     cut: Arc<TableCut>,
     /// Fetches by parts that failed at the replica's position.
-    pub(super) failures: u32,
+    failures: u32,
     /// Time until which an own read counts as arriving.
-    pub(super) read_until: Time,
+    read_until: Time,
+    /// Whether a list has shown that much is lacking at the replica's position, so that the whole table is to be
+    /// fetched.
+    lacks_much: bool,
+    /// The instance that has sent that list, unless the whole table has been asked of it, and when.
+    listed: Option<(InstanceId, Time)>,
 }
 
 impl PartsState {
-    /// Records the end of a fetch.
-    pub(super) fn on_fetched(&mut self, received: &Received, fetched: &Fetched) {
+    /// Records the end of a fetch for a replica whose position rose last at `advanced_at`.
+    pub(super) fn on_fetched(&mut self, now: Time, fetch: &Fetch, advanced_at: Time) {
+        let (received, fetched) = (&fetch.received, &fetch.fetched);
         self.cut = fetched.cut.clone();
+        if fetched.fault == Some(FetchFault::MuchLacking) && fetch.asked_at >= advanced_at {
+            self.lacks_much = true;
+            self.listed = Some((fetch.from.clone(), now));
+        }
         let is_failure = fetched.fault.is_some_and(|fault| {
             // A source that was gone before it sent anything says nothing about its parts.
             fault.is_bad_content() || (fault == FetchFault::NoAnswer && received.bytes > 0)
         });
         self.failures += u32::from(is_failure);
     }
+
+    /// Records that a part of an own read has arrived.
+    pub(super) fn on_arriving(&mut self, now: Time, arrival: &Arrival) {
+        if !arrival.is_slow {
+            self.read_until = now + PEER_FETCH_DELAYS.max;
+        }
+    }
+
+    /// Records that no own read is arriving any more.
+    pub(super) fn on_read_failure(&mut self, now: Time) {
+        self.read_until = now;
+    }
+
+    /// Records that the replica's position has risen.
+    pub(super) fn on_position(&mut self) {
+        self.failures = 0;
+        self.lacks_much = false;
+        self.listed = None;
+    }
+
+    /// Returns when the whole table is to be asked of the instance that has shown that much is lacking.
+    pub(super) fn whole_at(&self) -> Option<Time> {
+        let (_, listed_at) = self.listed.as_ref()?;
+        Some(self.read_until.max(*listed_at))
+    }
+
+    /// Returns the instance that has shown that much is lacking if the whole table may be asked of it now; it is
+    /// asked once.
+    fn take_listed(&mut self, now: Time) -> Option<InstanceId> {
+        if now < self.whole_at()? {
+            return None;
+        }
+        self.listed.take().map(|(from, _)| from)
+    }
 }
 
 impl Table {
+    /// Returns the instance to fetch from now, if a fetch is due: first the one that has shown that much is
+    /// lacking, which is alive and has the table.
+    pub(super) fn next_source(&mut self, now: Time) -> Option<InstanceId> {
+        if self.is_fetch_arriving() || self.fetches.len() >= MAX_FETCHES {
+            self.catch_up.postpone(now);
+            return None;
+        }
+        if let Some(from) = self.parts.take_listed(now) {
+            self.catch_up.postpone(now);
+            return Some(from);
+        }
+        self.catch_up.next_source(now)
+    }
+
     /// Returns how to fetch the table, or `None` while an own read is arriving and this would share the
     /// link with it for long.
     pub(super) fn fetch_way(&self, now: Time, takes_parts: bool) -> Option<FetchWay> {
         let may_take_whole = now >= self.parts.read_until;
         let has_parts = self.replica.is_initialized() && self.parts.failures < MAX_PARTS_FAILURES;
         match (takes_parts, has_parts) {
-            (true, true) => Some(FetchWay::Parts { may_take_whole }),
-            (true, false) => may_take_whole.then_some(FetchWay::Packed),
+            (true, true) if !self.parts.lacks_much => Some(FetchWay::Parts { may_take_whole }),
+            (true, _) => may_take_whole.then_some(FetchWay::Packed),
             (false, _) => may_take_whole.then_some(FetchWay::Whole),
         }
     }
@@ -81,7 +139,11 @@
             let _ = tx.send((source.index as usize, read)).await;
         });
         let task = task.abort_handle();
-        self.fetches.push(OpenFetch { received, task });
+        self.fetches.push(OpenFetch {
+            asked_at: now,
+            received,
+            task,
+        });
     }
 }
 
