fix(daemon): an own read that can't be complete in time no longer keeps others from sending the table

Callers were refused for as long as an instance's own read of a large document went on: anything above 8 KB/s held off whole tables from others, so 1 MB for up to two minutes, and reads that began again and again for ever.

Now an own read holds the whole off while it can be complete within configApplyS of its first byte. Such a read isn't ended when the fetch begins, since it may be the first after all and others may be slow; it is ended, as one below 8 KB/s was before, once a fetch has brought rows.

A read at a usable rate is left alone as before: others send nothing whole until it ends.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -91,7 +91,8 @@
 pub(crate) struct Arrival {
     /// Time at which it began; `None` if it may bring nothing new, as a first read.
     pub(crate) since: Option<Time>,
-    /// Whether it arrives below the lowest rate of a transfer.
+    /// Whether it arrives below the lowest rate of a transfer, or too slowly to be complete within the time in
+    /// which a change must be in force.
     pub(crate) is_slow: bool,
 }
 
@@ -137,6 +138,8 @@
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
+    /// Time within which a change must be in force.
+    pub(crate) apply: Duration,
     /// Changes when rows have come from another source.
     pub(crate) advanced: watch::Receiver<()>,
 }
@@ -376,13 +379,14 @@
         (until > Instant::now()).then_some(until)
     }
 
-    /// Returns whether an answer is arriving below the lowest rate of a transfer.
+    /// Returns whether an answer is arriving too slowly to be waited for.
     fn is_slow(&self) -> bool {
+        let apply = self.options.apply;
         let mut received = self.open.iter().map(|poll| *poll.received.borrow());
-        received.any(|received| received.is_slow())
+        received.any(|received| received.is_slow() || received.is_late(apply))
     }
 
-    /// Ends the polls if an answer is arriving below the lowest rate, since what it brings has come from
+    /// Ends the polls if an answer is arriving too slowly to be waited for, since what it brings has come from
     /// another source; the next poll opens a new connection.
     async fn end_outdated(&mut self, step: &mut Step) {
         if self.is_slow() {
