feat(daemon): lines and a gauge tell when rows of targets come late

Change: `config_in_force` has the positions of both tables; `targets_left` names what leaves by its rows (16 ids at most, one line a configuration), the position, the source and for how long others had been known to have later rows; `targets_behind`, `targets_caught_up` and the gauge `targets_behind_ms` tell for how long later rows than the own ones have been known. Nothing is decided by it.

Ruled out: a line for each late position, since entries are written all the time; it counts from one second on.

The lines themselves have no test yet.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -3,6 +3,7 @@
 //! Each table is followed by long polling. Heartbeats carry the positions up to which an instance
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
+mod departures;
 mod fetching;
 mod lateness;
 mod publication;
@@ -20,6 +21,7 @@
 };
 
 use self::{
+    departures::{TARGETS, TargetsLag},
     fetching::{PartsState, count_fault},
     lateness::Lateness,
 };
@@ -61,7 +63,7 @@
 /// Names the tables to follow and composes a configuration from them.
 #[derive(Debug, Clone)]
 pub struct FollowedTables<F> {
-    /// Names of the tables; the first one holds the operators' configuration.
+    /// Names of the tables; the first one holds the operators' configuration, the second one the targets.
     pub tables: Vec<String>,
     /// Returns the configuration, or `None` if the tables don't hold a usable one.
     pub compose: F,
@@ -78,6 +80,8 @@
     tables: Vec<Table>,
     /// Whether the first of the tables is behind.
     lateness: Lateness,
+    /// Whether the second of the tables is behind.
+    targets_lag: TargetsLag,
     last_lag: Option<ConfigLag>,
     composed: Option<Arc<Config>>,
     version: u64,
@@ -103,6 +107,18 @@
     advanced: watch::Sender<()>,
 }
 
+/// What led to another configuration.
+#[derive(Debug)]
+struct News {
+    source: NewsSource,
+    /// Time at which the tables before it were last known to be the latest.
+    known_at: Option<Time>,
+    /// Since when later rows of targets than those before it had been known.
+    targets_known_since: Option<Time>,
+    /// Whether the targets' rows alone have changed.
+    is_of_targets: bool,
+}
+
 /// A fetch from another instance that has not ended.
 #[derive(Debug)]
 struct OpenFetch {
@@ -193,6 +209,7 @@
             .collect();
         Self {
             lateness: Lateness::within(options.apply),
+            targets_lag: TargetsLag::default(),
             last_lag: None,
             options,
             outputs,
@@ -263,6 +280,9 @@
                 if let Some(position) = positions.first() {
                     self.lateness.on_report(now, &from, *position);
                 }
+                if let Some(position) = positions.get(TARGETS) {
+                    self.targets_lag.on_report(now, *position);
+                }
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
@@ -298,6 +318,7 @@
     fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
+        let targets_known_since = self.targets_lag.behind_since();
         let name = self.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
@@ -360,6 +381,12 @@
             let changed_at = table.replica.changed_at();
             self.lateness.on_position(now, position, changed_at);
         }
+        if idx == TARGETS {
+            if let Some((sent_at, position)) = read_at {
+                self.targets_lag.on_read(sent_at, position);
+            }
+            self.targets_lag.on_position(position);
+        }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
         } else {
@@ -377,7 +404,13 @@
             self.set_alarm("store_unreachable", !is_reachable);
         }
         if is_changed {
-            self.compose(now, known_at, &source);
+            let news = News {
+                source,
+                known_at,
+                targets_known_since,
+                is_of_targets: idx == TARGETS,
+            };
+            self.compose(now, &news);
         }
         true
     }
@@ -419,7 +452,14 @@
             table.start_fetch(now, from, source, tx.clone());
         }
         if is_changed {
-            self.compose(now, known_at, &NewsSource::GracePeriod);
+            // Rows of operators have none.
+            let news = News {
+                source: NewsSource::GracePeriod,
+                known_at,
+                targets_known_since: self.targets_lag.behind_since(),
+                is_of_targets: true,
+            };
+            self.compose(now, &news);
         }
     }
 
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -3,16 +3,19 @@
 
 use std::sync::Arc;
 
-use base::{InstanceId, Time};
+use base::{Config, InstanceId, Time};
 use coord::{Freshness, Replica};
 use entry::{message::Event, view::View};
 
-use super::{ComposedConfig, TableFollower};
+use super::{
+    ComposedConfig, News, TableFollower,
+    departures::{TARGETS, left},
+};
 use crate::{
     entry_points::{entry_points, preferred},
     fleet::Fleet,
     message::PeerCommand,
-    table_logs::{NewsSource, age_ms, log_rates},
+    table_logs::{age_ms, log_rates, log_targets_left},
 };
 
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
@@ -22,9 +25,8 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
-    /// Composes the configuration for news that came from `source` to an instance whose tables were
-    /// last confirmed at `known_at`.
-    pub(super) fn compose(&mut self, now: Time, known_at: Option<Time>, source: &NewsSource) {
+    /// Composes the configuration after `news`.
+    pub(super) fn compose(&mut self, now: Time, news: &News) {
         if self
             .tables
             .iter()
@@ -56,11 +58,14 @@
             routes = composed.config.routes.len(),
             targets,
             drained = ?composed.config.drains.targets_in_domains,
-            %source,
-            blind_ms = age_ms(now, known_at),
+            operator_position = self.tables.first().map(|table| table.replica.position()),
+            targets_position = self.tables.get(TARGETS).map(|table| table.replica.position()),
+            source = %news.source,
+            blind_ms = age_ms(now, news.known_at),
         );
         self.version = composed.version;
         log_rates(self.composed.as_deref(), &composed.config);
+        self.record_departures(now, news, &composed.config);
         let config = Arc::new(composed.config);
         self.composed = Some(config.clone());
         let _ = self.outputs.engine.send(Event::ConfigActivated(config));
@@ -72,6 +77,21 @@
         self.snapshots.send_replace(Arc::new(snapshots));
     }
 
+    /// Logs the targets that have left by the rows of `config`.
+    fn record_departures(&self, now: Time, news: &News, config: &Config) {
+        let (Some(before), Some(table)) = (&self.composed, self.tables.get(TARGETS)) else {
+            return;
+        };
+        if !news.is_of_targets {
+            return;
+        }
+        let left = left(before, config);
+        if !left.is_empty() {
+            let position = table.replica.changed_at();
+            log_targets_left(now, &left, position, &news.source, news.targets_known_since);
+        }
+    }
+
     /// Returns when the tables were last known to be the latest, by own reads or by a heartbeat.
     pub(super) fn confirmed_at(&self) -> Option<Time> {
         let own = self.tables.iter().map(|table| table.confirmed_at).min();
@@ -152,6 +172,8 @@
         let lag = self.lateness.assess(now, fleet);
         let behind_ms = age_ms(now, self.lateness.behind_since());
         self.set_gauge("config_behind_ms", behind_ms.unwrap_or(0));
+        let behind_ms = age_ms(now, self.targets_lag.assess(now));
+        self.set_gauge("targets_behind_ms", behind_ms.unwrap_or(0));
         let is_known = self.last_lag.is_some_and(|last| {
             last == lag || (last.outdated_from.is_none() && lag.outdated_from.is_none())
         });
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -1,10 +1,13 @@
 //! Log lines about reads of the followed tables and what they put in force.
 
-use base::{Config, InstanceId, Time};
+use base::{Config, InstanceId, TargetId, Time};
 use derive_more::Display;
 
 use crate::table_reads::{Fetch, ReadFailure};
 
+/// Maximum number of targets that a line names.
+const MAX_IDS: usize = 16;
+
 /// Lists the sources of a table's changes for which a configuration was composed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(crate) enum NewsSource {
@@ -88,6 +91,48 @@
     );
 }
 
+/// Logs that later rows of targets than the own ones have been known for long.
+pub(crate) fn log_targets_behind(
+    now: Time,
+    since: Option<Time>,
+    known_position: Option<u64>,
+    own_position: u64,
+) {
+    let since_ms = age_ms(now, since);
+    tracing::info!(
+        event = "targets_behind",
+        known_position,
+        own_position,
+        since_ms,
+    );
+}
+
+/// Logs that this is over.
+pub(crate) fn log_targets_caught_up(now: Time, since: Time, own_position: u64) {
+    let lasted_ms = age_ms(now, Some(since));
+    tracing::info!(event = "targets_caught_up", own_position, lasted_ms);
+}
+
+/// Logs the targets that get nothing more from now on, by rows that are complete up to `position` and came
+/// from `source`; later rows than the ones before had been known since `known_since`.
+pub(crate) fn log_targets_left(
+    now: Time,
+    left: &[TargetId],
+    position: u64,
+    source: &NewsSource,
+    known_since: Option<Time>,
+) {
+    let ids: Vec<&str> = left.iter().take(MAX_IDS).map(TargetId::as_str).collect();
+    tracing::info!(
+        event = "targets_left",
+        ids = ids.join(" "),
+        count = left.len(),
+        position,
+        %source,
+        known_ms = age_ms(now, known_since),
+    );
+}
+
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
     let fetched = &fetch.fetched;
