test(daemon): targets that left stay in force at an instance whose reads are late

Cause: nobody tells an instance that a target has left; its own read of the targets' table may take long, break off or never begin.

Change: two followers on virtual time, one with prompt reads whose positions are reported to the other, 300 drawn schedules of rows, reads and lost heartbeats; and the other way: what never left stays, own rows decide once they have come.

--- /dev/null
+++ b/crates/daemon/tests/departures.rs
@@ -0,0 +1,609 @@
+//! How long a target stays in force at an instance after it has left by its row, over drawn rows, reads and
+//! heartbeats.
+
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Config, Incarnation, Registration, Service, Target, TargetId};
+use coord::Replica;
+use daemon::{
+    fleet::Fleet,
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::{FollowerMessage, PeerCommand},
+    table_reads::ReadTiming,
+};
+use entry::{
+    message::Event,
+    metrics::Metrics,
+    view::{Clock, EntryPoint, View},
+};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until},
+};
+use wire::Secret;
+
+const SEEDS: Range<u64> = 0..300;
+/// Seeds of what doesn't depend on a bound.
+const FEWER_SEEDS: Range<u64> = 0..100;
+const RUN_TIME: Duration = Duration::from_secs(25);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+const OPERATOR_TABLE: &str = "op";
+const TARGETS_TABLE: &str = "targets";
+const SERVICE: &str = "board";
+const CONTACT: Duration = Duration::from_secs(4);
+/// Position of the operators' row.
+const FIRST_POSITION: u64 = 10;
+
+/// What becomes of the answer to a read that brings rows.
+#[derive(Debug, Clone, Copy)]
+enum Transfer {
+    /// It is complete after this time.
+    Takes(Duration),
+    /// It breaks off after this time.
+    BreaksOff(Duration),
+    /// It never begins.
+    Lost,
+}
+
+/// What a row of the targets' table says from a time on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Row {
+    Ready,
+    Leaving,
+    Gone,
+}
+
+/// The change of one row.
+#[derive(Debug, Clone)]
+struct RowWrite {
+    at: Duration,
+    target: usize,
+    row: Row,
+}
+
+/// Another instance, which has read the table and hands nothing out.
+#[derive(Debug, Clone, Copy)]
+struct Reporter {
+    /// Time of its first heartbeat.
+    phase: Duration,
+    /// Share of its heartbeats that are lost.
+    loss: f64,
+    /// Time at which it ends.
+    end: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Scenario {
+    seed: u64,
+    /// Time within which a target that has left gets no more requests.
+    drain: Duration,
+    /// Rows that change, in the order of their times; the first ones are there at the start.
+    writes: Vec<RowWrite>,
+    /// What becomes of the own answers that bring rows, in their order; later ones are complete at once.
+    transfers: Vec<Transfer>,
+    reporters: Vec<Reporter>,
+    /// Time from which on the own reads see the store as it was at the second one.
+    goes_back: Option<(Duration, Duration)>,
+}
+
+impl Scenario {
+    fn draw(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
+        let drain = ms(2_000..4_000);
+        let targets = ms(1..30).as_millis() as usize;
+        let mut writes = present(targets);
+        let is_series = ms(0..2).is_zero();
+        let mut at = ms(3_000..6_000);
+        for _ in 0..ms(1..30).as_millis() {
+            let row = match ms(0..5).as_millis() {
+                0 | 1 => Row::Leaving,
+                2 | 3 => Row::Gone,
+                _ => Row::Ready,
+            };
+            let target = ms(0..targets as u64).as_millis() as usize;
+            writes.push(RowWrite { at, target, row });
+            at += if is_series {
+                ms(10..400)
+            } else {
+                ms(300..4_000)
+            };
+        }
+        let transfers = (0..40).map(|_| match ms(0..5).as_millis() {
+            0 => Transfer::Takes(ms(10..400)),
+            1 | 2 => Transfer::Takes(ms(400..8_000)),
+            3 => Transfer::BreaksOff(ms(200..3_000)),
+            _ => Transfer::Lost,
+        });
+        let transfers = transfers.collect();
+        let count = ms(1..8).as_millis();
+        let reporters = (0..count).map(|idx| Reporter {
+            phase: ms(0..500),
+            loss: if idx == 0 { 0.0 } else { 0.2 },
+            end: RUN_TIME,
+        });
+        Self {
+            seed,
+            drain,
+            writes,
+            transfers,
+            reporters: reporters.collect(),
+            goes_back: None,
+        }
+    }
+
+    /// Returns a deployment of some instances with two targets, and these changes of the first one's row.
+    fn calm(changes: &[(u64, Row)]) -> Self {
+        let reporters = [100, 300].map(|phase_ms| Reporter {
+            phase: Duration::from_millis(phase_ms),
+            loss: 0.0,
+            end: RUN_TIME,
+        });
+        let mut writes = present(2);
+        writes.extend(changes.iter().map(|(at_ms, row)| RowWrite {
+            at: Duration::from_millis(*at_ms),
+            target: 0,
+            row: *row,
+        }));
+        Self {
+            seed: 1,
+            drain: Duration::from_secs(2),
+            writes,
+            transfers: Vec::new(),
+            reporters: reporters.into(),
+            goes_back: None,
+        }
+    }
+
+    /// Returns the changes up to `at`.
+    fn written(&self, at: Duration) -> &[RowWrite] {
+        let count = self.writes.partition_point(|write| write.at <= at);
+        &self.writes[..count]
+    }
+
+    /// Returns what the store says of a target at a time.
+    fn row_at(&self, at: Duration, target: usize) -> Row {
+        let mut written = self.written(at).iter().rev();
+        let last = written.find(|write| write.target == target);
+        last.map_or(Row::Gone, |write| write.row)
+    }
+
+    /// Returns whether the store has said for as long as the bound that a target has left.
+    fn must_be_out(&self, at: Duration, target: usize) -> bool {
+        let Some(from) = at.checked_sub(self.drain) else {
+            return false;
+        };
+        let within = self.writes.iter();
+        let mut within = within.filter(|write| write.target == target && write.at <= at);
+        self.row_at(from, target) != Row::Ready
+            && within.all(|write| write.at <= from || write.row != Row::Ready)
+    }
+}
+
+fn present(targets: usize) -> Vec<RowWrite> {
+    let rows = (0..targets).map(|target| RowWrite {
+        at: Duration::ZERO,
+        target,
+        row: Row::Ready,
+    });
+    rows.collect()
+}
+
+fn target_id(target: usize) -> TargetId {
+    format!("t{target}").as_str().into()
+}
+
+fn position_of(idx: usize) -> u64 {
+    FIRST_POSITION + 1 + idx as u64
+}
+
+/// Answers the reads of one instance; the first read of a table is answered at once.
+async fn answer(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    transfers: Arc<Mutex<Vec<Transfer>>>,
+    call: Call,
+    progress: Progress,
+) -> Result<Reply, PlatformError> {
+    let (table, after, wait) = match call {
+        Call::Snapshot { table } => (table, 0, Duration::ZERO),
+        Call::Changes {
+            table,
+            after,
+            wait_ms,
+        } => (table, after, Duration::from_millis(wait_ms)),
+        _ => return Err(PlatformError::Unavailable),
+    };
+    let deadline = Instant::now() + wait;
+    let is_targets = table == TARGETS_TABLE;
+    let mut next = scenario.writes.iter().enumerate();
+    let next = next.find(|(idx, _)| is_targets && position_of(*idx) > after && after > 0);
+    let next = next.map_or(deadline, |(_, write)| started + write.at);
+    let went_back = scenario.goes_back.map(|(from, _)| started + from);
+    let is_back = went_back.is_some_and(|at| at <= Instant::now());
+    sleep_until(if is_back {
+        deadline
+    } else {
+        next.min(deadline)
+    })
+    .await;
+    let seen_at = match scenario.goes_back {
+        Some((from, to)) if started.elapsed() >= from => to,
+        _ => started.elapsed(),
+    };
+    let written = scenario.written(seen_at);
+    let position = FIRST_POSITION + written.len() as u64;
+    let rows: Vec<Change> = if is_targets {
+        let rows = written.iter().enumerate();
+        let rows = rows.filter(|(idx, _)| position_of(*idx) > after);
+        rows.map(|(idx, write)| Change {
+            row: target_id(write.target).to_string(),
+            value: (write.row != Row::Gone).then(|| format!("{:?}", write.row)),
+            at: position_of(idx),
+        })
+        .collect()
+    } else if after == 0 {
+        vec![Change {
+            row: "config".to_owned(),
+            value: Some("1".to_owned()),
+            at: FIRST_POSITION,
+        }]
+    } else {
+        Vec::new()
+    };
+    if is_targets && after > 0 && !rows.is_empty() {
+        let transfer = transfers.lock().unwrap().pop();
+        transmit(transfer, &progress).await?;
+    }
+    progress.add(1);
+    Ok(Reply::Changes(rows, position))
+}
+
+async fn transmit(transfer: Option<Transfer>, progress: &Progress) -> Result<(), PlatformError> {
+    const STEP: Duration = Duration::from_millis(10);
+    let (time, result) = match transfer {
+        Some(Transfer::Takes(time)) => (time, Ok(())),
+        Some(Transfer::BreaksOff(time)) => (time, Err(PlatformError::Unavailable)),
+        Some(Transfer::Lost) => pending().await,
+        None => (Duration::ZERO, Ok(())),
+    };
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        sleep(STEP).await;
+        progress.add(1);
+    }
+    result
+}
+
+fn compose(replicas: &[&Replica]) -> Option<ComposedConfig> {
+    let targets = replicas[1].rows().map(|(id, row)| {
+        let target = Target {
+            domain: "d".into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+            registered: Some(Registration {
+                slots: 1,
+                is_leaving: &*row.value == "Leaving",
+                cold_ms: 0,
+                incarnation: 1,
+            }),
+        };
+        (TargetId::from(id), target)
+    });
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets: targets.collect(),
+        cold: None,
+    };
+    Some(ComposedConfig {
+        version: 1,
+        config: Config {
+            services: BTreeMap::from([(SERVICE.into(), service)]),
+            ..Config::default()
+        },
+    })
+}
+
+/// A follower, and what it says to others and to the engine.
+struct Instance {
+    messages: mpsc::Sender<FollowerMessage>,
+    /// What its heartbeats tell.
+    told: watch::Receiver<Option<PeerCommand>>,
+    /// Configuration in force.
+    in_force: watch::Receiver<Arc<Config>>,
+}
+
+/// Starts an instance whose answers that bring rows take what `transfers` say, and which sees the store go back if
+/// the scenario says so.
+fn start(
+    name: &str,
+    started: Instant,
+    clock: Clock,
+    scenario: &Arc<Scenario>,
+    mut transfers: Vec<Transfer>,
+) -> Instance {
+    transfers.reverse();
+    let transfers = Arc::new(Mutex::new(transfers));
+    let served = scenario.clone();
+    let platform = Platform::spawn(move || {
+        let (served, transfers) = (served.clone(), transfers.clone());
+        move |call, progress| answer(started, served.clone(), transfers.clone(), call, progress)
+    });
+    let (engine, mut events) = mpsc::unbounded_channel();
+    let (peers, mut commands) = mpsc::channel(64);
+    let (view, _) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _) = watch::channel(Arc::default());
+    let (messages, rx) = mpsc::channel(64);
+    let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let follower = TableFollower::new(
+        FollowerOptions {
+            clock,
+            platform,
+            secret: Secret::derive("a secret for tests only"),
+            metrics: Metrics::new().unwrap(),
+            confirm_limit: Duration::from_secs(4),
+            apply: Duration::from_millis(2_500),
+            read_timing: ReadTiming::within(CONTACT),
+            own_entry: EntryPoint {
+                instance: name.into(),
+                incarnation: Incarnation(1),
+                domain: "d".into(),
+                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            },
+            fleet,
+        },
+        Outputs {
+            engine,
+            peers,
+            view,
+        },
+        FollowedTables {
+            tables: vec![OPERATOR_TABLE.to_owned(), TARGETS_TABLE.to_owned()],
+            compose,
+        },
+        snapshots,
+    );
+    tokio::spawn(follower.run(rx));
+    let (told_tx, told) = watch::channel(None);
+    tokio::spawn(async move {
+        while let Some(command) = commands.recv().await {
+            told_tx.send_replace(Some(command));
+        }
+    });
+    let (config_tx, in_force) = watch::channel(Arc::default());
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let Event::ConfigActivated(config) = event {
+                config_tx.send_replace(config);
+            }
+        }
+    });
+    Instance {
+        messages,
+        told,
+        in_force,
+    }
+}
+
+/// Sends the heartbeats of an instance that has what `source` tells, to `receiver`, whose own ones tell `known`.
+async fn report(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    idx: usize,
+    source: watch::Receiver<Option<PeerCommand>>,
+    known: watch::Receiver<Option<PeerCommand>>,
+    receiver: mpsc::Sender<FollowerMessage>,
+) {
+    let reporter = scenario.reporters[idx];
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ idx as u64);
+    let mut next = started + reporter.phase;
+    while started.elapsed() < reporter.end {
+        sleep_until(next).await;
+        next += HEARTBEAT_INTERVAL;
+        if rng.random_range(0.0..1.0) < reporter.loss {
+            continue;
+        }
+        let messages = heartbeat(idx, source.borrow().as_ref(), known.borrow().as_ref());
+        for message in messages {
+            if receiver.send(message).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns what a heartbeat brings to the follower of its receiver.
+fn heartbeat(
+    idx: usize,
+    source: Option<&PeerCommand>,
+    _known: Option<&PeerCommand>,
+) -> Vec<FollowerMessage> {
+    let Some(PeerCommand::SetTablePositions { positions, .. }) = source else {
+        return Vec::new();
+    };
+    let from = format!("i{idx}").as_str().into();
+    vec![FollowerMessage::PeerPositions {
+        from,
+        positions: positions.clone(),
+        confirmed_at: None,
+    }]
+}
+
+/// Which targets get requests at a time.
+#[derive(Debug, Clone)]
+struct Sample {
+    at: Duration,
+    in_service: Vec<bool>,
+}
+
+impl Sample {
+    fn of(scenario: &Scenario, at: Duration, config: &Config) -> Self {
+        let last = scenario.writes.iter().map(|write| write.target).max();
+        let targets = 0..=last.unwrap_or(0);
+        let in_service =
+            targets.map(|target| config.is_target_in_service(&SERVICE.into(), &target_id(target)));
+        Self {
+            at,
+            in_service: in_service.collect(),
+        }
+    }
+}
+
+fn run(scenario: &Scenario) -> Vec<Sample> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(play(Arc::new(scenario.clone())))
+}
+
+async fn play(scenario: Arc<Scenario>) -> Vec<Sample> {
+    let started = Instant::now();
+    let clock = Clock::start();
+    let own = start("own", started, clock, &scenario, scenario.transfers.clone());
+    // The others have read what the store had before it went back.
+    let others = Arc::new(Scenario {
+        goes_back: None,
+        ..(*scenario).clone()
+    });
+    let other = start("other", started, clock, &others, Vec::new());
+    for idx in 0..scenario.reporters.len() {
+        let (source, known) = (other.told.clone(), own.told.clone());
+        let to = own.messages.clone();
+        tokio::spawn(report(started, scenario.clone(), idx, source, known, to));
+    }
+    let mut samples = Vec::new();
+    while started.elapsed() < RUN_TIME {
+        sleep(SAMPLE_INTERVAL).await;
+        let config = own.in_force.borrow().clone();
+        samples.push(Sample::of(&scenario, started.elapsed(), &config));
+    }
+    samples
+}
+
+/// Returns the targets, and when, that were in service later than the bound.
+fn late(scenario: &Scenario) -> Vec<(Duration, usize)> {
+    let samples = run(scenario);
+    let used = samples.iter().flat_map(|sample| {
+        let targets = sample.in_service.iter().enumerate();
+        let used = targets.filter(|(_, is_in_service)| **is_in_service);
+        used.map(|(target, _)| (sample.at, target))
+    });
+    used.filter(|(at, target)| scenario.must_be_out(*at, *target))
+        .collect()
+}
+
+/// Guards against DRAIN: an instance whose own reads of the targets' rows came late or never sent requests to
+/// targets that had left, although others knew it in time.
+#[test]
+fn no_target_is_used_late_by_an_instance_that_hears_others() {
+    let late: BTreeMap<u64, _> = SEEDS
+        .map(|seed| (seed, late(&Scenario::draw(seed))))
+        .filter(|(_, late)| !late.is_empty())
+        .collect();
+    let samples: usize = late.values().map(Vec::len).sum();
+    let first = late.iter().next().map(|(seed, late)| (seed, &late[0]));
+    assert!(
+        late.is_empty(),
+        "{} of 300 seeds, {samples} samples, first {first:?}",
+        late.len()
+    );
+}
+
+/// Guards against refusals for nothing: only a target that has left once is ever out of service.
+#[test]
+fn target_that_never_left_stays_in_service() {
+    let first = Duration::from_secs(1);
+    for seed in FEWER_SEEDS {
+        let scenario = Scenario::draw(seed);
+        for sample in run(&scenario).iter().filter(|one| one.at > first) {
+            let written = scenario.written(sample.at);
+            for (target, is_in_service) in sample.in_service.iter().enumerate() {
+                let mut rows = written.iter().filter(|write| write.target == target);
+                assert!(
+                    *is_in_service || rows.any(|write| write.row != Row::Ready),
+                    "seed {seed}, target {target}, {sample:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against targets that stay out: an instance that reads again has what the store says, whatever it heard
+/// meanwhile.
+#[test]
+fn own_rows_decide_once_they_have_come() {
+    for seed in FEWER_SEEDS {
+        let mut scenario = Scenario::draw(seed);
+        scenario.transfers.truncate(2);
+        scenario.writes.retain(|write| write.at < RUN_TIME / 2);
+        let samples = run(&scenario);
+        let last = samples.last().unwrap();
+        for (target, is_in_service) in last.in_service.iter().enumerate() {
+            let row = scenario.row_at(last.at, target);
+            assert_eq!(
+                *is_in_service,
+                row == Row::Ready,
+                "seed {seed}, target {target}"
+            );
+        }
+    }
+}
+
+/// Returns the times at which the first target was out of service, from the first second on.
+fn out_times(scenario: &Scenario) -> Vec<Duration> {
+    let samples = run(scenario).into_iter();
+    let out = samples.filter(|one| one.at > Duration::from_secs(1) && !one.in_service[0]);
+    out.map(|one| one.at).collect()
+}
+
+/// Guards against DRAIN, and against a target that stays out: it left and came back while an answer was arriving, and
+/// is back with the rows that say so.
+#[test]
+fn target_that_came_back_is_in_service_again() {
+    let scenario = Scenario {
+        transfers: vec![Transfer::Takes(Duration::from_secs(4))],
+        ..Scenario::calm(&[(5_000, Row::Gone), (7_000, Row::Ready)])
+    };
+    let out = out_times(&scenario);
+    let (first, last) = (out[0], out[out.len() - 1]);
+    assert!(
+        first > Duration::from_secs(5) && first < Duration::from_secs(6),
+        "{first:?}"
+    );
+    assert!(last < Duration::from_millis(9_500), "{last:?}");
+}
+
+/// Guards against targets that stay out: others go on telling of a departure that the store has lost.
+#[test]
+fn store_that_went_back_decides() {
+    let from = Duration::from_millis(5_500);
+    let scenario = Scenario {
+        transfers: vec![Transfer::Lost, Transfer::Lost],
+        goes_back: Some((from, Duration::from_millis(4_900))),
+        ..Scenario::calm(&[(5_000, Row::Gone)])
+    };
+    let out = out_times(&scenario);
+    assert!(!out.is_empty());
+    // The read that was under way at the report, and the next one.
+    let last = out[out.len() - 1];
+    assert!(last < from + CONTACT * 3 / 2, "{last:?}");
+}
