--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -3,6 +3,7 @@
 //! Each table is followed by long polling. Heartbeats carry the positions up to which an instance
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
+mod departures;
 mod fetching;
 mod lateness;
 mod publication;
@@ -19,7 +20,9 @@
     time::sleep_until,
 };
 
+pub use self::departures::TARGETS;
 use self::{
+    departures::{Overlay, TargetsLag},
     fetching::{PartsState, count_fault},
     lateness::Lateness,
 };
@@ -61,7 +64,8 @@
 /// Names the tables to follow and composes a configuration from them.
 #[derive(Debug, Clone)]
 pub struct FollowedTables<F> {
-    /// Names of the tables; the first one holds the operators' configuration.
+    /// Names of the tables; the first one holds the operators' configuration, the second one the targets,
+    /// whose rows bear their names.
     pub tables: Vec<String>,
     /// Returns the configuration, or `None` if the tables don't hold a usable one.
     pub compose: F,
@@ -78,7 +82,14 @@
     tables: Vec<Table>,
     /// Whether the first of the tables is behind.
     lateness: Lateness,
+    /// Whether the second of the tables is behind.
+    targets_lag: TargetsLag,
     last_lag: Option<ConfigLag>,
+    /// Departures by the own rows, and those that others have told.
+    overlay: Overlay,
+    /// What the own rows say.
+    own_rows: Option<Arc<Config>>,
+    /// What is in force.
     composed: Option<Arc<Config>>,
     version: u64,
     revision: u64,
@@ -103,6 +114,18 @@
     advanced: watch::Sender<()>,
 }
 
+/// What led to another configuration.
+#[derive(Debug)]
+struct News {
+    source: NewsSource,
+    /// Time at which the tables before it were last known to be the latest.
+    known_at: Option<Time>,
+    /// Since when later rows of targets than those before it had been known.
+    targets_known_since: Option<Time>,
+    /// Whether the targets' rows alone have changed.
+    is_of_targets: bool,
+}
+
 /// A fetch from another instance that has not ended.
 #[derive(Debug)]
 struct OpenFetch {
@@ -198,12 +221,15 @@
             .collect();
         Self {
             lateness: Lateness::within(options.apply),
+            targets_lag: TargetsLag::default(),
             last_lag: None,
             options,
             outputs,
             followed,
             snapshots,
             tables,
+            overlay: Overlay::default(),
+            own_rows: None,
             composed: None,
             version: 0,
             revision: 0,
@@ -260,6 +286,14 @@
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
             FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerDepartures { from, departures } => {
+                let Some(table) = self.tables.get(TARGETS) else {
+                    return false;
+                };
+                let reported = &mut self.overlay.reported;
+                reported.on_report(now, table.replica.position(), &departures);
+                return self.overlay_departures(now, NewsSource::Departures(from));
+            }
             FollowerMessage::PeerPositions {
                 from,
                 positions,
@@ -272,6 +306,9 @@
                 if let Some(position) = positions.first() {
                     self.lateness.on_report(now, &from, *position);
                 }
+                if let Some(position) = positions.get(TARGETS) {
+                    self.targets_lag.on_report(now, *position);
+                }
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
@@ -307,6 +344,7 @@
     fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
+        let targets_known_since = self.targets_lag.behind_since();
         let name = self.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
@@ -370,6 +408,17 @@
             let changed_at = table.replica.changed_at();
             self.lateness.on_position(now, position, changed_at);
         }
+        if idx == TARGETS {
+            if let Some((sent_at, position)) = read_at {
+                self.targets_lag.on_read(sent_at, position);
+            }
+            self.targets_lag.on_position(position);
+            let reported = &mut self.overlay.reported;
+            reported.on_position(position, |id| table.replica.is_retained(id.as_str()));
+            if let Some((sent_at, _)) = read_at {
+                reported.on_read(sent_at, position);
+            }
+        }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
         } else {
@@ -387,7 +436,15 @@
             self.set_alarm("store_unreachable", !is_reachable);
         }
         if is_changed {
-            self.compose(now, known_at, &source);
+            let news = News {
+                source,
+                known_at,
+                targets_known_since,
+                is_of_targets: idx == TARGETS,
+            };
+            self.compose(now, &news);
+        } else if idx == TARGETS {
+            self.overlay_departures(now, NewsSource::OwnRows);
         }
         true
     }
@@ -426,7 +483,18 @@
             table.start_fetch(now, from, source, tx.clone());
         }
         if is_changed {
-            self.compose(now, known_at, &NewsSource::GracePeriod);
+            if let Some(table) = self.tables.get(TARGETS) {
+                let (reported, replica) = (&mut self.overlay.reported, &table.replica);
+                reported.on_position(replica.position(), |id| replica.is_retained(id.as_str()));
+            }
+            // Rows of operators have none.
+            let news = News {
+                source: NewsSource::GracePeriod,
+                known_at,
+                targets_known_since: self.targets_lag.behind_since(),
+                is_of_targets: true,
+            };
+            self.compose(now, &news);
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -0,0 +1,136 @@
+//! Targets that leave by their rows, and since when later rows of targets than the own ones have been known.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use base::{Config, TargetId, Time};
+use coord::{Departure, Departures, Lag, ReportedDepartures};
+
+use crate::table_logs::{log_targets_behind, log_targets_caught_up};
+
+/// Index of the targets' table among the followed ones.
+pub const TARGETS: usize = 1;
+/// Time for which later rows must have been known for a line about it.
+const LONG_WAIT: Duration = Duration::from_secs(1);
+
+/// Follows since when others have reported a later position of the targets' table than the own one.
+#[derive(Debug, Default)]
+pub(super) struct TargetsLag {
+    lag: Lag,
+    own_position: u64,
+    /// Since when a present time of more than [`LONG_WAIT`] has lasted, once it has been logged.
+    logged_since: Option<Time>,
+}
+
+impl TargetsLag {
+    /// Records the position that another instance reports.
+    pub(super) fn on_report(&mut self, now: Time, position: u64) {
+        self.lag.on_report(now, position);
+    }
+
+    /// Records that a read that was sent at `sent_at` has brought `position`.
+    pub(super) fn on_read(&mut self, sent_at: Time, position: u64) {
+        self.lag.on_read(sent_at, position);
+    }
+
+    /// Records the position of the own copy.
+    pub(super) fn on_position(&mut self, position: u64) {
+        self.own_position = position;
+        self.lag.on_position(position);
+    }
+
+    /// Returns since when later rows have been known.
+    pub(super) fn behind_since(&self) -> Option<Time> {
+        self.lag.behind_since(true)
+    }
+
+    /// Returns since when later rows have been known, and logs the begin and the end of a long time.
+    pub(super) fn assess(&mut self, now: Time) -> Option<Time> {
+        let since = self.behind_since();
+        let long = since.filter(|since| now - *since >= LONG_WAIT);
+        match (self.logged_since, long) {
+            (None, Some(_)) => {
+                log_targets_behind(now, long, self.lag.latest_report(), self.own_position);
+                self.logged_since = long;
+            }
+            (Some(before), None) => {
+                log_targets_caught_up(now, before, self.own_position);
+                self.logged_since = None;
+            }
+            _ => {}
+        }
+        since
+    }
+}
+
+/// What this instance and others know of targets that have left.
+#[derive(Debug, Default)]
+pub(super) struct Overlay {
+    /// Departures by the own rows.
+    pub(super) own: Departures,
+    /// Departures by rows that are lacking here.
+    pub(super) reported: ReportedDepartures,
+    /// Targets that are out of service by what others have told.
+    applied: BTreeSet<TargetId>,
+    /// What the task that sends heartbeats was told last.
+    pub(super) told: Arc<Vec<Departure>>,
+}
+
+impl Overlay {
+    /// Returns the targets that the own rows have in service, and others have told to have left.
+    pub(super) fn targets(&self, own_rows: &Config) -> BTreeSet<TargetId> {
+        let services = || own_rows.services.keys();
+        let reported = self.reported.targets().map(|(target, _)| target);
+        let in_service = reported.filter(|target| {
+            services().any(|service| own_rows.is_target_available(service, target))
+        });
+        in_service.cloned().collect()
+    }
+
+    /// Returns the latest position at which one of the targets has left.
+    fn position_of(&self, targets: &BTreeSet<TargetId>) -> u64 {
+        let reported = self.reported.targets();
+        let among = reported.filter(|(target, _)| targets.contains(*target));
+        among.map(|(_, position)| position).max().unwrap_or(0)
+    }
+
+    /// Returns the departures of the last seconds if they aren't those that were told last.
+    pub(super) fn untold(&mut self, now: Time) -> Option<Arc<Vec<Departure>>> {
+        self.own.expire(now);
+        let known = self.own.newest_first();
+        (known != *self.told).then(|| Arc::new(known))
+    }
+
+    /// Returns whether others have told something new of the targets that the own rows have in service.
+    pub(super) fn is_outdated(&self, own_rows: &Config) -> bool {
+        self.targets(own_rows) != self.applied
+    }
+
+    /// Returns what is in force by the own rows and what others have told, the targets that it takes out of service
+    /// beyond those of the last time, and the position at which they had left.
+    pub(super) fn apply(&mut self, own_rows: &Arc<Config>) -> (Arc<Config>, Vec<TargetId>, u64) {
+        let targets = self.targets(own_rows);
+        let added = targets.difference(&self.applied).cloned().collect();
+        let position = self.position_of(&targets);
+        self.applied = targets;
+        if self.applied.is_empty() {
+            return (own_rows.clone(), added, position);
+        }
+        // The end of a drain says nothing of the target itself, nor does the end of a report.
+        let mut config = (**own_rows).clone();
+        config.drains.targets.extend(self.applied.iter().cloned());
+        (Arc::new(config), added, position)
+    }
+}
+
+/// Returns the targets that get new requests by the entries of `before` and by those of `after` no longer.
+pub(super) fn left(before: &Config, after: &Config) -> Vec<TargetId> {
+    let services = before.services.iter();
+    let targets = services.flat_map(|(id, service)| {
+        let targets = service.targets.keys();
+        targets.map(move |target| (id, target))
+    });
+    let left = targets.filter(|(service, target)| {
+        before.is_target_available(service, target) && !after.is_target_available(service, target)
+    });
+    left.map(|(_, target)| target.clone()).collect()
+}
