fix(daemon): count the grace of removed rows from where the answer began

What callers saw: nothing yet. A target whose entry this instance has itself read as removed could get requests for longer than drainS (2 s at least) after that answer, which binds the instance during a disruption of the store as well. Cause: such a row is kept until 1.8 s after the outage's end, and the end counted from when the answer had arrived in full: over a link that a large document shares, a second later than the store gave it. 0.2 s are left for that and for a request's way. Change: an outage ends, and a row found missing is kept, from the first byte of the answer on. Ruled out: that several outages prolong it (one to three are drawn; a kept row's end doesn't move), and that what waits at the end of the grace is late by it: it is recalled as by any other configuration. Weighed: a shorter grace takes away living targets that are back within two seconds; placement as a last resort alone still sends there late; a target can't tell. The price: a living target whose entry comes back over a slow link is out for as long as its return needs to arrive.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -45,7 +45,9 @@
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of fetches of one table at the same time.
 const MAX_FETCHES: usize = 3;
-/// Time after the end of an outage of the platform for which rows that it removed are kept.
+/// Time after the end of an outage of the platform for which rows that it removed are kept, counted from
+/// where the answer that shows it began to arrive: targets may get requests only until their drain time
+/// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -147,14 +149,14 @@
 
     /// Records that the platform has answered. An answer from before the own position is logged, unless
     /// it was asked for before that position was known.
-    fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
+    fn record_answer(&mut self, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
         if read.position < own_position && read.sent_at > self.advanced_at {
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
         self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
-        self.replica.on_contact(now);
+        self.replica.on_contact(read.answered_at);
     }
 }
 
@@ -336,16 +338,18 @@
             }
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at, read.position));
-                table.record_answer(now, name, &read);
+                table.record_answer(name, &read);
                 table
                     .replica
-                    .replace(now, to_snapshot(read.rows, read.position))
+                    .replace(read.answered_at, to_snapshot(read.rows, read.position))
             }
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at, read.position));
-                table.record_answer(now, name, &read);
+                table.record_answer(name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
-                table.replica.apply_changes(now, changes, read.position)
+                table
+                    .replica
+                    .apply_changes(read.answered_at, changes, read.position)
             }
         };
         let position = table.replica.position();
