--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -48,7 +48,9 @@
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of fetches of one table at the same time.
 const MAX_FETCHES: usize = 3;
-/// Time after the end of an outage of the platform for which rows that it removed are kept.
+/// Time after the end of an outage of the platform for which rows that it removed are kept, counted from
+/// where the answer that shows it began to arrive: targets may get requests only until their drain time
+/// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -172,7 +174,7 @@
 
     /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
     /// logged unless it was asked for before that position was known.
-    fn record_answer(&mut self, now: Time, name: &str, read: &PlatformRead) {
+    fn record_answer(&mut self, name: &str, read: &PlatformRead) {
         let own_position = self.replica.position();
         if read.position < own_position && read.sent_at() > self.advanced_at {
             log_older(name, own_position, read.position);
@@ -182,7 +184,7 @@
         if read.position >= own_position {
             self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
         }
-        self.replica.on_contact(now);
+        self.replica.on_contact(read.answer.arrived_at);
     }
 }
 
@@ -384,16 +386,19 @@
             }
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at(), read.position));
-                table.record_answer(now, name, &read);
-                table
-                    .replica
-                    .replace(now, to_snapshot(read.rows, read.position))
+                table.record_answer(name, &read);
+                table.replica.replace(
+                    read.answer.arrived_at,
+                    to_snapshot(read.rows, read.position),
+                )
             }
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
-                table.record_answer(now, name, &read);
+                table.record_answer(name, &read);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
-                table.replica.apply_changes(now, changes, read.position)
+                table
+                    .replica
+                    .apply_changes(read.answer.arrived_at, changes, read.position)
             }
         };
         let position = table.replica.position();
