test(daemon): a stale store never answers from the reader's own position

Now a stale answer has a position one below the one that is asked from, and no rows: in every spell, for the first version too, so the bound is as strict.

--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -259,14 +259,15 @@
         let next = next.map_or(deadline, |(_, version)| self.started + version.at);
         sleep_until(next.min(deadline)).await;
         let made_at = self.started.elapsed();
-        let mut version = match is_operators {
+        let version = match is_operators {
             true => self.scenario.version_at(made_at),
             false => 0,
         };
-        if is_operators && self.is_stale(made_at) {
-            version = (after.saturating_sub(position_of(1)) / 10) as usize;
-        }
-        let position = position_of(version);
+        let is_stale = is_operators && self.is_stale(made_at);
+        let position = match is_stale {
+            true => after.saturating_sub(1).max(1),
+            false => position_of(version),
+        };
         let row = Change {
             row: "config".to_owned(),
             value: Some(version.to_string()),
