test(dispatch): pages that many ask for while targets are replaced in numbers

Suspected for DENIED: an innocent request that comes again and again (same caller, path and body) is taken for a deadly one when targets end in numbers, and gets 422.

Four mixes of 150 drawn fleets each, no deadly request, nine of ten requests for one of four pages, every 6 s nine tenths of the targets ended one after the other, 1 to 400 ms apart: alone, beside instances that start again every 4 s, beside a crash each 0.4 s, and each 0.1 s.

--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -102,6 +102,16 @@
     }
 }
 
+/// Nine tenths of the targets end one after the other, while the same few requests come again and again.
+fn targets_are_replaced(plan: Plan) -> Plan {
+    Plan {
+        deadly: 0,
+        release_gap_s: Some(6.0),
+        page_share: 0.9,
+        ..plan
+    }
+}
+
 fn all_together(plan: Plan) -> Plan {
     Plan {
         instances: plan.instances.max(4),
@@ -120,6 +130,14 @@
 #[case::beside_a_deadly_request(|plan| plan)]
 #[case::targets_crash_by_themselves(|plan| Plan { crash_gap_s: Some(1.0), deadly: 0, ..plan })]
 #[case::paths_are_cut(|plan| Plan { cut_gap_s: Some(3.0), ..plan })]
+#[case::targets_are_replaced(targets_are_replaced)]
+#[case::targets_are_replaced_beside_starts(|plan: Plan| Plan {
+    instances: plan.instances.max(4),
+    restart_gap_s: Some(4.0),
+    ..targets_are_replaced(plan)
+})]
+#[case::targets_crash_in_herds(|plan| Plan { crash_gap_s: Some(0.4), ..targets_are_replaced(plan) })]
+#[case::targets_live_for_a_second(|plan| Plan { crash_gap_s: Some(0.1), ..targets_are_replaced(plan) })]
 fn innocent_requests_are_not_turned_away_in_drawn_fleets(#[case] vary: fn(Plan) -> Plan) {
     let (mut wronged, mut sent) = (Vec::new(), 0);
     for seed in 0..SEEDS {
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -48,6 +48,10 @@
     pub(crate) cut_gap_s: Option<f64>,
     /// Mean time between two crashes of targets that no request causes.
     pub(crate) crash_gap_s: Option<f64>,
+    /// Mean time between two times at which nine tenths of the targets end one after the other.
+    pub(crate) release_gap_s: Option<f64>,
+    /// Share of ordinary requests that ask for one of a few pages.
+    pub(crate) page_share: f64,
     /// Number of instances, the first ones, of a build that turns no request away for what it did, and
     /// neither reports nor reads that others do; they are not judged.
     pub(crate) older: usize,
@@ -69,6 +73,8 @@
             restart_gap_s: None,
             cut_gap_s: None,
             crash_gap_s: None,
+            release_gap_s: None,
+            page_share: 0.2,
             older: 0,
         }
     }
@@ -116,6 +122,7 @@
         incarnation: u64,
     },
     CrashAny,
+    Release,
     TargetBack(usize),
     Register,
     Deliver {
@@ -276,6 +283,7 @@
             (self.plan.restart_gap_s, Event::Restart(0)),
             (self.plan.cut_gap_s, Event::Cut),
             (self.plan.crash_gap_s, Event::CrashAny),
+            (self.plan.release_gap_s, Event::Release),
         ];
         for (gap_s, event) in gaps {
             if let Some(gap_s) = gap_s {
@@ -393,6 +401,20 @@
                     self.crash(target);
                 }
             }
+            Event::Release => {
+                let gap = self.plan.release_gap_s.unwrap_or(1.0);
+                let gap = self.gap_ms(gap);
+                self.push(gap, Event::Release);
+                let step = self.rng.random_range(1..400);
+                for target in 0..self.targets.len() * 9 / 10 {
+                    let incarnation = self.targets[target].incarnation;
+                    let end = Event::Crash {
+                        target,
+                        incarnation,
+                    };
+                    self.push(step * target as u64, end);
+                }
+            }
             Event::TargetBack(target) => {
                 self.targets[target].is_up = true;
                 self.targets[target].incarnation += 1;
@@ -417,7 +439,7 @@
     }
 
     fn ordinary_fingerprint(&mut self) -> u64 {
-        if self.rng.random::<f64>() < 0.2 {
+        if self.rng.random::<f64>() < self.plan.page_share {
             1_000 + self.rng.random_range(0..PAGES)
         } else {
             self.next_id + 1_000_000
