feat(entry): an attempt's line tells when it was sent, and by which revision

What callers saw: nothing. The lines couldn't tell a target whose leaving wasn't known from one that got its request all the same: an attempt told when it was planned and by which revision, not when it was given to the connection, up to 2.9 s later. Change: sent_ms and, if another configuration had come into force since, sent_revision; also of attempts that had not ended. why prints both where the revision changed. Two fields an attempt, of which the second is rare. No line had these fields before. Ruled out: the revision that an attempt told already; it is that of its choice. What it costs was not measured.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -188,11 +188,19 @@
         None if revision.is_empty() => String::new(),
         None => format!("; sent{revision}"),
     };
+    let sent = attempt["sent_revision"]
+        .as_u64()
+        .map_or_else(String::new, |revision| {
+            format!(
+                "; given to the connection at {} ms, by then by revision {revision}",
+                number("sent_ms")
+            )
+        });
     let cause = attempt["connect_error"]
         .as_str()
         .map_or_else(String::new, |cause| format!(" ({cause})"));
     format!(
-        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}{rest}{bound}",
+        "at {} ms to {} ({}, estimated load {} requests) over {connection}: {}{cause} after {} ms{limit}{rest}{bound}{sent}",
         number("start_ms"),
         attempt["target"].as_str().unwrap_or("?"),
         attempt["reason"].as_str().unwrap_or("?"),
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -76,6 +76,8 @@
     refuses_when_isolated: bool,
     config: Option<Arc<Config>>,
     revision: u64,
+    /// Tells the attempts that aren't sent yet of the revision in force.
+    in_force: watch::Sender<u64>,
     is_draining: bool,
     routes: RouteTable,
     /// How the requests of each route with several services are divided, by route name.
@@ -168,6 +170,7 @@
             refuses_when_isolated: options.refuses_when_isolated,
             config: None,
             revision: 0,
+            in_force: watch::Sender::new(0),
             is_draining: false,
             routes: RouteTable::default(),
             splits: BTreeMap::new(),
@@ -355,6 +358,7 @@
     fn configure(&mut self, now: Time, config: &Arc<Config>) {
         let previous = self.config.replace(config.clone()).unwrap_or_default();
         self.revision += 1;
+        self.in_force.send_replace(self.revision);
         if previous.keys != config.keys || previous.workspaces != config.workspaces {
             self.keys = KeyIndex::new(config);
         }
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -85,6 +85,7 @@
                 relays: self.relays_to(&assignment.region, request),
                 allowed_regions: request.allowed_regions.subscribe(),
                 revision: self.revision,
+                in_force: self.in_force.subscribe(),
                 deadline: request.deadline,
                 workspace: request.workspace.clone(),
                 is_open: request.is_open,
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -12,7 +12,7 @@
     forward::{AttemptResult, Forwarder, RequestTemplate, TargetFeedback, TargetResponse},
     head,
     message::{Admitted, AttemptPlan, Decision, Event},
-    permit::SendPermit,
+    permit::{SendNote, SendPermit},
     request_log::RequestLog,
     trace::Span,
 };
@@ -168,10 +168,10 @@
             decision = request.decision() => {
                 drop(queue_span.take());
                 if let Decision::SendAttempt(plan) = decision? {
-                    request.log.attempt_started(clock.now(), &plan);
+                    let note = request.log.attempt_started(clock.now(), &plan);
                     let is_first = plan.assignment.attempt == 1;
                     hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
-                    let attempt = prepare_attempt(forwarder, &request, *plan, template.clone(), span);
+                    let attempt = prepare_attempt(forwarder, &request, (*plan, note), template.clone(), span);
                     attempts.spawn(attempt);
                 }
             }
@@ -196,11 +196,11 @@
     }
 }
 
-/// Returns the future that sends one attempt.
+/// Returns the future that sends one attempt, and notes when.
 fn prepare_attempt(
     forwarder: &Forwarder,
     request: &RequestHandle,
-    plan: AttemptPlan,
+    (plan, note): (AttemptPlan, SendNote),
     template: Arc<RequestTemplate>,
     span: &Span,
 ) -> impl Future<Output = (AttemptGuard, AttemptResult)> + Send + 'static {
@@ -223,7 +223,8 @@
             prefers_relay: plan.assignment.prefers_relay,
             relay_delay: plan.assignment.relay_delay,
         };
-        let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+        let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions)
+            .noted(note, plan.in_force);
         let target_span = span.child("target");
         let result = forwarder
             .send_attempt(&dial, plan.connection, &template, &permit, plan.deadline)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -200,6 +200,7 @@
         let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
             return AttemptResult::failed(Outcome::Unreachable);
         };
+        permit.note_sending(clock.now());
         connection.last_response_at = started;
         let relay = connection.relay.clone();
         let is_direct_and_new = is_new_connection && relay.is_none();
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -236,6 +236,8 @@
     pub allowed_regions: watch::Receiver<AllowedRegions>,
     /// Number of the configuration by which the attempt was planned.
     pub revision: u64,
+    /// Number of the configuration in force, as it changes.
+    pub in_force: watch::Receiver<u64>,
     /// Deadline of the request.
     pub deadline: Time,
     /// Workspace of the request.
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -1,6 +1,8 @@
 //! Whether an attempt may still be sent when its connection is open.
 
-use base::{AllowedRegions, RegionId};
+use std::sync::{Arc, OnceLock};
+
+use base::{AllowedRegions, RegionId, Time};
 use tokio::sync::watch;
 
 use crate::connection::Relay;
@@ -25,12 +27,52 @@
     /// Region of the target.
     region: RegionId,
     allowed: watch::Receiver<AllowedRegions>,
+    /// Where the sending is noted, and the configuration in force.
+    noted: Option<(SendNote, watch::Receiver<u64>)>,
+}
+
+/// Notes when an attempt was sent; all clones share the note.
+#[derive(Debug, Clone, Default)]
+pub struct SendNote(Arc<OnceLock<Sent>>);
+
+/// Tells when an attempt was sent, and by which configuration it was permitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// Time at which the request was given to an open connection.
+    pub at: Time,
+    /// Number of the configuration in force by then, counted by this process.
+    pub revision: u64,
+}
+
+impl SendNote {
+    /// Returns when the attempt was sent; `None` if it was not, or not yet.
+    pub fn sent(&self) -> Option<Sent> {
+        self.0.get().copied()
+    }
 }
 
 impl SendPermit {
     /// Returns a permit for a target in `region`, while `allowed` has that region.
     pub fn new(region: RegionId, allowed: watch::Receiver<AllowedRegions>) -> Self {
-        Self { region, allowed }
+        Self {
+            region,
+            allowed,
+            noted: None,
+        }
+    }
+
+    /// Sets where the sending is noted, with the number of the configuration in force by then.
+    pub fn noted(mut self, note: SendNote, in_force: watch::Receiver<u64>) -> Self {
+        self.noted = Some((note, in_force));
+        self
+    }
+
+    /// Notes that the request is sent at `at`.
+    pub(crate) fn note_sending(&self, at: Time) {
+        if let Some((note, in_force)) = &self.noted {
+            let revision = *in_force.borrow();
+            let _ = note.0.set(Sent { at, revision });
+        }
     }
 
     /// Returns whether the request may be sent now, over a connection that `relay` carries if there is
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -105,6 +105,7 @@
         }
         let now = self.clock.now();
         self.log.with(|state| {
+            state.add_sendings();
             let info = state.info.as_ref();
             let confirmed_at = state.config.and_then(|config| config.confirmed_at);
             let line = RequestLine {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -9,6 +9,7 @@
 use crate::{
     forward::AttemptResult,
     message::{AttemptPlan, RequestInfo, UsedConfig},
+    permit::SendNote,
 };
 
 /// Collects the history of one request; all clones share it.
@@ -24,6 +25,8 @@
     pub(crate) info: Option<RequestInfo>,
     pub(crate) config: Option<UsedConfig>,
     pub(crate) attempts: Vec<AttemptLine>,
+    /// When each of the attempts was sent, and the revision by which it was planned.
+    sendings: Vec<(SendNote, u64)>,
     pub(crate) candidates: Vec<CandidateLine>,
 }
 
@@ -34,6 +37,7 @@
             info: None,
             config: None,
             attempts: Vec::new(),
+            sendings: Vec::new(),
             candidates: Vec::new(),
         };
         Self(Arc::new(Mutex::new(state)))
@@ -61,8 +65,10 @@
         self.with(|state| state.candidates = lines.collect());
     }
 
-    pub(crate) fn attempt_started(&self, now: Time, plan: &AttemptPlan) {
+    /// Records the start of an attempt and returns where its sending is to be noted.
+    pub(crate) fn attempt_started(&self, now: Time, plan: &AttemptPlan) -> SendNote {
         let assignment = &plan.assignment;
+        let note = SendNote::default();
         self.with(|state| {
             let used = state.config.map(|config| config.revision);
             let line = AttemptLine {
@@ -77,7 +83,9 @@
                 ..AttemptLine::default()
             };
             state.attempts.push(line);
+            state.sendings.push((note.clone(), plan.revision));
         });
+        note
     }
 
     pub(crate) fn attempt_ended(&self, now: Time, attempt: u32, result: &AttemptResult) {
@@ -117,6 +125,19 @@
     }
 }
 
+impl RequestLogState {
+    /// Completes the attempts' lines with when they were sent, also of those that have not ended.
+    pub(crate) fn add_sendings(&mut self) {
+        for (line, (note, planned_by)) in self.attempts.iter_mut().zip(&self.sendings) {
+            let Some(sent) = note.sent() else {
+                continue;
+            };
+            line.sent_ms = Some((sent.at - self.started).as_millis() as u64);
+            line.sent_revision = (sent.revision != *planned_by).then_some(sent.revision);
+        }
+    }
+}
+
 /// Returns the regions to which a request is bound, for its line; `None` if it may run in all.
 pub(crate) fn homes(allowed: &AllowedRegions) -> Option<String> {
     (!allowed.is_all()).then(|| allowed.to_string())
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -17,7 +17,7 @@
     engine::{Engine, EngineOptions},
     forward::Forwarder,
     message::{Arrival, AttemptPlan, Decision, Event},
-    permit::SendPermit,
+    permit::{SendNote, SendPermit},
     view::Clock,
 };
 use rstest::rstest;
@@ -377,7 +377,9 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     let forwarder = Forwarder::new(Dialer::new(clock, tx));
     let allowed = watch::Sender::new(AllowedRegions::All);
-    let permit = SendPermit::new("north".into(), allowed.subscribe());
+    let (note, in_force) = (SendNote::default(), watch::Sender::new(1));
+    let permit = SendPermit::new("north".into(), allowed.subscribe())
+        .noted(note.clone(), in_force.subscribe());
     let plan = DialPlan {
         target: "t".into(),
         addr: ([127, 0, 0, 1], 1).into(),
@@ -396,6 +398,7 @@
         let request = rx.recv().await.unwrap();
         let moved = AllowedRegions::only(&homes(moved_to));
         allowed.send_replace(moved);
+        in_force.send_replace(2);
         let carried = MarkedStream::new(stream.unwrap());
         request.reply.send(Ok(carried)).unwrap();
         let read = timeout(Duration::from_millis(200), far.read_u8()).await;
@@ -411,6 +414,9 @@
         "{result:?}"
     );
     assert_eq!(is_sent, !is_withheld);
+    // The line tells by which configuration it was sent, and that it was not.
+    let sent_by = note.sent().map(|sent| sent.revision);
+    assert_eq!(sent_by, (!is_withheld).then_some(2));
     assert_eq!(result.connection.is_some(), is_withheld);
 }
 
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -91,6 +91,14 @@
     pub load: u32,
     /// Milliseconds from the request's arrival to the attempt's start.
     pub start_ms: u64,
+    /// Milliseconds from the request's arrival to the moment at which it was given to an open connection;
+    /// omitted if it never was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sent_ms: Option<u64>,
+    /// Revision of the configuration in force at that moment, if it is another one than that by which
+    /// the attempt was planned.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sent_revision: Option<u64>,
     /// Duration of the attempt in milliseconds; zero if it had not ended.
     pub took_ms: u64,
     /// Whether the attempt opened a new connection.
