--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -105,6 +105,7 @@
         }
         let now = self.clock.now();
         self.log.with(|state| {
+            state.add_sendings();
             let info = state.info.as_ref();
             let line = RequestLine {
                 event: "request",
