refactor: no ring of imports in steer, survey and settings

Cause: modules imported siblings by way of the crate's root, which re-exports them. Change: they name the module that defines a type; no public name changes. Ruled out: moving types, which nothing needs.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -5,8 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Document, Finding, Findings, Parsed,
-    document::{parse, parse_known},
+    document::{Document, Finding, Findings, Parsed, parse, parse_known},
     variables::complete,
 };
 
--- a/crates/settings/src/variables.rs
+++ b/crates/settings/src/variables.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Map, Value};
 
-use crate::{Document, Findings};
+use crate::document::{Document, Findings};
 
 /// Variables, each with the path of its setting.
 const VARIABLES: [(&str, &[&str]); 3] = [
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -4,7 +4,7 @@
 
 use base::RegionId;
 
-use crate::{Measurements, PlanPolicy, Shares, ShiftLimiter, desired_shares};
+use crate::plan::{Measurements, PlanPolicy, Shares, ShiftLimiter, desired_shares};
 
 /// Computes one region's shares from measurements.
 ///
--- a/crates/survey/src/generate.rs
+++ b/crates/survey/src/generate.rs
@@ -7,7 +7,7 @@
     Workspace,
 };
 
-use crate::{Answers, RouteAnswer, ServiceAnswer};
+use crate::answers::{Answers, RouteAnswer, ServiceAnswer};
 
 /// Returns the configuration that `answers` describe, without API keys and drains.
 ///
