--- a/crates/proof/src/service/event.rs
+++ b/crates/proof/src/service/event.rs
@@ -24,7 +24,7 @@
     Report,
     /// The incident with this index begins.
     IncidentBegins(usize),
-    /// The next poison request of the incident with this index is sent.
+    /// The next request that crashes targets, of the incident with this index is sent.
     PoisonRequestDue(usize),
     /// A leaving target is checked, and ends if it is idle.
     CheckIdle(usize),
--- a/crates/proof/src/service/measures.rs
+++ b/crates/proof/src/service/measures.rs
@@ -33,7 +33,7 @@
     pub false_not_run: u64,
     /// Number of requests answered in time per measured second.
     pub answered_per_s: f64,
-    /// Number of target crashes that poison requests caused.
+    /// Number of target crashes that requests caused.
     pub targets_crashed: u64,
     /// Number of requests interrupted by the end of a leaving target.
     pub interrupted_by_drain: u64,
--- a/crates/proof/src/service/scenario.rs
+++ b/crates/proof/src/service/scenario.rs
@@ -110,7 +110,7 @@
         slots as f64 / self.work.as_secs_f64()
     }
 
-    /// Returns the requests per second that a workspace sends without a flood.
+    /// Returns the requests per second that a workspace sends without an incident.
     pub fn demand_of(&self, workspace: usize) -> f64 {
         let total: f64 = self.workspaces.iter().sum();
         self.capacity() * self.load * self.workspaces[workspace] / total
--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -22,7 +22,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which instances update their region shares.
 const STEERING_INTERVAL: Duration = Duration::from_secs(1);
-/// Fingerprint of all poison requests; that of any other request is its id.
+/// Fingerprint of all requests that crash targets; that of any other request is its id.
 const POISON_FINGERPRINT: u64 = 0xdead;
 
 /// Runs a scenario until its event queue is empty.
--- a/crates/proof/src/service/simulation/incident.rs
+++ b/crates/proof/src/service/simulation/incident.rs
@@ -12,7 +12,7 @@
     state::{SimulatedTarget, Simulation},
 };
 
-/// Targets that are down restart when a poison request is due at a multiple of this time.
+/// Targets that are down restart when a request that crashes targets is due at a multiple of this time.
 const RESTART_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Time from the start of a target's drain to its end, whether or not it is idle then.
@@ -60,7 +60,7 @@
 
     /// Completes requests on crashed instances without counting them as answered or failed.
     ///
-    /// No strategy can save them.
+    /// They are lost whatever the strategy does.
     fn discard_requests_of_lost_instances(&mut self) {
         for request in self.requests.values_mut() {
             let is_open = !request.is_completed && request.arrived_at < self.end;
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Restarts crashed targets if it is time to, sends a poison request and schedules the next.
+    /// Restarts crashed targets if it is time to, sends a request that crashes targets, and schedules the next.
     pub(super) fn send_poison_request(&mut self, now: Time, idx: usize) {
         let Incident::PoisonRequests(_, interval) = self.scenario.incidents[idx] else {
             return;
