--- a/crates/entry/tests/leaving/main.rs
+++ b/crates/entry/tests/leaving/main.rs
@@ -144,6 +144,7 @@
             freshness: Freshness::Fresh,
             valid_until: Time::NEVER,
             confirmed_at: None,
+            refuse_until: Time::NEVER,
         });
         if let Some(event) = beside(&mut rng, now) {
             let _ = events.send(event);
