fix(daemon): an own read that can't be complete in time no longer keeps others from sending the table

Callers were refused for as long as an instance's own read of a large document went on: anything above 8 KB/s held off whole tables from others, so 1 MB for up to two minutes, and reads that began again and again for ever.

Now an own read holds the whole off while it can be complete within configApplyS of its first byte. Where the store announces the length of its answer, as it does with a Content-Length, its rate tells from a third of that time on (a connection's slow start over 55 ms a way is over by then); otherwise the time itself does. Reads that begin again hold it off no longer than one, counted since one was complete or the position rose. The read goes on beside the fetch. Ruled out: ending it once the fetch has brought rows, as one below 8 KB/s is; it is asked for from its own position again, so the whole document crosses the link anew.

A read at a usable rate is left alone as before: others send nothing whole until it ends.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -155,6 +155,7 @@
             log_older(name, own_position, read.position);
         }
         self.is_reachable = true;
+        self.parts.on_read();
         self.confirmed_at = self.confirmed_at.max(Some(read.answered_at));
         self.replica.on_contact(now);
     }
@@ -219,6 +220,7 @@
                 platform: self.options.platform.clone(),
                 table: table.clone(),
                 timing: self.options.read_timing,
+                apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
@@ -311,7 +313,8 @@
                 if idx == 0 {
                     self.lateness.on_arriving(arrival.since);
                 }
-                table.parts.on_arriving(now, &arrival);
+                let apply = self.options.apply;
+                table.parts.on_arriving(now, &arrival, apply);
                 return false;
             }
             TableRead::Failed(failure) => {
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -1,6 +1,6 @@
 //! Fetches of a table from other instances: whole, or by parts of what changed.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use base::{InstanceId, Time};
 use coord::parts::TableCut;
@@ -28,6 +28,8 @@
     failures: u32,
     /// Time until which an own read counts as arriving.
     read_until: Time,
+    /// Time from which on own reads have held off whole tables, since one was complete or the position rose.
+    held_since: Option<Time>,
     /// Whether a list has shown that much is lacking at the replica's position, so that the whole table is to be
     /// fetched.
     lacks_much: bool,
@@ -51,13 +53,20 @@
         self.failures += u32::from(is_failure);
     }
 
-    /// Records that a part of an own read has arrived.
-    pub(super) fn on_arriving(&mut self, now: Time, arrival: &Arrival) {
-        if !arrival.is_slow {
+    /// Records that a part of an own read has arrived, which is to be complete within `apply`. Reads that begin
+    /// again and again hold off whole tables no longer than a single one.
+    pub(super) fn on_arriving(&mut self, now: Time, arrival: &Arrival, apply: Duration) {
+        let held_since = *self.held_since.get_or_insert(now);
+        if !arrival.is_slow && now < held_since + apply {
             self.read_until = now + PEER_FETCH_DELAYS.max;
         }
     }
 
+    /// Records that an own read is complete.
+    pub(super) fn on_read(&mut self) {
+        self.held_since = None;
+    }
+
     /// Records that no own read is arriving any more.
     pub(super) fn on_read_failure(&mut self, now: Time) {
         self.read_until = now;
@@ -66,6 +75,7 @@
     /// Records that the replica's position has risen.
     pub(super) fn on_position(&mut self) {
         self.failures = 0;
+        self.held_since = None;
         self.lacks_much = false;
         self.listed = None;
     }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -91,7 +91,8 @@
 pub(crate) struct Arrival {
     /// Time at which it began; `None` if it may bring nothing new, as a first read.
     pub(crate) since: Option<Time>,
-    /// Whether it arrives below the lowest rate of a transfer.
+    /// Whether it arrives below the lowest rate of a transfer, or too slowly to be complete within the time in
+    /// which a change must be in force.
     pub(crate) is_slow: bool,
 }
 
@@ -137,6 +138,8 @@
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
+    /// Time within which a change must be in force.
+    pub(crate) apply: Duration,
     /// Changes when rows have come from another source.
     pub(crate) advanced: watch::Receiver<()>,
 }
@@ -221,7 +224,7 @@
                     self.give_up_overtakers(number);
                     Some(TableRead::Arriving(Arrival {
                         since: self.arriving_since(number),
-                        is_slow: self.is_slow(),
+                        is_slow: self.is_slow() || self.is_late(),
                     }))
                 }
                 Ok(()) = self.options.advanced.changed() => {
@@ -376,6 +379,14 @@
         (until > Instant::now()).then_some(until)
     }
 
+    /// Returns whether an answer is arriving too slowly to be complete within the time in which a change must be
+    /// in force.
+    fn is_late(&self) -> bool {
+        let apply = self.options.apply;
+        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
+        received.any(|received| received.is_late(apply))
+    }
+
     /// Returns whether an answer is arriving below the lowest rate of a transfer.
     fn is_slow(&self) -> bool {
         let mut received = self.open.iter().map(|poll| *poll.received.borrow());
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -71,6 +71,8 @@
     BreaksOff(Duration),
     /// It goes on arriving at a rate at which it takes far too long.
     Trickles,
+    /// The same, and its length is known.
+    TricklesAnnounced,
     Unanswered,
     Refused,
 }
@@ -264,6 +266,10 @@
             arrive(time, link).await;
             return Err(PlatformError::Unavailable);
         }
+        OwnRead::TricklesAnnounced => {
+            progress.expect(document(AFTER, WEIGHT).len() as u64);
+            arrive(RUN_TIME * 2, &Link::new(TRICKLE_RATE)).await;
+        }
         OwnRead::Trickles => arrive(RUN_TIME * 2, &Link::new(TRICKLE_RATE)).await,
         OwnRead::Unanswered => {}
         OwnRead::Refused => return Err(PlatformError::Unavailable),
@@ -353,14 +359,20 @@
 
 /// Guards against an own read that goes on just above the lowest rate of a transfer, so that others don't send
 /// what it would take minutes for.
-#[test]
-fn table_comes_from_others_beside_own_read_that_takes_too_long() {
+#[rstest]
+#[case::unknown_length(OwnRead::Trickles, APPLY)]
+#[case::known_length(OwnRead::TricklesAnnounced, APPLY / 3)]
+fn table_comes_from_others_beside_own_read_that_takes_too_long(
+    #[case] own: OwnRead,
+    #[case] hold: Duration,
+) {
     let scenario = Scenario {
-        own: vec![OwnRead::Trickles],
+        own: vec![own],
         senders: vec![Sender::Sends; 3],
     };
     let outcome = run(&scenario);
-    assert!(outcome.took <= APPLY + fetch_bound(), "{outcome:?}");
+    println!("{outcome:?}");
+    assert!(outcome.took <= hold + fetch_bound(), "{outcome:?}");
 }
 
 /// As above, over drawn reads and sources: whatever own reads do, others are asked once the time is over in
@@ -406,3 +418,34 @@
         "{outcome:?}, {whole} bytes"
     );
 }
+
+/// Guards against a length that the store announces and nobody notes: a read counted as too slow only after the whole
+/// time.
+#[rstest]
+#[case::announced("content-length: 100000", true)]
+#[case::unknown("connection: close", false)]
+#[tokio::test]
+async fn read_is_late_by_its_announced_length(#[case] header: &'static str, #[case] is_late: bool) {
+    const SENT_BYTES: usize = 10_000;
+    const LIMIT: Duration = Duration::from_secs(3);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await.unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[b' '; SENT_BYTES]).await.unwrap();
+        pending::<()>().await;
+    });
+    let progress = Progress::start();
+    let mut received = progress.received();
+    let store = platform::http::connect(addr).progress(progress);
+    let call = tokio::spawn(async move { store.snapshot("op").await });
+    let all = received.wait_for(|received| received.bytes == SENT_BYTES as u64);
+    let all = *all.await.unwrap();
+    assert!(!all.is_late(LIMIT));
+    tokio::time::sleep(LIMIT / 3).await;
+    assert_eq!(all.is_late(LIMIT), is_late);
+    call.abort();
+}
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::{
     sync::watch,
     time::{Instant, sleep_until},
@@ -45,6 +45,8 @@
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
     pub last_byte_at: Instant,
+    /// Bytes of which the body consists, as far as they have been announced.
+    expected: Option<u64>,
     /// Time from which on the transfer is below the lowest rate unless more arrives; `None` before the first
     /// byte.
     slow_at: Option<Instant>,
@@ -56,6 +58,20 @@
         self.slow_at.is_some_and(|at| at <= Instant::now())
     }
 
+    /// Returns whether the answer has begun to arrive, and isn't complete within `limit` from then on: the time is
+    /// over, or the rest takes longer at the rate so far, which counts from a third of that time on.
+    pub fn is_late(&self, limit: Duration) -> bool {
+        let Some(begun_at) = self.begun_at else {
+            return false;
+        };
+        let elapsed = begun_at.elapsed();
+        let done = self
+            .expected
+            .map_or(0.0, |expected| self.bytes as f64 / expected.max(1) as f64);
+        let is_known = done > 0.0 && elapsed >= limit / 3;
+        elapsed >= limit || (is_known && elapsed.as_secs_f64() > limit.as_secs_f64() * done)
+    }
+
     /// Returns the time since the last byte in either direction, or since the call.
     pub fn quiet_time(&self) -> Duration {
         self.last_byte_at.elapsed()
@@ -69,6 +85,7 @@
             bytes: 0,
             begun_at: None,
             last_byte_at: Instant::now(),
+            expected: None,
             slow_at: None,
         };
         Self {
@@ -76,6 +93,12 @@
         }
     }
 
+    /// Records that `bytes` more have been announced.
+    pub fn expect(&self, bytes: u64) {
+        self.tx
+            .send_modify(|received| received.expected = Some(received.bytes + bytes));
+    }
+
     /// Records that `bytes` more have arrived.
     pub fn add(&self, bytes: usize) {
         self.tx.send_modify(|received| {
@@ -135,6 +158,9 @@
     max_bytes: usize,
     progress: &Progress,
 ) -> Result<Bytes, PlatformError> {
+    if let Some(bytes) = body.size_hint().exact() {
+        progress.expect(bytes);
+    }
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| PlatformError::Unavailable)?;
