--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -244,7 +244,7 @@
                     self.give_up_overtakers(number);
                     Some(TableRead::Arriving(Arrival {
                         since: self.arriving_since(number),
-                        is_slow: self.is_slow(),
+                        is_slow: self.is_slow() || self.is_late(),
                     }))
                 }
                 Ok(()) = self.options.advanced.changed() => {
@@ -408,14 +408,21 @@
         (until > Instant::now()).then_some(until)
     }
 
-    /// Returns whether an answer is arriving too slowly to be waited for.
-    fn is_slow(&self) -> bool {
+    /// Returns whether an answer is arriving too slowly to be complete within the time in which a change must be
+    /// in force.
+    fn is_late(&self) -> bool {
         let apply = self.options.apply;
         let mut received = self.open.iter().map(|poll| *poll.received.borrow());
-        received.any(|received| received.is_slow() || received.is_late(apply))
+        received.any(|received| received.is_late(apply))
+    }
+
+    /// Returns whether an answer is arriving below the lowest rate of a transfer.
+    fn is_slow(&self) -> bool {
+        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
+        received.any(|received| received.is_slow())
     }
 
-    /// Ends the polls if an answer is arriving too slowly to be waited for, since what it brings has come from
+    /// Ends the polls if an answer is arriving below the lowest rate, since what it brings has come from
     /// another source; the next poll opens a new connection.
     async fn end_outdated(&mut self, step: &mut Step) {
         if self.is_slow() {
