fix(daemon): instances tell each other of targets that have left by rows that are lacking

Change: format 6. A heartbeat to an instance whose reported position of the targets' table is lower carries the targets that have left since, with the positions (24 at most, for 15 s). The receiver treats them as drained at once, until its own rows have reached the position or an own read that was sent after the report has been answered. Rows that are gone and only retained bring nothing back that others have told to have left.

Tests of formats: the samples of format 5 stay, `own` has become 6. Two tests had taken the build before for one without calls for parts, and the fields behind the path for two; they name format 4 and three fields now, and ask for as much as before. The drawn schedules' heartbeats now carry the time of the last confirmation, as real ones do.

Ruled out: treating the target as leaving instead of drained, since the end of that would end what its own answers have said.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,7 @@
 mod audit;
 mod catch_up;
 mod demand;
+mod departures;
 mod fanout;
 mod grant;
 mod holder;
@@ -22,6 +23,7 @@
 
 pub use audit::QuotaAudit;
 pub use catch_up::{CatchUp, FetchDelays};
+pub use departures::{Departure, Departures, ReportedDepartures, lacking};
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -126,6 +126,11 @@
         &self.snapshot
     }
 
+    /// Returns whether the row has been deleted and is retained.
+    pub fn is_retained(&self, name: &str) -> bool {
+        self.retained.contains_key(name)
+    }
+
     /// Records that this instance could not read the table over a new connection.
     pub fn on_read_failure(&mut self, now: Time) {
         let is_reachable = self
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -199,7 +199,7 @@
                 self.is_leaving = true;
                 None
             }
-            FollowerMessage::PeerPositions { .. } => None,
+            FollowerMessage::PeerPositions { .. } | FollowerMessage::PeerDepartures { .. } => None,
             FollowerMessage::PeerHead {
                 from,
                 head,
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -20,8 +20,9 @@
     time::sleep_until,
 };
 
+pub use self::departures::TARGETS;
 use self::{
-    departures::{TARGETS, TargetsLag},
+    departures::{Overlay, TargetsLag},
     fetching::{PartsState, count_fault},
     lateness::Lateness,
 };
@@ -63,7 +64,8 @@
 /// Names the tables to follow and composes a configuration from them.
 #[derive(Debug, Clone)]
 pub struct FollowedTables<F> {
-    /// Names of the tables; the first one holds the operators' configuration, the second one the targets.
+    /// Names of the tables; the first one holds the operators' configuration, the second one the targets,
+    /// whose rows bear their names.
     pub tables: Vec<String>,
     /// Returns the configuration, or `None` if the tables don't hold a usable one.
     pub compose: F,
@@ -83,6 +85,11 @@
     /// Whether the second of the tables is behind.
     targets_lag: TargetsLag,
     last_lag: Option<ConfigLag>,
+    /// Departures by the own rows, and those that others have told.
+    overlay: Overlay,
+    /// What the own rows say.
+    own_rows: Option<Arc<Config>>,
+    /// What is in force.
     composed: Option<Arc<Config>>,
     version: u64,
     revision: u64,
@@ -216,6 +223,8 @@
             followed,
             snapshots,
             tables,
+            overlay: Overlay::default(),
+            own_rows: None,
             composed: None,
             version: 0,
             revision: 0,
@@ -268,6 +277,14 @@
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
             FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerDepartures { from, departures } => {
+                let Some(table) = self.tables.get(TARGETS) else {
+                    return false;
+                };
+                let reported = &mut self.overlay.reported;
+                reported.on_report(now, table.replica.position(), &departures);
+                return self.overlay_departures(now, NewsSource::Departures(from));
+            }
             FollowerMessage::PeerPositions {
                 from,
                 positions,
@@ -386,6 +403,11 @@
                 self.targets_lag.on_read(sent_at, position);
             }
             self.targets_lag.on_position(position);
+            let reported = &mut self.overlay.reported;
+            reported.on_position(position, |id| table.replica.is_retained(id.as_str()));
+            if let Some((sent_at, _)) = read_at {
+                reported.on_read(sent_at, position);
+            }
         }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
@@ -411,6 +433,8 @@
                 is_of_targets: idx == TARGETS,
             };
             self.compose(now, &news);
+        } else if idx == TARGETS {
+            self.overlay_departures(now, NewsSource::OwnRows);
         }
         true
     }
@@ -452,6 +476,10 @@
             table.start_fetch(now, from, source, tx.clone());
         }
         if is_changed {
+            if let Some(table) = self.tables.get(TARGETS) {
+                let (reported, replica) = (&mut self.overlay.reported, &table.replica);
+                reported.on_position(replica.position(), |id| replica.is_retained(id.as_str()));
+            }
             // Rows of operators have none.
             let news = News {
                 source: NewsSource::GracePeriod,
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -1,14 +1,14 @@
 //! Targets that leave by their rows, and since when later rows of targets than the own ones have been known.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use base::{Config, TargetId, Time};
-use coord::Lag;
+use coord::{Departure, Departures, Lag, ReportedDepartures};
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
 
 /// Index of the targets' table among the followed ones.
-pub(super) const TARGETS: usize = 1;
+pub const TARGETS: usize = 1;
 /// Time for which later rows must have been known for a line about it.
 const LONG_WAIT: Duration = Duration::from_secs(1);
 
@@ -62,6 +62,66 @@
     }
 }
 
+/// What this instance and others know of targets that have left.
+#[derive(Debug, Default)]
+pub(super) struct Overlay {
+    /// Departures by the own rows.
+    pub(super) own: Departures,
+    /// Departures by rows that are lacking here.
+    pub(super) reported: ReportedDepartures,
+    /// Targets that are out of service by what others have told.
+    applied: BTreeSet<TargetId>,
+    /// What the task that sends heartbeats was told last.
+    pub(super) told: Arc<Vec<Departure>>,
+}
+
+impl Overlay {
+    /// Returns the targets that the own rows have in service, and others have told to have left.
+    pub(super) fn targets(&self, own_rows: &Config) -> BTreeSet<TargetId> {
+        let services = || own_rows.services.keys();
+        let reported = self.reported.targets().map(|(target, _)| target);
+        let in_service = reported.filter(|target| {
+            services().any(|service| own_rows.is_target_available(service, target))
+        });
+        in_service.cloned().collect()
+    }
+
+    /// Returns the latest position at which one of the targets has left.
+    fn position_of(&self, targets: &BTreeSet<TargetId>) -> u64 {
+        let reported = self.reported.targets();
+        let among = reported.filter(|(target, _)| targets.contains(*target));
+        among.map(|(_, position)| position).max().unwrap_or(0)
+    }
+
+    /// Returns the departures of the last seconds if they aren't those that were told last.
+    pub(super) fn untold(&mut self, now: Time) -> Option<Arc<Vec<Departure>>> {
+        self.own.expire(now);
+        let known = self.own.newest_first();
+        (known != *self.told).then(|| Arc::new(known))
+    }
+
+    /// Returns whether others have told something new of the targets that the own rows have in service.
+    pub(super) fn is_outdated(&self, own_rows: &Config) -> bool {
+        self.targets(own_rows) != self.applied
+    }
+
+    /// Returns what is in force by the own rows and what others have told, the targets that it takes out of service
+    /// beyond those of the last time, and the position at which they had left.
+    pub(super) fn apply(&mut self, own_rows: &Arc<Config>) -> (Arc<Config>, Vec<TargetId>, u64) {
+        let targets = self.targets(own_rows);
+        let added = targets.difference(&self.applied).cloned().collect();
+        let position = self.position_of(&targets);
+        self.applied = targets;
+        if self.applied.is_empty() {
+            return (own_rows.clone(), added, position);
+        }
+        // The end of a drain says nothing of the target itself, nor does the end of a report.
+        let mut config = (**own_rows).clone();
+        config.drains.targets.extend(self.applied.iter().cloned());
+        (Arc::new(config), added, position)
+    }
+}
+
 /// Returns the targets that get new requests by the entries of `before` and by those of `after` no longer.
 pub(super) fn left(before: &Config, after: &Config) -> Vec<TargetId> {
     let services = before.services.iter();
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -15,7 +15,7 @@
     entry_points::{entry_points, preferred},
     fleet::Fleet,
     message::PeerCommand,
-    table_logs::{age_ms, log_rates, log_targets_left},
+    table_logs::{NewsSource, age_ms, log_rates, log_targets_left},
 };
 
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
@@ -43,43 +43,72 @@
             tracing::error!(event = "config_older", version = composed.version);
             return;
         }
+        self.record_departures(now, news, &composed.config);
+        let before = self.version;
+        self.version = composed.version;
+        let own_rows = Arc::new(composed.config);
+        self.own_rows = Some(own_rows.clone());
+        self.activate(now, news, before, &own_rows);
+        let snapshots = self
+            .tables
+            .iter()
+            .map(|table| table.replica.snapshot().clone())
+            .collect();
+        self.snapshots.send_replace(Arc::new(snapshots));
+    }
+
+    /// Puts in force what the own rows and others say now of targets that have left, if that differs from what is; returns
+    /// whether it does.
+    pub(super) fn overlay_departures(&mut self, now: Time, source: NewsSource) -> bool {
+        let Some(own_rows) = self.own_rows.clone() else {
+            return false;
+        };
+        if !self.overlay.is_outdated(&own_rows) {
+            return false;
+        }
+        let news = News {
+            source,
+            known_at: self.confirmed_at(),
+            targets_known_since: self.targets_lag.behind_since(),
+            is_of_targets: true,
+        };
+        self.activate(now, &news, self.version, &own_rows);
+        true
+    }
+
+    /// Puts the configuration of the own rows in force, without the targets that others have told to have left.
+    fn activate(&mut self, now: Time, news: &News, before: u64, own_rows: &Arc<Config>) {
+        let (config, left, position) = self.overlay.apply(own_rows);
+        if !left.is_empty() {
+            log_targets_left(now, &left, position, &news.source, news.targets_known_since);
+        }
         self.revision += 1;
-        let targets: usize = composed
-            .config
+        let targets: usize = config
             .services
             .values()
             .map(|service| service.targets.len())
             .sum();
         tracing::info!(
             event = "config_in_force",
-            version = composed.version,
-            before = self.version,
+            version = self.version,
+            before,
             revision = self.revision,
-            routes = composed.config.routes.len(),
+            routes = config.routes.len(),
             targets,
-            drained = ?composed.config.drains.targets_in_domains,
+            drained = ?config.drains.targets_in_domains,
             operator_position = self.tables.first().map(|table| table.replica.position()),
             targets_position = self.tables.get(TARGETS).map(|table| table.replica.position()),
             source = %news.source,
             blind_ms = age_ms(now, news.known_at),
         );
-        self.version = composed.version;
-        log_rates(self.composed.as_deref(), &composed.config);
-        self.record_departures(now, news, &composed.config);
-        let config = Arc::new(composed.config);
+        log_rates(self.composed.as_deref(), &config);
         self.composed = Some(config.clone());
         let _ = self.outputs.engine.send(Event::ConfigActivated(config));
-        let snapshots = self
-            .tables
-            .iter()
-            .map(|table| table.replica.snapshot().clone())
-            .collect();
-        self.snapshots.send_replace(Arc::new(snapshots));
     }
 
-    /// Logs the targets that have left by the rows of `config`.
-    fn record_departures(&self, now: Time, news: &News, config: &Config) {
-        let (Some(before), Some(table)) = (&self.composed, self.tables.get(TARGETS)) else {
+    /// Records the targets that have left by the rows of `config`.
+    fn record_departures(&mut self, now: Time, news: &News, config: &Config) {
+        let (Some(before), Some(table)) = (&self.own_rows, self.tables.get(TARGETS)) else {
             return;
         };
         if !news.is_of_targets {
@@ -89,6 +118,7 @@
         if !left.is_empty() {
             let position = table.replica.changed_at();
             log_targets_left(now, &left, position, &news.source, news.targets_known_since);
+            self.overlay.own.record(now, left, position);
         }
     }
 
@@ -123,6 +153,7 @@
             .map(|table| table.replica.changed_at())
             .collect();
         self.hand_out_tables(&positions);
+        self.tell_departures(now);
         let current = (positions, confirmed_at);
         if self.last_sent.as_ref() != Some(&current) {
             let command = PeerCommand::SetTablePositions {
@@ -136,6 +167,18 @@
         }
     }
 
+    /// Tells the task that sends heartbeats which targets have left lately; positions, of which some instances are told at
+    /// once, come after it.
+    fn tell_departures(&mut self, now: Time) {
+        let Some(departures) = self.overlay.untold(now) else {
+            return;
+        };
+        let command = PeerCommand::SetDepartures(departures.clone());
+        if self.outputs.peers.try_send(command).is_ok() {
+            self.overlay.told = departures;
+        }
+    }
+
     /// Publishes the tables for other instances, if they were told of later positions than those of the
     /// published ones.
     fn hand_out_tables(&self, reported: &[u64]) {
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -10,7 +10,7 @@
 use crate::message::{PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
-pub const OWN_FORMAT: u32 = 5;
+pub const OWN_FORMAT: u32 = 6;
 /// Format in which heartbeats end with the positions of tables, and reports of rates don't exist. Its
 /// calls over TCP have another opening, so none are made to instances that speak it.
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
@@ -21,6 +21,8 @@
 pub(crate) const FORMAT_WITHOUT_QUARANTINE: u32 = 3;
 /// Format without calls for parts of tables and for compressed ones.
 pub(crate) const FORMAT_WITHOUT_PARTS: u32 = 4;
+/// Format whose heartbeats don't tell of departures.
+pub(crate) const FORMAT_WITHOUT_DEPARTURES: u32 = 5;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
@@ -28,8 +30,10 @@
 const KINDS_WITHOUT_RATES: [u32; 6] = [0, 1, 2, 3, 5, 6];
 /// Bytes by which a heartbeat of an earlier format is extended, more than it can lack.
 const MAX_LACKING_BYTES: usize = 16;
-/// Bytes that a heartbeat of [`FORMAT_WITHOUT_NUMBER`] lacks: the format and an empty text.
-const NUMBER_AND_BUILD_BYTES: usize = 2;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_DEPARTURES`] lacks: an empty list.
+const DEPARTURES_BYTES: usize = 1;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_NUMBER`] lacks: the format, an empty text and that list.
+const NUMBER_AND_BUILD_BYTES: usize = 2 + DEPARTURES_BYTES;
 
 /// Identifies a message of another instance that can't be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -95,6 +99,7 @@
     let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
     match lacking {
         0 => {}
+        DEPARTURES_BYTES if is_without_departures(&heartbeat) => {}
         NUMBER_AND_BUILD_BYTES if lacks_number => heartbeat.format = FORMAT_WITHOUT_NUMBER,
         _ if lacks_number && lacking == NUMBER_AND_BUILD_BYTES + 1 => {
             heartbeat.format = FORMAT_WITHOUT_RATES;
@@ -106,6 +111,11 @@
     (heartbeat.format > 0).then_some(heartbeat)
 }
 
+fn is_without_departures(heartbeat: &PeerHeartbeat) -> bool {
+    let formats = FORMAT_WITHOUT_NUMBER + 1..=FORMAT_WITHOUT_DEPARTURES;
+    formats.contains(&heartbeat.format) && heartbeat.departures.is_empty()
+}
+
 fn with_kind(kind: u32, fields: &[u8]) -> Option<Vec<u8>> {
     let mut content = postcard::to_stdvec(&kind).ok()?;
     content.extend_from_slice(fields);
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,9 +1,9 @@
 //! Messages between instances and between the daemon's tasks.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
-use coord::{Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan};
+use coord::{Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan};
 use dispatch::{ConnectionLoss, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,8 @@
     pub format: u32,
     /// Version of the sender's build, for operators.
     pub build: String,
+    /// Targets that have left by rows that the receiver lacks, as far as the sender knows.
+    pub departures: Vec<Departure>,
 }
 
 impl PeerHeartbeat {
@@ -111,6 +113,8 @@
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
     },
+    /// Sets the targets that have left by rows that others may lack, the newest first.
+    SetDepartures(Arc<Vec<Departure>>),
     /// Sets the workspaces that this instance owns, with the epochs of the ownership.
     SetOwnedWorkspaces(Vec<(WorkspaceId, u64)>),
     /// Sets the number of quota slots that this instance holds.
@@ -154,6 +158,13 @@
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
     },
+    /// Another instance has rows by which targets have left, and this one had reported older ones.
+    PeerDepartures {
+        /// Instance that sent the heartbeat.
+        from: InstanceId,
+        /// The departures.
+        departures: Vec<Departure>,
+    },
     /// This instance is leaving.
     Leave,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -12,7 +12,7 @@
 };
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Head, Heartbeat, ListEntry, Membership};
+use coord::{Departure, Head, Heartbeat, ListEntry, Membership};
 use entry::{message::Event, view::Clock};
 use tokio::{
     net::UdpSocket,
@@ -62,6 +62,8 @@
     /// Incarnations of others to which heartbeats have been sent.
     introduced: BTreeMap<InstanceId, Incarnation>,
     confirmed_at: Option<Time>,
+    /// Targets that have left lately, the newest first.
+    departures: Arc<Vec<Departure>>,
     /// Messages that could not be read, by sender and kind.
     unread: BTreeMap<(InstanceId, u32), u64>,
     published_at: Time,
@@ -91,6 +93,7 @@
             sent_heartbeats: VecDeque::new(),
             introduced: BTreeMap::new(),
             confirmed_at: None,
+            departures: Arc::default(),
             unread: BTreeMap::new(),
             published_at: Time::ZERO,
             is_unpublished: false,
@@ -161,6 +164,7 @@
                     self.send_news().await;
                 }
             }
+            PeerCommand::SetDepartures(departures) => self.departures = departures,
             PeerCommand::SetOwnedWorkspaces(owned) => {
                 self.own_heartbeat.owned_workspaces = owned;
                 self.send_heartbeats().await;
@@ -234,5 +238,6 @@
         has_target_path: true,
         format: OWN_FORMAT,
         build: env!("CARGO_PKG_VERSION").to_owned(),
+        departures: Vec::new(),
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -166,6 +166,13 @@
             };
             let _ = self.outputs.follower.try_send(message);
         }
+        if !heartbeat.departures.is_empty() {
+            let message = FollowerMessage::PeerDepartures {
+                from: from.clone(),
+                departures: heartbeat.departures.clone(),
+            };
+            let _ = self.outputs.follower.try_send(message);
+        }
         let Some(head) = heartbeat.head.clone() else {
             return;
         };
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -1,12 +1,13 @@
 //! What this instance sends to the others: heartbeats, and the messages of its other tasks.
 
 use base::InstanceId;
-use coord::{Heartbeat, Presence};
+use coord::{Departure, Heartbeat, Presence, lacking};
 use rand::seq::IndexedRandom;
 
 use super::Peers;
 use crate::{
-    format::{self, OWN_FORMAT},
+    follower::tables::TARGETS,
+    format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
     message::{PeerHeartbeat, PeerMessage},
 };
 
@@ -73,10 +74,22 @@
                 .last_heartbeats
                 .get(to)
                 .map_or(0, |heartbeat| heartbeat.sequence),
+            departures: self.departures_for(to),
             ..self.own_heartbeat.clone()
         }))
     }
 
+    /// Returns the targets that have left by rows that an instance lacks, by its last heartbeat.
+    fn departures_for(&self, to: &InstanceId) -> Vec<Departure> {
+        let heard = self.last_heartbeats.get(to);
+        let heard = heard.filter(|heartbeat| heartbeat.format > FORMAT_WITHOUT_DEPARTURES);
+        match heard.and_then(|heartbeat| heartbeat.table_positions.get(TARGETS)) {
+            // It has read nothing yet.
+            None | Some(0) => Vec::new(),
+            Some(position) => lacking(&self.departures, *position, self.own_heartbeat.sequence),
+        }
+    }
+
     /// Sends a message; a heartbeat goes before the first one to each incarnation, which can't read it
     /// without knowing the format.
     pub(super) async fn send(&mut self, to: &InstanceId, message: &PeerMessage) {
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -17,6 +17,12 @@
     /// Another instance's copy of the table.
     #[display("{_0}")]
     Instance(InstanceId),
+    /// Targets that another instance has told to have left.
+    #[display("departures from {_0}")]
+    Departures(InstanceId),
+    /// The end of an own read that says no more of what others have told.
+    #[display("own rows")]
+    OwnRows,
     /// The end of the time for which a removed row is kept.
     #[display("grace period")]
     GracePeriod,
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, Registration, Service, Target, TargetId};
-use coord::Replica;
+use base::{Config, Incarnation, InstanceId, Registration, Service, Target, TargetId, Time};
+use coord::{Departure, Replica, lacking};
 use daemon::{
     fleet::Fleet,
     follower::{
@@ -321,11 +321,19 @@
     })
 }
 
+/// What an instance's heartbeats are made of.
+#[derive(Debug, Default)]
+struct Told {
+    positions: Vec<u64>,
+    confirmed_at: Option<Time>,
+    departures: Arc<Vec<Departure>>,
+}
+
 /// A follower, and what it says to others and to the engine.
 struct Instance {
     messages: mpsc::Sender<FollowerMessage>,
     /// What its heartbeats tell.
-    told: watch::Receiver<Option<PeerCommand>>,
+    told: watch::Receiver<Told>,
     /// Configuration in force.
     in_force: watch::Receiver<Arc<Config>>,
 }
@@ -381,10 +389,20 @@
         snapshots,
     );
     tokio::spawn(follower.run(rx));
-    let (told_tx, told) = watch::channel(None);
+    let (told_tx, told) = watch::channel(Told::default());
     tokio::spawn(async move {
         while let Some(command) = commands.recv().await {
-            told_tx.send_replace(Some(command));
+            told_tx.send_modify(|told| match command {
+                PeerCommand::SetTablePositions {
+                    positions,
+                    confirmed_at,
+                } => {
+                    told.positions = positions;
+                    told.confirmed_at = confirmed_at;
+                }
+                PeerCommand::SetDepartures(departures) => told.departures = departures,
+                _ => {}
+            });
         }
     });
     let (config_tx, in_force) = watch::channel(Arc::default());
@@ -407,20 +425,22 @@
     started: Instant,
     scenario: Arc<Scenario>,
     idx: usize,
-    source: watch::Receiver<Option<PeerCommand>>,
-    known: watch::Receiver<Option<PeerCommand>>,
+    source: watch::Receiver<Told>,
+    known: watch::Receiver<Told>,
     receiver: mpsc::Sender<FollowerMessage>,
 ) {
     let reporter = scenario.reporters[idx];
     let mut rng = Pcg32::seed_from_u64(scenario.seed ^ idx as u64);
     let mut next = started + reporter.phase;
+    let mut number = 0;
     while started.elapsed() < reporter.end {
         sleep_until(next).await;
         next += HEARTBEAT_INTERVAL;
         if rng.random_range(0.0..1.0) < reporter.loss {
             continue;
         }
-        let messages = heartbeat(idx, source.borrow().as_ref(), known.borrow().as_ref());
+        number += 1;
+        let messages = heartbeat(idx, number, &source.borrow(), &known.borrow());
         for message in messages {
             if receiver.send(message).await.is_err() {
                 return;
@@ -430,20 +450,18 @@
 }
 
 /// Returns what a heartbeat brings to the follower of its receiver.
-fn heartbeat(
-    idx: usize,
-    source: Option<&PeerCommand>,
-    _known: Option<&PeerCommand>,
-) -> Vec<FollowerMessage> {
-    let Some(PeerCommand::SetTablePositions { positions, .. }) = source else {
-        return Vec::new();
+fn heartbeat(idx: usize, number: u64, source: &Told, known: &Told) -> Vec<FollowerMessage> {
+    let from: InstanceId = format!("i{idx}").as_str().into();
+    let known = known.positions.get(1).copied().unwrap_or(0);
+    let departures = lacking(&source.departures, known, number);
+    let positions = FollowerMessage::PeerPositions {
+        from: from.clone(),
+        positions: source.positions.clone(),
+        confirmed_at: source.confirmed_at,
     };
-    let from = format!("i{idx}").as_str().into();
-    vec![FollowerMessage::PeerPositions {
-        from,
-        positions: positions.clone(),
-        confirmed_at: None,
-    }]
+    let departures =
+        (!departures.is_empty()).then_some(FollowerMessage::PeerDepartures { from, departures });
+    [positions].into_iter().chain(departures).collect()
 }
 
 /// Which targets get requests at a time.
@@ -592,6 +610,38 @@
     assert!(last < Duration::from_millis(9_500), "{last:?}");
 }
 
+/// Guards against targets that are out for nothing: a report about one that is unknown, or of a position that the own rows
+/// have reached, says nothing.
+#[test]
+fn old_and_unknown_departures_say_nothing() {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let scenario = Arc::new(Scenario::calm(&[(500, Row::Gone), (600, Row::Ready)]));
+        let own = start("own", Instant::now(), Clock::start(), &scenario, Vec::new());
+        sleep(Duration::from_secs(1)).await;
+        let before = own.in_force.borrow().clone();
+        let left = [(0, 13), (1, 12), (7, 1_000)];
+        for _ in 0..2 {
+            let departures = left.map(|(target, position)| Departure {
+                target: target_id(target),
+                position,
+            });
+            let message = FollowerMessage::PeerDepartures {
+                from: "i0".into(),
+                departures: departures.into(),
+            };
+            own.messages.send(message).await.unwrap();
+            sleep(Duration::from_millis(100)).await;
+        }
+        let after = own.in_force.borrow().clone();
+        assert!(Arc::ptr_eq(&before, &after), "{before:?} {after:?}");
+    });
+}
+
 /// Guards against targets that stay out: others go on telling of a departure that the store has lost.
 #[test]
 fn store_that_went_back_decides() {
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -9,6 +9,7 @@
 use std::{fs, path::PathBuf, time::Duration};
 
 use base::Incarnation;
+use coord::Departure;
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
     message::{PeerHeartbeat, PeerMessage},
@@ -44,6 +45,8 @@
 const FORMAT_WITH_QUARANTINE: u32 = 4;
 /// First format with calls for parts of tables.
 const FORMAT_WITH_PARTS: u32 = 5;
+/// First format whose heartbeats tell of departures.
+const FORMAT_WITH_DEPARTURES: u32 = 6;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -71,6 +74,16 @@
     }
 }
 
+/// Returns a heartbeat that tells of a target that has left.
+fn departure() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.departures = vec![Departure {
+        target: "t1".into(),
+        position: 70_001,
+    }];
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -88,6 +101,7 @@
 fn format_has_samples() {
     let mut lines = samples::encoded();
     let others = quarantines().into_iter().chain([("rates", rates())]);
+    let others = others.chain([("heartbeat-departure", departure())]);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
     for (name, bytes) in others.chain([("frame", frame())]) {
         let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
@@ -108,6 +122,7 @@
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
+#[case::without_departures(5)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -137,6 +152,35 @@
             assert_eq!(decode(&sample(format, name), Some(format)), Ok(message));
         }
     }
+    if format >= FORMAT_WITH_DEPARTURES {
+        let read = decode(&sample(format, "heartbeat-departure"), None);
+        assert_eq!(read, Ok(departure()));
+    }
+}
+
+/// A build that doesn't know of departures reads a heartbeat that tells of some, as far as it goes.
+#[rstest]
+#[case::without_quarantine(3)]
+#[case::without_parts(4)]
+#[case::without_departures(5)]
+fn departures_are_behind_what_older_read(#[case] format: u32) {
+    let PeerMessage::Heartbeat(mut heartbeat) = departure() else {
+        panic!();
+    };
+    heartbeat.format = format;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), format).unwrap();
+    assert!(sent.starts_with(&sample(format, "heartbeat")));
+}
+
+/// Guards against departures of which a part is cut off: such a heartbeat is none of an earlier format.
+#[test]
+fn cut_departures_are_not_read() {
+    let whole = sample(OWN_FORMAT, "heartbeat-departure");
+    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    for lacking in 1..=listed {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert!(read.is_err(), "{lacking}: {read:?}");
+    }
 }
 
 /// Guards against an older instance that counts as silent: its heartbeats lack fields.
@@ -182,6 +226,7 @@
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
+#[case::without_departures(5)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -206,6 +251,7 @@
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
+#[case::without_departures(5)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -220,6 +266,7 @@
 
 /// Calls for parts of tables and what they bring are read in every format that has them.
 #[rstest]
+#[case::without_departures(5)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -270,6 +317,7 @@
 #[case::without_number(2, 2)]
 #[case::without_quarantine(3, 2)]
 #[case::without_parts(4, 3)]
+#[case::without_departures(5, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -283,6 +331,7 @@
 #[case::without_number(2)]
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
+#[case::without_departures(5)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -320,7 +369,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 6 can't be read by format 5"
+        "a message of kind 77 in format 7 can't be read by format 6"
     );
 }
 
@@ -364,7 +413,8 @@
 #[case::without_number(2, &[1])]
 #[case::without_quarantine(3, &[7, 8])]
 #[case::without_parts(4, &[7, 8])]
-#[case::own(OWN_FORMAT, &[7, 8])]
+#[case::without_departures(5, &[7, 8])]
+#[case::own(OWN_FORMAT, &[8, 9])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Incarnation, InstanceId};
-use coord::{Heartbeat, ListEntry, Membership};
+use coord::{Departure, Heartbeat, ListEntry, Membership};
 use daemon::{
     fleet::Fleet,
     format::OWN_FORMAT,
@@ -36,6 +36,8 @@
     sequence: u64,
     /// Format that the others' heartbeats name.
     format: u32,
+    /// Table positions that they report.
+    positions: Vec<u64>,
     engine: mpsc::UnboundedReceiver<Event>,
     owners: mpsc::Receiver<OwnersMessage>,
 }
@@ -93,6 +95,7 @@
             socket,
             sequence: 0,
             format: OWN_FORMAT,
+            positions: Vec::new(),
             engine: engine_rx,
             owners: owners_rx,
         };
@@ -140,6 +143,7 @@
             let mut message = initial_heartbeat(status, self.addr);
             message.sequence = self.sequence;
             message.format = self.format;
+            message.table_positions = self.positions.clone();
             let message = PeerMessage::Heartbeat(Box::new(message));
             let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
             self.socket.send_to(&frame, self.addr).await.unwrap();
@@ -176,6 +180,59 @@
     assert!(sent <= allowed, "{sent} frames, allowed {allowed}");
 }
 
+/// An instance that lacks rows by which targets have left is told of them; one that has the rows isn't, nor one that could
+/// not read it.
+#[rstest]
+#[case::lacks_rows(OWN_FORMAT, 6, &["t1"])]
+#[case::lacks_more(OWN_FORMAT, 4, &["t1", "t2"])]
+#[case::has_rows(OWN_FORMAT, 7, &[])]
+#[case::has_read_nothing(OWN_FORMAT, 0, &[])]
+#[case::of_a_build_before(OWN_FORMAT - 1, 4, &[])]
+#[tokio::test]
+async fn departures_are_told_to_those_that_lack_them(
+    #[case] format: u32,
+    #[case] position: u64,
+    #[case] expected: &[&str],
+) {
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    neighbourhood.format = format;
+    neighbourhood.positions = vec![1, position];
+    neighbourhood
+        .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
+        .await;
+    neighbourhood.send_heartbeats(false).await;
+    sleep(HEARTBEAT_INTERVAL / 10).await;
+    let departures = [("t1", 7), ("t2", 5)].map(|(target, position)| Departure {
+        target: target.into(),
+        position,
+    });
+    let told = Arc::new(departures.to_vec());
+    for command in [
+        PeerCommand::SetDepartures(told),
+        PeerCommand::SetTablePositions {
+            positions: vec![1, 7],
+            confirmed_at: None,
+        },
+    ] {
+        neighbourhood.peers.send(command).await.unwrap();
+    }
+    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+    let heartbeat = loop {
+        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
+        let opened = sessions.open(&buf[..len]).unwrap();
+        if let PeerMessage::Heartbeat(heartbeat) = opened.message
+            && heartbeat.table_positions == [1, 7]
+        {
+            break heartbeat;
+        }
+    };
+    let told = heartbeat.departures.iter();
+    let told: Vec<&str> = told.map(|one| one.target.as_str()).collect();
+    assert_eq!(told, expected);
+}
+
 /// Guards against CONFIG: each heartbeat copied the state of all others and woke every task that
 /// follows it.
 #[tokio::test]
@@ -280,8 +337,8 @@
             encode(&heartbeat)
         }
         Fault::CutOff => {
-            // Without build, format and path it is one of an earlier format.
-            let lacking = heartbeat.build.len() + 2;
+            // Without departures, build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 3;
             let whole = encode(&heartbeat);
             loop {
                 let cut = rng.random_range(1..whole.len());
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -58,10 +58,13 @@
     Lies,
     /// It ends after the list.
     Dies,
-    /// It is of the build before.
+    /// It is of a build without calls for parts.
     Older,
 }
 
+/// Last format without calls for parts.
+const FORMAT_WITHOUT_PARTS: u32 = 4;
+
 /// Counts the calls that were made, by kind.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct Calls {
@@ -234,7 +237,11 @@
     let is_older = matches!(peer, Peer::Older);
     FleetMember {
         addr: Some(addr),
-        format: OWN_FORMAT - u32::from(is_older),
+        format: if is_older {
+            FORMAT_WITHOUT_PARTS
+        } else {
+            OWN_FORMAT
+        },
         ..FleetMember::new(&membership.members()[id], None)
     }
 }
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -235,6 +235,7 @@
         has_target_path: true,
         format: 3,
         build: "0.1.0".to_owned(),
+        departures: Vec::new(),
         table_positions: Vec::new(),
     }
 }
