--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -96,8 +96,8 @@
             routes = config.routes.len(),
             targets,
             drained = ?config.drains.targets_in_domains,
-            operator_position = self.tables.first().map(|table| table.replica.position()),
-            targets_position = self.tables.get(TARGETS).map(|table| table.replica.position()),
+            position_of_operator = self.tables.first().map(|table| table.replica.position()),
+            position_of_targets = self.tables.get(TARGETS).map(|table| table.replica.position()),
             source = %news.source,
             blind_ms = age_ms(now, news.known_at),
         );
