test(daemon): a report of a departure takes out targets that an outage of the store has only expired

Found by a review of: rows that are retained after an outage of the store stand beside departures that others tell. An instance to which the store was silent for too short a time to count it as an outage drops a row that expired in it, and tells the others, which know of the outage and would have kept the target until it is back.

The test plays 30 outages of 2 s in virtual time.

--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -99,6 +99,10 @@
     reporters: Vec<Reporter>,
     /// Time from which on the own reads see the store as it was at the second one.
     goes_back: Option<(Duration, Duration)>,
+    /// When the store answers nobody.
+    outage: Option<Range<Duration>>,
+    /// Whether it refuses calls meanwhile, or is silent.
+    refuses: bool,
 }
 
 impl Scenario {
@@ -144,6 +148,8 @@
             transfers,
             reporters: reporters.collect(),
             goes_back: None,
+            outage: None,
+            refuses: false,
         }
     }
 
@@ -167,6 +173,8 @@
             transfers: Vec::new(),
             reporters: reporters.into(),
             goes_back: None,
+            outage: None,
+            refuses: false,
         }
     }
 
@@ -229,6 +237,7 @@
         } => (table, after, Duration::from_millis(wait_ms)),
         _ => return Err(PlatformError::Unavailable),
     };
+    pass_outage(started, &scenario).await?;
     let deadline = Instant::now() + wait;
     let is_targets = table == TARGETS_TABLE;
     let mut next = scenario.writes.iter().enumerate();
@@ -242,6 +251,7 @@
         next.min(deadline)
     })
     .await;
+    pass_outage(started, &scenario).await?;
     let seen_at = match scenario.goes_back {
         Some((from, to)) if started.elapsed() >= from => to,
         _ => started.elapsed(),
@@ -274,6 +284,20 @@
     Ok(Reply::Changes(rows, position))
 }
 
+/// Waits for the end of the store's outage, or fails where the store refuses calls meanwhile.
+async fn pass_outage(started: Instant, scenario: &Scenario) -> Result<(), PlatformError> {
+    let at = started.elapsed();
+    let outage = scenario.outage.as_ref();
+    let Some(outage) = outage.filter(|outage| outage.contains(&at)) else {
+        return Ok(());
+    };
+    if scenario.refuses {
+        return Err(PlatformError::Unavailable);
+    }
+    sleep_until(started + outage.end).await;
+    Ok(())
+}
+
 async fn transmit(transfer: Option<Transfer>, progress: &Progress) -> Result<(), PlatformError> {
     const STEP: Duration = Duration::from_millis(10);
     let (time, result) = match transfer {
@@ -500,6 +524,7 @@
     // The others have read what the store had before it went back.
     let others = Arc::new(Scenario {
         goes_back: None,
+        refuses: false,
         ..(*scenario).clone()
     });
     let other = start("other", started, clock, &others, Vec::new());
@@ -657,3 +682,37 @@
     let last = out[out.len() - 1];
     assert!(last < from + CONTACT * 3 / 2, "{last:?}");
 }
+
+/// Guards against living targets that one instance's view takes out everywhere: after an outage of the store, this
+/// instance keeps a row that expired in it, and another one, whose poll was silent for too short a time to know of the
+/// outage, tells that the target has left.
+#[test]
+fn living_target_stays_in_service_after_an_outage_that_another_instance_missed() {
+    let ms = Duration::from_millis;
+    let mut out = BTreeMap::new();
+    for from in (3_000..6_000).step_by(100) {
+        let unheard = Scenario {
+            transfers: vec![Transfer::Takes(ms(600))],
+            outage: Some(ms(from)..ms(from + 2_000)),
+            refuses: true,
+            reporters: Vec::new(),
+            ..Scenario::calm(&[(from + 1_500, Row::Gone), (from + 3_500, Row::Ready)])
+        };
+        if !out_times(&unheard).is_empty() {
+            continue;
+        }
+        let heard = Scenario {
+            reporters: Scenario::calm(&[]).reporters,
+            ..unheard
+        };
+        out.insert(from, out_times(&heard).len());
+    }
+    let worst = out.values().max();
+    let late = out.values().filter(|samples| **samples > 0).count();
+    assert_eq!(
+        late,
+        0,
+        "{late} of {} outages, {worst:?} samples",
+        out.len()
+    );
+}
