fix(coord,daemon): departures of entries that are back as they were are told no more

Cause: an instance went on telling for 15 s that a target had left although its own rows had it back. Entries that expire in an outage of the store come back about two seconds after its return, rows are retained for 1.8 s, so after an outage departures of targets that live may be told to each instance that can't read the store yet, and there the targets are out until a fetch or an own read brings the rows.

Change: what an entry's rows bring back with the same address and incarnation is taken from the list. Where a name has had several lives since, its departures stay, since an instance with older rows may have any of them. Instances that heard of it before it was back wait for their rows as they did.

Evidence: departure_of_an_entry_that_is_back_is_not_told fails before (out from 5.62 s on for the rest of what was printed, over 2.6 s, entry back at 5.55 s) and passes after; departure_of_an_earlier_life_is_told passes after (not run before).

--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -47,6 +47,15 @@
         self.known.drain(..excess);
     }
 
+    /// Forgets the departures of targets that are back as they were, as after an entry that had expired.
+    pub fn withdraw<F>(&mut self, is_back: F)
+    where
+        F: Fn(&TargetId) -> bool,
+    {
+        self.known
+            .retain(|(_, departure)| !is_back(&departure.target));
+    }
+
     /// Forgets what has been known for long, and returns whether there was any.
     pub fn expire(&mut self, now: Time) -> bool {
         let before = self.known.len();
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -1,6 +1,11 @@
 //! Targets that leave by their rows, and since when later rows of targets than the own ones have been known.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Config, TargetId, Time};
 use coord::{Departure, Departures, Lag, ReportedDepartures};
@@ -62,11 +67,16 @@
     }
 }
 
+/// Address and incarnation of a target.
+type Life = (SocketAddr, Option<u64>);
+
 /// What this instance and others know of targets that have left.
 #[derive(Debug, Default)]
 pub(super) struct Overlay {
     /// Departures by the own rows.
-    pub(super) own: Departures,
+    own: Departures,
+    /// The lives that have left; `None` where a name stands for several, of which an instance may have any.
+    lives: BTreeMap<TargetId, Option<Life>>,
     /// Departures by rows that are lacking here.
     pub(super) reported: ReportedDepartures,
     /// Targets that are out of service by what others have told.
@@ -76,6 +86,34 @@
 }
 
 impl Overlay {
+    /// Records the targets that have left by the own rows, which `before` had in service; returns them.
+    pub(super) fn on_own_rows(
+        &mut self,
+        now: Time,
+        before: &Config,
+        after: &Config,
+        position: u64,
+    ) -> Vec<TargetId> {
+        let left = left(before, after);
+        for target in &left {
+            let life = life_of(before, target);
+            let known = self.lives.entry(target.clone()).or_insert(life);
+            if *known != life {
+                *known = None;
+            }
+        }
+        self.own.record(now, left.clone(), position);
+        let lives = &self.lives;
+        self.own.withdraw(|target| {
+            let life = lives.get(target).copied().flatten();
+            life.is_some() && life == life_of(after, target)
+        });
+        let kept = self.own.newest_first();
+        let kept: BTreeSet<TargetId> = kept.into_iter().map(|one| one.target).collect();
+        self.lives.retain(|target, _| kept.contains(target));
+        left
+    }
+
     /// Returns the targets that the own rows have in service, and others have told to have left.
     pub(super) fn targets(&self, own_rows: &Config) -> BTreeSet<TargetId> {
         let services = || own_rows.services.keys();
@@ -122,8 +160,18 @@
     }
 }
 
+/// Returns the life of a target that gets new requests by its entry.
+fn life_of(config: &Config, id: &TargetId) -> Option<Life> {
+    let services = config.services.iter();
+    let mut targets =
+        services.filter_map(|(service, known)| Some((service, known.targets.get(id)?)));
+    let (_, target) = targets.find(|(service, _)| config.is_target_available(service, id))?;
+    let incarnation = target.registered.map(|registered| registered.incarnation);
+    Some((target.addr, incarnation))
+}
+
 /// Returns the targets that get new requests by the entries of `before` and by those of `after` no longer.
-pub(super) fn left(before: &Config, after: &Config) -> Vec<TargetId> {
+fn left(before: &Config, after: &Config) -> Vec<TargetId> {
     let services = before.services.iter();
     let targets = services.flat_map(|(id, service)| {
         let targets = service.targets.keys();
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -7,10 +7,7 @@
 use coord::{Freshness, Replica};
 use entry::{message::Event, view::View};
 
-use super::{
-    ComposedConfig, News, TableFollower,
-    departures::{TARGETS, left},
-};
+use super::{ComposedConfig, News, TableFollower, departures::TARGETS};
 use crate::{
     entry_points::{entry_points, preferred},
     fleet::Fleet,
@@ -114,11 +111,10 @@
         if !news.is_of_targets {
             return;
         }
-        let left = left(before, config);
+        let position = table.replica.changed_at();
+        let left = self.overlay.on_own_rows(now, before, config, position);
         if !left.is_empty() {
-            let position = table.replica.changed_at();
             log_targets_left(now, &left, position, &news.source, news.targets_known_since);
-            self.overlay.own.record(now, left, position);
         }
     }
 
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -66,6 +66,8 @@
     Ready,
     Leaving,
     Gone,
+    /// Ready, of another life.
+    Restarted,
 }
 
 /// The change of one row.
@@ -323,7 +325,7 @@
                 slots: 1,
                 is_leaving: &*row.value == "Leaving",
                 cold_ms: 0,
-                incarnation: 1,
+                incarnation: 1 + u64::from(&*row.value == "Restarted"),
             }),
         };
         (TargetId::from(id), target)
@@ -716,3 +718,35 @@
         out.len()
     );
 }
+
+/// Guards against living targets that are out for nothing: others went on telling of an entry that had expired and is
+/// back, of the same life at the same address, to an instance whose own rows had it all the time.
+#[test]
+fn departure_of_an_entry_that_is_back_is_not_told() {
+    let scenario = Scenario {
+        transfers: vec![Transfer::Lost; 8],
+        ..Scenario::calm(&[(5_320, Row::Gone), (5_550, Row::Ready)])
+    };
+    assert_eq!(out_times(&scenario), []);
+}
+
+/// Guards against DRAIN: an entry that is back under the name of a target that left says nothing of the life that an
+/// instance with older rows still has.
+#[test]
+fn departure_of_an_earlier_life_is_told() {
+    let scenario = Scenario {
+        transfers: vec![Transfer::Lost; 8],
+        ..Scenario::calm(&[
+            (5_300, Row::Gone),
+            (5_320, Row::Restarted),
+            (5_340, Row::Gone),
+            (5_550, Row::Restarted),
+        ])
+    };
+    let out = out_times(&scenario);
+    assert!(
+        out.first()
+            .is_some_and(|at| *at < Duration::from_millis(6_200)),
+        "{out:?}"
+    );
+}
