--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -426,3 +426,39 @@
         );
     }
 }
+
+/// Guards against heartbeats that no longer fit into a datagram, so that their sender counts as gone: what a large site's
+/// instance tells leaves room for departures.
+#[rstest]
+#[case::large(75, 24, 3, 32)]
+#[case::larger(300, 60, 4, 32)]
+fn heartbeat_with_departures_fits_into_a_datagram(
+    #[case] workspaces: usize,
+    #[case] services: usize,
+    #[case] regions: usize,
+    #[case] name_bytes: usize,
+) {
+    let name = |number: usize| format!("{number:0name_bytes$}");
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.owned_workspaces = (0..workspaces)
+        .map(|number| (name(number).as_str().into(), u64::MAX))
+        .collect();
+    heartbeat.demand = (0..services)
+        .map(|number| (name(number).as_str().into(), 12.5))
+        .collect();
+    let pinned = (0..services * regions).map(|number| {
+        let service = name(number / regions).as_str().into();
+        (service, name(number % regions).as_str().into(), 12.5)
+    });
+    heartbeat.pinned_demand = pinned.collect();
+    let mut departures = coord::Departures::default();
+    let left = (0..512).map(|number| name(number).as_str().into());
+    departures.record(base::Time::ZERO, left.collect(), u64::MAX);
+    heartbeat.departures = coord::lacking(&departures.newest_first(), 1, 7);
+    assert!(!heartbeat.departures.is_empty());
+    let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+    let content = encode(&message, OWN_FORMAT).unwrap();
+    let mut sender = Sessions::new(secret(), "i1".into(), Incarnation(7));
+    let frame = sender.seal_encoded(&"i2".into(), &content).unwrap();
+    assert!(frame.len() <= wire::MAX_DATAGRAM_BYTES, "{}", frame.len());
+}
