refactor(dispatch): a target has its address from the start

Cause: the address that recalls look at was set after a target had been made, so it had a state without one that never lasts. Change: it is an argument of Target::new. No behaviour changes.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -111,8 +111,7 @@
             }
             let idx = self.targets.len();
             let slots = service.slots_of(target);
-            let mut added = Target::new(now, id.clone(), region.clone(), slots);
-            added.set_addr(target.addr);
+            let added = Target::new(now, id.clone(), region.clone(), target.addr, slots);
             self.targets.push(added);
             self.index.insert(id.clone(), idx);
             self.region_entry(region).members.push(idx);
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -60,7 +60,7 @@
     /// Region in which the target runs.
     pub region: RegionId,
     /// Address by its last entry.
-    addr: Option<SocketAddr>,
+    addr: SocketAddr,
     /// Requests of this instance that are in flight on the target.
     pub in_flight: u32,
     exclusions: Exclusions,
@@ -134,11 +134,11 @@
 
 impl Target {
     /// Returns an unregistered target that is cold from `now` on.
-    pub fn new(now: Time, id: TargetId, region: RegionId, slots: u32) -> Self {
+    pub fn new(now: Time, id: TargetId, region: RegionId, addr: SocketAddr, slots: u32) -> Self {
         Self {
             id,
             region,
-            addr: None,
+            addr,
             in_flight: 0,
             exclusions: Exclusions::default(),
             slots: slots.max(1),
@@ -211,7 +211,7 @@
 
     /// Sets the address and returns whether the target was at another one.
     pub(crate) fn set_addr(&mut self, addr: SocketAddr) -> bool {
-        self.addr.replace(addr).is_some_and(|before| before != addr)
+        std::mem::replace(&mut self.addr, addr) != addr
     }
 
     /// Returns a digest of the target and its incarnation, or `None` for an unregistered target,
