--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -63,10 +63,14 @@
         self.known.len() < before
     }
 
-    /// Returns the departures, the newest first.
+    /// Goes through the departures, the newest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Departure> {
+        self.known.iter().rev().map(|(_, departure)| departure)
+    }
+
+    /// Returns a copy of the departures, the newest first.
     pub fn newest_first(&self) -> Vec<Departure> {
-        let newest = self.known.iter().rev();
-        newest.map(|(_, departure)| departure.clone()).collect()
+        self.iter().cloned().collect()
     }
 }
 
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,34 +7,32 @@
 mod fetching;
 mod lateness;
 mod publication;
+mod table;
 
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{CatchUp, FetchDelays, Replica, TableSnapshot, rendezvous_draw};
+use coord::{FetchDelays, Replica, TableSnapshot, rendezvous_draw};
 use entry::message::ConfigLag;
-use platform::Received;
 use tokio::{
     sync::{mpsc, watch},
-    task::AbortHandle,
     time::sleep_until,
 };
 
 pub use self::departures::TARGETS;
 use self::{
     departures::{Overlay, TargetsLag},
-    fetching::{PartsState, count_fault},
+    fetching::count_fault,
     lateness::Lateness,
+    table::{OpenFetch, Table},
 };
 use super::{FollowerOptions, Outputs};
 use crate::{
     fleet::FleetMember,
     message::FollowerMessage,
     table_fetch::Source,
-    table_logs::{NewsSource, log_fetch, log_older, log_read_failure},
-    table_reads::{
-        PlatformRead, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot,
-    },
+    table_logs::{NewsSource, log_fetch, log_read_failure},
+    table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -44,8 +42,6 @@
     max: Duration::from_millis(400),
     retry: Duration::from_millis(300),
 };
-/// Time after which a table that is still arriving from one instance is fetched from another as well.
-const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of fetches of one table at the same time.
 const MAX_FETCHES: usize = 3;
 /// Time after the end of an outage of the platform for which rows that it removed are kept, counted from
@@ -100,22 +96,6 @@
     peer_confirmed_at: Option<Time>,
 }
 
-/// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
-#[derive(Debug)]
-struct Table {
-    replica: Replica,
-    confirmed_at: Option<Time>,
-    catch_up: CatchUp,
-    fetches: Vec<OpenFetch>,
-    /// What is known of the replica's parts, and of fetches by them.
-    parts: PartsState,
-    is_reachable: bool,
-    /// Time at which its position rose last.
-    advanced_at: Time,
-    /// Tells the own reads that rows have come from another instance.
-    advanced: watch::Sender<()>,
-}
-
 /// What led to another configuration.
 #[derive(Debug)]
 struct News {
@@ -128,66 +108,6 @@
     is_of_targets: bool,
 }
 
-/// A fetch from another instance that has not ended.
-#[derive(Debug)]
-struct OpenFetch {
-    /// Time of its start, which no other one of the table shares.
-    asked_at: Time,
-    received: watch::Receiver<Received>,
-    task: AbortHandle,
-}
-
-impl Table {
-    /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't slow.
-    fn is_fetch_arriving(&self) -> bool {
-        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
-        let mut begun_at = active.filter_map(|received| received.begun_at);
-        begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
-    }
-
-    /// Ends one of the fetches that go on below the lowest rate of a transfer if there is no room for
-    /// another one, but never the one that has come farthest, so that one is complete in the end even if
-    /// all of them are slow.
-    fn make_room(&mut self) {
-        if self.fetches.len() < MAX_FETCHES || self.catch_up.next_at().is_none() {
-            return;
-        }
-        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let mut received: Vec<(usize, Received)> = received.enumerate().collect();
-        received.sort_by_key(|(idx, received)| (Reverse(received.bytes), *idx));
-        let slow = received
-            .iter()
-            .skip(1)
-            .rfind(|(_, received)| received.is_slow());
-        if let Some((idx, _)) = slow {
-            self.fetches.remove(*idx).task.abort();
-        }
-    }
-
-    /// Ends all fetches.
-    fn end_fetches(&mut self) {
-        for fetch in self.fetches.drain(..) {
-            fetch.task.abort();
-        }
-    }
-
-    /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
-    /// logged unless it was asked for before that position was known.
-    fn record_answer(&mut self, name: &str, read: &PlatformRead) {
-        let own_position = self.replica.position();
-        if read.position < own_position && read.sent_at() > self.advanced_at {
-            log_older(name, own_position, read.position);
-        }
-        self.is_reachable = true;
-        self.parts.on_read();
-        if read.position >= own_position {
-            self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
-        }
-        self.replica.on_contact(read.answer.arrived_at);
-    }
-}
-
 impl<F> TableFollower<F>
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
@@ -204,21 +124,14 @@
             .tables
             .iter()
             .enumerate()
-            .map(|(idx, _)| Table {
+            .map(|(idx, _)| {
                 // Removed rows of operators stay removed; targets may register again after an
                 // outage.
-                replica: Replica::new(if idx == 0 {
+                Table::new(if idx == 0 {
                     Duration::ZERO
                 } else {
                     REMOVED_ROW_GRACE
-                }),
-                confirmed_at: None,
-                catch_up: CatchUp::new(PEER_FETCH_DELAYS),
-                fetches: Vec::new(),
-                parts: PartsState::default(),
-                is_reachable: false,
-                advanced_at: Time::ZERO,
-                advanced: watch::Sender::new(()),
+                })
             })
             .collect();
         Self {
@@ -414,15 +327,12 @@
             self.lateness.on_position(now, position, changed_at);
         }
         if idx == TARGETS {
-            if let Some((sent_at, position)) = read_at {
-                self.targets_lag.on_read(sent_at, position);
+            if let Some((sent_at, read_position)) = read_at {
+                self.targets_lag.on_read(sent_at, read_position);
+                self.overlay.reported.on_read(sent_at, position);
             }
             self.targets_lag.on_position(position);
-            let reported = &mut self.overlay.reported;
-            reported.on_position(position, |id| table.replica.is_retained(id.as_str()));
-            if let Some((sent_at, _)) = read_at {
-                reported.on_read(sent_at, position);
-            }
+            self.overlay.on_replica(&table.replica);
         }
         if source == NewsSource::Platform {
             table.catch_up.on_read(now, position);
@@ -489,8 +399,7 @@
         }
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
-                let (reported, replica) = (&mut self.overlay.reported, &table.replica);
-                reported.on_position(replica.position(), |id| replica.is_retained(id.as_str()));
+                self.overlay.on_replica(&table.replica);
             }
             // Rows of operators have none.
             let news = News {
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Config, TargetId, Time};
-use coord::{Departure, Departures, Lag, ReportedDepartures};
+use coord::{Departure, Departures, Lag, Replica, ReportedDepartures};
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
 
@@ -108,12 +108,17 @@
             let life = lives.get(target).copied().flatten();
             life.is_some() && life == life_of(after, target)
         });
-        let kept = self.own.newest_first();
-        let kept: BTreeSet<TargetId> = kept.into_iter().map(|one| one.target).collect();
+        let kept: BTreeSet<&TargetId> = self.own.iter().map(|one| &one.target).collect();
         self.lives.retain(|target, _| kept.contains(target));
         left
     }
 
+    /// Records the own rows as they are now: where they reach what others have told, they decide.
+    pub(super) fn on_replica(&mut self, replica: &Replica) {
+        let is_retained = |id: &TargetId| replica.is_retained(id.as_str());
+        self.reported.on_position(replica.position(), is_retained);
+    }
+
     /// Returns the targets that the own rows have in service, and others have told to have left.
     pub(super) fn targets(&self, own_rows: &Config) -> BTreeSet<TargetId> {
         let services = || own_rows.services.keys();
@@ -134,8 +139,8 @@
     /// Returns the departures of the last seconds if they aren't those that were told last.
     pub(super) fn untold(&mut self, now: Time) -> Option<Arc<Vec<Departure>>> {
         self.own.expire(now);
-        let known = self.own.newest_first();
-        (known != *self.told).then(|| Arc::new(known))
+        let is_told = self.own.iter().eq(self.told.iter());
+        (!is_told).then(|| Arc::new(self.own.newest_first()))
     }
 
     /// Returns whether others have told something new of the targets that the own rows have in service.
--- /dev/null
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -0,0 +1,105 @@
+//! One followed table: its copy, own reads of it, and fetches from other instances.
+
+use std::{cmp::Reverse, time::Duration};
+
+use base::Time;
+use coord::{CatchUp, Replica};
+use platform::Received;
+use tokio::{sync::watch, task::AbortHandle};
+
+use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState};
+use crate::{table_logs::log_older, table_reads::PlatformRead};
+
+/// Time after which a table that is still arriving from one instance is fetched from another as well.
+const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
+
+/// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
+#[derive(Debug)]
+pub(super) struct Table {
+    pub(super) replica: Replica,
+    pub(super) confirmed_at: Option<Time>,
+    pub(super) catch_up: CatchUp,
+    pub(super) fetches: Vec<OpenFetch>,
+    /// What is known of the replica's parts, and of fetches by them.
+    pub(super) parts: PartsState,
+    pub(super) is_reachable: bool,
+    /// Time at which its position rose last.
+    pub(super) advanced_at: Time,
+    /// Tells the own reads that rows have come from another instance.
+    pub(super) advanced: watch::Sender<()>,
+}
+
+/// A fetch from another instance that has not ended.
+#[derive(Debug)]
+pub(super) struct OpenFetch {
+    /// Time of its start, which no other one of the table shares.
+    pub(super) asked_at: Time,
+    pub(super) received: watch::Receiver<Received>,
+    pub(super) task: AbortHandle,
+}
+
+impl Table {
+    /// Returns a table of which nothing has been read; rows that an outage may have removed are kept for
+    /// `grace_period` after it.
+    pub(super) fn new(grace_period: Duration) -> Self {
+        Self {
+            replica: Replica::new(grace_period),
+            confirmed_at: None,
+            catch_up: CatchUp::new(PEER_FETCH_DELAYS),
+            fetches: Vec::new(),
+            parts: PartsState::default(),
+            is_reachable: false,
+            advanced_at: Time::ZERO,
+            advanced: watch::Sender::new(()),
+        }
+    }
+
+    /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't slow.
+    pub(super) fn is_fetch_arriving(&self) -> bool {
+        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
+        let active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
+        let mut begun_at = active.filter_map(|received| received.begun_at);
+        begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
+    }
+
+    /// Ends one of the fetches that go on below the lowest rate of a transfer if there is no room for
+    /// another one, but never the one that has come farthest, so that one is complete in the end even if
+    /// all of them are slow.
+    pub(super) fn make_room(&mut self) {
+        if self.fetches.len() < MAX_FETCHES || self.catch_up.next_at().is_none() {
+            return;
+        }
+        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
+        let mut received: Vec<(usize, Received)> = received.enumerate().collect();
+        received.sort_by_key(|(idx, received)| (Reverse(received.bytes), *idx));
+        let slow = received
+            .iter()
+            .skip(1)
+            .rfind(|(_, received)| received.is_slow());
+        if let Some((idx, _)) = slow {
+            self.fetches.remove(*idx).task.abort();
+        }
+    }
+
+    /// Ends all fetches.
+    pub(super) fn end_fetches(&mut self) {
+        for fetch in self.fetches.drain(..) {
+            fetch.task.abort();
+        }
+    }
+
+    /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
+    /// logged unless it was asked for before that position was known.
+    pub(super) fn record_answer(&mut self, name: &str, read: &PlatformRead) {
+        let own_position = self.replica.position();
+        if read.position < own_position && read.sent_at() > self.advanced_at {
+            log_older(name, own_position, read.position);
+        }
+        self.is_reachable = true;
+        self.parts.on_read();
+        if read.position >= own_position {
+            self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
+        }
+        self.replica.on_contact(read.answer.arrived_at);
+    }
+}
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -1,7 +1,7 @@
 //! What other instances send: each message goes to the task that handles it.
 
 use base::{Incarnation, InstanceId, Time};
-use coord::OwnerId;
+use coord::{Departure, OwnerId};
 use entry::message::Event;
 
 use super::Peers;
@@ -136,10 +136,11 @@
         self.is_unpublished = true;
     }
 
-    async fn handle_heartbeat(&mut self, from: &InstanceId, heartbeat: PeerHeartbeat) {
+    async fn handle_heartbeat(&mut self, from: &InstanceId, mut heartbeat: PeerHeartbeat) {
+        let departures = std::mem::take(&mut heartbeat.departures);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             self.membership.on_heartbeat(not_before, &heartbeat.status);
-            self.forward_to_follower(from, &heartbeat, not_before);
+            self.forward_to_follower(from, &heartbeat, departures, not_before);
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
@@ -152,8 +153,14 @@
         }
     }
 
-    /// Forwards the sender's head and table positions, which it sent no earlier than `not_before`.
-    fn forward_to_follower(&self, from: &InstanceId, heartbeat: &PeerHeartbeat, not_before: Time) {
+    /// Forwards the sender's head, table positions and departures, which it sent no earlier than `not_before`.
+    fn forward_to_follower(
+        &self,
+        from: &InstanceId,
+        heartbeat: &PeerHeartbeat,
+        departures: Vec<Departure>,
+        not_before: Time,
+    ) {
         let confirmed_at = heartbeat
             .status
             .confirmation_age
@@ -166,11 +173,9 @@
             };
             let _ = self.outputs.follower.try_send(message);
         }
-        if !heartbeat.departures.is_empty() {
-            let message = FollowerMessage::PeerDepartures {
-                from: from.clone(),
-                departures: heartbeat.departures.clone(),
-            };
+        if !departures.is_empty() {
+            let from = from.clone();
+            let message = FollowerMessage::PeerDepartures { from, departures };
             let _ = self.outputs.follower.try_send(message);
         }
         let Some(head) = heartbeat.head.clone() else {
