test(daemon,entry): the models of the follower and the engines of the tests share their set-up

Cause: four new test files had written the follower's options, the paused runtime, the reading of calls, drawn transfers and the engine once more, beside five that already had them; a field that was added to an event had to be added in five tests of entry. Change: daemon/tests/support (options, paused, call, transfer, engine) and entry/tests/support (engine, fresh), each taken in by those that need it. Assertions, bounds, seeds and the order in which schedules are drawn are as before; a transfer beyond the drawn ones is never answered in behind.rs and at once in departures.rs, as before.

--- a/crates/daemon/tests/behind.rs
+++ b/crates/daemon/tests/behind.rs
@@ -1,6 +1,17 @@
 //! How long an instance decides by a version although it knows of a later one, over drawn versions,
 //! transfers and heartbeats.
 
+#[path = "support/call.rs"]
+mod call;
+#[path = "support/engine.rs"]
+mod engine;
+#[path = "support/options.rs"]
+mod options;
+#[path = "support/paused.rs"]
+mod paused;
+#[path = "support/transfer.rs"]
+mod transfer;
+
 use std::{
     collections::BTreeMap,
     future::pending,
@@ -11,7 +22,8 @@
 };
 
 use base::{Config, Incarnation, InstanceId, Key, KeyDigest, Service, Time, Workspace};
-use coord::{Heartbeat, ListEntry, Membership, QuotaSplit, Replica};
+use call::read_of;
+use coord::{Heartbeat, ListEntry, Membership, Replica};
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
@@ -21,23 +33,22 @@
     message::FollowerMessage,
     table_reads::ReadTiming,
 };
-use dispatch::{Policy, RequestId, RequestKind};
+use dispatch::{RequestId, RequestKind};
+use engine::start_engine;
 use entry::{
-    dial::Dialer,
-    engine::{Engine, EngineOptions},
     message::{Arrival, Decision, Event},
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
+use options::options;
+use paused::run_paused;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tokio::{
-    runtime::Builder,
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout},
 };
-use wire::Secret;
+use transfer::Transfer;
 
 const SEEDS: Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(25);
@@ -46,17 +57,6 @@
 const OPERATOR_TABLE: &str = "op";
 const KEY: &str = "key";
 
-/// What becomes of the answer to a read that brings a version.
-#[derive(Debug, Clone, Copy)]
-enum Transfer {
-    /// It is complete after this time.
-    Takes(Duration),
-    /// It breaks off after this time.
-    BreaksOff(Duration),
-    /// It never begins.
-    Lost,
-}
-
 /// Another instance, which reports positions and hands nothing out.
 #[derive(Debug, Clone, Copy)]
 struct Reporter {
@@ -105,13 +105,7 @@
                 ms(500..6_000)
             };
         }
-        let transfers = (0..40).map(|_| match ms(0..5).as_millis() {
-            0 => Transfer::Takes(ms(10..400)),
-            1 | 2 => Transfer::Takes(ms(400..8_000)),
-            3 => Transfer::BreaksOff(ms(200..3_000)),
-            _ => Transfer::Lost,
-        });
-        let transfers = transfers.collect();
+        let transfers = Transfer::draw(&mut ms);
         let count = ms(1..8).as_millis();
         let reporters = (0..count).map(|idx| Reporter {
             phase: ms(0..500),
@@ -194,15 +188,7 @@
     call: Call,
     progress: Progress,
 ) -> Result<Reply, PlatformError> {
-    let (table, after, wait) = match call {
-        Call::Snapshot { table } => (table, 0, Duration::ZERO),
-        Call::Changes {
-            table,
-            after,
-            wait_ms,
-        } => (table, after, Duration::from_millis(wait_ms)),
-        _ => return Err(PlatformError::Unavailable),
-    };
+    let (table, after, wait) = read_of(call)?;
     let is_operators = table == OPERATOR_TABLE;
     let deadline = Instant::now() + wait;
     let mut next = scenario.changes.iter().enumerate();
@@ -228,7 +214,8 @@
     }
     if after > 0 {
         let transfer = transfers.lock().unwrap().pop();
-        transmit(transfer, &progress).await?;
+        let transfer = transfer.unwrap_or(Transfer::Lost);
+        transfer.transmit(&progress).await?;
     }
     let row = Change {
         row: "config".to_owned(),
@@ -238,21 +225,6 @@
     Ok(Reply::Changes(vec![row], position))
 }
 
-async fn transmit(transfer: Option<Transfer>, progress: &Progress) -> Result<(), PlatformError> {
-    const STEP: Duration = Duration::from_millis(10);
-    let (time, result) = match transfer {
-        Some(Transfer::Takes(time)) => (time, Ok(())),
-        Some(Transfer::BreaksOff(time)) => (time, Err(PlatformError::Unavailable)),
-        Some(Transfer::Lost) | None => pending().await,
-    };
-    let end = Instant::now() + time;
-    while Instant::now() < end {
-        sleep(STEP).await;
-        progress.add(1);
-    }
-    result
-}
-
 fn config() -> Config {
     let service = Service {
         slots: 1,
@@ -364,12 +336,7 @@
 }
 
 fn run(scenario: &Scenario) -> Vec<Decided> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(play(Arc::new(scenario.clone())))
+    run_paused(play(Arc::new(scenario.clone())))
 }
 
 async fn play(scenario: Arc<Scenario>) -> Vec<Decided> {
@@ -408,20 +375,9 @@
     let (tx, rx) = mpsc::channel(64);
     let follower = TableFollower::new(
         FollowerOptions {
-            clock,
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
             apply: scenario.apply,
             read_timing: ReadTiming::within(scenario.contact),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
+            ..options(clock, platform, fleet)
         },
         Outputs {
             engine: engine.clone(),
@@ -458,25 +414,6 @@
     decided
 }
 
-fn start_engine(clock: Clock, events: &mpsc::UnboundedSender<Event>) -> Engine {
-    let (relays, _) = mpsc::unbounded_channel();
-    let (outgoing, _) = mpsc::unbounded_channel();
-    let options = EngineOptions {
-        region: "north".into(),
-        seed: 1,
-        split: QuotaSplit::default(),
-        policy: Policy::default(),
-        refuses_when_isolated: false,
-    };
-    Engine::new(
-        Dialer::new(clock, relays),
-        options,
-        outgoing,
-        events.downgrade(),
-    )
-    .unwrap()
-}
-
 /// Sends a request, and returns the revision that allows it, or why it is refused.
 async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64) -> Result<u64, String> {
     let (tx, mut rx) = mpsc::unbounded_channel();
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -1,10 +1,14 @@
 //! How long an instance may be without news of the followed tables, over a modelled network with drawn
 //! silences.
 
+#[path = "support/options.rs"]
+mod options;
+#[path = "support/paused.rs"]
+mod paused;
+
 use std::{
     collections::BTreeMap,
     future::pending,
-    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -12,7 +16,7 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, Time};
+use base::{Config, Time};
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
@@ -25,19 +29,18 @@
 };
 use entry::{
     message::Event,
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
+use options::options;
+use paused::run_paused;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
 use tokio::{
-    runtime::Builder,
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until},
 };
-use wire::Secret;
 
 const SEEDS: std::ops::Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(25);
@@ -326,20 +329,10 @@
     let (_tx, rx) = mpsc::channel(1);
     let follower = TableFollower::new(
         FollowerOptions {
-            clock: Clock::start(),
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
             confirm_limit: Duration::from_secs(5),
             apply: network.scenario.apply,
             read_timing: ReadTiming::within(network.scenario.contact),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            },
-            fleet,
+            ..options(Clock::start(), platform, fleet)
         },
         Outputs {
             engine,
@@ -417,12 +410,7 @@
 where
     F: Future,
 {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(run)
+    run_paused(run)
 }
 
 /// CONFIG: a version was not in force `configApplyS` after its acknowledgement on an instance that had
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -1,16 +1,25 @@
 //! How long a target stays in force at an instance after it has left by its row, over drawn rows, reads and
 //! heartbeats.
 
+#[path = "support/call.rs"]
+mod call;
+#[path = "support/options.rs"]
+mod options;
+#[path = "support/paused.rs"]
+mod paused;
+#[path = "support/transfer.rs"]
+mod transfer;
+
 use std::{
     collections::BTreeMap,
-    future::pending,
     net::SocketAddr,
     ops::Range,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use base::{Config, Incarnation, InstanceId, Registration, Service, Target, TargetId, Time};
+use base::{Config, InstanceId, Registration, Service, Target, TargetId, Time};
+use call::read_of;
 use coord::{Departure, Replica, lacking};
 use daemon::{
     fleet::Fleet,
@@ -23,18 +32,18 @@
 };
 use entry::{
     message::Event,
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
+use options::options;
+use paused::run_paused;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tokio::{
-    runtime::Builder,
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until},
 };
-use wire::Secret;
+use transfer::Transfer;
 
 const SEEDS: Range<u64> = 0..300;
 /// Seeds of what doesn't depend on a bound.
@@ -49,17 +58,6 @@
 /// Position of the operators' row.
 const FIRST_POSITION: u64 = 10;
 
-/// What becomes of the answer to a read that brings rows.
-#[derive(Debug, Clone, Copy)]
-enum Transfer {
-    /// It is complete after this time.
-    Takes(Duration),
-    /// It breaks off after this time.
-    BreaksOff(Duration),
-    /// It never begins.
-    Lost,
-}
-
 /// What a row of the targets' table says from a time on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Row {
@@ -130,13 +128,7 @@
                 ms(300..4_000)
             };
         }
-        let transfers = (0..40).map(|_| match ms(0..5).as_millis() {
-            0 => Transfer::Takes(ms(10..400)),
-            1 | 2 => Transfer::Takes(ms(400..8_000)),
-            3 => Transfer::BreaksOff(ms(200..3_000)),
-            _ => Transfer::Lost,
-        });
-        let transfers = transfers.collect();
+        let transfers = Transfer::draw(&mut ms);
         let count = ms(1..8).as_millis();
         let reporters = (0..count).map(|idx| Reporter {
             phase: ms(0..500),
@@ -230,15 +222,7 @@
     call: Call,
     progress: Progress,
 ) -> Result<Reply, PlatformError> {
-    let (table, after, wait) = match call {
-        Call::Snapshot { table } => (table, 0, Duration::ZERO),
-        Call::Changes {
-            table,
-            after,
-            wait_ms,
-        } => (table, after, Duration::from_millis(wait_ms)),
-        _ => return Err(PlatformError::Unavailable),
-    };
+    let (table, after, wait) = read_of(call)?;
     pass_outage(started, &scenario).await?;
     let deadline = Instant::now() + wait;
     let is_targets = table == TARGETS_TABLE;
@@ -280,7 +264,8 @@
     };
     if is_targets && after > 0 && !rows.is_empty() {
         let transfer = transfers.lock().unwrap().pop();
-        transmit(transfer, &progress).await?;
+        let transfer = transfer.unwrap_or(Transfer::Takes(Duration::ZERO));
+        transfer.transmit(&progress).await?;
     }
     progress.add(1);
     Ok(Reply::Changes(rows, position))
@@ -300,22 +285,6 @@
     Ok(())
 }
 
-async fn transmit(transfer: Option<Transfer>, progress: &Progress) -> Result<(), PlatformError> {
-    const STEP: Duration = Duration::from_millis(10);
-    let (time, result) = match transfer {
-        Some(Transfer::Takes(time)) => (time, Ok(())),
-        Some(Transfer::BreaksOff(time)) => (time, Err(PlatformError::Unavailable)),
-        Some(Transfer::Lost) => pending().await,
-        None => (Duration::ZERO, Ok(())),
-    };
-    let end = Instant::now() + time;
-    while Instant::now() < end {
-        sleep(STEP).await;
-        progress.add(1);
-    }
-    result
-}
-
 fn compose(replicas: &[&Replica]) -> Option<ComposedConfig> {
     let targets = replicas[1].rows().map(|(id, row)| {
         let target = Target {
@@ -386,22 +355,13 @@
     let (snapshots, _) = watch::channel(Arc::default());
     let (messages, rx) = mpsc::channel(64);
     let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let mut own = options(clock, platform, fleet);
+    own.own_entry.instance = name.into();
     let follower = TableFollower::new(
         FollowerOptions {
-            clock,
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
             apply: Duration::from_millis(2_500),
             read_timing: ReadTiming::within(CONTACT),
-            own_entry: EntryPoint {
-                instance: name.into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
+            ..own
         },
         Outputs {
             engine,
@@ -511,12 +471,7 @@
 }
 
 fn run(scenario: &Scenario) -> Vec<Sample> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(play(Arc::new(scenario.clone())))
+    run_paused(play(Arc::new(scenario.clone())))
 }
 
 async fn play(scenario: Arc<Scenario>) -> Vec<Sample> {
@@ -641,12 +596,7 @@
 /// have reached, says nothing.
 #[test]
 fn old_and_unknown_departures_say_nothing() {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(async {
+    run_paused(async {
         let scenario = Arc::new(Scenario::calm(&[(500, Row::Gone), (600, Row::Ready)]));
         let own = start("own", Instant::now(), Clock::start(), &scenario, Vec::new());
         sleep(Duration::from_secs(1)).await;
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -1,5 +1,8 @@
 //! Fetches of tables from other instances that accept and say nothing.
 
+#[path = "support/options.rs"]
+mod options;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Config, Incarnation, Time};
@@ -7,23 +10,19 @@
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
-        FollowerOptions, Outputs,
+        Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
     message::FollowerMessage,
-    table_reads::ReadTiming,
-};
-use entry::{
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
 };
+use entry::view::{Clock, View};
+use options::options;
 use platform::{Platform, PlatformError};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
     time::{sleep, timeout},
 };
-use wire::Secret;
 
 const SOURCES: usize = 4;
 const WATCH_TIME: Duration = Duration::from_millis(1_300);
@@ -50,23 +49,9 @@
     let (peers, _peers_rx) = mpsc::channel(64);
     let (view, _view_rx) = watch::channel(Arc::new(View::default()));
     let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+    let platform = Platform::spawn(|| |_, _| async { Err(PlatformError::Unavailable) });
     let follower = TableFollower::new(
-        FollowerOptions {
-            clock: Clock::start(),
-            platform: Platform::spawn(|| |_, _| async { Err(PlatformError::Unavailable) }),
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
-            apply: Duration::from_secs(2),
-            read_timing: ReadTiming::within(Duration::from_secs(4)),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
-        },
+        options(Clock::start(), platform, fleet),
         Outputs {
             engine,
             peers,
--- a/crates/daemon/tests/head.rs
+++ b/crates/daemon/tests/head.rs
@@ -1,7 +1,9 @@
 //! Configurations that follow each other faster than one crosses the instance's link.
 
+#[path = "support/options.rs"]
+mod options;
+
 use std::{
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -9,23 +11,19 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, config_digest};
+use base::{Config, config_digest};
 use daemon::{
     fleet::Fleet,
-    follower::{FollowerOptions, Outputs, head::HeadFollower},
-    table_reads::ReadTiming,
-};
-use entry::{
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    follower::{Outputs, head::HeadFollower},
 };
+use entry::view::{Clock, View};
+use options::options;
 use platform::{Call, Platform, PlatformError, Progress, Reply, Row, layout::object_name};
 use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep},
 };
-use wire::Secret;
 
 const VERSIONS: u64 = 12;
 const CHANGE_INTERVAL: Duration = Duration::from_millis(700);
@@ -120,22 +118,7 @@
     let (view, mut views) = watch::channel(Arc::new(View::default()));
     tokio::spawn(async move { while peers_rx.recv().await.is_some() {} });
     let follower = HeadFollower::new(
-        FollowerOptions {
-            clock: Clock::start(),
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
-            apply: Duration::from_secs(2),
-            read_timing: ReadTiming::within(Duration::from_secs(4)),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
-        },
+        options(Clock::start(), platform, fleet),
         Outputs {
             engine,
             peers,
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -1,20 +1,26 @@
 //! Requests that are refused for good by a configuration that may no longer decide, over drawn versions,
 //! answers of the store and reports of another instance.
 
+#[path = "support/call.rs"]
+mod call;
+#[path = "support/engine.rs"]
+mod engine;
+#[path = "support/options.rs"]
+mod options;
+#[path = "support/paused.rs"]
+mod paused;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     future::pending,
-    net::{Ipv4Addr, SocketAddr},
     ops::Range,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use base::{
-    Config, Incarnation, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService,
-    Workspace,
-};
-use coord::{QuotaSplit, Replica};
+use base::{Config, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace};
+use call::read_of;
+use coord::Replica;
 use daemon::{
     fleet::Fleet,
     follower::{
@@ -24,24 +30,22 @@
     message::FollowerMessage,
     table_reads::ReadTiming,
 };
-use dispatch::{Policy, RequestId, RequestKind};
+use dispatch::{RequestId, RequestKind};
+use engine::start_engine;
 use entry::{
-    dial::Dialer,
-    engine::{Engine, EngineOptions},
     message::{Arrival, Decision, Event},
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
+use options::options;
+use paused::run_paused;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
 use tokio::{
-    runtime::Builder,
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout},
 };
-use wire::Secret;
 
 const SEEDS: Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(25);
@@ -237,15 +241,7 @@
         call: Call,
         progress: Progress,
     ) -> Result<Reply, PlatformError> {
-        let (table, after, wait) = match call {
-            Call::Snapshot { table } => (table, 0, Duration::ZERO),
-            Call::Changes {
-                table,
-                after,
-                wait_ms,
-            } => (table, after, Duration::from_millis(wait_ms)),
-            _ => return Err(PlatformError::Unavailable),
-        };
+        let (table, after, wait) = read_of(call)?;
         let is_operators = table == OPERATOR_TABLE;
         let fate = if is_operators {
             self.fate()
@@ -369,12 +365,7 @@
 }
 
 fn run(scenario: &Scenario) -> Vec<Decided> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(play(scenario.clone()))
+    run_paused(play(scenario.clone()))
 }
 
 async fn play(scenario: Scenario) -> Vec<Decided> {
@@ -406,20 +397,10 @@
     let (tx, rx) = mpsc::channel(64);
     let follower = TableFollower::new(
         FollowerOptions {
-            clock,
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
             confirm_limit: scenario.contact,
             apply: scenario.apply,
             read_timing: ReadTiming::within(scenario.contact),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            },
-            fleet,
+            ..options(clock, platform, fleet)
         },
         Outputs {
             engine: engine.clone(),
@@ -455,20 +436,6 @@
     decided
 }
 
-fn start_engine(clock: Clock, events: &mpsc::UnboundedSender<Event>) -> Engine {
-    let (relays, _) = mpsc::unbounded_channel();
-    let (outgoing, _) = mpsc::unbounded_channel();
-    let options = EngineOptions {
-        region: "north".into(),
-        seed: 1,
-        split: QuotaSplit::default(),
-        policy: Policy::default(),
-        refuses_when_isolated: false,
-    };
-    let dialer = Dialer::new(clock, relays);
-    Engine::new(dialer, options, outgoing, events.downgrade()).unwrap()
-}
-
 /// Sends a request, and returns why it is refused, if it is.
 async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64, asked: Asked) -> Option<String> {
     let (tx, mut rx) = mpsc::unbounded_channel();
--- a/crates/daemon/tests/retained.rs
+++ b/crates/daemon/tests/retained.rs
@@ -1,14 +1,19 @@
 //! How long an instance keeps a target's row that it has itself read as removed beside an outage of the
 //! store, over drawn outages and transfers.
 
+#[path = "support/call.rs"]
+mod call;
+#[path = "support/options.rs"]
+mod options;
+
 use std::{
-    net::SocketAddr,
     ops::Range,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use base::{Config, Incarnation};
+use base::Config;
+use call::read_of;
 use coord::Replica;
 use daemon::{
     fleet::Fleet,
@@ -19,10 +24,8 @@
     message::FollowerMessage,
     table_reads::ReadTiming,
 };
-use entry::{
-    metrics::Metrics,
-    view::{Clock, EntryPoint, View},
-};
+use entry::view::{Clock, View};
+use options::options;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -30,7 +33,6 @@
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout},
 };
-use wire::Secret;
 
 const SEEDS: Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(24);
@@ -92,16 +94,7 @@
     seen: Arc<Mutex<Seen>>,
     (call, progress): (Call, Progress),
 ) -> Result<Reply, PlatformError> {
-    let (table, after, wait) = match call {
-        Call::Changes {
-            table,
-            after,
-            wait_ms,
-            ..
-        } => (table, after, Duration::from_millis(wait_ms)),
-        Call::Snapshot { table } => (table, 0, Duration::ZERO),
-        _ => return Err(PlatformError::Unavailable),
-    };
+    let (table, after, wait) = read_of(call)?;
     let is_targets = table == TARGET_TABLE;
     let until = started.elapsed() + wait;
     let removed_at = scenario.removed_at;
@@ -170,20 +163,8 @@
     let (snapshots, _snapshots) = watch::channel(Arc::default());
     let follower = TableFollower::new(
         FollowerOptions {
-            clock: Clock::start(),
-            platform,
-            secret: Secret::derive("a secret for tests only"),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
-            apply: Duration::from_secs(2),
             read_timing: ReadTiming::within(Duration::from_secs(3)),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
+            ..options(Clock::start(), platform, fleet)
         },
         Outputs {
             engine,
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -17,11 +17,10 @@
     format::OWN_FORMAT,
     message::FollowerMessage,
     rpc::Call,
-    table_reads::ReadTiming,
 };
 use entry::{
     metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
 use platform::{Change, Platform, PlatformError, Reply};
 use rstest::rstest;
@@ -30,7 +29,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{carry, document, fetches::changed_part, secret, serve_lies, table};
+use crate::{carry, document, fetches::changed_part, options::options, serve_lies, table};
 
 const ROUTES: usize = 600;
 const BEFORE: usize = 100;
@@ -126,20 +125,8 @@
     let (snapshots, snapshots_rx) = watch::channel(Arc::default());
     let follower = TableFollower::new(
         FollowerOptions {
-            clock: Clock::start(),
-            platform,
-            secret: secret(),
             metrics,
-            confirm_limit: Duration::from_secs(4),
-            apply: Duration::from_secs(2),
-            read_timing: ReadTiming::within(Duration::from_secs(4)),
-            own_entry: EntryPoint {
-                instance: "own".into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
+            ..options(Clock::start(), platform, fleet)
         },
         Outputs {
             engine,
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -3,7 +3,11 @@
 
 mod fetches;
 mod follower;
+#[path = "../support/options.rs"]
+mod options;
 mod own_reads;
+#[path = "../support/paused.rs"]
+mod paused;
 
 use std::{
     net::SocketAddr,
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -27,7 +27,6 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    runtime::Builder,
     sync::mpsc,
     time::{Instant, sleep_until, timeout},
 };
@@ -36,6 +35,7 @@
 use crate::{
     document,
     follower::{POSITION, Peer, member, start_follower},
+    paused::run_paused,
     serve_lies, table,
 };
 
@@ -164,12 +164,7 @@
 }
 
 fn run(scenario: &Scenario) -> Outcome {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(play(scenario.clone()))
+    run_paused(play(scenario.clone()))
 }
 
 async fn play(scenario: Scenario) -> Outcome {
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -1,5 +1,8 @@
 //! Tables that arrive byte by byte for as long as one waits: another source is read beside them.
 
+#[path = "support/options.rs"]
+mod options;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -16,19 +19,19 @@
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
-        FollowerOptions, Outputs,
+        Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
     message::FollowerMessage,
     peer_server,
     relay::RelayServer,
     rpc::{IncomingCall, Reply},
-    table_reads::ReadTiming,
 };
 use entry::{
     metrics::Metrics,
-    view::{Clock, EntryPoint, View},
+    view::{Clock, View},
 };
+use options::options;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply as Answer};
 use tokio::{
     io::AsyncWriteExt,
@@ -195,22 +198,7 @@
         })
     };
     let follower = TableFollower::new(
-        FollowerOptions {
-            clock: Clock::start(),
-            platform,
-            secret: secret(),
-            metrics: Metrics::new().unwrap(),
-            confirm_limit: Duration::from_secs(4),
-            apply: Duration::from_secs(2),
-            read_timing: ReadTiming::within(Duration::from_secs(4)),
-            own_entry: EntryPoint {
-                instance: OWN_ID.into(),
-                incarnation: Incarnation(1),
-                domain: "d".into(),
-                addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-            },
-            fleet,
-        },
+        options(Clock::start(), platform, fleet),
         Outputs {
             engine,
             peers,
--- a/crates/entry/tests/homes.rs
+++ b/crates/entry/tests/homes.rs
@@ -1,5 +1,9 @@
 //! Requests and connections that wait while a configuration moves the regions in which they may run.
 
+#[path = "support/engine.rs"]
+mod engine;
+#[path = "support/fresh.rs"]
+mod fresh;
 #[path = "support/template.rs"]
 mod template;
 
@@ -7,19 +11,20 @@
 
 use base::{
     AllowedRegions, Config, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service,
-    TargetId, Time, WeightedService, Workspace,
+    TargetId, WeightedService, Workspace,
 };
-use coord::{Freshness, QuotaSplit, SlotHistory};
 use dispatch::{Outcome, Placement, Policy, RequestId, RequestKind};
+use engine::engine_with;
 use entry::{
     connection::Relay,
     dial::{DialPlan, Dialer},
-    engine::{Engine, EngineOptions},
+    engine::Engine,
     forward::Forwarder,
     message::{Arrival, AttemptPlan, Decision, Event},
     permit::{SendNote, SendPermit},
     view::Clock,
 };
+use fresh::fresh;
 use rstest::rstest;
 use standin::config::{registration, service, target};
 use template::template;
@@ -86,38 +91,16 @@
 }
 
 fn engine() -> Engine {
-    let (relays, _) = mpsc::unbounded_channel();
-    let (outgoing, _) = mpsc::unbounded_channel();
-    let (events, _) = mpsc::unbounded_channel::<Event>();
     let policy = Policy {
         placement: Placement::ObjectAffinity,
         ..Policy::default()
     };
-    let options = EngineOptions {
-        region: "north".into(),
-        seed: 1,
-        split: QuotaSplit::default(),
-        policy,
-        refuses_when_isolated: false,
-    };
-    let dialer = Dialer::new(Clock::start(), relays);
-    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
-    engine.handle(Event::HoldQuotaSlot {
-        slot: 0,
-        until: Time::NEVER,
-        previous_holder: SlotHistory::NeverHeld,
-    });
-    engine
+    engine_with(policy)
 }
 
 fn activate(engine: &mut Engine, config: &Config) {
     engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
-    engine.handle(Event::ConfigFreshness {
-        freshness: Freshness::Fresh,
-        valid_until: Time::NEVER,
-        confirmed_at: None,
-        refuse_until: Time::NEVER,
-    });
+    engine.handle(fresh(None));
 }
 
 /// Submits a request whose body hasn't arrived yet, and returns the channel of its decisions.
--- a/crates/entry/tests/leaving/main.rs
+++ b/crates/entry/tests/leaving/main.rs
@@ -1,12 +1,14 @@
 //! Nothing is sent to a target that has left by the configuration in force, however long it waited.
 
 mod caller;
+#[path = "../support/fresh.rs"]
+mod fresh;
 mod world;
 
 use std::{sync::Arc, time::Duration};
 
 use base::Time;
-use coord::{Freshness, QuotaSplit, SlotHistory};
+use coord::{QuotaSplit, SlotHistory};
 use dispatch::{Dial, HealthReport, Placement, Policy};
 use entry::{
     dial::Dialer,
@@ -22,6 +24,7 @@
 };
 
 use caller::{Caller, Report};
+use fresh::fresh;
 use world::{History, World, id_of};
 
 const SEEDS: u64 = 300;
@@ -140,12 +143,7 @@
             history.push(now, config.clone());
             let _ = events.send(Event::ConfigActivated(config));
         }
-        let _ = events.send(Event::ConfigFreshness {
-            freshness: Freshness::Fresh,
-            valid_until: Time::NEVER,
-            confirmed_at: None,
-            refuse_until: Time::NEVER,
-        });
+        let _ = events.send(fresh(None));
         if let Some(event) = beside(&mut rng, now) {
             let _ = events.send(event);
         }
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -1,16 +1,20 @@
 //! What an engine does from the time on from which its configuration may decide no more.
 
+#[path = "support/engine.rs"]
+mod engine;
+#[path = "support/fresh.rs"]
+mod fresh;
+
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, ErrorKind, Key, KeyDigest, Refusal, Time, Workspace};
-use coord::{Freshness, QuotaSplit, SlotHistory};
 use dispatch::{Outcome, Policy, RequestId, RequestKind};
+use engine::engine_with;
 use entry::{
-    dial::Dialer,
-    engine::{Engine, EngineOptions},
+    engine::Engine,
     message::{Arrival, AttemptPlan, ConfigLag, Decision, Event},
-    view::Clock,
 };
+use fresh::fresh;
 use rstest::rstest;
 use standin::config::{service, target};
 use tokio::{sync::mpsc, time::sleep};
@@ -41,30 +45,9 @@
 }
 
 fn engine() -> Engine {
-    let (relays, _) = mpsc::unbounded_channel();
-    let (outgoing, _) = mpsc::unbounded_channel();
-    let (events, _) = mpsc::unbounded_channel::<Event>();
-    let options = EngineOptions {
-        region: "north".into(),
-        seed: 1,
-        split: QuotaSplit::default(),
-        policy: Policy::default(),
-        refuses_when_isolated: false,
-    };
-    let dialer = Dialer::new(Clock::start(), relays);
-    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
-    engine.handle(Event::HoldQuotaSlot {
-        slot: 0,
-        until: Time::NEVER,
-        previous_holder: SlotHistory::NeverHeld,
-    });
+    let mut engine = engine_with(Policy::default());
     engine.handle(Event::ConfigActivated(Arc::new(config())));
-    engine.handle(Event::ConfigFreshness {
-        freshness: Freshness::Fresh,
-        valid_until: Time::NEVER,
-        confirmed_at: None,
-        refuse_until: Time::NEVER,
-    });
+    engine.handle(fresh(None));
     engine
 }
 
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -1,17 +1,22 @@
 //! What is told of requests that are refused for good: the kind of error, and how old the configuration was.
 
+#[path = "support/engine.rs"]
+mod engine;
+#[path = "support/fresh.rs"]
+mod fresh;
+
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, Route, RouteKind, Time, WeightedService, Workspace};
-use coord::{Freshness, QuotaSplit, SlotHistory};
+use coord::Freshness;
 use dispatch::{Policy, RequestId, RequestKind};
+use engine::engine_with;
 use entry::{
-    dial::Dialer,
-    engine::{Engine, EngineOptions},
+    engine::Engine,
     message::{Arrival, Decision, Event, UsedConfig},
     metrics::Metrics,
-    view::Clock,
 };
+use fresh::fresh;
 use rstest::rstest;
 use standin::config::service;
 use tokio::sync::mpsc;
@@ -50,33 +55,11 @@
 }
 
 fn engine() -> Engine {
-    let (relays, _) = mpsc::unbounded_channel();
-    let (outgoing, _) = mpsc::unbounded_channel();
-    let (events, _) = mpsc::unbounded_channel::<Event>();
-    let options = EngineOptions {
-        region: "north".into(),
-        seed: 1,
-        split: QuotaSplit::default(),
-        policy: Policy::default(),
-        refuses_when_isolated: false,
-    };
-    let dialer = Dialer::new(Clock::start(), relays);
-    let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
-    engine.handle(Event::HoldQuotaSlot {
-        slot: 0,
-        until: Time::NEVER,
-        previous_holder: SlotHistory::NeverHeld,
-    });
-    engine
+    engine_with(Policy::default())
 }
 
 fn confirm(engine: &mut Engine, at: Time) {
-    engine.handle(Event::ConfigFreshness {
-        freshness: Freshness::Fresh,
-        valid_until: Time::NEVER,
-        confirmed_at: Some(at),
-        refuse_until: Time::NEVER,
-    });
+    engine.handle(fresh(Some(at)));
 }
 
 fn submit(engine: &mut Engine, id: u64, path: &str) -> mpsc::UnboundedReceiver<Decision> {
--- a/crates/entry/tests/split.rs
+++ b/crates/entry/tests/split.rs
@@ -1,9 +1,12 @@
 //! Routes whose requests are divided among services, over many instances with few requests each.
 
+#[path = "support/fresh.rs"]
+mod fresh;
+
 use std::sync::Arc;
 
-use base::{Config, Route, RouteKind, ServiceId, Time, WeightedService};
-use coord::{Freshness, QuotaSplit};
+use base::{Config, Route, RouteKind, ServiceId, WeightedService};
+use coord::QuotaSplit;
 use dispatch::{Policy, RequestId, RequestKind};
 use entry::{
     dial::Dialer,
@@ -11,6 +14,7 @@
     message::{Arrival, Decision, Event},
     view::Clock,
 };
+use fresh::fresh;
 use rstest::rstest;
 use tokio::sync::mpsc;
 
@@ -59,12 +63,7 @@
     let dialer = Dialer::new(Clock::start(), relays);
     let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
     engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
-    engine.handle(Event::ConfigFreshness {
-        freshness: Freshness::Fresh,
-        valid_until: Time::NEVER,
-        confirmed_at: None,
-        refuse_until: Time::NEVER,
-    });
+    engine.handle(fresh(None));
     engine
 }
 
