--- /dev/null
+++ b/crates/daemon/tests/behind/model.rs
@@ -0,0 +1,480 @@
+//! An instance that follows a modelled store, beside others that report their positions.
+
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Config, Incarnation, InstanceId, Key, KeyDigest, Service, Time, Workspace};
+use coord::{Heartbeat, ListEntry, Membership, Replica};
+use daemon::{
+    fleet::{Fleet, FleetMember},
+    follower::{
+        FollowerOptions, Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::{FollowerMessage, PeerCommand},
+    table_reads::ReadTiming,
+};
+use dispatch::{RequestId, RequestKind};
+use entry::{
+    message::{Arrival, Decision, Event},
+    view::{Clock, View},
+};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+use crate::{
+    call::read_of, engine::start_engine, options::options, paused::run_paused, transfer::Transfer,
+};
+
+pub(crate) const RUN_TIME: Duration = Duration::from_secs(25);
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
+const OPERATOR_TABLE: &str = "op";
+const KEY: &str = "key";
+
+/// Another instance, which reports positions and hands nothing out.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reporter {
+    /// Time of its first heartbeat.
+    pub(crate) phase: Duration,
+    /// Time after an acknowledgement at which it has the version.
+    pub(crate) reads_after: Duration,
+    /// Share of its heartbeats that are lost.
+    pub(crate) loss: f64,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Scenario {
+    pub(crate) seed: u64,
+    pub(crate) contact: Duration,
+    pub(crate) apply: Duration,
+    /// Times at which versions are acknowledged.
+    pub(crate) changes: Vec<Duration>,
+    pub(crate) transfers: Vec<Transfer>,
+    pub(crate) reporters: Vec<Reporter>,
+    /// Position that the others report whatever the store has.
+    pub(crate) lost_position: Option<u64>,
+    /// Time from which on the store gives no answer.
+    pub(crate) outage: Option<Duration>,
+    /// Time at which the others end.
+    pub(crate) others_end: Option<Duration>,
+    /// Time at which rows of other tables have changed and another instance starts, whose first read has the
+    /// store's latest position.
+    pub(crate) others_start: Option<Duration>,
+}
+
+impl Scenario {
+    pub(crate) fn draw(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
+        let apply = ms(2_000..4_000);
+        let contact = apply + ms(0..2_000);
+        let is_series = ms(0..2).is_zero();
+        let mut at = ms(3_000..6_000);
+        let mut changes = Vec::new();
+        for _ in 0..ms(1..12).as_millis() {
+            changes.push(at);
+            at += if is_series {
+                ms(100..900)
+            } else {
+                ms(500..6_000)
+            };
+        }
+        let transfers = Transfer::draw(&mut ms);
+        let count = ms(1..8).as_millis();
+        let reporters = (0..count).map(|idx| Reporter {
+            phase: ms(0..500),
+            reads_after: ms(1..150),
+            loss: if idx == 0 { 0.0 } else { 0.2 },
+        });
+        Self {
+            seed,
+            contact,
+            apply,
+            changes,
+            transfers,
+            reporters: reporters.collect(),
+            lost_position: None,
+            outage: None,
+            others_end: None,
+            others_start: None,
+        }
+    }
+
+    /// Returns a deployment of some instances in which nothing happens.
+    pub(crate) fn calm() -> Self {
+        let reporters = [100, 300].map(|phase_ms| Reporter {
+            phase: Duration::from_millis(phase_ms),
+            reads_after: Duration::from_millis(20),
+            loss: 0.0,
+        });
+        Self {
+            seed: 1,
+            contact: Duration::from_secs(4),
+            apply: Duration::from_millis(2_500),
+            changes: Vec::new(),
+            transfers: Vec::new(),
+            reporters: reporters.into(),
+            lost_position: None,
+            outage: None,
+            others_end: None,
+            others_start: None,
+        }
+    }
+
+    /// Returns by how much the store's position has risen by rows of other tables.
+    fn rise_at(&self, at: Duration) -> u64 {
+        u64::from(self.others_start.is_some_and(|start| start <= at))
+    }
+
+    pub(crate) fn version_at(&self, at: Duration) -> usize {
+        self.changes.iter().filter(|change| **change <= at).count()
+    }
+
+    /// Returns the version whose effect a request that arrives at `at` must show.
+    pub(crate) fn required_version(&self, at: Duration) -> usize {
+        at.checked_sub(self.apply)
+            .map_or(0, |at| self.version_at(at))
+    }
+}
+
+/// Returns the store's position of a version.
+pub(crate) fn position_of(version: usize) -> u64 {
+    10 + version as u64 * 10
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Decided {
+    pub(crate) at: Duration,
+    /// Version that allowed it, or why it was refused.
+    pub(crate) outcome: Result<usize, String>,
+    /// Version that was in force at its arrival.
+    pub(crate) in_force: usize,
+    /// Instances that look-ups named.
+    pub(crate) named: Vec<InstanceId>,
+}
+
+/// Answers reads of the tables.
+async fn answer(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    transfers: Arc<Mutex<Vec<Transfer>>>,
+    call: Call,
+    progress: Progress,
+) -> Result<Reply, PlatformError> {
+    let (table, after, wait) = read_of(call)?;
+    let is_operators = table == OPERATOR_TABLE;
+    let deadline = Instant::now() + wait;
+    let mut next = scenario.changes.iter().enumerate();
+    let next = next.find(|(idx, _)| is_operators && position_of(idx + 1) > after && after > 0);
+    let next = next.map_or(deadline, |(_, at)| started + *at);
+    sleep_until(next.min(deadline)).await;
+    if scenario
+        .outage
+        .is_some_and(|from| started.elapsed() >= from)
+    {
+        pending::<()>().await;
+    }
+    let version = if is_operators {
+        scenario.version_at(started.elapsed())
+    } else {
+        0
+    };
+    let position = position_of(version);
+    if position <= after {
+        progress.add(1);
+        let latest = position + scenario.rise_at(started.elapsed());
+        return Ok(Reply::Changes(Vec::new(), latest));
+    }
+    if after > 0 {
+        let transfer = transfers.lock().unwrap().pop();
+        let transfer = transfer.unwrap_or(Transfer::Lost);
+        transfer.transmit(&progress).await?;
+    }
+    let row = Change {
+        row: "config".to_owned(),
+        value: Some(version.to_string()),
+        at: position,
+    };
+    Ok(Reply::Changes(vec![row], position))
+}
+
+fn config() -> Config {
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets: BTreeMap::new(),
+        cold: None,
+    };
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    Config {
+        services: BTreeMap::from([("board".into(), service)]),
+        workspaces: BTreeMap::from([("gym".into(), Workspace::default())]).into(),
+        keys: BTreeMap::from([("k".into(), key)]).into(),
+        ..Config::default()
+    }
+}
+
+/// Returns an instance that is alive until `end`, at no address for other instances.
+fn member(id: &InstanceId, end: Duration) -> FleetMember {
+    let mut membership = Membership::new(RUN_TIME, RUN_TIME);
+    let entry = ListEntry {
+        id: id.clone(),
+        domain: "d".into(),
+        is_leaving: false,
+    };
+    membership.on_list(Time::ZERO, &[entry]);
+    membership.on_heartbeat(
+        Time::ZERO,
+        &Heartbeat {
+            id: id.clone(),
+            incarnation: Incarnation(1),
+            domain: "d".into(),
+            is_leaving: false,
+            version: 0,
+            confirmation_age: None,
+        },
+    );
+    FleetMember {
+        alive_until: Time::ZERO + end,
+        entry: Some(SocketAddr::from(([127, 0, 0, 1], 2))),
+        incarnation: Some(Incarnation(1)),
+        ..FleetMember::new(&membership.members()[id], None)
+    }
+}
+
+pub(crate) fn reporter_id(idx: usize) -> InstanceId {
+    format!("i{idx}").as_str().into()
+}
+
+/// Sends an instance's heartbeats.
+async fn report(
+    started: Instant,
+    scenario: Arc<Scenario>,
+    idx: usize,
+    follower: mpsc::Sender<FollowerMessage>,
+) {
+    let reporter = scenario.reporters[idx];
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ idx as u64);
+    let mut delivered = 0;
+    for (at, is_repeat) in sending_times(&scenario, reporter) {
+        sleep_until(started + at).await;
+        if scenario.others_end.is_some_and(|end| at >= end) {
+            return;
+        }
+        let had = at.checked_sub(reporter.reads_after);
+        let version = had.map_or(0, |at| scenario.version_at(at));
+        let position = scenario.lost_position.unwrap_or(position_of(version));
+        let position = position + scenario.rise_at(at);
+        if is_repeat && delivered >= position {
+            continue;
+        }
+        let message = FollowerMessage::PeerPositions {
+            from: reporter_id(idx),
+            positions: vec![position, 1],
+            confirmed_at: None,
+        };
+        if rng.random_range(0.0..1.0) >= reporter.loss {
+            delivered = position;
+            if follower.send(message).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns when an instance sends heartbeats, and whether they repeat news: regularly, and at once and twice more when
+/// it has read a version, among so few that news goes to all.
+fn sending_times(scenario: &Scenario, reporter: Reporter) -> Vec<(Duration, bool)> {
+    const NEWS_RECEIVERS: usize = 6;
+    /// Times after the read at which news arrives, with its way.
+    const NEWS_MS: [(u64, bool); 3] = [(25, false), (125, true), (225, true)];
+    let count = RUN_TIME.div_duration_f64(HEARTBEAT_INTERVAL) as u32;
+    let regular = (0..count).map(|number| (reporter.phase + HEARTBEAT_INTERVAL * number, false));
+    let mut times: Vec<_> = regular.collect();
+    if scenario.reporters.len() <= NEWS_RECEIVERS {
+        for change in &scenario.changes {
+            let read_at = *change + reporter.reads_after;
+            let news =
+                NEWS_MS.map(|(ms, is_repeat)| (read_at + Duration::from_millis(ms), is_repeat));
+            times.extend(news);
+        }
+    }
+    times.sort();
+    times
+}
+
+pub(crate) fn run(scenario: &Scenario) -> Vec<Decided> {
+    run_paused(play(Arc::new(scenario.clone())))
+}
+
+/// A follower and the engine that decides by what it reads.
+pub(crate) struct Node {
+    pub(crate) follower: mpsc::Sender<FollowerMessage>,
+    /// What it tells the task that sends heartbeats.
+    pub(crate) told: mpsc::Receiver<PeerCommand>,
+    engine: mpsc::UnboundedSender<Event>,
+    view: watch::Receiver<Arc<View>>,
+    /// Versions that have come into force.
+    versions: Arc<Mutex<Vec<usize>>>,
+    _fleet: watch::Sender<Arc<Fleet>>,
+}
+
+impl Node {
+    /// Starts an instance beside others that are alive until `end`.
+    pub(crate) fn start<I>(
+        scenario: &Scenario,
+        clock: Clock,
+        platform: Platform,
+        others: I,
+        end: Duration,
+    ) -> Self
+    where
+        I: IntoIterator<Item = InstanceId>,
+    {
+        let versions = Arc::new(Mutex::new(Vec::new()));
+        let composed = versions.clone();
+        let compose = move |replicas: &[&Replica]| {
+            let mut rows = replicas[0].rows();
+            let version = rows.find_map(|(_, row)| row.value.parse().ok())?;
+            composed.lock().unwrap().push(version);
+            Some(ComposedConfig {
+                version: version as u64,
+                config: config(),
+            })
+        };
+        let others = others.into_iter();
+        let fleet = Fleet {
+            members: others.map(|id| (id.clone(), member(&id, end))).collect(),
+            ..Fleet::default()
+        };
+        let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
+        let (engine, engine_rx) = mpsc::unbounded_channel();
+        let (peers, told) = mpsc::channel(64);
+        let (view, view_rx) = watch::channel(Arc::new(View::default()));
+        let (snapshots, _) = watch::channel(Arc::default());
+        let (tx, rx) = mpsc::channel(64);
+        let follower = TableFollower::new(
+            FollowerOptions {
+                apply: scenario.apply,
+                read_timing: ReadTiming::within(scenario.contact),
+                ..options(clock, platform, fleet)
+            },
+            Outputs {
+                engine: engine.clone(),
+                peers,
+                view,
+            },
+            FollowedTables {
+                tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+                compose,
+            },
+            snapshots,
+        );
+        tokio::spawn(start_engine(clock, &engine).run(engine_rx));
+        tokio::spawn(follower.run(rx));
+        Self {
+            follower: tx,
+            told,
+            engine,
+            view: view_rx,
+            versions,
+            _fleet: fleet_tx,
+        }
+    }
+
+    /// Sends requests until [`RUN_TIME`] is over, and returns what became of them.
+    pub(crate) async fn decide(&self, started: Instant) -> Vec<Decided> {
+        let mut decided = Vec::new();
+        while started.elapsed() < RUN_TIME {
+            sleep(ARRIVAL_INTERVAL).await;
+            let at = started.elapsed();
+            let in_force = self.versions.lock().unwrap().last().copied();
+            let named = self.view.borrow().entries.clone().into_iter();
+            let named = named.map(|entry| entry.instance).collect();
+            let outcome = arrive(&self.engine, decided.len() as u64).await;
+            let versions = self.versions.lock().unwrap();
+            decided.push(Decided {
+                at,
+                outcome: outcome.map(|revision| versions[revision as usize - 1]),
+                in_force: in_force.unwrap_or(0),
+                named,
+            });
+        }
+        decided
+    }
+}
+
+/// Returns a store whose answers that bring versions are transmitted as `transfers` say, one after the other.
+pub(crate) fn store(
+    started: Instant,
+    scenario: &Arc<Scenario>,
+    mut transfers: Vec<Transfer>,
+) -> Platform {
+    transfers.reverse();
+    let transfers = Arc::new(Mutex::new(transfers));
+    let scenario = scenario.clone();
+    Platform::spawn(move || {
+        let (scenario, transfers) = (scenario.clone(), transfers.clone());
+        move |call, progress| answer(started, scenario.clone(), transfers.clone(), call, progress)
+    })
+}
+
+async fn play(scenario: Arc<Scenario>) -> Vec<Decided> {
+    let (started, clock) = (Instant::now(), Clock::start());
+    let platform = store(started, &scenario, scenario.transfers.clone());
+    let end = scenario.others_end.unwrap_or(RUN_TIME);
+    let ids = (0..scenario.reporters.len()).map(reporter_id);
+    let node = Node::start(&scenario, clock, platform, ids, end);
+    for idx in 0..scenario.reporters.len() {
+        let follower = node.follower.clone();
+        tokio::spawn(report(started, scenario.clone(), idx, follower));
+    }
+    node.decide(started).await
+}
+
+/// Sends a request, and returns the revision that allows it, or why it is refused.
+async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64) -> Result<u64, String> {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let arrival = Arrival {
+        id: RequestId(id),
+        api_key: Some(KEY.to_owned()),
+        service: "board".into(),
+        path: "/x".to_owned(),
+        host: "h".to_owned(),
+        full_path: "/board/x".to_owned(),
+        affinity: None,
+        kind: RequestKind::Idempotent,
+        fingerprint: id,
+        timeout: None,
+        awaits_dispatch: true,
+        tx,
+    };
+    engine.send(Event::RequestArrived(arrival)).unwrap();
+    let outcome = loop {
+        match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
+            Decision::Resolved(info) => break Ok(info.config.revision),
+            Decision::Refuse(refusal) => break Err(refusal.kind.to_string()),
+            _ => {}
+        }
+    };
+    engine.send(Event::Cancel(RequestId(id))).unwrap();
+    outcome
+}
