fix(daemon,coord): what is known of a change is reported, and dated by when it was known

What callers saw (as far as shown): an instance that the store turns away, which counts as in touch, decides by an older version later than configApplyS after the acknowledgement (CONFIG, and HOME where homes moved).

Cause: heartbeats told what instances have. While a version was arriving at those that read the store, nobody told of it; a report then counted from when the follower handled it, and two thirds of configApplyS were granted from there.

Change: a heartbeat (format 7) reports the latest change that its sender knows at first hand, by the position of the change or, while it is arriving, of the rows that it follows, with the time for which it has been known, and how long ago the acknowledged heartbeat came, so that the receiver dates it no later than it was and hardly earlier. A receiver lacks a change that is arriving elsewhere if it has none after those rows, whatever its counter. coord::PositionTimes keeps the earliest dates. With true dates the part of configApplyS for which an instance goes on is three quarters instead of two thirds; another instance is left out of look-ups as before.

Ruled out: a date for undated heartbeats (an instance of which nothing is acknowledged hears of no live holder either); retelling what others told (two instances would hold each other behind for ever); comparing positions of the store's counter for a change that is arriving (half of the instances are ahead of the reporter's last poll).

Tests changed: the models of other instances report changes as the real ones do; formats: the cases of format 6 are added, cut departures are cut three bytes further, a heartbeat without its last fields lacks three bytes more; departures to the build before: that build is format 5, as the case's name says now, and one of format 6 is told.

--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -25,35 +25,49 @@
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PositionTimes {
-    /// Positions, rising with their times.
+    /// Positions, rising with the times since which they have been known.
     times: Vec<KnownPosition>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct KnownPosition {
     position: u64,
-    /// Time at which it, or one that was merged with it, became known.
+    /// Time since which it, or one that was merged with it, has been known.
     since: Time,
-    /// Time at which it became known itself.
+    /// Time at which it was recorded.
     at: Time,
 }
 
 impl PositionTimes {
     /// Records that `position` is known at `now`.
     pub fn record(&mut self, now: Time, position: u64) {
-        if self.latest().is_some_and(|latest| position <= latest) {
+        self.record_since(now, now, position);
+    }
+
+    /// Records at `now` that `position` has been known since `since`.
+    pub fn record_since(&mut self, now: Time, since: Time, position: u64) {
+        let mut known = self.times.iter();
+        if known.any(|known| known.position >= position && known.since <= since) {
             return;
         }
-        match self.times.last_mut() {
-            Some(latest) if now - latest.since < RESOLUTION => {
-                latest.position = position;
-                latest.at = now;
+        self.times
+            .retain(|known| known.position > position || known.since < since);
+        let idx = self
+            .times
+            .partition_point(|known| known.position < position);
+        match self.times[..idx].last_mut() {
+            Some(before) if since - before.since < RESOLUTION => {
+                before.position = position;
+                before.at = now;
             }
-            _ => self.times.push(KnownPosition {
-                position,
-                since: now,
-                at: now,
-            }),
+            _ => self.times.insert(
+                idx,
+                KnownPosition {
+                    position,
+                    since,
+                    at: now,
+                },
+            ),
         }
         if self.times.len() > MAX_TIMES {
             let oldest = self.times.remove(0);
@@ -77,19 +91,27 @@
         self.times.retain(|known| known.position > position);
     }
 
-    /// Forgets what became known before `time`, and returns the latest of it.
+    /// Forgets what was recorded before `time`, and returns the latest of it.
     fn forget_before(&mut self, time: Time) -> Option<u64> {
-        let count = self.times.partition_point(|known| known.at < time);
-        self.times
-            .drain(..count)
-            .next_back()
-            .map(|known| known.position)
+        let forgotten = self.times.iter().filter(|known| known.at < time);
+        let latest = forgotten.map(|known| known.position).max();
+        self.times.retain(|known| known.at >= time);
+        latest
     }
 }
 
+/// A change of a state of which an instance knows, whether or not it has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownChange {
+    /// Position of the change, or one that the change has passed.
+    pub position: u64,
+    /// Time since which it has been known that there is such a change.
+    pub since: Time,
+}
+
 /// Tells since when an instance has known that its copy of a state is not the latest.
 ///
-/// Others report their positions, and an own read whose answer has begun to arrive brings a later one. A
+/// Others report the changes that they know, and an own read whose answer has begun to arrive brings a later one. A
 /// series of versions doesn't restart the time: it counts from the first one that the own copy lacks. An
 /// own read that was sent after a report and brings a lower position shows that the state has gone back:
 /// there is nothing to wait for.
@@ -98,15 +120,16 @@
 ///
 /// ```
 /// use base::Time;
-/// use coord::Lag;
+/// use coord::{KnownChange, Lag};
 ///
 /// let mut lag = Lag::default();
-/// lag.on_report(Time::from_secs(1), 7);
-/// lag.on_report(Time::from_secs(2), 9);
+/// let change = |position, since| KnownChange { position, since };
+/// lag.on_report(Time::from_secs(1), change(7, Time::from_secs(1)));
+/// lag.on_report(Time::from_secs(3), change(9, Time::from_secs(2)));
 /// lag.on_position(8);
 /// assert_eq!(lag.behind_since(true), Some(Time::from_secs(2)));
 /// assert_eq!(lag.behind_since(false), None);
-/// lag.on_read(Time::from_secs(3), 8);
+/// lag.on_read(Time::from_secs(4), 8);
 /// assert_eq!(lag.behind_since(true), None);
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -122,10 +145,11 @@
 }
 
 impl Lag {
-    /// Records that another instance has the state at `position`.
-    pub fn on_report(&mut self, now: Time, position: u64) {
-        if position > self.position.max(self.gone_to) {
-            self.later.record(now, position);
+    /// Records what another instance knows of the state.
+    pub fn on_report(&mut self, now: Time, change: KnownChange) {
+        if change.position > self.position.max(self.gone_to) {
+            let since = change.since.min(now);
+            self.later.record_since(now, since, change.position);
         }
     }
 
@@ -167,9 +191,15 @@
         reported.into_iter().chain(self.arriving_since).min()
     }
 
-    /// Returns whether an answer is arriving.
-    pub fn is_arriving(&self) -> bool {
-        self.arriving_since.is_some()
+    /// Returns since when an answer has been arriving.
+    pub fn arriving_since(&self) -> Option<Time> {
+        self.arriving_since
+    }
+
+    /// Returns since when a change at `position` or a later one has been known.
+    pub fn known_since(&self, position: u64) -> Option<Time> {
+        let reported = self.later.first_after(position.saturating_sub(1));
+        reported.into_iter().chain(self.arriving_since).min()
     }
 
     /// Returns the latest position that others have reported and the own copy lacks.
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -60,6 +60,8 @@
     snapshot: TableSnapshot,
     /// Position up to which rows may have changed; from there to the own position, none has.
     changed_at: u64,
+    /// Position of the last change of a row that has been seen.
+    last_change: u64,
     is_initialized: bool,
     /// Deleted rows that are retained until a time.
     retained: BTreeMap<String, (ReplicaRow, Time)>,
@@ -88,6 +90,7 @@
         Self {
             snapshot: TableSnapshot::default(),
             changed_at: 0,
+            last_change: 0,
             is_initialized: false,
             retained: BTreeMap::new(),
             grace_period,
@@ -114,6 +117,12 @@
         self.changed_at
     }
 
+    /// Returns the position of the last change that is known to have happened: unlike [`Self::changed_at`], it doesn't
+    /// rise with the position of a whole table.
+    pub fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
     /// Returns the rows with their names, retained rows included.
     pub fn rows(&self) -> impl Iterator<Item = (&str, &ReplicaRow)> {
         let retained = self.retained.iter().map(|(name, (row, _))| (name, row));
@@ -160,6 +169,7 @@
             .filter(|change| change.position > own_position)
         {
             self.changed_at = self.changed_at.max(change.position);
+            self.last_change = self.last_change.max(change.position);
             let value = change.value.map(Arc::from);
             is_changed |= self.apply_change(now, change.name, value, change.position);
         }
@@ -186,6 +196,8 @@
         for name in deleted {
             self.remove(now, &name);
         }
+        let positions = snapshot.rows.values().map(|row| row.position);
+        self.last_change = positions.fold(self.last_change, u64::max);
         for (name, found) in snapshot.rows {
             is_changed |= self.apply_change(now, name, Some(found.value), found.position);
         }
--- a/crates/coord/tests/lag.rs
+++ b/crates/coord/tests/lag.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Time;
-use coord::{Lag, PositionTimes};
+use coord::{KnownChange, Lag, PositionTimes};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -15,6 +15,15 @@
     Time::from_millis(ms)
 }
 
+/// Reports a change that becomes known at this moment.
+fn report(lag: &mut Lag, now: Time, position: u64) {
+    let change = KnownChange {
+        position,
+        since: now,
+    };
+    lag.on_report(now, change);
+}
+
 /// Guards against CONFIG: each version of a series began the time anew at which an instance knew that it
 /// was behind.
 #[test]
@@ -22,7 +31,7 @@
     for step_ms in [1, 50, 100, 300, 1_000] {
         let mut lag = Lag::default();
         for number in 1..1_000 {
-            lag.on_report(at(number * step_ms), number);
+            report(&mut lag, at(number * step_ms), number);
         }
         assert_eq!(lag.behind_since(true), Some(at(step_ms)), "{step_ms} ms");
     }
@@ -43,7 +52,7 @@
                 lag.on_position(own);
             } else {
                 let position = rng.random_range(0..100);
-                lag.on_report(at(now), position);
+                report(&mut lag, at(now), position);
                 if position > own {
                     known.push((position, at(now)));
                 }
@@ -65,20 +74,20 @@
 fn what_a_later_read_lacks_is_not_waited_for() {
     let mut lag = Lag::default();
     lag.on_position(50);
-    lag.on_report(at(1_000), 100);
+    report(&mut lag, at(1_000), 100);
     lag.on_read(at(900), 60);
     assert_eq!(lag.behind_since(true), Some(at(1_000)));
     lag.on_read(at(1_100), 61);
-    lag.on_report(at(1_500), 100);
+    report(&mut lag, at(1_500), 100);
     assert_eq!(lag.behind_since(true), None);
-    lag.on_report(at(2_000), 101);
+    report(&mut lag, at(2_000), 101);
     assert_eq!(lag.behind_since(true), Some(at(2_000)));
 }
 
 #[test]
 fn report_counts_while_the_state_can_be_had() {
     let mut lag = Lag::default();
-    lag.on_report(at(1_000), 7);
+    report(&mut lag, at(1_000), 7);
     assert_eq!(lag.behind_since(false), None);
     lag.on_arriving(at(1_400));
     assert_eq!(lag.behind_since(false), Some(at(1_000)));
@@ -98,6 +107,54 @@
     assert_eq!(lag.behind_since(true), None);
 }
 
+/// Guards against CONFIG: reports counted from when they were handled, whatever they had waited.
+#[test]
+fn drawn_dates_count_from_the_earliest_that_is_missing() {
+    for seed in SEEDS {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut lag = Lag::default();
+        let mut known: Vec<(u64, Time)> = Vec::new();
+        let (mut now, mut own) = (3_000, 0);
+        for _ in 0..24 {
+            now += rng.random_range(0..400);
+            if rng.random_range(0..3) == 0 {
+                own = rng.random_range(own..own + 30);
+                lag.on_position(own);
+            } else {
+                let position = rng.random_range(0..100);
+                let since = at(now - rng.random_range(0..3_000));
+                lag.on_report(at(now), KnownChange { position, since });
+                if position > own {
+                    known.push((position, since));
+                }
+            }
+            let missing = known.iter().filter(|(position, _)| *position > own);
+            let exact = missing.map(|(_, at)| *at).min();
+            let since = lag.behind_since(true);
+            assert_eq!(since.is_some(), exact.is_some(), "seed {seed}");
+            if let (Some(since), Some(exact)) = (since, exact) {
+                assert!(since <= exact, "seed {seed}: {since:?} for {exact:?}");
+                assert!(exact - since < RESOLUTION, "seed {seed}: {since:?}");
+            }
+        }
+    }
+}
+
+/// A report that comes after a read was sent isn't refuted by it, however old it is.
+#[test]
+fn read_refutes_only_what_was_reported_before_it_was_sent() {
+    let mut lag = Lag::default();
+    let change = KnownChange {
+        position: 100,
+        since: at(500),
+    };
+    lag.on_report(at(1_100), change);
+    lag.on_read(at(1_000), 60);
+    assert_eq!(lag.behind_since(true), Some(at(500)));
+    lag.on_read(at(1_200), 61);
+    assert_eq!(lag.behind_since(true), None);
+}
+
 /// Positions that are forgotten keep the time of the first.
 #[test]
 fn many_positions_take_bounded_memory() {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -29,7 +29,7 @@
 use super::{FollowerOptions, Outputs};
 use crate::{
     fleet::FleetMember,
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
@@ -92,10 +92,18 @@
     version: u64,
     revision: u64,
     is_leaving: bool,
-    last_sent: Option<(Vec<u64>, Option<Time>)>,
+    last_sent: Option<Sent>,
     peer_confirmed_at: Option<Time>,
 }
 
+/// What the task that sends heartbeats was told last.
+#[derive(Debug, Clone, PartialEq)]
+struct Sent {
+    positions: Vec<u64>,
+    confirmed_at: Option<Time>,
+    change: Option<TableChange>,
+}
+
 /// What led to another configuration.
 #[derive(Debug)]
 struct News {
@@ -213,13 +221,14 @@
                 from,
                 positions,
                 confirmed_at,
+                change,
             } => {
                 let mut reported = self.tables.iter().zip(&positions);
                 let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
                 // Most heartbeats bring no news, so the rank is worked out only for those that do.
                 let rank = (!is_up_to_date).then(|| self.fetch_rank(&from));
                 if let Some(position) = positions.first() {
-                    self.lateness.on_report(now, &from, *position);
+                    self.lateness.on_report(now, &from, *position, change);
                 }
                 if let Some(position) = positions.get(TARGETS) {
                     self.targets_lag.on_report(now, *position);
@@ -320,11 +329,10 @@
             table.parts.on_position();
         }
         if idx == 0 {
+            self.lateness.on_replica(now, &table.replica);
             if let Some((sent_at, position)) = read_at {
                 self.lateness.on_read(sent_at, position);
             }
-            let changed_at = table.replica.changed_at();
-            self.lateness.on_position(now, position, changed_at);
         }
         if idx == TARGETS {
             if let Some((sent_at, read_position)) = read_at {
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Config, TargetId, Time};
-use coord::{Departure, Departures, Lag, Replica, ReportedDepartures};
+use coord::{Departure, Departures, KnownChange, Lag, Replica, ReportedDepartures};
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
 
@@ -29,7 +29,11 @@
 impl TargetsLag {
     /// Records the position that another instance reports.
     pub(super) fn on_report(&mut self, now: Time, position: u64) {
-        self.lag.on_report(now, position);
+        let change = KnownChange {
+            position,
+            since: now,
+        };
+        self.lag.on_report(now, change);
     }
 
     /// Records that a read that was sent at `sent_at` has brought `position`.
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -3,26 +3,35 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{InstanceId, Time};
-use coord::{Lag, PositionTimes};
+use coord::{KnownChange, Lag, PositionTimes, Replica};
 use entry::message::ConfigLag;
 
 use crate::{
     fleet::Fleet,
+    message::TableChange,
     table_logs::{Behind, log_behind, log_caught_up},
 };
 
 /// Fraction of the time within which a change must be in force for which an instance that knows of a
-/// later version decides by its own; the rest is for the way of that knowledge.
-const KNOWN_FRACTION: f64 = 2.0 / 3.0;
+/// later version decides by its own; the rest is for the way to the first one that knows of it.
+const KNOWN_FRACTION: f64 = 0.75;
+/// The same fraction for another instance, which is left out of look-ups after it: what it has comes by heartbeats.
+const OTHERS_FRACTION: f64 = 2.0 / 3.0;
 /// Delay after which callers may come back where another instance is likely to serve them at once.
 const ELSEWHERE_DELAY: Duration = Duration::from_millis(10);
 /// Minimum and maximum delay after which callers may come back where most instances are behind.
 const WAIT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 
-/// The last position that another instance has reported.
+/// Time for which an answer must have been arriving to be reported as a change: one that brings nothing new has
+/// ended before.
+const MIN_ARRIVAL: Duration = Duration::from_millis(100);
+
+/// The last that another instance has reported.
 #[derive(Debug, Clone, Copy)]
 struct Report {
     position: u64,
+    /// The latest change that it knows.
+    change: Option<TableChange>,
     received_at: Time,
 }
 
@@ -31,12 +40,16 @@
 pub(super) struct Lateness {
     /// Time for which an instance that knows of a later version decides by its own.
     limit: Duration,
+    /// Time for which another instance may report an older version than the own one.
+    others_limit: Duration,
     lag: Lag,
     own_position: u64,
     /// Time at which the own position rose last.
     advanced_at: Time,
     /// Times of the own changes.
     own_changes: PositionTimes,
+    /// The latest change that the own rows have, and since when it has been known.
+    own_change: Option<TableChange>,
     /// Whether the store has answered from before the own position.
     is_store_older: bool,
     /// Since when a later version has been known.
@@ -54,10 +67,12 @@
     pub(super) fn within(apply: Duration) -> Self {
         Self {
             limit: apply.mul_f64(KNOWN_FRACTION),
+            others_limit: apply.mul_f64(OTHERS_FRACTION),
             lag: Lag::default(),
             own_position: 0,
             advanced_at: Time::ZERO,
             own_changes: PositionTimes::default(),
+            own_change: None,
             is_store_older: false,
             behind_since: None,
             last_wait: Duration::ZERO,
@@ -66,11 +81,26 @@
         }
     }
 
-    /// Records the position that another instance reports.
-    pub(super) fn on_report(&mut self, now: Time, from: &InstanceId, position: u64) {
-        self.lag.on_report(now, position);
+    /// Records the position that another instance reports, and the change that it knows.
+    pub(super) fn on_report(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        position: u64,
+        change: Option<TableChange>,
+    ) {
+        if let Some(change) = change.filter(|change| self.lacks(change)) {
+            let position = if change.is_arriving {
+                self.own_position + 1
+            } else {
+                change.position
+            };
+            let since = change.since;
+            self.lag.on_report(now, KnownChange { position, since });
+        }
         let report = Report {
             position,
+            change,
             received_at: now,
         };
         self.reported.insert(from.clone(), report);
@@ -100,27 +130,49 @@
         self.lag.on_read(sent_at, position);
     }
 
-    /// Records the position of the own copy, and from which on no row of it has changed.
-    pub(super) fn on_position(&mut self, now: Time, position: u64, changed_at: u64) {
+    /// Records the own copy.
+    pub(super) fn on_replica(&mut self, now: Time, replica: &Replica) {
+        let (position, last_change) = (replica.position(), replica.last_change());
+        if self
+            .own_change
+            .is_none_or(|change| change.position < last_change)
+        {
+            let since = self.lag.known_since(last_change);
+            self.own_change = Some(TableChange::complete(last_change, since.unwrap_or(now)));
+        }
         if position > self.own_position {
             self.own_position = position;
             self.advanced_at = now;
         }
-        self.own_changes.record(now, changed_at);
+        self.own_changes.record(now, replica.changed_at());
         self.lag.on_position(position);
     }
 
+    /// Returns the latest change of which this instance knows at first hand: one that is still arriving, or the last
+    /// one that its rows have.
+    pub(super) fn known_change(&self, now: Time) -> Option<TableChange> {
+        let arriving_since = self.lag.arriving_since();
+        let arriving_since = arriving_since.filter(|since| now - *since >= MIN_ARRIVAL);
+        arriving_since
+            .map(|since| TableChange::arriving_after(self.own_position, since))
+            .or(self.own_change)
+    }
+
     /// Works out since when a later version has been known that can be had, and returns until when the own one
     /// may decide. The begin and the end of the time after that are logged.
     pub(super) fn assess(&mut self, now: Time, fleet: &Fleet) -> ConfigLag {
         self.reported.retain(|id, _| fleet.members.contains_key(id));
-        let holders = self.holders(now, fleet);
-        let since = self.lag.behind_since(holders > 0);
+        let later: Vec<Report> = self.later_reports(now, fleet).copied().collect();
+        let is_arriving = |report: &&Report| report.change.is_some_and(|change| change.is_arriving);
+        let receivers = later.iter().filter(is_arriving).count();
+        let holders = later.len() - receivers;
+        let since = self.lag.behind_since(!later.is_empty());
         let behind = Behind {
             known_position: self.lag.latest_report(),
             own_position: self.own_position,
             holders,
-            is_arriving: self.lag.is_arriving(),
+            receivers,
+            is_arriving: self.lag.arriving_since().is_some(),
         };
         let is_over = since.is_some_and(|since| now - since >= self.limit);
         if is_over && !self.is_logged {
@@ -156,7 +208,7 @@
         let known = self.reported.get(id).filter(|report| report.position > 0);
         let is_late = known.is_some_and(|report| {
             let later_at = self.own_changes.first_after(report.position);
-            later_at.is_some_and(|at| report.received_at - at >= self.limit)
+            later_at.is_some_and(|at| report.received_at - at >= self.others_limit)
         });
         is_late && !self.is_store_older
     }
@@ -175,11 +227,30 @@
         self.last_wait.saturating_sub(waited).clamp(min, max)
     }
 
-    /// Returns the number of live instances that have reported a later position than the own one.
-    fn holders(&self, now: Time, fleet: &Fleet) -> usize {
-        let later = self.reported.iter();
-        let later = later.filter(|(_, report)| report.position > self.own_position);
-        let is_alive = |id: &InstanceId| fleet.members.get(id).is_some_and(|one| one.is_alive(now));
-        later.filter(|(id, _)| is_alive(id)).count()
+    /// Returns whether the own rows lack a change that another instance knows. One that is arriving there comes after
+    /// all that it follows, so it is lacking here if no change after that is known here.
+    fn lacks(&self, change: &TableChange) -> bool {
+        if change.is_arriving {
+            let own = self.own_change.map_or(0, |own| own.position);
+            own <= change.position
+        } else {
+            change.position > self.own_position
+        }
+    }
+
+    /// Goes through what live instances have reported last that know of a later change than the own copy has.
+    fn later_reports<'a>(
+        &'a self,
+        now: Time,
+        fleet: &'a Fleet,
+    ) -> impl Iterator<Item = &'a Report> {
+        let reported = self.reported.iter();
+        let later = reported.filter(|(_, report)| {
+            let change = report.change.as_ref();
+            change.is_some_and(|change| self.lacks(change))
+        });
+        let is_alive = move |id| fleet.members.get(id).is_some_and(|one| one.is_alive(now));
+        let live = later.filter(move |(id, _)| is_alive(*id));
+        live.map(|(_, report)| report)
     }
 }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -7,7 +7,7 @@
 use coord::{Freshness, Replica};
 use entry::{message::Event, view::View};
 
-use super::{ComposedConfig, News, TableFollower, departures::TARGETS};
+use super::{ComposedConfig, News, Sent, TableFollower, departures::TARGETS};
 use crate::{
     entry_points::{entry_points, preferred},
     fleet::Fleet,
@@ -155,11 +155,16 @@
             .collect();
         self.hand_out_tables(&positions);
         self.tell_departures(now);
-        let current = (positions, confirmed_at);
+        let current = Sent {
+            positions,
+            confirmed_at,
+            change: self.lateness.known_change(now),
+        };
         if self.last_sent.as_ref() != Some(&current) {
             let command = PeerCommand::SetTablePositions {
-                positions: current.0.clone(),
-                confirmed_at: current.1,
+                positions: current.positions.clone(),
+                confirmed_at: current.confirmed_at,
+                change: current.change,
             };
             // What finds no room is told with a later refresh; nothing may hold up the next read.
             if self.outputs.peers.try_send(command).is_ok() {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between instances and between the daemon's tasks.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan};
@@ -79,6 +79,52 @@
     pub build: String,
     /// Targets that have left by rows that the receiver lacks, as far as the sender knows.
     pub departures: Vec<Departure>,
+    /// The latest change of the first table of which the sender knows.
+    pub change: Option<ChangeReport>,
+    /// Time from the arrival of the heartbeat that `ack` names to the sending of this one.
+    pub ack_age: Duration,
+}
+
+/// Reports a change of a table of which the sender knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeReport {
+    /// Position of the change; while it is arriving, the position of the rows that it follows.
+    pub position: u64,
+    /// Whether the sender doesn't have it yet.
+    pub is_arriving: bool,
+    /// Time for which the sender has known of it.
+    pub age: Duration,
+}
+
+/// A change of the first table of which an instance knows at first hand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableChange {
+    /// Position of the change; while it is arriving, the position of the rows that it follows.
+    pub position: u64,
+    /// Whether that instance doesn't have it yet.
+    pub is_arriving: bool,
+    /// Time since which that instance has known of it.
+    pub since: Time,
+}
+
+impl TableChange {
+    /// Returns a change that an instance has, and of which it has known since `since`.
+    pub fn complete(position: u64, since: Time) -> Self {
+        Self {
+            position,
+            is_arriving: false,
+            since,
+        }
+    }
+
+    /// Returns a change that comes after the rows up to `position` and has been arriving since `since`.
+    pub fn arriving_after(position: u64, since: Time) -> Self {
+        Self {
+            position,
+            is_arriving: true,
+            since,
+        }
+    }
 }
 
 impl PeerHeartbeat {
@@ -112,6 +158,8 @@
         positions: Vec<u64>,
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
+        /// The latest change of the first table of which this instance knows at first hand.
+        change: Option<TableChange>,
     },
     /// Sets the targets that have left by rows that others may lack, the newest first.
     SetDepartures(Arc<Vec<Departure>>),
@@ -157,6 +205,8 @@
         positions: Vec<u64>,
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
+        /// The latest change of the first table of which that instance knows.
+        change: Option<TableChange>,
     },
     /// Another instance has rows by which targets have left, and this one had reported older ones.
     PeerDepartures {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -25,7 +25,7 @@
 use crate::{
     fleet::{Fleet, FleetMember},
     format::OWN_FORMAT,
-    message::{FollowerMessage, PeerCommand, PeerHeartbeat},
+    message::{FollowerMessage, PeerCommand, PeerHeartbeat, TableChange},
     owners::OwnersMessage,
 };
 
@@ -58,6 +58,8 @@
     membership: Membership,
     addrs: BTreeMap<InstanceId, SocketAddr>,
     last_heartbeats: BTreeMap<InstanceId, PeerHeartbeat>,
+    /// Times at which the last heartbeats arrived.
+    heard_at: BTreeMap<InstanceId, Time>,
     own_heartbeat: PeerHeartbeat,
     sent_heartbeats: VecDeque<(u64, Time)>,
     /// The last news, as long as it may be sent again.
@@ -65,6 +67,8 @@
     /// Incarnations of others to which heartbeats have been sent.
     introduced: BTreeMap<InstanceId, Incarnation>,
     confirmed_at: Option<Time>,
+    /// The latest change of the first table of which this instance knows at first hand.
+    known_change: Option<TableChange>,
     /// Targets that have left lately, the newest first.
     departures: Arc<Vec<Departure>>,
     /// Messages that could not be read, by sender and kind.
@@ -92,11 +96,13 @@
             membership,
             addrs: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
             own_heartbeat,
             sent_heartbeats: VecDeque::new(),
             open_news: None,
             introduced: BTreeMap::new(),
             confirmed_at: None,
+            known_change: None,
             departures: Arc::default(),
             unread: BTreeMap::new(),
             published_at: Time::ZERO,
@@ -165,10 +171,12 @@
             PeerCommand::SetTablePositions {
                 positions,
                 confirmed_at,
+                change,
             } => {
                 let is_changed = positions != self.own_heartbeat.table_positions;
                 self.own_heartbeat.table_positions = positions;
                 self.confirmed_at = confirmed_at;
+                self.known_change = change;
                 if is_changed {
                     self.send_news().await;
                 }
@@ -248,5 +256,7 @@
         format: OWN_FORMAT,
         build: env!("CARGO_PKG_VERSION").to_owned(),
         departures: Vec::new(),
+        change: None,
+        ack_age: Duration::ZERO,
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -6,8 +6,8 @@
 
 use super::Peers;
 use crate::{
-    format::{self, OWN_FORMAT, UnreadMessage},
-    message::{FollowerMessage, PeerHeartbeat, PeerMessage},
+    format::{self, FORMAT_WITHOUT_CHANGES, OWN_FORMAT, UnreadMessage},
+    message::{FollowerMessage, PeerHeartbeat, PeerMessage, TableChange},
     owners::OwnersMessage,
 };
 
@@ -147,6 +147,7 @@
         let before = self.last_heartbeats.get(from);
         let is_urgent = before.is_none_or(|before| heartbeat.is_urgent_after(before));
         self.last_heartbeats.insert(from.clone(), heartbeat);
+        self.heard_at.insert(from.clone(), self.clock.now());
         self.is_unpublished = true;
         if is_urgent {
             self.publish();
@@ -170,6 +171,7 @@
                 from: from.clone(),
                 positions: heartbeat.table_positions.clone(),
                 confirmed_at,
+                change: known_change(heartbeat, not_before),
             };
             let _ = self.outputs.follower.try_send(message);
         }
@@ -198,3 +200,18 @@
             .map(|(_, at)| *at)
     }
 }
+
+/// Returns the change that a heartbeat reports, which was sent no earlier than `not_before`. Earlier formats name the
+/// position of the sender's rows alone.
+fn known_change(heartbeat: &PeerHeartbeat, not_before: Time) -> Option<TableChange> {
+    if heartbeat.format <= FORMAT_WITHOUT_CHANGES {
+        let position = *heartbeat.table_positions.first()?;
+        return Some(TableChange::complete(position, not_before));
+    }
+    let sent_at = not_before + heartbeat.ack_age;
+    heartbeat.change.map(|change| TableChange {
+        position: change.position,
+        is_arriving: change.is_arriving,
+        since: sent_at.before(change.age),
+    })
+}
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -10,7 +10,7 @@
 use crate::{
     follower::tables::TARGETS,
     format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
-    message::{PeerHeartbeat, PeerMessage},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage},
 };
 
 /// Number of instances that are notified at once of a table's new position; the others receive it with
@@ -135,6 +135,12 @@
                 .get(to)
                 .map_or(0, |heartbeat| heartbeat.sequence),
             departures: self.departures_for(to),
+            change: self.known_change.map(|change| ChangeReport {
+                position: change.position,
+                is_arriving: change.is_arriving,
+                age: now - change.since,
+            }),
+            ack_age: self.heard_at.get(to).map_or(Duration::ZERO, |at| now - *at),
             ..self.own_heartbeat.clone()
         }))
     }
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -69,8 +69,10 @@
     /// Latest position that others have reported.
     pub(crate) known_position: Option<u64>,
     pub(crate) own_position: u64,
-    /// Number of live instances that have a later position than the own one.
+    /// Number of live instances that have a later version.
     pub(crate) holders: usize,
+    /// Number of live instances at which a later version is still arriving.
+    pub(crate) receivers: usize,
     /// Whether the answer to an own read is arriving.
     pub(crate) is_arriving: bool,
 }
@@ -84,6 +86,7 @@
         own_position = behind.own_position,
         since_ms = age_ms(now, since),
         holders = behind.holders,
+        receivers = behind.receivers,
         is_arriving = behind.is_arriving,
     );
 }
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -17,7 +17,7 @@
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::{FollowerMessage, PeerCommand},
+    message::{FollowerMessage, PeerCommand, TableChange},
     table_reads::ReadTiming,
 };
 use dispatch::{RequestId, RequestKind};
@@ -208,6 +208,9 @@
         value: Some(version.to_string()),
         at: position,
     };
+    // A first read has the latest position of all tables.
+    let is_first = u64::from(after == 0);
+    let position = position + is_first * scenario.rise_at(started.elapsed());
     Ok(Reply::Changes(vec![row], position))
 }
 
@@ -281,8 +284,10 @@
         }
         let had = at.checked_sub(reporter.reads_after);
         let version = had.map_or(0, |at| scenario.version_at(at));
-        let position = scenario.lost_position.unwrap_or(position_of(version));
-        let position = position + scenario.rise_at(at);
+        let changed_at = scenario.lost_position.unwrap_or(position_of(version));
+        let position = changed_at + scenario.rise_at(at);
+        let change = version.checked_sub(1).map(|idx| scenario.changes[idx]);
+        let known_since = change.map_or(Duration::ZERO, |change| change + reporter.reads_after);
         if is_repeat && delivered >= position {
             continue;
         }
@@ -290,6 +295,7 @@
             from: reporter_id(idx),
             positions: vec![position, 1],
             confirmed_at: None,
+            change: Some(TableChange::complete(changed_at, Time::ZERO + known_since)),
         };
         if rng.random_range(0.0..1.0) >= reporter.loss {
             delivered = position;
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -15,7 +15,9 @@
 
 use crate::{
     call::read_of,
-    model::{Decided, HEARTBEAT_INTERVAL, Node, RUN_TIME, Scenario, reporter_id, store},
+    model::{
+        Decided, HEARTBEAT_INTERVAL, Node, RUN_TIME, Scenario, position_of, reporter_id, store,
+    },
     paused::run_paused,
     transfer::Transfer,
 };
@@ -81,9 +83,9 @@
     loop {
         let is_news = tokio::select! {
             command = told.recv() => match command {
-                Some(PeerCommand::SetTablePositions { positions, .. }) => {
-                    let is_news = last.as_ref() != Some(&positions);
-                    last = Some(positions);
+                Some(PeerCommand::SetTablePositions { positions, change, .. }) => {
+                    let is_news = last.as_ref().is_none_or(|(before, _)| *before != positions);
+                    last = Some((positions, change));
                     is_news
                 }
                 Some(_) => false,
@@ -94,13 +96,14 @@
                 true
             }
         };
-        let Some(positions) = last.clone().filter(|_| is_news) else {
+        let Some((positions, change)) = last.clone().filter(|_| is_news) else {
             continue;
         };
         let message = FollowerMessage::PeerPositions {
             from: from.clone(),
             positions,
             confirmed_at: None,
+            change,
         };
         let follower = follower.clone();
         tokio::spawn(async move {
@@ -140,3 +143,32 @@
     let late: Vec<(u64, usize)> = late.collect();
     assert!(late.is_empty(), "{} seeds: {late:?}", late.len());
 }
+
+/// Guards against refusals for nothing: an instance that starts reported the position of its first read, which rows of
+/// other tables have raised, as that of a change.
+#[test]
+fn instance_that_starts_reports_the_change_that_its_rows_have() {
+    let scenario = Scenario {
+        others_start: Some(Duration::ZERO),
+        ..Scenario::calm()
+    };
+    let told = run_paused(async move {
+        let (started, clock) = (Instant::now(), Clock::start());
+        let scenario = Arc::new(scenario);
+        let platform = store(started, &scenario, Vec::new());
+        let mut node = Node::start(&scenario, clock, platform, [], RUN_TIME);
+        loop {
+            let command = node.told.recv().await.unwrap();
+            if let PeerCommand::SetTablePositions {
+                positions, change, ..
+            } = command
+                && positions[0] > 0
+            {
+                return (positions[0], change);
+            }
+        }
+    });
+    let (position, change) = told;
+    assert_eq!(position, position_of(0) + 1);
+    assert_eq!(change.map(|change| change.position), Some(position_of(0)));
+}
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -27,7 +27,7 @@
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::{FollowerMessage, PeerCommand},
+    message::{FollowerMessage, PeerCommand, TableChange},
     table_reads::ReadTiming,
 };
 use entry::{
@@ -321,6 +321,7 @@
 struct Told {
     positions: Vec<u64>,
     confirmed_at: Option<Time>,
+    change: Option<TableChange>,
     departures: Arc<Vec<Departure>>,
 }
 
@@ -382,7 +383,9 @@
                 PeerCommand::SetTablePositions {
                     positions,
                     confirmed_at,
+                    change,
                 } => {
+                    told.change = change;
                     told.positions = positions;
                     told.confirmed_at = confirmed_at;
                 }
@@ -444,6 +447,7 @@
         from: from.clone(),
         positions: source.positions.clone(),
         confirmed_at: source.confirmed_at,
+        change: source.change,
     };
     let departures =
         (!departures.is_empty()).then_some(FollowerMessage::PeerDepartures { from, departures });
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -13,7 +13,7 @@
         Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
 };
 use entry::view::{Clock, View};
 use options::options;
@@ -75,6 +75,7 @@
             from: format!("i{idx}").as_str().into(),
             positions: vec![5, 5],
             confirmed_at: None,
+            change: Some(TableChange::complete(5, Time::ZERO)),
         };
         tx.send(report).await.unwrap();
     }
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -12,7 +12,7 @@
 use coord::Departure;
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
-    message::{PeerHeartbeat, PeerMessage},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage},
     rpc::{Call, Opening, Reply},
 };
 use dispatch::{Hold, QuarantineReport, RateReport};
@@ -47,6 +47,8 @@
 const FORMAT_WITH_PARTS: u32 = 5;
 /// First format whose heartbeats tell of departures.
 const FORMAT_WITH_DEPARTURES: u32 = 6;
+/// First format whose heartbeats report changes that are known.
+const FORMAT_WITH_CHANGES: u32 = 7;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -84,6 +86,18 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns a heartbeat that reports a change whose rows are still arriving.
+fn change() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.change = Some(ChangeReport {
+        position: 70_000,
+        is_arriving: true,
+        age: Duration::from_millis(1_310),
+    });
+    heartbeat.ack_age = Duration::from_millis(480);
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -101,7 +115,11 @@
 fn format_has_samples() {
     let mut lines = samples::encoded();
     let others = quarantines().into_iter().chain([("rates", rates())]);
-    let others = others.chain([("heartbeat-departure", departure())]);
+    let heartbeats = [
+        ("heartbeat-departure", departure()),
+        ("heartbeat-change", change()),
+    ];
+    let others = others.chain(heartbeats);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
     for (name, bytes) in others.chain([("frame", frame())]) {
         let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
@@ -123,6 +141,7 @@
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
 #[case::without_departures(5)]
+#[case::without_changes(6)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -154,7 +173,15 @@
     }
     if format >= FORMAT_WITH_DEPARTURES {
         let read = decode(&sample(format, "heartbeat-departure"), None);
-        assert_eq!(read, Ok(departure()));
+        let PeerMessage::Heartbeat(mut expected) = departure() else {
+            panic!();
+        };
+        expected.format = format;
+        assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
+    }
+    if format >= FORMAT_WITH_CHANGES {
+        let read = decode(&sample(format, "heartbeat-change"), None);
+        assert_eq!(read, Ok(change()));
     }
 }
 
@@ -172,11 +199,34 @@
     assert!(sent.starts_with(&sample(format, "heartbeat")));
 }
 
+/// As above, for a build that doesn't know of reported changes.
+#[test]
+fn changes_are_behind_what_older_read() {
+    let PeerMessage::Heartbeat(mut heartbeat) = change() else {
+        panic!();
+    };
+    heartbeat.format = 6;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), 6).unwrap();
+    assert!(sent.starts_with(&sample(6, "heartbeat")));
+}
+
+/// Guards against a change of which a part is cut off: such a heartbeat is none of an earlier format.
+#[test]
+fn cut_change_is_not_read() {
+    let whole = sample(OWN_FORMAT, "heartbeat-change");
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 3;
+    for lacking in 1..=reported {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert!(read.is_err(), "{lacking}: {read:?}");
+    }
+}
+
 /// Guards against departures of which a part is cut off: such a heartbeat is none of an earlier format.
 #[test]
 fn cut_departures_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-departure");
-    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    // An empty list, and the fields behind it.
+    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 4;
     for lacking in 1..=listed {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -227,6 +277,7 @@
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
 #[case::without_departures(5)]
+#[case::without_changes(6)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -252,6 +303,7 @@
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
 #[case::without_departures(5)]
+#[case::without_changes(6)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -267,6 +319,7 @@
 /// Calls for parts of tables and what they bring are read in every format that has them.
 #[rstest]
 #[case::without_departures(5)]
+#[case::without_changes(6)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -318,6 +371,7 @@
 #[case::without_quarantine(3, 2)]
 #[case::without_parts(4, 3)]
 #[case::without_departures(5, 3)]
+#[case::without_changes(6, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -332,6 +386,7 @@
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
 #[case::without_departures(5)]
+#[case::without_changes(6)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -369,7 +424,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 7 can't be read by format 6"
+        "a message of kind 77 in format 8 can't be read by format 7"
     );
 }
 
@@ -414,7 +469,8 @@
 #[case::without_quarantine(3, &[7, 8])]
 #[case::without_parts(4, &[7, 8])]
 #[case::without_departures(5, &[7, 8])]
-#[case::own(OWN_FORMAT, &[8, 9])]
+#[case::without_changes(6, &[8, 9])]
+#[case::own(OWN_FORMAT, &[11, 12])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -3,12 +3,12 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Incarnation, InstanceId};
+use base::{Incarnation, InstanceId, Time};
 use coord::{Departure, Heartbeat, ListEntry, Membership};
 use daemon::{
     fleet::Fleet,
     format::OWN_FORMAT,
-    message::{ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage},
+    message::{ChangeReport, FollowerMessage, ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage},
     owners::OwnersMessage,
     peers::{HEARTBEAT_INTERVAL, Outputs, Peers, initial_heartbeat},
 };
@@ -38,8 +38,10 @@
     format: u32,
     /// Table positions that they report.
     positions: Vec<u64>,
+    clock: Clock,
     engine: mpsc::UnboundedReceiver<Event>,
     owners: mpsc::Receiver<OwnersMessage>,
+    follower: mpsc::Receiver<FollowerMessage>,
 }
 
 fn secret() -> Secret {
@@ -64,11 +66,12 @@
         let addr = own_socket.local_addr().unwrap();
         let (engine, engine_rx) = mpsc::unbounded_channel();
         let (owners, owners_rx) = mpsc::channel(1);
-        let (follower, _) = mpsc::channel(1);
+        let (follower, follower_rx) = mpsc::channel(64);
+        let clock = Clock::start();
         let (fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
         let own_id = InstanceId::from(OWN_ID);
         let peers = Peers::new(
-            Clock::start(),
+            clock,
             own_socket,
             Sessions::new(secret(), own_id.clone(), OWN_INCARNATION),
             Membership::new(Duration::from_secs(40), Duration::from_secs(2)),
@@ -96,8 +99,10 @@
             sequence: 0,
             format: OWN_FORMAT,
             positions: Vec::new(),
+            clock,
             engine: engine_rx,
             owners: owners_rx,
+            follower: follower_rx,
         };
         let list = neighbourhood.listed(neighbourhood.sessions.keys().cloned());
         let command = PeerCommand::SetList(list);
@@ -168,6 +173,7 @@
         let command = PeerCommand::SetTablePositions {
             positions: vec![1, position],
             confirmed_at: None,
+            change: None,
         };
         neighbourhood.peers.send(command).await.unwrap();
     }
@@ -187,7 +193,8 @@
 #[case::lacks_more(OWN_FORMAT, 4, &["t1", "t2"])]
 #[case::has_rows(OWN_FORMAT, 7, &[])]
 #[case::has_read_nothing(OWN_FORMAT, 0, &[])]
-#[case::of_a_build_before(OWN_FORMAT - 1, 4, &[])]
+#[case::of_a_build_without_departures(5, 4, &[])]
+#[case::of_a_build_before(6, 4, &["t1", "t2"])]
 #[tokio::test]
 async fn departures_are_told_to_those_that_lack_them(
     #[case] format: u32,
@@ -213,6 +220,7 @@
         PeerCommand::SetTablePositions {
             positions: vec![1, 7],
             confirmed_at: None,
+            change: None,
         },
     ] {
         neighbourhood.peers.send(command).await.unwrap();
@@ -253,6 +261,7 @@
         let command = PeerCommand::SetTablePositions {
             positions: vec![POSITION],
             confirmed_at: None,
+            change: None,
         };
         neighbourhood.peers.send(command).await.unwrap();
         let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
@@ -283,6 +292,55 @@
     );
 }
 
+/// Guards against CONFIG and HOME: a change counted from when a heartbeat that reported it was handled, however long its
+/// sender had known of it and however long the heartbeat had been on its way.
+#[tokio::test]
+async fn change_is_dated_by_when_its_sender_knew_of_it() {
+    const HELD: Duration = Duration::from_millis(200);
+    const WAY: Duration = Duration::from_millis(400);
+    const AGE: Duration = Duration::from_secs(1);
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+    let id = InstanceId::from("i0");
+    let mut ack = 0;
+    // There must have been a time that long ago.
+    while neighbourhood.clock.now().before(AGE) == Time::ZERO {
+        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
+        let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+        let opened = sessions.open::<PeerMessage>(&buf[..len]).unwrap();
+        if let PeerMessage::Heartbeat(heartbeat) = opened.message {
+            ack = heartbeat.sequence;
+        }
+    }
+    sleep(HELD).await;
+    let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+    message.ack = ack;
+    message.ack_age = HELD;
+    message.table_positions = vec![7, 7];
+    message.change = Some(ChangeReport {
+        position: 7,
+        is_arriving: true,
+        age: AGE,
+    });
+    let sent_at = neighbourhood.clock.now();
+    let message = PeerMessage::Heartbeat(Box::new(message));
+    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+    let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
+    sleep(WAY).await;
+    let addr = neighbourhood.addr;
+    neighbourhood.socket.send_to(&frame, addr).await.unwrap();
+    let received = timeout(Duration::from_secs(5), neighbourhood.follower.recv()).await;
+    let Some(FollowerMessage::PeerPositions { change, .. }) = received.unwrap() else {
+        panic!();
+    };
+    let since = change.unwrap().since;
+    let known_since = sent_at.before(AGE);
+    assert!(since <= known_since, "{since:?}, {known_since:?}");
+    // A heartbeat that has been acknowledged is no older than this by the time it was read here.
+    let earliest = known_since.before(AGE);
+    assert!(since >= earliest, "{since:?}, {known_since:?}");
+}
+
 /// Guards against CONFIG: each heartbeat copied the state of all others and woke every task that
 /// follows it.
 #[tokio::test]
@@ -387,8 +445,8 @@
             encode(&heartbeat)
         }
         Fault::CutOff => {
-            // Without departures, build, format and path it is one of an earlier format.
-            let lacking = heartbeat.build.len() + 3;
+            // Without the change, departures, build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 6;
             let whole = encode(&heartbeat);
             loop {
                 let cut = rng.random_range(1..whole.len());
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -27,7 +27,7 @@
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
     table_reads::ReadTiming,
 };
 use dispatch::{RequestId, RequestKind};
@@ -351,6 +351,10 @@
             from: "other".into(),
             positions: vec![position_of(version), position_of(0)],
             confirmed_at: Some(Time::ZERO + confirmed_at),
+            change: Some(TableChange::complete(
+                position_of(version),
+                Time::ZERO + confirmed_at,
+            )),
         };
         let delay = rng.random_range(0..reporter.delay.as_millis() as u64 + 1);
         if rng.random_range(0.0..1.0) < reporter.loss {
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -15,7 +15,7 @@
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
     format::OWN_FORMAT,
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
     rpc::Call,
 };
 use entry::{
@@ -98,6 +98,7 @@
             from: format!("i{idx}").as_str().into(),
             positions: vec![POSITION],
             confirmed_at: None,
+            change: Some(TableChange::complete(POSITION, Time::ZERO)),
         };
         tx.send(report).await.unwrap();
     }
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -13,10 +13,11 @@
     time::Duration,
 };
 
+use base::Time;
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
     rpc::{Call, Reply},
 };
 use entry::metrics::Metrics;
@@ -190,6 +191,7 @@
                     from: format!("i{idx}").as_str().into(),
                     positions: vec![POSITION],
                     confirmed_at: None,
+                    change: Some(TableChange::complete(POSITION, Time::ZERO)),
                 };
                 if tx.send(report).await.is_err() {
                     return;
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -22,7 +22,7 @@
         Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::FollowerMessage,
+    message::{FollowerMessage, TableChange},
     peer_server,
     relay::RelayServer,
     rpc::{IncomingCall, Reply},
@@ -224,6 +224,7 @@
                     from: from.clone(),
                     positions: vec![AFTER, BEFORE],
                     confirmed_at: None,
+                    change: Some(TableChange::complete(AFTER, Time::ZERO)),
                 };
                 if tx.send(report).await.is_err() {
                     return;
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -232,6 +232,8 @@
         held_slots: 1,
         demand: Vec::new(),
         pinned_demand: Vec::new(),
+        change: None,
+        ack_age: Duration::ZERO,
         has_target_path: true,
         format: 3,
         build: "0.1.0".to_owned(),
