--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -140,6 +140,7 @@
         let departures = std::mem::take(&mut heartbeat.departures);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             self.membership.on_heartbeat(not_before, &heartbeat.status);
+            let not_before = (not_before + heartbeat.ack_age).min(self.clock.now());
             self.forward_to_follower(from, &heartbeat, departures, not_before);
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
@@ -208,10 +209,9 @@
         let position = *heartbeat.table_positions.first()?;
         return Some(TableChange::complete(position, not_before));
     }
-    let sent_at = not_before + heartbeat.ack_age;
     heartbeat.change.map(|change| TableChange {
         position: change.position,
         is_arriving: change.is_arriving,
-        since: sent_at.before(change.age),
+        since: not_before.before(change.age),
     })
 }
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -139,6 +139,34 @@
         count
     }
 
+    /// Returns the number of the newest heartbeat that has arrived for one of the others, waiting for one.
+    async fn next_sequence(&mut self, id: &InstanceId) -> u64 {
+        let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+        let mut newest = None;
+        loop {
+            let len = match newest {
+                None => self.socket.recv_from(&mut buf).await.unwrap().0,
+                Some(sequence) => match self.socket.try_recv_from(&mut buf) {
+                    Ok((len, _)) => len,
+                    Err(_) => return sequence,
+                },
+            };
+            let sessions = self.sessions.get_mut(id).unwrap();
+            let opened = sessions.open::<PeerMessage>(&buf[..len]).unwrap();
+            if let PeerMessage::Heartbeat(heartbeat) = opened.message {
+                newest = Some(heartbeat.sequence);
+            }
+        }
+    }
+
+    /// Sends a heartbeat of one of the others.
+    async fn send(&mut self, id: &InstanceId, heartbeat: PeerHeartbeat) {
+        let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+        let sessions = self.sessions.get_mut(id).unwrap();
+        let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
+        self.socket.send_to(&frame, self.addr).await.unwrap();
+    }
+
     /// Sends one heartbeat of each of the others.
     async fn send_heartbeats(&mut self, is_leaving: bool) {
         self.sequence += 1;
@@ -292,6 +320,39 @@
     );
 }
 
+/// Guards against refusals for nothing: a confirmation counted as older by the time for which the acknowledged heartbeat
+/// had been at its receiver, so that one that was young enough was put off.
+#[tokio::test]
+async fn confirmation_is_dated_by_when_its_sender_had_it() {
+    const HELD: Duration = Duration::from_millis(400);
+    const AGE: Duration = Duration::from_millis(300);
+    // The machine may be busy, so half of the exchanges must be prompt.
+    const TRIALS: usize = 5;
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let mut lost = Vec::new();
+    for _ in 0..TRIALS {
+        let ack = neighbourhood.next_sequence(&id).await;
+        sleep(HELD).await;
+        let mut status = heartbeat(&id, Incarnation(1));
+        status.confirmation_age = Some(AGE);
+        let mut message = initial_heartbeat(status, neighbourhood.addr);
+        (message.ack, message.ack_age) = (ack, HELD);
+        message.table_positions = vec![7, 7];
+        let sent_at = neighbourhood.clock.now();
+        neighbourhood.send(&id, message).await;
+        let received = timeout(READ_WITHIN, neighbourhood.follower.recv()).await;
+        let Some(FollowerMessage::PeerPositions { confirmed_at, .. }) = received.unwrap() else {
+            panic!();
+        };
+        let (confirmed_at, exact) = (confirmed_at.unwrap(), sent_at.before(AGE));
+        assert!(confirmed_at <= exact, "{confirmed_at:?}, {exact:?}");
+        lost.push(exact - confirmed_at);
+    }
+    lost.sort();
+    assert!(lost[TRIALS / 2] < HELD / 2, "{lost:?}");
+}
+
 /// Guards against CONFIG and HOME: a change counted from when a heartbeat that reported it was handled, however long its
 /// sender had known of it and however long the heartbeat had been on its way.
 #[tokio::test]
@@ -300,17 +361,11 @@
     const WAY: Duration = Duration::from_millis(400);
     const AGE: Duration = Duration::from_secs(1);
     let mut neighbourhood = Neighbourhood::start(1).await;
-    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
     let id = InstanceId::from("i0");
     let mut ack = 0;
     // There must have been a time that long ago.
     while neighbourhood.clock.now().before(AGE) == Time::ZERO {
-        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
-        let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
-        let opened = sessions.open::<PeerMessage>(&buf[..len]).unwrap();
-        if let PeerMessage::Heartbeat(heartbeat) = opened.message {
-            ack = heartbeat.sequence;
-        }
+        ack = neighbourhood.next_sequence(&id).await;
     }
     sleep(HELD).await;
     let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
@@ -323,13 +378,9 @@
         age: AGE,
     });
     let sent_at = neighbourhood.clock.now();
-    let message = PeerMessage::Heartbeat(Box::new(message));
-    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
-    let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
     sleep(WAY).await;
-    let addr = neighbourhood.addr;
-    neighbourhood.socket.send_to(&frame, addr).await.unwrap();
-    let received = timeout(Duration::from_secs(5), neighbourhood.follower.recv()).await;
+    neighbourhood.send(&id, message).await;
+    let received = timeout(READ_WITHIN, neighbourhood.follower.recv()).await;
     let Some(FollowerMessage::PeerPositions { change, .. }) = received.unwrap() else {
         panic!();
     };
