fix(daemon): own reads go on from where a fetched table is

After a fetch from another instance the own reader asked the store from its own old position: a poll that waited, or one that was sent later, brought the whole document over a narrow link once more, while the next version waited.

The follower now tells the reader the position up to which rows have come. A fetched table is complete up to it, deletions included, so the next poll asks from there, also in place of a first read and after a 410 to an older poll. A poll that was sent before the fetch is left open, so that silence is noticed as before; if its answer arrives and more of it is left than has come, it is ended and asked for anew from the later position, once until an answer is complete. An answer to a poll from before the fetch doesn't lower the position; one to a later poll does, so a store that has gone back is noticed.

An ended answer costs one more call, which is answered at once and confirms what the ended one would have confirmed.

Ruled out: ending polls of which nothing has arrived (each fetch would begin the time of silence anew).

The carrier of own_reads.rs is shared, its checks are as they were.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -339,7 +339,7 @@
         } else {
             table.catch_up.on_position(now, position);
             if position > before {
-                table.advanced.send_replace(());
+                table.advanced.send_replace(position);
             }
         }
         if position > before && table.catch_up.next_at().is_none() {
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -25,8 +25,8 @@
     pub(super) is_reachable: bool,
     /// Time at which its position rose last.
     pub(super) advanced_at: Time,
-    /// Tells the own reads that rows have come from another instance.
-    pub(super) advanced: watch::Sender<()>,
+    /// Tells the own reads up to which position rows have come from other instances.
+    pub(super) advanced: watch::Sender<u64>,
 }
 
 /// A fetch from another instance that has not ended.
@@ -50,7 +50,7 @@
             parts: PartsState::default(),
             is_reachable: false,
             advanced_at: Time::ZERO,
-            advanced: watch::Sender::new(()),
+            advanced: watch::Sender::new(0),
         }
     }
 
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -97,19 +97,20 @@
     pub(crate) timing: ReadTiming,
     /// Time within which a change must be in force.
     pub(crate) apply: Duration,
-    /// Changes when rows have come from another source.
-    pub(crate) advanced: watch::Receiver<()>,
+    /// Position up to which rows have come from another source.
+    pub(crate) advanced: watch::Receiver<u64>,
 }
 
 /// Follows one table by long polls.
 ///
 /// A poll of whose answer nothing arrives in time is overtaken by one on a new connection, since its own
 /// may have gone silent for good; if its answer comes after all, it is used. One whose answer is arriving
-/// is waited for, however long that takes.
+/// is waited for, however long that takes, unless most of it is left when rows of a later position than it
+/// asked from have come from another source: the next poll goes on from there.
 #[derive(Debug)]
 pub(crate) struct TableReader {
     options: ReaderOptions,
-    /// Position from which the next poll continues; `None` before the first read.
+    /// Position from which the next poll continues; `None` before the first rows.
     position: Option<u64>,
     polls: JoinSet<PollResult>,
     /// What is known of the platform's clock.
@@ -119,6 +120,10 @@
     next_number: u64,
     /// Whether the next poll opens a new connection, so that it must be answered at once.
     is_reconnecting: bool,
+    /// The last rows from another source.
+    advance: Option<Advance>,
+    /// Whether an answer has been ended since one was complete.
+    has_ended: bool,
     retry_delay: Duration,
     /// Numbers of the polls whose answers are arriving, and where the polls send them.
     arrivals: mpsc::Receiver<u64>,
@@ -128,6 +133,8 @@
 #[derive(Debug)]
 struct OpenPoll {
     number: u64,
+    /// Position from which it asks; `None` if it asks for all rows.
+    after: Option<u64>,
     sent_at: Time,
     /// The same by the runtime's clock.
     sent: Instant,
@@ -137,6 +144,15 @@
     task: AbortHandle,
 }
 
+/// Records that rows have come from another source.
+#[derive(Debug, Clone, Copy)]
+struct Advance {
+    /// Position up to which they have come.
+    position: u64,
+    /// Number of the first poll that was sent after that.
+    before: u64,
+}
+
 type PollResult = (u64, Result<TableRead, PlatformError>);
 
 /// What the reader does next unless an answer comes before.
@@ -163,6 +179,8 @@
             open: VecDeque::new(),
             next_number: 0,
             is_reconnecting: true,
+            advance: None,
+            has_ended: false,
             retry_delay: MIN_RETRY_DELAY,
             arrivals,
             arrivals_tx,
@@ -182,12 +200,16 @@
                 },
                 Some(number) = self.arrivals.recv() => {
                     self.give_up_overtakers(number);
+                    self.end_outdated(&mut step).await;
                     Some(TableRead::Arriving(Arrival {
                         since: self.arriving_since(number),
                         is_slow: self.is_slow() || self.is_late(),
                     }))
                 }
                 Ok(()) = self.options.advanced.changed() => {
+                    let position = *self.options.advanced.borrow_and_update();
+                    self.position = self.position.max(Some(position));
+                    self.advance = Some(Advance { position, before: self.next_number });
                     self.end_outdated(&mut step).await;
                     None
                 }
@@ -267,6 +289,7 @@
         self.next_number += 1;
         self.open.push_back(OpenPoll {
             number,
+            after: position,
             sent_at,
             sent,
             is_on_kept_connection,
@@ -286,11 +309,13 @@
         step: &mut Step,
     ) -> Option<TableRead> {
         let idx = self.open.iter().position(|poll| poll.number == number)?;
+        let advanced = self.advanced_past(&self.open[idx]);
         match result {
             Ok(mut read) => {
                 let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &mut read {
-                    self.position = Some(read.position);
+                    // What came meanwhile stays; an answer to a later poll shows how far the platform is.
+                    self.position = advanced.max(Some(read.position));
                     read.made_at = self.dates.date(read.answer);
                     answered_at = self.options.clock.instant(read.answer.arrived_at);
                 }
@@ -299,12 +324,13 @@
                 self.is_reconnecting = number + 1 < self.next_number;
                 self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
+                self.has_ended = false;
                 // What changed while a long answer arrived has waited long enough.
                 *step = Step::Poll(answered_at + POLL_DELAY);
                 Some(read)
             }
             Err(PlatformError::HistoryGone) => {
-                self.position = None;
+                self.position = advanced;
                 self.give_up(self.open.len());
                 *step = Step::Poll(Instant::now());
                 None
@@ -333,8 +359,8 @@
 
     /// Returns when the answer to a poll for changes began to arrive.
     fn arriving_since(&self, number: u64) -> Option<Time> {
-        self.position?;
         let poll = self.open.iter().find(|poll| poll.number == number)?;
+        poll.after?;
         let begun = poll.received.borrow().begun_at?;
         Some(poll.sent_at + (begun - poll.sent))
     }
@@ -362,10 +388,27 @@
         received.any(|received| received.is_slow())
     }
 
-    /// Ends the polls if an answer is arriving below the lowest rate, since what it brings has come from
-    /// another source; the next poll opens a new connection.
+    /// Returns the position up to which rows have come from another source since a poll was sent if that is later
+    /// than the one from which it asks.
+    fn advanced_past(&self, poll: &OpenPoll) -> Option<u64> {
+        let advance = self.advance.as_ref();
+        let later = advance.filter(|advance| poll.number < advance.before);
+        let position = later.map(|advance| advance.position);
+        position.filter(|position| Some(*position) > poll.after)
+    }
+
+    /// Ends the polls if most of what an answer brings has come from another source: it is arriving below the
+    /// lowest rate, or much of it is left. The next poll opens a new connection. Answers that bring something
+    /// later again and again are ended once, so that the next one is complete.
     async fn end_outdated(&mut self, step: &mut Step) {
-        if self.is_slow() {
+        let outdated = self.open.iter();
+        let outdated = outdated.filter(|poll| self.advanced_past(poll).is_some());
+        let mut received = outdated.map(|poll| *poll.received.borrow());
+        let ends = |received: Received| {
+            received.is_slow() || (received.has_much_left() && !self.has_ended)
+        };
+        if received.any(ends) {
+            self.has_ended = true;
             self.give_up(self.open.len());
             self.options.platform.reconnect().await;
             self.is_reconnecting = true;
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -5,6 +5,7 @@
 mod follower;
 #[path = "../support/options.rs"]
 mod options;
+mod own_position;
 mod own_reads;
 #[path = "../support/paused.rs"]
 mod paused;
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -130,20 +130,20 @@
 
 /// A link that transfers share.
 #[derive(Debug, Clone)]
-struct Link {
+pub(crate) struct Link {
     rate: u32,
     free_at: Arc<Mutex<Instant>>,
 }
 
 impl Link {
-    fn new(rate: u32) -> Self {
+    pub(crate) fn new(rate: u32) -> Self {
         Self {
             rate,
             free_at: Arc::new(Mutex::new(Instant::now())),
         }
     }
 
-    async fn cross(&self, bytes: usize) {
+    pub(crate) async fn cross(&self, bytes: usize) {
         let time = Duration::from_secs(bytes as u64) / self.rate;
         let crossed_at = {
             let mut free_at = self.free_at.lock().unwrap();
@@ -282,21 +282,39 @@
         }
     });
     let addr = addr.await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let carrier = listener.local_addr().unwrap();
-    let own_link = Link::new(match sender {
+    let own_rate = match sender {
         Sender::Slow => SLOW_SOURCE_RATE,
-        _ => LINK_RATE * 10,
-    });
+        Sender::Silent => return start_silent().await,
+        Sender::Sends | Sender::TurnsAway => LINK_RATE * 10,
+    };
+    start_carrier(addr, [Link::new(own_rate), link], fetched).await
+}
+
+/// Starts an instance that accepts connections and says nothing.
+async fn start_silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let mut kept = Vec::new();
         while let Ok((caller, _)) = listener.accept().await {
-            if sender == Sender::Silent {
-                kept.push(caller);
-                continue;
-            }
+            kept.push(caller);
+        }
+    });
+    addr
+}
+
+/// Returns an address from which connections to `addr` are carried, with the answers over `links`.
+pub(crate) async fn start_carrier(
+    addr: SocketAddr,
+    links: [Link; 2],
+    fetched: Arc<AtomicUsize>,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let carrier = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
             let called = TcpStream::connect(addr).await.unwrap();
-            let (links, fetched) = ([own_link.clone(), link.clone()], fetched.clone());
+            let (links, fetched) = (links.clone(), fetched.clone());
             tokio::spawn(carry_over(caller, called, links, fetched));
         }
     });
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -74,6 +74,15 @@
         elapsed >= limit || (is_known && elapsed.as_secs_f64() > limit.as_secs_f64() * done)
     }
 
+    /// Returns whether less than half of an answer of a known length has arrived, and enough is left to take a
+    /// second at the lowest rate of a transfer.
+    pub fn has_much_left(&self) -> bool {
+        let left = self
+            .expected
+            .map_or(0, |expected| expected.saturating_sub(self.bytes));
+        left > self.bytes.max(u64::from(MIN_BYTES_PER_S))
+    }
+
     /// Returns the time since the last byte in either direction, or since the call.
     pub fn quiet_time(&self) -> Duration {
         self.last_byte_at.elapsed()
