fix(daemon): one of several lists is followed by the whole table

Each fetch by parts went on with the whole table if its list showed that much was lacking. A list that takes more than 0.3 s, as beside heartbeats on a narrow link, is joined by one from another instance, so two or three transfers of the same table shared the link.

Now a list that was asked for beside another fetch only tells that much is lacking; the whole table follows once nothing is arriving any more. When it is asked for so, fetches of which nothing has arrived are ended.

--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -105,6 +105,8 @@
             return None;
         }
         if let Some(from) = self.parts.take_listed(now) {
+            // Their lists would show the same.
+            self.end_unanswered_fetches();
             self.catch_up.postpone(now);
             return Some(from);
         }
@@ -112,14 +114,16 @@
     }
 
     /// Returns how to fetch the table, or `None` while an own read is arriving and this would share the
-    /// link with it for long.
+    /// link with it for long. A list that comes beside another fetch isn't followed by the whole table at once:
+    /// that may be arriving then.
     pub(super) fn fetch_way(&self, now: Time, takes_parts: bool) -> Option<FetchWay> {
-        let may_take_whole = now >= self.parts.read_until;
+        let is_read_over = now >= self.parts.read_until;
+        let may_take_whole = is_read_over && self.fetches.is_empty();
         let has_parts = self.replica.is_initialized() && self.parts.failures < MAX_PARTS_FAILURES;
         match (takes_parts, has_parts) {
             (true, true) if !self.parts.lacks_much => Some(FetchWay::Parts { may_take_whole }),
-            (true, _) => may_take_whole.then_some(FetchWay::Packed),
-            (false, _) => may_take_whole.then_some(FetchWay::Whole),
+            (true, _) => is_read_over.then_some(FetchWay::Packed),
+            (false, _) => is_read_over.then_some(FetchWay::Whole),
         }
     }
 
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Ends the fetches of which nothing has arrived.
+    pub(super) fn end_unanswered_fetches(&mut self) {
+        let is_unanswered = |fetch: &mut OpenFetch| fetch.received.borrow().bytes == 0;
+        for fetch in self.fetches.extract_if(.., is_unanswered) {
+            fetch.task.abort();
+        }
+    }
+
     /// Ends all fetches.
     pub(super) fn end_fetches(&mut self) {
         for fetch in self.fetches.drain(..) {
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -3,6 +3,7 @@
 
 mod fetches;
 mod follower;
+mod narrow_fetches;
 #[path = "../support/options.rs"]
 mod options;
 mod own_position;
--- /dev/null
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -0,0 +1,197 @@
+//! What fetches of a large table cost over one narrow link that a few versions share, in virtual time.
+
+use std::{
+    ops::RangeInclusive,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use coord::TableSnapshot;
+use daemon::{fleet::Fleet, message::FollowerMessage};
+use entry::metrics::Metrics;
+use platform::{Platform, PlatformError};
+use rstest::rstest;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, sleep_until, timeout},
+};
+use wire::Packed;
+
+use crate::{
+    document,
+    follower::{POSITION, Peer, member, start_follower},
+    own_reads::{Link, start_carrier},
+    paused::run_paused,
+    serve_table, table,
+};
+
+const SOURCES: usize = 5;
+const ROUTES: usize = 1_500;
+/// Weight of the one route that later versions change.
+const WEIGHTS: [usize; 2] = [100, 90];
+/// Bytes per second of the other ends' links.
+const WIDE_RATE: u32 = 1_000_000;
+const FIRST_AFTER: Duration = Duration::from_secs(5);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which fetches wait in all.
+const FETCH_DELAY: Duration = Duration::from_millis(600);
+/// Time after which a run ends without the table.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+/// Versions that others have, and how long their transfer takes.
+#[derive(Debug, Clone, Copy)]
+struct Scenario {
+    /// Time that the compressed table takes over the link.
+    transfer: Duration,
+    /// Time after the first version at which the second one follows, if it does.
+    second_after: Option<Duration>,
+    /// Time for which other bytes use the link when the first version is reported.
+    burst: Duration,
+}
+
+/// What a run shows.
+#[derive(Debug, Clone, Copy)]
+struct Outcome {
+    /// Time from the first version to when the last one came into force.
+    took: Duration,
+    /// Bytes that came from other instances.
+    fetched: usize,
+    /// Size of the compressed table.
+    whole: usize,
+}
+
+fn version(idx: usize) -> TableSnapshot {
+    table(ROUTES, WEIGHTS[idx], POSITION + idx as u64)
+}
+
+async fn play(scenario: Scenario) -> Outcome {
+    let whole = Packed::new(document(ROUTES, WEIGHTS[0]).as_bytes()).len();
+    let rate = (whole as f64 / scenario.transfer.as_secs_f64()) as u32;
+    let link = Link::new(rate);
+    let fetched = Arc::new(AtomicUsize::new(0));
+    let mut fleet = Fleet::default();
+    let mut tables = Vec::new();
+    for idx in 0..SOURCES {
+        let (addr, published) = serve_table(version(0)).await;
+        let links = [Link::new(WIDE_RATE), link.clone()];
+        let carrier = start_carrier(addr, links, fetched.clone()).await;
+        let id = format!("i{idx}");
+        let honest = member(&id, carrier, Peer::Honest);
+        fleet.members.insert(id.as_str().into(), honest);
+        tables.push(published);
+    }
+    let first_at = Instant::now() + FIRST_AFTER;
+    let (in_force, mut in_force_rx) = mpsc::unbounded_channel();
+    let metrics = Metrics::new().unwrap();
+    let platform = Platform::spawn(move || {
+        move |call, _| async move {
+            // The document has been small.
+            let is_first = matches!(call, platform::Call::Snapshot { .. });
+            let change = platform::Change {
+                row: "config".to_owned(),
+                value: Some("{}".to_owned()),
+                at: POSITION - 1,
+            };
+            let first = platform::Reply::Changes(vec![change], POSITION - 1);
+            is_first.then_some(first).ok_or(PlatformError::Unavailable)
+        }
+    });
+    let (tx, running) = start_follower(platform, fleet, metrics, in_force);
+    tokio::spawn(async move {
+        sleep_until(first_at).await;
+        let burst = (f64::from(rate) * scenario.burst.as_secs_f64()) as usize;
+        let crossing = link.clone();
+        tokio::spawn(async move { crossing.cross(burst).await });
+        let mut last = 0;
+        loop {
+            let is_second = scenario
+                .second_after
+                .is_some_and(|after| first_at.elapsed() >= after);
+            if is_second && last == 0 {
+                last = 1;
+                for published in &tables {
+                    published.send_replace(Arc::new(vec![version(1)]));
+                }
+            }
+            for idx in 0..SOURCES {
+                let report = FollowerMessage::PeerPositions {
+                    from: format!("i{idx}").as_str().into(),
+                    positions: vec![POSITION + last],
+                    confirmed_at: None,
+                };
+                if tx.send(report).await.is_err() {
+                    return;
+                }
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+    let text = document(
+        ROUTES,
+        WEIGHTS[usize::from(scenario.second_after.is_some())],
+    );
+    let arrived = async { while in_force_rx.recv().await.unwrap() != text {} };
+    let _ = timeout(FIRST_AFTER + RUN_TIME, arrived).await;
+    let took = first_at.elapsed();
+    // What goes on afterwards counts as well.
+    sleep(RUN_TIME).await;
+    running.abort();
+    Outcome {
+        took,
+        fetched: fetched.load(Ordering::Relaxed),
+        whole,
+    }
+}
+
+/// Returns the runs whose bytes exceed those of a whole table by more than its lists and few parts may take, or that
+/// take so much longer than its transfer.
+fn wasteful(scenarios: Vec<Scenario>) -> Vec<(Scenario, Outcome)> {
+    let runs = scenarios.into_iter().map(|scenario| {
+        let outcome = run_paused(play(scenario));
+        (scenario, outcome)
+    });
+    let runs: Vec<_> = runs.collect();
+    println!("{runs:?}");
+    let is_wasteful = |scenario: &Scenario, outcome: &Outcome| {
+        let most = scenario.burst + scenario.transfer.mul_f64(1.3) + FETCH_DELAY;
+        outcome.fetched > outcome.whole * 8 / 5 || outcome.took > most
+    };
+    runs.into_iter()
+        .filter(|(scenario, outcome)| is_wasteful(scenario, outcome))
+        .collect()
+}
+
+fn steps(ms: RangeInclusive<u64>, step: usize) -> Vec<Duration> {
+    ms.step_by(step).map(Duration::from_millis).collect()
+}
+
+/// Guards against CONFIG: two lists that came beside each other each led to a transfer of the whole table.
+#[test]
+fn whole_table_follows_one_of_two_lists() {
+    let bursts = steps(0..=700, 50);
+    let scenarios = bursts.into_iter().map(|burst| Scenario {
+        transfer: Duration::from_millis(1_000),
+        second_after: None,
+        burst,
+    });
+    let wasteful = wasteful(scenarios.collect());
+    assert!(wasteful.is_empty(), "{wasteful:?}");
+}
+
+/// Guards against CONFIG: a transfer that was to be complete in time was joined by another one after 1.5 s.
+#[rstest]
+#[case::one_version(None)]
+#[case::two_versions(Some(Duration::from_millis(1_000)))]
+fn transfer_that_comes_in_time_is_alone(#[case] second_after: Option<Duration>) {
+    let transfers = steps(1_300..=1_900, 100);
+    let scenarios = transfers.into_iter().map(|transfer| Scenario {
+        transfer,
+        second_after,
+        burst: Duration::ZERO,
+    });
+    let wasteful = wasteful(scenarios.collect());
+    assert!(wasteful.is_empty(), "{wasteful:?}");
+}
