fix(daemon): a fetch that comes in time isn't joined by another one

Replies between instances now announce their length, and after 1.5 s a fetch counts as held up only if it is below the lowest rate of a transfer, or can't be complete within configApplyS at its rate so far. Then another instance is asked as before.

The one call of the reading function in peer_server.rs takes the new argument and ignores it.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -376,7 +376,7 @@
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.make_room();
-            let Some(from) = table.next_source(now) else {
+            let Some(from) = table.next_source(now, self.options.apply) else {
                 continue;
             };
             let member = fleet.members.get(&from).filter(|one| one.takes_calls());
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -98,9 +98,9 @@
 
 impl Table {
     /// Returns the instance to fetch from now, if a fetch is due: first the one that has shown that much is
-    /// lacking, which is alive and has the table.
-    pub(super) fn next_source(&mut self, now: Time) -> Option<InstanceId> {
-        if self.is_fetch_arriving() || self.fetches.len() >= MAX_FETCHES {
+    /// lacking, which is alive and has the table. A change must be in force within `apply`.
+    pub(super) fn next_source(&mut self, now: Time, apply: Duration) -> Option<InstanceId> {
+        if self.is_fetch_arriving(apply) || self.fetches.len() >= MAX_FETCHES {
             self.catch_up.postpone(now);
             return None;
         }
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -5,12 +5,12 @@
 use base::Time;
 use coord::{CatchUp, Replica};
 use platform::Received;
-use tokio::{sync::watch, task::AbortHandle};
+use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
 use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState};
 use crate::{table_logs::log_older, table_reads::PlatformRead};
 
-/// Time after which a table that is still arriving from one instance is fetched from another as well.
+/// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
 
 /// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
@@ -54,12 +54,16 @@
         }
     }
 
-    /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't slow.
-    pub(super) fn is_fetch_arriving(&self) -> bool {
+    /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't below the lowest rate of a
+    /// transfer, or too slow to be complete within `apply`, after [`SLOW_FETCH_TIME`].
+    pub(super) fn is_fetch_arriving(&self, apply: Duration) -> bool {
         let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
-        let mut begun_at = active.filter_map(|received| received.begun_at);
-        begun_at.any(|at| at.elapsed() < SLOW_FETCH_TIME)
+        let mut active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
+        active.any(|received| {
+            let is_new = |at: Instant| at.elapsed() < SLOW_FETCH_TIME;
+            let is_slow = received.is_slow() || received.is_late(apply);
+            received.begun_at.is_some_and(|at| is_new(at) || !is_slow)
+        })
     }
 
     /// Ends one of the fetches that go on below the lowest rate of a transfer if there is no room for
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -172,7 +172,7 @@
     stream.set_nodelay(true)?;
     let own_nonce: Nonce = rand::random();
     stream.write_all(&own_nonce).await?;
-    let read = stream::read_reporting(stream, |bytes| progress.add(bytes));
+    let read = stream::read_reporting(stream, |_| {}, |bytes| progress.add(bytes));
     let Some(frame) = read.await? else {
         return Ok(None);
     };
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -177,7 +177,8 @@
         .seal_with_nonce(&peer_nonce, &(own_nonce, opening))
         .map_err(io::Error::other)?;
     stream::write_unless_stuck(&mut stream, &frame, CALL_TIMEOUT, || progress.on_sent()).await?;
-    let frame = stream::read_reporting(&mut stream, |bytes| progress.add(bytes))
+    let announce = |len| progress.expect(u64::from(len));
+    let frame = stream::read_reporting(&mut stream, announce, |bytes| progress.add(bytes))
         .await?
         .ok_or(io::ErrorKind::UnexpectedEof)?;
     let reply = secret
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -71,17 +71,23 @@
 where
     R: AsyncRead + Unpin,
 {
-    read_reporting(reader, |_| {}).await
+    read_reporting(reader, |_| {}, |_| {}).await
 }
 
-/// Reads one frame as [`read`] does, and calls `report` with each number of bytes of it that has arrived.
+/// Reads one frame as [`read`] does, and calls `announce` with its length, then `report` with each number of bytes
+/// of it that has arrived.
 ///
 /// # Errors
 ///
 /// As for [`read`].
-pub async fn read_reporting<R, F>(reader: &mut R, mut report: F) -> io::Result<Option<Vec<u8>>>
+pub async fn read_reporting<R, A, F>(
+    reader: &mut R,
+    announce: A,
+    mut report: F,
+) -> io::Result<Option<Vec<u8>>>
 where
     R: AsyncRead + Unpin,
+    A: FnOnce(u32),
     F: FnMut(usize),
 {
     let len = match reader.read_u32().await {
@@ -92,6 +98,7 @@
     if len > MAX_STREAM_FRAME_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
     }
+    announce(len);
     let mut frame = Vec::new();
     let mut limited = reader.take(u64::from(len));
     loop {
