--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -347,7 +347,7 @@
         } else {
             table.catch_up.on_position(now, position);
             if position > before {
-                table.advanced.send_replace(());
+                table.advanced.send_replace(position);
             }
         }
         if position > before && table.catch_up.next_at().is_none() {
@@ -384,7 +384,7 @@
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.make_room();
-            let Some(from) = table.next_source(now) else {
+            let Some(from) = table.next_source(now, self.options.apply) else {
                 continue;
             };
             let member = fleet.members.get(&from).filter(|one| one.takes_calls());
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -3,8 +3,10 @@
 
 mod fetches;
 mod follower;
+mod narrow_fetches;
 #[path = "../support/options.rs"]
 mod options;
+mod own_position;
 mod own_reads;
 #[path = "../support/paused.rs"]
 mod paused;
