refactor(dispatch): what tells a crash from a failed path belongs to the quarantine

Cause: lost connections were grouped in `losses.rs`, counted in `quarantine/attribution.rs` and reported in `dispatcher/suspects.rs`; the number of targets that makes a failed path was defined in the first and handed through the third to the second. Change: `losses.rs` is `quarantine/loss_events.rs`, `dispatcher/suspects.rs` is `dispatcher/quarantine.rs`. `Judgement`, `against`, `judge_losses` are `LossCauses`, `requests`, `attribute_losses`. The number stays within the quarantine, so `Quarantine::take_cleared` has no argument for it. No behaviour changes; one line of `tests/losses.rs` reads the renamed field.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,11 +3,11 @@
 mod outcomes;
 mod paths;
 mod probes;
+mod quarantine;
 mod queueing;
 mod rates;
 mod sending;
 mod statistics;
-mod suspects;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -434,7 +434,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
         actions.extend(self.refuse_unplaceable(now));
-        actions.extend(self.judge_losses(now));
+        actions.extend(self.attribute_losses(now));
         actions.extend(self.due_repeats(now));
         for pool in self.pools.values_mut() {
             for target in &mut pool.targets {
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/quarantine.rs
@@ -7,7 +7,7 @@
 use super::Dispatcher;
 use crate::{
     Action, Admission, AdmittedRequest, ConnectionLoss, Hold, QuarantineReport, RequestId,
-    hash::seeded_hash, losses::MIN_PATH_TARGETS,
+    hash::seeded_hash,
 };
 
 /// Instances that repeat what they know of a quarantined request, so that one that starts, or that a
@@ -75,22 +75,22 @@
     }
 
     /// Records the losses of events that are over, and those that others have explained since.
-    pub(super) fn judge_losses(&mut self, now: Time) -> Vec<Action> {
-        let judgement = self.losses.take_due(now);
-        self.quarantine.suspend(now, judgement.path);
-        let mut against = judgement.against;
-        against.extend(self.quarantine.take_cleared(now, MIN_PATH_TARGETS));
-        let reports = against.iter().copied().map(Action::ReportLoss);
+    pub(super) fn attribute_losses(&mut self, now: Time) -> Vec<Action> {
+        let causes = self.losses.take_due(now);
+        self.quarantine.suspend(now, causes.path);
+        let mut losses = causes.requests;
+        losses.extend(self.quarantine.take_cleared(now));
+        let reports = losses.iter().copied().map(Action::ReportLoss);
         let mut actions: Vec<Action> = reports.collect();
         let room = MAX_REPORTED.saturating_sub(self.reported_once.len());
-        self.reported_once.extend(against.iter().take(room));
-        actions.extend(self.record_losses(now, &against));
+        self.reported_once.extend(losses.iter().take(room));
+        actions.extend(self.record_losses(now, &losses));
         let begun = self.quarantine.begin_due(now);
         actions.extend(self.begin_quarantines(now, &begun));
         actions
     }
 
-    /// Records losses that speak against their requests; if a quarantine begins with them, it is
+    /// Records losses caused by requests; if a quarantine begins with them, it is
     /// reported to the others at once and waiting requests are refused.
     pub(super) fn record_losses(&mut self, now: Time, losses: &[ConnectionLoss]) -> Vec<Action> {
         let begun = self.quarantine.record(now, losses);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,6 @@
 mod latency;
 mod ledger;
 mod limit;
-mod losses;
 mod path;
 mod placement;
 mod pool;
@@ -33,10 +32,12 @@
 pub use latency::LatencyEstimate;
 pub use ledger::{ActionEvent, ActionKey, ActionState, ClaimOutcome, Claimer, Ledger, SavedAnswer};
 pub use limit::{AimdParams, ConcurrencyLimit};
-pub use losses::{Judgement, LossCollector, LostAttempt};
 pub use path::{Dial, PathEvent, PathMonitor, PathState};
 pub use pool::RegionShares;
-pub use quarantine::{Admission, ConnectionLoss, Hold, Quarantine, QuarantineReport};
+pub use quarantine::{
+    Admission, ConnectionLoss, Hold, LossCauses, LossCollector, LostAttempt, Quarantine,
+    QuarantineReport,
+};
 pub use queue::FairQueue;
 pub use request::{
     Action, AdmittedRequest, Assignment, Candidate, Outcome, Placement, Policy, PoolStats,
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Quarantine of requests that crash the targets that run them.
+//! Quarantine of requests that crash the targets that run them, from lost connections to refusals.
 
 mod answers;
 mod attribution;
+mod loss_events;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use attribution::ConnectionLoss;
+pub use loss_events::{LossCauses, LossCollector, LostAttempt};
 
 use attribution::Attribution;
 
@@ -182,9 +184,9 @@
     }
 
     /// Returns losses that were taken for a failed path but can't be: with what other requests
-    /// explain, they concern fewer targets than `min_path_targets`.
-    pub fn take_cleared(&mut self, now: Time, min_path_targets: usize) -> Vec<ConnectionLoss> {
-        self.attribution.take_cleared(now, min_path_targets)
+    /// explain, they concern too few targets.
+    pub fn take_cleared(&mut self, now: Time) -> Vec<ConnectionLoss> {
+        self.attribution.take_cleared(now)
     }
 
     /// Records that a target has answered the request: it doesn't crash those that run it, so earlier
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -8,7 +8,7 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
-use super::answers::RecentAnswers;
+use super::{answers::RecentAnswers, loss_events::MIN_PATH_TARGETS};
 
 /// Reports one connection that was lost while it carried a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,12 +119,8 @@
     }
 
     /// Returns losses that were taken for a failed path but can't be: with what other requests
-    /// explain, they concern fewer targets than `min_path_targets`.
-    pub(super) fn take_cleared(
-        &mut self,
-        now: Time,
-        min_path_targets: usize,
-    ) -> Vec<ConnectionLoss> {
+    /// explain, they concern too few targets.
+    pub(super) fn take_cleared(&mut self, now: Time) -> Vec<ConnectionLoss> {
         self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
         let mut cleared = Vec::new();
         let unclear = std::mem::take(&mut self.unclear);
@@ -135,7 +131,7 @@
                 .copied()
                 .collect();
             let targets: BTreeSet<u64> = left.iter().map(|loss| loss.target_digest).collect();
-            if targets.len() < min_path_targets {
+            if targets.len() < MIN_PATH_TARGETS {
                 cleared.extend(left);
             } else {
                 self.unclear.push((at, losses));
--- a/crates/dispatch/src/losses.rs
+++ b/crates/dispatch/src/quarantine/loss_events.rs
@@ -1,4 +1,4 @@
-//! Attribution of lost connections to requests that crash targets, or to the path to the targets.
+//! Events of lost connections, and whether requests or the path to the targets caused them.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,14 +7,15 @@
 
 use base::Time;
 
-use crate::ConnectionLoss;
+use super::ConnectionLoss;
 
-/// Collects lost connections until it is clear what they speak against.
+/// Collects lost connections until their event is over, and separates those that requests caused from
+/// those of a failed path.
 ///
 /// Losses that follow each other closely are one event. What was in flight together may have been lost
 /// with the path to the targets. A request that was sent again after a loss, so over a path that
 /// worked, and lost the next target as well explains the losses on all of these targets: they aren't the
-/// path's. Which request each of them speaks against is decided by [`Quarantine`](crate::Quarantine),
+/// path's. Which request caused each of them is decided by [`Quarantine`](crate::Quarantine),
 /// which knows what other instances have lost.
 ///
 /// # Examples
@@ -34,17 +35,17 @@
 /// for target in 1..=3 {
 ///     losses.add(Time::from_millis(100), 10, lost(target, 7, target));
 /// }
-/// let judgement = losses.take_due(Time::from_millis(300));
-/// assert_eq!((judgement.against.len(), judgement.path.len()), (0, 3));
+/// let causes = losses.take_due(Time::from_millis(300));
+/// assert_eq!((causes.requests.len(), causes.path.len()), (0, 3));
 ///
 /// // One after the other, by the same request; request 8 was on one of them.
 /// losses.add(Time::from_millis(500), 22, lost(22, 7, 1));
 /// losses.add(Time::from_millis(505), 23, lost(23, 7, 2));
 /// losses.add(Time::from_millis(505), 23, lost(20, 8, 2));
 /// losses.add(Time::from_millis(510), 24, lost(24, 7, 3));
-/// let against = losses.take_due(Time::from_millis(700)).against;
-/// assert_eq!(against.iter().filter(|loss| loss.fingerprint == 7).count(), 3);
-/// assert_eq!(against.len(), 4);
+/// let lost = losses.take_due(Time::from_millis(700)).requests;
+/// assert_eq!(lost.iter().filter(|loss| loss.fingerprint == 7).count(), 3);
+/// assert_eq!(lost.len(), 4);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct LossCollector {
@@ -67,16 +68,16 @@
     pub number: u64,
     /// Digest of the target and, where it is known, of its incarnation.
     pub target: u64,
-    /// What is recorded if the loss speaks against the request.
+    /// What is recorded if requests caused the loss.
     pub loss: ConnectionLoss,
 }
 
-/// What the losses of an event speak against.
+/// Separates the losses of an event by their cause.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Judgement {
-    /// Losses that speak against their requests.
-    pub against: Vec<ConnectionLoss>,
-    /// Losses that speak against the path to the targets, by what this instance knows.
+pub struct LossCauses {
+    /// Losses caused by requests.
+    pub requests: Vec<ConnectionLoss>,
+    /// Losses caused by a failed path to the targets, by what this instance knows.
     pub path: Vec<ConnectionLoss>,
 }
 
@@ -86,7 +87,7 @@
 const MAX_EVENT_TIME: Duration = Duration::from_millis(300);
 /// Targets that must lose connections in one event, with nothing else to explain it, for it to count
 /// as a failure of the path.
-pub(crate) const MIN_PATH_TARGETS: usize = 3;
+pub(super) const MIN_PATH_TARGETS: usize = 3;
 /// Targets that a request must have lost in one event to explain the losses on them.
 const MIN_EXPLAINED_TARGETS: usize = 2;
 /// Requests that may together explain an event; more of them show a path that fails again and again.
@@ -104,41 +105,44 @@
         event.lost.push((sent, lost));
     }
 
-    /// Returns what the losses of an event speak against, once it is over.
-    pub fn take_due(&mut self, now: Time) -> Judgement {
+    /// Returns the losses of an event by their cause, once it is over.
+    pub fn take_due(&mut self, now: Time) -> LossCauses {
         let is_over = |event: &mut LossEvent| {
             now - event.last_at >= EVENT_GAP || now - event.began_at >= MAX_EVENT_TIME
         };
-        self.event.take_if(is_over).map(judge).unwrap_or_default()
+        self.event
+            .take_if(is_over)
+            .map(attribute)
+            .unwrap_or_default()
     }
 }
 
-fn judge(event: LossEvent) -> Judgement {
-    let mut against = Vec::new();
+fn attribute(event: LossEvent) -> LossCauses {
+    let mut requests = Vec::new();
     let mut left = event.lost;
     let mut explaining = 0;
     while let Some(targets) = best_explanation(&left) {
         explaining += 1;
         if explaining > MAX_EXPLAINING_REQUESTS {
-            return Judgement::default();
+            return LossCauses::default();
         }
         let (explained, rest): (Vec<_>, Vec<_>) = left
             .into_iter()
             .partition(|(_, one)| targets.contains(&one.target));
-        against.extend(explained.into_iter().map(|(_, one)| one.loss));
+        requests.extend(explained.into_iter().map(|(_, one)| one.loss));
         left = rest;
     }
     let targets: BTreeSet<u64> = left.iter().map(|(_, one)| one.target).collect();
     let left = left.iter().map(|(_, one)| one.loss);
     if targets.len() < MIN_PATH_TARGETS {
-        against.extend(left);
-        return Judgement {
-            against,
+        requests.extend(left);
+        return LossCauses {
+            requests,
             path: Vec::new(),
         };
     }
     let path = left.collect();
-    Judgement { against, path }
+    LossCauses { requests, path }
 }
 
 /// Returns the targets that one request explains, as many as possible: it lost one after the other,
--- a/crates/dispatch/tests/losses.rs
+++ b/crates/dispatch/tests/losses.rs
@@ -122,7 +122,7 @@
             }
             !is_answered
         });
-        let against = self.losses.take_due(now).against;
+        let against = self.losses.take_due(now).requests;
         let mut begun = self.quarantine.record(now, &against);
         begun.extend(self.quarantine.begin_due(now));
         self.wronged
