refactor(entry): the tests of homes are split by job; they and those of outdated instances share their requests

Cases and bounds are as they were: a comparison of all lines before and after shows differences in imports alone.

--- /dev/null
+++ b/crates/entry/tests/homes/dialed.rs
@@ -0,0 +1,184 @@
+//! Attempts whose connections are opened while a configuration changes.
+
+#[path = "../support/template.rs"]
+mod template;
+
+use std::time::Duration;
+
+use base::{AllowedRegions, Config, TargetId};
+use dispatch::Outcome;
+use entry::{
+    connection::Relay,
+    dial::{DialPlan, Dialer},
+    engine::Engine,
+    forward::Forwarder,
+    message::{AttemptPlan, Decision},
+    permit::{SendNote, SendPermit},
+    view::Clock,
+};
+use rstest::rstest;
+use standin::config::registration;
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+    time::timeout,
+};
+use wire::marked::MarkedStream;
+
+use crate::{
+    activate, config, engine, homes, outcome,
+    requests::{dispatch, end_attempt, submit},
+    with_route,
+};
+use template::template;
+
+/// Submits and dispatches a request, and returns the plan of its attempt and the channel of its later
+/// decisions.
+fn plan_attempt(engine: &mut Engine) -> (Box<AttemptPlan>, mpsc::UnboundedReceiver<Decision>) {
+    let mut rx = submit(engine, 1);
+    dispatch(engine, 1);
+    loop {
+        if let Decision::SendAttempt(plan) = rx.try_recv().unwrap() {
+            return (plan, rx);
+        }
+    }
+}
+
+/// Guards against HOME: a connection that took long to open, through another instance, carried its
+/// request to where the homes had been meanwhile, or past an instance outside of them.
+#[rstest]
+#[case::homes_stay(&["north", "south"], false)]
+#[case::target_is_outside(&["south"], true)]
+#[case::carrier_is_outside(&["north"], true)]
+#[case::not_allowed_any_more(&[], true)]
+#[tokio::test]
+async fn request_is_withheld_if_its_homes_moved_while_it_was_dialed(
+    #[case] moved_to: &[&str],
+    #[case] is_withheld: bool,
+) {
+    let clock = Clock::start();
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let forwarder = Forwarder::new(Dialer::new(clock, tx));
+    let allowed = watch::Sender::new(AllowedRegions::All);
+    let (note, in_force) = (SendNote::default(), watch::Sender::new(1));
+    let permit = SendPermit::new("north".into(), allowed.subscribe())
+        .noted(note.clone(), in_force.subscribe());
+    let plan = DialPlan {
+        target: "t".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        relays: vec![Relay {
+            instance: "i2".into(),
+            region: "south".into(),
+            addr: ([127, 0, 0, 1], 2).into(),
+        }],
+        prefers_relay: true,
+        relay_delay: Duration::from_secs(1),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let (mut far, _) = listener.accept().await.unwrap();
+    let carry = async {
+        let request = rx.recv().await.unwrap();
+        let moved = AllowedRegions::only(&homes(moved_to));
+        allowed.send_replace(moved);
+        in_force.send_replace(2);
+        let carried = MarkedStream::new(stream.unwrap());
+        request.reply.send(Ok(carried)).unwrap();
+        let read = timeout(Duration::from_millis(200), far.read_u8()).await;
+        read.is_ok()
+    };
+    let deadline = clock.now() + Duration::from_millis(400);
+    let template = template();
+    let send = forwarder.send_attempt(&plan, None, &template, &permit, deadline);
+    let (result, is_sent) = tokio::join!(send, carry);
+    assert_eq!(
+        result.outcome == Outcome::Withheld,
+        is_withheld,
+        "{result:?}"
+    );
+    assert_eq!(is_sent, !is_withheld);
+    // The line tells by which configuration it was sent, and that it was not.
+    let sent_by = note.sent().map(|sent| sent.revision);
+    assert_eq!(sent_by, (!is_withheld).then_some(2));
+    assert_eq!(result.connection.is_some(), is_withheld);
+}
+
+/// Guards against HOME: a target moved to another region while its connection was opened, and got the
+/// request that is bound to the region where it had been; also if it was taken away in between.
+#[rstest]
+#[case::at_once(false)]
+#[case::taken_away_in_between(true)]
+#[tokio::test]
+async fn request_is_withheld_if_its_target_moved_while_it_was_dialed(#[case] is_taken_away: bool) {
+    let mut config = with_route(config(), 2);
+    config.routes[0].homes = homes(&["north"]);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let (plan, _decisions) = plan_attempt(&mut engine);
+    if is_taken_away {
+        let mut without = config.clone();
+        let service = without.services.get_mut("board").unwrap();
+        service.targets.remove(&plan.assignment.target);
+        activate(&mut engine, &without);
+    }
+    let service = config.services.get_mut("board").unwrap();
+    let target = service.targets.get_mut(&plan.assignment.target).unwrap();
+    target.domain = "south".into();
+    activate(&mut engine, &config);
+    let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+    assert!(!permit.covers(None));
+}
+
+/// Guards against DRAIN and EVAC: a target left while a connection to it was opened, and got the request
+/// that had been meant for it before.
+#[rstest]
+#[case::drained(|config: &mut Config, target: &TargetId| {
+    config.drains.targets.insert(target.clone());
+})]
+#[case::evacuated(|config: &mut Config, target: &TargetId| {
+    let domain = config.services["board"].targets[target].domain.clone();
+    config.drains.targets_in_domains.insert(domain);
+})]
+#[case::gone(|config: &mut Config, target: &TargetId| {
+    config.services.get_mut("board").unwrap().targets.remove(target);
+})]
+#[tokio::test]
+async fn request_is_withheld_if_its_target_left_while_it_was_dialed(
+    #[case] leave: fn(&mut Config, &TargetId),
+) {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let (plan, mut rx) = plan_attempt(&mut engine);
+    let target = plan.assignment.target.clone();
+    leave(&mut config, &target);
+    activate(&mut engine, &config);
+    let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+    assert!(!permit.covers(None));
+    end_attempt(&mut engine, Outcome::Withheld);
+    assert_eq!(outcome(&mut rx), Ok("south".to_owned()));
+}
+
+/// Guards against DRAIN: a target started again at another address while a connection to the old one was
+/// opened, and what it had left behind there got the request.
+#[rstest]
+#[case::elsewhere(2, true)]
+#[case::at_its_address(1, false)]
+#[tokio::test]
+async fn request_is_withheld_if_its_target_restarted_elsewhere_while_it_was_dialed(
+    #[case] port: u16,
+    #[case] is_withheld: bool,
+) {
+    let mut config = with_route(config(), 2);
+    let mut engine = engine();
+    activate(&mut engine, &config);
+    let (plan, _decisions) = plan_attempt(&mut engine);
+    let service = config.services.get_mut("board").unwrap();
+    let target = service.targets.get_mut(&plan.assignment.target).unwrap();
+    target.addr.set_port(port);
+    target.registered = Some(registration(4, 2));
+    activate(&mut engine, &config);
+    let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions);
+    assert_eq!(permit.covers(None), !is_withheld);
+}
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -4,22 +4,24 @@
 mod engine;
 #[path = "support/fresh.rs"]
 mod fresh;
+#[path = "support/requests.rs"]
+mod requests;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, ErrorKind, Key, KeyDigest, Refusal, Time, Workspace};
-use dispatch::{Outcome, Policy, RequestId, RequestKind};
+use dispatch::{Outcome, Policy};
 use engine::engine_with;
 use entry::{
     engine::Engine,
-    message::{Arrival, AttemptPlan, ConfigLag, Decision, Event},
+    message::{AttemptPlan, ConfigLag, Decision, Event},
 };
 use fresh::fresh;
+use requests::{KEY, dispatch, end_attempt, submit};
 use rstest::rstest;
 use standin::config::{service, target};
 use tokio::{sync::mpsc, time::sleep};
 
-const KEY: &str = "key";
 const RETRY_AFTER: Duration = Duration::from_millis(40);
 
 /// Returns a configuration with a target for one request at a time, and a workspace that may run in the
@@ -58,32 +60,6 @@
     }));
 }
 
-fn submit(engine: &mut Engine, id: u64) -> mpsc::UnboundedReceiver<Decision> {
-    let (tx, rx) = mpsc::unbounded_channel();
-    engine.handle(Event::RequestArrived(Arrival {
-        id: RequestId(id),
-        api_key: Some(KEY.to_owned()),
-        service: "board".into(),
-        path: "/x".to_owned(),
-        host: "h".to_owned(),
-        full_path: "/board/x".to_owned(),
-        affinity: None,
-        kind: RequestKind::Idempotent,
-        fingerprint: id,
-        timeout: None,
-        awaits_dispatch: true,
-        tx,
-    }));
-    rx
-}
-
-fn dispatch(engine: &mut Engine, id: u64) {
-    engine.handle(Event::Dispatch {
-        id: RequestId(id),
-        fingerprint: id,
-    });
-}
-
 /// Returns the plan of an attempt that a request was given, if it was.
 fn plan_of(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Option<Box<AttemptPlan>> {
     while let Ok(decision) = rx.try_recv() {
@@ -144,14 +120,7 @@
     assert_eq!(refusal(&mut arriving), expected());
     assert_eq!(refusal(&mut running), None);
     // What runs goes on, and isn't tried again.
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Refused,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Refused);
     let kind = refusal(&mut running).map(|refusal| refusal.kind);
     assert_eq!(kind, Some(ErrorKind::Outdated));
 }
@@ -179,14 +148,7 @@
     assert!(plan_of(&mut running).is_some());
     fall_behind(&mut engine, Some(Time::ZERO));
     engine.handle(Event::ConfigActivated(Arc::new(config())));
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Refused,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Refused);
     let kind = refusal(&mut running).map(|refusal| refusal.kind);
     assert_eq!(kind, Some(ErrorKind::Outdated));
 }
@@ -201,13 +163,6 @@
     fall_behind(&mut engine, Some(Time::ZERO));
     engine.handle(Event::ConfigActivated(Arc::new(config())));
     fall_behind(&mut engine, None);
-    engine.handle(Event::AttemptEnded {
-        id: RequestId(1),
-        attempt: 1,
-        outcome: Outcome::Refused,
-        response_bytes: None,
-        connection: None,
-        feedback: Default::default(),
-    });
+    end_attempt(&mut engine, Outcome::Refused);
     assert_eq!(refusal(&mut running), None);
 }
