refactor(dispatch): a target's load by others, reachability and warm-up each have a state and a file of their own

That an instance skips a cold target follows from the interval and isn't stored any more. No behaviour changes.

--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -1,6 +1,9 @@
 //! The state of one target as seen by this instance.
 
+mod load;
+mod reachability;
 mod service;
+mod warm_up;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -12,6 +15,10 @@
     ConcurrencyLimit, ExclusionReason, Exclusions, LatencyEstimate, SendGate, hash::seeded_hash,
 };
 
+use load::OthersLoad;
+use reachability::Reachability;
+use warm_up::WarmUp;
+
 /// Lists the states of a target; `charts/target.json` holds the transitions of those that describe
 /// its health. Whether it is leaving follows from the reasons for which it is out of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -68,30 +75,11 @@
     limit: ConcurrencyLimit,
     /// Health of the target, in service or not.
     condition: TargetState,
-    cold_since: Time,
-    /// Requests of other instances, by the last health report.
-    others_in_flight: u32,
-    /// Time until which a refusal counts more than the last health report.
-    report_distrusted_until: Time,
-    /// Consecutive failed connections.
-    failures: u32,
+    warm_up: WarmUp,
+    others: OthersLoad,
+    reachability: Reachability,
     latency: LatencyEstimate,
     registration: Option<Registration>,
-    /// Time until which a registered target is cold.
-    cold_until: Time,
-    /// Minimum time between two requests of this instance while the target is cold.
-    cold_interval: Duration,
-    /// Whether this instance sends nothing to the target while it is cold.
-    skips_while_cold: bool,
-    next_cold_send_at: Time,
-    last_probed_at: Time,
-    /// Minimum time between two connections that probe whether the target is back.
-    probe_backoff: Duration,
-    /// When a connection last showed that the target is back.
-    found_at: Time,
-    /// Minimum time from then until another such connection counts, while no request is answered.
-    find_backoff: Duration,
-    load_report: Option<LoadReport>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
     /// When the target takes the next request of this instance, by its own word.
@@ -100,37 +88,14 @@
     last_word_at: Time,
 }
 
-/// Records the load that a target reported with a response, to estimate its load until the next one.
-#[derive(Debug, Clone, Copy)]
-struct LoadReport {
-    at: Time,
-    /// Requests of other instances that the target ran or queued.
-    others: u32,
-}
-
-/// Time over which the weight of a load report falls to zero.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
-/// Initial time between two probes of a target that can't be reached.
-const MIN_PROBE_BACKOFF: Duration = Duration::from_millis(500);
-/// Interval at and above which an instance sends nothing to a cold target.
-const MAX_COLD_INTERVAL: Duration = Duration::from_secs(3_600);
-/// Maximum time between two probes of a target that can't be reached.
-const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(4);
 /// Weight of each sample in the exponentially weighted refusal rate.
 const REFUSAL_RATE_GAIN: f64 = 0.1;
 
-/// Time over which the concurrency of a cold target that is not registered grows to all its slots.
-pub(crate) const WARM_UP_TIME: Duration = Duration::from_secs(5);
 /// Latency that is assumed before the first response.
 pub(crate) const INITIAL_LATENCY: Duration = Duration::from_millis(20);
-/// Time for which health reports are distrusted after one showed a free slot and the target
-/// refused a request.
-const REPORT_DISTRUST: Duration = Duration::from_secs(5);
 /// Time for which a target that is no longer configured is remembered after its last own word: longer
 /// than entries are gone because the store was down, and than most rests.
 const MEMORY: Duration = Duration::from_secs(60);
-/// Consecutive failed connections after which a target counts as down.
-const FAILURES_UNTIL_DOWN: u32 = 3;
 
 impl Target {
     /// Returns an unregistered target that is cold from `now` on.
@@ -144,21 +109,11 @@
             slots: slots.max(1),
             limit: ConcurrencyLimit::new(slots),
             condition: TargetState::Cold,
-            cold_since: now,
-            others_in_flight: 0,
-            report_distrusted_until: Time::ZERO,
-            failures: 0,
+            warm_up: WarmUp::new(now),
+            others: OthersLoad::default(),
+            reachability: Reachability::default(),
             latency: LatencyEstimate::new(INITIAL_LATENCY),
             registration: None,
-            cold_until: Time::ZERO,
-            cold_interval: Duration::ZERO,
-            skips_while_cold: false,
-            next_cold_send_at: Time::ZERO,
-            last_probed_at: Time::ZERO,
-            probe_backoff: MIN_PROBE_BACKOFF,
-            found_at: Time::ZERO,
-            find_backoff: MIN_PROBE_BACKOFF,
-            load_report: None,
             refusal_rate: 0.0,
             gate: SendGate::default(),
             last_word_at: Time::ZERO,
@@ -177,8 +132,7 @@
         cold_interval: Duration,
     ) {
         let old = self.registration.replace(registration);
-        self.cold_interval = cold_interval;
-        self.skips_while_cold = cold_interval >= MAX_COLD_INTERVAL;
+        self.warm_up.set_interval(cold_interval);
         self.set_slots(registration.slots);
         let is_new = old.is_none_or(|old| old.incarnation != registration.incarnation);
         let has_returned = old.is_some_and(|old| old.is_leaving && !registration.is_leaving);
@@ -188,13 +142,12 @@
         }
         if is_new {
             self.limit = ConcurrencyLimit::new(self.slots);
-            self.load_report = None;
-            self.failures = 0;
+            self.others.forget_response();
             self.refusal_rate = 0.0;
             let rank = self.gate.rate_rank();
             self.gate = SendGate::default();
             self.gate.set_rate_rank(rank);
-            self.reset_backoffs();
+            self.reachability.reset();
             self.apply_event(now, chart, TargetEvent::Recovered);
         }
         let is_back = self.exclusions.contains(ExclusionReason::Entry) && !registration.is_leaving;
@@ -255,34 +208,16 @@
         chart: &Chart<TargetState, TargetEvent>,
         left: Duration,
     ) {
-        self.cold_until = self.cold_until.max(now + left);
+        self.warm_up.extend(now + left);
         self.apply_event(now, chart, TargetEvent::Chilled);
     }
 
-    /// Records the load that came with a response: `total` requests run or wait on the target.
-    pub fn record_load(&mut self, now: Time, total: u32) {
-        let others = total.saturating_sub(self.in_flight);
-        self.load_report = Some(LoadReport { at: now, others });
-    }
-
-    /// Returns the estimated number of requests that run or wait on the target: this instance's own
-    /// plus the reported ones of others, which count less the older the report is.
-    pub fn estimated_load(&self, now: Time) -> f64 {
-        let others = self.load_report.map_or(0.0, |report| {
-            let age = (now - report.at).as_secs_f64() / LOAD_REPORT_TTL.as_secs_f64();
-            f64::from(report.others) * (1.0 - age).max(0.0)
-        });
-        f64::from(self.in_flight) + others
-    }
-
     /// Returns whether one more request may be sent now: the target has a free slot, and a cold or
     /// unreachable target is due for its next request.
     pub fn accepts_request(&self, now: Time) -> bool {
         match self.state() {
             TargetState::Ready => self.has_capacity(now),
-            TargetState::Cold => {
-                !self.skips_while_cold && now >= self.next_cold_send_at && self.has_capacity(now)
-            }
+            TargetState::Cold => self.warm_up.is_due(now) && self.has_capacity(now),
             TargetState::Leaving | TargetState::Down => false,
         }
     }
@@ -324,7 +259,7 @@
         self.in_flight += 1;
         self.gate.record_send(now);
         if self.condition == TargetState::Cold {
-            self.next_cold_send_at = now + self.cold_interval;
+            self.warm_up.record_send(now);
         }
     }
 
@@ -355,9 +290,8 @@
             TargetState::Ready => self.limit.current(),
             TargetState::Cold if self.registration.is_some() => self.limit.current(),
             TargetState::Cold => {
-                let progress = (now - self.cold_since).as_secs_f64() / WARM_UP_TIME.as_secs_f64();
-                let share = 1 + (f64::from(self.slots) * progress.min(1.0)) as u32;
-                share.min(self.limit.current())
+                let usable = self.warm_up.usable_slots(now, self.slots);
+                usable.min(self.limit.current())
             }
             TargetState::Leaving | TargetState::Down => 0,
         }
@@ -373,18 +307,6 @@
         self.in_flight < self.concurrency_limit(now) && self.may_send(now)
     }
 
-    /// Returns the requests per slot: this instance's own plus those that others are reported to
-    /// run. While reports are distrusted, the slots above this instance's limit count as used by
-    /// others.
-    pub fn utilization(&self, now: Time) -> f64 {
-        let others = if now < self.report_distrusted_until {
-            self.slots - self.limit.current().min(self.slots)
-        } else {
-            self.others_in_flight
-        };
-        f64::from(self.in_flight + others) / f64::from(self.slots)
-    }
-
     /// Applies an event and returns whether the state changed.
     pub fn apply_event(
         &mut self,
@@ -397,25 +319,15 @@
         };
         self.condition = next;
         if next == TargetState::Cold {
-            self.cold_since = now;
-            self.failures = 0;
+            self.warm_up.begin(now);
+            self.reachability.reset_failures();
         }
         true
     }
 
-    /// Records a report of the health endpoint.
-    pub fn record_health(&mut self, report: HealthReport) {
-        self.others_in_flight = report.in_flight.saturating_sub(self.in_flight);
-    }
-
     /// Returns whether the target is cold and its warm-up time is over.
     pub fn is_warm_up_over(&self, now: Time) -> bool {
-        let is_over = if self.registration.is_some() {
-            now >= self.cold_until
-        } else {
-            now - self.cold_since >= WARM_UP_TIME
-        };
-        self.condition == TargetState::Cold && is_over
+        self.condition == TargetState::Cold && self.warm_up.is_over(now, self.is_registered())
     }
 
     /// Returns the cost of one more request: the utilization with it, times the mean latency.
@@ -426,73 +338,9 @@
 
     /// Records a response that arrived after `latency`.
     pub fn record_success(&mut self, latency: Duration) {
-        self.failures = 0;
-        self.reset_backoffs();
+        self.reachability.reset();
         self.gate.record_run();
         self.latency.record(latency);
         self.limit.record_success(self.in_flight);
     }
-
-    /// Records a refusal for lack of capacity; if the health report showed a free slot, it is
-    /// distrusted for a while.
-    pub fn record_refusal(&mut self, now: Time) {
-        if self.utilization(now) < 1.0 {
-            self.report_distrusted_until = now + REPORT_DISTRUST;
-        }
-        self.limit.record_refusal();
-    }
-
-    /// Records a failed connection at `now` and returns whether the target counts as down now.
-    pub fn record_failure(&mut self, now: Time) -> bool {
-        self.failures += 1;
-        if self.failures < FAILURES_UNTIL_DOWN {
-            return false;
-        }
-        if self.condition != TargetState::Down {
-            self.last_probed_at = now;
-        }
-        true
-    }
-
-    /// Returns whether a connection is to be tried now to see whether the target is back, and if
-    /// so, counts it as tried.
-    ///
-    /// The time between two of them grows until a request is answered, so that a target that only
-    /// accepts connections is not taken for a sound one again and again.
-    pub fn take_probe(&mut self, now: Time) -> bool {
-        let is_due = self.state() == TargetState::Down
-            && self.is_registered()
-            && now - self.last_probed_at >= self.probe_backoff;
-        if is_due {
-            self.last_probed_at = now;
-            self.probe_backoff = (self.probe_backoff * 2).min(MAX_PROBE_BACKOFF);
-        }
-        is_due
-    }
-
-    /// Returns whether a connection to the target, which is down, may show now that it is back.
-    ///
-    /// A target that accepts connections and answers nothing is found less and less often.
-    pub(crate) fn may_be_found(&self, now: Time) -> bool {
-        self.state() == TargetState::Down && now - self.found_at >= self.find_backoff
-    }
-
-    /// Records that a connection could be opened, and returns whether the target was down.
-    pub(crate) fn record_find(
-        &mut self,
-        now: Time,
-        chart: &Chart<TargetState, TargetEvent>,
-    ) -> bool {
-        let is_found = self.apply_event(now, chart, TargetEvent::Recovered);
-        if is_found {
-            self.found_at = now;
-            self.find_backoff = (self.find_backoff * 2).min(MAX_PROBE_BACKOFF);
-        }
-        is_found
-    }
-
-    fn reset_backoffs(&mut self) {
-        self.probe_backoff = MIN_PROBE_BACKOFF;
-        self.find_backoff = MIN_PROBE_BACKOFF;
-    }
 }
