refactor(entry): tests of homes and of outdated instances share their key, and three their first request

Cause: the same key was added to the configuration in both files, and in `outdated.rs` the request that takes the only slot was submitted, released and checked three times in the same three lines. Change: `requests::issue_key` and `run_first`. Cases and bounds are as they were.

--- a/crates/entry/tests/homes/main.rs
+++ b/crates/entry/tests/homes/main.rs
@@ -13,10 +13,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use base::{
-    Config, ErrorKind, Key, KeyDigest, RegionId, Route, RouteKind, Service, WeightedService,
-    Workspace,
-};
+use base::{Config, ErrorKind, RegionId, Route, RouteKind, Service, WeightedService, Workspace};
 use dispatch::{Placement, Policy};
 use engine::engine_with;
 use entry::{
@@ -24,7 +21,7 @@
     message::{Decision, Event},
 };
 use fresh::fresh;
-use requests::KEY;
+use requests::issue_key;
 use standin::config::{service, target};
 use tokio::sync::mpsc;
 
@@ -46,11 +43,7 @@
     };
     config.workspaces.insert("other".into(), workspace.clone());
     config.workspaces.insert("gym".into(), workspace);
-    let key = Key {
-        workspace: "gym".into(),
-        digest: KeyDigest::of(KEY),
-    };
-    config.keys.insert("k".into(), key);
+    issue_key(&mut config);
     config
 }
 
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -9,7 +9,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, ErrorKind, Key, KeyDigest, Refusal, Time, Workspace};
+use base::{Config, ErrorKind, Refusal, Time, Workspace};
 use dispatch::{Outcome, Policy};
 use engine::engine_with;
 use entry::{
@@ -17,7 +17,7 @@
     message::{AttemptPlan, ConfigLag, Decision, Event},
 };
 use fresh::fresh;
-use requests::{KEY, dispatch, end_attempt, submit};
+use requests::{dispatch, end_attempt, issue_key, submit};
 use rstest::rstest;
 use standin::config::{service, target};
 use tokio::{sync::mpsc, time::sleep};
@@ -38,11 +38,7 @@
         ..Workspace::default()
     };
     config.workspaces.insert("gym".into(), workspace);
-    let key = Key {
-        workspace: "gym".into(),
-        digest: KeyDigest::of(KEY),
-    };
-    config.keys.insert("k".into(), key);
+    issue_key(&mut config);
     config
 }
 
@@ -70,6 +66,14 @@
     None
 }
 
+/// Submits the first request, which gets the target's only slot, and returns the channel of its decisions.
+fn run_first(engine: &mut Engine) -> mpsc::UnboundedReceiver<Decision> {
+    let mut running = submit(engine, 1);
+    dispatch(engine, 1);
+    assert!(plan_of(&mut running).is_some());
+    running
+}
+
 fn refusal(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Option<Refusal> {
     while let Ok(decision) = rx.try_recv() {
         if let Decision::Refuse(refusal) = decision {
@@ -108,9 +112,7 @@
 #[tokio::test]
 async fn waiting_requests_are_refused_once_outdated() {
     let mut engine = engine();
-    let mut running = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    assert!(plan_of(&mut running).is_some());
+    let mut running = run_first(&mut engine);
     let mut queued = submit(&mut engine, 2);
     dispatch(&mut engine, 2);
     let mut arriving = submit(&mut engine, 3);
@@ -143,9 +145,7 @@
 #[tokio::test]
 async fn running_request_is_not_tried_again_after_another_configuration_that_is_outdated() {
     let mut engine = engine();
-    let mut running = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    assert!(plan_of(&mut running).is_some());
+    let mut running = run_first(&mut engine);
     fall_behind(&mut engine, Some(Time::ZERO));
     engine.handle(Event::ConfigActivated(Arc::new(config())));
     end_attempt(&mut engine, Outcome::Refused);
@@ -157,9 +157,7 @@
 #[tokio::test]
 async fn running_request_is_tried_again_once_caught_up() {
     let mut engine = engine();
-    let mut running = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    assert!(plan_of(&mut running).is_some());
+    let mut running = run_first(&mut engine);
     fall_behind(&mut engine, Some(Time::ZERO));
     engine.handle(Event::ConfigActivated(Arc::new(config())));
     fall_behind(&mut engine, None);
--- a/crates/entry/tests/support/requests.rs
+++ b/crates/entry/tests/support/requests.rs
@@ -1,5 +1,6 @@
 //! Requests that the tests submit to an engine.
 
+use base::{Config, Key, KeyDigest};
 use dispatch::{Outcome, RequestId, RequestKind};
 use entry::{
     engine::Engine,
@@ -8,7 +9,16 @@
 use tokio::sync::mpsc;
 
 /// Key with which the requests come.
-pub(crate) const KEY: &str = "key";
+const KEY: &str = "key";
+
+/// Adds the requests' key, `k`, of the workspace `gym`.
+pub(crate) fn issue_key(config: &mut Config) {
+    let key = Key {
+        workspace: "gym".into(),
+        digest: KeyDigest::of(KEY),
+    };
+    config.keys.insert("k".into(), key);
+}
 
 /// Submits a request whose body hasn't arrived yet, and returns the channel of its decisions.
 pub(crate) fn submit(engine: &mut Engine, id: u64) -> mpsc::UnboundedReceiver<Decision> {
