--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -9,8 +9,12 @@
     time::Duration,
 };
 
+use base::Time;
 use coord::TableSnapshot;
-use daemon::{fleet::Fleet, message::FollowerMessage};
+use daemon::{
+    fleet::Fleet,
+    message::{FollowerMessage, TableChange},
+};
 use entry::metrics::Metrics;
 use platform::{Platform, PlatformError};
 use rstest::rstest;
@@ -121,6 +125,7 @@
                     from: format!("i{idx}").as_str().into(),
                     positions: vec![POSITION + last],
                     confirmed_at: None,
+                    change: Some(TableChange::complete(POSITION + last, Time::ZERO)),
                 };
                 if tx.send(report).await.is_err() {
                     return;
--- a/crates/daemon/tests/tables_by_parts/own_position.rs
+++ b/crates/daemon/tests/tables_by_parts/own_position.rs
@@ -5,7 +5,11 @@
     time::Duration,
 };
 
-use daemon::{fleet::Fleet, message::FollowerMessage};
+use base::Time;
+use daemon::{
+    fleet::Fleet,
+    message::{FollowerMessage, TableChange},
+};
 use entry::metrics::Metrics;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rstest::rstest;
@@ -120,6 +124,7 @@
                 from: "i0".into(),
                 positions: vec![POSITION],
                 confirmed_at: None,
+                change: Some(TableChange::complete(POSITION, Time::ZERO)),
             };
             if tx.send(report).await.is_err() {
                 return;
