fix(daemon): a heartbeat counts as sent when its sender sent it, for who is alive as well

An instance with slow links heard others' heartbeats, knew of a later version from them and refused, and then ran requests by the older version again: those who had reported it counted as gone between two heartbeats, since one counted as sent when the own one that it acknowledges was, which is two ways and up to two intervals before it arrives, and a later version that nobody alive has isn't waited for.

The acknowledged heartbeat's age is added for membership as well; an instance that ends is forgotten no later than before by its true last sending.

--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -139,8 +139,8 @@
     async fn handle_heartbeat(&mut self, from: &InstanceId, mut heartbeat: PeerHeartbeat) {
         let departures = std::mem::take(&mut heartbeat.departures);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
-            self.membership.on_heartbeat(not_before, &heartbeat.status);
             let not_before = (not_before + heartbeat.ack_age).min(self.clock.now());
+            self.membership.on_heartbeat(not_before, &heartbeat.status);
             self.forward_to_follower(from, &heartbeat, departures, not_before);
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -1,7 +1,12 @@
 //! What the exchange of heartbeats costs an instance among many, and what it does with frames that it
 //! can't read.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Incarnation, InstanceId, Time};
 use coord::{Departure, Heartbeat, ListEntry, Membership};
@@ -31,7 +36,7 @@
     peers: mpsc::Sender<PeerCommand>,
     fleet: watch::Receiver<Arc<Fleet>>,
     addr: SocketAddr,
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     sessions: BTreeMap<InstanceId, Sessions>,
     sequence: u64,
     /// Format that the others' heartbeats name.
@@ -61,7 +66,7 @@
 
 impl Neighbourhood {
     async fn start(others: usize) -> Self {
-        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
         let own_socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
         let addr = own_socket.local_addr().unwrap();
         let (engine, engine_rx) = mpsc::unbounded_channel();
@@ -167,6 +172,18 @@
         self.socket.send_to(&frame, self.addr).await.unwrap();
     }
 
+    /// Sends a heartbeat of one of the others, which is on its way for a time.
+    fn send_after(&mut self, id: &InstanceId, heartbeat: PeerHeartbeat, way: Duration) {
+        let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+        let sessions = self.sessions.get_mut(id).unwrap();
+        let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
+        let (socket, addr) = (self.socket.clone(), self.addr);
+        tokio::spawn(async move {
+            sleep(way).await;
+            let _ = socket.send_to(&frame, addr).await;
+        });
+    }
+
     /// Sends one heartbeat of each of the others.
     async fn send_heartbeats(&mut self, is_leaving: bool) {
         self.sequence += 1;
@@ -353,6 +370,66 @@
     assert!(lost[TRIALS / 2] < HELD / 2, "{lost:?}");
 }
 
+/// Guards against CONFIG and HOME: an instance whose heartbeats take long counted as gone between two of them, so that a
+/// later version that it had reported was forgotten.
+#[tokio::test]
+async fn instance_with_slow_heartbeats_stays_alive() {
+    /// Time that a heartbeat takes, in each direction.
+    const WAY: Duration = Duration::from_millis(600);
+    const RUN_TIME: Duration = Duration::from_secs(7);
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let mut fleet = neighbourhood.fleet.clone();
+    let clock = neighbourhood.clock;
+    let exchange = async {
+        // Numbers of the instance's heartbeats, and when they reach the other one.
+        let mut on_their_way = VecDeque::new();
+        let mut heard = None;
+        let mut next = Instant::now();
+        loop {
+            let sequence = timeout_at(next, neighbourhood.next_sequence(&id)).await;
+            if let Ok(sequence) = sequence {
+                on_their_way.push_back((sequence, Instant::now() + WAY));
+                continue;
+            }
+            next += HEARTBEAT_INTERVAL;
+            while let Some((sequence, at)) = on_their_way.front().copied()
+                && at <= Instant::now()
+            {
+                heard = Some((sequence, at));
+                on_their_way.pop_front();
+            }
+            let Some((sequence, at)) = heard else {
+                continue;
+            };
+            let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+            (message.ack, message.ack_age) = (sequence, at.elapsed());
+            neighbourhood.send_after(&id, message, WAY);
+        }
+    };
+    let watch = async {
+        let is_known = |fleet: &Arc<Fleet>| !fleet.members.is_empty();
+        let is_alive = |fleet: &Arc<Fleet>| {
+            let now = clock.now();
+            fleet.members.values().any(|member| member.is_alive(now))
+        };
+        fleet.wait_for(is_known).await.unwrap();
+        fleet.wait_for(is_alive).await.unwrap();
+        let end = Instant::now() + RUN_TIME;
+        let mut lapses = 0;
+        while Instant::now() < end {
+            sleep(HEARTBEAT_INTERVAL / 50).await;
+            lapses += usize::from(!is_alive(&fleet.borrow()));
+        }
+        lapses
+    };
+    let lapses = tokio::select! {
+        () = exchange => unreachable!(),
+        lapses = watch => lapses,
+    };
+    assert_eq!(lapses, 0);
+}
+
 /// Guards against CONFIG and HOME: a change counted from when a heartbeat that reported it was handled, however long its
 /// sender had known of it and however long the heartbeat had been on its way.
 #[tokio::test]
