test(daemon): the answer to a poll from before fetched rows makes others refuse: red

An instance that the store turned away fetches a version; the store comes back and answers a poll from before it. That answer counts as a later version at the instance itself and, since heartbeats report what is arriving, at all others that have the version.

--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -6,6 +6,7 @@
 #[path = "../support/engine.rs"]
 mod engine;
 mod model;
+mod old_poll;
 #[path = "../support/options.rs"]
 mod options;
 #[path = "../support/paused.rs"]
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -236,7 +236,7 @@
 }
 
 /// Returns an instance that is alive until `end`, at no address for other instances.
-fn member(id: &InstanceId, end: Duration) -> FleetMember {
+pub(crate) fn member(id: &InstanceId, end: Duration) -> FleetMember {
     let mut membership = Membership::new(RUN_TIME, RUN_TIME);
     let entry = ListEntry {
         id: id.clone(),
@@ -355,6 +355,21 @@
     where
         I: IntoIterator<Item = InstanceId>,
     {
+        let others = others.into_iter();
+        let fleet = Fleet {
+            members: others.map(|id| (id.clone(), member(&id, end))).collect(),
+            ..Fleet::default()
+        };
+        Self::start_among(scenario, clock, platform, fleet)
+    }
+
+    /// Starts an instance among others.
+    pub(crate) fn start_among(
+        scenario: &Scenario,
+        clock: Clock,
+        platform: Platform,
+        fleet: Fleet,
+    ) -> Self {
         let versions = Arc::new(Mutex::new(Vec::new()));
         let composed = versions.clone();
         let compose = move |replicas: &[&Replica]| {
@@ -366,11 +381,6 @@
                 config: config(),
             })
         };
-        let others = others.into_iter();
-        let fleet = Fleet {
-            members: others.map(|id| (id.clone(), member(&id, end))).collect(),
-            ..Fleet::default()
-        };
         let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
         let (engine, engine_rx) = mpsc::unbounded_channel();
         let (peers, told) = mpsc::channel(64);
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -71,7 +71,7 @@
 }
 
 /// Sends heartbeats with what the reading instance last told, as its task for the other instances does.
-async fn send_heartbeats(
+pub(crate) async fn send_heartbeats(
     started: Instant,
     phase: Duration,
     from: InstanceId,
