fix(daemon): an answer to a poll from before the own rows reports no change

Cause: an arriving answer counted as a later version unless it had begun before the own position rose by a fetch. A poll from before the fetched position, whose answer begins later, brings what is there already. Change: an arrival carries the position after which its poll asked; one from before the own position tells of nothing later. The comparison of times goes: it also missed an answer that began before the follower had handled the read before it (by reading, not shown).

Given up: a version after the fetched one, in an answer to such a poll, is known from others or when it is complete.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -278,7 +278,7 @@
         let is_changed = match read {
             TableRead::Arriving(arrival) => {
                 if idx == 0 {
-                    self.lateness.on_arriving(arrival.since);
+                    self.lateness.on_arriving(arrival.since, arrival.after);
                 }
                 let apply = self.options.apply;
                 table.parts.on_arriving(now, &arrival, apply);
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -106,10 +106,10 @@
         self.reported.insert(from.clone(), report);
     }
 
-    /// Records that an answer is arriving; one that began at no known time, or before the own position rose by a
-    /// fetch, tells of nothing later.
-    pub(super) fn on_arriving(&mut self, begun_at: Option<Time>) {
-        match begun_at.filter(|at| *at > self.advanced_at) {
+    /// Records that an answer is arriving. One that began at no known time tells of nothing later, nor does one that was
+    /// asked for changes after a position before the own one: it brings what a fetch has brought.
+    pub(super) fn on_arriving(&mut self, begun_at: Option<Time>, after: u64) {
+        match begun_at.filter(|_| after >= self.own_position) {
             Some(at) => self.lag.on_arriving(at),
             None => self.lag.on_read_failure(),
         }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Arrival {
     /// Time at which it began; `None` if it may bring nothing new, as a first read.
     pub(crate) since: Option<Time>,
+    /// Position after which it was asked for changes.
+    pub(crate) after: u64,
     /// Whether it arrives below the lowest rate of a transfer, or too slowly to be complete within the time in
     /// which a change must be in force.
     pub(crate) is_slow: bool,
@@ -184,6 +186,7 @@
                     self.give_up_overtakers(number);
                     Some(TableRead::Arriving(Arrival {
                         since: self.arriving_since(number),
+                        after: self.position.unwrap_or(0),
                         is_slow: self.is_slow() || self.is_late(),
                     }))
                 }
