test(daemon): reports of arrivals that bring nothing, or that others follow: red

Reports that a version is arriving elsewhere are kept as a position of one more than the own one, until the own position rises or an own read shows that it isn't there. One follower in virtual time, another instance's reports as written down.

--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -1,6 +1,7 @@
 //! How long an instance decides by a version although it knows of a later one, over drawn versions,
 //! transfers and heartbeats.
 
+mod arrivals;
 #[path = "../support/call.rs"]
 mod call;
 #[path = "../support/engine.rs"]
