--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -1,11 +1,13 @@
 //! How long an instance decides by a version although it knows of a later one, over drawn versions,
 //! transfers and heartbeats.
 
+mod arrivals;
 #[path = "../support/call.rs"]
 mod call;
 #[path = "../support/engine.rs"]
 mod engine;
 mod model;
+mod old_poll;
 #[path = "../support/options.rs"]
 mod options;
 #[path = "../support/paused.rs"]
