--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -146,6 +146,15 @@
     task: AbortHandle,
 }
 
+impl OpenPoll {
+    /// Returns when the answer to a poll for changes began to arrive.
+    fn arriving_since(&self) -> Option<Time> {
+        self.after?;
+        let begun = self.received.borrow().begun_at?;
+        Some(self.sent_at + (begun - self.sent))
+    }
+}
+
 /// Records that rows have come from another source.
 #[derive(Debug, Clone, Copy)]
 struct Advance {
@@ -203,9 +212,10 @@
                 Some(number) = self.arrivals.recv() => {
                     self.give_up_overtakers(number);
                     self.end_outdated(&mut step).await;
+                    let poll = self.open.iter().find(|poll| poll.number == number);
                     Some(TableRead::Arriving(Arrival {
-                        since: self.arriving_since(number),
-                        after: self.position.unwrap_or(0),
+                        since: poll.and_then(OpenPoll::arriving_since),
+                        after: poll.and_then(|poll| poll.after).unwrap_or(0),
                         is_slow: self.is_slow() || self.is_late(),
                     }))
                 }
@@ -360,14 +370,6 @@
         }
     }
 
-    /// Returns when the answer to a poll for changes began to arrive.
-    fn arriving_since(&self, number: u64) -> Option<Time> {
-        let poll = self.open.iter().find(|poll| poll.number == number)?;
-        poll.after?;
-        let begun = poll.received.borrow().begun_at?;
-        Some(poll.sent_at + (begun - poll.sent))
-    }
-
     /// Returns when an answer that is arriving counts as cut off unless more of it comes.
     fn arriving_until(&self) -> Option<Instant> {
         let received = self.open.iter().map(|poll| *poll.received.borrow());
