fix(daemon): what arrives elsewhere is kept apart from positions

Cause: a report that a version is arriving elsewhere was kept as a position of one more than the own one. It went as the own position rose, stayed when the arrival came to nothing, and an own read that showed that marked the position as gone, so that neither arrivals nor a version at it were believed any more.

Change: Lateness keeps since when such a version has been arriving elsewhere without a break (reports of live instances that the own rows lack). It is taken from the last reports anew when an own change comes, ends when no live instance reports one, and an own read that was sent after a report and lacks the version refutes it, by its date.

Ruled out: counting from the present reports alone (in a series of versions the time would start again with each).

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -43,6 +43,10 @@
     /// Time for which another instance may report an older version than the own one.
     others_limit: Duration,
     lag: Lag,
+    /// Since when a version that the own rows lack has been arriving elsewhere without a break.
+    elsewhere_since: Option<Time>,
+    /// The date of the latest such arrival that an own read has shown to bring nothing.
+    refuted: Option<Time>,
     own_position: u64,
     /// Time at which the own position rose last.
     advanced_at: Time,
@@ -69,6 +73,8 @@
             limit: apply.mul_f64(KNOWN_FRACTION),
             others_limit: apply.mul_f64(OTHERS_FRACTION),
             lag: Lag::default(),
+            elsewhere_since: None,
+            refuted: None,
             own_position: 0,
             advanced_at: Time::ZERO,
             own_changes: PositionTimes::default(),
@@ -90,13 +96,14 @@
         change: Option<TableChange>,
     ) {
         if let Some(change) = change.filter(|change| self.lacks(change)) {
-            let position = if change.is_arriving {
-                self.own_position + 1
+            let since = change.since.min(now);
+            if change.is_arriving {
+                let earliest = self.elsewhere_since.map_or(since, |at| at.min(since));
+                self.elsewhere_since = Some(earliest);
             } else {
-                change.position
-            };
-            let since = change.since;
-            self.lag.on_report(now, KnownChange { position, since });
+                let position = change.position;
+                self.lag.on_report(now, KnownChange { position, since });
+            }
         }
         let report = Report {
             position,
@@ -128,6 +135,16 @@
             self.is_store_older = true;
         }
         self.lag.on_read(sent_at, position);
+        // What was arriving elsewhere before this read was sent would have come with it.
+        let arriving = self.reported.values().filter_map(|report| {
+            let change = report.change?;
+            (report.received_at < sent_at && change.is_arriving).then_some(change)
+        });
+        let refuted = arriving.filter(|change| self.lacks(change));
+        if let Some(latest) = refuted.map(|change| change.since).max() {
+            self.refuted = self.refuted.max(Some(latest));
+            self.elsewhere_since = self.first_arrival();
+        }
     }
 
     /// Records the own copy.
@@ -139,6 +156,7 @@
         {
             let since = self.lag.known_since(last_change);
             self.own_change = Some(TableChange::complete(last_change, since.unwrap_or(now)));
+            self.elsewhere_since = self.first_arrival();
         }
         if position > self.own_position {
             self.own_position = position;
@@ -165,8 +183,12 @@
         let later: Vec<Report> = self.later_reports(now, fleet).copied().collect();
         let is_arriving = |report: &&Report| report.change.is_some_and(|change| change.is_arriving);
         let receivers = later.iter().filter(is_arriving).count();
+        if receivers == 0 {
+            self.elsewhere_since = None;
+        }
         let holders = later.len() - receivers;
-        let since = self.lag.behind_since(!later.is_empty());
+        let known_since = self.lag.behind_since(!later.is_empty());
+        let since = known_since.into_iter().chain(self.elsewhere_since).min();
         let behind = Behind {
             known_position: self.lag.latest_report(),
             own_position: self.own_position,
@@ -232,12 +254,19 @@
     fn lacks(&self, change: &TableChange) -> bool {
         if change.is_arriving {
             let own = self.own_change.map_or(0, |own| own.position);
-            own <= change.position
+            own <= change.position && self.refuted.is_none_or(|at| change.since > at)
         } else {
             change.position > self.own_position
         }
     }
 
+    /// Returns since when a version that the own rows lack has been arriving elsewhere by the last reports.
+    fn first_arrival(&self) -> Option<Time> {
+        let changes = self.reported.values().filter_map(|report| report.change);
+        let arriving = changes.filter(|change| change.is_arriving && self.lacks(change));
+        arriving.map(|change| change.since).min()
+    }
+
     /// Goes through what live instances have reported last that know of a later change than the own copy has.
     fn later_reports<'a>(
         &'a self,
