fix(daemon): others are compared by the last own change, not by the position of a first read

Cause: an instance that starts, or takes a whole table, kept the store's position, which rows of other tables have raised, as the time of an own change. The others, which have the latest version, report lower positions and counted as behind from two thirds of configApplyS on, until the next version: the instance named itself alone. The same mix-up as in start_of_another_instance_makes_nobody_refuse, in the other direction. Change: Lateness records the last change of the rows.

Open (by reading): a deletion in a whole table has no position, so another instance that lacks only that is not left out of look-ups by one that got it so.

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -162,7 +162,7 @@
             self.own_position = position;
             self.advanced_at = now;
         }
-        self.own_changes.record(now, replica.changed_at());
+        self.own_changes.record(now, last_change);
         self.lag.on_position(position);
     }
 
--- a/crates/daemon/tests/behind/arrivals.rs
+++ b/crates/daemon/tests/behind/arrivals.rs
@@ -150,3 +150,22 @@
     let span = late.first().zip(late.last());
     assert_eq!(late.len(), 0, "{span:?}");
 }
+
+/// Guards against a region in which an instance names itself alone: one that starts reads the store's position, which rows
+/// of other tables have raised, and counted the others, which have the latest version, as behind it.
+#[test]
+fn instance_that_starts_names_the_others() {
+    let scenario = Scenario {
+        others_start: Some(Duration::ZERO),
+        ..Scenario::calm()
+    };
+    let decided = hear(scenario, complete(300, 25_000, position_of(0), 0));
+    let settled = |one: &&Decided| one.at > Duration::from_secs(1);
+    let alone = decided
+        .iter()
+        .filter(settled)
+        .filter(|one| !one.named.contains(&reporter_id(0)));
+    let alone: Vec<Duration> = alone.map(|one| one.at).collect();
+    let span = alone.first().zip(alone.last());
+    assert_eq!(alone.len(), 0, "{span:?}");
+}
