refactor(dispatch): the worlds of the tests of deadly requests and the tests of placement are split by job

Cases, bounds and draws are as they were: comparisons of all lines before and after show differences in imports and visibility alone. No test changes its name; those of placement have the module before it.

--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -1,13 +1,17 @@
 //! A request that crashes the targets that run it is turned away by the whole fleet, in time and for
 //! as long as it comes, whatever else happens; what dies beside it is not.
 
+mod plan;
 mod world;
 
 use std::time::Duration;
 
 use rstest::rstest;
 
-use crate::world::{Outcome, Plan, play};
+use crate::{
+    plan::Plan,
+    world::{Outcome, play},
+};
 
 const SEEDS: u64 = 150;
 
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -1,8 +1,10 @@
 //! Placement by object affinity: all instances select the same target for an object, cold targets
 //! get limited rates, and few requests leave their preferred target or region.
 
+mod cold;
 mod configured;
 mod homes;
+mod losses;
 mod moves;
 mod probes;
 mod support;
@@ -12,13 +14,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{ErrorKind, Time};
-use dispatch::{
-    Action, AdmittedRequest, Assignment, Dial, Dispatcher, Outcome, Placement, Policy,
-    RegionShares, RequestKind, SelectionReason, TargetState,
-};
+use dispatch::{Action, Dial, Dispatcher, Outcome, RegionShares, SelectionReason, TargetState};
 use rstest::rstest;
 
-use crate::support::{assignments, config, dispatcher, dispatcher_among, refusals, request, run};
+use crate::support::{assignments, config, dispatcher, refusals, request, run};
 
 #[test]
 fn place_same_object_same_target_on_all_instances() {
@@ -119,69 +118,6 @@
     assert!(!dispatcher.has_queued());
 }
 
-#[test]
-fn place_cold_target_gets_its_rate_over_all_instances() {
-    let mut config = config(1);
-    let target = config.services.get_mut("s").unwrap().targets.get_mut("t0");
-    target.unwrap().registered.as_mut().unwrap().cold_ms = 60_000;
-    let mut dispatcher = dispatcher(&config, 1);
-    let mut sent = 0;
-    for idx in 0..2_000 {
-        let now = Time::from_millis(1_000 + idx * 10);
-        let mut actions = dispatcher.tick(now);
-        actions.extend(dispatcher.submit(now, request(now, idx, idx)));
-        for assignment in assignments(&actions) {
-            sent += 1;
-            let outcome = Outcome::Answered(Duration::from_millis(5));
-            dispatcher.finish(now, assignment.id, assignment.attempt, outcome);
-        }
-    }
-    // The cold rate of 4 per second, shared by 6 instances, over 20 seconds.
-    assert!((12..=15).contains(&sent), "{sent}");
-}
-
-/// Guards against many instances overloading a cold target by each sending its first request in the
-/// same second; the largest case is the number of instances expected in two years.
-#[rstest]
-#[case::few(3)]
-#[case::ten(10)]
-#[case::hundreds(300)]
-#[case::over_a_thousand(1_700)]
-fn place_cold_target_is_not_overloaded_by_all_instances(#[case] instance_count: u32) {
-    const MAX_AT_ONCE: u32 = 11; // 4 per second x 1.5 senders, plus a margin of 5.
-    let mut config = config(1);
-    let target = config.services.get_mut("s").unwrap().targets.get_mut("t0");
-    target.unwrap().registered.as_mut().unwrap().cold_ms = 60_000;
-    let now = Time::from_secs(1);
-    let at_once: u32 = (0..instance_count)
-        .map(|seed| {
-            let mut dispatcher =
-                dispatcher_among(&config, u64::from(seed) * 7_919 + 1, instance_count);
-            (0..5)
-                .filter(|id| run(&mut dispatcher, now, *id, *id).is_some())
-                .count() as u32
-        })
-        .sum();
-    assert!((1..=MAX_AT_ONCE).contains(&at_once), "{at_once}");
-}
-
-#[test]
-fn place_target_turned_cold_again_is_rate_limited() {
-    let mut config = config(1);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    assert!(run(&mut dispatcher, now, 1, 1).is_some());
-    let target = config.services.get_mut("s").unwrap().targets.get_mut("t0");
-    target.unwrap().registered.as_mut().unwrap().cold_ms = 3_000;
-    dispatcher.configure(now, &config);
-    assert!(run(&mut dispatcher, now, 2, 2).is_some());
-    assert!(run(&mut dispatcher, now + Duration::from_millis(50), 3, 3).is_none());
-    let warm = now + Duration::from_secs(4);
-    dispatcher.tick(warm);
-    assert!(run(&mut dispatcher, warm, 4, 4).is_some());
-    assert!(run(&mut dispatcher, warm, 5, 5).is_some());
-}
-
 #[rstest]
 #[case::refused(Outcome::Refused, 2)]
 #[case::unreachable(Outcome::Unreachable, 4)]
@@ -217,19 +153,6 @@
     assert!(sent <= 55, "{sent}");
 }
 
-#[test]
-fn place_lost_once_request_is_never_sent_again() {
-    let config = config(12);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    let actions = dispatcher.submit(now, request(now, 1, 1).kind(RequestKind::Once));
-    let assignment = assignments(&actions)[0].clone();
-    assert!(assignment.needs_fresh_connection);
-    let (_, actions) = dispatcher.finish(now, assignment.id, 1, Outcome::Lost);
-    assert!(assignments(&actions).is_empty());
-    assert_eq!(refusals(&actions), [ErrorKind::TargetLost]);
-}
-
 /// A full target keeps its rank: the next target is not treated as the object's first choice, whose
 /// latency counts as warm.
 #[test]
@@ -251,68 +174,6 @@
     );
 }
 
-/// Guards against cold requests that would miss their objective taking slots that warm requests
-/// need: they may only use targets with low utilization.
-#[test]
-fn place_late_requests_need_low_utilization() {
-    let config = config(12);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    for object in 0..50 {
-        run(&mut dispatcher, now, object, object * 7_919);
-    }
-    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
-    for id in 100..200 {
-        let late = AdmittedRequest {
-            // A warm request takes 50 ms, a cold one counts as 100 ms.
-            objective_deadline: now + Duration::from_millis(60),
-            ..request(now, id, 77)
-        };
-        for assignment in assignments(&dispatcher.submit(now, late)) {
-            *counts.entry(assignment.target.to_string()).or_default() += 1;
-        }
-    }
-    let in_region = counts
-        .iter()
-        .filter(|(target, _)| target[1..].parse::<u32>().unwrap() % 2 == 0);
-    let mut taken: Vec<u32> = in_region.map(|(_, count)| *count).collect();
-    taken.sort_unstable();
-    // All four slots of the first-ranked target, up to 60 % of the second's, none of the others'.
-    assert_eq!(taken, [3, 4]);
-}
-
-/// Losses on one incarnation of a target may be its own fault and quarantine no request; losses on
-/// two incarnations do.
-#[rstest]
-#[case::same_incarnation(1, false)]
-#[case::next_incarnation(2, true)]
-fn place_losses_quarantine_by_incarnation(#[case] incarnation: u64, #[case] expected: bool) {
-    let mut config = config(2);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    let once = |id| AdmittedRequest {
-        fingerprint: 7,
-        ..request(now, id, 1).kind(RequestKind::Once)
-    };
-    let actions: Vec<Action> = (0..2)
-        .flat_map(|id| dispatcher.submit(now, once(id)))
-        .collect();
-    let sent: Vec<Assignment> = assignments(&actions).into_iter().cloned().collect();
-    dispatcher.finish(now, sent[0].id, 1, Outcome::Lost);
-    // Losses are judged once it is clear that no other target is concerned.
-    let now = now + Duration::from_millis(100);
-    dispatcher.tick(now);
-    let target = sent[1].target.clone();
-    let service = config.services.get_mut("s").unwrap();
-    let target_config = service.targets.get_mut(&target).unwrap();
-    target_config.registered.as_mut().unwrap().incarnation = incarnation;
-    dispatcher.configure(now, &config);
-    dispatcher.finish(now, sent[1].id, 1, Outcome::Lost);
-    let now = now + Duration::from_millis(100);
-    dispatcher.tick(now);
-    assert_eq!(!dispatcher.quarantined(now).is_empty(), expected);
-}
-
 /// Guards against a leak: replaced targets must be removed, while targets with requests in flight
 /// stay and keep their assignment.
 #[test]
@@ -347,29 +208,6 @@
     assert_eq!(busy.sum::<u32>(), 0);
 }
 
-/// The allowed wait depends on the median latency, so a minority of cold requests among warm ones
-/// does not shorten it.
-#[test]
-fn place_cold_requests_do_not_shorten_the_allowed_wait() {
-    let config = config(2);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(1);
-    for id in 0..200 {
-        let actions = dispatcher.submit(now, request(now, id, 7));
-        let first = assignments(&actions)[0].clone();
-        // A third of the requests is cold; the mean is 220 ms, the median 100 ms.
-        let took = Duration::from_millis(if id % 3 == 0 { 460 } else { 100 });
-        dispatcher.record_load(now, &"s".into(), &first.target, 0);
-        dispatcher.finish(now, first.id, 1, Outcome::Answered(took));
-    }
-    let target = run(&mut dispatcher, now, 300, 7).unwrap().as_str().into();
-    // Six requests are ahead for four slots: the wait is 385 ms, within 500 ms less a warm request.
-    dispatcher.record_load(now, &"s".into(), &target, 9);
-    let actions = dispatcher.submit(now, request(now, 400, 7));
-    let chosen: Vec<SelectionReason> = assignments(&actions).iter().map(|one| one.reason).collect();
-    assert_eq!(chosen, [SelectionReason::ShortQueue]);
-}
-
 /// Guards against targets that stayed down for the rest of their lives after three connections had
 /// failed, although they could be reached again.
 #[test]
@@ -458,59 +296,3 @@
     assert_eq!(found, expected);
     assert_eq!((found.len(), found[0].1), (2, 4));
 }
-
-/// Guards against a cut of an instance's links barring everybody's requests for the same page for a
-/// minute: the resets on several targets were counted against the request that happened to be on
-/// them.
-#[test]
-fn losses_on_many_targets_at_once_quarantine_nothing() {
-    let config = config(12);
-    let mut dispatcher = dispatcher(&config, 1);
-    let now = Time::from_secs(10);
-    let mut sent = Vec::new();
-    for object in 0..12 {
-        let same_page = AdmittedRequest {
-            fingerprint: 7,
-            kind: RequestKind::Once,
-            ..request(now, object, object * 7_919)
-        };
-        let actions = dispatcher.submit(now, same_page);
-        sent.extend(assignments(&actions).into_iter().cloned());
-    }
-    assert!(sent.len() >= 6, "{sent:?}");
-    for assignment in &sent {
-        dispatcher.finish(now, assignment.id, assignment.attempt, Outcome::Lost);
-    }
-    let now = now + Duration::from_millis(200);
-    let actions = dispatcher.tick(now);
-    assert_eq!(actions, []);
-    assert_eq!(dispatcher.quarantined(now), []);
-}
-
-/// Guards against a request that crashes its targets going free: its retry crashes the second one a
-/// moment after the first, which must not be taken for a failure of the path.
-#[test]
-fn request_that_crashes_two_targets_in_a_row_is_quarantined() {
-    let config = config(12);
-    let policy = Policy {
-        placement: Placement::ObjectAffinity,
-        ..Policy::default()
-    };
-    let mut dispatcher = Dispatcher::new("r0".into(), 1, policy).unwrap();
-    dispatcher.configure(Time::ZERO, &config);
-    dispatcher.tick(Time::from_millis(1));
-    let now = Time::from_secs(10);
-    let mut actions = dispatcher.submit(now, request(now, 1, 7));
-    let mut crashed = Vec::new();
-    while let Some(assignment) = assignments(&actions).first().copied().cloned() {
-        crashed.push(assignment.target.clone());
-        actions = dispatcher
-            .finish(now, assignment.id, assignment.attempt, Outcome::Lost)
-            .1;
-    }
-    assert_eq!(crashed.len(), 2, "{crashed:?}");
-    let now = now + Duration::from_millis(100);
-    dispatcher.tick(now);
-    let again = dispatcher.submit(now, request(now, 1, 7));
-    assert_eq!(refusals(&again), [ErrorKind::Quarantined]);
-}
