--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -35,7 +35,7 @@
     pub workspaces: BTreeMap<String, Value>,
 }
 
-/// Tells how far an instance has heard of another one, and which version that one has.
+/// Describes what an instance has received from another one, and which version that one has.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Failure domain in which it runs.
@@ -51,7 +51,7 @@
     /// Whether it is known for certain to have stopped.
     pub is_gone: bool,
     /// Format of its messages, zero if unknown or if the reporting instance is of a build that
-    /// doesn't tell.
+    /// doesn't report it.
     #[serde(default)]
     pub format: u32,
     /// Version of its build, empty if unknown.
@@ -62,8 +62,8 @@
 impl Status {
     /// Returns the instances that have not activated `version` yet.
     ///
-    /// Leaves out instances that have stopped and those that are neither listed by the platform nor
-    /// heard.
+    /// Leaves out instances that have stopped and those that neither the platform lists nor a
+    /// recent heartbeat has announced.
     pub fn pending_instances(&self, version: u64) -> Vec<String> {
         let own = (self.version < version).then(|| self.instance.clone());
         let peers = self.instances.iter().filter_map(|(id, peer)| {
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -21,7 +21,7 @@
 /// Maximum number of unreadable lines that are named.
 const MAX_NAMED_LINES: usize = 20;
 
-/// Tells which kind of event a log line describes.
+/// Identifies the kind of event that a log line describes.
 #[derive(Debug, Deserialize)]
 struct EventKind {
     #[serde(default)]
--- a/crates/cli/src/report/starts.rs
+++ b/crates/cli/src/report/starts.rs
@@ -39,7 +39,7 @@
 
     /// Sets when the process of a request started; must be called in the order of the lines.
     ///
-    /// Without a line that tells of a start, a process follows the one before it at once.
+    /// Without a line that reports a start, a process follows the one before it at once.
     pub(super) fn place(&mut self, record: &mut RequestRecord) {
         let start = self.by_instance.entry(record.instance.clone()).or_default();
         if record.at_ms + MIN_RESTART_FALL_MS <= start.last_ms {
--- a/crates/cli/src/run/context.rs
+++ b/crates/cli/src/run/context.rs
@@ -85,7 +85,7 @@
         Err(CliError::Conflict { base, current })
     }
 
-    /// Reports that `version` is written, then waits until all live instances have activated it and
+    /// Reports that `version` is written, then waits until all running instances have activated it and
     /// reports that too.
     pub(super) async fn report_written(&self, version: u64) -> Result<(), CliError> {
         let value = json!({ "event": "written", "version": version });
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -79,7 +79,7 @@
 /// Writes `config` as the version after `base` and returns its number.
 ///
 /// Writes the object first, then the head row and the history row in one transaction. If the
-/// response is lost, the history row tells whether the write took effect.
+/// response is lost, the history row shows whether the write took effect.
 ///
 /// # Errors
 ///
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -210,7 +210,7 @@
     )
 }
 
-/// Tells of a change of an instance's state that may explain what became of later requests.
+/// Describes a change of an instance's state that may explain what became of later requests.
 #[derive(Debug)]
 struct StateEvent {
     event: String,
--- a/crates/cli/tests/status.rs
+++ b/crates/cli/tests/status.rs
@@ -9,7 +9,7 @@
 };
 
 /// What an instance says of three others: one of a later build, one whose heartbeats don't name
-/// their build, and one that has not been heard.
+/// their build, and one from which nothing was received.
 fn status() -> Value {
     let instance = |is_heard: bool| {
         json!({
--- a/crates/coord/src/parts/cut.rs
+++ b/crates/coord/src/parts/cut.rs
@@ -20,7 +20,7 @@
 /// Maximum number of parts of a text that are listed without groups.
 const MAX_UNGROUPED_PARTS: usize = 4;
 
-/// Holds the texts of a table with the parts into which they are cut.
+/// Cuts the texts of a table into parts, so that a receiver fetches only those that it lacks.
 ///
 /// # Examples
 ///
@@ -47,14 +47,14 @@
     pub(super) position: u64,
 }
 
-/// Holds a row's text with its parts.
+/// Describes a row's text by the groups of parts that make it up.
 #[derive(Debug)]
 pub(super) struct RowCut {
     pub(super) text: Arc<str>,
     pub(super) groups: Vec<Group>,
 }
 
-/// Holds a number of parts that follow each other.
+/// Names consecutive parts by one identifier, so that the list of a long text stays short.
 #[derive(Debug, Clone)]
 pub(super) struct Group {
     pub(super) id: PartId,
--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -1,5 +1,5 @@
 //! A request that crashes the targets that run it is turned away by the whole fleet, in time and for
-//! as long as it comes, whatever else happens; what dies beside it is not.
+//! as long as it comes, whatever else happens; what is lost together with it is not.
 
 mod plan;
 mod world;
--- a/crates/dispatch/tests/deadly/plan.rs
+++ b/crates/dispatch/tests/deadly/plan.rs
@@ -33,7 +33,7 @@
     /// Share of ordinary requests that ask for one of a few pages.
     pub(crate) page_share: f64,
     /// Number of instances, the first ones, of a build that turns no request away for what it did, and
-    /// neither reports nor reads that others do; they are not judged.
+    /// neither reports nor reads that others do; their runs are not counted.
     pub(crate) older: usize,
 }
 
--- a/crates/dispatch/tests/losses.rs
+++ b/crates/dispatch/tests/losses.rs
@@ -210,7 +210,7 @@
 }
 
 /// BUDGET: a request that crashed its targets was never turned away, since its own crashes were taken
-/// for a lost path; and innocent requests that died beside it must not be turned away in its place.
+/// for a lost path; and innocent requests lost together with it must not be turned away in its place.
 #[test]
 fn losses_are_attributed_in_drawn_mixes() {
     let mut wrong = Vec::new();
--- a/crates/dispatch/tests/path.rs
+++ b/crates/dispatch/tests/path.rs
@@ -1,4 +1,4 @@
-//! A lost path to the targets is told from lost targets.
+//! A lost path to the targets is distinguished from lost targets.
 
 use std::time::Duration;
 
--- a/crates/dispatch/tests/placement/losses.rs
+++ b/crates/dispatch/tests/placement/losses.rs
@@ -41,7 +41,7 @@
         .collect();
     let sent: Vec<Assignment> = assignments(&actions).into_iter().cloned().collect();
     dispatcher.finish(now, sent[0].id, 1, Outcome::Lost);
-    // Losses are judged once it is clear that no other target is concerned.
+    // Losses are attributed once it is clear that no other target is concerned.
     let now = now + Duration::from_millis(100);
     dispatcher.tick(now);
     let target = sent[1].target.clone();
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -245,7 +245,7 @@
 }
 
 /// Guards against limits that each configuration lowered to the service's number of slots, so that
-/// requests were refused beside free slots which the targets had registered.
+/// requests were refused although targets had free slots by their registrations.
 #[rstest]
 #[case::nothing_in_flight(0)]
 #[case::requests_in_flight(2)]
--- a/crates/dispatch/tests/placement/probes.rs
+++ b/crates/dispatch/tests/placement/probes.rs
@@ -122,7 +122,7 @@
     assert_eq!(dispatcher.path_state(), PathState::Relayed);
 }
 
-/// The same for targets beside others that are sound.
+/// The same for some targets while others are sound.
 #[test]
 fn some_targets_lost_with_a_helper_come_back_while_the_path_is_lost() {
     let (mut dispatcher, start) = without_targets();
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -22,7 +22,7 @@
 }
 
 /// Guards against BUDGET: a report of an instance whose quarantine ended a moment later ended the trial
-/// as well, and a second one began beside it.
+/// as well, and a second one began concurrently.
 #[rstest]
 #[case::is_over(Duration::ZERO)]
 #[case::ends_later(Duration::from_millis(20))]
--- a/crates/dispatch/tests/rests.rs
+++ b/crates/dispatch/tests/rests.rs
@@ -83,7 +83,7 @@
     next_id: u64,
     /// Requests at each target by instance and its life.
     arrivals: BTreeMap<(TargetId, usize, u64), Vec<Time>>,
-    /// Rests that each instance was told, by its life, with the time of the target's answer.
+    /// Rests that were reported to each instance, by its life, with the time of the target's answer.
     rests: Vec<(TargetId, usize, u64, Time, Duration)>,
     /// Instances and times at which they were frozen.
     freezes: Vec<(usize, Time)>,
--- a/crates/dispatch/tests/shared_rate.rs
+++ b/crates/dispatch/tests/shared_rate.rs
@@ -197,7 +197,7 @@
         idx
     }
 
-    /// Tells each instance which ones live; a stopped one is missed only after the timeout.
+    /// Gives each instance the list of running ones, which a stopped one leaves only after the timeout.
     fn update_live(&mut self, now: Time) {
         if !now.as_micros().is_multiple_of(250_000) {
             return;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -129,7 +129,7 @@
     Status(oneshot::Sender<EngineStatus>),
 }
 
-/// Tells until when requests may be decided by the active configuration.
+/// Sets until when requests may be decided by the active configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigLag {
     /// Time from which on they may not; `None` if no later configuration is known.
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct SendNote(Arc<OnceLock<Sent>>);
 
-/// Tells when an attempt was sent, and by which configuration it was permitted.
+/// Records when an attempt was sent, and by which configuration it was permitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sent {
     /// Time at which the request was given to an open connection.
--- a/crates/entry/tests/endless.rs
+++ b/crates/entry/tests/endless.rs
@@ -27,7 +27,7 @@
 const MIB: usize = 1024 * 1024;
 /// Bytes that all answers together may occupy.
 const MAX_HELD_BYTES: usize = 64 * MIB;
-/// Bytes of a connection that the kernel may hold beside the instance.
+/// Bytes of a connection that the kernel may buffer in addition to the instance.
 const KERNEL_BYTES: usize = 8 * MIB;
 /// Bytes after which a target gives up; well over any bound.
 const GIVE_UP_BYTES: usize = 256 * MIB;
--- a/crates/entry/tests/held.rs
+++ b/crates/entry/tests/held.rs
@@ -1,4 +1,4 @@
-//! The bytes of bodies count for as long as these live.
+//! The bytes of bodies are counted until these are dropped.
 
 mod support;
 
--- a/crates/entry/tests/leaving/main.rs
+++ b/crates/entry/tests/leaving/main.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Draws what else than the configuration tells the engine of a target or of its own lag.
+/// Draws an event other than a configuration that reports a target's state or the engine's own lag.
 fn beside(rng: &mut Pcg32, now: Time) -> Option<Event> {
     let target = id_of(rng.random_range(0..6));
     match rng.random_range(0..8) {
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! What is told of requests that are refused for good: the kind of error, and how old the configuration was.
+//! What is reported of requests that are refused for good: the kind of error, and how old the configuration was.
 
 #[path = "support/engine.rs"]
 mod engine;
@@ -81,7 +81,7 @@
     rx
 }
 
-/// Returns why a request was refused, and by which configuration its line tells that it was.
+/// Returns why a request was refused, and by which configuration according to its line.
 fn refusal(rx: &mut mpsc::UnboundedReceiver<Decision>) -> Option<(String, UsedConfig)> {
     let mut used = UsedConfig::default();
     while let Ok(decision) = rx.try_recv() {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -53,7 +53,7 @@
 /// Message to the task that executes calls.
 #[derive(Debug)]
 pub(crate) enum Message {
-    /// Executes a call and sends its reply; tells how far the answer has come.
+    /// Executes a call and sends its reply; reports how far the answer has come.
     Call(
         Call,
         Progress,
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -45,7 +45,7 @@
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
     pub last_byte_at: Instant,
-    /// Reading of the platform's steady clock when the answer was made, if it tells one.
+    /// Reading of the platform's steady clock when the answer was made, if it reports one.
     pub made_at: Option<Duration>,
     /// Bytes of which the body consists, as far as they have been announced.
     expected: Option<u64>,
--- a/crates/proof/src/rollout.rs
+++ b/crates/proof/src/rollout.rs
@@ -38,11 +38,11 @@
 /// Tells how long a roll-out took and what it cost; times count from the write to the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutOutcome {
-    /// Time until 50 % of the live instances have the version.
+    /// Time until 50 % of the running instances have the version.
     pub p50: Duration,
-    /// Time until 99 % of the live instances have the version.
+    /// Time until 99 % of the running instances have the version.
     pub p99: Duration,
-    /// Time until all live instances have the version.
+    /// Time until all running instances have the version.
     pub max: Duration,
     /// Number of messages sent.
     pub messages: u64,
@@ -68,7 +68,7 @@
     }
 }
 
-/// Returns the times at which a domain's live instances get the version, and the messages sent.
+/// Returns the times at which a domain's running instances get the version, and the messages sent.
 fn simulate_domain(rollout: &Rollout, rng: &mut Pcg32) -> (Vec<Time>, u64) {
     let members: Vec<InstanceId> = (0..rollout.per_domain)
         .map(|idx| format!("i{idx:05}").into())
--- a/crates/proof/tests/failures/platform.rs
+++ b/crates/proof/tests/failures/platform.rs
@@ -18,7 +18,7 @@
 /// Time after its run for which the outcome of an action can't be recorded.
 const RECORD_DELAY: Duration = Duration::from_millis(150);
 
-/// Guards against an answer that was out before its record was: a repeat of the request through another instance was told that
+/// Guards against an answer that was out before its record was: a repeat of the request through another instance was answered that
 /// the action was in progress.
 #[tokio::test(flavor = "multi_thread")]
 async fn store_down_answer_waits_for_its_record() {
--- a/crates/proof/tests/inputs.rs
+++ b/crates/proof/tests/inputs.rs
@@ -119,7 +119,7 @@
     assert_eq!(runs.body["total"], 1, "only the valid request should run");
 }
 
-/// Guards against a request whose end two readers can place differently: a length beside an encoding of
+/// Guards against a request whose end two readers can place differently: a length together with an encoding of
 /// the body, a length stated twice and lines ended by less than CR LF were served.
 #[rstest]
 #[case::length_before_encoding("content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
