--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -12,8 +12,7 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
-pub use attribution::ConnectionLoss;
-pub use loss_events::{LossCauses, LossCollector, LostAttempt};
+pub use loss_events::{ConnectionLoss, LossCauses, LossCollector, LostAttempt};
 
 use attribution::Attribution;
 
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -6,19 +6,11 @@
 };
 
 use base::Time;
-use serde::{Deserialize, Serialize};
-
-use super::{answers::RecentAnswers, loss_events::MIN_PATH_TARGETS};
-
-/// Reports one connection that was lost while it carried a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConnectionLoss {
-    /// Digest that is the same when the caller sends the same request again.
-    pub fingerprint: u64,
-    /// Digest of the target and its incarnation. All losses of one incarnation count once, since
-    /// they may be the target's own fault.
-    pub target_digest: u64,
-}
+
+use super::{
+    answers::RecentAnswers,
+    loss_events::{ConnectionLoss, MIN_PATH_TARGETS},
+};
 
 /// Decides which requests crashed target incarnations, where several requests were lost with one.
 #[derive(Debug, Clone)]
--- a/crates/dispatch/src/quarantine/loss_events.rs
+++ b/crates/dispatch/src/quarantine/loss_events.rs
@@ -6,8 +6,17 @@
 };
 
 use base::Time;
+use serde::{Deserialize, Serialize};
 
-use super::ConnectionLoss;
+/// Reports one connection that was lost while it carried a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConnectionLoss {
+    /// Digest that is the same when the caller sends the same request again.
+    pub fingerprint: u64,
+    /// Digest of the target and its incarnation. All losses of one incarnation count once, since
+    /// they may be the target's own fault.
+    pub target_digest: u64,
+}
 
 /// Collects lost connections until their event is over, and separates those that requests caused from
 /// those of a failed path.
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -212,6 +212,18 @@
         self.apply_event(now, chart, TargetEvent::Chilled);
     }
 
+    /// Records the load that came with a response: `total` requests run or wait on the target.
+    pub fn record_load(&mut self, now: Time, total: u32) {
+        let others = total.saturating_sub(self.in_flight);
+        self.others.record_response(now, others);
+    }
+
+    /// Returns the estimated number of requests that run or wait on the target: this instance's own
+    /// plus the reported ones of others, which count less the older the report is.
+    pub fn estimated_load(&self, now: Time) -> f64 {
+        f64::from(self.in_flight) + self.others.by_response(now)
+    }
+
     /// Returns whether one more request may be sent now: the target has a free slot, and a cold or
     /// unreachable target is due for its next request.
     pub fn accepts_request(&self, now: Time) -> bool {
@@ -307,6 +319,15 @@
         self.in_flight < self.concurrency_limit(now) && self.may_send(now)
     }
 
+    /// Returns the requests per slot: this instance's own plus those that others are reported to
+    /// run. While reports are distrusted, the slots above this instance's limit count as used by
+    /// others.
+    pub fn utilization(&self, now: Time) -> f64 {
+        let others = self.others.by_health(now);
+        let others = others.unwrap_or_else(|| self.slots - self.limit.current().min(self.slots));
+        f64::from(self.in_flight + others) / f64::from(self.slots)
+    }
+
     /// Applies an event and returns whether the state changed.
     pub fn apply_event(
         &mut self,
@@ -325,6 +346,12 @@
         true
     }
 
+    /// Records a report of the health endpoint.
+    pub fn record_health(&mut self, report: HealthReport) {
+        let others = report.in_flight.saturating_sub(self.in_flight);
+        self.others.record_health(others);
+    }
+
     /// Returns whether the target is cold and its warm-up time is over.
     pub fn is_warm_up_over(&self, now: Time) -> bool {
         self.condition == TargetState::Cold && self.warm_up.is_over(now, self.is_registered())
@@ -343,4 +370,50 @@
         self.latency.record(latency);
         self.limit.record_success(self.in_flight);
     }
+
+    /// Records a refusal for lack of capacity; if the health report showed a free slot, it is
+    /// distrusted for a while.
+    pub fn record_refusal(&mut self, now: Time) {
+        if self.utilization(now) < 1.0 {
+            self.others.distrust_health(now);
+        }
+        self.limit.record_refusal();
+    }
+
+    /// Records a failed connection at `now` and returns whether the target counts as down now.
+    pub fn record_failure(&mut self, now: Time) -> bool {
+        let is_down = self.condition == TargetState::Down;
+        self.reachability.record_failure(now, is_down)
+    }
+
+    /// Returns whether a connection is to be tried now to see whether the target is back, and if
+    /// so, counts it as tried.
+    ///
+    /// The time between two of them grows until a request is answered, so that a target that only
+    /// accepts connections is not taken for a sound one again and again.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        self.state() == TargetState::Down
+            && self.is_registered()
+            && self.reachability.take_probe(now)
+    }
+
+    /// Returns whether a connection to the target, which is down, may show now that it is back.
+    ///
+    /// A target that accepts connections and answers nothing is found less and less often.
+    pub(crate) fn may_be_found(&self, now: Time) -> bool {
+        self.state() == TargetState::Down && self.reachability.may_be_found(now)
+    }
+
+    /// Records that a connection could be opened, and returns whether the target was down.
+    pub(crate) fn record_find(
+        &mut self,
+        now: Time,
+        chart: &Chart<TargetState, TargetEvent>,
+    ) -> bool {
+        let is_found = self.apply_event(now, chart, TargetEvent::Recovered);
+        if is_found {
+            self.reachability.record_find(now);
+        }
+        is_found
+    }
 }
--- a/crates/dispatch/src/target/reachability.rs
+++ b/crates/dispatch/src/target/reachability.rs
@@ -3,9 +3,6 @@
 use std::time::Duration;
 
 use base::Time;
-use chart::Chart;
-
-use super::{Target, TargetEvent, TargetState};
 
 /// Counts failed connections to a target and times those that check whether it is back.
 #[derive(Debug, Clone)]
@@ -52,59 +49,38 @@
     pub(super) fn reset_failures(&mut self) {
         self.failures = 0;
     }
-}
 
-impl Target {
-    /// Records a failed connection at `now` and returns whether the target counts as down now.
-    pub fn record_failure(&mut self, now: Time) -> bool {
-        let reachability = &mut self.reachability;
-        reachability.failures += 1;
-        if reachability.failures < FAILURES_UNTIL_DOWN {
+    /// Records a failed connection and returns whether there were so many that the target counts as down;
+    /// `is_down` says whether it did before.
+    pub(super) fn record_failure(&mut self, now: Time, is_down: bool) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES_UNTIL_DOWN {
             return false;
         }
-        if self.condition != TargetState::Down {
-            reachability.last_probed_at = now;
+        if !is_down {
+            self.last_probed_at = now;
         }
         true
     }
 
-    /// Returns whether a connection is to be tried now to see whether the target is back, and if
-    /// so, counts it as tried.
-    ///
-    /// The time between two of them grows until a request is answered, so that a target that only
-    /// accepts connections is not taken for a sound one again and again.
-    pub fn take_probe(&mut self, now: Time) -> bool {
-        let may_probe = self.state() == TargetState::Down && self.is_registered();
-        let reachability = &mut self.reachability;
-        let is_due = may_probe && now - reachability.last_probed_at >= reachability.probe_backoff;
+    /// Returns whether a probe is due, and if so, counts it as tried.
+    pub(super) fn take_probe(&mut self, now: Time) -> bool {
+        let is_due = now - self.last_probed_at >= self.probe_backoff;
         if is_due {
-            reachability.last_probed_at = now;
-            reachability.probe_backoff = (reachability.probe_backoff * 2).min(MAX_PROBE_BACKOFF);
+            self.last_probed_at = now;
+            self.probe_backoff = (self.probe_backoff * 2).min(MAX_PROBE_BACKOFF);
         }
         is_due
     }
 
-    /// Returns whether a connection to the target, which is down, may show now that it is back.
-    ///
-    /// A target that accepts connections and answers nothing is found less and less often.
-    pub(crate) fn may_be_found(&self, now: Time) -> bool {
-        let reachability = &self.reachability;
-        self.state() == TargetState::Down
-            && now - reachability.found_at >= reachability.find_backoff
+    /// Returns whether an opened connection may count as a find.
+    pub(super) fn may_be_found(&self, now: Time) -> bool {
+        now - self.found_at >= self.find_backoff
     }
 
-    /// Records that a connection could be opened, and returns whether the target was down.
-    pub(crate) fn record_find(
-        &mut self,
-        now: Time,
-        chart: &Chart<TargetState, TargetEvent>,
-    ) -> bool {
-        let is_found = self.apply_event(now, chart, TargetEvent::Recovered);
-        if is_found {
-            let reachability = &mut self.reachability;
-            reachability.found_at = now;
-            reachability.find_backoff = (reachability.find_backoff * 2).min(MAX_PROBE_BACKOFF);
-        }
-        is_found
+    /// Records that an opened connection showed that the target is back.
+    pub(super) fn record_find(&mut self, now: Time) {
+        self.found_at = now;
+        self.find_backoff = (self.find_backoff * 2).min(MAX_PROBE_BACKOFF);
     }
 }
