fix(coord): what waited for an arriving state is asked for once it has come

A fetch is put off for 0.4 s each time a part of the state is seen arriving. That lasted after the arrival, so a later version that was known by then was asked for up to 0.4 s later than need be. Now it ends when the own state rises; the usual delay and the time between two fetches count as before.

--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -67,8 +67,10 @@
     sources: Vec<Source>,
     /// Position of the own state.
     position: u64,
-    /// Time from which on the next source may be asked.
+    /// Time from which on the next source may be asked, unless that is put off.
     next_at: Time,
+    /// Time until which it is put off.
+    postponed_until: Time,
 }
 
 impl CatchUp {
@@ -81,6 +83,7 @@
             sources: Vec::new(),
             position: 0,
             next_at: Time::ZERO,
+            postponed_until: Time::ZERO,
         }
     }
 
@@ -129,9 +132,10 @@
     }
 
     /// Puts off the next fetch, since a part of the state is arriving by an own read or a fetch, or enough
-    /// fetches are under way: another one would only share the link with them.
+    /// fetches are under way: another one would only share the link with them. That is over once the own state
+    /// rises.
     pub fn postpone(&mut self, now: Time) {
-        self.next_at = self.next_at.max(now + self.delays.max);
+        self.postponed_until = self.postponed_until.max(now + self.delays.max);
     }
 
     /// Records that an own read has failed: there is nothing to wait for.
@@ -152,12 +156,13 @@
         }
         self.behind_since = now;
         self.next_at = self.next_at.max(now + self.delay());
+        self.postponed_until = Time::ZERO;
     }
 
     /// Returns the instance to fetch from now, if a fetch is due; the others come before it the next
     /// time.
     pub fn next_source(&mut self, now: Time) -> Option<InstanceId> {
-        if now < self.next_at {
+        if now < self.next_at.max(self.postponed_until) {
             return None;
         }
         let sources = self.sources.iter_mut();
@@ -174,7 +179,7 @@
 
     /// Returns the time of the next fetch, or `None` if none is due.
     pub fn next_at(&self) -> Option<Time> {
-        (!self.sources.is_empty()).then_some(self.next_at)
+        (!self.sources.is_empty()).then_some(self.next_at.max(self.postponed_until))
     }
 
     fn delay(&self) -> Duration {
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -93,6 +93,21 @@
     );
 }
 
+/// Guards against CONFIG: what had been put off while a version was arriving was so for up to 0.4 s after it had
+/// come, though a later one was known.
+#[test]
+fn catch_up_asks_for_a_later_state_once_the_arriving_one_has_come() {
+    let mut catch_up = CatchUp::new(DELAYS);
+    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
+    let come_at = Time::from_millis(1_000);
+    catch_up.postpone(come_at);
+    catch_up.on_report(come_at, "i1".into(), 6, 1);
+    catch_up.on_position(come_at, 5);
+    let due_at = come_at + DELAY;
+    assert_eq!(catch_up.next_at(), Some(due_at));
+    assert_eq!(catch_up.next_source(due_at), Some("i1".into()));
+}
+
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
     let mut catch_up = CatchUp::new(DELAYS);
