fix(daemon): a whole table may begin as late as the list before it

A fetch of which nothing arrives for 0.4 s no longer holds off others. Over a link on which the first byte of its list took longer than that, so may the first byte of the whole table, which was then asked of a second instance (a play of narrow case 10 on: asked at 0.71 and 1.12 s, the first byte over the link at 1.25 s or later). A fetch now counts as silent after twice the time in which its answer began, if that is longer.

Beyond that the transfer isn't complete within configApplyS and another one follows as before.

--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -34,10 +34,24 @@
 pub(super) struct OpenFetch {
     /// Time of its start, which no other one of the table shares.
     pub(super) asked_at: Time,
+    /// The same by the runtime's clock.
+    pub(super) asked: Instant,
     pub(super) received: watch::Receiver<Received>,
     pub(super) task: AbortHandle,
 }
 
+impl OpenFetch {
+    /// Returns whether something has arrived lately, where what follows a list may take as long to begin as the list
+    /// has, and as long again.
+    fn is_active(&self) -> bool {
+        let received = *self.received.borrow();
+        received.begun_at.is_some_and(|begun_at| {
+            let max_quiet = (begun_at - self.asked) * 2;
+            received.quiet_time() < max_quiet.max(PEER_FETCH_DELAYS.max)
+        })
+    }
+}
+
 impl Table {
     /// Returns a table of which nothing has been read; rows that an outage may have removed are kept for
     /// `grace_period` after it.
@@ -57,9 +71,9 @@
     /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't below the lowest rate of a
     /// transfer, or too slow to be complete within `apply`, after [`SLOW_FETCH_TIME`].
     pub(super) fn is_fetch_arriving(&self, apply: Duration) -> bool {
-        let received = self.fetches.iter().map(|fetch| *fetch.received.borrow());
-        let mut active = received.filter(|received| received.quiet_time() < PEER_FETCH_DELAYS.max);
-        active.any(|received| {
+        let active = self.fetches.iter().filter(|fetch| fetch.is_active());
+        let mut received = active.map(|fetch| *fetch.received.borrow());
+        received.any(|received| {
             let is_new = |at: Instant| at.elapsed() < SLOW_FETCH_TIME;
             let is_slow = received.is_slow() || received.is_late(apply);
             received.begun_at.is_some_and(|at| is_new(at) || !is_slow)
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -36,6 +36,9 @@
 const WIDE_RATE: u32 = 1_000_000;
 const FIRST_AFTER: Duration = Duration::from_secs(5);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Bytes of which a list has more.
+const LIST_BYTES: usize = 2_000;
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time for which fetches wait in all.
 const FETCH_DELAY: Duration = Duration::from_millis(600);
 /// Time after which a run ends without the table.
@@ -50,6 +53,8 @@
     second_after: Option<Duration>,
     /// Time for which other bytes use the link when the first version is reported.
     burst: Duration,
+    /// The same, when the first list has come.
+    stall: Duration,
 }
 
 /// What a run shows.
@@ -100,11 +105,19 @@
         }
     });
     let (tx, running) = start_follower(platform, fleet, metrics, in_force);
+    let carried = fetched.clone();
     tokio::spawn(async move {
         sleep_until(first_at).await;
         let burst = (f64::from(rate) * scenario.burst.as_secs_f64()) as usize;
         let crossing = link.clone();
-        tokio::spawn(async move { crossing.cross(burst).await });
+        let stall = (f64::from(rate) * scenario.stall.as_secs_f64()) as usize;
+        tokio::spawn(async move {
+            crossing.cross(burst).await;
+            while carried.load(Ordering::Relaxed) < LIST_BYTES {
+                sleep(LOOK_INTERVAL).await;
+            }
+            crossing.cross(stall).await;
+        });
         let mut last = 0;
         loop {
             let is_second = scenario
@@ -155,7 +168,7 @@
     let runs: Vec<_> = runs.collect();
     println!("{runs:?}");
     let is_wasteful = |scenario: &Scenario, outcome: &Outcome| {
-        let most = scenario.burst + scenario.transfer.mul_f64(1.3) + FETCH_DELAY;
+        let most = scenario.burst + scenario.stall + scenario.transfer.mul_f64(1.3) + FETCH_DELAY;
         outcome.fetched as f64 > outcome.whole as f64 * most_wholes || outcome.took > most
     };
     runs.into_iter()
@@ -175,6 +188,22 @@
         transfer: Duration::from_millis(1_000),
         second_after: None,
         burst,
+        stall: Duration::ZERO,
+    });
+    let wasteful = wasteful(scenarios.collect(), 1.6);
+    assert!(wasteful.is_empty(), "{wasteful:?}");
+}
+
+/// Guards against CONFIG: the whole table was asked of a second instance when the first one, over a link on which its
+/// list had come late, hadn't begun to send it after 0.4 s.
+#[test]
+fn whole_table_that_begins_as_late_as_its_list_is_asked_for_once() {
+    let stalls = steps(0..=800, 50);
+    let scenarios = stalls.into_iter().map(|stall| Scenario {
+        transfer: Duration::from_millis(1_000),
+        second_after: None,
+        burst: Duration::from_millis(500),
+        stall,
     });
     let wasteful = wasteful(scenarios.collect(), 1.6);
     assert!(wasteful.is_empty(), "{wasteful:?}");
@@ -190,6 +219,7 @@
         transfer,
         second_after,
         burst: Duration::ZERO,
+        stall: Duration::ZERO,
     });
     // With one list of the whole and one of the change.
     let wasteful = wasteful(scenarios.collect(), 1.15);
