fix(daemon): shares move within their cap as soon as requests run by them

The first window of a service's plans is still free, since nothing runs before it; after that, from the first request on, each change counts towards the cap, whether it is measured or assumed.

Ruled out: keeping the shares until the service is measured, since targets that join meanwhile would get nothing.

--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::{Config, InstanceId, RegionId, ServiceId};
+use base::{Config, InstanceId, RegionId, ServiceId, Time};
 use dispatch::{RegionShares, TargetState};
 use entry::{
     message::{Event, ServiceLoad},
@@ -60,6 +60,10 @@
     steering: BTreeMap<ServiceId, Steering>,
     /// Shares that were last logged.
     logged: BTreeMap<ServiceId, Shares>,
+    /// Time of each service's first plan.
+    planned_since: BTreeMap<ServiceId, Time>,
+    /// Services whose requests run by the shares, so that these may no longer change at once.
+    started: BTreeSet<ServiceId>,
     /// Services whose demand and service time have been measured.
     measured: BTreeSet<ServiceId>,
 }
@@ -71,6 +75,8 @@
             options,
             steering: BTreeMap::new(),
             logged: BTreeMap::new(),
+            planned_since: BTreeMap::new(),
+            started: BTreeSet::new(),
             measured: BTreeSet::new(),
         }
     }
@@ -143,6 +149,7 @@
             let own_region = self.options.region.clone();
             let is_starting = self.options.policy.is_some() && !self.measured.contains(service);
             let assumed = is_starting.then(|| self.assume_demand(&config, &fleet, &measurements));
+            let has_started = self.has_started(now, service, load, policy);
             let steering = self
                 .steering
                 .entry(service.clone())
@@ -150,15 +157,20 @@
             steering.set_policy(policy);
             let demand: f64 = measurements.demand.values().sum();
             let is_measured = !load.service_time.is_zero() && demand >= MIN_DEMAND_PER_S;
-            if let Some(assumed) = &assumed {
-                // The demand of the first seconds is no reliable basis for a plan.
-                steering.initialize(assumed);
-            }
-            let shares = if is_measured || self.options.policy.is_none() {
-                steering.update(now.as_secs_f64(), &measurements).clone()
-            } else {
-                steering.shares().clone()
+            let now_s = now.as_secs_f64();
+            // The demand of the first seconds is no reliable basis for a plan.
+            let shares = match &assumed {
+                Some(assumed) if !has_started => {
+                    steering.initialize(assumed);
+                    steering.shares()
+                }
+                _ if is_measured || self.options.policy.is_none() => {
+                    steering.update(now_s, &measurements)
+                }
+                Some(assumed) => steering.update(now_s, assumed),
+                None => steering.shares(),
             };
+            let shares = shares.clone();
             if is_measured {
                 self.measured.insert(service.clone());
             }
@@ -171,6 +183,25 @@
             .send(Event::RegionShares(shares_by_service));
     }
 
+    /// Returns whether the service's requests run by its shares, so that every change of these counts
+    /// towards the shift cap.
+    ///
+    /// That is not so in the first window of its plans, since no window before it is there to differ from.
+    fn has_started(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        load: &ServiceLoad,
+        policy: PlanPolicy,
+    ) -> bool {
+        let since = *self.planned_since.entry(service.clone()).or_insert(now);
+        let has_requests = load.requests_per_s > 0.0 || !load.pinned_requests_per_s.is_empty();
+        if has_requests && (now - since).as_secs_f64() >= policy.window_s {
+            self.started.insert(service.clone());
+        }
+        self.started.contains(service)
+    }
+
     /// Logs the shares if they differ enough from those last logged.
     fn log_plan(&mut self, service: &ServiceId, shares: &Shares, measurements: &Measurements) {
         let before = self.logged.get(service);
--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -13,13 +13,16 @@
     message::{Event, ServiceLoad},
     view::{Clock, View},
 };
+use rstest::rstest;
 use standin::config::{service, target};
-use steer::{PlanPolicy, Shares};
+use steer::{PlanPolicy, Shares, moved_share};
 use tokio::sync::{mpsc, watch};
 
 const REGIONS: [&str; 3] = ["a", "b", "c"];
 const TARGETS_PER_REGION: usize = 4;
 const SLOTS: u32 = 4;
+/// Share of the requests that may move in 2 s, which is two plans.
+const SHIFT_CAP: f64 = 0.075;
 
 fn target_id(idx: usize) -> TargetId {
     format!("t{idx}").into()
@@ -63,6 +66,12 @@
 
 /// Returns the shares of region `a` after `rounds` plans in which its load is `load`.
 async fn shares_under(rounds: usize, load: ServiceLoad) -> Shares {
+    let mut plans = plans_under(vec![load; rounds]).await;
+    plans.pop().expect("a plan")
+}
+
+/// Returns the shares of region `a` after each plan, one for each of its loads in turn.
+async fn plans_under(loads: Vec<ServiceLoad>) -> Vec<Shares> {
     let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, _commands) = mpsc::channel(64);
     let view = View {
@@ -81,32 +90,31 @@
         fleet,
         policy: Some(PlanPolicy {
             target_utilization: 0.6,
-            shift_cap: 0.075,
+            shift_cap: SHIFT_CAP,
             window_s: 2.0,
-            ..PlanPolicy::default()
+            capacity_loss_threshold: 1.0,
         }),
         engine,
         peers,
     });
     let task = tokio::spawn(planner.run());
     let service = ServiceId::from("s");
-    let mut shares = Shares::new();
-    let mut plans = 0;
-    while plans < rounds {
+    let mut plans = Vec::new();
+    while plans.len() < loads.len() {
         match events.recv().await.expect("the planner runs") {
             Event::CollectLoads(reply) => {
-                let loads = BTreeMap::from([(service.clone(), load.clone())]);
+                let load = loads[plans.len()].clone();
+                let loads = BTreeMap::from([(service.clone(), load)]);
                 reply.send(loads).expect("the planner waits");
             }
             Event::RegionShares(mut by_service) => {
-                shares = by_service.remove(&service).expect("a plan").shares;
-                plans += 1;
+                plans.push(by_service.remove(&service).expect("a plan").shares);
             }
             other => panic!("unexpected {other:?}"),
         }
     }
     task.abort();
-    shares
+    plans
 }
 
 /// Objects are asked for by the callers of one region, so they stay there while it has room: 160
@@ -162,3 +170,40 @@
     let local = shares.get(&RegionId::from("a")).copied().unwrap_or(0.0);
     assert!((local - 0.6).abs() < 0.01, "{shares:?}");
 }
+
+/// Guards against shares that move past their cap because requests have no answers to be measured by
+/// yet, or have their first ones, while they already run by the shares before.
+///
+/// Requests begin after eight plans, most of them bound to `a`. The first answers come `unanswered` plans
+/// later, after 500 ms each, so that `a` has no room for others.
+#[rstest]
+#[case::answered_at_once(0)]
+#[case::answered_after_one_plan(1)]
+#[case::answered_after_three_plans(3)]
+#[tokio::test(start_paused = true)]
+async fn planner_moves_no_more_than_its_cap_once_requests_run(#[case] unanswered: usize) {
+    let idle = ServiceLoad {
+        latency: Duration::ZERO,
+        service_time: Duration::ZERO,
+        ..load(0.0)
+    };
+    let waiting = ServiceLoad {
+        requests_per_s: 30.0,
+        pinned_requests_per_s: vec![("a".into(), 40.0)],
+        ..idle.clone()
+    };
+    let answered = ServiceLoad {
+        latency: Duration::from_millis(500),
+        service_time: Duration::from_millis(500),
+        ..waiting.clone()
+    };
+    let loads = [vec![idle; 8], vec![waiting; unanswered], vec![answered; 8]];
+    let plans = plans_under(loads.concat()).await;
+    for (idx, shares) in plans.iter().enumerate().skip(8) {
+        let moved = moved_share(&plans[idx - 2], shares);
+        assert!(
+            moved <= SHIFT_CAP + 1e-9,
+            "{moved} at plan {idx}: {plans:?}"
+        );
+    }
+}
