fix(daemon): the first shares leave room for requests that are bound to a region

The demand that is assumed at the start took all requests for free to run anywhere. The configuration tells what is bound: the homes of routes and workspaces. A workspace counts with its rate limit, a route with its service's weight, routes without keys not at all.

tests/planner.rs planner_first_shares_leave_room_for_bound_requests: 3 of 4 cases failed before, now pass.

--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -1,5 +1,7 @@
 //! The task that plans how this region's requests are divided among the regions.
 
+mod bound;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -18,6 +20,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+use self::bound::bound_parts;
 use crate::{fleet::Fleet, message::PeerCommand};
 
 /// Demand below which a service doesn't count as measured, in requests per second.
@@ -148,7 +151,8 @@
             };
             let own_region = self.options.region.clone();
             let is_starting = self.options.policy.is_some() && !self.measured.contains(service);
-            let assumed = is_starting.then(|| self.assume_demand(&config, &fleet, &measurements));
+            let assumed =
+                is_starting.then(|| self.assume_demand(&config, &fleet, service, &measurements));
             let has_started = self.has_started(now, service, load, policy);
             let steering = self
                 .steering
@@ -220,11 +224,13 @@
     }
 
     /// Returns the measurements with a demand proportional to the number of instances in each
-    /// region, because instances are placed where callers are.
+    /// region, because instances are placed where callers are; of all of it, the part that the
+    /// configuration binds to a region is pinned there.
     fn assume_demand(
         &self,
         config: &Config,
         fleet: &Fleet,
+        service: &ServiceId,
         measurements: &Measurements,
     ) -> Measurements {
         let now = self.options.clock.now();
@@ -239,9 +245,16 @@
         }
         let count: f64 = instances.values().sum();
         let capacity: f64 = measurements.capacity.values().sum();
+        let total = capacity * ASSUMED_UTILIZATION;
+        let bound = bound_parts(config, service);
+        let free = total * (1.0 - bound.values().sum::<f64>()).max(0.0);
         let demand = instances
             .into_iter()
-            .map(|(region, own)| (region, own / count * capacity * ASSUMED_UTILIZATION))
+            .map(|(region, own)| (region, own / count * free))
+            .collect();
+        let pinned_demand = bound
+            .into_iter()
+            .map(|(region, part)| (region, part * total))
             .collect();
         let egress_capacity = measurements
             .capacity
@@ -250,6 +263,7 @@
         Measurements {
             demand,
             egress_capacity: egress_capacity.collect(),
+            pinned_demand,
             ..measurements.clone()
         }
     }
--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -1,8 +1,14 @@
 //! The plan of a region's traffic, with the other tasks replaced by channels.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use base::{Config, RegionId, Service, ServiceId, TargetId};
+use base::{
+    Config, RegionId, Route, RouteKind, Service, ServiceId, TargetId, WeightedService, Workspace,
+};
 use coord::Freshness;
 use daemon::{
     fleet::Fleet,
@@ -59,6 +65,27 @@
     }
 }
 
+fn route(idx: usize) -> Route {
+    let weighted = WeightedService {
+        service: "s".into(),
+        weight: 1,
+    };
+    Route {
+        name: format!("r{idx}"),
+        host: "host".to_owned(),
+        prefix: format!("/r{idx}/"),
+        kind: RouteKind::Idempotent,
+        services: vec![weighted],
+        timeout_ms: 1_000,
+        objective_ms: 1_000,
+        attempts: 1,
+        priority: 0,
+        is_open: false,
+        is_sticky: false,
+        homes: BTreeSet::new(),
+    }
+}
+
 /// Returns the shares of region `a` after `rounds` plans under a constant load.
 async fn shares_after(rounds: usize, requests_per_s: f64) -> Shares {
     shares_under(rounds, load(requests_per_s)).await
@@ -72,10 +99,14 @@
 
 /// Returns the shares of region `a` after each plan, one for each of its loads in turn.
 async fn plans_under(loads: Vec<ServiceLoad>) -> Vec<Shares> {
+    plans_with(config(), loads).await
+}
+
+async fn plans_with(config: Config, loads: Vec<ServiceLoad>) -> Vec<Shares> {
     let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, _commands) = mpsc::channel(64);
     let view = View {
-        config: Some((1, Arc::new(config()))),
+        config: Some((1, Arc::new(config))),
         entries: Vec::new(),
         freshness: Freshness::Fresh,
         is_leaving: false,
@@ -207,3 +238,41 @@
         );
     }
 }
+
+/// Guards against a region that keeps its callers' requests at the start of traffic although those bound to
+/// it fill it: it refuses most of both then, and what its callers' requests run elsewhere changes at once.
+///
+/// Of 12 targets' room, 0.8 is assumed to be asked for. Where `a` alone may run 3 of 10 of that, 0.72 of its
+/// room is taken; it is planned to be as full as the others.
+#[rstest]
+#[case::without_routes(0.3, "a", &[], 0.1228)]
+#[case::elsewhere(0.3, "b", &[], 0.4386)]
+#[case::nothing(0.0, "a", &[], 0.3333)]
+#[case::beside_routes_without_keys(0.3, "a", &[false, true, true], 0.1228)]
+#[tokio::test(start_paused = true)]
+async fn planner_first_shares_leave_room_for_bound_requests(
+    #[case] bound: f64,
+    #[case] home: &str,
+    #[case] is_open: &[bool],
+    #[case] expected: f64,
+) {
+    let mut config = config();
+    let workspace = |rate, homes: &[&str]| Workspace {
+        rate,
+        homes: homes.iter().map(|home| RegionId::from(*home)).collect(),
+        ..Workspace::default()
+    };
+    let workspaces = [
+        ("bound".into(), workspace(100.0 * bound, &[home])),
+        ("free".into(), workspace(100.0 * (1.0 - bound), &[])),
+    ];
+    config.workspaces = BTreeMap::from(workspaces).into();
+    let routes = is_open.iter().enumerate().map(|(idx, is_open)| Route {
+        is_open: *is_open,
+        ..route(idx)
+    });
+    config.routes = routes.collect::<Vec<_>>().into();
+    let plans = plans_with(config, vec![load(0.0); 3]).await;
+    let local = plans[2].get(&RegionId::from("a")).copied().unwrap_or(0.0);
+    assert!((local - expected).abs() < 1e-3, "{plans:?}");
+}
