--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -1,12 +1,14 @@
 //! The task that plans how this region's requests are divided among the regions.
 
+mod bound;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
-use base::{Config, InstanceId, RegionId, ServiceId};
+use base::{Config, InstanceId, RegionId, ServiceId, Time};
 use dispatch::{RegionShares, TargetState};
 use entry::{
     message::{Event, ServiceLoad},
@@ -18,6 +20,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+use self::bound::bound_parts;
 use crate::{fleet::Fleet, message::PeerCommand};
 
 /// Demand below which a service doesn't count as measured, in requests per second.
@@ -60,6 +63,10 @@
     steering: BTreeMap<ServiceId, Steering>,
     /// Shares that were last logged.
     logged: BTreeMap<ServiceId, Shares>,
+    /// Time of each service's first plan.
+    planned_since: BTreeMap<ServiceId, Time>,
+    /// Services whose requests run by the shares, so that these may no longer change at once.
+    started: BTreeSet<ServiceId>,
     /// Services whose demand and service time have been measured.
     measured: BTreeSet<ServiceId>,
 }
@@ -71,6 +78,8 @@
             options,
             steering: BTreeMap::new(),
             logged: BTreeMap::new(),
+            planned_since: BTreeMap::new(),
+            started: BTreeSet::new(),
             measured: BTreeSet::new(),
         }
     }
@@ -142,7 +151,9 @@
             };
             let own_region = self.options.region.clone();
             let is_starting = self.options.policy.is_some() && !self.measured.contains(service);
-            let assumed = is_starting.then(|| self.assume_demand(&config, &fleet, &measurements));
+            let assumed =
+                is_starting.then(|| self.assume_demand(&config, &fleet, service, &measurements));
+            let has_started = self.has_started(now, service, load, policy);
             let steering = self
                 .steering
                 .entry(service.clone())
@@ -150,15 +161,20 @@
             steering.set_policy(policy);
             let demand: f64 = measurements.demand.values().sum();
             let is_measured = !load.service_time.is_zero() && demand >= MIN_DEMAND_PER_S;
-            if let Some(assumed) = &assumed {
-                // The demand of the first seconds is no reliable basis for a plan.
-                steering.initialize(assumed);
-            }
-            let shares = if is_measured || self.options.policy.is_none() {
-                steering.update(now.as_secs_f64(), &measurements).clone()
-            } else {
-                steering.shares().clone()
+            let now_s = now.as_secs_f64();
+            // The demand of the first seconds is no reliable basis for a plan.
+            let shares = match &assumed {
+                Some(assumed) if !has_started => {
+                    steering.initialize(assumed);
+                    steering.shares()
+                }
+                _ if is_measured || self.options.policy.is_none() => {
+                    steering.update(now_s, &measurements)
+                }
+                Some(assumed) => steering.update(now_s, assumed),
+                None => steering.shares(),
             };
+            let shares = shares.clone();
             if is_measured {
                 self.measured.insert(service.clone());
             }
@@ -171,6 +187,25 @@
             .send(Event::RegionShares(shares_by_service));
     }
 
+    /// Returns whether the service's requests run by its shares, so that every change of these counts
+    /// towards the shift cap.
+    ///
+    /// That is not so in the first window of its plans, since no window before it is there to differ from.
+    fn has_started(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        load: &ServiceLoad,
+        policy: PlanPolicy,
+    ) -> bool {
+        let since = *self.planned_since.entry(service.clone()).or_insert(now);
+        let has_requests = load.requests_per_s > 0.0 || !load.pinned_requests_per_s.is_empty();
+        if has_requests && (now - since).as_secs_f64() >= policy.window_s {
+            self.started.insert(service.clone());
+        }
+        self.started.contains(service)
+    }
+
     /// Logs the shares if they differ enough from those last logged.
     fn log_plan(&mut self, service: &ServiceId, shares: &Shares, measurements: &Measurements) {
         let before = self.logged.get(service);
@@ -189,11 +224,13 @@
     }
 
     /// Returns the measurements with a demand proportional to the number of instances in each
-    /// region, because instances are placed where callers are.
+    /// region, because instances are placed where callers are; of all of it, the part that the
+    /// configuration binds to a region is pinned there.
     fn assume_demand(
         &self,
         config: &Config,
         fleet: &Fleet,
+        service: &ServiceId,
         measurements: &Measurements,
     ) -> Measurements {
         let now = self.options.clock.now();
@@ -208,9 +245,16 @@
         }
         let count: f64 = instances.values().sum();
         let capacity: f64 = measurements.capacity.values().sum();
+        let total = capacity * ASSUMED_UTILIZATION;
+        let bound = bound_parts(config, service);
+        let free = total * (1.0 - bound.values().sum::<f64>()).max(0.0);
         let demand = instances
             .into_iter()
-            .map(|(region, own)| (region, own / count * capacity * ASSUMED_UTILIZATION))
+            .map(|(region, own)| (region, own / count * free))
+            .collect();
+        let pinned_demand = bound
+            .into_iter()
+            .map(|(region, part)| (region, part * total))
             .collect();
         let egress_capacity = measurements
             .capacity
@@ -219,6 +263,7 @@
         Measurements {
             demand,
             egress_capacity: egress_capacity.collect(),
+            pinned_demand,
             ..measurements.clone()
         }
     }
