--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -176,6 +176,12 @@
             .or(self.own_change)
     }
 
+    /// Returns since when the latest change that the own rows have has been known, also while it was arriving here or
+    /// elsewhere.
+    pub(super) fn own_known_since(&self) -> Option<Time> {
+        self.own_change.map(|change| change.since)
+    }
+
     /// Works out since when a later version has been known that can be had, and returns until when the own one
     /// may decide. The begin and the end of the time after that are logged.
     pub(super) fn assess(&mut self, now: Time, fleet: &Fleet) -> ConfigLag {
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -142,6 +142,7 @@
             position_of_targets = self.tables.get(TARGETS).map(|table| table.replica.position()),
             source = %news.source,
             blind_ms = age_ms(now, news.known_at),
+            known_ms = age_ms(now, self.lateness.own_known_since()),
         );
         log_rates(self.own_rows.as_deref(), &config);
         self.own_rows = Some(own_rows.clone());
