fix(daemon): a later version counts as to be had while it is being fetched, or the next report is on its way

By its lines: config_behind with 5 holders, then config_caught_up with none while the version that it lacks is still arriving from one of them. Cause: a later version counts only while an instance that has it is alive by its last heartbeat, and on a full link none comes for 2 s.

Change: an instance counts as heard, for this alone, until its next heartbeat has come if that takes as long as the last one (2 s at most); and what a fetch is bringing can be had, whoever is heard. version_that_nobody_has_any_more_is_not_waited_for holds as it was.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,6 +12,8 @@
 
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
+/// Maximum time that a heartbeat counts as having been on its way, which may also have waited here.
+const MAX_HEARTBEAT_WAY: Duration = Duration::from_secs(2);
 
 /// Shows all tasks what is known of the other instances, as of the last change.
 #[derive(Debug, Clone, PartialEq)]
@@ -49,6 +51,8 @@
     pub version: u64,
     /// Time until which its last heartbeat shows it to be alive.
     pub alive_until: Time,
+    /// Time that its last heartbeat took, at most.
+    pub heartbeat_way: Duration,
     /// Whether it is leaving and accepts no new callers.
     pub is_leaving: bool,
     /// Whether it is on the platform's list.
@@ -82,6 +86,12 @@
     pub fn is_alive(&self, now: Time) -> bool {
         now <= self.alive_until
     }
+
+    /// Returns whether the instance is alive at `now` if its next heartbeats take as long as the last one: what it has
+    /// reported still holds while the next report is on its way.
+    pub fn is_heard(&self, now: Time) -> bool {
+        now <= self.alive_until + self.heartbeat_way.min(MAX_HEARTBEAT_WAY)
+    }
 }
 
 impl FleetMember {
@@ -137,6 +147,7 @@
             incarnation: None,
             version: 0,
             alive_until: Time::ZERO,
+            heartbeat_way: Duration::ZERO,
             is_leaving: member.is_leaving,
             is_listed: member.presence == Presence::Listed,
             is_gone: false,
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -183,8 +183,9 @@
     }
 
     /// Works out since when a later version has been known that can be had, and returns until when the own one
-    /// may decide. The begin and the end of the time after that are logged.
-    pub(super) fn assess(&mut self, now: Time, fleet: &Fleet) -> ConfigLag {
+    /// may decide. What a fetch is bringing can be had, whoever is heard. The begin and the end of the time after that are
+    /// logged.
+    pub(super) fn assess(&mut self, now: Time, fleet: &Fleet, is_fetching: bool) -> ConfigLag {
         self.reported.retain(|id, _| fleet.members.contains_key(id));
         let later: Vec<Report> = self.later_reports(now, fleet).copied().collect();
         let is_arriving = |report: &&Report| report.change.is_some_and(|change| change.is_arriving);
@@ -193,7 +194,7 @@
             self.elsewhere_since = None;
         }
         let holders = later.len() - receivers;
-        let known_since = self.lag.behind_since(!later.is_empty());
+        let known_since = self.lag.behind_since(is_fetching || !later.is_empty());
         let since = known_since.into_iter().chain(self.elsewhere_since).min();
         let behind = Behind {
             known_position: self.lag.latest_report(),
@@ -284,8 +285,8 @@
             let change = report.change.as_ref();
             change.is_some_and(|change| self.lacks(change))
         });
-        let is_alive = move |id| fleet.members.get(id).is_some_and(|one| one.is_alive(now));
-        let live = later.filter(move |(id, _)| is_alive(*id));
+        let is_heard = move |id| fleet.members.get(id).is_some_and(|one| one.is_heard(now));
+        let live = later.filter(move |(id, _)| is_heard(*id));
         live.map(|(_, report)| report)
     }
 }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -265,7 +265,10 @@
 
     /// Tells the engine, if that has changed, until when it may decide by the configuration.
     fn publish_lag(&mut self, now: Time, fleet: &Fleet) {
-        let lag = self.lateness.assess(now, fleet);
+        let apply = self.options.apply;
+        let operators = self.tables.first();
+        let is_fetching = operators.is_some_and(|table| table.is_fetch_arriving(apply));
+        let lag = self.lateness.assess(now, fleet, is_fetching);
         let behind_ms = age_ms(now, self.lateness.behind_since());
         self.set_gauge("config_behind_ms", behind_ms.unwrap_or(0));
         let behind_ms = age_ms(now, self.targets_lag.assess(now));
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -60,6 +60,8 @@
     last_heartbeats: BTreeMap<InstanceId, PeerHeartbeat>,
     /// Times at which the last heartbeats arrived.
     heard_at: BTreeMap<InstanceId, Time>,
+    /// Times that the last heartbeats took, at most.
+    ways: BTreeMap<InstanceId, Duration>,
     own_heartbeat: PeerHeartbeat,
     sent_heartbeats: VecDeque<(u64, Time)>,
     /// The last news, as long as it may be sent again.
@@ -97,6 +99,7 @@
             addrs: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
             heard_at: BTreeMap::new(),
+            ways: BTreeMap::new(),
             own_heartbeat,
             sent_heartbeats: VecDeque::new(),
             open_news: None,
@@ -218,6 +221,7 @@
                 let state = FleetMember {
                     addr: self.addrs.get(id).copied(),
                     alive_until: self.membership.alive_until(id),
+                    heartbeat_way: self.ways.get(id).copied().unwrap_or_default(),
                     is_gone: self.membership.is_gone(now, id),
                     ..FleetMember::new(member, heard)
                 };
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -139,7 +139,9 @@
     async fn handle_heartbeat(&mut self, from: &InstanceId, mut heartbeat: PeerHeartbeat) {
         let departures = std::mem::take(&mut heartbeat.departures);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
-            let not_before = (not_before + heartbeat.ack_age).min(self.clock.now());
+            let now = self.clock.now();
+            let not_before = (not_before + heartbeat.ack_age).min(now);
+            self.ways.insert(from.clone(), now - not_before);
             self.membership.on_heartbeat(not_before, &heartbeat.status);
             self.forward_to_follower(from, &heartbeat, departures, not_before);
         } else {
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Snapshots of the other instances' state that are read after the reader was paused.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
 use daemon::fleet::{Fleet, FleetMember};
@@ -14,6 +14,7 @@
         incarnation: None,
         version: 1,
         alive_until,
+        heartbeat_way: Duration::ZERO,
         is_leaving: false,
         is_listed: true,
         is_gone: false,
@@ -72,3 +73,21 @@
     };
     assert_eq!(member.may_send(Time::from_secs(now_s)), is_kept);
 }
+
+/// Guards against CONFIG: an instance whose heartbeats take long counts as heard until the next one has come, but not for
+/// the time that a heartbeat waited while this instance stood still.
+#[rstest]
+#[case::prompt(0, 10_000)]
+#[case::slow(1_500, 11_500)]
+#[case::waited_here(60_000, 12_000)]
+fn instance_is_heard_while_its_next_heartbeat_is_on_its_way(
+    #[case] way_ms: u64,
+    #[case] until_ms: u64,
+) {
+    let one = FleetMember {
+        heartbeat_way: Duration::from_millis(way_ms),
+        ..member(Time::from_secs(10))
+    };
+    assert!(one.is_heard(Time::from_millis(until_ms)));
+    assert!(!one.is_heard(Time::from_millis(until_ms + 1)));
+}
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -33,6 +33,7 @@
         incarnation: Some(Incarnation(1)),
         version: 1,
         alive_until: Time::from_secs(600),
+        heartbeat_way: Duration::ZERO,
         is_leaving: false,
         is_listed: true,
         is_gone: false,
