refactor(daemon): what others know beyond the own copy is gone through as changes

assess copied whole reports to count those of which a change is arriving; it goes through the changes themselves.

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -21,7 +21,6 @@
 const ELSEWHERE_DELAY: Duration = Duration::from_millis(10);
 /// Minimum and maximum delay after which callers may come back where most instances are behind.
 const WAIT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
-
 /// Time for which an answer must have been arriving to be reported as a change: one that brings nothing new has
 /// ended before.
 const MIN_ARRIVAL: Duration = Duration::from_millis(100);
@@ -187,9 +186,8 @@
     /// logged.
     pub(super) fn assess(&mut self, now: Time, fleet: &Fleet, is_fetching: bool) -> ConfigLag {
         self.reported.retain(|id, _| fleet.members.contains_key(id));
-        let later: Vec<Report> = self.later_reports(now, fleet).copied().collect();
-        let is_arriving = |report: &&Report| report.change.is_some_and(|change| change.is_arriving);
-        let receivers = later.iter().filter(is_arriving).count();
+        let later: Vec<TableChange> = self.later_changes(now, fleet).collect();
+        let receivers = later.iter().filter(|change| change.is_arriving).count();
         if receivers == 0 {
             self.elsewhere_since = None;
         }
@@ -274,19 +272,11 @@
         arriving.map(|change| change.since).min()
     }
 
-    /// Goes through what live instances have reported last that know of a later change than the own copy has.
-    fn later_reports<'a>(
-        &'a self,
-        now: Time,
-        fleet: &'a Fleet,
-    ) -> impl Iterator<Item = &'a Report> {
-        let reported = self.reported.iter();
-        let later = reported.filter(|(_, report)| {
-            let change = report.change.as_ref();
-            change.is_some_and(|change| self.lacks(change))
-        });
+    /// Goes through the changes that live instances have reported last and the own copy lacks.
+    fn later_changes(&self, now: Time, fleet: &Fleet) -> impl Iterator<Item = TableChange> {
         let is_heard = move |id| fleet.members.get(id).is_some_and(|one| one.is_heard(now));
-        let live = later.filter(move |(id, _)| is_heard(*id));
-        live.map(|(_, report)| report)
+        let live = self.reported.iter().filter(move |(id, _)| is_heard(*id));
+        let changes = live.filter_map(|(_, report)| report.change);
+        changes.filter(|change| self.lacks(change))
     }
 }
