fix(daemon): heartbeats tell how the sender's own reads stand, so that all judge an outage alike

What callers saw: an instance that the store turned away while others read it kept entries that were gone for 1.8 s from when it fetched the rows (out 1.8 to 2.8 s after the first instance knew; drainS is 2 to 4 s): DRAIN. The other way round, after a true outage, an instance whose poll had been silent all the while dropped a living target's entry that had expired in it, and told the others, which took it out too.

Cause: whether there was an outage was judged by own failed reads and by others' confirmations, which are dated by the table that was read longest ago; the operators' rows rest, so a confirmation is 2 s old while the targets' rows are read ten times a second. And a failed read was known to nobody else.

Change: heartbeats (format 8) tell when the sender last read the targets' rows itself, and whether its reads fail since. Contact anywhere within 1.5 s shows that there is no outage; reads that fail elsewhere while nobody has contact show one, also to an instance whose own poll is silent.

Ruled out: a longer validity of a contact (it hides outages of 2 s); departures told again to those that retain (two heartbeats later at best).

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -29,7 +29,7 @@
 use super::{FollowerOptions, Outputs};
 use crate::{
     fleet::FleetMember,
-    message::{FollowerMessage, TableChange},
+    message::{FollowerMessage, OwnReads, TableChange},
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
@@ -100,6 +100,7 @@
     positions: Vec<u64>,
     confirmed_at: Option<Time>,
     change: Option<TableChange>,
+    reads: Option<OwnReads>,
 }
 
 /// What led to another configuration.
@@ -219,6 +220,7 @@
                 positions,
                 confirmed_at,
                 change,
+                reads,
             } => {
                 let mut reported = self.tables.iter().zip(&positions);
                 let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
@@ -238,6 +240,9 @@
                         table.replica.on_contact(at);
                     }
                 }
+                if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
+                    table.record_reads_elsewhere(now, reads);
+                }
                 if is_up_to_date {
                     self.peer_confirmed_at = self.peer_confirmed_at.max(confirmed_at);
                 }
@@ -289,8 +294,7 @@
                     self.lateness.on_read_failure();
                 }
                 if !failure.is_on_kept_connection {
-                    table.replica.on_read_failure(now);
-                    table.is_reachable = false;
+                    table.record_failure(now);
                 }
                 false
             }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -206,12 +206,14 @@
             positions,
             confirmed_at,
             change: self.lateness.known_change(now),
+            reads: self.tables.get(TARGETS).and_then(|table| table.own_reads),
         };
         if self.last_sent.as_ref() != Some(&current) {
             let command = PeerCommand::SetTablePositions {
                 positions: current.positions.clone(),
                 confirmed_at: current.confirmed_at,
                 change: current.change,
+                reads: current.reads,
             };
             // What finds no room is told with a later refresh; nothing may hold up the next read.
             if self.outputs.peers.try_send(command).is_ok() {
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
 use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState};
-use crate::{table_logs::log_older, table_reads::PlatformRead};
+use crate::{message::OwnReads, table_logs::log_older, table_reads::PlatformRead};
 
 /// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
@@ -23,6 +23,8 @@
     /// What is known of the replica's parts, and of fetches by them.
     pub(super) parts: PartsState,
     pub(super) is_reachable: bool,
+    /// How the own reads stand; `None` before the first one that was answered.
+    pub(super) own_reads: Option<OwnReads>,
     /// Time at which its position rose last.
     pub(super) advanced_at: Time,
     /// Tells the own reads up to which position rows have come from other instances.
@@ -63,6 +65,7 @@
             fetches: Vec::new(),
             parts: PartsState::default(),
             is_reachable: false,
+            own_reads: None,
             advanced_at: Time::ZERO,
             advanced: watch::Sender::new(0),
         }
@@ -114,6 +117,23 @@
         }
     }
 
+    /// Records that the platform could not be read over a new connection.
+    pub(super) fn record_failure(&mut self, now: Time) {
+        self.is_reachable = false;
+        if let Some(reads) = &mut self.own_reads {
+            reads.is_failing = true;
+        }
+        self.replica.on_read_failure(now);
+    }
+
+    /// Records what another instance reports of its own reads.
+    pub(super) fn record_reads_elsewhere(&mut self, now: Time, reads: OwnReads) {
+        self.replica.on_contact(reads.contact_at);
+        if reads.is_failing {
+            self.replica.on_read_failure(now);
+        }
+    }
+
     /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
     /// logged unless it was asked for before that position was known.
     pub(super) fn record_answer(&mut self, name: &str, read: &PlatformRead) {
@@ -126,6 +146,11 @@
         if read.position >= own_position {
             self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
         }
-        self.replica.on_contact(read.answer.arrived_at);
+        let contact_at = read.answer.arrived_at;
+        self.own_reads = Some(OwnReads {
+            contact_at,
+            is_failing: false,
+        });
+        self.replica.on_contact(contact_at);
     }
 }
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -10,7 +10,7 @@
 use crate::message::{PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
-pub const OWN_FORMAT: u32 = 7;
+pub const OWN_FORMAT: u32 = 8;
 /// Format in which heartbeats end with the positions of tables, and reports of rates don't exist. Its
 /// calls over TCP have another opening, so none are made to instances that speak it.
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
@@ -25,6 +25,8 @@
 pub(crate) const FORMAT_WITHOUT_DEPARTURES: u32 = 5;
 /// Format whose heartbeats report no changes but by positions.
 pub(crate) const FORMAT_WITHOUT_CHANGES: u32 = 6;
+/// Format whose heartbeats don't tell of the sender's own reads.
+const FORMAT_WITHOUT_READS: u32 = 7;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
@@ -32,8 +34,10 @@
 const KINDS_WITHOUT_RATES: [u32; 6] = [0, 1, 2, 3, 5, 6];
 /// Bytes by which a heartbeat of an earlier format is extended, more than it can lack.
 const MAX_LACKING_BYTES: usize = 16;
-/// Bytes that a heartbeat of [`FORMAT_WITHOUT_CHANGES`] lacks: no change, and a time of two numbers.
-const CHANGE_BYTES: usize = 3;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_READS`] lacks: no report.
+const READS_BYTES: usize = 1;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_CHANGES`] lacks: no change, and a time of two numbers as well.
+const CHANGE_BYTES: usize = 3 + READS_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_DEPARTURES`] lacks: an empty list as well.
 const DEPARTURES_BYTES: usize = 1 + CHANGE_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_NUMBER`] lacks: the format and an empty text as well.
@@ -103,6 +107,7 @@
     let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
     match lacking {
         0 => {}
+        READS_BYTES if heartbeat.format == FORMAT_WITHOUT_READS => {}
         CHANGE_BYTES if heartbeat.format == FORMAT_WITHOUT_CHANGES => {}
         DEPARTURES_BYTES if is_without_departures(&heartbeat) => {}
         NUMBER_AND_BUILD_BYTES if lacks_number => heartbeat.format = FORMAT_WITHOUT_NUMBER,
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -83,6 +83,26 @@
     pub change: Option<ChangeReport>,
     /// Time from the arrival of the heartbeat that `ack` names to the sending of this one.
     pub ack_age: Duration,
+    /// How the sender's own reads of the targets' table stand; `None` before the first one.
+    pub reads: Option<ReadsReport>,
+}
+
+/// Reports whether an instance reads a table of the platform itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadsReport {
+    /// Time since the last own read that was answered.
+    pub contact_age: Duration,
+    /// Whether a read on a new connection has failed since.
+    pub is_failing: bool,
+}
+
+/// Tells when an instance last read a table of the platform itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnReads {
+    /// Time of the last own read that was answered.
+    pub contact_at: Time,
+    /// Whether a read on a new connection has failed since.
+    pub is_failing: bool,
 }
 
 /// Reports a change of a table of which the sender knows.
@@ -160,6 +180,8 @@
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which this instance knows at first hand.
         change: Option<TableChange>,
+        /// How the own reads of the targets' table stand.
+        reads: Option<OwnReads>,
     },
     /// Sets the targets that have left by rows that others may lack, the newest first.
     SetDepartures(Arc<Vec<Departure>>),
@@ -207,6 +229,8 @@
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which that instance knows.
         change: Option<TableChange>,
+        /// How that instance's own reads of the targets' table stand.
+        reads: Option<OwnReads>,
     },
     /// Another instance has rows by which targets have left, and this one had reported older ones.
     PeerDepartures {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -25,7 +25,7 @@
 use crate::{
     fleet::{Fleet, FleetMember},
     format::OWN_FORMAT,
-    message::{FollowerMessage, PeerCommand, PeerHeartbeat, TableChange},
+    message::{FollowerMessage, OwnReads, PeerCommand, PeerHeartbeat, TableChange},
     owners::OwnersMessage,
 };
 
@@ -71,6 +71,8 @@
     confirmed_at: Option<Time>,
     /// The latest change of the first table of which this instance knows at first hand.
     known_change: Option<TableChange>,
+    /// How the own reads of the targets' table stand.
+    own_reads: Option<OwnReads>,
     /// Targets that have left lately, the newest first.
     departures: Arc<Vec<Departure>>,
     /// Messages that could not be read, by sender and kind.
@@ -106,6 +108,7 @@
             introduced: BTreeMap::new(),
             confirmed_at: None,
             known_change: None,
+            own_reads: None,
             departures: Arc::default(),
             unread: BTreeMap::new(),
             published_at: Time::ZERO,
@@ -175,11 +178,13 @@
                 positions,
                 confirmed_at,
                 change,
+                reads,
             } => {
                 let is_changed = positions != self.own_heartbeat.table_positions;
                 self.own_heartbeat.table_positions = positions;
                 self.confirmed_at = confirmed_at;
                 self.known_change = change;
+                self.own_reads = reads;
                 if is_changed {
                     self.send_news().await;
                 }
@@ -262,5 +267,6 @@
         departures: Vec::new(),
         change: None,
         ack_age: Duration::ZERO,
+        reads: None,
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -7,7 +7,7 @@
 use super::Peers;
 use crate::{
     format::{self, FORMAT_WITHOUT_CHANGES, OWN_FORMAT, UnreadMessage},
-    message::{FollowerMessage, PeerHeartbeat, PeerMessage, TableChange},
+    message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, TableChange},
     owners::OwnersMessage,
 };
 
@@ -175,6 +175,10 @@
                 positions: heartbeat.table_positions.clone(),
                 confirmed_at,
                 change: known_change(heartbeat, not_before),
+                reads: heartbeat.reads.map(|reads| OwnReads {
+                    contact_at: not_before.before(reads.contact_age),
+                    is_failing: reads.is_failing,
+                }),
             };
             let _ = self.outputs.follower.try_send(message);
         }
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -10,7 +10,7 @@
 use crate::{
     follower::tables::TARGETS,
     format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
 };
 
 /// Number of instances that are notified at once of a table's new position; the others receive it with
@@ -140,6 +140,10 @@
                 is_arriving: change.is_arriving,
                 age: now - change.since,
             }),
+            reads: self.own_reads.map(|reads| ReadsReport {
+                contact_age: now - reads.contact_at,
+                is_failing: reads.is_failing,
+            }),
             ack_age: self.heard_at.get(to).map_or(Duration::ZERO, |at| now - *at),
             ..self.own_heartbeat.clone()
         }))
--- a/crates/daemon/tests/behind/arrivals.rs
+++ b/crates/daemon/tests/behind/arrivals.rs
@@ -32,6 +32,7 @@
                     positions: vec![position, position_of(0)],
                     confirmed_at: None,
                     change: Some(change),
+                    reads: None,
                 };
                 let _ = follower.send(message).await;
             }
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -296,6 +296,7 @@
             positions: vec![position, 1],
             confirmed_at: None,
             change: Some(TableChange::complete(changed_at, Time::ZERO + known_since)),
+            reads: None,
         };
         if rng.random_range(0.0..1.0) >= reporter.loss {
             delivered = position;
--- a/crates/daemon/tests/behind/old_poll.rs
+++ b/crates/daemon/tests/behind/old_poll.rs
@@ -136,6 +136,7 @@
                 positions: vec![position_of(1), position_of(0)],
                 confirmed_at: None,
                 change: Some(change),
+                reads: None,
             };
             if follower.send(message).await.is_err() {
                 return;
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -104,6 +104,7 @@
             positions,
             confirmed_at: None,
             change,
+            reads: None,
         };
         let follower = follower.clone();
         tokio::spawn(async move {
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -27,7 +27,7 @@
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::{FollowerMessage, PeerCommand, TableChange},
+    message::{FollowerMessage, OwnReads, PeerCommand, TableChange},
     table_reads::ReadTiming,
 };
 use entry::{
@@ -322,6 +322,7 @@
     positions: Vec<u64>,
     confirmed_at: Option<Time>,
     change: Option<TableChange>,
+    reads: Option<OwnReads>,
     departures: Arc<Vec<Departure>>,
 }
 
@@ -386,8 +387,10 @@
                     positions,
                     confirmed_at,
                     change,
+                    reads,
                 } => {
                     told.change = change;
+                    told.reads = reads;
                     told.positions = positions;
                     told.confirmed_at = confirmed_at;
                 }
@@ -430,7 +433,7 @@
 async fn report(
     started: Instant,
     scenario: Arc<Scenario>,
-    idx: usize,
+    (idx, from): (usize, InstanceId),
     source: watch::Receiver<Told>,
     known: watch::Receiver<Told>,
     receiver: mpsc::Sender<FollowerMessage>,
@@ -446,7 +449,7 @@
             continue;
         }
         number += 1;
-        let messages = heartbeat(idx, number, &source.borrow(), &known.borrow());
+        let messages = heartbeat(&from, number, &source.borrow(), &known.borrow());
         for message in messages {
             if receiver.send(message).await.is_err() {
                 return;
@@ -456,8 +459,8 @@
 }
 
 /// Returns what a heartbeat brings to the follower of its receiver.
-fn heartbeat(idx: usize, number: u64, source: &Told, known: &Told) -> Vec<FollowerMessage> {
-    let from: InstanceId = format!("i{idx}").as_str().into();
+fn heartbeat(from: &InstanceId, number: u64, source: &Told, known: &Told) -> Vec<FollowerMessage> {
+    let from = from.clone();
     let known = known.positions.get(1).copied().unwrap_or(0);
     let departures = lacking(&source.departures, known, number);
     let positions = FollowerMessage::PeerPositions {
@@ -465,6 +468,7 @@
         positions: source.positions.clone(),
         confirmed_at: source.confirmed_at,
         change: source.change,
+        reads: source.reads,
     };
     let departures =
         (!departures.is_empty()).then_some(FollowerMessage::PeerDepartures { from, departures });
@@ -510,7 +514,14 @@
     for idx in 0..scenario.reporters.len() {
         let (source, known) = (other.told.clone(), own.told.clone());
         let to = own.messages.clone();
-        tokio::spawn(report(started, scenario.clone(), idx, source, known, to));
+        let from = (idx, format!("i{idx}").as_str().into());
+        let reported = report(started, scenario.clone(), from, source, known, to);
+        tokio::spawn(reported);
+        let (source, known) = (own.told.clone(), other.told.clone());
+        let to = other.messages.clone();
+        let from = (idx, "own".into());
+        let reported = report(started, scenario.clone(), from, source, known, to);
+        tokio::spawn(reported);
     }
     let mut samples = Vec::new();
     while started.elapsed() < RUN_TIME {
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -76,6 +76,7 @@
             positions: vec![5, 5],
             confirmed_at: None,
             change: Some(TableChange::complete(5, Time::ZERO)),
+            reads: None,
         };
         tx.send(report).await.unwrap();
     }
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -12,7 +12,7 @@
 use coord::Departure;
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
     rpc::{Call, Opening, Reply},
 };
 use dispatch::{Hold, QuarantineReport, RateReport};
@@ -49,6 +49,8 @@
 const FORMAT_WITH_DEPARTURES: u32 = 6;
 /// First format whose heartbeats report changes that are known.
 const FORMAT_WITH_CHANGES: u32 = 7;
+/// First format whose heartbeats report the sender's own reads.
+const FORMAT_WITH_READS: u32 = 8;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -98,6 +100,16 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns a heartbeat of an instance that can't read the platform any more.
+fn reads() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.reads = Some(ReadsReport {
+        contact_age: Duration::from_millis(2_140),
+        is_failing: true,
+    });
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -118,6 +130,7 @@
     let heartbeats = [
         ("heartbeat-departure", departure()),
         ("heartbeat-change", change()),
+        ("heartbeat-reads", reads()),
     ];
     let others = others.chain(heartbeats);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
@@ -142,6 +155,7 @@
 #[case::without_parts(4)]
 #[case::without_departures(5)]
 #[case::without_changes(6)]
+#[case::without_reads(7)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -181,7 +195,15 @@
     }
     if format >= FORMAT_WITH_CHANGES {
         let read = decode(&sample(format, "heartbeat-change"), None);
-        assert_eq!(read, Ok(change()));
+        let PeerMessage::Heartbeat(mut expected) = change() else {
+            panic!();
+        };
+        expected.format = format;
+        assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
+    }
+    if format >= FORMAT_WITH_READS {
+        let read = decode(&sample(format, "heartbeat-reads"), None);
+        assert_eq!(read, Ok(reads()));
     }
 }
 
@@ -210,11 +232,33 @@
     assert!(sent.starts_with(&sample(6, "heartbeat")));
 }
 
+/// As above, for a build that doesn't know of reported reads.
+#[test]
+fn reads_are_behind_what_older_read() {
+    let PeerMessage::Heartbeat(mut heartbeat) = reads() else {
+        panic!();
+    };
+    heartbeat.format = 7;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), 7).unwrap();
+    assert!(sent.starts_with(&sample(7, "heartbeat")));
+}
+
+/// Guards against a report of reads of which a part is cut off: such a heartbeat is none of an earlier format.
+#[test]
+fn cut_reads_are_not_read() {
+    let whole = sample(OWN_FORMAT, "heartbeat-reads");
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    for lacking in 1..=reported {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert!(read.is_err(), "{lacking}: {read:?}");
+    }
+}
+
 /// Guards against a change of which a part is cut off: such a heartbeat is none of an earlier format.
 #[test]
 fn cut_change_is_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-change");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 3;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 4;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -226,7 +270,7 @@
 fn cut_departures_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-departure");
     // An empty list, and the fields behind it.
-    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 4;
+    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 5;
     for lacking in 1..=listed {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -278,6 +322,7 @@
 #[case::without_parts(4)]
 #[case::without_departures(5)]
 #[case::without_changes(6)]
+#[case::without_reads(7)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -304,6 +349,7 @@
 #[case::without_parts(4)]
 #[case::without_departures(5)]
 #[case::without_changes(6)]
+#[case::without_reads(7)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -320,6 +366,7 @@
 #[rstest]
 #[case::without_departures(5)]
 #[case::without_changes(6)]
+#[case::without_reads(7)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -387,6 +434,7 @@
 #[case::without_parts(4)]
 #[case::without_departures(5)]
 #[case::without_changes(6)]
+#[case::without_reads(7)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -424,7 +472,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 8 can't be read by format 7"
+        "a message of kind 77 in format 9 can't be read by format 8"
     );
 }
 
@@ -470,7 +518,8 @@
 #[case::without_parts(4, &[7, 8])]
 #[case::without_departures(5, &[7, 8])]
 #[case::without_changes(6, &[8, 9])]
-#[case::own(OWN_FORMAT, &[11, 12])]
+#[case::without_reads(7, &[11, 12])]
+#[case::own(OWN_FORMAT, &[12, 13])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -219,6 +219,7 @@
             positions: vec![1, position],
             confirmed_at: None,
             change: None,
+            reads: None,
         };
         neighbourhood.peers.send(command).await.unwrap();
     }
@@ -266,6 +267,7 @@
             positions: vec![1, 7],
             confirmed_at: None,
             change: None,
+            reads: None,
         },
     ] {
         neighbourhood.peers.send(command).await.unwrap();
@@ -307,6 +309,7 @@
             positions: vec![POSITION],
             confirmed_at: None,
             change: None,
+            reads: None,
         };
         neighbourhood.peers.send(command).await.unwrap();
         let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -355,6 +355,7 @@
                 position_of(version),
                 Time::ZERO + confirmed_at,
             )),
+            reads: None,
         };
         let delay = rng.random_range(0..reporter.delay.as_millis() as u64 + 1);
         if rng.random_range(0.0..1.0) < reporter.loss {
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -99,6 +99,7 @@
             positions: vec![POSITION],
             confirmed_at: None,
             change: Some(TableChange::complete(POSITION, Time::ZERO)),
+            reads: None,
         };
         tx.send(report).await.unwrap();
     }
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -10,6 +10,7 @@
 mod own_reads;
 #[path = "../support/paused.rs"]
 mod paused;
+mod removed;
 
 use std::{
     net::SocketAddr,
@@ -95,7 +96,14 @@
 
 /// Serves a table, whose next versions the sender publishes.
 async fn serve_table(table: TableSnapshot) -> (SocketAddr, watch::Sender<Arc<Vec<TableSnapshot>>>) {
-    let (tables_tx, tables) = watch::channel(Arc::new(vec![table]));
+    serve_tables(vec![table]).await
+}
+
+/// Serves tables, whose next versions the sender publishes.
+async fn serve_tables(
+    tables: Vec<TableSnapshot>,
+) -> (SocketAddr, watch::Sender<Arc<Vec<TableSnapshot>>>) {
+    let (tables_tx, tables) = watch::channel(Arc::new(tables));
     let (calls, calls_rx) = mpsc::channel(16);
     tokio::spawn(TableServer::new(tables).run(calls_rx));
     (serve(calls).await, tables_tx)
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -139,6 +139,7 @@
                     positions: vec![POSITION + last],
                     confirmed_at: None,
                     change: Some(TableChange::complete(POSITION + last, Time::ZERO)),
+                    reads: None,
                 };
                 if tx.send(report).await.is_err() {
                     return;
--- a/crates/daemon/tests/tables_by_parts/own_position.rs
+++ b/crates/daemon/tests/tables_by_parts/own_position.rs
@@ -125,6 +125,7 @@
                 positions: vec![POSITION],
                 confirmed_at: None,
                 change: Some(TableChange::complete(POSITION, Time::ZERO)),
+                reads: None,
             };
             if tx.send(report).await.is_err() {
                 return;
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -192,6 +192,7 @@
                     positions: vec![POSITION],
                     confirmed_at: None,
                     change: Some(TableChange::complete(POSITION, Time::ZERO)),
+                    reads: None,
                 };
                 if tx.send(report).await.is_err() {
                     return;
--- /dev/null
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -0,0 +1,169 @@
+//! Entries of targets that are gone by the rows of an instance that reads the platform, which turns this one away.
+
+use std::{sync::Arc, time::Duration};
+
+use base::Config;
+use coord::{Replica, ReplicaRow, TableSnapshot};
+use daemon::{
+    fleet::Fleet,
+    follower::{
+        Outputs,
+        tables::{ComposedConfig, FollowedTables, TableFollower},
+    },
+    message::{FollowerMessage, OwnReads, TableChange},
+};
+use entry::view::{Clock, View};
+use platform::{Change, Platform, PlatformError, Reply};
+use rstest::rstest;
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, interval, sleep, timeout},
+};
+
+use crate::{
+    follower::{Peer, member},
+    options::options,
+    serve_tables,
+};
+
+const OPERATOR_POSITION: u64 = 5;
+const BEFORE: u64 = 6;
+const AFTER: u64 = 9;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which the platform has turned this instance away when the entry is removed.
+const TURNED_AWAY_TIME: Duration = Duration::from_secs(3);
+/// Least `drainS`, less a quarter for the way of the news and of a request.
+const BOUND: Duration = Duration::from_millis(1_500);
+
+/// How old the last confirmation of the other instance is, by the table of which it was read longest ago.
+#[derive(Debug, Clone, Copy)]
+enum Operators {
+    /// They are read all the time.
+    Change,
+    /// Their rows don't change, so that a poll waits.
+    Rest,
+}
+
+fn targets(position: u64, names: &[&str]) -> TableSnapshot {
+    let rows = names.iter().map(|name| {
+        let row = ReplicaRow {
+            value: "up".into(),
+            position: BEFORE,
+        };
+        ((*name).to_owned(), row)
+    });
+    TableSnapshot {
+        rows: rows.collect(),
+        position,
+    }
+}
+
+fn operators() -> TableSnapshot {
+    let row = ReplicaRow {
+        value: "1".into(),
+        position: OPERATOR_POSITION,
+    };
+    TableSnapshot {
+        rows: [("config".to_owned(), row)].into(),
+        position: OPERATOR_POSITION,
+    }
+}
+
+/// Returns a platform that answers the first read of each table, and then nothing any more.
+fn platform() -> Platform {
+    Platform::spawn(|| {
+        |call, _: platform::Progress| async move {
+            let platform::Call::Snapshot { table } = call else {
+                return Err(PlatformError::Unavailable);
+            };
+            let read = if table == "op" {
+                operators()
+            } else {
+                targets(BEFORE, &["t1", "t2"])
+            };
+            let rows = read.rows.into_iter().map(|(row, content)| Change {
+                row,
+                value: Some(content.value.to_string()),
+                at: content.position,
+            });
+            Ok(Reply::Changes(rows.collect(), read.position))
+        }
+    })
+}
+
+/// Guards against DRAIN: an instance that the platform turned away took that for an outage, and kept entries that were
+/// gone by the rows that it fetched from one that went on reading.
+#[rstest]
+#[case::operators_change(Operators::Change)]
+#[case::operators_rest(Operators::Rest)]
+#[tokio::test]
+async fn removed_entry_is_not_kept_while_others_read(#[case] rows: Operators) {
+    let (addr, served) = serve_tables(vec![operators(), targets(BEFORE, &["t1", "t2"])]).await;
+    let mut fleet = Fleet::default();
+    let source = member("i0", addr, Peer::Honest);
+    fleet.members.insert("i0".into(), source);
+    let clock = Clock::start();
+    let (_fleet, fleet) = watch::channel(Arc::new(fleet));
+    let (engine, _events) = mpsc::unbounded_channel();
+    let (peers, mut commands) = mpsc::channel(64);
+    let (view, _view) = watch::channel(Arc::new(View::default()));
+    let (snapshots, _snapshots) = watch::channel(Arc::default());
+    let (in_force, mut composed) = watch::channel(Vec::new());
+    let follower = TableFollower::new(
+        options(clock, platform(), fleet),
+        Outputs {
+            engine,
+            peers,
+            view,
+        },
+        FollowedTables {
+            tables: vec!["op".to_owned(), "targets".to_owned()],
+            compose: move |replicas: &[&Replica]| {
+                let names = replicas[1].rows().map(|(name, _)| name.to_owned());
+                in_force.send_replace(names.collect());
+                Some(ComposedConfig {
+                    version: 1,
+                    config: Config::default(),
+                })
+            },
+        },
+        snapshots,
+    );
+    let (tx, rx) = mpsc::channel(64);
+    tokio::spawn(follower.run(rx));
+    tokio::spawn(async move { while commands.recv().await.is_some() {} });
+    let (position, reported) = watch::channel(BEFORE);
+    tokio::spawn(async move {
+        let mut tick = interval(HEARTBEAT_INTERVAL);
+        loop {
+            tick.tick().await;
+            let now = clock.now();
+            let age = match rows {
+                Operators::Change => Duration::from_millis(150),
+                Operators::Rest => Duration::from_millis(1_900),
+            };
+            let report = FollowerMessage::PeerPositions {
+                from: "i0".into(),
+                positions: vec![OPERATOR_POSITION, *reported.borrow()],
+                confirmed_at: Some(now.before(age)),
+                change: Some(TableChange::complete(OPERATOR_POSITION, base::Time::ZERO)),
+                reads: Some(OwnReads {
+                    contact_at: now.before(Duration::from_millis(150)),
+                    is_failing: false,
+                }),
+            };
+            if tx.send(report).await.is_err() {
+                return;
+            }
+        }
+    });
+    sleep(TURNED_AWAY_TIME).await;
+    served.send_replace(Arc::new(vec![operators(), targets(AFTER, &["t1"])]));
+    position.send_replace(AFTER);
+    let removed_at = Instant::now();
+    let gone = composed.wait_for(|names| *names == ["t1"]);
+    let gone = timeout(BOUND * 2, gone).await.map(|_| ());
+    assert_eq!(gone, Ok(()));
+    let after = removed_at.elapsed();
+    assert!(after < BOUND, "{after:?}");
+}
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -225,6 +225,7 @@
                     positions: vec![AFTER, BEFORE],
                     confirmed_at: None,
                     change: Some(TableChange::complete(AFTER, Time::ZERO)),
+                    reads: None,
                 };
                 if tx.send(report).await.is_err() {
                     return;
