feat(daemon): lines tell when a table counts as unreadable by all, and which deleted entries are kept

Whether an instance believed in an outage showed in nothing but the end of a grace period, 1.8 s later, and an entry that was kept in no line at all. So a target that got requests after its entry was gone could be told from one whose rows were late only by reading the code.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -39,8 +39,8 @@
 ///
 /// While nobody can read the table, rows may expire whose writers are alive but can't reach it
 /// either; those writers write them again once it is back. Rows that are found deleted are therefore
-/// retained until a while after the table's return. A read that fails on this instance alone is no
-/// outage, since the writers were not affected.
+/// retained until a while after the table's return. A read that fails on some instances alone is no
+/// outage, since the writers were not affected; so each of them tells the others how its own reads stand.
 ///
 /// # Examples
 ///
@@ -140,12 +140,27 @@
         self.retained.contains_key(name)
     }
 
-    /// Records that this instance could not read the table over a new connection.
+    /// Returns the names of the deleted rows that are retained.
+    pub fn retained(&self) -> impl Iterator<Item = &str> {
+        self.retained.keys().map(String::as_str)
+    }
+
+    /// Returns whether no instance can read the table, as far as this one knows.
+    pub fn has_outage(&self) -> bool {
+        matches!(self.outage, Some(Outage::Ongoing(_)))
+    }
+
+    /// Returns a time at or after which the table was last read, by this instance or another.
+    pub fn last_contact_at(&self) -> Option<Time> {
+        self.last_contact_at
+    }
+
+    /// Records that an instance could not read the table over a new connection.
     pub fn on_read_failure(&mut self, now: Time) {
         let is_reachable = self
             .last_contact_at
             .is_some_and(|at| now - at <= CONTACT_VALIDITY);
-        if !is_reachable && !matches!(self.outage, Some(Outage::Ongoing(_))) {
+        if !is_reachable && !self.has_outage() {
             self.outage = Some(Outage::Ongoing(now));
         }
     }
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -359,6 +359,7 @@
             tracing::info!(event = "store", table = name, is_reachable);
             self.set_alarm("store_unreachable", !is_reachable);
         }
+        self.tables[idx].log_outage(now, &self.followed.tables[idx], &source);
         if is_changed {
             let news = News {
                 source,
@@ -383,6 +384,7 @@
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
+            table.log_outage(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.make_room();
             let Some(from) = table.next_source(now, self.options.apply) else {
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -8,7 +8,11 @@
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
 use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState};
-use crate::{message::OwnReads, table_logs::log_older, table_reads::PlatformRead};
+use crate::{
+    message::OwnReads,
+    table_logs::{NewsSource, log_older, log_outage, log_rows_kept},
+    table_reads::PlatformRead,
+};
 
 /// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
@@ -23,6 +27,10 @@
     /// What is known of the replica's parts, and of fetches by them.
     pub(super) parts: PartsState,
     pub(super) is_reachable: bool,
+    /// Whether the outage that the replica believes in has been logged.
+    has_logged_outage: bool,
+    /// Number of retained rows that have been logged.
+    logged_retained: usize,
     /// How the own reads stand; `None` before the first one that was answered.
     pub(super) own_reads: Option<OwnReads>,
     /// Time at which its position rose last.
@@ -65,6 +73,8 @@
             fetches: Vec::new(),
             parts: PartsState::default(),
             is_reachable: false,
+            has_logged_outage: false,
+            logged_retained: 0,
             own_reads: None,
             advanced_at: Time::ZERO,
             advanced: watch::Sender::new(0),
@@ -126,6 +136,20 @@
         self.replica.on_read_failure(now);
     }
 
+    /// Logs the begin and the end of an outage, and rows that are retained since a change from `source`.
+    pub(super) fn log_outage(&mut self, now: Time, name: &str, source: &NewsSource) {
+        let has_outage = self.replica.has_outage();
+        if has_outage != self.has_logged_outage {
+            self.has_logged_outage = has_outage;
+            log_outage(now, name, !has_outage, self.replica.last_contact_at());
+        }
+        let retained: Vec<&str> = self.replica.retained().collect();
+        if retained.len() > self.logged_retained {
+            log_rows_kept(name, &retained, source);
+        }
+        self.logged_retained = retained.len();
+    }
+
     /// Records what another instance reports of its own reads.
     pub(super) fn record_reads_elsewhere(&mut self, now: Time, reads: OwnReads) {
         self.replica.on_contact(reads.contact_at);
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -142,6 +142,20 @@
     );
 }
 
+/// Logs that a table counts as unreadable by all instances from now on, or no longer; `contact_at` is when any was
+/// last known to read it.
+pub(crate) fn log_outage(now: Time, table: &str, is_over: bool, contact_at: Option<Time>) {
+    let contact_ms = age_ms(now, contact_at);
+    tracing::info!(event = "table_outage", table, is_over, contact_ms);
+}
+
+/// Logs the deleted rows that are kept for a while, since an outage may have removed them.
+pub(crate) fn log_rows_kept(table: &str, kept: &[&str], source: &NewsSource) {
+    let names: Vec<&str> = kept.iter().take(MAX_IDS).copied().collect();
+    let names = names.join(" ");
+    tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
+}
+
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
     let fetched = &fetch.fetched;
