fix(daemon): a transfer that the own link makes late isn't joined by others

A fetch that couldn't be complete within configApplyS was joined by one or two more after 1.5 s, whatever made it late. Where the own link did, they shared it: the first one became later by as much, and others followed.

A late fetch is now joined only while less than half of it has arrived, by one at a time (a third one if nothing came of the second for a second). What has arrived beside it for 0.4 s and would be complete later than it, at the rates since, is ended, and the first goes on alone for as long again as it has been arriving.

Ruled out: telling the link's share by the first one's rate before and after (20 pieces of 1,460 bytes are too few), and never joining (a slow sender would be waited for). Left: a sender at 1 to 1.75 times the time allowed, on a wide own link, is no longer overtaken; it is complete within half of its time more.

Scenarios of the tests before have a size and a slow sender now, with the values that they had.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -380,6 +380,7 @@
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
+            table.end_fetches_behind();
             table.make_room();
             let Some(from) = table.next_source(now, self.options.apply) else {
                 continue;
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -6,7 +6,7 @@
 use coord::parts::TableCut;
 use entry::metrics::Metrics;
 use platform::Progress;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::sync::mpsc;
 
 use super::{MAX_FETCHES, OpenFetch, PEER_FETCH_DELAYS, Table};
 use crate::{
@@ -153,12 +153,7 @@
             let _ = tx.send((source.index as usize, read)).await;
         });
         let task = task.abort_handle();
-        self.fetches.push(OpenFetch {
-            asked_at: now,
-            asked: Instant::now(),
-            received,
-            task,
-        });
+        self.fetches.push(OpenFetch::new(now, received, task));
     }
 }
 
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -12,6 +12,10 @@
 
 /// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which the first byte of a fetch is waited for beside one that is arriving before a third one is started.
+const FIRST_BYTE_TIME: Duration = Duration::from_secs(1);
+/// Minimum time over which two fetches that arrive beside each other are compared.
+const COMPARE_TIME: Duration = Duration::from_millis(400);
 
 /// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
 #[derive(Debug)]
@@ -38,9 +42,67 @@
     pub(super) asked: Instant,
     pub(super) received: watch::Receiver<Received>,
     pub(super) task: AbortHandle,
+    /// What had arrived of it and of the one that has come farthest when they were first seen to arrive beside each
+    /// other.
+    beside: Option<Beside>,
+    /// Time until which no other one is started beside it while it goes on.
+    alone_until: Option<Instant>,
+}
+
+/// What had arrived of two fetches at the same time.
+#[derive(Debug, Clone, Copy)]
+struct Beside {
+    at: Instant,
+    bytes: u64,
+    /// Time at which the one that has come farthest was asked for.
+    first: Time,
+    first_bytes: u64,
 }
 
 impl OpenFetch {
+    /// Returns a fetch that has just been started.
+    pub(super) fn new(
+        asked_at: Time,
+        received: watch::Receiver<Received>,
+        task: AbortHandle,
+    ) -> Self {
+        Self {
+            asked_at,
+            asked: Instant::now(),
+            received,
+            task,
+            beside: None,
+            alone_until: None,
+        }
+    }
+
+    /// Returns whether nothing has arrived yet of an answer that was asked for lately.
+    fn is_awaited(&self) -> bool {
+        self.received.borrow().begun_at.is_none() && self.asked.elapsed() < FIRST_BYTE_TIME
+    }
+
+    /// Compares it with the one that has come farthest, and returns whether that one is complete earlier if both go on
+    /// as they have since they were first seen to arrive beside each other.
+    fn is_behind(&mut self, first_asked_at: Time, first: Received) -> bool {
+        let own = *self.received.borrow();
+        let (Some(left), Some(first_left)) = (own.left(), first.left()) else {
+            return false;
+        };
+        if own.begun_at.is_none() || first_left == 0 || self.asked_at == first_asked_at {
+            return false;
+        }
+        let known = self.beside.filter(|known| known.first == first_asked_at);
+        let beside = *self.beside.insert(known.unwrap_or(Beside {
+            at: Instant::now(),
+            bytes: own.bytes,
+            first: first_asked_at,
+            first_bytes: first.bytes,
+        }));
+        let came = own.bytes - beside.bytes;
+        let first_came = first.bytes - beside.first_bytes;
+        beside.at.elapsed() >= COMPARE_TIME && first_left * came < left * first_came
+    }
+
     /// Returns whether something has arrived lately, where what follows a list may take as long to begin as the list
     /// has, and as long again.
     fn is_active(&self) -> bool {
@@ -71,15 +133,46 @@
     /// Returns whether a part of a fetched table has arrived lately, and the fetch isn't below the lowest rate of a
     /// transfer, or too slow to be complete within `apply`, after [`SLOW_FETCH_TIME`].
     pub(super) fn is_fetch_arriving(&self, apply: Duration) -> bool {
-        let active = self.fetches.iter().filter(|fetch| fetch.is_active());
-        let mut received = active.map(|fetch| *fetch.received.borrow());
-        received.any(|received| {
+        let mut active = self.fetches.iter().filter(|fetch| fetch.is_active());
+        let is_one_awaited = self.fetches.iter().any(OpenFetch::is_awaited);
+        active.any(|fetch| {
+            let received = *fetch.received.borrow();
             let is_new = |at: Instant| at.elapsed() < SLOW_FETCH_TIME;
-            let is_slow = received.is_slow() || received.is_late(apply);
-            received.begun_at.is_some_and(|at| is_new(at) || !is_slow)
+            let is_alone = fetch
+                .alone_until
+                .is_some_and(|until| Instant::now() < until);
+            // The rest of it is there before the whole from another one, unless that one is much faster.
+            let is_nearly_done = received.left().is_some() && !received.has_much_left();
+            let is_late = received.is_late(apply) && !is_nearly_done;
+            let is_only_one = is_alone || is_one_awaited || !is_late;
+            let is_waited_for = |at| is_new(at) || (is_only_one && !received.is_slow());
+            received.begun_at.is_some_and(is_waited_for)
         })
     }
 
+    /// Ends the fetches that are complete later than the one that has come farthest, as they arrive beside it: where they
+    /// share the link they only make it later. It goes on alone for as long again as it has been arriving, unless it is
+    /// below the lowest rate of a transfer.
+    pub(super) fn end_fetches_behind(&mut self) {
+        let active = self.fetches.iter().filter(|fetch| fetch.is_active());
+        let Some(first) = active.max_by_key(|fetch| fetch.received.borrow().bytes) else {
+            return;
+        };
+        let (first_asked_at, received) = (first.asked_at, *first.received.borrow());
+        if received.is_slow() {
+            return;
+        }
+        let is_behind = |fetch: &mut OpenFetch| fetch.is_behind(first_asked_at, received);
+        let ended: Vec<_> = self.fetches.extract_if(.., is_behind).collect();
+        ended.iter().for_each(|fetch| fetch.task.abort());
+        let mut rest = self.fetches.iter_mut();
+        let first = rest.find(|fetch| fetch.asked_at == first_asked_at);
+        if let Some(first) = first.filter(|_| !ended.is_empty()) {
+            let elapsed = received.begun_at.map(|at| at.elapsed());
+            first.alone_until = elapsed.map(|elapsed| Instant::now() + elapsed);
+        }
+    }
+
     /// Ends one of the fetches that go on below the lowest rate of a transfer if there is no room for
     /// another one, but never the one that has come farthest, so that one is complete in the end even if
     /// all of them are slow.
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -34,6 +34,8 @@
 
 const SOURCES: usize = 5;
 const ROUTES: usize = 1_500;
+/// Routes of a document that takes long over a link above the lowest rate of a transfer.
+const MANY_ROUTES: usize = 6_000;
 /// Weight of the one route that later versions change.
 const WEIGHTS: [usize; 2] = [100, 90];
 /// Bytes per second of the other ends' links.
@@ -45,12 +47,15 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time for which fetches wait in all.
 const FETCH_DELAY: Duration = Duration::from_millis(600);
+/// Time after which a table is there although the first source that is asked for it has a slow link.
+const OVERTAKEN_TIME: Duration = Duration::from_millis(3_500);
 /// Time after which a run ends without the table.
 const RUN_TIME: Duration = Duration::from_secs(60);
 
 /// Versions that others have, and how long their transfer takes.
 #[derive(Debug, Clone, Copy)]
 struct Scenario {
+    routes: usize,
     /// Time that the compressed table takes over the link.
     transfer: Duration,
     /// Time after the first version at which the second one follows, if it does.
@@ -59,6 +64,8 @@
     burst: Duration,
     /// The same, when the first list has come.
     stall: Duration,
+    /// A source with a slow link of its own, and the time that the compressed table takes over it.
+    slow: Option<(usize, Duration)>,
 }
 
 /// What a run shows.
@@ -72,20 +79,25 @@
     whole: usize,
 }
 
-fn version(idx: usize) -> TableSnapshot {
-    table(ROUTES, WEIGHTS[idx], POSITION + idx as u64)
+fn version(routes: usize, idx: usize) -> TableSnapshot {
+    table(routes, WEIGHTS[idx], POSITION + idx as u64)
 }
 
 async fn play(scenario: Scenario) -> Outcome {
-    let whole = Packed::new(document(ROUTES, WEIGHTS[0]).as_bytes()).len();
+    let routes = scenario.routes;
+    let whole = Packed::new(document(routes, WEIGHTS[0]).as_bytes()).len();
     let rate = (whole as f64 / scenario.transfer.as_secs_f64()) as u32;
     let link = Link::new(rate);
     let fetched = Arc::new(AtomicUsize::new(0));
     let mut fleet = Fleet::default();
     let mut tables = Vec::new();
     for idx in 0..SOURCES {
-        let (addr, published) = serve_table(version(0)).await;
-        let links = [Link::new(WIDE_RATE), link.clone()];
+        let (addr, published) = serve_table(version(routes, 0)).await;
+        let slow = scenario.slow.filter(|(slow, _)| *slow == idx);
+        let sender_rate = slow.map_or(WIDE_RATE, |(_, time)| {
+            (whole as f64 / time.as_secs_f64()) as u32
+        });
+        let links = [Link::new(sender_rate), link.clone()];
         let carrier = start_carrier(addr, links, fetched.clone()).await;
         let id = format!("i{idx}");
         let honest = member(&id, carrier, Peer::Honest);
@@ -130,7 +142,7 @@
             if is_second && last == 0 {
                 last = 1;
                 for published in &tables {
-                    published.send_replace(Arc::new(vec![version(1)]));
+                    published.send_replace(Arc::new(vec![version(routes, 1)]));
                 }
             }
             for idx in 0..SOURCES {
@@ -148,7 +160,7 @@
         }
     });
     let text = document(
-        ROUTES,
+        routes,
         WEIGHTS[usize::from(scenario.second_after.is_some())],
     );
     let arrived = async { while in_force_rx.recv().await.unwrap() != text {} };
@@ -190,10 +202,12 @@
 fn whole_table_follows_one_of_two_lists() {
     let bursts = steps(0..=700, 50);
     let scenarios = bursts.into_iter().map(|burst| Scenario {
+        routes: ROUTES,
         transfer: Duration::from_millis(1_000),
         second_after: None,
         burst,
         stall: Duration::ZERO,
+        slow: None,
     });
     let wasteful = wasteful(scenarios.collect(), 1.6);
     assert!(wasteful.is_empty(), "{wasteful:?}");
@@ -205,10 +219,12 @@
 fn whole_table_that_begins_as_late_as_its_list_is_asked_for_once() {
     let stalls = steps(0..=800, 50);
     let scenarios = stalls.into_iter().map(|stall| Scenario {
+        routes: ROUTES,
         transfer: Duration::from_millis(1_000),
         second_after: None,
         burst: Duration::from_millis(500),
         stall,
+        slow: None,
     });
     let wasteful = wasteful(scenarios.collect(), 1.6);
     assert!(wasteful.is_empty(), "{wasteful:?}");
@@ -221,12 +237,71 @@
 fn transfer_that_comes_in_time_is_alone(#[case] second_after: Option<Duration>) {
     let transfers = steps(1_300..=1_750, 50);
     let scenarios = transfers.into_iter().map(|transfer| Scenario {
+        routes: ROUTES,
         transfer,
         second_after,
         burst: Duration::ZERO,
         stall: Duration::ZERO,
+        slow: None,
     });
     // With one list of the whole and one of the change.
     let wasteful = wasteful(scenarios.collect(), 1.15);
     assert!(wasteful.is_empty(), "{wasteful:?}");
 }
+
+/// Guards against CONFIG: a transfer that the own link makes late was joined by others, which only shared the link with
+/// it.
+#[rstest]
+#[case::one_version(ROUTES, 2_000..=3_500, None)]
+#[case::two_versions(ROUTES, 2_000..=3_500, Some(Duration::from_millis(1_500)))]
+#[case::large_document(MANY_ROUTES, 4_000..=12_000, None)]
+fn transfer_that_the_own_link_makes_late_goes_on_alone(
+    #[case] routes: usize,
+    #[case] transfers_ms: RangeInclusive<u64>,
+    #[case] second_after: Option<Duration>,
+) {
+    let transfers = steps(transfers_ms, 250);
+    let scenarios = transfers.into_iter().map(|transfer| Scenario {
+        routes,
+        transfer,
+        second_after,
+        burst: Duration::ZERO,
+        stall: Duration::ZERO,
+        slow: None,
+    });
+    let wasteful = wasteful(scenarios.collect(), 1.3);
+    assert!(wasteful.is_empty(), "{wasteful:?}");
+}
+
+/// Guards against CONFIG: a transfer that its sender's link makes late was waited for, though others could send the table
+/// in time.
+#[test]
+fn transfer_that_its_sender_makes_late_is_overtaken() {
+    let slow = steps(4_000..=12_000, 2_000);
+    let pairs = slow
+        .into_iter()
+        .flat_map(|time| (0..SOURCES).map(move |idx| (idx, time)));
+    let runs = pairs.map(|slow| {
+        let scenario = Scenario {
+            routes: MANY_ROUTES,
+            transfer: Duration::from_millis(500),
+            second_after: None,
+            burst: Duration::ZERO,
+            stall: Duration::ZERO,
+            slow: Some(slow),
+        };
+        (scenario, run_paused(play(scenario)))
+    });
+    let runs: Vec<_> = runs.collect();
+    let late = runs
+        .iter()
+        .filter(|(_, outcome)| outcome.took > OVERTAKEN_TIME);
+    let late: Vec<_> = late.collect();
+    assert!(late.is_empty(), "{late:?}");
+    let is_asked =
+        |(scenario, outcome): &&(Scenario, Outcome)| outcome.took > scenario.transfer * 3;
+    assert!(
+        runs.iter().any(|run| is_asked(&run)),
+        "no slow source was asked"
+    );
+}
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -74,13 +74,16 @@
         elapsed >= limit || (is_known && elapsed.as_secs_f64() > limit.as_secs_f64() * done)
     }
 
+    /// Returns how many bytes are still to come, as far as they have been announced.
+    pub fn left(&self) -> Option<u64> {
+        self.expected
+            .map(|expected| expected.saturating_sub(self.bytes))
+    }
+
     /// Returns whether less than half of an answer of a known length has arrived, and enough is left to take a
     /// second at the lowest rate of a transfer.
     pub fn has_much_left(&self) -> bool {
-        let left = self
-            .expected
-            .map_or(0, |expected| expected.saturating_sub(self.bytes));
-        left > self.bytes.max(u64::from(MIN_BYTES_PER_S))
+        self.left().unwrap_or(0) > self.bytes.max(u64::from(MIN_BYTES_PER_S))
     }
 
     /// Returns the time since the last byte in either direction, or since the call.
