fix(daemon): a later version still counts between two fetches

An instance that had fetched a version over a narrow link, and knew of a later one, decided by the former again until the next fetch had begun to arrive: what others have counts while one of them is heard or a fetch is arriving, and heartbeats had waited for more than 2 s behind that very fetch.

A fetch that has brought a later position now shows that its sender is alive, for as long as a heartbeat does; what it has reported counts until then. Nothing changes where the only one that has reported the later version is gone (version_decides_if_the_later_one_is_gone, holds before and after).

Ruled out: counting reports of instances that aren't heard (who is cut off would refuse for ever), and any fetch that sends something (a list that brings nothing would prolong it again and again).

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,6 +10,8 @@
     message::PeerHeartbeat,
 };
 
+/// Time without heartbeats after which an instance no longer counts as alive.
+pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
 /// Maximum time that a heartbeat counts as having been on its way, which may also have waited here.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -299,9 +299,13 @@
                 table.fetches.retain(|open| open.asked_at != fetch.asked_at);
                 table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
-                source = NewsSource::Instance(fetch.from);
                 let found = fetch.fetched.table;
-                found.is_some_and(|found| table.replica.replace(now, found))
+                let is_changed = found.is_some_and(|found| table.replica.replace(now, found));
+                if idx == 0 && table.replica.position() > before {
+                    self.lateness.on_fetched(now, &fetch.from);
+                }
+                source = NewsSource::Instance(fetch.from);
+                is_changed
             }
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at(), read.position));
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -7,7 +7,7 @@
 use entry::message::ConfigLag;
 
 use crate::{
-    fleet::Fleet,
+    fleet::{Fleet, HEARTBEAT_TIMEOUT},
     message::TableChange,
     table_logs::{Behind, log_behind, log_caught_up},
 };
@@ -32,6 +32,16 @@
     /// The latest change that it knows.
     change: Option<TableChange>,
     received_at: Time,
+    /// Time at which a fetch from it last brought a later position.
+    fetched_at: Option<Time>,
+}
+
+impl Report {
+    /// Returns whether its instance is heard at `now`, by a fetch: heartbeats may have waited behind that.
+    fn is_fetched(&self, now: Time) -> bool {
+        self.fetched_at
+            .is_some_and(|at| now <= at + HEARTBEAT_TIMEOUT)
+    }
 }
 
 /// Follows since when the operators' table has been behind what others have.
@@ -104,14 +114,23 @@
                 self.lag.on_report(now, KnownChange { position, since });
             }
         }
+        let before = self.reported.get(from);
         let report = Report {
             position,
             change,
             received_at: now,
+            fetched_at: before.and_then(|report| report.fetched_at),
         };
         self.reported.insert(from.clone(), report);
     }
 
+    /// Records that a fetch from an instance has brought a later position, which shows it to be alive as a heartbeat does.
+    pub(super) fn on_fetched(&mut self, now: Time, from: &InstanceId) {
+        if let Some(report) = self.reported.get_mut(from) {
+            report.fetched_at = Some(now);
+        }
+    }
+
     /// Records that an answer is arriving. One that began at no known time tells of nothing later, nor does one that was
     /// asked for changes after a position before the own one: it brings what a fetch has brought.
     pub(super) fn on_arriving(&mut self, begun_at: Option<Time>, after: u64) {
@@ -274,8 +293,10 @@
 
     /// Goes through the changes that live instances have reported last and the own copy lacks.
     fn later_changes(&self, now: Time, fleet: &Fleet) -> impl Iterator<Item = TableChange> {
-        let is_heard = move |id| fleet.members.get(id).is_some_and(|one| one.is_heard(now));
-        let live = self.reported.iter().filter(move |(id, _)| is_heard(*id));
+        let live = self.reported.iter().filter(move |(id, report)| {
+            let member = fleet.members.get(*id);
+            member.is_some_and(|one| one.is_heard(now)) || report.is_fetched(now)
+        });
         let changes = live.filter_map(|(_, report)| report.change);
         changes.filter(|change| self.lacks(change))
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -32,7 +32,7 @@
 use wire::{Secret, Sessions};
 
 use crate::{
-    fleet::Fleet,
+    fleet::{Fleet, HEARTBEAT_TIMEOUT},
     follower::{
         self, FollowerOptions,
         head::HeadFollower,
@@ -56,8 +56,6 @@
 
 /// Maximum lag of the platform's list; an instance absent from the list for longer has ended.
 const ABSENCE_TIMEOUT: Duration = Duration::from_secs(40);
-/// Time without heartbeats after which an instance no longer counts as alive.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which the ledger keeps the records of finished actions.
 const ACTION_RETENTION: Duration = Duration::from_secs(3_600);
 /// Time after which the outcome of an action counts as unknown if its claimer has not reported it.
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -19,6 +19,7 @@
     rpc::Call,
 };
 use entry::{
+    message::Event,
     metrics::Metrics,
     view::{Clock, View},
 };
@@ -118,16 +119,30 @@
     fleet: Fleet,
     metrics: Metrics,
     in_force: mpsc::UnboundedSender<String>,
+) -> (mpsc::Sender<FollowerMessage>, tokio::task::JoinHandle<()>) {
+    let (engine, mut events) = mpsc::unbounded_channel();
+    tokio::spawn(async move { while events.recv().await.is_some() {} });
+    let clock = Clock::start();
+    start_observed_follower(clock, platform, fleet, metrics, in_force, engine)
+}
+
+/// Starts a follower as [`start_follower`] does, which also sends its events to `engine`.
+pub(crate) fn start_observed_follower(
+    clock: Clock,
+    platform: Platform,
+    fleet: Fleet,
+    metrics: Metrics,
+    in_force: mpsc::UnboundedSender<String>,
+    engine: mpsc::UnboundedSender<Event>,
 ) -> (mpsc::Sender<FollowerMessage>, tokio::task::JoinHandle<()>) {
     let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
-    let (engine, engine_rx) = mpsc::unbounded_channel();
     let (peers, peers_rx) = mpsc::channel(64);
     let (view, view_rx) = watch::channel(Arc::new(View::default()));
     let (snapshots, snapshots_rx) = watch::channel(Arc::default());
     let follower = TableFollower::new(
         FollowerOptions {
             metrics,
-            ..options(Clock::start(), platform, fleet)
+            ..options(clock, platform, fleet)
         },
         Outputs {
             engine,
@@ -150,7 +165,7 @@
     );
     let (tx, rx) = mpsc::channel(64);
     let running = tokio::spawn(async move {
-        let _kept = (fleet_tx, engine_rx, peers_rx, view_rx, snapshots_rx);
+        let _kept = (fleet_tx, peers_rx, view_rx, snapshots_rx);
         follower.run(rx).await;
     });
     (tx, running)
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -3,6 +3,7 @@
 
 mod fetches;
 mod follower;
+mod late_heartbeats;
 mod narrow_fetches;
 #[path = "../support/options.rs"]
 mod options;
