fix(coord,daemon): answers of the store are dated by bounds that hold however late they are

Callers get 401 or 404 for a key or a route that was added longer than configApplyS ago. Cause: AnswerDates took the least time by which answers' arrivals were behind the store's clock as the offset of the clocks. Where the first answers of a process, or of a store that starts again with another clock, were all held up, that least time held a hold-up of up to 3 s (an answer to a call that waits counted however late it was), so that the next answer that was held up was dated as late as it came, and confirmed the configuration up to that much too late. 0.95 of configApplyS leaves 0.1 to 0.2 s.

Change: an answer was made after its call was sent, so each call bounds the offset from below, and each arrival from above; the highest lower bound dates all answers. Bounds widen by 100 us a second (drift) and by 10 ms (the step of a reading). Bounds that contradict each other show another clock, and the last answer alone counts. A call that the store holds back says little from below, so where the bounds are over 0.15 s apart a poll waits for nothing, at most once in 5 s.

Draws of the other cases are the same. coord/tests/answer_dates: answers may be dated no later than they were made (10 ms for drift; before, 65 ms), and by 0.15 s too early at most unless the dates are said to be uncertain (before, 10 ms: that bound held by allowing late dates by the way). The test of a first answer that is held up now wants the second and third one dated by it, where it wanted the second dated by its call; that of clocks that jump wants no date too late beside a hold-up of 2 s, and the new clock from the first prompt answer on rather than from the second answer.

--- a/crates/coord/src/answer_dates.rs
+++ b/crates/coord/src/answer_dates.rs
@@ -1,13 +1,15 @@
 //! When the answers of a store were made, by its clock.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use base::Time;
 
-/// Time for which the least time that answers took counts; the clocks hardly drift in it.
-const MEMORY: Duration = Duration::from_secs(60);
-/// Maximum time from a call that waits for nothing to its answer for which it tells how the clocks stand.
-const PROMPT_TIME: Duration = Duration::from_millis(250);
+/// Most microseconds by which two steady clocks drift apart in a second.
+const MAX_DRIFT_US_PER_S: u64 = 100;
+/// Coarsest step in which a store's clock is read.
+const READING_STEP: Duration = Duration::from_millis(10);
+/// Maximum time between the bounds of a clock's offset by which answers are dated closely enough.
+const MAX_UNCERTAINTY: Duration = Duration::from_millis(150);
 
 /// An answer of a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,16 +20,14 @@
     pub arrived_at: Time,
     /// Reading of the store's steady clock when the answer was made, if it tells one.
     pub reading: Option<Duration>,
-    /// Whether the store held the call until something changed.
-    pub has_waited: bool,
 }
 
 /// Dates a store's answers, which may have been held up on their way for seconds.
 ///
-/// The store's clock and the own one stand apart by a fixed time. The least time by which an answer's arrival
-/// was behind its reading in the last minute is that, and the shortest way; what another answer takes
-/// beyond is its hold-up. An answer is never dated before its call, and dated by it where nothing else is
-/// known, as after a restart of the store, whose clock then doesn't fit.
+/// An answer is made after its call was sent, and before it arrives, so that each one bounds the offset between the
+/// own clock and the store's on both sides. An answer is dated by the earliest offset that all of them allow: it was
+/// made then or later, however long calls and answers take. Where they contradict each other, as after a restart
+/// of the store with another clock, the last one alone counts.
 ///
 /// # Examples
 ///
@@ -41,58 +41,77 @@
 ///     sent_at: Time::from_millis(sent_ms),
 ///     arrived_at: Time::from_millis(arrived_ms),
 ///     reading: Some(Duration::from_millis(reading_ms)),
-///     has_waited: true,
 /// };
-/// dates.date(answer(0, 1_010, 91_000));
-/// assert_eq!(dates.date(answer(1_100, 2_410, 92_400)), Time::from_millis(2_410));
-/// // Made 1.4 s after the one before, and held up for 2 s.
-/// assert_eq!(dates.date(answer(2_500, 5_810, 93_800)), Time::from_millis(3_810));
+/// // Made at 10 ms or later, and held up.
+/// assert_eq!(dates.date(answer(10, 2_510, 90_000)), Time::from_millis(10));
+/// // Made 4.4 s after the one before, and held up as well.
+/// let date = dates.date(answer(2_610, 6_010, 94_400));
+/// assert!(date > Time::from_millis(4_390) && date < Time::from_millis(4_410));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct AnswerDates {
-    /// Offsets of the own clock and when they were seen, rising in both.
-    offsets: VecDeque<(Time, i128)>,
+    offset: Option<Offset>,
+}
+
+/// Bounds how much the own clock is ahead of the store's, in microseconds.
+#[derive(Debug, Clone, Copy)]
+struct Offset {
+    /// Time for which the bounds hold.
+    at: Time,
+    min: i128,
+    max: i128,
 }
 
 impl AnswerDates {
-    /// Returns when an answer was made, at the latest but for the shortest way from the store.
+    /// Returns a time at or after which an answer was made.
     pub fn date(&mut self, answer: Answer) -> Time {
         let Some(reading) = answer.reading else {
             return answer.sent_at;
         };
-        let now = answer.arrived_at;
-        while self
-            .offsets
-            .front()
-            .is_some_and(|(at, _)| now - *at > MEMORY)
-        {
-            self.offsets.pop_front();
-        }
         let reading = reading.as_micros() as i128;
-        let made_at = self.offsets.front().map(|(_, least)| reading + least);
-        let sent_at = i128::from(answer.sent_at.as_micros());
-        if made_at.is_some_and(|at| at < sent_at) {
-            self.offsets.clear();
-        }
-        let took = answer.arrived_at - answer.sent_at;
-        if answer.has_waited || took <= PROMPT_TIME {
-            self.record(now, i128::from(now.as_micros()) - reading);
-        }
-        let made_at = made_at.and_then(|at| u64::try_from(at).ok());
-        made_at.map_or(answer.sent_at, |at| {
-            let at = Time::from_micros(at);
-            at.min(answer.arrived_at).max(answer.sent_at)
+        let step = READING_STEP.as_micros() as i128;
+        let own = Offset {
+            at: answer.arrived_at,
+            min: i128::from(answer.sent_at.as_micros()) - reading - step,
+            max: i128::from(answer.arrived_at.as_micros()) - reading + step,
+        };
+        let known = self.offset.map(|offset| offset.aged(answer.arrived_at));
+        let offset = known.and_then(|known| known.and(&own)).unwrap_or(own);
+        self.offset = Some(offset);
+        let made_at = u64::try_from(reading + offset.min).unwrap_or(0);
+        Time::from_micros(made_at).max(answer.sent_at)
+    }
+
+    /// Returns whether answers may be dated too early by much until the store answers a call that waits for nothing; of
+    /// a store that tells no clock, they are in any case.
+    pub fn is_uncertain(&self, now: Time) -> bool {
+        self.offset.is_some_and(|offset| {
+            let offset = offset.aged(now);
+            offset.max - offset.min > MAX_UNCERTAINTY.as_micros() as i128
         })
     }
+}
 
-    fn record(&mut self, now: Time, offset: i128) {
-        while self
-            .offsets
-            .back()
-            .is_some_and(|(_, later)| *later >= offset)
-        {
-            self.offsets.pop_back();
+impl Offset {
+    /// Returns the bounds as they hold at `now`.
+    fn aged(&self, now: Time) -> Self {
+        let age_us = now.as_micros().saturating_sub(self.at.as_micros());
+        let drift_us = age_us.saturating_mul(MAX_DRIFT_US_PER_S) / 1_000_000 + 1;
+        let drift_us = i128::from(drift_us);
+        Self {
+            at: self.at.max(now),
+            min: self.min - drift_us,
+            max: self.max + drift_us,
         }
-        self.offsets.push_back((now, offset));
+    }
+
+    /// Returns the bounds that both hold, or `None` if they contradict each other.
+    fn and(&self, other: &Self) -> Option<Self> {
+        let (min, max) = (self.min.max(other.min), self.max.min(other.max));
+        (min <= max).then_some(Self {
+            at: self.at.max(other.at),
+            min,
+            max,
+        })
     }
 }
--- a/crates/coord/tests/answer_dates.rs
+++ b/crates/coord/tests/answer_dates.rs
@@ -1,4 +1,4 @@
-//! When a store's answers were made, by its clock and over drawn ways.
+//! When a store's answers were made, by its clock and over drawn ways of calls and answers.
 
 use std::time::Duration;
 
@@ -8,10 +8,13 @@
 use rand_pcg::Pcg32;
 use rstest::rstest;
 
-/// Longest way from the store that no disturbance makes longer.
+/// Longest way to or from the store that no disturbance makes longer.
 const WAY_MS: u64 = 55;
-/// Rest for the drift of the clocks in a minute.
+/// Rest for the drift of the clocks.
 const DRIFT_MS: u64 = 10;
+/// Most by which an answer may be dated too early unless the dates are said to be uncertain: polls leave so much of
+/// the time for which a confirmation allows refusals.
+const MAX_EARLY_MS: u64 = 150;
 
 /// A store that is asked again and again, and the times at which its answers were made.
 struct Store {
@@ -38,9 +41,14 @@
 
     /// Asks the store, which answers after `wait_ms`, and returns when the answer was made, by its date and
     /// truly, and when the call was sent.
-    fn ask(&mut self, wait_ms: u64, held_up_ms: u64) -> (u64, u64, u64) {
+    fn ask(&mut self, wait_ms: u64, held_up_ms: u64) -> Dated {
+        self.ask_late(0, wait_ms, held_up_ms)
+    }
+
+    /// The same with a call that is held up for `late_ms`.
+    fn ask_late(&mut self, late_ms: u64, wait_ms: u64, held_up_ms: u64) -> Dated {
         let sent_ms = self.now_ms;
-        let made_ms = sent_ms + self.rng.random_range(1..WAY_MS) + wait_ms;
+        let made_ms = sent_ms + self.rng.random_range(1..WAY_MS) + late_ms + wait_ms;
         let arrived_ms = made_ms + self.rng.random_range(1..WAY_MS) + held_up_ms;
         self.now_ms = arrived_ms + 100;
         let own_ms = made_ms as i64;
@@ -49,9 +57,50 @@
             sent_at: Time::from_millis(sent_ms),
             arrived_at: Time::from_millis(arrived_ms),
             reading: Some(Duration::from_millis(reading_ms as u64)),
-            has_waited: wait_ms > 0,
         });
-        (date.as_micros() / 1_000, made_ms, sent_ms)
+        Dated {
+            date_ms: date.as_micros() / 1_000,
+            made_ms,
+            sent_ms,
+        }
+    }
+
+    fn is_uncertain(&self) -> bool {
+        self.dates.is_uncertain(Time::from_millis(self.now_ms))
+    }
+
+    /// Returns how long a poll waits, as a reader asks.
+    fn draw_wait(&mut self) -> u64 {
+        if self.is_uncertain() {
+            0
+        } else {
+            self.rng.random_range(0..2_000)
+        }
+    }
+
+    /// Returns for how long something is held up, by a chance.
+    fn draw_hold_up(&mut self, chance: f64, max_ms: u64) -> u64 {
+        let is_held_up = self.rng.random::<f64>() < chance;
+        let held_up_ms = self.rng.random_range(0..max_ms);
+        if is_held_up { held_up_ms } else { 0 }
+    }
+}
+
+/// When an answer was made, by its date and truly, and when its call was sent.
+#[derive(Debug)]
+struct Dated {
+    date_ms: u64,
+    made_ms: u64,
+    sent_ms: u64,
+}
+
+impl Dated {
+    fn is_too_late(&self) -> bool {
+        self.date_ms > self.made_ms + DRIFT_MS
+    }
+
+    fn is_too_early(&self) -> bool {
+        self.date_ms + MAX_EARLY_MS < self.made_ms || self.date_ms < self.sent_ms
     }
 }
 
@@ -62,52 +111,71 @@
         let mut store = Store::new(seed);
         store.ask(0, 0);
         for count in 0..300 {
-            let wait_ms = store.rng.random_range(0..2_000);
-            let is_held_up = store.rng.random::<f64>() < 0.3;
-            let held_up_ms = if is_held_up {
-                store.rng.random_range(0..8_000)
-            } else {
-                0
-            };
-            let (date_ms, made_ms, sent_ms) = store.ask(wait_ms, held_up_ms);
-            let latest = made_ms + WAY_MS + DRIFT_MS;
-            let told = (seed, count, date_ms, made_ms, sent_ms);
-            assert!(date_ms <= latest, "too late: {told:?}");
-            assert!(
-                date_ms + DRIFT_MS >= made_ms.max(sent_ms),
-                "too early: {told:?}"
-            );
+            let wait_ms = store.draw_wait();
+            let held_up_ms = store.draw_hold_up(0.3, 8_000);
+            let dated = store.ask(wait_ms, held_up_ms);
+            assert!(!dated.is_too_late(), "{seed}, {count}: {dated:?}");
+            assert!(!dated.is_too_early(), "{seed}, {count}: {dated:?}");
         }
     }
 }
 
+/// Guards against DENIED: where the first answers were late, later ones counted as made when they came.
+#[rstest]
+#[case::answers_are_late(0.0, 1.0)]
+#[case::calls_are_late(1.0, 0.0)]
+#[case::both_are_late(0.6, 0.6)]
+fn first_answers_date_no_later_ones_too_late(#[case] calls: f64, #[case] answers: f64) {
+    for seed in 0..300 {
+        let mut store = Store::new(seed);
+        let late_count = store.rng.random_range(1..10);
+        for count in 0..60 {
+            let share = if count < late_count { 1.0 } else { 0.1 };
+            let wait_ms = if count == 0 { 0 } else { store.draw_wait() };
+            let late_ms = store.draw_hold_up(calls * share, 3_000);
+            let held_up_ms = store.draw_hold_up(answers * share, 3_000);
+            let dated = store.ask_late(late_ms, wait_ms, held_up_ms);
+            assert!(!dated.is_too_late(), "{seed}, {count}: {dated:?}");
+            let is_early = !store.is_uncertain() && dated.is_too_early();
+            assert!(!is_early, "{seed}, {count}: {dated:?}");
+        }
+        assert!(!store.is_uncertain(), "{seed}");
+    }
+}
+
 /// Guards against an answer that dates others although it was held up itself.
 #[test]
 fn first_answer_that_is_held_up_is_dated_by_its_call() {
     let mut store = Store::new(1);
-    let (date_ms, _, sent_ms) = store.ask(0, 5_000);
-    assert_eq!(date_ms, sent_ms);
-    let (date_ms, _, sent_ms) = store.ask(1_300, 0);
-    assert_eq!(date_ms, sent_ms);
-    let (date_ms, made_ms, _) = store.ask(1_300, 5_000);
-    assert!(date_ms >= made_ms && date_ms <= made_ms + WAY_MS);
+    let first = store.ask(0, 5_000);
+    assert_eq!(first.date_ms, first.sent_ms);
+    for held_up_ms in [0, 5_000] {
+        let dated = store.ask(1_300, held_up_ms);
+        assert!(!dated.is_too_late() && !dated.is_too_early(), "{dated:?}");
+    }
 }
 
-/// Guards against refusals that are put off for a minute after a store has started again.
+/// Guards against refusals that are put off for a minute after a store has started again, and against DENIED
+/// meanwhile.
 #[rstest]
 #[case::lower(-90_000)]
 #[case::a_little_lower(-2_500)]
 #[case::higher(3_600_000)]
-fn clock_that_jumps_is_followed(#[case] by_ms: i64) {
+fn clock_that_jumps_is_followed(#[case] by_ms: i64, #[values(0, 2_000)] held_up_ms: u64) {
     let mut store = Store::new(2);
     for _ in 0..10 {
         store.ask(1_300, 0);
     }
     store.clock_ms += by_ms;
-    store.ask(1_300, 0);
+    for _ in 0..2 {
+        let dated = store.ask(1_300, held_up_ms);
+        assert!(!dated.is_too_late(), "{dated:?}");
+    }
+    assert!(store.is_uncertain());
+    store.ask(0, 0);
     for _ in 0..10 {
-        let (date_ms, made_ms, _) = store.ask(1_300, 0);
-        assert!(date_ms >= made_ms && date_ms <= made_ms + WAY_MS);
+        let dated = store.ask(1_300, 0);
+        assert!(!dated.is_too_late() && !dated.is_too_early(), "{dated:?}");
     }
 }
 
@@ -118,7 +186,6 @@
         sent_at: Time::from_secs(1),
         arrived_at: Time::from_secs(2),
         reading: None,
-        has_waited: true,
     };
     assert_eq!(AnswerDates::default().date(answer), answer.sent_at);
 }
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -21,7 +21,7 @@
 /// isolated.
 const FRESHNESS_VALIDITY: Duration = Duration::from_secs(1);
 /// Fraction of the time within which a change must be in force for which a confirmation allows refusals for
-/// good; the rest is for what it may be dated too late.
+/// good; the rest is for the drift of the clocks by which it is dated.
 const REFUSAL_FRACTION: f64 = 0.95;
 
 /// Tells a follower what to read, how often, and for how long a read confirms the configuration.
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -20,6 +20,8 @@
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between polls that wait for nothing, over a connection that is kept.
+const PROMPT_INTERVAL: Duration = Duration::from_secs(5);
 /// Minimum time between two reports that an answer is arriving.
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer, of which the oldest is given up.
@@ -117,6 +119,8 @@
     polls: JoinSet<PollResult>,
     /// What is known of the platform's clock.
     dates: AnswerDates,
+    /// Time of the last poll that waited for nothing.
+    prompt_at: Time,
     /// Polls without an answer, the newest last.
     open: VecDeque<OpenPoll>,
     next_number: u64,
@@ -187,6 +191,7 @@
             position: None,
             polls: JoinSet::new(),
             dates: AnswerDates::default(),
+            prompt_at: Time::ZERO,
             open: VecDeque::new(),
             next_number: 0,
             is_reconnecting: true,
@@ -255,14 +260,14 @@
         let table = self.options.table.clone();
         let (number, position) = (self.next_number, self.position);
         let is_on_kept_connection = !self.is_reconnecting;
-        let wait = if is_on_kept_connection {
+        let sent_at = self.options.clock.now();
+        let wait = if is_on_kept_connection && !self.needs_prompt_answer(sent_at) {
             timing.poll_wait
         } else {
+            self.prompt_at = sent_at;
             Duration::ZERO
         };
-        let sent_at = self.options.clock.now();
         let (sent, clock, begun) = (Instant::now(), self.options.clock, received.clone());
-        let has_waited = position.is_some() && !wait.is_zero();
         let to_read = move |(rows, position)| {
             let begun = *begun.borrow();
             let since = begun.begun_at.map_or(Duration::ZERO, |at| at.elapsed());
@@ -270,7 +275,6 @@
                 sent_at,
                 arrived_at: clock.now().before(since),
                 reading: begun.made_at,
-                has_waited,
             };
             PlatformRead {
                 answer,
@@ -316,6 +320,11 @@
         }
     }
 
+    /// Returns whether the next poll is to wait for nothing, so that the platform's clock is known more closely.
+    fn needs_prompt_answer(&self, now: Time) -> bool {
+        now - self.prompt_at >= PROMPT_INTERVAL && self.dates.is_uncertain(now)
+    }
+
     async fn handle_result(
         &mut self,
         (number, result): PollResult,
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -53,6 +53,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time from which on answers are disturbed.
 const CALM_TIME: Duration = Duration::from_secs(2);
+/// Time after a restart of the store in which its answers are held up.
+const LATE_TIME: Duration = Duration::from_secs(5);
 /// Reading of the store's clock at the start.
 const STORE_CLOCK: Duration = Duration::from_secs(86_400);
 const OPERATOR_TABLE: &str = "op";
@@ -68,6 +70,10 @@
     is_stale: bool,
     /// Whether the answers to the first reads are held up.
     at_start: bool,
+    /// Time from the start in which all answers are held up.
+    late_time: Duration,
+    /// Whether the store starts again now and then, with another clock, and holds up its answers after that.
+    restarts: bool,
 }
 
 /// What operators have put in force.
@@ -105,6 +111,8 @@
     reporter: Option<Reporter>,
     /// Times in which the store answers from before the reader's position.
     stale: Vec<Range<Duration>>,
+    /// Times from which on the store's clock is ahead of the start's by so much, or behind.
+    clocks: Vec<(Duration, i64)>,
     disturbances: Disturbances,
 }
 
@@ -140,7 +148,18 @@
             let start = ms(from..from + 5_000);
             start..start + ms(500..6_000)
         });
+        let mut clock_rng = Pcg32::seed_from_u64(seed ^ 0xc10c);
+        let clocks = [4_000, 11_000, 18_000].map(|from| {
+            let at_ms = clock_rng.random_range(from..from + 5_000);
+            let by_ms = clock_rng.random_range(-3_600_000..3_600_000);
+            (Duration::from_millis(at_ms), by_ms)
+        });
         Self {
+            clocks: if disturbances.restarts {
+                clocks.into()
+            } else {
+                Vec::new()
+            },
             stale: if disturbances.is_stale {
                 stale.into()
             } else {
@@ -215,10 +234,16 @@
 impl Store {
     fn fate(&self) -> Fate {
         let mut rng = self.rng.lock().unwrap();
+        let disturbances = self.scenario.disturbances;
+        let now = self.started.elapsed();
+        let mut clocks = self.scenario.clocks.iter();
+        let has_restarted = clocks.any(|(at, _)| (*at..*at + LATE_TIME).contains(&now));
+        if now < disturbances.late_time || has_restarted {
+            return Fate::HeldUp(Duration::from_millis(rng.random_range(0..3_000)));
+        }
         let drawn = rng.random_range(0.0..1.0);
         let held_up = Fate::HeldUp(Duration::from_millis(rng.random_range(300..3_500)));
-        let disturbances = self.scenario.disturbances;
-        if self.started.elapsed() < CALM_TIME {
+        if now < CALM_TIME {
             return if disturbances.at_start {
                 held_up
             } else {
@@ -232,6 +257,16 @@
         }
     }
 
+    /// Returns the reading of the store's clock.
+    fn reading(&self, at: Duration) -> Duration {
+        let mut clocks = self.scenario.clocks.iter().rev();
+        let ahead_ms = clocks
+            .find(|(from, _)| *from <= at)
+            .map_or(0, |(_, by)| *by);
+        let reading_ms = (STORE_CLOCK + at).as_millis() as i64 + ahead_ms;
+        Duration::from_millis(reading_ms as u64)
+    }
+
     fn is_stale(&self, at: Duration) -> bool {
         self.scenario.stale.iter().any(|time| time.contains(&at))
     }
@@ -255,6 +290,7 @@
         let next = next.map_or(deadline, |(_, version)| self.started + version.at);
         sleep_until(next.min(deadline)).await;
         let made_at = self.started.elapsed();
+        let reading = self.reading(made_at);
         let version = match is_operators {
             true => self.scenario.version_at(made_at),
             false => 0,
@@ -276,7 +312,7 @@
             Fate::Prompt => {}
         }
         sleep(self.scenario.way).await;
-        progress.on_clock(STORE_CLOCK + made_at);
+        progress.on_clock(reading);
         progress.add(1);
         Ok(Reply::Changes(rows, position))
     }
@@ -485,7 +521,9 @@
 #[case::answers_are_stale(Disturbances { is_stale: true, ..Disturbances::default() })]
 #[case::answers_are_held_up(Disturbances { held_up: 0.3, ..Disturbances::default() })]
 #[case::first_answers_are_held_up(Disturbances { at_start: true, ..Disturbances::default() })]
-#[case::all_together(Disturbances { lost: 0.2, held_up: 0.2, is_stale: true, at_start: false })]
+#[case::all_together(Disturbances { lost: 0.2, held_up: 0.2, is_stale: true, ..Disturbances::default() })]
+#[case::all_answers_are_late_at_first(Disturbances { late_time: Duration::from_secs(8), ..Disturbances::default() })]
+#[case::store_restarts_with_another_clock(Disturbances { restarts: true, ..Disturbances::default() })]
 fn nothing_allowed_is_refused_for_good(#[case] disturbances: Disturbances) {
     let denied = SEEDS.filter_map(|seed| {
         let scenario = Scenario::draw(seed, disturbances);
