feat(entry,daemon,cli): lines of requests name the version; refusals for good also what confirmed it and when

A line told the revision alone, whose version is in a config_in_force line that may be lost, and an age of all tables, while 401 and 404 are decided by that of the operators' rows, which an own read or another instance may have confirmed. So the lines can't tell whether a wrong refusal for good comes from a late row, from a date that is too late, or from another instance's word.

Each line has version; one of a request refused for good (3xx, 4xx but 408, 421, 429) also rows_age_ms and confirmed_by (platform, or the instance). Where the configuration is followed by its head (not the tables) nothing tells who confirmed it, so that is left out.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -117,6 +117,19 @@
                 number("revision")
             ));
         }
+        if let Some(age) = line["rows_age_ms"].as_u64() {
+            let by = match line["confirmed_by"].as_str() {
+                None | Some("platform") => "an own read".to_owned(),
+                Some(instance) => format!("instance {instance}"),
+            };
+            self.lines.push(format!(
+                "  its routes and keys, {}, had last been known to be the latest {age} ms before, by {by}",
+                describe_version(line)
+            ));
+        } else if line["version"].is_u64() {
+            self.lines
+                .push(format!("  that revision is {}", describe_version(line)));
+        }
         if let Some(homes) = line["homes"].as_str() {
             self.lines
                 .push(format!("  by that revision it might run in {homes} only"));
@@ -148,6 +161,14 @@
     }
 }
 
+/// Names the operators' version of the configuration that decided.
+fn describe_version(line: &Value) -> String {
+    match line["version"].as_u64() {
+        Some(version) => format!("version {version} of the operators"),
+        None => "of a version that wasn't told".to_owned(),
+    }
+}
+
 fn describe_candidate(candidate: &Value) -> String {
     let number = |name: &str| candidate[name].as_u64().unwrap_or(0);
     format!(
--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -11,6 +11,9 @@
 {"event":"request","at_ms":11,"id":"cc","instance":"i1","route":"","service":"","workspace":"","revision":3,"config_age_ms":412,"deadline_ms":0,"attempts":[],"end":"unknown_key","status":401,"took_ms":0}
 {"event":"request","at_ms":12,"id":"dd","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"homes":"north","deadline_ms":2500,"attempts":[{"target":"t1","region":"south","revision":4,"homes":"south,west","reason":"first","load":3,"start_ms":900,"sent_ms":932,"sent_revision":5,"took_ms":40,"is_new":false,"end":"answered"}],"end":"ok","status":200,"took_ms":941}
 {"event":"request","at_ms":13,"id":"ee","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"deadline_ms":2500,"attempts":[],"candidates":[{"target":"t1","in_flight":2,"limit":2,"load":5,"wait_ms":12}],"end":"overloaded","status":503,"took_ms":18,"retry_after_ms":20}
+{"event":"request","at_ms":14,"id":"ff","instance":"i1","route":"","service":"","workspace":"","revision":3,"version":7,"config_age_ms":412,"rows_age_ms":398,"confirmed_by":"i2","deadline_ms":0,"attempts":[],"end":"unknown_service","status":404,"took_ms":0}
+{"event":"request","at_ms":15,"id":"gg","instance":"i1","route":"","service":"","workspace":"","revision":3,"version":7,"rows_age_ms":398,"confirmed_by":"platform","deadline_ms":0,"attempts":[],"end":"missing_key","status":401,"took_ms":0}
+{"event":"request","at_ms":16,"id":"hh","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"version":7,"deadline_ms":2500,"attempts":[],"end":"ok","status":200,"took_ms":9}
 not a line
 "#;
 
@@ -20,6 +23,9 @@
 #[case::homes_that_moved("dd", &["it might run in north only", "answered after 40 ms; sent to region south, bound to south,west by revision 4; given to the connection at 932 ms, by then by revision 5"])]
 #[case::targets_without_room("ee", &["t1 had no room: 2 of 2 requests of this instance in flight, estimated load 5 requests, a wait of 12 ms", "overloaded, status 503"])]
 #[case::revoked_key("cc", &["before a route or a workspace was found", "the key is not in the revision", "revision 3 had last been known to be the latest 412 ms before", "version 7"])]
+#[case::refused_by_what_another_instance_told("ff", &["its routes and keys, version 7 of the operators, had last been known to be the latest 398 ms before, by instance i2"])]
+#[case::refused_by_an_own_read("gg", &["version 7 of the operators, had last been known to be the latest 398 ms before, by an own read"])]
+#[case::served_by_a_version("hh", &["that revision is version 7 of the operators"])]
 fn why_tells_the_cause(#[case] id: &str, #[case] expected: &[&str]) {
     let text = why(id);
     for part in expected {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -7,7 +7,7 @@
 
 use base::Time;
 use entry::{
-    message::Event,
+    message::{Confirmation, Event},
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
 };
@@ -55,6 +55,13 @@
     }
 }
 
+/// Tells until when the configuration may refuse for good what it doesn't know, and by what.
+#[derive(Debug)]
+struct Refusals {
+    until: Time,
+    confirmation: Option<Confirmation>,
+}
+
 /// Connects a follower to the tasks that use the configuration.
 #[derive(Debug)]
 pub struct Outputs {
@@ -74,14 +81,15 @@
         now: Time,
         view: View,
         confirmed_at: Option<Time>,
-        refuse_until: Time,
+        refusals: Refusals,
     ) -> bool {
         let freshness = view.freshness;
         let _ = self.engine.send(Event::ConfigFreshness {
             freshness,
             valid_until: now + FRESHNESS_VALIDITY,
             confirmed_at,
-            refuse_until,
+            refuse_until: refusals.until,
+            confirmation: refusals.confirmation,
         });
         self.view.send_if_modified(|current| {
             let version_of = |view: &View| view.config.as_ref().map(|(version, _)| *version);
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -19,7 +19,7 @@
 };
 use wire::Secret;
 
-use super::{FollowerOptions, Outputs};
+use super::{FollowerOptions, Outputs, Refusals};
 use crate::{
     entry_points::entry_points,
     fleet::Fleet,
@@ -284,6 +284,7 @@
         }
         let config = Arc::new(config);
         self.config = Some(config.clone());
+        let _ = self.outputs.engine.send(Event::VersionFollows(version));
         let _ = self.outputs.engine.send(Event::ConfigActivated(config));
         tracing::info!(event = "config_in_force", version);
     }
@@ -310,7 +311,11 @@
         };
         let confirmed_at = self.versions.confirmed_at();
         let refuse_until = confirmed_at.map_or(Time::ZERO, |at| at + self.refusal_time);
-        if self.outputs.publish(now, view, confirmed_at, refuse_until) {
+        let refusals = Refusals {
+            until: refuse_until,
+            confirmation: None,
+        };
+        if self.outputs.publish(now, view, confirmed_at, refusals) {
             self.set_alarm("alone", freshness == Freshness::Isolated);
         }
         let command = PeerCommand::SetHead {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -13,7 +13,7 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{FetchDelays, Replica, TableSnapshot, rendezvous_draw};
-use entry::message::ConfigLag;
+use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep_until,
@@ -26,7 +26,7 @@
     lateness::Lateness,
     table::{OpenFetch, Table},
 };
-use super::{FollowerOptions, Outputs};
+use super::{FollowerOptions, Outputs, Refusals};
 use crate::{
     fleet::FleetMember,
     message::{FollowerMessage, TableChange},
@@ -91,7 +91,8 @@
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
-    peer_confirmed_at: Option<Time>,
+    /// The last confirmation by another instance.
+    peer_confirmation: Option<Confirmation>,
 }
 
 /// What the task that sends heartbeats was told last.
@@ -155,7 +156,7 @@
             revision: 0,
             is_leaving: false,
             last_sent: None,
-            peer_confirmed_at: None,
+            peer_confirmation: None,
         }
     }
 
@@ -238,8 +239,9 @@
                         table.replica.on_contact(at);
                     }
                 }
-                if is_up_to_date {
-                    self.peer_confirmed_at = self.peer_confirmed_at.max(confirmed_at);
+                if is_up_to_date && confirmed_at > self.peer_confirmed_at() {
+                    self.peer_confirmation =
+                        confirmed_at.map(|at| Confirmation { at, by: Some(from) });
                 }
                 return false;
             }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -5,10 +5,13 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{Freshness, Replica};
-use entry::{message::Event, view::View};
+use entry::{
+    message::{Confirmation, Event},
+    view::View,
+};
 
 use super::{
-    ComposedConfig, News, Sent, TableFollower,
+    ComposedConfig, News, Refusals, Sent, TableFollower,
     departures::{OverlayNews, TARGETS},
 };
 use crate::{
@@ -146,6 +149,10 @@
         );
         log_rates(self.own_rows.as_deref(), &config);
         self.own_rows = Some(own_rows.clone());
+        let _ = self
+            .outputs
+            .engine
+            .send(Event::VersionFollows(self.version));
         let _ = self.outputs.engine.send(Event::ConfigActivated(config));
     }
 
@@ -167,7 +174,26 @@
     /// Returns when the tables were last known to be the latest, by own reads or by a heartbeat.
     pub(super) fn confirmed_at(&self) -> Option<Time> {
         let own = self.tables.iter().map(|table| table.confirmed_at).min();
-        own.flatten().max(self.peer_confirmed_at)
+        own.flatten().max(self.peer_confirmed_at())
+    }
+
+    pub(super) fn peer_confirmed_at(&self) -> Option<Time> {
+        let told = self.peer_confirmation.as_ref();
+        told.map(|confirmation| confirmation.at)
+    }
+
+    /// Returns what last showed that the routes and keys are the latest; they are in the operators' table alone.
+    fn refusals(&self) -> Refusals {
+        let own = self.tables.first().and_then(|table| table.confirmed_at);
+        let own = own.map(|at| Confirmation { at, by: None });
+        let told = self.peer_confirmation.clone();
+        let pair = [own, told].into_iter().flatten();
+        let confirmation = pair.max_by_key(|confirmation| confirmation.at);
+        let at = confirmation.as_ref().map(|confirmation| confirmation.at);
+        Refusals {
+            until: at.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
+            confirmation,
+        }
     }
 
     pub(super) fn publish(&mut self) {
@@ -189,12 +215,8 @@
             freshness,
             is_leaving: self.is_leaving,
         };
-        // Routes and keys are in the operators' table alone.
-        let own = self.tables.first().and_then(|table| table.confirmed_at);
-        let known_at = own.max(self.peer_confirmed_at);
-        let refuse_until = known_at.map(|at| at + self.options.refusal_time());
         self.outputs
-            .publish(now, view, confirmed_at, refuse_until.unwrap_or(Time::ZERO));
+            .publish(now, view, confirmed_at, self.refusals());
         let positions: Vec<u64> = self
             .tables
             .iter()
--- a/crates/daemon/tests/lines.rs
+++ b/crates/daemon/tests/lines.rs
@@ -79,5 +79,6 @@
         assert!(output.status.success(), "{told}");
         assert!(told.contains(&format!("request {id} at i1:")), "{told}");
         assert!(told.contains(&format!("{end}, status {status}")), "{told}");
+        assert!(told.contains(" of the operators"), "{told}");
     }
 }
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -18,7 +18,9 @@
     time::Duration,
 };
 
-use base::{Config, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace};
+use base::{
+    Config, InstanceId, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace,
+};
 use call::read_of;
 use coord::Replica;
 use daemon::{
@@ -33,7 +35,7 @@
 use dispatch::{RequestId, RequestKind};
 use engine::start_engine;
 use entry::{
-    message::{Arrival, Decision, Event},
+    message::{Arrival, Decision, Event, UsedConfig},
     view::{Clock, View},
 };
 use options::options;
@@ -205,9 +207,19 @@
     asked: Asked,
     /// Why it was refused, if it was.
     refusal: Option<String>,
+    /// What it was decided by.
+    used: UsedConfig,
 }
 
 impl Decided {
+    /// Returns whether it was decided by a version that wasn't the latest when that is said to have been confirmed.
+    fn is_misdated(&self, scenario: &Scenario) -> bool {
+        self.used.confirmation.as_ref().is_some_and(|confirmation| {
+            let latest = scenario.version_at(confirmation.at - Time::ZERO);
+            self.used.version < Some(latest as u64)
+        })
+    }
+
     /// Returns whether the caller was told not to come back.
     fn is_refused_for_good(&self) -> bool {
         let kind = self.refusal.as_deref();
@@ -467,17 +479,23 @@
             route: rng.random_range(0..NAMES),
             key: rng.random_range(0..NAMES),
         };
+        let (refusal, used) = arrive(&engine, decided.len() as u64, asked).await;
         decided.push(Decided {
             at,
             asked,
-            refusal: arrive(&engine, decided.len() as u64, asked).await,
+            refusal,
+            used,
         });
     }
     decided
 }
 
-/// Sends a request, and returns why it is refused, if it is.
-async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64, asked: Asked) -> Option<String> {
+/// Sends a request, and returns why it is refused, if it is, and what that was decided by.
+async fn arrive(
+    engine: &mpsc::UnboundedSender<Event>,
+    id: u64,
+    asked: Asked,
+) -> (Option<String>, UsedConfig) {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let arrival = Arrival {
         id: RequestId(id),
@@ -494,22 +512,29 @@
         tx,
     };
     engine.send(Event::RequestArrived(arrival)).unwrap();
+    let mut used = UsedConfig::default();
     let refusal = loop {
         match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
-            Decision::Resolved(_) => break None,
+            Decision::Resolved(info) => {
+                used = info.config;
+                break None;
+            }
+            Decision::Consulted(config) => used = config,
             Decision::Refuse(refusal) => break Some(refusal.kind.to_string()),
             _ => {}
         }
     };
     engine.send(Event::Cancel(RequestId(id))).unwrap();
-    refusal
+    (refusal, used)
 }
 
-/// The requests of a run that were refused for good although all versions that may be in force allow them.
+/// The requests of a run that were refused for good although all versions that may be in force allow them, or that
+/// were decided by what is said to have been the latest and wasn't.
 fn denied(scenario: &Scenario) -> Vec<Decided> {
     let is_denied = |decided: &Decided| {
         let mut in_force = scenario.in_force(decided.at).iter();
-        decided.is_refused_for_good() && in_force.all(|version| version.allows(decided.asked))
+        let is_allowed = in_force.all(|version| version.allows(decided.asked));
+        decided.is_refused_for_good() && is_allowed || decided.is_misdated(scenario)
     };
     run(scenario).into_iter().filter(is_denied).collect()
 }
@@ -574,3 +599,40 @@
         put_off[0]
     );
 }
+
+/// Guards against refusals for good of which nobody can tell by which version they were and what confirmed it.
+#[rstest]
+#[case::by_own_reads(0.0, None)]
+#[case::by_another_instance(1.0, Some("other"))]
+fn refusals_for_good_name_version_and_confirmation(
+    #[case] lost: f64,
+    #[case] confirmed_by: Option<&str>,
+) {
+    let disturbances = Disturbances {
+        lost,
+        ..Disturbances::default()
+    };
+    let reporter = Reporter {
+        loss: 0.0,
+        delay: Duration::from_millis(1),
+    };
+    let scenario = Scenario {
+        reporter: confirmed_by.map(|_| reporter),
+        versions: Scenario::draw(1, disturbances).versions[..1].into(),
+        ..Scenario::draw(1, disturbances)
+    };
+    let decided = run(&scenario).into_iter().filter(|decided| {
+        decided.is_refused_for_good() && decided.at > CALM_TIME + scenario.contact
+    });
+    let used: Vec<UsedConfig> = decided.map(|decided| decided.used).collect();
+    assert!(!used.is_empty());
+    for used in used {
+        let confirmation = used.confirmation.clone().unwrap();
+        assert_eq!(used.version, Some(0), "{used:?}");
+        assert_eq!(
+            confirmation.by,
+            confirmed_by.map(InstanceId::from),
+            "{used:?}"
+        );
+    }
+}
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -33,7 +33,7 @@
 use crate::{
     connection::{Connection, Relay},
     dial::Dialer,
-    message::{Decision, Event, OutgoingMessage, ReachableOwner},
+    message::{Confirmation, Decision, Event, OutgoingMessage, ReachableOwner},
     view::Clock,
 };
 use lag::Outdated;
@@ -89,6 +89,11 @@
     confirmed_at: Option<Time>,
     /// Time until which no later configuration has to be in force.
     refuse_until: Time,
+    confirmation: Option<Confirmation>,
+    /// The operators' version of the configuration.
+    version: Option<u64>,
+    /// That of the next configuration.
+    next_version: Option<u64>,
     outdated: Outdated,
     keys: KeyIndex,
     admission: AdmissionController,
@@ -182,6 +187,9 @@
             freshness_valid_until: Time::ZERO,
             confirmed_at: None,
             refuse_until: Time::ZERO,
+            confirmation: None,
+            version: None,
+            next_version: None,
             outdated: Outdated::default(),
             keys: KeyIndex::default(),
             admission: AdmissionController::new(options.split),
@@ -290,6 +298,7 @@
                 self.requests.remove(&id);
             }
             Event::StopAccepting => self.is_draining = true,
+            Event::VersionFollows(version) => self.next_version = Some(version),
             Event::ConfigActivated(config) => self.configure(now, &config),
             Event::TargetsLeft(targets) => self.take_out(now, &targets),
             Event::EntriesLeft(config, left) => self.apply_departures(now, config, &left),
@@ -298,11 +307,13 @@
                 valid_until,
                 confirmed_at,
                 refuse_until,
+                confirmation,
             } => {
                 self.freshness = freshness;
                 self.freshness_valid_until = valid_until;
                 self.confirmed_at = confirmed_at;
                 self.refuse_until = refuse_until;
+                self.confirmation = confirmation;
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
             Event::HoldQuotaSlot {
@@ -366,6 +377,7 @@
     fn configure(&mut self, now: Time, config: &Arc<Config>) {
         let previous = self.config.replace(config.clone()).unwrap_or_default();
         self.revision += 1;
+        self.version = self.next_version.take();
         self.in_force.send_replace(self.revision);
         if previous.keys != config.keys || previous.workspaces != config.workspaces {
             self.keys = KeyIndex::new(config);
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -85,7 +85,9 @@
     pub(super) fn used_config(&self) -> UsedConfig {
         UsedConfig {
             revision: self.revision,
+            version: self.version,
             confirmed_at: self.confirmed_at,
+            confirmation: self.confirmation.clone(),
         }
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -64,6 +64,8 @@
     Cancel(RequestId),
     /// The instance is about to stop: new requests are refused.
     StopAccepting,
+    /// The next configuration that becomes the active one is this version of the operators.
+    VersionFollows(u64),
     /// A configuration becomes the active one.
     ConfigActivated(Arc<Config>),
     /// Targets that others have told to have left get nothing more, until a configuration says otherwise.
@@ -83,6 +85,8 @@
         /// Time until which requests for unknown routes and keys are refused for good: no later
         /// configuration has to be in force before.
         refuse_until: Time,
+        /// What last showed that the routes and keys in force are the latest, which `refuse_until` follows from.
+        confirmation: Option<Confirmation>,
     },
     /// The instance knows of a later configuration than the active one, or no longer does.
     ConfigBehind(ConfigLag),
@@ -211,12 +215,25 @@
 }
 
 /// Identifies the configuration by which a request was decided, and how old it may have been.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct UsedConfig {
     /// Number of the configuration, counted by this process.
     pub revision: u64,
+    /// The operators' version of it, if it is known by then.
+    pub version: Option<u64>,
     /// Time at which it was last known to be the latest.
     pub confirmed_at: Option<Time>,
+    /// What last showed that its routes and keys are the latest.
+    pub confirmation: Option<Confirmation>,
+}
+
+/// What showed that the routes and keys of a configuration were the latest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Confirmation {
+    /// Time at which they were.
+    pub at: Time,
+    /// Instance that told so; `None` for an own read.
+    pub by: Option<InstanceId>,
 }
 
 /// Describes a request that was admitted.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -115,8 +115,7 @@
     /// Records a refusal by a configuration that was last known to be the latest `age` ago, if its status is a
     /// redirection or a client error after which callers don't try again.
     pub fn record_refusal(&self, end: &str, status: u16, age: Option<Duration>) {
-        let is_final = (300..500).contains(&status) && !REPEATABLE_STATUSES.contains(&status);
-        if let Some(age) = age.filter(|_| is_final) {
+        if let Some(age) = age.filter(|_| is_final(status)) {
             self.refusal_config_age
                 .with_label_values(&[end])
                 .observe(age.as_secs_f64());
@@ -133,3 +132,8 @@
         String::from_utf8(buf).unwrap_or_default()
     }
 }
+
+/// Returns whether a status of a refusal tells callers not to try again.
+pub(crate) fn is_final(status: u16) -> bool {
+    (300..500).contains(&status) && !REPEATABLE_STATUSES.contains(&status)
+}
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -9,6 +9,7 @@
 use crate::{
     dialect::Dialect,
     forward::TargetResponse,
+    metrics::is_final,
     request_log::{RequestLog, homes},
     trace::Trace,
     view::Clock,
@@ -17,6 +18,9 @@
 /// Maximum number of request log lines per second.
 pub const MAX_LINES_PER_S: f64 = 400.0;
 
+/// Names an own read as what confirmed a configuration.
+const OWN_READ: &str = "platform";
+
 /// Writes a log line for each request; without a sink, which is the default, it writes nothing.
 #[derive(Debug, Clone, Default)]
 pub struct Recorder {
@@ -107,6 +111,9 @@
         self.log.with(|state| {
             state.add_sendings();
             let info = state.info.as_ref();
+            let config = state.config.as_ref();
+            let confirmation = config.and_then(|config| config.confirmation.as_ref());
+            let confirmation = confirmation.filter(|_| is_final(status));
             let line = RequestLine {
                 event: "request",
                 at_ms: now.as_micros() / 1_000,
@@ -114,8 +121,15 @@
                 route: info.map_or("", |info| &info.route),
                 service: info.map_or("", |info| info.service.as_str()),
                 workspace: info.map_or("", |info| info.workspace.as_str()),
-                revision: state.config.map_or(0, |config| config.revision),
+                revision: config.map_or(0, |config| config.revision),
+                version: config.and_then(|config| config.version),
                 config_age_ms: state.config_age().map(|age| age.as_millis() as u64),
+                rows_age_ms: confirmation
+                    .map(|confirmation| (state.started - confirmation.at).as_millis() as u64),
+                confirmed_by: confirmation.map(|confirmation| {
+                    let by = confirmation.by.as_ref();
+                    by.map_or(OWN_READ, |instance| instance.as_str())
+                }),
                 homes: info.and_then(|info| homes(&info.allowed_regions)),
                 object: info.and_then(|info| info.affinity),
                 deadline_ms: info
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -37,7 +37,7 @@
     /// Returns how long before the request's arrival the configuration that decided was last known to be the
     /// latest.
     pub(crate) fn config_age(&self) -> Option<Duration> {
-        let confirmed_at = self.config?.confirmed_at?;
+        let confirmed_at = self.config.as_ref()?.confirmed_at?;
         Some(self.started - confirmed_at)
     }
 }
@@ -57,7 +57,7 @@
 
     pub(crate) fn set_info(&self, info: RequestInfo) {
         self.with(|state| {
-            state.config = Some(info.config);
+            state.config = Some(info.config.clone());
             state.info = Some(info);
         });
     }
@@ -82,7 +82,7 @@
         let assignment = &plan.assignment;
         let note = SendNote::default();
         self.with(|state| {
-            let used = state.config.map(|config| config.revision);
+            let used = state.config.as_ref().map(|config| config.revision);
             let line = AttemptLine {
                 target: assignment.target.to_string(),
                 region: assignment.region.to_string(),
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -13,7 +13,7 @@
 use engine::engine_with;
 use entry::{
     engine::Engine,
-    message::{Arrival, Decision, Event, UsedConfig},
+    message::{Arrival, Confirmation, Decision, Event, UsedConfig},
     metrics::Metrics,
 };
 use fresh::fresh;
@@ -95,20 +95,35 @@
     None
 }
 
-/// Guards against a refusal whose line names the configuration that had allowed the request at its arrival.
+/// Guards against a refusal whose line names the configuration that had allowed the request at its arrival, or that
+/// leaves open which version it was and what confirmed it.
 #[tokio::test]
 async fn withdrawn_request_names_the_configuration_that_refused_it() {
     let mut engine = engine();
+    engine.handle(Event::VersionFollows(4));
     engine.handle(Event::ConfigActivated(Arc::new(config(&["/a/", "/b/"]))));
     confirm(&mut engine, Time::from_secs(1));
     let mut rx = submit(&mut engine, 1, "/a/x");
     assert_eq!(refusal(&mut rx), None);
     let confirmed_at = Some(Time::from_secs(2));
-    confirm(&mut engine, Time::from_secs(2));
+    let confirmation = Some(Confirmation {
+        at: Time::from_secs(3),
+        by: Some("i2".into()),
+    });
+    engine.handle(Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::NEVER,
+        confirmed_at,
+        refuse_until: Time::NEVER,
+        confirmation: confirmation.clone(),
+    });
+    engine.handle(Event::VersionFollows(7));
     engine.handle(Event::ConfigActivated(Arc::new(config(&["/b/"]))));
     let used = UsedConfig {
         revision: 2,
+        version: Some(7),
         confirmed_at,
+        confirmation,
     };
     assert_eq!(refusal(&mut rx), Some(("unknown_service".to_owned(), used)));
 }
@@ -127,6 +142,7 @@
         valid_until: Time::NEVER,
         confirmed_at: None,
         refuse_until,
+        confirmation: None,
     });
     let mut rx = submit(&mut engine, 1, "/b/x");
     assert_eq!(refusal(&mut rx).unwrap().0, expected);
--- a/crates/entry/tests/support/fresh.rs
+++ b/crates/entry/tests/support/fresh.rs
@@ -11,5 +11,6 @@
         valid_until: Time::NEVER,
         confirmed_at,
         refuse_until: Time::NEVER,
+        confirmation: None,
     }
 }
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -24,10 +24,19 @@
     pub workspace: &'a str,
     /// Revision of the configuration used.
     pub revision: u64,
+    /// Operators' version of that configuration; omitted if it wasn't known by then.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
     /// Time from the last confirmation that it was the latest one to the request's arrival, in
     /// milliseconds; omitted if it never was confirmed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub config_age_ms: Option<u64>,
+    /// Of a request refused for good: the same for routes and keys alone, by which such refusals are decided.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rows_age_ms: Option<u64>,
+    /// Of a request refused for good: what confirmed these, `platform` for an own read or an instance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub confirmed_by: Option<&'a str>,
     /// Regions in which the request might run by that revision, separated by commas, or `none`; omitted
     /// if all.
     #[serde(skip_serializing_if = "Option::is_none")]
