--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -55,6 +55,8 @@
 pub struct ComposedConfig {
     /// Version of the operators' part of the configuration.
     pub version: u64,
+    /// Whether that part is what their rows hold now; they may hold one that can't be used.
+    pub is_latest: bool,
     /// The configuration, including the registered targets.
     pub config: Config,
 }
@@ -88,6 +90,8 @@
     /// What the own rows say; it is in force but for the targets that others have told to have left.
     own_rows: Option<Arc<Config>>,
     version: u64,
+    /// Whether what the operators' rows hold is in force.
+    is_latest: bool,
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
@@ -153,6 +157,7 @@
             overlay: Overlay::default(),
             own_rows: None,
             version: 0,
+            is_latest: false,
             revision: 0,
             is_leaving: false,
             last_sent: None,
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -38,7 +38,10 @@
             return;
         }
         let replicas: Vec<&Replica> = self.tables.iter().map(|table| &table.replica).collect();
-        let Some(composed) = (self.followed.compose)(&replicas) else {
+        let composed = (self.followed.compose)(&replicas);
+        let used = composed.as_ref();
+        self.is_latest = used.is_some_and(|one| one.is_latest && one.version >= self.version);
+        let Some(composed) = composed else {
             tracing::error!(event = "config_unusable");
             return;
         };
@@ -182,13 +185,15 @@
         told.map(|confirmation| confirmation.at)
     }
 
-    /// Returns what last showed that the routes and keys are the latest; they are in the operators' table alone.
+    /// Returns what last showed that the routes and keys are the latest; they are in the operators' table alone. Nothing
+    /// does while its rows hold others, which can't be used.
     fn refusals(&self) -> Refusals {
         let own = self.tables.first().and_then(|table| table.confirmed_at);
         let own = own.map(|at| Confirmation { at, by: None });
         let told = self.peer_confirmation.clone();
         let pair = [own, told].into_iter().flatten();
-        let confirmation = pair.max_by_key(|confirmation| confirmation.at);
+        let latest = pair.max_by_key(|confirmation| confirmation.at);
+        let confirmation = latest.filter(|_| self.is_latest);
         let at = confirmation.as_ref().map(|confirmation| confirmation.at);
         Refusals {
             until: at.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -378,6 +378,7 @@
             composed.lock().unwrap().push(version);
             Some(ComposedConfig {
                 version: version as u64,
+                is_latest: true,
                 config: config(),
             })
         };
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -318,6 +318,7 @@
         });
         Some(ComposedConfig {
             version: version as u64,
+            is_latest: true,
             config: Config::default(),
         })
     };
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -309,6 +309,7 @@
     };
     Some(ComposedConfig {
         version: 1,
+        is_latest: true,
         config: Config {
             services: BTreeMap::from([(SERVICE.into(), service)]),
             ..Config::default()
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -62,6 +62,7 @@
             compose: |_: &[&Replica]| {
                 Some(ComposedConfig {
                     version: 1,
+                    is_latest: true,
                     config: Config::default(),
                 })
             },
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -111,6 +111,10 @@
     way: Duration,
     versions: Vec<Version>,
     reporter: Option<Reporter>,
+    /// Versions that can't be used.
+    unusable: BTreeSet<usize>,
+    /// Whether the last version that can be used is composed beside them, or nothing.
+    keeps_last: bool,
     /// Times in which the store answers from before the reader's position.
     stale: Vec<Range<Duration>>,
     /// Times from which on the store's clock is ahead of the start's by so much, or behind.
@@ -157,6 +161,8 @@
             (Duration::from_millis(at_ms), by_ms)
         });
         Self {
+            unusable: BTreeSet::new(),
+            keeps_last: false,
             clocks: if disturbances.restarts {
                 clocks.into()
             } else {
@@ -433,12 +439,20 @@
         move |call, progress| store.clone().answer(call, progress)
     });
     let versions = scenario.versions.clone();
+    let (unusable, keeps_last) = (scenario.unusable.clone(), scenario.keeps_last);
+    let mut last = None;
     let compose = move |replicas: &[&Replica]| {
         let mut rows = replicas[0].rows();
         let version: usize = rows.find_map(|(_, row)| row.value.parse().ok())?;
+        let is_latest = !unusable.contains(&version);
+        if is_latest {
+            last = Some(version);
+        }
+        let used = last.filter(|_| is_latest || keeps_last)?;
         Some(ComposedConfig {
-            version: version as u64,
-            config: config(&versions[version]),
+            version: used as u64,
+            is_latest,
+            config: config(&versions[used]),
         })
     };
     let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
@@ -550,8 +564,33 @@
 #[case::all_answers_are_late_at_first(Disturbances { late_time: Duration::from_secs(8), ..Disturbances::default() })]
 #[case::store_restarts_with_another_clock(Disturbances { restarts: true, ..Disturbances::default() })]
 fn nothing_allowed_is_refused_for_good(#[case] disturbances: Disturbances) {
-    let denied = SEEDS.filter_map(|seed| {
-        let scenario = Scenario::draw(seed, disturbances);
+    assert_none_denied(SEEDS.map(|seed| Scenario::draw(seed, disturbances)));
+}
+
+/// Guards against DENIED: beside a version that can't be used, the one before it counted as the latest, so that what
+/// the later one adds was refused for good.
+#[rstest]
+#[case::nothing_is_composed(false)]
+#[case::the_last_usable_one_is_composed(true)]
+fn nothing_that_an_unusable_version_allows_is_refused_for_good(#[case] keeps_last: bool) {
+    assert_none_denied(SEEDS.map(|seed| {
+        let scenario = Scenario::draw(seed, Disturbances::default());
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0x0b5c);
+        let versions = 1..scenario.versions.len();
+        let unusable = versions.filter(|_| rng.random_range(0..3) == 0);
+        Scenario {
+            unusable: unusable.collect(),
+            keeps_last,
+            ..scenario
+        }
+    }));
+}
+
+fn assert_none_denied<I>(scenarios: I)
+where
+    I: Iterator<Item = Scenario>,
+{
+    let denied = scenarios.filter_map(|scenario| {
         let denied = denied(&scenario);
         (!denied.is_empty()).then_some((scenario, denied))
     });
--- a/crates/daemon/tests/retained.rs
+++ b/crates/daemon/tests/retained.rs
@@ -153,6 +153,7 @@
         noted.lock().unwrap().in_force.push(change);
         Some(ComposedConfig {
             version: 1,
+            is_latest: true,
             config: Config::default(),
         })
     };
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -142,6 +142,7 @@
                 let _ = in_force.send(row.value.to_string());
                 Some(ComposedConfig {
                     version: row.position,
+                    is_latest: true,
                     config: Config::default(),
                 })
             },
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -194,6 +194,7 @@
         let _ = versions.send(version);
         Some(ComposedConfig {
             version,
+            is_latest: true,
             config: Config::default(),
         })
     };
