--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -13,7 +13,7 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{FetchDelays, Replica, TableSnapshot, rendezvous_draw};
-use entry::message::ConfigLag;
+use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep_until,
@@ -26,7 +26,7 @@
     lateness::Lateness,
     table::{OpenFetch, Table},
 };
-use super::{FollowerOptions, Outputs};
+use super::{FollowerOptions, Outputs, Refusals};
 use crate::{
     fleet::FleetMember,
     message::{FollowerMessage, OwnReads, TableChange},
@@ -55,6 +55,8 @@
 pub struct ComposedConfig {
     /// Version of the operators' part of the configuration.
     pub version: u64,
+    /// Whether that part is what their rows hold now; they may hold one that can't be used.
+    pub is_latest: bool,
     /// The configuration, including the registered targets.
     pub config: Config,
 }
@@ -88,10 +90,13 @@
     /// What the own rows say; it is in force but for the targets that others have told to have left.
     own_rows: Option<Arc<Config>>,
     version: u64,
+    /// Whether what the operators' rows hold is in force.
+    is_latest: bool,
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
-    peer_confirmed_at: Option<Time>,
+    /// The last confirmation by another instance.
+    peer_confirmation: Option<Confirmation>,
 }
 
 /// What the task that sends heartbeats was told last.
@@ -153,10 +158,11 @@
             overlay: Overlay::default(),
             own_rows: None,
             version: 0,
+            is_latest: false,
             revision: 0,
             is_leaving: false,
             last_sent: None,
-            peer_confirmed_at: None,
+            peer_confirmation: None,
         }
     }
 
@@ -243,8 +249,9 @@
                 if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
                     table.record_reads_elsewhere(now, reads);
                 }
-                if is_up_to_date {
-                    self.peer_confirmed_at = self.peer_confirmed_at.max(confirmed_at);
+                if is_up_to_date && confirmed_at > self.peer_confirmed_at() {
+                    self.peer_confirmation =
+                        confirmed_at.map(|at| Confirmation { at, by: Some(from) });
                 }
                 return false;
             }
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -18,7 +18,9 @@
     time::Duration,
 };
 
-use base::{Config, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace};
+use base::{
+    Config, InstanceId, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace,
+};
 use call::read_of;
 use coord::Replica;
 use daemon::{
@@ -33,7 +35,7 @@
 use dispatch::{RequestId, RequestKind};
 use engine::start_engine;
 use entry::{
-    message::{Arrival, Decision, Event},
+    message::{Arrival, Decision, Event, UsedConfig},
     view::{Clock, View},
 };
 use options::options;
@@ -53,6 +55,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time from which on answers are disturbed.
 const CALM_TIME: Duration = Duration::from_secs(2);
+/// Time after a restart of the store in which its answers are held up.
+const LATE_TIME: Duration = Duration::from_secs(5);
 /// Reading of the store's clock at the start.
 const STORE_CLOCK: Duration = Duration::from_secs(86_400);
 const OPERATOR_TABLE: &str = "op";
@@ -68,6 +72,10 @@
     is_stale: bool,
     /// Whether the answers to the first reads are held up.
     at_start: bool,
+    /// Time from the start in which all answers are held up.
+    late_time: Duration,
+    /// Whether the store starts again now and then, with another clock, and holds up its answers after that.
+    restarts: bool,
 }
 
 /// What operators have put in force.
@@ -103,8 +111,14 @@
     way: Duration,
     versions: Vec<Version>,
     reporter: Option<Reporter>,
+    /// Versions that can't be used.
+    unusable: BTreeSet<usize>,
+    /// Whether the last version that can be used is composed beside them, or nothing.
+    keeps_last: bool,
     /// Times in which the store answers from before the reader's position.
     stale: Vec<Range<Duration>>,
+    /// Times from which on the store's clock is ahead of the start's by so much, or behind.
+    clocks: Vec<(Duration, i64)>,
     disturbances: Disturbances,
 }
 
@@ -140,7 +154,20 @@
             let start = ms(from..from + 5_000);
             start..start + ms(500..6_000)
         });
+        let mut clock_rng = Pcg32::seed_from_u64(seed ^ 0xc10c);
+        let clocks = [4_000, 11_000, 18_000].map(|from| {
+            let at_ms = clock_rng.random_range(from..from + 5_000);
+            let by_ms = clock_rng.random_range(-3_600_000..3_600_000);
+            (Duration::from_millis(at_ms), by_ms)
+        });
         Self {
+            unusable: BTreeSet::new(),
+            keeps_last: false,
+            clocks: if disturbances.restarts {
+                clocks.into()
+            } else {
+                Vec::new()
+            },
             stale: if disturbances.is_stale {
                 stale.into()
             } else {
@@ -186,9 +213,19 @@
     asked: Asked,
     /// Why it was refused, if it was.
     refusal: Option<String>,
+    /// What it was decided by.
+    used: UsedConfig,
 }
 
 impl Decided {
+    /// Returns whether it was decided by a version that wasn't the latest when that is said to have been confirmed.
+    fn is_misdated(&self, scenario: &Scenario) -> bool {
+        self.used.confirmation.as_ref().is_some_and(|confirmation| {
+            let latest = scenario.version_at(confirmation.at - Time::ZERO);
+            self.used.version < Some(latest as u64)
+        })
+    }
+
     /// Returns whether the caller was told not to come back.
     fn is_refused_for_good(&self) -> bool {
         let kind = self.refusal.as_deref();
@@ -215,10 +252,16 @@
 impl Store {
     fn fate(&self) -> Fate {
         let mut rng = self.rng.lock().unwrap();
+        let disturbances = self.scenario.disturbances;
+        let now = self.started.elapsed();
+        let mut clocks = self.scenario.clocks.iter();
+        let has_restarted = clocks.any(|(at, _)| (*at..*at + LATE_TIME).contains(&now));
+        if now < disturbances.late_time || has_restarted {
+            return Fate::HeldUp(Duration::from_millis(rng.random_range(0..3_000)));
+        }
         let drawn = rng.random_range(0.0..1.0);
         let held_up = Fate::HeldUp(Duration::from_millis(rng.random_range(300..3_500)));
-        let disturbances = self.scenario.disturbances;
-        if self.started.elapsed() < CALM_TIME {
+        if now < CALM_TIME {
             return if disturbances.at_start {
                 held_up
             } else {
@@ -232,6 +275,16 @@
         }
     }
 
+    /// Returns the reading of the store's clock.
+    fn reading(&self, at: Duration) -> Duration {
+        let mut clocks = self.scenario.clocks.iter().rev();
+        let ahead_ms = clocks
+            .find(|(from, _)| *from <= at)
+            .map_or(0, |(_, by)| *by);
+        let reading_ms = (STORE_CLOCK + at).as_millis() as i64 + ahead_ms;
+        Duration::from_millis(reading_ms as u64)
+    }
+
     fn is_stale(&self, at: Duration) -> bool {
         self.scenario.stale.iter().any(|time| time.contains(&at))
     }
@@ -255,6 +308,7 @@
         let next = next.map_or(deadline, |(_, version)| self.started + version.at);
         sleep_until(next.min(deadline)).await;
         let made_at = self.started.elapsed();
+        let reading = self.reading(made_at);
         let version = match is_operators {
             true => self.scenario.version_at(made_at),
             false => 0,
@@ -276,7 +330,7 @@
             Fate::Prompt => {}
         }
         sleep(self.scenario.way).await;
-        progress.on_clock(STORE_CLOCK + made_at);
+        progress.on_clock(reading);
         progress.add(1);
         Ok(Reply::Changes(rows, position))
     }
@@ -386,12 +440,20 @@
         move |call, progress| store.clone().answer(call, progress)
     });
     let versions = scenario.versions.clone();
+    let (unusable, keeps_last) = (scenario.unusable.clone(), scenario.keeps_last);
+    let mut last = None;
     let compose = move |replicas: &[&Replica]| {
         let mut rows = replicas[0].rows();
         let version: usize = rows.find_map(|(_, row)| row.value.parse().ok())?;
+        let is_latest = !unusable.contains(&version);
+        if is_latest {
+            last = Some(version);
+        }
+        let used = last.filter(|_| is_latest || keeps_last)?;
         Some(ComposedConfig {
-            version: version as u64,
-            config: config(&versions[version]),
+            version: used as u64,
+            is_latest,
+            config: config(&versions[used]),
         })
     };
     let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
@@ -432,17 +494,23 @@
             route: rng.random_range(0..NAMES),
             key: rng.random_range(0..NAMES),
         };
+        let (refusal, used) = arrive(&engine, decided.len() as u64, asked).await;
         decided.push(Decided {
             at,
             asked,
-            refusal: arrive(&engine, decided.len() as u64, asked).await,
+            refusal,
+            used,
         });
     }
     decided
 }
 
-/// Sends a request, and returns why it is refused, if it is.
-async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64, asked: Asked) -> Option<String> {
+/// Sends a request, and returns why it is refused, if it is, and what that was decided by.
+async fn arrive(
+    engine: &mpsc::UnboundedSender<Event>,
+    id: u64,
+    asked: Asked,
+) -> (Option<String>, UsedConfig) {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let arrival = Arrival {
         id: RequestId(id),
@@ -459,22 +527,29 @@
         tx,
     };
     engine.send(Event::RequestArrived(arrival)).unwrap();
+    let mut used = UsedConfig::default();
     let refusal = loop {
         match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
-            Decision::Resolved(_) => break None,
+            Decision::Resolved(info) => {
+                used = info.config;
+                break None;
+            }
+            Decision::Consulted(config) => used = config,
             Decision::Refuse(refusal) => break Some(refusal.kind.to_string()),
             _ => {}
         }
     };
     engine.send(Event::Cancel(RequestId(id))).unwrap();
-    refusal
+    (refusal, used)
 }
 
-/// The requests of a run that were refused for good although all versions that may be in force allow them.
+/// The requests of a run that were refused for good although all versions that may be in force allow them, or that
+/// were decided by what is said to have been the latest and wasn't.
 fn denied(scenario: &Scenario) -> Vec<Decided> {
     let is_denied = |decided: &Decided| {
         let mut in_force = scenario.in_force(decided.at).iter();
-        decided.is_refused_for_good() && in_force.all(|version| version.allows(decided.asked))
+        let is_allowed = in_force.all(|version| version.allows(decided.asked));
+        decided.is_refused_for_good() && is_allowed || decided.is_misdated(scenario)
     };
     run(scenario).into_iter().filter(is_denied).collect()
 }
@@ -486,10 +561,37 @@
 #[case::answers_are_stale(Disturbances { is_stale: true, ..Disturbances::default() })]
 #[case::answers_are_held_up(Disturbances { held_up: 0.3, ..Disturbances::default() })]
 #[case::first_answers_are_held_up(Disturbances { at_start: true, ..Disturbances::default() })]
-#[case::all_together(Disturbances { lost: 0.2, held_up: 0.2, is_stale: true, at_start: false })]
+#[case::all_together(Disturbances { lost: 0.2, held_up: 0.2, is_stale: true, ..Disturbances::default() })]
+#[case::all_answers_are_late_at_first(Disturbances { late_time: Duration::from_secs(8), ..Disturbances::default() })]
+#[case::store_restarts_with_another_clock(Disturbances { restarts: true, ..Disturbances::default() })]
 fn nothing_allowed_is_refused_for_good(#[case] disturbances: Disturbances) {
-    let denied = SEEDS.filter_map(|seed| {
-        let scenario = Scenario::draw(seed, disturbances);
+    assert_none_denied(SEEDS.map(|seed| Scenario::draw(seed, disturbances)));
+}
+
+/// Guards against DENIED: beside a version that can't be used, the one before it counted as the latest, so that what
+/// the later one adds was refused for good.
+#[rstest]
+#[case::nothing_is_composed(false)]
+#[case::the_last_usable_one_is_composed(true)]
+fn nothing_that_an_unusable_version_allows_is_refused_for_good(#[case] keeps_last: bool) {
+    assert_none_denied(SEEDS.map(|seed| {
+        let scenario = Scenario::draw(seed, Disturbances::default());
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0x0b5c);
+        let versions = 1..scenario.versions.len();
+        let unusable = versions.filter(|_| rng.random_range(0..3) == 0);
+        Scenario {
+            unusable: unusable.collect(),
+            keeps_last,
+            ..scenario
+        }
+    }));
+}
+
+fn assert_none_denied<I>(scenarios: I)
+where
+    I: Iterator<Item = Scenario>,
+{
+    let denied = scenarios.filter_map(|scenario| {
         let denied = denied(&scenario);
         (!denied.is_empty()).then_some((scenario, denied))
     });
@@ -537,3 +639,40 @@
         put_off[0]
     );
 }
+
+/// Guards against refusals for good of which nobody can tell by which version they were and what confirmed it.
+#[rstest]
+#[case::by_own_reads(0.0, None)]
+#[case::by_another_instance(1.0, Some("other"))]
+fn refusals_for_good_name_version_and_confirmation(
+    #[case] lost: f64,
+    #[case] confirmed_by: Option<&str>,
+) {
+    let disturbances = Disturbances {
+        lost,
+        ..Disturbances::default()
+    };
+    let reporter = Reporter {
+        loss: 0.0,
+        delay: Duration::from_millis(1),
+    };
+    let scenario = Scenario {
+        reporter: confirmed_by.map(|_| reporter),
+        versions: Scenario::draw(1, disturbances).versions[..1].into(),
+        ..Scenario::draw(1, disturbances)
+    };
+    let decided = run(&scenario).into_iter().filter(|decided| {
+        decided.is_refused_for_good() && decided.at > CALM_TIME + scenario.contact
+    });
+    let used: Vec<UsedConfig> = decided.map(|decided| decided.used).collect();
+    assert!(!used.is_empty());
+    for used in used {
+        let confirmation = used.confirmation.clone().unwrap();
+        assert_eq!(used.version, Some(0), "{used:?}");
+        assert_eq!(
+            confirmation.by,
+            confirmed_by.map(InstanceId::from),
+            "{used:?}"
+        );
+    }
+}
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -158,6 +158,7 @@
                 let _ = in_force.send(row.value.to_string());
                 Some(ComposedConfig {
                     version: row.position,
+                    is_latest: true,
                     config: Config::default(),
                 })
             },
