fix(entry,dispatch): a deadline that passes before anything is sent ends the attempt as not run

Cause: one timeout stood around opening the connection and the exchange on it, and whatever it cut short ended as `timed_out`, so as `target_timeout` with "may have run", also while the connection was still being opened, directly or through another instance. And a request was sent on an open connection even if its deadline had passed. Change: opening and exchange have their own timeouts. A deadline that passes before the request is given to the connection ends the attempt as `expired`, the request as the kind of that name unless an earlier attempt may have run; a connection that opened too late is kept for others. Ruled out: "not run" by what the kernel still holds unacknowledged, since a segment may arrive although its acknowledgement doesn't; "not run" between the hand-over to the connection's task and its first write, which isn't seen from here: both stay "may have run". Controls: what was passed on or sent and isn't answered may have run. The drawn schedules of dispatcher and moves draw the new outcome as well, one in 11 and one in 14.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -286,6 +286,9 @@
         "target_timeout" => {
             "the target did not answer in time: it may have run; look at the target and its queue"
         }
+        "expired" => {
+            "the deadline passed before it was sent: look at `connect_error`, `relay` and the start of its attempts"
+        }
         "unknown_key" | "missing_key" => {
             "the key is not in the revision that decided: compare it with the operator's document"
         }
--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -40,7 +40,7 @@
                     target.apply_event(now, &self.chart, TargetEvent::Failed);
                 }
             }
-            Outcome::TimedOut | Outcome::Canceled | Outcome::Withheld => {}
+            Outcome::TimedOut | Outcome::Expired | Outcome::Canceled | Outcome::Withheld => {}
         }
     }
 
@@ -85,6 +85,7 @@
                 }
             }
             Outcome::TimedOut => Disposition::Refuse(ErrorKind::TargetTimeout),
+            Outcome::Expired => Disposition::Refuse(ErrorKind::Expired),
             Outcome::Refused | Outcome::Unreachable
                 if self.policy.placement == Placement::ObjectAffinity =>
             {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -182,6 +182,8 @@
     Lost,
     /// No response arrived before the deadline.
     TimedOut,
+    /// The deadline passed before anything was sent.
+    Expired,
     /// The attempt is no longer needed: another one was answered, or the caller has left.
     Canceled,
     /// Nothing was sent, since by a new configuration the request may not run there any more.
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -147,11 +147,12 @@
         .collect();
     for (id, attempt) in chosen {
         tracker.in_flight.remove(&(id, attempt));
-        let outcome = match rng.random_range(0..10) {
+        let outcome = match rng.random_range(0..11) {
             0 => Outcome::Lost,
             1 => Outcome::Unreachable,
             2 | 3 => Outcome::Refused,
             4 => Outcome::TimedOut,
+            5 => Outcome::Expired,
             _ => Outcome::Answered(Duration::from_millis(20)),
         };
         if matches!(
@@ -190,6 +191,7 @@
 #[case::unreachable(Outcome::Unreachable, true)]
 #[case::lost(Outcome::Lost, false)]
 #[case::timed_out(Outcome::TimedOut, false)]
+#[case::expired(Outcome::Expired, false)]
 fn dispatcher_retries_once_requests_only_when_not_run(
     #[case] outcome: Outcome,
     #[case] is_retried: bool,
@@ -208,6 +210,37 @@
     assert_eq!(has_retry, is_retried, "{actions:?}");
 }
 
+/// Guards against requests that have reached no target and end as if they could have run, and against REFUSED:
+/// what an earlier attempt may have run is never said not to have run.
+#[rstest]
+#[case::nothing_sent(&[Outcome::Expired], ErrorKind::Expired)]
+#[case::nothing_answered(&[Outcome::TimedOut], ErrorKind::TargetTimeout)]
+#[case::lost(&[Outcome::Lost, Outcome::Lost], ErrorKind::TargetLost)]
+#[case::refused_before(&[Outcome::Refused, Outcome::Expired], ErrorKind::Expired)]
+#[case::unreachable_before(&[Outcome::Unreachable, Outcome::Expired], ErrorKind::Expired)]
+#[case::withheld_before(&[Outcome::Withheld, Outcome::Expired], ErrorKind::Expired)]
+#[case::lost_before(&[Outcome::Lost, Outcome::Expired], ErrorKind::TargetLost)]
+fn dispatcher_says_whether_a_request_ran(
+    #[case] outcomes: &[Outcome],
+    #[case] expected: ErrorKind,
+) {
+    let mut dispatcher = dispatcher(4);
+    let now = Time::from_secs(11);
+    let mut actions = dispatcher.submit(
+        now,
+        request(1, RequestKind::Idempotent, now + Duration::from_secs(1)),
+    );
+    for (outcome, number) in outcomes.iter().zip(1..) {
+        assert!(matches!(actions[0], Action::Assign(_)), "{actions:?}");
+        (_, actions) = dispatcher.finish(now, RequestId(1), number, *outcome);
+    }
+    let refused = actions.iter().find_map(|action| match action {
+        Action::Refuse(_, refusal) => Some(refusal.kind),
+        _ => None,
+    });
+    assert_eq!(refused, Some(expected));
+}
+
 #[test]
 fn dispatcher_gives_leaving_target_no_work() {
     let mut dispatcher = dispatcher(1);
--- a/crates/dispatch/tests/placement/moves.rs
+++ b/crates/dispatch/tests/placement/moves.rs
@@ -198,13 +198,14 @@
         let Some((id, attempt)) = self.any_attempt() else {
             return;
         };
-        let outcome = match self.rng.random_range(0..13) {
+        let outcome = match self.rng.random_range(0..14) {
             _ if self.requests[&id].is_over() => Outcome::Canceled,
             0..=3 => Outcome::Answered(Duration::from_millis(50)),
             4..=6 => Outcome::Refused,
             7 => Outcome::Unreachable,
             8 => Outcome::Lost,
             9 => Outcome::TimedOut,
+            10 => Outcome::Expired,
             _ => Outcome::Withheld,
         };
         self.finish(id, attempt, outcome);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -149,7 +149,7 @@
     /// Sends a request to a target and awaits its complete response until `deadline`.
     ///
     /// The request goes over `connection` if it is still open, and else over a new one. It isn't sent if
-    /// `permit` has ended by the time the connection is there.
+    /// `permit` has ended or the deadline has passed by the time the connection is there.
     pub async fn send_attempt(
         &self,
         plan: &DialPlan,
@@ -157,29 +157,18 @@
         template: &RequestTemplate,
         permit: &SendPermit,
         deadline: Time,
-    ) -> AttemptResult {
-        let exchange = self.exchange(plan, connection, template, permit, deadline);
-        match timeout_at(self.clock().instant(deadline), exchange).await {
-            Ok(result) => result,
-            Err(_) => AttemptResult::failed(Outcome::TimedOut),
-        }
-    }
-
-    async fn exchange(
-        &self,
-        plan: &DialPlan,
-        connection: Option<Connection>,
-        template: &RequestTemplate,
-        permit: &SendPermit,
-        deadline: Time,
     ) -> AttemptResult {
         let clock = self.clock();
         let started = clock.now();
+        let ends_at = clock.instant(deadline);
         let reusable = connection.filter(Connection::is_open);
         let is_new_connection = reusable.is_none();
         let dialed = match reusable {
             Some(connection) => Dialed::reused(connection),
-            None => self.dialer.open(plan).await,
+            None => match timeout_at(ends_at, self.dialer.open(plan)).await {
+                Ok(dialed) => dialed,
+                Err(_) => return AttemptResult::failed(Outcome::Expired),
+            },
         };
         let mut connection = match dialed.connection {
             Ok(connection) => connection,
@@ -191,8 +180,13 @@
                 return result;
             }
         };
-        if !permit.covers(connection.relay.as_ref()) {
-            let mut result = AttemptResult::failed(Outcome::Withheld);
+        let unsent = if !permit.covers(connection.relay.as_ref()) {
+            Some(Outcome::Withheld)
+        } else {
+            (clock.now() >= deadline).then_some(Outcome::Expired)
+        };
+        if let Some(outcome) = unsent {
+            let mut result = AttemptResult::failed(outcome);
             result.feedback.dial = dialed.dial;
             result.connection = Some(connection);
             return result.with_new_connection(is_new_connection);
@@ -205,10 +199,11 @@
         let relay = connection.relay.clone();
         let is_direct_and_new = is_new_connection && relay.is_none();
         let connect_time = is_direct_and_new.then(|| clock.now() - started);
-        let mut result = self
-            .send_request(started, connection, template, req, plan)
-            .await
-            .with_new_connection(is_new_connection);
+        let exchange = self.send_request(started, connection, template, req, plan);
+        let Ok(result) = timeout_at(ends_at, exchange).await else {
+            return AttemptResult::failed(Outcome::TimedOut);
+        };
+        let mut result = result.with_new_connection(is_new_connection);
         result.relay = relay.map(|relay| relay.instance);
         result.feedback.connect_time = connect_time;
         result.feedback.dial = dialed.dial;
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -123,6 +123,7 @@
                 Outcome::Unreachable => "unreachable",
                 Outcome::Lost => "lost",
                 Outcome::TimedOut => "timed_out",
+                Outcome::Expired => "expired",
                 Outcome::Canceled => "canceled",
                 Outcome::Withheld => "withheld",
             };
--- /dev/null
+++ b/crates/entry/tests/unsent.rs
@@ -0,0 +1,247 @@
+//! Attempts that end before anything has reached their target, or whose target says that it has not run them.
+
+#[path = "support/template.rs"]
+mod template;
+
+use std::{
+    future::pending,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use base::AllowedRegions;
+use dispatch::Outcome;
+use entry::{
+    connection::{Connection, Relay},
+    dial::{DialPlan, Dialer, RelayError, RelayRequest},
+    forward::{AttemptResult, Forwarder},
+    permit::{SendNote, SendPermit},
+    view::Clock,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::{mpsc, watch},
+    time::sleep,
+};
+use wire::marked::MarkedStream;
+
+use template::template;
+
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+/// An attempt that was sent, or should have been, to a target.
+struct Attempt {
+    result: AttemptResult,
+    /// Whether it was noted as sent.
+    is_noted: bool,
+}
+
+/// Returns a plan of a connection to `addr` through `relays`, if there are any, and else directly.
+fn plan(addr: SocketAddr, relays: usize) -> DialPlan {
+    let relay = |idx: usize| Relay {
+        instance: format!("i{idx}").as_str().into(),
+        region: "r".into(),
+        addr: ([127, 0, 0, 1], 2).into(),
+    };
+    DialPlan {
+        target: "t".into(),
+        addr,
+        relays: (0..relays).map(relay).collect(),
+        prefers_relay: relays > 0,
+        relay_delay: Duration::from_secs(1),
+    }
+}
+
+/// Returns a forwarder that opens all connections itself.
+fn forwarder(clock: Clock) -> Forwarder {
+    let (tx, _) = mpsc::unbounded_channel();
+    Forwarder::new(Dialer::new(clock, tx))
+}
+
+/// Sends one request, whose deadline is `timeout` ahead.
+async fn send(
+    (forwarder, clock): (&Forwarder, Clock),
+    plan: &DialPlan,
+    connection: Option<Connection>,
+    timeout: Duration,
+) -> Attempt {
+    let allowed = watch::Sender::new(AllowedRegions::All);
+    let (note, in_force) = (SendNote::default(), watch::Sender::new(1));
+    let permit =
+        SendPermit::new("r".into(), allowed.subscribe()).noted(note.clone(), in_force.subscribe());
+    let deadline = clock.now() + timeout;
+    let result = forwarder
+        .send_attempt(plan, connection, &template(), &permit, deadline)
+        .await;
+    Attempt {
+        result,
+        is_noted: note.sent().is_some(),
+    }
+}
+
+/// Starts a target that answers each request with `answer` and keeps the connection open or closes it, and
+/// returns the number of bytes that it gets.
+async fn start_target(answer: &'static str, is_kept: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let received = Arc::new(AtomicUsize::new(0));
+    let shared = received.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let received = shared.clone();
+            tokio::spawn(async move {
+                let mut buf = [0; 4_096];
+                while let Ok(len) = stream.read(&mut buf).await
+                    && len > 0
+                {
+                    received.fetch_add(len, Ordering::Relaxed);
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                    if !is_kept {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, received)
+}
+
+/// Returns the address of a target that takes no connection: what comes beyond the one in its queue waits.
+async fn start_full_target() -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let queued = TcpStream::connect(addr).await.unwrap();
+    tokio::spawn(async move {
+        pending::<()>().await;
+        drop((listener, queued));
+    });
+    addr
+}
+
+/// How another instance replies to a request for a connection.
+#[derive(Debug, Clone, Copy)]
+enum Reply {
+    Nothing,
+    AfterTheDeadline,
+    Unreachable,
+    Unavailable,
+    /// With a connection on which nothing is answered.
+    Silent,
+}
+
+/// Replies to requests for connections through other instances.
+async fn carry(mut rx: mpsc::UnboundedReceiver<RelayRequest>, addr: SocketAddr, reply: Reply) {
+    let mut unanswered = Vec::new();
+    while let Some(request) = rx.recv().await {
+        let carried = || async { MarkedStream::new(TcpStream::connect(addr).await.unwrap()) };
+        let answer = match reply {
+            Reply::Nothing => {
+                unanswered.push(request);
+                continue;
+            }
+            Reply::AfterTheDeadline => {
+                sleep(TIMEOUT * 2).await;
+                Ok(carried().await)
+            }
+            Reply::Unreachable => Err(RelayError::TargetUnreachable),
+            Reply::Unavailable => Err(RelayError::RelayUnavailable),
+            Reply::Silent => Ok(carried().await),
+        };
+        let _ = request.reply.send(answer);
+    }
+}
+
+/// Guards against answers that say "may have run" of what was never sent: the deadline passed while a
+/// connection was being opened.
+#[tokio::test]
+async fn attempt_expires_while_it_waits_for_a_direct_connection() {
+    let clock = Clock::start();
+    let addr = start_full_target().await;
+    let forwarder = forwarder(clock);
+    let attempt = send((&forwarder, clock), &plan(addr, 0), None, TIMEOUT).await;
+    assert_eq!(
+        attempt.result.outcome,
+        Outcome::Expired,
+        "{:?}",
+        attempt.result
+    );
+    assert!(!attempt.is_noted);
+}
+
+/// Guards against the same, where other instances are to carry the connection; and against "not run" of what
+/// one of them has passed on.
+#[rstest]
+#[case::no_reply(Reply::Nothing, Outcome::Expired, false)]
+#[case::late_reply(Reply::AfterTheDeadline, Outcome::Expired, false)]
+#[case::target_unreachable(Reply::Unreachable, Outcome::Unreachable, false)]
+#[case::instance_unavailable(Reply::Unavailable, Outcome::Expired, false)]
+#[case::passed_on(Reply::Silent, Outcome::TimedOut, true)]
+#[tokio::test]
+async fn attempt_through_others_says_whether_it_was_sent(
+    #[case] reply: Reply,
+    #[case] expected: Outcome,
+    #[case] is_sent: bool,
+) {
+    let clock = Clock::start();
+    let (addr, received) = start_target("", true).await;
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(carry(rx, addr, reply));
+    let forwarder = Forwarder::new(Dialer::new(clock, tx));
+    let direct = start_full_target().await;
+    let attempt = send((&forwarder, clock), &plan(direct, 3), None, TIMEOUT).await;
+    sleep(TIMEOUT * 3).await;
+    assert_eq!(attempt.result.outcome, expected, "{:?}", attempt.result);
+    assert_eq!(attempt.is_noted, is_sent);
+    assert_eq!(received.load(Ordering::Relaxed) > 0, is_sent);
+}
+
+/// Guards against requests that are sent after their deadline, on a connection that is open already.
+#[rstest]
+#[case::passed(Duration::ZERO, Outcome::Expired, false)]
+#[case::to_come(TIMEOUT, Outcome::TimedOut, true)]
+#[tokio::test]
+async fn attempt_on_an_open_connection_is_sent_before_its_deadline(
+    #[case] timeout: Duration,
+    #[case] expected: Outcome,
+    #[case] is_sent: bool,
+) {
+    let clock = Clock::start();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let plan = plan(listener.local_addr().unwrap(), 0);
+    let received = Arc::new(AtomicUsize::new(0));
+    let later = received.clone();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4_096];
+        let _ = stream.read(&mut buf).await;
+        let _ = stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            .await;
+        while let Ok(len) = stream.read(&mut buf).await
+            && len > 0
+        {
+            later.fetch_add(len, Ordering::Relaxed);
+        }
+    });
+    let forwarder = forwarder(clock);
+    let sender = (&forwarder, clock);
+    let first = send(sender, &plan, None, Duration::from_secs(20)).await;
+    assert!(matches!(first.result.outcome, Outcome::Answered(_)));
+    let connection = first.result.connection.unwrap();
+    // Lets the driver of the connection notice that the answer is complete.
+    sleep(Duration::from_millis(20)).await;
+    let attempt = send(sender, &plan, Some(connection), timeout).await;
+    sleep(TIMEOUT).await;
+    assert_eq!(attempt.result.outcome, expected, "{:?}", attempt.result);
+    assert_eq!(attempt.is_noted, is_sent);
+    assert_eq!(received.load(Ordering::Relaxed) > 0, is_sent);
+    assert_eq!(attempt.result.connection.is_some(), !is_sent);
+}
