fix(entry): an attempt that its target has not run is refused by the head of the answer

Cause: the body of such an answer had to come whole. If it was cut off, garbled or stalled until the deadline, the attempt counted as lost or timed out, so as one that may have run, though the head had the attempt's ID and said "not executed". Change: the head decides; the connection is only kept if the body came whole. Ruled out: the same for statuses without the mark, which promise nothing. Regression test: `attempt_is_refused_by_the_head_of_its_answer`, 3 of 7 cases red before (cut off, stalled, garbled); a failure without the mark stays lost or timed out.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -10,7 +10,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     connection::Connection,
@@ -199,8 +199,11 @@
         let relay = connection.relay.clone();
         let is_direct_and_new = is_new_connection && relay.is_none();
         let connect_time = is_direct_and_new.then(|| clock.now() - started);
-        let exchange = self.send_request(started, connection, template, req, plan);
-        let Ok(result) = timeout_at(ends_at, exchange).await else {
+        let opened = (connection, started);
+        let answer = self
+            .send_request(opened, template, req, plan, ends_at)
+            .await;
+        let Some(result) = answer else {
             return AttemptResult::failed(Outcome::TimedOut);
         };
         let mut result = result.with_new_connection(is_new_connection);
@@ -210,16 +213,19 @@
         result
     }
 
+    /// Sends a request on an open connection and awaits its answer; returns `None` if the answer isn't there at
+    /// `ends_at`.
     async fn send_request(
         &self,
-        started: Time,
-        mut connection: Connection,
+        (mut connection, started): (Connection, Time),
         template: &RequestTemplate,
         req: Request<Full<Bytes>>,
         plan: &DialPlan,
-    ) -> AttemptResult {
+        ends_at: Instant,
+    ) -> Option<AttemptResult> {
         connection.allowance.set(MAX_HEAD_BYTES);
-        let res = match connection.sender.try_send_request(req).await {
+        let sent = connection.sender.try_send_request(req);
+        let res = match timeout_at(ends_at, sent).await.ok()? {
             Ok(res) => res,
             Err(mut err) => {
                 // `hyper` returns the request only if it has sent nothing of it.
@@ -229,28 +235,39 @@
                 } else {
                     Outcome::Lost
                 };
-                return AttemptResult::failed(outcome);
+                return Some(AttemptResult::failed(outcome));
             }
         };
         connection.allowance.lift();
         if !matches_request(template, &res) {
-            return AttemptResult::failed(Outcome::Lost);
+            return Some(AttemptResult::failed(Outcome::Lost));
         }
         let is_refused = was_not_run(&template.dialect, &res);
         let feedback = read_feedback(&template.dialect, &res);
         apply_keep_alive(&mut connection, res.headers());
         let (parts, body) = res.into_parts();
-        let Ok(body) = self.held.collect(body, MAX_HELD_BYTES).await else {
-            return AttemptResult::failed(Outcome::Lost);
+        let received = timeout_at(ends_at, self.held.collect(body, MAX_HELD_BYTES)).await;
+        connection.last_response_at = self.clock().now();
+        if is_refused {
+            // The head says so, whatever becomes of the rest.
+            let is_whole = matches!(received, Ok(Ok(_)));
+            return Some(AttemptResult {
+                connection: is_whole.then_some(connection),
+                feedback,
+                ..AttemptResult::failed(Outcome::Refused)
+            });
+        }
+        let Ok(body) = received.ok()? else {
+            return Some(AttemptResult::failed(Outcome::Lost));
+        };
+        let is_whole = if ends_with_connection(&parts) {
+            let reachable = self.dialer.is_reachable(plan, connection.relay.as_ref());
+            timeout_at(ends_at, reachable).await.ok()?
+        } else {
+            true
         };
-        let is_whole = is_refused
-            || !ends_with_connection(&parts)
-            || self
-                .dialer
-                .is_reachable(plan, connection.relay.as_ref())
-                .await;
         if !is_whole {
-            return AttemptResult::failed(Outcome::Lost);
+            return Some(AttemptResult::failed(Outcome::Lost));
         }
         let response = TargetResponse {
             status: parts.status,
@@ -259,17 +276,12 @@
         };
         let now = self.clock().now();
         connection.last_response_at = now;
-        let (outcome, response) = if is_refused {
-            (Outcome::Refused, None)
-        } else {
-            (Outcome::Answered(now - started), Some(response))
-        };
-        AttemptResult {
-            response,
+        Some(AttemptResult {
+            response: Some(response),
             connection: Some(connection),
             feedback,
-            ..AttemptResult::failed(outcome)
-        }
+            ..AttemptResult::failed(Outcome::Answered(now - started))
+        })
     }
 }
 
--- a/crates/entry/tests/unsent.rs
+++ b/crates/entry/tests/unsent.rs
@@ -245,3 +245,36 @@
     assert_eq!(received.load(Ordering::Relaxed) > 0, is_sent);
     assert_eq!(attempt.result.connection.is_some(), !is_sent);
 }
+
+const REFUSED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nrequest-ran: no\r\ncontent-length: 4\r\n\r\nfull";
+const REFUSED_IN_PART: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nrequest-ran: no\r\ncontent-length: 9\r\n\r\nfull";
+const REFUSED_WITHOUT_FRAMES: &str = "HTTP/1.1 503 Service Unavailable\r\nrequest-ran: no\r\n\
+     transfer-encoding: chunked\r\n\r\nno chunk\r\n";
+const FAILED_IN_PART: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\nfailed";
+
+/// Guards against answers that say "may have run" of what its target says not to have run, since the rest of
+/// the target's answer didn't come; and against "not run" of what a target has failed.
+#[rstest]
+#[case::whole(REFUSED, true, Outcome::Refused)]
+#[case::whole_and_closed(REFUSED, false, Outcome::Refused)]
+#[case::cut_off(REFUSED_IN_PART, false, Outcome::Refused)]
+#[case::stalled(REFUSED_IN_PART, true, Outcome::Refused)]
+#[case::garbled(REFUSED_WITHOUT_FRAMES, true, Outcome::Refused)]
+#[case::failed_and_cut_off(FAILED_IN_PART, false, Outcome::Lost)]
+#[case::failed_and_stalled(FAILED_IN_PART, true, Outcome::TimedOut)]
+#[tokio::test]
+async fn attempt_is_refused_by_the_head_of_its_answer(
+    #[case] answer: &'static str,
+    #[case] is_kept: bool,
+    #[case] expected: Outcome,
+) {
+    let clock = Clock::start();
+    let (addr, _) = start_target(answer, is_kept).await;
+    let forwarder = forwarder(clock);
+    let attempt = send((&forwarder, clock), &plan(addr, 0), None, TIMEOUT).await;
+    assert_eq!(attempt.result.outcome, expected, "{:?}", attempt.result);
+    assert_eq!(attempt.result.connection.is_some(), answer == REFUSED);
+    assert!(attempt.result.response.is_none());
+}
