fix(dispatch): the caller of an expired request is asked back as after a refusal for lack of room

Cause: a request that expired said to come back after a second, whatever its service takes. Change: half a service time or what the targets' gates need, as after `overloaded` and `target_refused`. Regression test: `place_unsent_caller_is_asked_back_when_slots_are_free`, 1 s before, red for `expired`.

--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -185,9 +185,12 @@
             kind
         };
         let mut refusal = Refusal::new(kind);
-        let is_overloaded = matches!(kind, ErrorKind::Overloaded | ErrorKind::TargetRefused);
+        let waits_for_slots = matches!(
+            kind,
+            ErrorKind::Overloaded | ErrorKind::TargetRefused | ErrorKind::Expired
+        );
         let pool = self.pools.get(&entry.request.service);
-        if let Some(pool) = pool.filter(|_| is_overloaded) {
+        if let Some(pool) = pool.filter(|_| waits_for_slots) {
             let mut wait = refusal.retry_after;
             if self.policy.placement == Placement::ObjectAffinity {
                 // After half a service time slots have become free, and the objective can still be
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -14,7 +14,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{ErrorKind, Time};
-use dispatch::{Action, Dial, Dispatcher, Outcome, RegionShares, SelectionReason, TargetState};
+use dispatch::{
+    Action, AdmittedRequest, Dial, Dispatcher, Outcome, RegionShares, SelectionReason, TargetState,
+};
 use rstest::rstest;
 
 use crate::support::{assignments, config, dispatcher, refusals, request, run};
@@ -296,3 +298,34 @@
     assert_eq!(found, expected);
     assert_eq!((found.len(), found[0].1), (2, 4));
 }
+
+/// Guards against callers that come back too late for their own deadline after a request that reached no target
+/// in its route's time.
+#[rstest]
+#[case::refused(Outcome::Refused, ErrorKind::TargetRefused)]
+#[case::expired(Outcome::Expired, ErrorKind::Expired)]
+fn place_unsent_caller_is_asked_back_when_slots_are_free(
+    #[case] outcome: Outcome,
+    #[case] expected: ErrorKind,
+) {
+    let config = config(2);
+    let mut dispatcher = dispatcher(&config, 1);
+    let now = Time::from_secs(1);
+    let request = AdmittedRequest {
+        max_attempts: 1,
+        ..request(now, 1, 1)
+    };
+    let submitted = dispatcher.submit(now, request);
+    let sent = assignments(&submitted)[0];
+    let (_, actions) = dispatcher.finish(now, sent.id, sent.attempt, outcome);
+    let refusal = actions.iter().find_map(|action| match action {
+        Action::Refuse(_, refusal) => Some(refusal),
+        _ => None,
+    });
+    let refusal = refusal.unwrap();
+    assert_eq!(refusal.kind, expected);
+    assert!(
+        refusal.retry_after < Duration::from_millis(500),
+        "{refusal:?}"
+    );
+}
