--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -10,7 +10,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     connection::Connection,
@@ -149,7 +149,7 @@
     /// Sends a request to a target and awaits its complete response until `deadline`.
     ///
     /// The request goes over `connection` if it is still open, and else over a new one. It isn't sent if
-    /// `permit` has ended by the time the connection is there.
+    /// `permit` has ended or the deadline has passed by the time the connection is there.
     pub async fn send_attempt(
         &self,
         plan: &DialPlan,
@@ -157,29 +157,18 @@
         template: &RequestTemplate,
         permit: &SendPermit,
         deadline: Time,
-    ) -> AttemptResult {
-        let exchange = self.exchange(plan, connection, template, permit, deadline);
-        match timeout_at(self.clock().instant(deadline), exchange).await {
-            Ok(result) => result,
-            Err(_) => AttemptResult::failed(Outcome::TimedOut),
-        }
-    }
-
-    async fn exchange(
-        &self,
-        plan: &DialPlan,
-        connection: Option<Connection>,
-        template: &RequestTemplate,
-        permit: &SendPermit,
-        deadline: Time,
     ) -> AttemptResult {
         let clock = self.clock();
         let started = clock.now();
+        let ends_at = clock.instant(deadline);
         let reusable = connection.filter(Connection::is_open);
         let is_new_connection = reusable.is_none();
         let dialed = match reusable {
             Some(connection) => Dialed::reused(connection),
-            None => self.dialer.open(plan).await,
+            None => match timeout_at(ends_at, self.dialer.open(plan)).await {
+                Ok(dialed) => dialed,
+                Err(_) => return AttemptResult::failed(Outcome::Expired),
+            },
         };
         let mut connection = match dialed.connection {
             Ok(connection) => connection,
@@ -191,8 +180,13 @@
                 return result;
             }
         };
-        if !permit.covers(connection.relay.as_ref()) {
-            let mut result = AttemptResult::failed(Outcome::Withheld);
+        let unsent = if !permit.covers(connection.relay.as_ref()) {
+            Some(Outcome::Withheld)
+        } else {
+            (clock.now() >= deadline).then_some(Outcome::Expired)
+        };
+        if let Some(outcome) = unsent {
+            let mut result = AttemptResult::failed(outcome);
             result.feedback.dial = dialed.dial;
             result.connection = Some(connection);
             return result.with_new_connection(is_new_connection);
@@ -205,26 +199,33 @@
         let relay = connection.relay.clone();
         let is_direct_and_new = is_new_connection && relay.is_none();
         let connect_time = is_direct_and_new.then(|| clock.now() - started);
-        let mut result = self
-            .send_request(started, connection, template, req, plan)
-            .await
-            .with_new_connection(is_new_connection);
+        let opened = (connection, started);
+        let answer = self
+            .send_request(opened, template, req, plan, ends_at)
+            .await;
+        let Some(result) = answer else {
+            return AttemptResult::failed(Outcome::TimedOut);
+        };
+        let mut result = result.with_new_connection(is_new_connection);
         result.relay = relay.map(|relay| relay.instance);
         result.feedback.connect_time = connect_time;
         result.feedback.dial = dialed.dial;
         result
     }
 
+    /// Sends a request on an open connection and awaits its answer; returns `None` if the answer isn't there at
+    /// `ends_at`.
     async fn send_request(
         &self,
-        started: Time,
-        mut connection: Connection,
+        (mut connection, started): (Connection, Time),
         template: &RequestTemplate,
         req: Request<Full<Bytes>>,
         plan: &DialPlan,
-    ) -> AttemptResult {
+        ends_at: Instant,
+    ) -> Option<AttemptResult> {
         connection.allowance.set(MAX_HEAD_BYTES);
-        let res = match connection.sender.try_send_request(req).await {
+        let sent = connection.sender.try_send_request(req);
+        let res = match timeout_at(ends_at, sent).await.ok()? {
             Ok(res) => res,
             Err(mut err) => {
                 // `hyper` returns the request only if it has sent nothing of it.
@@ -234,28 +235,39 @@
                 } else {
                     Outcome::Lost
                 };
-                return AttemptResult::failed(outcome);
+                return Some(AttemptResult::failed(outcome));
             }
         };
         connection.allowance.lift();
         if !matches_request(template, &res) {
-            return AttemptResult::failed(Outcome::Lost);
+            return Some(AttemptResult::failed(Outcome::Lost));
         }
         let is_refused = was_not_run(&template.dialect, &res);
         let feedback = read_feedback(&template.dialect, &res);
         apply_keep_alive(&mut connection, res.headers());
         let (parts, body) = res.into_parts();
-        let Ok(body) = self.held.collect(body, MAX_HELD_BYTES).await else {
-            return AttemptResult::failed(Outcome::Lost);
+        let received = timeout_at(ends_at, self.held.collect(body, MAX_HELD_BYTES)).await;
+        connection.last_response_at = self.clock().now();
+        if is_refused {
+            // The head says so, whatever becomes of the rest.
+            let is_whole = matches!(received, Ok(Ok(_)));
+            return Some(AttemptResult {
+                connection: is_whole.then_some(connection),
+                feedback,
+                ..AttemptResult::failed(Outcome::Refused)
+            });
+        }
+        let Ok(body) = received.ok()? else {
+            return Some(AttemptResult::failed(Outcome::Lost));
+        };
+        let is_whole = if ends_with_connection(&parts) {
+            let reachable = self.dialer.is_reachable(plan, connection.relay.as_ref());
+            timeout_at(ends_at, reachable).await.ok()?
+        } else {
+            true
         };
-        let is_whole = is_refused
-            || !ends_with_connection(&parts)
-            || self
-                .dialer
-                .is_reachable(plan, connection.relay.as_ref())
-                .await;
         if !is_whole {
-            return AttemptResult::failed(Outcome::Lost);
+            return Some(AttemptResult::failed(Outcome::Lost));
         }
         let response = TargetResponse {
             status: parts.status,
@@ -264,17 +276,12 @@
         };
         let now = self.clock().now();
         connection.last_response_at = now;
-        let (outcome, response) = if is_refused {
-            (Outcome::Refused, None)
-        } else {
-            (Outcome::Answered(now - started), Some(response))
-        };
-        AttemptResult {
-            response,
+        Some(AttemptResult {
+            response: Some(response),
             connection: Some(connection),
             feedback,
-            ..AttemptResult::failed(outcome)
-        }
+            ..AttemptResult::failed(Outcome::Answered(now - started))
+        })
     }
 }
 
