--- a/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
+++ b/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
@@ -161,6 +161,7 @@
             positions: vec![position],
             confirmed_at: None,
             change: Some(TableChange::complete(position, clock.now())),
+            reads: None,
         };
         tx.send(report).await.unwrap();
     }
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -123,6 +123,7 @@
                 in_force.send_replace(names.collect());
                 Some(ComposedConfig {
                     version: 1,
+                    is_latest: true,
                     config: Config::default(),
                 })
             },
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -234,6 +234,7 @@
         pinned_demand: Vec::new(),
         change: None,
         ack_age: Duration::ZERO,
+        reads: None,
         has_target_path: true,
         format: 3,
         build: "0.1.0".to_owned(),
