docs: comments say in the field's terms what was told, heard or believed

Doc comments and comments used "tells", "told", "heard", "beside", "far" and "says" for reporting, receiving, running in parallel and knowing, and two opened with "Holds". They name the thing itself now, as does the glossary; code is untouched.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -143,7 +143,7 @@
 
     /// Acquires or renews a slot, and so its reservations of every workspace's quota, until a time.
     ///
-    /// `history` says whether their tokens may have been spent by an earlier holder.
+    /// `history` indicates whether their tokens may have been spent by an earlier holder.
     pub fn hold_slot(&mut self, now: Time, slot: u32, until: Time, history: SlotHistory) {
         let held = self
             .slots
--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -54,7 +54,7 @@
     pub idle_timeout_ms: u32,
 }
 
-/// Tells whether a request may run more than once.
+/// Specifies whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RouteKind {
@@ -182,7 +182,7 @@
 
 impl Service {
     /// Returns the number of requests that a target of the service runs concurrently: what it has
-    /// registered, or else what the service says.
+    /// registered, or else that of the service.
     pub fn slots_of(&self, target: &Target) -> u32 {
         target
             .registered
@@ -250,7 +250,7 @@
 }
 
 impl Target {
-    /// Returns whether the entry says that the target is leaving, and puts it where `before` does with as many slots.
+    /// Returns whether the entry marks the target as leaving, and puts it where `before` does with as many slots.
     fn has_only_left(&self, before: &Self) -> bool {
         let (Some(now), Some(was)) = (self.registered, before.registered) else {
             return false;
@@ -337,7 +337,7 @@
         self.is_target_available(service, id) && !self.is_target_drained(service, id)
     }
 
-    /// Returns `true` if the target `id` has an entry, and one that doesn't say that it is leaving.
+    /// Returns `true` if the target `id` has an entry that doesn't mark it as leaving.
     pub fn is_target_available(&self, service: &ServiceId, id: &TargetId) -> bool {
         self.target(service, id).is_some_and(|target| {
             !target
@@ -356,7 +356,7 @@
         self.drains.targets.contains(id) || self.target(service, id).is_some_and(is_drained_with)
     }
 
-    /// Returns the targets whose entries have gone or say now that they are leaving, if nothing else has changed since
+    /// Returns the targets whose entries are removed or newly marked as leaving, if nothing else has changed since
     /// `before`; none of them gets requests.
     ///
     /// What both share isn't compared, so the cost doesn't grow with routes, workspaces and keys.
--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// Tells whether the action of a refused or failed request was executed.
+/// Indicates whether the action of a refused or failed request was executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Executed {
--- a/crates/base/src/regions.rs
+++ b/crates/base/src/regions.rs
@@ -6,7 +6,7 @@
 
 use crate::{RegionId, Route, Workspace};
 
-/// Tells in which regions a request may run.
+/// Specifies in which regions a request may run.
 ///
 /// # Examples
 ///
--- a/crates/cli/src/report/record.rs
+++ b/crates/cli/src/report/record.rs
@@ -7,7 +7,7 @@
 pub(super) struct RequestRecord {
     /// Time since the start of the process, or of an earlier one that it is drawn after.
     pub(super) at_ms: u64,
-    /// When that process started, in milliseconds since 1970, if its lines tell.
+    /// When that process started, in milliseconds since 1970, if its lines contain it.
     #[serde(skip)]
     pub(super) started_at_ms: Option<u64>,
     #[serde(default)]
--- a/crates/cli/src/report/starts.rs
+++ b/crates/cli/src/report/starts.rs
@@ -14,7 +14,7 @@
     by_instance: BTreeMap<String, ProcessStart>,
 }
 
-/// Tells when an instance's latest process started, as far as its lines do.
+/// Records when an instance's latest process started, if its lines contain that.
 #[derive(Debug, Default)]
 struct ProcessStart {
     /// By the process's own line, in milliseconds since 1970.
--- a/crates/cli/src/report/tally.rs
+++ b/crates/cli/src/report/tally.rs
@@ -12,9 +12,9 @@
 /// Multiple of the median run on first-ranked targets from which on a run counts as cold.
 const COLD_RUN_FACTOR: f64 = 2.0;
 
-/// Lists what can make an answer late, as far as the instances see it.
+/// Lists the causes of late answers that instances measure.
 ///
-/// The caller's way to the instance, and its look-ups, are not seen there.
+/// The path from the caller to the instance and the caller's look-ups are not among them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub(super) enum Cause {
     /// An earlier attempt failed or was refused.
--- a/crates/cli/src/run/inspect.rs
+++ b/crates/cli/src/run/inspect.rs
@@ -1,4 +1,4 @@
-//! `status` and `explain`: what an instance says of itself and of a request.
+//! `status` and `explain`: the state of an instance, and how it would handle a request.
 
 use serde_json::Value;
 
--- a/crates/coord/src/answer_dates.rs
+++ b/crates/coord/src/answer_dates.rs
@@ -6,7 +6,7 @@
 
 /// Time for which the least time that answers took counts; the clocks hardly drift in it.
 const MEMORY: Duration = Duration::from_secs(60);
-/// Maximum time from a call that waits for nothing to its answer for which it tells how the clocks stand.
+/// Maximum time from a call that waits for nothing to its answer for which the answer yields the clocks' offset.
 const PROMPT_TIME: Duration = Duration::from_millis(250);
 
 /// An answer of a store.
@@ -16,7 +16,7 @@
     pub sent_at: Time,
     /// Time at which the answer began to arrive.
     pub arrived_at: Time,
-    /// Reading of the store's steady clock when the answer was made, if it tells one.
+    /// Reading of the store's steady clock when the answer was made, if it reports one.
     pub reading: Option<Duration>,
     /// Whether the store held the call until something changed.
     pub has_waited: bool,
@@ -50,7 +50,7 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct AnswerDates {
-    /// Offsets of the own clock and when they were seen, rising in both.
+    /// Offsets of the own clock and when they were measured, rising in both.
     offsets: VecDeque<(Time, i128)>,
 }
 
--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -21,7 +21,7 @@
 pub struct FetchDelays {
     /// Minimum time from the first report of a later state to the first fetch.
     pub min: Duration,
-    /// Maximum of that time, however far own reads have lagged.
+    /// Maximum of that time, whatever the lag of own reads.
     pub max: Duration,
     /// Time from one fetch to the next while the state has not come.
     pub retry: Duration,
@@ -36,7 +36,7 @@
 /// platform is the later. So a fetch waits for twice the time by which own reads have lagged, but
 /// not for longer than a limit: the own read may be one that is never answered.
 ///
-/// A source that is slow or cut off must not hold up the news: while its answer is outstanding, the
+/// A source that is slow or cut off must not delay the change: while its answer is outstanding, the
 /// next source is asked.
 ///
 /// # Examples
--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -1,11 +1,11 @@
-//! Targets that have left, as instances tell each other.
+//! Targets that have left, as instances report them to each other.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{TargetId, Time};
 use serde::{Deserialize, Serialize};
 
-/// Tells that the rows of a table that are complete up to a position take a target out of service.
+/// Reports that the rows of a table that are complete up to a position take a target out of service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
     /// The target.
@@ -74,8 +74,8 @@
     }
 }
 
-/// Returns what one message tells an instance that has the rows up to `position`, out of departures of which the
-/// newest is the first.
+/// Returns what one message reports to an instance that has the rows up to `position`, out of departures of which
+/// the newest is the first.
 ///
 /// If it doesn't hold all that is lacking, half of it are the newest, and the other half go through the rest by the
 /// number of the message.
@@ -94,11 +94,11 @@
     lacking.into_iter().cloned().collect()
 }
 
-/// Follows which targets others have told to have left, for as long as the own rows are older.
+/// Tracks the targets that others have reported to have left, for as long as the own rows are older.
 ///
 /// The own rows decide as soon as they have reached a departure's position, but for rows that are only retained; or an
 /// own read has been answered that was sent after the report: if it brings less, the table has gone back, and the same
-/// report is not believed again.
+/// report is not applied again.
 ///
 /// # Examples
 ///
@@ -130,7 +130,7 @@
 }
 
 impl ReportedDepartures {
-    /// Records what another instance has told, as far as it is later than the own position.
+    /// Records those departures that another instance has reported and that are later than the own position.
     pub fn on_report(&mut self, now: Time, own_position: u64, departures: &[Departure]) {
         let is_recent = |report: &Report| now - report.repeated_at < RETENTION * 2;
         self.reports
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Records the position of the own rows, and which of them are gone and only retained: what others have told of these
-    /// before still holds.
+    /// Records the position of the own rows, and which of them are removed and only retained: earlier reports of
+    /// these stay in force.
     pub fn on_position<F>(&mut self, position: u64, is_retained: F)
     where
         F: Fn(&TargetId) -> bool,
@@ -184,7 +184,7 @@
 
 /// Maximum number of departures that are kept.
 const MAX_KEPT: usize = 512;
-/// Time for which departures are told.
+/// Time for which departures are reported.
 const RETENTION: Duration = Duration::from_secs(15);
 /// Maximum number of departures in a message, and of their bytes.
 const MAX_TOLD: usize = 24;
--- a/crates/coord/src/grant.rs
+++ b/crates/coord/src/grant.rs
@@ -54,7 +54,7 @@
     pub retry_after: Duration,
 }
 
-/// Tells whether a holder admits a request.
+/// Indicates whether a holder admits a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
     /// A token was taken for the request.
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -44,7 +44,7 @@
     demand: DemandEstimate,
 }
 
-/// Tells whether tokens of a slot's reservations may have been spent by an earlier holder.
+/// Indicates whether tokens of a slot's reservations may have been spent by an earlier holder.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotHistory {
     /// The slot was never held: its reservations start full.
--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -109,7 +109,7 @@
     pub since: Time,
 }
 
-/// Tells since when an instance has known that its copy of a state is not the latest.
+/// Tracks since when an instance has known that its copy of a state is not the latest.
 ///
 /// Others report the changes that they know, and an own read whose answer has begun to arrive brings a later one. A
 /// series of versions doesn't restart the time: it counts from the first one that the own copy lacks. An
@@ -173,8 +173,8 @@
         }
     }
 
-    /// Records the position of the own copy. If it has risen, an answer that was arriving meanwhile tells of
-    /// nothing later.
+    /// Records the position of the own copy. If it has risen, an answer that was arriving meanwhile
+    /// contains nothing later.
     pub fn on_position(&mut self, position: u64) {
         if position > self.position {
             self.arriving_since = None;
@@ -183,7 +183,7 @@
         self.later.forget_to(self.position);
     }
 
-    /// Returns since when a later state has been known, as far as it can still be had: from an own read
+    /// Returns since when a later state has been known that can still be obtained: from an own read
     /// that is arriving, or, if `is_held`, from an instance that has it.
     pub fn behind_since(&self, is_held: bool) -> Option<Time> {
         let reported = self.later.first_after(self.position);
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Tells all instances who owns a lease, how long it lasts and whether it was released, as a row of
+/// Reports to all instances who owns a lease, how long it lasts and whether it was released, as a row of
 /// the table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -196,7 +196,7 @@
         self.row.as_ref().map_or(0, |(_, row)| row.epoch)
     }
 
-    /// Returns the instance and incarnation that hold the lease, as far as is known.
+    /// Returns the instance and incarnation that hold the lease, if known.
     pub fn owner(&self) -> Option<(&InstanceId, Incarnation)> {
         let (_, row) = self.row.as_ref()?;
         (!row.is_released).then_some((&row.owner, row.incarnation))
@@ -225,7 +225,7 @@
 
     /// Returns the write that is due, if any: an acquisition, a renewal or a takeover.
     ///
-    /// `is_wanted` tells whether this instance should hold the lease, `is_owner_gone` whether it is
+    /// `is_wanted` indicates whether this instance should hold the lease, `is_owner_gone` whether it is
     /// certain that the current owner has ended.
     pub fn next_write(
         &mut self,
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -16,7 +16,7 @@
     pub is_leaving: bool,
 }
 
-/// Tells other instances that the sender is alive and which version it uses.
+/// Reports to other instances that the sender is alive and which version it uses.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Instance that sent it.
@@ -33,7 +33,7 @@
     pub confirmation_age: Option<Duration>,
 }
 
-/// Tells whether the platform's list contains an instance.
+/// Indicates whether the platform's list contains an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Presence {
     /// The list has never contained it.
@@ -44,7 +44,7 @@
     Absent(Time),
 }
 
-/// Combines what the platform's list and its heartbeats tell about one instance.
+/// Combines the state of one instance by the platform's list with that by its heartbeats.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// Failure domain in which it runs.
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Drops all loans and stops granting; the lenders may be told so after this call.
+    /// Drops all loans and stops granting; the lenders may be notified after this call.
     pub fn return_loans(&mut self) {
         self.loans.clear();
         self.valid_until = Time::ZERO;
--- a/crates/coord/src/parts.rs
+++ b/crates/coord/src/parts.rs
@@ -1,6 +1,6 @@
 //! Transfer of a table by parts of its rows' texts, which are named by a hash of their content.
 //!
-//! Texts are cut where their content says so, so that an edit changes the parts that it touches and
+//! Texts are cut at boundaries that their content defines, so that an edit changes the parts that it touches and
 //! leaves the others as they are. Parts are listed in groups, which are named by a hash as well: of a
 //! long list, too, only what changed is transferred.
 
@@ -87,7 +87,7 @@
     Groups(Vec<PartId>),
 }
 
-/// Tells why a table can't be assembled from its parts.
+/// Lists the reasons for which a table can't be assembled from its parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum PartsError {
     /// The list has the same row twice.
@@ -108,7 +108,7 @@
     /// The list names a group whose parts are not listed: it was cut off.
     #[display("the parts of a group are not listed")]
     GroupNotListed,
-    /// A part has another length than the list says.
+    /// A part differs in length from its entry in the list.
     #[display("a part has {len} bytes, {listed} are listed")]
     PartLength {
         /// Its length.
--- a/crates/coord/src/parts/assembly.rs
+++ b/crates/coord/src/parts/assembly.rs
@@ -15,7 +15,7 @@
 /// Assembles a table from the parts that its list names: those of an own table, and others that are
 /// asked for.
 ///
-/// Nothing of what arrives is believed: each part is checked against its hash, and what is held is bounded by
+/// Nothing that arrives is trusted: each part is checked against its hash, and what is held is bounded by
 /// [`MAX_TABLE_BYTES`].
 #[derive(Debug)]
 pub struct Assembly {
@@ -92,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// [`PartsError`] if it isn't what its name says, or isn't missing; nothing has changed then.
+    /// [`PartsError`] if its content doesn't match its name, or isn't missing; nothing has changed then.
     pub fn take(&mut self, id: PartId, content: &[u8]) -> Result<(), PartsError> {
         let Some(listed) = self.missing.get(&id).copied() else {
             return Err(if self.taken.contains_key(&id) {
--- a/crates/coord/src/parts/cut.rs
+++ b/crates/coord/src/parts/cut.rs
@@ -173,7 +173,7 @@
     }
 }
 
-/// Cuts a text where its content says so.
+/// Cuts a text at the boundaries that its content defines.
 fn cut_text(text: &[u8]) -> Vec<Part> {
     let max = MAX_PART_BYTES as usize;
     let chunks = FastCDC::new(text, MIN_PART_BYTES, AVERAGE_PART_BYTES, max);
@@ -187,7 +187,7 @@
     parts.collect()
 }
 
-/// Groups parts; a group ends where a part's hash says so.
+/// Groups parts; a part's hash determines whether its group ends with it.
 pub(super) fn group(parts: &[Part]) -> Vec<Group> {
     let mut groups = Vec::new();
     let mut start = 0;
--- a/crates/coord/src/readers.rs
+++ b/crates/coord/src/readers.rs
@@ -1,4 +1,4 @@
-//! Choice of the instances that read a followed table; the others hear from them when it changes.
+//! Choice of the instances that read a followed table; they report its changes to the others.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -11,7 +11,7 @@
 /// Factor by which reads must become fewer for an instance to leave them to others.
 const MIN_SAVING: u32 = 2;
 
-/// Tells how an instance learns of changes.
+/// Lists the ways in which an instance learns of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reading {
     /// It reads for itself, as often as it needs.
@@ -41,9 +41,9 @@
 /// Decides whether an instance reads a table itself.
 ///
 /// A few instances of each region read for all: the first ones by rendezvous rank among the live ones, so
-/// nobody votes. Another instance relies on them as long as reports are young in which some instance says
-/// when it last knew the table to be unchanged. However they fail, reports then grow old, and it reads
-/// itself.
+/// nobody votes. Another instance relies on them as long as it receives recent reports of when some instance
+/// last knew the table to be unchanged. Whatever the failure of the readers, the reports then become older, and
+/// it reads the table itself.
 ///
 /// # Examples
 ///
@@ -82,7 +82,7 @@
 }
 
 impl Readers {
-    /// Returns the state of an instance that has heard from nobody.
+    /// Returns the state of an instance that has received no report.
     pub fn new(timing: ReaderTiming) -> Self {
         Self {
             timing,
--- a/crates/coord/src/version_tracker.rs
+++ b/crates/coord/src/version_tracker.rs
@@ -29,7 +29,7 @@
     Forked,
 }
 
-/// Tells whether an instance's active version is known to be the latest.
+/// Indicates whether an instance's active version is known to be the latest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
     /// No version is active yet.
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -24,7 +24,7 @@
 /// good; the rest is for what it may be dated too late.
 const REFUSAL_FRACTION: f64 = 0.95;
 
-/// Tells a follower what to read, how often, and for how long a read confirms the configuration.
+/// Configures a follower: what it reads, how often, and for how long a read confirms the configuration.
 #[derive(Debug)]
 pub struct FollowerOptions {
     /// Monotonic clock of the process.
@@ -85,7 +85,7 @@
         });
         self.view.send_if_modified(|current| {
             let version_of = |view: &View| view.config.as_ref().map(|(version, _)| *version);
-            // Departures change neither the version nor, if others tell them, the configuration.
+            // Departures change neither the version nor, if others report them, the configuration.
             let is_same_config = match (&current.config, &view.config) {
                 (Some((_, before)), Some((_, after))) => Arc::ptr_eq(before, after),
                 (before, after) => before.is_none() && after.is_none(),
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -28,9 +28,9 @@
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum time to wait for the head row, however long the instance may be without news.
+/// Maximum time to wait for the head row, whatever the limit on the age of a confirmation.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time without a byte after which a newer object is fetched beside one that was asked for before.
+/// Time without a byte after which a newer object is fetched in parallel with one that was requested before.
 const MAX_FETCH_QUIET: Duration = Duration::from_millis(500);
 const FRESHNESS_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -166,8 +166,8 @@
 }
 
 impl OpenFetch {
-    /// Returns whether the object is arriving, or was asked for just now: a newer one that was fetched beside
-    /// it would share the link with it, and neither be there sooner.
+    /// Returns whether the object is arriving, or was requested just now: a newer one that was fetched in
+    /// parallel would share the link with it, and neither would be complete sooner.
     fn is_arriving(&self) -> bool {
         let received = *self.received.borrow();
         received.quiet_time() < MAX_FETCH_QUIET && !received.is_slow()
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -319,7 +319,7 @@
     ) -> Result<ClaimOutcome, ErrorKind> {
         let member = self.fleet.borrow().members.get(home).cloned();
         let Some(member) = member else {
-            // An instance that was never listed or heard can't hold a record.
+            // An instance that was never listed and sent no heartbeat can't have a record.
             return Err(ErrorKind::BadRequest);
         };
         if member.incarnation.is_some_and(|known| known != incarnation) || member.is_gone {
--- a/crates/daemon/src/planner/bound.rs
+++ b/crates/daemon/src/planner/bound.rs
@@ -1,4 +1,4 @@
-//! The part of a service's requests that may run in one region only, as far as the configuration tells.
+//! The part of a service's requests that may run in one region only, according to the configuration.
 
 use std::collections::BTreeMap;
 
--- a/crates/daemon/src/table_fetch.rs
+++ b/crates/daemon/src/table_fetch.rs
@@ -17,14 +17,14 @@
 const MAX_LIST_BYTES: usize = 2 * 1024 * 1024;
 /// Maximum size of a table with its rows' names and positions, in bytes.
 const MAX_ENCODED_BYTES: usize = 2 * MAX_TABLE_BYTES;
-/// Bytes that a part takes in a reply beside its content, at most.
+/// Maximum number of bytes that a part takes in a reply in addition to its content.
 const PART_OVERHEAD_BYTES: usize = 24;
 /// Size of the lacking parts up to which they are fetched, whatever their share of the table.
 const FEW_BYTES: usize = 64 * 1024;
 /// Share of a table from which on the whole of it is fetched instead of its parts.
 const MAX_LACKING_SHARE: f64 = 0.5;
 
-/// Says from where and how to fetch a table.
+/// Specifies from where and how to fetch a table.
 #[derive(Debug, Clone)]
 pub struct Source {
     /// Secret that authenticates calls between instances.
@@ -51,7 +51,7 @@
     },
 }
 
-/// Holds what an instance has of a table before a fetch.
+/// Describes an instance's own copy of a table before a fetch, from which unchanged parts are taken.
 #[derive(Debug, Clone, Default)]
 pub struct OwnTable {
     /// The table.
@@ -82,7 +82,7 @@
     pub fetched: usize,
 }
 
-/// Tells why a fetch has brought no table.
+/// Lists the reasons for which a fetch returns no table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, From)]
 pub enum FetchFault {
     /// No answer came, or the connection ended within it.
@@ -117,7 +117,7 @@
 
 /// Fetches a table and reports to `progress` what has arrived of it.
 ///
-/// Nothing of what arrives is believed; a bad answer ends the fetch with its [`FetchFault`].
+/// Nothing that arrives is trusted; a bad answer ends the fetch with its [`FetchFault`].
 pub async fn fetch(source: &Source, own: OwnTable, progress: &Progress) -> Fetched {
     match source.way {
         FetchWay::Whole => whole(source, own.cut, progress, false).await,
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -17,10 +17,10 @@
     /// Another instance's copy of the table.
     #[display("{_0}")]
     Instance(InstanceId),
-    /// Targets that another instance has told to have left.
+    /// Targets that another instance has reported to have left.
     #[display("departures from {_0}")]
     Departures(InstanceId),
-    /// The end of an own read that says no more of what others have told.
+    /// An own read that doesn't confirm what others have reported.
     #[display("own rows")]
     OwnRows,
     /// The end of the time for which a removed row is kept.
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -22,9 +22,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Minimum time between two reports that an answer is arriving.
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of polls without an answer, of which the oldest is given up.
+/// Maximum number of polls without an answer; beyond it, the oldest is cancelled.
 const MAX_OPEN_POLLS: usize = 4;
-/// Time without a byte after which an answer is no longer waited for.
+/// Time without a byte after which a poll fails.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
 
 /// Carries the result of one read of a table.
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct PlatformRead {
     pub(crate) answer: Answer,
-    /// Time at which the answer was made: it tells of no later moment.
+    /// Time at which the answer was made: it contains no later change.
     pub(crate) made_at: Time,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
@@ -90,7 +90,7 @@
     pub(crate) fetched: Fetched,
 }
 
-/// Tells a [`TableReader`] what to read, and how.
+/// Configures a [`TableReader`]: what it reads, and how.
 #[derive(Debug)]
 pub(crate) struct ReaderOptions {
     pub(crate) clock: Clock,
@@ -327,7 +327,7 @@
             Ok(mut read) => {
                 let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &mut read {
-                    // What came meanwhile stays; an answer to a later poll shows how far the platform is.
+                    // What came meanwhile stays; an answer to a later poll contains the platform's position.
                     self.position = advanced.max(Some(read.position));
                     read.made_at = self.dates.date(read.answer);
                     answered_at = self.options.clock.instant(read.answer.arrived_at);
--- a/crates/daemon/src/table_server.rs
+++ b/crates/daemon/src/table_server.rs
@@ -22,7 +22,7 @@
     tables: BTreeMap<u32, ServedTable>,
 }
 
-/// Holds what has been made of a table for other instances.
+/// Caches a table in the forms in which other instances fetch it.
 #[derive(Debug, Default)]
 struct ServedTable {
     current: TableCut,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -212,7 +212,7 @@
         actions
     }
 
-    /// Takes targets in and out of service as a configuration says, and recalls what is on those that it
+    /// Takes targets in and out of service according to a configuration, and recalls what is on those that it
     /// takes out.
     fn configure_service_states(&mut self, now: Time, config: &Config) -> Vec<Action> {
         let mut recalled = Vec::new();
@@ -237,7 +237,7 @@
         }
     }
 
-    /// Replaces what an earlier configuration said of a request that has no final answer yet.
+    /// Replaces the routing by an earlier configuration of a request that has no final answer yet.
     ///
     /// It applies to what is sent from now on; call it before [`Dispatcher::configure`], which sends
     /// what waits.
@@ -437,7 +437,7 @@
     }
 }
 
-/// Takes a target of a service in or out of service as a configuration says, and returns whether that takes it out.
+/// Takes a target in or out of service according to a configuration, and returns whether that takes it out.
 fn configure_service_state(
     now: Time,
     chart: &Chart<TargetState, TargetEvent>,
--- a/crates/dispatch/src/exclusion.rs
+++ b/crates/dispatch/src/exclusion.rs
@@ -5,11 +5,11 @@
 /// Lists the reasons for which a target gets no new work; each is entered and left by its own source.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ExclusionReason {
-    /// The configuration has no entry of the target, or one that says that it is leaving.
+    /// The configuration has no entry of the target, or one that marks it as leaving.
     Entry,
     /// An operator has taken the target, its failure domain or its region out of service.
     Drained,
-    /// The target has said itself that it is leaving, and nothing later says otherwise.
+    /// The target has reported itself that it is leaving, and no later report contradicts it.
     OwnWord,
     /// The platform's list of machines says that it is leaving, and its health endpoint has not said
     /// otherwise since.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -120,7 +120,7 @@
         moved
     }
 
-    /// Applies what a target's entry says of the target itself.
+    /// Applies the fields of a target's entry that concern the target itself.
     pub(crate) fn apply_registration(
         &mut self,
         now: Time,
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,7 +49,7 @@
     /// Response header with the rate, in requests per second, that a target takes from all
     /// instances together.
     pub rate_limit: Option<HeaderName>,
-    /// Response header, with the value 1, by which a target says that it is leaving.
+    /// Response header, with the value 1, by which a target reports that it is leaving.
     pub leaving: Option<HeaderName>,
     /// Response header in which a target that refuses a request with status 503 says for how many
     /// seconds it wants nothing more from this instance.
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -77,7 +77,7 @@
     refuses_when_isolated: bool,
     config: Option<Arc<Config>>,
     revision: u64,
-    /// Tells the attempts that aren't sent yet of the revision in force.
+    /// Publishes the revision in force to the attempts that aren't sent yet.
     in_force: watch::Sender<u64>,
     is_draining: bool,
     routes: RouteTable,
@@ -147,7 +147,7 @@
     priority: u32,
     max_attempts: u32,
     affinity: Option<u64>,
-    /// Regions in which the request may run; its attempts are told of changes.
+    /// Regions in which the request may run; its attempts receive changes.
     allowed_regions: watch::Sender<AllowedRegions>,
     /// What its caller sent.
     origin: Origin,
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Tells the handler of a request that is refused for lack of room which targets had none.
+    /// Reports to the handler of a request that is refused for lack of free slots which targets had none.
     fn explain_overload(&self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
--- a/crates/entry/src/engine/departures.rs
+++ b/crates/entry/src/engine/departures.rs
@@ -7,7 +7,7 @@
 use super::Engine;
 
 impl Engine {
-    /// Takes targets out of service that others have told to have left.
+    /// Takes targets out of service that others have reported to have left.
     pub(super) fn take_out(&mut self, now: Time, targets: &[TargetId]) {
         let actions = self.dispatcher.take_out(now, targets);
         self.apply_dispatch(now, actions);
--- a/crates/entry/src/engine/paths.rs
+++ b/crates/entry/src/engine/paths.rs
@@ -58,7 +58,7 @@
     }
 
     /// Acts on a change of the path to the targets: drops idle connections that are of no use on
-    /// the new one, and tells the other instances.
+    /// the new one, and notifies the other instances.
     pub(super) fn change_path(&mut self) {
         let state = self.dispatcher.path_state();
         let is_direct = state == PathState::Direct;
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Returns some instances that can open a connection without a request, far apart in the order of
-    /// their names, which often tell their regions, and others at other times.
+    /// Returns some instances that can open a connection without a request, evenly spaced in the order of
+    /// their names, which often contain their regions, and others at other times.
     pub(super) fn any_relays(&self, now: Time) -> Vec<Relay> {
         let count = self.relays.len().min(MAX_RELAYS_TRIED);
         let start = now.as_micros() as usize;
--- a/crates/entry/src/engine/rates.rs
+++ b/crates/entry/src/engine/rates.rs
@@ -1,4 +1,4 @@
-//! What targets say in their answers: rates, rests and that they are leaving.
+//! What targets report in their answers: rates, rests and that they are leaving.
 
 use std::time::Duration;
 
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Tells the other instances what targets have said of their rates.
+    /// Sends the rates that targets have reported to the other instances.
     pub(super) fn report_rates(&mut self, now: Time) {
         self.rates_reported_at = now;
         let reports = self.dispatcher.rate_reports(now);
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -1,4 +1,4 @@
-//! What a new configuration says of the requests that have no final answer yet.
+//! The routing by a new configuration of the requests that have no final answer yet.
 
 use base::{AllowedRegions, ErrorKind, Refusal, RouteKind, Time};
 use dispatch::{Action, RequestId, RequestKind};
@@ -7,7 +7,7 @@
 use super::{Engine, PendingRequest};
 use crate::message::Decision;
 
-/// What the active configuration says of a request.
+/// Describes how the active configuration routes a request.
 struct Terms {
     allowed_regions: AllowedRegions,
     max_attempts: u32,
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -185,7 +185,7 @@
         })
     }
 
-    /// Returns whether keys can't be told from withdrawn ones, since nothing is heard of changes.
+    /// Returns whether valid keys can't be distinguished from withdrawn ones, since the configuration is unconfirmed.
     fn is_isolated(&self, now: Time) -> bool {
         // After a pause of the process, the last freshness received may no longer be valid.
         let is_isolated = self.freshness == Freshness::Isolated || now > self.freshness_valid_until;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -87,9 +87,9 @@
 pub struct TargetFeedback {
     /// Running plus queued requests, as reported by the target.
     pub load: Option<u32>,
-    /// Requests per second that the target takes from all instances together, as it says itself.
+    /// Requests per second that the target takes from all instances together, as it reports itself.
     pub rate_limit: Option<f64>,
-    /// Whether the target says that it is leaving.
+    /// Whether the target reports that it is leaving.
     pub is_leaving: bool,
     /// Time for which the target wants nothing more from this instance, as it says itself when it
     /// refuses a request.
--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -37,7 +37,7 @@
     Unchecked,
 }
 
-/// Collects what a head says of the length of its body.
+/// Collects the fields of a head that determine the length of its body.
 #[derive(Debug, Clone, Copy, Default)]
 struct Lengths {
     length: Option<u64>,
@@ -158,7 +158,7 @@
 }
 
 impl Lengths {
-    /// Reads a line of a head and returns whether a parser can understand what it says of the length.
+    /// Reads a line of a head and returns whether its statement of the length is well-formed.
     fn read(&mut self, line: &[u8]) -> Result<bool, Ambiguous> {
         let Some(colon) = line.iter().position(|byte| *byte == b':') else {
             return Ok(true);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -66,9 +66,9 @@
     StopAccepting,
     /// A configuration becomes the active one.
     ConfigActivated(Arc<Config>),
-    /// Targets that others have told to have left get nothing more, until a configuration says otherwise.
+    /// Targets that others have reported to have left get no more requests until a configuration has them in service.
     TargetsLeft(Vec<TargetId>),
-    /// The entries of these targets have gone or say that they are leaving; nothing else in this configuration
+    /// The entries of these targets are removed or mark them as leaving; nothing else in this configuration
     /// differs from what is in force, so that it isn't activated.
     EntriesLeft(Arc<Config>, Vec<(ServiceId, TargetId)>),
     /// Freshness of the active configuration.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -93,7 +93,7 @@
 pub struct View {
     /// Version and content of the active configuration.
     pub config: Option<(u64, Arc<Config>)>,
-    /// Targets that the configuration has in service, and others have told to have left.
+    /// Targets that the configuration has in service, and others have reported to have left.
     pub departed: Arc<BTreeSet<TargetId>>,
     /// Freshness of the active configuration.
     pub freshness: Freshness,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -53,7 +53,7 @@
 /// Message to the task that executes calls.
 #[derive(Debug)]
 pub(crate) enum Message {
-    /// Executes a call and sends its reply; reports how far the answer has come.
+    /// Executes a call and sends its reply; reports the progress of the answer.
     Call(
         Call,
         Progress,
@@ -110,7 +110,7 @@
         self
     }
 
-    /// Sets to what is reported how far the answer of a call has come; for a handle of one call.
+    /// Sets the receiver of the progress of a call's answer; for a handle of one call.
     pub fn progress(mut self, progress: Progress) -> Self {
         self.progress = Some(progress);
         self
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -1,4 +1,4 @@
-//! How far the answer to a call has come.
+//! Progress of the answer to a call.
 
 use std::{pin::pin, time::Duration};
 
@@ -12,7 +12,7 @@
 
 use crate::PlatformError;
 
-/// Lowest rate of a transfer: one that goes on more slowly is as good as silent for whoever waits for its end.
+/// Lowest rate of a transfer: a slower one is treated like a silent one.
 const MIN_BYTES_PER_S: u32 = 8 * 1024;
 /// Time for which a transfer may fall behind the lowest rate.
 const MAX_BEHIND: Duration = Duration::from_millis(1_500);
@@ -47,7 +47,7 @@
     pub last_byte_at: Instant,
     /// Reading of the platform's steady clock when the answer was made, if it reports one.
     pub made_at: Option<Duration>,
-    /// Bytes of which the body consists, as far as they have been announced.
+    /// Length of the body in bytes, if announced.
     expected: Option<u64>,
     /// Time from which on the transfer is below the lowest rate unless more arrives; `None` before the first
     /// byte.
--- a/crates/proof/src/deployment/status.rs
+++ b/crates/proof/src/deployment/status.rs
@@ -1,4 +1,4 @@
-//! What the instances of a deployment say of themselves, and waiting for it.
+//! The status that the instances of a deployment report, and waiting for it.
 
 use std::time::Duration;
 
--- a/crates/proof/src/rollout.rs
+++ b/crates/proof/src/rollout.rs
@@ -35,7 +35,7 @@
     pub seed: u64,
 }
 
-/// Tells how long a roll-out took and what it cost; times count from the write to the store.
+/// Reports how long a roll-out took and what it cost; times count from the write to the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutOutcome {
     /// Time until 50 % of the running instances have the version.
--- a/crates/proof/src/service/measures.rs
+++ b/crates/proof/src/service/measures.rs
@@ -18,7 +18,7 @@
     pub latency_us: Histogram<u64>,
 }
 
-/// Tells what became of all requests of a run, and which promises were broken.
+/// Reports the outcomes of all requests of a run, and which guarantees were violated.
 #[derive(Debug, Clone)]
 pub struct Measures {
     /// Measurements of each workspace, by index.
--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -304,7 +304,7 @@
         }
     }
 
-    /// Completes a request that failed; `is_not_run` says that it was refused as not executed.
+    /// Completes a request that failed; `is_not_run` indicates that it was refused as not executed.
     fn complete_failed(&mut self, id: u64, is_not_run: bool) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -118,10 +118,10 @@
     /// Running and queued requests that the target reported in its response.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub told_load: Option<u32>,
-    /// Requests per second that the target takes from all instances, as it said in its response.
+    /// Requests per second that the target takes from all instances, as it reported in its response.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub told_limit: Option<f64>,
-    /// Time for which the target wants nothing more from this instance, as it said in its response.
+    /// Time for which the target wants nothing more from this instance, as it reported in its response.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub told_rest_ms: Option<u64>,
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -97,7 +97,7 @@
     /// Time after its acknowledgement within which a change must be in force on every instance, in seconds.
     pub apply_s: f64,
     /// Maximum time for which callers cache the response to a look-up, in seconds; replaces
-    /// `lookup_ttl_ms`, as far as the time to stop allows.
+    /// `lookup_ttl_ms`, within the time to stop.
     pub lookup_ttl_s: Option<f64>,
 }
 
--- a/crates/wire/src/packed.rs
+++ b/crates/wire/src/packed.rs
@@ -25,7 +25,7 @@
     bytes: Vec<u8>,
 }
 
-/// Tells why a content can't be unpacked.
+/// Lists the reasons for which a content can't be unpacked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum UnpackError {
     /// The content would be larger than the receiver takes, or than its bytes can hold.
