refactor(base,dispatch,steer): one finalizer of hashes

The finalizer of SplitMix64 stood in the hashes of names (dispatch) and of values (steer). The hashes are the same by the same operations.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod error;
+mod hash;
 mod id;
 mod regions;
 mod route;
@@ -15,6 +16,7 @@
     Service, Target, WeightedService, Workspace, canonical_json, config_digest,
 };
 pub use error::{ERROR_RESPONSES, ErrorKind, ErrorResponse, Executed, Refusal};
+pub use hash::mix_bits;
 pub use id::{
     DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
 };
--- a/crates/dispatch/src/hash.rs
+++ b/crates/dispatch/src/hash.rs
@@ -1,5 +1,7 @@
 //! Hashing of names, the same on all instances.
 
+use base::mix_bits;
+
 /// Returns a well-mixed hash of a seed and a name (FNV-1a with a finalizer).
 pub(crate) fn seeded_hash(seed: u64, name: &str) -> u64 {
     const PRIME: u64 = 0x0000_0100_0000_01b3;
@@ -7,8 +9,5 @@
     for byte in name.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
     }
-    // The finalizer of SplitMix64.
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    mix_bits(hash)
 }
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use base::{AllowedRegions, Config, DomainId, InstanceId, RegionId};
+use base::{AllowedRegions, Config, DomainId, InstanceId, RegionId, mix_bits};
 
 /// Locates a caller by what is known of its location.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -131,8 +131,5 @@
 
 /// Returns a well-mixed hash of a seed and a value (the finalizer of SplitMix64).
 fn seeded_hash(seed: u64, value: u64) -> u64 {
-    let mut hash = seed ^ value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    mix_bits(seed ^ value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
