refactor(daemon): a slot's lease, the choice of slots and their rows stand apart

slots.rs (479 lines) had the task, the state of one slot, which slot is acquired next, and the rows. The last three are slots/slot.rs, choice.rs and rows.rs. The lines of the old and the new files were compared: besides imports, visibility, module documentation, line breaks and what is named here, they are the same.

--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -3,28 +3,30 @@
 //! Each slot has reservations of every workspace's rate, which its holder may spend without
 //! requesting a grant from another instance.
 
+mod choice;
+mod rows;
+mod slot;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{
-    Lease, LeaseChart, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, SlotHistory, WriteOutcome,
-    rendezvous_rank,
-};
+use coord::{LeaseChart, LeaseState, LeaseTiming, LeaseWrite, SlotHistory, WriteOutcome};
 use entry::{message::Event, metrics::Metrics, view::Clock};
-use platform::{Platform, PlatformError, Precondition, Row, Write};
+use platform::{Platform, PlatformError, Row};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval},
 };
 
+pub use self::rows::SLOT_TABLE;
+use self::{
+    choice::is_owner_gone,
+    rows::{scan_slots, slot_name, to_write},
+    slot::Slot,
+};
 use crate::{fleet::Fleet, message::PeerCommand};
 
-/// Table of the platform with one row for each slot.
-pub const SLOT_TABLE: &str = "slot";
-
 const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time for which a slot must be free before an instance that holds one acquires it as a spare.
-const SPARE_ACQUIRE_DELAY: Duration = Duration::from_secs(10);
 /// Time for which another instance must have no slot before this one releases a spare.
 const SPARE_RELEASE_DELAY: Duration = Duration::from_secs(3);
 
@@ -71,17 +73,6 @@
     rx: Option<mpsc::UnboundedReceiver<PlatformAnswer>>,
 }
 
-/// Tracks the lease of one slot; ignores reads that began before its last write was answered.
-#[derive(Debug)]
-struct Slot {
-    lease: Lease,
-    write_answered_at: Time,
-    was_held: bool,
-    /// Whether its last holder was a previous incarnation of this instance.
-    is_reclaimed: bool,
-    free_since: Option<Time>,
-}
-
 /// Carries an answer of the platform.
 #[derive(Debug)]
 enum PlatformAnswer {
@@ -176,7 +167,7 @@
     }
 
     /// Renews the held slots and acquires one more: a first slot at once, a spare after
-    /// [`SPARE_ACQUIRE_DELAY`].
+    /// [`choice::SPARE_ACQUIRE_DELAY`].
     fn write_leases(&mut self, now: Time) {
         let fleet = self.options.fleet.borrow().clone();
         let has_slot = self.held_count(now) > 0;
@@ -206,68 +197,6 @@
         }
     }
 
-    /// Chooses a slot of this instance's previous incarnation, a free slot, or one whose holder has
-    /// ended.
-    fn first_slot(&self, now: Time, fleet: &Fleet) -> Option<u32> {
-        if self.is_writing() {
-            return None;
-        }
-        let own_id = &self.options.own_id;
-        let own = self
-            .slots
-            .iter()
-            .find(|(_, slot)| slot.lease.owner().is_some_and(|(owner, _)| owner == own_id))
-            .map(|(idx, _)| *idx);
-        let free: Vec<u32> = self
-            .slots
-            .iter()
-            .filter(|(_, slot)| slot.lease.state() == LeaseState::Free)
-            .map(|(idx, _)| *idx)
-            .collect();
-        // Instances that start at the same time try different slots.
-        let start =
-            rendezvous_rank("slot", fleet.lease_candidates(now, own_id), own_id).unwrap_or(0);
-        let first_free = (!free.is_empty()).then(|| free[start % free.len()]);
-        let ended = || {
-            self.slots
-                .iter()
-                .find(|(_, slot)| is_owner_gone(&self.options, fleet, &slot.lease))
-                .map(|(idx, _)| *idx)
-        };
-        own.or(first_free).or_else(ended)
-    }
-
-    /// Returns whether a previous incarnation of this instance holds the slot.
-    fn is_own_previous(&self, idx: u32) -> bool {
-        let owner = self.slots.get(&idx).and_then(|slot| slot.lease.owner());
-        owner.is_some_and(|(owner, incarnation)| {
-            *owner == self.options.own_id && incarnation != self.options.incarnation
-        })
-    }
-
-    /// Chooses an unused slot for which this instance ranks first, if every instance has a slot.
-    fn spare_slot(&self, now: Time, fleet: &Fleet) -> Option<u32> {
-        if fleet.without_slot(now).next().is_some() {
-            return None;
-        }
-        let own_id = &self.options.own_id;
-        self.slots
-            .iter()
-            .filter(|(_, slot)| {
-                let is_due = |since| now - since >= SPARE_ACQUIRE_DELAY;
-                slot.free_since.is_some_and(is_due)
-                    || (is_owner_gone(&self.options, fleet, &slot.lease))
-            })
-            .map(|(idx, _)| *idx)
-            .find(|idx| {
-                rendezvous_rank(
-                    &slot_name(*idx),
-                    fleet.lease_candidates(now, own_id),
-                    own_id,
-                ) == Some(0)
-            })
-    }
-
     /// Releases a spare slot if another instance has had none for [`SPARE_RELEASE_DELAY`].
     async fn release_spare(&mut self, now: Time) {
         let fleet = self.options.fleet.borrow().clone();
@@ -412,68 +341,3 @@
             .set(i64::from(is_on));
     }
 }
-
-impl Slot {
-    fn new(options: &SlotsOptions) -> Self {
-        Self {
-            lease: Lease::new(
-                options.chart.clone(),
-                options.own_id.clone(),
-                options.incarnation,
-                options.lease_timing,
-            ),
-            write_answered_at: Time::ZERO,
-            was_held: false,
-            is_reclaimed: false,
-            free_since: None,
-        }
-    }
-
-    fn observe(&mut self, now: Time, sent_at: Time, row: Option<&Row>) {
-        let is_outdated =
-            sent_at < self.write_answered_at || self.lease.state() == LeaseState::Writing;
-        if is_outdated {
-            return;
-        }
-        let parsed = row.and_then(|row| {
-            let content: LeaseRow = serde_json::from_str(&row.value).ok()?;
-            Some((row.version, content))
-        });
-        // A row that can't be parsed still belongs to some holder and is left unchanged.
-        if row.is_some() && parsed.is_none() {
-            return;
-        }
-        self.lease.on_read(now, parsed);
-        let is_free = self.lease.state() == LeaseState::Free;
-        self.free_since = is_free.then(|| self.free_since.unwrap_or(now));
-    }
-}
-
-fn is_owner_gone(options: &SlotsOptions, fleet: &Fleet, lease: &Lease) -> bool {
-    options.trusts_absence
-        && lease
-            .owner()
-            .is_some_and(|(owner, _)| *owner != options.own_id && fleet.is_gone(owner))
-}
-
-fn to_write(idx: u32, write: &LeaseWrite) -> Write {
-    let text = serde_json::to_string(&write.row).unwrap_or_default();
-    Write::new(SLOT_TABLE, &slot_name(idx)).value(&text).expect(
-        write
-            .expected_version
-            .map_or(Precondition::Absent, Precondition::Version),
-    )
-}
-
-fn slot_name(idx: u32) -> String {
-    format!("{idx:04}")
-}
-
-async fn scan_slots(clock: Clock, platform: Platform, tx: mpsc::UnboundedSender<PlatformAnswer>) {
-    let sent_at = clock.now();
-    let answer = match platform.scan(SLOT_TABLE, "").await {
-        Ok(rows) => PlatformAnswer::Rows(sent_at, rows),
-        Err(_) => PlatformAnswer::ReadFailed,
-    };
-    let _ = tx.send(answer);
-}
