refactor(daemon): what owners send and publish stands apart from owning

owners.rs (470 lines) decided who owns a workspace, sent the engine's messages and published owners and live instances. The last two are owners/sending.rs and owners/publication.rs. The lines of the old and the new files were compared: besides imports, visibility, module documentation, line breaks and what is named here, they are the same.

--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -5,13 +5,15 @@
 //! receives. Two owners of the same workspace at the same time can't exceed its quota, because each
 //! reservation is lent to only one of them.
 
+mod publication;
+mod sending;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Config, DomainId, Incarnation, InstanceId, Shared, Time, Workspace, WorkspaceId};
 use coord::{GrantRequest, Loan, OwnerId, Quota, QuotaOwner, QuotaSplit, rendezvous_rank};
-use dispatch::RateReport;
 use entry::{
-    message::{Event, LiveInstance, OutgoingMessage, ReachableOwner},
+    message::{Event, LiveInstance, OutgoingMessage},
     view::{Clock, View},
 };
 use tokio::{
@@ -20,7 +22,7 @@
 };
 
 use crate::{
-    fleet::{ActingOwners, Fleet},
+    fleet::Fleet,
     message::{PeerCommand, PeerMessage},
 };
 
@@ -199,89 +201,6 @@
         }
     }
 
-    /// Sends grant requests and loans of this instance to the workspace's owner, and lost
-    /// connections and quarantines to all instances.
-    async fn handle_outgoing(&mut self, outgoing: OutgoingMessage) {
-        let own_id = self.options.own_id.clone();
-        match outgoing {
-            OutgoingMessage::ConnectionLoss(loss) => {
-                self.broadcast(&PeerMessage::ConnectionLoss(loss)).await;
-            }
-            OutgoingMessage::Quarantine(report) => {
-                self.broadcast(&PeerMessage::Quarantine(report)).await;
-            }
-            OutgoingMessage::TargetPath { is_direct } => {
-                let command = PeerCommand::SetTargetPath(is_direct);
-                let _ = self.options.peers.send(command).await;
-            }
-            OutgoingMessage::Rates(reports) => self.broadcast_rates(&reports).await,
-            OutgoingMessage::GrantRequest {
-                workspace,
-                owner,
-                request,
-            } if owner.instance == own_id => {
-                let incarnation = self.options.incarnation;
-                self.grant_tokens(&own_id, incarnation, &workspace, &request)
-                    .await;
-            }
-            OutgoingMessage::GrantRequest {
-                workspace,
-                owner,
-                request,
-            } => {
-                let message = PeerMessage::GrantRequest(workspace, request);
-                let command = PeerCommand::Send(owner.instance, message);
-                let _ = self.options.peers.send(command).await;
-            }
-            OutgoingMessage::Lend {
-                workspace,
-                owner,
-                loans,
-                at,
-                ..
-            } if owner.instance == own_id => {
-                let incarnation = self.options.incarnation;
-                self.accept_loans(incarnation, &workspace, owner.epoch, &loans, at);
-            }
-            OutgoingMessage::Lend {
-                workspace,
-                owner,
-                loans,
-                last_heartbeat,
-                ..
-            } => {
-                let message = PeerMessage::Lend {
-                    workspace,
-                    epoch: owner.epoch,
-                    loans,
-                    ack: last_heartbeat,
-                };
-                let command = PeerCommand::Send(owner.instance, message);
-                let _ = self.options.peers.send(command).await;
-            }
-        }
-    }
-
-    async fn broadcast(&self, message: &PeerMessage) {
-        let fleet = self.options.fleet.borrow().clone();
-        for id in fleet.members.keys() {
-            let command = PeerCommand::Send(id.clone(), message.clone());
-            let _ = self.options.peers.send(command).await;
-        }
-    }
-
-    async fn broadcast_rates(&self, reports: &[RateReport]) {
-        let fleet = self.options.fleet.borrow().clone();
-        for (id, member) in &fleet.members {
-            let message = PeerMessage::Rates {
-                reports: reports.to_vec(),
-                ack: member.heartbeat_sequence,
-            };
-            let command = PeerCommand::Send(id.clone(), message);
-            let _ = self.options.peers.send(command).await;
-        }
-    }
-
     /// Takes ownership of workspaces without an owner, and releases those for which another owner
     /// ranks higher.
     async fn update_ownership(&mut self) {
@@ -335,97 +254,6 @@
         }
     }
 
-    /// Sends each workspace's owner to the engine, and this instance's workspaces to the peers.
-    async fn publish(&mut self, fleet: &Fleet) {
-        let owned: Vec<(WorkspaceId, u64)> = self
-            .owned
-            .iter()
-            .map(|(workspace, owner)| (workspace.clone(), owner.epoch()))
-            .collect();
-        if owned != self.published {
-            self.published.clone_from(&owned);
-            let _ = self
-                .options
-                .peers
-                .send(PeerCommand::SetOwnedWorkspaces(owned))
-                .await;
-        }
-        self.publish_live_instances(fleet);
-        let acting_owners = fleet.acting_owners(self.options.clock.now());
-        let owners = self
-            .workspaces
-            .keys()
-            .map(|workspace| {
-                let reachable = self.reachable_owner(fleet, &acting_owners, workspace);
-                (workspace.clone(), reachable)
-            })
-            .collect();
-        let _ = self.options.engine.send(Event::QuotaOwners(owners));
-    }
-
-    /// Sends the live instances to the engine if they have changed.
-    fn publish_live_instances(&mut self, fleet: &Fleet) {
-        let Some((_, config)) = self.options.view.borrow().config.clone() else {
-            return;
-        };
-        let now = self.options.clock.now();
-        let others = fleet
-            .members
-            .iter()
-            .filter(|(_, member)| member.may_send(now))
-            .filter_map(|(id, member)| {
-                let may_relay =
-                    member.is_alive(now) && member.has_target_path && member.carries_connections();
-                Some(LiveInstance {
-                    id: id.clone(),
-                    region: config.region_of(&member.domain)?.clone(),
-                    relay_addr: member.addr.filter(|_| may_relay),
-                })
-            });
-        let own = config
-            .region_of(&self.options.domain)
-            .filter(|_| !self.is_leaving)
-            .map(|region| LiveInstance {
-                id: self.options.own_id.clone(),
-                region: region.clone(),
-                relay_addr: None,
-            });
-        let instances: Vec<LiveInstance> = others.chain(own).collect();
-        if instances != self.live_instances {
-            self.live_instances.clone_from(&instances);
-            let own_id = self.options.own_id.clone();
-            let _ = self
-                .options
-                .engine
-                .send(Event::LiveInstances { own_id, instances });
-        }
-    }
-
-    fn reachable_owner(
-        &self,
-        fleet: &Fleet,
-        acting_owners: &ActingOwners<'_>,
-        workspace: &WorkspaceId,
-    ) -> Option<ReachableOwner> {
-        if let Some(owner) = self.owned.get(workspace) {
-            return Some(ReachableOwner {
-                owner: OwnerId {
-                    instance: self.options.own_id.clone(),
-                    epoch: owner.epoch(),
-                },
-                last_heartbeat: 0,
-            });
-        }
-        let (instance, epoch) = acting_owners.first(workspace)?;
-        Some(ReachableOwner {
-            owner: OwnerId {
-                instance: instance.clone(),
-                epoch,
-            },
-            last_heartbeat: fleet.members.get(instance)?.heartbeat_sequence,
-        })
-    }
-
     /// Stops granting, then reports to the lenders that their reservations are no longer used.
     async fn release(&mut self, done: oneshot::Sender<()>) {
         self.is_leaving = true;
