refactor(daemon): what a read of a table has brought stands apart from the reader

table_reads.rs (496 lines) had the reader's task, and the types in which it reports with their conversions; these are table_reads/outcome.rs. The lines of the old and the new files were compared: besides imports, visibility, module documentation, line breaks and what is named here, they are the same.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,21 +1,24 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
+mod outcome;
 mod timing;
 
 use std::{collections::VecDeque, pin::pin, time::Duration};
 
-use base::{InstanceId, Time};
-use coord::{Answer, AnswerDates, RowChange, TableSnapshot};
+use base::Time;
+use coord::{Answer, AnswerDates};
 use entry::view::Clock;
-use platform::{Change, Platform, PlatformError, Progress, Received};
+use platform::{Platform, PlatformError, Progress, Received};
 use tokio::{
     sync::{mpsc, watch},
     task::{AbortHandle, JoinSet},
     time::{Instant, sleep, sleep_until},
 };
 
+pub(crate) use self::outcome::{
+    Arrival, Fetch, PlatformRead, ReadFailure, TableRead, to_row_change, to_snapshot,
+};
 pub use self::timing::ReadTiming;
-use crate::table_fetch::Fetched;
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
@@ -27,69 +30,6 @@
 /// Time without a byte after which a poll fails.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
 
-/// Carries the result of one read of a table.
-#[derive(Debug)]
-pub(crate) enum TableRead {
-    Changes(PlatformRead),
-    Snapshot(PlatformRead),
-    /// A part of the platform's answer has arrived.
-    Arriving(Arrival),
-    Failed(ReadFailure),
-    Fetched(Fetch),
-}
-
-/// Describes an answer of the platform that is arriving.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Arrival {
-    /// Time at which it began; `None` if it may bring nothing new, as a first read.
-    pub(crate) since: Option<Time>,
-    /// Position after which it was asked for changes.
-    pub(crate) after: u64,
-    /// Whether it arrives below the lowest rate of a transfer, or too slowly to be complete within the time in
-    /// which a change must be in force.
-    pub(crate) is_slow: bool,
-}
-
-/// Carries what the platform answered.
-#[derive(Debug)]
-pub(crate) struct PlatformRead {
-    pub(crate) answer: Answer,
-    /// Time at which the answer was made: it contains no later change.
-    pub(crate) made_at: Time,
-    pub(crate) rows: Vec<Change>,
-    /// Position up to which the rows are complete.
-    pub(crate) position: u64,
-}
-
-impl PlatformRead {
-    pub(crate) fn sent_at(&self) -> Time {
-        self.answer.sent_at
-    }
-}
-
-/// Describes a read of the platform that has brought nothing so far.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ReadFailure {
-    /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
-    pub(crate) is_unanswered: bool,
-    /// Whether the connection had been used before, so that it alone may have failed.
-    pub(crate) is_on_kept_connection: bool,
-    /// Time from the call to its failure.
-    pub(crate) waited: Duration,
-    /// What had arrived of an answer.
-    pub(crate) received: Received,
-}
-
-/// Carries what another instance answered when it was asked for a table.
-#[derive(Debug)]
-pub(crate) struct Fetch {
-    pub(crate) from: InstanceId,
-    pub(crate) asked_at: Time,
-    /// What has arrived of the answer.
-    pub(crate) received: Received,
-    pub(crate) fetched: Fetched,
-}
-
 /// Configures a [`TableReader`]: what it reads, and how.
 #[derive(Debug)]
 pub(crate) struct ReaderOptions {
@@ -472,25 +412,3 @@
         sleep(ARRIVAL_REPORT_INTERVAL).await;
     }
 }
-
-pub(crate) fn to_row_change(change: Change) -> RowChange {
-    RowChange {
-        name: change.row,
-        value: change.value,
-        position: change.at,
-    }
-}
-
-pub(crate) fn to_snapshot(rows: Vec<Change>, position: u64) -> TableSnapshot {
-    let rows = rows
-        .into_iter()
-        .filter_map(|change| {
-            let row = coord::ReplicaRow {
-                value: change.value?.into(),
-                position: change.at,
-            };
-            Some((change.row, row))
-        })
-        .collect();
-    TableSnapshot { rows, position }
-}
