refactor(entry,daemon): alarms are set in one place

The slots and both followers each had the same set_alarm on the gauges; it is a function of the metrics. Names and values are the same.

--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -215,7 +215,7 @@
                     None
                 }
                 OfferOutcome::Forked => {
-                    self.set_alarm("config_forked", true);
+                    self.metrics.set_alarm("config_forked", true);
                     None
                 }
                 OfferOutcome::Older | OfferOutcome::Rejected => None,
@@ -224,7 +224,8 @@
     }
 
     fn handle_read(&mut self, read: HeadRead) -> FetchRequest {
-        self.set_alarm("store_unreachable", read.result.is_err());
+        self.metrics
+            .set_alarm("store_unreachable", read.result.is_err());
         let row = read.result.ok()??;
         let head = Head {
             version: row.version,
@@ -237,11 +238,11 @@
                 None
             }
             OfferOutcome::Older => {
-                self.set_alarm("config_store_older", true);
+                self.metrics.set_alarm("config_store_older", true);
                 None
             }
             OfferOutcome::Forked => {
-                self.set_alarm("config_forked", true);
+                self.metrics.set_alarm("config_forked", true);
                 None
             }
         }
@@ -256,7 +257,8 @@
         let text = match text {
             Ok(text) => text,
             Err(err) => {
-                self.set_alarm("config_object_unusable", err != FetchError::Unavailable);
+                self.metrics
+                    .set_alarm("config_object_unusable", err != FetchError::Unavailable);
                 tracing::warn!(
                     event = "config_not_fetched",
                     version = head.version,
@@ -265,7 +267,7 @@
                 return;
             }
         };
-        self.set_alarm("config_object_unusable", false);
+        self.metrics.set_alarm("config_object_unusable", false);
         match serde_json::from_str::<Config>(&text) {
             Ok(config) => self.activate(head, confirmed_at, config),
             Err(err) => {
@@ -273,7 +275,8 @@
                 self.versions.reject(head);
             }
         }
-        self.set_alarm("config_unreadable", self.versions.rejected().is_some());
+        self.metrics
+            .set_alarm("config_unreadable", self.versions.rejected().is_some());
     }
 
     fn activate(&mut self, head: Head, confirmed_at: Option<Time>, config: Config) {
@@ -311,7 +314,8 @@
         let confirmed_at = self.versions.confirmed_at();
         let refuse_until = confirmed_at.map_or(Time::ZERO, |at| at + self.refusal_time);
         if self.outputs.publish(now, view, confirmed_at, refuse_until) {
-            self.set_alarm("alone", freshness == Freshness::Isolated);
+            self.metrics
+                .set_alarm("alone", freshness == Freshness::Isolated);
         }
         let command = PeerCommand::SetHead {
             head: self.versions.active().cloned(),
@@ -319,13 +323,6 @@
         };
         let _ = self.outputs.peers.send(command).await;
     }
-
-    fn set_alarm(&self, name: &str, is_on: bool) {
-        self.metrics
-            .gauges
-            .with_label_values(&[name])
-            .set(i64::from(is_on));
-    }
 }
 
 async fn read_head_row(clock: Clock, platform: Platform, tx: mpsc::Sender<HeadRead>) {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -353,7 +353,9 @@
         if was_reachable != table.is_reachable {
             let is_reachable = table.is_reachable;
             tracing::info!(event = "store", table = name, is_reachable);
-            self.set_alarm("store_unreachable", !is_reachable);
+            self.options
+                .metrics
+                .set_alarm("store_unreachable", !is_reachable);
         }
         if is_changed {
             let news = News {
@@ -429,9 +431,4 @@
         let usual = refreshed_at + REFRESH_INTERVAL;
         due.fold(usual, Time::min).max(refreshed_at)
     }
-
-    fn set_alarm(&self, name: &str, is_on: bool) {
-        let gauges = &self.options.metrics.gauges;
-        gauges.with_label_values(&[name]).set(i64::from(is_on));
-    }
 }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -183,7 +183,7 @@
             }
         }
         let is_slotless = !has_slot && candidate.is_none() && !self.is_writing();
-        self.set_alarm("no_free_slot", is_slotless);
+        self.options.metrics.set_alarm("no_free_slot", is_slotless);
         let options = &self.options;
         let mut writes = Vec::new();
         for (idx, slot) in &mut self.slots {
@@ -332,12 +332,4 @@
         self.publish(now).await;
         let _ = done.send(());
     }
-
-    fn set_alarm(&self, name: &str, is_on: bool) {
-        self.options
-            .metrics
-            .gauges
-            .with_label_values(&[name])
-            .set(i64::from(is_on));
-    }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Sets an alarm gauge to 1 or 0.
+    pub fn set_alarm(&self, name: &str, is_on: bool) {
+        self.gauges.with_label_values(&[name]).set(i64::from(is_on));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
