--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -84,7 +84,7 @@
     let mut lacking: Vec<&Departure> = lacking.filter(|one| one.position > position).collect();
     let lengths = lacking.iter().map(|one| one.target.as_str().len());
     let longest = lengths.max().unwrap_or(0);
-    let room = (MAX_TOLD_BYTES / (longest + MAX_POSITION_BYTES)).min(MAX_TOLD);
+    let room = (MAX_DEPARTURES_BYTES / (longest + MAX_POSITION_BYTES)).min(MAX_DEPARTURES);
     if lacking.len() > room {
         let others = lacking.split_off(room / 2);
         let share = room - room / 2;
@@ -187,7 +187,7 @@
 /// Time for which departures are reported.
 const RETENTION: Duration = Duration::from_secs(15);
 /// Maximum number of departures in a message, and of their bytes.
-const MAX_TOLD: usize = 24;
-const MAX_TOLD_BYTES: usize = 900;
+const MAX_DEPARTURES: usize = 24;
+const MAX_DEPARTURES_BYTES: usize = 900;
 /// Maximum number of bytes of a position and of a name's length.
 const MAX_POSITION_BYTES: usize = 12;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -313,7 +313,7 @@
     TargetFeedback {
         load,
         rate_limit: read_rate_limit(dialect, res.headers()),
-        is_leaving: says_leaving(dialect, res.headers()),
+        is_leaving: reports_leaving(dialect, res.headers()),
         rest: read_rest(dialect, res),
         connect_time: None,
         dial: Dial::default(),
@@ -327,7 +327,7 @@
     (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
 }
 
-fn says_leaving(dialect: &Dialect, headers: &HeaderMap) -> bool {
+fn reports_leaving(dialect: &Dialect, headers: &HeaderMap) -> bool {
     let value = dialect.leaving.as_ref().and_then(|name| headers.get(name));
     value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
 }
--- a/crates/proof/src/service/simulation.rs
+++ b/crates/proof/src/service/simulation.rs
@@ -122,12 +122,12 @@
             Event::PoisonRequestDue(idx) => self.send_poison_request(now, idx),
             Event::CheckIdle(idx) => self.check_idle(now, idx),
             Event::LossReported(from, loss) => {
-                self.tell_others(now, from, |dispatcher| {
+                self.send_to_others(now, from, |dispatcher| {
                     dispatcher.record_remote_loss(now, loss)
                 });
             }
             Event::QuarantineReported(from, report) => {
-                self.tell_others(now, from, |dispatcher| {
+                self.send_to_others(now, from, |dispatcher| {
                     dispatcher.merge_quarantine(now, &report)
                 });
             }
--- a/crates/proof/src/service/simulation/reports.rs
+++ b/crates/proof/src/service/simulation/reports.rs
@@ -116,8 +116,8 @@
         }
     }
 
-    /// Reports something that an instance knows to the other instances.
-    pub(super) fn tell_others<F>(&mut self, now: Time, from: usize, mut tell: F)
+    /// Reports a state of one instance to the other instances.
+    pub(super) fn send_to_others<F>(&mut self, now: Time, from: usize, mut report: F)
     where
         F: FnMut(&mut Dispatcher) -> Vec<Action>,
     {
@@ -125,7 +125,7 @@
             if let InstanceDispatcher::Product(dispatcher) = &mut self.instances[idx].dispatcher
                 && idx != from
             {
-                let actions = tell(dispatcher);
+                let actions = report(dispatcher);
                 self.apply(now, idx, actions);
             }
         }
