--- a/crates/coord/src/answer_dates.rs
+++ b/crates/coord/src/answer_dates.rs
@@ -18,7 +18,7 @@
     pub sent_at: Time,
     /// Time at which the answer began to arrive.
     pub arrived_at: Time,
-    /// Reading of the store's steady clock when the answer was made, if it tells one.
+    /// Reading of the store's steady clock when the answer was made, if it reports one.
     pub reading: Option<Duration>,
 }
 
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -28,9 +28,9 @@
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum time to wait for the head row, however long the instance may be without news.
+/// Maximum time to wait for the head row, whatever the limit on the age of a confirmation.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time without a byte after which a newer object is fetched beside one that was asked for before.
+/// Time without a byte after which a newer object is fetched in parallel with one that was requested before.
 const MAX_FETCH_QUIET: Duration = Duration::from_millis(500);
 const FRESHNESS_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -166,8 +166,8 @@
 }
 
 impl OpenFetch {
-    /// Returns whether the object is arriving, or was asked for just now: a newer one that was fetched beside
-    /// it would share the link with it, and neither be there sooner.
+    /// Returns whether the object is arriving, or was requested just now: a newer one that was fetched in
+    /// parallel would share the link with it, and neither would be complete sooner.
     fn is_arriving(&self) -> bool {
         let received = *self.received.borrow();
         received.quiet_time() < MAX_FETCH_QUIET && !received.is_slow()
@@ -215,7 +215,7 @@
                     None
                 }
                 OfferOutcome::Forked => {
-                    self.set_alarm("config_forked", true);
+                    self.metrics.set_alarm("config_forked", true);
                     None
                 }
                 OfferOutcome::Older | OfferOutcome::Rejected => None,
@@ -224,7 +224,8 @@
     }
 
     fn handle_read(&mut self, read: HeadRead) -> FetchRequest {
-        self.set_alarm("store_unreachable", read.result.is_err());
+        self.metrics
+            .set_alarm("store_unreachable", read.result.is_err());
         let row = read.result.ok()??;
         let head = Head {
             version: row.version,
@@ -237,11 +238,11 @@
                 None
             }
             OfferOutcome::Older => {
-                self.set_alarm("config_store_older", true);
+                self.metrics.set_alarm("config_store_older", true);
                 None
             }
             OfferOutcome::Forked => {
-                self.set_alarm("config_forked", true);
+                self.metrics.set_alarm("config_forked", true);
                 None
             }
         }
@@ -256,7 +257,8 @@
         let text = match text {
             Ok(text) => text,
             Err(err) => {
-                self.set_alarm("config_object_unusable", err != FetchError::Unavailable);
+                self.metrics
+                    .set_alarm("config_object_unusable", err != FetchError::Unavailable);
                 tracing::warn!(
                     event = "config_not_fetched",
                     version = head.version,
@@ -265,7 +267,7 @@
                 return;
             }
         };
-        self.set_alarm("config_object_unusable", false);
+        self.metrics.set_alarm("config_object_unusable", false);
         match serde_json::from_str::<Config>(&text) {
             Ok(config) => self.activate(head, confirmed_at, config),
             Err(err) => {
@@ -273,7 +275,8 @@
                 self.versions.reject(head);
             }
         }
-        self.set_alarm("config_unreadable", self.versions.rejected().is_some());
+        self.metrics
+            .set_alarm("config_unreadable", self.versions.rejected().is_some());
     }
 
     fn activate(&mut self, head: Head, confirmed_at: Option<Time>, config: Config) {
@@ -316,7 +319,8 @@
             confirmation: None,
         };
         if self.outputs.publish(now, view, confirmed_at, refusals) {
-            self.set_alarm("alone", freshness == Freshness::Isolated);
+            self.metrics
+                .set_alarm("alone", freshness == Freshness::Isolated);
         }
         let command = PeerCommand::SetHead {
             head: self.versions.active().cloned(),
@@ -324,13 +328,6 @@
         };
         let _ = self.outputs.peers.send(command).await;
     }
-
-    fn set_alarm(&self, name: &str, is_on: bool) {
-        self.metrics
-            .gauges
-            .with_label_values(&[name])
-            .set(i64::from(is_on));
-    }
 }
 
 async fn read_head_row(clock: Clock, platform: Platform, tx: mpsc::Sender<HeadRead>) {
