fix(daemon): a removed entry's grace counts from when its removal was first reported, not from the fetch

What callers saw: where an instance hears of no other one that reads the store (those that do are not heard, or have ended), it keeps entries that rows from another instance lack for 1.8 s, counted from the end of the fetch. On a grown site that was 2.8 s after the first instance knew, with drainS 2 to 3 s: DRAIN.

Cause: the date of the removal was that of its arrival here. A later position had been reported before, so the removal was older than that.

Change: rows that a fetched table lacks were deleted when a later position than the own one was first reported, or before.

Ruled out: a shorter grace (entries that expired in an outage come back within two seconds of its end).

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -192,10 +192,11 @@
         is_changed
     }
 
-    /// Replaces the content by a newer snapshot and returns whether the rows have changed.
+    /// Replaces the content by a newer snapshot and returns whether the rows have changed. The rows that it lacks
+    /// were deleted at `deleted_by` or before.
     ///
     /// A snapshot that is not newer is ignored.
-    pub fn replace(&mut self, now: Time, snapshot: TableSnapshot) -> bool {
+    pub fn replace(&mut self, deleted_by: Time, snapshot: TableSnapshot) -> bool {
         if self.is_initialized && snapshot.position <= self.snapshot.position {
             return false;
         }
@@ -209,12 +210,12 @@
         let mut is_changed = !self.is_initialized || !deleted.is_empty();
         self.is_initialized = true;
         for name in deleted {
-            self.remove(now, &name);
+            self.remove(deleted_by, &name);
         }
         let positions = snapshot.rows.values().map(|row| row.position);
         self.last_change = positions.fold(self.last_change, u64::max);
         for (name, found) in snapshot.rows {
-            is_changed |= self.apply_change(now, name, Some(found.value), found.position);
+            is_changed |= self.apply_change(deleted_by, name, Some(found.value), found.position);
         }
         self.snapshot.position = snapshot.position;
         // A row that came and went in between has left no trace.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -311,7 +311,11 @@
                 table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
                 let found = fetch.fetched.table;
-                let is_changed = found.is_some_and(|found| table.replica.replace(now, found));
+                // What it lacks was gone when it was first reported, however long the fetch has taken.
+                let known_since = targets_known_since.filter(|_| idx == TARGETS);
+                let removed_by = known_since.map_or(now, |since| since.min(now));
+                let is_changed =
+                    found.is_some_and(|found| table.replica.replace(removed_by, found));
                 if idx == 0 && table.replica.position() > before {
                     self.lateness.on_fetched(now, &fetch.from);
                 }
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::Config;
+use base::{Config, Time};
 use coord::{Replica, ReplicaRow, TableSnapshot};
 use daemon::{
     fleet::Fleet,
@@ -16,7 +16,7 @@
 use platform::{Change, Platform, PlatformError, Reply};
 use rstest::rstest;
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     time::{Instant, interval, sleep, timeout},
 };
 
@@ -32,16 +32,21 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which the platform has turned this instance away when the entry is removed.
 const TURNED_AWAY_TIME: Duration = Duration::from_secs(3);
-/// Least `drainS`, less a quarter for the way of the news and of a request.
-const BOUND: Duration = Duration::from_millis(1_500);
+/// Least `drainS`.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Age of what is read all the time.
+const RECENT: Duration = Duration::from_millis(150);
+/// Age of the last read of a table that doesn't change, so that a poll waits.
+const RESTING: Duration = Duration::from_millis(1_900);
 
-/// How old the last confirmation of the other instance is, by the table of which it was read longest ago.
+/// What the other instance reports, and when it hands its rows out.
 #[derive(Debug, Clone, Copy)]
-enum Operators {
-    /// They are read all the time.
-    Change,
-    /// Their rows don't change, so that a poll waits.
-    Rest,
+struct Other {
+    confirmation_age: Duration,
+    contact_age: Duration,
+    is_failing: bool,
+    /// Time from its report of the removal to when the rows can be fetched.
+    hands_out_after: Duration,
 }
 
 fn targets(position: u64, names: &[&str]) -> TableSnapshot {
@@ -94,10 +99,37 @@
 /// Guards against DRAIN: an instance that the platform turned away took that for an outage, and kept entries that were
 /// gone by the rows that it fetched from one that went on reading.
 #[rstest]
-#[case::operators_change(Operators::Change)]
-#[case::operators_rest(Operators::Rest)]
+#[case::operators_change(RECENT)]
+#[case::operators_rest(RESTING)]
 #[tokio::test]
-async fn removed_entry_is_not_kept_while_others_read(#[case] rows: Operators) {
+async fn removed_entry_is_not_kept_while_others_read(#[case] confirmation_age: Duration) {
+    let other = Other {
+        confirmation_age,
+        contact_age: RECENT,
+        is_failing: false,
+        hands_out_after: Duration::ZERO,
+    };
+    let kept = kept_after_report(other).await;
+    assert!(kept < DRAIN * 3 / 4, "{kept:?}");
+}
+
+/// Guards against DRAIN: where nobody who is heard reads the platform, a removed entry was kept from the end of a fetch
+/// that took long, not from when its removal was known.
+#[tokio::test]
+async fn removed_entry_is_kept_from_when_that_was_known() {
+    let other = Other {
+        confirmation_age: DRAIN * 3,
+        contact_age: DRAIN * 3,
+        is_failing: true,
+        hands_out_after: Duration::from_millis(700),
+    };
+    let kept = kept_after_report(other).await;
+    assert!(kept < DRAIN, "{kept:?}");
+    assert!(kept > DRAIN * 3 / 4, "{kept:?}");
+}
+
+/// Returns the time from the report that an entry is gone to when this instance puts that in force.
+async fn kept_after_report(other: Other) -> Duration {
     let (addr, served) = serve_tables(vec![operators(), targets(BEFORE, &["t1", "t2"])]).await;
     let mut fleet = Fleet::default();
     let source = member("i0", addr, Peer::Honest);
@@ -134,23 +166,24 @@
     tokio::spawn(follower.run(rx));
     tokio::spawn(async move { while commands.recv().await.is_some() {} });
     let (position, reported) = watch::channel(BEFORE);
+    let report_now = Arc::new(Notify::new());
+    let news = report_now.clone();
     tokio::spawn(async move {
         let mut tick = interval(HEARTBEAT_INTERVAL);
         loop {
-            tick.tick().await;
+            tokio::select! {
+                _ = tick.tick() => {}
+                () = news.notified() => {}
+            }
             let now = clock.now();
-            let age = match rows {
-                Operators::Change => Duration::from_millis(150),
-                Operators::Rest => Duration::from_millis(1_900),
-            };
             let report = FollowerMessage::PeerPositions {
                 from: "i0".into(),
                 positions: vec![OPERATOR_POSITION, *reported.borrow()],
-                confirmed_at: Some(now.before(age)),
-                change: Some(TableChange::complete(OPERATOR_POSITION, base::Time::ZERO)),
+                confirmed_at: Some(now.before(other.confirmation_age)),
+                change: Some(TableChange::complete(OPERATOR_POSITION, Time::ZERO)),
                 reads: Some(OwnReads {
-                    contact_at: now.before(Duration::from_millis(150)),
-                    is_failing: false,
+                    contact_at: now.before(other.contact_age),
+                    is_failing: other.is_failing,
                 }),
             };
             if tx.send(report).await.is_err() {
@@ -159,12 +192,13 @@
         }
     });
     sleep(TURNED_AWAY_TIME).await;
-    served.send_replace(Arc::new(vec![operators(), targets(AFTER, &["t1"])]));
     position.send_replace(AFTER);
-    let removed_at = Instant::now();
+    report_now.notify_one();
+    let reported_at = Instant::now();
+    sleep(other.hands_out_after).await;
+    served.send_replace(Arc::new(vec![operators(), targets(AFTER, &["t1"])]));
     let gone = composed.wait_for(|names| *names == ["t1"]);
-    let gone = timeout(BOUND * 2, gone).await.map(|_| ());
+    let gone = timeout(DRAIN * 2, gone).await.map(|_| ());
     assert_eq!(gone, Ok(()));
-    let after = removed_at.elapsed();
-    assert!(after < BOUND, "{after:?}");
+    reported_at.elapsed()
 }
