test(daemon): confirmations are dated no later than they were over three instances' heartbeats

Nothing tested the whole chain by which a refusal for good is allowed: the store's answers, then heartbeats to a second instance and on to a third. 300 drawn schedules in virtual time: three instances with followers, engines, the real exchange of heartbeats and clocks that start apart; the store's answers to the first are late by up to 3 s for 6 s, then three of ten, to the others eight of ten are lost; datagrams take 0 to 1 s, another way in each direction, are lost (up to 0.4) and overtake each other; in half of the runs the first and the third instance don't hear each other. Wrong is a refusal for good of what all versions in force allow, and any decision by a version that wasn't the latest at the date of its confirmation.

Ruled out by it: dates of heartbeats, ack_age and repeated news, for instances that don't start again. The other cases run as before; what starts an instance and asks it is shared with them.

--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -13,23 +13,26 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     future::pending,
+    net::SocketAddr,
     ops::Range,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use base::{
-    Config, InstanceId, Key, KeyDigest, Route, RouteKind, Service, Time, WeightedService, Workspace,
+    Config, Incarnation, InstanceId, Key, KeyDigest, Route, RouteKind, Service, Time,
+    WeightedService, Workspace,
 };
 use call::read_of;
-use coord::Replica;
+use coord::{Heartbeat, ListEntry, Membership, Replica};
 use daemon::{
     fleet::Fleet,
     follower::{
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::{FollowerMessage, TableChange},
+    message::{FollowerMessage, ListedPeer, PeerCommand, TableChange},
+    peers::{Outputs as PeerOutputs, Peers, initial_heartbeat},
     table_reads::ReadTiming,
 };
 use dispatch::{RequestId, RequestKind};
@@ -45,9 +48,11 @@
 use rand_pcg::Pcg32;
 use rstest::rstest;
 use tokio::{
+    net::UdpSocket,
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout},
 };
+use wire::{Secret, Sessions};
 
 const SEEDS: Range<u64> = 0..300;
 const RUN_TIME: Duration = Duration::from_secs(25);
@@ -226,6 +231,14 @@
         })
     }
 
+    /// Returns whether it was refused for good although all versions that may be in force allow it, or was decided by what
+    /// is said to have been the latest and wasn't.
+    fn is_wrong(&self, scenario: &Scenario) -> bool {
+        let mut in_force = scenario.in_force(self.at).iter();
+        let is_allowed = in_force.all(|version| version.allows(self.asked));
+        self.is_refused_for_good() && is_allowed || self.is_misdated(scenario)
+    }
+
     /// Returns whether the caller was told not to come back.
     fn is_refused_for_good(&self) -> bool {
         let kind = self.refusal.as_deref();
@@ -428,63 +441,93 @@
 
 async fn play(scenario: Scenario) -> Vec<Decided> {
     let started = Instant::now();
-    let clock = Clock::start();
-    let store = Arc::new(Store {
-        started,
-        scenario: scenario.clone(),
-        rng: Mutex::new(Pcg32::seed_from_u64(scenario.seed ^ 0x570e)),
-    });
-    let platform = Platform::spawn(move || {
-        let store = store.clone();
-        move |call, progress| store.clone().answer(call, progress)
-    });
-    let versions = scenario.versions.clone();
-    let (unusable, keeps_last) = (scenario.unusable.clone(), scenario.keeps_last);
-    let mut last = None;
-    let compose = move |replicas: &[&Replica]| {
-        let mut rows = replicas[0].rows();
-        let version: usize = rows.find_map(|(_, row)| row.value.parse().ok())?;
-        let is_latest = !unusable.contains(&version);
-        if is_latest {
-            last = Some(version);
-        }
-        let used = last.filter(|_| is_latest || keeps_last)?;
-        Some(ComposedConfig {
-            version: used as u64,
-            is_latest,
-            config: config(&versions[used]),
-        })
-    };
     let (_fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
-    let (engine, engine_rx) = mpsc::unbounded_channel();
     let (peers, _peers_rx) = mpsc::channel(64);
-    let (view, _view_rx) = watch::channel(Arc::new(View::default()));
-    let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
-    let (tx, rx) = mpsc::channel(64);
-    let follower = TableFollower::new(
-        FollowerOptions {
-            confirm_limit: scenario.contact,
-            apply: scenario.apply,
-            read_timing: ReadTiming::within(scenario.contact),
-            ..options(clock, platform, fleet)
-        },
-        Outputs {
-            engine: engine.clone(),
-            peers,
-            view,
-        },
-        FollowedTables {
-            tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
-            compose,
-        },
-        snapshots,
-    );
-    tokio::spawn(start_engine(clock, &engine).run(engine_rx));
-    tokio::spawn(follower.run(rx));
+    let (tx, messages) = mpsc::channel(64);
+    let (engine, engine_rx) = mpsc::unbounded_channel();
+    let instance = Instance {
+        clock: Clock::start(),
+        engine: engine.clone(),
+        engine_rx,
+        peers,
+        messages,
+        fleet,
+    };
+    instance.start(started, &scenario);
     if let Some(reporter) = scenario.reporter {
         tokio::spawn(report(started, scenario.clone(), reporter, tx.clone()));
     }
-    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ 0xa5c);
+    ask(started, scenario.seed, &engine).await
+}
+
+/// An instance that is about to start.
+struct Instance {
+    clock: Clock,
+    engine: mpsc::UnboundedSender<Event>,
+    engine_rx: mpsc::UnboundedReceiver<Event>,
+    peers: mpsc::Sender<PeerCommand>,
+    /// What other instances tell.
+    messages: mpsc::Receiver<FollowerMessage>,
+    fleet: watch::Receiver<Arc<Fleet>>,
+}
+
+impl Instance {
+    /// Starts its engine, and its follower with a store of its own.
+    fn start(self, started: Instant, scenario: &Scenario) {
+        let store = Arc::new(Store {
+            started,
+            scenario: scenario.clone(),
+            rng: Mutex::new(Pcg32::seed_from_u64(scenario.seed ^ 0x570e)),
+        });
+        let platform = Platform::spawn(move || {
+            let store = store.clone();
+            move |call, progress| store.clone().answer(call, progress)
+        });
+        let versions = scenario.versions.clone();
+        let (unusable, keeps_last) = (scenario.unusable.clone(), scenario.keeps_last);
+        let mut last = None;
+        let compose = move |replicas: &[&Replica]| {
+            let mut rows = replicas[0].rows();
+            let version: usize = rows.find_map(|(_, row)| row.value.parse().ok())?;
+            let is_latest = !unusable.contains(&version);
+            if is_latest {
+                last = Some(version);
+            }
+            let used = last.filter(|_| is_latest || keeps_last)?;
+            Some(ComposedConfig {
+                version: used as u64,
+                is_latest,
+                config: config(&versions[used]),
+            })
+        };
+        let (view, _view_rx) = watch::channel(Arc::new(View::default()));
+        let (snapshots, _snapshots_rx) = watch::channel(Arc::default());
+        let follower = TableFollower::new(
+            FollowerOptions {
+                confirm_limit: scenario.contact,
+                apply: scenario.apply,
+                read_timing: ReadTiming::within(scenario.contact),
+                ..options(self.clock, platform, self.fleet)
+            },
+            Outputs {
+                engine: self.engine.clone(),
+                peers: self.peers,
+                view,
+            },
+            FollowedTables {
+                tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
+                compose,
+            },
+            snapshots,
+        );
+        tokio::spawn(start_engine(self.clock, &self.engine).run(self.engine_rx));
+        tokio::spawn(follower.run(self.messages));
+    }
+}
+
+/// Sends drawn requests to an instance until the run ends.
+async fn ask(started: Instant, seed: u64, engine: &mpsc::UnboundedSender<Event>) -> Vec<Decided> {
+    let mut rng = Pcg32::seed_from_u64(seed ^ 0xa5c);
     let mut decided = Vec::new();
     while started.elapsed() < RUN_TIME {
         sleep(ARRIVAL_INTERVAL).await;
@@ -493,7 +536,7 @@
             route: rng.random_range(0..NAMES),
             key: rng.random_range(0..NAMES),
         };
-        let (refusal, used) = arrive(&engine, decided.len() as u64, asked).await;
+        let (refusal, used) = arrive(engine, decided.len() as u64, asked).await;
         decided.push(Decided {
             at,
             asked,
@@ -504,6 +547,176 @@
     decided
 }
 
+/// Plays three instances that exchange heartbeats: the store's answers to the first one are late, those to the others are mostly
+/// lost, and in half of the runs the first and the third don't hear each other.
+async fn play_chain(scenario: Scenario) -> Vec<Decided> {
+    const COUNT: usize = 3;
+    let started = Instant::now();
+    let mut rng = Pcg32::seed_from_u64(scenario.seed ^ 0xc4a1);
+    let mut sockets = Vec::new();
+    for _ in 0..COUNT {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    }
+    let addrs: Vec<SocketAddr> = sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap())
+        .collect();
+    let is_chain = rng.random_range(0..2) == 0;
+    let (found, mut all) = mpsc::unbounded_channel();
+    for (idx, socket) in sockets.into_iter().enumerate() {
+        let mut list = Vec::new();
+        for (to, addr) in addrs.iter().enumerate().filter(|(to, _)| *to != idx) {
+            let way = Way {
+                loss: match is_chain && idx.abs_diff(to) == 2 {
+                    true => 1.0,
+                    false => rng.random_range(0.0..0.4),
+                },
+                min_ms: rng.random_range(0..700),
+                jitter_ms: rng.random_range(1..300),
+                seed: rng.random(),
+            };
+            list.push(ListedPeer {
+                entry: ListEntry {
+                    id: instance_id(to),
+                    domain: "d".into(),
+                    is_leaving: false,
+                },
+                addr: way.open(*addr).await,
+            });
+        }
+        let disturbances = match idx {
+            0 => Disturbances {
+                held_up: 0.3,
+                late_time: Duration::from_secs(6),
+                ..Disturbances::default()
+            },
+            _ => Disturbances {
+                lost: 0.8,
+                ..Disturbances::default()
+            },
+        };
+        let scenario = Scenario {
+            seed: scenario.seed ^ (idx as u64) << 32,
+            disturbances,
+            ..scenario.clone()
+        };
+        let start_after = Duration::from_millis(rng.random_range(0..1_500));
+        let found = found.clone();
+        tokio::spawn(async move {
+            sleep(start_after).await;
+            let clock_from = started.elapsed();
+            let engine = start_among(started, &scenario, idx, socket, list).await;
+            for mut decided in ask(started, scenario.seed, &engine).await {
+                if let Some(confirmation) = &mut decided.used.confirmation {
+                    confirmation.at = confirmation.at + clock_from;
+                }
+                let _ = found.send(decided);
+            }
+        });
+    }
+    drop(found);
+    // Datagrams are handled soon after they have arrived.
+    tokio::spawn(async move {
+        while started.elapsed() < RUN_TIME {
+            sleep(Duration::from_millis(2)).await;
+        }
+    });
+    let mut decided = Vec::new();
+    while let Some(one) = all.recv().await {
+        decided.push(one);
+    }
+    decided
+}
+
+fn instance_id(idx: usize) -> InstanceId {
+    format!("i{idx}").into()
+}
+
+/// Starts an instance that exchanges heartbeats with those of a list, and returns its engine's channel.
+async fn start_among(
+    started: Instant,
+    scenario: &Scenario,
+    idx: usize,
+    socket: UdpSocket,
+    list: Vec<ListedPeer>,
+) -> mpsc::UnboundedSender<Event> {
+    let clock = Clock::start();
+    let (id, incarnation) = (instance_id(idx), Incarnation(idx as u64 + 1));
+    let (engine, engine_rx) = mpsc::unbounded_channel();
+    let (owners, _owners_rx) = mpsc::channel(64);
+    let (follower, messages) = mpsc::channel(64);
+    let (fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let status = Heartbeat {
+        id: id.clone(),
+        incarnation,
+        domain: "d".into(),
+        is_leaving: false,
+        version: 0,
+        confirmation_age: None,
+    };
+    let addr = socket.local_addr().unwrap();
+    let secret = Secret::derive("a secret for tests only");
+    let task = Peers::new(
+        clock,
+        socket,
+        Sessions::new(secret, id, incarnation),
+        Membership::new(Duration::from_secs(40), Duration::from_secs(2)),
+        initial_heartbeat(status, addr),
+        PeerOutputs {
+            engine: engine.clone(),
+            owners,
+            follower,
+            fleet: fleet_tx,
+        },
+    );
+    let (peers, rx) = mpsc::channel(64);
+    tokio::spawn(task.run(rx));
+    peers.send(PeerCommand::SetList(list)).await.unwrap();
+    let instance = Instance {
+        clock,
+        engine: engine.clone(),
+        engine_rx,
+        peers,
+        messages,
+        fleet,
+    };
+    instance.start(started, scenario);
+    engine
+}
+
+/// The way of datagrams in one direction.
+#[derive(Debug, Clone, Copy)]
+struct Way {
+    loss: f64,
+    min_ms: u64,
+    jitter_ms: u64,
+    seed: u64,
+}
+
+impl Way {
+    /// Returns an address from which datagrams go on to `to`.
+    async fn open(self, to: SocketAddr) -> SocketAddr {
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+        let addr = socket.local_addr().unwrap();
+        let mut rng = Pcg32::seed_from_u64(self.seed);
+        tokio::spawn(async move {
+            let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+            while let Ok((len, _)) = socket.recv_from(&mut buf).await {
+                let way_ms = self.min_ms + rng.random_range(0..self.jitter_ms);
+                if rng.random_range(0.0..1.0) < self.loss {
+                    continue;
+                }
+                let (frame, socket) = (buf[..len].to_vec(), socket.clone());
+                tokio::spawn(async move {
+                    sleep(Duration::from_millis(way_ms)).await;
+                    let _ = socket.send_to(&frame, to).await;
+                });
+            }
+        });
+        addr
+    }
+}
+
 /// Sends a request, and returns why it is refused, if it is, and what that was decided by.
 async fn arrive(
     engine: &mpsc::UnboundedSender<Event>,
@@ -542,17 +755,6 @@
     (refusal, used)
 }
 
-/// The requests of a run that were refused for good although all versions that may be in force allow them, or that
-/// were decided by what is said to have been the latest and wasn't.
-fn denied(scenario: &Scenario) -> Vec<Decided> {
-    let is_denied = |decided: &Decided| {
-        let mut in_force = scenario.in_force(decided.at).iter();
-        let is_allowed = in_force.all(|version| version.allows(decided.asked));
-        decided.is_refused_for_good() && is_allowed || decided.is_misdated(scenario)
-    };
-    run(scenario).into_iter().filter(is_denied).collect()
-}
-
 /// Guards against DENIED and CONFIG: an instance that took its configuration for the latest refused keys and
 /// routes later than `configApplyS` after they had been added.
 #[rstest]
@@ -586,15 +788,39 @@
     }));
 }
 
+/// Guards against DENIED: a confirmation that passes through other instances' heartbeats, over ways that are long in one
+/// direction, lose and reorder them, could be dated later than what it tells of.
+#[test]
+fn confirmations_that_instances_pass_on_are_dated_no_later_than_they_were() {
+    let mut told = 0;
+    let denied = SEEDS.filter_map(|seed| {
+        let scenario = Scenario::draw(seed, Disturbances::default());
+        let mut decided = run_paused(play_chain(scenario.clone()));
+        let is_told = |one: &&Decided| {
+            let confirmation = one.used.confirmation.as_ref();
+            confirmation.is_some_and(|confirmation| confirmation.by.is_some())
+        };
+        told += decided.iter().filter(is_told).count();
+        decided.retain(|one| one.is_wrong(&scenario));
+        (!decided.is_empty()).then_some((scenario, decided))
+    });
+    assert_none(&denied.collect::<Vec<_>>());
+    assert!(told > 0);
+}
+
 fn assert_none_denied<I>(scenarios: I)
 where
     I: Iterator<Item = Scenario>,
 {
     let denied = scenarios.filter_map(|scenario| {
-        let denied = denied(&scenario);
-        (!denied.is_empty()).then_some((scenario, denied))
+        let mut decided = run(&scenario);
+        decided.retain(|one| one.is_wrong(&scenario));
+        (!decided.is_empty()).then_some((scenario, decided))
     });
-    let denied: Vec<_> = denied.collect();
+    assert_none(&denied.collect::<Vec<_>>());
+}
+
+fn assert_none(denied: &[(Scenario, Vec<Decided>)]) {
     let requests: usize = denied.iter().map(|(_, denied)| denied.len()).sum();
     assert!(
         denied.is_empty(),
