test(daemon): an acknowledgement of a former process's heartbeat is given to the next one

By reading, then by test: heartbeat_for acknowledges the last heartbeat heard from an instance whichever process sent it, while each process counts its heartbeats from 0. One that has started again and has sent a heartbeat of that number takes the acknowledgement for its own, adds ack_age, and so dates what it is told at its arrival: a confirmation is too late by up to the way. It needs a former life of a few seconds and the first fresh heartbeat under way, so it is an edge of "DENIED", not shown to be what callers saw.

--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -692,3 +692,41 @@
         }
     }
 }
+
+/// Guards against DENIED: an instance that had started again took an acknowledgement of its former process's heartbeat for one
+/// of its own of that number, so that what it was told counted as newer than it was.
+#[tokio::test]
+async fn heartbeat_of_a_former_process_is_not_acknowledged_to_the_next() {
+    const SEQUENCE: u64 = 4;
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    neighbourhood
+        .receive(Instant::now() + HEARTBEAT_INTERVAL / 5)
+        .await;
+    let mut former = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+    former.sequence = SEQUENCE;
+    neighbourhood.send(&id, former).await;
+    neighbourhood
+        .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
+        .await;
+    // It knows nobody yet, so that its first heartbeat may be from any time.
+    let next = Sessions::new(secret(), id.clone(), Incarnation(2));
+    neighbourhood.sessions.insert(id.clone(), next);
+    let mut first = initial_heartbeat(heartbeat(&id, Incarnation(2)), neighbourhood.addr);
+    first.sequence = 1;
+    neighbourhood.send(&id, first).await;
+    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+    let heartbeat = loop {
+        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
+        let Ok(opened) = sessions.open::<PeerMessage>(&buf[..len]) else {
+            continue;
+        };
+        if let PeerMessage::Heartbeat(heartbeat) = opened.message
+            && opened.is_fresh
+        {
+            break heartbeat;
+        }
+    };
+    assert_eq!(heartbeat.ack, 0);
+}
