fix(daemon): a heartbeat acknowledges the process that it goes to, not its predecessor

What callers may see: an instance that starts again after a life of a few seconds dates what it is told by a heartbeat of its own that has the number of its former process's: confirmations, and so refusals for good, count as up to the way younger than they are (DENIED; not shown at a caller).

Cause: the acknowledgement names the last heartbeat of the instance, whichever process sent it.

Change: it is given only to the incarnation to which the frame goes, else zero, as before the first heartbeat.

--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -124,16 +124,16 @@
 
     pub(super) fn heartbeat_for(&self, to: &InstanceId) -> PeerMessage {
         let now = self.clock.now();
+        let incarnation = self.sessions.receiver_incarnation(to);
+        let heard = self.last_heartbeats.get(to);
+        let heard = heard.filter(|heard| Some(heard.status.incarnation) == incarnation);
         let status = Heartbeat {
             confirmation_age: self.confirmed_at.map(|at| now - at),
             ..self.own_heartbeat.status.clone()
         };
         PeerMessage::Heartbeat(Box::new(PeerHeartbeat {
             status,
-            ack: self
-                .last_heartbeats
-                .get(to)
-                .map_or(0, |heartbeat| heartbeat.sequence),
+            ack: heard.map_or(0, |heartbeat| heartbeat.sequence),
             departures: self.departures_for(to),
             change: self.known_change.map(|change| ChangeReport {
                 position: change.position,
