fix(coord): a workspace without a limit is never refused as over its rate

A workspace without a limit was one with a rate of 4,294,967,295, whose tokens an instance took from its reservations or from the owner like any other's. One that held no slot, or that heard nobody after it had lent what it held, refused its requests with 429 until the loans were over.

From UNLIMITED_RATE on (what the platform's documents have made of "no limit" all along) a holder admits at once and asks for nothing. It still lends, so that an instance of an earlier build finds what it finds today.

--- a/crates/base/src/config.rs
+++ b/crates/base/src/config.rs
@@ -277,11 +277,14 @@
     pub incarnation: u64,
 }
 
+/// Rate, in requests per second, from which on a workspace has no limit.
+pub const UNLIMITED_RATE: f64 = u32::MAX as f64;
+
 /// Describes one workspace: its rate limit, its scheduling weight and priority, and its regions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
-    /// Rate limit in requests per second, over all instances together.
+    /// Rate limit in requests per second, over all instances together; none from [`UNLIMITED_RATE`] on.
     pub rate: f64,
     /// Burst in requests, over all instances together.
     pub burst: f64,
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use config::{
     CallerLimits, ColdStart, Config, Domain, Drains, Key, Links, Registration, Route, RouteKind,
-    Service, Target, WeightedService, Workspace, canonical_json, config_digest,
+    Service, Target, UNLIMITED_RATE, WeightedService, Workspace, canonical_json, config_digest,
 };
 pub use error::{ERROR_RESPONSES, ErrorKind, ErrorResponse, Executed, Refusal};
 pub use id::{
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -226,6 +226,9 @@
 
     /// Takes a token for a new request, and counts the request as demand.
     pub fn admit(&mut self, now: Time) -> AdmissionDecision {
+        if self.whole.is_unlimited() {
+            return AdmissionDecision::Admit;
+        }
         self.demand.record_request(now);
         if self.try_take(now) {
             return AdmissionDecision::Admit;
@@ -242,6 +245,9 @@
     /// Takes a token for a request that has waited, which is not counted as demand again, and
     /// returns whether one was available.
     pub fn try_take(&mut self, now: Time) -> bool {
+        if self.whole.is_unlimited() {
+            return true;
+        }
         self.expire(now);
         let unspent = self.grants.iter_mut().find(|grant| grant.usage.unspent > 0);
         if let Some(grant) = unspent {
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{Time, UNLIMITED_RATE};
 use serde::{Deserialize, Serialize};
 
 /// Allows at most `burst + rate * (t - s)` tokens in every window from s to t.
@@ -14,6 +14,13 @@
     pub burst: f64,
 }
 
+impl Quota {
+    /// Returns whether the quota is no limit, so that nothing has to be counted or asked for.
+    pub fn is_unlimited(&self) -> bool {
+        self.rate >= UNLIMITED_RATE
+    }
+}
+
 /// Divides a quota into equal reservations, which belong to slots, and a part for one owner.
 ///
 /// The holder of a slot spends its reservations without contacting anyone; the owner grants the
@@ -179,7 +186,7 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Time, UNLIMITED_RATE};
 /// use coord::{TokenBucket, Quota};
 ///
 /// let mut bucket = TokenBucket::empty(Time::ZERO, Quota { rate: 10.0, burst: 5.0 });
--- a/crates/coord/tests/holder.rs
+++ b/crates/coord/tests/holder.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use base::Time;
-use coord::{AdmissionDecision, Quota, QuotaHolder, QuotaSplit, SlotHistory};
+use base::{Time, UNLIMITED_RATE};
+use coord::{AdmissionDecision, OwnerId, Quota, QuotaHolder, QuotaSplit, SlotHistory};
 use rstest::rstest;
 
 /// Returns how many requests are admitted at once after a slot is acquired at `now`.
@@ -42,3 +42,29 @@
 ) {
     assert_eq!(admitted(Time::from_millis(now_ms), history), expected);
 }
+
+/// Guards against requests of a workspace without a limit that were refused as over its rate: the instance held no slot, or
+/// heard no other instance after it had lent what it held.
+#[rstest]
+#[case::without_slot(false)]
+#[case::lent_to_a_lost_owner(true)]
+fn holder_admits_without_limit(#[case] has_lent: bool) {
+    let now = Time::from_secs(1);
+    let quota = Quota {
+        rate: UNLIMITED_RATE,
+        burst: UNLIMITED_RATE,
+    };
+    let mut holder = QuotaHolder::new(quota, QuotaSplit::default());
+    if has_lent {
+        holder.hold_slot(now, 0, Time::NEVER, SlotHistory::NeverHeld);
+        let owner = OwnerId {
+            instance: "other".into(),
+            epoch: 1,
+        };
+        holder.set_owner(Some(owner));
+        assert!(!holder.lend(now).is_empty());
+        holder.set_owner(None);
+    }
+    assert_eq!(holder.admit(now), AdmissionDecision::Admit);
+    assert!(holder.try_take(now));
+}
