fix(dispatch): a request that was sent and not answered in time isn't told that its connection was lost

Cause: a refusal that would say "not run" where an attempt may have run became `target_lost`, which was right while only losses came before it. Change: it becomes `target_timeout` if no connection was lost. Both say "may have run". Regression test: `dispatcher_hedged_request_ends_by_its_sent_attempt`, red before where the sent attempt ends first.

--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -179,10 +179,10 @@
             return Vec::new();
         };
         let contradicts_run = entry.may_have_run && kind.response().executed == Executed::No;
-        let kind = if contradicts_run {
-            ErrorKind::TargetLost
-        } else {
-            kind
+        let kind = match (contradicts_run, entry.losses) {
+            (false, _) => kind,
+            (true, 0) => ErrorKind::TargetTimeout,
+            (true, _) => ErrorKind::TargetLost,
         };
         let mut refusal = Refusal::new(kind);
         let waits_for_slots = matches!(
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -241,6 +241,28 @@
     assert_eq!(refused, Some(expected));
 }
 
+/// Guards against the wrong reason: a hedged request of which one attempt was not answered in time, and the other
+/// one not sent, lost no connection.
+#[rstest]
+#[case::sent_first([(1, Outcome::TimedOut), (2, Outcome::Expired)])]
+#[case::sent_last([(2, Outcome::Expired), (1, Outcome::TimedOut)])]
+fn dispatcher_hedged_request_ends_by_its_sent_attempt(#[case] ends: [(u32, Outcome); 2]) {
+    let mut dispatcher = dispatcher(4);
+    let now = Time::from_secs(11);
+    let deadline = now + Duration::from_secs(1);
+    dispatcher.submit(now, request(1, RequestKind::Idempotent, deadline));
+    assert!(dispatcher.hedge(now, RequestId(1)).is_some());
+    let mut refused = None;
+    for (attempt, outcome) in ends {
+        let (_, actions) = dispatcher.finish(deadline, RequestId(1), attempt, outcome);
+        refused = actions.iter().find_map(|action| match action {
+            Action::Refuse(_, refusal) => Some(refusal.kind),
+            _ => None,
+        });
+    }
+    assert_eq!(refused, Some(ErrorKind::TargetTimeout));
+}
+
 #[test]
 fn dispatcher_gives_leaving_target_no_work() {
     let mut dispatcher = dispatcher(1);
