fix(dispatch): losses from before an answer are no longer repeated

Cause: an instance repeats its last losses once, up to a second later, if their request is suspected at that moment. An answer in between ended the suspicion everywhere, but the losses stayed on the list; after one more loss they were told again, and all others counted them as losses since the answer. Change: an answer, an own one or one that another instance tells, takes the losses of its request off the list.

--- a/crates/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/dispatch/src/dispatcher/quarantine.rs
@@ -28,7 +28,7 @@
     pub fn merge_quarantine(&mut self, now: Time, report: &QuarantineReport) -> Vec<Action> {
         match report {
             QuarantineReport::Answered(fingerprint) => {
-                self.quarantine.record_answer(now, *fingerprint);
+                self.end_suspicion(now, *fingerprint);
                 Vec::new()
             }
             QuarantineReport::Held(holds) => {
@@ -112,13 +112,20 @@
 
     /// Records the answer to a request; it is reported to the others if the request had been suspected.
     pub(super) fn record_request_answer(&mut self, now: Time, fingerprint: u64) -> Vec<Action> {
-        let was_suspected = self.quarantine.record_answer(now, fingerprint);
+        let was_suspected = self.end_suspicion(now, fingerprint);
         was_suspected
             .then(|| answered(fingerprint))
             .into_iter()
             .collect()
     }
 
+    /// Forgets the losses before an answer; returns whether there were any.
+    fn end_suspicion(&mut self, now: Time, fingerprint: u64) -> bool {
+        self.reported_once
+            .retain(|loss| loss.fingerprint != fingerprint);
+        self.quarantine.record_answer(now, fingerprint)
+    }
+
     /// Returns what this instance is to repeat for the others, when it is due: its last losses, once, and
     /// the requests that are quarantined, as long as they are.
     pub(super) fn due_repeats(&mut self, now: Time) -> Vec<Action> {
--- a/crates/dispatch/tests/placement/losses.rs
+++ b/crates/dispatch/tests/placement/losses.rs
@@ -4,7 +4,8 @@
 
 use base::{ErrorKind, Time};
 use dispatch::{
-    Action, AdmittedRequest, Assignment, Dispatcher, Outcome, Placement, Policy, RequestKind,
+    Action, AdmittedRequest, Assignment, ConnectionLoss, Dispatcher, Outcome, Placement, Policy,
+    QuarantineReport, RequestKind,
 };
 use rstest::rstest;
 
@@ -110,3 +111,53 @@
     let again = dispatcher.submit(now, request(now, 1, 7));
     assert_eq!(refusals(&again), [ErrorKind::Quarantined]);
 }
+
+/// Guards against an innocent request that is turned away: a loss was told once more after an answer
+/// had spoken for the request, as if the loss had come since.
+#[rstest]
+#[case::of_this_instance(true)]
+#[case::of_another(false)]
+fn loss_before_an_answer_is_not_repeated(#[case] is_own: bool) {
+    let config = config(12);
+    let mut dispatcher = dispatcher(&config, 1);
+    let begin = Time::from_secs(10);
+    dispatcher.tick(begin);
+    end_at(&mut dispatcher, begin, 1, Outcome::Lost);
+    let now = begin + Duration::from_millis(200);
+    let lost = reported(&dispatcher.tick(now));
+    assert_eq!(lost.len(), 1);
+    if is_own {
+        let answered = Outcome::Answered(Duration::from_millis(20));
+        end_at(&mut dispatcher, now, 2, answered);
+    } else {
+        dispatcher.merge_quarantine(now, &QuarantineReport::Answered(FINGERPRINT));
+    }
+    end_at(&mut dispatcher, now, 3, Outcome::Lost);
+    let now = begin + Duration::from_millis(400);
+    let since = reported(&dispatcher.tick(now));
+    assert_eq!(since.len(), 1);
+    assert_ne!(since, lost);
+    let now = begin + Duration::from_secs(1);
+    assert_eq!(reported(&dispatcher.tick(now)), since);
+}
+
+const FINGERPRINT: u64 = 7;
+
+/// Sends a request whose attempt ends with `outcome`.
+fn end_at(dispatcher: &mut Dispatcher, now: Time, id: u64, outcome: Outcome) {
+    let once = AdmittedRequest {
+        fingerprint: FINGERPRINT,
+        ..request(now, id, id * 7_919).kind(RequestKind::Once)
+    };
+    let actions = dispatcher.submit(now, once);
+    let sent = assignments(&actions)[0].clone();
+    dispatcher.finish(now, sent.id, sent.attempt, outcome);
+}
+
+fn reported(actions: &[Action]) -> Vec<ConnectionLoss> {
+    let losses = actions.iter().filter_map(|action| match action {
+        Action::ReportLoss(loss) => Some(*loss),
+        _ => None,
+    });
+    losses.collect()
+}
