--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -313,9 +313,9 @@
                 let found = fetch.fetched.table;
                 // What it lacks was gone when it was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
-                let removed_by = known_since.map_or(now, |since| since.min(now));
+                let deleted_by = known_since.map_or(now, |since| since.min(now));
                 let is_changed =
-                    found.is_some_and(|found| table.replica.replace(removed_by, found));
+                    found.is_some_and(|found| table.replica.replace(deleted_by, found));
                 if idx == 0 && table.replica.position() > before {
                     self.lateness.on_fetched(now, &fetch.from);
                 }
@@ -376,7 +376,7 @@
                 .metrics
                 .set_alarm("store_unreachable", !is_reachable);
         }
-        self.tables[idx].log_outage(now, &self.followed.tables[idx], &source);
+        self.tables[idx].log_retention(now, &self.followed.tables[idx], &source);
         if is_changed {
             let news = News {
                 source,
@@ -401,7 +401,7 @@
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
             is_changed |= table.replica.expire(now);
-            table.log_outage(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
+            table.log_retention(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.end_fetches_behind();
             table.make_room();
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -230,7 +230,7 @@
     }
 
     /// Logs the begin and the end of an outage, and rows that are retained since a change from `source`.
-    pub(super) fn log_outage(&mut self, now: Time, name: &str, source: &NewsSource) {
+    pub(super) fn log_retention(&mut self, now: Time, name: &str, source: &NewsSource) {
         let has_outage = self.replica.has_outage();
         if has_outage != self.has_logged_outage {
             self.has_logged_outage = has_outage;
