fix(daemon): polls rest for a second at most while another instance's reads fail

What callers may see: beside an instance that the store turns away, one that reads soundly, but whose targets' rows rest, keeps an entry that is removed for 1.8 s and tells of the departure only then. An instance that hears of it alone uses the target 2.0 to 2.1 s after the removal, with drainS 2 (DRAIN; not shown at a caller).

Cause: since reads that fail elsewhere show an outage where nobody has contact within 1.5 s. A poll rests for up to 1.9 s, so a sound reader that is alone, or whose peers poll at the same times, has no contact for the last part of it; its answer ends the outage, and brings the removal.

Change: while another instance has reported failing reads within 2 s, polls wait for 1 s at most, so whoever reads shows contact in time.

Ruled out, by reading: an open poll that isn't overdue counts as contact, or the departure is told although the entry is kept (either brings back what living_target_stays_in_service_after_an_outage_that_another_instance_missed guards against: a silent poll in a true outage looks the same); a shorter grace.

Left: the poll that is open when the first such report comes.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -180,6 +180,7 @@
                     .confirming_within(self.options.apply),
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
+                failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -41,6 +41,8 @@
     pub(super) advanced_at: Time,
     /// Tells the own reads up to which position rows have come from other instances.
     pub(super) advanced: watch::Sender<u64>,
+    /// Tells the own reads when another instance last reported that its own ones fail.
+    pub(super) failing_elsewhere: watch::Sender<Option<Time>>,
 }
 
 /// A fetch from another instance that has not ended.
@@ -140,6 +142,7 @@
             own_reads: None,
             advanced_at: Time::ZERO,
             advanced: watch::Sender::new(0),
+            failing_elsewhere: watch::Sender::new(None),
         }
     }
 
@@ -247,6 +250,7 @@
     pub(super) fn record_reads_elsewhere(&mut self, now: Time, reads: OwnReads) {
         self.replica.on_contact(reads.contact_at);
         if reads.is_failing {
+            self.failing_elsewhere.send_replace(Some(now));
             self.replica.on_read_failure(now);
         }
     }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -19,12 +19,16 @@
     Arrival, Fetch, PlatformRead, ReadFailure, TableRead, to_row_change, to_snapshot,
 };
 pub use self::timing::ReadTiming;
+use crate::fleet::HEARTBEAT_TIMEOUT;
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Minimum time between polls that wait for nothing, over a connection that is kept.
 const PROMPT_INTERVAL: Duration = Duration::from_secs(5);
+/// Maximum time for which a poll waits for a change while the reads of another instance fail: well below the time for
+/// which a read shows that there is no outage.
+const CONTACT_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Minimum time between two reports that an answer is arriving.
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer; beyond it, the oldest is cancelled.
@@ -43,6 +47,8 @@
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
     pub(crate) advanced: watch::Receiver<u64>,
+    /// Time at which another instance last reported that its own reads fail.
+    pub(crate) failing_elsewhere: watch::Receiver<Option<Time>>,
 }
 
 /// Follows one table by long polls.
@@ -202,7 +208,7 @@
         let is_on_kept_connection = !self.is_reconnecting;
         let sent_at = self.options.clock.now();
         let wait = if is_on_kept_connection && !self.needs_prompt_answer(sent_at) {
-            timing.poll_wait
+            self.poll_wait(sent_at)
         } else {
             self.prompt_at = sent_at;
             Duration::ZERO
@@ -260,6 +266,18 @@
         }
     }
 
+    /// Returns the time for which a poll waits for a change. While the reads of another instance fail, whoever reads is
+    /// to show in time that there is no outage.
+    fn poll_wait(&self, now: Time) -> Duration {
+        let poll_wait = self.options.timing.poll_wait;
+        let failing_at = *self.options.failing_elsewhere.borrow();
+        if failing_at.is_some_and(|at| now - at < HEARTBEAT_TIMEOUT) {
+            poll_wait.min(CONTACT_POLL_WAIT)
+        } else {
+            poll_wait
+        }
+    }
+
     /// Returns whether the next poll is to wait for nothing, so that the platform's clock is known more closely.
     fn needs_prompt_answer(&self, now: Time) -> bool {
         now - self.prompt_at >= PROMPT_INTERVAL && self.dates.is_uncertain(now)
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -39,6 +39,7 @@
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until},
@@ -502,15 +503,20 @@
 
 /// Returns the samples of a run, and how many configurations the instance has activated.
 async fn play(scenario: Arc<Scenario>) -> (Vec<Sample>, usize) {
-    let started = Instant::now();
-    let clock = Clock::start();
-    let own = start("own", started, clock, &scenario, scenario.transfers.clone());
     // The others have read what the store had before it went back.
-    let others = Arc::new(Scenario {
+    let others = Scenario {
         goes_back: None,
         refuses: false,
         ..(*scenario).clone()
-    });
+    };
+    play_beside(scenario, Arc::new(others)).await
+}
+
+/// Does the same beside others whose reads see what `others` says.
+async fn play_beside(scenario: Arc<Scenario>, others: Arc<Scenario>) -> (Vec<Sample>, usize) {
+    let started = Instant::now();
+    let clock = Clock::start();
+    let own = start("own", started, clock, &scenario, scenario.transfers.clone());
     let other = start("other", started, clock, &others, Vec::new());
     for idx in 0..scenario.reporters.len() {
         let (source, known) = (other.told.clone(), own.told.clone());
@@ -536,7 +542,10 @@
 
 /// Returns the targets, and when, that were in service later than the bound.
 fn late(scenario: &Scenario) -> Vec<(Duration, usize)> {
-    let samples = run(scenario);
+    late_in(scenario, &run(scenario))
+}
+
+fn late_in(scenario: &Scenario, samples: &[Sample]) -> Vec<(Duration, usize)> {
     let used = samples.iter().flat_map(|sample| {
         let targets = sample.in_service.iter().enumerate();
         let used = targets.filter(|(_, is_in_service)| **is_in_service);
@@ -704,6 +713,36 @@
     );
 }
 
+/// Guards against DRAIN: the store turns this instance away, so a sound one, whose polls wait longer for a change than a
+/// read counts, believed in an outage, kept the entry that was removed, and told of the departure only after that.
+#[rstest]
+#[case::as_that_begins(1_100..5_000)]
+#[case::while_that_lasts(5_000..9_000)]
+fn departure_is_told_in_time_to_an_instance_that_is_turned_away(#[case] removed_ms: Range<u64>) {
+    let mut out_after = BTreeMap::new();
+    for removed_ms in removed_ms.step_by(100) {
+        let sound = Scenario::calm(&[(removed_ms, Row::Gone)]);
+        let turned_away = Scenario {
+            outage: Some(Duration::from_secs(1)..RUN_TIME),
+            refuses: true,
+            ..sound.clone()
+        };
+        let played = play_beside(Arc::new(turned_away), Arc::new(sound.clone()));
+        let samples = run_paused(played).0;
+        let late = late_in(&sound, &samples);
+        if let Some((at, _)) = late.last() {
+            out_after.insert(removed_ms, *at - Duration::from_millis(removed_ms));
+        }
+    }
+    let worst = out_after.values().max();
+    assert!(
+        out_after.is_empty(),
+        "{} late, out after {worst:?} at worst, {:?} allowed: {out_after:?}",
+        out_after.len(),
+        Scenario::calm(&[]).drain
+    );
+}
+
 /// Guards against living targets that are out for nothing: others went on telling of an entry that had expired and is
 /// back, of the same life at the same address, to an instance whose own rows had it all the time.
 #[test]
