--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -193,7 +193,7 @@
     }
 
     /// Replaces the content by a newer snapshot and returns whether the rows have changed. The rows that it lacks
-    /// were deleted at `deleted_by` or before.
+    /// count as deleted at `deleted_by`, when it was first known that some row may have changed.
     ///
     /// A snapshot that is not newer is ignored.
     pub fn replace(&mut self, deleted_by: Time, snapshot: TableSnapshot) -> bool {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -312,7 +312,7 @@
                 table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
                 let found = fetch.fetched.table;
-                // What it lacks was gone when it was first reported, however long the fetch has taken.
+                // What it lacks counts as gone since a later position was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
                 let is_changed =
