refactor(entry): the operators' version comes with the configuration that it is of

Two events told one fact: the version that follows, and the configuration; one that came without the other would have left the engine with the version of another one. Behaviour unchanged: tests of entry, and of the daemon's departures and heads, hold but for the known red one; the tests give the number with the configuration.

--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -287,8 +287,11 @@
         }
         let config = Arc::new(config);
         self.config = Some(config.clone());
-        let _ = self.outputs.engine.send(Event::VersionFollows(version));
-        let _ = self.outputs.engine.send(Event::ConfigActivated(config));
+        let event = Event::ConfigActivated {
+            config,
+            version: Some(version),
+        };
+        let _ = self.outputs.engine.send(event);
         tracing::info!(event = "config_in_force", version);
     }
 
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -152,11 +152,9 @@
         );
         log_rates(self.own_rows.as_deref(), &config);
         self.own_rows = Some(own_rows.clone());
-        let _ = self
-            .outputs
-            .engine
-            .send(Event::VersionFollows(self.version));
-        let _ = self.outputs.engine.send(Event::ConfigActivated(config));
+        let version = Some(self.version);
+        let event = Event::ConfigActivated { config, version };
+        let _ = self.outputs.engine.send(event);
     }
 
     /// Records the targets that have left by the rows of `config`.
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -406,7 +406,7 @@
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
             match event {
-                Event::ConfigActivated(config) => {
+                Event::ConfigActivated { config, .. } => {
                     config_tx.send_replace(config);
                     count_tx.send_modify(|count| *count += 1);
                 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -92,8 +92,6 @@
     confirmation: Option<Confirmation>,
     /// The operators' version of the configuration.
     version: Option<u64>,
-    /// That of the next configuration.
-    next_version: Option<u64>,
     outdated: Outdated,
     keys: KeyIndex,
     admission: AdmissionController,
@@ -189,7 +187,6 @@
             refuse_until: Time::ZERO,
             confirmation: None,
             version: None,
-            next_version: None,
             outdated: Outdated::default(),
             keys: KeyIndex::default(),
             admission: AdmissionController::new(options.split),
@@ -298,8 +295,7 @@
                 self.requests.remove(&id);
             }
             Event::StopAccepting => self.is_draining = true,
-            Event::VersionFollows(version) => self.next_version = Some(version),
-            Event::ConfigActivated(config) => self.configure(now, &config),
+            Event::ConfigActivated { config, version } => self.configure(now, &config, version),
             Event::TargetsLeft(targets) => self.take_out(now, &targets),
             Event::EntriesLeft(config, left) => self.apply_departures(now, config, &left),
             Event::ConfigFreshness {
@@ -374,10 +370,10 @@
 }
 
 impl Engine {
-    fn configure(&mut self, now: Time, config: &Arc<Config>) {
+    fn configure(&mut self, now: Time, config: &Arc<Config>, version: Option<u64>) {
         let previous = self.config.replace(config.clone()).unwrap_or_default();
         self.revision += 1;
-        self.version = self.next_version.take();
+        self.version = version;
         self.in_force.send_replace(self.revision);
         if previous.keys != config.keys || previous.workspaces != config.workspaces {
             self.keys = KeyIndex::new(config);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -64,10 +64,13 @@
     Cancel(RequestId),
     /// The instance is about to stop: new requests are refused.
     StopAccepting,
-    /// The next configuration that becomes the active one is this version of the operators.
-    VersionFollows(u64),
     /// A configuration becomes the active one.
-    ConfigActivated(Arc<Config>),
+    ConfigActivated {
+        /// The configuration.
+        config: Arc<Config>,
+        /// Which version of the operators it is; `None` if it has no number.
+        version: Option<u64>,
+    },
     /// Targets that others have reported to have left get no more requests until a configuration has them in service.
     TargetsLeft(Vec<TargetId>),
     /// The entries of these targets are removed or mark them as leaving; nothing else in this configuration
--- a/crates/entry/tests/homes/main.rs
+++ b/crates/entry/tests/homes/main.rs
@@ -82,7 +82,10 @@
 }
 
 pub(crate) fn activate(engine: &mut Engine, config: &Config) {
-    engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config.clone()),
+        version: None,
+    });
     engine.handle(fresh(None));
 }
 
--- a/crates/entry/tests/leaving/main.rs
+++ b/crates/entry/tests/leaving/main.rs
@@ -45,7 +45,10 @@
 impl Way {
     /// Returns what the engine is told of `config`, which follows `before`.
     fn event(self, before: Option<&Config>, config: &Arc<Config>) -> Event {
-        let whole = Event::ConfigActivated(config.clone());
+        let whole = Event::ConfigActivated {
+            config: config.clone(),
+            version: None,
+        };
         let (Self::ByDepartures, Some(before)) = (self, before) else {
             return whole;
         };
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -44,7 +44,10 @@
 
 fn engine() -> Engine {
     let mut engine = engine_with(Policy::default());
-    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config()),
+        version: None,
+    });
     engine.handle(fresh(None));
     engine
 }
@@ -147,7 +150,10 @@
     let mut engine = engine();
     let mut running = run_first(&mut engine);
     fall_behind(&mut engine, Some(Time::ZERO));
-    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config()),
+        version: None,
+    });
     end_attempt(&mut engine, Outcome::Refused);
     let kind = refusal(&mut running).map(|refusal| refusal.kind);
     assert_eq!(kind, Some(ErrorKind::Outdated));
@@ -159,7 +165,10 @@
     let mut engine = engine();
     let mut running = run_first(&mut engine);
     fall_behind(&mut engine, Some(Time::ZERO));
-    engine.handle(Event::ConfigActivated(Arc::new(config())));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config()),
+        version: None,
+    });
     fall_behind(&mut engine, None);
     end_attempt(&mut engine, Outcome::Refused);
     assert_eq!(refusal(&mut running), None);
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -100,8 +100,10 @@
 #[tokio::test]
 async fn withdrawn_request_names_the_configuration_that_refused_it() {
     let mut engine = engine();
-    engine.handle(Event::VersionFollows(4));
-    engine.handle(Event::ConfigActivated(Arc::new(config(&["/a/", "/b/"]))));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config(&["/a/", "/b/"])),
+        version: Some(4),
+    });
     confirm(&mut engine, Time::from_secs(1));
     let mut rx = submit(&mut engine, 1, "/a/x");
     assert_eq!(refusal(&mut rx), None);
@@ -117,8 +119,10 @@
         refuse_until: Time::NEVER,
         confirmation: confirmation.clone(),
     });
-    engine.handle(Event::VersionFollows(7));
-    engine.handle(Event::ConfigActivated(Arc::new(config(&["/b/"]))));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config(&["/b/"])),
+        version: Some(7),
+    });
     let used = UsedConfig {
         revision: 2,
         version: Some(7),
@@ -136,7 +140,10 @@
 #[tokio::test]
 async fn unknown_route_by_what_is_known(#[case] refuse_until: Time, #[case] expected: &str) {
     let mut engine = engine();
-    engine.handle(Event::ConfigActivated(Arc::new(config(&["/a/"]))));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config(&["/a/"])),
+        version: None,
+    });
     engine.handle(Event::ConfigFreshness {
         freshness: Freshness::Fresh,
         valid_until: Time::NEVER,
--- a/crates/entry/tests/split.rs
+++ b/crates/entry/tests/split.rs
@@ -62,7 +62,10 @@
     };
     let dialer = Dialer::new(Clock::start(), relays);
     let mut engine = Engine::new(dialer, options, outgoing, events.downgrade()).unwrap();
-    engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+    engine.handle(Event::ConfigActivated {
+        config: Arc::new(config.clone()),
+        version: None,
+    });
     engine.handle(fresh(None));
     engine
 }
@@ -133,7 +136,10 @@
         for id in 0..seed % 10 {
             resolve(&mut engine, id);
         }
-        engine.handle(Event::ConfigActivated(Arc::new(config(after))));
+        engine.handle(Event::ConfigActivated {
+            config: Arc::new(config(after)),
+            version: None,
+        });
         let sent = (10..20).filter(|id| resolve(&mut engine, *id).as_str() == taken);
         assert_eq!(sent.count(), 0, "seed {seed}");
     }
@@ -148,7 +154,10 @@
     let mut first = 0;
     for id in 0..400 {
         first += u32::from(resolve(&mut engine, id).as_str() == "first");
-        engine.handle(Event::ConfigActivated(Arc::new(config.clone())));
+        engine.handle(Event::ConfigActivated {
+            config: Arc::new(config.clone()),
+            version: None,
+        });
     }
     assert_eq!(first, 100);
 }
