feat(daemon): tell when an instance stood still

The task that follows the tables, whose waits end after 0.25 s at most, compares when each was due with when it got to run. From half a second on it writes a line 'standstill' (lasted_ms) and counts it in the facts 'standstills' and 'standstill_ms'; a processor slowed to a fifth doesn't make a wait that late. A turn of its own that takes as long counts as well: it hears nothing meanwhile. coord::Standstills keeps the last 16 and tells how much of a time the process was awake. Instances that follow a head row have no such line.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,6 +20,7 @@
 mod quota;
 mod readers;
 mod replica;
+mod standstill;
 mod version_tracker;
 
 pub use answer_dates::{Answer, AnswerDates};
@@ -41,4 +42,5 @@
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
+pub use standstill::Standstills;
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -12,7 +12,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{FetchDelays, Replica, TableSnapshot, rendezvous_draw};
+use coord::{FetchDelays, Replica, Standstills, TableSnapshot, rendezvous_draw};
 use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
@@ -31,7 +31,7 @@
     fleet::FleetMember,
     message::{FollowerMessage, OwnReads, TableChange},
     table_fetch::Source,
-    table_logs::{NewsSource, log_fetch, log_read_failure},
+    table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
@@ -97,6 +97,15 @@
     last_sent: Option<Sent>,
     /// The last confirmation by another instance.
     peer_confirmation: Option<Confirmation>,
+    standstills: Standstills,
+}
+
+/// What ended a wait of the follower.
+#[derive(Debug)]
+enum Wake {
+    Message(FollowerMessage),
+    Read(usize, TableRead),
+    Refresh,
 }
 
 /// What the task that sends heartbeats was told last.
@@ -163,6 +172,7 @@
             is_leaving: false,
             last_sent: None,
             peer_confirmation: None,
+            standstills: Standstills::default(),
         }
     }
 
@@ -184,17 +194,34 @@
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
-        let mut refreshed_at = self.options.clock.now();
+        let clock = self.options.clock;
+        let mut refreshed_at = clock.now();
+        let mut woken_at = refreshed_at;
         loop {
-            let clock = self.options.clock;
-            tokio::select! {
+            let refresh_at = self.next_refresh(refreshed_at);
+            let event = tokio::select! {
                 message = rx.recv() => match message {
-                    // A confirmation by a heartbeat is published with the next refresh.
-                    Some(message) => if !self.handle_message(message) { continue },
+                    Some(message) => Wake::Message(message),
                     None => return,
                 },
-                Some((idx, read)) = reads.recv() => if !self.apply_read(idx, read) { continue },
-                () = sleep_until(clock.instant(self.next_refresh(refreshed_at))) => {
+                Some((idx, read)) = reads.recv() => Wake::Read(idx, read),
+                () = sleep_until(clock.instant(refresh_at)) => Wake::Refresh,
+            };
+            self.on_wake(refresh_at.max(woken_at));
+            woken_at = clock.now();
+            match event {
+                // A confirmation by a heartbeat is published with the next refresh.
+                Wake::Message(message) => {
+                    if !self.handle_message(message) {
+                        continue;
+                    }
+                }
+                Wake::Read(idx, read) => {
+                    if !self.apply_read(idx, read) {
+                        continue;
+                    }
+                }
+                Wake::Refresh => {
                     refreshed_at = clock.now();
                     self.refresh(&tx);
                 }
@@ -208,6 +235,14 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
+    /// Notices whether this task, which was to run at `due` at the latest, stood still.
+    fn on_wake(&mut self, due: Time) {
+        let now = self.options.clock.now();
+        if let Some(lasted) = self.standstills.on_wake(due, now) {
+            log_standstill(&self.options.metrics, lasted);
+        }
+    }
+
     /// Handles a message and returns whether to publish the result at once.
     fn handle_message(&mut self, message: FollowerMessage) -> bool {
         let now = self.options.clock.now();
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -1,13 +1,19 @@
 //! Log lines about reads of the followed tables and what they put in force.
 
+use std::time::Duration;
+
 use base::{Config, InstanceId, TargetId, Time};
 use derive_more::Display;
+use entry::metrics::Metrics;
 
 use crate::table_reads::{Fetch, ReadFailure};
 
 /// Maximum number of targets that a line names.
 const MAX_IDS: usize = 16;
 
+/// Facts that count the standstills and the milliseconds that they lasted.
+const STANDSTILL_GAUGES: [&str; 2] = ["standstills", "standstill_ms"];
+
 /// Lists the sources of a table's changes for which a configuration was composed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(crate) enum NewsSource {
@@ -197,6 +203,15 @@
     }
 }
 
+/// Logs and counts that the process, or the task that follows the tables, stood still.
+pub(crate) fn log_standstill(metrics: &Metrics, lasted: Duration) {
+    let lasted_ms = i64::try_from(lasted.as_millis()).unwrap_or(i64::MAX);
+    tracing::warn!(event = "standstill", lasted_ms);
+    for (name, added) in STANDSTILL_GAUGES.into_iter().zip([1, lasted_ms]) {
+        metrics.gauges.with_label_values(&[name]).add(added);
+    }
+}
+
 /// Returns the time since `at`, in milliseconds.
 pub(crate) fn age_ms(now: Time, at: Option<Time>) -> Option<u64> {
     at.map(|at| (now - at).as_millis() as u64)
