fix(coord): leave own standstills out of the store's silence

Own failed reads now begin an outage only after 1.5 s of the instance's own running time without a contact. Others' reports of failed reads count as before, since those instances ran. Their reports have waited in any order, so one of a read within 1.5 s before a belief that began in the first 0.5 s after a standstill takes it back, and retained rows go.

Ruled out: taking back any belief, also without a standstill.

Measured (virtual time, standstills of 1.6 and 4 s, a store that refuses calls for 0.3 s after them): a row removed meanwhile stays 2.1 s after waking before, in all 4 cases of row_removed_during_a_standstill_is_dropped_at_the_first_answer, which allows 1 s; it holds now.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -5,6 +5,8 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::Standstills;
+
 /// Pairs a row with the position of its last change, so that older reads of it can't replace it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRow {
@@ -69,6 +71,9 @@
     /// Time at or after which the table was last read, by this instance or another.
     last_contact_at: Option<Time>,
     outage: Option<Outage>,
+    /// Since when an outage was believed in that others' reports may show to be none, and the one before it.
+    uncertain: Option<(Time, Option<Outage>)>,
+    standstills: Standstills,
 }
 
 /// Describes the last time during which no instance could read the table.
@@ -82,6 +87,8 @@
 
 /// Time after a successful read, by any instance, during which a failed one is no sign of an outage.
 const CONTACT_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time after a standstill of this instance within which the reports that had waited meanwhile are heard.
+const HEARING_TIME: Duration = Duration::from_millis(500);
 
 impl Replica {
     /// Returns an empty replica that retains rows which an outage may have removed until
@@ -96,6 +103,8 @@
             grace_period,
             last_contact_at: None,
             outage: None,
+            uncertain: None,
+            standstills: Standstills::default(),
         }
     }
 
@@ -157,20 +166,59 @@
 
     /// Records that an instance could not read the table over a new connection.
     pub fn on_read_failure(&mut self, now: Time) {
-        let is_reachable = self
-            .last_contact_at
-            .is_some_and(|at| now - at <= CONTACT_VALIDITY);
+        self.on_failure(now, self.last_contact_at.map(|at| now - at));
+    }
+
+    /// Records that this instance could not. While it stood still itself, it could not have heard of a read either, so
+    /// that time is no silence, unless others report that their reads fail.
+    pub fn on_own_read_failure(&mut self, now: Time) {
+        let last_contact = self.last_contact_at;
+        self.on_failure(
+            now,
+            last_contact.map(|at| self.standstills.awake_time(at, now)),
+        );
+    }
+
+    fn on_failure(&mut self, now: Time, silence: Option<Duration>) {
+        let is_reachable = silence.is_some_and(|silence| silence <= CONTACT_VALIDITY);
         if !is_reachable && !self.has_outage() {
+            let has_just_woken =
+                self.standstills.awake_time(now.before(HEARING_TIME), now) < HEARING_TIME;
+            self.uncertain = has_just_woken.then_some((now, self.outage));
             self.outage = Some(Outage::Ongoing(now));
         }
     }
 
-    /// Records that some instance read the table at `at` or later.
+    /// Records that this instance stood still until `now`, where it was to run at `due`.
+    pub fn on_wake(&mut self, due: Time, now: Time) {
+        self.standstills.on_wake(due, now);
+    }
+
+    /// Records that some instance read the table at `at` or later. An outage that was believed in after a standstill may
+    /// so turn out to be none; rows that it seemed to have removed are gone then.
     pub fn on_contact(&mut self, at: Time) {
         self.last_contact_at = self.last_contact_at.max(Some(at));
         if matches!(self.outage, Some(Outage::Ongoing(since)) if at > since) {
             self.outage = Some(Outage::Over(at));
         }
+        let refuted = self
+            .uncertain
+            .filter(|(since, _)| at <= *since && *since - at <= CONTACT_VALIDITY);
+        if let Some((since, before)) = refuted {
+            (self.outage, self.uncertain) = (before, None);
+            self.shorten_retention(since);
+        }
+    }
+
+    /// Retains rows no longer than the last outage asks for, at most until `end` if there was none.
+    fn shorten_retention(&mut self, end: Time) {
+        let end = match self.outage {
+            Some(Outage::Over(at)) => at + self.grace_period,
+            _ => end,
+        };
+        for (_, until) in self.retained.values_mut() {
+            *until = end.min(*until);
+        }
     }
 
     /// Applies the changes up to `position` and returns whether the rows have changed.
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -6,6 +6,7 @@
 use base::Time;
 use coord::{Replica, ReplicaRow, RowChange, TableSnapshot};
 use proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed};
+use rstest::rstest;
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -136,6 +137,105 @@
     assert!(names(&replica).is_empty());
 }
 
+/// Guards against DRAIN: an instance that stood still for seconds believed in an outage that only it knew, and kept
+/// rows that were gone.
+#[test]
+fn own_standstill_is_no_outage() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
+    replica.on_own_read_failure(Time::from_millis(12_100));
+    assert!(!replica.has_outage());
+    replica.on_contact(Time::from_millis(12_200));
+    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], 3);
+    assert!(names(&replica).is_empty());
+}
+
+/// Guards against living targets that are lost: only the standstill itself is left out of the silence.
+#[test]
+fn silence_beyond_a_standstill_is_an_outage() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
+    replica.on_own_read_failure(Time::from_millis(13_300));
+    assert!(!replica.has_outage());
+    replica.on_own_read_failure(Time::from_millis(13_301));
+    assert!(replica.has_outage());
+}
+
+/// Guards against living targets that are lost: an outage that others saw is one, whatever this instance missed of it.
+#[test]
+fn failing_reads_of_others_during_a_standstill_are_an_outage() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
+    replica.on_own_read_failure(Time::from_millis(12_000));
+    replica.on_contact(Time::from_millis(9_300));
+    replica.on_read_failure(Time::from_millis(12_000));
+    assert!(replica.has_outage());
+    replica.on_contact(Time::from_millis(12_100));
+    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], 3);
+    assert_eq!(names(&replica), ["a"]);
+    assert_eq!(replica.expires_at(), Some(Time::from_millis(14_100)));
+}
+
+/// Guards against DRAIN: of the reports that had waited during a standstill, one of failing reads came before those of
+/// the others' reads, which didn't end the outage since they were older than the belief in it.
+#[rstest]
+#[case::while_it_is_believed_in(None)]
+#[case::after_an_own_answer(Some(12_200))]
+fn read_that_is_heard_of_late_shows_that_there_was_no_outage(#[case] own_answer_ms: Option<u64>) {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
+    replica.on_read_failure(Time::from_millis(12_000));
+    replica.apply_changes(Time::from_millis(12_000), vec![change("a", None, 3)], 3);
+    assert_eq!(names(&replica), ["a"]);
+    if let Some(ms) = own_answer_ms {
+        replica.on_contact(Time::from_millis(ms));
+    }
+    replica.on_contact(Time::from_millis(10_499));
+    assert!(!replica.expire(Time::from_millis(12_300)));
+    replica.on_contact(Time::from_millis(10_500));
+    assert!(!replica.has_outage());
+    assert!(replica.expire(Time::from_millis(12_300)));
+    assert!(names(&replica).is_empty());
+}
+
+/// Guards against living targets that are lost: an instance that ran all the time believes in an outage by what it has
+/// heard, and failures are too few to believe in it anew.
+#[test]
+fn outage_without_a_standstill_is_not_taken_back() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_read_failure(Time::from_millis(10_600));
+    replica.on_contact(Time::from_millis(9_500));
+    assert!(replica.has_outage());
+}
+
+/// Guards against living targets that are lost: an outage that wasn't one says nothing of the one before it.
+#[test]
+fn outage_before_one_that_was_none_still_counts() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1), ("b", "1", 2)], 2));
+    replica.on_read_failure(Time::from_millis(8_000));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_wake(Time::from_millis(9_100), Time::from_millis(10_600));
+    replica.on_read_failure(Time::from_millis(10_600));
+    replica.apply_changes(Time::from_millis(10_700), vec![change("a", None, 3)], 3);
+    replica.on_contact(Time::from_millis(10_500));
+    replica.apply_changes(Time::from_millis(10_700), vec![change("b", None, 4)], 4);
+    assert_eq!(names(&replica), ["a", "b"]);
+    assert!(!replica.expire(Time::from_millis(10_999)));
+    assert!(replica.expire(Time::from_millis(11_000)));
+    assert!(names(&replica).is_empty());
+}
+
 /// A read that comes late, after a later one has brought a row's deletion, brought the row back.
 #[test]
 fn replica_late_read_brings_no_deleted_row_back() {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -240,6 +240,9 @@
         let now = self.options.clock.now();
         if let Some(lasted) = self.standstills.on_wake(due, now) {
             log_standstill(&self.options.metrics, lasted);
+            for table in &mut self.tables {
+                table.replica.on_wake(due, now);
+            }
         }
     }
 
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -229,7 +229,7 @@
         if let Some(reads) = &mut self.own_reads {
             reads.is_failing = true;
         }
-        self.replica.on_read_failure(now);
+        self.replica.on_own_read_failure(now);
     }
 
     /// Logs the begin and the end of an outage, and rows that are retained since a change from `source`.
--- a/crates/daemon/tests/standstills.rs
+++ b/crates/daemon/tests/standstills.rs
@@ -9,7 +9,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::Config;
+use base::{Config, Time};
 use call::read_of;
 use coord::Replica;
 use daemon::{
@@ -18,7 +18,7 @@
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
     },
-    message::{FollowerMessage, PeerCommand},
+    message::{FollowerMessage, OwnReads, PeerCommand},
 };
 use entry::{
     message::Event,
@@ -27,49 +27,92 @@
 };
 use options::options;
 use paused::run_paused;
-use platform::{Call, Platform, PlatformError, Progress, Reply};
+use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
-    time::{advance, sleep},
+    time::{Instant, advance, sleep, sleep_until, timeout},
 };
 
 const OPERATOR_TABLE: &str = "op";
 const TARGETS_TABLE: &str = "targets";
 
+/// Time from the start to the begin of a standstill.
+const STANDS_FROM: Duration = Duration::from_secs(10);
+/// Position of the tables at the start.
+const FIRST_POSITION: u64 = 10;
+
+/// What the store does.
+#[derive(Debug, Clone, Default)]
+struct Scenario {
+    /// When the one target's row is removed.
+    removed_at: Option<Duration>,
+    /// When calls are refused.
+    refuses: Range<Duration>,
+}
+
 /// A follower, and where it sends what it finds.
 struct Instance {
     metrics: Metrics,
-    _messages: mpsc::Sender<FollowerMessage>,
+    messages: mpsc::Sender<FollowerMessage>,
+    /// Whether the target is in force.
+    has_target: watch::Receiver<bool>,
     _told: mpsc::Receiver<PeerCommand>,
     _events: mpsc::UnboundedReceiver<Event>,
 }
 
-/// Answers a poll at the end of its wait.
-async fn answer_late(call: Call, progress: Progress) -> Result<Reply, PlatformError> {
-    let (_, _, wait) = read_of(call)?;
-    sleep(wait).await;
+/// Answers a poll when there is news, or at the end of its wait.
+async fn answer(
+    started: Instant,
+    scenario: Scenario,
+    (call, progress): (Call, Progress),
+) -> Result<Reply, PlatformError> {
+    let (table, after, wait) = read_of(call)?;
+    let removed_at = scenario.removed_at.filter(|_| table == TARGETS_TABLE);
+    let deadline = started.elapsed() + wait;
+    let is_known = after == 0 || after > FIRST_POSITION;
+    let news_at = removed_at.filter(|_| !is_known).unwrap_or(deadline);
+    if after > 0 {
+        sleep_until(started + deadline.min(news_at)).await;
+    }
+    if scenario.refuses.contains(&started.elapsed()) {
+        return Err(PlatformError::Unavailable);
+    }
     progress.add(1);
-    Ok(Reply::Changes(Vec::new(), 10))
-}
-
-fn compose(_: &[&Replica]) -> Option<ComposedConfig> {
-    Some(ComposedConfig {
-        version: 1,
-        is_latest: true,
-        config: Config::default(),
-    })
+    let is_removed = removed_at.is_some_and(|at| at <= started.elapsed());
+    let position = FIRST_POSITION + u64::from(is_removed);
+    let row = Change {
+        row: "t".to_owned(),
+        value: (!is_removed).then(String::new),
+        at: position,
+    };
+    let rows = (position > after).then_some(row);
+    Ok(Reply::Changes(rows.into_iter().collect(), position))
 }
 
-fn start() -> Instance {
-    let platform = Platform::spawn(|| answer_late);
+fn start(scenario: Scenario) -> Instance {
+    let started = Instant::now();
+    let platform = Platform::spawn(move || {
+        let scenario = scenario.clone();
+        move |call, progress| answer(started, scenario.clone(), (call, progress))
+    });
     let (engine, events) = mpsc::unbounded_channel();
-    let (peers, told) = mpsc::channel(64);
+    let (peers, told) = mpsc::channel(1_024);
     let (view, _) = watch::channel(Arc::new(View::default()));
     let (snapshots, _) = watch::channel(Arc::default());
     let (messages, rx) = mpsc::channel(64);
     let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let (has_target_tx, has_target) = watch::channel(false);
     let metrics = Metrics::new().unwrap();
+    let compose = move |replicas: &[&Replica]| {
+        let has_target = replicas[1].rows().any(|(name, _)| name == "t");
+        has_target_tx.send_replace(has_target);
+        Some(ComposedConfig {
+            version: 1,
+            is_latest: true,
+            config: Config::default(),
+        })
+    };
     let follower = TableFollower::new(
         FollowerOptions {
             metrics: metrics.clone(),
@@ -89,7 +132,8 @@
     tokio::spawn(follower.run(rx));
     Instance {
         metrics,
-        _messages: messages,
+        messages,
+        has_target,
         _told: told,
         _events: events,
     }
@@ -99,6 +143,32 @@
     fn fact(&self, name: &str) -> i64 {
         self.metrics.gauges.with_label_values(&[name]).get()
     }
+
+    /// Brings a heartbeat that tells how another instance's reads stand.
+    fn hear(&self, contact_at: Duration, is_failing: bool) {
+        let message = FollowerMessage::PeerPositions {
+            from: "other".into(),
+            positions: vec![FIRST_POSITION, FIRST_POSITION],
+            confirmed_at: None,
+            change: None,
+            reads: Some(OwnReads {
+                contact_at: Time::ZERO + contact_at,
+                is_failing,
+            }),
+        };
+        self.messages.try_send(message).unwrap();
+    }
+
+    /// Returns how long the target is in force from now on.
+    async fn used_time(&mut self) -> Duration {
+        let from = Instant::now();
+        let gone = self.has_target.wait_for(|has_target| !has_target);
+        timeout(Duration::from_secs(10), gone)
+            .await
+            .unwrap()
+            .unwrap();
+        from.elapsed()
+    }
 }
 
 /// Guards against standstills that no line shows, and against slow processors that pass for one.
@@ -112,8 +182,8 @@
     #[case] lasted_ms: Range<i64>,
 ) {
     run_paused(async {
-        let instance = start();
-        sleep(Duration::from_secs(10)).await;
+        let instance = start(Scenario::default());
+        sleep(STANDS_FROM).await;
         assert_eq!(instance.fact("standstills"), 0);
         advance(Duration::from_millis(stands_ms)).await;
         sleep(Duration::from_secs(10)).await;
@@ -122,3 +192,54 @@
         assert!(lasted_ms.contains(&lasted), "{lasted}");
     });
 }
+
+/// Guards against DRAIN: an instance that woke believed in an outage of the store that only it knew, and kept the rows of
+/// targets that had left meanwhile.
+#[rstest]
+#[case::short(1_600)]
+#[case::long(4_000)]
+fn row_removed_during_a_standstill_is_dropped_at_the_first_answer(
+    #[case] stands_ms: u64,
+    #[values(false, true)] reports_wait: bool,
+) {
+    let stands = Duration::from_millis(stands_ms);
+    let returns = STANDS_FROM + stands + Duration::from_millis(300);
+    let scenario = Scenario {
+        removed_at: Some(STANDS_FROM + Duration::from_millis(100)),
+        refuses: STANDS_FROM..returns,
+    };
+    let used = run_paused(async {
+        let mut instance = start(scenario);
+        sleep(STANDS_FROM).await;
+        if reports_wait {
+            instance.hear(STANDS_FROM, true);
+            instance.hear(returns - Duration::from_millis(500), false);
+        }
+        advance(stands).await;
+        instance.used_time().await
+    });
+    assert!(used < Duration::from_secs(1), "{used:?}");
+}
+
+/// Guards against living targets that are lost: an outage of the store for all began and ended around the standstill of
+/// an instance, which others tell that their reads fail.
+#[rstest]
+#[case::short(1_600)]
+#[case::long(4_000)]
+fn row_that_an_outage_removed_is_kept_after_a_standstill(#[case] stands_ms: u64) {
+    let stands = Duration::from_millis(stands_ms);
+    let begins = STANDS_FROM - Duration::from_millis(200);
+    let returns = STANDS_FROM + stands + Duration::from_millis(300);
+    let scenario = Scenario {
+        removed_at: Some(STANDS_FROM + stands),
+        refuses: begins..returns,
+    };
+    let used = run_paused(async {
+        let mut instance = start(scenario);
+        sleep(STANDS_FROM).await;
+        instance.hear(begins, true);
+        advance(stands).await;
+        instance.used_time().await
+    });
+    assert!(used > Duration::from_secs(2), "{used:?}");
+}
