fix(daemon): take what came during a standstill before a poll counts as unanswered

An instance that had got no processor for a while counted its polls as unanswered on waking although their answers waited in its own sockets: it gave up its kept connections and asked again over new ones.

The reader's timer and an answer's way through the tasks of its connection became due in the same turn, and tokio::select! picked at random. Now what has come is taken first, and where the timer itself is late by half a second or more (coord::MIN_STANDSTILL), the poll gets 0.2 s more; then it is overtaken as before.

Measured (virtual time, standstills of 2.5 and 15 s): answer_that_came_during_a_standstill_is_taken fails before in both cases, 2 polls over new connections at once, none allowed; none now. poll_without_an_answer_is_overtaken_after_a_standstill, within 0.25 s of waking, holds before and after. The stand-in store's first byte is read some turns after its answer is there; without those turns the fault doesn't show.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -42,5 +42,5 @@
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
-pub use standstill::Standstills;
+pub use standstill::{MIN_STANDSTILL, Standstills};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/coord/src/standstill.rs
+++ b/crates/coord/src/standstill.rs
@@ -5,7 +5,7 @@
 use base::Time;
 
 /// Minimum time by which a wait ends late for the process to have stood still; below it, it is merely slow.
-const MIN_STANDSTILL: Duration = Duration::from_millis(500);
+pub const MIN_STANDSTILL: Duration = Duration::from_millis(500);
 /// Number of standstills that are remembered.
 const MAX_STANDSTILLS: usize = 16;
 
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -6,7 +6,7 @@
 use std::{collections::VecDeque, pin::pin, time::Duration};
 
 use base::Time;
-use coord::{Answer, AnswerDates};
+use coord::{Answer, AnswerDates, MIN_STANDSTILL};
 use entry::view::Clock;
 use platform::{Platform, PlatformError, Progress, Received};
 use tokio::{
@@ -33,6 +33,8 @@
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer; beyond it, the oldest is cancelled.
 const MAX_OPEN_POLLS: usize = 4;
+/// Time after a standstill of this instance within which an answer that came meanwhile is taken.
+const HEARING_TIME: Duration = Duration::from_millis(200);
 /// Time without a byte after which a poll fails.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
 
@@ -155,6 +157,8 @@
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
             let read = tokio::select! {
+                // What has come is taken before anything counts as silent.
+                biased;
                 Some(ended) = self.polls.join_next() => match ended {
                     Ok(result) => self.handle_result(result, &mut step).await,
                     // The poll has been given up.
@@ -186,6 +190,11 @@
                         step = Step::Overtake(Instant::now() + self.send_poll());
                         None
                     }
+                    // An answer that came meanwhile waits in the socket.
+                    (Step::Overtake(due), None) if due.elapsed() >= MIN_STANDSTILL => {
+                        step = Step::Overtake(Instant::now() + HEARING_TIME);
+                        None
+                    }
                     (Step::Overtake(_), None) => self.overtake(&mut step).await,
                 },
             };
--- a/crates/daemon/tests/standstills.rs
+++ b/crates/daemon/tests/standstills.rs
@@ -7,7 +7,15 @@
 #[path = "support/paused.rs"]
 mod paused;
 
-use std::{ops::Range, sync::Arc, time::Duration};
+use std::{
+    future::pending,
+    ops::Range,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use base::{Config, Time};
 use call::read_of;
@@ -31,6 +39,7 @@
 use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
+    task::yield_now,
     time::{Instant, advance, sleep, sleep_until, timeout},
 };
 
@@ -42,6 +51,9 @@
 /// Position of the tables at the start.
 const FIRST_POSITION: u64 = 10;
 
+/// Turns of other tasks from when an answer is in the socket until its first byte is read.
+const SOCKET_TURNS: usize = 8;
+
 /// What the store does.
 #[derive(Debug, Clone, Default)]
 struct Scenario {
@@ -49,6 +61,8 @@
     removed_at: Option<Duration>,
     /// When calls are refused.
     refuses: Range<Duration>,
+    /// When calls are sent that are never answered.
+    silent: Range<Duration>,
 }
 
 /// A follower, and where it sends what it finds.
@@ -57,6 +71,8 @@
     messages: mpsc::Sender<FollowerMessage>,
     /// Whether the target is in force.
     has_target: watch::Receiver<bool>,
+    /// Number of calls that the store got.
+    calls: Arc<AtomicUsize>,
     _told: mpsc::Receiver<PeerCommand>,
     _events: mpsc::UnboundedReceiver<Event>,
 }
@@ -69,7 +85,11 @@
 ) -> Result<Reply, PlatformError> {
     let (table, after, wait) = read_of(call)?;
     let removed_at = scenario.removed_at.filter(|_| table == TARGETS_TABLE);
-    let deadline = started.elapsed() + wait;
+    let sent_at = started.elapsed();
+    if scenario.silent.contains(&sent_at) {
+        pending::<()>().await;
+    }
+    let deadline = sent_at + wait;
     let is_known = after == 0 || after > FIRST_POSITION;
     let news_at = removed_at.filter(|_| !is_known).unwrap_or(deadline);
     if after > 0 {
@@ -78,6 +98,9 @@
     if scenario.refuses.contains(&started.elapsed()) {
         return Err(PlatformError::Unavailable);
     }
+    for _ in 0..SOCKET_TURNS {
+        yield_now().await;
+    }
     progress.add(1);
     let is_removed = removed_at.is_some_and(|at| at <= started.elapsed());
     let position = FIRST_POSITION + u64::from(is_removed);
@@ -92,9 +115,15 @@
 
 fn start(scenario: Scenario) -> Instance {
     let started = Instant::now();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = calls.clone();
     let platform = Platform::spawn(move || {
         let scenario = scenario.clone();
-        move |call, progress| answer(started, scenario.clone(), (call, progress))
+        let calls = counted.clone();
+        move |call, progress| {
+            calls.fetch_add(1, Ordering::Relaxed);
+            answer(started, scenario.clone(), (call, progress))
+        }
     });
     let (engine, events) = mpsc::unbounded_channel();
     let (peers, told) = mpsc::channel(1_024);
@@ -134,6 +163,7 @@
         metrics,
         messages,
         has_target,
+        calls,
         _told: told,
         _events: events,
     }
@@ -144,6 +174,13 @@
         self.metrics.gauges.with_label_values(&[name]).get()
     }
 
+    /// Returns the number of calls that the store gets within `time` from now on.
+    async fn calls_within(&self, time: Duration) -> usize {
+        let before = self.calls.load(Ordering::Relaxed);
+        sleep(time).await;
+        self.calls.load(Ordering::Relaxed) - before
+    }
+
     /// Brings a heartbeat that tells how another instance's reads stand.
     fn hear(&self, contact_at: Duration, is_failing: bool) {
         let message = FollowerMessage::PeerPositions {
@@ -207,6 +244,7 @@
     let scenario = Scenario {
         removed_at: Some(STANDS_FROM + Duration::from_millis(100)),
         refuses: STANDS_FROM..returns,
+        ..Scenario::default()
     };
     let used = run_paused(async {
         let mut instance = start(scenario);
@@ -233,6 +271,7 @@
     let scenario = Scenario {
         removed_at: Some(STANDS_FROM + stands),
         refuses: begins..returns,
+        ..Scenario::default()
     };
     let used = run_paused(async {
         let mut instance = start(scenario);
@@ -243,3 +282,36 @@
     });
     assert!(used > Duration::from_secs(2), "{used:?}");
 }
+
+/// Guards against reads that fail for nothing: polls whose answers had come while the instance stood still counted as
+/// unanswered on its waking, so that kept connections were given up.
+#[rstest]
+#[case::short(2_500)]
+#[case::long(15_000)]
+fn answer_that_came_during_a_standstill_is_taken(#[case] stands_ms: u64) {
+    let calls = run_paused(async {
+        let instance = start(Scenario::default());
+        sleep(STANDS_FROM).await;
+        advance(Duration::from_millis(stands_ms)).await;
+        instance.calls_within(Duration::from_millis(90)).await
+    });
+    assert_eq!(calls, 0, "polls on new connections");
+}
+
+/// Guards against connections that have gone silent and are kept because the instance stood still.
+#[rstest]
+#[case::short(2_500)]
+#[case::long(15_000)]
+fn poll_without_an_answer_is_overtaken_after_a_standstill(#[case] stands_ms: u64) {
+    let scenario = Scenario {
+        silent: STANDS_FROM - Duration::from_secs(3)..STANDS_FROM,
+        ..Scenario::default()
+    };
+    let calls = run_paused(async {
+        let instance = start(scenario);
+        sleep(STANDS_FROM - Duration::from_millis(100)).await;
+        advance(Duration::from_millis(stands_ms)).await;
+        instance.calls_within(Duration::from_millis(250)).await
+    });
+    assert!(calls >= 2, "{calls} polls");
+}
