fix(entry,daemon): let an instance that stood still hear before it decides

An instance that got no processor for a second or more decided what had waited, and the first requests after, by its old version, though a later one had been acknowledged longer than configApplyS before and the heartbeats that tell of it waited in its own sockets.

The engine takes requests as soon as it runs, and the follower's word of before the standstill still stood. Now, once that word has expired (1 s) and the last confirmation no longer allows refusals for good (0.95 of apply_s), the engine refuses as 'outdated', with Retry-After, what arrives and what it hasn't sent. The follower, which notices a standstill of a second or more, gives its word again when a heartbeat or a read shows that its rows may decide, or 0.5 s after waking. An instance that follows a head row gives it at once.

The model of tests/behind sends a request and takes its outcome in two functions instead of one, so that one can wait; what it checks is unchanged.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -26,10 +26,11 @@
     lateness::Lateness,
     table::{OpenFetch, Table},
 };
-use super::{FollowerOptions, Outputs, Refusals};
+use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Refusals};
 use crate::{
     fleet::FleetMember,
     message::{FollowerMessage, OwnReads, TableChange},
+    peers::HEARTBEAT_INTERVAL,
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
@@ -49,6 +50,9 @@
 /// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time after a standstill for which callers wait for the first word of others or of the platform: others send
+/// heartbeats as often.
+const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
 
 /// Gives the other tasks one configuration for all followed tables.
 #[derive(Debug, Clone, PartialEq)]
@@ -98,6 +102,8 @@
     /// The last confirmation by another instance.
     peer_confirmation: Option<Confirmation>,
     standstills: Standstills,
+    /// Time until which this instance, which stood still, waits for a word that its configuration may still decide.
+    hearing_until: Time,
 }
 
 /// What ended a wait of the follower.
@@ -173,6 +179,7 @@
             last_sent: None,
             peer_confirmation: None,
             standstills: Standstills::default(),
+            hearing_until: Time::ZERO,
         }
     }
 
@@ -210,9 +217,9 @@
             self.on_wake(refresh_at.max(woken_at));
             woken_at = clock.now();
             match event {
-                // A confirmation by a heartbeat is published with the next refresh.
+                // A confirmation by a heartbeat is published with the next refresh, but at once after a standstill.
                 Wake::Message(message) => {
-                    if !self.handle_message(message) {
+                    if !self.handle_message(message) && woken_at >= self.hearing_until {
                         continue;
                     }
                 }
@@ -240,6 +247,9 @@
         let now = self.options.clock.now();
         if let Some(lasted) = self.standstills.on_wake(due, now) {
             log_standstill(&self.options.metrics, lasted);
+            if lasted >= FRESHNESS_VALIDITY {
+                self.hearing_until = now + HEARING_TIME;
+            }
             for table in &mut self.tables {
                 table.replica.on_wake(due, now);
             }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -208,6 +208,11 @@
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
         self.publish_lag(now, &fleet);
+        let refusals = self.refusals();
+        if now < self.hearing_until && refusals.until < now {
+            return;
+        }
+        self.hearing_until = Time::ZERO;
         let own = (!self.is_leaving).then_some(&self.options.own_entry);
         let config = self.own_rows.clone();
         let entries = entry_points(now, &fleet, config.as_deref(), own);
@@ -220,8 +225,7 @@
             freshness,
             is_leaving: self.is_leaving,
         };
-        self.outputs
-            .publish(now, view, confirmed_at, self.refusals());
+        self.outputs.publish(now, view, confirmed_at, refusals);
         let positions: Vec<u64> = self
             .tables
             .iter()
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -12,6 +12,7 @@
 mod options;
 #[path = "../support/paused.rs"]
 mod paused;
+mod standstill;
 #[path = "../support/transfer.rs"]
 mod transfer;
 mod unread;
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -30,7 +30,7 @@
 use rand_pcg::Pcg32;
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, advance, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -42,6 +42,8 @@
 const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
 const OPERATOR_TABLE: &str = "op";
 const KEY: &str = "key";
+/// ID of a request that waits while the instance stands still.
+const WAITING_ID: u64 = u64::MAX;
 
 /// Another instance, which reports positions and hands nothing out.
 #[derive(Debug, Clone, Copy)]
@@ -418,6 +420,23 @@
         }
     }
 
+    /// Lets the instance stand still while a request waits, and returns what becomes of that.
+    pub(crate) async fn stand_still(&self, started: Instant, time: Duration) -> Decided {
+        let waiting = send(&self.engine, WAITING_ID);
+        advance(time).await;
+        let at = started.elapsed();
+        let in_force = self.versions.lock().unwrap().last().copied();
+        let outcome = outcome(waiting).await;
+        let _ = self.engine.send(Event::Cancel(RequestId(WAITING_ID)));
+        let versions = self.versions.lock().unwrap();
+        Decided {
+            at,
+            outcome: outcome.map(|revision| versions[revision as usize - 1]),
+            in_force: in_force.unwrap_or(0),
+            named: Vec::new(),
+        }
+    }
+
     /// Sends requests until [`RUN_TIME`] is over, and returns what became of them.
     pub(crate) async fn decide(&self, started: Instant) -> Vec<Decided> {
         let mut decided = Vec::new();
@@ -470,7 +489,14 @@
 
 /// Sends a request, and returns the revision that allows it, or why it is refused.
 async fn arrive(engine: &mpsc::UnboundedSender<Event>, id: u64) -> Result<u64, String> {
-    let (tx, mut rx) = mpsc::unbounded_channel();
+    let outcome = outcome(send(engine, id)).await;
+    engine.send(Event::Cancel(RequestId(id))).unwrap();
+    outcome
+}
+
+/// Sends a request, and returns where its decisions come.
+fn send(engine: &mpsc::UnboundedSender<Event>, id: u64) -> mpsc::UnboundedReceiver<Decision> {
+    let (tx, rx) = mpsc::unbounded_channel();
     let arrival = Arrival {
         id: RequestId(id),
         api_key: Some(KEY.to_owned()),
@@ -486,13 +512,15 @@
         tx,
     };
     engine.send(Event::RequestArrived(arrival)).unwrap();
-    let outcome = loop {
+    rx
+}
+
+async fn outcome(mut rx: mpsc::UnboundedReceiver<Decision>) -> Result<u64, String> {
+    loop {
         match timeout(ARRIVAL_INTERVAL, rx.recv()).await.unwrap().unwrap() {
             Decision::Resolved(info) => break Ok(info.config.revision),
             Decision::Refuse(refusal) => break Err(refusal.kind.to_string()),
             _ => {}
         }
-    };
-    engine.send(Event::Cancel(RequestId(id))).unwrap();
-    outcome
+    }
 }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -242,7 +242,10 @@
     /// Handles one event.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
-        self.check_outdated(now);
+        // After a standstill, the follower's word is heard first.
+        if !matches!(event, Event::ConfigFreshness { .. }) {
+            self.check_outdated(now);
+        }
         match event {
             Event::RequestArrived(arrival) => self.arrive(now, arrival),
             Event::Dispatch { id, fingerprint } => self.dispatch(now, id, Some(fingerprint)),
@@ -314,6 +317,7 @@
                 self.confirmed_at = confirmed_at;
                 self.refuse_until = refuse_until;
                 self.confirmation = confirmation;
+                self.check_outdated(now);
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
             Event::HoldQuotaSlot {
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -44,20 +44,33 @@
     pub(super) fn set_lag(&mut self, now: Time, lag: ConfigLag) {
         self.outdated.from = lag.outdated_from.unwrap_or(Time::NEVER);
         self.outdated.retry_after = lag.retry_after;
-        if now < self.outdated.from && self.outdated.is_reached {
-            self.outdated.is_reached = false;
-            let actions = self.revise_requests(now);
-            self.apply_dispatch(now, actions);
-        }
         self.check_outdated(now);
     }
 
-    /// Withdraws all requests that aren't running, once the active configuration may not decide any more.
+    /// Withdraws all requests that aren't running, once the active configuration may not decide any more, and lets it
+    /// decide again once it may.
     pub(super) fn check_outdated(&mut self, now: Time) {
-        if now < self.outdated.from || self.outdated.is_reached {
+        let is_reached = now >= self.outdated.from || self.is_unheard(now);
+        if is_reached == self.outdated.is_reached {
             return;
         }
-        self.outdated.is_reached = true;
+        self.outdated.is_reached = is_reached;
+        if is_reached {
+            self.withdraw_all(now);
+        } else {
+            let actions = self.revise_requests(now);
+            self.apply_dispatch(now, actions);
+        }
+    }
+
+    /// Returns whether nothing has been heard from the follower for so long that the process stood still, and a later
+    /// configuration that has to be in force may have come meanwhile.
+    fn is_unheard(&self, now: Time) -> bool {
+        let is_silent = now > self.freshness_valid_until && self.freshness_valid_until > Time::ZERO;
+        is_silent && now > self.refuse_until
+    }
+
+    fn withdraw_all(&mut self, now: Time) {
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         let withdrawn = ids
             .into_iter()
