fix(daemon): an action with a long idempotency key is claimed

What callers see: a non-idempotent request whose idempotency key names no instance, and has some 195 to 200 bytes (200 are allowed), is refused each time with `claim_unavailable`, on a platform that limits names of rows to 200 bytes, as the users' does.

Cause: the claim's row is named by the workspace, a slash and the key, which is longer than a name may be.

Change: such a row is named by the digest of that text. Other names stay as they are, so that instances of other builds find them; the longer ones were written by none where names are limited.

Ruled out: shorter keys (a refusal of what has been allowed).

--- a/crates/daemon/src/ledger/rows.rs
+++ b/crates/daemon/src/ledger/rows.rs
@@ -1,8 +1,8 @@
 //! Claims of actions as rows of a table of the platform.
 
-use base::ErrorKind;
+use base::{ErrorKind, KeyDigest};
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
-use platform::{PlatformError, Precondition, Write};
+use platform::{PlatformError, Precondition, Write, layout::MAX_NAME_BYTES};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -144,6 +144,12 @@
     }
 }
 
+/// Returns the name of an action's row: its workspace and key, or their digest where that would be too long.
 fn row_name(key: &ActionKey) -> String {
-    format!("{}/{}", key.workspace, key.key)
+    let name = format!("{}/{}", key.workspace, key.key);
+    if name.len() <= MAX_NAME_BYTES {
+        name
+    } else {
+        KeyDigest::of(&name).into()
+    }
 }
--- a/crates/platform/src/layout.rs
+++ b/crates/platform/src/layout.rs
@@ -1,4 +1,4 @@
-//! Storage layout of the configuration's versions in tables and objects.
+//! Storage layout of the configuration's versions in tables and objects, and limits on what rows hold.
 
 /// Table that holds the head row and the history.
 pub const CONFIG_TABLE: &str = "config";
@@ -8,6 +8,9 @@
 /// Prefix of the names of the history's rows.
 pub const VERSION_PREFIX: &str = "version/";
 
+/// Maximum size of the name of a table or a row that each platform takes, in bytes.
+pub const MAX_NAME_BYTES: usize = 200;
+
 /// Returns the name of the object that holds the configuration with this digest.
 pub fn object_name(digest: &str) -> String {
     format!("config/{digest}")
