fix(daemon): an action whose answer is too long for a row ends

What callers see: a non-idempotent request whose idempotency key names no instance, and whose answer has more than some 18 KB, is answered a second late; each repeat of it gets `in_progress`, as long as the instance lives that ran it.

Cause: the answer is recorded in the claim's row as a list of numbers, which the users' store refuses beyond 64 KiB of value (`rowBytes`), and a transaction beyond 1 MB. It is tried five times and given up; the row says that the action is running.

Change: where the row would be longer, the outcome is recorded without the answer; repeats get `outcome_unknown`, and never run again.

Ruled out: several rows for an answer (a transaction holds 1 MB, answers may be longer), a shorter form of the answer (rows of other builds are read).

--- a/crates/daemon/src/ledger/rows.rs
+++ b/crates/daemon/src/ledger/rows.rs
@@ -2,7 +2,10 @@
 
 use base::{ErrorKind, KeyDigest};
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
-use platform::{PlatformError, Precondition, Write, layout::MAX_NAME_BYTES};
+use platform::{
+    PlatformError, Precondition, Write,
+    layout::{MAX_NAME_BYTES, MAX_VALUE_BYTES},
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -29,7 +32,7 @@
     Open,
     /// It did not run, and may be claimed anew.
     Released,
-    /// It may have run.
+    /// It may have run, or it ran with a response that is too long for a row.
     Unknown,
     /// It ran with this response.
     Done(SavedAnswer),
@@ -132,11 +135,7 @@
         if existing.claimer != *claimer || existing.state != RowState::Open {
             return Ok(());
         }
-        let settled = ClaimRow {
-            state: state.clone(),
-            ..existing
-        };
-        let text = serde_json::to_string(&settled).unwrap_or_default();
+        let text = settled_text(existing, state);
         let write = Write::new(CLAIM_TABLE, name)
             .value(&text)
             .expect(Precondition::Version(row.version));
@@ -144,6 +143,21 @@
     }
 }
 
+/// Returns the text of a claim's row with its outcome. One that is too long for a row counts as unknown.
+fn settled_text(claim: ClaimRow, state: &RowState) -> String {
+    let text_of = |claim: &ClaimRow| serde_json::to_string(claim).unwrap_or_default();
+    let mut settled = ClaimRow {
+        state: state.clone(),
+        ..claim
+    };
+    let text = text_of(&settled);
+    if text.len() <= MAX_VALUE_BYTES {
+        return text;
+    }
+    settled.state = RowState::Unknown;
+    text_of(&settled)
+}
+
 /// Returns the name of an action's row: its workspace and key, or their digest where that would be too long.
 fn row_name(key: &ActionKey) -> String {
     let name = format!("{}/{}", key.workspace, key.key);
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -1,4 +1,4 @@
-//! Claims of actions as rows of the platform's table, within its limit on names.
+//! Claims of actions as rows of the platform's table, within its limits on names and values.
 
 use std::{
     sync::{Arc, Mutex},
@@ -10,12 +10,15 @@
     fleet::Fleet,
     ledger::{LedgerTask, LedgerTaskOptions},
 };
-use dispatch::{ActionKey, ClaimOutcome, Ledger, RequestId};
+use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Ledger, RequestId, SavedAnswer};
 use entry::{
     message::LedgerCall,
     view::{Clock, View},
 };
-use platform::{Call, Platform, PlatformError, Store, Write, layout::MAX_NAME_BYTES};
+use platform::{
+    Call, Platform, PlatformError, Store, Write,
+    layout::{MAX_NAME_BYTES, MAX_VALUE_BYTES},
+};
 use rstest::rstest;
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Secret;
@@ -25,10 +28,11 @@
 const KEY_BYTES: usize = 200;
 
 fn is_too_large(write: &Write) -> bool {
-    write.row.len() > MAX_NAME_BYTES
+    let value = write.value.as_deref().unwrap_or_default();
+    write.row.len() > MAX_NAME_BYTES || value.len() > MAX_VALUE_BYTES
 }
 
-/// Returns a platform that refuses names beyond its limit.
+/// Returns a platform that refuses names and values beyond its limits.
 fn limited_platform() -> Platform {
     let store = Arc::new(Mutex::new(Store::default()));
     Platform::spawn(move || {
@@ -88,6 +92,20 @@
         self.calls.send(call).await.unwrap();
         answer.await.unwrap()
     }
+
+    /// Records the answer, and returns whether that succeeded.
+    async fn settle(&self, key: &ActionKey, request: u64, answer: SavedAnswer) -> bool {
+        let (recorded, record) = oneshot::channel();
+        let call = LedgerCall::Settle {
+            key: key.clone(),
+            request: RequestId(request),
+            event: ActionEvent::Answered,
+            answer: Some(answer),
+            recorded,
+        };
+        self.calls.send(call).await.unwrap();
+        record.await.is_ok()
+    }
 }
 
 fn key(bytes: usize, end: &str) -> ActionKey {
@@ -110,3 +128,29 @@
     assert_eq!(claims.claim(&first, 2).await, Ok(ClaimOutcome::InProgress));
     assert_eq!(claims.claim(&other, 3).await, Ok(ClaimOutcome::Granted));
 }
+
+/// Guards against actions that count as running for good: the row of a long answer was larger than the store takes.
+#[rstest]
+#[case::short(1_000, true)]
+#[case::long(100_000, false)]
+#[case::longer_than_a_transaction(1_500_000, false)]
+#[tokio::test(start_paused = true)]
+async fn answer_of_any_size_ends_its_action(#[case] bytes: usize, #[case] is_kept: bool) {
+    let claims = Claims::start();
+    let key = key(20, "");
+    let answer = SavedAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; bytes],
+    };
+    assert_eq!(claims.claim(&key, 1).await, Ok(ClaimOutcome::Granted));
+    let is_recorded = claims.settle(&key, 1, answer.clone()).await;
+    let expected = if is_kept {
+        ClaimOutcome::Done(answer)
+    } else {
+        ClaimOutcome::Unknown
+    };
+    let repeated = claims.claim(&key, 2).await;
+    assert!(repeated == Ok(expected), "{is_recorded}");
+    assert!(is_recorded);
+}
--- a/crates/platform/src/layout.rs
+++ b/crates/platform/src/layout.rs
@@ -10,6 +10,8 @@
 
 /// Maximum size of the name of a table or a row that each platform takes, in bytes.
 pub const MAX_NAME_BYTES: usize = 200;
+/// Maximum size of a row's value that each platform takes, in bytes.
+pub const MAX_VALUE_BYTES: usize = 65_536;
 
 /// Returns the name of the object that holds the configuration with this digest.
 pub fn object_name(digest: &str) -> String {
