fix(daemon): a sound instance reads before it believes in others' failing reads

Callers see requests that reach a target 2.0 to 2.1 s after it has left (2 allowed), at an instance that the store turns away, beside a sound one that reads all the time.

Cause, traced on: the sound instance's poll, sent at 2.1 s, rests until 4.0. By the report of failing reads at 3.6 s its last contact is 1.6 s old, and a contact counts for 1.5 s, so it believes in an outage; entries that it reads as removed at 3.6 to 4.1 s are kept for 1.8 s, and told with the next heartbeat, at 5.6 to 6.1 s.

Change: a report makes a prompt read due 1.1 s after the last contact that is known of anybody, unless the open poll has ended its wait by then. The report counts once no answer has come for 0.2 s after it was due, or after the rest of the open poll is over; also if an earlier answer or a fetch brings a removal, which an outage may have caused. Where own reads fail, it counts at once, as before. Instances take turns, 4 ms for each in the fleet, so that most hear of the first answers before theirs.

An answer to a poll that was open beside a prompt one no longer makes the next poll open a connection: only connections that were given up since do.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -32,7 +32,7 @@
     message::{FollowerMessage, OwnReads, TableChange},
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure},
-    table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
+    table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -48,6 +48,8 @@
 /// where the answer that shows it began to arrive: targets may get requests only until their drain time
 /// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
+/// Time for each instance by which their reads of the store are apart where all of them hear that another one's fail.
+const PROMPT_SPACING: Duration = Duration::from_millis(4);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Gives the other tasks one configuration for all followed tables.
@@ -174,10 +176,7 @@
                 clock: self.options.clock,
                 platform: self.options.platform.clone(),
                 table: table.clone(),
-                timing: self
-                    .options
-                    .read_timing
-                    .confirming_within(self.options.apply),
+                timing: self.read_timing(),
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
@@ -244,11 +243,14 @@
                         table.catch_up.on_report(now, from.clone(), position, rank);
                     }
                     if let Some(at) = confirmed_at {
-                        table.replica.on_contact(at);
+                        table.record_contact(at);
                     }
                 }
+                let failing = reads.filter(|reads| reads.is_failing);
+                let turn = failing.map_or(Duration::ZERO, |_| self.prompt_turn(&from));
+                let max_rest = self.read_timing().max_rest();
                 if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
-                    table.record_reads_elsewhere(now, reads);
+                    table.record_reads_elsewhere(now, reads, max_rest, turn);
                 }
                 if is_up_to_date && confirmed_at > self.peer_confirmed_at() {
                     self.peer_confirmation =
@@ -274,6 +276,20 @@
         if is_local { draw } else { draw | REMOTE }
     }
 
+    fn read_timing(&self) -> ReadTiming {
+        let timing = self.options.read_timing;
+        timing.confirming_within(self.options.apply)
+    }
+
+    /// Returns by how much this instance reads the store later than the first one where all hear that the reads of `from`
+    /// fail.
+    fn prompt_turn(&self, from: &InstanceId) -> Duration {
+        let count = self.options.fleet.borrow().members.len();
+        let draw = rendezvous_draw(self.options.own_entry.instance.as_str(), from);
+        let max = PROMPT_SPACING * count.try_into().unwrap_or(u32::MAX);
+        max.mul_f64(draw as f64 / u64::MAX as f64)
+    }
+
     /// Applies a read and returns whether to publish the result at once.
     fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
@@ -311,6 +327,7 @@
                 table.fetches.retain(|open| open.asked_at != fetch.asked_at);
                 table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
+                table.believe_reported();
                 let found = fetch.fetched.table;
                 // What it lacks counts as gone since a later position was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
@@ -325,6 +342,7 @@
             }
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at(), read.position));
+                table.believe_reported();
                 table.record_answer(name, &read);
                 table.replica.replace(
                     read.answer.arrived_at,
@@ -401,6 +419,7 @@
         let fleet = self.options.fleet.borrow().clone();
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
+            table.believe_overdue(now);
             is_changed |= table.replica.expire(now);
             table.log_retention(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -11,7 +11,7 @@
 use crate::{
     message::OwnReads,
     table_logs::{NewsSource, log_older, log_outage, log_rows_kept},
-    table_reads::PlatformRead,
+    table_reads::{FailingElsewhere, PlatformRead},
 };
 
 /// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
@@ -41,8 +41,8 @@
     pub(super) advanced_at: Time,
     /// Tells the own reads up to which position rows have come from other instances.
     pub(super) advanced: watch::Sender<u64>,
-    /// Tells the own reads when another instance last reported that its own ones fail.
-    pub(super) failing_elsewhere: watch::Sender<Option<Time>>,
+    /// Tells the own reads what other instances report of theirs that fail.
+    pub(super) failing_elsewhere: watch::Sender<FailingElsewhere>,
 }
 
 /// A fetch from another instance that has not ended.
@@ -142,7 +142,7 @@
             own_reads: None,
             advanced_at: Time::ZERO,
             advanced: watch::Sender::new(0),
-            failing_elsewhere: watch::Sender::new(None),
+            failing_elsewhere: watch::Sender::default(),
         }
     }
 
@@ -246,13 +246,55 @@
         self.logged_retained = retained.len();
     }
 
-    /// Records what another instance reports of its own reads.
-    pub(super) fn record_reads_elsewhere(&mut self, now: Time, reads: OwnReads) {
-        self.replica.on_contact(reads.contact_at);
-        if reads.is_failing {
-            self.failing_elsewhere.send_replace(Some(now));
+    /// Records what another instance reports of its own reads. While the own ones don't fail, where a poll rests for
+    /// `max_rest`, a read that fails there counts only once a prompt one, in this instance's `turn`, isn't answered.
+    pub(super) fn record_reads_elsewhere(
+        &mut self,
+        now: Time,
+        reads: OwnReads,
+        max_rest: Duration,
+        turn: Duration,
+    ) {
+        self.record_contact(reads.contact_at);
+        if !reads.is_failing {
+            return;
+        }
+        let own = self.own_reads.filter(|own| !own.is_failing);
+        let contact_at = self.replica.last_contact_at().unwrap_or(reads.contact_at);
+        let rests_until = own.map_or(now, |own| own.contact_at + max_rest);
+        self.failing_elsewhere
+            .send_modify(|failing| failing.on_report(now, contact_at, rests_until, turn));
+        if own.is_none() {
             self.replica.on_read_failure(now);
         }
+        self.believe_overdue(now);
+    }
+
+    /// Counts the failing reads that others have reported if an own one that is due hasn't been answered either.
+    pub(super) fn believe_overdue(&mut self, now: Time) {
+        if self.failing_elsewhere.borrow().is_answer_overdue(now) {
+            self.replica.on_read_failure(now);
+        }
+    }
+
+    /// Counts the last failing read that others have reported: an answer came late, or rows are found removed.
+    pub(super) fn believe_reported(&mut self) {
+        let reported_at = self.failing_elsewhere.borrow().reported_at();
+        if let Some(at) = reported_at {
+            self.replica.on_read_failure(at);
+        }
+    }
+
+    /// Records that some instance read the table at `at` or later.
+    pub(super) fn record_contact(&mut self, at: Time) {
+        if self.replica.last_contact_at() < Some(at) {
+            self.failing_elsewhere.send_if_modified(|failing| {
+                let before = *failing;
+                failing.on_contact();
+                before != *failing
+            });
+        }
+        self.replica.on_contact(at);
     }
 
     /// Records that the platform has answered. An answer from before the own position confirms nothing, and is
@@ -268,10 +310,17 @@
             self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
         }
         let contact_at = read.answer.arrived_at;
+        let is_late = self
+            .failing_elsewhere
+            .borrow()
+            .is_answer_overdue(contact_at);
+        if is_late || read.rows.iter().any(|row| row.value.is_none()) {
+            self.believe_reported();
+        }
         self.own_reads = Some(OwnReads {
             contact_at,
             is_failing: false,
         });
-        self.replica.on_contact(contact_at);
+        self.record_contact(contact_at);
     }
 }
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,5 +1,6 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
+mod elsewhere;
 mod outcome;
 mod timing;
 
@@ -15,11 +16,11 @@
     time::{Instant, sleep, sleep_until},
 };
 
-pub(crate) use self::outcome::{
-    Arrival, Fetch, PlatformRead, ReadFailure, TableRead, to_row_change, to_snapshot,
-};
 pub use self::timing::ReadTiming;
-use crate::fleet::HEARTBEAT_TIMEOUT;
+pub(crate) use self::{
+    elsewhere::FailingElsewhere,
+    outcome::{Arrival, Fetch, PlatformRead, ReadFailure, TableRead, to_row_change, to_snapshot},
+};
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
@@ -47,8 +48,8 @@
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
     pub(crate) advanced: watch::Receiver<u64>,
-    /// Time at which another instance last reported that its own reads fail.
-    pub(crate) failing_elsewhere: watch::Receiver<Option<Time>>,
+    /// What other instances report of reads that fail.
+    pub(crate) failing_elsewhere: watch::Receiver<FailingElsewhere>,
 }
 
 /// Follows one table by long polls.
@@ -72,6 +73,8 @@
     next_number: u64,
     /// Whether the next poll opens a new connection, so that it must be answered at once.
     is_reconnecting: bool,
+    /// Number of the first poll since connections were last given up.
+    reconnected_before: u64,
     /// The last rows from another source.
     advance: Option<Advance>,
     /// Whether an answer has been ended since one was complete.
@@ -90,6 +93,8 @@
     sent_at: Time,
     /// The same by the runtime's clock.
     sent: Instant,
+    /// Time for which it waits for a change.
+    wait: Duration,
     /// Whether the connection had been used before.
     is_on_kept_connection: bool,
     received: watch::Receiver<Received>,
@@ -141,6 +146,7 @@
             open: VecDeque::new(),
             next_number: 0,
             is_reconnecting: true,
+            reconnected_before: 0,
             advance: None,
             has_ended: false,
             retry_delay: MIN_RETRY_DELAY,
@@ -154,6 +160,7 @@
         let mut step = Step::Poll(Instant::now());
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
+            let prompt_at = self.next_prompt_at(step);
             let read = tokio::select! {
                 Some(ended) = self.polls.join_next() => match ended {
                     Ok(result) => self.handle_result(result, &mut step).await,
@@ -177,7 +184,13 @@
                     self.end_outdated(&mut step).await;
                     None
                 }
-                () = sleep_until(at) => match (step, self.arriving_until()) {
+                Ok(()) = self.options.failing_elsewhere.changed() => None,
+                () = sleep_until(prompt_at.unwrap_or(at)) => match (step, self.arriving_until()) {
+                    _ if prompt_at.is_some() => {
+                        let until = Instant::now() + self.send_prompt();
+                        step = Step::Overtake(at.min(until));
+                        None
+                    }
                     (_, Some(until)) => {
                         step = Step::Overtake(until);
                         None
@@ -199,20 +212,41 @@
 
     /// Sends a poll and returns the time within which it must be answered.
     fn send_poll(&mut self) -> Duration {
+        let sent_at = self.options.clock.now();
         let timing = self.options.timing;
-        let progress = Progress::start();
-        let received = progress.received();
-        let platform = self.options.platform.clone().progress(progress);
-        let table = self.options.table.clone();
-        let (number, position) = (self.next_number, self.position);
         let is_on_kept_connection = !self.is_reconnecting;
-        let sent_at = self.options.clock.now();
         let wait = if is_on_kept_connection && !self.needs_prompt_answer(sent_at) {
             self.poll_wait(sent_at)
         } else {
-            self.prompt_at = sent_at;
             Duration::ZERO
         };
+        self.send_waiting_poll(sent_at, wait);
+        if self.position.is_none() || is_on_kept_connection {
+            timing.max_silence()
+        } else {
+            timing.first_answer_time()
+        }
+    }
+
+    /// Sends a poll that waits for nothing beside the open ones, and returns the time within which it must be answered.
+    fn send_prompt(&mut self) -> Duration {
+        if self.open.len() >= MAX_OPEN_POLLS {
+            self.give_up(1);
+        }
+        self.send_waiting_poll(self.options.clock.now(), Duration::ZERO);
+        self.options.timing.first_answer_time()
+    }
+
+    /// Sends a poll that waits for a change for a time.
+    fn send_waiting_poll(&mut self, sent_at: Time, wait: Duration) {
+        let progress = Progress::start();
+        let received = progress.received();
+        let platform = self.options.platform.clone().progress(progress);
+        let table = self.options.table.clone();
+        let (number, position) = (self.next_number, self.position);
+        if wait.is_zero() {
+            self.prompt_at = sent_at;
+        }
         let (sent, clock, begun) = (Instant::now(), self.options.clock, received.clone());
         let to_read = move |(rows, position)| {
             let begun = *begun.borrow();
@@ -255,29 +289,38 @@
             after: position,
             sent_at,
             sent,
-            is_on_kept_connection,
+            wait,
+            is_on_kept_connection: !self.is_reconnecting,
             received,
             task,
         });
-        match position {
-            None => timing.max_silence(),
-            Some(_) if is_on_kept_connection => timing.max_silence(),
-            Some(_) => timing.first_answer_time(),
-        }
     }
 
     /// Returns the time for which a poll waits for a change. While the reads of another instance fail, whoever reads is
     /// to show in time that there is no outage.
     fn poll_wait(&self, now: Time) -> Duration {
         let poll_wait = self.options.timing.poll_wait;
-        let failing_at = *self.options.failing_elsewhere.borrow();
-        if failing_at.is_some_and(|at| now - at < HEARTBEAT_TIMEOUT) {
+        if self.options.failing_elsewhere.borrow().is_recent(now) {
             poll_wait.min(CONTACT_POLL_WAIT)
         } else {
             poll_wait
         }
     }
 
+    /// Returns when a poll that waits for nothing is sent beside the open one, before the next step: that one rests beyond
+    /// the time at which the table is to be read.
+    fn next_prompt_at(&self, step: Step) -> Option<Instant> {
+        let Step::Overtake(until) = step else {
+            return None;
+        };
+        let due = self.options.failing_elsewhere.borrow().read_due()?;
+        let newest = self.open.back()?;
+        let is_resting =
+            newest.after.is_some() && newest.sent_at < due && newest.sent_at + newest.wait > due;
+        let at = self.options.clock.instant(due);
+        (is_resting && at < until && self.arriving_until().is_none()).then_some(at)
+    }
+
     /// Returns whether the next poll is to wait for nothing, so that the platform's clock is known more closely.
     fn needs_prompt_answer(&self, now: Time) -> bool {
         now - self.prompt_at >= PROMPT_INTERVAL && self.dates.is_uncertain(now)
@@ -299,9 +342,9 @@
                     read.made_at = self.dates.date(read.answer);
                     answered_at = self.options.clock.instant(read.answer.arrived_at);
                 }
-                // The others can't bring anything newer: they ask for what has come, or for less. Where any
-                // was sent after it, its own connection is no longer kept.
-                self.is_reconnecting = number + 1 < self.next_number;
+                // The others can't bring anything newer: they ask for what has come, or for less. Where connections
+                // were given up after it was sent, its own one is no longer kept.
+                self.is_reconnecting = number < self.reconnected_before;
                 self.give_up(self.open.len());
                 self.retry_delay = MIN_RETRY_DELAY;
                 self.has_ended = false;
@@ -382,8 +425,7 @@
         if received.any(ends) {
             self.has_ended = true;
             self.give_up(self.open.len());
-            self.options.platform.reconnect().await;
-            self.is_reconnecting = true;
+            self.reconnect().await;
             *step = Step::Poll(Instant::now() + POLL_DELAY);
         }
     }
@@ -402,8 +444,7 @@
 
     /// Reports a failed poll; the next one follows at once if the cause may be its old connection.
     async fn fail(&mut self, poll: &OpenPoll, is_unanswered: bool, step: &mut Step) -> TableRead {
-        self.options.platform.reconnect().await;
-        self.is_reconnecting = true;
+        self.reconnect().await;
         let delay = if poll.is_on_kept_connection {
             Duration::ZERO
         } else {
@@ -420,6 +461,13 @@
         })
     }
 
+    /// Gives up the kept connections, so that the next poll opens a new one.
+    async fn reconnect(&mut self) {
+        self.options.platform.reconnect().await;
+        self.is_reconnecting = true;
+        self.reconnected_before = self.next_number;
+    }
+
     /// Cancels the oldest open polls.
     fn give_up(&mut self, count: usize) {
         for poll in self.open.drain(..count) {
--- a/crates/daemon/src/table_reads/timing.rs
+++ b/crates/daemon/src/table_reads/timing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::POLL_DELAY;
+
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Maximum time for which the platform holds a poll open while nothing changes.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(3);
@@ -59,6 +61,11 @@
         self.poll_wait + self.answer_time
     }
 
+    /// Returns the time from an answer to when the next poll no longer waits for a change.
+    pub(crate) fn max_rest(&self) -> Duration {
+        POLL_DELAY + self.poll_wait
+    }
+
     /// Returns the time without a byte after which a call on a new connection that waits for nothing
     /// counts as unanswered, and an answer that has begun as cut off.
     pub(super) fn first_answer_time(&self) -> Duration {
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -20,9 +20,9 @@
 
 use base::{Config, InstanceId, Registration, Service, Target, TargetId, Time};
 use call::read_of;
-use coord::{Departure, Replica, lacking};
+use coord::{Departure, ListEntry, Membership, Replica, lacking};
 use daemon::{
-    fleet::Fleet,
+    fleet::{Fleet, FleetMember},
     follower::{
         FollowerOptions, Outputs,
         tables::{ComposedConfig, FollowedTables, TableFollower},
@@ -104,6 +104,8 @@
     outage: Option<Range<Duration>>,
     /// Whether it refuses calls meanwhile, or is silent.
     refuses: bool,
+    /// Whether it refuses the polls that are open as that begins.
+    cuts_polls: bool,
 }
 
 impl Scenario {
@@ -145,6 +147,7 @@
             goes_back: None,
             outage: None,
             refuses: false,
+            cuts_polls: false,
         }
     }
 
@@ -170,6 +173,7 @@
             goes_back: None,
             outage: None,
             refuses: false,
+            cuts_polls: false,
         }
     }
 
@@ -230,6 +234,8 @@
     let mut next = scenario.writes.iter().enumerate();
     let next = next.find(|(idx, _)| is_targets && position_of(*idx) > after && after > 0);
     let next = next.map_or(deadline, |(_, write)| started + write.at);
+    let cut = scenario.outage.as_ref().filter(|_| scenario.cuts_polls);
+    let next = cut.map_or(next, |outage| next.min(started + outage.start));
     let went_back = scenario.goes_back.map(|(from, _)| started + from);
     let is_back = went_back.is_some_and(|at| at <= Instant::now());
     sleep_until(if is_back {
@@ -286,6 +292,11 @@
     Ok(())
 }
 
+/// Returns whether a call reads changes of the targets' table without waiting for one.
+fn is_prompt(call: &Call) -> bool {
+    matches!(call, Call::Changes { table, wait_ms: 0, .. } if table == TARGETS_TABLE)
+}
+
 fn compose(replicas: &[&Replica]) -> Option<ComposedConfig> {
     let targets = replicas[1].rows().map(|(id, row)| {
         let target = Target {
@@ -337,6 +348,26 @@
     in_force: watch::Receiver<Arc<Config>>,
     /// Number of configurations that the engine was told to activate.
     activations: watch::Receiver<usize>,
+    /// Number of reads of changes of the targets' table that waited for nothing.
+    prompts: Arc<Mutex<usize>>,
+}
+
+/// Returns the instances that send heartbeats; none of them can be called.
+fn fleet_of(scenario: &Scenario) -> Fleet {
+    let mut membership = Membership::new(RUN_TIME, RUN_TIME);
+    let ids = (0..scenario.reporters.len()).map(|idx| InstanceId::from(format!("i{idx}").as_str()));
+    let entries = ids.map(|id| ListEntry {
+        id,
+        domain: "d".into(),
+        is_leaving: false,
+    });
+    membership.on_list(Time::ZERO, &entries.collect::<Vec<_>>());
+    let members = membership.members().iter();
+    let members = members.map(|(id, member)| (id.clone(), FleetMember::new(member, None)));
+    Fleet {
+        members: members.collect(),
+        ..Fleet::default()
+    }
 }
 
 /// Starts an instance whose answers that bring rows take what `transfers` say, and which sees the store go back if
@@ -351,16 +382,21 @@
     transfers.reverse();
     let transfers = Arc::new(Mutex::new(transfers));
     let served = scenario.clone();
+    let prompts = Arc::new(Mutex::new(0));
+    let counted = prompts.clone();
     let platform = Platform::spawn(move || {
-        let (served, transfers) = (served.clone(), transfers.clone());
-        move |call, progress| answer(started, served.clone(), transfers.clone(), call, progress)
+        let (served, transfers, counted) = (served.clone(), transfers.clone(), counted.clone());
+        move |call, progress| {
+            *counted.lock().unwrap() += usize::from(is_prompt(&call));
+            answer(started, served.clone(), transfers.clone(), call, progress)
+        }
     });
     let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, mut commands) = mpsc::channel(64);
     let (view, _) = watch::channel(Arc::new(View::default()));
     let (snapshots, _) = watch::channel(Arc::default());
     let (messages, rx) = mpsc::channel(64);
-    let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let (_, fleet) = watch::channel(Arc::new(fleet_of(scenario)));
     let mut own = options(clock, platform, fleet);
     own.own_entry.instance = name.into();
     let follower = TableFollower::new(
@@ -428,6 +464,7 @@
         told,
         in_force,
         activations,
+        prompts,
     }
 }
 
@@ -684,15 +721,30 @@
 /// outage, tells that the target has left.
 #[test]
 fn living_target_stays_in_service_after_an_outage_that_another_instance_missed() {
+    assert_in_service_after_outage(1_500, 600);
+}
+
+/// Guards against the same where the row expires after the outage: the other one, whose own poll was silent, took the
+/// first answer after it for a sign that there was none.
+#[rstest]
+#[case::at_once(2_100)]
+#[case::soon(2_300)]
+#[case::later(2_800)]
+fn living_target_stays_in_service_as_an_outage_is_over(#[case] gone_ms: u64) {
+    assert_in_service_after_outage(gone_ms, 100);
+}
+
+/// Asserts that a target stays in service whose row is gone `gone_ms` after the start of an outage of two seconds.
+fn assert_in_service_after_outage(gone_ms: u64, transfer_ms: u64) {
     let ms = Duration::from_millis;
     let mut out = BTreeMap::new();
     for from in (3_000..6_000).step_by(100) {
         let unheard = Scenario {
-            transfers: vec![Transfer::Takes(ms(600))],
+            transfers: vec![Transfer::Takes(ms(transfer_ms))],
             outage: Some(ms(from)..ms(from + 2_000)),
             refuses: true,
             reporters: Vec::new(),
-            ..Scenario::calm(&[(from + 1_500, Row::Gone), (from + 3_500, Row::Ready)])
+            ..Scenario::calm(&[(from + gone_ms, Row::Gone), (from + 3_500, Row::Ready)])
         };
         if !out_times(&unheard).is_empty() {
             continue;
@@ -743,6 +795,41 @@
     );
 }
 
+/// Guards against DRAIN: the same where the store refuses open polls, so that a sound instance, whose own poll rests, hears
+/// of it at any time since its last read. What it reads as removed before it has asked itself may be due to an outage.
+#[test]
+fn departure_is_told_in_time_whenever_an_instance_is_turned_away() {
+    // A heartbeat's interval, and the time that an answer takes at most.
+    const ASKED_MS: u64 = 700;
+    let mut out_after = BTreeMap::new();
+    let mut removals = 0;
+    for from_ms in (2_100..4_100).step_by(200) {
+        for removed_ms in (from_ms + ASKED_MS..from_ms + 3_100).step_by(100) {
+            let sound = Scenario::calm(&[(removed_ms, Row::Gone)]);
+            let turned_away = Scenario {
+                outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
+                refuses: true,
+                cuts_polls: true,
+                ..sound.clone()
+            };
+            let played = play_beside(Arc::new(turned_away), Arc::new(sound.clone()));
+            let samples = run_paused(played).0;
+            removals += 1;
+            let late = late_in(&sound, &samples);
+            if let Some((at, _)) = late.last() {
+                let after = *at - Duration::from_millis(removed_ms);
+                out_after.insert((from_ms, removed_ms), after);
+            }
+        }
+    }
+    let worst = out_after.values().max();
+    assert!(
+        out_after.is_empty(),
+        "{} of {removals} late, out after {worst:?} at worst: {out_after:?}",
+        out_after.len(),
+    );
+}
+
 /// Guards against living targets that are out for nothing: others went on telling of an entry that had expired and is
 /// back, of the same life at the same address, to an instance whose own rows had it all the time.
 #[test]
@@ -795,3 +882,65 @@
     let total: usize = activations.sum();
     assert_eq!(total, SEEDS.count(), "one for each start");
 }
+
+/// Guards against calls that cost without need: all instances of a fleet, whose polls began at the same time, read at once
+/// since one of them was turned away.
+#[rstest]
+#[case::early_in_their_polls(2_300)]
+#[case::in_the_middle(3_100)]
+#[case::late_in_their_polls(3_700)]
+fn few_instances_read_at_once_where_one_is_turned_away(#[case] from_ms: u64) {
+    const SOUND: usize = 80;
+    let phase = |idx: usize| HEARTBEAT_INTERVAL * idx as u32 / (SOUND as u32 + 1);
+    let reporters = (0..=SOUND).map(|idx| Reporter {
+        phase: phase(idx),
+        loss: 0.0,
+        end: RUN_TIME,
+    });
+    let sound = Scenario {
+        reporters: reporters.collect(),
+        ..Scenario::calm(&[])
+    };
+    let turned_away = Scenario {
+        outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
+        refuses: true,
+        cuts_polls: true,
+        ..sound.clone()
+    };
+    let mut fleet = vec![sound; SOUND];
+    fleet.push(turned_away);
+    let mut prompts = run_paused(count_prompts(fleet));
+    prompts.truncate(SOUND);
+    assert!(prompts.iter().all(|count| *count <= 1), "{prompts:?}");
+    let total: usize = prompts.iter().sum();
+    assert!(total <= SOUND / 2, "{total} of {SOUND}");
+}
+
+/// Plays a fleet of instances that send heartbeats to each other, and returns how many reads of each one waited for
+/// nothing.
+async fn count_prompts(fleet: Vec<Scenario>) -> Vec<usize> {
+    let (started, clock) = (Instant::now(), Clock::start());
+    let fleet = fleet.into_iter().map(Arc::new).enumerate();
+    let fleet: Vec<_> = fleet
+        .map(|(idx, scenario)| {
+            let name = format!("i{idx}");
+            let instance = start(&name, started, clock, &scenario, Vec::new());
+            (InstanceId::from(name.as_str()), scenario, instance)
+        })
+        .collect();
+    for (idx, (name, scenario, source)) in fleet.iter().enumerate() {
+        for (_, _, receiver) in fleet.iter().filter(|(other, ..)| other != name) {
+            tokio::spawn(report(
+                started,
+                scenario.clone(),
+                (idx, name.clone()),
+                source.told.clone(),
+                receiver.told.clone(),
+                receiver.messages.clone(),
+            ));
+        }
+    }
+    sleep(Duration::from_secs(10)).await;
+    let prompts = fleet.iter().map(|(.., one)| *one.prompts.lock().unwrap());
+    prompts.collect()
+}
