fix(daemon): refused announcements are repeated less and less often

What the platform sees: instances whose announcements it refuses (429, a part that others keep busy) repeat them four times a second each. 81 of them that start at once call it 406 times a second to write, where the users' store takes 400 from all instances, so other writes are refused as well.

Cause: the interval between reads of the list is the shortest one as long as the instance isn't on it, whatever became of its announcement.

Change: after an announcement that was refused the interval doubles, to 2 s at most. One that was taken is followed by a read after 0.25 s, as before.

Ruled out: the other calls.

What remains: with 20 transactions a second, 20 of 81 instances are on the list when the first ones count the slots, so there are 20 slots for good.

--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -21,6 +21,8 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time between two reads of a list that instances maintain.
 const MAX_LIST_INTERVAL: Duration = Duration::from_secs(8);
+/// Maximum time between two announcements that the platform refuses.
+const MAX_ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time from a change of that list to its next read.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -75,7 +77,7 @@
 /// Keeps this instance on a list that instances maintain, and forwards the list to `peers` until
 /// the receiver is dropped.
 ///
-/// The interval between reads doubles while the list doesn't change. For each entry that has been
+/// The interval between reads doubles while the list doesn't change, or the platform refuses the announcement. For each entry that has been
 /// silent for [`SILENCE_TIMEOUT`], one instance, chosen by rank, removes it. An instance that was
 /// removed but is alive announces itself again after its next read.
 pub async fn announce_and_poll(
@@ -92,14 +94,11 @@
             let is_listed = list.contains(&own);
             delay = if is_listed && list == previous {
                 (delay * 2).min(MAX_LIST_INTERVAL)
-            } else {
+            } else if is_listed || announce(&platform, &own).await {
                 MIN_LIST_INTERVAL
+            } else {
+                (delay * 2).min(MAX_ANNOUNCE_INTERVAL)
             };
-            if !is_listed {
-                let listed = own.clone();
-                // The result is ignored: the next read shows whether the instance is listed.
-                let _ = platform.call(Call::Announce { listed }).await;
-            }
             remove_silent(&platform, &own, &liveness, &mut silence, &list).await;
             previous.clone_from(&list);
             let listed = list.into_iter().filter_map(to_listed_peer).collect();
@@ -111,6 +110,12 @@
     }
 }
 
+/// Puts this instance on the list, and returns whether the platform took it.
+async fn announce(platform: &Platform, own: &ListedMachine) -> bool {
+    let listed = own.clone();
+    platform.call(Call::Announce { listed }).await.is_ok()
+}
+
 async fn remove_silent(
     platform: &Platform,
     own: &ListedMachine,
