fix(daemon): leave workspaces to live owners after a standstill

An instance that had got no processor for a while found on waking that it had heard no owner for 2 s, and took workspaces whose owners' heartbeats waited in its own socket, until it had read them.

The task that owns workspaces updates them every 0.25 s. Where an update comes half a second late or more, it takes or releases none for a heartbeat's interval (0.5 s) and tells the engine of no change of owners; new rates are applied at once. Who counts as alive is still judged by the reader's clock (daemon/tests/fleet.rs), so that nobody wakes to old news.

Measured (virtual time): workspace_of_a_live_owner_is_left_to_it_after_a_standstill fails before for standstills of 1.6 and 10 s (taken at once), and holds now; workspace_of_an_owner_that_ended_is_taken_after_a_standstill, within 1 s, holds before and after. daemon tests fleet, head, lister, peers and planner hold.

--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -11,7 +11,9 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Config, DomainId, Incarnation, InstanceId, Shared, Time, Workspace, WorkspaceId};
-use coord::{GrantRequest, Loan, OwnerId, Quota, QuotaOwner, QuotaSplit, rendezvous_rank};
+use coord::{
+    GrantRequest, Loan, MIN_STANDSTILL, OwnerId, Quota, QuotaOwner, QuotaSplit, rendezvous_rank,
+};
 use entry::{
     message::{Event, LiveInstance, OutgoingMessage},
     view::{Clock, View},
@@ -24,12 +26,15 @@
 use crate::{
     fleet::Fleet,
     message::{PeerCommand, PeerMessage},
+    peers::HEARTBEAT_INTERVAL,
 };
 
 const OWNERSHIP_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the start during which the instance only receives heartbeats of other owners and
 /// takes no ownership.
 const STARTUP_LISTEN_TIME: Duration = Duration::from_millis(1_500);
+/// Time after a standstill of this instance within which the heartbeats of all live owners have been heard.
+const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
 
 /// Notifies the task that owns workspaces.
 #[derive(Debug)]
@@ -97,6 +102,10 @@
     published: Vec<(WorkspaceId, u64)>,
     live_instances: Vec<LiveInstance>,
     is_leaving: bool,
+    /// Time of the last update of the ownership, or of one that was left out.
+    updated_at: Time,
+    /// Time until which this instance, which stood still, hears of the others.
+    hearing_until: Time,
 }
 
 impl Owners {
@@ -111,6 +120,8 @@
             published: Vec::new(),
             live_instances: Vec::new(),
             is_leaving: false,
+            updated_at: Time::ZERO,
+            hearing_until: Time::ZERO,
         }
     }
 
@@ -121,6 +132,7 @@
         mut outgoing: mpsc::UnboundedReceiver<OutgoingMessage>,
     ) {
         let mut update_tick = interval(OWNERSHIP_UPDATE_INTERVAL);
+        self.updated_at = self.options.clock.now();
         update_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -206,6 +218,9 @@
     async fn update_ownership(&mut self) {
         self.apply_config();
         let now = self.options.clock.now();
+        if self.is_hearing(now) {
+            return;
+        }
         let fleet = self.options.fleet.borrow_and_update().clone();
         let own_id = self.options.own_id.clone();
         if !self.is_leaving && now >= Time::ZERO + STARTUP_LISTEN_TIME {
@@ -230,6 +245,16 @@
         self.publish(&fleet).await;
     }
 
+    /// Returns whether this instance stood still lately, so that the heartbeats of live owners may wait unread.
+    fn is_hearing(&mut self, now: Time) -> bool {
+        let due = self.updated_at + OWNERSHIP_UPDATE_INTERVAL;
+        self.updated_at = now;
+        if now - due >= MIN_STANDSTILL {
+            self.hearing_until = now + HEARING_TIME;
+        }
+        now < self.hearing_until
+    }
+
     fn apply_config(&mut self) {
         let config = self.options.view.borrow_and_update().config.clone();
         let Some((version, config)) = config else {
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, Domain, Incarnation, Time};
+use base::{Config, Domain, Incarnation, Time, Workspace};
 use coord::QuotaSplit;
 use daemon::{
     fleet::{Fleet, FleetMember},
+    message::PeerCommand,
     owners::{Owners, OwnersOptions},
 };
 use entry::{
@@ -15,10 +16,12 @@
 use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
-    time::timeout,
+    time::{Instant, advance, sleep, timeout},
 };
 
 const TOLD_WITHIN: Duration = Duration::from_secs(5);
+/// Time for which an instance that has sent a heartbeat counts as alive.
+const ALIVE_TIME: Duration = Duration::from_secs(2);
 
 fn addr() -> SocketAddr {
     ([10, 1, 0, 8], 8_206).into()
@@ -104,3 +107,100 @@
     assert_eq!(told.relay_addr, is_asked.then(addr));
     assert_eq!(told.region, "r".into());
 }
+
+/// Returns a fleet of one other instance, which owns the only workspace and was heard last at a time.
+fn owner_heard_at(at: Duration) -> Arc<Fleet> {
+    let owner = FleetMember {
+        alive_until: Time::ZERO + at + ALIVE_TIME,
+        owned_workspaces: vec![("club".into(), 7)],
+        ..member(4)
+    };
+    Arc::new(Fleet {
+        members: BTreeMap::from([("i2".into(), owner)]),
+        ..Fleet::default()
+    })
+}
+
+/// Lets an instance stand still, and returns when it takes the workspace, from its waking on. The owner's next heartbeat
+/// is heard 20 ms after that if it is alive.
+async fn taken_after(stands: Duration, is_owner_alive: bool) -> Option<Duration> {
+    let woken_at = Duration::from_secs(3) + stands;
+    let workspace = Workspace {
+        rate: 10.0,
+        burst: 10.0,
+        ..Workspace::default()
+    };
+    let config = Config {
+        workspaces: BTreeMap::from([("club".into(), workspace)]).into(),
+        ..Config::default()
+    };
+    let view = View {
+        config: Some((1, Arc::new(config))),
+        ..View::default()
+    };
+    let (_view, view) = watch::channel(Arc::new(view));
+    let (fleet_tx, fleet) = watch::channel(owner_heard_at(Duration::from_secs(2)));
+    let (engine, _events) = mpsc::unbounded_channel();
+    let (peers, mut commands) = mpsc::channel(64);
+    let owners = Owners::new(OwnersOptions {
+        clock: Clock::start(),
+        own_id: "i1".into(),
+        domain: "d".into(),
+        incarnation: Incarnation(1),
+        split: QuotaSplit::default(),
+        view,
+        fleet,
+        engine,
+        peers,
+    });
+    let (_messages, messages) = mpsc::channel(1);
+    let (_outgoing, outgoing) = mpsc::unbounded_channel();
+    tokio::spawn(owners.run(messages, outgoing));
+    sleep(Duration::from_secs(3)).await;
+    advance(stands).await;
+    if is_owner_alive {
+        tokio::spawn(async move {
+            let mut at = woken_at;
+            loop {
+                sleep(Duration::from_millis(20)).await;
+                at += Duration::from_millis(20);
+                fleet_tx.send_replace(owner_heard_at(at));
+            }
+        });
+    }
+    let since = Instant::now();
+    let taken = async {
+        loop {
+            if let Some(PeerCommand::SetOwnedWorkspaces(owned)) = commands.recv().await
+                && !owned.is_empty()
+            {
+                return since.elapsed();
+            }
+        }
+    };
+    timeout(TOLD_WITHIN, taken).await.ok()
+}
+
+/// Guards against a second owner: an instance that woke took the workspaces of live owners whose heartbeats waited in its
+/// own socket.
+#[rstest]
+#[case::short(1_600)]
+#[case::long(10_000)]
+#[tokio::test(start_paused = true)]
+async fn workspace_of_a_live_owner_is_left_to_it_after_a_standstill(#[case] stands_ms: u64) {
+    let taken = taken_after(Duration::from_millis(stands_ms), true).await;
+    assert_eq!(taken, None);
+}
+
+/// Guards against workspaces that nobody owns: the owner ended while the instance stood still.
+#[rstest]
+#[case::slow(400)]
+#[case::long(10_000)]
+#[tokio::test(start_paused = true)]
+async fn workspace_of_an_owner_that_ended_is_taken_after_a_standstill(#[case] stands_ms: u64) {
+    let taken = taken_after(Duration::from_millis(stands_ms), false).await;
+    assert!(
+        taken.is_some_and(|after| after <= Duration::from_millis(1_000)),
+        "{taken:?}"
+    );
+}
