fix(daemon): an instance that woke waits for word of all tables

After a standstill, the follower gave its word once the operators' rows were confirmed, although nothing had been heard of the targets' rows, which say where requests may go.

It now waits until its rows of all tables may decide, by own reads or by a heartbeat, 0.5 s at most as before.

--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -208,8 +208,8 @@
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
         self.publish_lag(now, &fleet);
-        let refusals = self.refusals();
-        if now < self.hearing_until && refusals.until < now {
+        let may_decide = |at: Time| now <= at + self.options.refusal_time();
+        if now < self.hearing_until && !confirmed_at.is_some_and(may_decide) {
             return;
         }
         self.hearing_until = Time::ZERO;
@@ -225,7 +225,8 @@
             freshness,
             is_leaving: self.is_leaving,
         };
-        self.outputs.publish(now, view, confirmed_at, refusals);
+        self.outputs
+            .publish(now, view, confirmed_at, self.refusals());
         let positions: Vec<u64> = self
             .tables
             .iter()
