fix(daemon): parameters that can't be written are tried again after a pause

What the platform sees: while a store that answers reads refuses writes, and the deployment's parameters aren't written yet, each starting instance reads, lists and writes without a pause. 81 of them ask for 997 writes and 2,299 reads in a second, where the users' store takes 400 and 2,000, so reads are refused as well.

Cause: a refused write of the parameters was followed by the next attempt at once; only failed reads were followed by a pause.

Change: the same pause, 0.2 to 2 s, after both.

--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -45,7 +45,11 @@
     loop {
         match platform.get(FACTS_TABLE, FACTS_ROW).await {
             Ok(Some(row)) => return Ok(serde_json::from_str(&row.value)?),
-            Ok(None) if has_waited => create(platform).await,
+            Ok(None) if has_waited => {
+                if !create(platform).await {
+                    pause(&mut delay).await;
+                }
+            }
             Ok(None) => {
                 let listed = own.clone();
                 let _ = platform.call(platform::Call::Announce { listed }).await;
@@ -55,17 +59,22 @@
             }
             Err(err) => {
                 tracing::warn!(event = "facts_unread", reason = %err);
-                sleep(delay).await;
-                delay = (delay * 2).min(MAX_RETRY_DELAY);
+                pause(&mut delay).await;
             }
         }
     }
 }
 
-/// Writes new parameters unless another instance has done so.
-async fn create(platform: &Platform) {
+/// Waits for a delay, which doubles each time.
+async fn pause(delay: &mut Duration) {
+    sleep(*delay).await;
+    *delay = (*delay * 2).min(MAX_RETRY_DELAY);
+}
+
+/// Writes new parameters unless another instance has done so, and returns whether there are some now.
+async fn create(platform: &Platform) -> bool {
     let Ok(list) = platform.list().await else {
-        return;
+        return false;
     };
     let instances = list
         .iter()
@@ -81,9 +90,15 @@
         .value(&text)
         .expect(Precondition::Absent);
     match platform.write(vec![write]).await {
-        Ok(_) => tracing::info!(event = "facts_made", slots = parameters.slots),
+        Ok(_) => {
+            tracing::info!(event = "facts_made", slots = parameters.slots);
+            true
+        }
         // Another instance has created them first.
-        Err(PlatformError::Conflict { .. }) => {}
-        Err(err) => tracing::warn!(event = "facts_unwritten", reason = %err),
+        Err(PlatformError::Conflict { .. }) => true,
+        Err(err) => {
+            tracing::warn!(event = "facts_unwritten", reason = %err);
+            false
+        }
     }
 }
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -69,6 +69,8 @@
     Refuses,
     /// It answers no call from 10 to 16 s.
     Silent,
+    /// It refuses all writes in the first 6 s.
+    RefusesWrites,
 }
 
 /// Read and write calls in a second that the store takes from all instances together.
@@ -134,9 +136,7 @@
     /// Counts a call that is made this long after the start, and returns whether the store takes it.
     fn count(&mut self, call: &Call, elapsed: Duration, limits: Limits) -> bool {
         let is_taken = match call {
-            Call::Write { .. } | Call::Announce { .. } | Call::Forget { .. } => {
-                self.count_write(limits)
-            }
+            call if is_write(call) => self.count_write(limits),
             Call::Snapshot { .. } => self.count_read(PAGES, elapsed, limits),
             _ => self.count_read(1, elapsed, limits),
         };
@@ -165,6 +165,13 @@
     }
 }
 
+fn is_write(call: &Call) -> bool {
+    matches!(
+        call,
+        Call::Write { .. } | Call::Announce { .. } | Call::Forget { .. }
+    )
+}
+
 /// The store that all instances call.
 #[derive(Debug, Clone)]
 struct SharedStore {
@@ -188,15 +195,19 @@
         }
     }
 
-    fn is_in_trouble(&self) -> bool {
+    fn is_in_trouble(&self, call: &Call) -> bool {
         let elapsed = self.started.elapsed().as_secs();
-        self.trouble != Trouble::None && (10..16).contains(&elapsed)
+        match self.trouble {
+            Trouble::None => false,
+            Trouble::Refuses | Trouble::Silent => (10..16).contains(&elapsed),
+            Trouble::RefusesWrites => elapsed < 6 && is_write(call),
+        }
     }
 
     fn apply(&self, call: Call) -> Result<Reply, PlatformError> {
-        let is_write = !matches!(call, Call::Changes { .. } | Call::Get { .. });
+        let is_change = is_write(&call);
         let reply = self.rows.lock().unwrap().apply(call);
-        if is_write {
+        if is_change {
             self.changed.send_replace(());
         }
         reply
@@ -210,10 +221,11 @@
             .unwrap()
             .count(&call, elapsed, self.limits);
         sleep(CALL_TIME).await;
-        if self.is_in_trouble() && self.trouble == Trouble::Silent {
+        let is_in_trouble = self.is_in_trouble(&call);
+        if is_in_trouble && self.trouble == Trouble::Silent {
             return std::future::pending().await;
         }
-        if !is_taken || self.is_in_trouble() {
+        if !is_taken || is_in_trouble {
             return Err(PlatformError::Unavailable);
         }
         let Call::Changes { wait_ms, .. } = call else {
@@ -473,6 +485,16 @@
     assert_eq!(outcome.holders, INSTANCES, "{outcome:?}");
 }
 
+/// Guards against instances that call without a pause as long as nobody can write the deployment's parameters.
+#[test]
+fn calls_stay_within_rates_while_writes_are_refused() {
+    let outcome = run_paused(play(Trouble::RefusesWrites, DEPLOYED));
+    assert!(outcome.peak.reads <= DEPLOYED.reads, "{outcome:?}");
+    assert!(outcome.peak.writes <= WRITES_PER_S, "{outcome:?}");
+    assert_eq!(outcome.up_to_date, INSTANCES, "{outcome:?}");
+    assert_eq!(outcome.holders, outcome.slot_count, "{outcome:?}");
+}
+
 /// Guards against refused calls that are repeated so often that they are more than the users' store takes.
 #[rstest]
 #[case::reads(FEWER_READS)]
