fix(daemon): slots are counted once refused announcements have been repeated

What callers see: nothing at first. Where the store refuses writes as a deployment starts for the first time, it gets two slots for good, however many instances it has. By reading: what is divided by their number (the cap of the budget of retries, rates of cold targets) is then far too large in sum, and 79 of 81 instances have no reservations of their own.

Cause: an instance announced itself once, waited 1.2 s whatever became of it, and created the parameters as soon as the store took writes again, when it was on the list alone.

Change: an announcement that is refused is repeated after a pause (0.2 to 2 s), and the wait begins with one that was taken. It is 2 s longer then, since others that were refused as well repeat theirs within that time. Without a refusal nothing changes.

Ruled out: counting again later (what is divided by the slots must be the same everywhere at all times); waiting until the list stops growing (each first start would be 1.2 s longer).

Measured, 81 instances that start while the store refuses all writes for 6 s: 2 slots before, 81 after, all held. slots_are_as_many_as_instances_that_start_while_writes_are_refused fails before, holds after; the 6 other tests of store_rates.rs hold, and 18 tests of stage/faults.rs and 7 of stage/unread.rs.

What remains: where the store takes some announcements and refuses others (20 writes a second), the instances whose own ones were taken count only those: 20 slots of 81 before and after.

--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -31,7 +31,8 @@
 
 /// Reads the deployment's parameters, or creates them if there are none.
 ///
-/// Retries without limit while the platform doesn't answer.
+/// Retries without limit while the platform doesn't answer. An instance that the platform keeps from announcing itself creates
+/// none until it has, and until others that were kept from it can have done so as well.
 ///
 /// # Errors
 ///
@@ -42,6 +43,7 @@
 ) -> Result<DeploymentParameters> {
     let mut delay = MIN_RETRY_DELAY;
     let mut has_waited = false;
+    let mut was_refused = false;
     loop {
         match platform.get(FACTS_TABLE, FACTS_ROW).await {
             Ok(Some(row)) => return Ok(serde_json::from_str(&row.value)?),
@@ -52,10 +54,18 @@
             }
             Ok(None) => {
                 let listed = own.clone();
-                let _ = platform.call(platform::Call::Announce { listed }).await;
+                let announced = platform.call(platform::Call::Announce { listed }).await;
+                if announced.is_err() {
+                    was_refused = true;
+                    pause(&mut delay).await;
+                    continue;
+                }
                 sleep(ANNOUNCE_WAIT).await;
+                if was_refused {
+                    // So may others have been, which announce themselves again by then.
+                    sleep(MAX_RETRY_DELAY).await;
+                }
                 has_waited = true;
-                continue;
             }
             Err(err) => {
                 tracing::warn!(event = "facts_unread", reason = %err);
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -495,6 +495,14 @@
     assert_eq!(outcome.holders, outcome.slot_count, "{outcome:?}");
 }
 
+/// Guards against budgets that are divided by two for good: nobody else was on the list when the store took writes again.
+#[test]
+fn slots_are_as_many_as_instances_that_start_while_writes_are_refused() {
+    let outcome = run_paused(play(Trouble::RefusesWrites, DEPLOYED));
+    assert_eq!(outcome.slot_count, INSTANCES, "{outcome:?}");
+    assert_eq!(outcome.holders, INSTANCES, "{outcome:?}");
+}
+
 /// Guards against refused calls that are repeated so often that they are more than the users' store takes.
 #[rstest]
 #[case::reads(FEWER_READS)]
