fix(daemon): reads of the targets' rows show that the operators' table can be read

Lines say that the operators' table can't be read by anybody (table_outage) while the store is up: nearly every instance that the store turns away writes one. Callers see nothing of it: that table has no grace period, so no row of it is retained in an outage or after one (replica_without_a_grace_period_retains_nothing, holds before and after), and the belief has no other use.

Cause: a contact with the operators' table was an own read of it or another's last confirmation, which is up to 1.9 s old while rows rest; a contact counts for 1.5 s. What heartbeats tell of reads of the targets' rows counted for these alone.

Change: these reads, the own ones and those that heartbeats tell, count for all tables.

Ruled out: that reads of the operators' table count for the targets' as well.

--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -136,6 +136,23 @@
     assert!(names(&replica).is_empty());
 }
 
+/// Guards against rows of operators that stay in force after they are taken back, since an outage was believed in.
+#[test]
+fn replica_without_a_grace_period_retains_nothing() {
+    let mut replica = Replica::new(Duration::ZERO);
+    let [read, failed, found] = [0, 2, 3].map(|secs| Time::ZERO + Duration::from_secs(secs));
+    let rows = vec![change("a", Some("1"), 1), change("b", Some("1"), 2)];
+    replica.apply_changes(read, rows, 2);
+    replica.on_read_failure(failed);
+    assert!(replica.has_outage());
+    replica.apply_changes(failed, vec![change("a", None, 3)], 3);
+    assert!(!replica.is_retained("a"));
+    replica.on_contact(found);
+    replica.apply_changes(found, vec![change("b", None, 4)], 4);
+    assert_eq!(replica.retained().count(), 0);
+    assert!(replica.rows().next().is_none());
+}
+
 /// A read that comes late, after a later one has brought a row's deletion, brought the row back.
 #[test]
 fn replica_late_read_brings_no_deleted_row_back() {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -242,7 +242,8 @@
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
                     }
-                    if let Some(at) = confirmed_at {
+                    let contact_at = reads.map(|reads| reads.contact_at);
+                    if let Some(at) = confirmed_at.max(contact_at) {
                         table.record_contact(at);
                     }
                 }
@@ -358,6 +359,13 @@
                     .apply_changes(read.answer.arrived_at, changes, read.position)
             }
         };
+        // The targets' table itself keeps to its own reads: what expires while these fail is retained.
+        if let Some(reads) = table.own_reads.filter(|_| idx == TARGETS) {
+            for table in &mut self.tables {
+                table.record_contact(reads.contact_at);
+            }
+        }
+        let table = &mut self.tables[idx];
         let position = table.replica.position();
         if position > before {
             table.advanced_at = now;
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io::{self, Write},
     net::SocketAddr,
     ops::Range,
     sync::{Arc, Mutex},
@@ -44,6 +45,7 @@
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until},
 };
+use tracing::subscriber::with_default;
 use transfer::Transfer;
 
 const SEEDS: Range<u64> = 0..300;
@@ -944,3 +946,75 @@
     let prompts = fleet.iter().map(|(.., one)| *one.prompts.lock().unwrap());
     prompts.collect()
 }
+
+/// Guards against outages that are none: where most instances were turned away, these took the operators' table for
+/// unreadable while it rested, although they heard that others read the store.
+#[rstest]
+#[case::early_in_their_polls(2_300, 0)]
+#[case::in_the_middle(3_100, 0)]
+// Nobody has read anything for 1.7 s then.
+#[case::late_in_their_polls(3_700, 7)]
+fn no_outage_of_the_operators_table_while_others_read(
+    #[case] from_ms: u64,
+    #[case] max_of_targets: usize,
+) {
+    const INSTANCES: usize = 10;
+    const SOUND: usize = 3;
+    let reporters = (0..INSTANCES).map(|idx| Reporter {
+        phase: HEARTBEAT_INTERVAL * idx as u32 / INSTANCES as u32,
+        loss: 0.0,
+        end: RUN_TIME,
+    });
+    let sound = Scenario {
+        reporters: reporters.collect(),
+        ..Scenario::calm(&[])
+    };
+    let turned_away = Scenario {
+        outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
+        refuses: true,
+        cuts_polls: true,
+        ..sound.clone()
+    };
+    let mut fleet = vec![sound; SOUND];
+    fleet.resize(INSTANCES, turned_away);
+    let lines = Lines::default();
+    let logs = lines.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .with_ansi(false)
+        .with_writer(move || logs.clone())
+        .finish();
+    with_default(subscriber, || run_paused(count_prompts(fleet)));
+    let begun = lines.outages(false);
+    let ended = lines.outages(true);
+    let [of_operators, of_targets] = begun;
+    assert!(
+        of_operators <= of_targets && of_targets <= max_of_targets,
+        "{of_operators} of the operators' table, {of_targets} of the targets'"
+    );
+    assert_eq!(ended, begun);
+}
+
+/// Collects the lines that a test's instances write.
+#[derive(Debug, Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Lines {
+    /// Returns how many outages of each table began, or are over.
+    fn outages(&self, is_over: bool) -> [usize; 2] {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        [OPERATOR_TABLE, TARGETS_TABLE].map(|table| {
+            let begun = format!("event=\"table_outage\" table=\"{table}\" is_over={is_over}");
+            text.matches(&begun).count()
+        })
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(text)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
