feat(coord): compare the rows of replicas at the same position

A position is all that an instance tells of its rows, so one whose rows are wrong at a right position asks nobody and is asked by nobody.

`Replica` keeps a digest of its rows (names, positions and contents, in any order) at a cost of what changes, and reports it with the positions for which it holds. It reports nothing after a whole table came until changes have been read up to its position (`settle`), since rows of later pages, and deletions among them, may be later than that: all replicas that report a position have the same rows at it. `Replica::restore` takes a whole read of the table itself, also at the own position, and replaces rows that contradict it.

No caller of these parts yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,6 +20,8 @@
 mod quota;
 mod readers;
 mod replica;
+mod rows_check;
+mod rows_report;
 mod version_tracker;
 
 pub use answer_dates::{Answer, AnswerDates};
@@ -41,4 +43,6 @@
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
+pub use rows_check::{RowsCheck, RowsDifference, RowsVerdict};
+pub use rows_report::{RowsDigest, RowsReport};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -5,6 +5,8 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::{RowsDigest, RowsReport};
+
 /// Pairs a row with the position of its last change, so that older reads of it can't replace it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRow {
@@ -63,6 +65,11 @@
     /// Position of the last change of a row that has been seen.
     last_change: u64,
     is_initialized: bool,
+    digest: RowsDigest,
+    /// Whether each row is known to be as it is at the own position.
+    is_settled: bool,
+    /// Whether rows have been corrected at the own position, which others may have as well.
+    is_corrected: bool,
     /// Deleted rows that are retained until a time.
     retained: BTreeMap<String, (ReplicaRow, Time)>,
     grace_period: Duration,
@@ -92,6 +99,9 @@
             changed_at: 0,
             last_change: 0,
             is_initialized: false,
+            digest: RowsDigest::default(),
+            is_settled: false,
+            is_corrected: false,
             retained: BTreeMap::new(),
             grace_period,
             last_contact_at: None,
@@ -135,6 +145,27 @@
         &self.snapshot
     }
 
+    /// Returns the digest of the rows, retained ones left out, and the positions for which it holds; `None` unless each
+    /// row is known to be as it is there.
+    ///
+    /// All replicas that report a position have the same rows at it.
+    pub fn rows_report(&self) -> Option<RowsReport> {
+        let is_exact = self.is_settled && self.last_change <= self.snapshot.position;
+        is_exact.then(|| RowsReport {
+            changed_at: self.changed_at,
+            span: self.snapshot.position.saturating_sub(self.changed_at),
+            digest: self.digest,
+        })
+    }
+
+    /// Records that each row is as it is at the own position: changes have been read up to it since the last whole table
+    /// came.
+    ///
+    /// The rows of a whole table may be later than its position.
+    pub fn settle(&mut self) {
+        self.is_settled = self.is_initialized;
+    }
+
     /// Returns whether the row has been deleted and is retained.
     pub fn is_retained(&self, name: &str) -> bool {
         self.retained.contains_key(name)
@@ -188,7 +219,12 @@
             let value = change.value.map(Arc::from);
             is_changed |= self.apply_change(now, change.name, value, change.position);
         }
-        self.snapshot.position = self.snapshot.position.max(position);
+        if position > own_position {
+            self.snapshot.position = position;
+            if std::mem::take(&mut self.is_corrected) {
+                self.changed_at = position;
+            }
+        }
         is_changed
     }
 
@@ -201,6 +237,46 @@
         if self.is_initialized && snapshot.position <= self.snapshot.position {
             return false;
         }
+        self.take(deleted_by, snapshot)
+    }
+
+    /// Replaces the content by a whole read of the table itself and returns whether the rows have changed. Rows that
+    /// contradict it are replaced, also at the own position. The rows that it lacks count as deleted at `deleted_by`.
+    ///
+    /// A read from before the own position is ignored.
+    pub fn restore(&mut self, deleted_by: Time, snapshot: TableSnapshot) -> bool {
+        if self.is_initialized && snapshot.position < self.snapshot.position {
+            return false;
+        }
+        let own = (self.snapshot.position, self.changed_at);
+        let is_same_position = self.is_initialized && snapshot.position == own.0;
+        let wrong = self.rows_against(&snapshot);
+        for name in &wrong {
+            self.take_out(name);
+        }
+        let is_changed = self.take(deleted_by, snapshot) || !wrong.is_empty();
+        if is_same_position {
+            self.is_corrected |= is_changed;
+            self.changed_at = if is_changed { own.0 } else { own.1 };
+        }
+        is_changed
+    }
+
+    /// Returns the names of the rows that a whole read of the table itself has with an earlier change, or with other
+    /// content. Those that are later than the read may have changed since.
+    fn rows_against(&self, read: &TableSnapshot) -> Vec<String> {
+        let rows = self.snapshot.rows.iter();
+        let comparable = rows.filter(|(_, row)| row.position <= read.position);
+        let wrong = comparable.filter(|(name, row)| {
+            read.rows.get(*name).is_some_and(|found| {
+                let is_same = found.position == row.position;
+                found.position < row.position || (is_same && found.value != row.value)
+            })
+        });
+        wrong.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn take(&mut self, deleted_by: Time, snapshot: TableSnapshot) -> bool {
         let deleted: Vec<String> = self
             .snapshot
             .rows
@@ -224,6 +300,7 @@
         self.snapshot.position = snapshot.position;
         // A row that came and went in between has left no trace.
         self.changed_at = snapshot.position;
+        self.is_settled = false;
         is_changed
     }
 
@@ -254,14 +331,15 @@
             return self.remove(now, &name);
         };
         self.retained.remove(&name);
-        let is_same = known.is_some_and(|row| row.value == value);
+        let is_same = self.take_out(&name).is_some_and(|row| row.value == value);
         let row = ReplicaRow { value, position };
+        self.digest = self.digest.with(&name, &row);
         self.snapshot.rows.insert(name, row);
         !is_same
     }
 
     fn remove(&mut self, now: Time, name: &str) -> bool {
-        let Some(row) = self.snapshot.rows.remove(name) else {
+        let Some(row) = self.take_out(name) else {
             return false;
         };
         let until = match self.outage {
@@ -274,4 +352,9 @@
         }
         true
     }
+    fn take_out(&mut self, name: &str) -> Option<ReplicaRow> {
+        let row = self.snapshot.rows.remove(name)?;
+        self.digest = self.digest.without(name, &row);
+        Some(row)
+    }
 }
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -4,8 +4,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
-use coord::{Replica, ReplicaRow, RowChange, TableSnapshot};
+use coord::{Replica, ReplicaRow, RowChange, RowsReport, TableSnapshot};
 use proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed};
+use rstest::rstest;
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -242,6 +243,8 @@
     Write(HistoryEntry),
     /// Reads the whole table in two pages, with this number of writes before the second one.
     Pages(Index, usize),
+    /// Does so as an instance reads the platform, also at its own position.
+    Restore(Index, usize),
     /// Reads what has changed since the replica's position.
     Feed(Index),
     /// Fetches the table of another replica.
@@ -252,6 +255,7 @@
     let step = prop_oneof![
         4 => (0..4_u8, option::of(0..3_u8)).prop_map(Step::Write),
         2 => (any::<Index>(), 0..4_usize).prop_map(|(one, writes)| Step::Pages(one, writes)),
+        2 => (any::<Index>(), 0..4_usize).prop_map(|(one, writes)| Step::Restore(one, writes)),
         2 => any::<Index>().prop_map(Step::Feed),
         3 => (any::<Index>(), any::<Index>()).prop_map(|(one, from)| Step::Fetch(one, from)),
     ];
@@ -285,6 +289,14 @@
     NAMES.iter().all(|name| is_right(name))
 }
 
+/// Returns whether a replica that reports its rows has those of each position that it reports.
+fn is_exact(replica: &Replica, history: &[HistoryEntry]) -> bool {
+    replica.rows_report().is_none_or(|report| {
+        let mut positions = report.changed_at..=report.position();
+        positions.all(|position| state_at(history, position as usize) == replica.snapshot().rows)
+    })
+}
+
 /// Returns whether each row that a replica no longer shows has changed since.
 fn has_lost_none(before: &Replica, after: &Replica, history: &[HistoryEntry]) -> bool {
     let kept = &after.snapshot().rows;
@@ -319,12 +331,17 @@
                     let read = read_pages(&history, writes);
                     one.get_mut(&mut replicas).replace(Time::ZERO, read);
                 }
+                Step::Restore(one, writes) => {
+                    let read = read_pages(&history, writes);
+                    one.get_mut(&mut replicas).restore(Time::ZERO, read);
+                }
                 Step::Feed(one) => {
                     let replica = one.get_mut(&mut replicas);
                     if replica.is_initialized() {
                         let after = replica.position() as usize;
                         let changes = changes_between(&history, after, history.len());
                         replica.apply_changes(Time::ZERO, changes, history.len() as u64);
+                        replica.settle();
                     }
                 }
                 Step::Fetch(one, from) => {
@@ -335,7 +352,12 @@
                     }
                 }
             }
+            let reports: Vec<RowsReport> = replicas.iter().filter_map(Replica::rows_report).collect();
+            for (idx, one) in reports.iter().enumerate() {
+                prop_assert!(!reports[..idx].iter().any(|other| other.contradicts(one)));
+            }
             for (before, replica) in before.iter().zip(&replicas) {
+                prop_assert!(is_exact(replica, &history), "{:?}", replica);
                 prop_assert!(!replica.is_initialized() || is_sound(replica, &history), "{:?}", replica);
                 prop_assert!(has_lost_none(before, replica, &history), "{:?}, {:?}", before, replica);
             }
@@ -371,3 +393,55 @@
     let copied = &other.snapshot().rows["a"].value;
     assert_eq!(copied.as_ptr(), first.rows["a"].value.as_ptr());
 }
+
+/// Guards against rows that stay wrong at a right position, whatever made them so.
+#[rstest]
+#[case::row_is_missing(&[("a", "1", 3)], 9)]
+#[case::row_was_deleted(&[("a", "1", 3), ("b", "1", 4), ("c", "1", 5)], 9)]
+#[case::content_differs(&[("a", "1", 3), ("b", "2", 4)], 9)]
+#[case::row_is_of_another_history(&[("a", "1", 3), ("b", "2", 6)], 9)]
+#[case::at_an_earlier_position(&[("a", "1", 3)], 7)]
+fn replica_is_restored_by_a_whole_read(#[case] rows: &[(&str, &str, u64)], #[case] position: u64) {
+    let read = snapshot(&[("a", "1", 3), ("b", "1", 4)], 9);
+    let mut right = Replica::new(GRACE);
+    right.restore(Time::ZERO, read.clone());
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(rows, position));
+    assert!(replica.restore(Time::ZERO, read.clone()));
+    assert_eq!(*replica.snapshot(), read);
+    for one in [&mut right, &mut replica] {
+        one.apply_changes(Time::ZERO, Vec::new(), 12);
+        one.settle();
+    }
+    let [right, report] = [&right, &replica].map(|one| one.rows_report().unwrap());
+    assert!(report.overlaps(&right) && !report.contradicts(&right));
+    assert!(!replica.restore(Time::ZERO, snapshot(&[], 11)));
+}
+
+/// Guards against instances that keep the wrong rows that they fetched: these are at the position of the right ones.
+#[test]
+fn replica_that_was_corrected_reports_a_later_change() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[], 9));
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 9));
+    assert_eq!(replica.changed_at(), 9);
+    replica.apply_changes(Time::ZERO, Vec::new(), 10);
+    assert_eq!(replica.changed_at(), 10);
+    replica.apply_changes(Time::ZERO, Vec::new(), 11);
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 11));
+    assert_eq!((replica.changed_at(), replica.position()), (10, 11));
+}
+
+/// Guards against false alarms: the rows of a whole read may be later than its position.
+#[test]
+fn replica_reports_no_rows_that_may_be_later_than_its_position() {
+    let mut replica = Replica::new(GRACE);
+    assert_eq!(replica.rows_report(), None);
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 8)], 7));
+    assert_eq!(replica.rows_report(), None);
+    replica.settle();
+    assert_eq!(replica.rows_report(), None);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 8)], 20);
+    let report = replica.rows_report().unwrap();
+    assert_eq!((report.changed_at, report.position()), (8, 20));
+}
