feat(daemon): heartbeats report the rows of followed tables (format 9)

A heartbeat has a last field more: for each followed table the position from which on no row has changed, for how many positions that holds, and a digest of the rows; nothing where the rows aren't known to be exact. Builds of format 8 and before read such heartbeats as before and report nothing of rows. The report holds however old the heartbeat is, since it names its positions, so it isn't dated. Nothing sends or handles it yet.

The tests of cut heartbeats cut one byte more (the new field), those of all formats have format 8 as a case, openings 7 as well, and the datagram that must fit holds two reports of the largest size. Malformed heartbeats that are cut off may be whole ones of an earlier format one byte further from the end.

--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -201,7 +201,9 @@
                 self.is_leaving = true;
                 None
             }
-            FollowerMessage::PeerPositions { .. } | FollowerMessage::PeerDepartures { .. } => None,
+            FollowerMessage::PeerPositions { .. }
+            | FollowerMessage::PeerDepartures { .. }
+            | FollowerMessage::PeerRows { .. } => None,
             FollowerMessage::PeerHead {
                 from,
                 head,
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -213,7 +213,7 @@
         let now = self.options.clock.now();
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
-            FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerHead { .. } | FollowerMessage::PeerRows { .. } => return false,
             FollowerMessage::PeerDepartures { from, departures } => {
                 let Some(table) = self.tables.get(TARGETS) else {
                     return false;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
-use coord::{Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan};
+use coord::{Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan, RowsReport};
 use dispatch::{ConnectionLoss, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
@@ -85,6 +85,8 @@
     pub ack_age: Duration,
     /// How the sender's own reads of the targets' table stand; `None` before the first one.
     pub reads: Option<ReadsReport>,
+    /// The rows of the followed tables, in the tables' order; `None` where they aren't known to be exact.
+    pub rows: Vec<Option<RowsReport>>,
 }
 
 /// Reports whether an instance reads a table of the platform itself.
@@ -185,6 +187,8 @@
     },
     /// Sets the targets that have left by rows that others may lack, the newest first.
     SetDepartures(Arc<Vec<Departure>>),
+    /// Sets what heartbeats report of the rows of the followed tables, in the tables' order.
+    SetRows(Vec<Option<RowsReport>>),
     /// Sets the workspaces that this instance owns, with the epochs of the ownership.
     SetOwnedWorkspaces(Vec<(WorkspaceId, u64)>),
     /// Sets the number of quota slots that this instance holds.
@@ -239,6 +243,13 @@
         /// The departures.
         departures: Vec<Departure>,
     },
+    /// Another instance reported its rows in a heartbeat.
+    PeerRows {
+        /// Instance that sent the heartbeat.
+        from: InstanceId,
+        /// Its rows in the tables' order; `None` where they aren't known to be exact.
+        rows: Vec<Option<RowsReport>>,
+    },
     /// This instance is leaving.
     Leave,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -190,6 +190,7 @@
                 }
             }
             PeerCommand::SetDepartures(departures) => self.departures = departures,
+            PeerCommand::SetRows(rows) => self.own_heartbeat.rows = rows,
             PeerCommand::SetOwnedWorkspaces(owned) => {
                 self.own_heartbeat.owned_workspaces = owned;
                 self.send_heartbeats().await;
@@ -268,5 +269,6 @@
         change: None,
         ack_age: Duration::ZERO,
         reads: None,
+        rows: Vec::new(),
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -1,7 +1,7 @@
 //! What other instances send: each message goes to the task that handles it.
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Departure, OwnerId};
+use coord::{Departure, OwnerId, RowsReport};
 use entry::message::Event;
 
 use super::Peers;
@@ -138,6 +138,7 @@
 
     async fn handle_heartbeat(&mut self, from: &InstanceId, mut heartbeat: PeerHeartbeat) {
         let departures = std::mem::take(&mut heartbeat.departures);
+        let rows = std::mem::take(&mut heartbeat.rows);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             let now = self.clock.now();
             let not_before = (not_before + heartbeat.ack_age).min(now);
@@ -147,6 +148,7 @@
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
+        self.forward_rows(from, rows);
         let before = self.last_heartbeats.get(from);
         let is_urgent = before.is_none_or(|before| heartbeat.is_urgent_after(before));
         self.last_heartbeats.insert(from.clone(), heartbeat);
@@ -198,6 +200,15 @@
         let _ = self.outputs.follower.try_send(message);
     }
 
+    /// Forwards what the sender reports of its rows. That holds however old the heartbeat is.
+    fn forward_rows(&self, from: &InstanceId, rows: Vec<Option<RowsReport>>) {
+        if !rows.is_empty() {
+            let from = from.clone();
+            let message = FollowerMessage::PeerRows { from, rows };
+            let _ = self.outputs.follower.try_send(message);
+        }
+    }
+
     /// Returns the time at which this instance sent the heartbeat with this sequence number.
     fn sent_at(&self, number: u64) -> Option<Time> {
         self.sent_heartbeats
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -8,8 +8,8 @@
 
 use std::{fs, path::PathBuf, time::Duration};
 
-use base::Incarnation;
-use coord::Departure;
+use base::{Incarnation, Time};
+use coord::{Departure, Replica, RowsReport};
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
     message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
@@ -51,6 +51,8 @@
 const FORMAT_WITH_CHANGES: u32 = 7;
 /// First format whose heartbeats report the sender's own reads.
 const FORMAT_WITH_READS: u32 = 8;
+/// First format whose heartbeats report the sender's rows.
+const FORMAT_WITH_ROWS: u32 = 9;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -110,6 +112,25 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns the report of a table with one row, for other positions than its own.
+fn rows_report(changed_at: u64, span: u64) -> RowsReport {
+    let mut replica = Replica::new(Duration::ZERO);
+    replica.replace(Time::ZERO, samples::table());
+    replica.settle();
+    RowsReport {
+        changed_at,
+        span,
+        ..replica.rows_report().unwrap()
+    }
+}
+
+/// Returns a heartbeat of an instance that knows the rows of both tables to be exact.
+fn rows_of_tables() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.rows = vec![Some(rows_report(70_000, 300)), Some(rows_report(9, 70_291))];
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -131,6 +152,7 @@
         ("heartbeat-departure", departure()),
         ("heartbeat-change", change()),
         ("heartbeat-reads", reads()),
+        ("heartbeat-rows", rows_of_tables()),
     ];
     let others = others.chain(heartbeats);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
@@ -156,6 +178,7 @@
 #[case::without_departures(5)]
 #[case::without_changes(6)]
 #[case::without_reads(7)]
+#[case::without_rows(8)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -203,7 +226,15 @@
     }
     if format >= FORMAT_WITH_READS {
         let read = decode(&sample(format, "heartbeat-reads"), None);
-        assert_eq!(read, Ok(reads()));
+        let PeerMessage::Heartbeat(mut expected) = reads() else {
+            panic!();
+        };
+        expected.format = format;
+        assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
+    }
+    if format >= FORMAT_WITH_ROWS {
+        let read = decode(&sample(format, "heartbeat-rows"), None);
+        assert_eq!(read, Ok(rows_of_tables()));
     }
 }
 
@@ -243,11 +274,33 @@
     assert!(sent.starts_with(&sample(7, "heartbeat")));
 }
 
+/// As above, for a build that doesn't know of reported rows.
+#[test]
+fn rows_are_behind_what_older_read() {
+    let PeerMessage::Heartbeat(mut heartbeat) = rows_of_tables() else {
+        panic!();
+    };
+    heartbeat.format = 8;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), 8).unwrap();
+    assert!(sent.starts_with(&sample(8, "heartbeat")));
+}
+
+/// Guards against a report of rows of which a part is cut off: such a heartbeat is none of an earlier format.
+#[test]
+fn cut_rows_are_not_read() {
+    let whole = sample(OWN_FORMAT, "heartbeat-rows");
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    for lacking in 1..=reported {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert!(read.is_err(), "{lacking}: {read:?}");
+    }
+}
+
 /// Guards against a report of reads of which a part is cut off: such a heartbeat is none of an earlier format.
 #[test]
 fn cut_reads_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-reads");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 2;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -258,7 +311,7 @@
 #[test]
 fn cut_change_is_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-change");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 4;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 5;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -270,7 +323,7 @@
 fn cut_departures_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-departure");
     // An empty list, and the fields behind it.
-    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 5;
+    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 6;
     for lacking in 1..=listed {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -323,6 +376,7 @@
 #[case::without_departures(5)]
 #[case::without_changes(6)]
 #[case::without_reads(7)]
+#[case::without_rows(8)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -350,6 +404,7 @@
 #[case::without_departures(5)]
 #[case::without_changes(6)]
 #[case::without_reads(7)]
+#[case::without_rows(8)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -367,6 +422,7 @@
 #[case::without_departures(5)]
 #[case::without_changes(6)]
 #[case::without_reads(7)]
+#[case::without_rows(8)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -419,6 +475,8 @@
 #[case::without_parts(4, 3)]
 #[case::without_departures(5, 3)]
 #[case::without_changes(6, 3)]
+#[case::without_reads(7, 3)]
+#[case::without_rows(8, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -435,6 +493,7 @@
 #[case::without_departures(5)]
 #[case::without_changes(6)]
 #[case::without_reads(7)]
+#[case::without_rows(8)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -472,7 +531,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 9 can't be read by format 8"
+        "a message of kind 77 in format 10 can't be read by format 9"
     );
 }
 
@@ -519,7 +578,8 @@
 #[case::without_departures(5, &[7, 8])]
 #[case::without_changes(6, &[8, 9])]
 #[case::without_reads(7, &[11, 12])]
-#[case::own(OWN_FORMAT, &[12, 13])]
+#[case::without_rows(8, &[12, 13])]
+#[case::own(OWN_FORMAT, &[13, 14])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
@@ -558,9 +618,10 @@
     heartbeat.pinned_demand = pinned.collect();
     let mut departures = coord::Departures::default();
     let left = (0..512).map(|number| name(number).as_str().into());
-    departures.record(base::Time::ZERO, left.collect(), u64::MAX);
+    departures.record(Time::ZERO, left.collect(), u64::MAX);
     heartbeat.departures = coord::lacking(&departures.newest_first(), 1, 7);
     assert!(!heartbeat.departures.is_empty());
+    heartbeat.rows = vec![Some(rows_report(u64::MAX, u64::MAX)); 2];
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
     let content = encode(&message, OWN_FORMAT).unwrap();
     let mut sender = Sessions::new(secret(), "i1".into(), Incarnation(7));
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -9,7 +9,7 @@
 };
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Departure, Heartbeat, ListEntry, Membership};
+use coord::{Departure, Heartbeat, ListEntry, Membership, RowsDigest, RowsReport};
 use daemon::{
     fleet::Fleet,
     format::OWN_FORMAT,
@@ -472,6 +472,57 @@
     assert!(since >= earliest, "{since:?}, {known_since:?}");
 }
 
+/// Guards against wrong rows that nobody sees: what an instance reports of them goes out with its next heartbeat.
+#[tokio::test]
+async fn rows_are_reported_in_heartbeats() {
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let id = InstanceId::from("i0");
+    let rows = vec![Some(rows_report()), None];
+    let command = PeerCommand::SetRows(rows.clone());
+    neighbourhood.peers.send(command).await.unwrap();
+    neighbourhood.send_heartbeats(false).await;
+    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+    let reported = async {
+        loop {
+            let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
+            let opened = sessions.open(&buf[..len]).unwrap();
+            if let PeerMessage::Heartbeat(heartbeat) = opened.message
+                && heartbeat.rows == rows
+            {
+                break;
+            }
+        }
+    };
+    let reported = timeout(READ_WITHIN, reported).await;
+    assert_eq!(reported, Ok(()));
+}
+
+/// Guards against reports that are lost: one of rows holds however old it is, so it counts without an acknowledgement.
+#[tokio::test]
+async fn undated_report_of_rows_is_forwarded() {
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let id = InstanceId::from("i0");
+    let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+    message.rows = vec![Some(rows_report()), None];
+    let sent = message.rows.clone();
+    neighbourhood.next_sequence(&id).await;
+    neighbourhood.send(&id, message).await;
+    let received = timeout(READ_WITHIN, neighbourhood.follower.recv()).await;
+    let Some(FollowerMessage::PeerRows { from, rows }) = received.unwrap() else {
+        panic!();
+    };
+    assert_eq!((from, rows), (id, sent));
+}
+
+fn rows_report() -> RowsReport {
+    RowsReport {
+        changed_at: 5,
+        span: 3,
+        digest: RowsDigest::default(),
+    }
+}
+
 /// Guards against CONFIG: each heartbeat copied the state of all others and woke every task that
 /// follows it.
 #[tokio::test]
@@ -576,8 +627,8 @@
             encode(&heartbeat)
         }
         Fault::CutOff => {
-            // Without the reads, change, departures, build, format and path it is one of an earlier format.
-            let lacking = heartbeat.build.len() + 7;
+            // Without the rows, reads, change, departures, build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 8;
             let whole = encode(&heartbeat);
             loop {
                 let cut = rng.random_range(1..whole.len());
