fix(daemon): read a table anew whose rows differ at the same position

What callers see: an instance whose first read lacked an evacuation sent requests to that zone for as long as the row didn't change, and so did all that had fetched its table (docs/incidents/removed.md); by reading, other rows can give HOME, DENIED, CONFIG or DRAIN in the same way. Its position was right, so nobody asked it and it asked nobody.

Change: instances compare what heartbeats report of rows. A difference is logged once for each pair of digests (`table_differs`) and raises `rows_differ`; nothing is refused. The one that two thirds of the comparable others contradict reads the whole table after 1 to 2 s with its next poll (`table_read_anew`), the rest after 10 to 40 s if the difference lasts; each once for the same rows, at most every 5 s, and where the read fails, changes are followed as before. Whole own reads replace rows that contradict them, also at the own position. Rows corrected there count as changed at the next position, so that others fetch again.

Ruled out: comparing fetched rows at once.

Remains: where everybody has the same wrong rows there is no difference, and two instances can be compared only if they are at the same version of a table. An instance without own reads is not compared. Rows with other content at the right position are replaced by own reads, not by fetches.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,12 +7,13 @@
 mod fetching;
 mod lateness;
 mod publication;
+mod rows;
 mod table;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{FetchDelays, Replica, TableSnapshot, rendezvous_draw};
+use coord::{FetchDelays, Replica, RowsReport, TableSnapshot, rendezvous_draw};
 use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
@@ -95,6 +96,8 @@
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
+    /// What the task that sends heartbeats was told last of the tables' rows.
+    told_rows: Vec<Option<RowsReport>>,
     /// The last confirmation by another instance.
     peer_confirmation: Option<Confirmation>,
 }
@@ -162,6 +165,7 @@
             revision: 0,
             is_leaving: false,
             last_sent: None,
+            told_rows: Vec::new(),
             peer_confirmation: None,
         }
     }
@@ -181,6 +185,7 @@
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
+                read_anew: self.tables[idx].rows.read_anew.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
@@ -213,7 +218,11 @@
         let now = self.options.clock.now();
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
-            FollowerMessage::PeerHead { .. } | FollowerMessage::PeerRows { .. } => return false,
+            FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerRows { from, rows } => {
+                self.record_rows(&from, rows);
+                return false;
+            }
             FollowerMessage::PeerDepartures { from, departures } => {
                 let Some(table) = self.tables.get(TARGETS) else {
                     return false;
@@ -317,8 +326,11 @@
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
                 let is_changed =
                     found.is_some_and(|found| table.replica.replace(deleted_by, found));
-                if idx == 0 && table.replica.position() > before {
-                    self.lateness.on_fetched(now, &fetch.from);
+                if table.replica.position() > before {
+                    table.rows.on_fetched(now);
+                    if idx == 0 {
+                        self.lateness.on_fetched(now, &fetch.from);
+                    }
                 }
                 source = NewsSource::Instance(fetch.from);
                 is_changed
@@ -326,7 +338,8 @@
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at(), read.position));
                 table.record_answer(name, &read);
-                table.replica.replace(
+                table.rows.on_whole_read(now);
+                table.replica.restore(
                     read.answer.arrived_at,
                     to_snapshot(read.rows, read.position),
                 )
@@ -334,10 +347,14 @@
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
                 table.record_answer(name, &read);
+                let (sent_at, position) = (read.sent_at(), read.position);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
-                table
-                    .replica
-                    .apply_changes(read.answer.arrived_at, changes, read.position)
+                let is_changed =
+                    table
+                        .replica
+                        .apply_changes(read.answer.arrived_at, changes, position);
+                table.settle_rows(sent_at, position);
+                is_changed
             }
         };
         let position = table.replica.position();
@@ -427,6 +444,7 @@
             };
             table.start_fetch(now, from, source, tx.clone());
         }
+        self.check_rows(now);
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
                 self.overlay.on_replica(&table.replica);
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -229,6 +229,8 @@
             .collect();
         self.hand_out_tables(&positions);
         self.tell_departures(now);
+        // Positions, of which some instances are told at once, come after it.
+        self.tell_rows();
         let current = Sent {
             positions,
             confirmed_at,
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -7,7 +7,7 @@
 use platform::Received;
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
-use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState};
+use super::{MAX_FETCHES, PEER_FETCH_DELAYS, fetching::PartsState, rows::RowsState};
 use crate::{
     message::OwnReads,
     table_logs::{NewsSource, log_older, log_outage, log_rows_kept},
@@ -30,6 +30,8 @@
     pub(super) fetches: Vec<OpenFetch>,
     /// What is known of the replica's parts, and of fetches by them.
     pub(super) parts: PartsState,
+    /// What is known of the replica's rows beside those of the others.
+    pub(super) rows: RowsState,
     pub(super) is_reachable: bool,
     /// Whether the outage that the replica believes in has been logged.
     has_logged_outage: bool,
@@ -136,6 +138,7 @@
             catch_up: CatchUp::new(PEER_FETCH_DELAYS),
             fetches: Vec::new(),
             parts: PartsState::default(),
+            rows: RowsState::default(),
             is_reachable: false,
             has_logged_outage: false,
             logged_retained: 0,
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -1,6 +1,7 @@
 //! Log lines about reads of the followed tables and what they put in force.
 
 use base::{Config, InstanceId, TargetId, Time};
+use coord::RowsDifference;
 use derive_more::Display;
 
 use crate::table_reads::{Fetch, ReadFailure};
@@ -156,6 +157,26 @@
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
+/// Logs that another instance has other rows at the same position; one of the two is wrong.
+pub(crate) fn log_difference(table: &str, rows: usize, found: &RowsDifference) {
+    let (own, other) = (&found.own, &found.other);
+    tracing::warn!(
+        event = "table_differs",
+        table,
+        from = %found.from,
+        own_position = own.position(),
+        position = other.position(),
+        own_digest = format!("{:016x}", own.digest.number()),
+        digest = format!("{:016x}", other.digest.number()),
+        rows,
+    );
+}
+
+/// Logs that the whole of a table is read anew, since its rows may be wrong.
+pub(crate) fn log_read_anew(table: &str, position: u64) {
+    tracing::warn!(event = "table_read_anew", table, position);
+}
+
 /// Logs that another instance was asked for a table, and what it had.
 pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
     let fetched = &fetch.fetched;
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -49,6 +49,8 @@
     pub(crate) advanced: watch::Receiver<u64>,
     /// Time at which another instance last reported that its own reads fail.
     pub(crate) failing_elsewhere: watch::Receiver<Option<Time>>,
+    /// Changes when the whole table is to be read anew.
+    pub(crate) read_anew: watch::Receiver<u64>,
 }
 
 /// Follows one table by long polls.
@@ -62,6 +64,8 @@
     options: ReaderOptions,
     /// Position from which the next poll continues; `None` before the first rows.
     position: Option<u64>,
+    /// Whether the next poll asks for all rows, whatever the position.
+    is_reading_anew: bool,
     polls: JoinSet<PollResult>,
     /// What is known of the platform's clock.
     dates: AnswerDates,
@@ -135,6 +139,7 @@
                 ..options
             },
             position: None,
+            is_reading_anew: false,
             polls: JoinSet::new(),
             dates: AnswerDates::default(),
             prompt_at: Time::ZERO,
@@ -177,6 +182,10 @@
                     self.end_outdated(&mut step).await;
                     None
                 }
+                Ok(()) = self.options.read_anew.changed() => {
+                    self.is_reading_anew = true;
+                    None
+                }
                 () = sleep_until(at) => match (step, self.arriving_until()) {
                     (_, Some(until)) => {
                         step = Step::Overtake(until);
@@ -204,7 +213,10 @@
         let received = progress.received();
         let platform = self.options.platform.clone().progress(progress);
         let table = self.options.table.clone();
-        let (number, position) = (self.next_number, self.position);
+        // Where it fails, changes are followed as before.
+        let is_reading_anew = std::mem::take(&mut self.is_reading_anew);
+        let position = self.position.filter(|_| !is_reading_anew);
+        let number = self.next_number;
         let is_on_kept_connection = !self.is_reconnecting;
         let sent_at = self.options.clock.now();
         let wait = if is_on_kept_connection && !self.needs_prompt_answer(sent_at) {
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -12,6 +12,7 @@
 #[path = "../support/paused.rs"]
 mod paused;
 mod removed;
+mod rows;
 
 use std::{
     net::SocketAddr,
