--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,6 +20,8 @@
 mod quota;
 mod readers;
 mod replica;
+mod rows_check;
+mod rows_report;
 mod standstill;
 mod version_tracker;
 
@@ -42,5 +44,7 @@
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use readers::{ReaderTiming, Readers, Reading};
 pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
+pub use rows_check::{RowsCheck, RowsDifference, RowsVerdict};
+pub use rows_report::{RowsDigest, RowsReport};
 pub use standstill::{MIN_STANDSTILL, Standstills};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,12 +7,13 @@
 mod fetching;
 mod lateness;
 mod publication;
+mod rows;
 mod table;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{FetchDelays, Replica, Standstills, TableSnapshot, rendezvous_draw};
+use coord::{FetchDelays, Replica, RowsReport, Standstills, TableSnapshot, rendezvous_draw};
 use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
@@ -101,6 +102,8 @@
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
+    /// What the task that sends heartbeats was told last of the tables' rows.
+    told_rows: Vec<Option<RowsReport>>,
     /// The last confirmation by another instance.
     peer_confirmation: Option<Confirmation>,
     standstills: Standstills,
@@ -179,6 +182,7 @@
             revision: 0,
             is_leaving: false,
             last_sent: None,
+            told_rows: Vec::new(),
             peer_confirmation: None,
             standstills: Standstills::default(),
             hearing_until: Time::ZERO,
@@ -197,6 +201,7 @@
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
+                read_anew: self.tables[idx].rows.read_anew.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
@@ -261,6 +266,10 @@
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
             FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerRows { from, rows } => {
+                self.record_rows(&from, rows);
+                return false;
+            }
             FollowerMessage::PeerDepartures { from, departures } => {
                 let Some(table) = self.tables.get(TARGETS) else {
                     return false;
@@ -383,8 +392,11 @@
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
                 let is_changed =
                     found.is_some_and(|found| table.replica.replace(deleted_by, found));
-                if idx == 0 && table.replica.position() > before {
-                    self.lateness.on_fetched(now, &fetch.from);
+                if table.replica.position() > before {
+                    table.rows.on_fetched(now);
+                    if idx == 0 {
+                        self.lateness.on_fetched(now, &fetch.from);
+                    }
                 }
                 source = NewsSource::Instance(fetch.from);
                 is_changed
@@ -393,7 +405,8 @@
                 read_at = Some((read.sent_at(), read.position));
                 table.believe_reported();
                 table.record_answer(name, &read);
-                table.replica.replace(
+                table.rows.on_whole_read(now);
+                table.replica.restore(
                     read.answer.arrived_at,
                     to_snapshot(read.rows, read.position),
                 )
@@ -401,10 +414,14 @@
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
                 table.record_answer(name, &read);
+                let (sent_at, position) = (read.sent_at(), read.position);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
-                table
-                    .replica
-                    .apply_changes(read.answer.arrived_at, changes, read.position)
+                let is_changed =
+                    table
+                        .replica
+                        .apply_changes(read.answer.arrived_at, changes, position);
+                table.settle_rows(sent_at, position);
+                is_changed
             }
         };
         // The targets' table itself keeps to its own reads: what expires while these fail is retained.
@@ -502,6 +519,7 @@
             };
             table.start_fetch(now, from, source, tx.clone());
         }
+        self.check_rows(now);
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
                 self.overlay.on_replica(&table.replica);
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -52,6 +52,8 @@
     pub(crate) advanced: watch::Receiver<u64>,
     /// What other instances report of reads that fail.
     pub(crate) failing_elsewhere: watch::Receiver<FailingElsewhere>,
+    /// Changes when the whole table is to be read anew.
+    pub(crate) read_anew: watch::Receiver<u64>,
 }
 
 /// Follows one table by long polls.
@@ -65,6 +67,8 @@
     options: ReaderOptions,
     /// Position from which the next poll continues; `None` before the first rows.
     position: Option<u64>,
+    /// Whether the next poll asks for all rows, whatever the position.
+    is_reading_anew: bool,
     polls: JoinSet<PollResult>,
     /// What is known of the platform's clock.
     dates: AnswerDates,
@@ -142,6 +146,7 @@
                 ..options
             },
             position: None,
+            is_reading_anew: false,
             polls: JoinSet::new(),
             dates: AnswerDates::default(),
             prompt_at: Time::ZERO,
@@ -188,6 +193,10 @@
                     self.end_outdated(&mut step).await;
                     None
                 }
+                Ok(()) = self.options.read_anew.changed() => {
+                    self.is_reading_anew = true;
+                    None
+                }
                 Ok(()) = self.options.failing_elsewhere.changed() => None,
                 () = sleep_until(prompt_at.unwrap_or(at)) => match (step, self.arriving_until()) {
                     _ if prompt_at.is_some() => {
@@ -229,8 +238,9 @@
         } else {
             Duration::ZERO
         };
+        let reads_all = self.position.is_none() || self.is_reading_anew;
         self.send_waiting_poll(sent_at, wait);
-        if self.position.is_none() || is_on_kept_connection {
+        if reads_all || is_on_kept_connection {
             timing.max_silence()
         } else {
             timing.first_answer_time()
@@ -252,7 +262,10 @@
         let received = progress.received();
         let platform = self.options.platform.clone().progress(progress);
         let table = self.options.table.clone();
-        let (number, position) = (self.next_number, self.position);
+        // Where it fails, changes are followed as before.
+        let is_reading_anew = std::mem::take(&mut self.is_reading_anew);
+        let position = self.position.filter(|_| !is_reading_anew);
+        let number = self.next_number;
         if wait.is_zero() {
             self.prompt_at = sent_at;
         }
