fix(dispatch): one answer speaks once for a request that turns deadly

What callers see: a page that many ask for begins to crash its targets at 30 s and reaches them for seconds after it should be turned away.

Cause: an instance that got its last answer less than 2 s ago replied to each quarantine; whoever heard the reply took it for a new answer and replied to the next quarantine, and so on.

Change: an answer is told by the instance that got it, when the first loss since becomes known, and once more if another instance quarantines the request; what is told isn't told on. Where there are other instances, a quarantine begins 250 ms after enough losses are known, so that they are heard. A loss is dated by the end of its connection, not of its event: an answer between the two speaks against it. Messages between instances are as before.

Added: three tests of tests/quarantine.rs for the parts of it.

--- a/crates/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/dispatch/src/dispatcher/quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that crash targets: what this instance records of them and reports to the others.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::{ErrorKind, Refusal, Time};
 
@@ -28,7 +28,8 @@
     pub fn merge_quarantine(&mut self, now: Time, report: &QuarantineReport) -> Vec<Action> {
         match report {
             QuarantineReport::Answered(fingerprint) => {
-                self.end_suspicion(now, *fingerprint);
+                self.forget_losses(*fingerprint);
+                self.quarantine.record_remote_answer(now, *fingerprint);
                 Vec::new()
             }
             QuarantineReport::Held(holds) => {
@@ -94,7 +95,19 @@
     /// reported to the others at once and waiting requests are refused.
     pub(super) fn record_losses(&mut self, now: Time, losses: &[ConnectionLoss]) -> Vec<Action> {
         let begun = self.quarantine.record(now, losses);
-        self.begin_quarantines(now, &begun)
+        let mut actions = self.tell_answers(now, losses);
+        actions.extend(self.begin_quarantines(now, &begun));
+        actions
+    }
+
+    /// Tells the others of answers that came before these losses.
+    fn tell_answers(&mut self, now: Time, losses: &[ConnectionLoss]) -> Vec<Action> {
+        let fingerprints: BTreeSet<u64> = losses.iter().map(|loss| loss.fingerprint).collect();
+        fingerprints
+            .into_iter()
+            .filter(|fingerprint| self.quarantine.take_untold_answer(now, *fingerprint))
+            .map(answered)
+            .collect()
     }
 
     fn begin_quarantines(&mut self, now: Time, begun: &[u64]) -> Vec<Action> {
@@ -112,18 +125,19 @@
 
     /// Records the answer to a request; it is reported to the others if the request had been suspected.
     pub(super) fn record_request_answer(&mut self, now: Time, fingerprint: u64) -> Vec<Action> {
-        let was_suspected = self.end_suspicion(now, fingerprint);
+        self.forget_losses(fingerprint);
+        let was_suspected = self.quarantine.record_answer(now, fingerprint);
         was_suspected
             .then(|| answered(fingerprint))
             .into_iter()
             .collect()
     }
 
-    /// Forgets the losses before an answer; returns whether there were any.
-    fn end_suspicion(&mut self, now: Time, fingerprint: u64) -> bool {
+    /// Repeats the losses before an answer no longer.
+    fn forget_losses(&mut self, fingerprint: u64) {
         self.reported_once
             .retain(|loss| loss.fingerprint != fingerprint);
-        self.quarantine.record_answer(now, fingerprint)
+        self.losses.record_answer(fingerprint);
     }
 
     /// Returns what this instance is to repeat for the others, when it is due: its last losses, once, and
--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -11,6 +11,7 @@
     /// Sets the running instances and their regions; `own_id` identifies this one.
     pub fn set_instances(&mut self, own_id: &InstanceId, instances: Vec<(InstanceId, RegionId)>) {
         self.own_id = own_id.clone();
+        self.quarantine.set_instances(instances.len());
         self.instances = instances;
         self.rank_rates();
     }
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 pub use loss_events::{ConnectionLoss, LossCauses, LossCollector, LostAttempt};
 
+use answers::Told;
 use attribution::Attribution;
 
 /// Reports that a request is quarantined.
@@ -106,6 +107,8 @@
 const MEMORY_PERIODS: u32 = 10;
 /// Maximum length of a quarantine.
 const MAX_PERIOD: Duration = Duration::from_secs(3_600);
+/// Time in which other instances learn of losses and report answers to the same request.
+const HEARING: Duration = Duration::from_millis(250);
 /// Time after which an instance that may not try a request asks its caller to come back, perhaps to
 /// one that may.
 const TRIAL_ELSEWHERE: Duration = Duration::from_secs(1);
@@ -121,6 +124,14 @@
         }
     }
 
+    /// Sets how many instances there are. Where there are others, a quarantine begins only after they have had time to
+    /// report answers.
+    pub fn set_instances(&mut self, instances: usize) {
+        let has_others = instances > 1;
+        let hearing = if has_others { HEARING } else { Duration::ZERO };
+        self.attribution.set_hearing(hearing);
+    }
+
     /// Records losses that became known together and returns the requests whose quarantine begins with
     /// them.
     pub fn record(&mut self, now: Time, losses: &[ConnectionLoss]) -> Vec<u64> {
@@ -191,8 +202,28 @@
     /// Records that a target has answered the request: it doesn't crash those that run it, so earlier
     /// losses had other causes. Returns whether there were any.
     pub fn record_answer(&mut self, now: Time, fingerprint: u64) -> bool {
-        self.attribution.record_answer(now, fingerprint);
-        self.entries.remove(&fingerprint).is_some()
+        let was_suspected = self.entries.remove(&fingerprint).is_some();
+        let told = if was_suspected { Told::Once } else { Told::Not };
+        self.attribution.record_answer(now, fingerprint, told);
+        was_suspected
+    }
+
+    /// Records an answer that another instance has reported.
+    pub fn record_remote_answer(&mut self, now: Time, fingerprint: u64) {
+        self.entries.remove(&fingerprint);
+        self.attribution
+            .record_answer(now, fingerprint, Told::Again);
+    }
+
+    /// Returns whether a target has answered the request recently, before losses that have just become known, and
+    /// the others don't know of it. They are to be told now, and its losses are forgotten.
+    pub fn take_untold_answer(&mut self, now: Time, fingerprint: u64) -> bool {
+        let is_told = self.attribution.tell(now, fingerprint, Told::Once);
+        if is_told {
+            self.entries.remove(&fingerprint);
+            self.attribution.refute(fingerprint);
+        }
+        is_told
     }
 
     /// Decides whether a request may be sent, which ends at `deadline`. After the quarantine only an
@@ -260,10 +291,10 @@
             .collect()
     }
 
-    /// Merges what another instance knows of a request. Returns `false` if this one knows better: the
-    /// request has been answered since.
+    /// Merges what another instance knows of a request. Returns `false` if this one knows better, which it
+    /// tells once for each answer: a target has answered the request recently.
     pub fn merge(&mut self, now: Time, hold: &Hold) -> bool {
-        if self.attribution.is_answered(now, hold.fingerprint) {
+        if self.attribution.tell(now, hold.fingerprint, Told::Again) {
             return false;
         }
         if self.attribution.is_cleared(now, hold.fingerprint) {
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -8,7 +8,7 @@
 use base::Time;
 
 use super::{
-    answers::RecentAnswers,
+    answers::{RecentAnswers, Told},
     loss_events::{ConnectionLoss, MIN_PATH_TARGETS},
 };
 
@@ -20,12 +20,20 @@
     losses: BTreeMap<u64, BTreeSet<u64>>,
     /// Losses of one event that were taken for a failed path, and when.
     unclear: Vec<(Time, Vec<ConnectionLoss>)>,
-    /// Requests with enough losses that aren't quarantined, as their cause isn't clear, and when the
-    /// last loss became known.
-    doubtful: BTreeMap<u64, Time>,
+    /// Time for which other instances are heard before a request is taken for a cause.
+    hearing: Duration,
+    /// Requests with enough losses that aren't quarantined, as their cause isn't clear or others are still heard.
+    doubtful: BTreeMap<u64, Doubt>,
     answers: RecentAnswers,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    began_at: Time,
+    /// Time at which the last loss became known.
+    last_at: Time,
+}
+
 /// Maximum number of target digests that are kept for a request.
 const MAX_DIGESTS: usize = 32;
 /// Time within which losses that were taken for a failed path may turn out to be something else.
@@ -41,11 +49,17 @@
             max_losses: max_losses as usize,
             losses: BTreeMap::new(),
             unclear: Vec::new(),
+            hearing: Duration::ZERO,
             doubtful: BTreeMap::new(),
             answers: RecentAnswers::default(),
         }
     }
 
+    /// Sets for how long other instances are heard before a request is taken for a cause.
+    pub(super) fn set_hearing(&mut self, hearing: Duration) {
+        self.hearing = hearing;
+    }
+
     /// Tracks a request, without what is known of its losses.
     pub(super) fn track(&mut self, fingerprint: u64) {
         self.losses.insert(fingerprint, BTreeSet::new());
@@ -75,14 +89,20 @@
     /// Returns whether a request has enough losses and nothing speaks for it; where something does, it may be
     /// due later, see [`Attribution::take_clear`].
     pub(super) fn is_cause(&mut self, now: Time, fingerprint: u64) -> bool {
-        if self.count(fingerprint) < self.max_losses {
+        if !self.has_enough(fingerprint) {
             return false;
         }
-        let is_doubtful = self.is_doubtful(now, fingerprint);
-        if is_doubtful {
-            self.doubtful.insert(fingerprint, now);
+        let new = Doubt {
+            began_at: now,
+            last_at: now,
+        };
+        let doubt = self.doubtful.entry(fingerprint).or_insert(new);
+        doubt.last_at = now;
+        let is_cause = self.is_clear(now, fingerprint);
+        if is_cause {
+            self.doubtful.remove(&fingerprint);
         }
-        !is_doubtful
+        is_cause
     }
 
     /// Returns the requests with enough losses for which nothing speaks any more, but for those that are held
@@ -91,11 +111,14 @@
     where
         F: Fn(u64) -> bool,
     {
-        self.doubtful.retain(|_, at| now - *at < UNCLEAR_TTL);
+        self.doubtful
+            .retain(|_, doubt| now - doubt.last_at < UNCLEAR_TTL);
         let doubtful: Vec<u64> = self.doubtful.keys().copied().collect();
-        let is_clear =
-            |fingerprint: &u64| !self.is_doubtful(now, *fingerprint) && !is_held(*fingerprint);
-        let clear: Vec<u64> = doubtful.into_iter().filter(is_clear).collect();
+        let clear: Vec<u64> = doubtful
+            .into_iter()
+            .filter(|fingerprint| self.is_clear(now, *fingerprint))
+            .filter(|fingerprint| !is_held(*fingerprint))
+            .collect();
         for fingerprint in &clear {
             self.doubtful.remove(fingerprint);
         }
@@ -124,7 +147,9 @@
                 .collect();
             let targets: BTreeSet<u64> = left.iter().map(|loss| loss.target_digest).collect();
             if targets.len() < MIN_PATH_TARGETS {
-                cleared.extend(left);
+                let is_open =
+                    |loss: &ConnectionLoss| !self.answers.contains_since(at, loss.fingerprint);
+                cleared.extend(left.into_iter().filter(is_open));
             } else {
                 self.unclear.push((at, losses));
             }
@@ -133,10 +158,9 @@
     }
 
     /// Records that a target has answered a request, which is tracked no longer.
-    pub(super) fn record_answer(&mut self, now: Time, fingerprint: u64) {
-        self.answers.insert(now, fingerprint);
-        self.doubtful.remove(&fingerprint);
-        self.forget(fingerprint);
+    pub(super) fn record_answer(&mut self, now: Time, fingerprint: u64, told: Told) {
+        self.answers.insert(now, fingerprint, told);
+        self.refute(fingerprint);
     }
 
     /// Returns whether a target has answered the request recently.
@@ -144,6 +168,23 @@
         self.answers.contains(now, fingerprint)
     }
 
+    /// Tracks a request no longer, as its losses have other causes.
+    pub(super) fn refute(&mut self, fingerprint: u64) {
+        self.doubtful.remove(&fingerprint);
+        self.forget(fingerprint);
+    }
+
+    /// Returns whether a request has so many losses that it may be their cause.
+    fn has_enough(&self, fingerprint: u64) -> bool {
+        self.count(fingerprint) >= self.max_losses
+    }
+
+    /// Returns whether a target has answered the request recently and the others know less of it than `told`;
+    /// now they are told.
+    pub(super) fn tell(&mut self, now: Time, fingerprint: u64, told: Told) -> bool {
+        self.answers.tell(now, fingerprint, told)
+    }
+
     /// Returns whether a request was lost with this incarnation.
     pub(super) fn has_lost(&self, fingerprint: u64, target_digest: u64) -> bool {
         let digests = self.losses.get(&fingerprint);
@@ -152,14 +193,16 @@
 
     /// Returns whether there are losses enough for a quarantine, but other requests explain them.
     pub(super) fn is_cleared(&self, now: Time, fingerprint: u64) -> bool {
-        self.count(fingerprint) >= self.max_losses
-            && self.unexplained(now, fingerprint) < self.max_losses
+        self.has_enough(fingerprint) && self.unexplained(now, fingerprint) < self.max_losses
     }
 
-    /// Returns whether something speaks for a request with enough losses: a recent answer, or other
-    /// requests that explain its losses.
-    fn is_doubtful(&self, now: Time, fingerprint: u64) -> bool {
-        self.is_answered(now, fingerprint) || self.unexplained(now, fingerprint) < self.max_losses
+    /// Returns whether a request with enough losses is their cause: others have been heard, no recent
+    /// answer speaks for it, and no other requests explain its losses.
+    fn is_clear(&self, now: Time, fingerprint: u64) -> bool {
+        let doubt = self.doubtful.get(&fingerprint);
+        doubt.is_some_and(|doubt| now - doubt.began_at >= self.hearing)
+            && !self.is_answered(now, fingerprint)
+            && self.unexplained(now, fingerprint) >= self.max_losses
     }
 
     fn count(&self, fingerprint: u64) -> usize {
@@ -179,7 +222,7 @@
     /// Returns whether another request that lost more incarnations was on this one too, and has no
     /// recent answer.
     fn is_explained(&self, now: Time, loss: &ConnectionLoss) -> bool {
-        let own = self.losses.get(&loss.fingerprint).map_or(1, BTreeSet::len);
+        let own = self.count(loss.fingerprint).max(1);
         self.losses.iter().any(|(fingerprint, digests)| {
             *fingerprint != loss.fingerprint
                 && digests.len() > own
--- a/crates/dispatch/src/quarantine/loss_events.rs
+++ b/crates/dispatch/src/quarantine/loss_events.rs
@@ -68,6 +68,8 @@
     last_at: Time,
     /// Losses in their order, each with the number of attempts that had been sent until then.
     lost: Vec<(u64, LostAttempt)>,
+    /// Numbers of the attempts whose requests have been answered since.
+    answered: BTreeSet<u64>,
 }
 
 /// Describes an attempt whose connection was lost.
@@ -109,11 +111,21 @@
             began_at: now,
             last_at: now,
             lost: Vec::new(),
+            answered: BTreeSet::new(),
         });
         event.last_at = now;
         event.lost.push((sent, lost));
     }
 
+    /// Records that a target has answered a request, which so caused none of its losses until now.
+    pub fn record_answer(&mut self, fingerprint: u64) {
+        if let Some(event) = &mut self.event {
+            let lost = event.lost.iter().map(|(_, one)| one);
+            let refuted = lost.filter(|one| one.loss.fingerprint == fingerprint);
+            event.answered.extend(refuted.map(|one| one.number));
+        }
+    }
+
     /// Returns the losses of an event by their cause, once it is over.
     pub fn take_due(&mut self, now: Time) -> LossCauses {
         let is_over = |event: &mut LossEvent| {
@@ -127,6 +139,7 @@
 }
 
 fn attribute(event: LossEvent) -> LossCauses {
+    let is_open = |one: &LostAttempt| !event.answered.contains(&one.number);
     let mut requests = Vec::new();
     let mut left = event.lost;
     let mut explaining = 0;
@@ -138,19 +151,20 @@
         let (explained, rest): (Vec<_>, Vec<_>) = left
             .into_iter()
             .partition(|(_, one)| targets.contains(&one.target));
-        requests.extend(explained.into_iter().map(|(_, one)| one.loss));
+        let open = explained.into_iter().map(|(_, one)| one).filter(is_open);
+        requests.extend(open.map(|one| one.loss));
         left = rest;
     }
     let targets: BTreeSet<u64> = left.iter().map(|(_, one)| one.target).collect();
-    let left = left.iter().map(|(_, one)| one.loss);
     if targets.len() < MIN_PATH_TARGETS {
-        requests.extend(left);
+        let open = left.into_iter().map(|(_, one)| one).filter(is_open);
+        requests.extend(open.map(|one| one.loss));
         return LossCauses {
             requests,
             path: Vec::new(),
         };
     }
-    let path = left.collect();
+    let path = left.iter().map(|(_, one)| one.loss).collect();
     LossCauses { requests, path }
 }
 
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -59,3 +59,63 @@
     assert_eq!(admit(&mut quarantine.clone(), 61, true), Admission::Trial);
     assert_eq!(admit(&mut quarantine, 121, false), Admission::Trial);
 }
+
+/// Guards against BUDGET: an answer that an instance had got before a request turned deadly ended its quarantine
+/// again and again, as each instance that heard of it told it the others as its own.
+#[rstest]
+#[case::own(true)]
+#[case::of_another(false)]
+fn answer_ends_a_quarantine_once(#[case] is_own: bool) {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    if is_own {
+        quarantine.record_answer(Time::ZERO, FINGERPRINT);
+    } else {
+        quarantine.record_remote_answer(Time::ZERO, FINGERPRINT);
+    }
+    let hold = Hold {
+        fingerprint: FINGERPRINT,
+        remaining: PERIOD,
+        period: PERIOD,
+    };
+    let now = Time::from_secs(1);
+    assert_eq!(!quarantine.merge(now, &hold), is_own);
+    assert!(quarantine.merge(now, &hold));
+    assert_eq!(quarantine.remaining(now, FINGERPRINT), Some(PERIOD));
+}
+
+/// Others that got an answer before the losses tell it once, at the first loss.
+#[test]
+fn answer_before_losses_is_told_once() {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    quarantine.record_answer(Time::ZERO, FINGERPRINT);
+    let now = Time::from_secs(1);
+    let loss = ConnectionLoss {
+        fingerprint: FINGERPRINT,
+        target_digest: 1,
+    };
+    assert!(quarantine.record(now, &[loss]).is_empty());
+    assert!(quarantine.take_untold_answer(now, FINGERPRINT));
+    assert!(!quarantine.is_suspected(FINGERPRINT));
+    assert!(!quarantine.take_untold_answer(now, FINGERPRINT));
+}
+
+/// Where there are other instances, a quarantine begins only after they could tell of answers.
+#[rstest]
+#[case::nobody_answers(false)]
+#[case::another_has_an_answer(true)]
+fn others_are_heard_before_a_quarantine(#[case] is_answered: bool) {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    quarantine.set_instances(2);
+    let losses: Vec<ConnectionLoss> = (1..=3)
+        .map(|target_digest| ConnectionLoss {
+            fingerprint: FINGERPRINT,
+            target_digest,
+        })
+        .collect();
+    assert!(quarantine.record(Time::ZERO, &losses).is_empty());
+    if is_answered {
+        quarantine.record_remote_answer(Time::from_millis(100), FINGERPRINT);
+    }
+    let begun = quarantine.begin_due(Time::from_millis(500));
+    assert_eq!(begun.is_empty(), is_answered);
+}
