fix(dispatch): a request is quarantined for more losses where targets die without it

What callers see: where ten of 6 to 20 targets crash each second beside releases, a page that many ask for is refused for up to 167 s.

Cause: three losses without an answer counted as proof, whatever is lost with others. Where one attempt in five is lost, three in a row are chance; and a request that is held can't be answered.

Change: each instance counts its answers of the last 10 s, its losses, and the incarnations that any instance reports as lost; those on which a suspected request was don't count, so that two deadly requests don't excuse each other. A request of which an answer is remembered must have been lost on so many incarnations that chance would bring them about once in a million times; three where targets are sound, 32 at most. For one without, three are enough, as before. Losses that an answer has refuted count as deaths. Messages between instances are as before.

Added: one test of tests/quarantine.rs.

--- a/crates/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/dispatch/src/dispatcher/quarantine.rs
@@ -81,6 +81,8 @@
         self.quarantine.suspend(now, causes.path);
         let mut losses = causes.requests;
         losses.extend(self.quarantine.take_cleared(now));
+        self.quarantine.count_own(now, &losses);
+        self.quarantine.count_own(now, &causes.answered);
         let reports = losses.iter().copied().map(Action::ReportLoss);
         let mut actions: Vec<Action> = reports.collect();
         let room = MAX_REPORTED.saturating_sub(self.reported_once.len());
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attribution;
+mod deaths;
 mod loss_events;
 
 use std::{
@@ -129,7 +130,7 @@
     pub fn set_instances(&mut self, instances: usize) {
         let has_others = instances > 1;
         let hearing = if has_others { HEARING } else { Duration::ZERO };
-        self.attribution.set_hearing(hearing);
+        self.attribution.set_instances(instances, hearing);
     }
 
     /// Records losses that became known together and returns the requests whose quarantine begins with
@@ -148,6 +149,11 @@
             .collect()
     }
 
+    /// Counts losses of this instance, for how often targets die.
+    pub fn count_own(&mut self, now: Time, losses: &[ConnectionLoss]) {
+        self.attribution.count_own(now, losses);
+    }
+
     fn add(&mut self, now: Time, loss: ConnectionLoss) {
         self.prune(now);
         let forgotten_at = now + self.period * MEMORY_PERIODS;
@@ -155,7 +161,7 @@
         if entry.breaker.is_none() {
             entry.forgotten_at = forgotten_at;
         }
-        self.attribution.add(loss);
+        self.attribution.add(now, loss);
     }
 
     /// Begins the quarantine of a request that has just lost a connection, if it is due, or the next
--- a/crates/dispatch/src/quarantine/answers.rs
+++ b/crates/dispatch/src/quarantine/answers.rs
@@ -50,6 +50,11 @@
         answer.is_some_and(|answer| answer.is_recent(now))
     }
 
+    /// Returns whether an answer to the request is remembered, however old.
+    pub(super) fn contains_any(&self, fingerprint: u64) -> bool {
+        self.get(fingerprint).is_some()
+    }
+
     /// Returns whether a target has answered the request at this time or later.
     pub(super) fn contains_since(&self, at: Time, fingerprint: u64) -> bool {
         self.get(fingerprint).is_some_and(|answer| answer.at >= at)
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -9,6 +9,7 @@
 
 use super::{
     answers::{RecentAnswers, Told},
+    deaths::{Death, Deaths},
     loss_events::{ConnectionLoss, MIN_PATH_TARGETS},
 };
 
@@ -16,8 +17,11 @@
 #[derive(Debug, Clone)]
 pub(super) struct Attribution {
     max_losses: usize,
+    /// Number of instances, all of which send requests to targets.
+    instances: u64,
     /// Distinct target digests of the losses of each tracked request.
     losses: BTreeMap<u64, BTreeSet<u64>>,
+    deaths: Deaths,
     /// Losses of one event that were taken for a failed path, and when.
     unclear: Vec<(Time, Vec<ConnectionLoss>)>,
     /// Time for which other instances are heard before a request is taken for a cause.
@@ -36,6 +40,8 @@
 
 /// Maximum number of target digests that are kept for a request.
 const MAX_DIGESTS: usize = 32;
+/// Maximum probability that a request which crashes no target has been lost on as many of them.
+const MAX_CHANCE: f64 = 1e-6;
 /// Time within which losses that were taken for a failed path may turn out to be something else.
 const UNCLEAR_TTL: Duration = Duration::from_secs(3);
 /// Maximum number of events whose losses are kept for that.
@@ -47,7 +53,9 @@
     pub(super) fn new(max_losses: u32) -> Self {
         Self {
             max_losses: max_losses as usize,
+            instances: 1,
             losses: BTreeMap::new(),
+            deaths: Deaths::default(),
             unclear: Vec::new(),
             hearing: Duration::ZERO,
             doubtful: BTreeMap::new(),
@@ -55,8 +63,10 @@
         }
     }
 
-    /// Sets for how long other instances are heard before a request is taken for a cause.
-    pub(super) fn set_hearing(&mut self, hearing: Duration) {
+    /// Sets how many instances there are, and for how long the others are heard before a request is taken for
+    /// a cause.
+    pub(super) fn set_instances(&mut self, instances: usize, hearing: Duration) {
+        self.instances = instances as u64;
         self.hearing = hearing;
     }
 
@@ -79,7 +89,8 @@
     }
 
     /// Adds a loss of a tracked request.
-    pub(super) fn add(&mut self, loss: ConnectionLoss) {
+    pub(super) fn add(&mut self, now: Time, loss: ConnectionLoss) {
+        self.deaths.add(now, loss.target_digest);
         let digests = self.losses.entry(loss.fingerprint).or_default();
         if digests.len() < MAX_DIGESTS {
             digests.insert(loss.target_digest);
@@ -98,7 +109,8 @@
         };
         let doubt = self.doubtful.entry(fingerprint).or_insert(new);
         doubt.last_at = now;
-        let is_cause = self.is_clear(now, fingerprint);
+        let required = self.required_losses(now);
+        let is_cause = self.is_clear(now, fingerprint, required);
         if is_cause {
             self.doubtful.remove(&fingerprint);
         }
@@ -114,9 +126,13 @@
         self.doubtful
             .retain(|_, doubt| now - doubt.last_at < UNCLEAR_TTL);
         let doubtful: Vec<u64> = self.doubtful.keys().copied().collect();
+        if doubtful.is_empty() {
+            return doubtful;
+        }
+        let required = self.required_losses(now);
         let clear: Vec<u64> = doubtful
             .into_iter()
-            .filter(|fingerprint| self.is_clear(now, *fingerprint))
+            .filter(|fingerprint| self.is_clear(now, *fingerprint, required))
             .filter(|fingerprint| !is_held(*fingerprint))
             .collect();
         for fingerprint in &clear {
@@ -125,6 +141,13 @@
         clear
     }
 
+    /// Counts losses of this instance.
+    pub(super) fn count_own(&mut self, now: Time, losses: &[ConnectionLoss]) {
+        for loss in losses {
+            self.deaths.add_own(now, loss.target_digest);
+        }
+    }
+
     /// Keeps losses that were taken for a failed path, in case another instance explains some of them.
     pub(super) fn suspend(&mut self, now: Time, losses: Vec<ConnectionLoss>) {
         self.unclear.retain(|(at, _)| now - *at < UNCLEAR_TTL);
@@ -159,6 +182,9 @@
 
     /// Records that a target has answered a request, which is tracked no longer.
     pub(super) fn record_answer(&mut self, now: Time, fingerprint: u64, told: Told) {
+        if told != Told::Again {
+            self.deaths.record_answer(now);
+        }
         self.answers.insert(now, fingerprint, told);
         self.refute(fingerprint);
     }
@@ -196,13 +222,56 @@
         self.has_enough(fingerprint) && self.unexplained(now, fingerprint) < self.max_losses
     }
 
-    /// Returns whether a request with enough losses is their cause: others have been heard, no recent
-    /// answer speaks for it, and no other requests explain its losses.
-    fn is_clear(&self, now: Time, fingerprint: u64) -> bool {
+    /// Returns whether a request with enough losses is their cause: others have been heard, no recent answer speaks
+    /// for it, and no other requests explain its losses. One with an earlier answer needs `required`.
+    fn is_clear(&self, now: Time, fingerprint: u64, required: usize) -> bool {
+        let was_answered = self.answers.contains_any(fingerprint);
+        let required = if was_answered {
+            required
+        } else {
+            self.max_losses
+        };
         let doubt = self.doubtful.get(&fingerprint);
         doubt.is_some_and(|doubt| now - doubt.began_at >= self.hearing)
             && !self.is_answered(now, fingerprint)
-            && self.unexplained(now, fingerprint) >= self.max_losses
+            && self.unexplained(now, fingerprint) >= required
+    }
+
+    /// Returns on how many incarnations a request must have been lost, so that it hardly was by chance: more than
+    /// the least number where targets also die without those that are suspected.
+    fn required_losses(&self, now: Time) -> usize {
+        let chance = self.chance_of_loss(now);
+        let mut required = self.max_losses;
+        while required < MAX_DIGESTS && chance.powf(required as f64) > MAX_CHANCE {
+            required += 1;
+        }
+        required
+    }
+
+    /// Returns the share of attempts that were lost of late on incarnations that no suspected request was on.
+    fn chance_of_loss(&self, now: Time) -> f64 {
+        let suspects: Vec<&BTreeSet<u64>> = self.suspects(now).collect();
+        let is_unexplained = |death: &&Death| {
+            let mut suspects = suspects.iter();
+            !suspects.any(|digests| digests.contains(&death.target_digest))
+        };
+        let (mut deaths, mut own_losses) = (0, 0);
+        for death in self.deaths.recent(now).filter(is_unexplained) {
+            deaths += 1;
+            own_losses += death.own_losses;
+        }
+        // Other instances report their losses, but not how many of their attempts have been answered.
+        let losses = (own_losses * self.instances).max(deaths) as f64;
+        let answers = (self.deaths.answers(now) * self.instances) as f64;
+        losses / (losses + answers).max(1.0)
+    }
+
+    /// Returns the losses of the requests that have enough of them and no recent answer.
+    fn suspects(&self, now: Time) -> impl Iterator<Item = &BTreeSet<u64>> {
+        let suspects = self.losses.iter().filter(move |(fingerprint, digests)| {
+            digests.len() >= self.max_losses && !self.is_answered(now, **fingerprint)
+        });
+        suspects.map(|(_, digests)| digests)
     }
 
     fn count(&self, fingerprint: u64) -> usize {
--- a/crates/dispatch/src/quarantine/loss_events.rs
+++ b/crates/dispatch/src/quarantine/loss_events.rs
@@ -88,6 +88,8 @@
 pub struct LossCauses {
     /// Losses caused by requests.
     pub requests: Vec<ConnectionLoss>,
+    /// Losses with requests that have been answered since, caused by others or by the targets themselves.
+    pub answered: Vec<ConnectionLoss>,
     /// Losses caused by a failed path to the targets, by what this instance knows.
     pub path: Vec<ConnectionLoss>,
 }
@@ -139,8 +141,7 @@
 }
 
 fn attribute(event: LossEvent) -> LossCauses {
-    let is_open = |one: &LostAttempt| !event.answered.contains(&one.number);
-    let mut requests = Vec::new();
+    let mut causes = Vec::new();
     let mut left = event.lost;
     let mut explaining = 0;
     while let Some(targets) = best_explanation(&left) {
@@ -151,21 +152,24 @@
         let (explained, rest): (Vec<_>, Vec<_>) = left
             .into_iter()
             .partition(|(_, one)| targets.contains(&one.target));
-        let open = explained.into_iter().map(|(_, one)| one).filter(is_open);
-        requests.extend(open.map(|one| one.loss));
+        causes.extend(explained);
         left = rest;
     }
     let targets: BTreeSet<u64> = left.iter().map(|(_, one)| one.target).collect();
     if targets.len() < MIN_PATH_TARGETS {
-        let open = left.into_iter().map(|(_, one)| one).filter(is_open);
-        requests.extend(open.map(|one| one.loss));
-        return LossCauses {
-            requests,
-            path: Vec::new(),
-        };
+        causes.append(&mut left);
+    }
+    let is_answered = |(_, one): &(u64, LostAttempt)| event.answered.contains(&one.number);
+    let (answered, requests) = causes.into_iter().partition(is_answered);
+    LossCauses {
+        requests: losses(requests),
+        answered: losses(answered),
+        path: losses(left),
     }
-    let path = left.iter().map(|(_, one)| one.loss).collect();
-    LossCauses { requests, path }
+}
+
+fn losses(lost: Vec<(u64, LostAttempt)>) -> Vec<ConnectionLoss> {
+    lost.into_iter().map(|(_, one)| one.loss).collect()
 }
 
 /// Returns the targets that one request explains, as many as possible: it lost one after the other,
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -119,3 +119,37 @@
     let begun = quarantine.begin_due(Time::from_millis(500));
     assert_eq!(begun.is_empty(), is_answered);
 }
+
+/// Guards against DENIED: where targets died all the time, an innocent request was quarantined after three losses.
+#[rstest]
+#[case::targets_are_sound(0, true, 3)]
+#[case::one_dies(1, true, 4)]
+#[case::a_fifth_is_lost(20, true, 9)]
+#[case::never_answered(20, false, 3)]
+fn more_losses_are_needed_where_targets_die(
+    #[case] deaths: u64,
+    #[case] was_answered: bool,
+    #[case] needed: u64,
+) {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    for fingerprint in u64::from(was_answered)..80 {
+        quarantine.record_answer(Time::ZERO, 1_000 + fingerprint);
+    }
+    if was_answered {
+        quarantine.record_answer(Time::ZERO, FINGERPRINT);
+    }
+    for target_digest in 100..100 + deaths {
+        let loss = ConnectionLoss {
+            fingerprint: 2_000 + target_digest,
+            target_digest,
+        };
+        quarantine.count_own(Time::ZERO, &[loss]);
+    }
+    let loss = |target_digest| ConnectionLoss {
+        fingerprint: FINGERPRINT,
+        target_digest,
+    };
+    let now = Time::from_secs(5);
+    let begins = (1..=32).find(|digest| !quarantine.record(now, &[loss(*digest)]).is_empty());
+    assert_eq!(begins, Some(needed));
+}
