--- a/crates/dispatch/src/quarantine/loss_events.rs
+++ b/crates/dispatch/src/quarantine/loss_events.rs
@@ -68,6 +68,8 @@
     last_at: Time,
     /// Losses in their order, each with the number of attempts that had been sent until then.
     lost: Vec<(u64, LostAttempt)>,
+    /// Numbers of the attempts whose requests have been answered since.
+    answered: BTreeSet<u64>,
 }
 
 /// Describes an attempt whose connection was lost.
@@ -86,6 +88,8 @@
 pub struct LossCauses {
     /// Losses caused by requests.
     pub requests: Vec<ConnectionLoss>,
+    /// Losses with requests that have been answered since, caused by others or by the targets themselves.
+    pub answered: Vec<ConnectionLoss>,
     /// Losses caused by a failed path to the targets, by what this instance knows.
     pub path: Vec<ConnectionLoss>,
 }
@@ -109,11 +113,21 @@
             began_at: now,
             last_at: now,
             lost: Vec::new(),
+            answered: BTreeSet::new(),
         });
         event.last_at = now;
         event.lost.push((sent, lost));
     }
 
+    /// Records that a target has answered a request, which so caused none of its losses until now.
+    pub fn record_answer(&mut self, fingerprint: u64) {
+        if let Some(event) = &mut self.event {
+            let lost = event.lost.iter().map(|(_, one)| one);
+            let refuted = lost.filter(|one| one.loss.fingerprint == fingerprint);
+            event.answered.extend(refuted.map(|one| one.number));
+        }
+    }
+
     /// Returns the losses of an event by their cause, once it is over.
     pub fn take_due(&mut self, now: Time) -> LossCauses {
         let is_over = |event: &mut LossEvent| {
@@ -127,7 +141,7 @@
 }
 
 fn attribute(event: LossEvent) -> LossCauses {
-    let mut requests = Vec::new();
+    let mut causes = Vec::new();
     let mut left = event.lost;
     let mut explaining = 0;
     while let Some(targets) = best_explanation(&left) {
@@ -138,20 +152,24 @@
         let (explained, rest): (Vec<_>, Vec<_>) = left
             .into_iter()
             .partition(|(_, one)| targets.contains(&one.target));
-        requests.extend(explained.into_iter().map(|(_, one)| one.loss));
+        causes.extend(explained);
         left = rest;
     }
     let targets: BTreeSet<u64> = left.iter().map(|(_, one)| one.target).collect();
-    let left = left.iter().map(|(_, one)| one.loss);
     if targets.len() < MIN_PATH_TARGETS {
-        requests.extend(left);
-        return LossCauses {
-            requests,
-            path: Vec::new(),
-        };
+        causes.append(&mut left);
     }
-    let path = left.collect();
-    LossCauses { requests, path }
+    let is_answered = |(_, one): &(u64, LostAttempt)| event.answered.contains(&one.number);
+    let (answered, requests) = causes.into_iter().partition(is_answered);
+    LossCauses {
+        requests: losses(requests),
+        answered: losses(answered),
+        path: losses(left),
+    }
+}
+
+fn losses(lost: Vec<(u64, LostAttempt)>) -> Vec<ConnectionLoss> {
+    lost.into_iter().map(|(_, one)| one.loss).collect()
 }
 
 /// Returns the targets that one request explains, as many as possible: it lost one after the other,
