fix(entry): a long turn of the engine is no silence of the follower

What callers see: on an instance whose engine takes over a second for one turn (a large configuration on a slow processor), while nothing has confirmed the configuration for 0.95 of apply_s, as in an outage of the whole store: 'outdated' for all requests that wait for a target, and for those that arrived in the meantime.

Cause: the engine handles its events in their order, and a due tick may come before all of them. For the same reason a request was decided by the version before, though the later one waited behind it.

Change: of the events of a batch, those of the follower come first, in their order, and its latest word counts from the first one on. A tick that is due comes after the events that have waited. A word doesn't shorten an earlier one; each follower's words end later and later anyway.

Ruled out: no check on the follower's words alone (an expired one is followed by ConfigBehind or a tick, which check as well).

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -219,23 +219,39 @@
             } else {
                 IDLE_TICK_INTERVAL
             };
+            let tick_at = self.next_tick(ticked_at + interval);
             tokio::select! {
+                // What has waited is heard before time counts as silence.
+                biased;
                 count = rx.recv_many(&mut events, MAX_EVENTS_PER_BATCH) => {
                     if count == 0 {
                         return;
                     }
+                    self.hear_follower(&mut events);
                     for event in events.drain(..) {
                         self.handle(event);
                     }
                 }
-                () = sleep_until(self.next_tick(ticked_at + interval)) => {
-                    ticked_at = Instant::now();
-                    self.tick();
-                }
+                () = sleep_until(tick_at) => {}
+            }
+            if Instant::now() >= tick_at {
+                ticked_at = Instant::now();
+                self.tick();
             }
         }
     }
 
+    /// Puts what the follower has sent before the rest, which is then decided by its latest word. Its word counts from the
+    /// first event on: what has waited behind a long turn of this engine was no silence of the follower.
+    fn hear_follower(&mut self, events: &mut [Event]) {
+        events.sort_by_key(|event| !event.is_of_config());
+        let words = events.iter().filter_map(|event| match event {
+            Event::ConfigFreshness { valid_until, .. } => Some(*valid_until),
+            _ => None,
+        });
+        self.freshness_valid_until = words.fold(self.freshness_valid_until, Time::max);
+    }
+
     /// Handles one event.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
@@ -309,7 +325,7 @@
                 confirmation,
             } => {
                 self.freshness = freshness;
-                self.freshness_valid_until = valid_until;
+                self.freshness_valid_until = self.freshness_valid_until.max(valid_until);
                 self.confirmed_at = confirmed_at;
                 self.refuse_until = refuse_until;
                 self.confirmation = confirmation;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -141,6 +141,20 @@
     Status(oneshot::Sender<EngineStatus>),
 }
 
+impl Event {
+    /// Returns whether it says by what configuration to decide, or until when.
+    pub(crate) fn is_of_config(&self) -> bool {
+        matches!(
+            self,
+            Self::ConfigActivated { .. }
+                | Self::ConfigFreshness { .. }
+                | Self::ConfigBehind(_)
+                | Self::TargetsLeft(_)
+                | Self::EntriesLeft(..)
+        )
+    }
+}
+
 /// Sets until when requests may be decided by the active configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfigLag {
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -10,6 +10,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, ErrorKind, Refusal, Time, Workspace};
+use coord::Freshness;
 use dispatch::{Outcome, Policy};
 use engine::engine_with;
 use entry::{
@@ -17,12 +18,20 @@
     message::{AttemptPlan, ConfigLag, Decision, Event},
 };
 use fresh::fresh;
-use requests::{dispatch, end_attempt, issue_key, submit};
+use requests::{arrival, dispatch, end_attempt, issue_key, submit};
 use rstest::rstest;
 use standin::config::{service, target};
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::mpsc,
+    task::yield_now,
+    time::{advance, sleep},
+};
 
 const RETRY_AFTER: Duration = Duration::from_millis(40);
+/// Time for which the follower's word counts.
+const WORD_VALIDITY: Duration = Duration::from_secs(1);
+/// Time between two words of the follower.
+const WORD_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Returns a configuration with a target for one request at a time, and a workspace that may run in the
 /// north alone.
@@ -43,12 +52,17 @@
 }
 
 fn engine() -> Engine {
+    engine_after(fresh(None))
+}
+
+/// Returns an engine with the configuration and the follower's first word of it.
+fn engine_after(word: Event) -> Engine {
     let mut engine = engine_with(Policy::default());
     engine.handle(Event::ConfigActivated {
         config: Arc::new(config()),
         version: None,
     });
-    engine.handle(fresh(None));
+    engine.handle(word);
     engine
 }
 
@@ -173,3 +187,50 @@
     end_attempt(&mut engine, Outcome::Refused);
     assert_eq!(refusal(&mut running), None);
 }
+
+/// Returns the follower's word at `at` in an outage of the store, in which nothing confirms the configuration.
+fn word(at: Duration) -> Event {
+    Event::ConfigFreshness {
+        freshness: Freshness::Unconfirmed,
+        valid_until: Time::ZERO + at + WORD_VALIDITY,
+        confirmed_at: None,
+        refuse_until: Time::ZERO,
+        confirmation: None,
+    }
+}
+
+/// Guards against refusals without need: in an outage of the store, an engine whose turn had taken over a second took its
+/// own delay for the follower's silence, though the follower's words waited behind the requests.
+#[rstest]
+#[case::short(700, None)]
+#[case::long(1_600, None)]
+#[case::outdated(1_600, Some(Time::ZERO))]
+#[tokio::test(start_paused = true)]
+async fn request_behind_a_long_turn_is_decided_by_the_latest_word(
+    #[case] turn_ms: u64,
+    #[case] outdated_from: Option<Time>,
+) {
+    let turn = Duration::from_millis(turn_ms);
+    let mut engine = engine_after(word(Duration::ZERO));
+    let mut waiting = submit(&mut engine, 1);
+    let (events, rx) = mpsc::unbounded_channel();
+    tokio::spawn(engine.run(rx));
+    yield_now().await;
+    let (arrived, mut arriving) = arrival(2);
+    events.send(arrived).unwrap();
+    let count = turn.div_duration_f64(WORD_INTERVAL) as u32;
+    for number in 1..=count {
+        events.send(word(WORD_INTERVAL * number)).unwrap();
+    }
+    events
+        .send(Event::ConfigBehind(ConfigLag {
+            outdated_from,
+            retry_after: RETRY_AFTER,
+        }))
+        .unwrap();
+    advance(turn).await;
+    sleep(Duration::from_millis(1)).await;
+    let expected = outdated_from.and(expected());
+    assert_eq!(refusal(&mut waiting), expected);
+    assert_eq!(refusal(&mut arriving), expected);
+}
--- a/crates/entry/tests/support/requests.rs
+++ b/crates/entry/tests/support/requests.rs
@@ -22,8 +22,15 @@
 
 /// Submits a request whose body hasn't arrived yet, and returns the channel of its decisions.
 pub(crate) fn submit(engine: &mut Engine, id: u64) -> mpsc::UnboundedReceiver<Decision> {
+    let (arrival, rx) = arrival(id);
+    engine.handle(arrival);
+    rx
+}
+
+/// Returns the arrival of a request whose body hasn't arrived yet, and the channel of its decisions.
+pub(crate) fn arrival(id: u64) -> (Event, mpsc::UnboundedReceiver<Decision>) {
     let (tx, rx) = mpsc::unbounded_channel();
-    engine.handle(Event::RequestArrived(Arrival {
+    let arrival = Event::RequestArrived(Arrival {
         id: RequestId(id),
         api_key: Some(KEY.to_owned()),
         service: "board".into(),
@@ -36,8 +43,8 @@
         timeout: None,
         awaits_dispatch: true,
         tx,
-    }));
-    rx
+    });
+    (arrival, rx)
 }
 
 /// Releases a request after its body has arrived.
