--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
-use coord::{Replica, ReplicaRow, RowChange, TableSnapshot};
+use coord::{Replica, ReplicaRow, RowChange, RowsReport, TableSnapshot};
 use proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed};
 use rstest::rstest;
 
@@ -236,6 +236,23 @@
     assert!(names(&replica).is_empty());
 }
 
+/// Guards against rows of operators that stay in force after they are taken back, since an outage was believed in.
+#[test]
+fn replica_without_a_grace_period_retains_nothing() {
+    let mut replica = Replica::new(Duration::ZERO);
+    let [read, failed, found] = [0, 2, 3].map(|secs| Time::ZERO + Duration::from_secs(secs));
+    let rows = vec![change("a", Some("1"), 1), change("b", Some("1"), 2)];
+    replica.apply_changes(read, rows, 2);
+    replica.on_read_failure(failed);
+    assert!(replica.has_outage());
+    replica.apply_changes(failed, vec![change("a", None, 3)], 3);
+    assert!(!replica.is_retained("a"));
+    replica.on_contact(found);
+    replica.apply_changes(found, vec![change("b", None, 4)], 4);
+    assert_eq!(replica.retained().count(), 0);
+    assert!(replica.rows().next().is_none());
+}
+
 /// A read that comes late, after a later one has brought a row's deletion, brought the row back.
 #[test]
 fn replica_late_read_brings_no_deleted_row_back() {
@@ -332,6 +349,151 @@
     }
 }
 
+/// Names of the rows of a drawn history; a page holds one half of them.
+const NAMES: [&str; 4] = ["0", "1", "2", "3"];
+
+/// What happens next to a table and its replicas.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Writes a row or deletes it.
+    Write(HistoryEntry),
+    /// Reads the whole table in two pages, with this number of writes before the second one.
+    Pages(Index, usize),
+    /// Does so as an instance reads the platform, also at its own position.
+    Restore(Index, usize),
+    /// Reads what has changed since the replica's position.
+    Feed(Index),
+    /// Fetches the table of another replica.
+    Fetch(Index, Index),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..4_u8, option::of(0..3_u8)).prop_map(Step::Write),
+        2 => (any::<Index>(), 0..4_usize).prop_map(|(one, writes)| Step::Pages(one, writes)),
+        2 => (any::<Index>(), 0..4_usize).prop_map(|(one, writes)| Step::Restore(one, writes)),
+        2 => any::<Index>().prop_map(Step::Feed),
+        3 => (any::<Index>(), any::<Index>()).prop_map(|(one, from)| Step::Fetch(one, from)),
+    ];
+    vec(step, 1..40)
+}
+
+/// Returns a whole read whose position is that of its first page, and whose second page is as later as `writes` say.
+fn read_pages(history: &[HistoryEntry], writes: usize) -> TableSnapshot {
+    let first = history.len().saturating_sub(writes);
+    let mut rows = state_at(history, first);
+    rows.retain(|name, _| *name.as_str() < *NAMES[2]);
+    let second = state_at(history, history.len());
+    let second = second
+        .into_iter()
+        .filter(|(name, _)| *name.as_str() >= *NAMES[2]);
+    rows.extend(second);
+    TableSnapshot {
+        rows,
+        position: first as u64,
+    }
+}
+
+/// Returns whether a replica shows each row as it is at the replica's position, or as it became later.
+fn is_sound(replica: &Replica, history: &[HistoryEntry]) -> bool {
+    let rows = &replica.snapshot().rows;
+    let mut states = Vec::new();
+    for position in replica.position() as usize..=history.len() {
+        states.push(state_at(history, position));
+    }
+    let is_right = |name: &str| states.iter().any(|state| state.get(name) == rows.get(name));
+    NAMES.iter().all(|name| is_right(name))
+}
+
+/// Returns whether a replica that reports its rows has those of each position that it reports.
+fn is_exact(replica: &Replica, history: &[HistoryEntry]) -> bool {
+    replica.rows_report().is_none_or(|report| {
+        let mut positions = report.changed_at..=report.position();
+        positions.all(|position| state_at(history, position as usize) == replica.snapshot().rows)
+    })
+}
+
+/// Returns whether each row that a replica no longer shows has changed since.
+fn has_lost_none(before: &Replica, after: &Replica, history: &[HistoryEntry]) -> bool {
+    let kept = &after.snapshot().rows;
+    before.snapshot().rows.iter().all(|(name, row)| {
+        let is_later = kept
+            .get(name)
+            .is_some_and(|one| one.position >= row.position);
+        let mut later = history.iter().skip(row.position as usize);
+        is_later || later.any(|(changed, _)| changed.to_string() == *name)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(12),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against rows that vanish though nobody has deleted them: one from a later page of a whole read is later than
+    /// the read's position, and was missing in another instance's table of a position between.
+    #[test]
+    fn replica_shows_no_older_row_than_its_position_or_itself_before(steps in steps()) {
+        let mut history: Vec<HistoryEntry> = Vec::new();
+        let mut replicas = [const { Duration::ZERO }; 3].map(Replica::new);
+        for step in steps {
+            let before = replicas.clone();
+            match step {
+                Step::Write(entry) => history.push(entry),
+                Step::Pages(one, writes) => {
+                    let read = read_pages(&history, writes);
+                    one.get_mut(&mut replicas).replace(Time::ZERO, read);
+                }
+                Step::Restore(one, writes) => {
+                    let read = read_pages(&history, writes);
+                    one.get_mut(&mut replicas).restore(Time::ZERO, read);
+                }
+                Step::Feed(one) => {
+                    let replica = one.get_mut(&mut replicas);
+                    if replica.is_initialized() {
+                        let after = replica.position() as usize;
+                        let changes = changes_between(&history, after, history.len());
+                        replica.apply_changes(Time::ZERO, changes, history.len() as u64);
+                        replica.settle();
+                    }
+                }
+                Step::Fetch(one, from) => {
+                    let from = from.get(&replicas);
+                    let found = from.is_initialized().then(|| from.snapshot().clone());
+                    if let Some(found) = found {
+                        one.get_mut(&mut replicas).replace(Time::ZERO, found);
+                    }
+                }
+            }
+            let reports: Vec<RowsReport> = replicas.iter().filter_map(Replica::rows_report).collect();
+            for (idx, one) in reports.iter().enumerate() {
+                prop_assert!(!reports[..idx].iter().any(|other| other.contradicts(one)));
+            }
+            for (before, replica) in before.iter().zip(&replicas) {
+                prop_assert!(is_exact(replica, &history), "{:?}", replica);
+                prop_assert!(!replica.is_initialized() || is_sound(replica, &history), "{:?}", replica);
+                prop_assert!(has_lost_none(before, replica, &history), "{:?}, {:?}", before, replica);
+            }
+        }
+    }
+}
+
+/// Guards against a row that vanishes because an instance fetches a table from before it.
+#[test]
+fn replica_snapshot_keeps_rows_that_are_later_than_itself() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 3), ("b", "1", 12)], 7));
+    replica.replace(Time::ZERO, snapshot(&[], 10));
+    assert_eq!(names(&replica), ["b"]);
+    assert_eq!((replica.changed_at(), replica.position()), (10, 10));
+    assert_eq!(replica.last_change(), 12);
+    replica.replace(Time::ZERO, snapshot(&[], 13));
+    assert!(names(&replica).is_empty());
+}
+
 /// Guards against copies of a table that cost as much as its rows are long.
 #[test]
 fn snapshot_copies_share_the_content_of_rows() {
@@ -347,3 +509,55 @@
     let copied = &other.snapshot().rows["a"].value;
     assert_eq!(copied.as_ptr(), first.rows["a"].value.as_ptr());
 }
+
+/// Guards against rows that stay wrong at a right position, whatever made them so.
+#[rstest]
+#[case::row_is_missing(&[("a", "1", 3)], 9)]
+#[case::row_was_deleted(&[("a", "1", 3), ("b", "1", 4), ("c", "1", 5)], 9)]
+#[case::content_differs(&[("a", "1", 3), ("b", "2", 4)], 9)]
+#[case::row_is_of_another_history(&[("a", "1", 3), ("b", "2", 6)], 9)]
+#[case::at_an_earlier_position(&[("a", "1", 3)], 7)]
+fn replica_is_restored_by_a_whole_read(#[case] rows: &[(&str, &str, u64)], #[case] position: u64) {
+    let read = snapshot(&[("a", "1", 3), ("b", "1", 4)], 9);
+    let mut right = Replica::new(GRACE);
+    right.restore(Time::ZERO, read.clone());
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(rows, position));
+    assert!(replica.restore(Time::ZERO, read.clone()));
+    assert_eq!(*replica.snapshot(), read);
+    for one in [&mut right, &mut replica] {
+        one.apply_changes(Time::ZERO, Vec::new(), 12);
+        one.settle();
+    }
+    let [right, report] = [&right, &replica].map(|one| one.rows_report().unwrap());
+    assert!(report.overlaps(&right) && !report.contradicts(&right));
+    assert!(!replica.restore(Time::ZERO, snapshot(&[], 11)));
+}
+
+/// Guards against instances that keep the wrong rows that they fetched: these are at the position of the right ones.
+#[test]
+fn replica_that_was_corrected_reports_a_later_change() {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[], 9));
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 9));
+    assert_eq!(replica.changed_at(), 9);
+    replica.apply_changes(Time::ZERO, Vec::new(), 10);
+    assert_eq!(replica.changed_at(), 10);
+    replica.apply_changes(Time::ZERO, Vec::new(), 11);
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 11));
+    assert_eq!((replica.changed_at(), replica.position()), (10, 11));
+}
+
+/// Guards against false alarms: the rows of a whole read may be later than its position.
+#[test]
+fn replica_reports_no_rows_that_may_be_later_than_its_position() {
+    let mut replica = Replica::new(GRACE);
+    assert_eq!(replica.rows_report(), None);
+    replica.restore(Time::ZERO, snapshot(&[("a", "1", 8)], 7));
+    assert_eq!(replica.rows_report(), None);
+    replica.settle();
+    assert_eq!(replica.rows_report(), None);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 8)], 20);
+    let report = replica.rows_report().unwrap();
+    assert_eq!((report.changed_at, report.position()), (8, 20));
+}
--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -31,7 +31,8 @@
 
 /// Reads the deployment's parameters, or creates them if there are none.
 ///
-/// Retries without limit while the platform doesn't answer.
+/// Retries without limit while the platform doesn't answer. An instance that the platform keeps from announcing itself creates
+/// none until it has, and until others that were kept from it can have done so as well.
 ///
 /// # Errors
 ///
@@ -42,30 +43,48 @@
 ) -> Result<DeploymentParameters> {
     let mut delay = MIN_RETRY_DELAY;
     let mut has_waited = false;
+    let mut was_refused = false;
     loop {
         match platform.get(FACTS_TABLE, FACTS_ROW).await {
             Ok(Some(row)) => return Ok(serde_json::from_str(&row.value)?),
-            Ok(None) if has_waited => create(platform).await,
+            Ok(None) if has_waited => {
+                if !create(platform).await {
+                    pause(&mut delay).await;
+                }
+            }
             Ok(None) => {
                 let listed = own.clone();
-                let _ = platform.call(platform::Call::Announce { listed }).await;
+                let announced = platform.call(platform::Call::Announce { listed }).await;
+                if announced.is_err() {
+                    was_refused = true;
+                    pause(&mut delay).await;
+                    continue;
+                }
                 sleep(ANNOUNCE_WAIT).await;
+                if was_refused {
+                    // So may others have been, which announce themselves again by then.
+                    sleep(MAX_RETRY_DELAY).await;
+                }
                 has_waited = true;
-                continue;
             }
             Err(err) => {
                 tracing::warn!(event = "facts_unread", reason = %err);
-                sleep(delay).await;
-                delay = (delay * 2).min(MAX_RETRY_DELAY);
+                pause(&mut delay).await;
             }
         }
     }
 }
 
-/// Writes new parameters unless another instance has done so.
-async fn create(platform: &Platform) {
+/// Waits for a delay, which doubles each time.
+async fn pause(delay: &mut Duration) {
+    sleep(*delay).await;
+    *delay = (*delay * 2).min(MAX_RETRY_DELAY);
+}
+
+/// Writes new parameters unless another instance has done so, and returns whether there are some now.
+async fn create(platform: &Platform) -> bool {
     let Ok(list) = platform.list().await else {
-        return;
+        return false;
     };
     let instances = list
         .iter()
@@ -81,9 +100,15 @@
         .value(&text)
         .expect(Precondition::Absent);
     match platform.write(vec![write]).await {
-        Ok(_) => tracing::info!(event = "facts_made", slots = parameters.slots),
+        Ok(_) => {
+            tracing::info!(event = "facts_made", slots = parameters.slots);
+            true
+        }
         // Another instance has created them first.
-        Err(PlatformError::Conflict { .. }) => {}
-        Err(err) => tracing::warn!(event = "facts_unwritten", reason = %err),
+        Err(PlatformError::Conflict { .. }) => true,
+        Err(err) => {
+            tracing::warn!(event = "facts_unwritten", reason = %err);
+            false
+        }
     }
 }
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,12 +7,13 @@
 mod fetching;
 mod lateness;
 mod publication;
+mod rows;
 mod table;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{Config, InstanceId, Time};
-use coord::{FetchDelays, Replica, Standstills, TableSnapshot, rendezvous_draw};
+use coord::{FetchDelays, Replica, RowsReport, Standstills, TableSnapshot, rendezvous_draw};
 use entry::message::{ConfigLag, Confirmation};
 use tokio::{
     sync::{mpsc, watch},
@@ -33,7 +34,7 @@
     peers::HEARTBEAT_INTERVAL,
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
-    table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
+    table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -49,6 +50,8 @@
 /// where the answer that shows it began to arrive: targets may get requests only until their drain time
 /// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
+/// Time for each instance by which their reads of the store are apart where all of them hear that another one's fail.
+const PROMPT_SPACING: Duration = Duration::from_millis(4);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time after a standstill for which callers wait for the first word of others or of the platform: others send
 /// heartbeats as often.
@@ -99,6 +102,8 @@
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
+    /// What the task that sends heartbeats was told last of the tables' rows.
+    told_rows: Vec<Option<RowsReport>>,
     /// The last confirmation by another instance.
     peer_confirmation: Option<Confirmation>,
     standstills: Standstills,
@@ -177,6 +182,7 @@
             revision: 0,
             is_leaving: false,
             last_sent: None,
+            told_rows: Vec::new(),
             peer_confirmation: None,
             standstills: Standstills::default(),
             hearing_until: Time::ZERO,
@@ -191,13 +197,11 @@
                 clock: self.options.clock,
                 platform: self.options.platform.clone(),
                 table: table.clone(),
-                timing: self
-                    .options
-                    .read_timing
-                    .confirming_within(self.options.apply),
+                timing: self.read_timing(),
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
+                read_anew: self.tables[idx].rows.read_anew.subscribe(),
             });
             tokio::spawn(reader.run(idx, tx.clone()));
         }
@@ -262,6 +266,10 @@
         match message {
             FollowerMessage::Leave => self.is_leaving = true,
             FollowerMessage::PeerHead { .. } => return false,
+            FollowerMessage::PeerRows { from, rows } => {
+                self.record_rows(&from, rows);
+                return false;
+            }
             FollowerMessage::PeerDepartures { from, departures } => {
                 let Some(table) = self.tables.get(TARGETS) else {
                     return false;
@@ -291,12 +299,16 @@
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
                     }
-                    if let Some(at) = confirmed_at {
-                        table.replica.on_contact(at);
+                    let contact_at = reads.map(|reads| reads.contact_at);
+                    if let Some(at) = confirmed_at.max(contact_at) {
+                        table.record_contact(at);
                     }
                 }
+                let failing = reads.filter(|reads| reads.is_failing);
+                let turn = failing.map_or(Duration::ZERO, |_| self.prompt_turn(&from));
+                let max_rest = self.read_timing().max_rest();
                 if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
-                    table.record_reads_elsewhere(now, reads);
+                    table.record_reads_elsewhere(now, reads, max_rest, turn);
                 }
                 if is_up_to_date && confirmed_at > self.peer_confirmed_at() {
                     self.peer_confirmation =
@@ -322,6 +334,20 @@
         if is_local { draw } else { draw | REMOTE }
     }
 
+    fn read_timing(&self) -> ReadTiming {
+        let timing = self.options.read_timing;
+        timing.confirming_within(self.options.apply)
+    }
+
+    /// Returns by how much this instance reads the store later than the first one where all hear that the reads of `from`
+    /// fail.
+    fn prompt_turn(&self, from: &InstanceId) -> Duration {
+        let count = self.options.fleet.borrow().members.len();
+        let draw = rendezvous_draw(self.options.own_entry.instance.as_str(), from);
+        let max = PROMPT_SPACING * count.try_into().unwrap_or(u32::MAX);
+        max.mul_f64(draw as f64 / u64::MAX as f64)
+    }
+
     /// Applies a read and returns whether to publish the result at once.
     fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
@@ -359,22 +385,28 @@
                 table.fetches.retain(|open| open.asked_at != fetch.asked_at);
                 table.parts.on_fetched(now, &fetch, table.advanced_at);
                 count_fault(&self.options.metrics, &fetch.fetched);
+                table.believe_reported();
                 let found = fetch.fetched.table;
                 // What it lacks counts as gone since a later position was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
                 let is_changed =
                     found.is_some_and(|found| table.replica.replace(deleted_by, found));
-                if idx == 0 && table.replica.position() > before {
-                    self.lateness.on_fetched(now, &fetch.from);
+                if table.replica.position() > before {
+                    table.rows.on_fetched(now);
+                    if idx == 0 {
+                        self.lateness.on_fetched(now, &fetch.from);
+                    }
                 }
                 source = NewsSource::Instance(fetch.from);
                 is_changed
             }
             TableRead::Snapshot(read) => {
                 read_at = Some((read.sent_at(), read.position));
+                table.believe_reported();
                 table.record_answer(name, &read);
-                table.replica.replace(
+                table.rows.on_whole_read(now);
+                table.replica.restore(
                     read.answer.arrived_at,
                     to_snapshot(read.rows, read.position),
                 )
@@ -382,12 +414,23 @@
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
                 table.record_answer(name, &read);
+                let (sent_at, position) = (read.sent_at(), read.position);
                 let changes = read.rows.into_iter().map(to_row_change).collect();
-                table
-                    .replica
-                    .apply_changes(read.answer.arrived_at, changes, read.position)
+                let is_changed =
+                    table
+                        .replica
+                        .apply_changes(read.answer.arrived_at, changes, position);
+                table.settle_rows(sent_at, position);
+                is_changed
             }
         };
+        // The targets' table itself keeps to its own reads: what expires while these fail is retained.
+        if let Some(reads) = table.own_reads.filter(|_| idx == TARGETS) {
+            for table in &mut self.tables {
+                table.record_contact(reads.contact_at);
+            }
+        }
+        let table = &mut self.tables[idx];
         let position = table.replica.position();
         if position > before {
             table.advanced_at = now;
@@ -449,6 +492,7 @@
         let fleet = self.options.fleet.borrow().clone();
         let mut is_changed = false;
         for (idx, table) in self.tables.iter_mut().enumerate() {
+            table.believe_overdue(now);
             is_changed |= table.replica.expire(now);
             table.log_retention(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
@@ -475,6 +519,7 @@
             };
             table.start_fetch(now, from, source, tx.clone());
         }
+        self.check_rows(now);
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
                 self.overlay.on_replica(&table.replica);
