fix(daemon): an instance that stands still again and again gives its word

What callers see: in an outage of the whole store, on an instance that gets no processor for a second or more again and again and runs for less than half a second in between: 'outdated' at each request, until the store is back. Others get no positions, departures or tables of it meanwhile.

Change: a standstill within such a wait doesn't begin it anew. What is left of it counts, at least 0.2 s, so that what has come during the last standstill is heard before.

Ruled out: the rest alone (the wait can end on waking, before what has come meanwhile is heard).

Not mended: less than 0.2 s between standstills give no word.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -56,6 +56,8 @@
 /// Maximum time after a standstill for which callers wait for the first word of others or of the platform: others send
 /// heartbeats as often.
 const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
+/// Minimum time after each standstill for which they wait: what has come meanwhile is heard within it.
+const MIN_HEARING_TIME: Duration = Duration::from_millis(200);
 
 /// Gives the other tasks one configuration for all followed tables.
 #[derive(Debug, Clone, PartialEq)]
@@ -252,7 +254,7 @@
         if let Some(lasted) = self.standstills.on_wake(due, now) {
             log_standstill(&self.options.metrics, lasted);
             if lasted >= FRESHNESS_VALIDITY {
-                self.hearing_until = now + HEARING_TIME;
+                self.hearing_until = now + self.hearing_time(due);
             }
             for table in &mut self.tables {
                 table.replica.on_wake(due, now);
@@ -260,6 +262,17 @@
         }
     }
 
+    /// Returns how long this instance waits for a word after a standstill that began at `due`. One within such a wait ends
+    /// it no sooner than what has come meanwhile is heard, and doesn't begin it anew.
+    fn hearing_time(&self, due: Time) -> Duration {
+        if self.hearing_until > Time::ZERO {
+            let left = self.hearing_until - due;
+            left.clamp(MIN_HEARING_TIME, HEARING_TIME)
+        } else {
+            HEARING_TIME
+        }
+    }
+
     /// Handles a message and returns whether to publish the result at once.
     fn handle_message(&mut self, message: FollowerMessage) -> bool {
         let now = self.options.clock.now();
--- a/crates/daemon/tests/behind/standstill.rs
+++ b/crates/daemon/tests/behind/standstill.rs
@@ -175,3 +175,54 @@
         }
     }
 }
+
+/// Lets an instance stand still twice, the second time from `awake` after the first one's end on, and returns what becomes
+/// of the request that waits the second time, and of later ones.
+async fn play_twice(standstill: Standstill, first: Duration, awake: Duration) -> Vec<Decided> {
+    let (started, clock) = (Instant::now(), Clock::start());
+    let scenario = Arc::new(standstill.scenario.clone());
+    let platform = store(started, &scenario, scenario.transfers.clone());
+    let other = reporter_id(0);
+    let node = Node::start(&scenario, clock, platform, [other.clone()], RUN_TIME);
+    sleep_until(started + standstill.from - first - awake).await;
+    node.stand_still(started, first).await;
+    sleep_until(started + standstill.from).await;
+    let woken_at = standstill.from + standstill.time;
+    let (waiting, later): (Vec<_>, Vec<_>) = standstill
+        .heartbeat_times()
+        .into_iter()
+        .partition(|at| *at < woken_at);
+    for at in waiting {
+        node.follower.try_send(standstill.heartbeat(at)).unwrap();
+    }
+    let (follower, heard) = (node.follower.clone(), standstill.clone());
+    tokio::spawn(async move {
+        for at in later {
+            sleep_until(started + at).await;
+            let _ = follower.send(heard.heartbeat(at)).await;
+        }
+    });
+    let waiting = node.stand_still(started, standstill.time).await;
+    let later = node.decide(started).await;
+    [waiting].into_iter().chain(later).collect()
+}
+
+/// Guards against CONFIG and HOME: an instance that stood still again before it had heard of others gave its word on the
+/// next waking, before the news that waited in its sockets.
+#[test]
+fn no_request_is_decided_by_an_old_version_after_two_standstills() {
+    let late = SEEDS.filter_map(|seed| {
+        let standstill = Standstill::draw(seed, true);
+        let first = Duration::from_millis(1_000 + seed * 5);
+        let awake = Duration::from_millis(seed * 2);
+        let decided = run_paused(play_twice(standstill.clone(), first, awake));
+        let late = decided.iter().filter(|decided| {
+            let required = standstill.scenario.required_version(decided.at);
+            decided.outcome.as_ref().is_ok_and(|used| *used < required)
+        });
+        let late = late.map(|decided| decided.at - standstill.scenario.changes[0]);
+        late.max().map(|worst| (seed, worst))
+    });
+    let late: Vec<(u64, Duration)> = late.collect();
+    assert!(late.is_empty(), "{late:?}");
+}
--- a/crates/daemon/tests/standstills.rs
+++ b/crates/daemon/tests/standstills.rs
@@ -358,3 +358,31 @@
     });
     assert!(after >= Duration::from_millis(500), "{after:?}");
 }
+
+/// Guards against callers that are refused for as long as the store is out, and others that hear nothing: an instance
+/// that stood still again and again, with less than half a second in between, never gave its word.
+#[rstest]
+#[case::short(300)]
+#[case::long(450)]
+fn word_is_given_between_standstills_in_an_outage(#[case] awake_ms: u64) {
+    let scenario = Scenario {
+        refuses: STANDS_FROM..Duration::from_secs(600),
+        ..Scenario::default()
+    };
+    run_paused(async {
+        let mut instance = start(scenario);
+        sleep(STANDS_FROM + Duration::from_secs(10)).await;
+        while instance.events.try_recv().is_ok() {}
+        for _ in 0..10 {
+            for _ in 0..2 {
+                advance(Duration::from_millis(1_300)).await;
+                sleep(Duration::from_millis(awake_ms)).await;
+            }
+            let mut words = 0;
+            while let Ok(event) = instance.events.try_recv() {
+                words += usize::from(matches!(event, Event::ConfigFreshness { .. }));
+            }
+            assert!(words > 0, "{:?}", Instant::now());
+        }
+    });
+}
