fix(dispatch): an instance that starts asks for more losses too

Cause: an instance that has just started remembers no answers, so it took three losses of any request for proof.

Change: for the 10 s over which it counts deaths and answers it treats each request as if it had been answered.

--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -9,7 +9,7 @@
 
 use super::{
     answers::{RecentAnswers, Told},
-    deaths::{Death, Deaths},
+    deaths::{Death, Deaths, WINDOW},
     loss_events::{ConnectionLoss, MIN_PATH_TARGETS},
 };
 
@@ -29,6 +29,8 @@
     /// Requests with enough losses that aren't quarantined, as their cause isn't clear or others are still heard.
     doubtful: BTreeMap<u64, Doubt>,
     answers: RecentAnswers,
+    /// Time at which this instance began to look for causes.
+    started_at: Option<Time>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -60,6 +62,7 @@
             hearing: Duration::ZERO,
             doubtful: BTreeMap::new(),
             answers: RecentAnswers::default(),
+            started_at: None,
         }
     }
 
@@ -123,6 +126,7 @@
     where
         F: Fn(u64) -> bool,
     {
+        self.started_at.get_or_insert(now);
         self.doubtful
             .retain(|_, doubt| now - doubt.last_at < UNCLEAR_TTL);
         let doubtful: Vec<u64> = self.doubtful.keys().copied().collect();
@@ -223,10 +227,14 @@
     }
 
     /// Returns whether a request with enough losses is their cause: others have been heard, no recent answer speaks
-    /// for it, and no other requests explain its losses. One with an earlier answer needs `required`.
+    /// for it, and no other requests explain its losses. One with an earlier answer needs `required`,
+    /// and so does each while this instance is new.
     fn is_clear(&self, now: Time, fingerprint: u64, required: usize) -> bool {
-        let was_answered = self.answers.contains_any(fingerprint);
-        let required = if was_answered {
+        let is_new = self
+            .started_at
+            .is_some_and(|started_at| now - started_at < WINDOW);
+        let may_have_answer = is_new || self.answers.contains_any(fingerprint);
+        let required = if may_have_answer {
             required
         } else {
             self.max_losses
--- a/crates/dispatch/src/quarantine/deaths.rs
+++ b/crates/dispatch/src/quarantine/deaths.rs
@@ -23,7 +23,7 @@
 }
 
 /// Time for which deaths and answers are counted.
-const WINDOW: Duration = Duration::from_secs(10);
+pub(super) const WINDOW: Duration = Duration::from_secs(10);
 /// Time for which answers are counted together.
 const STEP: Duration = Duration::from_secs(1);
 /// Maximum number of incarnations that are counted.
