--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -799,14 +799,15 @@
 
 /// Guards against DRAIN: the same where the store refuses open polls, so that a sound instance, whose own poll rests, hears
 /// of it at any time since its last read. What it reads as removed before it has asked itself may be due to an outage.
-#[test]
-fn departure_is_told_in_time_whenever_an_instance_is_turned_away() {
-    // A heartbeat's interval, and the time that an answer takes at most.
-    const ASKED_MS: u64 = 700;
+#[rstest]
+#[case::from_the_start(100)]
+// A heartbeat's interval later, and the time that an answer takes at most.
+#[case::once_asked(700)]
+fn departure_is_told_in_time_whenever_an_instance_is_turned_away(#[case] first_ms: u64) {
     let mut out_after = BTreeMap::new();
     let mut removals = 0;
     for from_ms in (2_100..4_100).step_by(200) {
-        for removed_ms in (from_ms + ASKED_MS..from_ms + 3_100).step_by(100) {
+        for removed_ms in (from_ms + first_ms..from_ms + 3_100).step_by(100) {
             let sound = Scenario::calm(&[(removed_ms, Row::Gone)]);
             let turned_away = Scenario {
                 outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
