fix(dispatch): a request isn't sent while the others are heard of its losses

What callers see: a request that has crashed targets crashes a third one when it comes again 0.2 s later.

Cause: since a quarantine begins 250 ms after enough losses are known, so that others can tell of answers; meanwhile the request was sent as before.

Change: for that time the instance refuses it as 'quarantined', to come back when the time is over, unless an answer or other requests speak for it.

--- a/crates/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/dispatch/src/dispatcher/quarantine.rs
@@ -60,6 +60,9 @@
         request: &AdmittedRequest,
     ) -> Option<Refusal> {
         let fingerprint = request.fingerprint;
+        if let Some(wait) = self.quarantine.hearing_left(now, fingerprint) {
+            return Some(Refusal::new(ErrorKind::Quarantined).retry_after(wait));
+        }
         if !self.quarantine.is_held(fingerprint) {
             return None;
         }
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -257,6 +257,11 @@
         Admission::Trial
     }
 
+    /// Returns how much longer the others are heard before the request may be quarantined; it isn't sent meanwhile.
+    pub fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
+        self.attribution.hearing_left(now, fingerprint)
+    }
+
     /// Returns how much longer the request is quarantined, or `None` where it is not.
     pub fn remaining(&self, now: Time, fingerprint: u64) -> Option<Duration> {
         let until = self.entries.get(&fingerprint)?.breaker?.until;
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -239,12 +239,26 @@
         } else {
             self.max_losses
         };
-        let doubt = self.doubtful.get(&fingerprint);
-        doubt.is_some_and(|doubt| now - doubt.began_at >= self.hearing)
+        self.hears_until(fingerprint)
+            .is_some_and(|until| now >= until)
             && !self.is_answered(now, fingerprint)
             && self.unexplained(now, fingerprint) >= required
     }
 
+    /// Returns how much longer the others are heard of a request with enough losses, for which nothing speaks yet.
+    pub(super) fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
+        let until = self.hears_until(fingerprint)?;
+        let is_suspected = now < until
+            && !self.is_answered(now, fingerprint)
+            && self.unexplained(now, fingerprint) >= self.max_losses;
+        is_suspected.then(|| until - now)
+    }
+
+    fn hears_until(&self, fingerprint: u64) -> Option<Time> {
+        let doubt = self.doubtful.get(&fingerprint)?;
+        Some(doubt.began_at + self.hearing)
+    }
+
     /// Returns on how many incarnations a request must have been lost, so that it hardly was by chance: more than
     /// the least number where targets also die without those that are suspected.
     fn required_losses(&self, now: Time) -> usize {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -153,3 +153,20 @@
     let begins = (1..=32).find(|digest| !quarantine.record(now, &[loss(*digest)]).is_empty());
     assert_eq!(begins, Some(needed));
 }
+
+/// Guards against targets that a deadly request crashes while the others are heard of it.
+#[test]
+fn request_is_not_sent_while_others_are_heard() {
+    let mut quarantine = Quarantine::new(2, PERIOD);
+    quarantine.set_instances(2);
+    let losses = [1, 2].map(|target_digest| ConnectionLoss {
+        fingerprint: FINGERPRINT,
+        target_digest,
+    });
+    quarantine.record(Time::ZERO, &losses);
+    let left = |quarantine: &Quarantine, at| quarantine.hearing_left(at, FINGERPRINT);
+    assert!(left(&quarantine, Time::from_millis(100)).is_some());
+    assert_eq!(left(&quarantine, Time::from_secs(1)), None);
+    quarantine.record_remote_answer(Time::from_millis(100), FINGERPRINT);
+    assert_eq!(left(&quarantine, Time::from_millis(100)), None);
+}
