refactor(daemon): heartbeat times stand in fleet, without a ring of imports

Since owners imported peers for the interval of heartbeats, and peers imports owners; owners and the follower each had a time of their own, the same one, for which a woken instance hears the others. Both times stand beside the heartbeats' timeout now. Behaviour unchanged.

Ruled out: a module of constants, for two of them.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,6 +12,10 @@
 
 /// Time without heartbeats after which an instance no longer counts as alive.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between heartbeats.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a standstill of this instance within which the heartbeats of all live ones are heard.
+pub(crate) const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
 /// Maximum time that a heartbeat counts as having been on its way, which may also have waited here.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -29,9 +29,8 @@
 };
 use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Refusals};
 use crate::{
-    fleet::FleetMember,
+    fleet::{FleetMember, HEARING_TIME},
     message::{FollowerMessage, OwnReads, TableChange},
-    peers::HEARTBEAT_INTERVAL,
     table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
@@ -53,10 +52,7 @@
 /// Time for each instance by which their reads of the store are apart where all of them hear that another one's fail.
 const PROMPT_SPACING: Duration = Duration::from_millis(4);
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum time after a standstill for which callers wait for the first word of others or of the platform: others send
-/// heartbeats as often.
-const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
-/// Minimum time after each standstill for which they wait: what has come meanwhile is heard within it.
+/// Minimum time after each standstill for which callers wait for the first word of others or of the platform: what has come meanwhile is heard within it.
 const MIN_HEARING_TIME: Duration = Duration::from_millis(200);
 
 /// Gives the other tasks one configuration for all followed tables.
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -24,17 +24,14 @@
 };
 
 use crate::{
-    fleet::Fleet,
+    fleet::{Fleet, HEARING_TIME},
     message::{PeerCommand, PeerMessage},
-    peers::HEARTBEAT_INTERVAL,
 };
 
 const OWNERSHIP_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the start during which the instance only receives heartbeats of other owners and
 /// takes no ownership.
 const STARTUP_LISTEN_TIME: Duration = Duration::from_millis(1_500);
-/// Time after a standstill of this instance within which the heartbeats of all live owners have been heard.
-const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
 
 /// Notifies the task that owns workspaces.
 #[derive(Debug)]
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -23,15 +23,12 @@
 
 use self::sending::OpenNews;
 use crate::{
-    fleet::{Fleet, FleetMember},
+    fleet::{Fleet, FleetMember, HEARTBEAT_INTERVAL},
     format::OWN_FORMAT,
     message::{FollowerMessage, OwnReads, PeerCommand, PeerHeartbeat, TableChange},
     owners::OwnersMessage,
 };
 
-/// Time between heartbeats.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Minimum time between two publications of the other instances' state, except for urgent
 /// ones. Each one costs in proportion to the number of instances, as do its receivers' reactions.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -12,10 +12,11 @@
 use coord::{Departure, Heartbeat, ListEntry, Membership, RowsDigest, RowsReport};
 use daemon::{
     fleet::Fleet,
+    fleet::HEARTBEAT_INTERVAL,
     format::OWN_FORMAT,
     message::{ChangeReport, FollowerMessage, ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage},
     owners::OwnersMessage,
-    peers::{HEARTBEAT_INTERVAL, Outputs, Peers, initial_heartbeat},
+    peers::{Outputs, Peers, initial_heartbeat},
 };
 use entry::{message::Event, view::Clock};
 use rand::{RngExt, SeedableRng};
