--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -294,8 +294,8 @@
         if self.is_initialized && snapshot.position < self.snapshot.position {
             return false;
         }
-        let own = (self.snapshot.position, self.changed_at);
-        let is_same_position = self.is_initialized && snapshot.position == own.0;
+        let (position, changed_at) = (self.snapshot.position, self.changed_at);
+        let is_same_position = self.is_initialized && snapshot.position == position;
         let wrong = self.rows_against(&snapshot);
         for name in &wrong {
             self.take_out(name);
@@ -303,7 +303,7 @@
         let is_changed = self.take(deleted_by, snapshot) || !wrong.is_empty();
         if is_same_position {
             self.is_corrected |= is_changed;
-            self.changed_at = if is_changed { own.0 } else { own.1 };
+            self.changed_at = if is_changed { position } else { changed_at };
         }
         is_changed
     }
@@ -398,6 +398,7 @@
         }
         true
     }
+
     fn take_out(&mut self, name: &str) -> Option<ReplicaRow> {
         let row = self.snapshot.rows.remove(name)?;
         self.digest = self.digest.without(name, &row);
