--- a/crates/daemon/tests/behind/standstill.rs
+++ b/crates/daemon/tests/behind/standstill.rs
@@ -90,14 +90,9 @@
     }
 }
 
-/// Returns what becomes of the request that waits meanwhile, and of later ones.
-async fn play(standstill: Standstill) -> Vec<Decided> {
-    let (started, clock) = (Instant::now(), Clock::start());
-    let scenario = Arc::new(standstill.scenario.clone());
-    let platform = store(started, &scenario, scenario.transfers.clone());
-    let other = reporter_id(0);
-    let end = standstill.from + ALIVE_TIME;
-    let node = Node::start(&scenario, clock, platform, [other.clone()], end);
+/// Lets the instance stand still while a request and heartbeats wait, and returns what becomes of the request. Later
+/// heartbeats come in time.
+async fn stand_still(node: &Node, started: Instant, standstill: &Standstill) -> Decided {
     sleep_until(started + standstill.from).await;
     let woken_at = standstill.from + standstill.time;
     let (waiting, later): (Vec<_>, Vec<_>) = standstill
@@ -114,7 +109,18 @@
             let _ = follower.send(heard.heartbeat(at)).await;
         }
     });
-    let waiting = node.stand_still(started, standstill.time).await;
+    node.stand_still(started, standstill.time).await
+}
+
+/// Returns what becomes of the request that waits meanwhile, and of later ones.
+async fn play(standstill: Standstill) -> Vec<Decided> {
+    let (started, clock) = (Instant::now(), Clock::start());
+    let scenario = Arc::new(standstill.scenario.clone());
+    let platform = store(started, &scenario, scenario.transfers.clone());
+    let other = reporter_id(0);
+    let end = standstill.from + ALIVE_TIME;
+    let node = Node::start(&scenario, clock, platform, [other.clone()], end);
+    let waiting = stand_still(&node, started, &standstill).await;
     let heard = async {
         sleep(PUBLISH_TIME).await;
         if standstill.hears {
@@ -125,6 +131,16 @@
     [waiting].into_iter().chain(later).collect()
 }
 
+/// Returns how long after the acknowledgement the last request was decided by an older version than allowed, if any was.
+fn worst_in(standstill: &Standstill, decided: &[Decided]) -> Option<Duration> {
+    let late = decided.iter().filter(|decided| {
+        let required = standstill.scenario.required_version(decided.at);
+        decided.outcome.as_ref().is_ok_and(|used| *used < required)
+    });
+    let late = late.map(|decided| decided.at - standstill.scenario.changes[0]);
+    late.max()
+}
+
 /// Guards against CONFIG and HOME: an instance that woke decided by its old version about what had waited, though its own
 /// sockets held the news.
 #[test]
@@ -132,12 +148,7 @@
     let late = SEEDS.filter_map(|seed| {
         let standstill = Standstill::draw(seed, true);
         let decided = run_paused(play(standstill.clone()));
-        let late = decided.iter().filter(|decided| {
-            let required = standstill.scenario.required_version(decided.at);
-            decided.outcome.as_ref().is_ok_and(|used| *used < required)
-        });
-        let late = late.map(|decided| decided.at - standstill.scenario.changes[0]);
-        late.max().map(|worst| (seed, worst))
+        worst_in(&standstill, &decided).map(|worst| (seed, worst))
     });
     let late: Vec<(u64, Duration)> = late.collect();
     let worst = late.iter().map(|(_, worst)| *worst).max();
@@ -186,23 +197,7 @@
     let node = Node::start(&scenario, clock, platform, [other.clone()], RUN_TIME);
     sleep_until(started + standstill.from - first - awake).await;
     node.stand_still(started, first).await;
-    sleep_until(started + standstill.from).await;
-    let woken_at = standstill.from + standstill.time;
-    let (waiting, later): (Vec<_>, Vec<_>) = standstill
-        .heartbeat_times()
-        .into_iter()
-        .partition(|at| *at < woken_at);
-    for at in waiting {
-        node.follower.try_send(standstill.heartbeat(at)).unwrap();
-    }
-    let (follower, heard) = (node.follower.clone(), standstill.clone());
-    tokio::spawn(async move {
-        for at in later {
-            sleep_until(started + at).await;
-            let _ = follower.send(heard.heartbeat(at)).await;
-        }
-    });
-    let waiting = node.stand_still(started, standstill.time).await;
+    let waiting = stand_still(&node, started, &standstill).await;
     let later = node.decide(started).await;
     [waiting].into_iter().chain(later).collect()
 }
@@ -216,12 +211,7 @@
         let first = Duration::from_millis(1_000 + seed * 5);
         let awake = Duration::from_millis(seed * 2);
         let decided = run_paused(play_twice(standstill.clone(), first, awake));
-        let late = decided.iter().filter(|decided| {
-            let required = standstill.scenario.required_version(decided.at);
-            decided.outcome.as_ref().is_ok_and(|used| *used < required)
-        });
-        let late = late.map(|decided| decided.at - standstill.scenario.changes[0]);
-        late.max().map(|worst| (seed, worst))
+        worst_in(&standstill, &decided).map(|worst| (seed, worst))
     });
     let late: Vec<(u64, Duration)> = late.collect();
     assert!(late.is_empty(), "{late:?}");
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -111,6 +111,16 @@
 }
 
 impl Scenario {
+    /// Returns the same for an instance that the store turns away from a time on.
+    fn turned_away_from(&self, from: Duration) -> Self {
+        Self {
+            outage: Some(from..RUN_TIME),
+            refuses: true,
+            cuts_polls: true,
+            ..self.clone()
+        }
+    }
+
     fn draw(seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
         let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
@@ -809,12 +819,7 @@
     for from_ms in (2_100..4_100).step_by(200) {
         for removed_ms in (from_ms + first_ms..from_ms + 3_100).step_by(100) {
             let sound = Scenario::calm(&[(removed_ms, Row::Gone)]);
-            let turned_away = Scenario {
-                outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
-                refuses: true,
-                cuts_polls: true,
-                ..sound.clone()
-            };
+            let turned_away = sound.turned_away_from(Duration::from_millis(from_ms));
             let played = play_beside(Arc::new(turned_away), Arc::new(sound.clone()));
             let samples = run_paused(played).0;
             removals += 1;
@@ -904,12 +909,7 @@
         reporters: reporters.collect(),
         ..Scenario::calm(&[])
     };
-    let turned_away = Scenario {
-        outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
-        refuses: true,
-        cuts_polls: true,
-        ..sound.clone()
-    };
+    let turned_away = sound.turned_away_from(Duration::from_millis(from_ms));
     let mut fleet = vec![sound; SOUND];
     fleet.push(turned_away);
     let mut prompts = run_paused(count_prompts(fleet));
@@ -970,12 +970,7 @@
         reporters: reporters.collect(),
         ..Scenario::calm(&[])
     };
-    let turned_away = Scenario {
-        outage: Some(Duration::from_millis(from_ms)..RUN_TIME),
-        refuses: true,
-        cuts_polls: true,
-        ..sound.clone()
-    };
+    let turned_away = sound.turned_away_from(Duration::from_millis(from_ms));
     let mut fleet = vec![sound; SOUND];
     fleet.resize(INSTANCES, turned_away);
     let lines = Lines::default();
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -51,6 +51,26 @@
     }
 }
 
+/// Returns the task of an instance that owns workspaces.
+fn owners(
+    view: watch::Receiver<Arc<View>>,
+    fleet: watch::Receiver<Arc<Fleet>>,
+    engine: mpsc::UnboundedSender<Event>,
+    peers: mpsc::Sender<PeerCommand>,
+) -> Owners {
+    Owners::new(OwnersOptions {
+        clock: Clock::start(),
+        own_id: "i1".into(),
+        domain: "d".into(),
+        incarnation: Incarnation(1),
+        split: QuotaSplit::default(),
+        view,
+        fleet,
+        engine,
+        peers,
+    })
+}
+
 /// Returns what the engine is told of another instance that speaks this format.
 async fn told_of(format: u32) -> LiveInstance {
     let mut config = Config::default();
@@ -68,17 +88,7 @@
     let (_fleet, fleet) = watch::channel(Arc::new(fleet));
     let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, _commands) = mpsc::channel(64);
-    let owners = Owners::new(OwnersOptions {
-        clock: Clock::start(),
-        own_id: "i1".into(),
-        domain: "d".into(),
-        incarnation: Incarnation(1),
-        split: QuotaSplit::default(),
-        view,
-        fleet,
-        engine,
-        peers,
-    });
+    let owners = owners(view, fleet, engine, peers);
     let (_messages, messages) = mpsc::channel(1);
     let (_outgoing, outgoing) = mpsc::unbounded_channel();
     tokio::spawn(owners.run(messages, outgoing));
@@ -142,17 +152,7 @@
     let (fleet_tx, fleet) = watch::channel(owner_heard_at(Duration::from_secs(2)));
     let (engine, _events) = mpsc::unbounded_channel();
     let (peers, mut commands) = mpsc::channel(64);
-    let owners = Owners::new(OwnersOptions {
-        clock: Clock::start(),
-        own_id: "i1".into(),
-        domain: "d".into(),
-        incarnation: Incarnation(1),
-        split: QuotaSplit::default(),
-        view,
-        fleet,
-        engine,
-        peers,
-    });
+    let owners = owners(view, fleet, engine, peers);
     let (_messages, messages) = mpsc::channel(1);
     let (_outgoing, outgoing) = mpsc::unbounded_channel();
     tokio::spawn(owners.run(messages, outgoing));
