fix(entry): an instance that stood still says that it is isolated, not outdated

Callers of an instance that had just woken got 503 as 'outdated', "the instance lacks the latest configuration", though it only had not heard yet whether its own may decide.

Cause, since: the check of the follower's silence shared the state of a later version that is known. That it was this check is seen by the answer: the instances of that test follow a head row, and that follower sends no ConfigBehind, the only other source.

The engine keeps why it refuses. After a standstill that is Isolated, 'can't tell whether the key or the route is valid'; the delay stays none, since another instance can serve at once. The test's list of kinds stays as it is.

request_after_a_standstill_is_refused_as_isolated_until_the_next_word fails before (Outdated), holds now; the other ten of outdated.rs hold.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -315,7 +315,7 @@
         }
         "unknown_service" => "no route of the revision matches host and path",
         "isolated" | "not_ready" => {
-            "the instance could not tell whether it knew the latest configuration: see `store` lines"
+            "the instance could not tell whether it knew the latest configuration: see `store` and `standstill` lines"
         }
         "outdated" => {
             "the instance knew of a later configuration that it couldn't get in time: see `config_behind` lines"
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -13,8 +13,8 @@
 pub(super) struct Outdated {
     /// Time from which on they may not.
     from: Time,
-    /// Whether that time has come.
-    is_reached: bool,
+    /// Why requests are refused by now, if they are.
+    refusal: Option<ErrorKind>,
     retry_after: Duration,
 }
 
@@ -22,16 +22,16 @@
     fn default() -> Self {
         Self {
             from: Time::NEVER,
-            is_reached: false,
+            refusal: None,
             retry_after: Duration::ZERO,
         }
     }
 }
 
 impl Outdated {
-    /// Returns whether arriving requests are refused.
-    pub(super) fn is_reached(&self) -> bool {
-        self.is_reached
+    /// Returns why arriving requests are refused, if they are.
+    pub(super) fn refusal(&self) -> Option<ErrorKind> {
+        self.refusal
     }
 
     /// Returns the delay after which callers may come back.
@@ -50,16 +50,19 @@
     /// Withdraws all requests that aren't running, once the active configuration may not decide any more, and lets it
     /// decide again once it may.
     pub(super) fn check_outdated(&mut self, now: Time) {
-        let is_reached = now >= self.outdated.from || self.is_unheard(now);
-        if is_reached == self.outdated.is_reached {
-            return;
-        }
-        self.outdated.is_reached = is_reached;
-        if is_reached {
-            self.withdraw_all(now);
+        let refusal = if now >= self.outdated.from {
+            Some(ErrorKind::Outdated)
         } else {
-            let actions = self.revise_requests(now);
-            self.apply_dispatch(now, actions);
+            self.is_unheard(now).then_some(ErrorKind::Isolated)
+        };
+        let before = std::mem::replace(&mut self.outdated.refusal, refusal);
+        match (before, refusal) {
+            (None, Some(kind)) => self.withdraw_all(now, kind),
+            (Some(_), None) => {
+                let actions = self.revise_requests(now);
+                self.apply_dispatch(now, actions);
+            }
+            _ => {}
         }
     }
 
@@ -70,14 +73,14 @@
         is_silent && now > self.refuse_until
     }
 
-    fn withdraw_all(&mut self, now: Time) {
+    fn withdraw_all(&mut self, now: Time, kind: ErrorKind) {
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         let withdrawn = ids
             .into_iter()
-            .flat_map(|id| self.withdraw(now, id, ErrorKind::Outdated))
+            .flat_map(|id| self.withdraw(now, id, kind))
             .collect::<Vec<_>>();
         let actions = withdrawn.into_iter().map(|action| match action {
-            Action::Refuse(id, refusal) if refusal.kind == ErrorKind::Outdated => {
+            Action::Refuse(id, refusal) if refusal.kind == kind => {
                 let refusal = Refusal::new(refusal.kind).retry_after(self.outdated.retry_after);
                 Action::Refuse(id, refusal)
             }
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -22,7 +22,7 @@
     /// Service, deadline and priority stay as they were at the arrival. While a later configuration is known
     /// that should be in force, those that are left stay withdrawn.
     pub(super) fn revise_requests(&mut self, now: Time) -> Vec<Action> {
-        if self.outdated.is_reached() {
+        if self.outdated.refusal().is_some() {
             return Vec::new();
         }
         let requests = self.requests.iter();
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -71,7 +71,7 @@
                 let wait = match kind {
                     // The caller can retry on another instance at once.
                     ErrorKind::Leaving => Duration::from_millis(10),
-                    ErrorKind::Outdated => self.outdated.retry_after(),
+                    _ if self.outdated.refusal() == Some(kind) => self.outdated.retry_after(),
                     _ => Duration::from_secs(1),
                 };
                 let refusal = Refusal::new(kind).retry_after(wait);
@@ -100,8 +100,8 @@
         if self.is_draining {
             return Err(ErrorKind::Leaving);
         }
-        if self.outdated.is_reached() {
-            return Err(ErrorKind::Outdated);
+        if let Some(kind) = self.outdated.refusal() {
+            return Err(kind);
         }
         let origin = Origin {
             host: arrival.host,
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -234,3 +234,19 @@
     assert_eq!(refusal(&mut waiting), expected);
     assert_eq!(refusal(&mut arriving), expected);
 }
+
+/// Guards against a false reason: an engine that had stood still said of requests that a later configuration was known,
+/// though it had only not heard yet whether its own may decide.
+#[tokio::test(start_paused = true)]
+async fn request_after_a_standstill_is_refused_as_isolated_until_the_next_word() {
+    let mut engine = engine_after(word(Duration::ZERO));
+    let mut waiting = submit(&mut engine, 1);
+    advance(WORD_VALIDITY + WORD_INTERVAL).await;
+    let expected = Some(Refusal::new(ErrorKind::Isolated).retry_after(Duration::ZERO));
+    assert_eq!(refusal(&mut submit(&mut engine, 2)), expected);
+    assert_eq!(refusal(&mut waiting), expected);
+    engine.handle(word(WORD_VALIDITY + WORD_INTERVAL));
+    let mut rx = submit(&mut engine, 3);
+    dispatch(&mut engine, 3);
+    assert!(plan_of(&mut rx).is_some());
+}
