fix(platform): the own standstill is no silence of the store or of another instance

Callers met an instance that had given up all its connections to the store and read anew, or counted another instance's answer as lost, because it had got no processor for as long as a call may be quiet (2 s), though the answer waited in its own sockets.

The wait is now spent in four parts, and a part that ends over 100 ms late is no silence: the call may be quiet for as much longer. What has come goes before the timer (biased).

Ruled out: HTTP or JSON errors, cut connections.

--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -17,6 +17,11 @@
 /// Time for which a transfer may fall behind the lowest rate.
 const MAX_BEHIND: Duration = Duration::from_millis(1_500);
 
+/// Number of waits in which the time without a byte is spent, so that a standstill within it is noticed.
+const WAITS_PER_QUIET_TIME: u32 = 4;
+/// Time by which a wait ends late at least if the own process stood still meanwhile.
+const MIN_LATENESS: Duration = Duration::from_millis(100);
+
 /// Reports the bytes of an answer as they arrive.
 ///
 /// # Examples
@@ -142,7 +147,8 @@
             .send_modify(|received| received.last_byte_at = Instant::now());
     }
 
-    /// Awaits an answer, and returns `None` once no byte has been sent or received for `max_quiet`.
+    /// Awaits an answer, and returns `None` once no byte has been sent or received for `max_quiet`, without the time
+    /// for which the own process stood still.
     ///
     /// A transfer that goes on is not given up however long it takes: asked for again, it would
     /// begin anew and share the link with what is still under way.
@@ -151,16 +157,25 @@
         F: Future,
     {
         let received = self.received();
+        let last_byte_at = || received.borrow().last_byte_at;
         let mut answer = pin!(answer);
+        let (mut heard_at, mut stood_still) = (last_byte_at(), Duration::ZERO);
         loop {
-            let quiet_at = received.borrow().last_byte_at + max_quiet;
+            let quiet_at = heard_at + max_quiet + stood_still;
+            let due = quiet_at.min(Instant::now() + max_quiet / WAITS_PER_QUIET_TIME);
             tokio::select! {
+                biased;
                 output = &mut answer => return Some(output),
-                () = sleep_until(quiet_at) => {
-                    if received.borrow().quiet_time() >= max_quiet {
-                        return None;
-                    }
-                }
+                () = sleep_until(due) => {}
+            }
+            let lateness = due.elapsed();
+            let last_byte_at = last_byte_at();
+            if last_byte_at != heard_at {
+                (heard_at, stood_still) = (last_byte_at, Duration::ZERO);
+            } else if lateness >= MIN_LATENESS {
+                stood_still += lateness;
+            } else if due == quiet_at {
+                return None;
             }
         }
     }
