fix(entry): an instance that stood still asks how old its rows of targets are

Cause: two places go by the operators' bound alone. The engine's check of its own silence asks for `refuse_until`, which follows from apply_s and from the operators' table. And the follower's first word after a standstill, which ends that check, is given without waiting for news while the oldest confirmation is younger than 0.95 of apply_s.

Both ask for a second date now: 0.9 of `bounds.drain_s` from the last confirmation of the targets' rows, by an own read or by another instance (a tenth is left for the way of a request). Beyond the first of the two dates the engine refuses as `isolated`, without a delay since others can serve at once, what arrives and what isn't sent; what runs goes on. The dates are asked for only once the follower's word, given four times a second, is a second old, so an instance that ran all the time decides as before, also in an outage of the store.

Alone, the rows of targets may be confirmed earlier than the operators', so with bounds that are equal an instance that woke can be refused for by the second date; it is then for the same 0.5 s at most.

In outdated.rs two of four new cases are about the date; the other tests of ConfigFreshness say that it never comes, so they judge what they did before.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -23,6 +23,9 @@
 /// Fraction of the time within which a change must be in force for which a confirmation allows refusals for
 /// good; the rest is for the drift of the clocks by which it is dated.
 const REFUSAL_FRACTION: f64 = 0.95;
+/// Fraction of the time within which the departure of a target ends its requests for which a confirmation of its row
+/// allows them; the rest is for their way.
+const TARGETS_FRACTION: f64 = 0.9;
 
 /// Configures a follower: what it reads, how often, and for how long a read confirms the configuration.
 #[derive(Debug)]
@@ -39,6 +42,8 @@
     pub confirm_limit: Duration,
     /// Time within which a change must be in force.
     pub apply: Duration,
+    /// Time within which the departure of a target must end its requests.
+    pub drain: Duration,
     /// Times of the reads.
     pub read_timing: ReadTiming,
     /// Entry point of this instance, as look-ups return it.
@@ -53,13 +58,23 @@
     fn refusal_time(&self) -> Duration {
         self.apply.mul_f64(REFUSAL_FRACTION).min(self.confirm_limit)
     }
+
+    /// Returns how long after the rows of targets were last known to be the latest requests may be sent by them without
+    /// having heard anything since: no target that has left since then has to be out of use before.
+    fn targets_time(&self) -> Duration {
+        self.drain.mul_f64(TARGETS_FRACTION).min(self.confirm_limit)
+    }
 }
 
-/// Tells until when the configuration may refuse for good what it doesn't know, and by what.
+/// Tells until when the configuration may be gone by without another word.
 #[derive(Debug)]
-struct Refusals {
-    until: Time,
+struct Validity {
+    /// Time until which it may refuse for good what it doesn't know.
+    refuse_until: Time,
+    /// What that time follows from.
     confirmation: Option<Confirmation>,
+    /// Time until which requests may be sent by the rows of targets.
+    targets_until: Time,
 }
 
 /// Connects a follower to the tasks that use the configuration.
@@ -81,15 +96,16 @@
         now: Time,
         view: View,
         confirmed_at: Option<Time>,
-        refusals: Refusals,
+        validity: Validity,
     ) -> bool {
         let freshness = view.freshness;
         let _ = self.engine.send(Event::ConfigFreshness {
             freshness,
             valid_until: now + FRESHNESS_VALIDITY,
             confirmed_at,
-            refuse_until: refusals.until,
-            confirmation: refusals.confirmation,
+            refuse_until: validity.refuse_until,
+            confirmation: validity.confirmation,
+            targets_until: validity.targets_until,
         });
         self.view.send_if_modified(|current| {
             let version_of = |view: &View| view.config.as_ref().map(|(version, _)| *version);
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -19,7 +19,7 @@
 };
 use wire::Secret;
 
-use super::{FollowerOptions, Outputs, Refusals};
+use super::{FollowerOptions, Outputs, Validity};
 use crate::{
     entry_points::entry_points,
     fleet::Fleet,
@@ -41,6 +41,7 @@
     platform: Platform,
     read_timeout: Duration,
     refusal_time: Duration,
+    targets_time: Duration,
     secret: Secret,
     metrics: Metrics,
     versions: VersionTracker,
@@ -88,6 +89,7 @@
     pub fn new(options: FollowerOptions, outputs: Outputs) -> Self {
         Self {
             refusal_time: options.refusal_time(),
+            targets_time: options.targets_time(),
             clock: options.clock,
             platform: options.platform,
             read_timeout: options
@@ -318,12 +320,13 @@
             is_leaving: self.is_leaving,
         };
         let confirmed_at = self.versions.confirmed_at();
-        let refuse_until = confirmed_at.map_or(Time::ZERO, |at| at + self.refusal_time);
-        let refusals = Refusals {
-            until: refuse_until,
+        let until = |time| confirmed_at.map_or(Time::ZERO, |at| at + time);
+        let validity = Validity {
+            refuse_until: until(self.refusal_time),
             confirmation: None,
+            targets_until: until(self.targets_time),
         };
-        if self.outputs.publish(now, view, confirmed_at, refusals) {
+        if self.outputs.publish(now, view, confirmed_at, validity) {
             self.metrics
                 .set_alarm("alone", freshness == Freshness::Isolated);
         }
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -27,7 +27,7 @@
     lateness::Lateness,
     table::{OpenFetch, Table},
 };
-use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Refusals};
+use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Validity};
 use crate::{
     fleet::{FleetMember, HEARING_TIME},
     message::{FollowerMessage, OwnReads, TableChange},
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    ComposedConfig, News, Refusals, Sent, TableFollower,
+    ComposedConfig, News, Sent, TableFollower, Validity,
     departures::{OverlayNews, TARGETS},
 };
 use crate::{
@@ -184,8 +184,8 @@
     }
 
     /// Returns what last showed that the routes and keys are the latest; they are in the operators' table alone. Nothing
-    /// does while its rows hold others, which can't be used.
-    fn refusals(&self) -> Refusals {
+    /// does while its rows hold others, which can't be used. Those of targets have a date of their own.
+    fn validity(&self) -> Validity {
         let own = self.tables.first().and_then(|table| table.confirmed_at);
         let own = own.map(|at| Confirmation { at, by: None });
         let told = self.peer_confirmation.clone();
@@ -193,12 +193,22 @@
         let latest = pair.max_by_key(|confirmation| confirmation.at);
         let confirmation = latest.filter(|_| self.is_latest);
         let at = confirmation.as_ref().map(|confirmation| confirmation.at);
-        Refusals {
-            until: at.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
+        Validity {
+            refuse_until: at.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
             confirmation,
+            targets_until: self.targets_until(),
         }
     }
 
+    /// Returns until when no target that has left since its row was last known to be the latest has to be out of use.
+    fn targets_until(&self) -> Time {
+        let Some(table) = self.tables.get(TARGETS) else {
+            return Time::NEVER;
+        };
+        let at = table.confirmed_at.max(self.peer_confirmed_at());
+        at.map_or(Time::ZERO, |at| at + self.options.targets_time())
+    }
+
     pub(super) fn publish(&mut self) {
         let now = self.options.clock.now();
         let fleet = self.options.fleet.borrow().clone();
@@ -206,8 +216,7 @@
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
         self.publish_lag(now, &fleet);
-        let may_decide = |at: Time| now <= at + self.options.refusal_time();
-        if now < self.hearing_until && !confirmed_at.is_some_and(may_decide) {
+        if now < self.hearing_until && !self.may_decide(now) {
             return;
         }
         self.hearing_until = Time::ZERO;
@@ -224,7 +233,7 @@
             is_leaving: self.is_leaving,
         };
         self.outputs
-            .publish(now, view, confirmed_at, self.refusals());
+            .publish(now, view, confirmed_at, self.validity());
         let positions: Vec<u64> = self
             .tables
             .iter()
@@ -282,6 +291,13 @@
         }
     }
 
+    /// Returns whether an instance that has heard nothing since the last confirmations may still decide.
+    fn may_decide(&self, now: Time) -> bool {
+        let confirmed_at = self.confirmed_at();
+        let is_in_force = confirmed_at.is_some_and(|at| now <= at + self.options.refusal_time());
+        is_in_force && now <= self.targets_until()
+    }
+
     fn freshness(&self, now: Time, fleet: &Fleet, confirmed_at: Option<Time>) -> Freshness {
         if self.own_rows.is_none() {
             return Freshness::Empty;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -232,6 +232,7 @@
         metrics: metrics.clone(),
         confirm_limit,
         apply: Duration::from_secs_f64(cfg.bounds.apply_s),
+        drain: Duration::from_secs_f64(cfg.bounds.drain_s),
         read_timing: ReadTiming::within(contact),
         own_entry,
         fleet: fleet_rx.clone(),
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 #[path = "../support/call.rs"]
 mod call;
+mod departed;
 #[path = "../support/engine.rs"]
 mod engine;
 mod model;
--- a/crates/daemon/tests/support/options.rs
+++ b/crates/daemon/tests/support/options.rs
@@ -26,6 +26,7 @@
         metrics: Metrics::new().unwrap(),
         confirm_limit: Duration::from_secs(4),
         apply: Duration::from_secs(2),
+        drain: Duration::from_secs(2),
         read_timing: ReadTiming::within(Duration::from_secs(4)),
         own_entry: EntryPoint {
             instance: "own".into(),
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -90,6 +90,8 @@
     /// Time until which no later configuration has to be in force.
     refuse_until: Time,
     confirmation: Option<Confirmation>,
+    /// Time until which no target that has left has to be out of use.
+    targets_until: Time,
     /// The operators' version of the configuration.
     version: Option<u64>,
     outdated: Outdated,
@@ -186,6 +188,7 @@
             confirmed_at: None,
             refuse_until: Time::ZERO,
             confirmation: None,
+            targets_until: Time::ZERO,
             version: None,
             outdated: Outdated::default(),
             keys: KeyIndex::default(),
@@ -323,12 +326,14 @@
                 confirmed_at,
                 refuse_until,
                 confirmation,
+                targets_until,
             } => {
                 self.freshness = freshness;
                 self.freshness_valid_until = self.freshness_valid_until.max(valid_until);
                 self.confirmed_at = confirmed_at;
                 self.refuse_until = refuse_until;
                 self.confirmation = confirmation;
+                self.targets_until = targets_until;
                 self.check_outdated(now);
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -90,6 +90,9 @@
         refuse_until: Time,
         /// What last showed that the routes and keys in force are the latest, which `refuse_until` follows from.
         confirmation: Option<Confirmation>,
+        /// Time until which requests may be sent by the rows of targets without another word: none that has left has to
+        /// be out of use before.
+        targets_until: Time,
     },
     /// The instance knows of a later configuration than the active one, or no longer does.
     ConfigBehind(ConfigLag),
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -196,6 +196,7 @@
         confirmed_at: None,
         refuse_until: Time::ZERO,
         confirmation: None,
+        targets_until: Time::NEVER,
     }
 }
 
@@ -250,3 +251,44 @@
     dispatch(&mut engine, 3);
     assert!(plan_of(&mut rx).is_some());
 }
+
+/// Returns a word by which the configuration may decide until `refuse_until`, and requests go by the rows of targets
+/// until `targets_until`.
+fn word_until(refuse_until: Duration, targets_until: Duration) -> Event {
+    Event::ConfigFreshness {
+        freshness: Freshness::Fresh,
+        valid_until: Time::ZERO + WORD_VALIDITY,
+        confirmed_at: Some(Time::ZERO),
+        refuse_until: Time::ZERO + refuse_until,
+        confirmation: None,
+        targets_until: Time::ZERO + targets_until,
+    }
+}
+
+/// Guards against DRAIN: an engine that had stood still sent requests by rows of targets that were too old, since the
+/// operators' rows were still to be gone by; and against refusals while both are.
+#[rstest]
+#[case::both_hold(9_500, 9_500, 5_000, true)]
+#[case::targets_are_over(9_500, 2_300, 5_000, false)]
+#[case::operators_are_over(2_300, 9_500, 5_000, false)]
+#[case::no_standstill(9_500, 100, 900, true)]
+#[tokio::test(start_paused = true)]
+async fn request_after_a_standstill_goes_by_rows_that_hold(
+    #[case] refuse_until_ms: u64,
+    #[case] targets_until_ms: u64,
+    #[case] stands_ms: u64,
+    #[case] is_sent: bool,
+) {
+    let [refuse_until, targets_until, stands] =
+        [refuse_until_ms, targets_until_ms, stands_ms].map(Duration::from_millis);
+    let mut engine = engine_after(word_until(refuse_until, targets_until));
+    let mut waiting = submit(&mut engine, 1);
+    advance(stands).await;
+    dispatch(&mut engine, 1);
+    if is_sent {
+        assert!(plan_of(&mut waiting).is_some());
+    } else {
+        let expected = Refusal::new(ErrorKind::Isolated).retry_after(Duration::ZERO);
+        assert_eq!(refusal(&mut waiting), Some(expected));
+    }
+}
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -118,6 +118,7 @@
         confirmed_at,
         refuse_until: Time::NEVER,
         confirmation: confirmation.clone(),
+        targets_until: Time::NEVER,
     });
     engine.handle(Event::ConfigActivated {
         config: Arc::new(config(&["/b/"])),
@@ -150,6 +151,7 @@
         confirmed_at: None,
         refuse_until,
         confirmation: None,
+        targets_until: Time::NEVER,
     });
     let mut rx = submit(&mut engine, 1, "/b/x");
     assert_eq!(refusal(&mut rx).unwrap().0, expected);
--- a/crates/entry/tests/support/fresh.rs
+++ b/crates/entry/tests/support/fresh.rs
@@ -12,5 +12,6 @@
         confirmed_at,
         refuse_until: Time::NEVER,
         confirmation: None,
+        targets_until: Time::NEVER,
     }
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -96,6 +96,9 @@
     pub contact_s: f64,
     /// Time after its acknowledgement within which a change must be in force on every instance, in seconds.
     pub apply_s: f64,
+    /// Time after its acknowledgement within which the departure of a target ends its requests from all instances, in
+    /// seconds.
+    pub drain_s: f64,
     /// Maximum time for which callers cache the response to a look-up, in seconds; replaces
     /// `lookup_ttl_ms`, within the time to stop.
     pub lookup_ttl_s: Option<f64>,
@@ -112,6 +115,7 @@
             stop_s: 60.0,
             contact_s: 6.0,
             apply_s: 2.0,
+            drain_s: 2.0,
             lookup_ttl_s: None,
         }
     }
@@ -143,8 +147,8 @@
 /// Returns the settings with which an instance starts.
 ///
 /// Environment variables go before the file: `MEMORY_MB` for `memory_mb`, `CONTACT_S` for
-/// `bounds.contact_s` and `APPLY_S` for `bounds.apply_s`. Unknown fields are passed over, since the platform that fills in
-/// the file, or the build for which it was written, may be newer.
+/// `bounds.contact_s`, `APPLY_S` for `bounds.apply_s` and `DRAIN_S` for `bounds.drain_s`. Unknown fields are passed over,
+/// since the platform that fills in the file, or the build for which it was written, may be newer.
 ///
 /// # Examples
 ///
@@ -190,6 +194,7 @@
 const MIN_SECRET_CHARS: usize = 16;
 const MIN_CONTACT_S: f64 = 0.5;
 const MIN_APPLY_S: f64 = 0.5;
+const MIN_DRAIN_S: f64 = 0.5;
 const MIN_MEMORY_MB: u64 = 32;
 
 fn validate(doc: &Document<'_>, cfg: &DaemonSettings) -> Vec<Finding> {
@@ -264,6 +269,11 @@
         "bounds.apply_s",
         "must be at least 0.5",
     );
+    require(
+        cfg.bounds.drain_s >= MIN_DRAIN_S,
+        "bounds.drain_s",
+        "must be at least 0.5",
+    );
     findings
 }
 
--- a/crates/settings/src/variables.rs
+++ b/crates/settings/src/variables.rs
@@ -8,10 +8,11 @@
 use crate::document::{Document, Findings};
 
 /// Variables, each with the path of its setting.
-const VARIABLES: [(&str, &[&str]); 3] = [
+const VARIABLES: [(&str, &[&str]); 4] = [
     ("MEMORY_MB", &["memory_mb"]),
     ("CONTACT_S", &["bounds", "contact_s"]),
     ("APPLY_S", &["bounds", "apply_s"]),
+    ("DRAIN_S", &["bounds", "drain_s"]),
 ];
 
 /// Sets in `json` what `variable` gives; an empty variable gives nothing.
