fix(entry): an attempt whose connection opens after a standstill asks for the follower's date

Cause: only the engine knew until when the follower's last word holds. The task that opens the connection asks, right before it sends, whether the request may still run where the target is, and what would say no comes from the engine's withdrawal.

The engine publishes the date beside the revision in force (the later of the word's end and of the earlier one of both dates of the rows), the permit asks for it where it asks for the regions, and the attempt ends as withheld. The engine, which then checks its own silence, refuses the request as `isolated` or plans it anew if the follower has been heard. What is sent already goes on.

Ruled out: to date it in the follower, which would need another channel to each attempt; the engine's own date is older than that only while its turn takes over a second, and then an attempt is planned anew after that turn.

request_is_withheld_if_the_last_word_is_over_once_it_is_dialed fails without the check (trial: the request reaches the target), holds with it; four cases of attempt_handed_over_before_a_standstill_goes_by_rows_that_hold show the date that plans carry. All tests of the entry crate hold. Not played with whole processes. Not covered: a later version that is known already and has to be in force during the standstill.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -79,6 +79,8 @@
     revision: u64,
     /// Publishes the revision in force to the attempts that aren't sent yet.
     in_force: watch::Sender<u64>,
+    /// Publishes to them until when they may be sent without another word of the follower.
+    sends_until: watch::Sender<Time>,
     is_draining: bool,
     routes: RouteTable,
     /// How the requests of each route with several services are divided, by route name.
@@ -179,6 +181,7 @@
             config: None,
             revision: 0,
             in_force: watch::Sender::new(0),
+            sends_until: watch::Sender::new(Time::NEVER),
             is_draining: false,
             routes: RouteTable::default(),
             splits: BTreeMap::new(),
@@ -334,6 +337,7 @@
                 self.refuse_until = refuse_until;
                 self.confirmation = confirmation;
                 self.targets_until = targets_until;
+                self.sends_until.send_replace(self.valid_until());
                 self.check_outdated(now);
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -86,6 +86,7 @@
                 allowed_regions: request.allowed_regions.subscribe(),
                 revision: self.revision,
                 in_force: self.in_force.subscribe(),
+                sends_until: self.sends_until.subscribe(),
                 deadline: request.deadline,
                 workspace: request.workspace.clone(),
                 is_open: request.is_open,
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -224,7 +224,8 @@
             relay_delay: plan.assignment.relay_delay,
         };
         let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions)
-            .noted(note, plan.in_force);
+            .noted(note, plan.in_force)
+            .until(plan.sends_until);
         let target_span = span.child("target");
         let result = forwarder
             .send_attempt(&dial, plan.connection, &template, &permit, plan.deadline)
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -180,10 +180,11 @@
                 return result;
             }
         };
-        let unsent = if !permit.covers(connection.relay.as_ref()) {
+        let now = clock.now();
+        let unsent = if !permit.covers(connection.relay.as_ref()) || !permit.is_valid(now) {
             Some(Outcome::Withheld)
         } else {
-            (clock.now() >= deadline).then_some(Outcome::Expired)
+            (now >= deadline).then_some(Outcome::Expired)
         };
         if let Some(outcome) = unsent {
             let mut result = AttemptResult::failed(outcome);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -283,6 +283,8 @@
     pub revision: u64,
     /// Number of the configuration in force, as it changes.
     pub in_force: watch::Receiver<u64>,
+    /// Time until which it may be sent without another word of the follower, as that changes.
+    pub sends_until: watch::Receiver<Time>,
     /// Deadline of the request.
     pub deadline: Time,
     /// Workspace of the request.
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -7,7 +7,8 @@
 
 use crate::connection::Relay;
 
-/// Permits an attempt to be sent for as long as its request may run in the target's region.
+/// Permits an attempt to be sent for as long as its request may run in the target's region, and the follower's last word
+/// holds.
 ///
 /// # Examples
 ///
@@ -27,6 +28,8 @@
     /// Region of the target.
     region: RegionId,
     allowed: watch::Receiver<AllowedRegions>,
+    /// Time until which the follower's last word holds, if there is a follower.
+    until: Option<watch::Receiver<Time>>,
     /// Where the sending is noted, and the configuration in force.
     noted: Option<(SendNote, watch::Receiver<u64>)>,
 }
@@ -57,6 +60,7 @@
         Self {
             region,
             allowed,
+            until: None,
             noted: None,
         }
     }
@@ -67,6 +71,19 @@
         self
     }
 
+    /// Sets until when it may be sent without another word of the follower, as that changes.
+    pub fn until(mut self, until: watch::Receiver<Time>) -> Self {
+        self.until = Some(until);
+        self
+    }
+
+    /// Returns whether the follower's last word holds at `now`. It may not after a standstill of the process, which the
+    /// engine may notice later than an attempt's own task.
+    pub fn is_valid(&self, now: Time) -> bool {
+        let until = self.until.as_ref();
+        until.is_none_or(|until| now <= *until.borrow())
+    }
+
     /// Notes that the request is sent at `at`.
     pub(crate) fn note_sending(&self, at: Time) {
         if let Some((note, in_force)) = &self.noted {
--- a/crates/entry/tests/homes/dialed.rs
+++ b/crates/entry/tests/homes/dialed.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use base::{AllowedRegions, Config, TargetId};
+use base::{AllowedRegions, Config, TargetId, Time};
 use dispatch::Outcome;
 use entry::{
     connection::Relay,
@@ -104,6 +104,48 @@
     assert_eq!(result.connection.is_some(), is_withheld);
 }
 
+/// Guards against DRAIN, HOME and CONFIG: an instance stood still while a connection was opened, and its request was sent
+/// by rows of before that were too old.
+#[rstest]
+#[case::word_holds(Time::NEVER, false)]
+#[case::word_is_over(Time::ZERO, true)]
+#[tokio::test]
+async fn request_is_withheld_if_the_last_word_is_over_once_it_is_dialed(
+    #[case] until: Time,
+    #[case] is_withheld: bool,
+) {
+    let clock = Clock::start();
+    let (tx, _) = mpsc::unbounded_channel();
+    let forwarder = Forwarder::new(Dialer::new(clock, tx));
+    let allowed = watch::Sender::new(AllowedRegions::All);
+    let sends_until = watch::Sender::new(until);
+    let permit =
+        SendPermit::new("north".into(), allowed.subscribe()).until(sends_until.subscribe());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let plan = DialPlan {
+        target: "t".into(),
+        addr: listener.local_addr().unwrap(),
+        relays: Vec::new(),
+        prefers_relay: false,
+        relay_delay: Duration::from_secs(1),
+    };
+    let accept = async {
+        let (mut far, _) = listener.accept().await.unwrap();
+        let read = timeout(Duration::from_millis(200), far.read_u8()).await;
+        matches!(read, Ok(Ok(_)))
+    };
+    let deadline = clock.now() + Duration::from_millis(400);
+    let template = template();
+    let send = forwarder.send_attempt(&plan, None, &template, &permit, deadline);
+    let (result, is_sent) = tokio::join!(send, accept);
+    assert_eq!(
+        result.outcome == Outcome::Withheld,
+        is_withheld,
+        "{result:?}"
+    );
+    assert_eq!(is_sent, !is_withheld);
+}
+
 /// Guards against HOME: a target moved to another region while its connection was opened, and got the
 /// request that is bound to the region where it had been; also if it was taken away in between.
 #[rstest]
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -16,6 +16,7 @@
 use entry::{
     engine::Engine,
     message::{AttemptPlan, ConfigLag, Decision, Event},
+    permit::SendPermit,
 };
 use fresh::fresh;
 use requests::{arrival, dispatch, end_attempt, issue_key, submit};
@@ -292,3 +293,31 @@
         assert_eq!(refusal(&mut waiting), Some(expected));
     }
 }
+
+/// Guards against DRAIN, HOME and CONFIG: an attempt that the engine had handed over before a standstill was sent after
+/// it, by rows that were too old, before the engine noticed.
+#[rstest]
+#[case::both_hold(9_500, 9_500, 5_000, true)]
+#[case::targets_are_over(9_500, 2_300, 5_000, false)]
+#[case::operators_are_over(2_300, 9_500, 5_000, false)]
+#[case::no_standstill(9_500, 100, 900, true)]
+#[tokio::test(start_paused = true)]
+async fn attempt_handed_over_before_a_standstill_goes_by_rows_that_hold(
+    #[case] refuse_until_ms: u64,
+    #[case] targets_until_ms: u64,
+    #[case] stands_ms: u64,
+    #[case] is_sent: bool,
+) {
+    let [refuse_until, targets_until, stands] =
+        [refuse_until_ms, targets_until_ms, stands_ms].map(Duration::from_millis);
+    let mut engine = engine_after(word_until(refuse_until, targets_until));
+    let mut running = submit(&mut engine, 1);
+    dispatch(&mut engine, 1);
+    let plan = plan_of(&mut running).unwrap();
+    let permit =
+        SendPermit::new(plan.assignment.region, plan.allowed_regions).until(plan.sends_until);
+    let woken_at = Time::ZERO + stands;
+    assert_eq!(permit.is_valid(woken_at), is_sent);
+    engine.handle(word(stands));
+    assert!(permit.is_valid(woken_at));
+}
