--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -79,6 +79,8 @@
     revision: u64,
     /// Publishes the revision in force to the attempts that aren't sent yet.
     in_force: watch::Sender<u64>,
+    /// Publishes to them until when they may be sent without another word of the follower.
+    sends_until: watch::Sender<Time>,
     is_draining: bool,
     routes: RouteTable,
     /// How the requests of each route with several services are divided, by route name.
@@ -90,6 +92,8 @@
     /// Time until which no later configuration has to be in force.
     refuse_until: Time,
     confirmation: Option<Confirmation>,
+    /// Time until which no target that has left has to be out of use.
+    targets_until: Time,
     /// The operators' version of the configuration.
     version: Option<u64>,
     outdated: Outdated,
@@ -177,6 +181,7 @@
             config: None,
             revision: 0,
             in_force: watch::Sender::new(0),
+            sends_until: watch::Sender::new(Time::NEVER),
             is_draining: false,
             routes: RouteTable::default(),
             splits: BTreeMap::new(),
@@ -186,6 +191,7 @@
             confirmed_at: None,
             refuse_until: Time::ZERO,
             confirmation: None,
+            targets_until: Time::ZERO,
             version: None,
             outdated: Outdated::default(),
             keys: KeyIndex::default(),
@@ -323,12 +329,15 @@
                 confirmed_at,
                 refuse_until,
                 confirmation,
+                targets_until,
             } => {
                 self.freshness = freshness;
                 self.freshness_valid_until = self.freshness_valid_until.max(valid_until);
                 self.confirmed_at = confirmed_at;
                 self.refuse_until = refuse_until;
                 self.confirmation = confirmation;
+                self.targets_until = targets_until;
+                self.sends_until.send_replace(self.valid_until());
                 self.check_outdated(now);
             }
             Event::ConfigBehind(lag) => self.set_lag(now, lag),
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -90,6 +90,9 @@
         refuse_until: Time,
         /// What last showed that the routes and keys in force are the latest, which `refuse_until` follows from.
         confirmation: Option<Confirmation>,
+        /// Time until which requests may be sent by the rows of targets without another word: none that has left has to
+        /// be out of use before.
+        targets_until: Time,
     },
     /// The instance knows of a later configuration than the active one, or no longer does.
     ConfigBehind(ConfigLag),
@@ -280,6 +283,8 @@
     pub revision: u64,
     /// Number of the configuration in force, as it changes.
     pub in_force: watch::Receiver<u64>,
+    /// Time until which it may be sent without another word of the follower, as that changes.
+    pub sends_until: watch::Receiver<Time>,
     /// Deadline of the request.
     pub deadline: Time,
     /// Workspace of the request.
