refactor(daemon): what the follower does at times stands in tables/refresh.rs

The fetches that are due and the removal of expired rows, with the time of the next one, are in a file of their own now; nothing else is changed.

Ruled out: moving the handling of messages, in which other work goes on.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,6 +7,7 @@
 mod fetching;
 mod lateness;
 mod publication;
+mod refresh;
 mod rows;
 mod table;
 
@@ -29,9 +30,8 @@
 };
 use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Refusals};
 use crate::{
-    fleet::{FleetMember, HEARING_TIME},
+    fleet::HEARING_TIME,
     message::{FollowerMessage, OwnReads, TableChange},
-    table_fetch::Source,
     table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
@@ -51,7 +51,6 @@
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 /// Time for each instance by which their reads of the store are apart where all of them hear that another one's fail.
 const PROMPT_SPACING: Duration = Duration::from_millis(4);
-const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum time after each standstill for which callers wait for the first word of others or of the platform: what has come meanwhile is heard within it.
 const MIN_HEARING_TIME: Duration = Duration::from_millis(200);
 
@@ -491,69 +490,4 @@
         }
         true
     }
-
-    /// Fetches tables of which other instances have reported a later position for
-    /// [`PEER_FETCH_DELAYS`] and of which nothing is arriving from others, and removes rows whose grace period
-    /// is over. While an own read is arriving, only parts are fetched.
-    fn refresh(&mut self, tx: &mpsc::Sender<(usize, TableRead)>) {
-        let now = self.options.clock.now();
-        let known_at = self.confirmed_at();
-        let fleet = self.options.fleet.borrow().clone();
-        let mut is_changed = false;
-        for (idx, table) in self.tables.iter_mut().enumerate() {
-            table.believe_overdue(now);
-            is_changed |= table.replica.expire(now);
-            table.log_retention(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
-            table.fetches.retain(|fetch| !fetch.task.is_finished());
-            table.end_fetches_behind();
-            table.make_room();
-            let Some(from) = table.next_source(now, self.options.apply) else {
-                continue;
-            };
-            let member = fleet.members.get(&from).filter(|one| one.takes_calls());
-            let Some(addr) = member.and_then(|member| member.addr) else {
-                table.catch_up.remove_source(&from);
-                continue;
-            };
-            let takes_parts = member.is_some_and(FleetMember::takes_parts);
-            let Some(way) = table.fetch_way(now, takes_parts) else {
-                table.catch_up.postpone(now);
-                continue;
-            };
-            let source = Source {
-                secret: self.options.secret.clone(),
-                addr,
-                index: idx as u32,
-                way,
-            };
-            table.start_fetch(now, from, source, tx.clone());
-        }
-        self.check_rows(now);
-        if is_changed {
-            if let Some(table) = self.tables.get(TARGETS) {
-                self.overlay.on_replica(&table.replica);
-            }
-            // Rows of operators have none.
-            let news = News {
-                source: NewsSource::GracePeriod,
-                known_at,
-                targets_known_since: self.targets_lag.behind_since(),
-                is_of_targets: true,
-            };
-            self.compose(now, &news);
-        }
-    }
-
-    /// Returns when [`Self::refresh`] is due after a last one at `refreshed_at`.
-    fn next_refresh(&self, refreshed_at: Time) -> Time {
-        let due = self.tables.iter().flat_map(|table| {
-            let expiry = table.replica.expires_at();
-            // One that is due already waits for other fetches, which is looked after as usual.
-            let whole = table.parts.whole_at().filter(|at| *at > refreshed_at);
-            let fetch = table.catch_up.next_at();
-            expiry.into_iter().chain(whole).chain(fetch)
-        });
-        let usual = refreshed_at + REFRESH_INTERVAL;
-        due.fold(usual, Time::min).max(refreshed_at)
-    }
 }
