refactor(daemon): the polls without an answer stand in table_reads/open_polls.rs

The list of open polls, what has arrived of their answers, and their cancellation are a type of their own now, OpenPolls; the reader decides as before when to send, to overtake and to give up. Behaviour unchanged.

Ruled out: a mutable Deref to the deque, which the features of derive_more in use don't have; the reader adds and removes through methods.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,10 +1,11 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
 mod elsewhere;
+mod open_polls;
 mod outcome;
 mod timing;
 
-use std::{collections::VecDeque, pin::pin, time::Duration};
+use std::{pin::pin, time::Duration};
 
 use base::Time;
 use coord::{Answer, AnswerDates, MIN_STANDSTILL};
@@ -12,10 +13,11 @@
 use platform::{Platform, PlatformError, Progress, Received};
 use tokio::{
     sync::{mpsc, watch},
-    task::{AbortHandle, JoinSet},
+    task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
 
+use self::open_polls::{OpenPoll, OpenPolls};
 pub use self::timing::ReadTiming;
 pub(crate) use self::{
     elsewhere::FailingElsewhere,
@@ -74,8 +76,7 @@
     dates: AnswerDates,
     /// Time of the last poll that waited for nothing.
     prompt_at: Time,
-    /// Polls without an answer, the newest last.
-    open: VecDeque<OpenPoll>,
+    open: OpenPolls,
     next_number: u64,
     /// Whether the next poll opens a new connection, so that it must be answered at once.
     is_reconnecting: bool,
@@ -91,31 +92,6 @@
     arrivals_tx: mpsc::Sender<u64>,
 }
 
-#[derive(Debug)]
-struct OpenPoll {
-    number: u64,
-    /// Position from which it asks; `None` if it asks for all rows.
-    after: Option<u64>,
-    sent_at: Time,
-    /// The same by the runtime's clock.
-    sent: Instant,
-    /// Time for which it waits for a change.
-    wait: Duration,
-    /// Whether the connection had been used before.
-    is_on_kept_connection: bool,
-    received: watch::Receiver<Received>,
-    task: AbortHandle,
-}
-
-impl OpenPoll {
-    /// Returns when the answer to a poll for changes began to arrive.
-    fn arriving_since(&self) -> Option<Time> {
-        self.after?;
-        let begun = self.received.borrow().begun_at?;
-        Some(self.sent_at + (begun - self.sent))
-    }
-}
-
 /// Records that rows have come from another source.
 #[derive(Debug, Clone, Copy)]
 struct Advance {
@@ -150,7 +126,7 @@
             polls: JoinSet::new(),
             dates: AnswerDates::default(),
             prompt_at: Time::ZERO,
-            open: VecDeque::new(),
+            open: OpenPolls::default(),
             next_number: 0,
             is_reconnecting: true,
             reconnected_before: 0,
@@ -177,13 +153,13 @@
                     Err(_) => None,
                 },
                 Some(number) = self.arrivals.recv() => {
-                    self.give_up_overtakers(number);
+                    self.open.cancel_overtakers(number);
                     self.end_outdated(&mut step).await;
                     let poll = self.open.iter().find(|poll| poll.number == number);
                     Some(TableRead::Arriving(Arrival {
                         since: poll.and_then(OpenPoll::arriving_since),
                         after: poll.and_then(|poll| poll.after).unwrap_or(0),
-                        is_slow: self.is_slow() || self.is_late(),
+                        is_slow: self.open.is_slow() || self.open.is_late(self.options.apply),
                     }))
                 }
                 Ok(()) = self.options.advanced.changed() => {
@@ -250,7 +226,7 @@
     /// Sends a poll that waits for nothing beside the open ones, and returns the time within which it must be answered.
     fn send_prompt(&mut self) -> Duration {
         if self.open.len() >= MAX_OPEN_POLLS {
-            self.give_up(1);
+            self.open.cancel_oldest(1);
         }
         self.send_waiting_poll(self.options.clock.now(), Duration::ZERO);
         self.options.timing.first_answer_time()
@@ -306,7 +282,7 @@
             }
         });
         self.next_number += 1;
-        self.open.push_back(OpenPoll {
+        self.open.push(OpenPoll {
             number,
             after: position,
             sent_at,
@@ -353,7 +329,7 @@
         (number, result): PollResult,
         step: &mut Step,
     ) -> Option<TableRead> {
-        let idx = self.open.iter().position(|poll| poll.number == number)?;
+        let idx = self.open.index_of(number)?;
         let advanced = self.advanced_past(&self.open[idx]);
         match result {
             Ok(mut read) => {
@@ -367,7 +343,7 @@
                 // The others can't bring anything newer: they ask for what has come, or for less. Where connections
                 // were given up after it was sent, its own one is no longer kept.
                 self.is_reconnecting = number < self.reconnected_before;
-                self.give_up(self.open.len());
+                self.open.cancel_all();
                 self.retry_delay = MIN_RETRY_DELAY;
                 self.has_ended = false;
                 // What changed while a long answer arrived has waited long enough.
@@ -376,7 +352,7 @@
             }
             Err(PlatformError::HistoryGone) => {
                 self.position = advanced;
-                self.give_up(self.open.len());
+                self.open.cancel_all();
                 *step = Step::Poll(Instant::now());
                 None
             }
@@ -392,37 +368,10 @@
         }
     }
 
-    /// Gives up the polls that overtook one whose answer is arriving after all: theirs can hardly bring
-    /// more, and would share the link with it.
-    fn give_up_overtakers(&mut self, number: u64) {
-        if let Some(idx) = self.open.iter().position(|poll| poll.number == number) {
-            for poll in self.open.drain(idx + 1..) {
-                poll.task.abort();
-            }
-        }
-    }
-
     /// Returns when an answer that is arriving counts as cut off unless more of it comes.
     fn arriving_until(&self) -> Option<Instant> {
-        let received = self.open.iter().map(|poll| *poll.received.borrow());
-        let begun = received.filter(|received| received.bytes > 0);
-        let last_byte = begun.map(|received| received.last_byte_at).max()?;
-        let until = last_byte + self.options.timing.first_answer_time();
-        (until > Instant::now()).then_some(until)
-    }
-
-    /// Returns whether an answer is arriving too slowly to be complete within the time in which a change must be
-    /// in force.
-    fn is_late(&self) -> bool {
-        let apply = self.options.apply;
-        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
-        received.any(|received| received.is_late(apply))
-    }
-
-    /// Returns whether an answer is arriving below the lowest rate of a transfer.
-    fn is_slow(&self) -> bool {
-        let mut received = self.open.iter().map(|poll| *poll.received.borrow());
-        received.any(|received| received.is_slow())
+        let max_silence = self.options.timing.first_answer_time();
+        self.open.arriving_until(max_silence)
     }
 
     /// Returns the position up to which rows have come from another source since a poll was sent if that is later
@@ -446,7 +395,7 @@
         };
         if received.any(ends) {
             self.has_ended = true;
-            self.give_up(self.open.len());
+            self.open.cancel_all();
             self.reconnect().await;
             *step = Step::Poll(Instant::now() + POLL_DELAY);
         }
@@ -456,11 +405,11 @@
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
         *step = Step::Poll(Instant::now());
         if self.open.len() >= MAX_OPEN_POLLS {
-            self.give_up(1);
+            self.open.cancel_oldest(1);
         }
-        let newest = self.open.pop_back()?;
+        let newest = self.open.pop_newest()?;
         let read = self.fail(&newest, true, step).await;
-        self.open.push_back(newest);
+        self.open.push(newest);
         Some(read)
     }
 
@@ -489,13 +438,6 @@
         self.is_reconnecting = true;
         self.reconnected_before = self.next_number;
     }
-
-    /// Cancels the oldest open polls.
-    fn give_up(&mut self, count: usize) {
-        for poll in self.open.drain(..count) {
-            poll.task.abort();
-        }
-    }
 }
 
 /// Sends a poll's number, at most once an [`ARRIVAL_REPORT_INTERVAL`], when parts of its answer have
--- /dev/null
+++ b/crates/daemon/src/table_reads/open_polls.rs
@@ -0,0 +1,106 @@
+//! The polls of a table that have been sent and not been answered.
+
+use std::{collections::VecDeque, time::Duration};
+
+use base::Time;
+use derive_more::Deref;
+use platform::Received;
+use tokio::{sync::watch, task::AbortHandle, time::Instant};
+
+/// A poll that has been sent and not been answered.
+#[derive(Debug)]
+pub(super) struct OpenPoll {
+    pub(super) number: u64,
+    /// Position from which it asks; `None` if it asks for all rows.
+    pub(super) after: Option<u64>,
+    pub(super) sent_at: Time,
+    /// The same by the runtime's clock.
+    pub(super) sent: Instant,
+    /// Time for which it waits for a change.
+    pub(super) wait: Duration,
+    /// Whether the connection had been used before.
+    pub(super) is_on_kept_connection: bool,
+    pub(super) received: watch::Receiver<Received>,
+    pub(super) task: AbortHandle,
+}
+
+impl OpenPoll {
+    /// Returns when the answer to a poll for changes began to arrive.
+    pub(super) fn arriving_since(&self) -> Option<Time> {
+        self.after?;
+        let begun = self.received.borrow().begun_at?;
+        Some(self.sent_at + (begun - self.sent))
+    }
+}
+
+/// Lists the polls of a table that have not been answered, the newest last.
+#[derive(Debug, Default, Deref)]
+pub(super) struct OpenPolls(VecDeque<OpenPoll>);
+
+impl OpenPolls {
+    /// Returns the index of the poll with a number.
+    pub(super) fn index_of(&self, number: u64) -> Option<usize> {
+        self.iter().position(|poll| poll.number == number)
+    }
+
+    /// Adds a poll as the newest one.
+    pub(super) fn push(&mut self, poll: OpenPoll) {
+        self.0.push_back(poll);
+    }
+
+    /// Removes the poll at an index, and returns it.
+    pub(super) fn remove(&mut self, idx: usize) -> Option<OpenPoll> {
+        self.0.remove(idx)
+    }
+
+    /// Removes the newest poll, and returns it.
+    pub(super) fn pop_newest(&mut self) -> Option<OpenPoll> {
+        self.0.pop_back()
+    }
+
+    /// Returns when an answer that is arriving counts as cut off unless more of it comes within `max_silence`.
+    pub(super) fn arriving_until(&self, max_silence: Duration) -> Option<Instant> {
+        let begun = self.received().filter(|received| received.bytes > 0);
+        let last_byte = begun.map(|received| received.last_byte_at).max()?;
+        let until = last_byte + max_silence;
+        (until > Instant::now()).then_some(until)
+    }
+
+    /// Returns whether an answer is arriving too slowly to be complete within `apply`, the time in which a change must
+    /// be in force.
+    pub(super) fn is_late(&self, apply: Duration) -> bool {
+        self.received().any(|received| received.is_late(apply))
+    }
+
+    /// Returns whether an answer is arriving below the lowest rate of a transfer.
+    pub(super) fn is_slow(&self) -> bool {
+        self.received().any(|received| received.is_slow())
+    }
+
+    /// Cancels the oldest polls.
+    pub(super) fn cancel_oldest(&mut self, count: usize) {
+        for poll in self.0.drain(..count) {
+            poll.task.abort();
+        }
+    }
+
+    /// Cancels all polls.
+    pub(super) fn cancel_all(&mut self) {
+        self.cancel_oldest(self.len());
+    }
+
+    /// Cancels the polls that overtook one whose answer is arriving after all: theirs can hardly bring
+    /// more, and would share the link with it.
+    pub(super) fn cancel_overtakers(&mut self, number: u64) {
+        if let Some(idx) = self.index_of(number) {
+            for poll in self.0.drain(idx + 1..) {
+                poll.task.abort();
+            }
+        }
+    }
+
+    /// Returns what has arrived of the answer to each poll.
+    fn received(&self) -> impl Iterator<Item = Received> {
+        self.iter().map(|poll| *poll.received.borrow())
+    }
+}
