test(daemon): one test for the fields of which a part is cut off

Four tests of formats differed by the sample and a number alone. They are the cases rows, reads, change and departures of cut_field_is_not_read, which decodes the same samples cut at the same places and asserts the same.

Measured: the 86 tests of formats hold, as many as before: four tests have become four cases.

--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -285,51 +285,22 @@
     assert!(sent.starts_with(&sample(8, "heartbeat")));
 }
 
-/// Guards against a report of rows of which a part is cut off: such a heartbeat is none of an earlier format.
-#[test]
-fn cut_rows_are_not_read() {
-    let whole = sample(OWN_FORMAT, "heartbeat-rows");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
-    for lacking in 1..=reported {
-        let read = decode(&whole[..whole.len() - lacking], None);
-        assert!(read.is_err(), "{lacking}: {read:?}");
-    }
-}
-
-/// Guards against a report of reads of which a part is cut off: such a heartbeat is none of an earlier format.
-#[test]
-fn cut_reads_are_not_read() {
-    let whole = sample(OWN_FORMAT, "heartbeat-reads");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 2;
-    for lacking in 1..=reported {
-        let read = decode(&whole[..whole.len() - lacking], None);
-        assert!(read.is_err(), "{lacking}: {read:?}");
-    }
-}
-
-/// Guards against a change of which a part is cut off: such a heartbeat is none of an earlier format.
-#[test]
-fn cut_change_is_not_read() {
-    let whole = sample(OWN_FORMAT, "heartbeat-change");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 5;
+/// Guards against a heartbeat of which a part is cut off: such a heartbeat is none of an earlier format. A plain one has
+/// `plain_bytes` for the field and those behind it.
+#[rstest]
+#[case::rows("heartbeat-rows", 1)]
+#[case::reads("heartbeat-reads", 2)]
+#[case::change("heartbeat-change", 5)]
+#[case::departures("heartbeat-departure", 6)]
+fn cut_field_is_not_read(#[case] name: &str, #[case] plain_bytes: usize) {
+    let whole = sample(OWN_FORMAT, name);
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + plain_bytes;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
     }
 }
 
-/// Guards against departures of which a part is cut off: such a heartbeat is none of an earlier format.
-#[test]
-fn cut_departures_are_not_read() {
-    let whole = sample(OWN_FORMAT, "heartbeat-departure");
-    // An empty list, and the fields behind it.
-    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 6;
-    for lacking in 1..=listed {
-        let read = decode(&whole[..whole.len() - lacking], None);
-        assert!(read.is_err(), "{lacking}: {read:?}");
-    }
-}
-
 /// Guards against an older instance that counts as silent: its heartbeats lack fields.
 #[rstest]
 #[case::without_rates(1)]
