test(daemon): scenarios of an undisturbed store name only what differs

It is called undisturbed now, and they give what differs from it. The scenarios and assertions are the same, by comparing each field: contact and apply are 4 s, the way is 12 ms, and nothing goes silent or leaves, unless a test says so.

--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -498,11 +498,9 @@
         contact: Duration::from_secs(3),
         apply: Duration::from_millis(2_500),
         way: Duration::from_millis(2),
-        silences: Vec::new(),
         changes: (1..20).map(Duration::from_secs).collect(),
-        removal: None,
         tells_others: false,
-        transfer: Duration::ZERO,
+        ..undisturbed(Duration::ZERO, &[])
     };
     assert_eq!(late(&scenario, &run(&scenario)), None);
 }
@@ -513,14 +511,9 @@
 fn reported_positions_rise_with_changes_alone() {
     let change = Duration::from_millis(9_500);
     let scenario = Scenario {
-        contact: Duration::from_secs(4),
-        apply: Duration::from_secs(4),
         way: Duration::from_millis(20),
-        silences: Vec::new(),
         changes: vec![change],
-        removal: None,
-        tells_others: true,
-        transfer: Duration::ZERO,
+        ..undisturbed(Duration::ZERO, &[])
     };
     let reports = run_reports(&scenario);
     let mut complete = reports.iter().filter(|told| !told.reported.contains(&0));
@@ -560,15 +553,11 @@
     let late: BTreeMap<u64, _> = (100..apply_ms - REST_MS)
         .step_by(100)
         .filter_map(|transfer_ms| {
+            let transfer = Duration::from_millis(transfer_ms);
             let scenario = Scenario {
                 contact: Duration::from_millis(contact_ms),
                 apply: Duration::from_millis(apply_ms),
-                way: Duration::from_millis(12),
-                silences: Vec::new(),
-                changes: [8_000, 12_300, 16_900].map(Duration::from_millis).to_vec(),
-                removal: None,
-                tells_others: true,
-                transfer: Duration::from_millis(transfer_ms),
+                ..undisturbed(transfer, &[8_000, 12_300, 16_900])
             };
             late(&scenario, &run(&scenario)).map(|late| (transfer_ms, late))
         })
@@ -585,17 +574,11 @@
     let late: BTreeMap<u64, _> = (100..(apply_ms - REST_MS) / 2)
         .step_by(50)
         .filter_map(|transfer_ms| {
+            let transfer = Duration::from_millis(transfer_ms);
             let scenario = Scenario {
                 contact: Duration::from_millis(contact_ms),
                 apply: Duration::from_millis(apply_ms),
-                way: Duration::from_millis(12),
-                silences: Vec::new(),
-                changes: [8_000, 8_200, 14_100, 14_700]
-                    .map(Duration::from_millis)
-                    .to_vec(),
-                removal: None,
-                tells_others: true,
-                transfer: Duration::from_millis(transfer_ms),
+                ..undisturbed(transfer, &[8_000, 8_200, 14_100, 14_700])
             };
             late(&scenario, &run(&scenario)).map(|late| (transfer_ms, late))
         })
@@ -612,7 +595,7 @@
     /// The ways of a read, and the model's steps.
     const WAYS: Duration = Duration::from_millis(50);
     let transfer = Duration::from_millis(transfer_ms);
-    let history = run(&burst(transfer, &[8_000, 8_100]));
+    let history = run(&undisturbed(transfer, &[8_000, 8_100]));
     let in_force_at = |version| {
         let first = history.iter().find(|one| one.version == version);
         first.unwrap().at
@@ -624,14 +607,17 @@
 /// Guards against a read for each of several changes in quick succession.
 #[test]
 fn changes_in_quick_succession_are_read_together() {
-    let history = run(&burst(Duration::ZERO, &[8_000, 8_020, 8_040, 8_060, 8_080]));
+    let history = run(&undisturbed(
+        Duration::ZERO,
+        &[8_000, 8_020, 8_040, 8_060, 8_080],
+    ));
     let mut versions: Vec<usize> = history.iter().map(|one| one.version).collect();
     versions.dedup();
     assert_eq!(versions, [0, 1, 5]);
 }
 
 /// Returns a store that is never disturbed and whose rows change at these times.
-fn burst(transfer: Duration, changes_ms: &[u64]) -> Scenario {
+fn undisturbed(transfer: Duration, changes_ms: &[u64]) -> Scenario {
     let changes = changes_ms.iter().copied().map(Duration::from_millis);
     Scenario {
         contact: Duration::from_secs(4),
@@ -653,15 +639,10 @@
 #[case::late_first_byte(600)]
 fn rows_are_transferred_once_at_a_time(#[case] way_ms: u64) {
     for transfer_ms in (400..2_400).step_by(400) {
+        let transfer = Duration::from_millis(transfer_ms);
         let scenario = Scenario {
-            contact: Duration::from_secs(4),
-            apply: Duration::from_secs(4),
             way: Duration::from_millis(way_ms),
-            silences: Vec::new(),
-            changes: [8_000, 12_300, 16_900].map(Duration::from_millis).to_vec(),
-            removal: None,
-            tells_others: true,
-            transfer: Duration::from_millis(transfer_ms),
+            ..undisturbed(transfer, &[8_000, 12_300, 16_900])
         };
         let most = block_on(async {
             let network = Network::new(&scenario);
@@ -678,18 +659,8 @@
 fn version_counts_as_latest_when_the_answer_was_made() {
     /// Ways and the model's step, for the first byte.
     const FIRST_BYTE_TIME: Duration = Duration::from_millis(50);
-    let scenario = Scenario {
-        contact: Duration::from_secs(4),
-        apply: Duration::from_secs(4),
-        way: Duration::from_millis(12),
-        silences: Vec::new(),
-        changes: [8_000, 9_000, 15_000, 15_700]
-            .map(Duration::from_millis)
-            .to_vec(),
-        removal: None,
-        tells_others: true,
-        transfer: Duration::from_millis(1_500),
-    };
+    let transfer = Duration::from_millis(1_500);
+    let scenario = undisturbed(transfer, &[8_000, 9_000, 15_000, 15_700]);
     let observed = block_on(async { observe(&Network::new(&scenario)).await });
     let history = observed.history.lock().unwrap();
     for (at, confirmed_at) in observed.confirmations.lock().unwrap().iter() {
