docs(coord): reads, reports and standstills are described in the field's terms

Two types were documented by "Holds", the only ones left in the sources, and comments of coord, the daemon and entry spoke of what is told, heard, believed in and rests, which a newcomer has to guess. They say now what the type is for, and name reports, the handling of messages, open polls and assumed outages. Comments alone are changed.

One comment contradicted its code: AnswerDates::is_uncertain returns false for a store without a clock, where it seemed to say the contrary.

--- a/crates/coord/src/answer_dates.rs
+++ b/crates/coord/src/answer_dates.rs
@@ -82,8 +82,8 @@
         Time::from_micros(made_at).max(answer.sent_at)
     }
 
-    /// Returns whether answers may be dated too early by much until the store answers a call that waits for nothing; of
-    /// a store that tells no clock, they are in any case.
+    /// Returns whether answers may be dated much too early until the store answers a call that waits for nothing.
+    /// Without a clock of the store, no call would improve the dates, so this returns `false`.
     pub fn is_uncertain(&self, now: Time) -> bool {
         self.offset.is_some_and(|offset| {
             let offset = offset.aged(now);
--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -77,8 +77,8 @@
 /// Returns what one message reports to an instance that has the rows up to `position`, out of departures of which
 /// the newest is the first.
 ///
-/// If it doesn't hold all that is lacking, half of it are the newest, and the other half go through the rest by the
-/// number of the message.
+/// If there are more departures than fit, half of the message reports the newest ones. The other half reports a share of
+/// the remaining ones, chosen by the message's number so that successive messages go through all of them.
 pub fn lacking(newest_first: &[Departure], position: u64, number: u64) -> Vec<Departure> {
     let lacking = newest_first.iter();
     let mut lacking: Vec<&Departure> = lacking.filter(|one| one.position > position).collect();
@@ -96,9 +96,9 @@
 
 /// Tracks the targets that others have reported to have left, for as long as the own rows are older.
 ///
-/// The own rows decide as soon as they have reached a departure's position, but for rows that are only retained; or an
-/// own read has been answered that was sent after the report: if it brings less, the table has gone back, and the same
-/// report is not applied again.
+/// A report counts until the own rows reach the departure's position, or longer if the target's row is only retained. If
+/// an own read that was sent after the report returns a lower position, the table has gone back: the report no longer
+/// counts, and the same one is not applied again.
 ///
 /// # Examples
 ///
--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -111,10 +111,10 @@
 
 /// Tracks since when an instance has known that its copy of a state is not the latest.
 ///
-/// Others report the changes that they know, and an own read whose answer has begun to arrive brings a later one. A
-/// series of versions doesn't restart the time: it counts from the first one that the own copy lacks. An
-/// own read that was sent after a report and brings a lower position shows that the state has gone back:
-/// there is nothing to wait for.
+/// It learns of later changes from reports of other instances, and from an own read whose answer has begun to arrive. A
+/// series of versions doesn't restart the time: it counts from the first version that the own copy lacks. If an
+/// own read that was sent after a report returns a lower position, the state has gone back, and the reported
+/// change is no longer expected.
 ///
 /// # Examples
 ///
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -42,7 +42,7 @@
 /// While nobody can read the table, rows may expire whose writers are alive but can't reach it
 /// either; those writers write them again once it is back. Rows that are found deleted are therefore
 /// retained until a while after the table's return. A read that fails on some instances alone is no
-/// outage, since the writers were not affected; so each of them tells the others how its own reads stand.
+/// outage, since the writers were not affected; so each instance reports to the others whether its own reads succeed.
 ///
 /// # Examples
 ///
@@ -76,7 +76,7 @@
     /// Time at or after which the table was last read, by this instance or another.
     last_contact_at: Option<Time>,
     outage: Option<Outage>,
-    /// Since when an outage was believed in that others' reports may show to be none, and the one before it.
+    /// Time from which an outage was assumed that reports of other instances may still refute, and the outage before it.
     uncertain: Option<(Time, Option<Outage>)>,
     standstills: Standstills,
 }
@@ -92,7 +92,7 @@
 
 /// Time after a successful read, by any instance, during which a failed one is no sign of an outage.
 const CONTACT_VALIDITY: Duration = Duration::from_millis(1_500);
-/// Time after a standstill of this instance within which the reports that had waited meanwhile are heard.
+/// Time after a standstill of this instance within which it handles the reports that arrived meanwhile.
 const HEARING_TIME: Duration = Duration::from_millis(500);
 
 impl Replica {
@@ -198,8 +198,9 @@
         self.on_failure(now, self.last_contact_at.map(|at| now - at));
     }
 
-    /// Records that this instance could not. While it stood still itself, it could not have heard of a read either, so
-    /// that time is no silence, unless others report that their reads fail.
+    /// Records that this instance could not read the table over a new connection. The time for which it stood still
+    /// doesn't count as time without a read, since it couldn't handle reports of other instances' reads then; where these
+    /// report failures, [`Self::on_read_failure`] counts it.
     pub fn on_own_read_failure(&mut self, now: Time) {
         let last_contact = self.last_contact_at;
         self.on_failure(
@@ -223,8 +224,8 @@
         self.standstills.on_wake(due, now);
     }
 
-    /// Records that some instance read the table at `at` or later. An outage that was believed in after a standstill may
-    /// so turn out to be none; rows that it seemed to have removed are gone then.
+    /// Records that some instance read the table at `at` or later. This may refute an outage that was assumed just after
+    /// a standstill; rows are then no longer retained because of it.
     pub fn on_contact(&mut self, at: Time) {
         self.last_contact_at = self.last_contact_at.max(Some(at));
         if matches!(self.outage, Some(Outage::Ongoing(since)) if at > since) {
--- a/crates/coord/src/rows_check.rs
+++ b/crates/coord/src/rows_check.rs
@@ -23,7 +23,7 @@
 const LATE_READ_SPREAD: Duration = Duration::from_secs(30);
 /// Minimum time between two reads.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum number of pairs of digests that are known to have been found.
+/// Maximum number of pairs of differing digests that are remembered, so that each is reported once.
 const MAX_KNOWN_PAIRS: usize = 64;
 
 /// Describes two replicas that differ at the same position.
@@ -37,7 +37,7 @@
     pub other: RowsReport,
 }
 
-/// Carries what follows from the reports of others.
+/// Lists the differences that a check has found, and whether it asks for a read of the table.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RowsVerdict {
     /// Differences that haven't been found before.
@@ -50,8 +50,8 @@
 
 /// Compares the own rows of a table with what others report of theirs.
 ///
-/// Which of two replicas is wrong can't be told from their digests. An instance that most others contradict
-/// reads the table first; the rest of them only if that hasn't helped.
+/// The digests of two replicas don't show which of them is wrong. So an instance whose rows differ from those of most
+/// others reads the table first; the others read it only if the difference remains.
 #[derive(Debug, Default)]
 pub struct RowsCheck {
     reports: BTreeMap<InstanceId, (RowsReport, Time)>,
--- a/crates/coord/src/rows_report.rs
+++ b/crates/coord/src/rows_report.rs
@@ -1,4 +1,4 @@
-//! What replicas of a table tell of their rows beside their positions.
+//! Digests of a table's rows, by which replicas at the same position are compared.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/coord/src/standstill.rs
+++ b/crates/coord/src/standstill.rs
@@ -9,7 +9,7 @@
 /// Number of standstills that are remembered.
 const MAX_STANDSTILLS: usize = 16;
 
-/// Remembers when the own process stood still: nothing that it didn't hear then was silent.
+/// Remembers when the own process stood still, so that messages that it couldn't handle then don't count as missing.
 ///
 /// # Examples
 ///
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -14,7 +14,7 @@
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a standstill of this instance within which the heartbeats of all live ones are heard.
+/// Time after a standstill of this instance within which it receives a heartbeat of each live instance.
 pub(crate) const HEARING_TIME: Duration = HEARTBEAT_INTERVAL;
 /// Time for which an instance that has fallen silent keeps its shares.
 const SHARE_HOLD_TIME: Duration = Duration::from_secs(8);
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -19,7 +19,7 @@
 /// Number of failed fetches by parts after which whole tables are fetched until the position rises.
 const MAX_PARTS_FAILURES: u32 = 2;
 
-/// Holds what is known of a replica's parts, and of fetches by them.
+/// Tracks the fetches and own reads of a table, to decide whether it is fetched whole or by parts.
 #[derive(Debug, Default)]
 pub(super) struct PartsState {
     /// Last known cut of the replica.
@@ -113,9 +113,9 @@
         self.catch_up.next_source(now)
     }
 
-    /// Returns how to fetch the table, or `None` while an own read is arriving and this would share the
-    /// link with it for long. A list that comes beside another fetch isn't followed by the whole table at once:
-    /// that may be arriving then.
+    /// Returns how to fetch the table, or `None` while an own read is arriving and a fetch would share the link with it
+    /// for long. During another fetch, a list of parts isn't followed by the whole table at once, since that fetch may
+    /// bring it.
     pub(super) fn fetch_way(&self, now: Time, takes_parts: bool) -> Option<FetchWay> {
         let is_read_over = now >= self.parts.read_until;
         let may_take_whole = is_read_over && self.fetches.is_empty();
--- a/crates/daemon/src/follower/tables/rows.rs
+++ b/crates/daemon/src/follower/tables/rows.rs
@@ -13,7 +13,7 @@
 /// Alarm of rows that differ from those of another instance.
 const ROWS_ALARM: &str = "rows_differ";
 
-/// Holds what is known of a replica's rows beside those of the others.
+/// Compares a replica's rows with those of other instances, and requests that they are read anew if they may be wrong.
 #[derive(Debug)]
 pub(super) struct RowsState {
     check: RowsCheck,
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -77,13 +77,13 @@
     pub format: u32,
     /// Version of the sender's build, for operators.
     pub build: String,
-    /// Targets that have left by rows that the receiver lacks, as far as the sender knows.
+    /// Targets that have left, by rows beyond the last position that the receiver has reported.
     pub departures: Vec<Departure>,
     /// The latest change of the first table of which the sender knows.
     pub change: Option<ChangeReport>,
     /// Time from the arrival of the heartbeat that `ack` names to the sending of this one.
     pub ack_age: Duration,
-    /// How the sender's own reads of the targets' table stand; `None` before the first one.
+    /// Whether the sender's own reads of the targets' table succeed; `None` before the first one.
     pub reads: Option<ReadsReport>,
     /// The rows of the followed tables, in the tables' order; `None` where they aren't known to be exact.
     pub rows: Vec<Option<RowsReport>>,
@@ -182,10 +182,10 @@
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which this instance knows at first hand.
         change: Option<TableChange>,
-        /// How the own reads of the targets' table stand.
+        /// Whether the own reads of the targets' table succeed.
         reads: Option<OwnReads>,
     },
-    /// Sets the targets that have left by rows that others may lack, the newest first.
+    /// Sets the targets that have left recently, for instances that haven't read these rows yet; the newest first.
     SetDepartures(Arc<Vec<Departure>>),
     /// Sets what heartbeats report of the rows of the followed tables, in the tables' order.
     SetRows(Vec<Option<RowsReport>>),
@@ -233,7 +233,7 @@
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which that instance knows.
         change: Option<TableChange>,
-        /// How that instance's own reads of the targets' table stand.
+        /// Whether that instance's own reads of the targets' table succeed.
         reads: Option<OwnReads>,
     },
     /// Another instance has rows by which targets have left, and this one had reported older ones.
--- a/crates/daemon/src/owners.rs
+++ b/crates/daemon/src/owners.rs
@@ -101,7 +101,7 @@
     is_leaving: bool,
     /// Time of the last update of the ownership, or of one that was left out.
     updated_at: Time,
-    /// Time until which this instance, which stood still, hears of the others.
+    /// Time until which heartbeats that arrived while this instance stood still may not have been handled yet.
     hearing_until: Time,
 }
 
@@ -242,7 +242,7 @@
         self.publish(&fleet).await;
     }
 
-    /// Returns whether this instance stood still lately, so that the heartbeats of live owners may wait unread.
+    /// Returns whether this instance stood still so recently that heartbeats of live owners may not have been handled yet.
     fn is_hearing(&mut self, now: Time) -> bool {
         let due = self.updated_at + OWNERSHIP_UPDATE_INTERVAL;
         self.updated_at = now;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -68,7 +68,7 @@
     confirmed_at: Option<Time>,
     /// The latest change of the first table of which this instance knows at first hand.
     known_change: Option<TableChange>,
-    /// How the own reads of the targets' table stand.
+    /// Whether the own reads of the targets' table succeed.
     own_reads: Option<OwnReads>,
     /// Targets that have left lately, the newest first.
     departures: Arc<Vec<Departure>>,
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -36,7 +36,7 @@
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of polls without an answer; beyond it, the oldest is cancelled.
 const MAX_OPEN_POLLS: usize = 4;
-/// Time after a standstill of this instance within which an answer that came meanwhile is taken.
+/// Time after a standstill of this instance within which an answer that arrived meanwhile is handled.
 const HEARING_TIME: Duration = Duration::from_millis(200);
 /// Time without a byte after which a poll fails.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
@@ -223,7 +223,8 @@
         }
     }
 
-    /// Sends a poll that waits for nothing beside the open ones, and returns the time within which it must be answered.
+    /// Sends a poll that is answered at once, in addition to the open ones, and returns the time within which it must be
+    /// answered.
     fn send_prompt(&mut self) -> Duration {
         if self.open.len() >= MAX_OPEN_POLLS {
             self.open.cancel_oldest(1);
@@ -305,8 +306,8 @@
         }
     }
 
-    /// Returns when a poll that waits for nothing is sent beside the open one, before the next step: that one rests beyond
-    /// the time at which the table is to be read.
+    /// Returns when a poll that is answered at once is to be sent before the next step, because the platform may hold the
+    /// open one beyond the time at which the table is to be read.
     fn next_prompt_at(&self, step: Step) -> Option<Instant> {
         let Step::Overtake(until) = step else {
             return None;
--- a/crates/daemon/src/table_reads/elsewhere.rs
+++ b/crates/daemon/src/table_reads/elsewhere.rs
@@ -7,14 +7,15 @@
 use super::{CONTACT_POLL_WAIT, POLL_DELAY};
 use crate::fleet::HEARTBEAT_TIMEOUT;
 
-/// Time that an answer takes at most, as far as it shows that there is no outage.
+/// Maximum time for the answer to the own read; after it, the reported failures count as an outage.
 const PROMPT_ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// Records that other instances report reads that fail.
 ///
-/// An own poll may rest for longer than a read counts. So where nobody is known to have read the table for as long as a
-/// shorter poll takes, an own read is due, and the reports count once it isn't answered either. Instances take
-/// turns, so that those whose turn comes later hear of the first answers.
+/// The platform may hold the own poll open for longer than a successful read shows that there is no outage. So an own
+/// read becomes due when no instance is known to have read the table for about [`CONTACT_POLL_WAIT`], and if it isn't
+/// answered in time either, the reports count as an outage. Each instance delays its read by a different time, so that
+/// most of them learn of the first answers before they read themselves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct FailingElsewhere {
     reported_at: Option<Time>,
@@ -25,13 +26,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct DueRead {
     at: Time,
-    /// Time at which an answer is overdue, also that of the poll that rests.
+    /// Time at which the answer is overdue, and that of the open poll as well.
     overdue_at: Time,
 }
 
 impl FailingElsewhere {
-    /// Records a report, where some instance read the table at `contact_at` and the own poll rests until `rests_until` at
-    /// most; a read that isn't due yet is so `turn` later.
+    /// Records a report of failing reads. Some instance read the table at `contact_at`, and the platform may hold the own
+    /// poll open until `rests_until`. If this makes an own read due, it is delayed by `turn`.
     pub(crate) fn on_report(
         &mut self,
         now: Time,
@@ -64,12 +65,12 @@
             .is_some_and(|at| now - at < HEARTBEAT_TIMEOUT)
     }
 
-    /// Returns when the table is to be read to show whether it can be.
+    /// Returns when an own read is due that shows whether the table can be read.
     pub(super) fn read_due(&self) -> Option<Time> {
         self.due.map(|due| due.at)
     }
 
-    /// Returns whether that should have been shown by now.
+    /// Returns whether the answer to that read is overdue.
     pub(crate) fn is_answer_overdue(&self, now: Time) -> bool {
         self.due.is_some_and(|due| now >= due.overdue_at)
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -249,7 +249,7 @@
 pub struct Confirmation {
     /// Time at which they were.
     pub at: Time,
-    /// Instance that told so; `None` for an own read.
+    /// Instance that reported so; `None` for an own read.
     pub by: Option<InstanceId>,
 }
 
