docs(dispatch): pauses and rates that targets ask for, instead of their own word

The gate, targets and placement spoke of a target's own word and of rests, for two things: a pause and a rate that the target asks for in an answer. The comments name these. Comments alone are changed; the functions keep their names.

--- a/crates/dispatch/src/dispatcher/rates.rs
+++ b/crates/dispatch/src/dispatcher/rates.rs
@@ -1,4 +1,4 @@
-//! What targets say of the requests that they want: rates that all instances share, and rests.
+//! Limits that targets ask for: rates that all instances share, and pauses.
 
 use std::time::Duration;
 
@@ -91,8 +91,8 @@
             .collect()
     }
 
-    /// Records that the target of an attempt wants nothing from this instance for a time, and returns
-    /// the target if it did not rest before.
+    /// Records that the target of an attempt asks this instance for a pause, and returns the target if no pause was in
+    /// force.
     pub fn record_rest(
         &mut self,
         now: Time,
@@ -108,8 +108,8 @@
         is_new.then(|| target.id.clone())
     }
 
-    /// Refuses a queued request at once if the targets' own word keeps it from all of them for longer
-    /// than it may wait.
+    /// Refuses a queued request at once if the pauses and rates that targets have asked for keep it from all of them for
+    /// longer than it may wait.
     pub(super) fn refuse_beyond_gates(&mut self, now: Time, id: RequestId) -> Vec<Action> {
         if !self.is_beyond_deadline(now, id) {
             return Vec::new();
--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -1,4 +1,4 @@
-//! When this instance may send the next request to a target, by what the target has said.
+//! When this instance may send the next request to a target, by the pauses and rates that the target has asked for.
 
 use std::time::Duration;
 
@@ -6,8 +6,8 @@
 
 use crate::{RateRank, RateReport, SharedRate};
 
-/// Keeps the time before which a target wants nothing from this instance, and the rate that it takes
-/// from all of them.
+/// Limits what this instance sends to a target: nothing during a pause that the target has asked for, and its part of the
+/// rate that the target takes from all instances.
 ///
 /// # Examples
 ///
@@ -24,9 +24,9 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SendGate {
-    /// End of the rest that the target asked for.
+    /// End of the pause that the target has asked for.
     rest_until: Time,
-    /// Whether nothing has been answered since the target last asked for rest.
+    /// Whether the target has run no request since it last asked for a pause.
     is_on_trial: bool,
     rate: SharedRate,
     rank: RateRank,
@@ -42,10 +42,9 @@
         Some(by_rate.max(self.rest_until - now))
     }
 
-    /// Records that the target wants nothing for this time, and returns whether it did not rest
-    /// before.
+    /// Records that the target asks for a pause of this length, and returns whether none was in force.
     ///
-    /// A rest is never shortened: each of the target's answers counts on its own.
+    /// A pause is never shortened: each of the target's answers counts on its own.
     pub fn rest(&mut self, now: Time, rest: Duration) -> bool {
         let is_new = self.rest_until <= now;
         self.rest_until = self.rest_until.max(now + rest);
@@ -53,8 +52,7 @@
         is_new
     }
 
-    /// Returns whether the target may get only one request at a time, because nothing has shown yet
-    /// that it takes requests again after a rest.
+    /// Returns whether the target may get only one request at a time, because it has run none since its last pause.
     pub fn is_on_trial(&self) -> bool {
         self.is_on_trial
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -164,8 +164,8 @@
             .filter(|target| !matches!(target.state(), TargetState::Down | TargetState::Leaving))
     }
 
-    /// Returns how long the targets' own word keeps a request from all of them, or `None` if one could
-    /// take it, or if there is none.
+    /// Returns how long a request can be sent to no target because of the pauses and rates that they have asked for, or
+    /// `None` if one could take it, or if there is none.
     pub(crate) fn wait_for_gates(&self, now: Time, query: PlacementQuery<'_>) -> Option<Duration> {
         let regions = self.regions.keys();
         let waits: Vec<Option<Duration>> = regions
--- a/crates/dispatch/src/shared_rate.rs
+++ b/crates/dispatch/src/shared_rate.rs
@@ -5,14 +5,14 @@
 use base::Time;
 use serde::{Deserialize, Serialize};
 
-/// Reports to the other instances what a target has said of its rate.
+/// Reports to the other instances which rate a target has asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct RateReport {
     /// Digest of the target and its incarnation.
     pub target_digest: u64,
     /// Requests per second that the target takes from all instances; `None` if it names none.
     pub per_s: Option<f64>,
-    /// Time since the target was last known to say so.
+    /// Time since the target was last known to ask for this rate.
     pub age: Duration,
 }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -82,7 +82,7 @@
     registration: Option<Registration>,
     /// Exponentially weighted share of recent requests that the target refused.
     refusal_rate: f64,
-    /// When the target takes the next request of this instance, by its own word.
+    /// When the target takes the next request of this instance, by the pauses and rates that it has asked for.
     gate: SendGate,
     /// Time of the last response or report of the target itself; [`Time::ZERO`] if there was none.
     last_word_at: Time,
@@ -93,8 +93,8 @@
 
 /// Latency that is assumed before the first response.
 pub(crate) const INITIAL_LATENCY: Duration = Duration::from_millis(20);
-/// Time for which a target that is no longer configured is remembered after its last own word: longer
-/// than entries are gone because the store was down, and than most rests.
+/// Time for which a target that is no longer configured is remembered after its last response or report: longer
+/// than entries are missing because the store was down, and than most pauses that targets ask for.
 const MEMORY: Duration = Duration::from_secs(60);
 
 impl Target {
@@ -180,18 +180,18 @@
             .unwrap_or_else(|| seeded_hash(0, self.id.as_str()))
     }
 
-    /// Returns when the target takes the next request of this instance, by its own word.
+    /// Returns when the target takes the next request of this instance, by the pauses and rates that it has asked for.
     pub fn gate(&self) -> &SendGate {
         &self.gate
     }
 
-    /// Returns the same, to record what the target says.
+    /// Returns the same, to record the pauses and rates that the target asks for.
     pub fn gate_mut(&mut self) -> &mut SendGate {
         &mut self.gate
     }
 
-    /// Returns how long the target's word makes this instance wait before its next request; `None`
-    /// if it is not this instance's turn.
+    /// Returns how long this instance must wait before its next request, by the pauses and rates that the target has asked
+    /// for; `None` if it is not this instance's turn.
     pub fn send_wait(&self, now: Time) -> Option<Duration> {
         self.gate.wait(now, self.in_flight > 0)
     }
@@ -240,7 +240,7 @@
         (self.state() == TargetState::Ready && self.may_send(now)) || self.accepts_request(now)
     }
 
-    /// Returns whether the target's own word lets this instance send a request now.
+    /// Returns whether the pauses and rates that the target has asked for allow this instance a request now.
     pub fn may_send(&self, now: Time) -> bool {
         self.send_wait(now) == Some(Duration::ZERO)
     }
@@ -399,7 +399,7 @@
 
     /// Returns whether a connection to the target, which is down, may show now that it is back.
     ///
-    /// A target that accepts connections and answers nothing is found less and less often.
+    /// A target that accepts connections without answering is found again after longer and longer times.
     pub(crate) fn may_be_found(&self, now: Time) -> bool {
         self.state() == TargetState::Down && self.reachability.may_be_found(now)
     }
