fix(platform): a call is heard after each standstill, and ends in any case

What could still be given up after, found by a reader who hadn't seen the work: a standstill that began in the last quarter of the time without a byte left the answer one poll instead of its way from the socket, since the wait after it had no length. And a process whose every wait ended 0.1 s late or more never gave up a dead connection, which leases and claims wait for.

The time without a byte is now the sum of the waits as they were asked for; after one that ended late the next lasts 0.2 s at least, and twice the time ends the call however late the waits end. A process that runs gives up at the same time as before (2.0 s, tested).

tests/progress.rs: in_the_last_part (a standstill of 1 s from 1.6 s on) and late_each_time (0.3 s of each 0.4 s, ends within 10 s) are new and hold, as the six cases from before do. That the first one fails before follows from the code; it was not run on it.

--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -21,6 +21,10 @@
 const WAITS_PER_QUIET_TIME: u32 = 4;
 /// Time by which a wait ends late at least if the own process stood still meanwhile.
 const MIN_LATENESS: Duration = Duration::from_millis(100);
+/// Time after a standstill in which what waits in the own sockets is read.
+const READ_TIME: Duration = Duration::from_millis(200);
+/// Multiple of the time without a byte after which a call ends also if each wait ends late.
+const MAX_QUIET_TIMES: u32 = 2;
 
 /// Reports the bytes of an answer as they arrive.
 ///
@@ -157,24 +161,28 @@
         F: Future,
     {
         let received = self.received();
-        let last_byte_at = || received.borrow().last_byte_at;
         let mut answer = pin!(answer);
-        let (mut heard_at, mut stood_still) = (last_byte_at(), Duration::ZERO);
+        let mut heard_at = received.borrow().last_byte_at;
+        let (mut quiet, mut is_late) = (Duration::ZERO, false);
         loop {
-            let quiet_at = heard_at + max_quiet + stood_still;
-            let due = quiet_at.min(Instant::now() + max_quiet / WAITS_PER_QUIET_TIME);
+            let wait = max_quiet.saturating_sub(quiet);
+            let wait = wait.min(max_quiet / WAITS_PER_QUIET_TIME);
+            let wait = if is_late { wait.max(READ_TIME) } else { wait };
+            let due = Instant::now() + wait;
             tokio::select! {
                 biased;
                 output = &mut answer => return Some(output),
                 () = sleep_until(due) => {}
             }
-            let lateness = due.elapsed();
-            let last_byte_at = last_byte_at();
-            if last_byte_at != heard_at {
-                (heard_at, stood_still) = (last_byte_at, Duration::ZERO);
-            } else if lateness >= MIN_LATENESS {
-                stood_still += lateness;
-            } else if due == quiet_at {
+            is_late = due.elapsed() >= MIN_LATENESS;
+            let last_byte_at = received.borrow().last_byte_at;
+            quiet = if last_byte_at == heard_at {
+                quiet + wait
+            } else {
+                due.saturating_duration_since(last_byte_at)
+            };
+            heard_at = last_byte_at;
+            if quiet >= max_quiet && (!is_late || quiet >= max_quiet * MAX_QUIET_TIMES) {
                 return None;
             }
         }
--- a/crates/platform/tests/progress.rs
+++ b/crates/platform/tests/progress.rs
@@ -44,12 +44,15 @@
 /// Guards against a silence that was the own one: a process that had stood still gave up all its connections and read
 /// anew, though the answers waited in its sockets.
 #[rstest]
-#[case::beyond_the_time(&[ms(3_000)])]
-#[case::across_its_end(&[ms(1_700)])]
-#[case::again_and_again(&[ms(700), ms(700), ms(700)])]
+#[case::beyond_the_time(&[ms(3_000)], ms(400))]
+#[case::across_its_end(&[ms(1_700)], ms(400))]
+#[case::in_the_last_part(&[ms(1_000)], ms(1_600))]
+#[case::again_and_again(&[ms(700), ms(700), ms(700)], ms(400))]
 #[tokio::test(start_paused = true)]
-async fn answer_that_came_during_a_standstill_is_taken(#[case] standstills: &[Duration]) {
-    let between = ms(400);
+async fn answer_that_came_during_a_standstill_is_taken(
+    #[case] standstills: &[Duration],
+    #[case] between: Duration,
+) {
     let woken_after = standstills.iter().map(|time| between + *time).sum();
     let (tx, answer) = oneshot::channel();
     tokio::spawn(async move {
@@ -61,17 +64,20 @@
     assert_eq!(output, Some(Ok("answer")));
 }
 
+/// Guards against a wait without end: a process whose every wait ends late never gave up a dead connection.
 #[rstest]
-#[case::running(&[], ms(2_000), ms(2_000))]
-#[case::stands_still(&[ms(3_000)], ms(2_000), ms(5_500))]
-#[case::again_and_again(&[ms(700), ms(700), ms(700)], ms(2_000), ms(4_100))]
+#[case::running(&[], ms(400), ms(2_000), ms(2_000))]
+#[case::stands_still(&[ms(3_000)], ms(400), ms(2_000), ms(5_500))]
+#[case::again_and_again(&[ms(700); 3], ms(400), ms(2_000), ms(4_100))]
+#[case::late_each_time(&[ms(300); 60], ms(100), ms(2_000), ms(10_000))]
 #[tokio::test(start_paused = true)]
 async fn silent_call_ends(
     #[case] standstills: &[Duration],
+    #[case] between: Duration,
     #[case] earliest: Duration,
     #[case] latest: Duration,
 ) {
-    let (output, ended_after) = stand_still(pending::<()>(), standstills, ms(400)).await;
+    let (output, ended_after) = stand_still(pending::<()>(), standstills, between).await;
     assert_eq!(output, None);
     assert!(
         (earliest..=latest).contains(&ended_after),
