fix(entry): callers of an instance that stood still needn't wait

The refusal as isolated after a standstill named the delay of the last word on a later version, 0.1 s at first and up to 1 s later, though another instance can serve at once; says that there is none.

--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -34,9 +34,12 @@
         self.refusal
     }
 
-    /// Returns the delay after which callers may come back.
+    /// Returns the delay after which callers may come back; others can serve those of an isolated instance at once.
     pub(super) fn retry_after(&self) -> Duration {
-        self.retry_after
+        match self.refusal {
+            Some(ErrorKind::Isolated) => Duration::ZERO,
+            _ => self.retry_after,
+        }
     }
 }
 
@@ -86,7 +89,7 @@
             .collect::<Vec<_>>();
         let actions = withdrawn.into_iter().map(|action| match action {
             Action::Refuse(id, refusal) if refusal.kind == kind => {
-                let refusal = Refusal::new(refusal.kind).retry_after(self.outdated.retry_after);
+                let refusal = Refusal::new(refusal.kind).retry_after(self.outdated.retry_after());
                 Action::Refuse(id, refusal)
             }
             other => other,
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -242,6 +242,7 @@
 #[tokio::test(start_paused = true)]
 async fn request_after_a_standstill_is_refused_as_isolated_until_the_next_word() {
     let mut engine = engine_after(word(Duration::ZERO));
+    fall_behind(&mut engine, None);
     let mut waiting = submit(&mut engine, 1);
     advance(WORD_VALIDITY + WORD_INTERVAL).await;
     let expected = Some(Refusal::new(ErrorKind::Isolated).retry_after(Duration::ZERO));
