test(daemon): look-ups after a standstill go by the old view for half a second at most

Callers cache what a look-up names for longer than that, and what the instance knows right on its waking is that it has heard nobody, so a view of that moment would leave out all others, those that live too. The test allows 0.6 s, and holds on the code before it.

--- a/crates/daemon/tests/behind/standstill.rs
+++ b/crates/daemon/tests/behind/standstill.rs
@@ -216,3 +216,20 @@
     let late: Vec<(u64, Duration)> = late.collect();
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against callers that are sent for long to an instance that ended during the standstill of the one that they ask:
+/// its look-ups go by what it knew before until its follower's first word, or that of others.
+#[test]
+fn look_ups_name_an_instance_that_ended_for_a_moment_after_a_standstill() {
+    let gone = reporter_id(0);
+    let late = SEEDS.filter_map(|seed| {
+        let standstill = Standstill::draw(seed, false);
+        let known_at = (standstill.from + standstill.time).max(standstill.from + ALIVE_TIME);
+        let decided = run_paused(play(standstill));
+        let naming = decided.iter().filter(|one| one.named.contains(&gone));
+        let last = naming.map(|one| one.at.saturating_sub(known_at)).max()?;
+        (last > Duration::from_millis(600)).then_some((seed, last))
+    });
+    let late: Vec<(u64, Duration)> = late.collect();
+    assert!(late.is_empty(), "{late:?}");
+}
