fix(dispatch): an answer doesn't hide that a page has been answered often

Cause: answers were remembered in 1,024 slots by fingerprint, one request each. The answer to a request that nobody asks for again took the page's slot; until the page's next answer it counted as never answered, so that three losses sufficed where eleven were needed. Traced: at 55.75 s instance and fleet agree on a share of lost attempts of 0.257 (24 incarnations died within 10 s), and no answer is remembered. An installation with more than 1,024 distinct requests has this all the time.

Change: 256 sets of four slots. A request that the set doesn't know takes the slot of the one that was answered least, and each other one counts for an answer less, so that a page stays for as many newcomers as it had answers, up to 255, and leaves when it isn't asked for.

--- a/crates/dispatch/src/quarantine/answers.rs
+++ b/crates/dispatch/src/quarantine/answers.rs
@@ -1,10 +1,11 @@
 //! Requests that targets have answered recently.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use base::Time;
 
-/// Remembers the requests that targets have answered recently; one of them may hide another.
+/// Remembers the requests that targets have answered recently, in sets of a few slots. One that has been answered
+/// often stays for as many others that its set takes in.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RecentAnswers {
     slots: Vec<Option<Answer>>,
@@ -15,6 +16,8 @@
     fingerprint: u64,
     at: Time,
     told: Told,
+    /// Answers to the request, less the requests that its set has taken in since.
+    weight: u8,
 }
 
 /// What the other instances know of an answer, from little to much.
@@ -30,6 +33,8 @@
 
 /// Number of requests that are remembered at most.
 const ANSWER_SLOTS: usize = 1024;
+/// Number of slots in which a request may be remembered.
+const SET_SLOTS: usize = 4;
 /// Time for which an answer speaks for a request. Shorter than any time in which a request that begins
 /// to crash its targets must be known.
 const ANSWER_TTL: Duration = Duration::from_secs(2);
@@ -37,11 +42,26 @@
 impl RecentAnswers {
     pub(super) fn insert(&mut self, now: Time, fingerprint: u64, told: Told) {
         self.slots.resize(ANSWER_SLOTS, None);
-        self.slots[slot_of(fingerprint)] = Some(Answer {
+        let set = &mut self.slots[set_of(fingerprint)];
+        let mut answer = Answer {
             fingerprint,
             at: now,
             told,
-        });
+            weight: 1,
+        };
+        let mut known = set.iter_mut().flatten();
+        if let Some(known) = known.find(|known| known.fingerprint == fingerprint) {
+            answer.weight = known.weight.saturating_add(1);
+            *known = answer;
+            return;
+        }
+        for other in set.iter_mut().flatten() {
+            other.weight = other.weight.saturating_sub(1);
+        }
+        let rank = |slot: &&mut Option<Answer>| slot.map(|other| (other.weight, other.at));
+        if let Some(lightest) = set.iter_mut().min_by_key(rank) {
+            *lightest = Some(answer);
+        }
     }
 
     /// Returns whether a target has answered the request within the last seconds.
@@ -62,18 +82,19 @@
 
     /// Returns whether there is a recent answer of which the others know less than `told`; now they are told.
     pub(super) fn tell(&mut self, now: Time, fingerprint: u64, told: Told) -> bool {
-        let slot = self.slots.get_mut(slot_of(fingerprint));
-        let answer = slot.and_then(Option::as_mut);
+        let set = self.slots.get_mut(set_of(fingerprint)).into_iter();
+        let mut answers = set.flatten().flatten();
         let is_news = |answer: &&mut Answer| {
             answer.fingerprint == fingerprint && answer.is_recent(now) && answer.told < told
         };
-        let news = answer.filter(is_news);
+        let news = answers.find(is_news);
         news.map(|answer| answer.told = told).is_some()
     }
 
     fn get(&self, fingerprint: u64) -> Option<&Answer> {
-        let answer = self.slots.get(slot_of(fingerprint))?.as_ref();
-        answer.filter(|answer| answer.fingerprint == fingerprint)
+        let set = self.slots.get(set_of(fingerprint))?;
+        let mut answers = set.iter().flatten();
+        answers.find(|answer| answer.fingerprint == fingerprint)
     }
 }
 
@@ -83,6 +104,8 @@
     }
 }
 
-fn slot_of(fingerprint: u64) -> usize {
-    (fingerprint % ANSWER_SLOTS as u64) as usize
+fn set_of(fingerprint: u64) -> Range<usize> {
+    let sets = (ANSWER_SLOTS / SET_SLOTS) as u64;
+    let first = (fingerprint % sets) as usize * SET_SLOTS;
+    first..first + SET_SLOTS
 }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -138,17 +138,32 @@
     if was_answered {
         quarantine.record_answer(Time::ZERO, FINGERPRINT);
     }
-    for target_digest in 100..100 + deaths {
-        let loss = ConnectionLoss {
-            fingerprint: 2_000 + target_digest,
-            target_digest,
-        };
-        quarantine.count_own(Time::ZERO, &[loss]);
+    lose_targets(&mut quarantine, deaths);
+    let now = Time::from_secs(5);
+    let begins = (1..=32).find(|digest| !quarantine.record(now, &[loss(*digest)]).is_empty());
+    assert_eq!(begins, Some(needed));
+}
+
+/// Guards against DENIED: the answer to a request that nobody asks for again took the place of a page's, which
+/// then was quarantined after three losses though targets died all the time.
+#[rstest]
+#[case::beside_one_other(79, 1, 9)]
+#[case::beside_fewer_others_than_answers(50, 30, 9)]
+#[case::long_ago(20, 300, 3)]
+fn page_that_was_answered_often_is_remembered(
+    #[case] answers: u64,
+    #[case] others: u64,
+    #[case] needed: u64,
+) {
+    const SLOTS: u64 = 1024;
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    for _ in 0..answers {
+        quarantine.record_answer(Time::ZERO, FINGERPRINT);
     }
-    let loss = |target_digest| ConnectionLoss {
-        fingerprint: FINGERPRINT,
-        target_digest,
-    };
+    for other in 1..=others {
+        quarantine.record_answer(Time::from_secs(1), FINGERPRINT + other * SLOTS);
+    }
+    lose_targets(&mut quarantine, 20);
     let now = Time::from_secs(5);
     let begins = (1..=32).find(|digest| !quarantine.record(now, &[loss(*digest)]).is_empty());
     assert_eq!(begins, Some(needed));
@@ -170,3 +185,21 @@
     quarantine.record_remote_answer(Time::from_millis(100), FINGERPRINT);
     assert_eq!(left(&quarantine, Time::from_millis(100)), None);
 }
+
+fn loss(target_digest: u64) -> ConnectionLoss {
+    ConnectionLoss {
+        fingerprint: FINGERPRINT,
+        target_digest,
+    }
+}
+
+/// Targets die with other requests.
+fn lose_targets(quarantine: &mut Quarantine, deaths: u64) {
+    for target_digest in 100..100 + deaths {
+        let loss = ConnectionLoss {
+            fingerprint: 2_000 + target_digest,
+            target_digest,
+        };
+        quarantine.count_own(Time::ZERO, &[loss]);
+    }
+}
