fix(dispatch): a page is sent while it has too few losses for a quarantine

Cause: since a request isn't sent while others are heard of it. That went by three losses, its quarantine by as many as chance asks for where targets die.

Change: both go by the same number.

--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -230,6 +230,20 @@
     /// for it, and no other requests explain its losses. One with an earlier answer needs `required`,
     /// and so does each while this instance is new.
     fn is_clear(&self, now: Time, fingerprint: u64, required: usize) -> bool {
+        self.hears_until(fingerprint)
+            .is_some_and(|until| now >= until)
+            && self.is_suspected(now, fingerprint, required)
+    }
+
+    /// Returns how much longer the others are heard of a request with enough losses, for which nothing speaks yet.
+    pub(super) fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
+        let until = self.hears_until(fingerprint)?;
+        let is_suspected =
+            now < until && self.is_suspected(now, fingerprint, self.required_losses(now));
+        is_suspected.then(|| until - now)
+    }
+
+    fn is_suspected(&self, now: Time, fingerprint: u64, required: usize) -> bool {
         let is_new = self
             .started_at
             .is_some_and(|started_at| now - started_at < WINDOW);
@@ -239,19 +253,7 @@
         } else {
             self.max_losses
         };
-        self.hears_until(fingerprint)
-            .is_some_and(|until| now >= until)
-            && !self.is_answered(now, fingerprint)
-            && self.unexplained(now, fingerprint) >= required
-    }
-
-    /// Returns how much longer the others are heard of a request with enough losses, for which nothing speaks yet.
-    pub(super) fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
-        let until = self.hears_until(fingerprint)?;
-        let is_suspected = now < until
-            && !self.is_answered(now, fingerprint)
-            && self.unexplained(now, fingerprint) >= self.max_losses;
-        is_suspected.then(|| until - now)
+        !self.is_answered(now, fingerprint) && self.unexplained(now, fingerprint) >= required
     }
 
     fn hears_until(&self, fingerprint: u64) -> Option<Time> {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -186,6 +186,28 @@
     assert_eq!(left(&quarantine, Time::from_millis(100)), None);
 }
 
+/// Guards against DENIED: where targets died all the time, a page was refused while the others were heard of
+/// it, though for its quarantine it hadn't been lost often enough.
+#[rstest]
+#[case::too_few_losses(8, false)]
+#[case::enough_losses(9, true)]
+fn page_is_sent_while_it_has_too_few_losses(#[case] losses: u64, #[case] is_refused: bool) {
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    quarantine.set_instances(2);
+    for _ in 0..80 {
+        quarantine.record_answer(Time::ZERO, FINGERPRINT);
+    }
+    lose_targets(&mut quarantine, 20);
+    let now = Time::from_secs(5);
+    for target_digest in 1..=losses {
+        quarantine.record(now, &[loss(target_digest)]);
+    }
+    assert_eq!(
+        quarantine.hearing_left(now, FINGERPRINT).is_some(),
+        is_refused
+    );
+}
+
 fn loss(target_digest: u64) -> ConnectionLoss {
     ConnectionLoss {
         fingerprint: FINGERPRINT,
