fix(daemon): an instance that is gone keeps its closed port in a test

Cause, by lines of a red play: the instance that is gone had the address of a listener that was dropped at once, so its port was free for others. Fetches from "gone" brought position 6, two rows and 384 bytes in 2.3 to 2.6 s of virtual time. So another process of the same test, which has the same secret, had got the port and answered in real time while the clock here is virtual. That it was another process is inferred from this.

The socket stays bound and doesn't listen until the run ends, so connections to it are refused as before and nobody else gets its port. Checks and bounds are the same.

--- a/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
+++ b/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
@@ -13,7 +13,7 @@
 use entry::{message::Event, metrics::Metrics, view::Clock};
 use platform::{Call, Change, Platform, PlatformError, Reply};
 use tokio::{
-    net::TcpListener,
+    net::TcpSocket,
     sync::mpsc,
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -74,8 +74,10 @@
     let mut fleet = Fleet::default();
     let mut tables = Vec::new();
     let alive_until = clock.now() + FIRST_AFTER + scenario.second_after + ALIVE_TIME;
-    let gone_addr = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr();
-    let mut gone = member(GONE, gone_addr.unwrap(), Peer::Honest);
+    // Nobody else gets its port meanwhile.
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let mut gone = member(GONE, closed.local_addr().unwrap(), Peer::Honest);
     gone.alive_until = alive_until;
     fleet.members.insert(GONE.into(), gone);
     for idx in 0..SOURCES {
@@ -130,6 +132,7 @@
     };
     let _ = timeout(FIRST_AFTER + RUN_TIME, observed).await;
     running.abort();
+    drop(closed);
     let [_, second_in_force_at] = versions_at;
     let bound = second_at + APPLY;
     let ends = states.iter().skip(1).map(|(at, _)| *at);
