fix(coord,daemon): a retained entry is told with the time that is left (format 10)

What callers saw (DRAIN): in a fleet of which the store turns one instance away, that instance sent to a target for 2.0 s after its entry had been removed, where drainS may be 2.

Cause: the sound instance's poll rests, and nobody has read anything for 1.6 s, as the first report of failing reads arrives. What the open poll brings as removed between that report and the answer to the prompt read looks the same after an outage in which the entry could expire, so it is retained for 1.8 s; the departure was told with the first heartbeat after that.

Evidence: departures.rs, departure_is_told_in_time_whenever_...:: case_1_from_the_start, failed on: 3 of 300 removals (turned away at 3.3, 3.5, 3.7 s, removed at 3.6, 3.6, 3.8 s), 2.0 s after the removal. All three fall on the heartbeat that brings the first report.

Why this works: the retention is kept, as no read by anybody tells the two apart, but it ends at the same time everywhere. Heartbeats carry the entries that are gone and retained, with the time that is left, dated by when the heartbeat can have been sent at the earliest; receivers whose reads fail or that lack the removal end it without another word. A report of later rows takes it back, unless the same heartbeat tells it again, so an entry that is back stays in service.

Ruled out: a grace that begins or ends sooner (entries that come back 1.5 s after a true outage are out), shorter rests of all polls (twice the calls), a heartbeat to all that are turned away as the grace ends (the instances squared, and none may be lost).

Changed tests: the model of departures.rs passes on what heartbeats carry; the samples of format 10 are new, and offsets in formats and peers.rs count the field behind the last one.

--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -14,6 +14,18 @@
     pub position: u64,
 }
 
+/// Reports that an entry is gone by the rows that are complete up to a position, and is retained for some time, since an
+/// outage may have removed it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RetainedEntry {
+    /// Target of the entry.
+    pub target: TargetId,
+    /// Position of the table.
+    pub position: u64,
+    /// Time until which it is retained.
+    pub until: Time,
+}
+
 /// Keeps the departures of the last seconds, in bounded memory, for instances whose rows are older.
 ///
 /// # Examples
@@ -94,12 +106,26 @@
     lacking.into_iter().cloned().collect()
 }
 
+/// Returns what one message reports of entries that are retained. If it doesn't hold all of them, they follow each other
+/// by the number of the message.
+pub fn retained_in_turns(entries: &[RetainedEntry], number: u64) -> Vec<RetainedEntry> {
+    let lengths = entries.iter().map(|one| one.target.as_str().len());
+    let longest = lengths.max().unwrap_or(0);
+    let room = (MAX_RETAINED_BYTES / (longest + MAX_RETAINED_ENTRY_BYTES)).min(MAX_RETAINED);
+    let from = (number as usize).wrapping_mul(room) % entries.len().max(1);
+    let turn = entries.iter().cycle().skip(from);
+    turn.take(room.min(entries.len())).cloned().collect()
+}
+
 /// Tracks the targets that others have reported to have left, for as long as the own rows are older.
 ///
 /// The own rows decide as soon as they have reached a departure's position, but for rows that are only retained; or an
 /// own read has been answered that was sent after the report: if it brings less, the table has gone back, and the same
 /// report is not applied again.
 ///
+/// An entry that another instance retains leaves once that instance no longer does, without another word of it; whoever
+/// has later rows and still retains it tells so again.
+///
 /// # Examples
 ///
 /// ```
@@ -127,6 +153,8 @@
     repeated_at: Time,
     /// Whether an own read has shown that the table has gone back since.
     is_refuted: bool,
+    /// Time until which the entry is retained elsewhere; `None` once the target has left.
+    retained_until: Option<Time>,
 }
 
 impl ReportedDepartures {
@@ -141,21 +169,85 @@
                 && known.position >= departure.position
             {
                 known.repeated_at = now;
+                known.retained_until = None;
                 continue;
             }
-            if self.reports.len() >= MAX_KEPT && !self.reports.contains_key(&departure.target) {
-                continue;
+            self.insert(now, &departure.target, departure.position, None);
+        }
+    }
+
+    /// Records entries that another instance retains, where the own rows are older or `is_retained` here as well.
+    pub fn on_retained<F>(
+        &mut self,
+        now: Time,
+        own_position: u64,
+        is_retained: F,
+        entries: &[RetainedEntry],
+    ) where
+        F: Fn(&TargetId) -> bool,
+    {
+        let lacking =
+            |one: &&RetainedEntry| one.position > own_position || is_retained(&one.target);
+        for entry in entries.iter().filter(lacking) {
+            match self.reports.get_mut(&entry.target) {
+                Some(known) if known.retained_until.is_none() && !known.is_refuted => {}
+                Some(known) if known.position >= entry.position => {
+                    known.repeated_at = now;
+                    let until = known.retained_until.iter_mut();
+                    until.for_each(|until| *until = entry.until.min(*until));
+                }
+                _ => self.insert(now, &entry.target, entry.position, Some(entry.until)),
             }
-            let report = Report {
-                position: departure.position,
-                received_at: now,
-                repeated_at: now,
-                is_refuted: false,
-            };
-            self.reports.insert(departure.target.clone(), report);
         }
     }
 
+    /// Withdraws what was told of entries that are retained by rows before `position`, which another instance has reached:
+    /// they may be back.
+    pub fn on_later_rows(&mut self, position: u64) {
+        self.reports.retain(|_, report| {
+            let is_retained = report.retained_until.is_some() && !report.is_refuted;
+            !is_retained || report.position >= position
+        });
+    }
+
+    /// Counts the targets as left whose entries are no longer retained elsewhere, and returns whether there are any.
+    pub fn end_retention(&mut self, now: Time) -> bool {
+        let mut is_over = false;
+        for report in self.reports.values_mut() {
+            if report.retained_until.is_some_and(|until| until <= now) {
+                report.retained_until = None;
+                is_over = true;
+            }
+        }
+        is_over
+    }
+
+    /// Returns the time at which the next entry is no longer retained elsewhere.
+    pub fn retention_ends_at(&self) -> Option<Time> {
+        let reports = self.reports.values();
+        reports.filter_map(|report| report.retained_until).min()
+    }
+
+    fn insert(
+        &mut self,
+        now: Time,
+        target: &TargetId,
+        position: u64,
+        retained_until: Option<Time>,
+    ) {
+        if self.reports.len() >= MAX_KEPT && !self.reports.contains_key(target) {
+            return;
+        }
+        let report = Report {
+            position,
+            received_at: now,
+            repeated_at: now,
+            is_refuted: false,
+            retained_until,
+        };
+        self.reports.insert(target.clone(), report);
+    }
+
     /// Records the position of the own rows, and which of them are removed and only retained: earlier reports of
     /// these stay in force.
     pub fn on_position<F>(&mut self, position: u64, is_retained: F)
@@ -177,7 +269,8 @@
     /// Returns the targets that have left, with the positions at which they had.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetId, u64)> {
         let reports = self.reports.iter();
-        let believed = reports.filter(|(_, report)| !report.is_refuted);
+        let believed =
+            reports.filter(|(_, report)| !report.is_refuted && report.retained_until.is_none());
         believed.map(|(target, report)| (target, report.position))
     }
 }
@@ -191,3 +284,8 @@
 const MAX_DEPARTURES_BYTES: usize = 900;
 /// Maximum number of bytes of a position and of a name's length.
 const MAX_POSITION_BYTES: usize = 12;
+/// Maximum number of retained entries in a message, and of their bytes.
+const MAX_RETAINED: usize = 12;
+const MAX_RETAINED_BYTES: usize = 450;
+/// Maximum number of bytes of one of them beside its name: a time as well.
+const MAX_RETAINED_ENTRY_BYTES: usize = MAX_POSITION_BYTES + 7;
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -28,7 +28,9 @@
 pub use answer_dates::{Answer, AnswerDates};
 pub use audit::QuotaAudit;
 pub use catch_up::{CatchUp, FetchDelays};
-pub use departures::{Departure, Departures, ReportedDepartures, lacking};
+pub use departures::{
+    Departure, Departures, ReportedDepartures, RetainedEntry, lacking, retained_in_turns,
+};
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -178,6 +178,12 @@
         self.retained.contains_key(name)
     }
 
+    /// Returns the names of the deleted rows that are retained, with the times until which they are.
+    pub fn retained_until(&self) -> impl Iterator<Item = (&str, Time)> {
+        let retained = self.retained.iter();
+        retained.map(|(name, (_, until))| (name.as_str(), *until))
+    }
+
     /// Returns the names of the deleted rows that are retained.
     pub fn retained(&self) -> impl Iterator<Item = &str> {
         self.retained.keys().map(String::as_str)
--- a/crates/coord/tests/departures.rs
+++ b/crates/coord/tests/departures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use base::Time;
-use coord::{Departure, Departures, ReportedDepartures, lacking};
+use coord::{Departure, Departures, ReportedDepartures, RetainedEntry, lacking, retained_in_turns};
 use rstest::rstest;
 
 /// Maximum size of what one message tells, in bytes.
@@ -117,3 +117,90 @@
     reported.on_position(8, |_| false);
     assert!(believed(&reported).is_empty());
 }
+
+fn retained(target: &str, position: u64, until_ms: u64) -> RetainedEntry {
+    RetainedEntry {
+        target: target.into(),
+        position,
+        until: Time::from_millis(until_ms),
+    }
+}
+
+/// Guards against DRAIN: a target leaves as its entry is no longer retained elsewhere, without a word that it does; the
+/// first of several such times decides.
+#[test]
+fn retained_entry_leaves_when_that_is_over() {
+    let mut reported = ReportedDepartures::default();
+    let now = Time::from_secs(1);
+    let (later, earlier) = (retained("t1", 7, 3_000), retained("t1", 7, 2_800));
+    for entry in [later.clone(), earlier, later] {
+        reported.on_retained(now, 6, |_| false, &[entry]);
+    }
+    assert_eq!(reported.retention_ends_at(), Some(Time::from_millis(2_800)));
+    assert!(!reported.end_retention(Time::from_millis(2_799)));
+    assert!(believed(&reported).is_empty());
+    assert!(reported.end_retention(Time::from_millis(2_800)));
+    assert_eq!(believed(&reported), ["t1"]);
+    assert_eq!(reported.retention_ends_at(), None);
+}
+
+/// Guards against DRAIN: another instance knows that the entry is gone for good, before the first one does.
+#[test]
+fn departure_is_believed_at_once_although_others_retain_the_entry() {
+    let mut reported = ReportedDepartures::default();
+    let now = Time::from_secs(1);
+    let entry = [retained("t1", 7, 3_000)];
+    reported.on_retained(now, 6, |_| false, &entry);
+    reported.on_report(now, 6, &[left("t1", 7)]);
+    assert_eq!(believed(&reported), ["t1"]);
+    reported.on_retained(now, 6, |_| false, &entry);
+    assert_eq!(believed(&reported), ["t1"]);
+}
+
+/// Guards against living targets that are out for nothing: the entry may be back by rows that are later than those that
+/// said so, and who still retains it by these tells so again.
+#[test]
+fn retained_entry_is_forgotten_by_later_rows() {
+    let mut reported = ReportedDepartures::default();
+    let now = Time::from_secs(1);
+    reported.on_retained(now, 6, |_| false, &[retained("t1", 7, 3_000)]);
+    reported.on_later_rows(7);
+    assert!(reported.retention_ends_at().is_some());
+    reported.on_later_rows(8);
+    assert!(!reported.end_retention(Time::from_secs(4)));
+    reported.on_retained(now, 6, |_| false, &[retained("t1", 8, 3_000)]);
+    assert!(reported.end_retention(Time::from_secs(4)));
+    reported.on_later_rows(9);
+    assert_eq!(believed(&reported), ["t1"], "it has left");
+}
+
+/// Guards against living targets that are out for nothing: the own rows have reached that position.
+#[test]
+fn retained_entry_says_nothing_to_who_has_the_rows() {
+    let mut reported = ReportedDepartures::default();
+    let now = Time::from_secs(1);
+    let entries = [retained("t1", 7, 3_000), retained("t2", 7, 3_000)];
+    let is_retained = |target: &base::TargetId| target.as_str() == "t2";
+    reported.on_retained(now, 7, is_retained, &entries);
+    reported.on_retained(now, 6, |_| false, &entries);
+    reported.on_position(7, is_retained);
+    assert!(reported.end_retention(Time::from_secs(4)));
+    assert_eq!(believed(&reported), ["t2"], "it is retained here as well");
+}
+
+/// Guards against a heartbeat that grows with the number of entries that an outage removed: they are told in turns.
+#[rstest]
+#[case::few(10, 1)]
+#[case::many(100, 10)]
+fn retained_entries_are_told_in_turns(#[case] count: u64, #[case] messages: u64) {
+    let entries: Vec<RetainedEntry> = (0..count)
+        .map(|number| retained(&format!("a-target-in-the-north-{number}"), 10 + number, 1))
+        .collect();
+    let mut told = BTreeSet::new();
+    for number in 0..messages {
+        let some = retained_in_turns(&entries, number);
+        assert!(some.len() <= 12, "{}", some.len());
+        told.extend(some.into_iter().map(|one| one.position));
+    }
+    assert_eq!(told.len() as u64, count);
+}
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -201,7 +201,8 @@
                 self.is_leaving = true;
                 None
             }
-            FollowerMessage::PeerPositions { .. }
+            FollowerMessage::PeerRetained { .. }
+            | FollowerMessage::PeerPositions { .. }
             | FollowerMessage::PeerDepartures { .. }
             | FollowerMessage::PeerRows { .. } => None,
             FollowerMessage::PeerHead {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -287,6 +287,12 @@
                 reported.on_report(now, table.replica.position(), &departures);
                 return self.overlay_departures(now, NewsSource::Departures(from));
             }
+            FollowerMessage::PeerRetained { from, entries } => {
+                if let Some(table) = self.tables.get(TARGETS) {
+                    self.overlay.on_retained(now, &table.replica, &entries);
+                }
+                return self.end_retention(now, NewsSource::Departures(from));
+            }
             FollowerMessage::PeerPositions {
                 from,
                 positions,
@@ -303,6 +309,7 @@
                 }
                 if let Some(position) = positions.get(TARGETS) {
                     self.targets_lag.on_report(now, *position);
+                    self.overlay.reported.on_later_rows(*position);
                 }
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     if let Some(rank) = rank {
@@ -529,6 +536,7 @@
             table.start_fetch(now, from, source, tx.clone());
         }
         self.check_rows(now);
+        self.end_retention(now, NewsSource::GracePeriod);
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
                 self.overlay.on_replica(&table.replica);
@@ -544,6 +552,11 @@
         }
     }
 
+    /// Takes the targets out of service whose entries are no longer retained by others, and returns whether there are any.
+    fn end_retention(&mut self, now: Time, source: NewsSource) -> bool {
+        self.overlay.reported.end_retention(now) && self.overlay_departures(now, source)
+    }
+
     /// Returns when [`Self::refresh`] is due after a last one at `refreshed_at`.
     fn next_refresh(&self, refreshed_at: Time) -> Time {
         let due = self.tables.iter().flat_map(|table| {
@@ -554,6 +567,7 @@
             expiry.into_iter().chain(whole).chain(fetch)
         });
         let usual = refreshed_at + REFRESH_INTERVAL;
+        let due = due.chain(self.overlay.reported.retention_ends_at());
         due.fold(usual, Time::min).max(refreshed_at)
     }
 }
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Config, ServiceId, TargetId, Time};
-use coord::{Departure, Departures, KnownChange, Lag, Replica, ReportedDepartures};
+use coord::{Departure, Departures, KnownChange, Lag, Replica, ReportedDepartures, RetainedEntry};
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
 
@@ -98,6 +98,8 @@
     applied: Arc<BTreeSet<TargetId>>,
     /// What the task that sends heartbeats was told last.
     pub(super) told: Arc<Vec<Departure>>,
+    /// What it was told last of entries that are gone and retained.
+    pub(super) told_retained: Arc<Vec<RetainedEntry>>,
 }
 
 impl Overlay {
@@ -158,6 +160,25 @@
         (!is_told).then(|| Arc::new(self.own.newest_first()))
     }
 
+    /// Returns the entries that are gone and retained by the own rows if they aren't those that were told last.
+    pub(super) fn untold_retained(&self, replica: &Replica) -> Option<Arc<Vec<RetainedEntry>>> {
+        let retained = replica.retained_until();
+        let retained = retained.map(|(name, until)| RetainedEntry {
+            target: name.into(),
+            position: replica.changed_at(),
+            until,
+        });
+        let retained: Vec<RetainedEntry> = retained.collect();
+        (retained != *self.told_retained).then(|| Arc::new(retained))
+    }
+
+    /// Records entries that another instance retains.
+    pub(super) fn on_retained(&mut self, now: Time, replica: &Replica, entries: &[RetainedEntry]) {
+        let is_retained = |id: &TargetId| replica.is_retained(id.as_str());
+        self.reported
+            .on_retained(now, replica.position(), is_retained, entries);
+    }
+
     /// Returns the targets that are out of service by what others have told.
     pub(super) fn applied(&self) -> Arc<BTreeSet<TargetId>> {
         self.applied.clone()
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -232,6 +232,7 @@
             .collect();
         self.hand_out_tables(&positions);
         self.tell_departures(now);
+        self.tell_retained();
         // Positions, of which some instances are told at once, come after it.
         self.tell_rows();
         let current = Sent {
@@ -266,6 +267,19 @@
         }
     }
 
+    /// Tells it which entries are gone and retained, so that others know when that is over.
+    fn tell_retained(&mut self) {
+        let table = self.tables.get(TARGETS);
+        let untold = table.and_then(|table| self.overlay.untold_retained(&table.replica));
+        let Some(retained) = untold else {
+            return;
+        };
+        let command = PeerCommand::SetRetained(retained.clone());
+        if self.outputs.peers.try_send(command).is_ok() {
+            self.overlay.told_retained = retained;
+        }
+    }
+
     /// Publishes the tables for other instances, if they were told of later positions than those of the
     /// published ones.
     fn hand_out_tables(&self, reported: &[u64]) {
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -10,7 +10,7 @@
 use crate::message::{PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
-pub const OWN_FORMAT: u32 = 9;
+pub const OWN_FORMAT: u32 = 10;
 /// Format in which heartbeats end with the positions of tables, and reports of rates don't exist. Its
 /// calls over TCP have another opening, so none are made to instances that speak it.
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
@@ -29,6 +29,8 @@
 const FORMAT_WITHOUT_READS: u32 = 7;
 /// Format whose heartbeats report no digests of rows.
 const FORMAT_WITHOUT_ROWS: u32 = 8;
+/// Format whose heartbeats don't tell of retained entries.
+const FORMAT_WITHOUT_RETAINED: u32 = 9;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
@@ -36,8 +38,10 @@
 const KINDS_WITHOUT_RATES: [u32; 6] = [0, 1, 2, 3, 5, 6];
 /// Bytes by which a heartbeat of an earlier format is extended, more than it can lack.
 const MAX_LACKING_BYTES: usize = 16;
-/// Bytes that a heartbeat of [`FORMAT_WITHOUT_ROWS`] lacks: an empty list.
-const ROWS_BYTES: usize = 1;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_RETAINED`] lacks: an empty list.
+const RETAINED_BYTES: usize = 1;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_ROWS`] lacks: an empty list as well.
+const ROWS_BYTES: usize = 1 + RETAINED_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_READS`] lacks: no report as well.
 const READS_BYTES: usize = 1 + ROWS_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_CHANGES`] lacks: no change, and a time of two numbers as well.
@@ -111,6 +115,7 @@
     let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
     match lacking {
         0 => {}
+        RETAINED_BYTES if heartbeat.format == FORMAT_WITHOUT_RETAINED => {}
         ROWS_BYTES if heartbeat.format == FORMAT_WITHOUT_ROWS => {}
         READS_BYTES if heartbeat.format == FORMAT_WITHOUT_READS => {}
         CHANGE_BYTES if heartbeat.format == FORMAT_WITHOUT_CHANGES => {}
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
-use coord::{Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan, RowsReport};
+use coord::{
+    Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan, RetainedEntry, RowsReport,
+};
 use dispatch::{ConnectionLoss, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
@@ -87,6 +89,17 @@
     pub reads: Option<ReadsReport>,
     /// The rows of the followed tables, in the tables' order; `None` where they aren't known to be exact.
     pub rows: Vec<Option<RowsReport>>,
+    /// Targets whose entries are gone and which the sender retains for some time.
+    pub retained: Vec<RetainedReport>,
+}
+
+/// Reports that an entry is gone, and for how long the sender retains it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetainedReport {
+    /// What others are to know once that is over.
+    pub departure: Departure,
+    /// Time that is left.
+    pub remaining: Duration,
 }
 
 /// Reports whether an instance reads a table of the platform itself.
@@ -187,6 +200,8 @@
     },
     /// Sets the targets that have left by rows that others may lack, the newest first.
     SetDepartures(Arc<Vec<Departure>>),
+    /// Sets the entries that are gone and retained for some time.
+    SetRetained(Arc<Vec<RetainedEntry>>),
     /// Sets what heartbeats report of the rows of the followed tables, in the tables' order.
     SetRows(Vec<Option<RowsReport>>),
     /// Sets the workspaces that this instance owns, with the epochs of the ownership.
@@ -243,6 +258,13 @@
         /// The departures.
         departures: Vec<Departure>,
     },
+    /// Another instance retains entries of targets that are gone, by the rows that it has reported.
+    PeerRetained {
+        /// Instance that sent the heartbeat.
+        from: InstanceId,
+        /// The entries.
+        entries: Vec<RetainedEntry>,
+    },
     /// Another instance reported its rows in a heartbeat.
     PeerRows {
         /// Instance that sent the heartbeat.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -12,7 +12,7 @@
 };
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Departure, Head, Heartbeat, ListEntry, Membership};
+use coord::{Departure, Head, Heartbeat, ListEntry, Membership, RetainedEntry};
 use entry::{message::Event, view::Clock};
 use tokio::{
     net::UdpSocket,
@@ -72,6 +72,8 @@
     own_reads: Option<OwnReads>,
     /// Targets that have left lately, the newest first.
     departures: Arc<Vec<Departure>>,
+    /// Entries that are gone and retained for some time.
+    retained: Arc<Vec<RetainedEntry>>,
     /// Messages that could not be read, by sender and kind.
     unread: BTreeMap<(InstanceId, u32), u64>,
     published_at: Time,
@@ -107,6 +109,7 @@
             known_change: None,
             own_reads: None,
             departures: Arc::default(),
+            retained: Arc::default(),
             unread: BTreeMap::new(),
             published_at: Time::ZERO,
             is_unpublished: false,
@@ -187,6 +190,7 @@
                 }
             }
             PeerCommand::SetDepartures(departures) => self.departures = departures,
+            PeerCommand::SetRetained(retained) => self.retained = retained,
             PeerCommand::SetRows(rows) => self.own_heartbeat.rows = rows,
             PeerCommand::SetOwnedWorkspaces(owned) => {
                 self.own_heartbeat.owned_workspaces = owned;
@@ -267,5 +271,6 @@
         ack_age: Duration::ZERO,
         reads: None,
         rows: Vec::new(),
+        retained: Vec::new(),
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -1,13 +1,13 @@
 //! What other instances send: each message goes to the task that handles it.
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Departure, OwnerId, RowsReport};
+use coord::{Departure, OwnerId, RetainedEntry, RowsReport};
 use entry::message::Event;
 
 use super::Peers;
 use crate::{
     format::{self, FORMAT_WITHOUT_CHANGES, OWN_FORMAT, UnreadMessage},
-    message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, TableChange},
+    message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport, TableChange},
     owners::OwnersMessage,
 };
 
@@ -138,6 +138,7 @@
 
     async fn handle_heartbeat(&mut self, from: &InstanceId, mut heartbeat: PeerHeartbeat) {
         let departures = std::mem::take(&mut heartbeat.departures);
+        let retained = std::mem::take(&mut heartbeat.retained);
         let rows = std::mem::take(&mut heartbeat.rows);
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             let now = self.clock.now();
@@ -145,6 +146,7 @@
             self.ways.insert(from.clone(), now - not_before);
             self.membership.on_heartbeat(not_before, &heartbeat.status);
             self.forward_to_follower(from, &heartbeat, departures, not_before);
+            self.forward_retained(from, retained, not_before);
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
@@ -200,6 +202,23 @@
         let _ = self.outputs.follower.try_send(message);
     }
 
+    /// Forwards the entries that the sender retains, which come after its positions.
+    fn forward_retained(&self, from: &InstanceId, retained: Vec<RetainedReport>, not_before: Time) {
+        if retained.is_empty() {
+            return;
+        }
+        let entries = retained.into_iter().map(|report| RetainedEntry {
+            target: report.departure.target,
+            position: report.departure.position,
+            until: not_before + report.remaining,
+        });
+        let message = FollowerMessage::PeerRetained {
+            from: from.clone(),
+            entries: entries.collect(),
+        };
+        let _ = self.outputs.follower.try_send(message);
+    }
+
     /// Forwards what the sender reports of its rows. That holds however old the heartbeat is.
     fn forward_rows(&self, from: &InstanceId, rows: Vec<Option<RowsReport>>) {
         if !rows.is_empty() {
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use base::{InstanceId, Time};
-use coord::{Departure, Heartbeat, Presence, lacking};
+use coord::{Departure, Heartbeat, Presence, lacking, retained_in_turns};
 use rand::seq::IndexedRandom;
 
 use super::Peers;
 use crate::{
     follower::tables::TARGETS,
     format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport},
 };
 
 /// Number of instances that are notified at once of a table's new position; the others receive it with
@@ -135,6 +135,7 @@
             status,
             ack: heard.map_or(0, |heartbeat| heartbeat.sequence),
             departures: self.departures_for(to),
+            retained: self.retained_for(to, now),
             change: self.known_change.map(|change| ChangeReport {
                 position: change.position,
                 is_arriving: change.is_arriving,
@@ -160,6 +161,30 @@
         }
     }
 
+    /// Returns the entries that are gone and retained beyond `now`, for an instance that lacks their removal, or that may
+    /// retain them as well while its own reads fail.
+    fn retained_for(&self, to: &InstanceId, now: Time) -> Vec<RetainedReport> {
+        let own_position = self.own_heartbeat.table_positions.get(TARGETS);
+        let reads_them = self.last_heartbeats.get(to).is_some_and(|heard| {
+            let is_reading = heard.reads.is_some_and(|reads| !reads.is_failing);
+            is_reading && heard.table_positions.get(TARGETS) >= own_position
+        });
+        if reads_them {
+            return Vec::new();
+        }
+        let entries = retained_in_turns(&self.retained, self.own_heartbeat.sequence);
+        let entries = entries.into_iter().filter(|entry| entry.until > now);
+        entries
+            .map(|entry| RetainedReport {
+                departure: Departure {
+                    target: entry.target,
+                    position: entry.position,
+                },
+                remaining: entry.until - now,
+            })
+            .collect()
+    }
+
     /// Sends a message; a heartbeat goes before the first one to each incarnation, which can't read it
     /// without knowing the format.
     pub(super) async fn send(&mut self, to: &InstanceId, message: &PeerMessage) {
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -21,7 +21,7 @@
 
 use base::{Config, InstanceId, Registration, Service, Target, TargetId, Time};
 use call::read_of;
-use coord::{Departure, ListEntry, Membership, Replica, lacking};
+use coord::{Departure, ListEntry, Membership, Replica, RetainedEntry, lacking, retained_in_turns};
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
@@ -349,6 +349,7 @@
     change: Option<TableChange>,
     reads: Option<OwnReads>,
     departures: Arc<Vec<Departure>>,
+    retained: Arc<Vec<RetainedEntry>>,
 }
 
 /// A follower, and what it says to others and to the engine.
@@ -445,6 +446,7 @@
                     told.confirmed_at = confirmed_at;
                 }
                 PeerCommand::SetDepartures(departures) => told.departures = departures,
+                PeerCommand::SetRetained(retained) => told.retained = retained,
                 _ => {}
             });
         }
@@ -521,9 +523,18 @@
         change: source.change,
         reads: source.reads,
     };
+    let entries = retained_in_turns(&source.retained, number);
+    let retained = (!entries.is_empty()).then_some(FollowerMessage::PeerRetained {
+        from: from.clone(),
+        entries,
+    });
     let departures =
         (!departures.is_empty()).then_some(FollowerMessage::PeerDepartures { from, departures });
-    [positions].into_iter().chain(departures).collect()
+    [positions]
+        .into_iter()
+        .chain(departures)
+        .chain(retained)
+        .collect()
 }
 
 /// Which targets get requests at a time.
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -9,10 +9,10 @@
 use std::{fs, path::PathBuf, time::Duration};
 
 use base::{Incarnation, Time};
-use coord::{Departure, Replica, RowsReport};
+use coord::{Departure, Replica, RetainedEntry, RowsReport};
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport},
     rpc::{Call, Opening, Reply},
 };
 use dispatch::{Hold, QuarantineReport, RateReport};
@@ -53,6 +53,8 @@
 const FORMAT_WITH_READS: u32 = 8;
 /// First format whose heartbeats report the sender's rows.
 const FORMAT_WITH_ROWS: u32 = 9;
+/// First format whose heartbeats tell of retained entries.
+const FORMAT_WITH_RETAINED: u32 = 10;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -131,6 +133,19 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns a heartbeat of an instance that retains an entry after an outage.
+fn retained() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.retained = vec![RetainedReport {
+        departure: Departure {
+            target: "t1".into(),
+            position: 70_001,
+        },
+        remaining: Duration::from_millis(1_790),
+    }];
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -153,6 +168,7 @@
         ("heartbeat-change", change()),
         ("heartbeat-reads", reads()),
         ("heartbeat-rows", rows_of_tables()),
+        ("heartbeat-retained", retained()),
     ];
     let others = others.chain(heartbeats);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
@@ -179,6 +195,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -234,7 +251,15 @@
     }
     if format >= FORMAT_WITH_ROWS {
         let read = decode(&sample(format, "heartbeat-rows"), None);
-        assert_eq!(read, Ok(rows_of_tables()));
+        let PeerMessage::Heartbeat(mut expected) = rows_of_tables() else {
+            panic!();
+        };
+        expected.format = format;
+        assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
+    }
+    if format >= FORMAT_WITH_RETAINED {
+        let read = decode(&sample(format, "heartbeat-retained"), None);
+        assert_eq!(read, Ok(retained()));
     }
 }
 
@@ -285,11 +310,33 @@
     assert!(sent.starts_with(&sample(8, "heartbeat")));
 }
 
+/// As above, for a build that doesn't know of retained entries.
+#[test]
+fn retained_are_behind_what_older_read() {
+    let PeerMessage::Heartbeat(mut heartbeat) = retained() else {
+        panic!();
+    };
+    heartbeat.format = 9;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), 9).unwrap();
+    assert!(sent.starts_with(&sample(9, "heartbeat")));
+}
+
+/// Guards against retained entries of which a part is cut off: such a heartbeat is none of an earlier format.
+#[test]
+fn cut_retained_are_not_read() {
+    let whole = sample(OWN_FORMAT, "heartbeat-retained");
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    for lacking in 1..=reported {
+        let read = decode(&whole[..whole.len() - lacking], None);
+        assert!(read.is_err(), "{lacking}: {read:?}");
+    }
+}
+
 /// Guards against a report of rows of which a part is cut off: such a heartbeat is none of an earlier format.
 #[test]
 fn cut_rows_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-rows");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 1;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 2;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -300,7 +347,7 @@
 #[test]
 fn cut_reads_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-reads");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 2;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 3;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -311,7 +358,7 @@
 #[test]
 fn cut_change_is_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-change");
-    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 5;
+    let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 6;
     for lacking in 1..=reported {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -323,7 +370,7 @@
 fn cut_departures_are_not_read() {
     let whole = sample(OWN_FORMAT, "heartbeat-departure");
     // An empty list, and the fields behind it.
-    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 6;
+    let listed = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + 7;
     for lacking in 1..=listed {
         let read = decode(&whole[..whole.len() - lacking], None);
         assert!(read.is_err(), "{lacking}: {read:?}");
@@ -377,6 +424,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -405,6 +453,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -423,6 +472,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -477,6 +527,7 @@
 #[case::without_changes(6, 3)]
 #[case::without_reads(7, 3)]
 #[case::without_rows(8, 3)]
+#[case::without_retained(9, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -494,6 +545,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -531,7 +583,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 10 can't be read by format 9"
+        "a message of kind 77 in format 11 can't be read by format 10"
     );
 }
 
@@ -579,7 +631,8 @@
 #[case::without_changes(6, &[8, 9])]
 #[case::without_reads(7, &[11, 12])]
 #[case::without_rows(8, &[12, 13])]
-#[case::own(OWN_FORMAT, &[13, 14])]
+#[case::without_retained(9, &[13, 14])]
+#[case::own(OWN_FORMAT, &[14, 15])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
@@ -622,6 +675,21 @@
     heartbeat.departures = coord::lacking(&departures.newest_first(), 1, 7);
     assert!(!heartbeat.departures.is_empty());
     heartbeat.rows = vec![Some(rows_report(u64::MAX, u64::MAX)); 2];
+    let entries = (0..512).map(|number| RetainedEntry {
+        target: name(number).as_str().into(),
+        position: u64::MAX,
+        until: Time::from_secs(1),
+    });
+    let entries = coord::retained_in_turns(&entries.collect::<Vec<_>>(), 7);
+    assert!(!entries.is_empty());
+    let reports = entries.into_iter().map(|entry| RetainedReport {
+        departure: Departure {
+            target: entry.target,
+            position: entry.position,
+        },
+        remaining: Duration::MAX,
+    });
+    heartbeat.retained = reports.collect();
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
     let content = encode(&message, OWN_FORMAT).unwrap();
     let mut sender = Sessions::new(secret(), "i1".into(), Incarnation(7));
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -9,12 +9,15 @@
 };
 
 use base::{Incarnation, InstanceId, Time};
-use coord::{Departure, Heartbeat, ListEntry, Membership, RowsDigest, RowsReport};
+use coord::{Departure, Heartbeat, ListEntry, Membership, RetainedEntry, RowsDigest, RowsReport};
 use daemon::{
     fleet::Fleet,
     fleet::HEARTBEAT_INTERVAL,
     format::OWN_FORMAT,
-    message::{ChangeReport, FollowerMessage, ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage},
+    message::{
+        ChangeReport, FollowerMessage, ListedPeer, PeerCommand, PeerHeartbeat, PeerMessage,
+        ReadsReport, RetainedReport,
+    },
     owners::OwnersMessage,
     peers::{Outputs, Peers, initial_heartbeat},
 };
@@ -289,6 +292,110 @@
     assert_eq!(told, expected);
 }
 
+/// Guards against DRAIN: an instance that the store turns away heard of an entry that another one retained only after that,
+/// with a heartbeat; and against bytes for those that read the rows themselves.
+#[rstest]
+#[case::lacks_the_removal(Some(false), 4, true)]
+#[case::reads_the_rows(Some(false), 7, false)]
+#[case::is_turned_away(Some(true), 7, true)]
+#[case::of_a_build_that_does_not_say(None, 7, true)]
+#[tokio::test]
+async fn retained_entries_are_told_with_the_time_that_is_left(
+    #[case] is_failing: Option<bool>,
+    #[case] position: u64,
+    #[case] is_told: bool,
+) {
+    const RETAINED: Duration = Duration::from_secs(30);
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+    message.table_positions = vec![1, position];
+    message.reads = is_failing.map(|is_failing| ReadsReport {
+        contact_age: Duration::ZERO,
+        is_failing,
+    });
+    neighbourhood.next_sequence(&id).await;
+    neighbourhood.send(&id, message).await;
+    let mut fleet = neighbourhood.fleet.clone();
+    let is_heard = |fleet: &Arc<Fleet>| fleet.members.values().any(|one| one.entry.is_some());
+    fleet.wait_for(is_heard).await.unwrap();
+    let told_at = neighbourhood.clock.now();
+    let entry = RetainedEntry {
+        target: "t1".into(),
+        position: 7,
+        until: told_at + RETAINED,
+    };
+    for command in [
+        PeerCommand::SetRetained(Arc::new(vec![entry])),
+        PeerCommand::SetTablePositions {
+            positions: vec![1, 7],
+            confirmed_at: None,
+            change: None,
+            reads: None,
+        },
+    ] {
+        neighbourhood.peers.send(command).await.unwrap();
+    }
+    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+    let told = loop {
+        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
+        let opened = sessions.open(&buf[..len]).unwrap();
+        if let PeerMessage::Heartbeat(heartbeat) = opened.message
+            && heartbeat.table_positions == [1, 7]
+        {
+            break heartbeat.retained;
+        }
+    };
+    let since = neighbourhood.clock.now() - told_at;
+    assert_eq!(!told.is_empty(), is_told);
+    for report in told {
+        let target = report.departure.target.as_str();
+        assert_eq!((target, report.departure.position), ("t1", 7));
+        let remaining = report.remaining;
+        assert!(
+            remaining <= RETAINED && remaining + since >= RETAINED,
+            "{remaining:?}, told within {since:?}"
+        );
+    }
+}
+
+/// Guards against DRAIN: the time for which another instance retains an entry counted from when its heartbeat arrived.
+#[tokio::test]
+async fn retained_entry_is_dated_by_when_its_heartbeat_was_sent() {
+    const WAY: Duration = Duration::from_millis(400);
+    const REMAINING: Duration = Duration::from_secs(1);
+    let id = InstanceId::from("i0");
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let ack = neighbourhood.next_sequence(&id).await;
+    let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
+    message.ack = ack;
+    message.table_positions = vec![7, 7];
+    message.retained = vec![RetainedReport {
+        departure: Departure {
+            target: "t1".into(),
+            position: 7,
+        },
+        remaining: REMAINING,
+    }];
+    let sent_at = neighbourhood.clock.now();
+    sleep(WAY).await;
+    neighbourhood.send(&id, message).await;
+    let entries = loop {
+        let received = timeout(READ_WITHIN, neighbourhood.follower.recv()).await;
+        match received.unwrap() {
+            Some(FollowerMessage::PeerRetained { from, entries }) if from == id => break entries,
+            Some(_) => {}
+            None => panic!(),
+        }
+    };
+    let [entry] = &entries[..] else {
+        panic!("{entries:?}");
+    };
+    assert_eq!((entry.target.as_str(), entry.position), ("t1", 7));
+    assert!(entry.until <= sent_at + REMAINING, "{entry:?}, {sent_at:?}");
+}
+
 /// Guards against CONFIG: a datagram with a new position that was lost left the receiver without it until the next
 /// regular heartbeat.
 #[rstest]
@@ -628,8 +735,8 @@
             encode(&heartbeat)
         }
         Fault::CutOff => {
-            // Without the rows, reads, change, departures, build, format and path it is one of an earlier format.
-            let lacking = heartbeat.build.len() + 8;
+            // Without the retained entries, rows, reads, change, departures, build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 9;
             let whole = encode(&heartbeat);
             loop {
                 let cut = rng.random_range(1..whole.len());
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -236,6 +236,7 @@
         ack_age: Duration::ZERO,
         reads: None,
         rows: Vec::new(),
+        retained: Vec::new(),
         has_target_path: true,
         format: 3,
         build: "0.1.0".to_owned(),
