merge: a retained entry is told with the time that is left (format 10)

The retention's end stands in tables/refresh.rs, as what is done at times; the test of cut fields has a case for the new one.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -286,6 +286,12 @@
                 reported.on_report(now, table.replica.position(), &departures);
                 return self.overlay_departures(now, NewsSource::Departures(from));
             }
+            FollowerMessage::PeerRetained { from, entries } => {
+                if let Some(table) = self.tables.get(TARGETS) {
+                    self.overlay.on_retained(now, &table.replica, &entries);
+                }
+                return self.end_retention(now, NewsSource::Departures(from));
+            }
             FollowerMessage::PeerPositions {
                 from,
                 positions,
@@ -302,6 +308,7 @@
                 }
                 if let Some(position) = positions.get(TARGETS) {
                     self.targets_lag.on_report(now, *position);
+                    self.overlay.reported.on_later_rows(*position);
                 }
                 for (table, position) in self.tables.iter_mut().zip(positions) {
                     if let Some(rank) = rank {
--- a/crates/daemon/src/follower/tables/refresh.rs
+++ b/crates/daemon/src/follower/tables/refresh.rs
@@ -56,6 +56,7 @@
             table.start_fetch(now, from, source, tx.clone());
         }
         self.check_rows(now);
+        self.end_retention(now, NewsSource::GracePeriod);
         if is_changed {
             if let Some(table) = self.tables.get(TARGETS) {
                 self.overlay.on_replica(&table.replica);
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Takes the targets out of service whose entries are no longer retained by others, and returns whether there are any.
+    pub(super) fn end_retention(&mut self, now: Time, source: NewsSource) -> bool {
+        self.overlay.reported.end_retention(now) && self.overlay_departures(now, source)
+    }
+
     /// Returns when [`Self::refresh`] is due after a last one at `refreshed_at`.
     pub(super) fn next_refresh(&self, refreshed_at: Time) -> Time {
         let due = self.tables.iter().flat_map(|table| {
@@ -80,6 +86,7 @@
             let fetch = table.catch_up.next_at();
             expiry.into_iter().chain(whole).chain(fetch)
         });
+        let due = due.chain(self.overlay.reported.retention_ends_at());
         let usual = refreshed_at + REFRESH_INTERVAL;
         due.fold(usual, Time::min).max(refreshed_at)
     }
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -9,10 +9,10 @@
 use std::{fs, path::PathBuf, time::Duration};
 
 use base::{Incarnation, Time};
-use coord::{Departure, Replica, RowsReport};
+use coord::{Departure, Replica, RetainedEntry, RowsReport};
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport},
     rpc::{Call, Opening, Reply},
 };
 use dispatch::{Hold, QuarantineReport, RateReport};
@@ -53,6 +53,8 @@
 const FORMAT_WITH_READS: u32 = 8;
 /// First format whose heartbeats report the sender's rows.
 const FORMAT_WITH_ROWS: u32 = 9;
+/// First format whose heartbeats tell of retained entries.
+const FORMAT_WITH_RETAINED: u32 = 10;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -131,6 +133,19 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns a heartbeat of an instance that retains an entry after an outage.
+fn retained() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.retained = vec![RetainedReport {
+        departure: Departure {
+            target: "t1".into(),
+            position: 70_001,
+        },
+        remaining: Duration::from_millis(1_790),
+    }];
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -153,6 +168,7 @@
         ("heartbeat-change", change()),
         ("heartbeat-reads", reads()),
         ("heartbeat-rows", rows_of_tables()),
+        ("heartbeat-retained", retained()),
     ];
     let others = others.chain(heartbeats);
     let others = others.map(|(name, message)| (name, postcard::to_stdvec(&message).unwrap()));
@@ -179,6 +195,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -234,7 +251,15 @@
     }
     if format >= FORMAT_WITH_ROWS {
         let read = decode(&sample(format, "heartbeat-rows"), None);
-        assert_eq!(read, Ok(rows_of_tables()));
+        let PeerMessage::Heartbeat(mut expected) = rows_of_tables() else {
+            panic!();
+        };
+        expected.format = format;
+        assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
+    }
+    if format >= FORMAT_WITH_RETAINED {
+        let read = decode(&sample(format, "heartbeat-retained"), None);
+        assert_eq!(read, Ok(retained()));
     }
 }
 
@@ -285,13 +310,25 @@
     assert!(sent.starts_with(&sample(8, "heartbeat")));
 }
 
+/// As above, for a build that doesn't know of retained entries.
+#[test]
+fn retained_are_behind_what_older_read() {
+    let PeerMessage::Heartbeat(mut heartbeat) = retained() else {
+        panic!();
+    };
+    heartbeat.format = 9;
+    let sent = encode(&PeerMessage::Heartbeat(heartbeat), 9).unwrap();
+    assert!(sent.starts_with(&sample(9, "heartbeat")));
+}
+
 /// Guards against a heartbeat of which a part is cut off: such a heartbeat is none of an earlier format. A plain one has
 /// `plain_bytes` for the field and those behind it.
 #[rstest]
-#[case::rows("heartbeat-rows", 1)]
-#[case::reads("heartbeat-reads", 2)]
-#[case::change("heartbeat-change", 5)]
-#[case::departures("heartbeat-departure", 6)]
+#[case::retained("heartbeat-retained", 1)]
+#[case::rows("heartbeat-rows", 2)]
+#[case::reads("heartbeat-reads", 3)]
+#[case::change("heartbeat-change", 6)]
+#[case::departures("heartbeat-departure", 7)]
 fn cut_field_is_not_read(#[case] name: &str, #[case] plain_bytes: usize) {
     let whole = sample(OWN_FORMAT, name);
     let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + plain_bytes;
@@ -348,6 +385,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 fn earlier_formats_are_sent(#[case] format: u32) {
     for (name, mut message) in samples::messages() {
         let known = sample(format, name);
@@ -376,6 +414,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -394,6 +433,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -448,6 +488,7 @@
 #[case::without_changes(6, 3)]
 #[case::without_reads(7, 3)]
 #[case::without_rows(8, 3)]
+#[case::without_retained(9, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -465,6 +506,7 @@
 #[case::without_changes(6)]
 #[case::without_reads(7)]
 #[case::without_rows(8)]
+#[case::without_retained(9)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -502,7 +544,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 10 can't be read by format 9"
+        "a message of kind 77 in format 11 can't be read by format 10"
     );
 }
 
@@ -550,7 +592,8 @@
 #[case::without_changes(6, &[8, 9])]
 #[case::without_reads(7, &[11, 12])]
 #[case::without_rows(8, &[12, 13])]
-#[case::own(OWN_FORMAT, &[13, 14])]
+#[case::without_retained(9, &[13, 14])]
+#[case::own(OWN_FORMAT, &[14, 15])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
@@ -593,6 +636,21 @@
     heartbeat.departures = coord::lacking(&departures.newest_first(), 1, 7);
     assert!(!heartbeat.departures.is_empty());
     heartbeat.rows = vec![Some(rows_report(u64::MAX, u64::MAX)); 2];
+    let entries = (0..512).map(|number| RetainedEntry {
+        target: name(number).as_str().into(),
+        position: u64::MAX,
+        until: Time::from_secs(1),
+    });
+    let entries = coord::retained_in_turns(&entries.collect::<Vec<_>>(), 7);
+    assert!(!entries.is_empty());
+    let reports = entries.into_iter().map(|entry| RetainedReport {
+        departure: Departure {
+            target: entry.target,
+            position: entry.position,
+        },
+        remaining: Duration::MAX,
+    });
+    heartbeat.retained = reports.collect();
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
     let content = encode(&message, OWN_FORMAT).unwrap();
     let mut sender = Sessions::new(secret(), "i1".into(), Incarnation(7));
