fix(coord,daemon): a departure is told to who may retain the entry

What callers saw (DRAIN): an instance that the store turns away, and which had fetched the rows without an entry, went on sending to that target for 1.8 s, although others knew that it had left.

Cause: departures were told only to instances with an earlier position, and believed only if later than the own one. A receiver that believes in an outage retains what a fetch lacks, and its position is the later one then.

The receiver measures one of an entry that it retains by the entry's last change, not by its own position: a later departure is of the same life; an earlier one, of a name that came back, says nothing (case_2_of_an_earlier_life). The same now holds for entries that others retain.

Price, not measured: up to 900 bytes in heartbeats to instances that are turned away.

--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -176,19 +176,10 @@
         }
     }
 
-    /// Records entries that another instance retains, where the own rows are older or `is_retained` here as well.
-    pub fn on_retained<F>(
-        &mut self,
-        now: Time,
-        own_position: u64,
-        is_retained: F,
-        entries: &[RetainedEntry],
-    ) where
-        F: Fn(&TargetId) -> bool,
-    {
-        let lacking =
-            |one: &&RetainedEntry| one.position > own_position || is_retained(&one.target);
-        for entry in entries.iter().filter(lacking) {
+    /// Records entries that another instance retains by rows that are later than the own position.
+    pub fn on_retained(&mut self, now: Time, own_position: u64, entries: &[RetainedEntry]) {
+        let later = entries.iter();
+        for entry in later.filter(|entry| entry.position > own_position) {
             match self.reports.get_mut(&entry.target) {
                 Some(known) if known.retained_until.is_none() && !known.is_refuted => {}
                 Some(known) if known.position >= entry.position => {
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -178,6 +178,13 @@
         self.retained.contains_key(name)
     }
 
+    /// Returns the position up to which what is told of a row is old: that of its last change if it is retained, else the
+    /// replica's.
+    pub fn position_for(&self, name: &str) -> u64 {
+        let retained = self.retained.get(name);
+        retained.map_or(self.snapshot.position, |(row, _)| row.position)
+    }
+
     /// Returns the names of the deleted rows that are retained, with the times until which they are.
     pub fn retained_until(&self) -> impl Iterator<Item = (&str, Time)> {
         let retained = self.retained.iter();
--- a/crates/coord/tests/departures.rs
+++ b/crates/coord/tests/departures.rs
@@ -134,7 +134,7 @@
     let now = Time::from_secs(1);
     let (later, earlier) = (retained("t1", 7, 3_000), retained("t1", 7, 2_800));
     for entry in [later.clone(), earlier, later] {
-        reported.on_retained(now, 6, |_| false, &[entry]);
+        reported.on_retained(now, 6, &[entry]);
     }
     assert_eq!(reported.retention_ends_at(), Some(Time::from_millis(2_800)));
     assert!(!reported.end_retention(Time::from_millis(2_799)));
@@ -150,10 +150,10 @@
     let mut reported = ReportedDepartures::default();
     let now = Time::from_secs(1);
     let entry = [retained("t1", 7, 3_000)];
-    reported.on_retained(now, 6, |_| false, &entry);
+    reported.on_retained(now, 6, &entry);
     reported.on_report(now, 6, &[left("t1", 7)]);
     assert_eq!(believed(&reported), ["t1"]);
-    reported.on_retained(now, 6, |_| false, &entry);
+    reported.on_retained(now, 6, &entry);
     assert_eq!(believed(&reported), ["t1"]);
 }
 
@@ -163,12 +163,12 @@
 fn retained_entry_is_forgotten_by_later_rows() {
     let mut reported = ReportedDepartures::default();
     let now = Time::from_secs(1);
-    reported.on_retained(now, 6, |_| false, &[retained("t1", 7, 3_000)]);
+    reported.on_retained(now, 6, &[retained("t1", 7, 3_000)]);
     reported.on_later_rows(7);
     assert!(reported.retention_ends_at().is_some());
     reported.on_later_rows(8);
     assert!(!reported.end_retention(Time::from_secs(4)));
-    reported.on_retained(now, 6, |_| false, &[retained("t1", 8, 3_000)]);
+    reported.on_retained(now, 6, &[retained("t1", 8, 3_000)]);
     assert!(reported.end_retention(Time::from_secs(4)));
     reported.on_later_rows(9);
     assert_eq!(believed(&reported), ["t1"], "it has left");
@@ -181,8 +181,9 @@
     let now = Time::from_secs(1);
     let entries = [retained("t1", 7, 3_000), retained("t2", 7, 3_000)];
     let is_retained = |target: &base::TargetId| target.as_str() == "t2";
-    reported.on_retained(now, 7, is_retained, &entries);
-    reported.on_retained(now, 6, |_| false, &entries);
+    reported.on_retained(now, 7, &entries);
+    assert_eq!(reported.retention_ends_at(), None);
+    reported.on_retained(now, 6, &entries);
     reported.on_position(7, is_retained);
     assert!(reported.end_retention(Time::from_secs(4)));
     assert_eq!(believed(&reported), ["t2"], "it is retained here as well");
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -283,8 +283,7 @@
                 let Some(table) = self.tables.get(TARGETS) else {
                     return false;
                 };
-                let reported = &mut self.overlay.reported;
-                reported.on_report(now, table.replica.position(), &departures);
+                self.overlay.on_departures(now, &table.replica, &departures);
                 return self.overlay_departures(now, NewsSource::Departures(from));
             }
             FollowerMessage::PeerRetained { from, entries } => {
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    slice,
     sync::Arc,
     time::Duration,
 };
@@ -174,9 +175,21 @@
 
     /// Records entries that another instance retains.
     pub(super) fn on_retained(&mut self, now: Time, replica: &Replica, entries: &[RetainedEntry]) {
-        let is_retained = |id: &TargetId| replica.is_retained(id.as_str());
-        self.reported
-            .on_retained(now, replica.position(), is_retained, entries);
+        for entry in entries {
+            let own_position = replica.position_for(entry.target.as_str());
+            let entry = slice::from_ref(entry);
+            self.reported.on_retained(now, own_position, entry);
+        }
+    }
+
+    /// Records departures that another instance has reported. Of what is retained here, those of the same life count,
+    /// although the own rows have reached them.
+    pub(super) fn on_departures(&mut self, now: Time, replica: &Replica, departures: &[Departure]) {
+        for departure in departures {
+            let own_position = replica.position_for(departure.target.as_str());
+            let departure = slice::from_ref(departure);
+            self.reported.on_report(now, own_position, departure);
+        }
     }
 
     /// Returns the targets that are out of service by what others have told.
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -150,15 +150,20 @@
         }))
     }
 
-    /// Returns the targets that have left by rows that an instance lacks, by its last heartbeat.
+    /// Returns the targets that have left by rows that an instance lacks, by its last heartbeat, or whose entries it may
+    /// retain, since its own reads fail.
     fn departures_for(&self, to: &InstanceId) -> Vec<Departure> {
         let heard = self.last_heartbeats.get(to);
         let heard = heard.filter(|heartbeat| heartbeat.format > FORMAT_WITHOUT_DEPARTURES);
-        match heard.and_then(|heartbeat| heartbeat.table_positions.get(TARGETS)) {
+        let reads = heard.and_then(|heartbeat| heartbeat.reads);
+        let is_failing = reads.is_some_and(|reads| reads.is_failing);
+        let known = match heard.and_then(|heartbeat| heartbeat.table_positions.get(TARGETS)) {
             // It has read nothing yet.
-            None | Some(0) => Vec::new(),
-            Some(position) => lacking(&self.departures, *position, self.own_heartbeat.sequence),
-        }
+            None | Some(0) => return Vec::new(),
+            Some(_) if is_failing => 0,
+            Some(position) => *position,
+        };
+        lacking(&self.departures, known, self.own_heartbeat.sequence)
     }
 
     /// Returns the entries that are gone and retained beyond `now`, for an instance that lacks their removal, or that may
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -514,7 +514,9 @@
 /// Returns what a heartbeat brings to the follower of its receiver.
 fn heartbeat(from: &InstanceId, number: u64, source: &Told, known: &Told) -> Vec<FollowerMessage> {
     let from = from.clone();
-    let known = known.positions.get(1).copied().unwrap_or(0);
+    let is_failing = known.reads.is_some_and(|reads| reads.is_failing);
+    let position = known.positions.get(1).copied().unwrap_or(0);
+    let known = if is_failing { 0 } else { position };
     let departures = lacking(&source.departures, known, number);
     let positions = FollowerMessage::PeerPositions {
         from: from.clone(),
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -47,6 +47,8 @@
     format: u32,
     /// Table positions that they report.
     positions: Vec<u64>,
+    /// How their own reads stand.
+    reads: Option<ReadsReport>,
     clock: Clock,
     engine: mpsc::UnboundedReceiver<Event>,
     owners: mpsc::Receiver<OwnersMessage>,
@@ -108,6 +110,7 @@
             sequence: 0,
             format: OWN_FORMAT,
             positions: Vec::new(),
+            reads: None,
             clock,
             engine: engine_rx,
             owners: owners_rx,
@@ -198,6 +201,7 @@
             message.sequence = self.sequence;
             message.format = self.format;
             message.table_positions = self.positions.clone();
+            message.reads = self.reads;
             let message = PeerMessage::Heartbeat(Box::new(message));
             let frame = sessions.seal(&OWN_ID.into(), &message).unwrap();
             self.socket.send_to(&frame, self.addr).await.unwrap();
@@ -251,10 +255,37 @@
     #[case] position: u64,
     #[case] expected: &[&str],
 ) {
+    let told = told_departures(format, position, None).await;
+    assert_eq!(told, expected);
+}
+
+/// Guards against DRAIN: an instance that fetched the rows, and retains an entry since it believes in an outage, was told
+/// nothing of the departure.
+#[rstest]
+#[case::reads_the_rows(false, 7, &[])]
+#[case::is_turned_away(true, 7, &["t1", "t2"])]
+#[case::has_read_nothing(true, 0, &[])]
+#[tokio::test]
+async fn departures_are_told_to_those_that_may_retain_the_entries(
+    #[case] is_failing: bool,
+    #[case] position: u64,
+    #[case] expected: &[&str],
+) {
+    let reads = ReadsReport {
+        contact_age: Duration::ZERO,
+        is_failing,
+    };
+    let told = told_departures(OWN_FORMAT, position, Some(reads)).await;
+    assert_eq!(told, expected);
+}
+
+/// Returns the departures that a heartbeat tells to an instance that has sent one itself.
+async fn told_departures(format: u32, position: u64, reads: Option<ReadsReport>) -> Vec<String> {
     let id = InstanceId::from("i0");
     let mut neighbourhood = Neighbourhood::start(1).await;
     neighbourhood.format = format;
     neighbourhood.positions = vec![1, position];
+    neighbourhood.reads = reads;
     neighbourhood
         .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
         .await;
@@ -288,8 +319,7 @@
         }
     };
     let told = heartbeat.departures.iter();
-    let told: Vec<&str> = told.map(|one| one.target.as_str()).collect();
-    assert_eq!(told, expected);
+    told.map(|one| one.target.to_string()).collect()
 }
 
 /// Guards against DRAIN: an instance that the store turns away heard of an entry that another one retained only after that,
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -1,9 +1,9 @@
 //! Entries of targets that are gone by the rows of an instance that reads the platform, which turns this one away.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, Time};
-use coord::{Replica, ReplicaRow, TableSnapshot};
+use base::{Config, Registration, Service, Target, Time};
+use coord::{Departure, Replica, ReplicaRow, TableSnapshot};
 use daemon::{
     fleet::Fleet,
     follower::{
@@ -12,7 +12,10 @@
     },
     message::{FollowerMessage, OwnReads, TableChange},
 };
-use entry::view::{Clock, View};
+use entry::{
+    message::Event,
+    view::{Clock, View},
+};
 use platform::{Change, Platform, PlatformError, Reply};
 use rstest::rstest;
 use tokio::{
@@ -26,12 +29,16 @@
     serve_tables,
 };
 
+/// Target whose entry is removed.
+const GONE: &str = "t2";
 const OPERATOR_POSITION: u64 = 5;
 const BEFORE: u64 = 6;
 const AFTER: u64 = 9;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which the platform has turned this instance away when the entry is removed.
 const TURNED_AWAY_TIME: Duration = Duration::from_secs(3);
+/// Time within which rows that are handed out have been fetched.
+const FETCH_TIME: Duration = Duration::from_millis(600);
 /// Least `drainS`.
 const DRAIN: Duration = Duration::from_secs(2);
 /// Age of what is read all the time.
@@ -47,6 +54,8 @@
     is_failing: bool,
     /// Time from its report of the removal to when the rows can be fetched.
     hands_out_after: Duration,
+    /// Position at which it tells, once the rows have been fetched, that the target has left.
+    tells_at: Option<u64>,
 }
 
 fn targets(position: u64, names: &[&str]) -> TableSnapshot {
@@ -108,6 +117,7 @@
         contact_age: RECENT,
         is_failing: false,
         hands_out_after: Duration::ZERO,
+        tells_at: None,
     };
     let kept = kept_after_report(other).await;
     assert!(kept < DRAIN * 3 / 4, "{kept:?}");
@@ -122,12 +132,35 @@
         contact_age: DRAIN * 3,
         is_failing: true,
         hands_out_after: Duration::from_millis(700),
+        tells_at: None,
     };
     let kept = kept_after_report(other).await;
     assert!(kept < DRAIN, "{kept:?}");
     assert!(kept > DRAIN * 3 / 4, "{kept:?}");
 }
 
+/// Guards against DRAIN: an instance that had fetched the rows without an entry, and retained it, didn't believe others that
+/// no longer did; and against living targets that are out for nothing by a departure of an earlier life.
+#[rstest]
+#[case::of_this_life(AFTER, DRAIN / 2)]
+#[case::of_an_earlier_life(BEFORE - 1, DRAIN)]
+#[tokio::test]
+async fn retained_entry_is_dropped_once_others_tell_that_it_has_left(
+    #[case] position: u64,
+    #[case] max_kept: Duration,
+) {
+    let other = Other {
+        confirmation_age: DRAIN * 3,
+        contact_age: DRAIN * 3,
+        is_failing: true,
+        hands_out_after: Duration::ZERO,
+        tells_at: Some(position),
+    };
+    let kept = kept_after_report(other).await;
+    assert!(kept < max_kept, "{kept:?}");
+    assert!(position > BEFORE || kept > DRAIN * 3 / 4, "{kept:?}");
+}
+
 /// Returns the time from the report that an entry is gone to when this instance puts that in force.
 async fn kept_after_report(other: Other) -> Duration {
     let (addr, served) = serve_tables(vec![operators(), targets(BEFORE, &["t1", "t2"])]).await;
@@ -136,7 +169,7 @@
     fleet.members.insert("i0".into(), source);
     let clock = Clock::start();
     let (_fleet, fleet) = watch::channel(Arc::new(fleet));
-    let (engine, _events) = mpsc::unbounded_channel();
+    let (engine, mut events) = mpsc::unbounded_channel();
     let (peers, mut commands) = mpsc::channel(64);
     let (view, _view) = watch::channel(Arc::new(View::default()));
     let (snapshots, _snapshots) = watch::channel(Arc::default());
@@ -156,7 +189,7 @@
                 Some(ComposedConfig {
                     version: 1,
                     is_latest: true,
-                    config: Config::default(),
+                    config: config_of(replicas[1]),
                 })
             },
         },
@@ -168,6 +201,7 @@
     let (position, reported) = watch::channel(BEFORE);
     let report_now = Arc::new(Notify::new());
     let news = report_now.clone();
+    let (tell, told) = watch::channel(None);
     tokio::spawn(async move {
         let mut tick = interval(HEARTBEAT_INTERVAL);
         loop {
@@ -189,6 +223,20 @@
             if tx.send(report).await.is_err() {
                 return;
             }
+            let Some(position) = *told.borrow() else {
+                continue;
+            };
+            let departure = Departure {
+                target: GONE.into(),
+                position,
+            };
+            let told = FollowerMessage::PeerDepartures {
+                from: "i0".into(),
+                departures: vec![departure],
+            };
+            if tx.send(told).await.is_err() {
+                return;
+            }
         }
     });
     sleep(TURNED_AWAY_TIME).await;
@@ -197,8 +245,57 @@
     let reported_at = Instant::now();
     sleep(other.hands_out_after).await;
     served.send_replace(Arc::new(vec![operators(), targets(AFTER, &["t1"])]));
-    let gone = composed.wait_for(|names| *names == ["t1"]);
-    let gone = timeout(DRAIN * 2, gone).await.map(|_| ());
-    assert_eq!(gone, Ok(()));
+    if other.tells_at.is_some() {
+        sleep(FETCH_TIME).await;
+        tell.send_replace(other.tells_at);
+        report_now.notify_one();
+    }
+    let gone = async {
+        tokio::select! {
+            _ = composed.wait_for(|names| *names == ["t1"]) => {}
+            () = left(&mut events) => {}
+        }
+    };
+    assert_eq!(timeout(DRAIN * 2, gone).await, Ok(()));
     reported_at.elapsed()
 }
+
+/// Waits until the engine is told that the target has left.
+async fn left(events: &mut mpsc::UnboundedReceiver<Event>) {
+    while let Some(event) = events.recv().await {
+        if let Event::TargetsLeft(targets) = event
+            && targets == [GONE.into()]
+        {
+            return;
+        }
+    }
+}
+
+/// Returns a configuration whose only service has the targets of these rows, retained ones included.
+fn config_of(targets: &Replica) -> Config {
+    let targets = targets.rows().map(|(name, _)| {
+        let target = Target {
+            domain: "d".into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+            registered: Some(Registration {
+                slots: 1,
+                is_leaving: false,
+                cold_ms: 0,
+                incarnation: 1,
+            }),
+        };
+        (name.into(), target)
+    });
+    let service = Service {
+        slots: 1,
+        connections: 1,
+        deadline_ms: 10_000,
+        open_routes: Vec::new(),
+        targets: targets.collect(),
+        cold: None,
+    };
+    Config {
+        services: BTreeMap::from([("board".into(), service)]),
+        ..Config::default()
+    }
+}
