fix(dispatch): a page that has just turned deadly explains what is lost with it

Change: the condition is gone. An answer removes what a request has lost before, here and, as it is told, elsewhere; what is left is later than each known answer. An innocent page that lost more incarnations than a deadly one hides it until its next answer, or until it is suspected itself.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -140,7 +140,7 @@
             self.add(now, *loss);
         }
         for loss in losses {
-            self.end_explained(now, loss.target_digest);
+            self.end_explained(loss.target_digest);
         }
         let fingerprints: BTreeSet<u64> = losses.iter().map(|loss| loss.fingerprint).collect();
         fingerprints
@@ -308,7 +308,7 @@
         if self.attribution.tell(now, hold.fingerprint, Told::Again) {
             return false;
         }
-        if self.attribution.is_cleared(now, hold.fingerprint) {
+        if self.attribution.is_cleared(hold.fingerprint) {
             return true;
         }
         self.prune(now);
@@ -324,14 +324,14 @@
     }
 
     /// Ends quarantines that began with the loss of this incarnation if another request explains it now.
-    fn end_explained(&mut self, now: Time, target_digest: u64) {
+    fn end_explained(&mut self, target_digest: u64) {
         let explained: Vec<u64> = self
             .entries
             .iter()
             .filter(|(_, entry)| entry.breaker.is_some())
             .map(|(fingerprint, _)| *fingerprint)
             .filter(|fingerprint| self.attribution.has_lost(*fingerprint, target_digest))
-            .filter(|fingerprint| self.attribution.is_cleared(now, *fingerprint))
+            .filter(|fingerprint| self.attribution.is_cleared(*fingerprint))
             .collect();
         for fingerprint in explained {
             if let Some(entry) = self.entries.get_mut(&fingerprint) {
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -169,7 +169,7 @@
         for (at, losses) in unclear {
             let left: Vec<ConnectionLoss> = losses
                 .iter()
-                .filter(|loss| !self.is_explained(now, loss))
+                .filter(|loss| !self.is_explained(loss))
                 .copied()
                 .collect();
             let targets: BTreeSet<u64> = left.iter().map(|loss| loss.target_digest).collect();
@@ -222,8 +222,8 @@
     }
 
     /// Returns whether there are losses enough for a quarantine, but other requests explain them.
-    pub(super) fn is_cleared(&self, now: Time, fingerprint: u64) -> bool {
-        self.has_enough(fingerprint) && self.unexplained(now, fingerprint) < self.max_losses
+    pub(super) fn is_cleared(&self, fingerprint: u64) -> bool {
+        self.has_enough(fingerprint) && self.unexplained(fingerprint) < self.max_losses
     }
 
     /// Returns whether a request with enough losses is their cause: others have been heard, no recent answer speaks
@@ -253,7 +253,7 @@
         } else {
             self.max_losses
         };
-        !self.is_answered(now, fingerprint) && self.unexplained(now, fingerprint) >= required
+        !self.is_answered(now, fingerprint) && self.unexplained(fingerprint) >= required
     }
 
     fn hears_until(&self, fingerprint: u64) -> Option<Time> {
@@ -303,24 +303,22 @@
     }
 
     /// Returns how many incarnations crashed by this request, unless another one explains them.
-    fn unexplained(&self, now: Time, fingerprint: u64) -> usize {
+    fn unexplained(&self, fingerprint: u64) -> usize {
         let digests = self.losses.get(&fingerprint).into_iter().flatten();
         let losses = digests.map(|digest| ConnectionLoss {
             fingerprint,
             target_digest: *digest,
         });
-        losses.filter(|loss| !self.is_explained(now, loss)).count()
+        losses.filter(|loss| !self.is_explained(loss)).count()
     }
 
-    /// Returns whether another request that lost more incarnations was on this one too, and has no
-    /// recent answer.
-    fn is_explained(&self, now: Time, loss: &ConnectionLoss) -> bool {
+    /// Returns whether another request that lost more incarnations since its last answer was on this one too.
+    fn is_explained(&self, loss: &ConnectionLoss) -> bool {
         let own = self.count(loss.fingerprint).max(1);
         self.losses.iter().any(|(fingerprint, digests)| {
             *fingerprint != loss.fingerprint
                 && digests.len() > own
                 && digests.contains(&loss.target_digest)
-                && !self.is_answered(now, *fingerprint)
         })
     }
 }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -208,6 +208,27 @@
     );
 }
 
+/// Guards against DENIED: a page that had just turned deadly explained no losses for 2 s after its last answer, so
+/// another page that was lost with it was quarantined.
+#[test]
+fn page_that_turns_deadly_explains_what_is_lost_with_it() {
+    const OTHER: u64 = 500;
+    let mut quarantine = Quarantine::new(3, PERIOD);
+    quarantine.record_answer(Time::ZERO, FINGERPRINT);
+    let now = Time::from_secs(1);
+    let deadly = [1, 2, 3, 4].map(loss);
+    let other = [1, 2, 3].map(|target_digest| ConnectionLoss {
+        fingerprint: OTHER,
+        target_digest,
+    });
+    assert!(quarantine.record(now, &deadly).is_empty());
+    assert!(quarantine.record(now, &other).is_empty());
+    assert_eq!(
+        quarantine.begin_due(Time::from_millis(2_500)),
+        [FINGERPRINT]
+    );
+}
+
 fn loss(target_digest: u64) -> ConnectionLoss {
     ConnectionLoss {
         fingerprint: FINGERPRINT,
