feat(entry): line of an attempt that hasn't ended names its carrier

What callers saw: nothing. A request line said by which instance a connection was carried, and whether it was new, only of attempts that had been answered; one that was lost or still open showed `is_new: false` and no `relay`, whatever it was.

Change: the note of an attempt's sending has the carrier and whether the connection was opened for it, beside time and revision; the line takes both from there.

Ruled out: a second note at the end of the attempt, which the open ones never reach.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -195,9 +195,9 @@
         let Some(req) = build_request(template, plan.addr, deadline - clock.now()) else {
             return AttemptResult::failed(Outcome::Unreachable);
         };
-        permit.note_sending(clock.now());
-        connection.last_response_at = started;
         let relay = connection.relay.clone();
+        permit.note_sending(clock.now(), relay.as_ref(), is_new_connection);
+        connection.last_response_at = started;
         let is_direct_and_new = is_new_connection && relay.is_none();
         let connect_time = is_direct_and_new.then(|| clock.now() - started);
         let opened = (connection, started);
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, OnceLock};
 
-use base::{AllowedRegions, RegionId, Time};
+use base::{AllowedRegions, InstanceId, RegionId, Time};
 use tokio::sync::watch;
 
 use crate::connection::Relay;
@@ -38,19 +38,23 @@
 #[derive(Debug, Clone, Default)]
 pub struct SendNote(Arc<OnceLock<Sent>>);
 
-/// Records when an attempt was sent, and by which configuration it was permitted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Records when an attempt was sent, by which configuration it was permitted, and over which connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sent {
     /// Time at which the request was given to an open connection.
     pub at: Time,
     /// Number of the configuration in force by then, counted by this process.
     pub revision: u64,
+    /// Instance that carries the connection, if any.
+    pub relay: Option<InstanceId>,
+    /// Whether the connection was opened for the attempt.
+    pub is_new: bool,
 }
 
 impl SendNote {
     /// Returns when the attempt was sent; `None` if it was not, or not yet.
     pub fn sent(&self) -> Option<Sent> {
-        self.0.get().copied()
+        self.0.get().cloned()
     }
 }
 
@@ -84,11 +88,15 @@
         until.is_none_or(|until| now <= *until.borrow())
     }
 
-    /// Notes that the request is sent at `at`.
-    pub(crate) fn note_sending(&self, at: Time) {
+    /// Notes that the request is sent at `at`, over a connection that was opened for it if `is_new`.
+    pub(crate) fn note_sending(&self, at: Time, relay: Option<&Relay>, is_new: bool) {
         if let Some((note, in_force)) = &self.noted {
-            let revision = *in_force.borrow();
-            let _ = note.0.set(Sent { at, revision });
+            let _ = note.0.set(Sent {
+                at,
+                revision: *in_force.borrow(),
+                relay: relay.map(|relay| relay.instance.clone()),
+                is_new,
+            });
         }
     }
 
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -139,7 +139,7 @@
 }
 
 impl RequestLogState {
-    /// Completes the attempts' lines with when they were sent, also of those that have not ended.
+    /// Completes the attempts' lines with when and how they were sent, also of those that have not ended.
     pub(crate) fn add_sendings(&mut self) {
         for (line, (note, planned_by)) in self.attempts.iter_mut().zip(&self.sendings) {
             let Some(sent) = note.sent() else {
@@ -147,6 +147,8 @@
             };
             line.sent_ms = Some((sent.at - self.started).as_millis() as u64);
             line.sent_revision = (sent.revision != *planned_by).then_some(sent.revision);
+            line.relay = sent.relay.map(|relay| relay.to_string());
+            line.is_new = sent.is_new;
         }
     }
 }
