feat(platform): a small call tells the store's latest position

An instance that is receiving a long answer can't know what has changed since it was made: the position that the answer reaches is known once it is complete, and a poll from an earlier one brings the same document again.

Ruled out: a read of one small row, which not every table has; `rows-feed` from a high position, whose meaning the protocol leaves open.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -260,6 +260,21 @@
         }
     }
 
+    /// Reads the latest position in the history of the platform's tables, by a call that brings no rows of `table`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::call`].
+    pub async fn position(&self, table: &str) -> Result<u64, PlatformError> {
+        let call = Call::Position {
+            table: table.to_owned(),
+        };
+        match self.call(call).await? {
+            Reply::Position(position) => Ok(position),
+            _ => Err(PlatformError::Unavailable),
+        }
+    }
+
     /// Reads the list of live and leaving instances and targets, which lags behind their real state.
     ///
     /// # Errors
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -53,6 +53,11 @@
         /// Maximum time to wait for a change, in milliseconds.
         wait_ms: u64,
     },
+    /// Reads the latest position in the history of the platform's tables, and no rows.
+    Position {
+        /// Table by which the platform is asked.
+        table: String,
+    },
     /// Reads the list of live and leaving machines.
     List,
     /// Adds or updates a machine on the list; the platform does so itself when it starts or stops one.
@@ -81,6 +86,8 @@
     Object(Option<String>),
     /// Changes in order, and the position up to which they are complete.
     Changes(Vec<Change>, u64),
+    /// The latest position.
+    Position(u64),
     /// The listed machines.
     List(Vec<ListedMachine>),
     /// The call was executed and has no other result.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -44,6 +44,7 @@
             Call::Snapshot { table } => Ok(self.changes(&table, 0, false)),
             // Returns at once instead of waiting for a change: a follower polls again.
             Call::Changes { table, after, .. } => Ok(self.changes(&table, after, true)),
+            Call::Position { .. } => Ok(Reply::Position(self.position)),
             Call::List => Ok(Reply::List(self.list.values().cloned().collect())),
             Call::Announce { listed } => {
                 self.list.insert(listed.id.clone(), listed);
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -141,11 +141,14 @@
         let tables = self.tables.lock().unwrap();
         let table = query.get("table").cloned().unwrap_or_default();
         let from = query.get("from").cloned().unwrap_or_default();
+        let target = query.get("target");
         let limit = query.get("limit").and_then(|limit| limit.parse().ok());
         let limit = limit.unwrap_or(ROWS_PER_PAGE).min(ROWS_PER_PAGE);
         let found = tables.rows.range((table.clone(), from)..);
         let mut found: Vec<_> = found
-            .take_while(|((name, _), _)| *name == table)
+            .take_while(|((name, key), _)| {
+                *name == table && target.is_none_or(|target| key < target)
+            })
             .take(limit + 1)
             .collect();
         let has_more = found.len() > limit;
