feat(coord): a lag keeps changes that a read shows without bringing them

A read beside a transfer can show that the state has changed again. Its date must outlive the transfer, which brings an older state, and its answer, which clears what was arriving.

`Lag::on_shown` records a position that such a change has passed, and since when it has been known. It counts until the own copy has a change after that position (`on_last_change`), or a read that was sent later is answered without one; and, where nobody else has it, only while own reads don't fail, so that an outage makes nobody refuse. `on_old_arriving` tells an answer that brings nothing later from a read that failed.

Ruled out: a report of the position after the passed one (`on_report`): an own position beyond it doesn't show that the change is here, since positions count changes of all tables.

--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -111,7 +111,8 @@
 
 /// Tracks since when an instance has known that its copy of a state is not the latest.
 ///
-/// It learns of later changes from reports of other instances, and from an own read whose answer has begun to arrive. A
+/// It learns of later changes from reports of other instances, from an own read whose answer has begun to arrive, and from
+/// another one beside that, which shows that the state has changed again and brings nothing. A
 /// series of versions doesn't restart the time: it counts from the first version that the own copy lacks. If an
 /// own read that was sent after a report returns a lower position, the state has gone back, and the reported
 /// change is no longer expected.
@@ -142,6 +143,19 @@
     gone_to: u64,
     /// Time at which an answer that is still arriving began.
     arriving_since: Option<Time>,
+    /// Changes that reads beside a transfer have shown.
+    shown: Vec<ShownChange>,
+    /// Whether the last own read failed and nothing has arrived since.
+    is_failing: bool,
+}
+
+/// A change that a read has shown without bringing it.
+#[derive(Debug, Clone, Copy)]
+struct ShownChange {
+    /// Position that the change has passed, and since when it has been known.
+    change: KnownChange,
+    /// Time at which it was recorded.
+    at: Time,
 }
 
 impl Lag {
@@ -157,16 +171,46 @@
     pub fn on_arriving(&mut self, begun_at: Time) {
         let earliest = self.arriving_since.map_or(begun_at, |at| at.min(begun_at));
         self.arriving_since = Some(earliest);
+        self.is_failing = false;
+    }
+
+    /// Records that an answer is arriving that may bring nothing later.
+    pub fn on_old_arriving(&mut self) {
+        self.arriving_since = None;
+        self.is_failing = false;
+    }
+
+    /// Records that a read beside a transfer has shown a change after a position. It counts until the own copy has it or a
+    /// later one, or a read that was sent later is answered.
+    pub fn on_shown(&mut self, now: Time, change: KnownChange) {
+        let since = change.since.min(now);
+        let change = KnownChange { since, ..change };
+        let has_room = self.shown.len() < MAX_SHOWN;
+        let mut known = self.shown.iter_mut().map(|shown| &mut shown.change);
+        if let Some(known) = known.find(|known| known.position == change.position) {
+            known.since = known.since.min(since);
+        } else if has_room {
+            // The time counts from the first ones, and few are known at once.
+            self.shown.push(ShownChange { change, at: now });
+        }
+    }
+
+    /// Records the position of the last change that the own copy has.
+    pub fn on_last_change(&mut self, position: u64) {
+        self.shown.retain(|shown| shown.change.position >= position);
     }
 
     /// Records that no answer is arriving any more.
     pub fn on_read_failure(&mut self) {
         self.arriving_since = None;
+        self.is_failing = true;
     }
 
     /// Records the position that an own read has brought, which was sent at `sent_at`.
     pub fn on_read(&mut self, sent_at: Time, position: u64) {
         self.arriving_since = None;
+        self.is_failing = false;
+        self.shown.retain(|shown| shown.at >= sent_at);
         self.on_position(position);
         if let Some(gone) = self.later.forget_before(sent_at) {
             self.gone_to = self.gone_to.max(gone);
@@ -184,11 +228,28 @@
     }
 
     /// Returns since when a later state has been known that can still be obtained: from an own read
-    /// that is arriving, or, if `is_held`, from an instance that has it.
+    /// that is arriving, or, if `is_held`, from an instance that has it. What a read beside a transfer has shown can be
+    /// obtained unless own reads fail.
     pub fn behind_since(&self, is_held: bool) -> Option<Time> {
+        let can_be_had = is_held || self.arriving_since.is_some();
         let reported = self.later.first_after(self.position);
-        let reported = reported.filter(|_| is_held || self.arriving_since.is_some());
-        reported.into_iter().chain(self.arriving_since).min()
+        let reported = reported.filter(|_| can_be_had);
+        let shown = self.shown().filter(|_| can_be_had || !self.is_failing);
+        let shown = shown.map(|change| change.since);
+        let known = reported.into_iter().chain(shown);
+        known.chain(self.arriving_since).min()
+    }
+
+    /// Returns the first change that reads beside a transfer have shown and the own copy lacks, with a position that it
+    /// has passed.
+    pub fn shown(&self) -> Option<KnownChange> {
+        let shown = self.shown.iter().map(|shown| shown.change);
+        shown.min_by_key(|change| change.since)
+    }
+
+    /// Returns whether own reads fail.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing
     }
 
     /// Returns since when an answer has been arriving.
@@ -199,7 +260,10 @@
     /// Returns since when a change at `position` or a later one has been known.
     pub fn known_since(&self, position: u64) -> Option<Time> {
         let reported = self.later.first_after(position.saturating_sub(1));
-        reported.into_iter().chain(self.arriving_since).min()
+        let shown = self.shown.iter().map(|shown| shown.change);
+        let shown = shown.filter(|change| change.position < position);
+        let known = reported.into_iter().chain(shown.map(|change| change.since));
+        known.chain(self.arriving_since).min()
     }
 
     /// Returns the latest position that others have reported and the own copy lacks.
@@ -210,5 +274,7 @@
 
 /// Maximum number of positions that are kept.
 const MAX_TIMES: usize = 32;
+/// Maximum number of changes shown beside transfers that are kept.
+const MAX_SHOWN: usize = 8;
 /// Time within which positions that become known count as known with the first.
 const RESOLUTION: Duration = Duration::from_millis(100);
--- a/crates/coord/tests/lag.rs
+++ b/crates/coord/tests/lag.rs
@@ -163,3 +163,59 @@
     assert_eq!(known.first_after(0), Some(at(200)));
     assert!(known.first_after(99_990) >= Some(at(99_990 * 200)));
 }
+
+/// Guards against CONFIG: a change that a read beside a transfer had shown was forgotten as the transfer was complete, and
+/// dated by the read that brought it.
+#[test]
+fn shown_change_counts_until_it_is_here() {
+    let shown = KnownChange {
+        position: 20,
+        since: at(1_500),
+    };
+    let mut lag = Lag::default();
+    lag.on_arriving(at(1_000));
+    lag.on_shown(at(1_600), shown);
+    assert_eq!(lag.behind_since(false), Some(at(1_000)));
+    // The transfer brings a change before it.
+    assert_eq!(lag.known_since(20), Some(at(1_000)));
+    lag.on_last_change(20);
+    lag.on_read(at(900), 20);
+    assert_eq!(lag.behind_since(false), Some(at(1_500)));
+    lag.on_arriving(at(3_000));
+    assert_eq!(lag.behind_since(false), Some(at(1_500)));
+    assert_eq!(lag.known_since(25), Some(at(1_500)));
+    lag.on_last_change(25);
+    lag.on_read(at(2_900), 26);
+    assert_eq!(lag.behind_since(true), None);
+}
+
+/// Guards against refusals for nothing: a shown change that a later read doesn't bring was undone, and in an outage of the
+/// store nobody can have it.
+#[test]
+fn shown_change_counts_only_while_it_can_be_had() {
+    let shown = KnownChange {
+        position: 20,
+        since: at(1_500),
+    };
+    let mut lag = Lag::default();
+    lag.on_shown(at(1_600), shown);
+    lag.on_read_failure();
+    assert_eq!(lag.behind_since(false), None);
+    assert_eq!(lag.behind_since(true), Some(at(1_500)));
+    lag.on_arriving(at(3_000));
+    assert_eq!(lag.behind_since(false), Some(at(1_500)));
+    lag.on_read(at(2_900), 20);
+    assert_eq!(lag.behind_since(true), None);
+}
+
+/// The dates of shown changes are kept in bounded memory, the first ones of each position.
+#[test]
+fn shown_changes_count_from_the_first_one() {
+    let mut lag = Lag::default();
+    for n in 0..1_000 {
+        let (position, since) = (20 + n % 100, at(5_000 - n));
+        lag.on_shown(at(6_000), KnownChange { position, since });
+    }
+    let first = lag.shown().unwrap();
+    assert!(first.since <= at(5_000 - 900), "{first:?}");
+}
