fix(daemon): a version that follows beside a transfer is dated by reads beside it

Callers were served by a version that had been replaced up to 4.3 s before, 3 s allowed: an instance learned of a version that followed while the one before it was arriving (1.8 or 2.2 s) only by the poll after that, and decided for three quarters of `configApplyS` from there.

Cause: what changes after an answer was made isn't known until the answer is complete, and a poll from the position before it brings the same document again.

Change: beside an answer that has been arriving for 0.1 s the reader sends the small call for the store's position, and a poll from there. The poll's first bytes date the next change (by the small call's way earlier), and it is dropped at once, since its rows can't be applied and share the link. A change between the answer and the small call has the middle of that call as its date, if the next poll brings something while a prompt one from the small call's position is empty. One read at a time for each table, none beside short answers; one that fails or isn't answered has no effect: it confirms nothing, is no failed read, and gives up no other connection. The lag keeps the date until the rows are here; it is reported to others as an arrival after that position, and whoever receives it in place of an earlier arrival keeps that one's date. `TableRead::Later` comes for each followed table; that of targets isn't used yet. Line `table_changed_beside`, field `is_shown_beside` of `config_behind`.

Existing checks are unchanged.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -32,7 +32,7 @@
 use crate::{
     fleet::HEARING_TIME,
     message::{FollowerMessage, OwnReads, TableChange},
-    table_logs::{NewsSource, log_fetch, log_read_failure, log_standstill},
+    table_logs::{NewsSource, log_changed_beside, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
@@ -334,20 +334,6 @@
         true
     }
 
-    /// Returns in which order an instance is asked for tables among others: those in this instance's
-    /// region come first, each reader with its own order of them.
-    fn fetch_rank(&self, from: &InstanceId) -> u64 {
-        const REMOTE: u64 = 1 << 63;
-        let own = &self.options.own_entry;
-        let region_of = |domain| self.own_rows.as_ref()?.region_of(domain);
-        let fleet = self.options.fleet.borrow();
-        let member = fleet.members.get(from);
-        let region = member.and_then(|member| region_of(&member.domain));
-        let is_local = region.is_some() && region == region_of(&own.domain);
-        let draw = rendezvous_draw(own.instance.as_str(), from) & !REMOTE;
-        if is_local { draw } else { draw | REMOTE }
-    }
-
     fn read_timing(&self) -> ReadTiming {
         let timing = self.options.read_timing;
         timing.confirming_within(self.options.apply)
@@ -382,6 +368,13 @@
                 table.parts.on_arriving(now, &arrival, apply);
                 return false;
             }
+            TableRead::Later(later) => {
+                log_changed_beside(now, name, before, &later);
+                if idx == 0 {
+                    self.lateness.on_later(now, later);
+                }
+                return true;
+            }
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{InstanceId, Time};
-use coord::parts::TableCut;
+use coord::{Replica, parts::TableCut, rendezvous_draw};
 use entry::metrics::Metrics;
 use platform::Progress;
 use tokio::sync::mpsc;
 
-use super::{MAX_FETCHES, OpenFetch, PEER_FETCH_DELAYS, Table};
+use super::{ComposedConfig, MAX_FETCHES, OpenFetch, PEER_FETCH_DELAYS, Table, TableFollower};
 use crate::{
     table_fetch::{FetchFault, FetchWay, Fetched, OwnTable, Source, fetch},
     table_reads::{Arrival, Fetch, TableRead},
@@ -157,6 +157,25 @@
     }
 }
 
+impl<F> TableFollower<F>
+where
+    F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
+{
+    /// Returns in which order an instance is asked for tables among others: those in this instance's
+    /// region come first, each reader with its own order of them.
+    pub(super) fn fetch_rank(&self, from: &InstanceId) -> u64 {
+        const REMOTE: u64 = 1 << 63;
+        let own = &self.options.own_entry;
+        let region_of = |domain| self.own_rows.as_ref()?.region_of(domain);
+        let fleet = self.options.fleet.borrow();
+        let member = fleet.members.get(from);
+        let region = member.and_then(|member| region_of(&member.domain));
+        let is_local = region.is_some() && region == region_of(&own.domain);
+        let draw = rendezvous_draw(own.instance.as_str(), from) & !REMOTE;
+        if is_local { draw } else { draw | REMOTE }
+    }
+}
+
 /// Counts an answer that was not what had been asked for.
 pub(super) fn count_fault(metrics: &Metrics, fetched: &Fetched) {
     if fetched.fault.is_some_and(FetchFault::is_bad_content) {
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -10,6 +10,7 @@
     fleet::{Fleet, HEARTBEAT_TIMEOUT},
     message::TableChange,
     table_logs::{Behind, log_behind, log_caught_up},
+    table_reads::LaterChange,
 };
 
 /// Fraction of the time within which a change must be in force for which an instance that knows of a
@@ -25,6 +26,9 @@
 /// ended before.
 const MIN_ARRIVAL: Duration = Duration::from_millis(100);
 
+/// Time for which an answer that is arriving is reported before a later change beside it: two heartbeats.
+const FIRST_REPORT_TIME: Duration = Duration::from_secs(1);
+
 /// The last that another instance has reported.
 #[derive(Debug, Clone, Copy)]
 struct Report {
@@ -54,6 +58,8 @@
     lag: Lag,
     /// Since when a version that the own rows lack has been arriving elsewhere without a break.
     elsewhere_since: Option<Time>,
+    /// Dates of such arrivals in place of which the same instances report later ones.
+    replaced: Lag,
     /// The date of the latest such arrival that an own read has shown to bring nothing.
     refuted: Option<Time>,
     own_position: u64,
@@ -83,6 +89,7 @@
             others_limit: apply.mul_f64(OTHERS_FRACTION),
             lag: Lag::default(),
             elsewhere_since: None,
+            replaced: Lag::default(),
             refuted: None,
             own_position: 0,
             advanced_at: Time::ZERO,
@@ -114,6 +121,7 @@
                 self.lag.on_report(now, KnownChange { position, since });
             }
         }
+        self.on_replaced_arrival(now, from, change);
         let before = self.reported.get(from);
         let report = Report {
             position,
@@ -124,6 +132,23 @@
         self.reported.insert(from.clone(), report);
     }
 
+    /// Keeps the date of what has been arriving at an instance that reports a later change beside it now: its next reports
+    /// have that one's.
+    fn on_replaced_arrival(&mut self, now: Time, from: &InstanceId, change: Option<TableChange>) {
+        let before = self.reported.get(from).and_then(|report| report.change);
+        let is_replaced = |before: &TableChange| {
+            let later = change.filter(|change| change.is_arriving && before.is_arriving);
+            later.is_some_and(|change| change.position > before.position)
+        };
+        let replaced = before.filter(|before| is_replaced(before) && self.lacks(before));
+        if let Some(TableChange {
+            position, since, ..
+        }) = replaced
+        {
+            self.replaced.on_shown(now, KnownChange { position, since });
+        }
+    }
+
     /// Records that a fetch from an instance has brought a later position, which shows it to be alive as a heartbeat does.
     pub(super) fn on_fetched(&mut self, now: Time, from: &InstanceId) {
         if let Some(report) = self.reported.get_mut(from) {
@@ -136,10 +161,16 @@
     pub(super) fn on_arriving(&mut self, begun_at: Option<Time>, after: u64) {
         match begun_at.filter(|_| after >= self.own_position) {
             Some(at) => self.lag.on_arriving(at),
-            None => self.lag.on_read_failure(),
+            None => self.lag.on_old_arriving(),
         }
     }
 
+    /// Records a change that a read beside a transfer has shown.
+    pub(super) fn on_later(&mut self, now: Time, later: LaterChange) {
+        let (position, since) = (later.after, later.since);
+        self.lag.on_shown(now, KnownChange { position, since });
+    }
+
     /// Records that a read has failed.
     pub(super) fn on_read_failure(&mut self) {
         self.lag.on_read_failure();
@@ -153,6 +184,7 @@
             self.is_store_older = true;
         }
         self.lag.on_read(sent_at, position);
+        self.replaced.on_read(sent_at, position);
         // What was arriving elsewhere before this read was sent would have come with it.
         let arriving = self.reported.values().filter_map(|report| {
             let change = report.change?;
@@ -181,17 +213,25 @@
             self.advanced_at = now;
         }
         self.own_changes.record(now, last_change);
+        self.lag.on_last_change(last_change);
+        self.replaced.on_last_change(last_change);
         self.lag.on_position(position);
     }
 
-    /// Returns the latest change of which this instance knows at first hand: one that is still arriving, or the last
-    /// one that its rows have.
+    /// Returns the latest change of which this instance knows at first hand: one that is still arriving or that a read
+    /// beside the transfer has shown, or the last one that its rows have. The one that is arriving is reported first, long
+    /// enough for others to receive it although a heartbeat is lost.
     pub(super) fn known_change(&self, now: Time) -> Option<TableChange> {
         let arriving_since = self.lag.arriving_since();
         let arriving_since = arriving_since.filter(|since| now - *since >= MIN_ARRIVAL);
-        arriving_since
-            .map(|since| TableChange::arriving_after(self.own_position, since))
-            .or(self.own_change)
+        let shown = self.lag.shown().filter(|_| !self.lag.is_failing());
+        let is_first = |since: Time| {
+            shown.is_none_or(|shown| since < shown.since && now - since < FIRST_REPORT_TIME)
+        };
+        let arriving = arriving_since.filter(|since| is_first(*since));
+        let arriving = arriving.map(|since| TableChange::arriving_after(self.own_position, since));
+        let shown = shown.map(|shown| TableChange::arriving_after(shown.position, shown.since));
+        arriving.or(shown).or(self.own_change)
     }
 
     /// Returns since when the latest change that the own rows have has been known, also while it was arriving here or
@@ -211,14 +251,18 @@
             self.elsewhere_since = None;
         }
         let holders = later.len() - receivers;
-        let known_since = self.lag.behind_since(is_fetching || !later.is_empty());
-        let since = known_since.into_iter().chain(self.elsewhere_since).min();
+        let is_held = is_fetching || !later.is_empty();
+        let replaced = self.replaced.shown().filter(|_| is_held);
+        let replaced = replaced.map(|change| change.since);
+        let known_since = self.lag.behind_since(is_held).into_iter().chain(replaced);
+        let since = known_since.chain(self.elsewhere_since).min();
         let behind = Behind {
             known_position: self.lag.latest_report(),
             own_position: self.own_position,
             holders,
             receivers,
             is_arriving: self.lag.arriving_since().is_some(),
+            is_shown_beside: since.is_some() && since == self.lag.shown().map(|shown| shown.since),
         };
         let is_over = since.is_some_and(|since| now - since >= self.limit);
         if is_over && !self.is_logged {
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use entry::metrics::Metrics;
 
-use crate::table_reads::{Fetch, ReadFailure};
+use crate::table_reads::{Fetch, LaterChange, ReadFailure};
 
 /// Maximum number of targets that a line names.
 const MAX_IDS: usize = 16;
@@ -82,6 +82,8 @@
     pub(crate) receivers: usize,
     /// Whether the answer to an own read is arriving.
     pub(crate) is_arriving: bool,
+    /// Whether the time counts from what a read beside a transfer has shown.
+    pub(crate) is_shown_beside: bool,
 }
 
 /// Logs that a later version of the operators' rows has been known for longer than an instance may go on
@@ -95,6 +97,18 @@
         holders = behind.holders,
         receivers = behind.receivers,
         is_arriving = behind.is_arriving,
+        is_shown_beside = behind.is_shown_beside,
+    );
+}
+
+/// Logs that a read beside a transfer has shown a change that the transfer doesn't bring.
+pub(crate) fn log_changed_beside(now: Time, table: &str, own_position: u64, later: &LaterChange) {
+    tracing::info!(
+        event = "table_changed_beside",
+        table,
+        own_position,
+        after = later.after,
+        known_ms = age_ms(now, Some(later.since)),
     );
 }
 
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,5 +1,6 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
+mod beside;
 mod elsewhere;
 mod open_polls;
 mod outcome;
@@ -17,11 +18,17 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use self::open_polls::{OpenPoll, OpenPolls};
 pub use self::timing::ReadTiming;
+use self::{
+    beside::{BesideReads, SideCalls},
+    open_polls::{OpenPoll, OpenPolls},
+};
 pub(crate) use self::{
     elsewhere::FailingElsewhere,
-    outcome::{Arrival, Fetch, PlatformRead, ReadFailure, TableRead, to_row_change, to_snapshot},
+    outcome::{
+        Arrival, Fetch, LaterChange, PlatformRead, ReadFailure, TableRead, to_row_change,
+        to_snapshot,
+    },
 };
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
@@ -63,7 +70,8 @@
 /// A poll of whose answer nothing arrives in time is overtaken by one on a new connection, since its own
 /// may have gone silent for good; if its answer comes after all, it is used. One whose answer is arriving
 /// is waited for, however long that takes, unless most of it is left when rows of a later position than it
-/// asked from have come from another source: the next poll goes on from there.
+/// asked from have come from another source: the next poll goes on from there. Beside it, other calls show whether the
+/// table changes again meanwhile.
 #[derive(Debug)]
 pub(crate) struct TableReader {
     options: ReaderOptions,
@@ -72,6 +80,8 @@
     /// Whether the next poll asks for all rows, whatever the position.
     is_reading_anew: bool,
     polls: JoinSet<PollResult>,
+    beside: BesideReads,
+    side_calls: SideCalls,
     /// What is known of the platform's clock.
     dates: AnswerDates,
     /// Time of the last poll that waited for nothing.
@@ -116,6 +126,12 @@
     pub(crate) fn new(options: ReaderOptions) -> Self {
         let platform = options.platform.timeout(GIVE_UP_TIME);
         let (arrivals_tx, arrivals) = mpsc::channel(MAX_OPEN_POLLS);
+        let side_calls = SideCalls {
+            clock: options.clock,
+            platform: platform.clone(),
+            table: options.table.clone(),
+            timing: options.timing,
+        };
         Self {
             options: ReaderOptions {
                 platform,
@@ -124,6 +140,8 @@
             position: None,
             is_reading_anew: false,
             polls: JoinSet::new(),
+            beside: BesideReads::default(),
+            side_calls,
             dates: AnswerDates::default(),
             prompt_at: Time::ZERO,
             open: OpenPolls::default(),
@@ -144,6 +162,7 @@
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
             let prompt_at = self.next_prompt_at(step);
+            self.beside.end_unless_open(self.open.iter());
             let read = tokio::select! {
                 // What has come is taken before anything counts as silent.
                 biased;
@@ -156,12 +175,16 @@
                     self.open.cancel_overtakers(number);
                     self.end_outdated(&mut step).await;
                     let poll = self.open.iter().find(|poll| poll.number == number);
+                    if let Some(poll) = poll {
+                        self.beside.on_arriving(poll, &self.side_calls);
+                    }
                     Some(TableRead::Arriving(Arrival {
                         since: poll.and_then(OpenPoll::arriving_since),
                         after: poll.and_then(|poll| poll.after).unwrap_or(0),
                         is_slow: self.open.is_slow() || self.open.is_late(self.options.apply),
                     }))
                 }
+                later = self.beside.next(&self.side_calls) => later.map(TableRead::Later),
                 Ok(()) = self.options.advanced.changed() => {
                     let position = *self.options.advanced.borrow_and_update();
                     self.position = self.position.max(Some(position));
--- /dev/null
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -0,0 +1,218 @@
+//! Reads beside a transfer: whether the table has changed since the answer that is arriving was made.
+
+use std::{pin::pin, time::Duration};
+
+use base::Time;
+use entry::view::Clock;
+use platform::{Platform, Progress, Received};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{LaterChange, POLL_DELAY, ReadTiming, open_polls::OpenPoll};
+
+/// Time for which an answer must have been arriving for a read beside it.
+const MIN_TRANSFER_TIME: Duration = Duration::from_millis(100);
+/// Time for which the answer to such a read must have been arriving to bring changes: an empty one has ended before.
+const MIN_NEWS_TIME: Duration = Duration::from_millis(100);
+
+/// What a read beside a transfer is sent with.
+#[derive(Debug, Clone)]
+pub(super) struct SideCalls {
+    pub(super) clock: Clock,
+    pub(super) platform: Platform,
+    pub(super) table: String,
+    pub(super) timing: ReadTiming,
+}
+
+/// Reads a table's position as an answer is arriving, and follows it from there until that answer is complete.
+///
+/// The answer contains nothing that has changed since it was made, and nothing shows that until it is complete. A
+/// small call tells the position a moment later, and a poll from there shows when the next change comes: as its first
+/// bytes arrive it is dropped, since its rows can't be applied and would share the link. Where the poll that follows the
+/// answer brings something although the one beside it brought nothing, the change lies between that answer and the small
+/// call, if another prompt read from that call's position is empty.
+///
+/// What fails or isn't answered here has no effect.
+#[derive(Debug, Default)]
+pub(super) struct BesideReads {
+    tasks: JoinSet<Finding>,
+    /// Number of the poll beside whose answer the present read goes on.
+    beside: Option<u64>,
+    /// Number of the last poll beside whose answer the position was read.
+    asked: Option<u64>,
+    /// The last position that was read.
+    seen: Option<Seen>,
+}
+
+/// A position of the platform's tables that was read beside a transfer.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    position: u64,
+    /// Time at which the platform had it: the middle of the call.
+    at: Time,
+    /// Time that the answer took to arrive: half of the call's.
+    way: Duration,
+    /// Number of the poll whose answer was arriving.
+    number: u64,
+}
+
+/// What a read beside a transfer has shown.
+#[derive(Debug)]
+enum Finding {
+    /// The read failed.
+    Nothing,
+    Position(Seen),
+    /// The table has changed.
+    Change(LaterChange),
+    /// Nothing has changed since a position that was read before, so what is arriving had changed by then.
+    Earlier(LaterChange),
+}
+
+/// What became of a poll beside a transfer.
+enum SideAnswer {
+    /// It has no rows, and is complete up to a position.
+    Empty(u64),
+    /// It brings rows, and began at a time.
+    Rows(Time),
+    Failed,
+}
+
+impl BesideReads {
+    /// Ends the present read unless it goes on beside one of the open polls.
+    pub(super) fn end_unless_open<'a, I>(&mut self, open: I)
+    where
+        I: IntoIterator<Item = &'a OpenPoll>,
+    {
+        let mut open = open.into_iter();
+        let is_over = |number| open.all(|poll| poll.number != number);
+        if self.beside.is_some_and(is_over) {
+            self.beside = None;
+            self.tasks.abort_all();
+        }
+    }
+
+    /// Starts the read that is due beside the answer to a poll, of which something has arrived.
+    pub(super) fn on_arriving(&mut self, poll: &OpenPoll, calls: &SideCalls) {
+        if !self.tasks.is_empty() {
+            return;
+        }
+        let earlier = self.seen.filter(|seen| {
+            seen.number < poll.number && poll.after.is_some_and(|after| after < seen.position)
+        });
+        let begun_at = poll.received.borrow().begun_at;
+        if let Some((seen, after)) = earlier.zip(poll.after) {
+            self.seen = None;
+            self.beside = Some(poll.number);
+            self.tasks.spawn(calls.clone().check(seen, after));
+        } else if self.asked != Some(poll.number)
+            && begun_at.is_some_and(|at| at.elapsed() >= MIN_TRANSFER_TIME)
+        {
+            self.asked = Some(poll.number);
+            self.beside = Some(poll.number);
+            self.tasks.spawn(calls.clone().read_position(poll.number));
+        }
+    }
+
+    /// Awaits a later change that a read has shown; `None` if it has shown none. Waits for ever if there is no read.
+    pub(super) async fn next(&mut self, calls: &SideCalls) -> Option<LaterChange> {
+        let Some(ended) = self.tasks.join_next().await else {
+            return std::future::pending().await;
+        };
+        match ended.unwrap_or(Finding::Nothing) {
+            Finding::Nothing => None,
+            Finding::Position(seen) => {
+                self.seen = Some(seen);
+                if self.beside == Some(seen.number) {
+                    self.tasks.spawn(calls.clone().follow(seen));
+                }
+                None
+            }
+            Finding::Change(change) => {
+                // What is arriving after this one may have changed then.
+                self.seen = None;
+                Some(change)
+            }
+            Finding::Earlier(change) => Some(change),
+        }
+    }
+}
+
+impl SideCalls {
+    async fn read_position(self, number: u64) -> Finding {
+        let sent = Instant::now();
+        let read = self.platform.position(&self.table);
+        let read = timeout(self.timing.first_answer_time(), read).await;
+        let Ok(Ok(position)) = read else {
+            return Finding::Nothing;
+        };
+        let way = sent.elapsed() / 2;
+        let at = self.clock.now().before(way);
+        Finding::Position(Seen {
+            position,
+            at,
+            way,
+            number,
+        })
+    }
+
+    /// Follows the table until it changes. The change was made before its first bytes arrive, by as long as those of the
+    /// small call took where the link is as full.
+    async fn follow(self, seen: Seen) -> Finding {
+        let mut after = seen.position;
+        loop {
+            match self.poll(after, self.timing.poll_wait).await {
+                SideAnswer::Empty(position) => after = after.max(position),
+                SideAnswer::Rows(begun_at) => {
+                    let since = begun_at.before(seen.way).max(seen.at);
+                    return Finding::Change(LaterChange { after, since });
+                }
+                SideAnswer::Failed => return Finding::Nothing,
+            }
+            sleep(POLL_DELAY).await;
+        }
+    }
+
+    /// Reads whether the table has changed since `seen`, where something is arriving that has changed after the position
+    /// `after`.
+    async fn check(self, seen: Seen, after: u64) -> Finding {
+        match self.poll(seen.position, Duration::ZERO).await {
+            SideAnswer::Empty(_) => Finding::Earlier(LaterChange {
+                after,
+                since: seen.at,
+            }),
+            SideAnswer::Rows(_) | SideAnswer::Failed => Finding::Nothing,
+        }
+    }
+
+    /// Sends a poll and drops it as soon as it is seen to bring rows.
+    async fn poll(&self, after: u64, wait: Duration) -> SideAnswer {
+        let progress = Progress::start();
+        let mut received = progress.received();
+        let whole = progress.received();
+        let platform = self.platform.clone().progress(progress);
+        let max_silence = wait + self.timing.first_answer_time();
+        let answer = timeout(max_silence, platform.changes(&self.table, after, wait));
+        let mut answer = pin!(answer);
+        let begun = async {
+            let begun = received.wait_for(|received| received.begun_at.is_some());
+            let begun_at = begun.await.ok()?.begun_at?;
+            let _ = timeout(MIN_NEWS_TIME, received.wait_for(Received::has_much_left)).await;
+            Some(begun_at)
+        };
+        let since = |at: Instant| self.clock.now().before(at.elapsed());
+        tokio::select! {
+            biased;
+            answer = &mut answer => match answer {
+                Ok(Ok((rows, position))) if rows.is_empty() => SideAnswer::Empty(position),
+                Ok(Ok(_)) => {
+                    let begun_at = whole.borrow().begun_at;
+                    SideAnswer::Rows(since(begun_at.unwrap_or_else(Instant::now)))
+                }
+                _ => SideAnswer::Failed,
+            },
+            Some(begun_at) = begun => SideAnswer::Rows(since(begun_at)),
+        }
+    }
+}
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -15,10 +15,22 @@
     Snapshot(PlatformRead),
     /// A part of the platform's answer has arrived.
     Arriving(Arrival),
+    /// The table has changed after an answer that is arriving was made.
+    Later(LaterChange),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
 
+/// Describes a change of a table that the answer that is arriving, or the last one, doesn't contain: another read beside
+/// it has shown the change, and nothing of what it brings is here. It confirms nothing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LaterChange {
+    /// Position after which the table has changed.
+    pub(crate) after: u64,
+    /// Time since which that has been known.
+    pub(crate) since: Time,
+}
+
 /// Describes an answer of the platform that is arriving.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Arrival {
--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -6,15 +6,15 @@
 
 use crate::{
     is_refused,
-    model::{Decided, Scenario, run},
+    model::{Decided, Scenario, SideCalls, run},
     transfer::Transfer,
 };
 
 const FIRST_AT: Duration = Duration::from_secs(5);
 
-/// Lets two versions follow each other after a gap, which take as long to arrive, and returns when the second one was
-/// acknowledged and what becomes of requests.
-fn follow(transfer_ms: u64, gap_ms: u64) -> (Scenario, Duration, Vec<Decided>) {
+/// Returns two versions that follow each other after a gap and take as long to arrive, and when the second one was
+/// acknowledged.
+fn following(transfer_ms: u64, gap_ms: u64) -> (Scenario, Duration) {
     let second_at = FIRST_AT + Duration::from_millis(gap_ms);
     let transfer = Transfer::Takes(Duration::from_millis(transfer_ms));
     let scenario = Scenario {
@@ -24,10 +24,123 @@
         reporters: Vec::new(),
         ..Scenario::calm()
     };
+    (scenario, second_at)
+}
+
+/// Returns these versions, and what becomes of requests.
+fn follow(transfer_ms: u64, gap_ms: u64) -> (Scenario, Duration, Vec<Decided>) {
+    let (scenario, second_at) = following(transfer_ms, gap_ms);
     let decided = run(&scenario);
     (scenario, second_at, decided)
 }
 
+/// Returns how long after the acknowledgement of the version that had to be in force requests ran by an older one.
+fn late_runs(scenario: &Scenario) -> Vec<(usize, Duration)> {
+    let decided = run(scenario).into_iter();
+    let late = decided.filter_map(|one| {
+        let required = scenario.required_version(one.at);
+        let used = *one.outcome.as_ref().ok()?;
+        (used < required).then(|| (required, one.at - scenario.changes[required - 1]))
+    });
+    late.collect()
+}
+
+/// Returns the times since the last acknowledgement at which requests were refused although no version that was lacking
+/// had been acknowledged for half of `configApplyS`.
+fn early_refusals(scenario: &Scenario) -> Vec<Duration> {
+    let decided = run(scenario).into_iter();
+    let early = decided.filter(|one| {
+        let known = one.at.saturating_sub(scenario.apply / 2);
+        is_refused(one) && one.in_force >= scenario.version_at(known)
+    });
+    early.map(|one| one.at - FIRST_AT).collect()
+}
+
+/// Guards against CONFIG: a version that followed between the answer that was arriving and the small call beside it had
+/// no date, although the poll after that answer brought it.
+#[rstest]
+fn version_just_after_an_answer_decides_in_time(
+    #[values(1_200, 1_800, 2_200, 2_600)] transfer_ms: u64,
+    #[values(20, 30, 60, 90, 110, 120, 150, 250)] gap_ms: u64,
+    #[values(10, 100, 400)] side_ms: u64,
+) {
+    let (mut scenario, _) = following(transfer_ms, gap_ms);
+    scenario.side_calls = SideCalls::Take(Duration::from_millis(side_ms));
+    assert_eq!(late_runs(&scenario), []);
+    assert_eq!(early_refusals(&scenario), []);
+}
+
+/// Guards against CONFIG: of several versions behind one transfer, the first one's date counts, and the next transfer has
+/// reads of its own beside it.
+#[rstest]
+#[case::two(2_200, &[500, 1_500])]
+#[case::two_soon(2_200, &[300, 400])]
+#[case::one_behind_each(2_200, &[500, 3_000])]
+#[case::four(1_800, &[300, 900, 1_700, 2_500])]
+fn versions_beside_transfers_decide_in_time(#[case] transfer_ms: u64, #[case] gaps_ms: &[u64]) {
+    let (mut scenario, _) = following(transfer_ms, 0);
+    let following = gaps_ms
+        .iter()
+        .map(|ms| FIRST_AT + Duration::from_millis(*ms));
+    scenario.changes = [FIRST_AT].into_iter().chain(following).collect();
+    scenario.transfers = vec![scenario.transfers[0]; 1 + gaps_ms.len()];
+    assert_eq!(late_runs(&scenario), []);
+    assert_eq!(early_refusals(&scenario), []);
+}
+
+/// Guards against CONFIG: a version just after an answer, followed by another one beside the transfer, is dated by that one:
+/// nothing shows then that there was one before.
+#[rstest]
+#[case::soon(2_200, &[30, 500])]
+#[case::late(2_200, &[30, 1_500])]
+fn version_just_after_an_answer_decides_in_time_before_a_later_one(
+    #[case] transfer_ms: u64,
+    #[case] gaps_ms: &[u64],
+) {
+    let (mut scenario, _) = following(transfer_ms, 0);
+    let following = gaps_ms
+        .iter()
+        .map(|ms| FIRST_AT + Duration::from_millis(*ms));
+    scenario.changes = [FIRST_AT].into_iter().chain(following).collect();
+    scenario.transfers = vec![scenario.transfers[0]; 1 + gaps_ms.len()];
+    assert_eq!(late_runs(&scenario), []);
+    assert_eq!(early_refusals(&scenario), []);
+}
+
+/// Guards against CONFIG: the first version comes by a whole read, since the store has dropped its history.
+#[rstest]
+#[case::long(1_800, 500)]
+#[case::longest(2_200, 500)]
+#[case::longest_late(2_200, 1_200)]
+fn version_beside_a_whole_read_decides_in_time(#[case] transfer_ms: u64, #[case] gap_ms: u64) {
+    let (mut scenario, _) = following(transfer_ms, gap_ms);
+    scenario.dropped_to = 1;
+    assert_eq!(late_runs(&scenario), []);
+    assert_eq!(early_refusals(&scenario), []);
+}
+
+/// Guards against failed reads beside a transfer that count as failed reads of the store, or as news: each version comes
+/// as early as it does where they are answered, and nothing is refused early.
+#[rstest]
+fn failed_reads_beside_a_transfer_have_no_effect(
+    #[values(SideCalls::Refused, SideCalls::Lost, SideCalls::PollsLost)] side_calls: SideCalls,
+    #[values(30, 500, 1_200, 2_150)] gap_ms: u64,
+) {
+    let in_force = |side_calls| {
+        let (mut scenario, _) = following(2_200, gap_ms);
+        scenario.side_calls = side_calls;
+        assert_eq!(early_refusals(&scenario), []);
+        let decided = run(&scenario);
+        let versions = [1, 2].map(|version| {
+            let first = decided.iter().find(|one| one.in_force >= version);
+            first.map(|one| one.at)
+        });
+        assert!(versions.iter().all(Option::is_some), "{versions:?}");
+        versions
+    };
+    assert_eq!(in_force(side_calls), in_force(SideCalls::QUICK));
+}
+
 /// Guards against CONFIG: a version that followed while the one before it arrived was dated by the poll after that, and so
 /// the older one decided later than `configApplyS` after the acknowledgement.
 #[rstest]
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -5,7 +5,10 @@
     future::pending,
     net::SocketAddr,
     ops::Range,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -56,6 +59,92 @@
     pub(crate) loss: f64,
 }
 
+/// What becomes of calls beside a transfer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SideCalls {
+    /// They are answered after this time.
+    Take(Duration),
+    /// The small call is refused.
+    Refused,
+    /// The small call is lost.
+    Lost,
+    /// Polls are lost.
+    PollsLost,
+}
+
+impl SideCalls {
+    /// Chooses by a seed alone, so that what else is drawn by it stays.
+    fn of_seed(seed: u64) -> Self {
+        match seed % 6 {
+            0 => Self::Refused,
+            1 => Self::Lost,
+            2 => Self::PollsLost,
+            3 => Self::Take(Duration::from_millis(400)),
+            _ => Self::QUICK,
+        }
+    }
+
+    pub(crate) const QUICK: Self = Self::Take(Duration::from_millis(10));
+
+    /// Waits until a poll beside a transfer is answered.
+    async fn answer_poll(self) {
+        match self {
+            Self::Take(time) => sleep(time).await,
+            _ => pending().await,
+        }
+    }
+
+    /// Waits until the small call is answered.
+    async fn answer_position(self) -> Result<(), PlatformError> {
+        match self {
+            Self::Take(time) => sleep(time).await,
+            Self::PollsLost => {}
+            Self::Refused => return Err(PlatformError::Unavailable),
+            Self::Lost => pending().await,
+        }
+        Ok(())
+    }
+}
+
+/// The answers that bring versions.
+#[derive(Debug)]
+struct Transfers {
+    /// What becomes of the next ones, the next one last.
+    next: Mutex<Vec<Transfer>>,
+    is_under_way: AtomicBool,
+}
+
+/// Ends a transfer when it is dropped, complete or not.
+struct UnderWay<'a>(&'a AtomicBool);
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Transfers {
+    /// Time for which an answer goes on that shares the link with a transfer, unless it is dropped.
+    const BESIDE: Transfer = Transfer::Takes(Duration::from_secs(8));
+
+    fn is_under_way(&self) -> bool {
+        self.is_under_way.load(Ordering::Relaxed)
+    }
+
+    /// Transmits an answer that brings a version. One beside another is none of those that were drawn.
+    async fn transmit(&self, progress: &Progress) -> Result<(), PlatformError> {
+        if self.is_under_way() {
+            return Self::BESIDE.transmit(progress).await;
+        }
+        let transfer = self.next.lock().unwrap().pop();
+        let transfer = transfer.unwrap_or(Transfer::Lost);
+        let is_lost = matches!(transfer, Transfer::Lost);
+        self.is_under_way.store(!is_lost, Ordering::Relaxed);
+        let _under_way = (!is_lost).then(|| UnderWay(&self.is_under_way));
+        transfer.transmit(progress).await
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct Scenario {
     pub(crate) seed: u64,
@@ -74,6 +163,9 @@
     /// Time at which rows of other tables have changed and another instance starts, whose first read has the
     /// store's latest position.
     pub(crate) others_start: Option<Duration>,
+    pub(crate) side_calls: SideCalls,
+    /// Version up to which the store has dropped its history once it has that version.
+    pub(crate) dropped_to: usize,
 }
 
 impl Scenario {
@@ -111,6 +203,8 @@
             outage: None,
             others_end: None,
             others_start: None,
+            side_calls: SideCalls::of_seed(seed),
+            dropped_to: 0,
         }
     }
 
@@ -132,6 +226,8 @@
             outage: None,
             others_end: None,
             others_start: None,
+            side_calls: SideCalls::QUICK,
+            dropped_to: 0,
         }
     }
 
@@ -172,10 +268,13 @@
 async fn answer(
     started: Instant,
     scenario: Arc<Scenario>,
-    transfers: Arc<Mutex<Vec<Transfer>>>,
+    transfers: Arc<Transfers>,
     call: Call,
     progress: Progress,
 ) -> Result<Reply, PlatformError> {
+    if matches!(call, Call::Position { .. }) {
+        return answer_position(started, &scenario).await;
+    }
     let (table, after, wait) = read_of(call)?;
     let is_operators = table == OPERATOR_TABLE;
     let deadline = Instant::now() + wait;
@@ -189,6 +288,9 @@
     {
         pending::<()>().await;
     }
+    if is_operators && transfers.is_under_way() {
+        scenario.side_calls.answer_poll().await;
+    }
     let version = if is_operators {
         scenario.version_at(started.elapsed())
     } else {
@@ -200,10 +302,12 @@
         let latest = position + scenario.rise_at(started.elapsed());
         return Ok(Reply::Changes(Vec::new(), latest));
     }
-    if after > 0 {
-        let transfer = transfers.lock().unwrap().pop();
-        let transfer = transfer.unwrap_or(Transfer::Lost);
-        transfer.transmit(&progress).await?;
+    let has_dropped = is_operators && scenario.dropped_to.min(version) > 0;
+    if has_dropped && after > 0 && after < position_of(scenario.dropped_to) {
+        return Err(PlatformError::HistoryGone);
+    }
+    if after > 0 || has_dropped {
+        transfers.transmit(&progress).await?;
     }
     let row = Change {
         row: "config".to_owned(),
@@ -216,6 +320,19 @@
     Ok(Reply::Changes(vec![row], position))
 }
 
+/// Answers the small call that tells the store's latest position.
+async fn answer_position(started: Instant, scenario: &Scenario) -> Result<Reply, PlatformError> {
+    let is_away = |from: Duration| started.elapsed() >= from;
+    if scenario.outage.is_some_and(is_away) {
+        pending::<()>().await;
+    }
+    // The answer is made as the call arrives, and travels for as long as it takes.
+    let now = started.elapsed();
+    let position = position_of(scenario.version_at(now)) + scenario.rise_at(now);
+    scenario.side_calls.answer_position().await?;
+    Ok(Reply::Position(position))
+}
+
 fn config() -> Config {
     let service = Service {
         slots: 1,
@@ -474,7 +591,10 @@
     mut transfers: Vec<Transfer>,
 ) -> Platform {
     transfers.reverse();
-    let transfers = Arc::new(Mutex::new(transfers));
+    let transfers = Arc::new(Transfers {
+        next: Mutex::new(transfers),
+        is_under_way: AtomicBool::new(false),
+    });
     let scenario = scenario.clone();
     Platform::spawn(move || {
         let (scenario, transfers) = (scenario.clone(), transfers.clone());
