fix(daemon): rows of targets hold up no confirmation of routes and keys

What callers saw: at an instance that the store turns away, 503 as `isolated` (by reading: `verdict` says so once `refuse_until` is over) where its routes and keys were the latest and another instance had just said so; and its lines called the configuration old.

Cause: a heartbeat's confirmation was taken for all tables or for none: only if the own rows lacked nothing of either. In a large fleet some target's row changes all the time, so an instance that gets its rows from others nearly always lacks one, and took no confirmation of the operators' rows, which it had whole.

Change: each table keeps the last confirmation by another instance, and takes one if its own rows lack nothing of that table. The configuration as a whole is as old as the older of the two, as before. What is confirmed is sound for each table by itself: the sender knew at that moment that both of its tables were the latest, and the own rows of this one have all that the sender's have.

Ruled out: the age is one of the moment at which the line is written. It is counted to the request's arrival, and of both tables together.

No fleet was played on it yet.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -15,7 +15,7 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{FetchDelays, Replica, RowsReport, Standstills, TableSnapshot, rendezvous_draw};
-use entry::message::{ConfigLag, Confirmation};
+use entry::message::ConfigLag;
 use tokio::{
     sync::{mpsc, watch},
     time::sleep_until,
@@ -101,8 +101,6 @@
     last_sent: Option<Sent>,
     /// What the task that sends heartbeats was told last of the tables' rows.
     told_rows: Vec<Option<RowsReport>>,
-    /// The last confirmation by another instance.
-    peer_confirmation: Option<Confirmation>,
     standstills: Standstills,
     /// Time until which this instance, which stood still, waits for a word that its configuration may still decide.
     hearing_until: Time,
@@ -180,7 +178,6 @@
             is_leaving: false,
             last_sent: None,
             told_rows: Vec::new(),
-            peer_confirmation: None,
             standstills: Standstills::default(),
             hearing_until: Time::ZERO,
         }
@@ -313,6 +310,7 @@
                     if let Some(rank) = rank {
                         table.catch_up.on_report(now, from.clone(), position, rank);
                     }
+                    table.record_confirmation(&from, position, confirmed_at);
                     let contact_at = reads.map(|reads| reads.contact_at);
                     if let Some(at) = confirmed_at.max(contact_at) {
                         table.record_contact(at);
@@ -324,10 +322,6 @@
                 if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
                     table.record_reads_elsewhere(now, reads, max_rest, turn);
                 }
-                if is_up_to_date && confirmed_at > self.peer_confirmed_at() {
-                    self.peer_confirmation =
-                        confirmed_at.map(|at| Confirmation { at, by: Some(from) });
-                }
                 return false;
             }
         }
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -5,14 +5,12 @@
 
 use base::{Config, InstanceId, Time};
 use coord::{Freshness, Replica};
-use entry::{
-    message::{Confirmation, Event},
-    view::View,
-};
+use entry::{message::Event, view::View};
 
 use super::{
     ComposedConfig, News, Sent, TableFollower, Validity,
     departures::{OverlayNews, TARGETS},
+    table::Table,
 };
 use crate::{
     entry_points::{entry_points, preferred},
@@ -172,25 +170,19 @@
         }
     }
 
-    /// Returns when the tables were last known to be the latest, by own reads or by a heartbeat.
+    /// Returns when the tables were last known to be the latest, each by an own read or by a heartbeat.
     pub(super) fn confirmed_at(&self) -> Option<Time> {
-        let own = self.tables.iter().map(|table| table.confirmed_at).min();
-        own.flatten().max(self.peer_confirmed_at())
-    }
-
-    pub(super) fn peer_confirmed_at(&self) -> Option<Time> {
-        let told = self.peer_confirmation.as_ref();
-        told.map(|confirmation| confirmation.at)
+        let times = self.tables.iter().map(|table| {
+            let confirmation = table.confirmation();
+            confirmation.map(|confirmation| confirmation.at)
+        });
+        times.min().flatten()
     }
 
     /// Returns what last showed that the routes and keys are the latest; they are in the operators' table alone. Nothing
     /// does while its rows hold others, which can't be used. Those of targets have a date of their own.
     fn validity(&self) -> Validity {
-        let own = self.tables.first().and_then(|table| table.confirmed_at);
-        let own = own.map(|at| Confirmation { at, by: None });
-        let told = self.peer_confirmation.clone();
-        let pair = [own, told].into_iter().flatten();
-        let latest = pair.max_by_key(|confirmation| confirmation.at);
+        let latest = self.tables.first().and_then(Table::confirmation);
         let confirmation = latest.filter(|_| self.is_latest);
         let at = confirmation.as_ref().map(|confirmation| confirmation.at);
         Validity {
@@ -205,8 +197,8 @@
         let Some(table) = self.tables.get(TARGETS) else {
             return Time::NEVER;
         };
-        let at = table.confirmed_at.max(self.peer_confirmed_at());
-        at.map_or(Time::ZERO, |at| at + self.options.targets_time())
+        let confirmation = table.confirmation();
+        confirmation.map_or(Time::ZERO, |found| found.at + self.options.targets_time())
     }
 
     pub(super) fn publish(&mut self) {
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -2,8 +2,9 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use base::Time;
+use base::{InstanceId, Time};
 use coord::{CatchUp, Replica};
+use entry::message::Confirmation;
 use platform::Received;
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
@@ -26,6 +27,8 @@
 pub(super) struct Table {
     pub(super) replica: Replica,
     pub(super) confirmed_at: Option<Time>,
+    /// The last confirmation by another instance.
+    peer_confirmation: Option<Confirmation>,
     pub(super) catch_up: CatchUp,
     pub(super) fetches: Vec<OpenFetch>,
     /// What is known of the replica's parts, and of fetches by them.
@@ -135,6 +138,7 @@
         Self {
             replica: Replica::new(grace_period),
             confirmed_at: None,
+            peer_confirmation: None,
             catch_up: CatchUp::new(PEER_FETCH_DELAYS),
             fetches: Vec::new(),
             parts: PartsState::default(),
@@ -273,6 +277,30 @@
         self.believe_overdue(now);
     }
 
+    /// Records that another instance, whose rows are those at `position`, knew at `at` that they were the latest. That says
+    /// the same of the own rows, unless these lack some of them.
+    pub(super) fn record_confirmation(
+        &mut self,
+        from: &InstanceId,
+        position: u64,
+        at: Option<Time>,
+    ) {
+        let known = self.peer_confirmation.as_ref();
+        let is_later = at > known.map(|confirmation| confirmation.at);
+        if is_later && position <= self.replica.position() {
+            let by = Some(from.clone());
+            self.peer_confirmation = at.map(|at| Confirmation { at, by });
+        }
+    }
+
+    /// Returns what last showed that the rows are the latest.
+    pub(super) fn confirmation(&self) -> Option<Confirmation> {
+        let own = self.confirmed_at.map(|at| Confirmation { at, by: None });
+        let reported = self.peer_confirmation.clone();
+        let pair = [own, reported].into_iter().flatten();
+        pair.max_by_key(|confirmation| confirmation.at)
+    }
+
     /// Counts the failing reads that others have reported if an own one that is due hasn't been answered either.
     pub(super) fn believe_overdue(&mut self, now: Time) {
         if self.failing_elsewhere.borrow().is_answer_overdue(now) {
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -5,6 +5,7 @@
 mod beside_transfer;
 #[path = "../support/call.rs"]
 mod call;
+mod confirmations;
 mod departed;
 #[path = "../support/engine.rs"]
 mod engine;
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -53,7 +53,7 @@
 }
 
 /// Answers the first read of each table alone.
-fn silent_store(started: Instant, scenario: &Arc<Scenario>) -> Platform {
+pub(crate) fn silent_store(started: Instant, scenario: &Arc<Scenario>) -> Platform {
     let store = store(started, scenario, Vec::new());
     Platform::spawn(move || {
         let store = store.clone();
