fix(daemon): a health endpoint's status must be one of the protocol

Operators saw: a target whose health endpoint answered 600 or 999 counted as sound, by the load in that answer's body.

Cause: probes read the body whatever the status was.

The rule is the one for answers to callers (head::is_final).

Ruled out: 000 and 101 were no reports before either. A status of 503 with a readable body still counts: it may say that the target is leaving.

--- a/crates/daemon/src/probes.rs
+++ b/crates/daemon/src/probes.rs
@@ -5,7 +5,7 @@
 use base::{Config, ServiceId, TargetId};
 use bytes::Bytes;
 use dispatch::HealthReport;
-use entry::{message::Event, view::View};
+use entry::{head, message::Event, view::View};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -85,6 +85,9 @@
 async fn probe(client: &ProbeClient, addr: SocketAddr) -> Option<HealthReport> {
     let uri = format!("http://{addr}/health").parse().ok()?;
     let res = client.get(uri).await.ok()?;
+    if !head::is_final(res.status()) {
+        return None;
+    }
     let body = Limited::new(res.into_body(), MAX_HEALTH_BYTES)
         .collect()
         .await
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -245,7 +245,7 @@
             }
         };
         connection.allowance.lift();
-        if !is_final(res.status()) || !matches_request(template, &res) {
+        if !head::is_final(res.status()) || !matches_request(template, &res) {
             return Some(AttemptResult::failed(Outcome::Invalid));
         }
         let is_refused = was_not_run(&template.dialect, &res);
@@ -291,14 +291,6 @@
     }
 }
 
-/// Returns whether a status can be that of a final answer.
-///
-/// The protocol has none above 599, and a 101 answers a request for an upgrade, which no request to a target is;
-/// what follows it on the connection is no HTTP any more.
-fn is_final(status: StatusCode) -> bool {
-    (200..=599).contains(&status.as_u16())
-}
-
 /// Returns whether only the end of its connection ends a response, which a link that is cut on the way
 /// gives as well.
 fn ends_with_connection(parts: &Parts) -> bool {
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -2,7 +2,7 @@
 
 use base::{ErrorKind, ServiceId};
 use dispatch::RequestKind;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 
 use crate::dialect::{Dialect, KeyLocation};
 
@@ -156,6 +156,14 @@
         .collect()
 }
 
+/// Returns whether a status can be that of a target's final answer.
+///
+/// The protocol has none above 599, and a 101 answers a request for an upgrade, which no request to a target is;
+/// what follows it on the connection is no HTTP any more.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 fn exposes_key(value: &[u8], key: Option<&str>) -> bool {
     key.is_some_and(|key| {
         !key.is_empty()
