fix(entry): a kept answer that is none is not given to repeats

Callers could see: during an upgrade, a repeat of a request with an idempotency key gets 101, 600 or 999, since an instance of an older build took that for its target's answer and kept it.

Cause: any status from 100 to 999 was replayed.

Change: a kept answer outside of 200 to 599 counts as an outcome that isn't known (409); the action isn't run again.

Ruled out: this build keeps no such answer (status_outside_the_protocol_is_not_kept_for_repeats).

Measured: kept_answer_is_one_of_the_protocol, 4 of 7 cases red before (100, which became a 500 without a reason, 101, 600, 999), none after. The handler of the look-ups' test moved to support/handler.rs, which both share; the look-ups' cases are the same, 6 of 6 green.

--- a/crates/entry/src/callers/actions.rs
+++ b/crates/entry/src/callers/actions.rs
@@ -11,6 +11,7 @@
 use crate::{
     execute::{RequestHandle, execute},
     forward::{RequestTemplate, TargetResponse},
+    head,
     message::LedgerCall,
     trace::Span,
 };
@@ -116,8 +117,10 @@
 }
 
 fn replay(answer: SavedAnswer) -> Result<TargetResponse, Refusal> {
-    let status =
-        StatusCode::from_u16(answer.status).map_err(|_| Refusal::new(ErrorKind::OutcomeUnknown))?;
+    let status = StatusCode::from_u16(answer.status)
+        .ok()
+        .filter(|status| head::is_final(*status))
+        .ok_or(Refusal::new(ErrorKind::OutcomeUnknown))?;
     let headers = answer
         .headers
         .iter()
--- a/crates/entry/tests/lookup.rs
+++ b/crates/entry/tests/lookup.rs
@@ -1,31 +1,22 @@
 //! Look-ups of callers over the product's own interface.
 
-use std::{
-    collections::BTreeSet,
-    io,
-    sync::{Arc, atomic::AtomicU64},
-    time::Duration,
-};
+#[path = "support/handler.rs"]
+mod handler;
+
+use std::{collections::BTreeSet, sync::Arc};
 
 use base::{Config, Incarnation, Key, KeyDigest, Workspace};
 use entry::{
-    callers::{CallerHandler, HandlerOptions, MAX_HELD_BYTES},
-    dial::Dialer,
-    dialect::Dialect,
-    forward::Forwarder,
-    held::HeldBytes,
-    metrics::Metrics,
-    recorder::Recorder,
     serve::listen,
-    view::{Clock, EntryPoint, View},
+    view::{EntryPoint, View},
 };
-use record::Sink;
+use handler::handler;
 use rstest::rstest;
 use standin::config::service;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::{mpsc, watch},
+    sync::mpsc,
 };
 
 const REGIONS: [&str; 3] = ["east", "north", "south"];
@@ -62,35 +53,12 @@
     }
 }
 
-fn handler() -> CallerHandler {
-    let clock = Clock::start();
-    let (relays, _) = mpsc::unbounded_channel();
-    let (events, _) = mpsc::unbounded_channel();
-    let (ledger, _) = mpsc::channel(1);
-    let (_, view) = watch::channel(Arc::new(view()));
-    CallerHandler {
-        clock,
-        events,
-        ledger,
-        view,
-        metrics: Metrics::new().unwrap(),
-        ids: Arc::new(AtomicU64::new(1)),
-        options: HandlerOptions {
-            max_body_bytes: 1_024,
-            body_timeout: Duration::from_secs(1),
-            lookup_ttl: Duration::from_secs(1),
-            trace_sample_ratio: 0.0,
-        },
-        dialect: Arc::new(Dialect::default()),
-        recorder: Recorder::new(Sink::start(io::sink()).unwrap(), "i".into(), "north".into()),
-        forwarder: Forwarder::new(Dialer::new(clock, relays)),
-        held: HeldBytes::new(MAX_HELD_BYTES),
-    }
-}
-
 /// Returns the regions of the instances that a look-up names.
 async fn look_up(query: &str, header: &str) -> BTreeSet<String> {
-    let listener = listen(([127, 0, 0, 1], 0).into(), handler().into_router()).await;
+    let (events, _) = mpsc::unbounded_channel();
+    let (ledger, _) = mpsc::channel(1);
+    let router = handler(view(), events, ledger).into_router();
+    let listener = listen(([127, 0, 0, 1], 0).into(), router).await;
     let mut stream = TcpStream::connect(listener.unwrap().addr).await.unwrap();
     let head = format!(
         "GET /v1/lookup?service=board{query} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{header}\r\n"
