docs(entry): comments say report, permanently and again in plain words

Comments spoke of a follower's "word" that is "heard", of requests refused "for good" and of headers set "anew". They say report, handled, permanently and set by the instance itself. Comments alone; no code changes.

--- a/crates/dispatch/src/target/service.rs
+++ b/crates/dispatch/src/target/service.rs
@@ -11,7 +11,7 @@
     ///
     /// It holds until a new incarnation registers, or until the same one registers as ready after it
     /// had registered as leaving, or until its health endpoint says otherwise. An entry that never
-    /// said that the target is leaving may be older than the target's word.
+    /// said that the target is leaving may be older than what the target says.
     pub fn say_leaving(&mut self, now: Time, chart: &Chart<TargetState, TargetEvent>) -> bool {
         self.record_word(now);
         let is_news = !self.exclusions.contains(ExclusionReason::OwnWord);
@@ -66,7 +66,7 @@
         self.exclusions.is_empty()
     }
 
-    /// Applies what the health endpoint says: it is the target's own and latest word.
+    /// Applies what the health endpoint says: it is the target's own and latest report.
     pub fn apply_health(
         &mut self,
         now: Time,
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -79,7 +79,7 @@
     revision: u64,
     /// Publishes the revision in force to the attempts that aren't sent yet.
     in_force: watch::Sender<u64>,
-    /// Publishes to them until when they may be sent without another word of the follower.
+    /// Publishes to them until when they may be sent without another report of the follower.
     sends_until: watch::Sender<Time>,
     is_draining: bool,
     routes: RouteTable,
@@ -227,7 +227,7 @@
             };
             let tick_at = self.next_tick(ticked_at + interval);
             tokio::select! {
-                // What has waited is heard before time counts as silence.
+                // Events that have waited are handled before time counts as silence.
                 biased;
                 count = rx.recv_many(&mut events, MAX_EVENTS_PER_BATCH) => {
                     if count == 0 {
@@ -247,8 +247,8 @@
         }
     }
 
-    /// Puts what the follower has sent before the rest, which is then decided by its latest word. Its word counts from the
-    /// first event on: what has waited behind a long turn of this engine was no silence of the follower.
+    /// Puts what the follower has sent before the rest, which is then decided by its latest report. That report counts
+    /// from the first event on: what has waited behind a long turn of this engine was no silence of the follower.
     fn hear_follower(&mut self, events: &mut [Event]) {
         events.sort_by_key(|event| !event.is_of_config());
         let words = events.iter().filter_map(|event| match event {
@@ -261,7 +261,7 @@
     /// Handles one event.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
-        // After a standstill, the follower's word is heard first.
+        // After a standstill, the follower's report is handled first.
         if !matches!(event, Event::ConfigFreshness { .. }) {
             self.check_outdated(now);
         }
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -69,13 +69,13 @@
         }
     }
 
-    /// Returns whether nothing has been heard from the follower for so long that the process stood still, and meanwhile a
+    /// Returns whether the follower has reported nothing for so long that the process stood still, and meanwhile a
     /// later configuration that has to be in force may have come, or a target have left that has to be out of use.
     fn is_unheard(&self, now: Time) -> bool {
         self.freshness_valid_until > Time::ZERO && now > self.valid_until()
     }
 
-    /// Returns until when the follower's last word holds.
+    /// Returns until when the follower's last report holds.
     pub(super) fn valid_until(&self) -> Time {
         let rows_until = self.refuse_until.min(self.targets_until);
         self.freshness_valid_until.max(rows_until)
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -99,7 +99,7 @@
 }
 
 /// Returns the headers to forward to a target, without any that exposes the API key, is specific
-/// to the connection or is set anew by the instance.
+/// to the connection or is set by the instance itself.
 pub fn forwarded_headers(dialect: &Dialect, headers: &HeaderMap, key: Option<&str>) -> HeaderMap {
     let listed = connection_options(headers);
     headers
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -85,13 +85,13 @@
         valid_until: Time,
         /// Time at which the configuration was last known to be the latest.
         confirmed_at: Option<Time>,
-        /// Time until which requests for unknown routes and keys are refused for good: no later
+        /// Time until which requests for unknown routes and keys are refused permanently: no later
         /// configuration has to be in force before.
         refuse_until: Time,
         /// What last showed that the routes and keys in force are the latest, which `refuse_until` follows from.
         confirmation: Option<Confirmation>,
-        /// Time until which requests may be sent by the rows of targets without another word: none that has left has to
-        /// be out of use before.
+        /// Time until which requests may be sent by the rows of targets without another report: none that has left has
+        /// to be out of use before.
         targets_until: Time,
     },
     /// The instance knows of a later configuration than the active one, or no longer does.
@@ -283,7 +283,7 @@
     pub revision: u64,
     /// Number of the configuration in force, as it changes.
     pub in_force: watch::Receiver<u64>,
-    /// Time until which it may be sent without another word of the follower, as that changes.
+    /// Time until which it may be sent without another report of the follower, as that changes.
     pub sends_until: watch::Receiver<Time>,
     /// Deadline of the request.
     pub deadline: Time,
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -7,8 +7,8 @@
 
 use crate::connection::Relay;
 
-/// Permits an attempt to be sent for as long as its request may run in the target's region, and the follower's last word
-/// holds.
+/// Permits an attempt to be sent for as long as its request may run in the target's region, and the follower's last
+/// report holds.
 ///
 /// # Examples
 ///
@@ -28,7 +28,7 @@
     /// Region of the target.
     region: RegionId,
     allowed: watch::Receiver<AllowedRegions>,
-    /// Time until which the follower's last word holds, if there is a follower.
+    /// Time until which the follower's last report holds, if there is a follower.
     until: Option<watch::Receiver<Time>>,
     /// Where the sending is noted, and the configuration in force.
     noted: Option<(SendNote, watch::Receiver<u64>)>,
@@ -71,14 +71,14 @@
         self
     }
 
-    /// Sets until when it may be sent without another word of the follower, as that changes.
+    /// Sets until when it may be sent without another report of the follower, as that changes.
     pub fn until(mut self, until: watch::Receiver<Time>) -> Self {
         self.until = Some(until);
         self
     }
 
-    /// Returns whether the follower's last word holds at `now`. It may not after a standstill of the process, which the
-    /// engine may notice later than an attempt's own task.
+    /// Returns whether the follower's last report holds at `now`. It may not after a standstill of the process, which
+    /// the engine may notice later than an attempt's own task.
     pub fn is_valid(&self, now: Time) -> bool {
         let until = self.until.as_ref();
         until.is_none_or(|until| now <= *until.borrow())
