test(entry): rows that hold after a standstill have one table of cases

Two tests had the same four cases, for a request that waited through a standstill and for an attempt that was handed over before it. They are one test now, with both as values.

--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -267,58 +267,55 @@
     }
 }
 
-/// Guards against DRAIN: an engine that had stood still sent requests by rows of targets that were too old, since the
-/// operators' rows were still to be gone by; and against refusals while both are.
-#[rstest]
-#[case::both_hold(9_500, 9_500, 5_000, true)]
-#[case::targets_are_over(9_500, 2_300, 5_000, false)]
-#[case::operators_are_over(2_300, 9_500, 5_000, false)]
-#[case::no_standstill(9_500, 100, 900, true)]
-#[tokio::test(start_paused = true)]
-async fn request_after_a_standstill_goes_by_rows_that_hold(
-    #[case] refuse_until_ms: u64,
-    #[case] targets_until_ms: u64,
-    #[case] stands_ms: u64,
-    #[case] is_sent: bool,
-) {
-    let [refuse_until, targets_until, stands] =
-        [refuse_until_ms, targets_until_ms, stands_ms].map(Duration::from_millis);
-    let mut engine = engine_after(word_until(refuse_until, targets_until));
-    let mut waiting = submit(&mut engine, 1);
-    advance(stands).await;
-    dispatch(&mut engine, 1);
-    if is_sent {
-        assert!(plan_of(&mut waiting).is_some());
-    } else {
-        let expected = Refusal::new(ErrorKind::Isolated).retry_after(Duration::ZERO);
-        assert_eq!(refusal(&mut waiting), Some(expected));
-    }
+/// What an engine had done with a request before a standstill.
+#[derive(Debug, Clone, Copy)]
+enum Progress {
+    /// Its body hadn't arrived.
+    Waiting,
+    /// Its attempt was handed over, and not sent yet.
+    HandedOver,
 }
 
-/// Guards against DRAIN, HOME and CONFIG: an attempt that the engine had handed over before a standstill was sent after
-/// it, by rows that were too old, before the engine noticed.
+/// Guards against DRAIN, HOME and CONFIG: an engine that had stood still sent requests by rows of targets that were too
+/// old, since the operators' rows were still to be gone by; an attempt that it had handed over before was sent by such
+/// rows before it noticed. And against refusals while both kinds of rows hold.
 #[rstest]
 #[case::both_hold(9_500, 9_500, 5_000, true)]
 #[case::targets_are_over(9_500, 2_300, 5_000, false)]
 #[case::operators_are_over(2_300, 9_500, 5_000, false)]
 #[case::no_standstill(9_500, 100, 900, true)]
 #[tokio::test(start_paused = true)]
-async fn attempt_handed_over_before_a_standstill_goes_by_rows_that_hold(
+async fn request_after_a_standstill_goes_by_rows_that_hold(
     #[case] refuse_until_ms: u64,
     #[case] targets_until_ms: u64,
     #[case] stands_ms: u64,
     #[case] is_sent: bool,
+    #[values(Progress::Waiting, Progress::HandedOver)] progress: Progress,
 ) {
     let [refuse_until, targets_until, stands] =
         [refuse_until_ms, targets_until_ms, stands_ms].map(Duration::from_millis);
     let mut engine = engine_after(word_until(refuse_until, targets_until));
-    let mut running = submit(&mut engine, 1);
-    dispatch(&mut engine, 1);
-    let plan = plan_of(&mut running).unwrap();
-    let permit =
-        SendPermit::new(plan.assignment.region, plan.allowed_regions).until(plan.sends_until);
-    let woken_at = Time::ZERO + stands;
-    assert_eq!(permit.is_valid(woken_at), is_sent);
-    engine.handle(word(stands));
-    assert!(permit.is_valid(woken_at));
+    let mut rx = submit(&mut engine, 1);
+    match progress {
+        Progress::Waiting => {
+            advance(stands).await;
+            dispatch(&mut engine, 1);
+            if is_sent {
+                assert!(plan_of(&mut rx).is_some());
+            } else {
+                let expected = Refusal::new(ErrorKind::Isolated).retry_after(Duration::ZERO);
+                assert_eq!(refusal(&mut rx), Some(expected));
+            }
+        }
+        Progress::HandedOver => {
+            dispatch(&mut engine, 1);
+            let plan = plan_of(&mut rx).unwrap();
+            let permit = SendPermit::new(plan.assignment.region, plan.allowed_regions)
+                .until(plan.sends_until);
+            let woken_at = Time::ZERO + stands;
+            assert_eq!(permit.is_valid(woken_at), is_sent);
+            engine.handle(word(stands));
+            assert!(permit.is_valid(woken_at));
+        }
+    }
 }
