feat(entry): each request's line tells the age of its routes and keys

What callers saw: nothing. That age is counted from the older confirmation of both tables to the request's arrival, not to the end of the request or the writing of the line. So it is old where the rows of targets alone are, and says nothing of what the operators change. What tells that, `rows_age_ms` and `confirmed_by`, stood only on lines of requests refused for good.

Change: both stand on all lines. About 45 bytes more a line; the number of lines is limited as before.

Ruled out: that the age grows with the request or with the writing of its line (by reading: `started` is set when the head has been read, and the date comes with the decision).

--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -9,7 +9,6 @@
 use crate::{
     dialect::Dialect,
     forward::TargetResponse,
-    metrics::is_final,
     request_log::{RequestLog, homes},
     trace::Trace,
     view::Clock,
@@ -113,7 +112,6 @@
             let info = state.info.as_ref();
             let config = state.config.as_ref();
             let confirmation = config.and_then(|config| config.confirmation.as_ref());
-            let confirmation = confirmation.filter(|_| is_final(status));
             let line = RequestLine {
                 event: "request",
                 at_ms: now.as_micros() / 1_000,
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -31,10 +31,10 @@
     /// milliseconds; omitted if it never was confirmed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub config_age_ms: Option<u64>,
-    /// Of a request refused permanently: the same for routes and keys alone, by which such refusals are decided.
+    /// The same for routes and keys alone, without targets: what the operators change.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub rows_age_ms: Option<u64>,
-    /// Of a request refused permanently: what confirmed these, `platform` for an own read or an instance.
+    /// What confirmed these, `platform` for an own read or an instance.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub confirmed_by: Option<&'a str>,
     /// Regions in which the request might run by that revision, separated by commas, or `none`; omitted
