test(daemon): instances that the store turns away beside one reader

What callers saw: nothing yet. docs/incidents/home.md keeps "serves on where others' reads fail too" as a decision about an outage for all.

It is, by reading: the reader's heartbeats carry the position of the operators' table and since when it has known of it; an instance that lacks it refuses from three quarters of configApplyS on, however old its own confirmation is. The age of a confirmation alone refuses nothing that the configuration allows.

Change: a drawn test in virtual time of one reader and one to four instances that get nothing from the store after their first reads and no rows from others; a tenth of the heartbeats are lost. None serves by a version superseded for longer than configApplyS.

--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod model;
 mod old_poll;
+mod one_reader;
 #[path = "../support/options.rs"]
 mod options;
 #[path = "../support/paused.rs"]
