test(daemon): a target that leaves while earlier rows arrive, red

What callers see: a request reaches a target later than `drainS` after the acknowledgement that it is draining or gone, at an instance to which rows of targets are arriving, and at one that learns of departures from that instance.

Cause: while an answer arrives, nothing reads the table; the poll after it brings the departure. The date until which rows of targets may be sent by (`targets_until`, nine tenths of `drainS` after the last confirmation) ends nothing here: the engine goes by it only once the follower hasn't published for a second, so after a standstill. A running instance goes on.

The builder of departed.rs is shared. Its targets have 10,000 slots instead of 100, so that the attempts of a run, which aren't ended, leave some free: with 100, requests after 4 s weren't sent at all and the tests held for nothing.

--- a/crates/daemon/tests/behind/departed.rs
+++ b/crates/daemon/tests/behind/departed.rs
@@ -3,7 +3,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::{Config, Key, KeyDigest, Time, Workspace};
+use base::{Config, Key, KeyDigest, Registration, Service, TargetId, Time, Workspace};
 use coord::{Replica, SlotHistory};
 use daemon::{
     fleet::Fleet,
@@ -39,18 +39,23 @@
 };
 
 const SEEDS: Range<u64> = 0..300;
-const TARGETS_TABLE: &str = "servers";
+pub(crate) const TARGETS_TABLE: &str = "servers";
 const KEY: &str = "key";
-const TARGET: &str = "leaves";
+/// Slots of a target: the attempts of a run, which aren't ended, leave some free.
+const SLOTS: u32 = 10_000;
+pub(crate) const TARGET: &str = "leaves";
+/// Content of the entry of a target that is leaving, and of one that belongs to another service.
+pub(crate) const DRAINING: &str = "draining";
+pub(crate) const OF_OTHERS: &str = "of others";
 /// Position of the tables at the start.
-const FIRST_POSITION: u64 = 10;
+pub(crate) const FIRST_POSITION: u64 = 10;
 /// Time from the start to the earliest begin of the standstill.
 const STANDS_FROM: Duration = Duration::from_secs(6);
 /// Time from the start to an outage of the store in which the instance runs.
 const OUTAGE_FROM: Duration = Duration::from_secs(2);
 /// Time for which requests are sent after the standstill.
 const WATCHED_TIME: Duration = Duration::from_millis(1_500);
-const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
 /// Age of what confirms the rows in a heartbeat.
 const CONFIRMATION_AGE: Duration = Duration::from_millis(200);
 /// Time after the departure at which another instance has read of it.
@@ -173,10 +178,19 @@
 /// Returns a configuration with the targets whose rows `replicas` have.
 fn composed(replicas: &[&Replica]) -> Config {
     let mut config = config([("north", "north")]);
-    let mut board = service(100, 10_000);
-    for (name, _) in replicas[1].rows() {
-        let target = target("north", Some(registration(100, 1)));
-        board.targets.insert(name.into(), target);
+    let mut board = Service {
+        connections: SLOTS,
+        ..service(SLOTS, 10_000)
+    };
+    let rows = replicas[1].rows();
+    for (name, row) in rows.filter(|(_, row)| &*row.value != OF_OTHERS) {
+        let registered = Registration {
+            is_leaving: &*row.value == DRAINING,
+            ..registration(SLOTS, 1)
+        };
+        board
+            .targets
+            .insert(name.into(), target("north", Some(registered)));
     }
     config.services.insert("board".into(), board);
     let workspace = Workspace {
@@ -194,76 +208,95 @@
 }
 
 /// A follower, and the engine that decides by what it reads.
-struct Instance {
-    follower: mpsc::Sender<FollowerMessage>,
+pub(crate) struct Instance {
+    pub(crate) follower: mpsc::Sender<FollowerMessage>,
     engine: mpsc::UnboundedSender<Event>,
-    _told: mpsc::Receiver<PeerCommand>,
+    /// What it tells the task that sends heartbeats.
+    pub(crate) told: mpsc::Receiver<PeerCommand>,
     _fleet: watch::Sender<Arc<Fleet>>,
 }
 
+/// Time limits of an instance.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    pub(crate) contact: Duration,
+    pub(crate) apply: Duration,
+    pub(crate) drain: Duration,
+}
+
 fn start(started: Instant, standstill: &Standstill) -> Instance {
-    let clock = Clock::start();
     let scenario = standstill.clone();
     let platform = Platform::spawn(move || {
         let scenario = scenario.clone();
         move |call, progress| answer(started, scenario.clone(), (call, progress))
     });
-    let other = reporter_id(0);
-    let fleet = Fleet {
-        members: [(other.clone(), member(&other, Duration::from_secs(60)))].into(),
-        ..Fleet::default()
-    };
-    let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
-    let (engine, engine_rx) = mpsc::unbounded_channel();
-    let (peers, told) = mpsc::channel(1_024);
-    let (view, _) = watch::channel(Arc::new(View::default()));
-    let (snapshots, _) = watch::channel(Arc::default());
-    let (follower, rx) = mpsc::channel(64);
-    let compose = |replicas: &[&Replica]| {
-        Some(ComposedConfig {
-            version: 1,
-            is_latest: true,
-            config: composed(replicas),
-        })
+    let limits = Limits {
+        contact: standstill.contact,
+        apply: standstill.apply,
+        drain: standstill.drain,
     };
-    let task = TableFollower::new(
-        FollowerOptions {
-            apply: standstill.apply,
-            drain: standstill.drain,
-            confirm_limit: Duration::from_secs(60),
-            read_timing: ReadTiming::within(standstill.contact),
-            ..options(clock, platform, fleet)
-        },
-        Outputs {
-            engine: engine.clone(),
-            peers,
-            view,
-        },
-        FollowedTables {
-            tables: vec!["op".to_owned(), TARGETS_TABLE.to_owned()],
-            compose,
-        },
-        snapshots,
-    );
-    let mut deciding = start_engine(clock, &engine);
-    deciding.handle(Event::HoldQuotaSlot {
-        slot: 0,
-        until: Time::NEVER,
-        previous_holder: SlotHistory::NeverHeld,
-    });
-    tokio::spawn(deciding.run(engine_rx));
-    tokio::spawn(task.run(rx));
-    Instance {
-        follower,
-        engine,
-        _told: told,
-        _fleet: fleet_tx,
-    }
+    Instance::start(platform, limits)
 }
 
 impl Instance {
+    /// Starts an instance that follows a store beside another one.
+    pub(crate) fn start(platform: Platform, limits: Limits) -> Self {
+        let clock = Clock::start();
+        let other = reporter_id(0);
+        let fleet = Fleet {
+            members: [(other.clone(), member(&other, Duration::from_secs(60)))].into(),
+            ..Fleet::default()
+        };
+        let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
+        let (engine, engine_rx) = mpsc::unbounded_channel();
+        let (peers, told) = mpsc::channel(1_024);
+        let (view, _) = watch::channel(Arc::new(View::default()));
+        let (snapshots, _) = watch::channel(Arc::default());
+        let (follower, rx) = mpsc::channel(64);
+        let compose = |replicas: &[&Replica]| {
+            Some(ComposedConfig {
+                version: 1,
+                is_latest: true,
+                config: composed(replicas),
+            })
+        };
+        let task = TableFollower::new(
+            FollowerOptions {
+                apply: limits.apply,
+                drain: limits.drain,
+                confirm_limit: Duration::from_secs(60),
+                read_timing: ReadTiming::within(limits.contact),
+                ..options(clock, platform, fleet)
+            },
+            Outputs {
+                engine: engine.clone(),
+                peers,
+                view,
+            },
+            FollowedTables {
+                tables: vec!["op".to_owned(), TARGETS_TABLE.to_owned()],
+                compose,
+            },
+            snapshots,
+        );
+        let mut deciding = start_engine(clock, &engine);
+        deciding.handle(Event::HoldQuotaSlot {
+            slot: 0,
+            until: Time::NEVER,
+            previous_holder: SlotHistory::NeverHeld,
+        });
+        tokio::spawn(deciding.run(engine_rx));
+        tokio::spawn(task.run(rx));
+        Self {
+            follower,
+            engine,
+            told,
+            _fleet: fleet_tx,
+        }
+    }
+
     /// Sends a request, and returns where its decisions come.
-    fn send(&self, id: u64) -> mpsc::UnboundedReceiver<Decision> {
+    pub(crate) fn send(&self, id: u64) -> mpsc::UnboundedReceiver<Decision> {
         let (tx, rx) = mpsc::unbounded_channel();
         let arrival = Arrival {
             id: RequestId(id),
@@ -288,11 +321,22 @@
         &self,
         started: Instant,
         id: u64,
-        mut rx: mpsc::UnboundedReceiver<Decision>,
+        rx: mpsc::UnboundedReceiver<Decision>,
     ) -> (Duration, Outcome) {
+        let (at, outcome) = self.sent_to(started, id, rx).await;
+        (at, outcome.map(|_| ()))
+    }
+
+    /// Returns to which target the request is sent first, and when.
+    pub(crate) async fn sent_to(
+        &self,
+        started: Instant,
+        id: u64,
+        mut rx: mpsc::UnboundedReceiver<Decision>,
+    ) -> (Duration, Result<TargetId, String>) {
         let outcome = loop {
             match timeout(ARRIVAL_INTERVAL, rx.recv()).await {
-                Ok(Some(Decision::SendAttempt(_))) => break Ok(()),
+                Ok(Some(Decision::SendAttempt(plan))) => break Ok(plan.assignment.target),
                 Ok(Some(Decision::Refuse(refusal))) => break Err(refusal.kind.to_string()),
                 Ok(Some(_)) => {}
                 Ok(None) | Err(_) => break Err("no decision".to_owned()),
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -2,6 +2,7 @@
 //! transfers and heartbeats.
 
 mod arrivals;
+mod beside_rows;
 mod beside_transfer;
 #[path = "../support/call.rs"]
 mod call;
