fix(daemon): a departure beside a transfer is known by a read beside it

What callers see: a request reaches a target later than `drainS` after the acknowledgement that it is draining or gone, where other rows of targets have been arriving since before, and at instances that learn of departures from that one.

Cause: nothing read the table while an answer arrived, and what the poll after it brought was up to a transfer older, or two.

Change: the reads beside a transfer go on from the store's newest position. Of the targets' table, such an answer is read whole, since its rows say which target left, and the next one follows it. The rows can't be applied, for what comes before them is still arriving; but each target of them that isn't in service by its latest row counts as one that another instance has reported to have left, until the own rows reach that row. It is reported to others as departures are. An answer whose rows are arriving goes on beside the next poll.

Ruled out: to know the date alone, as for versions: it says of no target that it left, so all requests would have to be refused, and other targets are sound. To apply the rows: those between the two answers would be lacking.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -195,6 +195,7 @@
                 platform: self.options.platform.clone(),
                 table: table.clone(),
                 timing: self.read_timing(),
+                takes_rows_beside: idx == TARGETS,
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
@@ -375,6 +376,7 @@
                 }
                 return true;
             }
+            TableRead::Beside(read) => return self.take_rows_beside(now, read),
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -95,6 +95,8 @@
     lives: BTreeMap<TargetId, Option<Life>>,
     /// Departures by rows that are lacking here.
     pub(super) reported: ReportedDepartures,
+    /// Those of them that an own read beside a transfer has brought.
+    beside: BTreeSet<TargetId>,
     /// Targets that are out of service by what others have told.
     applied: Arc<BTreeSet<TargetId>>,
     /// What the task that sends heartbeats was told last.
@@ -135,6 +137,21 @@
     pub(super) fn on_replica(&mut self, replica: &Replica) {
         let is_retained = |id: &TargetId| replica.is_retained(id.as_str());
         self.reported.on_position(replica.position(), is_retained);
+        let lacking: BTreeSet<&TargetId> = self.reported.targets().map(|(id, _)| id).collect();
+        self.beside.retain(|target| lacking.contains(target));
+    }
+
+    /// Records departures that an own read beside a transfer has brought: they count as if another instance had reported
+    /// them, and are told.
+    pub(super) fn on_departures_beside(
+        &mut self,
+        now: Time,
+        replica: &Replica,
+        departures: &[Departure],
+    ) {
+        self.on_departures(now, replica, departures);
+        let targets = departures.iter().map(|departure| departure.target.clone());
+        self.beside.extend(targets);
     }
 
     /// Returns the targets that the own rows have in service, and others have told to have left.
@@ -154,11 +171,18 @@
         among.map(|(_, position)| position).max().unwrap_or(0)
     }
 
-    /// Returns the departures of the last seconds if they aren't those that were told last.
+    /// Returns the departures of the last seconds if they aren't those that were told last. Those that the own rows lack
+    /// are the newest ones.
     pub(super) fn untold(&mut self, now: Time) -> Option<Arc<Vec<Departure>>> {
         self.own.expire(now);
-        let is_told = self.own.iter().eq(self.told.iter());
-        (!is_told).then(|| Arc::new(self.own.newest_first()))
+        let beside = self.reported.targets();
+        let beside = beside.filter(|(target, _)| self.beside.contains(*target));
+        let beside = beside.map(|(target, position)| Departure {
+            target: target.clone(),
+            position,
+        });
+        let all: Vec<Departure> = beside.chain(self.own.iter().cloned()).collect();
+        (all != *self.told).then(|| Arc::new(all))
     }
 
     /// Returns the entries that are gone and retained by the own rows if they aren't those that were told last.
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -1,10 +1,10 @@
 //! What the follower makes of its tables for the other tasks: the configuration, how recent it is, and
 //! the tables' positions.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use base::{Config, InstanceId, Time};
-use coord::{Freshness, Replica};
+use base::{Config, InstanceId, TargetId, Time};
+use coord::{Departure, Freshness, Replica};
 use entry::{
     message::{Confirmation, Event},
     view::View,
@@ -19,6 +19,7 @@
     fleet::Fleet,
     message::PeerCommand,
     table_logs::{NewsSource, age_ms, log_rates, log_targets_left},
+    table_reads::{RowsBeside, to_row_change},
 };
 
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
@@ -88,6 +89,41 @@
         true
     }
 
+    /// Takes the targets out of service that have left by rows after those that are arriving; returns whether there are any.
+    pub(super) fn take_rows_beside(&mut self, now: Time, read: RowsBeside) -> bool {
+        let Some(table) = self.tables.get(TARGETS) else {
+            return false;
+        };
+        let own_position = table.replica.position();
+        let rows = read.rows.iter();
+        let later = rows.filter(|row| row.at > own_position);
+        let last: BTreeMap<TargetId, u64> =
+            later.map(|row| (row.row.as_str().into(), row.at)).collect();
+        let mut ahead = table.replica.clone();
+        let changes = read.rows.into_iter().map(to_row_change).collect();
+        ahead.apply_changes(now, changes, read.position);
+        let tables = self.tables.iter().enumerate();
+        let replicas = tables.map(|(idx, table)| match idx {
+            TARGETS => &ahead,
+            _ => &table.replica,
+        });
+        let replicas: Vec<&Replica> = replicas.collect();
+        let Some(composed) = (self.followed.compose)(&replicas) else {
+            return false;
+        };
+        let config = composed.config;
+        let is_available = |id: &TargetId| {
+            let mut services = config.services.keys();
+            services.any(|service| config.is_target_available(service, id))
+        };
+        let left = last.into_iter().filter(|(id, _)| !is_available(id));
+        let left = left.map(|(target, position)| Departure { target, position });
+        let left: Vec<Departure> = left.collect();
+        self.overlay
+            .on_departures_beside(now, &table.replica, &left);
+        self.overlay_departures(now, NewsSource::Beside)
+    }
+
     /// Tells the engine alone, without another configuration, which targets others have told to have left.
     fn take_out(
         &mut self,
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -30,6 +30,9 @@
     /// An own read that doesn't confirm what others have reported.
     #[display("own rows")]
     OwnRows,
+    /// An own read beside one that is still arriving.
+    #[display("beside a transfer")]
+    Beside,
     /// The end of the time for which a removed row is kept.
     #[display("grace period")]
     GracePeriod,
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -26,8 +26,8 @@
 pub(crate) use self::{
     elsewhere::FailingElsewhere,
     outcome::{
-        Arrival, Fetch, LaterChange, PlatformRead, ReadFailure, TableRead, to_row_change,
-        to_snapshot,
+        Arrival, Fetch, LaterChange, PlatformRead, ReadFailure, RowsBeside, TableRead,
+        to_row_change, to_snapshot,
     },
 };
 
@@ -55,6 +55,8 @@
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
+    /// Whether rows are of use although what comes before them is still arriving.
+    pub(crate) takes_rows_beside: bool,
     /// Time within which a change must be in force.
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
@@ -131,6 +133,7 @@
             platform: platform.clone(),
             table: options.table.clone(),
             timing: options.timing,
+            takes_rows: options.takes_rows_beside,
         };
         Self {
             options: ReaderOptions {
@@ -184,7 +187,7 @@
                         is_slow: self.open.is_slow() || self.open.is_late(self.options.apply),
                     }))
                 }
-                later = self.beside.next(&self.side_calls) => later.map(TableRead::Later),
+                later = self.beside.next(&self.side_calls) => later,
                 Ok(()) = self.options.advanced.changed() => {
                     let position = *self.options.advanced.borrow_and_update();
                     self.position = self.position.max(Some(position));
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -1,6 +1,13 @@
 //! Reads beside a transfer: whether the table has changed since the answer that is arriving was made.
 
-use std::{pin::pin, time::Duration};
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use base::Time;
 use entry::view::Clock;
@@ -10,7 +17,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{LaterChange, POLL_DELAY, ReadTiming, open_polls::OpenPoll};
+use super::{LaterChange, POLL_DELAY, ReadTiming, RowsBeside, TableRead, open_polls::OpenPoll};
 
 /// Time for which an answer must have been arriving for a read beside it.
 const MIN_TRANSFER_TIME: Duration = Duration::from_millis(100);
@@ -24,6 +31,8 @@
     pub(super) platform: Platform,
     pub(super) table: String,
     pub(super) timing: ReadTiming,
+    /// Whether the rows of the answers are of use although what comes before them is still arriving.
+    pub(super) takes_rows: bool,
 }
 
 /// Reads a table's position as an answer is arriving, and follows it from there until that answer is complete.
@@ -34,6 +43,9 @@
 /// answer brings something although the one beside it brought nothing, the change lies between that answer and the small
 /// call, if another prompt read from that call's position is empty.
 ///
+/// Where the rows are of use, such a poll is read whole and followed by another one. One whose rows are arriving goes on
+/// beside the polls after the transfer.
+///
 /// What fails or isn't answered here has no effect.
 #[derive(Debug, Default)]
 pub(super) struct BesideReads {
@@ -44,6 +56,8 @@
     asked: Option<u64>,
     /// The last position that was read.
     seen: Option<Seen>,
+    /// Whether rows are arriving that are of use.
+    brings_rows: Arc<AtomicBool>,
 }
 
 /// A position of the platform's tables that was read beside a transfer.
@@ -66,6 +80,8 @@
     Position(Seen),
     /// The table has changed.
     Change(LaterChange),
+    /// The table has changed after a position, by these rows.
+    Rows(Seen, RowsBeside),
     /// Nothing has changed since a position that was read before, so what is arriving had changed by then.
     Earlier(LaterChange),
 }
@@ -75,7 +91,8 @@
     /// It has no rows, and is complete up to a position.
     Empty(u64),
     /// It brings rows, and began at a time.
-    Rows(Time),
+    Begun(Time),
+    Rows(RowsBeside),
     Failed,
 }
 
@@ -89,6 +106,8 @@
         let is_over = |number| open.all(|poll| poll.number != number);
         if self.beside.is_some_and(is_over) {
             self.beside = None;
+        }
+        if self.beside.is_none() && !self.brings_rows.load(Ordering::Relaxed) {
             self.tasks.abort_all();
         }
     }
@@ -116,25 +135,36 @@
     }
 
     /// Awaits a later change that a read has shown; `None` if it has shown none. Waits for ever if there is no read.
-    pub(super) async fn next(&mut self, calls: &SideCalls) -> Option<LaterChange> {
+    pub(super) async fn next(&mut self, calls: &SideCalls) -> Option<TableRead> {
         let Some(ended) = self.tasks.join_next().await else {
             return std::future::pending().await;
         };
+        self.brings_rows.store(false, Ordering::Relaxed);
         match ended.unwrap_or(Finding::Nothing) {
             Finding::Nothing => None,
             Finding::Position(seen) => {
-                self.seen = Some(seen);
-                if self.beside == Some(seen.number) {
-                    self.tasks.spawn(calls.clone().follow(seen));
-                }
+                self.seen = (!calls.takes_rows).then_some(seen);
+                self.follow(seen, calls);
                 None
             }
+            Finding::Rows(seen, rows) => {
+                self.follow(seen, calls);
+                Some(TableRead::Beside(rows))
+            }
             Finding::Change(change) => {
                 // What is arriving after this one may have changed then.
                 self.seen = None;
-                Some(change)
+                Some(TableRead::Later(change))
             }
-            Finding::Earlier(change) => Some(change),
+            Finding::Earlier(change) => Some(TableRead::Later(change)),
+        }
+    }
+
+    /// Follows the table from a position if the answer beside which that was read is still arriving.
+    fn follow(&mut self, seen: Seen, calls: &SideCalls) {
+        if self.beside == Some(seen.number) {
+            let follow = calls.clone().follow(seen, self.brings_rows.clone());
+            self.tasks.spawn(follow);
         }
     }
 }
@@ -159,12 +189,21 @@
 
     /// Follows the table until it changes. The change was made before its first bytes arrive, by as long as those of the
     /// small call took where the link is as full.
-    async fn follow(self, seen: Seen) -> Finding {
+    async fn follow(self, seen: Seen, brings_rows: Arc<AtomicBool>) -> Finding {
         let mut after = seen.position;
         loop {
-            match self.poll(after, self.timing.poll_wait).await {
+            let answer = if self.takes_rows {
+                self.poll_rows(after, &brings_rows).await
+            } else {
+                self.poll(after, self.timing.poll_wait).await
+            };
+            match answer {
                 SideAnswer::Empty(position) => after = after.max(position),
-                SideAnswer::Rows(begun_at) => {
+                SideAnswer::Rows(rows) => {
+                    let position = after.max(rows.position);
+                    return Finding::Rows(Seen { position, ..seen }, rows);
+                }
+                SideAnswer::Begun(begun_at) => {
                     let since = begun_at.before(seen.way).max(seen.at);
                     return Finding::Change(LaterChange { after, since });
                 }
@@ -182,7 +221,40 @@
                 after,
                 since: seen.at,
             }),
-            SideAnswer::Rows(_) | SideAnswer::Failed => Finding::Nothing,
+            _ => Finding::Nothing,
+        }
+    }
+
+    /// Sends a poll and reads what it brings.
+    async fn poll_rows(&self, after: u64, brings_rows: &AtomicBool) -> SideAnswer {
+        let wait = self.timing.poll_wait;
+        let progress = Progress::start();
+        let mut received = progress.received();
+        let platform = self.platform.clone().progress(progress);
+        let mut answer = pin!(platform.changes(&self.table, after, wait));
+        let mut max_quiet_time = wait + self.timing.first_answer_time();
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut answer => break answer,
+                arrived = timeout(max_quiet_time, received.changed()) => {
+                    if !matches!(arrived, Ok(Ok(()))) {
+                        return SideAnswer::Failed;
+                    }
+                }
+            }
+            if received.borrow().begun_at.is_some() {
+                brings_rows.store(true, Ordering::Relaxed);
+                max_quiet_time = self.timing.first_answer_time();
+            }
+        };
+        match answer {
+            Ok((rows, position)) if rows.is_empty() => {
+                brings_rows.store(false, Ordering::Relaxed);
+                SideAnswer::Empty(position)
+            }
+            Ok((rows, position)) => SideAnswer::Rows(RowsBeside { rows, position }),
+            Err(_) => SideAnswer::Failed,
         }
     }
 
@@ -208,11 +280,11 @@
                 Ok(Ok((rows, position))) if rows.is_empty() => SideAnswer::Empty(position),
                 Ok(Ok(_)) => {
                     let begun_at = whole.borrow().begun_at;
-                    SideAnswer::Rows(since(begun_at.unwrap_or_else(Instant::now)))
+                    SideAnswer::Begun(since(begun_at.unwrap_or_else(Instant::now)))
                 }
                 _ => SideAnswer::Failed,
             },
-            Some(begun_at) = begun => SideAnswer::Rows(since(begun_at)),
+            Some(begun_at) = begun => SideAnswer::Begun(since(begun_at)),
         }
     }
 }
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -17,6 +17,8 @@
     Arriving(Arrival),
     /// The table has changed after an answer that is arriving was made.
     Later(LaterChange),
+    /// Rows that have changed after an answer that is arriving was made.
+    Beside(RowsBeside),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
@@ -31,6 +33,15 @@
     pub(crate) since: Time,
 }
 
+/// Carries rows that have changed after a position which the own copy hasn't reached: they can't be applied to it, and
+/// confirm nothing.
+#[derive(Debug)]
+pub(crate) struct RowsBeside {
+    pub(crate) rows: Vec<Change>,
+    /// Position up to which they are complete.
+    pub(crate) position: u64,
+}
+
 /// Describes an answer of the platform that is arriving.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Arrival {
--- a/crates/daemon/tests/behind/beside_rows.rs
+++ b/crates/daemon/tests/behind/beside_rows.rs
@@ -1,6 +1,6 @@
 //! A target that leaves while an answer that brings earlier rows of targets is still arriving.
 
-use std::{ops::Range, time::Duration};
+use std::{ops::Range, sync::Arc, time::Duration};
 
 use base::TargetId;
 use daemon::message::{FollowerMessage, PeerCommand};
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, interval, sleep, sleep_until},
 };
 
 use crate::{
@@ -19,7 +19,7 @@
         ARRIVAL_INTERVAL, DRAINING, FIRST_POSITION, Instance, Limits, OF_OTHERS, TARGET,
         TARGETS_TABLE,
     },
-    model::{RUN_TIME, reporter_id},
+    model::{HEARTBEAT_INTERVAL, RUN_TIME, reporter_id},
     paused::run_paused,
     transfer::Transfer,
 };
@@ -36,6 +36,8 @@
 const SHORT_TRANSFER: Duration = Duration::from_millis(30);
 /// Time that a message takes to another instance.
 const WAY: Duration = Duration::from_millis(25);
+/// Time that the small call for the store's position takes.
+const SMALL_CALL_TIME: Duration = Duration::from_millis(10);
 /// Time from which on the store turns an instance away.
 const TURNED_AWAY_FROM: Duration = Duration::from_secs(3);
 /// Time for which requests are sent before the rows change, and after the bound of the departure.
@@ -158,8 +160,14 @@
     scenario: Scenario,
     (call, progress): (Call, Progress),
 ) -> Result<Reply, PlatformError> {
-    let (table, after, wait) = read_of(call)?;
     let changes = scenario.changes();
+    if matches!(call, Call::Position { .. }) {
+        let there = changes.iter().filter(|(at, _)| *at <= started.elapsed());
+        let position = there.map(|(_, change)| change.at).max();
+        sleep(SMALL_CALL_TIME).await;
+        return Ok(Reply::Position(position.unwrap_or(FIRST_POSITION)));
+    }
+    let (table, after, wait) = read_of(call)?;
     let deadline = started.elapsed() + wait;
     if table != TARGETS_TABLE {
         sleep_until(started + deadline).await;
@@ -216,10 +224,28 @@
     Instance::start(platform, limits)
 }
 
-/// Brings what an instance reports of departures to another one.
+/// Brings what an instance reports of departures to another one: with its regular heartbeats, and at once with
+/// a later position.
 async fn relay(mut from: Instance, to: mpsc::Sender<FollowerMessage>) {
-    while let Some(command) = from.told.recv().await {
-        if let PeerCommand::SetDepartures(departures) = command {
+    let mut departures = Arc::default();
+    let mut positions = Vec::new();
+    let mut regular = interval(HEARTBEAT_INTERVAL);
+    loop {
+        let is_sent = tokio::select! {
+            _ = regular.tick() => true,
+            command = from.told.recv() => match command {
+                Some(PeerCommand::SetDepartures(set)) => {
+                    departures = set;
+                    false
+                }
+                Some(PeerCommand::SetTablePositions { positions: set, .. }) => {
+                    set != std::mem::replace(&mut positions, set.clone())
+                }
+                Some(_) => false,
+                None => return,
+            },
+        };
+        if is_sent {
             sleep(WAY).await;
             let message = FollowerMessage::PeerDepartures {
                 from: reporter_id(0),
