fix(daemon): what a read beside a transfer shows is answered by the next poll

Found by reading, not seen: an answer without changes whose bytes come apart for longer than 0.1 s beside a transfer would have counted as a change until the poll after the next one, which waits up to 1.9 s, and requests could have been refused for nothing meanwhile.

A read that was sent since a change was shown now ends it whatever the task of the follower has handled by then, the poll after a shown change waits for nothing, and a date between an answer and the small call counts only if the answer that brings the change is still arriving 0.1 s after its begin, or much of it is left.

--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -143,21 +143,12 @@
     gone_to: u64,
     /// Time at which an answer that is still arriving began.
     arriving_since: Option<Time>,
-    /// Changes that reads beside a transfer have shown.
-    shown: Vec<ShownChange>,
+    /// Changes that reads beside a transfer have shown, with the position that each has passed.
+    shown: Vec<KnownChange>,
     /// Whether the last own read failed and nothing has arrived since.
     is_failing: bool,
 }
 
-/// A change that a read has shown without bringing it.
-#[derive(Debug, Clone, Copy)]
-struct ShownChange {
-    /// Position that the change has passed, and since when it has been known.
-    change: KnownChange,
-    /// Time at which it was recorded.
-    at: Time,
-}
-
 impl Lag {
     /// Records what another instance knows of the state.
     pub fn on_report(&mut self, now: Time, change: KnownChange) {
@@ -181,23 +172,22 @@
     }
 
     /// Records that a read beside a transfer has shown a change after a position. It counts until the own copy has it or a
-    /// later one, or a read that was sent later is answered.
+    /// later one, or a read that was sent since is answered.
     pub fn on_shown(&mut self, now: Time, change: KnownChange) {
         let since = change.since.min(now);
         let change = KnownChange { since, ..change };
-        let has_room = self.shown.len() < MAX_SHOWN;
-        let mut known = self.shown.iter_mut().map(|shown| &mut shown.change);
+        let mut known = self.shown.iter_mut();
         if let Some(known) = known.find(|known| known.position == change.position) {
             known.since = known.since.min(since);
-        } else if has_room {
+        } else if self.shown.len() < MAX_SHOWN {
             // The time counts from the first ones, and few are known at once.
-            self.shown.push(ShownChange { change, at: now });
+            self.shown.push(change);
         }
     }
 
     /// Records the position of the last change that the own copy has.
     pub fn on_last_change(&mut self, position: u64) {
-        self.shown.retain(|shown| shown.change.position >= position);
+        self.shown.retain(|shown| shown.position >= position);
     }
 
     /// Records that no answer is arriving any more.
@@ -210,7 +200,7 @@
     pub fn on_read(&mut self, sent_at: Time, position: u64) {
         self.arriving_since = None;
         self.is_failing = false;
-        self.shown.retain(|shown| shown.at >= sent_at);
+        self.shown.retain(|shown| shown.since >= sent_at);
         self.on_position(position);
         if let Some(gone) = self.later.forget_before(sent_at) {
             self.gone_to = self.gone_to.max(gone);
@@ -243,8 +233,7 @@
     /// Returns the first change that reads beside a transfer have shown and the own copy lacks, with a position that it
     /// has passed.
     pub fn shown(&self) -> Option<KnownChange> {
-        let shown = self.shown.iter().map(|shown| shown.change);
-        shown.min_by_key(|change| change.since)
+        self.shown.iter().copied().min_by_key(|change| change.since)
     }
 
     /// Returns whether own reads fail.
@@ -260,7 +249,7 @@
     /// Returns since when a change at `position` or a later one has been known.
     pub fn known_since(&self, position: u64) -> Option<Time> {
         let reported = self.later.first_after(position.saturating_sub(1));
-        let shown = self.shown.iter().map(|shown| shown.change);
+        let shown = self.shown.iter();
         let shown = shown.filter(|change| change.position < position);
         let known = reported.into_iter().chain(shown.map(|change| change.since));
         known.chain(self.arriving_since).min()
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -6,8 +6,9 @@
 use entry::view::Clock;
 use platform::{Platform, Progress, Received};
 use tokio::{
+    sync::watch,
     task::JoinSet,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{LaterChange, POLL_DELAY, ReadTiming, open_polls::OpenPoll};
@@ -44,6 +45,8 @@
     asked: Option<u64>,
     /// The last position that was read.
     seen: Option<Seen>,
+    /// Whether a later change has been shown that the next poll brings.
+    is_change_due: bool,
 }
 
 /// A position of the platform's tables that was read beside a transfer.
@@ -105,7 +108,8 @@
         if let Some((seen, after)) = earlier.zip(poll.after) {
             self.seen = None;
             self.beside = Some(poll.number);
-            self.tasks.spawn(calls.clone().check(seen, after));
+            let received = poll.received.clone();
+            self.tasks.spawn(calls.clone().check(seen, after, received));
         } else if self.asked != Some(poll.number)
             && begun_at.is_some_and(|at| at.elapsed() >= MIN_TRANSFER_TIME)
         {
@@ -115,6 +119,12 @@
         }
     }
 
+    /// Returns whether the next poll brings a change that has been shown, so that it need not wait for one. Should none have
+    /// been made, its answer shows that.
+    pub(super) fn take_due_change(&mut self) -> bool {
+        std::mem::take(&mut self.is_change_due)
+    }
+
     /// Awaits a later change that a read has shown; `None` if it has shown none. Waits for ever if there is no read.
     pub(super) async fn next(&mut self, calls: &SideCalls) -> Option<LaterChange> {
         let Some(ended) = self.tasks.join_next().await else {
@@ -132,9 +142,11 @@
             Finding::Change(change) => {
                 // What is arriving after this one may have changed then.
                 self.seen = None;
+                self.is_change_due = true;
                 Some(change)
             }
-            Finding::Earlier(change) => Some(change),
+            // What is complete by now may have been an answer without changes.
+            Finding::Earlier(change) => self.beside.map(|_| change),
         }
     }
 }
@@ -174,40 +186,34 @@
         }
     }
 
-    /// Reads whether the table has changed since `seen`, where something is arriving that has changed after the position
-    /// `after`.
-    async fn check(self, seen: Seen, after: u64) -> Finding {
-        match self.poll(seen.position, Duration::ZERO).await {
-            SideAnswer::Empty(_) => Finding::Earlier(LaterChange {
-                after,
-                since: seen.at,
-            }),
-            SideAnswer::Rows(_) | SideAnswer::Failed => Finding::Nothing,
+    /// Reads whether the table has changed since `seen`, where an answer has begun to arrive that brings what has changed
+    /// after the position `after`. Answers without changes end before this.
+    async fn check(self, seen: Seen, after: u64, received: watch::Receiver<Received>) -> Finding {
+        let answer = self.poll(seen.position, Duration::ZERO).await;
+        if !matches!(answer, SideAnswer::Empty(_)) {
+            return Finding::Nothing;
         }
+        await_news(received).await;
+        let since = seen.at;
+        Finding::Earlier(LaterChange { after, since })
     }
 
     /// Sends a poll and drops it as soon as it is seen to bring rows.
     async fn poll(&self, after: u64, wait: Duration) -> SideAnswer {
         let progress = Progress::start();
-        let mut received = progress.received();
-        let whole = progress.received();
-        let platform = self.platform.clone().progress(progress);
+        let received = progress.received();
+        let platform = self.platform.clone().progress(progress.clone());
         let max_silence = wait + self.timing.first_answer_time();
         let answer = timeout(max_silence, platform.changes(&self.table, after, wait));
         let mut answer = pin!(answer);
-        let begun = async {
-            let begun = received.wait_for(|received| received.begun_at.is_some());
-            let begun_at = begun.await.ok()?.begun_at?;
-            let _ = timeout(MIN_NEWS_TIME, received.wait_for(Received::has_much_left)).await;
-            Some(begun_at)
-        };
+        let begun = await_news(progress.received());
         let since = |at: Instant| self.clock.now().before(at.elapsed());
         tokio::select! {
             biased;
             answer = &mut answer => match answer {
                 Ok(Ok((rows, position))) if rows.is_empty() => SideAnswer::Empty(position),
                 Ok(Ok(_)) => {
-                    let begun_at = whole.borrow().begun_at;
+                    let begun_at = received.borrow().begun_at;
                     SideAnswer::Rows(since(begun_at.unwrap_or_else(Instant::now)))
                 }
                 _ => SideAnswer::Failed,
@@ -216,3 +222,13 @@
         }
     }
 }
+
+/// Waits until an answer that brings rows is arriving, and returns when it began: much of it is left, or it isn't complete,
+/// which ends this, after [`MIN_NEWS_TIME`].
+async fn await_news(mut received: watch::Receiver<Received>) -> Option<Instant> {
+    let begun = received.wait_for(|received| received.begun_at.is_some());
+    let begun_at = begun.await.ok()?.begun_at?;
+    let much = received.wait_for(Received::has_much_left);
+    let _ = timeout_at(begun_at + MIN_NEWS_TIME, much).await;
+    Some(begun_at)
+}
