test(daemon): calls beside a transfer are few, and changes of other tables date nothing

`reads_beside_a_transfer_are_few`: no call beside an answer of 80 ms, one small call and one poll beside one of 1.4 s, whatever becomes of them.

--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -1,12 +1,16 @@
 //! A version that follows another one while that is still arriving, at an instance that hears of it from nobody else.
 
-use std::time::Duration;
+use std::{ops::Range, sync::Arc, time::Duration};
 
+use entry::view::Clock;
+use platform::{Call, Platform};
 use rstest::rstest;
+use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     is_refused,
-    model::{Decided, Scenario, SideCalls, run},
+    model::{Decided, Node, OPERATOR_TABLE, RUN_TIME, Scenario, SideCalls, run, store},
+    paused::run_paused,
     transfer::Transfer,
 };
 
@@ -107,6 +111,21 @@
     assert_eq!(early_refusals(&scenario), []);
 }
 
+/// Guards against refusals for nothing: a change of another table just after an answer isn't taken for an earlier date of
+/// a version that comes as the transfer ends or after it.
+#[rstest]
+fn change_of_another_table_dates_no_version(
+    #[values(1_200, 2_200, 2_600)] transfer_ms: u64,
+    #[values(5, 20, 50, 110, 500, 2_500)] after_ms: u64,
+    #[values(10, 400)] side_ms: u64,
+) {
+    let (mut scenario, _) = following(transfer_ms, transfer_ms + after_ms);
+    scenario.others_start = Some(FIRST_AT + Duration::from_millis(50));
+    scenario.side_calls = SideCalls::Take(Duration::from_millis(side_ms));
+    assert_eq!(late_runs(&scenario), []);
+    assert_eq!(early_refusals(&scenario), []);
+}
+
 /// Guards against CONFIG: the first version comes by a whole read, since the store has dropped its history.
 #[rstest]
 #[case::long(1_800, 500)]
@@ -177,3 +196,71 @@
     let span = early.first().zip(early.last());
     assert!(early.is_empty(), "{} early: {span:?}", early.len());
 }
+
+/// Counts what the operators' table is asked for while versions come: small calls, polls that wait, and prompt ones.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Asked {
+    positions: usize,
+    waiting: usize,
+    prompt: usize,
+}
+
+/// Returns what an instance asks of a store between two times.
+fn asked(scenario: &Scenario, times: Range<Duration>) -> Asked {
+    let scenario = Arc::new(scenario.clone());
+    run_paused(async move {
+        let (started, clock) = (Instant::now(), Clock::start());
+        let store = store(started, &scenario, scenario.transfers.clone());
+        let (tx, mut calls) = mpsc::unbounded_channel();
+        let counting = Platform::spawn(move || {
+            let (store, tx) = (store.clone(), tx.clone());
+            move |call: Call, progress| {
+                let _ = tx.send((started.elapsed(), call.clone()));
+                let store = store.clone().progress(progress);
+                async move { store.call(call).await }
+            }
+        });
+        let node = Node::start(&scenario, clock, counting, [], RUN_TIME);
+        node.decide(started).await;
+        let mut asked = Asked::default();
+        while let Ok((at, call)) = calls.try_recv() {
+            let is_prompt = matches!(call, Call::Changes { wait_ms: 0, .. });
+            match call {
+                _ if !times.contains(&at) => {}
+                Call::Position { .. } => asked.positions += 1,
+                Call::Changes { table, .. } if table != OPERATOR_TABLE => {}
+                Call::Changes { .. } if is_prompt => asked.prompt += 1,
+                Call::Changes { .. } => asked.waiting += 1,
+                _ => {}
+            }
+        }
+        asked
+    })
+}
+
+/// Guards against needless calls, all of which are priced: none beside a short answer, and one small call and one poll beside
+/// a long one, whatever becomes of them.
+#[rstest]
+#[case::short(80, SideCalls::QUICK, 0, 0)]
+#[case::long(1_400, SideCalls::QUICK, 1, 1)]
+#[case::long_slow(1_400, SideCalls::Take(Duration::from_millis(400)), 1, 1)]
+#[case::long_polls_lost(1_400, SideCalls::PollsLost, 1, 1)]
+#[case::long_refused(1_400, SideCalls::Refused, 1, 0)]
+#[case::long_lost(1_400, SideCalls::Lost, 1, 0)]
+fn reads_beside_a_transfer_are_few(
+    #[case] transfer_ms: u64,
+    #[case] side_calls: SideCalls,
+    #[case] positions: usize,
+    #[case] waiting: usize,
+) {
+    let (mut scenario, _) = following(transfer_ms, 0);
+    scenario.changes.truncate(1);
+    scenario.side_calls = side_calls;
+    let transfer = FIRST_AT..FIRST_AT + Duration::from_millis(transfer_ms);
+    let expected = Asked {
+        positions,
+        waiting,
+        prompt: 0,
+    };
+    assert_eq!(asked(&scenario, transfer), expected);
+}
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -9,11 +9,13 @@
 #[path = "../support/engine.rs"]
 mod engine;
 mod model;
+mod modelled_store;
 mod old_poll;
 #[path = "../support/options.rs"]
 mod options;
 #[path = "../support/paused.rs"]
 mod paused;
+mod scenario;
 mod standstill;
 #[path = "../support/transfer.rs"]
 mod transfer;
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -2,13 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    future::pending,
     net::SocketAddr,
-    ops::Range,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -28,7 +23,7 @@
     message::{Arrival, Decision, Event},
     view::{Clock, View},
 };
-use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
+use platform::Platform;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tokio::{
@@ -36,222 +31,19 @@
     time::{Instant, advance, sleep, sleep_until, timeout},
 };
 
-use crate::{
-    call::read_of, engine::start_engine, options::options, paused::run_paused, transfer::Transfer,
+use crate::{engine::start_engine, options::options, paused::run_paused};
+pub(crate) use crate::{
+    modelled_store::store,
+    scenario::{OPERATOR_TABLE, Reporter, Scenario, SideCalls, position_of},
 };
 
 pub(crate) const RUN_TIME: Duration = Duration::from_secs(25);
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 const ARRIVAL_INTERVAL: Duration = Duration::from_millis(20);
-const OPERATOR_TABLE: &str = "op";
 const KEY: &str = "key";
 /// ID of a request that waits while the instance stands still.
 const WAITING_ID: u64 = u64::MAX;
 
-/// Another instance, which reports positions and hands nothing out.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Reporter {
-    /// Time of its first heartbeat.
-    pub(crate) phase: Duration,
-    /// Time after an acknowledgement at which it has the version.
-    pub(crate) reads_after: Duration,
-    /// Share of its heartbeats that are lost.
-    pub(crate) loss: f64,
-}
-
-/// What becomes of calls beside a transfer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum SideCalls {
-    /// They are answered after this time.
-    Take(Duration),
-    /// The small call is refused.
-    Refused,
-    /// The small call is lost.
-    Lost,
-    /// Polls are lost.
-    PollsLost,
-}
-
-impl SideCalls {
-    /// Chooses by a seed alone, so that what else is drawn by it stays.
-    fn of_seed(seed: u64) -> Self {
-        match seed % 6 {
-            0 => Self::Refused,
-            1 => Self::Lost,
-            2 => Self::PollsLost,
-            3 => Self::Take(Duration::from_millis(400)),
-            _ => Self::QUICK,
-        }
-    }
-
-    pub(crate) const QUICK: Self = Self::Take(Duration::from_millis(10));
-
-    /// Waits until a poll beside a transfer is answered.
-    async fn answer_poll(self) {
-        match self {
-            Self::Take(time) => sleep(time).await,
-            _ => pending().await,
-        }
-    }
-
-    /// Waits until the small call is answered.
-    async fn answer_position(self) -> Result<(), PlatformError> {
-        match self {
-            Self::Take(time) => sleep(time).await,
-            Self::PollsLost => {}
-            Self::Refused => return Err(PlatformError::Unavailable),
-            Self::Lost => pending().await,
-        }
-        Ok(())
-    }
-}
-
-/// The answers that bring versions.
-#[derive(Debug)]
-struct Transfers {
-    /// What becomes of the next ones, the next one last.
-    next: Mutex<Vec<Transfer>>,
-    is_under_way: AtomicBool,
-}
-
-/// Ends a transfer when it is dropped, complete or not.
-struct UnderWay<'a>(&'a AtomicBool);
-
-impl Drop for UnderWay<'_> {
-    fn drop(&mut self) {
-        self.0.store(false, Ordering::Relaxed);
-    }
-}
-
-impl Transfers {
-    /// Time for which an answer goes on that shares the link with a transfer, unless it is dropped.
-    const BESIDE: Transfer = Transfer::Takes(Duration::from_secs(8));
-
-    fn is_under_way(&self) -> bool {
-        self.is_under_way.load(Ordering::Relaxed)
-    }
-
-    /// Transmits an answer that brings a version. One beside another is none of those that were drawn.
-    async fn transmit(&self, progress: &Progress) -> Result<(), PlatformError> {
-        if self.is_under_way() {
-            return Self::BESIDE.transmit(progress).await;
-        }
-        let transfer = self.next.lock().unwrap().pop();
-        let transfer = transfer.unwrap_or(Transfer::Lost);
-        let is_lost = matches!(transfer, Transfer::Lost);
-        self.is_under_way.store(!is_lost, Ordering::Relaxed);
-        let _under_way = (!is_lost).then(|| UnderWay(&self.is_under_way));
-        transfer.transmit(progress).await
-    }
-}
-
-#[derive(Debug, Clone)]
-pub(crate) struct Scenario {
-    pub(crate) seed: u64,
-    pub(crate) contact: Duration,
-    pub(crate) apply: Duration,
-    /// Times at which versions are acknowledged.
-    pub(crate) changes: Vec<Duration>,
-    pub(crate) transfers: Vec<Transfer>,
-    pub(crate) reporters: Vec<Reporter>,
-    /// Position that the others report whatever the store has.
-    pub(crate) lost_position: Option<u64>,
-    /// Time from which on the store gives no answer.
-    pub(crate) outage: Option<Duration>,
-    /// Time at which the others end.
-    pub(crate) others_end: Option<Duration>,
-    /// Time at which rows of other tables have changed and another instance starts, whose first read has the
-    /// store's latest position.
-    pub(crate) others_start: Option<Duration>,
-    pub(crate) side_calls: SideCalls,
-    /// Version up to which the store has dropped its history once it has that version.
-    pub(crate) dropped_to: usize,
-}
-
-impl Scenario {
-    pub(crate) fn draw(seed: u64) -> Self {
-        let mut rng = Pcg32::seed_from_u64(seed);
-        let mut ms = |range: Range<u64>| Duration::from_millis(rng.random_range(range));
-        let apply = ms(2_000..4_000);
-        let contact = apply + ms(0..2_000);
-        let is_series = ms(0..2).is_zero();
-        let mut at = ms(3_000..6_000);
-        let mut changes = Vec::new();
-        for _ in 0..ms(1..12).as_millis() {
-            changes.push(at);
-            at += if is_series {
-                ms(100..900)
-            } else {
-                ms(500..6_000)
-            };
-        }
-        let transfers = Transfer::draw(&mut ms);
-        let count = ms(1..8).as_millis();
-        let reporters = (0..count).map(|idx| Reporter {
-            phase: ms(0..500),
-            reads_after: ms(1..150),
-            loss: if idx == 0 { 0.0 } else { 0.2 },
-        });
-        Self {
-            seed,
-            contact,
-            apply,
-            changes,
-            transfers,
-            reporters: reporters.collect(),
-            lost_position: None,
-            outage: None,
-            others_end: None,
-            others_start: None,
-            side_calls: SideCalls::of_seed(seed),
-            dropped_to: 0,
-        }
-    }
-
-    /// Returns a deployment of some instances in which nothing happens.
-    pub(crate) fn calm() -> Self {
-        let reporters = [100, 300].map(|phase_ms| Reporter {
-            phase: Duration::from_millis(phase_ms),
-            reads_after: Duration::from_millis(20),
-            loss: 0.0,
-        });
-        Self {
-            seed: 1,
-            contact: Duration::from_secs(4),
-            apply: Duration::from_millis(2_500),
-            changes: Vec::new(),
-            transfers: Vec::new(),
-            reporters: reporters.into(),
-            lost_position: None,
-            outage: None,
-            others_end: None,
-            others_start: None,
-            side_calls: SideCalls::QUICK,
-            dropped_to: 0,
-        }
-    }
-
-    /// Returns by how much the store's position has risen by rows of other tables.
-    fn rise_at(&self, at: Duration) -> u64 {
-        u64::from(self.others_start.is_some_and(|start| start <= at))
-    }
-
-    pub(crate) fn version_at(&self, at: Duration) -> usize {
-        self.changes.iter().filter(|change| **change <= at).count()
-    }
-
-    /// Returns the version whose effect a request that arrives at `at` must show.
-    pub(crate) fn required_version(&self, at: Duration) -> usize {
-        at.checked_sub(self.apply)
-            .map_or(0, |at| self.version_at(at))
-    }
-}
-
-/// Returns the store's position of a version.
-pub(crate) fn position_of(version: usize) -> u64 {
-    10 + version as u64 * 10
-}
-
 /// What became of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Decided {
@@ -264,75 +56,6 @@
     pub(crate) named: Vec<InstanceId>,
 }
 
-/// Answers reads of the tables.
-async fn answer(
-    started: Instant,
-    scenario: Arc<Scenario>,
-    transfers: Arc<Transfers>,
-    call: Call,
-    progress: Progress,
-) -> Result<Reply, PlatformError> {
-    if matches!(call, Call::Position { .. }) {
-        return answer_position(started, &scenario).await;
-    }
-    let (table, after, wait) = read_of(call)?;
-    let is_operators = table == OPERATOR_TABLE;
-    let deadline = Instant::now() + wait;
-    let mut next = scenario.changes.iter().enumerate();
-    let next = next.find(|(idx, _)| is_operators && position_of(idx + 1) > after && after > 0);
-    let next = next.map_or(deadline, |(_, at)| started + *at);
-    sleep_until(next.min(deadline)).await;
-    if scenario
-        .outage
-        .is_some_and(|from| started.elapsed() >= from)
-    {
-        pending::<()>().await;
-    }
-    if is_operators && transfers.is_under_way() {
-        scenario.side_calls.answer_poll().await;
-    }
-    let version = if is_operators {
-        scenario.version_at(started.elapsed())
-    } else {
-        0
-    };
-    let position = position_of(version);
-    if position <= after {
-        progress.add(1);
-        let latest = position + scenario.rise_at(started.elapsed());
-        return Ok(Reply::Changes(Vec::new(), latest));
-    }
-    let has_dropped = is_operators && scenario.dropped_to.min(version) > 0;
-    if has_dropped && after > 0 && after < position_of(scenario.dropped_to) {
-        return Err(PlatformError::HistoryGone);
-    }
-    if after > 0 || has_dropped {
-        transfers.transmit(&progress).await?;
-    }
-    let row = Change {
-        row: "config".to_owned(),
-        value: Some(version.to_string()),
-        at: position,
-    };
-    // A first read has the latest position of all tables.
-    let is_first = u64::from(after == 0);
-    let position = position + is_first * scenario.rise_at(started.elapsed());
-    Ok(Reply::Changes(vec![row], position))
-}
-
-/// Answers the small call that tells the store's latest position.
-async fn answer_position(started: Instant, scenario: &Scenario) -> Result<Reply, PlatformError> {
-    let is_away = |from: Duration| started.elapsed() >= from;
-    if scenario.outage.is_some_and(is_away) {
-        pending::<()>().await;
-    }
-    // The answer is made as the call arrives, and travels for as long as it takes.
-    let now = started.elapsed();
-    let position = position_of(scenario.version_at(now)) + scenario.rise_at(now);
-    scenario.side_calls.answer_position().await?;
-    Ok(Reply::Position(position))
-}
-
 fn config() -> Config {
     let service = Service {
         slots: 1,
@@ -584,24 +307,6 @@
     }
 }
 
-/// Returns a store whose answers that bring versions are transmitted as `transfers` say, one after the other.
-pub(crate) fn store(
-    started: Instant,
-    scenario: &Arc<Scenario>,
-    mut transfers: Vec<Transfer>,
-) -> Platform {
-    transfers.reverse();
-    let transfers = Arc::new(Transfers {
-        next: Mutex::new(transfers),
-        is_under_way: AtomicBool::new(false),
-    });
-    let scenario = scenario.clone();
-    Platform::spawn(move || {
-        let (scenario, transfers) = (scenario.clone(), transfers.clone());
-        move |call, progress| answer(started, scenario.clone(), transfers.clone(), call, progress)
-    })
-}
-
 async fn play(scenario: Arc<Scenario>) -> Vec<Decided> {
     let (started, clock) = (Instant::now(), Clock::start());
     let platform = store(started, &scenario, scenario.transfers.clone());
