fix(coord): a change that is here already isn't shown as lacking

Requests could be refused for nothing (503 `outdated`) by an instance that has the latest version: a fetch from another instance brings it while an own transfer goes on, and then a read beside that transfer shows that there is a change after an earlier position.

Cause: `Lag::on_shown` didn't compare with the last change of the own copy. That is kept now, and what it has passed is ignored. The list has a type of its own, `ShownChanges`.

--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -109,6 +109,78 @@
     pub since: Time,
 }
 
+/// Keeps changes of a state of which nothing but a position that they have passed is known, in bounded memory.
+///
+/// A change counts until the own copy has one after that position, or a read that was sent since is answered.
+///
+/// # Examples
+///
+/// ```
+/// use base::Time;
+/// use coord::{KnownChange, ShownChanges};
+///
+/// let mut shown = ShownChanges::default();
+/// let change = KnownChange { position: 7, since: Time::from_secs(1) };
+/// shown.record(Time::from_secs(2), change);
+/// shown.on_last_change(7);
+/// assert_eq!(shown.first(), Some(change));
+/// shown.on_last_change(8);
+/// assert_eq!(shown.first(), None);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ShownChanges {
+    /// The position that each has passed, and since when it has been known.
+    changes: Vec<KnownChange>,
+    /// Position of the last change that the own copy has.
+    last_change: u64,
+}
+
+impl ShownChanges {
+    /// Records a change after a position, unless the own copy has one.
+    pub fn record(&mut self, now: Time, change: KnownChange) {
+        if change.position < self.last_change {
+            return;
+        }
+        let since = change.since.min(now);
+        let mut known = self.changes.iter_mut();
+        if let Some(known) = known.find(|known| known.position == change.position) {
+            known.since = known.since.min(since);
+        } else if self.changes.len() < MAX_SHOWN {
+            // The time counts from the first ones, and few are known at once.
+            self.changes.push(KnownChange { since, ..change });
+        }
+    }
+
+    /// Records the position of the last change that the own copy has.
+    pub fn on_last_change(&mut self, position: u64) {
+        self.last_change = position;
+        self.changes.retain(|change| change.position >= position);
+    }
+
+    /// Records that a read that was sent at `sent_at` has been answered.
+    pub fn on_read(&mut self, sent_at: Time) {
+        self.changes.retain(|change| change.since >= sent_at);
+    }
+
+    /// Forgets all changes.
+    pub fn clear(&mut self) {
+        self.changes.clear();
+    }
+
+    /// Returns the change that has been known for longest.
+    pub fn first(&self) -> Option<KnownChange> {
+        let changes = self.changes.iter().copied();
+        changes.min_by_key(|change| change.since)
+    }
+
+    /// Returns since when a change has been known that may be the one at `position`.
+    fn since_before(&self, position: u64) -> Option<Time> {
+        let changes = self.changes.iter();
+        let earlier = changes.filter(|change| change.position < position);
+        earlier.map(|change| change.since).min()
+    }
+}
+
 /// Tracks since when an instance has known that its copy of a state is not the latest.
 ///
 /// It learns of later changes from reports of other instances, from an own read whose answer has begun to arrive, and from
@@ -143,8 +215,8 @@
     gone_to: u64,
     /// Time at which an answer that is still arriving began.
     arriving_since: Option<Time>,
-    /// Changes that reads beside a transfer have shown, with the position that each has passed.
-    shown: Vec<KnownChange>,
+    /// Changes that reads beside a transfer have shown.
+    shown: ShownChanges,
     /// Whether the last own read failed and nothing has arrived since.
     is_failing: bool,
 }
@@ -171,23 +243,14 @@
         self.is_failing = false;
     }
 
-    /// Records that a read beside a transfer has shown a change after a position. It counts until the own copy has it or a
-    /// later one, or a read that was sent since is answered.
+    /// Records that a read beside a transfer has shown a change after a position.
     pub fn on_shown(&mut self, now: Time, change: KnownChange) {
-        let since = change.since.min(now);
-        let change = KnownChange { since, ..change };
-        let mut known = self.shown.iter_mut();
-        if let Some(known) = known.find(|known| known.position == change.position) {
-            known.since = known.since.min(since);
-        } else if self.shown.len() < MAX_SHOWN {
-            // The time counts from the first ones, and few are known at once.
-            self.shown.push(change);
-        }
+        self.shown.record(now, change);
     }
 
     /// Records the position of the last change that the own copy has.
     pub fn on_last_change(&mut self, position: u64) {
-        self.shown.retain(|shown| shown.position >= position);
+        self.shown.on_last_change(position);
     }
 
     /// Records that no answer is arriving any more.
@@ -200,7 +263,7 @@
     pub fn on_read(&mut self, sent_at: Time, position: u64) {
         self.arriving_since = None;
         self.is_failing = false;
-        self.shown.retain(|shown| shown.since >= sent_at);
+        self.shown.on_read(sent_at);
         self.on_position(position);
         if let Some(gone) = self.later.forget_before(sent_at) {
             self.gone_to = self.gone_to.max(gone);
@@ -233,7 +296,7 @@
     /// Returns the first change that reads beside a transfer have shown and the own copy lacks, with a position that it
     /// has passed.
     pub fn shown(&self) -> Option<KnownChange> {
-        self.shown.iter().copied().min_by_key(|change| change.since)
+        self.shown.first()
     }
 
     /// Returns whether own reads fail.
@@ -249,9 +312,9 @@
     /// Returns since when a change at `position` or a later one has been known.
     pub fn known_since(&self, position: u64) -> Option<Time> {
         let reported = self.later.first_after(position.saturating_sub(1));
-        let shown = self.shown.iter();
-        let shown = shown.filter(|change| change.position < position);
-        let known = reported.into_iter().chain(shown.map(|change| change.since));
+        let known = reported
+            .into_iter()
+            .chain(self.shown.since_before(position));
         known.chain(self.arriving_since).min()
     }
 
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -34,7 +34,7 @@
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
-pub use lag::{KnownChange, Lag, PositionTimes};
+pub use lag::{KnownChange, Lag, PositionTimes, ShownChanges};
 pub use lease::{
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
     lease_chart,
--- a/crates/coord/tests/lag.rs
+++ b/crates/coord/tests/lag.rs
@@ -208,6 +208,22 @@
     assert_eq!(lag.behind_since(true), None);
 }
 
+/// Guards against refusals for nothing: a fetch from another instance brings a change before a read beside the transfer shows
+/// it.
+#[test]
+fn change_that_is_here_is_not_shown() {
+    let mut lag = Lag::default();
+    lag.on_last_change(25);
+    let change = |position| KnownChange {
+        position,
+        since: at(1_500),
+    };
+    lag.on_shown(at(1_600), change(20));
+    assert_eq!(lag.behind_since(true), None);
+    lag.on_shown(at(1_600), change(25));
+    assert_eq!(lag.behind_since(true), Some(at(1_500)));
+}
+
 /// The dates of shown changes are kept in bounded memory, the first ones of each position.
 #[test]
 fn shown_changes_count_from_the_first_one() {
