fix(daemon): the date of an arrival that came to nothing elsewhere is forgotten

Requests could be refused for nothing at an instance that the store turns away: the date of an arrival that another instance had replaced by a later one was kept although both came to nothing, and counted for the next version, minutes later.

Cause: such dates ended by own reads alone. They are forgotten now as soon as no live instance reports a later change.

--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{InstanceId, Time};
-use coord::{KnownChange, Lag, PositionTimes, Replica};
+use coord::{KnownChange, Lag, PositionTimes, Replica, ShownChanges};
 use entry::message::ConfigLag;
 
 use crate::{
@@ -59,7 +59,7 @@
     /// Since when a version that the own rows lack has been arriving elsewhere without a break.
     elsewhere_since: Option<Time>,
     /// Dates of such arrivals in place of which the same instances report later ones.
-    replaced: Lag,
+    replaced: ShownChanges,
     /// The date of the latest such arrival that an own read has shown to bring nothing.
     refuted: Option<Time>,
     own_position: u64,
@@ -89,7 +89,7 @@
             others_limit: apply.mul_f64(OTHERS_FRACTION),
             lag: Lag::default(),
             elsewhere_since: None,
-            replaced: Lag::default(),
+            replaced: ShownChanges::default(),
             refuted: None,
             own_position: 0,
             advanced_at: Time::ZERO,
@@ -145,7 +145,7 @@
             position, since, ..
         }) = replaced
         {
-            self.replaced.on_shown(now, KnownChange { position, since });
+            self.replaced.record(now, KnownChange { position, since });
         }
     }
 
@@ -184,7 +184,7 @@
             self.is_store_older = true;
         }
         self.lag.on_read(sent_at, position);
-        self.replaced.on_read(sent_at, position);
+        self.replaced.on_read(sent_at);
         // What was arriving elsewhere before this read was sent would have come with it.
         let arriving = self.reported.values().filter_map(|report| {
             let change = report.change?;
@@ -252,8 +252,11 @@
         }
         let holders = later.len() - receivers;
         let is_held = is_fetching || !later.is_empty();
-        let replaced = self.replaced.shown().filter(|_| is_held);
-        let replaced = replaced.map(|change| change.since);
+        if later.is_empty() {
+            // What was arriving elsewhere came to nothing, or nobody is heard that knows of it.
+            self.replaced.clear();
+        }
+        let replaced = self.replaced.first().map(|change| change.since);
         let known_since = self.lag.behind_since(is_held).into_iter().chain(replaced);
         let since = known_since.chain(self.elsewhere_since).min();
         let behind = Behind {
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -2,8 +2,8 @@
 
 use std::{future::pending, ops::Range, sync::Arc, time::Duration};
 
-use base::InstanceId;
-use daemon::message::{FollowerMessage, PeerCommand};
+use base::{InstanceId, Time};
+use daemon::message::{FollowerMessage, PeerCommand, TableChange};
 use entry::view::Clock;
 use platform::{Call, Platform};
 use rand::{RngExt, SeedableRng};
@@ -15,6 +15,7 @@
 
 use crate::{
     call::read_of,
+    is_refused,
     model::{
         Decided, HEARTBEAT_INTERVAL, Node, RUN_TIME, Scenario, position_of, reporter_id, store,
     },
@@ -145,6 +146,54 @@
     assert!(late.is_empty(), "{} seeds: {late:?}", late.len());
 }
 
+/// Guards against refusals for nothing: the date of an arrival that came to nothing, and that a later one had replaced, counted
+/// for the next version minutes later.
+#[test]
+fn replaced_arrival_that_came_to_nothing_dates_no_version() {
+    const LATER: Duration = Duration::from_secs(15);
+    let scenario = Scenario {
+        apply: Duration::from_secs(3),
+        ..Scenario::calm()
+    };
+    let decided = run_paused(async move {
+        let (started, clock) = (Instant::now(), Clock::start());
+        let scenario = Arc::new(scenario);
+        let platform = silent_store(started, &scenario);
+        let node = Node::start(&scenario, clock, platform, [reporter_id(0)], RUN_TIME);
+        let follower = node.follower.clone();
+        let secs = |secs| Time::ZERO + Duration::from_secs(secs);
+        let own = position_of(0);
+        let reports = [
+            (secs(5), TableChange::arriving_after(own, secs(5))),
+            (secs(6), TableChange::arriving_after(own + 5, secs(6))),
+            (secs(7), TableChange::complete(own, secs(0))),
+            (secs(15), TableChange::complete(own + 10, secs(15))),
+        ];
+        tokio::spawn(async move {
+            for (at, change) in reports {
+                sleep_until(clock.instant(at)).await;
+                let message = FollowerMessage::PeerPositions {
+                    from: reporter_id(0),
+                    positions: vec![change.position, 1],
+                    confirmed_at: None,
+                    change: Some(change),
+                    reads: None,
+                };
+                follower.send(message).await.unwrap();
+            }
+        });
+        node.decide(started).await
+    });
+    let refused = decided.iter().filter(|one| is_refused(one));
+    let refused: Vec<Duration> = refused.map(|one| one.at).collect();
+    assert!(!refused.is_empty());
+    assert!(
+        refused[0] > LATER + Duration::from_secs(2),
+        "{:?}",
+        refused[0]
+    );
+}
+
 /// Guards against refusals for nothing: an instance that starts reported the position of its first read, which rows of
 /// other tables have raised, as that of a change.
 #[test]
