fix(daemon): an answer without rows beside a transfer is known by its length

An answer without rows whose bytes come apart by more than 0.1 s, as after a lost packet, counted as a change that nobody has, was reported to other instances as such, and ended the poll beside the transfer.

An answer of an announced length counts as one with rows only above 512 bytes now; a shorter one is awaited. Time decides for answers of unknown length alone.

Tests: the modelled store announces the length of an answer without rows beside a transfer where its halves come apart.

--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -15,7 +15,9 @@
 
 /// Time for which an answer must have been arriving for a read beside it.
 const MIN_TRANSFER_TIME: Duration = Duration::from_millis(100);
-/// Time for which the answer to such a read must have been arriving to bring changes: an empty one has ended before.
+/// Maximum size of an answer without rows, in bytes.
+const MAX_EMPTY_BYTES: u64 = 512;
+/// Time for which an answer of unknown length must have been arriving to bring changes: an empty one has ended before.
 const MIN_NEWS_TIME: Duration = Duration::from_millis(100);
 
 /// What a read beside a transfer is sent with.
@@ -223,12 +225,20 @@
     }
 }
 
-/// Waits until an answer that brings rows is arriving, and returns when it began: much of it is left, or it isn't complete,
-/// which ends this, after [`MIN_NEWS_TIME`].
+/// Waits until an answer that brings rows is arriving, and returns when it began: one of an announced length by that, another
+/// one if it isn't complete, which ends this, after [`MIN_NEWS_TIME`]. Waits for ever for an answer without rows.
 async fn await_news(mut received: watch::Receiver<Received>) -> Option<Instant> {
     let begun = received.wait_for(|received| received.begun_at.is_some());
     let begun_at = begun.await.ok()?.begun_at?;
-    let much = received.wait_for(Received::has_much_left);
-    let _ = timeout_at(begun_at + MIN_NEWS_TIME, much).await;
+    let is_announced = received.borrow().left().is_some();
+    let has_rows = received.wait_for(|received| {
+        let left = received.left().unwrap_or(0);
+        received.bytes + left > MAX_EMPTY_BYTES
+    });
+    if is_announced {
+        has_rows.await.ok()?;
+    } else {
+        let _ = timeout_at(begun_at + MIN_NEWS_TIME, has_rows).await;
+    }
     Some(begun_at)
 }
--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -245,6 +245,7 @@
 #[case::long(1_400, SideCalls::QUICK, 1, 1)]
 #[case::long_slow(1_400, SideCalls::Take(Duration::from_millis(400)), 1, 1)]
 #[case::long_polls_lost(1_400, SideCalls::PollsLost, 1, 1)]
+#[case::longest_in_parts(3_000, SideCalls::ComeApart(Duration::from_millis(300)), 1, 2)]
 #[case::long_refused(1_400, SideCalls::Refused, 1, 0)]
 #[case::long_lost(1_400, SideCalls::Lost, 1, 0)]
 fn reads_beside_a_transfer_are_few(
--- a/crates/daemon/tests/behind/modelled_store.rs
+++ b/crates/daemon/tests/behind/modelled_store.rs
@@ -99,7 +99,8 @@
     {
         pending::<()>().await;
     }
-    if is_operators && transfers.is_under_way() {
+    let is_beside = is_operators && transfers.is_under_way();
+    if is_beside {
         scenario.side_calls.answer_poll().await;
     }
     let version = if is_operators {
@@ -109,7 +110,11 @@
     };
     let position = position_of(version);
     if position <= after {
-        progress.add(1);
+        if is_beside {
+            scenario.side_calls.transmit_empty(&progress).await;
+        } else {
+            progress.add(1);
+        }
         let latest = position + scenario.rise_at(started.elapsed());
         return Ok(Reply::Changes(Vec::new(), latest));
     }
--- a/crates/daemon/tests/behind/scenario.rs
+++ b/crates/daemon/tests/behind/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::{future::pending, ops::Range, time::Duration};
 
-use platform::PlatformError;
+use platform::{PlatformError, Progress};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use tokio::time::sleep;
@@ -134,6 +134,8 @@
 pub(crate) enum SideCalls {
     /// They are answered after this time.
     Take(Duration),
+    /// They are answered at once, and the two halves of an answer without rows come apart by this time.
+    ComeApart(Duration),
     /// The small call is refused.
     Refused,
     /// The small call is lost.
@@ -160,7 +162,21 @@
     pub(crate) async fn answer_poll(self) {
         match self {
             Self::Take(time) => sleep(time).await,
-            _ => pending().await,
+            Self::ComeApart(_) => {}
+            Self::PollsLost | Self::Refused | Self::Lost => pending().await,
+        }
+    }
+
+    /// Transmits the answer to a poll beside a transfer that brings no rows.
+    pub(crate) async fn transmit_empty(self, progress: &Progress) {
+        const HALF: usize = 30;
+        if let Self::ComeApart(time) = self {
+            progress.expect(2 * HALF as u64);
+            progress.add(HALF);
+            sleep(time).await;
+            progress.add(HALF);
+        } else {
+            progress.add(1);
         }
     }
 
@@ -168,7 +184,7 @@
     pub(crate) async fn answer_position(self) -> Result<(), PlatformError> {
         match self {
             Self::Take(time) => sleep(time).await,
-            Self::PollsLost => {}
+            Self::PollsLost | Self::ComeApart(_) => {}
             Self::Refused => return Err(PlatformError::Unavailable),
             Self::Lost => pending().await,
         }
