fix(daemon): no calls beside the first read, and no position beyond its use

An instance that starts asked for the store's position, and polled, beside its first read, by which nothing is decided yet: all instances that start at once did so. And a position that was read beside one transfer was kept for any later poll.

No read is sent beside a transfer before a first read was answered, and the position is forgotten once a later poll is answered.

The forgotten position has no test of its own.

--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -358,6 +358,7 @@
         let advanced = self.advanced_past(&self.open[idx]);
         match result {
             Ok(mut read) => {
+                self.beside.on_answer(number);
                 let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &mut read {
                     // What came meanwhile stays; an answer to a later poll contains the platform's position.
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -47,6 +47,8 @@
     asked: Option<u64>,
     /// The last position that was read.
     seen: Option<Seen>,
+    /// Whether a read of the table has been answered.
+    has_rows: bool,
     /// Whether a later change has been shown that the next poll brings.
     is_change_due: bool,
 }
@@ -100,7 +102,8 @@
 
     /// Starts the read that is due beside the answer to a poll, of which something has arrived.
     pub(super) fn on_arriving(&mut self, poll: &OpenPoll, calls: &SideCalls) {
-        if !self.tasks.is_empty() {
+        // Without rows nothing is decided.
+        if !self.tasks.is_empty() || !self.has_rows {
             return;
         }
         let earlier = self.seen.filter(|seen| {
@@ -121,6 +124,12 @@
         }
     }
 
+    /// Records that the poll with a number has been answered, whatever it brings: what it doesn't has come after it.
+    pub(super) fn on_answer(&mut self, number: u64) {
+        self.has_rows = true;
+        self.seen = self.seen.filter(|seen| seen.number >= number);
+    }
+
     /// Returns whether the next poll brings a change that has been shown, so that it need not wait for one. Should none have
     /// been made, its answer shows that.
     pub(super) fn take_due_change(&mut self) -> bool {
--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -238,6 +238,16 @@
     })
 }
 
+/// Guards against needless calls: an instance that starts has no version to decide by, and needs no date of a later one.
+#[test]
+fn first_read_has_no_calls_beside_it() {
+    let (mut scenario, _) = following(1_400, 0);
+    scenario.changes = vec![Duration::ZERO];
+    scenario.dropped_to = 1;
+    let asked = asked(&scenario, Duration::ZERO..Duration::from_millis(1_400));
+    assert_eq!(asked, Asked::default());
+}
+
 /// Guards against needless calls, all of which are priced: none beside a short answer, and one small call and one poll beside
 /// a long one, whatever becomes of them.
 #[rstest]
