--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -22,7 +22,9 @@
 
 /// Time for which an answer must have been arriving for a read beside it.
 const MIN_TRANSFER_TIME: Duration = Duration::from_millis(100);
-/// Time for which the answer to such a read must have been arriving to bring changes: an empty one has ended before.
+/// Maximum size of an answer without rows, in bytes.
+const MAX_EMPTY_BYTES: u64 = 512;
+/// Time for which an answer of unknown length must have been arriving to bring changes: an empty one has ended before.
 const MIN_NEWS_TIME: Duration = Duration::from_millis(100);
 
 /// What a read beside a transfer is sent with.
@@ -59,6 +61,8 @@
     seen: Option<Seen>,
     /// Whether rows are arriving that are of use.
     brings_rows: Arc<AtomicBool>,
+    /// Whether a read of the table has been answered.
+    has_rows: bool,
     /// Whether a later change has been shown that the next poll brings.
     is_change_due: bool,
 }
@@ -117,7 +121,8 @@
 
     /// Starts the read that is due beside the answer to a poll, of which something has arrived.
     pub(super) fn on_arriving(&mut self, poll: &OpenPoll, calls: &SideCalls) {
-        if !self.tasks.is_empty() {
+        // Without rows nothing is decided.
+        if !self.tasks.is_empty() || !self.has_rows {
             return;
         }
         let earlier = self.seen.filter(|seen| {
@@ -138,6 +143,12 @@
         }
     }
 
+    /// Records that the poll with a number has been answered, whatever it brings: what it doesn't has come after it.
+    pub(super) fn on_answer(&mut self, number: u64) {
+        self.has_rows = true;
+        self.seen = self.seen.filter(|seen| seen.number >= number);
+    }
+
     /// Returns whether the next poll brings a change that has been shown, so that it need not wait for one. Should none have
     /// been made, its answer shows that.
     pub(super) fn take_due_change(&mut self) -> bool {
@@ -295,12 +306,20 @@
     }
 }
 
-/// Waits until an answer that brings rows is arriving, and returns when it began: much of it is left, or it isn't complete,
-/// which ends this, after [`MIN_NEWS_TIME`].
+/// Waits until an answer that brings rows is arriving, and returns when it began: one of an announced length by that, another
+/// one if it isn't complete, which ends this, after [`MIN_NEWS_TIME`]. Waits for ever for an answer without rows.
 async fn await_news(mut received: watch::Receiver<Received>) -> Option<Instant> {
     let begun = received.wait_for(|received| received.begun_at.is_some());
     let begun_at = begun.await.ok()?.begun_at?;
-    let much = received.wait_for(Received::has_much_left);
-    let _ = timeout_at(begun_at + MIN_NEWS_TIME, much).await;
+    let is_announced = received.borrow().left().is_some();
+    let has_rows = received.wait_for(|received| {
+        let left = received.left().unwrap_or(0);
+        received.bytes + left > MAX_EMPTY_BYTES
+    });
+    if is_announced {
+        has_rows.await.ok()?;
+    } else {
+        let _ = timeout_at(begun_at + MIN_NEWS_TIME, has_rows).await;
+    }
     Some(begun_at)
 }
--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -238,6 +238,16 @@
     })
 }
 
+/// Guards against needless calls: an instance that starts has no version to decide by, and needs no date of a later one.
+#[test]
+fn first_read_has_no_calls_beside_it() {
+    let (mut scenario, _) = following(1_400, 0);
+    scenario.changes = vec![Duration::ZERO];
+    scenario.dropped_to = 1;
+    let asked = asked(&scenario, Duration::ZERO..Duration::from_millis(1_400));
+    assert_eq!(asked, Asked::default());
+}
+
 /// Guards against needless calls, all of which are priced: none beside a short answer, and one small call and one poll beside
 /// a long one, whatever becomes of them.
 #[rstest]
@@ -245,6 +255,7 @@
 #[case::long(1_400, SideCalls::QUICK, 1, 1)]
 #[case::long_slow(1_400, SideCalls::Take(Duration::from_millis(400)), 1, 1)]
 #[case::long_polls_lost(1_400, SideCalls::PollsLost, 1, 1)]
+#[case::longest_in_parts(3_000, SideCalls::ComeApart(Duration::from_millis(300)), 1, 2)]
 #[case::long_refused(1_400, SideCalls::Refused, 1, 0)]
 #[case::long_lost(1_400, SideCalls::Lost, 1, 0)]
 fn reads_beside_a_transfer_are_few(
