--- a/crates/daemon/tests/behind/beside_rows.rs
+++ b/crates/daemon/tests/behind/beside_rows.rs
@@ -88,6 +88,10 @@
     transfer: Duration,
     /// Time from the rows to the target's departure.
     gap: Duration,
+    /// Whether the target's first entry is one of the rows.
+    comes_with_rows: bool,
+    /// Time from the target's departure to when its entry is back.
+    back_after: Option<Duration>,
 }
 
 impl Scenario {
@@ -110,6 +114,8 @@
             drain: Duration::from_millis(drain_ms),
             transfer: ms(500..max_ms + 1),
             gap: ms(100..2_001),
+            comes_with_rows: false,
+            back_after: None,
         }
     }
 
@@ -124,7 +130,9 @@
             value: value.map(str::to_owned),
             at: 0,
         };
-        let first = [TARGET, STAYS].map(|name| (Duration::ZERO, change(name, Some(""))));
+        let comes_at = ROWS_AT * u32::from(self.comes_with_rows);
+        let first = [(Duration::ZERO, STAYS), (comes_at, TARGET)];
+        let first = first.map(|(at, name)| (at, change(name, Some(""))));
         let many = |at| {
             (0..ROWS_AT_ONCE).map(move |number| {
                 let name = format!("other-{number}");
@@ -135,7 +143,9 @@
         let left = (self.left_at(), change(TARGET, value));
         let later = many(self.left_at()).filter(|_| self.news == News::Many);
         let all = first.into_iter().chain(many(ROWS_AT)).chain([left]);
-        let all = all.chain(later).enumerate();
+        let back = self.back_after.map(|after| self.left_at() + after);
+        let back = back.map(|at| (at, change(TARGET, Some(""))));
+        let all = all.chain(later).chain(back).enumerate();
         let all = all.map(|(idx, (at, change))| {
             let position = FIRST_POSITION + idx as u64;
             let change = Change {
@@ -326,3 +336,43 @@
         assert!(to_left * 3 > early.len(), "{seed}: {to_left} early");
     }
 }
+
+/// A target whose first entry is arriving, and that has left since, never comes into service.
+#[rstest]
+fn target_that_comes_and_leaves_beside_a_transfer_gets_nothing(
+    #[values(Read::Changes, Read::Whole)] read: Read,
+) {
+    let scenarios = SEEDS.map(|seed| Scenario {
+        comes_with_rows: true,
+        ..Scenario::draw(seed, DRAINS_MS[0], read, News::Few)
+    });
+    let known_in = Duration::from_millis(250);
+    let in_time: Vec<_> = scenarios
+        .filter(|scenario| scenario.gap + known_in < scenario.transfer)
+        .collect();
+    assert!(in_time.len() > 20, "{} runs", in_time.len());
+    for scenario in in_time {
+        let sent = run_paused(play(scenario, Place::Reads));
+        let to_left = sent.iter().filter(|(_, to)| *to == Ok(TARGET.into()));
+        assert_eq!(to_left.count(), 0, "{scenario:?}");
+    }
+}
+
+/// Guards against capacity that is lost: a target that is back beside the same transfer gets requests after it. An instance
+/// that the store turns away fetches the rows for that, as after any departure.
+#[rstest]
+fn target_that_is_back_beside_a_transfer_gets_requests(
+    #[values(Read::Changes, Read::Whole)] read: Read,
+    #[values(100, 400)] back_after_ms: u64,
+) {
+    for seed in SEEDS.step_by(4) {
+        let scenario = Scenario {
+            back_after: Some(Duration::from_millis(back_after_ms)),
+            ..Scenario::draw(seed, DRAINS_MS[0], read, News::Few)
+        };
+        let sent = run_paused(play(scenario, Place::Reads));
+        let last = sent.iter().rev().take(20);
+        let to_target = last.filter(|(_, to)| *to == Ok(TARGET.into())).count();
+        assert!(to_target > 5, "{seed}: {to_target}, {scenario:?}");
+    }
+}
