--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -209,6 +209,21 @@
             sleep(HEARTBEAT_INTERVAL / 200).await;
         }
     }
+
+    /// Waits for a heartbeat to this instance that reports these positions.
+    async fn heartbeat_to(&mut self, id: &InstanceId, positions: &[u64]) -> PeerHeartbeat {
+        let sessions = self.sessions.get_mut(id).unwrap();
+        let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+        loop {
+            let (len, _) = self.socket.recv_from(&mut buf).await.unwrap();
+            let opened = sessions.open(&buf[..len]).unwrap();
+            if let PeerMessage::Heartbeat(heartbeat) = opened.message
+                && heartbeat.table_positions == positions
+            {
+                return *heartbeat;
+            }
+        }
+    }
 }
 
 /// Guards against CONFIG: each change of a table's position was sent to all instances at once, so
@@ -307,17 +322,7 @@
     ] {
         neighbourhood.peers.send(command).await.unwrap();
     }
-    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
-    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
-    let heartbeat = loop {
-        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
-        let opened = sessions.open(&buf[..len]).unwrap();
-        if let PeerMessage::Heartbeat(heartbeat) = opened.message
-            && heartbeat.table_positions == [1, 7]
-        {
-            break heartbeat;
-        }
-    };
+    let heartbeat = neighbourhood.heartbeat_to(&id, &[1, 7]).await;
     let told = heartbeat.departures.iter();
     told.map(|one| one.target.to_string()).collect()
 }
@@ -366,17 +371,7 @@
     ] {
         neighbourhood.peers.send(command).await.unwrap();
     }
-    let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
-    let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
-    let told = loop {
-        let (len, _) = neighbourhood.socket.recv_from(&mut buf).await.unwrap();
-        let opened = sessions.open(&buf[..len]).unwrap();
-        if let PeerMessage::Heartbeat(heartbeat) = opened.message
-            && heartbeat.table_positions == [1, 7]
-        {
-            break heartbeat.retained;
-        }
-    };
+    let told = neighbourhood.heartbeat_to(&id, &[1, 7]).await.retained;
     let since = neighbourhood.clock.now() - told_at;
     assert_eq!(!told.is_empty(), is_told);
     for report in told {
