test(dispatch): a page that few ask for turns deadly (red), traced

Tests: case_12, case_13 and case_14 of deadly_request_is_turned_away_in_drawn_fleets, 150 fleets each, as strict as the others.

Cause, traced: reports of answers have no date. An answer from before the page turned deadly erases what it has lost since at all instances.

--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -62,6 +62,9 @@
     turns_deadly_s: Some(30),
     ..plan
 })]
+#[case::rare_page_turns_deadly(rare_page_turns_deadly)]
+#[case::rare_page_turns_deadly_beside_crashes(|plan| Plan { crash_gap_s: Some(1.0), ..rare_page_turns_deadly(plan) })]
+#[case::rare_page_turns_deadly_beside_many_crashes(|plan| Plan { crash_gap_s: Some(0.4), ..rare_page_turns_deadly(plan) })]
 fn deadly_request_is_turned_away_in_drawn_fleets(#[case] vary: fn(Plan) -> Plan) {
     let (broken, crashes) = broken(vary);
     assert!(
@@ -105,6 +108,17 @@
     }
 }
 
+/// Guards against BUDGET: a page that few ask for reached targets for seconds, as answers from before it turned deadly
+/// made the instances forget what it had lost since.
+fn rare_page_turns_deadly(plan: Plan) -> Plan {
+    Plan {
+        deadly: 0,
+        page_share: 0.05,
+        turns_deadly_s: Some(30),
+        ..plan
+    }
+}
+
 fn late_in_the_run(plan: Plan) -> Plan {
     Plan {
         fuse_ms: 1_500,
