--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -31,6 +31,17 @@
     (scenario, second_at)
 }
 
+/// Returns a version and others that follow it after gaps, which all take as long to arrive.
+fn series(transfer_ms: u64, gaps_ms: &[u64]) -> Scenario {
+    let (mut scenario, _) = following(transfer_ms, 0);
+    let following = gaps_ms
+        .iter()
+        .map(|ms| FIRST_AT + Duration::from_millis(*ms));
+    scenario.changes = [FIRST_AT].into_iter().chain(following).collect();
+    scenario.transfers = vec![scenario.transfers[0]; 1 + gaps_ms.len()];
+    scenario
+}
+
 /// Returns these versions, and what becomes of requests.
 fn follow(transfer_ms: u64, gap_ms: u64) -> (Scenario, Duration, Vec<Decided>) {
     let (scenario, second_at) = following(transfer_ms, gap_ms);
@@ -82,12 +93,7 @@
 #[case::one_behind_each(2_200, &[500, 3_000])]
 #[case::four(1_800, &[300, 900, 1_700, 2_500])]
 fn versions_beside_transfers_decide_in_time(#[case] transfer_ms: u64, #[case] gaps_ms: &[u64]) {
-    let (mut scenario, _) = following(transfer_ms, 0);
-    let following = gaps_ms
-        .iter()
-        .map(|ms| FIRST_AT + Duration::from_millis(*ms));
-    scenario.changes = [FIRST_AT].into_iter().chain(following).collect();
-    scenario.transfers = vec![scenario.transfers[0]; 1 + gaps_ms.len()];
+    let scenario = series(transfer_ms, gaps_ms);
     assert_eq!(late_runs(&scenario), []);
     assert_eq!(early_refusals(&scenario), []);
 }
@@ -101,12 +107,7 @@
     #[case] transfer_ms: u64,
     #[case] gaps_ms: &[u64],
 ) {
-    let (mut scenario, _) = following(transfer_ms, 0);
-    let following = gaps_ms
-        .iter()
-        .map(|ms| FIRST_AT + Duration::from_millis(*ms));
-    scenario.changes = [FIRST_AT].into_iter().chain(following).collect();
-    scenario.transfers = vec![scenario.transfers[0]; 1 + gaps_ms.len()];
+    let scenario = series(transfer_ms, gaps_ms);
     assert_eq!(late_runs(&scenario), []);
     assert_eq!(early_refusals(&scenario), []);
 }
