fix(admit): no request waits for a grant that can't come

Callers of a workspace at its limit were refused up to 1.8 s after they were read, and other requests of the instance with them later, since each open one costs.

Cause: requests that arrived while the owner was asked weren't refused with the one that found no token left: they waited for the next question, which isn't asked for up to a second. And an owner that doesn't answer was waited for for 1.5 s by each request anew, whatever its caller's deadline.

Change: an answer without tokens refuses all that wait, as it refuses those that arrive after it. An owner that has had time to answer a repeated question (the interval of repetition and two round trips) counts as one that isn't there: what waits and what arrives is refused, and may come back when the next reserved token is due. A request waits for half of its time at most, the fraction that dispatch uses; the rest is for the run.

Ruled out: a shorter fixed wait (a message to the owner is lost at times, and the second one must have time).

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -74,17 +74,16 @@
 #[derive(Debug, Clone)]
 struct QueuedRequest {
     id: u64,
+    /// Time until which it may wait.
     deadline: Time,
-    /// Whether a token request to the owner has counted it as waiting.
-    is_reported: bool,
 }
 
 /// Time for which it is known when a workspace was removed; longer than a quota takes to refill.
 const REMOVED_MEMORY: Duration = Duration::from_secs(24 * 3_600);
 /// Maximum number of queued requests of one workspace.
 const MAX_QUEUE_LEN: usize = 4096;
-/// Maximum time that a request waits for a grant.
-const MAX_WAIT: Duration = Duration::from_millis(1_500);
+/// Fraction of the time left to a request for which it waits for a grant; the rest is for the run.
+const MAX_WAIT_FRACTION: f64 = 0.5;
 
 impl AdmissionController {
     /// Returns a controller without workspaces.
@@ -219,9 +218,7 @@
             return Vec::new();
         }
         let mut actions = limiter.admit_queued(now);
-        if limiter.holder.is_exhausted(now) {
-            actions.extend(limiter.refuse_reported(now));
-        }
+        actions.extend(limiter.refuse_vain(now));
         actions.extend(limiter.grant_request_action(now, workspace));
         actions
     }
@@ -232,7 +229,7 @@
         for (workspace, limiter) in &mut self.limiters {
             if !limiter.queue.is_empty() {
                 actions.extend(limiter.admit_queued(now));
-                actions.extend(limiter.refuse_expired(now));
+                actions.extend(limiter.refuse_vain(now));
             }
             if !limiter.queue.is_empty() || limiter.holder.resend_at().is_some_and(|at| at <= now) {
                 actions.extend(limiter.grant_request_action(now, workspace));
@@ -281,14 +278,10 @@
             return decision;
         }
         if self.queue.len() >= MAX_QUEUE_LEN {
-            return AdmissionDecision::Refuse(MAX_WAIT);
+            return AdmissionDecision::Refuse(self.holder.retry_after(now));
         }
-        let deadline = deadline.min(now + MAX_WAIT);
-        self.queue.push_back(QueuedRequest {
-            id,
-            deadline,
-            is_reported: false,
-        });
+        let deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION);
+        self.queue.push_back(QueuedRequest { id, deadline });
         AdmissionDecision::Wait
     }
 
@@ -300,12 +293,7 @@
 
     fn next_grant_request(&mut self, now: Time) -> Option<GrantRequest> {
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        let request = self.holder.next_grant_request(now, waiting)?;
-        let reports_all = request.waiting == waiting;
-        for queued in &mut self.queue {
-            queued.is_reported |= reports_all;
-        }
-        Some(request)
+        self.holder.next_grant_request(now, waiting)
     }
 
     fn admit_queued(&mut self, now: Time) -> Vec<Action> {
@@ -317,23 +305,13 @@
         actions
     }
 
-    /// Refuses the requests that were reported to the owner, which granted too few tokens for them.
-    fn refuse_reported(&mut self, now: Time) -> Vec<Action> {
-        self.refuse_where(now, |queued| queued.is_reported)
-    }
-
-    fn refuse_expired(&mut self, now: Time) -> Vec<Action> {
-        self.refuse_where(now, |queued| queued.deadline <= now)
-    }
-
-    fn refuse_where<F>(&mut self, now: Time, is_refused: F) -> Vec<Action>
-    where
-        F: Fn(&QueuedRequest) -> bool,
-    {
+    /// Refuses the requests whose time to wait is over, and all if the owner has no token to grant or doesn't answer.
+    fn refuse_vain(&mut self, now: Time) -> Vec<Action> {
+        let waits_in_vain = self.holder.waits_in_vain(now);
         let retry_after = self.holder.retry_after(now);
         let mut actions = Vec::new();
         self.queue.retain(|queued| {
-            let is_refused = is_refused(queued);
+            let is_refused = waits_in_vain || queued.deadline <= now;
             if is_refused {
                 actions.push(refuse(queued.id, retry_after));
             }
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -70,6 +70,8 @@
 
 /// Round-trip time to the owner that is assumed before its first answer.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(20);
+/// Minimum delay after which a refused request may be retried.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 impl QuotaHolder {
     /// Returns a holder with no reservations, no grants and no owner.
@@ -126,7 +128,7 @@
         if self.owner.is_none() {
             return AdmissionDecision::Refuse(self.time_until_reserved_token(now));
         }
-        if self.is_exhausted(now) {
+        if self.waits_in_vain(now) {
             return AdmissionDecision::Refuse(self.retry_after(now));
         }
         AdmissionDecision::Wait
@@ -168,10 +170,18 @@
         now < self.exhausted_until
     }
 
+    /// Returns whether waiting for a grant brings nothing: the owner has none to give, or should have answered by now.
+    pub fn waits_in_vain(&self, now: Time) -> bool {
+        self.is_exhausted(now) || self.is_owner_overdue(now)
+    }
+
     /// Returns the delay after which a refused request may be retried.
     pub fn retry_after(&self, now: Time) -> Duration {
+        if self.is_owner_overdue(now) {
+            return self.time_until_reserved_token(now).max(MIN_RETRY_AFTER);
+        }
         let wait = self.token_expected_at - now;
-        wait.max(Duration::from_millis(10))
+        wait.max(MIN_RETRY_AFTER)
     }
 
     fn time_until_reserved_token(&self, now: Time) -> Duration {
--- a/crates/coord/src/holder/requests.rs
+++ b/crates/coord/src/holder/requests.rs
@@ -83,6 +83,13 @@
         self.pending.as_ref().map(|pending| pending.resend_at)
     }
 
+    /// Returns whether the owner should have answered the pending request by now, even if one message of it was lost.
+    pub(super) fn is_owner_overdue(&self, now: Time) -> bool {
+        let answer_time = RESEND_INTERVAL + self.round_trip * 2;
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|pending| now - pending.sent_at > answer_time)
+    }
+
     /// Returns the number of tokens to request, if any are needed.
     fn wanted(&mut self, now: Time, waiting: u32) -> Option<u32> {
         let available = self.available(now);
