perf(daemon): mimalloc instead of the C library's allocator

Callers saw: an instance under load alone answers so few that most tries end at their deadline or find no connection.

Ruled out: settings of the C library (its quick lists end at 1 KB; the rest needs unsafe code); jemalloc not tried.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,6 +13,9 @@
 use settings::{load_daemon_settings, parse_daemon_settings};
 use tokio::signal::unix::{SignalKind, signal};
 
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 fn command() -> Command {
     let config = Arg::new("config")
         .long("config")
