perf(entry): a read from a caller clears no buffer

tokio's try_read wants an initialized buffer, so each read first cleared some 8 KB. try_read_buf reads into it as it is.

--- a/crates/entry/src/caller_stream.rs
+++ b/crates/entry/src/caller_stream.rs
@@ -63,9 +63,8 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(buf.initialize_unfilled()) {
-                Ok(len) => {
-                    buf.advance(len);
+            match self.socket.try_read_buf(buf) {
+                Ok(_) => {
                     self.activity.touch();
                     return Poll::Ready(Ok(()));
                 }
