perf(entry): events without news of the configuration aren't sorted

Each batch was sorted so that the follower's words come first, which allocates, also where there are none. A batch without any stays as it is, which is what the stable sort made of it.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -251,6 +251,9 @@
     /// Puts what the follower has sent before the rest, which is then decided by its latest report. That report counts
     /// from the first event on: what has waited behind a long turn of this engine was no silence of the follower.
     fn hear_follower(&mut self, events: &mut [Event]) {
+        if !events.iter().any(Event::is_of_config) {
+            return;
+        }
         events.sort_by_key(|event| !event.is_of_config());
         let words = events.iter().filter_map(|event| match event {
             Event::ConfigFreshness { valid_until, .. } => Some(*valid_until),
