perf(entry): the text of a line is framed at once

Each byte of a head was pushed to the line on its own, which grew by steps. What comes before the next CR or LF is added at once; CR and LF go the same way as before. Covered by the tests of drawn pieces and of ambiguous requests.

--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -80,7 +80,11 @@
                     pos += passed as usize;
                 }
                 _ => {
-                    if self.push(bytes[pos]).is_err() {
+                    pos += self.push_text(&bytes[pos..]);
+                    let Some(byte) = bytes.get(pos) else {
+                        break;
+                    };
+                    if self.push(*byte).is_err() {
                         self.part = Part::Unchecked;
                         return Err(pos);
                     }
@@ -104,6 +108,17 @@
         self.part = part;
     }
 
+    /// Adds the bytes up to the next CR or LF to the current line, unless a CR is its last byte, and returns their number.
+    fn push_text(&mut self, bytes: &[u8]) -> usize {
+        if self.line.last() == Some(&b'\r') {
+            return 0;
+        }
+        let end = bytes.iter().position(|byte| matches!(byte, b'\r' | b'\n'));
+        let text = &bytes[..end.unwrap_or(bytes.len())];
+        self.line.extend_from_slice(text);
+        text.len()
+    }
+
     /// Adds a byte to the current line.
     fn push(&mut self, byte: u8) -> Result<(), Ambiguous> {
         let is_line_end = self.line.last() == Some(&b'\r');
