perf(entry): a refused request copies no headers and starts no set of attempts

Headers for targets were copied, and the set of attempts, its timer and the shared template made, before the engine had decided. They are made after its first decision, and not at all for a refusal; requests with a body or an idempotency key copy headers once admitted. Nothing else could happen before the first decision: no attempt ran and no hedge was due.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -15,7 +15,7 @@
 use base::{ErrorKind, Refusal, ServiceId, Time};
 use bytes::Bytes;
 use dispatch::{ActionKey, RequestId, RequestKind};
-use http::{HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use hyper::body::Body;
 use salvo::{
     Depot, FlowCtrl, Handler, Router,
@@ -207,9 +207,11 @@
             return Err(Refusal::new(ErrorKind::Overloaded).retry_after(wait));
         }
         let body = req.take_body();
+        let headers = req.headers();
         let has_body = !matches!(body, ReqBody::None) && !body.is_end_stream();
         let needs_claim = head.kind == RequestKind::Once && head.idempotency_key.is_some();
         let mut template = self.template(req, &head);
+        let forwarded = || head::forwarded_headers(&self.dialect, headers, head.api_key.as_deref());
         let admission_span = span.child("admission");
         if let Some(caller) = &caller {
             caller.close_if_left().await;
@@ -218,10 +220,15 @@
         let mut request = request.of_caller(caller);
         if !(has_body || needs_claim) {
             drop(admission_span);
+            let template = || RequestTemplate {
+                headers: forwarded(),
+                ..template
+            };
             return execute(&self.forwarder, request, template, span).await;
         }
         let admitted = request.admission().await?;
         drop(admission_span);
+        template.headers = forwarded();
         if has_body {
             template.body = self.read_body(body, admitted.deadline).await?;
             request.end_if_abandoned().await;
@@ -233,7 +240,7 @@
         );
         let Some(key) = head.idempotency_key.filter(|_| needs_claim) else {
             request.dispatch(fingerprint);
-            return execute(&self.forwarder, request, template, span).await;
+            return execute(&self.forwarder, request, || template, span).await;
         };
         // From the claim on, the action goes on without its caller.
         request.caller = None;
@@ -277,12 +284,12 @@
         RequestHandle::new(id, rx, self.events.clone(), log)
     }
 
+    /// Returns what is sent to targets, without headers, which few refused requests need.
     fn template(&self, req: &Request, head: &Head) -> RequestTemplate {
-        let key = head.api_key.as_deref();
         RequestTemplate {
             method: req.method().clone(),
-            path: head::forwarded_path(&self.dialect, req.uri(), key),
-            headers: head::forwarded_headers(&self.dialect, req.headers(), key),
+            path: head::forwarded_path(&self.dialect, req.uri(), head.api_key.as_deref()),
+            headers: HeaderMap::new(),
             body: Bytes::new(),
             dialect: self.dialect.clone(),
             attempt_id: head.attempt_id.clone(),
--- a/crates/entry/src/callers/actions.rs
+++ b/crates/entry/src/callers/actions.rs
@@ -39,7 +39,7 @@
         let handler = self.clone();
         let run = async move {
             let request_id = request.id;
-            let result = execute(&handler.forwarder, request, template, &span).await;
+            let result = execute(&handler.forwarder, request, || template, &span).await;
             let (event, answer) = outcome_of(&result);
             let (recorded, record) = oneshot::channel();
             let call = LedgerCall::Settle {
--- a/crates/entry/src/execute.rs
+++ b/crates/entry/src/execute.rs
@@ -168,30 +168,46 @@
 }
 
 /// Sends the attempts that the engine decides on until the request has a final response.
-pub(crate) async fn execute(
+pub(crate) async fn execute<F>(
     forwarder: &Forwarder,
     mut request: RequestHandle,
-    template: RequestTemplate,
+    template: F,
+    span: &Span,
+) -> Result<TargetResponse, Refusal>
+where
+    F: FnOnce() -> RequestTemplate,
+{
+    let queue_span = span.child("queue");
+    let first = request.decision().await?;
+    drop(queue_span);
+    let template = Arc::new(template());
+    run_attempts(forwarder, request, first, &template, span).await
+}
+
+/// Carries out the first decision and all that follow it.
+async fn run_attempts(
+    forwarder: &Forwarder,
+    mut request: RequestHandle,
+    first: Decision,
+    template: &Arc<RequestTemplate>,
     span: &Span,
 ) -> Result<TargetResponse, Refusal> {
     let clock = forwarder.clock();
-    let template = Arc::new(template);
     let mut attempts = JoinSet::new();
     let mut hedge_at: Option<Time> = None;
-    let mut queue_span = Some(span.child("queue"));
+    let mut decided = Some(first);
     loop {
+        if let Some(Decision::SendAttempt(plan)) = decided.take() {
+            let note = request.log.attempt_started(clock.now(), &plan);
+            let is_first = plan.assignment.attempt == 1;
+            hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
+            let plan = (*plan, note);
+            let attempt = prepare_attempt(forwarder, &request, plan, template.clone(), span);
+            attempts.spawn(attempt);
+        }
         let hedge = sleep_until(clock.instant(hedge_at.unwrap_or(Time::ZERO)));
         tokio::select! {
-            decision = request.decision() => {
-                drop(queue_span.take());
-                if let Decision::SendAttempt(plan) = decision? {
-                    let note = request.log.attempt_started(clock.now(), &plan);
-                    let is_first = plan.assignment.attempt == 1;
-                    hedge_at = is_first.then(|| clock.now() + plan.assignment.hedge_delay);
-                    let attempt = prepare_attempt(forwarder, &request, (*plan, note), template.clone(), span);
-                    attempts.spawn(attempt);
-                }
-            }
+            decision = request.decision() => decided = Some(decision?),
             Some(joined) = attempts.join_next() => {
                 // Reported by this task and not by the attempt's, so that the engine can't end the
                 // request before this loop has seen the response.
