perf(entry): a suppressed request line isn't composed

A line was composed before the limiter said whether it may be written. The limiter is asked first; which lines are written and how many are counted as suppressed is as before.

--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -48,18 +48,15 @@
         }
     }
 
-    fn write<'a>(&'a self, now: Time, mut line: RequestLine<'a>) {
-        let Some(output) = &self.output else {
-            return;
-        };
-        if output.limiter.admit(now - Time::ZERO, line.end != "ok") {
-            line.instance = output.instance.as_str();
-            line.region = output.region.as_str();
-            output.sink.write_json(&line);
-        } else {
-            let suppressed = output.limiter.take_suppressed();
-            output.sink.count_suppressed(suppressed);
+    /// Returns where a line may be written now, or counts it as suppressed.
+    fn admit(&self, now: Time, end: &str) -> Option<&Output> {
+        let output = self.output.as_ref()?;
+        if output.limiter.admit(now - Time::ZERO, end != "ok") {
+            return Some(output);
         }
+        let suppressed = output.limiter.take_suppressed();
+        output.sink.count_suppressed(suppressed);
+        None
     }
 }
 
@@ -107,6 +104,9 @@
             return;
         }
         let now = self.clock.now();
+        let Some(output) = self.recorder.admit(now, end) else {
+            return;
+        };
         self.log.with(|state| {
             state.add_sendings();
             let info = state.info.as_ref();
@@ -116,6 +116,8 @@
                 event: "request",
                 at_ms: now.as_micros() / 1_000,
                 id: &self.id,
+                instance: output.instance.as_str(),
+                region: output.region.as_str(),
                 route: info.map_or("", |info| &info.route),
                 service: info.map_or("", |info| info.service.as_str()),
                 workspace: info.map_or("", |info| info.workspace.as_str()),
@@ -141,9 +143,8 @@
                 status,
                 took_ms: (now - state.started).as_millis() as u64,
                 retry_after_ms,
-                ..RequestLine::default()
             };
-            self.recorder.write(now, line);
+            output.sink.write_json(&line);
         });
     }
 }
