feat(entry): an instance measures how late it reads

An instance short of its processor reads requests and news late and takes them for new. A task now sleeps 0.1 s between its turns, and how late these come bounds how long what is read has waited (`coord::TurnLag`, `entry::lag`): tasks of a runtime of one thread run in the order in which they are woken, and events are taken from the kernel before sleeps end. docs/DESIGN.md, "How late an instance is", has the ways weighed and where it doesn't hold (several threads, over 1,024 events at once, the first turns). It replaces the sentence that the age of unread input can't be known.

The histogram `godwitgauge_late_seconds` has each turn, a request's line has `late_ms`, left out when zero; docs/OPERATIONS.md says how to read them. Cost: ten wake-ups a second.

Not built: the connection's own age (TCP_INFO), the engine's oldest message, and deadlines less the wait.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -24,6 +24,7 @@
 mod rows_report;
 mod shown_changes;
 mod standstill;
+mod turn_lag;
 mod version_tracker;
 
 pub use answer_dates::{Answer, AnswerDates};
@@ -51,4 +52,5 @@
 pub use rows_report::{RowsDigest, RowsReport};
 pub use shown_changes::{KnownChange, ShownChanges};
 pub use standstill::{MIN_STANDSTILL, Standstills};
+pub use turn_lag::{TURN_INTERVAL, TurnLag};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{Incarnation, InstanceId};
-use coord::{Heartbeat, Membership, QuotaSplit, lease_chart};
+use coord::{Heartbeat, Membership, QuotaSplit, TurnLag, lease_chart};
 use dispatch::Ledger;
 use entry::{
     callers::{CallerHandler, HandlerOptions},
@@ -18,6 +18,7 @@
     dial::Dialer,
     engine::{Engine, EngineOptions},
     forward::Forwarder,
+    lag::{self, LagMeter},
     message::Event,
     metrics::Metrics,
     recorder::Recorder,
@@ -130,6 +131,9 @@
     let incarnation = Incarnation(rand::random::<u64>().max(1));
     let secret = Secret::derive(&cfg.secret);
     let metrics = Metrics::new().wrap_err("cannot register the metrics")?;
+    let (turns_tx, turns_rx) = watch::channel(TurnLag::default());
+    tokio::spawn(lag::measure(clock, metrics.clone(), turns_tx));
+    let lag = LagMeter::new(clock, turns_rx);
     let (udp, tcp) = bind_peer(cfg.peer)
         .await
         .wrap_err_with(|| format!("peer: {}", cfg.peer))?;
@@ -174,6 +178,7 @@
     let (forwarder, held) = options::hold_bodies(cfg, Forwarder::new(dialer));
     let handler = CallerHandler {
         clock,
+        lag,
         events: engine_tx.clone(),
         ledger: ledger_tx,
         view: view_rx.clone(),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -34,6 +34,7 @@
     forward::{Forwarder, RequestTemplate, TargetResponse},
     head::{self, Head},
     held::{BodyError, HeldBytes},
+    lag::LagMeter,
     message::{Arrival, Event, LedgerCall},
     metrics::Metrics,
     recorder::{self, Recorder, RequestLineGuard},
@@ -57,6 +58,8 @@
 pub struct CallerHandler {
     /// Clock of the process.
     pub clock: Clock,
+    /// Tells how long what is read now has waited for this process.
+    pub lag: LagMeter,
     /// Channel to the engine.
     pub events: mpsc::UnboundedSender<Event>,
     /// Channel to the ledger of idempotency keys.
@@ -121,7 +124,7 @@
         let started = self.clock.now();
         let trace = Trace::accept(req.headers(), self.options.trace_sample_ratio);
         let mut span = trace.span("request", self.clock);
-        let log = RequestLog::new(started);
+        let log = RequestLog::new(started, self.lag.of_handed_on());
         let log_for_metrics = log.clone();
         // Writes the log line even if the caller disconnects and this future is dropped.
         let mut line_guard = RequestLineGuard::new(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod framing;
 pub mod head;
 pub mod held;
+pub mod lag;
 pub mod message;
 pub mod metrics;
 pub mod open;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -11,6 +11,8 @@
 const MS_PER_S: f64 = 1_000.0;
 /// Upper bounds, in seconds, of the ages of configurations that refuse requests.
 const REFUSAL_AGE_BUCKETS: [f64; 10] = [0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0];
+/// Upper bounds, in seconds, of the times by which the process is late.
+const LATE_BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
 /// Client errors that promise that the request hasn't run, so that its caller may send it again.
 const REPEATABLE_STATUSES: [u16; 3] = [408, 421, 429];
 
@@ -30,6 +32,8 @@
     /// Seconds since the configuration that decided was last known to be the latest, by the kind of error,
     /// of requests that callers don't send again.
     pub refusal_config_age: HistogramVec,
+    /// Seconds by which the process is late, by part.
+    pub late_seconds: HistogramVec,
     /// Gauges of the instance's state, by name; alarms are based on them.
     pub gauges: IntGaugeVec,
 }
@@ -80,6 +84,14 @@
             .buckets(REFUSAL_AGE_BUCKETS.to_vec()),
             &["end"],
         )?;
+        let late_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "godwitgauge_late_seconds",
+                "Seconds by which turns of this process came late, by part.",
+            )
+            .buckets(LATE_BUCKETS.to_vec()),
+            &["part"],
+        )?;
         let gauges = IntGaugeVec::new(
             Opts::new("godwitgauge_fact", "Facts that alarms are built on."),
             &["name"],
@@ -89,6 +101,7 @@
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(attempt_seconds.clone()))?;
         registry.register(Box::new(refusal_config_age.clone()))?;
+        registry.register(Box::new(late_seconds.clone()))?;
         registry.register(Box::new(gauges.clone()))?;
         Ok(Self {
             registry,
@@ -97,6 +110,7 @@
             attempts,
             attempt_seconds,
             refusal_config_age,
+            late_seconds,
             gauges,
         })
     }
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -130,6 +130,7 @@
                 }),
                 homes: info.and_then(|info| homes(&info.allowed_regions)),
                 object: info.and_then(|info| info.affinity),
+                late_ms: Some(state.late.as_millis() as u64).filter(|late| *late > 0),
                 deadline_ms: info
                     .map_or(0, |info| (info.deadline - state.started).as_millis() as u64),
                 objective_ms: info.map_or(0, |info| {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub(crate) struct RequestLogState {
     pub(crate) started: Time,
+    /// Time for which the head had waited for this process by then at most.
+    pub(crate) late: Duration,
     pub(crate) info: Option<RequestInfo>,
     pub(crate) config: Option<UsedConfig>,
     pub(crate) attempts: Vec<AttemptLine>,
@@ -43,9 +45,10 @@
 }
 
 impl RequestLog {
-    pub(crate) fn new(started: Time) -> Self {
+    pub(crate) fn new(started: Time, late: Duration) -> Self {
         let state = RequestLogState {
             started,
+            late,
             info: None,
             config: None,
             attempts: Vec::new(),
--- a/crates/entry/tests/support/handler.rs
+++ b/crates/entry/tests/support/handler.rs
@@ -12,6 +12,7 @@
     dialect::Dialect,
     forward::Forwarder,
     held::HeldBytes,
+    lag::LagMeter,
     message::{Event, LedgerCall},
     metrics::Metrics,
     recorder::Recorder,
@@ -31,6 +32,7 @@
     let (_, view) = watch::channel(Arc::new(view));
     CallerHandler {
         clock,
+        lag: LagMeter::unmeasured(clock),
         events,
         ledger,
         view,
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -44,6 +44,9 @@
     /// Digest of the affinity key; omitted if there is none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub object: Option<u64>,
+    /// Milliseconds for which the request had waited for the process before it was read, at most; omitted if zero.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_ms: Option<u64>,
     /// Timeout of the request in milliseconds.
     pub deadline_ms: u64,
     /// Time from the request's arrival within which its answer counts as in time, in milliseconds.
