fix(daemon): an arriving version is dated by when it came, not when it was read

Cause: since when a version counts as known while it arrives was the time at which its first bytes were read.

Change: that date is less the measured bound of that moment, not before the call was sent; so are a position and a change that are read beside a transfer. Whether something has been arriving for long enough to tell others still counts from the reading. A poll that is answered is polled before its reports, so that the bound is of the turn in which the first bytes were read.

In the model, answers are read late as before, and the node has a meter whose turns are as late as those of a process in which each of two tasks (the connection's, the read's) waits for its turn: together `read_late`. No assertion, bound or case is changed.

Ruled out: less the bound for the store's clock's offset: an overestimate would claim that an answer came before it was made.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -7,6 +7,7 @@
 
 use base::Time;
 use entry::{
+    lag::LagMeter,
     message::{Confirmation, Event},
     metrics::Metrics,
     view::{Clock, EntryPoint, View},
@@ -32,6 +33,8 @@
 pub struct FollowerOptions {
     /// Monotonic clock of the process.
     pub clock: Clock,
+    /// Tells how long what is read now has waited for this process.
+    pub lag: LagMeter,
     /// Platform that stores the configuration.
     pub platform: Platform,
     /// Secret that authenticates calls between instances.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -189,6 +189,7 @@
         for (idx, table) in self.followed.tables.iter().enumerate() {
             let reader = TableReader::new(ReaderOptions {
                 clock: self.options.clock,
+                lag: self.options.lag.clone(),
                 platform: self.options.platform.clone(),
                 table: table.clone(),
                 timing: self.read_timing(),
@@ -357,7 +358,7 @@
         let is_changed = match read {
             TableRead::Arriving(arrival) => {
                 if idx == 0 {
-                    self.lateness.on_arriving(arrival.since, arrival.after);
+                    self.lateness.on_arriving(now, arrival.since, arrival.after);
                 }
                 let apply = self.options.apply;
                 table.parts.on_arriving(now, &arrival, apply);
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -52,6 +52,8 @@
     /// Time for which another instance may report an older version than the own one.
     others_limit: Duration,
     lag: Lag,
+    /// Time at which the first word of what is arriving came.
+    arrival_read_at: Time,
     /// Since when a version that the own rows lack has been arriving elsewhere without a break.
     elsewhere_since: Option<Time>,
     /// Dates of such arrivals in place of which the same instances report later ones.
@@ -84,6 +86,7 @@
             limit: apply.mul_f64(KNOWN_FRACTION),
             others_limit: apply.mul_f64(OTHERS_FRACTION),
             lag: Lag::default(),
+            arrival_read_at: Time::ZERO,
             elsewhere_since: None,
             replaced: ShownChanges::default(),
             refuted: None,
@@ -154,7 +157,10 @@
 
     /// Records that an answer is arriving. One that began at no known time tells of nothing later, nor does one that was
     /// asked for changes after a position before the own one: it brings what a fetch has brought.
-    pub(super) fn on_arriving(&mut self, begun_at: Option<Time>, after: u64) {
+    pub(super) fn on_arriving(&mut self, now: Time, begun_at: Option<Time>, after: u64) {
+        if self.lag.arriving_since().is_none() {
+            self.arrival_read_at = now;
+        }
         match begun_at.filter(|_| after >= self.own_position) {
             Some(at) => self.lag.on_arriving(at),
             None => self.lag.on_old_arriving(),
@@ -219,7 +225,8 @@
     /// enough for others to receive it although a heartbeat is lost.
     pub(super) fn known_change(&self, now: Time) -> Option<TableChange> {
         let arriving_since = self.lag.arriving_since();
-        let arriving_since = arriving_since.filter(|since| now - *since >= MIN_ARRIVAL_TIME);
+        let arriving_since =
+            arriving_since.filter(|_| now - self.arrival_read_at >= MIN_ARRIVAL_TIME);
         let shown = self.lag.shown().filter(|_| !self.lag.is_failing());
         let is_first = |since: Time| {
             shown.is_none_or(|shown| since < shown.since && now - since < FIRST_REPORT_TIME)
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -178,7 +178,7 @@
     let (forwarder, held) = options::hold_bodies(cfg, Forwarder::new(dialer));
     let handler = CallerHandler {
         clock,
-        lag,
+        lag: lag.clone(),
         events: engine_tx.clone(),
         ledger: ledger_tx,
         view: view_rx.clone(),
@@ -234,6 +234,7 @@
     let probes_targets = matches!(source, ConfigSource::HeadRow);
     let follower_options = FollowerOptions {
         clock,
+        lag,
         platform: platform.clone(),
         secret: secret.clone(),
         metrics: metrics.clone(),
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -10,7 +10,7 @@
 
 use base::Time;
 use coord::{Answer, AnswerDates, MIN_STANDSTILL};
-use entry::view::Clock;
+use entry::{lag::LagMeter, view::Clock};
 use platform::{Platform, PlatformError, Progress, Received};
 use tokio::{
     sync::{mpsc, watch},
@@ -54,6 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct ReaderOptions {
     pub(crate) clock: Clock,
+    pub(crate) lag: LagMeter,
     pub(crate) platform: Platform,
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
@@ -132,6 +133,7 @@
         let (arrivals_tx, arrivals) = mpsc::channel(MAX_OPEN_POLLS);
         let side_calls = SideCalls {
             clock: options.clock,
+            lag: options.lag.clone(),
             platform: platform.clone(),
             table: options.table.clone(),
             timing: options.timing,
@@ -267,7 +269,7 @@
     fn send_waiting_poll(&mut self, sent_at: Time, wait: Duration) {
         let progress = Progress::start();
         let received = progress.received();
-        let platform = self.options.platform.clone().progress(progress);
+        let platform = self.options.platform.clone().progress(progress.clone());
         let table = self.options.table.clone();
         // Where it fails, changes are followed as before.
         let is_reading_anew = std::mem::take(&mut self.is_reading_anew);
@@ -292,7 +294,8 @@
                 position,
             }
         };
-        let reports = report_arrivals(number, received.clone(), self.arrivals_tx.clone());
+        let lag = self.options.lag.clone();
+        let reports = report_arrivals(number, progress, lag, self.arrivals_tx.clone());
         let answer = async move {
             match position {
                 None => {
@@ -308,6 +311,7 @@
         let task = self.polls.spawn(async move {
             let mut answer = pin!(answer);
             tokio::select! {
+                biased;
                 read = &mut answer => (number, read),
                 () = reports => (number, answer.await),
             }
@@ -474,13 +478,21 @@
 }
 
 /// Sends a poll's number, at most once an [`ARRIVAL_REPORT_INTERVAL`], when parts of its answer have
-/// arrived.
-async fn report_arrivals(
-    number: u64,
-    mut received: watch::Receiver<Received>,
-    tx: mpsc::Sender<u64>,
-) {
-    while received.changed().await.is_ok() && tx.send(number).await.is_ok() {
+/// arrived. Before the first time, notes how late this process has read them.
+async fn report_arrivals(number: u64, progress: Progress, lag: LagMeter, tx: mpsc::Sender<u64>) {
+    let mut received = progress.received();
+    while received.changed().await.is_ok() {
+        let is_noted = {
+            let received = received.borrow();
+            received.read_late.is_some() || received.begun_at.is_none()
+        };
+        if !is_noted {
+            progress.on_read_late(lag.of_handed_on());
+            received.mark_unchanged();
+        }
+        if tx.send(number).await.is_err() {
+            return;
+        }
         sleep(ARRIVAL_REPORT_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -11,7 +11,7 @@
 
 use base::Time;
 use coord::{Answer, AnswerDates};
-use entry::view::Clock;
+use entry::{lag::LagMeter, view::Clock};
 use platform::{Platform, PlatformError, Progress, Received};
 use tokio::{
     sync::watch,
@@ -37,6 +37,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct SideCalls {
     pub(super) clock: Clock,
+    pub(super) lag: LagMeter,
     pub(super) platform: Platform,
     pub(super) table: String,
     pub(super) timing: ReadTiming,
@@ -129,12 +130,12 @@
 }
 
 impl Seen {
-    fn new(number: u64, begun_at: Time, (position, answer): (u64, Answer)) -> Self {
+    fn new(number: u64, begun_at: Time, late: Duration, (position, answer): (u64, Answer)) -> Self {
         let way = (answer.arrived_at - answer.sent_at) / 2;
         Self {
             position,
             answer,
-            at: answer.arrived_at.before(way),
+            at: answer.arrived_at.before(way + late).max(answer.sent_at),
             way,
             number,
             begun_at,
@@ -198,12 +199,12 @@
 
     /// Starts the first read of the position beside an answer that has been arriving for long enough.
     fn start_position(&mut self, poll: &OpenPoll, calls: &SideCalls) {
-        let begun_at = poll.received.borrow().begun_at;
-        let begun_at = begun_at.filter(|at| at.elapsed() >= MIN_ARRIVAL_TIME);
+        let read_at = poll.received.borrow().begun_at;
+        let is_long = read_at.is_some_and(|at| at.elapsed() >= MIN_ARRIVAL_TIME);
+        let begun_at = poll.begun_at().filter(|_| is_long);
         if let Some(begun_at) = begun_at.filter(|_| self.last_poll != Some(poll.number)) {
             self.last_poll = Some(poll.number);
             self.present_poll = Some(poll.number);
-            let begun_at = calls.clock.now().before(begun_at.elapsed());
             let calls = calls.clone();
             self.tasks.spawn(calls.read_position(poll.number, begun_at));
         }
@@ -288,7 +289,8 @@
     async fn read_position(self, number: u64, begun_at: Time) -> Finding {
         let answer = self.ask_position().await;
         answer.map_or(Finding::Nothing, |answer| {
-            Finding::Position(Seen::new(number, begun_at, answer))
+            let late = self.lag.of_handed_on();
+            Finding::Position(Seen::new(number, begun_at, late, answer))
         })
     }
 
@@ -368,7 +370,7 @@
         answer.map_or(Finding::Nothing, |answer| {
             Finding::Position(Seen {
                 is_second: true,
-                ..Seen::new(seen.number, seen.begun_at, answer)
+                ..Seen::new(seen.number, seen.begun_at, self.lag.of_handed_on(), answer)
             })
         })
     }
@@ -455,7 +457,10 @@
         let answer = timeout(max_silence, platform.changes(&self.table, after, wait));
         let mut answer = pin!(answer);
         let begun = await_news(progress.received());
-        let since = |at: Instant| self.clock.now().before(at.elapsed());
+        let since = |at: Instant| {
+            let waited = at.elapsed() + self.lag.of_handed_on();
+            self.clock.now().before(waited)
+        };
         tokio::select! {
             biased;
             answer = &mut answer => match answer {
--- a/crates/daemon/src/table_reads/open_polls.rs
+++ b/crates/daemon/src/table_reads/open_polls.rs
@@ -28,8 +28,15 @@
     /// Returns when the answer to a poll for changes began to arrive.
     pub(super) fn arriving_since(&self) -> Option<Time> {
         self.after?;
-        let begun = self.received.borrow().begun_at?;
-        Some(self.sent_at + (begun - self.sent))
+        self.begun_at()
+    }
+
+    /// Returns when the answer began to arrive, which may have waited for this process before it was read.
+    pub(super) fn begun_at(&self) -> Option<Time> {
+        let received = *self.received.borrow();
+        let read_at = self.sent_at + (received.begun_at? - self.sent);
+        let late = received.read_late.unwrap_or_default();
+        Some(read_at.before(late).max(self.sent_at))
     }
 }
 
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -12,6 +12,7 @@
 mod engine;
 #[path = "../support/follower.rs"]
 mod follower;
+mod late_turns;
 mod model;
 mod modelled_store;
 mod old_poll;
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -28,7 +28,10 @@
     time::{Instant, advance, sleep, sleep_until, timeout},
 };
 
-use crate::{engine::start_engine, follower::start_follower, options::options, paused::run_paused};
+use crate::{
+    engine::start_engine, follower::start_follower, late_turns::meter, options::options,
+    paused::run_paused,
+};
 pub(crate) use crate::{
     modelled_store::store,
     scenario::{OPERATOR_TABLE, Reporter, Scenario, SideCalls, position_of},
@@ -234,6 +237,7 @@
         let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
         let (engine, engine_rx) = mpsc::unbounded_channel();
         let options = FollowerOptions {
+            lag: meter(clock, scenario.read_late),
             apply: scenario.apply,
             read_timing: ReadTiming::within(scenario.contact),
             ..options(clock, platform, fleet)
--- a/crates/daemon/tests/support/options.rs
+++ b/crates/daemon/tests/support/options.rs
@@ -5,6 +5,7 @@
 use base::Incarnation;
 use daemon::{fleet::Fleet, follower::FollowerOptions, table_reads::ReadTiming};
 use entry::{
+    lag::LagMeter,
     metrics::Metrics,
     view::{Clock, EntryPoint},
 };
@@ -21,6 +22,7 @@
 ) -> FollowerOptions {
     FollowerOptions {
         clock,
+        lag: LagMeter::unmeasured(clock),
         platform,
         secret: Secret::derive("a secret for tests only"),
         metrics: Metrics::new().unwrap(),
--- a/crates/platform/src/progress.rs
+++ b/crates/platform/src/progress.rs
@@ -54,6 +54,8 @@
     pub begun_at: Option<Instant>,
     /// Time of the last bytes in either direction, or of the call.
     pub last_byte_at: Instant,
+    /// Time for which the first bytes had waited for the own process by then at most, if that is known.
+    pub read_late: Option<Duration>,
     /// Reading of the platform's steady clock when the answer was made, if it reports one.
     pub made_at: Option<Duration>,
     /// Length of the body in bytes, if announced.
@@ -107,6 +109,7 @@
         let received = Received {
             bytes: 0,
             begun_at: None,
+            read_late: None,
             last_byte_at: Instant::now(),
             made_at: None,
             expected: None,
@@ -145,6 +148,13 @@
         });
     }
 
+    /// Records for how long the first bytes had waited for the own process.
+    pub fn on_read_late(&self, time: Duration) {
+        self.tx.send_modify(|received| {
+            received.read_late.get_or_insert(time);
+        });
+    }
+
     /// Records that a part of the call itself has been sent.
     pub fn on_sent(&self) {
         self.tx
