refactor(daemon): what reads report stands below what logs it

table_logs took Fetch, LaterChange and ReadFailure from table_reads, which takes from table_reads/beside, which logs through table_logs: a circle. The three have a module of their own, read_reports, below all three.

--- a/crates/daemon/src/follower/tables/fetching.rs
+++ b/crates/daemon/src/follower/tables/fetching.rs
@@ -10,8 +10,9 @@
 
 use super::{ComposedConfig, MAX_FETCHES, OpenFetch, PEER_FETCH_DELAYS, Table, TableFollower};
 use crate::{
+    read_reports::Fetch,
     table_fetch::{FetchFault, FetchWay, Fetched, OwnTable, Source, fetch},
-    table_reads::{Arrival, Fetch, TableRead},
+    table_reads::{Arrival, TableRead},
 };
 
 /// Fact that counts answers of other instances that were not what had been asked for.
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -9,8 +9,9 @@
 use crate::{
     fleet::{Fleet, HEARTBEAT_TIMEOUT},
     message::TableChange,
+    read_reports::LaterChange,
     table_logs::{Behind, log_behind, log_caught_up},
-    table_reads::{LaterChange, MIN_ARRIVAL_TIME},
+    table_reads::MIN_ARRIVAL_TIME,
 };
 
 /// Fraction of the time within which a change must be in force for which an instance that knows of a
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod planner;
 pub mod probes;
+mod read_reports;
 pub mod relay;
 pub mod rpc;
 pub mod slots;
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -8,7 +8,7 @@
 use entry::metrics::Metrics;
 use platform::PlatformError;
 
-use crate::table_reads::{Fetch, LaterChange, ReadFailure};
+use crate::read_reports::{Fetch, LaterChange, ReadFailure};
 
 /// Maximum number of targets that a line names.
 const MAX_IDS: usize = 16;
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -25,11 +25,9 @@
 };
 pub(crate) use self::{
     elsewhere::FailingElsewhere,
-    outcome::{
-        Arrival, Fetch, LaterChange, PlatformRead, ReadFailure, RowsBeside, TableRead,
-        to_row_change, to_snapshot,
-    },
+    outcome::{Arrival, PlatformRead, RowsBeside, TableRead, to_row_change, to_snapshot},
 };
+use crate::read_reports::ReadFailure;
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -20,10 +20,9 @@
 };
 
 use super::{
-    LaterChange, MIN_ARRIVAL_TIME, POLL_DELAY, ReadTiming, RowsBeside, TableRead,
-    open_polls::OpenPoll,
+    MIN_ARRIVAL_TIME, POLL_DELAY, ReadTiming, RowsBeside, TableRead, open_polls::OpenPoll,
 };
-use crate::table_logs::log_failure_beside;
+use crate::{read_reports::LaterChange, table_logs::log_failure_beside};
 
 /// Maximum size of an answer without rows, in bytes.
 const MAX_EMPTY_BYTES: u64 = 512;
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -1,12 +1,10 @@
 //! What a read of a table has brought, and its rows as a replica takes them.
 
-use std::time::Duration;
-
-use base::{InstanceId, Time};
+use base::Time;
 use coord::{Answer, ReplicaRow, RowChange, TableSnapshot};
-use platform::{Change, Received};
+use platform::Change;
 
-use crate::table_fetch::Fetched;
+use crate::read_reports::{Fetch, LaterChange, ReadFailure};
 
 /// Carries the result of one read of a table.
 #[derive(Debug)]
@@ -23,16 +21,6 @@
     Fetched(Fetch),
 }
 
-/// Describes a change of a table that the answer that is arriving, or the last one, doesn't contain: another read beside
-/// it has shown the change, and nothing of what it brings is here. It confirms nothing.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct LaterChange {
-    /// Position after which the table has changed.
-    pub(crate) after: u64,
-    /// Time since which that has been known.
-    pub(crate) since: Time,
-}
-
 /// Carries rows that have changed after a position which the own copy hasn't reached: they can't be applied to it, and
 /// confirm nothing.
 #[derive(Debug)]
@@ -71,29 +59,6 @@
     }
 }
 
-/// Describes a read of the platform that has brought nothing so far.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ReadFailure {
-    /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
-    pub(crate) is_unanswered: bool,
-    /// Whether the connection had been used before, so that it alone may have failed.
-    pub(crate) is_on_kept_connection: bool,
-    /// Time from the call to its failure.
-    pub(crate) waited: Duration,
-    /// What had arrived of an answer.
-    pub(crate) received: Received,
-}
-
-/// Carries what another instance answered when it was asked for a table.
-#[derive(Debug)]
-pub(crate) struct Fetch {
-    pub(crate) from: InstanceId,
-    pub(crate) asked_at: Time,
-    /// What has arrived of the answer.
-    pub(crate) received: Received,
-    pub(crate) fetched: Fetched,
-}
-
 pub(crate) fn to_row_change(change: Change) -> RowChange {
     RowChange {
         name: change.row,
