fix(coord): an owner that was not asked isn't overdue, and refusals for its silence name a delay in which it is asked anew

While the owner was overdue, callers were sent away until the next reserved token, up to minutes at low rates, though the owner is asked anew within a second: the delay is that time at most. A new owner inherited the silence of the one before: it is asked at once, and overdue by its own time.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -84,6 +84,8 @@
 const MAX_QUEUE_LEN: usize = 4096;
 /// Fraction of the time left to a request for which it waits for a grant; the rest is for the run.
 const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Maximum time that a request waits for a grant.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
 impl AdmissionController {
     /// Returns a controller without workspaces.
@@ -278,9 +280,9 @@
             return decision;
         }
         if self.queue.len() >= MAX_QUEUE_LEN {
-            return AdmissionDecision::Refuse(self.holder.retry_after(now));
+            return AdmissionDecision::Refuse(MAX_WAIT);
         }
-        let deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION);
+        let deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT);
         self.queue.push_back(QueuedRequest { id, deadline });
         AdmissionDecision::Wait
     }
--- a/crates/admit/tests/waits.rs
+++ b/crates/admit/tests/waits.rs
@@ -83,7 +83,30 @@
     ask(&mut admission, at(0), 1, left);
     let first = refused_at(&mut admission, 0).unwrap();
     assert!((250..400).contains(&first), "{first}");
-    assert_eq!(refused(&ask(&mut admission, at(first + 100), 2, left)), [2]);
+    let actions = ask(&mut admission, at(first + 100), 2, left);
+    let [Action::Refuse(2, refusal)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    // The owner is asked anew within a second of the first question.
+    let delay = refusal.retry_after;
+    assert!(delay <= Duration::from_millis(900 - first), "{delay:?}");
+}
+
+/// Guards against refusals for the silence of another owner, who has ended.
+#[test]
+fn request_waits_for_an_owner_that_was_not_asked_yet() {
+    let mut admission = controller();
+    let left = Duration::from_secs(10);
+    ask(&mut admission, at(0), 1, left);
+    let first = refused_at(&mut admission, 0).unwrap();
+    let owner = OwnerId {
+        instance: "next".into(),
+        epoch: 2,
+    };
+    admission.set_owner(&"w".into(), Some(owner));
+    let actions = ask(&mut admission, at(first + 10), 2, left);
+    assert!(refused(&actions).is_empty());
+    assert!(requested(&actions).is_some());
 }
 
 /// Guards against refusals that come too late for another try, whatever the caller's deadline.
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -108,6 +108,11 @@
 
     /// Sets the owner to which requests and loans are sent.
     pub fn set_owner(&mut self, owner: Option<OwnerId>) {
+        if self.owner != owner
+            && let Some(pending) = &mut self.pending
+        {
+            pending.ask_anew();
+        }
         self.owner = owner;
     }
 
@@ -172,15 +177,15 @@
 
     /// Returns whether waiting for a grant brings nothing: the owner has none to give, or should have answered by now.
     pub fn waits_in_vain(&self, now: Time) -> bool {
-        self.is_exhausted(now) || self.is_owner_overdue(now)
+        self.is_exhausted(now) || self.next_question_at(now).is_some()
     }
 
     /// Returns the delay after which a refused request may be retried.
     pub fn retry_after(&self, now: Time) -> Duration {
-        if self.is_owner_overdue(now) {
-            return self.time_until_reserved_token(now).max(MIN_RETRY_AFTER);
-        }
-        let wait = self.token_expected_at - now;
+        let wait = match self.next_question_at(now) {
+            Some(at) => self.time_until_reserved_token(now).min(at - now),
+            None => self.token_expected_at - now,
+        };
         wait.max(MIN_RETRY_AFTER)
     }
 
--- a/crates/coord/src/holder/requests.rs
+++ b/crates/coord/src/holder/requests.rs
@@ -24,6 +24,8 @@
 pub(super) struct PendingRequest {
     pub(super) request: GrantRequest,
     pub(super) sent_at: Time,
+    /// Time at which the present owner was first asked.
+    asked_at: Option<Time>,
     pub(super) resend_at: Time,
 }
 
@@ -83,11 +85,13 @@
         self.pending.as_ref().map(|pending| pending.resend_at)
     }
 
-    /// Returns whether the owner should have answered the pending request by now, even if one message of it was lost.
-    pub(super) fn is_owner_overdue(&self, now: Time) -> bool {
+    /// Returns when the owner is asked anew, if it should have answered the pending request by now, even if one message of
+    /// it was lost.
+    pub(super) fn next_question_at(&self, now: Time) -> Option<Time> {
         let answer_time = RESEND_INTERVAL + self.round_trip * 2;
-        let pending = self.pending.as_ref();
-        pending.is_some_and(|pending| now - pending.sent_at > answer_time)
+        let pending = self.pending.as_ref()?;
+        let is_overdue = pending.asked_at.is_some_and(|at| now - at > answer_time);
+        is_overdue.then(|| pending.sent_at + self.split.holder_grant_ttl())
     }
 
     /// Returns the number of tokens to request, if any are needed.
@@ -126,6 +130,7 @@
         self.pending = Some(PendingRequest {
             request: request.clone(),
             sent_at: now,
+            asked_at: Some(now),
             resend_at: now + RESEND_INTERVAL,
         });
         request
@@ -178,6 +183,13 @@
             return None;
         }
         self.resend_at = now + RESEND_INTERVAL;
+        self.asked_at.get_or_insert(now);
         Some(self.request.clone())
     }
+
+    /// Lets another owner be asked at once, which hasn't been silent yet.
+    pub(super) fn ask_anew(&mut self) {
+        self.asked_at = None;
+        self.resend_at = Time::ZERO;
+    }
 }
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -230,7 +230,9 @@
             arriving_since.filter(|_| now - self.arrival_read_at >= MIN_ARRIVAL_TIME);
         let shown = self.lag.shown().filter(|_| !self.lag.is_failing());
         let is_first = |since: Time| {
-            shown.is_none_or(|shown| since < shown.since && now - since < FIRST_REPORT_TIME)
+            shown.is_none_or(|shown| {
+                since < shown.since && now - self.arrival_read_at < FIRST_REPORT_TIME
+            })
         };
         let arriving = arriving_since.filter(|since| is_first(*since));
         let arriving = arriving.map(|since| TableChange::arriving_after(self.own_position, since));
