--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod hash;
 mod id;
+mod position;
 mod regions;
 mod route;
 mod shared;
@@ -20,6 +21,7 @@
 pub use id::{
     DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
 };
+pub use position::Position;
 pub use regions::AllowedRegions;
 pub use route::RouteTable;
 pub use shared::Shared;
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -55,7 +55,7 @@
         });
     };
     Ok(LatestVersion {
-        version: head.version,
+        version: head.version.version,
         config: read_config(platform, &head.value).await?,
     })
 }
@@ -108,7 +108,7 @@
     let precondition = if base == 0 {
         Precondition::Absent
     } else {
-        Precondition::Version(base)
+        Precondition::Version(base.into())
     };
     let head = Write::new(CONFIG_TABLE, HEAD_ROW)
         .value(&digest)
@@ -166,6 +166,6 @@
 
 async fn conflict_error(platform: &Platform, base: u64) -> CliError {
     let head = platform.get(CONFIG_TABLE, HEAD_ROW).await;
-    let current = head.ok().flatten().map_or(0, |row| row.version);
+    let current = head.ok().flatten().map_or(0, |row| row.version.version);
     CliError::Conflict { base, current }
 }
--- a/crates/coord/examples/lease.rs
+++ b/crates/coord/examples/lease.rs
@@ -1,6 +1,6 @@
 //! Two instances share a lease: the first acquires it and ends, then the second takes over.
 
-use base::{Incarnation, Time};
+use base::{Incarnation, Position, Time};
 use coord::{Lease, LeaseTiming, WriteOutcome, lease_chart};
 
 fn main() {
@@ -14,8 +14,9 @@
     let write = one
         .next_write(Time::ZERO, true, false)
         .expect("a free lease is acquired at once");
-    let table = Some((1, write.row));
-    one.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1));
+    let version = Position::from(1);
+    let table = Some((version, write.row));
+    one.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(version));
     println!("one holds the lease: {}", one.is_held(Time::from_millis(5)));
 
     two.on_read(Time::from_secs(1), table);
--- a/crates/coord/src/catch_up.rs
+++ b/crates/coord/src/catch_up.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 
 /// Describes an instance that reported a later state.
 #[derive(Debug, Clone)]
 struct Source {
     id: InstanceId,
     /// Position of its state.
-    position: u64,
+    position: Position,
     /// Number that orders the sources; the lowest is asked first.
     rank: u64,
     /// Number of fetches from it since the own state last rose.
@@ -42,18 +42,18 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{CatchUp, FetchDelays};
 /// use std::time::Duration;
 ///
 /// let retry = Duration::from_millis(300);
 /// let mut catch_up = CatchUp::new(FetchDelays { min: Duration::ZERO, max: retry, retry });
-/// catch_up.on_report(Time::ZERO, "i1".into(), 7, 1);
-/// catch_up.on_report(Time::ZERO, "i2".into(), 7, 2);
+/// catch_up.on_report(Time::ZERO, "i1".into(), Position::from(7), 1);
+/// catch_up.on_report(Time::ZERO, "i2".into(), Position::from(7), 2);
 /// assert_eq!(catch_up.next_source(Time::ZERO), Some("i1".into()));
 /// assert_eq!(catch_up.next_source(Time::from_millis(299)), None);
 /// assert_eq!(catch_up.next_source(Time::from_millis(300)), Some("i2".into()));
-/// catch_up.on_position(Time::from_millis(310), 7);
+/// catch_up.on_position(Time::from_millis(310), Position::from(7));
 /// assert_eq!(catch_up.next_source(Time::from_secs(1)), None);
 /// ```
 #[derive(Debug, Clone)]
@@ -66,7 +66,7 @@
     /// Instances that reported a later state.
     sources: Vec<Source>,
     /// Position of the own state.
-    position: u64,
+    position: Position,
     /// Time from which on the next source may be asked, unless that is put off.
     next_at: Time,
     /// Time until which it is put off.
@@ -81,7 +81,7 @@
             read_lag: Duration::ZERO,
             behind_since: Time::ZERO,
             sources: Vec::new(),
-            position: 0,
+            position: Position::ZERO,
             next_at: Time::ZERO,
             postponed_until: Time::ZERO,
         }
@@ -91,7 +91,7 @@
     ///
     /// Of several instances the one with the lowest `rank` is asked first. Ranks that differ between
     /// the instances that ask spread the fetches over those that can answer.
-    pub fn on_report(&mut self, now: Time, from: InstanceId, position: u64, rank: u64) {
+    pub fn on_report(&mut self, now: Time, from: InstanceId, position: Position, rank: u64) {
         if position <= self.position {
             return;
         }
@@ -119,7 +119,7 @@
     }
 
     /// Records the position that an own read has brought.
-    pub fn on_read(&mut self, now: Time, position: u64) {
+    pub fn on_read(&mut self, now: Time, position: Position) {
         let has_caught_up = self
             .sources
             .iter()
@@ -145,7 +145,7 @@
 
     /// Records the position of the own state; while it rises, the next fetch waits for the delay
     /// again.
-    pub fn on_position(&mut self, now: Time, position: u64) {
+    pub fn on_position(&mut self, now: Time, position: Position) {
         if position <= self.position {
             return;
         }
--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{TargetId, Time};
+use base::{Position, TargetId, Time};
 use serde::{Deserialize, Serialize};
 
 /// Reports that the rows of a table that are complete up to a position take a target out of service.
@@ -11,7 +11,7 @@
     /// The target.
     pub target: TargetId,
     /// Position of the table.
-    pub position: u64,
+    pub position: Position,
 }
 
 /// Reports that an entry is gone by the rows that are complete up to a position, and is retained for some time, since an
@@ -21,7 +21,7 @@
     /// Target of the entry.
     pub target: TargetId,
     /// Position of the table.
-    pub position: u64,
+    pub position: Position,
     /// Time until which it is retained.
     pub until: Time,
 }
@@ -31,15 +31,15 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{Departures, lacking};
 ///
 /// let mut departures = Departures::default();
-/// departures.record(Time::from_secs(1), vec!["t1".into()], 7);
-/// departures.record(Time::from_secs(2), vec!["t2".into()], 9);
+/// departures.record(Time::from_secs(1), vec!["t1".into()], Position::from(7));
+/// departures.record(Time::from_secs(2), vec!["t2".into()], Position::from(9));
 /// let kept = departures.newest_first();
-/// assert_eq!(lacking(&kept, 8, 0).len(), 1);
-/// assert_eq!(lacking(&kept, 9, 0).len(), 0);
+/// assert_eq!(lacking(&kept, Position::from(8), 0).len(), 1);
+/// assert_eq!(lacking(&kept, Position::from(9), 0).len(), 0);
 /// assert!(departures.expire(Time::from_secs(60)));
 /// assert!(departures.newest_first().is_empty());
 /// ```
@@ -51,7 +51,7 @@
 
 impl Departures {
     /// Records the targets that have left by the rows that are complete up to `position`.
-    pub fn record(&mut self, now: Time, targets: Vec<TargetId>, position: u64) {
+    pub fn record(&mut self, now: Time, targets: Vec<TargetId>, position: Position) {
         let left = targets.into_iter();
         let left = left.map(|target| (now, Departure { target, position }));
         self.known.extend(left);
@@ -91,7 +91,7 @@
 ///
 /// If there are more departures than fit, half of the message reports the newest ones. The other half reports a share of
 /// the remaining ones, chosen by the message's number so that successive messages go through all of them.
-pub fn lacking(newest_first: &[Departure], position: u64, number: u64) -> Vec<Departure> {
+pub fn lacking(newest_first: &[Departure], position: Position, number: u64) -> Vec<Departure> {
     let lacking = newest_first.iter();
     let mut lacking: Vec<&Departure> = lacking.filter(|one| one.position > position).collect();
     let lengths = lacking.iter().map(|one| one.target.as_str().len());
@@ -129,14 +129,14 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{Departure, ReportedDepartures};
 ///
 /// let mut reported = ReportedDepartures::default();
-/// let left = Departure { target: "t1".into(), position: 7 };
-/// reported.on_report(Time::from_secs(1), 6, &[left]);
+/// let left = Departure { target: "t1".into(), position: Position::from(7) };
+/// reported.on_report(Time::from_secs(1), Position::from(6), &[left]);
 /// assert_eq!(reported.targets().count(), 1);
-/// reported.on_position(7, |_| false);
+/// reported.on_position(Position::from(7), |_| false);
 /// assert_eq!(reported.targets().count(), 0);
 /// ```
 #[derive(Debug, Clone, Default)]
@@ -146,7 +146,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Report {
-    position: u64,
+    position: Position,
     /// Time of the first report of this position.
     received_at: Time,
     /// Time of the last one.
@@ -159,7 +159,7 @@
 
 impl ReportedDepartures {
     /// Records those departures that another instance has reported and that are later than the own position.
-    pub fn on_report(&mut self, now: Time, own_position: u64, departures: &[Departure]) {
+    pub fn on_report(&mut self, now: Time, own_position: Position, departures: &[Departure]) {
         let is_recent = |report: &Report| now - report.repeated_at < RETENTION * 2;
         self.reports
             .retain(|_, report| !report.is_refuted || is_recent(report));
@@ -177,7 +177,7 @@
     }
 
     /// Records entries that another instance retains by rows that are later than the own position.
-    pub fn on_retained(&mut self, now: Time, own_position: u64, entries: &[RetainedEntry]) {
+    pub fn on_retained(&mut self, now: Time, own_position: Position, entries: &[RetainedEntry]) {
         let later = entries.iter();
         for entry in later.filter(|entry| entry.position > own_position) {
             match self.reports.get_mut(&entry.target) {
@@ -194,7 +194,7 @@
 
     /// Withdraws what was told of entries that are retained by rows before `position`, which another instance has reached:
     /// they may be back.
-    pub fn on_later_rows(&mut self, position: u64) {
+    pub fn on_later_rows(&mut self, position: Position) {
         self.reports.retain(|_, report| {
             let is_retained = report.retained_until.is_some() && !report.is_refuted;
             !is_retained || report.position >= position
@@ -223,7 +223,7 @@
         &mut self,
         now: Time,
         target: &TargetId,
-        position: u64,
+        position: Position,
         retained_until: Option<Time>,
     ) {
         if self.reports.len() >= MAX_KEPT && !self.reports.contains_key(target) {
@@ -241,7 +241,7 @@
 
     /// Records the position of the own rows, and which of them are removed and only retained: earlier reports of
     /// these stay in force.
-    pub fn on_position<F>(&mut self, position: u64, is_retained: F)
+    pub fn on_position<F>(&mut self, position: Position, is_retained: F)
     where
         F: Fn(&TargetId) -> bool,
     {
@@ -250,7 +250,7 @@
     }
 
     /// Records that an own read has been answered that was sent at `sent_at`, and the position of the own rows after it.
-    pub fn on_read(&mut self, sent_at: Time, position: u64) {
+    pub fn on_read(&mut self, sent_at: Time, position: Position) {
         for report in self.reports.values_mut() {
             let has_gone_back = report.received_at < sent_at && report.position > position;
             report.is_refuted |= has_gone_back;
@@ -258,7 +258,7 @@
     }
 
     /// Returns the targets that have left, with the positions at which they had.
-    pub fn targets(&self) -> impl Iterator<Item = (&TargetId, u64)> {
+    pub fn targets(&self) -> impl Iterator<Item = (&TargetId, Position)> {
         let reports = self.reports.iter();
         let believed =
             reports.filter(|(_, report)| !report.is_refuted && report.retained_until.is_none());
--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{Position, Time};
 
 use crate::shown_changes::{KnownChange, ShownChanges};
 
@@ -14,16 +14,16 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::PositionTimes;
 ///
 /// let mut known = PositionTimes::default();
-/// known.record(Time::from_secs(1), 10);
-/// known.record(Time::from_secs(2), 20);
-/// known.record(Time::from_secs(3), 15);
-/// assert_eq!(known.first_after(9), Some(Time::from_secs(1)));
-/// assert_eq!(known.first_after(10), Some(Time::from_secs(2)));
-/// assert_eq!(known.first_after(20), None);
+/// known.record(Time::from_secs(1), Position::from(10));
+/// known.record(Time::from_secs(2), Position::from(20));
+/// known.record(Time::from_secs(3), Position::from(15));
+/// assert_eq!(known.first_after(Position::from(9)), Some(Time::from_secs(1)));
+/// assert_eq!(known.first_after(Position::from(10)), Some(Time::from_secs(2)));
+/// assert_eq!(known.first_after(Position::from(20)), None);
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PositionTimes {
@@ -33,7 +33,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct KnownPosition {
-    position: u64,
+    position: Position,
     /// Time since which it, or one that was merged with it, has been known.
     since: Time,
     /// Time at which it was recorded.
@@ -42,12 +42,12 @@
 
 impl PositionTimes {
     /// Records that `position` is known at `now`.
-    pub fn record(&mut self, now: Time, position: u64) {
+    pub fn record(&mut self, now: Time, position: Position) {
         self.record_since(now, now, position);
     }
 
     /// Records at `now` that `position` has been known since `since`.
-    pub fn record_since(&mut self, now: Time, since: Time, position: u64) {
+    pub fn record_since(&mut self, now: Time, since: Time, position: Position) {
         let mut known = self.times.iter();
         if known.any(|known| known.position >= position && known.since <= since) {
             return;
@@ -78,23 +78,23 @@
     }
 
     /// Returns when a position later than `position` first became known.
-    pub fn first_after(&self, position: u64) -> Option<Time> {
+    pub fn first_after(&self, position: Position) -> Option<Time> {
         let later = self.times.iter().find(|known| known.position > position);
         later.map(|known| known.since)
     }
 
     /// Returns the latest position that is known.
-    pub fn latest(&self) -> Option<u64> {
+    pub fn latest(&self) -> Option<Position> {
         self.times.last().map(|known| known.position)
     }
 
     /// Forgets the positions up to `position`.
-    pub fn forget_to(&mut self, position: u64) {
+    pub fn forget_to(&mut self, position: Position) {
         self.times.retain(|known| known.position > position);
     }
 
     /// Forgets what was recorded before `time`, and returns the latest of it.
-    fn forget_before(&mut self, time: Time) -> Option<u64> {
+    fn forget_before(&mut self, time: Time) -> Option<Position> {
         let forgotten = self.times.iter().filter(|known| known.at < time);
         let latest = forgotten.map(|known| known.position).max();
         self.times.retain(|known| known.at >= time);
@@ -113,27 +113,27 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{KnownChange, Lag};
 ///
 /// let mut lag = Lag::default();
-/// let change = |position, since| KnownChange { position, since };
+/// let change = |version, since| KnownChange { position: Position::from(version), since };
 /// lag.on_report(Time::from_secs(1), change(7, Time::from_secs(1)));
 /// lag.on_report(Time::from_secs(3), change(9, Time::from_secs(2)));
-/// lag.on_position(8);
+/// lag.on_position(Position::from(8));
 /// assert_eq!(lag.behind_since(true), Some(Time::from_secs(2)));
 /// assert_eq!(lag.behind_since(false), None);
-/// lag.on_read(Time::from_secs(4), 8);
+/// lag.on_read(Time::from_secs(4), Position::from(8));
 /// assert_eq!(lag.behind_since(true), None);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Lag {
     /// Position of the own copy.
-    position: u64,
+    position: Position,
     /// Later positions.
     later: PositionTimes,
     /// Position up to which the state has gone back.
-    gone_to: u64,
+    gone_to: Position,
     /// Time at which an answer that is still arriving began.
     arriving_since: Option<Time>,
     /// Changes that reads beside a transfer have shown.
@@ -170,7 +170,7 @@
     }
 
     /// Records the position of the last change that the own copy has.
-    pub fn on_last_change(&mut self, position: u64) {
+    pub fn on_last_change(&mut self, position: Position) {
         self.shown.on_last_change(position);
     }
 
@@ -185,7 +185,7 @@
     }
 
     /// Records the position that an own read has brought, which was sent at `sent_at`.
-    pub fn on_read(&mut self, sent_at: Time, position: u64) {
+    pub fn on_read(&mut self, sent_at: Time, position: Position) {
         self.arriving_since = None;
         self.is_failing = false;
         self.shown.on_read(sent_at);
@@ -197,7 +197,7 @@
 
     /// Records the position of the own copy. If it has risen, an answer that was arriving meanwhile
     /// contains nothing later.
-    pub fn on_position(&mut self, position: u64) {
+    pub fn on_position(&mut self, position: Position) {
         if position > self.position {
             self.arriving_since = None;
         }
@@ -235,8 +235,8 @@
     }
 
     /// Returns since when a change at `position` or a later one has been known.
-    pub fn known_since(&self, position: u64) -> Option<Time> {
-        let reported = self.later.first_after(position.saturating_sub(1));
+    pub fn known_since(&self, position: Position) -> Option<Time> {
+        let reported = self.later.first_after(position.predecessor());
         let known = reported
             .into_iter()
             .chain(self.shown.since_before(position));
@@ -244,7 +244,7 @@
     }
 
     /// Returns the latest position that others have reported and the own copy lacks.
-    pub fn latest_report(&self) -> Option<u64> {
+    pub fn latest_report(&self) -> Option<Position> {
         self.later.latest()
     }
 }
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 use chart::{Chart, ChartError};
 use serde::{Deserialize, Serialize};
 
@@ -90,7 +90,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The write took effect and the row now has this version.
-    Applied(u64),
+    Applied(Position),
     /// The row did not have the expected version.
     Conflict,
     /// No answer arrived; the write may have taken effect.
@@ -103,7 +103,7 @@
     /// New content of the row.
     pub row: LeaseRow,
     /// Version that the row must have, or `None` if it must not exist.
-    pub expected_version: Option<u64>,
+    pub expected_version: Option<Position>,
 }
 
 /// Acquires, renews and observes one lease on behalf of one incarnation of an instance.
@@ -115,7 +115,7 @@
 /// # Examples
 ///
 /// ```
-/// use base::{Incarnation, Time};
+/// use base::{Incarnation, Position, Time};
 /// use coord::{Lease, LeaseTiming, WriteOutcome, lease_chart};
 ///
 /// let chart = lease_chart().unwrap();
@@ -123,7 +123,7 @@
 /// lease.on_read(Time::ZERO, None);
 /// let write = lease.next_write(Time::ZERO, true, false).unwrap();
 /// assert_eq!(write.expected_version, None);
-/// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1));
+/// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(Position::from(1)));
 /// assert!(lease.is_held(Time::from_millis(5)));
 /// ```
 #[derive(Debug)]
@@ -133,7 +133,7 @@
     me: InstanceId,
     incarnation: Incarnation,
     timing: LeaseTiming,
-    row: Option<(u64, LeaseRow)>,
+    row: Option<(Position, LeaseRow)>,
     row_changed_at: Time,
     held_until: Time,
     renewal_sent_at: Time,
@@ -205,7 +205,7 @@
     /// Processes a read of the row.
     ///
     /// Reads that started before the last write of this instance was answered must not be passed.
-    pub fn on_read(&mut self, now: Time, row: Option<(u64, LeaseRow)>) {
+    pub fn on_read(&mut self, now: Time, row: Option<(Position, LeaseRow)>) {
         if self.is_newer(row.as_ref()) {
             self.row_changed_at = now;
             self.resolve_unanswered(row.as_ref());
@@ -302,7 +302,7 @@
     }
 
     /// Returns whether the row is newer than the last one read or written.
-    fn is_newer(&self, row: Option<&(u64, LeaseRow)>) -> bool {
+    fn is_newer(&self, row: Option<&(Position, LeaseRow)>) -> bool {
         match (&self.row, row) {
             (None, _) => true,
             (Some(_), None) => false,
@@ -311,7 +311,7 @@
     }
 
     /// Determines from the row whether an unanswered write took effect.
-    fn resolve_unanswered(&mut self, row: Option<&(u64, LeaseRow)>) {
+    fn resolve_unanswered(&mut self, row: Option<&(Position, LeaseRow)>) {
         let Some((sent_at, written)) = self.pending_write.take() else {
             return;
         };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,7 @@
 mod fanout;
 mod grant;
 mod holder;
+mod kept_rows;
 mod lag;
 mod lease;
 mod membership;
@@ -24,6 +25,7 @@
 mod rows_report;
 mod shown_changes;
 mod standstill;
+mod table_rows;
 mod turn_lag;
 mod version_tracker;
 
@@ -36,6 +38,7 @@
 pub use fanout::{FanOut, children};
 pub use grant::{AdmissionDecision, Grant, GrantRequest, GrantUsage, Loan, OwnerId};
 pub use holder::{QuotaHolder, SlotHistory};
+pub use kept_rows::{KeptRows, RowOrder, unordered_rows};
 pub use lag::{Lag, PositionTimes};
 pub use lease::{
     Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
@@ -47,10 +50,11 @@
 pub use owner::QuotaOwner;
 pub use quota::{Quota, QuotaSplit, TokenBucket};
 pub use readers::{ReaderTiming, Readers, Reading};
-pub use replica::{Replica, ReplicaRow, RowChange, TableSnapshot};
+pub use replica::Replica;
 pub use rows_check::{RowsCheck, RowsDifference, RowsVerdict};
 pub use rows_report::{RowsDigest, RowsReport};
 pub use shown_changes::{KnownChange, ShownChanges};
 pub use standstill::{MIN_STANDSTILL, Standstills};
+pub use table_rows::{ReplicaRow, RowChange, TableSnapshot};
 pub use turn_lag::{TURN_INTERVAL, TurnLag};
 pub use version_tracker::{Freshness, Head, OfferOutcome, VersionTracker};
--- a/crates/coord/src/parts.rs
+++ b/crates/coord/src/parts.rs
@@ -9,6 +9,7 @@
 
 use std::fmt;
 
+use base::Position;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -60,20 +61,31 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct TableList {
     /// Position up to which the table is complete.
-    pub position: u64,
+    pub position: Position,
     /// Rows in the order of their names.
     pub rows: Vec<RowList>,
     /// Parts of the groups that the receiver doesn't know.
     pub groups: Vec<Vec<Part>>,
 }
 
+impl TableList {
+    /// Returns the same list in another era of the table's history.
+    pub fn in_era(mut self, era: u32) -> Self {
+        self.position = self.position.in_era(era);
+        for row in &mut self.rows {
+            row.position = row.position.in_era(era);
+        }
+        self
+    }
+}
+
 /// Lists the parts of a row's text, in order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowList {
     /// Name of the row.
     pub name: String,
     /// Position of its last change.
-    pub position: u64,
+    pub position: Position,
     /// Parts of its text.
     pub content: RowContent,
 }
--- a/crates/coord/src/parts/assembly.rs
+++ b/crates/coord/src/parts/assembly.rs
@@ -5,6 +5,8 @@
     sync::Arc,
 };
 
+use base::Position;
+
 use super::{
     MAX_PART_BYTES, MAX_PARTS, MAX_TABLE_BYTES, Part, PartId, PartsError, RowContent, TableCut,
     TableList,
@@ -20,7 +22,7 @@
 #[derive(Debug)]
 pub struct Assembly {
     rows: Vec<Row>,
-    position: u64,
+    position: Position,
     own: TableCut,
     /// Parts that have not arrived.
     missing: BTreeMap<PartId, u32>,
@@ -34,7 +36,7 @@
 #[derive(Debug)]
 struct Row {
     name: String,
-    position: u64,
+    position: Position,
     groups: Vec<Group>,
 }
 
--- a/crates/coord/src/parts/cut.rs
+++ b/crates/coord/src/parts/cut.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use base::Position;
 use fastcdc::v2020::FastCDC;
 
 use super::{MAX_PART_BYTES, Part, PartId, RowContent, RowList, TableList};
@@ -25,11 +26,12 @@
 /// # Examples
 ///
 /// ```
+/// use base::Position;
 /// use coord::{ReplicaRow, TableSnapshot, parts::{Assembly, TableCut}};
 /// use std::collections::BTreeSet;
 ///
-/// let row = ReplicaRow { value: "a text".into(), position: 3 };
-/// let table = TableSnapshot { rows: [("r".to_owned(), row)].into(), position: 7 };
+/// let row = ReplicaRow { value: "a text".into(), position: Position::from(3) };
+/// let table = TableSnapshot { rows: [("r".to_owned(), row)].into(), position: Position::from(7) };
 /// let sender = TableCut::default().update(&table);
 /// let receiver = TableCut::default();
 ///
@@ -43,8 +45,8 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct TableCut {
-    pub(super) rows: BTreeMap<String, (Arc<RowCut>, u64)>,
-    pub(super) position: u64,
+    pub(super) rows: BTreeMap<String, (Arc<RowCut>, Position)>,
+    pub(super) position: Position,
 }
 
 /// Describes a row's text by the groups of parts that make it up.
@@ -90,7 +92,7 @@
     }
 
     /// Returns the position of the table.
-    pub fn position(&self) -> u64 {
+    pub fn position(&self) -> Position {
         self.position
     }
 
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -1,44 +1,19 @@
 //! A replica of a table, updated from the table itself or from other replicas.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{cmp::Ordering, collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::Time;
-use serde::{Deserialize, Serialize};
+use base::{Position, Time};
 
-use crate::{RowsDigest, RowsReport, Standstills};
-
-/// Pairs a row with the position of its last change, so that older reads of it can't replace it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReplicaRow {
-    /// Content of the row, which copies share.
-    pub value: Arc<str>,
-    /// Position of its last change in the table's history.
-    pub position: u64,
-}
-
-/// Describes the change of one row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RowChange {
-    /// Name of the row.
-    pub name: String,
-    /// New content, or `None` if the row was deleted.
-    pub value: Option<String>,
-    /// Position of the change in the table's history.
-    pub position: u64,
-}
-
-/// Carries a whole table from one instance to another, with the position up to which it is
-/// complete.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct TableSnapshot {
-    /// Rows by name.
-    pub rows: BTreeMap<String, ReplicaRow>,
-    /// Position up to which the snapshot is complete.
-    pub position: u64,
-}
+use crate::{
+    KeptRows, ReplicaRow, RowChange, RowOrder, RowsDigest, RowsReport, Standstills, TableSnapshot,
+    unordered_rows,
+};
 
 /// Replicates one table; its position never decreases.
 ///
+/// A platform that comes back from an older copy of its tables begins a later era of positions. What was known before and is
+/// later than the copy is kept over the table's rows until its writers write it again ([`KeptRows`]).
+///
 /// While nobody can read the table, rows may expire whose writers are alive but can't reach it
 /// either; those writers write them again once it is back. Rows that are found deleted are therefore
 /// retained until a while after the table's return. A read that fails on some instances alone is no
@@ -47,23 +22,23 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{Replica, RowChange};
 /// use std::time::Duration;
 ///
 /// let mut replica = Replica::new(Duration::from_secs(2));
-/// let change = RowChange { name: "t1".into(), value: Some("up".into()), position: 5 };
-/// assert!(replica.apply_changes(Time::ZERO, vec![change], 7));
-/// assert_eq!(replica.position(), 7);
+/// let change = RowChange { name: "t1".into(), value: Some("up".into()), position: Position::from(5) };
+/// assert!(replica.apply_changes(Time::ZERO, vec![change], Position::from(7)));
+/// assert_eq!(replica.position(), Position::from(7));
 /// assert_eq!(replica.rows().count(), 1);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Replica {
     snapshot: TableSnapshot,
     /// Position up to which rows may have changed; from there to the own position, none has.
-    changed_at: u64,
+    changed_at: Position,
     /// Position of the last change of a row that has been seen.
-    last_change: u64,
+    last_change: Position,
     is_initialized: bool,
     digest: RowsDigest,
     /// Whether each row is known to be as it is at the own position.
@@ -72,6 +47,11 @@
     is_corrected: bool,
     /// Deleted rows that are retained until a time.
     retained: BTreeMap<String, (ReplicaRow, Time)>,
+    /// Rows that are kept as they were known in an earlier era.
+    kept: KeptRows,
+    /// Time at which the first table of the present era came, unless a row whose revisions are counted has been written
+    /// in it since.
+    unwritten_since: Option<Time>,
     grace_period: Duration,
     /// Time at or after which the table was last read, by this instance or another.
     last_contact_at: Option<Time>,
@@ -94,6 +74,8 @@
 const CONTACT_VALIDITY: Duration = Duration::from_millis(1_500);
 /// Time after a standstill of this instance within which it handles the reports that arrived meanwhile.
 const HEARING_TIME: Duration = Duration::from_millis(500);
+/// Time for which a row that a copy of the table lacks is kept where that copy may be later than what was known.
+const UNSURE_KEEP_TIME: Duration = Duration::from_secs(60);
 
 impl Replica {
     /// Returns an empty replica that retains rows which an outage may have removed until
@@ -101,13 +83,15 @@
     pub fn new(grace_period: Duration) -> Self {
         Self {
             snapshot: TableSnapshot::default(),
-            changed_at: 0,
-            last_change: 0,
+            changed_at: Position::ZERO,
+            last_change: Position::ZERO,
             is_initialized: false,
             digest: RowsDigest::default(),
             is_settled: false,
             is_corrected: false,
             retained: BTreeMap::new(),
+            kept: KeptRows::ordered_by(unordered_rows),
+            unwritten_since: None,
             grace_period,
             last_contact_at: None,
             outage: None,
@@ -116,13 +100,19 @@
         }
     }
 
+    /// Sets how contents of a row are compared after the table came back from a copy; by default the copy's are taken.
+    pub fn ordered_by(mut self, order: RowOrder) -> Self {
+        self.kept = KeptRows::ordered_by(order);
+        self
+    }
+
     /// Returns whether the table has been read at least once.
     pub fn is_initialized(&self) -> bool {
         self.is_initialized
     }
 
     /// Returns the position up to which the replica is complete.
-    pub fn position(&self) -> u64 {
+    pub fn position(&self) -> Position {
         self.snapshot.position
     }
 
@@ -130,24 +120,36 @@
     /// all that this one has.
     ///
     /// The own position rises with all writes to the platform, also to other tables.
-    pub fn changed_at(&self) -> u64 {
+    pub fn changed_at(&self) -> Position {
         self.changed_at
     }
 
     /// Returns the position of the last change that is known to have happened: unlike [`Self::changed_at`], it doesn't
     /// rise with the position of a whole table.
-    pub fn last_change(&self) -> u64 {
+    pub fn last_change(&self) -> Position {
         self.last_change
     }
 
-    /// Returns the rows with their names, retained rows included.
+    /// Returns the rows with their names as they are known: retained rows and those kept from an earlier era included.
     pub fn rows(&self) -> impl Iterator<Item = (&str, &ReplicaRow)> {
         let retained = self.retained.iter().map(|(name, (row, _))| (name, row));
         let rows = self.snapshot.rows.iter().chain(retained);
+        let rows = rows.filter(|(name, _)| self.kept.get(name).is_none());
+        let rows = rows.chain(self.kept.present());
         rows.map(|(name, row)| (name.as_str(), row))
     }
 
-    /// Returns the rows without retained ones, to be sent to other replicas.
+    /// Returns the names of the rows that are kept as they were known in an earlier era.
+    pub fn kept(&self) -> impl Iterator<Item = &str> {
+        self.kept.names()
+    }
+
+    /// Returns since when the table has been a copy in which no row whose revisions are counted has been written again.
+    pub fn unwritten_since(&self) -> Option<Time> {
+        self.unwritten_since
+    }
+
+    /// Returns the rows as the table has them, without retained and kept ones, to be sent to other replicas.
     pub fn snapshot(&self) -> &TableSnapshot {
         &self.snapshot
     }
@@ -157,10 +159,11 @@
     ///
     /// All replicas that report a position have the same rows at it.
     pub fn rows_report(&self) -> Option<RowsReport> {
-        let is_exact = self.is_settled && self.last_change <= self.snapshot.position;
-        is_exact.then(|| RowsReport {
-            changed_at: self.changed_at,
-            span: self.snapshot.position.saturating_sub(self.changed_at),
+        let (position, changed_at) = (self.snapshot.position, self.changed_at);
+        let is_exact = self.is_settled && self.last_change <= position;
+        (is_exact && changed_at.era == position.era).then(|| RowsReport {
+            changed_at,
+            span: position.version.saturating_sub(changed_at.version),
             digest: self.digest,
         })
     }
@@ -173,16 +176,17 @@
         self.is_settled = self.is_initialized;
     }
 
-    /// Returns whether the row has been deleted and is retained.
+    /// Returns whether the row is retained although it has been deleted, or kept from an earlier era.
     pub fn is_retained(&self, name: &str) -> bool {
-        self.retained.contains_key(name)
+        self.retained.contains_key(name) || self.kept.get(name).is_some()
     }
 
-    /// Returns the position up to which what is told of a row is old: that of its last change if it is retained, else the
-    /// replica's.
-    pub fn position_for(&self, name: &str) -> u64 {
-        let retained = self.retained.get(name);
-        retained.map_or(self.snapshot.position, |(row, _)| row.position)
+    /// Returns the position up to which what is told of a row is old: that of its last change if it is retained or kept,
+    /// else the replica's.
+    pub fn position_for(&self, name: &str) -> Position {
+        let retained = self.retained.get(name).map(|(row, _)| row);
+        let known = self.kept.get(name).flatten().or(retained);
+        known.map_or(self.snapshot.position, |row| row.position)
     }
 
     /// Returns the names of the deleted rows that are retained, with the times until which they are.
@@ -265,7 +269,12 @@
     }
 
     /// Applies the changes up to `position` and returns whether the rows have changed.
-    pub fn apply_changes(&mut self, now: Time, changes: Vec<RowChange>, position: u64) -> bool {
+    pub fn apply_changes(
+        &mut self,
+        now: Time,
+        changes: Vec<RowChange>,
+        position: Position,
+    ) -> bool {
         let mut is_changed = !self.is_initialized;
         self.is_initialized = true;
         let own_position = self.snapshot.position;
@@ -337,6 +346,9 @@
     }
 
     fn take(&mut self, deleted_by: Time, snapshot: TableSnapshot) -> bool {
+        if self.is_initialized && snapshot.position.era > self.snapshot.position.era {
+            return self.begin_era(deleted_by, snapshot);
+        }
         let deleted: Vec<String> = self
             .snapshot
             .rows
@@ -347,15 +359,21 @@
             .filter(|name| !snapshot.rows.contains_key(*name))
             .cloned()
             .collect();
-        let mut is_changed = !self.is_initialized || !deleted.is_empty();
+        let is_changed = !self.is_initialized || !deleted.is_empty();
         self.is_initialized = true;
         for name in deleted {
             self.remove(deleted_by, &name);
         }
+        self.take_rows(deleted_by, snapshot) || is_changed
+    }
+
+    /// Takes the rows of a whole table and its position; returns whether they differ from those of the own one.
+    fn take_rows(&mut self, now: Time, snapshot: TableSnapshot) -> bool {
+        let mut is_changed = false;
         let positions = snapshot.rows.values().map(|row| row.position);
-        self.last_change = positions.fold(self.last_change, u64::max);
+        self.last_change = positions.fold(self.last_change, Position::max);
         for (name, found) in snapshot.rows {
-            is_changed |= self.apply_change(deleted_by, name, Some(found.value), found.position);
+            is_changed |= self.apply_change(now, name, Some(found.value), found.position);
         }
         self.snapshot.position = snapshot.position;
         // A row that came and went in between has left no trace.
@@ -364,16 +382,62 @@
         is_changed
     }
 
-    /// Drops retained rows whose grace period is over and returns whether there were any.
+    /// Takes a table of a later era, and keeps what was known before and is later; returns whether the known rows have
+    /// changed. The rows that it lacks count as deleted a grace period after `now` at the latest, if there is one.
+    fn begin_era(&mut self, now: Time, snapshot: TableSnapshot) -> bool {
+        let known: BTreeMap<String, ReplicaRow> = self
+            .rows()
+            .map(|(name, row)| (name.to_owned(), row.clone()))
+            .collect();
+        let before = std::mem::take(&mut self.snapshot);
+        let may_be_later = snapshot.position.version >= before.position.version;
+        let missing_until = if self.grace_period > Duration::ZERO {
+            Some(now + self.grace_period)
+        } else {
+            may_be_later.then_some(now + UNSURE_KEEP_TIME)
+        };
+        self.kept
+            .begin_era(known.clone(), &snapshot.rows, missing_until);
+        self.retained.clear();
+        self.digest = RowsDigest::default();
+        self.snapshot.position = before.position;
+        self.is_corrected = false;
+        let is_later = |(name, found): (&String, &ReplicaRow)| {
+            let order = self.kept.compare(name, known.get(name), found);
+            order == Some(Ordering::Greater)
+        };
+        let is_written = snapshot.rows.iter().any(is_later);
+        let kept = self.kept.clone();
+        self.take_rows(now, snapshot);
+        self.kept = kept;
+        self.unwritten_since = (!is_written).then_some(now);
+        let rows = self.rows().map(|(name, row)| (name, &row.value));
+        let mut known: BTreeMap<&str, &Arc<str>> = known
+            .iter()
+            .map(|(name, row)| (name.as_str(), &row.value))
+            .collect();
+        let mut is_same = true;
+        for (name, value) in rows {
+            is_same &= known.remove(name) == Some(value);
+        }
+        !is_same || !known.is_empty()
+    }
+
+    /// Drops retained and kept rows whose grace period is over and returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
-        let before = self.retained.len();
-        self.retained.retain(|_, (_, until)| now < *until);
-        self.retained.len() < before
+        let over = self.retained.extract_if(.., |_, (_, until)| *until <= now);
+        let over: Vec<_> = over.collect();
+        let is_any = !over.is_empty();
+        for (name, (row, _)) in over {
+            self.kept.on_deleted(now, name, row);
+        }
+        self.kept.expire(now) || is_any
     }
 
-    /// Returns the time at which the next retained row is dropped.
+    /// Returns the time at which the next retained or kept row is dropped.
     pub fn expires_at(&self) -> Option<Time> {
-        self.retained.values().map(|(_, until)| *until).min()
+        let retained = self.retained.values().map(|(_, until)| *until);
+        retained.chain(self.kept.expires_at()).min()
     }
 
     fn apply_change(
@@ -381,26 +445,33 @@
         now: Time,
         name: String,
         value: Option<Arc<str>>,
-        position: u64,
+        position: Position,
     ) -> bool {
         let known = self.snapshot.rows.get(&name);
         if known.is_some_and(|row| row.position >= position) {
             return false;
         }
+        if self.unwritten_since.is_some() {
+            let is_counted = |value: &Arc<str>| self.kept.is_counted(&name, value);
+            self.unwritten_since
+                .take_if(|_| value.as_ref().is_some_and(is_counted));
+        }
         let Some(value) = value else {
             return self.remove(now, &name);
         };
         self.retained.remove(&name);
+        let was_kept = self.kept.on_write(&name, Some(&value));
         let is_same = self.take_out(&name).is_some_and(|row| row.value == value);
         let row = ReplicaRow { value, position };
         self.digest = self.digest.with(&name, &row);
         self.snapshot.rows.insert(name, row);
-        !is_same
+        !is_same || was_kept
     }
 
     fn remove(&mut self, now: Time, name: &str) -> bool {
+        let was_kept = self.kept.on_write(name, None);
         let Some(row) = self.take_out(name) else {
-            return false;
+            return was_kept;
         };
         let until = match self.outage {
             Some(Outage::Ongoing(_)) => now + self.grace_period,
@@ -409,6 +480,8 @@
         };
         if now < until {
             self.retained.insert(name.to_owned(), (row, until));
+        } else {
+            self.kept.on_deleted(now, name.to_owned(), row);
         }
         true
     }
--- a/crates/coord/src/rows_report.rs
+++ b/crates/coord/src/rows_report.rs
@@ -1,5 +1,6 @@
 //! Digests of a table's rows, by which replicas at the same position are compared.
 
+use base::Position;
 use serde::{Deserialize, Serialize};
 
 use crate::ReplicaRow;
@@ -37,14 +38,14 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{Replica, RowChange};
 /// use std::time::Duration;
 ///
 /// let mut replicas = [Replica::new(Duration::ZERO), Replica::new(Duration::ZERO)];
 /// for (replica, value) in replicas.iter_mut().zip(["up", "down"]) {
-///     let change = RowChange { name: "t1".into(), value: Some(value.into()), position: 5 };
-///     replica.apply_changes(Time::ZERO, vec![change], 7);
+///     let change = RowChange { name: "t1".into(), value: Some(value.into()), position: Position::from(5) };
+///     replica.apply_changes(Time::ZERO, vec![change], Position::from(7));
 ///     replica.settle();
 /// }
 /// let [one, other] = replicas.map(|replica| replica.rows_report().unwrap());
@@ -53,7 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowsReport {
     /// Position from which on no row has changed.
-    pub changed_at: u64,
+    pub changed_at: Position,
     /// Number of further positions for which that holds.
     pub span: u64,
     /// Digest of the rows.
@@ -62,8 +63,9 @@
 
 impl RowsReport {
     /// Returns the last position for which the report holds.
-    pub fn position(&self) -> u64 {
-        self.changed_at.saturating_add(self.span)
+    pub fn position(&self) -> Position {
+        let Position { era, version } = self.changed_at;
+        Position::new(era, version.saturating_add(self.span))
     }
 
     /// Returns whether both reports hold for some position.
@@ -81,7 +83,7 @@
     let mut hasher = blake3::Hasher::new();
     hasher.update(&(name.len() as u64).to_le_bytes());
     hasher.update(name.as_bytes());
-    hasher.update(&row.position.to_le_bytes());
+    hasher.update(&row.position.version.to_le_bytes());
     hasher.update(row.value.as_bytes());
     let mut digest = [0; DIGEST_BYTES];
     hasher.finalize_xof().fill(&mut digest);
--- a/crates/coord/src/shown_changes.rs
+++ b/crates/coord/src/shown_changes.rs
@@ -1,6 +1,6 @@
 //! Changes of a state that have been shown, and whose content isn't known.
 
-use base::Time;
+use base::{Position, Time};
 
 /// Maximum number of changes that are kept.
 const MAX_SHOWN: usize = 8;
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownChange {
     /// Position of the change, or one that the change has passed.
-    pub position: u64,
+    pub position: Position,
     /// Time since which it has been known that there is such a change.
     pub since: Time,
 }
@@ -21,15 +21,15 @@
 /// # Examples
 ///
 /// ```
-/// use base::Time;
+/// use base::{Position, Time};
 /// use coord::{KnownChange, ShownChanges};
 ///
 /// let mut shown = ShownChanges::default();
-/// let change = KnownChange { position: 7, since: Time::from_secs(1) };
+/// let change = KnownChange { position: Position::from(7), since: Time::from_secs(1) };
 /// shown.record(Time::from_secs(2), change);
-/// shown.on_last_change(7);
+/// shown.on_last_change(Position::from(7));
 /// assert_eq!(shown.first(), Some(change));
-/// shown.on_last_change(8);
+/// shown.on_last_change(Position::from(8));
 /// assert_eq!(shown.first(), None);
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -37,7 +37,7 @@
     /// The position that each has passed, and since when it has been known.
     changes: Vec<KnownChange>,
     /// Position of the last change that the own copy has.
-    last_change: u64,
+    last_change: Position,
 }
 
 impl ShownChanges {
@@ -57,7 +57,7 @@
     }
 
     /// Records the position of the last change that the own copy has.
-    pub fn on_last_change(&mut self, position: u64) {
+    pub fn on_last_change(&mut self, position: Position) {
         self.last_change = position;
         self.changes.retain(|change| change.position >= position);
     }
@@ -79,7 +79,7 @@
     }
 
     /// Returns since when a change has been known that may be the one at `position`.
-    pub(crate) fn since_before(&self, position: u64) -> Option<Time> {
+    pub(crate) fn since_before(&self, position: Position) -> Option<Time> {
         let changes = self.changes.iter();
         let earlier = changes.filter(|change| change.position < position);
         earlier.map(|change| change.since).min()
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{CatchUp, FetchDelays};
 use rstest::rstest;
 
@@ -19,8 +19,8 @@
 #[test]
 fn catch_up_asks_the_next_source_while_the_first_is_silent() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "slow".into(), 5, 1);
-    catch_up.on_report(Time::from_millis(20), "other".into(), 5, 2);
+    catch_up.on_report(Time::ZERO, "slow".into(), Position::from(5), 1);
+    catch_up.on_report(Time::from_millis(20), "other".into(), Position::from(5), 2);
     let mut asked = Vec::new();
     for ms in (0..1_000).step_by(10) {
         let now = Time::from_millis(ms);
@@ -37,10 +37,10 @@
 #[test]
 fn catch_up_asks_nobody_once_it_is_up_to_date() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
-    catch_up.on_position(Time::from_millis(50), 5);
+    catch_up.on_report(Time::ZERO, "i1".into(), Position::from(5), 1);
+    catch_up.on_position(Time::from_millis(50), Position::from(5));
     assert_eq!(catch_up.next_source(Time::from_secs(1)), None);
-    catch_up.on_report(Time::from_secs(1), "i1".into(), 4, 1);
+    catch_up.on_report(Time::from_secs(1), "i1".into(), Position::from(4), 1);
     assert_eq!(catch_up.next_source(Time::from_secs(2)), None);
 }
 
@@ -50,8 +50,8 @@
     let mut catch_up = CatchUp::new(DELAYS);
     for step in 0..100 {
         let now = Time::from_millis(step * 50);
-        catch_up.on_report(now, "i1".into(), step + 2, 1);
-        catch_up.on_position(now, step + 1);
+        catch_up.on_report(now, "i1".into(), Position::from(step + 2), 1);
+        catch_up.on_position(now, Position::from(step + 1));
         assert_eq!(catch_up.next_source(now), None);
     }
 }
@@ -67,7 +67,7 @@
     #[case] first_fetch_ms: Option<u64>,
 ) {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
+    catch_up.on_report(Time::ZERO, "i1".into(), Position::from(5), 1);
     let mut asked_at = None;
     for ms in (0..2_000).step_by(50) {
         let now = Time::from_millis(ms);
@@ -85,7 +85,7 @@
 fn catch_up_asks_nobody_for_what_is_reported_while_it_arrives() {
     let mut catch_up = CatchUp::new(DELAYS);
     catch_up.postpone(Time::ZERO);
-    catch_up.on_report(Time::from_millis(10), "i1".into(), 5, 1);
+    catch_up.on_report(Time::from_millis(10), "i1".into(), Position::from(5), 1);
     assert_eq!(catch_up.next_source(Time::from_millis(399)), None);
     assert_eq!(
         catch_up.next_source(Time::from_millis(400)),
@@ -98,11 +98,11 @@
 #[test]
 fn catch_up_asks_for_a_later_state_once_the_arriving_one_has_come() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
+    catch_up.on_report(Time::ZERO, "i1".into(), Position::from(5), 1);
     let come_at = Time::from_millis(1_000);
     catch_up.postpone(come_at);
-    catch_up.on_report(come_at, "i1".into(), 6, 1);
-    catch_up.on_position(come_at, 5);
+    catch_up.on_report(come_at, "i1".into(), Position::from(6), 1);
+    catch_up.on_position(come_at, Position::from(5));
     let due_at = come_at + DELAY;
     assert_eq!(catch_up.next_at(), Some(due_at));
     assert_eq!(catch_up.next_source(due_at), Some("i1".into()));
@@ -111,8 +111,8 @@
 #[test]
 fn catch_up_skips_a_source_that_is_removed() {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 5, 1);
-    catch_up.on_report(Time::ZERO, "i2".into(), 5, 2);
+    catch_up.on_report(Time::ZERO, "i1".into(), Position::from(5), 1);
+    catch_up.on_report(Time::ZERO, "i2".into(), Position::from(5), 2);
     catch_up.remove_source(&"i1".into());
     assert_eq!(catch_up.next_source(Time::ZERO + DELAY), Some("i2".into()));
 }
@@ -132,8 +132,10 @@
         let now = Time::from_millis(ms);
         let position = ms / CHANGE_INTERVAL_MS + 1;
         match ms % CHANGE_INTERVAL_MS {
-            OTHERS_REPORT_AFTER_MS => catch_up.on_report(now, "i1".into(), position, 1),
-            OWN_READ_AFTER_MS => catch_up.on_read(now, position),
+            OTHERS_REPORT_AFTER_MS => {
+                catch_up.on_report(now, "i1".into(), Position::from(position), 1);
+            }
+            OWN_READ_AFTER_MS => catch_up.on_read(now, Position::from(position)),
             _ => {}
         }
         fetches += usize::from(catch_up.next_source(now).is_some());
@@ -147,13 +149,13 @@
 #[case::refused(true)]
 fn catch_up_does_not_wait_for_reads_that_never_come(#[case] is_failing: bool) {
     let mut catch_up = CatchUp::new(DELAYS);
-    catch_up.on_report(Time::ZERO, "i1".into(), 1, 1);
-    catch_up.on_read(Time::from_secs(3), 1);
+    catch_up.on_report(Time::ZERO, "i1".into(), Position::from(1), 1);
+    catch_up.on_read(Time::from_secs(3), Position::from(1));
     if is_failing {
         catch_up.on_read_failure();
     }
     let reported_at = Time::from_secs(4);
-    catch_up.on_report(reported_at, "i1".into(), 2, 1);
+    catch_up.on_report(reported_at, "i1".into(), Position::from(2), 1);
     let limit = if is_failing {
         DELAY
     } else {
@@ -176,7 +178,7 @@
             // All readers hear of the sources in the same order.
             let id = InstanceId::from(format!("i{source}").as_str());
             let rank = (reader * 31 + source * 17) % 37;
-            catch_up.on_report(Time::from_millis(source), id, 5, rank);
+            catch_up.on_report(Time::from_millis(source), id, Position::from(5), rank);
         }
         let first = catch_up.next_source(Time::from_secs(1)).unwrap();
         *asked.entry(first).or_default() += 1;
@@ -190,7 +192,7 @@
     let mut catch_up = CatchUp::new(DELAYS);
     for idx in (0..20).rev() {
         let id = InstanceId::from(format!("i{idx}").as_str());
-        catch_up.on_report(Time::ZERO, id, 5, idx);
+        catch_up.on_report(Time::ZERO, id, Position::from(5), idx);
     }
     let later = Time::from_secs(1);
     assert_eq!(catch_up.next_source(later), Some("i0".into()));
--- a/crates/coord/tests/departures.rs
+++ b/crates/coord/tests/departures.rs
@@ -2,17 +2,21 @@
 
 use std::collections::BTreeSet;
 
-use base::Time;
+use base::{Position, Time};
 use coord::{Departure, Departures, ReportedDepartures, RetainedEntry, lacking, retained_in_turns};
 use rstest::rstest;
 
 /// Maximum size of what one message tells, in bytes.
 const MAX_BYTES: usize = 1_024;
 
+fn at(version: u64) -> Position {
+    Position::from(version)
+}
+
 fn left(target: &str, position: u64) -> Departure {
     Departure {
         target: target.into(),
-        position,
+        position: at(position),
     }
 }
 
@@ -31,12 +35,12 @@
     let mut departures = Departures::default();
     for number in 0..count {
         let name = format!("a-target-in-the-north-{number}");
-        departures.record(Time::ZERO, vec![name.as_str().into()], 10 + number);
+        departures.record(Time::ZERO, vec![name.as_str().into()], at(10 + number));
     }
     let newest_first = departures.newest_first();
     let mut told = BTreeSet::new();
     for number in 0..messages {
-        let some = lacking(&newest_first, 9, number);
+        let some = lacking(&newest_first, at(9), number);
         assert_eq!(some[0], newest_first[0]);
         let bytes: usize = some.iter().map(|one| one.target.as_str().len() + 4).sum();
         assert!(bytes <= MAX_BYTES, "{bytes}");
@@ -49,8 +53,8 @@
 #[test]
 fn known_departures_are_not_told() {
     let mut departures = Departures::default();
-    departures.record(Time::ZERO, vec!["t1".into()], 7);
-    assert!(lacking(&departures.newest_first(), 7, 0).is_empty());
+    departures.record(Time::ZERO, vec!["t1".into()], at(7));
+    assert!(lacking(&departures.newest_first(), at(7), 0).is_empty());
     assert!(!departures.expire(Time::from_secs(5)));
     assert!(departures.expire(Time::from_secs(20)));
     assert!(departures.newest_first().is_empty());
@@ -64,11 +68,11 @@
     for number in 0..10_000 {
         let one = left(&format!("t{number}"), 10 + number);
         departures.record(Time::ZERO, vec![one.target.clone()], one.position);
-        reported.on_report(Time::ZERO, 1, &[one]);
+        reported.on_report(Time::ZERO, at(1), &[one]);
     }
     assert!(departures.newest_first().len() <= 512);
     assert!(reported.targets().count() <= 512);
-    assert_eq!(departures.newest_first()[0].position, 10_009);
+    assert_eq!(departures.newest_first()[0].position, at(10_009));
 }
 
 /// Guards against targets that are out for nothing: an old report, or one that is repeated, says nothing once the own
@@ -77,13 +81,13 @@
 fn old_report_is_not_believed() {
     let mut reported = ReportedDepartures::default();
     let one = [left("t1", 7)];
-    reported.on_report(Time::from_secs(1), 7, &one);
+    reported.on_report(Time::from_secs(1), at(7), &one);
     assert!(believed(&reported).is_empty());
-    reported.on_report(Time::from_secs(1), 6, &one);
+    reported.on_report(Time::from_secs(1), at(6), &one);
     assert_eq!(believed(&reported), ["t1"]);
-    reported.on_position(8, |_| false);
+    reported.on_position(at(8), |_| false);
     assert!(believed(&reported).is_empty());
-    reported.on_report(Time::from_secs(2), 8, &one);
+    reported.on_report(Time::from_secs(2), at(8), &one);
     assert!(believed(&reported).is_empty());
 }
 
@@ -93,15 +97,15 @@
 fn report_that_an_own_read_refutes_is_not_believed_again() {
     let mut reported = ReportedDepartures::default();
     let lie = [left("t1", u64::MAX)];
-    reported.on_report(Time::from_secs(2), 6, &lie);
-    reported.on_read(Time::from_secs(1), 6);
+    reported.on_report(Time::from_secs(2), at(6), &lie);
+    reported.on_read(Time::from_secs(1), at(6));
     assert_eq!(believed(&reported), ["t1"], "that read was sent before");
-    reported.on_report(Time::from_secs(4), 6, &lie);
-    reported.on_read(Time::from_secs(3), 6);
+    reported.on_report(Time::from_secs(4), at(6), &lie);
+    reported.on_read(Time::from_secs(3), at(6));
     assert!(believed(&reported).is_empty());
-    reported.on_report(Time::from_secs(5), 6, &lie);
+    reported.on_report(Time::from_secs(5), at(6), &lie);
     assert!(believed(&reported).is_empty());
-    reported.on_report(Time::from_secs(5), 6, &[left("t2", 7)]);
+    reported.on_report(Time::from_secs(5), at(6), &[left("t2", 7)]);
     assert_eq!(believed(&reported), ["t2"]);
 }
 
@@ -110,18 +114,18 @@
 #[test]
 fn retained_row_brings_nothing_back() {
     let mut reported = ReportedDepartures::default();
-    reported.on_report(Time::from_secs(1), 6, &[left("t1", 7), left("t2", 7)]);
-    reported.on_position(8, |target| target.as_str() == "t1");
-    reported.on_read(Time::from_secs(2), 8);
+    reported.on_report(Time::from_secs(1), at(6), &[left("t1", 7), left("t2", 7)]);
+    reported.on_position(at(8), |target| target.as_str() == "t1");
+    reported.on_read(Time::from_secs(2), at(8));
     assert_eq!(believed(&reported), ["t1"]);
-    reported.on_position(8, |_| false);
+    reported.on_position(at(8), |_| false);
     assert!(believed(&reported).is_empty());
 }
 
 fn retained(target: &str, position: u64, until_ms: u64) -> RetainedEntry {
     RetainedEntry {
         target: target.into(),
-        position,
+        position: at(position),
         until: Time::from_millis(until_ms),
     }
 }
@@ -134,7 +138,7 @@
     let now = Time::from_secs(1);
     let (later, earlier) = (retained("t1", 7, 3_000), retained("t1", 7, 2_800));
     for entry in [later.clone(), earlier, later] {
-        reported.on_retained(now, 6, &[entry]);
+        reported.on_retained(now, at(6), &[entry]);
     }
     assert_eq!(reported.retention_ends_at(), Some(Time::from_millis(2_800)));
     assert!(!reported.end_retention(Time::from_millis(2_799)));
@@ -150,10 +154,10 @@
     let mut reported = ReportedDepartures::default();
     let now = Time::from_secs(1);
     let entry = [retained("t1", 7, 3_000)];
-    reported.on_retained(now, 6, &entry);
-    reported.on_report(now, 6, &[left("t1", 7)]);
+    reported.on_retained(now, at(6), &entry);
+    reported.on_report(now, at(6), &[left("t1", 7)]);
     assert_eq!(believed(&reported), ["t1"]);
-    reported.on_retained(now, 6, &entry);
+    reported.on_retained(now, at(6), &entry);
     assert_eq!(believed(&reported), ["t1"]);
 }
 
@@ -163,14 +167,14 @@
 fn retained_entry_is_forgotten_by_later_rows() {
     let mut reported = ReportedDepartures::default();
     let now = Time::from_secs(1);
-    reported.on_retained(now, 6, &[retained("t1", 7, 3_000)]);
-    reported.on_later_rows(7);
+    reported.on_retained(now, at(6), &[retained("t1", 7, 3_000)]);
+    reported.on_later_rows(at(7));
     assert!(reported.retention_ends_at().is_some());
-    reported.on_later_rows(8);
+    reported.on_later_rows(at(8));
     assert!(!reported.end_retention(Time::from_secs(4)));
-    reported.on_retained(now, 6, &[retained("t1", 8, 3_000)]);
+    reported.on_retained(now, at(6), &[retained("t1", 8, 3_000)]);
     assert!(reported.end_retention(Time::from_secs(4)));
-    reported.on_later_rows(9);
+    reported.on_later_rows(at(9));
     assert_eq!(believed(&reported), ["t1"], "it has left");
 }
 
@@ -181,10 +185,10 @@
     let now = Time::from_secs(1);
     let entries = [retained("t1", 7, 3_000), retained("t2", 7, 3_000)];
     let is_retained = |target: &base::TargetId| target.as_str() == "t2";
-    reported.on_retained(now, 7, &entries);
+    reported.on_retained(now, at(7), &entries);
     assert_eq!(reported.retention_ends_at(), None);
-    reported.on_retained(now, 6, &entries);
-    reported.on_position(7, is_retained);
+    reported.on_retained(now, at(6), &entries);
+    reported.on_position(at(7), is_retained);
     assert!(reported.end_retention(Time::from_secs(4)));
     assert_eq!(believed(&reported), ["t2"], "it is retained here as well");
 }
--- a/crates/coord/tests/lag.rs
+++ b/crates/coord/tests/lag.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{Position, Time};
 use coord::{KnownChange, Lag, PositionTimes};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -18,7 +18,7 @@
 /// Reports a change that becomes known at this moment.
 fn report(lag: &mut Lag, now: Time, position: u64) {
     let change = KnownChange {
-        position,
+        position: Position::from(position),
         since: now,
     };
     lag.on_report(now, change);
@@ -61,7 +61,7 @@
             now += rng.random_range(0..400);
             if rng.random_range(0..3) == 0 {
                 own = rng.random_range(own..own + 30);
-                lag.on_position(own);
+                lag.on_position(Position::from(own));
             } else {
                 let position = rng.random_range(0..100);
                 report(&mut lag, at(now), position);
@@ -78,11 +78,11 @@
 #[test]
 fn what_a_later_read_lacks_is_not_waited_for() {
     let mut lag = Lag::default();
-    lag.on_position(50);
+    lag.on_position(Position::from(50));
     report(&mut lag, at(1_000), 100);
-    lag.on_read(at(900), 60);
+    lag.on_read(at(900), Position::from(60));
     assert_eq!(lag.behind_since(true), Some(at(1_000)));
-    lag.on_read(at(1_100), 61);
+    lag.on_read(at(1_100), Position::from(61));
     report(&mut lag, at(1_500), 100);
     assert_eq!(lag.behind_since(true), None);
     report(&mut lag, at(2_000), 101);
@@ -110,7 +110,7 @@
     lag.on_arriving(at(1_000));
     lag.on_arriving(at(1_300));
     assert_eq!(lag.behind_since(false), Some(at(1_000)));
-    lag.on_read(at(500), 7);
+    lag.on_read(at(500), Position::from(7));
     assert_eq!(lag.behind_since(true), None);
 }
 
@@ -126,11 +126,17 @@
             now += rng.random_range(0..400);
             if rng.random_range(0..3) == 0 {
                 own = rng.random_range(own..own + 30);
-                lag.on_position(own);
+                lag.on_position(Position::from(own));
             } else {
                 let position = rng.random_range(0..100);
                 let since = at(now - rng.random_range(0..3_000));
-                lag.on_report(at(now), KnownChange { position, since });
+                lag.on_report(
+                    at(now),
+                    KnownChange {
+                        position: Position::from(position),
+                        since,
+                    },
+                );
                 if position > own {
                     known.push((position, since));
                 }
@@ -145,13 +151,13 @@
 fn read_refutes_only_what_was_reported_before_it_was_sent() {
     let mut lag = Lag::default();
     let change = KnownChange {
-        position: 100,
+        position: Position::from(100),
         since: at(500),
     };
     lag.on_report(at(1_100), change);
-    lag.on_read(at(1_000), 60);
+    lag.on_read(at(1_000), Position::from(60));
     assert_eq!(lag.behind_since(true), Some(at(500)));
-    lag.on_read(at(1_200), 61);
+    lag.on_read(at(1_200), Position::from(61));
     assert_eq!(lag.behind_since(true), None);
 }
 
@@ -160,10 +166,10 @@
 fn many_positions_take_bounded_memory() {
     let mut known = PositionTimes::default();
     for number in 1..100_000 {
-        known.record(at(number * 200), number);
+        known.record(at(number * 200), Position::from(number));
     }
-    assert_eq!(known.first_after(0), Some(at(200)));
-    assert!(known.first_after(99_990) >= Some(at(99_990 * 200)));
+    assert_eq!(known.first_after(Position::ZERO), Some(at(200)));
+    assert!(known.first_after(Position::from(99_990)) >= Some(at(99_990 * 200)));
 }
 
 /// Guards against CONFIG: a change that a read beside a transfer had shown was forgotten as the transfer was complete, and
@@ -171,7 +177,7 @@
 #[test]
 fn shown_change_counts_until_it_is_here() {
     let shown = KnownChange {
-        position: 20,
+        position: Position::from(20),
         since: at(1_500),
     };
     let mut lag = Lag::default();
@@ -179,15 +185,15 @@
     lag.on_shown(at(1_600), shown);
     assert_eq!(lag.behind_since(false), Some(at(1_000)));
     // The transfer brings a change before it.
-    assert_eq!(lag.known_since(20), Some(at(1_000)));
-    lag.on_last_change(20);
-    lag.on_read(at(900), 20);
+    assert_eq!(lag.known_since(Position::from(20)), Some(at(1_000)));
+    lag.on_last_change(Position::from(20));
+    lag.on_read(at(900), Position::from(20));
     assert_eq!(lag.behind_since(false), Some(at(1_500)));
     lag.on_arriving(at(3_000));
     assert_eq!(lag.behind_since(false), Some(at(1_500)));
-    assert_eq!(lag.known_since(25), Some(at(1_500)));
-    lag.on_last_change(25);
-    lag.on_read(at(2_900), 26);
+    assert_eq!(lag.known_since(Position::from(25)), Some(at(1_500)));
+    lag.on_last_change(Position::from(25));
+    lag.on_read(at(2_900), Position::from(26));
     assert_eq!(lag.behind_since(true), None);
 }
 
@@ -196,7 +202,7 @@
 #[test]
 fn shown_change_counts_only_while_it_can_be_had() {
     let shown = KnownChange {
-        position: 20,
+        position: Position::from(20),
         since: at(1_500),
     };
     let mut lag = Lag::default();
@@ -208,7 +214,7 @@
     assert_eq!(lag.behind_since(true), Some(at(1_500)));
     lag.on_arriving(at(3_000));
     assert_eq!(lag.behind_since(false), Some(at(1_500)));
-    lag.on_read(at(2_900), 20);
+    lag.on_read(at(2_900), Position::from(20));
     assert_eq!(lag.behind_since(true), None);
 }
 
@@ -217,9 +223,9 @@
 #[test]
 fn change_that_is_here_is_not_shown() {
     let mut lag = Lag::default();
-    lag.on_last_change(25);
-    let change = |position| KnownChange {
-        position,
+    lag.on_last_change(Position::from(25));
+    let change = |version| KnownChange {
+        position: Position::from(version),
         since: at(1_500),
     };
     lag.on_shown(at(1_600), change(20));
@@ -234,7 +240,13 @@
     let mut lag = Lag::default();
     for n in 0..1_000 {
         let (position, since) = (20 + n % 100, at(5_000 - n));
-        lag.on_shown(at(6_000), KnownChange { position, since });
+        lag.on_shown(
+            at(6_000),
+            KnownChange {
+                position: Position::from(position),
+                since,
+            },
+        );
     }
     let first = lag.shown().unwrap();
     assert!(first.since <= at(5_000 - 900), "{first:?}");
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 use coord::{Lease, LeaseRow, LeaseState, LeaseTiming, WriteOutcome, lease_chart};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -64,7 +64,7 @@
     #[case] epoch: Option<u64>,
 ) {
     let mut lease = lease("a", 2);
-    lease.on_read(Time::from_secs(1), Some((5, row)));
+    lease.on_read(Time::from_secs(1), Some((Position::from(5), row)));
     let now = Time::from_secs(1) + Duration::from_millis(later_ms);
     let write = lease.next_write(now, true, is_owner_gone);
     assert_eq!(write.map(|write| write.row.epoch), epoch);
@@ -75,7 +75,7 @@
     let mut lease = lease("a", 1);
     lease.on_read(Time::ZERO, None);
     lease.next_write(Time::from_secs(1), true, false).unwrap();
-    lease.on_write_outcome(Time::from_secs(6), WriteOutcome::Applied(1));
+    lease.on_write_outcome(Time::from_secs(6), WriteOutcome::Applied(Position::from(1)));
     assert_eq!(
         lease.held_until(),
         Time::from_secs(1) + Duration::from_millis(9_800)
@@ -89,7 +89,7 @@
     let write = lease.next_write(Time::from_secs(1), true, false).unwrap();
     lease.on_write_outcome(Time::from_secs(3), WriteOutcome::Unanswered);
     assert!(!lease.is_held(Time::from_secs(3)));
-    lease.on_read(Time::from_secs(4), Some((1, write.row)));
+    lease.on_read(Time::from_secs(4), Some((Position::from(1), write.row)));
     assert!(lease.is_held(Time::from_secs(4)));
     assert_eq!(
         lease.held_until(),
@@ -102,7 +102,7 @@
     let mut lease = lease("a", 1);
     lease.on_read(Time::ZERO, None);
     lease.next_write(Time::ZERO, true, false).unwrap();
-    lease.on_write_outcome(Time::ZERO, WriteOutcome::Applied(1));
+    lease.on_write_outcome(Time::ZERO, WriteOutcome::Applied(Position::from(1)));
     lease.next_write(Time::from_secs(3), true, false).unwrap();
     lease.on_write_outcome(Time::from_secs(3), WriteOutcome::Conflict);
     assert!(!lease.is_held(Time::from_secs(3)));
@@ -137,7 +137,7 @@
             (name, contender)
         })
         .collect();
-    let mut table: Option<(u64, LeaseRow)> = None;
+    let mut table: Option<(Position, LeaseRow)> = None;
     let mut overlaps = 0;
     for step in 0..4_000u64 {
         let now = Time::from_millis(step * 50);
@@ -164,7 +164,7 @@
 fn step_contender(
     contender: &mut Contender,
     now: Time,
-    table: &mut Option<(u64, LeaseRow)>,
+    table: &mut Option<(Position, LeaseRow)>,
     rng: &mut Pcg32,
 ) {
     let local = contender.local_time(now);
@@ -176,13 +176,14 @@
     };
     let version = table.as_ref().map(|(version, _)| *version);
     let is_expected = version == write.expected_version;
+    let next = Position::from(version.map_or(0, |version| version.version) + 1);
     if is_expected {
-        *table = Some((version.unwrap_or(0) + 1, write.row));
+        *table = Some((next, write.row));
     }
     let answered_at = local + Duration::from_millis(rng.random_range(0..2_000));
     let outcome = match (rng.random::<f64>() < 0.2, is_expected) {
         (true, _) => WriteOutcome::Unanswered,
-        (false, true) => WriteOutcome::Applied(version.unwrap_or(0) + 1),
+        (false, true) => WriteOutcome::Applied(next),
         (false, false) => WriteOutcome::Conflict,
     };
     contender.lease.on_write_outcome(answered_at, outcome);
--- a/crates/coord/tests/parts.rs
+++ b/crates/coord/tests/parts.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeSet, fmt::Write};
 
+use base::Position;
 use coord::{
     ReplicaRow, TableSnapshot,
     parts::{
@@ -20,13 +21,13 @@
     let rows = rows.iter().map(|(name, text, position)| {
         let row = ReplicaRow {
             value: (*text).into(),
-            position: *position,
+            position: Position::from(*position),
         };
         ((*name).to_owned(), row)
     });
     TableSnapshot {
         rows: rows.collect(),
-        position,
+        position: Position::from(position),
     }
 }
 
@@ -93,13 +94,13 @@
         let mut known = TableCut::default();
         for position in 1..8 {
             let mut sent = TableSnapshot {
-                position,
+                position: Position::from(position),
                 ..Default::default()
             };
             for (idx, text) in texts.iter().enumerate() {
                 let row = ReplicaRow {
                     value: text.as_str().into(),
-                    position,
+                    position: Position::from(position),
                 };
                 sent.rows.insert(format!("r{idx}"), row);
             }
@@ -153,7 +154,7 @@
     let sender = cut(&table(&[("op", &text, 9), ("b", "", 8)], 9));
     let (found, _, parts) = transfer(&sender, &receiver);
     assert_eq!(parts, 0);
-    assert_eq!(found.rows["op"].position, 9);
+    assert_eq!(found.rows["op"].position, Position::from(9));
     assert_eq!(&*found.rows["b"].value, "");
     let shared = (&found.rows["op"].value, &own.rows["op"].value);
     assert!(std::sync::Arc::ptr_eq(shared.0, shared.1));
@@ -210,14 +211,14 @@
 fn row(name: &str, content: RowContent) -> RowList {
     RowList {
         name: name.to_owned(),
-        position: 4,
+        position: Position::from(4),
         content,
     }
 }
 
 fn start(rows: Vec<RowList>, groups: Vec<Vec<Part>>) -> Option<PartsError> {
     let list = TableList {
-        position: 4,
+        position: Position::from(4),
         rows,
         groups,
     };
@@ -288,7 +289,7 @@
 fn row_that_is_no_text_is_refused() {
     let content = [0xff, 0xfe];
     let list = TableList {
-        position: 4,
+        position: Position::from(4),
         rows: vec![row("op", RowContent::Parts(vec![part(&content)]))],
         groups: Vec::new(),
     };
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -3,18 +3,22 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::Time;
+use base::{Position, Time};
 use coord::{Replica, ReplicaRow, RowChange, RowsReport, TableSnapshot};
 use proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed};
 use rstest::rstest;
 
 const GRACE: Duration = Duration::from_secs(2);
 
+fn at(version: u64) -> Position {
+    Position::from(version)
+}
+
 fn change(name: &str, value: Option<&str>, position: u64) -> RowChange {
     RowChange {
         name: name.to_owned(),
         value: value.map(str::to_owned),
-        position,
+        position: at(position),
     }
 }
 
@@ -27,11 +31,12 @@
                 (*name).to_owned(),
                 ReplicaRow {
                     value,
-                    position: *row_position,
+                    position: at(*row_position),
                 },
             )
         })
         .collect();
+    let position = at(position);
     TableSnapshot { rows, position }
 }
 
@@ -42,10 +47,10 @@
 #[test]
 fn replica_ignores_older_changes() {
     let mut replica = Replica::new(GRACE);
-    replica.apply_changes(Time::ZERO, vec![change("a", Some("new"), 9)], 9);
-    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("old"), 5)], 6));
-    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", None, 8)], 8));
-    assert_eq!(replica.position(), 9);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("new"), 9)], at(9));
+    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("old"), 5)], at(6)));
+    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", None, 8)], at(8)));
+    assert_eq!(replica.position(), at(9));
     assert_eq!(&*replica.rows().next().unwrap().1.value, "new");
 }
 
@@ -68,8 +73,8 @@
 #[test]
 fn replica_same_content_is_no_change() {
     let mut replica = Replica::new(GRACE);
-    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 1)], 1);
-    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 2)], 2));
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 1)], at(1));
+    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 2)], at(2)));
 }
 
 #[test]
@@ -81,7 +86,7 @@
     replica.replace(Time::from_secs(11), snapshot(&[], 3));
     assert_eq!(names(&replica), ["a", "b"]);
     let restored = change("a", Some("1"), 4);
-    replica.apply_changes(Time::from_secs(12), vec![restored], 4);
+    replica.apply_changes(Time::from_secs(12), vec![restored], at(4));
     assert!(replica.expire(Time::from_secs(13)));
     assert_eq!(names(&replica), ["a"]);
 }
@@ -94,10 +99,10 @@
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1), ("b", "1", 2)], 2));
     replica.on_read_failure(Time::from_millis(10_000));
     replica.on_contact(Time::from_millis(11_000));
-    replica.apply_changes(Time::from_millis(12_500), vec![change("a", None, 3)], 3);
+    replica.apply_changes(Time::from_millis(12_500), vec![change("a", None, 3)], at(3));
     assert_eq!(names(&replica), ["b", "a"]);
     assert_eq!(replica.expires_at(), Some(Time::from_millis(13_000)));
-    assert!(replica.apply_changes(Time::from_millis(13_001), vec![change("b", None, 4)], 4));
+    assert!(replica.apply_changes(Time::from_millis(13_001), vec![change("b", None, 4)], at(4)));
     assert!(replica.expire(Time::from_millis(13_001)));
     assert!(names(&replica).is_empty());
 }
@@ -113,7 +118,7 @@
         replica.on_contact(Time::from_millis(tenths * 100 - 400));
         replica.on_read_failure(now);
     }
-    assert!(replica.apply_changes(Time::from_millis(15_030), vec![change("a", None, 3)], 3));
+    assert!(replica.apply_changes(Time::from_millis(15_030), vec![change("a", None, 3)], at(3)));
     assert!(names(&replica).is_empty());
 }
 
@@ -133,7 +138,7 @@
     replica.on_read_failure(Time::from_secs(1));
     replica.on_contact(Time::from_secs(2));
     let later = Time::from_secs(60);
-    assert!(replica.apply_changes(later, vec![change("a", None, 3)], 3));
+    assert!(replica.apply_changes(later, vec![change("a", None, 3)], at(3)));
     assert!(names(&replica).is_empty());
 }
 
@@ -148,7 +153,7 @@
     replica.on_own_read_failure(Time::from_millis(12_100));
     assert!(!replica.has_outage());
     replica.on_contact(Time::from_millis(12_200));
-    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], 3);
+    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], at(3));
     assert!(names(&replica).is_empty());
 }
 
@@ -177,7 +182,7 @@
     replica.on_read_failure(Time::from_millis(12_000));
     assert!(replica.has_outage());
     replica.on_contact(Time::from_millis(12_100));
-    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], 3);
+    replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], at(3));
     assert_eq!(names(&replica), ["a"]);
     assert_eq!(replica.expires_at(), Some(Time::from_millis(14_100)));
 }
@@ -193,7 +198,7 @@
     replica.on_contact(Time::from_millis(9_000));
     replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
     replica.on_read_failure(Time::from_millis(12_000));
-    replica.apply_changes(Time::from_millis(12_000), vec![change("a", None, 3)], 3);
+    replica.apply_changes(Time::from_millis(12_000), vec![change("a", None, 3)], at(3));
     assert_eq!(names(&replica), ["a"]);
     if let Some(ms) = own_answer_ms {
         replica.on_contact(Time::from_millis(ms));
@@ -227,9 +232,9 @@
     replica.on_contact(Time::from_millis(9_000));
     replica.on_wake(Time::from_millis(9_100), Time::from_millis(10_600));
     replica.on_read_failure(Time::from_millis(10_600));
-    replica.apply_changes(Time::from_millis(10_700), vec![change("a", None, 3)], 3);
+    replica.apply_changes(Time::from_millis(10_700), vec![change("a", None, 3)], at(3));
     replica.on_contact(Time::from_millis(10_500));
-    replica.apply_changes(Time::from_millis(10_700), vec![change("b", None, 4)], 4);
+    replica.apply_changes(Time::from_millis(10_700), vec![change("b", None, 4)], at(4));
     assert_eq!(names(&replica), ["a", "b"]);
     assert!(!replica.expire(Time::from_millis(10_999)));
     assert!(replica.expire(Time::from_millis(11_000)));
@@ -242,13 +247,13 @@
     let mut replica = Replica::new(Duration::ZERO);
     let [read, failed, found] = [0, 2, 3].map(|secs| Time::ZERO + Duration::from_secs(secs));
     let rows = vec![change("a", Some("1"), 1), change("b", Some("1"), 2)];
-    replica.apply_changes(read, rows, 2);
+    replica.apply_changes(read, rows, at(2));
     replica.on_read_failure(failed);
     assert!(replica.has_outage());
-    replica.apply_changes(failed, vec![change("a", None, 3)], 3);
+    replica.apply_changes(failed, vec![change("a", None, 3)], at(3));
     assert!(!replica.is_retained("a"));
     replica.on_contact(found);
-    replica.apply_changes(found, vec![change("b", None, 4)], 4);
+    replica.apply_changes(found, vec![change("b", None, 4)], at(4));
     assert_eq!(replica.retained().count(), 0);
     assert!(replica.rows().next().is_none());
 }
@@ -257,11 +262,11 @@
 #[test]
 fn replica_late_read_brings_no_deleted_row_back() {
     let mut replica = Replica::new(Duration::ZERO);
-    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 1)], 4);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 1)], at(4));
     replica.replace(Time::ZERO, snapshot(&[], 9));
-    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("2"), 5)], 6));
+    assert!(!replica.apply_changes(Time::ZERO, vec![change("a", Some("2"), 5)], at(6)));
     assert!(names(&replica).is_empty());
-    assert_eq!(replica.position(), 9);
+    assert_eq!(replica.position(), at(9));
 }
 
 /// Guards against CONFIG: writes to other tables passed for news of this one.
@@ -269,12 +274,12 @@
 fn replica_changed_at_rises_with_changes_alone() {
     let mut replica = Replica::new(GRACE);
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 3)], 7));
-    replica.apply_changes(Time::ZERO, Vec::new(), 50);
-    assert_eq!((replica.changed_at(), replica.position()), (7, 50));
-    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], 60);
-    assert_eq!((replica.changed_at(), replica.position()), (55, 60));
-    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], 58);
-    assert_eq!((replica.changed_at(), replica.position()), (55, 60));
+    replica.apply_changes(Time::ZERO, Vec::new(), at(50));
+    assert_eq!((replica.changed_at(), replica.position()), (at(7), at(50)));
+    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], at(60));
+    assert_eq!((replica.changed_at(), replica.position()), (at(55), at(60)));
+    replica.apply_changes(Time::ZERO, vec![change("a", None, 55)], at(58));
+    assert_eq!((replica.changed_at(), replica.position()), (at(55), at(60)));
 }
 
 /// One write to a row of a table's history; `None` deletes it.
@@ -287,7 +292,7 @@
         match value {
             Some(value) => {
                 let value = value.to_string().into();
-                let position = idx as u64 + 1;
+                let position = at(idx as u64 + 1);
                 rows.insert(name, ReplicaRow { value, position });
             }
             None => {
@@ -308,7 +313,7 @@
     let changes = last.into_iter().map(|(name, (position, value))| RowChange {
         name,
         value,
-        position,
+        position: at(position),
     });
     changes.collect()
 }
@@ -334,17 +339,17 @@
             let to = to.index(history.len() + 1);
             if is_snapshot || !replica.is_initialized() {
                 let rows = state_at(&history, to);
-                replica.replace(Time::ZERO, TableSnapshot { rows, position: to as u64 });
+                replica.replace(Time::ZERO, TableSnapshot { rows, position: at(to as u64) });
             } else {
                 // A poll continues from a position that the replica had when it was sent.
                 let after = from.index(latest + 1).min(to);
                 let changes = changes_between(&history, after, to);
-                replica.apply_changes(Time::ZERO, changes, to as u64);
+                replica.apply_changes(Time::ZERO, changes, at(to as u64));
             }
             latest = latest.max(to);
             prop_assert_eq!(&replica.snapshot().rows, &state_at(&history, latest));
             // Each position of this history is a change.
-            prop_assert_eq!(replica.changed_at(), latest as u64);
+            prop_assert_eq!(replica.changed_at(), at(latest as u64));
         }
     }
 }
@@ -390,7 +395,7 @@
     rows.extend(second);
     TableSnapshot {
         rows,
-        position: first as u64,
+        position: at(first as u64),
     }
 }
 
@@ -398,7 +403,7 @@
 fn is_sound(replica: &Replica, history: &[HistoryEntry]) -> bool {
     let rows = &replica.snapshot().rows;
     let mut states = Vec::new();
-    for position in replica.position() as usize..=history.len() {
+    for position in replica.position().version as usize..=history.len() {
         states.push(state_at(history, position));
     }
     let is_right = |name: &str| states.iter().any(|state| state.get(name) == rows.get(name));
@@ -408,7 +413,7 @@
 /// Returns whether a replica that reports its rows has those of each position that it reports.
 fn is_exact(replica: &Replica, history: &[HistoryEntry]) -> bool {
     replica.rows_report().is_none_or(|report| {
-        let mut positions = report.changed_at..=report.position();
+        let mut positions = report.changed_at.version..=report.position().version;
         positions.all(|position| state_at(history, position as usize) == replica.snapshot().rows)
     })
 }
@@ -420,7 +425,7 @@
         let is_later = kept
             .get(name)
             .is_some_and(|one| one.position >= row.position);
-        let mut later = history.iter().skip(row.position as usize);
+        let mut later = history.iter().skip(row.position.version as usize);
         is_later || later.any(|(changed, _)| changed.to_string() == *name)
     })
 }
@@ -454,9 +459,9 @@
                 Step::Feed(one) => {
                     let replica = one.get_mut(&mut replicas);
                     if replica.is_initialized() {
-                        let after = replica.position() as usize;
+                        let after = replica.position().version as usize;
                         let changes = changes_between(&history, after, history.len());
-                        replica.apply_changes(Time::ZERO, changes, history.len() as u64);
+                        replica.apply_changes(Time::ZERO, changes, at(history.len() as u64));
                         replica.settle();
                     }
                 }
@@ -488,8 +493,8 @@
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 3), ("b", "1", 12)], 7));
     replica.replace(Time::ZERO, snapshot(&[], 10));
     assert_eq!(names(&replica), ["b"]);
-    assert_eq!((replica.changed_at(), replica.position()), (10, 10));
-    assert_eq!(replica.last_change(), 12);
+    assert_eq!((replica.changed_at(), replica.position()), (at(10), at(10)));
+    assert_eq!(replica.last_change(), at(12));
     replica.replace(Time::ZERO, snapshot(&[], 13));
     assert!(names(&replica).is_empty());
 }
@@ -498,7 +503,7 @@
 #[test]
 fn snapshot_copies_share_the_content_of_rows() {
     let mut replica = Replica::new(Duration::ZERO);
-    replica.apply_changes(Time::ZERO, vec![change("a", Some("long"), 1)], 1);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("long"), 1)], at(1));
     let [first, second] = [replica.snapshot().clone(), replica.snapshot().clone()];
     assert_eq!(
         first.rows["a"].value.as_ptr(),
@@ -526,7 +531,7 @@
     assert!(replica.restore(Time::ZERO, read.clone()));
     assert_eq!(*replica.snapshot(), read);
     for one in [&mut right, &mut replica] {
-        one.apply_changes(Time::ZERO, Vec::new(), 12);
+        one.apply_changes(Time::ZERO, Vec::new(), at(12));
         one.settle();
     }
     let [right, report] = [&right, &replica].map(|one| one.rows_report().unwrap());
@@ -540,12 +545,12 @@
     let mut replica = Replica::new(GRACE);
     replica.replace(Time::ZERO, snapshot(&[], 9));
     replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 9));
-    assert_eq!(replica.changed_at(), 9);
-    replica.apply_changes(Time::ZERO, Vec::new(), 10);
-    assert_eq!(replica.changed_at(), 10);
-    replica.apply_changes(Time::ZERO, Vec::new(), 11);
+    assert_eq!(replica.changed_at(), at(9));
+    replica.apply_changes(Time::ZERO, Vec::new(), at(10));
+    assert_eq!(replica.changed_at(), at(10));
+    replica.apply_changes(Time::ZERO, Vec::new(), at(11));
     replica.restore(Time::ZERO, snapshot(&[("a", "1", 3)], 11));
-    assert_eq!((replica.changed_at(), replica.position()), (10, 11));
+    assert_eq!((replica.changed_at(), replica.position()), (at(10), at(11)));
 }
 
 /// Guards against false alarms: the rows of a whole read may be later than its position.
@@ -557,7 +562,7 @@
     assert_eq!(replica.rows_report(), None);
     replica.settle();
     assert_eq!(replica.rows_report(), None);
-    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 8)], 20);
+    replica.apply_changes(Time::ZERO, vec![change("a", Some("1"), 8)], at(20));
     let report = replica.rows_report().unwrap();
-    assert_eq!((report.changed_at, report.position()), (8, 20));
+    assert_eq!((report.changed_at, report.position()), (at(8), at(20)));
 }
--- /dev/null
+++ b/crates/coord/tests/restored.rs
@@ -0,0 +1,175 @@
+//! A table that comes back from an older copy: what was known and is later stays until it is written again.
+
+use std::{cmp::Ordering, time::Duration};
+
+use base::{Position, Time};
+use coord::{Replica, ReplicaRow, RowChange, TableSnapshot};
+use rstest::rstest;
+
+/// Version of the last change before the return, and of the table that is read after it.
+const LOST: u64 = 20;
+const FOUND: u64 = 12;
+const GRACE: Duration = Duration::from_secs(2);
+const BACK_AT: Time = Time::from_secs(10);
+
+/// Compares contents such as `7:ready` by their numbers.
+fn by_number(_: &str, known: &str, found: &str) -> Option<Ordering> {
+    let number = |text: &str| text.split_once(':')?.0.parse::<u64>().ok();
+    Some(number(found)?.cmp(&number(known)?))
+}
+
+fn change(name: &str, value: Option<&str>, position: Position) -> RowChange {
+    let (name, value) = (name.to_owned(), value.map(str::to_owned));
+    RowChange {
+        name,
+        value,
+        position,
+    }
+}
+
+/// Returns a replica in era 1 at [`LOST`] to which these changes came.
+fn replica(grace_period: Duration, changes: &[(Option<&str>, u64)]) -> Replica {
+    let mut replica = Replica::new(grace_period).ordered_by(by_number);
+    let start = TableSnapshot {
+        position: Position::new(1, 1),
+        ..TableSnapshot::default()
+    };
+    replica.restore(Time::ZERO, start);
+    for (value, version) in changes {
+        let position = Position::new(1, *version);
+        replica.apply_changes(Time::ZERO, vec![change("r", *value, position)], position);
+    }
+    replica.apply_changes(Time::ZERO, Vec::new(), Position::new(1, LOST));
+    replica
+}
+
+/// Returns the table as it is found in era 2.
+fn found(row: Option<(&str, u64)>, version: u64) -> TableSnapshot {
+    let row = row.map(|(value, version)| ReplicaRow {
+        value: value.into(),
+        position: Position::new(2, version),
+    });
+    TableSnapshot {
+        rows: row.map(|row| ("r".to_owned(), row)).into_iter().collect(),
+        position: Position::new(2, version),
+    }
+}
+
+fn known(replica: &Replica) -> Option<&str> {
+    replica.rows().next().map(|(_, row)| row.value.as_ref())
+}
+
+// Guards against a copy of the table undoing what was acknowledged: the row's content, its deletion, or its creation.
+#[rstest]
+#[case::older_content_of_a_row(&[(Some("1:a"), 5), (Some("2:b"), 15)], Some(("1:a", 5)), Some("2:b"))]
+#[case::same_content(&[(Some("1:a"), 5)], Some(("1:a", 5)), Some("1:a"))]
+#[case::written_again_with_the_same_number(&[(Some("2:b"), 15)], Some(("2:b", 11)), Some("2:b"))]
+#[case::written_later(&[(Some("1:a"), 5), (Some("2:b"), 15)], Some(("3:c", 11)), Some("3:c"))]
+#[case::created_after_the_copy(&[(Some("1:a"), 15)], None, Some("1:a"))]
+#[case::deleted_after_the_copy(&[(Some("1:a"), 5), (None, 15)], Some(("1:a", 5)), None)]
+#[case::deleted_and_written_again(&[(Some("1:a"), 5), (None, 15)], Some(("2:b", 11)), Some("2:b"))]
+#[case::uncounted_and_deleted(&[(Some("x"), 5), (None, 15)], Some(("x", 5)), None)]
+#[case::uncounted_and_written_again(&[(Some("x"), 5), (None, 15)], Some(("x", 11)), Some("x"))]
+#[case::uncounted_and_changed(&[(Some("x"), 5), (Some("y"), 15)], Some(("x", 5)), Some("x"))]
+fn copy_undoes_nothing_that_was_known(
+    #[case] changes: &[(Option<&str>, u64)],
+    #[case] copy: Option<(&str, u64)>,
+    #[case] expected: Option<&str>,
+    #[values(FOUND, LOST, LOST + 5)] version: u64,
+) {
+    let mut replica = replica(Duration::ZERO, changes);
+    replica.restore(BACK_AT, found(copy, version));
+    assert_eq!(replica.position(), Position::new(2, version));
+    assert_eq!(known(&replica), expected);
+}
+
+// Guards against a row that stays as it was known although its writer has written it again.
+#[rstest]
+#[case::later(Some("3:c"), Some("3:c"))]
+#[case::same(Some("2:b"), Some("2:b"))]
+#[case::older_again(Some("1:a"), Some("2:b"))]
+#[case::uncounted(Some("x"), Some("x"))]
+#[case::deleted(None, None)]
+fn kept_row_ends_with_its_next_write(
+    #[case] written: Option<&str>,
+    #[case] expected: Option<&str>,
+) {
+    let mut replica = replica(Duration::ZERO, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
+    replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND));
+    // A version that was given out before.
+    let at = Position::new(2, 15);
+    replica.apply_changes(BACK_AT, vec![change("r", written, at)], at);
+    assert_eq!(known(&replica), expected);
+}
+
+// Guards against an entry that is gone for good and kept for ever, and against one that is dropped before its writer can
+// have written it again.
+#[test]
+fn entry_that_a_copy_lacks_is_kept_for_the_grace_period() {
+    let mut replica = replica(GRACE, &[(Some("1:a"), 15)]);
+    replica.restore(BACK_AT, found(None, FOUND));
+    assert_eq!(replica.expires_at(), Some(BACK_AT + GRACE));
+    assert!(!replica.expire((BACK_AT + GRACE).before(Duration::from_millis(1))));
+    assert_eq!(known(&replica), Some("1:a"));
+    assert!(replica.expire(BACK_AT + GRACE));
+    assert_eq!(known(&replica), None);
+    // A second copy doesn't bring it back.
+    let mut second = found(Some(("1:a", 15)), FOUND);
+    second.position = Position::new(3, FOUND);
+    replica.restore(BACK_AT + GRACE, second);
+    assert_eq!(known(&replica), None);
+}
+
+// Guards against a read of the earlier era, late or from another instance, that overwrites the later one.
+#[test]
+fn earlier_era_never_overwrites_a_later_one() {
+    let mut replica = replica(Duration::ZERO, &[(Some("1:a"), 5)]);
+    replica.restore(BACK_AT, found(Some(("3:c", 11)), FOUND));
+    let late = TableSnapshot {
+        position: Position::new(1, LOST + 100),
+        ..TableSnapshot::default()
+    };
+    assert!(!replica.restore(BACK_AT, late.clone()));
+    assert!(!replica.replace(BACK_AT, late));
+    let at = Position::new(1, LOST + 100);
+    assert!(!replica.apply_changes(BACK_AT, vec![change("r", None, at)], at));
+    assert_eq!(known(&replica), Some("3:c"));
+}
+
+// Guards against two returns in a row that undo what one of them didn't.
+#[test]
+fn two_copies_in_a_row_undo_nothing() {
+    let mut replica = replica(Duration::ZERO, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
+    for era in 2..=3 {
+        let mut copy = found(Some(("1:a", 5)), FOUND).in_era(era);
+        copy.position.version -= u64::from(era);
+        replica.restore(BACK_AT, copy);
+        assert_eq!(known(&replica), Some("2:b"), "era {era}");
+    }
+    assert!(
+        replica
+            .rows_report()
+            .is_none_or(|report| report.changed_at.era == 3)
+    );
+}
+
+// Guards against refusals for good by a copy that lacks a change, and against an instance that never refuses for good again.
+#[rstest]
+#[case::unwritten(Some(("1:a", 5)), None, true)]
+#[case::written_before_it_was_read(Some(("3:c", 11)), None, false)]
+#[case::written_after(Some(("1:a", 5)), Some("2:b"), false)]
+#[case::another_row_written(Some(("1:a", 5)), Some("x"), true)]
+fn copy_may_lack_changes_until_one_is_written(
+    #[case] copy: Option<(&str, u64)>,
+    #[case] written: Option<&str>,
+    #[case] expected: bool,
+) {
+    let mut replica = replica(Duration::ZERO, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
+    replica.restore(BACK_AT, found(copy, FOUND));
+    let at = Position::new(2, FOUND + 1);
+    replica.apply_changes(BACK_AT, vec![change("r", written, at)], at);
+    if written.is_none() && expected {
+        replica.restore(BACK_AT, found(copy, FOUND));
+    }
+    assert_eq!(replica.unwritten_since().is_some(), expected);
+}
--- a/crates/coord/tests/rows_check.rs
+++ b/crates/coord/tests/rows_check.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{Replica, RowChange, RowsCheck, RowsReport};
 use rstest::rstest;
 
@@ -15,9 +15,9 @@
     let change = RowChange {
         name: "a".to_owned(),
         value: Some(value.to_owned()),
-        position: 5,
+        position: Position::from(5),
     };
-    replica.apply_changes(Time::ZERO, vec![change], position);
+    replica.apply_changes(Time::ZERO, vec![change], Position::from(position));
     replica.settle();
     replica.rows_report().unwrap()
 }
@@ -99,7 +99,7 @@
 
 /// Guards against false alarms: about other positions, by instances that are gone, and by builds that say nothing.
 #[rstest]
-#[case::other_position(Some(RowsReport { changed_at: 10, ..report("wrong", 9) }), Duration::ZERO)]
+#[case::other_position(Some(RowsReport { changed_at: Position::from(10), ..report("wrong", 9) }), Duration::ZERO)]
 #[case::instance_is_gone(Some(report("wrong", 9)), Duration::from_secs(3))]
 #[case::other_says_nothing(None, Duration::ZERO)]
 fn difference_is_not_found(#[case] other: Option<RowsReport>, #[case] age: Duration) {
@@ -117,10 +117,10 @@
     let own = report("right", 9);
     let span = u64::MAX;
     let other = RowsReport {
-        changed_at: 7,
+        changed_at: Position::from(7),
         span,
         ..own
     };
     assert!(other.overlaps(&own) && !other.contradicts(&own));
-    assert_eq!(other.position(), u64::MAX);
+    assert_eq!(other.position(), Position::from(u64::MAX));
 }
--- a/crates/daemon/benches/changes.rs
+++ b/crates/daemon/benches/changes.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use base::Position;
 use coord::{ReplicaRow, TableSnapshot, parts::TableCut};
 use daemon::{
     peer_server,
@@ -154,11 +155,11 @@
     }
     let row = ReplicaRow {
         value: (text + "]}").into(),
-        position,
+        position: Position::from(position),
     };
     TableSnapshot {
         rows: [("config".to_owned(), row)].into(),
-        position,
+        position: Position::from(position),
     }
 }
 
--- a/crates/daemon/src/follower/head.rs
+++ b/crates/daemon/src/follower/head.rs
@@ -233,7 +233,7 @@
             .set_alarm("store_unreachable", read.result.is_err());
         let row = read.result.ok()??;
         let head = Head {
-            version: row.version,
+            version: row.version.version,
             digest: row.value,
         };
         match self.versions.classify_offer(&head) {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -4,6 +4,7 @@
 //! has read; an instance that cannot reach the platform fetches newer tables from another instance.
 
 mod departures;
+mod eras;
 mod fetching;
 mod lateness;
 mod publication;
@@ -13,8 +14,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, InstanceId, Time};
-use coord::{FetchDelays, Replica, RowsReport, Standstills, TableSnapshot, rendezvous_draw};
+use base::{Config, InstanceId, Position, Time};
+use coord::{
+    FetchDelays, Replica, RowOrder, RowsReport, Standstills, TableSnapshot, rendezvous_draw,
+    unordered_rows,
+};
 use entry::message::ConfigLag;
 use tokio::{
     sync::{mpsc, watch},
@@ -71,6 +75,9 @@
     /// Names of the tables; the first one holds the operators' configuration, the second one the targets,
     /// whose rows bear their names.
     pub tables: Vec<String>,
+    /// How contents of a row are compared after the platform came back from an older copy, in the tables' order; where there
+    /// is none, the copy's are taken.
+    pub orders: Vec<RowOrder>,
     /// Returns the configuration, or `None` if the tables don't hold a usable one.
     pub compose: F,
 }
@@ -117,7 +124,7 @@
 /// What the task that sends heartbeats was told last.
 #[derive(Debug, Clone, PartialEq)]
 struct Sent {
-    positions: Vec<u64>,
+    positions: Vec<Position>,
     confirmed_at: Option<Time>,
     change: Option<TableChange>,
     reads: Option<OwnReads>,
@@ -154,11 +161,13 @@
             .map(|(idx, _)| {
                 // Removed rows of operators stay removed; targets may register again after an
                 // outage.
-                Table::new(if idx == 0 {
+                let grace_period = if idx == 0 {
                     Duration::ZERO
                 } else {
                     REMOVED_ROW_GRACE
-                })
+                };
+                let order = followed.orders.get(idx).copied();
+                Table::new(grace_period, order.unwrap_or(unordered_rows))
             })
             .collect();
         Self {
@@ -474,6 +483,7 @@
                 .set_alarm("store_unreachable", !is_reachable);
         }
         self.tables[idx].log_retention(now, &self.followed.tables[idx], &source);
+        self.tables[idx].log_kept(&self.followed.tables[idx], before, &source);
         if is_changed {
             let news = News {
                 source,
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use base::{Config, ServiceId, TargetId, Time};
+use base::{Config, Position, ServiceId, TargetId, Time};
 use coord::{Departure, Departures, KnownChange, Lag, Replica, ReportedDepartures, RetainedEntry};
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
@@ -22,14 +22,14 @@
 #[derive(Debug, Default)]
 pub(super) struct TargetsLag {
     lag: Lag,
-    own_position: u64,
+    own_position: Position,
     /// Since when a present time of more than [`LONG_WAIT`] has lasted, once it has been logged.
     logged_since: Option<Time>,
 }
 
 impl TargetsLag {
     /// Records the position that another instance reports.
-    pub(super) fn on_report(&mut self, now: Time, position: u64) {
+    pub(super) fn on_report(&mut self, now: Time, position: Position) {
         let change = KnownChange {
             position,
             since: now,
@@ -38,12 +38,12 @@
     }
 
     /// Records that a read that was sent at `sent_at` has brought `position`.
-    pub(super) fn on_read(&mut self, sent_at: Time, position: u64) {
+    pub(super) fn on_read(&mut self, sent_at: Time, position: Position) {
         self.lag.on_read(sent_at, position);
     }
 
     /// Records the position of the own copy.
-    pub(super) fn on_position(&mut self, position: u64) {
+    pub(super) fn on_position(&mut self, position: Position) {
         self.own_position = position;
         self.lag.on_position(position);
     }
@@ -112,7 +112,7 @@
         now: Time,
         before: &Config,
         after: &Config,
-        position: u64,
+        position: Position,
     ) -> Vec<TargetId> {
         let left = left(before, after);
         for target in &left {
@@ -168,10 +168,13 @@
     }
 
     /// Returns the latest position at which one of the targets has left.
-    fn position_of(&self, targets: &[TargetId]) -> u64 {
+    fn position_of(&self, targets: &[TargetId]) -> Position {
         let reported = self.reported.targets();
         let among = reported.filter(|(target, _)| targets.contains(*target));
-        among.map(|(_, position)| position).max().unwrap_or(0)
+        among
+            .map(|(_, position)| position)
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns the departures of the last seconds if they aren't those that were told last. Those that the own rows lack
@@ -253,7 +256,7 @@
 
     /// Records what others have told, and returns the targets that it takes out of service beyond those of the last time, and
     /// the latest position at which one of them had left.
-    pub(super) fn update(&mut self, own_rows: &Config) -> (Vec<TargetId>, u64) {
+    pub(super) fn update(&mut self, own_rows: &Config) -> (Vec<TargetId>, Position) {
         let targets = self.targets(own_rows);
         let added: Vec<TargetId> = targets.difference(&self.applied).cloned().collect();
         let position = self.position_of(&added);
--- /dev/null
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -0,0 +1,65 @@
+//! What the follower does as the platform comes back from an older copy of its tables.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use base::{Position, Time};
+use coord::Replica;
+
+use super::{ComposedConfig, TableFollower, table::Table};
+use crate::table_logs::{NewsSource, log_era, log_kept_ended};
+
+/// Maximum time after the return of the platform from a copy for which a change of the configuration that was lost with it may
+/// still be unwritten.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
+/// Gauges of the era of the operators' table, and of the rows that are kept from earlier ones.
+const ERA_GAUGE: &str = "table_era";
+const KEPT_GAUGE: &str = "rows_kept_over_copy";
+
+impl Table {
+    /// Logs the begin of an era with a change from `source`, where `before` was the position, and rows that are no longer kept
+    /// from an earlier one.
+    pub(super) fn log_kept(&mut self, name: &str, before: Position, source: &NewsSource) {
+        let position = self.replica.position();
+        let is_new_era = before.era < position.era && before != Position::ZERO;
+        if !is_new_era && self.logged_kept.is_empty() {
+            return;
+        }
+        let kept: BTreeSet<String> = self.replica.kept().map(str::to_owned).collect();
+        if is_new_era {
+            let rows = self.replica.snapshot().rows.len();
+            log_era(name, before, position, rows, &kept, source);
+        }
+        let ended: Vec<&str> = self
+            .logged_kept
+            .difference(&kept)
+            .map(String::as_str)
+            .collect();
+        if !ended.is_empty() {
+            log_kept_ended(name, &ended, kept.len(), position, source);
+        }
+        self.logged_kept = kept;
+    }
+}
+
+impl<F> TableFollower<F>
+where
+    F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
+{
+    /// Returns whether the operators' table is a copy that may lack changes which had been acknowledged, and nobody has
+    /// written them again yet: what it doesn't allow may be allowed all the same.
+    pub(super) fn may_lack_changes(&self, now: Time) -> bool {
+        let operators = self.tables.first();
+        let since = operators.and_then(|table| table.replica.unwritten_since());
+        since.is_some_and(|since| now < since + REWRITE_TIME)
+    }
+
+    /// Sets the gauges of the era and of the rows that are kept.
+    pub(super) fn publish_kept(&self) {
+        let tables = self.tables.iter();
+        let kept: usize = tables.map(|table| table.replica.kept().count()).sum();
+        let operators = self.tables.first();
+        let era = operators.map_or(0, |table| table.replica.position().era);
+        self.set_gauge(ERA_GAUGE, u64::from(era));
+        self.set_gauge(KEPT_GAUGE, kept as u64);
+    }
+}
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{KnownChange, Lag, PositionTimes, Replica, ShownChanges};
 use entry::message::ConfigLag;
 
@@ -29,7 +29,7 @@
 /// The last that another instance has reported.
 #[derive(Debug, Clone, Copy)]
 struct Report {
-    position: u64,
+    position: Position,
     /// The latest change that it knows.
     change: Option<TableChange>,
     received_at: Time,
@@ -61,7 +61,7 @@
     replaced: ShownChanges,
     /// The date of the latest such arrival that an own read has shown to bring nothing.
     refuted: Option<Time>,
-    own_position: u64,
+    own_position: Position,
     /// Time at which the own position rose last.
     advanced_at: Time,
     /// Times of the own changes.
@@ -91,7 +91,7 @@
             elsewhere_since: None,
             replaced: ShownChanges::default(),
             refuted: None,
-            own_position: 0,
+            own_position: Position::ZERO,
             advanced_at: Time::ZERO,
             own_changes: PositionTimes::default(),
             own_change: None,
@@ -108,7 +108,7 @@
         &mut self,
         now: Time,
         from: &InstanceId,
-        position: u64,
+        position: Position,
         change: Option<TableChange>,
     ) {
         if let Some(change) = change.filter(|change| self.lacks(change)) {
@@ -158,7 +158,7 @@
 
     /// Records that an answer is arriving. One that began at no known time tells of nothing later, nor does one that was
     /// asked for changes after a position before the own one: it brings what a fetch has brought.
-    pub(super) fn on_arriving(&mut self, now: Time, begun_at: Option<Time>, after: u64) {
+    pub(super) fn on_arriving(&mut self, now: Time, begun_at: Option<Time>, after: Position) {
         if self.lag.arriving_since().is_none() {
             self.arrival_read_at = now;
         }
@@ -180,7 +180,7 @@
     }
 
     /// Records that a read that was sent at `sent_at` has brought `position`.
-    pub(super) fn on_read(&mut self, sent_at: Time, position: u64) {
+    pub(super) fn on_read(&mut self, sent_at: Time, position: Position) {
         if position >= self.own_position {
             self.is_store_older = false;
         } else if sent_at > self.advanced_at {
@@ -304,7 +304,10 @@
     /// Returns whether another instance has reported an older version than this one after it could have had
     /// the later one for as long.
     pub(super) fn is_other_outdated(&self, id: &InstanceId) -> bool {
-        let known = self.reported.get(id).filter(|report| report.position > 0);
+        let known = self
+            .reported
+            .get(id)
+            .filter(|report| report.position > Position::ZERO);
         let is_late = known.is_some_and(|report| {
             let later_at = self.own_changes.first_after(report.position);
             later_at.is_some_and(|at| report.received_at - at >= self.others_limit)
@@ -330,7 +333,7 @@
     /// all that it follows, so it is lacking here if no change after that is known here.
     fn lacks(&self, change: &TableChange) -> bool {
         if change.is_arriving {
-            let own = self.own_change.map_or(0, |own| own.position);
+            let own = self.own_change.map_or(Position::ZERO, |own| own.position);
             own <= change.position && self.refuted.is_none_or(|at| change.since > at)
         } else {
             change.position > self.own_position
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use base::{Config, InstanceId, TargetId, Time};
+use base::{Config, InstanceId, Position, TargetId, Time};
 use coord::{Departure, Freshness, Replica};
 use entry::{message::Event, view::View};
 
@@ -95,7 +95,7 @@
         let own_position = table.replica.position();
         let rows = read.rows.iter();
         let later = rows.filter(|row| row.at > own_position);
-        let last: BTreeMap<TargetId, u64> =
+        let last: BTreeMap<TargetId, Position> =
             later.map(|row| (row.row.as_str().into(), row.at)).collect();
         let mut ahead = table.replica.clone();
         let changes = read.rows.into_iter().map(to_row_change).collect();
@@ -170,6 +170,10 @@
             .values()
             .map(|service| service.targets.len())
             .sum();
+        let position_of = |idx: usize| {
+            let table = self.tables.get(idx);
+            table.map(|table| table.replica.position().version)
+        };
         tracing::info!(
             event = "config_in_force",
             version = self.version,
@@ -178,8 +182,9 @@
             routes = config.routes.len(),
             targets,
             drained = ?config.drains.targets_in_domains,
-            position_of_operator = self.tables.first().map(|table| table.replica.position()),
-            position_of_targets = self.tables.get(TARGETS).map(|table| table.replica.position()),
+            era = self.tables.first().map(|table| table.replica.position().era),
+            position_of_operator = position_of(0),
+            position_of_targets = position_of(TARGETS),
             source = %news.source,
             blind_ms = age_ms(now, news.known_at),
             known_ms = age_ms(now, self.lateness.own_known_since()),
@@ -221,8 +226,9 @@
         let latest = self.tables.first().and_then(Table::confirmation);
         let confirmation = latest.filter(|_| self.is_latest);
         let at = confirmation.as_ref().map(|confirmation| confirmation.at);
+        let refused_by = at.filter(|_| !self.may_lack_changes(self.options.clock.now()));
         Validity {
-            refuse_until: at.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
+            refuse_until: refused_by.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
             confirmation,
             targets_until: self.targets_until(),
         }
@@ -243,6 +249,7 @@
         let confirmed_at = self.confirmed_at();
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
+        self.publish_kept();
         self.publish_lag(now, &fleet);
         if now < self.hearing_until && !self.may_decide(now) {
             return;
@@ -262,7 +269,7 @@
         };
         self.outputs
             .publish(now, view, confirmed_at, self.validity());
-        let positions: Vec<u64> = self
+        let positions: Vec<Position> = self
             .tables
             .iter()
             .map(|table| table.replica.changed_at())
@@ -319,7 +326,7 @@
 
     /// Publishes the tables for other instances, if they were told of later positions than those of the
     /// published ones.
-    fn hand_out_tables(&self, reported: &[u64]) {
+    fn hand_out_tables(&self, reported: &[Position]) {
         let is_older = {
             let published = self.snapshots.borrow();
             let mut pairs = published.iter().zip(reported);
@@ -383,7 +390,7 @@
         }
     }
 
-    fn set_gauge(&self, name: &str, value: u64) {
+    pub(super) fn set_gauge(&self, name: &str, value: u64) {
         let gauges = &self.options.metrics.gauges;
         let value = i64::try_from(value).unwrap_or(i64::MAX);
         gauges.with_label_values(&[name]).set(value);
--- a/crates/daemon/src/follower/tables/refresh.rs
+++ b/crates/daemon/src/follower/tables/refresh.rs
@@ -30,7 +30,9 @@
         for (idx, table) in self.tables.iter_mut().enumerate() {
             table.believe_overdue(now);
             is_changed |= table.replica.expire(now);
-            table.log_retention(now, &self.followed.tables[idx], &NewsSource::GracePeriod);
+            let (name, position) = (&self.followed.tables[idx], table.replica.position());
+            table.log_retention(now, name, &NewsSource::GracePeriod);
+            table.log_kept(name, position, &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.end_fetches_behind();
             table.make_room();
--- a/crates/daemon/src/follower/tables/rows.rs
+++ b/crates/daemon/src/follower/tables/rows.rs
@@ -1,6 +1,6 @@
 //! Whether the own rows are those of other instances at the same position, and when they are read again.
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{Replica, RowsCheck, RowsReport, rendezvous_draw};
 use tokio::sync::watch;
 
@@ -52,7 +52,7 @@
 impl Table {
     /// Records that a read of changes that was sent at `sent_at` has brought `position`. All that the last whole table
     /// may have shown was there before, so the rows are now as they are at that position.
-    pub(super) fn settle_rows(&mut self, sent_at: Time, position: u64) {
+    pub(super) fn settle_rows(&mut self, sent_at: Time, position: Position) {
         if sent_at > self.rows.whole_at && position == self.replica.position() {
             self.replica.settle();
         }
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -1,9 +1,9 @@
 //! One followed table: its copy, own reads of it, and fetches from other instances.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
-use base::{InstanceId, Time};
-use coord::{CatchUp, Replica};
+use base::{InstanceId, Position, Time};
+use coord::{CatchUp, Replica, RowOrder};
 use entry::message::Confirmation;
 use platform::Received;
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
@@ -40,12 +40,14 @@
     has_logged_outage: bool,
     /// Number of retained rows that have been logged.
     logged_retained: usize,
+    /// Rows that are kept from an earlier era, as they have been logged.
+    pub(super) logged_kept: BTreeSet<String>,
     /// How the own reads stand; `None` before the first one that was answered.
     pub(super) own_reads: Option<OwnReads>,
     /// Time at which its position rose last.
     pub(super) advanced_at: Time,
     /// Tells the own reads up to which position rows have come from other instances.
-    pub(super) advanced: watch::Sender<u64>,
+    pub(super) advanced: watch::Sender<Position>,
     /// Tells the own reads what other instances report of theirs that fail.
     pub(super) failing_elsewhere: watch::Sender<FailingElsewhere>,
 }
@@ -133,10 +135,10 @@
 
 impl Table {
     /// Returns a table of which nothing has been read; rows that an outage may have removed are kept for
-    /// `grace_period` after it.
-    pub(super) fn new(grace_period: Duration) -> Self {
+    /// `grace_period` after it. Contents of a row are compared by `order` after the table came back from an older copy.
+    pub(super) fn new(grace_period: Duration, order: RowOrder) -> Self {
         Self {
-            replica: Replica::new(grace_period),
+            replica: Replica::new(grace_period).ordered_by(order),
             confirmed_at: None,
             peer_confirmation: None,
             catch_up: CatchUp::new(PEER_FETCH_DELAYS),
@@ -146,9 +148,10 @@
             is_reachable: false,
             has_logged_outage: false,
             logged_retained: 0,
+            logged_kept: BTreeSet::new(),
             own_reads: None,
             advanced_at: Time::ZERO,
-            advanced: watch::Sender::new(0),
+            advanced: watch::Sender::default(),
             failing_elsewhere: watch::Sender::default(),
         }
     }
@@ -282,7 +285,7 @@
     pub(super) fn record_confirmation(
         &mut self,
         from: &InstanceId,
-        position: u64,
+        position: Position,
         at: Option<Time>,
     ) {
         let known = self.peer_confirmation.as_ref();
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -11,7 +11,7 @@
 use crate::message::{PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
-pub const OWN_FORMAT: u32 = 11;
+pub const OWN_FORMAT: u32 = 12;
 /// Format in which heartbeats end with the positions of tables, and reports of rates don't exist. Its
 /// calls over TCP have another opening, so none are made to instances that speak it.
 pub(crate) const FORMAT_WITHOUT_RATES: u32 = 1;
@@ -34,6 +34,8 @@
 const FORMAT_WITHOUT_RETAINED: u32 = 9;
 /// Format whose reports of losses and answers don't say how long ago these were.
 const FORMAT_WITHOUT_AGES: u32 = 10;
+/// Format whose positions of tables have no eras.
+pub(crate) const FORMAT_WITHOUT_ERAS: u32 = 11;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
@@ -41,8 +43,10 @@
 const KINDS_WITHOUT_RATES: [u32; 6] = [0, 1, 2, 3, 5, 6];
 /// Bytes by which a heartbeat of an earlier format is extended, more than it can lack.
 const MAX_LACKING_BYTES: usize = 16;
-/// Bytes that a heartbeat of [`FORMAT_WITHOUT_RETAINED`] lacks: an empty list.
-const RETAINED_BYTES: usize = 1;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_ERAS`] and the one before lacks: an era and an empty list.
+const ERAS_BYTES: usize = 2;
+/// Bytes that a heartbeat of [`FORMAT_WITHOUT_RETAINED`] lacks: an empty list as well.
+const RETAINED_BYTES: usize = 1 + ERAS_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_ROWS`] lacks: an empty list as well.
 const ROWS_BYTES: usize = 1 + RETAINED_BYTES;
 /// Bytes that a heartbeat of [`FORMAT_WITHOUT_READS`] lacks: no report as well.
@@ -139,6 +143,7 @@
     let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
     match lacking {
         0 => {}
+        ERAS_BYTES if is_without_eras(&heartbeat) => {}
         RETAINED_BYTES if heartbeat.format == FORMAT_WITHOUT_RETAINED => {}
         ROWS_BYTES if heartbeat.format == FORMAT_WITHOUT_ROWS => {}
         READS_BYTES if heartbeat.format == FORMAT_WITHOUT_READS => {}
@@ -152,9 +157,15 @@
         }
         _ => return None,
     }
+    heartbeat.locate();
     (heartbeat.format > 0).then_some(heartbeat)
 }
 
+fn is_without_eras(heartbeat: &PeerHeartbeat) -> bool {
+    let formats = FORMAT_WITHOUT_AGES..=FORMAT_WITHOUT_ERAS;
+    formats.contains(&heartbeat.format) && heartbeat.table_eras.is_empty()
+}
+
 fn is_without_departures(heartbeat: &PeerHeartbeat) -> bool {
     let formats = FORMAT_WITHOUT_NUMBER + 1..=FORMAT_WITHOUT_DEPARTURES;
     formats.contains(&heartbeat.format) && heartbeat.departures.is_empty()
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{InstanceId, RegionId, ServiceId, Time, WorkspaceId};
+use base::{InstanceId, Position, RegionId, ServiceId, Time, WorkspaceId};
 use coord::{
     Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan, RetainedEntry, RowsReport,
 };
 use dispatch::{ConnectionLoss, LossReport, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
+use crate::follower::tables::TARGETS;
+
 /// Carries a message from one instance to another over UDP.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -85,7 +87,7 @@
     /// Requests per second for each service that may be served in only one region.
     pub pinned_demand: Vec<(ServiceId, RegionId, f64)>,
     /// Positions up to which the sender has read the followed tables, in the tables' order.
-    pub table_positions: Vec<u64>,
+    pub table_positions: Vec<Position>,
     /// Whether the sender reaches the targets itself, not through other instances.
     pub has_target_path: bool,
     /// Format of the sender's messages.
@@ -104,6 +106,10 @@
     pub rows: Vec<Option<RowsReport>>,
     /// Targets whose entries are gone and which the sender retains for some time.
     pub retained: Vec<RetainedReport>,
+    /// Latest era of the platform's history of which the sender knows, zero if of none.
+    pub store_era: u32,
+    /// Eras of the positions that the sender reports of each followed table, in the tables' order; empty if all are zero.
+    pub table_eras: Vec<u32>,
 }
 
 /// Reports that an entry is gone, and for how long the sender retains it.
@@ -137,7 +143,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeReport {
     /// Position of the change; while it is arriving, the position of the rows that it follows.
-    pub position: u64,
+    pub position: Position,
     /// Whether the sender doesn't have it yet.
     pub is_arriving: bool,
     /// Time for which the sender has known of it.
@@ -148,7 +154,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TableChange {
     /// Position of the change; while it is arriving, the position of the rows that it follows.
-    pub position: u64,
+    pub position: Position,
     /// Whether that instance doesn't have it yet.
     pub is_arriving: bool,
     /// Time since which that instance has known of it.
@@ -157,7 +163,7 @@
 
 impl TableChange {
     /// Returns a change that an instance has, and of which it has known since `since`.
-    pub fn complete(position: u64, since: Time) -> Self {
+    pub fn complete(position: Position, since: Time) -> Self {
         Self {
             position,
             is_arriving: false,
@@ -166,7 +172,7 @@
     }
 
     /// Returns a change that comes after the rows up to `position` and has been arriving since `since`.
-    pub fn arriving_after(position: u64, since: Time) -> Self {
+    pub fn arriving_after(position: Position, since: Time) -> Self {
         Self {
             position,
             is_arriving: true,
@@ -176,6 +182,44 @@
 }
 
 impl PeerHeartbeat {
+    /// Sets the followed tables' positions, and their eras beside them.
+    pub fn set_positions(&mut self, positions: Vec<Position>) {
+        let eras: Vec<u32> = positions.iter().map(|position| position.era).collect();
+        self.table_eras = if eras.iter().all(|era| *era == 0) {
+            Vec::new()
+        } else {
+            eras
+        };
+        self.table_positions = positions;
+    }
+
+    /// Returns the era of what the sender reports of a table.
+    pub(crate) fn era_of(&self, table: usize) -> u32 {
+        self.table_eras.get(table).copied().unwrap_or(0)
+    }
+
+    /// Gives all positions the eras that were transferred beside them.
+    pub(crate) fn locate(&mut self) {
+        let targets_era = self.era_of(TARGETS);
+        let eras = self.table_eras.clone();
+        let era_of = |idx: usize| eras.get(idx).copied().unwrap_or(0);
+        for (idx, position) in self.table_positions.iter_mut().enumerate() {
+            *position = position.in_era(era_of(idx));
+        }
+        for (idx, report) in self.rows.iter_mut().enumerate() {
+            if let Some(report) = report {
+                report.changed_at = report.changed_at.in_era(era_of(idx));
+            }
+        }
+        if let Some(change) = &mut self.change {
+            change.position = change.position.in_era(era_of(0));
+        }
+        let retained = self.retained.iter_mut().map(|report| &mut report.departure);
+        for departure in self.departures.iter_mut().chain(retained) {
+            departure.position = departure.position.in_era(targets_era);
+        }
+    }
+
     /// Returns whether callers or requests would go wrong if the change since the heartbeat `before` were
     /// published later.
     pub(crate) fn is_urgent_after(&self, before: &Self) -> bool {
@@ -203,7 +247,7 @@
     /// Sets the table positions that heartbeats report.
     SetTablePositions {
         /// Positions in the tables' order.
-        positions: Vec<u64>,
+        positions: Vec<Position>,
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which this instance knows at first hand.
@@ -256,7 +300,7 @@
         /// Instance that sent the heartbeat.
         from: InstanceId,
         /// Positions in the tables' order.
-        positions: Vec<u64>,
+        positions: Vec<Position>,
         /// Time at which the platform was last known to have no later changes.
         confirmed_at: Option<Time>,
         /// The latest change of the first table of which that instance knows.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -223,6 +223,7 @@
             fleet: fleet_tx,
         },
     );
+    let peers = peers.tracking(platform.store_era());
     tokio::spawn(peers.run(peers_rx));
     let relays = RelayServer::new(view_rx.clone(), engine_tx.clone()).limited_to(budget.carried);
     let calls = peer_server::serve(tcp, secret.clone(), incoming_tx, relays, metrics.clone());
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -14,6 +14,7 @@
 use base::{Incarnation, InstanceId, Time};
 use coord::{Departure, Head, Heartbeat, ListEntry, Membership, RetainedEntry};
 use entry::{message::Event, view::Clock};
+use platform::StoreEra;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -60,6 +61,8 @@
     /// Times that the last heartbeats took, at most.
     ways: BTreeMap<InstanceId, Duration>,
     own_heartbeat: PeerHeartbeat,
+    /// What is known of the eras of the platform's history.
+    era: StoreEra,
     sent_heartbeats: VecDeque<(u64, Time)>,
     /// The last news, as long as it may be sent again.
     open_news: Option<OpenNews>,
@@ -102,6 +105,7 @@
             heard_at: BTreeMap::new(),
             ways: BTreeMap::new(),
             own_heartbeat,
+            era: StoreEra::default(),
             sent_heartbeats: VecDeque::new(),
             open_news: None,
             introduced: BTreeMap::new(),
@@ -117,11 +121,18 @@
         }
     }
 
+    /// Sets what is known of the eras of the platform's history, which heartbeats report and learn.
+    pub fn tracking(mut self, era: StoreEra) -> Self {
+        self.era = era;
+        self
+    }
+
     /// Handles datagrams and commands until all command senders are dropped.
     pub async fn run(mut self, mut rx: mpsc::Receiver<PeerCommand>) {
         let mut tick = interval(HEARTBEAT_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
+        let mut eras = self.era.subscribe();
         loop {
             let repeat_at = self.open_news.as_ref().and_then(OpenNews::next_at);
             let repeat_at = repeat_at.map(|at| self.clock.instant(at));
@@ -136,6 +147,7 @@
                     Some(command) => self.handle_command(command).await,
                     None => return,
                 },
+                Ok(()) = eras.changed() => self.send_news().await,
                 _ = tick.tick() => {
                     self.send_heartbeats().await;
                     self.publish();
@@ -181,7 +193,7 @@
                 reads,
             } => {
                 let is_changed = positions != self.own_heartbeat.table_positions;
-                self.own_heartbeat.table_positions = positions;
+                self.own_heartbeat.set_positions(positions);
                 self.confirmed_at = confirmed_at;
                 self.known_change = change;
                 self.own_reads = reads;
@@ -272,5 +284,7 @@
         reads: None,
         rows: Vec::new(),
         retained: Vec::new(),
+        store_era: 0,
+        table_eras: Vec::new(),
     }
 }
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -7,7 +7,7 @@
 
 use super::Peers;
 use crate::{
-    format::{self, FORMAT_WITHOUT_CHANGES, OWN_FORMAT, UnreadMessage},
+    format::{self, FORMAT_WITHOUT_CHANGES, FORMAT_WITHOUT_ERAS, OWN_FORMAT, UnreadMessage},
     message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport, TableChange},
     owners::OwnersMessage,
 };
@@ -155,17 +155,27 @@
         let departures = std::mem::take(&mut heartbeat.departures);
         let retained = std::mem::take(&mut heartbeat.retained);
         let rows = std::mem::take(&mut heartbeat.rows);
+        self.era.learn(heartbeat.store_era);
+        let is_located = self.is_located(&heartbeat);
+        if !is_located {
+            self.assume_eras(&mut heartbeat);
+        }
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             let now = self.clock.now();
             let not_before = (not_before + heartbeat.ack_age).min(now);
             self.ways.insert(from.clone(), now - not_before);
             self.membership.on_heartbeat(not_before, &heartbeat.status);
-            self.forward_to_follower(from, &heartbeat, departures, not_before);
-            self.forward_retained(from, retained, not_before);
+            if is_located {
+                self.forward_positions(from, &heartbeat, departures, not_before);
+                self.forward_retained(from, retained, not_before);
+            }
+            self.forward_head(from, &heartbeat, not_before);
         } else {
             self.membership.on_undated_heartbeat(&heartbeat.status);
         }
-        self.forward_rows(from, rows);
+        if is_located {
+            self.forward_rows(from, rows);
+        }
         let before = self.last_heartbeats.get(from);
         let is_urgent = before.is_none_or(|before| heartbeat.is_urgent_after(before));
         self.last_heartbeats.insert(from.clone(), heartbeat);
@@ -176,18 +186,27 @@
         }
     }
 
-    /// Forwards the sender's head, table positions and departures, which it sent no earlier than `not_before`.
-    fn forward_to_follower(
+    /// Returns whether it is known in which eras the sender's positions are: an earlier format doesn't tell, so its
+    /// positions say nothing where the platform's history has eras.
+    fn is_located(&self, heartbeat: &PeerHeartbeat) -> bool {
+        heartbeat.format > FORMAT_WITHOUT_ERAS || self.era.latest() == 0
+    }
+
+    /// Takes the positions of an earlier format for ones of the own eras, to tell its sender what it may lack.
+    fn assume_eras(&self, heartbeat: &mut PeerHeartbeat) {
+        heartbeat.table_eras = self.own_heartbeat.table_eras.clone();
+        heartbeat.locate();
+    }
+
+    /// Forwards the sender's table positions and departures, which it sent no earlier than `not_before`.
+    fn forward_positions(
         &self,
         from: &InstanceId,
         heartbeat: &PeerHeartbeat,
         departures: Vec<Departure>,
         not_before: Time,
     ) {
-        let confirmed_at = heartbeat
-            .status
-            .confirmation_age
-            .map(|age| not_before.before(age));
+        let confirmed_at = confirmed_at(heartbeat, not_before);
         if !heartbeat.table_positions.is_empty() {
             let message = FollowerMessage::PeerPositions {
                 from: from.clone(),
@@ -206,13 +225,17 @@
             let message = FollowerMessage::PeerDepartures { from, departures };
             let _ = self.outputs.follower.try_send(message);
         }
+    }
+
+    /// Forwards the sender's head.
+    fn forward_head(&self, from: &InstanceId, heartbeat: &PeerHeartbeat, not_before: Time) {
         let Some(head) = heartbeat.head.clone() else {
             return;
         };
         let message = FollowerMessage::PeerHead {
             from: from.clone(),
             head,
-            confirmed_at,
+            confirmed_at: confirmed_at(heartbeat, not_before),
         };
         let _ = self.outputs.follower.try_send(message);
     }
@@ -253,6 +276,12 @@
     }
 }
 
+/// Returns when the sender of a heartbeat last knew its configuration to be the latest.
+fn confirmed_at(heartbeat: &PeerHeartbeat, not_before: Time) -> Option<Time> {
+    let age = heartbeat.status.confirmation_age;
+    age.map(|age| not_before.before(age))
+}
+
 /// Returns the change that a heartbeat reports, which was sent no earlier than `not_before`. Earlier formats name the
 /// position of the sender's rows alone.
 fn known_change(heartbeat: &PeerHeartbeat, not_before: Time) -> Option<TableChange> {
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{Departure, Heartbeat, Presence, lacking, retained_in_turns};
 use rand::seq::IndexedRandom;
 
@@ -10,7 +10,7 @@
 use crate::{
     follower::tables::TARGETS,
     format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport},
+    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport, TableChange},
 };
 
 /// Number of instances that are notified at once of a table's new position; the others receive it with
@@ -133,7 +133,7 @@
             ack: self.ack_for(to),
             departures: self.departures_for(to),
             retained: self.retained_for(to, now),
-            change: self.known_change.map(|change| ChangeReport {
+            change: self.told_change().map(|change| ChangeReport {
                 position: change.position,
                 is_arriving: change.is_arriving,
                 age: now - change.since,
@@ -143,10 +143,18 @@
                 is_failing: reads.is_failing,
             }),
             ack_age: self.ack_age_for(to, now),
+            store_era: self.era.latest(),
             ..self.own_heartbeat.clone()
         }))
     }
 
+    /// Returns the latest change of which this instance knows if it is in the era of the position that is reported.
+    fn told_change(&self) -> Option<TableChange> {
+        let era = self.own_heartbeat.era_of(0);
+        self.known_change
+            .filter(|change| change.position.era == era)
+    }
+
     /// Returns the sequence number of an instance's last heartbeat, zero if none of its incarnation has arrived.
     fn ack_for(&self, to: &InstanceId) -> u64 {
         let incarnation = self.sessions.receiver_incarnation(to);
@@ -181,11 +189,15 @@
         let is_failing = reads.is_some_and(|reads| reads.is_failing);
         let known = match heard.and_then(|heartbeat| heartbeat.table_positions.get(TARGETS)) {
             // It has read nothing yet.
-            None | Some(0) => return Vec::new(),
-            Some(_) if is_failing => 0,
+            None | Some(&Position::ZERO) => return Vec::new(),
+            Some(_) if is_failing => Position::ZERO,
             Some(position) => *position,
         };
-        lacking(&self.departures, known, self.own_heartbeat.sequence)
+        // Those of an earlier era have no position in the present one.
+        let era = self.own_heartbeat.era_of(TARGETS);
+        let mut departures = lacking(&self.departures, known, self.own_heartbeat.sequence);
+        departures.retain(|departure| departure.position.era == era);
+        departures
     }
 
     /// Returns the entries that are gone and retained beyond `now`, for an instance that lacks their removal, or that may
@@ -200,7 +212,9 @@
             return Vec::new();
         }
         let entries = retained_in_turns(&self.retained, self.own_heartbeat.sequence);
-        let entries = entries.into_iter().filter(|entry| entry.until > now);
+        let era = self.own_heartbeat.era_of(TARGETS);
+        let entries = entries.into_iter();
+        let entries = entries.filter(|entry| entry.until > now && entry.position.era == era);
         entries
             .map(|entry| RetainedReport {
                 departure: Departure {
--- a/crates/daemon/src/read_reports.rs
+++ b/crates/daemon/src/read_reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use platform::Received;
 
 use crate::table_fetch::Fetched;
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LaterChange {
     /// Position after which the table has changed.
-    pub(crate) after: u64,
+    pub(crate) after: Position,
     /// Time since which that has been known.
     pub(crate) since: Time,
 }
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 use coord::{LeaseChart, LeaseState, LeaseTiming, LeaseWrite, SlotHistory, WriteOutcome};
 use entry::{message::Event, metrics::Metrics, view::Clock};
 use platform::{Platform, PlatformError, Row};
@@ -78,7 +78,7 @@
 enum PlatformAnswer {
     Rows(Time, Vec<(String, Row)>),
     ReadFailed,
-    Written(u32, Result<u64, PlatformError>),
+    Written(u32, Result<Position, PlatformError>),
 }
 
 impl Slots {
@@ -240,7 +240,7 @@
         Some(write)
     }
 
-    fn record_write(&mut self, now: Time, idx: u32, result: &Result<u64, PlatformError>) {
+    fn record_write(&mut self, now: Time, idx: u32, result: &Result<Position, PlatformError>) {
         let written = match result {
             Ok(version) => WriteOutcome::Applied(*version),
             Err(PlatformError::Conflict { .. }) => WriteOutcome::Conflict,
--- a/crates/daemon/src/table_fetch.rs
+++ b/crates/daemon/src/table_fetch.rs
@@ -165,7 +165,8 @@
         Reply::PackedTable(packed) => packed.ok_or(FetchFault::TurnedAway)?,
         _ => return Err(FetchFault::Unreadable),
     };
-    unpack(&packed, MAX_ENCODED_BYTES)
+    let (table, era) = unpack_with_era::<TableSnapshot>(&packed, MAX_ENCODED_BYTES)?;
+    Ok(table.in_era(era))
 }
 
 async fn by_parts(
@@ -212,7 +213,8 @@
         Reply::TableList(packed) => packed.ok_or(FetchFault::TurnedAway)?,
         _ => return Err(FetchFault::Unreadable),
     };
-    unpack(&packed, MAX_LIST_BYTES)
+    let (list, era) = unpack_with_era::<TableList>(&packed, MAX_LIST_BYTES)?;
+    Ok(list.in_era(era))
 }
 
 async fn parts(
@@ -245,6 +247,21 @@
     postcard::from_bytes(&encoded).map_err(|_| FetchFault::Unreadable)
 }
 
+/// Unpacks a content and the era behind it, zero if the sender's format has none.
+fn unpack_with_era<T>(packed: &Packed, max: usize) -> Result<(T, u32), FetchFault>
+where
+    T: DeserializeOwned,
+{
+    let encoded = packed.unpack(max)?;
+    let read = postcard::take_from_bytes(&encoded);
+    let (content, rest) = read.map_err(|_| FetchFault::Unreadable)?;
+    if rest.is_empty() {
+        return Ok((content, 0));
+    }
+    let era = postcard::from_bytes(rest).map_err(|_| FetchFault::Unreadable)?;
+    Ok((content, era))
+}
+
 fn size(parts: &[Part]) -> usize {
     parts.iter().map(|part| part.len as usize).sum()
 }
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -1,8 +1,8 @@
 //! Log lines about reads of the followed tables and what they put in force.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use base::{Config, InstanceId, TargetId, Time};
+use base::{Config, InstanceId, Position, TargetId, Time};
 use coord::RowsDifference;
 use derive_more::Display;
 use entry::metrics::Metrics;
@@ -43,7 +43,7 @@
 pub(crate) fn log_read_failure(
     now: Time,
     table: &str,
-    position: u64,
+    position: Position,
     answered_at: Option<Time>,
     failure: &ReadFailure,
 ) {
@@ -65,21 +65,30 @@
         received_bytes,
         quiet_ms,
         blind_ms,
-        position,
+        era = position.era,
+        position = position.version,
     );
 }
 
-/// Logs that the platform answered a read from before the position that it had reached.
-pub(crate) fn log_older(table: &str, own_position: u64, position: u64) {
-    tracing::warn!(event = "table_older", table, own_position, position);
+/// Logs that the platform answered a read from before the position that it had reached in the same era, so from a copy
+/// that lags: one that came back from an older copy reports a later era.
+pub(crate) fn log_older(table: &str, own_position: Position, position: Position) {
+    tracing::warn!(
+        event = "table_older",
+        table,
+        own_era = own_position.era,
+        own_position = own_position.version,
+        era = position.era,
+        position = position.version,
+    );
 }
 
 /// Describes what is known of a later version of the operators' rows.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Behind {
     /// Latest position that others have reported.
-    pub(crate) known_position: Option<u64>,
-    pub(crate) own_position: u64,
+    pub(crate) known_position: Option<Position>,
+    pub(crate) own_position: Position,
     /// Number of live instances that have a later version.
     pub(crate) holders: usize,
     /// Number of live instances at which a later version is still arriving.
@@ -95,8 +104,10 @@
 pub(crate) fn log_behind(now: Time, since: Option<Time>, behind: &Behind) {
     tracing::warn!(
         event = "config_behind",
-        known_position = behind.known_position,
-        own_position = behind.own_position,
+        known_era = behind.known_position.map(|known| known.era),
+        known_position = behind.known_position.map(|known| known.version),
+        own_era = behind.own_position.era,
+        own_position = behind.own_position.version,
         since_ms = age_ms(now, since),
         holders = behind.holders,
         receivers = behind.receivers,
@@ -106,12 +117,18 @@
 }
 
 /// Logs that a read beside a transfer has shown a change that the transfer doesn't bring.
-pub(crate) fn log_changed_beside(now: Time, table: &str, own_position: u64, later: &LaterChange) {
+pub(crate) fn log_changed_beside(
+    now: Time,
+    table: &str,
+    own_position: Position,
+    later: &LaterChange,
+) {
     tracing::info!(
         event = "table_changed_beside",
         table,
-        own_position,
-        after = later.after,
+        own_position = own_position.version,
+        after = later.after.version,
+        era = later.after.era,
         known_ms = age_ms(now, Some(later.since)),
     );
 }
@@ -141,7 +158,8 @@
 pub(crate) fn log_caught_up(behind: &Behind) {
     tracing::info!(
         event = "config_caught_up",
-        own_position = behind.own_position,
+        era = behind.own_position.era,
+        own_position = behind.own_position.version,
         holders = behind.holders,
     );
 }
@@ -150,22 +168,24 @@
 pub(crate) fn log_targets_behind(
     now: Time,
     since: Option<Time>,
-    known_position: Option<u64>,
-    own_position: u64,
+    known_position: Option<Position>,
+    own_position: Position,
 ) {
     let since_ms = age_ms(now, since);
     tracing::info!(
         event = "targets_behind",
-        known_position,
-        own_position,
+        known_position = known_position.map(|known| known.version),
+        era = own_position.era,
+        own_position = own_position.version,
         since_ms,
     );
 }
 
 /// Logs that this is over.
-pub(crate) fn log_targets_caught_up(now: Time, since: Time, own_position: u64) {
+pub(crate) fn log_targets_caught_up(now: Time, since: Time, own_position: Position) {
     let lasted_ms = age_ms(now, Some(since));
-    tracing::info!(event = "targets_caught_up", own_position, lasted_ms);
+    let (era, own_position) = (own_position.era, own_position.version);
+    tracing::info!(event = "targets_caught_up", era, own_position, lasted_ms);
 }
 
 /// Logs the targets that get nothing more from now on, by rows that are complete up to `position` and came
@@ -173,7 +193,7 @@
 pub(crate) fn log_targets_left(
     now: Time,
     left: &[TargetId],
-    position: u64,
+    position: Position,
     source: &NewsSource,
     known_since: Option<Time>,
 ) {
@@ -182,7 +202,8 @@
         event = "targets_left",
         ids = ids.join(" "),
         count = left.len(),
-        position,
+        era = position.era,
+        position = position.version,
         %source,
         known_ms = age_ms(now, known_since),
     );
@@ -202,6 +223,51 @@
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
+/// Logs that a table has come back from an older copy, and which rows are kept over it as they were known.
+pub(crate) fn log_era(
+    table: &str,
+    before: Position,
+    position: Position,
+    rows: usize,
+    kept: &BTreeSet<String>,
+    source: &NewsSource,
+) {
+    let names: Vec<&str> = kept.iter().take(MAX_IDS).map(String::as_str).collect();
+    tracing::warn!(
+        event = "table_era",
+        table,
+        before_era = before.era,
+        before = before.version,
+        era = position.era,
+        position = position.version,
+        rows,
+        kept = names.join(" "),
+        kept_count = kept.len(),
+        %source,
+    );
+}
+
+/// Logs the rows that were kept over an older copy and are no longer, because they have been written again or are gone.
+pub(crate) fn log_kept_ended(
+    table: &str,
+    ended: &[&str],
+    left: usize,
+    position: Position,
+    source: &NewsSource,
+) {
+    let names: Vec<&str> = ended.iter().take(MAX_IDS).copied().collect();
+    tracing::info!(
+        event = "kept_rows_ended",
+        table,
+        names = names.join(" "),
+        count = ended.len(),
+        left,
+        era = position.era,
+        position = position.version,
+        %source,
+    );
+}
+
 /// Logs that another instance has other rows at the same position; one of the two is wrong.
 pub(crate) fn log_difference(table: &str, rows: usize, found: &RowsDifference) {
     let (own, other) = (&found.own, &found.other);
@@ -209,8 +275,9 @@
         event = "table_differs",
         table,
         from = %found.from,
-        own_position = own.position(),
-        position = other.position(),
+        era = own.changed_at.era,
+        own_position = own.position().version,
+        position = other.position().version,
         own_digest = format!("{:016x}", own.digest.number()),
         digest = format!("{:016x}", other.digest.number()),
         rows,
@@ -218,12 +285,13 @@
 }
 
 /// Logs that the whole of a table is read again, since its rows may be wrong.
-pub(crate) fn log_read_anew(table: &str, position: u64) {
-    tracing::warn!(event = "table_read_anew", table, position);
+pub(crate) fn log_read_anew(table: &str, position: Position) {
+    let (era, position) = (position.era, position.version);
+    tracing::warn!(event = "table_read_anew", table, era, position);
 }
 
 /// Logs that another instance was asked for a table, and what it had.
-pub(crate) fn log_fetch(now: Time, table: &str, before: u64, fetch: &Fetch) {
+pub(crate) fn log_fetch(now: Time, table: &str, before: Position, fetch: &Fetch) {
     let fetched = &fetch.fetched;
     let position = fetched.table.as_ref().map(|table| table.position);
     let rows = fetched.table.as_ref().map(|table| table.rows.len());
@@ -236,8 +304,10 @@
         event = "table_fetched",
         table,
         from = %fetch.from,
-        before,
-        position,
+        before_era = before.era,
+        before = before.version,
+        era = position.map(|position| position.era),
+        position = position.map(|position| position.version),
         rows,
         parts,
         parts_fetched,
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -8,7 +8,7 @@
 
 use std::{pin::pin, time::Duration};
 
-use base::Time;
+use base::{Position, Time};
 use coord::{Answer, AnswerDates, MIN_STANDSTILL};
 use entry::{lag::LagMeter, view::Clock};
 use platform::{Platform, PlatformError, Progress, Received};
@@ -61,7 +61,7 @@
     /// Time within which a change must be in force.
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
-    pub(crate) advanced: watch::Receiver<u64>,
+    pub(crate) advanced: watch::Receiver<Position>,
     /// What other instances report of reads that fail.
     pub(crate) failing_elsewhere: watch::Receiver<FailingElsewhere>,
     /// Changes when the whole table is to be read again.
@@ -79,7 +79,7 @@
 pub(crate) struct TableReader {
     options: ReaderOptions,
     /// Position from which the next poll continues; `None` before the first rows.
-    position: Option<u64>,
+    position: Option<Position>,
     /// Whether the next poll asks for all rows, whatever the position.
     is_reading_anew: bool,
     polls: JoinSet<PollResult>,
@@ -109,7 +109,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Advance {
     /// Position up to which they have come.
-    position: u64,
+    position: Position,
     /// Number of the first poll that was sent after that.
     before: u64,
 }
@@ -186,7 +186,7 @@
                     }
                     Some(TableRead::Arriving(Arrival {
                         since: poll.and_then(OpenPoll::arriving_since),
-                        after: poll.and_then(|poll| poll.after).unwrap_or(0),
+                        after: poll.and_then(|poll| poll.after).unwrap_or_default(),
                         is_slow: self.open.is_slow() || self.open.is_late(self.options.apply),
                     }))
                 }
@@ -411,7 +411,7 @@
 
     /// Returns the position up to which rows have come from another source since a poll was sent if that is later
     /// than the one from which it asks.
-    fn advanced_past(&self, poll: &OpenPoll) -> Option<u64> {
+    fn advanced_past(&self, poll: &OpenPoll) -> Option<Position> {
         let advance = self.advance.as_ref();
         let later = advance.filter(|advance| poll.number < advance.before);
         let position = later.map(|advance| advance.position);
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/beside.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Position, Time};
 use coord::{Answer, AnswerDates};
 use entry::{lag::LagMeter, view::Clock};
 use platform::{Platform, PlatformError, Progress, Received};
@@ -74,7 +74,7 @@
     /// The same where the table has changed after it, beside an answer that isn't complete.
     passed: Option<Seen>,
     /// Number of the poll that was answered last, and the position of its answer.
-    answered: Option<(u64, u64)>,
+    answered: Option<(u64, Position)>,
     /// A change that a complete answer has shown, and that is to be reported.
     due: Option<LaterChange>,
     /// Whether rows are arriving that are of use.
@@ -88,7 +88,7 @@
 /// A position of the platform's tables that was read beside a transfer.
 #[derive(Debug, Clone, Copy)]
 struct Seen {
-    position: u64,
+    position: Position,
     /// The answer that said it.
     answer: Answer,
     /// Time at which the platform had it by its clock, or else the middle of the call.
@@ -120,7 +120,7 @@
 /// What became of a poll beside a transfer.
 enum SideAnswer {
     /// It has no rows, and is complete up to a position.
-    Empty(u64),
+    Empty(Position),
     /// It brings rows, and began at a time.
     Begun(Time),
     Rows(RowsBeside),
@@ -129,7 +129,12 @@
 }
 
 impl Seen {
-    fn new(number: u64, begun_at: Time, late: Duration, (position, answer): (u64, Answer)) -> Self {
+    fn new(
+        number: u64,
+        begun_at: Time,
+        late: Duration,
+        (position, answer): (Position, Answer),
+    ) -> Self {
         let way = (answer.arrived_at - answer.sent_at) / 2;
         Self {
             position,
@@ -211,7 +216,7 @@
 
     /// Records that the poll with a number has been answered up to a position, whatever it brings: what it doesn't has come
     /// after it.
-    pub(super) fn on_answer(&mut self, number: u64, position: u64, calls: &SideCalls) {
+    pub(super) fn on_answer(&mut self, number: u64, position: Position, calls: &SideCalls) {
         self.has_rows = true;
         self.answered = Some((number, position));
         if let Some(seen) = self.passed.take() {
@@ -294,7 +299,7 @@
     }
 
     /// Returns the platform's position, and the answer that said it.
-    async fn ask_position(&self) -> Option<(u64, Answer)> {
+    async fn ask_position(&self) -> Option<(Position, Answer)> {
         for is_second in [false, true] {
             let sent_at = self.clock.now();
             let progress = Progress::start();
@@ -382,7 +387,7 @@
     async fn check(
         self,
         seen: Seen,
-        after: u64,
+        after: Position,
         sent: Instant,
         received: watch::Receiver<Received>,
     ) -> Finding {
@@ -404,7 +409,7 @@
     }
 
     /// Sends a poll that waits for nothing, and another one if that fails.
-    async fn poll_at_once(&self, after: u64) -> SideAnswer {
+    async fn poll_at_once(&self, after: Position) -> SideAnswer {
         let answer = self.poll(after, Duration::ZERO).await;
         let SideAnswer::Failed(error) = answer else {
             return answer;
@@ -415,7 +420,7 @@
     }
 
     /// Sends a poll and reads what it brings.
-    async fn poll_rows(&self, after: u64, brings_rows: &AtomicBool) -> SideAnswer {
+    async fn poll_rows(&self, after: Position, brings_rows: &AtomicBool) -> SideAnswer {
         let wait = self.timing.poll_wait;
         let progress = Progress::start();
         let mut received = progress.received();
@@ -448,7 +453,7 @@
     }
 
     /// Sends a poll and drops it as soon as it is seen to bring rows.
-    async fn poll(&self, after: u64, wait: Duration) -> SideAnswer {
+    async fn poll(&self, after: Position, wait: Duration) -> SideAnswer {
         let progress = Progress::start();
         let received = progress.received();
         let platform = self.platform.clone().progress(progress.clone());
--- a/crates/daemon/src/table_reads/open_polls.rs
+++ b/crates/daemon/src/table_reads/open_polls.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use base::Time;
+use base::{Position, Time};
 use derive_more::Deref;
 use platform::Received;
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
@@ -12,7 +12,7 @@
 pub(super) struct OpenPoll {
     pub(super) number: u64,
     /// Position from which it asks; `None` if it asks for all rows.
-    pub(super) after: Option<u64>,
+    pub(super) after: Option<Position>,
     pub(super) sent_at: Time,
     /// The same by the runtime's clock.
     pub(super) sent: Instant,
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -1,6 +1,6 @@
 //! What a read of a table has brought, and its rows as a replica takes them.
 
-use base::Time;
+use base::{Position, Time};
 use coord::{Answer, ReplicaRow, RowChange, TableSnapshot};
 use platform::Change;
 
@@ -27,7 +27,7 @@
 pub(crate) struct RowsBeside {
     pub(crate) rows: Vec<Change>,
     /// Position up to which they are complete.
-    pub(crate) position: u64,
+    pub(crate) position: Position,
 }
 
 /// Describes an answer of the platform that is arriving.
@@ -36,7 +36,7 @@
     /// Time at which it began; `None` if it may bring nothing new, as a first read.
     pub(crate) since: Option<Time>,
     /// Position after which it was asked for changes.
-    pub(crate) after: u64,
+    pub(crate) after: Position,
     /// Whether it arrives below the lowest rate of a transfer, or too slowly to be complete within the time in
     /// which a change must be in force.
     pub(crate) is_slow: bool,
@@ -50,7 +50,7 @@
     pub(crate) made_at: Time,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
-    pub(crate) position: u64,
+    pub(crate) position: Position,
 }
 
 impl PlatformRead {
@@ -67,7 +67,7 @@
     }
 }
 
-pub(crate) fn to_snapshot(rows: Vec<Change>, position: u64) -> TableSnapshot {
+pub(crate) fn to_snapshot(rows: Vec<Change>, position: Position) -> TableSnapshot {
     let rows = rows
         .into_iter()
         .filter_map(|change| {
--- a/crates/daemon/src/table_server.rs
+++ b/crates/daemon/src/table_server.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use base::Position;
 use coord::{
     TableSnapshot,
     parts::{PartId, TableCut},
@@ -29,7 +30,7 @@
     /// The version before, whose list a caller may just have got.
     previous: TableCut,
     /// The whole table of a position.
-    packed: Option<(u64, Packed)>,
+    packed: Option<(Position, Packed)>,
 }
 
 impl TableServer {
@@ -62,7 +63,8 @@
             Call::TableList { index, known } => {
                 let known = known.iter().copied().collect();
                 let list = find(*index).map(|table| self.served(*index).update(table).list(&known));
-                Some(Reply::TableList(list.and_then(|list| pack(&list))))
+                let packed = list.and_then(|list| pack_with_era(&list, list.position));
+                Some(Reply::TableList(packed))
             }
             Call::Parts { index, ids } => {
                 let ids = ids.iter().copied().collect();
@@ -89,9 +91,10 @@
     }
 
     fn pack(&mut self, table: &TableSnapshot) -> Option<Packed> {
-        let is_current = |(position, _): &(u64, Packed)| *position == table.position;
+        let is_current = |(position, _): &(Position, Packed)| *position == table.position;
         if !self.packed.as_ref().is_some_and(is_current) {
-            self.packed = Some((table.position, pack(table)?));
+            let packed = pack_with_era(table, table.position)?;
+            self.packed = Some((table.position, packed));
         }
         self.packed.as_ref().map(|(_, packed)| packed.clone())
     }
@@ -108,6 +111,14 @@
     }
 }
 
+/// Packs a content with the era of its positions behind it, which earlier formats don't read.
+fn pack_with_era<T>(content: &T, position: Position) -> Option<Packed>
+where
+    T: Serialize,
+{
+    pack(&(content, position.era))
+}
+
 fn pack<T>(content: &T) -> Option<Packed>
 where
     T: Serialize,
--- a/crates/daemon/tests/behind/arrivals.rs
+++ b/crates/daemon/tests/behind/arrivals.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::Time;
+use base::{Position, Time};
 use daemon::message::{FollowerMessage, TableChange};
 use entry::view::Clock;
 use rstest::rstest;
@@ -29,7 +29,7 @@
                 sleep_until(started + Duration::from_millis(at)).await;
                 let message = FollowerMessage::PeerPositions {
                     from: reporter_id(0),
-                    positions: vec![position, position_of(0)],
+                    positions: vec![Position::from(position), Position::from(position_of(0))],
                     confirmed_at: None,
                     change: Some(change),
                     reads: None,
@@ -48,13 +48,13 @@
 /// Returns reports each half second that a version has been arriving since `since` after those up to `after`.
 fn arriving(from: u64, to: u64, after: u64, since: u64) -> Vec<(u64, u64, TableChange)> {
     let times = (from..to).step_by(500);
-    let change = TableChange::arriving_after(after, at(since));
+    let change = TableChange::arriving_after(Position::from(after), at(since));
     times.map(|time| (time, after, change)).collect()
 }
 
 fn complete(from: u64, to: u64, position: u64, since: u64) -> Vec<(u64, u64, TableChange)> {
     let times = (from..to).step_by(500);
-    let change = TableChange::complete(position, at(since));
+    let change = TableChange::complete(Position::from(position), at(since));
     times.map(|time| (time, position, change)).collect()
 }
 
--- a/crates/daemon/tests/behind/beside_rows.rs
+++ b/crates/daemon/tests/behind/beside_rows.rs
@@ -2,7 +2,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::TargetId;
+use base::{Position, TargetId};
 use daemon::message::{FollowerMessage, PeerCommand};
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
@@ -128,7 +128,7 @@
         let change = |name: &str, value: Option<&str>| Change {
             row: name.to_owned(),
             value: value.map(str::to_owned),
-            at: 0,
+            at: Position::ZERO,
         };
         let comes_at = ROWS_AT * u32::from(self.comes_with_rows);
         let first = [(Duration::ZERO, STAYS), (comes_at, TARGET)];
@@ -149,7 +149,7 @@
         let all = all.map(|(idx, (at, change))| {
             let position = FIRST_POSITION + idx as u64;
             let change = Change {
-                at: position,
+                at: Position::from(position),
                 ..change
             };
             (at, change)
@@ -175,16 +175,20 @@
         let there = changes.iter().filter(|(at, _)| *at <= started.elapsed());
         let position = there.map(|(_, change)| change.at).max();
         sleep(SMALL_CALL_TIME).await;
-        return Ok(Reply::Position(position.unwrap_or(FIRST_POSITION)));
+        return Ok(Reply::Position(
+            position.unwrap_or(Position::from(FIRST_POSITION)),
+        ));
     }
     let (table, after, wait) = read_of(call)?;
     let deadline = started.elapsed() + wait;
     if table != TARGETS_TABLE {
         sleep_until(started + deadline).await;
         progress.add(1);
-        return Ok(Reply::Changes(Vec::new(), FIRST_POSITION));
+        return Ok(Reply::Changes(Vec::new(), Position::from(FIRST_POSITION)));
     }
-    let mut news = changes.iter().filter(|(_, change)| change.at > after);
+    let mut news = changes
+        .iter()
+        .filter(|(_, change)| change.at > Position::from(after));
     let news_at = news.next().map_or(deadline, |(at, _)| *at);
     sleep_until(started + news_at.min(deadline)).await;
     let now = started.elapsed();
@@ -194,7 +198,11 @@
     let there = changes.into_iter().filter(|(at, _)| *at <= now);
     let there: Vec<Change> = there.map(|(_, change)| change).collect();
     let position = there.iter().map(|change| change.at).max();
-    let mut found: Vec<Change> = there.iter().filter(|one| one.at > after).cloned().collect();
+    let mut found: Vec<Change> = there
+        .iter()
+        .filter(|one| one.at > Position::from(after))
+        .cloned()
+        .collect();
     if after == 0 {
         let is_last = |change: &Change| {
             let mut others = there.iter().filter(|one| one.row == change.row);
@@ -212,7 +220,10 @@
     } else {
         Transfer::Takes(time).transmit(&progress).await?;
     }
-    Ok(Reply::Changes(found, position.unwrap_or(FIRST_POSITION)))
+    Ok(Reply::Changes(
+        found,
+        position.unwrap_or(Position::from(FIRST_POSITION)),
+    ))
 }
 
 /// Starts an instance that the store answers until a time.
--- a/crates/daemon/tests/behind/confirmations.rs
+++ b/crates/daemon/tests/behind/confirmations.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, Time};
+use base::{Config, Position, Time};
 use coord::Replica;
 use daemon::{
     fleet::Fleet,
@@ -60,9 +60,12 @@
             sleep(HEARTBEAT_INTERVAL).await;
             let message = FollowerMessage::PeerPositions {
                 from: reader.clone(),
-                positions: positions(number).into(),
+                positions: positions(number).map(Position::from).into(),
                 confirmed_at: Some(clock.now().before(WAY)),
-                change: Some(TableChange::complete(position_of(0), Time::ZERO)),
+                change: Some(TableChange::complete(
+                    Position::from(position_of(0)),
+                    Time::ZERO,
+                )),
                 reads: None,
             };
             if follower.send(message).await.is_err() {
--- a/crates/daemon/tests/behind/departed.rs
+++ b/crates/daemon/tests/behind/departed.rs
@@ -3,7 +3,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::{Config, Key, KeyDigest, Registration, Service, TargetId, Time, Workspace};
+use base::{Config, Key, KeyDigest, Position, Registration, Service, TargetId, Time, Workspace};
 use coord::{Replica, SlotHistory};
 use daemon::{
     fleet::Fleet,
@@ -118,7 +118,10 @@
         let confirmed_at = at.min(self.outage).saturating_sub(CONFIRMATION_AGE);
         FollowerMessage::PeerPositions {
             from: reporter_id(0),
-            positions: vec![FIRST_POSITION, self.position_at(read_at)],
+            positions: vec![
+                Position::from(FIRST_POSITION),
+                Position::from(self.position_at(read_at)),
+            ],
             confirmed_at: Some(Time::ZERO + confirmed_at),
             change: None,
             reads: None,
@@ -164,13 +167,13 @@
     let row = |value: Option<&str>, at| Change {
         row: TARGET.to_owned(),
         value: value.map(str::to_owned),
-        at,
+        at: Position::from(at),
     };
     let first = row(Some(""), FIRST_POSITION);
     let removed = row(None, FIRST_POSITION + 1);
     let rows = [first].into_iter().chain(has_left.then_some(removed));
-    let rows = rows.filter(|row| row.at > after).collect();
-    Ok(Reply::Changes(rows, position))
+    let rows = rows.filter(|row| row.at > Position::from(after)).collect();
+    Ok(Reply::Changes(rows, Position::from(position)))
 }
 
 /// Returns a configuration with the targets whose rows `replicas` have.
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, InstanceId, Key, KeyDigest, RegionId, Service, Time, Workspace};
+use base::{
+    Config, Incarnation, InstanceId, Key, KeyDigest, Position, RegionId, Service, Time, Workspace,
+};
 use coord::{Heartbeat, ListEntry, Membership, Replica};
 use daemon::{
     fleet::{Fleet, FleetMember},
@@ -144,9 +146,12 @@
         }
         let message = FollowerMessage::PeerPositions {
             from: reporter_id(idx),
-            positions: vec![position, 1],
+            positions: vec![Position::from(position), Position::from(1)],
             confirmed_at: None,
-            change: Some(TableChange::complete(changed_at, Time::ZERO + known_since)),
+            change: Some(TableChange::complete(
+                Position::from(changed_at),
+                Time::ZERO + known_since,
+            )),
             reads: None,
         };
         if rng.random_range(0.0..1.0) >= reporter.loss {
--- a/crates/daemon/tests/behind/modelled_store.rs
+++ b/crates/daemon/tests/behind/modelled_store.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use base::Position;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -141,7 +142,7 @@
             progress.add(1);
         }
         let latest = position + scenario.rise_at(started.elapsed());
-        return Ok(Reply::Changes(Vec::new(), latest));
+        return Ok(Reply::Changes(Vec::new(), Position::from(latest)));
     }
     let has_dropped = is_operators && scenario.dropped_to.min(version) > 0;
     if has_dropped && after > 0 && after < position_of(scenario.dropped_to) {
@@ -154,7 +155,7 @@
     let row = Change {
         row: "config".to_owned(),
         value: Some(version.to_string()),
-        at: position,
+        at: Position::from(position),
     };
     // A first read has the latest position of all tables.
     let rise = if after == 0 {
@@ -163,7 +164,7 @@
         scenario.steady_rise_at(made_at)
     };
     let position = position + rise;
-    Ok(Reply::Changes(vec![row], position))
+    Ok(Reply::Changes(vec![row], Position::from(position)))
 }
 
 /// Answers the small call that tells the store's latest position.
@@ -185,5 +186,5 @@
     let now = started.elapsed();
     let position = position_of(scenario.version_at(now)) + scenario.rise_at(now);
     side_calls.answer_position().await?;
-    Ok(Reply::Position(position))
+    Ok(Reply::Position(Position::from(position)))
 }
--- a/crates/daemon/tests/behind/old_poll.rs
+++ b/crates/daemon/tests/behind/old_poll.rs
@@ -2,7 +2,7 @@
 
 use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use coord::{ReplicaRow, TableSnapshot};
 use daemon::{
     fleet::{Fleet, FleetMember},
@@ -44,11 +44,11 @@
     let position = position_of(version);
     let row = ReplicaRow {
         value: version.to_string().as_str().into(),
-        position,
+        position: Position::from(position),
     };
     TableSnapshot {
         rows: [("config".to_owned(), row)].into(),
-        position,
+        position: Position::from(position),
     }
 }
 
@@ -82,10 +82,10 @@
             let rows = vec![Change {
                 row: "config".to_owned(),
                 value: Some(version.to_string()),
-                at: position,
+                at: Position::from(position),
             }];
             if after == 0 {
-                return Ok(Reply::Changes(rows, position));
+                return Ok(Reply::Changes(rows, Position::from(position)));
             }
             if started.elapsed() < BACK {
                 pending::<()>().await;
@@ -93,10 +93,10 @@
             if after >= position {
                 sleep_until(Instant::now() + wait).await;
                 progress.add(1);
-                return Ok(Reply::Changes(Vec::new(), position));
+                return Ok(Reply::Changes(Vec::new(), Position::from(position)));
             }
             Transfer::Takes(transfer).transmit(&progress).await?;
-            Ok(Reply::Changes(rows, position))
+            Ok(Reply::Changes(rows, Position::from(position)))
         }
     })
 }
@@ -130,10 +130,13 @@
         loop {
             sleep_until(started + at).await;
             at += HEARTBEAT_INTERVAL;
-            let change = TableChange::complete(position_of(1), Time::ZERO + CHANGE);
+            let change = TableChange::complete(Position::from(position_of(1)), Time::ZERO + CHANGE);
             let message = FollowerMessage::PeerPositions {
                 from: source.clone(),
-                positions: vec![position_of(1), position_of(0)],
+                positions: vec![
+                    Position::from(position_of(1)),
+                    Position::from(position_of(0)),
+                ],
                 confirmed_at: None,
                 change: Some(change),
                 reads: None,
--- a/crates/daemon/tests/behind/one_reader.rs
+++ b/crates/daemon/tests/behind/one_reader.rs
@@ -2,7 +2,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use daemon::message::{FollowerMessage, PeerCommand, TableChange};
 use entry::view::Clock;
 use rand::{RngExt, SeedableRng};
@@ -69,7 +69,7 @@
 /// What an instance last said of itself in its heartbeats.
 #[derive(Debug, Clone)]
 struct Said {
-    positions: Vec<u64>,
+    positions: Vec<Position>,
     confirmed_at: Option<Time>,
     change: Option<TableChange>,
 }
--- a/crates/daemon/tests/behind/standstill.rs
+++ b/crates/daemon/tests/behind/standstill.rs
@@ -2,7 +2,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use base::Time;
+use base::{Position, Time};
 use daemon::message::{FollowerMessage, TableChange};
 use entry::view::Clock;
 use rand::{RngExt, SeedableRng};
@@ -79,10 +79,10 @@
         let since = change.map_or(Duration::ZERO, |change| change + READ_TIME);
         FollowerMessage::PeerPositions {
             from: reporter_id(0),
-            positions: vec![position_of(version), 1],
+            positions: vec![Position::from(position_of(version)), Position::from(1)],
             confirmed_at: Some((Time::ZERO + at).before(CONFIRMATION_AGE)),
             change: Some(TableChange::complete(
-                position_of(version),
+                Position::from(position_of(version)),
                 Time::ZERO + since,
             )),
             reads: None,
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -2,7 +2,7 @@
 
 use std::{future::pending, ops::Range, sync::Arc, time::Duration};
 
-use base::{InstanceId, Time};
+use base::{InstanceId, Position, Time};
 use daemon::message::{FollowerMessage, PeerCommand, TableChange};
 use entry::view::Clock;
 use platform::{Call, Platform};
@@ -164,17 +164,26 @@
         let secs = |secs| Time::ZERO + Duration::from_secs(secs);
         let own = position_of(0);
         let reports = [
-            (secs(5), TableChange::arriving_after(own, secs(5))),
-            (secs(6), TableChange::arriving_after(own + 5, secs(6))),
-            (secs(7), TableChange::complete(own, secs(0))),
-            (secs(15), TableChange::complete(own + 10, secs(15))),
+            (
+                secs(5),
+                TableChange::arriving_after(Position::from(own), secs(5)),
+            ),
+            (
+                secs(6),
+                TableChange::arriving_after(Position::from(own + 5), secs(6)),
+            ),
+            (secs(7), TableChange::complete(Position::from(own), secs(0))),
+            (
+                secs(15),
+                TableChange::complete(Position::from(own + 10), secs(15)),
+            ),
         ];
         tokio::spawn(async move {
             for (at, change) in reports {
                 sleep_until(clock.instant(at)).await;
                 let message = FollowerMessage::PeerPositions {
                     from: reporter_id(0),
-                    positions: vec![change.position, 1],
+                    positions: vec![change.position, Position::from(1)],
                     confirmed_at: None,
                     change: Some(change),
                     reads: None,
@@ -212,13 +221,16 @@
             if let PeerCommand::SetTablePositions {
                 positions, change, ..
             } = command
-                && positions[0] > 0
+                && positions[0] > Position::ZERO
             {
                 return (positions[0], change);
             }
         }
     });
     let (position, change) = told;
-    assert_eq!(position, position_of(0) + 1);
-    assert_eq!(change.map(|change| change.position), Some(position_of(0)));
+    assert_eq!(position, Position::from(position_of(0) + 1));
+    assert_eq!(
+        change.map(|change| change.position),
+        Some(Position::from(position_of(0)))
+    );
 }
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use base::{Config, Time};
+use base::{Config, Position, Time};
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
@@ -158,15 +158,20 @@
         }
         self.cross(opened).await;
         let reply = match &call {
-            Call::Snapshot { table } => Reply::Changes(self.rows(table, 0), self.position()),
+            Call::Snapshot { table } => {
+                Reply::Changes(self.rows(table, 0), Position::from(self.position()))
+            }
             Call::Changes {
                 table,
                 after,
                 wait_ms,
             } => {
-                self.wait_for_change(table, *after, Duration::from_millis(*wait_ms))
+                self.wait_for_change(table, after.version, Duration::from_millis(*wait_ms))
                     .await;
-                Reply::Changes(self.rows(table, *after), self.position())
+                Reply::Changes(
+                    self.rows(table, after.version),
+                    Position::from(self.position()),
+                )
             }
             _ => return Err(PlatformError::Unavailable),
         };
@@ -236,15 +241,15 @@
             OPERATOR_TABLE => Change {
                 row: ROW.to_owned(),
                 value: Some(version.to_string()),
-                at,
+                at: Position::from(at),
             },
             _ => Change {
                 row: "t1".to_owned(),
                 value: last.is_none().then(|| "up".to_owned()),
-                at,
+                at: Position::from(at),
             },
         };
-        let is_known = change.at <= after || (after == 0 && change.value.is_none());
+        let is_known = change.at <= Position::from(after) || (after == 0 && change.value.is_none());
         (!is_known).then_some(change).into_iter().collect()
     }
 }
@@ -269,9 +274,9 @@
 struct Told {
     at: Duration,
     /// Positions that heartbeats report, in the tables' order.
-    reported: Vec<u64>,
+    reported: Vec<Position>,
     /// Positions of the tables that were handed out at that time.
-    handed_out: Vec<u64>,
+    handed_out: Vec<Position>,
 }
 
 type Reports = Arc<Mutex<Vec<Told>>>;
@@ -341,6 +346,7 @@
             view,
         },
         FollowedTables {
+            orders: Vec::new(),
             tables: vec![OPERATOR_TABLE.to_owned(), TARGET_TABLE.to_owned()],
             compose,
         },
@@ -516,7 +522,9 @@
         ..undisturbed(Duration::ZERO, &[])
     };
     let reports = run_reports(&scenario);
-    let mut complete = reports.iter().filter(|told| !told.reported.contains(&0));
+    let mut complete = reports
+        .iter()
+        .filter(|told| !told.reported.contains(&Position::ZERO));
     let first = complete.clone().next().unwrap().reported.clone();
     let later: Vec<_> = complete.clone().filter(|told| told.at < change).collect();
     assert!(later.len() > 3, "{} reports", later.len());
@@ -524,7 +532,10 @@
         assert_eq!(told.reported, first, "at {:?}", told.at);
     }
     let last = complete.next_back().unwrap();
-    assert_eq!(last.reported, [position_at(change), first[1]]);
+    assert_eq!(
+        last.reported,
+        [Position::from(position_at(change)), first[1]]
+    );
 }
 
 /// Guards against CONFIG: an instance reported later positions than those of the tables that it handed
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -21,7 +21,7 @@
     time::Duration,
 };
 
-use base::{Config, InstanceId, Registration, Service, Target, TargetId, Time};
+use base::{Config, InstanceId, Position, Registration, Service, Target, TargetId, Time};
 use call::read_of;
 use coord::{Departure, ListEntry, Membership, Replica, RetainedEntry, lacking, retained_in_turns};
 use daemon::{
@@ -266,14 +266,14 @@
         rows.map(|(idx, write)| Change {
             row: target_id(write.target).to_string(),
             value: (write.row != Row::Gone).then(|| format!("{:?}", write.row)),
-            at: position_of(idx),
+            at: Position::from(position_of(idx)),
         })
         .collect()
     } else if after == 0 {
         vec![Change {
             row: "config".to_owned(),
             value: Some("1".to_owned()),
-            at: FIRST_POSITION,
+            at: Position::from(FIRST_POSITION),
         }]
     } else {
         Vec::new()
@@ -284,7 +284,7 @@
         transfer.transmit(&progress).await?;
     }
     progress.add(1);
-    Ok(Reply::Changes(rows, position))
+    Ok(Reply::Changes(rows, Position::from(position)))
 }
 
 /// Waits for the end of the store's outage, or fails where the store refuses calls meanwhile.
@@ -341,7 +341,7 @@
 /// What an instance's heartbeats are made of.
 #[derive(Debug, Default)]
 struct Told {
-    positions: Vec<u64>,
+    positions: Vec<Position>,
     confirmed_at: Option<Time>,
     change: Option<TableChange>,
     reads: Option<OwnReads>,
@@ -496,8 +496,8 @@
 fn heartbeat(from: &InstanceId, number: u64, source: &Told, known: &Told) -> Vec<FollowerMessage> {
     let from = from.clone();
     let is_failing = known.reads.is_some_and(|reads| reads.is_failing);
-    let position = known.positions.get(1).copied().unwrap_or(0);
-    let known = if is_failing { 0 } else { position };
+    let position = known.positions.get(1).copied().unwrap_or_default();
+    let known = if is_failing { Position::ZERO } else { position };
     let departures = lacking(&source.departures, known, number);
     let positions = FollowerMessage::PeerPositions {
         from: from.clone(),
@@ -692,7 +692,7 @@
         for _ in 0..2 {
             let departures = left.map(|(target, position)| Departure {
                 target: target_id(target),
-                position,
+                position: Position::from(position),
             });
             let message = FollowerMessage::PeerDepartures {
                 from: "i0".into(),
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, Incarnation, Time};
+use base::{Config, Incarnation, Position, Time};
 use coord::{Heartbeat, ListEntry, Membership, Replica};
 use daemon::{
     fleet::{Fleet, FleetMember},
@@ -59,9 +59,9 @@
     for idx in 0..SOURCES {
         let report = FollowerMessage::PeerPositions {
             from: format!("i{idx}").as_str().into(),
-            positions: vec![5, 5],
+            positions: vec![Position::from(5), Position::from(5)],
             confirmed_at: None,
-            change: Some(TableChange::complete(5, Time::ZERO)),
+            change: Some(TableChange::complete(Position::from(5), Time::ZERO)),
             reads: None,
         };
         follower.send(report).await.unwrap();
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -8,7 +8,7 @@
 
 use std::{fs, path::PathBuf, time::Duration};
 
-use base::{Incarnation, Time};
+use base::{Incarnation, Position, Time};
 use coord::{Departure, Replica, RetainedEntry, RowsReport};
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
@@ -57,6 +57,8 @@
 const FORMAT_WITH_RETAINED: u32 = 10;
 /// First format whose reports of losses and answers tell how long ago these were.
 const FORMAT_WITH_AGES: u32 = 11;
+/// First format whose heartbeats tell the eras of positions.
+const FORMAT_WITH_ERAS: u32 = 12;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
     let hold = Hold {
@@ -116,7 +118,7 @@
     let mut heartbeat = samples::heartbeat();
     heartbeat.departures = vec![Departure {
         target: "t1".into(),
-        position: 70_001,
+        position: Position::from(70_001),
     }];
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
@@ -125,7 +127,7 @@
 fn change() -> PeerMessage {
     let mut heartbeat = samples::heartbeat();
     heartbeat.change = Some(ChangeReport {
-        position: 70_000,
+        position: Position::from(70_000),
         is_arriving: true,
         age: Duration::from_millis(1_310),
     });
@@ -149,7 +151,7 @@
     replica.replace(Time::ZERO, samples::table());
     replica.settle();
     RowsReport {
-        changed_at,
+        changed_at: Position::from(changed_at),
         span,
         ..replica.rows_report().unwrap()
     }
@@ -168,13 +170,27 @@
     heartbeat.retained = vec![RetainedReport {
         departure: Departure {
             target: "t1".into(),
-            position: 70_001,
+            position: Position::from(70_001),
         },
         remaining: Duration::from_millis(1_790),
     }];
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
+/// Returns a heartbeat of an instance that follows a platform which has come back from copies.
+fn eras() -> PeerMessage {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.store_era = 5;
+    heartbeat.set_positions(vec![Position::new(4, 70_000), Position::new(5, 9)]);
+    heartbeat.departures = vec![Departure {
+        target: "t1".into(),
+        position: Position::new(5, 9),
+    }];
+    heartbeat.rows = vec![None, rows_report(9, 3).into()];
+    heartbeat.rows[1].as_mut().unwrap().changed_at = Position::new(5, 9);
+    PeerMessage::Heartbeat(Box::new(heartbeat))
+}
+
 const FRAME_CONTENT: [u8; 2] = [4, 1];
 
 fn secret() -> Secret {
@@ -198,6 +214,7 @@
         ("heartbeat-reads", reads()),
         ("heartbeat-rows", rows_of_tables()),
         ("heartbeat-retained", retained()),
+        ("heartbeat-eras", eras()),
     ];
     let dated = dated().map(|(name, message, _)| (name, message));
     let others = others.chain(heartbeats).chain(dated);
@@ -227,6 +244,7 @@
 #[case::without_rows(8)]
 #[case::without_retained(9)]
 #[case::without_ages(10)]
+#[case::without_eras(11)]
 #[case::own(OWN_FORMAT)]
 fn landed_formats_are_read(#[case] format: u32) {
     for (name, expected) in samples::messages() {
@@ -296,6 +314,10 @@
         expected.format = format;
         assert_eq!(read, Ok(PeerMessage::Heartbeat(expected)));
     }
+    if format >= FORMAT_WITH_ERAS {
+        let read = decode(&sample(format, "heartbeat-eras"), None);
+        assert_eq!(read, Ok(eras()));
+    }
     if format >= FORMAT_WITH_AGES {
         for (name, message, _) in dated() {
             assert_eq!(decode(&sample(format, name), Some(format)), Ok(message));
@@ -364,11 +386,12 @@
 /// Guards against a heartbeat of which a part is cut off: such a heartbeat is none of an earlier format. A plain one has
 /// `plain_bytes` for the field and those behind it.
 #[rstest]
-#[case::retained("heartbeat-retained", 1)]
-#[case::rows("heartbeat-rows", 2)]
-#[case::reads("heartbeat-reads", 3)]
-#[case::change("heartbeat-change", 6)]
-#[case::departures("heartbeat-departure", 7)]
+#[case::eras("heartbeat-eras", 2)]
+#[case::retained("heartbeat-retained", 3)]
+#[case::rows("heartbeat-rows", 4)]
+#[case::reads("heartbeat-reads", 5)]
+#[case::change("heartbeat-change", 8)]
+#[case::departures("heartbeat-departure", 9)]
 fn cut_field_is_not_read(#[case] name: &str, #[case] plain_bytes: usize) {
     let whole = sample(OWN_FORMAT, name);
     let reported = whole.len() - sample(OWN_FORMAT, "heartbeat").len() + plain_bytes;
@@ -462,6 +485,7 @@
 #[case::without_rows(8)]
 #[case::without_retained(9)]
 #[case::without_ages(10)]
+#[case::without_eras(11)]
 #[case::own(OWN_FORMAT)]
 fn calls_are_read(#[case] format: u32) {
     for (name, call) in samples::calls() {
@@ -482,6 +506,7 @@
 #[case::without_rows(8)]
 #[case::without_retained(9)]
 #[case::without_ages(10)]
+#[case::without_eras(11)]
 #[case::own(OWN_FORMAT)]
 fn calls_for_parts_are_read(#[case] format: u32) {
     assert!(format >= FORMAT_WITH_PARTS);
@@ -538,6 +563,7 @@
 #[case::without_rows(8, 3)]
 #[case::without_retained(9, 3)]
 #[case::without_ages(10, 3)]
+#[case::without_eras(11, 3)]
 #[case::own(OWN_FORMAT, 3)]
 fn openings_are_read(#[case] format: u32, #[case] known: usize) {
     for (name, opening) in samples::openings().into_iter().take(known) {
@@ -557,6 +583,7 @@
 #[case::without_rows(8)]
 #[case::without_retained(9)]
 #[case::without_ages(10)]
+#[case::without_eras(11)]
 #[case::own(OWN_FORMAT)]
 fn frame_is_read(#[case] format: u32) {
     let mut receiver = Sessions::new(secret(), "b".into(), Incarnation(2));
@@ -594,7 +621,7 @@
     assert_eq!(decode(&[77, 1, 2, 3], Some(OWN_FORMAT + 1)), Err(unread));
     assert_eq!(
         unread.to_string(),
-        "a message of kind 77 in format 12 can't be read by format 11"
+        "a message of kind 77 in format 13 can't be read by format 12"
     );
 }
 
@@ -644,7 +671,8 @@
 #[case::without_rows(8, &[12, 13])]
 #[case::without_retained(9, &[13, 14])]
 #[case::without_ages(10, &[14, 15])]
-#[case::own(OWN_FORMAT, &[14, 15])]
+#[case::without_eras(11, &[14, 15])]
+#[case::own(OWN_FORMAT, &[16, 17])]
 fn cut_heartbeat_is_not_read(#[case] format: u32, #[case] whole_without: &[usize]) {
     let whole = sample(format, "heartbeat");
     for lacking in 1..=whole.len() {
@@ -683,13 +711,13 @@
     heartbeat.pinned_demand = pinned.collect();
     let mut departures = coord::Departures::default();
     let left = (0..512).map(|number| name(number).as_str().into());
-    departures.record(Time::ZERO, left.collect(), u64::MAX);
-    heartbeat.departures = coord::lacking(&departures.newest_first(), 1, 7);
+    departures.record(Time::ZERO, left.collect(), Position::from(u64::MAX));
+    heartbeat.departures = coord::lacking(&departures.newest_first(), Position::from(1), 7);
     assert!(!heartbeat.departures.is_empty());
     heartbeat.rows = vec![Some(rows_report(u64::MAX, u64::MAX)); 2];
     let entries = (0..512).map(|number| RetainedEntry {
         target: name(number).as_str().into(),
-        position: u64::MAX,
+        position: Position::from(u64::MAX),
         until: Time::from_secs(1),
     });
     let entries = coord::retained_in_turns(&entries.collect::<Vec<_>>(), 7);
--- a/crates/daemon/tests/formats/samples.rs
+++ b/crates/daemon/tests/formats/samples.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Incarnation;
+use base::{Incarnation, Position};
 use coord::{
     Grant, GrantRequest, GrantUsage, Head, Heartbeat, Loan, ReplicaRow, TableSnapshot,
     parts::{Part, PartId, RowContent, RowList, TableList},
@@ -36,7 +36,7 @@
     heartbeat.held_slots = 2;
     heartbeat.demand = vec![("board".into(), 12.5)];
     heartbeat.pinned_demand = vec![("board".into(), "north".into(), 1.5)];
-    heartbeat.table_positions = vec![70_000, 9];
+    heartbeat.table_positions = vec![Position::from(70_000), Position::from(9)];
     heartbeat
 }
 
@@ -149,11 +149,11 @@
 pub(crate) fn table() -> TableSnapshot {
     let row = ReplicaRow {
         value: "{}".into(),
-        position: 69,
+        position: Position::from(69),
     };
     TableSnapshot {
         rows: [("t1".to_owned(), row)].into(),
-        position: 70,
+        position: Position::from(70),
     }
 }
 
@@ -201,11 +201,11 @@
     ];
     let rows = rows.map(|(name, content)| RowList {
         name: name.to_owned(),
-        position: 69,
+        position: Position::from(69),
         content,
     });
     TableList {
-        position: 70,
+        position: Position::from(70),
         rows: rows.into(),
         groups: vec![vec![part, part]],
     }
--- a/crates/daemon/tests/hand_out.rs
+++ b/crates/daemon/tests/hand_out.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base::Position;
 use coord::{ReplicaRow, TableSnapshot};
 use daemon::{
     peer_server,
@@ -70,10 +71,10 @@
 fn table() -> TableSnapshot {
     let row = ReplicaRow {
         value: "x".repeat(1_000_000).into(),
-        position: 3,
+        position: Position::from(3),
     };
     TableSnapshot {
         rows: [("config".to_owned(), row)].into(),
-        position: 3,
+        position: Position::from(3),
     }
 }
--- a/crates/daemon/tests/head.rs
+++ b/crates/daemon/tests/head.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use base::{Config, config_digest};
+use base::{Config, Position, config_digest};
 use daemon::{
     fleet::Fleet,
     follower::{Outputs, head::HeadFollower},
@@ -65,7 +65,10 @@
             Call::Get { .. } => {
                 let version = self.version();
                 let value = config_digest(&text(version));
-                Ok(Reply::Row(Some(Row { version, value })))
+                Ok(Reply::Row(Some(Row {
+                    version: Position::from(version),
+                    value,
+                })))
             }
             Call::GetObject { name } => {
                 self.transfer(&progress).await;
