--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 use coord::{Departure, Heartbeat, ListEntry, Membership, RetainedEntry, RowsDigest, RowsReport};
 use daemon::{
     fleet::Fleet,
@@ -47,7 +47,7 @@
     /// Format that the others' heartbeats name.
     format: u32,
     /// Table positions that they report.
-    positions: Vec<u64>,
+    positions: Vec<Position>,
     /// How their own reads stand.
     reads: Option<ReadsReport>,
     clock: Clock,
@@ -214,6 +214,7 @@
     /// Waits for a heartbeat to this instance that reports these positions.
     async fn heartbeat_to(&mut self, id: &InstanceId, positions: &[u64]) -> PeerHeartbeat {
         let sessions = self.sessions.get_mut(id).unwrap();
+        let positions: Vec<_> = positions.iter().copied().map(Position::from).collect();
         let mut buf = vec![0; wire::MAX_DATAGRAM_BYTES];
         loop {
             let (len, _) = self.socket.recv_from(&mut buf).await.unwrap();
@@ -240,7 +241,7 @@
     let started = Instant::now();
     for position in 1..=CHANGES {
         let command = PeerCommand::SetTablePositions {
-            positions: vec![1, position],
+            positions: vec![Position::from(1), Position::from(position)],
             confirmed_at: None,
             change: None,
             reads: None,
@@ -300,7 +301,7 @@
     let id = InstanceId::from("i0");
     let mut neighbourhood = Neighbourhood::start(1).await;
     neighbourhood.format = format;
-    neighbourhood.positions = vec![1, position];
+    neighbourhood.positions = vec![Position::from(1), Position::from(position)];
     neighbourhood.reads = reads;
     neighbourhood
         .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
@@ -309,13 +310,13 @@
     sleep(HEARTBEAT_INTERVAL / 10).await;
     let departures = [("t1", 7), ("t2", 5)].map(|(target, position)| Departure {
         target: target.into(),
-        position,
+        position: Position::from(position),
     });
     let told = Arc::new(departures.to_vec());
     for command in [
         PeerCommand::SetDepartures(told),
         PeerCommand::SetTablePositions {
-            positions: vec![1, 7],
+            positions: vec![Position::from(1), Position::from(7)],
             confirmed_at: None,
             change: None,
             reads: None,
@@ -345,7 +346,7 @@
     let id = InstanceId::from("i0");
     let mut neighbourhood = Neighbourhood::start(1).await;
     let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
-    message.table_positions = vec![1, position];
+    message.table_positions = vec![Position::from(1), Position::from(position)];
     message.reads = is_failing.map(|is_failing| ReadsReport {
         contact_age: Duration::ZERO,
         is_failing,
@@ -358,13 +359,13 @@
     let told_at = neighbourhood.clock.now();
     let entry = RetainedEntry {
         target: "t1".into(),
-        position: 7,
+        position: Position::from(7),
         until: told_at + RETAINED,
     };
     for command in [
         PeerCommand::SetRetained(Arc::new(vec![entry])),
         PeerCommand::SetTablePositions {
-            positions: vec![1, 7],
+            positions: vec![Position::from(1), Position::from(7)],
             confirmed_at: None,
             change: None,
             reads: None,
@@ -377,7 +378,10 @@
     assert_eq!(!told.is_empty(), is_told);
     for report in told {
         let target = report.departure.target.as_str();
-        assert_eq!((target, report.departure.position), ("t1", 7));
+        assert_eq!(
+            (target, report.departure.position),
+            ("t1", Position::from(7))
+        );
         let remaining = report.remaining;
         assert!(
             remaining <= RETAINED && remaining + since >= RETAINED,
@@ -396,11 +400,11 @@
     let ack = neighbourhood.next_sequence(&id).await;
     let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
     message.ack = ack;
-    message.table_positions = vec![7, 7];
+    message.table_positions = vec![Position::from(7), Position::from(7)];
     message.retained = vec![RetainedReport {
         departure: Departure {
             target: "t1".into(),
-            position: 7,
+            position: Position::from(7),
         },
         remaining: REMAINING,
     }];
@@ -418,7 +422,10 @@
     let [entry] = &entries[..] else {
         panic!("{entries:?}");
     };
-    assert_eq!((entry.target.as_str(), entry.position), ("t1", 7));
+    assert_eq!(
+        (entry.target.as_str(), entry.position),
+        ("t1", Position::from(7))
+    );
     assert!(entry.until <= sent_at + REMAINING, "{entry:?}, {sent_at:?}");
 }
 
@@ -485,7 +492,7 @@
 #[case::acknowledged(u64::MAX, 1)]
 #[tokio::test]
 async fn news_is_sent_again_until_acknowledged(#[case] ack: u64, #[case] expected: usize) {
-    const POSITION: u64 = 7;
+    const POSITION: Position = Position::new(0, 7);
     // The machine may be busy, so one trial in which no regular heartbeat falls among them is enough.
     const TRIALS: usize = 5;
     let id = InstanceId::from("i0");
@@ -548,7 +555,7 @@
         status.confirmation_age = Some(AGE);
         let mut message = initial_heartbeat(status, neighbourhood.addr);
         (message.ack, message.ack_age) = (ack, HELD);
-        message.table_positions = vec![7, 7];
+        message.table_positions = vec![Position::from(7), Position::from(7)];
         let sent_at = neighbourhood.clock.now();
         neighbourhood.send(&id, message).await;
         let received = timeout(READ_WITHIN, neighbourhood.follower.recv()).await;
@@ -641,9 +648,9 @@
     let mut message = initial_heartbeat(heartbeat(&id, Incarnation(1)), neighbourhood.addr);
     message.ack = ack;
     message.ack_age = HELD;
-    message.table_positions = vec![7, 7];
+    message.table_positions = vec![Position::from(7), Position::from(7)];
     message.change = Some(ChangeReport {
-        position: 7,
+        position: Position::from(7),
         is_arriving: true,
         age: AGE,
     });
@@ -707,7 +714,7 @@
 
 fn rows_report() -> RowsReport {
     RowsReport {
-        changed_at: 5,
+        changed_at: Position::from(5),
         span: 3,
         digest: RowsDigest::default(),
     }
@@ -817,8 +824,8 @@
             encode(&heartbeat)
         }
         Fault::CutOff => {
-            // Without the retained entries, rows, reads, change, departures, build, format and path it is one of an earlier format.
-            let lacking = heartbeat.build.len() + 9;
+            // Without the eras, retained entries, rows, reads, change, departures, build, format and path it is one of an earlier format.
+            let lacking = heartbeat.build.len() + 11;
             let whole = encode(&heartbeat);
             loop {
                 let cut = rng.random_range(1..whole.len());
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -20,7 +20,7 @@
 };
 
 use base::{
-    Config, Incarnation, InstanceId, Key, KeyDigest, Route, RouteKind, Service, Time,
+    Config, Incarnation, InstanceId, Key, KeyDigest, Position, Route, RouteKind, Service, Time,
     WeightedService, Workspace,
 };
 use call::read_of;
@@ -334,7 +334,7 @@
         let row = Change {
             row: "config".to_owned(),
             value: Some(version.to_string()),
-            at: position,
+            at: Position::from(position),
         };
         let rows = (position > after).then_some(row).into_iter().collect();
         match fate {
@@ -345,7 +345,7 @@
         sleep(self.scenario.way).await;
         progress.on_clock(reading);
         progress.add(1);
-        Ok(Reply::Changes(rows, position))
+        Ok(Reply::Changes(rows, Position::from(position)))
     }
 }
 
@@ -416,10 +416,13 @@
         let version = scenario.version_at(confirmed_at);
         let message = FollowerMessage::PeerPositions {
             from: "other".into(),
-            positions: vec![position_of(version), position_of(0)],
+            positions: vec![
+                Position::from(position_of(version)),
+                Position::from(position_of(0)),
+            ],
             confirmed_at: Some(Time::ZERO + confirmed_at),
             change: Some(TableChange::complete(
-                position_of(version),
+                Position::from(position_of(version)),
                 Time::ZERO + confirmed_at,
             )),
             reads: None,
@@ -516,6 +519,7 @@
                 view,
             },
             FollowedTables {
+                orders: Vec::new(),
                 tables: vec![OPERATOR_TABLE.to_owned(), "servers".to_owned()],
                 compose,
             },
--- a/crates/daemon/tests/retained.rs
+++ b/crates/daemon/tests/retained.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use base::Config;
+use base::{Config, Position};
 use call::read_of;
 use coord::Replica;
 use daemon::{
@@ -121,7 +121,7 @@
         vec![Change {
             row: row.to_owned(),
             value: is_there.then(String::new),
-            at: position,
+            at: Position::from(position),
         }]
     } else {
         Vec::new()
@@ -134,7 +134,7 @@
     if position == 2 {
         seen.lock().unwrap().told_at.get_or_insert(told_at);
     }
-    Ok(Reply::Changes(rows, position))
+    Ok(Reply::Changes(rows, Position::from(position)))
 }
 
 /// Follows the tables of the store for a while.
@@ -173,6 +173,7 @@
             view,
         },
         FollowedTables {
+            orders: Vec::new(),
             tables: vec!["op".to_owned(), TARGET_TABLE.to_owned()],
             compose,
         },
--- a/crates/daemon/tests/standstills.rs
+++ b/crates/daemon/tests/standstills.rs
@@ -19,7 +19,7 @@
     time::Duration,
 };
 
-use base::{Config, Time};
+use base::{Config, Position, Time};
 use call::read_of;
 use coord::Replica;
 use daemon::{
@@ -112,10 +112,13 @@
     let row = Change {
         row: "t".to_owned(),
         value: (!is_targets || !is_changed).then(String::new),
-        at: position,
+        at: Position::from(position),
     };
     let rows = (position > after).then_some(row);
-    Ok(Reply::Changes(rows.into_iter().collect(), position))
+    Ok(Reply::Changes(
+        rows.into_iter().collect(),
+        Position::from(position),
+    ))
 }
 
 fn start(scenario: Scenario) -> Instance {
@@ -174,7 +177,10 @@
     fn hear(&self, contact_at: Duration, is_failing: bool) {
         let message = FollowerMessage::PeerPositions {
             from: "other".into(),
-            positions: vec![FIRST_POSITION, FIRST_POSITION],
+            positions: vec![
+                Position::from(FIRST_POSITION),
+                Position::from(FIRST_POSITION),
+            ],
             confirmed_at: None,
             change: None,
             reads: Some(OwnReads {
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -344,12 +344,13 @@
         view,
     };
     let followed = FollowedTables {
+        orders: Vec::new(),
         tables: vec!["op".to_owned(), "servers".to_owned()],
         compose: move |replicas: &[&Replica]| {
             let (_, row) = replicas[0].rows().find(|(name, _)| *name == "config")?;
-            version_tx.send_replace(row.position);
+            version_tx.send_replace(row.position.version);
             Some(ComposedConfig {
-                version: row.position,
+                version: row.position.version,
                 is_latest: true,
                 config: Config::default(),
             })
--- a/crates/daemon/tests/support/call.rs
+++ b/crates/daemon/tests/support/call.rs
@@ -12,7 +12,7 @@
             table,
             after,
             wait_ms,
-        } => Ok((table, after, Duration::from_millis(wait_ms))),
+        } => Ok((table, after.version, Duration::from_millis(wait_ms))),
         _ => Err(PlatformError::Unavailable),
     }
 }
--- a/crates/daemon/tests/support/follower.rs
+++ b/crates/daemon/tests/support/follower.rs
@@ -39,6 +39,7 @@
         view,
     };
     let followed = FollowedTables {
+        orders: Vec::new(),
         tables: vec!["op".to_owned(), "servers".to_owned()],
         compose,
     };
--- a/crates/daemon/tests/tables_by_parts/fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/fetches.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use base::Position;
 use coord::{
     TableSnapshot,
     parts::{PartId, PartsError},
@@ -101,7 +102,7 @@
 async fn shrunk_table_is_fetched() {
     let empty = TableSnapshot {
         rows: [].into(),
-        position: 9,
+        position: Position::from(9),
     };
     for sent in [table(10, 100, 6), empty] {
         let (addr, _tables) = serve_table(sent.clone()).await;
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, Time};
+use base::{Config, Incarnation, Position, Time};
 use coord::{Heartbeat, ListEntry, Membership, Replica};
 use daemon::{
     fleet::{Fleet, FleetMember},
@@ -97,9 +97,9 @@
     for idx in 0..peers.len() {
         let report = FollowerMessage::PeerPositions {
             from: format!("i{idx}").as_str().into(),
-            positions: vec![POSITION],
+            positions: vec![Position::from(POSITION)],
             confirmed_at: None,
-            change: Some(TableChange::complete(POSITION, Time::ZERO)),
+            change: Some(TableChange::complete(Position::from(POSITION), Time::ZERO)),
             reads: None,
         };
         tx.send(report).await.unwrap();
@@ -151,13 +151,14 @@
             view,
         },
         FollowedTables {
+            orders: Vec::new(),
             tables: vec!["op".to_owned()],
             compose: move |replicas: &[&Replica]| {
                 let mut rows = replicas[0].rows();
                 let (_, row) = rows.find(|(name, _)| *name == "config")?;
                 let _ = in_force.send(row.value.to_string());
                 Some(ComposedConfig {
-                    version: row.position,
+                    version: row.position.version,
                     is_latest: true,
                     config: Config::default(),
                 })
--- a/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
+++ b/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use base::Position;
 use daemon::{
     fleet::Fleet,
     message::{FollowerMessage, TableChange},
@@ -161,9 +162,9 @@
     for from in instances {
         let report = FollowerMessage::PeerPositions {
             from: from.as_str().into(),
-            positions: vec![position],
+            positions: vec![Position::from(position)],
             confirmed_at: None,
-            change: Some(TableChange::complete(position, clock.now())),
+            change: Some(TableChange::complete(Position::from(position), clock.now())),
             reads: None,
         };
         tx.send(report).await.unwrap();
@@ -178,9 +179,9 @@
             let change = Change {
                 row: "config".to_owned(),
                 value: Some("{}".to_owned()),
-                at: POSITION - 1,
+                at: Position::from(POSITION - 1),
             };
-            let first = Reply::Changes(vec![change], POSITION - 1);
+            let first = Reply::Changes(vec![change], Position::from(POSITION - 1));
             is_first.then_some(first).ok_or(PlatformError::Unavailable)
         }
     })
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -22,6 +22,7 @@
     },
 };
 
+use base::Position;
 use coord::{ReplicaRow, TableSnapshot};
 use daemon::{
     peer_server,
@@ -66,7 +67,7 @@
 fn table(routes: usize, weight: usize, position: u64) -> TableSnapshot {
     let row = |text: &str, position| ReplicaRow {
         value: text.into(),
-        position,
+        position: Position::from(position),
     };
     TableSnapshot {
         rows: [
@@ -77,7 +78,7 @@
             ("other".to_owned(), row("{}", 1)),
         ]
         .into(),
-        position,
+        position: Position::from(position),
     }
 }
 
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Position, Time};
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
@@ -114,9 +114,9 @@
             let change = platform::Change {
                 row: "config".to_owned(),
                 value: Some("{}".to_owned()),
-                at: POSITION - 1,
+                at: Position::from(POSITION - 1),
             };
-            let first = platform::Reply::Changes(vec![change], POSITION - 1);
+            let first = platform::Reply::Changes(vec![change], Position::from(POSITION - 1));
             is_first.then_some(first).ok_or(PlatformError::Unavailable)
         }
     });
@@ -148,9 +148,12 @@
             for idx in 0..SOURCES {
                 let report = FollowerMessage::PeerPositions {
                     from: format!("i{idx}").as_str().into(),
-                    positions: vec![POSITION + last],
+                    positions: vec![Position::from(POSITION + last)],
                     confirmed_at: None,
-                    change: Some(TableChange::complete(POSITION + last, Time::ZERO)),
+                    change: Some(TableChange::complete(
+                        Position::from(POSITION + last),
+                        Time::ZERO,
+                    )),
                     reads: None,
                 };
                 if tx.send(report).await.is_err() {
--- a/crates/daemon/tests/tables_by_parts/own_position.rs
+++ b/crates/daemon/tests/tables_by_parts/own_position.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Position, Time};
 use daemon::{
     fleet::Fleet,
     message::{FollowerMessage, TableChange},
@@ -122,9 +122,9 @@
         loop {
             let report = FollowerMessage::PeerPositions {
                 from: "i0".into(),
-                positions: vec![POSITION],
+                positions: vec![Position::from(POSITION)],
                 confirmed_at: None,
-                change: Some(TableChange::complete(POSITION, Time::ZERO)),
+                change: Some(TableChange::complete(Position::from(POSITION), Time::ZERO)),
                 reads: None,
             };
             if tx.send(report).await.is_err() {
@@ -151,7 +151,7 @@
                 let idx = {
                     let mut reads = reads.lock().unwrap();
                     let after = match call {
-                        Call::Changes { after, .. } => Some(after),
+                        Call::Changes { after, .. } => Some(after.version),
                         _ => None,
                     };
                     // Only the last one that was asked for before the change may be open then.
@@ -187,7 +187,7 @@
     R: Fn(usize),
 {
     let (after, wait) = match call {
-        Call::Changes { after, wait_ms, .. } => (after, Duration::from_millis(wait_ms)),
+        Call::Changes { after, wait_ms, .. } => (after.version, Duration::from_millis(wait_ms)),
         Call::Snapshot { .. } => (0, Duration::ZERO),
         _ => return Err(PlatformError::Unavailable),
     };
@@ -204,7 +204,7 @@
         }
         sleep_until(changes_at.min(asked_at + wait)).await;
         if Instant::now() < changes_at {
-            return Ok(Reply::Changes(Vec::new(), POSITION - 1));
+            return Ok(Reply::Changes(Vec::new(), Position::from(POSITION - 1)));
         }
     }
     match store {
@@ -220,12 +220,12 @@
         Store::GoesBack if !is_older_call => {
             let is_ahead = after >= GONE_BACK;
             sleep(if is_ahead { wait } else { Duration::ZERO }).await;
-            return Ok(Reply::Changes(Vec::new(), GONE_BACK));
+            return Ok(Reply::Changes(Vec::new(), Position::from(GONE_BACK)));
         }
         _ => {}
     }
     let found = table(ROUTES, AFTER, POSITION);
-    if after >= found.position {
+    if after >= found.position.version {
         sleep(wait).await;
         return Ok(Reply::Changes(Vec::new(), found.position));
     }
@@ -245,7 +245,7 @@
     let later = sent
         .rows
         .into_iter()
-        .filter(|(_, row)| row.position > after);
+        .filter(|(_, row)| row.position > Position::from(after));
     let rows = later.map(|(row, content)| Change {
         row,
         value: Some(content.value.to_string()),
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Position, Time};
 use coord::TableSnapshot;
 use daemon::{
     fleet::Fleet,
@@ -189,9 +189,9 @@
             for idx in 0..scenario.senders.len() {
                 let report = FollowerMessage::PeerPositions {
                     from: format!("i{idx}").as_str().into(),
-                    positions: vec![POSITION],
+                    positions: vec![Position::from(POSITION)],
                     confirmed_at: None,
-                    change: Some(TableChange::complete(POSITION, Time::ZERO)),
+                    change: Some(TableChange::complete(Position::from(POSITION), Time::ZERO)),
                     reads: None,
                 };
                 if tx.send(report).await.is_err() {
@@ -228,7 +228,10 @@
                 };
                 sleep_until(changes_at.min(Instant::now() + wait)).await;
                 if Instant::now() < changes_at {
-                    return Ok(platform::Reply::Changes(Vec::new(), POSITION - 1));
+                    return Ok(platform::Reply::Changes(
+                        Vec::new(),
+                        Position::from(POSITION - 1),
+                    ));
                 }
                 let idx = count.fetch_add(1, Ordering::Relaxed);
                 transmit(own[idx.min(own.len() - 1)], &link, &progress).await
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{Config, Registration, Service, Target, Time};
+use base::{Config, Position, Registration, Service, Target, Time};
 use coord::{Departure, Replica, ReplicaRow, TableSnapshot};
 use daemon::{
     fleet::Fleet,
@@ -31,7 +31,7 @@
 
 /// Target whose entry is removed.
 const GONE: &str = "t2";
-const OPERATOR_POSITION: u64 = 5;
+const OPERATOR_POSITION: Position = Position::new(0, 5);
 const BEFORE: u64 = 6;
 const AFTER: u64 = 9;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -62,13 +62,13 @@
     let rows = names.iter().map(|name| {
         let row = ReplicaRow {
             value: "up".into(),
-            position: BEFORE,
+            position: Position::from(BEFORE),
         };
         ((*name).to_owned(), row)
     });
     TableSnapshot {
         rows: rows.collect(),
-        position,
+        position: Position::from(position),
     }
 }
 
@@ -182,6 +182,7 @@
             view,
         },
         FollowedTables {
+            orders: Vec::new(),
             tables: vec!["op".to_owned(), "targets".to_owned()],
             compose: move |replicas: &[&Replica]| {
                 let names = replicas[1].rows().map(|(name, _)| name.to_owned());
@@ -212,7 +213,7 @@
             let now = clock.now();
             let report = FollowerMessage::PeerPositions {
                 from: "i0".into(),
-                positions: vec![OPERATOR_POSITION, *reported.borrow()],
+                positions: vec![OPERATOR_POSITION, Position::from(*reported.borrow())],
                 confirmed_at: Some(now.before(other.confirmation_age)),
                 change: Some(TableChange::complete(OPERATOR_POSITION, Time::ZERO)),
                 reads: Some(OwnReads {
@@ -228,7 +229,7 @@
             };
             let departure = Departure {
                 target: GONE.into(),
-                position,
+                position: Position::from(position),
             };
             let told = FollowerMessage::PeerDepartures {
                 from: "i0".into(),
--- a/crates/daemon/tests/tables_by_parts/rows.rs
+++ b/crates/daemon/tests/tables_by_parts/rows.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use base::Config;
+use base::{Config, Position};
 use coord::{Replica, RowsReport};
 use daemon::{
     fleet::Fleet,
@@ -170,7 +170,7 @@
                 wait_ms,
             } => {
                 let wait = Duration::from_millis(wait_ms);
-                self.feed(index(&table), after as usize, wait).await
+                self.feed(index(&table), after.version as usize, wait).await
             }
             _ => return Err(PlatformError::Unavailable),
         };
@@ -207,9 +207,9 @@
         let rows = rows.into_iter().map(|(row, (value, at))| Change {
             row,
             value: Some(value),
-            at,
+            at: Position::from(at),
         });
-        Reply::Changes(rows.collect(), position as u64)
+        Reply::Changes(rows.collect(), Position::from(position as u64))
     }
 
     async fn feed(&self, table: usize, after: usize, wait: Duration) -> Reply {
@@ -225,10 +225,12 @@
         for (idx, written) in written.filter(|(_, written)| written.table == table) {
             last.insert(written.row.clone(), (idx as u64 + 1, written.value.clone()));
         }
-        let changes = last
-            .into_iter()
-            .map(|(row, (at, value))| Change { row, value, at });
-        Reply::Changes(changes.collect(), position as u64)
+        let changes = last.into_iter().map(|(row, (at, value))| Change {
+            row,
+            value,
+            at: Position::from(at),
+        });
+        Reply::Changes(changes.collect(), Position::from(position as u64))
     }
 }
 
@@ -266,7 +268,7 @@
 /// What an instance told last, and all its reports of rows.
 #[derive(Debug, Clone, Default)]
 struct Told {
-    positions: Vec<u64>,
+    positions: Vec<Position>,
     reports: Vec<Vec<Option<RowsReport>>>,
 }
 
@@ -305,6 +307,7 @@
                 view,
             },
             FollowedTables {
+                orders: Vec::new(),
                 tables: TABLES.map(str::to_owned).into(),
                 compose: move |replicas: &[&Replica]| {
                     let all = replicas.iter().map(|replica| rows_of(replica));
@@ -349,8 +352,13 @@
 fn rows_of(replica: &Replica) -> Rows {
     let rows = replica.rows();
     let rows = rows.filter(|(name, _)| !replica.is_retained(name));
-    rows.map(|(name, row)| (name.to_owned(), (row.value.to_string(), row.position)))
-        .collect()
+    rows.map(|(name, row)| {
+        (
+            name.to_owned(),
+            (row.value.to_string(), row.position.version),
+        )
+    })
+    .collect()
 }
 
 /// Keeps what an instance tells its task for the others.
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, InstanceId, Time};
+use base::{Config, Incarnation, InstanceId, Position, Time};
 use coord::{
     Heartbeat, ListEntry, Membership, Replica, ReplicaRow, TableSnapshot, rendezvous_draw,
 };
@@ -68,11 +68,11 @@
 fn snapshot() -> TableSnapshot {
     let row = ReplicaRow {
         value: AFTER.to_string().into(),
-        position: AFTER,
+        position: Position::from(AFTER),
     };
     TableSnapshot {
         rows: [("config".to_owned(), row)].into(),
-        position: AFTER,
+        position: Position::from(AFTER),
     }
 }
 
@@ -136,12 +136,12 @@
     let (after, wait) = match &call {
         Call::Changes { table, wait_ms, .. } if table == OTHER_TABLE => {
             sleep(Duration::from_millis(*wait_ms)).await;
-            return Ok(Answer::Changes(Vec::new(), BEFORE));
+            return Ok(Answer::Changes(Vec::new(), Position::from(BEFORE)));
         }
         Call::Snapshot { table } if table == OTHER_TABLE => {
-            return Ok(Answer::Changes(Vec::new(), BEFORE));
+            return Ok(Answer::Changes(Vec::new(), Position::from(BEFORE)));
         }
-        Call::Changes { after, wait_ms, .. } => (*after, Duration::from_millis(*wait_ms)),
+        Call::Changes { after, wait_ms, .. } => (after.version, Duration::from_millis(*wait_ms)),
         Call::Snapshot { .. } => (0, Duration::ZERO),
         _ => return Err(PlatformError::Unavailable),
     };
@@ -164,11 +164,11 @@
     let change = Change {
         row: "config".to_owned(),
         value: Some(position.to_string()),
-        at: position,
+        at: Position::from(position),
     };
-    let is_known = change.at <= after;
+    let is_known = position <= after;
     let rows = (!is_known).then_some(change).into_iter().collect();
-    Ok(Answer::Changes(rows, position))
+    Ok(Answer::Changes(rows, Position::from(position)))
 }
 
 /// Follows the tables of `platform` beside these instances, all of which report the later position from
@@ -206,6 +206,7 @@
             view,
         },
         FollowedTables {
+            orders: Vec::new(),
             tables: vec![TABLE.to_owned(), OTHER_TABLE.to_owned()],
             compose,
         },
@@ -223,9 +224,9 @@
             for (from, _) in &sources {
                 let report = FollowerMessage::PeerPositions {
                     from: from.clone(),
-                    positions: vec![AFTER, BEFORE],
+                    positions: vec![Position::from(AFTER), Position::from(BEFORE)],
                     confirmed_at: None,
-                    change: Some(TableChange::complete(AFTER, Time::ZERO)),
+                    change: Some(TableChange::complete(Position::from(AFTER), Time::ZERO)),
                     reads: None,
                 };
                 if tx.send(report).await.is_err() {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 //! An open connection may go silent for good while new ones work. So once nothing of a call's answer
 //! has arrived for its timeout, all kept connections are given up and later calls open new ones.
 
+mod era;
 pub mod http;
 pub mod layout;
 pub mod memory;
@@ -19,13 +20,15 @@
 
 use std::time::Duration;
 
+use base::Position;
+pub use era::StoreEra;
 pub use model::{
     Call, Change, ListedMachine, MachineKind, MachineState, PlatformError, Precondition, Reply,
     Row, Write,
 };
 pub use progress::{Progress, Received, receive_body};
 pub use store::Store;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 const CALL_QUEUE_CAPACITY: usize = 1024;
 
@@ -48,6 +51,7 @@
     tx: mpsc::Sender<Message>,
     timeout: Duration,
     progress: Option<Progress>,
+    era: StoreEra,
 }
 
 /// Message to the task that executes calls.
@@ -69,6 +73,7 @@
             tx,
             timeout: Duration::from_secs(2),
             progress: None,
+            era: StoreEra::default(),
         }
     }
 
@@ -116,6 +121,27 @@
         self
     }
 
+    /// Sets what is known of the platform's eras, to which its client reports.
+    pub fn tracking(mut self, era: StoreEra) -> Self {
+        self.era = era;
+        self
+    }
+
+    /// Returns what is known of the platform's eras.
+    pub fn store_era(&self) -> StoreEra {
+        self.era.clone()
+    }
+
+    /// Returns a receiver of the latest era of the platform's history that is known.
+    pub fn era(&self) -> watch::Receiver<u32> {
+        self.era.subscribe()
+    }
+
+    /// Records an era of the platform's history of which another instance knows.
+    pub fn learn_era(&self, era: u32) {
+        self.era.learn(era);
+    }
+
     /// Gives up all kept connections: calls from now on open new ones.
     pub async fn reconnect(&self) {
         let _ = self.tx.send(Message::Reconnect).await;
@@ -183,14 +209,29 @@
 
     /// Writes all rows or none in one transaction, and returns the new row versions.
     ///
+    /// A version of an earlier era says nothing about a row: it may have been given out again.
+    ///
     /// # Errors
     ///
-    /// As for [`Platform::call`].
-    pub async fn write(&self, writes: Vec<Write>) -> Result<Vec<u64>, PlatformError> {
-        match self.call(Call::Write { writes }).await? {
-            Reply::Written(versions) => Ok(versions),
-            _ => Err(PlatformError::Unavailable),
+    /// As for [`Platform::call`]. Also [`PlatformError::Conflict`] if a write expects a version of an earlier era than the
+    /// latest that is known, and [`PlatformError::Unavailable`] if its answer comes from a later one.
+    pub async fn write(&self, writes: Vec<Write>) -> Result<Vec<Position>, PlatformError> {
+        let era = self.era.latest();
+        if let Some(outdated) = writes.iter().find(|write| write.expects_before(era)) {
+            return Err(PlatformError::Conflict {
+                row: outdated.row.clone(),
+                version: Position::new(era, 0),
+            });
         }
+        let expected = writes.clone();
+        let Reply::Written(versions) = self.call(Call::Write { writes }).await? else {
+            return Err(PlatformError::Unavailable);
+        };
+        let mut pairs = expected.iter().zip(&versions);
+        if pairs.any(|(write, written)| write.expects_before(written.era)) {
+            return Err(PlatformError::Unavailable);
+        }
+        Ok(versions)
     }
 
     /// Stores an object.
@@ -227,7 +268,7 @@
     /// # Errors
     ///
     /// As for [`Platform::call`].
-    pub async fn snapshot(&self, table: &str) -> Result<(Vec<Change>, u64), PlatformError> {
+    pub async fn snapshot(&self, table: &str) -> Result<(Vec<Change>, Position), PlatformError> {
         let call = Call::Snapshot {
             table: table.to_owned(),
         };
@@ -242,19 +283,22 @@
     /// # Errors
     ///
     /// As for [`Platform::call`], and [`PlatformError::HistoryGone`] if the table has to be read again
-    /// by [`Platform::snapshot`].
+    /// by [`Platform::snapshot`], as it has where the answer comes from another era than `after`.
     pub async fn changes(
         &self,
         table: &str,
-        after: u64,
+        after: Position,
         wait: Duration,
-    ) -> Result<(Vec<Change>, u64), PlatformError> {
+    ) -> Result<(Vec<Change>, Position), PlatformError> {
         let call = Call::Changes {
             table: table.to_owned(),
             after,
             wait_ms: wait.as_millis() as u64,
         };
         match self.call(call).await? {
+            Reply::Changes(_, position) if position.era != after.era => {
+                Err(PlatformError::HistoryGone)
+            }
             Reply::Changes(rows, position) => Ok((rows, position)),
             _ => Err(PlatformError::Unavailable),
         }
@@ -265,7 +309,7 @@
     /// # Errors
     ///
     /// As for [`Platform::call`].
-    pub async fn position(&self, table: &str) -> Result<u64, PlatformError> {
+    pub async fn position(&self, table: &str) -> Result<Position, PlatformError> {
         let call = Call::Position {
             table: table.to_owned(),
         };
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform, their replies and errors.
 
-use base::DomainId;
+use base::{DomainId, Position};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -49,7 +49,7 @@
         /// Table to follow.
         table: String,
         /// Position of the last change that the caller knows.
-        after: u64,
+        after: Position,
         /// Maximum time to wait for a change, in milliseconds.
         wait_ms: u64,
     },
@@ -81,13 +81,13 @@
     /// Rows by name.
     Rows(Vec<(String, Row)>),
     /// The new row versions, in the order of the writes; a deletion's has no meaning.
-    Written(Vec<u64>),
+    Written(Vec<Position>),
     /// The object, or `None` if it does not exist.
     Object(Option<String>),
     /// Changes in order, and the position up to which they are complete.
-    Changes(Vec<Change>, u64),
+    Changes(Vec<Change>, Position),
     /// The latest position.
-    Position(u64),
+    Position(Position),
     /// The listed machines.
     List(Vec<ListedMachine>),
     /// The call was executed and has no other result.
@@ -98,7 +98,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Version of the row, which rises with each write while the row exists.
-    pub version: u64,
+    pub version: Position,
     /// Content of the row.
     pub value: String,
 }
@@ -111,7 +111,7 @@
     /// Content of the row; `None` if it was deleted.
     pub value: Option<String>,
     /// Position of the change in the history of the platform's tables.
-    pub at: u64,
+    pub at: Position,
 }
 
 /// Describes one conditional write or deletion in a transaction.
@@ -136,7 +136,7 @@
     /// The row does not exist.
     Absent,
     /// The row exists with this version.
-    Version(u64),
+    Version(Position),
 }
 
 impl Write {
@@ -156,6 +156,11 @@
         self
     }
 
+    /// Returns whether the write expects a version of an era before `era`.
+    pub(crate) fn expects_before(&self, era: u32) -> bool {
+        matches!(self.expect, Precondition::Version(version) if version.era < era)
+    }
+
     /// Sets the condition on the row's current state.
     pub fn expect(mut self, expect: Precondition) -> Self {
         self.expect = expect;
@@ -214,6 +219,6 @@
         /// Name of the row.
         row: String,
         /// Current version of the row, or zero if it does not exist.
-        version: u64,
+        version: Position,
     },
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use base::Position;
+
 use crate::{Call, Change, ListedMachine, PlatformError, Precondition, Reply, Row, Write};
 
 /// Applies calls to tables, objects and the list of machines, as the platform does, in memory.
@@ -19,8 +21,8 @@
 pub struct Store {
     rows: BTreeMap<(String, String), Row>,
     /// Position of each row's last change, including deletions.
-    changed_at: BTreeMap<(String, String), u64>,
-    position: u64,
+    changed_at: BTreeMap<(String, String), Position>,
+    position: Position,
     objects: BTreeMap<String, String>,
     list: BTreeMap<String, ListedMachine>,
 }
@@ -41,7 +43,7 @@
                 Ok(Reply::Done)
             }
             Call::GetObject { name } => Ok(Reply::Object(self.objects.get(&name).cloned())),
-            Call::Snapshot { table } => Ok(self.changes(&table, 0, false)),
+            Call::Snapshot { table } => Ok(self.changes(&table, Position::ZERO, false)),
             // Returns at once instead of waiting for a change: a follower polls again.
             Call::Changes { table, after, .. } => Ok(self.changes(&table, after, true)),
             Call::Position { .. } => Ok(Reply::Position(self.position)),
@@ -66,7 +68,7 @@
             .collect()
     }
 
-    fn changes(&self, table: &str, after: u64, includes_deleted: bool) -> Reply {
+    fn changes(&self, table: &str, after: Position, includes_deleted: bool) -> Reply {
         let mut changes: Vec<Change> = self
             .changed_at
             .iter()
@@ -93,10 +95,13 @@
 
     fn check_precondition(&self, write: &Write) -> Result<(), PlatformError> {
         let key = (write.table.clone(), write.row.clone());
-        let version = self.rows.get(&key).map_or(0, |row| row.version);
+        let version = self
+            .rows
+            .get(&key)
+            .map_or(Position::ZERO, |row| row.version);
         let is_met = match write.expect {
             Precondition::Any => true,
-            Precondition::Absent => version == 0,
+            Precondition::Absent => version == Position::ZERO,
             Precondition::Version(expected) => version == expected,
         };
         if is_met {
@@ -108,15 +113,19 @@
         })
     }
 
-    fn put(&mut self, write: &Write) -> u64 {
+    fn put(&mut self, write: &Write) -> Position {
         let key = (write.table.clone(), write.row.clone());
-        self.position += 1;
+        self.position.version += 1;
         self.changed_at.insert(key.clone(), self.position);
         let Some(value) = write.value.clone() else {
             self.rows.remove(&key);
-            return 0;
+            return Position::ZERO;
         };
-        let version = self.rows.get(&key).map_or(0, |row| row.version) + 1;
+        let mut version = self
+            .rows
+            .get(&key)
+            .map_or(Position::ZERO, |row| row.version);
+        version.version += 1;
         self.rows.insert(key, Row { version, value });
         version
     }
--- a/crates/proof/benches/capacity.rs
+++ b/crates/proof/benches/capacity.rs
@@ -238,6 +238,8 @@
         rows: Vec::new(),
         retained: Vec::new(),
         has_target_path: true,
+        store_era: 0,
+        table_eras: Vec::new(),
         format: 3,
         build: "0.1.0".to_owned(),
         departures: Vec::new(),
