--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -28,6 +28,7 @@
 pub use self::departures::TARGETS;
 use self::{
     departures::{Overlay, TargetsLag},
+    eras::EraTimes,
     fetching::count_fault,
     lateness::Lateness,
     table::{OpenFetch, Table},
@@ -109,6 +110,7 @@
     /// What the task that sends heartbeats was told last of the tables' rows.
     told_rows: Vec<Option<RowsReport>>,
     standstills: Standstills,
+    eras: EraTimes,
     /// Time until which this instance, which stood still, waits for a word that its configuration may still decide.
     hearing_until: Time,
 }
@@ -188,6 +190,7 @@
             last_sent: None,
             told_rows: Vec::new(),
             standstills: Standstills::default(),
+            eras: EraTimes::default(),
             hearing_until: Time::ZERO,
         }
     }
@@ -211,6 +214,7 @@
             tokio::spawn(reader.run(idx, tx.clone()));
         }
         let clock = self.options.clock;
+        let mut eras = self.options.platform.era();
         let mut refreshed_at = clock.now();
         let mut woken_at = refreshed_at;
         loop {
@@ -221,6 +225,10 @@
                     None => return,
                 },
                 Some((idx, read)) = reads.recv() => Wake::Read(idx, read),
+                Ok(()) = eras.changed() => {
+                    self.eras.record(clock.now(), *eras.borrow_and_update());
+                    continue;
+                }
                 () = sleep_until(clock.instant(refresh_at)) => Wake::Refresh,
             };
             self.on_wake(refresh_at.max(woken_at));
@@ -404,8 +412,10 @@
                 // What it lacks counts as gone since a later position was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
-                let is_changed =
-                    found.is_some_and(|found| table.replica.replace(deleted_by, found));
+                let is_changed = found.is_some_and(|found| {
+                    let deleted_by = self.eras.deleted_by(before, found.position, deleted_by);
+                    table.replica.replace(deleted_by, found)
+                });
                 if table.replica.position() > before {
                     table.rows.on_fetched(now);
                     if idx == 0 {
@@ -420,10 +430,10 @@
                 table.believe_reported();
                 table.record_answer(name, &read);
                 table.rows.on_whole_read(now);
-                table.replica.restore(
-                    read.answer.arrived_at,
-                    to_snapshot(read.rows, read.position),
-                )
+                let arrived_at = read.answer.arrived_at;
+                let deleted_by = self.eras.deleted_by(before, read.position, arrived_at);
+                let found = to_snapshot(read.rows, read.position);
+                table.replica.restore(deleted_by, found)
             }
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -1,6 +1,9 @@
 //! What the follower does as the platform comes back from an older copy of its tables.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{Position, Time};
 use coord::Replica;
@@ -15,6 +18,31 @@
 const ERA_GAUGE: &str = "table_era";
 const KEPT_GAUGE: &str = "rows_kept_over_copy";
 
+/// Maximum number of eras whose begin is remembered.
+const MAX_ERAS: usize = 8;
+
+/// Remembers when eras of the platform's history became known, by any answer or another instance.
+#[derive(Debug, Default)]
+pub(super) struct EraTimes(BTreeMap<u32, Time>);
+
+impl EraTimes {
+    /// Records that an era is known.
+    pub(super) fn record(&mut self, now: Time, era: u32) {
+        self.0.entry(era).or_insert(now);
+        while self.0.len() > MAX_ERAS {
+            self.0.pop_first();
+        }
+    }
+
+    /// Returns from when on the rows count as gone that a whole table at `position` lacks, which came at `now` after the own
+    /// position `before`: since the platform was known to be back, if the table is the first one of its era.
+    pub(super) fn deleted_by(&self, before: Position, position: Position, now: Time) -> Time {
+        let known_at = self.0.get(&position.era);
+        let known_at = known_at.filter(|_| before.era < position.era);
+        known_at.map_or(now, |at| now.min(*at))
+    }
+}
+
 impl Table {
     /// Logs the begin of an era with a change from `source`, where `before` was the position, and rows that are no longer kept
     /// from an earlier one.
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -80,6 +80,8 @@
     options: ReaderOptions,
     /// Position from which the next poll continues; `None` before the first rows.
     position: Option<Position>,
+    /// Latest era of the platform's history that is known.
+    era: u32,
     /// Whether the next poll asks for all rows, whatever the position.
     is_reading_anew: bool,
     polls: JoinSet<PollResult>,
@@ -144,6 +146,7 @@
                 ..options
             },
             position: None,
+            era: 0,
             is_reading_anew: false,
             polls: JoinSet::new(),
             beside: BesideReads::default(),
@@ -165,6 +168,8 @@
     /// Polls the table and sends what it reads to `tx`, with `idx`, until the receiver is dropped.
     pub(crate) async fn run(mut self, idx: usize, tx: mpsc::Sender<(usize, TableRead)>) {
         let mut step = Step::Poll(Instant::now());
+        let mut eras = self.options.platform.era();
+        self.era = *eras.borrow_and_update();
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
             let prompt_at = self.next_prompt_at(step);
@@ -198,6 +203,11 @@
                     self.end_outdated(&mut step).await;
                     None
                 }
+                Ok(()) = eras.changed() => {
+                    let era = *eras.borrow_and_update();
+                    self.begin_era(era, &mut step).await;
+                    None
+                }
                 Ok(()) = self.options.read_anew.changed() => {
                     self.is_reading_anew = true;
                     None
@@ -436,6 +446,19 @@
         }
     }
 
+    /// Reads the table at once in a new era: the open polls ask for changes of an earlier one. The first era that is known is
+    /// that of what has been read.
+    async fn begin_era(&mut self, era: u32, step: &mut Step) {
+        let before = std::mem::replace(&mut self.era, era);
+        if before == 0 || self.open.iter().all(|poll| poll.is_of(era)) {
+            return;
+        }
+        self.position = self.position.filter(|position| position.era >= era);
+        self.open.cancel_all();
+        self.reconnect().await;
+        *step = Step::Poll(Instant::now());
+    }
+
     /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
         *step = Step::Poll(Instant::now());
