--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -361,6 +361,15 @@
         !is_same || !known.is_empty()
     }
 
+    /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
+    /// before.
+    pub fn on_told_deleted(&mut self, now: Time, name: &str) {
+        let retained = self.retained.remove(name).map(|(row, _)| row);
+        if let Some(row) = self.take_out(name).or(retained) {
+            self.kept.on_deleted(now, name.to_owned(), row);
+        }
+    }
+
     /// Drops retained and kept rows whose grace period is over and returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
         let over = self.retained.extract_if(.., |_, (_, until)| *until <= now);
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -8,8 +8,11 @@
 use base::{Position, Time};
 use coord::Replica;
 
-use super::{ComposedConfig, TableFollower, table::Table};
-use crate::table_logs::{NewsSource, log_era, log_kept_ended};
+use super::{ComposedConfig, TARGETS, TableFollower, table::Table};
+use crate::{
+    table_logs::{NewsSource, log_era, log_kept_ended},
+    table_reads::TableRead,
+};
 
 /// Maximum time after the return of the platform from a copy for which a change of the configuration that was lost with it may
 /// still be unwritten.
@@ -73,6 +76,24 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
+    /// Keeps what others have told of targets that left, where a read brings a table of a later era: that may be from before.
+    pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) {
+        let position = match read {
+            TableRead::Snapshot(read) => read.position,
+            TableRead::Fetched(fetch) => {
+                let found = fetch.fetched.table.as_ref();
+                found.map_or(Position::ZERO, |found| found.position)
+            }
+            _ => return,
+        };
+        let replica = &mut self.tables[idx].replica;
+        if idx == TARGETS && position.era > replica.position().era {
+            for (target, _) in self.overlay.reported.targets() {
+                replica.on_told_deleted(now, target.as_str());
+            }
+        }
+    }
+
     /// Returns whether the operators' table is a copy that may lack changes which had been acknowledged, and nobody has
     /// written them again yet: what it doesn't allow may be allowed all the same.
     pub(super) fn may_lack_changes(&self, now: Time) -> bool {
