feat(platform): a handle knows the latest era of the platform's history

The header of the users' platform that names the era of its tables had no place in the client. A handle now shares what is known of it with its client and with who follows it.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 //! An open connection may go silent for good while new ones work. So once nothing of a call's answer
 //! has arrived for its timeout, all kept connections are given up and later calls open new ones.
 
+mod era;
 pub mod http;
 pub mod layout;
 pub mod memory;
@@ -19,13 +20,14 @@
 
 use std::time::Duration;
 
+pub use era::StoreEra;
 pub use model::{
     Call, Change, ListedMachine, MachineKind, MachineState, PlatformError, Precondition, Reply,
     Row, Write,
 };
 pub use progress::{Progress, Received, receive_body};
 pub use store::Store;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 const CALL_QUEUE_CAPACITY: usize = 1024;
 
@@ -48,6 +50,7 @@
     tx: mpsc::Sender<Message>,
     timeout: Duration,
     progress: Option<Progress>,
+    era: StoreEra,
 }
 
 /// Message to the task that executes calls.
@@ -69,6 +72,7 @@
             tx,
             timeout: Duration::from_secs(2),
             progress: None,
+            era: StoreEra::default(),
         }
     }
 
@@ -116,6 +120,22 @@
         self
     }
 
+    /// Sets what is known of the platform's eras, to which its client reports.
+    pub fn tracking(mut self, era: StoreEra) -> Self {
+        self.era = era;
+        self
+    }
+
+    /// Returns a receiver of the latest era of the platform's history that is known.
+    pub fn era(&self) -> watch::Receiver<u32> {
+        self.era.subscribe()
+    }
+
+    /// Records an era of the platform's history of which another instance knows.
+    pub fn learn_era(&self, era: u32) {
+        self.era.learn(era);
+    }
+
     /// Gives up all kept connections: calls from now on open new ones.
     pub async fn reconnect(&self) {
         let _ = self.tx.send(Message::Reconnect).await;
