fix(daemon): an action runs once also if a restored store lacks its claim

Cause: a claim without a home exists in its row alone. A store that comes back from a copy some seconds old lacks it, or has it open or released though the action has run since, so a repeat was granted again.

Change: each instance remembers the rows that it wrote and the outcomes that it read (120 s at least, 4,096 rows, 16 MiB) and writes them again in a new era where the row is missing or older; reads of all instances together are held to 400 a second, writes to 100. For 30 to 32 s since the era was learned, for up to 120 s while a listed instance isn't heard, only outcomes that stand in a row are believed, and all else is refused as claim_unavailable. A grant counts only if the era was the same and certain before and after the write. An instance that starts refuses for as long unless a row names the era as certain. In era 0, as without the store's header, nothing changes. Claims at homes have no row and are untouched (tested).

Ruled out: telling an old row from a new one by its version (numbers are given out again); refusing for the hour of a home. Left: an action whose claimer ended before it could write its row again, and whose outcome nobody else had read, can run again after that time.

--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -4,6 +4,8 @@
 //! the instance that stores the action's record. An action without a home is claimed by inserting a
 //! row into a table of the platform.
 
+mod keeper;
+mod recent;
 mod remote;
 mod rows;
 
@@ -19,8 +21,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Secret;
 
-use self::remote::RemoteClaims;
+pub use self::keeper::{MAX_DOUBT, MIN_DOUBT};
 pub use self::rows::{ClaimRow, RowState};
+use self::{keeper::ClaimKeeper, remote::RemoteClaims};
 use crate::{
     fleet::Fleet,
     rpc::{Call, IncomingCall, Reply},
@@ -35,6 +38,7 @@
     incarnation: Incarnation,
     ledger: Ledger,
     remote: RemoteClaims,
+    keeper: Option<ClaimKeeper>,
     view: watch::Receiver<Arc<View>>,
     tables: mpsc::Sender<IncomingCall>,
 }
@@ -76,7 +80,19 @@
 impl LedgerTask {
     /// Creates the task's state.
     pub fn new(options: LedgerTaskOptions) -> Self {
+        let (notes, notes_rx) = mpsc::unbounded_channel();
+        // Whether the platform has come back shortly before isn't known as long as it reports no era.
+        let (certain_tx, certain) = watch::channel(Some(0));
+        let eras = options.platform.era();
+        let keeper = ClaimKeeper::new(
+            options.platform.clone(),
+            options.clock,
+            options.fleet.clone(),
+            notes_rx,
+            certain_tx,
+        );
         Self {
+            keeper: Some(keeper),
             clock: options.clock,
             own_id: options.own_id,
             incarnation: options.incarnation,
@@ -85,6 +101,9 @@
                 platform: options.platform,
                 secret: options.secret,
                 fleet: options.fleet,
+                eras,
+                certain,
+                notes,
             },
             view: options.view,
             tables: options.tables,
@@ -98,6 +117,9 @@
         mut calls: mpsc::Receiver<LedgerCall>,
         mut incoming: mpsc::Receiver<IncomingCall>,
     ) {
+        if let Some(keeper) = self.keeper.take() {
+            tokio::spawn(keeper.run());
+        }
         loop {
             tokio::select! {
                 call = calls.recv() => match call {
--- a/crates/daemon/src/ledger/remote.rs
+++ b/crates/daemon/src/ledger/remote.rs
@@ -5,9 +5,13 @@
 use base::{ErrorKind, Incarnation, InstanceId};
 use dispatch::{ClaimOutcome, Claimer};
 use platform::Platform;
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
 use wire::Secret;
 
+use super::keeper::ClaimNote;
 use crate::{
     fleet::Fleet,
     rpc::{self, Call, Reply},
@@ -23,6 +27,11 @@
     pub(super) platform: Platform,
     pub(super) secret: Secret,
     pub(super) fleet: watch::Receiver<Arc<Fleet>>,
+    /// Latest era of the platform's history that is known.
+    pub(super) eras: watch::Receiver<u32>,
+    /// Era in which no claim's row is missing, as the task that writes them again reports.
+    pub(super) certain: watch::Receiver<Option<u32>>,
+    pub(super) notes: mpsc::UnboundedSender<ClaimNote>,
 }
 
 impl RemoteClaims {
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -1,29 +1,19 @@
 //! Claims of actions as rows of the platform's table, within its limits on names and values.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+#[path = "support/claims.rs"]
+mod claims;
 
-use base::{ErrorKind, Incarnation};
-use daemon::{
-    fleet::Fleet,
-    ledger::{LedgerTask, LedgerTaskOptions},
-};
-use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Ledger, RequestId, SavedAnswer};
-use entry::{
-    message::LedgerCall,
-    view::{Clock, View},
-};
+use std::sync::{Arc, Mutex};
+
+use dispatch::{ActionKey, ClaimOutcome, SavedAnswer};
 use platform::{
     Call, Platform, PlatformError, Store, Write,
     layout::{MAX_NAME_BYTES, MAX_VALUE_BYTES},
 };
 use rstest::rstest;
-use tokio::sync::{mpsc, oneshot, watch};
-use wire::Secret;
 
-const FINGERPRINT: u64 = 7;
+use crate::claims::Claims;
+
 /// Maximum size of an idempotency key, in bytes.
 const KEY_BYTES: usize = 200;
 
@@ -51,63 +41,6 @@
     })
 }
 
-/// A ledger without other instances, which records all actions in the table.
-struct Claims {
-    calls: mpsc::Sender<LedgerCall>,
-}
-
-impl Claims {
-    fn start() -> Self {
-        let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
-        let (_, view) = watch::channel(Arc::new(View::default()));
-        let (tables, _) = mpsc::channel(1);
-        let (calls, rx) = mpsc::channel(8);
-        let (incoming, incoming_rx) = mpsc::channel(1);
-        let ledger = LedgerTask::new(LedgerTaskOptions {
-            clock: Clock::start(),
-            own_id: "own".into(),
-            incarnation: Incarnation(1),
-            ledger: Ledger::new(Duration::from_secs(60), Duration::from_secs(60)).unwrap(),
-            platform: limited_platform(),
-            secret: Secret::derive("a secret for tests only"),
-            fleet,
-            view,
-            tables,
-        });
-        tokio::spawn(async move {
-            let _kept = incoming;
-            ledger.run(rx, incoming_rx).await;
-        });
-        Self { calls }
-    }
-
-    async fn claim(&self, key: &ActionKey, request: u64) -> Result<ClaimOutcome, ErrorKind> {
-        let (reply, answer) = oneshot::channel();
-        let call = LedgerCall::Claim {
-            key: key.clone(),
-            request: RequestId(request),
-            fingerprint: FINGERPRINT,
-            reply,
-        };
-        self.calls.send(call).await.unwrap();
-        answer.await.unwrap()
-    }
-
-    /// Records the answer, and returns whether that succeeded.
-    async fn settle(&self, key: &ActionKey, request: u64, answer: SavedAnswer) -> bool {
-        let (recorded, record) = oneshot::channel();
-        let call = LedgerCall::Settle {
-            key: key.clone(),
-            request: RequestId(request),
-            event: ActionEvent::Answered,
-            answer: Some(answer),
-            recorded,
-        };
-        self.calls.send(call).await.unwrap();
-        record.await.is_ok()
-    }
-}
-
 fn key(bytes: usize, end: &str) -> ActionKey {
     ActionKey {
         workspace: "large".into(),
@@ -122,7 +55,7 @@
 #[case::of_full_length(KEY_BYTES)]
 #[tokio::test(start_paused = true)]
 async fn action_is_claimed_by_a_key_of_any_length(#[case] bytes: usize) {
-    let claims = Claims::start();
+    let claims = Claims::start("own", limited_platform());
     let (first, other) = (key(bytes, "a"), key(bytes, "b"));
     assert_eq!(claims.claim(&first, 1).await, Ok(ClaimOutcome::Granted));
     assert_eq!(claims.claim(&first, 2).await, Ok(ClaimOutcome::InProgress));
@@ -136,7 +69,7 @@
 #[case::longer_than_a_transaction(1_500_000, false)]
 #[tokio::test(start_paused = true)]
 async fn answer_of_any_size_ends_its_action(#[case] bytes: usize, #[case] is_kept: bool) {
-    let claims = Claims::start();
+    let claims = Claims::start("own", limited_platform());
     let key = key(20, "");
     let answer = SavedAnswer {
         status: 200,
@@ -144,7 +77,7 @@
         body: vec![b'x'; bytes],
     };
     assert_eq!(claims.claim(&key, 1).await, Ok(ClaimOutcome::Granted));
-    let is_recorded = claims.settle(&key, 1, answer.clone()).await;
+    let is_recorded = claims.settle(&key, 1, Some(answer.clone())).await;
     let expected = if is_kept {
         ClaimOutcome::Done(answer)
     } else {
--- /dev/null
+++ b/crates/daemon/tests/restored/main.rs
@@ -0,0 +1,6 @@
+//! What instances store in the platform's tables when it comes back from an older copy of them.
+
+mod claims;
+#[path = "../support/claims.rs"]
+mod ledger;
+mod store;
--- /dev/null
+++ b/crates/daemon/tests/restored/store.rs
@@ -0,0 +1,142 @@
+//! A platform that comes back from an older copy of its tables.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use platform::{
+    Call, ListedMachine, MachineKind, MachineState, Platform, PlatformError, Reply, Store, StoreEra,
+};
+use tokio::time::sleep;
+
+/// Time that a call takes.
+const CALL_TIME: Duration = Duration::from_millis(5);
+
+/// Returns the entry of the instance with this number.
+pub(crate) fn listed(instance: usize) -> ListedMachine {
+    ListedMachine {
+        id: format!("front-{instance}"),
+        kind: MachineKind::Instance,
+        domain: "d".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        state: MachineState::Live,
+    }
+}
+
+/// The platform that all instances of a test call.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RestoredStore {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: Store,
+    era: u32,
+    /// Tables and numbers of the instances' writes, refused ones as well.
+    writes: Vec<(String, usize)>,
+    /// Number of the instance that isn't answered.
+    cut_off: Option<usize>,
+    /// Copy from which the platform comes back at the next write, after it has carried it out.
+    after_write: Option<Store>,
+}
+
+impl RestoredStore {
+    /// Returns what the instance with this number calls it by.
+    pub(crate) fn platform(&self, instance: usize) -> Platform {
+        let known = StoreEra::default();
+        let (store, tracked) = (self.clone(), known.clone());
+        let platform = Platform::spawn(move || {
+            let (store, known) = (store.clone(), known.clone());
+            move |call, _| store.clone().execute(instance, call, known.clone())
+        });
+        platform.tracking(tracked)
+    }
+
+    /// Returns the same, and polls by it twice a second, as an instance does that follows tables.
+    pub(crate) fn polled_platform(&self, instance: usize) -> Platform {
+        let platform = self.platform(instance);
+        let polled = platform.clone();
+        tokio::spawn(async move {
+            loop {
+                let _ = polled.position("op").await;
+                sleep(Duration::from_millis(500)).await;
+            }
+        });
+        platform
+    }
+
+    /// Returns a copy of the tables.
+    pub(crate) fn copy(&self) -> Store {
+        self.state.lock().unwrap().store.clone()
+    }
+
+    /// Comes back from a copy.
+    pub(crate) fn restore(&self, copy: Store) {
+        self.state.lock().unwrap().restore(copy);
+    }
+
+    /// Comes back from a copy between the next write and its answer.
+    pub(crate) fn restore_after_write(&self, copy: Store) {
+        self.state.lock().unwrap().after_write = Some(copy);
+    }
+
+    /// Leaves an instance without answers, or none.
+    pub(crate) fn cut_off(&self, instance: Option<usize>) {
+        self.state.lock().unwrap().cut_off = instance;
+    }
+
+    /// Returns the number of writes of a table by the instances.
+    pub(crate) fn write_count(&self, table: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state
+            .writes
+            .iter()
+            .filter(|(name, _)| name == table)
+            .count()
+    }
+
+    async fn execute(
+        self,
+        instance: usize,
+        call: Call,
+        known: StoreEra,
+    ) -> Result<Reply, PlatformError> {
+        sleep(CALL_TIME).await;
+        let (reply, era) = self.state.lock().unwrap().apply(instance, call)?;
+        known.on_answer(Some(&era.to_string()))?;
+        reply
+    }
+}
+
+impl State {
+    fn restore(&mut self, copy: Store) {
+        self.era += 1;
+        self.store = copy;
+    }
+
+    fn apply(
+        &mut self,
+        instance: usize,
+        call: Call,
+    ) -> Result<(Result<Reply, PlatformError>, u32), PlatformError> {
+        if self.cut_off == Some(instance) {
+            return Err(PlatformError::Unavailable);
+        }
+        let table = match &call {
+            Call::Write { writes } => writes.first().map(|write| write.table.clone()),
+            Call::Announce { .. } => Some("instances".to_owned()),
+            _ => None,
+        };
+        let reply = self.store.apply(call);
+        if let Some(table) = table {
+            self.writes.push((table, instance));
+            if let Some(copy) = self.after_write.take() {
+                self.restore(copy);
+            }
+        }
+        Ok((reply, self.era))
+    }
+}
