fix(daemon): one secret also if a restored store lacks it

Cause: the fleet's secret and number of slots stand in one row, read at the start alone. A copy from before the row was written let the next instance that started make another secret, so that instances no longer understood each other.

In a later era than the first, new parameters are provisional for 1.5 s (2.5 s for others than their maker): those who have older ones replace them, and nobody uses them before. The row's new members are left out in era 0; builds that don't know them read it as before (and use provisional parameters at once).

Ruled out: to change the secret of a running process (each task has it); to write without reading (one write an instance).

--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -3,14 +3,19 @@
 //!
 //! They are stored in a row of the platform. The first instances try to create the row by a write
 //! that succeeds only if there is none; all others read it.
+//!
+//! A platform that comes back from an older copy of its tables may lack the row. Those who have read it write it again
+//! ([`keeping`]), so who finds none in a later era uses the parameters that it makes only if nobody does.
+
+pub mod keeping;
 
-use std::time::Duration;
+use std::{ops::Not, time::Duration};
 
 use eyre::Result;
 use platform::{ListedMachine, MachineKind, Platform, PlatformError, Precondition, Write};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const FACTS_TABLE: &str = "deployment";
 const FACTS_ROW: &str = "facts";
@@ -19,6 +24,12 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 const MIN_SLOTS: usize = 2;
+/// Time for which new parameters are provisional in a later era than the first: those who have others replace them.
+const PROVISIONAL_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two reads of provisional parameters.
+const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which another instance than the one that made them uses them.
+const MAX_PROVISIONAL_TIME: Duration = Duration::from_millis(2_500);
 
 /// Gives all instances of a deployment the parameters on which they must agree.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +40,37 @@
     pub slots: u32,
 }
 
+/// Tells parameters that were read from others that are found later.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownParameters {
+    /// Content.
+    pub parameters: DeploymentParameters,
+    /// Era of the platform's history in which they were made.
+    made_in: u32,
+    /// Era in which they were read.
+    read_in: u32,
+}
+
+/// Content of the row. Its additional members are left out where the platform has no eras.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct FactsRow {
+    #[serde(flatten)]
+    parameters: DeploymentParameters,
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    made_in: u32,
+    /// Whether an instance may have others that were made earlier, so that nobody uses them yet.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    is_provisional: bool,
+}
+
+/// Provisional parameters, and since when they have been known.
+#[derive(Debug)]
+struct Provisional {
+    row: FactsRow,
+    since: Instant,
+    is_own: bool,
+}
+
 /// Reads the deployment's parameters, or creates them if there are none.
 ///
 /// Retries without limit while the platform doesn't answer. An instance that the platform keeps from announcing itself creates
@@ -37,21 +79,44 @@
 /// # Errors
 ///
 /// Returns a report if the row can't be parsed.
-pub async fn load_or_create(
-    platform: &Platform,
-    own: &ListedMachine,
-) -> Result<DeploymentParameters> {
+pub async fn load_or_create(platform: &Platform, own: &ListedMachine) -> Result<KnownParameters> {
     let mut delay = MIN_RETRY_DELAY;
     let mut has_waited = false;
     let mut was_refused = false;
+    let mut provisional: Option<Provisional> = None;
+    let mut own_secret = None;
     loop {
         match platform.get(FACTS_TABLE, FACTS_ROW).await {
-            Ok(Some(row)) => return Ok(serde_json::from_str(&row.value)?),
-            Ok(None) if has_waited => {
-                if !create(platform).await {
-                    pause(&mut delay).await;
+            Ok(Some(stored)) => {
+                let row: FactsRow = serde_json::from_str(&stored.value)?;
+                if !row.is_provisional {
+                    return Ok(KnownParameters {
+                        parameters: row.parameters,
+                        made_in: row.made_in,
+                        read_in: *platform.era().borrow(),
+                    });
+                }
+                let known = provisional.take().filter(|known| known.row == row);
+                let known = known.unwrap_or_else(|| Provisional {
+                    since: Instant::now(),
+                    is_own: own_secret.as_ref() == Some(&row.parameters.secret),
+                    row,
+                });
+                let expected = Precondition::Version(stored.version);
+                let wait = known.remaining_time();
+                if wait.is_zero() {
+                    let settled = known.row.clone().settled();
+                    if write(platform, &settled, expected).await.is_err() {
+                        pause(&mut delay).await;
+                    }
                 }
+                sleep(wait.min(PROVISIONAL_POLL_INTERVAL)).await;
+                provisional = Some(known);
             }
+            Ok(None) if has_waited => match create(platform).await {
+                Some(secret) => own_secret = Some(secret),
+                None => pause(&mut delay).await,
+            },
             Ok(None) => {
                 let listed = own.clone();
                 let announced = platform.call(platform::Call::Announce { listed }).await;
@@ -75,40 +140,79 @@
     }
 }
 
+impl Provisional {
+    /// Returns for how long to wait before the parameters can be used.
+    fn remaining_time(&self) -> Duration {
+        let time = if self.is_own {
+            PROVISIONAL_TIME
+        } else {
+            MAX_PROVISIONAL_TIME
+        };
+        time.saturating_sub(self.since.elapsed())
+    }
+}
+
+impl FactsRow {
+    fn settled(self) -> Self {
+        Self {
+            is_provisional: false,
+            ..self
+        }
+    }
+}
+
 /// Waits for a delay, which doubles each time.
 async fn pause(delay: &mut Duration) {
     sleep(*delay).await;
     *delay = (*delay * 2).min(MAX_RETRY_DELAY);
 }
 
-/// Writes new parameters unless another instance has done so, and returns whether there are some now.
-async fn create(platform: &Platform) -> bool {
-    let Ok(list) = platform.list().await else {
-        return false;
-    };
+/// Writes new parameters unless another instance has done so, and returns their secret; `None` if there may be none now.
+async fn create(platform: &Platform) -> Option<String> {
+    let list = platform.list().await.ok()?;
     let instances = list
         .iter()
         .filter(|listed| listed.kind == MachineKind::Instance)
         .count();
     let secret: [u64; 4] = rand::rng().random();
-    let parameters = DeploymentParameters {
-        secret: secret.map(|part| format!("{part:016x}")).concat(),
-        slots: instances.max(MIN_SLOTS) as u32,
+    let era = *platform.era().borrow();
+    let row = FactsRow {
+        parameters: DeploymentParameters {
+            secret: secret.map(|part| format!("{part:016x}")).concat(),
+            slots: instances.max(MIN_SLOTS) as u32,
+        },
+        made_in: era,
+        is_provisional: !is_first_era(&era),
     };
-    let text = serde_json::to_string(&parameters).unwrap_or_default();
-    let write = Write::new(FACTS_TABLE, FACTS_ROW)
-        .value(&text)
-        .expect(Precondition::Absent);
-    match platform.write(vec![write]).await {
-        Ok(_) => {
-            tracing::info!(event = "facts_made", slots = parameters.slots);
-            true
+    let slots = row.parameters.slots;
+    match write(platform, &row, Precondition::Absent).await {
+        Ok(()) => {
+            let is_provisional = row.is_provisional;
+            tracing::info!(event = "facts_made", slots, is_provisional);
+            Some(row.parameters.secret)
         }
         // Another instance has created them first.
-        Err(PlatformError::Conflict { .. }) => true,
+        Err(PlatformError::Conflict { .. }) => Some(row.parameters.secret),
         Err(err) => {
             tracing::warn!(event = "facts_unwritten", reason = %err);
-            false
+            None
         }
     }
 }
+
+async fn write(
+    platform: &Platform,
+    row: &FactsRow,
+    expected: Precondition,
+) -> Result<(), PlatformError> {
+    let text = serde_json::to_string(row).unwrap_or_default();
+    let write = Write::new(FACTS_TABLE, FACTS_ROW)
+        .value(&text)
+        .expect(expected);
+    platform.write(vec![write]).await.map(|_| ())
+}
+
+/// Returns whether nothing that was written can have been lost by a return of the platform.
+fn is_first_era(era: &u32) -> bool {
+    *era == 0
+}
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -404,7 +404,7 @@
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         state: MachineState::Live,
     };
-    let facts = load_or_create(&platform, &own).await.unwrap();
+    let facts = load_or_create(&platform, &own).await.unwrap().parameters;
     let (fleet_tx, fleet) = watch::channel(Arc::new(Fleet::default()));
     let liveness = Liveness {
         clock: Clock::start(),
