fix(daemon): the own entry stands within two seconds of a restored store's return

Cause: an instance reads the list of instances up to every 8 s, so an entry that a copy lacks was missing for as long; and an entry that had been removed as silent stood again for ten minutes.

Change: the list is read at once in a new era, spread by the number of instances (250 a second, 1.2 s at most), and the entry announced if it is missing, again and again while that is refused. Removed entries that stand again count as silent but for 10 s. While reads fail, their interval doubles up to 2 s where it was shorter.

--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -1,7 +1,11 @@
 //! The task that reads the platform's list of instances and, where instances maintain that list,
 //! keeps it up to date.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{InstanceId, TargetId, Time};
 use coord::{ListEntry, rendezvous_rank};
@@ -9,7 +13,7 @@
 use platform::{Call, ListedMachine, MachineKind, MachineState, Platform};
 use tokio::{
     sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 use crate::{
@@ -26,9 +30,19 @@
 /// Time from a change of that list to its next read.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Reads per second by which all instances together look for their entries in a new era, each of which may lead to a write.
+const ENTRIES_PER_S: u32 = 250;
+/// Maximum time over which these reads are spread.
+const MAX_SPREAD: Duration = Duration::from_millis(1_200);
+
 /// Time without heartbeats after which an instance is removed from a list that instances maintain.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Time in which an instance that was removed can be heard before it is removed once more.
+pub const REVIVAL_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of removed instances that are remembered.
+const MAX_REMOVED: usize = 1_024;
+
 /// Tracks since when each listed instance has sent no heartbeats.
 ///
 /// # Examples
@@ -45,6 +59,8 @@
 #[derive(Debug, Default)]
 pub struct SilenceTracker {
     since: BTreeMap<String, Time>,
+    /// Instances that were silent as they left the list.
+    removed: BTreeSet<String>,
 }
 
 impl SilenceTracker {
@@ -54,6 +70,18 @@
     where
         F: Fn(&str) -> bool,
     {
+        let is_silent = |id: &String, since: Time| !is_alive(id) && now - since >= SILENCE_TIMEOUT;
+        let was_removed = |id: &String| !listed.contains(id);
+        let silent = self
+            .since
+            .iter()
+            .filter(|(id, since)| is_silent(id, **since));
+        let removed = silent.map(|(id, _)| id).filter(|id| was_removed(id));
+        self.removed.extend(removed.cloned());
+        self.removed.retain(|id| !is_alive(id));
+        while self.removed.len() > MAX_REMOVED {
+            self.removed.pop_first();
+        }
         self.since
             .retain(|id, _| listed.contains(id) && !is_alive(id));
         for id in listed.iter().filter(|id| !is_alive(id)) {
@@ -63,6 +91,15 @@
         let expired = self.since.iter().filter(|(_, since)| is_expired(**since));
         expired.map(|(id, _)| id.clone()).collect()
     }
+
+    /// Counts instances that were removed, and which an older copy of the list names again, as silent for all but
+    /// [`REVIVAL_TIME`], in which one that has started again can be heard.
+    pub fn on_restored(&mut self, now: Time) {
+        for id in &self.removed {
+            let since = (now + REVIVAL_TIME).before(SILENCE_TIMEOUT);
+            self.since.insert(id.clone(), since);
+        }
+    }
 }
 
 /// Lets the list's task distinguish live instances from entries of those that have ended.
@@ -77,7 +114,8 @@
 /// Keeps this instance on a list that instances maintain, and forwards the list to `peers` until
 /// the receiver is dropped.
 ///
-/// The interval between reads doubles while the list doesn't change, or the platform refuses the announcement. For each entry that has been
+/// The interval between reads doubles while the list doesn't change, or the platform refuses the announcement. Once the
+/// platform has come back from an older copy of its tables, the list is read at once, spread over the instances. For each entry that has been
 /// silent for [`SILENCE_TIMEOUT`], one instance, chosen by rank, removes it. An instance that was
 /// removed but is alive announces itself again after its next read.
 pub async fn announce_and_poll(
@@ -89,9 +127,22 @@
     let mut silence = SilenceTracker::default();
     let mut delay = MIN_LIST_INTERVAL;
     let mut previous = Vec::new();
+    let mut eras = platform.era();
+    let mut listed_in = *eras.borrow_and_update();
     loop {
         if let Ok(list) = platform.list().await {
+            let era = *platform.era().borrow();
             let is_listed = list.contains(&own);
+            if era > listed_in {
+                tracing::info!(
+                    event = "list_restored",
+                    era,
+                    is_listed,
+                    entries = list.len()
+                );
+                silence.on_restored(liveness.clock.now());
+                listed_in = era;
+            }
             delay = if is_listed && list == previous {
                 (delay * 2).min(MAX_LIST_INTERVAL)
             } else if is_listed || announce(&platform, &own).await {
@@ -105,8 +156,15 @@
             if peers.send(PeerCommand::SetList(listed)).await.is_err() {
                 return;
             }
+        } else {
+            delay = delay.max((delay * 2).min(MAX_ANNOUNCE_INTERVAL));
+        }
+        if let Ok(Ok(())) = timeout(delay, eras.changed()).await {
+            let instances = liveness.fleet.borrow().members.len() as u32 + 1;
+            let spread = Duration::from_secs(1) * instances / ENTRIES_PER_S;
+            sleep(rand::random_range(Duration::ZERO..spread.min(MAX_SPREAD))).await;
+            delay = MIN_LIST_INTERVAL;
         }
-        sleep(delay).await;
     }
 }
 
--- a/crates/daemon/tests/restored/main.rs
+++ b/crates/daemon/tests/restored/main.rs
@@ -4,4 +4,5 @@
 mod facts;
 #[path = "../support/claims.rs"]
 mod ledger;
+mod list;
 mod store;
