--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -93,7 +93,7 @@
                     return Ok(KnownParameters {
                         parameters: row.parameters,
                         made_in: row.made_in,
-                        read_in: *platform.era().borrow(),
+                        read_in: stored.version.era,
                     });
                 }
                 let known = provisional.take().filter(|known| known.row == row);
--- a/crates/daemon/src/facts/keeping.rs
+++ b/crates/daemon/src/facts/keeping.rs
@@ -86,7 +86,6 @@
         is_provisional: false,
     };
     let stored = platform.get(FACTS_TABLE, FACTS_ROW).await?;
-    let era = *platform.era().borrow();
     let Some(stored) = stored else {
         write(platform, &own, Precondition::Absent).await?;
         return Ok(Found::Missing);
@@ -95,7 +94,7 @@
     let found = match &row {
         Ok(row) if *row == own => return Ok(Found::Same),
         Ok(row) if row.parameters == own.parameters => Found::Same,
-        Ok(row) if !row.is_provisional && !known.is_earlier_than(row, era) => {
+        Ok(row) if !row.is_provisional && !known.is_earlier_than(row, stored.version.era) => {
             return Ok(Found::Earlier);
         }
         Ok(_) => Found::Later,
