fix(cli): a change expects the version of the era that it was made on

Cause: the base of a change was the number of the head row's version. In a later era the number may name other content, and a number without its era counts as one of the first, so that each change in a later one would be a conflict.

Change: what is read keeps its position, and the write expects that. What is shown is unchanged.

--- a/crates/cli/src/run/answers.rs
+++ b/crates/cli/src/run/answers.rs
@@ -70,7 +70,7 @@
             return Ok(());
         }
         let version =
-            versions::write_version(&self.platform, latest.version, &new, &self.author, "apply")
+            versions::write_version(&self.platform, latest.head, &new, &self.author, "apply")
                 .await?;
         self.report_written(version).await
     }
--- a/crates/cli/src/run/context.rs
+++ b/crates/cli/src/run/context.rs
@@ -69,7 +69,7 @@
             edit(&mut latest.config).map_err(CliError::InvalidRequest)?;
             let result = versions::write_version(
                 &self.platform,
-                latest.version,
+                latest.head,
                 &latest.config,
                 &self.author,
                 summary,
--- a/crates/cli/src/run/history.rs
+++ b/crates/cli/src/run/history.rs
@@ -30,7 +30,7 @@
         }
         let summary = format!("revert to {wanted}");
         let version =
-            versions::write_version(&self.platform, latest.version, &old, &self.author, &summary)
+            versions::write_version(&self.platform, latest.head, &old, &self.author, &summary)
                 .await?;
         self.report_written(version).await
     }
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -1,6 +1,6 @@
 //! Versions of the configuration, stored in the platform's tables and object store.
 
-use base::{Config, canonical_json, config_digest};
+use base::{Config, Position, canonical_json, config_digest};
 use platform::{
     Platform, PlatformError, Precondition, Write,
     layout::{CONFIG_TABLE, HEAD_ROW, VERSION_PREFIX, object_name, version_row},
@@ -16,6 +16,8 @@
 pub struct LatestVersion {
     /// Version number; 0 if none has been written yet.
     pub version: u64,
+    /// Position of the row that points to it, whose version may be given out again in a later era of the platform.
+    pub head: Position,
     /// Content of the version.
     pub config: Config,
 }
@@ -51,11 +53,13 @@
     let Some(head) = head else {
         return Ok(LatestVersion {
             version: 0,
+            head: Position::ZERO,
             config: Config::default(),
         });
     };
     Ok(LatestVersion {
         version: head.version.version,
+        head: head.version,
         config: read_config(platform, &head.value).await?,
     })
 }
@@ -76,22 +80,24 @@
     serde_json::from_str(&text.ok_or_else(damaged)?).map_err(|_| damaged())
 }
 
-/// Writes `config` as the version after `base` and returns its number.
+/// Writes `config` as the version after the one at `head` and returns its number.
 ///
 /// Writes the object first, then the head row and the history row in one transaction. If the
 /// response is lost, the history row shows whether the write took effect.
 ///
 /// # Errors
 ///
-/// [`CliError::Conflict`] if `base` is not the latest version; nothing was written.
+/// [`CliError::Conflict`] if that is not the latest version, also since the platform came back from an older copy of its
+/// tables; nothing was written.
 /// [`CliError::PlatformUnreachable`] if the platform does not answer.
 pub async fn write_version(
     platform: &Platform,
-    base: u64,
+    head: Position,
     config: &Config,
     author: &str,
     summary: &str,
 ) -> Result<u64, CliError> {
+    let base = head.version;
     let text = canonical_json(config);
     let digest = config_digest(&text);
     platform
@@ -108,16 +114,16 @@
     let precondition = if base == 0 {
         Precondition::Absent
     } else {
-        Precondition::Version(base.into())
+        Precondition::Version(head)
     };
-    let head = Write::new(CONFIG_TABLE, HEAD_ROW)
+    let head_row = Write::new(CONFIG_TABLE, HEAD_ROW)
         .value(&digest)
         .expect(precondition);
     let row = serde_json::to_string(&record).unwrap_or_default();
     let history = Write::new(CONFIG_TABLE, &version_row(base + 1))
         .value(&row)
         .expect(Precondition::Absent);
-    match platform.write(vec![head, history]).await {
+    match platform.write(vec![head_row, history]).await {
         Ok(_) => Ok(base + 1),
         Err(PlatformError::Conflict { .. }) => Err(conflict_error(platform, base).await),
         Err(PlatformError::Unavailable | PlatformError::HistoryGone) => {
--- a/crates/proof/benches/entry.rs
+++ b/crates/proof/benches/entry.rs
@@ -157,7 +157,7 @@
     let start = Instant::now();
     cli::versions::write_version(
         &deployment.platform,
-        latest.version,
+        latest.head,
         &latest.config,
         "bench",
         key,
