fix(daemon): parameters made while the store comes back are provisional

Cause: a row that is written by the answer of a later era than it was made for counted as of the first era, and as settled. Change: its maker writes it again as provisional in that era.

--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -11,6 +11,7 @@
 
 use std::{ops::Not, time::Duration};
 
+use base::Position;
 use eyre::Result;
 use platform::{ListedMachine, MachineKind, Platform, PlatformError, Precondition, Write};
 use rand::RngExt;
@@ -186,10 +187,22 @@
     };
     let slots = row.parameters.slots;
     match write(platform, &row, Precondition::Absent).await {
-        Ok(()) => {
-            let is_provisional = row.is_provisional;
+        Ok(at) => {
+            let mut is_provisional = row.is_provisional;
+            let secret = row.parameters.secret.clone();
+            if at.era > era {
+                // The platform has come back meanwhile.
+                let (made_in, expected) = (at.era, Precondition::Version(at));
+                is_provisional = true;
+                let row = FactsRow {
+                    made_in,
+                    is_provisional,
+                    ..row
+                };
+                write(platform, &row, expected).await.ok()?;
+            }
             tracing::info!(event = "facts_made", slots, is_provisional);
-            Some(row.parameters.secret)
+            Some(secret)
         }
         // Another instance has created them first.
         Err(PlatformError::Conflict { .. }) => Some(row.parameters.secret),
@@ -204,12 +217,13 @@
     platform: &Platform,
     row: &FactsRow,
     expected: Precondition,
-) -> Result<(), PlatformError> {
+) -> Result<Position, PlatformError> {
     let text = serde_json::to_string(row).unwrap_or_default();
     let write = Write::new(FACTS_TABLE, FACTS_ROW)
         .value(&text)
         .expect(expected);
-    platform.write(vec![write]).await.map(|_| ())
+    let written = platform.write(vec![write]).await?;
+    written.first().copied().ok_or(PlatformError::Unavailable)
 }
 
 /// Returns whether nothing that was written can have been lost by a return of the platform.
