feat(coord): leases outlive a table that comes back from an older copy

A lease was a row and its version. A table that is restored loses rows and gives their versions out again: the holder of a lost row went on to the end of its TTL, while others took the lease that the copy shows as free, in an epoch that had been used before.

A lease now has an era. Its holder remembers the row by which it holds. Once it learns of a later era, it uses the lease for CONFIRM_TIME (5 s) at most, until it has written its row again in that era, in its own epoch; it gives way to a row with a higher epoch only. Writes that were open are forgotten with their era. A lease whose row isn't of the present era is taken once all that may hold one have known of the era for 8.2 s, or else after the TTL (EraSettling); at once where no lease is older than the era. Epochs of an era begin at era << 32. Rows have the era in which they were written and the earliest known one, both 0 if absent; without a header the era is 0 and nothing changes.

Ruled out: one fixed delay for takers, since a group of instances that is cut off from the table, or one that stands still, learns of an era later than that; a delay at each start, which a new deployment can't afford; a marker row of the era, which every write would have to expect.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -1,10 +1,19 @@
 //! Leases on rows of a compare-and-swap table, with fencing epochs and without a shared clock.
 
+mod chart;
+mod row;
+mod settling;
+
 use std::{sync::Arc, time::Duration};
 
 use base::{Incarnation, InstanceId, Time};
-use chart::{Chart, ChartError};
-use serde::{Deserialize, Serialize};
+
+use self::row::next_epoch;
+pub use self::{
+    chart::{LeaseChart, LeaseEvent, LeaseState, lease_chart},
+    row::{LeaseRow, LeaseWrite},
+    settling::{CONFIRM_TIME, EraSettling},
+};
 
 /// Configures the timing of a lease.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,65 +36,6 @@
     }
 }
 
-/// Reports to all instances who owns a lease, how long it lasts and whether it was released, as a row of
-/// the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Instance that holds the lease.
-    pub owner: InstanceId,
-    /// Incarnation of that instance.
-    pub incarnation: Incarnation,
-    /// Fencing epoch, which increases by one each time the lease is acquired.
-    pub epoch: u64,
-    /// Number of the renewal within the epoch.
-    pub renewal: u64,
-    /// How long the lease lasts from this renewal on, in milliseconds.
-    #[serde(rename = "horizon_ms")]
-    pub ttl_ms: u64,
-    /// Whether the holder has released the lease.
-    pub is_released: bool,
-}
-
-/// Lists the states of a lease as one instance sees it.
-///
-/// `charts/lease.json` defines the transitions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LeaseState {
-    /// The row has to be read.
-    Unread,
-    /// Nobody holds the lease.
-    Free,
-    /// Another instance or an earlier incarnation of this one holds the lease.
-    Other,
-    /// A write of this instance is in progress.
-    Writing,
-    /// This instance holds the lease.
-    Held,
-}
-
-/// Lists the events that change a lease's state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LeaseEvent {
-    /// The row was read and nobody holds the lease.
-    SawFree,
-    /// The row was read and another instance or incarnation holds the lease.
-    SawOther,
-    /// The row was read and this incarnation holds the lease.
-    SawOwn,
-    /// A write was started.
-    Write,
-    /// The write took effect.
-    Written,
-    /// The row did not have the expected version.
-    Conflict,
-    /// No answer to the write arrived; it may have taken effect.
-    Unanswered,
-    /// This instance released the lease.
-    Released,
-}
-
 /// Reports the result of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -97,15 +47,6 @@
     Unanswered,
 }
 
-/// Describes a conditional write of the lease's row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeaseWrite {
-    /// New content of the row.
-    pub row: LeaseRow,
-    /// Version that the row must have, or `None` if it must not exist.
-    pub expected_version: Option<u64>,
-}
-
 /// Acquires, renews and observes one lease on behalf of one incarnation of an instance.
 ///
 /// The holder counts the TTL from before it sent the write, shortened by the drift; other instances
@@ -133,25 +74,29 @@
     me: InstanceId,
     incarnation: Incarnation,
     timing: LeaseTiming,
+    era: u32,
+    /// Earliest era in which a lease of the table was acquired.
+    since_era: u32,
+    /// Whether the leases of earlier eras are over or confirmed.
+    is_settled: bool,
+    /// The row as read or written in the present era.
     row: Option<(u64, LeaseRow)>,
+    was_read: bool,
+    /// Whether the row was changed in the present era to one that had been written in an earlier one.
+    is_overwritten: bool,
     row_changed_at: Time,
+    claim: Option<Claim>,
+    highest_epoch: u64,
     held_until: Time,
     renewal_sent_at: Time,
     pending_write: Option<(Time, LeaseRow)>,
 }
 
-const CHART: &str = include_str!("../charts/lease.json");
-
-/// Defines the transitions between the states of a lease.
-pub type LeaseChart = Chart<LeaseState, LeaseEvent>;
-
-/// Parses the state chart that all leases share.
-///
-/// # Errors
-///
-/// [`ChartError`] if the chart is invalid.
-pub fn lease_chart() -> Result<Arc<LeaseChart>, ChartError> {
-    Chart::parse(CHART).map(Arc::new)
+/// Remembers the row by which this incarnation acquired or renewed the lease last, whatever a table has lost.
+#[derive(Debug)]
+struct Claim {
+    row: LeaseRow,
+    expires_at: Time,
 }
 
 impl Lease {
@@ -168,8 +113,15 @@
             me,
             incarnation,
             timing,
+            era: 0,
+            since_era: 0,
+            is_settled: true,
             row: None,
+            was_read: false,
+            is_overwritten: false,
             row_changed_at: Time::ZERO,
+            claim: None,
+            highest_epoch: 0,
             held_until: Time::ZERO,
             renewal_sent_at: Time::ZERO,
             pending_write: None,
@@ -196,33 +148,111 @@
         self.row.as_ref().map_or(0, |(_, row)| row.epoch)
     }
 
+    /// Returns the epoch in which this incarnation acquired the lease last, or zero if it never did.
+    pub fn held_epoch(&self) -> u64 {
+        self.claim.as_ref().map_or(0, |claim| claim.row.epoch)
+    }
+
     /// Returns the instance and incarnation that hold the lease, if known.
     pub fn owner(&self) -> Option<(&InstanceId, Incarnation)> {
         let (_, row) = self.row.as_ref()?;
         (!row.is_released).then_some((&row.owner, row.incarnation))
     }
 
-    /// Processes a read of the row.
+    /// Returns the latest known era of the table.
+    pub fn era(&self) -> u32 {
+        self.era
+    }
+
+    /// Returns whether this incarnation holds the lease by a row that it has to write again: that is of an earlier era, or
+    /// doesn't stand any more.
+    pub fn is_unconfirmed(&self, now: Time) -> bool {
+        let claim = self.claim.as_ref().filter(|claim| now < claim.expires_at);
+        claim.is_some_and(|claim| claim.row.era < self.era || self.state == LeaseState::Unconfirmed)
+    }
+
+    /// Returns whether the row was written in the present era, so that nothing that came after it is lost.
+    pub fn is_of_present_era(&self) -> bool {
+        match &self.row {
+            Some((_, row)) => row.era >= self.era,
+            None => self.era == 0,
+        }
+    }
+
+    /// Returns whether this incarnation holds the lease for the first time since the table exists.
+    pub fn is_first_ownership(&self) -> bool {
+        self.claim
+            .as_ref()
+            .is_some_and(|claim| claim.row.is_first())
+    }
+
+    /// Processes that the table has come back from an older copy: rows of earlier eras may be lost, and their versions
+    /// are given out again.
+    ///
+    /// A lease that is held now may be used for [`CONFIRM_TIME`], or until it is confirmed in the new era. One that
+    /// was not confirmed within that time in the era before may have been taken by others since.
+    pub fn on_era(&mut self, now: Time, era: u32) {
+        if era <= self.era {
+            return;
+        }
+        let is_usable = self.is_held(now);
+        self.claim = self.claim.take().filter(|_| is_usable);
+        self.held_until = self.held_until.min(now + CONFIRM_TIME);
+        self.era = era;
+        self.is_settled = false;
+        self.row = None;
+        self.was_read = false;
+        self.is_overwritten = false;
+        self.row_changed_at = now;
+        self.pending_write = None;
+        self.fire(LeaseEvent::EraChanged);
+    }
+
+    /// Sets whether a lease may be taken whose row isn't of the present era, and the earliest era in which a lease of
+    /// the table was acquired.
+    pub fn set_settled(&mut self, is_settled: bool, since_era: u32) {
+        self.is_settled = is_settled;
+        self.since_era = since_era;
+    }
+
+    /// Processes a read of the row in the present era.
     ///
     /// Reads that started before the last write of this instance was answered must not be passed.
     pub fn on_read(&mut self, now: Time, row: Option<(u64, LeaseRow)>) {
         if self.is_newer(row.as_ref()) {
+            let is_earlier = row.as_ref().is_some_and(|(_, row)| row.era < self.era);
+            self.is_overwritten = self.was_read && is_earlier;
             self.row_changed_at = now;
             self.resolve_unanswered(row.as_ref());
             self.row = row;
         }
+        self.was_read = true;
+        let seen = self.row.as_ref().map_or(0, |(_, row)| row.epoch);
+        self.highest_epoch = self.highest_epoch.max(seen);
         let event = match &self.row {
+            _ if self.has_later_claim(now) => LeaseEvent::SawLost,
             Some((_, row)) if row.is_released => LeaseEvent::SawFree,
-            Some((_, row)) if self.is_own(row) => LeaseEvent::SawOwn,
+            Some((_, row)) if self.is_own(row) && row.era == self.era => LeaseEvent::SawOwn,
             Some(_) => LeaseEvent::SawOther,
             None => LeaseEvent::SawFree,
         };
-        if event != LeaseEvent::SawOwn {
+        if !matches!(event, LeaseEvent::SawOwn | LeaseEvent::SawLost) {
             self.held_until = Time::ZERO;
+            self.claim = None;
         }
         self.fire(event);
     }
 
+    /// Returns whether the lease may be taken at `now` if nobody holds it by the row: it is a row of the present era, or
+    /// the leases of earlier ones are over.
+    ///
+    /// A row of an earlier era that stands in the place of a later one was written by an instance that didn't know
+    /// of the present era yet; the holder of the later one writes that again.
+    pub fn may_take(&self, now: Time) -> bool {
+        self.is_of_present_era()
+            || self.is_settled && (!self.is_overwritten || self.has_ttl_passed(now))
+    }
+
     /// Returns the write that is due, if any: an acquisition, a renewal or a takeover.
     ///
     /// `is_wanted` indicates whether this instance should hold the lease, `is_owner_gone` whether it is
@@ -237,8 +267,9 @@
             return None;
         }
         let is_due = match self.state {
-            LeaseState::Free => true,
-            LeaseState::Other => is_owner_gone || self.is_expired(now),
+            LeaseState::Free => self.may_take(now),
+            LeaseState::Other => self.may_take(now) && (is_owner_gone || self.is_expired(now)),
+            LeaseState::Unconfirmed => true,
             LeaseState::Held => now - self.renewal_sent_at >= self.timing.renew_interval,
             LeaseState::Unread | LeaseState::Writing => false,
         };
@@ -249,32 +280,39 @@
         Some(self.begin_write(now, row))
     }
 
-    /// Releases the lease immediately and returns the write that publishes the release.
+    /// Releases the lease immediately and returns the write that publishes the release, unless the row that stands
+    /// in the present era isn't known.
     pub fn release(&mut self, now: Time) -> Option<LeaseWrite> {
         if !self.is_held(now) {
             return None;
         }
         self.held_until = Time::ZERO;
-        let (version, row) = self.row.clone()?;
+        let claim = self.claim.take()?;
+        let version = self.row.as_ref().map(|(version, _)| *version);
+        let is_known = version.is_some() || self.was_read;
         self.fire(LeaseEvent::Released);
         self.pending_write = None;
-        Some(LeaseWrite {
+        is_known.then_some(LeaseWrite {
             row: LeaseRow {
                 is_released: true,
-                ..row
+                era: self.era,
+                ..claim.row
             },
-            expected_version: Some(version),
+            expected_version: version,
         })
     }
 
     /// Processes the result of the last write.
+    ///
+    /// Results of writes that were begun in an earlier era must not be passed.
     pub fn on_write_outcome(&mut self, now: Time, outcome: WriteOutcome) {
         match outcome {
             WriteOutcome::Applied(version) => {
                 if let Some((sent_at, row)) = self.pending_write.take() {
                     self.row_changed_at = now;
-                    self.row = Some((version, row));
-                    self.start_holding(sent_at);
+                    self.is_overwritten = false;
+                    self.row = Some((version, row.clone()));
+                    self.start_holding(sent_at, row);
                     self.fire(LeaseEvent::Written);
                 }
             }
@@ -316,38 +354,68 @@
             return;
         };
         if row.is_some_and(|(_, row)| *row == written) {
-            self.start_holding(sent_at);
+            self.start_holding(sent_at, written);
         }
     }
 
-    fn start_holding(&mut self, sent_at: Time) {
+    fn start_holding(&mut self, sent_at: Time, row: LeaseRow) {
         self.renewal_sent_at = sent_at;
         self.held_until = sent_at + self.timing.ttl.mul_f64(1.0 - self.timing.drift);
+        self.highest_epoch = self.highest_epoch.max(row.epoch);
+        self.claim = Some(Claim {
+            row,
+            expires_at: self.held_until,
+        });
+    }
+
+    /// Returns whether this incarnation holds the lease by a row that is later than the one that stands, or hasn't been
+    /// confirmed in the present era.
+    fn has_later_claim(&self, now: Time) -> bool {
+        let claim = self.claim.as_ref().filter(|claim| now < claim.expires_at);
+        claim.is_some_and(|claim| match &self.row {
+            Some((_, row)) if self.is_own(row) && row.epoch == claim.row.epoch => {
+                row.era < self.era
+            }
+            Some((_, row)) => row.epoch <= claim.row.epoch,
+            None => true,
+        })
     }
 
     fn is_expired(&self, now: Time) -> bool {
-        let Some((_, row)) = &self.row else {
-            return false;
-        };
-        let is_earlier_incarnation = row.owner == self.me;
-        let ttl = Duration::from_millis(row.ttl_ms).mul_f64(1.0 + self.timing.drift);
-        is_earlier_incarnation || now - self.row_changed_at > ttl
+        let is_previous_own = self
+            .row
+            .as_ref()
+            .is_some_and(|(_, row)| row.owner == self.me);
+        is_previous_own || self.has_ttl_passed(now)
+    }
+
+    /// Returns whether the row has stood unchanged for longer than a holder may use it.
+    fn has_ttl_passed(&self, now: Time) -> bool {
+        self.row.as_ref().is_some_and(|(_, row)| {
+            let ttl = Duration::from_millis(row.ttl_ms).mul_f64(1.0 + self.timing.drift);
+            now - self.row_changed_at > ttl
+        })
     }
 
     fn next_row(&self) -> LeaseRow {
-        let old = self.row.as_ref().map(|(_, row)| row);
-        let is_renewal = old.is_some_and(|row| self.is_own(row) && !row.is_released);
+        let renewed = match self.state {
+            LeaseState::Held => self.row.as_ref().map(|(_, row)| row),
+            LeaseState::Unconfirmed => self.claim.as_ref().map(|claim| &claim.row),
+            _ => None,
+        };
+        let (epoch, renewal) = match renewed {
+            Some(row) => (row.epoch, row.renewal + 1),
+            None => (next_epoch(self.highest_epoch, self.era), 0),
+        };
         LeaseRow {
             owner: self.me.clone(),
             incarnation: self.incarnation,
-            epoch: old.map_or(0, |row| row.epoch) + u64::from(!is_renewal),
-            renewal: if is_renewal {
-                old.map_or(0, |row| row.renewal) + 1
-            } else {
-                0
-            },
+            epoch,
+            renewal,
             ttl_ms: self.timing.ttl.as_millis() as u64,
             is_released: false,
+            era: self.era,
+            since_era: self.since_era,
         }
     }
 
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -38,8 +38,8 @@
 pub use holder::{QuotaHolder, SlotHistory};
 pub use lag::{Lag, PositionTimes};
 pub use lease::{
-    Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
-    lease_chart,
+    CONFIRM_TIME, EraSettling, Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming,
+    LeaseWrite, WriteOutcome, lease_chart,
 };
 pub use membership::{
     Heartbeat, ListEntry, Member, Membership, Presence, rendezvous_draw, rendezvous_rank,
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -31,6 +31,8 @@
         renewal: 0,
         ttl_ms: 10_000,
         is_released: false,
+        era: 0,
+        since_era: 0,
     }
 }
 
@@ -44,6 +46,7 @@
             LeaseState::Unread,
             LeaseState::Free,
             LeaseState::Other,
+            LeaseState::Unconfirmed,
             LeaseState::Writing,
             LeaseState::Held
         ]
--- a/crates/daemon/tests/formats/rows.rs
+++ b/crates/daemon/tests/formats/rows.rs
@@ -63,6 +63,8 @@
         renewal: 12,
         ttl_ms: 7_200_000,
         is_released: false,
+        era: 0,
+        since_era: 0,
     }
 }
 
