--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 
 use self::row::next_epoch;
 pub use self::{
@@ -40,7 +40,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The write took effect and the row now has this version.
-    Applied(u64),
+    Applied(Position),
     /// The row did not have the expected version.
     Conflict,
     /// No answer arrived; the write may have taken effect.
@@ -64,7 +64,7 @@
 /// lease.on_read(Time::ZERO, None);
 /// let write = lease.next_write(Time::ZERO, true, false).unwrap();
 /// assert_eq!(write.expected_version, None);
-/// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1));
+/// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1.into()));
 /// assert!(lease.is_held(Time::from_millis(5)));
 /// ```
 #[derive(Debug)]
@@ -80,7 +80,7 @@
     /// Whether the leases of earlier eras are over or confirmed.
     is_settled: bool,
     /// The row as read or written in the present era.
-    row: Option<(u64, LeaseRow)>,
+    row: Option<(Position, LeaseRow)>,
     was_read: bool,
     /// Whether the row was changed in the present era to one that had been written in an earlier one.
     is_overwritten: bool,
@@ -218,7 +218,7 @@
     /// Processes a read of the row in the present era.
     ///
     /// Reads that started before the last write of this instance was answered must not be passed.
-    pub fn on_read(&mut self, now: Time, row: Option<(u64, LeaseRow)>) {
+    pub fn on_read(&mut self, now: Time, row: Option<(Position, LeaseRow)>) {
         if self.is_newer(row.as_ref()) {
             let is_earlier = row.as_ref().is_some_and(|(_, row)| row.era < self.era);
             self.is_overwritten = self.was_read && is_earlier;
@@ -340,7 +340,7 @@
     }
 
     /// Returns whether the row is newer than the last one read or written.
-    fn is_newer(&self, row: Option<&(u64, LeaseRow)>) -> bool {
+    fn is_newer(&self, row: Option<&(Position, LeaseRow)>) -> bool {
         match (&self.row, row) {
             (None, _) => true,
             (Some(_), None) => false,
@@ -349,7 +349,7 @@
     }
 
     /// Determines from the row whether an unanswered write took effect.
-    fn resolve_unanswered(&mut self, row: Option<&(u64, LeaseRow)>) {
+    fn resolve_unanswered(&mut self, row: Option<&(Position, LeaseRow)>) {
         let Some((sent_at, written)) = self.pending_write.take() else {
             return;
         };
--- a/crates/coord/src/lease/row.rs
+++ b/crates/coord/src/lease/row.rs
@@ -1,6 +1,6 @@
 //! The rows of leases and the writes that change them.
 
-use base::{Incarnation, InstanceId};
+use base::{Incarnation, InstanceId, Position};
 use serde::{Deserialize, Serialize};
 
 /// Reports to all instances who owns a lease, how long it lasts and whether it was released, as a row of
@@ -41,7 +41,7 @@
     /// New content of the row.
     pub row: LeaseRow,
     /// Version that the row must have, or `None` if it must not exist.
-    pub expected_version: Option<u64>,
+    pub expected_version: Option<Position>,
 }
 
 /// Returns the epoch of a lease that is acquired in an era and whose highest known epoch is `highest`.
--- a/crates/coord/tests/lease_eras.rs
+++ b/crates/coord/tests/lease_eras.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use base::{Incarnation, InstanceId, Time};
+use base::{Incarnation, InstanceId, Position, Time};
 use coord::{
     CONFIRM_TIME, EraSettling, Lease, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
     lease_chart,
@@ -49,9 +49,9 @@
         is_released: true,
         ..row("b", 3, 1)
     };
-    lease.on_read(Time::ZERO, Some((7, released)));
+    lease.on_read(Time::ZERO, Some((7.into(), released)));
     lease.next_write(Time::ZERO, true, false).unwrap();
-    lease.on_write_outcome(Time::ZERO, WriteOutcome::Applied(8));
+    lease.on_write_outcome(Time::ZERO, WriteOutcome::Applied(8.into()));
     lease.on_era(Time::from_secs(2), 2);
     lease
 }
@@ -75,12 +75,12 @@
     let mut lease = held_into_era_two();
     let learned = Time::from_secs(2);
     assert_eq!(lease.held_until(), learned + CONFIRM_TIME);
-    lease.on_read(learned, copy.map(|row| (7, row)));
+    lease.on_read(learned, copy.map(|row| (7.into(), row)));
     assert_eq!(lease.state(), state);
     let write = lease.next_write(learned, true, false);
     assert_eq!(write.as_ref().map(|write| write.row.epoch), epoch);
     assert_eq!(write.map(|write| write.row.era), epoch.map(|_| 2));
-    lease.on_write_outcome(learned, WriteOutcome::Applied(8));
+    lease.on_write_outcome(learned, WriteOutcome::Applied(8.into()));
     let confirmed = epoch.map(|_| learned + Duration::from_millis(29_400));
     assert_eq!(lease.held_until(), confirmed.unwrap_or(Time::ZERO));
 }
@@ -95,7 +95,7 @@
     let write = lease.next_write(Time::ZERO, true, false).unwrap();
     lease.on_write_outcome(Time::from_secs(1), WriteOutcome::Unanswered);
     lease.on_era(Time::from_secs(2), 2);
-    lease.on_read(Time::from_secs(2), Some((1, write.row)));
+    lease.on_read(Time::from_secs(2), Some((1.into(), write.row)));
     assert!(!lease.is_held(Time::from_secs(2)));
     assert_eq!(lease.state(), LeaseState::Other);
 }
@@ -153,43 +153,43 @@
         lease.on_read(start, None);
     }
     let write = holder.next_write(start, true, false).unwrap();
-    holder.on_write_outcome(start, WriteOutcome::Applied(8));
-    other.on_read(start, Some((8, write.row)));
+    holder.on_write_outcome(start, WriteOutcome::Applied(8.into()));
+    other.on_read(start, Some((8.into(), write.row)));
     let late = LeaseRow {
         is_released: true,
         ..row("c", 3, 1)
     };
-    other.on_read(later, Some((9, late.clone())));
+    other.on_read(later, Some((9.into(), late.clone())));
     assert_eq!(other.next_write(later, true, false), None);
-    holder.on_read(later, Some((9, late)));
+    holder.on_read(later, Some((9.into(), late)));
     assert!(holder.is_held(later));
     let again = holder.next_write(later, true, false).unwrap();
     assert_eq!(
         (again.row.epoch, again.expected_version),
-        (FIRST_EPOCH, Some(9))
+        (FIRST_EPOCH, Some(9.into()))
     );
 }
 
 /// A row, if there is one, with its version.
-type Standing = Option<(u64, LeaseRow)>;
+type Standing = Option<(Position, LeaseRow)>;
 
 /// The table, which goes back to copies of itself and performs unanswered writes later.
 #[derive(Default)]
 struct Table {
     era: u32,
-    version: u64,
+    version: Position,
     row: Standing,
-    copies: VecDeque<(Time, u64, Standing)>,
+    copies: VecDeque<(Time, Position, Standing)>,
     in_flight: Vec<(Time, LeaseWrite)>,
 }
 
 impl Table {
-    fn perform(&mut self, write: &LeaseWrite) -> Option<u64> {
+    fn perform(&mut self, write: &LeaseWrite) -> Option<Position> {
         let standing = self.row.as_ref().map(|(version, _)| *version);
         if standing != write.expected_version {
             return None;
         }
-        self.version += 1;
+        self.version.version += 1;
         self.row = Some((self.version, write.row.clone()));
         Some(self.version)
     }
