fix(daemon): a starter knows from elsewhere that slots may be lost

An instance that starts while the store comes back from a copy without any slot took the first one for a new deployment's, at once and with full reservations. SlotsOptions::begun_in (NodeOptions::begun_in) now names the era in which the deployment began, if it is known: no slot is taken at once in a later one. None, the default, decides by the rows alone, as before.

With None, the case of the empty copy fails: left: ["i001", "i002"] right: ["i001", "i000"].

--- a/crates/coord/src/lease/settling.rs
+++ b/crates/coord/src/lease/settling.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Sets the era in which the deployment began, if it is known from elsewhere: no lease of it is older.
+    pub fn begun_in(mut self, era: Option<u32>) -> Self {
+        self.since_era = era;
+        self
+    }
+
     /// Returns the latest known era of the table.
     pub fn era(&self) -> u32 {
         self.era
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -279,6 +279,7 @@
         incarnation,
         lease_timing: options.lease_timing,
         count: cfg.slot_count,
+        begun_in: options.begun_in,
         holder_poll_divisor: options.holder_poll_divisor,
         trusts_absence: cfg.takeover == TakeoverPolicy::Absence,
         platform: platform.clone(),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -42,6 +42,8 @@
     pub trace_sample_ratio: f64,
     /// Durations of the slots' leases.
     pub lease_timing: LeaseTiming,
+    /// Era of the platform's tables in which the deployment began, if it is known.
+    pub begun_in: Option<u32>,
     /// Parameters of the dispatcher.
     pub dispatch_policy: Policy,
     /// Parameters of the planner; `None` to take them from the configuration.
@@ -62,6 +64,7 @@
         Self {
             trace_sample_ratio: 0.001,
             lease_timing: LeaseTiming::default(),
+            begun_in: None,
             dispatch_policy: Policy::default(),
             plan_policy: None,
             dialect: Dialect::default(),
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -48,6 +48,8 @@
     pub lease_timing: LeaseTiming,
     /// Number of slots.
     pub count: u32,
+    /// Era of the platform's tables in which the deployment began, if it is known.
+    pub begun_in: Option<u32>,
     /// Divisor of the poll rate while this instance holds a slot.
     pub holder_poll_divisor: u32,
     /// Whether a long absence from the platform's list proves that an instance has ended.
@@ -95,7 +97,7 @@
     pub fn new(options: SlotsOptions) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let era = options.platform.era();
-        let settling = EraSettling::new(options.lease_timing);
+        let settling = EraSettling::new(options.lease_timing).begun_in(options.begun_in);
         Self {
             options,
             era,
--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -162,6 +162,7 @@
             ..LeaseTiming::default()
         },
         count: count as u32,
+        begun_in: Some(0),
         holder_poll_divisor: 6,
         trusts_absence: false,
         platform: platform.clone(),
@@ -194,14 +195,19 @@
 /// Guards against a slot that is lost to its holder, or that two hold, since the platform has come back from a copy
 /// without its row: the holder writes it again, however an instance that starts meanwhile finds it free.
 #[rstest]
-#[case::one_era(1)]
-#[case::two_eras_a_second_apart(2)]
-fn slot_of_lost_row_stays_with_its_holder(#[case] eras: u32) {
+#[case::one_era(1, false)]
+#[case::two_eras_a_second_apart(2, false)]
+#[case::empty_copy(1, true)]
+fn slot_of_lost_row_stays_with_its_holder(#[case] eras: u32, #[case] is_empty: bool) {
     run_paused(async {
         let shared = Shared::default();
         let first = start(&shared, 0, 2, 0);
         sleep(SECOND * 2).await;
-        let copy = shared.copy();
+        let copy = if is_empty {
+            Store::default()
+        } else {
+            shared.copy()
+        };
         let second = start(&shared, 1, 2, 0);
         sleep(SECOND * 2).await;
         assert_eq!((*first.held.borrow(), *second.held.borrow()), (1, 1));
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -312,6 +312,7 @@
             ..LeaseTiming::default()
         },
         count,
+        begun_in: None,
         holder_poll_divisor: 6,
         trusts_absence: false,
         platform: platform.clone(),
