--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -41,8 +41,8 @@
 pub use kept_rows::{KeptRows, RowOrder, unordered_rows};
 pub use lag::{Lag, PositionTimes};
 pub use lease::{
-    Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming, LeaseWrite, WriteOutcome,
-    lease_chart,
+    CONFIRM_TIME, EraSettling, Lease, LeaseChart, LeaseEvent, LeaseRow, LeaseState, LeaseTiming,
+    LeaseWrite, WriteOutcome, lease_chart,
 };
 pub use membership::{
     Heartbeat, ListEntry, Member, Membership, Presence, rendezvous_draw, rendezvous_rank,
