fix(daemon): a new era is read at once, and what it lacks counts from the return

After a drill callers' requests still reached a target whose entry had been removed just before it or after it: instances learned the new era by a small call, but waited up to 2 s for the answer to a poll that the store had dropped, and then kept each entry that the copy lacked for 1.8 s more.

Change: as the era rises, by any answer or another instance, the polls of the era before are given up and the table is read anew. What it lacks counts from when the era was first known. An entry that the copy must have had, since it has later writes that were known, has been deleted since and isn't kept. A target that others have told to have left stays so, also if its row hadn't come yet. One line at each era (`table_era`) and as kept rows end (`kept_rows_ended`), gauges `table_era` and `rows_kept_over_copy`.

--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -108,7 +108,8 @@
     }
 
     /// Begins an era with a copy of the table, where `known` are the rows as they were known before. Rows that the copy
-    /// lacks are kept until `missing_until`, or until they are written again.
+    /// lacks are kept until `missing_until`, or until they are written again, but those that it must have had: they have been
+    /// deleted since.
     pub fn begin_era(
         &mut self,
         known: BTreeMap<String, ReplicaRow>,
@@ -123,9 +124,13 @@
         let before = before.into_iter().filter(|(_, kept)| kept.is_deleted);
         deleted.extend(before.map(|(name, kept)| (name, kept.row)));
         deleted.retain(|name, _| !known.contains_key(name));
+        let copied_to = copied_to(&known, copy);
         for (name, row) in known {
             let found = copy.get(&name);
-            let is_older = found.is_none_or(|found| self.is_older(&name, &row, found));
+            let is_older = match found {
+                Some(found) => self.is_older(&name, &row, found),
+                None => row.position.version > copied_to,
+            };
             let until = missing_until.filter(|_| found.is_none());
             self.keep_if(is_older, name, row, false, until);
         }
@@ -218,6 +223,17 @@
     }
 }
 
+/// Returns a version that the copy has reached: the last one at which both have the same write.
+fn copied_to(known: &BTreeMap<String, ReplicaRow>, copy: &BTreeMap<String, ReplicaRow>) -> u64 {
+    let same = known.iter().filter(|(name, row)| {
+        copy.get(*name).is_some_and(|found| {
+            found.position.version == row.position.version && found.value == row.value
+        })
+    });
+    let versions = same.map(|(_, row)| row.position.version);
+    versions.max().unwrap_or(0)
+}
+
 /// Returns no order: what is found replaces what was known.
 pub fn unordered_rows(_: &str, _: &str, _: &str) -> Option<Ordering> {
     None
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -1,9 +1,12 @@
 //! A replica of a table, updated from the table itself or from other replicas.
 
+mod outage;
+
 use std::{cmp::Ordering, collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Position, Time};
 
+use self::outage::Outage;
 use crate::{
     KeptRows, ReplicaRow, RowChange, RowOrder, RowsDigest, RowsReport, Standstills, TableSnapshot,
     unordered_rows,
@@ -61,19 +64,6 @@
     standstills: Standstills,
 }
 
-/// Describes the last time during which no instance could read the table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outage {
-    /// It has lasted since this time.
-    Ongoing(Time),
-    /// It ended at this time.
-    Over(Time),
-}
-
-/// Time after a successful read, by any instance, during which a failed one is no sign of an outage.
-const CONTACT_VALIDITY: Duration = Duration::from_millis(1_500);
-/// Time after a standstill of this instance within which it handles the reports that arrived meanwhile.
-const HEARING_TIME: Duration = Duration::from_millis(500);
 /// Time for which a row that a copy of the table lacks is kept where that copy may be later than what was known.
 const UNSURE_KEEP_TIME: Duration = Duration::from_secs(60);
 
@@ -210,64 +200,6 @@
         self.last_contact_at
     }
 
-    /// Records that an instance could not read the table over a new connection.
-    pub fn on_read_failure(&mut self, now: Time) {
-        self.on_failure(now, self.last_contact_at.map(|at| now - at));
-    }
-
-    /// Records that this instance could not read the table over a new connection. The time for which it stood still
-    /// doesn't count as time without a read, since it couldn't handle reports of other instances' reads then; where these
-    /// report failures, [`Self::on_read_failure`] counts it.
-    pub fn on_own_read_failure(&mut self, now: Time) {
-        let last_contact = self.last_contact_at;
-        self.on_failure(
-            now,
-            last_contact.map(|at| self.standstills.awake_time(at, now)),
-        );
-    }
-
-    fn on_failure(&mut self, now: Time, silence: Option<Duration>) {
-        let is_reachable = silence.is_some_and(|silence| silence <= CONTACT_VALIDITY);
-        if !is_reachable && !self.has_outage() {
-            let has_just_woken =
-                self.standstills.awake_time(now.before(HEARING_TIME), now) < HEARING_TIME;
-            self.uncertain = has_just_woken.then_some((now, self.outage));
-            self.outage = Some(Outage::Ongoing(now));
-        }
-    }
-
-    /// Records that this instance stood still until `now`, where it was to run at `due`.
-    pub fn on_wake(&mut self, due: Time, now: Time) {
-        self.standstills.on_wake(due, now);
-    }
-
-    /// Records that some instance read the table at `at` or later. This may refute an outage that was assumed just after
-    /// a standstill; rows are then no longer retained because of it.
-    pub fn on_contact(&mut self, at: Time) {
-        self.last_contact_at = self.last_contact_at.max(Some(at));
-        if matches!(self.outage, Some(Outage::Ongoing(since)) if at > since) {
-            self.outage = Some(Outage::Over(at));
-        }
-        let refuted = self
-            .uncertain
-            .filter(|(since, _)| at <= *since && *since - at <= CONTACT_VALIDITY);
-        if let Some((since, before)) = refuted {
-            (self.outage, self.uncertain) = (before, None);
-            self.shorten_retention(since);
-        }
-    }
-
-    /// Retains rows no longer than the last outage asks for, at most until `end` if there was none.
-    fn shorten_retention(&mut self, end: Time) {
-        let end = match self.outage {
-            Some(Outage::Over(at)) => at + self.grace_period,
-            _ => end,
-        };
-        for (_, until) in self.retained.values_mut() {
-            *until = end.min(*until);
-        }
-    }
-
     /// Applies the changes up to `position` and returns whether the rows have changed.
     pub fn apply_changes(
         &mut self,
@@ -411,6 +343,12 @@
         self.take_rows(now, snapshot);
         self.kept = kept;
         self.unwritten_since = (!is_written).then_some(now);
+        for (name, row) in &known {
+            let is_there = self.snapshot.rows.contains_key(name) || self.kept.get(name).is_some();
+            if !is_there {
+                self.retain_deleted(now, name, row.clone());
+            }
+        }
         let rows = self.rows().map(|(name, row)| (name, &row.value));
         let mut known: BTreeMap<&str, &Arc<str>> = known
             .iter()
@@ -423,6 +361,15 @@
         !is_same || !known.is_empty()
     }
 
+    /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
+    /// before.
+    pub fn on_told_deleted(&mut self, now: Time, name: &str) {
+        let retained = self.retained.remove(name).map(|(row, _)| row);
+        if let Some(row) = self.take_out(name).or(retained) {
+            self.kept.on_deleted(now, name.to_owned(), row);
+        }
+    }
+
     /// Drops retained and kept rows whose grace period is over and returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
         let over = self.retained.extract_if(.., |_, (_, until)| *until <= now);
@@ -473,6 +420,12 @@
         let Some(row) = self.take_out(name) else {
             return was_kept;
         };
+        self.retain_deleted(now, name, row);
+        true
+    }
+
+    /// Retains a row that has been deleted if an outage may have removed it.
+    fn retain_deleted(&mut self, now: Time, name: &str, row: ReplicaRow) {
         let until = match self.outage {
             Some(Outage::Ongoing(_)) => now + self.grace_period,
             Some(Outage::Over(at)) => at + self.grace_period,
@@ -483,7 +436,6 @@
         } else {
             self.kept.on_deleted(now, name.to_owned(), row);
         }
-        true
     }
 
     fn take_out(&mut self, name: &str) -> Option<ReplicaRow> {
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -120,6 +120,28 @@
     assert_eq!(known(&replica), None);
 }
 
+// Guards against a target that leaves between the return and the first read, and gets requests as if the copy had lost it.
+#[rstest]
+#[case::that_the_copy_had(5, None)]
+#[case::that_it_may_have_lost(15, Some("1:a"))]
+fn entry_that_is_missing_is_kept_only_if_it_was_lost(
+    #[case] version: u64,
+    #[case] expected: Option<&str>,
+) {
+    let mut replica = replica(GRACE, &[(Some("1:a"), version)]);
+    let at = Position::new(1, LOST + 1);
+    replica.apply_changes(Time::ZERO, vec![change("s", Some("1:s"), at)], at);
+    let mut copy = found(None, LOST + 30);
+    let row = ReplicaRow {
+        value: "1:s".into(),
+        position: Position::new(2, if version == 5 { LOST + 1 } else { 9 }),
+    };
+    copy.rows.insert("s".to_owned(), row);
+    replica.restore(BACK_AT, copy);
+    let rows = replica.rows().find(|(name, _)| *name == "r");
+    assert_eq!(rows.map(|(_, row)| row.value.as_ref()), expected);
+}
+
 // Guards against a read of the earlier era, late or from another instance, that overwrites the later one.
 #[test]
 fn earlier_era_never_overwrites_a_later_one() {
@@ -173,3 +195,18 @@
     }
     assert_eq!(replica.unwritten_since().is_some(), expected);
 }
+
+// Guards against a target that leaves just after the return and gets requests for ever.
+#[test]
+fn entry_that_is_deleted_after_an_outage_and_a_copy_is_dropped() {
+    let mut replica = replica(GRACE, &[(Some("1:a"), 5)]);
+    replica.on_contact(Time::from_secs(5));
+    replica.on_read_failure(Time::from_secs(9));
+    replica.on_contact(BACK_AT);
+    replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND));
+    let at = Position::new(2, FOUND + 1);
+    replica.apply_changes(BACK_AT, vec![change("r", None, at)], at);
+    assert_eq!(known(&replica), Some("1:a"));
+    assert!(replica.expire(BACK_AT + GRACE));
+    assert_eq!(known(&replica), None);
+}
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -7,6 +7,7 @@
 mod eras;
 mod fetching;
 mod lateness;
+mod messages;
 mod publication;
 mod refresh;
 mod rows;
@@ -14,10 +15,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Config, InstanceId, Position, Time};
+use base::{Config, Position, Time};
 use coord::{
-    FetchDelays, Replica, RowOrder, RowsReport, Standstills, TableSnapshot, rendezvous_draw,
-    unordered_rows,
+    FetchDelays, Replica, RowOrder, RowsReport, Standstills, TableSnapshot, unordered_rows,
 };
 use entry::message::ConfigLag;
 use tokio::{
@@ -28,6 +28,7 @@
 pub use self::departures::TARGETS;
 use self::{
     departures::{Overlay, TargetsLag},
+    eras::EraTimes,
     fetching::count_fault,
     lateness::Lateness,
     table::{OpenFetch, Table},
@@ -37,7 +38,7 @@
     fleet::HEARING_TIME,
     message::{FollowerMessage, OwnReads, TableChange},
     table_logs::{NewsSource, log_changed_beside, log_fetch, log_read_failure, log_standstill},
-    table_reads::{ReadTiming, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
+    table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -109,6 +110,7 @@
     /// What the task that sends heartbeats was told last of the tables' rows.
     told_rows: Vec<Option<RowsReport>>,
     standstills: Standstills,
+    eras: EraTimes,
     /// Time until which this instance, which stood still, waits for a word that its configuration may still decide.
     hearing_until: Time,
 }
@@ -188,6 +190,7 @@
             last_sent: None,
             told_rows: Vec::new(),
             standstills: Standstills::default(),
+            eras: EraTimes::default(),
             hearing_until: Time::ZERO,
         }
     }
@@ -211,6 +214,7 @@
             tokio::spawn(reader.run(idx, tx.clone()));
         }
         let clock = self.options.clock;
+        let mut eras = self.options.platform.era();
         let mut refreshed_at = clock.now();
         let mut woken_at = refreshed_at;
         loop {
@@ -221,6 +225,10 @@
                     None => return,
                 },
                 Some((idx, read)) = reads.recv() => Wake::Read(idx, read),
+                Ok(()) = eras.changed() => {
+                    self.eras.record(clock.now(), *eras.borrow_and_update());
+                    continue;
+                }
                 () = sleep_until(clock.instant(refresh_at)) => Wake::Refresh,
             };
             self.on_wake(refresh_at.max(woken_at));
@@ -276,88 +284,12 @@
         }
     }
 
-    /// Handles a message and returns whether to publish the result at once.
-    fn handle_message(&mut self, message: FollowerMessage) -> bool {
-        let now = self.options.clock.now();
-        match message {
-            FollowerMessage::Leave => self.is_leaving = true,
-            FollowerMessage::PeerHead { .. } => return false,
-            FollowerMessage::PeerRows { from, rows } => {
-                self.record_rows(&from, rows);
-                return false;
-            }
-            FollowerMessage::PeerDepartures { from, departures } => {
-                let Some(table) = self.tables.get(TARGETS) else {
-                    return false;
-                };
-                self.overlay.on_departures(now, &table.replica, &departures);
-                return self.overlay_departures(now, NewsSource::Departures(from));
-            }
-            FollowerMessage::PeerRetained { from, entries } => {
-                if let Some(table) = self.tables.get(TARGETS) {
-                    self.overlay.on_retained(now, &table.replica, &entries);
-                }
-                return self.end_retention(now, NewsSource::Departures(from));
-            }
-            FollowerMessage::PeerPositions {
-                from,
-                positions,
-                confirmed_at,
-                change,
-                reads,
-            } => {
-                let mut reported = self.tables.iter().zip(&positions);
-                let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
-                // Most heartbeats bring no news, so the rank is worked out only for those that do.
-                let rank = (!is_up_to_date).then(|| self.fetch_rank(&from));
-                if let Some(position) = positions.first() {
-                    self.lateness.on_report(now, &from, *position, change);
-                }
-                if let Some(position) = positions.get(TARGETS) {
-                    self.targets_lag.on_report(now, *position);
-                    self.overlay.reported.on_later_rows(*position);
-                }
-                for (table, position) in self.tables.iter_mut().zip(positions) {
-                    if let Some(rank) = rank {
-                        table.catch_up.on_report(now, from.clone(), position, rank);
-                    }
-                    table.record_confirmation(&from, position, confirmed_at);
-                    let contact_at = reads.map(|reads| reads.contact_at);
-                    if let Some(at) = confirmed_at.max(contact_at) {
-                        table.record_contact(at);
-                    }
-                }
-                let failing = reads.filter(|reads| reads.is_failing);
-                let turn = failing.map_or(Duration::ZERO, |_| self.prompt_turn(&from));
-                let max_rest = self.read_timing().max_rest();
-                if let (Some(table), Some(reads)) = (self.tables.get_mut(TARGETS), reads) {
-                    table.record_reads_elsewhere(now, reads, max_rest, turn);
-                }
-                return false;
-            }
-        }
-        true
-    }
-
-    fn read_timing(&self) -> ReadTiming {
-        let timing = self.options.read_timing;
-        timing.confirming_within(self.options.apply)
-    }
-
-    /// Returns by how much this instance reads the store later than the first one where all hear that the reads of `from`
-    /// fail.
-    fn prompt_turn(&self, from: &InstanceId) -> Duration {
-        let count = self.options.fleet.borrow().members.len();
-        let draw = rendezvous_draw(self.options.own_entry.instance.as_str(), from);
-        let max = PROMPT_SPACING * count.try_into().unwrap_or(u32::MAX);
-        max.mul_f64(draw as f64 / u64::MAX as f64)
-    }
-
     /// Applies a read and returns whether to publish the result at once.
     fn apply_read(&mut self, idx: usize, read: TableRead) -> bool {
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
         let targets_known_since = self.targets_lag.behind_since();
+        self.keep_departures(now, idx, &read);
         let name = self.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
@@ -404,8 +336,10 @@
                 // What it lacks counts as gone since a later position was first reported, however long the fetch has taken.
                 let known_since = targets_known_since.filter(|_| idx == TARGETS);
                 let deleted_by = known_since.map_or(now, |since| since.min(now));
-                let is_changed =
-                    found.is_some_and(|found| table.replica.replace(deleted_by, found));
+                let is_changed = found.is_some_and(|found| {
+                    let deleted_by = self.eras.deleted_by(before, found.position, deleted_by);
+                    table.replica.replace(deleted_by, found)
+                });
                 if table.replica.position() > before {
                     table.rows.on_fetched(now);
                     if idx == 0 {
@@ -420,10 +354,10 @@
                 table.believe_reported();
                 table.record_answer(name, &read);
                 table.rows.on_whole_read(now);
-                table.replica.restore(
-                    read.answer.arrived_at,
-                    to_snapshot(read.rows, read.position),
-                )
+                let arrived_at = read.answer.arrived_at;
+                let deleted_by = self.eras.deleted_by(before, read.position, arrived_at);
+                let found = to_snapshot(read.rows, read.position);
+                table.replica.restore(deleted_by, found)
             }
             TableRead::Changes(read) => {
                 read_at = Some((read.sent_at(), read.position));
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -1,12 +1,18 @@
 //! What the follower does as the platform comes back from an older copy of its tables.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{Position, Time};
 use coord::Replica;
 
-use super::{ComposedConfig, TableFollower, table::Table};
-use crate::table_logs::{NewsSource, log_era, log_kept_ended};
+use super::{ComposedConfig, TARGETS, TableFollower, table::Table};
+use crate::{
+    table_logs::{NewsSource, log_era, log_kept_ended},
+    table_reads::TableRead,
+};
 
 /// Maximum time after the return of the platform from a copy for which a change of the configuration that was lost with it may
 /// still be unwritten.
@@ -15,6 +21,31 @@
 const ERA_GAUGE: &str = "table_era";
 const KEPT_GAUGE: &str = "rows_kept_over_copy";
 
+/// Maximum number of eras whose begin is remembered.
+const MAX_ERAS: usize = 8;
+
+/// Remembers when eras of the platform's history became known, by any answer or another instance.
+#[derive(Debug, Default)]
+pub(super) struct EraTimes(BTreeMap<u32, Time>);
+
+impl EraTimes {
+    /// Records that an era is known.
+    pub(super) fn record(&mut self, now: Time, era: u32) {
+        self.0.entry(era).or_insert(now);
+        while self.0.len() > MAX_ERAS {
+            self.0.pop_first();
+        }
+    }
+
+    /// Returns from when on the rows count as gone that a whole table at `position` lacks, which came at `now` after the own
+    /// position `before`: since the platform was known to be back, if the table is the first one of its era.
+    pub(super) fn deleted_by(&self, before: Position, position: Position, now: Time) -> Time {
+        let known_at = self.0.get(&position.era);
+        let known_at = known_at.filter(|_| before.era < position.era);
+        known_at.map_or(now, |at| now.min(*at))
+    }
+}
+
 impl Table {
     /// Logs the begin of an era with a change from `source`, where `before` was the position, and rows that are no longer kept
     /// from an earlier one.
@@ -45,6 +76,24 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
+    /// Keeps what others have told of targets that left, where a read brings a table of a later era: that may be from before.
+    pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) {
+        let position = match read {
+            TableRead::Snapshot(read) => read.position,
+            TableRead::Fetched(fetch) => {
+                let found = fetch.fetched.table.as_ref();
+                found.map_or(Position::ZERO, |found| found.position)
+            }
+            _ => return,
+        };
+        let replica = &mut self.tables[idx].replica;
+        if idx == TARGETS && position.era > replica.position().era {
+            for (target, _) in self.overlay.reported.targets() {
+                replica.on_told_deleted(now, target.as_str());
+            }
+        }
+    }
+
     /// Returns whether the operators' table is a copy that may lack changes which had been acknowledged, and nobody has
     /// written them again yet: what it doesn't allow may be allowed all the same.
     pub(super) fn may_lack_changes(&self, now: Time) -> bool {
--- a/crates/daemon/src/table_reads/open_polls.rs
+++ b/crates/daemon/src/table_reads/open_polls.rs
@@ -25,6 +25,11 @@
 }
 
 impl OpenPoll {
+    /// Returns whether it asks for changes in an era.
+    pub(super) fn is_of(&self, era: u32) -> bool {
+        self.after.is_some_and(|after| after.era >= era)
+    }
+
     /// Returns when the answer to a poll for changes began to arrive.
     pub(super) fn arriving_since(&self) -> Option<Time> {
         self.after?;
