fix(coord): a row that a first copy lost outlives a second one

A return of the store after another one dropped an evacuation, if others had written in between: a row kept from era 1 was compared by its bare version with writes of era 2, and counted as deleted since. Positions are compared with their eras now. Rows of the operators' table are never taken for deleted since: an equal write may land on its old version by chance, and an evacuation would be dropped before it is written again.

Test: coord/tests/restored.rs, row_that_a_first_copy_lost_outlives_a_second_one.

--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Position, Time};
 
 use crate::ReplicaRow;
 
@@ -108,8 +108,8 @@
     }
 
     /// Begins an era with a copy of the table, where `known` are the rows as they were known before. Rows that the copy
-    /// lacks are kept until `missing_until`, or until they are written again, but those that it must have had: they have been
-    /// deleted since.
+    /// lacks are kept until they are written again, or until `missing_until`. With such a time, those that the copy must
+    /// have had aren't kept: they have been deleted since.
     pub fn begin_era(
         &mut self,
         known: BTreeMap<String, ReplicaRow>,
@@ -124,12 +124,12 @@
         let before = before.into_iter().filter(|(_, kept)| kept.is_deleted);
         deleted.extend(before.map(|(name, kept)| (name, kept.row)));
         deleted.retain(|name, _| !known.contains_key(name));
-        let copied_to = copied_to(&known, copy);
+        let copied_to = missing_until.map_or(Position::ZERO, |_| copied_to(&known, copy));
         for (name, row) in known {
             let found = copy.get(&name);
             let is_older = match found {
                 Some(found) => self.is_older(&name, &row, found),
-                None => row.position.version > copied_to,
+                None => row.position > copied_to || row.position.era < copied_to.era,
             };
             let until = missing_until.filter(|_| found.is_none());
             self.keep_if(is_older, name, row, false, until);
@@ -223,15 +223,17 @@
     }
 }
 
-/// Returns a version that the copy has reached: the last one at which both have the same write.
-fn copied_to(known: &BTreeMap<String, ReplicaRow>, copy: &BTreeMap<String, ReplicaRow>) -> u64 {
+/// Returns a position of the last era that the copy has reached: the last one at which both have the same write.
+fn copied_to(
+    known: &BTreeMap<String, ReplicaRow>,
+    copy: &BTreeMap<String, ReplicaRow>,
+) -> Position {
     let same = known.iter().filter(|(name, row)| {
         copy.get(*name).is_some_and(|found| {
             found.position.version == row.position.version && found.value == row.value
         })
     });
-    let versions = same.map(|(_, row)| row.position.version);
-    versions.max().unwrap_or(0)
+    same.map(|(_, row)| row.position).max().unwrap_or_default()
 }
 
 /// Returns no order: what is found replaces what was known.
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -175,6 +175,24 @@
     );
 }
 
+// Guards against a row that is kept over a first copy and dropped by a second one, since others were written between the two.
+#[rstest]
+#[case::operators_table(Duration::ZERO)]
+#[case::targets_table(GRACE)]
+fn row_that_a_first_copy_lost_outlives_a_second_one(#[case] grace_period: Duration) {
+    let mut replica = replica(grace_period, &[(Some("1:a"), 10)]);
+    replica.restore(BACK_AT, found(None, 9));
+    let at = Position::new(2, 12);
+    replica.apply_changes(BACK_AT, vec![change("s", Some("1:s"), at)], at);
+    let mut copy = found(None, 12).in_era(3);
+    let value = "1:s".into();
+    let position = Position::new(3, 12);
+    copy.rows
+        .insert("s".to_owned(), ReplicaRow { value, position });
+    replica.restore(BACK_AT, copy);
+    assert!(replica.rows().any(|(name, _)| name == "r"));
+}
+
 // Guards against refusals for good by a copy that lacks a change, and against an instance that never refuses for good again.
 #[rstest]
 #[case::unwritten(Some(("1:a", 5)), None, true)]
