fix(daemon): a target that others told to have left stays so in a new era

By the lines: an instance had taken it out of service on another one's word, then its own read brought the table of the new era, without the entry. The row had been taken out of the replica just before, so the read changed nothing, nothing was composed, the word was over, and the target came back by the configuration that was composed before.

A row that is taken out on others' word counts as a change of the rows.

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -362,12 +362,14 @@
     }
 
     /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
-    /// before.
-    pub fn on_told_deleted(&mut self, now: Time, name: &str) {
+    /// before; returns whether it was known otherwise.
+    pub fn on_told_deleted(&mut self, now: Time, name: &str) -> bool {
         let retained = self.retained.remove(name).map(|(row, _)| row);
-        if let Some(row) = self.take_out(name).or(retained) {
-            self.kept.on_deleted(now, name.to_owned(), row);
-        }
+        let Some(row) = self.take_out(name).or(retained) else {
+            return false;
+        };
+        self.kept.on_deleted(now, name.to_owned(), row);
+        true
     }
 
     /// Drops retained and kept rows whose grace period is over and returns whether there were any.
--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -47,7 +47,7 @@
     /// Content.
     pub parameters: DeploymentParameters,
     /// Era of the platform's history in which they were made.
-    made_in: u32,
+    pub made_in: u32,
     /// Era in which they were read.
     read_in: u32,
 }
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -289,7 +289,7 @@
         let now = self.options.clock.now();
         let known_at = self.confirmed_at();
         let targets_known_since = self.targets_lag.behind_since();
-        self.keep_departures(now, idx, &read);
+        let has_left = self.keep_departures(now, idx, &read);
         let name = self.followed.tables[idx].as_str();
         let table = &mut self.tables[idx];
         let was_reachable = table.is_reachable;
@@ -418,7 +418,7 @@
         }
         self.tables[idx].log_retention(now, &self.followed.tables[idx], &source);
         self.tables[idx].log_kept(&self.followed.tables[idx], before, &source);
-        if is_changed {
+        if is_changed || has_left {
             let news = News {
                 source,
                 known_at,
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -76,22 +76,26 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
-    /// Keeps what others have told of targets that left, where a read brings a table of a later era: that may be from before.
-    pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) {
+    /// Keeps what others have told of targets that left, where a read brings a table of a later era: that may be from before. Returns
+    /// whether the own rows had any of them.
+    pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) -> bool {
         let position = match read {
             TableRead::Snapshot(read) => read.position,
             TableRead::Fetched(fetch) => {
                 let found = fetch.fetched.table.as_ref();
                 found.map_or(Position::ZERO, |found| found.position)
             }
-            _ => return,
+            _ => return false,
         };
         let replica = &mut self.tables[idx].replica;
-        if idx == TARGETS && position.era > replica.position().era {
-            for (target, _) in self.overlay.reported.targets() {
-                replica.on_told_deleted(now, target.as_str());
-            }
+        if idx != TARGETS || position.era <= replica.position().era {
+            return false;
+        }
+        let mut is_any = false;
+        for (target, _) in self.overlay.reported.targets() {
+            is_any |= replica.on_told_deleted(now, target.as_str());
         }
+        is_any
     }
 
     /// Returns whether the operators' table is a copy that may lack changes which had been acknowledged, and nobody has
