fix(coord): nothing is kept for ever over a copy, and eras may begin at 0

- a store whose first era is 0 would have had its first return noticed as late as before, since polls of era 0 weren't given up;
- an evacuation that the copy lacks, and that its operator takes back before it is written again, leaves no trace there and was kept without an end; so was the deletion of a target's entry that lives and isn't written again.
Both end after 60 s now; the configuration is kept until it is written;
- a kept target that others know to have left was back with a second copy;
- one garbled era in a heartbeat could lift the fleet beyond all true answers: one more than 1,000 beyond the latest isn't learned;
- digests of rows could be told beside positions of another era.

--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -15,6 +15,9 @@
 const MAX_DELETED: usize = 4_096;
 /// Time for which a deleted row is remembered.
 const DELETED_VALIDITY: Duration = Duration::from_secs(600);
+/// Maximum time for which a row is kept whose writer doesn't count its revisions, or that counts as deleted: by then the
+/// table shows whether its writer is alive, and what it wants.
+const KEEP_TIME: Duration = Duration::from_secs(60);
 
 /// Compares what a row is found to hold with what it was known to hold, by its writer's own count of revisions; `None`
 /// if these say nothing. Takes the row's name, the known content and the found one.
@@ -35,7 +38,7 @@
 /// let known = BTreeMap::from([("t1".to_owned(), row("later", Position::new(1, 9)))]);
 /// let copy = BTreeMap::from([("t1".to_owned(), row("old", Position::new(2, 5)))]);
 ///
-/// kept.begin_era(known, &copy, None);
+/// kept.begin_era(Time::ZERO, known, &copy, None);
 /// assert_eq!(kept.get("t1").unwrap().unwrap().value.as_ref(), "later");
 /// kept.on_write("t1", Some("latest"));
 /// assert!(kept.get("t1").is_none());
@@ -53,7 +56,7 @@
     row: ReplicaRow,
     /// Whether it was known to be deleted, with that content before.
     is_deleted: bool,
-    /// Time until which it is kept although its table lacks it; `None` if until its next write.
+    /// Time until which it is kept; `None` if until its next write.
     until: Option<Time>,
 }
 
@@ -107,11 +110,13 @@
         self.rows.keys().map(String::as_str)
     }
 
-    /// Begins an era with a copy of the table, where `known` are the rows as they were known before. Rows that the copy
-    /// lacks are kept until they are written again, or until `missing_until`. With such a time, those that the copy must
-    /// have had aren't kept: they have been deleted since.
+    /// Begins an era at `now` with a copy of the table, where `known` are the rows as they were known before. Rows are kept
+    /// until they are written again, for [`KEEP_TIME`] at most if their revisions aren't counted or they count as deleted;
+    /// those that the copy lacks until `missing_until`. With such a time, those that the copy must have had aren't kept: they
+    /// have been deleted since.
     pub fn begin_era(
         &mut self,
+        now: Time,
         known: BTreeMap<String, ReplicaRow>,
         copy: &BTreeMap<String, ReplicaRow>,
         missing_until: Option<Time>,
@@ -131,14 +136,15 @@
                 Some(found) => self.is_older(&name, &row, found),
                 None => row.position > copied_to || row.position.era < copied_to.era,
             };
-            let until = missing_until.filter(|_| found.is_none());
+            let limit = (!self.is_counted(&name, &row.value)).then_some(now + KEEP_TIME);
+            let until = missing_until.filter(|_| found.is_none()).or(limit);
             self.keep_if(is_older, name, row, false, until);
         }
         for (name, row) in deleted {
             let is_older = copy
                 .get(&name)
                 .is_some_and(|found| self.is_from_before(&name, &row, found));
-            self.keep_if(is_older, name, row, true, None);
+            self.keep_if(is_older, name, row, true, Some(now + KEEP_TIME));
         }
     }
 
@@ -159,6 +165,14 @@
         !is_older
     }
 
+    /// Takes out a row that doesn't count as deleted.
+    pub fn take(&mut self, name: &str) -> Option<ReplicaRow> {
+        let kept = self.rows.get(name).filter(|kept| !kept.is_deleted)?;
+        let row = kept.row.clone();
+        self.rows.remove(name);
+        Some(row)
+    }
+
     /// Records that a row is gone for good as far as is known.
     pub fn on_deleted(&mut self, now: Time, name: String, row: ReplicaRow) {
         let is_over = |one: &DeletedRow| now - one.at > DELETED_VALIDITY;
@@ -168,12 +182,13 @@
         self.deleted.push_back(DeletedRow { name, row, at: now });
     }
 
-    /// Drops rows that the table has lacked for long enough; returns whether there were any.
+    /// Drops rows that have been kept for long enough; returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
         let is_over = |kept: &KeptRow| kept.until.is_some_and(|until| until <= now);
         let over: Vec<_> = self.rows.extract_if(.., |_, kept| is_over(kept)).collect();
         let is_any = !over.is_empty();
-        for (name, kept) in over {
+        let gone = over.into_iter().filter(|(_, kept)| !kept.is_deleted);
+        for (name, kept) in gone {
             self.on_deleted(now, name, kept.row);
         }
         is_any
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -64,9 +64,6 @@
     standstills: Standstills,
 }
 
-/// Time for which a row that a copy of the table lacks is kept where that copy may be later than what was known.
-const UNSURE_KEEP_TIME: Duration = Duration::from_secs(60);
-
 impl Replica {
     /// Returns an empty replica that retains rows which an outage may have removed until
     /// `grace_period` after its end.
@@ -322,14 +319,10 @@
             .map(|(name, row)| (name.to_owned(), row.clone()))
             .collect();
         let before = std::mem::take(&mut self.snapshot);
-        let may_be_later = snapshot.position.version >= before.position.version;
-        let missing_until = if self.grace_period > Duration::ZERO {
-            Some(now + self.grace_period)
-        } else {
-            may_be_later.then_some(now + UNSURE_KEEP_TIME)
-        };
+        let has_grace = self.grace_period > Duration::ZERO;
+        let missing_until = has_grace.then_some(now + self.grace_period);
         self.kept
-            .begin_era(known.clone(), &snapshot.rows, missing_until);
+            .begin_era(now, known.clone(), &snapshot.rows, missing_until);
         self.retained.clear();
         self.digest = RowsDigest::default();
         self.snapshot.position = before.position;
@@ -365,7 +358,8 @@
     /// before; returns whether it was known otherwise.
     pub fn on_told_deleted(&mut self, now: Time, name: &str) -> bool {
         let retained = self.retained.remove(name).map(|(row, _)| row);
-        let Some(row) = self.take_out(name).or(retained) else {
+        let kept = self.kept.take(name);
+        let Some(row) = kept.or(self.take_out(name)).or(retained) else {
             return false;
         };
         self.kept.on_deleted(now, name.to_owned(), row);
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -175,6 +175,34 @@
     );
 }
 
+// Guards against an evacuation that its operator has taken back without a trace in the copy, and that is kept for ever; and
+// against an entry that is turned away for ever, since its target writes it only as more than a count changes.
+#[rstest]
+#[case::uncounted_and_missing(&[(Some("x"), 15)], None, None)]
+#[case::uncounted_and_deleted(&[(Some("x"), 5), (None, 15)], Some(("x", 5)), Some("x"))]
+#[case::counted_and_deleted(&[(Some("1:a"), 5), (None, 15)], Some(("1:a", 5)), Some("1:a"))]
+#[case::counted_and_older(&[(Some("1:a"), 5), (Some("2:b"), 15)], Some(("1:a", 5)), Some("2:b"))]
+fn row_is_kept_no_longer_than_a_minute(
+    #[case] changes: &[(Option<&str>, u64)],
+    #[case] copy: Option<(&str, u64)>,
+    #[case] expected: Option<&str>,
+) {
+    let mut replica = replica(Duration::ZERO, changes);
+    replica.restore(BACK_AT, found(copy, FOUND));
+    replica.expire(BACK_AT + Duration::from_secs(60));
+    assert_eq!(known(&replica), expected);
+}
+
+// Guards against a target that is kept over a first copy, leaves by the word of others, and is back with a second copy.
+#[test]
+fn kept_row_that_others_know_deleted_is_gone() {
+    let mut replica = replica(GRACE, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
+    replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND));
+    assert!(replica.on_told_deleted(BACK_AT, "r"));
+    replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND).in_era(3));
+    assert_eq!(known(&replica), None);
+}
+
 // Guards against a row that is kept over a first copy and dropped by a second one, since others were written between the two.
 #[rstest]
 #[case::operators_table(Duration::ZERO)]
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{InstanceId, Position, Time};
-use coord::{Departure, Heartbeat, Presence, lacking, retained_in_turns};
+use coord::{Departure, Heartbeat, Presence, RowsReport, lacking, retained_in_turns};
 use rand::seq::IndexedRandom;
 
 use super::Peers;
@@ -144,10 +144,22 @@
             }),
             ack_age: self.ack_age_for(to, now),
             store_era: self.era.latest(),
+            rows: self.told_rows(),
             ..self.own_heartbeat.clone()
         }))
     }
 
+    /// Returns what is reported of the rows, where that is in the era of the positions that are reported.
+    fn told_rows(&self) -> Vec<Option<RowsReport>> {
+        let own = &self.own_heartbeat;
+        let rows = own.rows.iter().enumerate();
+        let told = rows.map(|(idx, report)| {
+            let era = own.era_of(idx);
+            report.filter(|report| report.changed_at.era == era)
+        });
+        told.collect()
+    }
+
     /// Returns the latest change of which this instance knows if it is in the era of the position that is reported.
     fn told_change(&self) -> Option<TableChange> {
         let era = self.own_heartbeat.era_of(0);
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -83,8 +83,6 @@
     options: ReaderOptions,
     /// Position from which the next poll continues; `None` before the first rows.
     position: Option<Position>,
-    /// Latest era of the platform's history that is known.
-    era: u32,
     /// Whether the next poll asks for all rows, whatever the position.
     is_reading_anew: bool,
     polls: JoinSet<PollResult>,
@@ -149,7 +147,6 @@
                 ..options
             },
             position: None,
-            era: 0,
             is_reading_anew: false,
             polls: JoinSet::new(),
             beside: BesideReads::default(),
@@ -172,7 +169,7 @@
     pub(crate) async fn run(mut self, idx: usize, tx: mpsc::Sender<(usize, TableRead)>) {
         let mut step = Step::Poll(Instant::now());
         let mut eras = self.options.platform.era();
-        self.era = *eras.borrow_and_update();
+        eras.mark_unchanged();
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
             let prompt_at = self.next_prompt_at(step);
@@ -325,11 +322,10 @@
         }
     }
 
-    /// Reads the table at once in a new era: the open polls ask for changes of an earlier one. The first era that is known is
-    /// that of what has been read.
+    /// Reads the table at once in a new era: the open polls ask for changes of an earlier one. Before the first rows, an era is
+    /// that of the read which is under way.
     async fn begin_era(&mut self, era: u32, step: &mut Step) {
-        let before = std::mem::replace(&mut self.era, era);
-        if before == 0 || self.open.iter().all(|poll| poll.is_of(era)) {
+        if self.position.is_none() || self.open.iter().all(|poll| poll.is_of(era)) {
             return;
         }
         self.position = self.position.filter(|position| position.era >= era);
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -8,6 +8,8 @@
 
 /// Minimum time between two lines about reports of eras that can't be used.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of eras that may have begun unnoticed.
+const MAX_MISSED_ERAS: u32 = 1_000;
 
 /// Tracks the latest era of the platform's history.
 ///
@@ -99,9 +101,13 @@
         Err(PlatformError::Unavailable)
     }
 
-    /// Records an era of which another instance knows.
+    /// Records an era of which another instance knows. One that is too far beyond the latest is left to the own answers.
     pub fn learn(&self, era: u32) {
-        if era > self.latest() {
+        let latest = self.latest();
+        let is_reported = self.reports.borrow().is_reported;
+        if is_reported && era > latest.saturating_add(MAX_MISSED_ERAS) {
+            self.log_bad("far beyond", latest, Some(&era.to_string()));
+        } else if era > latest {
             self.set(era);
         }
     }
--- a/crates/platform/tests/era.rs
+++ b/crates/platform/tests/era.rs
@@ -34,6 +34,9 @@
     era.learn(4);
     era.learn(3);
     assert_eq!(*seen.borrow(), 4);
+    // What one instance has taken from garbled bytes doesn't blind the others.
+    era.learn(4_000_000_000);
+    assert_eq!(*seen.borrow(), 4);
     assert_eq!(era.on_answer(Some("3")), Err(PlatformError::Unavailable));
 }
 
