--- a/crates/proof/tests/charts.rs
+++ b/crates/proof/tests/charts.rs
@@ -32,7 +32,7 @@
 
 #[test]
 fn charts_lease_is_drawn() {
-    assert_drawn("lease", &coord::lease_chart().unwrap(), 5);
+    assert_drawn("lease", &coord::lease_chart().unwrap(), 6);
 }
 
 #[test]
