fix(daemon): first parameters in a first era name it as certain for claims

Who settles the deployment's first parameters in era 1 writes that row in the same transaction, on the version of the provisional parameters and only while the era is still the one in which they were made. Two reasons hold, and either is enough: no action was claimed before the first parameters, and a store that counts from one has lost nothing in era 1.

Ruled out: to do so in any era. The copy may be from before the parameters, and their instances ended or cut off; nobody remembers their claims.

--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -18,6 +18,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
+use crate::ledger::certainty;
+
 const FACTS_TABLE: &str = "deployment";
 const FACTS_ROW: &str = "facts";
 /// Time for which the instances of a new deployment announce themselves before they are counted.
@@ -31,6 +33,8 @@
 const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which another instance than the one that made them uses them.
 const MAX_PROVISIONAL_TIME: Duration = Duration::from_millis(2_500);
+/// Number of the first era of a platform that counts from one. One that counts from zero has come back once by then.
+const FIRST_COUNTED_ERA: u32 = 1;
 
 /// Gives all instances of a deployment the parameters on which they must agree.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,7 +111,10 @@
                 let wait = known.remaining_time();
                 if wait.is_zero() {
                     let settled = known.row.clone().settled();
-                    if write(platform, &settled, expected).await.is_err() {
+                    let era = stored.version.era;
+                    let mut writes = vec![to_write(&settled, expected)];
+                    writes.extend(settled.is_certain_in(era).then(|| certainty(era)));
+                    if platform.write(writes).await.is_err() {
                         pause(&mut delay).await;
                     }
                 }
@@ -160,6 +167,12 @@
             ..self
         }
     }
+
+    /// Returns whether no action can have been claimed whose row is missing in `era`, in which these parameters are about
+    /// to be settled: they are the deployment's first, and the platform hasn't come back before them.
+    fn is_certain_in(&self, era: u32) -> bool {
+        self.made_in == era && era == FIRST_COUNTED_ERA
+    }
 }
 
 /// Waits for a delay, which doubles each time.
@@ -218,12 +231,15 @@
     row: &FactsRow,
     expected: Precondition,
 ) -> Result<Position, PlatformError> {
+    let written = platform.write(vec![to_write(row, expected)]).await?;
+    written.first().copied().ok_or(PlatformError::Unavailable)
+}
+
+fn to_write(row: &FactsRow, expected: Precondition) -> Write {
     let text = serde_json::to_string(row).unwrap_or_default();
-    let write = Write::new(FACTS_TABLE, FACTS_ROW)
+    Write::new(FACTS_TABLE, FACTS_ROW)
         .value(&text)
-        .expect(expected);
-    let written = platform.write(vec![write]).await?;
-    written.first().copied().ok_or(PlatformError::Unavailable)
+        .expect(expected)
 }
 
 /// Returns whether nothing that was written can have been lost by a return of the platform.
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Secret;
 
+pub(crate) use self::keeper::certainty;
 pub use self::keeper::{MAX_DOUBT, MIN_DOUBT};
 pub use self::rows::{ClaimRow, RowState};
 use self::{keeper::ClaimKeeper, remote::RemoteClaims};
--- a/crates/daemon/src/ledger/keeper.rs
+++ b/crates/daemon/src/ledger/keeper.rs
@@ -70,6 +70,11 @@
     written: u32,
 }
 
+/// Returns the write that names an era as one in which no claim is missing.
+pub(crate) fn certainty(era: u32) -> Write {
+    Write::new(CLAIM_TABLE, CERTAIN_ROW).value(&era.to_string())
+}
+
 impl ClaimKeeper {
     pub(super) fn new(
         platform: Platform,
@@ -220,9 +225,7 @@
             return Ok(wait.min(CERTAIN_READ_INTERVAL));
         }
         if !is_named {
-            let text = era.to_string();
-            let write = Write::new(CLAIM_TABLE, CERTAIN_ROW).value(&text);
-            self.platform.write(vec![write]).await?;
+            self.platform.write(vec![certainty(era)]).await?;
         }
         if *self.platform.era().borrow() == era {
             self.certain.send_replace(Some(era));
--- a/crates/daemon/tests/restored/claims.rs
+++ b/crates/daemon/tests/restored/claims.rs
@@ -31,7 +31,7 @@
     Claims::start(&listed(instance).id, store.polled_platform(instance))
 }
 
-fn key(key: &str) -> ActionKey {
+pub(crate) fn key(key: &str) -> ActionKey {
     ActionKey {
         workspace: "w".into(),
         key: key.to_owned(),
--- a/crates/daemon/tests/restored/main.rs
+++ b/crates/daemon/tests/restored/main.rs
@@ -2,7 +2,10 @@
 
 mod claims;
 mod facts;
+mod first_start;
 #[path = "../support/claims.rs"]
 mod ledger;
 mod list;
+#[path = "../support/paused.rs"]
+mod paused;
 mod store;
--- a/crates/daemon/tests/restored/store.rs
+++ b/crates/daemon/tests/restored/store.rs
@@ -1,6 +1,7 @@
 //! A platform that comes back from an older copy of its tables.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -40,6 +41,8 @@
     writes: Vec<(String, usize)>,
     /// Number of the instance that isn't answered.
     cut_off: Option<usize>,
+    /// Numbers of the instances that have ended.
+    ended: BTreeSet<usize>,
     /// Copy from which the platform comes back at the next write, after it has carried it out.
     after_write: Option<Store>,
 }
@@ -89,6 +92,11 @@
         self.state.lock().unwrap().cut_off = instance;
     }
 
+    /// Leaves an instance without answers for good, as if its process had ended.
+    pub(crate) fn end(&self, instance: usize) {
+        self.state.lock().unwrap().ended.insert(instance);
+    }
+
     /// Returns the number of writes of a table by the instances.
     pub(crate) fn write_count(&self, table: &str) -> usize {
         let state = self.state.lock().unwrap();
@@ -123,7 +131,7 @@
         instance: usize,
         call: Call,
     ) -> Result<(Result<Reply, PlatformError>, u32), PlatformError> {
-        if self.cut_off == Some(instance) {
+        if self.cut_off == Some(instance) || self.ended.contains(&instance) {
             return Err(PlatformError::Unavailable);
         }
         let table = match &call {
