feat(daemon): lines over a copy tell until when, and what was dropped

A request that was refused as `isolated` because its instance's rows are a copy's had the same line as one of an instance that is cut off, and nothing told until when. `table_era` named what is kept, but neither what is gone with the copy nor for how long; the end of the refusals and their number of returns left no line and no count; `claims_uncertain` didn't say how long it lasts.

Request lines have `era` and `unwritten_ms`, which travel with the confirmation of the configuration, so they cost a request nothing but their text; `table_era` has `kept_ms`, `dropped` and `dropped_count`; the line `unwritten_ended` and the fact `tables_restored` are new; `claims_uncertain` has `least_ms` and `most_ms`.

Ruled out: a field of the request for the end of uncertain claims; the reply of the ledger has no room for it, and the instance's line of the same era tells it.

--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -130,6 +130,12 @@
             self.lines
                 .push(format!("  that revision is {}", describe_version(line)));
         }
+        if let Some(left) = line["unwritten_ms"].as_u64() {
+            self.lines.push(format!(
+                "  they are from a copy of the store (era {}) and might lack changes for {left} ms more, unless a configuration was written before",
+                number("era")
+            ));
+        }
         if let Some(homes) = line["homes"].as_str() {
             self.lines
                 .push(format!("  by that revision it might run in {homes} only"));
@@ -315,11 +321,14 @@
         }
         "unknown_service" => "no route of the revision matches host and path",
         "isolated" | "not_ready" => {
-            "the instance could not tell whether it knew the latest configuration: see `store` and `standstill` lines"
+            "the instance could not tell whether it knew the latest configuration: see `store`, `standstill`, `store_era` and `table_era` lines"
         }
         "outdated" => {
             "the instance knew of a later configuration that it couldn't get in time: see `config_behind` lines"
         }
+        "claim_unavailable" => {
+            "the action's row couldn't be read or written, or isn't to be trusted between `claims_uncertain` and `claims_certain` of the same era"
+        }
         "leaving" => "the instance was about to stop: see its `leaving` line",
         "caller_left" => "the caller closed its connection first",
         _ => "see docs/ERRORS.md",
--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -15,6 +15,7 @@
 {"event":"request","at_ms":14,"id":"ff","instance":"i1","route":"","service":"","workspace":"","revision":3,"version":7,"config_age_ms":412,"rows_age_ms":398,"confirmed_by":"i2","deadline_ms":0,"attempts":[],"end":"unknown_service","status":404,"took_ms":0}
 {"event":"request","at_ms":15,"id":"gg","instance":"i1","route":"","service":"","workspace":"","revision":3,"version":7,"rows_age_ms":398,"confirmed_by":"platform","deadline_ms":0,"attempts":[],"end":"missing_key","status":401,"took_ms":0}
 {"event":"request","at_ms":16,"id":"hh","instance":"i1","route":"r-1","service":"s","workspace":"gym","revision":3,"version":7,"deadline_ms":2500,"attempts":[],"end":"ok","status":200,"took_ms":9}
+{"event":"request","at_ms":18,"id":"jj","instance":"i1","route":"","service":"","workspace":"","revision":3,"version":7,"rows_age_ms":98,"confirmed_by":"platform","era":2,"unwritten_ms":8710,"deadline_ms":0,"attempts":[],"end":"isolated","status":503,"took_ms":0}
 not a line
 "#;
 
@@ -27,6 +28,7 @@
 #[case::revoked_key("cc", &["before a route or a workspace was found", "the key is not in the revision", "revision 3 had last been known to be the latest 412 ms before", "version 7"])]
 #[case::refused_by_what_another_instance_told("ff", &["its routes and keys, version 7 of the operators, had last been known to be the latest 398 ms before, by instance i2"])]
 #[case::refused_by_an_own_read("gg", &["version 7 of the operators, had last been known to be the latest 398 ms before, by an own read"])]
+#[case::refused_over_a_copy("jj", &["from a copy of the store (era 2) and might lack changes for 8710 ms more", "`table_era` lines"])]
 #[case::served_by_a_version("hh", &["that revision is version 7 of the operators"])]
 fn why_tells_the_cause(#[case] id: &str, #[case] expected: &[&str]) {
     let text = why(id);
--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -194,6 +194,11 @@
         is_any
     }
 
+    /// Returns until when the last one is kept of the rows that aren't kept until their next write.
+    pub fn until(&self) -> Option<Time> {
+        self.rows.values().filter_map(|kept| kept.until).max()
+    }
+
     /// Returns the time at which the next row is dropped.
     pub fn expires_at(&self) -> Option<Time> {
         self.rows.values().filter_map(|kept| kept.until).min()
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -55,6 +55,8 @@
     /// Time at which the first table of the present era came, unless a row whose revisions are counted has been written
     /// in it since.
     unwritten_since: Option<Time>,
+    /// Rows that were known before the present era and are gone with its first table.
+    dropped: Vec<String>,
     grace_period: Duration,
     /// Time at or after which the table was last read, by this instance or another.
     last_contact_at: Option<Time>,
@@ -79,6 +81,7 @@
             retained: BTreeMap::new(),
             kept: KeptRows::ordered_by(unordered_rows),
             unwritten_since: None,
+            dropped: Vec::new(),
             grace_period,
             last_contact_at: None,
             outage: None,
@@ -136,6 +139,17 @@
         self.unwritten_since
     }
 
+    /// Returns the names of the rows that were known before the present era, and which its first table neither had nor left
+    /// to be kept.
+    pub fn dropped(&self) -> impl Iterator<Item = &str> {
+        self.dropped.iter().map(String::as_str)
+    }
+
+    /// Returns until when the last one is kept of the kept rows that aren't kept until their next write.
+    pub fn kept_until(&self) -> Option<Time> {
+        self.kept.until()
+    }
+
     /// Returns the rows as the table has them, without retained and kept ones, to be sent to other replicas.
     pub fn snapshot(&self) -> &TableSnapshot {
         &self.snapshot
@@ -351,7 +365,8 @@
         for (name, value) in rows {
             is_same &= known.remove(name) == Some(value);
         }
-        !is_same || !known.is_empty()
+        self.dropped = known.into_keys().map(str::to_owned).collect();
+        !is_same || !self.dropped.is_empty()
     }
 
     /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -140,6 +140,8 @@
     replica.restore(BACK_AT, copy);
     let rows = replica.rows().find(|(name, _)| *name == "r");
     assert_eq!(rows.map(|(_, row)| row.value.as_ref()), expected);
+    let dropped: Vec<&str> = replica.dropped().collect();
+    assert_eq!(dropped.contains(&"r"), expected.is_none());
 }
 
 // Guards against a read of the earlier era, late or from another instance, that overwrites the later one.
@@ -189,7 +191,10 @@
 ) {
     let mut replica = replica(Duration::ZERO, changes);
     replica.restore(BACK_AT, found(copy, FOUND));
-    replica.expire(BACK_AT + Duration::from_secs(60));
+    let minute_later = BACK_AT + Duration::from_secs(60);
+    let is_over_then = expected != Some("2:b");
+    assert_eq!(replica.kept_until(), is_over_then.then_some(minute_later));
+    replica.expire(minute_later);
     assert_eq!(known(&replica), expected);
 }
 
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -417,7 +417,9 @@
                 .set_alarm("store_unreachable", !is_reachable);
         }
         self.tables[idx].log_retention(now, &self.followed.tables[idx], &source);
-        self.tables[idx].log_kept(&self.followed.tables[idx], before, &source);
+        if self.tables[idx].log_kept(now, &self.followed.tables[idx], before, &source) {
+            self.count_era();
+        }
         if is_changed || has_left {
             let news = News {
                 source,
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -10,7 +10,7 @@
 
 use super::{ComposedConfig, TARGETS, TableFollower, table::Table};
 use crate::{
-    table_logs::{NewsSource, log_era, log_kept_ended},
+    table_logs::{NewsSource, log_era, log_kept_ended, log_unwritten_ended},
     table_reads::TableRead,
 };
 
@@ -20,6 +20,8 @@
 /// Gauges of the era of the operators' table, and of the rows that are kept from earlier ones.
 const ERA_GAUGE: &str = "table_era";
 const KEPT_GAUGE: &str = "rows_kept_over_copy";
+/// Fact that counts the tables that have come back from an older copy.
+const ERA_COUNT_GAUGE: &str = "tables_restored";
 
 /// Maximum number of eras whose begin is remembered.
 const MAX_ERAS: usize = 8;
@@ -47,18 +49,23 @@
 }
 
 impl Table {
-    /// Logs the begin of an era with a change from `source`, where `before` was the position, and rows that are no longer kept
-    /// from an earlier one.
-    pub(super) fn log_kept(&mut self, name: &str, before: Position, source: &NewsSource) {
+    /// Logs the begin of an era with a change from `source` at `now`, where `before` was the position, and rows that are no
+    /// longer kept from an earlier one; returns whether an era has begun.
+    pub(super) fn log_kept(
+        &mut self,
+        now: Time,
+        name: &str,
+        before: Position,
+        source: &NewsSource,
+    ) -> bool {
         let position = self.replica.position();
         let is_new_era = before.era < position.era && before != Position::ZERO;
         if !is_new_era && self.logged_kept.is_empty() {
-            return;
+            return false;
         }
         let kept: BTreeSet<String> = self.replica.kept().map(str::to_owned).collect();
         if is_new_era {
-            let rows = self.replica.snapshot().rows.len();
-            log_era(name, before, position, rows, &kept, source);
+            log_era(now, name, before, &self.replica, source);
         }
         let ended: Vec<&str> = self
             .logged_kept
@@ -69,6 +76,17 @@
             log_kept_ended(name, &ended, kept.len(), position, source);
         }
         self.logged_kept = kept;
+        is_new_era
+    }
+
+    /// Logs that changes which the platform had lost have been written again, or no longer count as unwritten.
+    fn log_unwritten(&mut self, now: Time, name: &str, until: Option<Time>) {
+        if let (Some(until), None) = (self.logged_unwritten, until) {
+            let is_written = self.replica.unwritten_since().is_none();
+            let after = now - until.before(REWRITE_TIME);
+            log_unwritten_ended(name, self.replica.position(), is_written, after);
+        }
+        self.logged_unwritten = until;
     }
 }
 
@@ -98,16 +116,26 @@
         is_any
     }
 
-    /// Returns whether the operators' table is a copy that may lack changes which had been acknowledged, and nobody has
-    /// written them again yet: what it doesn't allow may be allowed all the same.
-    pub(super) fn may_lack_changes(&self, now: Time) -> bool {
-        let operators = self.tables.first();
-        let since = operators.and_then(|table| table.replica.unwritten_since());
-        since.is_some_and(|since| now < since + REWRITE_TIME)
+    /// Returns until when the operators' table is a copy that may lack changes which had been acknowledged, unless somebody
+    /// writes them again: what it doesn't allow may be allowed all the same.
+    pub(super) fn unwritten_until(&self, now: Time) -> Option<Time> {
+        let since = self.tables.first()?.replica.unwritten_since()?;
+        Some(since + REWRITE_TIME).filter(|until| now < *until)
+    }
+
+    /// Counts a table that has come back from an older copy.
+    pub(super) fn count_era(&self) {
+        let gauges = &self.options.metrics.gauges;
+        gauges.with_label_values(&[ERA_COUNT_GAUGE]).inc();
     }
 
-    /// Sets the gauges of the era and of the rows that are kept.
-    pub(super) fn publish_kept(&self) {
+    /// Sets the gauges of the era and of the rows that are kept, and logs the end of the time for which changes may be
+    /// unwritten.
+    pub(super) fn publish_kept(&mut self, now: Time) {
+        let unwritten_until = self.unwritten_until(now);
+        if let Some(table) = self.tables.first_mut() {
+            table.log_unwritten(now, &self.followed.tables[0], unwritten_until);
+        }
         let tables = self.tables.iter();
         let kept: usize = tables.map(|table| table.replica.kept().count()).sum();
         let operators = self.tables.first();
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -5,7 +5,10 @@
 
 use base::{Config, InstanceId, Position, TargetId, Time};
 use coord::{Departure, Freshness, Replica};
-use entry::{message::Event, view::View};
+use entry::{
+    message::{Confirmation, Event},
+    view::View,
+};
 
 use super::{
     ComposedConfig, News, Sent, TableFollower, Validity,
@@ -224,9 +227,14 @@
     /// does while its rows hold others, which can't be used. Those of targets have a date of their own.
     fn validity(&self) -> Validity {
         let latest = self.tables.first().and_then(Table::confirmation);
-        let confirmation = latest.filter(|_| self.is_latest);
+        let latest = latest.filter(|_| self.is_latest);
+        let unwritten_until = self.unwritten_until(self.options.clock.now());
+        let confirmation = latest.map(|latest| Confirmation {
+            unwritten_until,
+            ..latest
+        });
         let at = confirmation.as_ref().map(|confirmation| confirmation.at);
-        let refused_by = at.filter(|_| !self.may_lack_changes(self.options.clock.now()));
+        let refused_by = at.filter(|_| unwritten_until.is_none());
         Validity {
             refuse_until: refused_by.map_or(Time::ZERO, |at| at + self.options.refusal_time()),
             confirmation,
@@ -249,7 +257,7 @@
         let confirmed_at = self.confirmed_at();
         let freshness = self.freshness(now, &fleet, confirmed_at);
         self.publish_age(now, confirmed_at);
-        self.publish_kept();
+        self.publish_kept(now);
         self.publish_lag(now, &fleet);
         if now < self.hearing_until && !self.may_decide(now) {
             return;
--- a/crates/daemon/src/follower/tables/refresh.rs
+++ b/crates/daemon/src/follower/tables/refresh.rs
@@ -32,7 +32,7 @@
             is_changed |= table.replica.expire(now);
             let (name, position) = (&self.followed.tables[idx], table.replica.position());
             table.log_retention(now, name, &NewsSource::GracePeriod);
-            table.log_kept(name, position, &NewsSource::GracePeriod);
+            table.log_kept(now, name, position, &NewsSource::GracePeriod);
             table.fetches.retain(|fetch| !fetch.task.is_finished());
             table.end_fetches_behind();
             table.make_room();
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -42,6 +42,8 @@
     logged_retained: usize,
     /// Rows that are kept from an earlier era, as they have been logged.
     pub(super) logged_kept: BTreeSet<String>,
+    /// Time until which changes may be unwritten that the platform has lost, as it was last looked at.
+    pub(super) logged_unwritten: Option<Time>,
     /// How the own reads stand; `None` before the first one that was answered.
     pub(super) own_reads: Option<OwnReads>,
     /// Time at which its position rose last.
@@ -149,6 +151,7 @@
             has_logged_outage: false,
             logged_retained: 0,
             logged_kept: BTreeSet::new(),
+            logged_unwritten: None,
             own_reads: None,
             advanced_at: Time::ZERO,
             advanced: watch::Sender::default(),
@@ -292,16 +295,27 @@
         let is_later = at > known.map(|confirmation| confirmation.at);
         if is_later && position <= self.replica.position() {
             let by = Some(from.clone());
-            self.peer_confirmation = at.map(|at| Confirmation { at, by });
+            self.peer_confirmation = at.map(|at| Confirmation {
+                at,
+                by,
+                ..Confirmation::default()
+            });
         }
     }
 
     /// Returns what last showed that the rows are the latest.
     pub(super) fn confirmation(&self) -> Option<Confirmation> {
-        let own = self.confirmed_at.map(|at| Confirmation { at, by: None });
+        let own = self.confirmed_at.map(|at| Confirmation {
+            at,
+            ..Confirmation::default()
+        });
         let reported = self.peer_confirmation.clone();
         let pair = [own, reported].into_iter().flatten();
-        pair.max_by_key(|confirmation| confirmation.at)
+        let latest = pair.max_by_key(|confirmation| confirmation.at)?;
+        Some(Confirmation {
+            era: self.replica.position().era,
+            ..latest
+        })
     }
 
     /// Counts the failing reads that others have reported if an own one that is due hasn't been answered either.
--- a/crates/daemon/src/ledger/keeper.rs
+++ b/crates/daemon/src/ledger/keeper.rs
@@ -134,8 +134,13 @@
         self.progress = Some(Progress::default());
         self.delay = MIN_RETRY_DELAY;
         self.next_at = Instant::now();
-        let rows = self.recent.len();
-        tracing::info!(event = "claims_uncertain", era, rows);
+        tracing::info!(
+            event = "claims_uncertain",
+            era,
+            rows = self.recent.len(),
+            least_ms = self.doubt.as_millis() as u64,
+            most_ms = MAX_DOUBT.as_millis() as u64,
+        );
     }
 
     fn on_note(&mut self, note: ClaimNote) {
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -1,9 +1,9 @@
 //! Log lines about reads of the followed tables and what they put in force.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use base::{Config, InstanceId, Position, TargetId, Time};
-use coord::RowsDifference;
+use coord::{Replica, RowsDifference};
 use derive_more::Display;
 use entry::metrics::Metrics;
 use platform::PlatformError;
@@ -223,16 +223,19 @@
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
-/// Logs that a table has come back from an older copy, and which rows are kept over it as they were known.
+/// Logs that a table has come back from an older copy, which rows are kept over it as they were known and for how long at
+/// most, and which are gone with it.
 pub(crate) fn log_era(
+    now: Time,
     table: &str,
     before: Position,
-    position: Position,
-    rows: usize,
-    kept: &BTreeSet<String>,
+    replica: &Replica,
     source: &NewsSource,
 ) {
-    let names: Vec<&str> = kept.iter().take(MAX_IDS).map(String::as_str).collect();
+    let position = replica.position();
+    let kept: Vec<&str> = replica.kept().take(MAX_IDS).collect();
+    let dropped: Vec<&str> = replica.dropped().take(MAX_IDS).collect();
+    let kept_until = replica.kept_until();
     tracing::warn!(
         event = "table_era",
         table,
@@ -240,13 +243,35 @@
         before = before.version,
         era = position.era,
         position = position.version,
-        rows,
-        kept = names.join(" "),
-        kept_count = kept.len(),
+        rows = replica.snapshot().rows.len(),
+        kept = kept.join(" "),
+        kept_count = replica.kept().count(),
+        kept_ms = kept_until.map(|until| (until - now).as_millis() as u64),
+        dropped = dropped.join(" "),
+        dropped_count = replica.dropped().count(),
         %source,
     );
 }
 
+/// Logs that changes which a table's copy lacked have been written again, or aren't waited for any longer.
+pub(crate) fn log_unwritten_ended(
+    table: &str,
+    position: Position,
+    is_written: bool,
+    after: Duration,
+) {
+    let after_ms = after.as_millis() as u64;
+    let (era, position) = (position.era, position.version);
+    tracing::info!(
+        event = "unwritten_ended",
+        table,
+        era,
+        position,
+        is_written,
+        after_ms
+    );
+}
+
 /// Logs the rows that were kept over an older copy and are no longer, because they have been written again or are gone.
 pub(crate) fn log_kept_ended(
     table: &str,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -250,12 +250,17 @@
 }
 
 /// What showed that the routes and keys of a configuration were the latest.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Confirmation {
     /// Time at which they were.
     pub at: Time,
     /// Instance that reported so; `None` for an own read.
     pub by: Option<InstanceId>,
+    /// Era of the platform's history to which they belong.
+    pub era: u32,
+    /// Time until which changes may be unwritten that the platform had acknowledged and then lost; `None` if it has
+    /// lost none, or they have been written again.
+    pub unwritten_until: Option<Time>,
 }
 
 /// Describes a request that was admitted.
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -130,6 +130,10 @@
                     let by = confirmation.by.as_ref();
                     by.map_or(OWN_READ, |instance| instance.as_str())
                 }),
+                era: confirmation.map(|known| known.era).filter(|era| *era > 0),
+                unwritten_ms: confirmation
+                    .and_then(|known| known.unwritten_until)
+                    .map(|until| (until - state.started).as_millis() as u64),
                 homes: info.and_then(|info| homes(&info.allowed_regions)),
                 object: info.and_then(|info| info.affinity),
                 late_ms: Some(state.late.as_millis() as u64).filter(|late| *late > 0),
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -111,6 +111,8 @@
     let confirmation = Some(Confirmation {
         at: Time::from_secs(3),
         by: Some("i2".into()),
+        era: 2,
+        unwritten_until: Some(Time::from_secs(9)),
     });
     engine.handle(Event::ConfigFreshness {
         freshness: Freshness::Fresh,
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -37,6 +37,13 @@
     /// What confirmed these, `platform` for an own read or an instance.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub confirmed_by: Option<&'a str>,
+    /// Era of the platform's history to which they belong; omitted if it has none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub era: Option<u32>,
+    /// Milliseconds from the request's arrival for which they may lack changes that the platform has lost, unless these are
+    /// written again before; omitted if none are known to be lacking.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub unwritten_ms: Option<u64>,
     /// Regions in which the request might run by that revision, separated by commas, or `none`; omitted
     /// if all.
     #[serde(skip_serializing_if = "Option::is_none")]
