--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -413,6 +413,27 @@
     assert_eq!((heartbeat.format, heartbeat.held_slots), (format, 2));
 }
 
+/// Guards against heartbeats that grow by more than is stated: eras of the store take some bytes of each.
+#[rstest]
+#[case::without_eras(0, 2)]
+#[case::first_return(1, 4)]
+#[case::returned_often(127, 4)]
+#[case::returned_very_often(128, 7)]
+fn eras_take_few_bytes_of_a_heartbeat(#[case] era: u32, #[case] expected: usize) {
+    let mut heartbeat = samples::heartbeat();
+    heartbeat.store_era = era;
+    heartbeat.set_positions(vec![Position::new(era, 70_000), Position::new(era, 9)]);
+    let length = |heartbeat: PeerHeartbeat| {
+        let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+        encode(&message, OWN_FORMAT).unwrap().len()
+    };
+    let mut before = heartbeat.clone();
+    (before.store_era, before.table_eras) = (0, Vec::new());
+    // The era and the empty list that earlier formats lack.
+    let grown = length(heartbeat) - (length(before) - 2);
+    assert_eq!(grown, expected);
+}
+
 /// Guards against a heartbeat that older instances read otherwise: new fields are behind theirs.
 #[rstest]
 #[case::without_rates(1)]
