fix(daemon): first claims after a return are spread as well

The pace at which all instances together write claims again (100 a second) held from each instance's second claim on: the first one was looked for, and written, as soon as the return was known. With 300 instances 300 writes came in the first tenth of a second, beside those of the list and the slots, where one part of the store handles 200 a second.

Each instance now begins within the time that the pace gives all of them, 10 s at most; the uncertainty lasts 30 s at least, so claims stand again before it ends as they did.

`Claims::start` of the tests takes the fleet; with the empty one that it had before, the other tests are as strict.

--- a/crates/daemon/src/ledger/keeper.rs
+++ b/crates/daemon/src/ledger/keeper.rs
@@ -27,6 +27,8 @@
 const READS_PER_S: u32 = 400;
 /// Calls per second by which all instances together write claims again.
 const WRITES_PER_S: u32 = 100;
+/// Maximum time over which the instances spread their first calls, so that claims stand again before the uncertainty ends.
+const MAX_FIRST_SPREAD: Duration = Duration::from_secs(10);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Maximum time between two reads of the row that names the certain era.
@@ -133,7 +135,9 @@
         self.doubt = MIN_DOUBT + rand::random_range(Duration::ZERO..DOUBT_SPREAD);
         self.progress = Some(Progress::default());
         self.delay = MIN_RETRY_DELAY;
-        self.next_at = Instant::now();
+        // Each may write at once what it looks for first.
+        let spread = self.interval(WRITES_PER_S).min(MAX_FIRST_SPREAD);
+        self.next_at = Instant::now() + rand::random_range(Duration::ZERO..=spread);
         tracing::info!(
             event = "claims_uncertain",
             era,
@@ -201,13 +205,18 @@
             progress.written += u32::from(is_outdated);
         }
         self.delay = MIN_RETRY_DELAY;
-        let instances = self.fleet.borrow().members.len() as u32 + 1;
         let per_s = if is_outdated {
             WRITES_PER_S
         } else {
             READS_PER_S
         };
-        Ok(Duration::from_secs(1) * instances / per_s)
+        Ok(self.interval(per_s))
+    }
+
+    /// Returns the time between two calls of this instance where all together make `per_s` calls a second.
+    fn interval(&self, per_s: u32) -> Duration {
+        let instances = self.fleet.borrow().members.len() as u32 + 1;
+        Duration::from_secs(1) * instances / per_s
     }
 
     /// Ends the uncertainty if its time is over, or another instance's is.
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, Mutex};
 
+use daemon::fleet::Fleet;
 use dispatch::{ActionKey, ClaimOutcome, SavedAnswer};
 use platform::{
     Call, Platform, PlatformError, Store, Write,
@@ -55,7 +56,7 @@
 #[case::of_full_length(KEY_BYTES)]
 #[tokio::test(start_paused = true)]
 async fn action_is_claimed_by_a_key_of_any_length(#[case] bytes: usize) {
-    let claims = Claims::start("own", limited_platform());
+    let claims = Claims::start("own", limited_platform(), Fleet::default());
     let (first, other) = (key(bytes, "a"), key(bytes, "b"));
     assert_eq!(claims.claim(&first, 1).await, Ok(ClaimOutcome::Granted));
     assert_eq!(claims.claim(&first, 2).await, Ok(ClaimOutcome::InProgress));
@@ -69,7 +70,7 @@
 #[case::longer_than_a_transaction(1_500_000, false)]
 #[tokio::test(start_paused = true)]
 async fn answer_of_any_size_ends_its_action(#[case] bytes: usize, #[case] is_kept: bool) {
-    let claims = Claims::start("own", limited_platform());
+    let claims = Claims::start("own", limited_platform(), Fleet::default());
     let key = key(20, "");
     let answer = SavedAnswer {
         status: 200,
--- a/crates/daemon/tests/restored/claims.rs
+++ b/crates/daemon/tests/restored/claims.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use base::ErrorKind;
-use daemon::ledger::{MAX_DOUBT, MIN_DOUBT};
+use base::{ErrorKind, Time};
+use coord::{Member, Presence};
+use daemon::{
+    fleet::{Fleet, FleetMember},
+    ledger::{MAX_DOUBT, MIN_DOUBT},
+};
 use dispatch::{ActionKey, ClaimOutcome, SavedAnswer};
 use platform::Store;
 use rand::{RngExt, SeedableRng};
@@ -24,11 +28,39 @@
 const STEPS_PER_ACTION: u64 = 60;
 /// Maximum age of a copy from which the platform comes back.
 const MAX_COPY_AGE: Duration = Duration::from_secs(10);
+/// Claims that each instance remembers.
+const CLAIMS: usize = 2;
+/// Claims that all instances together may write again in a second; one part of the users' store handles 200 writes.
+const MAX_WRITES_PER_S: usize = 150;
 /// Time over which the ends of the uncertainty are spread, and within which they are noticed.
 const END_TIME: Duration = Duration::from_secs(8);
 
 fn start(store: &RestoredStore, instance: usize) -> Claims {
-    Claims::start(&listed(instance).id, store.polled_platform(instance))
+    start_among(store, instance, 1)
+}
+
+/// Starts an instance that hears of all others of `count`.
+fn start_among(store: &RestoredStore, instance: usize, count: usize) -> Claims {
+    let members = (0..count).filter(|other| *other != instance).map(|other| {
+        let member = Member {
+            domain: "d".into(),
+            presence: Presence::Listed,
+            is_leaving: false,
+            last_heartbeat_at: None,
+            heartbeat: None,
+        };
+        let member = FleetMember {
+            alive_until: Time::from_secs(3_600),
+            ..FleetMember::new(&member, None)
+        };
+        (listed(other).id.as_str().into(), member)
+    });
+    let fleet = Fleet {
+        members: members.collect(),
+        ..Fleet::default()
+    };
+    let platform = store.polled_platform(instance);
+    Claims::start(&listed(instance).id, platform, fleet)
 }
 
 fn key(key: &str) -> ActionKey {
@@ -96,6 +128,36 @@
     }
 }
 
+/// Guards against writes that the store refuses, slots' and entries' among them: each instance wrote its first claim again as soon as
+/// it knew of the return.
+#[rstest]
+#[case::users_largest_site(81)]
+#[case::a_few_hundred(300)]
+#[tokio::test(start_paused = true)]
+async fn claims_are_written_again_within_rates(#[case] instances: usize) {
+    let store = RestoredStore::default();
+    let claims: Vec<Claims> = (0..instances)
+        .map(|instance| start_among(&store, instance, instances))
+        .collect();
+    for number in 0..CLAIMS {
+        for (instance, claims) in claims.iter().enumerate() {
+            let key = key(&format!("k{instance}-{number}"));
+            assert_eq!(claims.claim(&key, 1).await, Ok(ClaimOutcome::Granted));
+        }
+    }
+    store.restore(Store::default());
+    let mut counts = vec![store.write_count("claim")];
+    let tenths = 10 * (MIN_DOUBT / 2).as_secs();
+    for _ in 0..tenths {
+        sleep(SECOND / 10).await;
+        counts.push(store.write_count("claim"));
+    }
+    assert_eq!(counts[counts.len() - 1] - counts[0], CLAIMS * instances);
+    let seconds = counts.iter().zip(&counts[10..]);
+    let peak = seconds.map(|(before, after)| after - before).max();
+    assert!(peak <= Some(MAX_WRITES_PER_S), "{peak:?}");
+}
+
 /// Guards against a repeat that runs while the only instance that knows of the action is cut off from the store, and
 /// against refusals without end.
 #[tokio::test(start_paused = true)]
--- a/crates/daemon/tests/support/claims.rs
+++ b/crates/daemon/tests/support/claims.rs
@@ -1,4 +1,4 @@
-//! A ledger without other instances, which records actions without a home in the platform's table.
+//! A ledger that asks no other instances, and records actions without a home in the platform's table.
 
 use std::{sync::Arc, time::Duration};
 
@@ -24,8 +24,8 @@
 }
 
 impl Claims {
-    pub(crate) fn start(own_id: &str, platform: Platform) -> Self {
-        let (_, fleet) = watch::channel(Arc::new(Fleet::default()));
+    pub(crate) fn start(own_id: &str, platform: Platform, fleet: Fleet) -> Self {
+        let (_, fleet) = watch::channel(Arc::new(fleet));
         let (_, view) = watch::channel(Arc::new(View::default()));
         let (tables, _) = mpsc::channel(1);
         let (calls, rx) = mpsc::channel(8);
