fix(coord): reservations don't start full again as an expired lease is renewed

Cause: a lease counted as held for the first time as long as its row was of the first epoch, renewals included. Where the holder couldn't renew for the TTL, its slot was released; when it then renewed the row, in the same epoch, the slot's reservations began full and at once, beside loans that had been made from them shortly before. Change: a row is the first one only if it acquires the lease; a renewed one isn't. The reservations begin empty and after the loans' wait, as after any other holder. Ruled out: remembering it in the slots' task, which forgets with the process. Found by the exhaustive search of the lease's model (179 actions), `[Wait, Wait, Wait, Wait, Poll(0)]`. Measured: `lease_is_held_first_only_once` fails before (`[true, true]`), passes after.

--- a/crates/coord/src/lease/row.rs
+++ b/crates/coord/src/lease/row.rs
@@ -29,9 +29,9 @@
 }
 
 impl LeaseRow {
-    /// Returns whether the lease was never held before, in any era.
+    /// Returns whether the lease was never held before this row, in any era.
     pub fn is_first(&self) -> bool {
-        self.epoch == first_epoch(self.era) && self.since_era == self.era
+        self.renewal == 0 && self.epoch == first_epoch(self.era) && self.since_era == self.era
     }
 }
 
--- a/crates/coord/tests/lease_eras.rs
+++ b/crates/coord/tests/lease_eras.rs
@@ -170,6 +170,24 @@
     );
 }
 
+/// Guards against reservations that start full again, beside their loans, as an expired lease is renewed in its first epoch.
+#[test]
+fn lease_is_held_first_only_once() {
+    let mut lease = lease("a", 1);
+    let mut is_first = Vec::new();
+    let mut row = None;
+    for (at_s, version) in [(0, 1), (31, 2)] {
+        let now = Time::from_secs(at_s);
+        lease.on_read(now, row);
+        let write = lease.next_write(now, true, false).unwrap();
+        lease.on_write_outcome(now, WriteOutcome::Applied(version.into()));
+        assert!(lease.is_held(now));
+        is_first.push(lease.is_first_ownership());
+        row = Some((version.into(), write.row));
+    }
+    assert_eq!(is_first, [true, false]);
+}
+
 /// A row, if there is one, with its version.
 type Standing = Option<(Position, LeaseRow)>;
 
