test(proof): exhaustive search of a small model of eras and leases

`explore` visits all states that a model can reach, breadth first, and returns the fewest actions that lead to one that breaks a rule. `lease_model` is an instance's slot over a store that comes back from copies; what instances decide is decided by `Lease`, `EraSettling` and `Fleet` themselves, so these can be cloned and hashed now. Bounds: two instances with clocks 2 % off, or three; returns once or twice; writes, releases and reads that arrive late; restarts; any call and any meeting of instances may fail to happen; time steps around 5 s, 8.2 s and 120 s.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -9,7 +9,7 @@
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(
-            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, From, AsRef, Serialize,
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, AsRef, Serialize,
             Deserialize,
         )]
         #[serde(transparent)]
@@ -87,7 +87,7 @@
 
 /// Identifies one run of the process on an instance; a restarted process draws a new random value.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, From, Serialize, Deserialize,
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -22,7 +22,7 @@
 /// assert!(restored > lost);
 /// assert_eq!(Position::from(157).in_era(2), restored);
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
 #[display("{era}.{version}")]
 pub struct Position {
     /// Number of the era, zero where the platform reports none.
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -22,7 +22,9 @@
 /// assert_eq!(start - Time::from_millis(30), Duration::ZERO);
 /// assert_eq!(start.before(Duration::from_millis(5)), Time::from_millis(15));
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Time(u64);
 
 impl Time {
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -4,7 +4,11 @@
 mod row;
 mod settling;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Incarnation, InstanceId, Position, Time};
 
@@ -67,7 +71,7 @@
 /// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1.into()));
 /// assert!(lease.is_held(Time::from_millis(5)));
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Lease {
     chart: Arc<LeaseChart>,
     state: LeaseState,
@@ -96,7 +100,7 @@
 }
 
 /// Remembers the row by which this incarnation acquired or renewed the lease last, whatever a table has lost.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 struct Claim {
     row: LeaseRow,
     expires_at: Time,
@@ -335,6 +339,48 @@
     }
 }
 
+impl Hash for LeaseTiming {
+    fn hash<H>(&self, hasher: &mut H)
+    where
+        H: Hasher,
+    {
+        (self.ttl, self.renew_interval, self.drift.to_bits()).hash(hasher);
+    }
+}
+
+/// Leases of equal hashes do the same from here on; the chart is the same for all.
+impl Hash for Lease {
+    fn hash<H>(&self, hasher: &mut H)
+    where
+        H: Hasher,
+    {
+        let Self {
+            chart: _,
+            state,
+            me,
+            incarnation,
+            timing,
+            era,
+            since_era,
+            is_settled,
+            row,
+            was_read,
+            is_overwritten,
+            row_changed_at,
+            claim,
+            highest_epoch,
+            held_until,
+            renewal_sent_at,
+            pending_write,
+            forgotten_write,
+        } = self;
+        (state, me, incarnation, timing, era, since_era, is_settled).hash(hasher);
+        (row, was_read, is_overwritten, row_changed_at).hash(hasher);
+        (claim, highest_epoch, held_until).hash(hasher);
+        (renewal_sent_at, pending_write, forgotten_write).hash(hasher);
+    }
+}
+
 impl Lease {
     fn fire(&mut self, event: LeaseEvent) {
         if let Some(&next) = self.chart.next(&self.state, &event) {
--- a/crates/coord/src/lease/chart.rs
+++ b/crates/coord/src/lease/chart.rs
@@ -8,7 +8,7 @@
 /// Lists the states of a lease as one instance sees it.
 ///
 /// `charts/lease.json` defines the transitions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeaseState {
     /// The row has to be read.
--- a/crates/coord/src/lease/row.rs
+++ b/crates/coord/src/lease/row.rs
@@ -5,7 +5,7 @@
 
 /// Reports to all instances who owns a lease, how long it lasts and whether it was released, as a row of
 /// the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Instance that holds the lease.
     pub owner: InstanceId,
@@ -36,7 +36,7 @@
 }
 
 /// Describes a conditional write of the lease's row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LeaseWrite {
     /// New content of the row.
     pub row: LeaseRow,
--- a/crates/coord/src/lease/settling.rs
+++ b/crates/coord/src/lease/settling.rs
@@ -31,7 +31,7 @@
 /// assert!(!settling.is_settled(Time::from_secs(8)));
 /// assert!(settling.is_settled(Time::from_secs(9)));
 /// ```
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub struct EraSettling {
     timing: LeaseTiming,
     era: u32,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod explore;
+pub mod lease_model;
 pub mod limits;
 pub mod process;
 pub mod rollout;
