--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -4,7 +4,11 @@
 mod row;
 mod settling;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Incarnation, InstanceId, Position, Time};
 
@@ -67,7 +71,7 @@
 /// lease.on_write_outcome(Time::from_millis(5), WriteOutcome::Applied(1.into()));
 /// assert!(lease.is_held(Time::from_millis(5)));
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Lease {
     chart: Arc<LeaseChart>,
     state: LeaseState,
@@ -90,10 +94,13 @@
     held_until: Time,
     renewal_sent_at: Time,
     pending_write: Option<(Time, LeaseRow)>,
+    /// The last write that wasn't answered and hasn't been found: it may be performed in a later era, in the place of a
+    /// later row.
+    forgotten_write: Option<LeaseRow>,
 }
 
 /// Remembers the row by which this incarnation acquired or renewed the lease last, whatever a table has lost.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 struct Claim {
     row: LeaseRow,
     expires_at: Time,
@@ -125,6 +132,7 @@
             held_until: Time::ZERO,
             renewal_sent_at: Time::ZERO,
             pending_write: None,
+            forgotten_write: None,
         }
     }
 
@@ -204,7 +212,8 @@
         self.was_read = false;
         self.is_overwritten = false;
         self.row_changed_at = now;
-        self.pending_write = None;
+        let open = self.pending_write.take().map(|(_, row)| row);
+        self.forgotten_write = open.or(self.forgotten_write.take());
         self.fire(LeaseEvent::EraChanged);
     }
 
@@ -220,8 +229,10 @@
     /// Reads that started before the last write of this instance was answered must not be passed.
     pub fn on_read(&mut self, now: Time, row: Option<(Position, LeaseRow)>) {
         if self.is_newer(row.as_ref()) {
-            let is_earlier = row.as_ref().is_some_and(|(_, row)| row.era < self.era);
-            self.is_overwritten = self.was_read && is_earlier;
+            self.is_overwritten = row.as_ref().is_some_and(|(_, row)| {
+                let may_be_late = self.was_read || self.forgotten_write.as_ref() == Some(row);
+                may_be_late && row.era < self.era
+            });
             self.row_changed_at = now;
             self.resolve_unanswered(row.as_ref());
             self.row = row;
@@ -328,6 +339,48 @@
     }
 }
 
+impl Hash for LeaseTiming {
+    fn hash<H>(&self, hasher: &mut H)
+    where
+        H: Hasher,
+    {
+        (self.ttl, self.renew_interval, self.drift.to_bits()).hash(hasher);
+    }
+}
+
+/// Leases of equal hashes do the same from here on; the chart is the same for all.
+impl Hash for Lease {
+    fn hash<H>(&self, hasher: &mut H)
+    where
+        H: Hasher,
+    {
+        let Self {
+            chart: _,
+            state,
+            me,
+            incarnation,
+            timing,
+            era,
+            since_era,
+            is_settled,
+            row,
+            was_read,
+            is_overwritten,
+            row_changed_at,
+            claim,
+            highest_epoch,
+            held_until,
+            renewal_sent_at,
+            pending_write,
+            forgotten_write,
+        } = self;
+        (state, me, incarnation, timing, era, since_era, is_settled).hash(hasher);
+        (row, was_read, is_overwritten, row_changed_at).hash(hasher);
+        (claim, highest_epoch, held_until).hash(hasher);
+        (renewal_sent_at, pending_write, forgotten_write).hash(hasher);
+    }
+}
+
 impl Lease {
     fn fire(&mut self, event: LeaseEvent) {
         if let Some(&next) = self.chart.next(&self.state, &event) {
@@ -355,6 +408,8 @@
         };
         if row.is_some_and(|(_, row)| *row == written) {
             self.start_holding(sent_at, written);
+        } else {
+            self.forgotten_write = Some(written);
         }
     }
 
--- a/crates/daemon/tests/restored/first_start.rs
+++ b/crates/daemon/tests/restored/first_start.rs
@@ -5,6 +5,7 @@
 use base::ErrorKind;
 use daemon::{
     facts::{keeping::keep, load_or_create},
+    fleet::Fleet,
     ledger::MIN_DOUBT,
 };
 use dispatch::ClaimOutcome;
@@ -41,7 +42,7 @@
     async fn start(store: RestoredStore, instance: usize) -> Self {
         let platform = store.polled_platform(instance);
         let known = load_or_create(&platform, &listed(instance)).await.unwrap();
-        let claims = Claims::start(&listed(instance).id, platform.clone());
+        let claims = Claims::start(&listed(instance).id, platform.clone(), Fleet::default());
         // A first read takes less time than the rest of a start.
         sleep(SECOND / 10).await;
         Self {
