test(proof): exhaustive search of a small model of loans and grants

`quota_model` is one reservation that is lent and passes to another instance, owners that follow each other, and grants; what is decided is decided by `QuotaHolder` and `QuotaOwner`. Any message may arrive at any later moment, or never; instances start again; clocks are 2 % off. Rule: what is spent stays within the quota in every window (`QuotaAudit`).

--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod lease_model;
 pub mod limits;
 pub mod process;
+pub mod quota_model;
 pub mod rollout;
 pub mod service;
 pub mod transcript;
