fix(coord): numbers of rows and requests that are too large don't end an instance

Cause: a slot's row whose epoch or renewal is the largest number, and a request for tokens whose reported use exceeds 32 bits, overflowed an addition: the process of each instance that read them ended where overflows are checked; elsewhere the epoch began again at the era's first, so that one was used twice. Change: these additions saturate. Ruled out: to refuse such rows as unreadable, which leaves the slot to nobody for ever.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -459,7 +459,7 @@
             _ => None,
         };
         let (epoch, renewal) = match renewed {
-            Some(row) => (row.epoch, row.renewal + 1),
+            Some(row) => (row.epoch, row.renewal.saturating_add(1)),
             None => (next_epoch(self.highest_epoch, self.era), 0),
         };
         LeaseRow {
--- a/crates/coord/src/lease/row.rs
+++ b/crates/coord/src/lease/row.rs
@@ -48,7 +48,7 @@
 ///
 /// The epochs of two eras don't overlap: those that a table has lost aren't used again.
 pub(super) fn next_epoch(highest: u64, era: u32) -> u64 {
-    (highest + 1).max(first_epoch(era))
+    highest.saturating_add(1).max(first_epoch(era))
 }
 
 fn first_epoch(era: u32) -> u64 {
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -233,7 +233,8 @@
             if usage.epoch != self.epoch && usage.epoch != 0 {
                 continue;
             }
-            let unused = grant.tokens.saturating_sub(usage.unspent + usage.spent);
+            let kept = usage.unspent.saturating_add(usage.spent);
+            let unused = grant.tokens.saturating_sub(kept);
             let released = grant.unspent.saturating_sub(usage.unspent);
             let returned = unused.min(released);
             self.outstanding -= released;
