refactor(coord): a copy's rows are compared once, and taken as they are

Cause: a review of the eras found rows of a copy compared twice (`KeptRows::begin_era`, then `Replica::begin_era` by `KeptRows::compare`), put in one by one as if each were a change, with the kept rows saved and set back around it; whole writes cloned for the preconditions in them; the same lines in several places; two circles of imports.

Change, none of behaviour: - `KeptRows::begin_era` borrows the known rows and returns whether any row of the copy is later; `Replica::begin_era` takes the table as it is. `KeptRows::compare` is gone. - `Platform::write` keeps the preconditions, `Precondition::is_before` compares them; `Platform::latest_era`. - `Position` has no `Display`: a conflict's error names the version alone, as before the eras. - daemon: `first_names` in `table_logs`; `RecentClaims::insert`; `TARGETS` in `message`, which took it from the follower that takes from `message`; rows of claims, and what is reported of them, in `ledger/claim.rs`, since `rows`, `keeper` and `recent` took from each other.

Ruled out: `table_logs`, `table_reads` and `beside` have no circle any more (`read_reports`). What is left goes between a module and its parent.

--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -1,6 +1,5 @@
 //! Positions in the history of the platform's tables.
 
-use derive_more::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Locates a change in the history of the platform's tables.
@@ -22,8 +21,7 @@
 /// assert!(restored > lost);
 /// assert_eq!(Position::from(157).in_era(2), restored);
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Display)]
-#[display("{era}.{version}")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Position {
     /// Number of the era, zero where the platform reports none.
     pub era: u32,
--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -38,7 +38,7 @@
 /// let known = BTreeMap::from([("t1".to_owned(), row("later", Position::new(1, 9)))]);
 /// let copy = BTreeMap::from([("t1".to_owned(), row("old", Position::new(2, 5)))]);
 ///
-/// kept.begin_era(Time::ZERO, known, &copy, None);
+/// kept.begin_era(Time::ZERO, &known, &copy, None);
 /// assert_eq!(kept.get("t1").unwrap().unwrap().value.as_ref(), "later");
 /// kept.on_write("t1", Some("latest"));
 /// assert!(kept.get("t1").is_none());
@@ -84,16 +84,6 @@
         Some((!kept.is_deleted).then_some(&kept.row))
     }
 
-    /// Compares what a row is found to hold with what it was known to hold.
-    pub fn compare(
-        &self,
-        name: &str,
-        known: Option<&ReplicaRow>,
-        found: &ReplicaRow,
-    ) -> Option<Ordering> {
-        (self.order)(name, &known?.value, &found.value)
-    }
-
     /// Returns whether the row's writer counts its revisions.
     pub fn is_counted(&self, name: &str, value: &str) -> bool {
         (self.order)(name, value, value).is_some()
@@ -114,13 +104,15 @@
     /// until they are written again, for [`KEEP_TIME`] at most if their revisions aren't counted or they count as deleted;
     /// those that the copy lacks until `missing_until`. With such a time, those that the copy must have had aren't kept: they
     /// have been deleted since.
+    ///
+    /// Returns whether the copy has any row later than it was known, so that its writer has written it since.
     pub fn begin_era(
         &mut self,
         now: Time,
-        known: BTreeMap<String, ReplicaRow>,
+        known: &BTreeMap<String, ReplicaRow>,
         copy: &BTreeMap<String, ReplicaRow>,
         missing_until: Option<Time>,
-    ) {
+    ) -> bool {
         let mut deleted: BTreeMap<String, ReplicaRow> = BTreeMap::new();
         for one in &self.deleted {
             deleted.insert(one.name.clone(), one.row.clone());
@@ -129,16 +121,19 @@
         let before = before.into_iter().filter(|(_, kept)| kept.is_deleted);
         deleted.extend(before.map(|(name, kept)| (name, kept.row)));
         deleted.retain(|name, _| !known.contains_key(name));
-        let copied_to = missing_until.map_or(Position::ZERO, |_| copied_to(&known, copy));
+        let copied_to = missing_until.map_or(Position::ZERO, |_| copied_to(known, copy));
+        let mut is_written = false;
         for (name, row) in known {
-            let found = copy.get(&name);
+            let found = copy.get(name);
+            let order = found.and_then(|found| (self.order)(name, &row.value, &found.value));
+            is_written |= order == Some(Ordering::Greater);
             let is_older = match found {
-                Some(found) => self.is_older(&name, &row, found),
+                Some(_) => order == Some(Ordering::Less),
                 None => row.position > copied_to || row.position.era < copied_to.era,
             };
-            let limit = (!self.is_counted(&name, &row.value)).then_some(now + KEEP_TIME);
+            let limit = (!self.is_counted(name, &row.value)).then_some(now + KEEP_TIME);
             let until = missing_until.filter(|_| found.is_none()).or(limit);
-            self.keep_if(is_older, name, row, false, until);
+            self.keep_if(is_older, name.clone(), row.clone(), false, until);
         }
         for (name, row) in deleted {
             let is_older = copy
@@ -146,6 +141,7 @@
                 .is_some_and(|found| self.is_from_before(&name, &row, found));
             self.keep_if(is_older, name, row, true, Some(now + KEEP_TIME));
         }
+        is_written
     }
 
     /// Records that a row has been written or deleted in the present era; returns whether it was kept until now.
@@ -219,12 +215,6 @@
         }
     }
 
-    /// Returns whether a row of a copy is older than what was known.
-    fn is_older(&self, name: &str, known: &ReplicaRow, found: &ReplicaRow) -> bool {
-        let is_same = known.value == found.value;
-        !is_same && (self.order)(name, &known.value, &found.value) == Some(Ordering::Less)
-    }
-
     /// Returns whether a row of a copy was written before it was known to be deleted, with `last` as its last content.
     fn is_from_before(&self, name: &str, last: &ReplicaRow, found: &ReplicaRow) -> bool {
         match (self.order)(name, &last.value, &found.value) {
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -2,7 +2,7 @@
 
 mod outage;
 
-use std::{cmp::Ordering, collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use base::{Position, Time};
 
@@ -299,8 +299,7 @@
     /// Takes the rows of a whole table and its position; returns whether they differ from those of the own one.
     fn take_rows(&mut self, now: Time, snapshot: TableSnapshot) -> bool {
         let mut is_changed = false;
-        let positions = snapshot.rows.values().map(|row| row.position);
-        self.last_change = positions.fold(self.last_change, Position::max);
+        self.last_change = last_change(&snapshot).max(self.last_change);
         for (name, found) in snapshot.rows {
             is_changed |= self.apply_change(now, name, Some(found.value), found.position);
         }
@@ -311,31 +310,29 @@
         is_changed
     }
 
-    /// Takes a table of a later era, and keeps what was known before and is later; returns whether the known rows have
-    /// changed. The rows that it lacks count as deleted a grace period after `now` at the latest, if there is one.
+    /// Takes a table of a later era as it is, and keeps what was known before and is later; returns whether the known rows
+    /// have changed. The rows that it lacks count as deleted a grace period after `now` at the latest, if there is one.
     fn begin_era(&mut self, now: Time, snapshot: TableSnapshot) -> bool {
         let known: BTreeMap<String, ReplicaRow> = self
             .rows()
             .map(|(name, row)| (name.to_owned(), row.clone()))
             .collect();
-        let before = std::mem::take(&mut self.snapshot);
         let has_grace = self.grace_period > Duration::ZERO;
         let missing_until = has_grace.then_some(now + self.grace_period);
-        self.kept
-            .begin_era(now, known.clone(), &snapshot.rows, missing_until);
+        let is_written = self
+            .kept
+            .begin_era(now, &known, &snapshot.rows, missing_until);
+        self.unwritten_since = (!is_written).then_some(now);
         self.retained.clear();
-        self.digest = RowsDigest::default();
-        self.snapshot.position = before.position;
         self.is_corrected = false;
-        let is_later = |(name, found): (&String, &ReplicaRow)| {
-            let order = self.kept.compare(name, known.get(name), found);
-            order == Some(Ordering::Greater)
-        };
-        let is_written = snapshot.rows.iter().any(is_later);
-        let kept = self.kept.clone();
-        self.take_rows(now, snapshot);
-        self.kept = kept;
-        self.unwritten_since = (!is_written).then_some(now);
+        self.is_settled = false;
+        self.changed_at = snapshot.position;
+        self.last_change = last_change(&snapshot).max(self.last_change);
+        let rows = snapshot.rows.iter();
+        self.digest = rows.fold(RowsDigest::default(), |digest, (name, row)| {
+            digest.with(name, row)
+        });
+        self.snapshot = snapshot;
         for (name, row) in &known {
             let is_there = self.snapshot.rows.contains_key(name) || self.kept.get(name).is_some();
             if !is_there {
@@ -343,15 +340,9 @@
             }
         }
         let rows = self.rows().map(|(name, row)| (name, &row.value));
-        let mut known: BTreeMap<&str, &Arc<str>> = known
-            .iter()
-            .map(|(name, row)| (name.as_str(), &row.value))
-            .collect();
-        let mut is_same = true;
-        for (name, value) in rows {
-            is_same &= known.remove(name) == Some(value);
-        }
-        !is_same || !known.is_empty()
+        let rows: BTreeMap<&str, &Arc<str>> = rows.collect();
+        let known = known.iter().map(|(name, row)| (name.as_str(), &row.value));
+        !known.eq(rows)
     }
 
     /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
@@ -440,3 +431,9 @@
         Some(row)
     }
 }
+
+/// Returns the position of the last change that a whole table shows.
+fn last_change(snapshot: &TableSnapshot) -> Position {
+    let positions = snapshot.rows.values().map(|row| row.position);
+    positions.max().unwrap_or_default()
+}
--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -176,7 +176,7 @@
         .filter(|listed| listed.kind == MachineKind::Instance)
         .count();
     let secret: [u64; 4] = rand::rng().random();
-    let era = *platform.era().borrow();
+    let era = platform.latest_era();
     let row = FactsRow {
         parameters: DeploymentParameters {
             secret: secret.map(|part| format!("{part:016x}")).concat(),
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -25,7 +25,6 @@
     time::sleep_until,
 };
 
-pub use self::departures::TARGETS;
 use self::{
     departures::{Overlay, TargetsLag},
     eras::EraTimes,
@@ -36,7 +35,7 @@
 use super::{FRESHNESS_VALIDITY, FollowerOptions, Outputs, Validity};
 use crate::{
     fleet::HEARING_TIME,
-    message::{FollowerMessage, OwnReads, TableChange},
+    message::{FollowerMessage, OwnReads, TARGETS, TableChange},
     table_logs::{NewsSource, log_changed_beside, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -13,8 +13,6 @@
 
 use crate::table_logs::{log_targets_behind, log_targets_caught_up};
 
-/// Index of the targets' table among the followed ones.
-pub const TARGETS: usize = 1;
 /// Time for which later rows must have been known for a line about it.
 const LONG_WAIT: Duration = Duration::from_secs(1);
 
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -8,8 +8,9 @@
 use base::{Position, Time};
 use coord::Replica;
 
-use super::{ComposedConfig, TARGETS, TableFollower, table::Table};
+use super::{ComposedConfig, TableFollower, table::Table};
 use crate::{
+    message::TARGETS,
     table_logs::{NewsSource, log_era, log_kept_ended},
     table_reads::TableRead,
 };
--- a/crates/daemon/src/follower/tables/messages.rs
+++ b/crates/daemon/src/follower/tables/messages.rs
@@ -5,8 +5,12 @@
 use base::InstanceId;
 use coord::{Replica, rendezvous_draw};
 
-use super::{ComposedConfig, PROMPT_SPACING, TARGETS, TableFollower};
-use crate::{message::FollowerMessage, table_logs::NewsSource, table_reads::ReadTiming};
+use super::{ComposedConfig, PROMPT_SPACING, TableFollower};
+use crate::{
+    message::{FollowerMessage, TARGETS},
+    table_logs::NewsSource,
+    table_reads::ReadTiming,
+};
 
 impl<F> TableFollower<F>
 where
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -8,14 +8,12 @@
 use entry::{message::Event, view::View};
 
 use super::{
-    ComposedConfig, News, Sent, TableFollower, Validity,
-    departures::{OverlayNews, TARGETS},
-    table::Table,
+    ComposedConfig, News, Sent, TableFollower, Validity, departures::OverlayNews, table::Table,
 };
 use crate::{
     entry_points::{entry_points, preferred},
     fleet::Fleet,
-    message::PeerCommand,
+    message::{PeerCommand, TARGETS},
     table_logs::{NewsSource, age_ms, log_rates, log_targets_left},
     table_reads::{RowsBeside, to_row_change},
 };
--- a/crates/daemon/src/follower/tables/refresh.rs
+++ b/crates/daemon/src/follower/tables/refresh.rs
@@ -7,9 +7,10 @@
 use coord::Replica;
 use tokio::sync::mpsc;
 
-use super::{ComposedConfig, News, TARGETS, TableFollower};
+use super::{ComposedConfig, News, TableFollower};
 use crate::{
-    fleet::FleetMember, table_fetch::Source, table_logs::NewsSource, table_reads::TableRead,
+    fleet::FleetMember, message::TARGETS, table_fetch::Source, table_logs::NewsSource,
+    table_reads::TableRead,
 };
 
 /// Time between two refreshes unless one is due earlier.
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -4,6 +4,7 @@
 //! the instance that stores the action's record. An action without a home is claimed by inserting a
 //! row into a table of the platform.
 
+mod claim;
 mod keeper;
 mod recent;
 mod remote;
@@ -21,8 +22,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::Secret;
 
-pub use self::keeper::{MAX_DOUBT, MIN_DOUBT};
-pub use self::rows::{ClaimRow, RowState};
+pub use self::{
+    claim::{ClaimRow, RowState},
+    keeper::{MAX_DOUBT, MIN_DOUBT},
+};
 use self::{keeper::ClaimKeeper, remote::RemoteClaims};
 use crate::{
     fleet::Fleet,
--- a/crates/daemon/src/ledger/keeper.rs
+++ b/crates/daemon/src/ledger/keeper.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Time;
-use dispatch::Claimer;
 use entry::view::Clock;
 use platform::{Platform, PlatformError, Precondition, Write};
 use tokio::{
@@ -12,8 +11,8 @@
 };
 
 use super::{
+    claim::{CLAIM_TABLE, ClaimNote, ClaimRow, text_within_limit},
     recent::{RecentClaims, is_outdated},
-    rows::{CLAIM_TABLE, ClaimRow, RowState, text_within_limit},
 };
 use crate::fleet::Fleet;
 
@@ -34,17 +33,6 @@
 /// Time over which the ends of the instances' uncertainty are spread.
 const DOUBT_SPREAD: Duration = Duration::from_secs(2);
 
-/// Reports what has been written to or read from a claim's row.
-#[derive(Debug)]
-pub(super) enum ClaimNote {
-    /// A row with this content stood in this era.
-    Stood(String, ClaimRow, u32),
-    /// A claim has this outcome, which is about to be written.
-    Settled(String, Claimer, RowState),
-    /// A claim's row is missing.
-    Lost(String),
-}
-
 /// Writes recent claims again, and publishes the era in which an action without a row is known not to be claimed.
 #[derive(Debug)]
 pub(super) struct ClaimKeeper {
@@ -188,7 +176,7 @@
             let write = Write::new(CLAIM_TABLE, name).value(&text).expect(expected);
             self.platform.write(vec![write]).await?;
         }
-        if *self.platform.era().borrow() == era {
+        if self.platform.latest_era() == era {
             self.recent.confirm(name, known, era);
         }
         if let Some(progress) = &mut self.progress {
@@ -224,7 +212,7 @@
             let write = Write::new(CLAIM_TABLE, CERTAIN_ROW).value(&text);
             self.platform.write(vec![write]).await?;
         }
-        if *self.platform.era().borrow() == era {
+        if self.platform.latest_era() == era {
             self.certain.send_replace(Some(era));
             tracing::info!(event = "claims_certain", era);
         }
--- a/crates/daemon/src/ledger/recent.rs
+++ b/crates/daemon/src/ledger/recent.rs
@@ -9,7 +9,7 @@
 use base::Time;
 use dispatch::Claimer;
 
-use super::rows::{ClaimRow, RowState, text_within_limit};
+use super::claim::{ClaimRow, RowState, text_within_limit};
 
 /// Time for which a row is remembered at least; copies from which a platform comes back are younger.
 const KEEP_TIME: Duration = Duration::from_secs(120);
@@ -42,19 +42,7 @@
         name: &str,
         (claim, era): (ClaimRow, u32),
     ) {
-        self.remove(name);
-        let (claim, text) = text_within_limit(claim);
-        let bytes = name.len() + text.len();
-        self.bytes += bytes;
-        self.by_age.insert((now, name.to_owned()));
-        let recent = RecentClaim {
-            claim,
-            bytes,
-            at: now,
-            era: Some(era),
-        };
-        self.rows.insert(name.to_owned(), recent);
-        self.forget_old(now, latest);
+        self.insert(now, latest, name, (claim, Some(era)));
     }
 
     /// Remembers the outcome of a claim, unless another one has followed it.
@@ -73,15 +61,7 @@
             return;
         }
         let (claim, era) = (recent.claim.clone(), recent.era);
-        self.record(
-            now,
-            latest,
-            name,
-            (ClaimRow { state, ..claim }, era.unwrap_or(0)),
-        );
-        if let Some(recent) = self.rows.get_mut(name) {
-            recent.era = era;
-        }
+        self.insert(now, latest, name, (ClaimRow { state, ..claim }, era));
     }
 
     /// Records that a row was found missing.
@@ -113,6 +93,28 @@
         self.rows.len()
     }
 
+    fn insert(
+        &mut self,
+        now: Time,
+        latest: u32,
+        name: &str,
+        (claim, era): (ClaimRow, Option<u32>),
+    ) {
+        self.remove(name);
+        let (claim, text) = text_within_limit(claim);
+        let bytes = name.len() + text.len();
+        self.bytes += bytes;
+        self.by_age.insert((now, name.to_owned()));
+        let recent = RecentClaim {
+            claim,
+            bytes,
+            at: now,
+            era,
+        };
+        self.rows.insert(name.to_owned(), recent);
+        self.forget_old(now, latest);
+    }
+
     /// Removes the oldest rows beyond the bounds, and those beyond [`KEEP_TIME`] that stand in the latest era.
     fn forget_old(&mut self, now: Time, latest: u32) {
         while let Some((at, name)) = self.by_age.first().cloned() {
--- a/crates/daemon/src/ledger/remote.rs
+++ b/crates/daemon/src/ledger/remote.rs
@@ -11,7 +11,7 @@
 };
 use wire::Secret;
 
-use super::keeper::ClaimNote;
+use super::claim::ClaimNote;
 use crate::{
     fleet::Fleet,
     rpc::{self, Call, Reply},
--- a/crates/daemon/src/ledger/rows.rs
+++ b/crates/daemon/src/ledger/rows.rs
@@ -1,46 +1,15 @@
 //! Claims of actions as rows of a table of the platform.
 
-use base::{ErrorKind, KeyDigest};
+use base::ErrorKind;
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
-use platform::{
-    PlatformError, Precondition, Write,
-    layout::{MAX_NAME_BYTES, MAX_VALUE_BYTES},
-};
-use serde::{Deserialize, Serialize};
+use platform::{PlatformError, Precondition, Write};
 use tokio::time::sleep;
 
 use super::{
-    keeper::ClaimNote,
+    claim::{CLAIM_TABLE, ClaimNote, ClaimRow, RowState, row_name, text_within_limit},
     remote::{MAX_SETTLE_ATTEMPTS, RemoteClaims, SETTLE_RETRY_DELAY},
 };
 
-pub(super) const CLAIM_TABLE: &str = "claim";
-
-/// Records in the table the claim of an action whose key names no instance that stores it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ClaimRow {
-    /// Request that claims the action.
-    pub claimer: Claimer,
-    /// Digest of the request.
-    pub fingerprint: u64,
-    /// What is known of the action's run.
-    pub state: RowState,
-}
-
-/// Lists the states of an action that a claim's row records.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RowState {
-    /// It may be running.
-    Open,
-    /// It did not run, and may be claimed again.
-    Released,
-    /// It may have run, or it ran with a response that is too long for a row.
-    Unknown,
-    /// It ran with this response.
-    Done(SavedAnswer),
-}
-
 impl RemoteClaims {
     /// Claims an action by inserting a row; if the insert fails or is not answered, the row that is
     /// then read determines the result.
@@ -209,26 +178,3 @@
             .await
     }
 }
-
-/// Returns a claim and its row's text. A response that is too long for a row counts as unknown.
-pub(super) fn text_within_limit(claim: ClaimRow) -> (ClaimRow, String) {
-    let text_of = |claim: &ClaimRow| serde_json::to_string(claim).unwrap_or_default();
-    let text = text_of(&claim);
-    if text.len() <= MAX_VALUE_BYTES {
-        return (claim, text);
-    }
-    let state = RowState::Unknown;
-    let claim = ClaimRow { state, ..claim };
-    let text = text_of(&claim);
-    (claim, text)
-}
-
-/// Returns the name of an action's row: its workspace and key, or their digest where that would be too long.
-fn row_name(key: &ActionKey) -> String {
-    let name = format!("{}/{}", key.workspace, key.key);
-    if name.len() <= MAX_NAME_BYTES {
-        name
-    } else {
-        KeyDigest::of(&name).into()
-    }
-}
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -131,7 +131,7 @@
     let mut listed_in = *eras.borrow_and_update();
     loop {
         if let Ok(list) = platform.list().await {
-            let era = *platform.era().borrow();
+            let era = platform.latest_era();
             let is_listed = list.contains(&own);
             if era > listed_in {
                 tracing::info!(
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -9,7 +9,8 @@
 use dispatch::{ConnectionLoss, LossReport, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
-use crate::follower::tables::TARGETS;
+/// Index of the targets' table among the followed ones, as heartbeats list them.
+pub(crate) const TARGETS: usize = 1;
 
 /// Carries a message from one instance to another over UDP.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -8,9 +8,10 @@
 
 use super::Peers;
 use crate::{
-    follower::tables::TARGETS,
     format::{self, FORMAT_WITHOUT_DEPARTURES, OWN_FORMAT},
-    message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport, TableChange},
+    message::{
+        ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport, TARGETS, TableChange,
+    },
 };
 
 /// Number of instances that are notified at once of a table's new position; the others receive it with
--- a/crates/daemon/src/slots/rows.rs
+++ b/crates/daemon/src/slots/rows.rs
@@ -17,16 +17,15 @@
     platform: Platform,
     tx: mpsc::UnboundedSender<PlatformAnswer>,
 ) {
-    let era = platform.era();
     for _ in 0..MAX_SCANS {
         let sent_at = clock.now();
-        let era_before = *era.borrow();
+        let era = platform.latest_era();
         let Ok(rows) = platform.scan(SLOT_TABLE, "").await else {
             break;
         };
         // A row that is absent has no position: it was so in one era if none began meanwhile.
-        if *era.borrow() == era_before {
-            let _ = tx.send(PlatformAnswer::Rows(sent_at, era_before, rows));
+        if platform.latest_era() == era {
+            let _ = tx.send(PlatformAnswer::Rows(sent_at, era, rows));
             return;
         }
     }
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -10,7 +10,7 @@
 
 use crate::read_reports::{Fetch, LaterChange, ReadFailure};
 
-/// Maximum number of targets that a line names.
+/// Maximum number of targets or rows that a line names.
 const MAX_IDS: usize = 16;
 
 /// Facts that count the standstills and the milliseconds that they lasted.
@@ -197,10 +197,9 @@
     source: &NewsSource,
     known_since: Option<Time>,
 ) {
-    let ids: Vec<&str> = left.iter().take(MAX_IDS).map(TargetId::as_str).collect();
     tracing::info!(
         event = "targets_left",
-        ids = ids.join(" "),
+        ids = first_names(left.iter().map(TargetId::as_str)),
         count = left.len(),
         era = position.era,
         position = position.version,
@@ -218,8 +217,7 @@
 
 /// Logs the deleted rows that are kept for a while, since an outage may have removed them.
 pub(crate) fn log_rows_kept(table: &str, kept: &[&str], source: &NewsSource) {
-    let names: Vec<&str> = kept.iter().take(MAX_IDS).copied().collect();
-    let names = names.join(" ");
+    let names = first_names(kept.iter().copied());
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
@@ -232,7 +230,6 @@
     kept: &BTreeSet<String>,
     source: &NewsSource,
 ) {
-    let names: Vec<&str> = kept.iter().take(MAX_IDS).map(String::as_str).collect();
     tracing::warn!(
         event = "table_era",
         table,
@@ -241,7 +238,7 @@
         era = position.era,
         position = position.version,
         rows,
-        kept = names.join(" "),
+        kept = first_names(kept.iter().map(String::as_str)),
         kept_count = kept.len(),
         %source,
     );
@@ -255,11 +252,10 @@
     position: Position,
     source: &NewsSource,
 ) {
-    let names: Vec<&str> = ended.iter().take(MAX_IDS).copied().collect();
     tracing::info!(
         event = "kept_rows_ended",
         table,
-        names = names.join(" "),
+        names = first_names(ended.iter().copied()),
         count = ended.len(),
         left,
         era = position.era,
@@ -346,3 +342,11 @@
 pub(crate) fn age_ms(now: Time, at: Option<Time>) -> Option<u64> {
     at.map(|at| (now - at).as_millis() as u64)
 }
+
+/// Returns the first [`MAX_IDS`] names, as a line has them.
+fn first_names<'a, I>(names: I) -> String
+where
+    I: Iterator<Item = &'a str>,
+{
+    names.take(MAX_IDS).collect::<Vec<_>>().join(" ")
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -137,6 +137,11 @@
         self.era.subscribe()
     }
 
+    /// Returns the latest era of the platform's history that is known.
+    pub fn latest_era(&self) -> u32 {
+        self.era.latest()
+    }
+
     /// Records an era of the platform's history of which another instance knows.
     pub fn learn_era(&self, era: u32) {
         self.era.learn(era);
@@ -216,19 +221,19 @@
     /// As for [`Platform::call`]. Also [`PlatformError::Conflict`] if a write expects a version of an earlier era than the
     /// latest that is known, and [`PlatformError::Unavailable`] if its answer comes from a later one.
     pub async fn write(&self, writes: Vec<Write>) -> Result<Vec<Position>, PlatformError> {
-        let era = self.era.latest();
-        if let Some(outdated) = writes.iter().find(|write| write.expects_before(era)) {
+        let era = self.latest_era();
+        if let Some(outdated) = writes.iter().find(|write| write.expect.is_before(era)) {
             return Err(PlatformError::Conflict {
                 row: outdated.row.clone(),
                 version: Position::new(era, 0),
             });
         }
-        let expected = writes.clone();
+        let expected: Vec<Precondition> = writes.iter().map(|write| write.expect).collect();
         let Reply::Written(versions) = self.call(Call::Write { writes }).await? else {
             return Err(PlatformError::Unavailable);
         };
         let mut pairs = expected.iter().zip(&versions);
-        if pairs.any(|(write, written)| write.expects_before(written.era)) {
+        if pairs.any(|(expect, written)| expect.is_before(written.era)) {
             return Err(PlatformError::Unavailable);
         }
         Ok(versions)
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -139,6 +139,13 @@
     Version(Position),
 }
 
+impl Precondition {
+    /// Returns whether it expects a version of an era before `era`, which says nothing about the row any more.
+    pub fn is_before(self, era: u32) -> bool {
+        matches!(self, Self::Version(version) if version.era < era)
+    }
+}
+
 impl Write {
     /// Returns a write that unconditionally deletes a row.
     pub fn new(table: &str, row: &str) -> Self {
@@ -156,11 +163,6 @@
         self
     }
 
-    /// Returns whether the write expects a version of an era before `era`.
-    pub(crate) fn expects_before(&self, era: u32) -> bool {
-        matches!(self.expect, Precondition::Version(version) if version.era < era)
-    }
-
     /// Sets the condition on the row's current state.
     pub fn expect(mut self, expect: Precondition) -> Self {
         self.expect = expect;
@@ -214,7 +216,7 @@
     #[display("the changes after this position are no longer kept")]
     HistoryGone,
     /// A row did not meet its precondition; nothing was written.
-    #[display("row {row} is at version {version}, which its precondition excludes")]
+    #[display("row {row} is at version {}, which its precondition excludes", version.version)]
     Conflict {
         /// Name of the row.
         row: String,
