--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -10,7 +10,7 @@
 
 use crate::read_reports::{Fetch, LaterChange, ReadFailure};
 
-/// Maximum number of targets that a line names.
+/// Maximum number of targets or rows that a line names.
 const MAX_IDS: usize = 16;
 
 /// Facts that count the standstills and the milliseconds that they lasted.
@@ -197,10 +197,9 @@
     source: &NewsSource,
     known_since: Option<Time>,
 ) {
-    let ids: Vec<&str> = left.iter().take(MAX_IDS).map(TargetId::as_str).collect();
     tracing::info!(
         event = "targets_left",
-        ids = ids.join(" "),
+        ids = first_names(left.iter().map(TargetId::as_str)),
         count = left.len(),
         era = position.era,
         position = position.version,
@@ -218,8 +217,7 @@
 
 /// Logs the deleted rows that are kept for a while, since an outage may have removed them.
 pub(crate) fn log_rows_kept(table: &str, kept: &[&str], source: &NewsSource) {
-    let names: Vec<&str> = kept.iter().take(MAX_IDS).copied().collect();
-    let names = names.join(" ");
+    let names = first_names(kept.iter().copied());
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
@@ -233,8 +231,6 @@
     source: &NewsSource,
 ) {
     let position = replica.position();
-    let kept: Vec<&str> = replica.kept().take(MAX_IDS).collect();
-    let dropped: Vec<&str> = replica.dropped().take(MAX_IDS).collect();
     let kept_until = replica.kept_until();
     tracing::warn!(
         event = "table_era",
@@ -244,10 +240,10 @@
         era = position.era,
         position = position.version,
         rows = replica.snapshot().rows.len(),
-        kept = kept.join(" "),
+        kept = first_names(replica.kept()),
         kept_count = replica.kept().count(),
         kept_ms = kept_until.map(|until| (until - now).as_millis() as u64),
-        dropped = dropped.join(" "),
+        dropped = first_names(replica.dropped()),
         dropped_count = replica.dropped().count(),
         %source,
     );
@@ -280,11 +276,10 @@
     position: Position,
     source: &NewsSource,
 ) {
-    let names: Vec<&str> = ended.iter().take(MAX_IDS).copied().collect();
     tracing::info!(
         event = "kept_rows_ended",
         table,
-        names = names.join(" "),
+        names = first_names(ended.iter().copied()),
         count = ended.len(),
         left,
         era = position.era,
@@ -371,3 +366,11 @@
 pub(crate) fn age_ms(now: Time, at: Option<Time>) -> Option<u64> {
     at.map(|at| (now - at).as_millis() as u64)
 }
+
+/// Returns the first [`MAX_IDS`] names, as a line has them.
+fn first_names<'a, I>(names: I) -> String
+where
+    I: Iterator<Item = &'a str>,
+{
+    names.take(MAX_IDS).collect::<Vec<_>>().join(" ")
+}
