test(daemon,stage): drawn runs of the decoders of what comes from outside

`proof::mutate::Mutator` draws malformed encodings from valid ones: flipped bits, cut, repeated and spliced contents, numbers and lengths far too large, noise. Ruled out: `arbitrary` and coverage-guided runs, for which nothing is at hand offline; `proptest`, whose shrinking isn't needed where each draw is one message.

--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -3,6 +3,7 @@
 //! `UPDATE_FORMATS=1 cargo test -p godwitgauge-daemon --test formats` writes the samples of the
 //! newest format; those of earlier ones never change.
 
+mod malformed;
 mod rows;
 mod samples;
 
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -23,6 +23,7 @@
 };
 use dispatch::QuarantineReport;
 use entry::{message::Event, view::Clock};
+use proof::mutate::Mutator;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rstest::rstest;
@@ -905,6 +906,58 @@
     let left = fleet.wait_for(|fleet| fleet.members[&id].is_leaving);
     timeout(READ_WITHIN, left).await.unwrap().unwrap();
 }
+/// Guards against messages that are read, of numbers far too large or of nonsense: they end nothing, and sound ones still count.
+#[tokio::test]
+async fn odd_messages_end_nothing() {
+    const BATCHES: u64 = 40;
+    const BATCH: usize = 50;
+    let mut neighbourhood = Neighbourhood::start(1).await;
+    let id = InstanceId::from("i0");
+    let status = heartbeat(&id, Incarnation(1));
+    let mut full = initial_heartbeat(status, neighbourhood.addr);
+    full.set_positions(vec![Position::new(1, 300), Position::new(2, 7)]);
+    full.store_era = 2;
+    full.ack_age = Duration::from_millis(300);
+    full.reads = Some(ReadsReport {
+        contact_age: Duration::from_millis(300),
+        is_failing: false,
+    });
+    full.change = Some(ChangeReport {
+        position: Position::from(300),
+        is_arriving: true,
+        age: Duration::from_millis(300),
+    });
+    let samples = [
+        PeerMessage::Heartbeat(Box::new(full)),
+        PeerMessage::LoansReturned("gym".into(), 5),
+        PeerMessage::Rates {
+            reports: Vec::new(),
+            ack: 1,
+        },
+    ];
+    let samples = samples.map(|message| postcard::to_stdvec(&message).unwrap());
+    let mut mutator = Mutator::new(51, samples.to_vec());
+    for _ in 0..Mutator::rounds(BATCHES) {
+        for _ in 0..BATCH {
+            let content = mutator.draw();
+            let sessions = neighbourhood.sessions.get_mut(&id).unwrap();
+            let frame = sessions.seal_encoded(&OWN_ID.into(), &content).unwrap();
+            let addr = neighbourhood.addr;
+            neighbourhood.socket.send_to(&frame, addr).await.unwrap();
+        }
+        // The instance reads them all, and tells the others of itself.
+        neighbourhood
+            .receive(Instant::now() + HEARTBEAT_INTERVAL / 25)
+            .await;
+        while neighbourhood.engine.try_recv().is_ok() {}
+        while neighbourhood.follower.try_recv().is_ok() {}
+    }
+    let mut fleet = neighbourhood.fleet.clone();
+    neighbourhood.send_heartbeats(true).await;
+    let left = fleet.wait_for(|fleet| fleet.members[&id].is_leaving);
+    timeout(READ_WITHIN, left).await.unwrap().unwrap();
+}
+
 /// Guards against unread messages in a fleet of one build: an instance that had just started knew another
 /// one's incarnation before its address, and told it rates before a heartbeat.
 #[tokio::test]
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod explore;
 pub mod lease_model;
 pub mod limits;
+pub mod mutate;
 pub mod process;
 pub mod quota_model;
 pub mod rollout;
