--- a/crates/daemon/tests/formats/malformed.rs
+++ b/crates/daemon/tests/formats/malformed.rs
@@ -196,7 +196,7 @@
         parses_again::<Head>(&text);
         if let Some(row) = parses_again::<LeaseRow>(&text) {
             slots += 1;
-            hold_slot(row);
+            hold_slot(&row);
         }
     }
     assert!(slots > 0);
@@ -213,7 +213,7 @@
 }
 
 /// Lets the instance that the row names, and another one, read it, take the lease and renew it.
-fn hold_slot(row: LeaseRow) {
+fn hold_slot(row: &LeaseRow) {
     let chart = lease_chart().unwrap();
     for me in [row.owner.clone(), "other".into()] {
         let timing = LeaseTiming::default();
