--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -111,7 +111,7 @@
     }
 
     /// Begins an era at `now` with a copy of the table, where `known` are the rows as they were known before. Rows are kept
-    /// until they are written again, for [`KEEP_TIME`] at most if their revisions aren't counted or they count as deleted;
+    /// until they are written again, for a minute at most if their revisions aren't counted or they count as deleted;
     /// those that the copy lacks until `missing_until`. With such a time, those that the copy must have had aren't kept: they
     /// have been deleted since.
     pub fn begin_era(
