--- a/crates/proof/src/lease_model.rs
+++ b/crates/proof/src/lease_model.rs
@@ -1,7 +1,7 @@
 //! A small model of the lease of one slot, for an exhaustive search: instances with their own clocks, and a store that comes
 //! back from copies.
 //!
-//! What the instances decide is decided by the product's own [`Lease`], [`EraSettling`](coord::EraSettling) and
+//! What the instances decide is decided by the product's own [`Lease`](coord::Lease), [`EraSettling`](coord::EraSettling) and
 //! [`Fleet`](daemon::fleet::Fleet). Any call and any heartbeat may fail to happen, for as long as time goes on: that
 //! is how instances are cut off from the store and from each other, and how they stand still.
 
