fix(platform): an era counts once two answers name it

Cause: an era that is one higher than the known one was believed by one header, and since it never decreases and each instance tells the others, one header that is one too high blinded the fleet: all right answers after it counted as late ones.

Change: StoreEra::on_answer waits for a second answer before it believes a higher era, whatever its distance, also the first one. A small call asks at once, beside the rest of the answer, which is then used. An answer whose era can't be used is PlatformError::UnusableEra: a failed read, but no sign of an outage, since the store can be reached. From heartbeats eras are believed as before.

Ruled out: jumps of few eras at once (one wrong header still blinds the fleet); going back where later requests are answered in the era before (a lagging endpoint answers so too, and the rows, leases and claims of two eras would be mixed).

Tests: the sequences of era_of_answers stand as they were, with the answers to the small call beside them; era_is_learned_from_others expects the new error; modelled stores of daemon and cli answer the question with the era that they name.

--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -126,9 +126,9 @@
     match platform.write(vec![head_row, history]).await {
         Ok(_) => Ok(base + 1),
         Err(PlatformError::Conflict { .. }) => Err(conflict_error(platform, base).await),
-        Err(PlatformError::Unavailable | PlatformError::HistoryGone) => {
-            resolve_unknown_outcome(platform, &record).await
-        }
+        Err(
+            PlatformError::Unavailable | PlatformError::UnusableEra | PlatformError::HistoryGone,
+        ) => resolve_unknown_outcome(platform, &record).await,
     }
 }
 
--- a/crates/cli/tests/restored.rs
+++ b/crates/cli/tests/restored.rs
@@ -18,8 +18,10 @@
         move |mut call, _| {
             let (store, known) = (store.clone(), known.clone());
             async move {
+                let named = store.lock().unwrap().1.to_string();
+                let ask = || async { Some(named.clone()) };
+                known.on_answer(Some(&named), ask).await?;
                 let (store, era) = &mut *store.lock().unwrap();
-                known.on_answer(Some(&era.to_string()))?;
                 if let Call::Write { writes } = &mut call {
                     for write in writes {
                         if let Precondition::Version(at) = &mut write.expect {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -321,7 +321,7 @@
                     let is_kept = failure.is_on_kept_connection;
                     self.lateness.on_read_failure(is_kept);
                 }
-                if !failure.is_on_kept_connection {
+                if failure.is_sign_of_outage() {
                     table.record_failure(now);
                 }
                 false
--- a/crates/daemon/src/read_reports.rs
+++ b/crates/daemon/src/read_reports.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use base::{InstanceId, Position, Time};
-use platform::Received;
+use derive_more::Display;
+use platform::{PlatformError, Received};
 
 use crate::table_fetch::Fetched;
 
@@ -17,11 +18,24 @@
     pub(crate) since: Time,
 }
 
+/// Lists why a read of the platform brings nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum FailureCause {
+    /// No answer came in time.
+    #[display("no answer")]
+    Unanswered,
+    /// The platform refused the call or couldn't be reached.
+    #[display("unavailable")]
+    Unavailable,
+    /// The platform answered in an era that isn't the known one, so it can be reached.
+    #[display("unusable era")]
+    UnusableEra,
+}
+
 /// Describes a read of the platform that has brought nothing so far.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadFailure {
-    /// Whether no answer came in time; otherwise the platform refused the call or couldn't be reached.
-    pub(crate) is_unanswered: bool,
+    pub(crate) cause: FailureCause,
     /// Whether the connection had been used before, so that it alone may have failed.
     pub(crate) is_on_kept_connection: bool,
     /// Time from the call to its failure.
@@ -30,6 +44,22 @@
     pub(crate) received: Received,
 }
 
+impl From<&PlatformError> for FailureCause {
+    fn from(error: &PlatformError) -> Self {
+        match error {
+            PlatformError::UnusableEra => Self::UnusableEra,
+            _ => Self::Unavailable,
+        }
+    }
+}
+
+impl ReadFailure {
+    /// Returns whether it may be a sign that no instance can read the table.
+    pub(crate) fn is_sign_of_outage(&self) -> bool {
+        !self.is_on_kept_connection && self.cause != FailureCause::UnusableEra
+    }
+}
+
 /// Carries what another instance answered when it was asked for a table.
 #[derive(Debug)]
 pub(crate) struct Fetch {
--- a/crates/daemon/src/slots.rs
+++ b/crates/daemon/src/slots.rs
@@ -282,9 +282,11 @@
         let written = match result {
             Ok(version) => WriteOutcome::Applied(*version),
             Err(PlatformError::Conflict { .. }) => WriteOutcome::Conflict,
-            Err(PlatformError::Unavailable | PlatformError::HistoryGone) => {
-                WriteOutcome::Unanswered
-            }
+            Err(
+                PlatformError::Unavailable
+                | PlatformError::UnusableEra
+                | PlatformError::HistoryGone,
+            ) => WriteOutcome::Unanswered,
         };
         if let Some(slot) = self.slots.get_mut(&idx) {
             slot.lease.on_write_outcome(now, written);
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -47,11 +47,6 @@
     answered_at: Option<Time>,
     failure: &ReadFailure,
 ) {
-    let reason = if failure.is_unanswered {
-        "no answer"
-    } else {
-        "unavailable"
-    };
     let waited_ms = failure.waited.as_millis() as u64;
     let blind_ms = age_ms(now, answered_at);
     let received_bytes = failure.received.bytes;
@@ -59,7 +54,7 @@
     tracing::info!(
         event = "table_unread",
         table,
-        reason,
+        reason = %failure.cause,
         is_on_kept_connection = failure.is_on_kept_connection,
         waited_ms,
         received_bytes,
@@ -143,6 +138,7 @@
     let reason = match error {
         None => "no answer",
         Some(PlatformError::HistoryGone) => "history gone",
+        Some(PlatformError::UnusableEra) => "unusable era",
         Some(_) => "unavailable",
     };
     tracing::info!(
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -30,7 +30,7 @@
     elsewhere::FailingElsewhere,
     outcome::{Arrival, PlatformRead, RowsBeside, TableRead, to_row_change, to_snapshot},
 };
-use crate::read_reports::ReadFailure;
+use crate::read_reports::{FailureCause, ReadFailure};
 
 /// Time from when a poll was answered to the next one, so that changes in quick succession cost one poll.
 const POLL_DELAY: Duration = Duration::from_millis(100);
@@ -277,14 +277,15 @@
                 *step = Step::Poll(Instant::now());
                 None
             }
-            Err(_) => {
+            Err(error) => {
                 let is_newest = idx + 1 == self.open.len();
                 let failed = self.open.remove(idx)?;
                 // An earlier one has been reported already.
                 if !is_newest || matches!(step, Step::Poll(_)) {
                     return None;
                 }
-                Some(self.fail(&failed, false, step).await)
+                let cause = FailureCause::from(&error);
+                Some(self.fail(&failed, cause, step).await)
             }
         }
     }
@@ -341,13 +342,13 @@
             self.open.cancel_oldest(1);
         }
         let newest = self.open.pop_newest()?;
-        let read = self.fail(&newest, true, step).await;
+        let read = self.fail(&newest, FailureCause::Unanswered, step).await;
         self.open.push(newest);
         Some(read)
     }
 
     /// Reports a failed poll; the next one follows at once if the cause may be its old connection.
-    async fn fail(&mut self, poll: &OpenPoll, is_unanswered: bool, step: &mut Step) -> TableRead {
+    async fn fail(&mut self, poll: &OpenPoll, cause: FailureCause, step: &mut Step) -> TableRead {
         self.reconnect().await;
         let delay = if poll.is_on_kept_connection {
             Duration::ZERO
@@ -358,7 +359,7 @@
         };
         *step = Step::Poll(Instant::now() + delay);
         TableRead::Failed(ReadFailure {
-            is_unanswered,
+            cause,
             is_on_kept_connection: poll.is_on_kept_connection,
             waited: self.options.clock.now() - poll.sent_at,
             received: *poll.received.borrow(),
--- a/crates/daemon/tests/restored/store.rs
+++ b/crates/daemon/tests/restored/store.rs
@@ -107,7 +107,8 @@
     ) -> Result<Reply, PlatformError> {
         sleep(CALL_TIME).await;
         let (reply, era) = self.state.lock().unwrap().apply(instance, call)?;
-        known.on_answer(Some(&era.to_string()))?;
+        let named = || async { Some(era.to_string()) };
+        known.on_answer(Some(&era.to_string()), named).await?;
         reply
     }
 }
--- a/crates/daemon/tests/retained.rs
+++ b/crates/daemon/tests/retained.rs
@@ -29,6 +29,7 @@
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep, sleep_until, timeout},
@@ -48,6 +49,8 @@
 struct Scenario {
     /// When the store refuses everything.
     outages: Vec<Range<Duration>>,
+    /// What comes of a read then.
+    refusal: PlatformError,
     removed_at: Duration,
     /// Time from the first byte of an answer with rows to its last one.
     transfer: Duration,
@@ -62,6 +65,16 @@
     in_force: Vec<(Duration, bool)>,
 }
 
+impl Seen {
+    /// Returns when the target was no longer in force.
+    fn gone_at(&self) -> Duration {
+        let mut changes = self.in_force.iter();
+        let last = changes.rposition(|(_, has_target)| *has_target);
+        let gone = last.and_then(|last| self.in_force.get(last + 1));
+        gone.map_or(RUN_TIME, |(at, _)| *at)
+    }
+}
+
 impl Scenario {
     fn draw(seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
@@ -78,6 +91,7 @@
         let transfer = ms(0..2) * 400 + ms(0..500);
         Self {
             outages,
+            refusal: PlatformError::Unavailable,
             removed_at,
             transfer,
         }
@@ -102,7 +116,7 @@
         let at = started.elapsed();
         if scenario.is_down(at) {
             sleep(LATENCY).await;
-            return Err(PlatformError::Unavailable);
+            return Err(scenario.refusal);
         }
         let has_news = after == 0 || (is_targets && after < 2 && at >= removed_at);
         if has_news || at >= until {
@@ -198,12 +212,7 @@
         let Some(told_at) = seen.told_at else {
             panic!("seed {seed}: never told, {scenario:?}");
         };
-        let last = seen
-            .in_force
-            .iter()
-            .rposition(|(_, has_target)| *has_target);
-        let gone = last.and_then(|last| seen.in_force.get(last + 1));
-        let gone_after = gone.map_or(RUN_TIME, |(at, _)| *at - told_at);
+        let gone_after = seen.gone_at() - told_at;
         kept += usize::from(gone_after > scenario.transfer + LATENCY * 2);
         if gone_after > BOUND {
             late.push((seed, gone_after, scenario));
@@ -218,3 +227,24 @@
     );
     assert!(kept > 100, "only {kept} rows were kept");
 }
+
+/// Guards against DRAIN: answers that couldn't be used, since they named another era, counted as an outage, which a target that
+/// has left outlives by 1.8 s.
+#[rstest]
+#[case::no_answers(PlatformError::Unavailable, true)]
+#[case::answers_in_another_era(PlatformError::UnusableEra, false)]
+#[tokio::test(start_paused = true)]
+async fn removed_row_is_kept_only_after_an_outage(
+    #[case] refusal: PlatformError,
+    #[case] is_kept: bool,
+) {
+    let scenario = Scenario {
+        outages: vec![Duration::from_secs(3)..Duration::from_secs(6)],
+        refusal,
+        removed_at: Duration::from_secs(5),
+        transfer: Duration::ZERO,
+    };
+    let seen = play(scenario).await;
+    let told_at = seen.told_at.unwrap();
+    assert_eq!(seen.gone_at() - told_at > LATENCY * 2, is_kept, "{seen:?}");
+}
--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -83,9 +83,12 @@
                 let (shared, era) = (shared.clone(), era.clone());
                 async move {
                     sleep(Duration::from_millis(5)).await;
-                    let mut state = shared.0.lock().unwrap();
-                    let reply = state.execute(call);
-                    era.on_answer(Some(&state.era.to_string()))?;
+                    let (reply, named) = {
+                        let mut state = shared.0.lock().unwrap();
+                        (state.execute(call), state.era.to_string())
+                    };
+                    let ask = || async { Some(named.clone()) };
+                    era.on_answer(Some(&named), ask).await?;
                     reply
                 }
             }
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -10,23 +10,30 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of eras that may have begun unnoticed.
 const MAX_MISSED_ERAS: u32 = 1_000;
+/// Maximum number of questions after an answer that reports a later era.
+const MAX_QUESTIONS: usize = 3;
 
 /// Tracks the latest era of the platform's history.
 ///
 /// A platform that comes back from an older copy of its tables reports the next era. One that reports none stays in
 /// era 0. Each answer passes [`StoreEra::on_answer`], whatever it brings, so that the first one after the return
-/// shows it. All clones share what is known.
+/// shows it. All clones share what is known. An era that is known never decreases, so one answer doesn't suffice for a
+/// later one: its header may be wrong.
 ///
 /// # Examples
 ///
 /// ```
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
 /// use platform::StoreEra;
 ///
 /// let era = StoreEra::default();
-/// assert_eq!(era.on_answer(Some("4")), Ok(4));
-/// assert_eq!(era.on_answer(Some("5")), Ok(5));
-/// assert!(era.on_answer(Some("4")).is_err(), "it was made before the platform's return");
-/// assert_eq!(era.on_answer(None), Ok(5));
+/// let ask = |reported: &'static str| move || async move { Some(reported.to_owned()) };
+/// assert_eq!(era.on_answer(Some("4"), ask("4")).await, Ok(4));
+/// assert_eq!(era.on_answer(Some("5"), ask("5")).await, Ok(5));
+/// assert!(era.on_answer(Some("6"), ask("5")).await.is_err(), "no other answer reports it");
+/// assert!(era.on_answer(Some("4"), ask("5")).await.is_err(), "it was made before the platform's return");
+/// assert_eq!(era.on_answer(None, ask("5")).await, Ok(5));
+/// # });
 /// ```
 #[derive(Debug, Clone)]
 pub struct StoreEra {
@@ -39,12 +46,23 @@
 struct Reports {
     /// Whether any answer or instance has reported an era.
     is_reported: bool,
-    /// Era far beyond the latest one that the last answer reported.
+    /// Era beyond the latest one that the last answer reported.
     doubtful: Option<u32>,
     /// Time of the last line about a report that can't be used.
     logged_at: Option<Instant>,
 }
 
+/// What one answer's report comes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Noted {
+    /// The answer was made in the latest era that is known.
+    Latest(u32),
+    /// It was made in an earlier one.
+    Earlier,
+    /// It reports a later one, as the first answer.
+    Doubtful(u32),
+}
+
 impl Default for StoreEra {
     fn default() -> Self {
         Self {
@@ -67,38 +85,83 @@
 
     /// Records the era that an answer reports, as text, and returns the one in which the answer was made.
     ///
-    /// An answer without a readable one counts as made in the latest era that is known.
+    /// An answer without a readable one counts as made in the latest era that is known. One that reports a later era waits
+    /// until a second answer reports the same, or another instance does: `ask` sends a small call, within a time of its
+    /// own, and returns what its answer reports.
     ///
     /// # Errors
     ///
-    /// [`PlatformError::Unavailable`] if the answer can't be used: it was made in an earlier era, or reports one far
-    /// beyond the latest that no other answer has reported yet.
-    pub fn on_answer(&self, reported: Option<&str>) -> Result<u32, PlatformError> {
+    /// [`PlatformError::UnusableEra`] if the answer can't be used: it was made in an earlier era, or reports a later one
+    /// that no other answer reports.
+    pub async fn on_answer<A, F>(
+        &self,
+        reported: Option<&str>,
+        ask: A,
+    ) -> Result<u32, PlatformError>
+    where
+        A: Fn() -> F,
+        F: Future<Output = Option<String>>,
+    {
+        match self.note(reported) {
+            Noted::Latest(era) => return Ok(era),
+            Noted::Earlier => return Err(PlatformError::UnusableEra),
+            Noted::Doubtful(era) => self.confirm(era, ask).await,
+        }
         let latest = self.latest();
-        let is_reported = self.reports.borrow().is_reported;
-        let Some(era) = reported.and_then(|text| text.trim().parse::<u32>().ok()) else {
+        let era = reported.and_then(parse).filter(|era| *era == latest);
+        era.ok_or_else(|| {
+            self.log_bad("unconfirmed", latest, reported);
+            PlatformError::UnusableEra
+        })
+    }
+
+    /// Asks until an answer shows whether an era has begun that another one has reported, or it is known otherwise.
+    async fn confirm<A, F>(&self, reported: u32, ask: A)
+    where
+        A: Fn() -> F,
+        F: Future<Output = Option<String>>,
+    {
+        let mut latest = self.subscribe();
+        let mut doubtful = reported;
+        for _ in 0..MAX_QUESTIONS {
+            let answered = tokio::select! {
+                biased;
+                _ = latest.wait_for(|latest| *latest >= reported) => return,
+                answered = ask() => answered,
+            };
+            match answered.as_deref().and_then(parse) {
+                Some(era) if era == doubtful => return self.set(era),
+                Some(era) if era > self.latest() => doubtful = era,
+                Some(_) => return self.doubt(None),
+                None => {}
+            }
+        }
+    }
+
+    /// Records what an answer reports, beside what the answer before it has.
+    fn note(&self, reported: Option<&str>) -> Noted {
+        let latest = self.latest();
+        let Reports {
+            is_reported,
+            doubtful,
+            ..
+        } = *self.reports.borrow();
+        let Some(era) = reported.and_then(parse) else {
             if reported.is_some() || is_reported {
                 self.log_bad("unreadable", latest, reported);
             }
-            return Ok(latest);
+            return Noted::Latest(latest);
         };
-        let is_next = era == latest || Some(era) == latest.checked_add(1);
-        if is_next || !is_reported {
-            self.set(era);
-            return Ok(era);
-        }
         if era < latest {
             self.log_bad("earlier", latest, reported);
-            return Err(PlatformError::Unavailable);
+            return Noted::Earlier;
         }
-        if self.reports.borrow().doubtful == Some(era) {
+        if era == latest || doubtful == Some(era) {
             self.set(era);
-            return Ok(era);
+            return Noted::Latest(era);
         }
-        self.log_bad("far beyond", latest, reported);
-        self.reports
-            .send_modify(|reports| reports.doubtful = Some(era));
-        Err(PlatformError::Unavailable)
+        self.doubt(Some(era));
+        Noted::Doubtful(era)
     }
 
     /// Records an era of which another instance knows. One that is too far beyond the latest is left to the own answers.
@@ -112,6 +175,10 @@
         }
     }
 
+    fn doubt(&self, era: Option<u32>) {
+        self.reports.send_modify(|reports| reports.doubtful = era);
+    }
+
     fn set(&self, era: u32) {
         self.reports.send_modify(|reports| {
             reports.is_reported = true;
@@ -141,3 +208,7 @@
         tracing::warn!(event = "store_era_unusable", fault, latest, reported);
     }
 }
+
+fn parse(text: &str) -> Option<u32> {
+    text.trim().parse().ok()
+}
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -210,6 +210,10 @@
     /// No usable reply came: whether a write took effect is unknown.
     #[display("the platform did not answer")]
     Unavailable,
+    /// A reply came that names an era of the platform's history which isn't the known one, so that it can't be used:
+    /// whether a write took effect is unknown.
+    #[display("the platform answered in another era than the known one")]
+    UnusableEra,
     /// The changes after the requested position are no longer kept: the table has to be read again.
     #[display("the changes after this position are no longer kept")]
     HistoryGone,
--- a/crates/platform/tests/era.rs
+++ b/crates/platform/tests/era.rs
@@ -1,34 +1,101 @@
 //! Eras of the platform's history: how they are learned, and what a version of an earlier one is worth.
 
+use std::{
+    cell::RefCell,
+    future::{Ready, pending, ready},
+    pin::pin,
+    task::{Context, Waker},
+    time::Duration,
+};
+
 use base::Position;
 use platform::{Call, Platform, PlatformError, Precondition, Reply, StoreEra, Write};
 use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time that a small call takes.
+const CALL_TIME: Duration = Duration::from_millis(10);
+
+/// Returns what each answer to a question reports, in turn; the later ones get none.
+fn ask(answers: &[Option<&'static str>]) -> impl Fn() -> Ready<Option<String>> {
+    let answers = RefCell::new(answers.iter().copied());
+    move || ready(answers.borrow_mut().next().flatten().map(str::to_owned))
+}
 
 // Guards against an era that is missed, and against one that bad input makes up.
 #[rstest]
-#[case::none_is_reported(&[None, None], &[Some(0), Some(0)])]
-#[case::first_one(&[Some("7")], &[Some(7)])]
-#[case::next_one(&[Some("7"), Some("8")], &[Some(7), Some(8)])]
-#[case::first_one_after_none(&[None, Some("7")], &[Some(0), Some(7)])]
-#[case::late_answer(&[Some("7"), Some("8"), Some("7")], &[Some(7), Some(8), None])]
-#[case::absent_once(&[Some("7"), None, Some("7")], &[Some(7), Some(7), Some(7)])]
-#[case::no_number(&[Some("7"), Some("x7"), Some("8")], &[Some(7), Some(7), Some(8)])]
-#[case::too_large_for_a_number(&[Some("7"), Some("99999999999"), Some("8")], &[Some(7), Some(7), Some(8)])]
-#[case::far_beyond_once(&[Some("7"), Some("900"), Some("7"), Some("900")], &[Some(7), None, Some(7), None])]
-#[case::far_beyond_twice(&[Some("7"), Some("9"), Some("9")], &[Some(7), None, Some(9)])]
-#[case::far_beyond_and_another(&[Some("7"), Some("9"), Some("11"), Some("8")], &[Some(7), None, None, Some(8)])]
-fn era_of_answers(#[case] reported: &[Option<&str>], #[case] expected: &[Option<u32>]) {
+#[case::none_is_reported(&[None, None], &[], &[Some(0), Some(0)])]
+#[case::first_one(&[Some("7")], &[Some("7")], &[Some(7)])]
+#[case::first_one_is_wrong(&[Some("8"), Some("7")], &[Some("7"), Some("7")], &[None, Some(7)])]
+#[case::next_one(&[Some("7"), Some("8")], &[Some("7"), Some("8")], &[Some(7), Some(8)])]
+#[case::next_one_after_a_lost_question(&[Some("8")], &[None, Some("x"), Some("8")], &[Some(8)])]
+#[case::next_one_unconfirmed(&[Some("8"), Some("8")], &[], &[None, Some(8)])]
+#[case::next_one_is_wrong(&[Some("7"), Some("8"), Some("7")], &[Some("7"), Some("7")], &[Some(7), None, Some(7)])]
+#[case::next_one_is_wrong_again(&[Some("0"), Some("1"), Some("1")], &[Some("0"), Some("0")], &[Some(0), None, None])]
+#[case::wrong_ones_beside_right_ones(&[Some("0"), Some("1"), Some("0"), Some("1")], &[], &[Some(0), None, Some(0), None])]
+#[case::first_one_after_none(&[None, Some("7")], &[Some("7")], &[Some(0), Some(7)])]
+#[case::late_answer(&[Some("7"), Some("8"), Some("7")], &[Some("7"), Some("8")], &[Some(7), Some(8), None])]
+#[case::absent_once(&[Some("7"), None, Some("7")], &[Some("7")], &[Some(7), Some(7), Some(7)])]
+#[case::no_number(&[Some("7"), Some("x7"), Some("8")], &[Some("7"), Some("8")], &[Some(7), Some(7), Some(8)])]
+#[case::too_large_for_a_number(&[Some("7"), Some("99999999999"), Some("8")], &[Some("7"), Some("8")], &[Some(7), Some(7), Some(8)])]
+#[case::far_beyond_once(&[Some("7"), Some("900"), Some("7"), Some("900")], &[Some("7")], &[Some(7), None, Some(7), None])]
+#[case::far_beyond_twice(&[Some("7"), Some("9"), Some("9")], &[Some("7")], &[Some(7), None, Some(9)])]
+#[case::two_at_once(&[Some("7"), Some("9")], &[Some("7"), Some("9")], &[Some(7), Some(9)])]
+#[case::another_one_meanwhile(&[Some("7"), Some("8"), Some("9")], &[Some("7"), Some("9"), Some("9")], &[Some(7), None, Some(9)])]
+#[case::far_beyond_and_another(&[Some("7"), Some("9"), Some("11"), Some("8")], &[Some("7"), None, None, None, None, None, None, Some("8")], &[Some(7), None, None, Some(8)])]
+#[tokio::test]
+async fn era_of_answers(
+    #[case] reported: &[Option<&str>],
+    #[case] asked: &[Option<&'static str>],
+    #[case] expected: &[Option<u32>],
+) {
+    let era = StoreEra::default();
+    let ask = ask(asked);
+    let mut found = Vec::new();
+    for text in reported {
+        found.push(era.on_answer(*text, &ask).await.ok());
+    }
+    assert_eq!(found, expected);
+}
+
+// Guards against a return that an answer from before it, another one or another instance keeps from being known at once.
+#[rstest]
+#[case::late_answer(|era: &StoreEra| handle(era, "1"), Some("2"), Ok(2))]
+#[case::second_answer(|era: &StoreEra| handle(era, "2"), None, Ok(2))]
+#[case::other_instance(|era: &StoreEra| era.learn(2), None, Ok(2))]
+#[case::other_instance_knows_a_later_one(|era: &StoreEra| era.learn(3), None, Err(PlatformError::UnusableEra))]
+#[tokio::test(start_paused = true)]
+async fn era_of_an_answer_beside_others(
+    #[case] beside: fn(&StoreEra),
+    #[case] asked: Option<&'static str>,
+    #[case] expected: Result<u32, PlatformError>,
+) {
     let era = StoreEra::default();
-    let found: Vec<Option<u32>> = reported
-        .iter()
-        .map(|text| era.on_answer(*text).ok())
-        .collect();
+    era.learn(1);
+    let ask = || async {
+        sleep(CALL_TIME).await;
+        if asked.is_none() {
+            pending::<()>().await;
+        }
+        asked.map(str::to_owned)
+    };
+    let other = async {
+        sleep(CALL_TIME / 2).await;
+        beside(&era);
+    };
+    let (found, ()) = tokio::join!(era.on_answer(Some("2"), ask), other);
     assert_eq!(found, expected);
 }
 
+/// Handles an answer as far as it goes without an answer to a question.
+fn handle(era: &StoreEra, reported: &str) {
+    let answer = pin!(era.on_answer(Some(reported), pending::<Option<String>>));
+    let _ = answer.poll(&mut Context::from_waker(Waker::noop()));
+}
+
 // Guards against an instance that doesn't believe others while its own platform is silent.
-#[test]
-fn era_is_learned_from_others() {
+#[tokio::test]
+async fn era_is_learned_from_others() {
     let era = StoreEra::default();
     let seen = era.subscribe();
     era.learn(4);
@@ -37,7 +104,8 @@
     // What one instance has taken from garbled bytes doesn't blind the others.
     era.learn(4_000_000_000);
     assert_eq!(*seen.borrow(), 4);
-    assert_eq!(era.on_answer(Some("3")), Err(PlatformError::Unavailable));
+    let found = era.on_answer(Some("3"), ask(&[])).await;
+    assert_eq!(found, Err(PlatformError::UnusableEra));
 }
 
 /// Returns a handle to a platform that answers in `answered`, where `known` is known before.
@@ -81,7 +149,7 @@
 // Guards against changes that are taken for those after a position of another era.
 #[tokio::test]
 async fn changes_of_another_era_are_none() {
-    let wait = std::time::Duration::ZERO;
+    let wait = Duration::ZERO;
     let after = Position::new(1, 5);
     let changes = platform(1, 1).changes("t", after, wait).await;
     assert_eq!(changes, Ok((Vec::new(), Position::new(1, 9))));
