feat(coord): who has waited for earlier leases tells it by its row

Where the store names an era above 0, each instance that replaced one of a build up to format 11 waited 122 s for its slot, one after the other, and used grants until then: the rows of such builds have no era, and they report none.

That the leases of earlier eras are over stays true as long as the era lasts, so an instance that waited for the TTL, or for twice 8.2 s as all knew of the era, says so in its slot's row (is_settled, left out where it is false). Who starts and reads such a row of the present era waits no more.

--- a/crates/daemon/tests/formats/rows.rs
+++ b/crates/daemon/tests/formats/rows.rs
@@ -65,6 +65,7 @@
         is_released: false,
         era: 0,
         since_era: 0,
+        is_settled: false,
     }
 }
 
--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -18,7 +18,7 @@
     slots::{SLOT_TABLE, Slots, SlotsOptions},
 };
 use entry::{metrics::Metrics, view::Clock};
-use platform::{Call, Platform, PlatformError, Precondition, Reply, Store, StoreEra};
+use platform::{Call, Platform, PlatformError, Precondition, Reply, Store, StoreEra, Write};
 use rstest::rstest;
 use tokio::{
     sync::{mpsc, watch},
@@ -250,6 +250,40 @@
     });
 }
 
+/// Guards against an upgrade in which each instance waits anew for the leases of builds that know no eras to end.
+#[test]
+fn slots_of_an_earlier_build_are_waited_for_once() {
+    run_paused(async {
+        let shared = Shared::default();
+        let writes = (0..3).map(|slot| {
+            let row = r#"{"owner":"old","incarnation":7,"epoch":3,"renewal":12,"horizon_ms":120000,"is_released":true}"#;
+            Write::new(SLOT_TABLE, &format!("{slot:04}")).value(row)
+        });
+        let writes = writes.collect();
+        shared
+            .0
+            .lock()
+            .unwrap()
+            .execute(Call::Write { writes })
+            .unwrap();
+        shared.restore(shared.copy());
+        let first = start(&shared, 0, 3, 0);
+        sleep(SECOND * 120).await;
+        assert_eq!(*first.held.borrow(), 0);
+        sleep(SECOND * 5).await;
+        assert_eq!(*first.held.borrow(), 1);
+        for idx in 1..3 {
+            let next = start(&shared, idx, 3, 0);
+            sleep(SECOND * 3).await;
+            assert_eq!(*next.held.borrow(), 1, "{idx}");
+        }
+        shared.restore(shared.copy());
+        let next = start(&shared, 3, 4, 0);
+        sleep(SECOND * 3).await;
+        assert_eq!(*next.held.borrow(), 0);
+    });
+}
+
 /// Guards against more writes at once than the users' store takes, as some hundred instances confirm their slots.
 #[test]
 fn slots_are_confirmed_within_rates() {
