--- a/crates/daemon/tests/behind/confirmations.rs
+++ b/crates/daemon/tests/behind/confirmations.rs
@@ -49,7 +49,7 @@
     let platform = silent_store(started, &Arc::new(Scenario::calm()));
     let reader = reporter_id(0);
     let fleet = Fleet {
-        members: [(reader.clone(), member(&reader, RUN_TIME))].into(),
+        members: [(reader.clone(), member(RUN_TIME))].into(),
         ..Fleet::default()
     };
     let (_fleet, fleet) = watch::channel(Arc::new(fleet));
--- a/crates/daemon/tests/behind/departed.rs
+++ b/crates/daemon/tests/behind/departed.rs
@@ -245,7 +245,7 @@
         let clock = Clock::start();
         let other = reporter_id(0);
         let fleet = Fleet {
-            members: [(other.clone(), member(&other, Duration::from_secs(60)))].into(),
+            members: [(other.clone(), member(Duration::from_secs(60)))].into(),
             ..Fleet::default()
         };
         let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -13,6 +13,8 @@
 #[path = "../support/follower.rs"]
 mod follower;
 mod late_turns;
+#[path = "../support/member.rs"]
+mod member;
 mod model;
 mod modelled_store;
 mod old_poll;
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -10,7 +10,7 @@
 use base::{
     Config, Incarnation, InstanceId, Key, KeyDigest, Position, RegionId, Service, Time, Workspace,
 };
-use coord::{Heartbeat, ListEntry, Membership, Replica};
+use coord::Replica;
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{FollowerOptions, tables::ComposedConfig},
@@ -31,8 +31,8 @@
 };
 
 use crate::{
-    engine::start_engine, follower::start_follower, late_turns::meter, options::options,
-    paused::run_paused,
+    engine::start_engine, follower::start_follower, late_turns::meter, member::listed_member,
+    options::options, paused::run_paused,
 };
 pub(crate) use crate::{
     modelled_store::store,
@@ -89,30 +89,12 @@
 }
 
 /// Returns an instance that is alive until `end`, at no address for other instances.
-pub(crate) fn member(id: &InstanceId, end: Duration) -> FleetMember {
-    let mut membership = Membership::new(RUN_TIME, RUN_TIME);
-    let entry = ListEntry {
-        id: id.clone(),
-        domain: "d".into(),
-        is_leaving: false,
-    };
-    membership.on_list(Time::ZERO, &[entry]);
-    membership.on_heartbeat(
-        Time::ZERO,
-        &Heartbeat {
-            id: id.clone(),
-            incarnation: Incarnation(1),
-            domain: "d".into(),
-            is_leaving: false,
-            version: 0,
-            confirmation_age: None,
-        },
-    );
+pub(crate) fn member(end: Duration) -> FleetMember {
     FleetMember {
         alive_until: Time::ZERO + end,
         entry: Some(SocketAddr::from(([127, 0, 0, 1], 2))),
         incarnation: Some(Incarnation(1)),
-        ..FleetMember::new(&membership.members()[id], None)
+        ..listed_member()
     }
 }
 
@@ -214,7 +196,7 @@
     {
         let others = others.into_iter();
         let fleet = Fleet {
-            members: others.map(|id| (id.clone(), member(&id, end))).collect(),
+            members: others.map(|id| (id.clone(), member(end))).collect(),
             ..Fleet::default()
         };
         Self::start_among(scenario, clock, platform, fleet)
@@ -263,7 +245,7 @@
     pub(crate) fn hear_of(&self, id: &InstanceId, end: Duration) {
         self.fleet.send_modify(|fleet| {
             let members = &mut Arc::make_mut(fleet).members;
-            members.insert(id.clone(), member(id, end));
+            members.insert(id.clone(), member(end));
         });
     }
 
--- a/crates/daemon/tests/behind/old_poll.rs
+++ b/crates/daemon/tests/behind/old_poll.rs
@@ -115,7 +115,7 @@
     let holder = FleetMember {
         addr: Some(serve_tables().await),
         format: OWN_FORMAT,
-        ..member(&source, RUN_TIME)
+        ..member(RUN_TIME)
     };
     let fleet = Fleet {
         members: [(source.clone(), holder)].into(),
--- a/crates/daemon/tests/fetches.rs
+++ b/crates/daemon/tests/fetches.rs
@@ -2,13 +2,15 @@
 
 #[path = "support/follower.rs"]
 mod follower;
+#[path = "support/member.rs"]
+mod member;
 #[path = "support/options.rs"]
 mod options;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use base::{Config, Incarnation, Position, Time};
-use coord::{Heartbeat, ListEntry, Membership, Replica};
+use base::{Config, Position, Time};
+use coord::Replica;
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::tables::ComposedConfig,
@@ -16,6 +18,7 @@
 };
 use entry::view::Clock;
 use follower::start_follower;
+use member::listed_member;
 use options::options;
 use platform::{Platform, PlatformError};
 use tokio::{
@@ -40,7 +43,10 @@
         let id = format!("i{idx}");
         fleet.members.insert(
             id.as_str().into(),
-            member(&id, listener.local_addr().unwrap()),
+            FleetMember {
+                addr: Some(listener.local_addr().unwrap()),
+                ..listed_member()
+            },
         );
         listeners.push(listener);
     }
@@ -77,29 +83,3 @@
         "{publications} publications"
     );
 }
-
-/// Returns an instance that is listed and alive at this address.
-fn member(id: &str, addr: SocketAddr) -> FleetMember {
-    let mut membership = Membership::new(Duration::from_secs(40), Duration::from_secs(60));
-    let entry = ListEntry {
-        id: id.into(),
-        domain: "d".into(),
-        is_leaving: false,
-    };
-    membership.on_list(Time::ZERO, &[entry]);
-    membership.on_heartbeat(
-        Time::ZERO,
-        &Heartbeat {
-            id: id.into(),
-            incarnation: Incarnation(1),
-            domain: "d".into(),
-            is_leaving: false,
-            version: 0,
-            confirmation_age: None,
-        },
-    );
-    FleetMember {
-        addr: Some(addr),
-        ..FleetMember::new(&membership.members()[id], None)
-    }
-}
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -1,32 +1,25 @@
 //! Snapshots of the other instances' state that are read after the reader was paused.
 
+#[path = "support/member.rs"]
+mod member;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use base::Time;
 use daemon::fleet::{Fleet, FleetMember};
 use rstest::rstest;
 
+use crate::member::listed_member;
+
 fn member(alive_until: Time) -> FleetMember {
     FleetMember {
-        domain: "d".into(),
-        addr: None,
-        entry: None,
-        incarnation: None,
         version: 1,
         alive_until,
-        heartbeat_way: Duration::ZERO,
-        is_leaving: false,
-        is_listed: true,
-        is_gone: false,
         owned_workspaces: vec![("club".into(), 7)],
         held_slots: Some(0),
         heartbeat_sequence: 1,
-        has_target_path: true,
         format: 3,
-        build: String::new(),
-        store_era: 0,
-        demand: Vec::new(),
-        pinned_demand: Vec::new(),
+        ..listed_member()
     }
 }
 
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -1,5 +1,8 @@
 //! What the engine is told of the other instances in a fleet of different builds.
 
+#[path = "support/member.rs"]
+mod member;
+
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Config, Domain, Incarnation, Time, Workspace};
@@ -19,6 +22,8 @@
     time::{Instant, advance, sleep, timeout},
 };
 
+use crate::member::listed_member;
+
 const TOLD_WITHIN: Duration = Duration::from_secs(5);
 /// Time for which an instance that has sent a heartbeat counts as alive.
 const ALIVE_TIME: Duration = Duration::from_secs(2);
@@ -30,25 +35,14 @@
 /// Returns a live instance that reaches the targets and speaks this format.
 fn member(format: u32) -> FleetMember {
     FleetMember {
-        domain: "d".into(),
         addr: Some(addr()),
-        entry: None,
         incarnation: Some(Incarnation(1)),
         version: 1,
         alive_until: Time::from_secs(600),
-        heartbeat_way: Duration::ZERO,
-        is_leaving: false,
-        is_listed: true,
-        is_gone: false,
-        owned_workspaces: Vec::new(),
         held_slots: Some(1),
         heartbeat_sequence: 1,
-        has_target_path: true,
         format,
-        build: String::new(),
-        store_era: 0,
-        demand: Vec::new(),
-        pinned_demand: Vec::new(),
+        ..listed_member()
     }
 }
 
--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -1,5 +1,7 @@
 //! Slots of instances whose platform comes back from an older copy of its tables, in virtual time.
 
+#[path = "support/member.rs"]
+mod member;
 #[path = "support/paused.rs"]
 mod paused;
 
@@ -9,7 +11,7 @@
 };
 
 use base::{Incarnation, Position, Time};
-use coord::{CONFIRM_TIME, LeaseTiming, Member, Presence, lease_chart};
+use coord::{CONFIRM_TIME, LeaseTiming, lease_chart};
 use daemon::{
     fleet::{Fleet, FleetMember},
     message::PeerCommand,
@@ -24,7 +26,7 @@
     time::sleep,
 };
 
-use crate::paused::run_paused;
+use crate::{member::listed_member, paused::run_paused};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Write calls in a second that one part of the users' store handles.
@@ -129,17 +131,10 @@
 fn start(shared: &Shared, idx: usize, count: usize, known_era: u32) -> Instance {
     let platform = shared.platform();
     let members = (0..count).filter(|other| *other != idx).map(|other| {
-        let member = Member {
-            domain: "d".into(),
-            presence: Presence::Listed,
-            is_leaving: false,
-            last_heartbeat_at: None,
-            heartbeat: None,
-        };
         let member = FleetMember {
             alive_until: Time::from_secs(3_600),
             store_era: known_era,
-            ..FleetMember::new(&member, None)
+            ..listed_member()
         };
         (format!("i{other:03}").as_str().into(), member)
     });
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -1,5 +1,7 @@
 //! Calls of many instances to the platform's table: they stay within the rates that it takes, in virtual time.
 
+#[path = "support/member.rs"]
+mod member;
 #[path = "support/options.rs"]
 mod options;
 #[path = "support/paused.rs"]
@@ -13,7 +15,7 @@
 };
 
 use base::{Config, Incarnation, Time};
-use coord::{LeaseTiming, Member, Presence, Replica, lease_chart};
+use coord::{LeaseTiming, Replica, lease_chart};
 use daemon::{
     facts::load_or_create,
     fleet::{Fleet, FleetMember},
@@ -40,7 +42,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use crate::{options::options, paused::run_paused};
+use crate::{member::listed_member, options::options, paused::run_paused};
 
 /// Number of instances of the users' largest site.
 const INSTANCES: usize = 81;
@@ -377,16 +379,9 @@
 fn fleet_without(own: usize) -> Fleet {
     let others = (0..INSTANCES).filter(|idx| *idx != own);
     let members = others.map(|idx| {
-        let member = Member {
-            domain: "d".into(),
-            presence: Presence::Listed,
-            is_leaving: false,
-            last_heartbeat_at: None,
-            heartbeat: None,
-        };
         let member = FleetMember {
             alive_until: Time::from_secs(3_600),
-            ..FleetMember::new(&member, None)
+            ..listed_member()
         };
         (instance_id(idx).as_str().into(), member)
     });
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -6,8 +6,8 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, Position, Time};
-use coord::{Heartbeat, ListEntry, Membership, Replica};
+use base::{Config, Position, Time};
+use coord::Replica;
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
@@ -30,7 +30,10 @@
     time::{sleep, timeout},
 };
 
-use crate::{carry, document, fetches::changed_part, options::options, serve_lies, table};
+use crate::{
+    carry, document, fetches::changed_part, member::listed_member, options::options, serve_lies,
+    table,
+};
 
 const ROUTES: usize = 600;
 const BEFORE: usize = 100;
@@ -86,7 +89,7 @@
         let addr = start_peer(*peer, asked.clone()).await;
         fleet
             .members
-            .insert(id.as_str().into(), member(&id, addr, *peer));
+            .insert(id.as_str().into(), member(addr, *peer));
     }
     let metrics = Metrics::new().unwrap();
     let (in_force, mut in_force_rx) = mpsc::unbounded_channel();
@@ -223,23 +226,7 @@
 }
 
 /// Returns an instance that is listed and alive at this address.
-pub(crate) fn member(id: &str, addr: SocketAddr, peer: Peer) -> FleetMember {
-    let mut membership = Membership::new(Duration::from_secs(40), Duration::from_secs(60));
-    let entry = ListEntry {
-        id: id.into(),
-        domain: "d".into(),
-        is_leaving: false,
-    };
-    membership.on_list(Time::ZERO, &[entry]);
-    let heartbeat = Heartbeat {
-        id: id.into(),
-        incarnation: Incarnation(1),
-        domain: "d".into(),
-        is_leaving: false,
-        version: 0,
-        confirmation_age: None,
-    };
-    membership.on_heartbeat(Time::ZERO, &heartbeat);
+pub(crate) fn member(addr: SocketAddr, peer: Peer) -> FleetMember {
     let is_older = matches!(peer, Peer::Older);
     FleetMember {
         addr: Some(addr),
@@ -248,7 +235,7 @@
         } else {
             OWN_FORMAT
         },
-        ..FleetMember::new(&membership.members()[id], None)
+        ..listed_member()
     }
 }
 
--- a/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
+++ b/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
@@ -78,7 +78,7 @@
     // Nobody else gets its port meanwhile.
     let closed = TcpSocket::new_v4().unwrap();
     closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let mut gone = member(GONE, closed.local_addr().unwrap(), Peer::Honest);
+    let mut gone = member(closed.local_addr().unwrap(), Peer::Honest);
     gone.alive_until = alive_until;
     fleet.members.insert(GONE.into(), gone);
     for idx in 0..SOURCES {
@@ -86,7 +86,7 @@
         let links = [Link::new(WIDE_RATE), link.clone()];
         let carrier = start_carrier(addr, links, Arc::new(AtomicUsize::new(0))).await;
         let id = format!("i{idx}");
-        let mut source = member(&id, carrier, Peer::Honest);
+        let mut source = member(carrier, Peer::Honest);
         source.alive_until = alive_until;
         fleet.members.insert(id.as_str().into(), source);
         tables.push(published);
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -4,6 +4,8 @@
 mod fetches;
 mod follower;
 mod late_heartbeats;
+#[path = "../support/member.rs"]
+mod member;
 mod narrow_fetches;
 #[path = "../support/options.rs"]
 mod options;
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -100,7 +100,7 @@
         let links = [Link::new(sender_rate), link.clone()];
         let carrier = start_carrier(addr, links, fetched.clone()).await;
         let id = format!("i{idx}");
-        let honest = member(&id, carrier, Peer::Honest);
+        let honest = member(carrier, Peer::Honest);
         fleet.members.insert(id.as_str().into(), honest);
         tables.push(published);
     }
--- a/crates/daemon/tests/tables_by_parts/own_position.rs
+++ b/crates/daemon/tests/tables_by_parts/own_position.rs
@@ -106,7 +106,7 @@
     let links = [Link::new(LINK_RATE * 10), link.clone()];
     let addr = start_carrier(sender, links, Arc::new(AtomicUsize::new(0))).await;
     let mut fleet = Fleet::default();
-    let honest = member("i0", addr, Peer::Honest);
+    let honest = member(addr, Peer::Honest);
     fleet.members.insert("i0".into(), honest);
     let reads = Reads::default();
     let platform = start_store(store, changes_at, link, reads.clone());
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -176,7 +176,7 @@
     for (idx, sender) in scenario.senders.iter().enumerate() {
         let id = format!("i{idx}");
         let addr = start_sender(*sender, link.clone(), fetched.clone()).await;
-        let member = member(&id, addr, Peer::Honest);
+        let member = member(addr, Peer::Honest);
         fleet.members.insert(id.as_str().into(), member);
     }
     let platform = store(changes_at, scenario.own.clone(), link);
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -165,7 +165,7 @@
 async fn kept_after_report(other: Other) -> Duration {
     let (addr, served) = serve_tables(vec![operators(), targets(BEFORE, &["t1", "t2"])]).await;
     let mut fleet = Fleet::default();
-    let source = member("i0", addr, Peer::Honest);
+    let source = member(addr, Peer::Honest);
     fleet.members.insert("i0".into(), source);
     let clock = Clock::start();
     let (_fleet, fleet) = watch::channel(Arc::new(fleet));
--- a/crates/daemon/tests/tables_by_parts/rows.rs
+++ b/crates/daemon/tests/tables_by_parts/rows.rs
@@ -442,7 +442,7 @@
                 .clone()
                 .filter(|(one, _)| source.is_none_or(|only| only == *one));
             for (other, node) in reached {
-                let member = member(&id(other), node.addr, Peer::Honest);
+                let member = member(node.addr, Peer::Honest);
                 fleet.members.insert(id(other).as_str().into(), member);
             }
             node.fleet.send_replace(Arc::new(fleet));
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -1,5 +1,7 @@
 //! Tables that arrive byte by byte for as long as one waits: another source is read beside them.
 
+#[path = "support/member.rs"]
+mod member;
 #[path = "support/options.rs"]
 mod options;
 
@@ -12,10 +14,8 @@
     time::Duration,
 };
 
-use base::{Config, Incarnation, InstanceId, Position, Time};
-use coord::{
-    Heartbeat, ListEntry, Membership, Replica, ReplicaRow, TableSnapshot, rendezvous_draw,
-};
+use base::{Config, InstanceId, Position, Time};
+use coord::{Replica, ReplicaRow, TableSnapshot, rendezvous_draw};
 use daemon::{
     fleet::{Fleet, FleetMember},
     follower::{
@@ -31,6 +31,7 @@
     metrics::Metrics,
     view::{Clock, View},
 };
+use member::listed_member;
 use options::options;
 use platform::{Call, Change, Platform, PlatformError, Progress, Reply as Answer};
 use tokio::{
@@ -180,7 +181,11 @@
 ) -> mpsc::UnboundedReceiver<u64> {
     let mut fleet = Fleet::default();
     for (id, addr) in &sources {
-        fleet.members.insert(id.clone(), member(id, *addr));
+        let member = FleetMember {
+            addr: Some(*addr),
+            ..listed_member()
+        };
+        fleet.members.insert(id.clone(), member);
     }
     let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
     let (engine, engine_rx) = mpsc::unbounded_channel();
@@ -244,30 +249,6 @@
     while versions.recv().await.unwrap() != AFTER {}
 }
 
-/// Returns an instance that is listed and alive at this address.
-fn member(id: &InstanceId, addr: SocketAddr) -> FleetMember {
-    let mut membership = Membership::new(Duration::from_secs(40), Duration::from_secs(60));
-    let entry = ListEntry {
-        id: id.clone(),
-        domain: "d".into(),
-        is_leaving: false,
-    };
-    membership.on_list(Time::ZERO, &[entry]);
-    let heartbeat = Heartbeat {
-        id: id.clone(),
-        incarnation: Incarnation(1),
-        domain: "d".into(),
-        is_leaving: false,
-        version: 0,
-        confirmation_age: None,
-    };
-    membership.on_heartbeat(Time::ZERO, &heartbeat);
-    FleetMember {
-        addr: Some(addr),
-        ..FleetMember::new(&membership.members()[id], None)
-    }
-}
-
 /// Guards against CONFIG: a store that sent a byte now and then held up the version that all others had for
 /// as long as it did so, since nothing was asked of them while an own read was arriving.
 #[tokio::test(start_paused = true)]
