feat(daemon): `status` flags rows that are kept over the store's copy

Cause: operators saw in `godwitgauge status` nothing of a return; the number of kept rows stands among the metrics alone.

Change: a flag "N rows are kept over the store's copy" from the same gauge.

Ruled out: a field of its own for the era, which `table_era` has.

--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -25,6 +25,7 @@
     time::sleep_until,
 };
 
+pub(crate) use self::eras::KEPT_GAUGE;
 use self::{
     departures::{Overlay, TargetsLag},
     eras::EraTimes,
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -20,7 +20,7 @@
 const REWRITE_TIME: Duration = Duration::from_secs(10);
 /// Gauges of the era of the operators' table, and of the rows that are kept from earlier ones.
 const ERA_GAUGE: &str = "table_era";
-const KEPT_GAUGE: &str = "rows_kept_over_copy";
+pub(crate) const KEPT_GAUGE: &str = "rows_kept_over_copy";
 
 /// Maximum number of eras whose begin is remembered.
 const MAX_ERAS: usize = 8;
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::Operator;
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, follower::tables::KEPT_GAUGE};
 
 /// Reports the state of an instance and what it knows of others.
 #[derive(Debug, Serialize)]
@@ -85,8 +85,13 @@
         let view = self.view.borrow().clone();
         let fleet = self.fleet.borrow().clone();
         let now = self.clock.now();
+        let mut flags = flags(now, &view, &fleet, &engine);
+        let kept = self.metrics.gauges.with_label_values(&[KEPT_GAUGE]).get();
+        if kept > 0 {
+            flags.push(format!("{kept} rows are kept over the store's copy"));
+        }
         Some(Status {
-            flags: flags(now, &view, &fleet, &engine),
+            flags,
             instance: self.own_id.clone(),
             version: version_of(&view),
             standing: freshness_name(view.freshness),
