revert(coord): rows don't say that earlier leases are over

Ruled out: to mend release() alone, since a row also convinces those that know of more holders than its writer. The upgrade waits as before; the way stands in DESIGN.md.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -83,8 +83,6 @@
     since_era: u32,
     /// Whether the leases of earlier eras are over or confirmed.
     is_settled: bool,
-    /// Whether rows say so to others.
-    tells_settled: bool,
     /// The row as read or written in the present era.
     row: Option<(Position, LeaseRow)>,
     was_read: bool,
@@ -125,7 +123,6 @@
             era: 0,
             since_era: 0,
             is_settled: true,
-            tells_settled: false,
             row: None,
             was_read: false,
             is_overwritten: false,
@@ -211,7 +208,6 @@
         self.held_until = self.held_until.min(now + CONFIRM_TIME);
         self.era = era;
         self.is_settled = false;
-        self.tells_settled = false;
         self.row = None;
         self.was_read = false;
         self.is_overwritten = false;
@@ -228,11 +224,6 @@
         self.since_era = since_era;
     }
 
-    /// Sets whether the rows that are written say to others that leases of earlier eras are over.
-    pub fn set_settled_for_all(&mut self, is_settled_for_all: bool) {
-        self.tells_settled = is_settled_for_all;
-    }
-
     /// Processes a read of the row in the present era.
     ///
     /// Reads that started before the last write of this instance was answered must not be passed.
@@ -372,7 +363,6 @@
             era,
             since_era,
             is_settled,
-            tells_settled,
             row,
             was_read,
             is_overwritten,
@@ -384,8 +374,7 @@
             pending_write,
             forgotten_write,
         } = self;
-        (state, me, incarnation, timing, era, since_era).hash(hasher);
-        (is_settled, tells_settled).hash(hasher);
+        (state, me, incarnation, timing, era, since_era, is_settled).hash(hasher);
         (row, was_read, is_overwritten, row_changed_at).hash(hasher);
         (claim, highest_epoch, held_until).hash(hasher);
         (renewal_sent_at, pending_write, forgotten_write).hash(hasher);
@@ -482,7 +471,6 @@
             is_released: false,
             era: self.era,
             since_era: self.since_era,
-            is_settled: self.tells_settled,
         }
     }
 
--- a/crates/coord/src/lease/row.rs
+++ b/crates/coord/src/lease/row.rs
@@ -1,7 +1,5 @@
 //! The rows of leases and the writes that change them.
 
-use std::ops::Not;
-
 use base::{Incarnation, InstanceId, Position};
 use serde::{Deserialize, Serialize};
 
@@ -28,9 +26,6 @@
     /// Earliest era in which a lease of the table was acquired, as far as the holder knows.
     #[serde(default)]
     pub since_era: u32,
-    /// Whether the leases of all earlier eras were over, or confirmed in this one, as the row was written.
-    #[serde(default, skip_serializing_if = "Not::not")]
-    pub is_settled: bool,
 }
 
 impl LeaseRow {
--- a/crates/coord/src/lease/settling.rs
+++ b/crates/coord/src/lease/settling.rs
@@ -17,7 +17,7 @@
 ///
 /// That is so once each instance that may hold one has known of the era for longer than it uses a lease that isn't
 /// confirmed, or else once the leases of earlier eras have expired. There are none where no lease was acquired before
-/// the era. Who has seen that tells the others by its rows, which spares those the wait that start later.
+/// the era.
 ///
 /// # Examples
 ///
@@ -40,7 +40,6 @@
     since_era: Option<u32>,
     all_know_since: Option<Time>,
     has_settled: bool,
-    is_settled_for_all: bool,
 }
 
 impl EraSettling {
@@ -53,7 +52,6 @@
             since_era: None,
             all_know_since: None,
             has_settled: true,
-            is_settled_for_all: false,
         }
     }
 
@@ -80,16 +78,9 @@
             self.learned_at = now;
             self.all_know_since = None;
             self.has_settled = false;
-            self.is_settled_for_all = false;
         }
     }
 
-    /// Processes a row that was written in the present era and says that the leases of earlier ones are over.
-    pub fn on_settled_row(&mut self) {
-        self.has_settled = true;
-        self.is_settled_for_all = true;
-    }
-
     /// Processes a read of all rows in the present era, by the earliest eras that they name; `others_hold` is whether
     /// another instance reports a lease.
     pub fn on_rows<I>(&mut self, since_eras: I, others_hold: bool)
@@ -115,24 +106,14 @@
     /// Returns whether a lease may be taken whose row isn't of the present era.
     pub fn is_settled(&mut self, now: Time) -> bool {
         let takeover_delay = CONFIRM_TIME.mul_f64(1.0 + 2.0 * self.timing.drift) + LEARNING_TIME;
-        let known_for = self
+        let have_confirmed = self
             .all_know_since
-            .map_or(Duration::ZERO, |since| now - since);
+            .is_some_and(|since| now - since > takeover_delay);
         let ttl = self.timing.ttl.mul_f64(1.0 + self.timing.drift);
-        let have_expired = now - self.learned_at > ttl;
-        self.has_settled |= known_for > takeover_delay || have_expired;
-        // Late writes of an earlier era have been found and replaced by then; who has just started can't tell them.
-        let is_for_all = known_for > takeover_delay * 2 || have_expired;
-        self.is_settled_for_all |= is_for_all && self.era > 0;
+        self.has_settled |= have_confirmed || now - self.learned_at > ttl;
         self.has_settled
     }
 
-    /// Returns whether rows of the present era may say to all, by [`EraSettling::is_settled`] so far, that the leases of
-    /// earlier eras are over.
-    pub fn is_settled_for_all(&self) -> bool {
-        self.is_settled_for_all
-    }
-
     /// Returns the earliest era in which a lease of the table was acquired, as far as that is known.
     pub fn since_era(&self) -> u32 {
         self.since_era.unwrap_or(0)
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -33,7 +33,6 @@
         is_released: false,
         era: 0,
         since_era: 0,
-        is_settled: false,
     }
 }
 
--- a/crates/coord/tests/lease_eras.rs
+++ b/crates/coord/tests/lease_eras.rs
@@ -38,7 +38,6 @@
         is_released: false,
         era,
         since_era: 1,
-        is_settled: false,
     }
 }
 
@@ -143,64 +142,6 @@
     assert_eq!(write.map(|write| write.row.epoch), epoch);
 }
 
-/// Guards against instances that each wait for the same leases to end, one after the other as an upgrade goes on, and
-/// against a word that comes before late writes have been found.
-#[rstest]
-#[case::others_know(true, 1, 9, false)]
-#[case::others_knew_long_enough(true, 1, 17, true)]
-#[case::one_is_silent(false, 1, 30, false)]
-#[case::earlier_leases_expired(false, 1, 31, true)]
-#[case::first_era(false, 2, 9, false)]
-fn instance_that_waited_tells_those_that_start(
-    #[case] all_know: bool,
-    #[case] since_era: u32,
-    #[case] later_s: u64,
-    #[case] is_told: bool,
-) {
-    let [mut first, mut second] = [(); 2].map(|()| EraSettling::new(TIMING));
-    first.on_era(Time::ZERO, 2);
-    first.on_others(Time::ZERO, all_know);
-    first.on_rows([since_era], true);
-    let now = Time::from_secs(later_s);
-    let is_settled = first.is_settled(now);
-    let [mut holder, mut starter] = ["a", "b"].map(|name| lease(name, 1));
-    holder.on_era(now, 2);
-    holder.set_settled(true, since_era);
-    holder.set_settled_for_all(first.is_settled_for_all());
-    holder.on_read(now, None);
-    let row = holder.next_write(now, true, false).unwrap().row;
-    assert_eq!((row.era, row.is_settled), (2, is_told));
-    assert!(is_settled || !is_told);
-    second.on_era(now, 2);
-    second.on_rows([1], true);
-    if row.is_settled {
-        second.on_settled_row();
-    }
-    starter.on_era(now, 2);
-    starter.on_read(
-        now,
-        Some((
-            7.into(),
-            LeaseRow {
-                is_released: true,
-                ..row_of_earlier_build()
-            },
-        )),
-    );
-    starter.set_settled(second.is_settled(now), second.since_era());
-    assert_eq!(starter.may_take(now), is_told);
-    second.on_era(now, 3);
-    assert!(!second.is_settled(now) && !second.is_settled_for_all());
-}
-
-/// Returns a row of a build that knows no eras.
-fn row_of_earlier_build() -> LeaseRow {
-    LeaseRow {
-        since_era: 0,
-        ..row("c", 3, 0)
-    }
-}
-
 /// Guards against a late write of an earlier era that meets a version given out again and frees a lease that is held.
 #[test]
 fn lease_is_not_freed_by_late_write_of_earlier_era() {
@@ -280,8 +221,6 @@
     version: Position,
     row: Standing,
     copies: VecDeque<(Time, Position, Standing)>,
-    /// Latest era for which a row of another lease says that leases of earlier ones are over.
-    settled_in: u32,
     in_flight: Vec<(Time, LeaseWrite)>,
 }
 
@@ -359,15 +298,9 @@
         if rng.random::<f64>() < 0.7 {
             self.settling
                 .on_rows(table.row.as_ref().map(|(_, row)| row.since_era), true);
-            if table.settled_in == table.era && table.era > 1 {
-                self.settling.on_settled_row();
-            }
             let (is_settled, since) = (self.settling.is_settled(local), self.settling.since_era());
             self.lease.set_settled(is_settled, since);
             self.lease.on_read(local, table.row.clone());
-            if self.settling.is_settled_for_all() {
-                table.settled_in = table.era;
-            }
         }
         let Some(write) = self.lease.next_write(local, true, false) else {
             return;
--- a/crates/daemon/src/slots/era.rs
+++ b/crates/daemon/src/slots/era.rs
@@ -42,20 +42,13 @@
     /// Determines whether slots may be taken whose rows aren't of the present era.
     pub(super) fn settle(&mut self, now: Time, rows: &[(String, Row)]) {
         let fleet = self.options.fleet.borrow().clone();
-        let (era, ttl) = (self.settling.era(), self.options.lease_timing.ttl);
-        let rows: Vec<Option<LeaseRow>> = rows
-            .iter()
-            .map(|(_, row)| serde_json::from_str(&row.value).ok())
-            .collect();
         // A row that can't be read may be of any era.
-        let since_eras = rows
-            .iter()
-            .map(|row| row.as_ref().map_or(0, |row| row.since_era));
+        let since_eras = rows.iter().map(|(_, row)| {
+            let content: Option<LeaseRow> = serde_json::from_str(&row.value).ok();
+            content.map_or(0, |row| row.since_era)
+        });
         self.settling.on_rows(since_eras, fleet.has_holder(now));
-        let mut present = rows.iter().flatten().filter(|row| row.era == era);
-        if present.any(|row| row.is_settled) {
-            self.settling.on_settled_row();
-        }
+        let (era, ttl) = (self.settling.era(), self.options.lease_timing.ttl);
         let all_know = fleet.all_know_era(now, era, ttl);
         self.settling.on_others(now, all_know);
         let is_settled = self.settling.is_settled(now);
@@ -67,8 +60,6 @@
         for slot in self.slots.values_mut() {
             let since_era = self.settling.since_era();
             slot.lease.set_settled(is_settled, since_era);
-            let is_settled_for_all = self.settling.is_settled_for_all();
-            slot.lease.set_settled_for_all(is_settled_for_all);
         }
     }
 
--- a/crates/daemon/tests/formats/rows.rs
+++ b/crates/daemon/tests/formats/rows.rs
@@ -65,7 +65,6 @@
         is_released: false,
         era: 0,
         since_era: 0,
-        is_settled: false,
     }
 }
 
--- a/crates/proof/src/lease_model/instance.rs
+++ b/crates/proof/src/lease_model/instance.rs
@@ -73,27 +73,18 @@
         row: Standing,
     ) -> Option<LeaseWrite> {
         let since_era = row.as_ref().map(|(_, row)| row.since_era);
-        let present = row
-            .as_ref()
-            .filter(|(_, row)| row.era == self.settling.era());
-        let says_settled = present.is_some_and(|(_, row)| row.is_settled);
         let is_writing = self.lease.state() == coord::LeaseState::Writing;
         if sent_at >= self.write_answered_at && !is_writing {
             self.lease.on_read(local, row);
         }
         let fleet = self.fleet();
         self.settling.on_rows(since_era, fleet.has_holder(local));
-        if says_settled {
-            self.settling.on_settled_row();
-        }
         let all_know = model.flaw == Some(Flaw::SilenceCounts)
             || fleet.all_know_era(local, self.settling.era(), model.timing.ttl);
         self.settling.on_others(local, all_know);
         let is_settled = self.settling.is_settled(local);
         self.lease
             .set_settled(is_settled, self.settling.since_era());
-        let is_settled_for_all = self.settling.is_settled_for_all();
-        self.lease.set_settled_for_all(is_settled_for_all);
         self.lease.next_write(local, true, false)
     }
 
