--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -269,6 +269,113 @@
     });
 }
 
+/// A workspace's quota, of which the holder of the only slot lends all to an owner, which grants it to another instance.
+struct Spending {
+    holder: QuotaHolder,
+    other: QuotaHolder,
+    owner: QuotaOwner,
+    audit: QuotaAudit,
+}
+
+impl Spending {
+    fn start(now: Time) -> Self {
+        let whole = Quota {
+            rate: 10.0,
+            burst: 10.0,
+        };
+        let split = QuotaSplit {
+            reserved_share: 1.0,
+            slots: 1,
+            ..QuotaSplit::default()
+        };
+        let mut owner = QuotaOwner::borrowing(now, whole, split, 7);
+        owner.set_valid_until(Time::NEVER);
+        let [mut holder, mut other] = [(); 2].map(|()| QuotaHolder::new(whole, split));
+        for holder in [&mut holder, &mut other] {
+            holder.set_owner(Some(OwnerId {
+                instance: "owner".into(),
+                epoch: owner.epoch(),
+            }));
+        }
+        Self {
+            holder,
+            other,
+            owner,
+            audit: QuotaAudit::new(whole),
+        }
+    }
+
+    /// Takes what the holder's engine is told; one that may not spend its slot no longer reaches the owner.
+    fn tell(&mut self, now: Time, told: Option<(Time, SlotHistory)>) {
+        match told {
+            Some((until, history)) => self.holder.hold_slot(now, 0, until, history),
+            None => {
+                self.holder.release_slot(0);
+                self.holder.set_owner(None);
+            }
+        }
+    }
+
+    /// Spends all that both may.
+    fn spend(&mut self, now: Time) {
+        const WAITING: u32 = 100;
+        for loan in self.holder.lend(now) {
+            self.owner.on_loan(now, Incarnation(1), &loan, now);
+        }
+        if let Some(request) = self.other.next_grant_request(now, WAITING) {
+            let granted = self
+                .owner
+                .on_request(now, &"i001".into(), Incarnation(1), &request);
+            granted.map(|grant| self.other.on_grant(now, &grant));
+        }
+        for holder in [&mut self.holder, &mut self.other] {
+            while holder.try_take(now) {
+                self.audit.record(now);
+            }
+        }
+    }
+}
+
+/// Guards against a loan that is counted twice: a slot that was confirmed too late counted as never held, so its holder spent
+/// at once what its owner still granted. An owner, and what it has granted, goes on.
+#[rstest]
+#[case::confirmed_in_time(SECOND, 100)]
+#[case::confirmed_late(CONFIRM_TIME, 100)]
+#[case::after_two_eras(CONFIRM_TIME * 2, 60)]
+fn lent_reservation_is_counted_once(#[case] refused: Duration, #[case] min_spent: u64) {
+    const STEP: Duration = Duration::from_millis(50);
+    run_paused(async {
+        let shared = Shared::default();
+        let copy = shared.copy();
+        let clock = Clock::start();
+        let mut holder = start(&shared, 0, 1, 0);
+        let mut spending = Spending::start(clock.now());
+        let back_at = Time::ZERO + SECOND * 3;
+        let mut era = 0;
+        while clock.now() < back_at + SECOND * 15 {
+            sleep(STEP).await;
+            let now = clock.now();
+            let is_again = era == 1 && refused > CONFIRM_TIME && now >= back_at + SECOND;
+            if era == 0 && now >= back_at || is_again {
+                shared.restore(copy.clone());
+                shared.0.lock().unwrap().refuses = true;
+                era += 1;
+                holder.platform.learn_era(era);
+            }
+            if now >= back_at + refused {
+                shared.0.lock().unwrap().refuses = false;
+            }
+            while let Ok(told) = holder.told.try_recv() {
+                spending.tell(now, told);
+            }
+            spending.spend(now);
+        }
+        let audit = &spending.audit;
+        assert!(audit.is_within_quota(), "{}", audit.min_remaining());
+        assert!(audit.count() >= min_spent, "{}", audit.count());
+    });
+}
+
 /// Guards against more writes at once than the users' store takes, as some hundred instances confirm their slots.
 #[test]
 fn slots_are_confirmed_within_rates() {
