--- a/crates/admit/tests/waits.rs
+++ b/crates/admit/tests/waits.rs
@@ -75,7 +75,7 @@
     assert_eq!(refused(&actions), [1, 2]);
 }
 
-/// Guards against late refusals: requests waited for 1.5 s for an owner that answers nothing, each anew.
+/// Guards against late refusals: requests waited for 1.5 s for an owner that answers nothing, each of them again.
 #[test]
 fn request_is_refused_at_once_while_the_owner_is_overdue() {
     let mut admission = controller();
@@ -87,7 +87,7 @@
     let [Action::Refuse(2, refusal)] = &actions[..] else {
         panic!("{actions:?}");
     };
-    // The owner is asked anew within a second of the first question.
+    // The owner is asked again within a second of the first question.
     let delay = refusal.retry_after;
     assert!(delay <= Duration::from_millis(900 - first), "{delay:?}");
 }
--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -95,7 +95,7 @@
     Quarantined = "quarantined", 422, No, true, "the request has failed targets before";
     /// The instance has not loaded a configuration yet.
     NotReady = "not_ready", 503, No, true, "the instance has no configuration yet";
-    /// The instance can't tell whether the API key or the route is valid: it is isolated, or its
+    /// The instance can't know whether the API key or the route is valid: it is isolated, or its
     /// configuration may be outdated.
     Isolated = "isolated", 503, No, true, "the instance is cut off; use another one";
     /// The instance is shutting down and might stop before the request is complete.
--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -4,12 +4,12 @@
 
 /// Locates a change in the history of the platform's tables.
 ///
-/// Versions rise within an era. A platform that comes back from an older copy of its tables begins a later era, in which
+/// Versions rise within an era. A platform that is restored from an older copy of its tables begins a later era, in which
 /// versions that were given out before are given out again with other content. So positions are ordered by era
 /// first: whatever was known in an earlier era is older than any position of a later one.
 ///
 /// Serialized, it is the version alone; it is read as one of era 0, and [`Position::in_era`] gives it the era that was
-/// transferred beside it. One that isn't given any counts as older than all others.
+/// transferred with it. One that isn't given any counts as older than all others.
 ///
 /// # Examples
 ///
--- a/crates/base/src/route.rs
+++ b/crates/base/src/route.rs
@@ -48,7 +48,7 @@
             let range = (Bound::Unbounded, Bound::Included(rest));
             let (prefix, route) = prefixes.range::<str, _>(range).next_back()?;
             // In this order, the longest prefix of `rest` is the last one up to it, unless prefixes of
-            // other paths stand between; those share with `rest` all that is left to search.
+            // other paths lie between; those share with `rest` all that is left to search.
             if rest.starts_with(prefix) {
                 return Some(route);
             }
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
-/// Arguments that may stand before the name of each command.
+/// Arguments that may precede the name of each command.
 const GLOBAL_ARGS: [&str; 4] = ["output", "platform", "operator", "by"];
 
 const EXIT_CODES: &str = "\
--- a/crates/cli/src/versions.rs
+++ b/crates/cli/src/versions.rs
@@ -87,7 +87,7 @@
 ///
 /// # Errors
 ///
-/// [`CliError::Conflict`] if that is not the latest version, also since the platform came back from an older copy of its
+/// [`CliError::Conflict`] if that is not the latest version, also since the platform was restored from an older copy of its
 /// tables; nothing was written.
 /// [`CliError::PlatformUnreachable`] if the platform does not answer.
 pub async fn write_version(
--- a/crates/cli/tests/restored.rs
+++ b/crates/cli/tests/restored.rs
@@ -1,4 +1,4 @@
-//! Changes when the platform comes back from an older copy of its tables.
+//! Changes when the platform is restored from an older copy of its tables.
 
 use std::sync::{Arc, Mutex};
 
--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -124,7 +124,7 @@
 /// counts, and the same one is not applied again.
 ///
 /// An entry that another instance retains leaves once that instance no longer does, without another word of it; whoever
-/// has later rows and still retains it tells so again.
+/// has later rows and still retains it reports it again.
 ///
 /// # Examples
 ///
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Withdraws what was told of entries that are retained by rows before `position`, which another instance has reached:
+    /// Withdraws what was reported of entries that are retained by rows before `position`, which another instance has reached:
     /// they may be back.
     pub fn on_later_rows(&mut self, position: Position) {
         self.reports.retain(|_, report| {
@@ -278,5 +278,5 @@
 /// Maximum number of retained entries in a message, and of their bytes.
 const MAX_RETAINED: usize = 12;
 const MAX_RETAINED_BYTES: usize = 450;
-/// Maximum number of bytes of one of them beside its name: a time as well.
+/// Maximum number of bytes of one of them in addition to its name: a time as well.
 const MAX_RETAINED_ENTRY_BYTES: usize = MAX_POSITION_BYTES + 7;
--- a/crates/coord/src/holder/requests.rs
+++ b/crates/coord/src/holder/requests.rs
@@ -85,7 +85,7 @@
         self.pending.as_ref().map(|pending| pending.resend_at)
     }
 
-    /// Returns when the owner is asked anew, if it should have answered the pending request by now, even if one message of
+    /// Returns when the owner is asked again, if it should have answered the pending request by now, even if one message of
     /// it was lost.
     pub(super) fn next_question_at(&self, now: Time) -> Option<Time> {
         let answer_time = RESEND_INTERVAL + self.round_trip * 2;
--- a/crates/coord/src/kept_rows.rs
+++ b/crates/coord/src/kept_rows.rs
@@ -1,4 +1,4 @@
-//! Rows that are kept as they were known before their table came back from an older copy.
+//! Rows that are kept as they were known before their table was restored from an older copy.
 
 use std::{
     cmp::Ordering,
@@ -169,7 +169,7 @@
         Some(row)
     }
 
-    /// Records that a row is gone for good as far as is known.
+    /// Records that a row is gone permanently as far as is known.
     pub fn on_deleted(&mut self, now: Time, name: String, row: ReplicaRow) {
         let is_over = |one: &DeletedRow| now - one.at > DELETED_VALIDITY;
         while self.deleted.front().is_some_and(is_over) || self.deleted.len() >= MAX_DELETED {
--- a/crates/coord/src/lag.rs
+++ b/crates/coord/src/lag.rs
@@ -8,7 +8,7 @@
 
 /// Keeps when each position of a state became known, in bounded memory.
 ///
-/// A position stands for all below it, so only higher ones are kept. If there are too many, the two
+/// A position represents all below it, so only higher ones are kept. If there are too many, the two
 /// oldest become one, with the higher position and the earlier time.
 ///
 /// # Examples
@@ -105,7 +105,7 @@
 /// Tracks since when an instance has known that its copy of a state is not the latest.
 ///
 /// It learns of later changes from reports of other instances, from an own read whose answer has begun to arrive, and from
-/// another one beside that, which shows that the state has changed again and brings nothing. A
+/// another one concurrent with that, which shows that the state has changed again and brings nothing. A
 /// series of versions doesn't restart the time: it counts from the first version that the own copy lacks. If an
 /// own read that was sent after a report returns a lower position, the state has gone back, and the reported
 /// change is no longer expected.
@@ -136,7 +136,7 @@
     gone_to: Position,
     /// Time at which an answer that is still arriving began.
     arriving_since: Option<Time>,
-    /// Changes that reads beside a transfer have shown.
+    /// Changes that reads during a transfer have shown.
     shown: ShownChanges,
     /// Whether the last own read failed and nothing has arrived since.
     is_failing: bool,
@@ -164,7 +164,7 @@
         self.is_failing = false;
     }
 
-    /// Records that a read beside a transfer has shown a change after a position.
+    /// Records that a read during a transfer has shown a change after a position.
     pub fn on_shown(&mut self, now: Time, change: KnownChange) {
         self.shown.record(now, change);
     }
@@ -206,7 +206,7 @@
     }
 
     /// Returns since when a later state has been known that can still be obtained: from an own read
-    /// that is arriving, or, if `is_held`, from an instance that has it. What a read beside a transfer has shown can be
+    /// that is arriving, or, if `is_held`, from an instance that has it. What a read during a transfer has shown can be
     /// obtained unless own reads fail.
     pub fn behind_since(&self, is_held: bool) -> Option<Time> {
         let can_be_had = is_held || self.arriving_since.is_some();
@@ -218,7 +218,7 @@
         known.chain(self.arriving_since).min()
     }
 
-    /// Returns the first change that reads beside a transfer have shown and the own copy lacks, with a position that it
+    /// Returns the first change that reads during a transfer have shown and the own copy lacks, with a position that it
     /// has passed.
     pub fn shown(&self) -> Option<KnownChange> {
         self.shown.first()
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -173,7 +173,7 @@
     }
 
     /// Returns whether this incarnation holds the lease by a row that it has to write again: that is of an earlier era, or
-    /// doesn't stand any more.
+    /// isn't the present one any more.
     pub fn is_unconfirmed(&self, now: Time) -> bool {
         let claim = self.claim.as_ref().filter(|claim| now < claim.expires_at);
         claim.is_some_and(|claim| claim.row.era < self.era || self.state == LeaseState::Unconfirmed)
@@ -194,7 +194,7 @@
             .is_some_and(|claim| claim.row.is_first())
     }
 
-    /// Processes that the table has come back from an older copy: rows of earlier eras may be lost, and their versions
+    /// Processes that the table has been restored from an older copy: rows of earlier eras may be lost, and their versions
     /// are given out again.
     ///
     /// A lease that is held now may be used for [`CONFIRM_TIME`], or until it is confirmed in the new era. One that
@@ -257,7 +257,7 @@
     /// Returns whether the lease may be taken at `now` if nobody holds it by the row: it is a row of the present era, or
     /// the leases of earlier ones are over.
     ///
-    /// A row of an earlier era that stands in the place of a later one was written by an instance that didn't know
+    /// A row of an earlier era that was written in the place of a later one comes from an instance that didn't know
     /// of the present era yet; the holder of the later one writes that again.
     pub fn may_take(&self, now: Time) -> bool {
         self.is_of_present_era()
@@ -291,7 +291,7 @@
         Some(self.begin_write(now, row))
     }
 
-    /// Releases the lease immediately and returns the write that publishes the release, unless the row that stands
+    /// Releases the lease immediately and returns the write that publishes the release, unless the present row
     /// in the present era isn't known.
     pub fn release(&mut self, now: Time) -> Option<LeaseWrite> {
         if !self.is_held(now) {
@@ -423,7 +423,7 @@
         });
     }
 
-    /// Returns whether this incarnation holds the lease by a row that is later than the one that stands, or hasn't been
+    /// Returns whether this incarnation holds the lease by a row that is later than the present one, or hasn't been
     /// confirmed in the present era.
     fn has_later_claim(&self, now: Time) -> bool {
         let claim = self.claim.as_ref().filter(|claim| now < claim.expires_at);
@@ -444,7 +444,7 @@
         is_previous_own || self.has_ttl_passed(now)
     }
 
-    /// Returns whether the row has stood unchanged for longer than a holder may use it.
+    /// Returns whether the row has been unchanged for longer than a holder may use it.
     fn has_ttl_passed(&self, now: Time) -> bool {
         self.row.as_ref().is_some_and(|(_, row)| {
             let ttl = Duration::from_millis(row.ttl_ms).mul_f64(1.0 + self.timing.drift);
--- a/crates/coord/src/lease/chart.rs
+++ b/crates/coord/src/lease/chart.rs
@@ -37,7 +37,7 @@
     SawOwn,
     /// The row was read, and the lease that this incarnation holds is a later one.
     SawLost,
-    /// The table came back from an older copy, in a later era.
+    /// The table was restored from an older copy, in a later era.
     EraChanged,
     /// A write was started.
     Write,
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -14,7 +14,7 @@
 
 /// Replicates one table; its position never decreases.
 ///
-/// A platform that comes back from an older copy of its tables begins a later era of positions. What was known before and is
+/// A platform that is restored from an older copy of its tables begins a later era of positions. What was known before and is
 /// later than the copy is kept over the table's rows until its writers write it again ([`KeptRows`]).
 ///
 /// While nobody can read the table, rows may expire whose writers are alive but can't reach it
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Sets how contents of a row are compared after the table came back from a copy; by default the copy's are taken.
+    /// Sets how contents of a row are compared after the table was restored from a copy; by default the copy's are taken.
     pub fn ordered_by(mut self, order: RowOrder) -> Self {
         self.kept = KeptRows::ordered_by(order);
         self
@@ -182,7 +182,7 @@
         self.retained.contains_key(name) || self.kept.get(name).is_some()
     }
 
-    /// Returns the position up to which what is told of a row is old: that of its last change if it is retained or kept,
+    /// Returns the position up to which what is reported of a row is old: that of its last change if it is retained or kept,
     /// else the replica's.
     pub fn position_for(&self, name: &str) -> Position {
         let retained = self.retained.get(name).map(|(row, _)| row);
@@ -365,7 +365,7 @@
         is_changed
     }
 
-    /// Records that others know a row to be deleted for good, as a table of a later era is about to come, which may be from
+    /// Records that others know a row to be deleted permanently, as a table of a later era is about to come, which may be from
     /// before; returns whether it was known otherwise.
     pub fn on_told_deleted(&mut self, now: Time, name: &str) -> bool {
         let retained = self.retained.remove(name).map(|(row, _)| row);
--- a/crates/coord/tests/answer_dates.rs
+++ b/crates/coord/tests/answer_dates.rs
@@ -179,7 +179,7 @@
     }
 }
 
-/// Guards against dates by a clock that isn't told: the call is all that is known.
+/// Guards against dates by a clock that isn't reported: the call is all that is known.
 #[test]
 fn answer_without_a_clock_is_dated_by_its_call() {
     let answer = Answer {
--- a/crates/coord/tests/catch_up.rs
+++ b/crates/coord/tests/catch_up.rs
@@ -1,4 +1,4 @@
-//! Fetching later state from other instances: a slow source does not hold up the news.
+//! Fetching later state from other instances: a slow source does not hold up updates.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -15,7 +15,7 @@
 /// Half of the shortest time within which a target that has left may get no more requests.
 const HALF_OF_DRAIN_BOUND: Duration = Duration::from_secs(1);
 
-/// The first instance with the news is slow but alive, and its answer never comes.
+/// The first instance with the update is slow but alive, and its answer never comes.
 #[test]
 fn catch_up_asks_the_next_source_while_the_first_is_silent() {
     let mut catch_up = CatchUp::new(DELAYS);
@@ -80,7 +80,7 @@
     assert_eq!(asked_at, first_fetch_ms);
 }
 
-/// Guards against CONFIG: the first report of a state that was arriving already made it be fetched beside.
+/// Guards against CONFIG: the first report of a state that was arriving already made it be fetched concurrently.
 #[test]
 fn catch_up_asks_nobody_for_what_is_reported_while_it_arrives() {
     let mut catch_up = CatchUp::new(DELAYS);
@@ -175,7 +175,7 @@
     for reader in 0..READERS {
         let mut catch_up = CatchUp::new(DELAYS);
         for source in 0..SOURCES {
-            // All readers hear of the sources in the same order.
+            // All readers learn of the sources in the same order.
             let id = InstanceId::from(format!("i{source}").as_str());
             let rank = (reader * 31 + source * 17) % 37;
             catch_up.on_report(Time::from_millis(source), id, Position::from(5), rank);
--- a/crates/coord/tests/departures.rs
+++ b/crates/coord/tests/departures.rs
@@ -1,4 +1,4 @@
-//! What instances tell each other of targets that have left, and for how long it is believed.
+//! What instances report to each other about targets that have left, and for how long it is believed.
 
 use std::collections::BTreeSet;
 
@@ -6,7 +6,7 @@
 use coord::{Departure, Departures, ReportedDepartures, RetainedEntry, lacking, retained_in_turns};
 use rstest::rstest;
 
-/// Maximum size of what one message tells, in bytes.
+/// Maximum size of what one message reports, in bytes.
 const MAX_BYTES: usize = 1_024;
 
 fn at(version: u64) -> Position {
@@ -25,7 +25,7 @@
     targets.collect()
 }
 
-/// Guards against a heartbeat that grows with the fleet: many targets that leave at once are told in turns, the newest
+/// Guards against a heartbeat that grows with the fleet: many targets that leave at once are reported in turns, the newest
 /// first.
 #[rstest]
 #[case::few(10, 1)]
@@ -49,7 +49,7 @@
     assert_eq!(told.len() as u64, count);
 }
 
-/// Nothing is told to who has the rows, and nothing for ever.
+/// Nothing is reported to an instance that has the rows, and nothing for ever.
 #[test]
 fn known_departures_are_not_told() {
     let mut departures = Departures::default();
@@ -110,7 +110,7 @@
 }
 
 /// Guards against DRAIN: rows that are gone are retained after an outage of which only this instance knows, and brought
-/// back what others had told to have left.
+/// back what others had reported to have left.
 #[test]
 fn retained_row_brings_nothing_back() {
     let mut reported = ReportedDepartures::default();
@@ -148,7 +148,7 @@
     assert_eq!(reported.retention_ends_at(), None);
 }
 
-/// Guards against DRAIN: another instance knows that the entry is gone for good, before the first one does.
+/// Guards against DRAIN: another instance knows that the entry is gone permanently, before the first one does.
 #[test]
 fn departure_is_believed_at_once_although_others_retain_the_entry() {
     let mut reported = ReportedDepartures::default();
@@ -162,7 +162,7 @@
 }
 
 /// Guards against living targets that are out for nothing: the entry may be back by rows that are later than those that
-/// said so, and who still retains it by these tells so again.
+/// said so, and who still retains it by these reports it again.
 #[test]
 fn retained_entry_is_forgotten_by_later_rows() {
     let mut reported = ReportedDepartures::default();
@@ -193,7 +193,7 @@
     assert_eq!(believed(&reported), ["t2"], "it is retained here as well");
 }
 
-/// Guards against a heartbeat that grows with the number of entries that an outage removed: they are told in turns.
+/// Guards against a heartbeat that grows with the number of entries that an outage removed: they are reported in turns.
 #[rstest]
 #[case::few(10, 1)]
 #[case::many(100, 10)]
--- a/crates/coord/tests/holder.rs
+++ b/crates/coord/tests/holder.rs
@@ -44,7 +44,7 @@
 }
 
 /// Guards against requests of a workspace without a limit that were refused as over its rate: the instance held no slot, or
-/// heard no other instance after it had lent what it held.
+/// received nothing from another instance after it had lent what it held.
 #[rstest]
 #[case::without_slot(false)]
 #[case::lent_to_a_lost_owner(true)]
--- a/crates/coord/tests/lag.rs
+++ b/crates/coord/tests/lag.rs
@@ -103,7 +103,7 @@
     assert_eq!(lag.behind_since(true), Some(at(1_000)));
 }
 
-/// An answer that is still arriving tells of a later state before others do.
+/// An answer that is still arriving reports a later state before others do.
 #[test]
 fn arriving_answer_counts_from_its_begin() {
     let mut lag = Lag::default();
@@ -172,7 +172,7 @@
     assert!(known.first_after(Position::from(99_990)) >= Some(at(99_990 * 200)));
 }
 
-/// Guards against CONFIG: a change that a read beside a transfer had shown was forgotten as the transfer was complete, and
+/// Guards against CONFIG: a change that a read during a transfer had shown was forgotten as the transfer was complete, and
 /// dated by the read that brought it.
 #[test]
 fn shown_change_counts_until_it_is_here() {
@@ -218,7 +218,7 @@
     assert_eq!(lag.behind_since(true), None);
 }
 
-/// Guards against refusals for nothing: a fetch from another instance brings a change before a read beside the transfer shows
+/// Guards against refusals for nothing: a fetch from another instance brings a change before a read during the transfer shows
 /// it.
 #[test]
 fn change_that_is_here_is_not_shown() {
--- a/crates/coord/tests/lease_eras.rs
+++ b/crates/coord/tests/lease_eras.rs
@@ -1,4 +1,4 @@
-//! Leases have at most one holder, and each epoch one owner, while the table comes back from older copies.
+//! Leases have at most one holder, and each epoch one owner, while the table is restored from older copies.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -193,7 +193,7 @@
     assert!(lease.next_write(after, true, false).is_some());
 }
 
-/// Guards against reservations that start full again, beside their loans, as an expired lease is renewed in its first epoch.
+/// Guards against reservations that start full again, in addition to their loans, as an expired lease is renewed in its first epoch.
 #[test]
 fn lease_is_held_first_only_once() {
     let mut lease = lease("a", 1);
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -212,7 +212,7 @@
 }
 
 /// Guards against living targets that are lost: an instance that ran all the time believes in an outage by what it has
-/// heard, and failures are too few to believe in it again.
+/// received, and failures are too few to believe in it again.
 #[test]
 fn outage_without_a_standstill_is_not_taken_back() {
     let mut replica = Replica::new(GRACE);
@@ -269,7 +269,7 @@
     assert_eq!(replica.position(), at(9));
 }
 
-/// Guards against CONFIG: writes to other tables passed for news of this one.
+/// Guards against CONFIG: writes to other tables passed for updates of this one.
 #[test]
 fn replica_changed_at_rises_with_changes_alone() {
     let mut replica = Replica::new(GRACE);
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -1,4 +1,4 @@
-//! A table that comes back from an older copy: what was known and is later stays until it is written again.
+//! A table that is restored from an older copy: what was known and is later stays until it is written again.
 
 use std::{cmp::Ordering, collections::VecDeque, time::Duration};
 
@@ -104,7 +104,7 @@
     assert_eq!(known(&replica), expected);
 }
 
-// Guards against an entry that is gone for good and kept for ever, and against one that is dropped before its writer can
+// Guards against an entry that is gone permanently and kept for ever, and against one that is dropped before its writer can
 // have written it again.
 #[test]
 fn entry_that_a_copy_lacks_is_kept_for_the_grace_period() {
@@ -228,7 +228,7 @@
     assert!(replica.rows().any(|(name, _)| name == "r"));
 }
 
-// Guards against refusals for good by a copy that lacks a change, and against an instance that never refuses for good again.
+// Guards against permanent refusals by a copy that lacks a change, and against an instance that never again refuses permanently.
 #[rstest]
 #[case::unwritten(Some(("1:a", 5)), None, true)]
 #[case::written_before_it_was_read(Some(("3:c", 11)), None, false)]
--- a/crates/coord/tests/standstill.rs
+++ b/crates/coord/tests/standstill.rs
@@ -18,7 +18,7 @@
     assert_eq!(found, expected_ms.map(Duration::from_millis));
 }
 
-/// Guards against silence that nobody could have heard.
+/// Guards against silence in which nothing could have been received.
 #[rstest]
 #[case::before_it(0, 2_000, 2_000)]
 #[case::until_its_middle(1_000, 4_000, 2_000)]
--- a/crates/daemon/benches/returns/fleet.rs
+++ b/crates/daemon/benches/returns/fleet.rs
@@ -49,7 +49,7 @@
     own_id: String,
 }
 
-/// Starts what calls the store in one of `count` instances, which have heard of each other.
+/// Starts what calls the store in one of `count` instances, which have learned of each other.
 pub(crate) async fn start(
     store: &ModelStore,
     idx: usize,
--- a/crates/daemon/benches/returns/main.rs
+++ b/crates/daemon/benches/returns/main.rs
@@ -1,8 +1,8 @@
-//! Measures what instances ask of their store as it comes back from an older copy, in virtual time with their own tasks and
-//! a modelled store, beside what they ask of it in calm.
+//! Measures what instances ask of their store as it is restored from an older copy, in virtual time with their own tasks and
+//! a modelled store, and what they ask of it in calm.
 //!
 //! Arguments: numbers of instances separated by commas, size of the operators' document in bytes, and read and write calls
-//! in a second that the store takes, separated by a comma (0 for no limit). What passes between instances but the news of an
+//! in a second that the store takes, separated by a comma (0 for no limit). What passes between instances but the report of an
 //! era is left out: each instance reads for itself.
 
 #[path = "../../tests/support/options.rs"]
--- a/crates/daemon/benches/returns/store.rs
+++ b/crates/daemon/benches/returns/store.rs
@@ -1,4 +1,4 @@
-//! A modelled store that comes back from a copy, and records what it is asked.
+//! A modelled store that is restored from a copy, and records what it is asked.
 
 use std::{
     collections::BTreeMap,
@@ -17,18 +17,18 @@
 
 /// Tables that the instances follow: the operators' and the targets'.
 pub(crate) const FOLLOWED: [&str; 2] = ["op", "servers"];
-/// Row that stands for the operators' document.
+/// Row that represents the operators' document.
 pub(crate) const DOCUMENT: &str = "config";
 /// Rows of one answer.
 const PAGE_ROWS: usize = 500;
-/// Bytes of a row of an answer beside its content.
+/// Bytes of a row of an answer in addition to its content.
 const ROW_BYTES: usize = 60;
 /// Time that a call takes.
 const CALL_TIME: Duration = Duration::from_millis(5);
-/// Time in which instances that have learned an era have told the others.
+/// Time in which instances that have reported it to the others.
 const TELL_TIME: Duration = Duration::from_millis(10);
 
-/// Lists the kinds of calls that are told apart.
+/// Lists the kinds of calls that are distinguished.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Kind {
     /// A page of a whole followed table.
@@ -139,7 +139,7 @@
         Copy(self.state.lock().unwrap().tables.clone())
     }
 
-    /// Is silent for a time, and comes back from a copy.
+    /// Is silent for a time, and is restored from a copy.
     pub(crate) async fn drill(&self, copy: Copy, time: Duration) {
         self.is_silent.send_replace(true);
         sleep(time).await;
--- a/crates/daemon/src/facts.rs
+++ b/crates/daemon/src/facts.rs
@@ -4,7 +4,7 @@
 //! They are stored in a row of the platform. The first instances try to create the row by a write
 //! that succeeds only if there is none; all others read it.
 //!
-//! A platform that comes back from an older copy of its tables may lack the row. Those who have read it write it again
+//! A platform that is restored from an older copy of its tables may lack the row. Those who have read it write it again
 //! ([`keeping`]), so who finds none in a later era uses the parameters that it makes only if nobody does.
 
 pub mod keeping;
@@ -33,7 +33,7 @@
 const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which another instance than the one that made them uses them.
 const MAX_PROVISIONAL_TIME: Duration = Duration::from_millis(2_500);
-/// Number of the first era of a platform that counts from one. One that counts from zero has come back once by then.
+/// Number of the first era of a platform that counts from one. One that counts from zero has been restored once by then.
 const FIRST_COUNTED_ERA: u32 = 1;
 
 /// Gives all instances of a deployment the parameters on which they must agree.
@@ -169,7 +169,7 @@
     }
 
     /// Returns whether no action can have been claimed whose row is missing in `era`, in which these parameters are about
-    /// to be settled: they are the deployment's first, and the platform hasn't come back before them.
+    /// to be settled: they are the deployment's first, and the platform hasn't been restored before them.
     fn is_certain_in(&self, era: u32) -> bool {
         self.made_in == era && era == FIRST_COUNTED_ERA
     }
@@ -204,7 +204,7 @@
             let mut is_provisional = row.is_provisional;
             let secret = row.parameters.secret.clone();
             if at.era > era {
-                // The platform has come back meanwhile.
+                // The platform has been restored meanwhile.
                 let (made_in, expected) = (at.era, Precondition::Version(at));
                 is_provisional = true;
                 let row = FactsRow {
--- a/crates/daemon/src/facts/keeping.rs
+++ b/crates/daemon/src/facts/keeping.rs
@@ -1,4 +1,4 @@
-//! Keeps the deployment's parameters when the platform comes back from an older copy of its tables.
+//! Keeps the deployment's parameters when the platform is restored from an older copy of its tables.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -15,7 +15,7 @@
 /// What was found in the place of the parameters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Found {
-    /// They stand.
+    /// They are written.
     Same,
     /// None; they have been written again.
     Missing,
@@ -25,7 +25,7 @@
     Earlier,
 }
 
-/// Writes the parameters again in each era in which the row is missing or has been made anew, until other parameters
+/// Writes the parameters again in each era in which the row is missing or has been made again, until other parameters
 /// are found that were made before them: instances with those don't understand this one, which has to start again.
 pub async fn keep(platform: Platform, known: KnownParameters) {
     let mut eras = platform.era();
@@ -109,7 +109,7 @@
 }
 
 impl KnownParameters {
-    /// Returns whether they were made before those of a row that stands in `era`.
+    /// Returns whether they were made before those of a row that exists in `era`.
     ///
     /// Builds that know no eras make all in the first one: then those are older that were read before the present era.
     fn is_earlier_than(&self, row: &FactsRow, era: u32) -> bool {
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -56,14 +56,14 @@
 }
 
 impl FollowerOptions {
-    /// Returns how long after a configuration was last known to be the latest it may refuse for good what it
+    /// Returns how long after a configuration was last known to be the latest it may refuse permanently what it
     /// doesn't know: no change since then has to be in force before.
     fn refusal_time(&self) -> Duration {
         self.apply.mul_f64(REFUSAL_FRACTION).min(self.confirm_limit)
     }
 
     /// Returns how long after the rows of targets were last known to be the latest requests may be sent by them without
-    /// having heard anything since: no target that has left since then has to be out of use before.
+    /// having received anything since: no target that has left since then has to be out of use before.
     fn targets_time(&self) -> Duration {
         self.drain.mul_f64(TARGETS_FRACTION).min(self.confirm_limit)
     }
@@ -72,7 +72,7 @@
 /// Tells until when the configuration may be gone by without another word.
 #[derive(Debug)]
 struct Validity {
-    /// Time until which it may refuse for good what it doesn't know.
+    /// Time until which it may refuse permanently what it doesn't know.
     refuse_until: Time,
     /// What that time follows from.
     confirmation: Option<Confirmation>,
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -37,7 +37,7 @@
 use crate::{
     fleet::HEARING_TIME,
     message::{FollowerMessage, OwnReads, TARGETS, TableChange},
-    table_logs::{NewsSource, log_changed_beside, log_fetch, log_read_failure, log_standstill},
+    table_logs::{NewsSource, log_concurrent_change, log_fetch, log_read_failure, log_standstill},
     table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
@@ -54,9 +54,9 @@
 /// where the answer that shows it began to arrive: targets may get requests only until their drain time
 /// after that answer.
 const REMOVED_ROW_GRACE: Duration = Duration::from_millis(1_800);
-/// Time for each instance by which their reads of the store are apart where all of them hear that another one's fail.
+/// Time for each instance by which their reads of the store are apart where all of them learn that another one's fail.
 const PROMPT_SPACING: Duration = Duration::from_millis(4);
-/// Minimum time after each standstill for which callers wait for the first word of others or of the platform: what has come meanwhile is heard within it.
+/// Minimum time after each standstill for which callers wait for the first word of others or of the platform: what has come meanwhile is received within it.
 const MIN_HEARING_TIME: Duration = Duration::from_millis(200);
 
 /// Gives the other tasks one configuration for all followed tables.
@@ -76,7 +76,7 @@
     /// Names of the tables; the first one holds the operators' configuration, the second one the targets,
     /// whose rows bear their names.
     pub tables: Vec<String>,
-    /// How contents of a row are compared after the platform came back from an older copy, in the tables' order; where there
+    /// How contents of a row are compared after the platform was restored from an older copy, in the tables' order; where there
     /// is none, the copy's are taken.
     pub orders: Vec<RowOrder>,
     /// Returns the configuration, or `None` if the tables don't hold a usable one.
@@ -97,9 +97,9 @@
     /// Whether the second of the tables is behind.
     targets_lag: TargetsLag,
     last_lag: Option<ConfigLag>,
-    /// Departures by the own rows, and those that others have told.
+    /// Departures by the own rows, and those that others have reported.
     overlay: Overlay,
-    /// What the own rows say; it is in force but for the targets that others have told to have left.
+    /// What the own rows say; it is in force but for the targets that others have reported to have left.
     own_rows: Option<Arc<Config>>,
     version: u64,
     /// Whether what the operators' rows hold is in force.
@@ -107,7 +107,7 @@
     revision: u64,
     is_leaving: bool,
     last_sent: Option<Sent>,
-    /// What the task that sends heartbeats was told last of the tables' rows.
+    /// What the task that sends heartbeats was last informed of the tables' rows.
     told_rows: Vec<Option<RowsReport>>,
     standstills: Standstills,
     eras: EraTimes,
@@ -123,7 +123,7 @@
     Refresh,
 }
 
-/// What the task that sends heartbeats was told last.
+/// What was last reported to the task that sends heartbeats.
 #[derive(Debug, Clone, PartialEq)]
 struct Sent {
     positions: Vec<Position>,
@@ -205,7 +205,7 @@
                 platform: self.options.platform.clone(),
                 table: table.clone(),
                 timing: self.read_timing(),
-                takes_rows_beside: idx == TARGETS,
+                takes_rows_concurrently: idx == TARGETS,
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
@@ -274,7 +274,7 @@
     }
 
     /// Returns how long this instance waits for a word after a standstill that began at `due`. One within such a wait ends
-    /// it no sooner than what has come meanwhile is heard, and doesn't begin it again.
+    /// it no sooner than what has come meanwhile is received, and doesn't begin it again.
     fn hearing_time(&self, due: Time) -> Duration {
         if self.hearing_until > Time::ZERO {
             let left = self.hearing_until - due;
@@ -306,13 +306,13 @@
                 return false;
             }
             TableRead::Later(later) => {
-                log_changed_beside(now, name, before, &later);
+                log_concurrent_change(now, name, before, &later);
                 if idx == 0 {
                     self.lateness.on_later(now, later);
                 }
                 return true;
             }
-            TableRead::Beside(read) => return self.take_rows_beside(now, read),
+            TableRead::Concurrent(read) => return self.take_concurrent_rows(now, read),
             TableRead::Failed(failure) => {
                 log_read_failure(now, name, before, table.confirmed_at, &failure);
                 table.catch_up.on_read_failure();
--- a/crates/daemon/src/follower/tables/departures.rs
+++ b/crates/daemon/src/follower/tables/departures.rs
@@ -73,14 +73,14 @@
 /// Address and incarnation of a target.
 type Life = (SocketAddr, Option<u64>);
 
-/// How what others have told differs from what is in force.
+/// How what others have reported differs from what is in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OverlayNews {
     /// It doesn't.
     None,
     /// More targets have left.
     Departures,
-    /// Some that are out of service are no longer told, or the own rows say otherwise.
+    /// Some that are out of service are no longer reported, or the own rows say otherwise.
     Returns,
 }
 
@@ -89,17 +89,17 @@
 pub(super) struct Overlay {
     /// Departures by the own rows.
     own: Departures,
-    /// The lives that have left; `None` where a name stands for several, of which an instance may have any.
+    /// The lives that have left; `None` where a name represents several, of which an instance may have any.
     lives: BTreeMap<TargetId, Option<Life>>,
     /// Departures by rows that are lacking here.
     pub(super) reported: ReportedDepartures,
-    /// Those of them that an own read beside a transfer has brought.
-    beside: BTreeSet<TargetId>,
-    /// Targets that are out of service by what others have told.
+    /// Those of them that an own read during a transfer has brought.
+    concurrent: BTreeSet<TargetId>,
+    /// Targets that are out of service by what others have reported.
     applied: Arc<BTreeSet<TargetId>>,
-    /// What the task that sends heartbeats was told last.
+    /// What was last reported to the task that sends heartbeats.
     pub(super) told: Arc<Vec<Departure>>,
-    /// What it was told last of entries that are gone and retained.
+    /// What it was last informed of: the entries that are gone and retained.
     pub(super) told_retained: Arc<Vec<RetainedEntry>>,
 }
 
@@ -131,20 +131,20 @@
         left
     }
 
-    /// Records the own rows as they are now: where they reach what others have told, they decide.
+    /// Records the own rows as they are now: where they reach what others have reported, they decide.
     pub(super) fn on_replica(&mut self, replica: &Replica) {
         let is_retained = |id: &TargetId| replica.is_retained(id.as_str());
         self.reported.on_position(replica.position(), is_retained);
-        if self.beside.is_empty() {
+        if self.concurrent.is_empty() {
             return;
         }
         let lacking: BTreeSet<&TargetId> = self.reported.targets().map(|(id, _)| id).collect();
-        self.beside.retain(|target| lacking.contains(target));
+        self.concurrent.retain(|target| lacking.contains(target));
     }
 
-    /// Records departures that an own read beside a transfer has brought: they count as if another instance had reported
-    /// them, and are told.
-    pub(super) fn on_departures_beside(
+    /// Records departures that an own read during a transfer has brought: they count as if another instance had reported
+    /// them, and are reported.
+    pub(super) fn on_concurrent_departures(
         &mut self,
         now: Time,
         replica: &Replica,
@@ -152,10 +152,10 @@
     ) {
         self.on_departures(now, replica, departures);
         let targets = departures.iter().map(|departure| departure.target.clone());
-        self.beside.extend(targets);
+        self.concurrent.extend(targets);
     }
 
-    /// Returns the targets that the own rows have in service, and others have told to have left.
+    /// Returns the targets that the own rows have in service, and others have reported to have left.
     pub(super) fn targets(&self, own_rows: &Config) -> BTreeSet<TargetId> {
         let services = || own_rows.services.keys();
         let reported = self.reported.targets().map(|(target, _)| target);
@@ -175,22 +175,25 @@
             .unwrap_or_default()
     }
 
-    /// Returns the departures of the last seconds if they aren't those that were told last. Those that the own rows lack
+    /// Returns the departures of the last seconds if they aren't those that were reported last. Those that the own rows lack
     /// are the newest ones.
     pub(super) fn untold(&mut self, now: Time) -> Option<Arc<Vec<Departure>>> {
         self.own.expire(now);
-        let beside = self.reported.targets();
-        let beside = beside.filter(|(target, _)| self.beside.contains(*target));
-        let beside = beside.map(|(target, position)| Departure {
+        let concurrent = self.reported.targets();
+        let concurrent = concurrent.filter(|(target, _)| self.concurrent.contains(*target));
+        let concurrent = concurrent.map(|(target, position)| Departure {
             target: target.clone(),
             position,
         });
-        let beside: Vec<Departure> = beside.collect();
-        let is_told = beside.iter().chain(self.own.iter()).eq(self.told.iter());
-        (!is_told).then(|| Arc::new([beside, self.own.newest_first()].concat()))
+        let concurrent: Vec<Departure> = concurrent.collect();
+        let is_told = concurrent
+            .iter()
+            .chain(self.own.iter())
+            .eq(self.told.iter());
+        (!is_told).then(|| Arc::new([concurrent, self.own.newest_first()].concat()))
     }
 
-    /// Returns the entries that are gone and retained by the own rows if they aren't those that were told last.
+    /// Returns the entries that are gone and retained by the own rows if they aren't those that were reported last.
     pub(super) fn untold_retained(&self, replica: &Replica) -> Option<Arc<Vec<RetainedEntry>>> {
         let retained = replica.retained_until();
         let retained = retained.map(|(name, until)| RetainedEntry {
@@ -221,12 +224,12 @@
         }
     }
 
-    /// Returns the targets that are out of service by what others have told.
+    /// Returns the targets that are out of service by what others have reported.
     pub(super) fn applied(&self) -> Arc<BTreeSet<TargetId>> {
         self.applied.clone()
     }
 
-    /// Returns what differs between what others have told and what is in force.
+    /// Returns what differs between what others have reported and what is in force.
     pub(super) fn news(&self, own_rows: &Config) -> OverlayNews {
         let targets = self.targets(own_rows);
         if targets == *self.applied {
@@ -239,7 +242,7 @@
     }
 
     /// Records that the own rows, which say no more than that `left` have left, decide about these, and returns whether
-    /// nothing else that others have told is over.
+    /// nothing else that others have reported is over.
     pub(super) fn confirm(&mut self, own_rows: &Config, left: &[(ServiceId, TargetId)]) -> bool {
         let targets = self.targets(own_rows);
         let mut over = self.applied.difference(&targets);
@@ -252,7 +255,7 @@
         true
     }
 
-    /// Records what others have told, and returns the targets that it takes out of service beyond those of the last time, and
+    /// Records what others have reported, and returns the targets that it takes out of service beyond those of the last time, and
     /// the latest position at which one of them had left.
     pub(super) fn update(&mut self, own_rows: &Config) -> (Vec<TargetId>, Position) {
         let targets = self.targets(own_rows);
@@ -262,7 +265,7 @@
         (added, position)
     }
 
-    /// Returns the own rows without the targets that are out of service by what others have told.
+    /// Returns the own rows without the targets that are out of service by what others have reported.
     pub(super) fn apply(&self, own_rows: &Arc<Config>) -> Arc<Config> {
         if self.applied.is_empty() {
             return own_rows.clone();
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -1,4 +1,4 @@
-//! What the follower does as the platform comes back from an older copy of its tables.
+//! What the follower does as the platform is restored from an older copy of its tables.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -21,7 +21,7 @@
 /// Gauges of the era of the operators' table, and of the rows that are kept from earlier ones.
 const ERA_GAUGE: &str = "table_era";
 pub(crate) const KEPT_GAUGE: &str = "rows_kept_over_copy";
-/// Fact that counts the tables that have come back from an older copy.
+/// Fact that counts the tables that have been restored from an older copy.
 const ERA_COUNT_GAUGE: &str = "tables_restored";
 
 /// Maximum number of eras whose begin is remembered.
@@ -95,7 +95,7 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
-    /// Keeps what others have told of targets that left, where a read brings a table of a later era: that may be from before. Returns
+    /// Keeps what others have reported of targets that left, where a read brings a table of a later era: that may be from before. Returns
     /// whether the own rows had any of them.
     pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) -> bool {
         let position = match read {
@@ -124,7 +124,7 @@
         Some(since + REWRITE_TIME).filter(|until| now < *until)
     }
 
-    /// Counts a table that has come back from an older copy.
+    /// Counts a table that has been restored from an older copy.
     pub(super) fn count_era(&self) {
         let gauges = &self.options.metrics.gauges;
         gauges.with_label_values(&[ERA_COUNT_GAUGE]).inc();
--- a/crates/daemon/src/follower/tables/lateness.rs
+++ b/crates/daemon/src/follower/tables/lateness.rs
@@ -19,11 +19,11 @@
 const KNOWN_FRACTION: f64 = 0.75;
 /// The same fraction for another instance, which is left out of look-ups after it: what it has comes by heartbeats.
 const OTHERS_FRACTION: f64 = 2.0 / 3.0;
-/// Delay after which callers may come back where another instance is likely to serve them at once.
+/// Delay after which callers may retry where another instance is likely to serve them at once.
 const ELSEWHERE_DELAY: Duration = Duration::from_millis(10);
-/// Minimum and maximum delay after which callers may come back where most instances are behind.
+/// Minimum and maximum delay after which callers may retry where most instances are behind.
 const WAIT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
-/// Time for which an answer that is arriving is reported before a later change beside it: two heartbeats.
+/// Time for which an answer that is arriving is reported before a later, concurrent change: two heartbeats.
 const FIRST_REPORT_TIME: Duration = Duration::from_secs(1);
 
 /// The last that another instance has reported.
@@ -38,7 +38,7 @@
 }
 
 impl Report {
-    /// Returns whether its instance is heard at `now`, by a fetch: heartbeats may have waited behind that.
+    /// Returns whether its instance sends heartbeats at `now`, by a fetch: heartbeats may have waited behind that.
     fn is_fetched(&self, now: Time) -> bool {
         self.fetched_at
             .is_some_and(|at| now <= at + HEARTBEAT_TIMEOUT)
@@ -132,7 +132,7 @@
         self.reported.insert(from.clone(), report);
     }
 
-    /// Keeps the date of what has been arriving at an instance that reports a later change beside it now: its next reports
+    /// Keeps the date of what has been arriving at an instance that reports a later, concurrent change now: its next reports
     /// have that one's.
     fn on_replaced_arrival(&mut self, now: Time, from: &InstanceId, change: Option<TableChange>) {
         let before = self.reported.get(from).and_then(|report| report.change);
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Records that an answer is arriving. One that began at no known time tells of nothing later, nor does one that was
+    /// Records that an answer is arriving. One that began at no known time reports nothing later, nor does one that was
     /// asked for changes after a position before the own one: it brings what a fetch has brought.
     pub(super) fn on_arriving(&mut self, now: Time, begun_at: Option<Time>, after: Position) {
         if self.lag.arriving_since().is_none() {
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Records a change that a read beside a transfer has shown.
+    /// Records a change that a read during a transfer has shown.
     pub(super) fn on_later(&mut self, now: Time, later: LaterChange) {
         let (position, since) = (later.after, later.since);
         self.lag.on_shown(now, KnownChange { position, since });
@@ -222,7 +222,7 @@
     }
 
     /// Returns the latest change of which this instance knows at first hand: one that is still arriving or that a read
-    /// beside the transfer has shown, or the last one that its rows have. The one that is arriving is reported first, long
+    /// during the transfer has shown, or the last one that its rows have. The one that is arriving is reported first, long
     /// enough for others to receive it although a heartbeat is lost.
     pub(super) fn known_change(&self, now: Time) -> Option<TableChange> {
         let arriving_since = self.lag.arriving_since();
@@ -247,7 +247,7 @@
     }
 
     /// Works out since when a later version has been known that can be had, and returns until when the own one
-    /// may decide. What a fetch is bringing can be had, whoever is heard. The begin and the end of the time after that are
+    /// may decide. What a fetch is bringing can be had, whoever sends heartbeats. The begin and the end of the time after that are
     /// logged.
     pub(super) fn assess(&mut self, now: Time, fleet: &Fleet, is_fetching: bool) -> ConfigLag {
         self.reported.retain(|id, _| fleet.members.contains_key(id));
@@ -259,7 +259,7 @@
         let holders = later.len() - receivers;
         let is_held = is_fetching || !later.is_empty();
         if later.is_empty() {
-            // What was arriving elsewhere came to nothing, or nobody is heard that knows of it.
+            // What was arriving elsewhere came to nothing, or nobody in contact knows of it.
             self.replaced.clear();
         }
         let replaced = self.replaced.first().map(|change| change.since);
@@ -315,7 +315,7 @@
         is_late && !self.is_store_older
     }
 
-    /// Returns when callers may come back: at once where most instances have a later version, else when it is
+    /// Returns when callers may retry: at once where most instances have a later version, else when it is
     /// expected here.
     fn retry_after(&self, now: Time, fleet: &Fleet, holders: usize) -> Duration {
         let (_, alive) = fleet.count_listed_and_alive(now);
--- a/crates/daemon/src/follower/tables/messages.rs
+++ b/crates/daemon/src/follower/tables/messages.rs
@@ -48,7 +48,7 @@
             } => {
                 let mut reported = self.tables.iter().zip(&positions);
                 let is_up_to_date = reported.all(|(table, at)| *at <= table.replica.position());
-                // Most heartbeats bring no news, so the rank is worked out only for those that do.
+                // Most heartbeats bring no update, so the rank is worked out only for those that do.
                 let rank = (!is_up_to_date).then(|| self.fetch_rank(&from));
                 if let Some(position) = positions.first() {
                     self.lateness.on_report(now, &from, *position, change);
@@ -84,7 +84,7 @@
         timing.confirming_within(self.options.apply)
     }
 
-    /// Returns by how much this instance reads the store later than the first one where all hear that the reads of `from`
+    /// Returns by how much this instance reads the store later than the first one where all learn that the reads of `from`
     /// fail.
     fn prompt_turn(&self, from: &InstanceId) -> Duration {
         let count = self.options.fleet.borrow().members.len();
--- a/crates/daemon/src/follower/tables/publication.rs
+++ b/crates/daemon/src/follower/tables/publication.rs
@@ -18,7 +18,7 @@
     fleet::Fleet,
     message::{PeerCommand, TARGETS},
     table_logs::{NewsSource, age_ms, log_rates, log_targets_left},
-    table_reads::{RowsBeside, to_row_change},
+    table_reads::{ConcurrentRows, to_row_change},
 };
 
 /// Gauges of the time since the last own read of each table, in milliseconds, in the tables' order.
@@ -89,7 +89,7 @@
     }
 
     /// Takes the targets out of service that have left by rows after those that are arriving; returns whether there are any.
-    pub(super) fn take_rows_beside(&mut self, now: Time, read: RowsBeside) -> bool {
+    pub(super) fn take_concurrent_rows(&mut self, now: Time, read: ConcurrentRows) -> bool {
         let Some(table) = self.tables.get(TARGETS) else {
             return false;
         };
@@ -119,11 +119,11 @@
         let left = left.map(|(target, position)| Departure { target, position });
         let left: Vec<Departure> = left.collect();
         self.overlay
-            .on_departures_beside(now, &table.replica, &left);
-        self.overlay_departures(now, NewsSource::Beside)
+            .on_concurrent_departures(now, &table.replica, &left);
+        self.overlay_departures(now, NewsSource::ConcurrentRead)
     }
 
-    /// Tells the engine alone, without another configuration, which targets others have told to have left.
+    /// Informs the engine alone, without another configuration, which targets others have reported to have left.
     fn take_out(
         &mut self,
         now: Time,
@@ -158,7 +158,7 @@
         true
     }
 
-    /// Puts the configuration of the own rows in force, without the targets that others have told to have left.
+    /// Puts the configuration of the own rows in force, without the targets that others have reported to have left.
     fn activate(&mut self, now: Time, news: &News, before: u64, own_rows: &Arc<Config>) {
         let (left, position) = self.overlay.update(own_rows);
         if !left.is_empty() {
@@ -283,7 +283,7 @@
         self.hand_out_tables(&positions);
         self.tell_departures(now);
         self.tell_retained();
-        // Positions, of which some instances are told at once, come after it.
+        // Positions, of which some instances are informed at once, come after it.
         self.tell_rows();
         let current = Sent {
             positions,
@@ -298,14 +298,14 @@
                 change: current.change,
                 reads: current.reads,
             };
-            // What finds no room is told with a later refresh; nothing may hold up the next read.
+            // What finds no room is reported with a later refresh; nothing may hold up the next read.
             if self.outputs.peers.try_send(command).is_ok() {
                 self.last_sent = Some(current);
             }
         }
     }
 
-    /// Tells the task that sends heartbeats which targets have left lately; positions, of which some instances are told at
+    /// Informs the task that sends heartbeats which targets have left lately; positions, of which some instances are informed at
     /// once, come after it.
     fn tell_departures(&mut self, now: Time) {
         let Some(departures) = self.overlay.untold(now) else {
@@ -330,7 +330,7 @@
         }
     }
 
-    /// Publishes the tables for other instances, if they were told of later positions than those of the
+    /// Publishes the tables for other instances, if they have been informed of later positions than those of the
     /// published ones.
     fn hand_out_tables(&self, reported: &[Position]) {
         let is_older = {
@@ -346,7 +346,7 @@
         }
     }
 
-    /// Returns whether an instance that has heard nothing since the last confirmations may still decide.
+    /// Returns whether an instance that has received nothing since the last confirmations may still decide.
     fn may_decide(&self, now: Time) -> bool {
         let confirmed_at = self.confirmed_at();
         let is_in_force = confirmed_at.is_some_and(|at| now <= at + self.options.refusal_time());
@@ -368,7 +368,7 @@
         }
     }
 
-    /// Tells the engine, if that has changed, until when it may decide by the configuration.
+    /// Informs the engine, if that has changed, until when it may decide by the configuration.
     fn publish_lag(&mut self, now: Time, fleet: &Fleet) {
         let apply = self.options.apply;
         let operators = self.tables.first();
--- a/crates/daemon/src/follower/tables/rows.rs
+++ b/crates/daemon/src/follower/tables/rows.rs
@@ -96,7 +96,7 @@
         self.options.metrics.set_alarm(ROWS_ALARM, differs);
     }
 
-    /// Tells the task that sends heartbeats what rows the tables have.
+    /// Informs the task that sends heartbeats what rows the tables have.
     pub(super) fn tell_rows(&mut self) {
         let tables = self.tables.iter();
         let rows: Vec<_> = tables.map(|table| table.replica.rows_report()).collect();
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -17,9 +17,9 @@
 
 /// Time after which a table that is arriving too slowly from one instance is fetched from another as well.
 const SLOW_FETCH_TIME: Duration = Duration::from_millis(1_500);
-/// Time for which the first byte of a fetch is waited for beside one that is arriving before a third one is started.
+/// Time for which the first byte of a fetch is waited for while another one is arriving before a third one is started.
 const FIRST_BYTE_TIME: Duration = Duration::from_secs(1);
-/// Minimum time over which two fetches that arrive beside each other are compared.
+/// Minimum time over which two fetches that arrive concurrently are compared.
 const COMPARE_TIME: Duration = Duration::from_millis(400);
 
 /// Follows one table: its copy here, how recent that is, and what is still to be caught up with.
@@ -33,7 +33,7 @@
     pub(super) fetches: Vec<OpenFetch>,
     /// What is known of the replica's parts, and of fetches by them.
     pub(super) parts: PartsState,
-    /// What is known of the replica's rows beside those of the others.
+    /// What is known of the replica's rows in relation to those of the others.
     pub(super) rows: RowsState,
     pub(super) is_reachable: bool,
     /// Whether the outage that the replica believes in has been logged.
@@ -44,7 +44,7 @@
     pub(super) logged_kept: BTreeSet<String>,
     /// Time until which changes may be unwritten that the platform has lost, as it was last looked at.
     pub(super) logged_unwritten: Option<Time>,
-    /// How the own reads stand; `None` before the first one that was answered.
+    /// Whether the own reads succeed; `None` before the first one that was answered.
     pub(super) own_reads: Option<OwnReads>,
     /// Time at which its position rose last.
     pub(super) advanced_at: Time,
@@ -63,16 +63,16 @@
     pub(super) asked: Instant,
     pub(super) received: watch::Receiver<Received>,
     pub(super) task: AbortHandle,
-    /// What had arrived of it and of the one that has come farthest when they were first seen to arrive beside each
-    /// other.
-    beside: Option<Beside>,
-    /// Time until which no other one is started beside it while it goes on.
+    /// What had arrived of it and of the one that has come farthest when they were first seen to arrive
+    /// concurrently.
+    comparison: Option<Comparison>,
+    /// Time until which no other one is started concurrently while it goes on.
     alone_until: Option<Instant>,
 }
 
 /// What had arrived of two fetches at the same time.
 #[derive(Debug, Clone, Copy)]
-struct Beside {
+struct Comparison {
     at: Instant,
     bytes: u64,
     /// Time at which the one that has come farthest was asked for.
@@ -92,7 +92,7 @@
             asked: Instant::now(),
             received,
             task,
-            beside: None,
+            comparison: None,
             alone_until: None,
         }
     }
@@ -103,7 +103,7 @@
     }
 
     /// Compares it with the one that has come farthest, and returns whether that one is complete earlier if both go on
-    /// as they have since they were first seen to arrive beside each other.
+    /// as they have since they were first seen to arrive concurrently.
     fn is_behind(&mut self, first_asked_at: Time, first: Received) -> bool {
         let own = *self.received.borrow();
         let (Some(left), Some(first_left)) = (own.left(), first.left()) else {
@@ -112,16 +112,18 @@
         if own.begun_at.is_none() || first_left == 0 || self.asked_at == first_asked_at {
             return false;
         }
-        let known = self.beside.filter(|known| known.first == first_asked_at);
-        let beside = *self.beside.insert(known.unwrap_or(Beside {
+        let known = self
+            .comparison
+            .filter(|known| known.first == first_asked_at);
+        let comparison = *self.comparison.insert(known.unwrap_or(Comparison {
             at: Instant::now(),
             bytes: own.bytes,
             first: first_asked_at,
             first_bytes: first.bytes,
         }));
-        let came = own.bytes - beside.bytes;
-        let first_came = first.bytes - beside.first_bytes;
-        beside.at.elapsed() >= COMPARE_TIME && first_left * came < left * first_came
+        let came = own.bytes - comparison.bytes;
+        let first_came = first.bytes - comparison.first_bytes;
+        comparison.at.elapsed() >= COMPARE_TIME && first_left * came < left * first_came
     }
 
     /// Returns whether something has arrived lately, where what follows a list may take as long to begin as the list
@@ -137,7 +139,7 @@
 
 impl Table {
     /// Returns a table of which nothing has been read; rows that an outage may have removed are kept for
-    /// `grace_period` after it. Contents of a row are compared by `order` after the table came back from an older copy.
+    /// `grace_period` after it. Contents of a row are compared by `order` after the table was restored from an older copy.
     pub(super) fn new(grace_period: Duration, order: RowOrder) -> Self {
         Self {
             replica: Replica::new(grace_period).ordered_by(order),
@@ -179,7 +181,7 @@
         })
     }
 
-    /// Ends the fetches that are complete later than the one that has come farthest, as they arrive beside it: where they
+    /// Ends the fetches that are complete later than the one that has come farthest, as they arrive concurrently: where they
     /// share the link they only make it later. It goes on alone for as long again as it has been arriving, unless it is
     /// below the lowest rate of a transfer.
     pub(super) fn end_fetches_behind(&mut self) {
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -22,15 +22,15 @@
 pub(crate) const FORMAT_WITHOUT_QUARANTINE: u32 = 3;
 /// Format without calls for parts of tables and for compressed ones.
 pub(crate) const FORMAT_WITHOUT_PARTS: u32 = 4;
-/// Format whose heartbeats don't tell of departures.
+/// Format whose heartbeats don't report departures.
 pub(crate) const FORMAT_WITHOUT_DEPARTURES: u32 = 5;
 /// Format whose heartbeats report no changes but by positions.
 pub(crate) const FORMAT_WITHOUT_CHANGES: u32 = 6;
-/// Format whose heartbeats don't tell of the sender's own reads.
+/// Format whose heartbeats don't report the sender's own reads.
 const FORMAT_WITHOUT_READS: u32 = 7;
 /// Format whose heartbeats report no digests of rows.
 const FORMAT_WITHOUT_ROWS: u32 = 8;
-/// Format whose heartbeats don't tell of retained entries.
+/// Format whose heartbeats don't report retained entries.
 const FORMAT_WITHOUT_RETAINED: u32 = 9;
 /// Format whose reports of losses and answers don't say how long ago these were.
 const FORMAT_WITHOUT_AGES: u32 = 10;
@@ -152,7 +152,7 @@
         NUMBER_AND_BUILD_BYTES if lacks_number => heartbeat.format = FORMAT_WITHOUT_NUMBER,
         _ if lacks_number && lacking == NUMBER_AND_BUILD_BYTES + 1 => {
             heartbeat.format = FORMAT_WITHOUT_RATES;
-            // Zero stands for a lost path, of which that format knows nothing.
+            // Zero represents a lost path, of which that format knows nothing.
             heartbeat.has_target_path = true;
         }
         _ => return None,
--- a/crates/daemon/src/ledger.rs
+++ b/crates/daemon/src/ledger.rs
@@ -85,7 +85,7 @@
     /// Creates the task's state.
     pub fn new(options: LedgerTaskOptions) -> Self {
         let (notes, notes_rx) = mpsc::unbounded_channel();
-        // Whether the platform has come back shortly before isn't known as long as it reports no era.
+        // Whether the platform has been restored shortly before isn't known as long as it reports no era.
         let (certain_tx, certain) = watch::channel(Some(0));
         let eras = options.platform.era();
         let keeper = ClaimKeeper::new(
--- a/crates/daemon/src/ledger/claim.rs
+++ b/crates/daemon/src/ledger/claim.rs
@@ -35,7 +35,7 @@
 /// Reports what has been written to or read from a claim's row.
 #[derive(Debug)]
 pub(super) enum ClaimNote {
-    /// A row with this content stood in this era.
+    /// A row with this content existed in this era.
     Stood(String, ClaimRow, u32),
     /// A claim has this outcome, which is about to be written.
     Settled(String, Claimer, RowState),
--- a/crates/daemon/src/ledger/keeper.rs
+++ b/crates/daemon/src/ledger/keeper.rs
@@ -1,4 +1,4 @@
-//! The task that writes recent claims again once the platform has come back from an older copy of its tables.
+//! The task that writes recent claims again once the platform has been restored from an older copy of its tables.
 
 use std::{sync::Arc, time::Duration};
 
@@ -18,7 +18,7 @@
 
 /// Minimum time since an era was learned before an action without a row can be claimed in it.
 pub const MIN_DOUBT: Duration = Duration::from_secs(30);
-/// Maximum time, if a listed instance isn't heard that may have claims to write again.
+/// Maximum time, if a listed instance sends no heartbeat that may have claims to write again.
 pub const MAX_DOUBT: Duration = Duration::from_secs(120);
 /// Row that names the era in which claims without a row have not been made; claims' names have a slash or are digests.
 const CERTAIN_ROW: &str = ".certain";
@@ -32,7 +32,7 @@
 const REWRITE_TIME: Duration = Duration::from_secs(20);
 /// Minimum time that is left for what is written later.
 const MIN_REWRITE_TIME: Duration = Duration::from_secs(1);
-/// Maximum time over which the instances spread their first calls, so that claims stand again before the uncertainty ends.
+/// Maximum time over which the instances spread their first calls, so that claims are written again before the uncertainty ends.
 const MAX_FIRST_SPREAD: Duration = Duration::from_secs(10);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -54,7 +54,7 @@
     learned_at: Time,
     /// Minimum time of the uncertainty in the latest era.
     doubt: Duration,
-    /// What has been done since the latest era was learned, until all rows stand in it.
+    /// What has been done since the latest era was learned, until all rows are written in it.
     progress: Option<Progress>,
     next_at: Instant,
     delay: Duration,
@@ -174,7 +174,7 @@
         self.next_at = Instant::now() + wait;
     }
 
-    /// Writes a row unless it stands, and returns for how long to wait then.
+    /// Writes a row unless it exists, and returns for how long to wait then.
     async fn restore(
         &mut self,
         name: &str,
@@ -211,7 +211,7 @@
         })
     }
 
-    /// Returns the time for each claim that may be lost, so that all stand again before the uncertainty ends, however many
+    /// Returns the time for each claim that may be lost, so that all are written again before the uncertainty ends, however many
     /// of them are this instance's.
     fn share_of_time(&self) -> Duration {
         let elapsed = self.clock.now() - self.learned_at;
--- a/crates/daemon/src/ledger/recent.rs
+++ b/crates/daemon/src/ledger/recent.rs
@@ -1,4 +1,4 @@
-//! Claims and outcomes that an instance has lately written or read, which a platform that comes back from an older
+//! Claims and outcomes that an instance has lately written or read, which a platform that is restored from an older
 //! copy of its tables may lack.
 
 use std::{
@@ -11,12 +11,12 @@
 
 use super::claim::{ClaimRow, RowState, text_within_limit};
 
-/// Time for which a row is remembered at least; copies from which a platform comes back are younger.
+/// Time for which a row is remembered at least; copies from which a platform is restored are younger.
 const KEEP_TIME: Duration = Duration::from_secs(120);
 const MAX_ROWS: usize = 4_096;
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// Remembers the content of recent claims' rows, and which of them stand in the platform's latest era.
+/// Remembers the content of recent claims' rows, and which of them exist in the platform's latest era.
 #[derive(Debug, Default)]
 pub(super) struct RecentClaims {
     rows: BTreeMap<String, RecentClaim>,
@@ -29,7 +29,7 @@
     claim: ClaimRow,
     bytes: usize,
     at: Time,
-    /// Era in which the row is known to stand; `None` if it has to be written again in any.
+    /// Era in which the row is known to exist; `None` if it has to be written again in any.
     era: Option<u32>,
 }
 
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Returns the latest row that isn't known to stand in `era`.
+    /// Returns the latest row that isn't known to exist in `era`.
     pub(super) fn next_unconfirmed(&self, era: u32) -> Option<(String, ClaimRow)> {
         let names = self.by_age.iter().rev().map(|(_, name)| name);
         let mut recent = names.filter_map(|name| Some((name, self.rows.get(name)?)));
@@ -79,14 +79,14 @@
         Some((name.clone(), recent.claim.clone()))
     }
 
-    /// Returns the number of rows since a time that aren't known to stand in `era`.
+    /// Returns the number of rows since a time that aren't known to exist in `era`.
     pub(super) fn unconfirmed_since(&self, since: Time, era: u32) -> usize {
         let names = self.by_age.range((since, String::new())..);
         let recent = names.filter_map(|(_, name)| self.rows.get(name));
         recent.filter(|recent| recent.era != Some(era)).count()
     }
 
-    /// Records that a row stands in `era` as `claim`, unless its outcome has become known meanwhile.
+    /// Records that a row exists in `era` as `claim`, unless its outcome has become known meanwhile.
     pub(super) fn confirm(&mut self, name: &str, claim: &ClaimRow, era: u32) {
         if let Some(recent) = self.rows.get_mut(name)
             && recent.claim == *claim
@@ -122,7 +122,7 @@
         self.forget_old(now, latest);
     }
 
-    /// Removes the oldest rows beyond the bounds, and those beyond [`KEEP_TIME`] that stand in the latest era.
+    /// Removes the oldest rows beyond the bounds, and those beyond [`KEEP_TIME`] that exist in the latest era.
     fn forget_old(&mut self, now: Time, latest: u32) {
         while let Some((at, name)) = self.by_age.first().cloned() {
             let is_beyond = self.rows.len() > MAX_ROWS || self.bytes > MAX_BYTES;
--- a/crates/daemon/src/ledger/rows.rs
+++ b/crates/daemon/src/ledger/rows.rs
@@ -14,8 +14,8 @@
     /// Claims an action by inserting a row; if the insert fails or is not answered, the row that is
     /// then read determines the result.
     ///
-    /// While rows may be missing since the platform came back from an older copy of its tables, only an outcome that
-    /// stands there is believed, and anything else is refused.
+    /// While rows may be missing since the platform was restored from an older copy of its tables, only an outcome that
+    /// exists there is believed, and anything else is refused.
     pub(super) async fn claim_row(
         &self,
         key: &ActionKey,
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Grants a claim whose row stands, or releases it if the row of an earlier one may have been missing as it was
+    /// Grants a claim whose row exists, or releases it if the row of an earlier one may have been missing as it was
     /// written in `era`.
     fn grant(
         &self,
@@ -113,7 +113,7 @@
         });
     }
 
-    /// Lets an outcome that stands be written again if it gets lost.
+    /// Lets an outcome that exists be written again if it gets lost.
     fn note_settled(&self, name: &str, row: ClaimRow) {
         let era = *self.eras.borrow();
         let stood = ClaimNote::Stood(name.to_owned(), row, era);
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -38,7 +38,7 @@
 /// Time without heartbeats after which an instance is removed from a list that instances maintain.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Time in which an instance that was removed can be heard before it is removed once more.
+/// Time in which an instance that was removed can be received before it is removed once more.
 pub const REVIVAL_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of removed instances that are remembered.
 const MAX_REMOVED: usize = 1_024;
@@ -93,7 +93,7 @@
     }
 
     /// Counts instances that were removed, and which an older copy of the list names again, as silent for all but
-    /// [`REVIVAL_TIME`], in which one that has started again can be heard.
+    /// [`REVIVAL_TIME`], in which one that has started again can be received.
     pub fn on_restored(&mut self, now: Time) {
         for id in &self.removed {
             let since = (now + REVIVAL_TIME).before(SILENCE_TIMEOUT);
@@ -115,7 +115,7 @@
 /// the receiver is dropped.
 ///
 /// The interval between reads doubles while the list doesn't change, or the platform refuses the announcement. Once the
-/// platform has come back from an older copy of its tables, the list is read at once, spread over the instances. For each entry that has been
+/// platform has been restored from an older copy of its tables, the list is read at once, spread over the instances. For each entry that has been
 /// silent for [`SILENCE_TIMEOUT`], one instance, chosen by rank, removes it. An instance that was
 /// removed but is alive announces itself again after its next read.
 pub async fn announce_and_poll(
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -183,7 +183,7 @@
 }
 
 impl PeerHeartbeat {
-    /// Sets the followed tables' positions, and their eras beside them.
+    /// Sets the followed tables' positions, and their eras with them.
     pub fn set_positions(&mut self, positions: Vec<Position>) {
         let eras: Vec<u32> = positions.iter().map(|position| position.era).collect();
         self.table_eras = if eras.iter().all(|era| *era == 0) {
@@ -199,7 +199,7 @@
         self.table_eras.get(table).copied().unwrap_or(0)
     }
 
-    /// Gives all positions the eras that were transferred beside them.
+    /// Gives all positions the eras that were transferred with them.
     pub(crate) fn locate(&mut self) {
         let targets_era = self.era_of(TARGETS);
         let eras = self.table_eras.clone();
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -64,7 +64,7 @@
     /// What is known of the eras of the platform's history.
     era: StoreEra,
     sent_heartbeats: VecDeque<(u64, Time)>,
-    /// The last news, as long as it may be sent again.
+    /// The last update, as long as it may be sent again.
     open_news: Option<OpenNews>,
     /// Incarnations of others to which heartbeats have been sent.
     introduced: BTreeMap<InstanceId, Incarnation>,
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -186,13 +186,13 @@
         }
     }
 
-    /// Returns whether it is known in which eras the sender's positions are: an earlier format doesn't tell, so its
+    /// Returns whether it is known in which eras the sender's positions are: an earlier format doesn't report it, so its
     /// positions say nothing where the platform's history has eras.
     fn is_located(&self, heartbeat: &PeerHeartbeat) -> bool {
         heartbeat.format > FORMAT_WITHOUT_ERAS || self.era.latest() == 0
     }
 
-    /// Takes the positions of an earlier format for ones of the own eras, to tell its sender what it may lack.
+    /// Takes the positions of an earlier format for ones of the own eras, to report to its sender what it may lack.
     fn assume_eras(&self, heartbeat: &mut PeerHeartbeat) {
         heartbeat.table_eras = self.own_heartbeat.table_eras.clone();
         heartbeat.locate();
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -18,7 +18,7 @@
 /// the next heartbeats, and most of them read the table themselves.
 const NEWS_RECEIVERS: usize = 6;
 
-/// Times after news at which it is sent again to those of its receivers that may lack it: a datagram that is lost
+/// Times after an update at which it is sent again to those of its receivers that may lack it: a datagram that is lost
 /// must not cost them the time until the next regular heartbeat.
 const NEWS_REPEATS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(200)];
 
@@ -69,7 +69,7 @@
         });
     }
 
-    /// Sends the last news again to those of its receivers that may lack it. The heartbeat keeps its number, so one
+    /// Sends the last update again to those of its receivers that may lack it. The heartbeat keeps its number, so one
     /// that acknowledges it counts as sent after the first of them.
     pub(super) async fn repeat_news(&mut self) {
         let Some(mut news) = self.open_news.take() else {
--- a/crates/daemon/src/read_reports.rs
+++ b/crates/daemon/src/read_reports.rs
@@ -8,7 +8,7 @@
 
 use crate::table_fetch::Fetched;
 
-/// Describes a change of a table that the answer that is arriving, or the last one, doesn't contain: another read beside
+/// Describes a change of a table that the answer that is arriving, or the last one, doesn't contain: another read during
 /// it has shown the change, and nothing of what it brings is here. It confirms nothing.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LaterChange {
--- a/crates/daemon/src/slots/era.rs
+++ b/crates/daemon/src/slots/era.rs
@@ -1,4 +1,4 @@
-//! What becomes of the slots once the platform's store has come back from an older copy, in a later era.
+//! What becomes of the slots once the platform's store has been restored from an older copy, in a later era.
 
 use std::time::Duration;
 
--- a/crates/daemon/src/slots/slot.rs
+++ b/crates/daemon/src/slots/slot.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Passes on that the table has come back from an older copy.
+    /// Passes on that the table has been restored from an older copy.
     pub(super) fn on_era(&mut self, now: Time, era: u32) {
         let was_held = self.lease.is_held(now) || self.lease.is_unconfirmed(now);
         self.lease.on_era(now, era);
--- a/crates/daemon/src/table_logs.rs
+++ b/crates/daemon/src/table_logs.rs
@@ -31,9 +31,9 @@
     /// An own read that doesn't confirm what others have reported.
     #[display("own rows")]
     OwnRows,
-    /// An own read beside one that is still arriving.
+    /// An own read during one that is still arriving.
     #[display("beside a transfer")]
-    Beside,
+    ConcurrentRead,
     /// The end of the time for which a removed row is kept.
     #[display("grace period")]
     GracePeriod,
@@ -66,7 +66,7 @@
 }
 
 /// Logs that the platform answered a read from before the position that it had reached in the same era, so from a copy
-/// that lags: one that came back from an older copy reports a later era.
+/// that lags: one that was restored from an older copy reports a later era.
 pub(crate) fn log_older(table: &str, own_position: Position, position: Position) {
     tracing::warn!(
         event = "table_older",
@@ -90,7 +90,7 @@
     pub(crate) receivers: usize,
     /// Whether the answer to an own read is arriving.
     pub(crate) is_arriving: bool,
-    /// Whether the time counts from what a read beside a transfer has shown.
+    /// Whether the time counts from what a read during a transfer has shown.
     pub(crate) is_shown_beside: bool,
 }
 
@@ -111,8 +111,8 @@
     );
 }
 
-/// Logs that a read beside a transfer has shown a change that the transfer doesn't bring.
-pub(crate) fn log_changed_beside(
+/// Logs that a read during a transfer has shown a change that the transfer doesn't bring.
+pub(crate) fn log_concurrent_change(
     now: Time,
     table: &str,
     own_position: Position,
@@ -128,8 +128,8 @@
     );
 }
 
-/// Logs that a read beside a transfer has failed, for the first or the second time.
-pub(crate) fn log_failure_beside(
+/// Logs that a read during a transfer has failed, for the first or the second time.
+pub(crate) fn log_concurrent_failure(
     table: &str,
     call: &str,
     error: Option<&PlatformError>,
@@ -217,7 +217,7 @@
     tracing::info!(event = "rows_kept", table, names, count = kept.len(), %source);
 }
 
-/// Logs that a table has come back from an older copy, which rows are kept over it as they were known and for how long at
+/// Logs that a table has been restored from an older copy, which rows are kept over it as they were known and for how long at
 /// most, and which are gone with it.
 pub(crate) fn log_era(
     now: Time,
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -1,6 +1,6 @@
 //! Reads of the followed tables: long polls of the platform, and fetches from other instances.
 
-mod beside;
+mod concurrent;
 mod elsewhere;
 mod open_polls;
 mod outcome;
@@ -22,13 +22,13 @@
 
 pub use self::timing::ReadTiming;
 use self::{
-    beside::BesideReads,
+    concurrent::ConcurrentReads,
     open_polls::{OpenPoll, OpenPolls},
     side_calls::SideCalls,
 };
 pub(crate) use self::{
     elsewhere::FailingElsewhere,
-    outcome::{Arrival, PlatformRead, RowsBeside, TableRead, to_row_change, to_snapshot},
+    outcome::{Arrival, ConcurrentRows, PlatformRead, TableRead, to_row_change, to_snapshot},
 };
 use crate::read_reports::{FailureCause, ReadFailure};
 
@@ -60,7 +60,7 @@
     pub(crate) table: String,
     pub(crate) timing: ReadTiming,
     /// Whether rows are of use although what comes before them is still arriving.
-    pub(crate) takes_rows_beside: bool,
+    pub(crate) takes_rows_concurrently: bool,
     /// Time within which a change must be in force.
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
@@ -74,7 +74,7 @@
 /// Follows one table by long polls.
 ///
 /// A poll of whose answer nothing arrives in time is overtaken by one on a new connection, since its own
-/// may have gone silent for good; if its answer comes after all, it is used. One whose answer is arriving
+/// may have gone silent permanently; if its answer comes after all, it is used. One whose answer is arriving
 /// is waited for, however long that takes, unless most of it is left when rows of a later position than it
 /// asked from have come from another source: the next poll goes on from there. Beside it, other calls show whether the
 /// table changes again meanwhile.
@@ -86,7 +86,7 @@
     /// Whether the next poll asks for all rows, whatever the position.
     is_reading_anew: bool,
     polls: JoinSet<PollResult>,
-    beside: BesideReads,
+    concurrent: ConcurrentReads,
     side_calls: SideCalls,
     /// What is known of the platform's clock.
     dates: AnswerDates,
@@ -139,7 +139,7 @@
             table: options.table.clone(),
             timing: options.timing,
             apply: options.apply,
-            takes_rows: options.takes_rows_beside,
+            takes_rows: options.takes_rows_concurrently,
         };
         Self {
             options: ReaderOptions {
@@ -149,7 +149,7 @@
             position: None,
             is_reading_anew: false,
             polls: JoinSet::new(),
-            beside: BesideReads::default(),
+            concurrent: ConcurrentReads::default(),
             side_calls,
             dates: AnswerDates::default(),
             prompt_at: Time::ZERO,
@@ -173,7 +173,7 @@
         loop {
             let (Step::Poll(at) | Step::Overtake(at)) = step;
             let prompt_at = self.next_prompt_at(step);
-            self.beside.end_unless_open(self.open.iter());
+            self.concurrent.end_unless_open(self.open.iter());
             let read = tokio::select! {
                 // What has come is taken before anything counts as silent.
                 biased;
@@ -187,7 +187,7 @@
                     self.end_outdated(&mut step).await;
                     let poll = self.open.iter().find(|poll| poll.number == number);
                     if let Some(poll) = poll {
-                        self.beside.on_arriving(poll, &self.side_calls);
+                        self.concurrent.on_arriving(poll, &self.side_calls);
                     }
                     Some(TableRead::Arriving(Arrival {
                         since: poll.and_then(OpenPoll::arriving_since),
@@ -195,7 +195,7 @@
                         is_slow: self.open.is_slow() || self.open.is_late(self.options.apply),
                     }))
                 }
-                later = self.beside.next(&self.side_calls, &mut self.dates) => later,
+                later = self.concurrent.next(&self.side_calls, &mut self.dates) => later,
                 Ok(()) = self.options.advanced.changed() => {
                     let position = *self.options.advanced.borrow_and_update();
                     self.position = self.position.max(Some(position));
@@ -255,7 +255,8 @@
                 let mut answered_at = Instant::now();
                 if let TableRead::Changes(read) | TableRead::Snapshot(read) = &mut read {
                     let position = read.position;
-                    self.beside.on_answer(number, position, &self.side_calls);
+                    self.concurrent
+                        .on_answer(number, position, &self.side_calls);
                     // What came meanwhile stays; an answer to a later poll contains the platform's position.
                     self.position = advanced.max(Some(read.position));
                     read.made_at = self.dates.date(read.answer);
--- a/crates/daemon/src/table_reads/beside.rs
+++ b/crates/daemon/src/table_reads/concurrent.rs
@@ -1,4 +1,4 @@
-//! Reads beside a transfer: whether the table has changed since the answer that is arriving was made.
+//! Reads during a transfer: whether the table has changed since the answer that is arriving was made.
 
 use std::sync::{
     Arc,
@@ -19,29 +19,29 @@
 /// Reads a table's position as an answer is arriving, and follows it from there until that answer is complete.
 ///
 /// The answer contains nothing that has changed since it was made, and nothing shows that until it is complete. A
-/// small call tells the position a moment later, and a poll from there shows when the next change comes: as its first
+/// small call reports the position a moment later, and a poll from there shows when the next change comes: as its first
 /// bytes arrive it is dropped, since its rows can't be applied and would share the link. Where the poll that follows the
-/// answer brings something although the one beside it brought nothing, the change lies between that answer and the small
+/// answer brings something although the concurrent one brought nothing, the change lies between that answer and the small
 /// call, if another prompt read from that call's position is empty.
 ///
-/// Where the poll beside the answer brings a change, and the answer's position turns out to be lower than the small call's,
+/// Where the poll during the answer brings a change, and the answer's position turns out to be lower than the small call's,
 /// there may have been an earlier change between the two, or one of another table: nothing that is read without the rows
-/// tells which. It is reported too, with a later date than it would have. The same holds where that prompt read fails.
+/// shows which. It is reported too, with a later date than it would have. The same holds where that prompt read fails.
 ///
 /// Where the rows are of use, such a poll is read whole and followed by another one. One whose rows are arriving goes on
-/// beside the polls after the transfer.
+/// during the polls after the transfer.
 ///
 /// What fails or isn't answered here is tried once more, and has no effect then.
 #[derive(Debug, Default)]
-pub(super) struct BesideReads {
+pub(super) struct ConcurrentReads {
     tasks: JoinSet<Finding>,
-    /// Number of the poll beside whose answer the present read goes on.
+    /// Number of the poll during whose answer the present read goes on.
     present_poll: Option<u64>,
-    /// Number of the last poll beside whose answer the position was read.
+    /// Number of the last poll during whose answer the position was read.
     last_poll: Option<u64>,
     /// The last position that was read.
     seen: Option<Seen>,
-    /// The same where the table has changed after it, beside an answer that isn't complete.
+    /// The same where the table has changed after it, during an answer that isn't complete.
     passed: Option<Seen>,
     /// Number of the poll that was answered last, and the position of its answer.
     answered: Option<(u64, Position)>,
@@ -55,8 +55,8 @@
     is_change_due: bool,
 }
 
-impl BesideReads {
-    /// Ends the present read unless it goes on beside one of the open polls.
+impl ConcurrentReads {
+    /// Ends the present read unless it goes on during one of the open polls.
     pub(super) fn end_unless_open<'a, I>(&mut self, open: I)
     where
         I: IntoIterator<Item = &'a OpenPoll>,
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Starts the read that is due beside the answer to a poll, of which something has arrived.
+    /// Starts the read that is due during the answer to a poll, of which something has arrived.
     pub(super) fn on_arriving(&mut self, poll: &OpenPoll, calls: &SideCalls) {
         // Without rows nothing is decided.
         if !self.tasks.is_empty() || !self.has_rows {
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Starts the read that shows whether what is arriving had changed before the position that was read beside an answer
+    /// Starts the read that shows whether what is arriving had changed before the position that was read during an answer
     /// before; returns whether that is due.
     fn start_check(&mut self, poll: &OpenPoll, calls: &SideCalls) -> bool {
         let earlier = self.seen.filter(|seen| {
@@ -99,7 +99,7 @@
         true
     }
 
-    /// Starts the first read of the position beside an answer that has been arriving for long enough.
+    /// Starts the first read of the position during an answer that has been arriving for long enough.
     fn start_position(&mut self, poll: &OpenPoll, calls: &SideCalls) {
         let read_at = poll.received.borrow().begun_at;
         let is_long = read_at.is_some_and(|at| at.elapsed() >= MIN_ARRIVAL_TIME);
@@ -123,7 +123,7 @@
         self.seen = self.seen.filter(|seen| seen.number >= number);
     }
 
-    /// Records that the table has changed after a position that was read beside an answer, which may be complete by now.
+    /// Records that the table has changed after a position that was read during an answer, which may be complete by now.
     fn on_passed(&mut self, seen: Seen, calls: &SideCalls) {
         match self.answered.filter(|(number, _)| *number >= seen.number) {
             None => self.passed = Some(seen),
@@ -164,7 +164,7 @@
             }
             Finding::Rows(seen, rows) => {
                 self.follow(seen, calls);
-                Some(TableRead::Beside(rows))
+                Some(TableRead::Concurrent(rows))
             }
             Finding::Change(seen, change) => {
                 // What is arriving after this one may have changed then.
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Follows the table from a position if the answer beside which that was read is still arriving.
+    /// Follows the table from a position if the answer during which that was read is still arriving.
     fn follow(&mut self, seen: Seen, calls: &SideCalls) {
         if self.present_poll == Some(seen.number) {
             let follow = calls.clone().follow(seen, self.brings_rows.clone());
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -16,7 +16,7 @@
     /// The table has changed after an answer that is arriving was made.
     Later(LaterChange),
     /// Rows that have changed after an answer that is arriving was made.
-    Beside(RowsBeside),
+    Concurrent(ConcurrentRows),
     Failed(ReadFailure),
     Fetched(Fetch),
 }
@@ -24,7 +24,7 @@
 /// Carries rows that have changed after a position which the own copy hasn't reached: they can't be applied to it, and
 /// confirm nothing.
 #[derive(Debug)]
-pub(crate) struct RowsBeside {
+pub(crate) struct ConcurrentRows {
     pub(crate) rows: Vec<Change>,
     /// Position up to which they are complete.
     pub(crate) position: Position,
--- a/crates/daemon/src/table_reads/polling.rs
+++ b/crates/daemon/src/table_reads/polling.rs
@@ -22,7 +22,7 @@
         let sent_at = self.options.clock.now();
         let timing = self.options.timing;
         let is_on_kept_connection = !self.is_reconnecting;
-        let is_prompt = self.beside.take_due_change() || self.needs_prompt_answer(sent_at);
+        let is_prompt = self.concurrent.take_due_change() || self.needs_prompt_answer(sent_at);
         let wait = if is_on_kept_connection && !is_prompt {
             self.poll_wait(sent_at)
         } else {
--- a/crates/daemon/src/table_reads/side_calls.rs
+++ b/crates/daemon/src/table_reads/side_calls.rs
@@ -1,4 +1,4 @@
-//! Small calls beside a transfer, and what their answers date.
+//! Small calls during a transfer, and what their answers date.
 
 use std::{
     pin::pin,
@@ -18,8 +18,8 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-use super::{MIN_ARRIVAL_TIME, POLL_DELAY, ReadTiming, RowsBeside};
-use crate::{read_reports::LaterChange, table_logs::log_failure_beside};
+use super::{ConcurrentRows, MIN_ARRIVAL_TIME, POLL_DELAY, ReadTiming};
+use crate::{read_reports::LaterChange, table_logs::log_concurrent_failure};
 
 /// Maximum size of an answer without rows, in bytes.
 const MAX_EMPTY_BYTES: u64 = 512;
@@ -29,7 +29,7 @@
 /// Time within which a read is to show whether there is such a change, beyond the time of two small calls.
 const CHECK_TIME: Duration = Duration::from_millis(300);
 
-/// What a read beside a transfer is sent with.
+/// What a read during a transfer is sent with.
 #[derive(Debug, Clone)]
 pub(super) struct SideCalls {
     pub(super) clock: Clock,
@@ -43,7 +43,7 @@
     pub(super) takes_rows: bool,
 }
 
-/// A position of the platform's tables that was read beside a transfer.
+/// A position of the platform's tables that was read during a transfer.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Seen {
     pub(super) position: Position,
@@ -61,7 +61,7 @@
     pub(super) is_second: bool,
 }
 
-/// What a read beside a transfer has shown.
+/// What a read during a transfer has shown.
 #[derive(Debug)]
 pub(super) enum Finding {
     /// The read failed.
@@ -70,18 +70,18 @@
     /// The table has changed since a position was read.
     Change(Seen, LaterChange),
     /// The table has changed after a position, by these rows.
-    Rows(Seen, RowsBeside),
+    Rows(Seen, ConcurrentRows),
     /// What is arriving had changed, or may have, before a position that was read before.
     Earlier(LaterChange),
 }
 
-/// What became of a poll beside a transfer.
+/// What became of a poll during a transfer.
 pub(super) enum SideAnswer {
     /// It has no rows, and is complete up to a position.
     Empty(Position),
     /// It brings rows, and began at a time.
     Begun(Time),
-    Rows(RowsBeside),
+    Rows(ConcurrentRows),
     /// It failed; `None` if no answer came in time.
     Failed(Option<PlatformError>),
 }
@@ -151,7 +151,7 @@
     }
 
     fn log_failure(&self, call: &str, error: Option<&PlatformError>, is_second: bool) {
-        log_failure_beside(&self.table, call, error, is_second);
+        log_concurrent_failure(&self.table, call, error, is_second);
     }
 
     /// Returns the date of a change that may have been made between an answer and the small call.
@@ -273,7 +273,7 @@
                 brings_rows.store(false, Ordering::Relaxed);
                 SideAnswer::Empty(position)
             }
-            Ok((rows, position)) => SideAnswer::Rows(RowsBeside { rows, position }),
+            Ok((rows, position)) => SideAnswer::Rows(ConcurrentRows { rows, position }),
             Err(error) => SideAnswer::Failed(Some(error)),
         }
     }
--- a/crates/daemon/tests/behind/arrivals.rs
+++ b/crates/daemon/tests/behind/arrivals.rs
@@ -15,7 +15,7 @@
     transfer::Transfer,
 };
 
-/// Lets an instance hear these reports at these times, in milliseconds, from another one that has the position, and
+/// Lets an instance receive these reports at these times, in milliseconds, from another one that has the position, and
 /// returns what becomes of its requests.
 fn hear(scenario: Scenario, reports: Vec<(u64, u64, TableChange)>) -> Vec<Decided> {
     run_paused(async move {
@@ -58,7 +58,7 @@
     times.map(|time| (time, position, change)).collect()
 }
 
-/// Returns reports of an arrival that ends without news, and of a version that has been arriving since 12.02 s, complete
+/// Returns reports of an arrival that ends without an update, and of a version that has been arriving since 12.02 s, complete
 /// at `complete_at` at this position.
 fn after_false_one(
     is_false_one: bool,
--- a/crates/daemon/tests/behind/beside_rows.rs
+++ b/crates/daemon/tests/behind/beside_rows.rs
@@ -164,7 +164,7 @@
     }
 }
 
-/// Answers a poll when there is news, or at the end of its wait.
+/// Answers a poll when there is an update, or at the end of its wait.
 async fn answer(
     started: Instant,
     scenario: Scenario,
@@ -369,7 +369,7 @@
     }
 }
 
-/// Guards against capacity that is lost: a target that is back beside the same transfer gets requests after it. An instance
+/// Guards against capacity that is lost: a target that is back during the same transfer gets requests after it. An instance
 /// that the store turns away fetches the rows for that, as after any departure.
 #[rstest]
 fn target_that_is_back_beside_a_transfer_gets_requests(
--- a/crates/daemon/tests/behind/beside_transfer.rs
+++ b/crates/daemon/tests/behind/beside_transfer.rs
@@ -1,4 +1,4 @@
-//! A version that follows another one while that is still arriving, at an instance that hears of it from nobody else.
+//! A version that follows another one while that is still arriving, at an instance that learns of it from nobody else.
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
@@ -71,7 +71,7 @@
     early.map(|one| one.at - FIRST_AT).collect()
 }
 
-/// Guards against CONFIG: a version that followed between the answer that was arriving and the small call beside it had
+/// Guards against CONFIG: a version that followed between the answer that was arriving and the small call during it had
 /// no date, although the poll after that answer brought it.
 #[rstest]
 fn version_just_after_an_answer_decides_in_time(
@@ -86,7 +86,7 @@
 }
 
 /// Guards against CONFIG: of several versions behind one transfer, the first one's date counts, and the next transfer has
-/// reads of its own beside it. One just after an answer counts too, and rows of other tables that change all the time make
+/// reads of its own during it. One just after an answer counts too, and rows of other tables that change all the time make
 /// nothing be refused that early.
 #[rstest]
 #[case::two(2_200, &[500, 1_500])]
@@ -107,7 +107,7 @@
 }
 
 /// Guards against CONFIG: a version whose transfer breaks off on a connection that was kept is dated by the one that failed,
-/// not by the next, also where no call beside it is answered.
+/// not by the next, also where no call during it is answered.
 #[rstest]
 #[case::soon(1_000)]
 #[case::late(2_000)]
@@ -120,8 +120,8 @@
     assert_eq!(early_refusals(&scenario), []);
 }
 
-/// Guards against CONFIG: a version had no date where a call beside the transfer, or the prompt read after it, failed once, or
-/// where that read failed for good.
+/// Guards against CONFIG: a version had no date where a call during the transfer, or the prompt read after it, failed once, or
+/// where that read failed permanently.
 #[rstest]
 #[case::small_call_refused(2_200, 500, SideCalls::Refused, 1)]
 #[case::small_call_lost(2_200, 500, SideCalls::Lost, 1)]
@@ -170,7 +170,7 @@
     assert_eq!(early_refusals(&scenario), []);
 }
 
-/// Guards against failed reads beside a transfer that count as failed reads of the store, or as news: each version comes
+/// Guards against failed reads during a transfer that count as failed reads of the store, or as updates: each version comes
 /// as early as it does where they are answered, and nothing is refused early.
 #[rstest]
 fn failed_reads_beside_a_transfer_have_no_effect(
@@ -308,7 +308,7 @@
     assert_eq!(asked, Asked::default());
 }
 
-/// Guards against needless calls, all of which are priced: none beside a short answer, and one small call and one poll beside
+/// Guards against needless calls, all of which are priced: none during a short answer, and one small call and one poll during
 /// a long one, with one more try for a small call that fails.
 #[rstest]
 #[case::short(80, SideCalls::QUICK, 0, 0)]
--- a/crates/daemon/tests/behind/confirmations.rs
+++ b/crates/daemon/tests/behind/confirmations.rs
@@ -1,4 +1,4 @@
-//! How recent an instance that the store turns away knows its configuration to be, beside one that reads.
+//! How recent an instance that the store turns away knows its configuration to be, next to one that reads.
 
 use std::{sync::Arc, time::Duration};
 
@@ -97,7 +97,7 @@
     assert!(oldest <= MAX_AGE, "{oldest:?}");
 }
 
-/// Guards against wrong refusals for good: routes and keys that the own rows lack are confirmed by nobody who has them.
+/// Guards against wrong permanent refusals: routes and keys that the own rows lack are confirmed by nobody who has them.
 #[rstest]
 #[case::routes_changed(|_| [position_of(1), position_of(0)])]
 #[case::both_changed(|_| [position_of(1); 2])]
--- a/crates/daemon/tests/behind/departed.rs
+++ b/crates/daemon/tests/behind/departed.rs
@@ -136,7 +136,7 @@
 /// Whether a request was sent to the target, or why it wasn't.
 type Outcome = Result<(), String>;
 
-/// Answers a poll when there is news, or at the end of its wait.
+/// Answers a poll when there is an update, or at the end of its wait.
 async fn answer(
     started: Instant,
     standstill: Standstill,
@@ -212,7 +212,7 @@
 pub(crate) struct Instance {
     pub(crate) follower: mpsc::Sender<FollowerMessage>,
     engine: mpsc::UnboundedSender<Event>,
-    /// What it tells the task that sends heartbeats.
+    /// What it reports to the task that sends heartbeats.
     pub(crate) told: mpsc::Receiver<PeerCommand>,
     _fleet: watch::Sender<Arc<Fleet>>,
 }
@@ -240,7 +240,7 @@
 }
 
 impl Instance {
-    /// Starts an instance that follows a store beside another one.
+    /// Starts an instance that follows a store next to another one.
     pub(crate) fn start(platform: Platform, limits: Limits) -> Self {
         let clock = Clock::start();
         let other = reporter_id(0);
@@ -458,7 +458,7 @@
     }
 }
 
-/// Guards against callers that are refused for longer than the first news takes, or than nothing is heard.
+/// Guards against callers that are refused for longer than the first update takes, or than nothing is received.
 #[rstest]
 #[case::heartbeats(true, 100)]
 #[case::store_alone(false, 600)]
--- a/crates/daemon/tests/behind/main.rs
+++ b/crates/daemon/tests/behind/main.rs
@@ -37,7 +37,7 @@
 
 const SEEDS: Range<u64> = 0..300;
 
-/// Guards against HOME and CONFIG: an instance that heard of a later version from others and couldn't get it
+/// Guards against HOME and CONFIG: an instance that learned of a later version from others and couldn't get it
 /// went on deciding by the old one later than `configApplyS` after the acknowledgement.
 #[test]
 fn no_request_is_decided_late_by_an_instance_that_knows_of_a_later_version() {
@@ -222,7 +222,7 @@
     assert!(late.is_empty(), "{} of 200: {late:?}", late.len());
 }
 
-/// Guards against refusals for nothing: an instance of which nothing is heard for a moment isn't behind.
+/// Guards against refusals for nothing: an instance of which nothing is received for a moment isn't behind.
 #[test]
 fn instance_whose_heartbeats_are_lost_stays_named() {
     let mut scenario = Scenario {
--- a/crates/daemon/tests/behind/model.rs
+++ b/crates/daemon/tests/behind/model.rs
@@ -1,4 +1,4 @@
-//! An instance that follows a modelled store, beside others that report their positions.
+//! An instance that follows a modelled store, next to others that report their positions.
 
 use std::{
     collections::BTreeMap,
@@ -145,11 +145,11 @@
     }
 }
 
-/// Returns when an instance sends heartbeats, and whether they repeat news: regularly, and at once and twice more when
-/// it has read a version, among so few that news goes to all.
+/// Returns when an instance sends heartbeats, and whether they repeat an update: regularly, and at once and twice more when
+/// it has read a version, among so few that it goes to all.
 fn sending_times(scenario: &Scenario, reporter: Reporter) -> Vec<(Duration, bool)> {
     const NEWS_RECEIVERS: usize = 6;
-    /// Times after the read at which news arrives, with its way.
+    /// Times after the read at which an update arrives, with its way.
     const NEWS_MS: [(u64, bool); 3] = [(25, false), (125, true), (225, true)];
     let count = RUN_TIME.div_duration_f64(HEARTBEAT_INTERVAL) as u32;
     let regular = (0..count).map(|number| (reporter.phase + HEARTBEAT_INTERVAL * number, false));
@@ -173,7 +173,7 @@
 /// A follower and the engine that decides by what it reads.
 pub(crate) struct Node {
     pub(crate) follower: mpsc::Sender<FollowerMessage>,
-    /// What it tells the task that sends heartbeats.
+    /// What it reports to the task that sends heartbeats.
     pub(crate) told: mpsc::Receiver<PeerCommand>,
     engine: mpsc::UnboundedSender<Event>,
     view: watch::Receiver<Arc<View>>,
@@ -183,7 +183,7 @@
 }
 
 impl Node {
-    /// Starts an instance beside others that are alive until `end`.
+    /// Starts an instance next to others that are alive until `end`.
     pub(crate) fn start<I>(
         scenario: &Scenario,
         clock: Clock,
--- a/crates/daemon/tests/behind/modelled_store.rs
+++ b/crates/daemon/tests/behind/modelled_store.rs
@@ -25,7 +25,7 @@
     /// What becomes of the next ones, the next one last.
     next: Mutex<Vec<Transfer>>,
     is_under_way: AtomicBool,
-    /// Number of calls beside them that have failed.
+    /// Number of calls during them that have failed.
     failed: AtomicUsize,
 }
 
@@ -46,7 +46,7 @@
         self.is_under_way.load(Ordering::Relaxed)
     }
 
-    /// Returns what becomes of a call beside a transfer.
+    /// Returns what becomes of a call during a transfer.
     fn side_calls(&self, scenario: &Scenario, is_small: bool) -> SideCalls {
         let side_calls = scenario.side_calls;
         let is_answered = match side_calls {
@@ -62,7 +62,7 @@
         side_calls
     }
 
-    /// Transmits an answer that brings a version. One beside another is none of those that were drawn.
+    /// Transmits an answer that brings a version. One during another is none of those that were drawn.
     async fn transmit(&self, progress: &Progress) -> Result<(), PlatformError> {
         if self.is_under_way() {
             return Self::BESIDE.transmit(progress).await;
@@ -167,7 +167,7 @@
     Ok(Reply::Changes(vec![row], Position::from(position)))
 }
 
-/// Answers the small call that tells the store's latest position.
+/// Answers the small call that reports the store's latest position.
 async fn answer_position(
     started: Instant,
     scenario: &Scenario,
--- a/crates/daemon/tests/behind/one_reader.rs
+++ b/crates/daemon/tests/behind/one_reader.rs
@@ -1,4 +1,4 @@
-//! Instances that the store turns away, beside the one that still reads it.
+//! Instances that the store turns away, next to the one that still reads it.
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
--- a/crates/daemon/tests/behind/scenario.rs
+++ b/crates/daemon/tests/behind/scenario.rs
@@ -43,7 +43,7 @@
     /// Time between changes of other tables, of which the first ones after each version count.
     pub(crate) others_change_each: Option<Duration>,
     pub(crate) side_calls: SideCalls,
-    /// Number of calls beside transfers that fail if `side_calls` says so; later ones are quick.
+    /// Number of calls during transfers that fail if `side_calls` says so; later ones are quick.
     pub(crate) max_failures: usize,
     /// Version up to which the store has dropped its history once it has that version.
     pub(crate) dropped_to: usize,
@@ -151,7 +151,7 @@
     10 + version as u64 * 10
 }
 
-/// What becomes of calls beside a transfer.
+/// What becomes of calls during a transfer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SideCalls {
     /// They are answered after this time.
@@ -186,7 +186,7 @@
 
     pub(crate) const QUICK: Self = Self::Take(Duration::from_millis(10));
 
-    /// Waits until a poll beside a transfer is answered.
+    /// Waits until a poll during a transfer is answered.
     pub(crate) async fn answer_poll(self) -> Result<(), PlatformError> {
         match self {
             Self::Take(time) => sleep(time).await,
@@ -198,7 +198,7 @@
         Ok(())
     }
 
-    /// Transmits the answer to a poll beside a transfer that brings no rows.
+    /// Transmits the answer to a poll during a transfer that brings no rows.
     pub(crate) async fn transmit_empty(self, progress: &Progress) {
         const HALF: usize = 30;
         if let Self::ComeApart(time) = self {
--- a/crates/daemon/tests/behind/standstill.rs
+++ b/crates/daemon/tests/behind/standstill.rs
@@ -1,4 +1,4 @@
-//! An instance that stood still while a version was acknowledged, and what it decides by before it has heard of that.
+//! An instance that stood still while a version was acknowledged, and what it decides by before it has learned of that.
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
@@ -142,7 +142,7 @@
 }
 
 /// Guards against CONFIG and HOME: an instance that woke decided by its old version about what had waited, though its own
-/// sockets held the news.
+/// sockets held the update.
 #[test]
 fn no_request_is_decided_by_an_old_version_after_a_standstill() {
     let late = SEEDS.filter_map(|seed| {
@@ -202,8 +202,8 @@
     [waiting].into_iter().chain(later).collect()
 }
 
-/// Guards against CONFIG and HOME: an instance that stood still again before it had heard of others gave its word on the
-/// next waking, before the news that waited in its sockets.
+/// Guards against CONFIG and HOME: an instance that stood still again before it had learned of others gave its word on the
+/// next waking, before the update that waited in its sockets.
 #[test]
 fn no_request_is_decided_by_an_old_version_after_two_standstills() {
     let late = SEEDS.filter_map(|seed| {
--- a/crates/daemon/tests/behind/unread.rs
+++ b/crates/daemon/tests/behind/unread.rs
@@ -1,4 +1,4 @@
-//! An instance that the store turns away, beside one whose reads take long.
+//! An instance that the store turns away, next to one whose reads take long.
 
 use std::{future::pending, ops::Range, sync::Arc, time::Duration};
 
@@ -71,7 +71,7 @@
     })
 }
 
-/// Sends heartbeats with what the reading instance last told, as its task for the other instances does.
+/// Sends heartbeats with what the reading instance last reported, as its task for the other instances does.
 pub(crate) async fn send_heartbeats(
     started: Instant,
     phase: Duration,
@@ -128,7 +128,7 @@
     node.decide(started).await
 }
 
-/// Guards against CONFIG and HOME: an instance that the store turns away heard of a version only when another one had all
+/// Guards against CONFIG and HOME: an instance that the store turns away learned of a version only when another one had all
 /// of it, and then went on deciding by its own one for most of the time within which a change must be in force.
 #[test]
 fn version_that_is_still_arriving_elsewhere_is_known_in_time() {
--- a/crates/daemon/tests/blindness.rs
+++ b/crates/daemon/tests/blindness.rs
@@ -1,4 +1,4 @@
-//! How long an instance may be without news of the followed tables, over a modelled network with drawn
+//! How long an instance may be without updates of the followed tables, over a modelled network with drawn
 //! silences.
 
 #[path = "support/options.rs"]
@@ -57,14 +57,14 @@
     apply: Duration,
     /// One-way time to the store.
     way: Duration,
-    /// Times in which connections go silent for good: those open at the start, and those that are
+    /// Times in which connections go silent permanently: those open at the start, and those that are
     /// opened before the end.
     silences: Vec<(Duration, Duration)>,
     /// Times at which versions are acknowledged.
     changes: Vec<Duration>,
     /// Time at which the only target leaves its table.
     removal: Option<Duration>,
-    /// Whether the task that tells the other instances takes commands.
+    /// Whether the task that informs the other instances takes commands.
     tells_others: bool,
     /// Time that the operators' rows take over the instance's link if nothing else uses it.
     transfer: Duration,
@@ -269,7 +269,7 @@
 
 type History = Arc<Mutex<Vec<InForce>>>;
 
-/// Describes what other instances were told.
+/// Describes what was reported to other instances.
 #[derive(Debug, Clone)]
 struct Told {
     at: Duration,
@@ -286,7 +286,7 @@
 struct Observed {
     history: History,
     reports: Reports,
-    /// Times at which the engine was told something, with the time at which the version in force was last
+    /// Times at which something was reported to the engine, with the time at which the version in force was last
     /// known to be the latest.
     confirmations: Arc<Mutex<Vec<(Duration, Duration)>>>,
 }
@@ -400,7 +400,7 @@
     Some((first, last - first + STEP))
 }
 
-/// Returns what other instances are told.
+/// Returns what is reported to other instances.
 fn run_reports(scenario: &Scenario) -> Vec<Told> {
     block_on(async {
         let network = Network::new(scenario);
@@ -496,7 +496,7 @@
     assert!(late.is_empty(), "by start of the silence in ms: {late:?}");
 }
 
-/// CONFIG: a version was not in force in time because the task that tells the other instances took no
+/// CONFIG: a version was not in force in time because the task that informs the other instances took no
 /// commands, as while its socket can't send.
 #[test]
 fn change_in_force_in_time_though_others_are_not_told() {
@@ -512,7 +512,7 @@
 }
 
 /// Guards against CONFIG: the position of a table rose with the writes to other tables, and each rise was
-/// told as news, so that the others fetched a table in which nothing had changed.
+/// reported as an update, so that the others fetched a table in which nothing had changed.
 #[test]
 fn reported_positions_rise_with_changes_alone() {
     let change = Duration::from_millis(9_500);
@@ -552,7 +552,7 @@
 }
 
 /// Guards against CONFIG: rows that took longer over the instance's link than a read may be silent were asked
-/// for again and again beside themselves, so that none of the answers was ever complete.
+/// for again and again while they arrived, so that none of the answers was ever complete.
 #[rstest]
 #[case::cascade_loop(3_000, 2_500)]
 #[case::sangh_clearance(3_000, 2_000)]
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Guards against requests that are refused for good: a row's name was the workspace's and the key's, and longer than the
+/// Guards against requests that are refused permanently: a row's name was the workspace's and the key's, and longer than the
 /// store takes.
 #[rstest]
 #[case::short(20)]
@@ -63,7 +63,7 @@
     assert_eq!(claims.claim(&other, 3).await, Ok(ClaimOutcome::Granted));
 }
 
-/// Guards against actions that count as running for good: the row of a long answer was larger than the store takes.
+/// Guards against actions that count as running permanently: the row of a long answer was larger than the store takes.
 #[rstest]
 #[case::short(1_000, true)]
 #[case::long(100_000, false)]
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -352,11 +352,11 @@
 /// A follower, and what it says to others and to the engine.
 struct Instance {
     messages: mpsc::Sender<FollowerMessage>,
-    /// What its heartbeats tell.
+    /// What its heartbeats report.
     told: watch::Receiver<Told>,
     /// Configuration in force.
     in_force: watch::Receiver<Arc<Config>>,
-    /// Number of configurations that the engine was told to activate.
+    /// Number of configurations that the engine was ordered to activate.
     activations: watch::Receiver<usize>,
     /// Number of reads of changes of the targets' table that waited for nothing.
     prompts: Arc<Mutex<usize>>,
@@ -463,7 +463,7 @@
     }
 }
 
-/// Sends the heartbeats of an instance that has what `source` tells, to `receiver`, whose own ones tell `known`.
+/// Sends the heartbeats of an instance that has what `source` reports, to `receiver`, whose own ones report `known`.
 async fn report(
     started: Instant,
     scenario: Arc<Scenario>,
@@ -555,7 +555,7 @@
     play_beside(scenario, Arc::new(others)).await
 }
 
-/// Does the same beside others whose reads see what `others` says.
+/// Does the same next to others whose reads see what `others` says.
 async fn play_beside(scenario: Arc<Scenario>, others: Arc<Scenario>) -> (Vec<Sample>, usize) {
     let started = Instant::now();
     let clock = Clock::start();
@@ -634,7 +634,7 @@
     }
 }
 
-/// Guards against targets that stay out: an instance that reads again has what the store says, whatever it heard
+/// Guards against targets that stay out: an instance that reads again has what the store says, whatever it received
 /// meanwhile.
 #[test]
 fn own_rows_decide_once_they_have_come() {
@@ -724,7 +724,7 @@
 
 /// Guards against living targets that one instance's view takes out everywhere: after an outage of the store, this
 /// instance keeps a row that expired in it, and another one, whose poll was silent for too short a time to know of the
-/// outage, tells that the target has left.
+/// outage, reports that the target has left.
 #[test]
 fn living_target_stays_in_service_after_an_outage_that_another_instance_missed() {
     assert_in_service_after_outage(1_500, 600);
@@ -772,7 +772,7 @@
 }
 
 /// Guards against DRAIN: the store turns this instance away, so a sound one, whose polls wait longer for a change than a
-/// read counts, believed in an outage, kept the entry that was removed, and told of the departure only after that.
+/// read counts, believed in an outage, kept the entry that was removed, and reported the departure only after that.
 #[rstest]
 #[case::as_that_begins(1_100..5_000)]
 #[case::while_that_lasts(5_000..9_000)]
@@ -801,7 +801,7 @@
     );
 }
 
-/// Guards against DRAIN: the same where the store refuses open polls, so that a sound instance, whose own poll rests, hears
+/// Guards against DRAIN: the same where the store refuses open polls, so that a sound instance, whose own poll rests, learns
 /// of it at any time since its last read. What it reads as removed before it has asked itself may be due to an outage.
 #[rstest]
 #[case::from_the_start(100)]
@@ -864,7 +864,7 @@
     );
 }
 
-/// Guards against configurations that are copied and gone through for each target that leaves, once as others tell it and
+/// Guards against configurations that are copied and gone through for each target that leaves, once as others report it and
 /// once more as the own rows confirm it.
 #[test]
 fn targets_that_leave_activate_no_configuration() {
@@ -943,7 +943,7 @@
 }
 
 /// Guards against outages that are none: where most instances were turned away, these took the operators' table for
-/// unreadable while it rested, although they heard that others read the store.
+/// unreadable while it rested, although they learned that others read the store.
 #[rstest]
 #[case::early_in_their_polls(2_300, 0)]
 #[case::in_the_middle(3_100, 0)]
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -47,7 +47,7 @@
 }
 
 /// A silent instance may be cut off from this one alone and go on sending, so its shares are kept
-/// for a while, as are those of one that this instance has not heard yet after its own start.
+/// for a while, as are those of one that this instance has not received a heartbeat from after its own start.
 #[rstest]
 #[case::alive(10, true, 9, true)]
 #[case::silent(10, true, 17, true)]
@@ -68,7 +68,7 @@
     assert_eq!(member.may_send(Time::from_secs(now_s)), is_kept);
 }
 
-/// Guards against CONFIG: an instance whose heartbeats take long counts as heard until the next one has come, but not for
+/// Guards against CONFIG: an instance whose heartbeats take long counts as alive until the next one has come, but not for
 /// the time that a heartbeat waited while this instance stood still.
 #[rstest]
 #[case::prompt(0, 10_000)]
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -46,7 +46,7 @@
 const FORMAT_WITH_QUARANTINE: u32 = 4;
 /// First format with calls for parts of tables.
 const FORMAT_WITH_PARTS: u32 = 5;
-/// First format whose heartbeats tell of departures.
+/// First format whose heartbeats report departures.
 const FORMAT_WITH_DEPARTURES: u32 = 6;
 /// First format whose heartbeats report changes that are known.
 const FORMAT_WITH_CHANGES: u32 = 7;
@@ -54,11 +54,11 @@
 const FORMAT_WITH_READS: u32 = 8;
 /// First format whose heartbeats report the sender's rows.
 const FORMAT_WITH_ROWS: u32 = 9;
-/// First format whose heartbeats tell of retained entries.
+/// First format whose heartbeats report retained entries.
 const FORMAT_WITH_RETAINED: u32 = 10;
-/// First format whose reports of losses and answers tell how long ago these were.
+/// First format whose reports of losses and answers say how long ago these were.
 const FORMAT_WITH_AGES: u32 = 11;
-/// First format whose heartbeats tell the eras of positions.
+/// First format whose heartbeats report the eras of positions.
 const FORMAT_WITH_ERAS: u32 = 12;
 
 fn quarantines() -> [(&'static str, PeerMessage); 2] {
@@ -114,7 +114,7 @@
     }
 }
 
-/// Returns a heartbeat that tells of a target that has left.
+/// Returns a heartbeat that reports a target that has left.
 fn departure() -> PeerMessage {
     let mut heartbeat = samples::heartbeat();
     heartbeat.departures = vec![Departure {
@@ -178,7 +178,7 @@
     PeerMessage::Heartbeat(Box::new(heartbeat))
 }
 
-/// Returns a heartbeat of an instance that follows a platform which has come back from copies.
+/// Returns a heartbeat of an instance that follows a platform which has been restored from copies.
 fn eras() -> PeerMessage {
     let mut heartbeat = samples::heartbeat();
     heartbeat.store_era = 5;
@@ -326,7 +326,7 @@
     }
 }
 
-/// A build that doesn't know of departures reads a heartbeat that tells of some, as far as it goes.
+/// A build that doesn't know of departures reads a heartbeat that reports some, as far as it goes.
 #[rstest]
 #[case::without_quarantine(3)]
 #[case::without_parts(4)]
@@ -708,7 +708,7 @@
 }
 
 /// Guards against heartbeats that no longer fit into a datagram, so that their sender counts as gone: what a large site's
-/// instance tells leaves room for departures.
+/// instance reports leaves room for departures.
 #[rstest]
 #[case::large(75, 24, 3, 32)]
 #[case::larger(300, 60, 4, 32)]
--- a/crates/daemon/tests/formats/rows.rs
+++ b/crates/daemon/tests/formats/rows.rs
@@ -132,7 +132,7 @@
 }
 
 /// A row may only be changed together with its sample, and then [`rows_have_what_older_builds_need`]
-/// tells whether an older build can read it.
+/// shows whether an older build can read it.
 #[test]
 fn rows_have_samples() {
     let text = [
--- a/crates/daemon/tests/head.rs
+++ b/crates/daemon/tests/head.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// Guards against CONFIG: each newer configuration was fetched beside the ones that were still arriving, so
+/// Guards against CONFIG: each newer configuration was fetched while others were still arriving, so
 /// that all of them shared the link.
 #[rstest]
 #[case::shorter_than_changes(500)]
--- a/crates/daemon/tests/lines.rs
+++ b/crates/daemon/tests/lines.rs
@@ -1,4 +1,4 @@
-//! `godwitgauged run` writes a line for each request, from which `godwitgauge why` tells its cause.
+//! `godwitgauged run` writes a line for each request, from which `godwitgauge why` finds its cause.
 
 use std::time::Duration;
 
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -1,4 +1,4 @@
-//! What the engine is told of the other instances in a fleet of different builds.
+//! What the engine is informed of the other instances in a fleet of different builds.
 
 #[path = "support/member.rs"]
 mod member;
@@ -66,7 +66,7 @@
     })
 }
 
-/// Returns what the engine is told of another instance that speaks this format.
+/// Returns what the engine is informed of another instance that speaks this format.
 async fn told_of(format: u32) -> LiveInstance {
     let mut config = Config::default();
     let domain = Domain { region: "r".into() };
@@ -113,7 +113,7 @@
     assert_eq!(told.region, "r".into());
 }
 
-/// Returns a fleet of one other instance, which owns the only workspace and was heard last at a time.
+/// Returns a fleet of one other instance, which owns the only workspace whose last heartbeat was received at a time.
 fn owner_heard_at(at: Duration) -> Arc<Fleet> {
     let owner = FleetMember {
         alive_until: Time::ZERO + at + ALIVE_TIME,
@@ -147,7 +147,7 @@
 }
 
 /// Lets an instance stand still, and returns when it takes the workspace, from its waking on. The owner's next heartbeat
-/// is heard 20 ms after that if it is alive.
+/// is received 20 ms after that if it is alive.
 async fn taken_after(stands: Duration, is_owner_alive: bool) -> Option<Duration> {
     let woken_at = Duration::from_secs(3) + stands;
     let (_view, view) = watch::channel(view_of(&["club"]));
@@ -207,8 +207,8 @@
     );
 }
 
-/// Guards against owners that give up their workspaces or begin a new epoch as the platform comes back from a copy, while slots
-/// aren't confirmed: what they have lent and granted would be counted anew.
+/// Guards against owners that give up their workspaces or begin a new epoch as the platform is restored from a copy, while slots
+/// aren't confirmed: what they have lent and granted would be counted again.
 #[tokio::test(start_paused = true)]
 async fn owners_and_epochs_outlast_a_return() {
     let (_view, view) = watch::channel(view_of(&["club", "a", "b", "c", "d"]));
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -40,7 +40,7 @@
 const OWN_ID: &str = "own";
 const OWN_INCARNATION: Incarnation = Incarnation(7);
 
-/// Runs the task of one instance; one socket stands for all the others.
+/// Runs the task of one instance; one socket represents all the others.
 struct Neighbourhood {
     peers: mpsc::Sender<PeerCommand>,
     fleet: watch::Receiver<Arc<Fleet>>,
@@ -52,7 +52,7 @@
     format: u32,
     /// Table positions that they report.
     positions: Vec<Position>,
-    /// How their own reads stand.
+    /// Whether their own reads succeed.
     reads: Option<ReadsReport>,
     clock: Clock,
     engine: mpsc::UnboundedReceiver<Event>,
@@ -267,7 +267,7 @@
     assert!(sent <= allowed, "{sent} frames, allowed {allowed}");
 }
 
-/// An instance that lacks rows by which targets have left is told of them; one that has the rows isn't, nor one that could
+/// An instance that lacks rows by which targets have left is informed of them; one that has the rows isn't, nor one that could
 /// not read it.
 #[rstest]
 #[case::lacks_rows(OWN_FORMAT, 6, &["t1"])]
@@ -286,7 +286,7 @@
     assert_eq!(told, expected);
 }
 
-/// Guards against DRAIN: an instance that fetched the rows, and retains an entry since it believes in an outage, was told
+/// Guards against DRAIN: an instance that fetched the rows, and retains an entry since it believes in an outage, was informed
 /// nothing of the departure.
 #[rstest]
 #[case::reads_the_rows(false, 7, &[])]
@@ -306,7 +306,7 @@
     assert_eq!(told, expected);
 }
 
-/// Returns the departures that a heartbeat tells to an instance that has sent one itself.
+/// Returns the departures that a heartbeat reports to an instance that has sent one itself.
 async fn told_departures(format: u32, position: u64, reads: Option<ReadsReport>) -> Vec<String> {
     let id = InstanceId::from("i0");
     let mut neighbourhood = Neighbourhood::start(1).await;
@@ -339,7 +339,7 @@
     told.map(|one| one.target.to_string()).collect()
 }
 
-/// Guards against DRAIN: an instance that the store turns away heard of an entry that another one retained only after that,
+/// Guards against DRAIN: an instance that the store turns away learned of an entry that another one retained only after that,
 /// with a heartbeat; and against bytes for those that read the rows themselves.
 #[rstest]
 #[case::lacks_the_removal(Some(false), 4, true)]
@@ -439,8 +439,8 @@
     assert!(entry.until <= sent_at + REMAINING, "{entry:?}, {sent_at:?}");
 }
 
-/// Guards against BUDGET: an answer counted as one of the time at which its report was read. Builds before this one are told
-/// and tell of answers without a time.
+/// Guards against BUDGET: an answer counted as one of the time at which its report was read. Builds before this one receive
+/// and send reports of answers without a time.
 #[rstest]
 #[case::own(OWN_FORMAT, true)]
 #[case::without_ages(10, false)]
@@ -816,13 +816,13 @@
 #[tokio::test]
 async fn state_of_others_is_published_seldom() {
     const ROUNDS: u32 = 3;
-    /// Rate, beside what comes at the end of the rounds.
+    /// Rate, in addition to what comes at the end of the rounds.
     const MAX_PUBLISHED_PER_S: f64 = 12.0;
     let mut neighbourhood = Neighbourhood::start(66).await;
     neighbourhood
         .receive(Instant::now() + HEARTBEAT_INTERVAL * 2)
         .await;
-    // Instances that are heard for the first time are news.
+    // Instances whose first heartbeat has come are new.
     neighbourhood.send_heartbeats(false).await;
     let mut fleet = neighbourhood.fleet.clone();
     fleet.mark_unchanged();
@@ -1035,7 +1035,7 @@
             let addr = neighbourhood.addr;
             neighbourhood.socket.send_to(&frame, addr).await.unwrap();
         }
-        // The instance reads them all, and tells the others of itself.
+        // The instance reads them all, and informs the others of itself.
         neighbourhood
             .receive(Instant::now() + HEARTBEAT_INTERVAL / 25)
             .await;
@@ -1049,7 +1049,7 @@
 }
 
 /// Guards against unread messages in a fleet of one build: an instance that had just started knew another
-/// one's incarnation before its address, and told it rates before a heartbeat.
+/// one's incarnation before its address, and reported rates to it before a heartbeat.
 #[tokio::test]
 async fn first_message_follows_a_heartbeat() {
     const TRIALS: usize = 5;
@@ -1088,7 +1088,7 @@
 }
 
 /// Guards against DENIED: an instance that had started again took an acknowledgement of its former process's heartbeat for one
-/// of its own of that number, so that what it was told counted as newer than it was.
+/// of its own of that number, so that what was reported to it counted as newer than it was.
 #[tokio::test]
 async fn heartbeat_of_a_former_process_is_not_acknowledged_to_the_next() {
     const SEQUENCE: u64 = 4;
--- a/crates/daemon/tests/planner.rs
+++ b/crates/daemon/tests/planner.rs
@@ -167,7 +167,7 @@
     assert!((share("b") - 0.2).abs() < 0.01, "{shares:?}");
 }
 
-/// Guards against a region that keeps twice what it can serve beside free ones, because it takes its
+/// Guards against a region that keeps twice what it can serve while others are free, because it takes its
 /// own targets' times for theirs: requests that may run nowhere else then wait behind those that could.
 ///
 /// Requests take five times as long in `a`, as its targets are full; it can serve 32 of 160 a second,
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! Requests that are refused for good by a configuration that may no longer decide, over drawn versions,
+//! Requests that are refused permanently by a configuration that may no longer decide, over drawn versions,
 //! answers of the store and reports of another instance.
 
 #[path = "support/call.rs"]
@@ -118,7 +118,7 @@
     reporter: Option<Reporter>,
     /// Versions that can't be used.
     unusable: BTreeSet<usize>,
-    /// Whether the last version that can be used is composed beside them, or nothing.
+    /// Whether the last version that can be used is composed with them, or nothing.
     keeps_last: bool,
     /// Times in which the store answers from before the reader's position.
     stale: Vec<Range<Duration>>,
@@ -231,7 +231,7 @@
         })
     }
 
-    /// Returns whether it was refused for good although all versions that may be in force allow it, or was decided by what
+    /// Returns whether it was refused permanently although all versions that may be in force allow it, or was decided by what
     /// is said to have been the latest and wasn't.
     fn is_wrong(&self, scenario: &Scenario) -> bool {
         let mut in_force = scenario.in_force(self.at).iter();
@@ -239,7 +239,7 @@
         self.is_refused_for_good() && is_allowed || self.is_misdated(scenario)
     }
 
-    /// Returns whether the caller was told not to come back.
+    /// Returns whether the caller was asked not to retry.
     fn is_refused_for_good(&self) -> bool {
         let kind = self.refusal.as_deref();
         kind.is_some_and(|kind| ["unknown_service", "missing_key", "unknown_key"].contains(&kind))
@@ -470,7 +470,7 @@
     engine: mpsc::UnboundedSender<Event>,
     engine_rx: mpsc::UnboundedReceiver<Event>,
     peers: mpsc::Sender<PeerCommand>,
-    /// What other instances tell.
+    /// What other instances report.
     messages: mpsc::Receiver<FollowerMessage>,
     fleet: watch::Receiver<Arc<Fleet>>,
 }
@@ -553,7 +553,7 @@
 }
 
 /// Plays three instances that exchange heartbeats: the store's answers to the first one are late, those to the others are mostly
-/// lost, and in half of the runs the first and the third don't hear each other.
+/// lost, and in half of the runs the first and the third don't receive from each other.
 async fn play_chain(scenario: Scenario) -> Vec<Decided> {
     const COUNT: usize = 3;
     let started = Instant::now();
@@ -774,8 +774,8 @@
     assert_none_denied(SEEDS.map(|seed| Scenario::draw(seed, disturbances)));
 }
 
-/// Guards against DENIED: beside a version that can't be used, the one before it counted as the latest, so that what
-/// the later one adds was refused for good.
+/// Guards against DENIED: next to a version that can't be used, the one before it counted as the latest, so that what
+/// the later one adds was refused permanently.
 #[rstest]
 #[case::nothing_is_composed(false)]
 #[case::the_last_usable_one_is_composed(true)]
@@ -794,7 +794,7 @@
 }
 
 /// Guards against DENIED: a confirmation that passes through other instances' heartbeats, over ways that are long in one
-/// direction, lose and reorder them, could be dated later than what it tells of.
+/// direction, lose and reorder them, could be dated later than what it reports.
 #[test]
 fn confirmations_that_instances_pass_on_are_dated_no_later_than_they_were() {
     let mut told = 0;
@@ -838,7 +838,7 @@
 }
 
 /// Guards against refusals for nothing: while the store answers, an instance knows that its configuration is
-/// the latest, so what no version allows is refused for good, not put off.
+/// the latest, so what no version allows is refused permanently, not put off.
 #[rstest]
 #[case::cascade_loop(3_000, 2_500)]
 #[case::sangh_clearance(3_000, 2_000)]
@@ -870,7 +870,7 @@
     );
 }
 
-/// Guards against refusals for good of which nobody can tell by which version they were and what confirmed it.
+/// Guards against permanent refusals of which nobody can know by which version they were and what confirmed it.
 #[rstest]
 #[case::by_own_reads(0.0, None)]
 #[case::by_another_instance(1.0, Some("other"))]
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -149,7 +149,7 @@
     assert!(near.read_to_end(&mut rest).await.is_err(), "{rest:?}");
 }
 
-/// What the other instance can't reach, or may not send to, is told from an instance that can't
+/// What the other instance can't reach, or may not send to, is distinguished from an instance that can't
 /// help.
 #[rstest]
 #[case::unknown_target("other", false)]
--- a/crates/daemon/tests/restored/claims.rs
+++ b/crates/daemon/tests/restored/claims.rs
@@ -26,7 +26,7 @@
 const STEPS: u64 = 300;
 /// Number of steps that concern the same action.
 const STEPS_PER_ACTION: u64 = 60;
-/// Maximum age of a copy from which the platform comes back.
+/// Maximum age of a copy from which the platform is restored.
 const MAX_COPY_AGE: Duration = Duration::from_secs(10);
 /// Claims that each instance remembers.
 const CLAIMS: usize = 2;
@@ -39,7 +39,7 @@
     start_among(store, instance, 1)
 }
 
-/// Starts an instance that hears of all others of `count`.
+/// Starts an instance that learns of all others of `count`.
 fn start_among(store: &RestoredStore, instance: usize, count: usize) -> Claims {
     let members = (0..count).filter(|other| *other != instance).map(|other| {
         let member = Member {
@@ -233,7 +233,7 @@
     assert_eq!(second.claim(&key("k"), 1).await, expected);
 }
 
-/// Guards against a claim that was granted though the platform came back from a copy without it before the answer.
+/// Guards against a claim that was granted though the platform was restored from a copy without it before the answer.
 #[tokio::test(start_paused = true)]
 async fn claim_is_refused_if_the_platform_returns_before_its_answer() {
     let store = RestoredStore::default();
@@ -275,7 +275,7 @@
     assert_eq!(store.write_count("claim"), 0);
 }
 
-/// Guards against an action that counts as running for good: the copy lacked its release.
+/// Guards against an action that counts as running permanently: the copy lacked its release.
 #[tokio::test(start_paused = true)]
 async fn released_action_of_an_open_row_is_claimed_again() {
     let store = RestoredStore::default();
--- a/crates/daemon/tests/restored/facts.rs
+++ b/crates/daemon/tests/restored/facts.rs
@@ -60,7 +60,7 @@
     assert!(writes >= 1 && writes <= 20 * least, "{writes}");
 }
 
-/// Guards against two secrets for good: the only instance with the first one was cut off while another one was made.
+/// Guards against two secrets for the deployment's life: the only instance with the first one was cut off while another one was made.
 #[tokio::test(start_paused = true)]
 async fn secret_made_while_others_were_cut_off_is_replaced() {
     let store = RestoredStore::default();
--- a/crates/daemon/tests/restored/first_start.rs
+++ b/crates/daemon/tests/restored/first_start.rs
@@ -57,10 +57,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Meanwhile {
     Nothing,
-    /// The platform comes back from the newest copy, or an empty one.
+    /// The platform is restored from the newest copy, or an empty one.
     Returns,
     ReturnsEmpty,
-    /// The platform comes back between a write and its answer.
+    /// The platform is restored between a write and its answer.
     ReturnsAfterWrite,
     /// An instance runs that has earlier parameters, which were lost.
     EarlierRuns,
--- a/crates/daemon/tests/restored/list.rs
+++ b/crates/daemon/tests/restored/list.rs
@@ -17,7 +17,7 @@
 
 use crate::store::{RestoredStore, listed};
 
-/// Time within which the entry of a living instance stands again.
+/// Time within which the entry of a living instance is written again.
 const LISTED_WITHIN: Duration = Duration::from_secs(2);
 
 fn start_lister(store: &RestoredStore, instance: usize) {
@@ -58,7 +58,7 @@
     assert_eq!(writes, instances, "each writes once");
 }
 
-/// Guards against an entry of an instance that has ended, and was removed, which stands for ten minutes again.
+/// Guards against an entry of an instance that has ended, and was removed, which is there again for ten minutes.
 #[test]
 fn removed_entry_that_stands_again_is_due_soon() {
     let mut silence = SilenceTracker::default();
--- a/crates/daemon/tests/restored/main.rs
+++ b/crates/daemon/tests/restored/main.rs
@@ -1,4 +1,4 @@
-//! What instances store in the platform's tables when it comes back from an older copy of them.
+//! What instances store in the platform's tables when it is restored from an older copy of them.
 
 mod claims;
 mod facts;
--- a/crates/daemon/tests/restored/store.rs
+++ b/crates/daemon/tests/restored/store.rs
@@ -1,4 +1,4 @@
-//! A platform that comes back from an older copy of its tables.
+//! A platform that is restored from an older copy of its tables.
 
 use std::{
     collections::BTreeSet,
@@ -43,7 +43,7 @@
     cut_off: Option<usize>,
     /// Numbers of the instances that have ended.
     ended: BTreeSet<usize>,
-    /// Copy from which the platform comes back at the next write, after it has carried it out.
+    /// Copy from which the platform is restored at the next write, after it has carried it out.
     after_write: Option<Store>,
 }
 
@@ -92,7 +92,7 @@
         self.state.lock().unwrap().cut_off = instance;
     }
 
-    /// Leaves an instance without answers for good, as if its process had ended.
+    /// Leaves an instance without answers permanently, as if its process had ended.
     pub(crate) fn end(&self, instance: usize) {
         self.state.lock().unwrap().ended.insert(instance);
     }
--- a/crates/daemon/tests/retained.rs
+++ b/crates/daemon/tests/retained.rs
@@ -1,4 +1,4 @@
-//! How long an instance keeps a target's row that it has itself read as removed beside an outage of the
+//! How long an instance keeps a target's row that it has itself read as removed next to an outage of the
 //! store, over drawn outages and transfers.
 
 #[path = "support/call.rs"]
@@ -59,7 +59,7 @@
 /// What was seen, from the start.
 #[derive(Debug, Default)]
 struct Seen {
-    /// When the store told of the removal first, in an answer that arrived.
+    /// When the store reported the removal first, in an answer that arrived.
     told_at: Option<Duration>,
     /// The configurations in force, and whether they have the target.
     in_force: Vec<(Duration, bool)>,
--- a/crates/daemon/tests/slot_eras.rs
+++ b/crates/daemon/tests/slot_eras.rs
@@ -1,4 +1,4 @@
-//! Slots of instances whose platform comes back from an older copy of its tables, in virtual time.
+//! Slots of instances whose platform is restored from an older copy of its tables, in virtual time.
 
 #[path = "support/member.rs"]
 mod member;
@@ -130,7 +130,7 @@
 struct Instance {
     platform: Platform,
     held: watch::Receiver<u32>,
-    /// What the engine is told of its slots: until when one is held and since when it may be spent, or that it isn't.
+    /// What is reported to the engine about its slots: until when one is held and since when it may be spent, or that it isn't.
     told: mpsc::UnboundedReceiver<Option<(Time, SlotHistory)>>,
     _running: JoinSet<()>,
 }
@@ -209,7 +209,7 @@
     }
 }
 
-/// Guards against a slot that is lost to its holder, or that two hold, since the platform has come back from a copy
+/// Guards against a slot that is lost to its holder, or that two hold, since the platform has been restored from a copy
 /// without its row: the holder writes it again, however an instance that starts meanwhile finds it free.
 #[rstest]
 #[case::one_era(1, false)]
@@ -305,7 +305,7 @@
         }
     }
 
-    /// Takes what the holder's engine is told; one that may not spend its slot no longer reaches the owner.
+    /// Takes what is reported to the holder's engine; one that may not spend its slot no longer reaches the owner.
     fn tell(&mut self, now: Time, told: Option<(Time, SlotHistory)>) {
         match told {
             Some((until, history)) => self.holder.hold_slot(now, 0, until, history),
--- a/crates/daemon/tests/standstills.rs
+++ b/crates/daemon/tests/standstills.rs
@@ -1,4 +1,4 @@
-//! An instance that stood still: what it notices of that, and what it does before it has heard anything again.
+//! An instance that stood still: what it notices of that, and what it does before it has received anything again.
 
 #[path = "support/call.rs"]
 mod call;
@@ -76,7 +76,7 @@
     events: mpsc::UnboundedReceiver<Event>,
 }
 
-/// Answers a poll when there is news, or at the end of its wait.
+/// Answers a poll when there is an update, or at the end of its wait.
 async fn answer(
     started: Instant,
     scenario: Scenario,
@@ -173,7 +173,7 @@
         self.calls.load(Ordering::Relaxed) - before
     }
 
-    /// Brings a heartbeat that tells how another instance's reads stand.
+    /// Brings a heartbeat that reports whether another instance's reads succeed.
     fn hear(&self, contact_at: Duration, is_failing: bool) {
         let message = FollowerMessage::PeerPositions {
             from: "other".into(),
@@ -268,7 +268,7 @@
 }
 
 /// Guards against living targets that are lost: an outage of the store for all began and ended around the standstill of
-/// an instance, which others tell that their reads fail.
+/// an instance, which others report that their reads fail.
 #[rstest]
 #[case::short(1_600)]
 #[case::long(4_000)]
@@ -325,7 +325,7 @@
     assert!(calls >= 2, "{calls} polls");
 }
 
-/// Guards against DRAIN: an instance that woke decided again once it had read the operators' rows, though it had heard
+/// Guards against DRAIN: an instance that woke decided again once it had read the operators' rows, though it had received
 /// nothing of the targets.
 #[test]
 fn word_of_one_table_is_not_enough_after_a_standstill() {
@@ -345,7 +345,7 @@
     assert!(after >= Duration::from_millis(500), "{after:?}");
 }
 
-/// Guards against callers that are refused for as long as the store is out, and others that hear nothing: an instance
+/// Guards against callers that are refused for as long as the store is out, and others that receive nothing: an instance
 /// that stood still again and again, with less than half a second in between, never gave its word.
 #[rstest]
 #[case::short(300)]
--- a/crates/daemon/tests/store_rates.rs
+++ b/crates/daemon/tests/store_rates.rs
@@ -56,7 +56,7 @@
 const CHANGES_PER_VERSION: usize = 20;
 /// Time in which all have started.
 const START_TIME: Duration = Duration::from_secs(5);
-/// Time after which instances that start have heard of each other.
+/// Time after which instances that start have learned of each other.
 const HEARD_AFTER: Duration = Duration::from_secs(1);
 const RUN_TIME: Duration = Duration::from_secs(22);
 /// Calls of a read of a whole followed table, which has two pages: a document of 15,000 routes fills one by itself, and
@@ -375,7 +375,7 @@
     format!("front-{idx:02}")
 }
 
-/// Returns what an instance knows of the others once it has heard of them.
+/// Returns what an instance knows of the others once it has learned of them.
 fn fleet_without(own: usize) -> Fleet {
     let others = (0..INSTANCES).filter(|idx| *idx != own);
     let members = others.map(|idx| {
@@ -391,7 +391,7 @@
     }
 }
 
-/// Starts what calls the store in an instance, which hears of the others [`HEARD_AFTER`] later.
+/// Starts what calls the store in an instance, which learns of the others [`HEARD_AFTER`] later.
 async fn start_instance(store: SharedStore, idx: usize) -> Instance {
     let platform = store.platform();
     let own = ListedMachine {
@@ -469,7 +469,7 @@
     }
 }
 
-/// Guards against calls that the store refuses: 81 instances, which start at once and haven't heard of each other, read and
+/// Guards against calls that the store refuses: 81 instances, which start at once and haven't learned of each other, read and
 /// write within its rates while targets and versions change.
 #[rstest]
 #[case::calm(Trouble::None)]
@@ -492,7 +492,7 @@
     assert_eq!(outcome.holders, outcome.slot_count, "{outcome:?}");
 }
 
-/// Guards against budgets that are divided by two for good: nobody else was on the list when the store took writes again.
+/// Guards against budgets that are divided by two permanently: nobody else was on the list when the store took writes again.
 #[test]
 fn slots_are_as_many_as_instances_that_start_while_writes_are_refused() {
     let outcome = run_paused(play(Trouble::RefusesWrites, DEPLOYED));
--- a/crates/daemon/tests/support/engine.rs
+++ b/crates/daemon/tests/support/engine.rs
@@ -10,7 +10,7 @@
 };
 use tokio::sync::mpsc;
 
-/// Returns an engine that opens no connection for anybody, and is told of what it started by `events`.
+/// Returns an engine that opens no connection for anybody, and is informed of what it started by `events`.
 pub(crate) fn start_engine(clock: Clock, events: &mpsc::UnboundedSender<Event>) -> Engine {
     let (relays, _) = mpsc::unbounded_channel();
     let (outgoing, _) = mpsc::unbounded_channel();
--- a/crates/daemon/tests/support/member.rs
+++ b/crates/daemon/tests/support/member.rs
@@ -3,7 +3,7 @@
 use coord::{Member, Presence};
 use daemon::fleet::FleetMember;
 
-/// Returns an instance that is listed, at no address, and hasn't been heard.
+/// Returns an instance that is listed, at no address, and hasn't sent a heartbeat.
 pub(crate) fn listed_member() -> FleetMember {
     let member = Member {
         domain: "d".into(),
--- a/crates/daemon/tests/support/transfer.rs
+++ b/crates/daemon/tests/support/transfer.rs
@@ -5,7 +5,7 @@
 use platform::{PlatformError, Progress};
 use tokio::time::{Instant, sleep};
 
-/// What becomes of the answer to a read that brings news.
+/// What becomes of the answer to a read that brings an update.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Transfer {
     /// It is complete after this time.
--- a/crates/daemon/tests/tables_by_parts/follower.rs
+++ b/crates/daemon/tests/tables_by_parts/follower.rs
@@ -79,7 +79,7 @@
 
 type Asked = Arc<Mutex<Calls>>;
 
-/// Lets a follower that has the version before hear of the next one from these instances; returns whether
+/// Lets a follower that has the version before learn of the next one from these instances; returns whether
 /// it was in force within `limit`, the calls that it made, and how many answers it refused.
 async fn follow(own: OwnRead, peers: &[Peer], limit: Duration) -> (bool, Calls, i64) {
     let asked = Asked::default();
@@ -257,7 +257,7 @@
     assert_eq!((calls, refused), (one, 0));
 }
 
-/// Guards against CONFIG: a whole table was fetched beside an own read that was arriving, and shared the link
+/// Guards against CONFIG: a whole table was fetched during an own read that was arriving, and shared the link
 /// with it.
 #[tokio::test]
 async fn whole_table_is_not_fetched_beside_own_read() {
--- a/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
+++ b/crates/daemon/tests/tables_by_parts/late_heartbeats.rs
@@ -38,7 +38,7 @@
 /// Bytes per second of the other ends' links.
 const WIDE_RATE: u32 = 1_000_000;
 const FIRST_AFTER: Duration = Duration::from_secs(5);
-/// Time within which a change must be in force, as the follower is told.
+/// Time within which a change must be in force, as it is set for the follower.
 const APPLY: Duration = Duration::from_secs(2);
 /// Time for which a heartbeat shows its sender to be alive.
 const ALIVE_TIME: Duration = Duration::from_secs(2);
--- a/crates/daemon/tests/tables_by_parts/main.rs
+++ b/crates/daemon/tests/tables_by_parts/main.rs
@@ -1,5 +1,5 @@
 //! Tables that are fetched by parts from other instances, over loopback: what a change costs, sources that die,
-//! lie or are older, and own reads that begin beside them.
+//! lie or are older, and own reads that begin during them.
 
 mod fetches;
 mod follower;
--- a/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
+++ b/crates/daemon/tests/tables_by_parts/narrow_fetches.rs
@@ -201,7 +201,7 @@
     ms.step_by(step).map(Duration::from_millis).collect()
 }
 
-/// Guards against CONFIG: two lists that came beside each other each led to a transfer of the whole table.
+/// Guards against CONFIG: two lists that came concurrently each led to a transfer of the whole table.
 #[test]
 fn whole_table_follows_one_of_two_lists() {
     let bursts = steps(0..=700, 50);
--- a/crates/daemon/tests/tables_by_parts/own_position.rs
+++ b/crates/daemon/tests/tables_by_parts/own_position.rs
@@ -45,7 +45,7 @@
 enum Store {
     /// It answers what it has been asked for before this much later.
     AnswersAfter(Duration),
-    /// Its answer to what it has been asked for has arrived for this long when the others tell of the change.
+    /// Its answer to what it has been asked for has arrived for this long when the others report the change.
     BeganBefore(Duration),
     /// It refuses calls for this long.
     RefusesFor(Duration),
@@ -94,7 +94,7 @@
 
 type Reads = Arc<Mutex<Vec<Read>>>;
 
-/// Lets a follower hear of a change that its own reads bring as the store does them.
+/// Lets a follower learn of a change that its own reads bring as the store does them.
 fn run(store: Store) -> Outcome {
     run_paused(play(store))
 }
--- a/crates/daemon/tests/tables_by_parts/own_reads.rs
+++ b/crates/daemon/tests/tables_by_parts/own_reads.rs
@@ -52,7 +52,7 @@
 /// Bytes per second that a slow source sends, below the lowest rate of a transfer.
 const SLOW_SOURCE_RATE: u32 = 3_000;
 const CHUNK_BYTES: usize = 1_460;
-/// Time within which a change must be in force, as the follower is told.
+/// Time within which a change must be in force, as it is set for the follower.
 const APPLY: Duration = Duration::from_secs(2);
 /// Time for which an instance decides by its version although it knows of a later one.
 const KNOWN_LIMIT: Duration = Duration::from_millis(1_333);
@@ -418,7 +418,7 @@
     );
 }
 
-/// Guards against bytes for nothing: others send the whole table once, and not beside an own read that arrives at a
+/// Guards against bytes for nothing: others send the whole table once, and not during an own read that arrives at a
 /// usable rate.
 #[rstest]
 #[case::short(500)]
--- a/crates/daemon/tests/tables_by_parts/removed.rs
+++ b/crates/daemon/tests/tables_by_parts/removed.rs
@@ -54,7 +54,7 @@
     is_failing: bool,
     /// Time from its report of the removal to when the rows can be fetched.
     hands_out_after: Duration,
-    /// Position at which it tells, once the rows have been fetched, that the target has left.
+    /// Position at which it reports, once the rows have been fetched, that the target has left.
     tells_at: Option<u64>,
 }
 
@@ -123,7 +123,7 @@
     assert!(kept < DRAIN * 3 / 4, "{kept:?}");
 }
 
-/// Guards against DRAIN: where nobody who is heard reads the platform, a removed entry was kept from the end of a fetch
+/// Guards against DRAIN: where nobody in contact reads the platform, a removed entry was kept from the end of a fetch
 /// that took long, not from when its removal was known.
 #[tokio::test]
 async fn removed_entry_is_kept_from_when_that_was_known() {
@@ -261,7 +261,7 @@
     reported_at.elapsed()
 }
 
-/// Waits until the engine is told that the target has left.
+/// Waits until the engine is informed that the target has left.
 async fn left(events: &mut mpsc::UnboundedReceiver<Event>) {
     while let Some(event) = events.recv().await {
         if let Event::TargetsLeft(targets) = event
--- a/crates/daemon/tests/tables_by_parts/rows.rs
+++ b/crates/daemon/tests/tables_by_parts/rows.rs
@@ -254,7 +254,7 @@
     rows
 }
 
-/// One follower, its table server, and what it tells its task for the other instances.
+/// One follower, its table server, and what it reports to its task for the other instances.
 struct Node {
     addr: SocketAddr,
     store: Arc<Store>,
@@ -265,7 +265,7 @@
     rows: watch::Receiver<Vec<Rows>>,
 }
 
-/// What an instance told last, and all its reports of rows.
+/// What an instance reported last, and all its reports of rows.
 #[derive(Debug, Clone, Default)]
 struct Told {
     positions: Vec<Position>,
@@ -361,7 +361,7 @@
     .collect()
 }
 
-/// Keeps what an instance tells its task for the others.
+/// Keeps what an instance reports to its task for the others.
 fn listen(mut commands: mpsc::Receiver<PeerCommand>) -> watch::Receiver<Told> {
     let (tx, told) = watch::channel(Told::default());
     tokio::spawn(async move {
@@ -376,7 +376,7 @@
     told
 }
 
-/// Sends what an instance told last to the others, at once when its positions change and every [`HEARTBEAT_INTERVAL`].
+/// Sends what an instance reported last to the others, at once when its positions change and every [`HEARTBEAT_INTERVAL`].
 async fn send_heartbeats(
     idx: usize,
     mut told: watch::Receiver<Told>,
--- a/crates/daemon/tests/trickle.rs
+++ b/crates/daemon/tests/trickle.rs
@@ -1,4 +1,4 @@
-//! Tables that arrive byte by byte for as long as one waits: another source is read beside them.
+//! Tables that arrive byte by byte for as long as one waits: another source is read concurrently.
 
 #[path = "support/member.rs"]
 mod member;
@@ -172,7 +172,7 @@
     Ok(Answer::Changes(rows, Position::from(position)))
 }
 
-/// Follows the tables of `platform` beside these instances, all of which report the later position from
+/// Follows the tables of `platform` next to these instances, all of which report the later position from
 /// `reports_at` on, and sends each version that comes into force.
 fn follow(
     platform: Platform,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -278,7 +278,7 @@
     /// Queues an admitted request and assigns queued requests to free targets.
     pub fn submit(&mut self, now: Time, request: AdmittedRequest) -> Vec<Action> {
         let id = request.id;
-        // A trial of a quarantined request begins only if nothing else stands against it.
+        // A trial of a quarantined request begins only if nothing else forbids it.
         let refusal = self
             .refusal(now, &request)
             .or_else(|| self.quarantine_refusal(now, &request));
--- a/crates/dispatch/src/dispatcher/statistics.rs
+++ b/crates/dispatch/src/dispatcher/statistics.rs
@@ -142,7 +142,7 @@
     }
 
     /// Records that the target of an attempt says in its answer that it is leaving, and returns the
-    /// target if that is news.
+    /// target if that is new.
     pub fn record_leaving(&mut self, now: Time, id: RequestId, attempt: u32) -> Option<TargetId> {
         let entry = self.entries.get(&id)?;
         let found = entry.attempts.iter().find(|one| one.number == attempt)?;
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -118,7 +118,7 @@
 const MAX_PERIOD: Duration = Duration::from_secs(3_600);
 /// Time in which other instances learn of losses and report answers to the same request.
 const HEARING: Duration = Duration::from_millis(250);
-/// Time after which an instance that may not try a request asks its caller to come back, perhaps to
+/// Time after which an instance that may not try a request asks its caller to retry, perhaps to
 /// one that may.
 const TRIAL_ELSEWHERE: Duration = Duration::from_secs(1);
 
@@ -241,7 +241,7 @@
     }
 
     /// Returns how long ago a target has answered the request, if that was recently, losses have just become known and
-    /// the others don't know of it. They are to be told now, and the losses until then are forgotten.
+    /// the others don't know of it. It is to be reported to them now, and the losses until then are forgotten.
     pub fn take_untold_answer(&mut self, now: Time, fingerprint: u64) -> Option<Duration> {
         let at = self.attribution.tell(now, fingerprint, Told::Once)?;
         self.forget_until(at, fingerprint);
@@ -286,7 +286,7 @@
         Admission::Trial
     }
 
-    /// Returns how much longer the others are heard before the request may be quarantined; it isn't sent meanwhile.
+    /// Returns how much longer the others are asked before the request may be quarantined; it isn't sent meanwhile.
     pub fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
         self.attribution.hearing_left(now, fingerprint)
     }
@@ -332,7 +332,7 @@
     }
 
     /// Merges what another instance knows of a request. If a target has answered the request recently, returns once for
-    /// each answer how long ago instead, which the others are to be told.
+    /// each answer how long ago instead, which is to be reported to the others.
     pub fn merge(&mut self, now: Time, hold: &Hold) -> Option<Duration> {
         let answered_at = self.attribution.tell(now, hold.fingerprint, Told::Again);
         if let Some(at) = answered_at {
--- a/crates/dispatch/src/quarantine/answers.rs
+++ b/crates/dispatch/src/quarantine/answers.rs
@@ -34,9 +34,9 @@
 pub(super) enum Told {
     /// Nothing.
     Not,
-    /// They have been told once.
+    /// They have been reported once.
     Once,
-    /// They have been told again after one of them had quarantined the request, or it is one of them that got it.
+    /// They have been reported again after one of them had quarantined the request, or it is one of them that got it.
     Again,
 }
 
@@ -94,7 +94,7 @@
         answer.is_some_and(|answer| answer.at.earliest >= at)
     }
 
-    /// Returns the time of a recent answer of which the others know less than `told`, if there is one; now they are told.
+    /// Returns the time of a recent answer of which the others know less than `told`, if there is one; now it is reported.
     pub(super) fn tell(&mut self, now: Time, fingerprint: u64, told: Told) -> Option<Time> {
         let set = self.slots.get_mut(set_of(fingerprint)).into_iter();
         let mut answers = set.flatten().flatten();
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -25,9 +25,9 @@
     deaths: Deaths,
     /// Losses of one event that were taken for a failed path, and when.
     unclear: Vec<(Time, Vec<LossReport>)>,
-    /// Time for which other instances are heard before a request is taken for a cause.
+    /// Time for which other instances are asked before a request is taken for a cause.
     hearing: Duration,
-    /// Requests with enough losses that aren't quarantined, as their cause isn't clear or others are still heard.
+    /// Requests with enough losses that aren't quarantined, as their cause isn't clear or others are still asked.
     doubtful: BTreeMap<u64, Doubt>,
     answers: RecentAnswers,
     /// Time at which this instance began to look for causes.
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Sets how many instances there are, and for how long the others are heard before a request is taken for
+    /// Sets how many instances there are, and for how long the others are asked before a request is taken for
     /// a cause.
     pub(super) fn set_instances(&mut self, instances: usize, hearing: Duration) {
         self.instances = instances as u64;
@@ -236,7 +236,7 @@
     }
 
     /// Returns when a target answered the request, if that was recently and the others know less of it than `told`;
-    /// now they are told.
+    /// now it is reported.
     pub(super) fn tell(&mut self, now: Time, fingerprint: u64, told: Told) -> Option<Time> {
         self.answers.tell(now, fingerprint, told)
     }
@@ -252,7 +252,7 @@
         self.has_enough(fingerprint) && self.unexplained(fingerprint) < self.max_losses
     }
 
-    /// Returns whether a request with enough losses is their cause: others have been heard, no recent answer speaks
+    /// Returns whether a request with enough losses is their cause: others have answered, no recent answer speaks
     /// for it, and no other requests explain its losses. One with an earlier answer needs `required`,
     /// and so does each while this instance is new.
     fn is_clear(&self, now: Time, fingerprint: u64, required: usize) -> bool {
@@ -261,7 +261,7 @@
             && self.is_suspected(now, fingerprint, required)
     }
 
-    /// Returns how much longer the others are heard of a request with enough losses, for which nothing speaks yet.
+    /// Returns how much longer the others are asked about a request with enough losses, for which nothing speaks yet.
     pub(super) fn hearing_left(&self, now: Time, fingerprint: u64) -> Option<Duration> {
         let until = self.hears_until(fingerprint)?;
         let is_suspected =
--- a/crates/dispatch/src/shared_rate.rs
+++ b/crates/dispatch/src/shared_rate.rs
@@ -79,7 +79,7 @@
 
 /// Rate below which a target still gets requests that show whether it names a rate, per second.
 const MIN_RATE_PER_S: f64 = 0.25;
-/// Time without news of a target after which instances that don't share its rate may send to it.
+/// Time without updates of a target after which instances that don't share its rate may send to it.
 const SILENCE_GRACE: Duration = Duration::from_millis(1_500);
 /// Time for which own observations are reported to the other instances.
 const REPORT_TTL: Duration = Duration::from_secs(3);
--- a/crates/dispatch/src/target/service.rs
+++ b/crates/dispatch/src/target/service.rs
@@ -7,7 +7,7 @@
 use crate::ExclusionReason;
 
 impl Target {
-    /// Records that the target itself says that it is leaving, and returns whether that is news.
+    /// Records that the target itself says that it is leaving, and returns whether that is new.
     ///
     /// It holds until a new incarnation registers, or until the same one registers as ready after it
     /// had registered as leaving, or until its health endpoint says otherwise. An entry that never
--- a/crates/dispatch/tests/deadly/main.rs
+++ b/crates/dispatch/tests/deadly/main.rs
@@ -20,7 +20,7 @@
 const CONTACT: Duration = Duration::from_secs(3);
 const MAX_LATE_RUNS: usize = 3;
 /// Time after which no innocent request may be turned away any more: others may know what one
-/// instance can't, and it takes that long to hear of it.
+/// instance can't, and it takes that long to learn of it.
 const MAX_WRONG: Duration = Duration::from_secs(1);
 
 /// Draws the mixes of one kind, and returns those that broke the promise: their seeds and outcomes.
--- a/crates/dispatch/tests/deadly/world.rs
+++ b/crates/dispatch/tests/deadly/world.rs
@@ -84,7 +84,7 @@
     Unreachable,
 }
 
-/// What instances tell each other.
+/// What instances report to each other.
 #[derive(Debug, Clone)]
 enum Report {
     Loss(LossReport),
--- a/crates/dispatch/tests/deadly/world/instances.rs
+++ b/crates/dispatch/tests/deadly/world/instances.rs
@@ -120,7 +120,7 @@
         let actions = match report {
             Report::Loss(loss) => dispatcher.record_remote_loss(now, loss),
             Report::Quarantine(report) => {
-                // What a heartbeat that took as long as any tells of the time at which it was sent.
+                // What a heartbeat that took as long as any shows of the time at which it was sent.
                 let not_before = Time::from_millis(sent_ms.saturating_sub(MAX_WAY_MS));
                 dispatcher.merge_quarantine(now, Some(not_before), &report)
             }
--- a/crates/dispatch/tests/departures.rs
+++ b/crates/dispatch/tests/departures.rs
@@ -14,7 +14,7 @@
 const TARGETS: usize = 5;
 const STEPS: u64 = 300;
 
-/// What the rows say of a target, and whether others have told that it has left.
+/// What the rows say of a target, and whether others have reported that it has left.
 #[derive(Debug, Clone, Copy, Default)]
 struct Known {
     is_gone: bool,
@@ -52,7 +52,7 @@
     config
 }
 
-/// Returns the rows without the targets that others have told to have left.
+/// Returns the rows without the targets that others have reported to have left.
 fn without_told(known: &[Known]) -> Config {
     let mut config = rows(known);
     let told = known.iter().enumerate().filter(|(_, one)| one.is_told);
--- a/crates/dispatch/tests/exclusions.rs
+++ b/crates/dispatch/tests/exclusions.rs
@@ -142,7 +142,7 @@
 /// Attempts in flight by request: the attempt and its target.
 type Open = BTreeMap<RequestId, (u32, usize)>;
 
-/// Records assignments; returns what stood against one of them.
+/// Records assignments; returns what forbade one of them.
 fn note(actions: &[Action], world: &World, open: &mut Open, sent: &mut usize) -> Option<String> {
     let mut broken = None;
     for action in actions {
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -16,7 +16,7 @@
 struct Said {
     incarnation: u64,
     is_leaving: bool,
-    /// Whether the platform lacks its entry, as after a return from a copy; it comes back as it was.
+    /// Whether the platform lacks its entry, as after a restore; it returns as it was.
     is_missing: bool,
     /// Whether an answer has said that the target is leaving, and nothing later says otherwise.
     by_answer: bool,
--- a/crates/dispatch/tests/placement/losses.rs
+++ b/crates/dispatch/tests/placement/losses.rs
@@ -168,7 +168,7 @@
     );
 }
 
-/// Guards against an innocent request that is turned away: a loss was told once more after an answer
+/// Guards against an innocent request that is turned away: a loss was reported once more after an answer
 /// had spoken for the request, as if the loss had come since.
 #[rstest]
 #[case::of_this_instance(true)]
--- a/crates/dispatch/tests/placement/main.rs
+++ b/crates/dispatch/tests/placement/main.rs
@@ -267,7 +267,7 @@
     assert_eq!(before + after, 4);
 }
 
-/// Guards against refusals whose lines don't tell what kept the request from its targets.
+/// Guards against refusals whose lines don't show what kept the request from its targets.
 #[test]
 fn candidates_of_a_refused_request_are_its_two_targets() {
     let config = config(12);
@@ -299,7 +299,7 @@
     assert_eq!((found.len(), found[0].1), (2, 4));
 }
 
-/// Guards against callers that come back too late for their own deadline after a request that reached no target
+/// Guards against callers that retry too late for their own deadline after a request that reached no target
 /// in its route's time.
 #[rstest]
 #[case::refused(Outcome::Refused, ErrorKind::TargetRefused)]
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -56,7 +56,7 @@
 }
 
 /// Guards against BUDGET: an answer that an instance had got before a request turned deadly ended its quarantine
-/// again and again, as each instance that heard of it told it the others as its own.
+/// again and again, as each instance that learned of it reported it to the others as its own.
 #[rstest]
 #[case::own(true)]
 #[case::of_another(false)]
@@ -79,7 +79,7 @@
     assert_eq!(quarantine.remaining(now, FINGERPRINT), Some(PERIOD));
 }
 
-/// Others that got an answer tell it once, at the first loss that they learn of, and when that was. Guards against BUDGET:
+/// Others that got an answer report it once, at the first loss that they learn of, and when that was. Guards against BUDGET:
 /// losses after the answer were forgotten as well.
 #[rstest]
 #[case::loss_before_it(1_100, false)]
@@ -99,7 +99,7 @@
     assert_eq!(quarantine.take_untold_answer(now, FINGERPRINT), None);
 }
 
-/// Where there are other instances, a quarantine begins only after they could tell of answers. Guards against BUDGET: an
+/// Where there are other instances, a quarantine begins only after they could report answers. Guards against BUDGET: an
 /// answer from before the losses erased them.
 #[rstest]
 #[case::nobody_answers(None, Some(1_300))]
@@ -173,7 +173,7 @@
     assert_eq!(begins, Some(needed));
 }
 
-/// Guards against targets that a deadly request crashes while the others are heard of it.
+/// Guards against targets that a deadly request crashes while the others are asked about it.
 #[test]
 fn request_is_not_sent_while_others_are_heard() {
     let mut quarantine = Quarantine::new(2, PERIOD);
@@ -188,7 +188,7 @@
     assert_eq!(left(&quarantine, answered_at), None);
 }
 
-/// Guards against DENIED: where targets died all the time, a page was refused while the others were heard of
+/// Guards against DENIED: where targets died all the time, a page was refused while the others were asked
 /// it, though for its quarantine it hadn't been lost often enough.
 #[rstest]
 #[case::too_few_losses(8, false)]
--- a/crates/dispatch/tests/rests.rs
+++ b/crates/dispatch/tests/rests.rs
@@ -333,7 +333,7 @@
     assert!(rests > 200, "only {rests} rests");
 }
 
-/// Callers who can't be served are told at once when to come back, and nobody waits for nothing.
+/// Callers who can't be served learn at once when to retry, and nobody waits for nothing.
 #[test]
 fn callers_are_told_the_shortest_rest() {
     let config = config();
--- a/crates/dispatch/tests/shared_rate.rs
+++ b/crates/dispatch/tests/shared_rate.rs
@@ -448,7 +448,7 @@
     assert!(rate.merge(now, Some(now), &report(Duration::from_millis(500))));
 }
 
-/// A request that no target can take within its rates is refused at once, and its caller told when
+/// A request that no target can take within its rates is refused at once, and its caller learns when
 /// one can.
 #[test]
 fn request_beyond_all_rates_is_refused_at_once() {
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -34,7 +34,7 @@
         self.refusal
     }
 
-    /// Returns the delay after which callers may come back; others can serve those of an isolated instance at once.
+    /// Returns the delay after which callers may retry; others can serve those of an isolated instance at once.
     pub(super) fn retry_after(&self) -> Duration {
         match self.refusal {
             Some(ErrorKind::Isolated) => Duration::ZERO,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -152,7 +152,7 @@
     }
 }
 
-/// Returns whether a status of a refusal tells callers not to try again.
+/// Returns whether a status of a refusal asks callers not to retry.
 pub(crate) fn is_final(status: u16) -> bool {
     (300..500).contains(&status) && !REPEATABLE_STATUSES.contains(&status)
 }
--- a/crates/entry/tests/homes/dialed.rs
+++ b/crates/entry/tests/homes/dialed.rs
@@ -109,7 +109,7 @@
         "{result:?}"
     );
     assert_eq!(is_sent, !is_withheld);
-    // The line tells by which configuration it was sent and who carries it, before it has ended, and that it was not.
+    // The line shows by which configuration it was sent and who carries it, before it has ended, and that it was not.
     let sent = note.sent();
     let sent = sent.map(|sent| (sent.revision, sent.relay, sent.is_new));
     let expected = (2, Some("i2".into()), true);
--- a/crates/entry/tests/late.rs
+++ b/crates/entry/tests/late.rs
@@ -1,4 +1,4 @@
-//! What the meter of a real runtime tells, beside how late that reads what another thread has written.
+//! What the meter of a real runtime reports, and how late that runtime reads what another thread has written.
 
 use std::{
     net::{TcpListener, TcpStream},
@@ -30,7 +30,7 @@
 const TURNS_BEFORE: u32 = 4;
 static ALONE: Mutex<()> = Mutex::new(());
 
-/// What was read: the time, and what the meter told then.
+/// What was read: the time, and what the meter reported then.
 type Reading = (Instant, Duration);
 
 /// Writes a byte each [`GAP`] from a word on, and returns between which times each of them was written.
@@ -51,7 +51,7 @@
 }
 
 /// Reads to the end in a runtime with `spinning` tasks that take `spin` each turn, and returns what a task that reads was
-/// told for each byte, and what a task was told to which it handed that on.
+/// reported for each byte, and what was reported to a task to which it handed that on.
 async fn read_all(
     stream: TcpStream,
     start: mpsc::Sender<()>,
@@ -71,7 +71,7 @@
             }
         });
     }
-    // The meter tells nothing of what came before its first turns.
+    // The meter reports nothing of what came before its first turns.
     for _ in 0..TURNS_BEFORE {
         turns.changed().await.unwrap();
     }
@@ -107,7 +107,7 @@
     Builder::new_current_thread().enable_all().build().unwrap()
 }
 
-/// How long a byte had waited at most and at least, and what the meter told.
+/// How long a byte had waited at most and at least, and what the meter reported.
 type Wait = ([Duration; 2], Duration);
 
 /// Returns what became of each byte for both tasks. Plays would take the processor from each other.
@@ -128,7 +128,7 @@
     })
 }
 
-/// Guards against news that is dated by its reading: a process short of its processor reads it later than it came, and
+/// Guards against updates that are dated by their reading: a process short of its processor reads them later than they came, and
 /// doesn't know it.
 #[rstest]
 #[case::many_short_turns(60, 3)]
--- a/crates/entry/tests/leaving/main.rs
+++ b/crates/entry/tests/leaving/main.rs
@@ -33,7 +33,7 @@
 /// Time after which nothing may be sent to a target that has left.
 const SLACK: Duration = Duration::from_millis(100);
 
-/// How the engine is told of a configuration.
+/// How the engine is informed of a configuration.
 #[derive(Debug, Clone, Copy)]
 enum Way {
     /// As a whole, whatever has changed.
@@ -43,7 +43,7 @@
 }
 
 impl Way {
-    /// Returns what the engine is told of `config`, which follows `before`.
+    /// Returns what the engine is informed of `config`, which follows `before`.
     fn event(self, before: Option<&Config>, config: &Arc<Config>) -> Event {
         let whole = Event::ConfigActivated {
             config: config.clone(),
@@ -202,7 +202,7 @@
     check(Way::Whole).await;
 }
 
-/// Guards against DRAIN: the same where the engine is told of the targets that left instead of a configuration without
+/// Guards against DRAIN: the same where the engine is informed of the targets that left instead of a configuration without
 /// them.
 #[tokio::test(start_paused = true)]
 async fn requests_are_not_sent_to_targets_that_are_told_to_have_left() {
--- a/crates/entry/tests/leaving/world.rs
+++ b/crates/entry/tests/leaving/world.rs
@@ -1,4 +1,4 @@
-//! What is true of the targets, and the configurations that tell it.
+//! What is true of the targets, and the configurations that say so.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -238,7 +238,7 @@
 }
 
 /// Guards against a false reason: an engine that had stood still said of requests that a later configuration was known,
-/// though it had only not heard yet whether its own may decide.
+/// though it had only not learned yet whether its own may decide.
 #[tokio::test(start_paused = true)]
 async fn request_after_a_standstill_is_refused_as_isolated_until_the_next_word() {
     let mut engine = engine_after(word(Duration::ZERO));
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! What is reported of requests that are refused for good: the kind of error, and how old the configuration was.
+//! What is reported of requests that are refused permanently: the kind of error, and how old the configuration was.
 
 #[path = "support/engine.rs"]
 mod engine;
@@ -136,7 +136,7 @@
 }
 
 /// Guards against DENIED and CONFIG: what a later configuration that has to be in force may allow was refused
-/// for good.
+/// permanently.
 #[rstest]
 #[case::known_to_be_the_latest(Time::NEVER, "unknown_service")]
 #[case::not_known(Time::ZERO, "isolated")]
--- a/crates/entry/tests/support/fresh.rs
+++ b/crates/entry/tests/support/fresh.rs
@@ -4,7 +4,7 @@
 use coord::Freshness;
 use entry::message::Event;
 
-/// Returns the event that the configuration is the latest for good, and was last known to be at `confirmed_at`.
+/// Returns the event that the configuration is permanently the latest, and was last known to be at `confirmed_at`.
 pub(crate) fn fresh(confirmed_at: Option<Time>) -> Event {
     Event::ConfigFreshness {
         freshness: Freshness::Fresh,
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -15,7 +15,7 @@
 
 /// Tracks the latest era of the platform's history.
 ///
-/// A platform that comes back from an older copy of its tables reports the next era. One that reports none stays in
+/// A platform that is restored from an older copy of its tables reports the next era. One that reports none stays in
 /// era 0. Each answer passes [`StoreEra::on_answer`], whatever it brings, so that the first one after the return
 /// shows it. All clones share what is known. An era that is known never decreases, so one answer doesn't suffice for a
 /// later one: its header may be wrong.
@@ -41,7 +41,7 @@
     reports: watch::Sender<Reports>,
 }
 
-/// What is known of the reports beside the latest era.
+/// What is known of the reports in addition to the latest era.
 #[derive(Debug, Clone, Copy, Default)]
 struct Reports {
     /// Whether any answer or instance has reported an era.
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Records what an answer reports, beside what the answer before it has.
+    /// Records what an answer reports, next to what the answer before it has.
     fn note(&self, reported: Option<&str>) -> Noted {
         let latest = self.latest();
         let Reports {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,7 +7,7 @@
 //! platform's service, [`memory::spawn`] executes them in the process, and [`Platform::spawn`] takes
 //! any other implementation.
 //!
-//! An open connection may go silent for good while new ones work. So once nothing of a call's answer
+//! An open connection may go silent permanently while new ones work. So once nothing of a call's answer
 //! has arrived for its timeout, all kept connections are given up and later calls open new ones.
 
 mod era;
--- a/crates/proof/src/explore.rs
+++ b/crates/proof/src/explore.rs
@@ -1,7 +1,7 @@
 //! Exhaustive search of the states that a small model can reach.
 //!
 //! The search goes breadth first, so the actions that lead to a state that breaks a rule are as few as possible. States
-//! are told apart by keys of 64 bits.
+//! are distinguished by keys of 64 bits.
 
 use std::{
     collections::BTreeSet,
--- a/crates/proof/src/lease_model.rs
+++ b/crates/proof/src/lease_model.rs
@@ -89,7 +89,7 @@
     ReleaseLate(usize),
     /// Another incarnation of an instance starts in place of the running one.
     Restart(usize),
-    /// The store comes back from the copy of this number, or without a loss if there is none.
+    /// The store is restored from the copy of this number, or without a loss if there is none.
     Restore(usize),
     /// The next time step passes.
     Wait,
--- a/crates/proof/src/lease_model/instance.rs
+++ b/crates/proof/src/lease_model/instance.rs
@@ -18,7 +18,7 @@
     pub(super) lease: Lease,
     pub(super) incarnation: Incarnation,
     pub(super) was_held: bool,
-    /// Time and era of a read whose answer is on its way, and what stood then.
+    /// Time and era of a read whose answer is on its way, and the row at that time.
     pub(super) open_read: Option<(Time, u32, Standing)>,
     /// What the other instances' last heartbeats said.
     pub(super) heard: Vec<Option<Heard>>,
--- a/crates/proof/src/lease_model/recovery.rs
+++ b/crates/proof/src/lease_model/recovery.rs
@@ -11,7 +11,7 @@
     /// Returns the time after which the lease is held if everything arrives from now on, or `None` if it isn't within
     /// `limit`.
     ///
-    /// Each second, the store performs what is open, and each instance hears each other one and reads the row.
+    /// Each second, the store performs what is open, and each instance receives from each other one and reads the row.
     pub fn recovery_time(&self, world: &World, limit: Duration) -> Option<Duration> {
         let mut world = world.clone();
         let start = world.now;
--- a/crates/proof/src/lease_model/store.rs
+++ b/crates/proof/src/lease_model/store.rs
@@ -1,4 +1,4 @@
-//! The store's row of the lease, and the copies from which the store may come back.
+//! The store's row of the lease, and the copies from which the store may be restored.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 /// A row, if there is one, with its version.
 pub(super) type Standing = Option<(Position, LeaseRow)>;
 
-/// Maximum age of a copy from which the store comes back.
+/// Maximum age of a copy from which the store is restored.
 const COPY_AGE: Duration = Duration::from_secs(10);
 
 /// Performs conditional writes of the row, and goes back to copies.
@@ -16,7 +16,7 @@
 pub(super) struct Table {
     pub(super) era: u32,
     pub(super) row: Standing,
-    /// What stood before, with the time until which it did.
+    /// Earlier row, with the time until which it was the present one.
     pub(super) copies: Vec<(Time, u64, Standing)>,
     pub(super) restored_at: Time,
     version: u64,
@@ -47,7 +47,7 @@
         WriteOutcome::Applied(position)
     }
 
-    /// Goes back to the copy of a number, or to what stands if there is none of that number.
+    /// Goes back to the copy of a number, or to the present row if there is none of that number.
     pub(super) fn restore(&mut self, now: Time, idx: usize) {
         self.era += 1;
         self.restored_at = now;
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -155,7 +155,7 @@
         let threads = read_dir(format!("/proc/{}/task", self.child.id()))
             .expect("the threads of the process should be listed");
         threads.flatten().all(|thread| {
-            // The state comes after the program's name, which stands in parentheses.
+            // The state comes after the program's name, which is in parentheses.
             let stat = read_to_string(thread.path().join("stat")).unwrap_or_default();
             stat.rsplit(") ")
                 .next()
--- a/crates/proof/tests/leases.rs
+++ b/crates/proof/tests/leases.rs
@@ -1,4 +1,4 @@
-//! Exhaustive search of a small model of a slot's lease, over a store that comes back from copies.
+//! Exhaustive search of a small model of a slot's lease, over a store that is restored from copies.
 
 use std::{env, time::Duration};
 
--- a/crates/proof/tests/pipelining.rs
+++ b/crates/proof/tests/pipelining.rs
@@ -1,5 +1,5 @@
 //! Requests sent ahead of an answer on one connection: they are answered in order, one that is slow
-//! or refused does not lose the others, and what stands behind an answer that closes has not run.
+//! or refused does not lose the others, and what follows an answer that closes has not run.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/proof/tests/service.rs
+++ b/crates/proof/tests/service.rs
@@ -186,7 +186,7 @@
     assert_eq!(measures.interrupted_by_drain, 0);
 }
 
-/// The checks above can fail: a target whose leaving nobody hears of never gets idle, and its end
+/// The checks above can fail: a target whose leaving nobody learns of never gets idle, and its end
 /// interrupts requests.
 #[test]
 fn service_target_that_leaves_unheard_is_interrupted() {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -18,7 +18,7 @@
     pub file: PathBuf,
     /// Line of the field, counted from one.
     pub line: usize,
-    /// Path of the field, separated by dots; a single dot stands for the whole file.
+    /// Path of the field, separated by dots; a single dot represents the whole file.
     pub field: String,
     /// Reason why the field is invalid.
     pub reason: String,
