fix(entry): what hasn't been sent when an instance stops is refused as not run

Cause: the engine refused only what arrived from then on. Requests whose bodies were still arriving, that waited for a target or for a grant, or whose connection was still being opened went on, with half of the time left at most.

Now the engine refuses them at that moment with the same answer as arriving ones (503, not run, retry elsewhere at once), and a later configuration doesn't bring them back. What has been sent goes on and isn't tried again.

Ruled out: a later moment of abandoning (the target works for longer than what is left), and a refusal while the body arrives (its answer may be lost to a reset).

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -323,7 +323,7 @@
                 self.dispatcher.cancel(id);
                 self.requests.remove(&id);
             }
-            Event::StopAccepting => self.is_draining = true,
+            Event::StopAccepting => self.stop_accepting(now),
             Event::ConfigActivated { config, version } => self.configure(now, &config, version),
             Event::TargetsLeft(targets) => self.take_out(now, &targets),
             Event::EntriesLeft(config, left) => self.apply_departures(now, config, &left),
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{ErrorKind, Refusal, Time};
+use base::{ErrorKind, Time};
 use dispatch::{Action, RequestId};
 
 use super::Engine;
@@ -60,7 +60,7 @@
         };
         let before = std::mem::replace(&mut self.outdated.refusal, refusal);
         match (before, refusal) {
-            (None, Some(kind)) => self.withdraw_all(now, kind),
+            (None, Some(kind)) => self.withdraw_all(now, kind, self.outdated.retry_after()),
             (Some(_), None) => {
                 let actions = self.revise_requests(now);
                 self.apply_dispatch(now, actions);
@@ -81,7 +81,8 @@
         self.freshness_valid_until.max(rows_until)
     }
 
-    fn withdraw_all(&mut self, now: Time, kind: ErrorKind) {
+    /// Refuses all requests of which nothing has been sent, and lets the others go on without another attempt.
+    pub(super) fn withdraw_all(&mut self, now: Time, kind: ErrorKind, retry_after: Duration) {
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         let withdrawn = ids
             .into_iter()
@@ -89,8 +90,7 @@
             .collect::<Vec<_>>();
         let actions = withdrawn.into_iter().map(|action| match action {
             Action::Refuse(id, refusal) if refusal.kind == kind => {
-                let refusal = Refusal::new(refusal.kind).retry_after(self.outdated.retry_after());
-                Action::Refuse(id, refusal)
+                Action::Refuse(id, refusal.retry_after(retry_after))
             }
             other => other,
         });
--- a/crates/entry/src/engine/revision.rs
+++ b/crates/entry/src/engine/revision.rs
@@ -20,9 +20,9 @@
     /// refused unless they are running, and the others go where they may run now.
     ///
     /// Service, deadline and priority stay as they were at the arrival. While a later configuration is known
-    /// that should be in force, those that are left stay withdrawn.
+    /// that should be in force, or the instance is about to stop, those that are left stay withdrawn.
     pub(super) fn revise_requests(&mut self, now: Time) -> Vec<Action> {
-        if self.outdated.refusal().is_some() {
+        if self.is_draining || self.outdated.refusal().is_some() {
             return Vec::new();
         }
         let requests = self.requests.iter();
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -59,7 +59,7 @@
     HedgeDelayElapsed(RequestId),
     /// The caller has disconnected or no longer needs a response.
     Cancel(RequestId),
-    /// The instance is about to stop: new requests are refused.
+    /// The instance is about to stop: new requests are refused, and those of which nothing has been sent to a target.
     StopAccepting,
     /// A configuration becomes the active one.
     ConfigActivated {
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -130,19 +130,49 @@
 #[tokio::test]
 async fn waiting_requests_are_refused_once_outdated() {
     let mut engine = engine();
-    let mut running = run_first(&mut engine);
-    let mut queued = submit(&mut engine, 2);
-    dispatch(&mut engine, 2);
-    let mut arriving = submit(&mut engine, 3);
-    fall_behind(&mut engine, Some(Time::ZERO));
-    dispatch(&mut engine, 3);
-    assert_eq!(refusal(&mut queued), expected());
-    assert_eq!(refusal(&mut arriving), expected());
+    assert_waiting_are_refused(&mut engine, expected(), |engine| {
+        fall_behind(engine, Some(Time::ZERO));
+    });
+}
+
+/// Guards against LOST: a request whose body ended shortly before an instance stopped was sent to a target that couldn't
+/// answer in the time that was left, and its caller got nothing.
+#[rstest]
+#[case::alone(false)]
+#[case::before_another_configuration(true)]
+#[tokio::test]
+async fn waiting_requests_are_refused_once_stopping(#[case] is_configured: bool) {
+    let mut engine = engine();
+    let expected = Refusal::new(ErrorKind::Leaving).retry_after(Duration::from_millis(10));
+    assert_waiting_are_refused(&mut engine, Some(expected), |engine| {
+        engine.handle(Event::StopAccepting);
+        if is_configured {
+            engine.handle(Event::ConfigActivated {
+                config: Arc::new(config()),
+                version: None,
+            });
+        }
+    });
+}
+
+/// Asserts that an engine refuses what hasn't been sent once `stop_sending` is over, and lets alone what has.
+fn assert_waiting_are_refused<F>(engine: &mut Engine, expected: Option<Refusal>, stop_sending: F)
+where
+    F: FnOnce(&mut Engine),
+{
+    let mut running = run_first(engine);
+    let mut queued = submit(engine, 2);
+    dispatch(engine, 2);
+    let mut arriving = submit(engine, 3);
+    stop_sending(engine);
+    dispatch(engine, 3);
+    assert_eq!(refusal(&mut queued), expected);
+    assert_eq!(refusal(&mut arriving), expected);
     assert_eq!(refusal(&mut running), None);
     // What runs goes on, and isn't tried again.
-    end_attempt(&mut engine, Outcome::Refused);
+    end_attempt(engine, Outcome::Refused);
     let kind = refusal(&mut running).map(|refusal| refusal.kind);
-    assert_eq!(kind, Some(ErrorKind::Outdated));
+    assert_eq!(kind, expected.map(|refusal| refusal.kind));
 }
 
 /// The time comes without another word of the follower.
