--- a/crates/entry/src/engine/attempts.rs
+++ b/crates/entry/src/engine/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts of requests, and the idle connections that they use.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use admit::Action as AdmitAction;
 use base::{AllowedRegions, ErrorKind, Refusal, TargetId, Time};
@@ -15,6 +15,9 @@
     message::{AttemptPlan, Decision, OutgoingMessage},
 };
 
+/// Delay after which callers of an instance that stops may retry at another one.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 impl Engine {
     pub(super) fn finish_attempt(
         &mut self,
@@ -170,11 +173,23 @@
     }
 
     pub(super) fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        let refusal = self.with_delay(refusal);
         if let Some(request) = self.requests.remove(&id) {
             let _ = request.tx.send(Decision::Refuse(refusal));
         }
     }
 
+    /// Sets the delay after which other instances can serve what this one refuses by its own state.
+    pub(super) fn with_delay(&self, refusal: Refusal) -> Refusal {
+        match refusal.kind {
+            ErrorKind::Leaving => refusal.retry_after(LEAVING_RETRY_AFTER),
+            kind if self.outdated.refusal() == Some(kind) => {
+                refusal.retry_after(self.outdated.retry_after())
+            }
+            _ => refusal,
+        }
+    }
+
     /// Reports to the handler of a request that is refused for lack of free slots which targets had none.
     fn explain_overload(&self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
--- a/crates/entry/src/engine/lag.rs
+++ b/crates/entry/src/engine/lag.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{ErrorKind, Time};
-use dispatch::{Action, RequestId};
+use dispatch::RequestId;
 
 use super::Engine;
 use crate::message::ConfigLag;
@@ -60,7 +60,7 @@
         };
         let before = std::mem::replace(&mut self.outdated.refusal, refusal);
         match (before, refusal) {
-            (None, Some(kind)) => self.withdraw_all(now, kind, self.outdated.retry_after()),
+            (None, Some(kind)) => self.withdraw_all(now, kind),
             (Some(_), None) => {
                 let actions = self.revise_requests(now);
                 self.apply_dispatch(now, actions);
@@ -82,19 +82,12 @@
     }
 
     /// Refuses all requests of which nothing has been sent, and lets the others go on without another attempt.
-    pub(super) fn withdraw_all(&mut self, now: Time, kind: ErrorKind, retry_after: Duration) {
+    pub(super) fn withdraw_all(&mut self, now: Time, kind: ErrorKind) {
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
-        let withdrawn = ids
+        let actions = ids
             .into_iter()
             .flat_map(|id| self.withdraw(now, id, kind))
-            .collect::<Vec<_>>();
-        let actions = withdrawn.into_iter().map(|action| match action {
-            Action::Refuse(id, refusal) if refusal.kind == kind => {
-                Action::Refuse(id, refusal.retry_after(retry_after))
-            }
-            other => other,
-        });
-        let actions = actions.collect();
+            .collect();
         self.apply_dispatch(now, actions);
     }
 }
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -14,8 +14,6 @@
 
 /// Number of route priorities within each workspace priority.
 const ROUTE_PRIORITY_LIMIT: u32 = 1_000;
-/// Delay after which callers of an instance that stops may retry at another one.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Whose request it is, and by which route it came.
 pub(super) struct Identity {
@@ -70,12 +68,7 @@
                 }
             }
             Err(kind) => {
-                let wait = match kind {
-                    ErrorKind::Leaving => LEAVING_RETRY_AFTER,
-                    _ if self.outdated.refusal() == Some(kind) => self.outdated.retry_after(),
-                    _ => Duration::from_secs(1),
-                };
-                let refusal = Refusal::new(kind).retry_after(wait);
+                let refusal = self.with_delay(Refusal::new(kind));
                 let _ = tx.send(Decision::Consulted(config));
                 let _ = tx.send(Decision::Refuse(refusal));
             }
@@ -227,7 +220,7 @@
     /// Refuses what arrives from now on and what hasn't been sent to a target: little time is left for answers.
     pub(super) fn stop_accepting(&mut self, now: Time) {
         self.is_draining = true;
-        self.withdraw_all(now, ErrorKind::Leaving, LEAVING_RETRY_AFTER);
+        self.withdraw_all(now, ErrorKind::Leaving);
     }
 
     pub(super) fn handle_admitted(&mut self, now: Time, id: RequestId) {
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -171,8 +171,7 @@
     assert_eq!(refusal(&mut running), None);
     // What runs goes on, and isn't tried again.
     end_attempt(engine, Outcome::Refused);
-    let kind = refusal(&mut running).map(|refusal| refusal.kind);
-    assert_eq!(kind, expected.map(|refusal| refusal.kind));
+    assert_eq!(refusal(&mut running), expected);
 }
 
 /// The time comes without another word of the follower.
