fix(daemon): requests that targets keep waiting are answered before an instance ends

What had been sent was cut at 0.93 of the stop time without an answer (LOST). Its caller knew nothing, though the instance did: it can't wait any longer.

--- a/crates/daemon/src/node/stopping.rs
+++ b/crates/daemon/src/node/stopping.rs
@@ -1,6 +1,6 @@
 //! How an instance leaves and stops.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use entry::message::Event;
 use settings::DaemonSettings;
@@ -21,7 +21,9 @@
 /// Fraction of the stop time at which the listener closes; until then, new requests are refused
 /// with an error that lets callers use another instance.
 const STOP_CLOSE_AT: f64 = 0.8;
-/// Fraction of the stop time at which requests in flight are abandoned.
+/// Fraction of the stop time at which requests that targets haven't answered are answered in their place.
+const STOP_ANSWER_AT: f64 = 0.9;
+/// Fraction of the stop time at which connections are closed, whatever is under way.
 const STOP_ABANDON_AT: f64 = 0.93;
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -34,8 +36,12 @@
         let _ = self.engine.send(Event::StopAccepting);
         sleep_until(started + limit.mul_f64(STOP_CLOSE_AT)).await;
         let abandon_at = started + limit.mul_f64(STOP_ABANDON_AT);
-        let stopped = self.callers.stop(abandon_at - Instant::now());
-        let _ = timeout_at(abandon_at, stopped).await;
+        let mut stopped = pin!(self.callers.stop(abandon_at - Instant::now()));
+        let answer_at = started + limit.mul_f64(STOP_ANSWER_AT);
+        if timeout_at(answer_at, &mut stopped).await.is_err() {
+            let _ = self.engine.send(Event::EndRequests);
+            let _ = timeout_at(abandon_at, stopped).await;
+        }
         let _ = timeout(RELEASE_TIMEOUT, release_slots(&self.slots)).await;
         tracing::info!(event = "left");
     }
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -324,6 +324,7 @@
                 self.requests.remove(&id);
             }
             Event::StopAccepting => self.stop_accepting(now),
+            Event::EndRequests => self.end_requests(),
             Event::ConfigActivated { config, version } => self.configure(now, &config, version),
             Event::TargetsLeft(targets) => self.take_out(now, &targets),
             Event::EntriesLeft(config, left) => self.apply_departures(now, config, &left),
--- a/crates/entry/src/engine/routing.rs
+++ b/crates/entry/src/engine/routing.rs
@@ -223,6 +223,14 @@
         self.withdraw_all(now, ErrorKind::Leaving);
     }
 
+    /// Answers the requests that targets haven't answered by the end of a stop; they may have run.
+    pub(super) fn end_requests(&mut self) {
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.refuse(id, Refusal::new(ErrorKind::TargetTimeout));
+        }
+    }
+
     pub(super) fn handle_admitted(&mut self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -61,6 +61,8 @@
     Cancel(RequestId),
     /// The instance is about to stop: new requests are refused, and those of which nothing has been sent to a target.
     StopAccepting,
+    /// The instance ends in a moment: requests without an answer get one of its own.
+    EndRequests,
     /// A configuration becomes the active one.
     ConfigActivated {
         /// The configuration.
--- a/crates/entry/tests/outdated.rs
+++ b/crates/entry/tests/outdated.rs
@@ -174,6 +174,17 @@
     assert_eq!(refusal(&mut running), expected);
 }
 
+/// Guards against LOST: a request that a target kept waiting was cut without an answer at the end of a stop.
+#[tokio::test]
+async fn unanswered_request_is_answered_at_the_end_of_a_stop() {
+    let mut engine = engine();
+    let mut running = run_first(&mut engine);
+    engine.handle(Event::StopAccepting);
+    engine.handle(Event::EndRequests);
+    let kind = refusal(&mut running).map(|refusal| refusal.kind);
+    assert_eq!(kind, Some(ErrorKind::TargetTimeout));
+}
+
 /// The time comes without another word of the follower.
 #[tokio::test]
 async fn waiting_request_is_refused_when_the_time_comes() {
