fix(entry): a CONNECT is refused and its connection closed

What callers saw: a CONNECT with a path (or an absolute URL) was forwarded like any request. The target's 200 came through without its body, since a successful answer to CONNECT has none on the wire, and the connection ended without saying so.

Cause: nothing looked at the method before the request was routed; no instance opens tunnels.

No proper request of callers has this method.

Read and played for the same class, sound before and after: HEAD (no body, no wrong length, the next request on the connection is answered), TRACE, OPTIONS, an unknown method (`connect` in small letters), requests with `connection: upgrade` (the header isn't forwarded, the answer has its body), a target's 101 (502 `target_lost`; tests/statuses.rs). The endpoints for readiness and look-ups of the platform only route GET, so a CONNECT gets no 2xx there (by reading).

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -111,7 +111,8 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        if self.dialect.propagates_traces && req.uri().path() == LOOKUP_PATH {
+        let is_look_up = self.dialect.propagates_traces && req.uri().path() == LOOKUP_PATH;
+        if is_look_up && !head::asks_for_tunnel(req.method()) {
             self.look_up(req, res);
         } else {
             self.serve_request(req, res).await;
@@ -160,7 +161,7 @@
             Ok(response) => write_response(res, response),
             Err(refusal) => response::write_error(&self.dialect, res, &refusal),
         }
-        if self.view.borrow().is_leaving {
+        if self.view.borrow().is_leaving || head::asks_for_tunnel(req.method()) {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -66,14 +66,17 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::BadRequest`] if a key, an idempotency key or a timeout is malformed, or if a header
-/// that must be unique is repeated.
+/// [`ErrorKind::BadRequest`] if a key, an idempotency key or a timeout is malformed, if a header
+/// that must be unique is repeated, or if the request asks for a tunnel.
 pub fn read(
     dialect: &Dialect,
     method: &Method,
     uri: &Uri,
     headers: &HeaderMap,
 ) -> Result<Head, ErrorKind> {
+    if asks_for_tunnel(method) {
+        return Err(ErrorKind::BadRequest);
+    }
     reject_duplicates(dialect, headers)?;
     let path = uri.path();
     let rest = path.strip_prefix('/').unwrap_or(path);
@@ -156,6 +159,14 @@
         .collect()
 }
 
+/// Returns whether a successful answer to this method would open a tunnel, which has no body and ends HTTP on the
+/// connection.
+///
+/// No instance opens tunnels.
+pub fn asks_for_tunnel(method: &Method) -> bool {
+    *method == Method::CONNECT
+}
+
 /// Returns whether a status can be that of a target's final answer.
 ///
 /// The protocol has none above 599, and a 101 answers a request for an upgrade, which no request to a target is;
