fix(platform): an era that one other instance reports is pending

Callers saw, fleet-wide, a withdrawn key that went on running, an evacuated zone and a target that had left that still got requests, once a single instance had read a wrong, higher `Store-Era` twice: a heartbeat's era was believed by itself, so that instance lifted all others, and none used an answer of the store any more.

A heartbeat now reports the latest era that the sender's own store has named to it, not one that it has from others. An era that only heartbeats report is pending: nothing is dropped, and the sender's positions, rows, departures and tables of that era aren't used. It counts once a second instance reports it, an own answer names it, the own store answers nothing to small calls for 1 s, or at once where fewer than two others are in contact. An own store that answers in the known era contradicts it (`store_era_unusable`, `contradicted`), and is asked again each 5 s.

Confirmations by an instance in an earlier era count for nothing: the instance that misread took its rows for the latest by them, and refused an added key with 401.

An era that is believed never decreases, as before; `Lease` and `EraSettling` are unchanged. Ruled out: the own store alone (one that is turned away or answered by a lagging endpoint would never learn of a true return); two instances, whoever they have it from (the second may have it from the first).

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -77,7 +77,7 @@
     pub format: u32,
     /// Version of its build, empty if unknown.
     pub build: String,
-    /// Latest era of the platform's tables that it knows, zero if unknown.
+    /// Latest era of the platform's tables that the platform has named to it, zero if unknown.
     pub store_era: u32,
     /// Requests per second for each service that callers send to it and that may be served in
     /// several regions.
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -241,6 +241,7 @@
                     }
                 }
                 Wake::Read(idx, read) => {
+                    let read = self.refuse_unknown_era(read);
                     if !self.apply_read(idx, read) {
                         continue;
                     }
--- a/crates/daemon/src/follower/tables/eras.rs
+++ b/crates/daemon/src/follower/tables/eras.rs
@@ -6,11 +6,12 @@
 };
 
 use base::{Position, Time};
-use coord::Replica;
+use coord::{Replica, TableSnapshot};
 
 use super::{ComposedConfig, TableFollower, table::Table};
 use crate::{
     message::TARGETS,
+    table_fetch::FetchFault,
     table_logs::{NewsSource, log_era, log_kept_ended, log_unwritten_ended},
     table_reads::TableRead,
 };
@@ -95,6 +96,18 @@
 where
     F: FnMut(&[&Replica]) -> Option<ComposedConfig>,
 {
+    /// Refuses a table that another instance sent and whose era isn't known to have begun, to this instance.
+    pub(super) fn refuse_unknown_era(&self, mut read: TableRead) -> TableRead {
+        let latest = self.options.platform.latest_era();
+        if let TableRead::Fetched(fetch) = &mut read {
+            let is_unknown = |table: &mut TableSnapshot| table.position.era > latest;
+            if fetch.fetched.table.take_if(is_unknown).is_some() {
+                fetch.fetched.fault = Some(FetchFault::UnknownEra);
+            }
+        }
+        read
+    }
+
     /// Keeps what others have reported of targets that left, where a read brings a table of a later era: that may be from before. Returns
     /// whether the own rows had any of them.
     pub(super) fn keep_departures(&mut self, now: Time, idx: usize, read: &TableRead) -> bool {
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -107,7 +107,7 @@
     pub rows: Vec<Option<RowsReport>>,
     /// Targets whose entries are gone and which the sender retains for some time.
     pub retained: Vec<RetainedReport>,
-    /// Latest era of the platform's history of which the sender knows, zero if of none.
+    /// Latest era of the platform's history that the platform's own answers have named to the sender, zero if none.
     pub store_era: u32,
     /// Eras of the positions that the sender reports of each followed table, in the tables' order; empty if all are zero.
     pub table_eras: Vec<u32>,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -259,6 +259,8 @@
             tokio::spawn(follower.run(follower_rx));
         }
         ConfigSource::Tables(followed) => {
+            let (checked, table) = (platform.clone(), followed.tables[0].clone());
+            tokio::spawn(async move { checked.check_reported_eras(&table).await });
             let own = announcement(cfg, peer);
             let liveness = Liveness {
                 clock,
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -7,6 +7,7 @@
 
 use super::Peers;
 use crate::{
+    fleet::HEARTBEAT_TIMEOUT,
     format::{self, FORMAT_WITHOUT_CHANGES, FORMAT_WITHOUT_ERAS, OWN_FORMAT, UnreadMessage},
     message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport, TableChange},
     owners::OwnersMessage,
@@ -155,9 +156,10 @@
         let departures = std::mem::take(&mut heartbeat.departures);
         let retained = std::mem::take(&mut heartbeat.retained);
         let rows = std::mem::take(&mut heartbeat.rows);
-        self.era.learn(heartbeat.store_era);
+        self.era
+            .on_reported(from, heartbeat.store_era, self.others_in_contact(from));
         let is_located = self.is_located(&heartbeat);
-        if !is_located {
+        if !is_located && heartbeat.format <= FORMAT_WITHOUT_ERAS {
             self.assume_eras(&mut heartbeat);
         }
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
@@ -186,10 +188,20 @@
         }
     }
 
+    /// Returns the number of other instances that have sent a heartbeat lately, including `from`.
+    fn others_in_contact(&self, from: &InstanceId) -> usize {
+        let now = self.clock.now();
+        let lately = |at: &Time| now <= *at + HEARTBEAT_TIMEOUT;
+        let heard = self.heard_at.iter();
+        1 + heard.filter(|(id, at)| *id != from && lately(at)).count()
+    }
+
     /// Returns whether it is known in which eras the sender's positions are: an earlier format doesn't report it, so its
-    /// positions say nothing where the platform's history has eras.
+    /// positions say nothing where the platform's history has eras; nor does one whose eras aren't known to have begun.
     fn is_located(&self, heartbeat: &PeerHeartbeat) -> bool {
-        heartbeat.format > FORMAT_WITHOUT_ERAS || self.era.latest() == 0
+        let latest = self.era.latest();
+        let mut eras = heartbeat.table_eras.iter();
+        eras.all(|era| *era <= latest) && (heartbeat.format > FORMAT_WITHOUT_ERAS || latest == 0)
     }
 
     /// Takes the positions of an earlier format for ones of the own eras, to report to its sender what it may lack.
@@ -206,14 +218,19 @@
         departures: Vec<Departure>,
         not_before: Time,
     ) {
-        let confirmed_at = confirmed_at(heartbeat, not_before);
+        // What is the latest in an earlier era confirms nothing of a later one.
+        let latest = self.era.latest();
+        let mut eras = heartbeat.table_positions.iter();
+        let is_of_present_era = eras.all(|position| position.era >= latest);
+        let confirmed_at = confirmed_at(heartbeat, not_before).filter(|_| is_of_present_era);
+        let reads = heartbeat.reads.filter(|_| is_of_present_era);
         if !heartbeat.table_positions.is_empty() {
             let message = FollowerMessage::PeerPositions {
                 from: from.clone(),
                 positions: heartbeat.table_positions.clone(),
                 confirmed_at,
                 change: known_change(heartbeat, not_before),
-                reads: heartbeat.reads.map(|reads| OwnReads {
+                reads: reads.map(|reads| OwnReads {
                     contact_at: not_before.before(reads.contact_age),
                     is_failing: reads.is_failing,
                 }),
--- a/crates/daemon/src/peers/sending.rs
+++ b/crates/daemon/src/peers/sending.rs
@@ -144,7 +144,7 @@
                 is_failing: reads.is_failing,
             }),
             ack_age: self.ack_age_for(to, now),
-            store_era: self.era.latest(),
+            store_era: self.era.named(),
             rows: self.told_rows(),
             ..self.own_heartbeat.clone()
         }))
--- a/crates/daemon/src/table_fetch.rs
+++ b/crates/daemon/src/table_fetch.rs
@@ -97,6 +97,9 @@
     /// So much is lacking that the whole table is to be fetched.
     #[display("too much is lacking")]
     MuchLacking,
+    /// The table is of an era of the platform's history that isn't known to have begun.
+    #[display("unknown era")]
+    UnknownEra,
     /// A compressed content is malformed or too large.
     #[display("{_0}")]
     Unpack(UnpackError),
@@ -109,7 +112,7 @@
     /// Returns whether what came is not what was asked for.
     pub fn is_bad_content(self) -> bool {
         match self {
-            Self::NoAnswer | Self::TurnedAway | Self::MuchLacking => false,
+            Self::NoAnswer | Self::TurnedAway | Self::MuchLacking | Self::UnknownEra => false,
             Self::Unreadable | Self::Unpack(_) | Self::Parts(_) => true,
         }
     }
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::InstanceId;
 use tokio::{sync::watch, time::Instant};
 
 use crate::PlatformError;
@@ -12,13 +13,18 @@
 const MAX_MISSED_ERAS: u32 = 1_000;
 /// Maximum number of questions after an answer that reports a later era.
 const MAX_QUESTIONS: usize = 3;
+/// Time for which another instance's report of an era counts: a few of its heartbeats.
+const REPORT_VALIDITY: Duration = Duration::from_secs(2);
+/// Number of other instances in contact from which on one of them doesn't suffice for an era.
+const MIN_OTHERS: usize = 2;
 
 /// Tracks the latest era of the platform's history.
 ///
 /// A platform that is restored from an older copy of its tables reports the next era. One that reports none stays in
 /// era 0. Each answer passes [`StoreEra::on_answer`], whatever it brings, so that the first one after the return
 /// shows it. All clones share what is known. An era that is known never decreases, so one answer doesn't suffice for a
-/// later one: its header may be wrong.
+/// later one: its header may be wrong. Nor does one other instance, which may have read two wrong headers: see
+/// [`StoreEra::on_reported`].
 ///
 /// # Examples
 ///
@@ -42,16 +48,28 @@
 }
 
 /// What is known of the reports in addition to the latest era.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Reports {
     /// Whether any answer or instance has reported an era.
     is_reported: bool,
     /// Era beyond the latest one that the last answer reported.
     doubtful: Option<u32>,
+    /// Latest era that the platform itself has named to this instance.
+    named: u32,
+    /// Highest era that another instance has reported lately.
+    reported: Option<Report>,
     /// Time of the last line about a report that can't be used.
     logged_at: Option<Instant>,
 }
 
+/// Report of an era by another instance.
+#[derive(Debug, Clone)]
+struct Report {
+    by: InstanceId,
+    era: u32,
+    at: Instant,
+}
+
 /// What one answer's report comes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Noted {
@@ -83,6 +101,11 @@
         self.latest.subscribe()
     }
 
+    /// Returns the latest era that the platform's own answers have named, which others may count as one instance's word.
+    pub fn named(&self) -> u32 {
+        self.reports.borrow().named
+    }
+
     /// Records the era that an answer reports, as text, and returns the one in which the answer was made.
     ///
     /// An answer without a readable one counts as made in the latest era that is known. One that reports a later era waits
@@ -108,11 +131,12 @@
             Noted::Doubtful(era) => self.confirm(era, ask).await,
         }
         let latest = self.latest();
-        let era = reported.and_then(parse).filter(|era| *era == latest);
-        era.ok_or_else(|| {
-            self.log_bad("unconfirmed", latest, reported);
-            PlatformError::UnusableEra
-        })
+        if let Some(era) = reported.and_then(parse).filter(|era| *era == latest) {
+            self.set_named(era);
+            return Ok(era);
+        }
+        self.log_bad("unconfirmed", latest, reported);
+        Err(PlatformError::UnusableEra)
     }
 
     /// Asks until an answer shows whether an era has begun that another one has reported, or it is known otherwise.
@@ -130,7 +154,7 @@
                 answered = ask() => answered,
             };
             match answered.as_deref().and_then(parse) {
-                Some(era) if era == doubtful => return self.set(era),
+                Some(era) if era == doubtful => return self.set_named(era),
                 Some(era) if era > self.latest() => doubtful = era,
                 Some(_) => return self.doubt(None),
                 None => {}
@@ -145,7 +169,7 @@
             is_reported,
             doubtful,
             ..
-        } = *self.reports.borrow();
+        } = self.reports.borrow().clone();
         let Some(era) = reported.and_then(parse) else {
             if reported.is_some() || is_reported {
                 self.log_bad("unreadable", latest, reported);
@@ -156,29 +180,96 @@
             self.log_bad("earlier", latest, reported);
             return Noted::Earlier;
         }
-        if era == latest || doubtful == Some(era) {
-            self.set(era);
+        let is_reported_elsewhere = self.reported().is_some_and(|elsewhere| era <= elsewhere);
+        if era == latest || doubtful == Some(era) || is_reported_elsewhere {
+            self.set_named(era);
             return Noted::Latest(era);
         }
+        if let Some(elsewhere) = self.reported() {
+            self.learn(elsewhere);
+        }
         self.doubt(Some(era));
         Noted::Doubtful(era)
     }
 
-    /// Records an era of which another instance knows. One that is too far beyond the latest is left to the own answers.
+    /// Records the latest era that the platform has named to another instance, as its heartbeat reports it; `others` is the
+    /// number of other instances in contact.
+    ///
+    /// A later one counts once two of them report it, or one of them and an own answer. Where there is no second one
+    /// to ask, one suffices. What one of many reports is pending otherwise, and counts for
+    /// [`Platform::check_reported_eras`](crate::Platform::check_reported_eras).
+    pub fn on_reported(&self, by: &InstanceId, era: u32, others: usize) {
+        let latest = self.latest();
+        if era <= latest {
+            return;
+        }
+        if self.is_far_beyond(era) {
+            return self.log_bad("far beyond", latest, Some(&era.to_string()));
+        }
+        let at = Instant::now();
+        let Reports {
+            reported, doubtful, ..
+        } = self.reports.borrow().clone();
+        let other = reported.filter(|other| other.by != *by && other.is_valid(at));
+        let second = other.as_ref().map(|other| other.era).max(doubtful);
+        let witnessed = if others < MIN_OTHERS {
+            Some(era)
+        } else {
+            second.map(|second| era.min(second))
+        };
+        let own = Report {
+            by: by.clone(),
+            era,
+            at,
+        };
+        let highest = other.filter(|other| other.era > era).unwrap_or(own);
+        self.reports
+            .send_modify(|reports| reports.reported = Some(highest));
+        if let Some(era) = witnessed {
+            self.learn(era);
+        }
+    }
+
+    /// Returns the era beyond the latest one that a single instance reports.
+    pub(crate) fn reported(&self) -> Option<u32> {
+        let (now, latest) = (Instant::now(), self.latest());
+        let reports = self.reports.borrow();
+        let valid = reports.reported.as_ref().filter(|one| one.is_valid(now));
+        valid.map(|one| one.era).filter(|era| *era > latest)
+    }
+
+    /// Waits until a single instance reports an era beyond the latest one.
+    pub(crate) async fn await_reported(&self) {
+        let mut reports = self.reports.subscribe();
+        while self.reported().is_none() && reports.changed().await.is_ok() {}
+    }
+
+    /// Records an era that is known from elsewhere. One that is too far beyond the latest is left to the own answers.
     pub fn learn(&self, era: u32) {
         let latest = self.latest();
-        let is_reported = self.reports.borrow().is_reported;
-        if is_reported && era > latest.saturating_add(MAX_MISSED_ERAS) {
+        if self.is_far_beyond(era) {
             self.log_bad("far beyond", latest, Some(&era.to_string()));
         } else if era > latest {
             self.set(era);
         }
     }
 
+    fn is_far_beyond(&self, era: u32) -> bool {
+        let is_reported = self.reports.borrow().is_reported;
+        is_reported && era > self.latest().saturating_add(MAX_MISSED_ERAS)
+    }
+
     fn doubt(&self, era: Option<u32>) {
         self.reports.send_modify(|reports| reports.doubtful = era);
     }
 
+    /// Records an era that the platform has named. It is known before others can learn that.
+    fn set_named(&self, era: u32) {
+        self.set(era);
+        self.reports
+            .send_modify(|reports| reports.named = reports.named.max(era));
+    }
+
     fn set(&self, era: u32) {
         self.reports.send_modify(|reports| {
             reports.is_reported = true;
@@ -197,7 +288,7 @@
     }
 
     /// Logs a report that can't be used, once in each [`LOG_INTERVAL`].
-    fn log_bad(&self, fault: &str, latest: u32, reported: Option<&str>) {
+    pub(crate) fn log_bad(&self, fault: &str, latest: u32, reported: Option<&str>) {
         let now = Instant::now();
         let logged_at = self.reports.borrow().logged_at;
         if logged_at.is_some_and(|at| now - at < LOG_INTERVAL) {
@@ -209,6 +300,12 @@
     }
 }
 
+impl Report {
+    fn is_valid(&self, now: Instant) -> bool {
+        now - self.at < REPORT_VALIDITY
+    }
+}
+
 fn parse(text: &str) -> Option<u32> {
     text.trim().parse().ok()
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod memory;
 mod model;
 mod progress;
+mod reported;
 mod store;
 
 use std::time::Duration;
@@ -142,7 +143,7 @@
         self.era.latest()
     }
 
-    /// Records an era of the platform's history of which another instance knows.
+    /// Records an era of the platform's history that is known from elsewhere.
     pub fn learn_era(&self, era: u32) {
         self.era.learn(era);
     }
--- a/crates/platform/tests/era.rs
+++ b/crates/platform/tests/era.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use base::Position;
+use base::{InstanceId, Position};
 use platform::{Call, Platform, PlatformError, Precondition, Reply, StoreEra, Write};
 use rstest::rstest;
 use tokio::time::sleep;
@@ -108,6 +108,79 @@
     assert_eq!(found, Err(PlatformError::UnusableEra));
 }
 
+/// What the own platform does as others report an era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Own {
+    Answers(Option<u32>),
+    Refuses,
+    Silent,
+}
+
+// Guards against one instance that has read a wrong header twice and lifts the era of the whole fleet.
+#[rstest]
+#[case::own_platform_contradicts(&[("a", 2)], 9, Own::Answers(Some(1)), (1, 1, 1))]
+#[case::own_platform_names_none(&[("a", 2)], 9, Own::Answers(None), (1, 1, 1))]
+#[case::own_platform_names_it(&[("a", 2)], 9, Own::Answers(Some(2)), (1, 2, 2))]
+#[case::own_platform_names_a_later_one(&[("a", 2)], 9, Own::Answers(Some(3)), (1, 2, 2))]
+#[case::own_platform_is_silent(&[("a", 2)], 9, Own::Silent, (1, 1, 2))]
+#[case::own_platform_refuses(&[("a", 2)], 9, Own::Refuses, (1, 1, 2))]
+#[case::second_instance(&[("a", 2), ("b", 2)], 9, Own::Answers(Some(1)), (2, 2, 2))]
+#[case::the_same_again(&[("a", 2), ("a", 2), ("a", 3)], 9, Own::Answers(Some(1)), (1, 1, 1))]
+#[case::what_both_know(&[("a", 3), ("b", 2)], 9, Own::Answers(Some(1)), (2, 2, 2))]
+#[case::far_beyond(&[("a", 4_000_000_000), ("b", 4_000_000_000)], 9, Own::Silent, (1, 1, 1))]
+#[case::no_second_instance(&[("a", 2)], 1, Own::Answers(Some(1)), (2, 2, 2))]
+#[tokio::test(start_paused = true)]
+async fn era_that_others_report(
+    #[case] reports: &[(&str, u32)],
+    #[case] others: usize,
+    #[case] own: Own,
+    #[case] expected: (u32, u32, u32),
+) {
+    let era = StoreEra::default();
+    assert_eq!(era.on_answer(Some("1"), ask(&[Some("1")])).await, Ok(1));
+    let known = era.clone();
+    let platform = Platform::spawn(move || {
+        let known = known.clone();
+        move |_, _| answer(own, known.clone())
+    });
+    let check = platform.tracking(era.clone()).check_reported_eras("t");
+    let check = tokio::spawn(check);
+    for (by, reported) in reports {
+        era.on_reported(&InstanceId::from(*by), *reported, others);
+    }
+    let at_once = era.latest();
+    sleep(Duration::from_millis(100)).await;
+    let soon = era.latest();
+    sleep(Duration::from_millis(1_400)).await;
+    assert_eq!((at_once, soon, era.latest()), expected);
+    // Others may not count what one instance has from others.
+    let is_named = matches!(own, Own::Answers(Some(named)) if named == era.latest());
+    assert_eq!(era.named(), if is_named { era.latest() } else { 1 });
+    check.abort();
+}
+
+async fn answer(own: Own, known: StoreEra) -> Result<Reply, PlatformError> {
+    sleep(CALL_TIME).await;
+    let named = match own {
+        Own::Answers(named) => named.map(|era| era.to_string()),
+        Own::Refuses => return Err(PlatformError::Unavailable),
+        Own::Silent => pending().await,
+    };
+    let era = known.on_answer(named.as_deref(), || ready(None)).await?;
+    Ok(Reply::Position(Position::new(era, 9)))
+}
+
+// Guards against a word that outlives its instance: the platform falls silent once that has ended.
+#[tokio::test(start_paused = true)]
+async fn report_of_an_instance_expires() {
+    let era = StoreEra::default();
+    assert_eq!(era.on_answer(Some("1"), ask(&[Some("1")])).await, Ok(1));
+    era.on_reported(&InstanceId::from("a"), 2, 9);
+    sleep(Duration::from_secs(3)).await;
+    era.on_reported(&InstanceId::from("b"), 2, 9);
+    assert_eq!(era.latest(), 1);
+}
+
 /// Returns a handle to a platform that answers in `answered`, where `known` is known before.
 fn platform(known: u32, answered: u32) -> Platform {
     let era = StoreEra::default();
