--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -77,7 +77,7 @@
     pub format: u32,
     /// Version of its build, empty if unknown.
     pub build: String,
-    /// Latest era of the platform's tables that the platform has named to it, zero if unknown.
+    /// Latest era of the platform's tables that it is known to have learned, zero if unknown.
     pub store_era: u32,
     /// Requests per second for each service that callers send to it and that may be served in
     /// several regions.
@@ -179,7 +179,7 @@
             state.has_target_path = heartbeat.has_target_path;
             state.format = heartbeat.format;
             state.build = heartbeat.build.clone();
-            state.store_era = heartbeat.store_era;
+            state.store_era = heartbeat.known_era();
             state.demand = heartbeat.demand.clone();
             state.pinned_demand = heartbeat.pinned_demand.clone();
         }
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -9,6 +9,8 @@
 use dispatch::{ConnectionLoss, LossReport, QuarantineReport, RateReport};
 use serde::{Deserialize, Serialize};
 
+use crate::format::FORMAT_WITHOUT_ERAS;
+
 /// Index of the targets' table among the followed ones, as heartbeats list them.
 pub(crate) const TARGETS: usize = 1;
 
@@ -194,6 +196,17 @@
         self.table_positions = positions;
     }
 
+    /// Returns an era that the sender knows to have begun, zero if of none: one that the platform has named to it, or of
+    /// which it has rows.
+    pub fn known_era(&self) -> u32 {
+        // Those of an earlier format are the receiver's.
+        let own = self
+            .table_eras
+            .iter()
+            .filter(|_| self.format > FORMAT_WITHOUT_ERAS);
+        own.copied().fold(self.store_era, u32::max)
+    }
+
     /// Returns the era of what the sender reports of a table.
     pub(crate) fn era_of(&self, table: usize) -> u32 {
         self.table_eras.get(table).copied().unwrap_or(0)
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -7,7 +7,6 @@
 
 use super::Peers;
 use crate::{
-    fleet::HEARTBEAT_TIMEOUT,
     format::{self, FORMAT_WITHOUT_CHANGES, FORMAT_WITHOUT_ERAS, OWN_FORMAT, UnreadMessage},
     message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport, TableChange},
     owners::OwnersMessage,
@@ -156,8 +155,10 @@
         let departures = std::mem::take(&mut heartbeat.departures);
         let retained = std::mem::take(&mut heartbeat.retained);
         let rows = std::mem::take(&mut heartbeat.rows);
-        self.era
-            .on_reported(from, heartbeat.store_era, self.others_in_contact(from));
+        if heartbeat.store_era > self.era.latest() {
+            self.era
+                .on_reported(from, heartbeat.store_era, self.other_members());
+        }
         let is_located = self.is_located(&heartbeat);
         if !is_located && heartbeat.format <= FORMAT_WITHOUT_ERAS {
             self.assume_eras(&mut heartbeat);
@@ -188,12 +189,12 @@
         }
     }
 
-    /// Returns the number of other instances that have sent a heartbeat lately, including `from`.
-    fn others_in_contact(&self, from: &InstanceId) -> usize {
-        let now = self.clock.now();
-        let lately = |at: &Time| now <= *at + HEARTBEAT_TIMEOUT;
-        let heard = self.heard_at.iter();
-        1 + heard.filter(|(id, at)| *id != from && lately(at)).count()
+    /// Returns the number of other instances that are listed, whether or not they are in contact: just after a standstill of
+    /// this one, nobody seems to be but the sender of the first message.
+    fn other_members(&self) -> usize {
+        let own = &self.own_heartbeat.status.id;
+        let members = self.membership.members().keys();
+        members.filter(|id| *id != own).count()
     }
 
     /// Returns whether it is known in which eras the sender's positions are: an earlier format doesn't report it, so its
@@ -223,15 +224,21 @@
         let mut eras = heartbeat.table_positions.iter();
         let is_of_present_era = eras.all(|position| position.era >= latest);
         let confirmed_at = confirmed_at(heartbeat, not_before).filter(|_| is_of_present_era);
-        let reads = heartbeat.reads.filter(|_| is_of_present_era);
+        let contact_at = |age| {
+            if is_of_present_era {
+                not_before.before(age)
+            } else {
+                Time::ZERO
+            }
+        };
         if !heartbeat.table_positions.is_empty() {
             let message = FollowerMessage::PeerPositions {
                 from: from.clone(),
                 positions: heartbeat.table_positions.clone(),
                 confirmed_at,
                 change: known_change(heartbeat, not_before),
-                reads: reads.map(|reads| OwnReads {
-                    contact_at: not_before.before(reads.contact_age),
+                reads: heartbeat.reads.map(|reads| OwnReads {
+                    contact_at: contact_at(reads.contact_age),
                     is_failing: reads.is_failing,
                 }),
             };
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -758,3 +758,24 @@
     let frame = sender.seal_encoded(&"i2".into(), &content).unwrap();
     assert!(frame.len() <= wire::MAX_DATAGRAM_BYTES, "{}", frame.len());
 }
+
+/// Guards against slots that are free for 122 s: an instance that had rows of an era, but that the platform turned away, counted
+/// as one that doesn't know it.
+#[rstest]
+#[case::named(OWN_FORMAT, 5, &[4, 4], 5)]
+#[case::has_rows(OWN_FORMAT, 4, &[5, 4], 5)]
+#[case::earlier_format(11, 0, &[5, 5], 0)]
+fn sender_knows_the_eras_of_its_rows(
+    #[case] format: u32,
+    #[case] store_era: u32,
+    #[case] table_eras: &[u32],
+    #[case] expected: u32,
+) {
+    let heartbeat = PeerHeartbeat {
+        format,
+        store_era,
+        table_eras: table_eras.to_vec(),
+        ..samples::heartbeat()
+    };
+    assert_eq!(heartbeat.known_era(), expected);
+}
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -15,7 +15,7 @@
 const MAX_QUESTIONS: usize = 3;
 /// Time for which another instance's report of an era counts: a few of its heartbeats.
 const REPORT_VALIDITY: Duration = Duration::from_secs(2);
-/// Number of other instances in contact from which on one of them doesn't suffice for an era.
+/// Number of other instances from which on one of them doesn't suffice for an era.
 const MIN_OTHERS: usize = 2;
 
 /// Tracks the latest era of the platform's history.
@@ -56,6 +56,8 @@
     doubtful: Option<u32>,
     /// Latest era that the platform itself has named to this instance.
     named: u32,
+    /// Time of the last answer, whatever it brought, that named the latest era.
+    named_at: Option<Instant>,
     /// Highest era that another instance has reported lately.
     reported: Option<Report>,
     /// Time of the last line about a report that can't be used.
@@ -193,7 +195,7 @@
     }
 
     /// Records the latest era that the platform has named to another instance, as its heartbeat reports it; `others` is the
-    /// number of other instances in contact.
+    /// number of other instances that there are.
     ///
     /// A later one counts once two of them report it, or one of them and an own answer. Where there is no second one
     /// to ask, one suffices. What one of many reports is pending otherwise, and counts for
@@ -238,6 +240,12 @@
         valid.map(|one| one.era).filter(|era| *era > latest)
     }
 
+    /// Returns whether an answer has named the latest era since a time.
+    pub(crate) fn is_named_since(&self, from: Instant) -> bool {
+        let named_at = self.reports.borrow().named_at;
+        named_at.is_some_and(|at| at >= from)
+    }
+
     /// Waits until a single instance reports an era beyond the latest one.
     pub(crate) async fn await_reported(&self) {
         let mut reports = self.reports.subscribe();
@@ -265,12 +273,23 @@
 
     /// Records an era that the platform has named. It is known before others can learn that.
     fn set_named(&self, era: u32) {
-        self.set(era);
-        self.reports
-            .send_modify(|reports| reports.named = reports.named.max(era));
+        self.set_with(era, || {
+            self.reports.send_modify(|reports| {
+                reports.named = reports.named.max(era);
+                reports.named_at = Some(Instant::now());
+            });
+        });
     }
 
     fn set(&self, era: u32) {
+        self.set_with(era, || {});
+    }
+
+    /// Sets the latest era, and calls `before_others` before anybody learns of it.
+    fn set_with<F>(&self, era: u32, before_others: F)
+    where
+        F: FnOnce(),
+    {
         self.reports.send_modify(|reports| {
             reports.is_reported = true;
             reports.doubtful = None;
@@ -280,6 +299,7 @@
         self.latest.send_if_modified(|latest| {
             let is_later = era > *latest;
             *latest = era.max(*latest);
+            before_others();
             is_later
         });
         if era > before {
--- a/crates/platform/src/reported.rs
+++ b/crates/platform/src/reported.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{Platform, PlatformError};
 
@@ -29,13 +29,16 @@
             let Some(reported) = self.era.reported() else {
                 continue;
             };
+            let asked_at = Instant::now();
             let is_answered = tokio::select! {
                 biased;
                 _ = latest.wait_for(|latest| *latest >= reported) => continue,
                 answered = timeout(SILENT_TIME, self.await_answer(table)) => answered.is_ok(),
             };
+            // One that refuses this instance may name its era all the same.
+            let is_contradicted = is_answered || self.era.is_named_since(asked_at);
             match self.era.reported() {
-                Some(_) if is_answered => {
+                Some(_) if is_contradicted => {
                     let text = reported.to_string();
                     self.era
                         .log_bad("contradicted", self.latest_era(), Some(&text));
--- a/crates/platform/tests/era.rs
+++ b/crates/platform/tests/era.rs
@@ -113,6 +113,7 @@
 enum Own {
     Answers(Option<u32>),
     Refuses,
+    RefusesAndNames(u32),
     Silent,
 }
 
@@ -124,6 +125,7 @@
 #[case::own_platform_names_a_later_one(&[("a", 2)], 9, Own::Answers(Some(3)), (1, 2, 2))]
 #[case::own_platform_is_silent(&[("a", 2)], 9, Own::Silent, (1, 1, 2))]
 #[case::own_platform_refuses(&[("a", 2)], 9, Own::Refuses, (1, 1, 2))]
+#[case::own_platform_refuses_and_names_its_era(&[("a", 2)], 9, Own::RefusesAndNames(1), (1, 1, 1))]
 #[case::second_instance(&[("a", 2), ("b", 2)], 9, Own::Answers(Some(1)), (2, 2, 2))]
 #[case::the_same_again(&[("a", 2), ("a", 2), ("a", 3)], 9, Own::Answers(Some(1)), (1, 1, 1))]
 #[case::what_both_know(&[("a", 3), ("b", 2)], 9, Own::Answers(Some(1)), (2, 2, 2))]
@@ -164,6 +166,11 @@
     let named = match own {
         Own::Answers(named) => named.map(|era| era.to_string()),
         Own::Refuses => return Err(PlatformError::Unavailable),
+        Own::RefusesAndNames(era) => {
+            let era = era.to_string();
+            known.on_answer(Some(&era), || ready(None)).await?;
+            return Err(PlatformError::Unavailable);
+        }
         Own::Silent => pending().await,
     };
     let era = known.on_answer(named.as_deref(), || ready(None)).await?;
