refactor(base): what is read without its era is no position

`Position` was written as its version and read as one of era 0, which `in_era` had to correct: a reader that forgot it got positions older than all others, silently, so that everything from that sender counted as known.

`Position` has no `Deserialize` any more. What is read from other instances is a `base::Version`, which isn't ordered and isn't a position until `in_era` makes it one; heartbeats, departures, reports of rows, changes and retained entries, tables and lists of parts are generic over it (`PeerHeartbeat<Version>` and `PeerHeartbeat`), and only the located form compiles where positions are used. Where there are no eras (the product's own platform; whole tables from a build up to format 4) the reader says so (`base::without_eras`). Writing is unchanged: a position is written as its version, next to its era. The bytes stay the same.

Ruled out: no `Serialize` either (each heartbeat and table would be copied into its transferred form to be written; a writer that forgets the era leaves a reader without one, who doesn't compile); the era in each position (5 bytes and more instead of 1 to 4, another format).

Tests: `formats` reads lists and tables of every format as `Version` and compares the located form, the fixtures are unchanged; `restored.rs` and `parts.rs` of coord and `malformed.rs` follow the types. Before, the readers that this commit changes compiled without `in_era`; now they don't (`formats/main.rs` didn't until it was adapted).

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -21,7 +21,7 @@
 pub use id::{
     DomainId, Incarnation, InstanceId, KeyDigest, KeyId, RegionId, ServiceId, TargetId, WorkspaceId,
 };
-pub use position::Position;
+pub use position::{Position, Version, without_eras};
 pub use regions::AllowedRegions;
 pub use route::RouteTable;
 pub use shared::Shared;
--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -8,8 +8,8 @@
 /// versions that were given out before are given out again with other content. So positions are ordered by era
 /// first: whatever was known in an earlier era is older than any position of a later one.
 ///
-/// Serialized, it is the version alone; it is read as one of era 0, and [`Position::in_era`] gives it the era that was
-/// transferred with it. One that isn't given any counts as older than all others.
+/// Serialized, it is the version alone, next to which the era is transferred. It can't be deserialized: what is read is a
+/// [`Version`], which [`Version::in_era`] makes a position.
 ///
 /// # Examples
 ///
@@ -68,11 +68,69 @@
     }
 }
 
-impl<'de> Deserialize<'de> for Position {
-    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+/// Holds the version of a [`Position`] that was transferred without its era.
+///
+/// It isn't ordered: versions of different eras say nothing about each other.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Position, Version};
+///
+/// assert_eq!(Version::from(157).in_era(2), Position::new(2, 157));
+/// ```
+///
+/// ```compile_fail
+/// use base::Version;
+///
+/// assert!(Version::from(157) < Version::from(164));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Version(u64);
+
+impl Version {
+    /// Returns the position of this version in an era.
+    pub const fn in_era(self, era: u32) -> Position {
+        Position::new(era, self.0)
+    }
+}
+
+impl From<u64> for Version {
+    fn from(version: u64) -> Self {
+        Self(version)
+    }
+}
+
+/// Reads positions of a platform that has no eras, for `deserialize_with`.
+pub mod without_eras {
+    use super::{Deserialize, Deserializer, Position, Version};
+
+    /// Reads one position of era 0.
+    ///
+    /// # Errors
+    ///
+    /// If it is no version.
+    pub fn one<'de, D>(deserializer: D) -> Result<Position, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        Version::deserialize(deserializer).map(|version| version.in_era(0))
+    }
+
+    /// Reads a list of positions of era 0.
+    ///
+    /// # Errors
+    ///
+    /// If it is no list of versions.
+    pub fn all<'de, D>(deserializer: D) -> Result<Vec<Position>, D::Error>
     where
         D: Deserializer<'de>,
     {
-        u64::deserialize(deserializer).map(Self::from)
+        let versions = Vec::<Version>::deserialize(deserializer)?;
+        Ok(versions
+            .into_iter()
+            .map(|version| version.in_era(0))
+            .collect())
     }
 }
--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -2,16 +2,26 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{Position, TargetId, Time};
+use base::{Position, TargetId, Time, Version};
 use serde::{Deserialize, Serialize};
 
 /// Reports that the rows of a table that are complete up to a position take a target out of service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Departure {
+pub struct Departure<P = Position> {
     /// The target.
     pub target: TargetId,
     /// Position of the table.
-    pub position: Position,
+    pub position: P,
+}
+
+impl Departure<Version> {
+    /// Returns the departure in its era of the table's history.
+    pub fn in_era(self, era: u32) -> Departure {
+        Departure {
+            target: self.target,
+            position: self.position.in_era(era),
+        }
+    }
 }
 
 /// Reports that an entry is gone by the rows that are complete up to a position, and is retained for some time, since an
--- a/crates/coord/src/parts.rs
+++ b/crates/coord/src/parts.rs
@@ -9,7 +9,7 @@
 
 use std::fmt;
 
-use base::Position;
+use base::{Position, Version};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -59,33 +59,38 @@
 
 /// Lists the parts of which a table consists.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct TableList {
+pub struct TableList<P = Position> {
     /// Position up to which the table is complete.
-    pub position: Position,
+    pub position: P,
     /// Rows in the order of their names.
-    pub rows: Vec<RowList>,
+    pub rows: Vec<RowList<P>>,
     /// Parts of the groups that the receiver doesn't know.
     pub groups: Vec<Vec<Part>>,
 }
 
-impl TableList {
-    /// Returns the same list in another era of the table's history.
-    pub fn in_era(mut self, era: u32) -> Self {
-        self.position = self.position.in_era(era);
-        for row in &mut self.rows {
-            row.position = row.position.in_era(era);
+impl TableList<Version> {
+    /// Returns the list in its era of the table's history.
+    pub fn in_era(self, era: u32) -> TableList {
+        let rows = self.rows.into_iter().map(|row| RowList {
+            name: row.name,
+            position: row.position.in_era(era),
+            content: row.content,
+        });
+        TableList {
+            position: self.position.in_era(era),
+            rows: rows.collect(),
+            groups: self.groups,
         }
-        self
     }
 }
 
 /// Lists the parts of a row's text, in order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RowList {
+pub struct RowList<P = Position> {
     /// Name of the row.
     pub name: String,
     /// Position of its last change.
-    pub position: Position,
+    pub position: P,
     /// Parts of its text.
     pub content: RowContent,
 }
--- a/crates/coord/src/rows_report.rs
+++ b/crates/coord/src/rows_report.rs
@@ -1,6 +1,6 @@
 //! Digests of a table's rows, by which replicas at the same position are compared.
 
-use base::Position;
+use base::{Position, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::ReplicaRow;
@@ -52,15 +52,26 @@
 /// assert!(one.contradicts(&other));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RowsReport {
+pub struct RowsReport<P = Position> {
     /// Position from which on no row has changed.
-    pub changed_at: Position,
+    pub changed_at: P,
     /// Number of further positions for which that holds.
     pub span: u64,
     /// Digest of the rows.
     pub digest: RowsDigest,
 }
 
+impl RowsReport<Version> {
+    /// Returns the report in its era of the table's history.
+    pub fn in_era(self, era: u32) -> RowsReport {
+        RowsReport {
+            changed_at: self.changed_at.in_era(era),
+            span: self.span,
+            digest: self.digest,
+        }
+    }
+}
+
 impl RowsReport {
     /// Returns the last position for which the report holds.
     pub fn position(&self) -> Position {
--- a/crates/coord/tests/parts.rs
+++ b/crates/coord/tests/parts.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeSet, fmt::Write};
 
-use base::Position;
+use base::{Position, Version};
 use coord::{
     ReplicaRow, TableSnapshot,
     parts::{
@@ -314,10 +314,10 @@
             let idx = rng.random_range(0..bytes.len());
             bytes[idx] = rng.random();
         }
-        let Ok(list) = postcard::from_bytes::<TableList>(&bytes) else {
+        let Ok(list) = postcard::from_bytes::<TableList<Version>>(&bytes) else {
             continue;
         };
-        let Ok(mut assembly) = Assembly::start(&own, &list) else {
+        let Ok(mut assembly) = Assembly::start(&own, &list.in_era(0)) else {
             continue;
         };
         let ids: BTreeSet<PartId> = assembly.missing().map(|part| part.id).collect();
--- a/crates/coord/tests/restored.rs
+++ b/crates/coord/tests/restored.rs
@@ -45,6 +45,15 @@
     replica
 }
 
+/// Returns a table as another era of the platform's history has it.
+fn in_era(mut table: TableSnapshot, era: u32) -> TableSnapshot {
+    table.position = table.position.in_era(era);
+    for row in table.rows.values_mut() {
+        row.position = row.position.in_era(era);
+    }
+    table
+}
+
 /// Returns the table as it is found in era 2.
 fn found(row: Option<(&str, u64)>, version: u64) -> TableSnapshot {
     let row = row.map(|(value, version)| ReplicaRow {
@@ -167,7 +176,7 @@
 fn two_copies_in_a_row_undo_nothing() {
     let mut replica = replica(Duration::ZERO, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
     for era in 2..=3 {
-        let mut copy = found(Some(("1:a", 5)), FOUND).in_era(era);
+        let mut copy = in_era(found(Some(("1:a", 5)), FOUND), era);
         copy.position.version -= u64::from(era);
         replica.restore(BACK_AT, copy);
         assert_eq!(known(&replica), Some("2:b"), "era {era}");
@@ -206,7 +215,7 @@
     let mut replica = replica(GRACE, &[(Some("1:a"), 5), (Some("2:b"), 15)]);
     replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND));
     assert!(replica.on_told_deleted(BACK_AT, "r"));
-    replica.restore(BACK_AT, found(Some(("1:a", 5)), FOUND).in_era(3));
+    replica.restore(BACK_AT, in_era(found(Some(("1:a", 5)), FOUND), 3));
     assert_eq!(known(&replica), None);
 }
 
@@ -219,7 +228,7 @@
     replica.restore(BACK_AT, found(None, 9));
     let at = Position::new(2, 12);
     replica.apply_changes(BACK_AT, vec![change("s", Some("1:s"), at)], at);
-    let mut copy = found(None, 12).in_era(3);
+    let mut copy = in_era(found(None, 12), 3);
     let value = "1:s".into();
     let position = Position::new(3, 12);
     copy.rows
@@ -286,13 +295,13 @@
             written += 1;
             let text = format!("{written}:x");
             let (era, version) = (table.position.era, table.position.version + 1);
-            table = found(Some((&text, version)), version).in_era(era);
+            table = in_era(found(Some((&text, version)), version), era);
         }
         copies.push_back(table.clone());
         if !is_last && rng.random_bool(0.03) {
             let era = table.position.era + 1;
             copies.truncate(rng.random_range(0..copies.len()) + 1);
-            table = copies[copies.len() - 1].clone().in_era(era);
+            table = in_era(copies[copies.len() - 1].clone(), era);
         }
         copies.drain(..copies.len().saturating_sub(30));
         for (idx, replica) in replicas.iter().enumerate() {
--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -5,8 +5,10 @@
 //! only behind the last kind. A sender's format decides how its messages are read, so that a kind is
 //! never taken for another one.
 
+use base::Version;
 use derive_more::{Display, Error};
 use dispatch::QuarantineReport;
+use postcard::take_from_bytes;
 
 use crate::message::{PeerHeartbeat, PeerMessage};
 
@@ -78,7 +80,7 @@
 pub fn decode(content: &[u8], sender_format: Option<u32>) -> Result<PeerMessage, UnreadMessage> {
     let format = sender_format.unwrap_or(0);
     let unread = |kind| UnreadMessage { kind, format };
-    let (kind, fields) = postcard::take_from_bytes::<u32>(content).map_err(|_| unread(u32::MAX))?;
+    let (kind, fields) = take_from_bytes::<u32>(content).map_err(|_| unread(u32::MAX))?;
     if kind == HEARTBEAT_KIND {
         let heartbeat = decode_heartbeat(fields).ok_or(unread(kind))?;
         return Ok(PeerMessage::Heartbeat(Box::new(heartbeat)));
@@ -110,7 +112,7 @@
     if receiver_format != FORMAT_WITHOUT_RATES {
         return Some(content);
     }
-    let (own_kind, fields) = postcard::take_from_bytes::<u32>(&content).ok()?;
+    let (own_kind, fields) = take_from_bytes::<u32>(&content).ok()?;
     let kind = KINDS_WITHOUT_RATES
         .iter()
         .position(|kind| *kind == own_kind)?;
@@ -137,7 +139,7 @@
 fn decode_heartbeat(fields: &[u8]) -> Option<PeerHeartbeat> {
     let mut extended = fields.to_vec();
     extended.resize(fields.len() + MAX_LACKING_BYTES, 0);
-    let (mut heartbeat, rest) = postcard::take_from_bytes::<PeerHeartbeat>(&extended).ok()?;
+    let (mut heartbeat, rest) = take_from_bytes::<PeerHeartbeat<Version>>(&extended).ok()?;
     let lacking = MAX_LACKING_BYTES.saturating_sub(rest.len());
     // Fields of which a part is there were cut off; no format lacks them.
     let lacks_number = heartbeat.format == 0 && heartbeat.build.is_empty();
@@ -157,16 +159,15 @@
         }
         _ => return None,
     }
-    heartbeat.locate();
-    (heartbeat.format > 0).then_some(heartbeat)
+    (heartbeat.format > 0).then(|| heartbeat.located())
 }
 
-fn is_without_eras(heartbeat: &PeerHeartbeat) -> bool {
+fn is_without_eras(heartbeat: &PeerHeartbeat<Version>) -> bool {
     let formats = FORMAT_WITHOUT_AGES..=FORMAT_WITHOUT_ERAS;
     formats.contains(&heartbeat.format) && heartbeat.table_eras.is_empty()
 }
 
-fn is_without_departures(heartbeat: &PeerHeartbeat) -> bool {
+fn is_without_departures(heartbeat: &PeerHeartbeat<Version>) -> bool {
     let formats = FORMAT_WITHOUT_NUMBER + 1..=FORMAT_WITHOUT_DEPARTURES;
     formats.contains(&heartbeat.format) && heartbeat.departures.is_empty()
 }
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -2,12 +2,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{InstanceId, Position, RegionId, ServiceId, Time, WorkspaceId};
+use base::{InstanceId, Position, RegionId, ServiceId, Time, Version, WorkspaceId};
 use coord::{
     Departure, Grant, GrantRequest, Head, Heartbeat, ListEntry, Loan, RetainedEntry, RowsReport,
 };
 use dispatch::{ConnectionLoss, LossReport, QuarantineReport, RateReport};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Index of the targets' table among the followed ones, as heartbeats list them.
 pub(crate) const TARGETS: usize = 1;
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Reports that the sender is alive, and its current state.
-    Heartbeat(Box<PeerHeartbeat>),
+    Heartbeat(#[serde(deserialize_with = "read_with_eras")] Box<PeerHeartbeat>),
     /// Requests tokens of a workspace's quota from its owner.
     GrantRequest(WorkspaceId, GrantRequest),
     /// Answers a grant request.
@@ -64,7 +64,7 @@
 
 /// Reports an instance's identity and the part of its state that other instances use.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PeerHeartbeat {
+pub struct PeerHeartbeat<P = Position> {
     /// Identity, incarnation, configuration version and its age.
     pub status: Heartbeat,
     /// Sequence number within the sender's incarnation.
@@ -88,7 +88,7 @@
     /// Requests per second for each service that may be served in only one region.
     pub pinned_demand: Vec<(ServiceId, RegionId, f64)>,
     /// Positions up to which the sender has read the followed tables, in the tables' order.
-    pub table_positions: Vec<Position>,
+    pub table_positions: Vec<P>,
     /// Whether the sender reaches the targets itself, not through other instances.
     pub has_target_path: bool,
     /// Format of the sender's messages.
@@ -96,17 +96,17 @@
     /// Version of the sender's build, for operators.
     pub build: String,
     /// Targets that have left, by rows beyond the last position that the receiver has reported.
-    pub departures: Vec<Departure>,
+    pub departures: Vec<Departure<P>>,
     /// The latest change of the first table of which the sender knows.
-    pub change: Option<ChangeReport>,
+    pub change: Option<ChangeReport<P>>,
     /// Time from the arrival of the heartbeat that `ack` names to the sending of this one.
     pub ack_age: Duration,
     /// Whether the sender's own reads of the targets' table succeed; `None` before the first one.
     pub reads: Option<ReadsReport>,
     /// The rows of the followed tables, in the tables' order; `None` where they aren't known to be exact.
-    pub rows: Vec<Option<RowsReport>>,
+    pub rows: Vec<Option<RowsReport<P>>>,
     /// Targets whose entries are gone and which the sender retains for some time.
-    pub retained: Vec<RetainedReport>,
+    pub retained: Vec<RetainedReport<P>>,
     /// Latest era of the platform's history that the platform's own answers have named to the sender, zero if none.
     pub store_era: u32,
     /// Eras of the positions that the sender reports of each followed table, in the tables' order; empty if all are zero.
@@ -115,9 +115,9 @@
 
 /// Reports that an entry is gone, and for how long the sender retains it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RetainedReport {
+pub struct RetainedReport<P = Position> {
     /// What others are to know once that is over.
-    pub departure: Departure,
+    pub departure: Departure<P>,
     /// Time that is left.
     pub remaining: Duration,
 }
@@ -142,9 +142,9 @@
 
 /// Reports a change of a table of which the sender knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangeReport {
+pub struct ChangeReport<P = Position> {
     /// Position of the change; while it is arriving, the position of the rows that it follows.
-    pub position: Position,
+    pub position: P,
     /// Whether the sender doesn't have it yet.
     pub is_arriving: bool,
     /// Time for which the sender has known of it.
@@ -182,6 +182,62 @@
     }
 }
 
+impl<P> PeerHeartbeat<P> {
+    /// Returns the era of what the sender reports of a table.
+    pub(crate) fn era_of(&self, table: usize) -> u32 {
+        self.table_eras.get(table).copied().unwrap_or(0)
+    }
+}
+
+impl PeerHeartbeat<Version> {
+    /// Gives all positions the eras that were transferred with them.
+    pub(crate) fn located(self) -> PeerHeartbeat {
+        let (first_era, targets_era) = (self.era_of(0), self.era_of(TARGETS));
+        let eras = self.table_eras.clone();
+        let era_of = |idx: usize| eras.get(idx).copied().unwrap_or(0);
+        let positions = self.table_positions.into_iter().enumerate();
+        let departures = self.departures.into_iter();
+        let rows = self.rows.into_iter().enumerate();
+        let retained = self.retained.into_iter().map(|report| RetainedReport {
+            departure: report.departure.in_era(targets_era),
+            remaining: report.remaining,
+        });
+        PeerHeartbeat {
+            table_positions: positions
+                .map(|(idx, version)| version.in_era(era_of(idx)))
+                .collect(),
+            departures: departures
+                .map(|departure| departure.in_era(targets_era))
+                .collect(),
+            change: self.change.map(|change| ChangeReport {
+                position: change.position.in_era(first_era),
+                is_arriving: change.is_arriving,
+                age: change.age,
+            }),
+            rows: rows
+                .map(|(idx, report)| report.map(|report| report.in_era(era_of(idx))))
+                .collect(),
+            retained: retained.collect(),
+            status: self.status,
+            sequence: self.sequence,
+            ack: self.ack,
+            entry: self.entry,
+            head: self.head,
+            owned_workspaces: self.owned_workspaces,
+            held_slots: self.held_slots,
+            demand: self.demand,
+            pinned_demand: self.pinned_demand,
+            has_target_path: self.has_target_path,
+            format: self.format,
+            build: self.build,
+            ack_age: self.ack_age,
+            reads: self.reads,
+            store_era: self.store_era,
+            table_eras: self.table_eras,
+        }
+    }
+}
+
 impl PeerHeartbeat {
     /// Sets the followed tables' positions, and their eras with them.
     pub fn set_positions(&mut self, positions: Vec<Position>) {
@@ -194,13 +250,9 @@
         self.table_positions = positions;
     }
 
-    /// Returns the era of what the sender reports of a table.
-    pub(crate) fn era_of(&self, table: usize) -> u32 {
-        self.table_eras.get(table).copied().unwrap_or(0)
-    }
-
-    /// Gives all positions the eras that were transferred with them.
-    pub(crate) fn locate(&mut self) {
+    /// Takes all positions for ones of these eras, in the tables' order.
+    pub(crate) fn assume_eras(&mut self, table_eras: Vec<u32>) {
+        self.table_eras = table_eras;
         let targets_era = self.era_of(TARGETS);
         let eras = self.table_eras.clone();
         let era_of = |idx: usize| eras.get(idx).copied().unwrap_or(0);
@@ -231,6 +283,14 @@
     }
 }
 
+fn read_with_eras<'de, D>(deserializer: D) -> Result<Box<PeerHeartbeat>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let heartbeat = PeerHeartbeat::<Version>::deserialize(deserializer)?;
+    Ok(Box::new(heartbeat.located()))
+}
+
 /// Commands the task that exchanges messages with the other instances.
 #[derive(Debug)]
 pub enum PeerCommand {
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -160,7 +160,8 @@
             .on_reported(from, heartbeat.store_era, self.others_in_contact(from));
         let is_located = self.is_located(&heartbeat);
         if !is_located && heartbeat.format <= FORMAT_WITHOUT_ERAS {
-            self.assume_eras(&mut heartbeat);
+            // Its positions are taken for ones of the own eras, to report to its sender what it may lack.
+            heartbeat.assume_eras(self.own_heartbeat.table_eras.clone());
         }
         if let Some(not_before) = self.sent_at(heartbeat.ack) {
             let now = self.clock.now();
@@ -204,12 +205,6 @@
         eras.all(|era| *era <= latest) && (heartbeat.format > FORMAT_WITHOUT_ERAS || latest == 0)
     }
 
-    /// Takes the positions of an earlier format for ones of the own eras, to report to its sender what it may lack.
-    fn assume_eras(&self, heartbeat: &mut PeerHeartbeat) {
-        heartbeat.table_eras = self.own_heartbeat.table_eras.clone();
-        heartbeat.locate();
-    }
-
     /// Forwards the sender's table positions and departures, which it sent no earlier than `not_before`.
     fn forward_positions(
         &self,
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -3,11 +3,11 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use base::{Incarnation, TargetId};
+use base::{Incarnation, TargetId, Version};
 use coord::{TableSnapshot, parts::PartId};
 use dispatch::{ActionEvent, ActionKey, ClaimOutcome, Claimer, SavedAnswer};
 use platform::Progress;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::oneshot};
 use wire::{Packed, Secret, stream};
 
@@ -67,8 +67,8 @@
     Settled,
     /// Carries the configuration's text, or `None` if the instance doesn't have it.
     Object(Option<String>),
-    /// Carries the table, or `None` if the instance hasn't read it.
-    Table(Option<TableSnapshot>),
+    /// Carries the table, or `None` if the instance hasn't read it; up to a format that knows no eras.
+    Table(#[serde(deserialize_with = "read_without_era")] Option<TableSnapshot>),
     /// Carries a [`TableList`](coord::parts::TableList), or `None` if the instance hasn't read the table.
     TableList(Option<Packed>),
     /// Carries the parts with their contents, or `None` if the instance doesn't have all of them.
@@ -77,6 +77,14 @@
     PackedTable(Option<Packed>),
 }
 
+fn read_without_era<'de, D>(deserializer: D) -> Result<Option<TableSnapshot>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let table = Option::<TableSnapshot<Version>>::deserialize(deserializer)?;
+    Ok(table.map(|table| table.in_era(0)))
+}
+
 /// Opens a connection between two instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Opening {
--- a/crates/daemon/src/table_fetch.rs
+++ b/crates/daemon/src/table_fetch.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use base::Version;
 use coord::{
     TableSnapshot,
     parts::{Assembly, MAX_TABLE_BYTES, Part, PartId, PartsError, TableCut, TableList},
@@ -168,7 +169,7 @@
         Reply::PackedTable(packed) => packed.ok_or(FetchFault::TurnedAway)?,
         _ => return Err(FetchFault::Unreadable),
     };
-    let (table, era) = unpack_with_era::<TableSnapshot>(&packed, MAX_ENCODED_BYTES)?;
+    let (table, era) = unpack_with_era::<TableSnapshot<Version>>(&packed, MAX_ENCODED_BYTES)?;
     Ok(table.in_era(era))
 }
 
@@ -216,7 +217,7 @@
         Reply::TableList(packed) => packed.ok_or(FetchFault::TurnedAway)?,
         _ => return Err(FetchFault::Unreadable),
     };
-    let (list, era) = unpack_with_era::<TableList>(&packed, MAX_LIST_BYTES)?;
+    let (list, era) = unpack_with_era::<TableList<Version>>(&packed, MAX_LIST_BYTES)?;
     Ok(list.in_era(era))
 }
 
--- a/crates/daemon/tests/formats/main.rs
+++ b/crates/daemon/tests/formats/main.rs
@@ -9,8 +9,8 @@
 
 use std::{fs, path::PathBuf, time::Duration};
 
-use base::{Incarnation, Position, Time};
-use coord::{Departure, Replica, RetainedEntry, RowsReport};
+use base::{Incarnation, Position, Time, Version};
+use coord::{Departure, Replica, RetainedEntry, RowsReport, TableSnapshot, parts::TableList};
 use daemon::{
     format::{OWN_FORMAT, UnreadMessage, decode, encode},
     message::{ChangeReport, PeerHeartbeat, PeerMessage, ReadsReport, RetainedReport},
@@ -548,12 +548,12 @@
         };
         assert_eq!(held.unpack(content.len()), Ok(content), "{name}");
     }
-    let list = postcard::from_bytes(&sample(format, "packed-list"));
-    assert_eq!(list, Ok(samples::table_list()));
+    let list = postcard::from_bytes::<TableList<Version>>(&sample(format, "packed-list"));
+    assert_eq!(list.map(|list| list.in_era(0)), Ok(samples::table_list()));
     let parts = postcard::from_bytes(&sample(format, "packed-parts"));
     assert_eq!(parts, Ok(samples::parts()));
-    let table = postcard::from_bytes(&sample(format, "packed-table"));
-    assert_eq!(table, Ok(samples::table()));
+    let table = postcard::from_bytes::<TableSnapshot<Version>>(&sample(format, "packed-table"));
+    assert_eq!(table.map(|table| table.in_era(0)), Ok(samples::table()));
 }
 
 /// Guards against an earlier build that is asked for what it can't read: its calls end before these.
--- a/crates/daemon/tests/formats/malformed.rs
+++ b/crates/daemon/tests/formats/malformed.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, fs, time::Duration};
 
-use base::{Incarnation, Position, Time};
+use base::{Incarnation, Position, Time, Version};
 use coord::{
     EraSettling, GrantRequest, Head, Lease, LeaseRow, LeaseTiming, Quota, QuotaHolder, QuotaOwner,
     QuotaSplit, WriteOutcome, lease_chart,
@@ -145,8 +145,8 @@
             let unpacked = packed.unpack(1_000);
             assert!(unpacked.is_err() || unpacked.unwrap().len() <= 1_000);
         }
-        if let Ok((list, _)) = postcard::take_from_bytes::<TableList>(&content) {
-            assembled += u32::from(assemble(&list));
+        if let Ok((list, _)) = postcard::take_from_bytes::<TableList<Version>>(&content) {
+            assembled += u32::from(assemble(&list.in_era(0)));
         }
     }
     assert!(assembled > 0);
--- a/crates/platform/src/model.rs
+++ b/crates/platform/src/model.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform, their replies and errors.
 
-use base::{DomainId, Position};
+use base::{DomainId, Position, without_eras};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,7 @@
         /// Table to follow.
         table: String,
         /// Position of the last change that the caller knows.
+        #[serde(deserialize_with = "without_eras::one")]
         after: Position,
         /// Maximum time to wait for a change, in milliseconds.
         wait_ms: u64,
@@ -81,13 +82,16 @@
     /// Rows by name.
     Rows(Vec<(String, Row)>),
     /// The new row versions, in the order of the writes; a deletion's has no meaning.
-    Written(Vec<Position>),
+    Written(#[serde(deserialize_with = "without_eras::all")] Vec<Position>),
     /// The object, or `None` if it does not exist.
     Object(Option<String>),
     /// Changes in order, and the position up to which they are complete.
-    Changes(Vec<Change>, Position),
+    Changes(
+        Vec<Change>,
+        #[serde(deserialize_with = "without_eras::one")] Position,
+    ),
     /// The latest position.
-    Position(Position),
+    Position(#[serde(deserialize_with = "without_eras::one")] Position),
     /// The listed machines.
     List(Vec<ListedMachine>),
     /// The call was executed and has no other result.
@@ -98,6 +102,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Version of the row, which rises with each write while the row exists.
+    #[serde(deserialize_with = "without_eras::one")]
     pub version: Position,
     /// Content of the row.
     pub value: String,
@@ -111,6 +116,7 @@
     /// Content of the row; `None` if it was deleted.
     pub value: Option<String>,
     /// Position of the change in the history of the platform's tables.
+    #[serde(deserialize_with = "without_eras::one")]
     pub at: Position,
 }
 
@@ -136,7 +142,7 @@
     /// The row does not exist.
     Absent,
     /// The row exists with this version.
-    Version(Position),
+    Version(#[serde(deserialize_with = "without_eras::one")] Position),
 }
 
 impl Precondition {
@@ -225,6 +231,7 @@
         /// Name of the row.
         row: String,
         /// Current version of the row, or zero if it does not exist.
+        #[serde(deserialize_with = "without_eras::one")]
         version: Position,
     },
 }
