fix(daemon,coord): an entry removed just after the store's return is kept by the time of the return

Callers reached a target that had removed its entry 40 to 480 ms after the store's return for 0.03 to 0.84 s longer than drainS (DRAIN), with and without a loss of versions.

Cause: such a removal can't be told from an entry that expired in the outage, so it is kept for 1.8 s, counted from when the return was noticed. A read over a new connection that is silent when the store returns stayed silent for its whole second and then counted as the begin of an outage; refused reads followed up to 0.8 s after each other. Reads of other instances counted only if they were later than the own failure was noticed.

Change: while a read of the targets' table over a new connection is refused or not answered, probes follow 0.1 to 0.8 s apart (10 ms for each instance, 60 to 100 % of it as drawn). An outage ends with the earliest read of any instance after the failed one was sent, whenever that is reported. An answer that overtakes one which was silent for 0.2 s shows an outage, as a whole second of silence does, so what expired is kept as before.

Ruled out: the era (it happens without a loss), and leaving removals after the return out of the 1.8 s (entries expire after it as well).

--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -435,7 +435,7 @@
     fn retain_deleted(&mut self, now: Time, name: &str, row: ReplicaRow) {
         let until = match self.outage {
             Some(Outage::Ongoing(_)) => now + self.grace_period,
-            Some(Outage::Over(at)) => at + self.grace_period,
+            Some(Outage::Over { at, .. }) => at + self.grace_period,
             None => now,
         };
         if now < until {
--- a/crates/coord/tests/replica.rs
+++ b/crates/coord/tests/replica.rs
@@ -142,6 +142,11 @@
     assert!(names(&replica).is_empty());
 }
 
+/// Lets a read of this instance fail as soon as it is sent.
+fn fail_own_read(replica: &mut Replica, now: Time) {
+    replica.on_own_read_failure(now, now);
+}
+
 /// Guards against DRAIN: an instance that stood still for seconds believed in an outage that only it knew, and kept
 /// rows that were gone.
 #[test]
@@ -150,7 +155,7 @@
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
     replica.on_contact(Time::from_millis(9_000));
     replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
-    replica.on_own_read_failure(Time::from_millis(12_100));
+    fail_own_read(&mut replica, Time::from_millis(12_100));
     assert!(!replica.has_outage());
     replica.on_contact(Time::from_millis(12_200));
     replica.apply_changes(Time::from_millis(12_200), vec![change("a", None, 3)], at(3));
@@ -164,9 +169,9 @@
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
     replica.on_contact(Time::from_millis(9_000));
     replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
-    replica.on_own_read_failure(Time::from_millis(13_300));
+    fail_own_read(&mut replica, Time::from_millis(13_300));
     assert!(!replica.has_outage());
-    replica.on_own_read_failure(Time::from_millis(13_301));
+    fail_own_read(&mut replica, Time::from_millis(13_301));
     assert!(replica.has_outage());
 }
 
@@ -177,7 +182,7 @@
     replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
     replica.on_contact(Time::from_millis(9_000));
     replica.on_wake(Time::from_millis(9_200), Time::from_millis(12_000));
-    replica.on_own_read_failure(Time::from_millis(12_000));
+    fail_own_read(&mut replica, Time::from_millis(12_000));
     replica.on_contact(Time::from_millis(9_300));
     replica.on_read_failure(Time::from_millis(12_000));
     assert!(replica.has_outage());
@@ -241,6 +246,24 @@
     assert!(names(&replica).is_empty());
 }
 
+/// Guards against DRAIN: what others had read since the store's return was received late, and didn't count where it was from
+/// before this instance's own first read, or before a failure was noticed.
+#[rstest]
+#[case::before_the_own_read(&[13_000, 12_200], 14_200)]
+#[case::before_the_failure_was_noticed(&[11_700], 13_700)]
+#[case::before_the_outage(&[13_000, 10_900], 15_000)]
+fn earliest_read_that_is_known_ends_an_outage(#[case] reads_ms: &[u64], #[case] until_ms: u64) {
+    let mut replica = Replica::new(GRACE);
+    replica.replace(Time::ZERO, snapshot(&[("a", "1", 1)], 2));
+    replica.on_contact(Time::from_millis(9_000));
+    replica.on_own_read_failure(Time::from_millis(11_000), Time::from_millis(12_000));
+    replica.apply_changes(Time::from_millis(13_000), vec![change("a", None, 3)], at(3));
+    for ms in reads_ms {
+        replica.on_contact(Time::from_millis(*ms));
+    }
+    assert_eq!(replica.expires_at(), Some(Time::from_millis(until_ms)));
+}
+
 /// Guards against rows of operators that stay in force after they are taken back, since an outage was believed in.
 #[test]
 fn replica_without_a_grace_period_retains_nothing() {
--- a/crates/daemon/src/follower/tables.rs
+++ b/crates/daemon/src/follower/tables.rs
@@ -38,7 +38,7 @@
     fleet::HEARING_TIME,
     message::{FollowerMessage, OwnReads, TARGETS, TableChange},
     table_logs::{NewsSource, log_concurrent_change, log_fetch, log_read_failure, log_standstill},
-    table_reads::{ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
+    table_reads::{ProbePace, ReaderOptions, TableRead, TableReader, to_row_change, to_snapshot},
 };
 
 /// Time to wait for the platform's own response before newer rows are fetched from another
@@ -206,6 +206,10 @@
                 table: table.clone(),
                 timing: self.read_timing(),
                 takes_rows_concurrently: idx == TARGETS,
+                probes: (idx == TARGETS).then(|| ProbePace {
+                    own: self.options.own_entry.instance.clone(),
+                    fleet: self.options.fleet.clone(),
+                }),
                 apply: self.options.apply,
                 advanced: self.tables[idx].advanced.subscribe(),
                 failing_elsewhere: self.tables[idx].failing_elsewhere.subscribe(),
@@ -322,7 +326,7 @@
                     self.lateness.on_read_failure(is_kept);
                 }
                 if failure.is_sign_of_outage() {
-                    table.record_failure(now);
+                    table.record_failure(now.before(failure.waited), now);
                 }
                 false
             }
--- a/crates/daemon/src/follower/tables/table.rs
+++ b/crates/daemon/src/follower/tables/table.rs
@@ -238,13 +238,13 @@
         }
     }
 
-    /// Records that the platform could not be read over a new connection.
-    pub(super) fn record_failure(&mut self, now: Time) {
+    /// Records that the platform could not be read over a new connection, by a read that was sent at `sent_at`.
+    pub(super) fn record_failure(&mut self, sent_at: Time, now: Time) {
         self.is_reachable = false;
         if let Some(reads) = &mut self.own_reads {
             reads.is_failing = true;
         }
-        self.replica.on_own_read_failure(now);
+        self.replica.on_own_read_failure(sent_at, now);
     }
 
     /// Logs the begin and the end of an outage, and rows that are retained since a change from `source`.
@@ -360,6 +360,9 @@
             self.confirmed_at = self.confirmed_at.max(Some(read.made_at));
         }
         let contact_at = read.answer.arrived_at;
+        if let Some(sent_at) = read.unanswered_since {
+            self.replica.on_own_read_failure(sent_at, contact_at);
+        }
         let is_late = self
             .failing_elsewhere
             .borrow()
--- a/crates/daemon/src/table_reads.rs
+++ b/crates/daemon/src/table_reads.rs
@@ -5,6 +5,7 @@
 mod open_polls;
 mod outcome;
 mod polling;
+mod probes;
 mod side_calls;
 mod timing;
 
@@ -20,6 +21,7 @@
     time::{Instant, sleep_until},
 };
 
+pub(crate) use self::probes::ProbePace;
 pub use self::timing::ReadTiming;
 use self::{
     concurrent::ConcurrentReads,
@@ -44,7 +46,7 @@
 const ARRIVAL_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which an answer must have been arriving to bring changes: one without any is complete before.
 pub(crate) const MIN_ARRIVAL_TIME: Duration = Duration::from_millis(100);
-/// Maximum number of polls without an answer; beyond it, the oldest is cancelled.
+/// Maximum number of polls without an answer, probes left out; beyond it, the oldest is cancelled.
 const MAX_OPEN_POLLS: usize = 4;
 /// Time after a standstill of this instance within which an answer that arrived meanwhile is handled.
 const HEARING_TIME: Duration = Duration::from_millis(200);
@@ -61,6 +63,8 @@
     pub(crate) timing: ReadTiming,
     /// Whether rows are of use although what comes before them is still arriving.
     pub(crate) takes_rows_concurrently: bool,
+    /// How often the table is asked for while the platform doesn't answer; `None` if its return needn't be noticed soon.
+    pub(crate) probes: Option<ProbePace>,
     /// Time within which a change must be in force.
     pub(crate) apply: Duration,
     /// Position up to which rows have come from another source.
@@ -214,6 +218,10 @@
                 }
                 Ok(()) = self.options.failing_elsewhere.changed() => None,
                 () = sleep_until(prompt_at.unwrap_or(at)) => match (step, self.arriving_until()) {
+                    (Step::Overtake(_), _) if self.is_probe_due() => {
+                        self.send_probe();
+                        None
+                    }
                     _ if prompt_at.is_some() => {
                         let until = Instant::now() + self.send_prompt();
                         step = Step::Overtake(at.min(until));
@@ -260,6 +268,7 @@
                     // What came meanwhile stays; an answer to a later poll contains the platform's position.
                     self.position = advanced.max(Some(read.position));
                     read.made_at = self.dates.date(read.answer);
+                    read.unanswered_since = self.open.unanswered_before(idx);
                     answered_at = self.options.clock.instant(read.answer.arrived_at);
                 }
                 // The others can't bring anything newer: they ask for what has come, or for less. Where connections
@@ -279,7 +288,7 @@
                 None
             }
             Err(error) => {
-                let is_newest = idx + 1 == self.open.len();
+                let is_newest = self.open.last_regular() <= Some(idx);
                 let failed = self.open.remove(idx)?;
                 // An earlier one has been reported already.
                 if !is_newest || matches!(step, Step::Poll(_)) {
@@ -339,12 +348,11 @@
     /// Counts the newest poll as unanswered, and lets another one follow on a new connection.
     async fn overtake(&mut self, step: &mut Step) -> Option<TableRead> {
         *step = Step::Poll(Instant::now());
-        if self.open.len() >= MAX_OPEN_POLLS {
-            self.open.cancel_oldest(1);
-        }
-        let newest = self.open.pop_newest()?;
+        self.open.make_room(MAX_OPEN_POLLS);
+        let idx = self.open.last_regular()?;
+        let newest = self.open.remove(idx)?;
         let read = self.fail(&newest, FailureCause::Unanswered, step).await;
-        self.open.push(newest);
+        self.open.insert(idx, newest);
         Some(read)
     }
 
@@ -356,7 +364,7 @@
         } else {
             let delay = self.retry_delay;
             self.retry_delay = (delay * 2).min(self.options.timing.max_retry_delay);
-            delay
+            self.probe_delay().map_or(delay, |probe| probe.min(delay))
         };
         *step = Step::Poll(Instant::now() + delay);
         TableRead::Failed(ReadFailure {
--- a/crates/daemon/src/table_reads/open_polls.rs
+++ b/crates/daemon/src/table_reads/open_polls.rs
@@ -7,6 +7,10 @@
 use platform::Received;
 use tokio::{sync::watch, task::AbortHandle, time::Instant};
 
+/// Minimum time without a byte of the answer after which a poll over a new connection is a sign that the platform didn't
+/// answer anybody when it was sent, if a later one is answered.
+const MIN_SILENCE: Duration = Duration::from_millis(200);
+
 /// A poll that has been sent and not been answered.
 #[derive(Debug)]
 pub(super) struct OpenPoll {
@@ -20,6 +24,8 @@
     pub(super) wait: Duration,
     /// Whether the connection had been used before.
     pub(super) is_on_kept_connection: bool,
+    /// Whether it only asks again whether the platform answers, in addition to one that waits for its answer.
+    pub(super) is_probe: bool,
     pub(super) received: watch::Receiver<Received>,
     pub(super) task: AbortHandle,
 }
@@ -30,6 +36,11 @@
         self.after.is_some_and(|after| after.era >= era)
     }
 
+    /// Returns whether a part of the answer has arrived.
+    pub(super) fn is_arriving(&self) -> bool {
+        self.received.borrow().begun_at.is_some()
+    }
+
     /// Returns when the answer to a poll for changes began to arrive.
     pub(super) fn arriving_since(&self) -> Option<Time> {
         self.after?;
@@ -65,9 +76,54 @@
         self.0.remove(idx)
     }
 
-    /// Removes the newest poll, and returns it.
-    pub(super) fn pop_newest(&mut self) -> Option<OpenPoll> {
-        self.0.pop_back()
+    /// Adds a poll at an index.
+    pub(super) fn insert(&mut self, idx: usize, poll: OpenPoll) {
+        self.0.insert(idx, poll);
+    }
+
+    /// Returns the index of the newest poll that isn't a probe.
+    pub(super) fn last_regular(&self) -> Option<usize> {
+        self.iter().rposition(|poll| !poll.is_probe)
+    }
+
+    /// Cancels the oldest poll that isn't a probe if there are `max` of them.
+    pub(super) fn make_room(&mut self, max: usize) {
+        let mut regular = self.iter().enumerate().filter(|(_, poll)| !poll.is_probe);
+        let oldest = regular.next().map(|(idx, _)| idx);
+        if regular.count() + 1 >= max
+            && let Some(oldest) = oldest.and_then(|idx| self.remove(idx))
+        {
+            oldest.task.abort();
+        }
+    }
+
+    /// Makes the newest poll a probe, and cancels the probes that were sent before `since`.
+    pub(super) fn on_probe(&mut self, since: Instant) {
+        if let Some(newest) = self.0.back_mut() {
+            newest.is_probe = true;
+        }
+        self.0.retain(|poll| {
+            let is_kept = !poll.is_probe || poll.sent >= since;
+            if !is_kept {
+                poll.task.abort();
+            }
+            is_kept
+        });
+    }
+
+    /// Returns when the latest poll before the one at `idx` was sent over a new connection of whose answer nothing has
+    /// arrived within [`MIN_SILENCE`].
+    pub(super) fn unanswered_before(&self, idx: usize) -> Option<Time> {
+        let answered = self
+            .get(idx)
+            .and_then(|poll| poll.received.borrow().begun_at);
+        let answered = answered.unwrap_or_else(Instant::now);
+        let mut earlier = self.range(..idx);
+        let unanswered = earlier.rfind(|poll| {
+            let is_silent = !poll.is_arriving() && answered - poll.sent >= MIN_SILENCE;
+            is_silent && !poll.is_on_kept_connection
+        });
+        unanswered.map(|poll| poll.sent_at)
     }
 
     /// Returns when an answer that is arriving counts as cut off unless more of it comes within `max_silence`.
--- a/crates/daemon/src/table_reads/outcome.rs
+++ b/crates/daemon/src/table_reads/outcome.rs
@@ -48,6 +48,9 @@
     pub(crate) answer: Answer,
     /// Time at which the answer was made: it contains no later change.
     pub(crate) made_at: Time,
+    /// Time at which an earlier read was sent over a new connection, of whose answer nothing had arrived in time as this one
+    /// was complete.
+    pub(crate) unanswered_since: Option<Time>,
     pub(crate) rows: Vec<Change>,
     /// Position up to which the rows are complete.
     pub(crate) position: Position,
--- a/crates/daemon/src/table_reads/polling.rs
+++ b/crates/daemon/src/table_reads/polling.rs
@@ -40,15 +40,13 @@
     /// Sends a poll that is answered at once, in addition to the open ones, and returns the time within which it must be
     /// answered.
     pub(super) fn send_prompt(&mut self) -> Duration {
-        if self.open.len() >= MAX_OPEN_POLLS {
-            self.open.cancel_oldest(1);
-        }
+        self.open.make_room(MAX_OPEN_POLLS);
         self.send_waiting_poll(self.options.clock.now(), Duration::ZERO);
         self.options.timing.first_answer_time()
     }
 
     /// Sends a poll that waits for a change for a time.
-    fn send_waiting_poll(&mut self, sent_at: Time, wait: Duration) {
+    pub(super) fn send_waiting_poll(&mut self, sent_at: Time, wait: Duration) {
         let progress = Progress::start();
         let received = progress.received();
         let platform = self.options.platform.clone().progress(progress.clone());
@@ -72,6 +70,7 @@
             PlatformRead {
                 answer,
                 made_at: sent_at,
+                unanswered_since: None,
                 rows,
                 position,
             }
@@ -106,6 +105,7 @@
             sent,
             wait,
             is_on_kept_connection: !self.is_reconnecting,
+            is_probe: false,
             received,
             task,
         });
@@ -128,6 +128,9 @@
         let Step::Overtake(until) = step else {
             return None;
         };
+        if let Some(at) = self.next_probe_at().filter(|at| *at < until) {
+            return Some(at);
+        }
         let due = self.options.failing_elsewhere.borrow().read_due()?;
         let newest = self.open.back()?;
         let is_resting =
--- a/crates/daemon/src/table_reads/timing.rs
+++ b/crates/daemon/src/table_reads/timing.rs
@@ -4,7 +4,7 @@
 
 use super::POLL_DELAY;
 
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Maximum time for which the platform holds a poll open while nothing changes.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(3);
 /// Maximum time that the platform's answer may take beyond the wait for a change.
