fix(dispatch): a request that hardly loses its connections by chance isn't sent again

Change: no second attempt follows a loss if the request has three losses that no other request explains, no answer for 2 s, and so many that chance would bring them about less than once in a thousand times. A quarantine needs once in a million by the same reckoning, but costs a minute of answers; this costs one attempt.

--- a/crates/dispatch/src/dispatcher/outcomes.rs
+++ b/crates/dispatch/src/dispatcher/outcomes.rs
@@ -77,7 +77,7 @@
             Outcome::Withheld => {
                 // Attempts that ended while this one was in flight count as if it had ended now.
                 let is_follow_up = !entry.reached.is_empty();
-                let may_follow = entry.may_follow(&self.quarantine);
+                let may_follow = entry.may_follow(now, &self.quarantine);
                 if !is_follow_up || (may_follow && self.budget.try_withdraw()) {
                     entry.wait_deadline = entry.wait_deadline.max(now + RETRY_WAIT);
                     Disposition::Retry
@@ -118,7 +118,7 @@
             Outcome::Lost | Outcome::Invalid => {
                 entry.losses += 1;
                 entry.reached.push(target);
-                if entry.may_follow(&self.quarantine) && self.budget.try_withdraw() {
+                if entry.may_follow(now, &self.quarantine) && self.budget.try_withdraw() {
                     Disposition::Retry
                 } else {
                     Disposition::Refuse(ErrorKind::TargetLost)
@@ -210,11 +210,12 @@
 
 impl Entry {
     /// Returns whether another attempt may follow those that have reached a target: after a loss only
-    /// one, and only of an idempotent request that is not quarantined.
-    fn may_follow(&self, quarantine: &Quarantine) -> bool {
+    /// one, and only of an idempotent request that is neither quarantined nor doubtful.
+    fn may_follow(&self, now: Time, quarantine: &Quarantine) -> bool {
         let has_attempts_left = self.reached.len() < self.request.max_attempts as usize;
         let is_repeatable = self.request.kind == RequestKind::Idempotent
-            && !quarantine.is_held(self.request.fingerprint);
+            && !quarantine.is_held(self.request.fingerprint)
+            && !quarantine.is_doubtful(now, self.request.fingerprint);
         has_attempts_left && (self.losses == 0 || (self.losses == 1 && is_repeatable))
     }
 }
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -302,6 +302,12 @@
         self.entries.contains_key(&fingerprint)
     }
 
+    /// Returns whether the request has lost so many connections that it is hardly by chance, though perhaps too few for a
+    /// quarantine.
+    pub fn is_doubtful(&self, now: Time, fingerprint: u64) -> bool {
+        self.attribution.is_doubtful(now, fingerprint)
+    }
+
     /// Returns whether the request is quarantined or on trial.
     pub fn is_held(&self, fingerprint: u64) -> bool {
         is_held(&self.entries, fingerprint)
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -45,6 +45,8 @@
 const MAX_DIGESTS: usize = 32;
 /// Maximum probability that a request which crashes no target has been lost on as many of them.
 const MAX_CHANCE: f64 = 1e-6;
+/// The same where the request isn't sent again after a loss, which costs one answer and not those of a minute.
+const MAX_REPEATED_CHANCE: f64 = 1e-3;
 /// Time within which losses that were taken for a failed path may turn out to be something else.
 const UNCLEAR_TTL: Duration = Duration::from_secs(3);
 /// Maximum number of events whose losses are kept for that.
@@ -269,17 +271,36 @@
         is_suspected.then(|| until - now)
     }
 
+    /// Returns whether a request has so many losses that they are hardly by chance, though perhaps too few for a quarantine.
+    pub(super) fn is_doubtful(&self, now: Time, fingerprint: u64) -> bool {
+        if !self.has_enough(fingerprint) {
+            return false;
+        }
+        let required = self.losses_beyond(now, MAX_REPEATED_CHANCE);
+        let needed = self.needed_losses(now, fingerprint, required);
+        self.has_unexplained(now, fingerprint, needed)
+    }
+
     fn is_suspected(&self, now: Time, fingerprint: u64, required: usize) -> bool {
+        let needed = self.needed_losses(now, fingerprint, required);
+        self.has_unexplained(now, fingerprint, needed)
+    }
+
+    /// Returns how many losses a request needs where one that has been answered needs `required`.
+    fn needed_losses(&self, now: Time, fingerprint: u64, required: usize) -> usize {
         let is_new = self
             .started_at
             .is_some_and(|started_at| now - started_at < WINDOW);
-        let may_have_answer = is_new || self.answers.contains_any(fingerprint);
-        let required = if may_have_answer {
+        if is_new || self.answers.contains_any(fingerprint) {
             required
         } else {
             self.max_losses
-        };
-        !self.is_answered(now, fingerprint) && self.unexplained(fingerprint) >= required
+        }
+    }
+
+    /// Returns whether a request has this many losses that no other one explains, and no recent answer.
+    fn has_unexplained(&self, now: Time, fingerprint: u64, count: usize) -> bool {
+        !self.is_answered(now, fingerprint) && self.unexplained(fingerprint) >= count
     }
 
     fn hears_until(&self, fingerprint: u64) -> Option<Time> {
@@ -287,12 +308,17 @@
         Some(doubt.began_at + self.hearing)
     }
 
+    /// Returns on how many incarnations a request must have been lost for a quarantine.
+    fn required_losses(&self, now: Time) -> usize {
+        self.losses_beyond(now, MAX_CHANCE)
+    }
+
     /// Returns on how many incarnations a request must have been lost, so that it hardly was by chance: more than
     /// the least number where targets also die without those that are suspected.
-    fn required_losses(&self, now: Time) -> usize {
+    fn losses_beyond(&self, now: Time, max_chance: f64) -> usize {
         let chance = self.chance_of_loss(now);
         let mut required = self.max_losses;
-        while required < MAX_DIGESTS && chance.powf(required as f64) > MAX_CHANCE {
+        while required < MAX_DIGESTS && chance.powf(required as f64) > max_chance {
             required += 1;
         }
         required
