bench(daemon): returns report eras as heartbeats do

The bench of the store's return let each instance believe the first word of an era, which instances don't any more. Now each reports what the store has named to it, and asks by a small call as the daemon does.

--- a/crates/daemon/benches/returns/fleet.rs
+++ b/crates/daemon/benches/returns/fleet.rs
@@ -56,8 +56,8 @@
     count: usize,
     in_force: &InForce,
 ) -> Instance {
-    let platform = store.platform();
     let own = listed(idx);
+    let platform = store.platform(&own.id, count - 1);
     let known = load_or_create(&platform, &own).await.unwrap();
     let slots = known.parameters.slots;
     tokio::spawn(keeping::keep(platform.clone(), known));
--- a/crates/daemon/benches/returns/store.rs
+++ b/crates/daemon/benches/returns/store.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::Position;
+use base::{InstanceId, Position};
 use platform::{
     Call, Change, ListedMachine, Platform, PlatformError, Precondition, Reply, Row, Store, StoreEra,
 };
@@ -17,6 +17,8 @@
 
 /// Tables that the instances follow: the operators' and the targets'.
 pub(crate) const FOLLOWED: [&str; 2] = ["op", "servers"];
+/// Table of the operators' document.
+const DOCUMENT_TABLE: &str = FOLLOWED[0];
 /// Row that represents the operators' document.
 pub(crate) const DOCUMENT: &str = "config";
 /// Rows of one answer.
@@ -63,8 +65,8 @@
     changed: BTreeMap<String, watch::Sender<()>>,
     /// Whether it answers nothing.
     is_silent: watch::Sender<bool>,
-    /// Latest era that any instance knows.
-    told: watch::Sender<u32>,
+    /// Latest eras that the store has named to the instances, as these report them.
+    told: watch::Sender<BTreeMap<InstanceId, u32>>,
     limits: Option<Limits>,
     document_bytes: usize,
 }
@@ -94,28 +96,34 @@
             state: Arc::new(Mutex::new(state)),
             changed: changed.into(),
             is_silent: watch::Sender::new(false),
-            told: watch::Sender::new(0),
+            told: watch::Sender::default(),
             limits,
             document_bytes,
         }
     }
 
-    /// Returns what an instance calls it by.
-    pub(crate) fn platform(&self) -> Platform {
+    /// Returns what an instance among `others` calls it by.
+    pub(crate) fn platform(&self, own_id: &str, others: usize) -> Platform {
+        let own_id = InstanceId::from(own_id);
         let known = StoreEra::default();
-        let (mut told, learned) = (self.told.subscribe(), known.clone());
+        let (mut told, learned, id) = (self.told.subscribe(), known.clone(), own_id.clone());
         tokio::spawn(async move {
             while told.changed().await.is_ok() {
                 sleep(TELL_TIME).await;
-                learned.learn(*told.borrow());
+                for (by, era) in told.borrow_and_update().iter().filter(|(by, _)| **by != id) {
+                    learned.on_reported(by, *era, others);
+                }
             }
         });
         let (store, tracked) = (self.clone(), known.clone());
         let platform = Platform::spawn(move || {
-            let (store, known) = (store.clone(), known.clone());
-            move |call, _| store.clone().execute(call, known.clone())
+            let (store, known, id) = (store.clone(), known.clone(), own_id.clone());
+            move |call, _| store.clone().execute(id.clone(), call, known.clone())
         });
-        platform.tracking(tracked)
+        let platform = platform.tracking(tracked);
+        let checked = platform.clone();
+        tokio::spawn(async move { checked.check_reported_eras(DOCUMENT_TABLE).await });
+        platform
     }
 
     /// Writes a row as an operator or a target does, which isn't counted.
@@ -162,7 +170,12 @@
         }
     }
 
-    async fn execute(self, call: Call, known: StoreEra) -> Result<Reply, PlatformError> {
+    async fn execute(
+        self,
+        id: InstanceId,
+        call: Call,
+        known: StoreEra,
+    ) -> Result<Reply, PlatformError> {
         let is_refused = self.record(&call);
         let mut is_silent = self.is_silent.subscribe();
         let silent = async {
@@ -183,9 +196,8 @@
         let named = era.to_string();
         known.on_answer(Some(&named), || self.ask_era()).await?;
         self.told.send_if_modified(|told| {
-            let is_later = era > *told;
-            *told = era.max(*told);
-            is_later
+            let before = told.insert(id, known.named());
+            before != Some(known.named())
         });
         reply
     }
