--- a/crates/daemon/src/table_reads/probes.rs
+++ b/crates/daemon/src/table_reads/probes.rs
@@ -2,12 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::InstanceId;
+use base::{InstanceId, Time};
 use coord::rendezvous_draw;
 use tokio::{sync::watch, time::Instant};
 
 use super::{MIN_RETRY_DELAY, TableReader, open_polls::OpenPoll, timing::MAX_RETRY_DELAY};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, HEARTBEAT_TIMEOUT};
 
 /// Mean time between two probes of all instances.
 const PROBE_SPACING: Duration = Duration::from_millis(10);
@@ -38,9 +38,11 @@
 }
 
 impl TableReader {
-    /// Returns the time from a read that has failed, or isn't answered, to the next one, if this table is probed.
+    /// Returns the time from a read that has failed, or isn't answered, to the next one, if this table is probed. An instance
+    /// that has just started doesn't probe, since it doesn't know yet how many others there are.
     pub(super) fn probe_delay(&self) -> Option<Duration> {
-        let pace = self.options.probes.as_ref()?;
+        let knows_others = self.options.clock.now() >= Time::ZERO + HEARTBEAT_TIMEOUT;
+        let pace = self.options.probes.as_ref().filter(|_| knows_others)?;
         Some(pace.delay(self.next_number))
     }
 
