test(proof): callers of the limits simulation come back as they are told

The simulation of a limit counted each refused request as lost, so that neither Retry-After nor the time that a refusal takes showed in it. With max_tries above 1 a refused caller comes back after its Retry-After while its 2 s last; the outcome counts refusals, and those later than 10 ms. The bench prints both for loads from 0.9 to 5.

--- a/crates/proof/benches/limits.rs
+++ b/crates/proof/benches/limits.rs
@@ -64,6 +64,36 @@
         }
     }
     print_message_rates();
+    print_refusals();
+}
+
+/// Prints how often callers beyond the quota are refused, when they come back as they are told.
+fn print_refusals() {
+    println!();
+    println!(
+        "| load | batches | tries | admitted, % of the quota | refusals a request | late refusals % |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for (load, batches) in [(0.9, 0.5), (1.2, 0.0), (1.2, 0.5), (2.0, 0.0), (5.0, 0.0)] {
+        for max_tries in [1, 4] {
+            let scenario = Scenario {
+                demand: Demand::Hot(0.4),
+                instances: 9,
+                length: Duration::from_secs(60),
+                batches: (batches, 40),
+                load,
+                max_tries,
+                ..Scenario::default()
+            };
+            let outcome = run(&scenario);
+            println!(
+                "| {load} | {batches} | {max_tries} | {:.1} | {:.2} | {:.1} |",
+                100.0 * outcome.admitted as f64 / (scenario.quota.rate * 60.0),
+                outcome.refusals as f64 / outcome.arrived as f64,
+                100.0 * outcome.late_refusals as f64 / (outcome.refusals as f64).max(1.0),
+            );
+        }
+    }
 }
 
 /// Prints the message rate for one workspace by number of instances.
--- a/crates/proof/src/limits/outcome.rs
+++ b/crates/proof/src/limits/outcome.rs
@@ -5,8 +5,12 @@
 /// Compares what a run admitted with what one token bucket for all instances would have.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Outcome {
-    /// Number of requests that arrived.
+    /// Number of requests that arrived; those that come back count once.
     pub arrived: u64,
+    /// Number of refusals of any try.
+    pub refusals: u64,
+    /// Number of refusals later than 10 ms after the try.
+    pub late_refusals: u64,
     /// Number of requests that were admitted.
     pub admitted: u64,
     /// Number of requests that one token bucket shared by all instances would have admitted.
--- a/crates/proof/src/limits/scenario.rs
+++ b/crates/proof/src/limits/scenario.rs
@@ -49,6 +49,8 @@
     pub demand: Demand,
     /// Share of the demand that arrives in batches, and the number of requests in a batch.
     pub batches: (f64, u32),
+    /// How often a caller asks at most: refused ones come back at the time that they were told.
+    pub max_tries: u32,
     /// Time during which requests arrive.
     pub length: Duration,
     /// One-way delay between regions; instances are spread over three regions.
@@ -78,6 +80,7 @@
             load: 0.9,
             demand: Demand::Even,
             batches: (0.0, 1),
+            max_tries: 1,
             length: Duration::from_secs(120),
             region_delay: Duration::from_millis(55),
             clock_drift: 0.01,
--- a/crates/proof/src/limits/simulation.rs
+++ b/crates/proof/src/limits/simulation.rs
@@ -20,6 +20,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time that a request may wait for admission.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a refusal counts as late.
+const LATE_REFUSAL: Duration = Duration::from_millis(10);
 
 #[derive(Debug)]
 enum Event {
@@ -52,12 +54,22 @@
     /// Bucket with the whole quota, to compare with.
     ideal: TokenBucket,
     audit: QuotaAudit,
-    /// Requests not yet decided: arrival time, and whether the ideal bucket admitted them.
-    pending: BTreeMap<u64, (Time, bool)>,
+    /// Requests not yet decided.
+    pending: BTreeMap<u64, PendingRequest>,
     admissions: Vec<Time>,
     outcome: Outcome,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct PendingRequest {
+    deadline: Time,
+    /// Time of the last try.
+    tried_at: Time,
+    tries: u32,
+    /// Whether the ideal bucket admitted the first try.
+    is_ideal: bool,
+}
+
 /// Runs a scenario until its event queue is empty.
 pub fn run(scenario: &Scenario) -> Outcome {
     let mut run = Run::new(scenario);
@@ -189,16 +201,27 @@
     }
 
     fn handle_arrival(&mut self, now: Time, idx: usize, id: u64) {
-        self.outcome.arrived += 1;
-        let is_ideal = self.ideal.try_take(now);
-        self.outcome.ideal += u64::from(is_ideal);
-        self.pending.insert(id, (now, is_ideal));
+        let mut request = self.pending.get(&id).copied().unwrap_or_else(|| {
+            let is_ideal = self.ideal.try_take(now);
+            self.outcome.arrived += 1;
+            self.outcome.ideal += u64::from(is_ideal);
+            PendingRequest {
+                deadline: now + REQUEST_TIMEOUT,
+                tried_at: now,
+                tries: 0,
+                is_ideal,
+            }
+        });
+        request.tried_at = now;
+        request.tries += 1;
+        self.pending.insert(id, request);
         let instance = &mut self.instances[idx];
         let local = instance.local_time(now);
         let workspace = WorkspaceId::from(WORKSPACE);
-        let actions = instance
-            .admission
-            .on_request(local, id, &workspace, local + REQUEST_TIMEOUT);
+        let actions =
+            instance
+                .admission
+                .on_request(local, id, &workspace, local + (request.deadline - now));
         self.apply(now, idx, actions);
     }
 
@@ -206,17 +229,14 @@
         for action in actions {
             match action {
                 Action::Admit(id) => {
-                    let Some((arrived_at, _)) = self.pending.remove(&id) else {
+                    let Some(request) = self.pending.remove(&id) else {
                         continue;
                     };
                     self.admissions.push(now);
-                    self.outcome.max_wait = self.outcome.max_wait.max(now - arrived_at);
-                }
-                Action::Refuse(id, _) => {
-                    let refused = self.pending.remove(&id);
-                    self.outcome.wrongly_refused +=
-                        u64::from(refused.is_some_and(|(_, is_ideal)| is_ideal));
+                    let wait = now - request.tried_at;
+                    self.outcome.max_wait = self.outcome.max_wait.max(wait);
                 }
+                Action::Refuse(id, refusal) => self.refuse(now, idx, id, refusal.retry_after),
                 Action::Lend(..) => {}
                 Action::RequestGrant(_, _, request) => {
                     let incarnation = self.instances[idx].incarnation;
@@ -230,6 +250,21 @@
         }
     }
 
+    /// Lets a refused caller come back when it was told, if it has time and a try left.
+    fn refuse(&mut self, now: Time, idx: usize, id: u64, retry_after: Duration) {
+        let Some(request) = self.pending.get(&id) else {
+            return;
+        };
+        self.outcome.refusals += 1;
+        self.outcome.late_refusals += u64::from(now - request.tried_at > LATE_REFUSAL);
+        if request.tries < self.scenario.max_tries && now + retry_after < request.deadline {
+            self.push(now + retry_after, Event::RequestArrives(idx, id));
+            return;
+        }
+        self.outcome.wrongly_refused += u64::from(request.is_ideal);
+        self.pending.remove(&id);
+    }
+
     fn handle_grant_request(
         &mut self,
         now: Time,
@@ -362,7 +397,7 @@
         self.outcome.wrongly_refused += self
             .pending
             .values()
-            .filter(|(_, is_ideal)| *is_ideal)
+            .filter(|request| request.is_ideal)
             .count() as u64;
         self.outcome.min_remaining = self.audit.min_remaining();
         self.outcome
