feat(admit): refused callers of a workspace are asked to retry along its rate

All that were refused between two answers of a workspace's owner were told the same moment, that of the next token. Now each gets the next place of a line with one place for each token expected here (tokens taken lately, an equal part of the quota at least), within 5 s and a third of its time after the next token; beyond that, retries are spread evenly over the same time. A line belongs to one workspace. While the owner doesn't answer, the time of the next question is told as before.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -11,6 +11,8 @@
     SlotHistory,
 };
 
+use crate::retries::RetrySchedule;
+
 /// Lists what the caller of the admission controller has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -69,12 +71,14 @@
 struct WorkspaceLimiter {
     holder: QuotaHolder,
     queue: VecDeque<QueuedRequest>,
+    retries: RetrySchedule,
 }
 
 #[derive(Debug, Clone)]
 struct QueuedRequest {
     id: u64,
     /// Time until which it may wait.
+    wait_deadline: Time,
     deadline: Time,
 }
 
@@ -114,7 +118,9 @@
                 burst: workspace.burst,
             };
             if let Some(limiter) = self.limiters.get_mut(id) {
-                limiter.holder.set_quota(now, quota);
+                if limiter.holder.set_quota(now, quota) {
+                    limiter.retries = RetrySchedule::default();
+                }
                 continue;
             }
             let mut holder = QuotaHolder::new(quota, self.split);
@@ -123,9 +129,12 @@
                 let history = held.history.not_before(removed_at);
                 holder.hold_slot(now, *slot, held.until, history);
             }
-            let queue = VecDeque::new();
-            self.limiters
-                .insert(id.clone(), WorkspaceLimiter { holder, queue });
+            let limiter = WorkspaceLimiter {
+                holder,
+                queue: VecDeque::new(),
+                retries: RetrySchedule::default(),
+            };
+            self.limiters.insert(id.clone(), limiter);
         }
     }
 
@@ -275,15 +284,22 @@
 
 impl WorkspaceLimiter {
     fn on_request(&mut self, now: Time, id: u64, deadline: Time) -> AdmissionDecision {
-        let decision = self.holder.admit(now);
-        if decision != AdmissionDecision::Wait {
-            return decision;
+        match self.holder.admit(now) {
+            AdmissionDecision::Wait => {}
+            AdmissionDecision::Admit => return AdmissionDecision::Admit,
+            AdmissionDecision::Refuse(first) => {
+                return AdmissionDecision::Refuse(self.retry_after(now, first, deadline));
+            }
         }
         if self.queue.len() >= MAX_QUEUE_LEN {
             return AdmissionDecision::Refuse(MAX_WAIT);
         }
-        let deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT);
-        self.queue.push_back(QueuedRequest { id, deadline });
+        let wait_deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT);
+        self.queue.push_back(QueuedRequest {
+            id,
+            wait_deadline,
+            deadline,
+        });
         AdmissionDecision::Wait
     }
 
@@ -310,17 +326,28 @@
     /// Refuses the requests whose time to wait is over, and all if the owner has no token to grant or doesn't answer.
     fn refuse_vain(&mut self, now: Time) -> Vec<Action> {
         let waits_in_vain = self.holder.waits_in_vain(now);
-        let retry_after = self.holder.retry_after(now);
+        let first = self.holder.retry_after(now);
         let mut actions = Vec::new();
-        self.queue.retain(|queued| {
-            let is_refused = waits_in_vain || queued.deadline <= now;
-            if is_refused {
+        for queued in std::mem::take(&mut self.queue) {
+            if waits_in_vain || queued.wait_deadline <= now {
+                let retry_after = self.retry_after(now, first, queued.deadline);
                 actions.push(refuse(queued.id, retry_after));
+            } else {
+                self.queue.push_back(queued);
             }
-            !is_refused
-        });
+        }
         actions
     }
+
+    /// Returns the delay after which a refused request may be retried, where `first` is the one of the next token.
+    ///
+    /// Nothing is expected of an owner that doesn't answer until it is asked again, which is the same time for all.
+    fn retry_after(&mut self, now: Time, first: Duration, deadline: Time) -> Duration {
+        match self.holder.expected_rate(now) {
+            Some(rate) => self.retries.next_delay(now, first, rate, deadline - now),
+            None => first,
+        }
+    }
 }
 
 fn refuse(id: u64, retry_after: Duration) -> Action {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod keys;
+mod retries;
 
 pub use admission::{Action, AdmissionController};
 pub use keys::KeyIndex;
--- a/crates/admit/tests/waits.rs
+++ b/crates/admit/tests/waits.rs
@@ -1,6 +1,6 @@
 //! How long requests wait for tokens of their workspace's owner.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use admit::{Action, AdmissionController};
 use base::{Config, ErrorKind, Time, Workspace, WorkspaceId};
@@ -9,6 +9,10 @@
 
 /// Returns a controller without reservations, which asks an owner for each token.
 fn controller() -> AdmissionController {
+    controller_with(QuotaSplit::default())
+}
+
+fn controller_with(split: QuotaSplit) -> AdmissionController {
     let mut config = Config::default();
     let workspace = Workspace {
         rate: 10.0,
@@ -16,7 +20,7 @@
         ..Workspace::default()
     };
     config.workspaces.insert("w".into(), workspace);
-    let mut admission = AdmissionController::new(QuotaSplit::default());
+    let mut admission = AdmissionController::new(split);
     admission.configure(Time::ZERO, &config);
     let owner = OwnerId {
         instance: "owner".into(),
@@ -141,3 +145,46 @@
     let actions = admission.on_grant(at(285), &WorkspaceId::from("w"), &grant);
     assert_eq!(actions, [Action::Admit(1)]);
 }
+
+/// Guards against refused callers that all return in one moment: one delay was named to all that were refused between two
+/// answers of the owner.
+#[rstest]
+#[case::fewer_than_places(40, 60, 1)]
+#[case::more_than_places(400, 60, 9)]
+#[case::with_little_time(400, 3, 45)]
+fn refused_requests_return_at_the_rate_of_their_workspace(
+    #[case] count: u64,
+    #[case] left_s: u64,
+    #[case] most_in_a_tenth: usize,
+) {
+    let mut admission = controller_with(QuotaSplit {
+        slots: 1,
+        ..QuotaSplit::default()
+    });
+    let left = Duration::from_secs(left_s);
+    let request = requested(&ask(&mut admission, at(0), 0, left)).unwrap();
+    let grant = Grant {
+        epoch: 1,
+        serial: request.serial,
+        tokens: 0,
+        retry_after: Duration::from_millis(100),
+    };
+    let mut actions = admission.on_grant(at(2), &WorkspaceId::from("w"), &grant);
+    for id in 1..count {
+        actions.extend(ask(&mut admission, at(2), id, left));
+    }
+    let mut returns = BTreeMap::new();
+    for action in &actions {
+        let Action::Refuse(_, refusal) = action else {
+            panic!("{action:?}");
+        };
+        *returns
+            .entry(refusal.retry_after.as_millis() / 100)
+            .or_default() += 1;
+    }
+    assert_eq!(returns.values().sum::<usize>(), count as usize);
+    assert!(
+        returns.values().max() <= Some(&most_in_a_tenth),
+        "{returns:?}"
+    );
+}
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -46,6 +46,8 @@
     owner: Option<OwnerId>,
     round_trip: Duration,
     demand: DemandEstimate,
+    /// Tokens taken per second.
+    taken: DemandEstimate,
 }
 
 /// Indicates whether tokens of a slot's reservations may have been spent by an earlier holder.
@@ -90,13 +92,15 @@
             owner: None,
             round_trip: INITIAL_ROUND_TRIP,
             demand: DemandEstimate::default(),
+            taken: DemandEstimate::default(),
         }
     }
 
-    /// Sets the whole quota, of which this holder has a part. What the owner said of another one counts
-    /// no more.
-    pub fn set_quota(&mut self, now: Time, whole: Quota) {
-        if std::mem::replace(&mut self.whole, whole) != whole {
+    /// Sets the whole quota, of which this holder has a part, and returns whether it was another one. What
+    /// the owner said of that one counts no more.
+    pub fn set_quota(&mut self, now: Time, whole: Quota) -> bool {
+        let is_changed = std::mem::replace(&mut self.whole, whole) != whole;
+        if is_changed {
             self.exhausted_until = Time::ZERO;
             self.token_expected_at = Time::ZERO;
         }
@@ -104,6 +108,7 @@
         for reservation in self.reservations.values_mut() {
             reservation.bucket.set_quota(now, self.reservation_quota);
         }
+        is_changed
     }
 
     /// Sets the owner to which requests and loans are sent.
@@ -146,15 +151,24 @@
             return true;
         }
         self.expire(now);
+        let is_taken = self.try_take_granted()
+            || self
+                .reservations
+                .values_mut()
+                .any(|reservation| reservation.try_take(now));
+        if is_taken {
+            self.taken.record_request(now);
+        }
+        is_taken
+    }
+
+    fn try_take_granted(&mut self) -> bool {
         let unspent = self.grants.iter_mut().find(|grant| grant.usage.unspent > 0);
-        if let Some(grant) = unspent {
+        unspent.is_some_and(|grant| {
             grant.usage.unspent -= 1;
             grant.usage.spent += 1;
-            return true;
-        }
-        self.reservations
-            .values_mut()
-            .any(|reservation| reservation.try_take(now))
+            true
+        })
     }
 
     /// Returns the number of tokens that can be taken now.
@@ -189,6 +203,17 @@
         wait.max(MIN_RETRY_AFTER)
     }
 
+    /// Returns how many tokens per second can be expected here: as many as were taken lately, and an equal part of the quota
+    /// at least; `None` while the owner doesn't answer.
+    pub fn expected_rate(&mut self, now: Time) -> Option<f64> {
+        if self.next_question_at(now).is_some() {
+            return None;
+        }
+        let equal_part = self.whole.rate / f64::from(self.split.slots.max(1));
+        let taken = self.taken.per_second(now);
+        Some(taken.max(equal_part).min(self.whole.rate))
+    }
+
     fn time_until_reserved_token(&self, now: Time) -> Duration {
         self.reservations
             .values()
