fix(admit): a request waits for a grant only behind as many as can be served

Of a workspace far beyond its rate, every request that came while the owner was asked waited for the answer, which had tokens for few of them. Now at most twice as many wait as tokens can have become available here since the owner last granted too little; the others are refused at once.

request_waits_only_behind_as_many_as_can_be_served failed before (100 of 100 waited, where 2 to 4 and 20 to 22 are expected).

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -294,6 +294,11 @@
         if self.queue.len() >= MAX_QUEUE_LEN {
             return AdmissionDecision::Refuse(MAX_WAIT);
         }
+        let expected = self.holder.expected_tokens(now);
+        if expected.is_some_and(|tokens| self.queue.len() as f64 >= tokens) {
+            let first = self.holder.retry_after(now);
+            return AdmissionDecision::Refuse(self.retry_after(now, first, deadline));
+        }
         let wait_deadline = now + (deadline - now).mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT);
         self.queue.push_back(QueuedRequest {
             id,
--- a/crates/admit/tests/waits.rs
+++ b/crates/admit/tests/waits.rs
@@ -188,3 +188,35 @@
         "{returns:?}"
     );
 }
+
+/// Guards against late refusals: of a workspace that is far beyond its rate, all requests waited for each answer of the owner,
+/// which had tokens for few of them.
+#[rstest]
+#[case::soon(130, 2, 4)]
+#[case::later(2_000, 20, 22)]
+#[case::long_after(60_000, 100, 100)]
+fn request_waits_only_behind_as_many_as_can_be_served(
+    #[case] asked_at: u64,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let mut admission = controller_with(QuotaSplit {
+        slots: 1,
+        ..QuotaSplit::default()
+    });
+    let left = Duration::from_secs(10);
+    let request = requested(&ask(&mut admission, at(0), 0, left)).unwrap();
+    let grant = Grant {
+        epoch: 1,
+        serial: request.serial,
+        tokens: 0,
+        retry_after: Duration::from_millis(100),
+    };
+    admission.on_grant(at(20), &WorkspaceId::from("w"), &grant);
+    let waiting = (1..=100).filter(|id| {
+        let actions = ask(&mut admission, at(asked_at), *id, left);
+        refused(&actions).is_empty()
+    });
+    let waiting = waiting.count();
+    assert!((least..=most).contains(&waiting), "{waiting}");
+}
--- a/crates/coord/src/holder.rs
+++ b/crates/coord/src/holder.rs
@@ -43,6 +43,8 @@
     exhausted_until: Time,
     /// Time at which the owner expects a token by its last answer.
     token_expected_at: Time,
+    /// Time of the last question to which the owner granted too little: it had no token left.
+    emptied_at: Option<Time>,
     owner: Option<OwnerId>,
     round_trip: Duration,
     demand: DemandEstimate,
@@ -72,6 +74,8 @@
 
 /// Round-trip time to the owner that is assumed before its first answer.
 const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(20);
+/// Factor by which a grant may exceed what the tokens taken lately let expect, as other holders may want less than before.
+const EXPECTED_MARGIN: f64 = 2.0;
 /// Minimum delay after which a refused request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 
@@ -89,6 +93,7 @@
             requested_at: Time::ZERO,
             exhausted_until: Time::ZERO,
             token_expected_at: Time::ZERO,
+            emptied_at: None,
             owner: None,
             round_trip: INITIAL_ROUND_TRIP,
             demand: DemandEstimate::default(),
@@ -103,6 +108,7 @@
         if is_changed {
             self.exhausted_until = Time::ZERO;
             self.token_expected_at = Time::ZERO;
+            self.emptied_at = None;
         }
         self.reservation_quota = self.split.reservation(whole);
         for reservation in self.reservations.values_mut() {
@@ -214,6 +220,15 @@
         Some(taken.max(equal_part).min(self.whole.rate))
     }
 
+    /// Returns how many waiting requests can expect a token of the owner's next answer, if it ever granted too little: twice as many
+    /// as have become available here between that question and the next one.
+    pub fn expected_tokens(&mut self, now: Time) -> Option<f64> {
+        let emptied_at = self.emptied_at?;
+        let asked_at = self.pending.as_ref().map_or(now, |pending| pending.sent_at);
+        let rate = (EXPECTED_MARGIN * self.expected_rate(now)?).min(self.whole.rate);
+        Some(1.0 + rate * (asked_at - emptied_at).as_secs_f64())
+    }
+
     fn time_until_reserved_token(&self, now: Time) -> Duration {
         self.reservations
             .values()
--- a/crates/coord/src/holder/requests.rs
+++ b/crates/coord/src/holder/requests.rs
@@ -72,6 +72,7 @@
         let old = self.round_trip.as_secs_f64();
         self.round_trip = Duration::from_secs_f64(old + ROUND_TRIP_GAIN * (sample - old));
         if grant.tokens < pending.request.waiting {
+            self.emptied_at = Some(pending.sent_at);
             self.exhausted_until = now + grant.retry_after.min(MAX_EXHAUSTED_TIME);
             self.token_expected_at = now + grant.retry_after;
         }
