refactor(daemon): formats and messages don't import each other

The ring came with the known era of a heartbeat; the number of the last format without eras is beside the message that has them.

--- a/crates/daemon/src/format.rs
+++ b/crates/daemon/src/format.rs
@@ -10,7 +10,7 @@
 use dispatch::QuarantineReport;
 use postcard::take_from_bytes;
 
-use crate::message::{PeerHeartbeat, PeerMessage};
+use crate::message::{FORMAT_WITHOUT_ERAS, PeerHeartbeat, PeerMessage};
 
 /// Format of the messages that this build sends.
 pub const OWN_FORMAT: u32 = 12;
@@ -36,8 +36,6 @@
 const FORMAT_WITHOUT_RETAINED: u32 = 9;
 /// Format whose reports of losses and answers don't say how long ago these were.
 const FORMAT_WITHOUT_AGES: u32 = 10;
-/// Format whose positions of tables have no eras.
-pub(crate) const FORMAT_WITHOUT_ERAS: u32 = 11;
 
 /// Number of the heartbeat among the kinds of messages, the same in all formats.
 const HEARTBEAT_KIND: u32 = 0;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -9,8 +9,8 @@
 use dispatch::{ConnectionLoss, LossReport, QuarantineReport, RateReport};
 use serde::{Deserialize, Deserializer, Serialize};
 
-use crate::format::FORMAT_WITHOUT_ERAS;
-
+/// Format whose positions of tables have no eras.
+pub(crate) const FORMAT_WITHOUT_ERAS: u32 = 11;
 /// Index of the targets' table among the followed ones, as heartbeats list them.
 pub(crate) const TARGETS: usize = 1;
 
--- a/crates/daemon/src/peers/receiving.rs
+++ b/crates/daemon/src/peers/receiving.rs
@@ -7,8 +7,11 @@
 
 use super::Peers;
 use crate::{
-    format::{self, FORMAT_WITHOUT_CHANGES, FORMAT_WITHOUT_ERAS, OWN_FORMAT, UnreadMessage},
-    message::{FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport, TableChange},
+    format::{self, FORMAT_WITHOUT_CHANGES, OWN_FORMAT, UnreadMessage},
+    message::{
+        FORMAT_WITHOUT_ERAS, FollowerMessage, OwnReads, PeerHeartbeat, PeerMessage, RetainedReport,
+        TableChange,
+    },
     owners::OwnersMessage,
 };
 
