--- a/crates/daemon/src/table_reads/probes.rs
+++ b/crates/daemon/src/table_reads/probes.rs
@@ -18,7 +18,7 @@
 /// Sets how often an instance asks for a table while the platform doesn't answer.
 ///
 /// Entries of targets that expired in an outage are kept for a time from its end on, and those that are removed after it are
-/// in no way different from them. So the end must be known more closely than the time that is left of `drainS`. Where few
+/// in no way different from them. So the end must be known more closely than the time that is left of the drain time. Where few
 /// instances are alive, each one asks often; where there are many, it learns from heartbeats when the first one was answered.
 #[derive(Debug)]
 pub(crate) struct ProbePace {
